--- /dev/null
+++ b/crates/adapter/src/reply.rs
@@ -0,0 +1,73 @@
+//! Prints decisions as the wire's actions. Rounds times so that none comes later than it was meant,
+//! and no timer earlier.
+
+use std::io::Write;
+use tansymux::interface::Writer;
+
+pub struct Reply<'a> {
+    pub to: &'a mut Vec<u8>,
+    pub dispatcher: u64,
+}
+
+macro_rules! action {
+    ($reply:expr, $($format:tt)*) => {{
+        // Writing to a Vec cannot fail.
+        let _ = writeln!($reply.to, $($format)*);
+    }};
+}
+
+fn up_to(ms: f64) -> u64 {
+    (ms.max(0.0) * 1000.0 + 1e-3).floor() as u64
+}
+
+fn at_least(ms: f64) -> u64 {
+    (ms.max(0.0) * 1000.0 - 1e-3).ceil() as u64
+}
+
+impl Writer for Reply<'_> {
+    fn submit(&mut self, id: u64, node: u64, until: f64) {
+        action!(self, "try {} {id} {node} {}", self.dispatcher, up_to(until));
+    }
+    fn defer(&mut self, id: u64, retry_after: f64) {
+        action!(self, "not_now {} {id} {}", self.dispatcher, up_to(retry_after));
+    }
+    fn kill(&mut self, id: u64) {
+        action!(self, "error {} {id}", self.dispatcher);
+    }
+    fn cancel(&mut self, id: u64, submission: usize) {
+        action!(self, "abort_attempt {} {id} {submission}", self.dispatcher);
+    }
+    fn grant(&mut self, id: u64, priority: u8, memory: f64) {
+        action!(self, "allot {} {id} {priority} {memory:.3}", self.dispatcher);
+    }
+    fn probe(&mut self, node: u64) {
+        action!(self, "sound_out {} {node}", self.dispatcher);
+    }
+    fn timer(&mut self, delay: f64, handle: u64) {
+        action!(self, "notify_me {} {} {handle}", self.dispatcher, at_least(delay));
+    }
+    fn watch_list(&mut self) {
+        action!(self, "track {} 1", self.dispatcher);
+    }
+    fn note(&mut self, text: &str) {
+        let text = text.replace('\n', " ");
+        action!(self, "trace {} {text}", self.dispatcher);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_time_out_later_and_no_timer_earlier_than_meant() {
+        let mut to = Vec::new();
+        let mut reply = Reply { to: &mut to, dispatcher: 3 };
+        reply.submit(7, 9, 1000.0019);
+        reply.timer(2.0001, 1);
+        reply.submit(7, 9, 8492.25);
+        reply.timer(20.0, 1);
+        let text = String::from_utf8(to).unwrap();
+        assert_eq!(text, "try 3 7 9 1000001\nnotify_me 3 2001 1\ntry 3 7 9 8492250\nnotify_me 3 20000 1\n");
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,31 @@
+//! Names and numbers from outside become small indices here, in the order of their first sight.
+
+use rustc_hash::FxHashMap;
+
+#[derive(Debug, Default)]
+pub struct Names(FxHashMap<String, u32>);
+
+impl Names {
+    pub fn index(&mut self, name: &str) -> u32 {
+        if let Some(&i) = self.0.get(name) {
+            return i;
+        }
+        let i = self.0.len() as u32;
+        self.0.insert(name.to_owned(), i);
+        i
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Numbers(FxHashMap<u64, u32>);
+
+impl Numbers {
+    pub fn index(&mut self, number: u64) -> usize {
+        let next = self.0.len() as u32;
+        *self.0.entry(number).or_insert(next) as usize
+    }
+
+    pub fn find(&self, number: u64) -> Option<usize> {
+        self.0.get(&number).map(|&i| i as usize)
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,61 @@
+//! What the decisions are called with, and what they write to. A protocol implements both traits.
+
+use crate::control::Control;
+
+/// One round's events, in order. `deliver` calls the handlers of `Control` with decoded fields.
+pub trait Feed {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer);
+}
+
+/// Takes the decisions as they are made. Times are milliseconds.
+pub trait Writer {
+    /// Sends query `id` to engine `node`, to be abandoned at clock reading `until`.
+    fn submit(&mut self, id: u64, node: u64, until: f64);
+    fn defer(&mut self, id: u64, retry_after: f64);
+    fn kill(&mut self, id: u64);
+    fn cancel(&mut self, id: u64, submission: usize);
+    /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next submissions.
+    fn grant(&mut self, id: u64, priority: u8, memory: f64);
+    fn probe(&mut self, node: u64);
+    fn timer(&mut self, delay: f64, handle: u64);
+    /// Asks for pushed changes of the engine list.
+    fn watch_list(&mut self);
+    fn note(&mut self, text: &str);
+}
+
+/// How a submission or a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Finished,
+    Error,
+    Full,
+    Timeout,
+    NoConnection,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+/// Which kind of engine list comes, or that none does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListForm {
+    Changes,
+    Full,
+    Remembered,
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineStatus {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What the progress notes say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Note {
+    Progress,
+    Spills,
+    Waits,
+}
