--- a/src/control.rs
+++ b/src/control.rs
@@ -7,12 +7,12 @@
 //! Order of reading: tuned values, start, list of engines, a query comes, placement, sending, answers,
 //! final answers, the regular look, helpers.
 
-use crate::ids::{Names, Numbers};
+use crate::ids::Door;
 use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
 use crate::pcg::Pcg;
 use crate::state::*;
+use crate::told::{self, Map};
 use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
 
 // The design page's values.
 const DEMOTE_FACTOR: f64 = 4.0;
@@ -57,50 +57,27 @@
 
 pub struct Control {
     now: f64,
+    told: Map,
     chance: Pcg,
     gateways: f64,
     hall: u32,
-    rg_names: Names,
-    kinds: Names,
-    halls: Names,
-    customer_names: Names,
+    door: Door,
     pub groups: Vec<ResourceGroup>,
     pub customers: Vec<Customer>,
-    nodes: Numbers,
     pub engines: Vec<Engine>,
-    kind_cores: Vec<f64>,
-    kind_memory: Vec<f64>,
     pub queries: Slab<Query>,
-    ids: rustc_hash::FxHashMap<u64, usize>,
-    key_ids: Numbers,
     lines: Vec<KeyLine>,
-    taken: VecDeque<f64>,
-    further: VecDeque<f64>,
-    moving: u32,
-    candidates: Vec<usize>,
+    taken: Recent,
+    further: Recent,
+    moving: f64,
+    drawn: Vec<usize>,
     timer_set: bool,
     looked: f64,
-    told: BTreeMap<String, String>,
     list_asked: f64,
     list_wanted: bool,
     fleet_pace: f64,
 }
 
-fn number(told: &BTreeMap<String, String>, name: &str) -> Result<Option<f64>, String> {
-    let Some(text) = told.get(name) else {
-        return Ok(None);
-    };
-    text.parse().map(Some).map_err(|_| format!("setting {name}={text} is not a number"))
-}
-
-fn required(told: &BTreeMap<String, String>, name: &str) -> Result<f64, String> {
-    number(told, name)?.ok_or_else(|| format!("setting {name} is missing"))
-}
-
-fn listed<'a>(told: &'a BTreeMap<String, String>, name: &str) -> Vec<&'a str> {
-    told.get(name).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
-}
-
 /// A running median: moves by a fixed step towards each sample, so that no outlier pulls it far.
 fn follow(median: &mut f64, sample: f64, step: f64) {
     *median += step * (sample - *median).clamp(-1.0, 1.0).signum();
@@ -109,106 +86,41 @@
 impl Control {
     // ---- Start ----
 
-    pub fn new(seed: u64, told: &BTreeMap<String, String>) -> Result<Self, String> {
-        let (mut halls, mut kinds, mut rg_names) = (Names::default(), Names::default(), Names::default());
+    pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
+        let mut door = Door::default();
         let mut groups = Vec::new();
-        let threads = listed(told, "family-info.dop");
-        let loads = listed(told, "family-info.class-load");
-        let waits = listed(told, "family-info.class-waits");
-        for i in 0..required(told, "services.count")? as usize {
-            let name = |what: &str| format!("services.{i}.{what}");
-            let text = |what: &str| told.get(&name(what)).map(String::as_str);
-            let bound = |what: &str, names: &mut Names| {
-                let all = listed(told, &name(what));
-                text(what).map(|_| all.iter().map(|n| names.index(n)).collect::<Vec<_>>())
-            };
-            rg_names.index(text("name").ok_or_else(|| format!("setting {} is missing", name("name")))?);
-            groups.push(ResourceGroup {
-                effect: match text("effect") {
-                    Some("read_like") => Effect::ReadOnly,
-                    Some("idempotency_key") => Effect::Tokened,
-                    Some("non_idempotent") => Effect::Mutating,
-                    other => return Err(format!("setting {} is {other:?}", name("effect"))),
-                },
-                dedup: match text("dedup-scope") {
-                    Some("zone") => DedupGroup::Hall,
-                    Some("cell") => DedupGroup::Cell,
-                    _ => DedupGroup::All,
-                },
-                window: number(told, &name("repeat-window-us"))?.unwrap_or(0.0) / 1000.0,
-                in_order: matches!(text("in-order"), Some("true" | "1")),
-                halls: bound("confined-to", &mut halls),
-                kinds: bound("kinds-open", &mut kinds),
-                target: required(told, &name("aim-us"))? / 1000.0,
-                target_stretch: number(told, &name("aim-stretch"))?.unwrap_or(0.0),
-                queue_timeout: required(told, &name("hard-limit-us"))? / 1000.0,
-                value: number(told, &name("points"))?.unwrap_or(1.0),
-                late_value: number(told, &name("late-worth"))?.unwrap_or(0.0),
-                threads: threads.get(i).and_then(|t| t.parse().ok()).unwrap_or(1.0f64).max(1.0),
-                load: matches!(loads.get(i), Some(&"true" | &"1")),
-                waits: matches!(waits.get(i), Some(&"true" | &"1")),
-                mean_cost: 0.0,
-                seen: 0,
-                pace: 0.0,
-                best: 0.0,
-                paced: 0,
-                cost_factor: 1.0,
-                memory_factor: 1.0,
-            });
-        }
-        let kind_list = listed(told, "kinds");
-        let by_kind = |what: &str, kinds: &mut Names, usual: f64| {
-            let mut by = vec![usual; kind_list.len()];
-            for (kind, value) in kind_list.iter().zip(listed(told, what)) {
-                by[kinds.index(kind) as usize % kind_list.len()] = value.parse().unwrap_or(usual);
-            }
-            by
-        };
-        kind_list.iter().for_each(|kind| {
-            kinds.index(kind);
-        });
-        let (kind_cores, kind_memory) = (
-            by_kind("family-info.cores-by-kind", &mut kinds, 8.0),
-            by_kind("family-info.kind-memory-mb", &mut kinds, 0.0),
-        );
-        let gateways = required(told, "balancers")?.max(1.0);
-        let mut customer_names = Names::default();
+        for i in 0..told::required(told, "services.count")? as usize {
+            groups.push(ResourceGroup::read(told, i, &mut door.halls, &mut door.kinds)?);
+            let name = format!("services.{i}.name");
+            door.groups.index(told.get(&name).ok_or_else(|| format!("setting {name} is missing"))?);
+        }
+        let gateways = told::required(told, "balancers")?.max(1.0);
         let mut customers = Vec::new();
-        for i in 0..number(told, "projects.count")?.unwrap_or(0.0) as usize {
-            customer_names.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
-            let rate = number(told, &format!("projects.{i}.allowance-per-s"))?.unwrap_or(f64::INFINITY);
-            let rate = rate / 1000.0 / gateways;
-            customers.push(Customer { rate, level: 0.0, at: f64::NEG_INFINITY });
+        for i in 0..told::number(told, "projects.count").unwrap_or(0.0) as usize {
+            door.customers.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
+            let rate = told::number(told, &format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
+            customers.push(Customer { rate: rate / 1000.0 / gateways, level: 0.0, at: LONG_AGO });
         }
-        let list_wanted = told.get("membership-mode").is_some_and(|m| m == "on_request");
         Ok(Control {
             now: 0.0,
+            told: told.clone(),
             chance: Pcg::new(seed),
             gateways,
-            hall: told.get("zone").map_or(NONE, |z| halls.index(z)),
-            rg_names,
-            kinds,
-            halls,
-            customer_names,
+            hall: told.get("zone").map_or(NONE, |z| door.halls.index(z)),
+            door,
             groups,
             customers,
-            nodes: Numbers::default(),
             engines: Vec::new(),
-            kind_cores,
-            kind_memory,
             queries: Slab::with_capacity(256),
-            ids: Default::default(),
-            key_ids: Numbers::default(),
             lines: Vec::new(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            moving: 0,
-            candidates: Vec::new(),
+            taken: Recent::default(),
+            further: Recent::default(),
+            moving: 0.0,
+            drawn: Vec::new(),
             timer_set: false,
-            looked: f64::NEG_INFINITY,
-            told: told.clone(),
-            list_asked: f64::NEG_INFINITY,
-            list_wanted,
+            looked: LONG_AGO,
+            list_asked: LONG_AGO,
+            list_wanted: told.get("membership-mode").is_some_and(|m| m == "on_request"),
             fleet_pace: 0.0,
         })
     }
@@ -233,11 +145,16 @@
     }
 
     fn on(&self, name: &str) -> bool {
-        self.told.get(name).is_some_and(|v| v == "true" || v == "1")
+        told::on(&self.told, name)
     }
 
     fn rule(&self, name: &str) -> Option<f64> {
-        self.told.get(name).and_then(|v| v.parse().ok())
+        told::number(&self.told, name)
+    }
+
+    /// A time of the settings, in milliseconds.
+    fn time(&self, name: &str) -> Option<f64> {
+        told::millis(&self.told, name)
     }
 
     // ---- The list of engines ----
@@ -251,40 +168,16 @@
     pub fn listed(
         &mut self, node: u64, kind: &str, hall: &str, status: EngineStatus, start: Option<f64>, cell: u32,
     ) {
-        let i = self.nodes.index(node);
+        let i = self.door.nodes.index(node);
         if i == self.engines.len() {
-            let kind = self.kinds.index(kind);
-            let cores = self.kind_cores.get(kind as usize).copied().unwrap_or(8.0);
-            self.engines.push(Engine {
-                node,
-                kind,
-                hall: self.halls.index(hall),
-                cell,
-                cores,
-                memory: self.kind_memory.get(kind as usize).copied().unwrap_or(0.0),
-                ready: false,
-                listed: false,
-                started: f64::NEG_INFINITY,
-                work: 0.0,
-                open: 0,
-                low_open: 0,
-                low_threads: 0.0,
-                granted: 0.0,
-                bound: cores * THREADS_A_CORE / self.gateways,
-                halved: f64::NEG_INFINITY,
-                full: f64::NEG_INFINITY,
-                pace: 0.0,
-                heard: f64::NEG_INFINITY,
-                errors: 0.0,
-                suspect: false,
-                silent: false,
-                trial: f64::NEG_INFINITY,
-                trial_wait: TRIAL_FIRST,
-                passes: 0,
-                probed: f64::NEG_INFINITY,
-                sent_cold: VecDeque::new(),
-                tables: [NONE; 4],
-            });
+            let place = told::list(&self.told, "kinds").iter().position(|k| *k == kind).unwrap_or(usize::MAX);
+            let of_kind = |name: &str| told::list(&self.told, name).get(place)?.parse().ok();
+            let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
+            let cores = of_kind("family-info.cores-by-kind").unwrap_or(8.0);
+            let memory = of_kind("family-info.kind-memory-mb").unwrap_or(0.0);
+            let mut engine = Engine::new(node, kind, hall, cell, cores, memory);
+            engine.bound = cores * THREADS_A_CORE / self.gateways;
+            self.engines.push(engine);
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
@@ -318,11 +211,11 @@
         &mut self, id: u64, rg: &str, customer: &str, key: Option<u64>, due: f64, cost: f64, memory: f64,
         tables: u32, out: &mut dyn Writer,
     ) -> Result<(), String> {
-        let rg_index = self.rg_names.index(rg) as usize;
+        let rg_index = self.door.groups.index(rg) as usize;
         if rg_index >= self.groups.len() {
             return Err(format!("unknown resource group {rg:?}"));
         }
-        self.taken.push_back(self.now);
+        self.taken.push(self.now);
         let g = &mut self.groups[rg_index];
         let mut low = g.load || g.threads > 1.0;
         if cost > 0.0 {
@@ -333,29 +226,12 @@
             let most = if g.seen > FIRST_SEEN { DEMOTE_FACTOR * g.mean_cost } else { f64::INFINITY };
             g.mean_cost += step * (cost.min(most) - g.mean_cost);
         }
-        let in_order = g.in_order;
-        let customer = self.customer_names.index(customer);
-        let key = match key.filter(|_| in_order) {
-            Some(key) => self.key_ids.index(key) as u32,
-            None => NONE,
-        };
-        let i = self.queries.insert(Query {
-            id,
-            rg: rg_index,
-            customer,
-            key,
-            tables,
-            taken: self.now,
-            due,
-            cost,
-            memory,
-            low,
-            over: false,
-            moving: false,
-            count: 0,
-            submissions: [Submission::default(); MOST_SUBMISSIONS],
-        });
-        self.ids.insert(id, i);
+        let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
+        let customer = self.door.customers.index(customer);
+        let query =
+            Query { customer, key, tables, cost, memory, low, ..Query::new(id, rg_index, self.now, due) };
+        let i = self.queries.insert(query);
+        self.door.queries.insert(id, i);
         if key != NONE {
             if self.lines.len() <= key as usize {
                 self.lines.resize_with(key as usize + 1, KeyLine::default);
@@ -381,18 +257,13 @@
     }
 
     fn choose(&mut self, i: usize) -> Option<usize> {
-        let mut drawn = std::mem::take(&mut self.candidates);
+        let mut drawn = std::mem::take(&mut self.drawn);
         // First the engines in good standing that it has not tried, then tried ones, then any that rules allow.
         for stage in 0..3 {
             drawn.clear();
             for e in 0..self.engines.len() {
                 let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
-                let fit = match stage {
-                    0 => !tried && self.in_standing(i, e),
-                    1 => self.in_standing(i, e),
-                    _ => true,
-                };
-                if fit && self.may_send(i, e) {
+                if (stage > 0 || !tried) && (stage > 1 || self.in_standing(i, e)) && self.may_send(i, e) {
                     drawn.push(e);
                 }
             }
@@ -414,7 +285,7 @@
             let b = drawn[self.chance.below(drawn.len())];
             Some(if self.weight(i, a) < self.weight(i, b) { a } else { b })
         };
-        self.candidates = drawn;
+        self.drawn = drawn;
         choice
     }
 
@@ -428,16 +299,9 @@
 
     /// The share of its capacity that a cold engine is trusted with.
     fn warmth(&self, e: usize) -> f64 {
-        let Some(warm_after) = self.rule("rules.warm-after-us") else {
-            return 1.0;
-        };
         let from = self.rule("rules.cold-from").unwrap_or(1.0);
-        let part = (self.now - self.engines[e].started) * 1000.0 / warm_after;
-        if part >= 1.0 {
-            1.0
-        } else {
-            from + (1.0 - from) * part.max(0.0)
-        }
+        let part = (self.now - self.engines[e].started) / self.time("rules.warm-after-us").unwrap_or(0.0);
+        from + (1.0 - from) * part.clamp(0.0, 1.0)
     }
 
     fn pressure(&self, e: usize) -> bool {
@@ -461,7 +325,11 @@
 
     // ---- Sending: every submission passes here, and here the rules are kept ----
 
-    fn may_send(&self, i: usize, e: usize) -> bool {
+    fn may_send(&mut self, i: usize, e: usize) -> bool {
+        // Rule 7: the budget of further submissions.
+        if self.queries[i].count > 0 && !self.budget_left(0.0) {
+            return false;
+        }
         let (q, engine) = (&self.queries[i], &self.engines[e]);
         let g = &self.groups[q.rg];
         // Rule 1: nothing after the final answer. Rule 3: nothing to an engine that drains or is gone.
@@ -479,12 +347,8 @@
                 return false;
             }
         }
-        // Rule 5: the key's turn. Rule 6: the halls and kinds it is bound to. Rule 7: the budget.
-        let inside = |bound: &Option<Vec<u32>>, it: u32| bound.as_ref().is_none_or(|b| b.contains(&it));
-        self.its_turn(i)
-            && inside(&g.halls, engine.hall)
-            && inside(&g.kinds, engine.kind)
-            && (q.count == 0 || self.budget_left(0))
+        // Rule 5: the key's turn. Rule 6: the halls and kinds it is bound to.
+        self.its_turn(i) && g.allows(engine)
     }
 
     fn send(&mut self, i: usize, e: usize, out: &mut dyn Writer) {
@@ -498,7 +362,7 @@
         }
         let q = &mut self.queries[i];
         if q.count > 0 {
-            self.further.push_back(now);
+            self.further.push(now);
         }
         let g = &self.groups[q.rg];
         let engine = &mut self.engines[e];
@@ -507,25 +371,10 @@
         if trial {
             engine.trial = now + engine.trial_wait;
         }
-        engine.open += 1;
-        engine.work += work;
-        engine.granted += memory;
-        if q.low {
-            engine.low_open += 1;
-            engine.low_threads += g.threads;
-        }
-        q.submissions[q.count] = Submission {
-            engine: e,
-            sent: now,
-            work,
-            memory,
-            open: true,
-            may_have_run: true,
-            cancelled: false,
-            trial,
-            noted: now,
-            share: 0.0,
-        };
+        let s = Submission { engine: e, sent: now, noted: now, work, memory, trial, ..Submission::default() };
+        let s = Submission { open: true, may_have_run: true, ..s };
+        engine.add(&s, q.low, g.threads);
+        q.submissions[q.count] = s;
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         if self.on("family-info.lanes-count") {
@@ -559,9 +408,9 @@
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
-        let span = self.rule("rules.overload-for-us")? / 1000.0;
+        let span = self.time("rules.overload-for-us")?;
         let multiple = self.rule("rules.fall-multiple")?;
-        let warm_after = self.rule("rules.warm-after-us")? / 1000.0;
+        let warm_after = self.time("rules.warm-after-us")?;
         let engine = &self.engines[e];
         let from = self.rule("rules.cold-from").unwrap_or(1.0);
         (self.now - engine.started < warm_after + span)
@@ -579,16 +428,11 @@
     }
 
     /// Rule 7: whether one more further submission, beside `promised` ones, fits every window.
-    fn budget_left(&self, promised: u32) -> bool {
-        let Some(span) = self.rule("rules.ratio-span-us") else {
-            return true;
-        };
-        let share = self.rule("rules.repeat-ratio").unwrap_or(0.0);
-        let free = self.rule("rules.extra-free").unwrap_or(0.0);
-        let since = self.now - span / 1000.0;
-        let further = self.further.iter().rev().take_while(|&&t| t >= since).count() as f64;
-        let taken = self.taken.iter().rev().take_while(|&&t| t > since).count() as f64;
-        further + f64::from(promised) + 1.0 <= free + share * taken
+    fn budget_left(&mut self, promised: f64) -> bool {
+        let Some(span) = self.time("rules.ratio-span-us") else { return true };
+        let (share, free) = (self.rule("rules.repeat-ratio"), self.rule("rules.extra-free"));
+        let allowed = free.unwrap_or(0.0) + share.unwrap_or(0.0) * self.taken.after(self.now - span);
+        self.further.after(self.now - span - LOOK_EVERY) + promised + 1.0 <= allowed
     }
 
     // ---- Answers ----
@@ -598,8 +442,8 @@
         &mut self, id: u64, submission: usize, complete: bool, outcome: Outcome, node: u64, latency: f64,
         work: f64, memory: f64, out: &mut dyn Writer,
     ) {
-        let Some(&i) = self.ids.get(&id) else { return };
-        let (Some(e), true) = (self.nodes.find(node), submission < self.queries[i].count) else {
+        let Some(&i) = self.door.queries.get(&id) else { return };
+        let (Some(e), true) = (self.door.nodes.find(node), submission < self.queries[i].count) else {
             return;
         };
         let q = &mut self.queries[i];
@@ -612,24 +456,18 @@
         let sub = &mut q.submissions[submission];
         sub.open = false;
         sub.may_have_run = !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
-        engine.open = engine.open.saturating_sub(1);
-        engine.work = if engine.open == 0 { 0.0 } else { engine.work - s.work };
-        engine.granted = if engine.open == 0 { 0.0 } else { engine.granted - s.memory };
-        if q.low {
-            engine.low_open = engine.low_open.saturating_sub(1);
-            engine.low_threads = if engine.low_open == 0 { 0.0 } else { engine.low_threads - g.threads };
-        }
+        engine.remove(&s, q.low, g.threads);
         if std::mem::take(&mut q.moving) {
-            self.moving -= 1;
+            self.moving -= 1.0;
         }
         let (low, key, over_before) = (q.low, q.key, q.over);
         q.over |= complete;
         if key != NONE && matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
-            let rest = self.told.get("rules.settle-after-doubt-us").and_then(|v| v.parse::<f64>().ok());
+            let rest = told::millis(&self.told, "rules.settle-after-doubt-us").unwrap_or(0.0);
             let line = &mut self.lines[key as usize];
-            line.rests_until = line.rests_until.max(self.now + rest.unwrap_or(0.0) / 1000.0);
+            line.rests_until = line.rests_until.max(self.now + rest);
         }
-        let target = g.target + g.target_stretch * q.cost * g.cost_factor / g.threads;
+        let target = g.target_of(q.cost * g.cost_factor);
         if outcome == Outcome::Finished {
             if work > 0.0 && q.cost > 0.0 {
                 g.cost_factor += MEAN_STEP * ((work / q.cost).clamp(0.2, 5.0) - g.cost_factor);
@@ -741,7 +579,7 @@
     }
 
     pub fn noted(&mut self, id: u64, submission: usize, note: Note, amount: f64) {
-        let Some(&i) = self.ids.get(&id) else { return };
+        let Some(&i) = self.door.queries.get(&id) else { return };
         let q = &mut self.queries[i];
         let (rg, cost) = (q.rg, q.cost);
         let Some(s) = q.submissions[..q.count].get_mut(submission).filter(|s| s.open) else {
@@ -758,7 +596,7 @@
     }
 
     pub fn probed(&mut self, node: u64, outcome: Outcome) {
-        let Some(e) = self.nodes.find(node) else { return };
+        let Some(e) = self.door.nodes.find(node) else { return };
         let engine = &mut self.engines[e];
         if outcome == Outcome::Finished {
             engine.heard = self.now;
@@ -771,7 +609,7 @@
     }
 
     pub fn vanished(&mut self, id: u64, out: &mut dyn Writer) {
-        let Some(&i) = self.ids.get(&id) else { return };
+        let Some(&i) = self.door.queries.get(&id) else { return };
         self.queries[i].over = true;
         self.call_off(i, out);
         self.leave(i, out);
@@ -788,7 +626,7 @@
         let open = self.queries[i].open().is_some();
         let read_only = self.groups[self.queries[i].rg].effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (!open || read_only) {
-            let longest = self.rule("limits.max-retry-after-us").unwrap_or(0.0) / 1000.0;
+            let longest = self.time("limits.max-retry-after-us").unwrap_or(0.0);
             out.defer(id, RETRY_AFTER.min(longest));
         } else {
             out.kill(id);
@@ -817,7 +655,7 @@
             return;
         }
         let (id, key) = (q.id, q.key);
-        self.ids.remove(&id);
+        self.door.queries.remove(&id);
         self.queries.remove(i);
         if key != NONE {
             self.lines[key as usize].line.retain(|&other| other != i);
@@ -844,18 +682,6 @@
             self.list_asked = self.now;
             out.watch_list();
         }
-        if let Some(span) = self.rule("rules.ratio-span-us") {
-            let since = self.now - span / 1000.0 - 1.0;
-            while self.taken.front().is_some_and(|&t| t < since) {
-                self.taken.pop_front();
-            }
-            while self.further.front().is_some_and(|&t| t < since) {
-                self.further.pop_front();
-            }
-        } else {
-            self.taken.clear();
-            self.further.clear();
-        }
         self.look_at_engines(out);
         for i in 0..self.queries.capacity() {
             if self.queries.contains(i) {
@@ -866,8 +692,8 @@
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
         let (now, probes) = (self.now, self.on("limits.probes"));
-        let span = self.rule("rules.overload-for-us").unwrap_or(0.0) / 1000.0;
-        let mut paces = std::mem::take(&mut self.candidates);
+        let span = self.time("rules.overload-for-us").unwrap_or(0.0);
+        let mut paces = std::mem::take(&mut self.drawn);
         paces.clear();
         for e in 0..self.engines.len() {
             let engine = &mut self.engines[e];
@@ -888,7 +714,7 @@
         }
         paces.sort_by(|&a, &b| self.engines[a].pace.total_cmp(&self.engines[b].pace));
         self.fleet_pace = paces.get(paces.len() / 2).map_or(0.0, |&e| self.engines[e].pace);
-        self.candidates = paces;
+        self.drawn = paces;
     }
 
     /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent engine,
@@ -931,7 +757,7 @@
             && self.may_repeat(i, None)
             && self.budget_left(self.moving);
         if movable {
-            self.moving += 1;
+            self.moving += 1.0;
             let q = &mut self.queries[i];
             q.moving = true;
             q.submissions[n].cancelled = true;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -29,3 +29,15 @@
         self.0.get(&number).map(|&i| i as usize)
     }
 }
+
+/// All that is known outside by a name or a number.
+#[derive(Debug, Default)]
+pub struct Door {
+    pub groups: Names,
+    pub kinds: Names,
+    pub halls: Names,
+    pub customers: Names,
+    pub nodes: Numbers,
+    pub keys: Numbers,
+    pub queries: FxHashMap<u64, usize>,
+}
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -9,11 +9,11 @@
 impl Pcg {
     pub fn new(seed: u64) -> Self {
         let mut pcg = Pcg(seed.wrapping_add(INCREMENT));
-        pcg.next();
+        pcg.draw();
         pcg
     }
 
-    pub fn next(&mut self) -> u32 {
+    pub fn draw(&mut self) -> u32 {
         let old = self.0;
         self.0 = old.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
@@ -21,6 +21,6 @@
 
     /// A whole number in `0..n`; `n` must be above 0.
     pub fn below(&mut self, n: usize) -> usize {
-        ((u64::from(self.next()) * n as u64) >> 32) as usize
+        ((u64::from(self.draw()) * n as u64) >> 32) as usize
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,26 +1,31 @@
-//! The records that the decisions keep. Types only.
+//! The records that the decisions keep. Types and bookkeeping only.
 
+use crate::ids::Names;
+use crate::told::{self, Map};
 use std::collections::VecDeque;
 
 pub const MOST_SUBMISSIONS: usize = 8;
 pub const NONE: u32 = u32::MAX;
+pub const LONG_AGO: f64 = f64::NEG_INFINITY;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Effect {
+    #[default]
     ReadOnly,
     Tokened,
     Mutating,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum DedupGroup {
+    #[default]
     All,
     Hall,
     Cell,
 }
 
 /// A resource group, as told, and what was learned of its queries.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct ResourceGroup {
     pub effect: Effect,
     pub dedup: DedupGroup,
@@ -30,12 +35,12 @@
     pub kinds: Option<Vec<u32>>,
     pub target: f64,
     pub target_stretch: f64,
-    pub queue_timeout: f64,
-    pub value: f64,
     pub late_value: f64,
     pub threads: f64,
     pub load: bool,
     pub waits: bool,
+    /// Learned: the mean estimate, how many were seen, how long answers take against their estimates
+    /// (log ratio, usual and best), and what was needed against what was estimated.
     pub mean_cost: f64,
     pub seen: u32,
     pub pace: f64,
@@ -45,6 +50,55 @@
     pub memory_factor: f64,
 }
 
+impl ResourceGroup {
+    /// Reads the `i`-th resource group of the settings.
+    pub fn read(told: &Map, i: usize, halls: &mut Names, kinds: &mut Names) -> Result<Self, String> {
+        let name = |what: &str| format!("services.{i}.{what}");
+        let text = |what: &str| told.get(&name(what)).map(String::as_str);
+        let bound = |what: &str, names: &mut Names| {
+            text(what).map(|all| all.split(',').map(|one| names.index(one)).collect())
+        };
+        let of_list = |what: &str| told::list(told, what).get(i).copied();
+        Ok(ResourceGroup {
+            effect: match text("effect") {
+                Some("read_like") => Effect::ReadOnly,
+                Some("idempotency_key") => Effect::Tokened,
+                Some("non_idempotent") => Effect::Mutating,
+                other => return Err(format!("setting {} is {}", name("effect"), other.unwrap_or("missing"))),
+            },
+            dedup: match text("dedup-scope") {
+                Some("zone") => DedupGroup::Hall,
+                Some("cell") => DedupGroup::Cell,
+                _ => DedupGroup::All,
+            },
+            window: told::millis(told, &name("repeat-window-us")).unwrap_or(0.0),
+            in_order: told::on(told, &name("in-order")),
+            halls: bound("confined-to", halls),
+            kinds: bound("kinds-open", kinds),
+            target: told::required(told, &name("aim-us"))? / 1000.0,
+            target_stretch: told::number(told, &name("aim-stretch")).unwrap_or(0.0),
+            late_value: told::number(told, &name("late-worth")).unwrap_or(0.0),
+            threads: of_list("family-info.dop").and_then(|t| t.parse().ok()).unwrap_or(1.0f64).max(1.0),
+            load: of_list("family-info.class-load").is_some_and(told::is_true),
+            waits: of_list("family-info.class-waits").is_some_and(told::is_true),
+            cost_factor: 1.0,
+            memory_factor: 1.0,
+            ..ResourceGroup::default()
+        })
+    }
+
+    /// Target runtime of a query of this group with so much work.
+    pub fn target_of(&self, work: f64) -> f64 {
+        self.target + self.target_stretch * work / self.threads
+    }
+
+    pub fn allows(&self, engine: &Engine) -> bool {
+        let inside = |bound: &Option<Vec<u32>>, it: u32| bound.as_ref().is_none_or(|b| b.contains(&it));
+        inside(&self.halls, engine.hall) && inside(&self.kinds, engine.kind)
+    }
+}
+
+/// An engine, as listed, and what this gateway has there and knows of it.
 #[derive(Debug, Clone)]
 pub struct Engine {
     pub node: u64,
@@ -56,15 +110,19 @@
     pub ready: bool,
     pub listed: bool,
     pub started: f64,
-    pub work: f64,
+    /// What is out there: submissions, their work and memory, and the low ones' threads.
     pub open: u32,
+    pub work: f64,
+    pub granted: f64,
     pub low_open: u32,
     pub low_threads: f64,
-    pub granted: f64,
+    /// The low-lane bound, in threads; when it was last halved; when the engine last said full.
     pub bound: f64,
     pub halved: f64,
     pub full: f64,
+    /// How far answers of the fast and of the low lane lie above their groups' best (log ratio).
     pub pace: f64,
+    pub low_pace: f64,
     pub heard: f64,
     pub errors: f64,
     pub suspect: bool,
@@ -77,6 +135,62 @@
     pub tables: [u32; 4],
 }
 
+impl Engine {
+    pub fn new(node: u64, kind: u32, hall: u32, cell: u32, cores: f64, memory: f64) -> Self {
+        Engine {
+            node,
+            kind,
+            hall,
+            cell,
+            cores,
+            memory,
+            ready: false,
+            listed: false,
+            started: LONG_AGO,
+            open: 0,
+            work: 0.0,
+            granted: 0.0,
+            low_open: 0,
+            low_threads: 0.0,
+            bound: 0.0,
+            halved: LONG_AGO,
+            full: LONG_AGO,
+            pace: 0.0,
+            low_pace: 0.0,
+            heard: LONG_AGO,
+            errors: 0.0,
+            suspect: false,
+            silent: false,
+            trial: LONG_AGO,
+            trial_wait: 0.0,
+            passes: 0,
+            probed: LONG_AGO,
+            sent_cold: VecDeque::new(),
+            tables: [NONE; 4],
+        }
+    }
+
+    pub fn add(&mut self, s: &Submission, low: bool, threads: f64) {
+        self.open += 1;
+        self.work += s.work;
+        self.granted += s.memory;
+        if low {
+            self.low_open += 1;
+            self.low_threads += threads;
+        }
+    }
+
+    pub fn remove(&mut self, s: &Submission, low: bool, threads: f64) {
+        self.open = self.open.saturating_sub(1);
+        self.work = if self.open == 0 { 0.0 } else { self.work - s.work };
+        self.granted = if self.open == 0 { 0.0 } else { self.granted - s.memory };
+        if low {
+            self.low_open = self.low_open.saturating_sub(1);
+            self.low_threads = if self.low_open == 0 { 0.0 } else { self.low_threads - threads };
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Submission {
     pub engine: usize,
@@ -87,6 +201,7 @@
     pub may_have_run: bool,
     pub cancelled: bool,
     pub trial: bool,
+    /// When a note last told of progress, and the share done by then.
     pub noted: f64,
     pub share: f64,
 }
@@ -110,15 +225,53 @@
 }
 
 impl Query {
+    pub fn new(id: u64, rg: usize, taken: f64, due: f64) -> Self {
+        Query {
+            id,
+            rg,
+            customer: NONE,
+            key: NONE,
+            tables: NONE,
+            taken,
+            due,
+            cost: 0.0,
+            memory: 0.0,
+            low: false,
+            over: false,
+            moving: false,
+            count: 0,
+            submissions: [Submission::default(); MOST_SUBMISSIONS],
+        }
+    }
+
     pub fn sent(&self) -> &[Submission] {
         &self.submissions[..self.count]
     }
 
+    /// The submission that is out, if one is.
     pub fn open(&self) -> Option<usize> {
         self.sent().iter().position(|s| s.open)
     }
 }
 
+/// The times of what happened lately.
+#[derive(Debug, Default)]
+pub struct Recent(VecDeque<f64>);
+
+impl Recent {
+    pub fn push(&mut self, at: f64) {
+        self.0.push_back(at);
+    }
+
+    /// How many lie after `since`; older ones are dropped.
+    pub fn after(&mut self, since: f64) -> f64 {
+        while self.0.front().is_some_and(|&t| t <= since) {
+            self.0.pop_front();
+        }
+        self.0.len() as f64
+    }
+}
+
 /// The queries of one key, in the order taken, and when the key may be used again.
 #[derive(Debug, Default)]
 pub struct KeyLine {
