Pressure reads the low lane too, so that priorities cannot hide it

Cause: where engines heed priorities, or look-ups are spared, fast answers stay quick while reports crawl, so the bound never bound and engines thrashed. The low lane's answers and progress notes now count.

--- a/src/control.rs
+++ b/src/control.rs
@@ -185,7 +185,7 @@
         if let Some(start) = start.filter(|&s| s > e.started) {
             // A start we had not heard of: the engine is cold and what we held against it is out of date.
             e.started = start;
-            (e.suspect, e.errors, e.pace) = (false, 0.0, 0.0);
+            (e.suspect, e.errors, e.pace, e.low_pace) = (false, 0.0, 0.0, 0.0);
             e.bound = e.cores * THREADS_A_CORE / self.gateways;
         }
     }
@@ -306,7 +306,7 @@
 
     fn pressure(&self, e: usize) -> bool {
         let e = &self.engines[e];
-        e.pace > PRESSURE.ln() || self.now - e.full < FULL_LASTS
+        e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
     }
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
@@ -534,9 +534,8 @@
         g.paced += 1;
         follow(&mut g.pace, ratio, STEP);
         g.best += STEP * if ratio < g.best { -0.9 } else { 0.1 };
-        if !q.low {
-            follow(&mut self.engines[e].pace, ratio - g.best, 2.0 * STEP);
-        }
+        let engine = &mut self.engines[e];
+        follow(if q.low { &mut engine.low_pace } else { &mut engine.pace }, ratio - g.best, 2.0 * STEP);
     }
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
@@ -590,7 +589,9 @@
             (s.noted, s.share) = (self.now, amount.clamp(0.0, 1.0));
             let (age, g) = (self.now - s.sent, &mut self.groups[rg]);
             if s.share > 0.0 && cost > 0.0 && g.paced > 0 {
-                follow(&mut g.pace, (age / s.share * g.threads / cost).ln(), STEP);
+                let ratio = (age / s.share * g.threads / cost).ln();
+                follow(&mut g.pace, ratio, STEP);
+                follow(&mut self.engines[s.engine].low_pace, ratio - g.best, STEP);
             }
         }
     }
