Ration moved submissions at every site, not only where a rule does

Also holds against any shared cause; hurts when far more than a tenth of submissions truly hang on one engine.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,10 @@
 const MOVE_GAIN: f64 = 2.5;
 const PATIENCE: f64 = 5.0;
 const PATIENCE_FLOOR: f64 = 400.0;
+/// However much a site allows, moves keep within this few and this share of the queries taken lately.
+const MOVES_FREE: f64 = 3.0;
+const MOVES_SHARE: f64 = 0.1;
+const MOVES_SPAN: f64 = 10_000.0;
 /// A query is hopeless when a noted submission needs this many times the time left.
 const HOPELESS: f64 = 2.0;
 // Doubt: errors weigh in by this step and raise doubt above this level; trials back off between these.
@@ -69,6 +73,7 @@
     lines: Vec<KeyLine>,
     taken: Recent,
     further: Recent,
+    moves: Recent,
     moving: f64,
     drawn: Vec<usize>,
     timer_set: bool,
@@ -115,6 +120,7 @@
             lines: Vec::new(),
             taken: Recent::default(),
             further: Recent::default(),
+            moves: Recent::default(),
             moving: 0.0,
             drawn: Vec::new(),
             timer_set: false,
@@ -427,12 +433,20 @@
         line.line.front() == Some(&i) && (q.count > 0 || self.now >= line.rests_until)
     }
 
-    /// Rule 7: whether one more further submission, beside `promised` ones, fits every window.
-    fn budget_left(&mut self, promised: f64) -> bool {
+    /// Rule 7: whether one more further submission, beside the moves under way, fits the site's window.
+    fn budget_left(&mut self, under_way: f64) -> bool {
         let Some(span) = self.time("rules.ratio-span-us") else { return true };
         let (share, free) = (self.rule("rules.repeat-ratio"), self.rule("rules.extra-free"));
         let allowed = free.unwrap_or(0.0) + share.unwrap_or(0.0) * self.taken.after(self.now - span);
-        self.further.after(self.now - span - LOOK_EVERY) + promised + 1.0 <= allowed
+        self.further.after(self.now - span - LOOK_EVERY) + under_way + 1.0 <= allowed
+    }
+
+    /// Our own ration of moves, at every site: when all engines crawl, moving work only adds to it.
+    fn may_move(&mut self) -> bool {
+        let span = self.time("rules.ratio-span-us").unwrap_or(MOVES_SPAN);
+        let taken = self.taken.after(self.now - span);
+        self.moves.after(self.now - span) + 1.0 <= MOVES_FREE + MOVES_SHARE * taken
+            && self.budget_left(self.moving)
     }
 
     // ---- Answers ----
@@ -756,9 +770,10 @@
             && q.count < most.min(MOST_SUBMISSIONS)
             && self.on("limits.cancelling")
             && self.may_repeat(i, None)
-            && self.budget_left(self.moving);
+            && self.may_move();
         if movable {
             self.moving += 1.0;
+            self.moves.push(self.now);
             let q = &mut self.queries[i];
             q.moving = true;
             q.submissions[n].cancelled = true;
