Keep queries off engines where a load holds the tables they read

Loads of ours are known; others' are learned from notes of waiting. Holds also against loads of one table meeting on an engine; could hurt when one table is in use everywhere (then the next stage ignores it).

--- a/src/control.rs
+++ b/src/control.rs
@@ -54,6 +54,8 @@
 const CAPACITY_BUSY: f64 = 0.85;
 /// How much lighter another hall's engine must be.
 const OTHER_HALL: f64 = 1.25;
+/// How long tables are taken for held by another gateway's load after a note told of a wait.
+const HELD_FOR: f64 = 1500.0;
 /// A regular look, this often while anything is in hand.
 const LOOK_EVERY: f64 = 20.0;
 const ANSWER_MARGIN: f64 = 10.0;
@@ -264,12 +266,14 @@
 
     fn choose(&mut self, i: usize) -> Option<usize> {
         let mut drawn = std::mem::take(&mut self.drawn);
-        // First the engines in good standing that it has not tried, then tried ones, then any that rules allow.
+        // First the engines in good standing that it has not tried and where no load would make it stand
+        // still, then those in good standing, then any that the rules allow.
         for stage in 0..3 {
             drawn.clear();
             for e in 0..self.engines.len() {
                 let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
-                if (stage > 0 || !tried) && (stage > 1 || self.in_standing(i, e)) && self.may_send(i, e) {
+                let fresh = !tried && !self.stands_still(i, e);
+                if (stage > 0 || fresh) && (stage > 1 || self.in_standing(i, e)) && self.may_send(i, e) {
                     drawn.push(e);
                 }
             }
@@ -322,6 +326,14 @@
         engine.low_open == 0 || !self.pressure(e) || engine.low_threads + threads <= engine.bound
     }
 
+    /// Whether a load holds there what the query reads, so that it would stand still.
+    fn stands_still(&self, i: usize, e: usize) -> bool {
+        let q = &self.queries[i];
+        let g = &self.groups[q.rg];
+        let held = self.engines[e].held.iter().any(|&(tables, until)| tables == q.tables && until > self.now);
+        held && (g.waits || g.load)
+    }
+
     /// A doubted engine gets one trial at a time, of a read-only query in the fast lane.
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
@@ -382,6 +394,10 @@
         engine.add(&s, q.low, g.threads);
         q.submissions[q.count] = s;
         q.count += 1;
+        if g.load {
+            engine.held.retain(|&(_, until)| until > now);
+            engine.held.push((q.tables, q.due));
+        }
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         if self.on("family-info.lanes-count") {
             out.grant(id, if low { 1 } else { 3 }, 0.0);
@@ -471,6 +487,9 @@
         sub.open = false;
         sub.may_have_run = !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         engine.remove(&s, q.low, g.threads);
+        if let Some(n) = engine.held.iter().position(|&(tables, _)| g.load && tables == q.tables) {
+            engine.held.swap_remove(n);
+        }
         if std::mem::take(&mut q.moving) {
             self.moving -= 1.0;
         }
@@ -599,6 +618,9 @@
             return;
         };
         self.engines[s.engine].heard = self.now;
+        if note == Note::Waits && amount == 2.0 {
+            self.engines[s.engine].held.push((q.tables, self.now + HELD_FOR));
+        }
         if note == Note::Progress {
             (s.noted, s.share) = (self.now, amount.clamp(0.0, 1.0));
             let (age, g) = (self.now - s.sent, &mut self.groups[rg]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,7 +132,8 @@
     pub passes: u32,
     pub probed: f64,
     pub sent_cold: VecDeque<(f64, f64)>,
-    pub tables: [u32; 4],
+    /// Tables that a load holds there, and until when we take that for true.
+    pub held: Vec<(u32, f64)>,
 }
 
 impl Engine {
@@ -166,7 +167,7 @@
             passes: 0,
             probed: LONG_AGO,
             sent_cold: VecDeque::new(),
-            tables: [NONE; 4],
+            held: Vec::new(),
         }
     }
 
