--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,7 @@
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
 const MEAN_STEP: f64 = 0.02;
+const BEST_FADES: f64 = 0.0003;
 const FIRST_SEEN: u32 = 20;
 // Moving a submission: what is left must be this much more than a new run, without notes after this wait.
 const MOVE_GAIN: f64 = 2.5;
@@ -566,7 +567,9 @@
         }
         g.paced += 1;
         follow(&mut g.pace, ratio, STEP);
-        g.best += STEP * if ratio < g.best { -0.9 } else { 0.1 };
+        // The best is the lowest level the running median has had, slowly forgotten: single lucky answers, or
+        // estimates that scatter, do not make a quiet engine look pressed.
+        g.best = if g.paced < FIRST_SEEN { g.pace } else { g.pace.min(g.best + BEST_FADES) };
         let engine = &mut self.engines[e];
         follow(if q.low { &mut engine.low_pace } else { &mut engine.pace }, ratio - g.best, 2.0 * STEP);
     }
