--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 /// An answer within this part of its target runtime is well inside it.
 const WELL_INSIDE: f64 = 0.5;
 /// Pressure: fast answers take this many times the best, or a refusal as full came this lately.
-const PRESSURE: f64 = 2.0;
+const PRESSURE: f64 = 1.6;
 const FULL_LASTS: f64 = 2000.0;
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
