--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,8 @@
 const WELL_INSIDE: f64 = 0.5;
 /// Pressure: fast answers take this many times the best, or a refusal as full came this lately.
 const PRESSURE: f64 = 1.6;
+const CROWD_A_CORE: f64 = 0.75;
+const CROWD_MEMORY: f64 = 0.5;
 const FULL_LASTS: f64 = 2000.0;
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
@@ -315,9 +317,12 @@
         from + (1.0 - from) * part.clamp(0.0, 1.0)
     }
 
+    /// Pressure as answers show it, or as our own part will: a burst fills an engine before its answers tell.
     fn pressure(&self, e: usize) -> bool {
         let e = &self.engines[e];
-        e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
+        let crowded =
+            e.low_threads >= CROWD_A_CORE * e.cores || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
+        crowded || e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
     }
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
