--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,7 @@
 const WELL_INSIDE: f64 = 0.5;
 /// Pressure: fast answers take this many times the best, or a refusal as full came this lately.
 const PRESSURE: f64 = 1.6;
-const CROWD_A_CORE: f64 = 0.5;
+const CROWD_A_CORE: f64 = 0.75;
 const CROWD_MEMORY: f64 = 0.35;
 const FULL_LASTS: f64 = 2000.0;
 // Learning: steps of the running medians (in log ratio), and of the means.
