An engine that refused as full rests for half a second

Refusing within a millisecond it looked light and drew more. Guards against any engine that refuses fast.

--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,8 @@
 const PRESSURE: f64 = 1.6;
 const CROWD_A_CORE: f64 = 0.75;
 const CROWD_MEMORY: f64 = 0.35;
+/// An engine that refused as full is let alone this long: refusing fast, it would look light.
+const FULL_RESTS: f64 = 500.0;
 const FULL_LASTS: f64 = 2000.0;
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
@@ -344,7 +346,7 @@
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
         let trial = !q.low && self.groups[q.rg].effect == Effect::ReadOnly && self.now >= engine.trial;
-        !engine.suspect || trial
+        (!engine.suspect || trial) && self.now - engine.full > FULL_RESTS
     }
 
     // ---- Sending: every submission passes here, and here the rules are kept ----
