--- a/src/control.rs
+++ b/src/control.rs
@@ -55,7 +55,7 @@
 const PROBE_AFTER: f64 = 300.0;
 const PROBE_EVERY: f64 = 500.0;
 /// Part of what the cold rule allows all gateways that they use, split evenly among them.
-const COLD_PART: f64 = 0.6;
+const COLD_PART: f64 = 0.8;
 const CAPACITY_BUSY: f64 = 0.85;
 /// How much lighter another hall's engine must be.
 const OTHER_HALL: f64 = 1.25;
@@ -532,7 +532,7 @@
             engine.halved = self.now;
             engine.bound = (engine.bound / 2.0).max(1.0);
         }
-        self.judge(e, outcome, s.trial);
+        self.judge(e, outcome, &s);
         self.ended(i, over_before, outcome, out);
     }
 
@@ -583,12 +583,17 @@
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
     /// whatever the cause: a doubted engine gets single trials until some pass in a row.
-    fn judge(&mut self, e: usize, outcome: Outcome, trial: bool) {
-        let now = self.now;
+    fn judge(&mut self, e: usize, outcome: Outcome, s: &Submission) {
+        let (now, trial) = (self.now, s.trial);
         let engine = &mut self.engines[e];
         let failed = match outcome {
             Outcome::Finished => false,
-            Outcome::Error | Outcome::Reset | Outcome::NoConnection | Outcome::Timeout => true,
+            Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
+            // One that ran out of time on an engine that else answers was crowded out or stood behind a load.
+            Outcome::Timeout if engine.heard > s.sent => {
+                return follow(&mut engine.pace, f64::INFINITY, 2.0 * STEP);
+            }
+            Outcome::Timeout => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
         if matches!(outcome, Outcome::Finished | Outcome::Error) {
