--- a/src/control.rs
+++ b/src/control.rs
@@ -788,7 +788,7 @@
         };
         let s = q.submissions[n];
         let (age, noted) = (self.now - s.sent, s.noted - s.sent);
-        let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent;
+        let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent && !s.trial;
         let left = if silent {
             f64::INFINITY
         } else if s.share > 0.0 {
