--- a/src/control.rs
+++ b/src/control.rs
@@ -64,8 +64,10 @@
 /// A regular look, this often while anything is in hand.
 const LOOK_EVERY: f64 = 20.0;
 const ANSWER_MARGIN: f64 = 10.0;
+const CORES_UNTOLD: f64 = 8.0;
 const LIST_RETRY: f64 = 1000.0;
 
+#[derive(Default)]
 pub struct Control {
     now: f64,
     told: Map,
@@ -77,7 +79,7 @@
     pub customers: Vec<Customer>,
     pub engines: Vec<Engine>,
     pub queries: Slab<Query>,
-    lines: Vec<KeyLine>,
+    lines: KeyLines,
     taken: Recent,
     further: Recent,
     moves: Recent,
@@ -113,28 +115,19 @@
             let rate = told::number(told, &format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
             customers.push(Customer { rate: rate / 1000.0 / gateways, level: 0.0, at: LONG_AGO });
         }
+        let hall = told.get("zone").map_or(NONE, |z| door.halls.index(z));
+        let list_wanted = told.get("membership-mode").is_some_and(|m| m == "on_request");
+        let (told, chance) = (told.clone(), Pcg::new(seed));
         Ok(Control {
-            now: 0.0,
-            told: told.clone(),
-            chance: Pcg::new(seed),
+            told,
+            chance,
             gateways,
-            hall: told.get("zone").map_or(NONE, |z| door.halls.index(z)),
+            hall,
             door,
             groups,
             customers,
-            engines: Vec::new(),
-            queries: Slab::with_capacity(256),
-            lines: Vec::new(),
-            taken: Recent::default(),
-            further: Recent::default(),
-            moves: Recent::default(),
-            moving: 0.0,
-            drawn: Vec::new(),
-            timer_set: false,
-            looked: LONG_AGO,
-            list_asked: LONG_AGO,
-            list_wanted: told.get("membership-mode").is_some_and(|m| m == "on_request"),
-            fleet_pace: 0.0,
+            list_wanted,
+            ..Control::default()
         })
     }
 
@@ -183,14 +176,11 @@
     ) {
         let i = self.door.nodes.index(node);
         if i == self.engines.len() {
-            let place = told::list(&self.told, "kinds").iter().position(|k| *k == kind).unwrap_or(usize::MAX);
-            let of_kind = |name: &str| told::list(&self.told, name).get(place)?.parse().ok();
+            let cores = told::of_kind(&self.told, kind, "family-info.cores-by-kind").unwrap_or(CORES_UNTOLD);
+            let memory = told::of_kind(&self.told, kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
-            let cores = of_kind("family-info.cores-by-kind").unwrap_or(8.0);
-            let memory = of_kind("family-info.kind-memory-mb").unwrap_or(0.0);
-            let mut engine = Engine::new(node, kind, hall, cell, cores, memory);
-            engine.bound = cores * THREADS_A_CORE / self.gateways;
-            self.engines.push(engine);
+            let bound = cores * THREADS_A_CORE / self.gateways;
+            self.engines.push(Engine::new(node, kind, hall, cell, cores, memory, bound));
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
@@ -234,23 +224,19 @@
         if cost > 0.0 {
             // Demoted once, at the door; the mean does not follow what it is to tell apart.
             low |= g.seen >= FIRST_SEEN && cost > DEMOTE_FACTOR * g.mean_cost;
-            g.seen += 1;
-            let step = MEAN_STEP.max(1.0 / f64::from(g.seen));
-            let most = if g.seen > FIRST_SEEN { DEMOTE_FACTOR * g.mean_cost } else { f64::INFINITY };
-            g.mean_cost += step * (cost.min(most) - g.mean_cost);
+            let most = if g.seen >= FIRST_SEEN { DEMOTE_FACTOR * g.mean_cost } else { f64::INFINITY };
+            g.learn_cost(cost.min(most), MEAN_STEP);
         }
+        // Without an estimate a query weighs its group's threads, and takes its group's usual time.
+        let work = if cost > 0.0 { cost * g.cost_factor } else { g.threads };
+        let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { g.mean_cost });
         let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
         let customer = self.door.customers.index(customer);
-        let query =
-            Query { customer, key, tables, cost, memory, low, ..Query::new(id, rg_index, self.now, due) };
+        let query = Query::new(id, rg_index, self.now, due);
+        let query = Query { customer, key, tables, cost, guessed, work, memory, low, ..query };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
-        if key != NONE {
-            if self.lines.len() <= key as usize {
-                self.lines.resize_with(key as usize + 1, KeyLine::default);
-            }
-            self.lines[key as usize].line.push_back(i);
-        }
+        self.lines.join(key, i);
         if self.its_turn(i) {
             self.place(i, out);
         } else if self.now + self.alone(i) > due {
@@ -289,17 +275,15 @@
         if self.queries[i].low {
             drawn.retain(|&e| self.has_room(i, e));
         }
-        let choice = if drawn.is_empty() {
-            None
-        } else {
-            let a = drawn[self.chance.below(drawn.len())];
-            let hall = self.hall;
+        let mut choice = None;
+        if !drawn.is_empty() {
+            let (a, hall) = (drawn[self.chance.below(drawn.len())], self.hall);
             if drawn.iter().any(|&e| self.engines[e].hall == hall) {
                 drawn.retain(|&e| self.engines[e].hall == hall);
             }
             let b = drawn[self.chance.below(drawn.len())];
-            Some(if self.weight(i, a) < self.weight(i, b) { a } else { b })
-        };
+            choice = Some(if self.weight(i, a) < self.weight(i, b) { a } else { b });
+        }
         self.drawn = drawn;
         choice
     }
@@ -309,7 +293,7 @@
         let engine = &self.engines[e];
         let slower = (engine.pace - self.fleet_pace).clamp(0.0, 3.0).exp();
         let far = if engine.hall == self.hall { 1.0 } else { OTHER_HALL };
-        (engine.work + self.work(i)) * slower * far / (engine.cores * self.warmth(e))
+        (engine.work + self.queries[i].work) * slower * far / (engine.cores * self.warmth(e))
     }
 
     /// The share of its capacity that a cold engine is trusted with.
@@ -329,17 +313,15 @@
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
     fn has_room(&self, i: usize, e: usize) -> bool {
-        let threads = self.groups[self.queries[i].rg].threads;
-        let engine = &self.engines[e];
+        let (threads, engine) = (self.groups[self.queries[i].rg].threads, &self.engines[e]);
         engine.low_open == 0 || !self.pressure(e) || engine.low_threads + threads <= engine.bound
     }
 
     /// Whether a load holds there what the query reads, so that it would stand still.
     fn stands_still(&self, i: usize, e: usize) -> bool {
-        let q = &self.queries[i];
-        let g = &self.groups[q.rg];
-        let held = self.engines[e].held.iter().any(|&(tables, until)| tables == q.tables && until > self.now);
-        held && (g.waits || g.load)
+        let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
+        (g.waits || g.load)
+            && self.engines[e].held.iter().any(|&(t, until)| t == q.tables && until > self.now)
     }
 
     /// A doubted engine gets one trial at a time, of a read-only query in the fast lane.
@@ -362,14 +344,13 @@
         if q.over || !engine.ready || self.now >= q.due {
             return false;
         }
-        // Rule 2: an effect only once; never two submissions at a time.
-        if q.open().is_some() || !self.may_repeat(i, Some(e)) {
+        // Rule 2: an effect only once; never two submissions at a time, and no more than are told.
+        if q.open().is_some() || q.count >= self.most_submissions() || !self.may_repeat(i, Some(e)) {
             return false;
         }
         // Rule 4: a cold engine gets this gateway's part of what it bears, in its classes' usual work.
         if let Some(allowed) = self.cold_allowance(e) {
-            let sent: f64 = engine.sent_cold.iter().map(|&(_, work)| work).sum();
-            if sent + self.usual_work(q.rg) > allowed {
+            if engine.sent_cold.iter().map(|&(_, work)| work).sum::<f64>() + self.usual_work(q.rg) > allowed {
                 return false;
             }
         }
@@ -381,9 +362,8 @@
         if !self.may_send(i, e) {
             return self.finish_off(i, out);
         }
-        let (work, now) = (self.work(i), self.now);
+        let (work, now, usual) = (self.queries[i].work, self.now, self.usual_work(self.queries[i].rg));
         if self.cold_allowance(e).is_some() {
-            let usual = self.usual_work(self.queries[i].rg);
             self.engines[e].sent_cold.push_back((now, usual));
         }
         let q = &mut self.queries[i];
@@ -397,15 +377,10 @@
         if trial {
             engine.trial = now + engine.trial_wait;
         }
-        let s = Submission { engine: e, sent: now, noted: now, work, memory, trial, ..Submission::default() };
-        let s = Submission { open: true, may_have_run: true, ..s };
-        engine.add(&s, q.low, g.threads);
+        let s = Submission::new(e, now, work, memory, trial);
+        engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.submissions[q.count] = s;
         q.count += 1;
-        if g.load {
-            engine.held.retain(|&(_, until)| until > now);
-            engine.held.push((q.tables, q.due));
-        }
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         if self.on("family-info.lanes-count") {
             out.grant(id, if low { 1 } else { 3 }, 0.0);
@@ -413,48 +388,39 @@
         out.submit(id, node, due);
     }
 
+    fn most_submissions(&self) -> usize {
+        MOST_SUBMISSIONS.min(self.rule("limits.max-attempts").unwrap_or(1.0) as usize)
+    }
+
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
     fn may_repeat(&self, i: usize, e: Option<usize>) -> bool {
         let q = &self.queries[i];
         let g = &self.groups[q.rg];
-        let Some(first) = q.sent().iter().find(|s| s.may_have_run) else {
-            return true;
+        let Some(first) = q.sent().iter().find(|s| s.may_have_run) else { return true };
+        let (was, to) = (&self.engines[first.engine], e.map(|e| &self.engines[e]));
+        let same_group = match g.dedup {
+            DedupGroup::All => true,
+            DedupGroup::Hall => to.is_some_and(|to| to.hall == was.hall),
+            DedupGroup::Cell => to.is_some_and(|to| to.cell == was.cell),
         };
-        match g.effect {
-            Effect::ReadOnly => true,
-            Effect::Mutating => false,
-            Effect::Tokened => {
-                let (was, in_window) = (&self.engines[first.engine], self.now - first.sent < g.window);
-                in_window
-                    && match (g.dedup, e.map(|e| &self.engines[e])) {
-                        (DedupGroup::All, _) => true,
-                        (DedupGroup::Hall, Some(e)) => e.hall == was.hall,
-                        (DedupGroup::Cell, Some(e)) => e.cell == was.cell,
-                        (_, None) => false,
-                    }
-            }
-        }
+        let in_window = self.now - first.sent < g.window;
+        g.effect == Effect::ReadOnly || g.effect == Effect::Tokened && in_window && same_group
     }
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
-        let span = self.time("rules.overload-for-us")?;
-        let multiple = self.rule("rules.fall-multiple")?;
-        let warm_after = self.time("rules.warm-after-us")?;
+        let (span, warm_after) = (self.time("rules.overload-for-us")?, self.time("rules.warm-after-us")?);
+        let multiple = self.rule("rules.fall-multiple")? * self.rule("rules.cold-from").unwrap_or(1.0);
         let engine = &self.engines[e];
-        let from = self.rule("rules.cold-from").unwrap_or(1.0);
-        (self.now - engine.started < warm_after + span)
-            .then_some(COLD_PART * multiple * from * engine.cores * CAPACITY_BUSY * span / self.gateways)
+        let bears = multiple * engine.cores * CAPACITY_BUSY * span;
+        (self.now - engine.started < warm_after + span).then_some(COLD_PART * bears / self.gateways)
     }
 
     /// Rule 5: the first of its key whose earlier ones are over and whose key has rested.
     fn its_turn(&self, i: usize) -> bool {
         let q = &self.queries[i];
-        if q.key == NONE {
-            return true;
-        }
-        let line = &self.lines[q.key as usize];
-        line.line.front() == Some(&i) && (q.count > 0 || self.now >= line.rests_until)
+        let (first, rests_until) = self.lines.first(q.key);
+        q.key == NONE || first == Some(i) && (q.count > 0 || self.now >= rests_until)
     }
 
     /// Rule 7: whether one more further submission, beside the moves under way, fits the site's window.
@@ -481,41 +447,25 @@
         work: f64, memory: f64, out: &mut dyn Writer,
     ) {
         let Some(&i) = self.door.queries.get(&id) else { return };
-        let (Some(e), true) = (self.door.nodes.find(node), submission < self.queries[i].count) else {
-            return;
-        };
+        let Some(e) = self.door.nodes.find(node) else { return };
         let q = &mut self.queries[i];
-        let s = q.submissions[submission];
-        if !s.open {
-            return;
-        }
-        let g = &mut self.groups[q.rg];
-        let engine = &mut self.engines[e];
-        let sub = &mut q.submissions[submission];
-        sub.open = false;
-        sub.may_have_run = !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
-        engine.remove(&s, q.low, g.threads);
-        if let Some(n) = engine.held.iter().position(|&(tables, _)| g.load && tables == q.tables) {
-            engine.held.swap_remove(n);
-        }
+        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else { return };
+        s.open = false;
+        s.may_have_run = !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        let (s, g, engine) = (*s, &mut self.groups[q.rg], &mut self.engines[e]);
+        engine.remove(&s, q.low, g.threads, g.load.then_some(q.tables));
         if std::mem::take(&mut q.moving) {
             self.moving -= 1.0;
         }
-        let (low, key, over_before) = (q.low, q.key, q.over);
+        let (low, key) = (q.low, q.key);
         q.over |= complete;
-        if key != NONE && matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+        if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
             let rest = told::millis(&self.told, "rules.settle-after-doubt-us").unwrap_or(0.0);
-            let line = &mut self.lines[key as usize];
-            line.rests_until = line.rests_until.max(self.now + rest);
+            self.lines.rest(key, self.now + rest);
         }
         let target = g.target_of(q.cost * g.cost_factor);
         if outcome == Outcome::Finished {
-            if work > 0.0 && q.cost > 0.0 {
-                g.cost_factor += MEAN_STEP * ((work / q.cost).clamp(0.2, 5.0) - g.cost_factor);
-            }
-            if memory > 0.0 && q.memory > 0.0 {
-                g.memory_factor += MEAN_STEP * ((memory / q.memory).clamp(0.2, 5.0) - g.memory_factor);
-            }
+            g.learn_need(work / q.cost, memory / q.memory, MEAN_STEP);
             self.learn_pace(i, e, latency);
         }
         let engine = &mut self.engines[e];
@@ -525,31 +475,16 @@
             engine.bound = (engine.bound + 1.0).min((MOST_THREADS_A_CORE * share).max(1.0));
         }
         let late = outcome == Outcome::Finished && low && latency > target;
-        if outcome == Outcome::Full {
-            engine.full = self.now;
-        }
+        engine.full = if outcome == Outcome::Full { self.now } else { engine.full };
         if (late || matches!(outcome, Outcome::Full | Outcome::Timeout)) && s.sent > engine.halved {
             engine.halved = self.now;
             engine.bound = (engine.bound / 2.0).max(1.0);
         }
         self.judge(e, outcome, &s);
-        self.ended(i, over_before, outcome, out);
-    }
-
-    /// After a submission's end: another one, the final answer, or nothing if the query is over.
-    fn ended(&mut self, i: usize, over_before: bool, outcome: Outcome, out: &mut dyn Writer) {
+        // Then another submission, the final answer, or nothing if the query is over.
         if self.queries[i].over {
-            return self.leave(i, out);
-        }
-        debug_assert!(!over_before);
-        let most = self.rule("limits.max-attempts").unwrap_or(1.0) as usize;
-        let q = &self.queries[i];
-        let again = q.count < most.min(MOST_SUBMISSIONS)
-            && q.open().is_none()
-            && outcome != Outcome::NotSent
-            && self.may_repeat(i, None)
-            && self.now + self.alone(i) < q.due;
-        if again {
+            self.leave(i, out);
+        } else if outcome != Outcome::NotSent && self.now + self.alone(i) < self.queries[i].due {
             self.place(i, out);
         } else {
             self.finish_off(i, out);
@@ -561,14 +496,10 @@
     fn learn_pace(&mut self, i: usize, e: usize, latency: f64) {
         let q = &self.queries[i];
         let g = &mut self.groups[q.rg];
-        if q.cost <= 0.0 {
-            // No estimate: the group's own times stand in for its cost.
-            g.seen += 1;
-            let step = MEAN_STEP.max(1.0 / f64::from(g.seen));
-            g.mean_cost += step * (latency * g.threads - g.mean_cost);
-        }
-        let cost = if q.cost > 0.0 { q.cost } else { g.mean_cost };
-        let ratio = (latency.max(0.1) * g.threads / cost.max(0.1)).ln();
+        if q.guessed {
+            g.learn_cost(latency * g.threads, MEAN_STEP);
+        }
+        let ratio = (latency.max(0.1) * g.threads / q.cost.max(0.1)).ln();
         if g.paced == 0 {
             (g.pace, g.best) = (ratio, ratio);
         }
@@ -629,9 +560,7 @@
         let Some(&i) = self.door.queries.get(&id) else { return };
         let q = &mut self.queries[i];
         let (rg, cost) = (q.rg, q.cost);
-        let Some(s) = q.submissions[..q.count].get_mut(submission).filter(|s| s.open) else {
-            return;
-        };
+        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else { return };
         self.engines[s.engine].heard = self.now;
         if note == Note::Waits && amount == 2.0 {
             self.engines[s.engine].held.push((q.tables, self.now + HELD_FOR));
@@ -639,7 +568,7 @@
         if note == Note::Progress {
             (s.noted, s.share) = (self.now, amount.clamp(0.0, 1.0));
             let (age, g) = (self.now - s.sent, &mut self.groups[rg]);
-            if s.share > 0.0 && cost > 0.0 && g.paced > 0 {
+            if s.share > 0.0 && cost > 0.0 && age > 0.0 && g.paced > 0 {
                 let ratio = (age / s.share * g.threads / cost).ln();
                 follow(&mut g.pace, ratio, STEP);
                 follow(&mut self.engines[s.engine].low_pace, ratio - g.best, STEP);
@@ -671,17 +600,16 @@
 
     /// Ends the query at once: deferred where a retry is harmless, killed where it may not be.
     fn finish_off(&mut self, i: usize, out: &mut dyn Writer) {
-        if self.queries[i].over {
+        let q = &self.queries[i];
+        if q.over {
             return;
         }
-        let id = self.queries[i].id;
-        let open = self.queries[i].open().is_some();
-        let read_only = self.groups[self.queries[i].rg].effect == Effect::ReadOnly;
-        if self.may_repeat(i, None) && (!open || read_only) {
+        let read_only = self.groups[q.rg].effect == Effect::ReadOnly;
+        if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
             let longest = self.time("limits.max-retry-after-us").unwrap_or(0.0);
-            out.defer(id, RETRY_AFTER.min(longest));
+            out.defer(q.id, RETRY_AFTER.min(longest));
         } else {
-            out.kill(id);
+            out.kill(q.id);
         }
         self.queries[i].over = true;
         self.call_off(i, out);
@@ -689,14 +617,10 @@
     }
 
     fn call_off(&mut self, i: usize, out: &mut dyn Writer) {
-        let cancelling = self.on("limits.cancelling");
+        let Some(n) = self.queries[i].open().filter(|_| self.on("limits.cancelling")) else { return };
         let q = &mut self.queries[i];
-        for n in 0..q.count {
-            let s = &mut q.submissions[n];
-            if s.open && !s.cancelled && cancelling {
-                s.cancelled = true;
-                out.cancel(q.id, n);
-            }
+        if !std::mem::replace(&mut q.submissions[n].cancelled, true) {
+            out.cancel(q.id, n);
         }
     }
 
@@ -709,19 +633,14 @@
         let (id, key) = (q.id, q.key);
         self.door.queries.remove(&id);
         self.queries.remove(i);
-        if key != NONE {
-            self.lines[key as usize].line.retain(|&other| other != i);
-            self.next_of_key(key, out);
-        }
-    }
-
-    fn next_of_key(&mut self, key: u32, out: &mut dyn Writer) {
-        while let Some(&head) = self.lines[key as usize].line.front() {
+        self.lines.leave(key, i);
+        // The next of the key goes when it may; those after it follow as each one ends.
+        while let Some(head) = self.lines.first(key).0 {
             if self.queries[head].count > 0 || !self.its_turn(head) {
                 return;
             }
             self.place(head, out);
-            if self.queries.contains(head) && self.lines[key as usize].line.front() == Some(&head) {
+            if self.lines.first(key).0 == Some(head) {
                 return;
             }
         }
@@ -787,66 +706,43 @@
             return;
         };
         let s = q.submissions[n];
-        let (age, noted) = (self.now - s.sent, s.noted - s.sent);
+        let age = self.now - s.sent;
         let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent && !s.trial;
-        let left = if silent {
-            f64::INFINITY
-        } else if s.share > 0.0 {
-            noted * (1.0 - s.share) / s.share - (age - noted)
-        } else if age > PATIENCE * again + PATIENCE_FLOOR {
-            f64::INFINITY
-        } else {
-            again
+        let overdue = s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
+        let left = match s.share > 0.0 {
+            _ if silent || overdue => f64::INFINITY,
+            true => (s.noted - s.sent) / s.share - age,
+            false => again,
         };
         if s.share > 0.0 && left > HOPELESS * time_left {
             return self.finish_off(i, out);
         }
-        let most = self.rule("limits.max-attempts").unwrap_or(1.0) as usize;
         let movable = left > MOVE_GAIN * again
             && again < time_left
-            && q.count < most.min(MOST_SUBMISSIONS)
+            && q.count < self.most_submissions()
             && self.on("limits.cancelling")
             && self.may_repeat(i, None)
             && self.may_move();
         if movable {
             self.moving += 1.0;
             self.moves.push(self.now);
-            let q = &mut self.queries[i];
-            q.moving = true;
-            q.submissions[n].cancelled = true;
-            out.cancel(q.id, n);
+            self.queries[i].moving = true;
+            self.call_off(i, out);
         }
     }
 
     // ---- Helpers ----
 
-    /// The work a query is reckoned with: its estimate as its group's answers corrected it, else its threads.
-    fn work(&self, i: usize) -> f64 {
-        let q = &self.queries[i];
-        let g = &self.groups[q.rg];
-        if q.cost > 0.0 {
-            q.cost * g.cost_factor
-        } else {
-            g.threads
-        }
-    }
-
     /// How long a run of the query takes now, by its estimate and its group's recent pace.
     fn alone(&self, i: usize) -> f64 {
-        let q = &self.queries[i];
-        let g = &self.groups[q.rg];
-        let cost = if q.cost > 0.0 { q.cost } else { g.mean_cost };
-        let pace = if g.paced > 0 { g.pace.exp() } else { 1.0 };
-        cost / g.threads * pace
+        let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
+        q.cost / g.threads * g.pace.exp()
     }
 
-    /// The usual work of a group, never taken for less than its target runtime's worth of one thread.
+    /// The usual work of a group, by estimates, what answers told of them, and how long the best took.
     fn usual_work(&self, rg: usize) -> f64 {
         let g = &self.groups[rg];
-        if g.seen > 0 {
-            g.mean_cost * g.cost_factor.max(1.0)
-        } else {
-            g.target * g.threads
-        }
+        let learned = g.mean_cost * g.cost_factor.max(g.best.exp()).max(1.0);
+        [g.target * g.threads, learned][usize::from(g.seen > 0)]
     }
 }
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -1,6 +1,6 @@
 //! A permuted congruential generator (PCG-XSH-RR 64/32), seeded by the wire.
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Pcg(u64);
 
 const MULTIPLIER: u64 = 6364136223846793005;
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,6 +87,21 @@
         })
     }
 
+    /// Takes a cost into the mean: plain at first, then by `step`.
+    pub fn learn_cost(&mut self, cost: f64, step: f64) {
+        self.seen += 1;
+        self.mean_cost += step.max(1.0 / f64::from(self.seen)) * (cost - self.mean_cost);
+    }
+
+    /// Takes what an answer needed against its estimates into the factors; what is not told is no number.
+    pub fn learn_need(&mut self, work: f64, memory: f64, step: f64) {
+        for (ratio, factor) in [(work, &mut self.cost_factor), (memory, &mut self.memory_factor)] {
+            if ratio > 0.0 && ratio.is_finite() {
+                *factor += step * (ratio.clamp(0.2, 5.0) - *factor);
+            }
+        }
+    }
+
     /// Target runtime of a query of this group with so much work.
     pub fn target_of(&self, work: f64) -> f64 {
         self.target + self.target_stretch * work / self.threads
@@ -137,7 +152,7 @@
 }
 
 impl Engine {
-    pub fn new(node: u64, kind: u32, hall: u32, cell: u32, cores: f64, memory: f64) -> Self {
+    pub fn new(node: u64, kind: u32, hall: u32, cell: u32, cores: f64, memory: f64, bound: f64) -> Self {
         Engine {
             node,
             kind,
@@ -153,7 +168,7 @@
             granted: 0.0,
             low_open: 0,
             low_threads: 0.0,
-            bound: 0.0,
+            bound,
             halved: LONG_AGO,
             full: LONG_AGO,
             pace: 0.0,
@@ -171,7 +186,10 @@
         }
     }
 
-    pub fn add(&mut self, s: &Submission, low: bool, threads: f64) {
+    /// `held`: the tables a load holds, and until when at most.
+    pub fn add(&mut self, s: &Submission, low: bool, threads: f64, held: Option<(u32, f64)>) {
+        self.held.retain(|&(_, until)| until > s.sent);
+        self.held.extend(held);
         self.open += 1;
         self.work += s.work;
         self.granted += s.memory;
@@ -181,7 +199,10 @@
         }
     }
 
-    pub fn remove(&mut self, s: &Submission, low: bool, threads: f64) {
+    pub fn remove(&mut self, s: &Submission, low: bool, threads: f64, held: Option<u32>) {
+        if let Some(n) = self.held.iter().position(|&(tables, _)| held == Some(tables)) {
+            self.held.swap_remove(n);
+        }
         self.open = self.open.saturating_sub(1);
         self.work = if self.open == 0 { 0.0 } else { self.work - s.work };
         self.granted = if self.open == 0 { 0.0 } else { self.granted - s.memory };
@@ -207,6 +228,14 @@
     pub share: f64,
 }
 
+impl Submission {
+    pub fn new(engine: usize, sent: f64, work: f64, memory: f64, trial: bool) -> Self {
+        let (open, may_have_run, noted) = (true, true, sent);
+        let nothing = Submission::default();
+        Submission { engine, sent, work, memory, trial, open, may_have_run, noted, ..nothing }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Query {
     pub id: u64,
@@ -216,7 +245,10 @@
     pub tables: u32,
     pub taken: f64,
     pub due: f64,
+    /// The estimate, or the group's mean where none came (`guessed`); the work it is reckoned with.
     pub cost: f64,
+    pub guessed: bool,
+    pub work: f64,
     pub memory: f64,
     pub low: bool,
     pub over: bool,
@@ -236,6 +268,8 @@
             taken,
             due,
             cost: 0.0,
+            guessed: true,
+            work: 0.0,
             memory: 0.0,
             low: false,
             over: false,
@@ -273,11 +307,35 @@
     }
 }
 
-/// The queries of one key, in the order taken, and when the key may be used again.
+/// For each key, its queries in the order taken, and when it may be used again.
 #[derive(Debug, Default)]
-pub struct KeyLine {
-    pub line: VecDeque<usize>,
-    pub rests_until: f64,
+pub struct KeyLines(Vec<(VecDeque<usize>, f64)>);
+
+impl KeyLines {
+    pub fn join(&mut self, key: u32, query: usize) {
+        if key != NONE {
+            let most = self.0.len().max(key as usize + 1);
+            self.0.resize_with(most, || (VecDeque::new(), LONG_AGO));
+            self.0[key as usize].0.push_back(query);
+        }
+    }
+
+    /// The key's first query, and until when the key rests.
+    pub fn first(&self, key: u32) -> (Option<usize>, f64) {
+        self.0.get(key as usize).map_or((None, LONG_AGO), |(line, rests)| (line.front().copied(), *rests))
+    }
+
+    pub fn rest(&mut self, key: u32, until: f64) {
+        if let Some((_, rests)) = self.0.get_mut(key as usize) {
+            *rests = rests.max(until);
+        }
+    }
+
+    pub fn leave(&mut self, key: u32, query: usize) {
+        if let Some((line, _)) = self.0.get_mut(key as usize) {
+            line.retain(|&other| other != query);
+        }
+    }
 }
 
 /// A customer's allowance, as a bucket.
--- a/src/told.rs
+++ b/src/told.rs
@@ -29,3 +29,9 @@
 pub fn list<'a>(told: &'a Map, name: &str) -> Vec<&'a str> {
     told.get(name).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
 }
+
+/// A number of the list `name`, which holds one for each of the kinds.
+pub fn of_kind(told: &Map, kind: &str, name: &str) -> Option<f64> {
+    let place = list(told, "kinds").iter().position(|k| *k == kind)?;
+    list(told, name).get(place)?.parse().ok()
+}
