--- a/src/control.rs
+++ b/src/control.rs
@@ -257,24 +257,25 @@
 
     fn choose(&mut self, i: usize) -> Option<usize> {
         let mut drawn = std::mem::take(&mut self.drawn);
-        // First the engines in good standing that it has not tried and where no load would make it stand
-        // still, then those in good standing, then any that the rules allow.
+        let (low, mut standing) = (self.queries[i].low, false);
+        // First the engines in good standing that it has not tried and where no load would make it stand still,
+        // then all in good standing; only when none stands well, any that the rules allow.
         for stage in 0..3 {
             drawn.clear();
             for e in 0..self.engines.len() {
-                let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
-                let fresh = !tried && !self.stands_still(i, e);
-                if (stage > 0 || fresh) && (stage > 1 || self.in_standing(i, e)) && self.may_send(i, e) {
-                    drawn.push(e);
+                let fresh = !self.queries[i].sent().iter().any(|s| s.engine == e) && !self.stands_still(i, e);
+                let stands = self.in_standing(i, e);
+                if (stage > 0 || fresh) && (stage > 1 || stands) && self.may_send(i, e) {
+                    standing |= stands;
+                    if !low || self.has_room(i, e) && !self.stands_still(i, e) {
+                        drawn.push(e);
+                    }
                 }
             }
-            if !drawn.is_empty() {
+            if !drawn.is_empty() || stage == 1 && standing {
                 break;
             }
         }
-        if self.queries[i].low {
-            drawn.retain(|&e| self.has_room(i, e));
-        }
         let mut choice = None;
         if !drawn.is_empty() {
             let (a, hall) = (drawn[self.chance.below(drawn.len())], self.hall);
