--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 /// Pressure: fast answers take this many times the best, or a refusal as full came this lately.
 const PRESSURE: f64 = 1.6;
 const CROWD_A_CORE: f64 = 0.75;
+const CROWD_MOST: f64 = 1.5;
 const CROWD_MEMORY: f64 = 0.35;
 /// An engine that refused as full is let alone this long: refusing fast, it would look light.
 const FULL_RESTS: f64 = 500.0;
@@ -180,7 +181,8 @@
             let memory = told::of_kind(&self.told, kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
             let bound = cores * THREADS_A_CORE / self.gateways;
-            self.engines.push(Engine::new(node, kind, hall, cell, cores, memory, bound));
+            let crowd = cores * CROWD_A_CORE;
+            self.engines.push(Engine { crowd, bound, ..Engine::new(node, kind, hall, cell, cores, memory) });
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
@@ -307,8 +309,7 @@
     /// Pressure as answers show it, or as our own part will: a burst fills an engine before its answers tell.
     fn pressure(&self, e: usize) -> bool {
         let e = &self.engines[e];
-        let crowded =
-            e.low_threads >= CROWD_A_CORE * e.cores || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
+        let crowded = e.low_threads >= e.crowd || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
         crowded || e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
     }
 
@@ -474,12 +475,14 @@
         let share = engine.cores / self.gateways;
         if outcome == Outcome::Finished && low && latency <= WELL_INSIDE * target {
             engine.bound = (engine.bound + 1.0).min((MOST_THREADS_A_CORE * share).max(1.0));
+            engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
         }
         let late = outcome == Outcome::Finished && low && latency > target;
         engine.full = if outcome == Outcome::Full { self.now } else { engine.full };
         if (late || matches!(outcome, Outcome::Full | Outcome::Timeout)) && s.sent > engine.halved {
             engine.halved = self.now;
             engine.bound = (engine.bound / 2.0).max(1.0);
+            engine.crowd = CROWD_A_CORE * engine.cores;
         }
         self.judge(e, outcome, &s);
         // Then another submission, the final answer, or nothing if the query is over.
--- a/src/state.rs
+++ b/src/state.rs
@@ -133,6 +133,7 @@
     pub low_threads: f64,
     /// The low-lane bound, in threads; when it was last halved; when the engine last said full.
     pub bound: f64,
+    pub crowd: f64,
     pub halved: f64,
     pub full: f64,
     /// How far answers of the fast and of the low lane lie above their groups' best (log ratio).
@@ -152,7 +153,7 @@
 }
 
 impl Engine {
-    pub fn new(node: u64, kind: u32, hall: u32, cell: u32, cores: f64, memory: f64, bound: f64) -> Self {
+    pub fn new(node: u64, kind: u32, hall: u32, cell: u32, cores: f64, memory: f64) -> Self {
         Engine {
             node,
             kind,
@@ -168,7 +169,8 @@
             granted: 0.0,
             low_open: 0,
             low_threads: 0.0,
-            bound,
+            bound: 0.0,
+            crowd: 0.0,
             halved: LONG_AGO,
             full: LONG_AGO,
             pace: 0.0,
