Trust a cold engine with more while its answers stay quick

Trust rises by answers below pressure to 2.5 parts and falls to one at once above. Could hurt where every gateway turns to one cold engine within its first pressed answers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -57,6 +57,8 @@
 const PROBE_EVERY: f64 = 500.0;
 /// Part of what the cold rule allows all gateways that they use, split evenly among them.
 const COLD_PART: f64 = 0.8;
+const COLD_TRUST: f64 = 2.5;
+const COLD_TRUST_STEP: f64 = 0.1;
 const CAPACITY_BUSY: f64 = 0.85;
 /// How much lighter another hall's engine must be.
 const OTHER_HALL: f64 = 1.25;
@@ -190,7 +192,7 @@
         if let Some(start) = start.filter(|&s| s > e.started) {
             // A start we had not heard of: the engine is cold and what we held against it is out of date.
             e.started = start;
-            (e.suspect, e.errors, e.pace, e.low_pace) = (false, 0.0, 0.0, 0.0);
+            (e.suspect, e.errors, e.pace, e.low_pace, e.trust) = (false, 0.0, 0.0, 0.0, 1.0);
             e.bound = e.cores * THREADS_A_CORE / self.gateways;
         }
     }
@@ -415,7 +417,8 @@
         let multiple = self.rule("rules.fall-multiple")? * self.rule("rules.cold-from").unwrap_or(1.0);
         let engine = &self.engines[e];
         let bears = multiple * engine.cores * CAPACITY_BUSY * span;
-        (self.now - engine.started < warm_after + span).then_some(COLD_PART * bears / self.gateways)
+        (self.now - engine.started < warm_after + span)
+            .then_some(COLD_PART * bears / self.gateways * engine.trust)
     }
 
     /// Rule 5: the first of its key whose earlier ones are over and whose key has rested.
@@ -513,6 +516,9 @@
         // estimates that scatter, do not make a quiet engine look pressed.
         g.best = if g.paced < FIRST_SEEN { g.pace } else { g.pace.min(g.best + BEST_FADES) };
         let engine = &mut self.engines[e];
+        // A cold engine whose answers stay quick is far from falling over: the others leave it their part.
+        engine.trust =
+            if engine.pace < PRESSURE.ln() { COLD_TRUST.min(engine.trust + COLD_TRUST_STEP) } else { 1.0 };
         follow(if q.low { &mut engine.low_pace } else { &mut engine.pace }, ratio - g.best, 2.0 * STEP);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -134,6 +134,7 @@
     /// The low-lane bound, in threads; when it was last halved; when the engine last said full.
     pub bound: f64,
     pub crowd: f64,
+    pub trust: f64,
     pub halved: f64,
     pub full: f64,
     /// How far answers of the fast and of the low lane lie above their groups' best (log ratio).
@@ -171,6 +172,7 @@
             low_threads: 0.0,
             bound: 0.0,
             crowd: 0.0,
+            trust: 1.0,
             halved: LONG_AGO,
             full: LONG_AGO,
             pace: 0.0,
