--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,318 @@
+//! The decisions, one by one, without the bench: each rule's gate, the mechanism, and each failure found.
+
+mod helper;
+
+use helper::*;
+use tansymux::control::Control;
+use tansymux::interface::{EngineStatus, ListForm, Note, Outcome};
+
+const ONE: &[(&str, &str)] = &[("small", "h1")];
+const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
+
+/// Makes engine `e` look pressed, as slow answers would.
+fn press(c: &mut Control, e: usize) {
+    c.engines[e].pace = 2.0;
+}
+
+#[test]
+fn settings_that_lack_a_value_are_refused_by_its_name() {
+    let mut told = settings("");
+    told.remove("services.1.aim-us");
+    assert_eq!(Control::new(1, &told).err().unwrap(), "setting services.1.aim-us is missing");
+}
+
+#[test]
+fn rule_1_one_final_answer_and_nothing_after_it() {
+    let mut c = gateway("", ONE);
+    ask(&mut c, 1.0, 1, "load", 100.0);
+    assert_eq!(close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1), ["kill 1"]);
+    assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Finished, 1).is_empty());
+    assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
+}
+
+#[test]
+fn rule_1_a_client_that_left_gets_nothing_and_its_submission_is_called_off() {
+    let mut c = gateway("", ONE);
+    ask(&mut c, 1.0, 1, "look", 100.0);
+    assert_eq!(round(&mut c, 2.0, |c, out| c.vanished(1, out)), ["cancel 1 0"]);
+    assert!(close(&mut c, 3.0, 1, 0, Outcome::Cancelled, 1).is_empty());
+    assert!(c.queries.is_empty());
+}
+
+#[test]
+fn rule_2_a_mutating_query_goes_again_only_if_it_never_ran() {
+    let mut c = gateway("", TWO);
+    ask(&mut c, 1.0, 1, "load", 100.0);
+    let first = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+    let again = close(&mut c, 2.0, 1, 0, Outcome::NoConnection, first);
+    assert_eq!(again, [format!("submit 1 {}", 3 - first)]);
+    assert_eq!(close(&mut c, 3.0, 1, 1, Outcome::Reset, 3 - first), ["kill 1"]);
+}
+
+#[test]
+fn rule_2_a_tokened_query_goes_again_only_inside_its_window() {
+    for (at, then) in [(9_000.0, "submit 1"), (10_500.0, "kill 1")] {
+        let mut c = gateway("", ONE);
+        ask(&mut c, 1.0, 1, "tok", 100.0);
+        assert!(starts(&close(&mut c, at, 1, 0, Outcome::Error, 1), then));
+    }
+}
+
+#[test]
+fn rule_2_a_tokened_query_stays_in_its_hall_and_is_killed_without_one() {
+    let mut c = gateway("services.3.dedup-scope=zone", &[("small", "h1"), ("small", "h2")]);
+    ask(&mut c, 1.0, 1, "tok", 100.0);
+    let first = c.engines.iter().position(|e| e.open == 1).unwrap();
+    c.engines[first].ready = false;
+    assert_eq!(close(&mut c, 2.0, 1, 0, Outcome::Error, first as u64 + 1), ["kill 1"]);
+}
+
+#[test]
+fn rule_3_nothing_goes_to_an_engine_that_drains_or_was_left_out() {
+    let mut c = gateway("", TWO);
+    round(&mut c, 1.0, |c, out| {
+        c.list_begins(ListForm::Changes);
+        c.listed(1, "small", "h1", EngineStatus::Draining, None, 0);
+        c.list_ends(ListForm::Changes, out);
+    });
+    for id in 0..20 {
+        assert_eq!(ask(&mut c, 2.0, id, "look", 10.0), [format!("submit {id} 2")]);
+    }
+    round(&mut c, 3.0, |c, out| {
+        c.list_begins(ListForm::Full);
+        c.list_ends(ListForm::Full, out);
+    });
+    assert!(starts(&ask(&mut c, 4.0, 99, "look", 10.0), "defer 99"));
+}
+
+fn cold_gateway() -> Control {
+    let rules =
+        "rules.overload-for-us=3000000 rules.fall-multiple=2 rules.cold-from=0.3 rules.warm-after-us=9000000";
+    let mut c = gateway(rules, &[]);
+    round(&mut c, 1.0, |c, out| {
+        c.list_begins(ListForm::Changes);
+        c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0), 0);
+        c.list_ends(ListForm::Changes, out);
+    });
+    c
+}
+
+#[test]
+fn rule_4_a_cold_engine_gets_this_gateways_part_and_no_more() {
+    let mut c = cold_gateway();
+    // 2 x 0.3 x 8 cores x 0.85 x 3 s = 12.24 s of work for both gateways together.
+    let sent = (0..400).filter(|&id| starts(&ask(&mut c, 2.0, id, "look", 100.0), "submit")).count();
+    assert!((20..=61).contains(&sent), "{sent} x 100 ms");
+    assert!(starts(&ask(&mut c, 2_900.0, 900, "look", 100.0), "defer"));
+    round(&mut c, 3_050.0, |_, _| ());
+    assert!(starts(&ask(&mut c, 3_100.0, 901, "look", 100.0), "submit"), "the window has passed");
+}
+
+#[test]
+fn rule_4_trust_in_a_cold_engine_falls_at_once_when_it_is_pressed() {
+    let mut c = cold_gateway();
+    ask(&mut c, 2.0, 1, "look", 100.0);
+    ask(&mut c, 2.0, 2, "look", 100.0);
+    close(&mut c, 100.0, 1, 0, Outcome::Finished, 1);
+    assert!(c.engines[0].trust > 1.0);
+    press(&mut c, 0);
+    close(&mut c, 101.0, 2, 0, Outcome::Finished, 1);
+    assert_eq!(c.engines[0].trust, 1.0);
+}
+
+#[test]
+fn rule_5_one_of_a_key_at_a_time_and_rest_after_doubt() {
+    let mut c = gateway("rules.settle-after-doubt-us=500000", TWO);
+    assert!(starts(&ask_for(&mut c, 1.0, 1, "tok", 100.0, Some(5), 0), "submit 1"));
+    assert!(ask_for(&mut c, 2.0, 2, "tok", 100.0, Some(5), 0).is_empty());
+    assert!(starts(&ask_for(&mut c, 3.0, 3, "tok", 100.0, Some(6), 0), "submit 3"));
+    let e = c.queries.iter().find(|(_, q)| q.id == 1).unwrap().1.sent()[0].engine as u64 + 1;
+    round(&mut c, 4.0, |c, out| c.vanished(1, out));
+    assert!(round(&mut c, 50.0, |_, _| ()).is_empty(), "its submission is still out");
+    assert!(close(&mut c, 60.0, 1, 0, Outcome::Cancelled, e).is_empty());
+    assert!(round(&mut c, 500.0, |_, _| ()).is_empty(), "the key rests");
+    assert!(starts(&round(&mut c, 600.0, |_, _| ()), "submit 2"));
+}
+
+#[test]
+fn rule_6_bound_queries_go_nowhere_else_even_when_theirs_are_gone() {
+    let mut c = gateway("services.0.kinds-open=big services.1.confined-to=h2", ONE);
+    assert!(starts(&ask(&mut c, 1.0, 1, "look", 10.0), "defer 1"));
+    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 10.0), "defer 2"));
+}
+
+#[test]
+fn rule_7_further_submissions_keep_within_the_budget() {
+    let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
+    let mut c = gateway(rules, &[("small", "h1"); 8]);
+    let mut again = 0;
+    for id in 0..10 {
+        ask(&mut c, 1.0, id, "look", 10.0);
+        let e = c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.sent()[0].engine as u64 + 1;
+        again += usize::from(starts(&close(&mut c, 2.0, id, 0, Outcome::NoConnection, e), "submit"));
+    }
+    assert_eq!(again, 2, "one free and a tenth of ten");
+}
+
+#[test]
+fn the_bound_grows_with_quick_low_answers_and_halves_once_for_a_lot_of_trouble() {
+    let mut c = gateway("", ONE);
+    c.engines[0].bound = 4.0;
+    for id in 1..=4 {
+        ask(&mut c, 1.0, id, "rep", 100.0);
+    }
+    close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+    assert!((c.engines[0].bound - 4.8).abs() < 1e-9, "8 cores x 1.2 x half share");
+    close(&mut c, 102.0, 2, 0, Outcome::Full, 1);
+    close(&mut c, 103.0, 3, 0, Outcome::Full, 1);
+    assert!((c.engines[0].bound - 2.4).abs() < 1e-9, "halved once, not twice");
+}
+
+#[test]
+fn the_bound_binds_under_pressure_only_and_never_keeps_out_the_only_low_query() {
+    let mut c = gateway("", ONE);
+    c.engines[0].bound = 2.0;
+    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"));
+    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 100.0), "submit"), "no pressure, no bound");
+    press(&mut c, 0);
+    assert_eq!(ask(&mut c, 1.0, 3, "rep", 100.0), ["defer 3 300"], "at once, within the told limit");
+    assert!(starts(&ask(&mut c, 1.0, 4, "look", 100.0), "submit"), "the fast lane is not refused");
+    c.engines[0].low_open = 0;
+    assert!(starts(&ask(&mut c, 1.0, 5, "rep", 100.0), "submit"));
+}
+
+#[test]
+fn pressure_shows_in_either_lane_in_a_full_refusal_and_in_a_crowd_of_our_own() {
+    let marks: [fn(&mut Control); 4] = [
+        |c| c.engines[0].low_pace = 2.0,
+        |c| c.engines[0].full = T0 + 1.0,
+        |c| c.engines[0].granted = 900.0,
+        |c| c.engines[0].low_threads = 12.0,
+    ];
+    for mark in marks {
+        let mut c = gateway("", ONE);
+        (c.engines[0].low_open, c.engines[0].low_threads, c.engines[0].bound) = (1, 2.0, 2.0);
+        mark(&mut c);
+        assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), "defer"));
+    }
+}
+
+#[test]
+fn a_look_up_far_above_its_groups_mean_is_demoted() {
+    let mut c = gateway("", ONE);
+    for id in 0..30 {
+        ask(&mut c, 1.0, id, "look", 100.0);
+    }
+    ask(&mut c, 2.0, 50, "look", 390.0);
+    ask(&mut c, 2.0, 51, "look", 450.0);
+    let low = |id| c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.low;
+    assert_eq!((low(0), low(50), low(51)), (false, false, true));
+}
+
+#[test]
+fn the_lighter_engine_by_work_per_core_is_chosen() {
+    let mut c = gateway("", &[("small", "h1"), ("big", "h1")]);
+    (c.engines[0].work, c.engines[1].work) = (1000.0, 1500.0);
+    for id in 0..40 {
+        ask(&mut c, 1.0, id, "look", 0.001);
+    }
+    // Each draw of both takes the big one, and a draw of the same twice either.
+    assert!(c.engines[1].open > c.engines[0].open);
+    (c.engines[0].work, c.engines[1].work) = (0.0, 9000.0);
+    let before = c.engines[1].open;
+    for id in 100..140 {
+        ask(&mut c, 1.0, id, "look", 0.001);
+    }
+    assert!(c.engines[1].open - before < 20);
+}
+
+#[test]
+fn errors_raise_doubt_and_a_doubted_engine_gets_one_trial_that_is_left_to_end() {
+    let mut c = gateway("", &[("small", "h1")]);
+    for id in 0..2 {
+        ask(&mut c, 1.0, id, "load", 10.0);
+        close(&mut c, 2.0, id, 0, Outcome::Reset, 1);
+    }
+    assert!(c.engines[0].suspect && c.engines[0].silent);
+    round(&mut c, 600.0, |c, out| {
+        c.list_begins(ListForm::Changes);
+        c.listed(2, "small", "h1", EngineStatus::Ready, None, 0);
+        c.list_ends(ListForm::Changes, out);
+    });
+    c.engines[1].work = 1e9;
+    for id in 10..40 {
+        ask(&mut c, 600.0, id, "look", 100.0);
+    }
+    assert_eq!(c.engines[0].open, 1, "one trial");
+    assert!(
+        !starts(&round(&mut c, 640.0, |_, _| ()), "cancel"),
+        "i22a8d1: the trial was moved as if it hung"
+    );
+}
+
+#[test]
+fn running_out_of_time_on_an_engine_that_answers_raises_no_doubt() {
+    let mut c = gateway("", ONE);
+    for id in 0..6 {
+        ask(&mut c, 1.0, id, "look", 10.0);
+    }
+    close(&mut c, 5.0, 0, 0, Outcome::Finished, 1);
+    for id in 1..6 {
+        close(&mut c, 20_001.0, id, 0, Outcome::Timeout, 1);
+    }
+    assert!(!c.engines[0].suspect);
+}
+
+#[test]
+fn an_engine_that_refused_as_full_rests() {
+    let mut c = gateway("", TWO);
+    c.engines[1].work = 1e9;
+    c.engines[0].full = T0 + 1.0;
+    assert_eq!(ask(&mut c, 2.0, 1, "look", 10.0), ["submit 1 2"]);
+}
+
+#[test]
+fn a_submission_that_crawls_is_moved_and_moves_are_rationed() {
+    let mut c = gateway("", TWO);
+    c.engines.iter_mut().for_each(|e| e.crowd = 100.0);
+    for id in 0..20 {
+        ask(&mut c, 1.0, id, "rep", 200.0);
+    }
+    let moved = round(&mut c, 1_001.0, |c, _| (0..20).for_each(|id| c.noted(id, 0, Note::Progress, 0.05)));
+    assert!((1..=5).contains(&moved.len()), "{moved:?}: three and a tenth of twenty at most");
+}
+
+#[test]
+fn a_query_keeps_off_an_engine_where_a_load_holds_its_tables() {
+    let mut c = gateway("", TWO);
+    ask_for(&mut c, 1.0, 1, "load", 10.0, None, 7);
+    let held = c.engines.iter().position(|e| e.open == 1).unwrap();
+    c.engines[1 - held].work = 1e9;
+    assert_eq!(ask_for(&mut c, 2.0, 2, "look", 10.0, None, 7), [format!("submit 2 {}", 2 - held)]);
+    close(&mut c, 3.0, 1, 0, Outcome::Finished, held as u64 + 1);
+    assert!(c.engines[held].held.is_empty());
+}
+
+#[test]
+fn the_crowding_limit_grows_with_quick_answers_and_falls_back_with_the_bound() {
+    let mut c = gateway("", ONE);
+    let start = c.engines[0].crowd;
+    ask(&mut c, 1.0, 1, "rep", 100.0);
+    ask(&mut c, 1.0, 2, "rep", 100.0);
+    close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+    assert_eq!(c.engines[0].crowd, start + 1.0);
+    close(&mut c, 102.0, 2, 0, Outcome::Full, 1);
+    assert_eq!(c.engines[0].crowd, start);
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
+    let mut c = gateway("membership-mode=on_request", ONE);
+    let fail = |c: &mut Control, out: &mut dyn tansymux::interface::Writer| {
+        c.list_begins(ListForm::Failed);
+        c.list_ends(ListForm::Failed, out);
+    };
+    round(&mut c, 2_000.0, fail);
+    assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "watch"));
+    assert!(starts(&round(&mut c, 3_100.0, |_, _| ()), "watch"));
+}
