--- a/src/control.rs
+++ b/src/control.rs
@@ -64,6 +64,9 @@
 const OTHER_HALL: f64 = 1.25;
 /// How long tables are taken for held by another gateway's load after a note told of a wait.
 const HELD_FOR: f64 = 1500.0;
+/// A customer is over its share when its rate over this span passes its even part by this factor.
+const SHARE_SPAN: f64 = 2000.0;
+const SHARE_SLACK: f64 = 1.35;
 /// A regular look, this often while anything is in hand.
 const LOOK_EVERY: f64 = 20.0;
 const ANSWER_MARGIN: f64 = 10.0;
@@ -116,7 +119,7 @@
         for i in 0..told::number(told, "projects.count").unwrap_or(0.0) as usize {
             door.customers.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
             let rate = told::number(told, &format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
-            customers.push(Customer { rate: rate / 1000.0 / gateways, level: 0.0, at: LONG_AGO });
+            customers.push(Customer { rate: rate / 1000.0 / gateways, level: 0.0, at: 0.0 });
         }
         let hall = told.get("zone").map_or(NONE, |z| door.halls.index(z));
         let list_wanted = told.get("membership-mode").is_some_and(|m| m == "on_request");
@@ -236,8 +239,9 @@
         let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { g.mean_cost });
         let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
         let customer = self.door.customers.index(customer);
+        let over_share = self.over_share(customer as usize);
         let query = Query::new(id, rg_index, self.now, due);
-        let query = Query { customer, key, tables, cost, guessed, work, memory, low, ..query };
+        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, ..query };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
@@ -249,6 +253,21 @@
         Ok(())
     }
 
+    /// Whether a customer now sends more than its share, both by what was told and against all the others:
+    /// when all send more alike, nobody is singled out.
+    fn over_share(&mut self, customer: usize) -> bool {
+        if customer >= self.customers.len() {
+            return false;
+        }
+        for (i, c) in self.customers.iter_mut().enumerate() {
+            c.level = c.level * ((c.at - self.now) / SHARE_SPAN).exp() + f64::from(u8::from(i == customer));
+            c.at = self.now;
+        }
+        let all = self.customers.iter().fold((0.0, 0.0), |sum, c| (sum.0 + c.level, sum.1 + c.rate));
+        let c = &self.customers[customer];
+        c.level / c.rate > SHARE_SLACK * (all.0 / all.1).max(SHARE_SPAN)
+    }
+
     // ---- Placement ----
 
     /// Sends the query to the lighter of two engines drawn from those it may use, or ends it.
@@ -318,7 +337,14 @@
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
     fn has_room(&self, i: usize, e: usize) -> bool {
         let (threads, engine) = (self.groups[self.queries[i].rg].threads, &self.engines[e]);
-        engine.low_open == 0 || !self.pressure(e) || engine.low_threads + threads <= engine.bound
+        let within = engine.low_threads + threads <= engine.bound;
+        // What a customer sends beyond its share has room only where both the bound and the engine are at ease.
+        let room = if self.queries[i].over_share {
+            within && !self.pressure(e)
+        } else {
+            within || !self.pressure(e)
+        };
+        engine.low_open == 0 || room
     }
 
     /// Whether a load holds there what the query reads, so that it would stand still.
--- a/src/state.rs
+++ b/src/state.rs
@@ -244,7 +244,7 @@
 pub struct Query {
     pub id: u64,
     pub rg: usize,
-    pub customer: u32,
+    pub over_share: bool,
     pub key: u32,
     pub tables: u32,
     pub taken: f64,
@@ -266,7 +266,7 @@
         Query {
             id,
             rg,
-            customer: NONE,
+            over_share: false,
             key: NONE,
             tables: NONE,
             taken,
@@ -342,7 +342,7 @@
     }
 }
 
-/// A customer's allowance, as a bucket.
+/// A customer's allowance a millisecond here, and its fading count of queries.
 #[derive(Debug, Clone)]
 pub struct Customer {
     pub rate: f64,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -316,3 +316,22 @@
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "watch"));
     assert!(starts(&round(&mut c, 3_100.0, |_, _| ()), "watch"));
 }
+
+#[test]
+fn what_a_customer_sends_beyond_its_share_has_room_only_at_ease() {
+    let told = "projects.count=2 projects.0.name=a projects.0.allowance-per-s=20 \
+        projects.1.name=b projects.1.allowance-per-s=20";
+    let mut c = gateway(told, ONE);
+    let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
+        mark(&mut c);
+        round(&mut c, 1.0, |c, out| c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, out).unwrap())
+    };
+    for id in 0..60 {
+        from(id, "look", "a", |_| ());
+        from(100 + id, "look", if id % 3 == 0 { "b" } else { "a" }, |_| ());
+    }
+    from(300, "rep", "b", |_| ());
+    assert!(starts(&from(301, "rep", "a", |c| c.engines[0].bound = 9.0), "submit"), "at ease");
+    assert!(starts(&from(302, "rep", "a", |c| c.engines[0].pace = 2.0), "defer"));
+    assert!(starts(&from(303, "rep", "b", |_| ()), "submit"));
+}
