--- a/src/control.rs
+++ b/src/control.rs
@@ -11,7 +11,7 @@
 use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
 use crate::pcg::Pcg;
 use crate::state::*;
-use crate::told::{self, Map};
+use crate::told::{Map, Told};
 use slab::Slab;
 
 // The design page's values.
@@ -82,7 +82,7 @@
     hall: u32,
     door: Door,
     pub groups: Vec<ResourceGroup>,
-    pub customers: Vec<Customer>,
+    customers: Customers,
     pub engines: Vec<Engine>,
     pub queries: Slab<Query>,
     lines: KeyLines,
@@ -98,43 +98,29 @@
     fleet_pace: f64,
 }
 
-/// A running median: moves by a fixed step towards each sample, so that no outlier pulls it far.
-fn follow(median: &mut f64, sample: f64, step: f64) {
-    *median += step * (sample - *median).clamp(-1.0, 1.0).signum();
-}
-
 impl Control {
     // ---- Start ----
 
     pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
         let mut door = Door::default();
         let mut groups = Vec::new();
-        for i in 0..told::required(told, "services.count")? as usize {
+        for i in 0..told.required("services.count")? as usize {
             groups.push(ResourceGroup::read(told, i, &mut door.halls, &mut door.kinds)?);
             let name = format!("services.{i}.name");
             door.groups.index(told.get(&name).ok_or_else(|| format!("setting {name} is missing"))?);
         }
-        let gateways = told::required(told, "balancers")?.max(1.0);
-        let mut customers = Vec::new();
-        for i in 0..told::number(told, "projects.count").unwrap_or(0.0) as usize {
+        let gateways = told.required("balancers")?.max(1.0);
+        let mut customers = Customers::default();
+        for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
             door.customers.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
-            let rate = told::number(told, &format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
-            customers.push(Customer { rate: rate / 1000.0 / gateways, level: 0.0, at: 0.0 });
+            let rate = told.number(&format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
+            customers.add(rate / 1000.0 / gateways);
         }
         let hall = told.get("zone").map_or(NONE, |z| door.halls.index(z));
         let list_wanted = told.get("membership-mode").is_some_and(|m| m == "on_request");
         let (told, chance) = (told.clone(), Pcg::new(seed));
-        Ok(Control {
-            told,
-            chance,
-            gateways,
-            hall,
-            door,
-            groups,
-            customers,
-            list_wanted,
-            ..Control::default()
-        })
+        let known = Control { told, chance, gateways, hall, door, ..Control::default() };
+        Ok(Control { groups, customers, list_wanted, ..known })
     }
 
     /// One round: all that came in, then the regular look when it is due.
@@ -156,19 +142,6 @@
         self.timer_set = false;
     }
 
-    fn on(&self, name: &str) -> bool {
-        told::on(&self.told, name)
-    }
-
-    fn rule(&self, name: &str) -> Option<f64> {
-        told::number(&self.told, name)
-    }
-
-    /// A time of the settings, in milliseconds.
-    fn time(&self, name: &str) -> Option<f64> {
-        told::millis(&self.told, name)
-    }
-
     // ---- The list of engines ----
 
     pub fn list_begins(&mut self, form: ListForm) {
@@ -182,8 +155,8 @@
     ) {
         let i = self.door.nodes.index(node);
         if i == self.engines.len() {
-            let cores = told::of_kind(&self.told, kind, "family-info.cores-by-kind").unwrap_or(CORES_UNTOLD);
-            let memory = told::of_kind(&self.told, kind, "family-info.kind-memory-mb").unwrap_or(0.0);
+            let cores = self.told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(CORES_UNTOLD);
+            let memory = self.told.of_kind(kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
             let bound = cores * THREADS_A_CORE / self.gateways;
             let crowd = cores * CROWD_A_CORE;
@@ -202,13 +175,18 @@
 
     /// An engine that a whole list leaves out is gone.
     pub fn list_ends(&mut self, form: ListForm, out: &mut dyn Writer) {
-        if form == ListForm::Failed {
-            self.list_asked = self.now;
-            self.list_wanted = true;
-            return;
+        match form {
+            ListForm::Failed => (self.list_wanted, self.list_asked) = (true, self.now),
+            ListForm::Remembered => self.look_for_list(out),
+            ListForm::Changes | ListForm::Full => self.list_wanted = false,
         }
-        self.engines.iter_mut().filter(|e| !e.listed).for_each(|e| e.ready = false);
-        if form == ListForm::Remembered && self.list_wanted {
+        if form != ListForm::Failed {
+            self.engines.iter_mut().filter(|e| !e.listed).for_each(|e| e.ready = false);
+        }
+    }
+
+    fn look_for_list(&mut self, out: &mut dyn Writer) {
+        if self.list_wanted && self.now - self.list_asked > LIST_RETRY {
             self.list_asked = self.now;
             out.watch_list();
         }
@@ -239,7 +217,9 @@
         let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { g.mean_cost });
         let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
         let customer = self.door.customers.index(customer);
-        let over_share = self.over_share(customer as usize);
+        // Over its share by what was told and against all others: when all send more alike, nobody is singled out.
+        let (own, all) = self.customers.count(customer as usize, self.now, SHARE_SPAN);
+        let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
         let query = Query { over_share, key, tables, cost, guessed, work, memory, low, ..query };
         let i = self.queries.insert(query);
@@ -253,21 +233,6 @@
         Ok(())
     }
 
-    /// Whether a customer now sends more than its share, both by what was told and against all the others:
-    /// when all send more alike, nobody is singled out.
-    fn over_share(&mut self, customer: usize) -> bool {
-        if customer >= self.customers.len() {
-            return false;
-        }
-        for (i, c) in self.customers.iter_mut().enumerate() {
-            c.level = c.level * ((c.at - self.now) / SHARE_SPAN).exp() + f64::from(u8::from(i == customer));
-            c.at = self.now;
-        }
-        let all = self.customers.iter().fold((0.0, 0.0), |sum, c| (sum.0 + c.level, sum.1 + c.rate));
-        let c = &self.customers[customer];
-        c.level / c.rate > SHARE_SLACK * (all.0 / all.1).max(SHARE_SPAN)
-    }
-
     // ---- Placement ----
 
     /// Sends the query to the lighter of two engines drawn from those it may use, or ends it.
@@ -322,8 +287,9 @@
 
     /// The share of its capacity that a cold engine is trusted with.
     fn warmth(&self, e: usize) -> f64 {
-        let from = self.rule("rules.cold-from").unwrap_or(1.0);
-        let part = (self.now - self.engines[e].started) / self.time("rules.warm-after-us").unwrap_or(0.0);
+        let from = self.told.number("rules.cold-from").unwrap_or(1.0);
+        let part =
+            (self.now - self.engines[e].started) / self.told.millis("rules.warm-after-us").unwrap_or(0.0);
         from + (1.0 - from) * part.clamp(0.0, 1.0)
     }
 
@@ -336,15 +302,10 @@
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
     fn has_room(&self, i: usize, e: usize) -> bool {
-        let (threads, engine) = (self.groups[self.queries[i].rg].threads, &self.engines[e]);
-        let within = engine.low_threads + threads <= engine.bound;
-        // What a customer sends beyond its share has room only where both the bound and the engine are at ease.
-        let room = if self.queries[i].over_share {
-            within && !self.pressure(e)
-        } else {
-            within || !self.pressure(e)
-        };
-        engine.low_open == 0 || room
+        let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
+        let within = engine.low_threads + self.groups[q.rg].threads <= engine.bound;
+        // What a customer sends beyond its share has room only where both the bound and the engine allow.
+        engine.low_open == 0 || within && at_ease || (within || at_ease) && !q.over_share
     }
 
     /// Whether a load holds there what the query reads, so that it would stand still.
@@ -412,14 +373,14 @@
         q.submissions[q.count] = s;
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
-        if self.on("family-info.lanes-count") {
+        if self.told.on("family-info.lanes-count") {
             out.grant(id, if low { 1 } else { 3 }, 0.0);
         }
         out.submit(id, node, due);
     }
 
     fn most_submissions(&self) -> usize {
-        MOST_SUBMISSIONS.min(self.rule("limits.max-attempts").unwrap_or(1.0) as usize)
+        MOST_SUBMISSIONS.min(self.told.number("limits.max-attempts").unwrap_or(1.0) as usize)
     }
 
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
@@ -439,8 +400,10 @@
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
-        let (span, warm_after) = (self.time("rules.overload-for-us")?, self.time("rules.warm-after-us")?);
-        let multiple = self.rule("rules.fall-multiple")? * self.rule("rules.cold-from").unwrap_or(1.0);
+        let (span, warm_after) =
+            (self.told.millis("rules.overload-for-us")?, self.told.millis("rules.warm-after-us")?);
+        let multiple =
+            self.told.number("rules.fall-multiple")? * self.told.number("rules.cold-from").unwrap_or(1.0);
         let engine = &self.engines[e];
         let bears = multiple * engine.cores * CAPACITY_BUSY * span;
         (self.now - engine.started < warm_after + span)
@@ -456,15 +419,15 @@
 
     /// Rule 7: whether one more further submission, beside the moves under way, fits the site's window.
     fn budget_left(&mut self, under_way: f64) -> bool {
-        let Some(span) = self.time("rules.ratio-span-us") else { return true };
-        let (share, free) = (self.rule("rules.repeat-ratio"), self.rule("rules.extra-free"));
+        let Some(span) = self.told.millis("rules.ratio-span-us") else { return true };
+        let (share, free) = (self.told.number("rules.repeat-ratio"), self.told.number("rules.extra-free"));
         let allowed = free.unwrap_or(0.0) + share.unwrap_or(0.0) * self.taken.after(self.now - span);
         self.further.after(self.now - span - LOOK_EVERY) + under_way + 1.0 <= allowed
     }
 
     /// Our own ration of moves, at every site: when all engines crawl, moving work only adds to it.
     fn may_move(&mut self) -> bool {
-        let span = self.time("rules.ratio-span-us").unwrap_or(MOVES_SPAN);
+        let span = self.told.millis("rules.ratio-span-us").unwrap_or(MOVES_SPAN);
         let taken = self.taken.after(self.now - span);
         self.moves.after(self.now - span) + 1.0 <= MOVES_FREE + MOVES_SHARE * taken
             && self.budget_left(self.moving)
@@ -491,7 +454,7 @@
         let (low, key) = (q.low, q.key);
         q.over |= complete;
         if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
-            let rest = told::millis(&self.told, "rules.settle-after-doubt-us").unwrap_or(0.0);
+            let rest = self.told.millis("rules.settle-after-doubt-us").unwrap_or(0.0);
             self.lines.rest(key, self.now + rest);
         }
         let target = g.target_of(q.cost * g.cost_factor);
@@ -642,7 +605,7 @@
         }
         let read_only = self.groups[q.rg].effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
-            let longest = self.time("limits.max-retry-after-us").unwrap_or(0.0);
+            let longest = self.told.millis("limits.max-retry-after-us").unwrap_or(0.0);
             out.defer(q.id, RETRY_AFTER.min(longest));
         } else {
             out.kill(q.id);
@@ -653,7 +616,7 @@
     }
 
     fn call_off(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(n) = self.queries[i].open().filter(|_| self.on("limits.cancelling")) else { return };
+        let Some(n) = self.queries[i].open().filter(|_| self.told.on("limits.cancelling")) else { return };
         let q = &mut self.queries[i];
         if !std::mem::replace(&mut q.submissions[n].cancelled, true) {
             out.cancel(q.id, n);
@@ -685,10 +648,7 @@
     // ---- The regular look ----
 
     fn look(&mut self, out: &mut dyn Writer) {
-        if self.list_wanted && self.now - self.list_asked > LIST_RETRY {
-            self.list_asked = self.now;
-            out.watch_list();
-        }
+        self.look_for_list(out);
         self.look_at_engines(out);
         for i in 0..self.queries.capacity() {
             if self.queries.contains(i) {
@@ -698,8 +658,8 @@
     }
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
-        let (now, probes) = (self.now, self.on("limits.probes"));
-        let span = self.time("rules.overload-for-us").unwrap_or(0.0);
+        let (now, probes) = (self.now, self.told.on("limits.probes"));
+        let span = self.told.millis("rules.overload-for-us").unwrap_or(0.0);
         let mut paces = std::mem::take(&mut self.drawn);
         paces.clear();
         for e in 0..self.engines.len() {
@@ -756,7 +716,7 @@
         let movable = left > MOVE_GAIN * again
             && again < time_left
             && q.count < self.most_submissions()
-            && self.on("limits.cancelling")
+            && self.told.on("limits.cancelling")
             && self.may_repeat(i, None)
             && self.may_move();
         if movable {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! The records that the decisions keep. Types and bookkeeping only.
 
 use crate::ids::Names;
-use crate::told::{self, Map};
+use crate::told::{self, Map, Told};
 use std::collections::VecDeque;
 
 pub const MOST_SUBMISSIONS: usize = 8;
@@ -58,7 +58,7 @@
         let bound = |what: &str, names: &mut Names| {
             text(what).map(|all| all.split(',').map(|one| names.index(one)).collect())
         };
-        let of_list = |what: &str| told::list(told, what).get(i).copied();
+        let of_list = |what: &str| told.list(what).get(i).copied();
         Ok(ResourceGroup {
             effect: match text("effect") {
                 Some("read_like") => Effect::ReadOnly,
@@ -71,13 +71,13 @@
                 Some("cell") => DedupGroup::Cell,
                 _ => DedupGroup::All,
             },
-            window: told::millis(told, &name("repeat-window-us")).unwrap_or(0.0),
-            in_order: told::on(told, &name("in-order")),
+            window: told.millis(&name("repeat-window-us")).unwrap_or(0.0),
+            in_order: told.on(&name("in-order")),
             halls: bound("confined-to", halls),
             kinds: bound("kinds-open", kinds),
-            target: told::required(told, &name("aim-us"))? / 1000.0,
-            target_stretch: told::number(told, &name("aim-stretch")).unwrap_or(0.0),
-            late_value: told::number(told, &name("late-worth")).unwrap_or(0.0),
+            target: told.required(&name("aim-us"))? / 1000.0,
+            target_stretch: told.number(&name("aim-stretch")).unwrap_or(0.0),
+            late_value: told.number(&name("late-worth")).unwrap_or(0.0),
             threads: of_list("family-info.dop").and_then(|t| t.parse().ok()).unwrap_or(1.0f64).max(1.0),
             load: of_list("family-info.class-load").is_some_and(told::is_true),
             waits: of_list("family-info.class-waits").is_some_and(told::is_true),
@@ -342,10 +342,34 @@
     }
 }
 
-/// A customer's allowance a millisecond here, and its fading count of queries.
-#[derive(Debug, Clone)]
-pub struct Customer {
-    pub rate: f64,
-    pub level: f64,
-    pub at: f64,
+/// Each customer's allowance a millisecond here, and its fading count of queries.
+#[derive(Debug, Default)]
+pub struct Customers {
+    each: Vec<(f64, f64)>,
+    at: f64,
+}
+
+impl Customers {
+    pub fn add(&mut self, allowance: f64) {
+        self.each.push((allowance, 0.0));
+    }
+
+    /// Counts a query, and tells its customer's rate against its allowance, and all customers' against theirs.
+    pub fn count(&mut self, customer: usize, now: f64, span: f64) -> (f64, f64) {
+        let fading = ((self.at - now) / span).exp();
+        self.at = now;
+        self.each.iter_mut().for_each(|(_, level)| *level *= fading);
+        let Some((allowance, level)) = self.each.get_mut(customer) else { return (0.0, 0.0) };
+        *level += 1.0;
+        let own = *level / *allowance;
+        let all = self.each.iter().fold((0.0, 0.0), |sum, (a, l)| (sum.0 + a, sum.1 + l));
+        (own / span, all.1 / all.0 / span)
+    }
+}
+
+/// A running median: moves by a fixed step towards each sample, so that no outlier pulls it far.
+pub fn follow(median: &mut f64, sample: f64, step: f64) {
+    if sample != *median {
+        *median += step.copysign(sample - *median);
+    }
 }
--- a/src/told.rs
+++ b/src/told.rs
@@ -4,34 +4,45 @@
 
 pub type Map = BTreeMap<String, String>;
 
-pub fn number(told: &Map, name: &str) -> Option<f64> {
-    told.get(name)?.parse().ok()
+pub trait Told {
+    fn number(&self, name: &str) -> Option<f64>;
+    /// A time that is told in microseconds, as milliseconds.
+    fn millis(&self, name: &str) -> Option<f64>;
+    fn required(&self, name: &str) -> Result<f64, String>;
+    fn on(&self, name: &str) -> bool;
+    fn list(&self, name: &str) -> Vec<&str>;
+    /// A number of the list `name`, which holds one for each of the kinds.
+    fn of_kind(&self, kind: &str, name: &str) -> Option<f64>;
 }
 
-/// A time that is told in microseconds, as milliseconds.
-pub fn millis(told: &Map, name: &str) -> Option<f64> {
-    Some(number(told, name)? / 1000.0)
-}
+impl Told for Map {
+    fn number(&self, name: &str) -> Option<f64> {
+        self.get(name)?.parse().ok()
+    }
 
-pub fn required(told: &Map, name: &str) -> Result<f64, String> {
-    let text = told.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
-    text.parse().map_err(|_| format!("setting {name}={text} is not a number"))
-}
+    fn millis(&self, name: &str) -> Option<f64> {
+        Some(self.number(name)? / 1000.0)
+    }
 
-pub fn on(told: &Map, name: &str) -> bool {
-    told.get(name).is_some_and(|v| is_true(v))
-}
+    fn required(&self, name: &str) -> Result<f64, String> {
+        let text = self.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
+        text.parse().map_err(|_| format!("setting {name}={text} is not a number"))
+    }
 
-pub fn is_true(value: &str) -> bool {
-    matches!(value, "true" | "1")
-}
+    fn on(&self, name: &str) -> bool {
+        self.get(name).is_some_and(|v| is_true(v))
+    }
+
+    fn list(&self, name: &str) -> Vec<&str> {
+        self.get(name).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
+    }
 
-pub fn list<'a>(told: &'a Map, name: &str) -> Vec<&'a str> {
-    told.get(name).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
+    fn of_kind(&self, kind: &str, name: &str) -> Option<f64> {
+        let place = self.list("kinds").iter().position(|k| *k == kind)?;
+        self.list(name).get(place)?.parse().ok()
+    }
 }
 
-/// A number of the list `name`, which holds one for each of the kinds.
-pub fn of_kind(told: &Map, kind: &str, name: &str) -> Option<f64> {
-    let place = list(told, "kinds").iter().position(|k| *k == kind)?;
-    list(told, name).get(place)?.parse().ok()
+pub fn is_true(value: &str) -> bool {
+    matches!(value, "true" | "1")
 }
