--- a/src/control.rs
+++ b/src/control.rs
@@ -60,8 +60,6 @@
 const COLD_TRUST: f64 = 2.5;
 const COLD_TRUST_STEP: f64 = 0.1;
 const CAPACITY_BUSY: f64 = 0.85;
-/// How much lighter another hall's engine must be.
-const OTHER_HALL: f64 = 1.25;
 /// How long tables are taken for held by another gateway's load after a note told of a wait.
 const HELD_FOR: f64 = 1500.0;
 /// A customer is over its share when its rate over this span passes its even part by this factor.
@@ -69,7 +67,6 @@
 const SHARE_SLACK: f64 = 1.35;
 /// A regular look, this often while anything is in hand.
 const LOOK_EVERY: f64 = 20.0;
-const ANSWER_MARGIN: f64 = 10.0;
 const CORES_UNTOLD: f64 = 8.0;
 const LIST_RETRY: f64 = 1000.0;
 
@@ -95,7 +92,6 @@
     looked: f64,
     list_asked: f64,
     list_wanted: bool,
-    fleet_pace: f64,
 }
 
 impl Control {
@@ -277,12 +273,10 @@
         choice
     }
 
-    /// Running work per told core with this query on it, where cold or slow cores count for less.
+    /// Running work per told core with this query on it, where cold cores count for less.
     fn weight(&self, i: usize, e: usize) -> f64 {
         let engine = &self.engines[e];
-        let slower = (engine.pace - self.fleet_pace).clamp(0.0, 3.0).exp();
-        let far = if engine.hall == self.hall { 1.0 } else { OTHER_HALL };
-        (engine.work + self.queries[i].work) * slower * far / (engine.cores * self.warmth(e))
+        (engine.work + self.queries[i].work) / (engine.cores * self.warmth(e))
     }
 
     /// The share of its capacity that a cold engine is trusted with.
@@ -660,17 +654,13 @@
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
         let (now, probes) = (self.now, self.told.on("limits.probes"));
         let span = self.told.millis("rules.overload-for-us").unwrap_or(0.0);
-        let mut paces = std::mem::take(&mut self.drawn);
-        paces.clear();
-        for e in 0..self.engines.len() {
-            let engine = &mut self.engines[e];
+        for engine in &mut self.engines {
             while engine.sent_cold.front().is_some_and(|&(t, _)| now - t > span) {
                 engine.sent_cold.pop_front();
             }
             if !engine.ready {
                 continue;
             }
-            paces.push(e);
             let waiting = if engine.open > 0 { now - engine.heard } else { 0.0 };
             let ask =
                 if engine.suspect { engine.silent && now >= engine.trial } else { waiting > PROBE_AFTER };
@@ -679,9 +669,6 @@
                 out.probe(engine.node);
             }
         }
-        paces.sort_by(|&a, &b| self.engines[a].pace.total_cmp(&self.engines[b].pace));
-        self.fleet_pace = paces.get(paces.len() / 2).map_or(0.0, |&e| self.engines[e].pace);
-        self.drawn = paces;
     }
 
     /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent engine,
@@ -696,7 +683,7 @@
             // Held by its key's order: it goes when the key is free, and ends when it could not finish.
             if self.its_turn(i) {
                 self.place(i, out);
-            } else if again > time_left || time_left < ANSWER_MARGIN {
+            } else if again + LOOK_EVERY > time_left {
                 self.finish_off(i, out);
             }
             return;
