--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,8 @@
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
 const MEAN_STEP: f64 = 0.02;
+/// An engine's pace is remembered up to here only, a little above pressure, so that it is soon forgotten.
+const PACE_MOST: f64 = 0.8;
 const BEST_FADES: f64 = 0.0003;
 const FIRST_SEEN: u32 = 20;
 // Moving a submission: what is left must be this much more than a new run, without notes after this wait.
@@ -502,7 +504,8 @@
         // A cold engine whose answers stay quick is far from falling over: the others leave it their part.
         engine.trust =
             if engine.pace < PRESSURE.ln() { COLD_TRUST.min(engine.trust + COLD_TRUST_STEP) } else { 1.0 };
-        follow(if q.low { &mut engine.low_pace } else { &mut engine.pace }, ratio - g.best, 2.0 * STEP);
+        let pace = if q.low { &mut engine.low_pace } else { &mut engine.pace };
+        follow(pace, (ratio - g.best).min(PACE_MOST), 2.0 * STEP);
     }
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
@@ -515,7 +518,7 @@
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
             // One that ran out of time on an engine that else answers was crowded out or stood behind a load.
             Outcome::Timeout if engine.heard > s.sent => {
-                return follow(&mut engine.pace, f64::INFINITY, 2.0 * STEP);
+                return follow(&mut engine.pace, PACE_MOST, 2.0 * STEP);
             }
             Outcome::Timeout => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
@@ -564,7 +567,7 @@
             if s.share > 0.0 && cost > 0.0 && age > 0.0 && g.paced > 0 {
                 let ratio = (age / s.share * g.threads / cost).ln();
                 follow(&mut g.pace, ratio, STEP);
-                follow(&mut self.engines[s.engine].low_pace, ratio - g.best, STEP);
+                follow(&mut self.engines[s.engine].low_pace, (ratio - g.best).min(PACE_MOST), STEP);
             }
         }
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -335,3 +335,14 @@
     assert!(starts(&from(302, "rep", "a", |c| c.engines[0].pace = 2.0), "defer"));
     assert!(starts(&from(303, "rep", "b", |_| ()), "submit"));
 }
+
+#[test]
+fn an_engine_once_very_slow_is_soon_out_of_pressure() {
+    let mut c = gateway("", ONE);
+    c.groups[0].paced = 100;
+    for id in 0..40 {
+        ask(&mut c, 1.0, id, "look", 0.2);
+        close(&mut c, 101.0, id, 0, Outcome::Finished, 1);
+    }
+    assert!(c.engines[0].pace < 1.0, "remembered only a little above pressure: {}", c.engines[0].pace);
+}
