Give up late look-ups that are worth little where the fast lane crawls

Guards against any crawl of the fast lane; could hurt where estimates are far too low or clients come back at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -46,6 +46,8 @@
 const MOVES_SPAN: f64 = 10_000.0;
 /// A query is hopeless when a noted submission needs this many times the time left.
 const HOPELESS: f64 = 2.0;
+const LITTLE: f64 = 0.1;
+const PAST: f64 = 1.25;
 // Doubt: errors weigh in by this step and raise doubt above this level; trials back off between these.
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
@@ -215,7 +217,7 @@
         let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { g.mean_cost });
         let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
         let customer = self.door.customers.index(customer);
-        // Over its share by what was told and against all others: when all send more alike, nobody is singled out.
+        // Over its share by what was told and against all others: when all send more, nobody is singled out.
         let (own, all) = self.customers.count(customer as usize, self.now, SHARE_SPAN);
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
@@ -244,7 +246,7 @@
     fn choose(&mut self, i: usize) -> Option<usize> {
         let mut drawn = std::mem::take(&mut self.drawn);
         let (low, mut standing) = (self.queries[i].low, false);
-        // First the engines in good standing that it has not tried and where no load would make it stand still,
+        // First the engines in good standing that it has not tried and where no load makes it stand still,
         // then all in good standing; only when none stands well, any that the rules allow.
         for stage in 0..3 {
             drawn.clear();
@@ -422,11 +424,12 @@
     }
 
     /// Our own ration of moves, at every site: when all engines crawl, moving work only adds to it.
-    fn may_move(&mut self) -> bool {
+    fn may_move(&mut self, i: usize) -> bool {
         let span = self.told.millis("rules.ratio-span-us").unwrap_or(MOVES_SPAN);
-        let taken = self.taken.after(self.now - span);
-        self.moves.after(self.now - span) + 1.0 <= MOVES_FREE + MOVES_SHARE * taken
-            && self.budget_left(self.moving)
+        let ration = MOVES_FREE + MOVES_SHARE * self.taken.after(self.now - span);
+        let could = self.told.on("limits.cancelling") && self.queries[i].count < self.most_submissions();
+        let within = self.moves.after(self.now - span) + 1.0 <= ration && self.budget_left(self.moving);
+        could && within && self.may_repeat(i, None)
     }
 
     // ---- Answers ----
@@ -548,8 +551,7 @@
     fn doubt(&mut self, e: usize, silent: bool) {
         let engine = &mut self.engines[e];
         (engine.suspect, engine.silent, engine.passes) = (true, silent, 0);
-        engine.trial_wait = TRIAL_FIRST;
-        engine.trial = self.now + TRIAL_FIRST;
+        (engine.trial_wait, engine.trial) = (TRIAL_FIRST, self.now + TRIAL_FIRST);
     }
 
     pub fn noted(&mut self, id: u64, submission: usize, note: Note, amount: f64) {
@@ -658,24 +660,18 @@
         let (now, probes) = (self.now, self.told.on("limits.probes"));
         let span = self.told.millis("rules.overload-for-us").unwrap_or(0.0);
         for engine in &mut self.engines {
-            while engine.sent_cold.front().is_some_and(|&(t, _)| now - t > span) {
-                engine.sent_cold.pop_front();
-            }
-            if !engine.ready {
-                continue;
-            }
-            let waiting = if engine.open > 0 { now - engine.heard } else { 0.0 };
-            let ask =
-                if engine.suspect { engine.silent && now >= engine.trial } else { waiting > PROBE_AFTER };
-            if probes && ask && now - engine.probed > PROBE_EVERY {
+            engine.sent_cold.retain(|&(at, _)| now - at <= span);
+            let unheard = engine.open > 0 && now - engine.heard > PROBE_AFTER;
+            let ask = [unheard, engine.silent && now >= engine.trial][usize::from(engine.suspect)];
+            if probes && ask && engine.ready && now - engine.probed > PROBE_EVERY {
                 engine.probed = now;
                 out.probe(engine.node);
             }
         }
     }
 
-    /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent engine,
-    /// a wait for a load): what is left is set against a new run, and against the time the client gives.
+    /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent
+    /// engine, a wait for a load): what is left is set against a new run and the time the client gives.
     fn look_at_query(&mut self, i: usize, out: &mut dyn Writer) {
         let q = &self.queries[i];
         if q.over || q.moving {
@@ -700,16 +696,16 @@
             true => (s.noted - s.sent) / s.share - age,
             false => again,
         };
-        if s.share > 0.0 && left > HOPELESS * time_left {
+        // Given up: what by its note needs far more than the time left, and, where the fast lane crawls, what
+        // is past its target and worth little since: it would only keep others from being in time.
+        let g = &self.groups[q.rg];
+        let past = self.now - q.taken > PAST * g.target_of(q.cost * g.cost_factor);
+        let little = g.late_value <= LITTLE && g.effect == Effect::ReadOnly;
+        let worthless = past && little && self.engines[s.engine].pace > PRESSURE.ln();
+        if worthless || s.share > 0.0 && left > HOPELESS * time_left {
             return self.finish_off(i, out);
         }
-        let movable = left > MOVE_GAIN * again
-            && again < time_left
-            && q.count < self.most_submissions()
-            && self.told.on("limits.cancelling")
-            && self.may_repeat(i, None)
-            && self.may_move();
-        if movable {
+        if left > MOVE_GAIN * again && again < time_left && self.may_move(i) {
             self.moving += 1.0;
             self.moves.push(self.now);
             self.queries[i].moving = true;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -346,3 +346,14 @@
     }
     assert!(c.engines[0].pace < 1.0, "remembered only a little above pressure: {}", c.engines[0].pace);
 }
+
+#[test]
+fn what_is_past_its_target_and_worth_nothing_since_is_given_up_where_the_fast_lane_crawls() {
+    for (pace, given_up) in [(0.0, false), (2.0, true)] {
+        let mut c = gateway("", ONE);
+        ask(&mut c, 1.0, 1, "look", 400.0);
+        c.engines[0].pace = pace;
+        assert!(!starts(&round(&mut c, 500.0, |_, _| ()), "defer"), "not yet past its target");
+        assert_eq!(starts(&round(&mut c, 700.0, |_, _| ()), "defer 1"), given_up);
+    }
+}
