--- a/src/control.rs
+++ b/src/control.rs
@@ -51,14 +51,12 @@
 // Doubt: errors weigh in by this step and raise doubt above this level; trials back off between these.
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
-const ERROR_AFTER_DOUBT: f64 = 0.2;
 const PASSES: u32 = 3;
 const TRIAL_FIRST: f64 = 500.0;
 const TRIAL_MOST: f64 = 4000.0;
 /// Nothing at all heard for this long with submissions out is silence.
 const SILENCE: f64 = 900.0;
 const PROBE_AFTER: f64 = 300.0;
-const PROBE_EVERY: f64 = 500.0;
 /// Part of what the cold rule allows all gateways that they use, split evenly among them.
 const COLD_PART: f64 = 0.8;
 const COLD_TRUST: f64 = 2.5;
@@ -71,7 +69,6 @@
 const SHARE_SLACK: f64 = 1.35;
 /// A regular look, this often while anything is in hand.
 const LOOK_EVERY: f64 = 20.0;
-const CORES_UNTOLD: f64 = 8.0;
 const LIST_RETRY: f64 = 1000.0;
 
 #[derive(Default)]
@@ -155,7 +152,7 @@
     ) {
         let i = self.door.nodes.index(node);
         if i == self.engines.len() {
-            let cores = self.told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(CORES_UNTOLD);
+            let cores = self.told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(1.0);
             let memory = self.told.of_kind(kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
             let bound = cores * THREADS_A_CORE / self.gateways;
@@ -266,11 +263,17 @@
         }
         let mut choice = None;
         if !drawn.is_empty() {
-            let (a, hall) = (drawn[self.chance.below(drawn.len())], self.hall);
-            if drawn.iter().any(|&e| self.engines[e].hall == hall) {
-                drawn.retain(|&e| self.engines[e].hall == hall);
+            // One draw from all, one from our hall; both from our hall while an engine there is at ease.
+            let home = |e: &usize| self.engines[*e].hall == self.hall;
+            let easy =
+                |e: &usize| self.engines[*e].low_threads <= self.engines[*e].bound && !self.pressure(*e);
+            let stay = drawn.iter().any(|e| home(e) && easy(e));
+            let any = drawn[self.chance.below(drawn.len())];
+            if drawn.iter().any(home) {
+                drawn.retain(home);
             }
-            let b = drawn[self.chance.below(drawn.len())];
+            let (a, b) = (drawn[self.chance.below(drawn.len())], drawn[self.chance.below(drawn.len())]);
+            let a = if stay { a } else { any };
             choice = Some(if self.weight(i, a) < self.weight(i, b) { a } else { b });
         }
         self.drawn = drawn;
@@ -363,9 +366,7 @@
         let engine = &mut self.engines[e];
         let memory = q.memory * g.memory_factor;
         let trial = engine.suspect;
-        if trial {
-            engine.trial = now + engine.trial_wait;
-        }
+        engine.trial = if trial { now + engine.trial_wait } else { engine.trial };
         let s = Submission::new(e, now, work, memory, trial);
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.submissions[q.count] = s;
@@ -543,7 +544,7 @@
             engine.trial = now;
             if engine.passes >= PASSES {
                 engine.suspect = false;
-                engine.errors = ERROR_AFTER_DOUBT;
+                engine.errors = ERROR_STEP;
             }
         }
     }
@@ -663,7 +664,7 @@
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
             let unheard = engine.open > 0 && now - engine.heard > PROBE_AFTER;
             let ask = [unheard, engine.silent && now >= engine.trial][usize::from(engine.suspect)];
-            if probes && ask && engine.ready && now - engine.probed > PROBE_EVERY {
+            if probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
                 engine.probed = now;
                 out.probe(engine.node);
             }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -357,3 +357,16 @@
         assert_eq!(starts(&round(&mut c, 700.0, |_, _| ()), "defer 1"), given_up);
     }
 }
+
+#[test]
+fn draws_stay_in_the_own_hall_while_an_engine_there_is_at_ease() {
+    let mut c = gateway("", &[("small", "h1"), ("small", "h2")]);
+    let home =
+        (0..40).filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 1")]).count();
+    assert_eq!(home, 20);
+    press(&mut c, 0);
+    c.engines[0].work = 1e9;
+    let away =
+        (50..90).filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 2")]).count();
+    assert!(away > 5, "one of the two draws is from all again: {away}");
+}
