The exception for the only low query rests when all bounds are used and the fast lane crawls

Should hold for any many gateways with wide queries; could hurt a gateway whose bounds were halved everywhere.

--- a/src/control.rs
+++ b/src/control.rs
@@ -151,22 +151,21 @@
         &mut self, node: u64, kind: &str, hall: &str, status: EngineStatus, start: Option<f64>, cell: u32,
     ) {
         let i = self.door.nodes.index(node);
-        if i == self.engines.len() {
+        let first = i == self.engines.len();
+        if first {
             let cores = self.told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(1.0);
             let memory = self.told.of_kind(kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
-            let bound = cores * THREADS_A_CORE / self.gateways;
-            let crowd = cores * CROWD_A_CORE;
-            self.engines.push(Engine { crowd, bound, ..Engine::new(node, kind, hall, cell, cores, memory) });
+            self.engines.push(Engine::new(node, kind, hall, cell, cores, memory));
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
         e.ready = status == EngineStatus::Ready;
-        if let Some(start) = start.filter(|&s| s > e.started) {
-            // A start we had not heard of: the engine is cold and what we held against it is out of date.
-            e.started = start;
+        if first || start.is_some_and(|start| start > e.started) {
+            // A start we had not heard of: what we held for or against the engine is out of date.
+            e.started = start.unwrap_or(LONG_AGO);
             (e.suspect, e.errors, e.pace, e.low_pace, e.trust) = (false, 0.0, 0.0, 0.0, 1.0);
-            e.bound = e.cores * THREADS_A_CORE / self.gateways;
+            (e.bound, e.crowd) = (e.cores * THREADS_A_CORE / self.gateways, e.cores * CROWD_A_CORE);
         }
     }
 
@@ -301,12 +300,16 @@
         crowded || e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
     }
 
-    /// The low-lane bound: binds under pressure only, and never keeps out the only low query.
+    /// The low-lane bound: binds under pressure only, and does not keep out the only low query. That exception
+    /// rests while the engine's fast lane crawls and our low lane in all is at the sum of its bounds.
     fn has_room(&self, i: usize, e: usize) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
-        let within = engine.low_threads + self.groups[q.rg].threads <= engine.bound;
+        let threads = self.groups[q.rg].threads;
+        let within = engine.low_threads + threads <= engine.bound;
+        let spare: f64 = self.engines.iter().filter(|e| e.ready).map(|e| e.bound - e.low_threads).sum();
+        let alone = engine.low_open == 0 && (engine.pace <= PRESSURE.ln() || spare >= threads);
         // What a customer sends beyond its share has room only where both the bound and the engine allow.
-        engine.low_open == 0 || within && at_ease || (within || at_ease) && !q.over_share
+        alone || within && at_ease || (within || at_ease) && !q.over_share
     }
 
     /// Whether a load holds there what the query reads, so that it would stand still.
@@ -464,9 +467,9 @@
         }
         let engine = &mut self.engines[e];
         // The bound: up by one on a low answer well inside its target, halved once for each lot of trouble.
-        let share = engine.cores / self.gateways;
         if outcome == Outcome::Finished && low && latency <= WELL_INSIDE * target {
-            engine.bound = (engine.bound + 1.0).min((MOST_THREADS_A_CORE * share).max(1.0));
+            engine.bound =
+                (engine.bound + 1.0).min((MOST_THREADS_A_CORE * engine.cores / self.gateways).max(1.0));
             engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
         }
         let late = outcome == Outcome::Finished && low && latency > target;
@@ -543,8 +546,7 @@
             engine.passes += 1;
             engine.trial = now;
             if engine.passes >= PASSES {
-                engine.suspect = false;
-                engine.errors = ERROR_STEP;
+                (engine.suspect, engine.errors) = (false, ERROR_STEP);
             }
         }
     }
@@ -580,9 +582,7 @@
         let engine = &mut self.engines[e];
         if outcome == Outcome::Finished {
             engine.heard = self.now;
-            if engine.suspect && engine.silent {
-                engine.trial = self.now;
-            }
+            engine.trial = if engine.silent { self.now } else { engine.trial };
         } else if !engine.suspect && self.now - engine.heard > SILENCE {
             self.doubt(e, true);
         }
