--- a/src/control.rs
+++ b/src/control.rs
@@ -300,8 +300,8 @@
         crowded || e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
     }
 
-    /// The low-lane bound: binds under pressure only, and does not keep out the only low query. That exception
-    /// rests while the engine's fast lane crawls and our low lane in all is at the sum of its bounds.
+    /// The low-lane bound: binds under pressure only, and never keeps out the only low query, but while the
+    /// engine's fast lane crawls and our low threads on all engines have used up the sum of the bounds.
     fn has_room(&self, i: usize, e: usize) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
         let threads = self.groups[q.rg].threads;
