--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,7 @@
 const CROWD_MEMORY: f64 = 0.35;
 /// An engine that refused as full is let alone this long: refusing fast, it would look light.
 const FULL_RESTS: f64 = 500.0;
+const GENEROUS: f64 = 2.0;
 const FULL_LASTS: f64 = 2000.0;
 // Learning: steps of the running medians (in log ratio), and of the means.
 const STEP: f64 = 0.05;
@@ -126,7 +127,9 @@
         feed.deliver(self, out);
         if now - self.looked >= LOOK_EVERY {
             self.looked = now;
-            self.look(out);
+            self.look_for_list(out);
+            self.look_at_engines(out);
+            (0..self.queries.capacity()).for_each(|i| self.look_at_query(i, out));
         }
         let watched = self.list_wanted || self.engines.iter().any(|e| e.suspect && e.ready);
         if !self.timer_set && (watched || !self.queries.is_empty()) {
@@ -375,8 +378,10 @@
         q.submissions[q.count] = s;
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
-        if self.told.on("family-info.lanes-count") {
-            out.grant(id, if low { 1 } else { 3 }, 0.0);
+        // Where memory granted but not needed stays free for others, a generous grant spares the spilling.
+        let pages = self.told.get("family-info.memory-short").is_some_and(|short| short == "page");
+        if pages || self.told.on("family-info.lanes-count") {
+            out.grant(id, if low { 1 } else { 3 }, if pages { GENEROUS * memory } else { 0.0 });
         }
         out.submit(id, node, due);
     }
@@ -647,16 +652,6 @@
 
     // ---- The regular look ----
 
-    fn look(&mut self, out: &mut dyn Writer) {
-        self.look_for_list(out);
-        self.look_at_engines(out);
-        for i in 0..self.queries.capacity() {
-            if self.queries.contains(i) {
-                self.look_at_query(i, out);
-            }
-        }
-    }
-
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
         let (now, probes) = (self.now, self.told.on("limits.probes"));
         let span = self.told.millis("rules.overload-for-us").unwrap_or(0.0);
@@ -674,10 +669,7 @@
     /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent
     /// engine, a wait for a load): what is left is set against a new run and the time the client gives.
     fn look_at_query(&mut self, i: usize, out: &mut dyn Writer) {
-        let q = &self.queries[i];
-        if q.over || q.moving {
-            return;
-        }
+        let Some(q) = self.queries.get(i).filter(|q| !q.over && !q.moving) else { return };
         let (time_left, again) = (q.due - self.now, self.alone(i));
         let Some(n) = q.open() else {
             // Held by its key's order: it goes when the key is free, and ends when it could not finish.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -382,3 +382,12 @@
         assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), room), "i200cfe");
     }
 }
+
+#[test]
+fn terms_go_before_the_submission_and_are_generous_only_where_spare_memory_stays_free() {
+    for (told, terms) in [("memory-short=page", "1 20"), ("memory-short=shrink", "1 0")] {
+        let mut c = gateway(&format!("family-info.{told} family-info.lanes-count=1"), ONE);
+        assert_eq!(ask(&mut c, 1.0, 1, "rep", 100.0), [format!("grant 1 {terms}"), "submit 1 1".into()]);
+    }
+    assert_eq!(ask(&mut gateway("", ONE), 1.0, 1, "rep", 100.0), ["submit 1 1"]);
+}
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -36,7 +36,9 @@
     fn cancel(&mut self, id: u64, submission: usize) {
         self.0.push(format!("cancel {id} {submission}"));
     }
-    fn grant(&mut self, _id: u64, _priority: u8, _memory: f64) {}
+    fn grant(&mut self, id: u64, priority: u8, memory: f64) {
+        self.0.push(format!("grant {id} {priority} {memory}"));
+    }
     fn probe(&mut self, node: u64) {
         self.0.push(format!("probe {node}"));
     }
