Full size: slowness fades by time towards the hall's; the low-lane exception rests by the pool

Guards against many gateways each being modest and together too many; should hold for any fleet where a gateway's share of an engine is under a query; could hurt a gateway with far more than an even share of the traffic.

--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,8 @@
 const DEMOTE_FACTOR: f64 = 4.0;
 const THREADS_A_CORE: f64 = 1.0;
 const MOST_THREADS_A_CORE: f64 = 1.2;
+/// Halving leaves at least this part of the even share.
+const LEAST_OF_SHARE: f64 = 0.25;
 const RETRY_AFTER: f64 = 1000.0;
 /// An answer within this part of its target runtime is well inside it.
 const WELL_INSIDE: f64 = 0.5;
@@ -26,29 +28,26 @@
 const CROWD_A_CORE: f64 = 0.75;
 const CROWD_MOST: f64 = 1.5;
 const CROWD_MEMORY: f64 = 0.35;
-/// An engine that refused as full is let alone this long: refusing fast, it would look light.
-const FULL_RESTS: f64 = 500.0;
 const GENEROUS: f64 = 2.0;
 const FULL_LASTS: f64 = 2000.0;
-// Learning: steps of the running medians (in log ratio), and of the means.
+// Learning: steps of the running medians (log ratio) and of the means.
 const STEP: f64 = 0.05;
 const MEAN_STEP: f64 = 0.02;
 /// An engine's pace is remembered up to here only, a little above pressure, so that it is soon forgotten.
 const PACE_MOST: f64 = 0.8;
-const BEST_FADES: f64 = 0.0003;
+/// What an engine's own answers told fades towards its hall's pace over this span, a hall's towards none over
+/// the other: at hundreds of gateways an engine answers each of them a few times a minute.
+const ENGINE_FADES: f64 = 5000.0;
+const HALL_FADES: f64 = 10_000.0;
+/// How much further an answer moves a pace after a long gap, when it is all that is known.
+const GAP_STEP: f64 = 0.4;
 const FIRST_SEEN: u32 = 20;
 // Moving a submission: what is left must be this much more than a new run, without notes after this wait.
 const MOVE_GAIN: f64 = 2.5;
 const PATIENCE: f64 = 5.0;
 const PATIENCE_FLOOR: f64 = 400.0;
-/// However much a site allows, moves keep within this few and this share of the queries taken lately.
-const MOVES_FREE: f64 = 3.0;
-const MOVES_SHARE: f64 = 0.1;
-const MOVES_SPAN: f64 = 10_000.0;
 /// A query is hopeless when a noted submission needs this many times the time left.
 const HOPELESS: f64 = 2.0;
-const LITTLE: f64 = 0.1;
-const PAST: f64 = 1.25;
 // Doubt: errors weigh in by this step and raise doubt above this level; trials back off between these.
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
@@ -60,8 +59,6 @@
 const PROBE_AFTER: f64 = 300.0;
 /// Part of what the cold rule allows all gateways that they use, split evenly among them.
 const COLD_PART: f64 = 0.8;
-const COLD_TRUST: f64 = 2.5;
-const COLD_TRUST_STEP: f64 = 0.1;
 const CAPACITY_BUSY: f64 = 0.85;
 /// How long tables are taken for held by another gateway's load after a note told of a wait.
 const HELD_FOR: f64 = 1500.0;
@@ -83,17 +80,18 @@
     pub groups: Vec<ResourceGroup>,
     customers: Customers,
     pub engines: Vec<Engine>,
+    pub halls: Vec<Paces>,
     pub queries: Slab<Query>,
     lines: KeyLines,
     taken: Recent,
     further: Recent,
-    moves: Recent,
     moving: f64,
     drawn: Vec<usize>,
     timer_set: bool,
     looked: f64,
     list_asked: f64,
     list_wanted: bool,
+    allowed: Allowed,
 }
 
 impl Control {
@@ -108,17 +106,21 @@
             door.groups.index(told.get(&name).ok_or_else(|| format!("setting {name} is missing"))?);
         }
         let gateways = told.required("balancers")?.max(1.0);
-        let mut customers = Customers::default();
-        for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
-            door.customers.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
-            let rate = told.number(&format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
-            customers.add(rate / 1000.0 / gateways);
-        }
+        let customers = Customers::read(told, gateways, &mut door.customers);
         let hall = told.get("zone").map_or(NONE, |z| door.halls.index(z));
         let list_wanted = told.get("membership-mode").is_some_and(|m| m == "on_request");
-        let (told, chance) = (told.clone(), Pcg::new(seed));
-        let known = Control { told, chance, gateways, hall, door, ..Control::default() };
-        Ok(Control { groups, customers, list_wanted, ..known })
+        Ok(Control {
+            gateways,
+            hall,
+            door,
+            groups,
+            customers,
+            list_wanted,
+            chance: Pcg::new(seed),
+            allowed: Allowed::read(told),
+            told: told.clone(),
+            ..Control::default()
+        })
     }
 
     /// One round: all that came in, then the regular look when it is due.
@@ -159,6 +161,7 @@
             let cores = self.told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(1.0);
             let memory = self.told.of_kind(kind, "family-info.kind-memory-mb").unwrap_or(0.0);
             let (kind, hall) = (self.door.kinds.index(kind), self.door.halls.index(hall));
+            self.halls.resize(self.halls.len().max(hall as usize + 1), Paces::default());
             self.engines.push(Engine::new(node, kind, hall, cell, cores, memory));
         }
         let e = &mut self.engines[i];
@@ -167,7 +170,7 @@
         if first || start.is_some_and(|start| start > e.started) {
             // A start we had not heard of: what we held for or against the engine is out of date.
             e.started = start.unwrap_or(LONG_AGO);
-            (e.suspect, e.errors, e.pace, e.low_pace, e.trust) = (false, 0.0, 0.0, 0.0, 1.0);
+            (e.suspect, e.errors, e.paces) = (false, 0.0, Paces::default());
             (e.bound, e.crowd) = (e.cores * THREADS_A_CORE / self.gateways, e.cores * CROWD_A_CORE);
         }
     }
@@ -245,6 +248,7 @@
     fn choose(&mut self, i: usize) -> Option<usize> {
         let mut drawn = std::mem::take(&mut self.drawn);
         let (low, mut standing) = (self.queries[i].low, false);
+        let pool_room = low && self.pool_has_room(i);
         // First the engines in good standing that it has not tried and where no load makes it stand still,
         // then all in good standing; only when none stands well, any that the rules allow.
         for stage in 0..3 {
@@ -254,7 +258,7 @@
                 let stands = self.in_standing(i, e);
                 if (stage > 0 || fresh) && (stage > 1 || stands) && self.may_send(i, e) {
                     standing |= stands;
-                    if !low || self.has_room(i, e) && !self.stands_still(i, e) {
+                    if !low || self.has_room(i, e, pool_room) && !self.stands_still(i, e) {
                         drawn.push(e);
                     }
                 }
@@ -290,31 +294,54 @@
 
     /// The share of its capacity that a cold engine is trusted with.
     fn warmth(&self, e: usize) -> f64 {
-        let from = self.told.number("rules.cold-from").unwrap_or(1.0);
-        let part =
-            (self.now - self.engines[e].started) / self.told.millis("rules.warm-after-us").unwrap_or(0.0);
-        from + (1.0 - from) * part.clamp(0.0, 1.0)
+        let Some(rule) = &self.allowed.cold else { return 1.0 };
+        let part = (self.now - self.engines[e].started) / rule.warm_after;
+        rule.from + (1.0 - rule.from) * part.clamp(0.0, 1.0)
     }
 
     /// Pressure as answers show it, or as our own part will: a burst fills an engine before its answers tell.
-    fn pressure(&self, e: usize) -> bool {
+    pub fn pressure(&self, e: usize) -> bool {
+        let slow = self.crawls(e, true) || self.crawls(e, false);
         let e = &self.engines[e];
         let crowded = e.low_threads >= e.crowd || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
-        crowded || e.pace.max(e.low_pace) > PRESSURE.ln() || self.now - e.full < FULL_LASTS
+        slow || crowded || self.now - e.full < FULL_LASTS
+    }
+
+    /// Whether a lane's answers there lie far above their best, as far as its own or its hall's answers tell.
+    fn crawls(&self, e: usize, low: bool) -> bool {
+        let engine = &self.engines[e];
+        let hall = self.halls[engine.hall as usize].lane(low).at(self.now, 0.0, HALL_FADES);
+        engine.paces.lane(low).at(self.now, hall, ENGINE_FADES) > PRESSURE.ln()
     }
 
-    /// The low-lane bound: binds under pressure only, and never keeps out the only low query, but while the
-    /// engine's fast lane crawls and our low threads on all engines have used up the sum of the bounds.
-    fn has_room(&self, i: usize, e: usize) -> bool {
+    /// Takes how far an answer, a note or a lack of both lies above the best into the engine's and its hall's
+    /// pace.
+    fn learn_slowness(&mut self, e: usize, low: bool, above: f64, step: f64) {
+        let (now, engine) = (self.now, &mut self.engines[e]);
+        let above = above.min(PACE_MOST);
+        let hall = self.halls[engine.hall as usize].lane_mut(low);
+        hall.take(now, above, 0.0, HALL_FADES, step, GAP_STEP);
+        engine.paces.lane_mut(low).take(now, above, hall.level, ENGINE_FADES, step, GAP_STEP);
+    }
+
+    /// The low-lane bound: binds under pressure only, and never keeps out the only low query. Where an even
+    /// share of one engine is less than a query, that exception alone would let every gateway put one on every
+    /// engine: under pressure it rests while our low threads in the pool have used up the sum of our bounds.
+    fn has_room(&self, i: usize, e: usize, pool_room: bool) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
-        let threads = self.groups[q.rg].threads;
-        let within = engine.low_threads + threads <= engine.bound;
-        let spare: f64 = self.engines.iter().filter(|e| e.ready).map(|e| e.bound - e.low_threads).sum();
-        let alone = engine.low_open == 0 && (engine.pace <= PRESSURE.ln() || spare >= threads);
+        let within = engine.low_threads + self.groups[q.rg].threads <= engine.bound;
+        let alone = engine.low_open == 0 && (at_ease || pool_room);
         // What a customer sends beyond its share has room only where both the bound and the engine allow.
         alone || within && at_ease || (within || at_ease) && !q.over_share
     }
 
+    /// Whether our low threads leave room for this query in the sum of our bounds; for one there is always.
+    fn pool_has_room(&self, i: usize) -> bool {
+        let ready = || self.engines.iter().filter(|e| e.ready);
+        let spare: f64 = ready().map(|e| e.bound - e.low_threads).sum();
+        spare >= self.groups[self.queries[i].rg].threads || ready().all(|e| e.low_open == 0)
+    }
+
     /// Whether a load holds there what the query reads, so that it would stand still.
     fn stands_still(&self, i: usize, e: usize) -> bool {
         let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
@@ -326,7 +353,7 @@
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
         let trial = !q.low && self.groups[q.rg].effect == Effect::ReadOnly && self.now >= engine.trial;
-        (!engine.suspect || trial) && self.now - engine.full > FULL_RESTS
+        !engine.suspect || trial
     }
 
     // ---- Sending: every submission passes here, and here the rules are kept ----
@@ -343,7 +370,7 @@
             return false;
         }
         // Rule 2: an effect only once; never two submissions at a time, and no more than are told.
-        if q.open().is_some() || q.count >= self.most_submissions() || !self.may_repeat(i, Some(e)) {
+        if q.open().is_some() || q.count >= self.allowed.most_submissions || !self.may_repeat(i, Some(e)) {
             return false;
         }
         // Rule 4: a cold engine gets this gateway's part of what it bears, in its classes' usual work.
@@ -379,17 +406,12 @@
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         // Where memory granted but not needed stays free for others, a generous grant spares the spilling.
-        let pages = self.told.get("family-info.memory-short").is_some_and(|short| short == "page");
-        if pages || self.told.on("family-info.lanes-count") {
-            out.grant(id, if low { 1 } else { 3 }, if pages { GENEROUS * memory } else { 0.0 });
+        if self.allowed.pages || self.allowed.priorities {
+            out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { GENEROUS * memory } else { 0.0 });
         }
         out.submit(id, node, due);
     }
 
-    fn most_submissions(&self) -> usize {
-        MOST_SUBMISSIONS.min(self.told.number("limits.max-attempts").unwrap_or(1.0) as usize)
-    }
-
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
     fn may_repeat(&self, i: usize, e: Option<usize>) -> bool {
         let q = &self.queries[i];
@@ -407,14 +429,10 @@
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
-        let (span, warm_after) =
-            (self.told.millis("rules.overload-for-us")?, self.told.millis("rules.warm-after-us")?);
-        let multiple =
-            self.told.number("rules.fall-multiple")? * self.told.number("rules.cold-from").unwrap_or(1.0);
+        let rule = self.allowed.cold.as_ref()?;
         let engine = &self.engines[e];
-        let bears = multiple * engine.cores * CAPACITY_BUSY * span;
-        (self.now - engine.started < warm_after + span)
-            .then_some(COLD_PART * bears / self.gateways * engine.trust)
+        let bears = rule.multiple * rule.from * engine.cores * CAPACITY_BUSY * rule.span;
+        (self.now - engine.started < rule.warm_after + rule.span).then_some(COLD_PART * bears / self.gateways)
     }
 
     /// Rule 5: the first of its key whose earlier ones are over and whose key has rested.
@@ -426,19 +444,15 @@
 
     /// Rule 7: whether one more further submission, beside the moves under way, fits the site's window.
     fn budget_left(&mut self, under_way: f64) -> bool {
-        let Some(span) = self.told.millis("rules.ratio-span-us") else { return true };
-        let (share, free) = (self.told.number("rules.repeat-ratio"), self.told.number("rules.extra-free"));
-        let allowed = free.unwrap_or(0.0) + share.unwrap_or(0.0) * self.taken.after(self.now - span);
+        let Some(Budget { span, free, share }) = self.allowed.budget else { return true };
+        let allowed = free + share * self.taken.after(self.now - span);
         self.further.after(self.now - span - LOOK_EVERY) + under_way + 1.0 <= allowed
     }
 
-    /// Our own ration of moves, at every site: when all engines crawl, moving work only adds to it.
+    /// Whether what runs may be cancelled and sent again.
     fn may_move(&mut self, i: usize) -> bool {
-        let span = self.told.millis("rules.ratio-span-us").unwrap_or(MOVES_SPAN);
-        let ration = MOVES_FREE + MOVES_SHARE * self.taken.after(self.now - span);
-        let could = self.told.on("limits.cancelling") && self.queries[i].count < self.most_submissions();
-        let within = self.moves.after(self.now - span) + 1.0 <= ration && self.budget_left(self.moving);
-        could && within && self.may_repeat(i, None)
+        let could = self.allowed.cancelling && self.queries[i].count < self.allowed.most_submissions;
+        could && self.budget_left(self.moving) && self.may_repeat(i, None)
     }
 
     // ---- Answers ----
@@ -462,8 +476,7 @@
         let (low, key) = (q.low, q.key);
         q.over |= complete;
         if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
-            let rest = self.told.millis("rules.settle-after-doubt-us").unwrap_or(0.0);
-            self.lines.rest(key, self.now + rest);
+            self.lines.rest(key, self.now + self.allowed.doubt_rest);
         }
         let target = g.target_of(q.cost * g.cost_factor);
         if outcome == Outcome::Finished {
@@ -473,15 +486,15 @@
         let engine = &mut self.engines[e];
         // The bound: up by one on a low answer well inside its target, halved once for each lot of trouble.
         if outcome == Outcome::Finished && low && latency <= WELL_INSIDE * target {
-            engine.bound =
-                (engine.bound + 1.0).min((MOST_THREADS_A_CORE * engine.cores / self.gateways).max(1.0));
+            engine.bound = (engine.bound + 1.0).min(MOST_THREADS_A_CORE * engine.cores / self.gateways);
             engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
         }
         let late = outcome == Outcome::Finished && low && latency > target;
         engine.full = if outcome == Outcome::Full { self.now } else { engine.full };
         if (late || matches!(outcome, Outcome::Full | Outcome::Timeout)) && s.sent > engine.halved {
             engine.halved = self.now;
-            engine.bound = (engine.bound / 2.0).max(1.0);
+            let share = THREADS_A_CORE * engine.cores / self.gateways;
+            engine.bound = (engine.bound / 2.0).max(LEAST_OF_SHARE * share);
             engine.crowd = CROWD_A_CORE * engine.cores;
         }
         self.judge(e, outcome, &s);
@@ -509,15 +522,11 @@
         }
         g.paced += 1;
         follow(&mut g.pace, ratio, STEP);
-        // The best is the lowest level the running median has had, slowly forgotten: single lucky answers, or
-        // estimates that scatter, do not make a quiet engine look pressed.
-        g.best = if g.paced < FIRST_SEEN { g.pace } else { g.pace.min(g.best + BEST_FADES) };
-        let engine = &mut self.engines[e];
-        // A cold engine whose answers stay quick is far from falling over: the others leave it their part.
-        engine.trust =
-            if engine.pace < PRESSURE.ln() { COLD_TRUST.min(engine.trust + COLD_TRUST_STEP) } else { 1.0 };
-        let pace = if q.low { &mut engine.low_pace } else { &mut engine.pace };
-        follow(pace, (ratio - g.best).min(PACE_MOST), 2.0 * STEP);
+        // The best is the lowest level the running median has had: single lucky answers, or estimates that
+        // scatter, do not make a quiet engine look pressed.
+        g.best = if g.paced < FIRST_SEEN { g.pace } else { g.pace.min(g.best) };
+        let (low, above) = (q.low, ratio - g.best);
+        self.learn_slowness(e, low, above, 2.0 * STEP);
     }
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
@@ -529,8 +538,9 @@
             Outcome::Finished => false,
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
             // One that ran out of time on an engine that else answers was crowded out or stood behind a load.
-            Outcome::Timeout if engine.heard > s.sent => {
-                return follow(&mut engine.pace, PACE_MOST, 2.0 * STEP);
+            // Before a first note could have come, silence says no more than that.
+            Outcome::Timeout if engine.heard > s.sent || now - s.sent < self.allowed.notes_every => {
+                return self.learn_slowness(e, false, PACE_MOST, 2.0 * STEP);
             }
             Outcome::Timeout => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
@@ -577,7 +587,8 @@
             if s.share > 0.0 && cost > 0.0 && age > 0.0 && g.paced > 0 {
                 let ratio = (age / s.share * g.threads / cost).ln();
                 follow(&mut g.pace, ratio, STEP);
-                follow(&mut self.engines[s.engine].low_pace, (ratio - g.best).min(PACE_MOST), STEP);
+                let (e, above) = (s.engine, ratio - g.best);
+                self.learn_slowness(e, true, above, STEP);
             }
         }
     }
@@ -610,8 +621,7 @@
         }
         let read_only = self.groups[q.rg].effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
-            let longest = self.told.millis("limits.max-retry-after-us").unwrap_or(0.0);
-            out.defer(q.id, RETRY_AFTER.min(longest));
+            out.defer(q.id, RETRY_AFTER.min(self.allowed.longest_wait));
         } else {
             out.kill(q.id);
         }
@@ -621,7 +631,7 @@
     }
 
     fn call_off(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(n) = self.queries[i].open().filter(|_| self.told.on("limits.cancelling")) else { return };
+        let Some(n) = self.queries[i].open().filter(|_| self.allowed.cancelling) else { return };
         let q = &mut self.queries[i];
         if !std::mem::replace(&mut q.submissions[n].cancelled, true) {
             out.cancel(q.id, n);
@@ -653,12 +663,13 @@
     // ---- The regular look ----
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
-        let (now, probes) = (self.now, self.told.on("limits.probes"));
-        let span = self.told.millis("rules.overload-for-us").unwrap_or(0.0);
+        let (now, probes, probe_after) =
+            (self.now, self.allowed.probes, PROBE_AFTER + self.allowed.notes_every);
+        let span = self.allowed.cold.as_ref().map_or(0.0, |rule| rule.span);
         for engine in &mut self.engines {
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
-            let unheard = engine.open > 0 && now - engine.heard > PROBE_AFTER;
-            let ask = [unheard, engine.silent && now >= engine.trial][usize::from(engine.suspect)];
+            let unheard = engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
+            let ask = if engine.suspect { engine.silent && now >= engine.trial } else { unheard };
             if probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
                 engine.probed = now;
                 out.probe(engine.node);
@@ -684,23 +695,19 @@
         let age = self.now - s.sent;
         let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent && !s.trial;
         let overdue = s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
-        let left = match s.share > 0.0 {
-            _ if silent || overdue => f64::INFINITY,
-            true => (s.noted - s.sent) / s.share - age,
-            false => again,
+        let left = if silent || overdue {
+            f64::INFINITY
+        } else if s.share > 0.0 {
+            (s.noted - s.sent) / s.share - age
+        } else {
+            again
         };
-        // Given up: what by its note needs far more than the time left, and, where the fast lane crawls, what
-        // is past its target and worth little since: it would only keep others from being in time.
-        let g = &self.groups[q.rg];
-        let past = self.now - q.taken > PAST * g.target_of(q.cost * g.cost_factor);
-        let little = g.late_value <= LITTLE && g.effect == Effect::ReadOnly;
-        let worthless = past && little && self.engines[s.engine].pace > PRESSURE.ln();
-        if worthless || s.share > 0.0 && left > HOPELESS * time_left {
+        // Given up: what by its note needs far more than the time left would only keep others from being in time.
+        if s.share > 0.0 && left > HOPELESS * time_left {
             return self.finish_off(i, out);
         }
         if left > MOVE_GAIN * again && again < time_left && self.may_move(i) {
             self.moving += 1.0;
-            self.moves.push(self.now);
             self.queries[i].moving = true;
             self.call_off(i, out);
         }
@@ -717,7 +724,9 @@
     /// The usual work of a group, by estimates, what answers told of them, and how long the best took.
     fn usual_work(&self, rg: usize) -> f64 {
         let g = &self.groups[rg];
-        let learned = g.mean_cost * g.cost_factor.max(g.best.exp()).max(1.0);
-        [g.target * g.threads, learned][usize::from(g.seen > 0)]
+        if g.seen == 0 {
+            return g.target * g.threads;
+        }
+        g.mean_cost * g.cost_factor.max(g.best.exp()).max(1.0)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,83 @@
     Cell,
 }
 
+/// Rule 4 as told: a cold engine's first part of its capacity, the multiple of what it can do at a moment
+/// that it may be sent for a span, and when it is warm.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdRule {
+    pub multiple: f64,
+    pub from: f64,
+    pub span: f64,
+    pub warm_after: f64,
+}
+
+impl ColdRule {
+    pub fn read(told: &Map) -> Option<Self> {
+        Some(ColdRule {
+            multiple: told.number("rules.fall-multiple")?,
+            from: told.number("rules.cold-from").unwrap_or(1.0),
+            span: told.millis("rules.overload-for-us")?,
+            warm_after: told.millis("rules.warm-after-us")?,
+        })
+    }
+}
+
+/// Rule 7 as told: how many further submissions a span allows, free and as a share of the queries taken.
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    pub span: f64,
+    pub free: f64,
+    pub share: f64,
+}
+
+impl Budget {
+    pub fn read(told: &Map) -> Option<Self> {
+        Some(Budget {
+            span: told.millis("rules.ratio-span-us")?,
+            free: told.number("rules.extra-free").unwrap_or(0.0),
+            share: told.number("rules.repeat-ratio").unwrap_or(0.0),
+        })
+    }
+}
+
+/// What the settings allow or promise, beside the resource groups.
+#[derive(Debug, Default)]
+pub struct Allowed {
+    pub cold: Option<ColdRule>,
+    pub budget: Option<Budget>,
+    pub most_submissions: usize,
+    pub cancelling: bool,
+    pub probes: bool,
+    pub peers: bool,
+    pub peer_price: f64,
+    pub priorities: bool,
+    /// Memory granted beyond what there is slows all, but what is not needed stays free.
+    pub pages: bool,
+    pub doubt_rest: f64,
+    pub notes_every: f64,
+    pub longest_wait: f64,
+}
+
+impl Allowed {
+    pub fn read(told: &Map) -> Self {
+        let most = told.number("limits.max-attempts").unwrap_or(1.0) as usize;
+        Allowed {
+            cold: ColdRule::read(told),
+            budget: Budget::read(told),
+            most_submissions: most.min(MOST_SUBMISSIONS),
+            cancelling: told.on("limits.cancelling"),
+            probes: told.on("limits.probes"),
+            peers: told.on("limits.peers"),
+            peer_price: told.number("costs.peer").unwrap_or(0.0),
+            priorities: told.on("family-info.lanes-count"),
+            pages: told.get("family-info.memory-short").is_some_and(|short| short == "page"),
+            doubt_rest: told.millis("rules.settle-after-doubt-us").unwrap_or(0.0),
+            notes_every: told.millis("family-info.tells-every-us").unwrap_or(0.0),
+            longest_wait: told.millis("limits.max-retry-after-us").unwrap_or(0.0),
+        }
+    }
+}
+
 /// A resource group, as told, and what was learned of its queries.
 #[derive(Debug, Clone, Default)]
 pub struct ResourceGroup {
@@ -127,6 +204,8 @@
     pub started: f64,
     /// What is out there: submissions, their work and memory, and the low ones' threads.
     pub open: u32,
+    /// Since when something of ours has been out there without a break.
+    pub busy_since: f64,
     pub work: f64,
     pub granted: f64,
     pub low_open: u32,
@@ -134,12 +213,9 @@
     /// The low-lane bound, in threads; when it was last halved; when the engine last said full.
     pub bound: f64,
     pub crowd: f64,
-    pub trust: f64,
     pub halved: f64,
     pub full: f64,
-    /// How far answers of the fast and of the low lane lie above their groups' best (log ratio).
-    pub pace: f64,
-    pub low_pace: f64,
+    pub paces: Paces,
     pub heard: f64,
     pub errors: f64,
     pub suspect: bool,
@@ -166,17 +242,16 @@
             listed: false,
             started: LONG_AGO,
             open: 0,
+            busy_since: LONG_AGO,
             work: 0.0,
             granted: 0.0,
             low_open: 0,
             low_threads: 0.0,
             bound: 0.0,
             crowd: 0.0,
-            trust: 1.0,
             halved: LONG_AGO,
             full: LONG_AGO,
-            pace: 0.0,
-            low_pace: 0.0,
+            paces: Paces::default(),
             heard: LONG_AGO,
             errors: 0.0,
             suspect: false,
@@ -194,6 +269,9 @@
     pub fn add(&mut self, s: &Submission, low: bool, threads: f64, held: Option<(u32, f64)>) {
         self.held.retain(|&(_, until)| until > s.sent);
         self.held.extend(held);
+        if self.open == 0 {
+            self.busy_since = s.sent;
+        }
         self.open += 1;
         self.work += s.work;
         self.granted += s.memory;
@@ -293,6 +371,59 @@
     }
 }
 
+/// A running median that fades towards a stand-in as its evidence ages.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    pub level: f64,
+    pub heard: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { level: 0.0, heard: LONG_AGO }
+    }
+}
+
+impl Pace {
+    pub fn at(&self, now: f64, stand_in: f64, span: f64) -> f64 {
+        stand_in + (self.level - stand_in) * ((self.heard - now) / span).exp()
+    }
+
+    /// Moves towards a sample by `step`, and by up to `more` if nothing was heard for long.
+    pub fn take(&mut self, now: f64, sample: f64, stand_in: f64, span: f64, step: f64, more: f64) {
+        let gap = 1.0 - ((self.heard - now) / span).exp();
+        self.level = self.at(now, stand_in, span);
+        let off = sample - self.level;
+        self.level += (step + more * gap).min(off.abs()).copysign(off);
+        self.heard = now;
+    }
+}
+
+/// How far answers of the fast and of the low lane lie above their groups' best (log ratio).
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Paces {
+    pub fast: Pace,
+    pub low: Pace,
+}
+
+impl Paces {
+    pub fn lane(&self, low: bool) -> &Pace {
+        if low {
+            &self.low
+        } else {
+            &self.fast
+        }
+    }
+
+    pub fn lane_mut(&mut self, low: bool) -> &mut Pace {
+        if low {
+            &mut self.low
+        } else {
+            &mut self.fast
+        }
+    }
+}
+
 /// The times of what happened lately.
 #[derive(Debug, Default)]
 pub struct Recent(VecDeque<f64>);
@@ -350,8 +481,15 @@
 }
 
 impl Customers {
-    pub fn add(&mut self, allowance: f64) {
-        self.each.push((allowance, 0.0));
+    /// Reads the customers of the settings; each gateway has an even part of what they are allowed.
+    pub fn read(told: &Map, gateways: f64, names: &mut Names) -> Self {
+        let mut customers = Customers::default();
+        for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
+            names.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
+            let rate = told.number(&format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
+            customers.each.push((rate / 1000.0 / gateways, 0.0));
+        }
+        customers
     }
 
     /// Counts a query, and tells its customer's rate against its allowance, and all customers' against theirs.
