--- a/src/control.rs
+++ b/src/control.rs
@@ -647,7 +647,7 @@
         }
     }
 
-    /// Forgets a query that is over once nothing of it is out, and lets its key's next one go.
+    /// Forgets a query that is over once nothing of it is out; the next of its key goes when it may.
     fn leave(&mut self, i: usize, out: &mut dyn Writer) {
         let q = &self.queries[i];
         if !q.over || q.open().is_some() {
@@ -657,7 +657,6 @@
         self.door.queries.remove(&id);
         self.queries.remove(i);
         self.lines.leave(key, i);
-        // The next of the key goes when it may; those after it follow as each one ends.
         if let Some(next) =
             self.lines.first(key).0.filter(|&next| self.queries[next].count == 0 && self.its_turn(next))
         {
@@ -704,14 +703,15 @@
         let overdue = fell_silent || s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
         let by_note = if s.share > 0.0 { (s.noted - s.sent) / s.share - age } else { again };
         let left = if silent || overdue { f64::INFINITY } else { by_note };
-        // Given up: what by its note needs more than the time left would only keep others from being in time.
-        if s.share > 0.0 && left > HOPELESS * time_left {
-            return self.finish_off(i, out);
-        }
-        if left > MOVE_GAIN * again && again < time_left && self.may_move(i) {
+        // Hopeless: by its note past its time. Under pressure a new run too would only keep others from theirs.
+        let hopeless = s.share > 0.0 && left > HOPELESS * time_left;
+        let gains = left > MOVE_GAIN * again && again < time_left;
+        if gains && !(hopeless && self.pressure(s.engine)) && self.may_move(i) {
             self.moving += 1.0;
             self.queries[i].moving = true;
             self.call_off(i, out);
+        } else if hopeless {
+            self.finish_off(i, out);
         }
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -422,3 +422,17 @@
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "cancel"));
     assert!(starts(&round(&mut c, 3_600.0, |_, _| ()), "cancel 1 0"), "its answer was lost");
 }
+
+#[test]
+fn a_hopeless_submission_is_moved_at_ease_and_given_up_under_pressure() {
+    for (pressed, then) in [(false, "cancel 1 0"), (true, "defer 1")] {
+        let mut c = gateway("", TWO);
+        ask(&mut c, 1.0, 1, "rep", 1000.0);
+        let e = c.engines.iter().position(|e| e.open == 1).unwrap();
+        if pressed {
+            press(&mut c, e);
+        }
+        let then_said = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.02));
+        assert!(starts(&then_said, then), "{then_said:?}");
+    }
+}
