--- a/src/control.rs
+++ b/src/control.rs
@@ -22,8 +22,7 @@
 const MOST_THREADS_A_CORE: f64 = 1.2;
 const RETRY_AFTER: f64 = 1000.0;
 const WELL_INSIDE: f64 = 0.5;
-const CREDIT_MOST: f64 = 4000.0;
-const CREDIT_LEAST: f64 = 20_000.0;
+const CREDIT: f64 = 12_000.0;
 // Pressure: answers take this many times the best, or a refusal as full came this lately, or our own crowd of
 // threads a core (it grows with quick answers) or of memory will press it before answers can tell.
 const PRESSURE: f64 = 1.6;
@@ -37,7 +36,7 @@
 const MEAN_STEP: f64 = 0.02;
 const FIRST_SEEN: u32 = 20;
 // A pace is remembered up to a little above pressure only. An engine's own fades towards its hall's, a hall's
-// towards none; after a long gap one answer, then all that is known, moves it this much further.
+// towards the pool's, that towards none; after a long gap one answer moves it this much further.
 const PACE_MOST: f64 = 0.8;
 const ENGINE_FADES: f64 = 5000.0;
 const HALL_FADES: f64 = 10_000.0;
@@ -75,8 +74,6 @@
 const LIST_RETRY: f64 = 1000.0;
 
 impl Control {
-    // ---- Start ----
-
     pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
         let mut door = Door::default();
         let groups = ResourceGroup::read_all(told, &mut door)?;
@@ -103,8 +100,8 @@
         self.now = now;
         feed.deliver(self, out);
         if now - self.looked >= LOOK_EVERY {
-            self.credit += self.pool_spare() * (now - self.looked).min(CREDIT_MOST);
-            self.credit = self.credit.clamp(-CREDIT_LEAST, CREDIT_MOST);
+            let earned = self.pool_spare() * (now - self.looked).min(CREDIT);
+            self.credit = (self.credit + earned).clamp(-CREDIT, CREDIT);
             self.looked = now;
             self.look_for_list(out);
             self.look_at_engines(out);
@@ -275,15 +272,18 @@
     /// Whether a lane's answers there lie far above their best, as far as its own or its hall's answers tell.
     fn crawls(&self, e: usize, low: bool) -> bool {
         let engine = &self.engines[e];
-        let hall = self.halls[engine.hall as usize].lane(low).at(self.now, 0.0, HALL_FADES);
+        let pool = self.pool.lane(low).at(self.now, 0.0, HALL_FADES);
+        let hall = self.halls[engine.hall as usize].lane(low).at(self.now, pool, HALL_FADES);
         engine.paces.lane(low).at(self.now, hall, ENGINE_FADES) > PRESSURE.ln()
     }
 
     fn learn_slowness(&mut self, e: usize, low: bool, above: f64, step: f64) {
         let (now, engine) = (self.now, &mut self.engines[e]);
         let above = above.min(PACE_MOST);
+        let pool = self.pool.lane_mut(low);
+        pool.take(now, above, 0.0, HALL_FADES, step, GAP_STEP);
         let hall = self.halls[engine.hall as usize].lane_mut(low);
-        hall.take(now, above, 0.0, HALL_FADES, step, GAP_STEP);
+        hall.take(now, above, pool.level, HALL_FADES, step, GAP_STEP);
         engine.paces.lane_mut(low).take(now, above, hall.level, ENGINE_FADES, step, GAP_STEP);
     }
 
@@ -446,23 +446,20 @@
         let now = self.now;
         let renew = now - self.reported > REPORT_EVERY && self.engines.iter().any(|e| e.low_open > 0);
         if self.low_changed || renew {
-            self.low_changed = false;
-            self.reported = now;
+            (self.low_changed, self.reported) = (false, now);
             let own = self.engines.iter().filter(|e| e.low_open > 0).map(|e| (e.node, e.low_threads));
             let content = talk::write(talk::OWN, own).concat();
             let collectors = (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
             collectors.for_each(|c| out.tell(Some(c), &content));
         }
         if self.allowed.me < COLLECTORS && now - self.sum_told > SUM_EVERY {
-            self.sum_told = now;
-            self.sum_heard = now;
+            (self.sum_told, self.sum_heard) = (now, now);
             self.reports.add_up(now - REPORT_LASTS, &mut self.engines);
             let all = self.engines.iter().filter(|e| e.ready).map(|e| (e.node, e.low_threads + e.others));
             talk::write(talk::SUM, all).iter().for_each(|content| out.tell(None, content));
         }
     }
 
-    /// Messages come late and not all; each replaces what its sender told before.
     pub fn told_by(&mut self, peer: u32, content: &[u8]) {
         let engines = &mut self.engines;
         let threads = talk::read(content, |mark| engines.iter().position(|e| talk::mark_of(e.node) == mark));
@@ -531,7 +528,6 @@
         }
     }
 
-    /// Learns how long answers take against their estimates: per resource group, and per engine and hall.
     fn learn_pace(&mut self, i: usize, e: usize, latency: f64) {
         let q = &self.queries[i];
         let g = &mut self.groups[q.rg];
@@ -554,8 +550,7 @@
         let failed = match outcome {
             Outcome::Finished => false,
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
-            // One that ran out of time on an engine that else answers was crowded out or stood behind a load.
-            // Before a first note could have come, silence says no more than that.
+            // On an engine that else answers, or before a first note: crowded out, or stood behind a load.
             Outcome::Timeout if engine.heard > s.sent || now - s.sent < self.allowed.notes_every => {
                 return self.learn_slowness(e, false, PACE_MOST, 2.0 * STEP);
             }
@@ -593,11 +588,16 @@
             self.engines[s.engine].held.push((q.tables, self.now + HELD_FOR));
         }
         if note == Note::Progress {
+            let first = s.noted <= s.sent;
             (s.noted, s.share) = (self.now, amount.clamp(0.0, 1.0));
             let (age, g) = (self.now - s.sent, &mut self.groups[rg]);
-            if s.share > 0.0 && cost > 0.0 && age > 0.0 && g.paced > 0 {
-                let ratio = (age / s.share * g.threads / cost).ln();
-                follow(&mut g.pace, ratio, STEP);
+            if s.share <= 0.0 || cost <= 0.0 || age <= 0.0 || g.paced == 0 {
+                return;
+            }
+            let ratio = (age / s.share * g.threads / cost).ln();
+            follow(&mut g.pace, ratio, STEP);
+            // Once for each: one bad plan tells of itself at every note, not of its engine.
+            if first {
                 let (e, above) = (s.engine, ratio - g.best);
                 self.learn_slowness(e, true, above, STEP);
             }
@@ -716,9 +716,7 @@
         }
     }
 
-    // ---- Helpers ----
-
-    /// How long a run of the query takes now, by its estimate and its group's recent pace.
+    /// How long a run of the query takes now.
     fn alone(&self, i: usize) -> f64 {
         let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
         q.cost / g.threads * g.pace.exp()
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,7 @@
     pub customers: Customers,
     pub engines: Vec<Engine>,
     pub halls: Vec<Paces>,
+    pub pool: Paces,
     pub queries: Slab<Query>,
     pub lines: KeyLines,
     pub taken: Recent,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -463,3 +463,15 @@
     }
     assert!(c.pressure(0));
 }
+
+#[test]
+fn what_all_answers_showed_stands_in_for_a_hall_that_did_not_answer_lately() {
+    let mut c = gateway("balancers=300", &[("small", "h1"), ("small", "h2")]);
+    c.groups[0].paced = 100;
+    for id in 0..3 {
+        ask(&mut c, id as f64, id, "look", 1.0);
+        let e = c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.sent()[0].engine as u64 + 1;
+        close(&mut c, 100.0 + id as f64, id, 0, Outcome::Finished, e);
+    }
+    assert!(c.pressure(0) && c.pressure(1), "h552f21: a hall unheard of looked at ease to every gateway");
+}
