--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -269,9 +269,9 @@
             control.vanished(id, out);
         }
         "deadline_hit" => {
-            let handle = f.number("handle")?;
+            // A timer only makes the round come.
+            f.number::<u64>("handle")?;
             f.end()?;
-            control.timer(handle);
         }
         // No streams here: an answer that has started says nothing that its end will not.
         "first" => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,7 @@
 use crate::talk;
 use crate::told::{Map, Told};
 
-// The design page's values. Well inside is a part of the target runtime. Credit: how much thread time (ms) the
+// The design page's values. Well inside: a part of the target runtime. Credit: the thread time (ms) that the
 // low lane may save up or overdraw against the sum of its bounds.
 const DEMOTE_FACTOR: f64 = 4.0;
 const THREADS_A_CORE: f64 = 1.0;
@@ -56,8 +56,9 @@
 const TRIAL_MOST: f64 = 4000.0;
 const SILENCE: f64 = 900.0;
 const PROBE_AFTER: f64 = 300.0;
-// Part of what the cold rule allows all gateways that they use, and how busy its capacity is.
+// Cold engines: the part used of what the rule allows all, the part of that by lot, how busy capacity is.
 const COLD_PART: f64 = 0.8;
+const COLD_LOT: f64 = 0.25;
 const CAPACITY_BUSY: f64 = 0.85;
 // Tables are taken for held this long after a note told of a wait for a load. A customer is over its share
 // when its rate over a span passes its even part by a factor.
@@ -109,16 +110,12 @@
             (0..self.queries.capacity()).for_each(|i| self.look_at_query(i, out));
         }
         let watched = self.list_wanted || self.engines.iter().any(|e| e.suspect && e.ready);
-        if !self.timer_set && (watched || !self.queries.is_empty()) {
-            self.timer_set = true;
+        if now + 1.0 > self.timer_due && (watched || !self.queries.is_empty()) {
+            self.timer_due = now + LOOK_EVERY;
             out.timer(LOOK_EVERY, 0);
         }
     }
 
-    pub fn timer(&mut self, _handle: u64) {
-        self.timer_set = false;
-    }
-
     // ---- The list of engines ----
 
     pub fn list_begins(&mut self, form: ListForm) {
@@ -254,7 +251,6 @@
         choice
     }
 
-    /// Running work per told core with this query on it, ours and what is told of the others.
     fn weight(&self, i: usize, e: usize) -> f64 {
         let engine = &self.engines[e];
         (engine.work + engine.others * self.low_work + self.queries[i].work) / engine.cores
@@ -298,8 +294,8 @@
         alone || within && at_ease || (within || at_ease) && !q.over_share
     }
 
-    /// Whether our low threads leave room for this query in the sum of our bounds. Where that is less than one
-    /// query, one may enter while none runs, as often as keeps to the sum over time.
+    /// Whether our low threads leave room for this query in the sum of our bounds. Where that is less than
+    /// one query, one may enter while none runs, as often as keeps to the sum over time.
     fn pool_has_room(&self, i: usize) -> bool {
         let idle = self.credit >= 0.0 && self.engines.iter().all(|e| e.low_open == 0);
         idle || self.pool_spare() >= self.groups[self.queries[i].rg].threads
@@ -309,7 +305,6 @@
         (0..self.engines.len()).filter(|&e| self.engines[e].ready).map(|e| self.spare(e)).sum()
     }
 
-    /// What the bound leaves on an engine, in threads.
     fn spare(&self, e: usize) -> f64 {
         let engine = &self.engines[e];
         engine.bound * engine.cores * self.share() - engine.low_threads - engine.others
@@ -354,9 +349,12 @@
         if q.open().is_some() || q.count >= self.allowed.most_submissions || !self.may_repeat(i, Some(e)) {
             return false;
         }
-        // Rule 4: a cold engine gets this gateway's part of what it bears, in its classes' usual work.
-        let sent: f64 = engine.sent_cold.iter().map(|&(_, work)| work).sum();
-        if self.cold_allowance(e).is_some_and(|allowed| sent + self.usual_work(q.rg) > allowed) {
+        // Rule 4: a cold engine gets this gateway's part of what it bears, in its groups' usual work. Where
+        // that is less than a query, one goes in a span by lot: else nobody would use it until it is warm.
+        let (sent, usual) =
+            (engine.sent_cold.iter().map(|&(_, work)| work).sum::<f64>(), self.usual_work(q.rg));
+        let by_lot = |allowed: f64| sent <= 0.0 && engine.lot * usual < COLD_LOT * allowed;
+        if self.cold_allowance(e).is_some_and(|allowed| sent + usual > allowed && !by_lot(allowed)) {
             return false;
         }
         // Rule 5: the key's turn. Rule 6: the halls and kinds it is bound to.
@@ -410,8 +408,7 @@
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
-        let rule = self.allowed.cold.as_ref()?;
-        let engine = &self.engines[e];
+        let (rule, engine) = (self.allowed.cold?, &self.engines[e]);
         let bears = rule.multiple * rule.from * engine.cores * CAPACITY_BUSY * rule.span;
         (self.now - engine.started < rule.warm_after + rule.span).then_some(COLD_PART * bears / self.gateways)
     }
@@ -535,7 +532,7 @@
             g.learn_cost(latency * g.threads, MEAN_STEP);
         }
         let ratio = (latency.max(0.1) * g.threads / q.cost.max(0.1)).ln();
-        // Past its target runtime it is slow whatever the best was: a gateway that began in trouble knows no other.
+        // Past its target runtime it is slow whatever the best was: one that began in trouble knows no other.
         let late = latency > g.target_of(q.cost * g.cost_factor);
         let above = g.learn_ratio(ratio, STEP, FIRST_SEEN);
         let (low, above) = (q.low, if late { PACE_MOST } else { above });
@@ -648,7 +645,6 @@
         }
     }
 
-    /// Forgets a query that is over once nothing of it is out; the next of its key goes when it may.
     fn leave(&mut self, i: usize, out: &mut dyn Writer) {
         let q = &self.queries[i];
         if !q.over || q.open().is_some() {
@@ -669,9 +665,13 @@
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
         let (now, probe_after) = (self.now, PROBE_AFTER + self.allowed.notes_every);
-        let span = self.allowed.cold.as_ref().map_or(0.0, |rule| rule.span);
+        let span = self.allowed.cold.map_or(0.0, |rule| rule.span);
         for engine in &mut self.engines {
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
+            if now - engine.lot_drawn > span {
+                engine.lot_drawn = now;
+                engine.lot = self.chance.unit();
+            }
             let unheard = engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
             let ask = if engine.suspect { engine.silent && now >= engine.trial } else { unheard };
             if self.allowed.probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
@@ -704,7 +704,7 @@
         let overdue = fell_silent || s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
         let by_note = if s.share > 0.0 { (s.noted - s.sent) / s.share - age } else { again };
         let left = if silent || overdue { f64::INFINITY } else { by_note };
-        // Hopeless: by its note past its time. Under pressure a new run too would only keep others from theirs.
+        // Hopeless: by its note past its time. Under pressure a new run would only keep others from theirs.
         let hopeless = s.share > 0.0 && left > HOPELESS * time_left;
         let gains = left > MOVE_GAIN * again && again < time_left;
         if gains && !(hopeless && self.pressure(s.engine)) && self.may_move(i) {
@@ -716,7 +716,6 @@
         }
     }
 
-    /// How long a run of the query takes now.
     fn alone(&self, i: usize) -> f64 {
         let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
         q.cost / g.threads * g.pace.exp()
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -19,6 +19,11 @@
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
 
+    /// A number from 0 up to 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.draw()) / 4_294_967_296.0
+    }
+
     /// A whole number in `0..n`; `n` must be above 0.
     pub fn below(&mut self, n: usize) -> usize {
         ((u64::from(self.draw()) * n as u64) >> 32) as usize
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,7 +32,7 @@
     pub drawn: Vec<usize>,
     /// Thread time that our low queries have left of the bounds (ms); below none, they overdrew.
     pub credit: f64,
-    pub timer_set: bool,
+    pub timer_due: f64,
     pub looked: f64,
     pub list_asked: f64,
     pub list_wanted: bool,
@@ -219,9 +219,9 @@
         self.mean_cost += step.max(1.0 / f64::from(self.seen)) * (cost - self.mean_cost);
     }
 
-    /// Takes how long an answer took against its estimate (log ratio); tells how far it lies above the best. The
-    /// best is the lowest level the running median has had: single lucky answers, or estimates that scatter, do
-    /// not make a quiet engine look pressed.
+    /// Takes how long an answer took against its estimate (log ratio); tells how far it lies above the best.
+    /// The best is the lowest level the running median has had: single lucky answers, or estimates that
+    /// scatter, do not make a quiet engine look pressed.
     pub fn learn_ratio(&mut self, ratio: f64, step: f64, first: u32) -> f64 {
         if self.paced == 0 {
             self.pace = ratio;
@@ -288,6 +288,9 @@
     pub trial_wait: f64,
     pub probed: f64,
     pub sent_cold: VecDeque<(f64, f64)>,
+    /// This span's lot for sending one query while it is cold, from 0 to 1, and when it was drawn.
+    pub lot: f64,
+    pub lot_drawn: f64,
     /// Tables that a load holds there, and until when we take that for true.
     pub held: Vec<(u32, f64)>,
 }
@@ -327,6 +330,8 @@
             trial_wait: 0.0,
             probed: LONG_AGO,
             sent_cold: VecDeque::new(),
+            lot: 1.0,
+            lot_drawn: LONG_AGO,
             held: Vec::new(),
         }
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -475,3 +475,23 @@
     }
     assert!(c.pressure(0) && c.pressure(1), "h552f21: a hall unheard of looked at ease to every gateway");
 }
+
+#[test]
+fn a_part_of_a_cold_engine_below_one_query_is_used_by_lot() {
+    let told = "balancers=300 rules.overload-for-us=3000000 rules.fall-multiple=3 rules.cold-from=0.3 \
+        rules.warm-after-us=9000000";
+    let sent = (0..300)
+        .filter(|&seed| {
+            let mut c = Control::new(seed, &settings(told)).unwrap();
+            round(&mut c, 1.0, |c, out| {
+                c.list_begins(ListForm::Changes);
+                c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0), 0);
+                c.list_ends(ListForm::Changes, out);
+            });
+            round(&mut c, 30.0, |_, _| ());
+            (0..9).filter(|&id| starts(&ask(&mut c, 40.0, id, "look", 100.0), "submit")).count() > 0
+        })
+        .count();
+    // 3 x 0.3 x 8 cores x 0.85 x 3 s = 18.4 s of work for all, which is 184 of these.
+    assert!((3..92).contains(&sent), "ic19720: {sent} gateways of 300 sent one");
+}
