--- a/tests/control.rs
+++ b/tests/control.rs
@@ -497,11 +497,13 @@
 }
 
 #[test]
-fn estimates_that_scatter_do_not_look_like_slowness() {
-    let mut c = gateway("", ONE);
-    for id in 0..60 {
-        ask(&mut c, id as f64, id, "look", if id % 2 == 0 { 40.0 } else { 250.0 });
-        close(&mut c, 100.0 + id as f64, id, 0, Outcome::Finished, 1);
+fn where_estimates_scatter_a_slower_answer_is_not_yet_slowness() {
+    for (scatter, pressed) in [(0.0, true), (1.0, false)] {
+        let mut c = gateway("", ONE);
+        c.groups[0].paced = 100;
+        (c.groups[0].scatter, c.groups[0].least_scatter) = (scatter, scatter);
+        ask(&mut c, 1.0, 1, "look", 60.0);
+        close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+        assert_eq!(c.pressure(0), pressed);
     }
-    assert!(c.groups[0].least_scatter > 0.4 && !c.pressure(0));
 }
