--- a/src/control.rs
+++ b/src/control.rs
@@ -462,7 +462,7 @@
         let engines = &mut self.engines;
         let threads = talk::read(content, |mark| engines.iter().position(|e| talk::mark_of(e.node) == mark));
         match content.first() {
-            Some(&talk::OWN) => self.reports.keep(peer, self.now, threads),
+            Some(&talk::OWN) if f64::from(peer) < self.gateways => self.reports.keep(peer, self.now, threads),
             Some(&talk::SUM) if self.allowed.me >= COLLECTORS => {
                 self.sum_heard = self.now;
                 for (e, all) in threads {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -411,7 +411,11 @@
     assert!(starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "defer"), "the engine is crowded by others");
     round(&mut c, 30.0, |c, _| c.told_by(0, &[tansymux::talk::SUM, mark[0], mark[1], 2]));
     assert!(starts(&ask(&mut c, 40.0, 2, "rep", 100.0), "submit"));
-    round(&mut c, 50.0, |c, _| c.told_by(0, &[9]));
+    round(&mut c, 50.0, |c, _| {
+        c.told_by(0, &[9]);
+        c.told_by(u32::MAX, &[tansymux::talk::OWN, mark[0], mark[1], 9]);
+    });
+    assert_eq!(c.engines[0].others, 2.0, "unknown kinds and numbers of gateways change nothing");
 }
 
 #[test]
