--- a/src/control.rs
+++ b/src/control.rs
@@ -140,7 +140,9 @@
         e.ready = status == EngineStatus::Ready;
         if first || start.is_some_and(|start| start > e.started) {
             e.started = start.unwrap_or(LONG_AGO);
-            (e.suspect, e.errors, e.paces) = (false, 0.0, Paces::default());
+            e.suspect = false;
+            e.errors = 0.0;
+            e.paces = Paces::default();
             (e.bound, e.crowd) = (THREADS_A_CORE, e.cores * CROWD_A_CORE);
         }
     }
@@ -385,7 +387,6 @@
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         self.low_changed |= low;
-        // Where memory granted but not needed stays free for others, a generous grant spares the spilling.
         if self.allowed.pages || self.allowed.priorities {
             out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { GENEROUS * memory } else { 0.0 });
         }
@@ -421,7 +422,6 @@
         q.key == NONE || first == Some(i) && (q.count > 0 || self.now >= rests_until)
     }
 
-    /// Rule 7: whether one more further submission, beside the moves under way, fits the site's window.
     fn budget_left(&mut self, under_way: f64) -> bool {
         let Some(Budget { span, free, share }) = self.allowed.budget else { return true };
         let allowed = free + share * self.taken.after(self.now - span);
