--- a/src/control.rs
+++ b/src/control.rs
@@ -446,27 +446,27 @@
         if self.low_changed || renew {
             (self.low_changed, self.reported) = (false, now);
             let own = self.engines.iter().filter(|e| e.low_open > 0).map(|e| (e.node, e.low_threads));
-            let content = talk::write(talk::OWN, own).concat();
-            let collectors = (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
-            collectors.for_each(|c| out.tell(Some(c), &content));
+            let collectors = || (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
+            talk::write(talk::OWN, own, |content| collectors().for_each(|c| out.tell(Some(c), content)));
         }
         if self.allowed.me < COLLECTORS && now - self.sum_told > SUM_EVERY {
             (self.sum_told, self.sum_heard) = (now, now);
             self.reports.add_up(now - REPORT_LASTS, &mut self.engines);
             let all = self.engines.iter().filter(|e| e.ready).map(|e| (e.node, e.low_threads + e.others));
-            talk::write(talk::SUM, all).iter().for_each(|content| out.tell(None, content));
+            talk::write(talk::SUM, all, |content| out.tell(None, content));
         }
     }
 
     pub fn told_by(&mut self, peer: u32, content: &[u8]) {
-        let engines = &mut self.engines;
-        let threads = talk::read(content, |mark| engines.iter().position(|e| talk::mark_of(e.node) == mark));
         match content.first() {
-            Some(&talk::OWN) if f64::from(peer) < self.gateways => self.reports.keep(peer, self.now, threads),
+            Some(&talk::OWN) if f64::from(peer) < self.gateways => {
+                self.reports.keep(peer, self.now, content, &self.engines);
+            }
             Some(&talk::SUM) if self.allowed.me >= COLLECTORS => {
                 self.sum_heard = self.now;
-                for (e, all) in threads {
-                    engines[e].others = (all - engines[e].low_threads).max(0.0);
+                for (mark, all) in talk::read(content) {
+                    let told = self.engines.iter_mut().find(|e| talk::mark_of(e.node) == mark);
+                    told.into_iter().for_each(|e| e.others = (all - e.low_threads).max(0.0));
                 }
             }
             _ => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Door, Names};
 use crate::pcg::Pcg;
+use crate::talk;
 use crate::told::{self, Map, Told};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -378,10 +379,14 @@
 pub struct Reports(Vec<(f64, Vec<(usize, f64)>)>);
 
 impl Reports {
-    pub fn keep(&mut self, peer: u32, now: f64, threads: Vec<(usize, f64)>) {
+    pub fn keep(&mut self, peer: u32, now: f64, content: &[u8], engines: &[Engine]) {
         let most = self.0.len().max(peer as usize + 1);
         self.0.resize_with(most, || (LONG_AGO, Vec::new()));
-        self.0[peer as usize] = (now, threads);
+        let (told, kept) = &mut self.0[peer as usize];
+        *told = now;
+        kept.clear();
+        let find = |mark| engines.iter().position(|e| talk::mark_of(e.node) == mark);
+        kept.extend(talk::read(content).filter_map(|(mark, threads)| Some((find(mark)?, threads))));
     }
 
     /// Sets what others run on each engine from what was told after `since`.
--- a/src/talk.rs
+++ b/src/talk.rs
@@ -11,22 +11,25 @@
     [mixed[0], mixed[1]]
 }
 
-/// As many messages as the entries take; one at the least.
-pub fn write(kind: u8, threads: impl Iterator<Item = (u64, f64)>) -> Vec<Vec<u8>> {
-    let mut messages = vec![vec![kind]];
-    for (n, (node, threads)) in threads.enumerate() {
-        if n > 0 && n % MOST_ENTRIES == 0 {
-            messages.push(vec![kind]);
+/// Hands over as many messages as the entries take, one at the least.
+pub fn write(kind: u8, threads: impl Iterator<Item = (u64, f64)>, mut message: impl FnMut(&[u8])) {
+    let mut bytes = [0; 1 + ENTRY * MOST_ENTRIES];
+    bytes[0] = kind;
+    let mut end = 1;
+    for (node, threads) in threads {
+        if end == bytes.len() {
+            message(&bytes);
+            end = 1;
         }
-        let last = messages.len() - 1;
-        messages[last].extend(mark_of(node));
-        messages[last].push(threads.clamp(0.0, 255.0) as u8);
+        let [a, b] = mark_of(node);
+        bytes[end..end + ENTRY].copy_from_slice(&[a, b, threads.clamp(0.0, 255.0) as u8]);
+        end += ENTRY;
     }
-    messages
+    message(&bytes[..end]);
 }
 
-/// The entries whose engine is known here.
-pub fn read(content: &[u8], find: impl Fn([u8; 2]) -> Option<usize>) -> Vec<(usize, f64)> {
+/// The entries: marks and threads.
+pub fn read(content: &[u8]) -> impl Iterator<Item = ([u8; 2], f64)> + '_ {
     let entries = content.get(1..).unwrap_or(&[]).chunks_exact(ENTRY);
-    entries.filter_map(|entry| Some((find([entry[0], entry[1]])?, f64::from(entry[2])))).collect()
+    entries.map(|entry| ([entry[0], entry[1]], f64::from(entry[2])))
 }
