--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -9,6 +9,7 @@
 use std::str::SplitN;
 use tansymux::control::Control;
 use tansymux::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
+use tansymux::told;
 
 const CENSUS_SLOTS: usize = 16;
 const EVENTS: [&str; 11] = [
@@ -135,17 +136,7 @@
         let mut fields = Fields::of(rest, 3);
         fields.next("dispatcher").map_err(wrong)?;
         let seed = fields.number("nonce64").map_err(wrong)?;
-        let told: BTreeMap<String, String> = fields
-            .next("profile-data")
-            .map_err(wrong)?
-            .split(' ')
-            .filter(|pair| !pair.is_empty())
-            .map(|pair| {
-                pair.split_once('=')
-                    .map(|(name, value)| (name.to_owned(), value.to_owned()))
-                    .ok_or_else(|| wrong(format!("setting {pair:?} has no value")))
-            })
-            .collect::<Result<_, _>>()?;
+        let told = told::read_pairs(fields.next("profile-data").map_err(wrong)?).map_err(wrong)?;
         instances.insert(dispatcher, Control::new(seed, &told).map_err(wrong)?);
         events = &events[start + 1..];
     }
--- /dev/null
+++ b/crates/dispatcher/src/client/http.rs
@@ -0,0 +1,199 @@
+//! Reads HTTP/1.1 requests in place and writes the heads of answers. Pure functions over bytes.
+
+pub const MOST_HEAD: usize = 8 * 1024;
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_FIELDS: usize = 64;
+
+/// A head, borrowed from the bytes it came in. Fields that the protocol does not name are passed over.
+#[derive(Debug, PartialEq)]
+pub struct Head<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub keep_alive: bool,
+    pub id: Option<&'a str>,
+    pub wait_ms: Option<&'a str>,
+    pub owner: Option<&'a str>,
+    pub cost: Option<&'a str>,
+    pub memory_mb: Option<&'a str>,
+    /// Bytes of the head, and of the body behind it.
+    pub size: usize,
+    pub length: usize,
+}
+
+/// A request that can't be read, and the status that says so; the connection ends with it.
+#[derive(Debug, PartialEq)]
+pub struct Wrong {
+    pub status: u16,
+    pub what: &'static str,
+}
+
+const fn wrong(status: u16, what: &'static str) -> Wrong {
+    Wrong { status, what }
+}
+
+/// The head at the start of `bytes`; none while it has not come whole.
+pub fn parse(bytes: &[u8]) -> Result<Option<Head<'_>>, Wrong> {
+    // A line end or two before the request line is passed over (RFC 9112, 2.2).
+    let blank = bytes.iter().take(4).take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    let shown = &bytes[blank..bytes.len().min(MOST_HEAD)];
+    let Some(end) = shown.windows(4).position(|four| four == b"\r\n\r\n") else {
+        return if bytes.len() >= MOST_HEAD { Err(wrong(431, "the head is too long")) } else { Ok(None) };
+    };
+    let text = std::str::from_utf8(&shown[..end]).map_err(|_| wrong(400, "the head is not text"))?;
+    let mut lines = text.split("\r\n");
+    let mut words = lines.next().unwrap_or("").split(' ');
+    let (method, path, version) = (words.next(), words.next(), words.next());
+    let (Some(method), Some(path), Some(version), None) = (method, path, version, words.next()) else {
+        return Err(wrong(400, "the request line is not three words"));
+    };
+    let keep_alive = match version {
+        "HTTP/1.1" => true,
+        "HTTP/1.0" => false,
+        _ => return Err(wrong(505, "the version is not HTTP/1.1")),
+    };
+    if method.is_empty() || !method.bytes().all(|b| b.is_ascii_alphabetic()) || !path.starts_with('/') {
+        return Err(wrong(400, "the request line has no method or path"));
+    }
+    let mut head = Head {
+        method,
+        path,
+        keep_alive,
+        id: None,
+        wait_ms: None,
+        owner: None,
+        cost: None,
+        memory_mb: None,
+        size: blank + end + 4,
+        length: 0,
+    };
+    let mut length = None;
+    for (count, line) in lines.enumerate() {
+        let (name, value) = line.split_once(':').ok_or(wrong(400, "a field has no colon"))?;
+        if count >= MOST_FIELDS {
+            return Err(wrong(431, "there are too many fields"));
+        }
+        if name.is_empty() || name.bytes().any(|b| b <= b' ' || b == 127) {
+            return Err(wrong(400, "a field's name is not a word"));
+        }
+        let value = value.trim_matches([' ', '\t']);
+        let is = |known: &str| name.eq_ignore_ascii_case(known);
+        if is("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let told: usize = Some(value)
+                .filter(|_| digits)
+                .and_then(|v| v.parse().ok())
+                .ok_or(wrong(400, "Content-Length"))?;
+            if length.replace(told).is_some_and(|before| before != told) {
+                return Err(wrong(400, "Content-Length is told twice"));
+            }
+        } else if is("transfer-encoding") {
+            return Err(wrong(501, "Transfer-Encoding is not taken"));
+        } else if is("connection") {
+            let says = |word: &str| value.split(',').any(|one| one.trim().eq_ignore_ascii_case(word));
+            head.keep_alive = !says("close") && (head.keep_alive || says("keep-alive"));
+        } else {
+            let place = match () {
+                () if is("req-id") => &mut head.id,
+                () if is("req-wait-ms") => &mut head.wait_ms,
+                () if is("req-owner") => &mut head.owner,
+                () if is("req-cost") => &mut head.cost,
+                () if is("x-need-mb") => &mut head.memory_mb,
+                () => continue,
+            };
+            *place = Some(value);
+        }
+    }
+    head.length = length.unwrap_or(0);
+    if head.length > MOST_BODY {
+        return Err(wrong(413, "the statement is too long"));
+    }
+    Ok(Some(head))
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "Bad Request",
+    }
+}
+
+/// The head of an answer; `wait_ms` tells the client how long to stay away.
+pub fn answer_head(status: u16, length: usize, keep_alive: bool, wait_ms: Option<u64>) -> Vec<u8> {
+    let mut head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n",
+        reason(status)
+    );
+    if let Some(wait_ms) = wait_ms {
+        head += &format!("Srv-Wait-Ms: {wait_ms}\r\n");
+    }
+    if !keep_alive {
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    head.into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const POST: &[u8] = b"POST /invoke/report HTTP/1.1\r\nHost: backend.local\r\nreq-id: 9b1f03aa5c7e2d41\r\n\
+        Req-Wait-Ms: 1500\r\nReq-Owner:acme\r\nReq-Cost: 820.0\r\nX-Need-Mb: 96\r\nContent-Length: 8\r\n\r\nSELECT 1";
+
+    #[test]
+    fn a_head_is_read_once_it_is_whole_however_it_is_split() {
+        let size = POST.len() - 8;
+        for end in 0..size {
+            assert_eq!(parse(&POST[..end]), Ok(None), "{end}");
+        }
+        let head = parse(&POST[..size]).unwrap().unwrap();
+        assert_eq!((head.method, head.path, head.size, head.length), ("POST", "/invoke/report", size, 8));
+        assert_eq!(
+            (head.id, head.wait_ms, head.owner),
+            (Some("9b1f03aa5c7e2d41"), Some("1500"), Some("acme"))
+        );
+        assert_eq!((head.cost, head.memory_mb, head.keep_alive), (Some("820.0"), Some("96"), true));
+    }
+
+    #[test]
+    fn hostile_and_over_long_heads_are_refused() {
+        let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MOST_HEAD]].concat();
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_FIELDS + 1));
+        let cases: [(&[u8], u16); 12] = [
+            (&long, 431),
+            (many.as_bytes(), 431),
+            (b"GET /\r\n\r\n", 400),
+            (b"GET  / HTTP/1.1\r\n\r\n", 400),
+            (b"GET x HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/2\r\n\r\n", 505),
+            (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n", 413),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+        ];
+        for (bytes, status) in cases {
+            assert_eq!(parse(bytes).map_err(|w| w.status), Err(status), "{}", String::from_utf8_lossy(bytes));
+        }
+        assert_eq!(parse(b"\xff\xfe / HTTP/1.1\r\n\r\n").map_err(|w| w.status), Err(400));
+    }
+
+    #[test]
+    fn an_answer_tells_its_length_and_how_long_to_stay_away() {
+        let head = String::from_utf8(answer_head(429, 20, false, Some(250))).unwrap();
+        assert!(head.starts_with("HTTP/1.1 429 Too Many Requests\r\n") && head.ends_with("\r\n\r\n"));
+        assert!(head.contains("Content-Length: 20\r\n") && head.contains("Srv-Wait-Ms: 250\r\n"));
+        assert!(head.contains("Connection: close\r\n"));
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/config.rs
@@ -0,0 +1,262 @@
+//! The one place where configuration is read, checked and given defaults. Errors name the key at fault.
+
+use crate::engine::Terms;
+use crate::exchange::Listed;
+use crate::names::Directory;
+use serde_json::{Map as Object, Value};
+use std::net::SocketAddr;
+use tansymux::interface::EngineStatus;
+use tansymux::told::{self, Map, Told};
+
+const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
+const LISTEN_VARIABLE: &str = "RELAY_LISTEN";
+const MOST_BYTES: u64 = 8 << 20;
+const LEAST_SOCKETS: f64 = 64.0;
+const DEFAULT_SOCKETS: f64 = 1024.0;
+const DEFAULT_CONNECT_TIMEOUT: f64 = 250.0;
+const DEFAULT_IDLE: f64 = 30_000.0;
+const DEFAULT_STREAMS: f64 = 32.0;
+/// Shares of the descriptor limit: connections from clients, connections to engines.
+const CLIENTS_PART: f64 = 0.5;
+const ENGINES_PART: f64 = 0.35;
+
+/// Where the messages between dispatchers go.
+#[derive(Debug, PartialEq)]
+pub struct PeerAddresses {
+    pub listen: SocketAddr,
+    pub each: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
+/// All that a dispatcher is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub most_clients: usize,
+    pub terms: Terms,
+    pub peers: Option<PeerAddresses>,
+    pub resolver: Option<SocketAddr>,
+    pub directory: Directory,
+    /// The settings as the decisions take them: a plain map.
+    pub told: Map,
+}
+
+/// Reads the configuration that the environment names.
+pub fn read() -> Result<Config, String> {
+    let path = std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
+    let size = std::fs::metadata(&path).map_err(|e| format!("{CONFIG_VARIABLE} {path}: {e}"))?.len();
+    if size > MOST_BYTES {
+        return Err(format!("{CONFIG_VARIABLE} {path} is longer than {MOST_BYTES} bytes"));
+    }
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{CONFIG_VARIABLE} {path}: {e}"))?;
+    let listen = std::env::var(LISTEN_VARIABLE).ok();
+    parse(&text, listen.as_deref()).map_err(|e| format!("{path}: {e}"))
+}
+
+/// A value and the path of keys that leads to it.
+struct At<'a> {
+    path: String,
+    value: Option<&'a Value>,
+}
+
+impl<'a> At<'a> {
+    fn key(&self, key: &str) -> At<'a> {
+        let path = if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) };
+        At { path, value: self.value.and_then(|v| v.get(key)).filter(|v| !v.is_null()) }
+    }
+
+    fn wrong(&self, what: &str) -> String {
+        match self.value {
+            None => format!("key {} is missing", self.path),
+            Some(value) => format!("key {} is {value}, not {what}", self.path),
+        }
+    }
+
+    fn text(&self) -> Result<&'a str, String> {
+        self.value.and_then(Value::as_str).ok_or_else(|| self.wrong("a text"))
+    }
+
+    fn number(&self) -> Result<f64, String> {
+        self.value.and_then(Value::as_f64).ok_or_else(|| self.wrong("a number"))
+    }
+
+    /// A number in a range, or the default where the key is absent.
+    fn number_or(&self, default: f64, least: f64) -> Result<f64, String> {
+        if self.value.is_none() {
+            return Ok(default);
+        }
+        Some(self.number()?).filter(|n| *n >= least).ok_or_else(|| self.wrong(&format!("at least {least}")))
+    }
+
+    fn items(&self) -> Result<Vec<At<'a>>, String> {
+        let items = self.value.and_then(Value::as_array).ok_or_else(|| self.wrong("a list"))?;
+        let item = |(i, value)| At { path: format!("{}.{i}", self.path), value: Some(value) };
+        Ok(items.iter().enumerate().map(item).collect())
+    }
+
+    fn object(&self) -> Result<&'a Object<String, Value>, String> {
+        self.value.and_then(Value::as_object).ok_or_else(|| self.wrong("an object"))
+    }
+
+    fn address(&self) -> Result<SocketAddr, String> {
+        self.text()?.parse().map_err(|_| self.wrong("an address with a port"))
+    }
+
+    fn maybe<T>(&self, read: impl FnOnce(&Self) -> Result<T, String>) -> Result<Option<T>, String> {
+        self.value.map(|_| read(self)).transpose()
+    }
+}
+
+pub fn parse(text: &str, listen: Option<&str>) -> Result<Config, String> {
+    let value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+    let root = At { path: String::new(), value: Some(&value) };
+    if !value.is_object() {
+        return Err("the configuration is not an object".into());
+    }
+    let mut told = Map::new();
+    flatten("", &Value::Object(root.key("settings").object()?.clone()), &mut told);
+    for name in ["balancers", "services.count"] {
+        told.required(name).map_err(|_| format!("key settings.{name} is missing or no number"))?;
+    }
+    let listen = match (root.key("listen"), listen) {
+        (key, None) => key.address()?,
+        (_, Some(text)) => {
+            text.parse().map_err(|_| format!("{LISTEN_VARIABLE} {text:?} is not an address"))?
+        }
+    };
+    let seed = root.key("seed");
+    let hex = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("a number in hex"))?;
+    let sockets = root.key("limits").key("sockets").number_or(DEFAULT_SOCKETS, LEAST_SOCKETS)?;
+    let setting = |key: &str| root.key("settings").key("limits").key(key);
+    let terms = Terms {
+        connect_timeout: setting("connect-timeout-us").number_or(DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0)? / 1e3,
+        idle: setting("conn-idle-us").number_or(DEFAULT_IDLE * 1e3, 1.0)? / 1e3,
+        streams: setting("streams-per-conn").number_or(DEFAULT_STREAMS, 1.0)? as usize,
+        most_links: (sockets * ENGINES_PART) as usize,
+    };
+    let peers = root.key("peer_listen").maybe(|key| {
+        let listen = key.address()?;
+        let each = root.key("peers").maybe(At::items)?.unwrap_or_default();
+        let each = each.iter().map(At::address).collect::<Result<Vec<_>, _>>()?;
+        Ok(PeerAddresses { listen, each, all: root.key("peers_all").maybe(At::address)? })
+    })?;
+    Ok(Config {
+        name: root.key("name").maybe(At::text)?.unwrap_or("").to_owned(),
+        listen,
+        seed: hex,
+        most_clients: (sockets * CLIENTS_PART) as usize,
+        terms,
+        peers,
+        resolver: root.key("resolver").maybe(At::address)?,
+        directory: known(&root.key("known"))?,
+        told,
+    })
+}
+
+/// The list of engines at the start: the first event holds all, later ones what has changed.
+fn known(known: &At) -> Result<Directory, String> {
+    let mut directory = Directory::default();
+    if known.value.is_none() {
+        return Ok(directory);
+    }
+    directory.last = known.key("cursor").number_or(0.0, 0.0)? as u32;
+    for event in known.key("cmds").items()? {
+        for entry in event.key("nodes").key("instances").items()? {
+            let state = entry.key("lifecycle");
+            let status = match state.text()? {
+                "Ready" => EngineStatus::Ready,
+                "Terminating" => EngineStatus::Draining,
+                "Gone" => EngineStatus::Gone,
+                _ => return Err(state.wrong("Ready, Terminating or Gone")),
+            };
+            let engine = Listed {
+                node: directory.node(entry.key("instanceId").text()?),
+                address: entry.key("hostPort").maybe(At::address)?,
+                kind: entry.key("machineType").maybe(At::text)?.unwrap_or("").to_owned(),
+                hall: entry.key("zone").maybe(At::text)?.unwrap_or("").to_owned(),
+                cell: entry.key("cell").number_or(0.0, 0.0)? as u32,
+                status,
+                started: Some(entry.key("startedAtMs").number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
+            };
+            directory.keep(engine);
+        }
+    }
+    Ok(directory)
+}
+
+/// Lays nested settings out flat: lists of objects by their places, lists of plain values in one.
+fn flatten(path: &str, value: &Value, to: &mut Map) {
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(entries) => {
+            for (key, value) in entries {
+                flatten(&if path.is_empty() { key.clone() } else { format!("{path}.{key}") }, value, to);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            told::put(to, &told::count_of(path), &items.len().to_string());
+            items.iter().enumerate().for_each(|(i, item)| flatten(&told::item_of(path, i), item, to));
+        }
+        Value::Array(items) => told::put_list(to, path, items.iter().map(plain)),
+        Value::Null => {}
+        other => told::put(to, path, &plain(other)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb","limits":{"sockets":1024},
+        "peer_listen":"127.0.0.1:2","peers":["127.0.0.2:2"],"resolver":"127.0.0.1:53",
+        "known":{"cursor":2,"cmds":[{"cursor":1,"nodes":{"instances":[{"instanceId":"s-1","hostPort":"10.0.0.1:1",
+        "zone":"h","machineType":"std","cell":1,"lifecycle":"Ready","startedAtMs":0}]}},{"cursor":2,"nodes":
+        {"instances":[{"instanceId":"s-1","lifecycle":"Terminating","startedAtMs":7}]}}]},
+        "settings":{"balancers":2,"kinds":["a b","c"],"limits":{"probes":true,"connect-timeout-us":9000},
+        "services":[{"name":"look","aim-us":5}],"family-info":{"dop":[1,2]}}}"#;
+
+    #[test]
+    fn settings_become_a_plain_map_and_events_one_list() {
+        let config = parse(GOOD, None).unwrap();
+        let told: Vec<_> = config.told.iter().map(|(name, value)| format!("{name}={value}")).collect();
+        let want =
+            "balancers=2 family-info.dop=1,2 kinds=a_b,c limits.connect-timeout-us=9000 limits.probes=true \
+            services.0.aim-us=5 services.0.name=look services.count=1";
+        assert_eq!(told.join(" "), want);
+        assert_eq!(
+            (config.terms.connect_timeout, config.terms.idle, config.directory.last),
+            (9.0, 30_000.0, 2)
+        );
+        let engine = &config.directory.all()[0];
+        assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
+        assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
+    }
+
+    #[test]
+    fn errors_name_the_key_at_fault() {
+        let cases = [
+            ("\"seed\":\"6444882f5c620abb\"", "\"seed\":\"x\"", "key seed is \"x\""),
+            ("\"listen\"", "\"lisTen\"", "key listen is missing"),
+            ("\"sockets\":1024", "\"sockets\":2", "key limits.sockets is 2, not at least 64"),
+            ("\"127.0.0.2:2\"", "7", "key peers.0 is 7, not a text"),
+            ("\"Ready\"", "\"Up\"", "key known.cmds.0.nodes.instances.0.lifecycle is \"Up\""),
+            ("\"balancers\":2", "\"b\":2", "key settings.balancers"),
+            (
+                "\"connect-timeout-us\":9000",
+                "\"connect-timeout-us\":0",
+                "key settings.limits.connect-timeout-us",
+            ),
+            ("\"settings\"", "\"s\"", "key settings is missing"),
+            ("{\"name\"", "\"name\"", "not JSON"),
+        ];
+        for (was, is, says) in cases {
+            let wrong = parse(&GOOD.replace(was, is), None).unwrap_err();
+            assert!(wrong.contains(says), "{wrong}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/counters.rs
@@ -0,0 +1,113 @@
+//! Counters of what was taken in, sent and answered.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use tansymux::interface::Outcome;
+
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        #[derive(Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Count,)*
+            /// How submissions ended, in the order of `OUTCOMES`.
+            pub ended: [Count; OUTCOMES.len()],
+        }
+
+        impl Counters {
+            fn plain(&self) -> impl Iterator<Item = (&'static str, u64)> {
+                [$((stringify!($name), self.$name.get())),*].into_iter()
+            }
+        }
+    };
+}
+
+const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Finished, "finished"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::Timeout, "timeout"),
+    (Outcome::NoConnection, "no_connection"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::NotSent, "not_sent"),
+];
+
+counters! {
+    /// Queries: taken = finished + deferred + killed + vanished + those in hand without an answer.
+    taken,
+    finished,
+    deferred,
+    killed,
+    vanished,
+    /// Requests that never became a query, and answers that could not be written out.
+    refused_at_the_door,
+    answers_not_written,
+    connections_from_clients,
+    connections_to_engines,
+    /// Submissions = the sum of their ends + those that are out.
+    submissions,
+    probes,
+    lists,
+    lookups,
+    messages_sent,
+    messages_heard,
+    rounds,
+}
+
+impl Counters {
+    pub fn ended(&self, outcome: Outcome) {
+        if let Some(n) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
+            self.ended[n].add();
+        }
+    }
+
+    /// One line each: name and count, then what is in hand and out.
+    pub fn report(&self, in_hand: usize) -> String {
+        let mut text = String::new();
+        for (name, count) in self.plain() {
+            let _ = writeln!(text, "{name} {count}");
+        }
+        for ((_, name), count) in OUTCOMES.iter().zip(&self.ended) {
+            let _ = writeln!(text, "submissions_{name} {}", count.get());
+        }
+        let ended: u64 = self.ended.iter().map(Count::get).sum();
+        let answered = [&self.finished, &self.deferred, &self.killed, &self.vanished].map(Count::get);
+        let _ = writeln!(text, "submissions_out {}", self.submissions.get().saturating_sub(ended));
+        let _ = writeln!(text, "unanswered {}", self.taken.get().saturating_sub(answered.iter().sum()));
+        let _ = writeln!(text, "in_hand {in_hand}");
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_report_names_every_count_and_its_sums_agree() {
+        let counters = Counters::default();
+        (0..3).for_each(|_| counters.taken.add());
+        (0..2).for_each(|_| counters.submissions.add());
+        counters.finished.add();
+        counters.ended(Outcome::NotSent);
+        let report = counters.report(2);
+        for line in
+            ["taken 3\n", "finished 1\n", "submissions_not_sent 1\n", "submissions_out 1\n", "unanswered 2\n"]
+        {
+            assert!(report.contains(line), "{line} in {report}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -0,0 +1,272 @@
+//! The program as one object whose phases are named states, and the driver that calls the decisions.
+
+use crate::bell::Rings;
+use crate::client::ClientSide;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::engine::EngineSide;
+use crate::exchange::{Answer, Event, Exchange};
+use crate::log;
+use crate::names;
+use crate::peers::Peers;
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{future, Stream, StreamExt};
+use std::rc::Rc;
+use tansymux::control::Control;
+use tansymux::interface::{Feed, ListForm, Outcome, Writer};
+
+/// After the signal to end: how long new queries are still taken (ms), and by when the last is answered. The
+/// platform sends new ones for 0.6 s, and ends the process no sooner than 3.7 s after the signal.
+const TAKES_ON: f64 = 700.0;
+const ENDS_BY: f64 = 3200.0;
+/// How long the last answers have to be written out (ms).
+const LAST_WRITES: f64 = 150.0;
+const LONGEST_SLEEP: f64 = 1000.0;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Phase {
+    /// Sockets are bound, nothing is taken yet.
+    Starting,
+    Serving,
+    /// Told to end: the front is told so, what still comes is served.
+    Closing {
+        since: f64,
+    },
+    /// Nothing new is taken; what is in hand is brought to its end.
+    Draining {
+        since: f64,
+    },
+    /// All is answered; the last answers are written out.
+    Flushing {
+        since: f64,
+    },
+    Ended,
+}
+
+pub struct Dispatcher {
+    phase: Phase,
+    clock: Clock,
+    exchange: Rc<Exchange>,
+    control: Control,
+    clients: Rc<ClientSide>,
+    engines: Rc<EngineSide>,
+    peers: Option<Rc<Peers>>,
+    accepting: Option<Task<()>>,
+    others: Vec<Task<()>>,
+    /// When the decisions want their next round.
+    timer: f64,
+}
+
+/// What ends a wait.
+enum Stir {
+    Events,
+    ToldToEnd,
+}
+
+impl Dispatcher {
+    pub fn start(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<Self, String> {
+        let clock = Clock::start();
+        let exchange = Rc::new(Exchange::default());
+        let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
+        let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
+        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.most_clients));
+        let mut others = Vec::new();
+        let peers = match config.peers {
+            Some(to) => {
+                let peers = Peers::bind(exchange.clone(), to.listen, to.each, to.all);
+                let peers = peers.map_err(|e| format!("peer_listen {}: {e}", to.listen))?;
+                others.push(executor.spawn(peers.clone().listen()));
+                Some(peers)
+            }
+            None => None,
+        };
+        exchange.happened(Event::List { form: ListForm::Remembered, engines: config.directory.all() });
+        if let Some(resolver) = config.resolver {
+            let follow = names::follow(exchange.clone(), resolver, config.directory, config.seed as u16);
+            others.push(executor.spawn(follow));
+        }
+        let listener =
+            ClientSide::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+        let accepting = Some(executor.spawn(clients.clone().accept(listener, executor.clone())));
+        let (phase, timer) = (Phase::Starting, f64::INFINITY);
+        Ok(Dispatcher { phase, clock, exchange, control, clients, engines, peers, accepting, others, timer })
+    }
+
+    /// Runs until all is answered after the signal to end.
+    pub async fn run(mut self) {
+        let signals = Signals::new([Signal::Term, Signal::Int]);
+        let told_to_end = match signals {
+            Ok(signals) => signals.map(|_| Stir::ToldToEnd).boxed_local(),
+            Err(e) => {
+                log!("signals can't be heard: {e}");
+                futures_lite::stream::pending().boxed_local()
+            }
+        };
+        let events = Rings(self.exchange.bell.clone()).map(|()| Stir::Events);
+        let mut stirs = std::pin::pin!(futures_lite::stream::or(told_to_end, events));
+        while self.phase != Phase::Ended {
+            let wake = self.turn();
+            self.wait(&mut stirs, wake).await;
+        }
+        self.others.clear();
+        eprint!("{}", self.exchange.counters.report(self.exchange.in_hand()));
+    }
+
+    /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
+    fn turn(&mut self) -> f64 {
+        let next = self.engines.sweep();
+        let now = self.clock.now();
+        self.exchange.counters.rounds.add();
+        let mut feed = Events { exchange: &self.exchange, engines: &self.engines };
+        let peers = self.peers.as_deref();
+        let mut decisions = Decisions { exchange: &self.exchange, peers, now, timer: &mut self.timer };
+        if now >= *decisions.timer {
+            *decisions.timer = f64::INFINITY;
+        }
+        self.control.round(now, &mut feed, &mut decisions);
+        self.engines.carry_out();
+        self.advance(now);
+        next.min(self.timer).min(now + LONGEST_SLEEP)
+    }
+
+    /// The next phase, where its time has come.
+    fn advance(&mut self, now: f64) {
+        let unanswered = self.exchange.unanswered();
+        self.phase = match self.phase {
+            Phase::Starting => {
+                self.clients.healthy.set(true);
+                Phase::Serving
+            }
+            Phase::Closing { since } if now >= since + TAKES_ON => {
+                self.accepting = None;
+                self.clients.closing.set(true);
+                Phase::Draining { since }
+            }
+            Phase::Draining { since } if unanswered == 0 || now >= since + ENDS_BY => {
+                Phase::Flushing { since: now }
+            }
+            Phase::Flushing { since } if now >= since + LAST_WRITES => Phase::Ended,
+            phase => phase,
+        };
+    }
+
+    fn told_to_end(&mut self) {
+        let now = self.clock.now();
+        if matches!(self.phase, Phase::Starting | Phase::Serving) {
+            log!("told to end with {} queries in hand", self.exchange.in_hand());
+            self.clients.healthy.set(false);
+            self.phase = Phase::Closing { since: now };
+        }
+    }
+
+    async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
+        let soon = match self.phase {
+            Phase::Closing { .. } | Phase::Draining { .. } | Phase::Flushing { .. } => {
+                self.clock.now() + 20.0
+            }
+            _ => f64::INFINITY,
+        };
+        let wake = self.clock.instant(wake.min(soon));
+        let time = async {
+            Timer::at(wake).await;
+            None
+        };
+        if let Some(Stir::ToldToEnd) = future::or(stirs.next(), time).await {
+            self.told_to_end();
+        }
+    }
+}
+
+/// The events of a round, as the decisions take them.
+struct Events<'a> {
+    exchange: &'a Exchange,
+    engines: &'a EngineSide,
+}
+
+impl Feed for Events<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+        while let Some(event) = self.exchange.next_event() {
+            match event {
+                Event::Query { query, customer, cost, memory, tables } => {
+                    let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due)) else {
+                        continue;
+                    };
+                    let taken = control.query(query, &rg, &customer, None, due, cost, memory, tables, out);
+                    if let Err(e) = taken {
+                        log!("a query was not taken: {e}");
+                        self.exchange.answer(query, Answer::Killed);
+                    }
+                }
+                Event::Vanished { query } => {
+                    control.vanished(query, out);
+                    self.exchange.leave(query);
+                }
+                Event::Closed { query, submission, outcome, node, latency, pages } => {
+                    if outcome == Outcome::Finished {
+                        self.exchange.answer(query, Answer::Finished(pages));
+                    }
+                    let complete = self.exchange.over(query);
+                    self.exchange.closed(query);
+                    control.closed(query, submission, complete, outcome, node, latency, 0.0, 0.0, out);
+                }
+                Event::Noted { query, submission, note, amount } => {
+                    control.noted(query, submission, note, amount)
+                }
+                Event::Probed { node, outcome } => control.probed(node, outcome),
+                Event::List { form, engines } => {
+                    control.list_begins(form);
+                    for e in &engines {
+                        self.engines.listed(e);
+                        control.listed(e.node, &e.kind, &e.hall, e.status, e.started, e.cell);
+                    }
+                    control.list_ends(form, out);
+                }
+                Event::Told { peer, content } => control.told_by(peer, &content),
+            }
+        }
+    }
+}
+
+/// Takes the decisions to where they are carried out.
+struct Decisions<'a> {
+    exchange: &'a Exchange,
+    peers: Option<&'a Peers>,
+    now: f64,
+    timer: &'a mut f64,
+}
+
+impl Writer for Decisions<'_> {
+    fn submit(&mut self, id: u64, node: u64, until: f64) {
+        self.exchange.submit(id, node, until);
+    }
+    fn defer(&mut self, id: u64, retry_after: f64) {
+        self.exchange.answer(id, Answer::Deferred(retry_after));
+    }
+    fn kill(&mut self, id: u64) {
+        self.exchange.answer(id, Answer::Killed);
+    }
+    fn cancel(&mut self, id: u64, submission: usize) {
+        self.exchange.cancel(id, submission);
+    }
+    fn grant(&mut self, id: u64, priority: u8, memory: f64) {
+        self.exchange.grant(id, priority, memory);
+    }
+    fn probe(&mut self, node: u64) {
+        self.exchange.probe(node);
+    }
+    fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
+        if let Some(peers) = self.peers {
+            peers.send(peer, content);
+        }
+    }
+    fn timer(&mut self, delay: f64, _handle: u64) {
+        *self.timer = self.timer.min(self.now + delay);
+    }
+    /// The name service is asked all the time, and its list comes when it has changed.
+    fn watch_list(&mut self) {}
+    fn note(&mut self, text: &str) {
+        log!("{text}");
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/dns.rs
@@ -0,0 +1,226 @@
+//! Writes and reads DNS messages (RFC 1035). Pure functions over bytes.
+
+use std::net::Ipv4Addr;
+
+pub const SRV: u16 = 33;
+const A: u16 = 1;
+const SOA: u16 = 6;
+const TXT: u16 = 16;
+const INTERNET: u16 = 1;
+const HEADER: usize = 12;
+const MOST_NAME: usize = 255;
+const MOST_JUMPS: usize = 32;
+const MOST_RECORDS: usize = 2048;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Srv {
+    pub priority: u16,
+    pub port: u16,
+    pub target: String,
+}
+
+/// What an answer holds of use here; names are in small letters.
+#[derive(Debug, Default, PartialEq)]
+pub struct Answer {
+    pub id: u16,
+    /// The serial of the SOA record.
+    pub serial: Option<u32>,
+    pub srv: Vec<Srv>,
+    pub addresses: Vec<(String, Ipv4Addr)>,
+    pub texts: Vec<(String, Vec<String>)>,
+}
+
+/// The query for records of one type under `name`.
+pub fn query(id: u16, name: &str, kind: u16) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER + name.len() + 6);
+    for number in [id, 0x0100, 1, 0, 0, 0] {
+        bytes.extend_from_slice(&number.to_be_bytes());
+    }
+    for label in name.split('.').filter(|label| !label.is_empty()) {
+        let label = &label.as_bytes()[..label.len().min(63)];
+        bytes.push(label.len() as u8);
+        bytes.extend_from_slice(label);
+    }
+    bytes.push(0);
+    bytes.extend_from_slice(&kind.to_be_bytes());
+    bytes.extend_from_slice(&INTERNET.to_be_bytes());
+    bytes
+}
+
+struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Reader<'a> {
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let taken = self.bytes.get(self.at..self.at.checked_add(count)?)?;
+        self.at += count;
+        Some(taken)
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.take(2).map(|b| u16::from_be_bytes([b[0], b[1]]))
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.take(4).map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]]))
+    }
+
+    /// A name, compressed or not. Jumps are bounded, so that none runs in a ring.
+    fn name(&mut self) -> Option<String> {
+        let mut name = String::new();
+        let (mut at, mut after, mut jumps) = (self.at, None, 0);
+        loop {
+            let length = usize::from(*self.bytes.get(at)?);
+            match length >> 6 {
+                0 if length == 0 => {
+                    self.at = after.unwrap_or(at + 1);
+                    return Some(name);
+                }
+                0 => {
+                    let label = self.bytes.get(at + 1..at + 1 + length)?;
+                    if name.len() + length + 1 > MOST_NAME {
+                        return None;
+                    }
+                    if !name.is_empty() {
+                        name.push('.');
+                    }
+                    name.extend(label.iter().map(|b| char::from(b.to_ascii_lowercase())));
+                    at += 1 + length;
+                }
+                3 => {
+                    let low = usize::from(*self.bytes.get(at + 1)?);
+                    after = after.or(Some(at + 2));
+                    at = (length & 0x3f) << 8 | low;
+                    jumps += 1;
+                    if jumps > MOST_JUMPS {
+                        return None;
+                    }
+                }
+                _ => return None,
+            }
+        }
+    }
+}
+
+/// Reads an answer; none if it is cut off, an error, or no answer at all.
+pub fn parse(bytes: &[u8]) -> Option<Answer> {
+    let mut r = Reader { bytes, at: 0 };
+    let (id, flags) = (r.u16()?, r.u16()?);
+    // An answer (QR), not cut off (TC), without an error (RCODE).
+    if flags & 0x8000 == 0 || flags & 0x0200 != 0 || flags & 0x000f != 0 {
+        return None;
+    }
+    let questions = usize::from(r.u16()?);
+    let records = usize::from(r.u16()?) + usize::from(r.u16()?) + usize::from(r.u16()?);
+    if questions > MOST_RECORDS || records > MOST_RECORDS {
+        return None;
+    }
+    for _ in 0..questions {
+        r.name()?;
+        r.take(4)?;
+    }
+    let mut answer = Answer { id, ..Answer::default() };
+    for _ in 0..records {
+        let name = r.name()?;
+        let (kind, class) = (r.u16()?, r.u16()?);
+        r.u32()?;
+        let size = usize::from(r.u16()?);
+        let end = r.at.checked_add(size).filter(|&end| end <= bytes.len())?;
+        match kind {
+            _ if class != INTERNET => {}
+            SRV => {
+                let (priority, _weight, port) = (r.u16()?, r.u16()?, r.u16()?);
+                answer.srv.push(Srv { priority, port, target: r.name()? });
+            }
+            A if size == 4 => {
+                let b = r.take(4)?;
+                answer.addresses.push((name, Ipv4Addr::new(b[0], b[1], b[2], b[3])));
+            }
+            TXT => {
+                let mut texts = Vec::new();
+                while r.at < end {
+                    let length = usize::from(r.take(1)?[0]);
+                    texts.push(String::from_utf8_lossy(r.take(length)?).into_owned());
+                }
+                answer.texts.push((name, texts));
+            }
+            SOA => {
+                r.name()?;
+                r.name()?;
+                answer.serial = Some(r.u32()?);
+            }
+            _ => {}
+        }
+        if r.at > end {
+            return None;
+        }
+        r.at = end;
+    }
+    Some(answer)
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    fn record(to: &mut Vec<u8>, name: &[u8], kind: u16, data: &[u8]) {
+        to.extend_from_slice(name);
+        for number in [kind, INTERNET, 0, 60, data.len() as u16] {
+            to.extend_from_slice(&number.to_be_bytes());
+        }
+        to.extend_from_slice(data);
+    }
+
+    /// An answer with one engine `s-1.east.hosts`, its names compressed against the question's.
+    pub fn answer(id: u16, serial: u32, priority: u8) -> Vec<u8> {
+        let mut bytes = query(id, "_back._tcp.pool.lan", SRV);
+        bytes[2] = 0x84;
+        (bytes[7], bytes[9], bytes[11]) = (1, 1, 2);
+        let question = [0xc0, HEADER as u8];
+        let at = bytes.len() + 12;
+        record(
+            &mut bytes,
+            &question,
+            SRV,
+            &[&[0, priority, 0, 40, 0x27, 0x60], b"\x03S-1\x04east\x05hosts\0".as_slice()].concat(),
+        );
+        let mut soa = [question, question].concat();
+        soa.extend_from_slice(&serial.to_be_bytes());
+        soa.extend_from_slice(&[0; 16]);
+        record(&mut bytes, &question, SOA, &soa);
+        let target = [0xc0, at as u8 + 6];
+        record(&mut bytes, &target, A, &[10, 1, 0, 9]);
+        record(&mut bytes, &target, TXT, b"\x08kind=std\x06cell=2\x09started=0");
+        bytes
+    }
+
+    #[test]
+    fn an_answer_with_compressed_names_is_read() {
+        let read = parse(&answer(77, 41, 1)).unwrap();
+        let target = "s-1.east.hosts".to_owned();
+        assert_eq!((read.id, read.serial), (77, Some(41)));
+        assert_eq!(read.srv, [Srv { priority: 1, port: 10080, target: target.clone() }]);
+        assert_eq!(read.addresses, [(target.clone(), Ipv4Addr::new(10, 1, 0, 9))]);
+        assert_eq!(read.texts, [(target, ["kind=std", "cell=2", "started=0"].map(String::from).to_vec())]);
+    }
+
+    #[test]
+    fn hostile_answers_are_refused_without_a_panic() {
+        let whole = answer(1, 2, 0);
+        for end in 0..whole.len() {
+            assert_eq!(parse(&whole[..end]), None, "{end}");
+        }
+        // Every byte turned: some still parse, none panics or runs in a ring.
+        for at in 0..whole.len() {
+            for value in [0, 0x3f, 0xc0, 0xff] {
+                let mut bytes = whole.clone();
+                bytes[at] = value;
+                parse(&bytes);
+            }
+        }
+        let ring = [&[0, 1, 0x84, 0, 0, 1, 0, 0, 0, 0, 0, 0], [0xc0, 12].as_slice(), &[0; 4]].concat();
+        assert_eq!(parse(&ring), None);
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/link.rs
@@ -0,0 +1,376 @@
+//! What one connection to an engine carries: submissions, probes and what is still to be written. No I/O.
+
+use super::resp::{self, Frame};
+use super::rows::json_rows;
+use crate::exchange::Pages;
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::io::IoSlice;
+use std::rc::Rc;
+use tansymux::interface::{Note, Outcome};
+
+/// Pages of a result at most, and bytes of them.
+const MOST_PAGES: usize = 64;
+const MOST_RESULT: usize = 1 << 20;
+/// Bytes that wait to be written at most.
+pub const MOST_WAITING: usize = 4 << 20;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum State {
+    Connecting,
+    Up,
+    Down,
+}
+
+/// A submission that is out on this connection.
+#[derive(Debug)]
+pub struct Submission {
+    pub query: u64,
+    pub number: usize,
+    pub sent: f64,
+    pub until: f64,
+    /// Pages so far, and how many there are once that is known.
+    pages: Vec<Option<Vec<u8>>>,
+    missing: usize,
+}
+
+impl Submission {
+    pub fn new(query: u64, number: usize, sent: f64, until: f64) -> Self {
+        Submission { query, number, sent, until, pages: Vec::new(), missing: 0 }
+    }
+}
+
+/// Bytes to be written: a head, and a statement behind it.
+#[derive(Debug)]
+struct Piece {
+    head: Vec<u8>,
+    body: Option<Rc<[u8]>>,
+    /// The submission whose request this is.
+    of: Option<Rc<str>>,
+}
+
+impl Piece {
+    fn slices(&self) -> [&[u8]; 3] {
+        let body = self.body.as_deref();
+        [&self.head, body.unwrap_or(b""), if body.is_some() { b"\r\n" } else { b"" }]
+    }
+
+    fn len(&self) -> usize {
+        self.slices().iter().map(|slice| slice.len()).sum()
+    }
+}
+
+/// What a frame from the engine means.
+#[derive(Debug, PartialEq)]
+pub enum Heard {
+    Closed { query: u64, submission: usize, outcome: Outcome, sent: f64, pages: Pages },
+    Noted { query: u64, submission: usize, note: Note, amount: f64 },
+    Probed(Outcome),
+    Nothing,
+}
+
+#[derive(Debug)]
+pub struct Link {
+    pub state: State,
+    /// When bytes last came, and when it last had something out.
+    pub heard: f64,
+    pub used: f64,
+    /// Nothing new goes here: it is closed once nothing is out.
+    pub retired: bool,
+    pub submissions: FxHashMap<Rc<str>, Submission>,
+    /// Probes that are out: tag, when sent, until when they are waited for.
+    pub probes: Vec<(Rc<str>, f64, f64)>,
+    waiting: VecDeque<Piece>,
+    waiting_bytes: usize,
+    /// Bytes of the first piece that are written.
+    written: usize,
+}
+
+impl Link {
+    pub fn new(now: f64) -> Self {
+        Link {
+            state: State::Connecting,
+            heard: now,
+            used: now,
+            retired: false,
+            submissions: FxHashMap::default(),
+            probes: Vec::new(),
+            waiting: VecDeque::new(),
+            waiting_bytes: 0,
+            written: 0,
+        }
+    }
+
+    pub fn out(&self) -> usize {
+        self.submissions.len() + self.probes.len()
+    }
+
+    /// Whether a submission with this id may go here.
+    pub fn takes(&self, id: &str, most: usize) -> bool {
+        let fits = self.out() < most && self.waiting_bytes < MOST_WAITING;
+        self.state != State::Down && !self.retired && fits && !self.submissions.contains_key(id)
+    }
+
+    fn write(&mut self, parts: &[&[u8]], body: Option<Rc<[u8]>>, of: Option<Rc<str>>) {
+        let mut head = Vec::with_capacity(128);
+        resp::write(&mut head, parts, body.as_ref().map(|body| body.len()));
+        let piece = Piece { head, body, of };
+        self.waiting_bytes += piece.len();
+        self.waiting.push_back(piece);
+    }
+
+    pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, submission: Submission) {
+        self.used = submission.sent;
+        self.write(&[b"fetch", id.as_bytes(), fields.as_bytes()], Some(statement), Some(id.clone()));
+        self.submissions.insert(id.clone(), submission);
+    }
+
+    pub fn probe(&mut self, tag: Rc<str>, now: f64, until: f64) {
+        self.used = now;
+        self.write(&[b"alive", tag.as_bytes()], None, None);
+        self.probes.push((tag, now, until));
+    }
+
+    pub fn renice(&mut self, id: &str, priority: u8) {
+        if self.submissions.contains_key(id) {
+            self.write(&[b"renice", id.as_bytes(), priority.to_string().as_bytes()], None, None);
+        }
+    }
+
+    /// Gives a submission up. Tells whether the engine can have had any of its request; what was not begun is
+    /// taken back.
+    pub fn give_up(&mut self, id: &str, now: f64) -> Option<(Submission, bool)> {
+        let submission = self.submissions.remove(id)?;
+        self.used = now;
+        let at = self.waiting.iter().position(|piece| piece.of.as_deref() == Some(id));
+        match at {
+            Some(at) if at > 0 || self.written == 0 => {
+                if let Some(piece) = self.waiting.remove(at) {
+                    self.waiting_bytes -= piece.len();
+                }
+                Some((submission, false))
+            }
+            _ => {
+                self.write(&[b"abort", id.as_bytes()], None, None);
+                Some((submission, true))
+            }
+        }
+    }
+
+    /// Whether the whole of a submission's request was written out.
+    pub fn went_out(&self, id: &str) -> bool {
+        !self.waiting.iter().any(|piece| piece.of.as_deref() == Some(id))
+    }
+
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// The bytes to write next, as slices for a gathered write.
+    pub fn slices<'a>(&'a self, to: &mut Vec<IoSlice<'a>>, most: usize) {
+        let mut skip = self.written;
+        for slice in self.waiting.iter().flat_map(Piece::slices) {
+            let shown = &slice[skip.min(slice.len())..];
+            skip -= slice.len() - shown.len();
+            if !shown.is_empty() && to.len() < most {
+                to.push(IoSlice::new(shown));
+            }
+        }
+    }
+
+    pub fn wrote(&mut self, count: usize) {
+        self.written += count;
+        while let Some(length) = self.waiting.front().map(Piece::len).filter(|&length| length <= self.written)
+        {
+            self.written -= length;
+            self.waiting_bytes -= length;
+            self.waiting.pop_front();
+        }
+    }
+
+    /// Takes in a frame. What names nothing that is out here is passed over.
+    pub fn hear(&mut self, frame: &Frame, now: f64) -> Heard {
+        self.heard = now;
+        let Ok(id) = std::str::from_utf8(frame.part(0)) else { return Heard::Nothing };
+        let (word, fields) = (frame.part(1), frame.part(2));
+        if let Some(n) = self.probes.iter().position(|(tag, ..)| &**tag == id) {
+            self.probes.swap_remove(n);
+            return Heard::Probed(if word == b"FIT" { Outcome::Finished } else { Outcome::Error });
+        }
+        let Some(s) = self.submissions.get_mut(id) else { return Heard::Nothing };
+        let (query, submission) = (s.query, s.number);
+        let outcome = match word {
+            b"TELL" => {
+                let amount = resp::field(fields, "num").and_then(|n| n.parse::<f64>().ok());
+                let note = match resp::field(fields, "tell") {
+                    Some("frac") => Note::Progress,
+                    Some("missing") => Note::Spills,
+                    Some("parked") => Note::Waits,
+                    _ => return Heard::Nothing,
+                };
+                let Some(amount) = amount.filter(|n| n.is_finite()) else { return Heard::Nothing };
+                return Heard::Noted { query, submission, note, amount };
+            }
+            b"DONE" | b"MORE" => match s.take_page(word == b"DONE", fields, frame.part(3)) {
+                Some(true) => Outcome::Finished,
+                Some(false) => {
+                    if word == b"DONE" {
+                        (1..s.pages.len()).for_each(|page| {
+                            let mut head = Vec::with_capacity(64);
+                            resp::write(
+                                &mut head,
+                                &[b"more", id.as_bytes(), page.to_string().as_bytes()],
+                                None,
+                            );
+                            self.waiting_bytes += head.len();
+                            self.waiting.push_back(Piece { head, body: None, of: None });
+                        });
+                    }
+                    return Heard::Nothing;
+                }
+                None => Outcome::Error,
+            },
+            b"WAIT" => Outcome::Full,
+            b"PAST" => Outcome::NotSent,
+            b"BROKE" => Outcome::Error,
+            _ => return Heard::Nothing,
+        };
+        let sent = s.sent;
+        let pages: Pages = s.pages.drain(..).flatten().collect();
+        if word == b"MORE" || word == b"DONE" && (outcome != Outcome::Finished || pages.len() > 1) {
+            self.write(&[b"done", id.as_bytes()], None, None);
+        }
+        self.submissions.remove(id);
+        self.used = now;
+        let pages = if outcome == Outcome::Finished { pages } else { Pages::new() };
+        Heard::Closed { query, submission, outcome, sent, pages }
+    }
+}
+
+impl Submission {
+    /// Takes in a page; whether the result is whole, none if it can't be used.
+    fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Option<bool> {
+        let number = |name| resp::field(fields, name).map_or(Some(1), |n| n.parse::<usize>().ok());
+        let at = if first {
+            let pages = number("batches").filter(|n| (1..=MOST_PAGES).contains(n))?;
+            if !self.pages.is_empty() {
+                return Some(false);
+            }
+            self.pages.resize(pages, None);
+            self.missing = pages;
+            0
+        } else {
+            number("batch")?
+        };
+        let rows = json_rows(page)?;
+        let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
+        if size + rows.len() > MOST_RESULT {
+            return None;
+        }
+        let place = self.pages.get_mut(at)?;
+        if place.replace(rows).is_none() {
+            self.missing -= 1;
+        }
+        Some(self.missing == 0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn link() -> Link {
+        let mut link = Link::new(0.0);
+        link.state = State::Up;
+        link
+    }
+
+    fn submit(link: &mut Link, id: &str, query: u64) {
+        link.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), Submission::new(query, 0, 5.0, 90.0));
+    }
+
+    fn hear(link: &mut Link, parts: &[&[u8]]) -> Heard {
+        let mut bytes = Vec::new();
+        resp::write(&mut bytes, parts, None);
+        let frame = resp::parse(&bytes).unwrap().unwrap();
+        link.hear(&frame, 9.0)
+    }
+
+    fn waiting(link: &Link) -> String {
+        let mut slices = Vec::new();
+        link.slices(&mut slices, 64);
+        slices.iter().map(|slice| String::from_utf8_lossy(slice)).collect()
+    }
+
+    #[test]
+    fn a_result_of_several_pages_is_fetched_whole_and_in_order() {
+        let mut link = link();
+        submit(&mut link, "i1", 4);
+        let request = waiting(&link);
+        assert_eq!(request, "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n");
+        link.wrote(request.len() - 1);
+        assert!(!link.went_out("i1"));
+        link.wrote(1);
+        assert!(link.went_out("i1"));
+        assert_eq!(hear(&mut link, &[b"i1", b"DONE", b"batches=3", b"a\n"]), Heard::Nothing);
+        assert_eq!(waiting(&link).matches("more").count(), 2);
+        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
+        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
+        let pages = ["[\"a\"]", "[\"b\"]", "[\"c\"]"].map(|page| page.as_bytes().to_vec()).to_vec();
+        let (query, submission, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
+        let whole = Heard::Closed { query, submission, outcome, sent, pages };
+        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=1", b"b\n"]), whole);
+        assert!(waiting(&link).contains("done") && link.out() == 0);
+        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=1", b"b\n"]), Heard::Nothing);
+    }
+
+    #[test]
+    fn answers_that_cannot_be_used_are_errors() {
+        let cases: [&[&[u8]]; 5] = [
+            &[b"i1", b"BROKE", b"-", b""],
+            &[b"i1", b"DONE", b"batches=0", b"a\n"],
+            &[b"i1", b"DONE", b"batches=100000", b"a\n"],
+            &[b"i1", b"DONE", b"batches=1", b"\xff\n"],
+            &[b"i1", b"MORE", b"batch=7", b"a\n"],
+        ];
+        for parts in cases {
+            let mut link = link();
+            submit(&mut link, "i1", 4);
+            let heard = hear(&mut link, parts);
+            assert!(matches!(heard, Heard::Closed { outcome: Outcome::Error, .. }), "{heard:?}");
+        }
+        assert_eq!(hear(&mut link(), &[]), Heard::Nothing);
+        assert_eq!(hear(&mut link(), &[b"\xff", b"DONE"]), Heard::Nothing);
+    }
+
+    #[test]
+    fn what_was_not_begun_is_taken_back_and_the_rest_is_aborted() {
+        let mut link = link();
+        submit(&mut link, "i1", 4);
+        submit(&mut link, "i2", 5);
+        link.wrote(3);
+        assert!(link.give_up("i2", 6.0).is_some_and(|(s, begun)| s.query == 5 && !begun));
+        assert!(link.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
+        assert!(link.give_up("i1", 6.0).is_none());
+        let text = waiting(&link);
+        assert!(
+            text.starts_with("$5\r\nfetch") == false && text.contains("abort") && !text.contains("i2"),
+            "{text}"
+        );
+        link.wrote(text.len());
+        assert!(!link.has_waiting() && link.waiting_bytes == 0 && link.out() == 0);
+    }
+
+    #[test]
+    fn notes_and_probes_are_told_apart() {
+        let mut link = link();
+        submit(&mut link, "i1", 4);
+        link.probe("t1".into(), 6.0, 250.0);
+        let told = Heard::Noted { query: 4, submission: 0, note: Note::Progress, amount: 0.5 };
+        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]), told);
+        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"-", b""]), Heard::Nothing);
+        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]), Heard::Nothing);
+        assert_eq!(hear(&mut link, &[b"t1", b"UNFIT", b"-", b""]), Heard::Probed(Outcome::Error));
+        assert_eq!(hear(&mut link, &[b"t1", b"FIT", b"-", b""]), Heard::Nothing);
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/rows.rs
@@ -0,0 +1,40 @@
+//! Turns a page of rows (tabs between columns, a line feed after each row) into JSON arrays of strings.
+
+/// The rows as `["a","b"],["c","d"]`; none if the page is not text or its last row is cut off.
+pub fn json_rows(page: &[u8]) -> Option<Vec<u8>> {
+    let text = std::str::from_utf8(page).ok()?;
+    let Some(rows) = text.strip_suffix('\n') else { return text.is_empty().then(Vec::new) };
+    let mut json = Vec::with_capacity(page.len() + page.len() / 2 + 8);
+    for (r, row) in rows.split('\n').enumerate() {
+        json.extend_from_slice(if r > 0 { b",[" } else { b"[" });
+        for (c, column) in row.split('\t').enumerate() {
+            json.extend_from_slice(if c > 0 { b",\"" } else { b"\"" });
+            for &byte in column.as_bytes() {
+                match byte {
+                    b'"' | b'\\' => json.extend_from_slice(&[b'\\', byte]),
+                    0..=0x1f => json.extend_from_slice(format!("\\u{byte:04x}").as_bytes()),
+                    _ => json.push(byte),
+                }
+            }
+            json.push(b'"');
+        }
+        json.push(b']');
+    }
+    Some(json)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::json_rows;
+
+    #[test]
+    fn rows_come_out_unchanged_and_what_is_no_page_does_not() {
+        let json = json_rows("a\t1\tx\"\\\r\nb\t\té\n".as_bytes()).unwrap();
+        let read: Vec<Vec<String>> =
+            serde_json::from_slice(&[b"[".as_slice(), &json, b"]"].concat()).unwrap();
+        assert_eq!(read, [["a", "1", "x\"\\\r"], ["b", "", "é"]]);
+        assert_eq!(json_rows(b""), Some(Vec::new()));
+        assert_eq!(json_rows(b"\n"), Some(b"[\"\"]".to_vec()));
+        assert_eq!((json_rows(b"a\tb"), json_rows(b"\xff\n")), (None, None));
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/exchange.rs
@@ -0,0 +1,320 @@
+//! The one place where client side and engine side meet: the queries in hand, what came in and waits for the next
+//! round, and what was decided and waits to be carried out. No I/O.
+
+use crate::bell::Bell;
+use crate::counters::Counters;
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tansymux::interface::{EngineStatus, ListForm, Note, Outcome};
+
+/// Queries in hand at most; what comes beyond is turned away at the door.
+pub const MOST_QUERIES: usize = 4096;
+/// Statements and results in hand at most, in bytes.
+pub const MOST_BYTES: usize = 48 << 20;
+
+/// A result's pages, as rows in JSON.
+pub type Pages = Vec<Vec<u8>>;
+
+/// An entry of the list of engines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    pub node: u64,
+    pub address: Option<SocketAddr>,
+    pub kind: String,
+    pub hall: String,
+    pub cell: u32,
+    pub status: EngineStatus,
+    pub started: Option<f64>,
+}
+
+/// What came in since the last round.
+#[derive(Debug)]
+pub enum Event {
+    Query { query: u64, customer: Rc<str>, cost: f64, memory: f64, tables: u32 },
+    Vanished { query: u64 },
+    Closed { query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages },
+    Noted { query: u64, submission: usize, note: Note, amount: f64 },
+    Probed { node: u64, outcome: Outcome },
+    List { form: ListForm, engines: Vec<Listed> },
+    Told { peer: u32, content: Vec<u8> },
+}
+
+/// What was decided and waits for the engine side.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    Submit { query: u64, submission: usize, node: u64, until: f64 },
+    Cancel { query: u64, submission: usize },
+    Renice { query: u64, priority: u8 },
+    Probe { node: u64 },
+}
+
+#[derive(Debug)]
+pub enum Answer {
+    Finished(Pages),
+    Deferred(f64),
+    Killed,
+}
+
+/// Where the client's connection waits for its answer.
+#[derive(Default)]
+pub struct Slot {
+    pub bell: Bell,
+    answer: RefCell<Option<Answer>>,
+}
+
+impl Slot {
+    pub fn take(&self) -> Option<Answer> {
+        self.answer.borrow_mut().take()
+    }
+}
+
+pub struct Query {
+    /// Id and resource group as the client sent them.
+    pub id: Rc<str>,
+    pub rg: Rc<str>,
+    pub statement: Rc<[u8]>,
+    pub due: f64,
+    /// What the next submissions are granted, if anything was said.
+    pub granted: Option<(u8, f64)>,
+    submissions: usize,
+    out: bool,
+    /// Where the answer goes; none once it was given or the client left.
+    slot: Option<Rc<Slot>>,
+}
+
+#[derive(Default)]
+pub struct Exchange {
+    pub bell: Rc<Bell>,
+    pub counters: Counters,
+    queries: RefCell<FxHashMap<u64, Query>>,
+    ids: RefCell<FxHashMap<Rc<str>, u64>>,
+    next: Cell<u64>,
+    bytes: Cell<usize>,
+    events: RefCell<VecDeque<Event>>,
+    orders: RefCell<VecDeque<Order>>,
+}
+
+/// A query as the client side has read it.
+pub struct Asked<'a> {
+    pub id: &'a str,
+    pub rg: &'a str,
+    pub customer: &'a str,
+    pub statement: &'a [u8],
+    pub due: f64,
+    pub cost: f64,
+    pub memory: f64,
+    pub tables: u32,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum NotTaken {
+    InHand,
+    NoRoom,
+}
+
+impl Exchange {
+    // ---- Client side ----
+
+    /// Takes a query in; its number, and where its answer will come.
+    pub fn take(&self, asked: &Asked) -> Result<(u64, Rc<Slot>), NotTaken> {
+        if self.ids.borrow().contains_key(asked.id) {
+            return Err(NotTaken::InHand);
+        }
+        let bytes = self.bytes.get() + asked.statement.len();
+        if self.queries.borrow().len() >= MOST_QUERIES || bytes > MOST_BYTES {
+            return Err(NotTaken::NoRoom);
+        }
+        self.bytes.set(bytes);
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        let (id, slot): (Rc<str>, _) = (asked.id.into(), Rc::new(Slot::default()));
+        let query = Query {
+            id: id.clone(),
+            rg: asked.rg.into(),
+            statement: asked.statement.into(),
+            due: asked.due,
+            granted: None,
+            submissions: 0,
+            out: false,
+            slot: Some(slot.clone()),
+        };
+        self.queries.borrow_mut().insert(number, query);
+        self.ids.borrow_mut().insert(id, number);
+        self.counters.taken.add();
+        let &Asked { cost, memory, tables, .. } = asked;
+        self.happened(Event::Query { query: number, customer: asked.customer.into(), cost, memory, tables });
+        Ok((number, slot))
+    }
+
+    /// The client is gone. No answer is owed then, and none is given.
+    pub fn vanished(&self, number: u64) {
+        let gone = self.queries.borrow_mut().get_mut(&number).and_then(|q| q.slot.take());
+        if gone.is_some() {
+            self.counters.vanished.add();
+            self.happened(Event::Vanished { query: number });
+        }
+    }
+
+    // ---- Both sides and what lies beside them ----
+
+    pub fn happened(&self, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        self.bell.ring();
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.queries.borrow().len()
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.queries.borrow().values().filter(|q| q.slot.is_some()).count()
+    }
+
+    /// Reads a query in hand.
+    pub fn with<T>(&self, number: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
+        self.queries.borrow().get(&number).map(read)
+    }
+
+    // ---- Driver ----
+
+    pub fn next_event(&self) -> Option<Event> {
+        self.events.borrow_mut().pop_front()
+    }
+
+    pub fn next_order(&self) -> Option<Order> {
+        self.orders.borrow_mut().pop_front()
+    }
+
+    /// Every final answer passes here, once: false if one was given or none is owed.
+    pub fn answer(&self, number: u64, answer: Answer) -> bool {
+        let slot = self.queries.borrow_mut().get_mut(&number).and_then(|q| q.slot.take());
+        let Some(slot) = slot else { return false };
+        match answer {
+            Answer::Finished(_) => &self.counters.finished,
+            Answer::Deferred(_) => &self.counters.deferred,
+            Answer::Killed => &self.counters.killed,
+        }
+        .add();
+        *slot.answer.borrow_mut() = Some(answer);
+        slot.bell.ring();
+        self.leave(number);
+        true
+    }
+
+    /// Whether the query's final answer was given, or none is owed.
+    pub fn over(&self, number: u64) -> bool {
+        self.queries.borrow().get(&number).is_none_or(|q| q.slot.is_none())
+    }
+
+    /// Every submission passes here: none for a query that is over, or has one out.
+    pub fn submit(&self, number: u64, node: u64, until: f64) {
+        let mut queries = self.queries.borrow_mut();
+        let Some(q) = queries.get_mut(&number).filter(|q| q.slot.is_some() && !q.out) else {
+            crate::log!("a submission for a query that is over or has one out was not sent");
+            return;
+        };
+        let submission = q.submissions;
+        (q.submissions, q.out) = (submission + 1, true);
+        self.counters.submissions.add();
+        self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, until });
+    }
+
+    pub fn cancel(&self, number: u64, submission: usize) {
+        self.orders.borrow_mut().push_back(Order::Cancel { query: number, submission });
+    }
+
+    pub fn probe(&self, node: u64) {
+        self.counters.probes.add();
+        self.orders.borrow_mut().push_back(Order::Probe { node });
+    }
+
+    /// Names what the next submissions get; one that is out takes on a new priority.
+    pub fn grant(&self, number: u64, priority: u8, memory: f64) {
+        let mut queries = self.queries.borrow_mut();
+        let Some(q) = queries.get_mut(&number) else { return };
+        let before = q.granted.replace((priority, memory));
+        if q.out && before.is_some_and(|(p, _)| p != priority) {
+            self.orders.borrow_mut().push_back(Order::Renice { query: number, priority });
+        }
+    }
+
+    /// A submission's end was told to the decisions.
+    pub fn closed(&self, number: u64) {
+        if let Some(q) = self.queries.borrow_mut().get_mut(&number) {
+            q.out = false;
+        }
+        self.leave(number);
+    }
+
+    /// Forgets a query that is over and has no submission out.
+    pub fn leave(&self, number: u64) {
+        let mut queries = self.queries.borrow_mut();
+        if queries.get(&number).is_some_and(|q| q.slot.is_none() && !q.out) {
+            if let Some(q) = queries.remove(&number) {
+                self.ids.borrow_mut().remove(&q.id);
+                self.bytes.set(self.bytes.get().saturating_sub(q.statement.len()));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ASKED: Asked = Asked {
+        id: "9b1f03aa5c7e2d41",
+        rg: "look",
+        customer: "acme",
+        statement: b"SELECT 1",
+        due: 100.0,
+        cost: 1.0,
+        memory: 1.0,
+        tables: 1,
+    };
+
+    #[test]
+    fn a_query_gets_one_answer_and_nothing_is_sent_after_it() {
+        let exchange = Exchange::default();
+        let (query, slot) = exchange.take(&ASKED).unwrap();
+        assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::InHand));
+        exchange.submit(query, 7, 90.0);
+        exchange.submit(query, 8, 90.0);
+        assert_eq!(exchange.next_order(), Some(Order::Submit { query, submission: 0, node: 7, until: 90.0 }));
+        assert_eq!(exchange.next_order(), None);
+        assert!(exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0)));
+        assert!(matches!(slot.take(), Some(Answer::Killed)));
+        exchange.submit(query, 7, 90.0);
+        assert_eq!((exchange.next_order(), exchange.in_hand()), (None, 1));
+        exchange.closed(query);
+        assert_eq!(exchange.in_hand(), 0);
+        assert!(exchange.take(&ASKED).is_ok());
+    }
+
+    #[test]
+    fn a_client_that_left_is_owed_nothing() {
+        let exchange = Exchange::default();
+        let (query, slot) = exchange.take(&ASKED).unwrap();
+        exchange.vanished(query);
+        exchange.vanished(query);
+        assert!(!exchange.answer(query, Answer::Killed) && slot.take().is_none());
+        let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
+        assert!(matches!(events[..], [Event::Query { .. }, Event::Vanished { .. }]));
+        exchange.leave(query);
+        assert_eq!(exchange.in_hand(), 0);
+    }
+
+    #[test]
+    fn a_new_priority_reaches_a_submission_that_is_out() {
+        let exchange = Exchange::default();
+        let (query, _slot) = exchange.take(&ASKED).unwrap();
+        exchange.grant(query, 3, 0.0);
+        exchange.submit(query, 7, 90.0);
+        exchange.grant(query, 1, 0.0);
+        exchange.next_order();
+        assert_eq!(exchange.next_order(), Some(Order::Renice { query, priority: 1 }));
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/peers.rs
@@ -0,0 +1,60 @@
+//! Messages between dispatchers: small datagrams, late or lost.
+
+use crate::exchange::{Event, Exchange};
+use crate::log;
+use async_io::{Async, Timer};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+pub const MOST_MESSAGE: usize = 256;
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub struct Peers {
+    exchange: Rc<Exchange>,
+    socket: Async<UdpSocket>,
+    each: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    pub fn bind(
+        exchange: Rc<Exchange>, listen: SocketAddr, each: Vec<SocketAddr>, all: Option<SocketAddr>,
+    ) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Peers { exchange, socket: Async::<UdpSocket>::bind(listen)?, each, all }))
+    }
+
+    /// Sends to one dispatcher, or to all; what can't be sent at once is lost, as on the way.
+    pub fn send(&self, peer: Option<u32>, content: &[u8]) {
+        let to = match peer {
+            Some(peer) => self.each.get(peer as usize).copied(),
+            None => self.all,
+        };
+        let Some(to) = to.filter(|_| content.len() <= MOST_MESSAGE) else { return };
+        match self.socket.get_ref().send_to(content, to) {
+            Ok(_) => self.exchange.counters.messages_sent.add(),
+            Err(e) => log!("a message to {to} was not sent: {e}"),
+        }
+    }
+
+    /// Hears messages until dropped.
+    pub async fn listen(self: Rc<Self>) {
+        let mut bytes = [0; MOST_MESSAGE + 1];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((count, from)) if count <= MOST_MESSAGE => {
+                    let Some(peer) = self.each.iter().position(|address| *address == from) else { continue };
+                    self.exchange.counters.messages_heard.add();
+                    self.exchange
+                        .happened(Event::Told { peer: peer as u32, content: bytes[..count].to_vec() });
+                }
+                Ok(_) => {}
+                Err(e) => {
+                    log!("messages could not be heard: {e}");
+                    Timer::after(PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- a/src/told.rs
+++ b/src/told.rs
@@ -43,6 +43,35 @@
     }
 }
 
+/// Takes in one setting: spaces and commas within a value are replaced, as on the wire.
+pub fn put(map: &mut Map, path: &str, value: &str) {
+    map.insert(path.to_owned(), value.replace([' ', ','], "_"));
+}
+
+/// Takes in a list of plain values, joined with commas.
+pub fn put_list(map: &mut Map, path: &str, values: impl Iterator<Item = String>) {
+    let values: Vec<String> = values.map(|value| value.replace([' ', ','], "_")).collect();
+    map.insert(path.to_owned(), values.join(","));
+}
+
+/// The path of the `i`-th object of a list; their number stands under `count_of`.
+pub fn item_of(path: &str, i: usize) -> String {
+    format!("{path}.{i}")
+}
+
+pub fn count_of(path: &str) -> String {
+    format!("{path}.count")
+}
+
+/// Reads settings that are already flat: pairs of path and value, set apart by spaces.
+pub fn read_pairs(text: &str) -> Result<Map, String> {
+    let pairs = text.split(' ').filter(|pair| !pair.is_empty());
+    pairs
+        .map(|pair| pair.split_once('=').ok_or_else(|| format!("setting {pair:?} has no value")))
+        .map(|pair| pair.map(|(path, value)| (path.to_owned(), value.to_owned())))
+        .collect()
+}
+
 pub fn is_true(value: &str) -> bool {
     matches!(value, "true" | "1")
 }
