--- a/crates/dispatcher/src/client/statement.rs
+++ b/crates/dispatcher/src/client/statement.rs
@@ -107,11 +107,11 @@
                     at_table = false;
                     continue;
                 }
-                let word = |known: &&str| name.eq_ignore_ascii_case(known.as_bytes());
-                at_table = BEFORE_TABLE.iter().any(|known| word(&known));
+                let word = |known: &str| name.eq_ignore_ascii_case(known.as_bytes());
+                at_table = BEFORE_TABLE.iter().any(|known| word(known));
                 // Behind a table's alias a comma brings the next table; another clause ends the list.
                 let ends = ["where", "group", "order", "set", "values", "select", "on", "having", "limit"];
-                in_list = at_table || in_list && !ends.iter().any(|known| word(&known));
+                in_list = at_table || in_list && !ends.iter().any(|known| word(known));
             }
         }
     }
--- a/crates/dispatcher/src/engine/link.rs
+++ b/crates/dispatcher/src/engine/link.rs
@@ -353,10 +353,7 @@
         assert!(link.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
         assert!(link.give_up("i1", 6.0).is_none());
         let text = waiting(&link);
-        assert!(
-            text.starts_with("$5\r\nfetch") == false && text.contains("abort") && !text.contains("i2"),
-            "{text}"
-        );
+        assert!(!text.starts_with("$5\r\nfetch") && text.contains("abort") && !text.contains("i2"), "{text}");
         link.wrote(text.len());
         assert!(!link.has_waiting() && link.waiting_bytes == 0 && link.out() == 0);
     }
