--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -191,7 +191,7 @@
                 if let Some(answer) = slot.take() {
                     return Some(answer);
                 }
-                slot.bell.rung().await;
+                slot.notify.notified().await;
             }
         };
         let left = async {
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -30,7 +30,7 @@
 
 /// All that a dispatcher is told at its start.
 #[derive(Debug)]
-pub struct Config {
+pub struct Launch {
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
@@ -44,7 +44,7 @@
 }
 
 /// Reads the configuration that the environment names.
-pub fn read() -> Result<Config, String> {
+pub fn read() -> Result<Launch, String> {
     let path = std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
     let size = std::fs::metadata(&path).map_err(|e| format!("{CONFIG_VARIABLE} {path}: {e}"))?.len();
     if size > MOST_BYTES {
@@ -109,7 +109,7 @@
     }
 }
 
-pub fn parse(text: &str, listen: Option<&str>) -> Result<Config, String> {
+pub fn parse(text: &str, listen: Option<&str>) -> Result<Launch, String> {
     let value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
     let root = At { path: String::new(), value: Some(&value) };
     if !value.is_object() {
@@ -134,7 +134,7 @@
         connect_timeout: setting("connect-timeout-us").number_or(DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0)? / 1e3,
         idle: setting("conn-idle-us").number_or(DEFAULT_IDLE * 1e3, 1.0)? / 1e3,
         streams: setting("streams-per-conn").number_or(DEFAULT_STREAMS, 1.0)? as usize,
-        most_links: (sockets * ENGINES_PART) as usize,
+        most_connections: (sockets * ENGINES_PART) as usize,
     };
     let peers = root.key("peer_listen").maybe(|key| {
         let listen = key.address()?;
@@ -142,7 +142,7 @@
         let each = each.iter().map(At::address).collect::<Result<Vec<_>, _>>()?;
         Ok(PeerAddresses { listen, each, all: root.key("peers_all").maybe(At::address)? })
     })?;
-    Ok(Config {
+    Ok(Launch {
         name: root.key("name").maybe(At::text)?.unwrap_or("").to_owned(),
         listen,
         seed: hex,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -1,13 +1,13 @@
 //! The program as one object whose phases are named states, and the driver that calls the decisions.
 
-use crate::bell::Rings;
 use crate::client::ClientSide;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::Launch;
 use crate::engine::EngineSide;
 use crate::exchange::{Answer, Event, Exchange};
 use crate::log;
 use crate::names;
+use crate::notify::Notifications;
 use crate::peers::Peers;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -67,7 +67,7 @@
 }
 
 impl Dispatcher {
-    pub fn start(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<Self, String> {
+    pub fn start(config: Launch, executor: Rc<LocalExecutor<'static>>) -> Result<Self, String> {
         let clock = Clock::start();
         let exchange = Rc::new(Exchange::default());
         let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
@@ -105,7 +105,7 @@
                 futures_lite::stream::pending().boxed_local()
             }
         };
-        let events = Rings(self.exchange.bell.clone()).map(|()| Stir::Events);
+        let events = Notifications(self.exchange.notify.clone()).map(|()| Stir::Events);
         let mut stirs = std::pin::pin!(futures_lite::stream::or(told_to_end, events));
         while self.phase != Phase::Ended {
             let wake = self.turn();
--- a/crates/dispatcher/src/engine/link.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -70,7 +70,7 @@
 }
 
 #[derive(Debug)]
-pub struct Link {
+pub struct Connection {
     pub state: State,
     /// When bytes last came, and when it last had something out.
     pub heard: f64,
@@ -86,9 +86,9 @@
     written: usize,
 }
 
-impl Link {
+impl Connection {
     pub fn new(now: f64) -> Self {
-        Link {
+        Connection {
             state: State::Connecting,
             heard: now,
             used: now,
@@ -279,49 +279,54 @@
 mod tests {
     use super::*;
 
-    fn link() -> Link {
-        let mut link = Link::new(0.0);
-        link.state = State::Up;
-        link
+    fn connection() -> Connection {
+        let mut connection = Connection::new(0.0);
+        connection.state = State::Up;
+        connection
     }
 
-    fn submit(link: &mut Link, id: &str, query: u64) {
-        link.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), Submission::new(query, 0, 5.0, 90.0));
+    fn submit(connection: &mut Connection, id: &str, query: u64) {
+        connection.submit(
+            &id.into(),
+            "cls=a",
+            b"SELECT 1".as_slice().into(),
+            Submission::new(query, 0, 5.0, 90.0),
+        );
     }
 
-    fn hear(link: &mut Link, parts: &[&[u8]]) -> Heard {
+    fn hear(connection: &mut Connection, parts: &[&[u8]]) -> Heard {
         let mut bytes = Vec::new();
         resp::write(&mut bytes, parts, None);
         let frame = resp::parse(&bytes).unwrap().unwrap();
-        link.hear(&frame, 9.0)
+        connection.hear(&frame, 9.0)
     }
 
-    fn waiting(link: &Link) -> String {
+    fn waiting(connection: &Connection) -> String {
         let mut slices = Vec::new();
-        link.slices(&mut slices, 64);
+        connection.slices(&mut slices, 64);
         slices.iter().map(|slice| String::from_utf8_lossy(slice)).collect()
     }
 
     #[test]
     fn a_result_of_several_pages_is_fetched_whole_and_in_order() {
-        let mut link = link();
-        submit(&mut link, "i1", 4);
-        let request = waiting(&link);
+        let mut connection = connection();
+        submit(&mut connection, "i1", 4);
+        let request = waiting(&connection);
         assert_eq!(request, "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n");
-        link.wrote(request.len() - 1);
-        assert!(!link.went_out("i1"));
-        link.wrote(1);
-        assert!(link.went_out("i1"));
-        assert_eq!(hear(&mut link, &[b"i1", b"DONE", b"batches=3", b"a\n"]), Heard::Nothing);
-        assert_eq!(waiting(&link).matches("more").count(), 2);
-        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
-        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
+        connection.wrote(request.len() - 1);
+        assert!(!connection.went_out("i1"));
+        connection.wrote(1);
+        assert!(connection.went_out("i1"));
+        assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\n"]), Heard::Nothing);
+        assert_eq!(waiting(&connection).matches("more").count(), 2);
+        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
+        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
         let pages = ["[\"a\"]", "[\"b\"]", "[\"c\"]"].map(|page| page.as_bytes().to_vec()).to_vec();
         let (query, submission, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
         let whole = Heard::Closed { query, submission, outcome, sent, pages };
-        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=1", b"b\n"]), whole);
-        assert!(waiting(&link).contains("done") && link.out() == 0);
-        assert_eq!(hear(&mut link, &[b"i1", b"MORE", b"batch=1", b"b\n"]), Heard::Nothing);
+        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]), whole);
+        assert!(waiting(&connection).contains("done") && connection.out() == 0);
+        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]), Heard::Nothing);
     }
 
     #[test]
@@ -334,40 +339,40 @@
             &[b"i1", b"MORE", b"batch=7", b"a\n"],
         ];
         for parts in cases {
-            let mut link = link();
-            submit(&mut link, "i1", 4);
-            let heard = hear(&mut link, parts);
+            let mut connection = connection();
+            submit(&mut connection, "i1", 4);
+            let heard = hear(&mut connection, parts);
             assert!(matches!(heard, Heard::Closed { outcome: Outcome::Error, .. }), "{heard:?}");
         }
-        assert_eq!(hear(&mut link(), &[]), Heard::Nothing);
-        assert_eq!(hear(&mut link(), &[b"\xff", b"DONE"]), Heard::Nothing);
+        assert_eq!(hear(&mut connection(), &[]), Heard::Nothing);
+        assert_eq!(hear(&mut connection(), &[b"\xff", b"DONE"]), Heard::Nothing);
     }
 
     #[test]
     fn what_was_not_begun_is_taken_back_and_the_rest_is_aborted() {
-        let mut link = link();
-        submit(&mut link, "i1", 4);
-        submit(&mut link, "i2", 5);
-        link.wrote(3);
-        assert!(link.give_up("i2", 6.0).is_some_and(|(s, begun)| s.query == 5 && !begun));
-        assert!(link.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
-        assert!(link.give_up("i1", 6.0).is_none());
-        let text = waiting(&link);
+        let mut connection = connection();
+        submit(&mut connection, "i1", 4);
+        submit(&mut connection, "i2", 5);
+        connection.wrote(3);
+        assert!(connection.give_up("i2", 6.0).is_some_and(|(s, begun)| s.query == 5 && !begun));
+        assert!(connection.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
+        assert!(connection.give_up("i1", 6.0).is_none());
+        let text = waiting(&connection);
         assert!(!text.starts_with("$5\r\nfetch") && text.contains("abort") && !text.contains("i2"), "{text}");
-        link.wrote(text.len());
-        assert!(!link.has_waiting() && link.waiting_bytes == 0 && link.out() == 0);
+        connection.wrote(text.len());
+        assert!(!connection.has_waiting() && connection.waiting_bytes == 0 && connection.out() == 0);
     }
 
     #[test]
     fn notes_and_probes_are_told_apart() {
-        let mut link = link();
-        submit(&mut link, "i1", 4);
-        link.probe("t1".into(), 6.0, 250.0);
+        let mut connection = connection();
+        submit(&mut connection, "i1", 4);
+        connection.probe("t1".into(), 6.0, 250.0);
         let told = Heard::Noted { query: 4, submission: 0, note: Note::Progress, amount: 0.5 };
-        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]), told);
-        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"-", b""]), Heard::Nothing);
-        assert_eq!(hear(&mut link, &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]), Heard::Nothing);
-        assert_eq!(hear(&mut link, &[b"t1", b"UNFIT", b"-", b""]), Heard::Probed(Outcome::Error));
-        assert_eq!(hear(&mut link, &[b"t1", b"FIT", b"-", b""]), Heard::Nothing);
+        assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]), told);
+        assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"-", b""]), Heard::Nothing);
+        assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]), Heard::Nothing);
+        assert_eq!(hear(&mut connection, &[b"t1", b"UNFIT", b"-", b""]), Heard::Probed(Outcome::Error));
+        assert_eq!(hear(&mut connection, &[b"t1", b"FIT", b"-", b""]), Heard::Nothing);
     }
 }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -1,19 +1,19 @@
 //! Engine side: carries out submissions, cancels and probes on connections to the engines, and tells the exchange
 //! how they ended.
 
-mod link;
+mod connection;
 mod resp;
 mod rows;
 
-use crate::bell::Bell;
 use crate::clock::Clock;
 use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
 use crate::log;
 use crate::net::{poll_gathered, MOST_SLICES};
+use crate::notify::Notify;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use connection::{Connection, Heard, State, Submission};
 use futures_lite::{future, AsyncReadExt};
-use link::{Heard, Link, State, Submission};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tansymux::interface::{EngineStatus, Outcome};
 
-const MOST_LINKS_AN_ENGINE: usize = 12;
+const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
 const READ_AT_ONCE: usize = 32 * 1024;
 const MOST_INBOX: usize = 1 << 20;
 /// Part of the told idle time after which a connection is closed from here, before the engine does.
@@ -37,20 +37,20 @@
     pub connect_timeout: f64,
     pub idle: f64,
     pub streams: usize,
-    pub most_links: usize,
+    pub most_connections: usize,
 }
 
-struct Station {
+struct Engine {
     address: Option<SocketAddr>,
     started: Option<f64>,
-    links: Vec<Rc<Wire>>,
+    connections: Vec<Rc<Channel>>,
 }
 
-/// A connection: what it carries, and the bell for its writer.
-struct Wire {
+/// A connection: what it carries, and what wakes its writer.
+struct Channel {
     node: u64,
-    link: RefCell<Link>,
-    bell: Bell,
+    connection: RefCell<Connection>,
+    notify: Notify,
 }
 
 pub struct EngineSide {
@@ -58,34 +58,33 @@
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
     terms: Terms,
-    stations: RefCell<FxHashMap<u64, Station>>,
+    engines: RefCell<FxHashMap<u64, Engine>>,
     tags: Cell<u64>,
-    links: Cell<usize>,
+    connections: Cell<usize>,
 }
 
 impl EngineSide {
     pub fn new(
         exchange: Rc<Exchange>, clock: Clock, executor: Rc<LocalExecutor<'static>>, terms: Terms,
     ) -> Rc<Self> {
-        let (stations, tags, links) = Default::default();
-        Rc::new(EngineSide { exchange, clock, executor, terms, stations, tags, links })
+        let (engines, tags, connections) = Default::default();
+        Rc::new(EngineSide { exchange, clock, executor, terms, engines, tags, connections })
     }
 
-    /// Follows the list: connections to an engine that moved or started anew are retired.
-    pub fn listed(&self, engine: &Listed) {
-        let mut stations = self.stations.borrow_mut();
-        let fresh = || Station { address: engine.address, started: engine.started, links: Vec::new() };
-        let station = stations.entry(engine.node).or_insert_with(fresh);
-        let moved = engine.address.is_some() && engine.address != station.address;
-        if engine.status == EngineStatus::Gone {
-            station.links.iter().for_each(|wire| wire.retire());
-            if station.links.is_empty() {
-                stations.remove(&engine.node);
-            }
-        } else if moved || engine.started.is_some() && engine.started != station.started {
-            station.address = engine.address.or(station.address);
-            station.started = engine.started;
-            station.links.iter().for_each(|wire| wire.retire());
+    /// Follows the list: connections to an engine that is gone, moved or started anew are retired.
+    pub fn listed(&self, told: &Listed) {
+        let mut engines = self.engines.borrow_mut();
+        let fresh = || Engine { address: told.address, started: told.started, connections: Vec::new() };
+        let engine = engines.entry(told.node).or_insert_with(fresh);
+        let gone = told.status == EngineStatus::Gone;
+        let moved = told.address.is_some() && told.address != engine.address;
+        if gone || moved || told.started.is_some() && told.started != engine.started {
+            engine.address = told.address.or(engine.address);
+            engine.started = told.started;
+            engine.connections.iter().for_each(|channel| channel.retire());
+        }
+        if gone && engine.connections.is_empty() {
+            engines.remove(&told.node);
         }
     }
 
@@ -111,75 +110,87 @@
         else {
             return;
         };
-        let Some(wire) = self.link_for(node, &id) else {
+        let Some(channel) = self.channel_for(node, &id) else {
             return self.closed(query, number, Outcome::NoConnection, node, 0.0, Pages::new());
         };
-        wire.link.borrow_mut().submit(&id, &fields, statement, Submission::new(query, number, now, until));
-        wire.bell.ring();
+        channel.connection.borrow_mut().submit(
+            &id,
+            &fields,
+            statement,
+            Submission::new(query, number, now, until),
+        );
+        channel.notify.notify();
     }
 
     /// A connection that can carry this: one that is up, else one that is coming, else a new one.
-    fn link_for(self: &Rc<Self>, node: u64, id: &str) -> Option<Rc<Wire>> {
-        let mut stations = self.stations.borrow_mut();
-        let station = stations.get_mut(&node)?;
+    fn channel_for(self: &Rc<Self>, node: u64, id: &str) -> Option<Rc<Channel>> {
+        let mut engines = self.engines.borrow_mut();
+        let engine = engines.get_mut(&node)?;
         for state in [State::Up, State::Connecting] {
-            let takes = |wire: &&Rc<Wire>| {
-                let link = wire.link.borrow();
-                link.state == state && link.takes(id, self.terms.streams)
+            let takes = |channel: &&Rc<Channel>| {
+                let connection = channel.connection.borrow();
+                connection.state == state && connection.takes(id, self.terms.streams)
             };
-            if let Some(wire) = station.links.iter().find(takes) {
-                return Some(wire.clone());
+            if let Some(channel) = engine.connections.iter().find(takes) {
+                return Some(channel.clone());
             }
         }
-        let address = station.address?;
-        if station.links.len() >= MOST_LINKS_AN_ENGINE || self.links.get() >= self.terms.most_links {
+        let address = engine.address?;
+        if engine.connections.len() >= MOST_CONNECTIONS_AN_ENGINE
+            || self.connections.get() >= self.terms.most_connections
+        {
             log!("no further connection to engine {node:08x}: too many are open");
             return None;
         }
-        let (link, bell) = (RefCell::new(Link::new(self.clock.now())), Bell::default());
-        let wire = Rc::new(Wire { node, link, bell });
-        station.links.push(wire.clone());
-        self.links.set(self.links.get() + 1);
+        let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
+        let channel = Rc::new(Channel { node, connection, notify });
+        engine.connections.push(channel.clone());
+        self.connections.set(self.connections.get() + 1);
         self.exchange.counters.connections_to_engines.add();
-        self.executor.spawn(self.clone().run(wire.clone(), address)).detach();
-        Some(wire)
+        self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
+        Some(channel)
     }
 
-    fn find(&self, query: u64) -> Option<(Rc<Wire>, Rc<str>)> {
+    fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
         let id = self.exchange.with(query, |q| q.id.clone())?;
-        let stations = self.stations.borrow();
-        let carries = |wire: &&Rc<Wire>| {
-            wire.link.borrow().submissions.get(&id).is_some_and(|submission| submission.query == query)
+        let engines = self.engines.borrow();
+        let carries = |channel: &&Rc<Channel>| {
+            channel
+                .connection
+                .borrow()
+                .submissions
+                .get(&id)
+                .is_some_and(|submission| submission.query == query)
         };
-        let wire = stations.values().flat_map(|station| &station.links).find(carries)?.clone();
-        Some((wire, id))
+        let channel = engines.values().flat_map(|engine| &engine.connections).find(carries)?.clone();
+        Some((channel, id))
     }
 
     fn cancel(&self, query: u64, number: usize) {
-        let Some((wire, id)) = self.find(query) else { return };
-        if wire.link.borrow().submissions.get(&id).is_some_and(|s| s.number == number) {
-            self.give_up(&wire, &id, Outcome::Cancelled);
+        let Some((channel, id)) = self.find(query) else { return };
+        if channel.connection.borrow().submissions.get(&id).is_some_and(|s| s.number == number) {
+            self.give_up(&channel, &id, Outcome::Cancelled);
         }
     }
 
-    fn give_up(&self, wire: &Wire, id: &str, outcome: Outcome) {
+    fn give_up(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now = self.clock.now();
-        let mut link = wire.link.borrow_mut();
-        let Some((submission, begun)) = link.give_up(id, now) else { return };
+        let mut connection = channel.connection.borrow_mut();
+        let Some((submission, begun)) = connection.give_up(id, now) else { return };
         // Nothing came since it was sent: the connection may be dead, and the next one will tell.
-        let dead = begun && link.heard <= submission.sent && now - submission.sent > QUIET;
-        link.retired |= dead;
-        drop(link);
-        wire.bell.ring();
+        let dead = begun && connection.heard <= submission.sent && now - submission.sent > QUIET;
+        connection.retired |= dead;
+        drop(connection);
+        channel.notify.notify();
         let Submission { query, number, sent, .. } = submission;
         let outcome = if begun { outcome } else { Outcome::NoConnection };
-        self.closed(query, number, outcome, wire.node, now - sent, Pages::new());
+        self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
     }
 
     fn renice(&self, query: u64, priority: u8) {
-        if let Some((wire, id)) = self.find(query) {
-            wire.link.borrow_mut().renice(&id, priority);
-            wire.bell.ring();
+        if let Some((channel, id)) = self.find(query) {
+            channel.connection.borrow_mut().renice(&id, priority);
+            channel.notify.notify();
         }
     }
 
@@ -187,11 +198,11 @@
         let now = self.clock.now();
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
-        let Some(wire) = self.link_for(node, &tag) else {
+        let Some(channel) = self.channel_for(node, &tag) else {
             return self.exchange.happened(Event::Probed { node, outcome: Outcome::NoConnection });
         };
-        wire.link.borrow_mut().probe(tag, now, now + self.terms.connect_timeout);
-        wire.bell.ring();
+        channel.connection.borrow_mut().probe(tag, now, now + self.terms.connect_timeout);
+        channel.notify.notify();
     }
 
     fn closed(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages) {
@@ -203,37 +214,40 @@
 
     /// No submission is waited for beyond `by`.
     pub fn hasten(&self, by: f64) {
-        let stations = self.stations.borrow();
-        for wire in stations.values().flat_map(|station| &station.links) {
-            wire.link.borrow_mut().submissions.values_mut().for_each(|s| s.until = s.until.min(by));
+        let engines = self.engines.borrow();
+        for channel in engines.values().flat_map(|engine| &engine.connections) {
+            channel.connection.borrow_mut().submissions.values_mut().for_each(|s| s.until = s.until.min(by));
         }
     }
 
     /// Ends what has run out of time, closes what is idle; the next time at which something will.
     pub fn sweep(&self) -> f64 {
         let now = self.clock.now();
-        let wires: Vec<Rc<Wire>> =
-            self.stations.borrow().values().flat_map(|station| station.links.iter().cloned()).collect();
+        let channels: Vec<Rc<Channel>> =
+            self.engines.borrow().values().flat_map(|engine| engine.connections.iter().cloned()).collect();
         let mut next = f64::INFINITY;
-        for wire in wires {
+        for channel in channels {
             let late: Vec<Rc<str>> = {
-                let link = wire.link.borrow();
-                let late = link.submissions.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| id.clone());
+                let connection = channel.connection.borrow();
+                let late =
+                    connection.submissions.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| id.clone());
                 late.collect()
             };
-            late.iter().for_each(|id| self.give_up(&wire, id, Outcome::Timeout));
-            let mut link = wire.link.borrow_mut();
-            let (heard, before) = (link.heard, link.probes.len());
-            let unheard = link.probes.iter().any(|&(_, sent, until)| until <= now && heard <= sent);
-            link.probes.retain(|&(_, _, until)| until > now);
-            for _ in link.probes.len()..before {
-                self.exchange.happened(Event::Probed { node: wire.node, outcome: Outcome::Timeout });
+            late.iter().for_each(|id| self.give_up(&channel, id, Outcome::Timeout));
+            let mut connection = channel.connection.borrow_mut();
+            let (heard, before) = (connection.heard, connection.probes.len());
+            let unheard = connection.probes.iter().any(|&(_, sent, until)| until <= now && heard <= sent);
+            connection.probes.retain(|&(_, _, until)| until > now);
+            for _ in connection.probes.len()..before {
+                self.exchange.happened(Event::Probed { node: channel.node, outcome: Outcome::Timeout });
             }
-            link.retired |= unheard || link.out() == 0 && now - link.used > IDLE_PART * self.terms.idle;
-            if link.retired {
-                wire.bell.ring();
+            connection.retired |=
+                unheard || connection.out() == 0 && now - connection.used > IDLE_PART * self.terms.idle;
+            if connection.retired {
+                channel.notify.notify();
             }
-            let times = link.submissions.values().map(|s| s.until).chain(link.probes.iter().map(|p| p.2));
+            let times =
+                connection.submissions.values().map(|s| s.until).chain(connection.probes.iter().map(|p| p.2));
             next = times.fold(next, f64::min);
         }
         next
@@ -241,7 +255,7 @@
 
     // ---- A connection's life ----
 
-    async fn run(self: Rc<Self>, wire: Rc<Wire>, address: SocketAddr) {
+    async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
         let timeout = Duration::from_secs_f64((self.terms.connect_timeout / 1000.0).max(0.0));
         let too_long = async {
             Timer::after(timeout).await;
@@ -251,17 +265,17 @@
         let end = match connected {
             Ok(stream) => {
                 let now = self.clock.now();
-                wire.link.borrow_mut().state = State::Up;
-                wire.link.borrow_mut().heard = now;
+                channel.connection.borrow_mut().state = State::Up;
+                channel.connection.borrow_mut().heard = now;
                 let _ = stream.get_ref().set_nodelay(true);
-                future::or(self.read(&wire, &stream), write(&wire, &stream)).await
+                future::or(self.read(&channel, &stream), write(&channel, &stream)).await
             }
             Err(e) => Err(e),
         };
-        self.end(&wire, end);
+        self.end(&channel, end);
     }
 
-    async fn read(&self, wire: &Wire, mut stream: &Async<TcpStream>) -> io::Result<()> {
+    async fn read(&self, channel: &Channel, mut stream: &Async<TcpStream>) -> io::Result<()> {
         let (mut inbox, mut bytes) = (Vec::new(), vec![0; READ_AT_ONCE]);
         loop {
             let count = stream.read(&mut bytes).await?;
@@ -273,16 +287,16 @@
             while let Some(frame) = resp::parse(&inbox[used..]).map_err(io::Error::other)? {
                 used += frame.size;
                 let now = self.clock.now();
-                let heard = wire.link.borrow_mut().hear(&frame, now);
+                let heard = channel.connection.borrow_mut().hear(&frame, now);
                 match heard {
                     Heard::Closed { query, submission, outcome, sent, pages } => {
-                        self.closed(query, submission, outcome, wire.node, now - sent, pages);
+                        self.closed(query, submission, outcome, channel.node, now - sent, pages);
                     }
                     Heard::Noted { query, submission, note, amount } => {
                         self.exchange.happened(Event::Noted { query, submission, note, amount });
                     }
                     Heard::Probed(outcome) => {
-                        self.exchange.happened(Event::Probed { node: wire.node, outcome })
+                        self.exchange.happened(Event::Probed { node: channel.node, outcome })
                     }
                     Heard::Nothing => {}
                 }
@@ -291,64 +305,64 @@
             if inbox.len() > MOST_INBOX {
                 return Err(io::Error::other("a frame is too long"));
             }
-            if wire.link.borrow().has_waiting() || wire.link.borrow().retired {
-                wire.bell.ring();
+            if channel.connection.borrow().has_waiting() || channel.connection.borrow().retired {
+                channel.notify.notify();
             }
         }
     }
 
     /// The connection is gone: what had gone out whole may have run, what had not never did.
-    fn end(&self, wire: &Rc<Wire>, end: io::Result<()>) {
+    fn end(&self, channel: &Rc<Channel>, end: io::Result<()>) {
         let now = self.clock.now();
-        if let Some(station) = self.stations.borrow_mut().get_mut(&wire.node) {
-            station.links.retain(|other| !Rc::ptr_eq(other, wire));
+        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.node) {
+            engine.connections.retain(|other| !Rc::ptr_eq(other, channel));
         }
-        self.links.set(self.links.get() - 1);
-        let mut link = wire.link.borrow_mut();
-        let was_up = link.state == State::Up;
-        link.state = State::Down;
-        let submissions: Vec<(Rc<str>, Submission)> = link.submissions.drain().collect();
-        let probes = std::mem::take(&mut link.probes).len();
+        self.connections.set(self.connections.get() - 1);
+        let mut connection = channel.connection.borrow_mut();
+        let was_up = connection.state == State::Up;
+        connection.state = State::Down;
+        let submissions: Vec<(Rc<str>, Submission)> = connection.submissions.drain().collect();
+        let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !submissions.is_empty()) {
-            log!("the connection to engine {:08x} ended with {} out: {e}", wire.node, submissions.len());
+            log!("the connection to engine {:08x} ended with {} out: {e}", channel.node, submissions.len());
         }
         for (id, s) in submissions {
-            let ran = was_up && link.went_out(&id);
+            let ran = was_up && connection.went_out(&id);
             let outcome = if ran { Outcome::Reset } else { Outcome::NoConnection };
-            self.closed(s.query, s.number, outcome, wire.node, now - s.sent, Pages::new());
+            self.closed(s.query, s.number, outcome, channel.node, now - s.sent, Pages::new());
         }
         let outcome = if was_up { Outcome::Reset } else { Outcome::NoConnection };
-        (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: wire.node, outcome }));
+        (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: channel.node, outcome }));
     }
 }
 
-impl Wire {
+impl Channel {
     fn retire(&self) {
-        self.link.borrow_mut().retired = true;
-        self.bell.ring();
+        self.connection.borrow_mut().retired = true;
+        self.notify.notify();
     }
 }
 
 /// Writes what waits, until the connection is retired and nothing is out; closing it gives up the rest.
-async fn write(wire: &Wire, stream: &Async<TcpStream>) -> io::Result<()> {
+async fn write(channel: &Channel, stream: &Async<TcpStream>) -> io::Result<()> {
     loop {
         let written = future::poll_fn(|context| {
-            while wire.bell.poll_rung(context).is_ready() {}
-            let link = wire.link.borrow();
-            if link.retired && link.out() == 0 {
+            while channel.notify.poll_notified(context).is_ready() {}
+            let connection = channel.connection.borrow();
+            if connection.retired && connection.out() == 0 {
                 return Poll::Ready(Ok(None));
             }
-            if !link.has_waiting() {
+            if !connection.has_waiting() {
                 return Poll::Pending;
             }
             let mut slices: Vec<IoSlice> = Vec::with_capacity(MOST_SLICES);
-            link.slices(&mut slices, MOST_SLICES);
+            connection.slices(&mut slices, MOST_SLICES);
             poll_gathered(stream, context, &slices).map_ok(Some)
         });
         match written.await? {
             None => return Ok(()),
             Some(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Some(written) => wire.link.borrow_mut().wrote(written),
+            Some(written) => channel.connection.borrow_mut().wrote(written),
         }
     }
 }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -1,8 +1,8 @@
 //! The one place where client side and engine side meet: the queries in hand, what came in and waits for the next
 //! round, and what was decided and waits to be carried out. No I/O.
 
-use crate::bell::Bell;
 use crate::counters::Counters;
+use crate::notify::Notify;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -61,7 +61,7 @@
 /// Where the client's connection waits for its answer.
 #[derive(Default)]
 pub struct Slot {
-    pub bell: Bell,
+    pub notify: Notify,
     answer: RefCell<Option<Answer>>,
 }
 
@@ -86,7 +86,7 @@
 }
 
 pub struct Exchange {
-    pub bell: Rc<Bell>,
+    pub notify: Rc<Notify>,
     /// No query is given time beyond this: the program ends then.
     ends: Cell<f64>,
     pub counters: Counters,
@@ -101,7 +101,7 @@
 impl Default for Exchange {
     fn default() -> Self {
         Exchange {
-            bell: Rc::default(),
+            notify: Rc::default(),
             ends: Cell::new(f64::INFINITY),
             counters: Counters::default(),
             queries: RefCell::default(),
@@ -179,7 +179,7 @@
 
     pub fn happened(&self, event: Event) {
         self.events.borrow_mut().push_back(event);
-        self.bell.ring();
+        self.notify.notify();
     }
 
     pub fn in_hand(&self) -> usize {
@@ -222,7 +222,7 @@
         }
         .add();
         *slot.answer.borrow_mut() = Some(answer);
-        slot.bell.ring();
+        slot.notify.notify();
         self.leave(number);
         true
     }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,6 +1,5 @@
 //! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
 
-mod bell;
 mod client;
 mod clock;
 mod config;
@@ -12,6 +11,7 @@
 mod log;
 mod names;
 mod net;
+mod notify;
 mod peers;
 
 use async_executor::LocalExecutor;
