A connection that went silent is retired also when it had just come up or had talked before

Seen: a test with a stand-in engine that answers on its second connection only got three submissions where two should do. Cause, in engine/mod.rs run and give_up: coming up counted as hearing, and 'heard' was set later than the first submission was sent, so the mute connection was taken for live and used once more. Ruled out: the decisions (they moved the query in time) and the order of abort and fetch. The same lines kept a connection that had talked since an older submission was sent. Now a give-up retires the connection when nothing was heard for 1.25 notes' time. It should also catch half-open connections after a cut, and engines whose process hangs; it could cost a handshake where an engine sends no notes and works long.

Tests: the name service's list on sockets, messages of strangers, every byte of a head and of an array turned.

--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -189,6 +189,19 @@
         assert_eq!(parse(b"\xff\xfe / HTTP/1.1\r\n\r\n").map_err(|w| w.status), Err(400));
     }
 
+    #[test]
+    fn no_byte_that_is_turned_makes_it_panic() {
+        for at in 0..POST.len() {
+            for value in 0..=255 {
+                let mut bytes = POST.to_vec();
+                bytes[at] = value;
+                if let Ok(Some(head)) = parse(&bytes) {
+                    assert!(head.size <= bytes.len());
+                }
+            }
+        }
+    }
+
     #[test]
     fn an_answer_tells_its_length_and_how_long_to_stay_away() {
         let head = String::from_utf8(answer_head(429, 20, false, Some(250))).unwrap();
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -130,7 +130,10 @@
     let hex = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("a number in hex"))?;
     let sockets = root.key("limits").key("sockets").number_or(DEFAULT_SOCKETS, LEAST_SOCKETS)?;
     let setting = |key: &str| root.key("settings").key("limits").key(key);
+    let notes_every =
+        root.key("settings").key("family-info").key("tells-every-us").number_or(0.0, 0.0)? / 1e3;
     let terms = Terms {
+        notes_every,
         connect_timeout: setting("connect-timeout-us").number_or(DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0)? / 1e3,
         idle: setting("conn-idle-us").number_or(DEFAULT_IDLE * 1e3, 1.0)? / 1e3,
         streams: setting("streams-per-conn").number_or(DEFAULT_STREAMS, 1.0)? as usize,
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 pub struct Connection {
     pub state: State,
-    /// When bytes last came, and when it last had something out.
+    /// When a frame last came (a connection that came up has told nothing yet), and when it last had something out.
     pub heard: f64,
     pub used: f64,
     /// Nothing new goes here: it is closed once nothing is out.
@@ -90,7 +90,7 @@
     pub fn new(now: f64) -> Self {
         Connection {
             state: State::Connecting,
-            heard: now,
+            heard: f64::NEG_INFINITY,
             used: now,
             retired: false,
             submissions: FxHashMap::default(),
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -28,7 +28,9 @@
 const MOST_INBOX: usize = 1 << 20;
 /// Part of the told idle time after which a connection is closed from here, before the engine does.
 const IDLE_PART: f64 = 0.8;
-/// A cancel of what nothing was heard of for so long (ms) retires the connection it went out on.
+/// What is given up after nothing was heard on its connection for so many notes' time, and so long (ms) at the
+/// least, retires the connection.
+const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
 
 /// What the platform tells of connections to engines.
@@ -36,6 +38,8 @@
 pub struct Terms {
     pub connect_timeout: f64,
     pub idle: f64,
+    /// Time between an engine's notes on a submission, 0 if it sends none.
+    pub notes_every: f64,
     pub streams: usize,
     pub most_connections: usize,
 }
@@ -177,8 +181,9 @@
         let now = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
         let Some((submission, begun)) = connection.give_up(id, now) else { return };
-        // Nothing came since it was sent: the connection may be dead, and the next one will tell.
-        let dead = begun && connection.heard <= submission.sent && now - submission.sent > QUIET;
+        // Nothing came for longer than notes take: the connection may be dead, and the next one will tell.
+        let quiet = QUIET.max(QUIET_NOTES * self.terms.notes_every);
+        let dead = begun && now - connection.heard.max(submission.sent) > quiet;
         connection.retired |= dead;
         drop(connection);
         channel.notify.notify();
@@ -264,9 +269,7 @@
         let connected = future::or(Async::<TcpStream>::connect(address), too_long).await;
         let end = match connected {
             Ok(stream) => {
-                let now = self.clock.now();
                 channel.connection.borrow_mut().state = State::Up;
-                channel.connection.borrow_mut().heard = now;
                 let _ = stream.get_ref().set_nodelay(true);
                 future::or(self.read(&channel, &stream), write(&channel, &stream)).await
             }
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -128,6 +128,21 @@
         assert_eq!(field(b"\xff=1", "a"), None);
     }
 
+    #[test]
+    fn no_byte_that_is_turned_makes_it_panic() {
+        let mut whole = Vec::new();
+        write(&mut whole, &[b"9b1f", b"DONE", b"batches=2", b"a\n"], None);
+        for at in 0..whole.len() {
+            for value in 0..=255 {
+                let mut bytes = whole.clone();
+                bytes[at] = value;
+                if let Ok(Some(frame)) = parse(&bytes) {
+                    assert!(frame.size <= bytes.len());
+                }
+            }
+        }
+    }
+
     #[test]
     fn the_beginning_of_an_array_leaves_room_for_its_last_part() {
         let mut bytes = Vec::new();
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The program on sockets, between clients and engines that stand in by the published protocol.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
@@ -37,6 +37,11 @@
 
 /// Starts the program with these engines, and waits until it is healthy.
 fn start(engines: &[SocketAddr]) -> Program {
+    start_with(engines, "")
+}
+
+/// The same with further keys of the configuration.
+fn start_with(engines: &[SocketAddr], keys: &str) -> Program {
     let listen = free_address();
     let entry = |(i, at): (usize, &SocketAddr)| {
         format!(
@@ -48,7 +53,7 @@
         format!(r#"{{"name":"{name}","aim-us":300000,"hard-limit-us":9000000,"effect":"{effect}"}}"#)
     };
     let config = format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"1","known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":
+        r#"{{{keys}"name":"n0","listen":"{listen}","seed":"1","known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":
         {{"instances":[{}]}}}}]}},"settings":{{"balancers":1,"zone":"h","kinds":["std"],"services":[{},{}],
         "family-info":{{"cores-by-kind":[8],"dop":[1,1],"lanes-count":true}},"limits":{{"cancelling":true,
         "max-attempts":3,"max-retry-after-us":500000}}}}}}"#,
@@ -178,6 +183,68 @@
     text
 }
 
+/// A name service that lists one engine, `s-9`, as event 2, after an answer that is none.
+fn name_service(engine: SocketAddr) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut asked = [0; 512];
+        while let Ok((count, from)) = socket.recv_from(&mut asked) {
+            let mut bytes = asked[..count].to_vec();
+            bytes[2] |= 0x80;
+            (bytes[7], bytes[9], bytes[11]) = (1, 1, 2);
+            let mut record = |name: &[u8], kind: u8, data: &[u8]| {
+                bytes.extend_from_slice(name);
+                bytes.extend_from_slice(&[0, kind, 0, 1, 0, 0, 0, 1, 0, data.len() as u8]);
+                bytes.extend_from_slice(data);
+            };
+            let (question, target) = ([0xc0, 12], b"\x03s-9\x01h\x05hosts\0");
+            let port = engine.port().to_be_bytes();
+            record(&question, 33, &[&[0, 0, 0, 10], port.as_slice(), target].concat());
+            record(&question, 6, &[&question, question.as_slice(), &[0, 0, 0, 2], &[0; 16]].concat());
+            record(target, 1, &[127, 0, 0, 1]);
+            record(target, 16, b"\x08kind=std");
+            let _ = socket.send_to(b"no answer", from);
+            let _ = socket.send_to(&bytes, from);
+        }
+    });
+    address
+}
+
+#[test]
+fn the_name_service_brings_an_engine_that_was_not_known_at_the_start() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\n"]));
+    let resolver = name_service(address);
+    let program = start_with(&[free_address()], &format!(r#""resolver":"{resolver}","#));
+    let from = Instant::now();
+    while !get(program.listen, "/_counters").unwrap().2.contains("lists 1\n") {
+        assert!(from.elapsed() < WAIT);
+        thread::sleep(Duration::from_millis(10));
+    }
+    // The engine of the start has no records any more: all go to the new one.
+    for id in 1..9 {
+        assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", id))).unwrap().0, 200);
+    }
+}
+
+#[test]
+fn a_connection_that_went_silent_is_not_used_again() {
+    let first = std::sync::Arc::new(std::sync::Mutex::new(None));
+    let (address, told) = engine(move |parts, to| {
+        let from = to.peer_addr().unwrap();
+        if *first.lock().unwrap().get_or_insert(from) != from {
+            say(to, &[&parts[1], "DONE", "batches=1", "a\n"]);
+        }
+    });
+    let program = start(&[address]);
+    // Moved after its patience is over, to the only engine there is, on a new connection.
+    let served = answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
+    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[["a"]]}"#));
+    let words: Vec<String> = told.try_iter().map(|parts| parts[0].clone()).collect();
+    assert_eq!(words.iter().filter(|word| *word == "fetch").count(), 2, "{words:?}");
+    assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap().0, 200);
+}
+
 #[test]
 fn a_query_goes_to_an_engine_and_its_pages_come_back_as_one_answer() {
     let (address, told) = engine(|parts, to| match parts[0].as_str() {
