A Req-Id that was submitted once is not taken again

Exchange::take now refuses it as failed (409), for the last 16,384 ids. It should also catch proxies that replay requests. It could hurt a client that reuses ids against the protocol.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -170,6 +170,7 @@
         let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables };
         self.exchange.take(&asked).map_err(|not| match not {
             NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
+            NotTaken::Past => (409, "a query with this Req-Id was taken before"),
             NotTaken::NoRoom => (503, "TryLater"),
         })
     }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -3,7 +3,7 @@
 
 use crate::counters::Counters;
 use crate::notify::Notify;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 
 /// Queries in hand at most; what comes beyond is turned away at the door.
 pub const MOST_QUERIES: usize = 4096;
+/// Ids of queries that were submitted and are over, kept so that none is taken twice.
+const MOST_PAST: usize = 16 * 1024;
 /// Statements and results in hand at most, in bytes.
 pub const MOST_BYTES: usize = 48 << 20;
 
@@ -92,12 +94,29 @@
     pub counters: Counters,
     queries: RefCell<FxHashMap<u64, Query>>,
     ids: RefCell<FxHashMap<Rc<str>, u64>>,
+    past: RefCell<Past>,
     next: Cell<u64>,
     bytes: Cell<usize>,
     events: RefCell<VecDeque<Event>>,
     orders: RefCell<VecDeque<Order>>,
 }
 
+#[derive(Default)]
+struct Past {
+    known: FxHashSet<Rc<str>>,
+    order: VecDeque<Rc<str>>,
+}
+
+impl Past {
+    fn keep(&mut self, id: Rc<str>) {
+        self.known.insert(id.clone());
+        self.order.push_back(id);
+        if self.order.len() > MOST_PAST {
+            self.order.pop_front().map(|oldest| self.known.remove(&oldest));
+        }
+    }
+}
+
 impl Default for Exchange {
     fn default() -> Self {
         Exchange {
@@ -106,6 +125,7 @@
             counters: Counters::default(),
             queries: RefCell::default(),
             ids: RefCell::default(),
+            past: RefCell::default(),
             next: Cell::default(),
             bytes: Cell::default(),
             events: RefCell::default(),
@@ -129,6 +149,8 @@
 #[derive(Debug, PartialEq)]
 pub enum NotTaken {
     InHand,
+    /// It was submitted before: its effect may be there.
+    Past,
     NoRoom,
 }
 
@@ -140,6 +162,9 @@
         if self.ids.borrow().contains_key(asked.id) {
             return Err(NotTaken::InHand);
         }
+        if self.past.borrow().known.contains(asked.id) {
+            return Err(NotTaken::Past);
+        }
         let bytes = self.bytes.get() + asked.statement.len();
         if self.queries.borrow().len() >= MOST_QUERIES || bytes > MOST_BYTES {
             return Err(NotTaken::NoRoom);
@@ -279,6 +304,9 @@
             if let Some(q) = queries.remove(&number) {
                 self.ids.borrow_mut().remove(&q.id);
                 self.bytes.set(self.bytes.get().saturating_sub(q.statement.len()));
+                if q.submissions > 0 {
+                    self.past.borrow_mut().keep(q.id);
+                }
             }
         }
     }
@@ -314,6 +342,8 @@
         assert_eq!((exchange.next_order(), exchange.in_hand()), (None, 1));
         exchange.closed(query);
         assert_eq!(exchange.in_hand(), 0);
+        assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::Past));
+        (0..MOST_PAST).for_each(|n| exchange.past.borrow_mut().keep(n.to_string().into()));
         assert!(exchange.take(&ASKED).is_ok());
     }
 
