--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -88,13 +88,12 @@
     async fn serve(&self, stream: &Async<TcpStream>) -> io::Result<()> {
         stream.get_ref().set_nodelay(true)?;
         let mut inbox = Vec::new();
-        // When the first byte of the request in the inbox came.
+        // When the last of what is in the inbox came: a query's time counts from its last byte.
         let mut since = self.clock.now();
         loop {
             let head = match http::parse(&inbox) {
                 Ok(Some(head)) if inbox.len() >= head.size + head.length => head,
                 Ok(_) => {
-                    let start = inbox.is_empty();
                     let idle = async {
                         Timer::after(IDLE_WAIT).await;
                         Ok(0)
@@ -102,7 +101,7 @@
                     if future::or(read_more(stream, &mut inbox), idle).await? == 0 {
                         return Ok(());
                     }
-                    since = if start { self.clock.now() } else { since };
+                    since = self.clock.now();
                     continue;
                 }
                 Err(wrong) => {
@@ -115,7 +114,7 @@
             let taken = self.open(stream, &head, &inbox[head.size..used], since).await?;
             inbox.drain(..used);
             if let Some((number, slot)) = taken {
-                match self.wait(stream, number, &slot, &mut inbox).await {
+                match self.wait(stream, number, &slot, &mut inbox, &mut since).await {
                     Some(answer) => self.write_answer(stream, answer, keep_alive).await?,
                     None => return Ok(()),
                 }
@@ -123,7 +122,6 @@
             if !keep_alive || self.closing.get() {
                 return Ok(());
             }
-            since = self.clock.now();
         }
     }
 
@@ -177,13 +175,14 @@
 
     /// Waits for the answer while watching for the client to leave; none if it left.
     async fn wait(
-        &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Vec<u8>,
+        &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Vec<u8>, since: &mut f64,
     ) -> Option<Answer> {
         let watch = async {
             while inbox.len() < MOST_AHEAD {
                 if !matches!(read_more(stream, inbox).await, Ok(1..)) {
                     return;
                 }
+                *since = self.clock.now();
             }
             future::pending().await
         };
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -85,11 +85,16 @@
 }
 
 fn post(to: SocketAddr, rg: &str, id: u64) -> TcpStream {
+    post_slowly(to, rg, id, 9000, Duration::from_millis(5))
+}
+
+/// The same in two parts with a pause between them, by a client that waits for `wait` ms.
+fn post_slowly(to: SocketAddr, rg: &str, id: u64, wait: u64, pause: Duration) -> TcpStream {
     let mut stream = TcpStream::connect(to).unwrap();
     stream.set_read_timeout(Some(WAIT)).unwrap();
     let statement = "SELECT a FROM sales_17.orders";
     let head = format!(
-        "POST /invoke/{rg} HTTP/1.1\r\nHost: b\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
+        "POST /invoke/{rg} HTTP/1.1\r\nHost: b\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: {wait}\r\nReq-Owner: acme\r\n\
          Req-Cost: 20.0\r\nContent-Length: {}\r\n\r\n",
         statement.len()
     );
@@ -97,7 +102,7 @@
     let whole = head + statement;
     let (first, second) = whole.as_bytes().split_at(50);
     stream.write_all(first).unwrap();
-    thread::sleep(Duration::from_millis(5));
+    thread::sleep(pause);
     stream.write_all(second).unwrap();
     stream
 }
@@ -294,6 +299,14 @@
     assert!(report.contains("taken 3\n") && report.contains("unanswered 0\n"), "{report}");
 }
 
+#[test]
+fn a_query_has_its_time_from_its_last_byte() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", ""]));
+    let program = start(&[address]);
+    let slow = post_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
+    assert_eq!(answer(&mut BufReader::new(slow)).unwrap().0, 200);
+}
+
 #[test]
 fn what_never_ran_is_deferred_and_what_may_have_run_is_not_sent_again() {
     // Nobody listens at the one address; at the other, connections end when a request has come.
