Names and ids from the network no longer pile up: unknown groups and customers, gone engines

From review: Control's name tables took in every resource group and customer that a client named (client/mod.rs take passed them on), and names.rs stopped following the list for good once 1,024 engine ids had been seen, which releases reach in time. Unknown groups are answered 404, unknown customers count as none, ids of gone engines are forgotten (their numbers come from the ids). It could hurt a client whose customer the settings lack: it has no share of its own. What the decisions keep of gone engines still grows slowly.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -16,6 +16,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use tansymux::told;
 
 /// The paths of the protocol, and one for the counters.
 const QUERY_PATH: &str = "/invoke/";
@@ -30,13 +31,14 @@
 const READ_AT_ONCE: usize = 16 * 1024;
 /// Bytes kept of a client that sends on while its query is in hand.
 const MOST_AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
-const LONGEST_NAME: usize = 128;
 const LONGEST_WAIT_MS: f64 = 3_600_000.0;
 
 pub struct ClientSide {
     exchange: Rc<Exchange>,
     clock: Clock,
     most_connections: usize,
+    groups: Vec<String>,
+    customers: Vec<String>,
     connections: Cell<usize>,
     /// Whether the front is told that this dispatcher takes queries.
     pub healthy: Cell<bool>,
@@ -45,9 +47,13 @@
 }
 
 impl ClientSide {
-    pub fn new(exchange: Rc<Exchange>, clock: Clock, most_connections: usize) -> Self {
+    /// `groups` and `customers`: the names that the settings know.
+    pub fn new(
+        exchange: Rc<Exchange>, clock: Clock, most_connections: usize, groups: Vec<String>,
+        customers: Vec<String>,
+    ) -> Self {
         let (connections, healthy, closing) = Default::default();
-        ClientSide { exchange, clock, most_connections, connections, healthy, closing }
+        ClientSide { exchange, clock, most_connections, groups, customers, connections, healthy, closing }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -159,10 +165,13 @@
             head.wait_ms.and_then(number).filter(|ms| *ms <= LONGEST_WAIT_MS).ok_or((400, "Req-Wait-Ms"))?;
         let cost = head.cost.map_or(Some(0.0), number).ok_or((400, "Req-Cost"))?;
         let memory = head.memory_mb.map_or(Some(0.0), number).ok_or((400, "X-Need-Mb"))?;
-        let customer = head.owner.unwrap_or("");
-        if rg.len() > LONGEST_NAME || rg.contains([',', '/']) || customer.len() > LONGEST_NAME {
-            return Err((400, "resource group or Req-Owner"));
+        if !self.groups.iter().any(|known| known == rg) {
+            return Err((404, "unknown resource group"));
         }
+        // A customer that the settings do not know counts as none.
+        let owner = head.owner.unwrap_or("");
+        let customer = self.customers.iter().find(|known| told::is_named(known, owner));
+        let customer = customer.map_or("", String::as_str);
         let tables = statement::table_group(body).unwrap_or(u32::MAX);
         let due = since + (wait - ANSWER_AHEAD).max(wait / 2.0);
         let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables };
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -39,6 +39,9 @@
     pub peers: Option<PeerAddresses>,
     pub resolver: Option<SocketAddr>,
     pub directory: Directory,
+    /// Names of resource groups and of customers. What else clients name is not kept.
+    pub groups: Vec<String>,
+    pub customers: Vec<String>,
     /// The settings as the decisions take them: a plain map.
     pub told: Map,
 }
@@ -154,6 +157,8 @@
         peers,
         resolver: root.key("resolver").maybe(At::address)?,
         directory: known(&root.key("known"))?,
+        groups: names(&told, "services"),
+        customers: names(&told, "projects"),
         told,
     })
 }
@@ -189,6 +194,12 @@
     Ok(directory)
 }
 
+/// The names of a list of objects in the settings.
+fn names(told: &Map, path: &str) -> Vec<String> {
+    let count = told.number(&told::count_of(path)).unwrap_or(0.0) as usize;
+    (0..count).filter_map(|i| told.get(&format!("{}.name", told::item_of(path, i))).cloned()).collect()
+}
+
 /// Lays nested settings out flat: lists of objects by their places, lists of plain values in one.
 fn flatten(path: &str, value: &Value, to: &mut Map) {
     let plain = |value: &Value| match value {
@@ -235,6 +246,7 @@
             (config.terms.connect_timeout, config.terms.idle, config.directory.last),
             (9.0, 30_000.0, 2)
         );
+        assert_eq!((config.groups.concat(), config.customers.len()), ("look".to_owned(), 0));
         let engine = &config.directory.all()[0];
         assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
         assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -72,7 +72,9 @@
         let exchange = Rc::new(Exchange::default());
         let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
-        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.most_clients));
+        let clients =
+            ClientSide::new(exchange.clone(), clock, config.most_clients, config.groups, config.customers);
+        let clients = Rc::new(clients);
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
--- a/crates/dispatcher/src/names.rs
+++ b/crates/dispatcher/src/names.rs
@@ -61,7 +61,7 @@
     /// records any more is gone.
     pub fn take(&mut self, answer: &Answer) -> Option<Vec<Listed>> {
         let serial = answer.serial.filter(|&serial| serial > self.last)?;
-        if self.nodes.len() + answer.srv.len() > MOST_ENGINES {
+        if answer.srv.len() > MOST_ENGINES {
             log!("the list of engines is too long");
             return None;
         }
@@ -98,6 +98,10 @@
         let gone = known.into_values().filter(|engine| !self.engines.contains_key(&engine.node));
         let mut gone: Vec<Listed> = gone.map(|e| Listed { status: EngineStatus::Gone, ..e }).collect();
         gone.sort_by_key(|engine| engine.node);
+        // Ids of engines that are gone are forgotten; one that comes back gets the same number by its id.
+        let engines = &self.engines;
+        self.nodes.retain(|_, node| engines.contains_key(node));
+        self.taken.retain(|node, _| engines.contains_key(node));
         listed.append(&mut gone);
         Some(listed)
     }
@@ -172,6 +176,7 @@
         assert_eq!(told, [(false, EngineStatus::Draining, "std", 2), (true, EngineStatus::Gone, "std", 1)]);
         assert_eq!(listed[0].address, Some(SocketAddr::from(([10, 1, 0, 9], 10080))));
         assert_eq!(directory.take(&answer(4, 0)), None);
+        assert_eq!((directory.nodes.len(), directory.taken.len(), directory.node("s-old")), (1, 1, old));
     }
 
     #[test]
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -334,6 +334,9 @@
     assert_eq!(told.recv_timeout(WAIT).unwrap()[..2], ["abort", "0000000000000001"]);
     let served = answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
+    // Names that the settings do not know are not taken in.
+    let unknown = answer(&mut BufReader::new(post(program.listen, "nothing", 3))).unwrap();
+    assert_eq!(unknown.0, 404);
     // What can't be read is answered so, and the program serves on.
     let mut hostile = TcpStream::connect(program.listen).unwrap();
     hostile.write_all(b"\xff\xff\xff\xff\r\n\r\n").unwrap();
--- a/src/told.rs
+++ b/src/told.rs
@@ -48,6 +48,12 @@
     map.insert(path.to_owned(), value.replace([' ', ','], "_"));
 }
 
+/// Whether `known`, as it was put in, is this name.
+pub fn is_named(known: &str, name: &str) -> bool {
+    let put = |c: char| if matches!(c, ' ' | ',') { '_' } else { c };
+    known.chars().eq(name.chars().map(put))
+}
+
 /// Takes in a list of plain values, joined with commas.
 pub fn put_list(map: &mut Map, path: &str, values: impl Iterator<Item = String>) {
     let values: Vec<String> = values.map(|value| value.replace([' ', ','], "_")).collect();
