What waits for a connection to a draining engine is taken back before it goes out

It is now taken back, provably never sent, and the decisions place it anew. It should also catch engines that are listed as gone while connections to them hang. It could cost a further submission from the budget where the connection would have come up in time.

--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// The submissions of whose requests nothing was written yet.
+    pub fn not_begun(&self) -> Vec<Rc<str>> {
+        let skip = usize::from(self.written > 0);
+        self.waiting.iter().skip(skip).filter_map(|piece| piece.of.clone()).collect()
+    }
+
     /// Whether the whole of a submission's request was written out.
     pub fn went_out(&self, id: &str) -> bool {
         !self.waiting.iter().any(|piece| piece.of.as_deref() == Some(id))
@@ -354,6 +360,7 @@
         submit(&mut connection, "i1", 4);
         submit(&mut connection, "i2", 5);
         connection.wrote(3);
+        assert_eq!(connection.not_begun(), ["i2".into()]);
         assert!(connection.give_up("i2", 6.0).is_some_and(|(s, begun)| s.query == 5 && !begun));
         assert!(connection.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
         assert!(connection.give_up("i1", 6.0).is_none());
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -75,7 +75,8 @@
         Rc::new(EngineSide { exchange, clock, executor, terms, engines, tags, connections })
     }
 
-    /// Follows the list: connections to an engine that is gone, moved or started anew are retired.
+    /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
+    /// a connection to one that drains or is gone is taken back, or it might go out past the grace.
     pub fn listed(&self, told: &Listed) {
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine { address: told.address, started: told.started, connections: Vec::new() };
@@ -87,9 +88,15 @@
             engine.started = told.started;
             engine.connections.iter().for_each(|channel| channel.retire());
         }
-        if gone && engine.connections.is_empty() {
+        let channels = engine.connections.clone();
+        if gone && channels.is_empty() {
             engines.remove(&told.node);
         }
+        drop(engines);
+        for channel in channels.iter().filter(|_| told.status != EngineStatus::Ready) {
+            let waiting = channel.connection.borrow().not_begun();
+            waiting.iter().for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
+        }
     }
 
     // ---- Orders ----
