Estimates beyond all reason are refused at the door

From review: one Req-Cost of 1e300 would have made a resource group's mean cost useless for good (client/mod.rs take let any finite number through). Such a request is now answered 400.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -32,6 +32,8 @@
 /// Bytes kept of a client that sends on while its query is in hand.
 const MOST_AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
 const LONGEST_WAIT_MS: f64 = 3_600_000.0;
+/// An estimate (ms, MB) beyond this is none: it would spoil the means that the decisions keep.
+const MOST_ESTIMATE: f64 = 1e9;
 
 pub struct ClientSide {
     exchange: Rc<Exchange>,
@@ -163,8 +165,9 @@
         let number = |value: &str| value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
         let wait =
             head.wait_ms.and_then(number).filter(|ms| *ms <= LONGEST_WAIT_MS).ok_or((400, "Req-Wait-Ms"))?;
-        let cost = head.cost.map_or(Some(0.0), number).ok_or((400, "Req-Cost"))?;
-        let memory = head.memory_mb.map_or(Some(0.0), number).ok_or((400, "X-Need-Mb"))?;
+        let estimate = |value: Option<&str>| value.map_or(Some(0.0), number).filter(|n| *n <= MOST_ESTIMATE);
+        let cost = estimate(head.cost).ok_or((400, "Req-Cost"))?;
+        let memory = estimate(head.memory_mb).ok_or((400, "X-Need-Mb"))?;
         if !self.groups.iter().any(|known| known == rg) {
             return Err((404, "unknown resource group"));
         }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -337,9 +337,13 @@
     // Names that the settings do not know are not taken in.
     let unknown = answer(&mut BufReader::new(post(program.listen, "nothing", 3))).unwrap();
     assert_eq!(unknown.0, 404);
-    // What can't be read is answered so, and the program serves on.
-    let mut hostile = TcpStream::connect(program.listen).unwrap();
-    hostile.write_all(b"\xff\xff\xff\xff\r\n\r\n").unwrap();
-    assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
+    // What can't be read or used is answered so, and the program serves on.
+    let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
+    let costs = ["1e300", "-1", "NaN", "inf", "x"].map(|cost| format!("{head}Req-Cost: {cost}\r\n\r\n"));
+    for bytes in costs.iter().map(String::as_bytes).chain([b"\xff\xff\xff\xff\r\n\r\n".as_slice()]) {
+        let mut hostile = TcpStream::connect(program.listen).unwrap();
+        hostile.write_all(bytes).unwrap();
+        assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
+    }
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
