Submissions waiting for an engine that moved or started anew are taken back too

From review: the address of a gone engine may be another's by the time the connection comes up (engine/mod.rs listed took back only what waited for draining and gone engines).

--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -76,14 +76,16 @@
     }
 
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
-    /// a connection to one that drains or is gone is taken back, or it might go out past the grace.
+    /// them, or for one that drains, is taken back: it might go out past the grace, or to another engine that has
+    /// the address by now.
     pub fn listed(&self, told: &Listed) {
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine { address: told.address, started: told.started, connections: Vec::new() };
         let engine = engines.entry(told.node).or_insert_with(fresh);
         let gone = told.status == EngineStatus::Gone;
         let moved = told.address.is_some() && told.address != engine.address;
-        if gone || moved || told.started.is_some() && told.started != engine.started {
+        let retire = gone || moved || told.started.is_some() && told.started != engine.started;
+        if retire {
             engine.address = told.address.or(engine.address);
             engine.started = told.started;
             engine.connections.iter().for_each(|channel| channel.retire());
@@ -93,7 +95,7 @@
             engines.remove(&told.node);
         }
         drop(engines);
-        for channel in channels.iter().filter(|_| told.status != EngineStatus::Ready) {
+        for channel in channels.iter().filter(|_| retire || told.status == EngineStatus::Draining) {
             let waiting = channel.connection.borrow().not_begun();
             waiting.iter().for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
         }
