--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -390,3 +390,51 @@
     }
     fields
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::exchange::Asked;
+
+    #[test]
+    fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
+        let terms = Terms {
+            connect_timeout: 250.0,
+            idle: 30_000.0,
+            notes_every: 0.0,
+            streams: 32,
+            most_connections: 8,
+        };
+        let engine = |status, started, port| Listed {
+            node: 7,
+            address: Some(SocketAddr::from(([127, 0, 0, 1], port))),
+            kind: "std".into(),
+            hall: "h".into(),
+            cell: 0,
+            status,
+            started,
+        };
+        let ready = engine(EngineStatus::Ready, None, 9);
+        for (then, taken_back) in [
+            (ready.clone(), false),
+            (engine(EngineStatus::Draining, None, 9), true),
+            (engine(EngineStatus::Gone, None, 9), true),
+            (engine(EngineStatus::Ready, Some(5.0), 9), true),
+            (engine(EngineStatus::Ready, None, 10), true),
+        ] {
+            // Its tasks never run: the connection stays coming up.
+            let (exchange, executor) = (Rc::new(Exchange::default()), Rc::new(LocalExecutor::new()));
+            let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
+            side.listed(&ready);
+            let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
+            let asked = Asked { id, rg, customer, statement, due: 1e15, cost: 1.0, memory: 1.0, tables: 1 };
+            let (query, _slot) = exchange.take(&asked).unwrap();
+            exchange.submit(query, 7, 1e15);
+            side.carry_out();
+            side.listed(&then);
+            let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
+            let closed = |e: &Event| matches!(e, Event::Closed { outcome: Outcome::NoConnection, .. });
+            assert_eq!(events.iter().any(closed), taken_back, "{then:?}: {events:?}");
+        }
+    }
+}
