Time a submission spent waiting no longer counts as slow progress

Ruled out: errors, resets, time-outs, missed notes. Now the first progress after a wait only starts the count (noted, state.rs Submission::progressed). It should also hold for waits for memory, and wherever work starts late. It could hurt where a query waits over and over: a really bad plan shows one note later.

--- a/src/control.rs
+++ b/src/control.rs
@@ -581,17 +581,18 @@
         let (rg, cost) = (q.rg, q.cost);
         let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else { return };
         (s.heard, self.engines[s.engine].heard) = (self.now, self.now);
+        s.waits |= note == Note::Waits;
         if note == Note::Waits && amount == 2.0 {
             self.engines[s.engine].held.push((q.tables, self.now + HELD_FOR));
         }
         if note == Note::Progress {
-            let first = s.noted <= s.sent;
-            (s.noted, s.share) = (self.now, amount.clamp(0.0, 1.0));
-            let (age, g) = (self.now - s.sent, &mut self.groups[rg]);
-            if s.share <= 0.0 || cost <= 0.0 || age <= 0.0 || g.paced == 0 {
+            let first = s.run().is_none();
+            s.progressed(self.now, amount.clamp(0.0, 1.0));
+            let (run, g) = (s.run().unwrap_or(0.0), &mut self.groups[rg]);
+            if run <= 0.0 || cost <= 0.0 || g.paced == 0 {
                 return;
             }
-            let ratio = (age / s.share * g.threads / cost).ln();
+            let ratio = (run * g.threads / cost).ln();
             follow(&mut g.pace, ratio, STEP);
             // Once for each: one bad plan tells of itself at every note, not of its engine.
             if first {
@@ -702,10 +703,9 @@
         let fell_silent =
             self.allowed.notes_every > 0.0 && self.now - s.heard > NOTES_MISSED * self.allowed.notes_every;
         let overdue = fell_silent || s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
-        let by_note = if s.share > 0.0 { (s.noted - s.sent) / s.share - age } else { again };
-        let left = if silent || overdue { f64::INFINITY } else { by_note };
+        let left = if silent || overdue { f64::INFINITY } else { s.left(self.now).unwrap_or(again) };
         // Hopeless: by its note past its time. Under pressure a new run would only keep others from theirs.
-        let hopeless = s.share > 0.0 && left > HOPELESS * time_left;
+        let hopeless = s.run().is_some() && left > HOPELESS * time_left;
         let gains = left > MOVE_GAIN * again && again < time_left;
         if gains && !(hopeless && self.pressure(s.engine)) && self.may_move(i) {
             self.moving += 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -419,13 +419,37 @@
     pub heard: f64,
     pub noted: f64,
     pub share: f64,
+    /// From when progress counts, and the share done by then: a wait's time is not the work's. Whether one that
+    /// waited has not told of progress since.
+    pub began: f64,
+    pub base: f64,
+    pub waits: bool,
 }
 
 impl Submission {
     pub fn new(engine: usize, sent: f64, work: f64, memory: f64, trial: bool) -> Self {
-        let (open, may_have_run, noted, heard) = (true, true, sent, sent);
+        let (open, may_have_run, noted, heard, began) = (true, true, sent, sent, sent);
         let nothing = Submission::default();
-        Submission { engine, sent, work, memory, trial, open, may_have_run, noted, heard, ..nothing }
+        Submission { engine, sent, work, memory, trial, open, may_have_run, noted, heard, began, ..nothing }
+    }
+
+    /// Takes in a note of progress; the first one after a wait only tells that the wait is over.
+    pub fn progressed(&mut self, now: f64, share: f64) {
+        if std::mem::take(&mut self.waits) {
+            (self.began, self.base) = (now, share);
+        }
+        (self.noted, self.share) = (now, share);
+    }
+
+    /// How long the whole takes by its notes, if they tell.
+    pub fn run(&self) -> Option<f64> {
+        let told = self.share > self.base && self.noted > self.began;
+        told.then(|| (self.noted - self.began) / (self.share - self.base))
+    }
+
+    /// How long the rest takes by its notes, if they tell.
+    pub fn left(&self, now: f64) -> Option<f64> {
+        self.run().map(|run| run * (1.0 - self.share) - (now - self.noted))
     }
 }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -441,6 +441,20 @@
     }
 }
 
+#[test]
+fn time_spent_waiting_is_not_taken_for_slow_work() {
+    // A load stood behind another for a second: its first progress says nothing, the next ones tell its pace.
+    for (share, lives) in [(0.5, true), (0.0041, false)] {
+        let mut c = gateway("", TWO);
+        ask(&mut c, 1.0, 1, "load", 1000.0);
+        round(&mut c, 2.0, |c, _| c.noted(1, 0, Note::Waits, 2.0));
+        let first = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.004));
+        assert!(!starts(&first, "kill"), "{first:?}");
+        let second = round(&mut c, 1_501.0, |c, _| c.noted(1, 0, Note::Progress, share));
+        assert_eq!(!starts(&second, "kill 1"), lives, "{second:?}");
+    }
+}
+
 #[test]
 fn where_all_bounds_are_less_than_a_query_one_enters_as_often_as_keeps_to_them_over_time() {
     let mut c = gateway("balancers=40", TWO);
