SIGHUP reads the configuration again and moves to the new name service

Now SIGHUP is the third signal of the one stream. The file is read and checked by the same code as at the start; the resolver is a cell that `follow` reads at each question, so list and numbers go on; keys that can't change are named in the log; a file that can't be used leaves all as it was. While closing nothing is read.

Test: a program with a query in hand gets a bad file, then one with another resolver, several signals at once, and one after SIGTERM. Without the change it dies at the first. It can hurt if an operator drops the key `resolver` by mistake: the list then stays as it is.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -44,6 +44,25 @@
     pub customers: Vec<String>,
     /// The settings as the decisions take them: a plain map.
     pub told: Map,
+    /// The configuration as it stands in the file, to tell what another one changes.
+    pub text: Value,
+}
+
+/// Keys that may differ from one configuration to the next and mean nothing to a program that runs: the list of
+/// the start, the seed of a start.
+const OF_A_START: [&str; 2] = ["known", "seed"];
+/// Keys that take effect while the program runs.
+const WHILE_RUNNING: [&str; 1] = ["resolver"];
+
+/// The keys of `new` that say something else than `old` and can't take effect before the next start.
+pub fn only_at_a_start(old: &Value, new: &Value) -> Vec<String> {
+    let keys = [old, new].into_iter().filter_map(Value::as_object).flat_map(|object| object.keys());
+    let other = |key: &&String| old.get(key.as_str()) != new.get(key.as_str());
+    let passed = |key: &&String| !OF_A_START.iter().chain(&WHILE_RUNNING).any(|known| known == *key);
+    let mut keys: Vec<String> = keys.filter(other).filter(passed).cloned().collect();
+    keys.sort();
+    keys.dedup();
+    keys
 }
 
 /// Reads the configuration that the environment names.
@@ -160,6 +179,7 @@
         groups: names(&told, "services"),
         customers: names(&told, "projects"),
         told,
+        text: value,
     })
 }
 
@@ -252,6 +272,20 @@
         assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
     }
 
+    #[test]
+    fn what_another_configuration_changes_is_told_by_its_keys() {
+        let changed = |was: &str, is: &str| {
+            only_at_a_start(
+                &parse(GOOD, None).unwrap().text,
+                &parse(&GOOD.replace(was, is), None).unwrap().text,
+            )
+        };
+        assert_eq!(changed("127.0.0.1:53", "127.0.0.1:54"), [""; 0]);
+        assert_eq!(changed("6444882f5c620abb", "7"), [""; 0]);
+        assert_eq!(changed("\"sockets\":1024", "\"sockets\":512"), ["limits"]);
+        assert_eq!(changed("\"name\":\"n0\",", ""), ["name"]);
+    }
+
     #[test]
     fn errors_name_the_key_at_fault() {
         let cases = [
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -62,6 +62,7 @@
     probes,
     lists,
     lookups,
+    configurations_read,
     messages_sent,
     messages_heard,
     rounds,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use crate::client::ClientSide;
 use crate::clock::Clock;
-use crate::config::Launch;
+use crate::config::{self, Launch};
 use crate::engine::EngineSide;
 use crate::exchange::{Answer, Event, Exchange};
 use crate::log;
@@ -13,6 +13,9 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
+use serde_json::Value;
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tansymux::control::Control;
 use tansymux::interface::{Feed, ListForm, Outcome, Writer};
@@ -56,6 +59,9 @@
     peers: Option<Rc<Peers>>,
     accepting: Option<Task<()>>,
     others: Vec<Task<()>>,
+    /// The configuration in force, and the part of it that may change.
+    text: Value,
+    resolver: Rc<Cell<Option<SocketAddr>>>,
     /// When the decisions want their next round.
     timer: f64,
 }
@@ -64,6 +70,7 @@
 enum Stir {
     Events,
     ToldToEnd,
+    ToldToReadAgain,
 }
 
 impl Dispatcher {
@@ -86,29 +93,46 @@
             None => None,
         };
         exchange.happened(Event::List { form: ListForm::Remembered, engines: config.directory.all() });
-        if let Some(resolver) = config.resolver {
-            let follow = names::follow(exchange.clone(), resolver, config.directory, config.seed as u16);
-            others.push(executor.spawn(follow));
-        }
+        let resolver = Rc::new(Cell::new(config.resolver));
+        let follow = names::follow(exchange.clone(), resolver.clone(), config.directory, config.seed as u16);
+        others.push(executor.spawn(follow));
         let listener =
             ClientSide::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
         let accepting = Some(executor.spawn(clients.clone().accept(listener, executor.clone())));
-        let (phase, timer) = (Phase::Starting, f64::INFINITY);
-        Ok(Dispatcher { phase, clock, exchange, control, clients, engines, peers, accepting, others, timer })
+        let (phase, timer, text) = (Phase::Starting, f64::INFINITY, config.text);
+        Ok(Dispatcher {
+            phase,
+            clock,
+            exchange,
+            control,
+            clients,
+            engines,
+            peers,
+            accepting,
+            others,
+            text,
+            resolver,
+            timer,
+        })
     }
 
     /// Runs until all is answered after the signal to end.
     pub async fn run(mut self) {
-        let signals = Signals::new([Signal::Term, Signal::Int]);
-        let told_to_end = match signals {
-            Ok(signals) => signals.map(|_| Stir::ToldToEnd).boxed_local(),
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+        let signals = match signals {
+            Ok(signals) => signals
+                .map(|signal| match signal {
+                    Ok(Signal::Hup) => Stir::ToldToReadAgain,
+                    _ => Stir::ToldToEnd,
+                })
+                .boxed_local(),
             Err(e) => {
                 log!("signals can't be heard: {e}");
                 futures_lite::stream::pending().boxed_local()
             }
         };
         let events = Notifications(self.exchange.notify.clone()).map(|()| Stir::Events);
-        let mut stirs = std::pin::pin!(futures_lite::stream::or(told_to_end, events));
+        let mut stirs = std::pin::pin!(futures_lite::stream::or(signals, events));
         while self.phase != Phase::Ended {
             let wake = self.turn();
             self.wait(&mut stirs, wake).await;
@@ -168,6 +192,29 @@
         }
     }
 
+    /// Reads the configuration anew. What may change does, the rest is named; one that can't be used changes nothing.
+    fn told_to_read_again(&mut self) {
+        if !matches!(self.phase, Phase::Starting | Phase::Serving) {
+            return log!("told to read the configuration again while ending: nothing is read");
+        }
+        let config = match config::read() {
+            Ok(config) => config,
+            Err(e) => return log!("the configuration stays as it was: {e}"),
+        };
+        let waits = config::only_at_a_start(&self.text, &config.text);
+        if !waits.is_empty() {
+            log!(
+                "the configuration was read again; these keys wait for the next start: {}",
+                waits.join(", ")
+            );
+        }
+        self.exchange.counters.configurations_read.add();
+        if let Some(resolver) = config.resolver.filter(|_| config.resolver != self.resolver.get()) {
+            log!("the name service is asked at {resolver} from now on");
+        }
+        self.resolver.set(config.resolver);
+    }
+
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
         let soon = match self.phase {
             Phase::Closing { .. } | Phase::Draining { .. } | Phase::Flushing { .. } => {
@@ -180,8 +227,10 @@
             Timer::at(wake).await;
             None
         };
-        if let Some(Stir::ToldToEnd) = future::or(stirs.next(), time).await {
-            self.told_to_end();
+        match future::or(stirs.next(), time).await {
+            Some(Stir::ToldToEnd) => self.told_to_end(),
+            Some(Stir::ToldToReadAgain) => self.told_to_read_again(),
+            _ => {}
         }
     }
 }
--- a/crates/dispatcher/src/names.rs
+++ b/crates/dispatcher/src/names.rs
@@ -107,8 +107,11 @@
     }
 }
 
-/// Asks and listens until dropped.
-pub async fn follow(exchange: Rc<Exchange>, resolver: SocketAddr, mut directory: Directory, first_id: u16) {
+/// Asks and listens until dropped. `resolver` may come to name another address at any time: what is known stays
+/// known, the next question goes there, and what still comes from the old one is passed over.
+pub async fn follow(
+    exchange: Rc<Exchange>, resolver: Rc<Cell<Option<SocketAddr>>>, mut directory: Directory, first_id: u16,
+) {
     let unspecified = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
     let socket = match Async::<UdpSocket>::bind(unspecified) {
         Ok(socket) => socket,
@@ -118,6 +121,7 @@
     let ask = async {
         let mut times = Timer::interval_at(std::time::Instant::now(), ASK_EVERY);
         while times.next().await.is_some() {
+            let Some(resolver) = resolver.get() else { continue };
             id.set(id.get().wrapping_add(1));
             exchange.counters.lookups.add();
             if let Err(e) = socket.send_to(&dns::query(id.get(), SERVICE, dns::SRV), resolver).await {
@@ -137,7 +141,9 @@
                 }
             };
             let answer = dns::parse(&bytes[..count]);
-            let ours = |answer: &Answer| from == resolver && id.get().wrapping_sub(answer.id) < QUERIES_OPEN;
+            let ours = |answer: &Answer| {
+                Some(from) == resolver.get() && id.get().wrapping_sub(answer.id) < QUERIES_OPEN
+            };
             let Some(answer) = answer.filter(ours) else {
                 log!("an answer of the name service could not be used ({count} bytes from {from})");
                 continue;
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -12,7 +12,7 @@
 struct Program {
     child: Child,
     listen: SocketAddr,
-    _config: Scrap,
+    config: Scrap,
 }
 
 /// A file that goes with the test.
@@ -69,7 +69,7 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let program = Program { child, listen, _config: Scrap(path) };
+    let program = Program { child, listen, config: Scrap(path) };
     let from = Instant::now();
     while get(listen, "/_health").is_none_or(|(status, ..)| status != 200) {
         assert!(from.elapsed() < WAIT, "not healthy in time");
@@ -168,8 +168,21 @@
 }
 
 fn told_to_end(program: &Program) {
+    signal(program, "-TERM");
+}
+
+fn signal(program: &Program, which: &str) {
     let pid = program.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    assert!(Command::new("kill").args([which, &pid]).status().unwrap().success());
+}
+
+/// Waits until the counters show this line.
+fn wait_for_count(program: &Program, line: &str) {
+    let from = Instant::now();
+    while !get(program.listen, "/_counters").is_some_and(|(.., body)| body.contains(line)) {
+        assert!(from.elapsed() < WAIT, "no {line}");
+        thread::sleep(Duration::from_millis(10));
+    }
 }
 
 /// Waits for the end; what was written to standard error.
@@ -221,17 +234,41 @@
     let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\n"]));
     let resolver = name_service(address);
     let program = start_with(&[free_address()], &format!(r#""resolver":"{resolver}","#));
-    let from = Instant::now();
-    while !get(program.listen, "/_counters").unwrap().2.contains("lists 1\n") {
-        assert!(from.elapsed() < WAIT);
-        thread::sleep(Duration::from_millis(10));
-    }
+    wait_for_count(&program, "lists 1\n");
     // The engine of the start has no records any more: all go to the new one.
     for id in 1..9 {
         assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", id))).unwrap().0, 200);
     }
 }
 
+#[test]
+fn told_to_read_its_configuration_again_it_asks_another_name_service_and_loses_nothing() {
+    let (address, told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(300));
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let (mute, resolver) = (UdpSocket::bind("127.0.0.1:0").unwrap(), name_service(address));
+    let old = format!(r#""resolver":"{}""#, mute.local_addr().unwrap());
+    let mut program = start_with(&[address], &format!("{old},"));
+    let text = std::fs::read_to_string(&program.config.0).unwrap();
+    let open = post(program.listen, "look", 1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap()[0], "fetch");
+    // One that can't be used, and then one that can, with a key that has to wait.
+    std::fs::write(&program.config.0, text.replace(&old, r#""resolver":7"#)).unwrap();
+    signal(&program, "-HUP");
+    thread::sleep(Duration::from_millis(100));
+    let new = format!(r#""resolver":"{resolver}","limits":{{"sockets":512}}"#);
+    std::fs::write(&program.config.0, text.replace(&old, &new)).unwrap();
+    (0..3).for_each(|_| signal(&program, "-HUP"));
+    wait_for_count(&program, "lists 1\n");
+    assert_eq!(answer(&mut BufReader::new(open)).unwrap().0, 200);
+    told_to_end(&program);
+    signal(&program, "-HUP");
+    let log = end(&mut program);
+    assert!(log.contains("stays as it was") && log.contains("key resolver is 7, not a text"), "{log}");
+    assert!(log.contains("wait for the next start: limits\n"), "{log}");
+}
+
 #[test]
 fn a_connection_that_went_silent_is_not_used_again() {
     let first = std::sync::Arc::new(std::sync::Mutex::new(None));
