Clients' places go to those that ask; what no engine can use is turned away

The 600 lines "a submission for a query that is over was not sent" were clients that had left in the backlog. At fault: `accept` waited while places were full, and the 20 s idle wait, begun anew by each read, was the only end.

Now `places.rs` knows who holds a place. When places run out, one of no use is closed for the next: told its end, idle beyond what usual clients idle, slow to ask, idle, in that order; never one with a request in hand. A request is whole 2.4 s after connecting (or its first byte) however it drips. What is turned away ends its connection, and what its client still sends is passed over for half a second, so that the refusal is not lost to a reset. Unknown customers, figures no engine of the settings could serve, statements that are no text, fields told twice and control characters (a bare line feed before Transfer-Encoding) are refused. One read buffer serves all connections; what waits unread has a bound from `limits.memory_mb`, now read. A client that left before the round is no news to the decisions.

It also holds against clients that leak connections, scanners, and smuggling of any framing. It can hurt a client that connects ahead of need while places are out, or one slower than 2.4 s for a whole request.

--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -76,6 +76,9 @@
             return Err(wrong(400, "a field's name is not a word"));
         }
         let value = value.trim_matches([' ', '\t']);
+        if value.bytes().any(|b| b < b' ' && b != b'\t' || b == 127) {
+            return Err(wrong(400, "a field's value is not text"));
+        }
         let is = |known: &str| name.eq_ignore_ascii_case(known);
         if is("content-length") {
             let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
@@ -83,7 +86,7 @@
                 .filter(|_| digits)
                 .and_then(|v| v.parse().ok())
                 .ok_or(wrong(400, "Content-Length"))?;
-            if length.replace(told).is_some_and(|before| before != told) {
+            if length.replace(told).is_some() {
                 return Err(wrong(400, "Content-Length is told twice"));
             }
         } else if is("transfer-encoding") {
@@ -100,7 +103,9 @@
                 () if is("x-need-mb") => &mut head.memory_mb,
                 () => continue,
             };
-            *place = Some(value);
+            if place.replace(value).is_some() {
+                return Err(wrong(400, "a field is told twice"));
+            }
         }
     }
     head.length = length.unwrap_or(0);
@@ -113,8 +118,10 @@
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
@@ -169,7 +176,7 @@
     fn hostile_and_over_long_heads_are_refused() {
         let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MOST_HEAD]].concat();
         let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_FIELDS + 1));
-        let cases: [(&[u8], u16); 12] = [
+        let cases: [(&[u8], u16); 16] = [
             (&long, 431),
             (many.as_bytes(), 431),
             (b"GET /\r\n\r\n", 400),
@@ -182,6 +189,10 @@
             (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
             (b"POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n", 413),
             (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nA: b\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: x\r\n\r\n", 501),
+            (b"POST / HTTP/1.1\r\nReq-Id: 1\r\nReq-Id: 2\r\n\r\n", 400),
         ];
         for (bytes, status) in cases {
             assert_eq!(parse(bytes).map_err(|w| w.status), Err(status), "{}", String::from_utf8_lossy(bytes));
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! Client side: takes connections, reads queries from them and writes their answers out.
 
 mod http;
+mod places;
 mod statement;
 
 use crate::clock::Clock;
@@ -9,11 +10,12 @@
 use crate::net::write_gathered;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt, StreamExt};
+use futures_lite::{future, StreamExt};
 use http::{answer_head, Head};
-use std::cell::Cell;
-use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use places::{Place, Places, Stage};
+use std::cell::{Cell, RefCell};
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 use tansymux::told;
@@ -22,26 +24,86 @@
 const QUERY_PATH: &str = "/invoke/";
 const HEALTH_PATH: &str = "/_health";
 const COUNTERS_PATH: &str = "/_counters";
+/// What the door lets in, as the configuration tells.
+#[derive(Debug)]
+pub struct Door {
+    pub most_connections: usize,
+    /// Bytes that all connections together may have sent ahead of what is read.
+    pub most_bytes: usize,
+    /// Names of resource groups and of customers; where the settings name no customer, none is asked for.
+    pub groups: Vec<String>,
+    pub customers: Vec<String>,
+    /// The longest wait (ms) and the largest estimates (ms on one core, MB) that a query may name.
+    pub most_wait: f64,
+    pub most_cost: f64,
+    pub most_memory: f64,
+}
+
 /// An answer is written by this long (ms) before the client stops waiting.
 const ANSWER_AHEAD: f64 = 10.0;
 const WRITE_WAIT: Duration = Duration::from_secs(10);
-/// Clients close idle connections after 4 s; what is idle for so long, or half sent, is a dead client's.
-const IDLE_WAIT: Duration = Duration::from_secs(20);
+/// Clients close idle connections after 4 s; what is idle for so long (ms) has a client that is dead or asks no more.
+const IDLE_WAIT: f64 = 20_000.0;
+/// A request is whole within so long (ms), or it is turned away.
+const WHOLE_WITHIN: f64 = 2400.0;
+/// How long, and how many bytes, a client that was turned away may go on sending.
+const PART_WITHIN: f64 = 500.0;
+const MOST_PASSED_OVER: usize = 1 << 20;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const READ_AT_ONCE: usize = 16 * 1024;
 /// Bytes kept of a client that sends on while its query is in hand.
 const MOST_AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
-const LONGEST_WAIT_MS: f64 = 3_600_000.0;
-/// An estimate (ms, MB) beyond this is none: it would spoil the means that the decisions keep.
-const MOST_ESTIMATE: f64 = 1e9;
+
+/// What came of waiting for more of a request.
+enum More {
+    Came,
+    Late,
+    Ended,
+}
+
+/// What became of a request.
+enum Opened {
+    Query(u64, Rc<Slot>),
+    Answered,
+    TurnedAway,
+}
+
+/// What a connection has sent and nobody has read yet, and how much that is on all connections.
+struct Inbox<'a> {
+    bytes: Vec<u8>,
+    all: &'a Cell<usize>,
+}
+
+impl Inbox<'_> {
+    fn put_in(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+        self.all.set(self.all.get() + bytes.len());
+    }
+
+    fn take_out(&mut self, count: usize) {
+        self.bytes.drain(..count);
+        self.all.set(self.all.get().saturating_sub(count));
+        if self.bytes.is_empty() {
+            self.bytes = Vec::new();
+        }
+    }
+}
+
+impl Drop for Inbox<'_> {
+    fn drop(&mut self) {
+        self.take_out(self.bytes.len());
+    }
+}
 
 pub struct ClientSide {
     exchange: Rc<Exchange>,
     clock: Clock,
-    most_connections: usize,
-    groups: Vec<String>,
-    customers: Vec<String>,
-    connections: Cell<usize>,
+    door: Door,
+    places: Places,
+    /// Bytes that wait in inboxes, and how many may.
+    waiting: Cell<usize>,
+    most_waiting: usize,
+    shared: RefCell<Vec<u8>>,
     /// Whether the front is told that this dispatcher takes queries.
     pub healthy: Cell<bool>,
     /// Connections end after the answer that is due on them, once this is set.
@@ -49,39 +111,46 @@
 }
 
 impl ClientSide {
-    /// `groups` and `customers`: the names that the settings know.
-    pub fn new(
-        exchange: Rc<Exchange>, clock: Clock, most_connections: usize, groups: Vec<String>,
-        customers: Vec<String>,
-    ) -> Self {
-        let (connections, healthy, closing) = Default::default();
-        ClientSide { exchange, clock, most_connections, groups, customers, connections, healthy, closing }
+    pub fn new(exchange: Rc<Exchange>, clock: Clock, door: Door) -> Self {
+        let (waiting, healthy, closing) = Default::default();
+        let (places, most_waiting) = (Places::new(door.most_connections), door.most_bytes);
+        let shared = RefCell::new(vec![0; READ_AT_ONCE]);
+        ClientSide { exchange, clock, door, places, waiting, most_waiting, shared, healthy, closing }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
         Async::<TcpListener>::bind(listen)
     }
 
-    /// Takes connections until dropped.
+    /// Takes connections until dropped. When places run out, one that is of no use is closed for the next.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
         let mut incoming = std::pin::pin!(listener.incoming());
         loop {
-            if self.connections.get() >= self.most_connections {
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
+            while self.places.full() {
+                if self.places.give_one_up(self.clock.now()) {
+                    self.exchange.counters.places_given_up.add();
+                }
+                let pause = async {
+                    Timer::after(ACCEPT_PAUSE).await;
+                };
+                future::or(self.places.freed.notified(), pause).await;
             }
             match incoming.next().await {
                 Some(Ok(stream)) => {
-                    self.connections.set(self.connections.get() + 1);
                     self.exchange.counters.connections_from_clients.add();
-                    let side = self.clone();
+                    let (side, place) = (self.clone(), self.places.take(self.clock.now()));
                     let connection = async move {
-                        if let Err(e) = side.serve(&stream).await {
-                            log!("a client's connection ended: {e}");
+                        match side.serve(&stream, &place).await {
+                            Ok(true) => side.part(&stream, &place).await,
+                            Ok(false) => {}
+                            Err(e) => log!("a client's connection ended: {e}"),
                         }
-                        side.connections.set(side.connections.get() - 1);
+                        drop(stream);
+                        side.places.leave(&place);
                     };
                     executor.spawn(connection).detach();
+                    // Those that were taken read what they have before the next one is.
+                    future::yield_now().await;
                 }
                 Some(Err(e)) => {
                     log!("no connection could be taken: {e}");
@@ -92,59 +161,129 @@
         }
     }
 
-    /// One connection, one request at a time.
-    async fn serve(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+    /// One connection, one request at a time; whether its client may still be sending when it is to end.
+    async fn serve(&self, stream: &Async<TcpStream>, place: &Place) -> io::Result<bool> {
         stream.get_ref().set_nodelay(true)?;
-        let mut inbox = Vec::new();
-        // When the last of what is in the inbox came: a query's time counts from its last byte.
+        let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
+        // When the last of what is in the inbox came: a query's time counts from its last byte. By when the request
+        // must be whole: for the first counted from connecting, else from its first byte, however it drips.
         let mut since = self.clock.now();
+        let mut whole_by = since + WHOLE_WITHIN;
         loop {
-            let head = match http::parse(&inbox) {
-                Ok(Some(head)) if inbox.len() >= head.size + head.length => head,
+            let head = match http::parse(&inbox.bytes) {
+                Ok(Some(head)) if inbox.bytes.len() >= head.size + head.length => head,
                 Ok(_) => {
-                    let idle = async {
-                        Timer::after(IDLE_WAIT).await;
-                        Ok(0)
-                    };
-                    if future::or(read_more(stream, &mut inbox), idle).await? == 0 {
-                        return Ok(());
+                    let idles = inbox.bytes.is_empty() && place.idles();
+                    let by = if idles { since + IDLE_WAIT } else { whole_by };
+                    match self.more(stream, &mut inbox, place, by).await? {
+                        More::Came if self.waiting.get() > self.most_waiting => {
+                            return self.turn_away(stream, 503, "TryLater").await;
+                        }
+                        More::Came => {}
+                        More::Late if !inbox.bytes.is_empty() => {
+                            return self.turn_away(stream, 408, "the request did not become whole").await;
+                        }
+                        More::Late | More::Ended => return Ok(false),
                     }
                     since = self.clock.now();
+                    if idles {
+                        whole_by = since + WHOLE_WITHIN;
+                    }
                     continue;
                 }
-                Err(wrong) => {
-                    self.exchange.counters.refused_at_the_door.add();
-                    log!("a request could not be read: {}", wrong.what);
-                    return self.write_plain(stream, wrong.status, "{\"error\":\"Unreadable\"}", false).await;
-                }
+                Err(wrong) => return self.turn_away(stream, wrong.status, wrong.what).await,
             };
             let (used, keep_alive) = (head.size + head.length, head.keep_alive);
-            let taken = self.open(stream, &head, &inbox[head.size..used], since).await?;
-            inbox.drain(..used);
-            if let Some((number, slot)) = taken {
-                match self.wait(stream, number, &slot, &mut inbox, &mut since).await {
-                    Some(answer) => self.write_answer(stream, answer, keep_alive).await?,
-                    None => return Ok(()),
+            place.is(Stage::InHand, since);
+            let go_on = match self.open(stream, &head, &inbox.bytes[head.size..used], since).await? {
+                Opened::Query(number, slot) => {
+                    inbox.take_out(used);
+                    match self.wait(stream, number, &slot, &mut inbox, &mut since).await {
+                        Some(answer) => self.write_answer(stream, answer, keep_alive).await?,
+                        None => return Ok(false),
+                    }
+                    keep_alive
+                }
+                Opened::Answered => {
+                    inbox.take_out(used);
+                    keep_alive
                 }
+                Opened::TurnedAway => return Ok(true),
+            };
+            if !go_on || self.closing.get() {
+                return Ok(true);
             }
-            if !keep_alive || self.closing.get() {
-                return Ok(());
+            since = self.clock.now();
+            whole_by = since + WHOLE_WITHIN;
+            place.is(Stage::Idle, since);
+        }
+    }
+
+    /// Waits for more of a request.
+    async fn more(
+        &self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>, place: &Place, by: f64,
+    ) -> io::Result<More> {
+        let came = async { Ok(if self.read(stream, inbox).await? == 0 { More::Ended } else { More::Came }) };
+        let told = async {
+            place.end.notified().await;
+            Ok(More::Ended)
+        };
+        let late = async {
+            Timer::at(self.clock.instant(by)).await;
+            Ok(More::Late)
+        };
+        future::or(came, future::or(told, late)).await
+    }
+
+    /// Reads what is there through the one buffer that all connections share.
+    async fn read(&self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>) -> io::Result<usize> {
+        let read = |mut stream: &TcpStream| {
+            let mut shared = self.shared.borrow_mut();
+            let count = stream.read(&mut shared[..])?;
+            inbox.put_in(&shared[..count]);
+            Ok(count)
+        };
+        let mut read = read;
+        stream.read_with(|stream| read(stream)).await
+    }
+
+    /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
+    async fn turn_away(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<bool> {
+        self.exchange.counters.refused_at_the_door.add();
+        log!("turned away with {status}: {what}");
+        self.write_plain(stream, status, &format!("{{\"error\":\"{what}\"}}"), false).await?;
+        Ok(true)
+    }
+
+    /// Ends a connection so that its last answer is not lost to what its client still sends: that is read for a
+    /// while and passed over.
+    async fn part(&self, stream: &Async<TcpStream>, place: &Place) {
+        let now = self.clock.now();
+        place.is(Stage::Leaving, now);
+        if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut passed_over = 0;
+        while passed_over < MOST_PASSED_OVER {
+            let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
+            match self.more(stream, &mut inbox, place, now + PART_WITHIN).await {
+                Ok(More::Came) => passed_over += inbox.bytes.len(),
+                _ => return,
             }
+            future::yield_now().await;
         }
     }
 
     /// Answers what is no query at once; a query is taken in.
     async fn open(
         &self, stream: &Async<TcpStream>, head: &Head<'_>, body: &[u8], since: f64,
-    ) -> io::Result<Option<(u64, Rc<Slot>)>> {
-        let keep_alive = head.keep_alive;
+    ) -> io::Result<Opened> {
         let (status, text) = match (head.method, head.path) {
             ("POST", path) if path.starts_with(QUERY_PATH) => match self.take(head, body, since) {
-                Ok(taken) => return Ok(Some(taken)),
+                Ok((number, slot)) => return Ok(Opened::Query(number, slot)),
                 Err((status, what)) => {
-                    self.exchange.counters.refused_at_the_door.add();
-                    log!("a query was not taken in: {what}");
-                    (status, format!("{{\"error\":\"{what}\"}}"))
+                    self.turn_away(stream, status, what).await?;
+                    return Ok(Opened::TurnedAway);
                 }
             },
             ("GET", HEALTH_PATH) if self.healthy.get() => (200, "{}".to_owned()),
@@ -152,10 +291,13 @@
             ("GET", COUNTERS_PATH) => (200, self.exchange.counters.report(self.exchange.in_hand())),
             (_, HEALTH_PATH | COUNTERS_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
-            _ => (404, "{\"error\":\"Unknown\"}".to_owned()),
+            _ => {
+                self.turn_away(stream, 404, "Unknown").await?;
+                return Ok(Opened::TurnedAway);
+            }
         };
-        self.write_plain(stream, status, &text, keep_alive).await?;
-        Ok(None)
+        self.write_plain(stream, status, &text, head.keep_alive).await?;
+        Ok(Opened::Answered)
     }
 
     fn take(&self, head: &Head, body: &[u8], since: f64) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
@@ -163,18 +305,25 @@
         let id = head.id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
         let id = id.ok_or((400, "Req-Id"))?;
         let number = |value: &str| value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        // What no engine could use reaches none, and leaves nothing in what the decisions learn.
+        let told = |value: Option<&str>, most: f64| value.map_or(Some(0.0), number).filter(|n| *n <= most);
         let wait =
-            head.wait_ms.and_then(number).filter(|ms| *ms <= LONGEST_WAIT_MS).ok_or((400, "Req-Wait-Ms"))?;
-        let estimate = |value: Option<&str>| value.map_or(Some(0.0), number).filter(|n| *n <= MOST_ESTIMATE);
-        let cost = estimate(head.cost).ok_or((400, "Req-Cost"))?;
-        let memory = estimate(head.memory_mb).ok_or((400, "X-Need-Mb"))?;
-        if !self.groups.iter().any(|known| known == rg) {
+            told(head.wait_ms, self.door.most_wait).filter(|ms| *ms >= 1.0).ok_or((400, "Req-Wait-Ms"))?;
+        let cost = told(head.cost, self.door.most_cost).ok_or((400, "Req-Cost"))?;
+        let memory = told(head.memory_mb, self.door.most_memory).ok_or((400, "X-Need-Mb"))?;
+        if !self.door.groups.iter().any(|known| known == rg) {
             return Err((404, "unknown resource group"));
         }
-        // A customer that the settings do not know counts as none.
         let owner = head.owner.unwrap_or("");
-        let customer = self.customers.iter().find(|known| told::is_named(known, owner));
+        let customer = self.door.customers.iter().find(|known| told::is_named(known, owner));
+        if customer.is_none() && !self.door.customers.is_empty() {
+            return Err((403, "unknown customer"));
+        }
         let customer = customer.map_or("", String::as_str);
+        let text = std::str::from_utf8(body).map_err(|_| (400, "the statement is not text"))?;
+        if text.trim().is_empty() || text.contains('\0') {
+            return Err((400, "the statement is not text"));
+        }
         let tables = statement::table_group(body).unwrap_or(u32::MAX);
         let due = since + (wait - ANSWER_AHEAD).max(wait / 2.0);
         let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables };
@@ -187,11 +336,11 @@
 
     /// Waits for the answer while watching for the client to leave; none if it left.
     async fn wait(
-        &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Vec<u8>, since: &mut f64,
+        &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Inbox<'_>, since: &mut f64,
     ) -> Option<Answer> {
         let watch = async {
-            while inbox.len() < MOST_AHEAD {
-                if !matches!(read_more(stream, inbox).await, Ok(1..)) {
+            while inbox.bytes.len() < MOST_AHEAD {
+                if !matches!(self.read(stream, inbox).await, Ok(1..)) {
                     return;
                 }
                 *since = self.clock.now();
@@ -264,10 +413,3 @@
         written
     }
 }
-
-async fn read_more(mut stream: &Async<TcpStream>, inbox: &mut Vec<u8>) -> io::Result<usize> {
-    let mut bytes = [0; READ_AT_ONCE];
-    let count = stream.read(&mut bytes).await?;
-    inbox.extend_from_slice(&bytes[..count]);
-    Ok(count)
-}
--- /dev/null
+++ b/crates/dispatcher/src/client/places.rs
@@ -0,0 +1,134 @@
+//! Which connections from clients hold a place, and which gives one up when places run out. No I/O.
+
+use crate::notify::Notify;
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Usual clients close what is idle for 4 s: an answered connection that idles longer has a client that asks no more.
+const ASKS_NO_MORE: f64 = 4500.0;
+/// A client that connects has something to ask. One that has said nothing whole for the first of these times (ms)
+/// goes before those that idle between two queries, for the second when there are no others.
+const SLOW_TO_ASK: f64 = 500.0;
+const TIME_TO_ASK: f64 = 100.0;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Stage {
+    /// Connected, no request was whole yet.
+    New,
+    /// A request is in hand.
+    InHand,
+    /// Answered, and nothing of a next request came.
+    Idle,
+    /// Told all it is owed; what it still sends is passed over.
+    Leaving,
+}
+
+pub struct Place {
+    number: usize,
+    stage: Cell<Stage>,
+    since: Cell<f64>,
+    given_up: Cell<bool>,
+    /// Tells the connection to end.
+    pub end: Notify,
+}
+
+impl Place {
+    pub fn idles(&self) -> bool {
+        self.stage.get() == Stage::Idle
+    }
+
+    pub fn is(&self, stage: Stage, now: f64) {
+        self.stage.set(stage);
+        self.since.set(now);
+        self.given_up.set(false);
+    }
+}
+
+pub struct Places {
+    most: usize,
+    each: RefCell<Slab<Rc<Place>>>,
+    pub freed: Notify,
+}
+
+impl Places {
+    pub fn new(most: usize) -> Self {
+        Places { most, each: RefCell::default(), freed: Notify::default() }
+    }
+
+    pub fn full(&self) -> bool {
+        self.each.borrow().len() >= self.most
+    }
+
+    pub fn take(&self, now: f64) -> Rc<Place> {
+        let mut each = self.each.borrow_mut();
+        let entry = each.vacant_entry();
+        let (stage, since, given_up) = (Cell::new(Stage::New), Cell::new(now), Cell::default());
+        let place = Rc::new(Place { number: entry.key(), stage, since, given_up, end: Notify::default() });
+        entry.insert(place.clone());
+        place
+    }
+
+    pub fn leave(&self, place: &Place) {
+        self.each.borrow_mut().try_remove(place.number);
+        self.freed.notify();
+    }
+
+    /// Tells one connection to end, so that its place is free; none while each may still be of use. The longest in
+    /// its stage goes first. None with a request in hand is ever chosen.
+    pub fn give_one_up(&self, now: f64) -> bool {
+        let each = self.each.borrow();
+        let rank = |place: &Place| {
+            let age = now - place.since.get();
+            match place.stage.get() {
+                Stage::InHand => None,
+                Stage::Leaving => Some(0),
+                Stage::Idle if age > ASKS_NO_MORE => Some(1),
+                Stage::New if age > SLOW_TO_ASK => Some(2),
+                Stage::Idle => Some(3),
+                Stage::New => (age > TIME_TO_ASK).then_some(4),
+            }
+        };
+        let open = each.iter().map(|(_, place)| place).filter(|place| !place.given_up.get());
+        let ranked = open.filter_map(|place| Some((rank(place)?, place)));
+        let first = ranked.min_by(|(a, p), (b, q)| a.cmp(b).then(p.since.get().total_cmp(&q.since.get())));
+        let Some((_, place)) = first else { return false };
+        place.given_up.set(true);
+        place.end.notify();
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn those_that_ask_no_more_go_first_and_none_with_a_request_in_hand() {
+        let places = Places::new(6);
+        let stages =
+            [(Stage::InHand, 0.0), (Stage::Idle, 9000.0), (Stage::New, 9400.0), (Stage::Idle, 2000.0)];
+        let fresh = [(Stage::New, 9950.0), (Stage::Leaving, 9990.0)];
+        let taken: Vec<Rc<Place>> = stages
+            .into_iter()
+            .chain(fresh)
+            .map(|(stage, since)| {
+                let place = places.take(since);
+                place.is(stage, since);
+                place
+            })
+            .collect();
+        assert!(places.full());
+        let given_up = || taken.iter().map(|p| p.given_up.get()).collect::<Vec<bool>>();
+        for nth in [5, 3, 2, 1] {
+            let before = given_up();
+            assert!(places.give_one_up(10_000.0));
+            assert!(given_up()[nth] && !before[nth], "{nth}: {:?}", given_up());
+        }
+        // What is left has a request in hand, or has just come.
+        assert!(!places.give_one_up(10_000.0));
+        assert!(places.give_one_up(10_100.0) && given_up()[4] && !given_up()[0]);
+        places.leave(&taken[3]);
+        assert!(!places.full());
+    }
+}
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. Errors name the key at fault.
 
+use crate::client::Door;
 use crate::engine::Terms;
 use crate::exchange::Listed;
 use crate::names::Directory;
@@ -13,12 +14,22 @@
 const MOST_BYTES: u64 = 8 << 20;
 const LEAST_SOCKETS: f64 = 64.0;
 const DEFAULT_SOCKETS: f64 = 1024.0;
+const LEAST_MEMORY_MB: f64 = 16.0;
+const DEFAULT_MEMORY_MB: f64 = 192.0;
 const DEFAULT_CONNECT_TIMEOUT: f64 = 250.0;
 const DEFAULT_IDLE: f64 = 30_000.0;
 const DEFAULT_STREAMS: f64 = 32.0;
 /// Shares of the descriptor limit: connections from clients, connections to engines.
 const CLIENTS_PART: f64 = 0.5;
 const ENGINES_PART: f64 = 0.35;
+/// Shares of the memory limit: statements in hand, and what clients have sent ahead.
+const STATEMENTS_PART: f64 = 0.2;
+const AHEAD_PART: f64 = 0.1;
+/// What a query may name at most: so many times the longest time that the settings give a client, the work that the
+/// largest engine can do in that time, and the memory of the largest engine. Where the settings do not tell: these.
+const ROOM: f64 = 4.0;
+const LONGEST_WAIT: f64 = 3_600_000.0;
+const MOST_ESTIMATE: f64 = 1e9;
 
 /// Where the messages between dispatchers go.
 #[derive(Debug, PartialEq)]
@@ -34,14 +45,13 @@
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    pub most_clients: usize,
+    pub door: Door,
+    /// Statements in hand at most, in bytes.
+    pub most_bytes: usize,
     pub terms: Terms,
     pub peers: Option<PeerAddresses>,
     pub resolver: Option<SocketAddr>,
     pub directory: Directory,
-    /// Names of resource groups and of customers. What else clients name is not kept.
-    pub groups: Vec<String>,
-    pub customers: Vec<String>,
     /// The settings as the decisions take them: a plain map.
     pub told: Map,
     /// The configuration as it stands in the file, to tell what another one changes.
@@ -151,6 +161,8 @@
     let seed = root.key("seed");
     let hex = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("a number in hex"))?;
     let sockets = root.key("limits").key("sockets").number_or(DEFAULT_SOCKETS, LEAST_SOCKETS)?;
+    let memory = root.key("limits").key("memory_mb").number_or(DEFAULT_MEMORY_MB, LEAST_MEMORY_MB)?;
+    let memory = memory * f64::from(1 << 20);
     let setting = |key: &str| root.key("settings").key("limits").key(key);
     let notes_every =
         root.key("settings").key("family-info").key("tells-every-us").number_or(0.0, 0.0)? / 1e3;
@@ -161,6 +173,22 @@
         streams: setting("streams-per-conn").number_or(DEFAULT_STREAMS, 1.0)? as usize,
         most_connections: (sockets * ENGINES_PART) as usize,
     };
+    let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    let waits =
+        (0..count).filter_map(|i| told.millis(&format!("{}.hard-limit-us", told::item_of("services", i))));
+    let largest = |path: &str| told.list(path).iter().filter_map(|n| n.parse::<f64>().ok()).reduce(f64::max);
+    let most_wait = waits.reduce(f64::max).map_or(LONGEST_WAIT, |wait| ROOM * wait);
+    let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
+    let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
+    let door = Door {
+        most_connections: (sockets * CLIENTS_PART) as usize,
+        most_bytes: (memory * AHEAD_PART) as usize,
+        groups: names(&told, "services"),
+        customers: names(&told, "projects"),
+        most_wait,
+        most_cost: most_cost.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
+        most_memory: most_memory.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
+    };
     let peers = root.key("peer_listen").maybe(|key| {
         let listen = key.address()?;
         let each = root.key("peers").maybe(At::items)?.unwrap_or_default();
@@ -171,13 +199,12 @@
         name: root.key("name").maybe(At::text)?.unwrap_or("").to_owned(),
         listen,
         seed: hex,
-        most_clients: (sockets * CLIENTS_PART) as usize,
+        door,
+        most_bytes: (memory * STATEMENTS_PART) as usize,
         terms,
         peers,
         resolver: root.key("resolver").maybe(At::address)?,
         directory: known(&root.key("known"))?,
-        groups: names(&told, "services"),
-        customers: names(&told, "projects"),
         told,
         text: value,
     })
@@ -246,27 +273,32 @@
 mod tests {
     use super::*;
 
-    const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb","limits":{"sockets":1024},
+    const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb","limits":{"sockets":1024,"memory_mb":32},
         "peer_listen":"127.0.0.1:2","peers":["127.0.0.2:2"],"resolver":"127.0.0.1:53",
         "known":{"cursor":2,"cmds":[{"cursor":1,"nodes":{"instances":[{"instanceId":"s-1","hostPort":"10.0.0.1:1",
         "zone":"h","machineType":"std","cell":1,"lifecycle":"Ready","startedAtMs":0}]}},{"cursor":2,"nodes":
         {"instances":[{"instanceId":"s-1","lifecycle":"Terminating","startedAtMs":7}]}}]},
         "settings":{"balancers":2,"kinds":["a b","c"],"limits":{"probes":true,"connect-timeout-us":9000},
-        "services":[{"name":"look","aim-us":5}],"family-info":{"dop":[1,2]}}}"#;
+        "services":[{"name":"look","aim-us":5,"hard-limit-us":7000}],
+        "family-info":{"dop":[1,2],"cores-by-kind":[8,4],"kind-memory-mb":[100,50]}}}"#;
 
     #[test]
     fn settings_become_a_plain_map_and_events_one_list() {
         let config = parse(GOOD, None).unwrap();
         let told: Vec<_> = config.told.iter().map(|(name, value)| format!("{name}={value}")).collect();
         let want =
-            "balancers=2 family-info.dop=1,2 kinds=a_b,c limits.connect-timeout-us=9000 limits.probes=true \
-            services.0.aim-us=5 services.0.name=look services.count=1";
+            "balancers=2 family-info.cores-by-kind=8,4 family-info.dop=1,2 family-info.kind-memory-mb=100,50 \
+            kinds=a_b,c limits.connect-timeout-us=9000 limits.probes=true services.0.aim-us=5 \
+            services.0.hard-limit-us=7000 services.0.name=look services.count=1";
         assert_eq!(told.join(" "), want);
         assert_eq!(
             (config.terms.connect_timeout, config.terms.idle, config.directory.last),
             (9.0, 30_000.0, 2)
         );
-        assert_eq!((config.groups.concat(), config.customers.len()), ("look".to_owned(), 0));
+        assert_eq!((config.door.groups.concat(), config.door.customers.len()), ("look".to_owned(), 0));
+        let figures = (config.door.most_wait, config.door.most_cost, config.door.most_memory);
+        assert_eq!(figures, (28.0, 224.0, 400.0));
+        assert_eq!((config.door.most_bytes, config.most_bytes), ((32 << 20) / 10, (32 << 20) / 5));
         let engine = &config.directory.all()[0];
         assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
         assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
@@ -292,6 +324,7 @@
             ("\"seed\":\"6444882f5c620abb\"", "\"seed\":\"x\"", "key seed is \"x\""),
             ("\"listen\"", "\"lisTen\"", "key listen is missing"),
             ("\"sockets\":1024", "\"sockets\":2", "key limits.sockets is 2, not at least 64"),
+            ("\"memory_mb\":32", "\"memory_mb\":\"a\"", "key limits.memory_mb is \"a\", not a number"),
             ("\"127.0.0.2:2\"", "7", "key peers.0 is 7, not a text"),
             ("\"Ready\"", "\"Up\"", "key known.cmds.0.nodes.instances.0.lifecycle is \"Up\""),
             ("\"balancers\":2", "\"b\":2", "key settings.balancers"),
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -56,6 +56,8 @@
     refused_at_the_door,
     answers_not_written,
     connections_from_clients,
+    /// Clients' connections closed to make room for others.
+    places_given_up,
     connections_to_engines,
     /// Submissions = the sum of their ends + those that are out.
     submissions,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -76,12 +76,10 @@
 impl Dispatcher {
     pub fn start(config: Launch, executor: Rc<LocalExecutor<'static>>) -> Result<Self, String> {
         let clock = Clock::start();
-        let exchange = Rc::new(Exchange::default());
+        let exchange = Rc::new(Exchange::new(config.most_bytes));
         let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
-        let clients =
-            ClientSide::new(exchange.clone(), clock, config.most_clients, config.groups, config.customers);
-        let clients = Rc::new(clients);
+        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door));
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
@@ -246,9 +244,13 @@
         while let Some(event) = self.exchange.next_event() {
             match event {
                 Event::Query { query, customer, cost, memory, tables } => {
+                    // One whose client left while it waited for this round is no news to the decisions.
                     let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due)) else {
                         continue;
                     };
+                    if self.exchange.over(query) {
+                        continue;
+                    }
                     let taken = control.query(query, &rg, &customer, None, due, cost, memory, tables, out);
                     if let Err(e) = taken {
                         log!("a query was not taken: {e}");
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -14,8 +14,6 @@
 pub const MOST_QUERIES: usize = 4096;
 /// Ids of queries that were submitted and are over, kept so that none is taken twice.
 const MOST_PAST: usize = 16 * 1024;
-/// Statements and results in hand at most, in bytes.
-pub const MOST_BYTES: usize = 48 << 20;
 
 /// A result's pages, as rows in JSON.
 pub type Pages = Vec<Vec<u8>>;
@@ -96,7 +94,9 @@
     ids: RefCell<FxHashMap<Rc<str>, u64>>,
     past: RefCell<Past>,
     next: Cell<u64>,
+    /// Bytes of statements in hand, and how many there may be.
     bytes: Cell<usize>,
+    most_bytes: usize,
     events: RefCell<VecDeque<Event>>,
     orders: RefCell<VecDeque<Order>>,
 }
@@ -117,9 +117,10 @@
     }
 }
 
-impl Default for Exchange {
-    fn default() -> Self {
+impl Exchange {
+    pub fn new(most_bytes: usize) -> Self {
         Exchange {
+            most_bytes,
             notify: Rc::default(),
             ends: Cell::new(f64::INFINITY),
             counters: Counters::default(),
@@ -166,7 +167,7 @@
             return Err(NotTaken::Past);
         }
         let bytes = self.bytes.get() + asked.statement.len();
-        if self.queries.borrow().len() >= MOST_QUERIES || bytes > MOST_BYTES {
+        if self.queries.borrow().len() >= MOST_QUERIES || bytes > self.most_bytes {
             return Err(NotTaken::NoRoom);
         }
         self.bytes.set(bytes);
@@ -312,6 +313,13 @@
     }
 }
 
+#[cfg(test)]
+impl Default for Exchange {
+    fn default() -> Self {
+        Exchange::new(1 << 20)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -347,6 +355,16 @@
         assert!(exchange.take(&ASKED).is_ok());
     }
 
+    #[test]
+    fn statements_beyond_the_room_are_turned_away_until_others_end() {
+        let exchange = Exchange::new(ASKED.statement.len() + 1);
+        let (query, _slot) = exchange.take(&ASKED).unwrap();
+        let second = Asked { id: "9b1f03aa5c7e2d42", ..ASKED };
+        assert_eq!(exchange.take(&second).map(|_| ()), Err(NotTaken::NoRoom));
+        exchange.answer(query, Answer::Killed);
+        assert!(exchange.take(&second).is_ok());
+    }
+
     #[test]
     fn a_client_that_left_is_owed_nothing() {
         let exchange = Exchange::default();
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -54,8 +54,9 @@
     };
     let config = format!(
         r#"{{{keys}"name":"n0","listen":"{listen}","seed":"1","known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":
-        {{"instances":[{}]}}}}]}},"settings":{{"balancers":1,"zone":"h","kinds":["std"],"services":[{},{}],
-        "family-info":{{"cores-by-kind":[8],"dop":[1,1],"lanes-count":true}},"limits":{{"cancelling":true,
+        {{"instances":[{}]}}}}]}},"settings":{{"balancers":1,"zone":"h","kinds":["std"],
+        "projects":[{{"name":"acme"}}],"services":[{},{}],
+        "family-info":{{"cores-by-kind":[8],"kind-memory-mb":[4096],"dop":[1,1],"lanes-count":true}},"limits":{{"cancelling":true,
         "max-attempts":3,"max-retry-after-us":500000}}}}}}"#,
         engines.join(","),
         class("look", "read_like"),
@@ -384,3 +385,73 @@
     }
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
+
+/// Keys of a configuration with the fewest places, 32 of them for clients, and one customer.
+const SMALL: &str = r#""limits":{"sockets":64,"memory_mb":32},"#;
+
+#[test]
+fn clients_that_ask_no_more_or_never_do_keep_no_place_from_those_that_ask() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], SMALL);
+    let mute: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(program.listen).unwrap()).collect();
+    let from = Instant::now();
+    let stay: Vec<TcpStream> = (1..80)
+        .map(|id| {
+            let client = post(program.listen, "look", id);
+            assert_eq!(answer(&mut BufReader::new(client.try_clone().unwrap())).unwrap().0, 200);
+            client
+        })
+        .collect();
+    assert!(from.elapsed() < Duration::from_millis(2500), "{:?}", from.elapsed());
+    // Those that never asked are told so by a close, and one that sends by drops by an error.
+    let mut drips = TcpStream::connect(program.listen).unwrap();
+    drips.set_read_timeout(Some(WAIT)).unwrap();
+    let from = Instant::now();
+    while from.elapsed() < Duration::from_secs(3) && drips.write_all(b"POST /x").is_ok() {
+        thread::sleep(Duration::from_millis(100));
+    }
+    for mut client in mute {
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        assert!(!matches!(client.read(&mut [0]), Ok(1..)));
+    }
+    assert!(from.elapsed() < Duration::from_millis(3500), "{:?}", from.elapsed());
+    assert!(answer(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
+    drop(stay);
+}
+
+#[test]
+fn what_no_engine_can_use_is_turned_away_and_nothing_behind_it_is_read() {
+    let (address, told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], SMALL);
+    let behind =
+        "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000ab\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
+         Content-Length: 8\r\n\r\nSELECT 1";
+    let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\n";
+    let cases = [
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: nobody\r\nContent-Length: 8\r\n\r\nSELECT 1", 403),
+        ("Req-Wait-Ms: 9000\r\nContent-Length: 8\r\n\r\nSELECT 1", 403),
+        ("Req-Wait-Ms: 90000000\r\nReq-Owner: acme\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nX-Need-Mb: 1e8\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nReq-Cost: 1e8\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nContent-Length: 8\r\n\r\nSELECT \0", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\r\n", 400),
+        ("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501),
+        ("Transfer-Encoding: x\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 501),
+        ("Content-Length: 4\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400),
+    ];
+    for (rest, status) in cases {
+        let mut client = TcpStream::connect(program.listen).unwrap();
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.write_all(format!("{head}{rest}{behind}").as_bytes()).unwrap();
+        let mut reader = BufReader::new(client);
+        assert_eq!(answer(&mut reader).unwrap().0, status, "{rest}");
+        assert!(answer(&mut reader).is_none(), "{rest}");
+    }
+    // The refusal of a statement without end reaches its client while that still sends.
+    let mut client = TcpStream::connect(program.listen).unwrap();
+    client.write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes()).unwrap();
+    (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
+    assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 413);
+    assert_eq!(told.try_iter().count(), 0);
+    assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap().0, 200);
+}
