A connection for each submission, spoilt answers end theirs, own-fault errors cast no doubt

All submissions to an engine shared the first connection that took one (`channel_for`). A page with a column too few passed as rows, a DONE without `batches` as one page, a half frame was waited for to the end, and a spoilt answer inside a good frame left its connection in use, where nothing comes any more. Ruled out: slow engines (the errors took 0 ms), answers that got lost.

Now each submission gets its own connection while there is room, one more is opened ahead, and idle ones close by themselves. What can't be read or used ends its connection at once; so does a frame that stalls for half a second. The end of a connection counts once against its engine, its neighbours count as given up. On the way: a time due in the past kept the driver from ever yielding, found by the new test; it now yields each turn. Now the abort goes out before the close, and the decisions hear of what was given up 3 ms later.

It also holds against middleboxes that reset, half-open connections and a fault in one engine thread. It can hurt where connections are dear: a TLS layer would want fewer.

Tests: spoilt, short and surplus answers among healthy ones, an abort before the close, a query that fails everywhere; three fail on the code before.

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -59,6 +59,8 @@
     /// Clients' connections closed to make room for others.
     places_given_up,
     connections_to_engines,
+    /// Those that ended because what came could not be read or used, or stopped short.
+    connections_spoilt,
     /// Submissions = the sum of their ends + those that are out.
     submissions,
     probes,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -134,6 +134,8 @@
         while self.phase != Phase::Ended {
             let wake = self.turn();
             self.wait(&mut stirs, wake).await;
+            // Whatever is due already, the connections get their turn.
+            future::yield_now().await;
         }
         self.others.clear();
         eprint!("{}", self.exchange.counters.report(self.exchange.in_hand()));
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -11,7 +11,7 @@
 
 /// Pages of a result at most, and bytes of them.
 const MOST_PAGES: usize = 64;
-const MOST_RESULT: usize = 1 << 20;
+const MOST_RESULT: usize = 128 * 1024;
 /// Bytes that wait to be written at most.
 pub const MOST_WAITING: usize = 4 << 20;
 
@@ -63,9 +63,22 @@
 /// What a frame from the engine means.
 #[derive(Debug, PartialEq)]
 pub enum Heard {
-    Closed { query: u64, submission: usize, outcome: Outcome, sent: f64, pages: Pages },
-    Noted { query: u64, submission: usize, note: Note, amount: f64 },
+    Closed {
+        query: u64,
+        submission: usize,
+        outcome: Outcome,
+        sent: f64,
+        pages: Pages,
+    },
+    Noted {
+        query: u64,
+        submission: usize,
+        note: Note,
+        amount: f64,
+    },
     Probed(Outcome),
+    /// No engine says this: nothing behind it on this connection is of use.
+    Spoilt(&'static str),
     Nothing,
 }
 
@@ -75,6 +88,10 @@
     /// When a frame last came (a connection that came up has told nothing yet), and when it last had something out.
     pub heard: f64,
     pub used: f64,
+    /// Since when a frame has begun to come and is not whole.
+    pub partial: Option<f64>,
+    /// Why it is closed at once, whatever is out on it.
+    pub broken: Option<&'static str>,
     /// Nothing new goes here: it is closed once nothing is out.
     pub retired: bool,
     pub submissions: FxHashMap<Rc<str>, Submission>,
@@ -92,6 +109,8 @@
             state: State::Connecting,
             heard: f64::NEG_INFINITY,
             used: now,
+            partial: None,
+            broken: None,
             retired: false,
             submissions: FxHashMap::default(),
             probes: Vec::new(),
@@ -172,6 +191,11 @@
         !self.waiting.is_empty()
     }
 
+    pub fn forget_waiting(&mut self) {
+        self.waiting.clear();
+        (self.waiting_bytes, self.written) = (0, 0);
+    }
+
     /// The bytes to write next, as slices for a gathered write.
     pub fn slices<'a>(&'a self, to: &mut Vec<IoSlice<'a>>, most: usize) {
         let mut skip = self.written;
@@ -194,10 +218,11 @@
         }
     }
 
-    /// Takes in a frame. What names nothing that is out here is passed over.
+    /// Takes in a frame. What names nothing that is out here is passed over: a second copy, another's answer. What
+    /// can't be read or used is spoilt, and its submission stays out until the connection ends with it.
     pub fn hear(&mut self, frame: &Frame, now: f64) -> Heard {
         self.heard = now;
-        let Ok(id) = std::str::from_utf8(frame.part(0)) else { return Heard::Nothing };
+        let Ok(id) = std::str::from_utf8(frame.part(0)) else { return Heard::Spoilt("an id is not text") };
         let (word, fields) = (frame.part(1), frame.part(2));
         if let Some(n) = self.probes.iter().position(|(tag, ..)| &**tag == id) {
             self.probes.swap_remove(n);
@@ -217,9 +242,11 @@
                 let Some(amount) = amount.filter(|n| n.is_finite()) else { return Heard::Nothing };
                 return Heard::Noted { query, submission, note, amount };
             }
+            // A second copy of the first page.
+            b"DONE" if !s.pages.is_empty() => return Heard::Nothing,
             b"DONE" | b"MORE" => match s.take_page(word == b"DONE", fields, frame.part(3)) {
-                Some(true) => Outcome::Finished,
-                Some(false) => {
+                Ok(true) => Outcome::Finished,
+                Ok(false) => {
                     if word == b"DONE" {
                         (1..s.pages.len()).for_each(|page| {
                             let mut head = Vec::with_capacity(64);
@@ -234,50 +261,47 @@
                     }
                     return Heard::Nothing;
                 }
-                None => Outcome::Error,
+                Err(what) => return Heard::Spoilt(what),
             },
             b"WAIT" => Outcome::Full,
             b"PAST" => Outcome::NotSent,
             b"BROKE" => Outcome::Error,
-            _ => return Heard::Nothing,
+            _ => return Heard::Spoilt("a word is unknown"),
         };
         let sent = s.sent;
         let pages: Pages = s.pages.drain(..).flatten().collect();
-        if word == b"MORE" || word == b"DONE" && (outcome != Outcome::Finished || pages.len() > 1) {
+        if word == b"MORE" {
             self.write(&[b"done", id.as_bytes()], None, None);
         }
         self.submissions.remove(id);
         self.used = now;
-        let pages = if outcome == Outcome::Finished { pages } else { Pages::new() };
         Heard::Closed { query, submission, outcome, sent, pages }
     }
 }
 
 impl Submission {
-    /// Takes in a page; whether the result is whole, none if it can't be used.
-    fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Option<bool> {
-        let number = |name| resp::field(fields, name).map_or(Some(1), |n| n.parse::<usize>().ok());
+    /// Takes in a page; whether the result is whole, or why it can't be used.
+    fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Result<bool, &'static str> {
+        let number = |name| resp::field(fields, name).and_then(|n| n.parse::<usize>().ok());
         let at = if first {
-            let pages = number("batches").filter(|n| (1..=MOST_PAGES).contains(n))?;
-            if !self.pages.is_empty() {
-                return Some(false);
-            }
+            let pages =
+                number("batches").filter(|n| (1..=MOST_PAGES).contains(n)).ok_or("no number of pages")?;
             self.pages.resize(pages, None);
             self.missing = pages;
             0
         } else {
-            number("batch")?
+            number("batch").ok_or("a page has no number")?
         };
-        let rows = json_rows(page)?;
+        let rows = json_rows(page).ok_or("a page can't be read")?;
         let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
         if size + rows.len() > MOST_RESULT {
-            return None;
+            return Err("a result is too long");
         }
-        let place = self.pages.get_mut(at)?;
+        let place = self.pages.get_mut(at).ok_or("a page has a wrong number")?;
         if place.replace(rows).is_none() {
             self.missing -= 1;
         }
-        Some(self.missing == 0)
+        Ok(self.missing == 0)
     }
 }
 
@@ -323,35 +347,47 @@
         assert!(!connection.went_out("i1"));
         connection.wrote(1);
         assert!(connection.went_out("i1"));
-        assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\n"]), Heard::Nothing);
-        assert_eq!(waiting(&connection).matches("more").count(), 2);
-        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
-        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\n"]), Heard::Nothing);
-        let pages = ["[\"a\"]", "[\"b\"]", "[\"c\"]"].map(|page| page.as_bytes().to_vec()).to_vec();
+        // Surplus copies are passed over.
+        for _ in 0..2 {
+            assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]), Heard::Nothing);
+            assert_eq!(waiting(&connection).matches("more").count(), 2);
+        }
+        for _ in 0..2 {
+            assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]), Heard::Nothing);
+        }
+        let pages = ["[\"a\",\"\",\"\"]", "[\"b\",\"\",\"\"]", "[\"c\",\"\",\"\"]"]
+            .map(|page| page.as_bytes().to_vec())
+            .to_vec();
         let (query, submission, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
         let whole = Heard::Closed { query, submission, outcome, sent, pages };
-        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]), whole);
+        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\t\t\n"]), whole);
         assert!(waiting(&connection).contains("done") && connection.out() == 0);
         assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]), Heard::Nothing);
     }
 
     #[test]
-    fn answers_that_cannot_be_used_are_errors() {
-        let cases: [&[&[u8]]; 5] = [
-            &[b"i1", b"BROKE", b"-", b""],
-            &[b"i1", b"DONE", b"batches=0", b"a\n"],
-            &[b"i1", b"DONE", b"batches=100000", b"a\n"],
-            &[b"i1", b"DONE", b"batches=1", b"\xff\n"],
-            &[b"i1", b"MORE", b"batch=7", b"a\n"],
+    fn answers_that_cannot_be_used_are_spoilt() {
+        let cases: [&[&[u8]]; 8] = [
+            &[b"\xff", b"DONE", b"batches=1", b"a\t\t\n"],
+            &[b"i1", b"DONE", b"batches=0", b"a\t\t\n"],
+            &[b"i1", b"DONE", b"batches=100000", b"a\t\t\n"],
+            &[b"i1", b"DONE", b"-", b"a\t\t\n"],
+            &[b"i1", b"DONE", b"batches=1", b"\xff\t\t\n"],
+            &[b"i1", b"DONE", b"batches=1", b"a\tb\n"],
+            &[b"i1", b"MORE", b"batch=7", b"a\t\t\n"],
+            &[b"i1", b"noise", b"-", b""],
         ];
         for parts in cases {
             let mut connection = connection();
             submit(&mut connection, "i1", 4);
             let heard = hear(&mut connection, parts);
-            assert!(matches!(heard, Heard::Closed { outcome: Outcome::Error, .. }), "{heard:?}");
+            assert!(matches!(heard, Heard::Spoilt(_)) && connection.out() == 1, "{heard:?}");
         }
-        assert_eq!(hear(&mut connection(), &[]), Heard::Nothing);
-        assert_eq!(hear(&mut connection(), &[b"\xff", b"DONE"]), Heard::Nothing);
+        let mut connection = connection();
+        submit(&mut connection, "i1", 4);
+        let broke = hear(&mut connection, &[b"i1", b"BROKE", b"-", b""]);
+        assert!(matches!(broke, Heard::Closed { outcome: Outcome::Error, .. }));
+        assert_eq!(hear(&mut connection, &[]), Heard::Nothing);
     }
 
     #[test]
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -13,10 +13,11 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use connection::{Connection, Heard, State, Submission};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::io::{self, IoSlice};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::task::Poll;
@@ -25,7 +26,8 @@
 
 const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
 const READ_AT_ONCE: usize = 32 * 1024;
-const MOST_INBOX: usize = 1 << 20;
+/// A frame that has begun and does not go on for so long (ms) never will.
+const STALL: f64 = 500.0;
 /// Part of the told idle time after which a connection is closed from here, before the engine does.
 const IDLE_PART: f64 = 0.8;
 /// What is given up after nothing was heard on its connection for so many notes' time, and so long (ms) at the
@@ -33,6 +35,10 @@
 const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
 
+/// What is given up on one connection may be sent again on another. So that the first word is not overtaken, the
+/// decisions hear of the end so much (ms) later.
+const SETTLES: f64 = 3.0;
+
 /// What the platform tells of connections to engines.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
@@ -47,6 +53,7 @@
 struct Engine {
     address: Option<SocketAddr>,
     started: Option<f64>,
+    gone: bool,
     connections: Vec<Rc<Channel>>,
 }
 
@@ -65,14 +72,19 @@
     engines: RefCell<FxHashMap<u64, Engine>>,
     tags: Cell<u64>,
     connections: Cell<usize>,
+    /// Ends that are told once they have settled, and when that is.
+    settling: RefCell<VecDeque<(f64, Event)>>,
+    /// The one buffer that all connections read through.
+    shared: RefCell<Vec<u8>>,
 }
 
 impl EngineSide {
     pub fn new(
         exchange: Rc<Exchange>, clock: Clock, executor: Rc<LocalExecutor<'static>>, terms: Terms,
     ) -> Rc<Self> {
-        let (engines, tags, connections) = Default::default();
-        Rc::new(EngineSide { exchange, clock, executor, terms, engines, tags, connections })
+        let (engines, tags, connections, settling) = Default::default();
+        let shared = RefCell::new(vec![0; READ_AT_ONCE]);
+        Rc::new(EngineSide { exchange, clock, executor, terms, engines, tags, connections, settling, shared })
     }
 
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
@@ -80,9 +92,11 @@
     /// the address by now.
     pub fn listed(&self, told: &Listed) {
         let mut engines = self.engines.borrow_mut();
-        let fresh = || Engine { address: told.address, started: told.started, connections: Vec::new() };
+        let fresh =
+            || Engine { address: told.address, started: told.started, gone: false, connections: Vec::new() };
         let engine = engines.entry(told.node).or_insert_with(fresh);
         let gone = told.status == EngineStatus::Gone;
+        engine.gone = gone;
         let moved = told.address.is_some() && told.address != engine.address;
         let retire = gone || moved || told.started.is_some() && told.started != engine.started;
         if retire {
@@ -139,28 +153,42 @@
     fn channel_for(self: &Rc<Self>, node: u64, id: &str) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         let engine = engines.get_mut(&node)?;
-        for state in [State::Up, State::Connecting] {
-            let takes = |channel: &&Rc<Channel>| {
-                let connection = channel.connection.borrow();
-                connection.state == state && connection.takes(id, self.terms.streams)
-            };
-            if let Some(channel) = engine.connections.iter().find(takes) {
-                return Some(channel.clone());
-            }
-        }
         let address = engine.address?;
-        if engine.connections.len() >= MOST_CONNECTIONS_AN_ENGINE
-            || self.connections.get() >= self.terms.most_connections
-        {
-            log!("no further connection to engine {node:08x}: too many are open");
-            return None;
+        // The one with the least out, of these one that is up, of these the one used last: the rest go idle.
+        let order = |channel: &Rc<Channel>| {
+            let connection = channel.connection.borrow();
+            let takes = connection.takes(id, self.terms.streams);
+            takes.then(|| (connection.out(), connection.state != State::Up, connection.used))
+        };
+        let taking = engine.connections.iter().filter_map(|channel| Some((order(channel)?, channel.clone())));
+        let best = taking.min_by(|((out, up, used), _), ((other_out, other_up, other_used), _)| {
+            (out, up).cmp(&(other_out, other_up)).then(other_used.total_cmp(used))
+        });
+        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE
+            && self.connections.get() < self.terms.most_connections;
+        let idle = engine.connections.iter().filter(|c| order(c).is_some_and(|(out, ..)| out == 0)).count();
+        // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
+        // room, and one more is opened ahead, so that the next does not go out on one that has just come up.
+        let open = |engine: &mut Engine| {
+            let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
+            let channel = Rc::new(Channel { node, connection, notify });
+            engine.connections.push(channel.clone());
+            self.connections.set(self.connections.get() + 1);
+            self.exchange.counters.connections_to_engines.add();
+            self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
+            channel
+        };
+        let channel = match best {
+            Some(((out, ..), channel)) if out == 0 || !room => channel,
+            _ if room => open(engine),
+            _ => {
+                log!("no further connection to engine {node:08x}: too many are open");
+                return None;
+            }
+        };
+        if room && idle < 2 {
+            open(engine);
         }
-        let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
-        let channel = Rc::new(Channel { node, connection, notify });
-        engine.connections.push(channel.clone());
-        self.connections.set(self.connections.get() + 1);
-        self.exchange.counters.connections_to_engines.add();
-        self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
         Some(channel)
     }
 
@@ -198,6 +226,9 @@
         channel.notify.notify();
         let Submission { query, number, sent, .. } = submission;
         let outcome = if begun { outcome } else { Outcome::NoConnection };
+        if outcome == Outcome::Cancelled {
+            return self.given_up(query, number, outcome, channel.node, now - sent);
+        }
         self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
     }
 
@@ -224,6 +255,14 @@
         self.exchange.happened(Event::Closed { query, submission, outcome, node, latency, pages });
     }
 
+    /// The same for what was given up from here.
+    fn given_up(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64) {
+        self.exchange.counters.ended(outcome);
+        let event = Event::Closed { query, submission, outcome, node, latency, pages: Pages::new() };
+        self.settling.borrow_mut().push_back((self.clock.now() + SETTLES, event));
+        self.exchange.notify.notify();
+    }
+
     // ---- Time ----
 
     /// No submission is waited for beyond `by`.
@@ -237,9 +276,14 @@
     /// Ends what has run out of time, closes what is idle; the next time at which something will.
     pub fn sweep(&self) -> f64 {
         let now = self.clock.now();
+        let mut settling = self.settling.borrow_mut();
+        while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
+            self.exchange.happened(event);
+        }
         let channels: Vec<Rc<Channel>> =
             self.engines.borrow().values().flat_map(|engine| engine.connections.iter().cloned()).collect();
-        let mut next = f64::INFINITY;
+        let mut next = settling.front().map_or(f64::INFINITY, |(at, _)| *at);
+        drop(settling);
         for channel in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
@@ -255,14 +299,22 @@
             for _ in connection.probes.len()..before {
                 self.exchange.happened(Event::Probed { node: channel.node, outcome: Outcome::Timeout });
             }
+            if connection.partial.take_if(|since| now - *since >= STALL).is_some() {
+                connection.broken = Some("an answer stopped short");
+                channel.notify.notify();
+            }
             connection.retired |=
                 unheard || connection.out() == 0 && now - connection.used > IDLE_PART * self.terms.idle;
             if connection.retired {
+                // What gives up the last submission goes out before the close, if it can.
+                if connection.out() == 0 && now - connection.used >= STALL {
+                    connection.forget_waiting();
+                }
                 channel.notify.notify();
             }
             let times =
                 connection.submissions.values().map(|s| s.until).chain(connection.probes.iter().map(|p| p.2));
-            next = times.fold(next, f64::min);
+            next = times.chain(connection.partial.map(|since| since + STALL)).fold(next, f64::min);
         }
         next
     }
@@ -287,16 +339,21 @@
         self.end(&channel, end);
     }
 
-    async fn read(&self, channel: &Channel, mut stream: &Async<TcpStream>) -> io::Result<()> {
-        let (mut inbox, mut bytes) = (Vec::new(), vec![0; READ_AT_ONCE]);
+    async fn read(&self, channel: &Channel, stream: &Async<TcpStream>) -> io::Result<()> {
+        let mut inbox = Vec::new();
         loop {
-            let count = stream.read(&mut bytes).await?;
-            if count == 0 {
+            let read = |mut stream: &TcpStream| {
+                let mut shared = self.shared.borrow_mut();
+                let count = stream.read(&mut shared[..])?;
+                inbox.extend_from_slice(&shared[..count]);
+                Ok(count)
+            };
+            let mut read = read;
+            if stream.read_with(|stream| read(stream)).await? == 0 {
                 return Ok(());
             }
-            inbox.extend_from_slice(&bytes[..count]);
             let mut used = 0;
-            while let Some(frame) = resp::parse(&inbox[used..]).map_err(io::Error::other)? {
+            while let Some(frame) = resp::parse(&inbox[used..]).map_err(spoilt)? {
                 used += frame.size;
                 let now = self.clock.now();
                 let heard = channel.connection.borrow_mut().hear(&frame, now);
@@ -310,13 +367,16 @@
                     Heard::Probed(outcome) => {
                         self.exchange.happened(Event::Probed { node: channel.node, outcome })
                     }
+                    Heard::Spoilt(what) => return Err(spoilt(what)),
                     Heard::Nothing => {}
                 }
             }
             inbox.drain(..used);
-            if inbox.len() > MOST_INBOX {
-                return Err(io::Error::other("a frame is too long"));
+            if inbox.is_empty() {
+                inbox = Vec::new();
             }
+            let now = self.clock.now();
+            channel.connection.borrow_mut().partial = (!inbox.is_empty()).then_some(now);
             if channel.connection.borrow().has_waiting() || channel.connection.borrow().retired {
                 channel.notify.notify();
             }
@@ -326,22 +386,40 @@
     /// The connection is gone: what had gone out whole may have run, what had not never did.
     fn end(&self, channel: &Rc<Channel>, end: io::Result<()>) {
         let now = self.clock.now();
-        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.node) {
+        let mut engines = self.engines.borrow_mut();
+        if let Some(engine) = engines.get_mut(&channel.node) {
             engine.connections.retain(|other| !Rc::ptr_eq(other, channel));
+            if engine.gone && engine.connections.is_empty() {
+                engines.remove(&channel.node);
+            }
         }
+        drop(engines);
         self.connections.set(self.connections.get() - 1);
         let mut connection = channel.connection.borrow_mut();
         let was_up = connection.state == State::Up;
         connection.state = State::Down;
-        let submissions: Vec<(Rc<str>, Submission)> = connection.submissions.drain().collect();
+        let mut submissions: Vec<(Rc<str>, Submission)> = connection.submissions.drain().collect();
+        submissions.sort_by_key(|(_, s)| s.query);
+        // Closed from here: what was out on it is given up by that.
+        let spoilt = end.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::InvalidData);
+        if spoilt {
+            self.exchange.counters.connections_spoilt.add();
+        }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !submissions.is_empty()) {
             log!("the connection to engine {:08x} ended with {} out: {e}", channel.node, submissions.len());
         }
+        // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
+        let mut first = Outcome::Reset;
         for (id, s) in submissions {
             let ran = was_up && connection.went_out(&id);
-            let outcome = if ran { Outcome::Reset } else { Outcome::NoConnection };
-            self.closed(s.query, s.number, outcome, channel.node, now - s.sent, Pages::new());
+            let outcome =
+                if ran { std::mem::replace(&mut first, Outcome::Cancelled) } else { Outcome::NoConnection };
+            if spoilt {
+                self.given_up(s.query, s.number, outcome, channel.node, now - s.sent);
+            } else {
+                self.closed(s.query, s.number, outcome, channel.node, now - s.sent, Pages::new());
+            }
         }
         let outcome = if was_up { Outcome::Reset } else { Outcome::NoConnection };
         (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: channel.node, outcome }));
@@ -361,7 +439,10 @@
         let written = future::poll_fn(|context| {
             while channel.notify.poll_notified(context).is_ready() {}
             let connection = channel.connection.borrow();
-            if connection.retired && connection.out() == 0 {
+            if let Some(what) = connection.broken {
+                return Poll::Ready(Err(spoilt(what)));
+            }
+            if connection.retired && connection.out() == 0 && !connection.has_waiting() {
                 return Poll::Ready(Ok(None));
             }
             if !connection.has_waiting() {
@@ -379,6 +460,10 @@
     }
 }
 
+fn spoilt(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
 /// The fields of a request to an engine: what is not said is left to it.
 fn fields_of(q: &Query, limit: f64) -> String {
     let mut fields = format!("cls={},limit={}", q.rg, limit.floor().max(1.0) as u64);
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -1,7 +1,8 @@
 //! Reads and writes RESP arrays of bulk strings. Pure functions over bytes.
 
 pub const MOST_PARTS: usize = 8;
-pub const MOST_PART: usize = 64 * 1024;
+/// A page holds 6,000 bytes at most.
+pub const MOST_PART: usize = 8 * 1024;
 const MOST_DIGITS: usize = 8;
 
 /// The parts of one array, borrowed from the bytes it came in.
--- a/crates/dispatcher/src/engine/rows.rs
+++ b/crates/dispatcher/src/engine/rows.rs
@@ -1,11 +1,17 @@
-//! Turns a page of rows (tabs between columns, a line feed after each row) into JSON arrays of strings.
+//! Turns a page of rows (three columns, tabs between them, a line feed after each row) into JSON arrays of strings.
 
-/// The rows as `["a","b"],["c","d"]`; none if the page is not text or its last row is cut off.
+const COLUMNS: usize = 3;
+
+/// The rows as `["a","b","c"],["d","e","f"]`; none if the page is not text, a row has too few columns or too many,
+/// or the last one is cut off.
 pub fn json_rows(page: &[u8]) -> Option<Vec<u8>> {
     let text = std::str::from_utf8(page).ok()?;
     let Some(rows) = text.strip_suffix('\n') else { return text.is_empty().then(Vec::new) };
     let mut json = Vec::with_capacity(page.len() + page.len() / 2 + 8);
     for (r, row) in rows.split('\n').enumerate() {
+        if row.bytes().filter(|b| *b == b'\t').count() + 1 != COLUMNS {
+            return None;
+        }
         json.extend_from_slice(if r > 0 { b",[" } else { b"[" });
         for (c, column) in row.split('\t').enumerate() {
             json.extend_from_slice(if c > 0 { b",\"" } else { b"\"" });
@@ -34,7 +40,9 @@
             serde_json::from_slice(&[b"[".as_slice(), &json, b"]"].concat()).unwrap();
         assert_eq!(read, [["a", "1", "x\"\\\r"], ["b", "", "é"]]);
         assert_eq!(json_rows(b""), Some(Vec::new()));
-        assert_eq!(json_rows(b"\n"), Some(b"[\"\"]".to_vec()));
-        assert_eq!((json_rows(b"a\tb"), json_rows(b"\xff\n")), (None, None));
+        assert_eq!(json_rows(b"\t\t\n"), Some(b"[\"\",\"\",\"\"]".to_vec()));
+        for spoilt in [b"a\tb\tc".as_slice(), b"\xff\t\t\n", b"\n", b"a\tb\n", b"a\tb\tc\td\n"] {
+            assert_eq!(json_rows(spoilt), None);
+        }
     }
 }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -232,7 +232,7 @@
 
 #[test]
 fn the_name_service_brings_an_engine_that_was_not_known_at_the_start() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\n"]));
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let resolver = name_service(address);
     let program = start_with(&[free_address()], &format!(r#""resolver":"{resolver}","#));
     wait_for_count(&program, "lists 1\n");
@@ -276,15 +276,16 @@
     let (address, told) = engine(move |parts, to| {
         let from = to.peer_addr().unwrap();
         if *first.lock().unwrap().get_or_insert(from) != from {
-            say(to, &[&parts[1], "DONE", "batches=1", "a\n"]);
+            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start(&[address]);
     // Moved after its patience is over, to the only engine there is, on a new connection.
     let served = answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
-    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[["a"]]}"#));
+    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[["a","b","c"]]}"#));
+    // The first was given up by a word, before its connection was closed.
     let words: Vec<String> = told.try_iter().map(|parts| parts[0].clone()).collect();
-    assert_eq!(words.iter().filter(|word| *word == "fetch").count(), 2, "{words:?}");
+    assert_eq!(words, ["fetch", "abort", "fetch"]);
     assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap().0, 200);
 }
 
@@ -386,6 +387,47 @@
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
 
+#[test]
+fn a_spoilt_answer_takes_none_with_it_and_one_that_stops_short_is_not_waited_for() {
+    // Query 1 gets noise, query 2 half an answer, query 3 a page with a column too few, query 4 a good answer ahead
+    // of which and behind which comes what is not its own.
+    let (address, told) = engine(|parts, to| {
+        let id = parts[1].as_str();
+        if parts[0] != "fetch" {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+        match id.as_bytes()[15] {
+            b'1' => drop(to.write_all(b"*4\r\n$16\r\n\xff\xfe\x00no answer")),
+            b'2' => drop(to.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nDO").as_bytes())),
+            b'3' => say(to, &[id, "DONE", "batches=1", "a\tb\n"]),
+            _ => {
+                thread::sleep(Duration::from_millis(300));
+                say(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
+                (0..2).for_each(|_| say(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
+            }
+        }
+    });
+    let program = start(&[address]);
+    let from = Instant::now();
+    let clients: Vec<TcpStream> = [4, 1, 2, 3]
+        .map(|id| {
+            let client = post(program.listen, "load", id);
+            assert_eq!(told.recv_timeout(WAIT).unwrap()[0], "fetch");
+            client
+        })
+        .into();
+    let answers: Vec<(u16, String)> = clients
+        .into_iter()
+        .map(|client| answer(&mut BufReader::new(client)).map(|(status, _, body)| (status, body)).unwrap())
+        .collect();
+    assert_eq!(answers[0], (200, r#"{"data":[["a","b","c"]]}"#.into()));
+    // A load may have run: it is not sent again.
+    assert!(answers[1..].iter().all(|(status, _)| *status == 500), "{answers:?}");
+    assert!(from.elapsed() < Duration::from_secs(2), "{:?}", from.elapsed());
+    wait_for_count(&program, "connections_spoilt 3\n");
+}
+
 /// Keys of a configuration with the fewest places, 32 of them for clients, and one customer.
 const SMALL: &str = r#""limits":{"sockets":64,"memory_mb":32},"#;
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -316,11 +316,7 @@
     /// This gateway's share of an engine: an even one, or, while it hears what all run there, the whole.
     fn share(&self) -> f64 {
         let hears = self.now - self.sum_heard < SUM_LASTS;
-        if hears {
-            1.0
-        } else {
-            1.0 / self.gateways
-        }
+        1.0 / if hears { 1.0 } else { self.gateways }
     }
 
     fn stands_still(&self, i: usize, e: usize) -> bool {
@@ -515,7 +511,7 @@
             engine.bound /= 2.0;
             engine.crowd = CROWD_A_CORE * engine.cores;
         }
-        self.judge(e, outcome, &s);
+        self.judge(e, outcome, &s, submission > 0);
         if self.queries[i].over {
             self.leave(i, out);
         } else if outcome != Outcome::NotSent && self.now + self.alone(i) < self.queries[i].due {
@@ -541,11 +537,13 @@
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
     /// whatever the cause: a doubted engine gets single trials until one passes.
-    fn judge(&mut self, e: usize, outcome: Outcome, s: &Submission) {
+    fn judge(&mut self, e: usize, outcome: Outcome, s: &Submission, again: bool) {
         let (now, trial) = (self.now, s.trial);
         let engine = &mut self.engines[e];
         let failed = match outcome {
             Outcome::Finished => false,
+            // A query that failed elsewhere before may be at fault itself, as one that no engine can use is.
+            Outcome::Error if again => return,
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
             // On an engine that else answers, or before a first note: crowded out, or stood behind a load.
             Outcome::Timeout if engine.heard > s.sent || now - s.sent < self.allowed.notes_every => {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -239,6 +239,25 @@
     );
 }
 
+#[test]
+fn a_query_that_fails_on_every_engine_raises_no_doubt_of_them() {
+    let mut c = gateway("", TWO);
+    for id in 0..2 {
+        ask(&mut c, 1.0, id, "look", 10.0);
+        for submission in 0..4 {
+            let i = c.door.queries[&id];
+            let node = c.engines[c.queries[i].submissions[submission].engine].node;
+            close(&mut c, 2.0, id, submission, Outcome::Error, node);
+        }
+        assert!(!c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect), "{id}");
+        for id in 10..20 {
+            ask(&mut c, 3.0, id, "look", 10.0);
+            let node = c.engines[c.queries[c.door.queries[&id]].submissions[0].engine].node;
+            close(&mut c, 4.0, id, 0, Outcome::Finished, node);
+        }
+    }
+}
+
 #[test]
 fn running_out_of_time_on_an_engine_that_answers_raises_no_doubt() {
     let mut c = gateway("", ONE);
