What was given up settles for 40 ms before it goes out again

Closing behind each abort (a probe with all of them so) brought none. It has not been caught in the act.

The test checks the order and the gap.

--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -38,9 +38,9 @@
 const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
 
-/// What is given up on one connection may be sent again on another. So that the first word is not overtaken, the
-/// decisions hear of the end so much (ms) later.
-const SETTLES: f64 = 3.0;
+/// What is given up on one connection may be sent again on another, and a busy engine reads connections in any order
+/// and late. So that the first word is not overtaken, the decisions hear of the end so much (ms) later.
+const SETTLES: f64 = 40.0;
 
 /// What the platform tells of connections to engines.
 #[derive(Debug, Clone, Copy)]
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -125,7 +125,7 @@
 /// An engine whose connections' frames come out of the channel; `react` writes what is to be answered.
 fn engine(
     react: impl Fn(&[String], &mut TcpStream) + Send + Clone + 'static,
-) -> (SocketAddr, Receiver<Vec<String>>) {
+) -> (SocketAddr, Receiver<(Vec<String>, Instant)>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (address, (tell, told)) = (listener.local_addr().unwrap(), channel());
     thread::spawn(move || {
@@ -134,7 +134,7 @@
             thread::spawn(move || {
                 let (mut reader, mut writer) = (BufReader::new(stream.try_clone().unwrap()), stream);
                 while let Some(parts) = frame(&mut reader) {
-                    let _ = tell.send(parts.clone());
+                    let _ = tell.send((parts.clone(), Instant::now()));
                     react(&parts, &mut writer);
                 }
             });
@@ -253,7 +253,7 @@
     let mut program = start_with(&[address], &format!("{old},"));
     let text = std::fs::read_to_string(&program.config.0).unwrap();
     let open = post(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap()[0], "fetch");
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
     // One that can't be used, and then one that can, with a key that has to wait.
     std::fs::write(&program.config.0, text.replace(&old, r#""resolver":7"#)).unwrap();
     signal(&program, "-HUP");
@@ -283,9 +283,10 @@
     // Moved after its patience is over, to the only engine there is, on a new connection.
     let served = answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[["a","b","c"]]}"#));
-    // The first was given up by a word, before its connection was closed.
-    let words: Vec<String> = told.try_iter().map(|parts| parts[0].clone()).collect();
-    assert_eq!(words, ["fetch", "abort", "fetch"]);
+    // The first was given up by a word, before its connection was closed and well before the second went out.
+    let words: Vec<(String, Instant)> = told.try_iter().map(|(parts, at)| (parts[0].clone(), at)).collect();
+    assert_eq!(words.iter().map(|(word, _)| word.as_str()).collect::<Vec<_>>(), ["fetch", "abort", "fetch"]);
+    assert!(words[2].1 - words[1].1 > Duration::from_millis(30), "{words:?}");
     assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap().0, 200);
 }
 
@@ -310,7 +311,7 @@
     for line in ["taken 1\n", "finished 1\n", "submissions_finished 1\n", "unanswered 0\n", "in_hand 0\n"] {
         assert!(counters.contains(line), "{line} in {counters}");
     }
-    let fetch = told.recv_timeout(WAIT).unwrap();
+    let fetch = told.recv_timeout(WAIT).unwrap().0;
     assert_eq!((fetch[0].as_str(), fetch[1].as_str()), ("fetch", "0000000000000001"));
     assert!(fetch[2].starts_with("cls=look,limit=8") && fetch[2].ends_with(",nice=3"), "{}", fetch[2]);
     assert_eq!(fetch[3], "SELECT a FROM sales_17.orders");
@@ -356,7 +357,7 @@
     let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
     assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", 1))).unwrap().0, 500);
-    assert_eq!(told.try_iter().filter(|parts| parts[0] == "fetch").count(), 1);
+    assert_eq!(told.try_iter().filter(|(parts, _)| parts[0] == "fetch").count(), 1);
 }
 
 #[test]
@@ -368,9 +369,9 @@
     });
     let program = start(&[address]);
     let leaves = post(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap()[0], "fetch");
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
     drop(leaves);
-    assert_eq!(told.recv_timeout(WAIT).unwrap()[..2], ["abort", "0000000000000001"]);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[..2], ["abort", "0000000000000001"]);
     let served = answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
     // Names that the settings do not know are not taken in.
@@ -413,7 +414,7 @@
     let clients: Vec<TcpStream> = [4, 1, 2, 3]
         .map(|id| {
             let client = post(program.listen, "load", id);
-            assert_eq!(told.recv_timeout(WAIT).unwrap()[0], "fetch");
+            assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
             client
         })
         .into();
