A group of queries that hangs on some engines goes to the others first

`judge` sees nothing in that: a cancel says nothing of an engine, and the other groups' answers keep it in good standing, so each report tried two or three of them in turn. Ruled out: slow engines, dead connections, errors, doubt.

Now a move for want of notes raises how far a group hangs on that engine (state.rs keeps it), an answer lowers it, it fades by the evidence rule of engines, and `choose` leaves it out in its first stage.

Test: fails on the code before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,8 +4,7 @@
 //! calls the handlers below with decoded fields; decisions go straight into the writer. Both traits are in
 //! `interface.rs`, the records in `state.rs`. Times are milliseconds. docs/design.md tells the why.
 //!
-//! Order of reading: tuned values, start, list of engines, a query comes, placement, sending, answers,
-//! final answers, the regular look, helpers.
+//! Order: tuned values, start, list of engines, a query comes, placement, sending, answers, the regular look.
 
 use crate::ids::Door;
 use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
@@ -218,12 +217,13 @@
         let mut drawn = std::mem::take(&mut self.drawn);
         let (low, mut standing) = (self.queries[i].low, false);
         let pool_room = low && self.pool_has_room(i);
-        // First the engines in good standing that it has not tried and where no load makes it stand still,
-        // then all in good standing; only when none stands well, any that the rules allow.
+        // First the engines in good standing that it has not tried, where no load makes it stand still and
+        // its group does not hang; then all in good standing; only when none is, any that the rules allow.
         for stage in 0..3 {
             drawn.clear();
             for e in 0..self.engines.len() {
-                let fresh = !self.queries[i].sent().iter().any(|s| s.engine == e) && !self.stands_still(i, e);
+                let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
+                let fresh = !tried && !self.stands_still(i, e) && !self.hangs(i, e);
                 let stands = self.in_standing(i, e);
                 if (stage > 0 || fresh) && (stage > 1 || stands) && self.may_send(i, e) {
                     standing |= stands;
@@ -324,6 +324,12 @@
         (g.waits || g.load) && held.iter().any(|&(t, until)| t == q.tables && until > self.now)
     }
 
+    /// Whether its group hangs there: something keeps it from its end, while others may go on as ever.
+    fn hangs(&self, i: usize, e: usize) -> bool {
+        let hung = self.engines[e].hangs.get(self.queries[i].rg);
+        hung.is_some_and(|hung| hung.at(self.now, 0.0, ENGINE_FADES) > ERROR_DOUBT)
+    }
+
     /// A doubted engine gets one trial at a time, of a read-only query in the fast lane.
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
@@ -494,6 +500,7 @@
         }
         let target = g.target_of(q.cost * g.cost_factor);
         if outcome == Outcome::Finished {
+            engine.hang(q.rg).take(self.now, 0.0, 0.0, ENGINE_FADES, ERROR_STEP, 0.0);
             g.learn_need(work / q.cost, memory / q.memory, MEAN_STEP, FACTOR_MOST);
             self.learn_pace(i, e, latency);
         }
@@ -653,11 +660,8 @@
         self.door.queries.remove(&id);
         self.queries.remove(i);
         self.lines.leave(key, i);
-        if let Some(next) =
-            self.lines.first(key).0.filter(|&next| self.queries[next].count == 0 && self.its_turn(next))
-        {
-            self.place(next, out);
-        }
+        let next = self.lines.first(key).0.filter(|&n| self.queries[n].count == 0 && self.its_turn(n));
+        next.into_iter().for_each(|next| self.place(next, out));
     }
 
     // ---- The regular look ----
@@ -707,7 +711,10 @@
         let gains = left > MOVE_GAIN * again && again < time_left;
         if gains && !(hopeless && self.pressure(s.engine)) && self.may_move(i) {
             self.moving += 1.0;
-            self.queries[i].moving = true;
+            let (now, q) = (self.now, &mut self.queries[i]);
+            q.moving = true;
+            let step = if overdue { ERROR_STEP } else { 0.0 };
+            self.engines[s.engine].hang(q.rg).take(now, 1.0, 0.0, ENGINE_FADES, step, 0.0);
             self.call_off(i, out);
         } else if hopeless {
             self.finish_off(i, out);
@@ -723,10 +730,6 @@
     fn usual_work(&self, rg: usize) -> f64 {
         let g = &self.groups[rg];
         let learned = g.mean_cost * g.cost_factor.max(g.best.exp()).max(1.0);
-        if g.seen > 0 {
-            learned
-        } else {
-            g.target * g.threads
-        }
+        Some(learned).filter(|_| g.seen > 0).unwrap_or(g.target * g.threads)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -295,6 +295,8 @@
     pub halved: f64,
     pub full: f64,
     pub paces: Paces,
+    /// For each resource group how many of its submissions hang there, from none to all.
+    pub hangs: Vec<Pace>,
     pub heard: f64,
     pub errors: f64,
     pub suspect: bool,
@@ -337,6 +339,7 @@
             halved: LONG_AGO,
             full: LONG_AGO,
             paces: Paces::default(),
+            hangs: Vec::new(),
             heard: LONG_AGO,
             errors: 0.0,
             suspect: false,
@@ -351,6 +354,11 @@
         }
     }
 
+    pub fn hang(&mut self, rg: usize) -> &mut Pace {
+        self.hangs.resize(self.hangs.len().max(rg + 1), Pace::default());
+        &mut self.hangs[rg]
+    }
+
     /// `held`: the tables a load holds, and until when at most.
     pub fn add(&mut self, s: &Submission, low: bool, threads: f64, held: Option<(u32, f64)>) {
         self.held.retain(|&(_, until)| until > s.sent);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -258,6 +258,38 @@
     }
 }
 
+#[test]
+fn a_group_that_hangs_on_an_engine_goes_to_others_and_the_rest_stays() {
+    let mut c = gateway("", TWO);
+    let on = |c: &Control, id: u64| {
+        let last = c.door.queries.get(&id).and_then(|&i| c.queries[i].sent().last());
+        last.map_or(0, |s| c.engines[s.engine].node)
+    };
+    (0..8).for_each(|id| drop(ask(&mut c, 1.0, id, "rep", 10.0)));
+    let hung: Vec<u64> = (0..8).filter(|&id| on(&c, id) == 1).collect();
+    assert!(hung.len() > 2);
+    (0..8)
+        .filter(|id| !hung.contains(id))
+        .for_each(|id| drop(close(&mut c, 9.0, id, 0, Outcome::Finished, 2)));
+    // Nothing comes of those on the first engine: they are moved and end on the second.
+    assert!(starts(&round(&mut c, 1000.0, |_, _| ()), "cancel"));
+    hung.iter().for_each(|&id| drop(close(&mut c, 1001.0, id, 0, Outcome::Cancelled, 1)));
+    hung.iter().for_each(|&id| drop(close(&mut c, 1100.0, id, 1, Outcome::Finished, 2)));
+    let mut went = |rg: &str, from: u64, at: f64| -> Vec<u64> {
+        let one = |id| {
+            ask(&mut c, at, id, rg, 10.0);
+            let node = on(&c, id);
+            close(&mut c, at + 100.0, id, 0, Outcome::Finished, node);
+            node
+        };
+        (from..from + 12).map(one).collect()
+    };
+    assert_eq!(went("rep", 20, 1200.0), [2; 12]);
+    assert!(went("look", 40, 1400.0).contains(&1));
+    // It is tried again after a while.
+    assert!(went("rep", 60, 9000.0).contains(&1));
+}
+
 #[test]
 fn running_out_of_time_on_an_engine_that_answers_raises_no_doubt() {
     let mut c = gateway("", ONE);
