What is kept of engines that are gone is dropped: a new one takes their place

Now a new engine takes the record of one that is neither listed nor ready and that no query of ours refers to (`slot_of` in state.rs, bookkeeping only); what other gateways reported of the old one goes with it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -127,12 +127,11 @@
     pub fn listed(
         &mut self, node: u64, kind: &str, hall: &str, status: EngineStatus, start: Option<f64>, cell: u32,
     ) {
-        let i = self.door.nodes.index(node);
-        let first = i == self.engines.len();
+        let (i, first) = self.slot_of(node);
         if first {
             let engine = Engine::read(&self.told, node, kind, hall, cell, &mut self.door);
             self.halls.resize(self.halls.len().max(engine.hall as usize + 1), Paces::default());
-            self.engines.push(engine);
+            self.engines.splice(i..(i + 1).min(self.engines.len()), [engine]);
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,6 +25,13 @@
         *self.0.entry(number).or_insert(next) as usize
     }
 
+    /// Gives the index of one number to another.
+    pub fn hand_on(&mut self, from: u64, to: u64) {
+        if let Some(i) = self.0.remove(&from) {
+            self.0.insert(to, i);
+        }
+    }
+
     pub fn find(&self, number: u64) -> Option<usize> {
         self.0.get(&number).map(|&i| i as usize)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,20 @@
 }
 
 impl Control {
+    /// Where an engine is kept, and whether it is new. A new one takes the place of one that is gone and that no
+    /// query refers to: where engines are replaced all day, what is kept of them grows no further.
+    pub fn slot_of(&mut self, node: u64) -> (usize, bool) {
+        if let Some(i) = self.door.nodes.find(node) {
+            return (i, false);
+        }
+        let refers = |e: usize| self.queries.iter().any(|(_, q)| q.sent().iter().any(|s| s.engine == e));
+        let gone = |&e: &usize| !self.engines[e].listed && !self.engines[e].ready && !refers(e);
+        let Some(i) = (0..self.engines.len()).find(gone) else { return (self.door.nodes.index(node), true) };
+        self.door.nodes.hand_on(self.engines[i].node, node);
+        self.reports.forget(i);
+        (i, true)
+    }
+
     /// The time of all queries in hand is cut to `by`: whoever carries the decisions out ends then.
     pub fn hasten(&mut self, by: f64) {
         self.queries.iter_mut().for_each(|(_, q)| q.due = q.due.min(by));
@@ -404,6 +418,10 @@
         kept.extend(talk::read(content).filter_map(|(mark, threads)| Some((find(mark)?, threads))));
     }
 
+    pub fn forget(&mut self, engine: usize) {
+        self.0.iter_mut().for_each(|(_, threads)| threads.retain(|&(e, _)| e != engine));
+    }
+
     /// Sets what others run on each engine from what was told after `since`.
     pub fn add_up(&self, since: f64, engines: &mut [Engine]) {
         engines.iter_mut().for_each(|e| e.others = 0.0);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -290,6 +290,26 @@
     assert!(went("rep", 60, 9000.0).contains(&1));
 }
 
+#[test]
+fn engines_replaced_all_day_leave_nothing_behind_and_what_is_out_on_one_keeps_it() {
+    let mut c = gateway("", ONE);
+    ask(&mut c, 1.0, 7, "load", 10.0);
+    for node in 2..200 {
+        round(&mut c, node as f64, |c, out| {
+            c.list_begins(ListForm::Full);
+            c.listed(node, "small", "h1", EngineStatus::Ready, Some(T0), 0);
+            c.list_ends(ListForm::Full, out);
+        });
+        let ready: Vec<u64> = c.engines.iter().filter(|e| e.ready).map(|e| e.node).collect();
+        assert_eq!(ready, [node]);
+    }
+    assert!(c.engines.len() <= 3, "{}", c.engines.len());
+    // The load on the first engine is still known there, and its end is heard.
+    assert_eq!((c.engines[0].node, c.engines[0].open), (1, 1));
+    close(&mut c, 300.0, 7, 0, Outcome::Finished, 1);
+    assert_eq!((c.queries.len(), c.engines[0].open), (0, 0));
+}
+
 #[test]
 fn running_out_of_time_on_an_engine_that_answers_raises_no_doubt() {
     let mut c = gateway("", ONE);
