Clients that fill the room for unread bytes are no bar to small requests

Seen by reading the places change again: once inboxes were full in sum, the next connection that sent anything was turned away with 503, whoever had filled them, and while a query was in hand nothing looked at the sum at all. Checked by the test: 28 clients with 59,915 bytes each of requests that never become whole, at 16 MB; the next usual query got 503. At fault: the condition in `serve` and the loop in `wait`.

Now only a connection that holds more than its even part of the room is turned away, or not read ahead of its query. It also holds against many slow uploads at once. It can hurt a client with a long statement among them.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -100,9 +100,8 @@
     clock: Clock,
     door: Door,
     places: Places,
-    /// Bytes that wait in inboxes, and how many may.
+    /// Bytes that wait in inboxes.
     waiting: Cell<usize>,
-    most_waiting: usize,
     shared: RefCell<Vec<u8>>,
     /// Whether the front is told that this dispatcher takes queries.
     pub healthy: Cell<bool>,
@@ -113,9 +112,9 @@
 impl ClientSide {
     pub fn new(exchange: Rc<Exchange>, clock: Clock, door: Door) -> Self {
         let (waiting, healthy, closing) = Default::default();
-        let (places, most_waiting) = (Places::new(door.most_connections), door.most_bytes);
+        let places = Places::new(door.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        ClientSide { exchange, clock, door, places, waiting, most_waiting, shared, healthy, closing }
+        ClientSide { exchange, clock, door, places, waiting, shared, healthy, closing }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -176,7 +175,7 @@
                     let idles = inbox.bytes.is_empty() && place.idles();
                     let by = if idles { since + IDLE_WAIT } else { whole_by };
                     match self.more(stream, &mut inbox, place, by).await? {
-                        More::Came if self.waiting.get() > self.most_waiting => {
+                        More::Came if self.hoards(&inbox) => {
                             return self.turn_away(stream, 503, "TryLater").await;
                         }
                         More::Came => {}
@@ -235,6 +234,12 @@
         future::or(came, future::or(told, late)).await
     }
 
+    /// Whether inboxes are full in sum and this one holds more than its even part: small requests always pass.
+    fn hoards(&self, inbox: &Inbox) -> bool {
+        let part = self.door.most_bytes / self.door.most_connections.max(1);
+        self.waiting.get() > self.door.most_bytes && inbox.bytes.len() > part
+    }
+
     /// Reads what is there through the one buffer that all connections share.
     async fn read(&self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>) -> io::Result<usize> {
         let read = |mut stream: &TcpStream| {
@@ -339,7 +344,7 @@
         &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Inbox<'_>, since: &mut f64,
     ) -> Option<Answer> {
         let watch = async {
-            while inbox.bytes.len() < MOST_AHEAD {
+            while inbox.bytes.len() < MOST_AHEAD && !self.hoards(inbox) {
                 if !matches!(self.read(stream, inbox).await, Ok(1..)) {
                     return;
                 }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -515,3 +515,24 @@
     assert_eq!(told.try_iter().count(), 0);
     assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap().0, 200);
 }
+
+#[test]
+fn clients_that_fill_the_room_for_what_is_unread_are_no_bar_to_small_requests() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], r#""limits":{"sockets":64,"memory_mb":16},"#);
+    // A tenth of 16 MB, but for a few bytes, lies in requests that do not become whole.
+    let head = "POST /invoke/look HTTP/1.1\r\nContent-Length: 65000\r\n\r\n";
+    let sent = [head.as_bytes(), &vec![b'x'; 59_915 - head.len()]].concat();
+    let hoards: Vec<TcpStream> = (0..28)
+        .map(|_| {
+            let mut client = TcpStream::connect(program.listen).unwrap();
+            client.write_all(&sent).unwrap();
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    for id in 1..5 {
+        assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", id))).unwrap().0, 200);
+    }
+    drop(hoards);
+}
