A command line, structured logs and the operators' file in protobuf text format

Need: all later subsystems are set up by operators, and faults in files were told one at a time without their line. Change: clap (serve, check; exit codes 0, 1, 2), tracing in place of the log macro (text or JSON lines, a rate for each place in the code, what was left out is counted and told), crates/operator (schema compiled in Rust, read by prost-reflect, checked: ranges, references, duplicates, shadowed rules; faults with line, column, key, found, allowed), SIGHUP reads it whole or not at all.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -6,7 +6,6 @@
 
 use crate::clock::Clock;
 use crate::exchange::{Answer, Asked, Exchange, NotTaken, Slot};
-use crate::log;
 use crate::net::write_gathered;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -142,7 +141,7 @@
                         match side.serve(&stream, &place).await {
                             Ok(true) => side.part(&stream, &place).await,
                             Ok(false) => {}
-                            Err(e) => log!("a client's connection ended: {e}"),
+                            Err(e) => tracing::info!(error = %e, "a client's connection ended"),
                         }
                         drop(stream);
                         side.places.leave(&place);
@@ -152,7 +151,7 @@
                     future::yield_now().await;
                 }
                 Some(Err(e)) => {
-                    log!("no connection could be taken: {e}");
+                    tracing::warn!(error = %e, "no connection could be taken");
                     Timer::after(ACCEPT_PAUSE).await;
                 }
                 None => return,
@@ -255,7 +254,7 @@
     /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
     async fn turn_away(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<bool> {
         self.exchange.counters.refused_at_the_door.add();
-        log!("turned away with {status}: {what}");
+        tracing::info!(status, what, "turned away");
         self.write_plain(stream, status, &format!("{{\"error\":\"{what}\"}}"), false).await?;
         Ok(true)
     }
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -67,6 +67,7 @@
     lists,
     lookups,
     configurations_read,
+    operator_files_read,
     messages_sent,
     messages_heard,
     rounds,
@@ -93,6 +94,7 @@
         let _ = writeln!(text, "submissions_out {}", self.submissions.get().saturating_sub(ended));
         let _ = writeln!(text, "unanswered {}", self.taken.get().saturating_sub(answered.iter().sum()));
         let _ = writeln!(text, "in_hand {in_hand}");
+        let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
         text
     }
 }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The program as one object whose phases are named states, and the driver that calls the decisions.
 
+use crate::cli::Common;
 use crate::client::ClientSide;
 use crate::clock::Clock;
 use crate::config::{self, Launch};
@@ -8,6 +9,7 @@
 use crate::log;
 use crate::names;
 use crate::notify::Notifications;
+use crate::operators;
 use crate::peers::Peers;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -19,6 +21,8 @@
 use std::rc::Rc;
 use tansymux::control::Control;
 use tansymux::interface::{Feed, ListForm, Outcome, Writer};
+use tansymux::told::Map;
+use tansymux_operator::Operator;
 
 /// After the signal to end: how long new queries are still taken (ms), and by when the last is answered. The
 /// platform sends new ones for 0.6 s, and ends the process no sooner than 3.7 s after the signal where deadlines are
@@ -62,6 +66,9 @@
     /// The configuration in force, and the part of it that may change.
     text: Value,
     resolver: Rc<Cell<Option<SocketAddr>>>,
+    told: Map,
+    /// Flags, which go before the operators' file.
+    common: Common,
     /// When the decisions want their next round.
     timer: f64,
 }
@@ -74,7 +81,13 @@
 }
 
 impl Dispatcher {
-    pub fn start(config: Launch, executor: Rc<LocalExecutor<'static>>) -> Result<Self, String> {
+    pub fn start(
+        config: Launch, operator: Operator, common: Common, executor: Rc<LocalExecutor<'static>>,
+    ) -> Result<Self, String> {
+        let unfit = operators::unfit(&operator, &config.told);
+        if !unfit.is_empty() {
+            return Err(format!("the operators' file: {}", unfit.join("; ")));
+        }
         let clock = Clock::start();
         let exchange = Rc::new(Exchange::new(config.most_bytes));
         let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
@@ -97,7 +110,7 @@
         let listener =
             ClientSide::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
         let accepting = Some(executor.spawn(clients.clone().accept(listener, executor.clone())));
-        let (phase, timer, text) = (Phase::Starting, f64::INFINITY, config.text);
+        let (phase, timer, text, told) = (Phase::Starting, f64::INFINITY, config.text, config.told);
         Ok(Dispatcher {
             phase,
             clock,
@@ -110,6 +123,8 @@
             others,
             text,
             resolver,
+            told,
+            common,
             timer,
         })
     }
@@ -125,7 +140,7 @@
                 })
                 .boxed_local(),
             Err(e) => {
-                log!("signals can't be heard: {e}");
+                tracing::error!(error = %e, "signals can't be heard");
                 futures_lite::stream::pending().boxed_local()
             }
         };
@@ -182,7 +197,7 @@
     fn told_to_end(&mut self) {
         let now = self.clock.now();
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
-            log!("told to end with {} queries in hand", self.exchange.in_hand());
+            tracing::info!(queries = self.exchange.in_hand(), "told to end");
             self.clients.healthy.set(false);
             let by = now + ENDS_BY;
             self.control.hasten(by);
@@ -192,29 +207,51 @@
         }
     }
 
-    /// Reads the configuration anew. What may change does, the rest is named; one that can't be used changes nothing.
+    /// Reads configuration and operators' file anew. What may change does, the rest is named; one that can't be
+    /// used changes nothing.
     fn told_to_read_again(&mut self) {
         if !matches!(self.phase, Phase::Starting | Phase::Serving) {
-            return log!("told to read the configuration again while ending: nothing is read");
+            return tracing::info!("told to read the configuration again while ending: nothing is read");
         }
-        let config = match config::read() {
-            Ok(config) => config,
-            Err(e) => return log!("the configuration stays as it was: {e}"),
-        };
+        match config::read() {
+            Ok(config) => self.take_on(&config),
+            Err(e) => tracing::warn!("the configuration stays as it was: {e}"),
+        }
+        let operator = operators::read_if(self.common.operator.as_deref()).and_then(|operator| {
+            let unfit = operators::unfit(&operator, &self.told);
+            if unfit.is_empty() {
+                Ok(operator)
+            } else {
+                Err(unfit)
+            }
+        });
+        match operator {
+            Ok(operator) => self.take_on_operator(&operator),
+            Err(faults) => tracing::warn!("the operators' file stays as it was: {}", faults.join("; ")),
+        }
+    }
+
+    fn take_on(&mut self, config: &Launch) {
         let waits = config::only_at_a_start(&self.text, &config.text);
         if !waits.is_empty() {
-            log!(
-                "the configuration was read again; these keys wait for the next start: {}",
-                waits.join(", ")
-            );
+            let waits = waits.join(", ");
+            tracing::warn!("the configuration was read again; these keys wait for the next start: {waits}");
         }
         self.exchange.counters.configurations_read.add();
         if let Some(resolver) = config.resolver.filter(|_| config.resolver != self.resolver.get()) {
-            log!("the name service is asked at {resolver} from now on");
+            tracing::info!(%resolver, "the name service is asked elsewhere from now on");
         }
         self.resolver.set(config.resolver);
     }
 
+    fn take_on_operator(&mut self, operator: &Operator) {
+        if self.common.operator.is_some() {
+            self.exchange.counters.operator_files_read.add();
+            tracing::info!("the operators' file was read again");
+        }
+        log::set(&self.common, operator.log.as_ref());
+    }
+
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
         let soon = match self.phase {
             Phase::Closing { .. } | Phase::Draining { .. } | Phase::Flushing { .. } => {
@@ -255,7 +292,7 @@
                     }
                     let taken = control.query(query, &rg, &customer, None, due, cost, memory, tables, out);
                     if let Err(e) = taken {
-                        log!("a query was not taken: {e}");
+                        tracing::error!(query, error = %e, "a query was not taken");
                         self.exchange.answer(query, Answer::Killed);
                     }
                 }
@@ -327,6 +364,6 @@
     /// The name service is asked all the time, and its list comes when it has changed.
     fn watch_list(&mut self) {}
     fn note(&mut self, text: &str) {
-        log!("{text}");
+        tracing::info!("{text}");
     }
 }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -7,7 +7,6 @@
 
 use crate::clock::Clock;
 use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
-use crate::log;
 use crate::net::{poll_gathered, MOST_SLICES};
 use crate::notify::Notify;
 use async_executor::LocalExecutor;
@@ -184,7 +183,7 @@
             Some((((usable, ..), _), channel)) if usable <= Use::Fresh || !room => channel,
             _ if room => open(engine),
             _ => {
-                log!("no further connection to engine {node:08x}: too many are open");
+                tracing::warn!(engine = %format_args!("{node:08x}"), "no further connection: too many are open");
                 return None;
             }
         };
@@ -255,6 +254,7 @@
 
     fn closed(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages) {
         self.exchange.counters.ended(outcome);
+        tracing::debug!(query, submission, engine = %format_args!("{node:08x}"), ?outcome, latency, "a submission ended");
         self.exchange.happened(Event::Closed { query, submission, outcome, node, latency, pages });
     }
 
@@ -410,7 +410,8 @@
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !submissions.is_empty()) {
-            log!("the connection to engine {:08x} ended with {} out: {e}", channel.node, submissions.len());
+            let engine = format_args!("{:08x}", channel.node);
+            tracing::warn!(%engine, out = submissions.len(), error = %e, "a connection ended");
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
         let mut first = Outcome::Reset;
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -247,6 +247,12 @@
             Answer::Killed => &self.counters.killed,
         }
         .add();
+        let outcome = match answer {
+            Answer::Finished(_) => "finished",
+            Answer::Deferred(_) => "deferred",
+            Answer::Killed => "killed",
+        };
+        tracing::debug!(query = number, outcome, "answered");
         *slot.answer.borrow_mut() = Some(answer);
         slot.notify.notify();
         self.leave(number);
@@ -262,7 +268,10 @@
     pub fn submit(&self, number: u64, node: u64, until: f64) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries.get_mut(&number).filter(|q| q.slot.is_some() && !q.out) else {
-            crate::log!("a submission for a query that is over or has one out was not sent");
+            tracing::error!(
+                query = number,
+                "a submission for a query that is over or has one out was not sent"
+            );
             return;
         };
         let submission = q.submissions;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,5 +1,7 @@
 //! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
 
+mod check;
+mod cli;
 mod client;
 mod clock;
 mod config;
@@ -12,32 +14,50 @@
 mod names;
 mod net;
 mod notify;
+mod operators;
 mod peers;
 
 use async_executor::LocalExecutor;
+use clap::Parser;
+use cli::{Cli, Command, Common};
 use dispatcher::Dispatcher;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match &cli.command {
+        None | Some(Command::Serve) => serve(cli.common),
+        Some(Command::Check { files }) => check::run(files),
+        Some(Command::Classify(_)) => ExitCode::from(2),
+    }
+}
+
+fn failed(why: &str) -> ExitCode {
+    eprintln!("tansymux: {why}");
+    ExitCode::FAILURE
+}
+
+fn serve(common: Common) -> ExitCode {
+    log::begin();
+    let operator = match operators::read_if(common.operator.as_deref()) {
+        Ok(operator) => operator,
+        Err(faults) => return failed(&faults.join("\ntansymux: ")),
+    };
+    log::set(&common, operator.log.as_ref());
     let config = match config::read() {
         Ok(config) => config,
-        Err(e) => {
-            eprintln!("tansymux: {e}");
-            return ExitCode::FAILURE;
-        }
+        Err(e) => return failed(&e),
     };
     let executor = Rc::new(LocalExecutor::new());
     let name = config.name.clone();
-    match Dispatcher::start(config, executor.clone()) {
+    match Dispatcher::start(config, operator, common, executor.clone()) {
         Ok(dispatcher) => {
-            log!("{name} serves");
+            tracing::info!(name, "serves");
             async_io::block_on(executor.run(dispatcher.run()));
+            log::end();
             ExitCode::SUCCESS
         }
-        Err(e) => {
-            eprintln!("tansymux: {e}");
-            ExitCode::FAILURE
-        }
+        Err(e) => failed(&e),
     }
 }
--- a/crates/dispatcher/src/names.rs
+++ b/crates/dispatcher/src/names.rs
@@ -2,7 +2,6 @@
 
 use crate::dns::{self, Answer};
 use crate::exchange::{Event, Exchange, Listed};
-use crate::log;
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
 use rustc_hash::FxHashMap;
@@ -62,7 +61,7 @@
     pub fn take(&mut self, answer: &Answer) -> Option<Vec<Listed>> {
         let serial = answer.serial.filter(|&serial| serial > self.last)?;
         if answer.srv.len() > MOST_ENGINES {
-            log!("the list of engines is too long");
+            tracing::warn!("the list of engines is too long");
             return None;
         }
         let mut listed = Vec::new();
@@ -115,7 +114,7 @@
     let unspecified = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
     let socket = match Async::<UdpSocket>::bind(unspecified) {
         Ok(socket) => socket,
-        Err(e) => return log!("no socket for the name service: {e}"),
+        Err(e) => return tracing::error!(error = %e, "no socket for the name service"),
     };
     let id = Cell::new(first_id);
     let ask = async {
@@ -125,7 +124,7 @@
             id.set(id.get().wrapping_add(1));
             exchange.counters.lookups.add();
             if let Err(e) = socket.send_to(&dns::query(id.get(), SERVICE, dns::SRV), resolver).await {
-                log!("the name service could not be asked: {e}");
+                tracing::warn!(error = %e, "the name service could not be asked");
             }
         }
     };
@@ -135,7 +134,7 @@
             let (count, from) = match socket.recv_from(&mut bytes).await {
                 Ok(got) => got,
                 Err(e) => {
-                    log!("the name service could not be heard: {e}");
+                    tracing::warn!(error = %e, "the name service could not be heard");
                     Timer::after(ASK_EVERY).await;
                     continue;
                 }
@@ -145,7 +144,7 @@
                 Some(from) == resolver.get() && id.get().wrapping_sub(answer.id) < QUERIES_OPEN
             };
             let Some(answer) = answer.filter(ours) else {
-                log!("an answer of the name service could not be used ({count} bytes from {from})");
+                tracing::warn!(bytes = count, %from, "an answer of the name service could not be used");
                 continue;
             };
             if let Some(engines) = directory.take(&answer) {
--- /dev/null
+++ b/crates/dispatcher/src/operators.rs
@@ -0,0 +1,57 @@
+//! The operators' file on disk: read at the start and at SIGHUP, whole or not at all.
+
+use crate::config::text_of;
+use std::path::Path;
+use tansymux::told::{self, Map, Told};
+use tansymux_operator::{Fault, Operator, MOST_BYTES};
+
+/// Reads and checks the file; what is wrong, a line for each fault, with file and line.
+pub fn read(path: &Path) -> Result<Operator, Vec<String>> {
+    let name = path.display().to_string();
+    let text = text_of(&name, MOST_BYTES as u64).map_err(|e| vec![format!("{name}{e}")])?;
+    tansymux_operator::read(&text).map_err(|faults| lines(&name, &faults))
+}
+
+/// The file that is named, if one is; else what a file that says nothing says.
+pub fn read_if(path: Option<&Path>) -> Result<Operator, Vec<String>> {
+    path.map_or_else(|| Ok(Operator::default()), read)
+}
+
+fn lines(name: &str, faults: &[Fault]) -> Vec<String> {
+    faults.iter().map(|fault| format!("{name}:{fault}")).collect()
+}
+
+/// What this operators' file names and these settings do not have, or have with rules that are too mild.
+pub fn unfit(operator: &Operator, settings: &Map) -> Vec<String> {
+    let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else {
+        return Vec::new();
+    };
+    let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    let effect_of = |name: &str| {
+        let item = |i| told::item_of("services", i);
+        let of_name =
+            |i: &usize| settings.get(&format!("{}.name", item(*i))).is_some_and(|n| told::is_named(n, name));
+        let i = (0..count).find(of_name)?;
+        Some(settings.get(&format!("{}.effect", item(i))).map_or("", String::as_str))
+    };
+    let mut faults = Vec::new();
+    let named = [
+        ("look_up", &groups.look_up, false),
+        ("report", &groups.report, false),
+        ("load", &groups.load, true),
+        ("unknown", &groups.unknown, true),
+    ];
+    for (key, name, mutating) in named {
+        let Some(name) = name else { continue };
+        match effect_of(name) {
+            None => faults.push(format!(
+                "statements.groups.{key} is {name:?}, allowed is a resource group of the settings"
+            )),
+            Some(effect) if mutating && effect != "non_idempotent" => faults.push(format!(
+                "statements.groups.{key} is {name:?} with the effect {effect:?}, allowed is a group of mutating queries"
+            )),
+            Some(_) => {}
+        }
+    }
+    faults
+}
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -1,7 +1,6 @@
 //! Messages between dispatchers: small datagrams, late or lost.
 
 use crate::exchange::{Event, Exchange};
-use crate::log;
 use async_io::{Async, Timer};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -34,7 +33,7 @@
         let Some(to) = to.filter(|_| content.len() <= MOST_MESSAGE) else { return };
         match self.socket.get_ref().send_to(content, to) {
             Ok(_) => self.exchange.counters.messages_sent.add(),
-            Err(e) => log!("a message to {to} was not sent: {e}"),
+            Err(e) => tracing::warn!(%to, error = %e, "a message was not sent"),
         }
     }
 
@@ -51,7 +50,7 @@
                 }
                 Ok(_) => {}
                 Err(e) => {
-                    log!("messages could not be heard: {e}");
+                    tracing::warn!(error = %e, "messages could not be heard");
                     Timer::after(PAUSE).await;
                 }
             }
