--- a/crates/dispatcher/src/client/statement.rs
+++ b/crates/statements/src/tables.rs
@@ -1,5 +1,6 @@
-//! Finds the group of tables that a statement reads or writes: the number behind the underscore in the name of
-//! its schema. Strings, comments and the schema `staging` do not count.
+//! The group of tables that a statement reads or writes: the number behind the underscore in the name of its schema,
+//! found by words alone, so that it is known for statements that no parser takes, too. Strings, comments and the
+//! schema `staging` do not count.
 
 /// Words behind which a table stands.
 const BEFORE_TABLE: [&str; 8] = ["from", "join", "into", "update", "table", "only", "copy", "using"];
