Bare statements are classed and run, named classes are checked against their text

Need: the classes of crates/statements had to reach the decisions, by the path every query takes. The dispatcher's own table scan moved to crates/statements.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::str::SplitN;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
+use tansymux::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use tansymux::told;
 
 const CENSUS_SLOTS: usize = 16;
@@ -219,7 +219,7 @@
             let flags: u32 = f.optional("flags")?.map_or(Ok(0), |v| parse(v, "flags"))?;
             f.end()?;
             let cost = if flags & 1 == 1 { millis(cost) } else { 0.0 };
-            control.query(id, rg, customer, key, due, cost, memory, tables as u32, out)?;
+            control.query(id, rg, customer, key, due, cost, memory, tables as u32, Text::UNREAD, out)?;
         }
         "closed_attempt" => {
             let id = f.number("txn")?;
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -2,8 +2,8 @@
 
 mod http;
 mod places;
-mod statement;
 
+use crate::classes::{self, Classes};
 use crate::clock::Clock;
 use crate::exchange::{Answer, Asked, Exchange, NotTaken, Slot};
 use crate::net::write_gathered;
@@ -17,7 +17,9 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use tansymux::interface::Text;
 use tansymux::told;
+use tansymux_statements::table_group;
 
 /// The paths of the protocol, and one for the counters.
 const QUERY_PATH: &str = "/invoke/";
@@ -98,6 +100,7 @@
     exchange: Rc<Exchange>,
     clock: Clock,
     door: Door,
+    classes: Rc<Classes>,
     places: Places,
     /// Bytes that wait in inboxes.
     waiting: Cell<usize>,
@@ -109,11 +112,11 @@
 }
 
 impl ClientSide {
-    pub fn new(exchange: Rc<Exchange>, clock: Clock, door: Door) -> Self {
+    pub fn new(exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>) -> Self {
         let (waiting, healthy, closing) = Default::default();
         let places = Places::new(door.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        ClientSide { exchange, clock, door, places, waiting, shared, healthy, closing }
+        ClientSide { exchange, clock, door, classes, places, waiting, shared, healthy, closing }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -283,16 +286,20 @@
         &self, stream: &Async<TcpStream>, head: &Head<'_>, body: &[u8], since: f64,
     ) -> io::Result<Opened> {
         let (status, text) = match (head.method, head.path) {
-            ("POST", path) if path.starts_with(QUERY_PATH) => match self.take(head, body, since) {
-                Ok((number, slot)) => return Ok(Opened::Query(number, slot)),
-                Err((status, what)) => {
-                    self.turn_away(stream, status, what).await?;
-                    return Ok(Opened::TurnedAway);
+            ("POST", path) if path.starts_with(QUERY_PATH) || self.classes.is_path(path) => {
+                match self.take(head, body, since) {
+                    Ok((number, slot)) => return Ok(Opened::Query(number, slot)),
+                    Err((status, what)) => {
+                        self.turn_away(stream, status, what).await?;
+                        return Ok(Opened::TurnedAway);
+                    }
                 }
-            },
+            }
             ("GET", HEALTH_PATH) if self.healthy.get() => (200, "{}".to_owned()),
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
-            ("GET", COUNTERS_PATH) => (200, self.exchange.counters.report(self.exchange.in_hand())),
+            ("GET", COUNTERS_PATH) => {
+                (200, classes::counters(&self.exchange.counters, self.exchange.in_hand(), &self.classes))
+            }
             (_, HEALTH_PATH | COUNTERS_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
             _ => {
@@ -305,7 +312,7 @@
     }
 
     fn take(&self, head: &Head, body: &[u8], since: f64) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
-        let rg = head.path.strip_prefix(QUERY_PATH).unwrap_or("");
+        let named = head.path.strip_prefix(QUERY_PATH);
         let id = head.id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
         let id = id.ok_or((400, "Req-Id"))?;
         let number = |value: &str| value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
@@ -315,7 +322,7 @@
             told(head.wait_ms, self.door.most_wait).filter(|ms| *ms >= 1.0).ok_or((400, "Req-Wait-Ms"))?;
         let cost = told(head.cost, self.door.most_cost).ok_or((400, "Req-Cost"))?;
         let memory = told(head.memory_mb, self.door.most_memory).ok_or((400, "X-Need-Mb"))?;
-        if !self.door.groups.iter().any(|known| known == rg) {
+        if named.is_some_and(|rg| !self.door.groups.iter().any(|known| known == rg)) {
             return Err((404, "unknown resource group"));
         }
         let owner = head.owner.unwrap_or("");
@@ -328,9 +335,28 @@
         if text.trim().is_empty() || text.contains('\0') {
             return Err((400, "the statement is not text"));
         }
-        let tables = statement::table_group(body).unwrap_or(u32::MAX);
+        let tables = table_group(body).unwrap_or(u32::MAX);
         let due = since + (wait - ANSWER_AHEAD).max(wait / 2.0);
-        let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables };
+        let read = match named {
+            Some(rg) => self.classes.named(rg, id, body),
+            None => self.classes.bare(body, since),
+        };
+        let of_class = read.as_ref().and_then(|read| read.rg.as_deref());
+        let rg = named.or(of_class).ok_or((404, "Unknown"))?;
+        let (text, shape) = read.as_ref().map_or((Text::UNREAD, None), |read| (read.text, Some(read.shape)));
+        // What a client tells of its bare statement holds; what it does not tell is estimated.
+        let estimate = |told: f64, read: Option<f64>, most: f64| {
+            if told > 0.0 {
+                told
+            } else {
+                read.unwrap_or(0.0).min(most)
+            }
+        };
+        let text = if cost > 0.0 { Text { sure: 1.0, ..text } } else { text };
+        let bare = read.as_ref().filter(|_| named.is_none());
+        let cost = estimate(cost, bare.map(|read| read.cost), self.door.most_cost);
+        let memory = estimate(memory, bare.map(|read| read.memory), self.door.most_memory);
+        let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables, text, shape };
         self.exchange.take(&asked).map_err(|not| match not {
             NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
             NotTaken::Past => (409, "a query with this Req-Id was taken before"),
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -1,11 +1,12 @@
 //! The program as one object whose phases are named states, and the driver that calls the decisions.
 
+use crate::classes::{self, Classes, Taken};
 use crate::cli::Common;
 use crate::client::ClientSide;
 use crate::clock::Clock;
 use crate::config::{self, Launch};
 use crate::engine::EngineSide;
-use crate::exchange::{Answer, Event, Exchange};
+use crate::exchange::{Answer, Event, Exchange, Query};
 use crate::log;
 use crate::names;
 use crate::notify::Notifications;
@@ -20,7 +21,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tansymux::control::Control;
-use tansymux::interface::{Feed, ListForm, Outcome, Writer};
+use tansymux::interface::{Feed, ListForm, Note, Outcome, Writer};
+use tansymux::pcg::Pcg;
 use tansymux::told::Map;
 use tansymux_operator::Operator;
 
@@ -59,6 +61,7 @@
     exchange: Rc<Exchange>,
     control: Control,
     clients: Rc<ClientSide>,
+    classes: Rc<Classes>,
     engines: Rc<EngineSide>,
     peers: Option<Rc<Peers>>,
     accepting: Option<Task<()>>,
@@ -92,7 +95,9 @@
         let exchange = Rc::new(Exchange::new(config.most_bytes));
         let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
-        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door));
+        let classes = Rc::new(Classes::new(&config.told, key_of(config.seed)));
+        classes.set(operator.statements.as_ref());
+        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door, classes.clone()));
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
@@ -117,6 +122,7 @@
             exchange,
             control,
             clients,
+            classes,
             engines,
             peers,
             accepting,
@@ -153,7 +159,7 @@
             future::yield_now().await;
         }
         self.others.clear();
-        eprint!("{}", self.exchange.counters.report(self.exchange.in_hand()));
+        eprint!("{}", classes::counters(&self.exchange.counters, self.exchange.in_hand(), &self.classes));
     }
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
@@ -161,7 +167,8 @@
         let next = self.engines.sweep();
         let now = self.clock.now();
         self.exchange.counters.rounds.add();
-        let mut feed = Events { exchange: &self.exchange, engines: &self.engines };
+        let mut feed =
+            Events { exchange: &self.exchange, engines: &self.engines, classes: &self.classes, now };
         let peers = self.peers.as_deref();
         let mut decisions = Decisions { exchange: &self.exchange, peers, now, timer: &mut self.timer };
         if now >= *decisions.timer {
@@ -250,6 +257,7 @@
             tracing::info!("the operators' file was read again");
         }
         log::set(&self.common, operator.log.as_ref());
+        self.classes.set(operator.statements.as_ref());
     }
 
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
@@ -276,13 +284,15 @@
 struct Events<'a> {
     exchange: &'a Exchange,
     engines: &'a EngineSide,
+    classes: &'a Classes,
+    now: f64,
 }
 
 impl Feed for Events<'_> {
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         while let Some(event) = self.exchange.next_event() {
             match event {
-                Event::Query { query, customer, cost, memory, tables } => {
+                Event::Query { query, customer, cost, memory, tables, text } => {
                     // One whose client left while it waited for this round is no news to the decisions.
                     let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due)) else {
                         continue;
@@ -290,7 +300,8 @@
                     if self.exchange.over(query) {
                         continue;
                     }
-                    let taken = control.query(query, &rg, &customer, None, due, cost, memory, tables, out);
+                    let taken =
+                        control.query(query, &rg, &customer, None, due, cost, memory, tables, text, out);
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
                         self.exchange.answer(query, Answer::Killed);
@@ -301,6 +312,11 @@
                     self.exchange.leave(query);
                 }
                 Event::Closed { query, submission, outcome, node, latency, pages } => {
+                    let taken =
+                        |q: &Query| Some(Taken { shape: q.shape?, rg: q.rg.clone(), waited: q.waited });
+                    if let Some(taken) = self.exchange.with(query, taken).flatten() {
+                        self.classes.ended(&taken, node, latency, outcome, self.now);
+                    }
                     if outcome == Outcome::Finished {
                         self.exchange.answer(query, Answer::Finished(pages));
                     }
@@ -309,10 +325,14 @@
                     control.closed(query, submission, complete, outcome, node, latency, 0.0, 0.0, out);
                 }
                 Event::Noted { query, submission, note, amount } => {
+                    if note == Note::Waits {
+                        self.exchange.waits(query);
+                    }
                     control.noted(query, submission, note, amount)
                 }
                 Event::Probed { node, outcome } => control.probed(node, outcome),
                 Event::List { form, engines } => {
+                    self.classes.listed(&engines);
                     control.list_begins(form);
                     for e in &engines {
                         self.engines.listed(e);
@@ -326,6 +346,12 @@
     }
 }
 
+/// A secret for the hashes of shapes, from the seed of this start.
+fn key_of(seed: u64) -> [u8; 16] {
+    let mut chance = Pcg::new(seed ^ 0x5DEE_CE66_D1CE_B00C);
+    std::array::from_fn(|_| chance.below(256) as u8)
+}
+
 /// Takes the decisions to where they are carried out.
 struct Decisions<'a> {
     exchange: &'a Exchange,
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -516,7 +516,9 @@
             let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
             side.listed(&ready);
             let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-            let asked = Asked { id, rg, customer, statement, due: 1e15, cost: 1.0, memory: 1.0, tables: 1 };
+            let (text, shape) = (tansymux::interface::Text::UNREAD, None);
+            let (cost, memory, tables, due) = (1.0, 1.0, 1, 1e15);
+            let asked = Asked { id, rg, customer, statement, due, cost, memory, tables, text, shape };
             let (query, _slot) = exchange.take(&asked).unwrap();
             exchange.submit(query, 7, 1e15);
             side.carry_out();
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -1,6 +1,7 @@
 //! The one place where client side and engine side meet: the queries in hand, what came in and waits for the next
 //! round, and what was decided and waits to be carried out. No I/O.
 
+use crate::classes::Shape;
 use crate::counters::Counters;
 use crate::notify::Notify;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -8,7 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::interface::{EngineStatus, ListForm, Note, Outcome};
+use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text};
 
 /// Queries in hand at most; what comes beyond is turned away at the door.
 pub const MOST_QUERIES: usize = 4096;
@@ -33,7 +34,7 @@
 /// What came in since the last round.
 #[derive(Debug)]
 pub enum Event {
-    Query { query: u64, customer: Rc<str>, cost: f64, memory: f64, tables: u32 },
+    Query { query: u64, customer: Rc<str>, cost: f64, memory: f64, tables: u32, text: Text },
     Vanished { query: u64 },
     Closed { query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages },
     Noted { query: u64, submission: usize, note: Note, amount: f64 },
@@ -81,6 +82,9 @@
     pub granted: Option<(u8, f64)>,
     submissions: usize,
     out: bool,
+    /// Its text's shape, where it was read, and whether the submission that is out has waited.
+    pub shape: Option<Shape>,
+    pub waited: bool,
     /// Where the answer goes; none once it was given or the client left.
     slot: Option<Rc<Slot>>,
 }
@@ -145,6 +149,8 @@
     pub cost: f64,
     pub memory: f64,
     pub tables: u32,
+    pub text: Text,
+    pub shape: Option<Shape>,
 }
 
 #[derive(Debug, PartialEq)]
@@ -182,13 +188,16 @@
             granted: None,
             submissions: 0,
             out: false,
+            shape: asked.shape,
+            waited: false,
             slot: Some(slot.clone()),
         };
         self.queries.borrow_mut().insert(number, query);
         self.ids.borrow_mut().insert(id, number);
         self.counters.taken.add();
-        let &Asked { cost, memory, tables, .. } = asked;
-        self.happened(Event::Query { query: number, customer: asked.customer.into(), cost, memory, tables });
+        let &Asked { cost, memory, tables, text, .. } = asked;
+        let customer = asked.customer.into();
+        self.happened(Event::Query { query: number, customer, cost, memory, tables, text });
         Ok((number, slot))
     }
 
@@ -275,11 +284,18 @@
             return;
         };
         let submission = q.submissions;
-        (q.submissions, q.out) = (submission + 1, true);
+        (q.submissions, q.out, q.waited) = (submission + 1, true, false);
         self.counters.submissions.add();
         self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, until });
     }
 
+    /// The submission that is out waits for something.
+    pub fn waits(&self, number: u64) {
+        if let Some(q) = self.queries.borrow_mut().get_mut(&number) {
+            q.waited = true;
+        }
+    }
+
     pub fn cancel(&self, number: u64, submission: usize) {
         self.orders.borrow_mut().push_back(Order::Cancel { query: number, submission });
     }
@@ -342,6 +358,8 @@
         cost: 1.0,
         memory: 1.0,
         tables: 1,
+        text: Text::UNREAD,
+        shape: None,
     };
 
     #[test]
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,6 +1,8 @@
 //! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
 
 mod check;
+mod classes;
+mod classify;
 mod cli;
 mod client;
 mod clock;
@@ -29,7 +31,18 @@
     match &cli.command {
         None | Some(Command::Serve) => serve(cli.common),
         Some(Command::Check { files }) => check::run(files),
-        Some(Command::Classify(_)) => ExitCode::from(2),
+        Some(Command::Classify(how)) => {
+            let operator = match operators::read_if(cli.common.operator.as_deref()) {
+                Ok(operator) => operator,
+                Err(faults) => return failed(&faults.join("\ntansymux: ")),
+            };
+            match classify::run(how, &operator) {
+                Ok(()) => ExitCode::SUCCESS,
+                // Whoever read the lines has enough of them.
+                Err(e) if e.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+                Err(e) => failed(&e.to_string()),
+            }
+        }
     }
 }
 
--- a/crates/statements/src/read.rs
+++ b/crates/statements/src/read.rs
@@ -289,7 +289,7 @@
             // What is explained is not run, unless it is analysed: then it is visited like any other.
             Statement::Explain { analyze, options, statement, .. } => {
                 let told = options.iter().flatten().any(|o| o.name.value.eq_ignore_ascii_case("analyze"));
-                if !(*analyze || told) && !matches!(**statement, Statement::Query(_)) {
+                if !(*analyze || told || matches!(**statement, Statement::Query(_))) {
                     // It is harmless, but then its words tell of a change, and words have the last say.
                     self.found.worse(Effect::Unknown, || "what is explained is no query".into());
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
 //! Order: tuned values, start, list of engines, a query comes, placement, sending, answers, the regular look.
 
 use crate::ids::Door;
-use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Writer};
+use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use crate::pcg::Pcg;
 pub use crate::state::Control;
 use crate::state::*;
@@ -166,8 +166,8 @@
     // ---- A query comes ----
 
     pub fn query(
-        &mut self, id: u64, rg: &str, customer: &str, key: Option<u64>, due: f64, cost: f64, memory: f64,
-        tables: u32, out: &mut dyn Writer,
+        &mut self, id: u64, rg: &str, customer: &str, key: Option<u64>, due: f64, mut cost: f64, memory: f64,
+        tables: u32, text: Text, out: &mut dyn Writer,
     ) -> Result<(), String> {
         let rg_index = self.door.groups.index(rg) as usize;
         if rg_index >= self.groups.len() {
@@ -179,6 +179,7 @@
         if cost > 0.0 {
             // Demoted once, at the door; the mean does not follow what it is to tell apart.
             let most = if g.seen >= FIRST_SEEN { DEMOTE_FACTOR * g.mean_cost } else { f64::INFINITY };
+            cost = g.trusted(cost, text.sure);
             low |= cost > most;
             g.learn_cost(cost.min(most), MEAN_STEP);
         }
@@ -192,7 +193,8 @@
         let (own, all) = self.customers.count(customer as usize, self.now, SHARE_SPAN);
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
-        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, ..query };
+        let effect = self.groups[rg_index].effect_of(text);
+        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, effect, ..query };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
@@ -332,7 +334,7 @@
     /// A doubted engine gets one trial at a time, of a read-only query in the fast lane.
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
-        let may_try = !q.low && self.groups[q.rg].effect == Effect::ReadOnly;
+        let may_try = !q.low && q.effect == Effect::ReadOnly;
         !engine.suspect || may_try && self.now >= engine.trial
     }
 
@@ -406,7 +408,7 @@
             DedupGroup::Cell => to.is_some_and(|to| to.cell == was.cell),
         };
         let in_window = self.now - first.sent < g.window;
-        g.effect == Effect::ReadOnly || g.effect == Effect::Tokened && in_window && same_group
+        q.effect == Effect::ReadOnly || q.effect == Effect::Tokened && in_window && same_group
     }
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
@@ -627,7 +629,7 @@
     /// Ends the query at once: deferred where a retry is harmless, killed where it may not be.
     fn finish_off(&mut self, i: usize, out: &mut dyn Writer) {
         let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else { return };
-        let read_only = self.groups[q.rg].effect == Effect::ReadOnly;
+        let read_only = q.effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
             out.defer(q.id, RETRY_AFTER.min(self.allowed.longest_wait));
         } else {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,6 +25,20 @@
     fn note(&mut self, text: &str);
 }
 
+/// What a query's text shows beyond what its client told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Text {
+    /// How sure the estimate of its cost is, from 0 to 1.
+    pub sure: f64,
+    /// It may change tables, whatever its resource group promises.
+    pub alters: bool,
+}
+
+impl Text {
+    /// Nothing was read: what the client told holds.
+    pub const UNREAD: Text = Text { sure: 1.0, alters: false };
+}
+
 /// How a submission or a probe ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The records that the decisions keep. Types and bookkeeping only.
 
 use crate::ids::{Door, Names};
+use crate::interface::Text;
 use crate::pcg::Pcg;
 use crate::talk;
 use crate::told::{self, Map, Told};
@@ -244,6 +245,24 @@
         self.mean_cost += step.max(1.0 / f64::from(self.seen)) * (cost - self.mean_cost);
     }
 
+    /// An estimate that is not sure counts for less (log): between the group's usual cost and itself.
+    pub fn trusted(&self, cost: f64, sure: f64) -> f64 {
+        if sure >= 1.0 || self.seen == 0 || self.mean_cost <= 0.0 {
+            return cost;
+        }
+        self.mean_cost * (cost / self.mean_cost).powf(sure.max(0.0))
+    }
+
+    /// What a text may do is never taken for milder than the text shows: what a group only reads, one that may
+    /// alter runs under the rules of mutating. A token that the client sends still counts.
+    pub fn effect_of(&self, text: Text) -> Effect {
+        if text.alters && self.effect == Effect::ReadOnly {
+            Effect::Mutating
+        } else {
+            self.effect
+        }
+    }
+
     /// Takes how long an answer took against its estimate (log ratio); tells how far it lies above the best.
     /// The best is the lowest level the running median has had: single lucky answers, or estimates that
     /// scatter, do not make a quiet engine look pressed.
@@ -494,6 +513,8 @@
     pub work: f64,
     pub memory: f64,
     pub low: bool,
+    /// What of its group's effect holds for it.
+    pub effect: Effect,
     pub over: bool,
     pub moving: bool,
     pub count: usize,
@@ -515,6 +536,7 @@
             work: 0.0,
             memory: 0.0,
             low: false,
+            effect: Effect::Mutating,
             over: false,
             moving: false,
             count: 0,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
 
 use helper::*;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, ListForm, Note, Outcome};
+use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text};
 use tansymux::state::{Pace, Paces};
 
 const ONE: &[(&str, &str)] = &[("small", "h1")];
@@ -377,7 +377,9 @@
     let mut c = gateway(told, ONE);
     let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
         mark(&mut c);
-        round(&mut c, 1.0, |c, out| c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, out).unwrap())
+        round(&mut c, 1.0, |c, out| {
+            c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, Text::UNREAD, out).unwrap()
+        })
     };
     for id in 0..60 {
         from(id, "look", "a", |_| ());
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: settings, a gateway with engines, and a writer that keeps what was decided.
 
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, Feed, ListForm, Outcome, Writer};
+use tansymux::interface::{EngineStatus, Feed, ListForm, Outcome, Text, Writer};
 use tansymux::told::Map;
 
 const SETTINGS: &str = "balancers=2 zone=h1 kinds=small,big family-info.cores-by-kind=8,16 \
@@ -90,7 +90,9 @@
 pub fn ask_for(
     c: &mut Control, at: f64, id: u64, rg: &str, cost: f64, key: Option<u64>, tables: u32,
 ) -> Vec<String> {
-    round(c, at, |c, out| c.query(id, rg, "", key, T0 + at + 20_000.0, cost, 10.0, tables, out).unwrap())
+    round(c, at, |c, out| {
+        c.query(id, rg, "", key, T0 + at + 20_000.0, cost, 10.0, tables, Text::UNREAD, out).unwrap()
+    })
 }
 
 /// The end of a query's submission on an engine.
