--- /dev/null
+++ b/crates/rig/src/client.rs
@@ -0,0 +1,94 @@
+//! Stand-in clients: one query on a connection of its own, and what came of it, written to the record.
+
+use crate::program::WAIT;
+use crate::record::{Record, What};
+use crate::wire::{answer, field};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+/// A query as a client sends it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// 16 hex digits.
+    pub id: u64,
+    /// The path of the call, as in `/invoke/look`.
+    pub path: String,
+    /// What the record calls its class.
+    pub class: String,
+    pub statement: String,
+    pub wait: f64,
+    pub owner: String,
+    pub cost: Option<f64>,
+    pub memory: Option<f64>,
+}
+
+impl Ask {
+    pub fn new(id: u64, path: &str, class: &str, statement: &str, wait: f64) -> Self {
+        let (path, class, statement) = (path.to_owned(), class.to_owned(), statement.to_owned());
+        Ask { id, path, class, statement, wait, owner: "acme".into(), cost: None, memory: None }
+    }
+
+    pub fn id(&self) -> String {
+        format!("{:016x}", self.id)
+    }
+
+    /// The request's bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut head = format!(
+            "POST {} HTTP/1.1\r\nHost: b\r\nReq-Id: {}\r\nReq-Wait-Ms: {}\r\nReq-Owner: {}\r\n",
+            self.path,
+            self.id(),
+            self.wait,
+            self.owner
+        );
+        if let Some(cost) = self.cost {
+            head += &format!("Req-Cost: {cost:.3}\r\n");
+        }
+        if let Some(memory) = self.memory {
+            head += &format!("X-Need-Mb: {memory:.3}\r\n");
+        }
+        head += &format!("Content-Length: {}\r\n\r\n", self.statement.len());
+        [head.as_bytes(), self.statement.as_bytes()].concat()
+    }
+}
+
+/// What a client got.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Got {
+    pub status: u16,
+    pub retry_after: Option<f64>,
+    pub body: String,
+    /// From the query's last byte (ms).
+    pub took: f64,
+}
+
+/// Sends a query and waits for its answer; none if its connection ended without one.
+pub fn ask(to: SocketAddr, ask: &Ask, record: &Record) -> Option<Got> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs_f64(ask.wait / 1000.0) + Duration::from_secs(2)))
+        .ok()?;
+    let from = record.now();
+    let (id, class, wait) = (ask.id(), ask.class.clone(), ask.wait);
+    record.saw_at(from, What::Asked { id: id.clone(), class, wait, key: None });
+    stream.write_all(&ask.bytes()).ok()?;
+    let (status, head, body) = answer(&mut BufReader::new(stream))?;
+    let retry_after = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
+    record.saw(What::Answered { id, status, retry_after });
+    Some(Got { status, retry_after, body, took: record.now() - from })
+}
+
+/// Sends a query in two parts with a pause between them; the connection on which its answer will come.
+pub fn post_slowly(to: SocketAddr, ask: &Ask, cut: usize, pause: Duration) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("the program listens");
+    stream.set_read_timeout(Some(WAIT)).expect("a socket takes a timeout");
+    let whole = ask.bytes();
+    let (first, second) = whole.split_at(cut.min(whole.len()));
+    stream.write_all(first).expect("the program reads");
+    thread::sleep(pause);
+    stream.write_all(second).expect("the program reads");
+    stream
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,94 @@
+//! Runs and measurements on loopback: `cargo run --release -p tansymux-rig -- demo`.
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+use tansymux_rig::{demo, measure, program, replay};
+
+/// Stand-ins, faults and measurements for tansymux, all on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "tansymux-rig", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Half a minute of a quarter start with one engine failing and one draining; exit 1 if a rule broke
+    Demo {
+        #[arg(long, default_value_t = 30.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Statements: accuracy of class and effect on both parts of the corpus
+    Accuracy {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Wrong ones that are shown of each part
+        #[arg(long, default_value_t = 0)]
+        show: usize,
+    },
+    /// Statements: random mutations of the corpus, and which were falsely proven; exit 1 if one was
+    Mutations {
+        #[arg(long, default_value_t = 1_000_000)]
+        many: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Statements: hit rate with and without a flood of new shapes
+    Cache {
+        #[arg(long, default_value_t = 200_000)]
+        many: usize,
+    },
+    /// Statements: time of a hit and of a miss
+    Time {
+        #[arg(long, default_value_t = 200_000)]
+        many: usize,
+    },
+    /// Statements: learned against true cost
+    Learning {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Statements: the corpus through the real program, bare, honest and guessed
+    Replay {
+        #[arg(long, default_value_t = 15.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 120.0)]
+        rate: f64,
+        #[arg(long, default_value_t = 2)]
+        seeds: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let exe = || {
+        program::beside().unwrap_or_else(|e| {
+            eprintln!("tansymux-rig: {e}");
+            std::process::exit(1)
+        })
+    };
+    match Cli::parse().command {
+        Command::Demo { seconds, seed } => {
+            let report = demo::run(&exe(), seconds, seed, false);
+            print!("{}", report.table);
+            if !report.broken.is_empty() {
+                return ExitCode::FAILURE;
+            }
+        }
+        Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
+        Command::Mutations { many, seed } => {
+            let table = measure::mutations(many, seed);
+            print!("{table}");
+            if table.contains("false: ") {
+                return ExitCode::FAILURE;
+            }
+        }
+        Command::Cache { many } => print!("{}", measure::cache(many, 1)),
+        Command::Time { many } => print!("{}", measure::time(many, 1)),
+        Command::Learning { seed } => print!("{}", measure::learning(seed)),
+        Command::Replay { seconds, rate, seeds } => print!("{}", replay::run(&exe(), seconds, rate, seeds)),
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/rig/src/program.rs
@@ -0,0 +1,237 @@
+//! Starts the real program with a configuration and waits until it takes queries.
+
+use crate::wire::answer;
+use serde_json::{json, Value};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing that is waited for here takes longer.
+pub const WAIT: Duration = Duration::from_secs(10);
+
+/// A file that goes with whoever holds it.
+#[derive(Debug)]
+pub struct Scrap(pub PathBuf);
+
+impl Scrap {
+    pub fn new(name: &str, text: &str) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("tansymux-{}-{number}-{name}", std::process::id()));
+        let scrap = Scrap(path);
+        scrap.write(text);
+        scrap
+    }
+
+    /// Puts another text in its place.
+    pub fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).expect("the folder for scraps can be written to");
+    }
+}
+
+impl Drop for Scrap {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A class as the settings tell it: name, target runtime and longest wait (ms), effect, threads, and further keys.
+pub fn class(name: &str, target: f64, wait: f64, effect: &str) -> Value {
+    json!({"name": name, "aim-us": target * 1e3, "hard-limit-us": wait * 1e3, "effect": effect})
+}
+
+/// A configuration with what all tests and runs need; the rest is set by `with`.
+#[derive(Debug, Clone)]
+pub struct Config(pub Value);
+
+impl Config {
+    /// One dispatcher of one, in hall `h`, with these engines of kind `std` (8 cores, 4,096 MB) known and ready.
+    pub fn new(
+        listen: SocketAddr, engines: &[(String, SocketAddr)], classes: &[Value], threads: &[u32],
+    ) -> Self {
+        let entry = |(id, at): &(String, SocketAddr)| {
+            json!({"instanceId": id, "hostPort": at.to_string(), "zone": "h", "machineType": "std", "cell": 0,
+                "lifecycle": "Ready", "startedAtMs": 0})
+        };
+        let instances: Vec<Value> = engines.iter().map(entry).collect();
+        Config(json!({
+            "name": "n0", "listen": listen.to_string(), "seed": "1",
+            "known": {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"instances": instances}}]},
+            "settings": {
+                "balancers": 1, "zone": "h", "kinds": ["std"], "projects": [{"name": "acme"}], "services": classes,
+                "family-info": {"cores-by-kind": [8], "kind-memory-mb": [4096], "dop": threads, "lanes-count": true},
+                "limits": {"cancelling": true, "max-attempts": 3, "max-retry-after-us": 500_000}
+            }
+        }))
+    }
+
+    /// Sets a value by the path of its keys, as in `settings.limits.probes`.
+    pub fn with(mut self, path: &str, value: impl Into<Value>) -> Self {
+        let mut at = &mut self.0;
+        for key in path.split('.') {
+            at = match key.parse::<usize>() {
+                Ok(n) if at.is_array() => &mut at[n],
+                _ => &mut at[key],
+            };
+        }
+        *at = value.into();
+        self
+    }
+}
+
+/// An address on which nobody listens, as far as can be told.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has a free port")
+}
+
+/// The same for datagrams.
+pub fn free_udp_address() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has a free port")
+}
+
+/// The real program, ended when dropped.
+#[derive(Debug)]
+pub struct Program {
+    pub child: Child,
+    pub listen: SocketAddr,
+    pub config: Scrap,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Program {
+    /// Starts `exe` and waits until it is healthy.
+    ///
+    /// # Panics
+    /// It did not start or did not become healthy in time.
+    pub fn start(exe: &Path, config: &Config, arguments: &[&str]) -> Self {
+        let program = Program::launch(exe, config, arguments, Stdio::piped());
+        program.wait_until_healthy();
+        program
+    }
+
+    /// The same with its log written to where `log` says, and no wait.
+    pub fn launch(exe: &Path, config: &Config, arguments: &[&str], log: Stdio) -> Self {
+        let listen =
+            config.0["listen"].as_str().and_then(|at| at.parse().ok()).expect("a configuration listens");
+        let config = Scrap::new("config.json", &config.0.to_string());
+        let child = Command::new(exe)
+            .args(arguments)
+            .env("RELAY_CONFIG", &config.0)
+            .env_remove("RELAY_LISTEN")
+            .env_remove("TANSYMUX_OPERATOR")
+            .stderr(log)
+            .spawn()
+            .expect("the program can be started");
+        Program { child, listen, config }
+    }
+
+    pub fn wait_until_healthy(&self) {
+        let from = Instant::now();
+        while get(self.listen, "/_health").is_none_or(|(status, ..)| status != 200) {
+            assert!(from.elapsed() < WAIT, "not healthy in time");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Sends a signal by its name, as in `-HUP`.
+    pub fn signal(&self, which: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([which, &pid]).status().is_ok_and(|s| s.success()), "kill {which}");
+    }
+
+    pub fn told_to_end(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn counters(&self) -> String {
+        get(self.listen, "/_counters").map_or_else(String::new, |(.., body)| body)
+    }
+
+    pub fn counter(&self, name: &str) -> Option<u64> {
+        self.counters().lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
+    /// Waits until the counters show this line.
+    pub fn wait_for_count(&self, line: &str) {
+        let from = Instant::now();
+        while !self.counters().contains(line) {
+            assert!(from.elapsed() < WAIT, "no {line}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Waits for the end; what was written to standard error.
+    pub fn end(&mut self) -> String {
+        let from = Instant::now();
+        let status = loop {
+            match self.child.try_wait().expect("its own child can be waited for") {
+                Some(status) => break status,
+                None => assert!(from.elapsed() < WAIT, "not ended in time"),
+            }
+            thread::sleep(Duration::from_millis(10));
+        };
+        assert!(status.success(), "{status}");
+        let mut text = String::new();
+        if let Some(mut stderr) = self.child.stderr.take() {
+            let _ = stderr.read_to_string(&mut text);
+        }
+        text
+    }
+}
+
+/// Resident memory (kB) and processor time (ms, of its own and of the system) of a process.
+pub fn used(pid: u32) -> Option<(u64, f64)> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let of = |name: &str| {
+        status.lines().find_map(|l| l.strip_prefix(name)?.trim().strip_suffix(" kB")?.trim().parse().ok())
+    };
+    let resident = of("VmRSS:")?;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    // Fields 14 and 15 of the whole line, in ticks of 10 ms.
+    let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    Some((resident, ticks * 10.0))
+}
+
+/// A GET of its own connection.
+pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String, String)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(WAIT)).ok()?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).ok()?;
+    answer(&mut BufReader::new(stream))
+}
+
+/// The program beside the one that runs, built by the same cargo where there is one.
+///
+/// # Errors
+/// It could not be built or is not there.
+pub fn beside() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = own.parent().ok_or("the program stands nowhere")?;
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let mut build = Command::new(cargo);
+        build.args(["build", "--quiet", "-p", "tansymux-dispatcher"]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        if !build.status().map_err(|e| e.to_string())?.success() {
+            return Err("tansymux could not be built".into());
+        }
+    }
+    let exe = folder.join("tansymux");
+    if exe.exists() {
+        Ok(exe)
+    } else {
+        Err(format!("{} is not there", exe.display()))
+    }
+}
--- /dev/null
+++ b/crates/rig/src/wire.rs
@@ -0,0 +1,58 @@
+//! The protocols' bytes, read and written by blocking sockets.
+
+use std::io::{BufRead, Write};
+
+/// Status, head and body of an HTTP answer; none if the connection ends before it is whole.
+pub fn answer(from: &mut impl BufRead) -> Option<(u16, String, String)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        (from.read_line(&mut head).ok()? > 0).then_some(())?;
+    }
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let length = field(&head, "Content-Length")?.parse().ok()?;
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((status, head, String::from_utf8(body).ok()?))
+}
+
+/// A field of a head.
+pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines()
+        .find_map(|line| line.split_once(':').filter(|(n, _)| n.eq_ignore_ascii_case(name)))
+        .map(|(_, v)| v.trim())
+}
+
+/// An array of bulk strings; none at the end or where it is no such array.
+pub fn frame(from: &mut impl BufRead) -> Option<Vec<String>> {
+    let mut number = |mark: &str| {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        line.trim_end().strip_prefix(mark)?.parse::<usize>().ok()
+    };
+    let count = number("*")?;
+    let mut parts = Vec::new();
+    for _ in 0..count {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let length: usize = line.trim_end().strip_prefix('$')?.parse().ok()?;
+        let mut part = vec![0; length + 2];
+        from.read_exact(&mut part).ok()?;
+        parts.push(String::from_utf8(part[..length].to_vec()).ok()?);
+    }
+    Some(parts)
+}
+
+/// Writes an array of bulk strings; whether it went out.
+pub fn say(to: &mut impl Write, parts: &[&str]) -> bool {
+    let bulk = |part: &&str| format!("${}\r\n{part}\r\n", part.len());
+    let text = format!("*{}\r\n", parts.len()) + &parts.iter().map(bulk).collect::<String>();
+    to.write_all(text.as_bytes()).is_ok()
+}
+
+/// A value of a list `name=value,name=value`.
+pub fn of_list<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields
+        .split(',')
+        .find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name))
+        .map(|(_, value)| value)
+}
--- a/crates/statements/src/learn.rs
+++ b/crates/statements/src/learn.rs
@@ -91,8 +91,9 @@
         weight / (weight + how.half_sure) / (1.0 + self.scatter)
     }
 
-    /// Takes a sample that counts for `trust`, from 0 to 1.
-    fn take(&mut self, sample: f64, trust: f64, now: f64, how: &Learning) {
+    /// Takes a sample that counts for `trust`, from 0 to 1. One that is not `clean` bounds the cost on one side only:
+    /// it breaks no row of samples that agree.
+    fn take(&mut self, sample: f64, trust: f64, clean: bool, now: f64, how: &Learning) {
         self.weight = self.weight_at(now, how.half_life);
         self.at = now;
         if self.weight < 0.05 {
@@ -119,7 +120,11 @@
             self.level += step.min(0.25) * off.clamp(-most, most);
             return;
         }
-        (self.far, self.far_sum) = (0, 0.0);
+        if clean {
+            (self.far, self.far_sum) = (0, 0.0);
+        } else if self.far != 0 {
+            return;
+        }
         self.level += step * off.clamp(-most, most);
         self.scatter += step * (off.abs() - self.scatter);
         self.weight = (self.weight + trust).min(MOST_WEIGHT);
@@ -219,7 +224,7 @@
             }
         }
         let mut known = known.unwrap_or_default();
-        known.take(sample, trust, now, &how);
+        known.take(sample, trust, clean, now, &how);
         self.shapes.insert(shape, known);
         if clean {
             let of_class = &mut self.classes[class as usize];
--- a/crates/statements/src/lexer.rs
+++ b/crates/statements/src/lexer.rs
@@ -165,12 +165,35 @@
     tells_of_change: bool,
 }
 
+const OF_WORD: u8 = 1;
+const OF_OPERATOR: u8 = 2;
+
+/// What each byte may be part of.
+const BYTES: [u8; 256] = {
+    let mut bytes = [0; 256];
+    let mut b = 0;
+    while b < 256 {
+        let byte = b as u8;
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'$') || byte >= 128 {
+            bytes[b] = OF_WORD;
+        }
+        if matches!(
+            byte,
+            b'+' | b'-' | b'*' | b'/' | b'<' | b'>' | b'=' | b'~' | b'!' | b'%' | b'^' | b'&' | b'|'
+        ) {
+            bytes[b] = OF_OPERATOR;
+        }
+        b += 1;
+    }
+    bytes
+};
+
 fn of_word(b: u8) -> bool {
-    b.is_ascii_alphanumeric() || matches!(b, b'_' | b'$') || b >= 128
+    BYTES[usize::from(b)] == OF_WORD
 }
 
 fn of_operator(b: u8) -> bool {
-    matches!(b, b'+' | b'-' | b'*' | b'/' | b'<' | b'>' | b'=' | b'~' | b'!' | b'%' | b'^' | b'&' | b'|')
+    BYTES[usize::from(b)] == OF_OPERATOR
 }
 
 const OPERATORS: [&[u8]; 25] = [
@@ -528,16 +551,13 @@
         self.put(word, Kind::Word);
         let at = self.spans[self.spans.len() - 1].from as usize;
         self.text[at..].make_ascii_lowercase();
-        let word = std::str::from_utf8(&self.text[at..]).unwrap_or("");
+        let word = &self.text[at..];
         // Words that stand for values are as good as literals within a list.
-        let value = self.list.is_some() && matches!(word, "null" | "true" | "false");
-        let chains = matches!(
-            word,
-            "and" | "or" | "union" | "except" | "intersect" | "is" | "in" | "like" | "between" | "at"
-        );
-        self.tells_of_change |= !behind_dot && words::tells_of_change(word);
-        self.operators +=
-            usize::from(chains || matches!(word, "not" | "collate" | "ilike" | "similar" | "join"));
+        let value = self.list.is_some() && matches!(word, b"null" | b"true" | b"false");
+        if (2..=9).contains(&word.len()) {
+            self.tells_of_change |= !behind_dot && words::tells_of_change(word);
+            self.operators += usize::from(words::chains(word));
+        }
         if value {
             self.rows = Rows::No;
             self.listed(behind_comma);
--- a/crates/statements/src/read.rs
+++ b/crates/statements/src/read.rs
@@ -10,6 +10,7 @@
 };
 use sqlparser::dialect::{AnsiDialect, GenericDialect, MySqlDialect, PostgreSqlDialect};
 use sqlparser::parser::Parser;
+use sqlparser::tokenizer::{Location, Token, TokenWithSpan};
 use std::collections::BTreeSet;
 use std::ops::ControlFlow;
 
@@ -67,14 +68,29 @@
         error.get_or_insert_with(|| "it is empty".into());
     } else if parsable {
         let mut first_error = None;
-        for dialect in &settings.dialects {
-            match parse(lexed.text, *dialect) {
+        let tokens = tokens_of(lexed);
+        if tokens.is_none() {
+            first_error = Some("it holds a mark that no grammar has".to_owned());
+        }
+        // The forgiving grammar is asked only where none of a real engine takes the statement.
+        let (forgiving, real): (Vec<Dialect>, Vec<Dialect>) =
+            settings.dialects.iter().partition(|dialect| **dialect == Dialect::Generic);
+        let mut before: Option<Vec<Statement>> = None;
+        for dialect in real.into_iter().chain(forgiving) {
+            let Some(tokens) = tokens.as_ref().filter(|_| dialect != Dialect::Generic || found.is_none())
+            else {
+                continue;
+            };
+            match parse(tokens, dialect) {
+                // What two grammars read alike is looked through once.
+                Ok(statements) if before.as_ref() == Some(&statements) => {}
                 Ok(statements) => {
                     let next = find(&statements, settings);
                     found = Some(match found {
-                        Some(before) => before.and(next),
+                        Some(earlier) => earlier.and(next),
                         None => next,
                     });
+                    before = Some(statements);
                 }
                 Err(e) => drop(first_error.get_or_insert(e)),
             }
@@ -119,7 +135,7 @@
     Reading { class, effect, reads: names(reads), writes: names(writes), features, error, cost, memory }
 }
 
-fn parse(text: &str, dialect: Dialect) -> Result<Vec<Statement>, String> {
+fn parse(tokens: &[TokenWithSpan], dialect: Dialect) -> Result<Vec<Statement>, String> {
     let dialect: &dyn sqlparser::dialect::Dialect = match dialect {
         Dialect::Generic => &GenericDialect {},
         Dialect::Ansi => &AnsiDialect {},
@@ -127,13 +143,79 @@
         Dialect::MySql => &MySqlDialect {},
     };
     let parser = Parser::new(dialect).with_recursion_limit(MOST_DEEP);
-    let statements = parser.try_with_sql(text).and_then(|mut parser| parser.parse_statements());
-    statements.map_err(|e| e.to_string()).and_then(|all| {
-        if all.is_empty() {
-            Err("it is empty".into())
-        } else {
-            Ok(all)
-        }
+    let statements = parser.with_tokens_with_locations(tokens.to_vec()).parse_statements();
+    match statements {
+        Ok(all) if all.is_empty() => Err("it is empty".into()),
+        Ok(all) => Ok(all),
+        // Places are those of the shape, and of no use to whoever sent the statement.
+        Err(e) => Err(e.to_string().split(" at Line").next().unwrap_or("").to_owned()),
+    }
+}
+
+/// The shape's tokens as the parser takes them: it splits no text of its own, so that what it reads is what the lexer
+/// read. None where the lexer kept a mark that no grammar has.
+fn tokens_of(lexed: &Lexed) -> Option<Vec<TokenWithSpan>> {
+    let mut tokens = Vec::with_capacity(lexed.spans.len() + 1);
+    for (n, span) in lexed.spans.iter().enumerate() {
+        let text = &lexed.text[span.from as usize..span.to as usize];
+        let token = match span.kind {
+            Kind::Word => Token::make_word(text, None),
+            Kind::Quoted => {
+                let (quote, inside) = (text.chars().next()?, text.get(1..text.len() - 1)?);
+                Token::make_word(inside, Some(quote))
+            }
+            Kind::Literal if text == "0" => Token::Number("0".into(), false),
+            Kind::Literal => Token::SingleQuotedString("?".into()),
+            Kind::Mark => mark_of(text)?,
+        };
+        // A word's place is its number among the tokens.
+        let at = Location::new(1, n as u64 + 1);
+        tokens.push(TokenWithSpan::at(token, at, Location::new(1, n as u64 + 2)));
+    }
+    Some(tokens)
+}
+
+fn mark_of(text: &str) -> Option<Token> {
+    Some(match text {
+        "(" => Token::LParen,
+        ")" => Token::RParen,
+        "," => Token::Comma,
+        "." => Token::Period,
+        ";" => Token::SemiColon,
+        "[" => Token::LBracket,
+        "]" => Token::RBracket,
+        "::" => Token::DoubleColon,
+        ":" => Token::Colon,
+        "+" => Token::Plus,
+        "-" => Token::Minus,
+        "*" => Token::Mul,
+        "/" => Token::Div,
+        "%" => Token::Mod,
+        "=" => Token::Eq,
+        "<" => Token::Lt,
+        ">" => Token::Gt,
+        "<=" => Token::LtEq,
+        ">=" => Token::GtEq,
+        "<>" | "!=" => Token::Neq,
+        "||" => Token::StringConcat,
+        "->" => Token::Arrow,
+        "->>" => Token::LongArrow,
+        "=>" => Token::RArrow,
+        "<=>" => Token::Spaceship,
+        "&&" => Token::Overlap,
+        "&" => Token::Ampersand,
+        "|" => Token::Pipe,
+        "^" => Token::Caret,
+        "~" => Token::Tilde,
+        "~*" => Token::TildeAsterisk,
+        "!~" => Token::ExclamationMarkTilde,
+        "!~*" => Token::ExclamationMarkTildeAsterisk,
+        "@" => Token::AtSign,
+        "#" => Token::Sharp,
+        "\\" => Token::Backslash,
+        "{" => Token::LBrace,
+        "}" => Token::RBrace,
+        _ => return None,
     })
 }
 
@@ -153,6 +235,16 @@
             begins = false;
         }
         begins |= word == ";" && span.kind == Kind::Mark;
+        // Some grammars forgive a comma too many; no engine that does was promised.
+        if word == "," && span.kind == Kind::Mark {
+            let next = token(n + 1).unwrap_or("");
+            if matches!(
+                next,
+                "" | ")" | "from" | "where" | "group" | "order" | "having" | "limit" | ";" | ","
+            ) {
+                return Some("a comma stands before nothing".into());
+            }
+        }
         // FOR SHARE, FOR KEY SHARE, IN SHARE MODE: rows or tables are locked.
         let before = n.checked_sub(1).and_then(token).unwrap_or("");
         if word == "share" && span.kind == Kind::Word && matches!(before, "for" | "key" | "in") {
@@ -167,7 +259,10 @@
             continue;
         }
         let name = called(lexed, n);
-        if effect_of_call(&name, settings) != Effect::ReadOnly && !found.aliases.contains(&name) {
+        let effect = effect_of_call(&name, settings);
+        // A name given to a table may stand before a bracket, but not the name of what has effects.
+        let alias = effect == Effect::Unknown && found.aliases.contains(&name);
+        if effect != Effect::ReadOnly && !alias {
             return Some(format!("function {name} is not known to have no effect"));
         }
     }
@@ -294,10 +389,9 @@
                     self.found.worse(Effect::Unknown, || "what is explained is no query".into());
                 }
             }
-            Statement::ExplainTable { .. }
-            | Statement::ShowVariable { .. }
-            | Statement::ShowColumns { .. }
-            | Statement::ShowTables { .. } => {}
+            Statement::ExplainTable { .. } | Statement::ShowColumns { .. } | Statement::ShowTables { .. } => {
+            }
+            Statement::ShowVariable { variable } if variable.len() <= 2 => {}
             Statement::Insert(insert) => {
                 changes(self, "it inserts");
                 if let TableObject::TableName(name) = &insert.table {
--- a/crates/statements/src/rules.rs
+++ b/crates/statements/src/rules.rs
@@ -5,6 +5,7 @@
 /// What an engine may speak. A statement is only proven to read where no one of those told reads it otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Dialect {
+    /// A forgiving mixture, asked only where no other dialect that is told takes a statement.
     Generic,
     Ansi,
     PostgreSql,
--- a/crates/statements/src/words.rs
+++ b/crates/statements/src/words.rs
@@ -3,24 +3,46 @@
 /// Words that stand in no statement that only reads, wherever they stand unquoted and behind no dot. This check is
 /// apart from the grammar: a construct that the parser takes for harmless, or a name it passes over, is still
 /// caught by its word.
-pub fn tells_of_change(word: &str) -> bool {
+pub fn tells_of_change(word: &[u8]) -> bool {
     matches!(
         word,
-        "insert"
-            | "update"
-            | "delete"
-            | "merge"
-            | "into"
-            | "truncate"
-            | "drop"
-            | "alter"
-            | "create"
-            | "grant"
-            | "revoke"
-            | "lock"
-            | "outfile"
-            | "dumpfile"
-            | "upsert"
+        b"insert"
+            | b"update"
+            | b"delete"
+            | b"merge"
+            | b"into"
+            | b"truncate"
+            | b"drop"
+            | b"alter"
+            | b"create"
+            | b"grant"
+            | b"revoke"
+            | b"lock"
+            | b"outfile"
+            | b"dumpfile"
+            | b"upsert"
+    )
+}
+
+/// Words that chain: each may put what stands before it one level down in the grammar's tree.
+pub fn chains(word: &[u8]) -> bool {
+    matches!(
+        word,
+        b"and"
+            | b"or"
+            | b"union"
+            | b"except"
+            | b"intersect"
+            | b"is"
+            | b"in"
+            | b"like"
+            | b"between"
+            | b"at"
+            | b"not"
+            | b"collate"
+            | b"ilike"
+            | b"similar"
+            | b"join"
     )
 }
 
@@ -149,6 +171,7 @@
     "count",
     "covar_pop",
     "covar_samp",
+    "cube",
     "cume_dist",
     "curdate",
     "current_date",
@@ -247,6 +270,7 @@
     "replace",
     "reverse",
     "right",
+    "rollup",
     "round",
     "row_number",
     "rpad",
