--- /dev/null
+++ b/crates/levels/tests/swings.rs
@@ -0,0 +1,476 @@
+//! Levels in virtual time: loads that swing around thresholds, peers that come and go, clocks that jump, files that
+//! change. Every run is checked against the same promises.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::HashMap;
+use tansymux_levels::{Change, Condition, Definition, Level, Machine, Reduction, Signal, Term, Why};
+
+const MINUTE: f64 = 60_000.0;
+const LOOK: f64 = 100.0;
+
+fn term(signal: Signal, enter: f64, leave: f64) -> Term {
+    Term { signal, enter, leave, enter_for: 3000.0, leave_for: 5000.0 }
+}
+
+fn level(name: &str, enter: f64, leave: f64, bounds: f64) -> Level {
+    Level {
+        name: name.into(),
+        enter: Condition { all: vec![term(Signal::Pressed(None), enter, leave)], any: Vec::new() },
+        least_stay: 20_000.0,
+        reduction: Reduction { bounds, ..Reduction::default() },
+    }
+}
+
+/// Three levels over one signal.
+fn three() -> Definition {
+    Definition {
+        levels: vec![
+            level("spare", 0.4, 0.3, 0.8),
+            level("short", 0.6, 0.5, 0.5),
+            level("bare", 0.8, 0.7, 0.2),
+        ],
+    }
+}
+
+/// Depths that a change may never pass over, and changes of a level within a minute.
+struct Promises {
+    changed: HashMap<usize, f64>,
+    depth: usize,
+    changes: usize,
+}
+
+impl Promises {
+    fn new() -> Self {
+        Promises { changed: HashMap::new(), depth: 0, changes: 0 }
+    }
+
+    fn look(&mut self, change: Option<&Change>) {
+        let Some(change) = change else { return };
+        assert_eq!(change.from, self.depth);
+        let begins = matches!(change.why, Why::Start { .. });
+        assert!(begins || change.from.abs_diff(change.to) == 1, "{change:?}");
+        for level in change.from.min(change.to)..change.from.max(change.to) {
+            if let Some(before) = self.changed.insert(level, change.at) {
+                assert!(
+                    change.at - before >= MINUTE,
+                    "level {level} changed twice in {} ms",
+                    change.at - before
+                );
+            }
+        }
+        self.depth = change.to;
+        self.changes += 1;
+    }
+}
+
+/// Ten minutes of a load; how often levels changed, and the deepest.
+fn swing(definition: &Definition, load: impl FnMut(f64) -> f64) -> (usize, usize) {
+    swing_for(definition, 600_000.0, load)
+}
+
+fn swing_for(definition: &Definition, lasts: f64, mut load: impl FnMut(f64) -> f64) -> (usize, usize) {
+    let (mut machine, mut promises, mut deepest) = (Machine::new(definition.clone()), Promises::new(), 0);
+    let mut now = 0.0;
+    while now < lasts {
+        let reading = load(now).clamp(0.0, 1.0);
+        promises.look(machine.look(now, &[reading]));
+        assert_eq!(machine.depth(), promises.depth);
+        deepest = deepest.max(machine.depth());
+        now += LOOK;
+    }
+    // When all is clear it comes back to full service, in order, in bounded time.
+    let from = now;
+    while machine.depth() > 0 {
+        promises.look(machine.look(now, &[0.0]));
+        now += LOOK;
+        assert!(now - from < 4.0 * 61_000.0 + 60_000.0, "stuck at {}", machine.depth());
+    }
+    (promises.changes, deepest)
+}
+
+#[test]
+fn definitions_of_these_tests_have_no_faults() {
+    assert_eq!(tansymux_levels::define::faults(&three()), []);
+}
+
+#[test]
+fn load_that_swings_around_each_threshold_as_sine_square_and_sawtooth() {
+    for threshold in [0.3, 0.4, 0.5, 0.6, 0.7, 0.8] {
+        for period in
+            [1.0, 2.0, 5.0, 7.0, 13.0, 30.0, 47.0, 60.0, 61.0, 90.0, 121.0, 240.0].map(|s| s * 1000.0)
+        {
+            for height in [0.02, 0.1, 0.4] {
+                let phase = |t: f64| t / period * std::f64::consts::TAU;
+                swing(&three(), |t| threshold + height * phase(t).sin());
+                swing(&three(), |t| threshold + height * phase(t).sin().signum());
+                swing(&three(), |t| threshold + height * (2.0 * (t / period).fract() - 1.0));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_thousand_seeds_of_noise_and_of_random_walks() {
+    for seed in 0..1000 {
+        let mut chance = Pcg32::seed_from_u64(seed);
+        if seed % 2 == 0 {
+            let (middle, width) = (chance.random_range(0.2..0.9), chance.random_range(0.01..0.5));
+            let mut held = (0.0, middle);
+            swing(&three(), |t| {
+                if t >= held.0 {
+                    held =
+                        (t + chance.random_range(0.0..20_000.0), middle + chance.random_range(-width..width));
+                }
+                held.1
+            });
+        } else {
+            let mut at: f64 = 0.5;
+            swing(&three(), |_| {
+                at = (at + chance.random_range(-0.02..0.02)).clamp(0.0, 1.0);
+                at
+            });
+        }
+    }
+}
+
+#[test]
+fn a_period_tuned_to_the_least_stay_and_to_the_minute() {
+    for period in [20_000.0, 23_000.0, 28_000.0, 60_000.0, 60_500.0, 60_600.0, 61_000.0, 66_000.0, 69_000.0] {
+        for duty in [0.1, 0.3, 0.5, 0.9] {
+            let (changes, deepest) =
+                swing(&three(), |t| if (t / period).fract() < duty { 0.95 } else { 0.05 });
+            assert!(changes <= 3 * 11, "{changes}");
+            assert!(deepest <= 3);
+        }
+    }
+}
+
+#[test]
+fn steady_load_settles_and_does_not_move_again() {
+    for (load, depth) in [(0.2, 0), (0.45, 1), (0.65, 2), (0.95, 3)] {
+        let mut machine = Machine::new(three());
+        let mut changes = 0;
+        for n in 0..6000 {
+            changes += usize::from(machine.look(f64::from(n) * LOOK, &[load]).is_some());
+        }
+        assert_eq!(machine.depth(), depth, "{load}");
+        assert!(changes <= depth, "{changes} at {load}");
+    }
+}
+
+#[test]
+fn it_is_entered_after_its_time_and_not_by_a_moment() {
+    let mut machine = Machine::new(three());
+    let mut entered = None;
+    for n in 0..200 {
+        let now = f64::from(n) * LOOK;
+        // From 5 s on, but for one look in between.
+        let load = if now < 5000.0 || now == 7000.0 { 0.1 } else { 0.5 };
+        if machine.look(now, &[load]).is_some() {
+            entered = Some(now);
+            break;
+        }
+    }
+    assert_eq!(entered, Some(10_000.0));
+}
+
+#[test]
+fn one_noisy_engine_of_eight_moves_nothing() {
+    let mut chance = Pcg32::seed_from_u64(1);
+    let (changes, _) = swing(&three(), |_| if chance.random_bool(0.5) { 1.0 / 8.0 } else { 0.0 });
+    assert_eq!(changes, 0);
+}
+
+#[test]
+fn an_engine_that_returns_cold_is_stepped_up_to_in_order() {
+    let mut machine = Machine::new(three());
+    let mut depths = vec![0];
+    for n in 0..9000 {
+        let now = f64::from(n) * LOOK;
+        // All but one pressed for four minutes; then it returns cold, and pressure fades while it warms.
+        let load = if now < 5000.0 {
+            0.1
+        } else if now < 240_000.0 {
+            0.9
+        } else {
+            (0.9 - (now - 240_000.0) / 120_000.0).max(0.05)
+        };
+        if let Some(change) = machine.look(now, &[load]) {
+            depths.push(change.to);
+        }
+    }
+    assert_eq!(depths, [0, 1, 2, 3, 2, 1, 0]);
+}
+
+#[test]
+fn a_signal_that_is_missing_or_no_number_never_deepens_and_never_holds_for_ever() {
+    let run = |missing: f64| {
+        let mut machine = Machine::new(three());
+        let mut depths = vec![0];
+        for n in 0..4000 {
+            let now = f64::from(n) * LOOK;
+            let load = if now < 20_000.0 { 0.5 } else { missing };
+            let readings = if now > 100_000.0 { vec![] } else { vec![load] };
+            if let Some(change) = machine.look(now, &readings) {
+                depths.push(change.to);
+            }
+        }
+        depths
+    };
+    assert_eq!(run(f64::NAN), [0, 1, 0]);
+    // Infinite is far beyond any threshold, but it is told.
+    assert_eq!(run(f64::INFINITY)[..3], [0, 1, 2]);
+    // All engines gone: a part of none is no number.
+    let mut machine = Machine::new(three());
+    assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[f64::NAN]).is_none()));
+}
+
+#[test]
+fn clocks_that_jump_and_processes_that_pause_break_no_promise() {
+    for seed in 0..200 {
+        let mut chance = Pcg32::seed_from_u64(seed);
+        let (mut machine, mut promises, mut now) = (Machine::new(three()), Promises::new(), 1e9);
+        for _ in 0..4000 {
+            now += match chance.random_range(0..100) {
+                0 => chance.random_range(0.0..300_000.0),
+                1 => -chance.random_range(0.0..100_000.0),
+                _ => LOOK,
+            };
+            let load = if chance.random_bool(0.5) { 0.9 } else { 0.1 };
+            promises.look(machine.look(now, &[load]));
+        }
+    }
+    // A pause does not count as held: after it the condition must hold anew.
+    let mut machine = Machine::new(three());
+    (0..40).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[0.1]).cloned()));
+    assert!(machine.look(5000.0, &[0.5]).is_none());
+    assert!(machine.look(600_000.0, &[0.5]).is_none());
+    assert!(machine.look(602_000.0, &[0.5]).is_none());
+    assert!(machine.look(603_000.0, &[0.5]).is_some());
+}
+
+/// So many machines that hear each other through `hears(from, to, chance)`.
+struct Fleet {
+    machines: Vec<Machine>,
+    promises: Vec<Promises>,
+    now: f64,
+    chance: Pcg32,
+}
+
+impl Fleet {
+    fn new(many: usize) -> Self {
+        Fleet {
+            machines: (0..many).map(|_| Machine::new(three())).collect(),
+            promises: (0..many).map(|_| Promises::new()).collect(),
+            now: 0.0,
+            chance: Pcg32::seed_from_u64(7),
+        }
+    }
+
+    fn run(
+        &mut self, lasts: f64, load: impl Fn(usize, f64) -> f64, hears: impl Fn(usize, usize) -> bool,
+        loss: f64,
+    ) {
+        let end = self.now + lasts;
+        while self.now < end {
+            for n in 0..self.machines.len() {
+                let change = self.machines[n].look(self.now, &[load(n, self.now)]).cloned();
+                self.promises[n].look(change.as_ref());
+                let Some(message) = self.machines[n].tells(self.now) else { continue };
+                for to in (0..self.machines.len()).filter(|to| *to != n) {
+                    if hears(n, to) && !self.chance.random_bool(loss) {
+                        self.machines[to].heard(self.now, n as u32, &message);
+                    }
+                }
+            }
+            self.now += LOOK;
+        }
+    }
+
+    fn depths(&self) -> Vec<usize> {
+        self.machines.iter().map(Machine::depth).collect()
+    }
+}
+
+#[test]
+fn peers_that_hear_each_other_agree_and_one_alone_drags_nobody() {
+    let mut fleet = Fleet::new(5);
+    // One sees the worst, four see nothing.
+    fleet.run(300_000.0, |n, _| if n == 0 { 0.95 } else { 0.1 }, |_, _| true, 0.2);
+    assert_eq!(fleet.depths(), [0; 5]);
+    // Three of five do: all go.
+    fleet.run(300_000.0, |n, _| if n < 3 { 0.65 } else { 0.1 }, |_, _| true, 0.2);
+    assert_eq!(fleet.depths(), [2; 5]);
+    fleet.run(400_000.0, |_, _| 0.1, |_, _| true, 0.2);
+    assert_eq!(fleet.depths(), [0; 5]);
+}
+
+#[test]
+fn half_of_the_peers_or_all_are_lost() {
+    let mut fleet = Fleet::new(6);
+    fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
+    assert_eq!(fleet.depths(), [2; 6]);
+    // Cut in halves: each decides among those it hears, by what they see.
+    let halves = |a: usize, b: usize| a / 3 == b / 3;
+    fleet.run(400_000.0, |n, _| if n < 3 { 0.65 } else { 0.1 }, halves, 0.0);
+    assert_eq!(fleet.depths(), [2, 2, 2, 0, 0, 0]);
+    // Nobody hears anybody: each decides alone.
+    fleet.run(400_000.0, |n, _| if n % 2 == 0 { 0.45 } else { 0.1 }, |_, _| false, 0.0);
+    assert_eq!(fleet.depths(), [1, 0, 1, 0, 1, 0]);
+}
+
+#[test]
+fn nobody_steps_up_because_another_is_silent() {
+    let mut fleet = Fleet::new(3);
+    // Two want a level, the third only follows them.
+    fleet.run(200_000.0, |n, _| if n < 2 { 0.45 } else { 0.1 }, |_, _| true, 0.0);
+    assert_eq!(fleet.depths(), [1, 1, 1]);
+    let silent_from = fleet.now;
+    // The two fall silent. The third sees nothing bad: it may step up, but only after what it sees has held anew.
+    let mut stepped = None;
+    while stepped.is_none() && fleet.now - silent_from < 200_000.0 {
+        fleet.run(LOOK, |n, _| if n < 2 { 0.45 } else { 0.1 }, |from, _| from == 2, 0.0);
+        stepped = (fleet.machines[2].depth() == 0).then_some(fleet.now - silent_from);
+    }
+    let stepped = stepped.expect("it is no prisoner of the silent");
+    // Their last words were up to 4 s old, and counted for 20 s.
+    assert!(stepped > 16_000.0 + 5000.0, "{stepped}");
+    // One that itself sees it bad stays, whoever is silent.
+    assert_eq!(fleet.machines[0].depth(), 1);
+}
+
+#[test]
+fn stale_contradicting_and_foreign_messages() {
+    let mut machine = Machine::new(three());
+    let mut other = Machine::new(three());
+    for n in 0..400 {
+        machine.look(f64::from(n) * LOOK, &[0.1]);
+        other.look(f64::from(n) * LOOK, &[0.95]);
+        // Always the same old message, and noise.
+        if n == 60 {
+            let old = other.tells(6000.0).unwrap();
+            (0..50).for_each(|_| machine.heard(6000.0, 1, &old));
+        }
+        machine.heard(f64::from(n) * LOOK, 2, &[2, 1, 0, 0, 3, 3, 0, n as u8]);
+        machine.heard(f64::from(n) * LOOK, 3, b"");
+    }
+    assert_eq!((machine.depth(), machine.shown().heard), (0, 0));
+}
+
+#[test]
+fn a_new_instance_begins_where_its_peers_are_and_else_where_its_own_signals_point() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
+    // One restarts at depth and sees nothing yet.
+    (fleet.machines[3], fleet.promises[3]) = (Machine::new(three()), Promises::new());
+    fleet.run(9000.0, |n, _| if n == 3 { 0.0 } else { 0.65 }, |_, _| true, 0.0);
+    assert_eq!(fleet.depths(), [2; 4]);
+    let mut alone = Machine::new(three());
+    for n in 0..30 {
+        alone.look(f64::from(n) * LOOK, &[0.65]);
+    }
+    assert_eq!((alone.depth(), &alone.history()[0].why), (2, &Why::Start { heard: 0 }));
+}
+
+#[test]
+fn other_definitions_remove_reorder_or_redefine_the_level_in_force() {
+    let at_depth = |load: f64| {
+        let mut machine = Machine::new(three());
+        (0..2000).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[load]).cloned()));
+        machine
+    };
+    let names =
+        |definition: &Definition| definition.levels.iter().map(|l| l.name.clone()).collect::<Vec<_>>();
+    // The level in force is gone.
+    let mut machine = at_depth(0.65);
+    let mut without = three();
+    without.levels.remove(1);
+    let change = machine.redefine(200_000.0, without).cloned().unwrap();
+    assert_eq!(
+        (change.from, change.to, machine.name_of(machine.depth()).to_owned()),
+        (2, 1, "spare".to_owned())
+    );
+    // All are gone.
+    let mut machine = at_depth(0.95);
+    machine.redefine(200_000.0, Definition::default());
+    assert_eq!((machine.depth(), machine.name_of(0), machine.reduction()), (0, "full", Reduction::default()));
+    assert!(machine.look(300_000.0, &[]).is_none());
+    // Another order: what is on stays on.
+    let mut machine = at_depth(0.65);
+    let mut other = three();
+    other.levels.swap(0, 1);
+    machine.redefine(200_000.0, other.clone());
+    assert_eq!((machine.depth(), names(&other)[0].as_str()), (2, "short"));
+    // Other thresholds: it has to clear by them, and the minute still holds.
+    let mut machine = at_depth(0.45);
+    let mut lower = three();
+    lower.levels[0].enter.all[0].leave = 0.1;
+    assert!(machine.redefine(200_000.0, lower).is_none());
+    for n in 0..1000 {
+        machine.look(200_000.0 + f64::from(n) * LOOK, &[0.2]);
+    }
+    assert_eq!(machine.depth(), 1);
+    // Off and on again at once: a level that is new may not change for a minute.
+    let mut machine = Machine::new(Definition::default());
+    machine.look(0.0, &[]);
+    machine.look(3000.0, &[]);
+    machine.redefine(4000.0, three());
+    let entered =
+        (0..2000).map(|n| 4000.0 + f64::from(n) * LOOK).find(|now| machine.look(*now, &[0.95]).is_some());
+    assert!(entered.unwrap() >= 64_000.0, "{entered:?}");
+}
+
+#[test]
+fn a_pin_holds_for_its_time_step_by_step_and_lets_go() {
+    let mut machine = Machine::new(three());
+    let mut promises = Promises::new();
+    let mut depths = Vec::new();
+    for n in 0..10_000 {
+        let now = f64::from(n) * LOOK;
+        if n == 100 {
+            assert!(!machine.pin(Some("nobody"), 1e9));
+            assert!(machine.pin(Some("bare"), 300_000.0));
+        }
+        let change = machine.look(now, &[0.1]).cloned();
+        promises.look(change.as_ref());
+        depths.extend(change.map(|change| (change.to, change.at)));
+    }
+    let order: Vec<usize> = depths.iter().map(|(to, _)| *to).collect();
+    assert_eq!(order, [1, 2, 3, 2, 1, 0]);
+    assert!(depths[3].1 >= 300_000.0);
+    // Full service can be pinned as well.
+    let mut machine = Machine::new(three());
+    machine.pin(Some("full"), 1e9);
+    assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[0.95]).is_none() || n < 40));
+}
+
+#[test]
+fn what_could_never_work_is_refused_with_the_reason() {
+    let faults = |change: fn(&mut Definition)| {
+        let mut definition = three();
+        change(&mut definition);
+        let faults = tansymux_levels::define::faults(&definition);
+        faults
+            .iter()
+            .map(|f| format!("{}.{}: {}, {}", f.level, f.key, f.found, f.allowed))
+            .collect::<Vec<_>>()
+            .join("; ")
+    };
+    for (says, change) in [
+        ("would flap", (|d| d.levels[0].enter.all[0].leave = 0.39) as fn(&mut Definition)),
+        ("could not be left", |d| d.levels[0].enter.all[0].leave = 0.0),
+        ("never be entered", |d| d.levels[2].enter.all[0].enter = 1.2),
+        ("0.enter: missing", |d| d.levels[0].enter = Condition::default()),
+        ("\"spare\" a second time", |d| d.levels[1].name = "spare".into()),
+        ("0.name: \"full\"", |d| d.levels[0].name = "full".into()),
+        ("1.enter: entered no later than \"spare\"", |d| d.levels[1].enter = d.levels[0].enter.clone()),
+        ("1.act.bounds: milder", |d| d.levels[1].reduction.bounds = 0.9),
+        ("1.act: the same", |d| d.levels[1].reduction.bounds = 0.8),
+        ("0.act: nothing", |d| d.levels[0].reduction.bounds = 1.0),
+        ("held by deferrals alone", |d| d.levels[0].enter.all[0].signal = Signal::Deferred(None)),
+        ("would flap", |d| d.levels[0].enter.all[0].enter = f64::NAN),
+    ] {
+        assert!(faults(change).contains(says), "{says}: {}", faults(change));
+    }
+}
