Service levels reach the decisions, peers, the log and whoever asks

Need: a level has to act through the one mechanism, and be seen the moment it changes. Change: control.rs takes a Reduced (bounds, demotion, grants, time to come back with spread, withheld further submissions, room by group, share and sureness); signals of the pool as parts; /_levels with a long poll; pins and redefinition at SIGHUP; eight bytes between peers, and a newcomer asks where they are; levels in the operators' file, checked against each other and the settings.

--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -4,8 +4,8 @@
 //! Nothing is decided here but the group of a query without one. Effect, cost and how sure it is go to the decisions
 //! with the query, and they keep the rules.
 
-use crate::counters::Counters;
-use crate::exchange::Listed;
+use crate::exchange::{Exchange, Listed};
+use crate::levels::Levels;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -301,10 +301,11 @@
     }
 }
 
-/// All counters as text: those of the exchange, then those of statements.
-pub fn counters(counters: &Counters, in_hand: usize, classes: &Classes) -> String {
-    let mut text = counters.report(in_hand);
+/// All counters as text: those of the exchange, of statements and of levels.
+pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels) -> String {
+    let mut text = exchange.counters.report(exchange.in_hand());
     classes.report(&mut text);
+    levels.report(&mut text);
     text
 }
 
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -6,6 +6,7 @@
 use crate::classes::{self, Classes};
 use crate::clock::Clock;
 use crate::exchange::{Answer, Asked, Exchange, NotTaken, Slot};
+use crate::levels::{self, Levels};
 use crate::net::write_gathered;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -25,6 +26,9 @@
 const QUERY_PATH: &str = "/invoke/";
 const HEALTH_PATH: &str = "/_health";
 const COUNTERS_PATH: &str = "/_counters";
+const LEVELS_PATH: &str = "/_levels";
+/// How often those who wait for a change of level are looked at.
+const LEVELS_PAUSE: Duration = Duration::from_millis(50);
 /// What the door lets in, as the configuration tells.
 #[derive(Debug)]
 pub struct Door {
@@ -101,6 +105,7 @@
     clock: Clock,
     door: Door,
     classes: Rc<Classes>,
+    levels: Rc<Levels>,
     places: Places,
     /// Bytes that wait in inboxes.
     waiting: Cell<usize>,
@@ -112,11 +117,13 @@
 }
 
 impl ClientSide {
-    pub fn new(exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>) -> Self {
+    pub fn new(
+        exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>, levels: Rc<Levels>,
+    ) -> Self {
         let (waiting, healthy, closing) = Default::default();
         let places = Places::new(door.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        ClientSide { exchange, clock, door, classes, places, waiting, shared, healthy, closing }
+        ClientSide { exchange, clock, door, classes, levels, places, waiting, shared, healthy, closing }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -297,10 +304,12 @@
             }
             ("GET", HEALTH_PATH) if self.healthy.get() => (200, "{}".to_owned()),
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
-            ("GET", COUNTERS_PATH) => {
-                (200, classes::counters(&self.exchange.counters, self.exchange.in_hand(), &self.classes))
+            ("GET", COUNTERS_PATH) => (200, classes::counters(&self.exchange, &self.classes, &self.levels)),
+            ("GET", path) if path == LEVELS_PATH || path.starts_with("/_levels?after=") => {
+                self.changed(path.strip_prefix("/_levels?after=")).await;
+                (200, self.levels.shown(self.clock.now()).to_string())
             }
-            (_, HEALTH_PATH | COUNTERS_PATH) => (405, "{}".to_owned()),
+            (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
             _ => {
                 self.turn_away(stream, 404, "Unknown").await?;
@@ -311,6 +320,25 @@
         Ok(Opened::Answered)
     }
 
+    /// Waits until the level has changed since the version that is told, if one is, and no longer than is allowed.
+    async fn changed(&self, after: Option<&str>) {
+        let Some(after) = after.and_then(|after| after.parse::<u64>().ok()) else { return };
+        let (by, waiting) = (self.clock.now() + levels::LONGEST_WAIT, &self.levels.waiting);
+        if waiting.get() >= levels::MOST_WAITING {
+            return;
+        }
+        waiting.set(waiting.get() + 1);
+        while self.levels.version() == after && self.clock.now() < by && self.healthy.get() {
+            Timer::after(LEVELS_PAUSE).await;
+        }
+        waiting.set(waiting.get() - 1);
+    }
+
+    /// How many places are held.
+    pub fn held(&self) -> usize {
+        self.places.held()
+    }
+
     fn take(&self, head: &Head, body: &[u8], since: f64) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
         let named = head.path.strip_prefix(QUERY_PATH);
         let id = head.id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
@@ -356,7 +384,8 @@
         let bare = read.as_ref().filter(|_| named.is_none());
         let cost = estimate(cost, bare.map(|read| read.cost), self.door.most_cost);
         let memory = estimate(memory, bare.map(|read| read.memory), self.door.most_memory);
-        let asked = Asked { id, rg, customer, statement: body, due, cost, memory, tables, text, shape };
+        let asked =
+            Asked { id, rg, customer, statement: body, since, due, cost, memory, tables, text, shape };
         self.exchange.take(&asked).map_err(|not| match not {
             NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
             NotTaken::Past => (409, "a query with this Req-Id was taken before"),
--- a/crates/dispatcher/src/client/places.rs
+++ b/crates/dispatcher/src/client/places.rs
@@ -56,6 +56,11 @@
         Places { most, each: RefCell::default(), freed: Notify::default() }
     }
 
+    /// How many are held.
+    pub fn held(&self) -> usize {
+        self.each.borrow().len()
+    }
+
     pub fn full(&self) -> bool {
         self.each.borrow().len() >= self.most
     }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -51,6 +51,9 @@
     pub door: Door,
     /// Statements in hand at most, in bytes.
     pub most_bytes: usize,
+    /// Limits on descriptors, and on memory in bytes.
+    pub sockets: f64,
+    pub memory: f64,
     pub terms: Terms,
     pub peers: Option<PeerAddresses>,
     pub resolver: Option<SocketAddr>,
@@ -280,6 +283,8 @@
             seed,
             door,
             most_bytes,
+            sockets,
+            memory,
             terms,
             peers,
             resolver,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use crate::config::{self, Launch};
 use crate::engine::EngineSide;
 use crate::exchange::{Answer, Event, Exchange, Query};
+use crate::levels::{Levels, Limits};
 use crate::log;
 use crate::names;
 use crate::notify::Notifications;
@@ -62,6 +63,7 @@
     control: Control,
     clients: Rc<ClientSide>,
     classes: Rc<Classes>,
+    levels: Rc<Levels>,
     engines: Rc<EngineSide>,
     peers: Option<Rc<Peers>>,
     accepting: Option<Task<()>>,
@@ -93,11 +95,15 @@
         }
         let clock = Clock::start();
         let exchange = Rc::new(Exchange::new(config.most_bytes));
-        let control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
+        let mut control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
         let classes = Rc::new(Classes::new(&config.told, key_of(config.seed)));
         classes.set(operator.statements.as_ref());
-        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door, classes.clone()));
+        let limits = Limits { memory: config.memory, descriptors: config.sockets };
+        let levels = Rc::new(Levels::new(&config.told, limits));
+        levels.set(operator.levels.as_ref(), clock.now(), &mut control);
+        let (of_classes, of_levels) = (classes.clone(), levels.clone());
+        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door, of_classes, of_levels));
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
@@ -123,6 +129,7 @@
             control,
             clients,
             classes,
+            levels,
             engines,
             peers,
             accepting,
@@ -159,7 +166,7 @@
             future::yield_now().await;
         }
         self.others.clear();
-        eprint!("{}", classes::counters(&self.exchange.counters, self.exchange.in_hand(), &self.classes));
+        eprint!("{}", classes::counters(&self.exchange, &self.classes, &self.levels));
     }
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
@@ -167,14 +174,20 @@
         let next = self.engines.sweep();
         let now = self.clock.now();
         self.exchange.counters.rounds.add();
+        let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
         let mut feed =
-            Events { exchange: &self.exchange, engines: &self.engines, classes: &self.classes, now };
+            Events { exchange: &self.exchange, engines: &self.engines, classes: &self.classes, levels, now };
         let peers = self.peers.as_deref();
-        let mut decisions = Decisions { exchange: &self.exchange, peers, now, timer: &mut self.timer };
+        let mut decisions =
+            Decisions { exchange: &self.exchange, peers, levels, now, timer: &mut self.timer };
         if now >= *decisions.timer {
             *decisions.timer = f64::INFINITY;
         }
         self.control.round(now, &mut feed, &mut decisions);
+        let message = levels.look(now, descriptors, &mut self.control);
+        if let Some(message) = message.filter(|_| self.control.allowed.peers) {
+            decisions.tell(None, &message);
+        }
         self.engines.carry_out();
         self.advance(now);
         next.min(self.timer).min(now + LONGEST_SLEEP)
@@ -258,6 +271,7 @@
         }
         log::set(&self.common, operator.log.as_ref());
         self.classes.set(operator.statements.as_ref());
+        self.levels.set(operator.levels.as_ref(), self.clock.now(), &mut self.control);
     }
 
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
@@ -285,6 +299,7 @@
     exchange: &'a Exchange,
     engines: &'a EngineSide,
     classes: &'a Classes,
+    levels: &'a Levels,
     now: f64,
 }
 
@@ -318,6 +333,7 @@
                         self.classes.ended(&taken, node, latency, outcome, self.now);
                     }
                     if outcome == Outcome::Finished {
+                        count(self.exchange, self.levels, query, self.now, true, false);
                         self.exchange.answer(query, Answer::Finished(pages));
                     }
                     let complete = self.exchange.over(query);
@@ -340,12 +356,26 @@
                     }
                     control.list_ends(form, out);
                 }
-                Event::Told { peer, content } => control.told_by(peer, &content),
+                Event::Told { peer, content } => {
+                    if !self.levels.heard(self.now, peer, &content) {
+                        control.told_by(peer, &content);
+                    }
+                }
             }
         }
     }
 }
 
+/// A query is answered: what that says of the service.
+fn count(exchange: &Exchange, levels: &Levels, query: u64, now: f64, finished: bool, deferred: bool) {
+    let owed = !exchange.over(query);
+    exchange.with(query, |q| {
+        if owed {
+            levels.ended(now, &q.rg, now - q.since, q.cost, finished, deferred);
+        }
+    });
+}
+
 /// A secret for the hashes of shapes, from the seed of this start.
 fn key_of(seed: u64) -> [u8; 16] {
     let mut chance = Pcg::new(seed ^ 0x5DEE_CE66_D1CE_B00C);
@@ -356,6 +386,7 @@
 struct Decisions<'a> {
     exchange: &'a Exchange,
     peers: Option<&'a Peers>,
+    levels: &'a Levels,
     now: f64,
     timer: &'a mut f64,
 }
@@ -365,9 +396,11 @@
         self.exchange.submit(id, node, until);
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
+        count(self.exchange, self.levels, id, self.now, false, true);
         self.exchange.answer(id, Answer::Deferred(retry_after));
     }
     fn kill(&mut self, id: u64) {
+        count(self.exchange, self.levels, id, self.now, false, false);
         self.exchange.answer(id, Answer::Killed);
     }
     fn cancel(&mut self, id: u64, submission: usize) {
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Connections that are open or coming up.
+    pub fn open(&self) -> usize {
+        self.connections.get()
+    }
+
     // ---- Orders ----
 
     pub fn carry_out(self: &Rc<Self>) {
@@ -517,8 +522,8 @@
             side.listed(&ready);
             let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
             let (text, shape) = (tansymux::interface::Text::UNREAD, None);
-            let (cost, memory, tables, due) = (1.0, 1.0, 1, 1e15);
-            let asked = Asked { id, rg, customer, statement, due, cost, memory, tables, text, shape };
+            let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
+            let asked = Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape };
             let (query, _slot) = exchange.take(&asked).unwrap();
             exchange.submit(query, 7, 1e15);
             side.carry_out();
--- /dev/null
+++ b/crates/dispatcher/src/levels.rs
@@ -0,0 +1,282 @@
+//! Reduced service levels in the program: reads their signals, tells peers, the log and whoever asks, and hands the
+//! decisions what the level in force asks for. Nothing here refuses a query.
+
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use tansymux::control::Control;
+use tansymux::state::Reduced;
+use tansymux::told::{self, Map, Told};
+use tansymux_levels::{Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows};
+use tansymux_operator::schema;
+
+/// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
+const LOOK_EVERY: f64 = 250.0;
+const MEMORY_EVERY: f64 = 2000.0;
+const PAGE: f64 = 4096.0;
+
+struct On {
+    machine: Machine,
+    signals: Vec<Signal>,
+    readings: Vec<f64>,
+    windows: Windows,
+}
+
+/// What the signals of the program itself are parts of.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub memory: f64,
+    pub descriptors: f64,
+}
+
+pub struct Levels {
+    on: RefCell<Option<On>>,
+    /// Resource groups: name, target runtime (ms) and its stretch by work, threads.
+    groups: Vec<(String, f64, f64, f64)>,
+    limits: Limits,
+    memory: Cell<f64>,
+    memory_read: Cell<f64>,
+    looked: Cell<f64>,
+    /// Answers to those who wait for the next change are held back for so many at most.
+    pub waiting: Cell<usize>,
+}
+
+/// Those who wait for a change at most, and for how long (ms).
+pub const MOST_WAITING: usize = 8;
+pub const LONGEST_WAIT: f64 = 25_000.0;
+
+impl Levels {
+    pub fn new(settings: &Map, limits: Limits) -> Self {
+        let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+        let group = |i: usize| {
+            let item = told::item_of("services", i);
+            let threads =
+                settings.list("family-info.dop").get(i).and_then(|n| n.parse().ok()).unwrap_or(1.0f64);
+            let target = settings.millis(&format!("{item}.aim-us")).unwrap_or(f64::INFINITY);
+            let stretch = settings.number(&format!("{item}.aim-stretch")).unwrap_or(0.0);
+            (
+                settings.get(&format!("{item}.name")).cloned().unwrap_or_default(),
+                target,
+                stretch,
+                threads.max(1.0),
+            )
+        };
+        Levels {
+            on: RefCell::default(),
+            groups: (0..count).map(group).collect(),
+            limits,
+            memory: Cell::new(f64::NAN),
+            memory_read: Cell::new(f64::NEG_INFINITY),
+            looked: Cell::new(f64::NEG_INFINITY),
+            waiting: Cell::default(),
+        }
+    }
+
+    /// Takes on what the operators' file says; it was checked before. Without levels the decisions get back what
+    /// they had.
+    pub fn set(&self, told: Option<&schema::Levels>, now: f64, control: &mut Control) {
+        let definition = told.map(tansymux_operator::definition).filter(|d| !d.levels.is_empty());
+        let mut on = self.on.borrow_mut();
+        match (on.as_mut(), definition) {
+            (_, None) => {
+                if on.take().is_some() {
+                    tracing::info!("service levels are off");
+                }
+            }
+            (Some(before), Some(definition)) => {
+                if *before.machine.definition() != definition {
+                    if let Some(change) = before.machine.redefine(now, definition).cloned() {
+                        tell(&before.machine, &change);
+                    }
+                    before.signals = before.machine.definition().signals();
+                    before.readings = vec![f64::NAN; before.signals.len()];
+                }
+            }
+            (None, Some(definition)) => *on = Some(self.begin(definition)),
+        }
+        if let (Some(on), Some(told)) = (on.as_mut(), told) {
+            on.machine.pin(told.pin.as_deref(), now + told.pin_for_s() * 1000.0);
+            if let Some(level) = &told.pin {
+                tracing::info!(level, seconds = told.pin_for_s(), "a service level is pinned");
+            }
+        }
+        control.reduced =
+            on.as_ref().map_or_else(Reduced::default, |on| self.reduced(&on.machine.reduction()));
+    }
+
+    fn begin(&self, definition: Definition) -> On {
+        let signals = definition.signals();
+        let readings = vec![f64::NAN; signals.len()];
+        On { machine: Machine::new(definition), signals, readings, windows: Windows::new(self.groups.len()) }
+    }
+
+    fn group(&self, name: &str) -> Option<usize> {
+        self.groups.iter().position(|(known, ..)| told::is_named(known, name))
+    }
+
+    /// What a level asks for, with groups by their index.
+    fn reduced(&self, asked: &Reduction) -> Reduced {
+        let part = |(name, ..): &(String, f64, f64, f64)| {
+            asked.classes.iter().find(|(asked, _)| told::is_named(name, asked)).map_or(1.0, |(_, part)| *part)
+        };
+        Reduced {
+            bounds: asked.bounds,
+            demotion: asked.demotion,
+            grants: asked.grants,
+            retry: asked.retry_after,
+            spread: asked.spread,
+            withhold: asked.withhold_low,
+            close_over_share: asked.close_over_share,
+            least_sure: asked.least_sure,
+            classes: if asked.classes.is_empty() {
+                Vec::new()
+            } else {
+                self.groups.iter().map(part).collect()
+            },
+        }
+    }
+
+    /// A query of a group ended: with a result after `took` (ms) for so much work, or without one.
+    pub fn ended(&self, now: f64, rg: &str, took: f64, work: f64, finished: bool, deferred: bool) {
+        let mut on = self.on.borrow_mut();
+        let Some(on) = on.as_mut() else { return };
+        let Some(class) = self.group(rg) else { return };
+        let (_, target, stretch, threads) = &self.groups[class];
+        let late = took > target + stretch * work / threads;
+        let ended = match (finished, deferred) {
+            (true, _) if late => Ended::Late,
+            (true, _) => Ended::InTime,
+            (false, true) => Ended::Deferred,
+            (false, false) => Ended::Killed,
+        };
+        on.windows.take(now, class, ended);
+    }
+
+    /// Looks at the signals where it is time; what is to be told to peers.
+    pub fn look(&self, now: f64, descriptors: usize, control: &mut Control) -> Option<[u8; 8]> {
+        let mut on = self.on.borrow_mut();
+        let on = on.as_mut()?;
+        if now - self.looked.get() < LOOK_EVERY {
+            return None;
+        }
+        self.looked.set(now);
+        for (signal, reading) in on.signals.iter().zip(&mut on.readings) {
+            let class =
+                |name: &Option<String>| name.as_deref().map(|name| self.group(name).unwrap_or(usize::MAX));
+            *reading = match signal {
+                Signal::Pressed(hall) => control.part_pressed(hall.as_deref()),
+                Signal::BoundsUsed => control.part_of_bounds(),
+                Signal::Late(name) => on.windows.late(now, class(name)),
+                Signal::Deferred(name) => on.windows.deferred(now, class(name)),
+                Signal::Ready => control.part_ready(),
+                Signal::Cold => control.part_cold(),
+                Signal::Doubted => control.part_doubted(),
+                Signal::Memory => self.memory_part(now),
+                Signal::Descriptors => descriptors as f64 / self.limits.descriptors,
+            };
+        }
+        if let Some(change) = on.machine.look(now, &on.readings).cloned() {
+            tell(&on.machine, &change);
+            control.reduced = self.reduced(&on.machine.reduction());
+        }
+        on.machine.tells(now)
+    }
+
+    fn memory_part(&self, now: f64) -> f64 {
+        if now - self.memory_read.get() >= MEMORY_EVERY {
+            self.memory_read.set(now);
+            let resident = std::fs::read_to_string("/proc/self/statm").ok().and_then(|text| {
+                let pages: f64 = text.split(' ').nth(1)?.parse().ok()?;
+                Some(pages * PAGE / self.limits.memory)
+            });
+            self.memory.set(resident.unwrap_or(f64::NAN));
+        }
+        self.memory.get()
+    }
+
+    /// A peer's message, if it is one about levels.
+    pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
+        if content.first() != Some(&tansymux_levels::message::KIND) {
+            return false;
+        }
+        if let Some(on) = self.on.borrow_mut().as_mut() {
+            on.machine.heard(now, peer, content);
+        }
+        true
+    }
+
+    /// Counts changes; 0 while off.
+    pub fn version(&self) -> u64 {
+        self.on.borrow().as_ref().map_or(0, |on| on.machine.version())
+    }
+
+    /// All that there is to show, as JSON.
+    pub fn shown(&self, now: f64) -> Value {
+        let on = self.on.borrow();
+        let Some(on) = on.as_ref() else {
+            return json!({"level": "full", "depth": 0, "version": 0, "defined": false});
+        };
+        let (machine, shown) = (&on.machine, on.machine.shown());
+        let number = |value: f64| if value.is_finite() { json!(value) } else { Value::Null };
+        let terms = |terms: &[(String, f64, f64, bool, f64, f64)]| -> Vec<Value> {
+            let term = |(signal, reads, turns_at, on, held, needed): &(String, f64, f64, bool, f64, f64)| {
+                json!({"signal": signal, "reads": number(*reads), "turns_at": turns_at, "on": on, "held_ms": held,
+                    "needed_ms": needed})
+            };
+            terms.iter().map(term).collect()
+        };
+        let history: Vec<Value> =
+            machine.history().iter().rev().map(|change| of_change(machine, change)).collect();
+        let (times, changes) = machine.totals();
+        let at = |(depth, ms): (usize, &f64)| {
+            let changes = depth.checked_sub(1).map(|level| changes[level]);
+            json!({"level": machine.name_of(depth), "ms": ms.round(), "changes": changes})
+        };
+        json!({
+            "level": shown.name, "depth": shown.depth, "version": machine.version(), "defined": true,
+            "since": shown.since, "for_ms": (now - shown.since).round(),
+            "why": machine.history().last().map(|change| of_change(machine, change)),
+            "wants": machine.name_of(shown.wants), "peers_heard": shown.heard, "pinned_until": shown.pinned_until,
+            "would_enter": terms(&shown.would_enter), "would_leave": terms(&shown.would_leave),
+            "times": times.iter().enumerate().map(at).collect::<Vec<_>>(), "history": history,
+        })
+    }
+
+    /// Lines for the counters; none while off.
+    pub fn report(&self, text: &mut String) {
+        let on = self.on.borrow();
+        let Some(on) = on.as_ref() else { return };
+        let (times, changes) = on.machine.totals();
+        let _ = writeln!(text, "level_depth {}", on.machine.depth());
+        for (depth, ms) in times.iter().enumerate() {
+            let name = on.machine.name_of(depth);
+            let _ = writeln!(text, "level_{name}_ms {ms:.0}");
+            if let Some(level) = depth.checked_sub(1) {
+                let _ = writeln!(text, "level_{name}_changes {}", changes[level]);
+            }
+        }
+    }
+}
+
+fn why(why: &Why) -> String {
+    match why {
+        Why::Signals(terms) => {
+            let term = |(signal, reads): &(String, f64)| format!("{signal} reads {reads:.3}");
+            terms.iter().map(term).collect::<Vec<_>>().join(", ")
+        }
+        Why::Peers { heard, wants } => format!("{heard} peers are heard, and the middle wants depth {wants}"),
+        Why::Pinned => "pinned by operators".into(),
+        Why::Start { heard: 0 } => "own signals at the start".into(),
+        Why::Start { heard } => format!("{heard} peers told of it at the start"),
+        Why::Redefined => "other definitions".into(),
+    }
+}
+
+fn of_change(machine: &Machine, change: &Change) -> Value {
+    json!({"at": change.at, "from": machine.name_of(change.from), "to": machine.name_of(change.to), "why": why(&change.why)})
+}
+
+fn tell(machine: &Machine, change: &Change) {
+    let (from, to) = (machine.name_of(change.from), machine.name_of(change.to));
+    tracing::warn!(from, to, why = why(&change.why), "the service level changed");
+}
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -3,6 +3,7 @@
 use crate::config::text_of;
 use std::path::Path;
 use tansymux::told::{self, Map, Told};
+use tansymux_operator::schema::term::Signal::Pressed;
 use tansymux_operator::{Fault, Operator, MOST_BYTES};
 
 /// Reads and checks the file; what is wrong, a line for each fault, with file and line.
@@ -23,9 +24,6 @@
 
 /// What this operators' file names and these settings do not have, or have with rules that are too mild.
 pub fn unfit(operator: &Operator, settings: &Map) -> Vec<String> {
-    let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else {
-        return Vec::new();
-    };
     let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
     let effect_of = |name: &str| {
         let item = |i| told::item_of("services", i);
@@ -35,6 +33,17 @@
         Some(settings.get(&format!("{}.effect", item(i))).map_or("", String::as_str))
     };
     let mut faults = Vec::new();
+    let levels = operator.levels.as_ref().map_or(&[][..], |levels| &levels.level);
+    for (n, level) in levels.iter().enumerate() {
+        let terms = level.enter.iter().flat_map(|enter| enter.all.iter().chain(&enter.any));
+        let of_terms = terms.filter(|term| term.signal() != Pressed).filter_map(|term| term.of.as_ref());
+        let of_act = level.act.iter().flat_map(|act| &act.class).map(|class| class.name());
+        for name in of_terms.map(String::as_str).chain(of_act).filter(|name| effect_of(name).is_none()) {
+            let allowed = "allowed is a resource group of the settings";
+            faults.push(format!("levels.level.{n} names {name:?}, {allowed}"));
+        }
+    }
+    let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else { return faults };
     let named = [
         ("look_up", &groups.look_up, false),
         ("report", &groups.report, false),
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -16,6 +16,8 @@
 const TELL: f64 = 4000.0;
 /// At a start: how long peers are listened for before own signals say where to begin (ms).
 const START: f64 = 2500.0;
+/// A new instance asks so often where the others are (ms).
+const ASK: f64 = 800.0;
 const MOST_PEERS: usize = 1024;
 const HISTORY: usize = 64;
 
@@ -392,14 +394,17 @@
 
     // ---- Peers and operators ----
 
-    /// What is to be told to peers now, if anything: a change at once, else every few seconds.
+    /// What is to be told to peers now, if anything: a change at once, else every few seconds; at a start it asks.
     pub fn tells(&mut self, now: f64) -> Option<[u8; message::LENGTH]> {
-        if !self.settled || now - self.told_at < TELL {
+        let every = if self.settled { TELL } else { ASK };
+        if now - self.told_at < every || self.definition.levels.is_empty() {
             return None;
         }
         self.told_at = now;
         self.told_number = self.told_number.wrapping_add(1);
-        let (depth, wants) = (self.depth.min(255) as u8, self.wants().min(255) as u8);
+        let most = usize::from(message::ASKS) - 1;
+        let depth = if self.settled { self.depth.min(most) as u8 } else { message::ASKS };
+        let wants = self.wants().min(most) as u8;
         Some(message::write(Told { mark: self.mark, depth, wants, number: self.told_number }))
     }
 
@@ -407,6 +412,14 @@
     pub fn heard(&mut self, now: f64, peer: u32, content: &[u8]) {
         let Some(told) = message::read(content).filter(|told| told.mark == self.mark) else { return };
         let now = now.max(self.now);
+        // A new one is answered with the next look, and does not count before it has begun. Many of them, or one that
+        // asks without end, are answered together.
+        if told.depth == message::ASKS {
+            if now - self.told_at >= ASK {
+                self.told_at = LONG_AGO;
+            }
+            return;
+        }
         let room = self.peers.len() < MOST_PEERS;
         match self.peers.iter_mut().find(|known| known.number == peer) {
             Some(known) => {
--- a/crates/levels/src/message.rs
+++ b/crates/levels/src/message.rs
@@ -5,6 +5,9 @@
 const VERSION: u8 = 1;
 pub const LENGTH: usize = 8;
 
+/// Said as depth by one that has just begun and asks where the others are.
+pub const ASKS: u8 = 255;
+
 /// What a dispatcher says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Told {
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -8,13 +8,13 @@
 /// Paths that the dispatcher answers itself or that name a class.
 const PATHS_TAKEN: [&str; 3] = ["/_", "/invoke/", "/query/"];
 
-struct Faults<'a> {
+pub(crate) struct Faults<'a> {
     places: &'a Places,
     all: Vec<Fault>,
 }
 
 impl Faults<'_> {
-    fn add(&mut self, key: &str, found: impl Into<String>, allowed: impl Into<String>) {
+    pub(crate) fn add(&mut self, key: &str, found: impl Into<String>, allowed: impl Into<String>) {
         // What is left out has no place of its own: the message it is missing in has.
         let over = |key: &str| key.rsplit_once('.').map(|(over, _)| over.to_owned());
         let mut named = Some(key.to_owned());
@@ -27,7 +27,11 @@
     }
 
     /// A number that is given must lie in a range.
-    fn within(&mut self, key: &str, given: Option<impl Into<f64>>, least: f64, most: f64) {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    pub(crate) fn within(&mut self, key: &str, given: Option<impl Into<f64>>, least: f64, most: f64) {
         if let Some(given) = given.map(Into::into) {
             if !(given >= least && given <= most) {
                 self.add(key, given.to_string(), format!("{least} to {most}"));
@@ -44,6 +48,9 @@
     if let Some(statements) = &operator.statements {
         of_statements(statements, &mut faults);
     }
+    if let Some(levels) = &operator.levels {
+        crate::levels::check(levels, &mut faults);
+    }
     faults.all
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,8 +5,10 @@
 //! text and gives either the whole or all its faults. Start reading at [`read`].
 
 mod check;
+mod levels;
 mod place;
 
+pub use levels::definition;
 use place::Places;
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use std::fmt;
--- a/crates/operator/tests/faults.rs
+++ b/crates/operator/tests/faults.rs
@@ -43,6 +43,15 @@
         ("statements { pure_function: \"a b\" }", "statements.pure_function.0 is \"a b\""),
         ("statements { pure_function: \"f\" effect_function: \"F\" }", "statements.effect_function.0 is \"F\" a second"),
         ("statements { learning { most_step: nan } }", "statements.learning.most_step is NaN"),
+        ("levels { level { name: \"a\" } }", "1:10: levels.level.0.enter is missing"),
+        (
+            "levels { level { name: \"a\" enter { all { signal: PRESSED enter: 0.5 leave: 0.5 } } act { bounds: 0.5 } } }",
+            "1:37: levels.level.0.enter.all.0 is 0.5 to enter and 0.5 to leave",
+        ),
+        ("levels { level { enter { any { enter: 1 } } } }", "levels.level.0.enter.any.0.signal is missing"),
+        ("levels { level { enter { any { signal: READY of: \"x\" enter: 0 leave: 1 } } } }", "any.0.of is given for READY"),
+        ("levels { level { act { bounds: 0 } } }", "levels.level.0.act.bounds is 0, allowed is 0.05 to 1"),
+        ("levels { pin: \"b\" }", "levels.pin is \"b\""),
         // Of form: the library's words, our place and key.
         ("log {\n levle: WARN\n}", "2:2: log.levle: "),
         ("log { level: LOUD }", "log.level: "),
--- a/src/control.rs
+++ b/src/control.rs
@@ -178,7 +178,11 @@
         let mut low = g.load || g.threads > 1.0;
         if cost > 0.0 {
             // Demoted once, at the door; the mean does not follow what it is to tell apart.
-            let most = if g.seen >= FIRST_SEEN { DEMOTE_FACTOR * g.mean_cost } else { f64::INFINITY };
+            let most = if g.seen >= FIRST_SEEN {
+                DEMOTE_FACTOR * self.reduced.demotion * g.mean_cost
+            } else {
+                f64::INFINITY
+            };
             cost = g.trusted(cost, text.sure);
             low |= cost > most;
             g.learn_cost(cost.min(most), MEAN_STEP);
@@ -194,7 +198,8 @@
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
         let effect = self.groups[rg_index].effect_of(text);
-        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, effect, ..query };
+        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, ..query };
+        let query = Query { effect, sure: text.sure, ..query };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
@@ -264,8 +269,8 @@
     pub fn pressure(&self, e: usize) -> bool {
         let slow = self.crawls(e, true) || self.crawls(e, false);
         let e = &self.engines[e];
-        let crowded =
-            e.low_threads + e.others >= e.crowd || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
+        let crowded = e.low_threads + e.others >= e.crowd * self.reduced.bounds
+            || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
         slow || crowded || self.now - e.full < FULL_LASTS
     }
 
@@ -292,7 +297,12 @@
     /// under pressure it rests while our low threads in the pool have used up the sum of our bounds.
     fn has_room(&self, i: usize, e: usize, pool_room: bool) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
-        let within = self.groups[q.rg].threads <= self.spare(e);
+        // A reduced level leaves a group's low work a part of that room, or none.
+        let part = self.reduced.part_of(q);
+        if part <= 0.0 {
+            return false;
+        }
+        let within = self.groups[q.rg].threads <= part * self.spare(e);
         let alone = engine.low_open == 0 && engine.others <= 0.0 && (at_ease || pool_room);
         // What a customer sends beyond its share has room only where both the bound and the engine allow.
         alone || within && at_ease || (within || at_ease) && !q.over_share
@@ -311,11 +321,11 @@
 
     fn spare(&self, e: usize) -> f64 {
         let engine = &self.engines[e];
-        engine.bound * engine.cores * self.share() - engine.low_threads - engine.others
+        self.reduced.bounds * engine.bound * engine.cores * self.share() - engine.low_threads - engine.others
     }
 
     /// This gateway's share of an engine: an even one, or, while it hears what all run there, the whole.
-    fn share(&self) -> f64 {
+    pub fn share(&self) -> f64 {
         let hears = self.now - self.sum_heard < SUM_LASTS;
         1.0 / if hears { 1.0 } else { self.gateways }
     }
@@ -341,8 +351,9 @@
     // ---- Sending: every submission passes here, and here the rules are kept ----
 
     fn may_send(&mut self, i: usize, e: usize) -> bool {
-        // Rule 7: the budget of further submissions.
-        if self.queries[i].count > 0 && !self.budget_left(0.0) {
+        // Rule 7: the budget of further submissions; a reduced level may leave low work none.
+        let withheld = self.reduced.withhold && self.queries[i].low;
+        if self.queries[i].count > 0 && (withheld || !self.budget_left(0.0)) {
             return false;
         }
         let (q, engine) = (&self.queries[i], &self.engines[e]);
@@ -390,8 +401,9 @@
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
         self.low_changed |= low;
+        let generous = (GENEROUS * self.reduced.grants).max(1.0);
         if self.allowed.pages || self.allowed.priorities {
-            out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { GENEROUS * memory } else { 0.0 });
+            out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { generous * memory } else { 0.0 });
         }
         out.submit(id, node, due);
     }
@@ -432,7 +444,9 @@
     }
 
     fn may_move(&mut self, i: usize) -> bool {
-        let could = self.allowed.cancelling && self.queries[i].count < self.allowed.most_submissions;
+        let could = !(self.reduced.withhold && self.queries[i].low)
+            && self.allowed.cancelling
+            && self.queries[i].count < self.allowed.most_submissions;
         could && self.budget_left(self.moving) && self.may_repeat(i, None)
     }
 
@@ -631,7 +645,8 @@
         let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else { return };
         let read_only = q.effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
-            out.defer(q.id, RETRY_AFTER.min(self.allowed.longest_wait));
+            let most = self.allowed.longest_wait;
+            out.defer(q.id, self.reduced.retry_after(RETRY_AFTER, most, &mut self.chance));
         } else {
             out.kill(q.id);
         }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -14,6 +14,10 @@
         self.0.insert(name.to_owned(), i);
         i
     }
+
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.0.get(name).copied()
+    }
 }
 
 #[derive(Debug, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod interface;
 pub mod pcg;
+pub mod signals;
 pub mod state;
 pub mod talk;
 pub mod told;
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,7 @@
     pub sum_told: f64,
     pub sum_heard: f64,
     pub low_work: f64,
+    pub reduced: Reduced,
 }
 
 impl Control {
@@ -124,6 +125,55 @@
     }
 }
 
+/// What a reduced service level asks for; at full service it changes nothing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reduced {
+    /// Factors on the low lane's bounds, on the factor of demotion, on grants beyond need.
+    pub bounds: f64,
+    pub demotion: f64,
+    pub grants: f64,
+    /// Factor on the time to come back, and the part of it that chance spreads.
+    pub retry: f64,
+    pub spread: f64,
+    /// Low work gets no further submissions.
+    pub withhold: bool,
+    /// Low work of customers over their share, or less sure of its cost than this, finds no room.
+    pub close_over_share: bool,
+    pub least_sure: f64,
+    /// Part of its room that a group's low work finds, by the group's index; all of it where none is told.
+    pub classes: Vec<f64>,
+}
+
+impl Default for Reduced {
+    fn default() -> Self {
+        let (withhold, close_over_share, least_sure, classes) = Default::default();
+        let (bounds, demotion, grants, retry, spread) = (1.0, 1.0, 1.0, 1.0, 0.0);
+        Reduced { bounds, demotion, grants, retry, spread, withhold, close_over_share, least_sure, classes }
+    }
+}
+
+impl Reduced {
+    /// The part of its room that this low query finds.
+    pub fn part_of(&self, q: &Query) -> f64 {
+        let closed = self.close_over_share && q.over_share || q.sure < self.least_sure;
+        if closed {
+            0.0
+        } else {
+            self.classes.get(q.rg).copied().unwrap_or(1.0)
+        }
+    }
+
+    /// When the deferred may come back: up to `most`, spread so that they don't come together.
+    pub fn retry_after(&self, usual: f64, most: f64, chance: &mut Pcg) -> f64 {
+        let wait = (usual * self.retry * (1.0 + self.spread)).min(most);
+        if self.spread > 0.0 {
+            wait * (1.0 - chance.unit() * self.spread / (1.0 + self.spread))
+        } else {
+            wait
+        }
+    }
+}
+
 /// What the settings allow or promise, beside the resource groups.
 #[derive(Debug, Default)]
 pub struct Allowed {
@@ -513,8 +563,9 @@
     pub work: f64,
     pub memory: f64,
     pub low: bool,
-    /// What of its group's effect holds for it.
+    /// What of its group's effect holds for it, and how sure its cost is.
     pub effect: Effect,
+    pub sure: f64,
     pub over: bool,
     pub moving: bool,
     pub count: usize,
@@ -537,6 +588,7 @@
             memory: 0.0,
             low: false,
             effect: Effect::Mutating,
+            sure: 1.0,
             over: false,
             moving: false,
             count: 0,
