--- a/crates/operator/src/levels.rs
+++ b/crates/operator/src/levels.rs
@@ -103,8 +103,11 @@
 }
 
 fn of_act(key: &str, act: &schema::Act, faults: &mut Faults) {
-    for (name, given) in [("bounds", act.bounds), ("demotion", act.demotion), ("grants", act.grants)] {
-        faults.within(&format!("{key}.{name}"), given, 0.05, 1.0);
+    // Demotion stays well above what is usual: else ordinary queries would leave the fast lane.
+    for (name, given, least) in
+        [("bounds", act.bounds, 0.05), ("demotion", act.demotion, 0.5), ("grants", act.grants, 0.05)]
+    {
+        faults.within(&format!("{key}.{name}"), given, least, 1.0);
     }
     faults.within(&format!("{key}.retry_after"), act.retry_after, 1.0, 100.0);
     faults.within(&format!("{key}.spread"), act.spread, 0.0, 0.9);
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,8 +1,9 @@
 //! Runs and measurements on loopback: `cargo run --release -p tansymux-rig -- demo`.
 
 use clap::{Parser, Subcommand};
+use std::path::PathBuf;
 use std::process::ExitCode;
-use tansymux_rig::{demo, measure, program, replay};
+use tansymux_rig::{demo, levels, measure, program, replay};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
 #[derive(Debug, Parser)]
@@ -21,6 +22,21 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Levels: a load that swings around all thresholds; exit 1 if a level changed twice in a minute or a rule broke
+    Levels {
+        #[arg(long, default_value_t = 600.0)]
+        seconds: f64,
+        /// Where the plot goes
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+    /// Levels: a quarter start beyond capacity, with levels and without, on the same seeds
+    Quarters {
+        #[arg(long, default_value_t = 24.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 2)]
+        seeds: u64,
+    },
     /// Statements: accuracy of class and effect on both parts of the corpus
     Accuracy {
         #[arg(long, default_value_t = 1)]
@@ -77,6 +93,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::Levels { seconds, svg } => {
+            let (table, broken) = levels::swing(&exe(), seconds, svg.as_deref());
+            print!("{table}");
+            if broken {
+                return ExitCode::FAILURE;
+            }
+        }
+        Command::Quarters { seconds, seeds } => print!("{}", levels::quarters(&exe(), seconds, seeds)),
         Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
         Command::Mutations { many, seed } => {
             let table = measure::mutations(many, seed);
--- /dev/null
+++ b/tests/reduced.rs
@@ -0,0 +1,164 @@
+//! Reduced service levels on the decisions: what a level asks for, and what no level may touch.
+
+mod helper;
+
+use helper::*;
+use tansymux::control::Control;
+use tansymux::interface::{EngineStatus, ListForm, Outcome, Text};
+use tansymux::state::{Pace, Reduced};
+
+const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
+const SLOW: Pace = Pace { level: 2.0, heard: T0 };
+
+/// The deepest level there could be.
+fn deepest() -> Reduced {
+    Reduced {
+        bounds: 0.05,
+        demotion: 0.5,
+        grants: 0.05,
+        retry: 3.0,
+        spread: 0.5,
+        withhold: true,
+        close_over_share: true,
+        least_sure: 1.0,
+        classes: vec![0.0; 4],
+    }
+}
+
+fn pressed(reduced: Reduced) -> Control {
+    let mut c = gateway("limits.max-retry-after-us=9000000", TWO);
+    c.engines.iter_mut().for_each(|e| e.paces.fast = SLOW);
+    c.reduced = reduced;
+    c
+}
+
+fn ask_with(c: &mut Control, at: f64, id: u64, rg: &str, cost: f64, text: Text) -> Vec<String> {
+    round(c, at, |c, out| c.query(id, rg, "", None, T0 + at + 20_000.0, cost, 10.0, 0, text, out).unwrap())
+}
+
+#[test]
+fn the_fast_lane_is_never_refused_for_load_at_any_level() {
+    let mut c = pressed(deepest());
+    for id in 0..200 {
+        assert!(starts(&ask(&mut c, 1.0, id, "look", 10.0), &format!("submit {id}")), "{id}");
+    }
+    // Nor held back from a second engine.
+    assert!(starts(&close(&mut c, 2.0, 7, 0, Outcome::Full, 1), "submit 7") || c.engines[0].open != 100);
+}
+
+#[test]
+fn a_closed_group_is_deferred_at_once_with_times_that_differ() {
+    let mut c = pressed(deepest());
+    let waits: Vec<f64> = (0..40)
+        .map(|id| {
+            let decided = ask(&mut c, 1.0, id, "rep", 100.0);
+            decided[0].strip_prefix(&format!("defer {id} ")).unwrap().parse().unwrap()
+        })
+        .collect();
+    // 1 s, three times, up to half as much again.
+    assert!(waits.iter().all(|wait| (3000.0..=4500.0).contains(wait)), "{waits:?}");
+    let mut tenths: Vec<u32> = waits.iter().map(|wait| (wait / 150.0) as u32).collect();
+    tenths.sort_unstable();
+    tenths.dedup();
+    assert!(tenths.len() > 5, "a herd: {waits:?}");
+}
+
+#[test]
+fn the_time_to_come_back_keeps_to_what_the_settings_allow() {
+    let mut c = gateway("", TWO);
+    c.reduced = deepest();
+    for id in 0..40 {
+        let decided = ask(&mut c, 1.0, id, "rep", 100.0);
+        let wait: f64 = decided[0].strip_prefix(&format!("defer {id} ")).unwrap().parse().unwrap();
+        assert!((200.0..=300.0).contains(&wait), "{wait}");
+    }
+}
+
+#[test]
+fn bounds_shrink_and_a_part_of_its_room_is_left_to_a_group() {
+    let count = |reduced: Reduced| {
+        let mut c = pressed(reduced);
+        // A pool of two with 8 cores each, of which this gateway has the half.
+        (0..20).filter(|id| starts(&ask(&mut c, 1.0, *id, "rep", 100.0), "submit")).count()
+    };
+    let full = count(Reduced::default());
+    let half = count(Reduced { bounds: 0.5, ..Reduced::default() });
+    let part = count(Reduced { classes: vec![1.0, 0.4, 1.0, 1.0], ..Reduced::default() });
+    assert!(full > half && full > part && half > 0, "{full} {half} {part}");
+}
+
+#[test]
+fn unsure_low_work_finds_no_room_and_sure_work_does() {
+    let sure = |sure: f64| {
+        let mut c = pressed(Reduced { least_sure: 0.3, ..Reduced::default() });
+        starts(&ask_with(&mut c, 1.0, 1, "rep", 100.0, Text { sure, alters: false }), "submit")
+    };
+    assert!(!sure(0.2) && sure(0.4));
+}
+
+#[test]
+fn low_work_is_not_sent_again_where_that_is_withheld_and_its_rules_hold() {
+    let mut c = pressed(Reduced { withhold: true, ..Reduced::default() });
+    ask(&mut c, 1.0, 1, "rep", 100.0);
+    let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+    assert!(starts(&close(&mut c, 2.0, 1, 0, Outcome::Error, on), "defer 1"));
+    // A load that may have run is killed and not deferred, at this level as at any.
+    ask(&mut c, 3.0, 2, "load", 100.0);
+    let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+    assert_eq!(close(&mut c, 4.0, 2, 0, Outcome::Reset, on), ["kill 2"]);
+    // One that never ran is deferred.
+    ask(&mut c, 5.0, 3, "load", 100.0);
+    let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+    assert!(starts(&close(&mut c, 6.0, 3, 0, Outcome::Full, on), "defer 3"));
+}
+
+#[test]
+fn a_level_that_comes_and_goes_leaves_what_runs_alone() {
+    let mut c = pressed(Reduced::default());
+    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit 1"));
+    let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+    c.reduced = deepest();
+    assert!(round(&mut c, 30.0, |_, _| {}).is_empty());
+    assert!(close(&mut c, 40.0, 1, 0, Outcome::Finished, on).is_empty());
+    c.reduced = Reduced::default();
+    assert!(starts(&ask(&mut c, 50.0, 2, "rep", 100.0), "submit 2"));
+}
+
+#[test]
+fn a_cold_engine_keeps_its_limit_at_the_deepest_level() {
+    let cold = "rules.fall-multiple=2 rules.cold-from=0.25 rules.overload-for-us=500000 rules.warm-after-us=10000000";
+    let mut c = gateway(cold, TWO);
+    c.reduced = deepest();
+    round(&mut c, 1.0, |c, out| {
+        c.list_begins(ListForm::Full);
+        c.listed(3, "small", "h1", EngineStatus::Ready, Some(T0), 0);
+        c.list_ends(ListForm::Full, out);
+    });
+    let sent = (0..400)
+        .filter(|id| starts(&ask(&mut c, 2.0, *id, "look", 100.0), &format!("submit {id} 3")))
+        .count();
+    // 2 x 0.25 x 8 cores x 500 ms x 0.85 x 0.8 for two gateways: 680 ms of work, at 500 ms a query by its target.
+    assert!(sent <= 2, "{sent}");
+}
+
+#[test]
+fn what_may_alter_is_killed_where_its_group_would_be_deferred() {
+    for (alters, then) in [(false, "defer 1"), (true, "kill 1")] {
+        let mut c = gateway("limits.max-attempts=1", TWO);
+        ask_with(&mut c, 1.0, 1, "look", 10.0, Text { sure: 1.0, alters });
+        let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
+        assert!(starts(&close(&mut c, 2.0, 1, 0, Outcome::Reset, on), then));
+    }
+}
+
+#[test]
+fn an_unsure_estimate_lies_between_the_groups_usual_and_itself() {
+    let mut c = gateway("", TWO);
+    (0..30).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
+    let low = |c: &mut Control, id: u64, sure: f64| {
+        ask_with(c, 2.0, id, "look", 1000.0, Text { sure, alters: false });
+        c.queries.iter().find(|(_, q)| q.id == id).map(|(_, q)| q.low)
+    };
+    // A hundredfold of the usual is demoted if it is sure, and not if nobody knows.
+    assert_eq!((low(&mut c, 100, 1.0), low(&mut c, 101, 0.0)), (Some(true), Some(false)));
+}
