Halls reach the decisions, peers, the log and whoever asks

Need: tiers, limits on spill and the climb back act within the one mechanism. Low work is deferred at once while this dispatcher is cut off itself. Result: real program with stand-in engines: a silent hall is cut within seconds, one report of four threads spills into 4.8, the rest is deferred at once, work bound to the lost hall is never moved, the climb takes its stated time, rules kept.

--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -5,6 +5,7 @@
 //! with the query, and they keep the rules.
 
 use crate::exchange::{Exchange, Listed};
+use crate::halls::Halls;
 use crate::levels::Levels;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -301,11 +302,12 @@
     }
 }
 
-/// All counters as text: those of the exchange, of statements and of levels.
-pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels) -> String {
+/// All counters as text: those of the exchange, of statements, of levels and of halls.
+pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels, halls: &Halls) -> String {
     let mut text = exchange.counters.report(exchange.in_hand());
     classes.report(&mut text);
     levels.report(&mut text);
+    halls.report(&mut text);
     text
 }
 
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -6,6 +6,7 @@
 use crate::classes::{self, Classes};
 use crate::clock::Clock;
 use crate::exchange::{Answer, Asked, Exchange, NotTaken, Slot};
+use crate::halls::Halls;
 use crate::levels::{self, Levels};
 use crate::net::write_gathered;
 use async_executor::LocalExecutor;
@@ -27,6 +28,7 @@
 const HEALTH_PATH: &str = "/_health";
 const COUNTERS_PATH: &str = "/_counters";
 const LEVELS_PATH: &str = "/_levels";
+const HALLS_PATH: &str = "/_halls";
 /// How often those who wait for a change of level are looked at.
 const LEVELS_PAUSE: Duration = Duration::from_millis(50);
 /// What the door lets in, as the configuration tells.
@@ -106,6 +108,9 @@
     door: Door,
     classes: Rc<Classes>,
     levels: Rc<Levels>,
+    halls: Rc<Halls>,
+    /// What spilled into halls, as the decisions last counted it.
+    pub spilled: RefCell<Vec<(String, f64)>>,
     places: Places,
     /// Bytes that wait in inboxes.
     waiting: Cell<usize>,
@@ -119,11 +124,25 @@
 impl ClientSide {
     pub fn new(
         exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>, levels: Rc<Levels>,
+        halls: Rc<Halls>,
     ) -> Self {
         let (waiting, healthy, closing) = Default::default();
         let places = Places::new(door.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        ClientSide { exchange, clock, door, classes, levels, places, waiting, shared, healthy, closing }
+        ClientSide {
+            exchange,
+            clock,
+            door,
+            classes,
+            levels,
+            halls,
+            spilled: RefCell::default(),
+            places,
+            waiting,
+            shared,
+            healthy,
+            closing,
+        }
     }
 
     pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -304,12 +323,19 @@
             }
             ("GET", HEALTH_PATH) if self.healthy.get() => (200, "{}".to_owned()),
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
-            ("GET", COUNTERS_PATH) => (200, classes::counters(&self.exchange, &self.classes, &self.levels)),
+            ("GET", COUNTERS_PATH) => {
+                (200, classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls))
+            }
             ("GET", path) if path == LEVELS_PATH || path.starts_with("/_levels?after=") => {
                 self.changed(path.strip_prefix("/_levels?after=")).await;
                 (200, self.levels.shown(self.clock.now()).to_string())
             }
-            (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH) => (405, "{}".to_owned()),
+            ("GET", HALLS_PATH) => {
+                let spilled = self.spilled.borrow();
+                let of = |name: &str| spilled.iter().find(|(hall, _)| hall == name).map_or(0.0, |(_, n)| *n);
+                (200, self.halls.shown(self.clock.now(), of).to_string())
+            }
+            (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH | HALLS_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
             _ => {
                 self.turn_away(stream, 404, "Unknown").await?;
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use crate::config::{self, Launch};
 use crate::engine::EngineSide;
 use crate::exchange::{Answer, Event, Exchange, Query};
+use crate::halls::Halls;
 use crate::levels::{Levels, Limits};
 use crate::log;
 use crate::names;
@@ -64,6 +65,7 @@
     clients: Rc<ClientSide>,
     classes: Rc<Classes>,
     levels: Rc<Levels>,
+    halls: Rc<Halls>,
     engines: Rc<EngineSide>,
     peers: Option<Rc<Peers>>,
     accepting: Option<Task<()>>,
@@ -102,8 +104,11 @@
         let limits = Limits { memory: config.memory, descriptors: config.sockets };
         let levels = Rc::new(Levels::new(&config.told, limits));
         levels.set(operator.levels.as_ref(), clock.now(), &mut control);
-        let (of_classes, of_levels) = (classes.clone(), levels.clone());
-        let clients = Rc::new(ClientSide::new(exchange.clone(), clock, config.door, of_classes, of_levels));
+        let halls = Rc::new(Halls::new(&config.told));
+        halls.set(operator.halls.as_ref(), clock.now(), &mut control);
+        let (of_classes, of_levels, of_halls) = (classes.clone(), levels.clone(), halls.clone());
+        let clients =
+            Rc::new(ClientSide::new(exchange.clone(), clock, config.door, of_classes, of_levels, of_halls));
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
@@ -130,6 +135,7 @@
             clients,
             classes,
             levels,
+            halls,
             engines,
             peers,
             accepting,
@@ -166,7 +172,7 @@
             future::yield_now().await;
         }
         self.others.clear();
-        eprint!("{}", classes::counters(&self.exchange, &self.classes, &self.levels));
+        eprint!("{}", classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls));
     }
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
@@ -175,8 +181,9 @@
         let now = self.clock.now();
         self.exchange.counters.rounds.add();
         let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
-        let mut feed =
-            Events { exchange: &self.exchange, engines: &self.engines, classes: &self.classes, levels, now };
+        let halls = &*self.halls;
+        let (exchange, engines, classes) = (&*self.exchange, &*self.engines, &*self.classes);
+        let mut feed = Events { exchange, engines, classes, levels, halls, now };
         let peers = self.peers.as_deref();
         let mut decisions =
             Decisions { exchange: &self.exchange, peers, levels, now, timer: &mut self.timer };
@@ -188,6 +195,13 @@
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
+        let message = halls.look(now, &mut self.control);
+        if let Some(message) = message.filter(|_| self.control.allowed.peers) {
+            decisions.tell(None, &message);
+        }
+        if halls.is_on() {
+            halls.spills(|hall| self.control.spilled(hall), &mut self.clients.spilled.borrow_mut());
+        }
         self.engines.carry_out();
         self.advance(now);
         next.min(self.timer).min(now + LONGEST_SLEEP)
@@ -272,6 +286,7 @@
         log::set(&self.common, operator.log.as_ref());
         self.classes.set(operator.statements.as_ref());
         self.levels.set(operator.levels.as_ref(), self.clock.now(), &mut self.control);
+        self.halls.set(operator.halls.as_ref(), self.clock.now(), &mut self.control);
     }
 
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
@@ -300,6 +315,7 @@
     engines: &'a EngineSide,
     classes: &'a Classes,
     levels: &'a Levels,
+    halls: &'a Halls,
     now: f64,
 }
 
@@ -329,6 +345,7 @@
                 Event::Closed { query, submission, outcome, node, latency, pages } => {
                     let taken =
                         |q: &Query| Some(Taken { shape: q.shape?, rg: q.rg.clone(), waited: q.waited });
+                    self.halls.ended(self.now, node, outcome);
                     if let Some(taken) = self.exchange.with(query, taken).flatten() {
                         self.classes.ended(&taken, node, latency, outcome, self.now);
                     }
@@ -341,14 +358,21 @@
                     control.closed(query, submission, complete, outcome, node, latency, 0.0, 0.0, out);
                 }
                 Event::Noted { query, submission, note, amount } => {
+                    if let Some(node) = self.exchange.with(query, |q| q.node).filter(|_| self.halls.is_on()) {
+                        self.halls.noted(self.now, node);
+                    }
                     if note == Note::Waits {
                         self.exchange.waits(query);
                     }
                     control.noted(query, submission, note, amount)
                 }
-                Event::Probed { node, outcome } => control.probed(node, outcome),
+                Event::Probed { node, outcome } => {
+                    self.halls.ended(self.now, node, outcome);
+                    control.probed(node, outcome);
+                }
                 Event::List { form, engines } => {
                     self.classes.listed(&engines);
+                    self.halls.listed(self.now, &engines);
                     control.list_begins(form);
                     for e in &engines {
                         self.engines.listed(e);
@@ -357,7 +381,9 @@
                     control.list_ends(form, out);
                 }
                 Event::Told { peer, content } => {
-                    if !self.levels.heard(self.now, peer, &content) {
+                    let taken = self.levels.heard(self.now, peer, &content)
+                        || self.halls.heard(self.now, peer, &content);
+                    if !taken {
                         control.told_by(peer, &content);
                     }
                 }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -88,6 +88,8 @@
     /// Its text's shape, where it was read, and whether the submission that is out has waited.
     pub shape: Option<Shape>,
     pub waited: bool,
+    /// Where the last submission went.
+    pub node: u64,
     /// Where the answer goes; none once it was given or the client left.
     slot: Option<Rc<Slot>>,
 }
@@ -196,6 +198,7 @@
             out: false,
             shape: asked.shape,
             waited: false,
+            node: 0,
             slot: Some(slot.clone()),
         };
         self.queries.borrow_mut().insert(number, query);
@@ -290,7 +293,7 @@
             return;
         };
         let submission = q.submissions;
-        (q.submissions, q.out, q.waited) = (submission + 1, true, false);
+        (q.submissions, q.out, q.waited, q.node) = (submission + 1, true, false, node);
         self.counters.submissions.add();
         self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, until });
     }
--- /dev/null
+++ b/crates/dispatcher/src/halls.rs
@@ -0,0 +1,206 @@
+//! Halls in the program: gathers evidence of them, tells peers, the log and whoever asks, and hands the decisions the
+//! plan that follows. Nothing here places a query.
+
+use crate::exchange::Listed;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use tansymux::control::Control;
+use tansymux::interface::{EngineStatus, Outcome};
+use tansymux::tiers::{Given, GivenHall};
+use tansymux::told::{self, Map, Told};
+use tansymux_halls::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
+use tansymux_operator::schema;
+
+/// Looks at the evidence are so far apart (ms).
+const LOOK_EVERY: f64 = 100.0;
+
+pub struct Halls {
+    on: RefCell<Option<Judge>>,
+    /// The dispatcher's own hall, the resource groups, how many dispatchers there are, cores by kind.
+    own: String,
+    groups: Vec<String>,
+    gateways: f64,
+    settings: Map,
+    /// The list as last told.
+    listed: RefCell<Vec<Engine>>,
+    looked: Cell<f64>,
+    changes: Cell<u64>,
+}
+
+impl Halls {
+    pub fn new(settings: &Map) -> Self {
+        let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+        let name =
+            |i| settings.get(&format!("{}.name", told::item_of("services", i))).cloned().unwrap_or_default();
+        Halls {
+            on: RefCell::default(),
+            own: settings.get("zone").cloned().unwrap_or_default(),
+            groups: (0..count).map(name).collect(),
+            gateways: settings.number("balancers").unwrap_or(1.0),
+            settings: settings.clone(),
+            listed: RefCell::default(),
+            looked: Cell::new(f64::NEG_INFINITY),
+            changes: Cell::default(),
+        }
+    }
+
+    /// Takes on what the operators' file says; it was checked before. What is known of halls stays.
+    pub fn set(&self, told: Option<&schema::Halls>, now: f64, control: &mut Control) {
+        let mut on = self.on.borrow_mut();
+        match (on.as_mut(), told.map(tansymux_operator::halls)) {
+            (_, None) => {
+                if on.take().is_some() {
+                    tracing::info!("tiers between halls are off");
+                }
+                control.plan_halls(None);
+            }
+            (Some(judge), Some(definition)) if *judge.definition() != definition => {
+                judge.redefine(definition)
+            }
+            (Some(_), Some(_)) => {}
+            (None, Some(definition)) => {
+                let mut judge = Judge::new(definition, self.gateways);
+                judge.listed(now, &self.listed.borrow());
+                *on = Some(judge);
+            }
+        }
+        self.looked.set(f64::NEG_INFINITY);
+    }
+
+    /// The list as it was told: whole.
+    pub fn listed(&self, now: f64, engines: &[Listed]) {
+        let mut listed = self.listed.borrow_mut();
+        for engine in engines {
+            listed.retain(|known| known.node != engine.node);
+            if engine.status != EngineStatus::Gone {
+                let cores = self.settings.of_kind(&engine.kind, "family-info.cores-by-kind").unwrap_or(1.0);
+                let ready = engine.status == EngineStatus::Ready;
+                listed.push(Engine { node: engine.node, hall: engine.hall.clone(), cores, ready });
+            }
+        }
+        listed.sort_by_key(|engine| engine.node);
+        if let Some(judge) = self.on.borrow_mut().as_mut() {
+            judge.listed(now, &listed);
+        }
+    }
+
+    /// A submission or a probe ended.
+    pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
+        let kind = match outcome {
+            Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            // Given up from here, or never sent: nothing was seen of the engine.
+            Outcome::Cancelled | Outcome::NotSent => return,
+        };
+        self.seen(now, node, kind);
+    }
+
+    /// A note came.
+    pub fn noted(&self, now: f64, node: u64) {
+        self.seen(now, node, Kind::Heard);
+    }
+
+    fn seen(&self, now: f64, node: u64, kind: Kind) {
+        if let Some(judge) = self.on.borrow_mut().as_mut() {
+            judge.seen(now, Seen { node, kind });
+        }
+    }
+
+    pub fn is_on(&self) -> bool {
+        self.on.borrow().is_some()
+    }
+
+    /// Looks at the evidence where it is time; what is to be told to peers.
+    pub fn look(&self, now: f64, control: &mut Control) -> Option<Vec<u8>> {
+        let mut on = self.on.borrow_mut();
+        let judge = on.as_mut()?;
+        if now - self.looked.get() < LOOK_EVERY {
+            return None;
+        }
+        self.looked.set(now);
+        judge.look(now);
+        for change in judge.changes() {
+            self.changes.set(self.changes.get() + 1);
+            let Changed { hall, state, why, .. } = change;
+            tracing::warn!(hall, state = %state_name(state), why = ?why, "a hall's state changed");
+        }
+        control.plan_halls(Some(&given(&judge.plan(&self.own, &self.groups))));
+        judge.tells(now)
+    }
+
+    /// A peer's message, if it is one about halls.
+    pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
+        if content.first() != Some(&tansymux_halls::message::KIND) {
+            return false;
+        }
+        if let Some(judge) = self.on.borrow_mut().as_mut() {
+            judge.heard(now, peer, content);
+        }
+        true
+    }
+
+    /// Reads for each hall that is listed what spilled into it.
+    pub fn spills(&self, read: impl Fn(&str) -> f64, to: &mut Vec<(String, f64)>) {
+        to.clear();
+        for engine in &*self.listed.borrow() {
+            if !to.iter().any(|(hall, _)| *hall == engine.hall) {
+                to.push((engine.hall.clone(), read(&engine.hall)));
+            }
+        }
+    }
+
+    /// All that there is to show, as JSON.
+    pub fn shown(&self, now: f64, spilled: impl Fn(&str) -> f64) -> Value {
+        let on = self.on.borrow();
+        let Some(judge) = on.as_ref() else { return json!({"defined": false}) };
+        let plan = judge.plan(&self.own, &self.groups);
+        let number = |value: f64| if value.is_finite() { json!(value) } else { Value::Null };
+        let hall = |hall: &tansymux_halls::HallPlan| {
+            let part = if let HallState::Climbing(part) = hall.state { json!(part) } else { Value::Null };
+            let ranks: Value =
+                self.groups.iter().cloned().zip(hall.ranks.iter().map(|rank| json!(rank))).collect();
+            json!({"hall": hall.name, "state": state_name(hall.state), "part": part, "rank": ranks,
+                "spilled_threads": spilled(&hall.name), "spill_most": number(hall.spill)})
+        };
+        let history: Vec<Value> = judge
+            .history()
+            .iter()
+            .rev()
+            .map(|c| json!({"at": c.at, "hall": c.hall, "state": state_name(c.state), "why": format!("{:?}", c.why)}))
+            .collect();
+        json!({"defined": true, "own": self.own, "alone": plan.alone, "now": now,
+            "halls": plan.halls.iter().map(hall).collect::<Vec<_>>(), "history": history})
+    }
+
+    /// Lines for the counters; none while off.
+    pub fn report(&self, text: &mut String) {
+        let on = self.on.borrow();
+        let Some(judge) = on.as_ref() else { return };
+        let _ = writeln!(text, "hall_changes {}", self.changes.get());
+        let _ = writeln!(text, "halls_alone {}", u8::from(judge.alone()));
+    }
+}
+
+fn state_name(state: HallState) -> &'static str {
+    match state {
+        HallState::Well => "well",
+        HallState::Cut => "cut",
+        HallState::Climbing(_) => "climbing",
+    }
+}
+
+fn given(plan: &Plan) -> Given {
+    let hall = |hall: &tansymux_halls::HallPlan| GivenHall {
+        name: hall.name.clone(),
+        ranks: hall.ranks.clone(),
+        spill: hall.spill,
+        spill_by_group: hall.spill_by_class.clone(),
+    };
+    Given {
+        halls: plan.halls.iter().map(hall).collect(),
+        engines: plan.engines.iter().map(|engine| (engine.node, engine.threads)).collect(),
+        cross_retries: plan.cross_retries,
+        alone: plan.alone,
+    }
+}
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -12,6 +12,7 @@
 mod dns;
 mod engine;
 mod exchange;
+mod halls;
 mod levels;
 mod log;
 mod names;
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -43,6 +43,13 @@
             faults.push(format!("levels.level.{n} names {name:?}, {allowed}"));
         }
     }
+    let halls = operator.halls.iter();
+    let of_halls = halls.flat_map(|halls| {
+        halls.route.iter().map(|route| route.class()).chain(halls.spill.iter().map(|spill| spill.class()))
+    });
+    for name in of_halls.filter(|name| !name.is_empty() && effect_of(name).is_none()) {
+        faults.push(format!("halls names {name:?}, allowed is a resource group of the settings"));
+    }
     let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else { return faults };
     let named = [
         ("look_up", &groups.look_up, false),
--- /dev/null
+++ b/crates/dispatcher/tests/halls.rs
@@ -0,0 +1,198 @@
+//! Two halls on the real program: one falls silent and comes back.
+
+use serde_json::Value;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_rig::check::{judge, ClassRules, Effect, Rules};
+use tansymux_rig::client::{ask, Ask, Got};
+use tansymux_rig::engine::{Engine, Fault, Spec, Work, World};
+use tansymux_rig::program::{class, free_address, get, Config, Program, Scrap};
+use tansymux_rig::record::What;
+
+const HALLS: &str = r#"halls {
+  route { from: "east" tier { hall: "east" } tier { hall: "west" } }
+  spill { most: 0.3 }
+  cut { quiet_s: 0.6 }
+  climb { first: 0.1 over_s: 4 }
+}"#;
+
+struct Site {
+    world: Arc<World>,
+    engines: Vec<Engine>,
+    program: Program,
+    next: AtomicU64,
+    _operator: Scrap,
+}
+
+fn start(halls: &str) -> Site {
+    let world = Arc::new(World::default());
+    let engines: Vec<Engine> =
+        (0..4).map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone())).collect();
+    let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
+    let classes = [
+        class("look", 300.0, 2000.0, "read_like"),
+        class("report", 1500.0, 3000.0, "read_like"),
+        class("load", 1500.0, 3000.0, "non_idempotent"),
+        class("bound", 300.0, 2000.0, "read_like"),
+    ];
+    let mut config = Config::new(free_address(), &known, &classes, &[1, 4, 2, 1])
+        .with("settings.zone", "east")
+        .with("settings.limits.probes", true)
+        .with("settings.family-info.tells-every-us", 100_000)
+        .with("settings.family-info.class-load", serde_json::json!([false, false, true, false]))
+        .with("settings.services.3.confined-to", serde_json::json!(["east"]));
+    for n in 0..4 {
+        let hall = if n < 2 { "east" } else { "west" };
+        config = config.with(&format!("known.cmds.0.nodes.instances.{n}.zone"), hall);
+    }
+    let operator = Scrap::new("operator.textproto", halls);
+    let path = operator.0.display().to_string();
+    let program = Program::start(Path::new(env!("CARGO_BIN_EXE_tansymux")), &config, &["--operator", &path]);
+    Site { world, engines, program, next: AtomicU64::new(1), _operator: operator }
+}
+
+impl Site {
+    fn ask(&self, rg: &str, work: f64) -> Option<Got> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let wait = if rg == "look" || rg == "bound" { 2000.0 } else { 3000.0 };
+        let mut query = Ask::new(id, &format!("/invoke/{rg}"), rg, "select 1", wait);
+        query.cost = Some(work);
+        let threads = if rg == "report" { 4.0 } else { 1.0 };
+        let truth = Work { work, threads, changes: rg == "load", tables: 0 };
+        self.world.works.lock().unwrap().insert(query.id(), truth);
+        ask(self.program.listen, &query, &self.world.record)
+    }
+
+    fn halls(&self) -> Value {
+        serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().2).unwrap()
+    }
+
+    fn state(&self, hall: &str) -> String {
+        let halls = self.halls();
+        let of = halls["halls"].as_array().unwrap().iter().find(|h| h["hall"] == hall);
+        of.map_or("", |h| h["state"].as_str().unwrap()).to_owned()
+    }
+
+    fn hall(&self, fault: Fault) {
+        self.engines[..2].iter().for_each(|engine| engine.fault(fault));
+    }
+
+    /// Asks look-ups until a hall is in a state; how long that took.
+    fn until(&self, hall: &str, state: &str) -> Duration {
+        let from = Instant::now();
+        while self.state(hall) != state {
+            thread::scope(|scope| (0..6).for_each(|_| drop(scope.spawn(|| self.ask("look", 5.0)))));
+            assert!(from.elapsed() < Duration::from_secs(15), "{state}: {}", self.halls());
+        }
+        from.elapsed()
+    }
+
+    /// Submissions by hall since an entry of the record.
+    fn sent(&self, since: usize) -> (usize, usize) {
+        let entries = self.world.record.entries();
+        let to = |east: bool| {
+            let sent = |what: &What| matches!(what, What::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
+            entries[since..].iter().filter(|entry| sent(&entry.what)).count()
+        };
+        (to(true), to(false))
+    }
+
+    fn mark(&self) -> usize {
+        self.world.record.entries().len()
+    }
+}
+
+#[test]
+fn a_hall_that_is_lost_spills_within_its_limit_and_climbs_back_and_all_rules_hold() {
+    let mut site = start(HALLS);
+    (0..20).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    assert_eq!(site.sent(0).1, 0, "the own hall is first");
+    site.hall(Fault::Silent);
+    site.until("east", "cut");
+    // Look-ups run in the other hall; of reports only as many as may spill, the rest is deferred at once.
+    let mark = site.mark();
+    (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    assert!(site.sent(mark).1 >= 10);
+    let got: Vec<Option<Got>> = thread::scope(|scope| {
+        let asked: Vec<_> = (0..8)
+            .map(|_| {
+                thread::sleep(Duration::from_millis(10));
+                scope.spawn(|| site.ask("report", 1600.0))
+            })
+            .collect();
+        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    let served = got.iter().flatten().filter(|got| got.status == 200).count();
+    let deferred: Vec<&Got> = got.iter().flatten().filter(|got| got.status == 429).collect();
+    // 0.3 of 16 cores are 4.8 threads: one report of four at a time.
+    assert_eq!((served, deferred.len()), (1, 7), "{got:?} {}", site.halls());
+    assert!(deferred.iter().all(|got| got.took < 200.0 && got.retry_after.is_some()), "{deferred:?}");
+    // What is bound to the lost hall is never moved.
+    let mark = site.mark();
+    let bound = site.ask("bound", 5.0).unwrap();
+    assert!(bound.status == 429, "{bound:?}");
+    assert_eq!(site.sent(mark).1, 0);
+    // It comes back: a part first, all after a while, and then the own hall is first again.
+    site.hall(Fault::None);
+    site.until("east", "climbing");
+    let climbed = site.until("east", "well");
+    assert!(climbed > Duration::from_secs(3), "{climbed:?}");
+    let mark = site.mark();
+    (0..20).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    assert_eq!(site.sent(mark), (20, 0));
+    site.program.told_to_end();
+    let log = site.program.end();
+    for says in ["state=cut", "state=climbing", "state=well", "unanswered 0\n"] {
+        assert!(log.contains(says), "{says} in {log}");
+    }
+    let effect = |rg: &str| if rg == "load" { Effect::Mutating } else { Effect::ReadOnly };
+    let classes =
+        ["look", "report", "load", "bound"].map(|rg| (rg.to_owned(), ClassRules::of(effect(rg)))).into();
+    let rules = Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget: None, classes };
+    let broken = judge(&site.world.record.entries(), &rules);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+#[test]
+fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_hall() {
+    let site = start(HALLS);
+    let got: Vec<Option<Got>> = thread::scope(|scope| {
+        let asked: Vec<_> = (0..6).map(|_| scope.spawn(|| site.ask("load", 400.0))).collect();
+        thread::sleep(Duration::from_millis(60));
+        site.hall(Fault::Silent);
+        (0..4).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0))));
+        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    // Engines finish what they began; whatever came, each has one answer and ran at most once.
+    assert!(got.iter().all(Option::is_some));
+    let entries = site.world.record.entries();
+    let loads: Vec<&str> = entries
+        .iter()
+        .filter_map(|entry| match &entry.what {
+            What::Asked { id, class, .. } if class == "load" => Some(id.as_str()),
+            _ => None,
+        })
+        .collect();
+    for id in loads {
+        let sent = |what: &What| matches!(what, What::Arrived { id: of, .. } if of == id);
+        assert!(entries.iter().filter(|entry| sent(&entry.what)).count() <= 1, "{id}");
+    }
+}
+
+#[test]
+fn a_dispatcher_that_is_cut_off_itself_calls_no_hall_cut() {
+    let site = start(HALLS);
+    (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    site.engines.iter().for_each(|engine| engine.fault(Fault::Silent));
+    let from = Instant::now();
+    while site.halls()["alone"] != true {
+        thread::scope(|scope| (0..8).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0)))));
+        assert!(from.elapsed() < Duration::from_secs(15), "{}", site.halls());
+    }
+    assert_eq!((site.state("east"), site.state("west")), ("well".into(), "well".into()));
+    let report = site.ask("report", 100.0).unwrap();
+    assert!(report.status == 429 && report.took < 500.0, "{report:?}");
+}
--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -397,6 +397,15 @@
             return;
         }
         self.alone = alone;
+        if alone {
+            // The first hall that failed was judged before the others had shown that it is not the hall.
+            for hall in 0..self.halls.len() {
+                let known = &self.halls[hall];
+                if known.state == HallState::Cut && self.now - known.since < FORGET {
+                    self.changed(hall, HallState::Well, Why::Alone);
+                }
+            }
+        }
         if let Some(hall) = known.first().copied().or((!self.halls.is_empty()).then_some(0)) {
             let state = self.halls[hall].state;
             self.changed(hall, state, if alone { Why::Alone } else { Why::NotAlone });
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -51,6 +51,9 @@
     if let Some(levels) = &operator.levels {
         crate::levels::check(levels, &mut faults);
     }
+    if let Some(halls) = &operator.halls {
+        crate::halls::check(halls, &mut faults);
+    }
     faults.all
 }
 
--- /dev/null
+++ b/crates/operator/src/halls.rs
@@ -0,0 +1,49 @@
+//! Halls as the file tells them, as the decisions take them.
+
+use crate::check::Faults;
+use crate::schema;
+use tansymux_halls::{define, Climb, Cut, Definition, Route, Spill, Tier};
+
+/// The definition that the file tells. It may have faults: see `check`.
+pub fn halls(told: &schema::Halls) -> Definition {
+    let tier = |tier: &schema::Tier| Tier { halls: tier.hall.clone() };
+    let route = |told: &schema::Route| {
+        let (class, from) = (told.class.clone(), told.from.clone());
+        Route { class, from, tiers: told.tier.iter().map(tier).collect() }
+    };
+    let spill = |told: &schema::Spill| {
+        let (into, class) = (told.into.clone(), told.class.clone());
+        Spill { into, class, most: told.most.unwrap_or(f64::INFINITY) }
+    };
+    let (cut, climb) = (told.cut.unwrap_or_default(), told.climb.unwrap_or_default());
+    Definition {
+        routes: told.route.iter().map(route).collect(),
+        spills: told.spill.iter().map(spill).collect(),
+        cut: Cut { quiet_for: cut.quiet_s() * 1000.0, part: cut.part() },
+        climb: Climb { first: climb.first(), over: climb.over_s() * 1000.0, whole: climb.whole() },
+        cross_retries: told.cross_retries(),
+    }
+}
+
+pub(crate) fn check(told: &schema::Halls, faults: &mut Faults) {
+    faults.within("halls.cross_retries", told.cross_retries, 0.0, 1.0);
+    for (n, spill) in told.spill.iter().enumerate() {
+        let key = format!("halls.spill.{n}.most");
+        match spill.most {
+            None => faults.add(&key, "missing", "0 to 4"),
+            most => faults.within(&key, most, 0.0, 4.0),
+        }
+    }
+    if let Some(cut) = &told.cut {
+        faults.within("halls.cut.quiet_s", cut.quiet_s, 0.3, 60.0);
+        faults.within("halls.cut.part", cut.part, 0.3, 1.0);
+    }
+    if let Some(climb) = &told.climb {
+        faults.within("halls.climb.first", climb.first, 0.01, 1.0);
+        faults.within("halls.climb.over_s", climb.over_s, 1.0, 3600.0);
+        faults.within("halls.climb.whole", climb.whole, 0.25, 8.0);
+    }
+    for fault in define::faults(&halls(told)) {
+        faults.add(&format!("halls.{}", fault.key), fault.found, fault.allowed);
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,9 +5,11 @@
 //! text and gives either the whole or all its faults. Start reading at [`read`].
 
 mod check;
+mod halls;
 mod levels;
 mod place;
 
+pub use halls::halls;
 pub use levels::definition;
 use place::Places;
 use prost_reflect::{DescriptorPool, DynamicMessage};
--- a/crates/operator/tests/faults.rs
+++ b/crates/operator/tests/faults.rs
@@ -52,6 +52,10 @@
         ("levels { level { enter { any { signal: READY of: \"x\" enter: 0 leave: 1 } } } }", "any.0.of is given for READY"),
         ("levels { level { act { bounds: 0 } } }", "levels.level.0.act.bounds is 0, allowed is 0.05 to 1"),
         ("levels { pin: \"b\" }", "levels.pin is \"b\""),
+        ("halls { spill { } }", "1:9: halls.spill.0.most is missing"),
+        ("halls { spill { most: 5 } }", "halls.spill.0.most is 5, allowed is 0 to 4"),
+        ("halls { route { tier { hall: \"a\" }\n tier { hall: [\"b\", \"a\"] } } }", "2:7: halls.route.0.tier.1.hall.1 is \"a\" a second"),
+        ("halls { climb { over_s: 0 } }", "halls.climb.over_s is 0"),
         // Of form: the library's words, our place and key.
         ("log {\n levle: WARN\n}", "2:2: log.levle: "),
         ("log { level: LOUD }", "log.level: "),
--- a/src/control.rs
+++ b/src/control.rs
@@ -231,7 +231,9 @@
                 let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
                 let fresh = !tried && !self.stands_still(i, e) && !self.hangs(i, e);
                 let stands = self.in_standing(i, e);
-                if (stage > 0 || fresh) && (stage > 1 || stands) && self.may_send(i, e) {
+                // A plan for halls keeps low work out, and the fast lane while there is any other engine.
+                let open = stage > 1 && !low || self.open_to(i, e);
+                if (stage > 0 || fresh) && (stage > 1 || stands) && open && self.may_send(i, e) {
                     standing |= stands;
                     if !low || self.has_room(i, e, pool_room) && !self.stands_still(i, e) {
                         drawn.push(e);
@@ -244,6 +246,8 @@
         }
         let mut choice = None;
         if !drawn.is_empty() {
+            let nearest = drawn.iter().map(|&e| self.rank(i, e)).min();
+            drawn.retain(|&e| Some(self.rank(i, e)) == nearest);
             // One draw from all, one from our hall; both from our hall while an engine there is at ease.
             let home = |e: &usize| self.engines[*e].hall == self.hall;
             let easy = |e: &usize| self.spare(*e) >= 0.0 && !self.pressure(*e);
@@ -383,6 +387,7 @@
             return self.finish_off(i, out);
         }
         let (work, now, usual) = (self.queries[i].work, self.now, self.usual_work(self.queries[i].rg));
+        let took = self.takes_room(i, e);
         if self.cold_allowance(e).is_some() {
             self.engines[e].sent_cold.push_back((now, usual));
         }
@@ -395,7 +400,7 @@
         let memory = q.memory * g.memory_factor;
         let trial = engine.suspect;
         engine.trial = if trial { now + engine.trial_wait } else { engine.trial };
-        let s = Submission::new(e, now, work, memory, trial);
+        let s = Submission { took, ..Submission::new(e, now, work, memory, trial) };
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.submissions[q.count] = s;
         q.count += 1;
@@ -507,7 +512,7 @@
         if std::mem::take(&mut q.moving) {
             self.moving -= 1.0;
         }
-        let (low, key) = (q.low, q.key);
+        let (low, key, rg) = (q.low, q.key, q.rg);
         q.over |= complete;
         self.low_changed |= low;
         if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
@@ -534,6 +539,7 @@
             engine.crowd = CROWD_A_CORE * engine.cores;
         }
         self.judge(e, outcome, &s, submission > 0);
+        self.gives_back(s.took, rg, e);
         if self.queries[i].over {
             self.leave(i, out);
         } else if outcome != Outcome::NotSent && self.now + self.alone(i) < self.queries[i].due {
@@ -737,7 +743,7 @@
         }
     }
 
-    fn alone(&self, i: usize) -> f64 {
+    pub fn alone(&self, i: usize) -> f64 {
         let (q, g) = (&self.queries[i], &self.groups[self.queries[i].rg]);
         q.cost / g.threads * g.pace.exp()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod signals;
 pub mod state;
 pub mod talk;
+pub mod tiers;
 pub mod told;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::interface::Text;
 use crate::pcg::Pcg;
 use crate::talk;
+use crate::tiers::{Tiers, Took};
 use crate::told::{self, Map, Told};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -47,6 +48,7 @@
     pub sum_heard: f64,
     pub low_work: f64,
     pub reduced: Reduced,
+    pub tiers: Tiers,
 }
 
 impl Control {
@@ -519,6 +521,8 @@
     pub began: f64,
     pub base: f64,
     pub waits: bool,
+    /// What it took of a plan's room.
+    pub took: Took,
 }
 
 impl Submission {
