A lab: a small emulator round the real decisions, experiments as files, paired comparisons

Need: tiers and a hall's return could not be seen at size, nor plotted. It showed at once that a cut hall never came back: its engines were closed and nobody asked them. Now a cut hall is probed, and tried with a first part where nothing was tried.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -200,6 +200,9 @@
             decisions.tell(None, &message);
         }
         if halls.is_on() {
+            if let Some(node) = halls.probes(now).filter(|_| self.control.allowed.probes) {
+                self.exchange.probe(node);
+            }
             halls.spills(|hall| self.control.spilled(hall), &mut self.clients.spilled.borrow_mut());
         }
         self.engines.carry_out();
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -129,6 +129,11 @@
         judge.tells(now)
     }
 
+    /// The engine of a cut hall that is to be probed now, if one is.
+    pub fn probes(&self, now: f64) -> Option<u64> {
+        self.on.borrow_mut().as_mut()?.probes(now)
+    }
+
     /// A peer's message, if it is one about halls.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
         if content.first() != Some(&tansymux_halls::message::KIND) {
--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -21,6 +21,11 @@
 const SET_BACK_EVERY: f64 = 1000.0;
 /// A list that drops this part of a hall's engines at once while they answer is taken for wrong.
 const DROPPED_PART: f64 = 0.5;
+/// A hall that is cut is asked by a probe so often (ms), one engine after the other.
+const PROBE_EVERY: f64 = 500.0;
+/// Where nothing was tried for so long (ms), as no probe is allowed and all go elsewhere, it is tried with the first
+/// part of a climb: else nobody would ever learn that it is back.
+const UNTRIED: f64 = 12_000.0;
 const MOST_PEERS: usize = 1024;
 const HISTORY: usize = 64;
 
@@ -65,6 +70,8 @@
     /// The same, while peers reach it: the way from here is cut.
     LostFromHere,
     Heard,
+    /// Nothing was tried for long.
+    Untried,
     Climbed,
     FailsAgain,
     /// All halls fail: this dispatcher is cut off itself.
@@ -109,6 +116,10 @@
     progress: f64,
     /// Since when it has only failed; none while it was heard last.
     quiet: Option<f64>,
+    /// When anything was last seen of it; when it was last probed, and which of its engines is next.
+    seen: f64,
+    probed: f64,
+    next: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -205,6 +216,9 @@
             set_back: LONG_AGO,
             progress: 0.0,
             quiet: None,
+            seen: self.now,
+            probed: LONG_AGO,
+            next: 0,
         });
         self.halls.len() - 1
     }
@@ -266,6 +280,7 @@
         let Some(known) = self.engines.get_mut(&seen.node) else { return };
         let hall = &mut self.halls[known.hall];
         hall.fade(now);
+        hall.seen = now;
         match seen.kind {
             Kind::Heard => {
                 (known.fails, known.heard) = (0, now);
@@ -377,6 +392,11 @@
                     (known.progress, known.good, known.bad) = (0.0, 1.0, 0.0);
                     self.changed(hall, HallState::Climbing(self.definition.climb.first), Why::Heard);
                 }
+                HallState::Cut if now - self.halls[hall].seen.max(self.halls[hall].since) >= UNTRIED => {
+                    let known = &mut self.halls[hall];
+                    (known.progress, known.good, known.bad) = (0.0, 0.0, 0.0);
+                    self.changed(hall, HallState::Climbing(self.definition.climb.first), Why::Untried);
+                }
                 HallState::Climbing(_) => self.climb(hall, passed),
                 _ => {}
             }
@@ -412,6 +432,17 @@
         }
     }
 
+    /// The engine of a cut hall that is to be probed now, if one is; where probes are allowed.
+    pub fn probes(&mut self, now: f64) -> Option<u64> {
+        let due = |hall: &Hall| hall.state == HallState::Cut && now - hall.probed >= PROBE_EVERY;
+        let hall = self.halls.iter().position(due)?;
+        let of: Vec<u64> =
+            self.engines.iter().filter(|(_, e)| e.hall == hall && e.ready).map(|(node, _)| *node).collect();
+        let known = &mut self.halls[hall];
+        (known.probed, known.next) = (now, known.next.wrapping_add(1));
+        of.get(known.next % of.len().max(1)).copied()
+    }
+
     fn heard_since(&self, hall: usize) -> bool {
         let since = self.halls[hall].since;
         self.engines.values().any(|known| known.hall == hall && known.ready && known.heard > since)
--- a/crates/halls/tests/cuts.rs
+++ b/crates/halls/tests/cuts.rs
@@ -350,3 +350,24 @@
     world.judge.look(world.now + 600_000.0);
     assert!(world.threads(0) <= before + 64.0 * 0.1, "{before} {}", world.threads(0));
 }
+
+#[test]
+fn a_cut_hall_is_probed_and_one_that_nobody_tries_is_tried_again() {
+    let mut world = World::new(TWO, 1.0);
+    world.run(3000.0, |_, _, _| Some(true));
+    world.run(3000.0, |hall, _, _| Some(hall == 1));
+    // Each of its engines in turn, twice a second.
+    let mut probed = Vec::new();
+    for _ in 0..40 {
+        world.run(LOOK, |hall, _, _| (hall == 1).then_some(true));
+        probed.extend(world.judge.probes(world.now));
+    }
+    assert_eq!(probed.len(), 8);
+    assert!(probed.iter().all(|node| *node < 100) && probed[0] != probed[1], "{probed:?}");
+    // Where no probe is sent and all go elsewhere, it is tried with a first part, and cut again if it fails.
+    let changes = world.run(15_000.0, |hall, _, _| (hall == 1).then_some(true));
+    assert_eq!(whys(&changes), [("east".to_owned(), Why::Untried)]);
+    assert!(world.threads(0) <= 64.0 * 0.1 + 1e-9 && world.threads(0) > 0.0);
+    let changes = world.run(3000.0, |hall, _, _| Some(hall == 1));
+    assert_eq!(whys(&changes), [("east".to_owned(), Why::FailsAgain)]);
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,935 @@
+//! The world in virtual time. Everything that happens is an event with a time; gateways are the real decisions, called
+//! as the dispatcher calls them.
+
+use crate::engine::Engine;
+use crate::schema::{fault, Experiment};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64;
+use serde::Serialize;
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+use tansymux::control::Control;
+use tansymux::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
+use tansymux::tiers::{Given, GivenHall};
+use tansymux::told::Map;
+use tansymux_halls::{Judge, Kind, Plan, Seen};
+use tansymux_rig::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
+use tansymux_rig::record::{Entry, Status, What};
+
+/// The decisions' clock begins here (ms): no time of theirs lies before 0.
+const EPOCH: f64 = 1e6;
+/// What a gateway gave up is told to its decisions so much later, as in the dispatcher.
+const SETTLES: f64 = 40.0;
+const NOTES_EVERY: f64 = 100.0;
+const LOOK_EVERY: f64 = 100.0;
+/// A run of more queries than this keeps no record for the checker.
+const MOST_RECORDED: f64 = 400_000.0;
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A client's query comes to a gateway.
+    Arrives {
+        class: usize,
+    },
+    /// A gateway's decisions want their next round.
+    Tick {
+        gateway: usize,
+    },
+    /// A submission reaches an engine, or its end a gateway.
+    Reaches {
+        out: u64,
+    },
+    Ends {
+        out: u64,
+        outcome: Outcome,
+    },
+    /// A submission's time is over.
+    Due {
+        out: u64,
+    },
+    /// A note is due.
+    Note {
+        out: u64,
+    },
+    /// An engine's next end, if nothing changed since.
+    Engine {
+        engine: usize,
+        generation: u64,
+    },
+    /// A probe's answer.
+    Probed {
+        gateway: usize,
+        engine: usize,
+        outcome: Outcome,
+    },
+    Fault {
+        fault: usize,
+        begins: bool,
+    },
+    /// The list is told to a gateway.
+    Told {
+        gateway: usize,
+    },
+    Look,
+    Sample,
+}
+
+struct Timed {
+    at: f64,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Timed {}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.at.total_cmp(&self.at).then(other.number.cmp(&self.number))
+    }
+}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// What a gateway is told in its next round.
+enum Incoming {
+    Query { id: u64, class: usize, cost: f64, due: f64 },
+    Closed { id: u64, submission: usize, outcome: Outcome, node: u64, latency: f64 },
+    Noted { id: u64, submission: usize, amount: f64 },
+    Probed { node: u64, outcome: Outcome },
+    List,
+}
+
+/// What a gateway decided.
+enum Decided {
+    Submit { id: u64, node: u64, until: f64 },
+    Defer { id: u64, wait: f64 },
+    Kill { id: u64 },
+    Cancel { id: u64, submission: usize },
+    Probe { node: u64 },
+    Timer { delay: f64 },
+}
+
+#[derive(Default)]
+struct Out(Vec<Decided>);
+
+impl Writer for Out {
+    fn submit(&mut self, id: u64, node: u64, until: f64) {
+        self.0.push(Decided::Submit { id, node, until });
+    }
+    fn defer(&mut self, id: u64, retry_after: f64) {
+        self.0.push(Decided::Defer { id, wait: retry_after });
+    }
+    fn kill(&mut self, id: u64) {
+        self.0.push(Decided::Kill { id });
+    }
+    fn cancel(&mut self, id: u64, submission: usize) {
+        self.0.push(Decided::Cancel { id, submission });
+    }
+    fn grant(&mut self, _: u64, _: u8, _: f64) {}
+    fn probe(&mut self, node: u64) {
+        self.0.push(Decided::Probe { node });
+    }
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn timer(&mut self, delay: f64, _: u64) {
+        self.0.push(Decided::Timer { delay });
+    }
+    fn watch_list(&mut self) {}
+    fn note(&mut self, _: &str) {}
+}
+
+struct Inbox<'a> {
+    events: Vec<Incoming>,
+    groups: &'a [String],
+    list: &'a [(u64, String, EngineStatus, Option<f64>)],
+}
+
+impl Feed for Inbox<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+        for event in self.events.drain(..) {
+            match event {
+                Incoming::Query { id, class, cost, due } => {
+                    let (rg, tables) = (&self.groups[class], id as u32 % 24);
+                    let taken = control.query(id, rg, "", None, due, cost, 10.0, tables, Text::UNREAD, out);
+                    debug_assert!(taken.is_ok());
+                }
+                Incoming::Closed { id, submission, outcome, node, latency } => {
+                    let complete = outcome == Outcome::Finished;
+                    control.closed(id, submission, complete, outcome, node, latency, 0.0, 0.0, out);
+                }
+                Incoming::Noted { id, submission, amount } => {
+                    control.noted(id, submission, Note::Progress, amount)
+                }
+                Incoming::Probed { node, outcome } => control.probed(node, outcome),
+                Incoming::List => {
+                    control.list_begins(ListForm::Full);
+                    for (node, hall, status, started) in self.list {
+                        control.listed(*node, "std", hall, *status, *started, 0);
+                    }
+                    control.list_ends(ListForm::Full, out);
+                }
+            }
+        }
+    }
+}
+
+struct Gateway {
+    control: Control,
+    halls: Option<Judge>,
+    hall: usize,
+    tick: f64,
+    /// Engines whose connections are known to be gone.
+    known_gone: Vec<bool>,
+}
+
+struct Query {
+    gateway: usize,
+    class: usize,
+    came: f64,
+    work: f64,
+    submissions: usize,
+    answered: bool,
+}
+
+/// A submission that is out.
+struct Sent {
+    query: u64,
+    number: usize,
+    engine: usize,
+    at: f64,
+    running: bool,
+    given_up: bool,
+}
+
+/// A quarter of a second.
+#[derive(Debug, Clone, Serialize, Default)]
+pub struct Sample {
+    pub at: f64,
+    pub value: f64,
+    pub most: f64,
+    pub deferred: u64,
+    /// Threads by hall, and low threads from elsewhere.
+    pub threads: Vec<f64>,
+    pub spilled: Vec<f64>,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone, Serialize, Default)]
+pub struct Outcomes {
+    pub seed: u64,
+    pub arm: String,
+    pub asked: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub deferred: u64,
+    pub killed: u64,
+    /// Part of the worth of all, by phase: before the first fault, during faults, a minute after, later.
+    pub value: [f64; 4],
+    pub p99_fast: u64,
+    /// Most spilled low threads as a part of the limit, where there is one; most sent to a cold engine as a part of
+    /// what makes it fall; engines that fell.
+    pub spill: f64,
+    pub cold: f64,
+    pub fell: u64,
+    /// From the end of the last fault to full service (ms), if it came.
+    pub full_after: Option<f64>,
+    pub broken: usize,
+    pub first_broken: Option<String>,
+    /// Virtual seconds played in a real one.
+    pub pace: f64,
+    #[serde(skip)]
+    pub samples: Vec<Sample>,
+}
+
+struct World<'a> {
+    e: &'a Experiment,
+    now: f64,
+    number: u64,
+    events: BinaryHeap<Timed>,
+    chance: Pcg64,
+    halls: Vec<String>,
+    groups: Vec<String>,
+    engine_halls: Vec<usize>,
+    engines: Vec<Engine>,
+    fallen_until: Vec<f64>,
+    gateways: Vec<Gateway>,
+    inboxes: Vec<Vec<Incoming>>,
+    queries: HashMap<u64, Query>,
+    out: HashMap<u64, Sent>,
+    next_query: u64,
+    next_out: u64,
+    /// Faults that are in force.
+    active: Vec<bool>,
+    list: Vec<(u64, String, EngineStatus, Option<f64>)>,
+    record: Option<Vec<Entry>>,
+    o: Outcomes,
+    took: Histogram<u64>,
+    sent_cold: Vec<Vec<(f64, f64)>>,
+    sample: Sample,
+    values: [(f64, f64); 4],
+}
+
+/// Plays one seed of one arm.
+pub fn run(e: &Experiment, arm: usize, seed: u64) -> Outcomes {
+    let from = std::time::Instant::now();
+    let mut world = World::new(e, arm, seed);
+    world.begin();
+    let end = e.seconds() * 1000.0;
+    while let Some(Timed { at, event, .. }) = world.events.pop() {
+        if at > end + 6000.0 {
+            break;
+        }
+        world.now = at;
+        world.happens(event, end);
+    }
+    world.ends(from.elapsed().as_secs_f64())
+}
+
+fn settings(e: &Experiment, hall: &str) -> Map {
+    let mut map = Map::new();
+    let mut put = |name: &str, value: String| drop(map.insert(name.to_owned(), value));
+    let list =
+        |of: &dyn Fn(&crate::schema::Class) -> String| e.class.iter().map(of).collect::<Vec<_>>().join(",");
+    put("balancers", e.dispatchers().to_string());
+    put("zone", hall.to_owned());
+    put("kinds", "std".into());
+    put("family-info.cores-by-kind", e.hall[0].cores().to_string());
+    put("family-info.kind-memory-mb", "100000".into());
+    put("family-info.dop", list(&|class| class.threads().to_string()));
+    put("family-info.class-load", list(&|class| u8::from(class.changes()).to_string()));
+    put("family-info.tells-every-us", (NOTES_EVERY * 1000.0).to_string());
+    put("limits.max-attempts", "3".into());
+    put("limits.cancelling", "1".into());
+    put("limits.probes", "1".into());
+    put("limits.max-retry-after-us", "4000000".into());
+    put("rules.ratio-span-us", "10000000".into());
+    put("rules.extra-free", "10".into());
+    put("rules.repeat-ratio", "0.2".into());
+    let cold = e.cold.unwrap_or_default();
+    put("rules.fall-multiple", cold.multiple().to_string());
+    put("rules.cold-from", cold.from().to_string());
+    put("rules.overload-for-us", (cold.span_ms() * 1000.0).to_string());
+    put("rules.warm-after-us", (cold.warm_s() * 1e6).to_string());
+    put("services.count", e.class.len().to_string());
+    for (n, class) in e.class.iter().enumerate() {
+        put(&format!("services.{n}.name"), class.name().to_owned());
+        let effect = if class.changes() { "non_idempotent" } else { "read_like" };
+        put(&format!("services.{n}.effect"), effect.into());
+        put(&format!("services.{n}.aim-us"), (class.target_ms() * 1000.0).to_string());
+        if let Some(hall) = &class.bound_to {
+            put(&format!("services.{n}.confined-to"), hall.clone());
+        }
+    }
+    map
+}
+
+fn given(plan: &Plan) -> Given {
+    let hall = |hall: &tansymux_halls::HallPlan| GivenHall {
+        name: hall.name.clone(),
+        ranks: hall.ranks.clone(),
+        spill: hall.spill,
+        spill_by_group: hall.spill_by_class.clone(),
+    };
+    Given {
+        halls: plan.halls.iter().map(hall).collect(),
+        engines: plan.engines.iter().map(|engine| (engine.node, engine.threads)).collect(),
+        cross_retries: plan.cross_retries,
+        alone: plan.alone,
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(e: &'a Experiment, arm: usize, seed: u64) -> Self {
+        let cold = e.cold.unwrap_or_default();
+        let halls: Vec<String> = e.hall.iter().map(|hall| hall.name().to_owned()).collect();
+        let mut engines = Vec::new();
+        let mut engine_halls = Vec::new();
+        for (n, hall) in e.hall.iter().enumerate() {
+            for _ in 0..hall.engines() {
+                engines.push(Engine::new(hall.cores(), cold.warm_s() * 1000.0, cold.from()));
+                engine_halls.push(n);
+            }
+        }
+        let told = tansymux_operator::read(e.arm[arm].operator()).unwrap_or_default();
+        let definition = told.halls.as_ref().map(tansymux_operator::halls);
+        let gateways: Vec<Gateway> = (0..e.dispatchers() as usize)
+            .map(|n| Gateway {
+                control: Control::new(
+                    seed.wrapping_mul(1000) + n as u64,
+                    &settings(e, &halls[n % halls.len()]),
+                )
+                .expect("the lab's own settings are whole"),
+                halls: definition
+                    .clone()
+                    .map(|definition| Judge::new(definition, f64::from(e.dispatchers()))),
+                hall: n % halls.len(),
+                tick: f64::INFINITY,
+                known_gone: vec![false; engines.len()],
+            })
+            .collect();
+        let rate: f64 = e.class.iter().map(|class| class.rate()).sum();
+        let list = engine_halls
+            .iter()
+            .enumerate()
+            .map(|(n, hall)| (n as u64 + 1, halls[*hall].clone(), EngineStatus::Ready, None))
+            .collect();
+        World {
+            e,
+            now: 0.0,
+            number: 0,
+            events: BinaryHeap::new(),
+            chance: Pcg64::seed_from_u64(seed),
+            groups: e.class.iter().map(|class| class.name().to_owned()).collect(),
+            fallen_until: vec![0.0; engines.len()],
+            sent_cold: vec![Vec::new(); engines.len()],
+            inboxes: (0..gateways.len()).map(|_| Vec::new()).collect(),
+            halls,
+            engine_halls,
+            engines,
+            gateways,
+            queries: HashMap::new(),
+            out: HashMap::new(),
+            next_query: 1,
+            next_out: 1,
+            active: vec![false; e.fault.len()],
+            list,
+            record: (rate * e.seconds() <= MOST_RECORDED).then(Vec::new),
+            o: Outcomes { seed, arm: e.arm[arm].name().to_owned(), ..Outcomes::default() },
+            took: Histogram::new_with_bounds(1, 600_000, 3).expect("bounds in order"),
+            sample: Sample::default(),
+            values: [(0.0, 0.0); 4],
+        }
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.number += 1;
+        self.events.push(Timed { at, number: self.number, event });
+    }
+
+    fn saw(&mut self, what: impl FnOnce() -> What) {
+        if let Some(record) = &mut self.record {
+            record.push(Entry { at: self.now, what: what() });
+        }
+    }
+
+    fn name(engine: usize) -> String {
+        format!("s-{engine}")
+    }
+
+    fn begin(&mut self) {
+        for engine in 0..self.engines.len() {
+            let (id, hall) = (World::name(engine), self.halls[self.engine_halls[engine]].clone());
+            self.saw(|| What::Listed {
+                engine: id,
+                status: Status::Ready,
+                hall,
+                kind: "std".into(),
+                cell: 0,
+            });
+        }
+        for gateway in 0..self.gateways.len() {
+            self.told(gateway);
+        }
+        for class in 0..self.e.class.len() {
+            self.at(0.0, Event::Arrives { class });
+        }
+        for (n, fault) in self.e.fault.iter().enumerate() {
+            let (begins, ends) = (fault.begins_s() * 1000.0, fault.ends_s() * 1000.0);
+            self.at(begins, Event::Fault { fault: n, begins: true });
+            self.at(ends, Event::Fault { fault: n, begins: false });
+        }
+        self.at(LOOK_EVERY, Event::Look);
+        self.at(250.0, Event::Sample);
+    }
+
+    /// Whether there is no way between a gateway and an engine.
+    fn is_cut(&self, gateway: usize, engine: usize) -> bool {
+        let (from, hall) = (self.gateways[gateway].hall, self.engine_halls[engine]);
+        self.e.fault.iter().zip(&self.active).any(|(fault, active)| {
+            *active
+                && fault.kind() == fault::Kind::Cut
+                && fault.hall() == self.halls[hall]
+                && (fault.from.as_deref().map_or(from != hall, |name| name == self.halls[from]))
+        })
+    }
+
+    fn latency(&mut self) -> f64 {
+        let usual = self.e.network.unwrap_or_default().latency_ms();
+        usual * (0.7 + 0.6 * self.chance.random::<f64>())
+    }
+
+    fn happens(&mut self, event: Event, end: f64) {
+        match event {
+            Event::Arrives { class } if self.now < end => self.arrives(class),
+            Event::Tick { gateway } if self.now >= self.gateways[gateway].tick => {
+                self.gateways[gateway].tick = f64::INFINITY;
+                self.round(gateway);
+            }
+            Event::Arrives { .. } | Event::Tick { .. } => {}
+            Event::Reaches { out } => self.reaches(out),
+            Event::Ends { out, outcome } => self.closes(out, outcome),
+            Event::Due { out } => {
+                if self.out.get(&out).is_some_and(|sent| !sent.given_up) {
+                    self.gives_up(out, Outcome::Timeout, 0.0);
+                }
+            }
+            Event::Note { out } => self.note(out),
+            Event::Engine { engine, generation } if self.engines[engine].generation == generation => {
+                self.ended(engine)
+            }
+            Event::Engine { .. } => {}
+            Event::Probed { gateway, engine, outcome } => {
+                self.seen(gateway, engine, outcome);
+                self.inboxes[gateway].push(Incoming::Probed { node: engine as u64 + 1, outcome });
+                self.round(gateway);
+            }
+            Event::Fault { fault, begins } => self.fault(fault, begins),
+            Event::Told { gateway } => self.told(gateway),
+            Event::Look => {
+                for gateway in 0..self.gateways.len() {
+                    self.look(gateway);
+                }
+                if self.now < end {
+                    self.at(self.now + LOOK_EVERY, Event::Look);
+                }
+            }
+            Event::Sample => {
+                self.samples();
+                if self.now < end {
+                    self.at(self.now + 250.0, Event::Sample);
+                }
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    fn arrives(&mut self, class: usize) {
+        let told = &self.e.class[class];
+        let next = Exp::new(told.rate() / 1000.0).expect("a rate above 0").sample(&mut self.chance);
+        self.at(self.now + next, Event::Arrives { class });
+        let work = LogNormal::new(told.work_ms().ln(), told.scatter())
+            .expect("a finite spread")
+            .sample(&mut self.chance);
+        let off =
+            LogNormal::new(0.0, told.estimate_scatter()).expect("a finite spread").sample(&mut self.chance);
+        let gateway = self.chance.random_range(0..self.gateways.len());
+        let id = self.next_query;
+        self.next_query += 1;
+        let (came, wait) = (self.now, told.wait_ms());
+        self.queries.insert(id, Query { gateway, class, came, work, submissions: 0, answered: false });
+        self.o.asked += 1;
+        let phase = self.phase();
+        self.values[phase].1 += told.worth();
+        self.sample.most += told.worth();
+        let group = self.groups[class].clone();
+        self.saw(|| What::Asked { id: id.to_string(), class: group, wait, key: None });
+        let due = EPOCH + came + wait - 10.0;
+        self.inboxes[gateway].push(Incoming::Query { id, class, cost: work * off, due });
+        self.round(gateway);
+    }
+
+    fn phase(&self) -> usize {
+        let at = self.now / 1000.0;
+        let first = self.e.fault.iter().map(|fault| fault.begins_s()).fold(f64::INFINITY, f64::min);
+        let last = self.e.fault.iter().map(|fault| fault.ends_s()).fold(f64::NEG_INFINITY, f64::max);
+        if at < first {
+            0
+        } else if at < last {
+            1
+        } else if at < last + 60.0 {
+            2
+        } else {
+            3
+        }
+    }
+
+    fn answers(&mut self, id: u64, status: u16, retry_after: Option<f64>) {
+        let Some(query) = self.queries.get_mut(&id).filter(|query| !query.answered) else {
+            self.saw(|| What::Answered { id: id.to_string(), status, retry_after });
+            return;
+        };
+        query.answered = true;
+        let (class, took) = (&self.e.class[query.class], self.now - query.came);
+        match status {
+            200 if took <= class.target_ms() => self.o.in_time += 1,
+            200 => self.o.late += 1,
+            429 => self.o.deferred += 1,
+            _ => self.o.killed += 1,
+        }
+        if status == 429 {
+            self.sample.deferred += 1;
+        }
+        if status == 200 {
+            let value = if took <= class.target_ms() { class.worth() } else { class.worth() / 3.0 };
+            let fast = class.threads() <= 1.0 && !class.changes();
+            let phase = self.phase();
+            self.values[phase].0 += value;
+            self.sample.value += value;
+            if fast {
+                let _ = self.took.record(took.max(1.0) as u64);
+            }
+        }
+        self.saw(|| What::Answered { id: id.to_string(), status, retry_after });
+    }
+
+    // ---- Gateways ----
+
+    fn round(&mut self, gateway: usize) {
+        let events = std::mem::take(&mut self.inboxes[gateway]);
+        let mut inbox = Inbox { events, groups: &self.groups, list: &self.list };
+        let mut out = Out::default();
+        self.gateways[gateway].control.round(EPOCH + self.now, &mut inbox, &mut out);
+        self.inboxes[gateway] = inbox.events;
+        for decided in out.0 {
+            match decided {
+                Decided::Submit { id, node, until } => {
+                    self.submits(gateway, id, node as usize - 1, until - EPOCH)
+                }
+                Decided::Defer { id, wait } => self.answers(id, 429, Some(wait)),
+                Decided::Kill { id } => self.answers(id, 500, None),
+                Decided::Cancel { id, submission } => {
+                    let found =
+                        self.out.iter().find(|(_, s)| s.query == id && s.number == submission && !s.given_up);
+                    if let Some(out) = found.map(|(out, _)| *out) {
+                        self.gives_up(out, Outcome::Cancelled, SETTLES);
+                    }
+                }
+                Decided::Probe { node } => self.probe(gateway, node as usize - 1),
+                Decided::Timer { delay } => {
+                    let at = self.now + delay.max(1.0);
+                    if at < self.gateways[gateway].tick {
+                        self.gateways[gateway].tick = at;
+                        self.at(at, Event::Tick { gateway });
+                    }
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, gateway: usize, engine: usize) {
+        let lost = self.is_cut(gateway, engine) || self.now < self.fallen_until[engine];
+        let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
+        let (after, outcome) =
+            if lost { (timeout, Outcome::Timeout) } else { (2.0 * self.latency(), Outcome::Finished) };
+        self.at(self.now + after, Event::Probed { gateway, engine, outcome });
+    }
+
+    fn submits(&mut self, gateway: usize, id: u64, engine: usize, until: f64) {
+        let Some(query) = self.queries.get_mut(&id) else { return };
+        let number = query.submissions;
+        query.submissions += 1;
+        let out = self.next_out;
+        self.next_out += 1;
+        let at = self.now;
+        self.out.insert(out, Sent { query: id, number, engine, at, running: false, given_up: false });
+        let cut = self.is_cut(gateway, engine);
+        if !cut && self.now >= self.fallen_until[engine] {
+            self.gateways[gateway].known_gone[engine] = false;
+            let latency = self.latency();
+            self.at(self.now + latency, Event::Reaches { out });
+        } else if self.now < self.fallen_until[engine] {
+            let latency = self.latency();
+            self.at(self.now + latency, Event::Ends { out, outcome: Outcome::NoConnection });
+        } else if self.gateways[gateway].known_gone[engine] {
+            // Its connections were found dead: new ones don't come up.
+            let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
+            self.at(self.now + timeout, Event::Ends { out, outcome: Outcome::NoConnection });
+        }
+        // Else it is written to a connection that nobody knows to be dead, and nothing comes.
+        self.at(until, Event::Due { out });
+    }
+
+    fn gives_up(&mut self, out: u64, outcome: Outcome, settles: f64) {
+        let Some(sent) = self.out.get_mut(&out) else { return };
+        sent.given_up = true;
+        let (engine, running, id) = (sent.engine, sent.running, sent.query);
+        if running && self.engines[engine].remove(self.now, out).is_some() {
+            self.again(engine);
+            self.saw(|| What::GivenUp { engine: World::name(engine), id: id.to_string() });
+        } else if !running {
+            let gateway = self.queries.get(&id).map_or(0, |query| query.gateway);
+            self.gateways[gateway].known_gone[engine] |= self.is_cut(gateway, engine);
+        }
+        self.at(self.now + settles, Event::Ends { out, outcome });
+    }
+
+    /// A submission's end reaches its gateway.
+    fn closes(&mut self, out: u64, outcome: Outcome) {
+        let Some(sent) = self.out.remove(&out) else { return };
+        let Some(query) = self.queries.get(&sent.query) else { return };
+        let (gateway, id, latency) = (query.gateway, sent.query, self.now - sent.at);
+        if outcome == Outcome::Finished {
+            self.answers(id, 200, None);
+        }
+        self.seen(gateway, sent.engine, outcome);
+        let node = sent.engine as u64 + 1;
+        self.inboxes[gateway].push(Incoming::Closed { id, submission: sent.number, outcome, node, latency });
+        self.round(gateway);
+        // Nothing refers to it any more once it is answered and nothing is out.
+        if self.queries.get(&id).is_some_and(|query| query.answered && query.submissions == sent.number + 1) {
+            self.queries.remove(&id);
+        }
+    }
+
+    fn seen(&mut self, gateway: usize, engine: usize, outcome: Outcome) {
+        let kind = match outcome {
+            Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            Outcome::Cancelled | Outcome::NotSent => return,
+        };
+        if let Some(halls) = &mut self.gateways[gateway].halls {
+            halls.seen(EPOCH + self.now, Seen { node: engine as u64 + 1, kind });
+        }
+    }
+
+    fn look(&mut self, gateway: usize) {
+        let (now, groups) = (EPOCH + self.now, &self.groups);
+        let g = &mut self.gateways[gateway];
+        if let Some(halls) = &mut g.halls {
+            halls.look(now);
+            g.control.plan_halls(Some(&given(&halls.plan(&self.halls[g.hall], groups))));
+            if let Some(node) = halls.probes(now) {
+                self.probe(gateway, node as usize - 1);
+            }
+        }
+    }
+
+    fn told(&mut self, gateway: usize) {
+        let engines: Vec<tansymux_halls::Engine> = (self.engine_halls.iter().enumerate())
+            .map(|(n, hall)| {
+                let ready = self.list[n].2 == EngineStatus::Ready;
+                let cores = self.engines[n].cores;
+                tansymux_halls::Engine { node: n as u64 + 1, hall: self.halls[*hall].clone(), cores, ready }
+            })
+            .collect();
+        if let Some(halls) = &mut self.gateways[gateway].halls {
+            halls.listed(EPOCH + self.now, &engines);
+        }
+        self.inboxes[gateway].push(Incoming::List);
+        self.round(gateway);
+    }
+
+    // ---- Engines ----
+
+    fn reaches(&mut self, out: u64) {
+        let Some(sent) = self.out.get_mut(&out).filter(|sent| !sent.given_up) else { return };
+        let (engine, id) = (sent.engine, sent.query);
+        let Some(query) = self.queries.get(&id) else { return };
+        let (gateway, work, class) = (query.gateway, query.work, query.class);
+        // It fell, or the way was cut, while this was under way.
+        if self.now < self.fallen_until[engine] {
+            return self.at(self.now, Event::Ends { out, outcome: Outcome::NoConnection });
+        }
+        if self.is_cut(gateway, engine) {
+            return;
+        }
+        if let Some(sent) = self.out.get_mut(&out) {
+            sent.running = true;
+        }
+        self.saw(|| What::Arrived { engine: World::name(engine), id: id.to_string(), work });
+        self.engines[engine].add(self.now, out, work, self.e.class[class].threads());
+        self.at(self.now + NOTES_EVERY, Event::Note { out });
+        self.again(engine);
+        self.look_at_cold(engine, work);
+    }
+
+    /// What a cold engine was sent in a span, against what makes it fall.
+    fn look_at_cold(&mut self, engine: usize, work: f64) {
+        let cold = self.e.cold.unwrap_or_default();
+        let now = self.now;
+        if now - self.engines[engine].started >= cold.warm_s() * 1000.0 {
+            return;
+        }
+        let sent = &mut self.sent_cold[engine];
+        sent.push((now, work));
+        sent.retain(|(at, _)| now - at < cold.span_ms());
+        let all: f64 = sent.iter().map(|(_, work)| work).sum();
+        let bears = cold.multiple() * cold.from() * self.engines[engine].cores * cold.span_ms();
+        let alone = sent.len() < 2;
+        self.o.cold = self.o.cold.max(if alone { 0.0 } else { all / bears });
+        if all > bears && !alone {
+            self.falls(engine);
+        }
+    }
+
+    fn falls(&mut self, engine: usize) {
+        self.o.fell += 1;
+        self.fallen_until[engine] = self.now + 3000.0;
+        self.engines[engine].started = self.now + 3000.0;
+        self.sent_cold[engine].clear();
+        for out in self.engines[engine].falls(self.now) {
+            let latency = self.latency();
+            let id = self.out.get(&out).map_or(0, |sent| sent.query);
+            self.saw(|| What::GivenUp { engine: World::name(engine), id: id.to_string() });
+            self.at(self.now + latency, Event::Ends { out, outcome: Outcome::Reset });
+        }
+        self.list_changes(engine, Some(EPOCH + self.now + 3000.0));
+    }
+
+    fn list_changes(&mut self, engine: usize, started: Option<f64>) {
+        self.list[engine].3 = started;
+        let delay = self.e.network.unwrap_or_default().list_ms();
+        for gateway in 0..self.gateways.len() {
+            let after = delay * self.chance.random::<f64>();
+            self.at(self.now + after, Event::Told { gateway });
+        }
+    }
+
+    /// Foretells an engine's next end anew.
+    fn again(&mut self, engine: usize) {
+        let now = self.now;
+        if let Some(next) = self.engines[engine].next(now) {
+            let generation = self.engines[engine].generation;
+            self.at(next.max(now), Event::Engine { engine, generation });
+        }
+    }
+
+    fn ended(&mut self, engine: usize) {
+        for out in self.engines[engine].ended(self.now) {
+            self.engines[engine].remove(self.now, out);
+            let Some(sent) = self.out.get(&out) else { continue };
+            let Some(query) = self.queries.get(&sent.query) else { continue };
+            let (id, gateway, changes) = (sent.query, query.gateway, self.e.class[query.class].changes());
+            if changes {
+                self.saw(|| What::Applied { engine: World::name(engine), id: id.to_string() });
+            }
+            self.saw(|| What::Ended {
+                engine: World::name(engine),
+                id: id.to_string(),
+                word: "DONE".into(),
+                ran: true,
+            });
+            if !self.is_cut(gateway, engine) {
+                let latency = self.latency();
+                self.at(self.now + latency, Event::Ends { out, outcome: Outcome::Finished });
+            }
+        }
+        self.again(engine);
+    }
+
+    fn note(&mut self, out: u64) {
+        let Some(sent) = self.out.get(&out).filter(|sent| sent.running && !sent.given_up) else { return };
+        let (engine, number, id) = (sent.engine, sent.number, sent.query);
+        self.engines[engine].advance(self.now);
+        let Some(done) = self.engines[engine].done(out) else { return };
+        self.at(self.now + NOTES_EVERY, Event::Note { out });
+        let Some(gateway) = self.queries.get(&id).map(|query| query.gateway) else { return };
+        if !self.is_cut(gateway, engine) {
+            self.seen(gateway, engine, Outcome::Finished);
+            self.inboxes[gateway].push(Incoming::Noted { id, submission: number, amount: done.min(0.9999) });
+            self.round(gateway);
+        }
+    }
+
+    fn fault(&mut self, fault: usize, begins: bool) {
+        self.active[fault] = begins;
+        let told = &self.e.fault[fault];
+        for engine in 0..self.engines.len() {
+            if self.halls[self.engine_halls[engine]] != told.hall() {
+                continue;
+            }
+            match told.kind() {
+                fault::Kind::Slow => {
+                    self.engines[engine].advance(self.now);
+                    self.engines[engine].slow = if begins { told.factor() } else { 1.0 };
+                    self.engines[engine].generation += 1;
+                    self.again(engine);
+                }
+                fault::Kind::Cut if !begins && told.cold() => {
+                    self.engines[engine].started = self.now;
+                    let (id, cores) = (World::name(engine), self.engines[engine].cores);
+                    self.saw(|| What::Started { engine: id, cores });
+                    self.list_changes(engine, Some(EPOCH + self.now));
+                }
+                fault::Kind::Cut => {}
+            }
+        }
+    }
+
+    // ---- What came of it ----
+
+    fn samples(&mut self) {
+        let mut threads = vec![0.0; self.halls.len()];
+        for (engine, hall) in self.engines.iter().zip(&self.engine_halls) {
+            threads[*hall] += engine.threads();
+        }
+        let mut spilled = vec![0.0; self.halls.len()];
+        for g in &self.gateways {
+            for (n, hall) in self.halls.iter().enumerate() {
+                spilled[n] += g.control.spilled(hall);
+            }
+        }
+        let cores = |hall: usize| -> f64 {
+            (self.engines.iter().zip(&self.engine_halls))
+                .filter(|(_, h)| **h == hall)
+                .map(|(e, _)| e.cores)
+                .sum()
+        };
+        if let Some(halls) = &self.gateways[0].halls {
+            for (n, hall) in self.halls.iter().enumerate() {
+                let most = halls.definition().spill(hall, None) * cores(n);
+                if most.is_finite() && most > 0.0 {
+                    self.o.spill = self.o.spill.max(spilled[n] / most);
+                }
+            }
+        }
+        let sample = std::mem::take(&mut self.sample);
+        self.o.samples.push(Sample { at: self.now / 1000.0, threads, spilled, ..sample });
+    }
+
+    fn ends(mut self, real: f64) -> Outcomes {
+        self.o.pace = self.e.seconds() / real.max(1e-9);
+        self.o.p99_fast = self.took.value_at_quantile(0.99);
+        self.o.value = self.values.map(|(got, most)| if most > 0.0 { got / most } else { f64::NAN });
+        let last = self.e.fault.iter().map(|fault| fault.ends_s()).fold(0.0, f64::max);
+        let parts: Vec<(f64, f64)> =
+            self.o.samples.iter().map(|s| (s.at, s.value / s.most.max(1e-9))).collect();
+        let before = self.o.value[0];
+        // Full service: two seconds in a row in which as much is served as before, but for a twentieth.
+        let full =
+            |n: usize| parts[n..].iter().take(8).map(|(_, part)| part).sum::<f64>() / 8.0 >= 0.95 * before;
+        let back = (0..parts.len().saturating_sub(8)).find(|n| parts[*n].0 >= last && full(*n));
+        self.o.full_after =
+            back.map(|n| (parts[n].0 - last) * 1000.0).filter(|_| before.is_finite() && last > 0.0);
+        if let Some(record) = self.record.take() {
+            let broken = judge(&record, &self.rules());
+            self.o.broken = broken.len();
+            self.o.first_broken = broken.first().map(Broken::to_string);
+        }
+        self.o
+    }
+
+    fn rules(&self) -> Rules {
+        let cold = self.e.cold.unwrap_or_default();
+        let class = |class: &crate::schema::Class| {
+            let effect = if class.changes() { Effect::Mutating } else { Effect::ReadOnly };
+            let halls = class.bound_to.clone().map(|hall| vec![hall]);
+            (class.name().to_owned(), ClassRules { halls, ..ClassRules::of(effect) })
+        };
+        Rules {
+            slack: 50.0,
+            grace: 1000.0,
+            cold: Some(Cold {
+                multiple: cold.multiple(),
+                from: cold.from(),
+                span: cold.span_ms(),
+                warm_after: cold.warm_s() * 1000.0,
+            }),
+            rest: 0.0,
+            budget: None,
+            classes: self.e.class.iter().map(class).collect(),
+        }
+    }
+}
