Spill that is less than a query saves thread time up, as a climb's room does

Change: one kind of room for engines, halls and groups, with thread time saved up where it is less than a query.

--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -26,17 +26,8 @@
     pub spill_by_group: Vec<f64>,
 }
 
-/// Low threads that may go to a hall from elsewhere, and those that did.
-#[derive(Debug, Clone, Default)]
-struct Hall {
-    ranks: Vec<u8>,
-    most: f64,
-    most_by_group: Vec<f64>,
-    out: f64,
-    out_by_group: Vec<f64>,
-}
-
-/// Threads that an engine may have of ours, those it has, and thread time (ms) saved up where it is less than a query.
+/// Threads that may be out somewhere, and those that are. Where they are fewer than a query takes, as when many
+/// gateways share them, thread time is saved up (ms) and one goes at a time: over time that keeps to them.
 #[derive(Debug, Clone, Copy)]
 struct Room {
     threads: f64,
@@ -45,7 +36,51 @@
     at: f64,
 }
 
-const ANY: Room = Room { threads: f64::INFINITY, out: 0.0, credit: 0.0, at: 0.0 };
+impl Default for Room {
+    fn default() -> Self {
+        Room { threads: f64::INFINITY, out: 0.0, credit: 0.0, at: 0.0 }
+    }
+}
+
+impl Room {
+    /// Takes on how many there may be; one that opens begins with nothing saved up.
+    fn set(&mut self, threads: f64, now: f64) {
+        if self.threads.is_infinite() || self.threads <= 0.0 {
+            (self.credit, self.at) = (0.0, now);
+        }
+        self.threads = threads;
+    }
+
+    /// Whether a query of so many threads for so long (ms) finds room.
+    fn takes(&self, threads: f64, lasts: f64, now: f64) -> bool {
+        let saved = self.credit + self.threads.min(threads) * (now - self.at);
+        let by_credit = self.out <= 0.0 && self.threads > 0.0 && saved >= threads * lasts;
+        self.out + threads <= self.threads || by_credit
+    }
+
+    fn add(&mut self, threads: f64, lasts: f64, now: f64) {
+        if self.threads.is_finite() {
+            // What is saved up, and what is overdrawn, is bounded by what a query takes.
+            let (query, earned) = (threads * lasts, self.threads.min(threads) * (now - self.at));
+            self.credit = ((self.credit + earned).min(2.0 * query) - query).max(-query);
+            self.at = now;
+        }
+        self.out += threads;
+    }
+
+    fn give_back(&mut self, threads: f64) {
+        self.out = (self.out - threads).max(0.0);
+    }
+}
+
+/// A hall: its tier for each group, and the room of low work from elsewhere, in all and by group.
+#[derive(Debug, Clone, Default)]
+struct Hall {
+    ranks: Vec<u8>,
+    spill: Room,
+    by_group: Vec<Room>,
+}
+
 /// Further submissions across halls: saved up to so many, and so many are free.
 const CROSS_MOST: f64 = 20.0;
 const CROSS_FREE: f64 = 2.0;
@@ -84,19 +119,16 @@
             self.tiers.halls.resize(self.tiers.halls.len().max(at + 1), Hall::default());
             let hall = &mut self.tiers.halls[at];
             hall.ranks.clone_from(&told.ranks);
-            hall.most = told.spill;
-            hall.most_by_group.clone_from(&told.spill_by_group);
-            hall.out_by_group.resize(told.ranks.len(), 0.0);
+            hall.spill.set(told.spill, self.now);
+            hall.by_group.resize(told.ranks.len(), Room::default());
+            for (room, threads) in hall.by_group.iter_mut().zip(&told.spill_by_group) {
+                room.set(*threads, self.now);
+            }
         }
         for (node, threads) in &given.engines {
             let Some(e) = self.door.nodes.find(*node) else { continue };
-            self.tiers.engines.resize(self.tiers.engines.len().max(e + 1), ANY);
-            let room = &mut self.tiers.engines[e];
-            // A climb begins with nothing saved up.
-            if room.threads.is_infinite() || room.threads <= 0.0 {
-                (room.credit, room.at) = (0.0, self.now);
-            }
-            room.threads = *threads;
+            self.tiers.engines.resize(self.tiers.engines.len().max(e + 1), Room::default());
+            self.tiers.engines[e].set(*threads, self.now);
         }
     }
 
@@ -119,14 +151,10 @@
         if q.low && self.tiers.alone {
             return false;
         }
-        let threads = self.groups[q.rg].threads;
-        if let Some(room) = self.tiers.engines.get(e).filter(|room| room.threads.is_finite()) {
-            let saved = room.credit + room.threads * (self.now - room.at);
-            let by_credit =
-                room.out <= 0.0 && room.threads > 0.0 && saved >= threads * self.alone(i).max(1.0);
-            if room.out + threads > room.threads && !by_credit {
-                return false;
-            }
+        let (threads, lasts) = (self.groups[q.rg].threads, self.alone(i).max(1.0));
+        let takes = |room: &Room| room.takes(threads, lasts, self.now);
+        if !self.tiers.engines.get(e).is_none_or(takes) {
+            return false;
         }
         let last = q.sent().last().map(|s| self.engines[s.engine].hall);
         if last.is_some_and(|hall| hall != engine.hall) && self.tiers.cross < 1.0 {
@@ -136,9 +164,7 @@
             return true;
         }
         let Some(hall) = self.tiers.halls.get(engine.hall as usize) else { return true };
-        let of_group = |list: &[f64], or: f64| list.get(q.rg).copied().unwrap_or(or);
-        hall.out + threads <= hall.most
-            && of_group(&hall.out_by_group, 0.0) + threads <= of_group(&hall.most_by_group, f64::INFINITY)
+        takes(&hall.spill) && hall.by_group.get(q.rg).is_none_or(takes)
     }
 
     /// Counts a submission that is about to go out.
@@ -148,7 +174,7 @@
         }
         let (rg, low, threads) =
             (self.queries[i].rg, self.queries[i].low, self.groups[self.queries[i].rg].threads);
-        let (hall, alone, now) = (self.engines[e].hall, self.alone(i).max(1.0), self.now);
+        let (hall, lasts, now) = (self.engines[e].hall, self.alone(i).max(1.0), self.now);
         let spilled = low && self.rank(i, e) > 0;
         let last = self.queries[i].sent().last().map(|s| self.engines[s.engine].hall);
         let tiers = &mut self.tiers;
@@ -158,21 +184,11 @@
             // First submissions bring little: a storm must not live on the calm before it.
             None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(CROSS_MOST),
         }
-        tiers.engines.resize(tiers.engines.len().max(e + 1), ANY);
-        let room = &mut tiers.engines[e];
-        if room.threads.is_finite() {
-            // What is saved up is bounded by what one query takes.
-            room.credit =
-                (room.credit + room.threads * (now - room.at)).min(2.0 * threads * alone) - threads * alone;
-            room.credit = room.credit.max(-threads * alone);
-            room.at = now;
-        }
-        room.out += threads;
+        tiers.engines.resize(tiers.engines.len().max(e + 1), Room::default());
+        tiers.engines[e].add(threads, lasts, now);
         if let Some(hall) = tiers.halls.get_mut(hall as usize).filter(|_| spilled) {
-            hall.out += threads;
-            if let Some(out) = hall.out_by_group.get_mut(rg) {
-                *out += threads;
-            }
+            hall.spill.add(threads, lasts, now);
+            hall.by_group.get_mut(rg).into_iter().for_each(|room| room.add(threads, lasts, now));
         }
         Took { threads, spilled }
     }
@@ -182,21 +198,17 @@
         if took.threads <= 0.0 {
             return;
         }
-        if let Some(room) = self.tiers.engines.get_mut(e) {
-            room.out = (room.out - took.threads).max(0.0);
-        }
+        self.tiers.engines.get_mut(e).into_iter().for_each(|room| room.give_back(took.threads));
         let hall = self.engines[e].hall as usize;
         if let Some(hall) = self.tiers.halls.get_mut(hall).filter(|_| took.spilled) {
-            hall.out = (hall.out - took.threads).max(0.0);
-            if let Some(out) = hall.out_by_group.get_mut(rg) {
-                *out = (*out - took.threads).max(0.0);
-            }
+            hall.spill.give_back(took.threads);
+            hall.by_group.get_mut(rg).into_iter().for_each(|room| room.give_back(took.threads));
         }
     }
 
     /// Low threads of ours in a hall that came from elsewhere.
     pub fn spilled(&self, hall: &str) -> f64 {
         let at = self.door.halls.find(hall).and_then(|hall| self.tiers.halls.get(hall as usize));
-        at.map_or(0.0, |hall| hall.out)
+        at.map_or(0.0, |hall| hall.spill.out)
     }
 }
