--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tansymux_rig::{demo, levels, measure, program, replay};
+use tansymux_rig::{demo, halls, levels, measure, program, replay};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
 #[derive(Debug, Parser)]
@@ -30,6 +30,15 @@
         #[arg(long)]
         svg: Option<PathBuf>,
     },
+    /// Halls: two of them, three dispatchers, one hall cut and restored, with tiers and without; exit 1 if a rule broke
+    Halls {
+        #[arg(long, default_value_t = 40.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 2)]
+        seeds: u64,
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
     /// Levels: a quarter start beyond capacity, with levels and without, on the same seeds
     Quarters {
         #[arg(long, default_value_t = 24.0)]
@@ -100,6 +109,13 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::Halls { seconds, seeds, svg } => {
+            let (table, broken) = halls::run(&exe(), seconds, seeds, svg.as_deref());
+            print!("{table}");
+            if broken {
+                return ExitCode::FAILURE;
+            }
+        }
         Command::Quarters { seconds, seeds } => print!("{}", levels::quarters(&exe(), seconds, seeds)),
         Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
         Command::Mutations { many, seed } => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -355,9 +355,9 @@
     // ---- Sending: every submission passes here, and here the rules are kept ----
 
     fn may_send(&mut self, i: usize, e: usize) -> bool {
-        // Rule 7: the budget of further submissions; a reduced level may leave low work none.
+        // Rule 7: the budget of further submissions, also across halls; a level may leave low work none.
         let withheld = self.reduced.withhold && self.queries[i].low;
-        if self.queries[i].count > 0 && (withheld || !self.budget_left(0.0)) {
+        if self.queries[i].count > 0 && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0)) {
             return false;
         }
         let (q, engine) = (&self.queries[i], &self.engines[e]);
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -156,10 +156,6 @@
         if !self.tiers.engines.get(e).is_none_or(takes) {
             return false;
         }
-        let last = q.sent().last().map(|s| self.engines[s.engine].hall);
-        if last.is_some_and(|hall| hall != engine.hall) && self.tiers.cross < 1.0 {
-            return false;
-        }
         if !q.low || self.rank(i, e) == 0 {
             return true;
         }
@@ -167,6 +163,12 @@
         takes(&hall.spill) && hall.by_group.get(q.rg).is_none_or(takes)
     }
 
+    /// Whether a further submission would go to another hall than the last one, with none of these left.
+    pub fn may_not_cross(&self, i: usize, e: usize) -> bool {
+        let last = self.queries[i].sent().last().map(|s| self.engines[s.engine].hall);
+        self.tiers.on && self.tiers.cross < 1.0 && last.is_some_and(|hall| hall != self.engines[e].hall)
+    }
+
     /// Counts a submission that is about to go out.
     pub fn takes_room(&mut self, i: usize, e: usize) -> Took {
         if !self.tiers.on {
