--- a/crates/halls/tests/cuts.rs
+++ b/crates/halls/tests/cuts.rs
@@ -371,3 +371,21 @@
     let changes = world.run(3000.0, |hall, _, _| Some(hall == 1));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::FailsAgain)]);
 }
+
+#[test]
+fn no_bytes_of_peers_make_it_panic_or_call_a_hall_cut() {
+    let mut world = World::new(TWO, 2.0);
+    world.run(3000.0, |_, _, _| Some(true));
+    let mut x = 7_u32;
+    for n in 0..20_000 {
+        let bytes: Vec<u8> = (0..n % 40)
+            .map(|_| {
+                x = x.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+                (x >> 24) as u8
+            })
+            .collect();
+        world.judge.heard(world.now, n % 7, &bytes);
+        world.judge.heard(world.now, n % 7, &[&[3, 1, 1], bytes.as_slice()].concat());
+    }
+    assert_eq!(world.run(2000.0, |_, _, _| Some(true)), []);
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -254,6 +254,7 @@
 
 struct World<'a> {
     e: &'a Experiment,
+    ideal: bool,
     now: f64,
     number: u64,
     events: BinaryHeap<Timed>,
@@ -386,6 +387,7 @@
             .collect();
         World {
             e,
+            ideal: e.arm[arm].ideal(),
             now: 0.0,
             number: 0,
             events: BinaryHeap::new(),
@@ -836,6 +838,9 @@
     fn fault(&mut self, fault: usize, begins: bool) {
         self.active[fault] = begins;
         let told = &self.e.fault[fault];
+        if self.ideal && told.kind() == fault::Kind::Cut {
+            self.tells_truth();
+        }
         for engine in 0..self.engines.len() {
             if self.halls[self.engine_halls[engine]] != told.hall() {
                 continue;
@@ -858,6 +863,17 @@
         }
     }
 
+    /// The list as the truth is: engines that nobody reaches are gone, for all gateways and at once.
+    fn tells_truth(&mut self) {
+        for engine in 0..self.engines.len() {
+            let reached = (0..self.gateways.len()).any(|gateway| !self.is_cut(gateway, engine));
+            self.list[engine].2 = if reached { EngineStatus::Ready } else { EngineStatus::Gone };
+        }
+        for gateway in 0..self.gateways.len() {
+            self.at(self.now, Event::Told { gateway });
+        }
+    }
+
     // ---- What came of it ----
 
     fn samples(&mut self) {
--- a/crates/rig/src/levels.rs
+++ b/crates/rig/src/levels.rs
@@ -312,6 +312,50 @@
     height + 0.45 * wave
 }
 
+/// Calm, then far beyond capacity for a third of the time, then calm.
+fn step(part: f64, height: f64) -> f64 {
+    if (STEP_UP..STEP_DOWN).contains(&part) {
+        height
+    } else {
+        0.3
+    }
+}
+
+const STEP_UP: f64 = 0.08;
+const STEP_DOWN: f64 = 0.4;
+
+/// How long after a step of load each level came, and full service after the step back.
+pub fn reaction(exe: &Path, seconds: f64, seeds: u64) -> String {
+    let mut table = format!(
+        "{:<6} {:>12} {:>12} {:>12} {:>12}\n",
+        "seed", "level 1 (s)", "level 2 (s)", "level 3 (s)", "full (s)"
+    );
+    let outcomes: Vec<Outcome> = thread::scope(|scope| {
+        let play = |seed| {
+            let how = Play { seconds, seed, levels: true, failing: false, load: step, height: 2.2 };
+            play(exe, how)
+        };
+        let running: Vec<_> = (1..=seeds).map(|seed| scope.spawn(move || play(seed))).collect();
+        running.into_iter().filter_map(|running| running.join().ok()).collect()
+    });
+    for (n, o) in outcomes.iter().enumerate() {
+        let first =
+            |depth: usize| o.changes.iter().find(|(_, _, to)| *to == depth).map(|c| c.0 - seconds * STEP_UP);
+        let full = o.changes.iter().rev().find(|(_, _, to)| *to == 0).map(|c| c.0 - seconds * STEP_DOWN);
+        let shown = |at: Option<f64>| at.map_or_else(|| "-".to_owned(), |at| format!("{at:.1}"));
+        let _ = writeln!(
+            table,
+            "{:<6} {:>12} {:>12} {:>12} {:>12}",
+            n + 1,
+            shown(first(1)),
+            shown(first(2)),
+            shown(first(3)),
+            shown(full)
+        );
+    }
+    table
+}
+
 /// Changes of a level that lie less than a minute apart.
 fn too_near(changes: &[(f64, usize, usize)]) -> usize {
     let level = |(_, from, to): &(f64, usize, usize)| *from.min(to);
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -39,6 +39,13 @@
         #[arg(long)]
         svg: Option<PathBuf>,
     },
+    /// Levels: how long after a step of load they come, and full service after the step back
+    Reaction {
+        #[arg(long, default_value_t = 300.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Levels: a quarter start beyond capacity, with levels and without, on the same seeds
     Quarters {
         #[arg(long, default_value_t = 24.0)]
@@ -116,6 +123,7 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::Reaction { seconds, seeds } => print!("{}", levels::reaction(&exe(), seconds, seeds)),
         Command::Quarters { seconds, seeds } => print!("{}", levels::quarters(&exe(), seconds, seeds)),
         Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
         Command::Mutations { many, seed } => {
--- /dev/null
+++ b/crates/statements/benches/read.rs
@@ -0,0 +1,35 @@
+//! Time of a read where the shape is known and where it is new: `cargo bench -p tansymux-statements`.
+
+use tansymux_statements::{Settings, Statements};
+
+fn main() {
+    divan::main();
+}
+
+fn statement(form: u64) -> String {
+    format!(
+        "select a.lane_id, a.rate_{form}, a.fuel, b.shipper_name, b.region, coalesce(a.note, 'none') as note from \
+         sales_17.lanes a join sales_17.shippers b on a.shipper_id = b.id where a.lane_id = 81 and a.valid_from <= \
+         date '2026-01-01' and a.status in (1, 2, 3) and b.region = 'NE' order by a.rate_{form} desc limit 20"
+    )
+}
+
+#[divan::bench]
+fn hit(bencher: divan::Bencher) {
+    let mut statements = Statements::new(Settings::default(), [7; 16]);
+    let text = statement(1);
+    statements.read(text.as_bytes());
+    bencher.bench_local(|| statements.read(divan::black_box(text.as_bytes())).shape);
+}
+
+#[divan::bench]
+fn miss(bencher: divan::Bencher) {
+    let mut statements = Statements::new(Settings::default(), [7; 16]);
+    let mut form = 0;
+    bencher
+        .with_inputs(|| {
+            form += 1;
+            statement(form)
+        })
+        .bench_local_values(|text| statements.read(divan::black_box(text.as_bytes())).shape);
+}
