--- /dev/null
+++ b/crates/knowledge/src/lib.rs
@@ -0,0 +1,20 @@
+//! What is known of engines, by whom, and how old it is.
+//!
+//! Owns: facts with their origin and age ([`Fact`]), merging that is free of order and repetition ([`Facts::merge`]),
+//! how far a fact is believed at a moment ([`Facts::view`]), how far its origin is ([`Facts::proven`]), and the bytes
+//! in which facts are handed on ([`wire`]). It does no I/O and reads no clock; times of day are never compared: ages
+//! are carried, and only grow.
+//!
+//! Invariants, checked in `tests/`:
+//! - merging is commutative, associative and idempotent;
+//! - a fact that is told round grows no younger by it;
+//! - draining and gone are forgotten by a new start of the engine only, never by age;
+//! - fresh silence outweighs stale health;
+//! - what this instance saw itself outweighs what it was told.
+//!
+//! Start reading at [`Facts::view`].
+
+mod facts;
+pub mod wire;
+
+pub use facts::{Entry, Fact, Facts, Kind, View, MOST_ENGINES, MOST_ORIGINS};
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,21 @@
+//! Which instances are there.
+//!
+//! Owns: who is a member and in which state ([`Group`]), how that is found out (a probe of one member in each period,
+//! asked of others before anyone is suspected; after the SWIM paper, with the slower suspicion of a detector that is
+//! itself slow, after Lifeguard), what a datagram holds ([`wire`]) and which are believed ([`seal`]). It does no I/O
+//! and reads no clock: datagrams and times come in, datagrams go out. It decides nothing about engines or queries.
+//!
+//! Invariants, checked in `tests/`:
+//! - a datagram is never longer than [`wire::MOST`] bytes;
+//! - state is bounded by [`MOST_MEMBERS`], and news by what one datagram holds;
+//! - a member that answers is never held for dead for longer than it takes a refutation to come round;
+//! - of two pieces of news the one with the higher incarnation holds, and at the same incarnation the worse one.
+//!
+//! Start reading at [`Group::poll`].
+
+mod group;
+pub mod seal;
+pub mod wire;
+
+pub use group::{Change, Group, Member, Settings, MOST_MEMBERS};
+pub use wire::{Id, State};
--- /dev/null
+++ b/crates/membership/src/seal.rs
@@ -0,0 +1,192 @@
+//! Which datagrams are believed: a keyed hash over each, with two keys valid at a time, and no datagram twice.
+
+use siphasher::sip::SipHasher24;
+use std::collections::HashMap;
+use std::hash::Hasher;
+
+/// Bytes of a seal: which session of its sender, its number in that, and the hash.
+pub const LENGTH: usize = 16;
+/// Sessions that were replaced are remembered so far, and numbers behind the highest are accepted so far.
+const OLD_SESSIONS: usize = 8;
+const WINDOW: u32 = 64;
+const MOST_SENDERS: usize = 2048;
+
+/// The keys in force: the first seals, both open.
+#[derive(Debug, Clone, Default)]
+pub struct Keys {
+    pub seals: Option<[u8; 16]>,
+    pub opens: Option<[u8; 16]>,
+}
+
+/// What is known of a sender's sessions.
+#[derive(Debug, Clone)]
+struct Sender {
+    session: u32,
+    highest: u32,
+    /// Bits of the numbers below the highest that have come.
+    seen: u64,
+    old: Vec<u32>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Seal {
+    keys: Keys,
+    session: u32,
+    number: u32,
+    senders: HashMap<u64, Sender>,
+}
+
+impl Seal {
+    /// `session`: drawn anew at each start.
+    pub fn new(keys: Keys, session: u32) -> Self {
+        Seal { keys, session, number: 0, senders: HashMap::new() }
+    }
+
+    /// Takes on other keys; datagrams under the one that opens are still believed.
+    pub fn set(&mut self, keys: Keys) {
+        self.keys = keys;
+    }
+
+    fn hash(key: &[u8; 16], content: &[u8], head: &[u8]) -> [u8; 8] {
+        let mut hasher = SipHasher24::new_with_key(key);
+        hasher.write(content);
+        hasher.write(head);
+        hasher.finish().to_be_bytes()
+    }
+
+    /// Puts a seal behind what is to be sent; nothing where there is no key.
+    pub fn seal(&mut self, content: &mut Vec<u8>) {
+        let Some(key) = &self.keys.seals else { return };
+        self.number = self.number.wrapping_add(1);
+        let mut head = self.session.to_be_bytes().to_vec();
+        head.extend_from_slice(&self.number.to_be_bytes());
+        let hash = Seal::hash(key, content, &head);
+        content.extend_from_slice(&head);
+        content.extend_from_slice(&hash);
+    }
+
+    /// What a datagram of a sender holds, if it is believed.
+    pub fn open<'a>(&mut self, sender: u64, datagram: &'a [u8]) -> Option<&'a [u8]> {
+        if self.keys.seals.is_none() && self.keys.opens.is_none() {
+            return Some(datagram);
+        }
+        let at = datagram.len().checked_sub(LENGTH)?;
+        let (content, seal) = datagram.split_at(at);
+        let (head, hash) = seal.split_at(8);
+        let good = [&self.keys.seals, &self.keys.opens].into_iter().flatten().any(|key| {
+            // All bytes are compared, whichever differ.
+            Seal::hash(key, content, head).iter().zip(hash).fold(0, |all, (a, b)| all | (a ^ b)) == 0
+        });
+        let number = |bytes: &[u8]| u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
+        (good && self.fresh(sender, number(&head[..4]), number(&head[4..]))).then_some(content)
+    }
+
+    /// Whether a number of a session has not come before.
+    fn fresh(&mut self, sender: u64, session: u32, number: u32) -> bool {
+        if !self.senders.contains_key(&sender) && self.senders.len() >= MOST_SENDERS {
+            return false;
+        }
+        let fresh = || Sender { session, highest: 0, seen: 0, old: Vec::new() };
+        let known = self.senders.entry(sender).or_insert_with(fresh);
+        if known.session != session {
+            if known.old.contains(&session) {
+                return false;
+            }
+            known.old.push(known.session);
+            if known.old.len() > OLD_SESSIONS {
+                known.old.remove(0);
+            }
+            (known.session, known.highest, known.seen) = (session, 0, 0);
+        }
+        if number > known.highest {
+            let by = number - known.highest;
+            known.seen = if by < WINDOW { known.seen << by | 1 << (by - 1) } else { 0 };
+            if known.highest == 0 {
+                known.seen = 0;
+            }
+            known.highest = number;
+            return true;
+        }
+        let behind = known.highest - number;
+        if behind == 0 || behind > WINDOW {
+            return false;
+        }
+        let bit = 1_u64 << (behind - 1);
+        let new = known.seen & bit == 0;
+        known.seen |= bit;
+        new
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ONE: [u8; 16] = [1; 16];
+    const TWO: [u8; 16] = [2; 16];
+
+    fn keys(seals: [u8; 16], opens: [u8; 16]) -> Keys {
+        Keys { seals: Some(seals), opens: Some(opens) }
+    }
+
+    #[test]
+    fn what_was_changed_or_sealed_by_others_is_refused() {
+        let (mut a, mut b) = (Seal::new(keys(ONE, ONE), 7), Seal::new(keys(ONE, ONE), 8));
+        let mut sent = b"hello".to_vec();
+        a.seal(&mut sent);
+        for n in 0..sent.len() {
+            let mut spoilt = sent.clone();
+            spoilt[n] ^= 1;
+            assert_eq!(b.open(1, &spoilt), None, "{n}");
+        }
+        assert_eq!(b.open(1, &sent), Some(b"hello".as_slice()));
+        assert_eq!(Seal::new(keys(TWO, TWO), 9).open(1, &sent), None);
+        assert_eq!(b.open(1, b"short"), None);
+        // Without keys all is believed, and nothing added.
+        let mut open = Seal::new(Keys::default(), 1);
+        let mut plain = b"x".to_vec();
+        open.seal(&mut plain);
+        assert_eq!(open.open(1, &plain), Some(b"x".as_slice()));
+    }
+
+    #[test]
+    fn keys_rotate_without_a_moment_of_disbelief() {
+        // Old everywhere; then both open and the old seals; then the new one seals; then the old one is gone.
+        let steps = [keys(ONE, ONE), keys(ONE, TWO), keys(TWO, ONE), keys(TWO, TWO)];
+        let (mut a, mut b) = (Seal::new(steps[0].clone(), 1), Seal::new(steps[0].clone(), 2));
+        for step in steps.windows(2) {
+            for (from, to) in [(1, 0), (0, 1), (1, 1)] {
+                a.set(step[from].clone());
+                b.set(step[to].clone());
+                let mut sent = b"x".to_vec();
+                a.seal(&mut sent);
+                assert!(b.open(1, &sent).is_some());
+            }
+        }
+    }
+
+    #[test]
+    fn nothing_is_believed_twice_and_late_ones_once() {
+        let (mut a, mut b) = (Seal::new(keys(ONE, ONE), 7), Seal::new(keys(ONE, ONE), 8));
+        let mut sent = Vec::new();
+        for _ in 0..80 {
+            let mut one = b"x".to_vec();
+            a.seal(&mut one);
+            sent.push(one);
+        }
+        // In disorder, and each again.
+        let order: Vec<usize> = (0..80).map(|n| n ^ 3).collect();
+        for n in &order {
+            assert!(b.open(1, &sent[*n]).is_some(), "{n}");
+            assert!(b.open(1, &sent[*n]).is_none(), "{n}");
+        }
+        // A new session of the same sender replaces the old one for good.
+        let mut again = Seal::new(keys(ONE, ONE), 99);
+        let mut one = b"y".to_vec();
+        again.seal(&mut one);
+        assert!(b.open(1, &one).is_some());
+        let mut late = b"x".to_vec();
+        a.seal(&mut late);
+        assert!(b.open(1, &late).is_none());
+    }
+}
