A log says which file it follows and how much of that was good

Change: heads name the file a log follows and its good bytes; recovery walks that chain; all heads are looked at for a newer version.

--- a/crates/store/src/form.rs
+++ b/crates/store/src/form.rs
@@ -3,8 +3,9 @@
 /// The version that is written; older ones are read, newer ones are left alone.
 pub const VERSION: u16 = 1;
 const MAGIC: &[u8; 4] = b"TXST";
-/// Bytes of a head: magic, version, what it is, number, checksum.
-pub const HEAD: usize = 4 + 2 + 1 + 8 + 4;
+/// Bytes of a head: magic, version, what it is, number, which file a log follows and how much of that was good then,
+/// checksum.
+pub const HEAD: usize = 4 + 2 + 1 + 8 + 8 + 8 + 4;
 /// Bytes before a record: length and checksum.
 pub const FRAME: usize = 8;
 /// The longest record.
@@ -52,11 +53,15 @@
     Some((what, u64::from_str_radix(number, 16).ok()?))
 }
 
-pub fn head(what: What, number: u64) -> Vec<u8> {
+/// `follows`: the file before a log, none for the first and for snapshots, and how many bytes of it were good when the
+/// log was begun.
+pub fn head(what: What, number: u64, follows: (u64, u64)) -> Vec<u8> {
     let mut bytes = MAGIC.to_vec();
     bytes.extend_from_slice(&VERSION.to_be_bytes());
     bytes.push(u8::from(what == What::Snapshot));
     bytes.extend_from_slice(&number.to_be_bytes());
+    bytes.extend_from_slice(&follows.0.to_be_bytes());
+    bytes.extend_from_slice(&follows.1.to_be_bytes());
     let sum = crc32fast::hash(&bytes);
     bytes.extend_from_slice(&sum.to_be_bytes());
     bytes
@@ -90,6 +95,8 @@
 /// What a file holds, up to the first damage: records, how many bytes of it are good, and what is wrong behind them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Read {
+    /// Which file it follows, and how much of that was good.
+    pub follows: (u64, u64),
     pub records: Vec<Vec<u8>>,
     pub good: usize,
     pub damage: Option<Damage>,
@@ -101,7 +108,7 @@
 
 /// Reads a file that its name says is `what` with this number.
 pub fn read(bytes: &[u8], what: What, expected: u64) -> Read {
-    let broken = |damage| Read { records: Vec::new(), good: 0, damage: Some(damage) };
+    let broken = |damage| Read { follows: (0, 0), records: Vec::new(), good: 0, damage: Some(damage) };
     let Some(start) = bytes.get(..HEAD) else { return broken(Damage::Short) };
     if &start[..4] != MAGIC {
         return broken(Damage::Foreign);
@@ -113,16 +120,18 @@
     if version > VERSION {
         return broken(Damage::Newer(version));
     }
-    if start != head(what, expected) {
+    let long = |at: usize| start[at..at + 8].iter().fold(0, |n, b| n << 8 | u64::from(*b));
+    let follows = (long(15), long(23));
+    if start != head(what, expected, follows) {
         return broken(Damage::Foreign);
     }
     let (mut at, mut records) = (HEAD, Vec::new());
     loop {
         if at == bytes.len() {
             let damage = (what == What::Snapshot).then_some(Damage::NoEnd);
-            return Read { records, good: at, damage };
+            return Read { follows, records, good: at, damage };
         }
-        let stops = |records, damage| Read { records, good: at, damage: Some(damage) };
+        let stops = |records, damage| Read { follows, records, good: at, damage: Some(damage) };
         let (Some(length), Some(sum)) = (number(bytes, at), number(bytes, at + 4)) else {
             return stops(records, Damage::Short);
         };
@@ -140,7 +149,7 @@
         if length == END {
             let whole = what == What::Snapshot && record == (records.len() as u64).to_be_bytes();
             let damage = if whole && at == bytes.len() { None } else { Some(Damage::Foreign) };
-            return Read { records, good: at, damage };
+            return Read { follows, records, good: at, damage };
         }
         records.push(record.to_vec());
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -67,6 +67,8 @@
     /// Number of the log that is written, and of the next file.
     log: Option<u64>,
     next: u64,
+    /// The file that the next log follows, and how much of it is good.
+    last: (u64, u64),
     /// Bytes of all logs since the snapshot.
     size: u64,
     unsynced: bool,
@@ -86,91 +88,99 @@
     Ok(files)
 }
 
-/// Reads all that can be used: the last whole snapshot, and the logs behind it up to the first damage.
-fn recover<D: Disk>(disk: &D, most: u64) -> (Vec<Vec<u8>>, Found, u64, u64) {
+/// What was recovered, and where the next file goes on.
+struct Recovered {
+    records: Vec<Vec<u8>>,
+    found: Found,
+    next: u64,
+    size: u64,
+    /// The last file that was used, and how much of it is good.
+    last: (u64, u64),
+}
+
+/// Reads all that can be used: the last whole snapshot, and from there each log that follows the one before it, as
+/// long as what it followed is still good as far as it was then.
+fn recover<D: Disk>(disk: &D, most: u64) -> Recovered {
+    let ends = |found, next| Recovered { records: Vec::new(), found, next, size: 0, last: (0, 0) };
     let files = match files(disk) {
         Ok(files) => files,
-        Err(e) => return (Vec::new(), Found::Unreadable { why: e.to_string() }, 1, 0),
+        Err(e) => return ends(Found::Unreadable { why: e.to_string() }, 1),
     };
     let next = files.last().map_or(1, |(_, number, _)| number + 1);
     if files.is_empty() {
-        return (Vec::new(), Found::Nothing, next, 0);
+        return ends(Found::Nothing, next);
     }
     let read = |what, number, name: &str| match disk.read(name, most) {
         Ok(bytes) => form::read(&bytes, what, number),
-        Err(_) => form::Read { records: Vec::new(), good: 0, damage: Some(Damage::Short) },
+        Err(_) => form::Read { follows: (0, 0), records: Vec::new(), good: 0, damage: Some(Damage::Short) },
     };
-    let (mut records, mut from, mut worst) = (Vec::new(), 0, None);
-    for (what, number, name) in files.iter().rev().filter(|(what, ..)| *what == What::Snapshot) {
-        let whole = read(*what, *number, name);
-        match whole.damage {
-            None => {
-                (records, from) = (whole.records, *number);
-                break;
-            }
-            Some(Damage::Newer(version)) => {
-                return (Vec::new(), Found::Newer { file: name.clone(), version }, next, 0);
+    let mut logs: Vec<(u64, &str, form::Read)> = Vec::new();
+    let mut snapshot: Option<(u64, form::Read)> = None;
+    let mut worst: Option<(String, Damage)> = None;
+    for (what, number, name) in &files {
+        let file = read(*what, *number, name);
+        match (*what, file.damage) {
+            (_, Some(Damage::Newer(version))) => {
+                return ends(Found::Newer { file: name.clone(), version }, next)
             }
-            // An older one, if there is one, is used with the logs behind it: nothing is removed before a
+            (What::Snapshot, None) => snapshot = Some((*number, file)),
+            // An older one, if there is one, is used with the logs that follow it: nothing is removed before a
             // snapshot that replaces it was synced.
-            Some(damage) => worst = worst.or(Some((name.clone(), damage))),
+            (What::Snapshot, Some(damage)) => worst = Some((name.clone(), damage)),
+            (What::Log, damage) => {
+                if file.good == 0 {
+                    worst = worst.or(damage.map(|damage| (name.clone(), damage)));
+                } else {
+                    logs.push((*number, name, file));
+                }
+            }
         }
     }
-    let (mut size, mut last) = (0, None);
-    for (what, number, name) in files.iter().filter(|(what, number, _)| *what == What::Log && *number > from)
+    let (from, mut records) = snapshot.map_or((0, Vec::new()), |(number, file)| (number, file.records));
+    let (mut last, mut size) = ((from, 0), 0);
+    // Of several that follow one file the latest was begun after the others had failed.
+    while let Some((number, name, file)) =
+        logs.iter().rev().find(|(number, _, file)| file.follows.0 == last.0 && *number > last.0)
     {
-        // A log that is missing in between leaves a hole: what stands behind it is not used. Snapshots and logs
-        // that could not be begun take numbers as well.
-        let holes = last.is_some_and(|last: u64| {
-            (last + 1..*number).any(|n| !files.iter().any(|(_, other, _)| *other == n))
-        });
-        if holes {
-            worst = worst.or(Some((name.clone(), Damage::Foreign)));
+        if file.follows.1 > last.1 {
+            // What it followed was longer then: records are missing in between.
+            worst = worst.or(Some(((*name).to_owned(), Damage::Checksum)));
             break;
         }
-        let part = read(*what, *number, name);
-        size += part.good as u64;
-        records.extend(part.records);
-        last = Some(*number);
-        match part.damage {
-            None => {}
-            Some(Damage::Newer(version)) => {
-                return (Vec::new(), Found::Newer { file: name.clone(), version }, next, 0);
-            }
-            // The end of a log that was cut by a crash is no damage to what the next one holds, if that was begun
-            // after this one was found so.
-            Some(Damage::Short) if files.iter().any(|(w, n, _)| *w == What::Log && *n > *number) => {
-                worst = worst.or(Some((name.clone(), Damage::Short)));
-            }
-            Some(damage) => {
-                worst = worst.or(Some((name.clone(), damage)));
-                break;
-            }
+        records.extend(file.records.iter().cloned());
+        size += file.good as u64;
+        last = (*number, file.good as u64);
+        if let Some(damage) = file.damage {
+            worst = worst.or(Some(((*name).to_owned(), damage)));
         }
     }
+    if let Some((_, name, _)) = logs.iter().find(|(number, ..)| *number > last.0) {
+        worst = worst.or(Some(((*name).to_owned(), Damage::Foreign)));
+    }
     let found = match worst {
         None => Found::Whole { records: records.len() },
         Some((file, damage)) if records.is_empty() => Found::Lost { file, damage },
         Some((file, damage)) => Found::Part { records: records.len(), file, damage },
     };
-    (records, found, next, size)
+    Recovered { records, found, next, size, last }
 }
 
 /// What `open` would find, with nothing touched.
 pub fn verify<D: Disk>(disk: &D, settings: &Settings) -> Found {
-    recover(disk, 4 * settings.most).1
+    recover(disk, 4 * settings.most).found
 }
 
 impl<D: Disk> Store<D> {
     /// Reads what is there. Nothing is written before the first record.
     pub fn open(disk: D, settings: Settings) -> (Self, Vec<Vec<u8>>, Found) {
-        let (records, found, next, size) = recover(&disk, 4 * settings.most);
+        let Recovered { records, found, next, size, last } = recover(&disk, 4 * settings.most);
         let read_only = matches!(found, Found::Newer { .. });
         let store = Store {
             disk,
             settings,
             log: None,
             next,
+            last,
             size,
             unsynced: false,
             synced_at: f64::NEG_INFINITY,
@@ -247,13 +257,14 @@
                 // A number is never used twice, also where beginning its file fails.
                 let number = self.next;
                 self.next += 1;
-                bytes = form::head(What::Log, number);
+                bytes = form::head(What::Log, number, self.last);
                 number
             }
         };
         bytes.extend_from_slice(&form::frame(record));
         self.disk.append(&form::name(What::Log, number), &bytes)?;
-        self.log = Some(number);
+        let good = if self.log == Some(number) { self.last.1 } else { 0 };
+        (self.log, self.last) = (Some(number), (number, good + bytes.len() as u64));
         self.size += bytes.len() as u64;
         Ok(())
     }
@@ -294,6 +305,7 @@
         match self.snapshot(number, records) {
             Ok(()) => {
                 (self.log, self.size, self.unsynced, self.trouble) = (None, 0, false, None);
+                self.last = (number, 0);
                 self.clean(number);
                 Ok(())
             }
@@ -304,7 +316,7 @@
     fn snapshot<'a>(&mut self, number: u64, records: impl Iterator<Item = &'a [u8]>) -> io::Result<()> {
         const TEMPORARY: &str = "new-snapshot";
         let _ = self.disk.remove(TEMPORARY);
-        self.disk.append(TEMPORARY, &form::head(What::Snapshot, number))?;
+        self.disk.append(TEMPORARY, &form::head(What::Snapshot, number, (0, 0)))?;
         let (mut count, mut bytes) = (0, Vec::new());
         for record in records.filter(|record| record.len() <= form::MOST_RECORD) {
             bytes.extend_from_slice(&form::frame(record));
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -202,7 +202,7 @@
 fn files_of_a_newer_version_are_neither_read_nor_touched() {
     let (mut disk, _) = script(Faulty::default());
     let name = form::name(What::Log, 999);
-    let mut head = form::head(What::Log, 999);
+    let mut head = form::head(What::Log, 999, (0, 0));
     head[5] = 9;
     let sum = crc(&head[..form::HEAD - 4]);
     head[form::HEAD - 4..].copy_from_slice(&sum.to_be_bytes());
@@ -302,7 +302,7 @@
 proptest! {
     #[test]
     fn no_file_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), headed in any::<bool>()) {
-        let mut file = if headed { form::head(What::Log, 1) } else { Vec::new() };
+        let mut file = if headed { form::head(What::Log, 1, (0, 0)) } else { Vec::new() };
         file.extend_from_slice(&bytes);
         let read = form::read(&file, What::Log, 1);
         assert!(read.good <= file.len());
