--- a/crates/operator/tests/faults.rs
+++ b/crates/operator/tests/faults.rs
@@ -46,7 +46,7 @@
         ("levels { level { name: \"a\" } }", "1:10: levels.level.0.enter is missing"),
         (
             "levels { level { name: \"a\" enter { all { signal: PRESSED enter: 0.5 leave: 0.5 } } act { bounds: 0.5 } } }",
-            "1:37: levels.level.0.enter.all.0 is 0.5 to enter and 0.5 to leave",
+            "1:36: levels.level.0.enter.all.0 is 0.5 to enter and 0.5 to leave",
         ),
         ("levels { level { enter { any { enter: 1 } } } }", "levels.level.0.enter.any.0.signal is missing"),
         ("levels { level { enter { any { signal: READY of: \"x\" enter: 0 leave: 1 } } } }", "any.0.of is given for READY"),
@@ -54,7 +54,7 @@
         ("levels { pin: \"b\" }", "levels.pin is \"b\""),
         ("halls { spill { } }", "1:9: halls.spill.0.most is missing"),
         ("halls { spill { most: 5 } }", "halls.spill.0.most is 5, allowed is 0 to 4"),
-        ("halls { route { tier { hall: \"a\" }\n tier { hall: [\"b\", \"a\"] } } }", "2:7: halls.route.0.tier.1.hall.1 is \"a\" a second"),
+        ("halls { route { tier { hall: \"a\" }\n tier { hall: [\"b\", \"a\"] } } }", "2:9: halls.route.0.tier.1.hall.1 is \"a\" a second"),
         ("halls { climb { over_s: 0 } }", "halls.climb.over_s is 0"),
         // Of form: the library's words, our place and key.
         ("log {\n levle: WARN\n}", "2:2: log.levle: "),
