What spilled is read with the look at halls, not in every round

Cause: with halls on, each round cleared and rebuilt the list of what spilled, a string for each hall, on the path of every query. Change: it is read, and probes are asked for, in the rounds that look at the evidence (every 100 ms). Off, nothing changes.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -199,7 +199,7 @@
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
-        if halls.is_on() {
+        if halls.looked_at(now) {
             if let Some(node) = halls.probes(now).filter(|_| self.control.allowed.probes) {
                 self.exchange.probe(node);
             }
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -111,6 +111,11 @@
         self.on.borrow().is_some()
     }
 
+    /// Whether the evidence was looked at in this round: what follows from it is done then, and not in every round.
+    pub fn looked_at(&self, now: f64) -> bool {
+        self.is_on() && self.looked.get() == now
+    }
+
     /// Looks at the evidence where it is time; what is to be told to peers.
     pub fn look(&self, now: f64, control: &mut Control) -> Option<Vec<u8>> {
         let mut on = self.on.borrow_mut();
