Idle connections carry what may be repeated; tries that can't end in their time are given up

What is lost on one that idled says nothing of the engine.

Now a query without time for one run at its best, or for two where its client gives less than half of the usual time, is given up at the door with a time to come back. At fault: `query` in control.rs.

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -61,6 +61,8 @@
     connections_to_engines,
     /// Those that ended because what came could not be read or used, or stopped short.
     connections_spoilt,
+    /// Those that ended as soon as something went out on them after they had idled.
+    connections_lost_idle,
     /// Submissions = the sum of their ends + those that are out.
     submissions,
     probes,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -421,8 +421,8 @@
 }
 
 impl Writer for Decisions<'_> {
-    fn submit(&mut self, id: u64, node: u64, until: f64) {
-        self.exchange.submit(id, node, until);
+    fn submit(&mut self, id: u64, node: u64, until: f64, harmless: bool) {
+        self.exchange.submit(id, node, until, harmless);
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         count(self.exchange, self.levels, id, self.now, false, true);
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -24,7 +24,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Use {
-    /// Nothing is out, and an answer came just now.
+    /// Nothing is out, and it did not idle for longer than is trusted.
     Proven,
     /// Nothing went out here yet.
     Fresh,
@@ -102,6 +102,8 @@
     pub used: f64,
     /// Nothing has gone out here yet.
     pub fresh: bool,
+    /// How long it had idled when the last submission went out, and when that was; none once anything was heard.
+    pub idled: Option<(f64, f64)>,
     /// Since when a frame has begun to come and is not whole.
     pub partial: Option<f64>,
     /// Why it is closed at once, whatever is out on it.
@@ -124,6 +126,7 @@
             heard: f64::NEG_INFINITY,
             used: now,
             fresh: true,
+            idled: None,
             partial: None,
             broken: None,
             retired: false,
@@ -139,6 +142,15 @@
         self.submissions.len() + self.probes.len()
     }
 
+    /// When it was last used, if nothing is out and something was; else long ago.
+    pub fn idles_since(&self) -> f64 {
+        if self.out() == 0 && !self.fresh && !self.retired {
+            self.used
+        } else {
+            f64::NEG_INFINITY
+        }
+    }
+
     /// How a connection stands to one more submission: the first are taken first.
     pub fn use_for(&self, now: f64, trusted: f64) -> Use {
         match self.out() {
@@ -164,6 +176,9 @@
     }
 
     pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, submission: Submission) {
+        if self.out() == 0 && !self.fresh {
+            self.idled = Some((submission.sent - self.used, submission.sent));
+        }
         (self.used, self.fresh) = (submission.sent, false);
         self.write(&[b"fetch", id.as_bytes(), fields.as_bytes()], Some(statement), Some(id.clone()));
         self.submissions.insert(id.clone(), submission);
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod resp;
 mod rows;
+mod trust;
 
 use crate::clock::Clock;
 use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
@@ -22,14 +23,12 @@
 use std::task::Poll;
 use std::time::Duration;
 use tansymux::interface::{EngineStatus, Outcome};
+use trust::Trust;
 
 const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
 const READ_AT_ONCE: usize = 32 * 1024;
 /// A frame that has begun and does not go on for so long (ms) never will.
 const STALL: f64 = 500.0;
-/// How long (ms) a connection may idle and still be taken for alive: the other end, or what lies between, may be
-/// closing what idles, and what then goes out is lost without a sign of whether it was read.
-const TRUSTED: f64 = 50.0;
 /// Part of the told idle time after which a connection is closed from here, before the engine does.
 const IDLE_PART: f64 = 0.8;
 /// What is given up after nothing was heard on its connection for so many notes' time, and so long (ms) at the
@@ -76,6 +75,8 @@
     connections: Cell<usize>,
     /// Ends that are told once they have settled, and when that is.
     settling: RefCell<VecDeque<(f64, Event)>>,
+    /// How long a connection may idle to be used again.
+    trust: RefCell<Trust>,
     /// The one buffer that all connections read through.
     shared: RefCell<Vec<u8>>,
 }
@@ -84,9 +85,20 @@
     pub fn new(
         exchange: Rc<Exchange>, clock: Clock, executor: Rc<LocalExecutor<'static>>, terms: Terms,
     ) -> Rc<Self> {
-        let (engines, tags, connections, settling) = Default::default();
+        let (engines, tags, connections, settling, trust) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        Rc::new(EngineSide { exchange, clock, executor, terms, engines, tags, connections, settling, shared })
+        Rc::new(EngineSide {
+            exchange,
+            clock,
+            executor,
+            terms,
+            engines,
+            tags,
+            connections,
+            settling,
+            trust,
+            shared,
+        })
     }
 
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
@@ -127,8 +139,8 @@
     pub fn carry_out(self: &Rc<Self>) {
         while let Some(order) = self.exchange.next_order() {
             match order {
-                Order::Submit { query, submission, node, until } => {
-                    self.submit(query, submission, node, until)
+                Order::Submit { query, submission, node, until, harmless } => {
+                    self.submit(query, submission, node, until, harmless)
                 }
                 Order::Cancel { query, submission } => self.cancel(query, submission),
                 Order::Renice { query, priority } => self.renice(query, priority),
@@ -137,14 +149,14 @@
         }
     }
 
-    fn submit(self: &Rc<Self>, query: u64, number: usize, node: u64, until: f64) {
+    fn submit(self: &Rc<Self>, query: u64, number: usize, node: u64, until: f64, harmless: bool) {
         let now = self.clock.now();
         let Some((id, fields, statement)) =
             self.exchange.with(query, |q| (q.id.clone(), fields_of(q, until - now), q.statement.clone()))
         else {
             return;
         };
-        let Some(channel) = self.channel_for(node, &id) else {
+        let Some(channel) = self.channel_for(node, &id, harmless) else {
             return self.closed(query, number, Outcome::NoConnection, node, 0.0, Pages::new());
         };
         channel.connection.borrow_mut().submit(
@@ -156,16 +168,19 @@
         channel.notify.notify();
     }
 
-    /// A connection that can carry this: one that is up, else one that is coming, else a new one.
-    fn channel_for(self: &Rc<Self>, node: u64, id: &str) -> Option<Rc<Channel>> {
+    /// A connection that can carry this: one that is up, else one that is coming, else a new one. What must not be
+    /// lost without a sign goes on none that has idled, whatever is known of those.
+    fn channel_for(self: &Rc<Self>, node: u64, id: &str, harmless: bool) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         let engine = engines.get_mut(&node)?;
         let address = engine.address?;
         let now = self.clock.now();
+        let longest = self.trust.borrow_mut().longest(now);
+        let trusted = if harmless { longest } else { trust::LEAST };
         // Of those that stand alike the one with the least out, one that is up, the one used last: the rest go idle.
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
-            let order = (c.use_for(now, TRUSTED), c.out(), c.state != State::Up);
+            let order = (c.use_for(now, trusted), c.out(), c.state != State::Up);
             c.takes(id, self.terms.streams).then_some((order, c.used))
         };
         let taking = engine.connections.iter().filter_map(|channel| Some((order(channel)?, channel.clone())));
@@ -174,7 +189,7 @@
         let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE
             && self.connections.get() < self.terms.most_connections;
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
-        // room, and one more is opened ahead, so that the next does not go out on one that has just come up.
+        // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
         let open = |engine: &mut Engine| {
             let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
             let channel = Rc::new(Channel { node, connection, notify });
@@ -193,7 +208,7 @@
             }
         };
         let ahead = |other: &&Rc<Channel>| !Rc::ptr_eq(other, &channel) && other.connection.borrow().fresh;
-        if room && !engine.connections.iter().any(|other| ahead(&other)) {
+        if room && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
             open(engine);
         }
         Some(channel)
@@ -231,6 +246,9 @@
         connection.retired |= dead;
         drop(connection);
         channel.notify.notify();
+        if dead {
+            self.retire_idle(channel.node);
+        }
         let Submission { query, number, sent, .. } = submission;
         let outcome = if begun { outcome } else { Outcome::NoConnection };
         if outcome == Outcome::Cancelled {
@@ -239,6 +257,14 @@
         self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
     }
 
+    /// What idles at an engine that fell silent may be as dead: the next one tells sooner whether it is there.
+    fn retire_idle(&self, node: u64) {
+        if let Some(engine) = self.engines.borrow().get(&node) {
+            let idle = |channel: &&Rc<Channel>| channel.connection.borrow().out() == 0;
+            engine.connections.iter().filter(idle).for_each(|channel| channel.retire());
+        }
+    }
+
     fn renice(&self, query: u64, priority: u8) {
         if let Some((channel, id)) = self.find(query) {
             channel.connection.borrow_mut().renice(&id, priority);
@@ -250,7 +276,7 @@
         let now = self.clock.now();
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
-        let Some(channel) = self.channel_for(node, &tag) else {
+        let Some(channel) = self.channel_for(node, &tag, true) else {
             return self.exchange.happened(Event::Probed { node, outcome: Outcome::NoConnection });
         };
         channel.connection.borrow_mut().probe(tag, now, now + self.terms.connect_timeout);
@@ -288,11 +314,18 @@
         while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
             self.exchange.happened(event);
         }
-        let channels: Vec<Rc<Channel>> =
-            self.engines.borrow().values().flat_map(|engine| engine.connections.iter().cloned()).collect();
+        // Of those that idle at an engine the one used last may go on: all dispatchers together hold them there.
+        let channels = |engine: &Engine| {
+            let since = |channel: &Rc<Channel>| channel.connection.borrow().idles_since();
+            let last = engine.connections.iter().map(since).fold(f64::NEG_INFINITY, f64::max);
+            let marked = |channel: &Rc<Channel>| (since(channel) >= last, channel.clone());
+            engine.connections.iter().map(marked).collect::<Vec<_>>()
+        };
+        let channels: Vec<(bool, Rc<Channel>)> = self.engines.borrow().values().flat_map(channels).collect();
         let mut next = settling.front().map_or(f64::INFINITY, |(at, _)| *at);
         drop(settling);
-        for channel in channels {
+        let longest = self.trust.borrow_mut().longest(now).min(IDLE_PART * self.terms.idle);
+        for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
                 let late =
@@ -311,7 +344,11 @@
                 connection.broken = Some("an answer stopped short");
                 channel.notify.notify();
             }
-            let idles = if connection.fresh { IDLE_PART * self.terms.idle } else { TRUSTED };
+            let idles = match (connection.fresh, last) {
+                (true, _) => IDLE_PART * self.terms.idle,
+                (false, true) => longest,
+                (false, false) => trust::LEAST,
+            };
             connection.retired |= unheard || connection.out() == 0 && now - connection.used > idles;
             if connection.retired {
                 // What gives up the last submission goes out before the close, if it can.
@@ -364,7 +401,12 @@
             while let Some(frame) = resp::parse(&inbox[used..]).map_err(spoilt)? {
                 used += frame.size;
                 let now = self.clock.now();
-                let heard = channel.connection.borrow_mut().hear(&frame, now);
+                let mut connection = channel.connection.borrow_mut();
+                if let Some((idled, _)) = connection.idled.take() {
+                    self.trust.borrow_mut().learn(now, idled, false);
+                }
+                let heard = connection.hear(&frame, now);
+                drop(connection);
                 match heard {
                     Heard::Closed { query, submission, outcome, sent, pages } => {
                         self.closed(query, submission, outcome, channel.node, now - sent, pages);
@@ -418,8 +460,16 @@
             let engine = format_args!("{:08x}", channel.node);
             tracing::warn!(%engine, out = submissions.len(), error = %e, "a connection ended");
         }
+        // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
+        // idling and not of the engine, whose next connection will tell.
+        let idled = connection.idled.filter(|&(_, sent)| was_up && !spoilt && now - sent < trust::LEAST);
+        let idled = idled.filter(|_| !submissions.is_empty());
+        if let Some((idled, _)) = idled {
+            self.trust.borrow_mut().learn(now, idled, true);
+            self.exchange.counters.connections_lost_idle.add();
+        }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
-        let mut first = Outcome::Reset;
+        let mut first = if idled.is_some() { Outcome::Cancelled } else { Outcome::Reset };
         for (id, s) in submissions {
             let ran = was_up && connection.went_out(&id);
             let outcome =
@@ -525,7 +575,7 @@
             let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
             let asked = Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape };
             let (query, _slot) = exchange.take(&asked).unwrap();
-            exchange.submit(query, 7, 1e15);
+            exchange.submit(query, 7, 1e15, true);
             side.carry_out();
             side.listed(&then);
             let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -46,7 +46,7 @@
 /// What was decided and waits for the engine side.
 #[derive(Debug, PartialEq)]
 pub enum Order {
-    Submit { query: u64, submission: usize, node: u64, until: f64 },
+    Submit { query: u64, submission: usize, node: u64, until: f64, harmless: bool },
     Cancel { query: u64, submission: usize },
     Renice { query: u64, priority: u8 },
     Probe { node: u64 },
@@ -283,7 +283,7 @@
     }
 
     /// Every submission passes here: none for a query that is over, or has one out.
-    pub fn submit(&self, number: u64, node: u64, until: f64) {
+    pub fn submit(&self, number: u64, node: u64, until: f64, harmless: bool) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries.get_mut(&number).filter(|q| q.slot.is_some() && !q.out) else {
             tracing::error!(
@@ -295,7 +295,13 @@
         let submission = q.submissions;
         (q.submissions, q.out, q.waited, q.node) = (submission + 1, true, false, node);
         self.counters.submissions.add();
-        self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, until });
+        self.orders.borrow_mut().push_back(Order::Submit {
+            query: number,
+            submission,
+            node,
+            until,
+            harmless,
+        });
     }
 
     /// The submission that is out waits for something.
@@ -377,13 +383,14 @@
         let exchange = Exchange::default();
         let (query, slot) = exchange.take(&ASKED).unwrap();
         assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::InHand));
-        exchange.submit(query, 7, 90.0);
-        exchange.submit(query, 8, 90.0);
-        assert_eq!(exchange.next_order(), Some(Order::Submit { query, submission: 0, node: 7, until: 90.0 }));
+        exchange.submit(query, 7, 90.0, true);
+        exchange.submit(query, 8, 90.0, true);
+        let first = Order::Submit { query, submission: 0, node: 7, until: 90.0, harmless: true };
+        assert_eq!(exchange.next_order(), Some(first));
         assert_eq!(exchange.next_order(), None);
         assert!(exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0)));
         assert!(matches!(slot.take(), Some(Answer::Killed)));
-        exchange.submit(query, 7, 90.0);
+        exchange.submit(query, 7, 90.0, true);
         assert_eq!((exchange.next_order(), exchange.in_hand()), (None, 1));
         exchange.closed(query);
         assert_eq!(exchange.in_hand(), 0);
@@ -420,7 +427,7 @@
         let exchange = Exchange::default();
         let (query, _slot) = exchange.take(&ASKED).unwrap();
         exchange.grant(query, 3, 0.0);
-        exchange.submit(query, 7, 90.0);
+        exchange.submit(query, 7, 90.0, true);
         exchange.grant(query, 1, 0.0);
         exchange.next_order();
         assert_eq!(exchange.next_order(), Some(Order::Renice { query, priority: 1 }));
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -280,6 +280,50 @@
     }
 }
 
+/// Asks a few in turn with pauses; all are to finish.
+fn all_finish(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
+    for id in ids {
+        let got = answer(&mut BufReader::new(post(program.listen, rg, id)));
+        assert_eq!(got.map(|got| got.0), Some(200), "{rg} {id}");
+        thread::sleep(Duration::from_millis(pause));
+    }
+}
+
+#[test]
+fn what_may_be_repeated_goes_on_a_connection_that_idled_and_a_load_on_none() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start(&[address]);
+    all_finish(&program, "look", 1..15, 70);
+    assert_eq!(program.counter("connections_to_engines"), Some(1));
+    all_finish(&program, "load", 15..20, 70);
+    assert_eq!(program.counter("connections_to_engines"), Some(6));
+    // Several at once have several; one of those that idle then is kept.
+    let at_once: Vec<TcpStream> = (20..24).map(|id| post(program.listen, "look", id)).collect();
+    at_once.into_iter().for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
+    thread::sleep(Duration::from_millis(1200));
+    let before = program.counter("connections_to_engines");
+    all_finish(&program, "look", 24..26, 70);
+    assert_eq!(program.counter("connections_to_engines"), before);
+}
+
+#[test]
+fn where_connections_that_idled_are_lost_they_are_soon_used_no_more() {
+    // The engine ends a connection when a request comes on it after a pause, having heard of it or not.
+    let last = std::cell::Cell::new(None::<Instant>);
+    let (address, _told) = engine(move |parts, to| {
+        if last.replace(Some(Instant::now())).is_some_and(|at| at.elapsed() > Duration::from_millis(100)) {
+            return drop(to.shutdown(std::net::Shutdown::Both));
+        }
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let program = start(&[address]);
+    all_finish(&program, "look", 1..20, 130);
+    let lost = program.counter("connections_lost_idle").unwrap();
+    assert!((1..=2).contains(&lost), "{lost}");
+    // They say nothing of the engine: no submission counts as reset there.
+    assert_eq!(program.counter("submissions_reset"), Some(0));
+}
+
 /// The fewest places, 32 of them for clients.
 fn small(config: Config) -> Config {
     config.with("limits", json!({"sockets": 64, "memory_mb": 32}))
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -125,7 +125,7 @@
 struct Out(Vec<Decided>);
 
 impl Writer for Out {
-    fn submit(&mut self, id: u64, node: u64, until: f64) {
+    fn submit(&mut self, id: u64, node: u64, until: f64, _: bool) {
         self.0.push(Decided::Submit { id, node, until });
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -203,9 +203,14 @@
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
-        if self.its_turn(i) {
+        // No time for a run even at its best, or for no more than that of a client that gives less than others do: it
+        // is given up at once, as it would end late more often than not, and each such run keeps others from theirs.
+        let (q, g, time) = (&self.queries[i], &self.groups[rg_index], due - self.now);
+        let part = if time < WELL_INSIDE * g.longest_wait { WELL_INSIDE } else { 1.0 };
+        let hopeless = q.cost / g.threads * g.best.exp() > part * time;
+        if self.its_turn(i) && !hopeless {
             self.place(i, out);
-        } else if self.now + self.alone(i) > due {
+        } else if hopeless || self.now + self.alone(i) > due {
             self.finish_off(i, out);
         }
         Ok(())
@@ -405,12 +410,13 @@
         q.submissions[q.count] = s;
         q.count += 1;
         let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
+        let harmless = q.effect == Effect::ReadOnly;
         self.low_changed |= low;
         let generous = (GENEROUS * self.reduced.grants).max(1.0);
         if self.allowed.pages || self.allowed.priorities {
             out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { generous * memory } else { 0.0 });
         }
-        out.submit(id, node, due);
+        out.submit(id, node, due, harmless);
     }
 
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,8 +9,9 @@
 
 /// Takes the decisions as they are made. Times are milliseconds.
 pub trait Writer {
-    /// Sends query `id` to engine `node`, to be abandoned at clock reading `until`.
-    fn submit(&mut self, id: u64, node: u64, until: f64);
+    /// Sends query `id` to engine `node`, to be abandoned at clock reading `until`. `harmless`: that it may run and
+    /// nobody hear of it does no harm, as it may be sent again.
+    fn submit(&mut self, id: u64, node: u64, until: f64, harmless: bool);
     fn defer(&mut self, id: u64, retry_after: f64);
     fn kill(&mut self, id: u64);
     fn cancel(&mut self, id: u64, submission: usize);
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,6 +226,8 @@
     pub kinds: Option<Vec<u32>>,
     pub target: f64,
     pub target_stretch: f64,
+    /// The time that clients give as a rule, 0 where it is not told.
+    pub longest_wait: f64,
     pub late_value: f64,
     pub threads: f64,
     pub load: bool,
@@ -281,6 +283,7 @@
             kinds: bound("kinds-open", kinds),
             target: told.required(&name("aim-us"))? / 1000.0,
             target_stretch: told.number(&name("aim-stretch")).unwrap_or(0.0),
+            longest_wait: told.millis(&name("hard-limit-us")).unwrap_or(0.0),
             late_value: told.number(&name("late-worth")).unwrap_or(0.0),
             threads: of_list("family-info.dop").and_then(|t| t.parse().ok()).unwrap_or(1.0f64).max(1.0),
             load: of_list("family-info.class-load").is_some_and(told::is_true),
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -32,6 +32,35 @@
     assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
 }
 
+#[test]
+fn what_cannot_end_in_its_time_is_given_up_at_the_door() {
+    let usual = "services.0.hard-limit-us=900000 services.1.hard-limit-us=900000";
+    // A client that gives the usual time gets its try; one that gives less must leave room for two runs.
+    for (wait, cost, goes) in [
+        (890.0, 800.0, true),
+        (890.0, 900.0, false),
+        (300.0, 140.0, true),
+        (300.0, 160.0, false),
+        (3.0, 50.0, false),
+        (-1.0, 1.0, false),
+    ] {
+        let mut c = gateway(usual, TWO);
+        let decided = round(&mut c, 1.0, |c, out| {
+            c.query(1, "look", "", None, T0 + 1.0 + wait, cost, 10.0, 0, Text::UNREAD, out).unwrap()
+        });
+        assert_eq!(starts(&decided, "submit 1"), goes, "{wait} {cost}: {decided:?}");
+        assert_eq!(starts(&decided, "defer 1"), !goes, "{wait} {cost}: {decided:?}");
+    }
+    // A query of more threads is done sooner, and load changes nothing of it.
+    let mut c = gateway(usual, TWO);
+    press(&mut c, 0);
+    press(&mut c, 1);
+    let decided = round(&mut c, 1.0, |c, out| {
+        c.query(1, "rep", "", None, T0 + 891.0, 1700.0, 10.0, 0, Text::UNREAD, out).unwrap()
+    });
+    assert!(starts(&decided, "submit 1"), "{decided:?}");
+}
+
 #[test]
 fn rule_1_a_client_that_left_gets_nothing_and_its_submission_is_called_off() {
     let mut c = gateway("", ONE);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -24,7 +24,7 @@
 pub struct Kept(pub Vec<String>);
 
 impl Writer for Kept {
-    fn submit(&mut self, id: u64, node: u64, _until: f64) {
+    fn submit(&mut self, id: u64, node: u64, _until: f64, _: bool) {
         self.0.push(format!("submit {id} {node}"));
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
