A silent engine is checked by a new connection, and tried only once a probe was answered

While a zone is cut off its connections stay open and mute; a request on one told nothing until its queue timeout or 2.5 notes' time, where a new connection had failed in 250 ms with the proof that nothing ran.

Now a submission that went out after a pause and tells nothing for twice its cost (250 ms at least, 1.25 notes' time at most) has another connection opened; if that does not come up, what is out on the mute one counts as lost, and what idles in the same hall is closed, so that the next sends ask by connecting (`check`, `not_there`, `fell_silent` in engine/mod.rs).

Where probes are allowed such an engine now gets a trial only once a probe was answered (`in_standing`).

--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -5,7 +5,7 @@
 use crate::exchange::Pages;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
-use std::io::IoSlice;
+use std::io::{ErrorKind, IoSlice};
 use std::rc::Rc;
 use tansymux::interface::{Note, Outcome};
 
@@ -106,8 +106,10 @@
     pub idled: Option<(f64, f64)>,
     /// Since when a frame has begun to come and is not whole.
     pub partial: Option<f64>,
-    /// Why it is closed at once, whatever is out on it.
-    pub broken: Option<&'static str>,
+    /// When it is asked whether the engine is there, if nothing was heard since a submission went out after a pause.
+    pub check_at: f64,
+    /// Why it is closed at once, whatever is out on it: what came can't be used, or (not connected) nothing comes.
+    pub broken: Option<(ErrorKind, &'static str)>,
     /// Nothing new goes here: it is closed once nothing is out.
     pub retired: bool,
     pub submissions: FxHashMap<Rc<str>, Submission>,
@@ -128,6 +130,7 @@
             fresh: true,
             idled: None,
             partial: None,
+            check_at: f64::INFINITY,
             broken: None,
             retired: false,
             submissions: FxHashMap::default(),
@@ -142,9 +145,9 @@
         self.submissions.len() + self.probes.len()
     }
 
-    /// When it was last used, if nothing is out and something was; else long ago.
+    /// When it was last used or opened, if nothing is out; else long ago.
     pub fn idles_since(&self) -> f64 {
-        if self.out() == 0 && !self.fresh && !self.retired {
+        if self.out() == 0 && !self.retired {
             self.used
         } else {
             f64::NEG_INFINITY
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -35,6 +35,9 @@
 /// least, retires the connection.
 const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
+/// A submission on a connection that had idled, and that tells nothing for so many times its cost and at least as long,
+/// has the engine checked by another connection: one that died silently takes what goes out and says nothing.
+const CHECK_RUNS: f64 = 2.0;
 
 /// What is given up on one connection may be sent again on another, and a busy engine reads connections in any order
 /// and late. So that the first word is not overtaken, the decisions hear of the end so much (ms) later.
@@ -53,6 +56,7 @@
 
 struct Engine {
     address: Option<SocketAddr>,
+    hall: String,
     started: Option<f64>,
     gone: bool,
     connections: Vec<Rc<Channel>>,
@@ -106,11 +110,17 @@
     /// the address by now.
     pub fn listed(&self, told: &Listed) {
         let mut engines = self.engines.borrow_mut();
-        let fresh =
-            || Engine { address: told.address, started: told.started, gone: false, connections: Vec::new() };
+        let fresh = || Engine {
+            address: told.address,
+            hall: told.hall.clone(),
+            started: told.started,
+            gone: false,
+            connections: Vec::new(),
+        };
         let engine = engines.entry(told.node).or_insert_with(fresh);
         let gone = told.status == EngineStatus::Gone;
         engine.gone = gone;
+        engine.hall.clone_from(&told.hall);
         let moved = told.address.is_some() && told.address != engine.address;
         let retire = gone || moved || told.started.is_some() && told.started != engine.started;
         if retire {
@@ -151,20 +161,17 @@
 
     fn submit(self: &Rc<Self>, query: u64, number: usize, node: u64, until: f64, harmless: bool) {
         let now = self.clock.now();
-        let Some((id, fields, statement)) =
-            self.exchange.with(query, |q| (q.id.clone(), fields_of(q, until - now), q.statement.clone()))
-        else {
-            return;
-        };
+        let read = |q: &Query| (q.id.clone(), fields_of(q, until - now), q.statement.clone(), q.cost);
+        let Some((id, fields, statement, cost)) = self.exchange.with(query, read) else { return };
         let Some(channel) = self.channel_for(node, &id, harmless) else {
             return self.closed(query, number, Outcome::NoConnection, node, 0.0, Pages::new());
         };
-        channel.connection.borrow_mut().submit(
-            &id,
-            &fields,
-            statement,
-            Submission::new(query, number, now, until),
-        );
+        let mut connection = channel.connection.borrow_mut();
+        connection.submit(&id, &fields, statement, Submission::new(query, number, now, until));
+        if connection.idled.is_some_and(|(_, sent)| sent == now) {
+            connection.check_at = now + QUIET.max(CHECK_RUNS * cost).min(self.quiet());
+        }
+        drop(connection);
         channel.notify.notify();
     }
 
@@ -190,18 +197,9 @@
             && self.connections.get() < self.terms.most_connections;
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
         // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
-        let open = |engine: &mut Engine| {
-            let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
-            let channel = Rc::new(Channel { node, connection, notify });
-            engine.connections.push(channel.clone());
-            self.connections.set(self.connections.get() + 1);
-            self.exchange.counters.connections_to_engines.add();
-            self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
-            channel
-        };
         let channel = match best {
             Some((((usable, ..), _), channel)) if usable <= Use::Fresh || !room => channel,
-            _ if room => open(engine),
+            _ if room => self.open_one(engine, node, address),
             _ => {
                 tracing::warn!(engine = %format_args!("{node:08x}"), "no further connection: too many are open");
                 return None;
@@ -209,11 +207,38 @@
         };
         let ahead = |other: &&Rc<Channel>| !Rc::ptr_eq(other, &channel) && other.connection.borrow().fresh;
         if room && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
-            open(engine);
+            self.open_one(engine, node, address);
         }
         Some(channel)
     }
 
+    /// Without a note for so long a connection may be dead.
+    fn quiet(&self) -> f64 {
+        QUIET.max(QUIET_NOTES * self.terms.notes_every)
+    }
+
+    fn open_one(self: &Rc<Self>, engine: &mut Engine, node: u64, address: SocketAddr) -> Rc<Channel> {
+        let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
+        let channel = Rc::new(Channel { node, connection, notify });
+        engine.connections.push(channel.clone());
+        self.connections.set(self.connections.get() + 1);
+        self.exchange.counters.connections_to_engines.add();
+        self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
+        channel
+    }
+
+    /// Opens a connection to see whether the engine is there, unless one is coming up.
+    fn check(self: &Rc<Self>, node: u64) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&node) else { return };
+        let coming = engine.connections.iter().any(|c| c.connection.borrow().state == State::Connecting);
+        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE
+            && self.connections.get() < self.terms.most_connections;
+        if let Some(address) = engine.address.filter(|_| room && !coming) {
+            self.open_one(engine, node, address);
+        }
+    }
+
     fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
         let id = self.exchange.with(query, |q| q.id.clone())?;
         let engines = self.engines.borrow();
@@ -241,13 +266,12 @@
         let mut connection = channel.connection.borrow_mut();
         let Some((submission, begun)) = connection.give_up(id, now) else { return };
         // Nothing came for longer than notes take: the connection may be dead, and the next one will tell.
-        let quiet = QUIET.max(QUIET_NOTES * self.terms.notes_every);
-        let dead = begun && now - connection.heard.max(submission.sent) > quiet;
+        let dead = begun && now - connection.heard.max(submission.sent) > self.quiet();
         connection.retired |= dead;
         drop(connection);
         channel.notify.notify();
         if dead {
-            self.retire_idle(channel.node);
+            self.fell_silent(channel.node);
         }
         let Submission { query, number, sent, .. } = submission;
         let outcome = if begun { outcome } else { Outcome::NoConnection };
@@ -257,11 +281,27 @@
         self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
     }
 
-    /// What idles at an engine that fell silent may be as dead: the next one tells sooner whether it is there.
-    fn retire_idle(&self, node: u64) {
-        if let Some(engine) = self.engines.borrow().get(&node) {
-            let idle = |channel: &&Rc<Channel>| channel.connection.borrow().out() == 0;
-            engine.connections.iter().filter(idle).for_each(|channel| channel.retire());
+    /// What idles at an engine that fell silent, and at the others of its hall, may be as dead: the next connections
+    /// tell sooner whether they are there.
+    fn fell_silent(&self, node: u64) {
+        let engines = self.engines.borrow();
+        let Some(silent) = engines.get(&node) else { return };
+        let near = engines.values().filter(|engine| engine.hall == silent.hall);
+        let idle = |channel: &&Rc<Channel>| channel.connection.borrow().out() == 0;
+        near.flat_map(|engine| &engine.connections).filter(idle).for_each(|channel| channel.retire());
+    }
+
+    /// No connection comes up: what went out on those that had idled, and told nothing since, has reached nobody
+    /// either, as far as can be known.
+    fn not_there(&self, node: u64) {
+        self.fell_silent(node);
+        let engines = self.engines.borrow();
+        for channel in engines.get(&node).into_iter().flat_map(|engine| &engine.connections) {
+            let mut connection = channel.connection.borrow_mut();
+            if connection.idled.is_some() && connection.out() > 0 {
+                connection.broken = Some((io::ErrorKind::NotConnected, "no other connection comes up"));
+                channel.notify.notify();
+            }
         }
     }
 
@@ -308,7 +348,7 @@
     }
 
     /// Ends what has run out of time, closes what is idle; the next time at which something will.
-    pub fn sweep(&self) -> f64 {
+    pub fn sweep(self: &Rc<Self>) -> f64 {
         let now = self.clock.now();
         let mut settling = self.settling.borrow_mut();
         while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
@@ -324,7 +364,9 @@
         let channels: Vec<(bool, Rc<Channel>)> = self.engines.borrow().values().flat_map(channels).collect();
         let mut next = settling.front().map_or(f64::INFINITY, |(at, _)| *at);
         drop(settling);
-        let longest = self.trust.borrow_mut().longest(now).min(IDLE_PART * self.terms.idle);
+        let longest = self.trust.borrow_mut().longest(now);
+        let keeps_one_ahead = longest <= trust::LEAST;
+        let (told, mut checks) = (IDLE_PART * self.terms.idle, Vec::new());
         for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
@@ -341,14 +383,18 @@
                 self.exchange.happened(Event::Probed { node: channel.node, outcome: Outcome::Timeout });
             }
             if connection.partial.take_if(|since| now - *since >= STALL).is_some() {
-                connection.broken = Some("an answer stopped short");
+                connection.broken = Some((io::ErrorKind::InvalidData, "an answer stopped short"));
                 channel.notify.notify();
             }
             let idles = match (connection.fresh, last) {
-                (true, _) => IDLE_PART * self.terms.idle,
-                (false, true) => longest,
-                (false, false) => trust::LEAST,
+                (true, _) if keeps_one_ahead => told,
+                (_, true) => longest.min(told),
+                (_, false) => trust::LEAST,
             };
+            if connection.check_at <= now {
+                connection.check_at = f64::INFINITY;
+                checks.extend(connection.idled.filter(|_| connection.out() > 0).map(|_| channel.node));
+            }
             connection.retired |= unheard || connection.out() == 0 && now - connection.used > idles;
             if connection.retired {
                 // What gives up the last submission goes out before the close, if it can.
@@ -359,8 +405,10 @@
             }
             let times =
                 connection.submissions.values().map(|s| s.until).chain(connection.probes.iter().map(|p| p.2));
-            next = times.chain(connection.partial.map(|since| since + STALL)).fold(next, f64::min);
+            let times = times.chain(connection.partial.map(|since| since + STALL));
+            next = times.fold(next.min(connection.check_at), f64::min);
         }
+        checks.into_iter().for_each(|node| self.check(node));
         next
     }
 
@@ -451,7 +499,9 @@
         let mut submissions: Vec<(Rc<str>, Submission)> = connection.submissions.drain().collect();
         submissions.sort_by_key(|(_, s)| s.query);
         // Closed from here: what was out on it is given up by that.
-        let spoilt = end.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::InvalidData);
+        let kind = end.as_ref().err().map(io::Error::kind);
+        let spoilt = kind == Some(io::ErrorKind::InvalidData);
+        let given_up = spoilt || was_up && kind == Some(io::ErrorKind::NotConnected);
         if spoilt {
             self.exchange.counters.connections_spoilt.add();
         }
@@ -462,7 +512,7 @@
         }
         // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
         // idling and not of the engine, whose next connection will tell.
-        let idled = connection.idled.filter(|&(_, sent)| was_up && !spoilt && now - sent < trust::LEAST);
+        let idled = connection.idled.filter(|&(_, sent)| was_up && !given_up && now - sent < trust::LEAST);
         let idled = idled.filter(|_| !submissions.is_empty());
         if let Some((idled, _)) = idled {
             self.trust.borrow_mut().learn(now, idled, true);
@@ -474,7 +524,7 @@
             let ran = was_up && connection.went_out(&id);
             let outcome =
                 if ran { std::mem::replace(&mut first, Outcome::Cancelled) } else { Outcome::NoConnection };
-            if spoilt {
+            if given_up {
                 self.given_up(s.query, s.number, outcome, channel.node, now - s.sent);
             } else {
                 self.closed(s.query, s.number, outcome, channel.node, now - s.sent, Pages::new());
@@ -482,6 +532,10 @@
         }
         let outcome = if was_up { Outcome::Reset } else { Outcome::NoConnection };
         (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: channel.node, outcome }));
+        drop(connection);
+        if !was_up && kind == Some(io::ErrorKind::TimedOut) {
+            self.not_there(channel.node);
+        }
     }
 }
 
@@ -498,8 +552,8 @@
         let written = future::poll_fn(|context| {
             while channel.notify.poll_notified(context).is_ready() {}
             let connection = channel.connection.borrow();
-            if let Some(what) = connection.broken {
-                return Poll::Ready(Err(spoilt(what)));
+            if let Some((kind, what)) = connection.broken {
+                return Poll::Ready(Err(io::Error::new(kind, what)));
             }
             if connection.retired && connection.out() == 0 && !connection.has_waiting() {
                 return Poll::Ready(Ok(None));
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -2,13 +2,14 @@
 
 use serde_json::json;
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux_rig::client::{post_slowly as post_in_two, Ask};
-use tansymux_rig::engine::scripted as engine;
+use tansymux_rig::engine::{scripted as engine, vanishes};
 use tansymux_rig::names::{Listed, Names};
 use tansymux_rig::program::{class, free_address, get, Config, Program, WAIT};
 use tansymux_rig::record::{Record, Status};
@@ -324,6 +325,46 @@
     assert_eq!(program.counter("submissions_reset"), Some(0));
 }
 
+#[test]
+fn an_engine_that_takes_what_goes_out_and_says_nothing_is_checked_by_a_new_connection() {
+    // It answers, then vanishes: its connection stays open and mute, and no new one comes up.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, same) = (listener.local_addr().unwrap(), listener.try_clone().unwrap());
+    let vanished = Arc::new(AtomicBool::new(false));
+    let gone = vanished.clone();
+    thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let (mut reader, mut writer) = (BufReader::new(stream.try_clone().unwrap()), stream);
+        while let Some(parts) = wire::frame(&mut reader) {
+            if !gone.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(90));
+                say(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            }
+        }
+    });
+    let (other, _told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(90));
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let program = start(&[address, other]);
+    let ask = |id| {
+        let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", 9000.0);
+        ask.cost = Some(100.0);
+        let from = Instant::now();
+        let mut reader = BufReader::new(post_in_two(program.listen, &ask, 50, Duration::from_millis(1)));
+        assert_eq!(answer(&mut reader).map(|got| got.0), Some(200), "{id}");
+        from.elapsed()
+    };
+    (1..9).for_each(|id| drop(ask(id)));
+    thread::sleep(Duration::from_millis(150));
+    let _full = vanishes(&same);
+    vanished.store(true, Ordering::Relaxed);
+    // Without the check each that goes there waits for 900 ms: 400 and five times its run.
+    let longest = (9..25).map(ask).max().unwrap();
+    assert!((500..800).contains(&longest.as_millis()), "{longest:?}");
+    assert_eq!(program.counter("submissions_reset"), Some(1));
+}
+
 /// The fewest places, 32 of them for clients.
 fn small(config: Config) -> Config {
     config.with("limits", json!({"sockets": 64, "memory_mb": 32}))
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -37,6 +37,15 @@
     (address, told)
 }
 
+/// From now on no connection comes up at this listener, as at a machine that vanished, as long as what is returned is
+/// held and nobody accepts: its backlog is as short as it gets, and full.
+pub fn vanishes(listener: &TcpListener) -> Vec<TcpStream> {
+    let address = listener.local_addr().expect("a bound socket has an address");
+    socket2::SockRef::from(listener).listen(0).expect("a listener listens");
+    let next = || TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
+    std::iter::from_fn(next).collect()
+}
+
 /// What an engine does with what comes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
--- a/src/control.rs
+++ b/src/control.rs
@@ -350,11 +350,13 @@
         hung.is_some_and(|hung| hung.at(self.now, 0.0, ENGINE_FADES) > ERROR_DOUBT)
     }
 
-    /// A doubted engine gets one trial at a time, of a read-only query in the fast lane.
+    /// A doubted engine gets one trial at a time, of a read-only query in the fast lane; one that fell silent only
+    /// once a probe was answered, where probes are allowed.
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
         let may_try = !q.low && q.effect == Effect::ReadOnly;
-        !engine.suspect || may_try && self.now >= engine.trial
+        let shown = !(engine.silent && self.allowed.probes) || engine.heard >= engine.trial;
+        !engine.suspect || may_try && self.now >= engine.trial && shown
     }
 
     // ---- Sending: every submission passes here, and here the rules are kept ----
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -268,6 +268,26 @@
     );
 }
 
+#[test]
+fn an_engine_that_fell_silent_gets_a_trial_only_once_a_probe_was_answered() {
+    let mut c = gateway("limits.probes=1", TWO);
+    c.engines[1].work = 1e9;
+    for id in 0..2 {
+        ask(&mut c, 1.0, id, "load", 10.0);
+        close(&mut c, 2.0, id, 0, Outcome::Reset, 1);
+    }
+    assert!(c.engines[0].suspect && c.engines[0].silent);
+    let decided: Vec<String> = (10..20).flat_map(|id| ask(&mut c, 600.0, id, "look", 10.0)).collect();
+    assert_eq!(c.engines[0].open, 0, "the hole took a trial");
+    assert!(starts(&decided, "probe 1"), "{decided:?}");
+    round(&mut c, 650.0, |c, _| c.probed(1, Outcome::Timeout));
+    (20..30).for_each(|id| drop(ask(&mut c, 660.0, id, "look", 10.0)));
+    assert_eq!(c.engines[0].open, 0);
+    round(&mut c, 670.0, |c, _| c.probed(1, Outcome::Finished));
+    (30..50).for_each(|id| drop(ask(&mut c, 680.0, id, "look", 10.0)));
+    assert_eq!(c.engines[0].open, 1, "one trial");
+}
+
 #[test]
 fn a_query_that_fails_on_every_engine_raises_no_doubt_of_them() {
     let mut c = gateway("", TWO);
