Short waits are given up by the pace of answers, and no longer by a factor of two

At fault: the factor in `query`.

Now such a query needs time for a run as answers of its group come of late (the running median that is learned anyway).

--- a/src/control.rs
+++ b/src/control.rs
@@ -203,11 +203,12 @@
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
-        // No time for a run even at its best, or for no more than that of a client that gives less than others do: it
-        // is given up at once, as it would end late more often than not, and each such run keeps others from theirs.
+        // No time for a run even at its best, or, of a client that gives less than half of the usual, for one as answers
+        // come of late: it is given up at once, as it would end late more often than not and keep others from theirs.
         let (q, g, time) = (&self.queries[i], &self.groups[rg_index], due - self.now);
-        let part = if time < WELL_INSIDE * g.longest_wait { WELL_INSIDE } else { 1.0 };
-        let hopeless = q.cost / g.threads * g.best.exp() > part * time;
+        let short = time < WELL_INSIDE * g.longest_wait;
+        let slow = if short { g.pace } else { g.best };
+        let hopeless = q.cost / g.threads * slow.exp() > time;
         if self.its_turn(i) && !hopeless {
             self.place(i, out);
         } else if hopeless || self.now + self.alone(i) > due {
