--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -14,9 +14,9 @@
 use crate::notify::Notifications;
 use crate::operators;
 use crate::peers::Peers;
+use crate::signals::{self, Signal};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
-use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
 use serde_json::Value;
 use std::cell::Cell;
@@ -150,12 +150,11 @@
 
     /// Runs until all is answered after the signal to end.
     pub async fn run(mut self) {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-        let signals = match signals {
+        let signals = match signals::heard() {
             Ok(signals) => signals
                 .map(|signal| match signal {
-                    Ok(Signal::Hup) => Stir::ToldToReadAgain,
-                    _ => Stir::ToldToEnd,
+                    Signal::ReadAgain => Stir::ToldToReadAgain,
+                    Signal::End => Stir::ToldToEnd,
                 })
                 .boxed_local(),
             Err(e) => {
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -179,6 +179,9 @@
     /// lost without a sign goes on none that has idled, whatever is known of those.
     fn channel_for(self: &Rc<Self>, node: u64, id: &str, harmless: bool) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
+        // Where no more may be open, the one that idles longest gives way to a new one.
+        let full = self.connections.get() >= self.terms.most_connections;
+        let idlest = if full { idlest(&engines) } else { None };
         let engine = engines.get_mut(&node)?;
         let address = engine.address?;
         let now = self.clock.now();
@@ -193,20 +196,22 @@
         let taking = engine.connections.iter().filter_map(|channel| Some((order(channel)?, channel.clone())));
         let best =
             taking.min_by(|((a, used), _), ((b, other_used), _)| a.cmp(b).then(other_used.total_cmp(used)));
-        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE
-            && self.connections.get() < self.terms.most_connections;
+        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE && (!full || idlest.is_some());
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
         // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
         let channel = match best {
             Some((((usable, ..), _), channel)) if usable <= Use::Fresh || !room => channel,
-            _ if room => self.open_one(engine, node, address),
+            _ if room => {
+                idlest.iter().for_each(|idlest| idlest.retire());
+                self.open_one(engine, node, address)
+            }
             _ => {
                 tracing::warn!(engine = %format_args!("{node:08x}"), "no further connection: too many are open");
                 return None;
             }
         };
         let ahead = |other: &&Rc<Channel>| !Rc::ptr_eq(other, &channel) && other.connection.borrow().fresh;
-        if room && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
+        if room && !full && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
             self.open_one(engine, node, address);
         }
         Some(channel)
@@ -546,6 +551,13 @@
     }
 }
 
+/// The connection that has idled longest.
+fn idlest(engines: &FxHashMap<u64, Engine>) -> Option<Rc<Channel>> {
+    let since = |channel: &Rc<Channel>| channel.connection.borrow().idles_since();
+    let idle = engines.values().flat_map(|engine| &engine.connections).filter(|c| since(c).is_finite());
+    idle.min_by(|a, b| since(a).total_cmp(&since(b)).then(a.node.cmp(&b.node))).cloned()
+}
+
 /// Writes what waits, until the connection is retired and nothing is out; closing it gives up the rest.
 async fn write(channel: &Channel, stream: &Async<TcpStream>) -> io::Result<()> {
     loop {
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -20,6 +20,7 @@
 mod notify;
 mod operators;
 mod peers;
+mod signals;
 
 use async_executor::LocalExecutor;
 use clap::Parser;
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -121,17 +121,25 @@
 
     /// The same with its log written to where `log` says, and no wait.
     pub fn launch(exe: &Path, config: &Config, arguments: &[&str], log: Stdio) -> Self {
+        Program::prepared(exe, config, arguments, log, |_| ())
+    }
+
+    /// The same, with more done to the command before it runs.
+    pub fn prepared(
+        exe: &Path, config: &Config, arguments: &[&str], log: Stdio, prepare: impl FnOnce(&mut Command),
+    ) -> Self {
         let listen =
             config.0["listen"].as_str().and_then(|at| at.parse().ok()).expect("a configuration listens");
         let config = Scrap::new("config.json", &config.0.to_string());
-        let child = Command::new(exe)
+        let mut command = Command::new(exe);
+        command
             .args(arguments)
             .env("RELAY_CONFIG", &config.0)
             .env_remove("RELAY_LISTEN")
             .env_remove("TANSYMUX_OPERATOR")
-            .stderr(log)
-            .spawn()
-            .expect("the program can be started");
+            .stderr(log);
+        prepare(&mut command);
+        let child = command.spawn().expect("the program can be started");
         Program { child, listen, config }
     }
 
