Membership holds at 300, and permits, turns and releases are agreed among voters, in virtual time

Need: today each dispatcher drains and restarts for itself; the operators want never too many out at once, with a halt and a way back. Membership, the ground for it, did not converge at 300 (6,674 false deaths in a minute at 30% loss).

Cause at 300: tables were carried by news alone, whose queue was two orders too long for the datagrams; and a probe failed for 22 in 100 at 30% loss, 66 suspicions a second. At fault: `look_at_probe`, `period` and the queue in group.rs. Now tables are compared by digests, a probe is made three times, and two periods must fail.

New: crates/permits (records kept by a majority of voters under one leader's ballot, quarantine for a voter without memory, limits decided at one place), crates/releases (canaries, waves, halt, way back, a paired test, the member's own side, callers and turns). A scenario of the rig plays them in virtual time, supervisors and clocks included. It found, each mended: a turn counted free when its holder had crashed and come back before it was used (now told by the start under that turn), and a release forgotten when voters restart one after the other (members hand it back).

Nothing is wired in yet.

--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -18,8 +18,20 @@
 const HISTORY: usize = 128;
 /// Members that each datagram names beside its news.
 const REMINDERS: usize = 2;
-/// Datagrams in a period that answer joins.
-const MOST_JOIN_ANSWERS: usize = 400;
+/// Datagrams in a period that answer joins, and such that answer a comparison of tables.
+const MOST_JOIN_ANSWERS: usize = 60;
+const MOST_SYNC_ANSWERS: usize = 5;
+/// Tables are compared with one member each so many periods; in each one while the last comparison brought news.
+const SYNC_EVERY: f64 = 5.0;
+const UNSETTLED: u32 = 10;
+/// A member is asked so often in a period, and others as well from the second time on.
+const TRIES: u32 = 3;
+/// So many periods without an answer, one after the other, before others hear of a suspicion. On a network that loses
+/// three in ten, one period alone ends so for one probe in thirty: told at once, the refutations of 300 members
+/// could not be told on as fast as they were needed.
+const DOUBTS: u32 = 2;
+/// Messages for others than membership that wait to be taken.
+const MOST_CARRIED_IN: usize = 1024;
 
 /// Times in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
@@ -38,7 +50,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { period: 1000.0, timeout: 300.0, helpers: 3, suspicion: 2.0, seeds: Vec::new() }
+        Settings { period: 1000.0, timeout: 300.0, helpers: 3, suspicion: 1.5, seeds: Vec::new() }
     }
 }
 
@@ -52,6 +64,16 @@
     pub since: f64,
 }
 
+impl Member {
+    fn news(&self) -> News {
+        News { id: self.id, address: self.address, state: self.state, incarnation: self.incarnation }
+    }
+}
+
+fn bucket(id: Id) -> usize {
+    (id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 60) as usize % wire::BUCKETS
+}
+
 /// What became of a member.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Change {
@@ -66,7 +88,17 @@
     id: Id,
     number: u32,
     sent: f64,
-    asked_others: bool,
+    tries: u32,
+    /// Periods in which it has not answered.
+    doubts: u32,
+}
+
+/// A message that was carried for others than membership.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Carried {
+    pub from: Id,
+    pub address: SocketAddr,
+    pub content: Vec<u8>,
 }
 
 /// A probe that this member makes for another one.
@@ -94,6 +126,11 @@
     errands: Vec<Errand>,
     next_period: f64,
     next_join: f64,
+    next_sync: f64,
+    /// Periods for which tables are still compared in each.
+    unsettled: u32,
+    syncs_answered: usize,
+    carried: VecDeque<Carried>,
     number: u32,
     /// Datagrams that answered joins in this period.
     joins_answered: usize,
@@ -129,6 +166,10 @@
             errands,
             next_period: f64::NEG_INFINITY,
             next_join: f64::NEG_INFINITY,
+            next_sync: f64::NEG_INFINITY,
+            unsettled: UNSETTLED,
+            syncs_answered: 0,
+            carried: VecDeque::new(),
             number: 0,
             joins_answered: 0,
             slow: 0,
@@ -187,6 +228,25 @@
         }
     }
 
+    /// Sends a member what is not membership's; whether it is one that is there and the message fits.
+    pub fn carry(&mut self, to: Id, content: &[u8]) -> bool {
+        let address = self.members.get(&to).filter(|m| m.state <= State::Suspect).map(|m| m.address);
+        address.is_some_and(|address| self.carry_to(address, content))
+    }
+
+    /// The same to an address, as to one that asked without being a member.
+    pub fn carry_to(&mut self, to: SocketAddr, content: &[u8]) -> bool {
+        let Some(mut bytes) = wire::write_carried(self.id, content) else { return false };
+        self.seal.seal(&mut bytes);
+        self.out.push((to, bytes));
+        true
+    }
+
+    /// The next message that came for others than membership.
+    pub fn next_carried(&mut self) -> Option<Carried> {
+        self.carried.pop_front()
+    }
+
     fn own(&self, state: State) -> News {
         News { id: self.id, address: self.address, state, incarnation: self.incarnation }
     }
@@ -230,7 +290,7 @@
         for _ in 0..REMINDERS.min(room.saturating_sub(all.len())).min(self.members.len()) {
             let n = self.chance.random_range(0..self.members.len());
             if let Some(m) = self.members.values().nth(n).filter(|m| m.state <= State::Suspect) {
-                all.push(News { id: m.id, address: m.address, state: m.state, incarnation: m.incarnation });
+                all.push(m.news());
             }
         }
         all
@@ -270,6 +330,7 @@
             None => {
                 let News { id, address, state, incarnation } = news;
                 self.members.insert(id, Member { id, address, state, incarnation, since: now });
+                self.unsettled = self.unsettled.max(3);
                 // Where it comes in the round is drawn, so that all don't probe the newest at once.
                 let at = self.chance.random_range(0..=self.round.len());
                 self.round.insert(at, id);
@@ -324,13 +385,22 @@
             return;
         }
         let Some(sender) = wire::sender(bytes).filter(|sender| *sender != self.id) else { return };
-        let Some(datagram) = self.seal.open(sender, bytes).and_then(wire::read) else { return };
+        let Some(opened) = self.seal.open(sender, bytes) else { return };
+        if let Some(content) = wire::carried(opened) {
+            if self.carried.len() < MOST_CARRIED_IN {
+                let content = content.to_vec();
+                self.carried.push_back(Carried { from: sender, address: from, content });
+            }
+            return;
+        }
+        let Some(datagram) = wire::read(opened) else { return };
         datagram.news.iter().for_each(|news| self.hears(*news));
         match datagram.what {
             What::Ping => self.send_as(from, What::Ack, datagram.number),
             What::Join => self.answers_join(from, datagram.number),
             What::Ack => self.acked(sender, datagram.number),
             What::Heard(about) => self.heard(about, datagram.number),
+            What::Sync(digests) => self.answers_sync(from, &digests),
             What::Ask(about) => {
                 let Some(to) = self.members.get(&about).map(|member| member.address) else { return };
                 if self.errands.len() < MOST_MEMBERS {
@@ -346,21 +416,76 @@
     /// Whoever joins is told of all that are there, in as many datagrams as that takes; not of more in a period than
     /// a few newcomers need, as an answer is longer than the question.
     fn answers_join(&mut self, to: SocketAddr, number: u32) {
-        let all: Vec<News> = self
-            .there()
-            .map(|m| News { id: m.id, address: m.address, state: m.state, incarnation: m.incarnation })
-            .collect();
+        let all: Vec<News> = self.there().map(Member::news).collect();
         self.send_as(to, What::Ack, number);
-        for news in all.chunks(wire::room(What::Ack)) {
-            if self.joins_answered >= MOST_JOIN_ANSWERS {
-                return;
-            }
-            self.joins_answered += 1;
+        let room = MOST_JOIN_ANSWERS.saturating_sub(self.joins_answered);
+        self.joins_answered += self.tells_some(to, number, all, room);
+    }
+
+    /// Tells one of these, beginning anywhere, in at most so many datagrams; how many it took.
+    fn tells_some(&mut self, to: SocketAddr, number: u32, mut all: Vec<News>, most: usize) -> usize {
+        if all.is_empty() {
+            return 0;
+        }
+        let from = self.chance.random_range(0..all.len());
+        all.rotate_left(from);
+        let mut sent = 0;
+        for news in all.chunks(wire::room(What::Ack)).take(most) {
+            sent += 1;
             let datagram = Datagram { what: What::Ack, from: self.id, number, news: news.to_vec() };
             let mut bytes = wire::write(&datagram);
             self.seal.seal(&mut bytes);
             self.out.push((to, bytes));
         }
+        sent
+    }
+
+    /// A digest of each part of the table: of whom is there, in which incarnation.
+    fn digests(&self) -> [u32; wire::BUCKETS] {
+        let mut digests = [0_u32; wire::BUCKETS];
+        let own = (self.id, self.incarnation);
+        for (id, incarnation) in self.there().map(|m| (m.id, m.incarnation)).chain([own]) {
+            let mixed = (id ^ u64::from(incarnation).rotate_left(32)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            let digest = &mut digests[bucket(id)];
+            *digest = digest.wrapping_add((mixed >> 32) as u32);
+        }
+        digests
+    }
+
+    /// Tells what is known of the parts that differ, of the dead too.
+    fn answers_sync(&mut self, to: SocketAddr, theirs: &[u32; wire::BUCKETS]) {
+        let own = self.digests();
+        let differs = |id: Id| own[bucket(id)] != theirs[bucket(id)];
+        let mut some: Vec<News> =
+            self.members.values().filter(|member| differs(member.id)).map(Member::news).collect();
+        if differs(self.id) && !self.leaving {
+            some.push(self.own(State::Alive));
+        }
+        if !some.is_empty() {
+            let most = if self.unsettled > 0 { 3 * MOST_SYNC_ANSWERS } else { MOST_SYNC_ANSWERS };
+            let room = most.saturating_sub(self.syncs_answered);
+            self.syncs_answered += self.tells_some(to, 0, some, room);
+        }
+    }
+
+    /// Compares tables with one member: news that is told on is told on for a time only, and may miss some.
+    fn syncs(&mut self) {
+        if self.now < self.next_sync || self.leaving {
+            return;
+        }
+        let spread = 0.5 + self.chance.random::<f64>();
+        let every = if self.unsettled > 0 { 1.0 } else { SYNC_EVERY };
+        self.unsettled = self.unsettled.saturating_sub(1);
+        self.next_sync = self.now + every * spread * self.settings.period;
+        let there = self.there().count();
+        if there > 0 {
+            let n = self.chance.random_range(0..there);
+            let to = self.there().nth(n).map(|member| member.address);
+            let what = What::Sync(self.digests());
+            to.into_iter().for_each(|to| {
+                self.send(to, what);
+            });
+        }
     }
 
     fn acked(&mut self, from: Id, number: u32) {
@@ -400,6 +525,7 @@
         self.now = self.now.max(now);
         if !self.leaving {
             self.join();
+            self.syncs();
             self.look_at_probe();
             self.look_at_suspects();
             if self.now >= self.next_period {
@@ -408,8 +534,8 @@
             }
         }
         self.errands.retain(|errand| errand.until > self.now);
-        let probe = self.probe.map(|probe| probe.sent + self.settings.timeout * self.patience());
-        let next = probe.map_or(self.next_period, |at| at.min(self.next_period)).max(self.now + 1.0);
+        let probe = self.probe.map_or(f64::INFINITY, |probe| self.tries_again(&probe));
+        let next = probe.min(self.next_period).min(self.next_sync).max(self.now + 1.0);
         (std::mem::take(&mut self.out), next)
     }
 
@@ -437,9 +563,17 @@
 
     fn period(&mut self) {
         self.forget();
-        self.joins_answered = 0;
-        // What was probed in the last period and never answered is suspected before the next one is asked.
+        (self.joins_answered, self.syncs_answered) = (0, 0);
+        // What was probed in the last period and never answered is asked again in this one, and is suspected then.
         if let Some(probe) = self.probe.take() {
+            let there = self.members.get(&probe.id).filter(|m| m.state <= State::Suspect);
+            let suspected = there.is_none_or(|m| m.state == State::Suspect);
+            if let Some(to) = there.map(|m| m.address).filter(|_| !suspected && probe.doubts + 1 < DOUBTS) {
+                let number = self.send(to, What::Ping);
+                let (sent, doubts) = (self.now, probe.doubts + 1);
+                self.probe = Some(Probe { id: probe.id, number, sent, tries: 1, doubts });
+                return;
+            }
             self.slow = (self.slow + 1).min(MOST_SLOW);
             self.suspects(probe.id);
         }
@@ -449,7 +583,7 @@
                 continue;
             };
             let number = self.send(to, What::Ping);
-            self.probe = Some(Probe { id, number, sent: self.now, asked_others: false });
+            self.probe = Some(Probe { id, number, sent: self.now, tries: 1, doubts: 0 });
             return;
         }
         self.round = self.there().map(|member| member.id).collect();
@@ -458,18 +592,27 @@
         }
     }
 
-    fn look_at_probe(&mut self) {
-        let Some(probe) = self.probe.filter(|probe| !probe.asked_others) else { return };
-        if self.now - probe.sent < self.settings.timeout * self.patience() {
-            return;
+    /// When a probe without an answer is made again.
+    fn tries_again(&self, probe: &Probe) -> f64 {
+        if probe.tries >= TRIES {
+            return f64::INFINITY;
         }
+        probe.sent + self.settings.timeout * self.patience() * f64::from(probe.tries)
+    }
+
+    /// Asks once more, and others as well, of whom each time other ones are drawn.
+    fn look_at_probe(&mut self) {
+        let Some(probe) = self.probe.filter(|probe| self.now >= self.tries_again(probe)) else { return };
         let mut others: Vec<SocketAddr> =
             self.there().filter(|m| m.id != probe.id).map(|m| m.address).collect();
         for _ in 0..self.settings.helpers.min(others.len()) {
             let helper = others.swap_remove(self.chance.random_range(0..others.len()));
             self.send_as(helper, What::Ask(probe.id), probe.number);
         }
-        self.probe = Some(Probe { asked_others: true, ..probe });
+        if let Some(to) = self.members.get(&probe.id).map(|member| member.address) {
+            self.send_as(to, What::Ping, probe.number);
+        }
+        self.probe = Some(Probe { tries: probe.tries + 1, ..probe });
     }
 
     fn suspects(&mut self, id: Id) {
@@ -492,12 +635,8 @@
     fn look_at_suspects(&mut self) {
         let patience = self.suspicion();
         let over = |member: &&Member| member.state == State::Suspect && self.now - member.since >= patience;
-        let dead: Vec<News> = self
-            .members
-            .values()
-            .filter(over)
-            .map(|m| News { id: m.id, address: m.address, state: State::Dead, incarnation: m.incarnation })
-            .collect();
+        let dead: Vec<News> =
+            self.members.values().filter(over).map(|m| News { state: State::Dead, ..m.news() }).collect();
         dead.into_iter().for_each(|news| self.hears(news));
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,5 +17,5 @@
 pub mod seal;
 pub mod wire;
 
-pub use group::{Change, Group, Member, Settings, MOST_MEMBERS};
+pub use group::{Carried, Change, Group, Member, Settings, MOST_MEMBERS};
 pub use wire::{Id, State};
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -26,6 +26,8 @@
     /// Bits of the numbers below the highest that have come.
     seen: u64,
     old: Vec<u32>,
+    /// Of all that was believed, the last that was its.
+    used: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -34,12 +36,13 @@
     session: u32,
     number: u32,
     senders: HashMap<u64, Sender>,
+    believed: u64,
 }
 
 impl Seal {
     /// `session`: drawn anew at each start.
     pub fn new(keys: Keys, session: u32) -> Self {
-        Seal { keys, session, number: 0, senders: HashMap::new() }
+        Seal { keys, session, number: 0, senders: HashMap::new(), believed: 0 }
     }
 
     /// Takes on other keys; datagrams under the one that opens are still believed.
@@ -83,11 +86,16 @@
 
     /// Whether a number of a session has not come before.
     fn fresh(&mut self, sender: u64, session: u32, number: u32) -> bool {
+        // Only who has a key comes this far. The one heard of longest ago makes room: commands carry a number of
+        // the one that is asked besides, so that nothing of a sender that was forgotten can be played to it again.
         if !self.senders.contains_key(&sender) && self.senders.len() >= MOST_SENDERS {
-            return false;
+            let oldest = self.senders.iter().min_by_key(|(id, s)| (s.used, **id)).map(|(id, _)| *id);
+            oldest.and_then(|oldest| self.senders.remove(&oldest));
         }
-        let fresh = || Sender { session, highest: 0, seen: 0, old: Vec::new() };
+        self.believed += 1;
+        let fresh = || Sender { session, highest: 0, seen: 0, old: Vec::new(), used: 0 };
         let known = self.senders.entry(sender).or_insert_with(fresh);
+        known.used = self.believed;
         if known.session != session {
             if known.old.contains(&session) {
                 return false;
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -11,6 +11,13 @@
 const HEAD: usize = 3 + 8 + 4;
 const ABOUT: usize = 8;
 const ENTRY: usize = 8 + 4 + 2 + 1 + 4;
+/// Parts of the table whose digests are compared, each told in 4 bytes.
+pub const BUCKETS: usize = 16;
+const DIGEST: usize = 4 * BUCKETS;
+const SYNC: u8 = 5;
+const CARRY: u8 = 6;
+/// What a datagram carries for others than membership, at most.
+pub const MOST_CARRIED: usize = MOST - seal::LENGTH - HEAD;
 
 /// A member's number, drawn from its name: the same after a restart.
 pub type Id = u64;
@@ -50,6 +57,8 @@
     Heard(Id),
     /// Who is there? To a seed.
     Join,
+    /// What differs from this of what you know? A digest of each part of the table.
+    Sync([u32; BUCKETS]),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,7 +71,11 @@
 
 /// News that fit behind a head of this kind.
 pub fn room(what: What) -> usize {
-    let about = if matches!(what, What::Ask(_) | What::Heard(_)) { ABOUT } else { 0 };
+    let about = match what {
+        What::Ask(_) | What::Heard(_) => ABOUT,
+        What::Sync(_) => DIGEST,
+        What::Ping | What::Ack | What::Join => 0,
+    };
     (MOST - seal::LENGTH - HEAD - about) / ENTRY
 }
 
@@ -74,11 +87,15 @@
         What::Ask(id) => (2, Some(id)),
         What::Heard(id) => (3, Some(id)),
         What::Join => (4, None),
+        What::Sync(_) => (SYNC, None),
     };
     let mut bytes = vec![KIND, VERSION, code];
     bytes.extend_from_slice(&datagram.from.to_be_bytes());
     bytes.extend_from_slice(&datagram.number.to_be_bytes());
     bytes.extend(about.map(u64::to_be_bytes).into_iter().flatten());
+    if let What::Sync(digests) = datagram.what {
+        bytes.extend(digests.iter().flat_map(|digest| digest.to_be_bytes()));
+    }
     for news in datagram.news.iter().take(room(datagram.what)) {
         let IpAddr::V4(ip) = news.address.ip() else { continue };
         bytes.extend_from_slice(&news.id.to_be_bytes());
@@ -107,6 +124,11 @@
         2 => (What::Ask(about()?), HEAD + ABOUT),
         3 => (What::Heard(about()?), HEAD + ABOUT),
         4 => (What::Join, HEAD),
+        SYNC => {
+            let digests = bytes.get(HEAD..HEAD + DIGEST)?;
+            let one = |n: usize| u32::from_be_bytes(std::array::from_fn(|at| digests[4 * n + at]));
+            (What::Sync(std::array::from_fn(one)), HEAD + DIGEST)
+        }
         _ => return None,
     };
     let entry = |entry: &[u8]| {
@@ -129,3 +151,18 @@
     let news = bytes[at..].chunks_exact(ENTRY).filter_map(entry).take(room(What::Ping)).collect();
     Some(Datagram { what, from, number, news })
 }
+
+/// A datagram that carries what is not membership's; none where it is too long.
+pub fn write_carried(from: Id, content: &[u8]) -> Option<Vec<u8>> {
+    let mut bytes = vec![KIND, VERSION, CARRY];
+    bytes.extend_from_slice(&from.to_be_bytes());
+    bytes.extend_from_slice(&[0; 4]);
+    bytes.extend_from_slice(content);
+    (content.len() <= MOST_CARRIED).then_some(bytes)
+}
+
+/// What a datagram carries, if it is of that kind.
+pub fn carried(bytes: &[u8]) -> Option<&[u8]> {
+    sender(bytes)?;
+    (bytes[2] == CARRY).then(|| &bytes[HEAD..])
+}
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -317,6 +317,38 @@
     assert!(group.members().count() <= tansymux_membership::MOST_MEMBERS);
 }
 
+#[test]
+fn three_hundred_agree_and_under_heavy_loss_none_that_lives_is_buried() {
+    let mut net = Net::new(300, 12);
+    let took = net.until(30_000.0, all, Net::agrees);
+    assert!(took.is_some(), "{:?}", net.groups.iter().flatten().map(Group::count).min());
+    net.way = Way { loss: 0.3, ..GOOD };
+    let (bytes, from) = (net.bytes, net.now);
+    net.run(20_000.0, all);
+    let rate = (net.bytes - bytes) as f64 / (net.now - from) * 1000.0 / 300.0;
+    assert!(rate < 2048.0, "{rate} bytes a second each");
+    assert!(net.deaths() <= 2, "{}", net.deaths());
+    net.groups[299] = None;
+    let found = net.until(30_000.0, all, |net| net.holds(299) == 0);
+    assert!(found.is_some(), "{} still hold it for there", net.holds(299));
+}
+
+#[test]
+fn what_is_carried_arrives_as_it_was_and_is_no_news_of_members() {
+    let keys = Keys { seals: Some([7; 16]), opens: Some([7; 16]) };
+    let mut net = Net::with_keys(3, 13, keys);
+    net.until(10_000.0, all, Net::agrees).unwrap();
+    let content = vec![9; wire::MOST_CARRIED];
+    assert!(net.groups[0].as_mut().unwrap().carry(id_of("n1"), &content));
+    assert!(!net.groups[0].as_mut().unwrap().carry(id_of("nobody"), &content));
+    assert!(!net.groups[0].as_mut().unwrap().carry(id_of("n1"), &vec![9; wire::MOST_CARRIED + 1]));
+    net.run(100.0, all);
+    let carried = net.groups[1].as_mut().unwrap().next_carried().unwrap();
+    assert_eq!((carried.from, carried.content), (id_of("n0"), content));
+    assert!(net.groups[1].as_mut().unwrap().next_carried().is_none() && net.agrees());
+    assert!(net.longest <= wire::MOST);
+}
+
 /// What the pages say of it: `cargo test -p tansymux-membership --release -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement"]
--- /dev/null
+++ b/crates/releases/src/fleet.rs
@@ -0,0 +1,273 @@
+//! One member of a fleet, whole: membership, the voters, the leader's decisions, its own reports and calls.
+
+use crate::agent::{Agent, Own, To};
+use crate::message::{self, Message, Report};
+use crate::steward::{Steward, Told};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::net::SocketAddr;
+use tansymux_membership::seal::Keys;
+use tansymux_membership::wire::id_of;
+use tansymux_membership::{Carried, Group, State};
+use tansymux_permits::limits::Unit;
+use tansymux_permits::wire::Counted;
+use tansymux_permits::{Council, Id, Kind, Record, Stamp, Stand, Terms, Value, Why};
+
+/// Datagrams that tell one member what it does not know, for each of its reports.
+const MOST_NEWS: usize = 4;
+
+/// What a member is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub name: String,
+    pub address: SocketAddr,
+    /// Names of the voters.
+    pub voters: Vec<String>,
+    pub membership: tansymux_membership::Settings,
+    pub terms: Terms,
+    pub keys: Keys,
+    /// Whether no voter ever voted before: the first start of an installation.
+    pub fresh: bool,
+    /// The turn under which it is started, so that it is known to be back; 0: none.
+    pub turn: u64,
+    pub told: Told,
+}
+
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    group: Group,
+    council: Option<Council>,
+    steward: Steward,
+    agent: Agent,
+    /// Messages to itself.
+    own: Vec<Message>,
+    out: Vec<(SocketAddr, Vec<u8>)>,
+    now: f64,
+}
+
+impl Fleet {
+    /// `seed`: drawn anew at each start.
+    pub fn new(settings: &Settings, now: f64, seed: u64) -> Self {
+        let mut chance = Pcg32::seed_from_u64(seed);
+        let id = id_of(&settings.name);
+        let voters: Vec<Id> = settings.voters.iter().map(|name| id_of(name)).collect();
+        let keys = settings.keys.clone();
+        let membership = settings.membership.clone();
+        let group = Group::new(&settings.name, settings.address, 0, membership, keys, chance.random());
+        let council = voters.contains(&id).then(|| {
+            let seed = chance.random();
+            Council::new(id, &voters, settings.terms, now, settings.fresh, seed)
+        });
+        let agent = Agent::new(id, &voters, settings.turn, chance.random());
+        let steward = Steward::new(settings.told.clone());
+        Fleet { group, council, steward, agent, own: Vec::new(), out: Vec::new(), now }
+    }
+
+    pub fn id(&self) -> Id {
+        self.group.id()
+    }
+
+    pub fn session(&self) -> u32 {
+        self.agent.session()
+    }
+
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+
+    pub fn council(&self) -> Option<&Council> {
+        self.council.as_ref()
+    }
+
+    pub fn agent(&self) -> &Agent {
+        &self.agent
+    }
+
+    pub fn stand(&self) -> Option<Stand> {
+        self.council.as_ref().map(Council::stand)
+    }
+
+    /// Takes on what the operators' file says now.
+    pub fn set(&mut self, told: Told, keys: Keys) {
+        self.steward.set(told);
+        self.group.set_keys(keys);
+    }
+
+    /// What this dispatcher says of itself from now on.
+    pub fn says(&mut self, own: Own) {
+        self.agent.set(own);
+    }
+
+    /// The engines as its list tells them.
+    pub fn engines(&mut self, engines: &[Unit]) {
+        self.steward.engines(engines);
+    }
+
+    /// Whether an engine is out by agreement, and why.
+    pub fn engine_out(&self, engine: Id) -> Option<Why> {
+        let place = Record::key_of(Kind::Engine, engine);
+        self.agent.engines_out(self.now).find(|(key, _)| *key == place).map(|(_, why)| why)
+    }
+
+    /// How many engines are out by agreement, and a number that changes when they do.
+    pub fn engines_out(&self) -> (usize, u64) {
+        let places = self.agent.engines_out(self.now).map(|(key, _)| key);
+        places.fold((0, 0), |(many, sum), key| (many + 1, sum ^ key.rotate_left(7)))
+    }
+
+    /// Says that this member goes.
+    pub fn leave(&mut self, now: f64) {
+        self.group.leave(now);
+    }
+
+    pub fn handle(&mut self, now: f64, from: SocketAddr, bytes: &[u8]) {
+        self.now = self.now.max(now);
+        self.group.handle(self.now, from, bytes);
+        while let Some(carried) = self.group.next_carried() {
+            self.takes(carried);
+        }
+    }
+
+    fn takes(&mut self, carried: Carried) {
+        let Carried { from, address, content } = carried;
+        if !message::is_one(&content) {
+            if let (Some(council), Some(message)) =
+                (&mut self.council, tansymux_permits::wire::read(&content))
+            {
+                council.handle(self.now, from, message);
+            }
+            return;
+        }
+        let Some(message) = message::read(&content) else { return };
+        // Who is no member may call, and nothing else.
+        let member = self.group.state(from).is_some_and(|state| state <= State::Suspect);
+        match message {
+            Message::Hello { call } => self.agent.hello(self.now, address, call),
+            Message::Call { call, nonce, command } => {
+                self.agent.called(self.now, address, call, nonce, command)
+            }
+            message if member => self.hears(from, message),
+            _ => {}
+        }
+    }
+
+    fn hears(&mut self, from: Id, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Report(report) => self.reported(from, &report),
+            Message::News { leader, tick, records } => self.agent.news(now, from, leader, tick, records),
+            Message::Want => {
+                let all: Vec<Counted> = self.agent.records(now).collect();
+                for some in all.chunks(message::RECORDS).take(MOST_NEWS) {
+                    self.send(To::Member(from), &Message::Hand { records: some.to_vec() });
+                }
+            }
+            Message::Hand { records } => self.handed(records),
+            Message::Command { call, command } => {
+                let Some(council) = &mut self.council else { return };
+                let answer = self.steward.command(now, council, command);
+                self.send(To::Member(from), &Message::Answer { call, answer });
+            }
+            Message::Answer { call, answer } => self.agent.answered(now, call, answer),
+            Message::Hello { .. } | Message::Nonce { .. } | Message::Call { .. } => {}
+        }
+    }
+
+    /// A member's report to a voter: it is told who leads and what it does not know.
+    fn reported(&mut self, from: Id, report: &Report) {
+        let Some(council) = &mut self.council else { return };
+        let now = self.now;
+        council.heard_of(report.round);
+        self.steward.report(now, council, from, *report);
+        let leader = council.leader().unwrap_or(0);
+        let recalls = matches!(council.stand(), Stand::Recalls { .. });
+        let mut records: Vec<Counted> = Vec::new();
+        if council.digest() != report.digest && !recalls {
+            records.extend(council.records());
+            // Anywhere first: what one datagram leaves out, the next brings.
+            let at = if records.is_empty() { 0 } else { (now as usize / 7) % records.len() };
+            records.rotate_left(at);
+        }
+        // What it still knows after it was told all, this leader has forgotten: by a restart of voters one after the
+        // other. A new leader asks at once, before it decides anything.
+        let differs = council.digest() != report.digest;
+        let wants = council.leads(now) && self.steward.wants(now, council, from, differs);
+        let tick = Steward::tick(now);
+        let news = |records: &[Counted]| Message::News { leader, tick, records: records.to_vec() };
+        let all: Vec<Message> = if records.is_empty() {
+            vec![news(&[])]
+        } else {
+            records.chunks(message::RECORDS).take(MOST_NEWS).map(news).collect()
+        };
+        all.iter().for_each(|message| self.send(To::Member(from), message));
+        if wants {
+            self.send(To::Member(from), &Message::Want);
+        }
+    }
+
+    /// What a member still knows and the voters have forgotten: what must last is written anew. Turns end by
+    /// themselves and are not.
+    fn handed(&mut self, records: Vec<Counted>) {
+        let Some(council) = &mut self.council else { return };
+        let lasts = |value: &Value| match value {
+            Value::Halt { .. } | Value::Release { .. } => true,
+            Value::Out { why, .. } => matches!(why, Why::Drain | Why::Lost),
+            Value::Over => false,
+        };
+        for (record, _) in records {
+            let known = council.records().any(|(known, _)| known.key == record.key);
+            if council.leads(self.now) && !known && !record.is_over() {
+                let value = if lasts(&record.value) { record.value } else { Value::Over };
+                council.write(self.now, &[(record.key, value, None)]);
+            }
+        }
+    }
+
+    fn send(&mut self, to: To, message: &Message) {
+        match to {
+            To::Member(id) if id == self.group.id() => self.own.push(message.clone()),
+            To::Member(id) => drop(self.group.carry(id, &message::write(message))),
+            To::Address(address) => drop(self.group.carry_to(address, &message::write(message))),
+        }
+    }
+
+    /// What time brings; datagrams to send, and when to call again.
+    pub fn poll(&mut self, now: f64) -> (Vec<(SocketAddr, Vec<u8>)>, f64) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let mut next = f64::INFINITY;
+        if let Some(council) = &mut self.council {
+            let (messages, at) = council.poll(now);
+            next = next.min(at);
+            for (to, message) in messages {
+                self.group.carry(to, &tansymux_permits::wire::write(&message));
+            }
+            let members = self.group.members().map(|member| (member.id, member.state));
+            self.steward.members(members.chain([(self.group.id(), State::Alive)]));
+            self.steward.look(now, council);
+            // A voter knows itself what it keeps.
+            self.agent.learns(now, council.records());
+        }
+        let (messages, at) = self.agent.poll(now);
+        next = next.min(at);
+        for (to, message) in messages {
+            self.send(to, &message);
+        }
+        // What it tells itself may have it tell itself more, and that ends.
+        for _ in 0..4 {
+            for message in std::mem::take(&mut self.own) {
+                let own = self.group.id();
+                self.hears(own, message);
+            }
+        }
+        let (datagrams, at) = self.group.poll(now);
+        let mut out = std::mem::take(&mut self.out);
+        out.extend(datagrams);
+        (out, next.min(at))
+    }
+
+    /// The highest stamp that it knows of, and how many records that are not over.
+    pub fn known(&self) -> (Stamp, usize) {
+        (self.agent.highest(), self.agent.records(self.now).filter(|(record, _)| !record.is_over()).count())
+    }
+}
--- /dev/null
+++ b/crates/releases/src/plan.rs
@@ -0,0 +1,147 @@
+//! Whose turn it is in a release, and when it goes on.
+
+use crate::compare;
+use tansymux_permits::{Id, Stage};
+
+/// What the operators' file says of releases.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Plan {
+    /// How many go first, and how long they are looked at (ms).
+    pub canaries: usize,
+    pub canary: f64,
+    /// Where the first ones are too few to tell, it goes on all the same.
+    pub goes_on_untold: bool,
+    /// Halls in their order; the others follow by number.
+    pub halls: Vec<u32>,
+    /// Rest after a hall (ms).
+    pub pause: f64,
+    /// So many more members lost than at its start halt a release.
+    pub lost: usize,
+    pub compare: compare::Terms,
+}
+
+/// A dispatcher as a release sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Seen {
+    pub id: Id,
+    pub hall: u32,
+    pub version: u32,
+    pub there: bool,
+}
+
+/// A release under way.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Release {
+    pub number: u32,
+    pub to: u32,
+    /// 0: all that are not at `to`; their way back is none then.
+    pub from: u32,
+    pub stage: Stage,
+}
+
+/// Why a turn is not given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotYet {
+    /// No release goes there.
+    NoSuchRelease,
+    /// It is there already.
+    Already,
+    /// Others are first: the first few, or another hall.
+    Others,
+    /// The pause after a hall.
+    Pause,
+}
+
+/// The order in which the first few are drawn: by number of the release, the same for all who look.
+fn lot(id: Id, number: u32) -> u64 {
+    (id ^ u64::from(number))
+        .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        .rotate_left(31)
+        .wrapping_mul(0xBF58_476D_1CE4_E5B9)
+}
+
+impl Plan {
+    /// Who go first: of all that take part, in any version, so that those that went still count.
+    pub fn canaries(&self, release: &Release, seen: &[Seen]) -> Vec<Id> {
+        let takes_part =
+            |seen: &&Seen| seen.version == release.to || release.from == 0 || seen.version == release.from;
+        let mut drawn: Vec<(u64, Id)> =
+            seen.iter().filter(takes_part).map(|seen| (lot(seen.id, release.number), seen.id)).collect();
+        drawn.sort_unstable();
+        drawn.truncate(self.canaries);
+        drawn.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Where a hall stands in the order.
+    fn rank(&self, hall: u32) -> (usize, u32) {
+        (self.halls.iter().position(|h| *h == hall).unwrap_or(self.halls.len()), hall)
+    }
+
+    /// Whether a dispatcher has still to go, forward or back.
+    pub fn has_to_go(release: &Release, seen: &Seen) -> bool {
+        match release.stage {
+            Stage::Back => seen.version == release.to,
+            Stage::Canaries | Stage::Waves => {
+                seen.version != release.to && (release.from == 0 || seen.version == release.from)
+            }
+            Stage::Done | Stage::Undone => false,
+        }
+    }
+
+    /// The hall whose wave it is: the first in the order in which one has still to go, the last on the way back.
+    pub fn hall(&self, release: &Release, seen: &[Seen]) -> Option<u32> {
+        let halls = seen.iter().filter(|seen| Plan::has_to_go(release, seen)).map(|seen| seen.hall);
+        match release.stage {
+            Stage::Back => halls.max_by_key(|hall| self.rank(*hall)),
+            _ => halls.min_by_key(|hall| self.rank(*hall)),
+        }
+    }
+
+    /// The version that one that has a turn goes to.
+    pub fn target(release: &Release) -> u32 {
+        if release.stage == Stage::Back {
+            release.from
+        } else {
+            release.to
+        }
+    }
+
+    /// Whether a dispatcher that wants to go to a version may, as far as the order goes. `pauses`: the pause after a
+    /// hall is not over.
+    pub fn admits(
+        &self, release: Option<&Release>, seen: &[Seen], id: Id, to: u32, pauses: bool,
+    ) -> Result<(), NotYet> {
+        let release = release.filter(|release| Plan::target(release) == to).ok_or(NotYet::NoSuchRelease)?;
+        let own = seen.iter().find(|seen| seen.id == id).ok_or(NotYet::NoSuchRelease)?;
+        if !Plan::has_to_go(release, own) {
+            return Err(NotYet::Already);
+        }
+        match release.stage {
+            Stage::Canaries if self.canaries(release, seen).contains(&id) => Ok(()),
+            Stage::Canaries => Err(NotYet::Others),
+            _ if self.hall(release, seen) != Some(own.hall) => Err(NotYet::Others),
+            // On the way back nobody waits for longer than the limits say.
+            Stage::Waves if pauses => Err(NotYet::Pause),
+            _ => Ok(()),
+        }
+    }
+
+    /// The stage that follows from who is where; `told`: the first few were looked at for long enough.
+    pub fn next(&self, release: &Release, seen: &[Seen], told: bool) -> Stage {
+        let left = seen.iter().any(|seen| Plan::has_to_go(release, seen));
+        match release.stage {
+            Stage::Back if !left => Stage::Undone,
+            Stage::Canaries | Stage::Waves if !left => Stage::Done,
+            Stage::Canaries if told || self.canaries == 0 => Stage::Waves,
+            stage => stage,
+        }
+    }
+
+    /// Whether all of the first few went, and are there.
+    pub fn canaries_went(&self, release: &Release, seen: &[Seen]) -> bool {
+        let canaries = self.canaries(release, seen);
+        let went =
+            |id: &Id| seen.iter().any(|seen| seen.id == *id && seen.there && seen.version == release.to);
+        !canaries.is_empty() && canaries.iter().all(went)
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod corpus;
 pub mod demo;
 pub mod engine;
+pub mod fleet;
 pub mod halls;
 pub mod levels;
 pub mod measure;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tansymux_rig::fleet::{many, scenario::Scenario};
 use tansymux_rig::{demo, halls, levels, measure, program, replay};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
@@ -53,6 +54,27 @@
         #[arg(long, default_value_t = 2)]
         seeds: u64,
     },
+    /// Fleets: scenarios in virtual time, many seeds; exit 1 if one was broken
+    FleetVirtual {
+        #[arg(long, default_value_t = 5)]
+        members: usize,
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+        #[arg(long, default_value_t = 0)]
+        first: u64,
+        /// Loss on all links from the first to the last, beside the faults
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// No faults beside that
+        #[arg(long)]
+        calm: bool,
+        /// Without agreement, for comparison; what breaks is counted and no failure
+        #[arg(long)]
+        alone: bool,
+        /// A line for each run
+        #[arg(long)]
+        show: bool,
+    },
     /// Statements: accuracy of class and effect on both parts of the corpus
     Accuracy {
         #[arg(long, default_value_t = 1)]
@@ -123,6 +145,21 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::FleetVirtual { members, seeds, first, loss, calm, alone, show } => {
+            let of = |seed| {
+                let mixed = if calm { Scenario::calm(seed, members) } else { Scenario::mixed(seed, members) };
+                if loss > 0.0 {
+                    mixed.with_loss(loss)
+                } else {
+                    mixed
+                }
+            };
+            let (table, broken) = many(first..first + seeds, of, alone, show);
+            print!("{table}");
+            if broken && !alone {
+                return ExitCode::FAILURE;
+            }
+        }
         Command::Reaction { seconds, seeds } => print!("{}", levels::reaction(&exe(), seconds, seeds)),
         Command::Quarters { seconds, seeds } => print!("{}", levels::quarters(&exe(), seconds, seeds)),
         Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
