A fleet on sockets: turns, drains and releases agreed between running dispatchers

Need: the decisions of permits and releases were in no program, and no test started several of them and broke what lies between.

Change: a `fleet` block of the operators' file (off without it), its datagrams on a socket of its own, `tansymux fleet status|turn|drain|undrain|release|halt|resume|back|forget`, engines out by agreement given to the decisions as draining and, when they come back, as just started; evidence of bad engines. The rig's `fleet` starts real processes with a relay on every link (drop, double, delay, disorder, one-way and other cuts), stalls and kills them, and checks who is out on its own clock.

Found by the model check (stateright, three voters, one may be out), each by its path, and mended: a stamp of a majority that had forgotten was lower than one from before and hid a turn (`keep` in council.rs: what is past yields to what counts); a stopped voter read an old message as new (`wakes`: it takes itself for one that has forgotten); an end told again lived longer each time.

--- a/crates/dispatcher/src/cli.rs
+++ b/crates/dispatcher/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Decides which engine of a pool runs each query, and which queries are deferred at once.
@@ -52,10 +53,59 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Calls a member of the fleet: turns, drains, releases, halt and the way back
+    Fleet(Fleet),
     /// Reads statements and writes a JSON line for each: class, effect, shape, cost and tables
     Classify(Classify),
 }
 
+/// Exit codes beside the others: 3 halted, 4 given up in time or nobody leads.
+#[derive(Debug, Args)]
+pub struct Fleet {
+    /// Which member is called; its own of the operators' file if absent
+    #[arg(long, value_name = "ADDRESS", global = true)]
+    pub member: Option<SocketAddr>,
+    #[command(subcommand)]
+    pub command: FleetCommand,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum FleetCommand {
+    /// Who leads, who is out, what is halted, how far a release is
+    Status,
+    /// Waits until a dispatcher may be out, to be restarted; writes the turn's number and how many seconds it holds
+    Turn {
+        /// The version that it comes back with; without it, the one that it has
+        #[arg(long, value_name = "VERSION")]
+        to: Option<String>,
+        /// The one that is called if absent
+        #[arg(long, value_name = "NAME")]
+        dispatcher: Option<String>,
+        /// How long it waits at most
+        #[arg(long, value_name = "SECONDS", default_value_t = 600.0)]
+        wait_s: f64,
+    },
+    /// Puts an engine out, under the limits
+    Drain { engine: String },
+    /// Lets it in again
+    Undrain { engine: String },
+    /// Begins a release
+    Release {
+        to: String,
+        /// Only those at this version, and back to it if it comes to that
+        #[arg(long, value_name = "VERSION")]
+        from: Option<String>,
+    },
+    /// Nothing new goes out from now on
+    Halt,
+    /// Ends the halt that stands
+    Resume,
+    /// Those that were released go back
+    Back,
+    /// One that is lost does not come back
+    Forget { dispatcher: String },
+}
+
 #[derive(Debug, Args)]
 pub struct Classify {
     /// Each line is a statement, and not an object with `id` and `statement`
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of what was taken in, sent and answered.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::interface::Outcome;
 
@@ -17,11 +17,16 @@
     }
 }
 
+/// Writes the lines of a part.
+pub type Line = Box<dyn Fn(&mut String)>;
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
+            /// Lines of parts that are on.
+            pub more: RefCell<Vec<Line>>,
             /// How submissions ended, in the order of `OUTCOMES`.
             pub ended: [Count; OUTCOMES.len()],
         }
@@ -97,6 +102,7 @@
         let _ = writeln!(text, "unanswered {}", self.taken.get().saturating_sub(answered.iter().sum()));
         let _ = writeln!(text, "in_hand {in_hand}");
         let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
+        self.more.borrow().iter().for_each(|line| line(&mut text));
         text
     }
 }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use crate::config::{self, Launch};
 use crate::engine::EngineSide;
 use crate::exchange::{Answer, Event, Exchange, Query};
+use crate::fleet::FleetSide;
 use crate::halls::Halls;
 use crate::levels::{Levels, Limits};
 use crate::log;
@@ -68,6 +69,9 @@
     halls: Rc<Halls>,
     engines: Rc<EngineSide>,
     peers: Option<Rc<Peers>>,
+    fleet: Option<Rc<FleetSide>>,
+    /// Descriptors that it may hold.
+    sockets: f64,
     accepting: Option<Task<()>>,
     others: Vec<Task<()>>,
     /// The configuration in force, and the part of it that may change.
@@ -119,6 +123,9 @@
             }
             None => None,
         };
+        let fleet =
+            FleetSide::start(operator.fleet.as_ref(), &config.told, clock, exchange.clone(), config.seed)?;
+        others.extend(fleet.iter().map(|fleet| executor.spawn(fleet.clone().run())));
         exchange.happened(Event::List { form: ListForm::Remembered, engines: config.directory.all() });
         let resolver = Rc::new(Cell::new(config.resolver));
         let follow = names::follow(exchange.clone(), resolver.clone(), config.directory, config.seed as u16);
@@ -138,6 +145,8 @@
             halls,
             engines,
             peers,
+            fleet,
+            sockets: config.sockets,
             accepting,
             others,
             text,
@@ -182,7 +191,8 @@
         let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
         let halls = &*self.halls;
         let (exchange, engines, classes) = (&*self.exchange, &*self.engines, &*self.classes);
-        let mut feed = Events { exchange, engines, classes, levels, halls, now };
+        let fleet = self.fleet.as_deref();
+        let mut feed = Events { exchange, engines, classes, levels, halls, fleet, now };
         let peers = self.peers.as_deref();
         let mut decisions =
             Decisions { exchange: &self.exchange, peers, levels, now, timer: &mut self.timer };
@@ -204,6 +214,13 @@
             }
             halls.spills(|hall| self.control.spilled(hall), &mut self.clients.spilled.borrow_mut());
         }
+        if let Some(fleet) = &self.fleet {
+            let changed =
+                fleet.look(now, descriptors as f64 / self.sockets.max(1.0), self.control.threads_out());
+            if !changed.is_empty() {
+                self.exchange.happened(Event::List { form: ListForm::Changes, engines: changed });
+            }
+        }
         self.engines.carry_out();
         self.advance(now);
         next.min(self.timer).min(now + LONGEST_SLEEP)
@@ -239,6 +256,7 @@
             self.control.hasten(by);
             self.exchange.hasten(by);
             self.engines.hasten(by);
+            self.fleet.iter().for_each(|fleet| fleet.leave());
             self.phase = Phase::Closing { since: now };
         }
     }
@@ -289,6 +307,11 @@
         self.classes.set(operator.statements.as_ref());
         self.levels.set(operator.levels.as_ref(), self.clock.now(), &mut self.control);
         self.halls.set(operator.halls.as_ref(), self.clock.now(), &mut self.control);
+        match &self.fleet {
+            Some(fleet) => fleet.set(operator.fleet.as_ref()),
+            None if operator.fleet.is_some() => tracing::warn!("the fleet waits for the next start"),
+            None => {}
+        }
     }
 
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
@@ -318,6 +341,7 @@
     classes: &'a Classes,
     levels: &'a Levels,
     halls: &'a Halls,
+    fleet: Option<&'a FleetSide>,
     now: f64,
 }
 
@@ -348,6 +372,7 @@
                     let taken =
                         |q: &Query| Some(Taken { shape: q.shape?, rg: q.rg.clone(), waited: q.waited });
                     self.halls.ended(self.now, node, outcome);
+                    self.fleet.iter().for_each(|fleet| fleet.ended(self.now, node, outcome));
                     if let Some(taken) = self.exchange.with(query, taken).flatten() {
                         self.classes.ended(&taken, node, latency, outcome, self.now);
                     }
@@ -372,7 +397,8 @@
                     self.halls.ended(self.now, node, outcome);
                     control.probed(node, outcome);
                 }
-                Event::List { form, engines } => {
+                Event::List { form, mut engines } => {
+                    self.fleet.iter().for_each(|fleet| fleet.listed(&mut engines));
                     self.classes.listed(&engines);
                     self.halls.listed(self.now, &engines);
                     control.list_begins(form);
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,5 +1,6 @@
 //! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
 
+mod call;
 mod check;
 mod classes;
 mod classify;
@@ -12,6 +13,7 @@
 mod dns;
 mod engine;
 mod exchange;
+mod fleet;
 mod halls;
 mod levels;
 mod log;
@@ -34,6 +36,13 @@
     match &cli.command {
         None | Some(Command::Serve) => serve(cli.common),
         Some(Command::Check { files }) => check::run(files),
+        Some(Command::Fleet(how)) => {
+            let operator = match operators::read_if(cli.common.operator.as_deref()) {
+                Ok(operator) => operator,
+                Err(faults) => return failed(&faults.join("\ntansymux: ")),
+            };
+            call::run(how, &operator).unwrap_or_else(|e| failed(&e))
+        }
         Some(Command::Classify(how)) => {
             let operator = match operators::read_if(cli.common.operator.as_deref()) {
                 Ok(operator) => operator,
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -54,6 +54,9 @@
     if let Some(halls) = &operator.halls {
         crate::halls::check(halls, &mut faults);
     }
+    if let Some(fleet) = &operator.fleet {
+        crate::fleet::check(fleet, &mut faults);
+    }
     faults.all
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,10 +5,12 @@
 //! text and gives either the whole or all its faults. Start reading at [`read`].
 
 mod check;
+mod fleet;
 mod halls;
 mod levels;
 mod place;
 
+pub use fleet::{fleet, number_of};
 pub use halls::halls;
 pub use levels::definition;
 use place::Places;
--- a/crates/permits/src/council.rs
+++ b/crates/permits/src/council.rs
@@ -26,18 +26,21 @@
     pub skew: f64,
     /// What was not answered is said again after so long.
     pub again: f64,
+    /// The longest that a message is under way.
+    pub late: f64,
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { lead: 3000.0, permit: 60_000.0, skew: 0.02, again: 300.0 }
+        Terms { lead: 3000.0, permit: 60_000.0, skew: 0.02, again: 300.0, late: 10_000.0 }
     }
 }
 
 impl Terms {
-    /// How long a voter without memory keeps still: all that it may have promised or kept for others is over then.
+    /// How long a voter without memory keeps still: all that it may have promised or kept for others is over then, with
+    /// what was still on its way to somebody.
     pub fn quarantine(&self) -> f64 {
-        (self.permit.max(self.lead) + self.lead) * (1.0 + 2.0 * self.skew)
+        (self.permit.max(self.lead) + 2.0 * self.lead + self.late) * (1.0 + 2.0 * self.skew)
     }
 }
 
@@ -121,8 +124,10 @@
 
 impl Council {
     /// `fresh`: whether it is known that it never voted before, as at the first start of an installation; a voter
-    /// that may have forgotten keeps still for [`Terms::quarantine`].
-    pub fn new(id: Id, voters: &[Id], terms: Terms, now: f64, fresh: bool, seed: u64) -> Self {
+    /// that may have forgotten keeps still for [`Terms::quarantine`]. `round`: above those that it may have forgotten,
+    /// as far as that can be told (the seconds of the day's clock); turns do not hang on it, what lasts does where a
+    /// majority has forgotten and one that has not was cut off all the time.
+    pub fn new(id: Id, voters: &[Id], terms: Terms, now: f64, fresh: bool, round: u32, seed: u64) -> Self {
         let mut voters = voters.to_vec();
         voters.sort_unstable();
         voters.dedup();
@@ -134,7 +139,7 @@
             chance: Pcg32::seed_from_u64(seed),
             now,
             promised: Ballot::default(),
-            round: 0,
+            round,
             heard: f64::NEG_INFINITY,
             recalls,
             kept: BTreeMap::new(),
@@ -258,7 +263,7 @@
     /// A round that was heard of: the next ballot of this one is above it.
     pub fn heard_of(&mut self, round: u32) {
         // A forged round at the end of all would leave none above it.
-        if round < u32::MAX / 2 {
+        if round < u32::MAX - 1_000_000 {
             self.round = self.round.max(round);
         }
     }
@@ -268,7 +273,7 @@
     /// Writes records, each with how long it counts (ms); the number under which `agreed` tells of it, or none where
     /// this one does not lead or has no room.
     pub fn write(&mut self, now: f64, records: &[(u64, Value, Option<f64>)]) -> Option<(Ballot, u32)> {
-        self.now = self.now.max(now);
+        self.wakes(now);
         let Role::Leader(leader) = &mut self.role else { return None };
         let new = records.iter().filter(|(key, ..)| !self.kept.contains_key(key)).count();
         let room = records.len() <= wire::RECORDS && leader.writes.len() < MOST_WRITES;
@@ -281,7 +286,14 @@
         for (key, value, term) in records {
             leader.stamps += 1;
             let record = Record { key: *key, stamp: Stamp { ballot, number: leader.stamps }, value: *value };
-            let until = term.map_or(f64::INFINITY, |term| now + term * (1.0 + self.terms.skew));
+            let until = match (value, self.kept.get(key)) {
+                // That something is over is told for as long as what is over may count somewhere yet.
+                (Value::Over, Some(known)) if known.record.is_over() => known.until,
+                (Value::Over, Some(known)) if known.until.is_finite() => {
+                    now + (known.until - now).max(0.0) * (1.0 + self.terms.skew) + self.terms.lead
+                }
+                _ => term.map_or(f64::INFINITY, |term| now + term * (1.0 + self.terms.skew)),
+            };
             let kept = Kept { record, until, since: now };
             self.kept.insert(*key, kept);
             written.push(kept);
@@ -342,8 +354,18 @@
 
     // ---- Messages ----
 
-    pub fn handle(&mut self, now: f64, from: Id, message: Message) {
+    /// A process that was stopped reads what was sent long ago as if it were new, so it takes itself for one that has
+    /// forgotten.
+    fn wakes(&mut self, now: f64) {
+        if now - self.now >= self.terms.lead {
+            self.stands_down();
+            self.recalls = self.recalls.max(now + self.terms.quarantine());
+        }
         self.now = self.now.max(now);
+    }
+
+    pub fn handle(&mut self, now: f64, from: Id, message: Message) {
+        self.wakes(now);
         if from == self.id || !self.voters.contains(&from) {
             return;
         }
@@ -458,15 +480,30 @@
         self.settles();
     }
 
-    /// Keeps a record if it is the later one; of the same one, the longer time.
+    /// Keeps a record if it is the later one. Where a majority has forgotten, rounds may begin anew, so a stamp alone
+    /// proves nothing against time: what is past yields to what counts, whatever its stamp, and of two that count for
+    /// the same one the longer time holds.
     fn keep(&mut self, (record, left): Counted) {
-        let until = left.map_or(f64::INFINITY, |left| self.now + f64::from(left) * (1.0 + self.terms.skew));
-        let kept = Kept { record, until, since: self.now };
+        let now = self.now;
+        let until = left.map_or(f64::INFINITY, |left| now + f64::from(left) * (1.0 + self.terms.skew));
+        let kept = Kept { record, until, since: now };
         let room = self.kept.len() < MOST_RECORDS;
         match self.kept.get_mut(&record.key) {
-            Some(known) if known.record.stamp < record.stamp => *known = kept,
-            Some(known) if known.record.stamp == record.stamp => known.until = known.until.max(until),
-            Some(_) => {}
+            Some(known) => match (now < known.until, now < until) {
+                (true, false) => {}
+                (false, true) => *known = kept,
+                _ => {
+                    let longer = if record.is_over() || known.record.is_over() {
+                        f64::NEG_INFINITY
+                    } else {
+                        known.until.max(until)
+                    };
+                    if known.record.stamp < record.stamp {
+                        *known = kept;
+                    }
+                    known.until = known.until.max(longer);
+                }
+            },
             None if room => {
                 self.kept.insert(record.key, kept);
             }
@@ -543,7 +580,7 @@
 
     /// What time brings; messages to send, and when to call again.
     pub fn poll(&mut self, now: f64) -> (Vec<(Id, Message)>, f64) {
-        self.now = self.now.max(now);
+        self.wakes(now);
         let now = self.now;
         self.kept.retain(|_, kept| !kept.record.is_over() || now - kept.since < OVER_FOR);
         let backed = match &self.role {
--- a/crates/releases/src/agent.rs
+++ b/crates/releases/src/agent.rs
@@ -145,8 +145,12 @@
             let copy = Copied { record, until, since: now };
             let room = self.copies.len() < MOST_RECORDS;
             match self.copies.get_mut(&record.key) {
-                Some(known) if known.record.stamp < record.stamp => *known = copy,
-                Some(_) => {}
+                Some(known) => match (now < known.until, now < until) {
+                    (true, false) => {}
+                    (false, true) => *known = copy,
+                    _ if known.record.stamp < record.stamp => *known = copy,
+                    _ => {}
+                },
                 None if room => drop(self.copies.insert(record.key, copy)),
                 None => {}
             }
@@ -179,10 +183,9 @@
     }
 
     pub fn news(&mut self, now: f64, from: Id, leader: Id, tick: u32, records: Vec<Counted>) {
-        // A word that was overtaken on its way is not the latest.
-        if self.tick.is_none_or(|(id, last)| id != from || tick.wrapping_sub(last) < u32::MAX / 2) {
-            self.tick = Some((from, tick));
-        }
+        // A word that was overtaken on its way may take its place for a while: the teller knows its own ticks. They are
+        // not compared here, as its clock may have begun anew.
+        self.tick = Some((from, tick));
         if leader != 0 {
             // Of another than itself a voter may be wrong for a while.
             let known = self.leader(now).is_some_and(|known| known == leader);
--- a/crates/releases/src/fleet.rs
+++ b/crates/releases/src/fleet.rs
@@ -56,7 +56,8 @@
         let group = Group::new(&settings.name, settings.address, 0, membership, keys, chance.random());
         let council = voters.contains(&id).then(|| {
             let seed = chance.random();
-            Council::new(id, &voters, settings.terms, now, settings.fresh, seed)
+            let round = (now / 1000.0) as u32;
+            Council::new(id, &voters, settings.terms, now, settings.fresh, round, seed)
         });
         let agent = Agent::new(id, &voters, settings.turn, chance.random());
         let steward = Steward::new(settings.told.clone());
--- a/crates/releases/src/lib.rs
+++ b/crates/releases/src/lib.rs
@@ -17,6 +17,7 @@
 mod agent;
 mod caller;
 pub mod compare;
+pub mod evidence;
 mod fleet;
 pub mod message;
 pub mod plan;
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -141,3 +141,13 @@
     );
     text
 }
+
+/// A scenario from a file.
+///
+/// # Errors
+/// The file can't be read, or is no scenario; the text names the file and the place.
+pub fn read(path: &std::path::Path) -> Result<Scenario, String> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{name}: {e}"))
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tansymux_rig::fleet::{many, scenario::Scenario};
+use tansymux_rig::fleet::{self, many, scenario::Scenario};
 use tansymux_rig::{demo, halls, levels, measure, program, replay};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
@@ -54,6 +54,30 @@
         #[arg(long, default_value_t = 2)]
         seeds: u64,
     },
+    /// Fleets: scenarios on real processes with a relay on every link; exit 1 if one was broken
+    Fleet {
+        #[arg(long, default_value_t = 5)]
+        members: usize,
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// No faults
+        #[arg(long)]
+        calm: bool,
+        /// Without agreement, for comparison
+        #[arg(long)]
+        alone: bool,
+        /// A scenario from a file, as `--show` writes it, and not from a seed
+        #[arg(long)]
+        file: Option<PathBuf>,
+        /// Writes the scenario and does not play it
+        #[arg(long)]
+        show: bool,
+        /// A folder for the processes' logs
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
     /// Fleets: scenarios in virtual time, many seeds; exit 1 if one was broken
     FleetVirtual {
         #[arg(long, default_value_t = 5)]
@@ -145,6 +169,37 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::Fleet { members, seeds, first, calm, alone, file, show, logs } => {
+            let of = |seed| match &file {
+                Some(path) => fleet::read(path),
+                None if calm => Ok(Scenario::calm(seed, members)),
+                None => Ok(Scenario::mixed(seed, members)),
+            };
+            let mut all = Vec::new();
+            for seed in first..first + seeds {
+                let scenario = match of(seed) {
+                    Ok(scenario) => scenario.on_processes(),
+                    Err(e) => {
+                        eprintln!("tansymux-rig: {e}");
+                        return ExitCode::FAILURE;
+                    }
+                };
+                if show {
+                    println!("{}", serde_json::to_string_pretty(&scenario).unwrap_or_default());
+                    continue;
+                }
+                let seen = fleet::processes::play(&exe(), scenario, alone, logs.as_deref());
+                println!("{}", seen.line());
+                if !seen.broken.is_empty() {
+                    println!("  again: tansymux-rig fleet --members {members} --first {seed} --seeds 1");
+                }
+                all.push(seen);
+            }
+            print!("{}", fleet::table(&all, false));
+            if !alone && all.iter().any(|seen| !seen.broken.is_empty()) {
+                return ExitCode::FAILURE;
+            }
+        }
         Command::FleetVirtual { members, seeds, first, loss, calm, alone, show } => {
             let of = |seed| {
                 let mixed = if calm { Scenario::calm(seed, members) } else { Scenario::mixed(seed, members) };
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Threads that what is out from here runs on, as far as is known: one for each that is not of the low lane.
+    pub fn threads_out(&self) -> f64 {
+        let of = |engine: &crate::state::Engine| engine.low_threads + (engine.open - engine.low_open) as f64;
+        self.engines.iter().map(of).sum()
+    }
+
     pub fn part_ready(&self) -> f64 {
         part(self.known().filter(|&e| self.engines[e].ready).count(), self.known().count())
     }
