The hard cases of drains and releases as tests, nine of them on running processes

Need: each case of the issue is to be caused, not assumed.

A turn that is late by up to half its length is no loss yet: calm releases with slow scripts had halted themselves (`LOST_AFTER` in steward.rs).

--- a/crates/releases/src/steward.rs
+++ b/crates/releases/src/steward.rs
@@ -10,6 +10,8 @@
 
 /// Lost ones that are written down in one look.
 const MOST_LOST_A_LOOK: usize = 24;
+/// One that had a turn and is not back after so many times its length is lost.
+const LOST_AFTER: f64 = 1.5;
 /// Members are asked for what they know no more often than that (ms).
 const WANT_EVERY: f64 = 100.0;
 /// Members whose reports are kept.
@@ -547,7 +549,8 @@
             let change = match why {
                 _ if back => Some((record.key, Value::Over, None)),
                 Why::Turn if stayed => Some((record.key, Value::Over, None)),
-                Why::Turn if over && !there => {
+                // It may have begun at the very end of its time; it counts as out all the while.
+                Why::Turn if over && !there && now - since >= LOST_AFTER * self.told.turn => {
                     Some((record.key, Value::Out { kind, why: Why::Lost, hall, session, grant }, None))
                 }
                 Why::Lost if over || there && proven > since => Some((record.key, Value::Over, None)),
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -499,6 +499,16 @@
             Fault::Halt { at } => drop(self.called(at, &["halt"])),
             Fault::Resume { at } => drop(self.called(at, &["resume"])),
             Fault::Back { at } => drop(self.called(at, &["back"])),
+            Fault::Limit { most } => {
+                let scenario = Scenario { most, ..self.scenario.clone() };
+                for n in 0..self.places.len() {
+                    let place = self.places[n].lock().expect("no holder panics");
+                    self.files[n].write(&text(&scenario, n, &self.relay, place.version, false));
+                    if let Some(program) = place.program.as_ref().filter(|_| !place.stalled) {
+                        program.signal("-HUP");
+                    }
+                }
+            }
         }
     }
 
--- a/crates/rig/src/fleet/scenario.rs
+++ b/crates/rig/src/fleet/scenario.rs
@@ -72,6 +72,10 @@
     Back {
         at: usize,
     },
+    /// The operators' files say so from now on, and all read them again.
+    Limit {
+        most: usize,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -104,6 +108,19 @@
     pub lasts: f64,
 }
 
+/// The hard cases that are played on processes too.
+pub const NAMES: [&str; 9] = [
+    "two-halves",
+    "leader-one-way",
+    "leader-stops",
+    "voter-forgets",
+    "hall-of-voters-lost",
+    "holder-crashes",
+    "killed-in-its-wave",
+    "seven-in-ten",
+    "halt-races",
+];
+
 impl Scenario {
     /// A release with nothing wrong.
     pub fn calm(seed: u64, members: usize) -> Self {
@@ -178,11 +195,65 @@
         scenario
     }
 
+    /// One of the hard cases by name, of which `NAMES` are all.
+    pub fn named(name: &str, seed: u64) -> Option<Self> {
+        let members = if name == "seven-in-ten" { 10 } else { 5 };
+        let mut scenario = Scenario { name: name.into(), ..Scenario::calm(seed, members) };
+        let jitter = (seed % 97) as f64 * 37.0;
+        let mut add = |at: f64, what: Fault| scenario.events.push(Event { at: at + jitter, what });
+        match name {
+            "two-halves" => {
+                add(500.0, Fault::Cut { side: vec![0, 1], one_way: false });
+                add(900.0, Fault::Drain { engines: vec![(0, 0), (4, 1), (0, 2), (4, 3)] });
+                add(9000.0, Fault::Heal);
+                add(9400.0, Fault::Drain { engines: vec![(1, 0), (3, 1), (2, 2), (4, 3)] });
+            }
+            "leader-one-way" => {
+                add(1000.0, Fault::CutLeader { one_way: true });
+                add(12_000.0, Fault::Heal);
+            }
+            "leader-stops" => {
+                add(1200.0, Fault::StallLeader { lasts: 18_000.0 });
+                add(24_000.0, Fault::StallLeader { lasts: 18_000.0 });
+            }
+            "voter-forgets" => {
+                add(1000.0, Fault::Kill { who: 1, back: 200.0 });
+                add(5000.0, Fault::Kill { who: 2, back: 200.0 });
+            }
+            "hall-of-voters-lost" => {
+                scenario.halls = 2;
+                // Voters 0 and 2 stand in one hall, and are the majority.
+                add(1000.0, Fault::Kill { who: 0, back: 14_000.0 });
+                add(1000.0, Fault::Kill { who: 2, back: 14_000.0 });
+                add(1000.0, Fault::Kill { who: 4, back: 14_000.0 });
+            }
+            "holder-crashes" => {
+                (1..9).for_each(|n| {
+                    add(1500.0 * f64::from(n), Fault::KillHolder { back: 900.0 * f64::from(n) })
+                });
+            }
+            "killed-in-its-wave" => {
+                add(2500.0, Fault::Kill { who: 3, back: 5000.0 });
+                add(8000.0, Fault::Kill { who: 4, back: 5000.0 });
+            }
+            "seven-in-ten" => {
+                (0..7).for_each(|n| add(1500.0, Fault::Kill { who: (n * 3) % 10, back: 4000.0 }));
+            }
+            "halt-races" => (0..5).for_each(|n| {
+                add(1000.0 + 5000.0 * f64::from(n), Fault::Halt { at: n as usize % members });
+                add(4000.0 + 5000.0 * f64::from(n), Fault::Resume { at: (n as usize + 1) % members });
+            }),
+            _ => return None,
+        }
+        scenario.events.sort_by(|a, b| a.at.total_cmp(&b.at));
+        Some(scenario)
+    }
+
     /// The same with times for processes: turns and faults half as long, a program that ends within 4 s.
     pub fn on_processes(mut self) -> Self {
-        self.turn = 8000.0;
+        self.turn = 6000.0;
         self.down = 300.0;
-        self.late = 1500.0;
+        self.late = 800.0;
         self.engines = self.engines.min(4);
         for event in &mut self.events {
             event.at *= 0.5;
@@ -195,7 +266,7 @@
             }
         }
         let rounds = (self.members as f64 / self.most as f64).ceil();
-        self.done_within = 30_000.0 + 15_000.0 * self.voters as f64 + 12_000.0 * rounds;
+        self.done_within = 30_000.0 + 15_000.0 * self.voters as f64 + 10_000.0 * rounds;
         self
     }
 
--- a/crates/rig/src/fleet/world.rs
+++ b/crates/rig/src/fleet/world.rs
@@ -79,6 +79,8 @@
     at: usize,
     caller: Caller,
     engine: Option<usize>,
+    halts: bool,
+    told: bool,
 }
 
 /// Whether a version does worse, and under which load: what the release is compared by.
@@ -109,11 +111,22 @@
     begin: f64,
     served: Served,
     halt: Option<u32>,
+    /// Since when a halt is told to be done, and how long a turn given before it may be on its way.
+    halted_since: Option<f64>,
+    grace: f64,
+    /// What operators were answered.
+    pub answers: Vec<Answer>,
+    /// The limit now, and since when.
+    limit: (usize, f64),
     went_back: bool,
+    release_too: Option<(usize, u32)>,
+    dies: Vec<usize>,
     /// Whether operators resume what is halted once the faults are over.
     pub resumes: bool,
     /// Supervisors ask nobody: what the fleet was without agreement.
     pub alone: bool,
+    /// Waits for a turn that were given up.
+    pub given_up: usize,
     pub seen: Seen,
     told: Told,
 }
@@ -122,6 +135,17 @@
     SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250 + 1) as u8], 7946))
 }
 
+/// Whose host an address is.
+fn at_of(to: SocketAddr) -> Option<usize> {
+    match to.ip() {
+        std::net::IpAddr::V4(ip) => {
+            let [.., high, low] = ip.octets();
+            Some(usize::from(high) * 250 + usize::from(low).checked_sub(1)?)
+        }
+        std::net::IpAddr::V6(_) => None,
+    }
+}
+
 fn caller_of(n: usize) -> SocketAddr {
     SocketAddr::new(address(n).ip(), 9000)
 }
@@ -184,6 +208,8 @@
             .collect();
         let begin = terms(&scenario).quarantine() * 1.05 + 20_000.0;
         let supervisors = (0..scenario.members).map(|_| Supervisor::Rests { until: begin }).collect();
+        let lossy =
+            scenario.events.iter().any(|event| matches!(event.what, Fault::Links(way) if way != Way::GOOD));
         let seen = Seen {
             seed: scenario.seed,
             limit: scenario.most,
@@ -207,9 +233,16 @@
             begin,
             served,
             halt: None,
+            halted_since: None,
+            grace: if lossy { 7000.0 } else { 1000.0 },
+            answers: Vec::new(),
+            limit: (scenario.most, 0.0),
             went_back: false,
+            release_too: None,
+            dies: Vec::new(),
             resumes: true,
             alone: false,
+            given_up: 0,
             seen,
             told,
             scenario,
@@ -279,7 +312,7 @@
 
     /// A datagram on its way; those of one host are never lost.
     fn sends(&mut self, from: usize, source: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
-        let Some(at) = (0..self.slots.len()).find(|n| address(*n).ip() == to.ip()) else { return };
+        let Some(at) = at_of(to).filter(|at| *at < self.slots.len()) else { return };
         if bytes.len() > 256 {
             self.seen.broken.push(format!("a datagram of {} bytes", bytes.len()));
         }
@@ -395,7 +428,11 @@
     fn calls(&mut self, at: usize, command: Command, engine: Option<usize>) {
         let seed = self.chance.random();
         let caller = Caller::new(keys(), command, self.slots[at].of_host(self.now), seed);
-        self.operators.push(Operator { at, caller, engine });
+        let halts = matches!(command, Command::Halt { .. });
+        if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
+            self.halted_since = None;
+        }
+        self.operators.push(Operator { at, caller, engine, halts, told: false });
     }
 
     fn operate(&mut self) {
@@ -406,6 +443,14 @@
             for bytes in out {
                 self.sends(at, operator_of(at, k), address(at), bytes);
             }
+            let operator = &mut self.operators[k];
+            if let Some(answer) = operator.caller.answer().filter(|_| !operator.told) {
+                operator.told = true;
+                if operator.halts && answer == Answer::Done {
+                    self.halted_since.get_or_insert(self.now);
+                }
+                self.answers.push(answer);
+            }
             if let (Some(engine), Some(Answer::Done)) =
                 (self.operators[k].engine, self.operators[k].caller.answer())
             {
@@ -447,13 +492,26 @@
                 match end {
                     Some(TurnEnd::Granted { until }) => {
                         self.seen.to_grant.push(now - from);
+                        let holds =
+                            |s: &Supervisor| matches!(s, Supervisor::Goes { .. } | Supervisor::Down { .. });
+                        let out = self.supervisors.iter().filter(|s| holds(s)).count();
+                        let (most, since) = self.limit;
+                        if out + 1 > most && now > since + self.grace {
+                            self.seen
+                                .broken
+                                .push(format!("a turn with {out} out, {most} are allowed by now"));
+                        }
+                        if self.halted_since.is_some_and(|since| now > since + self.grace) {
+                            self.seen.broken.push("a turn after a halt".into());
+                        }
                         let latest = ((until - host) / self.slots[n].rate).max(0.0);
                         // A slow script: it may begin at the very end of what it was given.
                         let wait =
                             if self.chance.random_bool(0.2) { latest * 0.98 } else { latest.min(300.0) };
                         self.supervisors[n] = Supervisor::Goes { at: now + wait, to, turn: grant };
                     }
-                    Some(_) => {
+                    Some(end) => {
+                        self.given_up += usize::from(matches!(end, TurnEnd::GivenUp(_)));
                         let rest = self.chance.random_range(500.0..2500.0);
                         self.supervisors[n] = Supervisor::Rests { until: now + rest };
                     }
@@ -537,6 +595,15 @@
                     self.calls(at, Command::Resume { number }, None);
                 }
             }
+            Fault::Limit { most } => {
+                self.limit = (most, self.now);
+                self.told.dispatchers.fleet = Most { number: Some(most as u32), part: None };
+                for slot in &mut self.slots {
+                    if let Some(fleet) = &mut slot.fleet {
+                        fleet.set(self.told.clone(), keys());
+                    }
+                }
+            }
             Fault::Back { at } => {
                 self.went_back = true;
                 self.calls(at, Command::Back { number: RELEASE }, None);
@@ -544,6 +611,71 @@
         }
     }
 
+    /// Another release is asked for at the same time, at this member.
+    pub fn release_too(&mut self, at: usize, number: u32) {
+        self.release_too = Some((at, number));
+    }
+
+    /// All but the first few start only so long after the release's begin (ms).
+    pub fn joins_late(&mut self, first: usize, after: f64) {
+        let begin = self.begin;
+        for slot in self.slots.iter_mut().skip(first) {
+            slot.back = Some(begin + after);
+        }
+    }
+
+    /// These crash shortly before the release, for good.
+    pub fn dies_before(&mut self, members: &[usize]) {
+        self.dies = members.to_vec();
+    }
+
+    /// Operators say that these don't come back.
+    pub fn forgets(&mut self, members: &[usize]) {
+        for n in members {
+            self.calls(0, Command::Forget { id: id_of(&format!("n{n}")) }, None);
+        }
+        // What stands halted for them is resumed.
+        self.resumes_halt();
+    }
+
+    fn resumes_halt(&mut self) {
+        let leader = self.leader().and_then(|leader| self.slots[leader].fleet.as_ref());
+        let halt = leader.and_then(Fleet::council).and_then(tansymux_releases::halt_of);
+        if let Some((number, ..)) = halt {
+            self.calls(0, Command::Resume { number }, None);
+        }
+    }
+
+    /// Plays on without further faults.
+    pub fn runs_on(&mut self, lasts: f64) {
+        let end = self.now + lasts;
+        while self.now < end {
+            self.step();
+            if (self.now as u64) % 5000 < STEP as u64 && self.resumes {
+                self.resumes_halt();
+            }
+        }
+    }
+
+    /// The way back is asked for; whether all are as they were in that time.
+    pub fn goes_back(&mut self, within: f64) -> bool {
+        self.befalls(Fault::Back { at: 0 });
+        let end = self.now + within;
+        while self.now < end {
+            self.step();
+            if self.slots.iter().all(|slot| slot.version == OLD && slot.fleet.is_some())
+                && self.stage() == Some(Stage::Undone)
+            {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn released_now(&self) -> usize {
+        self.released()
+    }
+
     fn released(&self) -> usize {
         let to = if self.went_back { OLD } else { NEW };
         self.slots.iter().filter(|slot| slot.version == to && slot.fleet.is_some()).count()
@@ -621,11 +753,20 @@
 
     /// Plays until its end, or until `done` says so.
     pub fn plays(&mut self, done: impl Fn(&World) -> bool) {
+        while self.now < self.begin - 36_000.0 {
+            self.step();
+        }
+        for n in std::mem::take(&mut self.dies) {
+            self.ends(n, f64::INFINITY);
+        }
         while self.now < self.begin - 2000.0 {
             self.step();
         }
         let number = RELEASE;
         self.calls(0, Command::Release { number, to: NEW, from: OLD }, None);
+        if let Some((at, number)) = self.release_too {
+            self.calls(at, Command::Release { number, to: NEW + 1, from: OLD }, None);
+        }
         while self.now < self.begin {
             self.step();
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -65,6 +65,9 @@
         /// No faults
         #[arg(long)]
         calm: bool,
+        /// One of the hard cases, as in two-halves or leader-stops
+        #[arg(long)]
+        name: Option<String>,
         /// Without agreement, for comparison
         #[arg(long)]
         alone: bool,
@@ -169,9 +172,14 @@
                 return ExitCode::FAILURE;
             }
         }
-        Command::Fleet { members, seeds, first, calm, alone, file, show, logs } => {
+        Command::Fleet { members, seeds, first, calm, name, alone, file, show, logs } => {
             let of = |seed| match &file {
                 Some(path) => fleet::read(path),
+                None if name.is_some() => {
+                    let name = name.as_deref().unwrap_or_default();
+                    let all = fleet::scenario::NAMES.join(", ");
+                    Scenario::named(name, seed).ok_or(format!("{name:?} is none of {all}"))
+                }
                 None if calm => Ok(Scenario::calm(seed, members)),
                 None => Ok(Scenario::mixed(seed, members)),
             };
