Zones are left and returned to as a fleet: decisions, shares that add up, and wired in, off by default

Need: each dispatcher judges a cut zone for itself, and the sum of their careful returns is not careful.

Change: crates/zones (the leader's watch over all evidence, numbered decisions, a ledger of shares by demand with terms, the member's guide), on the fleet's records and messages; `zones` in the fleet block (needs halls), `tansymux fleet zones|leave|return`; the own plan of crates/halls is overridden where something is agreed. The rig's `zones` plays a cut and a cold return on processes by three arms; a cut link lets no connection come up any more, as a relay that still accepts is no cut.

--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 use tansymux_membership::wire::id_of;
 use tansymux_operator::{number_of, schema, Operator};
-use tansymux_permits::Stage;
+use tansymux_permits::Stage as Released;
 use tansymux_releases::message::{Answer, Command, Status};
 use tansymux_releases::{Caller, Settings, Turn, TurnEnd};
+use tansymux_zones::Stage;
 
 /// Granted or done; halted; given up in time, or nobody leads.
 const HALTED: u8 = 3;
@@ -59,6 +60,23 @@
             let (number, ..) = status.release.ok_or("there is no release")?;
             Ok(Command::Back { number })
         }),
+        FleetCommand::Leave { zone, dry_run } => {
+            line.says(Command::Leave { zone: number_of(zone), dry: *dry_run })
+        }
+        FleetCommand::Return { zone } => line.says(Command::ReturnTo { zone: number_of(zone) }),
+        FleetCommand::Zones => {
+            let answer = line.asks(Command::Zones).map_err(|e| e.to_string())?;
+            let Answer::Zones(list) = answer else { return Ok(ended(answer)) };
+            for (zone, of, out) in list.iter().flatten() {
+                let what = if of.stage == Stage::Left { "left" } else { "returns" };
+                println!(
+                    "{zone:08x} {what} step {} number {} why {:?} shares {out:.3}",
+                    of.step, of.number, of.why
+                );
+            }
+            println!("{} zones are not whole", list.iter().flatten().count());
+            Ok(ExitCode::SUCCESS)
+        }
         FleetCommand::Forget { dispatcher } => line.says(Command::Forget { id: id_of(dispatcher) }),
     }
 }
@@ -170,7 +188,8 @@
     match answer {
         Answer::NoLeader => "nobody leads: nothing new goes out, what serves goes on".into(),
         Answer::Pending => "it was not agreed in time".into(),
-        Answer::Granted { .. } | Answer::Done | Answer::Status(_) => "done".into(),
+        Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => "done".into(),
+        Answer::TooMuch { part } => format!("{:.0}% of all cores would be left", part * 100.0),
         Answer::Halted { why, number, .. } => format!("halted, {} (number {number})", why.words()),
         Answer::Full { scope, out, most } => format!("{out} are out of at most {most} ({scope:?})"),
         Answer::TooSoon { wait } => {
@@ -191,12 +210,12 @@
 }
 
 fn shown(s: &Status) -> String {
-    let stage = |stage: Stage| match stage {
-        Stage::Canaries => "first few",
-        Stage::Waves => "hall by hall",
-        Stage::Back => "going back",
-        Stage::Done => "done",
-        Stage::Undone => "gone back",
+    let stage = |stage: Released| match stage {
+        Released::Canaries => "first few",
+        Released::Waves => "hall by hall",
+        Released::Back => "going back",
+        Released::Done => "done",
+        Released::Undone => "gone back",
     };
     let mut text = format!(
         "leader {:016x}\nmembers {} out {} lost {}\nengines {} out {}",
--- a/crates/dispatcher/src/cli.rs
+++ b/crates/dispatcher/src/cli.rs
@@ -104,6 +104,17 @@
     Back,
     /// One that is lost does not come back
     Forget { dispatcher: String },
+    /// A zone is left: nothing new goes there from outside it
+    Leave {
+        zone: String,
+        /// Only tells whether the others would carry it
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// A zone that was left is returned to, step by step
+    Return { zone: String },
+    /// Zones that are left or returned to: why, step, shares given out
+    Zones,
 }
 
 #[derive(Debug, Args)]
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -204,7 +204,7 @@
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
-        let message = halls.look(now, &mut self.control);
+        let message = halls.look(now, &mut self.control, self.fleet.as_deref());
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -16,8 +16,10 @@
 use tansymux_operator::{number_of, schema};
 use tansymux_permits::limits::Unit;
 use tansymux_permits::{Stand, Why};
-use tansymux_releases::evidence::{Evidence, Terms};
+use tansymux_releases::evidence::{Evidence as Ends, Terms};
 use tansymux_releases::{Fleet, Own};
+use tansymux_zones::wire::Evidence;
+use tansymux_zones::Use;
 
 /// What it says of itself is put together so often (ms).
 const SAYS_EVERY: f64 = 200.0;
@@ -34,7 +36,7 @@
     clock: Clock,
     notify: Rc<Notify>,
     exchange: Rc<Exchange>,
-    evidence: RefCell<Evidence>,
+    evidence: RefCell<Ends>,
     bad: Cell<Option<Terms>>,
     hall: u32,
     version: Cell<u32>,
@@ -59,8 +61,10 @@
         let Some(told) = told else { return Ok(None) };
         let turn =
             std::env::var(TURN_VARIABLE).ok().and_then(|turn| u64::from_str_radix(turn.trim(), 16).ok());
-        let own =
+        let mut own =
             tansymux_operator::fleet(told, turn.unwrap_or(0)).ok_or("fleet: a needed key is missing")?;
+        let hall = settings.get("zone").map_or(0, |hall| number_of(hall));
+        own.zones.iter_mut().for_each(|(zone, _)| *zone = hall);
         let listen: SocketAddr = told.listen().parse().map_err(|e| format!("fleet.listen: {e}"))?;
         let socket = Async::<UdpSocket>::bind(listen).map_err(|e| format!("fleet.listen {listen}: {e}"))?;
         // The seed of the decisions is told by the platform and may come again; a life of a member may not.
@@ -73,7 +77,7 @@
             exchange: exchange.clone(),
             evidence: RefCell::default(),
             bad: Cell::new(terms_of(told)),
-            hall: settings.get("zone").map_or(0, |hall| number_of(hall)),
+            hall,
             version: Cell::new(version_of(told)),
             settings: settings.clone(),
             listed: RefCell::default(),
@@ -96,7 +100,7 @@
         };
         self.bad.set(terms_of(told));
         self.version.set(version_of(told));
-        self.fleet.borrow_mut().set(own.told, own.keys);
+        self.fleet.borrow_mut().set(own.told, own.keys, own.zones.map(|(_, zones)| zones));
     }
 
     /// Hears and tells until dropped.
@@ -152,6 +156,21 @@
         next
     }
 
+    /// What this dispatcher sees of its halls.
+    pub fn sees(&self, evidence: Vec<Evidence>, alone: bool) {
+        self.fleet.borrow_mut().sees(evidence, alone);
+    }
+
+    /// How a hall may be used, as the fleet agreed.
+    pub fn use_of(&self, hall: &str) -> Use {
+        self.fleet.borrow().use_of(number_of(hall))
+    }
+
+    /// Whether zones are left and returned to as a fleet.
+    pub fn has_zones(&self) -> bool {
+        self.fleet.borrow().zoned().is_some()
+    }
+
     /// This member goes: the others are told at once.
     pub fn leave(&self) {
         self.fleet.borrow_mut().leave(self.clock.now());
@@ -254,6 +273,7 @@
             ("fleet_leader_known", u64::from(leader.is_some())),
             ("fleet_halted", u64::from(fleet.agent().halt().is_some())),
             ("fleet_engines_out", fleet.engines_out().0 as u64),
+            ("fleet_zones_out", fleet.zoned().map_or(0, |zoned| zoned.guide.known().count() as u64)),
             ("fleet_datagrams_sent", self.sent.get()),
             ("fleet_datagrams_heard", self.heard.get()),
         ] {
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -2,6 +2,7 @@
 //! plan that follows. Nothing here places a query.
 
 use crate::exchange::Listed;
+use crate::fleet::FleetSide;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -11,7 +12,11 @@
 use tansymux::told::{self, Map, Told};
 use tansymux_halls::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 use tansymux_operator::schema;
+use tansymux_zones::wire::{Evidence, Reach};
+use tansymux_zones::Use;
 
+/// Who has nothing running at the moment wants a little all the same (threads).
+const LEAST_DEMAND: f64 = 0.1;
 /// Looks at the evidence are so far apart (ms).
 const LOOK_EVERY: f64 = 100.0;
 
@@ -26,6 +31,8 @@
     listed: RefCell<Vec<Engine>>,
     looked: Cell<f64>,
     changes: Cell<u64>,
+    /// Ends by hall since the start, good and bad, counted round.
+    ends: RefCell<Vec<(String, u16, u16)>>,
 }
 
 impl Halls {
@@ -42,6 +49,7 @@
             listed: RefCell::default(),
             looked: Cell::new(f64::NEG_INFINITY),
             changes: Cell::default(),
+            ends: RefCell::default(),
         }
     }
 
@@ -104,6 +112,52 @@
     fn seen(&self, now: f64, node: u64, kind: Kind) {
         if let Some(judge) = self.on.borrow_mut().as_mut() {
             judge.seen(now, Seen { node, kind });
+            let listed = self.listed.borrow();
+            let Some(engine) = listed.iter().find(|engine| engine.node == node) else { return };
+            let mut ends = self.ends.borrow_mut();
+            let at = ends.iter().position(|(hall, ..)| *hall == engine.hall).unwrap_or_else(|| {
+                ends.push((engine.hall.clone(), 0, 0));
+                ends.len() - 1
+            });
+            let (_, good, bad) = &mut ends[at];
+            let count = if kind == Kind::Heard { good } else { bad };
+            *count = count.wrapping_add(1);
+        }
+    }
+
+    /// What is seen of each hall, for the fleet.
+    fn evidence(&self, judge: &Judge, threads: f64) -> Vec<Evidence> {
+        let ends = self.ends.borrow();
+        let of = |(name, reach): (&str, tansymux_halls::message::Reach)| {
+            let (good, bad) =
+                ends.iter().find(|(hall, ..)| hall == name).map_or((0, 0), |(_, good, bad)| (*good, *bad));
+            let reach = match reach {
+                tansymux_halls::message::Reach::Well => Reach::Well,
+                tansymux_halls::message::Reach::Climbing => Reach::Climbing,
+                tansymux_halls::message::Reach::Cut => Reach::Cut,
+                tansymux_halls::message::Reach::Unknown => Reach::Unknown,
+            };
+            Evidence { zone: tansymux_operator::number_of(name), reach, threads: threads as f32, good, bad }
+        };
+        judge.reaches().map(of).collect()
+    }
+
+    /// Puts what the fleet agreed on above what this dispatcher judged alone.
+    fn agreed(&self, fleet: &FleetSide, whole: f64, plan: &mut Plan) {
+        let listed = self.listed.borrow();
+        for hall in &mut plan.halls {
+            let part = match fleet.use_of(&hall.name) {
+                Use::Own => continue,
+                Use::Closed => 0.0,
+                Use::Part(part) => part,
+            };
+            hall.state = if part > 0.0 { HallState::Climbing(part) } else { HallState::Cut };
+            for engine in &mut plan.engines {
+                let of = listed.iter().find(|e| e.node == engine.node && e.hall == hall.name);
+                if let Some(of) = of {
+                    engine.threads = of.cores * whole * part;
+                }
+            }
         }
     }
 
@@ -117,7 +171,7 @@
     }
 
     /// Looks at the evidence where it is time; what is to be told to peers.
-    pub fn look(&self, now: f64, control: &mut Control) -> Option<Vec<u8>> {
+    pub fn look(&self, now: f64, control: &mut Control, fleet: Option<&FleetSide>) -> Option<Vec<u8>> {
         let mut on = self.on.borrow_mut();
         let judge = on.as_mut()?;
         if now - self.looked.get() < LOOK_EVERY {
@@ -130,7 +184,12 @@
             let Changed { hall, state, why, .. } = change;
             tracing::warn!(hall, state = %state_name(state), why = ?why, "a hall's state changed");
         }
-        control.plan_halls(Some(&given(&judge.plan(&self.own, &self.groups))));
+        let mut plan = judge.plan(&self.own, &self.groups);
+        if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
+            fleet.sees(self.evidence(judge, control.threads_out() + LEAST_DEMAND), judge.alone());
+            self.agreed(fleet, judge.definition().climb.whole, &mut plan);
+        }
+        control.plan_halls(Some(&given(&plan)));
         judge.tells(now)
     }
 
--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -322,6 +322,11 @@
         Some(message::write(self.alone, self.halls.iter().enumerate().map(told)))
     }
 
+    /// How this dispatcher reaches each hall, by its own evidence.
+    pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach)> + '_ {
+        self.halls.iter().enumerate().map(|(n, hall)| (hall.name.as_str(), self.reach(n, hall)))
+    }
+
     /// How this dispatcher reaches a hall, as told to others: well only with evidence.
     fn reach(&self, n: usize, hall: &Hall) -> Reach {
         let heard = self.engines.values().any(|known| known.hall == n && self.now - known.heard < FORGET);
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -56,6 +56,13 @@
     }
     if let Some(fleet) = &operator.fleet {
         crate::fleet::check(fleet, &mut faults);
+        if fleet.zones.is_some() && operator.halls.is_none() {
+            faults.add(
+                "fleet.zones",
+                "without halls",
+                "a block halls beside it, which judges what one dispatcher sees",
+            );
+        }
     }
     faults.all
 }
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -82,6 +82,7 @@
         seeds: told.seed.iter().filter_map(|seed| address(seed)).collect(),
         ..tansymux_membership::Settings::default()
     };
+    let zones = told.zones.as_ref().map(|zones| (0, zones_of(zones, timing.skew())));
     let lead = timing.lead_s() * 1000.0;
     let terms = Terms {
         lead,
@@ -100,9 +101,30 @@
         fresh: told.fresh(),
         turn,
         told: decided,
+        zones,
     })
 }
 
+fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zones::Definition {
+    tansymux_zones::Definition {
+        lost_part: told.lost_part(),
+        sure: told.sure_s() * 1000.0,
+        known_part: told.known_part(),
+        most_left: told.most_left(),
+        carry: told.carry(),
+        first: told.first(),
+        whole: told.whole(),
+        steps: told.steps().min(255) as u8,
+        step: told.step_s() * 1000.0,
+        hold: told.hold_s() * 1000.0,
+        hold_most: told.hold_most_s() * 1000.0,
+        calm: told.calm_s() * 1000.0,
+        term: told.term_s() * 1000.0,
+        own_after: told.own_after_s() * 1000.0,
+        skew,
+    }
+}
+
 pub(crate) fn check(told: &schema::Fleet, faults: &mut Faults) {
     let name =
         |name: &str| !name.is_empty() && name.len() <= MOST_NAME && !name.contains(char::is_whitespace);
@@ -179,6 +201,27 @@
         faults.within("fleet.turns.pairs", t.pairs, 3.0, 1000.0);
         faults.within("fleet.turns.requests", t.requests, 1.0, 1e6);
     }
+    if let Some(z) = &told.zones {
+        let ranges = [
+            ("lost_part", z.lost_part, 0.5, 1.0),
+            ("sure_s", z.sure_s, 0.2, 60.0),
+            ("known_part", z.known_part, 0.05, 1.0),
+            ("most_left", z.most_left, 0.0, 1.0),
+            ("carry", z.carry, 0.1, 1.0),
+            ("first", z.first, 0.01, 1.0),
+            ("whole", z.whole, 0.25, 8.0),
+            ("steps", z.steps.map(f64::from), 1.0, 50.0),
+            ("step_s", z.step_s, 0.2, 600.0),
+            ("hold_s", z.hold_s, 0.5, 3600.0),
+            ("hold_most_s", z.hold_most_s, 1.0, 86_400.0),
+            ("calm_s", z.calm_s, 1.0, 86_400.0),
+            ("term_s", z.term_s, 1.0, 60.0),
+            ("own_after_s", z.own_after_s, 1.0, 3600.0),
+        ];
+        for (name, given, least, most) in ranges {
+            faults.within(&format!("fleet.zones.{name}"), given, least, most);
+        }
+    }
     if let Some(e) = &told.ejection {
         match e.witnesses {
             None => faults.add("fleet.ejection.witnesses", "missing", "2 to 1000"),
--- a/crates/permits/src/record.rs
+++ b/crates/permits/src/record.rs
@@ -61,6 +61,8 @@
     /// Nothing new goes out. `number`: drawn for each halt, so that only that one is ended; `by`: who said so; `why`:
     /// a number of [`crate::limits::Halt`].
     Halt { number: u32, by: Id, why: u8 },
+    /// How a zone stands, by the numbers of crates/zones.
+    Zone { zone: u32, stage: u8, step: u8, why: u8, number: u32 },
     /// A release to `to`, of those that are at `from` (0: of all others).
     Release { number: u32, to: u32, from: u32, stage: Stage },
 }
@@ -86,6 +88,11 @@
         (id ^ salt).max(RELEASE + 1)
     }
 
+    /// The place of a zone.
+    pub fn key_of_zone(zone: u32) -> u64 {
+        u64::from(zone) | 0x5A4F_4E45 << 32
+    }
+
     pub fn is_over(&self) -> bool {
         self.value == Value::Over
     }
--- a/crates/permits/src/wire.rs
+++ b/crates/permits/src/wire.rs
@@ -53,6 +53,10 @@
             bytes.extend_from_slice(&number.to_be_bytes());
             bytes.extend_from_slice(&by.to_be_bytes());
         }
+        Value::Zone { zone, stage, step, why, number } => {
+            bytes.extend_from_slice(&[4, stage, step, why]);
+            [zone, number].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+        }
         Value::Release { number, to, from, stage } => {
             bytes.extend_from_slice(&[3, stage as u8]);
             [number, to, from].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
@@ -111,6 +115,10 @@
                 let stage = stages.get(usize::from(held.byte()?)).copied()?;
                 Value::Release { number: held.four()?, to: held.four()?, from: held.four()?, stage }
             }
+            4 => {
+                let (stage, step, why) = (held.byte()?, held.byte()?, held.byte()?);
+                Value::Zone { zone: held.four()?, stage, step, why, number: held.four()? }
+            }
             _ => return None,
         };
         let left = self.four()?;
--- a/crates/releases/src/fleet.rs
+++ b/crates/releases/src/fleet.rs
@@ -1,8 +1,9 @@
 //! One member of a fleet, whole: membership, the voters, the leader's decisions, its own reports and calls.
 
 use crate::agent::{Agent, Own, To};
-use crate::message::{self, Message, Report};
+use crate::message::{self, Command, Message, Report};
 use crate::steward::{Steward, Told};
+use crate::zoned::Zoned;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
     /// The turn under which it is started, so that it is known to be back; 0: none.
     pub turn: u64,
     pub told: Told,
+    /// Zones left and returned to as a fleet, seen from this one; none: each judges for itself.
+    pub zones: Option<(u32, tansymux_zones::Definition)>,
 }
 
 #[derive(Debug, Clone)]
@@ -39,6 +42,7 @@
     council: Option<Council>,
     steward: Steward,
     agent: Agent,
+    zoned: Option<Zoned>,
     /// Messages to itself.
     own: Vec<Message>,
     out: Vec<(SocketAddr, Vec<u8>)>,
@@ -61,7 +65,11 @@
         });
         let agent = Agent::new(id, &voters, settings.turn, chance.random());
         let steward = Steward::new(settings.told.clone());
-        Fleet { group, council, steward, agent, own: Vec::new(), out: Vec::new(), now }
+        let zoned = settings
+            .zones
+            .clone()
+            .map(|(own, definition)| Zoned::new(own, definition, agent.session(), now, chance.random()));
+        Fleet { group, council, steward, agent, zoned, own: Vec::new(), out: Vec::new(), now }
     }
 
     pub fn id(&self) -> Id {
@@ -89,8 +97,11 @@
     }
 
     /// Takes on what the operators' file says now.
-    pub fn set(&mut self, told: Told, keys: Keys) {
+    pub fn set(&mut self, told: Told, keys: Keys, zones: Option<tansymux_zones::Definition>) {
         self.steward.set(told);
+        if let (Some(zoned), Some(definition)) = (&mut self.zoned, zones) {
+            zoned.set(definition);
+        }
         self.group.set_keys(keys);
     }
 
@@ -102,6 +113,25 @@
     /// The engines as its list tells them.
     pub fn engines(&mut self, engines: &[Unit]) {
         self.steward.engines(engines);
+        if let Some(zoned) = &mut self.zoned {
+            zoned.engines(engines);
+        }
+    }
+
+    /// What this dispatcher sees of zones; `alone`: it takes itself for cut off.
+    pub fn sees(&mut self, evidence: Vec<tansymux_zones::wire::Evidence>, alone: bool) {
+        if let Some(zoned) = &mut self.zoned {
+            zoned.sees(evidence, alone);
+        }
+    }
+
+    /// How a zone may be used from here: by own judgement where nothing is agreed on.
+    pub fn use_of(&self, zone: u32) -> tansymux_zones::Use {
+        self.zoned.as_ref().map_or(tansymux_zones::Use::Own, |zoned| zoned.guide.of(self.now, zone))
+    }
+
+    pub fn zoned(&self) -> Option<&Zoned> {
+        self.zoned.as_ref()
     }
 
     /// Whether an engine is out by agreement, and why.
@@ -166,10 +196,26 @@
             Message::Hand { records } => self.handed(records),
             Message::Command { call, command } => {
                 let Some(council) = &mut self.council else { return };
-                let answer = self.steward.command(now, council, command);
+                let answer = match (&mut self.zoned, command) {
+                    (Some(zoned), Command::Leave { .. } | Command::ReturnTo { .. } | Command::Zones) => {
+                        zoned.command(now, &self.steward, council, command)
+                    }
+                    _ => self.steward.command(now, council, command),
+                };
                 self.send(To::Member(from), &Message::Answer { call, answer });
             }
             Message::Answer { call, answer } => self.agent.answered(now, call, answer),
+            Message::ZonesTold(told) => {
+                let (Some(zoned), Some(council)) = (&mut self.zoned, &self.council) else { return };
+                if let Some(plan) = zoned.told(now, &self.steward, council, from, told) {
+                    self.send(To::Member(from), &Message::ZonePlan(plan));
+                }
+            }
+            Message::ZonePlan(plan) => {
+                if let Some(zoned) = &mut self.zoned {
+                    zoned.planned(now, &plan);
+                }
+            }
             Message::Hello { .. } | Message::Nonce { .. } | Message::Call { .. } => {}
         }
     }
@@ -211,7 +257,7 @@
     fn handed(&mut self, records: Vec<Counted>) {
         let Some(council) = &mut self.council else { return };
         let lasts = |value: &Value| match value {
-            Value::Halt { .. } | Value::Release { .. } => true,
+            Value::Halt { .. } | Value::Release { .. } | Value::Zone { .. } => true,
             Value::Out { why, .. } => matches!(why, Why::Drain | Why::Lost),
             Value::Over => false,
         };
@@ -246,6 +292,10 @@
             let members = self.group.members().map(|member| (member.id, member.state));
             self.steward.members(members.chain([(self.group.id(), State::Alive)]));
             self.steward.look(now, council);
+            if let Some(zoned) = &mut self.zoned {
+                let members = self.group.members().map(|m| (m.id, m.state <= State::Suspect));
+                zoned.look(now, &self.steward, council, members.chain([(self.group.id(), true)]));
+            }
             // A voter knows itself what it keeps.
             self.agent.learns(now, council.records());
         }
@@ -254,6 +304,14 @@
         for (to, message) in messages {
             self.send(to, &message);
         }
+        let leader = self.agent.leader(now);
+        if let Some(zoned) = &mut self.zoned {
+            let (told, at) = zoned.tells(now);
+            next = next.min(at);
+            if let (Some(told), Some(leader)) = (told, leader) {
+                self.send(To::Member(leader), &Message::ZonesTold(told));
+            }
+        }
         // What it tells itself may have it tell itself more, and that ends.
         for _ in 0..4 {
             for message in std::mem::take(&mut self.own) {
--- a/crates/releases/src/lib.rs
+++ b/crates/releases/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod plan;
 mod steward;
+mod zoned;
 
 pub use agent::{Agent, Own};
 pub use caller::{Caller, Turn, TurnEnd};
--- a/crates/releases/src/message.rs
+++ b/crates/releases/src/message.rs
@@ -3,6 +3,7 @@
 use tansymux_permits::limits::{Halt, Scope};
 use tansymux_permits::wire::{put_record, read_records, Counted, MOST};
 use tansymux_permits::{Id, Record, Stage, Why};
+use tansymux_zones::{wire, Fleetwide};
 
 /// Records that fit behind any of these heads.
 pub const RECORDS: usize = (MOST - 13) / 47;
@@ -71,6 +72,16 @@
     Forget {
         id: Id,
     },
+    /// A zone is left by the operators' word; `dry`: only whether the others would carry it.
+    Leave {
+        zone: u32,
+        dry: bool,
+    },
+    /// And returned to, step by step.
+    ReturnTo {
+        zone: u32,
+    },
+    Zones,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -116,8 +127,18 @@
     },
     NoWayBack,
     Status(Status),
+    /// So much of all cores would be left.
+    TooMuch {
+        part: f32,
+    },
+    /// Zones that are not whole, each with the sum of the shares that are out.
+    Zones(ZoneList),
 }
 
+/// Zones that fit an answer.
+pub const MOST_LISTED: usize = 8;
+pub type ZoneList = [Option<(u32, Fleetwide, f32)>; MOST_LISTED];
+
 /// The fleet as its leader sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Status {
@@ -173,6 +194,9 @@
         nonce: u64,
         command: Command,
     },
+    /// What a member says of zones, and the leader's answer.
+    ZonesTold(wire::Told),
+    ZonePlan(wire::Plan),
 }
 
 const FIRST: u8 = 16;
@@ -212,6 +236,9 @@
             Command::Halt { number } => self.byte(7).four(number),
             Command::Resume { number } => self.byte(8).four(number),
             Command::Forget { id } => self.byte(9).eight(id),
+            Command::Leave { zone, dry } => self.byte(10).four(zone).byte(u8::from(dry)),
+            Command::ReturnTo { zone } => self.byte(11).four(zone),
+            Command::Zones => self.byte(12),
         }
     }
     fn answer(self, answer: &Answer) -> Self {
@@ -232,6 +259,13 @@
             Answer::Already => self.byte(13),
             Answer::Running { number } => self.byte(14).four(number),
             Answer::NoWayBack => self.byte(15),
+            Answer::TooMuch { part } => self.byte(17).part(part),
+            Answer::Zones(list) => {
+                let zones = list.iter().flatten().copied().collect();
+                let mut put = self.byte(18);
+                put.0.extend(wire::write_plan(&wire::Plan { number: 0, zones }));
+                put
+            }
             Answer::Status(s) => {
                 let (halt, halt_number) = s.halt.map_or((u8::MAX, 0), |(why, number)| (why as u8, number));
                 let (number, stage, to, from) =
@@ -284,6 +318,9 @@
             7 => Command::Halt { number: self.four()? },
             8 => Command::Resume { number: self.four()? },
             9 => Command::Forget { id: self.eight()? },
+            10 => Command::Leave { zone: self.four()?, dry: self.byte()? != 0 },
+            11 => Command::ReturnTo { zone: self.four()? },
+            12 => Command::Zones,
             _ => return None,
         })
     }
@@ -312,6 +349,13 @@
             13 => Answer::Already,
             14 => Answer::Running { number: self.four()? },
             15 => Answer::NoWayBack,
+            17 => Answer::TooMuch { part: self.part()? },
+            18 => {
+                let plan = wire::read_plan(std::mem::take(&mut self.0))?;
+                let mut list = ZoneList::default();
+                list.iter_mut().zip(plan.zones).for_each(|(place, zone)| *place = Some(zone));
+                Answer::Zones(list)
+            }
             16 => {
                 let leader = self.eight()?;
                 let mut counts = [0; 8];
@@ -370,6 +414,8 @@
         Message::Call { call, nonce, command } => {
             put.byte(FIRST + 8).eight(*call).eight(*nonce).command(command)
         }
+        Message::ZonesTold(told) => Put([&[FIRST + 9], wire::write(told).as_slice()].concat()),
+        Message::ZonePlan(plan) => Put([&[FIRST + 10], wire::write_plan(plan).as_slice()].concat()),
     }
     .0
 }
@@ -399,6 +445,8 @@
         5 => Message::Answer { call: take.eight()?, answer: take.answer()? },
         6 => Message::Hello { call: take.eight()? },
         7 => Message::Nonce { call: take.eight()?, nonce: take.eight()? },
+        9 => Message::ZonesTold(wire::read(take.0)?),
+        10 => Message::ZonePlan(wire::read_plan(take.0)?),
         8 => Message::Call { call: take.eight()?, nonce: take.eight()?, command: take.command()? },
         _ => return None,
     })
--- a/crates/releases/src/steward.rs
+++ b/crates/releases/src/steward.rs
@@ -184,7 +184,13 @@
         self.leads_since.filter(|since| at >= *since - 1.0).map(|_| at)
     }
 
-    fn leads(&self, now: f64, council: &Council) -> bool {
+    /// In which hall a member said that it stands.
+    pub fn hall_of(&self, id: Id) -> Option<u32> {
+        self.reports.get(&id).map(|reported| reported.report.hall)
+    }
+
+    /// Whether this one leads and has listened for long enough to decide.
+    pub fn leads(&self, now: f64, council: &Council) -> bool {
         let listened = council.leads_since().is_some_and(|since| now - since >= self.told.settle);
         council.leads(now) && listened
     }
@@ -303,6 +309,8 @@
                 Some((number, why, by)) => Answer::Halted { why, by, number },
                 None => Answer::Done,
             },
+            // Zones are the watch's.
+            Command::Leave { .. } | Command::ReturnTo { .. } | Command::Zones => Answer::Unknown,
             Command::Forget { id } => {
                 if self.there(id) {
                     return Answer::Already;
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod relay;
 pub mod scenario;
 pub mod world;
+pub mod zones;
 
 use hdrhistogram::Histogram;
 use scenario::Scenario;
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -40,6 +40,7 @@
     places: Vec<Mutex<Place>>,
     configs: Vec<Config>,
     files: Vec<Scrap>,
+    scraps: Vec<Scrap>,
     listens: Vec<SocketAddr>,
     logs: Option<std::path::PathBuf>,
     begin: Instant,
@@ -51,6 +52,8 @@
     alone: bool,
     /// Queries that were sent whole to a process that lives, and got no answer.
     lost: AtomicU64,
+    /// An address was taken by another program.
+    taken: AtomicBool,
     good: AtomicU64,
     all: AtomicU64,
 }
@@ -75,6 +78,17 @@
 
 /// Plays a scenario; with `alone`, supervisors ask nobody. `logs`: a folder for the processes' logs.
 pub fn play(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Seen {
+    // Another program may take an address between its being found free and its use: that is no run.
+    for _ in 0..3 {
+        match plays_once(exe, scenario.clone(), alone, logs) {
+            Some(seen) => return seen,
+            None => eprintln!("an address was taken by another program: played again"),
+        }
+    }
+    Seen { broken: vec!["no free addresses".into()], ..Seen::default() }
+}
+
+fn plays_once(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Option<Seen> {
     let world = Arc::new(World::default());
     let engines: Vec<Engine> = (0..scenario.engines)
         .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n as u64, world.clone()))
@@ -119,6 +133,7 @@
         links,
         configs,
         files,
+        scraps: (0..scenario.members).map(|_| Scrap::new("log", "")).collect(),
         listens,
         logs: logs.map(Path::to_owned),
         begin: Instant::now(),
@@ -126,6 +141,7 @@
         seen: Mutex::new(seen),
         alone,
         lost: AtomicU64::new(0),
+        taken: AtomicBool::new(false),
         good: AtomicU64::new(0),
         all: AtomicU64::new(0),
         scenario,
@@ -133,7 +149,7 @@
     let seen = run.plays();
     run.links.iter().flatten().for_each(Link::ends);
     engines.iter().for_each(Engine::stop);
-    seen
+    (!run.taken.load(Ordering::Relaxed)).then_some(seen)
 }
 
 impl Run {
@@ -157,7 +173,10 @@
                 let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
                 file.map_or_else(|_| Stdio::null(), Stdio::from)
             }
-            None => Stdio::null(),
+            None => {
+                let file = std::fs::OpenOptions::new().append(true).open(&self.scraps[n].0);
+                file.map_or_else(|_| Stdio::null(), Stdio::from)
+            }
         };
         let operator = self.files[n].0.display().to_string();
         let program =
@@ -214,6 +233,13 @@
         }
         let from = Instant::now();
         while !(0..self.places.len()).all(|n| self.healthy(n)) {
+            let taken = |scrap: &Scrap| {
+                std::fs::read_to_string(&scrap.0).is_ok_and(|text| text.contains("Address already in use"))
+            };
+            if self.scraps.iter().any(taken) {
+                self.taken.store(true, Ordering::Relaxed);
+                return Seen::default();
+            }
             if from.elapsed() > Duration::from_secs(20) {
                 self.broken("not all healthy after 20 s".into());
                 break;
--- a/crates/rig/src/fleet/relay.rs
+++ b/crates/rig/src/fleet/relay.rs
@@ -3,6 +3,7 @@
 //! another.
 
 use super::scenario::Way;
+use crate::engine::vanishes;
 use crate::program::free_udp_address;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -152,11 +153,22 @@
         let address = listener.local_addr().expect("a bound socket has an address");
         let link = Link { address, cut: Arc::default(), over: Arc::default() };
         let own = link.clone();
+        listener.set_nonblocking(true).expect("a listener need not block");
         thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                if own.over.load(Ordering::Relaxed) {
-                    return;
+            while !own.over.load(Ordering::Relaxed) {
+                if own.cut.load(Ordering::Relaxed) {
+                    // No connection comes up: as on a network, and not as at a relay that still accepts.
+                    let held = vanishes(&listener);
+                    while own.cut.load(Ordering::Relaxed) && !own.over.load(Ordering::Relaxed) {
+                        thread::sleep(TICK);
+                    }
+                    drop(held);
+                    let _ = socket2::SockRef::from(&listener).listen(128);
                 }
+                let Ok((near, _)) = listener.accept() else {
+                    thread::sleep(TICK);
+                    continue;
+                };
                 let Ok(far) = TcpStream::connect(to) else { continue };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { continue };
@@ -189,6 +201,5 @@
 
     pub fn ends(&self) {
         self.over.store(true, Ordering::Relaxed);
-        let _ = TcpStream::connect(self.address);
     }
 }
--- a/crates/rig/src/fleet/world.rs
+++ b/crates/rig/src/fleet/world.rs
@@ -263,6 +263,7 @@
             fresh: false,
             turn: self.slots[n].turn,
             told: self.told.clone(),
+            zones: None,
         }
     }
 
@@ -600,7 +601,7 @@
                 self.told.dispatchers.fleet = Most { number: Some(most as u32), part: None };
                 for slot in &mut self.slots {
                     if let Some(fleet) = &mut slot.fleet {
-                        fleet.set(self.told.clone(), keys());
+                        fleet.set(self.told.clone(), keys(), None);
                     }
                 }
             }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tansymux_rig::fleet::zones::Course;
 use tansymux_rig::fleet::{self, many, scenario::Scenario};
 use tansymux_rig::{demo, halls, levels, measure, program, replay};
 
@@ -81,6 +82,20 @@
         #[arg(long)]
         logs: Option<PathBuf>,
     },
+    /// Zones: one is cut and returns cold, on real processes, by three arms; exit 1 if the agreed arm did not leave, did
+    /// not become whole again, gave out more than the whole, or left a query without an answer
+    Zones {
+        #[arg(long, default_value_t = 6)]
+        dispatchers: usize,
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        #[arg(long, default_value_t = 7.0)]
+        cut_s: f64,
+    },
     /// Fleets: scenarios in virtual time, many seeds; exit 1 if one was broken
     FleetVirtual {
         #[arg(long, default_value_t = 5)]
@@ -208,6 +223,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Command::Zones { dispatchers, seeds, first, loss, cut_s } => {
+            let of = |seed| Course { dispatchers, loss, cut_for: cut_s * 1000.0, ..Course::short(seed) };
+            let (table, broken) = fleet::zones::compare(&exe(), first..first + seeds, of);
+            print!("{table}");
+            if broken {
+                return ExitCode::FAILURE;
+            }
+        }
         Command::FleetVirtual { members, seeds, first, loss, calm, alone, show } => {
             let of = |seed| {
                 let mixed = if calm { Scenario::calm(seed, members) } else { Scenario::mixed(seed, members) };
--- /dev/null
+++ b/crates/zones/src/lib.rs
@@ -0,0 +1,36 @@
+//! Leaving a zone that fails, as a fleet, and returning.
+//!
+//! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/halls says "hall" for
+//! the same thing.
+//!
+//! Owns: what the leader makes of the evidence of all ([`Watch`]), its numbered decisions ([`Decision`]), the shares of
+//! a returning zone that it gives out ([`Shares`]), and what a member makes of both and of not hearing them
+//! ([`Guide`]). It does no I/O, reads no clock, sends nothing and keeps nothing for good: decisions are agreed by
+//! crates/permits, and what one dispatcher judges alone stays with crates/halls.
+//!
+//! Invariants, checked in `tests/`:
+//! - the shares of a zone that members may hold at any moment add up to no more than its step, whoever is lost,
+//!   late, stopped or restarted;
+//! - a witness that is cut off itself, and one that has seen nothing, is none;
+//! - nobody inside a zone leaves it.
+//!
+//! Start reading at [`Watch::look`].
+
+mod define;
+mod guide;
+mod shares;
+mod watch;
+pub mod wire;
+
+pub use define::Definition;
+pub use guide::{Guide, Use};
+pub use shares::Shares;
+pub use watch::{Decision, Fleetwide, Refused, Stage, Verdict, Watch, Why};
+
+/// A zone's number, drawn from its name.
+pub type Zone = u32;
+/// A member's number.
+pub type Id = u64;
+
+/// Zones that are told apart at most.
+pub const MOST_ZONES: usize = 12;
