--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -322,9 +322,29 @@
         Some(message::write(self.alone, self.halls.iter().enumerate().map(told)))
     }
 
-    /// How this dispatcher reaches each hall, by its own evidence.
+    /// How this dispatcher reaches each hall, for a fleet that puts the evidence of many together: one lost answer of
+    /// each engine that was tried is enough to say so, as several must say it. Where it reaches none, it says nothing
+    /// of any.
     pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach)> + '_ {
-        self.halls.iter().enumerate().map(|(n, hall)| (hall.name.as_str(), self.reach(n, hall)))
+        let lost: Vec<bool> = (0..self.halls.len()).map(|hall| self.seems_lost(hall)).collect();
+        let none = !lost.is_empty() && lost.iter().all(|lost| *lost);
+        self.halls.iter().enumerate().map(move |(n, hall)| {
+            let reach = match self.reach(n, hall) {
+                Reach::Well | Reach::Unknown if lost[n] && !none => Reach::Cut,
+                Reach::Well | Reach::Unknown if lost[n] => Reach::Unknown,
+                reach => reach,
+            };
+            (hall.name.as_str(), reach)
+        })
+    }
+
+    /// Whether all engines of a hall that were tried of late were lost since they were last heard, and half of them
+    /// were tried.
+    fn seems_lost(&self, hall: usize) -> bool {
+        let of = || self.engines.values().filter(|known| known.hall == hall && known.ready);
+        let tried = || of().filter(|known| self.now - known.heard.max(known.failed) < FORGET);
+        let many = tried().count();
+        many > 0 && 2 * many >= of().count() && tried().all(|known| known.fails > 0)
     }
 
     /// How this dispatcher reaches a hall, as told to others: well only with evidence.
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -30,6 +30,8 @@
     stalled: bool,
     /// No other hand starts it before then.
     back: Option<Instant>,
+    /// The turn under which it was started last.
+    turn: Option<String>,
 }
 
 struct Run {
@@ -123,7 +125,7 @@
         last_fault: scenario.last_fault(),
         ..Seen::default()
     };
-    let place = || Mutex::new(Place { program: None, version: OLD, stalled: false, back: None });
+    let place = || Mutex::new(Place { program: None, version: OLD, stalled: false, back: None, turn: None });
     let run = Run {
         exe: exe.to_owned(),
         places: (0..scenario.members).map(|_| place()).collect(),
@@ -187,6 +189,7 @@
                 });
             });
         (place.program, place.stalled, place.back) = (Some(program), false, None);
+        place.turn = turn.map(str::to_owned);
     }
 
     fn healthy(&self, n: usize) -> bool {
@@ -337,7 +340,19 @@
             for n in 0..self.places.len() {
                 let mut place = self.places[n].lock().expect("no holder panics");
                 if place.back.is_some_and(|back| Instant::now() >= back) {
-                    self.starts(n, &mut place, None);
+                    let turn = place.turn.clone();
+                    self.starts(n, &mut place, turn.as_deref());
+                }
+                let status =
+                    place.program.as_mut().and_then(|program| program.child.try_wait().ok().flatten());
+                if status.is_some_and(|status| status.code().is_some_and(|code| code != 0)) {
+                    // Its address may have been taken while it was down; anything else is a crash.
+                    let log = std::fs::read_to_string(&self.scraps[n].0).unwrap_or_default();
+                    if !log.contains("Address already in use") {
+                        self.broken(format!("n{n} ended by itself: {status:?} {log}"));
+                    }
+                    self.scraps[n].write("");
+                    (place.program, place.back) = (None, Some(Instant::now() + Duration::from_millis(300)));
                 }
             }
         }
@@ -437,6 +452,7 @@
         let mut place = self.places[n].lock().expect("no holder panics");
         // Whoever holds it restarts it: what the supervisor has taken down is not killed.
         if place.program.take().is_some() {
+            place.turn = None;
             place.back = Some(Instant::now() + Duration::from_secs_f64(back / 1000.0));
         }
     }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -159,6 +159,7 @@
 }
 
 fn main() -> ExitCode {
+    program::ends_with_the_rig();
     let exe = || {
         program::beside().unwrap_or_else(|e| {
             eprintln!("tansymux-rig: {e}");
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -2,11 +2,13 @@
 
 use crate::wire::answer;
 use serde_json::{json, Value};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -93,6 +95,23 @@
     UdpSocket::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has a free port")
 }
 
+/// Processes that were started and not yet waited for: those that must end with the rig.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// From now on, what was started ends with the rig also when that is interrupted or told to end.
+pub fn ends_with_the_rig() {
+    let Ok(mut signals) = signal_hook::iterator::Signals::new([SIGINT, SIGTERM, SIGHUP]) else { return };
+    thread::spawn(move || {
+        if let Some(signal) = signals.forever().next() {
+            // Until it is waited for, a number is its process's and nobody else's.
+            let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
+            let pids: Vec<String> = started.iter().map(u32::to_string).collect();
+            let _ = Command::new("kill").arg("-KILL").args(&pids).status();
+            std::process::exit(128 + signal);
+        }
+    });
+}
+
 /// The real program, ended when dropped.
 #[derive(Debug)]
 pub struct Program {
@@ -104,6 +123,9 @@
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        if let Ok(mut started) = STARTED.lock() {
+            started.retain(|pid| *pid != self.child.id());
+        }
         let _ = self.child.wait();
     }
 }
@@ -140,6 +162,9 @@
             .stderr(log);
         prepare(&mut command);
         let child = command.spawn().expect("the program can be started");
+        if let Ok(mut started) = STARTED.lock() {
+            started.push(child.id());
+        }
         Program { child, listen, config }
     }
 
--- a/crates/zones/src/watch.rs
+++ b/crates/zones/src/watch.rs
@@ -127,7 +127,8 @@
     /// A new leader remembers nothing: what was given out before it led is over before it decides.
     pub fn clear(&mut self) {
         self.members.clear();
-        self.zones.clear();
+        // What the list tells is no memory of another leader's.
+        self.zones.values_mut().for_each(|zone| *zone = Watched { cores: zone.cores, ..Watched::default() });
     }
 
     /// Cores of each zone's engines, as listed.
--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -77,6 +77,14 @@
     assert_eq!((desk.changes.len(), desk.stage(EAST)), (1, Some(Stage::Left)));
 }
 
+#[test]
+fn a_new_leader_that_remembers_nothing_still_knows_the_list() {
+    let mut desk = Desk::new(quick());
+    desk.watch.clear();
+    desk.says(5000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    assert_eq!(desk.stage(EAST), Some(Stage::Left));
+}
+
 #[test]
 fn dispatchers_that_live_on_inside_a_cut_show_that_it_is_one() {
     let mut desk = Desk::new(quick());
