--- a/src/control.rs
+++ b/src/control.rs
@@ -203,8 +203,9 @@
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
-        // No time for a run even at its best, or, of a client that gives less than half of the usual, for one as answers
-        // come of late: it is given up at once, as it would end late more often than not and keep others from theirs.
+        // No time for a run even at its best, or, of a client that gives less than half of the usual, for one as
+        // answers come of late: it is given up at once, as it would end late more often than not and keep others
+        // from theirs.
         let (q, g, time) = (&self.queries[i], &self.groups[rg_index], due - self.now);
         let short = time < WELL_INSIDE * g.longest_wait;
         let slow = if short { g.pace } else { g.best };
@@ -351,8 +352,8 @@
         hung.is_some_and(|hung| hung.at(self.now, 0.0, ENGINE_FADES) > ERROR_DOUBT)
     }
 
-    /// A doubted engine gets one trial at a time, of a read-only query in the fast lane; one that fell silent only
-    /// once a probe was answered, where probes are allowed.
+    /// A doubted engine gets one trial at a time, of a read-only query in the fast lane; one that fell silent
+    /// only once a probe was answered, where probes are allowed.
     fn in_standing(&self, i: usize, e: usize) -> bool {
         let (q, engine) = (&self.queries[i], &self.engines[e]);
         let may_try = !q.low && q.effect == Effect::ReadOnly;
