--- a/src/control.rs
+++ b/src/control.rs
@@ -203,9 +203,9 @@
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.lines.join(key, i);
-        // No time for a run even at its best, or, of a client that gives less than half of the usual, for one as
-        // answers come of late: it is given up at once, as it would end late more often than not and keep others
-        // from theirs.
+        // No time for a run even at its best, or, of a client that gives less than half of the usual, for one
+        // as answers come of late: it is given up at once, as it would end late more often than not and keep
+        // others from theirs.
         let (q, g, time) = (&self.queries[i], &self.groups[rg_index], due - self.now);
         let short = time < WELL_INSIDE * g.longest_wait;
         let slow = if short { g.pace } else { g.best };
