Ends by hall are counted where an engine's hall is known; code of the fleet that nothing called goes

Cause, seen in the whole change: with halls on, each end searched the list for its engine to count it by hall, also without a fleet, beside a judge that had just looked the engine up; the number of an engine's name stood twice (names.rs, number_of); some functions and a queue that was never filled were left over.

Change: crates/halls counts, and tells the counts with its reach; names.rs calls number_of (a name whose hash is 0, which means none in the fleet's reports, is number 1 now, as operators' commands took it already); the leftovers are gone.

--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -272,7 +272,7 @@
             ("fleet_recalls", u64::from(recalls)),
             ("fleet_leader_known", u64::from(leader.is_some())),
             ("fleet_halted", u64::from(fleet.agent().halt().is_some())),
-            ("fleet_engines_out", fleet.engines_out().0 as u64),
+            ("fleet_engines_out", fleet.engines_out() as u64),
             ("fleet_zones_out", fleet.zoned().map_or(0, |zoned| zoned.guide.known().count() as u64)),
             ("fleet_datagrams_sent", self.sent.get()),
             ("fleet_datagrams_heard", self.heard.get()),
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -10,6 +10,7 @@
 use tansymux::interface::{EngineStatus, Outcome};
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::{self, Map, Told};
+use tansymux_halls::message::Reach as Reached;
 use tansymux_halls::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 use tansymux_operator::schema;
 use tansymux_zones::wire::{Evidence, Reach};
@@ -31,8 +32,6 @@
     listed: RefCell<Vec<Engine>>,
     looked: Cell<f64>,
     changes: Cell<u64>,
-    /// Ends by hall since the start, good and bad, counted round.
-    ends: RefCell<Vec<(String, u16, u16)>>,
 }
 
 impl Halls {
@@ -49,7 +48,6 @@
             listed: RefCell::default(),
             looked: Cell::new(f64::NEG_INFINITY),
             changes: Cell::default(),
-            ends: RefCell::default(),
         }
     }
 
@@ -112,30 +110,17 @@
     fn seen(&self, now: f64, node: u64, kind: Kind) {
         if let Some(judge) = self.on.borrow_mut().as_mut() {
             judge.seen(now, Seen { node, kind });
-            let listed = self.listed.borrow();
-            let Some(engine) = listed.iter().find(|engine| engine.node == node) else { return };
-            let mut ends = self.ends.borrow_mut();
-            let at = ends.iter().position(|(hall, ..)| *hall == engine.hall).unwrap_or_else(|| {
-                ends.push((engine.hall.clone(), 0, 0));
-                ends.len() - 1
-            });
-            let (_, good, bad) = &mut ends[at];
-            let count = if kind == Kind::Heard { good } else { bad };
-            *count = count.wrapping_add(1);
         }
     }
 
     /// What is seen of each hall, for the fleet.
-    fn evidence(&self, judge: &Judge, threads: f64) -> Vec<Evidence> {
-        let ends = self.ends.borrow();
-        let of = |(name, reach): (&str, tansymux_halls::message::Reach)| {
-            let (good, bad) =
-                ends.iter().find(|(hall, ..)| hall == name).map_or((0, 0), |(_, good, bad)| (*good, *bad));
+    fn evidence(judge: &Judge, threads: f64) -> Vec<Evidence> {
+        let of = |(name, reach, [good, bad]): (&str, Reached, [u16; 2])| {
             let reach = match reach {
-                tansymux_halls::message::Reach::Well => Reach::Well,
-                tansymux_halls::message::Reach::Climbing => Reach::Climbing,
-                tansymux_halls::message::Reach::Cut => Reach::Cut,
-                tansymux_halls::message::Reach::Unknown => Reach::Unknown,
+                Reached::Well => Reach::Well,
+                Reached::Climbing => Reach::Climbing,
+                Reached::Cut => Reach::Cut,
+                Reached::Unknown => Reach::Unknown,
             };
             Evidence { zone: tansymux_operator::number_of(name), reach, threads: threads as f32, good, bad }
         };
@@ -186,7 +171,7 @@
         }
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
-            fleet.sees(self.evidence(judge, control.threads_out() + LEAST_DEMAND), judge.alone());
+            fleet.sees(Halls::evidence(judge, control.threads_out() + LEAST_DEMAND), judge.alone());
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
         }
         control.plan_halls(Some(&given(&plan)));
--- a/crates/dispatcher/src/names.rs
+++ b/crates/dispatcher/src/names.rs
@@ -30,14 +30,12 @@
 }
 
 impl Directory {
-    /// The number of an engine: FNV-1a over its id, the next free one where two ids fall together.
+    /// The number of an engine: that of its id, the next free one where two ids fall together.
     pub fn node(&mut self, id: &str) -> u64 {
         if let Some(&node) = self.nodes.get(id) {
             return node;
         }
-        let hash =
-            id.bytes().fold(0x811c_9dc5_u32, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        let mut node = u64::from(hash);
+        let mut node = u64::from(tansymux_operator::number_of(id));
         while self.taken.insert(node, ()).is_some() {
             node = (node + 1) & 0xffff_ffff;
         }
--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -111,6 +111,8 @@
     /// Good and bad outcomes, fading.
     good: f64,
     bad: f64,
+    /// All outcomes since it was first named, good and bad, counted round.
+    ends: [u16; 2],
     faded: f64,
     set_back: f64,
     progress: f64,
@@ -212,6 +214,7 @@
             since: self.now,
             good: 0.0,
             bad: 0.0,
+            ends: [0; 2],
             faded: self.now,
             set_back: LONG_AGO,
             progress: 0.0,
@@ -285,12 +288,14 @@
             Kind::Heard => {
                 (known.fails, known.heard) = (0, now);
                 hall.good += 1.0;
+                hall.ends[0] = hall.ends[0].wrapping_add(1);
                 hall.quiet = None;
             }
             Kind::Lost => {
                 known.fails += 1;
                 known.failed = now;
                 hall.bad += 1.0;
+                hall.ends[1] = hall.ends[1].wrapping_add(1);
                 hall.quiet.get_or_insert(now);
             }
         }
@@ -324,8 +329,8 @@
 
     /// How this dispatcher reaches each hall, for a fleet that puts the evidence of many together: one lost answer of
     /// each engine that was tried is enough to say so, as several must say it. Where it reaches none, it says nothing
-    /// of any.
-    pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach)> + '_ {
+    /// of any. Beside it all outcomes, good and bad, counted round.
+    pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach, [u16; 2])> + '_ {
         let lost: Vec<bool> = (0..self.halls.len()).map(|hall| self.seems_lost(hall)).collect();
         let none = !lost.is_empty() && lost.iter().all(|lost| *lost);
         self.halls.iter().enumerate().map(move |(n, hall)| {
@@ -334,7 +339,7 @@
                 Reach::Well | Reach::Unknown if lost[n] => Reach::Unknown,
                 reach => reach,
             };
-            (hall.name.as_str(), reach)
+            (hall.name.as_str(), reach, hall.ends)
         })
     }
 
--- a/crates/releases/src/agent.rs
+++ b/crates/releases/src/agent.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tansymux_permits::wire::Counted;
-use tansymux_permits::{Id, Kind, Record, Stamp, Value, Why, MOST_RECORDS};
+use tansymux_permits::{Id, Kind, Record, Value, Why, MOST_RECORDS};
 
 /// Reports are so far apart (ms), spread by a fifth.
 const REPORT_EVERY: f64 = 1000.0;
@@ -131,13 +131,6 @@
         }
     }
 
-    pub fn release(&self) -> Option<u32> {
-        match self.copies.get(&tansymux_permits::RELEASE)?.record.value {
-            Value::Release { number, .. } => Some(number),
-            _ => None,
-        }
-    }
-
     /// Takes records in: of one place, the later one holds.
     pub fn learns(&mut self, now: f64, records: impl Iterator<Item = Counted>) {
         for (record, left) in records {
@@ -161,10 +154,6 @@
         tansymux_permits::digest(self.copies.values().map(|copy| &copy.record))
     }
 
-    pub fn highest(&self) -> Stamp {
-        self.copies.values().map(|copy| copy.record.stamp).max().unwrap_or_default()
-    }
-
     pub fn report(&self, to: Id) -> Report {
         Report {
             digest: self.digest(),
--- a/crates/releases/src/caller.rs
+++ b/crates/releases/src/caller.rs
@@ -97,7 +97,6 @@
     to: u32,
     grant: u64,
     skew: f64,
-    from: f64,
     gives_up: f64,
     asked: f64,
     next: f64,
@@ -118,7 +117,6 @@
             to,
             grant: chance.random(),
             skew,
-            from: now,
             gives_up: now + patience,
             asked: now,
             next: now,
@@ -134,11 +132,6 @@
         self.grant
     }
 
-    /// How long it has waited (ms).
-    pub fn waited(&self, now: f64) -> f64 {
-        now - self.from
-    }
-
     /// The last answer that was none.
     pub fn last(&self) -> Answer {
         self.last
--- a/crates/releases/src/fleet.rs
+++ b/crates/releases/src/fleet.rs
@@ -12,7 +12,7 @@
 use tansymux_membership::{Carried, Group, State};
 use tansymux_permits::limits::Unit;
 use tansymux_permits::wire::Counted;
-use tansymux_permits::{Council, Id, Kind, Record, Stamp, Stand, Terms, Value, Why};
+use tansymux_permits::{Council, Id, Kind, Record, Stand, Terms, Value, Why};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
 const MOST_NEWS: usize = 4;
@@ -45,7 +45,6 @@
     zoned: Option<Zoned>,
     /// Messages to itself.
     own: Vec<Message>,
-    out: Vec<(SocketAddr, Vec<u8>)>,
     now: f64,
 }
 
@@ -69,7 +68,7 @@
             .zones
             .clone()
             .map(|(own, definition)| Zoned::new(own, definition, agent.session(), now, chance.random()));
-        Fleet { group, council, steward, agent, zoned, own: Vec::new(), out: Vec::new(), now }
+        Fleet { group, council, steward, agent, zoned, own: Vec::new(), now }
     }
 
     pub fn id(&self) -> Id {
@@ -140,10 +139,9 @@
         self.agent.engines_out(self.now).find(|(key, _)| *key == place).map(|(_, why)| why)
     }
 
-    /// How many engines are out by agreement, and a number that changes when they do.
-    pub fn engines_out(&self) -> (usize, u64) {
-        let places = self.agent.engines_out(self.now).map(|(key, _)| key);
-        places.fold((0, 0), |(many, sum), key| (many + 1, sum ^ key.rotate_left(7)))
+    /// How many engines are out by agreement.
+    pub fn engines_out(&self) -> usize {
+        self.agent.engines_out(self.now).count()
     }
 
     /// Says that this member goes.
@@ -320,13 +318,6 @@
             }
         }
         let (datagrams, at) = self.group.poll(now);
-        let mut out = std::mem::take(&mut self.out);
-        out.extend(datagrams);
-        (out, next.min(at))
-    }
-
-    /// The highest stamp that it knows of, and how many records that are not over.
-    pub fn known(&self) -> (Stamp, usize) {
-        (self.agent.highest(), self.agent.records(self.now).filter(|(record, _)| !record.is_over()).count())
+        (datagrams, next.min(at))
     }
 }
--- a/crates/zones/src/shares.rs
+++ b/crates/zones/src/shares.rs
@@ -75,8 +75,4 @@
         }
         share
     }
-
-    pub fn clear(&mut self) {
-        self.demand.clear();
-    }
 }
