Signals are heard before anything else: one that comes at a start no longer ends it

Seen: SIGHUP or SIGTERM between exec and the first turn of the driver ended the process by signal, as the handlers were registered in Dispatcher::run, after the files were read and the listener was bound (dispatcher.rs, run). A SIGHUP to all at once, as a release of the configuration sends it, would count as a crash. Now main registers them first; what comes meanwhile waits in its pipe.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use crate::notify::Notifications;
 use crate::operators;
 use crate::peers::Peers;
-use crate::signals::{self, Signal};
+use crate::signals::Signal;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{future, Stream, StreamExt};
@@ -158,19 +158,11 @@
     }
 
     /// Runs until all is answered after the signal to end.
-    pub async fn run(mut self) {
-        let signals = match signals::heard() {
-            Ok(signals) => signals
-                .map(|signal| match signal {
-                    Signal::ReadAgain => Stir::ToldToReadAgain,
-                    Signal::End => Stir::ToldToEnd,
-                })
-                .boxed_local(),
-            Err(e) => {
-                tracing::error!(error = %e, "signals can't be heard");
-                futures_lite::stream::pending().boxed_local()
-            }
-        };
+    pub async fn run(mut self, signals: impl Stream<Item = Signal>) {
+        let signals = signals.map(|signal| match signal {
+            Signal::ReadAgain => Stir::ToldToReadAgain,
+            Signal::End => Stir::ToldToEnd,
+        });
         let events = Notifications(self.exchange.notify.clone()).map(|()| Stir::Events);
         let mut stirs = std::pin::pin!(futures_lite::stream::or(signals, events));
         while self.phase != Phase::Ended {
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -65,6 +65,11 @@
 
 fn serve(common: Common) -> ExitCode {
     log::begin();
+    // First of all: what is not yet handled ends a process, also a SIGHUP that was meant to have a file read again.
+    let signals = match signals::heard() {
+        Ok(signals) => signals,
+        Err(e) => return failed(&format!("signals can't be heard: {e}")),
+    };
     let operator = match operators::read_if(common.operator.as_deref()) {
         Ok(operator) => operator,
         Err(faults) => return failed(&faults.join("\ntansymux: ")),
@@ -79,7 +84,7 @@
     match Dispatcher::start(config, operator, common, executor.clone()) {
         Ok(dispatcher) => {
             tracing::info!(name, "serves");
-            async_io::block_on(executor.run(dispatcher.run()));
+            async_io::block_on(executor.run(dispatcher.run(signals)));
             log::end();
             ExitCode::SUCCESS
         }
