A client's token and key go on to the engine: keyed and ordered groups of other customers

What our own log of heads showed: Req-Token (32 hex digits) with queries of tokened groups, Req-Key (16) with those in order. At fault: http.rs passed both over, and dispatcher.rs gave the decisions no key (None). Now they go on as nonce= and item=, by the names that real.json gives, and the key reaches the decisions, which keep its order. What is no hex of that length is turned away with 400.

--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -15,6 +15,8 @@
     pub owner: Option<&'a str>,
     pub cost: Option<&'a str>,
     pub memory_mb: Option<&'a str>,
+    pub token: Option<&'a str>,
+    pub key: Option<&'a str>,
     /// Bytes of the head, and of the body behind it.
     pub size: usize,
     pub length: usize,
@@ -63,6 +65,8 @@
         owner: None,
         cost: None,
         memory_mb: None,
+        token: None,
+        key: None,
         size: blank + end + 4,
         length: 0,
     };
@@ -101,6 +105,8 @@
                 () if is("req-owner") => &mut head.owner,
                 () if is("req-cost") => &mut head.cost,
                 () if is("x-need-mb") => &mut head.memory_mb,
+                () if is("req-token") => &mut head.token,
+                () if is("req-key") => &mut head.key,
                 () => continue,
             };
             if place.replace(value).is_some() {
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::classes::{self, Classes};
 use crate::clock::Clock;
-use crate::exchange::{Answer, Asked, Exchange, NotTaken, Slot};
+use crate::exchange::{Answer, Asked, Exchange, Marks, NotTaken, Slot};
 use crate::halls::Halls;
 use crate::levels::{self, Levels};
 use crate::net::write_gathered;
@@ -58,6 +58,9 @@
 const MOST_PASSED_OVER: usize = 1 << 20;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const READ_AT_ONCE: usize = 16 * 1024;
+/// Digits of a token and of a key at most: 128 and 64 bits.
+const MOST_TOKEN: usize = 32;
+const MOST_KEY: usize = 16;
 /// Bytes kept of a client that sends on while its query is in hand.
 const MOST_AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
 
@@ -376,6 +379,16 @@
             told(head.wait_ms, self.door.most_wait).filter(|ms| *ms >= 1.0).ok_or((400, "Req-Wait-Ms"))?;
         let cost = told(head.cost, self.door.most_cost).ok_or((400, "Req-Cost"))?;
         let memory = told(head.memory_mb, self.door.most_memory).ok_or((400, "X-Need-Mb"))?;
+        // Both go on to the engine as they came, in a list of fields that a comma or an equals sign would break.
+        let hex = |value: &str, digits: usize| {
+            (1..=digits).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_hexdigit())
+        };
+        if head.token.is_some_and(|token| !hex(token, MOST_TOKEN)) {
+            return Err((400, "Req-Token"));
+        }
+        if head.key.is_some_and(|key| !hex(key, MOST_KEY)) {
+            return Err((400, "Req-Key"));
+        }
         if named.is_some_and(|rg| !self.door.groups.iter().any(|known| known == rg)) {
             return Err((404, "unknown resource group"));
         }
@@ -410,8 +423,9 @@
         let bare = read.as_ref().filter(|_| named.is_none());
         let cost = estimate(cost, bare.map(|read| read.cost), self.door.most_cost);
         let memory = estimate(memory, bare.map(|read| read.memory), self.door.most_memory);
+        let marks = Marks { token: head.token, key: head.key };
         let asked =
-            Asked { id, rg, customer, statement: body, since, due, cost, memory, tables, text, shape };
+            Asked { id, rg, customer, statement: body, since, due, cost, memory, tables, text, shape, marks };
         self.exchange.take(&asked).map_err(|not| match not {
             NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
             NotTaken::Past => (409, "a query with this Req-Id was taken before"),
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -341,7 +341,7 @@
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         while let Some(event) = self.exchange.next_event() {
             match event {
-                Event::Query { query, customer, cost, memory, tables, text } => {
+                Event::Query { query, customer, key, cost, memory, tables, text } => {
                     // One whose client left while it waited for this round is no news to the decisions.
                     let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due)) else {
                         continue;
@@ -350,7 +350,7 @@
                         continue;
                     }
                     let taken =
-                        control.query(query, &rg, &customer, None, due, cost, memory, tables, text, out);
+                        control.query(query, &rg, &customer, key, due, cost, memory, tables, text, out);
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
                         self.exchange.answer(query, Answer::Killed);
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -591,7 +591,7 @@
 
 /// The fields of a request to an engine: what is not said is left to it.
 fn fields_of(q: &Query, limit: f64) -> String {
-    let mut fields = format!("cls={},limit={}", q.rg, limit.floor().max(1.0) as u64);
+    let mut fields = format!("cls={},limit={}{}", q.rg, limit.floor().max(1.0) as u64, q.marks);
     if let Some((priority, memory)) = q.granted {
         if memory > 0.0 {
             fields += &format!(",mb={memory:.3}");
@@ -639,7 +639,9 @@
             let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
             let (text, shape) = (tansymux::interface::Text::UNREAD, None);
             let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
-            let asked = Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape };
+            let marks = crate::exchange::Marks::default();
+            let asked =
+                Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape, marks };
             let (query, _slot) = exchange.take(&asked).unwrap();
             exchange.submit(query, 7, 1e15, true);
             side.carry_out();
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -34,7 +34,7 @@
 /// What came in since the last round.
 #[derive(Debug)]
 pub enum Event {
-    Query { query: u64, customer: Rc<str>, cost: f64, memory: f64, tables: u32, text: Text },
+    Query { query: u64, customer: Rc<str>, key: Option<u64>, cost: f64, memory: f64, tables: u32, text: Text },
     Vanished { query: u64 },
     Closed { query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages },
     Noted { query: u64, submission: usize, note: Note, amount: f64 },
@@ -77,6 +77,8 @@
     pub id: Rc<str>,
     pub rg: Rc<str>,
     pub statement: Rc<[u8]>,
+    /// What the engine is told of its token and its key, as fields.
+    pub marks: Rc<str>,
     /// When its last byte came, what it costs as far as is known (ms on one core), and by when it is answered.
     pub since: f64,
     pub cost: f64,
@@ -144,6 +146,21 @@
     }
 }
 
+/// What marks a query beyond its id: a token, by which engines know a repeat, and a key, whose queries go in order.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Marks<'a> {
+    pub token: Option<&'a str>,
+    pub key: Option<&'a str>,
+}
+
+impl Marks<'_> {
+    /// Both as fields of a request to an engine, each with a comma before it.
+    fn fields(&self) -> Rc<str> {
+        let field = |name: &str, value: Option<&str>| value.map_or(String::new(), |v| format!(",{name}={v}"));
+        format!("{}{}", field("nonce", self.token), field("item", self.key)).into()
+    }
+}
+
 /// A query as the client side has read it.
 pub struct Asked<'a> {
     pub id: &'a str,
@@ -157,6 +174,7 @@
     pub tables: u32,
     pub text: Text,
     pub shape: Option<Shape>,
+    pub marks: Marks<'a>,
 }
 
 #[derive(Debug, PartialEq)]
@@ -190,6 +208,7 @@
             id: id.clone(),
             rg: asked.rg.into(),
             statement: asked.statement.into(),
+            marks: asked.marks.fields(),
             since: asked.since,
             cost: asked.cost,
             due: asked.due.min(self.ends.get()),
@@ -206,7 +225,8 @@
         self.counters.taken.add();
         let &Asked { cost, memory, tables, text, .. } = asked;
         let customer = asked.customer.into();
-        self.happened(Event::Query { query: number, customer, cost, memory, tables, text });
+        let key = asked.marks.key.and_then(|key| u64::from_str_radix(key, 16).ok());
+        self.happened(Event::Query { query: number, customer, key, cost, memory, tables, text });
         Ok((number, slot))
     }
 
@@ -376,6 +396,7 @@
         tables: 1,
         text: Text::UNREAD,
         shape: None,
+        marks: Marks { token: None, key: None },
     };
 
     #[test]
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -281,6 +281,45 @@
     }
 }
 
+#[test]
+fn a_token_and_a_key_go_on_as_they_came_and_queries_of_one_key_go_in_turn() {
+    let (address, told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(60));
+        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+    });
+    let program = start_with(&[address], |config| {
+        let load = json!({"name": "load", "aim-us": 300_000, "hard-limit-us": 9_000_000, "effect": "idempotency_key",
+            "dedup-scope": "all", "repeat-window-us": 5_000_000, "in-order": true});
+        config.with("settings.services.1", load)
+    });
+    let (token, key) = ("0123456789abcdef0123456789ABCDEF", "00000000000000c7");
+    let post = |id: u64, fields: &str| {
+        let mut client = TcpStream::connect(program.listen).unwrap();
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        let head = format!(
+            "POST /invoke/load HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n"
+        );
+        client.write_all(format!("{head}{fields}Content-Length: 8\r\n\r\nSELECT 1").as_bytes()).unwrap();
+        client
+    };
+    let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
+    let clients = [post(1, &marks), post(2, &marks)];
+    let fetch = || {
+        let (parts, at) = told.recv_timeout(WAIT).unwrap();
+        assert_eq!(parts[0], "fetch");
+        (parts[2].split(',').map(str::to_owned).collect::<Vec<String>>(), at)
+    };
+    let ((first, began), (_, second)) = (fetch(), fetch());
+    assert!(first.contains(&format!("nonce={token}")) && first.contains(&format!("item={key}")), "{first:?}");
+    // The second of its key has not gone out while the first ran.
+    assert!(second - began >= Duration::from_millis(60), "{:?}", second - began);
+    clients.iter().for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
+    // What would break the list of fields is turned away, as is one that is told twice.
+    for wrong in ["Req-Token: a,mb=9\r\n", "Req-Key: \r\n", "Req-Key: 1\r\nReq-Key: 2\r\n"] {
+        assert_eq!(answer(&mut BufReader::new(post(9, wrong))).unwrap().0, 400, "{wrong}");
+    }
+}
+
 /// Asks a few in turn with pauses; all are to finish.
 fn all_finish(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
     for id in ids {
