Without estimates, what came before a group's first answer is no measure of its pace

The trace of one dispatcher: 'query 6 tap cost 0', 'defer 6' at 0.7 s with 30 s to go, on idle engines, and 'cancel 3 0' 400 ms after its submission. Cause, control.rs: a query without an estimate takes its group's mean, which is 0 until the first answer; the answers of those taken before it were then set against 0.1 ms (learn_pace), which gave a pace of e^7.5 and made every later one hopeless at the door (query), while alone() said that they took no time and the look moved them after its floor of 400 ms. Ruled out: connections (none was wanting), load. Assumption that fitted the earlier deployments only: that queries carry estimates. Now the target runtime stands in before the first answer, an answer counts against those before it, and the first against none. Without notes an engine is now asked after the quickest group's target runtime. Both tests seen to fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -187,9 +187,11 @@
             low |= cost > most;
             g.learn_cost(cost.min(most), MEAN_STEP);
         }
-        // Without an estimate a query weighs its group's threads, and takes its group's usual time.
+        // Without an estimate a query weighs its group's threads, and takes its group's usual time; before the
+        // first answer that is its target runtime: nothing is known of it, which is not that it takes none.
         let work = if cost > 0.0 { cost * g.cost_factor } else { g.threads };
-        let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { g.mean_cost });
+        let usual = if g.seen > 0 { g.mean_cost } else { g.target * g.threads };
+        let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { usual });
         let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
         self.low_work += if low { MEAN_STEP * (work / g.threads - self.low_work) } else { 0.0 };
         let customer = self.door.customers.index(customer);
@@ -562,10 +564,15 @@
     fn learn_pace(&mut self, i: usize, e: usize, latency: f64) {
         let q = &self.queries[i];
         let g = &mut self.groups[q.rg];
+        // Without an estimate an answer counts against those before it, and the first against none.
+        let (cost, first) = (if q.guessed { g.mean_cost } else { q.cost }, q.guessed && g.seen == 0);
         if q.guessed {
             g.learn_cost(latency * g.threads, MEAN_STEP);
         }
-        let ratio = (latency.max(0.1) * g.threads / q.cost.max(0.1)).ln();
+        if first {
+            return;
+        }
+        let ratio = (latency.max(0.1) * g.threads / cost.max(0.1)).ln();
         // Past its target runtime it is slow whatever the best was: one that began in trouble knows no other.
         let late = latency > g.target_of(q.cost * g.cost_factor);
         let above = g.learn_ratio(ratio, STEP, MEAN_STEP, FIRST_SEEN) - SCATTER * g.least_scatter;
@@ -699,7 +706,11 @@
     // ---- The regular look ----
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
-        let (now, probe_after) = (self.now, PROBE_AFTER + self.allowed.notes_every);
+        // Where no notes tell that it works, an engine may be silent for as long as the quickest group takes.
+        let quickest = self.groups.iter().map(|g| g.target).fold(f64::INFINITY, f64::min);
+        let notes_every = self.allowed.notes_every;
+        let (now, probe_after) =
+            (self.now, PROBE_AFTER + if notes_every > 0.0 { notes_every } else { quickest });
         let span = self.allowed.cold.map_or(0.0, |rule| rule.span);
         for engine in &mut self.engines {
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -649,3 +649,36 @@
         assert_eq!(c.pressure(0), pressed);
     }
 }
+
+#[test]
+fn without_estimates_what_came_before_the_first_answer_is_no_measure() {
+    // Two were taken before any of their group had ended. Their time was unknown, not none: a third that gives a
+    // usual time is no hopeless case, and one that runs for half of its target runtime does not hang.
+    let usual = "services.0.hard-limit-us=20000000 limits.probes=1";
+    let mut c = gateway(usual, TWO);
+    for id in 0..3 {
+        assert!(starts(&ask(&mut c, 1.0, id, "look", 0.0), "submit"));
+    }
+    assert_eq!(c.alone(c.door.queries[&2]), 500.0);
+    for id in 0..2 {
+        let i = c.door.queries[&id];
+        let node = c.engines[c.queries[i].submissions[0].engine].node;
+        close(&mut c, 200.0, id, 0, Outcome::Finished, node);
+    }
+    assert!(!starts(&round(&mut c, 600.0, |_, _| ()), "cancel"));
+    let decided = ask(&mut c, 610.0, 9, "look", 0.0);
+    assert!(starts(&decided, "submit 9"), "{decided:?}");
+    assert!((c.alone(c.door.queries[&9]) - 100.0).abs() < 20.0, "{}", c.alone(c.door.queries[&9]));
+}
+
+#[test]
+fn an_engine_that_sends_no_notes_is_asked_only_after_the_quickest_groups_time() {
+    let asks = |more: &str, at: f64| {
+        let mut c = gateway(&format!("limits.probes=1 {more}"), ONE);
+        ask(&mut c, 1.0, 1, "look", 100.0);
+        starts(&round(&mut c, at, |_, _| ()), "probe")
+    };
+    // Its quickest group is wanted within 500 ms; with notes every 100 ms silence tells sooner.
+    assert!(!asks("", 700.0) && asks("", 900.0));
+    assert!(asks("family-info.tells-every-us=100000", 500.0));
+}
