Where engines send no notes, a silent connection is judged by the quickest group's time

At fault: quiet() in engine/mod.rs took 250 ms, the floor beside 1.25 notes' time, for the time within which a living connection tells something; without notes nothing tells it before the answer. And a cost of 0, for none told, asked for a check after those 250 ms. Assumption that fitted the earlier deployments only: notes every second. Now the shortest target runtime of the settings stands in. Seen to fail without the change.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -246,18 +246,22 @@
     let memory = memory * f64::from(1 << 20);
     let setting = |key: &str| root.key("settings").key("limits").key(key);
     let notes_every = root.key("settings").key("family-info").key("tells-every-us");
+    let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    let times = |key: &str| -> Vec<f64> {
+        let path = |i| format!("{}.{key}", told::item_of("services", i));
+        (0..count).filter_map(|i| told.millis(&path(i))).collect()
+    };
     let terms = Terms {
+        quickest: times("aim-us").into_iter().reduce(f64::min).unwrap_or(0.0),
         notes_every: number(&notes_every, 0.0, 0.0) / 1e3,
         connect_timeout: number(&setting("connect-timeout-us"), DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0) / 1e3,
         idle: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
         streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
         most_connections: (sockets * ENGINES_PART) as usize,
     };
-    let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
-    let waits =
-        (0..count).filter_map(|i| told.millis(&format!("{}.hard-limit-us", told::item_of("services", i))));
     let largest = |path: &str| told.list(path).iter().filter_map(|n| n.parse::<f64>().ok()).reduce(f64::max);
-    let most_wait = waits.reduce(f64::max).map_or(LONGEST_WAIT, |wait| ROOM * wait);
+    let most_wait =
+        times("hard-limit-us").into_iter().reduce(f64::max).map_or(LONGEST_WAIT, |wait| ROOM * wait);
     let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
     let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let door = Door {
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -32,7 +32,7 @@
 /// Part of the told idle time after which a connection is closed from here, before the engine does.
 const IDLE_PART: f64 = 0.8;
 /// What is given up after nothing was heard on its connection for so many notes' time, and so long (ms) at the
-/// least, retires the connection.
+/// least, retires the connection. Where there are no notes, the shortest target runtime stands in for their time.
 const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
 /// A submission on a connection that had idled, and that tells nothing for so many times its cost and at least as long,
@@ -48,8 +48,9 @@
 pub struct Terms {
     pub connect_timeout: f64,
     pub idle: f64,
-    /// Time between an engine's notes on a submission, 0 if it sends none.
+    /// Time between an engine's notes on a submission, 0 if it sends none; the shortest target runtime of all groups.
     pub notes_every: f64,
+    pub quickest: f64,
     pub streams: usize,
     pub most_connections: usize,
 }
@@ -169,7 +170,9 @@
         let mut connection = channel.connection.borrow_mut();
         connection.submit(&id, &fields, statement, Submission::new(query, number, now, until));
         if connection.idled.is_some_and(|(_, sent)| sent == now) {
-            connection.check_at = now + QUIET.max(CHECK_RUNS * cost).min(self.quiet());
+            // A cost that is not told is no cost of none.
+            let runs = if cost > 0.0 { CHECK_RUNS * cost } else { f64::INFINITY };
+            connection.check_at = now + QUIET.max(runs).min(self.quiet());
         }
         drop(connection);
         channel.notify.notify();
@@ -219,7 +222,8 @@
 
     /// Without a note for so long a connection may be dead.
     fn quiet(&self) -> f64 {
-        QUIET.max(QUIET_NOTES * self.terms.notes_every)
+        let tells = if self.terms.notes_every > 0.0 { self.terms.notes_every } else { self.terms.quickest };
+        QUIET.max(QUIET_NOTES * tells)
     }
 
     fn open_one(self: &Rc<Self>, engine: &mut Engine, node: u64, address: SocketAddr) -> Rc<Channel> {
@@ -612,6 +616,7 @@
             connect_timeout: 250.0,
             idle: 30_000.0,
             notes_every: 0.0,
+            quickest: 0.0,
             streams: 32,
             most_connections: 8,
         };
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -15,6 +15,8 @@
 use tansymux_rig::record::{Record, Status};
 use tansymux_rig::wire::{self, answer};
 
+const TICK: Duration = Duration::from_millis(1);
+
 /// Starts the program with these engines, and waits until it is healthy.
 fn start(engines: &[SocketAddr]) -> Program {
     start_with(engines, |config| config)
@@ -404,6 +406,29 @@
     assert_eq!(program.counter("submissions_reset"), Some(1));
 }
 
+#[test]
+fn where_no_notes_are_sent_a_run_that_is_given_up_within_its_time_says_nothing_of_its_connection() {
+    // Query 1 is never answered; its client leaves after 400 ms, where answers may take 5 s.
+    let (address, told) = engine(|parts, to| {
+        if parts[0] == "fetch" && !parts[1].ends_with('1') {
+            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        }
+    });
+    let program = start_with(&[address], |config| {
+        config.with("settings.services.0.aim-us", 5_000_000).with("settings.services.1.aim-us", 5_000_000)
+    });
+    let ask =
+        |id| post_in_two(program.listen, &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0), 50, TICK);
+    let leaves = ask(1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(answer(&mut BufReader::new(ask(2))).unwrap().0, 200);
+    thread::sleep(Duration::from_millis(400));
+    drop(leaves);
+    program.wait_for_count("vanished 1\n");
+    assert_eq!(answer(&mut BufReader::new(ask(3))).unwrap().0, 200);
+    assert_eq!(program.counter("connections_to_engines"), Some(2));
+}
+
 /// The fewest places, 32 of them for clients.
 fn small(config: Config) -> Config {
     config.with("limits", json!({"sockets": 64, "memory_mb": 32}))
