Clients' connections end in order: the watch never stops, the last call is answered, all part

The watch for a client that leaves ended once 72 KB lay in its inbox or it was held back (wait): the close behind that went unseen and its query went on. Now what is beyond is read and passed over; 1 MB of it ends the connection. The accepting task was dropped at 0.7 s: with all places taken, who stood in the backlog was reset. Now it takes who has connected and only then closes the listener. Connections that rest sat until the process ended, and a request on one in the last 150 ms was taken and not answered. Now they are half-closed at 0.7 s, after a last look, read out for 500 ms and never taken from again; the process ends once none is left. After the last phase the driver still slept for its longest sleep: the process ended 1 s after all was answered. And its 3.2 s were fixed: where the longest deadline is 1 s the platform ends it after 1.7 s. Now the deadline of the settings counts. Requests sent without end on one connection were served without a pause for others: each waited over 2 s. A 503 told no time to come back.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -9,9 +9,10 @@
 use crate::halls::Halls;
 use crate::levels::{self, Levels};
 use crate::net::write_gathered;
+use crate::notify::Notify;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use http::{answer_head, Head};
 use places::{Place, Places, Stage};
 use std::cell::{Cell, RefCell};
@@ -44,6 +45,8 @@
     pub most_wait: f64,
     pub most_cost: f64,
     pub most_memory: f64,
+    /// When (ms) a client that finds no room may come back, if it may be told.
+    pub retry_after: Option<f64>,
 }
 
 /// An answer is written by this long (ms) before the client stops waiting.
@@ -53,9 +56,11 @@
 const IDLE_WAIT: f64 = 20_000.0;
 /// A request is whole within so long (ms), or it is turned away.
 const WHOLE_WITHIN: f64 = 2400.0;
-/// How long, and how many bytes, a client that was turned away may go on sending.
+/// How long (ms), and how many bytes, is read and passed over behind a half-close, so that the last answer is not lost
+/// to a reset; and how long a connection on which nothing came is kept for its first request once the program ends.
 const PART_WITHIN: f64 = 500.0;
 const MOST_PASSED_OVER: usize = 1 << 20;
+const FIRST_REQUEST: f64 = 500.0;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const READ_AT_ONCE: usize = 16 * 1024;
 /// Digits of a token and of a key at most: 128 and 64 bits.
@@ -68,7 +73,18 @@
 enum More {
     Came,
     Late,
+    /// The client closed or reset its side.
     Ended,
+    /// The connection is asked to end: its place is wanted, or the program ends.
+    Asked,
+}
+
+/// How a connection ends.
+enum End {
+    /// The client has gone: nothing is owed, and nothing can be told.
+    Gone,
+    /// From here: half-closed, and what its client still sends is read and passed over.
+    HalfClose,
 }
 
 /// What became of a request.
@@ -78,6 +94,14 @@
     TurnedAway,
 }
 
+/// What a query's wait came to.
+struct Waited {
+    /// None if the client left.
+    answer: Option<Answer>,
+    /// The client sent more than is kept: what it sent is no request any more, and the connection ends.
+    overrun: bool,
+}
+
 /// What a connection has sent and nobody has read yet, and how much that is on all connections.
 struct Inbox<'a> {
     bytes: Vec<u8>,
@@ -120,8 +144,12 @@
     shared: RefCell<Vec<u8>>,
     /// Whether the front is told that this dispatcher takes queries.
     pub healthy: Cell<bool>,
-    /// Connections end after the answer that is due on them, once this is set.
-    pub closing: Cell<bool>,
+    /// Connections are no longer waited for: those that are there already are the last, and each ends once nothing is
+    /// owed on it.
+    last_call: Cell<bool>,
+    called: Notify,
+    /// No further connection is taken.
+    closed: Cell<bool>,
 }
 
 impl ClientSide {
@@ -129,7 +157,7 @@
         exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>, levels: Rc<Levels>,
         halls: Rc<Halls>,
     ) -> Self {
-        let (waiting, healthy, closing) = Default::default();
+        let (waiting, healthy, last_call, called, closed) = Default::default();
         let places = Places::new(door.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
         ClientSide {
@@ -144,7 +172,9 @@
             waiting,
             shared,
             healthy,
-            closing,
+            last_call,
+            called,
+            closed,
         }
     }
 
@@ -152,9 +182,21 @@
         Async::<TcpListener>::bind(listen)
     }
 
-    /// Takes connections until dropped. When places run out, one that is of no use is closed for the next.
+    /// Takes those that have connected and then no more; connections that rest are half-closed.
+    pub fn last_call(&self) {
+        self.last_call.set(true);
+        self.called.notify();
+        self.places.ask_all();
+    }
+
+    /// Whether no connection is left and none will come.
+    pub fn all_gone(&self) -> bool {
+        self.closed.get() && self.places.held() == 0
+    }
+
+    /// Takes connections until the last call is answered. When places run out, one that is of no use is closed for the
+    /// next.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
-        let mut incoming = std::pin::pin!(listener.incoming());
         loop {
             while self.places.full() {
                 if self.places.give_one_up(self.clock.now()) {
@@ -165,14 +207,28 @@
                 };
                 future::or(self.places.freed.notified(), pause).await;
             }
-            match incoming.next().await {
-                Some(Ok(stream)) => {
+            // Who has connected counts as taken, read or not: the listener is closed only once none is left in it.
+            let accepted = if self.last_call.get() {
+                let Some(accepted) = future::poll_once(listener.accept()).await else { break };
+                accepted
+            } else {
+                let called = async {
+                    self.called.notified().await;
+                    None
+                };
+                let Some(accepted) = future::or(async { Some(listener.accept().await) }, called).await else {
+                    continue;
+                };
+                accepted
+            };
+            match accepted {
+                Ok((stream, _)) => {
                     self.exchange.counters.connections_from_clients.add();
                     let (side, place) = (self.clone(), self.places.take(self.clock.now()));
                     let connection = async move {
                         match side.serve(&stream, &place).await {
-                            Ok(true) => side.part(&stream, &place).await,
-                            Ok(false) => {}
+                            Ok(End::HalfClose) => side.part(&stream, &place).await,
+                            Ok(End::Gone) => {}
                             Err(e) => tracing::info!(error = %e, "a client's connection ended"),
                         }
                         drop(stream);
@@ -182,38 +238,52 @@
                     // Those that were taken read what they have before the next one is.
                     future::yield_now().await;
                 }
-                Some(Err(e)) => {
+                Err(e) => {
                     tracing::warn!(error = %e, "no connection could be taken");
                     Timer::after(ACCEPT_PAUSE).await;
                 }
-                None => return,
             }
         }
+        drop(listener);
+        self.closed.set(true);
     }
 
-    /// One connection, one request at a time; whether its client may still be sending when it is to end.
-    async fn serve(&self, stream: &Async<TcpStream>, place: &Place) -> io::Result<bool> {
+    /// One connection, one request at a time, up to its end. What is read here is taken, whatever else is under way.
+    async fn serve(&self, stream: &Async<TcpStream>, place: &Place) -> io::Result<End> {
         stream.get_ref().set_nodelay(true)?;
         let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
         // When the last of what is in the inbox came: a query's time counts from its last byte. By when the request
         // must be whole: for the first counted from connecting, else from its first byte, however it drips.
         let mut since = self.clock.now();
+        let connected = since;
         let mut whole_by = since + WHOLE_WITHIN;
         loop {
             let head = match http::parse(&inbox.bytes) {
                 Ok(Some(head)) if inbox.bytes.len() >= head.size + head.length => head,
                 Ok(_) => {
-                    let idles = inbox.bytes.is_empty() && place.idles();
-                    let by = if idles { since + IDLE_WAIT } else { whole_by };
+                    let (empty, last) = (inbox.bytes.is_empty(), self.last_call.get());
+                    let idles = empty && place.idles();
+                    // At the end one that rests is closed at once, but for what has come by then.
+                    let by = match () {
+                        () if idles && last => since,
+                        () if idles => since + IDLE_WAIT,
+                        () if empty && last => whole_by.min(connected + FIRST_REQUEST),
+                        () => whole_by,
+                    };
                     match self.more(stream, &mut inbox, place, by).await? {
                         More::Came if self.hoards(&inbox) => {
                             return self.turn_away(stream, 503, "TryLater").await;
                         }
                         More::Came => {}
-                        More::Late if !inbox.bytes.is_empty() => {
+                        More::Late if empty => return Ok(End::HalfClose),
+                        More::Late => {
                             return self.turn_away(stream, 408, "the request did not become whole").await;
                         }
-                        More::Late | More::Ended => return Ok(false),
+                        More::Ended => return Ok(End::Gone),
+                        // While the program ends, what has begun goes on, and what may come first has its time.
+                        More::Asked if !place.given_up() => continue,
+                        More::Asked if empty => return Ok(End::HalfClose),
+                        More::Asked => return self.turn_away(stream, 503, "TryLater").await,
                     }
                     since = self.clock.now();
                     if idles {
@@ -223,29 +293,29 @@
                 }
                 Err(wrong) => return self.turn_away(stream, wrong.status, wrong.what).await,
             };
-            let (used, keep_alive) = (head.size + head.length, head.keep_alive);
+            let (used, mut keep_alive) = (head.size + head.length, head.keep_alive);
             place.is(Stage::InHand, since);
-            let go_on = match self.open(stream, &head, &inbox.bytes[head.size..used], since).await? {
+            match self.open(stream, &head, &inbox.bytes[head.size..used], since).await? {
                 Opened::Query(number, slot) => {
                     inbox.take_out(used);
-                    match self.wait(stream, number, &slot, &mut inbox, &mut since).await {
-                        Some(answer) => self.write_answer(stream, answer, keep_alive).await?,
-                        None => return Ok(false),
-                    }
-                    keep_alive
-                }
-                Opened::Answered => {
-                    inbox.take_out(used);
-                    keep_alive
+                    let waited = self.wait(stream, number, &slot, &mut inbox, &mut since).await;
+                    let Some(answer) = waited.answer else { return Ok(End::Gone) };
+                    keep_alive &= !waited.overrun && !(self.last_call.get() && inbox.bytes.is_empty());
+                    self.write_answer(stream, answer, keep_alive).await?;
                 }
-                Opened::TurnedAway => return Ok(true),
-            };
-            if !go_on || self.closing.get() {
-                return Ok(true);
+                Opened::Answered => inbox.take_out(used),
+                Opened::TurnedAway => return Ok(End::HalfClose),
+            }
+            if !keep_alive {
+                return Ok(End::HalfClose);
             }
-            since = self.clock.now();
-            whole_by = since + WHOLE_WITHIN;
-            place.is(Stage::Idle, since);
+            // Who sends many requests at once has no more of the program's time than others.
+            future::yield_now().await;
+            if inbox.bytes.is_empty() {
+                since = self.clock.now();
+            }
+            whole_by = self.clock.now() + WHOLE_WITHIN;
+            place.is(Stage::Idle, self.clock.now());
         }
     }
 
@@ -254,15 +324,16 @@
         &self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>, place: &Place, by: f64,
     ) -> io::Result<More> {
         let came = async { Ok(if self.read(stream, inbox).await? == 0 { More::Ended } else { More::Came }) };
-        let told = async {
+        let asked = async {
             place.end.notified().await;
-            Ok(More::Ended)
+            Ok(More::Asked)
         };
         let late = async {
             Timer::at(self.clock.instant(by)).await;
             Ok(More::Late)
         };
-        future::or(came, future::or(told, late)).await
+        // What has come goes before what is asked: it is looked for first.
+        future::or(came, future::or(asked, late)).await
     }
 
     /// Whether inboxes are full in sum and this one holds more than its even part: small requests always pass.
@@ -284,15 +355,18 @@
     }
 
     /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
-    async fn turn_away(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<bool> {
+    async fn turn_away(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<End> {
         self.exchange.counters.refused_at_the_door.add();
         tracing::info!(status, what, "turned away");
-        self.write_plain(stream, status, &format!("{{\"error\":\"{what}\"}}"), false).await?;
-        Ok(true)
+        let text = format!("{{\"error\":\"{what}\"}}");
+        let retry_after = self.door.retry_after.filter(|_| status == 503).map(|ms| ms.ceil() as u64);
+        let head = answer_head(status, text.len(), false, retry_after);
+        self.write(stream, &[&head, text.as_bytes()]).await?;
+        Ok(End::HalfClose)
     }
 
-    /// Ends a connection so that its last answer is not lost to what its client still sends: that is read for a
-    /// while and passed over.
+    /// Half-closes, and reads what its client still sends, which is never taken for a request: a close over unread bytes
+    /// would be a reset, and take the last answer with it.
     async fn part(&self, stream: &Async<TcpStream>, place: &Place) {
         let now = self.clock.now();
         place.is(Stage::Leaving, now);
@@ -304,6 +378,7 @@
             let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
             match self.more(stream, &mut inbox, place, now + PART_WITHIN).await {
                 Ok(More::Came) => passed_over += inbox.bytes.len(),
+                Ok(More::Asked) if !place.given_up() => {}
                 _ => return,
             }
             future::yield_now().await;
@@ -433,18 +508,27 @@
         })
     }
 
-    /// Waits for the answer while watching for the client to leave; none if it left.
+    /// Waits for the answer while watching for the client to leave. The watch never stops: what a client sends beyond
+    /// what is kept is read and passed over, so that its end is seen behind it.
     async fn wait(
         &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Inbox<'_>, since: &mut f64,
-    ) -> Option<Answer> {
-        let watch = async {
-            while inbox.bytes.len() < MOST_AHEAD && !self.hoards(inbox) {
-                if !matches!(self.read(stream, inbox).await, Ok(1..)) {
-                    return;
+    ) -> Waited {
+        let overrun = Cell::new(false);
+        let left = async {
+            let mut passed_over = 0;
+            loop {
+                let before = inbox.bytes.len();
+                if !matches!(self.read(stream, inbox).await, Ok(1..)) || passed_over > MOST_PASSED_OVER {
+                    return None;
                 }
                 *since = self.clock.now();
+                if overrun.get() || inbox.bytes.len() > MOST_AHEAD || self.hoards(inbox) {
+                    overrun.set(true);
+                    passed_over += inbox.bytes.len() - before;
+                    inbox.take_out(inbox.bytes.len());
+                }
+                future::yield_now().await;
             }
-            future::pending().await
         };
         let answered = async {
             loop {
@@ -454,21 +538,16 @@
                 slot.notify.notified().await;
             }
         };
-        let left = async {
-            watch.await;
-            None
-        };
         let answer = future::or(answered, left).await;
         if answer.is_none() {
             self.exchange.vanished(number);
         }
-        answer
+        Waited { answer, overrun: overrun.get() }
     }
 
     async fn write_answer(
         &self, stream: &Async<TcpStream>, answer: Answer, keep_alive: bool,
     ) -> io::Result<()> {
-        let keep_alive = keep_alive && !self.closing.get();
         match answer {
             Answer::Finished(pages) => {
                 let mut parts: Vec<&[u8]> = vec![b"", b"{\"data\":["];
@@ -495,7 +574,6 @@
     async fn write_plain(
         &self, stream: &Async<TcpStream>, status: u16, text: &str, keep_alive: bool,
     ) -> io::Result<()> {
-        let keep_alive = keep_alive && !self.closing.get();
         let head = answer_head(status, text.len(), keep_alive, None);
         self.write(stream, &[&head, text.as_bytes()]).await
     }
--- a/crates/dispatcher/src/client/places.rs
+++ b/crates/dispatcher/src/client/places.rs
@@ -11,6 +11,8 @@
 /// goes before those that idle between two queries, for the second when there are no others.
 const SLOW_TO_ASK: f64 = 500.0;
 const TIME_TO_ASK: f64 = 100.0;
+/// One that was told its end has this long (ms) to take in its answer: the time within which a request may cross a close.
+const CROSSING: f64 = 50.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Stage {
@@ -29,11 +31,16 @@
     stage: Cell<Stage>,
     since: Cell<f64>,
     given_up: Cell<bool>,
-    /// Tells the connection to end.
+    /// Asks the connection to end.
     pub end: Notify,
 }
 
 impl Place {
+    /// Whether its place is wanted for another.
+    pub fn given_up(&self) -> bool {
+        self.given_up.get()
+    }
+
     pub fn idles(&self) -> bool {
         self.stage.get() == Stage::Idle
     }
@@ -79,6 +86,11 @@
         self.freed.notify();
     }
 
+    /// Asks all connections to end once nothing is owed on them.
+    pub fn ask_all(&self) {
+        self.each.borrow().iter().for_each(|(_, place)| place.end.notify());
+    }
+
     /// Tells one connection to end, so that its place is free; none while each may still be of use. The longest in
     /// its stage goes first. None with a request in hand is ever chosen.
     pub fn give_one_up(&self, now: f64) -> bool {
@@ -87,7 +99,7 @@
             let age = now - place.since.get();
             match place.stage.get() {
                 Stage::InHand => None,
-                Stage::Leaving => Some(0),
+                Stage::Leaving => (age > CROSSING).then_some(0),
                 Stage::Idle if age > ASKS_NO_MORE => Some(1),
                 Stage::New if age > SLOW_TO_ASK => Some(2),
                 Stage::Idle => Some(3),
@@ -113,7 +125,7 @@
         let places = Places::new(6);
         let stages =
             [(Stage::InHand, 0.0), (Stage::Idle, 9000.0), (Stage::New, 9400.0), (Stage::Idle, 2000.0)];
-        let fresh = [(Stage::New, 9950.0), (Stage::Leaving, 9990.0)];
+        let fresh = [(Stage::New, 9950.0), (Stage::Leaving, 9940.0)];
         let taken: Vec<Rc<Place>> = stages
             .into_iter()
             .chain(fresh)
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -3,6 +3,7 @@
 mod places;
 
 use crate::client::Door;
+use crate::dispatcher::TAKES_ON;
 use crate::engine::Terms;
 use crate::exchange::Listed;
 use crate::names::Directory;
@@ -22,6 +23,10 @@
 const DEFAULT_CONNECT_TIMEOUT: f64 = 250.0;
 const DEFAULT_IDLE: f64 = 30_000.0;
 const DEFAULT_STREAMS: f64 = 32.0;
+/// A platform that ends the program waits for the longest deadline, for so much (ms) of it at most, and for as long
+/// as it goes on sending; all is answered so much (ms) earlier, so that the last answers are written out in time.
+const MOST_GRACE: f64 = 3000.0;
+const LAST_WRITES: f64 = 500.0;
 /// Shares of the descriptor limit: connections from clients, connections to engines.
 const CLIENTS_PART: f64 = 0.5;
 const ENGINES_PART: f64 = 0.35;
@@ -55,6 +60,8 @@
     pub sockets: f64,
     pub memory: f64,
     pub terms: Terms,
+    /// After the signal to end, by when (ms) all is answered.
+    pub ends_by: f64,
     pub peers: Option<PeerAddresses>,
     pub resolver: Option<SocketAddr>,
     pub directory: Directory,
@@ -260,9 +267,11 @@
         most_connections: (sockets * ENGINES_PART) as usize,
     };
     let largest = |path: &str| told.list(path).iter().filter_map(|n| n.parse::<f64>().ok()).reduce(f64::max);
-    let most_wait =
-        times("hard-limit-us").into_iter().reduce(f64::max).map_or(LONGEST_WAIT, |wait| ROOM * wait);
+    let longest = times("hard-limit-us").into_iter().reduce(f64::max);
+    let ends_by = longest.unwrap_or(MOST_GRACE).min(MOST_GRACE) + TAKES_ON - LAST_WRITES;
+    let most_wait = longest.map_or(LONGEST_WAIT, |wait| ROOM * wait);
     let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
+    let may_be_told = told.get("limits.retry-after").is_none_or(|value| told::is_true(value));
     let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let door = Door {
         most_connections: (sockets * CLIENTS_PART) as usize,
@@ -272,6 +281,7 @@
         most_wait,
         most_cost: most_cost.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
         most_memory: most_memory.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
+        retry_after: told.millis("limits.max-retry-after-us").filter(|_| may_be_told),
     };
     let peers = faults.keep(peers(&root)).flatten();
     let resolver = faults.keep(root.key("resolver").maybe(At::address)).flatten();
@@ -290,6 +300,7 @@
             sockets,
             memory,
             terms,
+            ends_by,
             peers,
             resolver,
             directory,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -29,13 +29,11 @@
 use tansymux::told::Map;
 use tansymux_operator::Operator;
 
-/// After the signal to end: how long new queries are still taken (ms), and by when the last is answered. The
-/// platform sends new ones for 0.6 s, and ends the process no sooner than 3.7 s after the signal where deadlines are
-/// longer than 3 s; where they are shorter, all is answered earlier.
-const TAKES_ON: f64 = 700.0;
-const ENDS_BY: f64 = 3200.0;
-/// How long the last answers have to be written out (ms).
-const LAST_WRITES: f64 = 150.0;
+/// After the signal to end: how long new connections are still waited for (ms). The platform sends new ones for 0.4 s
+/// and requests on open ones for 0.2 s more.
+pub const TAKES_ON: f64 = 700.0;
+/// How long (ms) connections that have their answer may take to part, beyond the time by which all is answered.
+const LAST_PARTINGS: f64 = 250.0;
 const LONGEST_SLEEP: f64 = 1000.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -44,15 +42,12 @@
     Starting,
     Serving,
     /// Told to end: the front is told so, what still comes is served.
-    Closing {
-        since: f64,
-    },
-    /// Nothing new is taken; what is in hand is brought to its end.
     Draining {
         since: f64,
     },
-    /// All is answered; the last answers are written out.
-    Flushing {
+    /// Connections are no longer waited for, and those that rest are half-closed; what has been taken is brought to its
+    /// end, and each connection parts.
+    Closing {
         since: f64,
     },
     Ended,
@@ -72,8 +67,9 @@
     fleet: Option<Rc<FleetSide>>,
     /// Descriptors that it may hold.
     sockets: f64,
-    accepting: Option<Task<()>>,
     others: Vec<Task<()>>,
+    /// After the signal to end, by when (ms) all is answered.
+    ends_by: f64,
     /// The configuration in force, and the part of it that may change.
     text: Value,
     resolver: Rc<Cell<Option<SocketAddr>>>,
@@ -132,7 +128,7 @@
         others.push(executor.spawn(follow));
         let listener =
             ClientSide::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-        let accepting = Some(executor.spawn(clients.clone().accept(listener, executor.clone())));
+        others.push(executor.spawn(clients.clone().accept(listener, executor.clone())));
         let (phase, timer, text, told) = (Phase::Starting, f64::INFINITY, config.text, config.told);
         Ok(Dispatcher {
             phase,
@@ -147,8 +143,8 @@
             peers,
             fleet,
             sockets: config.sockets,
-            accepting,
             others,
+            ends_by: config.ends_by,
             text,
             resolver,
             told,
@@ -165,8 +161,11 @@
         });
         let events = Notifications(self.exchange.notify.clone()).map(|()| Stir::Events);
         let mut stirs = std::pin::pin!(futures_lite::stream::or(signals, events));
-        while self.phase != Phase::Ended {
+        loop {
             let wake = self.turn();
+            if self.phase == Phase::Ended {
+                break;
+            }
             self.wait(&mut stirs, wake).await;
             // Whatever is due already, the connections get their turn.
             future::yield_now().await;
@@ -220,21 +219,20 @@
 
     /// The next phase, where its time has come.
     fn advance(&mut self, now: f64) {
-        let unanswered = self.exchange.unanswered();
         self.phase = match self.phase {
             Phase::Starting => {
                 self.clients.healthy.set(true);
                 Phase::Serving
             }
-            Phase::Closing { since } if now >= since + TAKES_ON => {
-                self.accepting = None;
-                self.clients.closing.set(true);
-                Phase::Draining { since }
+            Phase::Draining { since } if now >= since + TAKES_ON => {
+                self.clients.last_call();
+                Phase::Closing { since }
             }
-            Phase::Draining { since } if unanswered == 0 || now >= since + ENDS_BY + LAST_WRITES => {
-                Phase::Flushing { since: now }
+            Phase::Closing { since }
+                if self.clients.all_gone() || now >= since + self.ends_by + LAST_PARTINGS =>
+            {
+                Phase::Ended
             }
-            Phase::Flushing { since } if now >= since + LAST_WRITES => Phase::Ended,
             phase => phase,
         };
     }
@@ -244,12 +242,12 @@
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             tracing::info!(queries = self.exchange.in_hand(), "told to end");
             self.clients.healthy.set(false);
-            let by = now + ENDS_BY;
+            let by = now + self.ends_by;
             self.control.hasten(by);
             self.exchange.hasten(by);
             self.engines.hasten(by);
             self.fleet.iter().for_each(|fleet| fleet.leave());
-            self.phase = Phase::Closing { since: now };
+            self.phase = Phase::Draining { since: now };
         }
     }
 
@@ -308,9 +306,7 @@
 
     async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
         let soon = match self.phase {
-            Phase::Closing { .. } | Phase::Draining { .. } | Phase::Flushing { .. } => {
-                self.clock.now() + 20.0
-            }
+            Phase::Draining { .. } | Phase::Closing { .. } => self.clock.now() + 20.0,
             _ => f64::INFINITY,
         };
         let wake = self.clock.instant(wake.min(soon));
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -250,10 +250,6 @@
         self.queries.borrow().len()
     }
 
-    pub fn unanswered(&self) -> usize {
-        self.queries.borrow().values().filter(|q| q.slot.is_some()).count()
-    }
-
     /// Reads a query in hand.
     pub fn with<T>(&self, number: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
         self.queries.borrow().get(&number).map(read)
