An attempt that waits is withdrawn with its query, and none begins past its window

What waited for a connection that was coming up (up to the connect timeout) or behind other bytes was taken back only by a cancel, and the decisions send none where limits.cancelling is off: the request went out after its client had left or had its answer. Now every end of a query passes one place (Exchange::ends), which withdraws what has not gone out, whatever the settings say. 2. A tokened repeat was decided within its window and could be written up to a connect timeout later. The tests of engine/mod.rs moved to a file.

--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -3,7 +3,7 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use std::io::Write;
-use tansymux::interface::Writer;
+use tansymux::interface::{Bounds, Writer};
 
 pub struct Reply<'a> {
     pub to: &'a mut Vec<u8>,
@@ -26,7 +26,7 @@
 }
 
 impl Writer for Reply<'_> {
-    fn submit(&mut self, id: u64, node: u64, until: f64, _: bool) {
+    fn submit(&mut self, id: u64, node: u64, Bounds { until, .. }: Bounds) {
         action!(self, "try {} {id} {node} {}", self.dispatcher, up_to(until));
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
@@ -71,9 +71,10 @@
     fn no_time_out_later_and_no_timer_earlier_than_meant() {
         let mut to = Vec::new();
         let mut reply = Reply { to: &mut to, dispatcher: 3 };
-        reply.submit(7, 9, 1000.0019, true);
+        let until = |until| Bounds { until, begin_by: until, harmless: true };
+        reply.submit(7, 9, until(1000.0019));
         reply.timer(2.0001, 1);
-        reply.submit(7, 9, 8492.25, true);
+        reply.submit(7, 9, until(8492.25));
         reply.timer(20.0, 1);
         let text = String::from_utf8(to).unwrap();
         assert_eq!(text, "try 3 7 9 1000001\nnotify_me 3 2001 1\ntry 3 7 9 8492250\nnotify_me 3 20000 1\n");
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tansymux::control::Control;
-use tansymux::interface::{Feed, ListForm, Note, Outcome, Writer};
+use tansymux::interface::{Bounds, Feed, ListForm, Note, Outcome, Writer};
 use tansymux::pcg::Pcg;
 use tansymux::told::Map;
 use tansymux_operator::Operator;
@@ -434,8 +434,8 @@
 }
 
 impl Writer for Decisions<'_> {
-    fn submit(&mut self, id: u64, node: u64, until: f64, harmless: bool) {
-        self.exchange.submit(id, node, until, harmless);
+    fn submit(&mut self, id: u64, node: u64, bounds: Bounds) {
+        self.exchange.submit(id, node, bounds);
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         count(self.exchange, self.levels, id, self.now, false, true);
--- /dev/null
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use crate::exchange::{Asked, Marks, Slot};
+use tansymux::interface::Text;
+
+const LONG: Bounds = Bounds { until: 1e15, begin_by: 1e15, harmless: true };
+
+fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> Listed {
+    let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
+    Listed { node: 7, address, kind: "std".into(), hall: "h".into(), cell: 0, status, started }
+}
+
+/// A submission that waits for its connection, which stays coming up, as no task runs.
+fn waiting(bounds: Bounds) -> (Rc<Exchange>, Rc<EngineSide>, u64, Rc<Slot>) {
+    let terms = Terms {
+        connect_timeout: 250.0,
+        idle: 30_000.0,
+        notes_every: 0.0,
+        quickest: 0.0,
+        streams: 32,
+        most_connections: 8,
+    };
+    let (exchange, executor) = (Rc::new(Exchange::default()), Rc::new(LocalExecutor::new()));
+    let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
+    side.listed(&engine(EngineStatus::Ready, None, 9));
+    let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
+    let (text, shape, marks) = (Text::UNREAD, None, Marks::default());
+    let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
+    let asked = Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape, marks };
+    let (query, slot) = exchange.take(&asked).unwrap();
+    exchange.submit(query, 7, bounds);
+    side.carry_out();
+    (exchange, side, query, slot)
+}
+
+/// Whether its end was told, as of one that never ran.
+fn taken_back(exchange: &Exchange) -> bool {
+    let closed = |e: Event| matches!(e, Event::Closed { outcome: Outcome::NoConnection, .. });
+    std::iter::from_fn(|| exchange.next_event()).any(closed)
+}
+
+#[test]
+fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
+    for (then, back) in [
+        (engine(EngineStatus::Ready, None, 9), false),
+        (engine(EngineStatus::Draining, None, 9), true),
+        (engine(EngineStatus::Gone, None, 9), true),
+        (engine(EngineStatus::Ready, Some(5.0), 9), true),
+        (engine(EngineStatus::Ready, None, 10), true),
+    ] {
+        let (exchange, side, ..) = waiting(LONG);
+        side.listed(&then);
+        assert_eq!(taken_back(&exchange), back, "{then:?}");
+    }
+}
+
+#[test]
+fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
+    let (exchange, side, query, _slot) = waiting(LONG);
+    exchange.vanished(query);
+    side.carry_out();
+    assert!(taken_back(&exchange));
+    let (exchange, side, query, _slot) = waiting(LONG);
+    assert!(exchange.answer(query, crate::exchange::Answer::Killed));
+    side.carry_out();
+    assert!(taken_back(&exchange));
+}
+
+#[test]
+fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
+    let (exchange, side, ..) = waiting(Bounds { begin_by: Clock::start().now() + 30.0, ..LONG });
+    let next = side.sweep();
+    assert!(!taken_back(&exchange));
+    // The sweep itself tells when it is due again.
+    std::thread::sleep(Duration::from_secs_f64((next - side.clock.now()).max(0.0) / 1000.0 + 0.001));
+    side.sweep();
+    assert!(taken_back(&exchange));
+}
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text};
+use tansymux::interface::{Bounds, EngineStatus, ListForm, Note, Outcome, Text};
 
 /// Queries in hand at most; what comes beyond is turned away at the door.
 pub const MOST_QUERIES: usize = 4096;
@@ -46,10 +46,27 @@
 /// What was decided and waits for the engine side.
 #[derive(Debug, PartialEq)]
 pub enum Order {
-    Submit { query: u64, submission: usize, node: u64, until: f64, harmless: bool },
-    Cancel { query: u64, submission: usize },
-    Renice { query: u64, priority: u8 },
-    Probe { node: u64 },
+    Submit {
+        query: u64,
+        submission: usize,
+        node: u64,
+        bounds: Bounds,
+    },
+    /// The query is over: what has not gone out of it does not any more.
+    Withdraw {
+        query: u64,
+    },
+    Cancel {
+        query: u64,
+        submission: usize,
+    },
+    Renice {
+        query: u64,
+        priority: u8,
+    },
+    Probe {
+        node: u64,
+    },
 }
 
 #[derive(Debug)]
@@ -232,8 +249,7 @@
 
     /// The client is gone. No answer is owed then, and none is given.
     pub fn vanished(&self, number: u64) {
-        let gone = self.queries.borrow_mut().get_mut(&number).and_then(|q| q.slot.take());
-        if gone.is_some() {
+        if self.ends(number).is_some() {
             self.counters.vanished.add();
             self.happened(Event::Vanished { query: number });
         }
@@ -273,8 +289,7 @@
 
     /// Every final answer passes here, once: false if one was given or none is owed.
     pub fn answer(&self, number: u64, answer: Answer) -> bool {
-        let slot = self.queries.borrow_mut().get_mut(&number).and_then(|q| q.slot.take());
-        let Some(slot) = slot else { return false };
+        let Some(slot) = self.ends(number) else { return false };
         match answer {
             Answer::Finished(_) => &self.counters.finished,
             Answer::Deferred(_) => &self.counters.deferred,
@@ -293,13 +308,25 @@
         true
     }
 
+    /// The query is over: every end, from whichever side, passes here, once. Whatever the settings say of cancels,
+    /// what waits to go out of it is withdrawn.
+    fn ends(&self, number: u64) -> Option<Rc<Slot>> {
+        let mut queries = self.queries.borrow_mut();
+        let q = queries.get_mut(&number)?;
+        let slot = q.slot.take()?;
+        if q.out {
+            self.orders.borrow_mut().push_back(Order::Withdraw { query: number });
+        }
+        Some(slot)
+    }
+
     /// Whether the query's final answer was given, or none is owed.
     pub fn over(&self, number: u64) -> bool {
         self.queries.borrow().get(&number).is_none_or(|q| q.slot.is_none())
     }
 
     /// Every submission passes here: none for a query that is over, or has one out.
-    pub fn submit(&self, number: u64, node: u64, until: f64, harmless: bool) {
+    pub fn submit(&self, number: u64, node: u64, bounds: Bounds) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries.get_mut(&number).filter(|q| q.slot.is_some() && !q.out) else {
             tracing::error!(
@@ -311,13 +338,7 @@
         let submission = q.submissions;
         (q.submissions, q.out, q.waited, q.node) = (submission + 1, true, false, node);
         self.counters.submissions.add();
-        self.orders.borrow_mut().push_back(Order::Submit {
-            query: number,
-            submission,
-            node,
-            until,
-            harmless,
-        });
+        self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, bounds });
     }
 
     /// The submission that is out waits for something.
@@ -380,6 +401,7 @@
 mod tests {
     use super::*;
 
+    const BOUNDS: Bounds = Bounds { until: 90.0, begin_by: 90.0, harmless: true };
     const ASKED: Asked = Asked {
         id: "9b1f03aa5c7e2d41",
         rg: "look",
@@ -400,14 +422,16 @@
         let exchange = Exchange::default();
         let (query, slot) = exchange.take(&ASKED).unwrap();
         assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::InHand));
-        exchange.submit(query, 7, 90.0, true);
-        exchange.submit(query, 8, 90.0, true);
-        let first = Order::Submit { query, submission: 0, node: 7, until: 90.0, harmless: true };
+        exchange.submit(query, 7, BOUNDS);
+        exchange.submit(query, 8, BOUNDS);
+        let first = Order::Submit { query, submission: 0, node: 7, bounds: BOUNDS };
         assert_eq!(exchange.next_order(), Some(first));
         assert_eq!(exchange.next_order(), None);
         assert!(exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0)));
         assert!(matches!(slot.take(), Some(Answer::Killed)));
-        exchange.submit(query, 7, 90.0, true);
+        // What has not gone out of it by now does not any more, whatever the settings say of cancels.
+        assert_eq!(exchange.next_order(), Some(Order::Withdraw { query }));
+        exchange.submit(query, 7, BOUNDS);
         assert_eq!((exchange.next_order(), exchange.in_hand()), (None, 1));
         exchange.closed(query);
         assert_eq!(exchange.in_hand(), 0);
@@ -444,7 +468,7 @@
         let exchange = Exchange::default();
         let (query, _slot) = exchange.take(&ASKED).unwrap();
         exchange.grant(query, 3, 0.0);
-        exchange.submit(query, 7, 90.0, true);
+        exchange.submit(query, 7, BOUNDS);
         exchange.grant(query, 1, 0.0);
         exchange.next_order();
         assert_eq!(exchange.next_order(), Some(Order::Renice { query, priority: 1 }));
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
 //! Order: tuned values, start, list of engines, a query comes, placement, sending, answers, the regular look.
 
 use crate::ids::Door;
-use crate::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
+use crate::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use crate::pcg::Pcg;
 pub use crate::state::Control;
 use crate::state::*;
@@ -402,6 +402,7 @@
         if self.cold_allowance(e).is_some() {
             self.engines[e].sent_cold.push_back((now, usual));
         }
+        let begin_by = self.begin_by(i);
         let q = &mut self.queries[i];
         if q.count > 0 {
             self.further.push(now);
@@ -415,14 +416,14 @@
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.submissions[q.count] = s;
         q.count += 1;
-        let (id, due, node, low) = (q.id, q.due, engine.node, q.low);
-        let harmless = q.effect == Effect::ReadOnly;
+        let (id, node, low) = (q.id, engine.node, q.low);
+        let bounds = Bounds { until: q.due, begin_by, harmless: q.effect == Effect::ReadOnly };
         self.low_changed |= low;
         let generous = (GENEROUS * self.reduced.grants).max(1.0);
         if self.allowed.pages || self.allowed.priorities {
             out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { generous * memory } else { 0.0 });
         }
-        out.submit(id, node, due, harmless);
+        out.submit(id, node, bounds);
     }
 
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
@@ -440,6 +441,13 @@
         q.effect == Effect::ReadOnly || q.effect == Effect::Tokened && in_window && same_group
     }
 
+    /// Rules 1 and 2: a repeat by its token has to be out in the token's window, all before the client leaves.
+    fn begin_by(&self, i: usize) -> f64 {
+        let q = &self.queries[i];
+        let first = q.sent().iter().find(|s| s.may_have_run && q.effect == Effect::Tokened);
+        first.map_or(q.due, |first| q.due.min(first.sent + self.groups[q.rg].window))
+    }
+
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
         let (rule, engine) = (self.allowed.cold?, &self.engines[e]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,9 +9,8 @@
 
 /// Takes the decisions as they are made. Times are milliseconds.
 pub trait Writer {
-    /// Sends query `id` to engine `node`, to be abandoned at clock reading `until`. `harmless`: that it may run and
-    /// nobody hear of it does no harm, as it may be sent again.
-    fn submit(&mut self, id: u64, node: u64, until: f64, harmless: bool);
+    /// Sends query `id` to engine `node`.
+    fn submit(&mut self, id: u64, node: u64, bounds: Bounds);
     fn defer(&mut self, id: u64, retry_after: f64);
     fn kill(&mut self, id: u64);
     fn cancel(&mut self, id: u64, submission: usize);
@@ -26,6 +25,17 @@
     fn note(&mut self, text: &str);
 }
 
+/// What holds for one submission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// It is abandoned at this clock reading.
+    pub until: f64,
+    /// What has not begun to go out by then does not any more: the rules allowed it up to there.
+    pub begin_by: f64,
+    /// That it may run and nobody hear of it does no harm, as it may be sent again.
+    pub harmless: bool,
+}
+
 /// What a query's text shows beyond what its client told.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Text {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
 
 use helper::*;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text};
+use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text, Writer};
 use tansymux::state::{Pace, Paces};
 
 const ONE: &[(&str, &str)] = &[("small", "h1")];
@@ -650,6 +650,24 @@
     }
 }
 
+#[test]
+fn rule_2_a_repeat_by_its_token_has_to_be_out_within_the_window() {
+    let mut c = gateway("services.3.repeat-window-us=700000", TWO);
+    let mut kept = Kept::default();
+    c.round(
+        T0,
+        &mut Do(Some(|c: &mut Control, out: &mut dyn Writer| {
+            c.query(1, "tok", "", None, T0 + 5000.0, 100.0, 10.0, 0, Text::UNREAD, out).unwrap();
+            let node = c.engines[c.queries[c.door.queries[&1]].submissions[0].engine].node;
+            c.now = T0 + 100.0;
+            c.closed(1, 0, false, Outcome::Reset, node, 100.0, 0.0, 0.0, out);
+        })),
+        &mut kept,
+    );
+    let bounds: Vec<(f64, f64)> = kept.1.iter().map(|b| (b.until - T0, b.begin_by - T0)).collect();
+    assert_eq!(bounds, [(5000.0, 5000.0), (5000.0, 700.0)]);
+}
+
 #[test]
 fn without_estimates_what_came_before_the_first_answer_is_no_measure() {
     // Two were taken before any of their group had ended. Their time was unknown, not none: a third that gives a
