A spoilt serial, a lagging service and a list that fell silent are each got over

A serial spoilt upwards was believed and every good list after it passed over for good. All questions went out from one socket for the life of the process: where the way back to it is lost, nothing is ever heard again. After eight questions with nothing of use the next goes out from another. Of two records of one engine the graver holds. What is passed over is counted (lists_passed_over) and named in the log. Tests: names/directory/tests.rs, names/tests.rs (on loopback); the cases are such that the comparison of serials alone fails them. Test modules of names and dns moved to files.

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -72,6 +72,8 @@
     submissions,
     probes,
     lists,
+    /// Answers of the name service that could not be used or were not believed.
+    lists_passed_over,
     lookups,
     configurations_read,
     operator_files_read,
--- /dev/null
+++ b/crates/dispatcher/src/names/directory.rs
@@ -0,0 +1,229 @@
+//! The list of engines as it is believed, and what an answer makes of it. No I/O, no clock.
+
+use crate::dns::Answer;
+use crate::exchange::Listed;
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::net::{Ipv4Addr, SocketAddr};
+use tansymux::interface::EngineStatus;
+
+const MOST_ENGINES: usize = 1024;
+/// Events that one engine makes at most between two answers, and still nobody wonders: it drains, it goes, one comes
+/// in its place, and that again.
+const EVENTS_AN_ENGINE: usize = 6;
+
+/// Engines by their ids: every dispatcher gives an engine the same number, drawn from its id alone.
+#[derive(Debug, Default)]
+pub struct Directory {
+    nodes: FxHashMap<String, u64>,
+    taken: FxHashMap<u64, ()>,
+    /// The list as last told.
+    engines: FxHashMap<u64, Listed>,
+    /// The number of the last event that is known, and what its list looked like.
+    pub last: u32,
+    looks: Option<u64>,
+    /// To which question its answer came.
+    question: u64,
+    /// An answer that contradicts what is believed, and waits for another that says the same.
+    doubted: Option<Doubted>,
+    /// Engines that were told to be gone, with their starts, the latest last: an older list does not bring them back.
+    gone: VecDeque<(u64, Option<f64>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Doubted {
+    serial: u32,
+    looks: u64,
+    question: u64,
+}
+
+/// What became of an answer.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    /// It tells of events that were not known: the whole list, with those that are gone.
+    List(Vec<Listed>),
+    /// It says what is known.
+    Known,
+    PassedOver(&'static str),
+}
+
+/// How an answer stands to what is believed.
+enum Stands {
+    Ahead,
+    Same,
+    Doubtful(&'static str),
+}
+
+impl Directory {
+    /// The number of an engine: that of its id, the next free one where two ids fall together.
+    pub fn node(&mut self, id: &str) -> u64 {
+        if let Some(&node) = self.nodes.get(id) {
+            return node;
+        }
+        let mut node = u64::from(tansymux_operator::number_of(id));
+        while self.taken.insert(node, ()).is_some() {
+            node = (node + 1) & 0xffff_ffff;
+        }
+        self.nodes.insert(id.to_owned(), node);
+        node
+    }
+
+    pub fn keep(&mut self, engine: Listed) {
+        self.engines.insert(engine.node, engine);
+    }
+
+    /// All engines that are known, in the order of their numbers.
+    pub fn all(&self) -> Vec<Listed> {
+        let mut all: Vec<Listed> = self.engines.values().cloned().collect();
+        all.sort_by_key(|engine| engine.node);
+        all
+    }
+
+    /// Takes in the answer to a question. One that goes a step ahead is believed at once. One that leaps, goes back or
+    /// says something else under the same number may be spoilt, or what is believed was: it is believed once the
+    /// answer to a later question says the same. An engine that has no records any more is gone.
+    pub fn take(&mut self, answer: &Answer, question: u64) -> Taken {
+        let Some(serial) = answer.serial else { return Taken::PassedOver("it has no serial") };
+        if answer.srv.len() > MOST_ENGINES {
+            return Taken::PassedOver("the list is too long");
+        }
+        let looks = looks_of(answer);
+        match self.stands(serial, looks, answer.srv.len()) {
+            Stands::Same => {
+                (self.doubted, self.question) = (None, self.question.max(question));
+                self.looks = Some(looks);
+                return Taken::Known;
+            }
+            Stands::Ahead => {}
+            // An older answer that came late: nobody wonders.
+            Stands::Doubtful(_) if question <= self.question => return Taken::Known,
+            Stands::Doubtful(why) => {
+                let seconds = |first: &Doubted| {
+                    let ahead = serial.wrapping_sub(first.serial) as i32;
+                    question > first.question && (ahead == 0 && looks == first.looks || ahead > 0)
+                };
+                if !self.doubted.as_ref().is_some_and(seconds) {
+                    if self.doubted.is_none_or(|first| question > first.question) {
+                        self.doubted = Some(Doubted { serial, looks, question });
+                    }
+                    return Taken::PassedOver(why);
+                }
+            }
+        }
+        let back = serial.wrapping_sub(self.last) as i32 <= 0;
+        let mut listed = self.read(answer);
+        if back {
+            self.hold_to_what_ended(&mut listed);
+        }
+        (self.last, self.looks, self.question, self.doubted) = (serial, Some(looks), question, None);
+        Taken::List(self.replace(listed))
+    }
+
+    fn stands(&self, serial: u32, looks: u64, count: usize) -> Stands {
+        let ahead = serial.wrapping_sub(self.last) as i32;
+        let step = (EVENTS_AN_ENGINE * (self.engines.len() + count + 1)) as i32;
+        match ahead {
+            // What the start told has no look to compare with: it came in another form.
+            0 if self.looks.is_none_or(|known| known == looks) => Stands::Same,
+            0 => Stands::Doubtful("it says something else under the same serial"),
+            1.. if ahead <= step => Stands::Ahead,
+            1.. => Stands::Doubtful("its serial leaps ahead"),
+            _ => Stands::Doubtful("its serial goes back"),
+        }
+    }
+
+    fn read(&mut self, answer: &Answer) -> Vec<Listed> {
+        let mut listed: Vec<Listed> = Vec::new();
+        let mut seen = FxHashSet::default();
+        for srv in &answer.srv {
+            let mut labels = srv.target.split('.');
+            let (Some(id), Some(hall)) = (labels.next(), labels.next()) else { continue };
+            let address = answer.addresses.iter().find(|(name, _)| *name == srv.target).map(|(_, ip)| *ip);
+            let texts = answer.texts.iter().find(|(name, _)| *name == srv.target);
+            let text = |name: &str| {
+                let texts = texts.map_or([].as_slice(), |(_, texts)| texts);
+                texts.iter().find_map(|text| text.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v)
+            };
+            let node = self.node(id);
+            let before = self.engines.get(&node);
+            let kind = text("kind").or(before.map(|b| b.kind.as_str())).unwrap_or("").to_owned();
+            let engine = Listed {
+                node,
+                address: address
+                    .map(|ip: Ipv4Addr| SocketAddr::from((ip, srv.port)))
+                    .or(before.and_then(|b| b.address)),
+                kind,
+                hall: hall.to_owned(),
+                cell: text("cell").and_then(|cell| cell.parse().ok()).unwrap_or(0),
+                status: if srv.priority == 0 { EngineStatus::Ready } else { EngineStatus::Draining },
+                started: text("started").and_then(|ms| ms.parse().ok()).filter(|ms| *ms > 0.0),
+            };
+            // Of two records of one engine the graver holds.
+            if seen.insert(node) {
+                listed.push(engine);
+            } else if engine.status == EngineStatus::Draining {
+                listed.iter_mut().filter(|e| e.node == node).for_each(|e| e.status = EngineStatus::Draining);
+            }
+        }
+        listed
+    }
+
+    /// An older list may come from a service that lags behind: an engine that was told to drain or to be gone stays
+    /// so, unless it has started since. Where that leaves none that is ready, the list is right and what was told wrong.
+    fn hold_to_what_ended(&self, listed: &mut Vec<Listed>) {
+        let ended = |e: &Listed| {
+            let drains = self.engines.get(&e.node).is_some_and(|was| {
+                was.status == EngineStatus::Draining && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
+            });
+            let gone = self
+                .gone
+                .iter()
+                .any(|&(node, started)| node == e.node && e.started.unwrap_or(0.0) <= started.unwrap_or(0.0));
+            (drains, gone)
+        };
+        let ready = |e: &Listed| e.status == EngineStatus::Ready;
+        if listed.iter().any(ready) && listed.iter().filter(|e| ready(e)).all(|e| ended(e) != (false, false))
+        {
+            return;
+        }
+        listed.retain(|e| !ended(e).1);
+        listed.iter_mut().filter(|e| ended(e).0).for_each(|e| e.status = EngineStatus::Draining);
+    }
+
+    /// Puts a list in the place of the one before; all of it, and those that are gone.
+    fn replace(&mut self, mut listed: Vec<Listed>) -> Vec<Listed> {
+        let known = std::mem::take(&mut self.engines);
+        for engine in &listed {
+            self.engines.insert(engine.node, engine.clone());
+        }
+        let gone = known.into_values().filter(|engine| !self.engines.contains_key(&engine.node));
+        let mut gone: Vec<Listed> = gone.map(|e| Listed { status: EngineStatus::Gone, ..e }).collect();
+        gone.sort_by_key(|engine| engine.node);
+        let engines = &self.engines;
+        self.gone.retain(|(node, _)| !engines.contains_key(node));
+        self.gone.extend(gone.iter().map(|engine| (engine.node, engine.started)));
+        self.gone.drain(..self.gone.len().saturating_sub(MOST_ENGINES));
+        // Ids of engines that are gone are forgotten; one that comes back gets the same number by its id.
+        self.nodes.retain(|_, node| engines.contains_key(node));
+        self.taken.retain(|node, _| engines.contains_key(node));
+        listed.append(&mut gone);
+        listed
+    }
+}
+
+/// What an answer says, in whatever order.
+fn looks_of(answer: &Answer) -> u64 {
+    let of = |what: &dyn Fn(&mut FxHasher)| {
+        let mut hasher = FxHasher::default();
+        what(&mut hasher);
+        hasher.finish()
+    };
+    let srv = answer.srv.iter().map(|s| of(&|h| (s.priority, s.port, &s.target).hash(h)));
+    let addresses = answer.addresses.iter().map(|a| of(&|h| a.hash(h)));
+    let texts = answer.texts.iter().map(|t| of(&|h| t.hash(h)));
+    srv.chain(addresses).chain(texts).fold(0, u64::wrapping_add)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatcher/src/names/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use crate::dns::tests::answer;
+use async_executor::LocalExecutor;
+use std::time::Duration;
+
+/// A service that answers, in this order, by what `react` makes of the id and of how many came before; run until
+/// `so`, or for ten seconds.
+fn play(
+    react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static, mut so: impl FnMut(&Exchange) -> bool,
+) -> Rc<Exchange> {
+    let executor = LocalExecutor::new();
+    let service = Async::<UdpSocket>::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let at = service.get_ref().local_addr().unwrap();
+    let exchange = Rc::new(Exchange::default());
+    let follow = follow(exchange.clone(), Rc::new(Cell::new(Some(at))), Directory::default(), 65_530);
+    executor.spawn(follow).detach();
+    let answers = async {
+        let mut bytes = [0; 512];
+        for nth in 0.. {
+            let (_, from) = service.recv_from(&mut bytes).await.unwrap();
+            for answer in react(u16::from_be_bytes([bytes[0], bytes[1]]), nth, from) {
+                service.send_to(&answer, from).await.unwrap();
+            }
+        }
+    };
+    let done = async {
+        while !so(&exchange) {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        true
+    };
+    let late = async {
+        Timer::after(Duration::from_secs(10)).await;
+        false
+    };
+    let all = future::or(future::or(done, late), async {
+        answers.await;
+        false
+    });
+    assert!(async_io::block_on(executor.run(all)), "not in time");
+    exchange
+}
+
+#[test]
+fn a_list_that_fell_silent_is_asked_for_from_another_socket() {
+    // From the first socket the service hears all and its answers never come back after the second.
+    let first = Cell::new(None);
+    let react = move |id: u16, nth: usize, from: SocketAddr| {
+        let same = *first.get().get_or_insert(from) == from;
+        first.set(first.get().or(Some(from)));
+        let serial = if same { 1 } else { 2 };
+        if same && nth > 1 {
+            vec![]
+        } else {
+            vec![answer(id, serial, u8::from(!same))]
+        }
+    };
+    let exchange = play(react, |exchange| exchange.counters.lists.get() == 2);
+    assert!(exchange.counters.lookups.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
+}
+
+#[test]
+fn answers_that_are_doubled_late_or_no_answers_change_nothing() {
+    let kept = RefCell::new(Vec::new());
+    let react = move |id: u16, nth: usize, _| {
+        let now = answer(id, 1 + nth as u32 / 2, 0);
+        let mut kept = kept.borrow_mut();
+        kept.push(now.clone());
+        // Each twice, the one before it once more, half of one, noise, and one to a question that was never asked.
+        let before = kept[nth.saturating_sub(1)].clone();
+        let never = answer(id.wrapping_add(9), 900, 1);
+        vec![now.clone(), now.clone(), before, now[..now.len() / 2].to_vec(), b"noise".to_vec(), never]
+    };
+    let exchange = play(react, |exchange| exchange.counters.lookups.get() > 5);
+    let lists = exchange.counters.lists.get();
+    assert!((2..=3).contains(&lists), "{lists}");
+    assert!(exchange.counters.lists_passed_over.get() >= 3 * 4);
+}
