Twenty descriptors are kept for the program's own, whatever clients and engines hold

Idle clients may fill the descriptors while discovery is down. Forced with 64 descriptors, 120 idle clients from the first instant, four engines that hang under 59 queries and a silent name service: 'a connection ended engine= out=1 error=Too many open files', over a hundred times, each taken for a failed connection of that engine. Counted: half for clients (32), 35% for engines (22), and 14 that the program holds before either (standard streams, pipes of the signals, event loop, listener, name service), 68 of 64; and a list from another socket or a file at SIGHUP needs one more. At fault: config.rs shared out the whole limit. Now both share what is left beside 20; from 134 descriptors on nothing changes.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -27,9 +27,12 @@
 /// as it goes on sending; all is answered so much (ms) earlier, so that the last answers are written out in time.
 const MOST_GRACE: f64 = 3000.0;
 const LAST_WRITES: f64 = 500.0;
-/// Shares of the descriptor limit: connections from clients, connections to engines.
+/// Shares of the descriptor limit: connections from clients, connections to engines. What both together may not touch:
+/// three standard streams, three pipes for signals, three of the event loop, the listener, a socket for the name service
+/// and one that takes its place, those of peers and fleet, a file that is read again, and some to spare.
 const CLIENTS_PART: f64 = 0.5;
 const ENGINES_PART: f64 = 0.35;
+const OWN_SOCKETS: f64 = 20.0;
 /// Shares of the memory limit: statements in hand, and what clients have sent ahead.
 const STATEMENTS_PART: f64 = 0.2;
 const AHEAD_PART: f64 = 0.1;
@@ -251,6 +254,8 @@
     let sockets = number(&root.key("limits").key("sockets"), DEFAULT_SOCKETS, LEAST_SOCKETS);
     let memory = number(&root.key("limits").key("memory_mb"), DEFAULT_MEMORY_MB, LEAST_MEMORY_MB);
     let memory = memory * f64::from(1 << 20);
+    let shared = (sockets - OWN_SOCKETS).min(sockets * (CLIENTS_PART + ENGINES_PART));
+    let part_of = |part: f64| (shared * part / (CLIENTS_PART + ENGINES_PART)) as usize;
     let setting = |key: &str| root.key("settings").key("limits").key(key);
     let notes_every = root.key("settings").key("family-info").key("tells-every-us");
     let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
@@ -264,7 +269,7 @@
         connect_timeout: number(&setting("connect-timeout-us"), DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0) / 1e3,
         idle: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
         streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
-        most_connections: (sockets * ENGINES_PART) as usize,
+        most_connections: part_of(ENGINES_PART),
     };
     let largest = |path: &str| told.list(path).iter().filter_map(|n| n.parse::<f64>().ok()).reduce(f64::max);
     let longest = times("hard-limit-us").into_iter().reduce(f64::max);
@@ -274,7 +279,7 @@
     let may_be_told = told.get("limits.retry-after").is_none_or(|value| told::is_true(value));
     let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let door = Door {
-        most_connections: (sockets * CLIENTS_PART) as usize,
+        most_connections: part_of(CLIENTS_PART),
         most_bytes: (memory * AHEAD_PART) as usize,
         groups: names(&told, "services"),
         customers: names(&told, "projects"),
--- a/crates/dispatcher/tests/standing.rs
+++ b/crates/dispatcher/tests/standing.rs
@@ -15,13 +15,16 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux_rig::client::{post_slowly, Ask};
 use tansymux_rig::engine::scripted;
+use tansymux_rig::names::{Listed, Names};
 use tansymux_rig::program::{
-    class, free_address, free_udp_address, own_memory, used, Config, Program, Scrap,
+    class, free_address, free_udp_address, own_memory, used, Config, Program, Scrap, WAIT,
 };
+use tansymux_rig::record::{Record, Status};
 use tansymux_rig::wire::{answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
@@ -151,12 +154,10 @@
     data.windows(what.len()).any(|window| window == what)
 }
 
-#[test]
-fn it_starts_and_serves_with_64_descriptors_and_little_memory() {
-    let engines: Vec<SocketAddr> = (0..36).map(|_| engine()).collect();
-    let config = config(&engines).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+/// Starts the program, which gets no more than 64 descriptors and 64 MB of address space.
+fn limited(config: &Config) -> Program {
     let limits = [(libc::RLIMIT_NOFILE, 64), (libc::RLIMIT_AS, 64 << 20)];
-    let program = Program::prepared(Path::new(EXE), &config, &[], Stdio::piped(), |command| {
+    Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
         let set = move || {
             limits.iter().try_for_each(|&(which, most)| {
                 let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
@@ -169,7 +170,64 @@
         };
         // SAFETY: one system call for each limit.
         unsafe { command.pre_exec(set) };
+    })
+}
+
+#[test]
+fn clients_that_fill_the_descriptors_while_discovery_is_down_keep_nothing_else_from_its_own() {
+    // The engines of the start hang, each with a connection for each query, and the service is silent at first.
+    let hangs: Vec<SocketAddr> = (0..4).map(|_| scripted(|_, _| {}).0).collect();
+    let names = Names::start(Vec::new(), Arc::new(Record::default()));
+    names.silent(true);
+    let config = config(&hangs).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+    let config =
+        config.with("resolver", names.address.to_string()).with("settings.limits.streams-per-conn", 1);
+    let mut program = limited(&config);
+    // They connect as soon as anyone listens, and many more than there are places.
+    let from = Instant::now();
+    let mut idle = Vec::new();
+    while idle.len() < 120 {
+        assert!(from.elapsed() < WAIT, "nobody listens");
+        match std::net::TcpStream::connect(program.listen) {
+            Ok(stream) => idle.push(stream),
+            Err(_) => thread::sleep(Duration::from_millis(1)),
+        }
+    }
+    let ask = |id| {
+        let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", 9000.0);
+        ask.cost = Some(20.0);
+        post_slowly(program.listen, &ask, 40, Duration::ZERO)
+    };
+    let hang: Vec<_> = (1..60).map(ask).collect();
+    program.wait_until_healthy();
+    // All that needs a descriptor while they hold theirs: a list from another socket, and the file at SIGHUP.
+    program.wait_for_count("lists 0\n");
+    names.add(Listed {
+        id: "s-9".into(),
+        hall: "h".into(),
+        kind: "std".into(),
+        cell: 0,
+        address: engine(),
+        status: Status::Ready,
+        started: 0.0,
     });
+    names.silent(false);
+    program.signal("-HUP");
+    program.wait_for_count("configurations_read 1\n");
+    program.wait_for_count("lists 1\n");
+    drop(hang);
+    program.wait_for_count("submissions_out 0\n");
+    assert_eq!(asks(&program, 99, 9000.0), Some(200));
+    program.told_to_end();
+    let log = program.end();
+    assert!(!log.contains("Too many open files"), "{log}");
+}
+
+#[test]
+fn it_starts_and_serves_with_64_descriptors_and_little_memory() {
+    let engines: Vec<SocketAddr> = (0..36).map(|_| engine()).collect();
+    let config = config(&engines).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+    let program = limited(&config);
     program.wait_until_healthy();
     let clients = |from: u64| {
         let one = |id| {
