Engine connections: no id goes out twice on one, few streams need many, tests that force the rest

A query that was moved and came back to its engine could go out on the connection on which it had been given up, and a late answer to the first (some milliseconds late) was taken for the second's. Such an id now goes out on another connection; one that was left 256 times is replaced. Twelve connections to an engine at most: 384 queries where one carries 32, and 12 where the settings say one a connection. Tests that force what crosses at engines: the close of an idle connection and the next request at one instant, with half a line before the close; the end of a connection within an answer; a connection that comes up after its attempt was withdrawn; frames without end.

--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -3,7 +3,7 @@
 use super::resp::{self, Frame};
 use super::rows::json_rows;
 use crate::exchange::Pages;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice};
 use std::rc::Rc;
@@ -14,6 +14,8 @@
 const MOST_RESULT: usize = 128 * 1024;
 /// Bytes that wait to be written at most.
 pub const MOST_WAITING: usize = 4 << 20;
+/// Submissions that are given up on one connection before another takes its place.
+const MOST_LEFT: usize = 256;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum State {
@@ -116,6 +118,9 @@
     /// Nothing new goes here: it is closed once nothing is out.
     pub retired: bool,
     pub submissions: FxHashMap<Rc<str>, Submission>,
+    /// Ids that were given up here after they had gone out: an answer to one may still come, and would be taken for that
+    /// of a later submission with the same id.
+    left: FxHashSet<Rc<str>>,
     /// Probes that are out: tag, when sent, until when they are waited for.
     pub probes: Vec<(Rc<str>, f64, f64)>,
     waiting: VecDeque<Piece>,
@@ -137,6 +142,7 @@
             broken: None,
             retired: false,
             submissions: FxHashMap::default(),
+            left: FxHashSet::default(),
             probes: Vec::new(),
             waiting: VecDeque::new(),
             waiting_bytes: 0,
@@ -170,7 +176,8 @@
     /// Whether a submission with this id may go here.
     pub fn takes(&self, id: &str, most: usize) -> bool {
         let fits = self.out() < most && self.waiting_bytes < MOST_WAITING;
-        self.state != State::Down && !self.retired && fits && !self.submissions.contains_key(id)
+        let fresh = !self.submissions.contains_key(id) && !self.left.contains(id);
+        self.state != State::Down && !self.retired && fits && fresh
     }
 
     fn write(&mut self, parts: &[&[u8]], body: Option<Rc<[u8]>>, of: Option<Rc<str>>) {
@@ -220,6 +227,8 @@
                 Some((submission, false))
             }
             None => {
+                self.left.insert(id.into());
+                self.retired |= self.left.len() >= MOST_LEFT;
                 self.write(&[b"abort", id.as_bytes()], None, None);
                 Some((submission, true))
             }
@@ -472,6 +481,26 @@
         assert!(connection.broken.is_some());
     }
 
+    #[test]
+    fn an_id_that_was_given_up_here_goes_out_on_another_connection_and_its_late_answer_is_nobodys() {
+        let mut connection = connection();
+        submit(&mut connection, "i1", 4);
+        connection.wrote(waiting(&connection).len());
+        assert!(connection.give_up("i1", 6.0).is_some_and(|(_, begun)| begun));
+        assert!(!connection.takes("i1", 32) && connection.takes("i2", 32));
+        assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]), Heard::Nothing);
+        // One that never went out may go here again, and a connection that was left often is left for good.
+        submit(&mut connection, "i2", 5);
+        connection.give_up("i2", 6.0);
+        assert!(connection.takes("i2", 32));
+        for n in 0..MOST_LEFT {
+            submit(&mut connection, &format!("n{n}"), 6);
+            connection.wrote(waiting(&connection).len());
+            connection.give_up(&format!("n{n}"), 6.0);
+        }
+        assert!(connection.retired && connection.left.len() <= MOST_LEFT + 1);
+    }
+
     #[test]
     fn what_may_not_begin_any_more_is_told_and_what_has_begun_is_not() {
         let mut connection = connection();
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -25,7 +25,9 @@
 use tansymux::interface::{Bounds, EngineStatus, Outcome};
 use trust::Trust;
 
+/// Connections to one engine at most, and how many submissions they are to carry where each takes few.
 const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
+const MOST_OUT_AN_ENGINE: usize = 384;
 const READ_AT_ONCE: usize = 32 * 1024;
 /// A frame that has begun and does not go on for so long (ms) never will.
 const STALL: f64 = 500.0;
@@ -200,7 +202,7 @@
         let taking = engine.connections.iter().filter_map(|channel| Some((order(channel)?, channel.clone())));
         let best =
             taking.min_by(|((a, used), _), ((b, other_used), _)| a.cmp(b).then(other_used.total_cmp(used)));
-        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE && (!full || idlest.is_some());
+        let room = engine.connections.len() < self.most_an_engine() && (!full || idlest.is_some());
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
         // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
         let channel = match best {
@@ -221,6 +223,10 @@
         Some(channel)
     }
 
+    fn most_an_engine(&self) -> usize {
+        MOST_CONNECTIONS_AN_ENGINE.max(MOST_OUT_AN_ENGINE / self.terms.streams.max(1))
+    }
+
     /// Without a note for so long a connection may be dead.
     fn quiet(&self) -> f64 {
         let tells = if self.terms.notes_every > 0.0 { self.terms.notes_every } else { self.terms.quickest };
@@ -242,7 +248,7 @@
         let mut engines = self.engines.borrow_mut();
         let Some(engine) = engines.get_mut(&node) else { return };
         let coming = engine.connections.iter().any(|c| c.connection.borrow().state == State::Connecting);
-        let room = engine.connections.len() < MOST_CONNECTIONS_AN_ENGINE
+        let room = engine.connections.len() < self.most_an_engine()
             && self.connections.get() < self.terms.most_connections;
         if let Some(address) = engine.address.filter(|_| room && !coming) {
             self.open_one(engine, node, address);
--- a/crates/dispatcher/tests/life_cycle.rs
+++ b/crates/dispatcher/tests/life_cycle.rs
@@ -4,17 +4,17 @@
 use serde_json::json;
 use std::ffi::CString;
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::ffi::OsStrExt;
 use std::path::Path;
 use std::process::{Command, Stdio};
-use std::sync::mpsc::Receiver;
+use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux_rig::client::Ask;
-use tansymux_rig::engine::scripted;
+use tansymux_rig::engine::{scripted, vanishes};
 use tansymux_rig::program::{class, free_address, get, Config, Program, Scrap, WAIT};
-use tansymux_rig::wire::{answer, say};
+use tansymux_rig::wire::{self, answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 /// After SIGTERM new connections are waited for so long.
@@ -324,3 +324,134 @@
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
 }
+
+// ---- Engines ----
+
+/// An engine whose connections the test holds: each as it was accepted.
+fn held() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, told) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_read_timeout(Some(WAIT)).unwrap();
+            let _ = tell.send(stream);
+        }
+    });
+    (address, told)
+}
+
+/// The next request on a connection: its word and id.
+fn frame(stream: &TcpStream) -> Option<(String, String)> {
+    let parts = wire::frame(&mut BufReader::with_capacity(1, stream))?;
+    Some((parts[0].clone(), parts[1].clone()))
+}
+
+fn fetch(id: &str) -> Option<(String, String)> {
+    Some(("fetch".into(), id.into()))
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_never_goes_out_on_it() {
+    let (address, connections) = held();
+    let program = start(&config(&[address]));
+    let first = ask(&program, "look", 1);
+    let mut idles = connections.recv_timeout(WAIT).unwrap();
+    assert_eq!(frame(&idles), fetch("0000000000000001"));
+    say(&mut idles, &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"]);
+    assert_eq!(status(&first), Some(200));
+    // At one instant: the engine closes, with half a line behind an unknown id, and the next request comes.
+    let stopped = Stopped::new(&program);
+    idles.write_all(b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nDO").unwrap();
+    idles.shutdown(Shutdown::Both).unwrap();
+    let second = ask(&program, "look", 2);
+    drop(stopped);
+    let mut next = connections.recv_timeout(WAIT).unwrap();
+    assert_eq!(frame(&next), fetch("0000000000000002"));
+    say(&mut next, &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"]);
+    assert_eq!(status(&second), Some(200));
+    // It was known before it went out: nobody counts it as lost under way.
+    assert_eq!(program.counter("submissions_reset"), Some(0));
+    assert_eq!(program.counter("connections_lost_idle"), Some(0));
+}
+
+#[test]
+fn a_connection_that_ends_within_an_answer_loses_a_load_and_a_look_is_asked_again() {
+    let (address, connections) = held();
+    let program = start(&config(&[address]));
+    for (rg, id) in [("load", "0000000000000001"), ("look", "0000000000000002")] {
+        let client = ask(&program, rg, id[15..].parse().unwrap());
+        let mut stream = connections.recv_timeout(WAIT).unwrap();
+        assert_eq!(frame(&stream), fetch(id));
+        // The first of two pages, half of the second.
+        say(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
+        assert_eq!(frame(&stream), Some(("more".into(), id.into())));
+        stream.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes()).unwrap();
+        stream.shutdown(Shutdown::Both).unwrap();
+        if rg == "look" {
+            let mut again = connections.recv_timeout(WAIT).unwrap();
+            assert_eq!(frame(&again), fetch(id));
+            say(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
+            let (status, _, body) = answer(&mut BufReader::new(client)).unwrap();
+            // Nothing of the first result is left in it.
+            assert_eq!((status, body.as_str()), (200, r#"{"data":[["x","y","z"]]}"#));
+        } else {
+            assert_eq!(status(&client), Some(500));
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_after_its_attempt_was_given_up_carries_nothing() {
+    // Nobody accepts, and the backlog is full: connections come up once there is room, a second and more later.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let full = vanishes(&listener);
+    let config = config(&[address]).with("settings.limits.connect-timeout-us", 30_000_000);
+    let program = start(&config.with("settings.limits.cancelling", false));
+    let leaves = ask(&program, "look", 1);
+    program.wait_for_count("submissions 1\n");
+    drop(leaves);
+    program.wait_for_count("vanished 1\n");
+    // Withdrawn, and not left to its deadline in 9 s.
+    let from = Instant::now();
+    program.wait_for_count("submissions_out 0\n");
+    assert!(from.elapsed() < Duration::from_secs(3), "{:?}", from.elapsed());
+    let stays = ask(&program, "look", 2);
+    drop(full);
+    // What comes first on any connection is of the one that stayed.
+    listener.set_nonblocking(false).unwrap();
+    let mut first = None;
+    while first.is_none() {
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        first = frame(&stream).map(|frame| (frame, stream));
+    }
+    let (frame, mut stream) = first.unwrap();
+    assert_eq!(Some(frame), fetch("0000000000000002"));
+    say(&mut stream, &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"]);
+    assert_eq!(status(&stays), Some(200));
+}
+
+#[test]
+fn an_engine_that_sends_without_end_keeps_no_other_from_its_own() {
+    let (floods, connections) = held();
+    let (serves, _told) = slow(0);
+    let program = start(&config(&[floods, serves]));
+    thread::spawn(move || {
+        while let Ok(mut stream) = connections.recv_timeout(WAIT) {
+            thread::spawn(move || {
+                let many =
+                    b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
+                        .repeat(500);
+                while stream.write_all(&many).is_ok() {}
+            });
+        }
+    });
+    // Some go to the one that floods, and are moved; none waits for what never ends.
+    let clients: Vec<TcpStream> = (1..9).map(|id| ask(&program, "look", id)).collect();
+    let from = Instant::now();
+    clients.iter().for_each(|client| assert_eq!(status(client), Some(200)));
+    assert!(from.elapsed() < Duration::from_secs(6), "{:?}", from.elapsed());
+    assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
+}
