--- a/tests/control.rs
+++ b/tests/control.rs
@@ -162,16 +162,16 @@
     let (mean, mut work, mut id) = ((20.0 * 100.0 + 2000.0) / 21.0, 0.0, 0);
     for step in 0..=140 {
         let at = 60.0 + 20.0 * f64::from(step);
-        for nth in 0..gateways {
+        for (nth, gateway) in fleet.iter_mut().enumerate() {
             if step == 70 && nth % 10 < 7 {
-                fleet[nth] = start(nth, 1, at);
+                *gateway = start(nth, 1, at);
             }
             // Enough in sum for a hundred times what it bears, however many they are.
             let asks = 1 + (nth % 10 * 30 / gateways.min(30)) / 3;
             for _ in 0..asks {
                 id += 1;
                 let (rg, cost) = if id % 21 == 0 { ("rep", 2000.0) } else { ("look", 100.0) };
-                let decided = ask(&mut fleet[nth], at, id, rg, cost);
+                let decided = ask(gateway, at, id, rg, cost);
                 work += if starts(&decided, "submit") { cost } else { 0.0 };
             }
         }
