A connection that comes up late is kept for what comes next, and one alone says little

Now what waits goes elsewhere after the settings' 250 ms as before, and the connection may still come up within seven times as long and carries what comes next. Only two in a row that stay away say that an engine can't be reached; a check opens both at once, so that a machine that vanished is found out as soon as before (the test of that, 500 to 800 ms, stands unchanged).

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -64,6 +64,9 @@
     /// Clients' connections closed to make room for others.
     places_given_up,
     connections_to_engines,
+    /// Those that did not come up in their time; some came later.
+    connections_late,
+    connections_late_up,
     /// Those that ended because what came could not be read or used, or stopped short.
     connections_spoilt,
     /// Those that ended as soon as something went out on them after they had idled.
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum State {
     Connecting,
+    /// It did not come up in its time: nothing waits for it, and it may still come.
+    Late,
     Up,
     Down,
 }
@@ -150,13 +152,21 @@
         }
     }
 
+    /// It idles, if nothing waits for it, from now on; one on which nothing waits any more is as good as new.
+    pub fn comes_up(&mut self, now: f64) {
+        (self.state, self.used) = (State::Up, now);
+        if self.out() == 0 {
+            (self.fresh, self.idled) = (true, None);
+        }
+    }
+
     pub fn out(&self) -> usize {
         self.submissions.len() + self.probes.len()
     }
 
     /// When it was last used or opened, if nothing is out; else long ago.
     pub fn idles_since(&self) -> f64 {
-        if self.out() == 0 && !self.retired {
+        if self.out() == 0 && !self.retired && self.state == State::Up {
             self.used
         } else {
             f64::NEG_INFINITY
@@ -177,7 +187,7 @@
     pub fn takes(&self, id: &str, most: usize) -> bool {
         let fits = self.out() < most && self.waiting_bytes < MOST_WAITING;
         let fresh = !self.submissions.contains_key(id) && !self.left.contains(id);
-        self.state != State::Down && !self.retired && fits && fresh
+        matches!(self.state, State::Connecting | State::Up) && !self.retired && fits && fresh
     }
 
     fn write(&mut self, parts: &[&[u8]], body: Option<Rc<[u8]>>, of: Option<Rc<str>>) {
@@ -252,6 +262,19 @@
         !self.waiting.iter().any(|piece| piece.of.as_deref() == Some(id))
     }
 
+    /// Nothing is asked any more: what was to be is not written.
+    pub fn forget_probes(&mut self) {
+        let skip = usize::from(self.written > 0);
+        let kept: VecDeque<Piece> = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .enumerate()
+            .filter(|(n, piece)| *n < skip || piece.of.is_some())
+            .map(|(_, piece)| piece)
+            .collect();
+        self.waiting_bytes = kept.iter().map(Piece::len).sum();
+        self.waiting = kept;
+    }
+
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
     }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -41,6 +41,11 @@
 /// has the engine checked by another connection: one that died silently takes what goes out and says nothing.
 const CHECK_RUNS: f64 = 2.0;
 
+/// A connection that has not come up in its time is waited for so many times as long, for what comes next; and so many in
+/// a row that did not tell that an engine can't be reached.
+const LATE_TIMES: u32 = 7;
+const UNREACHED: u32 = 2;
+
 /// What is given up on one connection may be sent again on another, and a busy engine reads connections in any order
 /// and late. So that the first word is not overtaken, the decisions hear of the end so much (ms) later.
 const SETTLES: f64 = 40.0;
@@ -62,6 +67,8 @@
     hall: String,
     started: Option<f64>,
     gone: bool,
+    /// Connections in a row that did not come up in their time.
+    unreached: u32,
     connections: Vec<Rc<Channel>>,
 }
 
@@ -118,6 +125,7 @@
             hall: told.hall.clone(),
             started: told.started,
             gone: false,
+            unreached: 0,
             connections: Vec::new(),
         };
         let engine = engines.entry(told.node).or_insert_with(fresh);
@@ -216,7 +224,10 @@
                 return None;
             }
         };
-        let ahead = |other: &&Rc<Channel>| !Rc::ptr_eq(other, &channel) && other.connection.borrow().fresh;
+        let ahead = |other: &&Rc<Channel>| {
+            let connection = other.connection.borrow();
+            !Rc::ptr_eq(other, &channel) && connection.fresh && connection.state != State::Late
+        };
         if room && !full && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
             self.open_one(engine, node, address);
         }
@@ -243,15 +254,19 @@
         channel
     }
 
-    /// Opens a connection to see whether the engine is there, unless one is coming up.
+    /// Opens connections to see whether the engine is there, unless some are coming up: as many as have to stay away for
+    /// that to be said.
     fn check(self: &Rc<Self>, node: u64) {
         let mut engines = self.engines.borrow_mut();
         let Some(engine) = engines.get_mut(&node) else { return };
         let coming = engine.connections.iter().any(|c| c.connection.borrow().state == State::Connecting);
-        let room = engine.connections.len() < self.most_an_engine()
-            && self.connections.get() < self.terms.most_connections;
-        if let Some(address) = engine.address.filter(|_| room && !coming) {
-            self.open_one(engine, node, address);
+        let Some(address) = engine.address.filter(|_| !coming) else { return };
+        for _ in engine.unreached..UNREACHED {
+            let room = engine.connections.len() < self.most_an_engine()
+                && self.connections.get() < self.terms.most_connections;
+            if room {
+                self.open_one(engine, node, address);
+            }
         }
     }
 
@@ -295,7 +310,7 @@
         drop(connection);
         channel.notify.notify();
         if dead {
-            self.fell_silent(channel.node);
+            self.fell_silent(channel.node, false);
         }
         let Submission { query, number, sent, .. } = submission;
         let outcome = if begun { outcome } else { Outcome::NoConnection };
@@ -305,20 +320,23 @@
         self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
     }
 
-    /// What idles at an engine that fell silent, and at the others of its hall, may be as dead: the next connections
-    /// tell sooner whether they are there.
-    fn fell_silent(&self, node: u64) {
+    /// What idles at an engine that fell silent may be as dead, and where it can't be reached also what idles at the
+    /// others of its hall: the next connections tell sooner whether they are there.
+    fn fell_silent(&self, node: u64, unreached: bool) {
         let engines = self.engines.borrow();
         let Some(silent) = engines.get(&node) else { return };
-        let near = engines.values().filter(|engine| engine.hall == silent.hall);
-        let idle = |channel: &&Rc<Channel>| channel.connection.borrow().out() == 0;
+        let near = engines
+            .iter()
+            .filter(|(other, engine)| **other == node || unreached && engine.hall == silent.hall)
+            .map(|(_, engine)| engine);
+        let idle = |channel: &&Rc<Channel>| channel.connection.borrow().idles_since().is_finite();
         near.flat_map(|engine| &engine.connections).filter(idle).for_each(|channel| channel.retire());
     }
 
     /// No connection comes up: what went out on those that had idled, and told nothing since, has reached nobody
     /// either, as far as can be known.
     fn not_there(&self, node: u64) {
-        self.fell_silent(node);
+        self.fell_silent(node, true);
         let engines = self.engines.borrow();
         for channel in engines.get(&node).into_iter().flat_map(|engine| &engine.connections) {
             let mut connection = channel.connection.borrow_mut();
@@ -419,7 +437,8 @@
                 connection.check_at = f64::INFINITY;
                 checks.extend(connection.idled.filter(|_| connection.out() > 0).map(|_| channel.node));
             }
-            connection.retired |= unheard || connection.out() == 0 && now - connection.used > idles;
+            let idle = connection.state == State::Up && connection.out() == 0;
+            connection.retired |= unheard || idle && now - connection.used > idles;
             if connection.retired {
                 // What gives up the last submission goes out before the close, if it can.
                 if connection.out() == 0 && now - connection.used >= STALL {
@@ -442,14 +461,23 @@
 
     async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
         let timeout = Duration::from_secs_f64((self.terms.connect_timeout / 1000.0).max(0.0));
-        let too_long = async {
-            Timer::after(timeout).await;
-            Err(io::ErrorKind::TimedOut.into())
+        let too_long = |times: u32| async move {
+            Timer::after(times * timeout).await;
+            Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let connected = future::or(Async::<TcpStream>::connect(address), too_long).await;
+        let mut connecting = std::pin::pin!(Async::<TcpStream>::connect(address));
+        let mut connected = future::or(connecting.as_mut(), too_long(1)).await;
+        if connected.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::TimedOut) {
+            self.comes_late(&channel);
+            connected = future::or(connecting, too_long(LATE_TIMES)).await;
+        }
         let end = match connected {
             Ok(stream) => {
-                channel.connection.borrow_mut().state = State::Up;
+                if channel.connection.borrow().state == State::Late {
+                    self.exchange.counters.connections_late_up.add();
+                }
+                channel.connection.borrow_mut().comes_up(self.clock.now());
+                self.engines.borrow_mut().get_mut(&channel.node).into_iter().for_each(|e| e.unreached = 0);
                 let _ = stream.get_ref().set_nodelay(true);
                 future::or(self.read(&channel, &stream), self.write(&channel, &stream)).await
             }
@@ -540,6 +568,46 @@
         }
     }
 
+    /// A connection has not come up in its time: what waits for it goes elsewhere, and whatever comes up later carries what
+    /// comes next. One may be late by itself; where the next is as well, the engine can't be reached.
+    fn comes_late(self: &Rc<Self>, channel: &Rc<Channel>) {
+        self.exchange.counters.connections_late.add();
+        let mut connection = channel.connection.borrow_mut();
+        connection.state = State::Late;
+        let waiting: Vec<Rc<str>> = connection.submissions.keys().cloned().collect();
+        let probes = std::mem::take(&mut connection.probes).len();
+        connection.forget_probes();
+        drop(connection);
+        if !waiting.is_empty() {
+            let engine = format_args!("{:08x}", channel.node);
+            tracing::warn!(%engine, waiting = waiting.len(), "a connection does not come up in its time");
+        }
+        waiting.iter().for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
+        let probed = Event::Probed { node: channel.node, outcome: Outcome::NoConnection };
+        (0..probes).for_each(|_| self.exchange.happened(probed.clone()));
+        let unreached = {
+            let mut engines = self.engines.borrow_mut();
+            let Some(engine) = engines.get_mut(&channel.node) else { return };
+            engine.unreached += 1;
+            engine.unreached
+        };
+        if unreached >= UNREACHED {
+            self.not_there(channel.node);
+        } else if self.doubts_what_idled(channel.node) {
+            self.check(channel.node);
+        }
+    }
+
+    /// Whether something is out there on a connection that had idled, and told nothing since.
+    fn doubts_what_idled(&self, node: u64) -> bool {
+        let engines = self.engines.borrow();
+        let told_nothing = |channel: &Rc<Channel>| {
+            let connection = channel.connection.borrow();
+            connection.idled.is_some() && connection.out() > 0
+        };
+        engines.get(&node).is_some_and(|engine| engine.connections.iter().any(told_nothing))
+    }
+
     /// The connection is gone: what had gone out whole may have run, what had not never did.
     fn end(&self, channel: &Rc<Channel>, end: io::Result<()>) {
         let now = self.clock.now();
@@ -591,10 +659,6 @@
         }
         let outcome = if was_up { Outcome::Reset } else { Outcome::NoConnection };
         (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: channel.node, outcome }));
-        drop(connection);
-        if !was_up && kind == Some(io::ErrorKind::TimedOut) {
-            self.not_there(channel.node);
-        }
     }
 }
 
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -32,7 +32,7 @@
 }
 
 /// What came in since the last round.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub enum Event {
     Query { query: u64, customer: Rc<str>, key: Option<u64>, cost: f64, memory: f64, tables: u32, text: Text },
     Vanished { query: u64 },
--- a/crates/dispatcher/tests/life_cycle.rs
+++ b/crates/dispatcher/tests/life_cycle.rs
@@ -433,6 +433,36 @@
     assert_eq!(status(&stays), Some(200));
 }
 
+#[test]
+fn a_connection_that_comes_up_late_carries_what_comes_next() {
+    // Nobody accepts, and the backlog is full: what waits is given up after 250 ms, as the settings say.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let full = vanishes(&listener);
+    let program = start(&config(&[address]));
+    assert_eq!(status(&ask(&program, "load", 1)), Some(429));
+    let opened = program.counter("connections_to_engines").unwrap();
+    // Now there is room, and what was on its way comes up when it is tried again, a second after it began.
+    drop(full);
+    let (tell, came) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(parts) = wire::frame(&mut reader) {
+                    let _ = tell.send(parts[1].clone());
+                    say(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                }
+            });
+        }
+    });
+    until("one has come up", || program.counter("connections_late_up").is_some_and(|up| up > 0));
+    assert_eq!(status(&ask(&program, "load", 2)), Some(200));
+    assert_eq!(came.recv_timeout(WAIT).unwrap(), "0000000000000002");
+    assert_eq!(program.counter("connections_to_engines"), Some(opened));
+}
+
 #[test]
 fn an_engine_that_sends_without_end_keeps_no_other_from_its_own() {
     let (floods, connections) = held();
