A doubt that only late connections raised ends with a probe's answer

Seen in the same trace: from 11.7 s to 17.9 s the four new engines of eight carried nothing, marked in doubt, while the other four stood at 12 to 18 low threads and six in ten reports and loads were deferred ('noroom', 61 of 76 in two seconds). Each was doubted after two connections in a row that came up late, had answered probes at 12.2, 12.9, 14.3 s and on ('probed Finished'), and its trials, one a while and each on a connection of its own, met late ones again. Ruled out: cold allowances (2.5 s of work a gateway, 0.2 s used), standing of halls. At fault: judge and probed in control.rs took a connection that stays away for the same sign as a process that takes queries and ends none. An answer to a probe shows that connections come up and the process answers: where nothing else was said, the doubt ends with it; and all that waited for one connection are one sign. An engine that hangs, resets or times out still needs a passed trial. Test seen to fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -601,6 +601,8 @@
         let engine = &mut self.engines[e];
         let failed = match outcome {
             Outcome::Finished => false,
+            // All that waited for one connection are one sign.
+            Outcome::NoConnection if engine.unreached == now => return,
             // A query that failed elsewhere before may be at fault itself, as one that no engine can use is.
             Outcome::Error if again => return,
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
@@ -614,6 +616,7 @@
         if matches!(outcome, Outcome::Finished | Outcome::Error) {
             engine.heard = now;
         }
+        engine.unreached = if outcome == Outcome::NoConnection { now } else { LONG_AGO };
         engine.errors += ERROR_STEP * (f64::from(u8::from(failed)) - engine.errors);
         if !engine.suspect && engine.errors > ERROR_DOUBT {
             self.doubt(e, outcome != Outcome::Error);
@@ -665,6 +668,10 @@
         if outcome == Outcome::Finished {
             engine.heard = self.now;
             engine.trial = if engine.silent { self.now } else { engine.trial };
+            // Doubted as no connection came up: one has, and its process answers.
+            if engine.suspect && engine.unreached > LONG_AGO {
+                (engine.suspect, engine.errors) = (false, ERROR_STEP);
+            }
         } else if !engine.suspect && self.now - engine.heard > SILENCE {
             self.doubt(e, true);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -389,6 +389,8 @@
     pub hangs: Vec<Pace>,
     pub heard: f64,
     pub errors: f64,
+    /// When the last sign of it was that no connection came up; long ago where it was another.
+    pub unreached: f64,
     pub suspect: bool,
     pub silent: bool,
     pub trial: f64,
@@ -432,6 +434,7 @@
             hangs: Vec::new(),
             heard: LONG_AGO,
             errors: 0.0,
+            unreached: LONG_AGO,
             suspect: false,
             silent: false,
             trial: LONG_AGO,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -339,6 +339,29 @@
     assert_eq!(c.engines[0].open, 1, "one trial");
 }
 
+#[test]
+fn late_connections_raise_a_doubt_that_a_probe_ends() {
+    let mut c = gateway("limits.probes=1", ONE);
+    (0..2).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
+    // Two that waited for one connection are one sign of trouble, and then there is a second.
+    round(&mut c, 251.0, |c, out| {
+        (0..2).for_each(|id| c.closed(id, 0, false, Outcome::NoConnection, 1, 250.0, 0.0, 0.0, out));
+    });
+    assert!(!c.engines[0].suspect);
+    close(&mut c, 501.0, 0, 1, Outcome::NoConnection, 1);
+    assert!(c.engines[0].suspect);
+    // What answers a probe can be reached and has a process: nothing else was said against it.
+    round(&mut c, 600.0, |c, _| c.probed(1, Outcome::Finished));
+    assert!(!c.engines[0].suspect);
+    // One that takes queries and ends none may well answer probes: its doubt stays until a trial passed.
+    for id in 10..12 {
+        ask(&mut c, 700.0, id, "load", 10.0);
+        close(&mut c, 701.0, id, 0, Outcome::Reset, 1);
+    }
+    round(&mut c, 800.0, |c, _| c.probed(1, Outcome::Finished));
+    assert!(c.engines[0].suspect);
+}
+
 #[test]
 fn a_query_that_fails_on_every_engine_raises_no_doubt_of_them() {
     let mut c = gateway("", TWO);
