Keys that nothing waits for are forgotten; a held table by notes, not by the clock

Now that clients' keys reach the decisions on sockets, their table grew by one entry for each key ever named: any number a client likes, for the life of the process. A key's line is kept while a query waits in it or its rest lasts. HELD_FOR of 1.5 s was one and a half notes' time of the deployment that tells every second. It is that now (HELD_NOTES).

--- a/src/control.rs
+++ b/src/control.rs
@@ -60,9 +60,9 @@
 const COLD_PART: f64 = 0.8;
 const COLD_LOT: f64 = 0.25;
 const CAPACITY_BUSY: f64 = 0.85;
-// Tables are taken for held this long after a note told of a wait for a load. A customer is over its share
-// when its rate over a span passes its even part by a factor.
-const HELD_FOR: f64 = 1500.0;
+// Tables are taken for held for so many notes' time after one told of a wait for a load. A customer is over
+// its share when its rate over a span passes its even part by a factor.
+const HELD_NOTES: f64 = 1.5;
 const SHARE_SPAN: f64 = 2000.0;
 const SHARE_SLACK: f64 = 1.35;
 // Gateways that may talk: so many add up what all run and tell it; what is not renewed is forgotten.
@@ -189,12 +189,12 @@
             low |= cost > most;
             g.learn_cost(cost.min(most), MEAN_STEP);
         }
-        // Without an estimate a query weighs its group's threads, and takes its group's usual time; before the
-        // first answer that is its target runtime: nothing is known of it, which is not that it takes none.
+        // Without an estimate a query weighs its group's threads and takes its group's usual time; before the
+        // first answer that is its target runtime: nothing is known of it, not that it takes none.
         let work = if cost > 0.0 { cost * g.cost_factor } else { g.threads };
         let usual = if g.seen > 0 { g.mean_cost } else { g.target * g.threads };
         let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { usual });
-        let key = key.filter(|_| g.in_order).map_or(NONE, |key| self.door.keys.index(key) as u32);
+        let key = key.filter(|_| g.in_order);
         self.low_work += if low { MEAN_STEP * (work / g.threads - self.low_work) } else { 0.0 };
         let customer = self.door.customers.index(customer);
         // Over its share by what was told and against all others: when all send more, nobody is singled out.
@@ -202,11 +202,11 @@
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
         let effect = self.groups[rg_index].effect_of(text);
-        let query = Query { over_share, key, tables, cost, guessed, work, memory, low, ..query };
+        let query = Query { over_share, tables, cost, guessed, work, memory, low, ..query };
         let query = Query { effect, sure: text.sure, ..query };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
-        self.lines.join(key, i);
+        self.queries[i].key = key.map_or(NONE, |key| self.lines.join(key, i, self.now));
         // No time for a run even at its best, or, of a client that gives less than half of the usual, for one
         // as answers come of late: it is given up at once, as it would end late more often than not and keep
         // others from theirs.
@@ -443,7 +443,7 @@
         q.effect == Effect::ReadOnly || q.effect == Effect::Tokened && in_window && same_group
     }
 
-    /// Rules 1 and 2: a repeat by its token has to be out in the token's window, all before the client leaves.
+    /// Rules 1 and 2: a repeat by its token has to be out in its window, all before the client leaves.
     fn begin_by(&self, i: usize) -> f64 {
         let q = &self.queries[i];
         let first = q.sent().iter().find(|s| s.may_have_run && q.effect == Effect::Tokened);
@@ -454,8 +454,8 @@
     fn cold_allowance(&self, e: usize) -> Option<f64> {
         let (rule, engine) = (self.allowed.cold?, &self.engines[e]);
         let bears = rule.multiple * rule.from * engine.cores * CAPACITY_BUSY * rule.span;
-        // Where it was cold before this gateway began, one that died in its place may have sent its part within
-        // this span: what that leaves of all is the newcomer's.
+        // Where it was cold before this gateway began, one that died in its place may have sent its part
+        // within this span: what that leaves of all is the newcomer's.
         let newcomer = engine.started < self.began && self.now - self.began < rule.span;
         let part = if newcomer { 1.0 - COLD_PART } else { COLD_PART };
         (self.now - engine.started < rule.warm_after + rule.span).then_some(part * bears / self.gateways)
@@ -643,7 +643,8 @@
         (s.heard, self.engines[s.engine].heard) = (self.now, self.now);
         s.waits |= note == Note::Waits;
         if note == Note::Waits && amount == 2.0 {
-            self.engines[s.engine].held.push((q.tables, self.now + HELD_FOR));
+            let until = self.now + HELD_NOTES * self.allowed.notes_every;
+            self.engines[s.engine].held.push((q.tables, until));
         }
         if note == Note::Progress {
             let first = s.run().is_none();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -49,6 +49,5 @@
     pub halls: Names,
     pub customers: Names,
     pub nodes: Numbers,
-    pub keys: Numbers,
     pub queries: FxHashMap<u64, usize>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use crate::talk;
 use crate::tiers::{Tiers, Took};
 use crate::told::{self, Map, Told};
+use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::VecDeque;
 
@@ -689,33 +690,70 @@
     }
 }
 
-/// For each key, its queries in the order taken, and when it may be used again.
+/// For each key, its queries in the order taken, and when it may be used again. A key that nothing waits for and that
+/// has rested is forgotten: clients name as many as they like.
 #[derive(Debug, Default)]
-pub struct KeyLines(Vec<(VecDeque<usize>, f64)>);
+pub struct KeyLines {
+    lines: Slab<KeyLine>,
+    slots: FxHashMap<u64, u32>,
+    /// Those that were left empty, in the order in which that came.
+    empty: VecDeque<u32>,
+}
+
+#[derive(Debug)]
+struct KeyLine {
+    key: u64,
+    line: VecDeque<usize>,
+    rests: f64,
+    left_empty: bool,
+}
 
 impl KeyLines {
-    pub fn join(&mut self, key: u32, query: usize) {
-        if key != NONE {
-            let most = self.0.len().max(key as usize + 1);
-            self.0.resize_with(most, || (VecDeque::new(), LONG_AGO));
-            self.0[key as usize].0.push_back(query);
+    /// Puts a query at the end of its key's line; where that line is kept.
+    pub fn join(&mut self, key: u64, query: usize, now: f64) -> u32 {
+        self.forget(now);
+        let fresh = || KeyLine { key, line: VecDeque::new(), rests: LONG_AGO, left_empty: false };
+        let slot = *self.slots.entry(key).or_insert_with(|| self.lines.insert(fresh()) as u32);
+        self.lines[slot as usize].line.push_back(query);
+        slot
+    }
+
+    fn forget(&mut self, now: f64) {
+        while let Some(&slot) = self.empty.front() {
+            let line = &mut self.lines[slot as usize];
+            if line.line.is_empty() && line.rests > now {
+                return;
+            }
+            line.left_empty = false;
+            if line.line.is_empty() {
+                self.slots.remove(&line.key);
+                self.lines.remove(slot as usize);
+            }
+            self.empty.pop_front();
         }
     }
 
+    /// How many keys are kept.
+    pub fn kept(&self) -> usize {
+        self.lines.len()
+    }
+
     /// The key's first query, and until when the key rests.
-    pub fn first(&self, key: u32) -> (Option<usize>, f64) {
-        self.0.get(key as usize).map_or((None, LONG_AGO), |(line, rests)| (line.front().copied(), *rests))
+    pub fn first(&self, slot: u32) -> (Option<usize>, f64) {
+        self.lines.get(slot as usize).map_or((None, LONG_AGO), |l| (l.line.front().copied(), l.rests))
     }
 
-    pub fn rest(&mut self, key: u32, until: f64) {
-        if let Some((_, rests)) = self.0.get_mut(key as usize) {
-            *rests = rests.max(until);
+    pub fn rest(&mut self, slot: u32, until: f64) {
+        if let Some(line) = self.lines.get_mut(slot as usize) {
+            line.rests = line.rests.max(until);
         }
     }
 
-    pub fn leave(&mut self, key: u32, query: usize) {
-        if let Some((line, _)) = self.0.get_mut(key as usize) {
-            line.retain(|&other| other != query);
+    pub fn leave(&mut self, slot: u32, query: usize) {
+        let Some(line) = self.lines.get_mut(slot as usize) else { return };
+        line.line.retain(|&other| other != query);
+        if line.line.is_empty() && !std::mem::replace(&mut line.left_empty, true) {
+            self.empty.push_back(slot);
         }
     }
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -204,6 +204,30 @@
     assert!(starts(&round(&mut c, 600.0, |_, _| ()), "submit 2"));
 }
 
+#[test]
+fn keys_are_forgotten_once_nothing_waits_for_them_and_they_have_rested() {
+    let mut c = gateway("rules.settle-after-doubt-us=500000", TWO);
+    for id in 0..1000 {
+        let at = 1.0 + 10.0 * id as f64;
+        ask_for(&mut c, at, id, "tok", 100.0, Some(id), 0);
+        let i = c.door.queries[&id];
+        let node = c.engines[c.queries[i].sent()[0].engine].node;
+        // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
+        let outcome = if id % 4 == 0 { Outcome::Cancelled } else { Outcome::Finished };
+        round(&mut c, at + 1.0, |c, out| c.vanished(id, out));
+        close(&mut c, at + 2.0, id, 0, outcome, node);
+    }
+    assert!(c.lines.kept() < 60, "{}", c.lines.kept());
+    // A key that is used over and over stays one, and its rest holds.
+    ask_for(&mut c, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
+    let node = c.engines[c.queries[c.door.queries[&2000]].sent()[0].engine].node;
+    round(&mut c, 20_001.0, |c, out| c.vanished(2000, out));
+    close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, node);
+    assert!(ask_for(&mut c, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(), "the key rests");
+    assert!(starts(&round(&mut c, 20_600.0, |_, _| ()), "submit 2001"));
+    assert_eq!(c.lines.kept(), 1);
+}
+
 #[test]
 fn rule_6_bound_queries_go_nowhere_else_even_when_theirs_are_gone() {
     let mut c = gateway("services.0.kinds-open=big services.1.confined-to=h2", ONE);
