--- /dev/null
+++ b/crates/dispatcher/src/client/http/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+const POST: &[u8] = b"POST /invoke/report HTTP/1.1\r\nHost: backend.local\r\nreq-id: 9b1f03aa5c7e2d41\r\n\
+    Req-Wait-Ms: 1500\r\nReq-Owner:acme\r\nReq-Cost: 820.0\r\nX-Need-Mb: 96\r\nContent-Length: 8\r\n\r\nSELECT 1";
+
+#[test]
+fn a_head_is_read_once_it_is_whole_however_it_is_split() {
+    let size = POST.len() - 8;
+    for end in 0..size {
+        assert_eq!(parse(&POST[..end]), Ok(None), "{end}");
+    }
+    let head = parse(&POST[..size]).unwrap().unwrap();
+    assert_eq!((head.method, head.path, head.size, head.length), ("POST", "/invoke/report", size, 8));
+    assert_eq!((head.id, head.wait_ms, head.owner), (Some("9b1f03aa5c7e2d41"), Some("1500"), Some("acme")));
+    assert_eq!((head.cost, head.memory_mb, head.keep_alive), (Some("820.0"), Some("96"), true));
+}
+
+#[test]
+fn hostile_and_over_long_heads_are_refused() {
+    let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MOST_HEAD]].concat();
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_FIELDS + 1));
+    let cases: [(&[u8], u16); 16] = [
+        (&long, 431),
+        (many.as_bytes(), 431),
+        (b"GET /\r\n\r\n", 400),
+        (b"GET  / HTTP/1.1\r\n\r\n", 400),
+        (b"GET x HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/2\r\n\r\n", 505),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nA: b\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: x\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nReq-Id: 1\r\nReq-Id: 2\r\n\r\n", 400),
+    ];
+    for (bytes, status) in cases {
+        assert_eq!(parse(bytes).map_err(|w| w.status), Err(status), "{}", String::from_utf8_lossy(bytes));
+    }
+    assert_eq!(parse(b"\xff\xfe / HTTP/1.1\r\n\r\n").map_err(|w| w.status), Err(400));
+}
+
+#[test]
+fn no_byte_that_is_turned_makes_it_panic() {
+    for at in 0..POST.len() {
+        for value in 0..=255 {
+            let mut bytes = POST.to_vec();
+            bytes[at] = value;
+            if let Ok(Some(head)) = parse(&bytes) {
+                assert!(head.size <= bytes.len());
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_tells_its_length_and_how_long_to_stay_away() {
+    let head = String::from_utf8(answer_head(429, 20, false, Some(250))).unwrap();
+    assert!(head.starts_with("HTTP/1.1 429 Too Many Requests\r\n") && head.ends_with("\r\n\r\n"));
+    assert!(head.contains("Content-Length: 20\r\n") && head.contains("Srv-Wait-Ms: 250\r\n"));
+    assert!(head.contains("Connection: close\r\n"));
+}
--- /dev/null
+++ b/crates/dispatcher/src/config/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+
+const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb","limits":{"sockets":1024,"memory_mb":32},
+    "peer_listen":"127.0.0.1:2","peers":["127.0.0.2:2"],"resolver":"127.0.0.1:53",
+    "known":{"cursor":2,"cmds":[{"cursor":1,"nodes":{"instances":[{"instanceId":"s-1","hostPort":"10.0.0.1:1",
+    "zone":"h","machineType":"std","cell":1,"lifecycle":"Ready","startedAtMs":0}]}},{"cursor":2,"nodes":
+    {"instances":[{"instanceId":"s-1","lifecycle":"Terminating","startedAtMs":7}]}}]},
+    "settings":{"balancers":2,"kinds":["a b","c"],"limits":{"probes":true,"connect-timeout-us":9000},
+    "services":[{"name":"look","aim-us":5,"hard-limit-us":7000}],
+    "family-info":{"dop":[1,2],"cores-by-kind":[8,4],"kind-memory-mb":[100,50]}}}"#;
+
+#[test]
+fn settings_become_a_plain_map_and_events_one_list() {
+    let config = parse(GOOD, None).unwrap();
+    let told: Vec<_> = config.told.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    let want =
+        "balancers=2 family-info.cores-by-kind=8,4 family-info.dop=1,2 family-info.kind-memory-mb=100,50 \
+        kinds=a_b,c limits.connect-timeout-us=9000 limits.probes=true services.0.aim-us=5 \
+        services.0.hard-limit-us=7000 services.0.name=look services.count=1";
+    assert_eq!(told.join(" "), want);
+    assert_eq!((config.terms.connect_timeout, config.terms.idle, config.directory.last), (9.0, 30_000.0, 2));
+    assert_eq!((config.door.groups.concat(), config.door.customers.len()), ("look".to_owned(), 0));
+    let figures = (config.door.most_wait, config.door.most_cost, config.door.most_memory);
+    assert_eq!(figures, (28.0, 224.0, 400.0));
+    assert_eq!((config.door.most_bytes, config.most_bytes), ((32 << 20) / 10, (32 << 20) / 5));
+    let engine = &config.directory.all()[0];
+    assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
+    assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
+}
+
+#[test]
+fn what_another_configuration_changes_is_told_by_its_keys() {
+    let changed = |was: &str, is: &str| {
+        only_at_a_start(&parse(GOOD, None).unwrap().text, &parse(&GOOD.replace(was, is), None).unwrap().text)
+    };
+    assert_eq!(changed("127.0.0.1:53", "127.0.0.1:54"), [""; 0]);
+    assert_eq!(changed("6444882f5c620abb", "7"), [""; 0]);
+    assert_eq!(changed("\"sockets\":1024", "\"sockets\":512"), ["limits"]);
+    assert_eq!(changed("\"name\":\"n0\",", ""), ["name"]);
+}
+
+#[test]
+fn errors_name_the_key_at_fault() {
+    let cases = [
+        ("\"seed\":\"6444882f5c620abb\"", "\"seed\":\"x\"", "key seed is \"x\""),
+        ("\"listen\"", "\"lisTen\"", "key listen is missing"),
+        ("\"sockets\":1024", "\"sockets\":2", "key limits.sockets is 2, not at least 64"),
+        ("\"memory_mb\":32", "\"memory_mb\":\"a\"", "key limits.memory_mb is \"a\", not a number"),
+        ("\"127.0.0.2:2\"", "7", "key peers.0 is 7, not a text"),
+        ("\"Ready\"", "\"Up\"", "key known.cmds.0.nodes.instances.0.lifecycle is \"Up\""),
+        ("\"balancers\":2", "\"b\":2", "key settings.balancers"),
+        ("\"connect-timeout-us\":9000", "\"connect-timeout-us\":0", "key settings.limits.connect-timeout-us"),
+        ("\"settings\"", "\"s\"", "key settings is missing"),
+        ("{\"name\"", "\"name\"", "not JSON"),
+    ];
+    for (was, is, says) in cases {
+        let wrong = parse(&GOOD.replace(was, is), None).unwrap_err();
+        assert!(wrong.iter().any(|wrong| wrong.to_string().contains(says)), "{wrong:?}");
+    }
+}
+
+#[test]
+fn all_faults_are_told_with_their_lines() {
+    let text = GOOD
+        .replace("\"sockets\":1024", "\"sockets\":2")
+        .replace("\"Terminating\"", "7")
+        .replace("\"seed\"", "\"sed\"");
+    let wrong: Vec<String> =
+        located(parse(&text, None).unwrap_err(), &text).iter().map(Wrong::to_string).collect();
+    let says = |line: &str| wrong.iter().any(|wrong| wrong.starts_with(line));
+    assert!(says("line 1: key seed is missing"), "{wrong:?}");
+    assert!(says("line 1: key limits.sockets is 2, not at least 64"), "{wrong:?}");
+    assert!(says("line 5: key known.cmds.1.nodes.instances.0.lifecycle is 7"), "{wrong:?}");
+    assert_eq!(wrong.len(), 3);
+}
