Standard terms in the client side: connection table, evict, linger, admission, keep-alive

Names only, no behaviour: places.rs and Place(s) are table.rs, ConnectionTable and Entry with State (Active, Closing); give_one_up, part, turn_away, hoards, Door are evict_one, linger, reject, over_quota, Admission; the driver's stirs are wakes (Terminate, Reload); trust.rs is keep_alive.rs. Two counters were renamed with it: places_given_up is connections_evicted, refused_at_the_door is requests_rejected.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -1,7 +1,7 @@
 //! Client side: takes connections, reads queries from them and writes their answers out.
 
 mod http;
-mod places;
+mod table;
 
 use crate::classes::{self, Classes};
 use crate::clock::Clock;
@@ -14,12 +14,12 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use http::{answer_head, Head};
-use places::{Place, Places, Stage};
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use table::{ConnectionTable, Entry, State};
 use tansymux::interface::Text;
 use tansymux::told;
 use tansymux_statements::table_group;
@@ -32,9 +32,9 @@
 const HALLS_PATH: &str = "/_halls";
 /// How often those who wait for a change of level are looked at.
 const LEVELS_PAUSE: Duration = Duration::from_millis(50);
-/// What the door lets in, as the configuration tells.
+/// What is admitted, as the configuration tells.
 #[derive(Debug)]
-pub struct Door {
+pub struct Admission {
     pub most_connections: usize,
     /// Bytes that all connections together may have sent ahead of what is read.
     pub most_bytes: usize,
@@ -58,7 +58,7 @@
 const WHOLE_WITHIN: f64 = 2400.0;
 /// How long (ms), and how many bytes, is read and passed over behind a half-close, so that the last answer is not lost
 /// to a reset; and how long a connection on which nothing came is kept for its first request once the program ends.
-const PART_WITHIN: f64 = 500.0;
+const LINGER: f64 = 500.0;
 const MOST_PASSED_OVER: usize = 1 << 20;
 const FIRST_REQUEST: f64 = 500.0;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -75,7 +75,7 @@
     Late,
     /// The client closed or reset its side.
     Ended,
-    /// The connection is asked to end: its place is wanted, or the program ends.
+    /// The connection is asked to end: its entry is wanted, or the program ends.
     Asked,
 }
 
@@ -91,7 +91,7 @@
 enum Opened {
     Query(u64, Rc<Slot>),
     Answered,
-    TurnedAway,
+    Rejected,
 }
 
 /// What a query's wait came to.
@@ -132,13 +132,13 @@
 pub struct ClientSide {
     exchange: Rc<Exchange>,
     clock: Clock,
-    door: Door,
+    admission: Admission,
     classes: Rc<Classes>,
     levels: Rc<Levels>,
     halls: Rc<Halls>,
     /// What spilled into halls, as the decisions last counted it.
     pub spilled: RefCell<Vec<(String, f64)>>,
-    places: Places,
+    table: ConnectionTable,
     /// Bytes that wait in inboxes.
     waiting: Cell<usize>,
     shared: RefCell<Vec<u8>>,
@@ -154,21 +154,21 @@
 
 impl ClientSide {
     pub fn new(
-        exchange: Rc<Exchange>, clock: Clock, door: Door, classes: Rc<Classes>, levels: Rc<Levels>,
+        exchange: Rc<Exchange>, clock: Clock, admission: Admission, classes: Rc<Classes>, levels: Rc<Levels>,
         halls: Rc<Halls>,
     ) -> Self {
         let (waiting, healthy, last_call, called, closed) = Default::default();
-        let places = Places::new(door.most_connections);
+        let table = ConnectionTable::new(admission.most_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
         ClientSide {
             exchange,
             clock,
-            door,
+            admission,
             classes,
             levels,
             halls,
             spilled: RefCell::default(),
-            places,
+            table,
             waiting,
             shared,
             healthy,
@@ -186,26 +186,26 @@
     pub fn last_call(&self) {
         self.last_call.set(true);
         self.called.notify();
-        self.places.ask_all();
+        self.table.close_idle();
     }
 
     /// Whether no connection is left and none will come.
     pub fn all_gone(&self) -> bool {
-        self.closed.get() && self.places.held() == 0
+        self.closed.get() && self.table.held() == 0
     }
 
-    /// Takes connections until the last call is answered. When places run out, one that is of no use is closed for the
-    /// next.
+    /// Takes connections until the last call is answered. When the table is full, one that is of no use is evicted for
+    /// the next.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
         loop {
-            while self.places.full() {
-                if self.places.give_one_up(self.clock.now()) {
-                    self.exchange.counters.places_given_up.add();
+            while self.table.full() {
+                if self.table.evict_one(self.clock.now()) {
+                    self.exchange.counters.connections_evicted.add();
                 }
                 let pause = async {
                     Timer::after(ACCEPT_PAUSE).await;
                 };
-                future::or(self.places.freed.notified(), pause).await;
+                future::or(self.table.freed.notified(), pause).await;
             }
             // Who has connected counts as taken, read or not: the listener is closed only once none is left in it.
             let accepted = if self.last_call.get() {
@@ -224,15 +224,15 @@
             match accepted {
                 Ok((stream, _)) => {
                     self.exchange.counters.connections_from_clients.add();
-                    let (side, place) = (self.clone(), self.places.take(self.clock.now()));
+                    let (side, entry) = (self.clone(), self.table.admit(self.clock.now()));
                     let connection = async move {
-                        match side.serve(&stream, &place).await {
-                            Ok(End::HalfClose) => side.part(&stream, &place).await,
+                        match side.serve(&stream, &entry).await {
+                            Ok(End::HalfClose) => side.linger(&stream, &entry).await,
                             Ok(End::Gone) => {}
                             Err(e) => tracing::info!(error = %e, "a client's connection ended"),
                         }
                         drop(stream);
-                        side.places.leave(&place);
+                        side.table.release(&entry);
                     };
                     executor.spawn(connection).detach();
                     // Those that were taken read what they have before the next one is.
@@ -249,7 +249,7 @@
     }
 
     /// One connection, one request at a time, up to its end. What is read here is taken, whatever else is under way.
-    async fn serve(&self, stream: &Async<TcpStream>, place: &Place) -> io::Result<End> {
+    async fn serve(&self, stream: &Async<TcpStream>, entry: &Entry) -> io::Result<End> {
         stream.get_ref().set_nodelay(true)?;
         let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
         // When the last of what is in the inbox came: a query's time counts from its last byte. By when the request
@@ -262,7 +262,7 @@
                 Ok(Some(head)) if inbox.bytes.len() >= head.size + head.length => head,
                 Ok(_) => {
                     let (empty, last) = (inbox.bytes.is_empty(), self.last_call.get());
-                    let idles = empty && place.idles();
+                    let idles = empty && entry.idles();
                     // At the end one that rests is closed at once, but for what has come by then.
                     let by = match () {
                         () if idles && last => since,
@@ -270,20 +270,20 @@
                         () if empty && last => whole_by.min(connected + FIRST_REQUEST),
                         () => whole_by,
                     };
-                    match self.more(stream, &mut inbox, place, by).await? {
-                        More::Came if self.hoards(&inbox) => {
-                            return self.turn_away(stream, 503, "TryLater").await;
+                    match self.more(stream, &mut inbox, entry, by).await? {
+                        More::Came if self.over_quota(&inbox) => {
+                            return self.reject(stream, 503, "TryLater").await;
                         }
                         More::Came => {}
                         More::Late if empty => return Ok(End::HalfClose),
                         More::Late => {
-                            return self.turn_away(stream, 408, "the request did not become whole").await;
+                            return self.reject(stream, 408, "the request did not become whole").await;
                         }
                         More::Ended => return Ok(End::Gone),
                         // While the program ends, what has begun goes on, and what may come first has its time.
-                        More::Asked if !place.given_up() => continue,
+                        More::Asked if !entry.evicted() => continue,
                         More::Asked if empty => return Ok(End::HalfClose),
-                        More::Asked => return self.turn_away(stream, 503, "TryLater").await,
+                        More::Asked => return self.reject(stream, 503, "TryLater").await,
                     }
                     since = self.clock.now();
                     if idles {
@@ -291,10 +291,10 @@
                     }
                     continue;
                 }
-                Err(wrong) => return self.turn_away(stream, wrong.status, wrong.what).await,
+                Err(wrong) => return self.reject(stream, wrong.status, wrong.what).await,
             };
             let (used, mut keep_alive) = (head.size + head.length, head.keep_alive);
-            place.is(Stage::InHand, since);
+            entry.is(State::Active, since);
             match self.open(stream, &head, &inbox.bytes[head.size..used], since).await? {
                 Opened::Query(number, slot) => {
                     inbox.take_out(used);
@@ -304,7 +304,7 @@
                     self.write_answer(stream, answer, keep_alive).await?;
                 }
                 Opened::Answered => inbox.take_out(used),
-                Opened::TurnedAway => return Ok(End::HalfClose),
+                Opened::Rejected => return Ok(End::HalfClose),
             }
             if !keep_alive {
                 return Ok(End::HalfClose);
@@ -315,17 +315,17 @@
                 since = self.clock.now();
             }
             whole_by = self.clock.now() + WHOLE_WITHIN;
-            place.is(Stage::Idle, self.clock.now());
+            entry.is(State::Idle, self.clock.now());
         }
     }
 
     /// Waits for more of a request.
     async fn more(
-        &self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>, place: &Place, by: f64,
+        &self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>, entry: &Entry, by: f64,
     ) -> io::Result<More> {
         let came = async { Ok(if self.read(stream, inbox).await? == 0 { More::Ended } else { More::Came }) };
         let asked = async {
-            place.end.notified().await;
+            entry.close.notified().await;
             Ok(More::Asked)
         };
         let late = async {
@@ -337,9 +337,9 @@
     }
 
     /// Whether inboxes are full in sum and this one holds more than its even part: small requests always pass.
-    fn hoards(&self, inbox: &Inbox) -> bool {
-        let part = self.door.most_bytes / self.door.most_connections.max(1);
-        self.waiting.get() > self.door.most_bytes && inbox.bytes.len() > part
+    fn over_quota(&self, inbox: &Inbox) -> bool {
+        let part = self.admission.most_bytes / self.admission.most_connections.max(1);
+        self.waiting.get() > self.admission.most_bytes && inbox.bytes.len() > part
     }
 
     /// Reads what is there through the one buffer that all connections share.
@@ -355,11 +355,11 @@
     }
 
     /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
-    async fn turn_away(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<End> {
-        self.exchange.counters.refused_at_the_door.add();
+    async fn reject(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<End> {
+        self.exchange.counters.requests_rejected.add();
         tracing::info!(status, what, "turned away");
         let text = format!("{{\"error\":\"{what}\"}}");
-        let retry_after = self.door.retry_after.filter(|_| status == 503).map(|ms| ms.ceil() as u64);
+        let retry_after = self.admission.retry_after.filter(|_| status == 503).map(|ms| ms.ceil() as u64);
         let head = answer_head(status, text.len(), false, retry_after);
         self.write(stream, &[&head, text.as_bytes()]).await?;
         Ok(End::HalfClose)
@@ -367,18 +367,18 @@
 
     /// Half-closes, and reads what its client still sends, which is never taken for a request: a close over unread bytes
     /// would be a reset, and take the last answer with it.
-    async fn part(&self, stream: &Async<TcpStream>, place: &Place) {
+    async fn linger(&self, stream: &Async<TcpStream>, entry: &Entry) {
         let now = self.clock.now();
-        place.is(Stage::Leaving, now);
+        entry.is(State::Closing, now);
         if stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
         let mut passed_over = 0;
         while passed_over < MOST_PASSED_OVER {
             let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
-            match self.more(stream, &mut inbox, place, now + PART_WITHIN).await {
+            match self.more(stream, &mut inbox, entry, now + LINGER).await {
                 Ok(More::Came) => passed_over += inbox.bytes.len(),
-                Ok(More::Asked) if !place.given_up() => {}
+                Ok(More::Asked) if !entry.evicted() => {}
                 _ => return,
             }
             future::yield_now().await;
@@ -394,8 +394,8 @@
                 match self.take(head, body, since) {
                     Ok((number, slot)) => return Ok(Opened::Query(number, slot)),
                     Err((status, what)) => {
-                        self.turn_away(stream, status, what).await?;
-                        return Ok(Opened::TurnedAway);
+                        self.reject(stream, status, what).await?;
+                        return Ok(Opened::Rejected);
                     }
                 }
             }
@@ -416,8 +416,8 @@
             (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH | HALLS_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
             _ => {
-                self.turn_away(stream, 404, "Unknown").await?;
-                return Ok(Opened::TurnedAway);
+                self.reject(stream, 404, "Unknown").await?;
+                return Ok(Opened::Rejected);
             }
         };
         self.write_plain(stream, status, &text, head.keep_alive).await?;
@@ -438,9 +438,9 @@
         waiting.set(waiting.get() - 1);
     }
 
-    /// How many places are held.
+    /// How many connections are held.
     pub fn held(&self) -> usize {
-        self.places.held()
+        self.table.held()
     }
 
     fn take(&self, head: &Head, body: &[u8], since: f64) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
@@ -450,10 +450,11 @@
         let number = |value: &str| value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
         // What no engine could use reaches none, and leaves nothing in what the decisions learn.
         let told = |value: Option<&str>, most: f64| value.map_or(Some(0.0), number).filter(|n| *n <= most);
-        let wait =
-            told(head.wait_ms, self.door.most_wait).filter(|ms| *ms >= 1.0).ok_or((400, "Req-Wait-Ms"))?;
-        let cost = told(head.cost, self.door.most_cost).ok_or((400, "Req-Cost"))?;
-        let memory = told(head.memory_mb, self.door.most_memory).ok_or((400, "X-Need-Mb"))?;
+        let wait = told(head.wait_ms, self.admission.most_wait)
+            .filter(|ms| *ms >= 1.0)
+            .ok_or((400, "Req-Wait-Ms"))?;
+        let cost = told(head.cost, self.admission.most_cost).ok_or((400, "Req-Cost"))?;
+        let memory = told(head.memory_mb, self.admission.most_memory).ok_or((400, "X-Need-Mb"))?;
         // Both go on to the engine as they came, in a list of fields that a comma or an equals sign would break.
         let hex = |value: &str, digits: usize| {
             (1..=digits).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_hexdigit())
@@ -464,12 +465,12 @@
         if head.key.is_some_and(|key| !hex(key, MOST_KEY)) {
             return Err((400, "Req-Key"));
         }
-        if named.is_some_and(|rg| !self.door.groups.iter().any(|known| known == rg)) {
+        if named.is_some_and(|rg| !self.admission.groups.iter().any(|known| known == rg)) {
             return Err((404, "unknown resource group"));
         }
         let owner = head.owner.unwrap_or("");
-        let customer = self.door.customers.iter().find(|known| told::is_named(known, owner));
-        if customer.is_none() && !self.door.customers.is_empty() {
+        let customer = self.admission.customers.iter().find(|known| told::is_named(known, owner));
+        if customer.is_none() && !self.admission.customers.is_empty() {
             return Err((403, "unknown customer"));
         }
         let customer = customer.map_or("", String::as_str);
@@ -496,8 +497,8 @@
         };
         let text = if cost > 0.0 { Text { sure: 1.0, ..text } } else { text };
         let bare = read.as_ref().filter(|_| named.is_none());
-        let cost = estimate(cost, bare.map(|read| read.cost), self.door.most_cost);
-        let memory = estimate(memory, bare.map(|read| read.memory), self.door.most_memory);
+        let cost = estimate(cost, bare.map(|read| read.cost), self.admission.most_cost);
+        let memory = estimate(memory, bare.map(|read| read.memory), self.admission.most_memory);
         let marks = Marks { token: head.token, key: head.key };
         let asked =
             Asked { id, rg, customer, statement: body, since, due, cost, memory, tables, text, shape, marks };
@@ -522,7 +523,7 @@
                     return None;
                 }
                 *since = self.clock.now();
-                if overrun.get() || inbox.bytes.len() > MOST_AHEAD || self.hoards(inbox) {
+                if overrun.get() || inbox.bytes.len() > MOST_AHEAD || self.over_quota(inbox) {
                     overrun.set(true);
                     passed_over += inbox.bytes.len() - before;
                     inbox.take_out(inbox.bytes.len());
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -2,7 +2,7 @@
 
 mod places;
 
-use crate::client::Door;
+use crate::client::Admission;
 use crate::dispatcher::TAKES_ON;
 use crate::engine::Terms;
 use crate::exchange::Listed;
@@ -56,7 +56,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    pub door: Door,
+    pub admission: Admission,
     /// Statements in hand at most, in bytes.
     pub most_bytes: usize,
     /// Limits on descriptors, and on memory in bytes.
@@ -278,7 +278,7 @@
     let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
     let may_be_told = told.get("limits.retry-after").is_none_or(|value| told::is_true(value));
     let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
-    let door = Door {
+    let admission = Admission {
         most_connections: part_of(CLIENTS_PART),
         most_bytes: (memory * AHEAD_PART) as usize,
         groups: names(&told, "services"),
@@ -300,7 +300,7 @@
             name,
             listen,
             seed,
-            door,
+            admission,
             most_bytes,
             sockets,
             memory,
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -19,10 +19,10 @@
         services.0.hard-limit-us=7000 services.0.name=look services.count=1";
     assert_eq!(told.join(" "), want);
     assert_eq!((config.terms.connect_timeout, config.terms.idle, config.directory.last), (9.0, 30_000.0, 2));
-    assert_eq!((config.door.groups.concat(), config.door.customers.len()), ("look".to_owned(), 0));
-    let figures = (config.door.most_wait, config.door.most_cost, config.door.most_memory);
+    assert_eq!((config.admission.groups.concat(), config.admission.customers.len()), ("look".to_owned(), 0));
+    let figures = (config.admission.most_wait, config.admission.most_cost, config.admission.most_memory);
     assert_eq!(figures, (28.0, 224.0, 400.0));
-    assert_eq!((config.door.most_bytes, config.most_bytes), ((32 << 20) / 10, (32 << 20) / 5));
+    assert_eq!((config.admission.most_bytes, config.most_bytes), ((32 << 20) / 10, (32 << 20) / 5));
     let engine = &config.directory.all()[0];
     assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
     assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -58,11 +58,11 @@
     killed,
     vanished,
     /// Requests that never became a query, and answers that could not be written out.
-    refused_at_the_door,
+    requests_rejected,
     answers_not_written,
     connections_from_clients,
     /// Clients' connections closed to make room for others.
-    places_given_up,
+    connections_evicted,
     connections_to_engines,
     /// Those that did not come up in their time; some came later.
     connections_late,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -33,7 +33,7 @@
 /// and requests on open ones for 0.2 s more.
 pub const TAKES_ON: f64 = 700.0;
 /// How long (ms) connections that have their answer may take to part, beyond the time by which all is answered.
-const LAST_PARTINGS: f64 = 250.0;
+const LAST_LINGER: f64 = 250.0;
 const LONGEST_SLEEP: f64 = 1000.0;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -81,10 +81,10 @@
 }
 
 /// What ends a wait.
-enum Stir {
+enum Wake {
     Events,
-    ToldToEnd,
-    ToldToReadAgain,
+    Terminate,
+    Reload,
 }
 
 impl Dispatcher {
@@ -107,8 +107,14 @@
         let halls = Rc::new(Halls::new(&config.told));
         halls.set(operator.halls.as_ref(), clock.now(), &mut control);
         let (of_classes, of_levels, of_halls) = (classes.clone(), levels.clone(), halls.clone());
-        let clients =
-            Rc::new(ClientSide::new(exchange.clone(), clock, config.door, of_classes, of_levels, of_halls));
+        let clients = Rc::new(ClientSide::new(
+            exchange.clone(),
+            clock,
+            config.admission,
+            of_classes,
+            of_levels,
+            of_halls,
+        ));
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
@@ -156,17 +162,17 @@
     /// Runs until all is answered after the signal to end.
     pub async fn run(mut self, signals: impl Stream<Item = Signal>) {
         let signals = signals.map(|signal| match signal {
-            Signal::ReadAgain => Stir::ToldToReadAgain,
-            Signal::End => Stir::ToldToEnd,
+            Signal::ReadAgain => Wake::Reload,
+            Signal::End => Wake::Terminate,
         });
-        let events = Notifications(self.exchange.notify.clone()).map(|()| Stir::Events);
-        let mut stirs = std::pin::pin!(futures_lite::stream::or(signals, events));
+        let events = Notifications(self.exchange.notify.clone()).map(|()| Wake::Events);
+        let mut wakes = std::pin::pin!(futures_lite::stream::or(signals, events));
         loop {
             let wake = self.turn();
             if self.phase == Phase::Ended {
                 break;
             }
-            self.wait(&mut stirs, wake).await;
+            self.wait(&mut wakes, wake).await;
             // Whatever is due already, the connections get their turn.
             future::yield_now().await;
         }
@@ -229,7 +235,7 @@
                 Phase::Closing { since }
             }
             Phase::Closing { since }
-                if self.clients.all_gone() || now >= since + self.ends_by + LAST_PARTINGS =>
+                if self.clients.all_gone() || now >= since + self.ends_by + LAST_LINGER =>
             {
                 Phase::Ended
             }
@@ -237,7 +243,7 @@
         };
     }
 
-    fn told_to_end(&mut self) {
+    fn begin_shutdown(&mut self) {
         let now = self.clock.now();
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             tracing::info!(queries = self.exchange.in_hand(), "told to end");
@@ -253,7 +259,7 @@
 
     /// Reads configuration and operators' file anew. What may change does, the rest is named; one that can't be
     /// used changes nothing.
-    fn told_to_read_again(&mut self) {
+    fn reload(&mut self) {
         if !matches!(self.phase, Phase::Starting | Phase::Serving) {
             return tracing::info!("told to read the configuration again while ending: nothing is read");
         }
@@ -304,7 +310,7 @@
         }
     }
 
-    async fn wait(&mut self, stirs: &mut (impl Stream<Item = Stir> + Unpin), wake: f64) {
+    async fn wait(&mut self, wakes: &mut (impl Stream<Item = Wake> + Unpin), wake: f64) {
         let soon = match self.phase {
             Phase::Draining { .. } | Phase::Closing { .. } => self.clock.now() + 20.0,
             _ => f64::INFINITY,
@@ -314,9 +320,9 @@
             Timer::at(wake).await;
             None
         };
-        match future::or(stirs.next(), time).await {
-            Some(Stir::ToldToEnd) => self.told_to_end(),
-            Some(Stir::ToldToReadAgain) => self.told_to_read_again(),
+        match future::or(wakes.next(), time).await {
+            Some(Wake::Terminate) => self.begin_shutdown(),
+            Some(Wake::Reload) => self.reload(),
             _ => {}
         }
     }
--- a/crates/dispatcher/src/engine/trust.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -18,7 +18,7 @@
 
 /// Fading counts, by spans of idling, of those that were used again.
 #[derive(Debug, Default)]
-pub struct Trust {
+pub struct KeepAlive {
     kept: [f64; SPANS],
     lost: [f64; SPANS],
     at: f64,
@@ -28,7 +28,7 @@
     ((idled / LEAST).max(1.0).log2() as usize).min(SPANS - 1)
 }
 
-impl Trust {
+impl KeepAlive {
     fn fade(&mut self, now: f64) {
         let fading = ((self.at - now) / FADES).min(0.0).exp();
         self.at = now.max(self.at);
--- a/crates/dispatcher/src/engine/trust/tests.rs
+++ b/crates/dispatcher/src/engine/keep_alive/tests.rs
@@ -3,17 +3,17 @@
 
 /// Where so many of those that idled for more than `dies_after` are lost: uses, losses and how many had to be new.
 fn play(seed: u64, dies_after: f64, part: f64, seconds: f64) -> (f64, f64, f64) {
-    let (mut chance, mut trust) = (rand_pcg::Pcg32::seed_from_u64(seed), Trust::default());
+    let (mut chance, mut keep_alive) = (rand_pcg::Pcg32::seed_from_u64(seed), KeepAlive::default());
     let (mut now, mut uses, mut lost, mut new) = (0.0, 0.0, 0.0, 0.0);
     while now < seconds * 1000.0 {
         now += chance.random_range(10.0..300.0);
         let idled = 50.0 * 2.0_f64.powf(chance.random_range(0.0..8.0));
-        if idled >= trust.longest(now) {
+        if idled >= keep_alive.longest(now) {
             new += 1.0;
             continue;
         }
         let dies = idled > dies_after && chance.random_range(0.0..1.0) < part;
-        trust.learn(now, idled, dies);
+        keep_alive.learn(now, idled, dies);
         (uses, lost) = (uses + 1.0, lost + f64::from(u8::from(dies)));
     }
     (uses, lost, new)
@@ -23,10 +23,10 @@
 fn where_nothing_is_lost_nothing_new_is_opened() {
     assert_eq!(play(1, f64::INFINITY, 0.0, 60.0).2, 0.0);
     // A single loss, as where one process ends, changes nothing as far as there is good experience.
-    let mut trust = Trust::default();
-    (0..30).for_each(|n| trust.learn(f64::from(n) * 100.0, 3000.0, false));
-    trust.learn(3100.0, 500.0, true);
-    assert_eq!(trust.longest(3200.0), 3200.0);
+    let mut keep_alive = KeepAlive::default();
+    (0..30).for_each(|n| keep_alive.learn(f64::from(n) * 100.0, 3000.0, false));
+    keep_alive.learn(3100.0, 500.0, true);
+    assert_eq!(keep_alive.longest(3200.0), 3200.0);
 }
 
 #[test]
@@ -42,12 +42,12 @@
 
 #[test]
 fn a_loss_with_no_experience_takes_trust_away_and_time_gives_it_back() {
-    let mut trust = Trust::default();
-    assert_eq!(trust.longest(0.0), f64::INFINITY);
-    trust.learn(100.0, 900.0, true);
+    let mut keep_alive = KeepAlive::default();
+    assert_eq!(keep_alive.longest(0.0), f64::INFINITY);
+    keep_alive.learn(100.0, 900.0, true);
     // Shorter spans than the one that was lost stay trusted.
-    assert_eq!(trust.longest(100.0), 800.0);
-    trust.learn(200.0, 60.0, true);
-    assert_eq!(trust.longest(200.0), LEAST);
-    assert_eq!(trust.longest(30_000.0), f64::INFINITY);
+    assert_eq!(keep_alive.longest(100.0), 800.0);
+    keep_alive.learn(200.0, 60.0, true);
+    assert_eq!(keep_alive.longest(200.0), LEAST);
+    assert_eq!(keep_alive.longest(30_000.0), f64::INFINITY);
 }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -2,9 +2,9 @@
 //! how they ended.
 
 mod connection;
+mod keep_alive;
 mod resp;
 mod rows;
-mod trust;
 
 use crate::clock::Clock;
 use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
@@ -14,6 +14,7 @@
 use async_io::{Async, Timer};
 use connection::{Connection, Heard, State, Submission, Use};
 use futures_lite::future;
+use keep_alive::KeepAlive;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -23,7 +24,6 @@
 use std::task::Poll;
 use std::time::Duration;
 use tansymux::interface::{Bounds, EngineStatus, Outcome};
-use trust::Trust;
 
 /// Connections to one engine at most, and how many submissions they are to carry where each takes few.
 const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
@@ -90,7 +90,7 @@
     /// Ends that are told once they have settled, and when that is.
     settling: RefCell<VecDeque<(f64, Event)>>,
     /// How long a connection may idle to be used again.
-    trust: RefCell<Trust>,
+    keep_alive: RefCell<KeepAlive>,
     /// The one buffer that all connections read through.
     shared: RefCell<Vec<u8>>,
 }
@@ -99,7 +99,7 @@
     pub fn new(
         exchange: Rc<Exchange>, clock: Clock, executor: Rc<LocalExecutor<'static>>, terms: Terms,
     ) -> Rc<Self> {
-        let (engines, tags, connections, settling, trust) = Default::default();
+        let (engines, tags, connections, settling, keep_alive) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
         Rc::new(EngineSide {
             exchange,
@@ -110,7 +110,7 @@
             tags,
             connections,
             settling,
-            trust,
+            keep_alive,
             shared,
         })
     }
@@ -199,8 +199,8 @@
         let engine = engines.get_mut(&node)?;
         let address = engine.address?;
         let now = self.clock.now();
-        let longest = self.trust.borrow_mut().longest(now);
-        let trusted = if harmless { longest } else { trust::LEAST };
+        let longest = self.keep_alive.borrow_mut().longest(now);
+        let trusted = if harmless { longest } else { keep_alive::LEAST };
         // Of those that stand alike the one with the least out, one that is up, the one used last: the rest go idle.
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
@@ -228,7 +228,11 @@
             let connection = other.connection.borrow();
             !Rc::ptr_eq(other, &channel) && connection.fresh && connection.state != State::Late
         };
-        if room && !full && longest <= trust::LEAST && !engine.connections.iter().any(|other| ahead(&other)) {
+        if room
+            && !full
+            && longest <= keep_alive::LEAST
+            && !engine.connections.iter().any(|other| ahead(&other))
+        {
             self.open_one(engine, node, address);
         }
         Some(channel)
@@ -406,8 +410,8 @@
         let channels: Vec<(bool, Rc<Channel>)> = self.engines.borrow().values().flat_map(channels).collect();
         let mut next = settling.front().map_or(f64::INFINITY, |(at, _)| *at);
         drop(settling);
-        let longest = self.trust.borrow_mut().longest(now);
-        let keeps_one_ahead = longest <= trust::LEAST;
+        let longest = self.keep_alive.borrow_mut().longest(now);
+        let keeps_one_ahead = longest <= keep_alive::LEAST;
         let (told, mut checks) = (IDLE_PART * self.terms.idle, Vec::new());
         for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
@@ -431,7 +435,7 @@
             let idles = match (connection.fresh, last) {
                 (true, _) if keeps_one_ahead => told,
                 (_, true) => longest.min(told),
-                (_, false) => trust::LEAST,
+                (_, false) => keep_alive::LEAST,
             };
             if connection.check_at <= now {
                 connection.check_at = f64::INFINITY;
@@ -538,7 +542,7 @@
                 let now = self.clock.now();
                 let mut connection = channel.connection.borrow_mut();
                 if let Some((idled, _)) = connection.idled.take() {
-                    self.trust.borrow_mut().learn(now, idled, false);
+                    self.keep_alive.borrow_mut().learn(now, idled, false);
                 }
                 let heard = connection.hear(&frame, now);
                 drop(connection);
@@ -639,10 +643,11 @@
         }
         // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
         // idling and not of the engine, whose next connection will tell.
-        let idled = connection.idled.filter(|&(_, sent)| was_up && !given_up && now - sent < trust::LEAST);
+        let idled =
+            connection.idled.filter(|&(_, sent)| was_up && !given_up && now - sent < keep_alive::LEAST);
         let idled = idled.filter(|_| !submissions.is_empty());
         if let Some((idled, _)) = idled {
-            self.trust.borrow_mut().learn(now, idled, true);
+            self.keep_alive.borrow_mut().learn(now, idled, true);
             self.exchange.counters.connections_lost_idle.add();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
