--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -44,6 +44,8 @@
 /// A connection that has not come up in its time is waited for so many times as long, for what comes next; and so many in
 /// a row that did not tell that an engine can't be reached.
 const LATE_TIMES: u32 = 7;
+/// Whatever the settings say (s).
+const LONGEST_TIMEOUT: f64 = 3600.0;
 const UNREACHED: u32 = 2;
 
 /// What is given up on one connection may be sent again on another, and a busy engine reads connections in any order
@@ -464,7 +466,8 @@
     // ---- A connection's life ----
 
     async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
-        let timeout = Duration::from_secs_f64((self.terms.connect_timeout / 1000.0).max(0.0));
+        let timeout =
+            Duration::from_secs_f64((self.terms.connect_timeout / 1000.0).clamp(0.0, LONGEST_TIMEOUT));
         let too_long = |times: u32| async move {
             Timer::after(times * timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -166,6 +166,15 @@
                 listed.iter_mut().filter(|e| e.node == node).for_each(|e| e.status = EngineStatus::Draining);
             }
         }
+        // Where a new engine has the address of an old one that is still listed, the old one is no more: what was meant for
+        // it would come to the new one.
+        let starts: Vec<(Option<SocketAddr>, f64)> =
+            listed.iter().map(|e| (e.address, e.started.unwrap_or(0.0))).collect();
+        let later = |e: &Listed| {
+            let own = e.started.unwrap_or(0.0);
+            e.address.is_some() && starts.iter().any(|&(at, started)| at == e.address && started > own)
+        };
+        listed.retain(|e| !later(e));
         listed
     }
 
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/names/directory/tests.rs
@@ -128,6 +128,17 @@
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
 }
 
+#[test]
+fn an_engine_whose_address_a_later_one_has_is_gone_though_it_is_still_listed() {
+    let mut directory = told_two(5);
+    let mut both = answer(6, &[("s-1", false, 0.0), ("s-2", false, 0.0), ("s-3", false, 9.0)]);
+    both.addresses[2].1 = both.addresses[0].1;
+    let Taken::List(listed) = directory.take(&both, 11) else { panic!() };
+    let gone: Vec<u64> = listed.iter().filter(|e| e.status == EngineStatus::Gone).map(|e| e.node).collect();
+    assert_eq!(gone, [u64::from(tansymux_operator::number_of("s-1"))]);
+    assert_eq!(status(&directory, "s-3"), Some(EngineStatus::Ready));
+}
+
 #[test]
 fn serials_go_round() {
     let mut directory = told_two(u32::MAX);
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::exchange::{Event, Exchange};
 use async_io::{Async, Timer};
+use futures_lite::future;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -54,6 +55,8 @@
                     Timer::after(PAUSE).await;
                 }
             }
+            // What is heard waits for the next round: who sends without end leaves that its turn.
+            future::yield_now().await;
         }
     }
 }
