--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -26,7 +26,11 @@
         if let Err(wrong) = host.answer(&batch, &mut answer) {
             return fail(first_line + wrong.line, &wrong.what);
         }
-        if output.write_all(&answer).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(&answer)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             return ExitCode::FAILURE;
         }
     }
@@ -38,14 +42,21 @@
 }
 
 /// Reads up to and with the `end` line; false at the end of input.
-fn read_batch(input: &mut impl BufRead, batch: &mut Vec<u8>, lines: &mut usize) -> io::Result<bool> {
+fn read_batch(
+    input: &mut impl BufRead,
+    batch: &mut Vec<u8>,
+    lines: &mut usize,
+) -> io::Result<bool> {
     loop {
         let start = batch.len();
         if input.read_until(b'\n', batch)? == 0 {
             if batch.is_empty() {
                 return Ok(false);
             }
-            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the input ends within a batch"));
+            return Err(io::Error::new(
+                io::ErrorKind::UnexpectedEof,
+                "the input ends within a batch",
+            ));
         }
         *lines += 1;
         if batch.last() == Some(&b'\n') {
--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -30,7 +30,12 @@
         action!(self, "try {} {id} {node} {}", self.dispatcher, up_to(until));
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
-        action!(self, "not_now {} {id} {}", self.dispatcher, up_to(retry_after));
+        action!(
+            self,
+            "not_now {} {id} {}",
+            self.dispatcher,
+            up_to(retry_after)
+        );
     }
     fn kill(&mut self, id: u64) {
         action!(self, "error {} {id}", self.dispatcher);
@@ -39,7 +44,11 @@
         action!(self, "abort_attempt {} {id} {submission}", self.dispatcher);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
-        action!(self, "allot {} {id} {priority} {memory:.3}", self.dispatcher);
+        action!(
+            self,
+            "allot {} {id} {priority} {memory:.3}",
+            self.dispatcher
+        );
     }
     fn probe(&mut self, node: u64) {
         action!(self, "sound_out {} {node}", self.dispatcher);
@@ -52,7 +61,12 @@
         }
     }
     fn timer(&mut self, delay: f64, handle: u64) {
-        action!(self, "notify_me {} {} {handle}", self.dispatcher, at_least(delay));
+        action!(
+            self,
+            "notify_me {} {} {handle}",
+            self.dispatcher,
+            at_least(delay)
+        );
     }
     fn watch_list(&mut self) {
         action!(self, "track {} 1", self.dispatcher);
@@ -70,13 +84,23 @@
     #[test]
     fn no_time_out_later_and_no_timer_earlier_than_meant() {
         let mut to = Vec::new();
-        let mut reply = Reply { to: &mut to, dispatcher: 3 };
-        let until = |until| Bounds { until, begin_by: until, harmless: true };
+        let mut reply = Reply {
+            to: &mut to,
+            dispatcher: 3,
+        };
+        let until = |until| Bounds {
+            until,
+            begin_by: until,
+            harmless: true,
+        };
         reply.submit(7, 9, until(1000.0019));
         reply.timer(2.0001, 1);
         reply.submit(7, 9, until(8492.25));
         reply.timer(20.0, 1);
         let text = String::from_utf8(to).unwrap();
-        assert_eq!(text, "try 3 7 9 1000001\nnotify_me 3 2001 1\ntry 3 7 9 8492250\nnotify_me 3 20000 1\n");
+        assert_eq!(
+            text,
+            "try 3 7 9 1000001\nnotify_me 3 2001 1\ntry 3 7 9 8492250\nnotify_me 3 20000 1\n"
+        );
     }
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -55,11 +55,24 @@
 impl Host {
     /// Answers one batch (all lines but `end`) with the actions and the closing line.
     pub fn answer(&mut self, batch: &[u8], to: &mut Vec<u8>) -> Result<(), Wrong> {
-        let text = std::str::from_utf8(batch).map_err(|_| Wrong { line: 0, what: "not UTF-8".into() })?;
+        let text = std::str::from_utf8(batch).map_err(|_| Wrong {
+            line: 0,
+            what: "not UTF-8".into(),
+        })?;
         let mut lines = text.lines().enumerate();
-        let now = match lines.next().map(|(_, l)| l.split_once(' ').unwrap_or((l, ""))) {
-            Some(("batch", clock)) => millis(parse(clock, "clock").map_err(|what| Wrong { line: 0, what })?),
-            other => return Err(Wrong { line: 0, what: format!("a batch was expected, not {other:?}") }),
+        let now = match lines
+            .next()
+            .map(|(_, l)| l.split_once(' ').unwrap_or((l, "")))
+        {
+            Some(("batch", clock)) => {
+                millis(parse(clock, "clock").map_err(|what| Wrong { line: 0, what })?)
+            }
+            other => {
+                return Err(Wrong {
+                    line: 0,
+                    what: format!("a batch was expected, not {other:?}"),
+                })
+            }
         };
         let mut events: BTreeMap<u64, Vec<Event>> = BTreeMap::new();
         self.order.clear();
@@ -72,7 +85,10 @@
                 let count: usize = fields.number("entries").map_err(wrong)?;
                 fields.end().map_err(wrong)?;
                 if slot >= CENSUS_SLOTS {
-                    return Err(wrong(format!("census slot {slot} is above {}", CENSUS_SLOTS - 1)));
+                    return Err(wrong(format!(
+                        "census slot {slot} is above {}",
+                        CENSUS_SLOTS - 1
+                    )));
                 }
                 let mut entries = String::new();
                 for _ in 0..count {
@@ -84,18 +100,24 @@
                         _ => return Err(wrong(format!("the census should hold {count} entries"))),
                     }
                 }
-                self.censuses[slot] = Some(Rc::new(Census { text: entries, first_line: line + 1 }));
+                self.censuses[slot] = Some(Rc::new(Census {
+                    text: entries,
+                    first_line: line + 1,
+                }));
                 continue;
             }
             if !EVENTS.contains(&word) {
                 return Err(wrong(format!("unknown event {word:?}")));
             }
-            let dispatcher: u64 = parse(rest.split(' ').next().unwrap_or(""), "dispatcher").map_err(wrong)?;
+            let dispatcher: u64 =
+                parse(rest.split(' ').next().unwrap_or(""), "dispatcher").map_err(wrong)?;
             let census = match word {
                 "update" => {
                     let mut fields = Fields::of(rest, 4);
-                    let (_, form) =
-                        (fields.next("dispatcher").map_err(wrong)?, fields.next("form").map_err(wrong)?);
+                    let (_, form) = (
+                        fields.next("dispatcher").map_err(wrong)?,
+                        fields.next("form").map_err(wrong)?,
+                    );
                     fields.next("rev").map_err(wrong)?;
                     if form == "X" {
                         None
@@ -110,11 +132,20 @@
             if !events.contains_key(&dispatcher) {
                 self.order.push(dispatcher);
             }
-            events.entry(dispatcher).or_default().push(Event { line, text, census });
+            events
+                .entry(dispatcher)
+                .or_default()
+                .push(Event { line, text, census });
         }
         for &dispatcher in &self.order {
             let mut reply = Reply { to, dispatcher };
-            play(&mut self.instances, dispatcher, now, &events[&dispatcher], &mut reply)?;
+            play(
+                &mut self.instances,
+                dispatcher,
+                now,
+                &events[&dispatcher],
+                &mut reply,
+            )?;
         }
         to.extend_from_slice(b"finished\n");
         Ok(())
@@ -123,16 +154,29 @@
 
 /// Plays one instance's events of a batch. What lies before its last stop concerns the dead one only.
 fn play(
-    instances: &mut BTreeMap<u64, Control>, dispatcher: u64, now: f64, events: &[Event], reply: &mut Reply,
+    instances: &mut BTreeMap<u64, Control>,
+    dispatcher: u64,
+    now: f64,
+    events: &[Event],
+    reply: &mut Reply,
 ) -> Result<(), Wrong> {
     let mut events = events;
-    if let Some(stop) = events.iter().rposition(|e| first_word(e.text) == "power_off") {
+    if let Some(stop) = events
+        .iter()
+        .rposition(|e| first_word(e.text) == "power_off")
+    {
         instances.remove(&dispatcher);
         events = &events[stop + 1..];
     }
     if let Some(start) = events.iter().rposition(|e| first_word(e.text) == "enlist") {
-        let wrong = |what| Wrong { line: events[start].line, what };
-        let rest = events[start].text.split_once(' ').map_or("", |(_, rest)| rest);
+        let wrong = |what| Wrong {
+            line: events[start].line,
+            what,
+        };
+        let rest = events[start]
+            .text
+            .split_once(' ')
+            .map_or("", |(_, rest)| rest);
         let mut fields = Fields::of(rest, 3);
         fields.next("dispatcher").map_err(wrong)?;
         let seed = fields.number("nonce64").map_err(wrong)?;
@@ -144,11 +188,20 @@
         return Ok(());
     }
     let Some(control) = instances.get_mut(&dispatcher) else {
-        return Err(Wrong { line: events[0].line, what: format!("dispatcher {dispatcher} is not enlisted") });
+        return Err(Wrong {
+            line: events[0].line,
+            what: format!("dispatcher {dispatcher} is not enlisted"),
+        });
+    };
+    let mut lines = Lines {
+        events,
+        wrong: None,
     };
-    let mut lines = Lines { events, wrong: None };
     if catch_unwind(AssertUnwindSafe(|| control.round(now, &mut lines, reply))).is_err() {
-        let _ = writeln!(reply.to, "fault {dispatcher} the decisions panicked, see standard error");
+        let _ = writeln!(
+            reply.to,
+            "fault {dispatcher} the decisions panicked, see standard error"
+        );
     }
     lines.wrong.map_or(Ok(()), Err)
 }
@@ -166,7 +219,10 @@
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         for event in self.events {
             if let Err(what) = hand_over(event, control, out) {
-                self.wrong = Some(Wrong { line: event.line, what });
+                self.wrong = Some(Wrong {
+                    line: event.line,
+                    what,
+                });
                 return;
             }
         }
@@ -207,19 +263,37 @@
             let rg = f.next("cls")?;
             let customer = f.optional("account")?.unwrap_or("");
             let key = match f.optional("object")? {
-                Some(hex) => {
-                    Some(u64::from_str_radix(hex, 16).map_err(|_| format!("object {hex:?} is not a key"))?)
-                }
+                Some(hex) => Some(
+                    u64::from_str_radix(hex, 16)
+                        .map_err(|_| format!("object {hex:?} is not a key"))?,
+                ),
                 None => None,
             };
             let due = millis(f.number("due-us")?);
-            let cost = f.optional("plan-cost-us")?.map_or(Ok(0), |v| parse(v, "plan-cost-us"))?;
-            let memory: f64 = f.optional("est-memory-mb")?.map_or(Ok(0.0), |v| parse(v, "est-memory-mb"))?;
-            let tables: f64 = f.optional("tables")?.map_or(Ok(0.0), |v| parse(v, "tables"))?;
+            let cost = f
+                .optional("plan-cost-us")?
+                .map_or(Ok(0), |v| parse(v, "plan-cost-us"))?;
+            let memory: f64 = f
+                .optional("est-memory-mb")?
+                .map_or(Ok(0.0), |v| parse(v, "est-memory-mb"))?;
+            let tables: f64 = f
+                .optional("tables")?
+                .map_or(Ok(0.0), |v| parse(v, "tables"))?;
             let flags: u32 = f.optional("flags")?.map_or(Ok(0), |v| parse(v, "flags"))?;
             f.end()?;
             let cost = if flags & 1 == 1 { millis(cost) } else { 0.0 };
-            control.query(id, rg, customer, key, due, cost, memory, tables as u32, Text::UNREAD, out)?;
+            control.query(
+                id,
+                rg,
+                customer,
+                key,
+                due,
+                cost,
+                memory,
+                tables as u32,
+                Text::UNREAD,
+                out,
+            )?;
         }
         "closed_attempt" => {
             let id = f.number("txn")?;
@@ -231,7 +305,9 @@
             let latency = millis(f.number("latency-us")?);
             report(&mut f)?;
             let (work, memory) = ((bill >> 12) as f64, (bill & 4095) as f64 * 4.0);
-            control.closed(id, submission, complete, outcome, node, latency, work, memory, out);
+            control.closed(
+                id, submission, complete, outcome, node, latency, work, memory, out,
+            );
         }
         "status_note" => {
             let id = f.number("txn")?;
@@ -271,9 +347,16 @@
         "peer" => {
             let peer = f.number("origin-peer")?;
             let text = f.next("content")?;
-            let content = if text == "-" { Ok(Vec::new()) } else { BASE64_STANDARD.decode(text) };
+            let content = if text == "-" {
+                Ok(Vec::new())
+            } else {
+                BASE64_STANDARD.decode(text)
+            };
             f.end()?;
-            control.told_by(peer, &content.map_err(|_| format!("content {text:?} is not base64"))?);
+            control.told_by(
+                peer,
+                &content.map_err(|_| format!("content {text:?} is not base64"))?,
+            );
         }
         other => return Err(format!("unknown event {other:?}")),
     }
@@ -291,13 +374,17 @@
         "gone" => EngineStatus::Gone,
         other => return Err(format!("unknown engine status {other:?}")),
     };
-    let started = match f.optional("start-time-us")?.map_or(Ok(0), |v| parse(v, "start-time-us"))? {
+    let started = match f
+        .optional("start-time-us")?
+        .map_or(Ok(0), |v| parse(v, "start-time-us"))?
+    {
         0 => None,
         at => Some(millis(at)),
     };
     let cell: u32 = f.optional("pod")?.map_or(Ok(0), |v| parse(v, "pod"))?;
     let node = f.number("node")?;
-    f.optional("capacity-hint")?.map_or(Ok(1.0), |v| parse::<f64>(v, "capacity-hint"))?;
+    f.optional("capacity-hint")?
+        .map_or(Ok(1.0), |v| parse::<f64>(v, "capacity-hint"))?;
     f.end()?;
     control.listed(node, kind, hall, status, started, cell);
     Ok(())
@@ -305,9 +392,15 @@
 
 /// The load report is checked and passed over.
 fn report(f: &mut Fields) -> Result<(), String> {
-    for pair in f.optional("report")?.unwrap_or("").split(',').filter(|pair| !pair.is_empty()) {
-        let (name, value) =
-            pair.split_once(':').ok_or_else(|| format!("report value {pair:?} has no name"))?;
+    for pair in f
+        .optional("report")?
+        .unwrap_or("")
+        .split(',')
+        .filter(|pair| !pair.is_empty())
+    {
+        let (name, value) = pair
+            .split_once(':')
+            .ok_or_else(|| format!("report value {pair:?} has no name"))?;
         parse::<f64>(value, name)?;
     }
     f.end()
@@ -332,7 +425,8 @@
 }
 
 fn parse<T: std::str::FromStr>(text: &str, name: &str) -> Result<T, String> {
-    text.parse().map_err(|_| format!("{name} {text:?} is not such a number"))
+    text.parse()
+        .map_err(|_| format!("{name} {text:?} is not such a number"))
 }
 
 /// The space-separated fields of a line, taken one by one.
@@ -344,7 +438,10 @@
     }
 
     fn next(&mut self, name: &str) -> Result<&'a str, String> {
-        self.0.next().filter(|text| !text.is_empty()).ok_or_else(|| format!("{name} is missing"))
+        self.0
+            .next()
+            .filter(|text| !text.is_empty())
+            .ok_or_else(|| format!("{name} is missing"))
     }
 
     fn optional(&mut self, name: &str) -> Result<Option<&'a str>, String> {
@@ -364,7 +461,9 @@
     }
 
     fn end(&mut self) -> Result<(), String> {
-        self.0.next().map_or(Ok(()), |more| Err(format!("unexpected field {more:?}")))
+        self.0
+            .next()
+            .map_or(Ok(()), |more| Err(format!("unexpected field {more:?}")))
     }
 }
 
@@ -386,7 +485,8 @@
 
     fn answer(host: &mut Host, batch: &str) -> Result<String, Wrong> {
         let mut to = Vec::new();
-        host.answer(batch.as_bytes(), &mut to).map(|()| String::from_utf8(to).unwrap())
+        host.answer(batch.as_bytes(), &mut to)
+            .map(|()| String::from_utf8(to).unwrap())
     }
 
     #[test]
@@ -397,7 +497,10 @@
             + SETTINGS
             + "\nupdate 2 C 1 0\ninbound 1 5 look - - 9000000 100 0 0 1\ninbound 2 6 look - - 9000000 100 0 0 1\n";
         let said = answer(&mut host, &both).unwrap();
-        assert!(said.contains("try 1 5 71 9000000\n") && said.contains("try 2 6 72 9000000\n"), "{said}");
+        assert!(
+            said.contains("try 1 5 71 9000000\n") && said.contains("try 2 6 72 9000000\n"),
+            "{said}"
+        );
         assert!(said.ends_with("finished\n"));
     }
 
@@ -420,7 +523,10 @@
              update 1 C 1 0\ninbound 1 6 look - - 9000000 100 0 0 1\n"
         );
         let said = answer(&mut host, &batch).unwrap();
-        assert!(said.contains("try 1 6 71") && !said.contains(" 5 "), "{said}");
+        assert!(
+            said.contains("try 1 6 71") && !said.contains(" 5 "),
+            "{said}"
+        );
     }
 
     #[test]
@@ -428,12 +534,28 @@
         let cases = [
             ("vanished 1 x\n", 1, "txn \"x\" is not such a number"),
             ("deadline_hit 1 1 2\n", 1, "unexpected field \"2\""),
-            ("deadline_hit 1 1\nnonsense\n", 2, "unknown event \"nonsense\""),
+            (
+                "deadline_hit 1 1\nnonsense\n",
+                2,
+                "unknown event \"nonsense\"",
+            ),
             ("deadline_hit 8 1\n", 1, "dispatcher 8 is not enlisted"),
-            ("census 0 2\nm std h ready - 0 71 1\n", 1, "the census should hold 2 entries"),
+            (
+                "census 0 2\nm std h ready - 0 71 1\n",
+                1,
+                "the census should hold 2 entries",
+            ),
             ("update 1 D 1 9\n", 1, "no census has slot 9"),
-            ("closed_attempt 1 5 2 0 - served 71 10 -\n", 1, "complete \"2\" is neither 1 nor 0"),
-            ("enlist 1 9 balancers=2\n", 1, "setting services.count is missing"),
+            (
+                "closed_attempt 1 5 2 0 - served 71 10 -\n",
+                1,
+                "complete \"2\" is neither 1 nor 0",
+            ),
+            (
+                "enlist 1 9 balancers=2\n",
+                1,
+                "setting services.count is missing",
+            ),
         ];
         for (lines, line, what) in cases {
             let mut host = Host::default();
--- a/crates/dispatcher/examples/warp.rs
+++ b/crates/dispatcher/examples/warp.rs
@@ -34,8 +34,14 @@
         if file < 0 {
             return None;
         }
-        let mapped =
-            libc::mmap(std::ptr::null_mut::<c_void>(), LENGTH, libc::PROT_READ, libc::MAP_SHARED, file, 0);
+        let mapped = libc::mmap(
+            std::ptr::null_mut::<c_void>(),
+            LENGTH,
+            libc::PROT_READ,
+            libc::MAP_SHARED,
+            file,
+            0,
+        );
         libc::close(file);
         mapped
     };
@@ -60,7 +66,11 @@
     if let (0, Some(bent), Some(to)) = (result, bent(), unsafe { to.as_mut() }) {
         let n = usize::from(day);
         let stands = bent.stands[n].load(Ordering::Relaxed);
-        let real = if stands > 0 { stands } else { to.tv_sec * NANOS + to.tv_nsec };
+        let real = if stands > 0 {
+            stands
+        } else {
+            to.tv_sec * NANOS + to.tv_nsec
+        };
         let bent = (real + bent.added[n].load(Ordering::Relaxed)).max(0);
         (to.tv_sec, to.tv_nsec) = (bent / NANOS, bent % NANOS);
     }
--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -25,7 +25,10 @@
 }
 
 pub fn run(how: &Fleet, operator: &Operator) -> Result<ExitCode, String> {
-    let told = operator.fleet.as_ref().ok_or("the operators' file tells of no fleet: --operator FILE")?;
+    let told = operator
+        .fleet
+        .as_ref()
+        .ok_or("the operators' file tells of no fleet: --operator FILE")?;
     let line = Line::open(how, told).map_err(|e| e.to_string())?;
     match &how.command {
         FleetCommand::Status => {
@@ -36,22 +39,33 @@
             }
             Ok(ended(answer))
         }
-        FleetCommand::Turn { to, dispatcher, wait_s } => {
-            line.turn(to.as_deref(), dispatcher.as_deref(), *wait_s)
-        }
+        FleetCommand::Turn {
+            to,
+            dispatcher,
+            wait_s,
+        } => line.turn(to.as_deref(), dispatcher.as_deref(), *wait_s),
         FleetCommand::Drain { engine } => {
             let engine = u64::from(number_of(engine));
-            line.says(Command::Drain { engine, grant: rand::rng().random() })
-        }
-        FleetCommand::Undrain { engine } => {
-            line.says(Command::Undrain { engine: u64::from(number_of(engine)) })
+            line.says(Command::Drain {
+                engine,
+                grant: rand::rng().random(),
+            })
         }
+        FleetCommand::Undrain { engine } => line.says(Command::Undrain {
+            engine: u64::from(number_of(engine)),
+        }),
         FleetCommand::Release { to, from } => {
             let number = rand::rng().random::<u32>() | 1;
             let from = from.as_deref().map_or(0, number_of);
-            line.says(Command::Release { number, to: number_of(to), from })
+            line.says(Command::Release {
+                number,
+                to: number_of(to),
+                from,
+            })
         }
-        FleetCommand::Halt => line.says(Command::Halt { number: rand::rng().random::<u32>() | 1 }),
+        FleetCommand::Halt => line.says(Command::Halt {
+            number: rand::rng().random::<u32>() | 1,
+        }),
         FleetCommand::Resume => line.of_status(|status| {
             let (_, number) = status.halt.ok_or("nothing is halted")?;
             Ok(Command::Resume { number })
@@ -60,15 +74,24 @@
             let (number, ..) = status.release.ok_or("there is no release")?;
             Ok(Command::Back { number })
         }),
-        FleetCommand::Leave { zone, dry_run } => {
-            line.says(Command::Leave { zone: number_of(zone), dry: *dry_run })
-        }
-        FleetCommand::Return { zone } => line.says(Command::ReturnTo { zone: number_of(zone) }),
+        FleetCommand::Leave { zone, dry_run } => line.says(Command::Leave {
+            zone: number_of(zone),
+            dry: *dry_run,
+        }),
+        FleetCommand::Return { zone } => line.says(Command::ReturnTo {
+            zone: number_of(zone),
+        }),
         FleetCommand::Zones => {
             let answer = line.asks(Command::Zones).map_err(|e| e.to_string())?;
-            let Answer::Zones(list) = answer else { return Ok(ended(answer)) };
+            let Answer::Zones(list) = answer else {
+                return Ok(ended(answer));
+            };
             for (zone, of, out) in list.iter().flatten() {
-                let what = if of.stage == Stage::Left { "left" } else { "returns" };
+                let what = if of.stage == Stage::Left {
+                    "left"
+                } else {
+                    "returns"
+                };
                 println!(
                     "{zone:08x} {what} step {} number {} why {:?} shares {out:.3}",
                     of.step, of.number, of.why
@@ -77,21 +100,36 @@
             println!("{} zones are not whole", list.iter().flatten().count());
             Ok(ExitCode::SUCCESS)
         }
-        FleetCommand::Forget { dispatcher } => line.says(Command::Forget { id: id_of(dispatcher) }),
+        FleetCommand::Forget { dispatcher } => line.says(Command::Forget {
+            id: id_of(dispatcher),
+        }),
     }
 }
 
 impl Line {
     fn open(how: &Fleet, told: &schema::Fleet) -> io::Result<Self> {
         let other = |e: &str| io::Error::other(e.to_owned());
-        let settings =
-            tansymux_operator::fleet(told, 0).ok_or_else(|| other("fleet: a needed key is missing"))?;
-        let own = || told.listen().parse().map_err(|_| other("fleet.listen is no address"));
+        let settings = tansymux_operator::fleet(told, 0)
+            .ok_or_else(|| other("fleet: a needed key is missing"))?;
+        let own = || {
+            told.listen()
+                .parse()
+                .map_err(|_| other("fleet.listen is no address"))
+        };
         let to: SocketAddr = how.member.map_or_else(own, Ok)?;
-        let any = if to.ip().is_loopback() { [127, 0, 0, 1] } else { [0, 0, 0, 0] };
+        let any = if to.ip().is_loopback() {
+            [127, 0, 0, 1]
+        } else {
+            [0, 0, 0, 0]
+        };
         let socket = UdpSocket::bind(SocketAddr::from((any, 0)))?;
         socket.set_read_timeout(Some(Duration::from_millis(20)))?;
-        Ok(Line { socket, to, settings, from: Instant::now() })
+        Ok(Line {
+            socket,
+            to,
+            settings,
+            from: Instant::now(),
+        })
     }
 
     fn now(&self) -> f64 {
@@ -106,7 +144,11 @@
         let mut bytes = [0; 512];
         match self.socket.recv_from(&mut bytes) {
             Ok((count, _)) => heard(&bytes[..count]),
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) => {}
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 std::thread::sleep(Duration::from_millis(20));
             }
@@ -116,7 +158,12 @@
     }
 
     fn asks(&self, command: Command) -> io::Result<Answer> {
-        let mut caller = Caller::new(self.settings.keys.clone(), command, self.now(), rand::rng().random());
+        let mut caller = Caller::new(
+            self.settings.keys.clone(),
+            command,
+            self.now(),
+            rand::rng().random(),
+        );
         loop {
             let (out, _) = caller.poll(self.now());
             if let Some(answer) = caller.answer() {
@@ -132,7 +179,8 @@
 
     /// A command that names what stands: a halt or a release by its number.
     fn of_status(
-        &self, command: impl Fn(&Status) -> Result<Command, &'static str>,
+        &self,
+        command: impl Fn(&Status) -> Result<Command, &'static str>,
     ) -> Result<ExitCode, String> {
         match self.asks(Command::Status).map_err(|e| e.to_string())? {
             Answer::Status(status) => self.says(command(&status)?),
@@ -140,16 +188,33 @@
         }
     }
 
-    fn turn(&self, to: Option<&str>, dispatcher: Option<&str>, wait_s: f64) -> Result<ExitCode, String> {
+    fn turn(
+        &self,
+        to: Option<&str>,
+        dispatcher: Option<&str>,
+        wait_s: f64,
+    ) -> Result<ExitCode, String> {
         let (id, version) = (dispatcher.map_or(0, id_of), to.map_or(0, number_of));
         let (keys, skew) = (self.settings.keys.clone(), self.settings.terms.skew);
         let patience = wait_s * 1000.0;
-        let mut turn = Turn::new(keys, id, version, skew, self.now(), patience, rand::rng().random());
+        let mut turn = Turn::new(
+            keys,
+            id,
+            version,
+            skew,
+            self.now(),
+            patience,
+            rand::rng().random(),
+        );
         loop {
             let (out, _) = turn.poll(self.now());
             match turn.end() {
                 Some(TurnEnd::Granted { until }) => {
-                    println!("{:016x} {:.1}", turn.grant(), ((until - self.now()) / 1000.0).max(0.0));
+                    println!(
+                        "{:016x} {:.1}",
+                        turn.grant(),
+                        ((until - self.now()) / 1000.0).max(0.0)
+                    );
                     return Ok(ExitCode::SUCCESS);
                 }
                 Some(TurnEnd::Halted(answer)) => {
@@ -162,7 +227,8 @@
                 }
                 None => {}
             }
-            self.turns(out, |bytes| turn.handle(self.now(), bytes)).map_err(|e| e.to_string())?;
+            self.turns(out, |bytes| turn.handle(self.now(), bytes))
+                .map_err(|e| e.to_string())?;
         }
     }
 }
@@ -188,12 +254,17 @@
     match answer {
         Answer::NoLeader => "nobody leads: nothing new goes out, what serves goes on".into(),
         Answer::Pending => "it was not agreed in time".into(),
-        Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => "done".into(),
+        Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => {
+            "done".into()
+        }
         Answer::TooMuch { part } => format!("{:.0}% of all cores would be left", part * 100.0),
         Answer::Halted { why, number, .. } => format!("halted, {} (number {number})", why.words()),
         Answer::Full { scope, out, most } => format!("{out} are out of at most {most} ({scope:?})"),
         Answer::TooSoon { wait } => {
-            format!("too soon after the last one, by {:.1} s", f64::from(*wait) / 1000.0)
+            format!(
+                "too soon after the last one, by {:.1} s",
+                f64::from(*wait) / 1000.0
+            )
         }
         Answer::AlreadyOut { why } => format!("it is out already ({why:?})"),
         Answer::NotCarried { load, left } => {
--- a/crates/dispatcher/src/check.rs
+++ b/crates/dispatcher/src/check.rs
@@ -23,10 +23,18 @@
         if text.trim_start().starts_with('{') {
             match config::parse(&text, None) {
                 Ok(launch) => launches.push((name, launch)),
-                Err(wrong) => faults.extend(located(wrong, &text).iter().map(|wrong| match wrong.line {
-                    Some(line) => format!("{name}:{line}: {}", config::Wrong { line: None, ..wrong.clone() }),
-                    None => format!("{name}: {wrong}"),
-                })),
+                Err(wrong) => {
+                    faults.extend(located(wrong, &text).iter().map(|wrong| match wrong.line {
+                        Some(line) => format!(
+                            "{name}:{line}: {}",
+                            config::Wrong {
+                                line: None,
+                                ..wrong.clone()
+                            }
+                        ),
+                        None => format!("{name}: {wrong}"),
+                    }))
+                }
             }
         } else {
             match operators::read(Path::new(path)) {
@@ -38,7 +46,9 @@
     for (_, launch) in &launches {
         for (name, operator) in &told {
             faults.extend(
-                operators::unfit(operator, &launch.told).iter().map(|fault| format!("{name}: {fault}")),
+                operators::unfit(operator, &launch.told)
+                    .iter()
+                    .map(|fault| format!("{name}: {fault}")),
             );
         }
     }
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -15,7 +15,8 @@
 use tansymux_operator::schema::statements::{Check, Dialect as ToldDialect};
 use tansymux_operator::schema::{self, Class as ToldClass};
 use tansymux_statements::{
-    Class, Counts, Dialect, Effect, End, Learning, Observation, Prices, Read, Rule, Settings, Statements,
+    Class, Counts, Dialect, Effect, End, Learning, Observation, Prices, Read, Rule, Settings,
+    Statements,
 };
 
 /// What a query was taken with, kept until its submissions have ended.
@@ -76,9 +77,14 @@
         let group = |i: usize| {
             let item = told::item_of("services", i);
             let name = settings.get(&format!("{item}.name"))?.clone();
-            let threads =
-                settings.list("family-info.dop").get(i).and_then(|n| n.parse().ok()).unwrap_or(1.0f64);
-            let reads = settings.get(&format!("{item}.effect")).is_some_and(|effect| effect == "read_like");
+            let threads = settings
+                .list("family-info.dop")
+                .get(i)
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(1.0f64);
+            let reads = settings
+                .get(&format!("{item}.effect"))
+                .is_some_and(|effect| effect == "read_like");
             Some((name, (threads.max(1.0), reads)))
         };
         Classes {
@@ -97,7 +103,8 @@
     /// Takes on what the operators' file says; what was learned of costs stays. It was checked before.
     pub fn set(&self, told: Option<&schema::Statements>) {
         let mut on = self.on.borrow_mut();
-        let Some(told) = told.filter(|told| told.path.is_some() || told.check() != Check::Off) else {
+        let Some(told) = told.filter(|told| told.path.is_some() || told.check() != Check::Off)
+        else {
             *on = None;
             return;
         };
@@ -111,9 +118,15 @@
         let groups = told.groups.as_ref().map(|groups| {
             let load = groups.load();
             let unknown = groups.unknown.as_deref().unwrap_or(load);
-            [groups.look_up(), groups.report(), load, unknown].map(|name| Rc::from(self.as_put(name)))
+            [groups.look_up(), groups.report(), load, unknown]
+                .map(|name| Rc::from(self.as_put(name)))
+        });
+        *on = Some(On {
+            statements,
+            path: told.path.as_deref().map(Rc::from),
+            check: told.check(),
+            groups,
         });
-        *on = Some(On { statements, path: told.path.as_deref().map(Rc::from), check: told.check(), groups });
     }
 
     /// A group's name as the settings hold it.
@@ -124,7 +137,10 @@
 
     /// Whether queries that name no class come by this path.
     pub fn is_path(&self, path: &str) -> bool {
-        self.on.borrow().as_ref().is_some_and(|on| on.path.as_deref() == Some(path))
+        self.on
+            .borrow()
+            .as_ref()
+            .is_some_and(|on| on.path.as_deref() == Some(path))
     }
 
     /// Reads a statement that comes without a class.
@@ -140,9 +156,18 @@
             self.unknown.set(self.unknown.get() + 1);
         }
         let estimate = on.statements.estimate(&read, now);
-        let text = Text { sure: estimate.sure, alters: reading.effect != Effect::ReadOnly };
+        let text = Text {
+            sure: estimate.sure,
+            alters: reading.effect != Effect::ReadOnly,
+        };
         let (cost, memory, shape) = (estimate.cost, estimate.memory, shape_of(&read));
-        Some(Classed { rg: Some(rg), cost, memory, text, shape })
+        Some(Classed {
+            rg: Some(rg),
+            cost,
+            memory,
+            text,
+            shape,
+        })
     }
 
     /// Reads a statement whose class was named, where it is checked. What its client told of cost and memory holds.
@@ -155,7 +180,10 @@
         let alters = promised && reading.effect != Effect::ReadOnly;
         if alters {
             self.milder.set(self.milder.get() + 1);
-            let (effect, why) = (reading.effect.name(), reading.error.as_deref().unwrap_or("its text"));
+            let (effect, why) = (
+                reading.effect.name(),
+                reading.error.as_deref().unwrap_or("its text"),
+            );
             tracing::warn!(
                 query = id,
                 class = rg,
@@ -164,12 +192,22 @@
                 "a class promises to read only and its text does not"
             );
         }
-        if on.groups.as_ref().is_some_and(|groups| *groups[reading.class as usize] != *rg) {
+        if on
+            .groups
+            .as_ref()
+            .is_some_and(|groups| *groups[reading.class as usize] != *rg)
+        {
             self.other_class.set(self.other_class.get() + 1);
         }
         let alters = alters && on.check == Check::Enforce;
         let text = Text { sure: 1.0, alters };
-        Some(Classed { rg: None, cost: 0.0, memory: 0.0, text, shape: shape_of(&read) })
+        Some(Classed {
+            rg: None,
+            cost: 0.0,
+            memory: 0.0,
+            text,
+            shape: shape_of(&read),
+        })
     }
 
     /// Follows when engines started: what runs on a cold one tells little of costs.
@@ -195,10 +233,30 @@
         };
         let mut on = self.on.borrow_mut();
         let Some(on) = on.as_mut() else { return };
-        let threads = self.groups.get(&*taken.rg).map_or(1.0, |(threads, _)| *threads);
-        let cold = self.started.borrow().get(&node).is_some_and(|started| now - started < self.cold_for);
-        let seen = Observation { now, engine: node, latency, threads, end, waited: taken.waited, cold };
-        on.statements.ended(taken.shape.shape, taken.shape.class, taken.shape.cost, &seen);
+        let threads = self
+            .groups
+            .get(&*taken.rg)
+            .map_or(1.0, |(threads, _)| *threads);
+        let cold = self
+            .started
+            .borrow()
+            .get(&node)
+            .is_some_and(|started| now - started < self.cold_for);
+        let seen = Observation {
+            now,
+            engine: node,
+            latency,
+            threads,
+            end,
+            waited: taken.waited,
+            cold,
+        };
+        on.statements.ended(
+            taken.shape.shape,
+            taken.shape.class,
+            taken.shape.cost,
+            &seen,
+        );
     }
 
     pub fn counts(&self) -> Option<Counts> {
@@ -228,12 +286,18 @@
 
 impl std::fmt::Debug for Classes {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.debug_struct("Classes").field("counts", &self.counts()).finish_non_exhaustive()
+        f.debug_struct("Classes")
+            .field("counts", &self.counts())
+            .finish_non_exhaustive()
     }
 }
 
 fn shape_of(read: &Read) -> Shape {
-    Shape { shape: read.shape, class: read.reading.class, cost: read.reading.cost }
+    Shape {
+        shape: read.shape,
+        class: read.reading.class,
+        cost: read.reading.cost,
+    }
 }
 
 /// The operators' words as settings; what is not given takes its default.
@@ -319,8 +383,14 @@
     fn the_operators_example_gives_the_same_settings_as_none() {
         let text = include_str!("../../../deploy/operator.textproto");
         let operator = tansymux_operator::read(text).unwrap();
-        assert_eq!(settings_of(&operator.statements.unwrap()), Settings::default());
-        assert_eq!(settings_of(&schema::Statements::default()), Settings::default());
+        assert_eq!(
+            settings_of(&operator.statements.unwrap()),
+            Settings::default()
+        );
+        assert_eq!(
+            settings_of(&schema::Statements::default()),
+            Settings::default()
+        );
     }
 
     #[test]
@@ -347,18 +417,49 @@
         };
         classes.set(Some(&told(Check::Log)));
         let first = classes.bare(b"select a from t where b = 1", 0.0).unwrap();
-        assert_eq!((first.rg.as_deref(), first.text.alters), (Some("look"), false));
-        let taken = Taken { shape: first.shape, rg: "look".into(), waited: false };
+        assert_eq!(
+            (first.rg.as_deref(), first.text.alters),
+            (Some("look"), false)
+        );
+        let taken = Taken {
+            shape: first.shape,
+            rg: "look".into(),
+            waited: false,
+        };
         (0..9).for_each(|_| classes.ended(&taken, 1, 7.0, Outcome::Finished, 0.0));
         let unknown = classes.bare(b"call f()", 0.0).unwrap();
-        assert_eq!((unknown.rg.as_deref(), unknown.text.alters), (Some("load"), true));
-        assert!(!classes.named("look", "1", b"delete from t").unwrap().text.alters);
+        assert_eq!(
+            (unknown.rg.as_deref(), unknown.text.alters),
+            (Some("load"), true)
+        );
+        assert!(
+            !classes
+                .named("look", "1", b"delete from t")
+                .unwrap()
+                .text
+                .alters
+        );
         classes.set(Some(&told(Check::Enforce)));
-        assert!(classes.named("look", "1", b"delete from t").unwrap().text.alters);
-        assert!(!classes.named("load", "1", b"delete from t").unwrap().text.alters);
+        assert!(
+            classes
+                .named("look", "1", b"delete from t")
+                .unwrap()
+                .text
+                .alters
+        );
+        assert!(
+            !classes
+                .named("load", "1", b"delete from t")
+                .unwrap()
+                .text
+                .alters
+        );
         assert_eq!(classes.milder.get(), 2);
         let again = classes.bare(b"select a from t where b = 2", 0.0).unwrap();
-        assert!((again.cost - 7.0).abs() < 0.1 && again.text.sure > 0.4, "{again:?}");
+        assert!(
+            (again.cost - 7.0).abs() < 0.1 && again.text.sure > 0.4,
+            "{again:?}"
+        );
         classes.set(None);
         assert!(!classes.is_path("/s"));
     }
--- a/crates/dispatcher/src/classify.rs
+++ b/crates/dispatcher/src/classify.rs
@@ -73,7 +73,10 @@
 /// # Errors
 /// Reading or writing failed; what was read before was answered.
 pub fn run(how: &Classify, operator: &Operator) -> io::Result<()> {
-    let settings = operator.statements.as_ref().map_or_else(Settings::default, settings_of);
+    let settings = operator
+        .statements
+        .as_ref()
+        .map_or_else(Settings::default, settings_of);
     let from: Box<dyn Read> = match &how.file {
         Some(path) => Box::new(std::fs::File::open(path)?),
         None => Box::new(io::stdin()),
@@ -89,7 +92,11 @@
 }
 
 fn classify(
-    settings: Settings, from: &mut impl BufRead, to: &mut impl Write, plain: bool, end: u8,
+    settings: Settings,
+    from: &mut impl BufRead,
+    to: &mut impl Write,
+    plain: bool,
+    end: u8,
 ) -> io::Result<()> {
     let mut statements = Statements::new(settings, KEY);
     let (mut bytes, mut number) = (Vec::new(), 0);
@@ -101,9 +108,16 @@
         let (id, statement) = if whole {
             asked(&bytes, plain, number)
         } else {
-            (Value::Null, Err(format!("the entry is longer than {MOST_ENTRY} bytes")))
+            (
+                Value::Null,
+                Err(format!("the entry is longer than {MOST_ENTRY} bytes")),
+            )
         };
-        let line = told(&mut statements, id, statement.as_deref().map_err(Clone::clone));
+        let line = told(
+            &mut statements,
+            id,
+            statement.as_deref().map_err(Clone::clone),
+        );
         serde_json::to_writer(&mut *to, &line)?;
         to.write_all(b"\n")?;
     }
@@ -125,21 +139,44 @@
 
     #[test]
     fn every_entry_gets_a_line_in_order_and_no_bad_one_stops_it() {
-        let long = format!("{{\"id\":\"5\",\"statement\":\"{}\"}}", "x".repeat(MOST_ENTRY));
+        let long = format!(
+            "{{\"id\":\"5\",\"statement\":\"{}\"}}",
+            "x".repeat(MOST_ENTRY)
+        );
         let input = format!(
             "{{\"id\":\"1\",\"statement\":\"select a from sales_17.orders where b = 1\"}}\nnot JSON\n\
              {{\"id\":3}}\n\n{long}\n{{\"id\":\"6\",\"statement\":\"delete from t\"}}"
         );
         let lines = lines(input.as_bytes(), false, b'\n');
-        let of = |key: &str| lines.iter().map(|line| line[key].clone()).collect::<Vec<_>>();
-        assert_eq!(of("id"), [json!("1"), Value::Null, json!(3), Value::Null, Value::Null, json!("6")]);
-        let classes = ["look-up", "unknown", "unknown", "unknown", "unknown", "load"];
+        let of = |key: &str| {
+            lines
+                .iter()
+                .map(|line| line[key].clone())
+                .collect::<Vec<_>>()
+        };
+        assert_eq!(
+            of("id"),
+            [
+                json!("1"),
+                Value::Null,
+                json!(3),
+                Value::Null,
+                Value::Null,
+                json!("6")
+            ]
+        );
+        let classes = [
+            "look-up", "unknown", "unknown", "unknown", "unknown", "load",
+        ];
         assert_eq!(of("class"), classes.map(|class| json!(class)));
         assert_eq!(
             (lines[0]["tables"].clone(), lines[0]["error"].clone()),
             (json!(["sales_17.orders"]), Value::Null)
         );
-        assert!(lines[1..5].iter().all(|line| line["error"].is_string()), "{lines:?}");
+        assert!(
+            lines[1..5].iter().all(|line| line["error"].is_string()),
+            "{lines:?}"
+        );
         assert_eq!(lines[5]["writes"], json!(["t"]));
         assert_eq!(lines[0]["shape"].as_str().unwrap().len(), 32);
     }
@@ -149,7 +186,10 @@
         assert_eq!(lines(b"select 1\r\n\xff\n", true, b'\n').len(), 2);
         let lines = lines(b"select 1\n, 2\0insert into t\nvalues (1)\0", true, 0);
         assert_eq!(
-            lines.iter().map(|line| line["effect"].as_str().unwrap()).collect::<Vec<_>>(),
+            lines
+                .iter()
+                .map(|line| line["effect"].as_str().unwrap())
+                .collect::<Vec<_>>(),
             ["read-only", "mutating"]
         );
     }
--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -36,16 +36,26 @@
 /// The head at the start of `bytes`; none while it has not come whole.
 pub fn parse(bytes: &[u8]) -> Result<Option<Head<'_>>, Wrong> {
     // A line end or two before the request line is passed over (RFC 9112, 2.2).
-    let blank = bytes.iter().take(4).take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    let blank = bytes
+        .iter()
+        .take(4)
+        .take_while(|b| matches!(b, b'\r' | b'\n'))
+        .count();
     let shown = &bytes[blank..bytes.len().min(MOST_HEAD)];
     let Some(end) = shown.windows(4).position(|four| four == b"\r\n\r\n") else {
-        return if bytes.len() >= MOST_HEAD { Err(wrong(431, "the head is too long")) } else { Ok(None) };
+        return if bytes.len() >= MOST_HEAD {
+            Err(wrong(431, "the head is too long"))
+        } else {
+            Ok(None)
+        };
     };
-    let text = std::str::from_utf8(&shown[..end]).map_err(|_| wrong(400, "the head is not text"))?;
+    let text =
+        std::str::from_utf8(&shown[..end]).map_err(|_| wrong(400, "the head is not text"))?;
     let mut lines = text.split("\r\n");
     let mut words = lines.next().unwrap_or("").split(' ');
     let (method, path, version) = (words.next(), words.next(), words.next());
-    let (Some(method), Some(path), Some(version), None) = (method, path, version, words.next()) else {
+    let (Some(method), Some(path), Some(version), None) = (method, path, version, words.next())
+    else {
         return Err(wrong(400, "the request line is not three words"));
     };
     let keep_alive = match version {
@@ -53,7 +63,10 @@
         "HTTP/1.0" => false,
         _ => return Err(wrong(505, "the version is not HTTP/1.1")),
     };
-    if method.is_empty() || !method.bytes().all(|b| b.is_ascii_alphabetic()) || !path.starts_with('/') {
+    if method.is_empty()
+        || !method.bytes().all(|b| b.is_ascii_alphabetic())
+        || !path.starts_with('/')
+    {
         return Err(wrong(400, "the request line has no method or path"));
     }
     let mut head = Head {
@@ -72,7 +85,9 @@
     };
     let mut length = None;
     for (count, line) in lines.enumerate() {
-        let (name, value) = line.split_once(':').ok_or(wrong(400, "a field has no colon"))?;
+        let (name, value) = line
+            .split_once(':')
+            .ok_or(wrong(400, "a field has no colon"))?;
         if count >= MOST_FIELDS {
             return Err(wrong(431, "there are too many fields"));
         }
@@ -96,7 +111,11 @@
         } else if is("transfer-encoding") {
             return Err(wrong(501, "Transfer-Encoding is not taken"));
         } else if is("connection") {
-            let says = |word: &str| value.split(',').any(|one| one.trim().eq_ignore_ascii_case(word));
+            let says = |word: &str| {
+                value
+                    .split(',')
+                    .any(|one| one.trim().eq_ignore_ascii_case(word))
+            };
             head.keep_alive = !says("close") && (head.keep_alive || says("keep-alive"));
         } else {
             let place = match () {
--- a/crates/dispatcher/src/client/http/tests.rs
+++ b/crates/dispatcher/src/client/http/tests.rs
@@ -10,15 +10,27 @@
         assert_eq!(parse(&POST[..end]), Ok(None), "{end}");
     }
     let head = parse(&POST[..size]).unwrap().unwrap();
-    assert_eq!((head.method, head.path, head.size, head.length), ("POST", "/invoke/report", size, 8));
-    assert_eq!((head.id, head.wait_ms, head.owner), (Some("9b1f03aa5c7e2d41"), Some("1500"), Some("acme")));
-    assert_eq!((head.cost, head.memory_mb, head.keep_alive), (Some("820.0"), Some("96"), true));
+    assert_eq!(
+        (head.method, head.path, head.size, head.length),
+        ("POST", "/invoke/report", size, 8)
+    );
+    assert_eq!(
+        (head.id, head.wait_ms, head.owner),
+        (Some("9b1f03aa5c7e2d41"), Some("1500"), Some("acme"))
+    );
+    assert_eq!(
+        (head.cost, head.memory_mb, head.keep_alive),
+        (Some("820.0"), Some("96"), true)
+    );
 }
 
 #[test]
 fn hostile_and_over_long_heads_are_refused() {
     let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MOST_HEAD]].concat();
-    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_FIELDS + 1));
+    let many = format!(
+        "GET / HTTP/1.1\r\n{}\r\n",
+        "A: b\r\n".repeat(MOST_FIELDS + 1)
+    );
     let cases: [(&[u8], u16); 16] = [
         (&long, 431),
         (many.as_bytes(), 431),
@@ -29,18 +41,41 @@
         (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
         (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            400,
+        ),
         (b"POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n", 413),
-        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
-        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
-        (b"POST / HTTP/1.1\r\nA: b\nTransfer-Encoding: chunked\r\n\r\n", 400),
-        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: x\r\n\r\n", 501),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            501,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nA: b\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: x\r\n\r\n",
+            501,
+        ),
         (b"POST / HTTP/1.1\r\nReq-Id: 1\r\nReq-Id: 2\r\n\r\n", 400),
     ];
     for (bytes, status) in cases {
-        assert_eq!(parse(bytes).map_err(|w| w.status), Err(status), "{}", String::from_utf8_lossy(bytes));
+        assert_eq!(
+            parse(bytes).map_err(|w| w.status),
+            Err(status),
+            "{}",
+            String::from_utf8_lossy(bytes)
+        );
     }
-    assert_eq!(parse(b"\xff\xfe / HTTP/1.1\r\n\r\n").map_err(|w| w.status), Err(400));
+    assert_eq!(
+        parse(b"\xff\xfe / HTTP/1.1\r\n\r\n").map_err(|w| w.status),
+        Err(400)
+    );
 }
 
 #[test]
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -154,7 +154,11 @@
 
 impl ClientSide {
     pub fn new(
-        exchange: Rc<Exchange>, clock: Clock, admission: Admission, classes: Rc<Classes>, levels: Rc<Levels>,
+        exchange: Rc<Exchange>,
+        clock: Clock,
+        admission: Admission,
+        classes: Rc<Classes>,
+        levels: Rc<Levels>,
         halls: Rc<Halls>,
     ) -> Self {
         let (waiting, healthy, last_call, called, closed) = Default::default();
@@ -196,7 +200,11 @@
 
     /// Takes connections until the last call is answered. When the table is full, one that is of no use is evicted for
     /// the next.
-    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
+    pub async fn accept(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) {
         loop {
             while self.table.full() {
                 if self.table.evict_one(self.clock.now()) {
@@ -209,14 +217,18 @@
             }
             // Who has connected counts as taken, read or not: the listener is closed only once none is left in it.
             let accepted = if self.last_call.get() {
-                let Some(accepted) = future::poll_once(listener.accept()).await else { break };
+                let Some(accepted) = future::poll_once(listener.accept()).await else {
+                    break;
+                };
                 accepted
             } else {
                 let called = async {
                     self.called.notified().await;
                     None
                 };
-                let Some(accepted) = future::or(async { Some(listener.accept().await) }, called).await else {
+                let Some(accepted) =
+                    future::or(async { Some(listener.accept().await) }, called).await
+                else {
                     continue;
                 };
                 accepted
@@ -251,7 +263,10 @@
     /// One connection, one request at a time, up to its end. What is read here is taken, whatever else is under way.
     async fn serve(&self, stream: &Async<TcpStream>, entry: &Entry) -> io::Result<End> {
         stream.get_ref().set_nodelay(true)?;
-        let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
+        let mut inbox = Inbox {
+            bytes: Vec::new(),
+            all: &self.waiting,
+        };
         // When the last of what is in the inbox came: a query's time counts from its last byte. By when the request
         // must be whole: for the first counted from connecting, else from its first byte, however it drips.
         let mut since = self.clock.now();
@@ -277,7 +292,9 @@
                         More::Came => {}
                         More::Late if empty => return Ok(End::HalfClose),
                         More::Late => {
-                            return self.reject(stream, 408, "the request did not become whole").await;
+                            return self
+                                .reject(stream, 408, "the request did not become whole")
+                                .await;
                         }
                         More::Ended => return Ok(End::Gone),
                         // While the program ends, what has begun goes on, and what may come first has its time.
@@ -295,12 +312,20 @@
             };
             let (used, mut keep_alive) = (head.size + head.length, head.keep_alive);
             entry.is(State::Active, since);
-            match self.open(stream, &head, &inbox.bytes[head.size..used], since).await? {
+            match self
+                .open(stream, &head, &inbox.bytes[head.size..used], since)
+                .await?
+            {
                 Opened::Query(number, slot) => {
                     inbox.take_out(used);
-                    let waited = self.wait(stream, number, &slot, &mut inbox, &mut since).await;
-                    let Some(answer) = waited.answer else { return Ok(End::Gone) };
-                    keep_alive &= !(waited.overrun || self.last_call.get() && inbox.bytes.is_empty());
+                    let waited = self
+                        .wait(stream, number, &slot, &mut inbox, &mut since)
+                        .await;
+                    let Some(answer) = waited.answer else {
+                        return Ok(End::Gone);
+                    };
+                    keep_alive &=
+                        !(waited.overrun || self.last_call.get() && inbox.bytes.is_empty());
                     self.write_answer(stream, answer, keep_alive).await?;
                 }
                 Opened::Answered => inbox.take_out(used),
@@ -321,9 +346,19 @@
 
     /// Waits for more of a request.
     async fn more(
-        &self, stream: &Async<TcpStream>, inbox: &mut Inbox<'_>, entry: &Entry, by: f64,
+        &self,
+        stream: &Async<TcpStream>,
+        inbox: &mut Inbox<'_>,
+        entry: &Entry,
+        by: f64,
     ) -> io::Result<More> {
-        let came = async { Ok(if self.read(stream, inbox).await? == 0 { More::Ended } else { More::Came }) };
+        let came = async {
+            Ok(if self.read(stream, inbox).await? == 0 {
+                More::Ended
+            } else {
+                More::Came
+            })
+        };
         let asked = async {
             entry.close.notified().await;
             Ok(More::Asked)
@@ -359,7 +394,11 @@
         self.exchange.counters.requests_rejected.add();
         tracing::info!(status, what, "turned away");
         let text = format!("{{\"error\":\"{what}\"}}");
-        let retry_after = self.admission.retry_after.filter(|_| status == 503).map(|ms| ms.ceil() as u64);
+        let retry_after = self
+            .admission
+            .retry_after
+            .filter(|_| status == 503)
+            .map(|ms| ms.ceil() as u64);
         let head = answer_head(status, text.len(), false, retry_after);
         self.write(stream, &[&head, text.as_bytes()]).await?;
         Ok(End::HalfClose)
@@ -375,7 +414,10 @@
         }
         let mut passed_over = 0;
         while passed_over < MOST_PASSED_OVER {
-            let mut inbox = Inbox { bytes: Vec::new(), all: &self.waiting };
+            let mut inbox = Inbox {
+                bytes: Vec::new(),
+                all: &self.waiting,
+            };
             match self.more(stream, &mut inbox, entry, now + LINGER).await {
                 Ok(More::Came) => passed_over += inbox.bytes.len(),
                 Ok(More::Asked) if !entry.evicted() => {}
@@ -387,7 +429,11 @@
 
     /// Answers what is no query at once; a query is taken in.
     async fn open(
-        &self, stream: &Async<TcpStream>, head: &Head<'_>, body: &[u8], since: f64,
+        &self,
+        stream: &Async<TcpStream>,
+        head: &Head<'_>,
+        body: &[u8],
+        since: f64,
     ) -> io::Result<Opened> {
         let (status, text) = match (head.method, head.path) {
             ("POST", path) if path.starts_with(QUERY_PATH) || self.classes.is_path(path) => {
@@ -401,16 +447,22 @@
             }
             ("GET", HEALTH_PATH) if self.healthy.get() => (200, "{}".to_owned()),
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
-            ("GET", COUNTERS_PATH) => {
-                (200, classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls))
-            }
+            ("GET", COUNTERS_PATH) => (
+                200,
+                classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls),
+            ),
             ("GET", path) if path == LEVELS_PATH || path.starts_with("/_levels?after=") => {
                 self.changed(path.strip_prefix("/_levels?after=")).await;
                 (200, self.levels.shown(self.clock.now()).to_string())
             }
             ("GET", HALLS_PATH) => {
                 let spilled = self.spilled.borrow();
-                let of = |name: &str| spilled.iter().find(|(hall, _)| hall == name).map_or(0.0, |(_, n)| *n);
+                let of = |name: &str| {
+                    spilled
+                        .iter()
+                        .find(|(hall, _)| hall == name)
+                        .map_or(0.0, |(_, n)| *n)
+                };
                 (200, self.halls.shown(self.clock.now(), of).to_string())
             }
             (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH | HALLS_PATH) => (405, "{}".to_owned()),
@@ -420,14 +472,20 @@
                 return Ok(Opened::Rejected);
             }
         };
-        self.write_plain(stream, status, &text, head.keep_alive).await?;
+        self.write_plain(stream, status, &text, head.keep_alive)
+            .await?;
         Ok(Opened::Answered)
     }
 
     /// Waits until the level has changed since the version that is told, if one is, and no longer than is allowed.
     async fn changed(&self, after: Option<&str>) {
-        let Some(after) = after.and_then(|after| after.parse::<u64>().ok()) else { return };
-        let (by, waiting) = (self.clock.now() + levels::LONGEST_WAIT, &self.levels.waiting);
+        let Some(after) = after.and_then(|after| after.parse::<u64>().ok()) else {
+            return;
+        };
+        let (by, waiting) = (
+            self.clock.now() + levels::LONGEST_WAIT,
+            &self.levels.waiting,
+        );
         if waiting.get() >= levels::MOST_WAITING {
             return;
         }
@@ -443,13 +501,26 @@
         self.table.held()
     }
 
-    fn take(&self, head: &Head, body: &[u8], since: f64) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
+    fn take(
+        &self,
+        head: &Head,
+        body: &[u8],
+        since: f64,
+    ) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
         let named = head.path.strip_prefix(QUERY_PATH);
-        let id = head.id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
+        let id = head
+            .id
+            .filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
         let id = id.ok_or((400, "Req-Id"))?;
-        let number = |value: &str| value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        let number = |value: &str| {
+            value
+                .parse::<f64>()
+                .ok()
+                .filter(|n| n.is_finite() && *n >= 0.0)
+        };
         // What no engine could use reaches none, and leaves nothing in what the decisions learn.
-        let told = |value: Option<&str>, most: f64| value.map_or(Some(0.0), number).filter(|n| *n <= most);
+        let told =
+            |value: Option<&str>, most: f64| value.map_or(Some(0.0), number).filter(|n| *n <= most);
         let wait = told(head.wait_ms, self.admission.most_wait)
             .filter(|ms| *ms >= 1.0)
             .ok_or((400, "Req-Wait-Ms"))?;
@@ -469,7 +540,11 @@
             return Err((404, "unknown resource group"));
         }
         let owner = head.owner.unwrap_or("");
-        let customer = self.admission.customers.iter().find(|known| told::is_named(known, owner));
+        let customer = self
+            .admission
+            .customers
+            .iter()
+            .find(|known| told::is_named(known, owner));
         if customer.is_none() && !self.admission.customers.is_empty() {
             return Err((403, "unknown customer"));
         }
@@ -486,7 +561,9 @@
         };
         let of_class = read.as_ref().and_then(|read| read.rg.as_deref());
         let rg = named.or(of_class).ok_or((404, "Unknown"))?;
-        let (text, shape) = read.as_ref().map_or((Text::UNREAD, None), |read| (read.text, Some(read.shape)));
+        let (text, shape) = read
+            .as_ref()
+            .map_or((Text::UNREAD, None), |read| (read.text, Some(read.shape)));
         // What a client tells of its bare statement holds; what it does not tell is estimated.
         let estimate = |told: f64, read: Option<f64>, most: f64| {
             if told > 0.0 {
@@ -495,13 +572,36 @@
                 read.unwrap_or(0.0).min(most)
             }
         };
-        let text = if cost > 0.0 { Text { sure: 1.0, ..text } } else { text };
+        let text = if cost > 0.0 {
+            Text { sure: 1.0, ..text }
+        } else {
+            text
+        };
         let bare = read.as_ref().filter(|_| named.is_none());
         let cost = estimate(cost, bare.map(|read| read.cost), self.admission.most_cost);
-        let memory = estimate(memory, bare.map(|read| read.memory), self.admission.most_memory);
-        let marks = Marks { token: head.token, key: head.key };
-        let asked =
-            Asked { id, rg, customer, statement: body, since, due, cost, memory, tables, text, shape, marks };
+        let memory = estimate(
+            memory,
+            bare.map(|read| read.memory),
+            self.admission.most_memory,
+        );
+        let marks = Marks {
+            token: head.token,
+            key: head.key,
+        };
+        let asked = Asked {
+            id,
+            rg,
+            customer,
+            statement: body,
+            since,
+            due,
+            cost,
+            memory,
+            tables,
+            text,
+            shape,
+            marks,
+        };
         self.exchange.take(&asked).map_err(|not| match not {
             NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
             NotTaken::Past => (409, "a query with this Req-Id was taken before"),
@@ -512,14 +612,21 @@
     /// Waits for the answer while watching for the client to leave. The watch never stops: what a client sends beyond
     /// what is kept is read and passed over, so that its end is seen behind it.
     async fn wait(
-        &self, stream: &Async<TcpStream>, number: u64, slot: &Slot, inbox: &mut Inbox<'_>, since: &mut f64,
+        &self,
+        stream: &Async<TcpStream>,
+        number: u64,
+        slot: &Slot,
+        inbox: &mut Inbox<'_>,
+        since: &mut f64,
     ) -> Waited {
         let overrun = Cell::new(false);
         let left = async {
             let mut passed_over = 0;
             loop {
                 let before = inbox.bytes.len();
-                if !matches!(self.read(stream, inbox).await, Ok(1..)) || passed_over > MOST_PASSED_OVER {
+                if !matches!(self.read(stream, inbox).await, Ok(1..))
+                    || passed_over > MOST_PASSED_OVER
+                {
                     return None;
                 }
                 *since = self.clock.now();
@@ -543,11 +650,17 @@
         if answer.is_none() {
             self.exchange.vanished(number);
         }
-        Waited { answer, overrun: overrun.get() }
+        Waited {
+            answer,
+            overrun: overrun.get(),
+        }
     }
 
     async fn write_answer(
-        &self, stream: &Async<TcpStream>, answer: Answer, keep_alive: bool,
+        &self,
+        stream: &Async<TcpStream>,
+        answer: Answer,
+        keep_alive: bool,
     ) -> io::Result<()> {
         match answer {
             Answer::Finished(pages) => {
@@ -559,21 +672,38 @@
                     parts.push(page);
                 }
                 parts.push(b"]}");
-                let head = answer_head(200, parts.iter().map(|part| part.len()).sum(), keep_alive, None);
+                let head = answer_head(
+                    200,
+                    parts.iter().map(|part| part.len()).sum(),
+                    keep_alive,
+                    None,
+                );
                 parts[0] = &head;
                 self.write(stream, &parts).await
             }
             Answer::Deferred(retry_after) => {
                 let body = b"{\"error\":\"TryLater\"}";
-                let head = answer_head(429, body.len(), keep_alive, Some(retry_after.max(0.0).ceil() as u64));
+                let head = answer_head(
+                    429,
+                    body.len(),
+                    keep_alive,
+                    Some(retry_after.max(0.0).ceil() as u64),
+                );
                 self.write(stream, &[&head, body]).await
             }
-            Answer::Killed => self.write_plain(stream, 500, "{\"error\":\"Killed\"}", keep_alive).await,
+            Answer::Killed => {
+                self.write_plain(stream, 500, "{\"error\":\"Killed\"}", keep_alive)
+                    .await
+            }
         }
     }
 
     async fn write_plain(
-        &self, stream: &Async<TcpStream>, status: u16, text: &str, keep_alive: bool,
+        &self,
+        stream: &Async<TcpStream>,
+        status: u16,
+        text: &str,
+        keep_alive: bool,
     ) -> io::Result<()> {
         let head = answer_head(status, text.len(), keep_alive, None);
         self.write(stream, &[&head, text.as_bytes()]).await
--- a/crates/dispatcher/src/client/table.rs
+++ b/crates/dispatcher/src/client/table.rs
@@ -60,7 +60,11 @@
 
 impl ConnectionTable {
     pub fn new(most: usize) -> Self {
-        ConnectionTable { most, each: RefCell::default(), freed: Notify::default() }
+        ConnectionTable {
+            most,
+            each: RefCell::default(),
+            freed: Notify::default(),
+        }
     }
 
     /// How many are held.
@@ -76,7 +80,13 @@
         let mut each = self.each.borrow_mut();
         let vacant = each.vacant_entry();
         let (state, since, evicted) = (Cell::new(State::New), Cell::new(now), Cell::default());
-        let entry = Rc::new(Entry { number: vacant.key(), state, since, evicted, close: Notify::default() });
+        let entry = Rc::new(Entry {
+            number: vacant.key(),
+            state,
+            since,
+            evicted,
+            close: Notify::default(),
+        });
         vacant.insert(entry.clone());
         entry
     }
@@ -88,7 +98,10 @@
 
     /// Asks all connections to end once nothing is owed on them.
     pub fn close_idle(&self) {
-        self.each.borrow().iter().for_each(|(_, entry)| entry.close.notify());
+        self.each
+            .borrow()
+            .iter()
+            .for_each(|(_, entry)| entry.close.notify());
     }
 
     /// Tells one connection to end, so that its entry is free; none while each may still be of use. The longest in
@@ -106,10 +119,16 @@
                 State::New => (age > LEAST_TIME_TO_ASK).then_some(4),
             }
         };
-        let open = each.iter().map(|(_, entry)| entry).filter(|entry| !entry.evicted.get());
+        let open = each
+            .iter()
+            .map(|(_, entry)| entry)
+            .filter(|entry| !entry.evicted.get());
         let ranked = open.filter_map(|entry| Some((rank(entry)?, entry)));
-        let first = ranked.min_by(|(a, p), (b, q)| a.cmp(b).then(p.since.get().total_cmp(&q.since.get())));
-        let Some((_, entry)) = first else { return false };
+        let first =
+            ranked.min_by(|(a, p), (b, q)| a.cmp(b).then(p.since.get().total_cmp(&q.since.get())));
+        let Some((_, entry)) = first else {
+            return false;
+        };
         entry.evicted.set(true);
         entry.close.notify();
         true
--- a/crates/dispatcher/src/client/table/tests.rs
+++ b/crates/dispatcher/src/client/table/tests.rs
@@ -3,7 +3,12 @@
 #[test]
 fn those_that_ask_no_more_go_first_and_none_with_a_request_in_hand() {
     let table = ConnectionTable::new(6);
-    let states = [(State::Active, 0.0), (State::Idle, 9000.0), (State::New, 9400.0), (State::Idle, 2000.0)];
+    let states = [
+        (State::Active, 0.0),
+        (State::Idle, 9000.0),
+        (State::New, 9400.0),
+        (State::Idle, 2000.0),
+    ];
     let fresh = [(State::New, 9950.0), (State::Closing, 9940.0)];
     let taken: Vec<Rc<Entry>> = states
         .into_iter()
--- a/crates/dispatcher/src/clock.rs
+++ b/crates/dispatcher/src/clock.rs
@@ -10,8 +10,13 @@
 
 impl Clock {
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            started: Instant::now(),
+            unix_ms: unix.as_secs_f64() * 1000.0,
+        }
     }
 
     pub fn now(&self) -> f64 {
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -82,9 +82,17 @@
 
 /// The keys of `new` that say something else than `old` and can't take effect before the next start.
 pub fn only_at_a_start(old: &Value, new: &Value) -> Vec<String> {
-    let keys = [old, new].into_iter().filter_map(Value::as_object).flat_map(|object| object.keys());
+    let keys = [old, new]
+        .into_iter()
+        .filter_map(Value::as_object)
+        .flat_map(|object| object.keys());
     let other = |key: &&String| old.get(key.as_str()) != new.get(key.as_str());
-    let passed = |key: &&String| !OF_A_START.iter().chain(&WHILE_RUNNING).any(|known| known == *key);
+    let passed = |key: &&String| {
+        !OF_A_START
+            .iter()
+            .chain(&WHILE_RUNNING)
+            .any(|known| known == *key)
+    };
     let mut keys: Vec<String> = keys.filter(other).filter(passed).cloned().collect();
     keys.sort();
     keys.dedup();
@@ -102,7 +110,11 @@
 
 impl Wrong {
     fn whole(says: impl Into<String>) -> Self {
-        Wrong { line: None, key: String::new(), says: says.into() }
+        Wrong {
+            line: None,
+            key: String::new(),
+            says: says.into(),
+        }
     }
 }
 
@@ -121,7 +133,10 @@
 /// The faults with the lines at which their keys, or the nearest that are there, stand in the text.
 pub fn located(mut faults: Vec<Wrong>, text: &str) -> Vec<Wrong> {
     let places = places::find(text);
-    for fault in faults.iter_mut().filter(|fault| fault.line.is_none() && !fault.key.is_empty()) {
+    for fault in faults
+        .iter_mut()
+        .filter(|fault| fault.line.is_none() && !fault.key.is_empty())
+    {
         let mut key = fault.key.as_str();
         fault.line = loop {
             match (places.get(key), key.rsplit_once('.')) {
@@ -136,11 +151,15 @@
 
 /// Reads the configuration that the environment names.
 pub fn read() -> Result<Launch, String> {
-    let path = std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
+    let path =
+        std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
     let text = text_of(&path, MOST_BYTES).map_err(|e| format!("{CONFIG_VARIABLE} {path}{e}"))?;
     let listen = std::env::var(LISTEN_VARIABLE).ok();
     parse(&text, listen.as_deref()).map_err(|faults| {
-        let all: Vec<String> = located(faults, &text).iter().map(Wrong::to_string).collect();
+        let all: Vec<String> = located(faults, &text)
+            .iter()
+            .map(Wrong::to_string)
+            .collect();
         format!("{path}: {}", all.join("; "))
     })
 }
@@ -162,8 +181,15 @@
 
 impl<'a> At<'a> {
     fn key(&self, key: &str) -> At<'a> {
-        let path = if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) };
-        At { path, value: self.value.and_then(|v| v.get(key)).filter(|v| !v.is_null()) }
+        let path = if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        };
+        At {
+            path,
+            value: self.value.and_then(|v| v.get(key)).filter(|v| !v.is_null()),
+        }
     }
 
     fn wrong(&self, what: &str) -> Wrong {
@@ -171,15 +197,23 @@
             None => format!("is missing, not {what}"),
             Some(value) => format!("is {value}, not {what}"),
         };
-        Wrong { line: None, key: self.path.clone(), says }
+        Wrong {
+            line: None,
+            key: self.path.clone(),
+            says,
+        }
     }
 
     fn text(&self) -> Result<&'a str, Wrong> {
-        self.value.and_then(Value::as_str).ok_or_else(|| self.wrong("a text"))
+        self.value
+            .and_then(Value::as_str)
+            .ok_or_else(|| self.wrong("a text"))
     }
 
     fn number(&self) -> Result<f64, Wrong> {
-        self.value.and_then(Value::as_f64).ok_or_else(|| self.wrong("a number"))
+        self.value
+            .and_then(Value::as_f64)
+            .ok_or_else(|| self.wrong("a number"))
     }
 
     /// A number in a range, or the default where the key is absent.
@@ -187,21 +221,33 @@
         if self.value.is_none() {
             return Ok(default);
         }
-        Some(self.number()?).filter(|n| *n >= least).ok_or_else(|| self.wrong(&format!("at least {least}")))
+        Some(self.number()?)
+            .filter(|n| *n >= least)
+            .ok_or_else(|| self.wrong(&format!("at least {least}")))
     }
 
     fn items(&self) -> Result<Vec<At<'a>>, Wrong> {
-        let items = self.value.and_then(Value::as_array).ok_or_else(|| self.wrong("a list"))?;
-        let item = |(i, value)| At { path: format!("{}.{i}", self.path), value: Some(value) };
+        let items = self
+            .value
+            .and_then(Value::as_array)
+            .ok_or_else(|| self.wrong("a list"))?;
+        let item = |(i, value)| At {
+            path: format!("{}.{i}", self.path),
+            value: Some(value),
+        };
         Ok(items.iter().enumerate().map(item).collect())
     }
 
     fn object(&self) -> Result<&'a Object<String, Value>, Wrong> {
-        self.value.and_then(Value::as_object).ok_or_else(|| self.wrong("an object"))
+        self.value
+            .and_then(Value::as_object)
+            .ok_or_else(|| self.wrong("an object"))
     }
 
     fn address(&self) -> Result<SocketAddr, Wrong> {
-        self.text()?.parse().map_err(|_| self.wrong("an address with a port"))
+        self.text()?
+            .parse()
+            .map_err(|_| self.wrong("an address with a port"))
     }
 
     fn maybe<T>(&self, read: impl FnOnce(&Self) -> Result<T, Wrong>) -> Result<Option<T>, Wrong> {
@@ -222,9 +268,16 @@
 /// # Errors
 /// All keys that are at fault.
 pub fn parse(text: &str, listen: Option<&str>) -> Result<Launch, Vec<Wrong>> {
-    let value: Value = serde_json::from_str(text)
-        .map_err(|e| vec![Wrong { line: Some(e.line()), ..Wrong::whole(format!("not JSON: {e}")) }])?;
-    let root = At { path: String::new(), value: Some(&value) };
+    let value: Value = serde_json::from_str(text).map_err(|e| {
+        vec![Wrong {
+            line: Some(e.line()),
+            ..Wrong::whole(format!("not JSON: {e}"))
+        }]
+    })?;
+    let root = At {
+        path: String::new(),
+        value: Some(&value),
+    };
     if !value.is_object() {
         return Err(vec![Wrong::whole("the configuration is not an object")]);
     }
@@ -235,29 +288,48 @@
         for name in ["balancers", "services.count"] {
             if told.required(name).is_err() {
                 let says = "is missing or no number".into();
-                faults.0.push(Wrong { line: None, key: format!("settings.{name}"), says });
+                faults.0.push(Wrong {
+                    line: None,
+                    key: format!("settings.{name}"),
+                    says,
+                });
             }
         }
     }
     let listen = faults.keep(match (root.key("listen"), listen) {
         (key, None) => key.address(),
-        (_, Some(text)) => {
-            text.parse().map_err(|_| Wrong::whole(format!("{LISTEN_VARIABLE} {text:?} is not an address")))
-        }
+        (_, Some(text)) => text
+            .parse()
+            .map_err(|_| Wrong::whole(format!("{LISTEN_VARIABLE} {text:?} is not an address"))),
     });
     let seed = root.key("seed");
-    let hex =
-        seed.text().and_then(|hex| u64::from_str_radix(hex, 16).map_err(|_| seed.wrong("a number in hex")));
+    let hex = seed
+        .text()
+        .and_then(|hex| u64::from_str_radix(hex, 16).map_err(|_| seed.wrong("a number in hex")));
     let seed = faults.keep(hex);
-    let mut number =
-        |key: &At, default: f64, least: f64| faults.keep(key.number_or(default, least)).unwrap_or(default);
-    let sockets = number(&root.key("limits").key("sockets"), DEFAULT_SOCKETS, LEAST_SOCKETS);
-    let memory = number(&root.key("limits").key("memory_mb"), DEFAULT_MEMORY_MB, LEAST_MEMORY_MB);
+    let mut number = |key: &At, default: f64, least: f64| {
+        faults
+            .keep(key.number_or(default, least))
+            .unwrap_or(default)
+    };
+    let sockets = number(
+        &root.key("limits").key("sockets"),
+        DEFAULT_SOCKETS,
+        LEAST_SOCKETS,
+    );
+    let memory = number(
+        &root.key("limits").key("memory_mb"),
+        DEFAULT_MEMORY_MB,
+        LEAST_MEMORY_MB,
+    );
     let memory = memory * f64::from(1 << 20);
     let shared = (sockets - OWN_SOCKETS).min(sockets * (CLIENTS_PART + ENGINES_PART));
     let part_of = |part: f64| (shared * part / (CLIENTS_PART + ENGINES_PART)) as usize;
     let setting = |key: &str| root.key("settings").key("limits").key(key);
-    let notes_every = root.key("settings").key("family-info").key("tells-every-us");
+    let notes_every = root
+        .key("settings")
+        .key("family-info")
+        .key("tells-every-us");
     let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
     let times = |key: &str| -> Vec<f64> {
         let path = |i| format!("{}.{key}", told::item_of("services", i));
@@ -266,17 +338,28 @@
     let terms = Terms {
         quickest: times("aim-us").into_iter().reduce(f64::min).unwrap_or(0.0),
         notes_every: number(&notes_every, 0.0, 0.0) / 1e3,
-        connect_timeout: number(&setting("connect-timeout-us"), DEFAULT_CONNECT_TIMEOUT * 1e3, 1.0) / 1e3,
+        connect_timeout: number(
+            &setting("connect-timeout-us"),
+            DEFAULT_CONNECT_TIMEOUT * 1e3,
+            1.0,
+        ) / 1e3,
         idle: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
         streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
         most_connections: part_of(ENGINES_PART),
     };
-    let largest = |path: &str| told.list(path).iter().filter_map(|n| n.parse::<f64>().ok()).reduce(f64::max);
+    let largest = |path: &str| {
+        told.list(path)
+            .iter()
+            .filter_map(|n| n.parse::<f64>().ok())
+            .reduce(f64::max)
+    };
     let longest = times("hard-limit-us").into_iter().reduce(f64::max);
     let ends_by = longest.unwrap_or(MOST_GRACE).min(MOST_GRACE) + TAKES_ON - LAST_WRITES;
     let most_wait = longest.map_or(LONGEST_WAIT, |wait| ROOM * wait);
     let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
-    let may_be_told = told.get("limits.retry-after").is_none_or(|value| told::is_true(value));
+    let may_be_told = told
+        .get("limits.retry-after")
+        .is_none_or(|value| told::is_true(value));
     let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let admission = Admission {
         most_connections: part_of(CLIENTS_PART),
@@ -284,15 +367,28 @@
         groups: names(&told, "services"),
         customers: names(&told, "projects"),
         most_wait,
-        most_cost: most_cost.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
-        most_memory: most_memory.filter(|most| *most > 0.0).unwrap_or(MOST_ESTIMATE),
-        retry_after: told.millis("limits.max-retry-after-us").filter(|_| may_be_told),
+        most_cost: most_cost
+            .filter(|most| *most > 0.0)
+            .unwrap_or(MOST_ESTIMATE),
+        most_memory: most_memory
+            .filter(|most| *most > 0.0)
+            .unwrap_or(MOST_ESTIMATE),
+        retry_after: told
+            .millis("limits.max-retry-after-us")
+            .filter(|_| may_be_told),
     };
     let peers = faults.keep(peers(&root)).flatten();
-    let resolver = faults.keep(root.key("resolver").maybe(At::address)).flatten();
+    let resolver = faults
+        .keep(root.key("resolver").maybe(At::address))
+        .flatten();
     let directory = faults.keep(known(&root.key("known")));
-    let name = faults.keep(root.key("name").maybe(At::text)).flatten().unwrap_or("").to_owned();
-    if let (Some(listen), Some(seed), Some(directory), true) = (listen, seed, directory, faults.0.is_empty())
+    let name = faults
+        .keep(root.key("name").maybe(At::text))
+        .flatten()
+        .unwrap_or("")
+        .to_owned();
+    if let (Some(listen), Some(seed), Some(directory), true) =
+        (listen, seed, directory, faults.0.is_empty())
     {
         let most_bytes = (memory * STATEMENTS_PART) as usize;
         let text = value;
@@ -320,8 +416,15 @@
     root.key("peer_listen").maybe(|key| {
         let listen = key.address()?;
         let each = root.key("peers").maybe(At::items)?.unwrap_or_default();
-        let each = each.iter().map(At::address).collect::<Result<Vec<_>, _>>()?;
-        Ok(PeerAddresses { listen, each, all: root.key("peers_all").maybe(At::address)? })
+        let each = each
+            .iter()
+            .map(At::address)
+            .collect::<Result<Vec<_>, _>>()?;
+        Ok(PeerAddresses {
+            listen,
+            each,
+            all: root.key("peers_all").maybe(At::address)?,
+        })
     })
 }
 
@@ -344,7 +447,11 @@
             let engine = Listed {
                 node: directory.node(entry.key("instanceId").text()?),
                 address: entry.key("hostPort").maybe(At::address)?,
-                kind: entry.key("machineType").maybe(At::text)?.unwrap_or("").to_owned(),
+                kind: entry
+                    .key("machineType")
+                    .maybe(At::text)?
+                    .unwrap_or("")
+                    .to_owned(),
                 hall: entry.key("zone").maybe(At::text)?.unwrap_or("").to_owned(),
                 cell: entry.key("cell").number_or(0.0, 0.0)? as u32,
                 status,
@@ -359,7 +466,12 @@
 /// The names of a list of objects in the settings.
 fn names(told: &Map, path: &str) -> Vec<String> {
     let count = told.number(&told::count_of(path)).unwrap_or(0.0) as usize;
-    (0..count).filter_map(|i| told.get(&format!("{}.name", told::item_of(path, i))).cloned()).collect()
+    (0..count)
+        .filter_map(|i| {
+            told.get(&format!("{}.name", told::item_of(path, i)))
+                .cloned()
+        })
+        .collect()
 }
 
 /// Lays nested settings out flat: lists of objects by their places, lists of plain values in one.
@@ -371,12 +483,23 @@
     match value {
         Value::Object(entries) => {
             for (key, value) in entries {
-                flatten(&if path.is_empty() { key.clone() } else { format!("{path}.{key}") }, value, to);
+                flatten(
+                    &if path.is_empty() {
+                        key.clone()
+                    } else {
+                        format!("{path}.{key}")
+                    },
+                    value,
+                    to,
+                );
             }
         }
         Value::Array(items) if items.iter().any(Value::is_object) => {
             told::put(to, &told::count_of(path), &items.len().to_string());
-            items.iter().enumerate().for_each(|(i, item)| flatten(&told::item_of(path, i), item, to));
+            items
+                .iter()
+                .enumerate()
+                .for_each(|(i, item)| flatten(&told::item_of(path, i), item, to));
         }
         Value::Array(items) => told::put_list(to, path, items.iter().map(plain)),
         Value::Null => {}
--- a/crates/dispatcher/src/config/places.rs
+++ b/crates/dispatcher/src/config/places.rs
@@ -11,10 +11,19 @@
     let (mut line, bytes, mut at) = (1, text.as_bytes(), 0);
     // Where what follows stands: blanks before it may hold line ends.
     let ahead = |at: usize| {
-        bytes[at..].iter().take_while(|b| b.is_ascii_whitespace()).filter(|b| **b == b'\n').count()
+        bytes[at..]
+            .iter()
+            .take_while(|b| b.is_ascii_whitespace())
+            .filter(|b| **b == b'\n')
+            .count()
+    };
+    let under = |over: &str, key: &str| {
+        if over.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{over}.{key}")
+        }
     };
-    let under =
-        |over: &str, key: &str| if over.is_empty() { key.to_owned() } else { format!("{over}.{key}") };
     while let Some(&byte) = bytes.get(at) {
         let start = at;
         at += 1;
@@ -56,8 +65,9 @@
 mod tests {
     #[test]
     fn keys_and_items_are_found_by_their_lines() {
-        let lines =
-            super::find("{\"a\":1,\n\"b\":{\"c\\\"\":\"x:{\",\n\"d\":[1,\n{\"e\":[]},\n2]},\n\"f\":null}");
+        let lines = super::find(
+            "{\"a\":1,\n\"b\":{\"c\\\"\":\"x:{\",\n\"d\":[1,\n{\"e\":[]},\n2]},\n\"f\":null}",
+        );
         for (key, line) in [
             ("a", 1),
             ("b", 2),
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -12,26 +12,59 @@
 #[test]
 fn settings_become_a_plain_map_and_events_one_list() {
     let config = parse(GOOD, None).unwrap();
-    let told: Vec<_> = config.told.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    let told: Vec<_> = config
+        .told
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
     let want =
         "balancers=2 family-info.cores-by-kind=8,4 family-info.dop=1,2 family-info.kind-memory-mb=100,50 \
         kinds=a_b,c limits.connect-timeout-us=9000 limits.probes=true services.0.aim-us=5 \
         services.0.hard-limit-us=7000 services.0.name=look services.count=1";
     assert_eq!(told.join(" "), want);
-    assert_eq!((config.terms.connect_timeout, config.terms.idle, config.directory.last), (9.0, 30_000.0, 2));
-    assert_eq!((config.admission.groups.concat(), config.admission.customers.len()), ("look".to_owned(), 0));
-    let figures = (config.admission.most_wait, config.admission.most_cost, config.admission.most_memory);
+    assert_eq!(
+        (
+            config.terms.connect_timeout,
+            config.terms.idle,
+            config.directory.last
+        ),
+        (9.0, 30_000.0, 2)
+    );
+    assert_eq!(
+        (
+            config.admission.groups.concat(),
+            config.admission.customers.len()
+        ),
+        ("look".to_owned(), 0)
+    );
+    let figures = (
+        config.admission.most_wait,
+        config.admission.most_cost,
+        config.admission.most_memory,
+    );
     assert_eq!(figures, (28.0, 224.0, 400.0));
-    assert_eq!((config.admission.most_bytes, config.most_bytes), ((32 << 20) / 10, (32 << 20) / 5));
+    assert_eq!(
+        (config.admission.most_bytes, config.most_bytes),
+        ((32 << 20) / 10, (32 << 20) / 5)
+    );
     let engine = &config.directory.all()[0];
-    assert_eq!((engine.status, engine.started), (EngineStatus::Draining, Some(7.0)));
-    assert_eq!(parse(GOOD, Some("127.0.0.9:9")).unwrap().listen, "127.0.0.9:9".parse().unwrap());
+    assert_eq!(
+        (engine.status, engine.started),
+        (EngineStatus::Draining, Some(7.0))
+    );
+    assert_eq!(
+        parse(GOOD, Some("127.0.0.9:9")).unwrap().listen,
+        "127.0.0.9:9".parse().unwrap()
+    );
 }
 
 #[test]
 fn what_another_configuration_changes_is_told_by_its_keys() {
     let changed = |was: &str, is: &str| {
-        only_at_a_start(&parse(GOOD, None).unwrap().text, &parse(&GOOD.replace(was, is), None).unwrap().text)
+        only_at_a_start(
+            &parse(GOOD, None).unwrap().text,
+            &parse(&GOOD.replace(was, is), None).unwrap().text,
+        )
     };
     assert_eq!(changed("127.0.0.1:53", "127.0.0.1:54"), [""; 0]);
     assert_eq!(changed("6444882f5c620abb", "7"), [""; 0]);
@@ -42,20 +75,43 @@
 #[test]
 fn errors_name_the_key_at_fault() {
     let cases = [
-        ("\"seed\":\"6444882f5c620abb\"", "\"seed\":\"x\"", "key seed is \"x\""),
+        (
+            "\"seed\":\"6444882f5c620abb\"",
+            "\"seed\":\"x\"",
+            "key seed is \"x\"",
+        ),
         ("\"listen\"", "\"lisTen\"", "key listen is missing"),
-        ("\"sockets\":1024", "\"sockets\":2", "key limits.sockets is 2, not at least 64"),
-        ("\"memory_mb\":32", "\"memory_mb\":\"a\"", "key limits.memory_mb is \"a\", not a number"),
+        (
+            "\"sockets\":1024",
+            "\"sockets\":2",
+            "key limits.sockets is 2, not at least 64",
+        ),
+        (
+            "\"memory_mb\":32",
+            "\"memory_mb\":\"a\"",
+            "key limits.memory_mb is \"a\", not a number",
+        ),
         ("\"127.0.0.2:2\"", "7", "key peers.0 is 7, not a text"),
-        ("\"Ready\"", "\"Up\"", "key known.cmds.0.nodes.instances.0.lifecycle is \"Up\""),
+        (
+            "\"Ready\"",
+            "\"Up\"",
+            "key known.cmds.0.nodes.instances.0.lifecycle is \"Up\"",
+        ),
         ("\"balancers\":2", "\"b\":2", "key settings.balancers"),
-        ("\"connect-timeout-us\":9000", "\"connect-timeout-us\":0", "key settings.limits.connect-timeout-us"),
+        (
+            "\"connect-timeout-us\":9000",
+            "\"connect-timeout-us\":0",
+            "key settings.limits.connect-timeout-us",
+        ),
         ("\"settings\"", "\"s\"", "key settings is missing"),
         ("{\"name\"", "\"name\"", "not JSON"),
     ];
     for (was, is, says) in cases {
         let wrong = parse(&GOOD.replace(was, is), None).unwrap_err();
-        assert!(wrong.iter().any(|wrong| wrong.to_string().contains(says)), "{wrong:?}");
+        assert!(
+            wrong.iter().any(|wrong| wrong.to_string().contains(says)),
+            "{wrong:?}"
+        );
     }
 }
 
@@ -65,11 +121,19 @@
         .replace("\"sockets\":1024", "\"sockets\":2")
         .replace("\"Terminating\"", "7")
         .replace("\"seed\"", "\"sed\"");
-    let wrong: Vec<String> =
-        located(parse(&text, None).unwrap_err(), &text).iter().map(Wrong::to_string).collect();
+    let wrong: Vec<String> = located(parse(&text, None).unwrap_err(), &text)
+        .iter()
+        .map(Wrong::to_string)
+        .collect();
     let says = |line: &str| wrong.iter().any(|wrong| wrong.starts_with(line));
     assert!(says("line 1: key seed is missing"), "{wrong:?}");
-    assert!(says("line 1: key limits.sockets is 2, not at least 64"), "{wrong:?}");
-    assert!(says("line 5: key known.cmds.1.nodes.instances.0.lifecycle is 7"), "{wrong:?}");
+    assert!(
+        says("line 1: key limits.sockets is 2, not at least 64"),
+        "{wrong:?}"
+    );
+    assert!(
+        says("line 5: key known.cmds.1.nodes.instances.0.lifecycle is 7"),
+        "{wrong:?}"
+    );
     assert_eq!(wrong.len(), 3);
 }
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -102,9 +102,18 @@
             let _ = writeln!(text, "submissions_{name} {}", count.get());
         }
         let ended: u64 = self.ended.iter().map(Count::get).sum();
-        let answered = [&self.finished, &self.deferred, &self.killed, &self.vanished].map(Count::get);
-        let _ = writeln!(text, "submissions_out {}", self.submissions.get().saturating_sub(ended));
-        let _ = writeln!(text, "unanswered {}", self.taken.get().saturating_sub(answered.iter().sum()));
+        let answered =
+            [&self.finished, &self.deferred, &self.killed, &self.vanished].map(Count::get);
+        let _ = writeln!(
+            text,
+            "submissions_out {}",
+            self.submissions.get().saturating_sub(ended)
+        );
+        let _ = writeln!(
+            text,
+            "unanswered {}",
+            self.taken.get().saturating_sub(answered.iter().sum())
+        );
         let _ = writeln!(text, "in_hand {in_hand}");
         let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
         self.more.borrow().iter().for_each(|line| line(&mut text));
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -89,7 +89,10 @@
 
 impl Dispatcher {
     pub fn start(
-        config: Launch, operator: Operator, common: Common, executor: Rc<LocalExecutor<'static>>,
+        config: Launch,
+        operator: Operator,
+        common: Common,
+        executor: Rc<LocalExecutor<'static>>,
     ) -> Result<Self, String> {
         let unfit = operators::unfit(&operator, &config.told);
         if !unfit.is_empty() {
@@ -97,11 +100,15 @@
         }
         let clock = Clock::start();
         let exchange = Rc::new(Exchange::new(config.most_bytes));
-        let mut control = Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
+        let mut control =
+            Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
         let classes = Rc::new(Classes::new(&config.told, key_of(config.seed)));
         classes.set(operator.statements.as_ref());
-        let limits = Limits { memory: config.memory, descriptors: config.sockets };
+        let limits = Limits {
+            memory: config.memory,
+            descriptors: config.sockets,
+        };
         let levels = Rc::new(Levels::new(&config.told, limits));
         levels.set(operator.levels.as_ref(), clock.now(), &mut control);
         let halls = Rc::new(Halls::new(&config.told));
@@ -125,15 +132,32 @@
             }
             None => None,
         };
-        let fleet =
-            FleetSide::start(operator.fleet.as_ref(), &config.told, clock, exchange.clone(), config.seed)?;
-        others.extend(fleet.iter().map(|fleet| executor.spawn(fleet.clone().run())));
-        exchange.happened(Event::List { form: ListForm::Remembered, engines: config.directory.all() });
+        let fleet = FleetSide::start(
+            operator.fleet.as_ref(),
+            &config.told,
+            clock,
+            exchange.clone(),
+            config.seed,
+        )?;
+        others.extend(
+            fleet
+                .iter()
+                .map(|fleet| executor.spawn(fleet.clone().run())),
+        );
+        exchange.happened(Event::List {
+            form: ListForm::Remembered,
+            engines: config.directory.all(),
+        });
         let resolver = Rc::new(Cell::new(config.resolver));
-        let follow = names::follow(exchange.clone(), resolver.clone(), config.directory, config.seed as u16);
+        let follow = names::follow(
+            exchange.clone(),
+            resolver.clone(),
+            config.directory,
+            config.seed as u16,
+        );
         others.push(executor.spawn(follow));
-        let listener =
-            ClientSide::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+        let listener = ClientSide::bind(config.listen)
+            .map_err(|e| format!("listen {}: {e}", config.listen))?;
         others.push(executor.spawn(clients.clone().accept(listener, executor.clone())));
         let (phase, timer, text, told) = (Phase::Starting, f64::INFINITY, config.text, config.told);
         Ok(Dispatcher {
@@ -177,7 +201,10 @@
             future::yield_now().await;
         }
         self.others.clear();
-        eprint!("{}", classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls));
+        eprint!(
+            "{}",
+            classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls)
+        );
     }
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
@@ -189,10 +216,23 @@
         let halls = &*self.halls;
         let (exchange, engines, classes) = (&*self.exchange, &*self.engines, &*self.classes);
         let fleet = self.fleet.as_deref();
-        let mut feed = Events { exchange, engines, classes, levels, halls, fleet, now };
+        let mut feed = Events {
+            exchange,
+            engines,
+            classes,
+            levels,
+            halls,
+            fleet,
+            now,
+        };
         let peers = self.peers.as_deref();
-        let mut decisions =
-            Decisions { exchange: &self.exchange, peers, levels, now, timer: &mut self.timer };
+        let mut decisions = Decisions {
+            exchange: &self.exchange,
+            peers,
+            levels,
+            now,
+            timer: &mut self.timer,
+        };
         if now >= *decisions.timer {
             *decisions.timer = f64::INFINITY;
         }
@@ -209,13 +249,22 @@
             if let Some(node) = halls.probes(now).filter(|_| self.control.allowed.probes) {
                 self.exchange.probe(node);
             }
-            halls.spills(|hall| self.control.spilled(hall), &mut self.clients.spilled.borrow_mut());
+            halls.spills(
+                |hall| self.control.spilled(hall),
+                &mut self.clients.spilled.borrow_mut(),
+            );
         }
         if let Some(fleet) = &self.fleet {
-            let changed =
-                fleet.look(now, descriptors as f64 / self.sockets.max(1.0), self.control.threads_out());
+            let changed = fleet.look(
+                now,
+                descriptors as f64 / self.sockets.max(1.0),
+                self.control.threads_out(),
+            );
             if !changed.is_empty() {
-                self.exchange.happened(Event::List { form: ListForm::Changes, engines: changed });
+                self.exchange.happened(Event::List {
+                    form: ListForm::Changes,
+                    engines: changed,
+                });
             }
         }
         self.engines.carry_out();
@@ -261,7 +310,9 @@
     /// used changes nothing.
     fn reload(&mut self) {
         if !matches!(self.phase, Phase::Starting | Phase::Serving) {
-            return tracing::info!("told to read the configuration again while ending: nothing is read");
+            return tracing::info!(
+                "told to read the configuration again while ending: nothing is read"
+            );
         }
         match config::read() {
             Ok(config) => self.take_on(&config),
@@ -277,7 +328,9 @@
         });
         match operator {
             Ok(operator) => self.take_on_operator(&operator),
-            Err(faults) => tracing::warn!("the operators' file stays as it was: {}", faults.join("; ")),
+            Err(faults) => {
+                tracing::warn!("the operators' file stays as it was: {}", faults.join("; "))
+            }
         }
     }
 
@@ -285,10 +338,15 @@
         let waits = config::only_at_a_start(&self.text, &config.text);
         if !waits.is_empty() {
             let waits = waits.join(", ");
-            tracing::warn!("the configuration was read again; these keys wait for the next start: {waits}");
+            tracing::warn!(
+                "the configuration was read again; these keys wait for the next start: {waits}"
+            );
         }
         self.exchange.counters.configurations_read.add();
-        if let Some(resolver) = config.resolver.filter(|_| config.resolver != self.resolver.get()) {
+        if let Some(resolver) = config
+            .resolver
+            .filter(|_| config.resolver != self.resolver.get())
+        {
             tracing::info!(%resolver, "the name service is asked elsewhere from now on");
         }
         self.resolver.set(config.resolver);
@@ -301,11 +359,18 @@
         }
         log::set(&self.common, operator.log.as_ref());
         self.classes.set(operator.statements.as_ref());
-        self.levels.set(operator.levels.as_ref(), self.clock.now(), &mut self.control);
-        self.halls.set(operator.halls.as_ref(), self.clock.now(), &mut self.control);
+        self.levels.set(
+            operator.levels.as_ref(),
+            self.clock.now(),
+            &mut self.control,
+        );
+        self.halls
+            .set(operator.halls.as_ref(), self.clock.now(), &mut self.control);
         match &self.fleet {
             Some(fleet) => fleet.set(operator.fleet.as_ref()),
-            None if operator.fleet.is_some() => tracing::warn!("the fleet waits for the next start"),
+            None if operator.fleet.is_some() => {
+                tracing::warn!("the fleet waits for the next start")
+            }
             None => {}
         }
     }
@@ -343,16 +408,26 @@
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         while let Some(event) = self.exchange.next_event() {
             match event {
-                Event::Query { query, customer, key, cost, memory, tables, text } => {
+                Event::Query {
+                    query,
+                    customer,
+                    key,
+                    cost,
+                    memory,
+                    tables,
+                    text,
+                } => {
                     // One whose client left while it waited for this round is no news to the decisions.
-                    let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due)) else {
+                    let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due))
+                    else {
                         continue;
                     };
                     if self.exchange.over(query) {
                         continue;
                     }
-                    let taken =
-                        control.query(query, &rg, &customer, key, due, cost, memory, tables, text, out);
+                    let taken = control.query(
+                        query, &rg, &customer, key, due, cost, memory, tables, text, out,
+                    );
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
                         self.exchange.answer(query, Answer::Killed);
@@ -362,11 +437,25 @@
                     control.vanished(query, out);
                     self.exchange.leave(query);
                 }
-                Event::Closed { query, submission, outcome, node, latency, pages } => {
-                    let taken =
-                        |q: &Query| Some(Taken { shape: q.shape?, rg: q.rg.clone(), waited: q.waited });
+                Event::Closed {
+                    query,
+                    submission,
+                    outcome,
+                    node,
+                    latency,
+                    pages,
+                } => {
+                    let taken = |q: &Query| {
+                        Some(Taken {
+                            shape: q.shape?,
+                            rg: q.rg.clone(),
+                            waited: q.waited,
+                        })
+                    };
                     self.halls.ended(self.now, node, outcome);
-                    self.fleet.iter().for_each(|fleet| fleet.ended(self.now, node, outcome));
+                    self.fleet
+                        .iter()
+                        .for_each(|fleet| fleet.ended(self.now, node, outcome));
                     if let Some(taken) = self.exchange.with(query, taken).flatten() {
                         self.classes.ended(&taken, node, latency, outcome, self.now);
                     }
@@ -376,10 +465,21 @@
                     }
                     let complete = self.exchange.over(query);
                     self.exchange.closed(query);
-                    control.closed(query, submission, complete, outcome, node, latency, 0.0, 0.0, out);
+                    control.closed(
+                        query, submission, complete, outcome, node, latency, 0.0, 0.0, out,
+                    );
                 }
-                Event::Noted { query, submission, note, amount } => {
-                    if let Some(node) = self.exchange.with(query, |q| q.node).filter(|_| self.halls.is_on()) {
+                Event::Noted {
+                    query,
+                    submission,
+                    note,
+                    amount,
+                } => {
+                    if let Some(node) = self
+                        .exchange
+                        .with(query, |q| q.node)
+                        .filter(|_| self.halls.is_on())
+                    {
                         self.halls.noted(self.now, node);
                     }
                     if note == Note::Waits {
@@ -392,7 +492,9 @@
                     control.probed(node, outcome);
                 }
                 Event::List { form, mut engines } => {
-                    self.fleet.iter().for_each(|fleet| fleet.listed(&mut engines));
+                    self.fleet
+                        .iter()
+                        .for_each(|fleet| fleet.listed(&mut engines));
                     self.classes.listed(&engines);
                     self.halls.listed(self.now, &engines);
                     control.list_begins(form);
@@ -415,7 +517,14 @@
 }
 
 /// A query is answered: what that says of the service.
-fn count(exchange: &Exchange, levels: &Levels, query: u64, now: f64, finished: bool, deferred: bool) {
+fn count(
+    exchange: &Exchange,
+    levels: &Levels,
+    query: u64,
+    now: f64,
+    finished: bool,
+    deferred: bool,
+) {
     let owed = !exchange.over(query);
     exchange.with(query, |q| {
         if owed {
--- a/crates/dispatcher/src/dns.rs
+++ b/crates/dispatcher/src/dns.rs
@@ -64,7 +64,8 @@
     }
 
     fn u32(&mut self) -> Option<u32> {
-        self.take(4).map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]]))
+        self.take(4)
+            .map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]]))
     }
 
     /// A name, compressed or not. Jumps are bounded, so that none runs in a ring.
@@ -121,7 +122,10 @@
         r.name()?;
         r.take(4)?;
     }
-    let mut answer = Answer { id, ..Answer::default() };
+    let mut answer = Answer {
+        id,
+        ..Answer::default()
+    };
     for _ in 0..records {
         let name = r.name()?;
         let (kind, class) = (r.u16()?, r.u16()?);
@@ -132,11 +136,17 @@
             _ if class != INTERNET => {}
             SRV => {
                 let (priority, _weight, port) = (r.u16()?, r.u16()?, r.u16()?);
-                answer.srv.push(Srv { priority, port, target: r.name()? });
+                answer.srv.push(Srv {
+                    priority,
+                    port,
+                    target: r.name()?,
+                });
             }
             A if size == 4 => {
                 let b = r.take(4)?;
-                answer.addresses.push((name, Ipv4Addr::new(b[0], b[1], b[2], b[3])));
+                answer
+                    .addresses
+                    .push((name, Ipv4Addr::new(b[0], b[1], b[2], b[3])));
             }
             TXT => {
                 let mut texts = Vec::new();
--- a/crates/dispatcher/src/dns/tests.rs
+++ b/crates/dispatcher/src/dns/tests.rs
@@ -19,7 +19,11 @@
         &mut bytes,
         &question,
         SRV,
-        &[&[0, priority, 0, 40, 0x27, 0x60], b"\x03S-1\x04east\x05hosts\0".as_slice()].concat(),
+        &[
+            &[0, priority, 0, 40, 0x27, 0x60],
+            b"\x03S-1\x04east\x05hosts\0".as_slice(),
+        ]
+        .concat(),
     );
     let mut soa = [question, question].concat();
     soa.extend_from_slice(&serial.to_be_bytes());
@@ -27,7 +31,12 @@
     record(&mut bytes, &question, SOA, &soa);
     let target = [0xc0, at as u8 + 6];
     record(&mut bytes, &target, A, &[10, 1, 0, 9]);
-    record(&mut bytes, &target, TXT, b"\x08kind=std\x06cell=2\x09started=0");
+    record(
+        &mut bytes,
+        &target,
+        TXT,
+        b"\x08kind=std\x06cell=2\x09started=0",
+    );
     bytes
 }
 
@@ -36,9 +45,27 @@
     let read = parse(&answer(77, 41, 1)).unwrap();
     let target = "s-1.east.hosts".to_owned();
     assert_eq!((read.id, read.serial), (77, Some(41)));
-    assert_eq!(read.srv, [Srv { priority: 1, port: 10080, target: target.clone() }]);
-    assert_eq!(read.addresses, [(target.clone(), Ipv4Addr::new(10, 1, 0, 9))]);
-    assert_eq!(read.texts, [(target, ["kind=std", "cell=2", "started=0"].map(String::from).to_vec())]);
+    assert_eq!(
+        read.srv,
+        [Srv {
+            priority: 1,
+            port: 10080,
+            target: target.clone()
+        }]
+    );
+    assert_eq!(
+        read.addresses,
+        [(target.clone(), Ipv4Addr::new(10, 1, 0, 9))]
+    );
+    assert_eq!(
+        read.texts,
+        [(
+            target,
+            ["kind=std", "cell=2", "started=0"]
+                .map(String::from)
+                .to_vec()
+        )]
+    );
 }
 
 #[test]
@@ -55,6 +82,11 @@
             parse(&bytes);
         }
     }
-    let ring = [&[0, 1, 0x84, 0, 0, 1, 0, 0, 0, 0, 0, 0], [0xc0, 12].as_slice(), &[0; 4]].concat();
+    let ring = [
+        &[0, 1, 0x84, 0, 0, 1, 0, 0, 0, 0, 0, 0],
+        [0xc0, 12].as_slice(),
+        &[0; 4],
+    ]
+    .concat();
     assert_eq!(parse(&ring), None);
 }
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -54,8 +54,18 @@
 
 impl Submission {
     pub fn new(query: u64, number: usize, sent: f64, bounds: Bounds) -> Self {
-        let Bounds { until, begin_by, .. } = bounds;
-        Submission { query, number, sent, until, begin_by, pages: Vec::new(), missing: 0 }
+        let Bounds {
+            until, begin_by, ..
+        } = bounds;
+        Submission {
+            query,
+            number,
+            sent,
+            until,
+            begin_by,
+            pages: Vec::new(),
+            missing: 0,
+        }
     }
 }
 
@@ -71,7 +81,11 @@
 impl Piece {
     fn slices(&self) -> [&[u8]; 3] {
         let body = self.body.as_deref();
-        [&self.head, body.unwrap_or(b""), if body.is_some() { b"\r\n" } else { b"" }]
+        [
+            &self.head,
+            body.unwrap_or(b""),
+            if body.is_some() { b"\r\n" } else { b"" },
+        ]
     }
 
     fn len(&self) -> usize {
@@ -198,12 +212,22 @@
         self.waiting.push_back(piece);
     }
 
-    pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, submission: Submission) {
+    pub fn submit(
+        &mut self,
+        id: &Rc<str>,
+        fields: &str,
+        statement: Rc<[u8]>,
+        submission: Submission,
+    ) {
         if self.out() == 0 && !self.fresh {
             self.idled = Some((submission.sent - self.used, submission.sent));
         }
         (self.used, self.fresh) = (submission.sent, false);
-        self.write(&[b"fetch", id.as_bytes(), fields.as_bytes()], Some(statement), Some(id.clone()));
+        self.write(
+            &[b"fetch", id.as_bytes(), fields.as_bytes()],
+            Some(statement),
+            Some(id.clone()),
+        );
         self.submissions.insert(id.clone(), submission);
     }
 
@@ -215,7 +239,11 @@
 
     pub fn renice(&mut self, id: &str, priority: u8) {
         if self.submissions.contains_key(id) {
-            self.write(&[b"renice", id.as_bytes(), priority.to_string().as_bytes()], None, None);
+            self.write(
+                &[b"renice", id.as_bytes(), priority.to_string().as_bytes()],
+                None,
+                None,
+            );
         }
     }
 
@@ -224,7 +252,10 @@
     pub fn give_up(&mut self, id: &str, now: f64) -> Option<(Submission, bool)> {
         let submission = self.submissions.remove(id)?;
         self.used = now;
-        let at = self.waiting.iter().position(|piece| piece.of.as_deref() == Some(id));
+        let at = self
+            .waiting
+            .iter()
+            .position(|piece| piece.of.as_deref() == Some(id));
         match at {
             Some(at) if at > 0 || self.written == 0 => {
                 if let Some(piece) = self.waiting.remove(at) {
@@ -233,7 +264,10 @@
                 Some((submission, false))
             }
             Some(_) => {
-                self.broken = Some((ErrorKind::NotConnected, "a request was given up half written"));
+                self.broken = Some((
+                    ErrorKind::NotConnected,
+                    "a request was given up half written",
+                ));
                 Some((submission, false))
             }
             None => {
@@ -248,7 +282,10 @@
     /// The submissions of whose requests nothing was written yet.
     pub fn not_begun(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         let skip = usize::from(self.written > 0);
-        self.waiting.iter().skip(skip).filter_map(|piece| piece.of.clone())
+        self.waiting
+            .iter()
+            .skip(skip)
+            .filter_map(|piece| piece.of.clone())
     }
 
     /// Those of them that may not begin any more.
@@ -259,7 +296,10 @@
 
     /// Whether the whole of a submission's request was written out.
     pub fn went_out(&self, id: &str) -> bool {
-        !self.waiting.iter().any(|piece| piece.of.as_deref() == Some(id))
+        !self
+            .waiting
+            .iter()
+            .any(|piece| piece.of.as_deref() == Some(id))
     }
 
     /// Nothing is asked any more: what was to be is not written.
@@ -298,7 +338,11 @@
 
     pub fn wrote(&mut self, count: usize) {
         self.written += count;
-        while let Some(length) = self.waiting.front().map(Piece::len).filter(|&length| length <= self.written)
+        while let Some(length) = self
+            .waiting
+            .front()
+            .map(Piece::len)
+            .filter(|&length| length <= self.written)
         {
             self.written -= length;
             self.waiting_bytes -= length;
@@ -310,13 +354,21 @@
     /// can't be read or used is spoilt, and its submission stays out until the connection ends with it.
     pub fn hear(&mut self, frame: &Frame, now: f64) -> Heard {
         self.heard = now;
-        let Ok(id) = std::str::from_utf8(frame.part(0)) else { return Heard::Spoilt("an id is not text") };
+        let Ok(id) = std::str::from_utf8(frame.part(0)) else {
+            return Heard::Spoilt("an id is not text");
+        };
         let (word, fields) = (frame.part(1), frame.part(2));
         if let Some(n) = self.probes.iter().position(|(tag, ..)| &**tag == id) {
             self.probes.swap_remove(n);
-            return Heard::Probed(if word == b"FIT" { Outcome::Finished } else { Outcome::Error });
+            return Heard::Probed(if word == b"FIT" {
+                Outcome::Finished
+            } else {
+                Outcome::Error
+            });
         }
-        let Some(s) = self.submissions.get_mut(id) else { return Heard::Nothing };
+        let Some(s) = self.submissions.get_mut(id) else {
+            return Heard::Nothing;
+        };
         let (query, submission) = (s.query, s.number);
         let outcome = match word {
             b"TELL" => {
@@ -327,8 +379,15 @@
                     Some("parked") => Note::Waits,
                     _ => return Heard::Nothing,
                 };
-                let Some(amount) = amount.filter(|n| n.is_finite()) else { return Heard::Nothing };
-                return Heard::Noted { query, submission, note, amount };
+                let Some(amount) = amount.filter(|n| n.is_finite()) else {
+                    return Heard::Nothing;
+                };
+                return Heard::Noted {
+                    query,
+                    submission,
+                    note,
+                    amount,
+                };
             }
             // A second copy of the first page.
             b"DONE" if !s.pages.is_empty() => return Heard::Nothing,
@@ -344,7 +403,11 @@
                                 None,
                             );
                             self.waiting_bytes += head.len();
-                            self.waiting.push_back(Piece { head, body: None, of: None });
+                            self.waiting.push_back(Piece {
+                                head,
+                                body: None,
+                                of: None,
+                            });
                         });
                     }
                     return Heard::Nothing;
@@ -363,7 +426,13 @@
         }
         self.submissions.remove(id);
         self.used = now;
-        Heard::Closed { query, submission, outcome, sent, pages }
+        Heard::Closed {
+            query,
+            submission,
+            outcome,
+            sent,
+            pages,
+        }
     }
 }
 
@@ -372,8 +441,9 @@
     fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Result<bool, &'static str> {
         let number = |name| resp::field(fields, name).and_then(|n| n.parse::<usize>().ok());
         let at = if first {
-            let pages =
-                number("batches").filter(|n| (1..=MOST_PAGES).contains(n)).ok_or("no number of pages")?;
+            let pages = number("batches")
+                .filter(|n| (1..=MOST_PAGES).contains(n))
+                .ok_or("no number of pages")?;
             self.pages.resize(pages, None);
             self.missing = pages;
             0
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -11,7 +11,16 @@
         &id.into(),
         "cls=a",
         b"SELECT 1".as_slice().into(),
-        Submission::new(query, 0, 5.0, Bounds { until: 90.0, begin_by: 90.0, harmless: true }),
+        Submission::new(
+            query,
+            0,
+            5.0,
+            Bounds {
+                until: 90.0,
+                begin_by: 90.0,
+                harmless: true,
+            },
+        ),
     );
 }
 
@@ -25,7 +34,10 @@
 fn waiting(connection: &Connection) -> String {
     let mut slices = Vec::new();
     connection.slices(&mut slices, 64);
-    slices.iter().map(|slice| String::from_utf8_lossy(slice)).collect()
+    slices
+        .iter()
+        .map(|slice| String::from_utf8_lossy(slice))
+        .collect()
 }
 
 #[test]
@@ -33,27 +45,52 @@
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     let request = waiting(&connection);
-    assert_eq!(request, "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n");
+    assert_eq!(
+        request,
+        "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n"
+    );
     connection.wrote(request.len() - 1);
     assert!(!connection.went_out("i1"));
     connection.wrote(1);
     assert!(connection.went_out("i1"));
     // Surplus copies are passed over.
     for _ in 0..2 {
-        assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]), Heard::Nothing);
+        assert_eq!(
+            hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]),
+            Heard::Nothing
+        );
         assert_eq!(waiting(&connection).matches("more").count(), 2);
     }
     for _ in 0..2 {
-        assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]), Heard::Nothing);
+        assert_eq!(
+            hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]),
+            Heard::Nothing
+        );
     }
-    let pages = ["[\"a\",\"\",\"\"]", "[\"b\",\"\",\"\"]", "[\"c\",\"\",\"\"]"]
-        .map(|page| page.as_bytes().to_vec())
-        .to_vec();
+    let pages = [
+        "[\"a\",\"\",\"\"]",
+        "[\"b\",\"\",\"\"]",
+        "[\"c\",\"\",\"\"]",
+    ]
+    .map(|page| page.as_bytes().to_vec())
+    .to_vec();
     let (query, submission, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
-    let whole = Heard::Closed { query, submission, outcome, sent, pages };
-    assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\t\t\n"]), whole);
+    let whole = Heard::Closed {
+        query,
+        submission,
+        outcome,
+        sent,
+        pages,
+    };
+    assert_eq!(
+        hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\t\t\n"]),
+        whole
+    );
     assert!(waiting(&connection).contains("done") && connection.out() == 0);
-    assert_eq!(hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]), Heard::Nothing);
+    assert_eq!(
+        hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]),
+        Heard::Nothing
+    );
 }
 
 #[test]
@@ -72,12 +109,21 @@
         let mut connection = connection();
         submit(&mut connection, "i1", 4);
         let heard = hear(&mut connection, parts);
-        assert!(matches!(heard, Heard::Spoilt(_)) && connection.out() == 1, "{heard:?}");
+        assert!(
+            matches!(heard, Heard::Spoilt(_)) && connection.out() == 1,
+            "{heard:?}"
+        );
     }
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     let broke = hear(&mut connection, &[b"i1", b"BROKE", b"-", b""]);
-    assert!(matches!(broke, Heard::Closed { outcome: Outcome::Error, .. }));
+    assert!(matches!(
+        broke,
+        Heard::Closed {
+            outcome: Outcome::Error,
+            ..
+        }
+    ));
     assert_eq!(hear(&mut connection, &[]), Heard::Nothing);
 }
 
@@ -88,12 +134,19 @@
     submit(&mut connection, "i2", 5);
     connection.wrote(3);
     assert_eq!(connection.not_begun().collect::<Vec<_>>(), ["i2".into()]);
-    assert!(connection.give_up("i2", 6.0).is_some_and(|(s, begun)| s.query == 5 && !begun));
+    assert!(connection
+        .give_up("i2", 6.0)
+        .is_some_and(|(s, begun)| s.query == 5 && !begun));
     connection.wrote(waiting(&connection).len());
-    assert!(connection.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && begun));
+    assert!(connection
+        .give_up("i1", 6.0)
+        .is_some_and(|(s, begun)| s.query == 4 && begun));
     assert!(connection.give_up("i1", 6.0).is_none() && connection.broken.is_none());
     let text = waiting(&connection);
-    assert!(!text.starts_with("$5\r\nfetch") && text.contains("abort") && !text.contains("i2"), "{text}");
+    assert!(
+        !text.starts_with("$5\r\nfetch") && text.contains("abort") && !text.contains("i2"),
+        "{text}"
+    );
     connection.wrote(text.len());
     assert!(!connection.has_waiting() && connection.waiting_bytes == 0 && connection.out() == 0);
 }
@@ -103,7 +156,9 @@
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     connection.wrote(3);
-    assert!(connection.give_up("i1", 6.0).is_some_and(|(s, begun)| s.query == 4 && !begun));
+    assert!(connection
+        .give_up("i1", 6.0)
+        .is_some_and(|(s, begun)| s.query == 4 && !begun));
     assert!(connection.broken.is_some());
 }
 
@@ -112,9 +167,14 @@
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     connection.wrote(waiting(&connection).len());
-    assert!(connection.give_up("i1", 6.0).is_some_and(|(_, begun)| begun));
+    assert!(connection
+        .give_up("i1", 6.0)
+        .is_some_and(|(_, begun)| begun));
     assert!(!connection.takes("i1", 32) && connection.takes("i2", 32));
-    assert_eq!(hear(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]), Heard::Nothing);
+    assert_eq!(
+        hear(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]),
+        Heard::Nothing
+    );
     // One that never went out may go here again, and a connection that was left often is left for good.
     submit(&mut connection, "i2", 5);
     connection.give_up("i2", 6.0);
@@ -131,9 +191,18 @@
 fn what_may_not_begin_any_more_is_told_and_what_has_begun_is_not() {
     let mut connection = connection();
     for (id, begin_by) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
-        let bounds = Bounds { until: 90.0, begin_by, harmless: false };
+        let bounds = Bounds {
+            until: 90.0,
+            begin_by,
+            harmless: false,
+        };
         let submission = Submission::new(4, 0, 5.0, bounds);
-        connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), submission);
+        connection.submit(
+            &id.into(),
+            "cls=a",
+            b"SELECT 1".as_slice().into(),
+            submission,
+        );
     }
     connection.wrote(3);
     let late = |now| connection.too_late_to_begin(now).collect::<Vec<_>>();
@@ -145,10 +214,36 @@
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     connection.probe("t1".into(), 6.0, 250.0);
-    let told = Heard::Noted { query: 4, submission: 0, note: Note::Progress, amount: 0.5 };
-    assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]), told);
-    assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"-", b""]), Heard::Nothing);
-    assert_eq!(hear(&mut connection, &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]), Heard::Nothing);
-    assert_eq!(hear(&mut connection, &[b"t1", b"UNFIT", b"-", b""]), Heard::Probed(Outcome::Error));
-    assert_eq!(hear(&mut connection, &[b"t1", b"FIT", b"-", b""]), Heard::Nothing);
+    let told = Heard::Noted {
+        query: 4,
+        submission: 0,
+        note: Note::Progress,
+        amount: 0.5,
+    };
+    assert_eq!(
+        hear(
+            &mut connection,
+            &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]
+        ),
+        told
+    );
+    assert_eq!(
+        hear(&mut connection, &[b"i1", b"TELL", b"-", b""]),
+        Heard::Nothing
+    );
+    assert_eq!(
+        hear(
+            &mut connection,
+            &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]
+        ),
+        Heard::Nothing
+    );
+    assert_eq!(
+        hear(&mut connection, &[b"t1", b"UNFIT", b"-", b""]),
+        Heard::Probed(Outcome::Error)
+    );
+    assert_eq!(
+        hear(&mut connection, &[b"t1", b"FIT", b"-", b""]),
+        Heard::Nothing
+    );
 }
--- a/crates/dispatcher/src/engine/keep_alive.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -32,7 +32,10 @@
     fn fade(&mut self, now: f64) {
         let fading = ((self.at - now) / FADES).min(0.0).exp();
         self.at = now.max(self.at);
-        self.kept.iter_mut().chain(&mut self.lost).for_each(|count| *count *= fading);
+        self.kept
+            .iter_mut()
+            .chain(&mut self.lost)
+            .for_each(|count| *count *= fading);
     }
 
     /// One that had idled for so long (ms) was used again, and told something or was lost with what went out.
--- a/crates/dispatcher/src/engine/keep_alive/tests.rs
+++ b/crates/dispatcher/src/engine/keep_alive/tests.rs
@@ -34,7 +34,10 @@
     for seed in 1..=20 {
         for part in [0.28, 1.0] {
             let (uses, lost, _) = play(seed, 400.0, part, 60.0);
-            assert!(lost <= 0.07 * (uses + lost) + 4.0, "{seed} {part}: {lost} of {uses}");
+            assert!(
+                lost <= 0.07 * (uses + lost) + 4.0,
+                "{seed} {part}: {lost} of {uses}"
+            );
             assert!(uses > 50.0, "{seed} {part}: {uses}");
         }
     }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -99,7 +99,10 @@
 
 impl EngineSide {
     pub fn new(
-        exchange: Rc<Exchange>, clock: Clock, executor: Rc<LocalExecutor<'static>>, terms: Terms,
+        exchange: Rc<Exchange>,
+        clock: Clock,
+        executor: Rc<LocalExecutor<'static>>,
+        terms: Terms,
     ) -> Rc<Self> {
         let (engines, tags, connections, settling, keep_alive) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
@@ -139,16 +142,24 @@
         if retire {
             engine.address = told.address.or(engine.address);
             engine.started = told.started;
-            engine.connections.iter().for_each(|channel| channel.retire());
+            engine
+                .connections
+                .iter()
+                .for_each(|channel| channel.retire());
         }
         let channels = engine.connections.clone();
         if gone && channels.is_empty() {
             engines.remove(&told.node);
         }
         drop(engines);
-        for channel in channels.iter().filter(|_| retire || told.status == EngineStatus::Draining) {
+        for channel in channels
+            .iter()
+            .filter(|_| retire || told.status == EngineStatus::Draining)
+        {
             let waiting: Vec<Rc<str>> = channel.connection.borrow().not_begun().collect();
-            waiting.iter().for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
+            waiting
+                .iter()
+                .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
         }
     }
 
@@ -162,9 +173,12 @@
     pub fn carry_out(self: &Rc<Self>) {
         while let Some(order) = self.exchange.next_order() {
             match order {
-                Order::Submit { query, submission, node, bounds } => {
-                    self.submit(query, submission, node, bounds)
-                }
+                Order::Submit {
+                    query,
+                    submission,
+                    node,
+                    bounds,
+                } => self.submit(query, submission, node, bounds),
                 Order::Withdraw { query } => self.withdraw(query),
                 Order::Cancel { query, submission } => self.cancel(query, submission),
                 Order::Renice { query, priority } => self.renice(query, priority),
@@ -175,16 +189,41 @@
 
     fn submit(self: &Rc<Self>, query: u64, number: usize, node: u64, bounds: Bounds) {
         let now = self.clock.now();
-        let read = |q: &Query| (q.id.clone(), fields_of(q, bounds.until - now), q.statement.clone(), q.cost);
-        let Some((id, fields, statement, cost)) = self.exchange.with(query, read) else { return };
+        let read = |q: &Query| {
+            (
+                q.id.clone(),
+                fields_of(q, bounds.until - now),
+                q.statement.clone(),
+                q.cost,
+            )
+        };
+        let Some((id, fields, statement, cost)) = self.exchange.with(query, read) else {
+            return;
+        };
         let Some(channel) = self.channel_for(node, &id, bounds.harmless) else {
-            return self.closed(query, number, Outcome::NoConnection, node, 0.0, Pages::new());
+            return self.closed(
+                query,
+                number,
+                Outcome::NoConnection,
+                node,
+                0.0,
+                Pages::new(),
+            );
         };
         let mut connection = channel.connection.borrow_mut();
-        connection.submit(&id, &fields, statement, Submission::new(query, number, now, bounds));
+        connection.submit(
+            &id,
+            &fields,
+            statement,
+            Submission::new(query, number, now, bounds),
+        );
         if connection.idled.is_some_and(|(_, sent)| sent == now) {
             // A cost that is not told is no cost of none.
-            let runs = if cost > 0.0 { CHECK_RUNS * cost } else { f64::INFINITY };
+            let runs = if cost > 0.0 {
+                CHECK_RUNS * cost
+            } else {
+                f64::INFINITY
+            };
             connection.check_at = now + QUIET.max(runs).min(self.quiet());
         }
         drop(connection);
@@ -209,9 +248,13 @@
             let order = (c.use_for(now, trusted), c.out(), c.state != State::Up);
             c.takes(id, self.terms.streams).then_some((order, c.used))
         };
-        let taking = engine.connections.iter().filter_map(|channel| Some((order(channel)?, channel.clone())));
-        let best =
-            taking.min_by(|((a, used), _), ((b, other_used), _)| a.cmp(b).then(other_used.total_cmp(used)));
+        let taking = engine
+            .connections
+            .iter()
+            .filter_map(|channel| Some((order(channel)?, channel.clone())));
+        let best = taking.min_by(|((a, used), _), ((b, other_used), _)| {
+            a.cmp(b).then(other_used.total_cmp(used))
+        });
         let room = engine.connections.len() < self.most_an_engine() && (!full || idlest.is_some());
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
         // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
@@ -246,17 +289,35 @@
 
     /// Without a note for so long a connection may be dead.
     fn quiet(&self) -> f64 {
-        let tells = if self.terms.notes_every > 0.0 { self.terms.notes_every } else { self.terms.quickest };
+        let tells = if self.terms.notes_every > 0.0 {
+            self.terms.notes_every
+        } else {
+            self.terms.quickest
+        };
         QUIET.max(QUIET_NOTES * tells)
     }
 
-    fn open_one(self: &Rc<Self>, engine: &mut Engine, node: u64, address: SocketAddr) -> Rc<Channel> {
-        let (connection, notify) = (RefCell::new(Connection::new(self.clock.now())), Notify::default());
-        let channel = Rc::new(Channel { node, connection, notify });
+    fn open_one(
+        self: &Rc<Self>,
+        engine: &mut Engine,
+        node: u64,
+        address: SocketAddr,
+    ) -> Rc<Channel> {
+        let (connection, notify) = (
+            RefCell::new(Connection::new(self.clock.now())),
+            Notify::default(),
+        );
+        let channel = Rc::new(Channel {
+            node,
+            connection,
+            notify,
+        });
         engine.connections.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
         self.exchange.counters.connections_to_engines.add();
-        self.executor.spawn(self.clone().run(channel.clone(), address)).detach();
+        self.executor
+            .spawn(self.clone().run(channel.clone(), address))
+            .detach();
         channel
     }
 
@@ -264,9 +325,16 @@
     /// that to be said.
     fn check(self: &Rc<Self>, node: u64) {
         let mut engines = self.engines.borrow_mut();
-        let Some(engine) = engines.get_mut(&node) else { return };
-        let coming = engine.connections.iter().any(|c| c.connection.borrow().state == State::Connecting);
-        let Some(address) = engine.address.filter(|_| !coming) else { return };
+        let Some(engine) = engines.get_mut(&node) else {
+            return;
+        };
+        let coming = engine
+            .connections
+            .iter()
+            .any(|c| c.connection.borrow().state == State::Connecting);
+        let Some(address) = engine.address.filter(|_| !coming) else {
+            return;
+        };
         for _ in engine.unreached..UNREACHED {
             let room = engine.connections.len() < self.most_an_engine()
                 && self.connections.get() < self.terms.most_connections;
@@ -287,20 +355,34 @@
                 .get(&id)
                 .is_some_and(|submission| submission.query == query)
         };
-        let channel = engines.values().flat_map(|engine| &engine.connections).find(carries)?.clone();
+        let channel = engines
+            .values()
+            .flat_map(|engine| &engine.connections)
+            .find(carries)?
+            .clone();
         Some((channel, id))
     }
 
     fn cancel(&self, query: u64, number: usize) {
-        let Some((channel, id)) = self.find(query) else { return };
-        if channel.connection.borrow().submissions.get(&id).is_some_and(|s| s.number == number) {
+        let Some((channel, id)) = self.find(query) else {
+            return;
+        };
+        if channel
+            .connection
+            .borrow()
+            .submissions
+            .get(&id)
+            .is_some_and(|s| s.number == number)
+        {
             self.give_up(&channel, &id, Outcome::Cancelled);
         }
     }
 
     /// Takes back what has not gone out of a query that is over.
     fn withdraw(&self, query: u64) {
-        let Some((channel, id)) = self.find(query) else { return };
+        let Some((channel, id)) = self.find(query) else {
+            return;
+        };
         if !channel.connection.borrow().went_out(&id) {
             self.give_up(&channel, &id, Outcome::Cancelled);
         }
@@ -309,7 +391,9 @@
     fn give_up(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
-        let Some((submission, begun)) = connection.give_up(id, now) else { return };
+        let Some((submission, begun)) = connection.give_up(id, now) else {
+            return;
+        };
         // Nothing came for longer than notes take: the connection may be dead, and the next one will tell.
         let dead = begun && now - connection.heard.max(submission.sent) > self.quiet();
         connection.retired |= dead;
@@ -318,25 +402,45 @@
         if dead {
             self.fell_silent(channel.node, false);
         }
-        let Submission { query, number, sent, .. } = submission;
-        let outcome = if begun { outcome } else { Outcome::NoConnection };
+        let Submission {
+            query,
+            number,
+            sent,
+            ..
+        } = submission;
+        let outcome = if begun {
+            outcome
+        } else {
+            Outcome::NoConnection
+        };
         if outcome == Outcome::Cancelled {
             return self.given_up(query, number, outcome, channel.node, now - sent);
         }
-        self.closed(query, number, outcome, channel.node, now - sent, Pages::new());
+        self.closed(
+            query,
+            number,
+            outcome,
+            channel.node,
+            now - sent,
+            Pages::new(),
+        );
     }
 
     /// What idles at an engine that fell silent may be as dead, and where it can't be reached also what idles at the
     /// others of its hall: the next connections tell sooner whether they are there.
     fn fell_silent(&self, node: u64, unreached: bool) {
         let engines = self.engines.borrow();
-        let Some(silent) = engines.get(&node) else { return };
+        let Some(silent) = engines.get(&node) else {
+            return;
+        };
         let near = engines
             .iter()
             .filter(|(other, engine)| **other == node || unreached && engine.hall == silent.hall)
             .map(|(_, engine)| engine);
         let idle = |channel: &&Rc<Channel>| channel.connection.borrow().idles_since().is_finite();
-        near.flat_map(|engine| &engine.connections).filter(idle).for_each(|channel| channel.retire());
+        near.flat_map(|engine| &engine.connections)
+            .filter(idle)
+            .for_each(|channel| channel.retire());
     }
 
     /// No connection comes up: what went out on those that had idled, and told nothing since, has reached nobody
@@ -344,10 +448,15 @@
     fn not_there(&self, node: u64) {
         self.fell_silent(node, true);
         let engines = self.engines.borrow();
-        for channel in engines.get(&node).into_iter().flat_map(|engine| &engine.connections) {
+        for channel in engines
+            .get(&node)
+            .into_iter()
+            .flat_map(|engine| &engine.connections)
+        {
             let mut connection = channel.connection.borrow_mut();
             if connection.idled.is_some() && connection.out() > 0 {
-                connection.broken = Some((io::ErrorKind::NotConnected, "no other connection comes up"));
+                connection.broken =
+                    Some((io::ErrorKind::NotConnected, "no other connection comes up"));
                 channel.notify.notify();
             }
         }
@@ -365,23 +474,53 @@
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
         let Some(channel) = self.channel_for(node, &tag, true) else {
-            return self.exchange.happened(Event::Probed { node, outcome: Outcome::NoConnection });
+            return self.exchange.happened(Event::Probed {
+                node,
+                outcome: Outcome::NoConnection,
+            });
         };
-        channel.connection.borrow_mut().probe(tag, now, now + self.terms.connect_timeout);
+        channel
+            .connection
+            .borrow_mut()
+            .probe(tag, now, now + self.terms.connect_timeout);
         channel.notify.notify();
     }
 
-    fn closed(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages) {
+    fn closed(
+        &self,
+        query: u64,
+        submission: usize,
+        outcome: Outcome,
+        node: u64,
+        latency: f64,
+        pages: Pages,
+    ) {
         self.exchange.counters.ended(outcome);
         tracing::debug!(query, submission, engine = %format_args!("{node:08x}"), ?outcome, latency, "a submission ended");
-        self.exchange.happened(Event::Closed { query, submission, outcome, node, latency, pages });
+        self.exchange.happened(Event::Closed {
+            query,
+            submission,
+            outcome,
+            node,
+            latency,
+            pages,
+        });
     }
 
     /// The same for what was given up from here.
     fn given_up(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64) {
         self.exchange.counters.ended(outcome);
-        let event = Event::Closed { query, submission, outcome, node, latency, pages: Pages::new() };
-        self.settling.borrow_mut().push_back((self.clock.now() + SETTLES, event));
+        let event = Event::Closed {
+            query,
+            submission,
+            outcome,
+            node,
+            latency,
+            pages: Pages::new(),
+        };
+        self.settling
+            .borrow_mut()
+            .push_back((self.clock.now() + SETTLES, event));
         self.exchange.notify.notify();
     }
 
@@ -391,7 +530,12 @@
     pub fn hasten(&self, by: f64) {
         let engines = self.engines.borrow();
         for channel in engines.values().flat_map(|engine| &engine.connections) {
-            channel.connection.borrow_mut().submissions.values_mut().for_each(|s| s.until = s.until.min(by));
+            channel
+                .connection
+                .borrow_mut()
+                .submissions
+                .values_mut()
+                .for_each(|s| s.until = s.until.min(by));
         }
     }
 
@@ -405,11 +549,16 @@
         // Of those that idle at an engine the one used last may go on: all dispatchers together hold them there.
         let channels = |engine: &Engine| {
             let since = |channel: &Rc<Channel>| channel.connection.borrow().idles_since();
-            let last = engine.connections.iter().map(since).fold(f64::NEG_INFINITY, f64::max);
+            let last = engine
+                .connections
+                .iter()
+                .map(since)
+                .fold(f64::NEG_INFINITY, f64::max);
             let marked = |channel: &Rc<Channel>| (since(channel) >= last, channel.clone());
             engine.connections.iter().map(marked).collect::<Vec<_>>()
         };
-        let channels: Vec<(bool, Rc<Channel>)> = self.engines.borrow().values().flat_map(channels).collect();
+        let channels: Vec<(bool, Rc<Channel>)> =
+            self.engines.borrow().values().flat_map(channels).collect();
         let mut next = settling.front().map_or(f64::INFINITY, |(at, _)| *at);
         drop(settling);
         let longest = self.keep_alive.borrow_mut().longest(now);
@@ -418,19 +567,33 @@
         for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
-                let late =
-                    connection.submissions.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| id.clone());
+                let late = connection
+                    .submissions
+                    .iter()
+                    .filter(|(_, s)| s.until <= now)
+                    .map(|(id, _)| id.clone());
                 late.chain(connection.too_late_to_begin(now)).collect()
             };
-            late.iter().for_each(|id| self.give_up(&channel, id, Outcome::Timeout));
+            late.iter()
+                .for_each(|id| self.give_up(&channel, id, Outcome::Timeout));
             let mut connection = channel.connection.borrow_mut();
             let (heard, before) = (connection.heard, connection.probes.len());
-            let unheard = connection.probes.iter().any(|&(_, sent, until)| until <= now && heard <= sent);
+            let unheard = connection
+                .probes
+                .iter()
+                .any(|&(_, sent, until)| until <= now && heard <= sent);
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
-                self.exchange.happened(Event::Probed { node: channel.node, outcome: Outcome::Timeout });
+                self.exchange.happened(Event::Probed {
+                    node: channel.node,
+                    outcome: Outcome::Timeout,
+                });
             }
-            if connection.partial.take_if(|since| now - *since >= STALL).is_some() {
+            if connection
+                .partial
+                .take_if(|since| now - *since >= STALL)
+                .is_some()
+            {
                 connection.broken = Some((io::ErrorKind::InvalidData, "an answer stopped short"));
                 channel.notify.notify();
             }
@@ -441,7 +604,12 @@
             };
             if connection.check_at <= now {
                 connection.check_at = f64::INFINITY;
-                checks.extend(connection.idled.filter(|_| connection.out() > 0).map(|_| channel.node));
+                checks.extend(
+                    connection
+                        .idled
+                        .filter(|_| connection.out() > 0)
+                        .map(|_| channel.node),
+                );
             }
             let idle = connection.state == State::Up && connection.out() == 0;
             connection.retired |= unheard || idle && now - connection.used > idles;
@@ -452,10 +620,18 @@
                 }
                 channel.notify.notify();
             }
-            let ends =
-                |s: &Submission| s.until.min(if s.begin_by > now { s.begin_by } else { f64::INFINITY });
-            let times =
-                connection.submissions.values().map(ends).chain(connection.probes.iter().map(|p| p.2));
+            let ends = |s: &Submission| {
+                s.until.min(if s.begin_by > now {
+                    s.begin_by
+                } else {
+                    f64::INFINITY
+                })
+            };
+            let times = connection
+                .submissions
+                .values()
+                .map(ends)
+                .chain(connection.probes.iter().map(|p| p.2));
             let times = times.chain(connection.partial.map(|since| since + STALL));
             next = times.fold(next.min(connection.check_at), f64::min);
         }
@@ -466,15 +642,19 @@
     // ---- A connection's life ----
 
     async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
-        let timeout =
-            Duration::from_secs_f64((self.terms.connect_timeout / 1000.0).clamp(0.0, LONGEST_TIMEOUT));
+        let timeout = Duration::from_secs_f64(
+            (self.terms.connect_timeout / 1000.0).clamp(0.0, LONGEST_TIMEOUT),
+        );
         let too_long = |times: u32| async move {
             Timer::after(times * timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
         let mut connecting = std::pin::pin!(Async::<TcpStream>::connect(address));
         let mut connected = future::or(connecting.as_mut(), too_long(1)).await;
-        if connected.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::TimedOut) {
+        if connected
+            .as_ref()
+            .is_err_and(|e| e.kind() == io::ErrorKind::TimedOut)
+        {
             self.comes_late(&channel);
             connected = future::or(connecting, too_long(LATE_TIMES)).await;
         }
@@ -484,7 +664,11 @@
                     self.exchange.counters.connections_late_up.add();
                 }
                 channel.connection.borrow_mut().comes_up(self.clock.now());
-                self.engines.borrow_mut().get_mut(&channel.node).into_iter().for_each(|e| e.unreached = 0);
+                self.engines
+                    .borrow_mut()
+                    .get_mut(&channel.node)
+                    .into_iter()
+                    .for_each(|e| e.unreached = 0);
                 let _ = stream.get_ref().set_nodelay(true);
                 future::or(self.read(&channel, &stream), self.write(&channel, &stream)).await
             }
@@ -499,9 +683,13 @@
             let written = future::poll_fn(|context| {
                 while channel.notify.poll_notified(context).is_ready() {}
                 // The last look before a request begins to go out: none does past its time.
-                let late: Vec<Rc<str>> =
-                    channel.connection.borrow().too_late_to_begin(self.clock.now()).collect();
-                late.iter().for_each(|id| self.give_up(channel, id, Outcome::Timeout));
+                let late: Vec<Rc<str>> = channel
+                    .connection
+                    .borrow()
+                    .too_late_to_begin(self.clock.now())
+                    .collect();
+                late.iter()
+                    .for_each(|id| self.give_up(channel, id, Outcome::Timeout));
                 let connection = channel.connection.borrow();
                 if let Some((kind, what)) = connection.broken {
                     return Poll::Ready(Err(io::Error::new(kind, what)));
@@ -550,15 +738,32 @@
                 let heard = connection.hear(&frame, now);
                 drop(connection);
                 match heard {
-                    Heard::Closed { query, submission, outcome, sent, pages } => {
+                    Heard::Closed {
+                        query,
+                        submission,
+                        outcome,
+                        sent,
+                        pages,
+                    } => {
                         self.closed(query, submission, outcome, channel.node, now - sent, pages);
                     }
-                    Heard::Noted { query, submission, note, amount } => {
-                        self.exchange.happened(Event::Noted { query, submission, note, amount });
-                    }
-                    Heard::Probed(outcome) => {
-                        self.exchange.happened(Event::Probed { node: channel.node, outcome })
+                    Heard::Noted {
+                        query,
+                        submission,
+                        note,
+                        amount,
+                    } => {
+                        self.exchange.happened(Event::Noted {
+                            query,
+                            submission,
+                            note,
+                            amount,
+                        });
                     }
+                    Heard::Probed(outcome) => self.exchange.happened(Event::Probed {
+                        node: channel.node,
+                        outcome,
+                    }),
                     Heard::Spoilt(what) => return Err(spoilt(what)),
                     Heard::Nothing => {}
                 }
@@ -589,12 +794,19 @@
             let engine = format_args!("{:08x}", channel.node);
             tracing::warn!(%engine, waiting = waiting.len(), "a connection does not come up in its time");
         }
-        waiting.iter().for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
-        let probed = Event::Probed { node: channel.node, outcome: Outcome::NoConnection };
+        waiting
+            .iter()
+            .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
+        let probed = Event::Probed {
+            node: channel.node,
+            outcome: Outcome::NoConnection,
+        };
         (0..probes).for_each(|_| self.exchange.happened(probed.clone()));
         let unreached = {
             let mut engines = self.engines.borrow_mut();
-            let Some(engine) = engines.get_mut(&channel.node) else { return };
+            let Some(engine) = engines.get_mut(&channel.node) else {
+                return;
+            };
             engine.unreached += 1;
             engine.unreached
         };
@@ -612,7 +824,9 @@
             let connection = channel.connection.borrow();
             connection.idled.is_some() && connection.out() > 0
         };
-        engines.get(&node).is_some_and(|engine| engine.connections.iter().any(told_nothing))
+        engines
+            .get(&node)
+            .is_some_and(|engine| engine.connections.iter().any(told_nothing))
     }
 
     /// The connection is gone: what had gone out whole may have run, what had not never did.
@@ -620,7 +834,9 @@
         let now = self.clock.now();
         let mut engines = self.engines.borrow_mut();
         if let Some(engine) = engines.get_mut(&channel.node) {
-            engine.connections.retain(|other| !Rc::ptr_eq(other, channel));
+            engine
+                .connections
+                .retain(|other| !Rc::ptr_eq(other, channel));
             if engine.gone && engine.connections.is_empty() {
                 engines.remove(&channel.node);
             }
@@ -646,27 +862,51 @@
         }
         // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
         // idling and not of the engine, whose next connection will tell.
-        let idled =
-            connection.idled.filter(|&(_, sent)| was_up && !given_up && now - sent < keep_alive::LEAST);
+        let idled = connection
+            .idled
+            .filter(|&(_, sent)| was_up && !given_up && now - sent < keep_alive::LEAST);
         let idled = idled.filter(|_| !submissions.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
             self.exchange.counters.connections_lost_idle.add();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
-        let mut first = if idled.is_some() { Outcome::Cancelled } else { Outcome::Reset };
+        let mut first = if idled.is_some() {
+            Outcome::Cancelled
+        } else {
+            Outcome::Reset
+        };
         for (id, s) in submissions {
             let ran = was_up && connection.went_out(&id);
-            let outcome =
-                if ran { std::mem::replace(&mut first, Outcome::Cancelled) } else { Outcome::NoConnection };
+            let outcome = if ran {
+                std::mem::replace(&mut first, Outcome::Cancelled)
+            } else {
+                Outcome::NoConnection
+            };
             if given_up {
                 self.given_up(s.query, s.number, outcome, channel.node, now - s.sent);
             } else {
-                self.closed(s.query, s.number, outcome, channel.node, now - s.sent, Pages::new());
+                self.closed(
+                    s.query,
+                    s.number,
+                    outcome,
+                    channel.node,
+                    now - s.sent,
+                    Pages::new(),
+                );
             }
         }
-        let outcome = if was_up { Outcome::Reset } else { Outcome::NoConnection };
-        (0..probes).for_each(|_| self.exchange.happened(Event::Probed { node: channel.node, outcome }));
+        let outcome = if was_up {
+            Outcome::Reset
+        } else {
+            Outcome::NoConnection
+        };
+        (0..probes).for_each(|_| {
+            self.exchange.happened(Event::Probed {
+                node: channel.node,
+                outcome,
+            })
+        });
     }
 }
 
@@ -680,8 +920,12 @@
 /// The connection that has idled longest.
 fn idlest(engines: &FxHashMap<u64, Engine>) -> Option<Rc<Channel>> {
     let since = |channel: &Rc<Channel>| channel.connection.borrow().idles_since();
-    let idle = engines.values().flat_map(|engine| &engine.connections).filter(|c| since(c).is_finite());
-    idle.min_by(|a, b| since(a).total_cmp(&since(b)).then(a.node.cmp(&b.node))).cloned()
+    let idle = engines
+        .values()
+        .flat_map(|engine| &engine.connections)
+        .filter(|c| since(c).is_finite());
+    idle.min_by(|a, b| since(a).total_cmp(&since(b)).then(a.node.cmp(&b.node)))
+        .cloned()
 }
 
 fn spoilt(what: &'static str) -> io::Error {
@@ -690,7 +934,12 @@
 
 /// The fields of a request to an engine: what is not said is left to it.
 fn fields_of(q: &Query, limit: f64) -> String {
-    let mut fields = format!("cls={},limit={}{}", q.rg, limit.floor().max(1.0) as u64, q.marks);
+    let mut fields = format!(
+        "cls={},limit={}{}",
+        q.rg,
+        limit.floor().max(1.0) as u64,
+        q.marks
+    );
     if let Some((priority, memory)) = q.granted {
         if memory > 0.0 {
             fields += &format!(",mb={memory:.3}");
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -39,7 +39,8 @@
     }
     match rest.get(1 + digits..) {
         Some([b'\r', b'\n', ..]) if digits > 0 => {
-            let text = std::str::from_utf8(&rest[1..=digits]).map_err(|_| "a length is no number")?;
+            let text =
+                std::str::from_utf8(&rest[1..=digits]).map_err(|_| "a length is no number")?;
             let value = text.parse().map_err(|_| "a length is no number")?;
             Ok(Some((value, at + digits + 3)))
         }
@@ -50,13 +51,17 @@
 
 /// The array at the start of `bytes`; none while it has not come whole.
 pub fn parse(bytes: &[u8]) -> Result<Option<Frame<'_>>, &'static str> {
-    let Some((count, mut at)) = number(bytes, 0, b'*')? else { return Ok(None) };
+    let Some((count, mut at)) = number(bytes, 0, b'*')? else {
+        return Ok(None);
+    };
     if count > MOST_PARTS {
         return Err("an array has too many parts");
     }
     let mut parts: [&[u8]; MOST_PARTS] = [b""; MOST_PARTS];
     for part in &mut parts[..count] {
-        let Some((length, start)) = number(bytes, at, b'$')? else { return Ok(None) };
+        let Some((length, start)) = number(bytes, at, b'$')? else {
+            return Ok(None);
+        };
         if length > MOST_PART {
             return Err("a bulk string is too long");
         }
@@ -69,7 +74,11 @@
         *part = &bytes[start..end];
         at = end + 2;
     }
-    Ok(Some(Frame { parts, count, size: at }))
+    Ok(Some(Frame {
+        parts,
+        count,
+        size: at,
+    }))
 }
 
 /// Writes an array of `parts`, or its beginning where `more` is the length of a last part that follows.
@@ -88,7 +97,9 @@
 /// The value of `name` in a list of fields `name=value,name=value`.
 pub fn field<'a>(fields: &'a [u8], name: &str) -> Option<&'a str> {
     let text = std::str::from_utf8(fields).ok()?;
-    text.split(',').find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name)).map(|(_, value)| value)
+    text.split(',')
+        .find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name))
+        .map(|(_, value)| value)
 }
 
 #[cfg(test)]
--- a/crates/dispatcher/src/engine/resp/tests.rs
+++ b/crates/dispatcher/src/engine/resp/tests.rs
@@ -3,16 +3,26 @@
 #[test]
 fn an_array_is_read_once_it_is_whole_however_it_is_split() {
     let mut bytes = Vec::new();
-    write(&mut bytes, &[b"9b1f", b"DONE", b"batches=2,x=1", b"a\tb\r\nc"], None);
+    write(
+        &mut bytes,
+        &[b"9b1f", b"DONE", b"batches=2,x=1", b"a\tb\r\nc"],
+        None,
+    );
     let size = bytes.len();
     for end in 0..size {
         assert_eq!(parse(&bytes[..end]), Ok(None), "{end}");
     }
     bytes.extend_from_slice(b"*1\r\n");
     let frame = parse(&bytes).unwrap().unwrap();
-    assert_eq!(frame.parts(), [b"9b1f".as_slice(), b"DONE", b"batches=2,x=1", b"a\tb\r\nc"]);
+    assert_eq!(
+        frame.parts(),
+        [b"9b1f".as_slice(), b"DONE", b"batches=2,x=1", b"a\tb\r\nc"]
+    );
     assert_eq!((frame.size, frame.part(7)), (size, b"".as_slice()));
-    assert_eq!((field(frame.part(2), "batches"), field(frame.part(2), "y")), (Some("2"), None));
+    assert_eq!(
+        (field(frame.part(2), "batches"), field(frame.part(2), "y")),
+        (Some("2"), None)
+    );
 }
 
 #[test]
--- a/crates/dispatcher/src/engine/rows.rs
+++ b/crates/dispatcher/src/engine/rows.rs
@@ -6,7 +6,9 @@
 /// or the last one is cut off.
 pub fn json_rows(page: &[u8]) -> Option<Vec<u8>> {
     let text = std::str::from_utf8(page).ok()?;
-    let Some(rows) = text.strip_suffix('\n') else { return text.is_empty().then(Vec::new) };
+    let Some(rows) = text.strip_suffix('\n') else {
+        return text.is_empty().then(Vec::new);
+    };
     let mut json = Vec::with_capacity(page.len() + page.len() / 2 + 8);
     for (r, row) in rows.split('\n').enumerate() {
         if row.bytes().filter(|b| *b == b'\t').count() + 1 != COLUMNS {
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -2,11 +2,23 @@
 use crate::exchange::{Asked, Marks, Slot};
 use tansymux::interface::Text;
 
-const LONG: Bounds = Bounds { until: 1e15, begin_by: 1e15, harmless: true };
+const LONG: Bounds = Bounds {
+    until: 1e15,
+    begin_by: 1e15,
+    harmless: true,
+};
 
 fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> Listed {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
-    Listed { node: 7, address, kind: "std".into(), hall: "h".into(), cell: 0, status, started }
+    Listed {
+        node: 7,
+        address,
+        kind: "std".into(),
+        hall: "h".into(),
+        cell: 0,
+        status,
+        started,
+    }
 }
 
 /// A submission that waits for its connection, which stays coming up, as no task runs.
@@ -25,7 +37,20 @@
     let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
     let (text, shape, marks) = (Text::UNREAD, None, Marks::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
-    let asked = Asked { id, rg, customer, statement, since, due, cost, memory, tables, text, shape, marks };
+    let asked = Asked {
+        id,
+        rg,
+        customer,
+        statement,
+        since,
+        due,
+        cost,
+        memory,
+        tables,
+        text,
+        shape,
+        marks,
+    };
     let (query, slot) = exchange.take(&asked).unwrap();
     exchange.submit(query, 7, bounds);
     side.carry_out();
@@ -34,7 +59,15 @@
 
 /// Whether its end was told, as of one that never ran.
 fn taken_back(exchange: &Exchange) -> bool {
-    let closed = |e: Event| matches!(e, Event::Closed { outcome: Outcome::NoConnection, .. });
+    let closed = |e: Event| {
+        matches!(
+            e,
+            Event::Closed {
+                outcome: Outcome::NoConnection,
+                ..
+            }
+        )
+    };
     std::iter::from_fn(|| exchange.next_event()).any(closed)
 }
 
@@ -67,11 +100,16 @@
 
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (exchange, side, ..) = waiting(Bounds { begin_by: Clock::start().now() + 30.0, ..LONG });
+    let (exchange, side, ..) = waiting(Bounds {
+        begin_by: Clock::start().now() + 30.0,
+        ..LONG
+    });
     let next = side.sweep();
     assert!(!taken_back(&exchange));
     // The sweep itself tells when it is due again.
-    std::thread::sleep(Duration::from_secs_f64((next - side.clock.now()).max(0.0) / 1000.0 + 0.001));
+    std::thread::sleep(Duration::from_secs_f64(
+        (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
+    ));
     side.sweep();
     assert!(taken_back(&exchange));
 }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -34,13 +34,44 @@
 /// What came in since the last round.
 #[derive(Debug, Clone)]
 pub enum Event {
-    Query { query: u64, customer: Rc<str>, key: Option<u64>, cost: f64, memory: f64, tables: u32, text: Text },
-    Vanished { query: u64 },
-    Closed { query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64, pages: Pages },
-    Noted { query: u64, submission: usize, note: Note, amount: f64 },
-    Probed { node: u64, outcome: Outcome },
-    List { form: ListForm, engines: Vec<Listed> },
-    Told { peer: u32, content: Vec<u8> },
+    Query {
+        query: u64,
+        customer: Rc<str>,
+        key: Option<u64>,
+        cost: f64,
+        memory: f64,
+        tables: u32,
+        text: Text,
+    },
+    Vanished {
+        query: u64,
+    },
+    Closed {
+        query: u64,
+        submission: usize,
+        outcome: Outcome,
+        node: u64,
+        latency: f64,
+        pages: Pages,
+    },
+    Noted {
+        query: u64,
+        submission: usize,
+        note: Note,
+        amount: f64,
+    },
+    Probed {
+        node: u64,
+        outcome: Outcome,
+    },
+    List {
+        form: ListForm,
+        engines: Vec<Listed>,
+    },
+    Told {
+        peer: u32,
+        content: Vec<u8>,
+    },
 }
 
 /// What was decided and waits for the engine side.
@@ -140,7 +171,9 @@
         self.known.insert(id.clone());
         self.order.push_back(id);
         if self.order.len() > MOST_PAST {
-            self.order.pop_front().map(|oldest| self.known.remove(&oldest));
+            self.order
+                .pop_front()
+                .map(|oldest| self.known.remove(&oldest));
         }
     }
 }
@@ -173,7 +206,9 @@
 impl Marks<'_> {
     /// Both as fields of a request to an engine, each with a comma before it.
     fn fields(&self) -> Rc<str> {
-        let field = |name: &str, value: Option<&str>| value.map_or(String::new(), |v| format!(",{name}={v}"));
+        let field = |name: &str, value: Option<&str>| {
+            value.map_or(String::new(), |v| format!(",{name}={v}"))
+        };
         format!("{}{}", field("nonce", self.token), field("item", self.key)).into()
     }
 }
@@ -240,10 +275,27 @@
         self.queries.borrow_mut().insert(number, query);
         self.ids.borrow_mut().insert(id, number);
         self.counters.taken.add();
-        let &Asked { cost, memory, tables, text, .. } = asked;
+        let &Asked {
+            cost,
+            memory,
+            tables,
+            text,
+            ..
+        } = asked;
         let customer = asked.customer.into();
-        let key = asked.marks.key.and_then(|key| u64::from_str_radix(key, 16).ok());
-        self.happened(Event::Query { query: number, customer, key, cost, memory, tables, text });
+        let key = asked
+            .marks
+            .key
+            .and_then(|key| u64::from_str_radix(key, 16).ok());
+        self.happened(Event::Query {
+            query: number,
+            customer,
+            key,
+            cost,
+            memory,
+            tables,
+            text,
+        });
         Ok((number, slot))
     }
 
@@ -276,7 +328,10 @@
     /// Cuts the time of all queries, and of those still to come, to `by`.
     pub fn hasten(&self, by: f64) {
         self.ends.set(by);
-        self.queries.borrow_mut().values_mut().for_each(|q| q.due = q.due.min(by));
+        self.queries
+            .borrow_mut()
+            .values_mut()
+            .for_each(|q| q.due = q.due.min(by));
     }
 
     pub fn next_event(&self) -> Option<Event> {
@@ -289,7 +344,9 @@
 
     /// Every final answer passes here, once: false if one was given or none is owed.
     pub fn answer(&self, number: u64, answer: Answer) -> bool {
-        let Some(slot) = self.ends(number) else { return false };
+        let Some(slot) = self.ends(number) else {
+            return false;
+        };
         match answer {
             Answer::Finished(_) => &self.counters.finished,
             Answer::Deferred(_) => &self.counters.deferred,
@@ -315,20 +372,28 @@
         let q = queries.get_mut(&number)?;
         let slot = q.slot.take()?;
         if q.out {
-            self.orders.borrow_mut().push_back(Order::Withdraw { query: number });
+            self.orders
+                .borrow_mut()
+                .push_back(Order::Withdraw { query: number });
         }
         Some(slot)
     }
 
     /// Whether the query's final answer was given, or none is owed.
     pub fn over(&self, number: u64) -> bool {
-        self.queries.borrow().get(&number).is_none_or(|q| q.slot.is_none())
+        self.queries
+            .borrow()
+            .get(&number)
+            .is_none_or(|q| q.slot.is_none())
     }
 
     /// Every submission passes here: none for a query that is over, or has one out.
     pub fn submit(&self, number: u64, node: u64, bounds: Bounds) {
         let mut queries = self.queries.borrow_mut();
-        let Some(q) = queries.get_mut(&number).filter(|q| q.slot.is_some() && !q.out) else {
+        let Some(q) = queries
+            .get_mut(&number)
+            .filter(|q| q.slot.is_some() && !q.out)
+        else {
             tracing::error!(
                 query = number,
                 "a submission for a query that is over or has one out was not sent"
@@ -338,7 +403,12 @@
         let submission = q.submissions;
         (q.submissions, q.out, q.waited, q.node) = (submission + 1, true, false, node);
         self.counters.submissions.add();
-        self.orders.borrow_mut().push_back(Order::Submit { query: number, submission, node, bounds });
+        self.orders.borrow_mut().push_back(Order::Submit {
+            query: number,
+            submission,
+            node,
+            bounds,
+        });
     }
 
     /// The submission that is out waits for something.
@@ -349,7 +419,10 @@
     }
 
     pub fn cancel(&self, number: u64, submission: usize) {
-        self.orders.borrow_mut().push_back(Order::Cancel { query: number, submission });
+        self.orders.borrow_mut().push_back(Order::Cancel {
+            query: number,
+            submission,
+        });
     }
 
     pub fn probe(&self, node: u64) {
@@ -360,10 +433,15 @@
     /// Names what the next submissions get; one that is out takes on a new priority.
     pub fn grant(&self, number: u64, priority: u8, memory: f64) {
         let mut queries = self.queries.borrow_mut();
-        let Some(q) = queries.get_mut(&number) else { return };
+        let Some(q) = queries.get_mut(&number) else {
+            return;
+        };
         let before = q.granted.replace((priority, memory));
         if q.out && before.is_some_and(|(p, _)| p != priority) {
-            self.orders.borrow_mut().push_back(Order::Renice { query: number, priority });
+            self.orders.borrow_mut().push_back(Order::Renice {
+                query: number,
+                priority,
+            });
         }
     }
 
@@ -378,10 +456,14 @@
     /// Forgets a query that is over and has no submission out.
     pub fn leave(&self, number: u64) {
         let mut queries = self.queries.borrow_mut();
-        if queries.get(&number).is_some_and(|q| q.slot.is_none() && !q.out) {
+        if queries
+            .get(&number)
+            .is_some_and(|q| q.slot.is_none() && !q.out)
+        {
             if let Some(q) = queries.remove(&number) {
                 self.ids.borrow_mut().remove(&q.id);
-                self.bytes.set(self.bytes.get().saturating_sub(q.statement.len()));
+                self.bytes
+                    .set(self.bytes.get().saturating_sub(q.statement.len()));
                 if q.submissions > 0 {
                     self.past.borrow_mut().keep(q.id);
                 }
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -1,6 +1,10 @@
 use super::*;
 
-const BOUNDS: Bounds = Bounds { until: 90.0, begin_by: 90.0, harmless: true };
+const BOUNDS: Bounds = Bounds {
+    until: 90.0,
+    begin_by: 90.0,
+    harmless: true,
+};
 const ASKED: Asked = Asked {
     id: "9b1f03aa5c7e2d41",
     rg: "look",
@@ -13,7 +17,10 @@
     tables: 1,
     text: Text::UNREAD,
     shape: None,
-    marks: Marks { token: None, key: None },
+    marks: Marks {
+        token: None,
+        key: None,
+    },
 };
 
 #[test]
@@ -23,10 +30,17 @@
     assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::InHand));
     exchange.submit(query, 7, BOUNDS);
     exchange.submit(query, 8, BOUNDS);
-    let first = Order::Submit { query, submission: 0, node: 7, bounds: BOUNDS };
+    let first = Order::Submit {
+        query,
+        submission: 0,
+        node: 7,
+        bounds: BOUNDS,
+    };
     assert_eq!(exchange.next_order(), Some(first));
     assert_eq!(exchange.next_order(), None);
-    assert!(exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0)));
+    assert!(
+        exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0))
+    );
     assert!(matches!(slot.take(), Some(Answer::Killed)));
     // What has not gone out of it by now does not any more, whatever the settings say of cancels.
     assert_eq!(exchange.next_order(), Some(Order::Withdraw { query }));
@@ -43,7 +57,10 @@
 fn statements_beyond_the_room_are_turned_away_until_others_end() {
     let exchange = Exchange::new(ASKED.statement.len() + 1);
     let (query, _slot) = exchange.take(&ASKED).unwrap();
-    let second = Asked { id: "9b1f03aa5c7e2d42", ..ASKED };
+    let second = Asked {
+        id: "9b1f03aa5c7e2d42",
+        ..ASKED
+    };
     assert_eq!(exchange.take(&second).map(|_| ()), Err(NotTaken::NoRoom));
     exchange.answer(query, Answer::Killed);
     assert!(exchange.take(&second).is_ok());
@@ -57,7 +74,10 @@
     exchange.vanished(query);
     assert!(!exchange.answer(query, Answer::Killed) && slot.take().is_none());
     let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
-    assert!(matches!(events[..], [Event::Query { .. }, Event::Vanished { .. }]));
+    assert!(matches!(
+        events[..],
+        [Event::Query { .. }, Event::Vanished { .. }]
+    ));
     exchange.leave(query);
     assert_eq!(exchange.in_hand(), 0);
 }
@@ -70,5 +90,8 @@
     exchange.submit(query, 7, BOUNDS);
     exchange.grant(query, 1, 0.0);
     exchange.next_order();
-    assert_eq!(exchange.next_order(), Some(Order::Renice { query, priority: 1 }));
+    assert_eq!(
+        exchange.next_order(),
+        Some(Order::Renice { query, priority: 1 })
+    );
 }
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -56,17 +56,26 @@
     /// # Errors
     /// The address can't be bound.
     pub fn start(
-        told: Option<&schema::Fleet>, settings: &Map, clock: Clock, exchange: Rc<Exchange>, seed: u64,
+        told: Option<&schema::Fleet>,
+        settings: &Map,
+        clock: Clock,
+        exchange: Rc<Exchange>,
+        seed: u64,
     ) -> Result<Option<Rc<Self>>, String> {
         let Some(told) = told else { return Ok(None) };
-        let turn =
-            std::env::var(TURN_VARIABLE).ok().and_then(|turn| u64::from_str_radix(turn.trim(), 16).ok());
-        let mut own =
-            tansymux_operator::fleet(told, turn.unwrap_or(0)).ok_or("fleet: a needed key is missing")?;
+        let turn = std::env::var(TURN_VARIABLE)
+            .ok()
+            .and_then(|turn| u64::from_str_radix(turn.trim(), 16).ok());
+        let mut own = tansymux_operator::fleet(told, turn.unwrap_or(0))
+            .ok_or("fleet: a needed key is missing")?;
         let hall = settings.get("zone").map_or(0, |hall| number_of(hall));
         own.zones.iter_mut().for_each(|(zone, _)| *zone = hall);
-        let listen: SocketAddr = told.listen().parse().map_err(|e| format!("fleet.listen: {e}"))?;
-        let socket = Async::<UdpSocket>::bind(listen).map_err(|e| format!("fleet.listen {listen}: {e}"))?;
+        let listen: SocketAddr = told
+            .listen()
+            .parse()
+            .map_err(|e| format!("fleet.listen: {e}"))?;
+        let socket =
+            Async::<UdpSocket>::bind(listen).map_err(|e| format!("fleet.listen {listen}: {e}"))?;
         // The seed of the decisions is told by the platform and may come again; a life of a member may not.
         let seed = seed ^ (clock.now() * 1000.0) as u64 ^ u64::from(std::process::id()) << 32;
         let side = Rc::new(FleetSide {
@@ -88,7 +97,11 @@
             stand: Cell::default(),
         });
         let reports = side.clone();
-        exchange.counters.more.borrow_mut().push(Box::new(move |text| reports.report(text)));
+        exchange
+            .counters
+            .more
+            .borrow_mut()
+            .push(Box::new(move |text| reports.report(text)));
         Ok(Some(side))
     }
 
@@ -96,11 +109,15 @@
     pub fn set(&self, told: Option<&schema::Fleet>) {
         let own = told.and_then(|told| tansymux_operator::fleet(told, 0));
         let (Some(told), Some(own)) = (told, own) else {
-            return tracing::warn!("the fleet stays as it was: the operators' file tells of none any more");
+            return tracing::warn!(
+                "the fleet stays as it was: the operators' file tells of none any more"
+            );
         };
         self.bad.set(terms_of(told));
         self.version.set(version_of(told));
-        self.fleet.borrow_mut().set(own.told, own.keys, own.zones.map(|(_, zones)| zones));
+        self.fleet
+            .borrow_mut()
+            .set(own.told, own.keys, own.zones.map(|(_, zones)| zones));
     }
 
     /// Hears and tells until dropped.
@@ -124,7 +141,9 @@
                 Some(Ok((count, from))) => {
                     self.hears(from, &bytes[..count]);
                     for _ in 1..MOST_AT_ONCE {
-                        let Ok((count, from)) = self.socket.get_ref().recv_from(&mut bytes) else { break };
+                        let Ok((count, from)) = self.socket.get_ref().recv_from(&mut bytes) else {
+                            break;
+                        };
                         self.hears(from, &bytes[..count]);
                     }
                 }
@@ -140,7 +159,9 @@
 
     fn hears(&self, from: SocketAddr, bytes: &[u8]) {
         self.heard.set(self.heard.get() + 1);
-        self.fleet.borrow_mut().handle(self.clock.now(), from, bytes);
+        self.fleet
+            .borrow_mut()
+            .handle(self.clock.now(), from, bytes);
     }
 
     /// Sends what is due; when to look again.
@@ -201,7 +222,11 @@
             }
         }
         listed.sort_by_key(|engine| engine.node);
-        let cores = |kind: &str| self.settings.of_kind(kind, "family-info.cores-by-kind").unwrap_or(1.0);
+        let cores = |kind: &str| {
+            self.settings
+                .of_kind(kind, "family-info.cores-by-kind")
+                .unwrap_or(1.0)
+        };
         let unit = |engine: &Listed| Unit {
             id: engine.node,
             hall: number_of(&engine.hall),
@@ -212,7 +237,10 @@
         let units: Vec<Unit> = listed.iter().map(unit).collect();
         let mut fleet = self.fleet.borrow_mut();
         fleet.engines(&units);
-        for engine in engines.iter_mut().filter(|engine| engine.status == EngineStatus::Ready) {
+        for engine in engines
+            .iter_mut()
+            .filter(|engine| engine.status == EngineStatus::Ready)
+        {
             if fleet.engine_out(engine.node).is_some() {
                 engine.status = EngineStatus::Draining;
             }
@@ -228,10 +256,21 @@
         let counters = &self.exchange.counters;
         let good = counters.finished.get() as u32;
         let all = good.wrapping_add((counters.killed.get() + counters.deferred.get()) as u32);
-        let bad = self.bad.get().and_then(|terms| self.evidence.borrow_mut().bad(now, &terms));
+        let bad = self
+            .bad
+            .get()
+            .and_then(|terms| self.evidence.borrow_mut().bad(now, &terms));
         let mut fleet = self.fleet.borrow_mut();
         let (hall, version) = (self.hall, self.version.get());
-        fleet.says(Own { hall, version, busy, threads, good, all, bad });
+        fleet.says(Own {
+            hall,
+            version,
+            busy,
+            threads,
+            good,
+            all,
+            bad,
+        });
         let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
         if self.stand.replace(Some(leads)) != Some(leads) {
             tracing::info!(leads, "leads the fleet, or no more");
@@ -251,7 +290,10 @@
                 (true, false) => {
                     tracing::info!(engine = %format_args!("{:08x}", engine.node), "an engine is back by agreement");
                     // As one that starts: all dispatchers come back to it at once.
-                    changed.push(Listed { started: Some(now), ..engine.clone() });
+                    changed.push(Listed {
+                        started: Some(now),
+                        ..engine.clone()
+                    });
                 }
                 _ => {}
             }
@@ -273,7 +315,12 @@
             ("fleet_leader_known", u64::from(leader.is_some())),
             ("fleet_halted", u64::from(fleet.agent().halt().is_some())),
             ("fleet_engines_out", fleet.engines_out() as u64),
-            ("fleet_zones_out", fleet.zoned().map_or(0, |zoned| zoned.guide.known().count() as u64)),
+            (
+                "fleet_zones_out",
+                fleet
+                    .zoned()
+                    .map_or(0, |zoned| zoned.guide.known().count() as u64),
+            ),
             ("fleet_datagrams_sent", self.sent.get()),
             ("fleet_datagrams_heard", self.heard.get()),
         ] {
@@ -283,7 +330,10 @@
 }
 
 fn terms_of(told: &schema::Fleet) -> Option<Terms> {
-    told.ejection.as_ref().map(|ejection| Terms { ends: ejection.ends(), part: ejection.part() })
+    told.ejection.as_ref().map(|ejection| Terms {
+        ends: ejection.ends(),
+        part: ejection.part(),
+    })
 }
 
 fn version_of(told: &schema::Fleet) -> u32 {
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -37,8 +37,12 @@
 impl Halls {
     pub fn new(settings: &Map) -> Self {
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
-        let name =
-            |i| settings.get(&format!("{}.name", told::item_of("services", i))).cloned().unwrap_or_default();
+        let name = |i| {
+            settings
+                .get(&format!("{}.name", told::item_of("services", i)))
+                .cloned()
+                .unwrap_or_default()
+        };
         Halls {
             on: RefCell::default(),
             own: settings.get("zone").cloned().unwrap_or_default(),
@@ -80,9 +84,17 @@
         for engine in engines {
             listed.retain(|known| known.node != engine.node);
             if engine.status != EngineStatus::Gone {
-                let cores = self.settings.of_kind(&engine.kind, "family-info.cores-by-kind").unwrap_or(1.0);
+                let cores = self
+                    .settings
+                    .of_kind(&engine.kind, "family-info.cores-by-kind")
+                    .unwrap_or(1.0);
                 let ready = engine.status == EngineStatus::Ready;
-                listed.push(Engine { node: engine.node, hall: engine.hall.clone(), cores, ready });
+                listed.push(Engine {
+                    node: engine.node,
+                    hall: engine.hall.clone(),
+                    cores,
+                    ready,
+                });
             }
         }
         listed.sort_by_key(|engine| engine.node);
@@ -122,7 +134,13 @@
                 Reached::Cut => Reach::Cut,
                 Reached::Unknown => Reach::Unknown,
             };
-            Evidence { zone: tansymux_operator::number_of(name), reach, threads: threads as f32, good, bad }
+            Evidence {
+                zone: tansymux_operator::number_of(name),
+                reach,
+                threads: threads as f32,
+                good,
+                bad,
+            }
         };
         judge.reaches().map(of).collect()
     }
@@ -136,9 +154,15 @@
                 Use::Closed => 0.0,
                 Use::Part(part) => part,
             };
-            hall.state = if part > 0.0 { HallState::Climbing(part) } else { HallState::Cut };
+            hall.state = if part > 0.0 {
+                HallState::Climbing(part)
+            } else {
+                HallState::Cut
+            };
             for engine in &mut plan.engines {
-                let of = listed.iter().find(|e| e.node == engine.node && e.hall == hall.name);
+                let of = listed
+                    .iter()
+                    .find(|e| e.node == engine.node && e.hall == hall.name);
                 if let Some(of) = of {
                     engine.threads = of.cores * whole * part;
                 }
@@ -156,7 +180,12 @@
     }
 
     /// Looks at the evidence where it is time; what is to be told to peers.
-    pub fn look(&self, now: f64, control: &mut Control, fleet: Option<&FleetSide>) -> Option<Vec<u8>> {
+    pub fn look(
+        &self,
+        now: f64,
+        control: &mut Control,
+        fleet: Option<&FleetSide>,
+    ) -> Option<Vec<u8>> {
         let mut on = self.on.borrow_mut();
         let judge = on.as_mut()?;
         if now - self.looked.get() < LOOK_EVERY {
@@ -166,12 +195,17 @@
         judge.look(now);
         for change in judge.changes() {
             self.changes.set(self.changes.get() + 1);
-            let Changed { hall, state, why, .. } = change;
+            let Changed {
+                hall, state, why, ..
+            } = change;
             tracing::warn!(hall, state = %state_name(state), why = ?why, "a hall's state changed");
         }
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
-            fleet.sees(Halls::evidence(judge, control.threads_out() + LEAST_DEMAND), judge.alone());
+            fleet.sees(
+                Halls::evidence(judge, control.threads_out() + LEAST_DEMAND),
+                judge.alone(),
+            );
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
         }
         control.plan_halls(Some(&given(&plan)));
@@ -207,13 +241,29 @@
     /// All that there is to show, as JSON.
     pub fn shown(&self, now: f64, spilled: impl Fn(&str) -> f64) -> Value {
         let on = self.on.borrow();
-        let Some(judge) = on.as_ref() else { return json!({"defined": false}) };
+        let Some(judge) = on.as_ref() else {
+            return json!({"defined": false});
+        };
         let plan = judge.plan(&self.own, &self.groups);
-        let number = |value: f64| if value.is_finite() { json!(value) } else { Value::Null };
+        let number = |value: f64| {
+            if value.is_finite() {
+                json!(value)
+            } else {
+                Value::Null
+            }
+        };
         let hall = |hall: &tansymux_halls::HallPlan| {
-            let part = if let HallState::Climbing(part) = hall.state { json!(part) } else { Value::Null };
-            let ranks: Value =
-                self.groups.iter().cloned().zip(hall.ranks.iter().map(|rank| json!(rank))).collect();
+            let part = if let HallState::Climbing(part) = hall.state {
+                json!(part)
+            } else {
+                Value::Null
+            };
+            let ranks: Value = self
+                .groups
+                .iter()
+                .cloned()
+                .zip(hall.ranks.iter().map(|rank| json!(rank)))
+                .collect();
             json!({"hall": hall.name, "state": state_name(hall.state), "part": part, "rank": ranks,
                 "spilled_threads": spilled(&hall.name), "spill_most": number(hall.spill)})
         };
@@ -253,7 +303,11 @@
     };
     Given {
         halls: plan.halls.iter().map(hall).collect(),
-        engines: plan.engines.iter().map(|engine| (engine.node, engine.threads)).collect(),
+        engines: plan
+            .engines
+            .iter()
+            .map(|engine| (engine.node, engine.threads))
+            .collect(),
         cross_retries: plan.cross_retries,
         alone: plan.alone,
     }
