--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -50,12 +50,22 @@
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
         let group = |i: usize| {
             let item = told::item_of("services", i);
-            let threads =
-                settings.list("family-info.dop").get(i).and_then(|n| n.parse().ok()).unwrap_or(1.0f64);
-            let target = settings.millis(&format!("{item}.aim-us")).unwrap_or(f64::INFINITY);
-            let stretch = settings.number(&format!("{item}.aim-stretch")).unwrap_or(0.0);
+            let threads = settings
+                .list("family-info.dop")
+                .get(i)
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(1.0f64);
+            let target = settings
+                .millis(&format!("{item}.aim-us"))
+                .unwrap_or(f64::INFINITY);
+            let stretch = settings
+                .number(&format!("{item}.aim-stretch"))
+                .unwrap_or(0.0);
             (
-                settings.get(&format!("{item}.name")).cloned().unwrap_or_default(),
+                settings
+                    .get(&format!("{item}.name"))
+                    .cloned()
+                    .unwrap_or_default(),
                 target,
                 stretch,
                 threads.max(1.0),
@@ -75,7 +85,9 @@
     /// Takes on what the operators' file says; it was checked before. Without levels the decisions get back what
     /// they had.
     pub fn set(&self, told: Option<&schema::Levels>, now: f64, control: &mut Control) {
-        let definition = told.map(tansymux_operator::definition).filter(|d| !d.levels.is_empty());
+        let definition = told
+            .map(tansymux_operator::definition)
+            .filter(|d| !d.levels.is_empty());
         let mut on = self.on.borrow_mut();
         match (on.as_mut(), definition) {
             (_, None) => {
@@ -95,29 +107,46 @@
             (None, Some(definition)) => *on = Some(self.begin(definition)),
         }
         if let (Some(on), Some(told)) = (on.as_mut(), told) {
-            on.machine.pin(told.pin.as_deref(), now + told.pin_for_s() * 1000.0);
+            on.machine
+                .pin(told.pin.as_deref(), now + told.pin_for_s() * 1000.0);
             if let Some(level) = &told.pin {
-                tracing::info!(level, seconds = told.pin_for_s(), "a service level is pinned");
+                tracing::info!(
+                    level,
+                    seconds = told.pin_for_s(),
+                    "a service level is pinned"
+                );
             }
         }
-        control.reduced =
-            on.as_ref().map_or_else(Reduced::default, |on| self.reduced(&on.machine.reduction()));
+        control.reduced = on
+            .as_ref()
+            .map_or_else(Reduced::default, |on| self.reduced(&on.machine.reduction()));
     }
 
     fn begin(&self, definition: Definition) -> On {
         let signals = definition.signals();
         let readings = vec![f64::NAN; signals.len()];
-        On { machine: Machine::new(definition), signals, readings, windows: Windows::new(self.groups.len()) }
+        On {
+            machine: Machine::new(definition),
+            signals,
+            readings,
+            windows: Windows::new(self.groups.len()),
+        }
     }
 
     fn group(&self, name: &str) -> Option<usize> {
-        self.groups.iter().position(|(known, ..)| told::is_named(known, name))
+        self.groups
+            .iter()
+            .position(|(known, ..)| told::is_named(known, name))
     }
 
     /// What a level asks for, with groups by their index.
     fn reduced(&self, asked: &Reduction) -> Reduced {
         let part = |(name, ..): &(String, f64, f64, f64)| {
-            asked.classes.iter().find(|(asked, _)| told::is_named(name, asked)).map_or(1.0, |(_, part)| *part)
+            asked
+                .classes
+                .iter()
+                .find(|(asked, _)| told::is_named(name, asked))
+                .map_or(1.0, |(_, part)| *part)
         };
         Reduced {
             bounds: asked.bounds,
@@ -161,8 +190,10 @@
         }
         self.looked.set(now);
         for (signal, reading) in on.signals.iter().zip(&mut on.readings) {
-            let class =
-                |name: &Option<String>| name.as_deref().map(|name| self.group(name).unwrap_or(usize::MAX));
+            let class = |name: &Option<String>| {
+                name.as_deref()
+                    .map(|name| self.group(name).unwrap_or(usize::MAX))
+            };
             *reading = match signal {
                 Signal::Pressed(hall) => control.part_pressed(hall.as_deref()),
                 Signal::BoundsUsed => control.part_of_bounds(),
@@ -185,10 +216,12 @@
     fn memory_part(&self, now: f64) -> f64 {
         if now - self.memory_read.get() >= MEMORY_EVERY {
             self.memory_read.set(now);
-            let resident = std::fs::read_to_string("/proc/self/statm").ok().and_then(|text| {
-                let pages: f64 = text.split(' ').nth(1)?.parse().ok()?;
-                Some(pages * PAGE / self.limits.memory)
-            });
+            let resident = std::fs::read_to_string("/proc/self/statm")
+                .ok()
+                .and_then(|text| {
+                    let pages: f64 = text.split(' ').nth(1)?.parse().ok()?;
+                    Some(pages * PAGE / self.limits.memory)
+                });
             self.memory.set(resident.unwrap_or(f64::NAN));
         }
         self.memory.get()
@@ -207,7 +240,10 @@
 
     /// Counts changes; 0 while off.
     pub fn version(&self) -> u64 {
-        self.on.borrow().as_ref().map_or(0, |on| on.machine.version())
+        self.on
+            .borrow()
+            .as_ref()
+            .map_or(0, |on| on.machine.version())
     }
 
     /// All that there is to show, as JSON.
@@ -217,16 +253,33 @@
             return json!({"level": "full", "depth": 0, "version": 0, "defined": false});
         };
         let (machine, shown) = (&on.machine, on.machine.shown());
-        let number = |value: f64| if value.is_finite() { json!(value) } else { Value::Null };
+        let number = |value: f64| {
+            if value.is_finite() {
+                json!(value)
+            } else {
+                Value::Null
+            }
+        };
         let terms = |terms: &[(String, f64, f64, bool, f64, f64)]| -> Vec<Value> {
-            let term = |(signal, reads, turns_at, on, held, needed): &(String, f64, f64, bool, f64, f64)| {
+            let term = |(signal, reads, turns_at, on, held, needed): &(
+                String,
+                f64,
+                f64,
+                bool,
+                f64,
+                f64,
+            )| {
                 json!({"signal": signal, "reads": number(*reads), "turns_at": turns_at, "on": on, "held_ms": held,
                     "needed_ms": needed})
             };
             terms.iter().map(term).collect()
         };
-        let history: Vec<Value> =
-            machine.history().iter().rev().map(|change| of_change(machine, change)).collect();
+        let history: Vec<Value> = machine
+            .history()
+            .iter()
+            .rev()
+            .map(|change| of_change(machine, change))
+            .collect();
         let (times, changes) = machine.totals();
         let at = |(depth, ms): (usize, &f64)| {
             let changes = depth.checked_sub(1).map(|level| changes[level]);
@@ -264,7 +317,9 @@
             let term = |(signal, reads): &(String, f64)| format!("{signal} reads {reads:.3}");
             terms.iter().map(term).collect::<Vec<_>>().join(", ")
         }
-        Why::Peers { heard, wants } => format!("{heard} peers are heard, and the middle wants depth {wants}"),
+        Why::Peers { heard, wants } => {
+            format!("{heard} peers are heard, and the middle wants depth {wants}")
+        }
         Why::Pinned => "pinned by operators".into(),
         Why::Start { heard: 0 } => "own signals at the start".into(),
         Why::Start { heard } => format!("{heard} peers told of it at the start"),
@@ -278,5 +333,10 @@
 
 fn tell(machine: &Machine, change: &Change) {
     let (from, to) = (machine.name_of(change.from), machine.name_of(change.to));
-    tracing::warn!(from, to, why = why(&change.why), "the service level changed");
+    tracing::warn!(
+        from,
+        to,
+        why = why(&change.why),
+        "the service level changed"
+    );
 }
--- a/crates/dispatcher/src/log.rs
+++ b/crates/dispatcher/src/log.rs
@@ -43,7 +43,12 @@
 fn allowed(place: &'static Metadata<'static>, now: Instant) -> bool {
     let at_once = f64::from(LINES_AT_ONCE.load(Relaxed));
     ALLOWANCES.with_borrow_mut(|all| {
-        let fresh = || Allowance { lines: at_once, at: now, left_out: 0, place };
+        let fresh = || Allowance {
+            lines: at_once,
+            at: now,
+            left_out: 0,
+            place,
+        };
         let a = all.entry(place.callsite()).or_insert_with(fresh);
         let since = now.saturating_duration_since(a.at).as_secs_f64();
         a.lines = (a.lines + since * f64::from(LINES_A_SECOND.load(Relaxed))).min(at_once);
@@ -81,7 +86,9 @@
     }
 
     fn max_level_hint(&self) -> Option<LevelFilter> {
-        Some(LevelFilter::from_level(LEVELS[usize::from(LEVEL.load(Relaxed))]))
+        Some(LevelFilter::from_level(
+            LEVELS[usize::from(LEVEL.load(Relaxed))],
+        ))
     }
 }
 
@@ -104,13 +111,19 @@
             );
         }
         SystemTime.format_time(writer)?;
-        writeln!(writer, "  WARN lines left out lines={count} place={file}:{line}")
+        writeln!(
+            writer,
+            "  WARN lines left out lines={count} place={file}:{line}"
+        )
     }
 }
 
 impl<S: Subscriber + for<'a> LookupSpan<'a>> FormatEvent<S, DefaultFields> for Lines {
     fn format_event(
-        &self, context: &FmtContext<'_, S, DefaultFields>, mut writer: Writer<'_>, event: &Event<'_>,
+        &self,
+        context: &FmtContext<'_, S, DefaultFields>,
+        mut writer: Writer<'_>,
+        event: &Event<'_>,
     ) -> std::fmt::Result {
         let left_out = take_left_out(event.metadata());
         if left_out > 0 {
@@ -127,9 +140,16 @@
 pub fn begin() {
     let lines = Lines {
         text: fmt::format().with_target(false).compact(),
-        json: fmt::format().with_target(false).json().with_current_span(false).with_span_list(false),
+        json: fmt::format()
+            .with_target(false)
+            .json()
+            .with_current_span(false)
+            .with_span_list(false),
     };
-    let layer = fmt::layer().with_ansi(false).event_format(lines).with_writer(std::io::stderr);
+    let layer = fmt::layer()
+        .with_ansi(false)
+        .event_format(lines)
+        .with_writer(std::io::stderr);
     let all = tracing_subscriber::registry().with(layer.with_filter(Gate));
     let _ = tracing::subscriber::set_global_default(all);
 }
@@ -160,7 +180,9 @@
 pub fn end() {
     let untold: Vec<(u64, &'static Metadata<'static>)> = ALLOWANCES.with_borrow_mut(|all| {
         let untold = all.values_mut().filter(|a| a.left_out > 0);
-        untold.map(|a| (std::mem::take(&mut a.left_out), a.place)).collect()
+        untold
+            .map(|a| (std::mem::take(&mut a.left_out), a.place))
+            .collect()
     });
     for (count, place) in untold {
         let mut line = String::new();
@@ -202,7 +224,10 @@
         let written = (0..1000).filter(|_| allowed(one, now)).count();
         assert_eq!(written, 20);
         assert!(allowed(other, now));
-        assert_eq!((left_out() - before, take_left_out(one), take_left_out(one)), (980, 980, 0));
+        assert_eq!(
+            (left_out() - before, take_left_out(one), take_left_out(one)),
+            (980, 980, 0)
+        );
         let later = now + Duration::from_secs(1);
         assert_eq!((0..1000).filter(|_| allowed(one, later)).count(), 5);
         assert_eq!(take_left_out(other), 0);
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -84,7 +84,9 @@
     /// says something else under the same number may be spoilt, or what is believed was: it is believed once the
     /// answer to a later question says the same. An engine that has no records any more is gone.
     pub fn take(&mut self, answer: &Answer, question: u64) -> Taken {
-        let Some(serial) = answer.serial else { return Taken::PassedOver("it has no serial") };
+        let Some(serial) = answer.serial else {
+            return Taken::PassedOver("it has no serial");
+        };
         if answer.srv.len() > MOST_ENGINES {
             return Taken::PassedOver("the list is too long");
         }
@@ -105,7 +107,11 @@
                 };
                 if !self.doubted.as_ref().is_some_and(seconds) {
                     if self.doubted.is_none_or(|first| question > first.question) {
-                        self.doubted = Some(Doubted { serial, looks, question });
+                        self.doubted = Some(Doubted {
+                            serial,
+                            looks,
+                            question,
+                        });
                     }
                     return Taken::PassedOver(why);
                 }
@@ -116,7 +122,8 @@
         if back {
             self.hold_to_what_ended(&mut listed);
         }
-        (self.last, self.looks, self.question, self.doubted) = (serial, Some(looks), question, None);
+        (self.last, self.looks, self.question, self.doubted) =
+            (serial, Some(looks), question, None);
         Taken::List(self.replace(listed))
     }
 
@@ -138,16 +145,28 @@
         let mut seen = FxHashSet::default();
         for srv in &answer.srv {
             let mut labels = srv.target.split('.');
-            let (Some(id), Some(hall)) = (labels.next(), labels.next()) else { continue };
-            let address = answer.addresses.iter().find(|(name, _)| *name == srv.target).map(|(_, ip)| *ip);
+            let (Some(id), Some(hall)) = (labels.next(), labels.next()) else {
+                continue;
+            };
+            let address = answer
+                .addresses
+                .iter()
+                .find(|(name, _)| *name == srv.target)
+                .map(|(_, ip)| *ip);
             let texts = answer.texts.iter().find(|(name, _)| *name == srv.target);
             let text = |name: &str| {
                 let texts = texts.map_or([].as_slice(), |(_, texts)| texts);
-                texts.iter().find_map(|text| text.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v)
+                texts
+                    .iter()
+                    .find_map(|text| text.split_once('=').filter(|(n, _)| *n == name))
+                    .map(|(_, v)| v)
             };
             let node = self.node(id);
             let before = self.engines.get(&node);
-            let kind = text("kind").or(before.map(|b| b.kind.as_str())).unwrap_or("").to_owned();
+            let kind = text("kind")
+                .or(before.map(|b| b.kind.as_str()))
+                .unwrap_or("")
+                .to_owned();
             let engine = Listed {
                 node,
                 address: address
@@ -156,23 +175,37 @@
                 kind,
                 hall: hall.to_owned(),
                 cell: text("cell").and_then(|cell| cell.parse().ok()).unwrap_or(0),
-                status: if srv.priority == 0 { EngineStatus::Ready } else { EngineStatus::Draining },
-                started: text("started").and_then(|ms| ms.parse().ok()).filter(|ms| *ms > 0.0),
+                status: if srv.priority == 0 {
+                    EngineStatus::Ready
+                } else {
+                    EngineStatus::Draining
+                },
+                started: text("started")
+                    .and_then(|ms| ms.parse().ok())
+                    .filter(|ms| *ms > 0.0),
             };
             // Of two records of one engine the graver holds.
             if seen.insert(node) {
                 listed.push(engine);
             } else if engine.status == EngineStatus::Draining {
-                listed.iter_mut().filter(|e| e.node == node).for_each(|e| e.status = EngineStatus::Draining);
+                listed
+                    .iter_mut()
+                    .filter(|e| e.node == node)
+                    .for_each(|e| e.status = EngineStatus::Draining);
             }
         }
         // Where a new engine has the address of an old one that is still listed, the old one is no more: what was meant for
         // it would come to the new one.
-        let starts: Vec<(Option<SocketAddr>, f64)> =
-            listed.iter().map(|e| (e.address, e.started.unwrap_or(0.0))).collect();
+        let starts: Vec<(Option<SocketAddr>, f64)> = listed
+            .iter()
+            .map(|e| (e.address, e.started.unwrap_or(0.0)))
+            .collect();
         let later = |e: &Listed| {
             let own = e.started.unwrap_or(0.0);
-            e.address.is_some() && starts.iter().any(|&(at, started)| at == e.address && started > own)
+            e.address.is_some()
+                && starts
+                    .iter()
+                    .any(|&(at, started)| at == e.address && started > own)
         };
         listed.retain(|e| !later(e));
         listed
@@ -183,21 +216,28 @@
     fn hold_to_what_ended(&self, listed: &mut Vec<Listed>) {
         let ended = |e: &Listed| {
             let drains = self.engines.get(&e.node).is_some_and(|was| {
-                was.status == EngineStatus::Draining && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
+                was.status == EngineStatus::Draining
+                    && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
+            });
+            let gone = self.gone.iter().any(|&(node, started)| {
+                node == e.node && e.started.unwrap_or(0.0) <= started.unwrap_or(0.0)
             });
-            let gone = self
-                .gone
-                .iter()
-                .any(|&(node, started)| node == e.node && e.started.unwrap_or(0.0) <= started.unwrap_or(0.0));
             (drains, gone)
         };
         let ready = |e: &Listed| e.status == EngineStatus::Ready;
-        if listed.iter().any(ready) && listed.iter().filter(|e| ready(e)).all(|e| ended(e) != (false, false))
+        if listed.iter().any(ready)
+            && listed
+                .iter()
+                .filter(|e| ready(e))
+                .all(|e| ended(e) != (false, false))
         {
             return;
         }
         listed.retain(|e| !ended(e).1);
-        listed.iter_mut().filter(|e| ended(e).0).for_each(|e| e.status = EngineStatus::Draining);
+        listed
+            .iter_mut()
+            .filter(|e| ended(e).0)
+            .for_each(|e| e.status = EngineStatus::Draining);
     }
 
     /// Puts a list in the place of the one before; all of it, and those that are gone.
@@ -206,13 +246,22 @@
         for engine in &listed {
             self.engines.insert(engine.node, engine.clone());
         }
-        let gone = known.into_values().filter(|engine| !self.engines.contains_key(&engine.node));
-        let mut gone: Vec<Listed> = gone.map(|e| Listed { status: EngineStatus::Gone, ..e }).collect();
+        let gone = known
+            .into_values()
+            .filter(|engine| !self.engines.contains_key(&engine.node));
+        let mut gone: Vec<Listed> = gone
+            .map(|e| Listed {
+                status: EngineStatus::Gone,
+                ..e
+            })
+            .collect();
         gone.sort_by_key(|engine| engine.node);
         let engines = &self.engines;
         self.gone.retain(|(node, _)| !engines.contains_key(node));
-        self.gone.extend(gone.iter().map(|engine| (engine.node, engine.started)));
-        self.gone.drain(..self.gone.len().saturating_sub(MOST_ENGINES));
+        self.gone
+            .extend(gone.iter().map(|engine| (engine.node, engine.started)));
+        self.gone
+            .drain(..self.gone.len().saturating_sub(MOST_ENGINES));
         // Ids of engines that are gone are forgotten; one that comes back gets the same number by its id.
         self.nodes.retain(|_, node| engines.contains_key(node));
         self.taken.retain(|node, _| engines.contains_key(node));
@@ -228,7 +277,10 @@
         what(&mut hasher);
         hasher.finish()
     };
-    let srv = answer.srv.iter().map(|s| of(&|h| (s.priority, s.port, &s.target).hash(h)));
+    let srv = answer
+        .srv
+        .iter()
+        .map(|s| of(&|h| (s.priority, s.port, &s.target).hash(h)));
     let addresses = answer.addresses.iter().map(|a| of(&|h| a.hash(h)));
     let texts = answer.texts.iter().map(|t| of(&|h| t.hash(h)));
     srv.chain(addresses).chain(texts).fold(0, u64::wrapping_add)
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/names/directory/tests.rs
@@ -3,12 +3,28 @@
 
 /// An answer that lists these: id, whether it drains, when it started.
 fn answer(serial: u32, engines: &[(&str, bool, f64)]) -> Answer {
-    let mut answer = Answer { serial: Some(serial), ..Answer::default() };
+    let mut answer = Answer {
+        serial: Some(serial),
+        ..Answer::default()
+    };
     for (nth, &(id, drains, started)) in engines.iter().enumerate() {
         let target = format!("{id}.east.hosts");
-        answer.srv.push(Srv { priority: u16::from(drains), port: 10080, target: target.clone() });
-        answer.addresses.push((target.clone(), Ipv4Addr::new(10, 1, 0, 9 + nth as u8)));
-        answer.texts.push((target, vec!["kind=std".into(), "cell=2".into(), format!("started={started}")]));
+        answer.srv.push(Srv {
+            priority: u16::from(drains),
+            port: 10080,
+            target: target.clone(),
+        });
+        answer
+            .addresses
+            .push((target.clone(), Ipv4Addr::new(10, 1, 0, 9 + nth as u8)));
+        answer.texts.push((
+            target,
+            vec![
+                "kind=std".into(),
+                "cell=2".into(),
+                format!("started={started}"),
+            ],
+        ));
     }
     answer
 }
@@ -17,19 +33,32 @@
 
 /// The directory with both engines ready, as the answer to question 10 told, and what is asked of it.
 fn told_two(serial: u32) -> Directory {
-    let mut directory = Directory { last: serial - 1, ..Directory::default() };
-    assert!(matches!(directory.take(&answer(serial, TWO), 10), Taken::List(_)));
+    let mut directory = Directory {
+        last: serial - 1,
+        ..Directory::default()
+    };
+    assert!(matches!(
+        directory.take(&answer(serial, TWO), 10),
+        Taken::List(_)
+    ));
     directory
 }
 
 fn status(directory: &Directory, id: &str) -> Option<EngineStatus> {
     let node = u64::from(tansymux_operator::number_of(id));
-    directory.all().iter().find(|e| e.node == node).map(|e| e.status)
+    directory
+        .all()
+        .iter()
+        .find(|e| e.node == node)
+        .map(|e| e.status)
 }
 
 #[test]
 fn an_engine_without_records_is_gone_and_an_old_list_is_passed_over() {
-    let mut directory = Directory { last: 3, ..Directory::default() };
+    let mut directory = Directory {
+        last: 3,
+        ..Directory::default()
+    };
     assert_eq!(directory.take(&answer(3, TWO), 1), Taken::Known);
     let old = directory.node("s-old");
     directory.keep(Listed {
@@ -41,22 +70,49 @@
         status: EngineStatus::Ready,
         started: None,
     });
-    let Taken::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else { panic!() };
-    let told: Vec<_> = listed.iter().map(|e| (e.node == old, e.status, e.kind.as_str(), e.cell)).collect();
-    assert_eq!(told, [(false, EngineStatus::Draining, "std", 2), (true, EngineStatus::Gone, "std", 1)]);
-    assert_eq!(listed[0].address, Some(SocketAddr::from(([10, 1, 0, 9], 10080))));
+    let Taken::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else {
+        panic!()
+    };
+    let told: Vec<_> = listed
+        .iter()
+        .map(|e| (e.node == old, e.status, e.kind.as_str(), e.cell))
+        .collect();
+    assert_eq!(
+        told,
+        [
+            (false, EngineStatus::Draining, "std", 2),
+            (true, EngineStatus::Gone, "std", 1)
+        ]
+    );
+    assert_eq!(
+        listed[0].address,
+        Some(SocketAddr::from(([10, 1, 0, 9], 10080)))
+    );
     // Answers to questions before that one tell nothing new, in whatever order and however often they come.
-    assert_eq!(directory.take(&answer(4, &[("s-1", true, 0.0)]), 1), Taken::Known);
+    assert_eq!(
+        directory.take(&answer(4, &[("s-1", true, 0.0)]), 1),
+        Taken::Known
+    );
     assert_eq!(directory.take(&answer(3, TWO), 1), Taken::Known);
     assert_eq!(directory.take(&answer(3, TWO), 2), Taken::Known);
-    assert_eq!((directory.nodes.len(), directory.taken.len(), directory.node("s-old")), (1, 1, old));
+    assert_eq!(
+        (
+            directory.nodes.len(),
+            directory.taken.len(),
+            directory.node("s-old")
+        ),
+        (1, 1, old)
+    );
 }
 
 #[test]
 fn a_serial_that_was_spoilt_upwards_is_not_believed_and_good_lists_go_on() {
     let mut directory = told_two(5);
     let spoilt = answer(5 | 1 << 20, &[("s-1", false, 0.0)]);
-    assert_eq!(directory.take(&spoilt, 11), Taken::PassedOver("its serial leaps ahead"));
+    assert_eq!(
+        directory.take(&spoilt, 11),
+        Taken::PassedOver("its serial leaps ahead")
+    );
     // Its copy is the same answer, not a second one.
     assert!(matches!(directory.take(&spoilt, 11), Taken::PassedOver(_)));
     assert_eq!(directory.take(&answer(5, TWO), 12), Taken::Known);
@@ -64,10 +120,19 @@
         matches!(directory.take(&spoilt, 13), Taken::PassedOver(_)),
         "what lies between breaks the chain"
     );
-    assert!(matches!(directory.take(&answer(6, &[("s-1", false, 0.0)]), 14), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(6, &[("s-1", false, 0.0)]), 14),
+        Taken::List(_)
+    ));
     // Who was away for long learns so: two answers that agree.
-    assert!(matches!(directory.take(&answer(90_000, TWO), 15), Taken::PassedOver(_)));
-    assert!(matches!(directory.take(&answer(90_001, TWO), 16), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(90_000, TWO), 15),
+        Taken::PassedOver(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(90_001, TWO), 16),
+        Taken::List(_)
+    ));
     assert_eq!(directory.last, 90_001);
 }
 
@@ -75,16 +140,31 @@
 fn a_spoilt_list_that_was_believed_is_replaced_once_two_answers_agree() {
     let mut directory = told_two(5);
     // One bit in the serial, and a record lost: nothing shows that it is spoilt.
-    assert!(matches!(directory.take(&answer(7, &[("s-1", false, 0.0)]), 11), Taken::List(_)));
-    assert!(matches!(directory.take(&answer(5, TWO), 12), Taken::PassedOver("its serial goes back")));
-    assert!(matches!(directory.take(&answer(5, TWO), 12), Taken::PassedOver(_)), "a copy");
-    assert!(matches!(directory.take(&answer(5, TWO), 13), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(7, &[("s-1", false, 0.0)]), 11),
+        Taken::List(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(5, TWO), 12),
+        Taken::PassedOver("its serial goes back")
+    ));
+    assert!(
+        matches!(directory.take(&answer(5, TWO), 12), Taken::PassedOver(_)),
+        "a copy"
+    );
+    assert!(matches!(
+        directory.take(&answer(5, TWO), 13),
+        Taken::List(_)
+    ));
     assert_eq!(directory.last, 5);
     // The same under the same serial.
     let other = [("s-1", true, 0.0), ("s-2", false, 0.0)];
     let why = Taken::PassedOver("it says something else under the same serial");
     assert_eq!(directory.take(&answer(5, &other), 14), why);
-    assert!(matches!(directory.take(&answer(5, &other), 15), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(5, &other), 15),
+        Taken::List(_)
+    ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
 }
 
@@ -92,30 +172,64 @@
 fn a_service_that_lags_behind_takes_no_drain_and_no_end_back() {
     // Told by one service: s-1 drains, s-3 is gone. Another, that is asked from now on, does not know yet.
     let mut directory = told_two(5);
-    let three = [("s-1", false, 0.0), ("s-2", false, 0.0), ("s-3", false, 0.0)];
-    assert!(matches!(directory.take(&answer(6, &three), 11), Taken::List(_)));
+    let three = [
+        ("s-1", false, 0.0),
+        ("s-2", false, 0.0),
+        ("s-3", false, 0.0),
+    ];
+    assert!(matches!(
+        directory.take(&answer(6, &three), 11),
+        Taken::List(_)
+    ));
     let now = [("s-1", true, 0.0), ("s-2", false, 0.0)];
-    assert!(matches!(directory.take(&answer(8, &now), 12), Taken::List(_)));
-    assert!(matches!(directory.take(&answer(6, &three), 13), Taken::PassedOver(_)));
-    assert!(matches!(directory.take(&answer(6, &three), 14), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(8, &now), 12),
+        Taken::List(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(6, &three), 13),
+        Taken::PassedOver(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(6, &three), 14),
+        Taken::List(_)
+    ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
     assert_eq!(status(&directory, "s-2"), Some(EngineStatus::Ready));
     assert_eq!(status(&directory, "s-3"), None);
     // An engine that started since is another matter, and so is what goes a step ahead.
     let mut directory = told_two(5);
-    assert!(matches!(directory.take(&answer(6, &[("s-2", false, 0.0)]), 11), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(6, &[("s-2", false, 0.0)]), 11),
+        Taken::List(_)
+    ));
     let anew = [("s-1", false, 9.0), ("s-2", false, 0.0)];
-    assert!(matches!(directory.take(&answer(5, &anew), 12), Taken::PassedOver(_)));
-    assert!(matches!(directory.take(&answer(5, &anew), 13), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(5, &anew), 12),
+        Taken::PassedOver(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(5, &anew), 13),
+        Taken::List(_)
+    ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
 
 #[test]
 fn a_list_that_would_leave_nothing_ready_is_not_held_to_what_was_told_before() {
     let mut directory = told_two(5);
-    assert!(matches!(directory.take(&answer(7, &[("s-9", false, 0.0)]), 11), Taken::List(_)));
-    assert!(matches!(directory.take(&answer(5, TWO), 12), Taken::PassedOver(_)));
-    assert!(matches!(directory.take(&answer(5, TWO), 13), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(7, &[("s-9", false, 0.0)]), 11),
+        Taken::List(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(5, TWO), 12),
+        Taken::PassedOver(_)
+    ));
+    assert!(matches!(
+        directory.take(&answer(5, TWO), 13),
+        Taken::List(_)
+    ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
 
@@ -123,7 +237,9 @@
 fn of_two_records_of_one_engine_the_graver_holds() {
     let mut directory = told_two(5);
     let twice = [("s-1", false, 0.0), ("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let Taken::List(listed) = directory.take(&answer(6, &twice), 11) else { panic!() };
+    let Taken::List(listed) = directory.take(&answer(6, &twice), 11) else {
+        panic!()
+    };
     assert_eq!(listed.len(), 2);
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
 }
@@ -131,10 +247,23 @@
 #[test]
 fn an_engine_whose_address_a_later_one_has_is_gone_though_it_is_still_listed() {
     let mut directory = told_two(5);
-    let mut both = answer(6, &[("s-1", false, 0.0), ("s-2", false, 0.0), ("s-3", false, 9.0)]);
+    let mut both = answer(
+        6,
+        &[
+            ("s-1", false, 0.0),
+            ("s-2", false, 0.0),
+            ("s-3", false, 9.0),
+        ],
+    );
     both.addresses[2].1 = both.addresses[0].1;
-    let Taken::List(listed) = directory.take(&both, 11) else { panic!() };
-    let gone: Vec<u64> = listed.iter().filter(|e| e.status == EngineStatus::Gone).map(|e| e.node).collect();
+    let Taken::List(listed) = directory.take(&both, 11) else {
+        panic!()
+    };
+    let gone: Vec<u64> = listed
+        .iter()
+        .filter(|e| e.status == EngineStatus::Gone)
+        .map(|e| e.node)
+        .collect();
     assert_eq!(gone, [u64::from(tansymux_operator::number_of("s-1"))]);
     assert_eq!(status(&directory, "s-3"), Some(EngineStatus::Ready));
 }
@@ -142,7 +271,10 @@
 #[test]
 fn serials_go_round() {
     let mut directory = told_two(u32::MAX);
-    assert!(matches!(directory.take(&answer(0, TWO), 11), Taken::List(_)));
+    assert!(matches!(
+        directory.take(&answer(0, TWO), 11),
+        Taken::List(_)
+    ));
     assert_eq!(directory.take(&answer(u32::MAX, TWO), 10), Taken::Known);
 }
 
@@ -150,7 +282,13 @@
 fn an_engine_keeps_its_number_and_two_never_share_one() {
     let mut directory = Directory::default();
     let node = directory.node("s-341e1dd2");
-    assert_eq!((directory.node("s-341e1dd2"), Directory::default().node("s-341e1dd2")), (node, node));
+    assert_eq!(
+        (
+            directory.node("s-341e1dd2"),
+            Directory::default().node("s-341e1dd2")
+        ),
+        (node, node)
+    );
     let mut taken = Directory::default();
     taken.taken.insert(node, ());
     assert_eq!(taken.node("s-341e1dd2"), (node + 1) & 0xffff_ffff);
--- a/crates/dispatcher/src/names/mod.rs
+++ b/crates/dispatcher/src/names/mod.rs
@@ -27,7 +27,10 @@
 /// Asks and listens until dropped. `resolver` may come to name another address at any time: what is known stays
 /// known, the next question goes there, and what still comes from the old one is passed over.
 pub async fn follow(
-    exchange: Rc<Exchange>, resolver: Rc<Cell<Option<SocketAddr>>>, directory: Directory, first_id: u16,
+    exchange: Rc<Exchange>,
+    resolver: Rc<Cell<Option<SocketAddr>>>,
+    directory: Directory,
+    first_id: u16,
 ) {
     let following = Following {
         exchange,
@@ -84,11 +87,16 @@
     async fn ask(&self, socket: &Async<UdpSocket>) {
         let mut times = Timer::interval_at(Instant::now(), ASK_EVERY);
         while self.unheard.get() < QUESTIONS_UNHEARD && times.next().await.is_some() {
-            let Some(resolver) = self.resolver.get() else { continue };
+            let Some(resolver) = self.resolver.get() else {
+                continue;
+            };
             self.asked.set(self.asked.get() + 1);
             self.unheard.set(self.unheard.get() + 1);
             self.exchange.counters.lookups.add();
-            if let Err(e) = socket.send_to(&dns::query(self.id(), SERVICE, dns::SRV), resolver).await {
+            if let Err(e) = socket
+                .send_to(&dns::query(self.id(), SERVICE, dns::SRV), resolver)
+                .await
+            {
                 tracing::warn!(error = %e, "the name service could not be asked");
             }
         }
@@ -112,8 +120,8 @@
     fn heard(&self, bytes: &[u8], from: SocketAddr) {
         let age = |id: u16| self.id().wrapping_sub(id);
         let ours = Some(from) == self.resolver.get();
-        let answer =
-            dns::parse(bytes).filter(|a| ours && u64::from(age(a.id)) < QUESTIONS_OPEN.min(self.asked.get()));
+        let answer = dns::parse(bytes)
+            .filter(|a| ours && u64::from(age(a.id)) < QUESTIONS_OPEN.min(self.asked.get()));
         let Some(answer) = answer else {
             self.exchange.counters.lists_passed_over.add();
             return tracing::warn!(bytes = bytes.len(), %from, "an answer of the name service could not be used");
@@ -122,7 +130,10 @@
         match self.directory.borrow_mut().take(&answer, question) {
             Taken::List(engines) => {
                 self.exchange.counters.lists.add();
-                self.exchange.happened(Event::List { form: ListForm::Full, engines });
+                self.exchange.happened(Event::List {
+                    form: ListForm::Full,
+                    engines,
+                });
             }
             Taken::Known => {}
             Taken::PassedOver(why) => {
--- a/crates/dispatcher/src/names/tests.rs
+++ b/crates/dispatcher/src/names/tests.rs
@@ -6,13 +6,19 @@
 /// A service that answers, in this order, by what `react` makes of the id and of how many came before; run until
 /// `so`, or for ten seconds.
 fn play(
-    react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static, mut so: impl FnMut(&Exchange) -> bool,
+    react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static,
+    mut so: impl FnMut(&Exchange) -> bool,
 ) -> Rc<Exchange> {
     let executor = LocalExecutor::new();
     let service = Async::<UdpSocket>::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
     let at = service.get_ref().local_addr().unwrap();
     let exchange = Rc::new(Exchange::default());
-    let follow = follow(exchange.clone(), Rc::new(Cell::new(Some(at))), Directory::default(), 65_530);
+    let follow = follow(
+        exchange.clone(),
+        Rc::new(Cell::new(Some(at))),
+        Directory::default(),
+        65_530,
+    );
     executor.spawn(follow).detach();
     let answers = async {
         let mut bytes = [0; 512];
@@ -69,7 +75,14 @@
         // Each twice, the one before it once more, half of one, noise, and one to a question that was never asked.
         let before = kept[nth.saturating_sub(1)].clone();
         let never = answer(id.wrapping_add(9), 900, 1);
-        vec![now.clone(), now.clone(), before, now[..now.len() / 2].to_vec(), b"noise".to_vec(), never]
+        vec![
+            now.clone(),
+            now.clone(),
+            before,
+            now[..now.len() / 2].to_vec(),
+            b"noise".to_vec(),
+            never,
+        ]
     };
     let exchange = play(react, |exchange| exchange.counters.lookups.get() > 5);
     let lists = exchange.counters.lists.get();
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -11,7 +11,9 @@
 pub const MOST_SLICES: usize = 64;
 
 pub fn poll_gathered(
-    stream: &Async<TcpStream>, context: &mut Context, slices: &[IoSlice],
+    stream: &Async<TcpStream>,
+    context: &mut Context,
+    slices: &[IoSlice],
 ) -> Poll<io::Result<usize>> {
     Pin::new(&mut &*stream).poll_write_vectored(context, slices)
 }
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -19,7 +19,10 @@
 }
 
 fn lines(name: &str, faults: &[Fault]) -> Vec<String> {
-    faults.iter().map(|fault| format!("{name}:{fault}")).collect()
+    faults
+        .iter()
+        .map(|fault| format!("{name}:{fault}"))
+        .collect()
 }
 
 /// What this operators' file names and these settings do not have, or have with rules that are too mild.
@@ -27,30 +30,61 @@
     let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
     let effect_of = |name: &str| {
         let item = |i| told::item_of("services", i);
-        let of_name =
-            |i: &usize| settings.get(&format!("{}.name", item(*i))).is_some_and(|n| told::is_named(n, name));
+        let of_name = |i: &usize| {
+            settings
+                .get(&format!("{}.name", item(*i)))
+                .is_some_and(|n| told::is_named(n, name))
+        };
         let i = (0..count).find(of_name)?;
-        Some(settings.get(&format!("{}.effect", item(i))).map_or("", String::as_str))
+        Some(
+            settings
+                .get(&format!("{}.effect", item(i)))
+                .map_or("", String::as_str),
+        )
     };
     let mut faults = Vec::new();
-    let levels = operator.levels.as_ref().map_or(&[][..], |levels| &levels.level);
+    let levels = operator
+        .levels
+        .as_ref()
+        .map_or(&[][..], |levels| &levels.level);
     for (n, level) in levels.iter().enumerate() {
-        let terms = level.enter.iter().flat_map(|enter| enter.all.iter().chain(&enter.any));
-        let of_terms = terms.filter(|term| term.signal() != Pressed).filter_map(|term| term.of.as_ref());
-        let of_act = level.act.iter().flat_map(|act| &act.class).map(|class| class.name());
-        for name in of_terms.map(String::as_str).chain(of_act).filter(|name| effect_of(name).is_none()) {
+        let terms = level
+            .enter
+            .iter()
+            .flat_map(|enter| enter.all.iter().chain(&enter.any));
+        let of_terms = terms
+            .filter(|term| term.signal() != Pressed)
+            .filter_map(|term| term.of.as_ref());
+        let of_act = level
+            .act
+            .iter()
+            .flat_map(|act| &act.class)
+            .map(|class| class.name());
+        for name in of_terms
+            .map(String::as_str)
+            .chain(of_act)
+            .filter(|name| effect_of(name).is_none())
+        {
             let allowed = "allowed is a resource group of the settings";
             faults.push(format!("levels.level.{n} names {name:?}, {allowed}"));
         }
     }
     let halls = operator.halls.iter();
     let of_halls = halls.flat_map(|halls| {
-        halls.route.iter().map(|route| route.class()).chain(halls.spill.iter().map(|spill| spill.class()))
+        halls
+            .route
+            .iter()
+            .map(|route| route.class())
+            .chain(halls.spill.iter().map(|spill| spill.class()))
     });
     for name in of_halls.filter(|name| !name.is_empty() && effect_of(name).is_none()) {
-        faults.push(format!("halls names {name:?}, allowed is a resource group of the settings"));
+        faults.push(format!(
+            "halls names {name:?}, allowed is a resource group of the settings"
+        ));
     }
-    let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else { return faults };
+    let Some(groups) = operator.statements.as_ref().and_then(|s| s.groups.as_ref()) else {
+        return faults;
+    };
     let named = [
         ("look_up", &groups.look_up, false),
         ("report", &groups.report, false),
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -20,9 +20,17 @@
 
 impl Peers {
     pub fn bind(
-        exchange: Rc<Exchange>, listen: SocketAddr, each: Vec<SocketAddr>, all: Option<SocketAddr>,
+        exchange: Rc<Exchange>,
+        listen: SocketAddr,
+        each: Vec<SocketAddr>,
+        all: Option<SocketAddr>,
     ) -> io::Result<Rc<Self>> {
-        Ok(Rc::new(Peers { exchange, socket: Async::<UdpSocket>::bind(listen)?, each, all }))
+        Ok(Rc::new(Peers {
+            exchange,
+            socket: Async::<UdpSocket>::bind(listen)?,
+            each,
+            all,
+        }))
     }
 
     /// Sends to one dispatcher, or to all; what can't be sent at once is lost, as on the way.
@@ -31,7 +39,9 @@
             Some(peer) => self.each.get(peer as usize).copied(),
             None => self.all,
         };
-        let Some(to) = to.filter(|_| content.len() <= MOST_MESSAGE) else { return };
+        let Some(to) = to.filter(|_| content.len() <= MOST_MESSAGE) else {
+            return;
+        };
         match self.socket.get_ref().send_to(content, to) {
             Ok(_) => self.exchange.counters.messages_sent.add(),
             Err(e) => tracing::warn!(%to, error = %e, "a message was not sent"),
@@ -44,10 +54,14 @@
         loop {
             match self.socket.recv_from(&mut bytes).await {
                 Ok((count, from)) if count <= MOST_MESSAGE => {
-                    let Some(peer) = self.each.iter().position(|address| *address == from) else { continue };
+                    let Some(peer) = self.each.iter().position(|address| *address == from) else {
+                        continue;
+                    };
                     self.exchange.counters.messages_heard.add();
-                    self.exchange
-                        .happened(Event::Told { peer: peer as u32, content: bytes[..count].to_vec() });
+                    self.exchange.happened(Event::Told {
+                        peer: peer as u32,
+                        content: bytes[..count].to_vec(),
+                    });
                 }
                 Ok(_) => {}
                 Err(e) => {
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -22,7 +22,9 @@
         late,
     ));
     let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
-    assert!(matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MOST_MESSAGE));
+    assert!(
+        matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MOST_MESSAGE)
+    );
     peers.send(Some(1), &[7; MOST_MESSAGE + 1]);
     peers.send(None, b"x");
     peers.send(Some(9), b"x");
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -29,7 +29,11 @@
     let (reader, writer) = io::pipe()?;
     pipe::register(number, writer)?;
     let next = move |reader: Async<PipeReader>| async move {
-        reader.read_with(|mut pipe| pipe.read(&mut [0; 64])).await.ok().filter(|count| *count > 0)?;
+        reader
+            .read_with(|mut pipe| pipe.read(&mut [0; 64]))
+            .await
+            .ok()
+            .filter(|count| *count > 0)?;
         Some((signal, reader))
     };
     Ok(stream::unfold(Async::new(reader)?, next).boxed())
--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -26,7 +26,11 @@
 impl Slot {
     fn take() -> Self {
         loop {
-            if let Some(taken) = TURN.lock().ok().and_then(|mut n| (*n < MOST_AT_ONCE).then(|| *n += 1)) {
+            if let Some(taken) = TURN
+                .lock()
+                .ok()
+                .and_then(|mut n| (*n < MOST_AT_ONCE).then(|| *n += 1))
+            {
                 let () = taken;
                 return Slot;
             }
@@ -46,9 +50,15 @@
 /// Plays a hard case: never more out than the limit, no query lost, and all released in the stated time after it.
 fn holds(name: &str) {
     let _slot = Slot::take();
-    let scenario = Scenario::named(name, 1).expect("a case by this name").on_processes();
+    let scenario = Scenario::named(name, 1)
+        .expect("a case by this name")
+        .on_processes();
     let seen = play(Path::new(EXE), scenario, false, None);
-    assert!(seen.broken.is_empty(), "{}\n  again: tansymux-rig fleet --name {name} --first 1", seen.line());
+    assert!(
+        seen.broken.is_empty(),
+        "{}\n  again: tansymux-rig fleet --name {name} --first 1",
+        seen.line()
+    );
     println!("{}", seen.line());
 }
 
@@ -123,7 +133,9 @@
 /// Two dispatchers, one of them the voter, with three engines.
 fn small(extra: &str) -> Small {
     let counts = Counts::default();
-    let engines: Vec<_> = (0..3).map(|n| (format!("s-{n}"), engine(n, &counts))).collect();
+    let engines: Vec<_> = (0..3)
+        .map(|n| (format!("s-{n}"), engine(n, &counts)))
+        .collect();
     let listens: Vec<SocketAddr> = (0..2).map(|_| free_udp_address()).collect();
     let texts: Vec<String> = (0..2)
         .map(|n| {
@@ -136,16 +148,28 @@
             )
         })
         .collect();
-    let files: Vec<Scrap> = texts.iter().map(|text| Scrap::new("fleet.textproto", text)).collect();
+    let files: Vec<Scrap> = texts
+        .iter()
+        .map(|text| Scrap::new("fleet.textproto", text))
+        .collect();
     let classes = [class("look", 300.0, 2000.0, "read_like")];
     let programs = files
         .iter()
         .map(|file| {
             let config = Config::new(free_address(), &engines, &classes, &[1]);
-            Program::start(Path::new(EXE), &config, &["--operator", &file.0.display().to_string()])
+            Program::start(
+                Path::new(EXE),
+                &config,
+                &["--operator", &file.0.display().to_string()],
+            )
         })
         .collect();
-    Small { programs, files, counts, texts }
+    Small {
+        programs,
+        files,
+        counts,
+        texts,
+    }
 }
 
 impl Small {
@@ -158,7 +182,10 @@
             .output()
             .unwrap();
         let text = [output.stdout, output.stderr].concat();
-        (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
     }
 
     /// Calls until it ends so.
@@ -169,7 +196,10 @@
             if got == Some(code) {
                 return text;
             }
-            assert!(from.elapsed() < 2 * WAIT, "{words:?} ended with {got:?}, not {code}: {text}");
+            assert!(
+                from.elapsed() < 2 * WAIT,
+                "{words:?} ended with {got:?}, not {code}: {text}"
+            );
             std::thread::sleep(Duration::from_millis(100));
         }
     }
@@ -182,7 +212,10 @@
             let id = NEXT.fetch_add(1, Ordering::Relaxed);
             let mut query = Ask::new(id, "/invoke/look", "look", "select 1", 2000.0);
             query.cost = Some(5.0);
-            assert_eq!(ask(self.programs[n].listen, &query, &record).map(|got| got.status), Some(200));
+            assert_eq!(
+                ask(self.programs[n].listen, &query, &record).map(|got| got.status),
+                Some(200)
+            );
         }
         let counts = self.counts.lock().unwrap();
         [0, 1, 2].map(|n| counts.get(&n).copied().unwrap_or(0))
@@ -197,7 +230,10 @@
 fn an_engine_drained_by_agreement_gets_nothing_new_from_any_dispatcher_and_comes_back() {
     let fleet = small("engines { most: 1 carry: 1 }");
     let status = fleet.until(1, &["status"], 0);
-    assert!(status.contains("engines 3 out 0") && status.contains("halted no"), "{status}");
+    assert!(
+        status.contains("engines 3 out 0") && status.contains("halted no"),
+        "{status}"
+    );
     assert!(fleet.asked(0, 30)[1] > 0);
     // Drained at one dispatcher, out for both.
     fleet.until(1, &["drain", "s-1"], 0);
@@ -209,7 +245,10 @@
         assert!(got[1] == 0 && got[0] > 0 && got[2] > 0, "{n}: {got:?}");
     }
     let (code, text) = fleet.calls(0, &["drain", "s-2"]);
-    assert!(code == Some(1) && text.contains("1 are out of at most 1"), "{code:?} {text}");
+    assert!(
+        code == Some(1) && text.contains("1 are out of at most 1"),
+        "{code:?} {text}"
+    );
     fleet.until(0, &["undrain", "s-1"], 0);
     for n in 0..2 {
         fleet.waits_for(n, "fleet_engines_out 0\n");
@@ -232,7 +271,9 @@
     let from = Instant::now();
     let (code, text) = fleet.calls(0, &["turn", "--wait-s", "1"]);
     assert!(
-        code == Some(4) && text.contains("no turn in time") && from.elapsed() < Duration::from_secs(5),
+        code == Some(4)
+            && text.contains("no turn in time")
+            && from.elapsed() < Duration::from_secs(5),
         "{text}"
     );
     // The first never went: its turn ends by itself.
@@ -242,9 +283,15 @@
     assert_eq!(fleet.calls(0, &["turn", "--wait-s", "5"]).0, Some(3));
     assert_eq!(fleet.calls(0, &["resume"]).0, Some(0));
     // No release goes there.
-    assert_eq!(fleet.calls(0, &["turn", "--to", "v9", "--wait-s", "2"]).0, Some(3));
+    assert_eq!(
+        fleet.calls(0, &["turn", "--to", "v9", "--wait-s", "2"]).0,
+        Some(3)
+    );
     let (code, text) = fleet.calls(0, &["back"]);
-    assert!(code == Some(1) && text.contains("there is no release"), "{text}");
+    assert!(
+        code == Some(1) && text.contains("there is no release"),
+        "{text}"
+    );
     // Nobody is there under this address.
     let nobody = free_udp_address().to_string();
     assert_eq!(fleet.calls(0, &["status", "--member", &nobody]).0, Some(4));
@@ -264,7 +311,10 @@
     assert_eq!(fleet.calls(0, &["drain", "s-2"]).0, Some(1));
     fleet.until(0, &["undrain", "s-0"], 0);
     let (code, text) = fleet.calls(0, &["drain", "s-2"]);
-    assert!(code == Some(1) && text.contains("1 are out of at most 1"), "{text}");
+    assert!(
+        code == Some(1) && text.contains("1 are out of at most 1"),
+        "{text}"
+    );
     // Those that were out stay out until they are called back.
     fleet.waits_for(1, "fleet_engines_out 1\n");
 }
@@ -275,10 +325,17 @@
     fleet.until(0, &["status"], 0);
     fleet.files[1].write(&fleet.texts[1].replace(&"ab".repeat(16), &"cd".repeat(16)));
     let (code, text) = fleet.calls(1, &["halt", "--member", &listen_of(&fleet.texts[0])]);
-    assert!(code == Some(4) && text.contains("nobody leads"), "{code:?} {text}");
+    assert!(
+        code == Some(4) && text.contains("nobody leads"),
+        "{code:?} {text}"
+    );
     assert!(fleet.until(0, &["status"], 0).contains("halted no"));
 }
 
 fn listen_of(text: &str) -> String {
-    text.split("listen: \"").nth(1).and_then(|rest| rest.split('"').next()).unwrap_or_default().to_owned()
+    text.split("listen: \"")
+        .nth(1)
+        .and_then(|rest| rest.split('"').next())
+        .unwrap_or_default()
+        .to_owned()
 }
--- a/crates/dispatcher/tests/halls.rs
+++ b/crates/dispatcher/tests/halls.rs
@@ -29,8 +29,9 @@
 
 fn start(halls: &str) -> Site {
     let world = Arc::new(World::default());
-    let engines: Vec<Engine> =
-        (0..4).map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone())).collect();
+    let engines: Vec<Engine> = (0..4)
+        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone()))
+        .collect();
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
     let classes = [
         class("look", 300.0, 2000.0, "read_like"),
@@ -42,26 +43,51 @@
         .with("settings.zone", "east")
         .with("settings.limits.probes", true)
         .with("settings.family-info.tells-every-us", 100_000)
-        .with("settings.family-info.class-load", serde_json::json!([false, false, true, false]))
-        .with("settings.services.3.confined-to", serde_json::json!(["east"]));
+        .with(
+            "settings.family-info.class-load",
+            serde_json::json!([false, false, true, false]),
+        )
+        .with(
+            "settings.services.3.confined-to",
+            serde_json::json!(["east"]),
+        );
     for n in 0..4 {
         let hall = if n < 2 { "east" } else { "west" };
         config = config.with(&format!("known.cmds.0.nodes.instances.{n}.zone"), hall);
     }
     let operator = Scrap::new("operator.textproto", halls);
     let path = operator.0.display().to_string();
-    let program = Program::start(Path::new(env!("CARGO_BIN_EXE_tansymux")), &config, &["--operator", &path]);
-    Site { world, engines, program, next: AtomicU64::new(1), _operator: operator }
+    let program = Program::start(
+        Path::new(env!("CARGO_BIN_EXE_tansymux")),
+        &config,
+        &["--operator", &path],
+    );
+    Site {
+        world,
+        engines,
+        program,
+        next: AtomicU64::new(1),
+        _operator: operator,
+    }
 }
 
 impl Site {
     fn ask(&self, rg: &str, work: f64) -> Option<Got> {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let wait = if rg == "look" || rg == "bound" { 2000.0 } else { 3000.0 };
+        let wait = if rg == "look" || rg == "bound" {
+            2000.0
+        } else {
+            3000.0
+        };
         let mut query = Ask::new(id, &format!("/invoke/{rg}"), rg, "select 1", wait);
         query.cost = Some(work);
         let threads = if rg == "report" { 4.0 } else { 1.0 };
-        let truth = Work { work, threads, changes: rg == "load", tables: 0 };
+        let truth = Work {
+            work,
+            threads,
+            changes: rg == "load",
+            tables: 0,
+        };
         self.world.works.lock().unwrap().insert(query.id(), truth);
         ask(self.program.listen, &query, &self.world.record)
     }
@@ -72,12 +98,18 @@
 
     fn state(&self, hall: &str) -> String {
         let halls = self.halls();
-        let of = halls["halls"].as_array().unwrap().iter().find(|h| h["hall"] == hall);
+        let of = halls["halls"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .find(|h| h["hall"] == hall);
         of.map_or("", |h| h["state"].as_str().unwrap()).to_owned()
     }
 
     fn hall(&self, fault: Fault) {
-        self.engines[..2].iter().for_each(|engine| engine.fault(fault));
+        self.engines[..2]
+            .iter()
+            .for_each(|engine| engine.fault(fault));
     }
 
     /// Asks look-ups until a hall is in a state; how long that took.
@@ -85,7 +117,11 @@
         let from = Instant::now();
         while self.state(hall) != state {
             thread::scope(|scope| (0..6).for_each(|_| drop(scope.spawn(|| self.ask("look", 5.0)))));
-            assert!(from.elapsed() < Duration::from_secs(15), "{state}: {}", self.halls());
+            assert!(
+                from.elapsed() < Duration::from_secs(15),
+                "{state}: {}",
+                self.halls()
+            );
         }
         from.elapsed()
     }
@@ -95,7 +131,10 @@
         let entries = self.world.record.entries();
         let to = |east: bool| {
             let sent = |what: &What| matches!(what, What::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
-            entries[since..].iter().filter(|entry| sent(&entry.what)).count()
+            entries[since..]
+                .iter()
+                .filter(|entry| sent(&entry.what))
+                .count()
         };
         (to(true), to(false))
     }
@@ -123,13 +162,25 @@
                 scope.spawn(|| site.ask("report", 1600.0))
             })
             .collect();
-        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+        asked
+            .into_iter()
+            .map(|asked| asked.join().unwrap())
+            .collect()
     });
     let served = got.iter().flatten().filter(|got| got.status == 200).count();
-    let deferred: Vec<&Got> = got.iter().flatten().filter(|got| got.status == 429).collect();
+    let deferred: Vec<&Got> = got
+        .iter()
+        .flatten()
+        .filter(|got| got.status == 429)
+        .collect();
     // 0.3 of 16 cores are 4.8 threads: one report of four at a time.
     assert_eq!((served, deferred.len()), (1, 7), "{got:?} {}", site.halls());
-    assert!(deferred.iter().all(|got| got.took < 200.0 && got.retry_after.is_some()), "{deferred:?}");
+    assert!(
+        deferred
+            .iter()
+            .all(|got| got.took < 200.0 && got.retry_after.is_some()),
+        "{deferred:?}"
+    );
     // What is bound to the lost hall is never moved.
     let mark = site.mark();
     let bound = site.ask("bound", 5.0).unwrap();
@@ -145,13 +196,32 @@
     assert_eq!(site.sent(mark), (20, 0));
     site.program.told_to_end();
     let log = site.program.end();
-    for says in ["state=cut", "state=climbing", "state=well", "unanswered 0\n"] {
+    for says in [
+        "state=cut",
+        "state=climbing",
+        "state=well",
+        "unanswered 0\n",
+    ] {
         assert!(log.contains(says), "{says} in {log}");
     }
-    let effect = |rg: &str| if rg == "load" { Effect::Mutating } else { Effect::ReadOnly };
-    let classes =
-        ["look", "report", "load", "bound"].map(|rg| (rg.to_owned(), ClassRules::of(effect(rg)))).into();
-    let rules = Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget: None, classes };
+    let effect = |rg: &str| {
+        if rg == "load" {
+            Effect::Mutating
+        } else {
+            Effect::ReadOnly
+        }
+    };
+    let classes = ["look", "report", "load", "bound"]
+        .map(|rg| (rg.to_owned(), ClassRules::of(effect(rg))))
+        .into();
+    let rules = Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget: None,
+        classes,
+    };
     let broken = judge(&site.world.record.entries(), &rules);
     assert!(broken.is_empty(), "{broken:?}");
 }
@@ -160,11 +230,16 @@
 fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_hall() {
     let site = start(HALLS);
     let got: Vec<Option<Got>> = thread::scope(|scope| {
-        let asked: Vec<_> = (0..6).map(|_| scope.spawn(|| site.ask("load", 400.0))).collect();
+        let asked: Vec<_> = (0..6)
+            .map(|_| scope.spawn(|| site.ask("load", 400.0)))
+            .collect();
         thread::sleep(Duration::from_millis(60));
         site.hall(Fault::Silent);
         (0..4).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0))));
-        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+        asked
+            .into_iter()
+            .map(|asked| asked.join().unwrap())
+            .collect()
     });
     // Engines finish what they began; whatever came, each has one answer and ran at most once.
     assert!(got.iter().all(Option::is_some));
@@ -178,7 +253,10 @@
         .collect();
     for id in loads {
         let sent = |what: &What| matches!(what, What::Arrived { id: of, .. } if of == id);
-        assert!(entries.iter().filter(|entry| sent(&entry.what)).count() <= 1, "{id}");
+        assert!(
+            entries.iter().filter(|entry| sent(&entry.what)).count() <= 1,
+            "{id}"
+        );
     }
 }
 
@@ -186,13 +264,18 @@
 fn a_dispatcher_that_is_cut_off_itself_calls_no_hall_cut() {
     let site = start(HALLS);
     (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
-    site.engines.iter().for_each(|engine| engine.fault(Fault::Silent));
+    site.engines
+        .iter()
+        .for_each(|engine| engine.fault(Fault::Silent));
     let from = Instant::now();
     while site.halls()["alone"] != true {
         thread::scope(|scope| (0..8).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0)))));
         assert!(from.elapsed() < Duration::from_secs(15), "{}", site.halls());
     }
-    assert_eq!((site.state("east"), site.state("west")), ("well".into(), "well".into()));
+    assert_eq!(
+        (site.state("east"), site.state("west")),
+        ("well".into(), "well".into())
+    );
     let report = site.ask("report", 100.0).unwrap();
     assert!(report.status == 429 && report.took < 500.0, "{report:?}");
 }
--- a/crates/dispatcher/tests/life_cycle.rs
+++ b/crates/dispatcher/tests/life_cycle.rs
@@ -22,8 +22,15 @@
 
 /// Two resource groups, of 9 s each, and these engines.
 fn config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines.iter().enumerate().map(|(i, at)| (format!("s-{i}"), *at)).collect();
-    let classes = [class("look", 300.0, 9000.0, "read_like"), class("load", 300.0, 9000.0, "non_idempotent")];
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, at)| (format!("s-{i}"), *at))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
     Config::new(free_address(), &engines, &classes, &[1, 1])
 }
 
@@ -53,7 +60,14 @@
 }
 
 fn request(rg: &str, id: u64) -> Vec<u8> {
-    Ask::new(id, &format!("/invoke/{rg}"), rg, "SELECT a FROM sales_17.orders", 9000.0).bytes()
+    Ask::new(
+        id,
+        &format!("/invoke/{rg}"),
+        rg,
+        "SELECT a FROM sales_17.orders",
+        9000.0,
+    )
+    .bytes()
 }
 
 /// Sends a query on a connection of its own.
@@ -69,7 +83,10 @@
 
 /// Ids of the queries that an engine was sent.
 fn sent(told: &Receiver<(Vec<String>, Instant)>) -> Vec<String> {
-    told.try_iter().filter(|(parts, _)| parts[0] == "fetch").map(|(parts, _)| parts[1].clone()).collect()
+    told.try_iter()
+        .filter(|(parts, _)| parts[0] == "fetch")
+        .map(|(parts, _)| parts[1].clone())
+        .collect()
 }
 
 /// Stops the program in its tracks until what is returned is dropped: what happens meanwhile, happens at one instant.
@@ -80,7 +97,8 @@
         let pid = program.child.id();
         kill("-STOP", pid);
         until("the program stands", || {
-            std::fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|stat| stat.contains(") T "))
+            std::fs::read_to_string(format!("/proc/{pid}/stat"))
+                .is_ok_and(|stat| stat.contains(") T "))
         });
         Stopped(pid)
     }
@@ -102,7 +120,10 @@
 }
 
 fn kill(which: &str, pid: u32) {
-    assert!(Command::new("kill").args([which, &pid.to_string()]).status().is_ok_and(|s| s.success()));
+    assert!(Command::new("kill")
+        .args([which, &pid.to_string()])
+        .status()
+        .is_ok_and(|s| s.success()));
 }
 
 // ---- The process ----
@@ -123,14 +144,21 @@
         .spawn()
         .unwrap();
     // Opening for writing waits until the program has opened for reading.
-    let mut writer = std::fs::OpenOptions::new().write(true).open(&pipe.0).unwrap();
+    let mut writer = std::fs::OpenOptions::new()
+        .write(true)
+        .open(&pipe.0)
+        .unwrap();
     kill("-HUP", child.id());
     kill("-TERM", child.id());
     // Both are delivered before the process runs on: it is stopped at a system call.
     let pending = || {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
         let of = |name: &str| {
-            let line = status.lines().find_map(|l| l.strip_prefix(name)).unwrap_or("0");
+            let line = status
+                .lines()
+                .find_map(|l| l.strip_prefix(name))
+                .unwrap_or("0");
             u64::from_str_radix(line.trim(), 16).unwrap_or(0)
         };
         of("SigPnd:") | of("ShdPnd:")
@@ -158,9 +186,14 @@
     program.told_to_end();
     drop(stopped);
     assert_eq!(status(&rests), Some(200));
-    backlog.iter().for_each(|stream| assert_eq!(status(stream), Some(200)));
+    backlog
+        .iter()
+        .for_each(|stream| assert_eq!(status(stream), Some(200)));
     let report = program.end();
-    assert!(report.contains("taken 5\n") && report.contains("finished 5\n"), "{report}");
+    assert!(
+        report.contains("taken 5\n") && report.contains("finished 5\n"),
+        "{report}"
+    );
     assert_eq!(sent(&told).len(), 5);
 }
 
@@ -170,13 +203,17 @@
     let mut program = start(&config(&[address]));
     let from = Instant::now();
     program.told_to_end();
-    until("the front is told", || get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503));
+    until("the front is told", || {
+        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+    });
     // Three connect while the time for connections runs out, and the program sees both at once.
     let stopped = Stopped::new(&program);
     let backlog: Vec<TcpStream> = (1..4).map(|id| ask(&program, "look", id)).collect();
     thread::sleep((TAKES_ON + Duration::from_millis(50)).saturating_sub(from.elapsed()));
     drop(stopped);
-    backlog.iter().for_each(|stream| assert_eq!(status(stream), Some(200)));
+    backlog
+        .iter()
+        .for_each(|stream| assert_eq!(status(stream), Some(200)));
     assert!(program.end().contains("finished 3\n"));
 }
 
@@ -189,10 +226,16 @@
     let clients: Vec<TcpStream> = (0..40).map(|id| ask(&program, "look", id + 1)).collect();
     program.told_to_end();
     for (nth, stream) in clients.iter().enumerate() {
-        assert!(status(stream).is_some_and(|status| status == 200 || status == 429), "{nth}");
+        assert!(
+            status(stream).is_some_and(|status| status == 200 || status == 429),
+            "{nth}"
+        );
     }
     let report = program.end();
-    assert!(report.contains("taken 40\n") && report.contains("unanswered 0\n"), "{report}");
+    assert!(
+        report.contains("taken 40\n") && report.contains("unanswered 0\n"),
+        "{report}"
+    );
 }
 
 #[test]
@@ -220,10 +263,14 @@
     let whole = request("look", 1);
     let (mut begun, mut about) = (connect(&program), connect(&program));
     begun.write_all(&whole[..50]).unwrap();
-    until("both are taken", || program.counters().contains("connections_from_clients"));
+    until("both are taken", || {
+        program.counters().contains("connections_from_clients")
+    });
     let from = Instant::now();
     program.told_to_end();
-    until("the front is told", || get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503));
+    until("the front is told", || {
+        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+    });
     about.write_all(&request("look", 2)).unwrap();
     assert_eq!(status(&about), Some(200));
     // Its last bytes come when the listener is closed already.
@@ -236,13 +283,30 @@
 #[test]
 fn where_deadlines_are_short_it_ends_before_the_platform_ends_it() {
     let (address, told) = scripted(|_, _| {});
-    let classes = [class("look", 100.0, 1000.0, "read_like"), class("load", 100.0, 1000.0, "non_idempotent")];
-    let config = Config::new(free_address(), &[("s-0".into(), address)], &classes, &[1, 1]);
+    let classes = [
+        class("look", 100.0, 1000.0, "read_like"),
+        class("load", 100.0, 1000.0, "non_idempotent"),
+    ];
+    let config = Config::new(
+        free_address(),
+        &[("s-0".into(), address)],
+        &classes,
+        &[1, 1],
+    );
     let mut program = start(&config);
     // A client that waits for longer than the settings give, at an engine that hangs.
     let mut client = connect(&program);
     client
-        .write_all(&Ask::new(1, "/invoke/load", "load", "DELETE FROM sales_17.orders", 4000.0).bytes())
+        .write_all(
+            &Ask::new(
+                1,
+                "/invoke/load",
+                "load",
+                "DELETE FROM sales_17.orders",
+                4000.0,
+            )
+            .bytes(),
+        )
         .unwrap();
     assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
     let from = Instant::now();
@@ -251,7 +315,11 @@
     drop(client);
     program.end();
     // The longest deadline and 0.7 s.
-    assert!(from.elapsed() < Duration::from_millis(1700), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_millis(1700),
+        "{:?}",
+        from.elapsed()
+    );
 }
 
 // ---- Clients ----
@@ -276,11 +344,18 @@
     let program = start(&config(&[address]));
     let mut client = ask(&program, "look", 1);
     assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
-    let noise = [b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000), vec![b'x'; 100 * 1024]].concat();
+    let noise = [
+        b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000),
+        vec![b'x'; 100 * 1024],
+    ]
+    .concat();
     client.write_all(&noise).unwrap();
     let mut reader = BufReader::new(client);
     let (status, head, _) = answer(&mut reader).unwrap();
-    assert!(status == 200 && head.contains("Connection: close\r\n"), "{head}");
+    assert!(
+        status == 200 && head.contains("Connection: close\r\n"),
+        "{head}"
+    );
     // Nothing of what was passed over is taken for a request.
     assert!(answer(&mut reader).is_none());
 }
@@ -299,7 +374,11 @@
     for id in 1..6 {
         let from = Instant::now();
         assert_eq!(status(&ask(&program, "look", id)), Some(200));
-        assert!(from.elapsed() < Duration::from_secs(2), "{:?}", from.elapsed());
+        assert!(
+            from.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            from.elapsed()
+        );
     }
     flood.shutdown(Shutdown::Both).unwrap();
     writes.join().unwrap();
@@ -315,11 +394,15 @@
     let big = |id| {
         let statement = format!("SELECT '{}' FROM sales_17.orders", "x".repeat(64_000));
         let mut stream = connect(&program);
-        stream.write_all(&Ask::new(id, "/invoke/look", "look", &statement, 9000.0).bytes()).unwrap();
+        stream
+            .write_all(&Ask::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
+            .unwrap();
         stream
     };
     let waits: Vec<TcpStream> = (1..53).map(big).collect();
-    waits.iter().for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
+    waits
+        .iter()
+        .for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
     let (status, head, body) = answer(&mut BufReader::new(big(99))).unwrap();
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
@@ -358,17 +441,25 @@
     let first = ask(&program, "look", 1);
     let mut idles = connections.recv_timeout(WAIT).unwrap();
     assert_eq!(frame(&idles), fetch("0000000000000001"));
-    say(&mut idles, &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"]);
+    say(
+        &mut idles,
+        &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"],
+    );
     assert_eq!(status(&first), Some(200));
     // At one instant: the engine closes, with half a line behind an unknown id, and the next request comes.
     let stopped = Stopped::new(&program);
-    idles.write_all(b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nDO").unwrap();
+    idles
+        .write_all(b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nDO")
+        .unwrap();
     idles.shutdown(Shutdown::Both).unwrap();
     let second = ask(&program, "look", 2);
     drop(stopped);
     let mut next = connections.recv_timeout(WAIT).unwrap();
     assert_eq!(frame(&next), fetch("0000000000000002"));
-    say(&mut next, &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"]);
+    say(
+        &mut next,
+        &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
+    );
     assert_eq!(status(&second), Some(200));
     // It was known before it went out: nobody counts it as lost under way.
     assert_eq!(program.counter("submissions_reset"), Some(0));
@@ -386,7 +477,9 @@
         // The first of two pages, half of the second.
         say(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
         assert_eq!(frame(&stream), Some(("more".into(), id.into())));
-        stream.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes()).unwrap();
+        stream
+            .write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes())
+            .unwrap();
         stream.shutdown(Shutdown::Both).unwrap();
         if rg == "look" {
             let mut again = connections.recv_timeout(WAIT).unwrap();
@@ -394,7 +487,10 @@
             say(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
             let (status, _, body) = answer(&mut BufReader::new(client)).unwrap();
             // Nothing of the first result is left in it.
-            assert_eq!((status, body.as_str()), (200, r#"{"data":[["x","y","z"]]}"#));
+            assert_eq!(
+                (status, body.as_str()),
+                (200, r#"{"data":[["x","y","z"]]}"#)
+            );
         } else {
             assert_eq!(status(&client), Some(500));
         }
@@ -416,7 +512,11 @@
     // Withdrawn, and not left to its deadline in 9 s.
     let from = Instant::now();
     program.wait_for_count("submissions_out 0\n");
-    assert!(from.elapsed() < Duration::from_secs(3), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        from.elapsed()
+    );
     let stays = ask(&program, "look", 2);
     drop(full);
     // What comes first on any connection is of the one that stayed.
@@ -429,7 +529,10 @@
     }
     let (frame, mut stream) = first.unwrap();
     assert_eq!(Some(frame), fetch("0000000000000002"));
-    say(&mut stream, &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"]);
+    say(
+        &mut stream,
+        &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
+    );
     assert_eq!(status(&stays), Some(200));
 }
 
@@ -457,7 +560,11 @@
             });
         }
     });
-    until("one has come up", || program.counter("connections_late_up").is_some_and(|up| up > 0));
+    until("one has come up", || {
+        program
+            .counter("connections_late_up")
+            .is_some_and(|up| up > 0)
+    });
     assert_eq!(status(&ask(&program, "load", 2)), Some(200));
     assert_eq!(came.recv_timeout(WAIT).unwrap(), "0000000000000002");
     assert_eq!(program.counter("connections_to_engines"), Some(opened));
@@ -481,7 +588,13 @@
     // Some go to the one that floods, and are moved; none waits for what never ends.
     let clients: Vec<TcpStream> = (1..9).map(|id| ask(&program, "look", id)).collect();
     let from = Instant::now();
-    clients.iter().for_each(|client| assert_eq!(status(client), Some(200)));
-    assert!(from.elapsed() < Duration::from_secs(6), "{:?}", from.elapsed());
+    clients
+        .iter()
+        .for_each(|client| assert_eq!(status(client), Some(200)));
+    assert!(
+        from.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        from.elapsed()
+    );
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -24,10 +24,21 @@
 
 /// The same with further keys of the configuration.
 fn start_with(engines: &[SocketAddr], keys: impl Fn(Config) -> Config) -> Program {
-    let engines: Vec<_> = engines.iter().enumerate().map(|(i, at)| (format!("s-{i}"), *at)).collect();
-    let classes = [class("look", 300.0, 9000.0, "read_like"), class("load", 300.0, 9000.0, "non_idempotent")];
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, at)| (format!("s-{i}"), *at))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
     let config = Config::new(free_address(), &engines, &classes, &[1, 1]);
-    Program::start(Path::new(env!("CARGO_BIN_EXE_tansymux")), &keys(config), &[])
+    Program::start(
+        Path::new(env!("CARGO_BIN_EXE_tansymux")),
+        &keys(config),
+        &[],
+    )
 }
 
 fn say(to: &mut TcpStream, parts: &[&str]) {
@@ -65,13 +76,21 @@
 
 #[test]
 fn the_name_service_brings_an_engine_that_was_not_known_at_the_start() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let resolver = name_service(address);
-    let program = start_with(&[free_address()], |config| config.with("resolver", resolver.to_string()));
+    let program = start_with(&[free_address()], |config| {
+        config.with("resolver", resolver.to_string())
+    });
     program.wait_for_count("lists 1\n");
     // The engine of the start has no records any more: all go to the new one.
     for id in 1..9 {
-        assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", id))).unwrap().0, 200);
+        assert_eq!(
+            answer(&mut BufReader::new(post(program.listen, "load", id)))
+                .unwrap()
+                .0,
+            200
+        );
     }
 }
 
@@ -81,7 +100,10 @@
         thread::sleep(Duration::from_millis(300));
         say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
-    let (mute, resolver) = (UdpSocket::bind("127.0.0.1:0").unwrap(), name_service(address));
+    let (mute, resolver) = (
+        UdpSocket::bind("127.0.0.1:0").unwrap(),
+        name_service(address),
+    );
     let silent = mute.local_addr().unwrap().to_string();
     let old = format!(r#""resolver":"{silent}""#);
     let mut program = start_with(&[address], |config| config.with("resolver", silent.clone()));
@@ -100,7 +122,10 @@
     program.told_to_end();
     program.signal("-HUP");
     let log = program.end();
-    assert!(log.contains("stays as it was") && log.contains("key resolver is 7, not a text"), "{log}");
+    assert!(
+        log.contains("stays as it was") && log.contains("key resolver is 7, not a text"),
+        "{log}"
+    );
     assert!(log.contains("wait for the next start: limits\n"), "{log}");
 }
 
@@ -116,12 +141,32 @@
     let program = start(&[address]);
     // Moved after its patience is over, to the only engine there is, on a new connection.
     let served = answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
-    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[["a","b","c"]]}"#));
+    assert_eq!(
+        (served.0, served.2.as_str()),
+        (200, r#"{"data":[["a","b","c"]]}"#)
+    );
     // The first was given up by a word, before its connection was closed and well before the second went out.
-    let words: Vec<(String, Instant)> = told.try_iter().map(|(parts, at)| (parts[0].clone(), at)).collect();
-    assert_eq!(words.iter().map(|(word, _)| word.as_str()).collect::<Vec<_>>(), ["fetch", "abort", "fetch"]);
-    assert!(words[2].1 - words[1].1 > Duration::from_millis(30), "{words:?}");
-    assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap().0, 200);
+    let words: Vec<(String, Instant)> = told
+        .try_iter()
+        .map(|(parts, at)| (parts[0].clone(), at))
+        .collect();
+    assert_eq!(
+        words
+            .iter()
+            .map(|(word, _)| word.as_str())
+            .collect::<Vec<_>>(),
+        ["fetch", "abort", "fetch"]
+    );
+    assert!(
+        words[2].1 - words[1].1 > Duration::from_millis(30),
+        "{words:?}"
+    );
+    assert_eq!(
+        answer(&mut BufReader::new(post(program.listen, "look", 2)))
+            .unwrap()
+            .0,
+        200
+    );
 }
 
 #[test]
@@ -131,7 +176,15 @@
             say(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
             say(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
         }
-        "more" => say(to, &[&parts[1], "MORE", &format!("batch={}", parts[2]), "b\t2\ty\n"]),
+        "more" => say(
+            to,
+            &[
+                &parts[1],
+                "MORE",
+                &format!("batch={}", parts[2]),
+                "b\t2\ty\n",
+            ],
+        ),
         _ => {}
     });
     let mut program = start(&[address]);
@@ -139,15 +192,33 @@
     let mut client = post(program.listen, "look", 1);
     let mut reader = BufReader::new(client.try_clone().unwrap());
     let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
-    assert_eq!(answer(&mut reader).map(|(s, _, b)| (s, b)), Some((200, served.into())));
-    client.write_all(b"GET /_counters HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(
+        answer(&mut reader).map(|(s, _, b)| (s, b)),
+        Some((200, served.into()))
+    );
+    client
+        .write_all(b"GET /_counters HTTP/1.1\r\n\r\n")
+        .unwrap();
     let counters = answer(&mut reader).unwrap().2;
-    for line in ["taken 1\n", "finished 1\n", "submissions_finished 1\n", "unanswered 0\n", "in_hand 0\n"] {
+    for line in [
+        "taken 1\n",
+        "finished 1\n",
+        "submissions_finished 1\n",
+        "unanswered 0\n",
+        "in_hand 0\n",
+    ] {
         assert!(counters.contains(line), "{line} in {counters}");
     }
     let fetch = told.recv_timeout(WAIT).unwrap().0;
-    assert_eq!((fetch[0].as_str(), fetch[1].as_str()), ("fetch", "0000000000000001"));
-    assert!(fetch[2].starts_with("cls=look,limit=8") && fetch[2].ends_with(",nice=3"), "{}", fetch[2]);
+    assert_eq!(
+        (fetch[0].as_str(), fetch[1].as_str()),
+        ("fetch", "0000000000000001")
+    );
+    assert!(
+        fetch[2].starts_with("cls=look,limit=8") && fetch[2].ends_with(",nice=3"),
+        "{}",
+        fetch[2]
+    );
     assert_eq!(fetch[3], "SELECT a FROM sales_17.orders");
     program.told_to_end();
     assert!(program.end().contains("taken 1\n"));
@@ -157,10 +228,15 @@
 fn told_to_end_it_takes_on_for_a_while_and_answers_all_that_it_has() {
     let (address, told) = engine(|_, _| {});
     let mut program = start(&[address]);
-    let mut clients = vec![post(program.listen, "look", 1), post(program.listen, "load", 2)];
+    let mut clients = vec![
+        post(program.listen, "look", 1),
+        post(program.listen, "load", 2),
+    ];
     (0..2).for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
     // Hundreds that say nothing, and a reload under way, are no bar to the end.
-    let _mute: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(program.listen).unwrap()).collect();
+    let _mute: Vec<TcpStream> = (0..300)
+        .map(|_| TcpStream::connect(program.listen).unwrap())
+        .collect();
     let from = Instant::now();
     program.signal("-HUP");
     program.told_to_end();
@@ -168,12 +244,22 @@
         assert!(from.elapsed() < WAIT);
     }
     clients.push(post(program.listen, "look", 3));
-    let statuses: Vec<u16> = clients.iter().map(|c| answer(&mut BufReader::new(c)).unwrap().0).collect();
+    let statuses: Vec<u16> = clients
+        .iter()
+        .map(|c| answer(&mut BufReader::new(c)).unwrap().0)
+        .collect();
     // The engine is silent: what only reads is deferred, what may have changed tables is killed.
     assert_eq!(statuses, [429, 500, 429]);
     let report = program.end();
-    assert!(from.elapsed() < Duration::from_millis(4200), "{:?}", from.elapsed());
-    assert!(report.contains("taken 3\n") && report.contains("unanswered 0\n"), "{report}");
+    assert!(
+        from.elapsed() < Duration::from_millis(4200),
+        "{:?}",
+        from.elapsed()
+    );
+    assert!(
+        report.contains("taken 3\n") && report.contains("unanswered 0\n"),
+        "{report}"
+    );
 }
 
 #[test]
@@ -189,12 +275,29 @@
     // Nobody listens at the one address; at the other, connections end when a request has come.
     let program = start(&[free_address()]);
     let deferred = answer(&mut BufReader::new(post(program.listen, "load", 1))).unwrap();
-    assert_eq!((deferred.0, deferred.2.as_str()), (429, r#"{"error":"TryLater"}"#));
-    assert!(deferred.1.contains("Srv-Wait-Ms: 500\r\n"), "{}", deferred.1);
+    assert_eq!(
+        (deferred.0, deferred.2.as_str()),
+        (429, r#"{"error":"TryLater"}"#)
+    );
+    assert!(
+        deferred.1.contains("Srv-Wait-Ms: 500\r\n"),
+        "{}",
+        deferred.1
+    );
     let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
-    assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", 1))).unwrap().0, 500);
-    assert_eq!(told.try_iter().filter(|(parts, _)| parts[0] == "fetch").count(), 1);
+    assert_eq!(
+        answer(&mut BufReader::new(post(program.listen, "load", 1)))
+            .unwrap()
+            .0,
+        500
+    );
+    assert_eq!(
+        told.try_iter()
+            .filter(|(parts, _)| parts[0] == "fetch")
+            .count(),
+        1
+    );
 }
 
 #[test]
@@ -208,7 +311,10 @@
     let leaves = post(program.listen, "look", 1);
     assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
     drop(leaves);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[..2], ["abort", "0000000000000001"]);
+    assert_eq!(
+        told.recv_timeout(WAIT).unwrap().0[..2],
+        ["abort", "0000000000000001"]
+    );
     let served = answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
     // Names that the settings do not know are not taken in.
@@ -216,8 +322,13 @@
     assert_eq!(unknown.0, 404);
     // What can't be read or used is answered so, and the program serves on.
     let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
-    let costs = ["1e300", "-1", "NaN", "inf", "x"].map(|cost| format!("{head}Req-Cost: {cost}\r\n\r\n"));
-    for bytes in costs.iter().map(String::as_bytes).chain([b"\xff\xff\xff\xff\r\n\r\n".as_slice()]) {
+    let costs =
+        ["1e300", "-1", "NaN", "inf", "x"].map(|cost| format!("{head}Req-Cost: {cost}\r\n\r\n"));
+    for bytes in costs
+        .iter()
+        .map(String::as_bytes)
+        .chain([b"\xff\xff\xff\xff\r\n\r\n".as_slice()])
+    {
         let mut hostile = TcpStream::connect(program.listen).unwrap();
         hostile.write_all(bytes).unwrap();
         assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
@@ -257,12 +368,23 @@
         .into();
     let answers: Vec<(u16, String)> = clients
         .into_iter()
-        .map(|client| answer(&mut BufReader::new(client)).map(|(status, _, body)| (status, body)).unwrap())
+        .map(|client| {
+            answer(&mut BufReader::new(client))
+                .map(|(status, _, body)| (status, body))
+                .unwrap()
+        })
         .collect();
     assert_eq!(answers[0], (200, r#"{"data":[["a","b","c"]]}"#.into()));
     // A load may have run: it is not sent again.
-    assert!(answers[1..].iter().all(|(status, _)| *status == 500), "{answers:?}");
-    assert!(from.elapsed() < Duration::from_secs(2), "{:?}", from.elapsed());
+    assert!(
+        answers[1..].iter().all(|(status, _)| *status == 500),
+        "{answers:?}"
+    );
+    assert!(
+        from.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        from.elapsed()
+    );
     program.wait_for_count("connections_spoilt 3\n");
 }
 
@@ -271,14 +393,23 @@
     // The engine ends a connection when a request comes on it after a pause.
     let last = std::cell::Cell::new(None::<Instant>);
     let (address, _told) = engine(move |parts, to| {
-        if last.replace(Some(Instant::now())).is_some_and(|at| at.elapsed() > Duration::from_millis(100)) {
+        if last
+            .replace(Some(Instant::now()))
+            .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
+        {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
         say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address]);
     for id in 1..8 {
-        assert_eq!(answer(&mut BufReader::new(post(program.listen, "load", id))).unwrap().0, 200, "{id}");
+        assert_eq!(
+            answer(&mut BufReader::new(post(program.listen, "load", id)))
+                .unwrap()
+                .0,
+            200,
+            "{id}"
+        );
         thread::sleep(Duration::from_millis(if id % 2 == 0 { 10 } else { 130 }));
     }
 }
@@ -301,7 +432,9 @@
         let head = format!(
             "POST /invoke/load HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n"
         );
-        client.write_all(format!("{head}{fields}Content-Length: 8\r\n\r\nSELECT 1").as_bytes()).unwrap();
+        client
+            .write_all(format!("{head}{fields}Content-Length: 8\r\n\r\nSELECT 1").as_bytes())
+            .unwrap();
         client
     };
     let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
@@ -309,16 +442,39 @@
     let fetch = || {
         let (parts, at) = told.recv_timeout(WAIT).unwrap();
         assert_eq!(parts[0], "fetch");
-        (parts[2].split(',').map(str::to_owned).collect::<Vec<String>>(), at)
+        (
+            parts[2]
+                .split(',')
+                .map(str::to_owned)
+                .collect::<Vec<String>>(),
+            at,
+        )
     };
     let ((first, began), (_, second)) = (fetch(), fetch());
-    assert!(first.contains(&format!("nonce={token}")) && first.contains(&format!("item={key}")), "{first:?}");
+    assert!(
+        first.contains(&format!("nonce={token}")) && first.contains(&format!("item={key}")),
+        "{first:?}"
+    );
     // The second of its key has not gone out while the first ran.
-    assert!(second - began >= Duration::from_millis(60), "{:?}", second - began);
-    clients.iter().for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
+    assert!(
+        second - began >= Duration::from_millis(60),
+        "{:?}",
+        second - began
+    );
+    clients
+        .iter()
+        .for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
     // What would break the list of fields is turned away, as is one that is told twice.
-    for wrong in ["Req-Token: a,mb=9\r\n", "Req-Key: \r\n", "Req-Key: 1\r\nReq-Key: 2\r\n"] {
-        assert_eq!(answer(&mut BufReader::new(post(9, wrong))).unwrap().0, 400, "{wrong}");
+    for wrong in [
+        "Req-Token: a,mb=9\r\n",
+        "Req-Key: \r\n",
+        "Req-Key: 1\r\nReq-Key: 2\r\n",
+    ] {
+        assert_eq!(
+            answer(&mut BufReader::new(post(9, wrong))).unwrap().0,
+            400,
+            "{wrong}"
+        );
     }
 }
 
@@ -333,15 +489,20 @@
 
 #[test]
 fn what_may_be_repeated_goes_on_a_connection_that_idled_and_a_load_on_none() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start(&[address]);
     all_finish(&program, "look", 1..15, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(1));
     all_finish(&program, "load", 15..20, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(6));
     // Several at once have several; one of those that idle then is kept.
-    let at_once: Vec<TcpStream> = (20..24).map(|id| post(program.listen, "look", id)).collect();
-    at_once.into_iter().for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
+    let at_once: Vec<TcpStream> = (20..24)
+        .map(|id| post(program.listen, "look", id))
+        .collect();
+    at_once
+        .into_iter()
+        .for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
     thread::sleep(Duration::from_millis(1200));
     let before = program.counter("connections_to_engines");
     all_finish(&program, "look", 24..26, 70);
@@ -353,7 +514,10 @@
     // The engine ends a connection when a request comes on it after a pause, having heard of it or not.
     let last = std::cell::Cell::new(None::<Instant>);
     let (address, _told) = engine(move |parts, to| {
-        if last.replace(Some(Instant::now())).is_some_and(|at| at.elapsed() > Duration::from_millis(100)) {
+        if last
+            .replace(Some(Instant::now()))
+            .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
+        {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
         say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
@@ -370,7 +534,10 @@
 fn an_engine_that_takes_what_goes_out_and_says_nothing_is_checked_by_a_new_connection() {
     // It answers, then vanishes: its connection stays open and mute, and no new one comes up.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (address, same) = (listener.local_addr().unwrap(), listener.try_clone().unwrap());
+    let (address, same) = (
+        listener.local_addr().unwrap(),
+        listener.try_clone().unwrap(),
+    );
     let vanished = Arc::new(AtomicBool::new(false));
     let gone = vanished.clone();
     thread::spawn(move || {
@@ -389,10 +556,21 @@
     });
     let program = start(&[address, other]);
     let ask = |id| {
-        let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", 9000.0);
+        let mut ask = Ask::new(
+            id,
+            "/invoke/look",
+            "look",
+            "SELECT a FROM sales_17.orders",
+            9000.0,
+        );
         ask.cost = Some(100.0);
         let from = Instant::now();
-        let mut reader = BufReader::new(post_in_two(program.listen, &ask, 50, Duration::from_millis(1)));
+        let mut reader = BufReader::new(post_in_two(
+            program.listen,
+            &ask,
+            50,
+            Duration::from_millis(1),
+        ));
         assert_eq!(answer(&mut reader).map(|got| got.0), Some(200), "{id}");
         from.elapsed()
     };
@@ -415,10 +593,18 @@
         }
     });
     let program = start_with(&[address], |config| {
-        config.with("settings.services.0.aim-us", 5_000_000).with("settings.services.1.aim-us", 5_000_000)
+        config
+            .with("settings.services.0.aim-us", 5_000_000)
+            .with("settings.services.1.aim-us", 5_000_000)
     });
-    let ask =
-        |id| post_in_two(program.listen, &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0), 50, TICK);
+    let ask = |id| {
+        post_in_two(
+            program.listen,
+            &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
+            50,
+            TICK,
+        )
+    };
     let leaves = ask(1);
     assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
     assert_eq!(answer(&mut BufReader::new(ask(2))).unwrap().0, 200);
@@ -436,18 +622,30 @@
 
 #[test]
 fn clients_that_ask_no_more_or_never_do_keep_no_place_from_those_that_ask() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], small);
-    let mute: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(program.listen).unwrap()).collect();
+    let mute: Vec<TcpStream> = (0..40)
+        .map(|_| TcpStream::connect(program.listen).unwrap())
+        .collect();
     let from = Instant::now();
     let stay: Vec<TcpStream> = (1..80)
         .map(|id| {
             let client = post(program.listen, "look", id);
-            assert_eq!(answer(&mut BufReader::new(client.try_clone().unwrap())).unwrap().0, 200);
+            assert_eq!(
+                answer(&mut BufReader::new(client.try_clone().unwrap()))
+                    .unwrap()
+                    .0,
+                200
+            );
             client
         })
         .collect();
-    assert!(from.elapsed() < Duration::from_millis(2500), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_millis(2500),
+        "{:?}",
+        from.elapsed()
+    );
     // Those that never asked are told so by a close, and one that sends by drops by an error.
     let mut drips = TcpStream::connect(program.listen).unwrap();
     drips.set_read_timeout(Some(WAIT)).unwrap();
@@ -459,14 +657,19 @@
         client.set_read_timeout(Some(WAIT)).unwrap();
         assert!(!matches!(client.read(&mut [0]), Ok(1..)));
     }
-    assert!(from.elapsed() < Duration::from_millis(3500), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_millis(3500),
+        "{:?}",
+        from.elapsed()
+    );
     assert!(answer(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
     drop(stay);
 }
 
 #[test]
 fn what_no_engine_can_use_is_turned_away_and_nothing_behind_it_is_read() {
-    let (address, told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let (address, told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], small);
     let behind =
         "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000ab\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
@@ -487,24 +690,36 @@
     for (rest, status) in cases {
         let mut client = TcpStream::connect(program.listen).unwrap();
         client.set_read_timeout(Some(WAIT)).unwrap();
-        client.write_all(format!("{head}{rest}{behind}").as_bytes()).unwrap();
+        client
+            .write_all(format!("{head}{rest}{behind}").as_bytes())
+            .unwrap();
         let mut reader = BufReader::new(client);
         assert_eq!(answer(&mut reader).unwrap().0, status, "{rest}");
         assert!(answer(&mut reader).is_none(), "{rest}");
     }
     // The refusal of a statement without end reaches its client while that still sends.
     let mut client = TcpStream::connect(program.listen).unwrap();
-    client.write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes()).unwrap();
+    client
+        .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
+        .unwrap();
     (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
     assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 413);
     assert_eq!(told.try_iter().count(), 0);
-    assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap().0, 200);
+    assert_eq!(
+        answer(&mut BufReader::new(post(program.listen, "look", 1)))
+            .unwrap()
+            .0,
+        200
+    );
 }
 
 #[test]
 fn clients_that_fill_the_room_for_what_is_unread_are_no_bar_to_small_requests() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
-    let program = start_with(&[address], |config| small(config).with("limits.memory_mb", 16));
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], |config| {
+        small(config).with("limits.memory_mb", 16)
+    });
     // A tenth of 16 MB, but for a few bytes, lies in requests that do not become whole.
     let head = "POST /invoke/look HTTP/1.1\r\nContent-Length: 65000\r\n\r\n";
     let sent = [head.as_bytes(), &vec![b'x'; 59_915 - head.len()]].concat();
@@ -517,7 +732,12 @@
         .collect();
     thread::sleep(Duration::from_millis(200));
     for id in 1..5 {
-        assert_eq!(answer(&mut BufReader::new(post(program.listen, "look", id))).unwrap().0, 200);
+        assert_eq!(
+            answer(&mut BufReader::new(post(program.listen, "look", id)))
+                .unwrap()
+                .0,
+            200
+        );
     }
     drop(hoards);
 }
--- a/crates/dispatcher/tests/standing.rs
+++ b/crates/dispatcher/tests/standing.rs
@@ -5,7 +5,8 @@
 use object::{Object, ObjectSegment, ObjectSymbol};
 use seccompiler::SeccompCmpOp::{MaskedEq, Ne};
 use seccompiler::{
-    BpfProgram, SeccompAction, SeccompCmpArgLen::Dword, SeccompCondition, SeccompFilter, SeccompRule,
+    BpfProgram, SeccompAction, SeccompCmpArgLen::Dword, SeccompCondition, SeccompFilter,
+    SeccompRule,
 };
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -30,8 +31,15 @@
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
 fn config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines.iter().enumerate().map(|(i, at)| (format!("s-{i}"), *at)).collect();
-    let classes = [class("look", 300.0, 9000.0, "read_like"), class("load", 300.0, 9000.0, "non_idempotent")];
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, at)| (format!("s-{i}"), *at))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
     Config::new(free_address(), &engines, &classes, &[1, 1])
 }
 
@@ -45,21 +53,37 @@
 
 /// The answer's status to one query.
 fn asks(program: &Program, id: u64, wait: f64) -> Option<u16> {
-    let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", wait);
+    let mut ask = Ask::new(
+        id,
+        "/invoke/look",
+        "look",
+        "SELECT a FROM sales_17.orders",
+        wait,
+    );
     ask.cost = Some(20.0);
     let stream = post_slowly(program.listen, &ask, 40, Duration::from_millis(1));
     answer(&mut BufReader::new(stream)).map(|got| got.0)
 }
 
 fn refuse(rules: BTreeMap<i64, Vec<SeccompRule>>, error: i32) -> BpfProgram {
-    let arch = std::env::consts::ARCH.try_into().expect("seccomp is known on this machine");
-    let filter = SeccompFilter::new(rules, SeccompAction::Allow, SeccompAction::Errno(error as u32), arch);
-    filter.and_then(BpfProgram::try_from).expect("a filter of plain rules")
+    let arch = std::env::consts::ARCH
+        .try_into()
+        .expect("seccomp is known on this machine");
+    let filter = SeccompFilter::new(
+        rules,
+        SeccompAction::Allow,
+        SeccompAction::Errno(error as u32),
+        arch,
+    );
+    filter
+        .and_then(BpfProgram::try_from)
+        .expect("a filter of plain rules")
 }
 
 /// Only if an argument compares so.
 fn only(argument: u8, how: seccompiler::SeccompCmpOp, value: u64) -> Vec<SeccompRule> {
-    let condition = SeccompCondition::new(argument, Dword, how, value).expect("an argument from 0 to 5");
+    let condition =
+        SeccompCondition::new(argument, Dword, how, value).expect("an argument from 0 to 5");
     vec![SeccompRule::new(vec![condition]).expect("one condition")]
 }
 
@@ -87,20 +111,30 @@
 /// How many processes have this one as their parent.
 fn children(pid: u32) -> usize {
     let parent = format!("PPid:\t{pid}");
-    let processes = std::fs::read_dir("/proc").expect("processes are shown").flatten();
-    let status = |entry: std::fs::DirEntry| std::fs::read_to_string(entry.path().join("status")).ok();
-    processes.filter_map(status).filter(|status| status.lines().any(|line| line == parent)).count()
+    let processes = std::fs::read_dir("/proc")
+        .expect("processes are shown")
+        .flatten();
+    let status =
+        |entry: std::fs::DirEntry| std::fs::read_to_string(entry.path().join("status")).ok();
+    processes
+        .filter_map(status)
+        .filter(|status| status.lines().any(|line| line == parent))
+        .count()
 }
 
 #[test]
 fn it_starts_serves_reads_again_and_ends_where_the_page_refuses_calls() {
     let (config, filters) = (config(&[engine()]), refused());
     let peer = free_udp_address().to_string();
-    let config = config.with("peer_listen", peer.clone()).with("peers", json!([peer]));
+    let config = config
+        .with("peer_listen", peer.clone())
+        .with("peers", json!([peer]));
     let mut program = Program::prepared(Path::new(EXE), &config, &[], Stdio::piped(), |command| {
         let apply = move || {
             let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
-            filters.iter().try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
+            filters
+                .iter()
+                .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
         };
         // SAFETY: two system calls each, on memory that was filled before the fork.
         unsafe { command.pre_exec(apply) };
@@ -110,8 +144,16 @@
     program.signal("-HUP");
     program.wait_for_count("configurations_read 1\n");
     assert_eq!(asks(&program, 41, 9000.0), Some(200));
-    let (pid, threads) = (program.child.id(), |pid| std::fs::read_dir(format!("/proc/{pid}/task")));
-    assert_eq!((children(pid), threads(pid).map(Iterator::count).unwrap_or(0)), (0, 2));
+    let (pid, threads) = (program.child.id(), |pid| {
+        std::fs::read_dir(format!("/proc/{pid}/task"))
+    });
+    assert_eq!(
+        (
+            children(pid),
+            threads(pid).map(Iterator::count).unwrap_or(0)
+        ),
+        (0, 2)
+    );
     program.told_to_end();
     let log = program.end();
     assert!(log.contains("finished 40\n"), "{log}");
@@ -122,14 +164,20 @@
     // A shell under it can't start a program, or this machine has no such filters and the test above shows nothing.
     let filters = refused();
     let mut shell = Command::new("/bin/sh");
-    shell.args(["-c", "/bin/true; exit 7"]).stderr(Stdio::null());
+    shell
+        .args(["-c", "/bin/true; exit 7"])
+        .stderr(Stdio::null());
     let apply = move || {
         let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
-        filters.iter().try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
+        filters
+            .iter()
+            .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
     };
     // SAFETY: as above.
     unsafe { shell.pre_exec(apply) };
-    let ended = shell.status().expect("this machine can't filter system calls: the test can't be run here");
+    let ended = shell
+        .status()
+        .expect("this machine can't filter system calls: the test can't be run here");
     assert!(!ended.success() && ended.code() != Some(7), "{ended}");
 }
 
@@ -142,11 +190,20 @@
         file.segments().any(data)
     };
     assert!(has(b"/ld-linux") || has(b"/ld-musl"), "no loader is named");
-    assert!(has(b"libc.so.6\0") || has(b"libc.musl"), "the C library is not asked for");
-    let calls = file.dynamic_symbols().filter_map(|symbol| symbol.name().ok()).collect::<Vec<_>>();
+    assert!(
+        has(b"libc.so.6\0") || has(b"libc.musl"),
+        "the C library is not asked for"
+    );
+    let calls = file
+        .dynamic_symbols()
+        .filter_map(|symbol| symbol.name().ok())
+        .collect::<Vec<_>>();
     // What a platform that lends a clock and sockets has to be able to take the place of.
     for call in ["clock_gettime", "accept4", "sendto", "pthread_create"] {
-        assert!(calls.contains(&call), "{call} is not taken from the C library: {calls:?}");
+        assert!(
+            calls.contains(&call),
+            "{call} is not taken from the C library: {calls:?}"
+        );
     }
 }
 
@@ -160,7 +217,10 @@
     Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
         let set = move || {
             limits.iter().try_for_each(|&(which, most)| {
-                let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
+                let limit = libc::rlimit {
+                    rlim_cur: most,
+                    rlim_max: most,
+                };
                 // SAFETY: a valid limit.
                 match unsafe { libc::setrlimit(which, &limit) } {
                     0 => Ok(()),
@@ -180,8 +240,9 @@
     let names = Names::start(Vec::new(), Arc::new(Record::default()));
     names.silent(true);
     let config = config(&hangs).with("limits", json!({"sockets": 64, "memory_mb": 16}));
-    let config =
-        config.with("resolver", names.address.to_string()).with("settings.limits.streams-per-conn", 1);
+    let config = config
+        .with("resolver", names.address.to_string())
+        .with("settings.limits.streams-per-conn", 1);
     let mut program = limited(&config);
     // They connect as soon as anyone listens, and many more than there are places.
     let from = Instant::now();
@@ -194,7 +255,13 @@
         }
     }
     let ask = |id| {
-        let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", 9000.0);
+        let mut ask = Ask::new(
+            id,
+            "/invoke/look",
+            "look",
+            "SELECT a FROM sales_17.orders",
+            9000.0,
+        );
         ask.cost = Some(20.0);
         post_slowly(program.listen, &ask, 40, Duration::ZERO)
     };
@@ -231,7 +298,13 @@
     program.wait_until_healthy();
     let clients = |from: u64| {
         let one = |id| {
-            let mut ask = Ask::new(id, "/invoke/look", "look", "SELECT a FROM sales_17.orders", 9000.0);
+            let mut ask = Ask::new(
+                id,
+                "/invoke/look",
+                "look",
+                "SELECT a FROM sales_17.orders",
+                9000.0,
+            );
             ask.cost = Some(20.0);
             post_slowly(program.listen, &ask, 40, Duration::ZERO)
         };
@@ -239,7 +312,10 @@
     };
     for from in [1, 100, 200] {
         for client in clients(from) {
-            assert_eq!(answer(&mut BufReader::new(client)).map(|got| got.0), Some(200));
+            assert_eq!(
+                answer(&mut BufReader::new(client)).map(|got| got.0),
+                Some(200)
+            );
         }
     }
     let (resident, _) = used(program.child.id()).unwrap();
@@ -249,13 +325,28 @@
 #[test]
 fn three_hundred_peers_and_as_many_names_are_no_burden_at_the_start() {
     let own = free_udp_address().to_string();
-    let peers: Vec<String> =
-        (0..300).map(|n| if n == 7 { own.clone() } else { format!("127.9.{}.1:7946", n % 250) }).collect();
-    let config = config(&[engine()]).with("peer_listen", own).with("peers", json!(peers));
-    let config = config.with("settings.balancers", 300).with("settings.limits.peers", true);
+    let peers: Vec<String> = (0..300)
+        .map(|n| {
+            if n == 7 {
+                own.clone()
+            } else {
+                format!("127.9.{}.1:7946", n % 250)
+            }
+        })
+        .collect();
+    let config = config(&[engine()])
+        .with("peer_listen", own)
+        .with("peers", json!(peers));
+    let config = config
+        .with("settings.balancers", 300)
+        .with("settings.limits.peers", true);
     let from = Instant::now();
     let mut program = Program::start(Path::new(EXE), &config.with("settings.me", 7), &[]);
-    assert!(from.elapsed() < Duration::from_secs(2), "{:?}", from.elapsed());
+    assert!(
+        from.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        from.elapsed()
+    );
     (1..20).for_each(|id| assert_eq!(asks(&program, id, 9000.0), Some(200)));
     let own = own_memory(program.child.id()).unwrap();
     assert!(own < 1600, "{own} kB");
@@ -269,9 +360,19 @@
 impl Warp {
     fn new() -> Self {
         let built = Command::new(env!("CARGO"))
-            .args(["build", "--quiet", "-p", "tansymux-dispatcher", "--example", "warp"])
+            .args([
+                "build",
+                "--quiet",
+                "-p",
+                "tansymux-dispatcher",
+                "--example",
+                "warp",
+            ])
             .status();
-        assert!(built.is_ok_and(|s| s.success()), "the library that bends clocks can't be built");
+        assert!(
+            built.is_ok_and(|s| s.success()),
+            "the library that bends clocks can't be built"
+        );
         let own = std::env::current_exe().unwrap();
         let folder = own.parent().and_then(Path::parent).unwrap();
         let library = folder.join("examples").join("libwarp.so");
@@ -280,13 +381,18 @@
     }
 
     fn set(&self, place: u64, nanos: i64) {
-        let file = std::fs::OpenOptions::new().write(true).open(&self.1 .0).unwrap();
+        let file = std::fs::OpenOptions::new()
+            .write(true)
+            .open(&self.1 .0)
+            .unwrap();
         file.write_all_at(&nanos.to_ne_bytes(), 8 * place).unwrap();
     }
 
     fn start(&self, config: &Config) -> Program {
         let program = Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
-            command.env("LD_PRELOAD", &self.0).env("TANSYMUX_WARP", &self.1 .0);
+            command
+                .env("LD_PRELOAD", &self.0)
+                .env("TANSYMUX_WARP", &self.1 .0);
         });
         program.wait_until_healthy();
         program
@@ -295,7 +401,10 @@
 
 /// Nanoseconds on the machine's own monotonic clock.
 fn monotonic() -> i64 {
-    let mut now = libc::timespec { tv_sec: 0, tv_nsec: 0 };
+    let mut now = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
     // SAFETY: a clock that is there, and room for its reading.
     unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut now) };
     now.tv_sec * 1_000_000_000 + now.tv_nsec
@@ -313,7 +422,13 @@
         assert!(program.counter("rounds").is_some());
     }
     let one = |id, wait| {
-        let mut ask = Ask::new(id, "/invoke/load", "load", "SELECT a FROM sales_17.orders", wait);
+        let mut ask = Ask::new(
+            id,
+            "/invoke/load",
+            "load",
+            "SELECT a FROM sales_17.orders",
+            wait,
+        );
         ask.cost = Some(20.0);
         post_slowly(program.listen, &ask, 40, Duration::from_millis(1))
     };
@@ -327,16 +442,30 @@
     assert_eq!(program.counter("unanswered"), Some(1));
     let (_, after) = used(program.child.id()).unwrap();
     let turned = program.counter("rounds").unwrap() - rounds;
-    assert!(after - before < 300.0 && turned < 400, "{turned} rounds, {} ms", after - before);
+    assert!(
+        after - before < 300.0 && turned < 400,
+        "{turned} rounds, {} ms",
+        after - before
+    );
     // It goes on, and jumps over the query's time: the query ends, and the next is served as ever.
     warp.set(2, 0);
-    assert_eq!(answer(&mut BufReader::new(waiting)).map(|got| got.0), Some(500));
+    assert_eq!(
+        answer(&mut BufReader::new(waiting)).map(|got| got.0),
+        Some(500)
+    );
     let waiting = one(2, 8000.0);
     program.wait_for_count("submissions 2\n");
     let from = Instant::now();
     warp.set(0, 10_000_000_000);
-    assert_eq!(answer(&mut BufReader::new(waiting)).map(|got| got.0), Some(500));
-    assert!(from.elapsed() < Duration::from_secs(3), "{:?}", from.elapsed());
+    assert_eq!(
+        answer(&mut BufReader::new(waiting)).map(|got| got.0),
+        Some(500)
+    );
+    assert!(
+        from.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        from.elapsed()
+    );
     program.told_to_end();
     program.end();
 }
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -15,18 +15,32 @@
 use tansymux_rig::wire::{answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
-const ON: &str = "path: \"/statement\" groups { look_up: \"look\" report: \"look\" load: \"load\" }";
+const ON: &str =
+    "path: \"/statement\" groups { look_up: \"look\" report: \"look\" load: \"load\" }";
 
 fn config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines.iter().enumerate().map(|(i, at)| (format!("s-{i}"), *at)).collect();
-    let classes = [class("look", 300.0, 9000.0, "read_like"), class("load", 300.0, 9000.0, "non_idempotent")];
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, at)| (format!("s-{i}"), *at))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
     Config::new(free_address(), &engines, &classes, &[1, 1])
 }
 
 fn start(engines: &[SocketAddr], statements: &str) -> (Program, Scrap) {
-    let operator = Scrap::new("operator.textproto", &format!("statements {{ {statements} }}"));
+    let operator = Scrap::new(
+        "operator.textproto",
+        &format!("statements {{ {statements} }}"),
+    );
     let path = operator.0.display().to_string();
-    (Program::start(Path::new(EXE), &config(engines), &["--operator", &path]), operator)
+    (
+        Program::start(Path::new(EXE), &config(engines), &["--operator", &path]),
+        operator,
+    )
 }
 
 fn post(to: SocketAddr, query: &Ask) -> TcpStream {
@@ -56,7 +70,11 @@
     let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
     let out = child.wait_with_output().unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    (out.status.code().unwrap(), text(out.stdout), text(out.stderr))
+    (
+        out.status.code().unwrap(),
+        text(out.stdout),
+        text(out.stderr),
+    )
 }
 
 #[test]
@@ -72,7 +90,10 @@
     ] {
         assert_eq!(status(post(program.listen, &bare(id, statement))), 200);
         let fetch = told.recv_timeout(WAIT).unwrap().0;
-        assert!(fetch[2].starts_with(group) && fetch[3] == statement, "{fetch:?}");
+        assert!(
+            fetch[2].starts_with(group) && fetch[3] == statement,
+            "{fetch:?}"
+        );
     }
     assert_eq!(program.counter("statements_bare"), Some(3));
     assert_eq!(program.counter("statements_unknown"), Some(1));
@@ -87,13 +108,25 @@
     let hidden = "select 1 -- x\n; delete from sales_17.orders";
     let sent = |program: &Program, query: &Ask| {
         let status = status(post(program.listen, query));
-        let fetches = told.try_iter().filter(|(parts, _)| parts[0] == "fetch").count();
+        let fetches = told
+            .try_iter()
+            .filter(|(parts, _)| parts[0] == "fetch")
+            .count();
         (status, fetches)
     };
     let (program, _operator) = start(&[address], ON);
     assert_eq!(sent(&program, &bare(1, hidden)), (500, 1));
-    assert!(sent(&program, &bare(2, "select a from sales_17.orders where id = 1")).1 > 1);
-    assert_eq!(sent(&program, &bare(3, "select local_function(1)")), (500, 1));
+    assert!(
+        sent(
+            &program,
+            &bare(2, "select a from sales_17.orders where id = 1")
+        )
+        .1 > 1
+    );
+    assert_eq!(
+        sent(&program, &bare(3, "select local_function(1)")),
+        (500, 1)
+    );
     // A named class that promises to read only: logged and run as promised, or held to its text.
     let named = |id| Ask::new(id, "/invoke/look", "look", hidden, 9000.0);
     let (mut program, _operator) = start(&[address], "check: LOG");
@@ -114,7 +147,10 @@
         }
     });
     let (program, operator) = start(&[address], ON);
-    let in_hand = post(program.listen, &bare(1, "select a from sales_17.orders where id = 1"));
+    let in_hand = post(
+        program.listen,
+        &bare(1, "select a from sales_17.orders where id = 1"),
+    );
     assert!(told.recv_timeout(WAIT).unwrap().0[2].starts_with("cls=look,"));
     // One that can't be used changes nothing and says where.
     operator.write("statements { path: \"/statement\"\n groups { look_up: \"nobody\" report: \"look\" load: \"load\" } }");
@@ -128,7 +164,10 @@
     operator.write(&format!("statements {{ {moved} }}"));
     program.signal("-HUP");
     program.wait_for_count("operator_files_read 1\n");
-    let later = post(program.listen, &bare(2, "select a from sales_17.orders where id = 2"));
+    let later = post(
+        program.listen,
+        &bare(2, "select a from sales_17.orders where id = 2"),
+    );
     assert!(told.recv_timeout(WAIT).unwrap().0[2].starts_with("cls=load,"));
     assert_eq!((status(in_hand), status(later)), (200, 200));
     // Off again: the path is gone.
@@ -139,7 +178,11 @@
     let mut program = program;
     program.told_to_end();
     let log = program.end();
-    for says in ["stays as it was", "look_up is \"nobody\"", "rule.0.class is missing"] {
+    for says in [
+        "stays as it was",
+        "look_up is \"nobody\"",
+        "rule.0.class is missing",
+    ] {
         assert!(log.contains(says), "{says} in {log}");
     }
 }
@@ -148,8 +191,9 @@
 fn every_statement_malformed_or_not_gets_exactly_one_final_answer() {
     use rand::SeedableRng;
     let world = Arc::new(World::default());
-    let engines: Vec<Engine> =
-        (0..3).map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone())).collect();
+    let engines: Vec<Engine> = (0..3)
+        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone()))
+        .collect();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
     let (mut program, _operator) = start(&addresses, ON);
     let mut chance = rand_pcg::Pcg64::seed_from_u64(7);
@@ -165,16 +209,31 @@
         };
         // What was spoilt may be anything: only its one answer counts.
         let class = if spoilt { "spoilt" } else { labelled.class };
-        let query = Ask { class: class.into(), ..bare(n as u64 + 1, &text) };
-        let work = Work { work: 2.0, threads: 1.0, changes: labelled.effect != "read-only", tables: 0 };
+        let query = Ask {
+            class: class.into(),
+            ..bare(n as u64 + 1, &text)
+        };
+        let work = Work {
+            work: 2.0,
+            threads: 1.0,
+            changes: labelled.effect != "read-only",
+            tables: 0,
+        };
         world.works.lock().unwrap().insert(query.id(), work);
         let (world, listen) = (world.clone(), program.listen);
-        waiting.push(thread::spawn(move || ask(listen, &query, &world.record).is_some()));
+        waiting.push(thread::spawn(move || {
+            ask(listen, &query, &world.record).is_some()
+        }));
         if waiting.len() % 24 == 0 {
             thread::sleep(Duration::from_millis(20));
         }
     }
-    let answered = waiting.into_iter().filter(|_| true).map(|w| w.join().unwrap()).filter(|got| *got).count();
+    let answered = waiting
+        .into_iter()
+        .filter(|_| true)
+        .map(|w| w.join().unwrap())
+        .filter(|got| *got)
+        .count();
     assert_eq!(answered, all.len());
     program.told_to_end();
     let report = program.end();
@@ -184,8 +243,17 @@
         _ => Effect::Mutating,
     };
     let classes = ["look-up", "report", "load", "unknown", "spoilt"];
-    let classes = classes.map(|class| (class.to_owned(), ClassRules::of(effect(class)))).into();
-    let rules = Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget: None, classes };
+    let classes = classes
+        .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
+        .into();
+    let rules = Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget: None,
+        classes,
+    };
     let broken = judge(&world.record.entries(), &rules);
     assert!(broken.is_empty(), "{broken:?}");
 }
@@ -196,15 +264,33 @@
     assert_eq!(run(&["--help"], "").0, 0);
     assert_eq!(run(&["nonsense"], "").0, 2);
     assert_eq!(run(&["check"], "").0, 2);
-    let operator = Scrap::new("o", "log {\n lines_a_second: 0 }\nstatements { cache { shapes: 1 } }");
+    let operator = Scrap::new(
+        "o",
+        "log {\n lines_a_second: 0 }\nstatements { cache { shapes: 1 } }",
+    );
     let good = Scrap::new("c", &config(&[]).0.to_string());
     let bad = Scrap::new("d", "{\n\"seed\": 7 }");
     let path = |scrap: &Scrap| scrap.0.display().to_string();
-    let (code, out, _) = run(&["check", &path(&operator), &path(&bad), &path(&good), "/nowhere"], "");
+    let (code, out, _) = run(
+        &[
+            "check",
+            &path(&operator),
+            &path(&bad),
+            &path(&good),
+            "/nowhere",
+        ],
+        "",
+    );
     assert_eq!(code, 1);
     for says in [
-        &format!("{}:2:2: log.lines_a_second is 0, allowed is 1 to 1000", path(&operator)),
-        &format!("{}:3:22: statements.cache.shapes is 1, allowed is 16 to 1000000", path(&operator)),
+        &format!(
+            "{}:2:2: log.lines_a_second is 0, allowed is 1 to 1000",
+            path(&operator)
+        ),
+        &format!(
+            "{}:3:22: statements.cache.shapes is 1, allowed is 16 to 1000000",
+            path(&operator)
+        ),
         &format!("{}:2: key seed is 7, not a text", path(&bad)),
         "/nowhere: ",
     ] {
@@ -212,14 +298,27 @@
     }
     let fits = Scrap::new("f", &format!("statements {{ {ON} }}"));
     assert_eq!(run(&["check", &path(&good), &path(&fits)], "").0, 0);
-    let unfit =
-        Scrap::new("u", &format!("statements {{ {} }}", ON.replace("load: \"load\"", "load: \"look\"")));
+    let unfit = Scrap::new(
+        "u",
+        &format!(
+            "statements {{ {} }}",
+            ON.replace("load: \"load\"", "load: \"look\"")
+        ),
+    );
     let (code, out, _) = run(&["check", &path(&good), &path(&unfit)], "");
-    assert!(code == 1 && out.contains("statements.groups.load is \"look\""), "{out}");
+    assert!(
+        code == 1 && out.contains("statements.groups.load is \"look\""),
+        "{out}"
+    );
     let (code, out, _) = run(&["classify", "--plain"], "select 1\ndelete from t\n'\n");
-    let effects: Vec<&str> =
-        out.lines().filter_map(|l| l.split("\"effect\":\"").nth(1)?.split('"').next()).collect();
-    assert_eq!((code, effects), (0, vec!["read-only", "mutating", "unknown"]));
+    let effects: Vec<&str> = out
+        .lines()
+        .filter_map(|l| l.split("\"effect\":\"").nth(1)?.split('"').next())
+        .collect();
+    assert_eq!(
+        (code, effects),
+        (0, vec!["read-only", "mutating", "unknown"])
+    );
     let (code, _, err) = run(&["classify", "--operator", &path(&operator)], "");
     assert!(code == 1 && err.contains("log.lines_a_second"), "{err}");
 }
@@ -230,8 +329,14 @@
         say(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
     for (arguments, says) in [
-        (["--log-format", "json", "--log-level", "debug"], r#""outcome":"finished""#),
-        (["--log-format", "text", "--log-level", "debug"], "outcome=\"finished\""),
+        (
+            ["--log-format", "json", "--log-level", "debug"],
+            r#""outcome":"finished""#,
+        ),
+        (
+            ["--log-format", "text", "--log-level", "debug"],
+            "outcome=\"finished\"",
+        ),
     ] {
         let mut program = Program::start(Path::new(EXE), &config(&[address]), &arguments);
         let query = Ask::new(1, "/invoke/look", "look", "select 1", 9000.0);
@@ -241,7 +346,10 @@
         assert!(log.contains(says) && log.contains("query"), "{log}");
         if arguments[1] == "json" {
             let json = |line: &str| serde_json::from_str::<serde_json::Value>(line).is_ok();
-            assert!(log.lines().filter(|line| line.starts_with('{')).all(json), "{log}");
+            assert!(
+                log.lines().filter(|line| line.starts_with('{')).all(json),
+                "{log}"
+            );
         }
     }
 }
--- a/crates/halls/src/define.rs
+++ b/crates/halls/src/define.rs
@@ -33,7 +33,10 @@
 
 impl Default for Cut {
     fn default() -> Self {
-        Cut { quiet_for: 1200.0, part: 0.75 }
+        Cut {
+            quiet_for: 1200.0,
+            part: 0.75,
+        }
     }
 }
 
@@ -48,7 +51,11 @@
 
 impl Default for Climb {
     fn default() -> Self {
-        Climb { first: 0.1, over: 20_000.0, whole: 2.0 }
+        Climb {
+            first: 0.1,
+            over: 20_000.0,
+            whole: 2.0,
+        }
     }
 }
 
@@ -87,7 +94,10 @@
     pub fn rank(&self, class: &str, from: &str, hall: &str) -> u8 {
         match self.route(class, from) {
             Some(route) => {
-                let at = route.tiers.iter().position(|tier| tier.halls.iter().any(|name| name == hall));
+                let at = route
+                    .tiers
+                    .iter()
+                    .position(|tier| tier.halls.iter().any(|name| name == hall));
                 at.unwrap_or(route.tiers.len()).min(254) as u8
             }
             None => u8::from(hall != from),
@@ -109,8 +119,13 @@
 /// All faults: halls that stand twice, routes that can't be reached, limits that carry nothing at all.
 pub fn faults(definition: &Definition) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let mut add =
-        |key: String, found: String, allowed: &'static str| faults.push(Fault { key, found, allowed });
+    let mut add = |key: String, found: String, allowed: &'static str| {
+        faults.push(Fault {
+            key,
+            found,
+            allowed,
+        })
+    };
     for (n, route) in definition.routes.iter().enumerate() {
         let same = |other: &&Route| other.class == route.class && other.from == route.from;
         if definition.routes[..n].iter().find(same).is_some() {
@@ -121,12 +136,20 @@
             );
         }
         if route.tiers.is_empty() {
-            add(format!("route.{n}.tier"), "missing".into(), "one tier at the least");
+            add(
+                format!("route.{n}.tier"),
+                "missing".into(),
+                "one tier at the least",
+            );
         }
         let mut seen: Vec<&str> = Vec::new();
         for (t, tier) in route.tiers.iter().enumerate() {
             if tier.halls.is_empty() {
-                add(format!("route.{n}.tier.{t}.hall"), "missing".into(), "one hall at the least");
+                add(
+                    format!("route.{n}.tier.{t}.hall"),
+                    "missing".into(),
+                    "one hall at the least",
+                );
             }
             for (h, hall) in tier.halls.iter().enumerate() {
                 if seen.contains(&hall.as_str()) {
@@ -145,7 +168,11 @@
     for (n, spill) in definition.spills.iter().enumerate() {
         let same = |other: &&Spill| other.into == spill.into && other.class == spill.class;
         if definition.spills[..n].iter().find(same).is_some() {
-            add(format!("spill.{n}"), "the same hall and class a second time".into(), "one limit for each");
+            add(
+                format!("spill.{n}"),
+                "the same hall and class a second time".into(),
+                "one limit for each",
+            );
         }
         let named = |spill: &Spill| {
             spill.class.as_ref().and_then(|class| {
@@ -172,17 +199,37 @@
     use super::*;
 
     fn tiers(names: &[&[&str]]) -> Vec<Tier> {
-        names.iter().map(|halls| Tier { halls: halls.iter().map(ToString::to_string).collect() }).collect()
+        names
+            .iter()
+            .map(|halls| Tier {
+                halls: halls.iter().map(ToString::to_string).collect(),
+            })
+            .collect()
     }
 
     #[test]
     fn the_most_particular_route_counts_and_unnamed_halls_come_last() {
         let routes = vec![
-            Route { class: None, from: None, tiers: tiers(&[&["a"], &["b"]]) },
-            Route { class: Some("load".into()), from: None, tiers: tiers(&[&["b", "c"]]) },
-            Route { class: None, from: Some("b".into()), tiers: tiers(&[&["b"], &["a"]]) },
+            Route {
+                class: None,
+                from: None,
+                tiers: tiers(&[&["a"], &["b"]]),
+            },
+            Route {
+                class: Some("load".into()),
+                from: None,
+                tiers: tiers(&[&["b", "c"]]),
+            },
+            Route {
+                class: None,
+                from: Some("b".into()),
+                tiers: tiers(&[&["b"], &["a"]]),
+            },
         ];
-        let d = Definition { routes, ..Definition::default() };
+        let d = Definition {
+            routes,
+            ..Definition::default()
+        };
         let rank = |class, from| ["a", "b", "c"].map(|hall| d.rank(class, from, hall));
         assert_eq!(
             (rank("look", "x"), rank("look", "b"), rank("load", "b")),
@@ -200,20 +247,36 @@
             tiers: tiers(names),
         };
         let says = |routes: Vec<Route>, spills: Vec<Spill>| {
-            let all = faults(&Definition { routes, spills, ..Definition::default() });
-            all.iter().map(|f| format!("{}: {}", f.key, f.found)).collect::<Vec<_>>().join("; ")
+            let all = faults(&Definition {
+                routes,
+                spills,
+                ..Definition::default()
+            });
+            all.iter()
+                .map(|f| format!("{}: {}", f.key, f.found))
+                .collect::<Vec<_>>()
+                .join("; ")
+        };
+        let spill = |class: Option<&str>, most| Spill {
+            into: None,
+            class: class.map(Into::into),
+            most,
         };
-        let spill = |class: Option<&str>, most| Spill { into: None, class: class.map(Into::into), most };
         assert!(says(vec![route(None, &[&["a"], &["b", "a"]])], vec![])
             .contains("route.0.tier.1.hall.1: \"a\" a second"));
         assert!(
-            says(vec![route(None, &[&["a"]]), route(None, &[&["b"]])], vec![]).contains("route.1: the same")
+            says(vec![route(None, &[&["a"]]), route(None, &[&["b"]])], vec![])
+                .contains("route.1: the same")
         );
         assert!(says(vec![route(None, &[])], vec![]).contains("route.0.tier: missing"));
         assert!(says(vec![route(None, &[&[]])], vec![]).contains("tier.0.hall: missing"));
-        assert!(says(vec![], vec![spill(None, 0.1), spill(None, 0.2)]).contains("spill.1: the same"));
+        assert!(
+            says(vec![], vec![spill(None, 0.1), spill(None, 0.2)]).contains("spill.1: the same")
+        );
         let load = || vec![route(Some("load"), &[&["a"], &["b"]])];
-        assert!(says(load(), vec![spill(Some("load"), 0.0)]).contains("spill.0.most: 0 for a class"));
+        assert!(
+            says(load(), vec![spill(Some("load"), 0.0)]).contains("spill.0.most: 0 for a class")
+        );
         assert!(says(load(), vec![spill(Some("load"), 0.1)]).is_empty());
     }
 }
--- a/crates/halls/src/judge.rs
+++ b/crates/halls/src/judge.rs
@@ -201,7 +201,10 @@
     }
 
     pub fn state(&self, hall: &str) -> Option<HallState> {
-        self.halls.iter().find(|known| known.name == hall).map(|known| known.state)
+        self.halls
+            .iter()
+            .find(|known| known.name == hall)
+            .map(|known| known.state)
     }
 
     fn hall(&mut self, name: &str) -> usize {
@@ -229,7 +232,12 @@
     fn changed(&mut self, hall: usize, state: HallState, why: Why) {
         let (now, known) = (self.now, &mut self.halls[hall]);
         (known.state, known.since) = (state, now);
-        let change = Changed { at: now, hall: known.name.clone(), state, why };
+        let change = Changed {
+            at: now,
+            hall: known.name.clone(),
+            state,
+            why,
+        };
         self.version += 1;
         self.told_at = LONG_AGO;
         if self.history.len() >= HISTORY {
@@ -259,11 +267,23 @@
                 heard: LONG_AGO,
                 failed: LONG_AGO,
             };
-            let known = self.engines.remove(&engine.node).filter(|known| known.hall == hall).unwrap_or(fresh);
-            next.insert(engine.node, Known { cores: engine.cores, ready: engine.ready, ..known });
+            let known = self
+                .engines
+                .remove(&engine.node)
+                .filter(|known| known.hall == hall)
+                .unwrap_or(fresh);
+            next.insert(
+                engine.node,
+                Known {
+                    cores: engine.cores,
+                    ready: engine.ready,
+                    ..known
+                },
+            );
         }
         // Those that are left were dropped, or are not ready any more: did they answer a moment ago?
-        let answering = |known: &Known| known.ready && known.fails == 0 && self.now - known.heard < 2000.0;
+        let answering =
+            |known: &Known| known.ready && known.fails == 0 && self.now - known.heard < 2000.0;
         for known in self.engines.values().filter(|known| answering(known)) {
             before[known.hall].1 += 1;
         }
@@ -280,7 +300,9 @@
     pub fn seen(&mut self, now: f64, seen: Seen) {
         self.now = self.now.max(now);
         let now = self.now;
-        let Some(known) = self.engines.get_mut(&seen.node) else { return };
+        let Some(known) = self.engines.get_mut(&seen.node) else {
+            return;
+        };
         let hall = &mut self.halls[known.hall];
         hall.fade(now);
         hall.seen = now;
@@ -304,9 +326,16 @@
     /// A peer's message, if it is one about halls.
     pub fn heard(&mut self, now: f64, peer: u32, content: &[u8]) {
         self.now = self.now.max(now);
-        let Some((alone, halls)) = message::read(content) else { return };
+        let Some((alone, halls)) = message::read(content) else {
+            return;
+        };
         let halls: Vec<Told> = halls.collect();
-        let told = Peer { number: peer, at: self.now, alone, halls };
+        let told = Peer {
+            number: peer,
+            at: self.now,
+            alone,
+            halls,
+        };
         match self.peers.iter().position(|known| known.number == peer) {
             Some(at) => self.peers[at] = told,
             None if self.peers.len() < MOST_PEERS => self.peers.push(told),
@@ -324,14 +353,19 @@
             mark: message::mark_of(&hall.name),
             state: self.reach(n, hall),
         };
-        Some(message::write(self.alone, self.halls.iter().enumerate().map(told)))
+        Some(message::write(
+            self.alone,
+            self.halls.iter().enumerate().map(told),
+        ))
     }
 
     /// How this dispatcher reaches each hall, for a fleet that puts the evidence of many together: one lost answer of
     /// each engine that was tried is enough to say so, as several must say it. Where it reaches none, it says nothing
     /// of any. Beside it all outcomes, good and bad, counted round.
     pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach, [u16; 2])> + '_ {
-        let lost: Vec<bool> = (0..self.halls.len()).map(|hall| self.seems_lost(hall)).collect();
+        let lost: Vec<bool> = (0..self.halls.len())
+            .map(|hall| self.seems_lost(hall))
+            .collect();
         let none = !lost.is_empty() && lost.iter().all(|lost| *lost);
         self.halls.iter().enumerate().map(move |(n, hall)| {
             let reach = match self.reach(n, hall) {
@@ -346,7 +380,11 @@
     /// Whether all engines of a hall that were tried of late were lost since they were last heard, and half of them
     /// were tried.
     fn seems_lost(&self, hall: usize) -> bool {
-        let of = || self.engines.values().filter(|known| known.hall == hall && known.ready);
+        let of = || {
+            self.engines
+                .values()
+                .filter(|known| known.hall == hall && known.ready)
+        };
         let tried = || of().filter(|known| self.now - known.heard.max(known.failed) < FORGET);
         let many = tried().count();
         many > 0 && 2 * many >= of().count() && tried().all(|known| known.fails > 0)
@@ -354,7 +392,10 @@
 
     /// How this dispatcher reaches a hall, as told to others: well only with evidence.
     fn reach(&self, n: usize, hall: &Hall) -> Reach {
-        let heard = self.engines.values().any(|known| known.hall == n && self.now - known.heard < FORGET);
+        let heard = self
+            .engines
+            .values()
+            .any(|known| known.hall == n && self.now - known.heard < FORGET);
         match hall.state {
             HallState::Cut => Reach::Cut,
             HallState::Climbing(_) => Reach::Climbing,
@@ -367,24 +408,36 @@
 
     /// Whether a hall fails by its engines' evidence; none where too little is known.
     fn fails(&self, hall: usize) -> Option<bool> {
-        let of = || self.engines.values().filter(|known| known.hall == hall && known.ready);
-        let tried = of().filter(|known| self.now - known.heard.max(known.failed) < FORGET).count();
+        let of = || {
+            self.engines
+                .values()
+                .filter(|known| known.hall == hall && known.ready)
+        };
+        let tried = of()
+            .filter(|known| self.now - known.heard.max(known.failed) < FORGET)
+            .count();
         let all = of().count();
         // Half of the hall must have been tried, or the one engine that it has.
         if tried == 0 || 2 * tried < all {
             return None;
         }
-        let failing = of().filter(|known| known.fails >= FAILS && self.now - known.failed < FORGET).count();
-        let quiet =
-            self.halls[hall].quiet.is_some_and(|since| self.now - since >= self.definition.cut.quiet_for);
+        let failing = of()
+            .filter(|known| known.fails >= FAILS && self.now - known.failed < FORGET)
+            .count();
+        let quiet = self.halls[hall]
+            .quiet
+            .is_some_and(|since| self.now - since >= self.definition.cut.quiet_for);
         Some(quiet && failing as f64 >= self.definition.cut.part * tried as f64)
     }
 
     /// Whether any peer that is not cut off itself reaches a hall.
     fn reached_by_peers(&self, hall: &str) -> bool {
         let mark = message::mark_of(hall);
-        let reaches = |told: &Told| told.mark == mark && matches!(told.state, Reach::Well | Reach::Climbing);
-        self.peers.iter().any(|peer| !peer.alone && peer.halls.iter().any(reaches))
+        let reaches =
+            |told: &Told| told.mark == mark && matches!(told.state, Reach::Well | Reach::Climbing);
+        self.peers
+            .iter()
+            .any(|peer| !peer.alone && peer.halls.iter().any(reaches))
     }
 
     /// Looks at all evidence; meant to be called some times a second.
@@ -392,7 +445,9 @@
         self.now = self.now.max(now);
         let now = self.now;
         // A pause of the process climbs nothing.
-        let passed = Some(now - self.looked).filter(|passed| *passed <= 1000.0).unwrap_or(0.0);
+        let passed = Some(now - self.looked)
+            .filter(|passed| *passed <= 1000.0)
+            .unwrap_or(0.0);
         self.looked = now;
         self.peers.retain(|peer| now - peer.at < HEARD_FOR);
         self.halls.iter_mut().for_each(|hall| hall.fade(now));
@@ -420,12 +475,22 @@
                     // What failed while it was cut says nothing of how it answers now.
                     let known = &mut self.halls[hall];
                     (known.progress, known.good, known.bad) = (0.0, 1.0, 0.0);
-                    self.changed(hall, HallState::Climbing(self.definition.climb.first), Why::Heard);
+                    self.changed(
+                        hall,
+                        HallState::Climbing(self.definition.climb.first),
+                        Why::Heard,
+                    );
                 }
-                HallState::Cut if now - self.halls[hall].seen.max(self.halls[hall].since) >= UNTRIED => {
+                HallState::Cut
+                    if now - self.halls[hall].seen.max(self.halls[hall].since) >= UNTRIED =>
+                {
                     let known = &mut self.halls[hall];
                     (known.progress, known.good, known.bad) = (0.0, 0.0, 0.0);
-                    self.changed(hall, HallState::Climbing(self.definition.climb.first), Why::Untried);
+                    self.changed(
+                        hall,
+                        HallState::Climbing(self.definition.climb.first),
+                        Why::Untried,
+                    );
                 }
                 HallState::Climbing(_) => self.climb(hall, passed),
                 _ => {}
@@ -436,13 +501,16 @@
     /// All halls that are known well enough fail, or stand cut: it is this dispatcher that is cut off. Halls that it
     /// called cut while the rest failed with them are not held to be.
     fn look_at_self(&mut self, fails: &[Option<bool>]) {
-        let failing = |hall: usize| fails[hall] == Some(true) || self.halls[hall].state == HallState::Cut;
+        let failing =
+            |hall: usize| fails[hall] == Some(true) || self.halls[hall].state == HallState::Cut;
         let known: Vec<usize> = (0..fails.len())
             .filter(|hall| fails[*hall].is_some() || self.halls[*hall].state == HallState::Cut)
             .collect();
-        let newly =
-            known.iter().any(|hall| fails[*hall] == Some(true) && self.halls[*hall].state != HallState::Cut);
-        let alone = known.len() > 1 && known.iter().all(|hall| failing(*hall)) && (newly || self.alone);
+        let newly = known
+            .iter()
+            .any(|hall| fails[*hall] == Some(true) && self.halls[*hall].state != HallState::Cut);
+        let alone =
+            known.len() > 1 && known.iter().all(|hall| failing(*hall)) && (newly || self.alone);
         if alone == self.alone {
             return;
         }
@@ -456,7 +524,11 @@
                 }
             }
         }
-        if let Some(hall) = known.first().copied().or((!self.halls.is_empty()).then_some(0)) {
+        if let Some(hall) = known
+            .first()
+            .copied()
+            .or((!self.halls.is_empty()).then_some(0))
+        {
             let state = self.halls[hall].state;
             self.changed(hall, state, if alone { Why::Alone } else { Why::NotAlone });
         }
@@ -466,8 +538,12 @@
     pub fn probes(&mut self, now: f64) -> Option<u64> {
         let due = |hall: &Hall| hall.state == HallState::Cut && now - hall.probed >= PROBE_EVERY;
         let hall = self.halls.iter().position(due)?;
-        let of: Vec<u64> =
-            self.engines.iter().filter(|(_, e)| e.hall == hall && e.ready).map(|(node, _)| *node).collect();
+        let of: Vec<u64> = self
+            .engines
+            .iter()
+            .filter(|(_, e)| e.hall == hall && e.ready)
+            .map(|(node, _)| *node)
+            .collect();
         let known = &mut self.halls[hall];
         (known.probed, known.next) = (now, known.next.wrapping_add(1));
         of.get(known.next % of.len().max(1)).copied()
@@ -475,7 +551,9 @@
 
     fn heard_since(&self, hall: usize) -> bool {
         let since = self.halls[hall].since;
-        self.engines.values().any(|known| known.hall == hall && known.ready && known.heard > since)
+        self.engines
+            .values()
+            .any(|known| known.hall == hall && known.ready && known.heard > since)
     }
 
     /// More is given while answers are good, less when they worsen, all anew when they fail.
@@ -521,12 +599,21 @@
     pub fn plan(&self, from: &str, classes: &[String]) -> Plan {
         let share = 1.0 / self.sharers();
         let halls = self.halls.iter().enumerate().map(|(n, hall)| {
-            let cores: f64 = self.engines.values().filter(|e| e.hall == n && e.ready).map(|e| e.cores).sum();
-            let part = |class: Option<&str>| self.definition.spill(&hall.name, class) * cores * share;
+            let cores: f64 = self
+                .engines
+                .values()
+                .filter(|e| e.hall == n && e.ready)
+                .map(|e| e.cores)
+                .sum();
+            let part =
+                |class: Option<&str>| self.definition.spill(&hall.name, class) * cores * share;
             HallPlan {
                 name: hall.name.clone(),
                 state: hall.state,
-                ranks: classes.iter().map(|class| self.definition.rank(class, from, &hall.name)).collect(),
+                ranks: classes
+                    .iter()
+                    .map(|class| self.definition.rank(class, from, &hall.name))
+                    .collect(),
                 spill: part(None),
                 spill_by_class: classes.iter().map(|class| part(Some(class))).collect(),
             }
@@ -538,7 +625,10 @@
                 HallState::Climbing(part) => part * whole,
                 HallState::Cut => 0.0,
             };
-            EnginePlan { node: *node, threads }
+            EnginePlan {
+                node: *node,
+                threads,
+            }
         });
         Plan {
             halls: halls.collect(),
--- a/crates/halls/src/message.rs
+++ b/crates/halls/src/message.rs
@@ -25,7 +25,9 @@
 
 /// A mark of a hall's name.
 pub fn mark_of(name: &str) -> u16 {
-    let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, b| {
+        (hash ^ u32::from(b)).wrapping_mul(0x0100_0193)
+    });
     (hash ^ hash >> 16) as u16
 }
 
@@ -47,16 +49,21 @@
 
 /// Whether the writer takes itself for cut off, and its halls; none for what is no such message.
 pub fn read(content: &[u8]) -> Option<(bool, impl Iterator<Item = Told> + '_)> {
-    let [KIND, VERSION, alone, ..] = *content else { return None };
-    let halls = content[HEAD..].chunks_exact(ENTRY).take(MOST).map(|entry| Told {
-        mark: u16::from_be_bytes([entry[0], entry[1]]),
-        state: match entry[2] {
-            1 => Reach::Well,
-            2 => Reach::Climbing,
-            3 => Reach::Cut,
-            _ => Reach::Unknown,
-        },
-    });
+    let [KIND, VERSION, alone, ..] = *content else {
+        return None;
+    };
+    let halls = content[HEAD..]
+        .chunks_exact(ENTRY)
+        .take(MOST)
+        .map(|entry| Told {
+            mark: u16::from_be_bytes([entry[0], entry[1]]),
+            state: match entry[2] {
+                1 => Reach::Well,
+                2 => Reach::Climbing,
+                3 => Reach::Cut,
+                _ => Reach::Unknown,
+            },
+        });
     Some((alone != 0, halls))
 }
 
@@ -66,12 +73,34 @@
 
     #[test]
     fn what_was_written_is_read_and_nothing_else() {
-        let halls = [Told { mark: mark_of("east"), state: Reach::Cut }, Told { mark: 7, state: Reach::Well }];
+        let halls = [
+            Told {
+                mark: mark_of("east"),
+                state: Reach::Cut,
+            },
+            Told {
+                mark: 7,
+                state: Reach::Well,
+            },
+        ];
         let bytes = write(true, halls.into_iter());
         let (alone, read_back) = read(&bytes).unwrap();
-        assert_eq!((alone, read_back.collect::<Vec<_>>()), (true, halls.to_vec()));
+        assert_eq!(
+            (alone, read_back.collect::<Vec<_>>()),
+            (true, halls.to_vec())
+        );
         assert!(read(&bytes[..2]).is_none() && read(b"\x02\x01\x00").is_none());
         assert_eq!(read(&bytes[..8]).unwrap().1.count(), 1);
-        assert!(write(false, (0..99).map(|mark| Told { mark, state: Reach::Well })).len() <= 256);
+        assert!(
+            write(
+                false,
+                (0..99).map(|mark| Told {
+                    mark,
+                    state: Reach::Well
+                })
+            )
+            .len()
+                <= 256
+        );
     }
 }
--- a/crates/halls/tests/cuts.rs
+++ b/crates/halls/tests/cuts.rs
@@ -1,24 +1,52 @@
 //! Halls that are cut, half cut, flap, come back cold or under other names, in virtual time; each hard case by name.
 
 use tansymux_halls::{
-    Changed, Climb, Cut, Definition, Engine, HallState, Judge, Kind, Plan, Route, Seen, Spill, Tier, Why,
+    Changed, Climb, Cut, Definition, Engine, HallState, Judge, Kind, Plan, Route, Seen, Spill,
+    Tier, Why,
 };
 
 const LOOK: f64 = 100.0;
 
 fn definition() -> Definition {
-    let tiers = |names: &[&str]| names.iter().map(|name| Tier { halls: vec![name.to_string()] }).collect();
+    let tiers = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| Tier {
+                halls: vec![name.to_string()],
+            })
+            .collect()
+    };
     Definition {
         routes: vec![
-            Route { class: None, from: Some("east".into()), tiers: tiers(&["east", "west", "south"]) },
-            Route { class: None, from: Some("west".into()), tiers: tiers(&["west", "east", "south"]) },
+            Route {
+                class: None,
+                from: Some("east".into()),
+                tiers: tiers(&["east", "west", "south"]),
+            },
+            Route {
+                class: None,
+                from: Some("west".into()),
+                tiers: tiers(&["west", "east", "south"]),
+            },
         ],
         spills: vec![
-            Spill { into: None, class: None, most: 0.4 },
-            Spill { into: None, class: Some("report".into()), most: 0.1 },
+            Spill {
+                into: None,
+                class: None,
+                most: 0.4,
+            },
+            Spill {
+                into: None,
+                class: Some("report".into()),
+                most: 0.1,
+            },
         ],
         cut: Cut::default(),
-        climb: Climb { first: 0.1, over: 10_000.0, whole: 2.0 },
+        climb: Climb {
+            first: 0.1,
+            over: 10_000.0,
+            whole: 2.0,
+        },
         cross_retries: 0.5,
     }
 }
@@ -36,15 +64,23 @@
 
 impl World {
     fn new(halls: &[(&'static str, usize)], gateways: f64) -> Self {
-        let mut world = World { judge: Judge::new(definition(), gateways), halls: halls.to_vec(), now: 0.0 };
+        let mut world = World {
+            judge: Judge::new(definition(), gateways),
+            halls: halls.to_vec(),
+            now: 0.0,
+        };
         world.list(|_, _| true);
         world
     }
 
     fn engines(&self, ready: impl Fn(usize, usize) -> bool) -> Vec<Engine> {
         let of = |(hall, (name, many)): (usize, &(&'static str, usize))| {
-            let engine =
-                |n| Engine { node: node(hall, n), hall: name.to_string(), cores: 8.0, ready: ready(hall, n) };
+            let engine = |n| Engine {
+                node: node(hall, n),
+                hall: name.to_string(),
+                cores: 8.0,
+                ready: ready(hall, n),
+            };
             (0..*many).map(engine).collect::<Vec<_>>()
         };
         self.halls.iter().enumerate().flat_map(of).collect()
@@ -56,7 +92,11 @@
     }
 
     /// So long with each engine tried in every look, heard where `heard` says so; what changed.
-    fn run(&mut self, lasts: f64, heard: impl Fn(usize, usize, f64) -> Option<bool>) -> Vec<Changed> {
+    fn run(
+        &mut self,
+        lasts: f64,
+        heard: impl Fn(usize, usize, f64) -> Option<bool>,
+    ) -> Vec<Changed> {
         let end = self.now + lasts;
         while self.now < end {
             self.now += LOOK;
@@ -64,7 +104,13 @@
                 for engine in 0..self.halls[hall].1 {
                     if let Some(heard) = heard(hall, engine, self.now) {
                         let kind = if heard { Kind::Heard } else { Kind::Lost };
-                        self.judge.seen(self.now, Seen { node: node(hall, engine), kind });
+                        self.judge.seen(
+                            self.now,
+                            Seen {
+                                node: node(hall, engine),
+                                kind,
+                            },
+                        );
                     }
                 }
             }
@@ -78,12 +124,20 @@
     }
 
     fn threads(&self, hall: usize) -> f64 {
-        self.plan().engines.iter().filter(|e| e.node / 100 == hall as u64).map(|e| e.threads).sum()
+        self.plan()
+            .engines
+            .iter()
+            .filter(|e| e.node / 100 == hall as u64)
+            .map(|e| e.threads)
+            .sum()
     }
 }
 
 fn whys(changes: &[Changed]) -> Vec<(String, Why)> {
-    changes.iter().map(|change| (change.hall.clone(), change.why)).collect()
+    changes
+        .iter()
+        .map(|change| (change.hall.clone(), change.why))
+        .collect()
 }
 
 const TWO: &[(&str, usize)] = &[("east", 4), ("west", 4)];
@@ -103,8 +157,9 @@
     let mut world = World::new(TWO, 1.0);
     // It answers seldom, but it answers.
     assert_eq!(
-        world
-            .run(60_000.0, |hall, n, now| Some(hall == 1 || (now as u64 / 100 + n as u64).is_multiple_of(9))),
+        world.run(60_000.0, |hall, n, now| Some(
+            hall == 1 || (now as u64 / 100 + n as u64).is_multiple_of(9)
+        )),
         []
     );
     assert_eq!(world.judge.state("east"), Some(HallState::Well));
@@ -113,10 +168,17 @@
 #[test]
 fn one_engine_that_fails_is_no_cut() {
     let mut world = World::new(TWO, 1.0);
-    assert_eq!(world.run(20_000.0, |hall, n, _| Some(hall == 1 || n > 0)), []);
+    assert_eq!(
+        world.run(20_000.0, |hall, n, _| Some(hall == 1 || n > 0)),
+        []
+    );
     // Nor are a few that were tried of many.
     let mut world = World::new(&[("east", 10), ("west", 4)], 1.0);
-    assert_eq!(world.run(20_000.0, |hall, n, _| (hall == 1 || n < 3).then_some(hall == 1)), []);
+    assert_eq!(
+        world.run(20_000.0, |hall, n, _| (hall == 1 || n < 3)
+            .then_some(hall == 1)),
+        []
+    );
 }
 
 #[test]
@@ -129,7 +191,10 @@
     // Nothing was called cut: when it is back, it goes on as before and starts no climb.
     let changes = world.run(5000.0, |_, _, _| Some(true));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::NotAlone)]);
-    assert_eq!((world.threads(0), world.threads(1)), (f64::INFINITY, f64::INFINITY));
+    assert_eq!(
+        (world.threads(0), world.threads(1)),
+        (f64::INFINITY, f64::INFINITY)
+    );
 }
 
 #[test]
@@ -139,7 +204,10 @@
     world.run(4000.0, |hall, _, _| Some(hall == 1));
     let changes = world.run(4000.0, |_, _, _| Some(false));
     // The second hall is not called cut: there is nobody left to judge by.
-    assert!(whys(&changes).contains(&("east".to_owned(), Why::Alone)), "{changes:?}");
+    assert!(
+        whys(&changes).contains(&("east".to_owned(), Why::Alone)),
+        "{changes:?}"
+    );
     assert_eq!(world.judge.state("west"), Some(HallState::Well));
 }
 
@@ -150,11 +218,18 @@
     let changes = world.run(3000.0, |hall, _, _| Some(hall == 1));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
     let changes = world.run(15_000.0, |_, _, _| Some(true));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Heard), ("east".to_owned(), Why::Climbed)]);
+    assert_eq!(
+        whys(&changes),
+        [
+            ("east".to_owned(), Why::Heard),
+            ("east".to_owned(), Why::Climbed)
+        ]
+    );
 }
 
 #[test]
-fn it_climbs_back_gradually_in_the_stated_time_and_all_dispatchers_together_give_no_more_than_the_whole() {
+fn it_climbs_back_gradually_in_the_stated_time_and_all_dispatchers_together_give_no_more_than_the_whole(
+) {
     for gateways in [1.0, 3.0, 200.0] {
         let mut world = World::new(TWO, gateways);
         world.run(3000.0, |_, _, _| Some(true));
@@ -168,8 +243,14 @@
                 break;
             }
             // Four engines of 8 cores at 2 threads a core.
-            assert!(given >= before - 1e-9 && given <= 64.0 + 1e-9, "{given} after {before}");
-            assert!(given - before <= 64.0 * (0.1 + 0.02), "a jump from {before} to {given}");
+            assert!(
+                given >= before - 1e-9 && given <= 64.0 + 1e-9,
+                "{given} after {before}"
+            );
+            assert!(
+                given - before <= 64.0 * (0.1 + 0.02),
+                "a jump from {before} to {given}"
+            );
             before = given;
         }
         let finished = finished.expect("it climbs to the end");
@@ -185,9 +266,14 @@
     world.run(5000.0, |_, _, _| Some(true));
     let half = world.threads(0);
     // Half of the answers fail: less and less is given, but it is not cut.
-    let changes =
-        world.run(4000.0, |hall, n, now| Some(hall == 1 || (now as u64 / 100 + n as u64).is_multiple_of(2)));
-    assert!(changes.is_empty() && world.threads(0) < half / 2.0, "{changes:?} {} {half}", world.threads(0));
+    let changes = world.run(4000.0, |hall, n, now| {
+        Some(hall == 1 || (now as u64 / 100 + n as u64).is_multiple_of(2))
+    });
+    assert!(
+        changes.is_empty() && world.threads(0) < half / 2.0,
+        "{changes:?} {} {half}",
+        world.threads(0)
+    );
     // It falls during the climb, and returns: from the first part on.
     let changes = world.run(3000.0, |hall, _, _| Some(hall == 1));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::FailsAgain)]);
@@ -205,13 +291,20 @@
         for _ in 0..3000 {
             let up = |now: f64| ((now / period) as u64).is_multiple_of(2);
             let changes = world.run(LOOK, |hall, _, now| Some(hall == 1 || up(now)));
-            cuts += changes.iter().filter(|change| matches!(change.why, Why::Lost | Why::FailsAgain)).count();
+            cuts += changes
+                .iter()
+                .filter(|change| matches!(change.why, Why::Lost | Why::FailsAgain))
+                .count();
             if changes.iter().any(|change| change.why == Why::Heard) {
                 up_since = world.now;
             }
             if let Some(HallState::Climbing(part)) = world.judge.state("east") {
                 let most = 0.1 + 0.9 * (world.now - up_since + 2.0 * LOOK) / 10_000.0;
-                assert!(part <= most.min(1.0) + 1e-9, "{part} after {} ms", world.now - up_since);
+                assert!(
+                    part <= most.min(1.0) + 1e-9,
+                    "{part} after {} ms",
+                    world.now - up_since
+                );
             }
         }
         // Periods shorter than the quiet time are no cut, but a bad hall.
@@ -246,8 +339,9 @@
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     // Seen from here it is silence; every third look an engine's time runs out.
-    let changes = world
-        .run(6000.0, |hall, _, now| (hall == 1 || (now as u64).is_multiple_of(300)).then_some(hall == 1));
+    let changes = world.run(6000.0, |hall, _, now| {
+        (hall == 1 || (now as u64).is_multiple_of(300)).then_some(hall == 1)
+    });
     assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
 }
 
@@ -263,10 +357,16 @@
     // It drops three of four that answered a moment ago.
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
-    let engines: Vec<Engine> =
-        world.engines(|_, _| true).into_iter().filter(|e| e.node >= 100 || e.node == 0).collect();
+    let engines: Vec<Engine> = world
+        .engines(|_, _| true)
+        .into_iter()
+        .filter(|e| e.node >= 100 || e.node == 0)
+        .collect();
     world.judge.listed(world.now, &engines);
-    assert_eq!(whys(&world.judge.changes()), [("east".to_owned(), Why::ListDrops)]);
+    assert_eq!(
+        whys(&world.judge.changes()),
+        [("east".to_owned(), Why::ListDrops)]
+    );
     // What is dropped can't be sent to (rule 3); the hall itself is well, and its room shrinks with it.
     assert_eq!(world.judge.state("east"), Some(HallState::Well));
     assert!((world.plan().halls[0].spill - 0.4 * 8.0).abs() < 1e-9);
@@ -281,9 +381,18 @@
     assert_eq!((world.threads(0), world.threads(1)), (0.0, 0.0));
     let plan = world.plan();
     // Each of two dispatchers may put half of 0.4 of 32 cores there, whichever hall it comes from.
-    assert!((plan.halls[2].spill - 0.4 * 32.0 / 2.0).abs() < 1e-9, "{plan:?}");
+    assert!(
+        (plan.halls[2].spill - 0.4 * 32.0 / 2.0).abs() < 1e-9,
+        "{plan:?}"
+    );
     assert!((plan.halls[2].spill_by_class[1] - 0.1 * 32.0 / 2.0).abs() < 1e-9);
-    assert_eq!(plan.halls.iter().map(|hall| hall.ranks[0]).collect::<Vec<_>>(), [0, 1, 2]);
+    assert_eq!(
+        plan.halls
+            .iter()
+            .map(|hall| hall.ranks[0])
+            .collect::<Vec<_>>(),
+        [0, 1, 2]
+    );
 }
 
 #[test]
@@ -292,12 +401,24 @@
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |hall, _, _| Some(hall == 1));
     let mut engines = world.engines(|_, _| true);
-    engines.iter_mut().filter(|e| e.node < 100).for_each(|e| e.node += 50);
+    engines
+        .iter_mut()
+        .filter(|e| e.node < 100)
+        .for_each(|e| e.node += 50);
     world.judge.listed(world.now, &engines);
     assert_eq!(world.threads(0), 0.0);
-    world.judge.seen(world.now + 50.0, Seen { node: 50, kind: Kind::Heard });
+    world.judge.seen(
+        world.now + 50.0,
+        Seen {
+            node: 50,
+            kind: Kind::Heard,
+        },
+    );
     world.judge.look(world.now + LOOK);
-    assert!(matches!(world.judge.state("east"), Some(HallState::Climbing(_))));
+    assert!(matches!(
+        world.judge.state("east"),
+        Some(HallState::Climbing(_))
+    ));
     assert!(world.threads(0) <= 64.0 * 0.11);
 }
 
@@ -311,8 +432,12 @@
     let changes = world.run(300.0, |hall, n, _| Some(hall == 1 || n == 3));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::Heard)]);
     // All gone: the hall is no reason for anything.
-    world.judge.listed(world.now, &world.engines(|_, _| true)[4..]);
-    assert!(world.run(1000.0, |hall, _, _| (hall == 1).then_some(true)).is_empty());
+    world
+        .judge
+        .listed(world.now, &world.engines(|_, _| true)[4..]);
+    assert!(world
+        .run(1000.0, |hall, _, _| (hall == 1).then_some(true))
+        .is_empty());
 }
 
 #[test]
@@ -348,7 +473,11 @@
     let before = world.threads(0);
     world.judge.look(world.now - 50_000.0);
     world.judge.look(world.now + 600_000.0);
-    assert!(world.threads(0) <= before + 64.0 * 0.1, "{before} {}", world.threads(0));
+    assert!(
+        world.threads(0) <= before + 64.0 * 0.1,
+        "{before} {}",
+        world.threads(0)
+    );
 }
 
 #[test]
@@ -363,7 +492,10 @@
         probed.extend(world.judge.probes(world.now));
     }
     assert_eq!(probed.len(), 8);
-    assert!(probed.iter().all(|node| *node < 100) && probed[0] != probed[1], "{probed:?}");
+    assert!(
+        probed.iter().all(|node| *node < 100) && probed[0] != probed[1],
+        "{probed:?}"
+    );
     // Where no probe is sent and all go elsewhere, it is tried with a first part, and cut again if it fails.
     let changes = world.run(15_000.0, |hall, _, _| (hall == 1).then_some(true));
     assert_eq!(whys(&changes), [("east".to_owned(), Why::Untried)]);
@@ -385,7 +517,9 @@
             })
             .collect();
         world.judge.heard(world.now, n % 7, &bytes);
-        world.judge.heard(world.now, n % 7, &[&[3, 1, 1], bytes.as_slice()].concat());
+        world
+            .judge
+            .heard(world.now, n % 7, &[&[3, 1, 1], bytes.as_slice()].concat());
     }
     assert_eq!(world.run(2000.0, |_, _, _| Some(true)), []);
 }
--- a/crates/knowledge/src/facts.rs
+++ b/crates/knowledge/src/facts.rs
@@ -123,7 +123,12 @@
 impl Facts {
     /// `own`: this instance's number, another one at each start, so that its former self is an origin like any other.
     pub fn new(own: u64) -> Self {
-        Facts { own, number: 0, engines: BTreeMap::new(), proven: BTreeMap::new() }
+        Facts {
+            own,
+            number: 0,
+            engines: BTreeMap::new(),
+            proven: BTreeMap::new(),
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -138,7 +143,18 @@
     pub fn saw(&mut self, now: f64, engine: u64, start: u32, kind: Kind, value: f64) {
         self.number = self.number.wrapping_add(1);
         let (origin, number) = (self.own, self.number);
-        self.merge(now, &Fact { engine, start, kind, value, origin, number, age: 0.0 });
+        self.merge(
+            now,
+            &Fact {
+                engine,
+                start,
+                kind,
+                value,
+                origin,
+                number,
+                age: 0.0,
+            },
+        );
     }
 
     /// Takes in a fact, wherever it came from. A later start of its engine makes all earlier facts void; of one origin
@@ -151,10 +167,10 @@
             self.forget_oldest();
         }
         let seen = now - fact.age;
-        let engine = self
-            .engines
-            .entry(fact.engine)
-            .or_insert_with(|| Engine { start: fact.start, ..Engine::default() });
+        let engine = self.engines.entry(fact.engine).or_insert_with(|| Engine {
+            start: fact.start,
+            ..Engine::default()
+        });
         let later = fact.start.wrapping_sub(engine.start);
         if (1..0x8000_0000).contains(&later) {
             (engine.start, engine.entries) = (fact.start, BTreeMap::new());
@@ -162,8 +178,15 @@
             return;
         }
         engine.touched = engine.touched.max(seen);
-        let fresh = Entry { value: fact.value, number: fact.number, seen };
-        let entry = engine.entries.entry((fact.kind, fact.origin)).or_insert(fresh);
+        let fresh = Entry {
+            value: fact.value,
+            number: fact.number,
+            seen,
+        };
+        let entry = engine
+            .entries
+            .entry((fact.kind, fact.origin))
+            .or_insert(fresh);
         let newer = fact.number.wrapping_sub(entry.number);
         if (1..0x8000_0000).contains(&newer) {
             *entry = fresh;
@@ -180,16 +203,22 @@
 
     /// Of each kind the origins with the lowest numbers of instance go first, wherever they came in the order.
     fn bound_origins(engine: &mut Engine, kind: Kind) {
-        let of: Vec<(Kind, u64)> =
-            engine.entries.range((kind, 0)..=(kind, u64::MAX)).map(|(key, _)| *key).collect();
+        let of: Vec<(Kind, u64)> = engine
+            .entries
+            .range((kind, 0)..=(kind, u64::MAX))
+            .map(|(key, _)| *key)
+            .collect();
         for key in of.iter().take(of.len().saturating_sub(MOST_ORIGINS)) {
             engine.entries.remove(key);
         }
     }
 
     fn forget_oldest(&mut self) {
-        let oldest =
-            self.engines.iter().min_by(|a, b| a.1.touched.total_cmp(&b.1.touched)).map(|(node, _)| *node);
+        let oldest = self
+            .engines
+            .iter()
+            .min_by(|a, b| a.1.touched.total_cmp(&b.1.touched))
+            .map(|(node, _)| *node);
         oldest.map(|node| self.engines.remove(&node));
     }
 
@@ -201,7 +230,11 @@
     /// A fact of an origin was put to the test by this instance's own eyes.
     pub fn proven(&mut self, origin: u64, right: bool) {
         let proven = self.proven.entry(origin).or_default();
-        *(if right { &mut proven.right } else { &mut proven.wrong }) += 1.0;
+        *(if right {
+            &mut proven.right
+        } else {
+            &mut proven.wrong
+        }) += 1.0;
         while self.proven.len() > MOST_ENGINES {
             self.proven.pop_first();
         }
@@ -233,14 +266,24 @@
 
     /// What is believed of an engine at `now`.
     pub fn view(&self, engine: u64, now: f64) -> View {
-        let Some(known) = self.engines.get(&engine) else { return View::default() };
+        let Some(known) = self.engines.get(&engine) else {
+            return View::default();
+        };
         let of = |kind: Kind| known.entries.range((kind, 0)..=(kind, u64::MAX));
-        let closed =
-            [Kind::Draining, Kind::Gone].into_iter().flat_map(of).any(|(_, entry)| entry.value > 0.0);
-        let silent = self.mean(known, Kind::Silent, now).map_or(0.0, |(value, weight)| value * weight);
-        let errors = self.mean(known, Kind::Errors, now).map_or(0.0, |(value, weight)| value * weight);
+        let closed = [Kind::Draining, Kind::Gone]
+            .into_iter()
+            .flat_map(of)
+            .any(|(_, entry)| entry.value > 0.0);
+        let silent = self
+            .mean(known, Kind::Silent, now)
+            .map_or(0.0, |(value, weight)| value * weight);
+        let errors = self
+            .mean(known, Kind::Errors, now)
+            .map_or(0.0, |(value, weight)| value * weight);
         // Started: the greatest age that anyone tells; a cold engine must not seem warm by a fact that was lost.
-        let started = of(Kind::Started).map(|(_, e)| e.value + (now - e.seen).max(0.0)).reduce(f64::min);
+        let started = of(Kind::Started)
+            .map(|(_, e)| e.value + (now - e.seen).max(0.0))
+            .reduce(f64::min);
         let held = self
             .mean(known, Kind::Held, now)
             .filter(|(_, weight)| *weight > 0.5)
@@ -262,10 +305,23 @@
             for ((kind, origin), entry) in &known.entries {
                 let age = (now - entry.seen).max(0.0);
                 let (start, value, number) = (known.start, entry.value, entry.number);
-                facts.push(Fact { engine: *engine, start, kind: *kind, value, origin: *origin, number, age });
+                facts.push(Fact {
+                    engine: *engine,
+                    start,
+                    kind: *kind,
+                    value,
+                    origin: *origin,
+                    number,
+                    age,
+                });
             }
         }
-        facts.sort_by(|a, b| a.kind.cmp(&b.kind).then(a.age.total_cmp(&b.age)).then(a.engine.cmp(&b.engine)));
+        facts.sort_by(|a, b| {
+            a.kind
+                .cmp(&b.kind)
+                .then(a.age.total_cmp(&b.age))
+                .then(a.engine.cmp(&b.engine))
+        });
         facts
     }
 }
--- a/crates/knowledge/src/wire.rs
+++ b/crates/knowledge/src/wire.rs
@@ -18,14 +18,19 @@
         if bytes.len() + ENTRY > most {
             break;
         }
-        let kind = Kind::ALL.iter().position(|kind| *kind == fact.kind).unwrap_or(0) as u8;
+        let kind = Kind::ALL
+            .iter()
+            .position(|kind| *kind == fact.kind)
+            .unwrap_or(0) as u8;
         bytes.extend_from_slice(&[(ENTRY - 1) as u8, kind]);
         bytes.extend_from_slice(&fact.engine.to_be_bytes());
         bytes.extend_from_slice(&fact.start.to_be_bytes());
         bytes.extend_from_slice(&fact.origin.to_be_bytes());
         bytes.extend_from_slice(&fact.number.to_be_bytes());
         // Rounded up: a fact must not grow younger on its way.
-        bytes.extend_from_slice(&(fact.age.ceil().clamp(0.0, f64::from(u32::MAX)) as u32).to_be_bytes());
+        bytes.extend_from_slice(
+            &(fact.age.ceil().clamp(0.0, f64::from(u32::MAX)) as u32).to_be_bytes(),
+        );
         bytes.extend_from_slice(&(fact.value as f32).to_be_bytes());
         count += 1;
     }
@@ -40,7 +45,9 @@
     }
     let mut rest = &bytes[HEAD..];
     while let Some((length, behind)) = rest.split_first() {
-        let Some(entry) = behind.get(..usize::from(*length)) else { break };
+        let Some(entry) = behind.get(..usize::from(*length)) else {
+            break;
+        };
         rest = &behind[usize::from(*length)..];
         facts.extend(one(entry));
     }
--- a/crates/knowledge/tests/merging.rs
+++ b/crates/knowledge/tests/merging.rs
@@ -8,7 +8,15 @@
 const OTHER: u64 = 3;
 
 fn fact(kind: Kind, value: f64, origin: u64, number: u32, age: f64) -> Fact {
-    Fact { engine: 9, start: 1, kind, value, origin, number, age }
+    Fact {
+        engine: 9,
+        start: 1,
+        kind,
+        value,
+        origin,
+        number,
+        age,
+    }
 }
 
 #[test]
@@ -44,7 +52,11 @@
     facts.merge(0.0, &fact(Kind::Silent, 1.0, DONOR, 1, 0.0));
     assert!(facts.view(9, 0.0).doubt > 0.6);
     facts.saw(100.0, 9, 1, Kind::Silent, 0.0);
-    assert!(facts.view(9, 100.0).doubt < 0.2, "{}", facts.view(9, 100.0).doubt);
+    assert!(
+        facts.view(9, 100.0).doubt < 0.2,
+        "{}",
+        facts.view(9, 100.0).doubt
+    );
 }
 
 #[test]
@@ -75,7 +87,9 @@
                 1 => &mut b,
                 _ => &mut c,
             };
-            wire::read(&bytes).iter().for_each(|fact| into.merge(now, fact));
+            wire::read(&bytes)
+                .iter()
+                .for_each(|fact| into.merge(now, fact));
         }
     }
     for facts in [&a, &b, &c] {
@@ -96,7 +110,10 @@
 
 #[test]
 fn another_versions_facts_are_passed_over_and_the_rest_is_read() {
-    let known = [fact(Kind::Pace, 1.0, DONOR, 1, 10.0), fact(Kind::Draining, 1.0, DONOR, 2, 0.0)];
+    let known = [
+        fact(Kind::Pace, 1.0, DONOR, 1, 10.0),
+        fact(Kind::Draining, 1.0, DONOR, 2, 0.0),
+    ];
     let (mut bytes, count) = wire::write(&known, 4096);
     assert_eq!((count, wire::read(&bytes)), (2, known.to_vec()));
     // A kind that is not known, an entry that is longer, one that is too short, one that is cut.
@@ -132,17 +149,33 @@
         facts.merge(n as f64, &Fact { engine: 5, ..told });
     }
     assert!(facts.len() <= tansymux_knowledge::MOST_ENGINES);
-    assert!(facts.all(0.0).iter().filter(|f| f.engine == 5).count() <= tansymux_knowledge::MOST_ORIGINS);
+    assert!(
+        facts.all(0.0).iter().filter(|f| f.engine == 5).count() <= tansymux_knowledge::MOST_ORIGINS
+    );
     for value in [f64::NAN, f64::INFINITY] {
         let before = facts.len();
-        facts.merge(1e9, &Fact { engine: 1_000_000, ..fact(Kind::Pace, value, DONOR, 1, 0.0) });
+        facts.merge(
+            1e9,
+            &Fact {
+                engine: 1_000_000,
+                ..fact(Kind::Pace, value, DONOR, 1, 0.0)
+            },
+        );
         assert_eq!(facts.len(), before);
     }
 }
 
 fn any_fact() -> impl Strategy<Value = Fact> {
-    (0..3_u64, 1..3_u32, 0..8_usize, 0..4_u32, 2..6_u64, 1..4_u32, 0..5_u32).prop_map(
-        |(engine, start, kind, value, origin, number, age)| Fact {
+    (
+        0..3_u64,
+        1..3_u32,
+        0..8_usize,
+        0..4_u32,
+        2..6_u64,
+        1..4_u32,
+        0..5_u32,
+    )
+        .prop_map(|(engine, start, kind, value, origin, number, age)| Fact {
             engine,
             start,
             kind: Kind::ALL[kind],
@@ -150,8 +183,7 @@
             origin,
             number,
             age: f64::from(age) * 100.0,
-        },
-    )
+        })
 }
 
 fn merged<'a>(facts: impl Iterator<Item = &'a Fact>) -> Vec<Fact> {
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -10,10 +10,17 @@
 
 /// All runs of an experiment, by arm and seed; the same whatever order they were played in.
 pub fn all(e: &Experiment, threads: usize, quiet: bool) -> Vec<Vec<Outcomes>> {
-    let seeds: Vec<u64> = (0..u64::from(e.seeds())).map(|n| e.first_seed() + n).collect();
-    let jobs: Vec<(usize, usize)> =
-        (0..seeds.len()).flat_map(|s| (0..e.arm.len()).map(move |arm| (arm, s))).collect();
-    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(jobs.len() as u64) };
+    let seeds: Vec<u64> = (0..u64::from(e.seeds()))
+        .map(|n| e.first_seed() + n)
+        .collect();
+    let jobs: Vec<(usize, usize)> = (0..seeds.len())
+        .flat_map(|s| (0..e.arm.len()).map(move |arm| (arm, s)))
+        .collect();
+    let bar = if quiet {
+        ProgressBar::hidden()
+    } else {
+        ProgressBar::new(jobs.len() as u64)
+    };
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} left") {
         bar.set_style(style);
     }
@@ -33,7 +40,8 @@
     let mut done = done.into_inner().expect("no run panics");
     done.sort_by_key(|(arm, seed, _)| (*arm, *seed));
     let mut arms: Vec<Vec<Outcomes>> = e.arm.iter().map(|_| Vec::new()).collect();
-    done.into_iter().for_each(|(arm, _, outcomes)| arms[arm].push(outcomes));
+    done.into_iter()
+        .for_each(|(arm, _, outcomes)| arms[arm].push(outcomes));
     arms
 }
 
@@ -52,11 +60,23 @@
     let count = values.len();
     let mean = values.iter().sum::<f64>() / count.max(1) as f64;
     if count < 2 {
-        return Mean { mean, half: f64::NAN, count };
+        return Mean {
+            mean,
+            half: f64::NAN,
+            count,
+        };
     }
-    let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1) as f64;
+    let variance = values
+        .iter()
+        .map(|value| (value - mean).powi(2))
+        .sum::<f64>()
+        / (count - 1) as f64;
     let t = StudentsT::new(0.0, 1.0, (count - 1) as f64).map_or(f64::NAN, |t| t.inverse_cdf(0.975));
-    Mean { mean, half: t * (variance / count as f64).sqrt(), count }
+    Mean {
+        mean,
+        half: t * (variance / count as f64).sqrt(),
+        count,
+    }
 }
 
 /// How an arm differs from the first one, seed by seed.
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -75,7 +75,11 @@
 
     fn speed(&self, now: f64) -> f64 {
         let age = now - self.started;
-        let warm = if age >= self.warm_after { 1.0 } else { (age / self.warm_after).max(0.0) };
+        let warm = if age >= self.warm_after {
+            1.0
+        } else {
+            (age / self.warm_after).max(0.0)
+        };
         let cold = self.cold_from + (1.0 - self.cold_from) * warm;
         cold * (self.cores / self.threads.max(1e-9)).min(1.0) / self.slow
     }
@@ -91,8 +95,19 @@
     pub fn add(&mut self, now: f64, job: u64, work: f64, threads: f64) {
         self.advance(now);
         let needs = work / threads;
-        self.jobs.insert(job, Job { job, threads, needs, began: self.service });
-        self.marks.push(Mark { at: self.service + needs, job });
+        self.jobs.insert(
+            job,
+            Job {
+                job,
+                threads,
+                needs,
+                began: self.service,
+            },
+        );
+        self.marks.push(Mark {
+            at: self.service + needs,
+            job,
+        });
         self.threads += threads;
         self.generation += 1;
     }
@@ -101,7 +116,11 @@
     pub fn remove(&mut self, now: f64, job: u64) -> Option<Job> {
         self.advance(now);
         let gone = self.jobs.remove(&job)?;
-        self.threads = if self.jobs.is_empty() { 0.0 } else { self.threads - gone.threads };
+        self.threads = if self.jobs.is_empty() {
+            0.0
+        } else {
+            self.threads - gone.threads
+        };
         self.generation += 1;
         Some(gone)
     }
@@ -114,7 +133,11 @@
 
     /// When the next job ends if nothing changes; a cold engine is looked at again before it has sped up much.
     pub fn next(&mut self, now: f64) -> Option<f64> {
-        while self.marks.peek().is_some_and(|mark| !self.jobs.contains_key(&mark.job)) {
+        while self
+            .marks
+            .peek()
+            .is_some_and(|mark| !self.jobs.contains_key(&mark.job))
+        {
             self.marks.pop();
         }
         let mark = self.marks.peek()?;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -11,8 +11,9 @@
 /// What is wrong, with the key.
 pub fn read(text: &str) -> Result<Experiment, String> {
     let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| e.to_string())?;
-    let descriptor =
-        pool.get_message_by_name("tansymux.lab.Experiment").ok_or("the schema holds no Experiment")?;
+    let descriptor = pool
+        .get_message_by_name("tansymux.lab.Experiment")
+        .ok_or("the schema holds no Experiment")?;
     let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| e.to_string())?;
     let experiment: Experiment = message.transcode_to().map_err(|e| e.to_string())?;
     check(&experiment)?;
@@ -26,21 +27,42 @@
     }
     for (n, fault) in e.fault.iter().enumerate() {
         if !halls.contains(&fault.hall())
-            || fault.from.as_ref().is_some_and(|from| !halls.contains(&from.as_str()))
+            || fault
+                .from
+                .as_ref()
+                .is_some_and(|from| !halls.contains(&from.as_str()))
         {
             return Err(format!("fault.{n} names a hall that is not there"));
         }
-        if fault.begins_s().is_nan() || fault.ends_s().is_nan() || fault.begins_s() >= fault.ends_s() {
+        if fault.begins_s().is_nan()
+            || fault.ends_s().is_nan()
+            || fault.begins_s() >= fault.ends_s()
+        {
             return Err(format!("fault.{n} ends before it begins"));
         }
     }
     for (n, class) in e.class.iter().enumerate() {
-        if class.bound_to.as_ref().is_some_and(|hall| !halls.contains(&hall.as_str())) {
+        if class
+            .bound_to
+            .as_ref()
+            .is_some_and(|hall| !halls.contains(&hall.as_str()))
+        {
             return Err(format!("class.{n}.bound_to is no hall"));
         }
-        let positive = [class.rate(), class.work_ms(), class.threads(), class.target_ms(), class.wait_ms()];
-        if positive.iter().any(|value| !(*value > 0.0 && value.is_finite())) {
-            return Err(format!("class.{n} has a rate, work, threads, target or wait that is not above 0"));
+        let positive = [
+            class.rate(),
+            class.work_ms(),
+            class.threads(),
+            class.target_ms(),
+            class.wait_ms(),
+        ];
+        if positive
+            .iter()
+            .any(|value| !(*value > 0.0 && value.is_finite()))
+        {
+            return Err(format!(
+                "class.{n} has a rate, work, threads, target or wait that is not above 0"
+            ));
         }
     }
     for (n, arm) in e.arm.iter().enumerate() {
@@ -62,8 +84,14 @@
         let good = "hall { name: \"a\" } class { name: \"look\" } arm { name: \"base\" }";
         assert!(super::read(good).is_ok());
         for (more, says) in [
-            (" fault { hall: \"b\" begins_s: 1 ends_s: 2 }", "fault.0 names"),
-            (" fault { hall: \"a\" begins_s: 2 ends_s: 2 }", "ends before"),
+            (
+                " fault { hall: \"b\" begins_s: 1 ends_s: 2 }",
+                "fault.0 names",
+            ),
+            (
+                " fault { hall: \"a\" begins_s: 2 ends_s: 2 }",
+                "ends before",
+            ),
             (" class { rate: -1 }", "class.1 has a rate"),
             (
                 " arm { operator: \"halls { spill { } }\" }",
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -54,7 +54,10 @@
 
 fn read(file: &Path) -> Result<(Experiment, String), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    Ok((experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?, text))
+    Ok((
+        experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?,
+        text,
+    ))
 }
 
 fn main() -> ExitCode {
@@ -79,7 +82,13 @@
 fn played(command: Command) -> Result<bool, String> {
     let failed = |e: &dyn std::fmt::Display| e.to_string();
     match command {
-        Command::Run { file, to, threads, seeds, dispatchers } => {
+        Command::Run {
+            file,
+            to,
+            threads,
+            seeds,
+            dispatchers,
+        } => {
             let (mut e, text) = read(&file)?;
             e.seeds = seeds.or(e.seeds);
             e.dispatchers = dispatchers.or(e.dispatchers);
@@ -88,8 +97,9 @@
             print!("{table}");
             if let Some(to) = to {
                 std::fs::create_dir_all(&to).map_err(|e| failed(&e))?;
-                let write =
-                    |name: String, text: &str| std::fs::write(to.join(name), text).map_err(|e| failed(&e));
+                let write = |name: String, text: &str| {
+                    std::fs::write(to.join(name), text).map_err(|e| failed(&e))
+                };
                 write(format!("{}.txt", e.name()), &table)?;
                 write(format!("{}.jsonl", e.name()), &report::lines(&arms))?;
                 let mut plots = Vec::new();
@@ -107,16 +117,18 @@
             let text = std::fs::read_to_string(&file).map_err(|e| failed(&e))?;
             let mut arms: Vec<(String, Vec<serde_json::Value>)> = Vec::new();
             for line in text.lines() {
-                let value: serde_json::Value = serde_json::from_str(line).map_err(|e| failed(&e))?;
+                let value: serde_json::Value =
+                    serde_json::from_str(line).map_err(|e| failed(&e))?;
                 let name = value["arm"].as_str().unwrap_or("").to_owned();
                 match arms.iter_mut().find(|(known, _)| *known == name) {
                     Some((_, all)) => all.push(value),
                     None => arms.push((name, vec![value])),
                 }
             }
-            for key in
-                ["in_time", "late", "deferred", "killed", "p99_fast", "spill", "cold", "fell", "broken"]
-            {
+            for key in [
+                "in_time", "late", "deferred", "killed", "p99_fast", "spill", "cold", "fell",
+                "broken",
+            ] {
                 print!("{key:<10}");
                 for (name, all) in &arms {
                     let m = compare::mean(all.iter().filter_map(|value| value[key].as_f64()));
@@ -126,7 +138,12 @@
             }
             Ok(true)
         }
-        Command::Plot { file, arm, seed, svg } => {
+        Command::Plot {
+            file,
+            arm,
+            seed,
+            svg,
+        } => {
             let (e, _) = read(&file)?;
             let o = world::run(&e, arm_of(&e, arm)?, seed.unwrap_or(e.first_seed()));
             report::svg(&e, &o, &svg).map_err(|e| failed(&e))?;
@@ -135,7 +152,10 @@
         Command::Replay { file, arm, seed } => {
             let (e, _) = read(&file)?;
             let o = world::run(&e, arm_of(&e, arm)?, seed);
-            println!("{}", serde_json::to_string_pretty(&o).map_err(|e| failed(&e))?);
+            println!(
+                "{}",
+                serde_json::to_string_pretty(&o).map_err(|e| failed(&e))?
+            );
             for s in o.samples.iter().step_by(4) {
                 println!(
                     "{:>6.1} s  value {:.3}  deferred {:>4}  threads {:.0?}  spilled {:.0?}",
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -15,13 +15,17 @@
     ("value before", |o| o.value[0]),
     ("value during faults", |o| o.value[1]),
     ("value in the minute after", |o| o.value[2]),
-    ("deferred (part)", |o| o.deferred as f64 / o.asked.max(1) as f64),
+    ("deferred (part)", |o| {
+        o.deferred as f64 / o.asked.max(1) as f64
+    }),
     ("late (part)", |o| o.late as f64 / o.asked.max(1) as f64),
     ("p99 of the fast lane (ms)", |o| o.p99_fast as f64),
     ("most spilled (part of the limit)", |o| o.spill),
     ("most sent to a cold engine (part of its fall)", |o| o.cold),
     ("engines that fell", |o| o.fell as f64),
-    ("full service after (ms)", |o| o.full_after.unwrap_or(f64::NAN)),
+    ("full service after (ms)", |o| {
+        o.full_after.unwrap_or(f64::NAN)
+    }),
     ("rules broken", |o| o.broken as f64),
 ];
 
@@ -46,11 +50,12 @@
         e.seeds(),
         ""
     );
-    e.arm.iter().for_each(|arm| text += &format!("{:>22}", arm.name()));
     e.arm
         .iter()
-        .skip(1)
-        .for_each(|arm| text += &format!("{:>22}", format!("{} - {}", arm.name(), e.arm[0].name())));
+        .for_each(|arm| text += &format!("{:>22}", arm.name()));
+    e.arm.iter().skip(1).for_each(|arm| {
+        text += &format!("{:>22}", format!("{} - {}", arm.name(), e.arm[0].name()))
+    });
     text.push('\n');
     for (name, of) in FIGURES {
         let _ = write!(text, "{name:<46}");
@@ -63,9 +68,22 @@
         text.push('\n');
     }
     let pace = mean(arms.iter().flatten().map(|o| o.pace));
-    let _ = writeln!(text, "virtual seconds played in a real one, each on one core: {}", shown(pace));
-    for broken in arms.iter().flatten().filter_map(|o| Some((o, o.first_broken.as_ref()?))).take(5) {
-        let _ = writeln!(text, "broken: arm {} seed {}: {}", broken.0.arm, broken.0.seed, broken.1);
+    let _ = writeln!(
+        text,
+        "virtual seconds played in a real one, each on one core: {}",
+        shown(pace)
+    );
+    for broken in arms
+        .iter()
+        .flatten()
+        .filter_map(|o| Some((o, o.first_broken.as_ref()?)))
+        .take(5)
+    {
+        let _ = writeln!(
+            text,
+            "broken: arm {} seed {}: {}",
+            broken.0.arm, broken.0.seed, broken.1
+        );
     }
     text
 }
@@ -90,9 +108,15 @@
             })
             .collect()
     };
-    let most = o.samples.iter().flat_map(|s| s.threads.iter().copied()).fold(1.0, f64::max);
-    let mut names: Vec<String> =
-        vec!["value (part of the worth asked)".into(), "deferred a second / 100".into()];
+    let most = o
+        .samples
+        .iter()
+        .flat_map(|s| s.threads.iter().copied())
+        .fold(1.0, f64::max);
+    let mut names: Vec<String> = vec![
+        "value (part of the worth asked)".into(),
+        "deferred a second / 100".into(),
+    ];
     let mut points = vec![
         smooth(&|n| o.samples[n].value / o.samples[n].most.max(1e-9)),
         smooth(&|n| o.samples[n].deferred as f64 * 4.0 / 100.0),
@@ -103,8 +127,22 @@
         names.push(format!("spilled into {} / {most:.0}", hall.name()));
         points.push(smooth(&|s| o.samples[s].spilled[n] / most));
     }
-    let lines: Vec<Line> = names.iter().zip(points).map(|(name, points)| Line { name, points }).collect();
-    plot(to, &format!("{}, arm {}, seed {} (the lab's emulator)", e.name(), o.arm, o.seed), "s", &lines)
+    let lines: Vec<Line> = names
+        .iter()
+        .zip(points)
+        .map(|(name, points)| Line { name, points })
+        .collect();
+    plot(
+        to,
+        &format!(
+            "{}, arm {}, seed {} (the lab's emulator)",
+            e.name(),
+            o.arm,
+            o.seed
+        ),
+        "s",
+        &lines,
+    )
 }
 
 const PAGE: &str = "<!doctype html><html lang=en><meta charset=utf-8><title>{{ name }}</title>\
@@ -117,7 +155,12 @@
 ///
 /// # Errors
 /// The template can't be filled.
-pub fn page(e: &Experiment, text: &str, table: &str, plots: &[String]) -> Result<String, minijinja::Error> {
+pub fn page(
+    e: &Experiment,
+    text: &str,
+    table: &str,
+    plots: &[String],
+) -> Result<String, minijinja::Error> {
     let mut environment = Environment::new();
     environment.set_auto_escape_callback(|_| minijinja::AutoEscape::Html);
     environment.render_str(PAGE, context! { name => e.name(), table, text, plots })
