--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -92,7 +92,10 @@
 
 impl Ord for Timed {
     fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.number.cmp(&self.number))
+        other
+            .at
+            .total_cmp(&self.at)
+            .then(other.number.cmp(&self.number))
     }
 }
 
@@ -104,10 +107,28 @@
 
 /// What a gateway is told in its next round.
 enum Incoming {
-    Query { id: u64, class: usize, cost: f64, due: f64 },
-    Closed { id: u64, submission: usize, outcome: Outcome, node: u64, latency: f64 },
-    Noted { id: u64, submission: usize, amount: f64 },
-    Probed { node: u64, outcome: Outcome },
+    Query {
+        id: u64,
+        class: usize,
+        cost: f64,
+        due: f64,
+    },
+    Closed {
+        id: u64,
+        submission: usize,
+        outcome: Outcome,
+        node: u64,
+        latency: f64,
+    },
+    Noted {
+        id: u64,
+        submission: usize,
+        amount: f64,
+    },
+    Probed {
+        node: u64,
+        outcome: Outcome,
+    },
     List,
 }
 
@@ -129,7 +150,10 @@
         self.0.push(Decided::Submit { id, node, until });
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
-        self.0.push(Decided::Defer { id, wait: retry_after });
+        self.0.push(Decided::Defer {
+            id,
+            wait: retry_after,
+        });
     }
     fn kill(&mut self, id: u64) {
         self.0.push(Decided::Kill { id });
@@ -159,18 +183,34 @@
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         for event in self.events.drain(..) {
             match event {
-                Incoming::Query { id, class, cost, due } => {
+                Incoming::Query {
+                    id,
+                    class,
+                    cost,
+                    due,
+                } => {
                     let (rg, tables) = (&self.groups[class], id as u32 % 24);
-                    let taken = control.query(id, rg, "", None, due, cost, 10.0, tables, Text::UNREAD, out);
+                    let taken =
+                        control.query(id, rg, "", None, due, cost, 10.0, tables, Text::UNREAD, out);
                     debug_assert!(taken.is_ok());
                 }
-                Incoming::Closed { id, submission, outcome, node, latency } => {
+                Incoming::Closed {
+                    id,
+                    submission,
+                    outcome,
+                    node,
+                    latency,
+                } => {
                     let complete = outcome == Outcome::Finished;
-                    control.closed(id, submission, complete, outcome, node, latency, 0.0, 0.0, out);
-                }
-                Incoming::Noted { id, submission, amount } => {
-                    control.noted(id, submission, Note::Progress, amount)
+                    control.closed(
+                        id, submission, complete, outcome, node, latency, 0.0, 0.0, out,
+                    );
                 }
+                Incoming::Noted {
+                    id,
+                    submission,
+                    amount,
+                } => control.noted(id, submission, Note::Progress, amount),
                 Incoming::Probed { node, outcome } => control.probed(node, outcome),
                 Incoming::List => {
                     control.list_begins(ListForm::Full);
@@ -300,16 +340,26 @@
 fn settings(e: &Experiment, hall: &str) -> Map {
     let mut map = Map::new();
     let mut put = |name: &str, value: String| drop(map.insert(name.to_owned(), value));
-    let list =
-        |of: &dyn Fn(&crate::schema::Class) -> String| e.class.iter().map(of).collect::<Vec<_>>().join(",");
+    let list = |of: &dyn Fn(&crate::schema::Class) -> String| {
+        e.class.iter().map(of).collect::<Vec<_>>().join(",")
+    };
     put("balancers", e.dispatchers().to_string());
     put("zone", hall.to_owned());
     put("kinds", "std".into());
     put("family-info.cores-by-kind", e.hall[0].cores().to_string());
     put("family-info.kind-memory-mb", "100000".into());
-    put("family-info.dop", list(&|class| class.threads().to_string()));
-    put("family-info.class-load", list(&|class| u8::from(class.changes()).to_string()));
-    put("family-info.tells-every-us", (NOTES_EVERY * 1000.0).to_string());
+    put(
+        "family-info.dop",
+        list(&|class| class.threads().to_string()),
+    );
+    put(
+        "family-info.class-load",
+        list(&|class| u8::from(class.changes()).to_string()),
+    );
+    put(
+        "family-info.tells-every-us",
+        (NOTES_EVERY * 1000.0).to_string(),
+    );
     put("limits.max-attempts", "3".into());
     put("limits.cancelling", "1".into());
     put("limits.probes", "1".into());
@@ -320,14 +370,24 @@
     let cold = e.cold.unwrap_or_default();
     put("rules.fall-multiple", cold.multiple().to_string());
     put("rules.cold-from", cold.from().to_string());
-    put("rules.overload-for-us", (cold.span_ms() * 1000.0).to_string());
+    put(
+        "rules.overload-for-us",
+        (cold.span_ms() * 1000.0).to_string(),
+    );
     put("rules.warm-after-us", (cold.warm_s() * 1e6).to_string());
     put("services.count", e.class.len().to_string());
     for (n, class) in e.class.iter().enumerate() {
         put(&format!("services.{n}.name"), class.name().to_owned());
-        let effect = if class.changes() { "non_idempotent" } else { "read_like" };
+        let effect = if class.changes() {
+            "non_idempotent"
+        } else {
+            "read_like"
+        };
         put(&format!("services.{n}.effect"), effect.into());
-        put(&format!("services.{n}.aim-us"), (class.target_ms() * 1000.0).to_string());
+        put(
+            &format!("services.{n}.aim-us"),
+            (class.target_ms() * 1000.0).to_string(),
+        );
         if let Some(hall) = &class.bound_to {
             put(&format!("services.{n}.confined-to"), hall.clone());
         }
@@ -344,7 +404,11 @@
     };
     Given {
         halls: plan.halls.iter().map(hall).collect(),
-        engines: plan.engines.iter().map(|engine| (engine.node, engine.threads)).collect(),
+        engines: plan
+            .engines
+            .iter()
+            .map(|engine| (engine.node, engine.threads))
+            .collect(),
         cross_retries: plan.cross_retries,
         alone: plan.alone,
     }
@@ -358,7 +422,11 @@
         let mut engine_halls = Vec::new();
         for (n, hall) in e.hall.iter().enumerate() {
             for _ in 0..hall.engines() {
-                engines.push(Engine::new(hall.cores(), cold.warm_s() * 1000.0, cold.from()));
+                engines.push(Engine::new(
+                    hall.cores(),
+                    cold.warm_s() * 1000.0,
+                    cold.from(),
+                ));
                 engine_halls.push(n);
             }
         }
@@ -383,7 +451,14 @@
         let list = engine_halls
             .iter()
             .enumerate()
-            .map(|(n, hall)| (n as u64 + 1, halls[*hall].clone(), EngineStatus::Ready, None))
+            .map(|(n, hall)| {
+                (
+                    n as u64 + 1,
+                    halls[*hall].clone(),
+                    EngineStatus::Ready,
+                    None,
+                )
+            })
             .collect();
         World {
             e,
@@ -392,7 +467,11 @@
             number: 0,
             events: BinaryHeap::new(),
             chance: Pcg64::seed_from_u64(seed),
-            groups: e.class.iter().map(|class| class.name().to_owned()).collect(),
+            groups: e
+                .class
+                .iter()
+                .map(|class| class.name().to_owned())
+                .collect(),
             fallen_until: vec![0.0; engines.len()],
             sent_cold: vec![Vec::new(); engines.len()],
             inboxes: (0..gateways.len()).map(|_| Vec::new()).collect(),
@@ -407,7 +486,11 @@
             active: vec![false; e.fault.len()],
             list,
             record: (rate * e.seconds() <= MOST_RECORDED).then(Vec::new),
-            o: Outcomes { seed, arm: e.arm[arm].name().to_owned(), ..Outcomes::default() },
+            o: Outcomes {
+                seed,
+                arm: e.arm[arm].name().to_owned(),
+                ..Outcomes::default()
+            },
             took: Histogram::new_with_bounds(1, 600_000, 3).expect("bounds in order"),
             sample: Sample::default(),
             values: [(0.0, 0.0); 4],
@@ -416,12 +499,19 @@
 
     fn at(&mut self, at: f64, event: Event) {
         self.number += 1;
-        self.events.push(Timed { at, number: self.number, event });
+        self.events.push(Timed {
+            at,
+            number: self.number,
+            event,
+        });
     }
 
     fn saw(&mut self, what: impl FnOnce() -> What) {
         if let Some(record) = &mut self.record {
-            record.push(Entry { at: self.now, what: what() });
+            record.push(Entry {
+                at: self.now,
+                what: what(),
+            });
         }
     }
 
@@ -431,7 +521,10 @@
 
     fn begin(&mut self) {
         for engine in 0..self.engines.len() {
-            let (id, hall) = (World::name(engine), self.halls[self.engine_halls[engine]].clone());
+            let (id, hall) = (
+                World::name(engine),
+                self.halls[self.engine_halls[engine]].clone(),
+            );
             self.saw(|| What::Listed {
                 engine: id,
                 status: Status::Ready,
@@ -448,8 +541,20 @@
         }
         for (n, fault) in self.e.fault.iter().enumerate() {
             let (begins, ends) = (fault.begins_s() * 1000.0, fault.ends_s() * 1000.0);
-            self.at(begins, Event::Fault { fault: n, begins: true });
-            self.at(ends, Event::Fault { fault: n, begins: false });
+            self.at(
+                begins,
+                Event::Fault {
+                    fault: n,
+                    begins: true,
+                },
+            );
+            self.at(
+                ends,
+                Event::Fault {
+                    fault: n,
+                    begins: false,
+                },
+            );
         }
         self.at(LOOK_EVERY, Event::Look);
         self.at(250.0, Event::Sample);
@@ -458,12 +563,19 @@
     /// Whether there is no way between a gateway and an engine.
     fn is_cut(&self, gateway: usize, engine: usize) -> bool {
         let (from, hall) = (self.gateways[gateway].hall, self.engine_halls[engine]);
-        self.e.fault.iter().zip(&self.active).any(|(fault, active)| {
-            *active
-                && fault.kind() == fault::Kind::Cut
-                && fault.hall() == self.halls[hall]
-                && (fault.from.as_deref().map_or(from != hall, |name| name == self.halls[from]))
-        })
+        self.e
+            .fault
+            .iter()
+            .zip(&self.active)
+            .any(|(fault, active)| {
+                *active
+                    && fault.kind() == fault::Kind::Cut
+                    && fault.hall() == self.halls[hall]
+                    && (fault
+                        .from
+                        .as_deref()
+                        .map_or(from != hall, |name| name == self.halls[from]))
+            })
     }
 
     fn latency(&mut self) -> f64 {
@@ -487,13 +599,22 @@
                 }
             }
             Event::Note { out } => self.note(out),
-            Event::Engine { engine, generation } if self.engines[engine].generation == generation => {
+            Event::Engine { engine, generation }
+                if self.engines[engine].generation == generation =>
+            {
                 self.ended(engine)
             }
             Event::Engine { .. } => {}
-            Event::Probed { gateway, engine, outcome } => {
+            Event::Probed {
+                gateway,
+                engine,
+                outcome,
+            } => {
                 self.seen(gateway, engine, outcome);
-                self.inboxes[gateway].push(Incoming::Probed { node: engine as u64 + 1, outcome });
+                self.inboxes[gateway].push(Incoming::Probed {
+                    node: engine as u64 + 1,
+                    outcome,
+                });
                 self.round(gateway);
             }
             Event::Fault { fault, begins } => self.fault(fault, begins),
@@ -519,33 +640,66 @@
 
     fn arrives(&mut self, class: usize) {
         let told = &self.e.class[class];
-        let next = Exp::new(told.rate() / 1000.0).expect("a rate above 0").sample(&mut self.chance);
+        let next = Exp::new(told.rate() / 1000.0)
+            .expect("a rate above 0")
+            .sample(&mut self.chance);
         self.at(self.now + next, Event::Arrives { class });
         let work = LogNormal::new(told.work_ms().ln(), told.scatter())
             .expect("a finite spread")
             .sample(&mut self.chance);
-        let off =
-            LogNormal::new(0.0, told.estimate_scatter()).expect("a finite spread").sample(&mut self.chance);
+        let off = LogNormal::new(0.0, told.estimate_scatter())
+            .expect("a finite spread")
+            .sample(&mut self.chance);
         let gateway = self.chance.random_range(0..self.gateways.len());
         let id = self.next_query;
         self.next_query += 1;
         let (came, wait) = (self.now, told.wait_ms());
-        self.queries.insert(id, Query { gateway, class, came, work, submissions: 0, answered: false });
+        self.queries.insert(
+            id,
+            Query {
+                gateway,
+                class,
+                came,
+                work,
+                submissions: 0,
+                answered: false,
+            },
+        );
         self.o.asked += 1;
         let phase = self.phase();
         self.values[phase].1 += told.worth();
         self.sample.most += told.worth();
         let group = self.groups[class].clone();
-        self.saw(|| What::Asked { id: id.to_string(), class: group, wait, key: None });
+        self.saw(|| What::Asked {
+            id: id.to_string(),
+            class: group,
+            wait,
+            key: None,
+        });
         let due = EPOCH + came + wait - 10.0;
-        self.inboxes[gateway].push(Incoming::Query { id, class, cost: work * off, due });
+        self.inboxes[gateway].push(Incoming::Query {
+            id,
+            class,
+            cost: work * off,
+            due,
+        });
         self.round(gateway);
     }
 
     fn phase(&self) -> usize {
         let at = self.now / 1000.0;
-        let first = self.e.fault.iter().map(|fault| fault.begins_s()).fold(f64::INFINITY, f64::min);
-        let last = self.e.fault.iter().map(|fault| fault.ends_s()).fold(f64::NEG_INFINITY, f64::max);
+        let first = self
+            .e
+            .fault
+            .iter()
+            .map(|fault| fault.begins_s())
+            .fold(f64::INFINITY, f64::min);
+        let last = self
+            .e
+            .fault
+            .iter()
+            .map(|fault| fault.ends_s())
+            .fold(f64::NEG_INFINITY, f64::max);
         if at < first {
             0
         } else if at < last {
@@ -559,7 +713,11 @@
 
     fn answers(&mut self, id: u64, status: u16, retry_after: Option<f64>) {
         let Some(query) = self.queries.get_mut(&id).filter(|query| !query.answered) else {
-            self.saw(|| What::Answered { id: id.to_string(), status, retry_after });
+            self.saw(|| What::Answered {
+                id: id.to_string(),
+                status,
+                retry_after,
+            });
             return;
         };
         query.answered = true;
@@ -574,7 +732,11 @@
             self.sample.deferred += 1;
         }
         if status == 200 {
-            let value = if took <= class.target_ms() { class.worth() } else { class.worth() / 3.0 };
+            let value = if took <= class.target_ms() {
+                class.worth()
+            } else {
+                class.worth() / 3.0
+            };
             let fast = class.threads() <= 1.0 && !class.changes();
             let phase = self.phase();
             self.values[phase].0 += value;
@@ -583,16 +745,26 @@
                 let _ = self.took.record(took.max(1.0) as u64);
             }
         }
-        self.saw(|| What::Answered { id: id.to_string(), status, retry_after });
+        self.saw(|| What::Answered {
+            id: id.to_string(),
+            status,
+            retry_after,
+        });
     }
 
     // ---- Gateways ----
 
     fn round(&mut self, gateway: usize) {
         let events = std::mem::take(&mut self.inboxes[gateway]);
-        let mut inbox = Inbox { events, groups: &self.groups, list: &self.list };
+        let mut inbox = Inbox {
+            events,
+            groups: &self.groups,
+            list: &self.list,
+        };
         let mut out = Out::default();
-        self.gateways[gateway].control.round(EPOCH + self.now, &mut inbox, &mut out);
+        self.gateways[gateway]
+            .control
+            .round(EPOCH + self.now, &mut inbox, &mut out);
         self.inboxes[gateway] = inbox.events;
         for decided in out.0 {
             match decided {
@@ -602,8 +774,10 @@
                 Decided::Defer { id, wait } => self.answers(id, 429, Some(wait)),
                 Decided::Kill { id } => self.answers(id, 500, None),
                 Decided::Cancel { id, submission } => {
-                    let found =
-                        self.out.iter().find(|(_, s)| s.query == id && s.number == submission && !s.given_up);
+                    let found = self
+                        .out
+                        .iter()
+                        .find(|(_, s)| s.query == id && s.number == submission && !s.given_up);
                     if let Some(out) = found.map(|(out, _)| *out) {
                         self.gives_up(out, Outcome::Cancelled, SETTLES);
                     }
@@ -623,19 +797,41 @@
     fn probe(&mut self, gateway: usize, engine: usize) {
         let lost = self.is_cut(gateway, engine) || self.now < self.fallen_until[engine];
         let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
-        let (after, outcome) =
-            if lost { (timeout, Outcome::Timeout) } else { (2.0 * self.latency(), Outcome::Finished) };
-        self.at(self.now + after, Event::Probed { gateway, engine, outcome });
+        let (after, outcome) = if lost {
+            (timeout, Outcome::Timeout)
+        } else {
+            (2.0 * self.latency(), Outcome::Finished)
+        };
+        self.at(
+            self.now + after,
+            Event::Probed {
+                gateway,
+                engine,
+                outcome,
+            },
+        );
     }
 
     fn submits(&mut self, gateway: usize, id: u64, engine: usize, until: f64) {
-        let Some(query) = self.queries.get_mut(&id) else { return };
+        let Some(query) = self.queries.get_mut(&id) else {
+            return;
+        };
         let number = query.submissions;
         query.submissions += 1;
         let out = self.next_out;
         self.next_out += 1;
         let at = self.now;
-        self.out.insert(out, Sent { query: id, number, engine, at, running: false, given_up: false });
+        self.out.insert(
+            out,
+            Sent {
+                query: id,
+                number,
+                engine,
+                at,
+                running: false,
+                given_up: false,
+            },
+        );
         let cut = self.is_cut(gateway, engine);
         if !cut && self.now >= self.fallen_until[engine] {
             self.gateways[gateway].known_gone[engine] = false;
@@ -643,23 +839,40 @@
             self.at(self.now + latency, Event::Reaches { out });
         } else if self.now < self.fallen_until[engine] {
             let latency = self.latency();
-            self.at(self.now + latency, Event::Ends { out, outcome: Outcome::NoConnection });
+            self.at(
+                self.now + latency,
+                Event::Ends {
+                    out,
+                    outcome: Outcome::NoConnection,
+                },
+            );
         } else if self.gateways[gateway].known_gone[engine] {
             // Its connections were found dead: new ones don't come up.
             let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
-            self.at(self.now + timeout, Event::Ends { out, outcome: Outcome::NoConnection });
+            self.at(
+                self.now + timeout,
+                Event::Ends {
+                    out,
+                    outcome: Outcome::NoConnection,
+                },
+            );
         }
         // Else it is written to a connection that nobody knows to be dead, and nothing comes.
         self.at(until, Event::Due { out });
     }
 
     fn gives_up(&mut self, out: u64, outcome: Outcome, settles: f64) {
-        let Some(sent) = self.out.get_mut(&out) else { return };
+        let Some(sent) = self.out.get_mut(&out) else {
+            return;
+        };
         sent.given_up = true;
         let (engine, running, id) = (sent.engine, sent.running, sent.query);
         if running && self.engines[engine].remove(self.now, out).is_some() {
             self.again(engine);
-            self.saw(|| What::GivenUp { engine: World::name(engine), id: id.to_string() });
+            self.saw(|| What::GivenUp {
+                engine: World::name(engine),
+                id: id.to_string(),
+            });
         } else if !running {
             let gateway = self.queries.get(&id).map_or(0, |query| query.gateway);
             self.gateways[gateway].known_gone[engine] |= self.is_cut(gateway, engine);
@@ -669,18 +882,32 @@
 
     /// A submission's end reaches its gateway.
     fn closes(&mut self, out: u64, outcome: Outcome) {
-        let Some(sent) = self.out.remove(&out) else { return };
-        let Some(query) = self.queries.get(&sent.query) else { return };
+        let Some(sent) = self.out.remove(&out) else {
+            return;
+        };
+        let Some(query) = self.queries.get(&sent.query) else {
+            return;
+        };
         let (gateway, id, latency) = (query.gateway, sent.query, self.now - sent.at);
         if outcome == Outcome::Finished {
             self.answers(id, 200, None);
         }
         self.seen(gateway, sent.engine, outcome);
         let node = sent.engine as u64 + 1;
-        self.inboxes[gateway].push(Incoming::Closed { id, submission: sent.number, outcome, node, latency });
+        self.inboxes[gateway].push(Incoming::Closed {
+            id,
+            submission: sent.number,
+            outcome,
+            node,
+            latency,
+        });
         self.round(gateway);
         // Nothing refers to it any more once it is answered and nothing is out.
-        if self.queries.get(&id).is_some_and(|query| query.answered && query.submissions == sent.number + 1) {
+        if self
+            .queries
+            .get(&id)
+            .is_some_and(|query| query.answered && query.submissions == sent.number + 1)
+        {
             self.queries.remove(&id);
         }
     }
@@ -692,7 +919,13 @@
             Outcome::Cancelled | Outcome::NotSent => return,
         };
         if let Some(halls) = &mut self.gateways[gateway].halls {
-            halls.seen(EPOCH + self.now, Seen { node: engine as u64 + 1, kind });
+            halls.seen(
+                EPOCH + self.now,
+                Seen {
+                    node: engine as u64 + 1,
+                    kind,
+                },
+            );
         }
     }
 
@@ -701,7 +934,8 @@
         let g = &mut self.gateways[gateway];
         if let Some(halls) = &mut g.halls {
             halls.look(now);
-            g.control.plan_halls(Some(&given(&halls.plan(&self.halls[g.hall], groups))));
+            g.control
+                .plan_halls(Some(&given(&halls.plan(&self.halls[g.hall], groups))));
             if let Some(node) = halls.probes(now) {
                 self.probe(gateway, node as usize - 1);
             }
@@ -713,7 +947,12 @@
             .map(|(n, hall)| {
                 let ready = self.list[n].2 == EngineStatus::Ready;
                 let cores = self.engines[n].cores;
-                tansymux_halls::Engine { node: n as u64 + 1, hall: self.halls[*hall].clone(), cores, ready }
+                tansymux_halls::Engine {
+                    node: n as u64 + 1,
+                    hall: self.halls[*hall].clone(),
+                    cores,
+                    ready,
+                }
             })
             .collect();
         if let Some(halls) = &mut self.gateways[gateway].halls {
@@ -726,13 +965,23 @@
     // ---- Engines ----
 
     fn reaches(&mut self, out: u64) {
-        let Some(sent) = self.out.get_mut(&out).filter(|sent| !sent.given_up) else { return };
+        let Some(sent) = self.out.get_mut(&out).filter(|sent| !sent.given_up) else {
+            return;
+        };
         let (engine, id) = (sent.engine, sent.query);
-        let Some(query) = self.queries.get(&id) else { return };
+        let Some(query) = self.queries.get(&id) else {
+            return;
+        };
         let (gateway, work, class) = (query.gateway, query.work, query.class);
         // It fell, or the way was cut, while this was under way.
         if self.now < self.fallen_until[engine] {
-            return self.at(self.now, Event::Ends { out, outcome: Outcome::NoConnection });
+            return self.at(
+                self.now,
+                Event::Ends {
+                    out,
+                    outcome: Outcome::NoConnection,
+                },
+            );
         }
         if self.is_cut(gateway, engine) {
             return;
@@ -740,7 +989,11 @@
         if let Some(sent) = self.out.get_mut(&out) {
             sent.running = true;
         }
-        self.saw(|| What::Arrived { engine: World::name(engine), id: id.to_string(), work });
+        self.saw(|| What::Arrived {
+            engine: World::name(engine),
+            id: id.to_string(),
+            work,
+        });
         self.engines[engine].add(self.now, out, work, self.e.class[class].threads());
         self.at(self.now + NOTES_EVERY, Event::Note { out });
         self.again(engine);
@@ -774,8 +1027,17 @@
         for out in self.engines[engine].falls(self.now) {
             let latency = self.latency();
             let id = self.out.get(&out).map_or(0, |sent| sent.query);
-            self.saw(|| What::GivenUp { engine: World::name(engine), id: id.to_string() });
-            self.at(self.now + latency, Event::Ends { out, outcome: Outcome::Reset });
+            self.saw(|| What::GivenUp {
+                engine: World::name(engine),
+                id: id.to_string(),
+            });
+            self.at(
+                self.now + latency,
+                Event::Ends {
+                    out,
+                    outcome: Outcome::Reset,
+                },
+            );
         }
         self.list_changes(engine, Some(EPOCH + self.now + 3000.0));
     }
@@ -801,11 +1063,22 @@
     fn ended(&mut self, engine: usize) {
         for out in self.engines[engine].ended(self.now) {
             self.engines[engine].remove(self.now, out);
-            let Some(sent) = self.out.get(&out) else { continue };
-            let Some(query) = self.queries.get(&sent.query) else { continue };
-            let (id, gateway, changes) = (sent.query, query.gateway, self.e.class[query.class].changes());
+            let Some(sent) = self.out.get(&out) else {
+                continue;
+            };
+            let Some(query) = self.queries.get(&sent.query) else {
+                continue;
+            };
+            let (id, gateway, changes) = (
+                sent.query,
+                query.gateway,
+                self.e.class[query.class].changes(),
+            );
             if changes {
-                self.saw(|| What::Applied { engine: World::name(engine), id: id.to_string() });
+                self.saw(|| What::Applied {
+                    engine: World::name(engine),
+                    id: id.to_string(),
+                });
             }
             self.saw(|| What::Ended {
                 engine: World::name(engine),
@@ -815,22 +1088,42 @@
             });
             if !self.is_cut(gateway, engine) {
                 let latency = self.latency();
-                self.at(self.now + latency, Event::Ends { out, outcome: Outcome::Finished });
+                self.at(
+                    self.now + latency,
+                    Event::Ends {
+                        out,
+                        outcome: Outcome::Finished,
+                    },
+                );
             }
         }
         self.again(engine);
     }
 
     fn note(&mut self, out: u64) {
-        let Some(sent) = self.out.get(&out).filter(|sent| sent.running && !sent.given_up) else { return };
+        let Some(sent) = self
+            .out
+            .get(&out)
+            .filter(|sent| sent.running && !sent.given_up)
+        else {
+            return;
+        };
         let (engine, number, id) = (sent.engine, sent.number, sent.query);
         self.engines[engine].advance(self.now);
-        let Some(done) = self.engines[engine].done(out) else { return };
+        let Some(done) = self.engines[engine].done(out) else {
+            return;
+        };
         self.at(self.now + NOTES_EVERY, Event::Note { out });
-        let Some(gateway) = self.queries.get(&id).map(|query| query.gateway) else { return };
+        let Some(gateway) = self.queries.get(&id).map(|query| query.gateway) else {
+            return;
+        };
         if !self.is_cut(gateway, engine) {
             self.seen(gateway, engine, Outcome::Finished);
-            self.inboxes[gateway].push(Incoming::Noted { id, submission: number, amount: done.min(0.9999) });
+            self.inboxes[gateway].push(Incoming::Noted {
+                id,
+                submission: number,
+                amount: done.min(0.9999),
+            });
             self.round(gateway);
         }
     }
@@ -867,7 +1160,11 @@
     fn tells_truth(&mut self) {
         for engine in 0..self.engines.len() {
             let reached = (0..self.gateways.len()).any(|gateway| !self.is_cut(gateway, engine));
-            self.list[engine].2 = if reached { EngineStatus::Ready } else { EngineStatus::Gone };
+            self.list[engine].2 = if reached {
+                EngineStatus::Ready
+            } else {
+                EngineStatus::Gone
+            };
         }
         for gateway in 0..self.gateways.len() {
             self.at(self.now, Event::Told { gateway });
@@ -902,23 +1199,41 @@
             }
         }
         let sample = std::mem::take(&mut self.sample);
-        self.o.samples.push(Sample { at: self.now / 1000.0, threads, spilled, ..sample });
+        self.o.samples.push(Sample {
+            at: self.now / 1000.0,
+            threads,
+            spilled,
+            ..sample
+        });
     }
 
     fn ends(mut self, real: f64) -> Outcomes {
         self.o.pace = self.e.seconds() / real.max(1e-9);
         self.o.p99_fast = self.took.value_at_quantile(0.99);
-        self.o.value = self.values.map(|(got, most)| if most > 0.0 { got / most } else { f64::NAN });
-        let last = self.e.fault.iter().map(|fault| fault.ends_s()).fold(0.0, f64::max);
-        let parts: Vec<(f64, f64)> =
-            self.o.samples.iter().map(|s| (s.at, s.value / s.most.max(1e-9))).collect();
+        self.o.value = self
+            .values
+            .map(|(got, most)| if most > 0.0 { got / most } else { f64::NAN });
+        let last = self
+            .e
+            .fault
+            .iter()
+            .map(|fault| fault.ends_s())
+            .fold(0.0, f64::max);
+        let parts: Vec<(f64, f64)> = self
+            .o
+            .samples
+            .iter()
+            .map(|s| (s.at, s.value / s.most.max(1e-9)))
+            .collect();
         let before = self.o.value[0];
         // Full service: two seconds in a row in which as much is served as before, but for a twentieth.
-        let full =
-            |n: usize| parts[n..].iter().take(8).map(|(_, part)| part).sum::<f64>() / 8.0 >= 0.95 * before;
+        let full = |n: usize| {
+            parts[n..].iter().take(8).map(|(_, part)| part).sum::<f64>() / 8.0 >= 0.95 * before
+        };
         let back = (0..parts.len().saturating_sub(8)).find(|n| parts[*n].0 >= last && full(*n));
-        self.o.full_after =
-            back.map(|n| (parts[n].0 - last) * 1000.0).filter(|_| before.is_finite() && last > 0.0);
+        self.o.full_after = back
+            .map(|n| (parts[n].0 - last) * 1000.0)
+            .filter(|_| before.is_finite() && last > 0.0);
         if let Some(record) = self.record.take() {
             let broken = judge(&record, &self.rules());
             self.o.broken = broken.len();
@@ -930,9 +1245,19 @@
     fn rules(&self) -> Rules {
         let cold = self.e.cold.unwrap_or_default();
         let class = |class: &crate::schema::Class| {
-            let effect = if class.changes() { Effect::Mutating } else { Effect::ReadOnly };
+            let effect = if class.changes() {
+                Effect::Mutating
+            } else {
+                Effect::ReadOnly
+            };
             let halls = class.bound_to.clone().map(|hall| vec![hall]);
-            (class.name().to_owned(), ClassRules { halls, ..ClassRules::of(effect) })
+            (
+                class.name().to_owned(),
+                ClassRules {
+                    halls,
+                    ..ClassRules::of(effect)
+                },
+            )
         };
         Rules {
             slack: 50.0,
--- a/crates/levels/src/define.rs
+++ b/crates/levels/src/define.rs
@@ -22,8 +22,10 @@
 
 impl Signal {
     pub fn name(&self) -> String {
-        let of =
-            |name: &str, of: &Option<String>| of.as_ref().map_or(name.into(), |of| format!("{name}({of})"));
+        let of = |name: &str, of: &Option<String>| {
+            of.as_ref()
+                .map_or(name.into(), |of| format!("{name}({of})"))
+        };
         match self {
             Signal::Pressed(hall) => of("pressed", hall),
             Signal::BoundsUsed => "bounds-used".into(),
@@ -112,23 +114,35 @@
 impl Reduction {
     /// The part of its room that a class's low work finds.
     pub fn of_class(&self, class: &str) -> f64 {
-        self.classes.iter().find(|(name, _)| name == class).map_or(1.0, |(_, part)| *part)
+        self.classes
+            .iter()
+            .find(|(name, _)| name == class)
+            .map_or(1.0, |(_, part)| *part)
     }
 
     /// What of it is milder than `before`, by name.
     fn milder_than(&self, before: &Reduction) -> Option<&'static str> {
-        let classes = before.classes.iter().any(|(name, part)| self.of_class(name) > *part);
+        let classes = before
+            .classes
+            .iter()
+            .any(|(name, part)| self.of_class(name) > *part);
         let checks = [
             (self.bounds > before.bounds, "bounds"),
             (self.demotion > before.demotion, "demotion"),
             (self.grants > before.grants, "grants"),
             (self.retry_after < before.retry_after, "retry_after"),
             (before.withhold_low && !self.withhold_low, "withhold_low"),
-            (before.close_over_share && !self.close_over_share, "close_over_share"),
+            (
+                before.close_over_share && !self.close_over_share,
+                "close_over_share",
+            ),
             (self.least_sure < before.least_sure, "least_sure"),
             (classes, "class"),
         ];
-        checks.iter().find(|(milder, _)| *milder).map(|(_, name)| *name)
+        checks
+            .iter()
+            .find(|(milder, _)| *milder)
+            .map(|(_, name)| *name)
     }
 }
 
@@ -174,8 +188,9 @@
     /// A mark of what is defined, so that dispatchers with other definitions do not count on each other.
     pub fn mark(&self) -> u16 {
         let text = format!("{self:?}");
-        let hash =
-            text.bytes().fold(0x811c_9dc5_u32, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        let hash = text.bytes().fold(0x811c_9dc5_u32, |hash, b| {
+            (hash ^ u32::from(b)).wrapping_mul(0x0100_0193)
+        });
         (hash ^ hash >> 16) as u16
     }
 }
@@ -185,12 +200,28 @@
     let mut faults = Vec::new();
     for (n, level) in definition.levels.iter().enumerate() {
         let mut add = |key: &str, found: String, allowed: &'static str| {
-            faults.push(Fault { level: n, key: key.to_owned(), found, allowed });
+            faults.push(Fault {
+                level: n,
+                key: key.to_owned(),
+                found,
+                allowed,
+            });
         };
         if level.name.is_empty() || level.name == FULL {
-            add("name", format!("{:?}", level.name), "a name other than that of full service");
-        } else if definition.levels[..n].iter().any(|other| other.name == level.name) {
-            add("name", format!("{:?} a second time", level.name), "each name once");
+            add(
+                "name",
+                format!("{:?}", level.name),
+                "a name other than that of full service",
+            );
+        } else if definition.levels[..n]
+            .iter()
+            .any(|other| other.name == level.name)
+        {
+            add(
+                "name",
+                format!("{:?} a second time", level.name),
+                "each name once",
+            );
         }
         if level.enter.terms().next().is_none() {
             add("enter", "missing".into(), "at least one term in all or any");
@@ -203,8 +234,14 @@
                     let found = format!("{} to enter and {} to leave", term.enter, term.leave);
                     add(&key, found, "thresholds 0.02 apart or more: it would flap");
                 } else if !(0.0..=1.0).contains(&term.enter) {
-                    add(&key, format!("{} to enter", term.enter), "0 to 1: it could never be entered");
-                } else if term.is_above() && term.leave <= 0.0 || !term.is_above() && term.leave > 1.0 {
+                    add(
+                        &key,
+                        format!("{} to enter", term.enter),
+                        "0 to 1: it could never be entered",
+                    );
+                } else if term.is_above() && term.leave <= 0.0
+                    || !term.is_above() && term.leave > 1.0
+                {
                     add(
                         &key,
                         format!("{} to leave", term.leave),
@@ -217,24 +254,48 @@
         let any_only = level.enter.all.is_empty() && level.enter.any.iter().any(held_up);
         let all_only = !level.enter.all.is_empty() && level.enter.all.iter().all(held_up);
         if any_only || all_only {
-            let allowed = "a further term in all: the level itself keeps deferrals up and could not be left";
+            let allowed =
+                "a further term in all: the level itself keeps deferrals up and could not be left";
             add("enter", "held by deferrals alone".into(), allowed);
         }
-        let Some(before) = n.checked_sub(1).map(|n| &definition.levels[n]) else { continue };
+        let Some(before) = n.checked_sub(1).map(|n| &definition.levels[n]) else {
+            continue;
+        };
         if no_later(&level.enter, &before.enter) {
             let found = format!("entered no later than {:?}", before.name);
-            add("enter", found, "a condition that is harder to meet: the level before would be shadowed");
+            add(
+                "enter",
+                found,
+                "a condition that is harder to meet: the level before would be shadowed",
+            );
         }
         if let Some(what) = level.reduction.milder_than(&before.reduction) {
-            add(&format!("act.{what}"), format!("milder than in {:?}", before.name), "at least as strict");
+            add(
+                &format!("act.{what}"),
+                format!("milder than in {:?}", before.name),
+                "at least as strict",
+            );
         }
         if level.reduction == before.reduction {
-            add("act", format!("the same as in {:?}", before.name), "stricter: a level must do something");
+            add(
+                "act",
+                format!("the same as in {:?}", before.name),
+                "stricter: a level must do something",
+            );
         }
     }
-    if let Some(level) = definition.levels.first().filter(|level| level.reduction == Reduction::default()) {
+    if let Some(level) = definition
+        .levels
+        .first()
+        .filter(|level| level.reduction == Reduction::default())
+    {
         let found = format!("nothing in {:?}", level.name);
-        faults.push(Fault { level: 0, key: "act".into(), found, allowed: "stricter than full service" });
+        faults.push(Fault {
+            level: 0,
+            key: "act".into(),
+            found,
+            allowed: "stricter than full service",
+        });
     }
     faults
 }
@@ -246,7 +307,11 @@
 fn no_later(later: &Condition, earlier: &Condition) -> bool {
     let covers = |term: &Term| {
         earlier.all.iter().any(|other| {
-            let as_far = if term.is_above() { other.enter >= term.enter } else { other.enter <= term.enter };
+            let as_far = if term.is_above() {
+                other.enter >= term.enter
+            } else {
+                other.enter <= term.enter
+            };
             other.signal == term.signal
                 && other.is_above() == term.is_above()
                 && as_far
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -42,12 +42,27 @@
             return;
         }
         self.missing = 0.0;
-        let bad = if term.is_above() { value >= term.enter } else { value <= term.enter };
-        let good = if term.is_above() { value <= term.leave } else { value >= term.leave };
-        let (other, needed) = if self.on { (good, term.leave_for) } else { (bad, term.enter_for) };
+        let bad = if term.is_above() {
+            value >= term.enter
+        } else {
+            value <= term.enter
+        };
+        let good = if term.is_above() {
+            value <= term.leave
+        } else {
+            value >= term.leave
+        };
+        let (other, needed) = if self.on {
+            (good, term.leave_for)
+        } else {
+            (bad, term.enter_for)
+        };
         self.held = if other { self.held + passed } else { 0.0 };
         if other && self.held >= needed {
-            *self = Latch { on: !self.on, ..Latch::default() };
+            *self = Latch {
+                on: !self.on,
+                ..Latch::default()
+            };
         }
     }
 }
@@ -145,11 +160,22 @@
     /// `definition` has no faults.
     pub fn new(definition: Definition) -> Self {
         let signals = definition.signals();
-        let place = |term: &Term| signals.iter().position(|signal| *signal == term.signal).unwrap_or(0);
+        let place = |term: &Term| {
+            signals
+                .iter()
+                .position(|signal| *signal == term.signal)
+                .unwrap_or(0)
+        };
         let terms: Vec<Vec<(usize, Latch)>> = definition
             .levels
             .iter()
-            .map(|level| level.enter.terms().map(|term| (place(term), Latch::default())).collect())
+            .map(|level| {
+                level
+                    .enter
+                    .terms()
+                    .map(|term| (place(term), Latch::default()))
+                    .collect()
+            })
             .collect();
         let levels = definition.levels.len();
         Machine {
@@ -195,7 +221,10 @@
     }
 
     pub fn name_of(&self, depth: usize) -> &str {
-        depth.checked_sub(1).and_then(|n| self.definition.levels.get(n)).map_or(FULL, |level| &level.name)
+        depth
+            .checked_sub(1)
+            .and_then(|n| self.definition.levels.get(n))
+            .map_or(FULL, |level| &level.name)
     }
 
     /// Time (ms) at each depth, and how often each level changed.
@@ -205,14 +234,21 @@
 
     /// What the level in force asks of the decisions.
     pub fn reduction(&self) -> Reduction {
-        let level = self.depth.checked_sub(1).and_then(|n| self.definition.levels.get(n));
+        let level = self
+            .depth
+            .checked_sub(1)
+            .and_then(|n| self.definition.levels.get(n));
         level.map_or_else(Reduction::default, |level| level.reduction.clone())
     }
 
     /// Looks at the readings; at most one step is taken. Meant to be called some times a second.
     pub fn look(&mut self, now: f64, readings: &Readings) -> Option<&Change> {
         // A clock that jumps back stands still here.
-        let passed = if self.now == LONG_AGO { 0.0 } else { (now - self.now).max(0.0) };
+        let passed = if self.now == LONG_AGO {
+            0.0
+        } else {
+            (now - self.now).max(0.0)
+        };
         let now = now.max(self.now);
         self.now = now;
         self.times[self.depth] += passed;
@@ -244,7 +280,11 @@
     fn begin(&mut self, now: f64) -> Option<&Change> {
         self.settled = true;
         self.since = now;
-        let mut told: Vec<usize> = self.peers.iter().map(|peer| usize::from(peer.told.depth)).collect();
+        let mut told: Vec<usize> = self
+            .peers
+            .iter()
+            .map(|peer| usize::from(peer.told.depth))
+            .collect();
         told.sort_unstable();
         let heard = told.len();
         let to = match (self.pin.filter(|pin| now < pin.until), told.get(heard / 2)) {
@@ -258,7 +298,12 @@
         }
         // Levels it begins in are on, and have to clear like any other.
         for terms in &mut self.terms[..to] {
-            terms.iter_mut().for_each(|(_, latch)| *latch = Latch { on: true, ..Latch::default() });
+            terms.iter_mut().for_each(|(_, latch)| {
+                *latch = Latch {
+                    on: true,
+                    ..Latch::default()
+                }
+            });
         }
         self.changed[..to].fill(now);
         Some(self.change(now, to, Why::Start { heard }))
@@ -269,7 +314,11 @@
         let raw = |n: &usize| {
             let level = &self.definition.levels[*n];
             let on = |term: &Term| {
-                let place = level.enter.terms().position(|other| std::ptr::eq(other, term)).unwrap_or(0);
+                let place = level
+                    .enter
+                    .terms()
+                    .position(|other| std::ptr::eq(other, term))
+                    .unwrap_or(0);
                 let value = self.readings[self.terms[*n][place].0];
                 if term.is_above() {
                     value >= term.enter
@@ -277,7 +326,8 @@
                     value <= term.enter
                 }
             };
-            level.enter.all.iter().all(on) && (level.enter.any.is_empty() || level.enter.any.iter().any(on))
+            level.enter.all.iter().all(on)
+                && (level.enter.any.is_empty() || level.enter.any.iter().any(on))
         };
         (0..self.definition.levels.len()).take_while(raw).count()
     }
@@ -288,13 +338,17 @@
     fn holds(&self, level: usize) -> bool {
         let (condition, latches) = (&self.definition.levels[level].enter, &self.terms[level]);
         let (all, any) = latches.split_at(condition.all.len());
-        all.iter().all(|(_, latch)| latch.on) && (any.is_empty() || any.iter().any(|(_, latch)| latch.on))
+        all.iter().all(|(_, latch)| latch.on)
+            && (any.is_empty() || any.iter().any(|(_, latch)| latch.on))
     }
 
     /// The depth that own signals ask for: down through all levels that hold. A level in force whose condition
     /// holds keeps those above it in force.
     fn wants(&self) -> usize {
-        let in_force = (0..self.depth).rev().find(|level| self.holds(*level)).map_or(0, |level| level + 1);
+        let in_force = (0..self.depth)
+            .rev()
+            .find(|level| self.holds(*level))
+            .map_or(0, |level| level + 1);
         let mut wants = in_force;
         while wants < self.definition.levels.len() && self.holds(wants) {
             wants += 1;
@@ -319,8 +373,8 @@
             let since = *self.clear_since.get_or_insert(now);
             let level = self.depth - 1;
             let stayed = now - self.since >= self.definition.levels[level].least_stay;
-            let cleared =
-                self.pin.is_some() || now - since.max(self.silenced) >= self.clears_in(level, own, now);
+            let cleared = self.pin.is_some()
+                || now - since.max(self.silenced) >= self.clears_in(level, own, now);
             if stayed && cleared && self.may_change(level, now) {
                 return Some(self.change(now, level, why));
             }
@@ -336,8 +390,11 @@
     /// How long less must be asked for before a step up. Where own signals ask for it, their latches have done the
     /// waiting; where only peers do, or those that told of the level are heard no more, the same time passes here.
     fn clears_in(&self, level: usize, own: usize, now: f64) -> f64 {
-        let leaves =
-            self.definition.levels[level].enter.terms().map(|term| term.leave_for).fold(0.0, f64::max);
+        let leaves = self.definition.levels[level]
+            .enter
+            .terms()
+            .map(|term| term.leave_for)
+            .fold(0.0, f64::max);
         if own >= self.depth || now - self.silenced < leaves {
             leaves
         } else {
@@ -351,23 +408,42 @@
         if self.peers.is_empty() {
             return (own, self.own_reasons(own));
         }
-        let mut all: Vec<usize> = self.peers.iter().map(|peer| usize::from(peer.told.wants)).collect();
+        let mut all: Vec<usize> = self
+            .peers
+            .iter()
+            .map(|peer| usize::from(peer.told.wants))
+            .collect();
         all.push(own);
         all.sort_unstable();
         let (lower, upper) = (all[(all.len() - 1) / 2], all[all.len() / 2]);
         let wants = own.clamp(lower, upper).min(self.definition.levels.len());
-        let why =
-            if wants == own { self.own_reasons(own) } else { Why::Peers { heard: self.peers.len(), wants } };
+        let why = if wants == own {
+            self.own_reasons(own)
+        } else {
+            Why::Peers {
+                heard: self.peers.len(),
+                wants,
+            }
+        };
         (wants, why)
     }
 
     fn own_reasons(&self, own: usize) -> Why {
         let down = own > self.depth;
-        let level = if down { self.depth } else { self.depth.saturating_sub(1) };
-        let Some(definition) = self.definition.levels.get(level) else { return Why::Signals(Vec::new()) };
+        let level = if down {
+            self.depth
+        } else {
+            self.depth.saturating_sub(1)
+        };
+        let Some(definition) = self.definition.levels.get(level) else {
+            return Why::Signals(Vec::new());
+        };
         let terms = definition.enter.terms().zip(&self.terms[level]);
         let told = terms.filter(|(_, (_, latch))| latch.on == down);
-        Why::Signals(told.map(|(term, (place, _))| (term.signal.name(), self.readings[*place])).collect())
+        Why::Signals(
+            told.map(|(term, (place, _))| (term.signal.name(), self.readings[*place]))
+                .collect(),
+        )
     }
 
     /// The one place where the promise of a minute is kept.
@@ -388,7 +464,12 @@
         if self.history.len() >= HISTORY {
             self.history.remove(0);
         }
-        self.history.push(Change { at: now, from, to, why });
+        self.history.push(Change {
+            at: now,
+            from,
+            to,
+            why,
+        });
         &self.history[self.history.len() - 1]
     }
 
@@ -403,14 +484,25 @@
         self.told_at = now;
         self.told_number = self.told_number.wrapping_add(1);
         let most = usize::from(message::ASKS) - 1;
-        let depth = if self.settled { self.depth.min(most) as u8 } else { message::ASKS };
+        let depth = if self.settled {
+            self.depth.min(most) as u8
+        } else {
+            message::ASKS
+        };
         let wants = self.wants().min(most) as u8;
-        Some(message::write(Told { mark: self.mark, depth, wants, number: self.told_number }))
+        Some(message::write(Told {
+            mark: self.mark,
+            depth,
+            wants,
+            number: self.told_number,
+        }))
     }
 
     /// A peer's message. One with another definition, or older than what is known, is passed over.
     pub fn heard(&mut self, now: f64, peer: u32, content: &[u8]) {
-        let Some(told) = message::read(content).filter(|told| told.mark == self.mark) else { return };
+        let Some(told) = message::read(content).filter(|told| told.mark == self.mark) else {
+            return;
+        };
         let now = now.max(self.now);
         // A new one is answered with the next look, and does not count before it has begun. Many of them, or one that
         // asks without end, are answered together.
@@ -429,7 +521,11 @@
                     (known.told, known.at) = (told, now);
                 }
             }
-            None if room => self.peers.push(Peer { number: peer, told, at: now }),
+            None if room => self.peers.push(Peer {
+                number: peer,
+                told,
+                at: now,
+            }),
             None => {}
         }
     }
@@ -449,20 +545,49 @@
     /// now; those that are gone are off. What changed lately stays so, by name. Levels in force have to clear anew.
     pub fn redefine(&mut self, now: f64, definition: Definition) -> Option<&Change> {
         let now = now.max(self.now);
-        let names: Vec<String> = self.definition.levels.iter().map(|level| level.name.clone()).collect();
+        let names: Vec<String> = self
+            .definition
+            .levels
+            .iter()
+            .map(|level| level.name.clone())
+            .collect();
         let fresh = Machine::new(definition);
-        let new_depth = |name: &str| fresh.definition.levels.iter().position(|level| level.name == name);
+        let new_depth = |name: &str| {
+            fresh
+                .definition
+                .levels
+                .iter()
+                .position(|level| level.name == name)
+        };
         let on = &names[..self.depth];
-        let stays = on.iter().filter_map(|name| new_depth(name)).max().map_or(0, |level| level + 1);
+        let stays = on
+            .iter()
+            .filter_map(|name| new_depth(name))
+            .max()
+            .map_or(0, |level| level + 1);
         let was_on = |level: &crate::Level| on.contains(&level.name);
-        let changed =
-            |level: &crate::Level| names.iter().position(|name| *name == level.name).map(|n| self.changed[n]);
+        let changed = |level: &crate::Level| {
+            names
+                .iter()
+                .position(|name| *name == level.name)
+                .map(|n| self.changed[n])
+        };
         // A level that is new counts as changed just now: the promise holds for it from its first day.
         let changed: Vec<f64> = (fresh.definition.levels.iter().enumerate())
-            .map(|(n, level)| if (n < stays) == was_on(level) { changed(level).unwrap_or(now) } else { now })
+            .map(|(n, level)| {
+                if (n < stays) == was_on(level) {
+                    changed(level).unwrap_or(now)
+                } else {
+                    now
+                }
+            })
             .collect();
         let (before, history) = (self.depth, std::mem::take(&mut self.history));
-        let (peers, version, number) = (std::mem::take(&mut self.peers), self.version, self.told_number);
+        let (peers, version, number) = (
+            std::mem::take(&mut self.peers),
+            self.version,
+            self.told_number,
+        );
         *self = Machine {
             changed,
             depth: stays,
@@ -477,7 +602,12 @@
             ..fresh
         };
         for terms in &mut self.terms[..stays] {
-            terms.iter_mut().for_each(|(_, latch)| *latch = Latch { on: true, ..Latch::default() });
+            terms.iter_mut().for_each(|(_, latch)| {
+                *latch = Latch {
+                    on: true,
+                    ..Latch::default()
+                }
+            });
         }
         // Peers may not have read their files yet: what they told was of other levels.
         self.peers.clear();
@@ -488,7 +618,12 @@
         if self.history.len() >= HISTORY {
             self.history.remove(0);
         }
-        self.history.push(Change { at: now, from: before, to: stays, why: Why::Redefined });
+        self.history.push(Change {
+            at: now,
+            from: before,
+            to: stays,
+            why: Why::Redefined,
+        });
         self.history.last()
     }
 
@@ -500,11 +635,26 @@
                 return Vec::new();
             };
             let of = |(term, (place, latch)): (&Term, &(usize, Latch))| {
-                let (threshold, needed) =
-                    if entering { (term.enter, term.enter_for) } else { (term.leave, term.leave_for) };
-                (term.signal.name(), self.readings[*place], threshold, latch.on, latch.held, needed)
+                let (threshold, needed) = if entering {
+                    (term.enter, term.enter_for)
+                } else {
+                    (term.leave, term.leave_for)
+                };
+                (
+                    term.signal.name(),
+                    self.readings[*place],
+                    threshold,
+                    latch.on,
+                    latch.held,
+                    needed,
+                )
             };
-            self.definition.levels[level].enter.terms().zip(&self.terms[level]).map(of).collect()
+            self.definition.levels[level]
+                .enter
+                .terms()
+                .zip(&self.terms[level])
+                .map(of)
+                .collect()
         };
         Shown {
             depth: self.depth,
@@ -522,13 +672,22 @@
     /// machines with the same key behave alike. For model checking.
     pub fn key(&self) -> Vec<i64> {
         let ago = |at: f64| (self.now - at).min(EVERY + 1.0) as i64;
-        let mut key = vec![self.depth as i64, i64::from(self.settled), ago(self.since), ago(self.told_at)];
+        let mut key = vec![
+            self.depth as i64,
+            i64::from(self.settled),
+            ago(self.since),
+            ago(self.told_at),
+        ];
         key.push(self.clear_since.map_or(-1, ago));
         key.push(self.heard_before as i64);
         key.push(self.began.map_or(-1, |at| ago(at).min(START as i64 + 1)));
         key.extend(self.changed.iter().map(|at| ago(*at)));
         for (_, latch) in self.terms.iter().flatten() {
-            key.extend([i64::from(latch.on), latch.held.min(1e6) as i64, latch.missing.min(MISSING) as i64]);
+            key.extend([
+                i64::from(latch.on),
+                latch.held.min(1e6) as i64,
+                latch.missing.min(MISSING) as i64,
+            ]);
         }
         for peer in &self.peers {
             key.extend([
--- a/crates/levels/src/message.rs
+++ b/crates/levels/src/message.rs
@@ -28,9 +28,16 @@
 /// None for what is no message of this kind and version. A longer one of the same version is read as far as it is
 /// known.
 pub fn read(content: &[u8]) -> Option<Told> {
-    let [KIND, VERSION, m, ark, depth, wants, n, umber, ..] = *content else { return None };
+    let [KIND, VERSION, m, ark, depth, wants, n, umber, ..] = *content else {
+        return None;
+    };
     let (mark, number) = (u16::from_be_bytes([m, ark]), u16::from_be_bytes([n, umber]));
-    Some(Told { mark, depth, wants, number })
+    Some(Told {
+        mark,
+        depth,
+        wants,
+        number,
+    })
 }
 
 #[cfg(test)]
@@ -39,12 +46,20 @@
 
     #[test]
     fn what_was_written_is_read_and_nothing_else() {
-        let told = Told { mark: 0xBEEF, depth: 2, wants: 1, number: 513 };
+        let told = Told {
+            mark: 0xBEEF,
+            depth: 2,
+            wants: 1,
+            number: 513,
+        };
         assert_eq!(read(&write(told)), Some(told));
         let mut other = write(told);
         other[1] = 9;
         assert_eq!(read(&other), None);
         assert_eq!(read(&write(told)[..7]), None);
-        assert_eq!(read(&[write(told).as_slice(), &[1, 2, 3]].concat()), Some(told));
+        assert_eq!(
+            read(&[write(told).as_slice(), &[1, 2, 3]].concat()),
+            Some(told)
+        );
     }
 }
--- a/crates/levels/src/windows.rs
+++ b/crates/levels/src/windows.rs
@@ -31,7 +31,10 @@
     fn take(&mut self, number: u64, ended: Ended) {
         let bucket = &mut self.0[number as usize % BUCKETS];
         if bucket.number != number {
-            *bucket = Bucket { number, ..Bucket::default() };
+            *bucket = Bucket {
+                number,
+                ..Bucket::default()
+            };
         }
         bucket.all += 1;
         bucket.finished += u32::from(matches!(ended, Ended::InTime | Ended::Late));
@@ -41,7 +44,11 @@
 
     fn sum(&self, number: u64) -> Bucket {
         let mut sum = Bucket::default();
-        for bucket in self.0.iter().filter(|b| b.number <= number && number - b.number < BUCKETS as u64) {
+        for bucket in self
+            .0
+            .iter()
+            .filter(|b| b.number <= number && number - b.number < BUCKETS as u64)
+        {
             sum.finished += bucket.finished;
             sum.late += bucket.late;
             sum.deferred += bucket.deferred;
@@ -60,7 +67,10 @@
 
 impl Windows {
     pub fn new(classes: usize) -> Self {
-        Windows { all: Window::default(), classes: vec![Window::default(); classes] }
+        Windows {
+            all: Window::default(),
+            classes: vec![Window::default(); classes],
+        }
     }
 
     pub fn take(&mut self, now: f64, class: usize, ended: Ended) {
@@ -113,9 +123,21 @@
         assert_eq!(windows.late(0.0, None), 0.0);
         (0..4).for_each(|_| windows.take(500.0, 0, Ended::InTime));
         windows.take(900.0, 1, Ended::Deferred);
-        assert_eq!((windows.late(900.0, None), windows.late(900.0, Some(0))), (0.5, 0.5));
-        assert_eq!((windows.deferred(900.0, None), windows.deferred(900.0, Some(1))), (1.0 / 9.0, 0.0));
-        assert_eq!((windows.late(9_999.0, None), windows.late(10_001.0, None)), (0.5, 0.0));
+        assert_eq!(
+            (windows.late(900.0, None), windows.late(900.0, Some(0))),
+            (0.5, 0.5)
+        );
+        assert_eq!(
+            (
+                windows.deferred(900.0, None),
+                windows.deferred(900.0, Some(1))
+            ),
+            (1.0 / 9.0, 0.0)
+        );
+        assert_eq!(
+            (windows.late(9_999.0, None), windows.late(10_001.0, None)),
+            (0.5, 0.0)
+        );
         assert_eq!(windows.late(0.0, Some(7)), 0.0);
     }
 }
--- a/crates/levels/tests/model.rs
+++ b/crates/levels/tests/model.rs
@@ -22,10 +22,17 @@
             any: Vec::new(),
         },
         least_stay: 20_000.0,
-        reduction: Reduction { bounds, ..Reduction::default() },
+        reduction: Reduction {
+            bounds,
+            ..Reduction::default()
+        },
     };
     Definition {
-        levels: vec![level("a", 0.4, 0.3, 0.8), level("b", 0.6, 0.5, 0.5), level("c", 0.8, 0.7, 0.2)],
+        levels: vec![
+            level("a", 0.4, 0.3, 0.8),
+            level("b", 0.6, 0.5, 0.5),
+            level("c", 0.8, 0.7, 0.2),
+        ],
     }
 }
 
@@ -42,7 +49,12 @@
 
 impl State {
     fn key(&self) -> ([Vec<i64>; 2], [[u8; 3]; 2], bool, u8) {
-        (self.machines.each_ref().map(Machine::key), self.since, self.broken, self.clear)
+        (
+            self.machines.each_ref().map(Machine::key),
+            self.since,
+            self.broken,
+            self.clear,
+        )
     }
 }
 
@@ -82,14 +94,23 @@
             (0..4).for_each(|n| drop(machine.look(f64::from(n) * 1000.0, &[0.0]).cloned()));
             machine
         };
-        vec![State { machines: [fresh(), fresh()], now: 3000.0, since: [[4; 3]; 2], broken: false, clear: 0 }]
+        vec![State {
+            machines: [fresh(), fresh()],
+            now: 3000.0,
+            since: [[4; 3]; 2],
+            broken: false,
+            clear: 0,
+        }]
     }
 
     fn actions(&self, _: &State, actions: &mut Vec<Action>) {
         for a in [0.1, 0.55, 0.9] {
             for b in [0.1, 0.9] {
                 for hear in [true, false] {
-                    actions.push(Action { readings: [a, b], hear });
+                    actions.push(Action {
+                        readings: [a, b],
+                        hear,
+                    });
                 }
             }
         }
@@ -97,7 +118,11 @@
 
     fn next_state(&self, last: &State, action: Action) -> Option<State> {
         let mut state = last.clone();
-        state.since.iter_mut().flatten().for_each(|since| *since = (*since + 1).min(4));
+        state
+            .since
+            .iter_mut()
+            .flatten()
+            .for_each(|since| *since = (*since + 1).min(4));
         for look in 1..=LOOKS {
             let now = last.now + STEP * f64::from(look) / f64::from(LOOKS);
             for n in 0..2 {
@@ -117,31 +142,57 @@
         }
         state.now = last.now + STEP;
         let all_clear = action.readings == [0.1, 0.1];
-        state.clear = if all_clear { (state.clear + 1).min(BACK) } else { 0 };
+        state.clear = if all_clear {
+            (state.clear + 1).min(BACK)
+        } else {
+            0
+        };
         Some(state)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("one step at a time, and no level twice in a minute", |_, s: &State| !s.broken),
-            Property::always("back at full service when all has been clear", |_, s: &State| {
-                s.clear < BACK || s.machines.iter().all(|machine| machine.depth() == 0)
+            Property::always(
+                "one step at a time, and no level twice in a minute",
+                |_, s: &State| !s.broken,
+            ),
+            Property::always(
+                "back at full service when all has been clear",
+                |_, s: &State| {
+                    s.clear < BACK || s.machines.iter().all(|machine| machine.depth() == 0)
+                },
+            ),
+            Property::sometimes("the deepest level is reached", |_, s: &State| {
+                s.machines[0].depth() == 3
             }),
-            Property::sometimes("the deepest level is reached", |_, s: &State| s.machines[0].depth() == 3),
         ]
     }
 }
 
 #[test]
 fn two_dispatchers_with_three_levels_keep_their_promises_in_all_that_can_happen() {
-    let checker = Levels.checker().threads(4).target_state_count(120_000).spawn_bfs().join();
+    let checker = Levels
+        .checker()
+        .threads(4)
+        .target_state_count(120_000)
+        .spawn_bfs()
+        .join();
     checker.assert_properties();
-    assert!(checker.unique_state_count() > 10_000, "{}", checker.unique_state_count());
+    assert!(
+        checker.unique_state_count() > 10_000,
+        "{}",
+        checker.unique_state_count()
+    );
 }
 
 #[test]
 fn chains_of_steps_as_long_as_a_bad_hour_keep_them_too() {
-    let checker =
-        Levels.checker().threads(4).target_state_count(60_000).target_max_depth(60).spawn_dfs().join();
+    let checker = Levels
+        .checker()
+        .threads(4)
+        .target_state_count(60_000)
+        .target_max_depth(60)
+        .spawn_dfs()
+        .join();
     checker.assert_properties();
 }
--- a/crates/levels/tests/swings.rs
+++ b/crates/levels/tests/swings.rs
@@ -4,21 +4,35 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
-use tansymux_levels::{Change, Condition, Definition, Level, Machine, Reduction, Signal, Term, Why};
+use tansymux_levels::{
+    Change, Condition, Definition, Level, Machine, Reduction, Signal, Term, Why,
+};
 
 const MINUTE: f64 = 60_000.0;
 const LOOK: f64 = 100.0;
 
 fn term(signal: Signal, enter: f64, leave: f64) -> Term {
-    Term { signal, enter, leave, enter_for: 3000.0, leave_for: 5000.0 }
+    Term {
+        signal,
+        enter,
+        leave,
+        enter_for: 3000.0,
+        leave_for: 5000.0,
+    }
 }
 
 fn level(name: &str, enter: f64, leave: f64, bounds: f64) -> Level {
     Level {
         name: name.into(),
-        enter: Condition { all: vec![term(Signal::Pressed(None), enter, leave)], any: Vec::new() },
+        enter: Condition {
+            all: vec![term(Signal::Pressed(None), enter, leave)],
+            any: Vec::new(),
+        },
         least_stay: 20_000.0,
-        reduction: Reduction { bounds, ..Reduction::default() },
+        reduction: Reduction {
+            bounds,
+            ..Reduction::default()
+        },
     }
 }
 
@@ -42,7 +56,11 @@
 
 impl Promises {
     fn new() -> Self {
-        Promises { changed: HashMap::new(), depth: 0, changes: 0 }
+        Promises {
+            changed: HashMap::new(),
+            depth: 0,
+            changes: 0,
+        }
     }
 
     fn look(&mut self, change: Option<&Change>) {
@@ -69,8 +87,13 @@
     swing_for(definition, 600_000.0, load)
 }
 
-fn swing_for(definition: &Definition, lasts: f64, mut load: impl FnMut(f64) -> f64) -> (usize, usize) {
-    let (mut machine, mut promises, mut deepest) = (Machine::new(definition.clone()), Promises::new(), 0);
+fn swing_for(
+    definition: &Definition,
+    lasts: f64,
+    mut load: impl FnMut(f64) -> f64,
+) -> (usize, usize) {
+    let (mut machine, mut promises, mut deepest) =
+        (Machine::new(definition.clone()), Promises::new(), 0);
     let mut now = 0.0;
     while now < lasts {
         let reading = load(now).clamp(0.0, 1.0);
@@ -84,7 +107,11 @@
     while machine.depth() > 0 {
         promises.look(machine.look(now, &[0.0]));
         now += LOOK;
-        assert!(now - from < 4.0 * 61_000.0 + 60_000.0, "stuck at {}", machine.depth());
+        assert!(
+            now - from < 4.0 * 61_000.0 + 60_000.0,
+            "stuck at {}",
+            machine.depth()
+        );
     }
     (promises.changes, deepest)
 }
@@ -97,14 +124,18 @@
 #[test]
 fn load_that_swings_around_each_threshold_as_sine_square_and_sawtooth() {
     for threshold in [0.3, 0.4, 0.5, 0.6, 0.7, 0.8] {
-        for period in
-            [1.0, 2.0, 5.0, 7.0, 13.0, 30.0, 47.0, 60.0, 61.0, 90.0, 121.0, 240.0].map(|s| s * 1000.0)
+        for period in [
+            1.0, 2.0, 5.0, 7.0, 13.0, 30.0, 47.0, 60.0, 61.0, 90.0, 121.0, 240.0,
+        ]
+        .map(|s| s * 1000.0)
         {
             for height in [0.02, 0.1, 0.4] {
                 let phase = |t: f64| t / period * std::f64::consts::TAU;
                 swing(&three(), |t| threshold + height * phase(t).sin());
                 swing(&three(), |t| threshold + height * phase(t).sin().signum());
-                swing(&three(), |t| threshold + height * (2.0 * (t / period).fract() - 1.0));
+                swing(&three(), |t| {
+                    threshold + height * (2.0 * (t / period).fract() - 1.0)
+                });
             }
         }
     }
@@ -115,12 +146,17 @@
     for seed in 0..1000 {
         let mut chance = Pcg32::seed_from_u64(seed);
         if seed % 2 == 0 {
-            let (middle, width) = (chance.random_range(0.2..0.9), chance.random_range(0.01..0.5));
+            let (middle, width) = (
+                chance.random_range(0.2..0.9),
+                chance.random_range(0.01..0.5),
+            );
             let mut held = (0.0, middle);
             swing(&three(), |t| {
                 if t >= held.0 {
-                    held =
-                        (t + chance.random_range(0.0..20_000.0), middle + chance.random_range(-width..width));
+                    held = (
+                        t + chance.random_range(0.0..20_000.0),
+                        middle + chance.random_range(-width..width),
+                    );
                 }
                 held.1
             });
@@ -136,10 +172,17 @@
 
 #[test]
 fn a_period_tuned_to_the_least_stay_and_to_the_minute() {
-    for period in [20_000.0, 23_000.0, 28_000.0, 60_000.0, 60_500.0, 60_600.0, 61_000.0, 66_000.0, 69_000.0] {
+    for period in [
+        20_000.0, 23_000.0, 28_000.0, 60_000.0, 60_500.0, 60_600.0, 61_000.0, 66_000.0, 69_000.0,
+    ] {
         for duty in [0.1, 0.3, 0.5, 0.9] {
-            let (changes, deepest) =
-                swing(&three(), |t| if (t / period).fract() < duty { 0.95 } else { 0.05 });
+            let (changes, deepest) = swing(&three(), |t| {
+                if (t / period).fract() < duty {
+                    0.95
+                } else {
+                    0.05
+                }
+            });
             assert!(changes <= 3 * 11, "{changes}");
             assert!(deepest <= 3);
         }
@@ -166,7 +209,11 @@
     for n in 0..200 {
         let now = f64::from(n) * LOOK;
         // From 5 s on, but for one look in between.
-        let load = if now < 5000.0 || now == 7000.0 { 0.1 } else { 0.5 };
+        let load = if now < 5000.0 || now == 7000.0 {
+            0.1
+        } else {
+            0.5
+        };
         if machine.look(now, &[load]).is_some() {
             entered = Some(now);
             break;
@@ -178,7 +225,13 @@
 #[test]
 fn one_noisy_engine_of_eight_moves_nothing() {
     let mut chance = Pcg32::seed_from_u64(1);
-    let (changes, _) = swing(&three(), |_| if chance.random_bool(0.5) { 1.0 / 8.0 } else { 0.0 });
+    let (changes, _) = swing(&three(), |_| {
+        if chance.random_bool(0.5) {
+            1.0 / 8.0
+        } else {
+            0.0
+        }
+    });
     assert_eq!(changes, 0);
 }
 
@@ -269,15 +322,22 @@
     }
 
     fn run(
-        &mut self, lasts: f64, load: impl Fn(usize, f64) -> f64, hears: impl Fn(usize, usize) -> bool,
+        &mut self,
+        lasts: f64,
+        load: impl Fn(usize, f64) -> f64,
+        hears: impl Fn(usize, usize) -> bool,
         loss: f64,
     ) {
         let end = self.now + lasts;
         while self.now < end {
             for n in 0..self.machines.len() {
-                let change = self.machines[n].look(self.now, &[load(n, self.now)]).cloned();
+                let change = self.machines[n]
+                    .look(self.now, &[load(n, self.now)])
+                    .cloned();
                 self.promises[n].look(change.as_ref());
-                let Some(message) = self.machines[n].tells(self.now) else { continue };
+                let Some(message) = self.machines[n].tells(self.now) else {
+                    continue;
+                };
                 for to in (0..self.machines.len()).filter(|to| *to != n) {
                     if hears(n, to) && !self.chance.random_bool(loss) {
                         self.machines[to].heard(self.now, n as u32, &message);
@@ -297,10 +357,20 @@
 fn peers_that_hear_each_other_agree_and_one_alone_drags_nobody() {
     let mut fleet = Fleet::new(5);
     // One sees the worst, four see nothing.
-    fleet.run(300_000.0, |n, _| if n == 0 { 0.95 } else { 0.1 }, |_, _| true, 0.2);
+    fleet.run(
+        300_000.0,
+        |n, _| if n == 0 { 0.95 } else { 0.1 },
+        |_, _| true,
+        0.2,
+    );
     assert_eq!(fleet.depths(), [0; 5]);
     // Three of five do: all go.
-    fleet.run(300_000.0, |n, _| if n < 3 { 0.65 } else { 0.1 }, |_, _| true, 0.2);
+    fleet.run(
+        300_000.0,
+        |n, _| if n < 3 { 0.65 } else { 0.1 },
+        |_, _| true,
+        0.2,
+    );
     assert_eq!(fleet.depths(), [2; 5]);
     fleet.run(400_000.0, |_, _| 0.1, |_, _| true, 0.2);
     assert_eq!(fleet.depths(), [0; 5]);
@@ -313,10 +383,20 @@
     assert_eq!(fleet.depths(), [2; 6]);
     // Cut in halves: each decides among those it hears, by what they see.
     let halves = |a: usize, b: usize| a / 3 == b / 3;
-    fleet.run(400_000.0, |n, _| if n < 3 { 0.65 } else { 0.1 }, halves, 0.0);
+    fleet.run(
+        400_000.0,
+        |n, _| if n < 3 { 0.65 } else { 0.1 },
+        halves,
+        0.0,
+    );
     assert_eq!(fleet.depths(), [2, 2, 2, 0, 0, 0]);
     // Nobody hears anybody: each decides alone.
-    fleet.run(400_000.0, |n, _| if n % 2 == 0 { 0.45 } else { 0.1 }, |_, _| false, 0.0);
+    fleet.run(
+        400_000.0,
+        |n, _| if n % 2 == 0 { 0.45 } else { 0.1 },
+        |_, _| false,
+        0.0,
+    );
     assert_eq!(fleet.depths(), [1, 0, 1, 0, 1, 0]);
 }
 
@@ -324,13 +404,23 @@
 fn nobody_steps_up_because_another_is_silent() {
     let mut fleet = Fleet::new(3);
     // Two want a level, the third only follows them.
-    fleet.run(200_000.0, |n, _| if n < 2 { 0.45 } else { 0.1 }, |_, _| true, 0.0);
+    fleet.run(
+        200_000.0,
+        |n, _| if n < 2 { 0.45 } else { 0.1 },
+        |_, _| true,
+        0.0,
+    );
     assert_eq!(fleet.depths(), [1, 1, 1]);
     let silent_from = fleet.now;
     // The two fall silent. The third sees nothing bad: it may step up, but only after what it sees has held anew.
     let mut stepped = None;
     while stepped.is_none() && fleet.now - silent_from < 200_000.0 {
-        fleet.run(LOOK, |n, _| if n < 2 { 0.45 } else { 0.1 }, |from, _| from == 2, 0.0);
+        fleet.run(
+            LOOK,
+            |n, _| if n < 2 { 0.45 } else { 0.1 },
+            |from, _| from == 2,
+            0.0,
+        );
         stepped = (fleet.machines[2].depth() == 0).then_some(fleet.now - silent_from);
     }
     let stepped = stepped.expect("it is no prisoner of the silent");
@@ -364,13 +454,21 @@
     fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
     // One restarts at depth and sees nothing yet.
     (fleet.machines[3], fleet.promises[3]) = (Machine::new(three()), Promises::new());
-    fleet.run(9000.0, |n, _| if n == 3 { 0.0 } else { 0.65 }, |_, _| true, 0.0);
+    fleet.run(
+        9000.0,
+        |n, _| if n == 3 { 0.0 } else { 0.65 },
+        |_, _| true,
+        0.0,
+    );
     assert_eq!(fleet.depths(), [2; 4]);
     let mut alone = Machine::new(three());
     for n in 0..30 {
         alone.look(f64::from(n) * LOOK, &[0.65]);
     }
-    assert_eq!((alone.depth(), &alone.history()[0].why), (2, &Why::Start { heard: 0 }));
+    assert_eq!(
+        (alone.depth(), &alone.history()[0].why),
+        (2, &Why::Start { heard: 0 })
+    );
 }
 
 #[test]
@@ -380,21 +478,33 @@
         (0..2000).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[load]).cloned()));
         machine
     };
-    let names =
-        |definition: &Definition| definition.levels.iter().map(|l| l.name.clone()).collect::<Vec<_>>();
+    let names = |definition: &Definition| {
+        definition
+            .levels
+            .iter()
+            .map(|l| l.name.clone())
+            .collect::<Vec<_>>()
+    };
     // The level in force is gone.
     let mut machine = at_depth(0.65);
     let mut without = three();
     without.levels.remove(1);
     let change = machine.redefine(200_000.0, without).cloned().unwrap();
     assert_eq!(
-        (change.from, change.to, machine.name_of(machine.depth()).to_owned()),
+        (
+            change.from,
+            change.to,
+            machine.name_of(machine.depth()).to_owned()
+        ),
         (2, 1, "spare".to_owned())
     );
     // All are gone.
     let mut machine = at_depth(0.95);
     machine.redefine(200_000.0, Definition::default());
-    assert_eq!((machine.depth(), machine.name_of(0), machine.reduction()), (0, "full", Reduction::default()));
+    assert_eq!(
+        (machine.depth(), machine.name_of(0), machine.reduction()),
+        (0, "full", Reduction::default())
+    );
     assert!(machine.look(300_000.0, &[]).is_none());
     // Another order: what is on stays on.
     let mut machine = at_depth(0.65);
@@ -416,8 +526,9 @@
     machine.look(0.0, &[]);
     machine.look(3000.0, &[]);
     machine.redefine(4000.0, three());
-    let entered =
-        (0..2000).map(|n| 4000.0 + f64::from(n) * LOOK).find(|now| machine.look(*now, &[0.95]).is_some());
+    let entered = (0..2000)
+        .map(|n| 4000.0 + f64::from(n) * LOOK)
+        .find(|now| machine.look(*now, &[0.95]).is_some());
     assert!(entered.unwrap() >= 64_000.0, "{entered:?}");
 }
 
@@ -458,17 +569,32 @@
             .join("; ")
     };
     for (says, change) in [
-        ("would flap", (|d| d.levels[0].enter.all[0].leave = 0.39) as fn(&mut Definition)),
-        ("could not be left", |d| d.levels[0].enter.all[0].leave = 0.0),
+        (
+            "would flap",
+            (|d| d.levels[0].enter.all[0].leave = 0.39) as fn(&mut Definition),
+        ),
+        ("could not be left", |d| {
+            d.levels[0].enter.all[0].leave = 0.0
+        }),
         ("never be entered", |d| d.levels[2].enter.all[0].enter = 1.2),
-        ("0.enter: missing", |d| d.levels[0].enter = Condition::default()),
-        ("\"spare\" a second time", |d| d.levels[1].name = "spare".into()),
+        ("0.enter: missing", |d| {
+            d.levels[0].enter = Condition::default()
+        }),
+        ("\"spare\" a second time", |d| {
+            d.levels[1].name = "spare".into()
+        }),
         ("0.name: \"full\"", |d| d.levels[0].name = "full".into()),
-        ("1.enter: entered no later than \"spare\"", |d| d.levels[1].enter = d.levels[0].enter.clone()),
-        ("1.act.bounds: milder", |d| d.levels[1].reduction.bounds = 0.9),
+        ("1.enter: entered no later than \"spare\"", |d| {
+            d.levels[1].enter = d.levels[0].enter.clone()
+        }),
+        ("1.act.bounds: milder", |d| {
+            d.levels[1].reduction.bounds = 0.9
+        }),
         ("1.act: the same", |d| d.levels[1].reduction.bounds = 0.8),
         ("0.act: nothing", |d| d.levels[0].reduction.bounds = 1.0),
-        ("held by deferrals alone", |d| d.levels[0].enter.all[0].signal = Signal::Deferred(None)),
+        ("held by deferrals alone", |d| {
+            d.levels[0].enter.all[0].signal = Signal::Deferred(None)
+        }),
         ("would flap", |d| d.levels[0].enter.all[0].enter = f64::NAN),
     ] {
         assert!(faults(change).contains(says), "{says}: {}", faults(change));
--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -50,7 +50,13 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { period: 1000.0, timeout: 300.0, helpers: 3, suspicion: 1.5, seeds: Vec::new() }
+        Settings {
+            period: 1000.0,
+            timeout: 300.0,
+            helpers: 3,
+            suspicion: 1.5,
+            seeds: Vec::new(),
+        }
     }
 }
 
@@ -66,7 +72,12 @@
 
 impl Member {
     fn news(&self) -> News {
-        News { id: self.id, address: self.address, state: self.state, incarnation: self.incarnation }
+        News {
+            id: self.id,
+            address: self.address,
+            state: self.state,
+            incarnation: self.incarnation,
+        }
     }
 }
 
@@ -147,7 +158,12 @@
     /// `name` stays the same over restarts; `incarnation` is the last one known of it, 0 if none is; `seed` is drawn
     /// anew at each start.
     pub fn new(
-        name: &str, address: SocketAddr, incarnation: u32, settings: Settings, keys: Keys, seed: u64,
+        name: &str,
+        address: SocketAddr,
+        incarnation: u32,
+        settings: Settings,
+        keys: Keys,
+        seed: u64,
     ) -> Self {
         let mut chance = Pcg32::seed_from_u64(seed);
         let session = chance.random();
@@ -195,7 +211,11 @@
 
     /// Members that are held to be there, this one among them.
     pub fn count(&self) -> usize {
-        self.members.values().filter(|member| member.state <= State::Suspect).count() + 1
+        self.members
+            .values()
+            .filter(|member| member.state <= State::Suspect)
+            .count()
+            + 1
     }
 
     pub fn state(&self, id: Id) -> Option<State> {
@@ -221,8 +241,11 @@
         self.leaving = true;
         let news = self.own(State::Left);
         self.tell(news);
-        let to: Vec<SocketAddr> =
-            self.there().take(2 * self.settings.helpers + 2).map(|m| m.address).collect();
+        let to: Vec<SocketAddr> = self
+            .there()
+            .take(2 * self.settings.helpers + 2)
+            .map(|m| m.address)
+            .collect();
         for to in to {
             self.send(to, What::Ping);
         }
@@ -230,13 +253,19 @@
 
     /// Sends a member what is not membership's; whether it is one that is there and the message fits.
     pub fn carry(&mut self, to: Id, content: &[u8]) -> bool {
-        let address = self.members.get(&to).filter(|m| m.state <= State::Suspect).map(|m| m.address);
+        let address = self
+            .members
+            .get(&to)
+            .filter(|m| m.state <= State::Suspect)
+            .map(|m| m.address);
         address.is_some_and(|address| self.carry_to(address, content))
     }
 
     /// The same to an address, as to one that asked without being a member.
     pub fn carry_to(&mut self, to: SocketAddr, content: &[u8]) -> bool {
-        let Some(mut bytes) = wire::write_carried(self.id, content) else { return false };
+        let Some(mut bytes) = wire::write_carried(self.id, content) else {
+            return false;
+        };
         self.seal.seal(&mut bytes);
         self.out.push((to, bytes));
         true
@@ -248,11 +277,18 @@
     }
 
     fn own(&self, state: State) -> News {
-        News { id: self.id, address: self.address, state, incarnation: self.incarnation }
+        News {
+            id: self.id,
+            address: self.address,
+            state,
+            incarnation: self.incarnation,
+        }
     }
 
     fn there(&self) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(|member| member.state <= State::Suspect)
+        self.members
+            .values()
+            .filter(|member| member.state <= State::Suspect)
     }
 
     /// A detector that is slow itself waits longer.
@@ -276,20 +312,37 @@
 
     /// News for a datagram: of the sender itself, then what was told least often.
     fn takes_news(&mut self, room: usize) -> Vec<News> {
-        let own = if self.leaving { State::Left } else { State::Alive };
+        let own = if self.leaving {
+            State::Left
+        } else {
+            State::Alive
+        };
         let mut all = vec![self.own(own)];
-        self.news.make_contiguous().sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-        for (news, left) in
-            self.news.iter_mut().filter(|(news, _)| news.id != self.id).take(room.saturating_sub(1))
+        self.news
+            .make_contiguous()
+            .sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+        for (news, left) in self
+            .news
+            .iter_mut()
+            .filter(|(news, _)| news.id != self.id)
+            .take(room.saturating_sub(1))
         {
             all.push(*news);
             *left -= 1;
         }
         self.news.retain(|(_, left)| *left > 0);
         // What is left of the room names some that are known, by chance: who missed news of a member hears of it yet.
-        for _ in 0..REMINDERS.min(room.saturating_sub(all.len())).min(self.members.len()) {
+        for _ in 0..REMINDERS
+            .min(room.saturating_sub(all.len()))
+            .min(self.members.len())
+        {
             let n = self.chance.random_range(0..self.members.len());
-            if let Some(m) = self.members.values().nth(n).filter(|m| m.state <= State::Suspect) {
+            if let Some(m) = self
+                .members
+                .values()
+                .nth(n)
+                .filter(|m| m.state <= State::Suspect)
+            {
                 all.push(m.news());
             }
         }
@@ -328,8 +381,22 @@
             // Of those that are gone already nobody needs to hear.
             None if news.state >= State::Dead || full => {}
             None => {
-                let News { id, address, state, incarnation } = news;
-                self.members.insert(id, Member { id, address, state, incarnation, since: now });
+                let News {
+                    id,
+                    address,
+                    state,
+                    incarnation,
+                } = news;
+                self.members.insert(
+                    id,
+                    Member {
+                        id,
+                        address,
+                        state,
+                        incarnation,
+                        since: now,
+                    },
+                );
                 self.unsettled = self.unsettled.max(3);
                 // Where it comes in the round is drawn, so that all don't probe the newest at once.
                 let at = self.chance.random_range(0..=self.round.len());
@@ -360,7 +427,11 @@
         if self.history.len() >= HISTORY {
             self.history.remove(0);
         }
-        self.history.push(Change { at: self.now, id, state });
+        self.history.push(Change {
+            at: self.now,
+            id,
+            state,
+        });
     }
 
     // ---- Datagrams ----
@@ -373,7 +444,12 @@
 
     fn send_as(&mut self, to: SocketAddr, what: What, number: u32) {
         let news = self.takes_news(wire::room(what));
-        let mut bytes = wire::write(&Datagram { what, from: self.id, number, news });
+        let mut bytes = wire::write(&Datagram {
+            what,
+            from: self.id,
+            number,
+            news,
+        });
         self.seal.seal(&mut bytes);
         self.out.push((to, bytes));
     }
@@ -384,16 +460,26 @@
         if bytes.len() > wire::MOST {
             return;
         }
-        let Some(sender) = wire::sender(bytes).filter(|sender| *sender != self.id) else { return };
-        let Some(opened) = self.seal.open(sender, bytes) else { return };
+        let Some(sender) = wire::sender(bytes).filter(|sender| *sender != self.id) else {
+            return;
+        };
+        let Some(opened) = self.seal.open(sender, bytes) else {
+            return;
+        };
         if let Some(content) = wire::carried(opened) {
             if self.carried.len() < MOST_CARRIED_IN {
                 let content = content.to_vec();
-                self.carried.push_back(Carried { from: sender, address: from, content });
+                self.carried.push_back(Carried {
+                    from: sender,
+                    address: from,
+                    content,
+                });
             }
             return;
         }
-        let Some(datagram) = wire::read(opened) else { return };
+        let Some(datagram) = wire::read(opened) else {
+            return;
+        };
         datagram.news.iter().for_each(|news| self.hears(*news));
         match datagram.what {
             What::Ping => self.send_as(from, What::Ack, datagram.number),
@@ -402,11 +488,18 @@
             What::Heard(about) => self.heard(about, datagram.number),
             What::Sync(digests) => self.answers_sync(from, &digests),
             What::Ask(about) => {
-                let Some(to) = self.members.get(&about).map(|member| member.address) else { return };
+                let Some(to) = self.members.get(&about).map(|member| member.address) else {
+                    return;
+                };
                 if self.errands.len() < MOST_MEMBERS {
                     // The answer is passed on under the number that was asked with.
                     let until = self.now + self.settings.period;
-                    self.errands.push(Errand { number: datagram.number, about, from: sender, until });
+                    self.errands.push(Errand {
+                        number: datagram.number,
+                        about,
+                        from: sender,
+                        until,
+                    });
                     self.send(to, What::Ping);
                 }
             }
@@ -423,7 +516,13 @@
     }
 
     /// Tells one of these, beginning anywhere, in at most so many datagrams; how many it took.
-    fn tells_some(&mut self, to: SocketAddr, number: u32, mut all: Vec<News>, most: usize) -> usize {
+    fn tells_some(
+        &mut self,
+        to: SocketAddr,
+        number: u32,
+        mut all: Vec<News>,
+        most: usize,
+    ) -> usize {
         if all.is_empty() {
             return 0;
         }
@@ -432,7 +531,12 @@
         let mut sent = 0;
         for news in all.chunks(wire::room(What::Ack)).take(most) {
             sent += 1;
-            let datagram = Datagram { what: What::Ack, from: self.id, number, news: news.to_vec() };
+            let datagram = Datagram {
+                what: What::Ack,
+                from: self.id,
+                number,
+                news: news.to_vec(),
+            };
             let mut bytes = wire::write(&datagram);
             self.seal.seal(&mut bytes);
             self.out.push((to, bytes));
@@ -445,7 +549,8 @@
         let mut digests = [0_u32; wire::BUCKETS];
         let own = (self.id, self.incarnation);
         for (id, incarnation) in self.there().map(|m| (m.id, m.incarnation)).chain([own]) {
-            let mixed = (id ^ u64::from(incarnation).rotate_left(32)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            let mixed =
+                (id ^ u64::from(incarnation).rotate_left(32)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
             let digest = &mut digests[bucket(id)];
             *digest = digest.wrapping_add((mixed >> 32) as u32);
         }
@@ -456,13 +561,21 @@
     fn answers_sync(&mut self, to: SocketAddr, theirs: &[u32; wire::BUCKETS]) {
         let own = self.digests();
         let differs = |id: Id| own[bucket(id)] != theirs[bucket(id)];
-        let mut some: Vec<News> =
-            self.members.values().filter(|member| differs(member.id)).map(Member::news).collect();
+        let mut some: Vec<News> = self
+            .members
+            .values()
+            .filter(|member| differs(member.id))
+            .map(Member::news)
+            .collect();
         if differs(self.id) && !self.leaving {
             some.push(self.own(State::Alive));
         }
         if !some.is_empty() {
-            let most = if self.unsettled > 0 { 3 * MOST_SYNC_ANSWERS } else { MOST_SYNC_ANSWERS };
+            let most = if self.unsettled > 0 {
+                3 * MOST_SYNC_ANSWERS
+            } else {
+                MOST_SYNC_ANSWERS
+            };
             let room = most.saturating_sub(self.syncs_answered);
             self.syncs_answered += self.tells_some(to, 0, some, room);
         }
@@ -489,12 +602,19 @@
     }
 
     fn acked(&mut self, from: Id, number: u32) {
-        if self.probe.is_some_and(|probe| probe.id == from && probe.number == number) {
+        if self
+            .probe
+            .is_some_and(|probe| probe.id == from && probe.number == number)
+        {
             self.probe = None;
             self.slow = self.slow.saturating_sub(1);
         }
-        let errands: Vec<Errand> =
-            self.errands.iter().copied().filter(|errand| errand.about == from).collect();
+        let errands: Vec<Errand> = self
+            .errands
+            .iter()
+            .copied()
+            .filter(|errand| errand.about == from)
+            .collect();
         self.errands.retain(|errand| errand.about != from);
         for errand in errands {
             if let Some(to) = self.members.get(&errand.from).map(|member| member.address) {
@@ -504,7 +624,10 @@
     }
 
     fn heard(&mut self, about: Id, number: u32) {
-        if self.probe.is_some_and(|probe| probe.id == about && probe.number == number) {
+        if self
+            .probe
+            .is_some_and(|probe| probe.id == about && probe.number == number)
+        {
             self.probe = None;
         }
     }
@@ -518,7 +641,11 @@
             self.slow = (self.slow + 2).min(MOST_SLOW);
             self.probe = None;
             let (now, patience) = (now, self.suspicion());
-            for member in self.members.values_mut().filter(|member| member.state == State::Suspect) {
+            for member in self
+                .members
+                .values_mut()
+                .filter(|member| member.state == State::Suspect)
+            {
                 member.since = member.since.max(now - patience / 2.0);
             }
         }
@@ -534,8 +661,13 @@
             }
         }
         self.errands.retain(|errand| errand.until > self.now);
-        let probe = self.probe.map_or(f64::INFINITY, |probe| self.tries_again(&probe));
-        let next = probe.min(self.next_period).min(self.next_sync).max(self.now + 1.0);
+        let probe = self
+            .probe
+            .map_or(f64::INFINITY, |probe| self.tries_again(&probe));
+        let next = probe
+            .min(self.next_period)
+            .min(self.next_sync)
+            .max(self.now + 1.0);
         (std::mem::take(&mut self.out), next)
     }
 
@@ -549,8 +681,13 @@
         // Spread by chance: those that started together must not ask together for ever.
         let spread = 0.5 + self.chance.random::<f64>();
         self.next_join = self.now + self.settings.period * if alone { 1.0 } else { 15.0 * spread };
-        let seeds: Vec<SocketAddr> =
-            self.settings.seeds.iter().copied().filter(|seed| *seed != self.address).collect();
+        let seeds: Vec<SocketAddr> = self
+            .settings
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != self.address)
+            .collect();
         if alone {
             for seed in seeds {
                 self.send(seed, What::Join);
@@ -566,24 +703,46 @@
         (self.joins_answered, self.syncs_answered) = (0, 0);
         // What was probed in the last period and never answered is asked again in this one, and is suspected then.
         if let Some(probe) = self.probe.take() {
-            let there = self.members.get(&probe.id).filter(|m| m.state <= State::Suspect);
+            let there = self
+                .members
+                .get(&probe.id)
+                .filter(|m| m.state <= State::Suspect);
             let suspected = there.is_none_or(|m| m.state == State::Suspect);
-            if let Some(to) = there.map(|m| m.address).filter(|_| !suspected && probe.doubts + 1 < DOUBTS) {
+            if let Some(to) = there
+                .map(|m| m.address)
+                .filter(|_| !suspected && probe.doubts + 1 < DOUBTS)
+            {
                 let number = self.send(to, What::Ping);
                 let (sent, doubts) = (self.now, probe.doubts + 1);
-                self.probe = Some(Probe { id: probe.id, number, sent, tries: 1, doubts });
+                self.probe = Some(Probe {
+                    id: probe.id,
+                    number,
+                    sent,
+                    tries: 1,
+                    doubts,
+                });
                 return;
             }
             self.slow = (self.slow + 1).min(MOST_SLOW);
             self.suspects(probe.id);
         }
         while let Some(id) = self.round.pop() {
-            let Some(to) = self.members.get(&id).filter(|m| m.state <= State::Suspect).map(|m| m.address)
+            let Some(to) = self
+                .members
+                .get(&id)
+                .filter(|m| m.state <= State::Suspect)
+                .map(|m| m.address)
             else {
                 continue;
             };
             let number = self.send(to, What::Ping);
-            self.probe = Some(Probe { id, number, sent: self.now, tries: 1, doubts: 0 });
+            self.probe = Some(Probe {
+                id,
+                number,
+                sent: self.now,
+                tries: 1,
+                doubts: 0,
+            });
             return;
         }
         self.round = self.there().map(|member| member.id).collect();
@@ -602,9 +761,17 @@
 
     /// Asks once more, and others as well, of whom each time other ones are drawn.
     fn look_at_probe(&mut self) {
-        let Some(probe) = self.probe.filter(|probe| self.now >= self.tries_again(probe)) else { return };
-        let mut others: Vec<SocketAddr> =
-            self.there().filter(|m| m.id != probe.id).map(|m| m.address).collect();
+        let Some(probe) = self
+            .probe
+            .filter(|probe| self.now >= self.tries_again(probe))
+        else {
+            return;
+        };
+        let mut others: Vec<SocketAddr> = self
+            .there()
+            .filter(|m| m.id != probe.id)
+            .map(|m| m.address)
+            .collect();
         for _ in 0..self.settings.helpers.min(others.len()) {
             let helper = others.swap_remove(self.chance.random_range(0..others.len()));
             self.send_as(helper, What::Ask(probe.id), probe.number);
@@ -612,15 +779,26 @@
         if let Some(to) = self.members.get(&probe.id).map(|member| member.address) {
             self.send_as(to, What::Ping, probe.number);
         }
-        self.probe = Some(Probe { tries: probe.tries + 1, ..probe });
+        self.probe = Some(Probe {
+            tries: probe.tries + 1,
+            ..probe
+        });
     }
 
     fn suspects(&mut self, id: Id) {
-        let Some(member) = self.members.get(&id).filter(|member| member.state == State::Alive) else {
+        let Some(member) = self
+            .members
+            .get(&id)
+            .filter(|member| member.state == State::Alive)
+        else {
             return;
         };
-        let news =
-            News { id, address: member.address, state: State::Suspect, incarnation: member.incarnation };
+        let news = News {
+            id,
+            address: member.address,
+            state: State::Suspect,
+            incarnation: member.incarnation,
+        };
         self.hears(news);
         // It is told at once that it is suspected, so that it can say otherwise.
         let to = news.address;
@@ -634,14 +812,24 @@
 
     fn look_at_suspects(&mut self) {
         let patience = self.suspicion();
-        let over = |member: &&Member| member.state == State::Suspect && self.now - member.since >= patience;
-        let dead: Vec<News> =
-            self.members.values().filter(over).map(|m| News { state: State::Dead, ..m.news() }).collect();
+        let over = |member: &&Member| {
+            member.state == State::Suspect && self.now - member.since >= patience
+        };
+        let dead: Vec<News> = self
+            .members
+            .values()
+            .filter(over)
+            .map(|m| News {
+                state: State::Dead,
+                ..m.news()
+            })
+            .collect();
         dead.into_iter().for_each(|news| self.hears(news));
     }
 
     fn forget(&mut self) {
         let (now, remembered) = (self.now, REMEMBERED * self.settings.period);
-        self.members.retain(|_, member| member.state <= State::Suspect || now - member.since < remembered);
+        self.members
+            .retain(|_, member| member.state <= State::Suspect || now - member.since < remembered);
     }
 }
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -48,7 +48,13 @@
 impl Seal {
     /// `session`: drawn anew at each start.
     pub fn new(keys: Keys, session: u32) -> Self {
-        Seal { keys, session, number: 0, senders: HashMap::new(), believed: 0 }
+        Seal {
+            keys,
+            session,
+            number: 0,
+            senders: HashMap::new(),
+            believed: 0,
+        }
     }
 
     /// Takes on other keys; datagrams under the one that opens are still believed.
@@ -82,10 +88,17 @@
         let at = datagram.len().checked_sub(LENGTH)?;
         let (content, seal) = datagram.split_at(at);
         let (head, hash) = seal.split_at(8);
-        let good = [&self.keys.seals, &self.keys.opens].into_iter().flatten().any(|key| {
-            // All bytes are compared, whichever differ.
-            Seal::hash(key, content, head).iter().zip(hash).fold(0, |all, (a, b)| all | (a ^ b)) == 0
-        });
+        let good = [&self.keys.seals, &self.keys.opens]
+            .into_iter()
+            .flatten()
+            .any(|key| {
+                // All bytes are compared, whichever differ.
+                Seal::hash(key, content, head)
+                    .iter()
+                    .zip(hash)
+                    .fold(0, |all, (a, b)| all | (a ^ b))
+                    == 0
+            });
         let number = |bytes: &[u8]| u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
         (good && self.fresh(sender, number(&head[..4]), number(&head[4..]))).then_some(content)
     }
@@ -95,7 +108,11 @@
         // Only who has a key comes this far. The one heard of longest ago makes room: commands carry a number of
         // the one that is asked besides, so that nothing of a sender that was forgotten can be played to it again.
         if !self.senders.contains_key(&sender) && self.senders.len() >= MOST_SENDERS {
-            let oldest = self.senders.iter().min_by_key(|(id, s)| (s.used, **id)).map(|(id, _)| *id);
+            let oldest = self
+                .senders
+                .iter()
+                .min_by_key(|(id, s)| (s.used, **id))
+                .map(|(id, _)| *id);
             oldest.and_then(|oldest| self.senders.remove(&oldest));
         }
         self.believed += 1;
@@ -106,7 +123,11 @@
             if known.sessions.len() >= MOST_SESSIONS {
                 known.sessions.remove(0);
             }
-            known.sessions.push(Session { id: session, highest: number, seen: 0 });
+            known.sessions.push(Session {
+                id: session,
+                highest: number,
+                seen: 0,
+            });
             return true;
         };
         let mut of = known.sessions.remove(at);
@@ -121,7 +142,11 @@
     fn takes(&mut self, number: u32) -> bool {
         if number > self.highest {
             let by = number - self.highest;
-            self.seen = if by < WINDOW { self.seen << by | 1 << (by - 1) } else { 0 };
+            self.seen = if by < WINDOW {
+                self.seen << by | 1 << (by - 1)
+            } else {
+                0
+            };
             self.highest = number;
             return true;
         }
@@ -144,7 +169,10 @@
     const TWO: [u8; 16] = [2; 16];
 
     fn keys(seals: [u8; 16], opens: [u8; 16]) -> Keys {
-        Keys { seals: Some(seals), opens: Some(opens) }
+        Keys {
+            seals: Some(seals),
+            opens: Some(opens),
+        }
     }
 
     #[test]
@@ -170,8 +198,16 @@
     #[test]
     fn keys_rotate_without_a_moment_of_disbelief() {
         // Old everywhere; then both open and the old seals; then the new one seals; then the old one is gone.
-        let steps = [keys(ONE, ONE), keys(ONE, TWO), keys(TWO, ONE), keys(TWO, TWO)];
-        let (mut a, mut b) = (Seal::new(steps[0].clone(), 1), Seal::new(steps[0].clone(), 2));
+        let steps = [
+            keys(ONE, ONE),
+            keys(ONE, TWO),
+            keys(TWO, ONE),
+            keys(TWO, TWO),
+        ];
+        let (mut a, mut b) = (
+            Seal::new(steps[0].clone(), 1),
+            Seal::new(steps[0].clone(), 2),
+        );
         for step in steps.windows(2) {
             for (from, to) in [(1, 0), (0, 1), (1, 1)] {
                 a.set(step[from].clone());
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -24,7 +24,9 @@
 
 /// Of a name: FNV-1a, as the same on all machines.
 pub fn id_of(name: &str) -> Id {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, b| {
+        (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+    })
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -97,7 +99,9 @@
         bytes.extend(digests.iter().flat_map(|digest| digest.to_be_bytes()));
     }
     for news in datagram.news.iter().take(room(datagram.what)) {
-        let IpAddr::V4(ip) = news.address.ip() else { continue };
+        let IpAddr::V4(ip) = news.address.ip() else {
+            continue;
+        };
         bytes.extend_from_slice(&news.id.to_be_bytes());
         bytes.extend_from_slice(&ip.octets());
         bytes.extend_from_slice(&news.address.port().to_be_bytes());
@@ -109,7 +113,9 @@
 
 /// Who a datagram says it is from, before anything of it is believed.
 pub fn sender(bytes: &[u8]) -> Option<Id> {
-    let head = bytes.get(..HEAD).filter(|head| head[0] == KIND && head[1] == VERSION)?;
+    let head = bytes
+        .get(..HEAD)
+        .filter(|head| head[0] == KIND && head[1] == VERSION)?;
     Some(u64::from_be_bytes(head[3..11].try_into().ok()?))
 }
 
@@ -117,7 +123,11 @@
 pub fn read(bytes: &[u8]) -> Option<Datagram> {
     let from = sender(bytes)?;
     let number = u32::from_be_bytes(bytes[11..15].try_into().ok()?);
-    let about = || Some(u64::from_be_bytes(bytes.get(HEAD..HEAD + ABOUT)?.try_into().ok()?));
+    let about = || {
+        Some(u64::from_be_bytes(
+            bytes.get(HEAD..HEAD + ABOUT)?.try_into().ok()?,
+        ))
+    };
     let (what, at) = match bytes[2] {
         0 => (What::Ping, HEAD),
         1 => (What::Ack, HEAD),
@@ -148,8 +158,17 @@
             incarnation: u32::from_be_bytes(entry[15..19].try_into().ok()?),
         })
     };
-    let news = bytes[at..].chunks_exact(ENTRY).filter_map(entry).take(room(What::Ping)).collect();
-    Some(Datagram { what, from, number, news })
+    let news = bytes[at..]
+        .chunks_exact(ENTRY)
+        .filter_map(entry)
+        .take(room(What::Ping))
+        .collect();
+    Some(Datagram {
+        what,
+        from,
+        number,
+        news,
+    })
 }
 
 /// A datagram that carries what is not membership's; none where it is too long.
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -28,7 +28,12 @@
     late: f64,
 }
 
-const GOOD: Way = Way { loss: 0.0, doubled: 0.0, delay: 5.0, late: 0.0 };
+const GOOD: Way = Way {
+    loss: 0.0,
+    doubled: 0.0,
+    delay: 5.0,
+    late: 0.0,
+};
 
 struct Net {
     groups: Vec<Option<Group>>,
@@ -69,10 +74,19 @@
     }
 
     fn start(&mut self, n: usize, incarnation: u32) {
-        let settings = Settings { seeds: vec![address(0), address(1)], ..Settings::default() };
+        let settings = Settings {
+            seeds: vec![address(0), address(1)],
+            ..Settings::default()
+        };
         let seed = self.chance.random();
-        self.groups[n] =
-            Some(Group::new(&name(n), address(n), incarnation, settings, self.keys.clone(), seed));
+        self.groups[n] = Some(Group::new(
+            &name(n),
+            address(n),
+            incarnation,
+            settings,
+            self.keys.clone(),
+            seed,
+        ));
     }
 
     /// So long, with datagrams let through where `reaches` says so.
@@ -83,7 +97,9 @@
             let due = self.flying.split_off(&((self.now * 1000.0) as u64, 0));
             let arrived = std::mem::replace(&mut self.flying, due);
             for (from, to, bytes) in arrived.into_values() {
-                let Some(to) = self.at.get(&to).copied().filter(|to| !self.paused[*to]) else { continue };
+                let Some(to) = self.at.get(&to).copied().filter(|to| !self.paused[*to]) else {
+                    continue;
+                };
                 if let Some(group) = &mut self.groups[to] {
                     group.handle(self.now, address(from), &bytes);
                 }
@@ -92,7 +108,9 @@
                 if self.paused[n] {
                     continue;
                 }
-                let Some(group) = &mut self.groups[n] else { continue };
+                let Some(group) = &mut self.groups[n] else {
+                    continue;
+                };
                 let (out, _) = group.poll(self.now);
                 for (to, bytes) in out {
                     self.sends(n, to, bytes, &reaches);
@@ -102,22 +120,37 @@
     }
 
     fn sends(
-        &mut self, from: usize, to: SocketAddr, bytes: Vec<u8>, reaches: &impl Fn(usize, usize) -> bool,
+        &mut self,
+        from: usize,
+        to: SocketAddr,
+        bytes: Vec<u8>,
+        reaches: &impl Fn(usize, usize) -> bool,
     ) {
         self.sent += 1;
         self.bytes += bytes.len() as u64;
         self.longest = self.longest.max(bytes.len());
-        let Some(at) = self.at.get(&to).copied().filter(|at| reaches(from, *at)) else { return };
+        let Some(at) = self.at.get(&to).copied().filter(|at| reaches(from, *at)) else {
+            return;
+        };
         let _ = at;
-        let many = if self.chance.random_bool(self.way.doubled) { 2 } else { 1 };
+        let many = if self.chance.random_bool(self.way.doubled) {
+            2
+        } else {
+            1
+        };
         for _ in 0..many {
             if self.chance.random_bool(self.way.loss) {
                 continue;
             }
             let late = self.chance.random_bool(self.way.late);
-            let delay = if late { 10_000.0 } else { self.chance.random_range(0.0..=self.way.delay) };
+            let delay = if late {
+                10_000.0
+            } else {
+                self.chance.random_range(0.0..=self.way.delay)
+            };
             let when = ((self.now + delay) * 1000.0) as u64;
-            self.flying.insert((when, self.sent * 2 + many), (from, to, bytes.clone()));
+            self.flying
+                .insert((when, self.sent * 2 + many), (from, to, bytes.clone()));
         }
     }
 
@@ -127,18 +160,32 @@
 
     /// How many of those that run hold a member for there.
     fn holds(&self, n: usize) -> usize {
-        let there = |group: &Group| group.state(id_of(&name(n))).is_some_and(|state| state <= State::Suspect);
-        self.groups.iter().flatten().filter(|group| there(group)).count()
+        let there = |group: &Group| {
+            group
+                .state(id_of(&name(n)))
+                .is_some_and(|state| state <= State::Suspect)
+        };
+        self.groups
+            .iter()
+            .flatten()
+            .filter(|group| there(group))
+            .count()
     }
 
     /// Whether all that run know all that run, and nobody else for there.
     fn agrees(&self) -> bool {
         let running = self.groups.iter().flatten().count();
-        self.groups.iter().flatten().all(|group| group.count() == running)
+        self.groups
+            .iter()
+            .flatten()
+            .all(|group| group.count() == running)
     }
 
     fn until(
-        &mut self, most: f64, reaches: impl Fn(usize, usize) -> bool, done: impl Fn(&Net) -> bool,
+        &mut self,
+        most: f64,
+        reaches: impl Fn(usize, usize) -> bool,
+        done: impl Fn(&Net) -> bool,
     ) -> Option<f64> {
         let from = self.now;
         while self.now - from < most {
@@ -151,8 +198,13 @@
     }
 
     fn deaths(&self) -> usize {
-        let dead =
-            |group: &Group| group.history().iter().filter(|change| change.state == State::Dead).count();
+        let dead = |group: &Group| {
+            group
+                .history()
+                .iter()
+                .filter(|change| change.state == State::Dead)
+                .count()
+        };
         self.groups.iter().flatten().map(dead).sum()
     }
 }
@@ -166,7 +218,11 @@
     for (many, most) in [(3, 5_000.0), (30, 15_000.0), (100, 30_000.0)] {
         let mut net = Net::new(many, 1);
         let took = net.until(most, all, Net::agrees);
-        assert!(took.is_some(), "{many} members: {:?}", net.groups.iter().flatten().map(Group::count).min());
+        assert!(
+            took.is_some(),
+            "{many} members: {:?}",
+            net.groups.iter().flatten().map(Group::count).min()
+        );
         assert!(net.longest <= wire::MOST, "{}", net.longest);
     }
 }
@@ -185,7 +241,12 @@
 fn under_heavy_loss_doubles_disorder_and_late_ones_the_living_stay_in() {
     let mut net = Net::new(12, 3);
     net.until(30_000.0, all, Net::agrees).unwrap();
-    net.way = Way { loss: 0.3, doubled: 0.1, delay: 120.0, late: 0.02 };
+    net.way = Way {
+        loss: 0.3,
+        doubled: 0.1,
+        delay: 120.0,
+        late: 0.02,
+    };
     net.run(180_000.0, all);
     // Some are suspected now and then; nobody is out at the end, and few were ever held for dead.
     net.way = GOOD;
@@ -201,7 +262,15 @@
     net.run(60_000.0, halves);
     assert!(net.groups.iter().flatten().all(|group| group.count() == 5));
     let took = net.until(120_000.0, all, Net::agrees);
-    assert!(took.is_some(), "{:?}", net.groups.iter().flatten().map(Group::count).collect::<Vec<_>>());
+    assert!(
+        took.is_some(),
+        "{:?}",
+        net.groups
+            .iter()
+            .flatten()
+            .map(Group::count)
+            .collect::<Vec<_>>()
+    );
 }
 
 #[test]
@@ -227,7 +296,10 @@
     // It comes back under its name, knowing nothing of its earlier life.
     net.start(4, 0);
     assert!(net.until(30_000.0, all, Net::agrees).is_some());
-    assert!(net.group(4).incarnation() > 1, "it had to say so more loudly");
+    assert!(
+        net.group(4).incarnation() > 1,
+        "it had to say so more loudly"
+    );
     // And once more, killed outright, with what it had kept.
     let kept = net.group(4).incarnation();
     net.groups[4] = None;
@@ -244,7 +316,12 @@
     net.run(10_000.0, all);
     net.paused[3] = false;
     net.run(1000.0, all);
-    let dead = net.group(3).history().iter().filter(|change| change.state == State::Dead).count();
+    let dead = net
+        .group(3)
+        .history()
+        .iter()
+        .filter(|change| change.state == State::Dead)
+        .count();
     assert_eq!(dead, 0, "its own pause is no member's fault");
     assert!(net.group(3).slow() > 0);
     assert!(net.until(40_000.0, all, Net::agrees).is_some());
@@ -255,31 +332,62 @@
     let mut net = Net::new(6, 8);
     net.until(30_000.0, all, Net::agrees).unwrap();
     // A second n2 at another address.
-    let settings = Settings { seeds: vec![address(0)], ..Settings::default() };
+    let settings = Settings {
+        seeds: vec![address(0)],
+        ..Settings::default()
+    };
     net.at.insert(address(99), 6);
-    net.groups.push(Some(Group::new(&name(2), address(99), 0, settings, Keys::default(), 9)));
+    net.groups.push(Some(Group::new(
+        &name(2),
+        address(99),
+        0,
+        settings,
+        Keys::default(),
+        9,
+    )));
     net.paused.push(false);
     net.run(60_000.0, all);
     let others = [0, 1, 3, 4, 5];
-    assert!(others.iter().all(|n| net.group(*n).count() == 6), "one name is one member");
+    assert!(
+        others.iter().all(|n| net.group(*n).count() == 6),
+        "one name is one member"
+    );
     assert!(net.longest <= wire::MOST);
 }
 
 #[test]
 fn forged_and_foreign_datagrams_bring_nobody_in_and_put_nobody_out() {
-    let keys = Keys { seals: Some([7; 16]), opens: Some([7; 16]) };
+    let keys = Keys {
+        seals: Some([7; 16]),
+        opens: Some([7; 16]),
+    };
     let mut net = Net::with_keys(6, 10, keys);
     net.until(30_000.0, all, Net::agrees).unwrap();
     let forged = |state: State, id: u64| {
-        let news = News { id, address: address(200), state, incarnation: 1000 };
-        wire::write(&Datagram { what: What::Ping, from: id_of("n1"), number: 1, news: vec![news] })
+        let news = News {
+            id,
+            address: address(200),
+            state,
+            incarnation: 1000,
+        };
+        wire::write(&Datagram {
+            what: What::Ping,
+            from: id_of("n1"),
+            number: 1,
+            news: vec![news],
+        })
     };
     let now = net.now;
     for victim in 0..6 {
-        for bytes in
-            [forged(State::Dead, id_of("n3")), forged(State::Alive, id_of("stranger")), b"\x04".to_vec()]
-        {
-            net.groups[victim].as_mut().unwrap().handle(now, address(1), &bytes);
+        for bytes in [
+            forged(State::Dead, id_of("n3")),
+            forged(State::Alive, id_of("stranger")),
+            b"\x04".to_vec(),
+        ] {
+            net.groups[victim]
+                .as_mut()
+                .unwrap()
+                .handle(now, address(1), &bytes);
         }
     }
     net.run(20_000.0, all);
@@ -289,14 +397,20 @@
 
 #[test]
 fn keys_rotate_during_a_partition() {
-    let step = |seals: u8, opens: u8| Keys { seals: Some([seals; 16]), opens: Some([opens; 16]) };
+    let step = |seals: u8, opens: u8| Keys {
+        seals: Some([seals; 16]),
+        opens: Some([opens; 16]),
+    };
     let mut net = Net::with_keys(6, 11, step(1, 1));
     net.until(30_000.0, all, Net::agrees).unwrap();
     let halves = |a: usize, b: usize| a / 3 == b / 3;
     net.run(30_000.0, halves);
     // One half has both keys, the other seals with the new one already: they understand each other.
     for n in 0..6 {
-        net.groups[n].as_mut().unwrap().set_keys(if n < 3 { step(1, 2) } else { step(2, 1) });
+        net.groups[n]
+            .as_mut()
+            .unwrap()
+            .set_keys(if n < 3 { step(1, 2) } else { step(2, 1) });
     }
     net.run(10_000.0, halves);
     assert!(net.until(120_000.0, all, Net::agrees).is_some());
@@ -307,8 +421,18 @@
     let settings = Settings::default();
     let mut group = Group::new("n0", address(0), 0, settings, Keys::default(), 1);
     for n in 0..200_000_u64 {
-        let news = News { id: n, address: address(1), state: State::Alive, incarnation: 1 };
-        let bytes = wire::write(&Datagram { what: What::Ask(n), from: n + 1, number: 1, news: vec![news] });
+        let news = News {
+            id: n,
+            address: address(1),
+            state: State::Alive,
+            incarnation: 1,
+        };
+        let bytes = wire::write(&Datagram {
+            what: What::Ask(n),
+            from: n + 1,
+            number: 1,
+            news: vec![news],
+        });
         group.handle(n as f64, address(1), &bytes);
         if n % 1000 == 0 {
             group.poll(n as f64);
@@ -321,7 +445,11 @@
 fn three_hundred_agree_and_under_heavy_loss_none_that_lives_is_buried() {
     let mut net = Net::new(300, 12);
     let took = net.until(30_000.0, all, Net::agrees);
-    assert!(took.is_some(), "{:?}", net.groups.iter().flatten().map(Group::count).min());
+    assert!(
+        took.is_some(),
+        "{:?}",
+        net.groups.iter().flatten().map(Group::count).min()
+    );
     net.way = Way { loss: 0.3, ..GOOD };
     let (bytes, from) = (net.bytes, net.now);
     net.run(20_000.0, all);
@@ -330,18 +458,31 @@
     assert!(net.deaths() <= 2, "{}", net.deaths());
     net.groups[299] = None;
     let found = net.until(30_000.0, all, |net| net.holds(299) == 0);
-    assert!(found.is_some(), "{} still hold it for there", net.holds(299));
+    assert!(
+        found.is_some(),
+        "{} still hold it for there",
+        net.holds(299)
+    );
 }
 
 #[test]
 fn what_is_carried_arrives_as_it_was_and_is_no_news_of_members() {
-    let keys = Keys { seals: Some([7; 16]), opens: Some([7; 16]) };
+    let keys = Keys {
+        seals: Some([7; 16]),
+        opens: Some([7; 16]),
+    };
     let mut net = Net::with_keys(3, 13, keys);
     net.until(10_000.0, all, Net::agrees).unwrap();
     let content = vec![9; wire::MOST_CARRIED];
     assert!(net.groups[0].as_mut().unwrap().carry(id_of("n1"), &content));
-    assert!(!net.groups[0].as_mut().unwrap().carry(id_of("nobody"), &content));
-    assert!(!net.groups[0].as_mut().unwrap().carry(id_of("n1"), &vec![9; wire::MOST_CARRIED + 1]));
+    assert!(!net.groups[0]
+        .as_mut()
+        .unwrap()
+        .carry(id_of("nobody"), &content));
+    assert!(!net.groups[0]
+        .as_mut()
+        .unwrap()
+        .carry(id_of("n1"), &vec![9; wire::MOST_CARRIED + 1]));
     net.run(100.0, all);
     let carried = net.groups[1].as_mut().unwrap().next_carried().unwrap();
     assert_eq!((carried.from, carried.content), (id_of("n0"), content));
--- a/crates/operator/build.rs
+++ b/crates/operator/build.rs
@@ -6,7 +6,9 @@
     let out = std::path::PathBuf::from(std::env::var("OUT_DIR")?);
     // With its comments left out: the set is only read to know names and types.
     let mut bare = set.clone();
-    bare.file.iter_mut().for_each(|file| file.source_code_info = None);
+    bare.file
+        .iter_mut()
+        .for_each(|file| file.source_code_info = None);
     std::fs::write(out.join("operator.fds"), prost_bytes(&bare))?;
     prost_build::Config::new().out_dir(&out).compile_fds(set)?;
     Ok(())
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -23,7 +23,12 @@
             at = self.places.of(&name);
             named = over(&name);
         }
-        self.all.push(Fault { at, key: key.to_owned(), found: found.into(), allowed: allowed.into() });
+        self.all.push(Fault {
+            at,
+            key: key.to_owned(),
+            found: found.into(),
+            allowed: allowed.into(),
+        });
     }
 
     /// A number that is given must lie in a range.
@@ -31,7 +36,13 @@
         self.all.is_empty()
     }
 
-    pub(crate) fn within(&mut self, key: &str, given: Option<impl Into<f64>>, least: f64, most: f64) {
+    pub(crate) fn within(
+        &mut self,
+        key: &str,
+        given: Option<impl Into<f64>>,
+        least: f64,
+        most: f64,
+    ) {
         if let Some(given) = given.map(Into::into) {
             if !(given >= least && given <= most) {
                 self.add(key, given.to_string(), format!("{least} to {most}"));
@@ -41,7 +52,10 @@
 }
 
 pub fn check(operator: &Operator, places: &Places) -> Vec<Fault> {
-    let mut faults = Faults { places, all: Vec::new() };
+    let mut faults = Faults {
+        places,
+        all: Vec::new(),
+    };
     if let Some(log) = &operator.log {
         of_log(log, &mut faults);
     }
@@ -75,7 +89,10 @@
 fn of_statements(s: &Statements, faults: &mut Faults) {
     if let Some(path) = &s.path {
         let of_path = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'/' | b'_' | b'-' | b'.');
-        let good = path.starts_with('/') && path.len() > 1 && path.len() <= 128 && path.bytes().all(of_path);
+        let good = path.starts_with('/')
+            && path.len() > 1
+            && path.len() <= 128
+            && path.bytes().all(of_path);
         let taken = PATHS_TAKEN.iter().any(|taken| path.starts_with(taken)) || path == "/invoke";
         if !good || taken {
             let allowed = "a path of letters, digits and / _ - . that no other call uses";
@@ -90,7 +107,11 @@
         ] {
             if !named(name) {
                 let key = format!("statements.groups.{key}");
-                faults.add(&key, "missing", "the name of a resource group, as statements.path is given");
+                faults.add(
+                    &key,
+                    "missing",
+                    "the name of a resource group, as statements.path is given",
+                );
             }
         }
     }
@@ -98,7 +119,11 @@
     for (n, dialect) in s.dialect().enumerate() {
         if !dialects.insert(dialect) {
             let key = format!("statements.dialect.{n}");
-            faults.add(&key, format!("{} a second time", dialect.as_str_name()), "each dialect once");
+            faults.add(
+                &key,
+                format!("{} a second time", dialect.as_str_name()),
+                "each dialect once",
+            );
         }
     }
     of_rules(&s.rule, faults);
@@ -129,14 +154,39 @@
     }
     if let Some(cache) = &s.cache {
         faults.within("statements.cache.shapes", cache.shapes, 16.0, 1e6);
-        faults.within("statements.cache.bytes", cache.bytes, 65_536.0, f64::from(1 << 30));
+        faults.within(
+            "statements.cache.bytes",
+            cache.bytes,
+            65_536.0,
+            f64::from(1 << 30),
+        );
         faults.within("statements.cache.costs", cache.costs, 16.0, 1e6);
     }
     if let Some(learning) = &s.learning {
-        faults.within("statements.learning.half_sure", learning.half_sure, 1.0, 100.0);
-        faults.within("statements.learning.half_life_s", learning.half_life_s, 1.0, 1e7);
-        faults.within("statements.learning.shift_after", learning.shift_after, 2.0, 20.0);
-        faults.within("statements.learning.most_step", learning.most_step, 1.1, 100.0);
+        faults.within(
+            "statements.learning.half_sure",
+            learning.half_sure,
+            1.0,
+            100.0,
+        );
+        faults.within(
+            "statements.learning.half_life_s",
+            learning.half_life_s,
+            1.0,
+            1e7,
+        );
+        faults.within(
+            "statements.learning.shift_after",
+            learning.shift_after,
+            2.0,
+            20.0,
+        );
+        faults.within(
+            "statements.learning.most_step",
+            learning.most_step,
+            1.1,
+            100.0,
+        );
     }
 }
 
@@ -160,8 +210,15 @@
         ] {
             faults.within(&format!("{key}.{name}"), least, 1.0, 1000.0);
         }
-        if let Some(earlier) = rules[..n].iter().position(|earlier| asks_no_more(earlier, rule)) {
-            faults.add(&key, format!("shadowed by statements.rule.{earlier}"), "a rule that can be reached");
+        if let Some(earlier) = rules[..n]
+            .iter()
+            .position(|earlier| asks_no_more(earlier, rule))
+        {
+            faults.add(
+                &key,
+                format!("shadowed by statements.rule.{earlier}"),
+                "a rule that can be reached",
+            );
         }
     }
 }
@@ -188,18 +245,31 @@
 
 fn of_functions(s: &Statements, faults: &mut Faults) {
     let mut seen = HashSet::new();
-    let lists = [("pure_function", &s.pure_function), ("effect_function", &s.effect_function)];
+    let lists = [
+        ("pure_function", &s.pure_function),
+        ("effect_function", &s.effect_function),
+    ];
     for (list, names) in lists {
         for (n, name) in names.iter().enumerate() {
             let key = format!("statements.{list}.{n}");
             let part = |part: &str| {
-                part.bytes().next().is_some_and(|b| b.is_ascii_alphabetic() || b == b'_')
+                part.bytes()
+                    .next()
+                    .is_some_and(|b| b.is_ascii_alphabetic() || b == b'_')
                     && part.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_')
             };
             if !name.split('.').all(part) || name.len() > 128 {
-                faults.add(&key, format!("{name:?}"), "a name, or schema.name, of letters, digits and _");
+                faults.add(
+                    &key,
+                    format!("{name:?}"),
+                    "a name, or schema.name, of letters, digits and _",
+                );
             } else if !seen.insert(name.to_ascii_lowercase()) {
-                faults.add(&key, format!("{name:?} a second time"), "each function once in both lists");
+                faults.add(
+                    &key,
+                    format!("{name:?} a second time"),
+                    "each function once in both lists",
+                );
             }
         }
     }
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -14,7 +14,11 @@
 
 /// The number by which halls, versions and engines go round: FNV-1a over the name, never 0.
 pub fn number_of(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5_u32, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193)).max(1)
+    name.bytes()
+        .fold(0x811c_9dc5_u32, |hash, b| {
+            (hash ^ u32::from(b)).wrapping_mul(0x0100_0193)
+        })
+        .max(1)
 }
 
 fn key(hex: &str) -> Option<[u8; 16]> {
@@ -82,7 +86,10 @@
         seeds: told.seed.iter().filter_map(|seed| address(seed)).collect(),
         ..tansymux_membership::Settings::default()
     };
-    let zones = told.zones.as_ref().map(|zones| (0, zones_of(zones, timing.skew())));
+    let zones = told
+        .zones
+        .as_ref()
+        .map(|zones| (0, zones_of(zones, timing.skew())));
     let lead = timing.lead_s() * 1000.0;
     let terms = Terms {
         lead,
@@ -97,7 +104,10 @@
         voters: told.voter.clone(),
         membership,
         terms,
-        keys: Keys { seals: Some(key(told.key())?), opens: key(told.also_opens()) },
+        keys: Keys {
+            seals: Some(key(told.key())?),
+            opens: key(told.also_opens()),
+        },
         fresh: told.fresh(),
         turn,
         told: decided,
@@ -126,8 +136,9 @@
 }
 
 pub(crate) fn check(told: &schema::Fleet, faults: &mut Faults) {
-    let name =
-        |name: &str| !name.is_empty() && name.len() <= MOST_NAME && !name.contains(char::is_whitespace);
+    let name = |name: &str| {
+        !name.is_empty() && name.len() <= MOST_NAME && !name.contains(char::is_whitespace)
+    };
     let allowed = "a name of 1 to 64 bytes without blanks";
     match &told.name {
         Some(given) if name(given) => {}
@@ -135,7 +146,10 @@
         None => faults.add("fleet.name", "missing", allowed),
     }
     let allowed = "an address and port of IPv4, as in 127.0.0.1:7946";
-    let address = |text: &str| text.parse::<SocketAddr>().is_ok_and(|at| at.is_ipv4() && at.port() != 0);
+    let address = |text: &str| {
+        text.parse::<SocketAddr>()
+            .is_ok_and(|at| at.is_ipv4() && at.port() != 0)
+    };
     match &told.listen {
         Some(given) if address(given) => {}
         Some(given) => faults.add("fleet.listen", format!("{given:?}"), allowed),
@@ -144,7 +158,12 @@
     if let Some(given) = told.address.as_ref().filter(|given| !address(given)) {
         faults.add("fleet.address", format!("{given:?}"), allowed);
     }
-    for (n, given) in told.seed.iter().enumerate().filter(|(_, given)| !address(given)) {
+    for (n, given) in told
+        .seed
+        .iter()
+        .enumerate()
+        .filter(|(_, given)| !address(given))
+    {
         faults.add(&format!("fleet.seed.{n}"), format!("{given:?}"), allowed);
     }
     let many = told.voter.len();
@@ -156,7 +175,11 @@
     for (n, given) in told.voter.iter().enumerate() {
         let key = format!("fleet.voter.{n}");
         if !name(given) {
-            faults.add(&key, format!("{given:?}"), "a name of 1 to 64 bytes without blanks");
+            faults.add(
+                &key,
+                format!("{given:?}"),
+                "a name of 1 to 64 bytes without blanks",
+            );
         } else if !seen.insert(given) {
             faults.add(&key, format!("{given:?} a second time"), "each voter once");
         }
@@ -164,7 +187,11 @@
     for (which, given) in [("key", &told.key), ("also_opens", &told.also_opens)] {
         // What is wrong with a key is told, the key is not.
         if let Some(given) = given.as_ref().filter(|given| key(given).is_none()) {
-            faults.add(&format!("fleet.{which}"), format!("{} characters", given.len()), "32 hex digits");
+            faults.add(
+                &format!("fleet.{which}"),
+                format!("{} characters", given.len()),
+                "32 hex digits",
+            );
         }
     }
     if told.key.is_none() {
@@ -178,11 +205,16 @@
         faults.within("fleet.timing.skew", t.skew, 0.0, 0.1);
         faults.within("fleet.timing.settle_s", t.settle_s, 1.0, 60.0);
     }
-    for (which, b) in [("dispatchers", &told.dispatchers), ("engines", &told.engines)] {
+    for (which, b) in [
+        ("dispatchers", &told.dispatchers),
+        ("engines", &told.engines),
+    ] {
         let Some(b) = b else { continue };
-        for (name, part) in
-            [("most_part", b.most_part), ("hall_part", b.hall_part), ("version_part", b.version_part)]
-        {
+        for (name, part) in [
+            ("most_part", b.most_part),
+            ("hall_part", b.hall_part),
+            ("version_part", b.version_part),
+        ] {
             faults.within(&format!("fleet.{which}.{name}"), part, 0.001, 1.0);
         }
         faults.within(&format!("fleet.{which}.apart_s"), b.apart_s, 0.0, 3600.0);
--- a/crates/operator/src/levels.rs
+++ b/crates/operator/src/levels.rs
@@ -6,7 +6,9 @@
 
 /// The definition that the file tells. It may have faults: see `check`.
 pub fn definition(told: &schema::Levels) -> Definition {
-    Definition { levels: told.level.iter().map(level).collect() }
+    Definition {
+        levels: told.level.iter().map(level).collect(),
+    }
 }
 
 fn level(told: &schema::Level) -> Level {
@@ -14,7 +16,10 @@
     let terms = |terms: &[schema::Term]| terms.iter().map(term_of).collect();
     Level {
         name: told.name().to_owned(),
-        enter: Condition { all: terms(&enter.all), any: terms(&enter.any) },
+        enter: Condition {
+            all: terms(&enter.all),
+            any: terms(&enter.any),
+        },
         least_stay: told.least_stay_s() * 1000.0,
         reduction: told.act.as_ref().map_or_else(Reduction::default, reduction),
     }
@@ -52,7 +57,11 @@
         withhold_low: told.withhold_low_retries(),
         close_over_share: told.close_over_share(),
         least_sure: told.least_sure(),
-        classes: told.class.iter().map(|class| (class.name().to_owned(), class.part())).collect(),
+        classes: told
+            .class
+            .iter()
+            .map(|class| (class.name().to_owned(), class.part()))
+            .collect(),
     }
 }
 
@@ -60,12 +69,21 @@
     faults.within("levels.pin_for_s", told.pin_for_s, 1.0, 86_400.0);
     if let Some(pin) = &told.pin {
         if pin != define::FULL && !told.level.iter().any(|level| level.name() == pin) {
-            faults.add("levels.pin", format!("{pin:?}"), "the name of a level, or \"full\"");
+            faults.add(
+                "levels.pin",
+                format!("{pin:?}"),
+                "the name of a level, or \"full\"",
+            );
         }
     }
     for (n, level) in told.level.iter().enumerate() {
         let key = format!("levels.level.{n}");
-        faults.within(&format!("{key}.least_stay_s"), level.least_stay_s, 0.0, 3600.0);
+        faults.within(
+            &format!("{key}.least_stay_s"),
+            level.least_stay_s,
+            0.0,
+            3600.0,
+        );
         let enter = level.enter.clone().unwrap_or_default();
         for (part, terms) in [("all", &enter.all), ("any", &enter.any)] {
             for (t, term) in terms.iter().enumerate() {
@@ -90,13 +108,23 @@
             faults.add(&format!("{key}.{name}"), "missing", "a threshold");
         }
     }
-    let Some(signal) = term.signal.and_then(|signal| term::Signal::try_from(signal).ok()) else {
+    let Some(signal) = term
+        .signal
+        .and_then(|signal| term::Signal::try_from(signal).ok())
+    else {
         return faults.add(&format!("{key}.signal"), "missing", "one of the signals");
     };
-    let named = matches!(signal, term::Signal::Pressed | term::Signal::Late | term::Signal::Deferred);
+    let named = matches!(
+        signal,
+        term::Signal::Pressed | term::Signal::Late | term::Signal::Deferred
+    );
     if term.of.is_some() && !named {
         let found = format!("given for {}", signal.as_str_name());
-        faults.add(&format!("{key}.of"), found, "a hall for PRESSED, a resource group for LATE and DEFERRED");
+        faults.add(
+            &format!("{key}.of"),
+            found,
+            "a hall for PRESSED, a resource group for LATE and DEFERRED",
+        );
     }
     faults.within(&format!("{key}.enter_for_s"), term.enter_for_s, 0.5, 600.0);
     faults.within(&format!("{key}.leave_for_s"), term.leave_for_s, 0.5, 600.0);
@@ -104,9 +132,11 @@
 
 fn of_act(key: &str, act: &schema::Act, faults: &mut Faults) {
     // Demotion stays well above what is usual: else ordinary queries would leave the fast lane.
-    for (name, given, least) in
-        [("bounds", act.bounds, 0.05), ("demotion", act.demotion, 0.5), ("grants", act.grants, 0.05)]
-    {
+    for (name, given, least) in [
+        ("bounds", act.bounds, 0.05),
+        ("demotion", act.demotion, 0.5),
+        ("grants", act.grants, 0.05),
+    ] {
         faults.within(&format!("{key}.{name}"), given, least, 1.0);
     }
     faults.within(&format!("{key}.retry_after"), act.retry_after, 1.0, 100.0);
@@ -115,10 +145,21 @@
     for (n, class) in act.class.iter().enumerate() {
         faults.within(&format!("{key}.class.{n}.part"), class.part, 0.0, 1.0);
         if class.name().is_empty() {
-            faults.add(&format!("{key}.class.{n}.name"), "missing", "the name of a resource group");
-        } else if act.class[..n].iter().any(|other| other.name() == class.name()) {
+            faults.add(
+                &format!("{key}.class.{n}.name"),
+                "missing",
+                "the name of a resource group",
+            );
+        } else if act.class[..n]
+            .iter()
+            .any(|other| other.name() == class.name())
+        {
             let found = format!("{:?} a second time", class.name());
-            faults.add(&format!("{key}.class.{n}.name"), found, "each resource group once");
+            faults.add(
+                &format!("{key}.class.{n}.name"),
+                found,
+                "each resource group once",
+            );
         }
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -52,7 +52,11 @@
         match (self.key.is_empty(), self.allowed.is_empty()) {
             (true, _) => write!(f, "{}", self.found),
             (false, true) => write!(f, "{}: {}", self.key, self.found),
-            (false, false) => write!(f, "{} is {}, allowed is {}", self.key, self.found, self.allowed),
+            (false, false) => write!(
+                f,
+                "{} is {}, allowed is {}",
+                self.key, self.found, self.allowed
+            ),
         }
     }
 }
@@ -63,21 +67,34 @@
 /// All faults that could be found: the first of form (a word, a type or a name that the schema does not know, a
 /// field given twice), else all of meaning (ranges, references, duplicates), in the order of their lines.
 pub fn read(text: &str) -> Result<Operator, Vec<Fault>> {
-    let whole = |found: String| vec![Fault { at: None, key: String::new(), found, allowed: String::new() }];
+    let whole = |found: String| {
+        vec![Fault {
+            at: None,
+            key: String::new(),
+            found,
+            allowed: String::new(),
+        }]
+    };
     if text.len() > MOST_BYTES {
         return Err(whole(format!("the file is longer than {MOST_BYTES} bytes")));
     }
     // A descent in the text is a descent on the stack of whoever reads it.
     if let Some(at) = place::too_deep(text) {
         let found = "messages are nested too deeply".into();
-        return Err(vec![Fault { at: Some(at), key: String::new(), found, allowed: String::new() }]);
+        return Err(vec![Fault {
+            at: Some(at),
+            key: String::new(),
+            found,
+            allowed: String::new(),
+        }]);
     }
     let places = Places::find(text);
     let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| whole(e.to_string()))?;
     let descriptor = pool
         .get_message_by_name("tansymux.operator.Operator")
         .ok_or_else(|| whole("the schema holds no Operator".into()))?;
-    let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| vec![of_form(text, &e)])?;
+    let message =
+        DynamicMessage::parse_text_format(descriptor, text).map_err(|e| vec![of_form(text, &e)])?;
     let operator: Operator = message.transcode_to().map_err(|e| whole(e.to_string()))?;
     let mut faults = check::check(&operator, &places);
     if faults.is_empty() {
@@ -90,10 +107,18 @@
 /// A fault of form as the reader tells it, with its place and the key that stands there.
 fn of_form(text: &str, e: &prost_reflect::text_format::ParseError) -> Fault {
     use miette::Diagnostic;
-    let offset = e.labels().and_then(|mut labels| labels.next()).map(|label| label.offset());
+    let offset = e
+        .labels()
+        .and_then(|mut labels| labels.next())
+        .map(|label| label.offset());
     // An error without a label is one of an end that came too early.
     let offset = offset.unwrap_or(text.len());
     let found = std::error::Error::source(e).map_or_else(|| e.to_string(), ToString::to_string);
     let key = Places::find(text).key_at(offset).unwrap_or_default();
-    Fault { at: Some(place::line_of(text, offset)), key, found, allowed: String::new() }
+    Fault {
+        at: Some(place::line_of(text, offset)),
+        key,
+        found,
+        allowed: String::new(),
+    }
 }
--- a/crates/operator/src/place.rs
+++ b/crates/operator/src/place.rs
@@ -95,7 +95,9 @@
             match mark {
                 Mark::Word(_) if expects_value => expects_value = false,
                 Mark::Word(word) => {
-                    let path = inside.last().map_or(word.to_owned(), |over| format!("{over}.{word}"));
+                    let path = inside
+                        .last()
+                        .map_or(word.to_owned(), |over| format!("{over}.{word}"));
                     let count = counts.entry(path.clone()).or_default();
                     let numbered = format!("{path}.{count}");
                     *count += 1;
@@ -109,7 +111,10 @@
                 Mark::Sign(b':') => expects_value = true,
                 Mark::Sign(b'{' | b'<') => {
                     expects_value = false;
-                    inside.push(last.as_ref().map_or_else(String::new, |(_, path)| path.clone()));
+                    inside.push(
+                        last.as_ref()
+                            .map_or_else(String::new, |(_, path)| path.clone()),
+                    );
                 }
                 Mark::Sign(b'}' | b'>') => drop(inside.pop()),
                 Mark::Sign(_) => {}
@@ -128,7 +133,12 @@
     pub fn key_at(&self, offset: usize) -> Option<String> {
         let behind = self.in_order.partition_point(|(at, _)| *at <= offset);
         let (_, path) = self.in_order.get(behind.checked_sub(1)?)?;
-        Some(path.split('.').filter(|part| *part != "0").collect::<Vec<_>>().join("."))
+        Some(
+            path.split('.')
+                .filter(|part| *part != "0")
+                .collect::<Vec<_>>()
+                .join("."),
+        )
     }
 }
 
@@ -164,6 +174,9 @@
         assert_eq!(places.of("statements.rule.1.class"), Some((6, 3)));
         assert_eq!(places.of("statements.path"), Some((7, 2)));
         assert_eq!(places.of("statements.check"), None);
-        assert_eq!(places.key_at(text.find("least").unwrap()).unwrap(), "statements.rule.1.least_joins");
+        assert_eq!(
+            places.key_at(text.find("least").unwrap()).unwrap(),
+            "statements.rule.1.least_joins"
+        );
     }
 }
--- a/crates/operator/tests/faults.rs
+++ b/crates/operator/tests/faults.rs
@@ -4,7 +4,11 @@
 use tansymux_operator::{read, schema};
 
 fn faults(text: &str) -> Vec<String> {
-    read(text).expect_err(text).iter().map(ToString::to_string).collect()
+    read(text)
+        .expect_err(text)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
 }
 
 #[test]
@@ -65,16 +69,23 @@
     ];
     for (text, says) in cases {
         let all = faults(text);
-        assert!(all.iter().any(|fault| fault.contains(says)), "{says} in {all:?}");
+        assert!(
+            all.iter().any(|fault| fault.contains(says)),
+            "{says} in {all:?}"
+        );
     }
 }
 
 #[test]
 fn all_faults_of_meaning_are_told_at_once_in_order_of_lines() {
-    let all =
-        faults("statements { cache { shapes: 3 }\n learning { half_sure: 0 } }\nlog { lines_at_once: 0 }");
+    let all = faults(
+        "statements { cache { shapes: 3 }\n learning { half_sure: 0 } }\nlog { lines_at_once: 0 }",
+    );
     assert_eq!(all.len(), 3);
-    assert!(all[0].starts_with("1:") && all[1].starts_with("2:") && all[2].starts_with("3:"), "{all:?}");
+    assert!(
+        all[0].starts_with("1:") && all[1].starts_with("2:") && all[2].starts_with("3:"),
+        "{all:?}"
+    );
 }
 
 #[test]
--- a/crates/permits/src/council.rs
+++ b/crates/permits/src/council.rs
@@ -32,7 +32,13 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { lead: 3000.0, permit: 60_000.0, skew: 0.02, again: 300.0, late: 10_000.0 }
+        Terms {
+            lead: 3000.0,
+            permit: 60_000.0,
+            skew: 0.02,
+            again: 300.0,
+            late: 10_000.0,
+        }
     }
 }
 
@@ -99,7 +105,13 @@
 #[derive(Debug, Clone)]
 enum Role {
     Voter,
-    Candidate { ballot: Ballot, nonce: u64, promises: BTreeMap<Id, Parts>, sent: f64, since: f64 },
+    Candidate {
+        ballot: Ballot,
+        nonce: u64,
+        promises: BTreeMap<Id, Parts>,
+        sent: f64,
+        since: f64,
+    },
     Leader(Box<Leader>),
 }
 
@@ -127,7 +139,15 @@
     /// that may have forgotten keeps still for [`Terms::quarantine`]. `round`: above those that it may have forgotten,
     /// as far as that can be told (the seconds of the day's clock); turns do not hang on it, what lasts does where a
     /// majority has forgotten and one that has not was cut off all the time.
-    pub fn new(id: Id, voters: &[Id], terms: Terms, now: f64, fresh: bool, round: u32, seed: u64) -> Self {
+    pub fn new(
+        id: Id,
+        voters: &[Id],
+        terms: Terms,
+        now: f64,
+        fresh: bool,
+        round: u32,
+        seed: u64,
+    ) -> Self {
         let mut voters = voters.to_vec();
         voters.sort_unstable();
         voters.dedup();
@@ -159,7 +179,9 @@
 
     pub fn stand(&self) -> Stand {
         match &self.role {
-            _ if self.now < self.recalls => Stand::Recalls { until: self.recalls },
+            _ if self.now < self.recalls => Stand::Recalls {
+                until: self.recalls,
+            },
             Role::Voter => Stand::Follows(self.promised),
             Role::Candidate { .. } => Stand::Candidate,
             Role::Leader(leader) => Stand::Leads(leader.ballot),
@@ -181,8 +203,14 @@
 
     /// Whether this one leads and may decide: a majority has answered it of late, and keeps what it found.
     pub fn leads(&self, now: f64) -> bool {
-        let Role::Leader(leader) = &self.role else { return false };
-        self.backed(leader, now) && !leader.writes.iter().any(|write| write.number <= leader.found)
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        self.backed(leader, now)
+            && !leader
+                .writes
+                .iter()
+                .any(|write| write.number <= leader.found)
     }
 
     /// Since when it has led.
@@ -194,19 +222,27 @@
     }
 
     fn backed(&self, leader: &Leader, now: f64) -> bool {
-        let lately = leader.answered.values().filter(|sent| now - **sent < self.terms.lead).count();
+        let lately = leader
+            .answered
+            .values()
+            .filter(|sent| now - **sent < self.terms.lead)
+            .count();
         lately + 1 >= self.majority()
     }
 
     /// All that this voter keeps and how long it counts yet (ms; none: without an end), with what is over.
     pub fn records(&self) -> impl Iterator<Item = Counted> + '_ {
-        self.kept.values().map(|kept| (kept.record, self.left(kept)))
+        self.kept
+            .values()
+            .map(|kept| (kept.record, self.left(kept)))
     }
 
     fn left(&self, kept: &Kept) -> Option<u32> {
-        kept.until
-            .is_finite()
-            .then(|| (kept.until - self.now).clamp(0.0, f64::from(u32::MAX - 1)).ceil() as u32)
+        kept.until.is_finite().then(|| {
+            (kept.until - self.now)
+                .clamp(0.0, f64::from(u32::MAX - 1))
+                .ceil() as u32
+        })
     }
 
     /// What stands at a place for whoever must be careful: what may be so counts, until a majority keeps that it is
@@ -217,7 +253,10 @@
             Role::Leader(leader) => leader.agreed.get(&key),
             _ => None,
         };
-        let holds = [kept, agreed].into_iter().flatten().find(|kept| !kept.record.is_over())?;
+        let holds = [kept, agreed]
+            .into_iter()
+            .flatten()
+            .find(|kept| !kept.record.is_over())?;
         Some((holds.record, self.left(holds)))
     }
 
@@ -232,7 +271,9 @@
 
     /// Whether what this leader keeps at a place is kept by a majority too.
     pub fn is_agreed(&self, key: u64) -> bool {
-        let Role::Leader(leader) = &self.role else { return false };
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
         let stamp = |table: &BTreeMap<u64, Kept>| table.get(&key).map(|kept| kept.record.stamp);
         self.backed(leader, self.now)
             && stamp(&self.kept).is_some()
@@ -245,7 +286,10 @@
             Role::Leader(leader) => Some(&leader.agreed),
             _ => None,
         };
-        let others = agreed.into_iter().flatten().filter(|(key, _)| !self.kept.contains_key(key));
+        let others = agreed
+            .into_iter()
+            .flatten()
+            .filter(|(key, _)| !self.kept.contains_key(key));
         let keys = self.kept.keys().chain(others.map(|(key, _)| key));
         keys.filter_map(|key| self.standing(*key))
     }
@@ -257,7 +301,11 @@
 
     /// The highest stamp of all that is kept.
     pub fn highest(&self) -> Stamp {
-        self.kept.values().map(|kept| kept.record.stamp).max().unwrap_or_default()
+        self.kept
+            .values()
+            .map(|kept| kept.record.stamp)
+            .max()
+            .unwrap_or_default()
     }
 
     /// A round that was heard of: the next ballot of this one is above it.
@@ -272,10 +320,19 @@
 
     /// Writes records, each with how long it counts (ms); the number under which `agreed` tells of it, or none where
     /// this one does not lead or has no room.
-    pub fn write(&mut self, now: f64, records: &[(u64, Value, Option<f64>)]) -> Option<(Ballot, u32)> {
+    pub fn write(
+        &mut self,
+        now: f64,
+        records: &[(u64, Value, Option<f64>)],
+    ) -> Option<(Ballot, u32)> {
         self.wakes(now);
-        let Role::Leader(leader) = &mut self.role else { return None };
-        let new = records.iter().filter(|(key, ..)| !self.kept.contains_key(key)).count();
+        let Role::Leader(leader) = &mut self.role else {
+            return None;
+        };
+        let new = records
+            .iter()
+            .filter(|(key, ..)| !self.kept.contains_key(key))
+            .count();
         let room = records.len() <= wire::RECORDS && leader.writes.len() < MOST_WRITES;
         if records.is_empty() || !room || self.kept.len() + new > MOST_RECORDS {
             return None;
@@ -285,7 +342,14 @@
         let mut written = Vec::with_capacity(records.len());
         for (key, value, term) in records {
             leader.stamps += 1;
-            let record = Record { key: *key, stamp: Stamp { ballot, number: leader.stamps }, value: *value };
+            let record = Record {
+                key: *key,
+                stamp: Stamp {
+                    ballot,
+                    number: leader.stamps,
+                },
+                value: *value,
+            };
             let until = match (value, self.kept.get(key)) {
                 // That something is over is told for as long as what is over may count somewhere yet.
                 (Value::Over, Some(known)) if known.record.is_over() => known.until,
@@ -294,7 +358,11 @@
                 }
                 _ => term.map_or(f64::INFINITY, |term| now + term * (1.0 + self.terms.skew)),
             };
-            let kept = Kept { record, until, since: now };
+            let kept = Kept {
+                record,
+                until,
+                since: now,
+            };
             self.kept.insert(*key, kept);
             written.push(kept);
         }
@@ -313,21 +381,44 @@
 
     /// Whether a majority keeps what was written so; none where it never will be known, as this one leads no more.
     pub fn agreed(&self, (ballot, number): (Ballot, u32)) -> Option<bool> {
-        let Role::Leader(leader) = &self.role else { return None };
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
         let same = leader.ballot == ballot && self.backed(leader, self.now);
         same.then(|| !leader.writes.iter().any(|write| write.number == number))
     }
 
     fn says_writes(&mut self) {
-        let Role::Leader(leader) = &mut self.role else { return };
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
         let (now, again, ballot) = (self.now, self.terms.again, leader.ballot);
-        for write in leader.writes.iter_mut().filter(|write| now - write.sent >= again) {
+        for write in leader
+            .writes
+            .iter_mut()
+            .filter(|write| now - write.sent >= again)
+        {
             write.sent = now;
-            let left =
-                |kept: &Kept| kept.until.is_finite().then(|| (kept.until - now).max(0.0).ceil() as u32);
-            let records: Vec<Counted> = write.records.iter().map(|kept| (kept.record, left(kept))).collect();
-            for voter in self.voters.iter().filter(|voter| !write.kept_by.contains(voter)) {
-                let message = Message::Write { ballot, number: write.number, records: records.clone() };
+            let left = |kept: &Kept| {
+                kept.until
+                    .is_finite()
+                    .then(|| (kept.until - now).max(0.0).ceil() as u32)
+            };
+            let records: Vec<Counted> = write
+                .records
+                .iter()
+                .map(|kept| (kept.record, left(kept)))
+                .collect();
+            for voter in self
+                .voters
+                .iter()
+                .filter(|voter| !write.kept_by.contains(voter))
+            {
+                let message = Message::Write {
+                    ballot,
+                    number: write.number,
+                    records: records.clone(),
+                };
                 self.out.push((*voter, message));
             }
         }
@@ -336,7 +427,9 @@
     /// Takes what a majority keeps for agreed.
     fn settles(&mut self) {
         let majority = self.majority();
-        let Role::Leader(leader) = &mut self.role else { return };
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
         let Leader { writes, agreed, .. } = &mut **leader;
         writes.retain(|write| {
             if write.kept_by.len() < majority {
@@ -370,14 +463,26 @@
             return;
         }
         match message {
-            Message::Prepare { ballot, nonce } if ballot.leader == from => self.asked(from, ballot, nonce),
-            Message::Promise { ballot, nonce, part, parts, records } => {
-                self.promised_by(from, ballot, nonce, (part, parts), records)
-            }
-            Message::Write { ballot, number, records } if ballot.leader == from => {
-                self.told(from, ballot, number, records)
+            Message::Prepare { ballot, nonce } if ballot.leader == from => {
+                self.asked(from, ballot, nonce)
             }
-            Message::Written { ballot, number, digest } => self.kept_by(from, ballot, number, digest),
+            Message::Promise {
+                ballot,
+                nonce,
+                part,
+                parts,
+                records,
+            } => self.promised_by(from, ballot, nonce, (part, parts), records),
+            Message::Write {
+                ballot,
+                number,
+                records,
+            } if ballot.leader == from => self.told(from, ballot, number, records),
+            Message::Written {
+                ballot,
+                number,
+                digest,
+            } => self.kept_by(from, ballot, number, digest),
             Message::No { ballot } => {
                 self.heard_of(ballot.round);
                 let lost = match &self.role {
@@ -397,7 +502,12 @@
         // While the leader that it follows is there, it gives no other one a voice.
         let follows = self.now - self.heard < self.terms.lead && self.promised.leader != from;
         if self.now < self.recalls || ballot < self.promised || follows && ballot != self.promised {
-            return self.out.push((from, Message::No { ballot: self.promised }));
+            return self.out.push((
+                from,
+                Message::No {
+                    ballot: self.promised,
+                },
+            ));
         }
         if ballot != self.promised {
             self.stands_down();
@@ -406,26 +516,56 @@
         let all: Vec<Counted> = self.records().collect();
         let parts = all.len().div_ceil(wire::RECORDS).max(1) as u16;
         for part in 0..parts {
-            let records = all.iter().skip(usize::from(part) * wire::RECORDS).take(wire::RECORDS);
+            let records = all
+                .iter()
+                .skip(usize::from(part) * wire::RECORDS)
+                .take(wire::RECORDS);
             let records = records.copied().collect();
-            self.out.push((from, Message::Promise { ballot, nonce, part, parts, records }));
+            self.out.push((
+                from,
+                Message::Promise {
+                    ballot,
+                    nonce,
+                    part,
+                    parts,
+                    records,
+                },
+            ));
         }
     }
 
     fn promised_by(
-        &mut self, from: Id, of: Ballot, told: u64, (part, parts): (u16, u16), records: Vec<Counted>,
+        &mut self,
+        from: Id,
+        of: Ballot,
+        told: u64,
+        (part, parts): (u16, u16),
+        records: Vec<Counted>,
     ) {
         let majority = self.majority();
-        let Role::Candidate { ballot, nonce, promises, .. } = &mut self.role else { return };
+        let Role::Candidate {
+            ballot,
+            nonce,
+            promises,
+            ..
+        } = &mut self.role
+        else {
+            return;
+        };
         let (part, many) = (usize::from(part), usize::from(parts));
         if of != *ballot || told != *nonce || part >= many || many > MOST_RECORDS {
             return;
         }
-        let parts = promises.entry(from).or_insert_with(|| Parts { got: vec![None; many] });
+        let parts = promises.entry(from).or_insert_with(|| Parts {
+            got: vec![None; many],
+        });
         if parts.got.len() == many {
             parts.got[part] = Some(records);
         }
-        let whole = promises.values().filter(|parts| parts.got.iter().all(Option::is_some)).count();
+        let whole = promises
+            .values()
+            .filter(|parts| parts.got.iter().all(Option::is_some))
+            .count();
         if whole + 1 >= majority {
             self.elected();
         }
@@ -433,7 +573,12 @@
 
     /// A majority has given its voice: what any of it keeps holds, and is written anew.
     fn elected(&mut self) {
-        let Role::Candidate { ballot, promises, sent, .. } = std::mem::replace(&mut self.role, Role::Voter)
+        let Role::Candidate {
+            ballot,
+            promises,
+            sent,
+            ..
+        } = std::mem::replace(&mut self.role, Role::Voter)
         else {
             return;
         };
@@ -441,7 +586,12 @@
         let mut answered = BTreeMap::new();
         for (voter, parts) in promises.into_iter().filter(|(_, parts)| whole(parts)) {
             answered.insert(voter, sent);
-            parts.got.into_iter().flatten().flatten().for_each(|counted| self.keep(counted));
+            parts
+                .got
+                .into_iter()
+                .flatten()
+                .flatten()
+                .for_each(|counted| self.keep(counted));
         }
         let leader = Leader {
             ballot,
@@ -459,18 +609,29 @@
         self.role = Role::Leader(Box::new(leader));
         let now = self.now;
         if let Role::Leader(leader) = &mut self.role {
-            let mut found: Vec<&mut Kept> =
-                self.kept.values_mut().filter(|kept| !kept.record.is_over()).collect();
+            let mut found: Vec<&mut Kept> = self
+                .kept
+                .values_mut()
+                .filter(|kept| !kept.record.is_over())
+                .collect();
             for some in found.chunks_mut(wire::RECORDS) {
                 leader.number += 1;
                 leader.sent.push((leader.number, now));
                 for kept in some.iter_mut() {
                     leader.stamps += 1;
-                    kept.record.stamp = Stamp { ballot, number: leader.stamps };
+                    kept.record.stamp = Stamp {
+                        ballot,
+                        number: leader.stamps,
+                    };
                 }
                 let records = some.iter().map(|kept| **kept).collect();
                 let (number, kept_by) = (leader.number, vec![self.id]);
-                leader.writes.push(Writing { number, records, sent: f64::NEG_INFINITY, kept_by });
+                leader.writes.push(Writing {
+                    number,
+                    records,
+                    sent: f64::NEG_INFINITY,
+                    kept_by,
+                });
             }
         }
         if let Role::Leader(leader) = &mut self.role {
@@ -485,8 +646,14 @@
     /// the same one the longer time holds.
     fn keep(&mut self, (record, left): Counted) {
         let now = self.now;
-        let until = left.map_or(f64::INFINITY, |left| now + f64::from(left) * (1.0 + self.terms.skew));
-        let kept = Kept { record, until, since: now };
+        let until = left.map_or(f64::INFINITY, |left| {
+            now + f64::from(left) * (1.0 + self.terms.skew)
+        });
+        let kept = Kept {
+            record,
+            until,
+            since: now,
+        };
         let room = self.kept.len() < MOST_RECORDS;
         match self.kept.get_mut(&record.key) {
             Some(known) => match (now < known.until, now < until) {
@@ -513,7 +680,12 @@
 
     fn told(&mut self, from: Id, ballot: Ballot, number: u32, records: Vec<Counted>) {
         if ballot < self.promised {
-            return self.out.push((from, Message::No { ballot: self.promised }));
+            return self.out.push((
+                from,
+                Message::No {
+                    ballot: self.promised,
+                },
+            ));
         }
         if ballot != self.promised {
             self.stands_down();
@@ -522,32 +694,51 @@
         records.into_iter().for_each(|counted| self.keep(counted));
         // One that has forgotten learns again, and counts for nothing yet.
         let answer = if self.now < self.recalls {
-            Message::No { ballot: self.promised }
+            Message::No {
+                ballot: self.promised,
+            }
         } else {
-            Message::Written { ballot, number, digest: self.digest() }
+            Message::Written {
+                ballot,
+                number,
+                digest: self.digest(),
+            }
         };
         self.out.push((from, answer));
     }
 
     fn kept_by(&mut self, from: Id, ballot: Ballot, number: u32, digest: u32) {
         let own = self.digest();
-        let Role::Leader(leader) = &mut self.role else { return };
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
         if leader.ballot != ballot {
             return;
         }
-        let sent = leader.sent.iter().find(|(n, _)| *n == number).map(|(_, sent)| *sent);
+        let sent = leader
+            .sent
+            .iter()
+            .find(|(n, _)| *n == number)
+            .map(|(_, sent)| *sent);
         // An answer to what went out too long ago does not back this leader: the voter may have forgotten since.
         if let Some(sent) = sent {
             let answered = leader.answered.entry(from).or_insert(sent);
             *answered = answered.max(sent);
         }
-        for write in leader.writes.iter_mut().filter(|write| write.number == number) {
+        for write in leader
+            .writes
+            .iter_mut()
+            .filter(|write| write.number == number)
+        {
             if !write.kept_by.contains(&from) {
                 write.kept_by.push(from);
             }
         }
         let behind = digest != own && leader.writes.is_empty();
-        let rests = leader.repaired.get(&from).is_none_or(|at| self.now - at >= self.terms.again);
+        let rests = leader
+            .repaired
+            .get(&from)
+            .is_none_or(|at| self.now - at >= self.terms.again);
         if behind && rests {
             leader.repaired.insert(from, self.now);
             leader.number += 1;
@@ -566,7 +757,14 @@
             all.rotate_left(first);
         }
         for some in all.chunks(wire::RECORDS).take(MOST_REPAIRS) {
-            self.out.push((voter, Message::Write { ballot, number, records: some.to_vec() }));
+            self.out.push((
+                voter,
+                Message::Write {
+                    ballot,
+                    number,
+                    records: some.to_vec(),
+                },
+            ));
         }
     }
 
@@ -582,7 +780,8 @@
     pub fn poll(&mut self, now: f64) -> (Vec<(Id, Message)>, f64) {
         self.wakes(now);
         let now = self.now;
-        self.kept.retain(|_, kept| !kept.record.is_over() || now - kept.since < OVER_FOR);
+        self.kept
+            .retain(|_, kept| !kept.record.is_over() || now - kept.since < OVER_FOR);
         let backed = match &self.role {
             Role::Leader(leader) => self.backed(leader, now),
             Role::Candidate { since, .. } => now - since < self.terms.lead,
@@ -593,12 +792,26 @@
         }
         match &mut self.role {
             Role::Voter => self.may_stand(),
-            Role::Candidate { ballot, nonce, promises, sent, .. } => {
+            Role::Candidate {
+                ballot,
+                nonce,
+                promises,
+                sent,
+                ..
+            } => {
                 if now - *sent >= self.terms.again {
                     *sent = now;
                     let (ballot, nonce) = (*ballot, *nonce);
-                    let whole = |id: &Id| promises.get(id).is_some_and(|p| p.got.iter().all(Option::is_some));
-                    for voter in self.voters.iter().filter(|voter| **voter != self.id && !whole(voter)) {
+                    let whole = |id: &Id| {
+                        promises
+                            .get(id)
+                            .is_some_and(|p| p.got.iter().all(Option::is_some))
+                    };
+                    for voter in self
+                        .voters
+                        .iter()
+                        .filter(|voter| **voter != self.id && !whole(voter))
+                    {
                         self.out.push((*voter, Message::Prepare { ballot, nonce }));
                     }
                 }
@@ -610,8 +823,11 @@
                     leader.next_beat = now + self.terms.again;
                     leader.number += 1;
                     leader.sent.push((leader.number, now));
-                    let message =
-                        Message::Write { ballot: leader.ballot, number: leader.number, records: Vec::new() };
+                    let message = Message::Write {
+                        ballot: leader.ballot,
+                        number: leader.number,
+                        records: Vec::new(),
+                    };
                     for voter in self.voters.iter().filter(|voter| **voter != self.id) {
                         self.out.push((*voter, message.clone()));
                     }
@@ -624,14 +840,27 @@
 
     fn may_stand(&mut self) {
         let free = self.now - self.heard >= self.terms.lead * (1.0 + self.terms.skew);
-        if self.now < self.recalls || !free || self.now < self.next_try || !self.voters.contains(&self.id) {
+        if self.now < self.recalls
+            || !free
+            || self.now < self.next_try
+            || !self.voters.contains(&self.id)
+        {
             return;
         }
-        let ballot = Ballot { round: self.round.max(self.promised.round) + 1, leader: self.id };
+        let ballot = Ballot {
+            round: self.round.max(self.promised.round) + 1,
+            leader: self.id,
+        };
         let nonce = self.chance.random();
         (self.promised, self.heard) = (ballot, self.now);
         let (promises, sent, since) = (BTreeMap::new(), self.now, self.now);
-        self.role = Role::Candidate { ballot, nonce, promises, sent, since };
+        self.role = Role::Candidate {
+            ballot,
+            nonce,
+            promises,
+            sent,
+            since,
+        };
         for voter in self.voters.iter().filter(|voter| **voter != self.id) {
             self.out.push((*voter, Message::Prepare { ballot, nonce }));
         }
@@ -647,8 +876,15 @@
         let Stamp { ballot, number } = record.stamp;
         let mixed = [u64::from(ballot.round), ballot.leader, u64::from(number)]
             .iter()
-            .fold(record.key, |hash, part| (hash ^ part).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29));
+            .fold(record.key, |hash, part| {
+                (hash ^ part)
+                    .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+                    .rotate_left(29)
+            });
         (mixed >> 32) as u32
     };
-    records.filter(|record| !record.is_over()).map(one).fold(0, u32::wrapping_add)
+    records
+        .filter(|record| !record.is_over())
+        .map(one)
+        .fold(0, u32::wrapping_add)
 }
--- a/crates/permits/src/limits.rs
+++ b/crates/permits/src/limits.rs
@@ -37,8 +37,17 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        let fleet = Most { number: None, part: Some(0.1) };
-        Bounds { fleet, hall: Most::default(), version: Most::default(), apart: 0.0, carry: 0.9 }
+        let fleet = Most {
+            number: None,
+            part: Some(0.1),
+        };
+        Bounds {
+            fleet,
+            hall: Most::default(),
+            version: Most::default(),
+            apart: 0.0,
+            carry: 0.9,
+        }
     }
 }
 
@@ -123,10 +132,16 @@
 
 impl Halt {
     pub fn of(number: u8) -> Halt {
-        [Halt::ByHand, Halt::Worse, Halt::UsedUp, Halt::Lost, Halt::CantTell]
-            .get(usize::from(number))
-            .copied()
-            .unwrap_or(Halt::ByHand)
+        [
+            Halt::ByHand,
+            Halt::Worse,
+            Halt::UsedUp,
+            Halt::Lost,
+            Halt::CantTell,
+        ]
+        .get(usize::from(number))
+        .copied()
+        .unwrap_or(Halt::ByHand)
     }
 
     pub fn words(self) -> &'static str {
@@ -170,7 +185,10 @@
     }
 
     fn strangers(&self) -> usize {
-        self.outs.iter().filter(|out| !self.units.iter().any(|unit| unit.id == out.id)).count()
+        self.outs
+            .iter()
+            .filter(|out| !self.units.iter().any(|unit| unit.id == out.id))
+            .count()
     }
 
     /// The same of all.
@@ -184,15 +202,29 @@
 pub fn decide(now: f64, bounds: &Bounds, view: View, ask: Ask) -> Verdict {
     if let Some(out) = view.outs.iter().find(|out| out.id == ask.id) {
         let same = out.grant == ask.grant && out.why == ask.why;
-        return if same { Verdict::Again } else { Verdict::AlreadyOut { why: out.why } };
+        return if same {
+            Verdict::Again
+        } else {
+            Verdict::AlreadyOut { why: out.why }
+        };
     }
-    let Some(unit) = view.units.iter().find(|unit| unit.id == ask.id) else { return Verdict::Unknown };
+    let Some(unit) = view.units.iter().find(|unit| unit.id == ask.id) else {
+        return Verdict::Unknown;
+    };
     // One that is not there takes no place that it has not taken already.
     let more = usize::from(unit.there);
     let scopes = [
         (Scope::Fleet, bounds.fleet, view.count_all()),
-        (Scope::Hall, bounds.hall, view.count(|other| other.hall == unit.hall)),
-        (Scope::Version, bounds.version, view.count(|other| other.version == unit.version)),
+        (
+            Scope::Hall,
+            bounds.hall,
+            view.count(|other| other.hall == unit.hall),
+        ),
+        (
+            Scope::Version,
+            bounds.version,
+            view.count(|other| other.version == unit.version),
+        ),
     ];
     for (scope, most, (out, all)) in scopes {
         if let Some(most) = most.of(all).filter(|most| out + more > *most) {
@@ -200,12 +232,20 @@
         }
     }
     if now - view.last < bounds.apart {
-        return Verdict::TooSoon { wait: bounds.apart - (now - view.last) };
+        return Verdict::TooSoon {
+            wait: bounds.apart - (now - view.last),
+        };
     }
-    let rest = view.units.iter().filter(|other| other.id != unit.id && !view.is_out(other));
+    let rest = view
+        .units
+        .iter()
+        .filter(|other| other.id != unit.id && !view.is_out(other));
     let left: f64 = rest.map(|other| other.capacity).sum();
     if view.load > 0.0 && view.load > bounds.carry * left {
-        return Verdict::NotCarried { load: view.load, left };
+        return Verdict::NotCarried {
+            load: view.load,
+            left,
+        };
     }
     Verdict::Granted
 }
--- a/crates/permits/src/record.rs
+++ b/crates/permits/src/record.rs
@@ -57,14 +57,31 @@
     /// Nothing: what stood here is over.
     Over,
     /// One is out. `session`: of the dispatcher's life that went out; `grant`: the number of the request it answers.
-    Out { kind: Kind, why: Why, hall: u32, session: u32, grant: u64 },
+    Out {
+        kind: Kind,
+        why: Why,
+        hall: u32,
+        session: u32,
+        grant: u64,
+    },
     /// Nothing new goes out. `number`: drawn for each halt, so that only that one is ended; `by`: who said so; `why`:
     /// a number of [`crate::limits::Halt`].
     Halt { number: u32, by: Id, why: u8 },
     /// How a zone stands, by the numbers of crates/zones.
-    Zone { zone: u32, stage: u8, step: u8, why: u8, number: u32 },
+    Zone {
+        zone: u32,
+        stage: u8,
+        step: u8,
+        why: u8,
+        number: u32,
+    },
     /// A release to `to`, of those that are at `from` (0: of all others).
-    Release { number: u32, to: u32, from: u32, stage: Stage },
+    Release {
+        number: u32,
+        to: u32,
+        from: u32,
+        stage: Stage,
+    },
 }
 
 /// Records that stand at known places, beside those of dispatchers and engines.
--- a/crates/permits/src/wire.rs
+++ b/crates/permits/src/wire.rs
@@ -21,11 +21,25 @@
     /// Shall I lead? `nonce` is drawn anew for each candidacy.
     Prepare { ballot: Ballot, nonce: u64 },
     /// You may, and this is part `part` of `parts` of what I keep.
-    Promise { ballot: Ballot, nonce: u64, part: u16, parts: u16, records: Vec<Counted> },
+    Promise {
+        ballot: Ballot,
+        nonce: u64,
+        part: u16,
+        parts: u16,
+        records: Vec<Counted>,
+    },
     /// Keep these; none: are you still with me? `number` tells one from another.
-    Write { ballot: Ballot, number: u32, records: Vec<Counted> },
+    Write {
+        ballot: Ballot,
+        number: u32,
+        records: Vec<Counted>,
+    },
     /// I keep them. `digest` is of all that I keep.
-    Written { ballot: Ballot, number: u32, digest: u32 },
+    Written {
+        ballot: Ballot,
+        number: u32,
+        digest: u32,
+    },
     /// I am with that one, or can't vote yet.
     No { ballot: Ballot },
 }
@@ -43,9 +57,17 @@
     let from = bytes.len();
     match record.value {
         Value::Over => bytes.push(0),
-        Value::Out { kind, why, hall, session, grant } => {
+        Value::Out {
+            kind,
+            why,
+            hall,
+            session,
+            grant,
+        } => {
             bytes.extend_from_slice(&[1, kind as u8, why as u8]);
-            [hall, session].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+            [hall, session]
+                .iter()
+                .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
             bytes.extend_from_slice(&grant.to_be_bytes());
         }
         Value::Halt { number, by, why } => {
@@ -53,13 +75,28 @@
             bytes.extend_from_slice(&number.to_be_bytes());
             bytes.extend_from_slice(&by.to_be_bytes());
         }
-        Value::Zone { zone, stage, step, why, number } => {
+        Value::Zone {
+            zone,
+            stage,
+            step,
+            why,
+            number,
+        } => {
             bytes.extend_from_slice(&[4, stage, step, why]);
-            [zone, number].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+            [zone, number]
+                .iter()
+                .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
         }
-        Value::Release { number, to, from, stage } => {
+        Value::Release {
+            number,
+            to,
+            from,
+            stage,
+        } => {
             bytes.extend_from_slice(&[3, stage as u8]);
-            [number, to, from].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+            [number, to, from]
+                .iter()
+                .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
         }
     }
     bytes.resize(from + VALUE, 0);
@@ -88,41 +125,79 @@
         self.take().map(u64::from_be_bytes)
     }
     fn ballot(&mut self) -> Option<Ballot> {
-        Some(Ballot { round: self.four()?, leader: self.eight()? })
+        Some(Ballot {
+            round: self.four()?,
+            leader: self.eight()?,
+        })
     }
     fn record(&mut self) -> Option<Counted> {
         let key = self.eight()?;
-        let stamp = Stamp { ballot: self.ballot()?, number: self.four()? };
+        let stamp = Stamp {
+            ballot: self.ballot()?,
+            number: self.four()?,
+        };
         let mut held = Bytes(self.0.get(..VALUE)?);
         self.0 = &self.0[VALUE..];
         let value = match held.byte()? {
             0 => Value::Over,
             1 => Value::Out {
-                kind: [Kind::Dispatcher, Kind::Engine].get(usize::from(held.byte()?)).copied()?,
-                why: [Why::Turn, Why::Drain, Why::Ejected, Why::Lost, Why::Announced]
+                kind: [Kind::Dispatcher, Kind::Engine]
                     .get(usize::from(held.byte()?))
                     .copied()?,
+                why: [
+                    Why::Turn,
+                    Why::Drain,
+                    Why::Ejected,
+                    Why::Lost,
+                    Why::Announced,
+                ]
+                .get(usize::from(held.byte()?))
+                .copied()?,
                 hall: held.four()?,
                 session: held.four()?,
                 grant: held.eight()?,
             },
             2 => {
                 let why = held.byte()?;
-                Value::Halt { number: held.four()?, by: held.eight()?, why }
+                Value::Halt {
+                    number: held.four()?,
+                    by: held.eight()?,
+                    why,
+                }
             }
             3 => {
-                let stages = [Stage::Canaries, Stage::Waves, Stage::Back, Stage::Done, Stage::Undone];
+                let stages = [
+                    Stage::Canaries,
+                    Stage::Waves,
+                    Stage::Back,
+                    Stage::Done,
+                    Stage::Undone,
+                ];
                 let stage = stages.get(usize::from(held.byte()?)).copied()?;
-                Value::Release { number: held.four()?, to: held.four()?, from: held.four()?, stage }
+                Value::Release {
+                    number: held.four()?,
+                    to: held.four()?,
+                    from: held.four()?,
+                    stage,
+                }
             }
             4 => {
                 let (stage, step, why) = (held.byte()?, held.byte()?, held.byte()?);
-                Value::Zone { zone: held.four()?, stage, step, why, number: held.four()? }
+                Value::Zone {
+                    zone: held.four()?,
+                    stage,
+                    step,
+                    why,
+                    number: held.four()?,
+                }
             }
             _ => return None,
         };
         let left = self.four()?;
-        Some((Record { key, stamp, value }, (left != u32::MAX).then_some(left)))
+        Some((
+            Record { key, stamp, value },
+            (left != u32::MAX).then_some(left),
+        ))
     }
     fn records(&mut self) -> Option<Vec<Counted>> {
         let mut records = Vec::new();
@@ -149,20 +224,44 @@
             head(&mut bytes, 1, *ballot);
             bytes.extend_from_slice(&nonce.to_be_bytes());
         }
-        Message::Promise { ballot, nonce, part, parts, records } => {
+        Message::Promise {
+            ballot,
+            nonce,
+            part,
+            parts,
+            records,
+        } => {
             head(&mut bytes, 2, *ballot);
             bytes.extend_from_slice(&nonce.to_be_bytes());
-            [part, parts].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
-            records.iter().take(RECORDS).for_each(|record| put_record(&mut bytes, record));
+            [part, parts]
+                .iter()
+                .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+            records
+                .iter()
+                .take(RECORDS)
+                .for_each(|record| put_record(&mut bytes, record));
         }
-        Message::Write { ballot, number, records } => {
+        Message::Write {
+            ballot,
+            number,
+            records,
+        } => {
             head(&mut bytes, 3, *ballot);
             bytes.extend_from_slice(&number.to_be_bytes());
-            records.iter().take(RECORDS).for_each(|record| put_record(&mut bytes, record));
+            records
+                .iter()
+                .take(RECORDS)
+                .for_each(|record| put_record(&mut bytes, record));
         }
-        Message::Written { ballot, number, digest } => {
+        Message::Written {
+            ballot,
+            number,
+            digest,
+        } => {
             head(&mut bytes, 4, *ballot);
-            [number, digest].iter().for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
+            [number, digest]
+                .iter()
+                .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
         }
         Message::No { ballot } => head(&mut bytes, 5, *ballot),
     }
@@ -174,13 +273,30 @@
     let mut bytes = Bytes(bytes.get(..bytes.len().min(MOST))?);
     let (code, ballot) = (bytes.byte()?, bytes.ballot()?);
     Some(match code {
-        1 => Message::Prepare { ballot, nonce: bytes.eight()? },
+        1 => Message::Prepare {
+            ballot,
+            nonce: bytes.eight()?,
+        },
         2 => {
             let (nonce, part, parts) = (bytes.eight()?, bytes.two()?, bytes.two()?);
-            Message::Promise { ballot, nonce, part, parts, records: bytes.records()? }
+            Message::Promise {
+                ballot,
+                nonce,
+                part,
+                parts,
+                records: bytes.records()?,
+            }
         }
-        3 => Message::Write { ballot, number: bytes.four()?, records: bytes.records()? },
-        4 => Message::Written { ballot, number: bytes.four()?, digest: bytes.four()? },
+        3 => Message::Write {
+            ballot,
+            number: bytes.four()?,
+            records: bytes.records()?,
+        },
+        4 => Message::Written {
+            ballot,
+            number: bytes.four()?,
+            digest: bytes.four()?,
+        },
         5 => Message::No { ballot },
         _ => return None,
     })
--- a/crates/permits/tests/model.rs
+++ b/crates/permits/tests/model.rs
@@ -7,7 +7,13 @@
 use tansymux_permits::{Council, Id, Kind, Record, Terms, Value, Why};
 
 const VOTERS: [Id; 3] = [1, 2, 3];
-const TERMS: Terms = Terms { lead: 1000.0, permit: 3000.0, skew: 0.02, again: 250.0, late: 0.0 };
+const TERMS: Terms = Terms {
+    lead: 1000.0,
+    permit: 3000.0,
+    skew: 0.02,
+    again: 250.0,
+    late: 0.0,
+};
 /// A step of time (ms): voters are looked at twice in it.
 const STEP: f64 = 500.0;
 const MOST_FORGETS: u8 = 2;
@@ -51,7 +57,10 @@
     }
 
     fn out(&self) -> usize {
-        self.holders.iter().filter(|holder| self.now < holder.until).count()
+        self.holders
+            .iter()
+            .filter(|holder| self.now < holder.until)
+            .count()
     }
 }
 
@@ -119,9 +128,16 @@
     }
     for holder in 0..2 {
         let council = &mut state.councils[n];
-        let standing: Vec<u64> = (0..2).map(key).filter(|key| council.standing(*key).is_some()).collect();
+        let standing: Vec<u64> = (0..2)
+            .map(key)
+            .filter(|key| council.standing(*key).is_some())
+            .collect();
         // What is over is ended first.
-        let over = |key: &&u64| council.standing(**key).is_some_and(|(_, left)| left == Some(0));
+        let over = |key: &&u64| {
+            council
+                .standing(**key)
+                .is_some_and(|(_, left)| left == Some(0))
+        };
         let ended: Vec<u64> = standing.iter().filter(over).copied().collect();
         for key in ended {
             council.write(now, &[(key, Value::Over, None)]);
@@ -133,12 +149,28 @@
         if standing.is_empty() && now >= state.holders[holder].until {
             let (kind, why) = (Kind::Dispatcher, Why::Turn);
             let grant = state.holders[holder].asked as u64;
-            let value = Value::Out { kind, why, hall: 0, session: 0, grant };
+            let value = Value::Out {
+                kind,
+                why,
+                hall: 0,
+                session: 0,
+                grant,
+            };
             council.write(now, &[(key(holder), value, Some(TERMS.permit))]);
         }
         let known = council.standing(key(holder));
-        let Some((Record { value: Value::Out { grant, .. }, .. }, Some(left))) = known else { continue };
-        if council.is_agreed(key(holder)) && grant == state.holders[holder].asked as u64 && left > 0 {
+        let Some((
+            Record {
+                value: Value::Out { grant, .. },
+                ..
+            },
+            Some(left),
+        )) = known
+        else {
+            continue;
+        };
+        if council.is_agreed(key(holder)) && grant == state.holders[holder].asked as u64 && left > 0
+        {
             let term = f64::from(left) / (1.0 + TERMS.skew);
             let until = state.holders[holder].asked
                 + TERMS.permit.min(now - state.holders[holder].asked + term) * (1.0 - TERMS.skew);
@@ -177,7 +209,10 @@
     type Action = Action;
 
     fn init_states(&self) -> Vec<State> {
-        let holder = Holder { asked: 0.0, until: 0.0 };
+        let holder = Holder {
+            asked: 0.0,
+            until: 0.0,
+        };
         let mut state = State {
             councils: (0..3).map(|n| council(n, 0.0, true)).collect(),
             stopped: [false; 3],
@@ -262,9 +297,18 @@
 #[test]
 fn never_two_out_in_any_order_of_cuts_stops_and_lost_memory() {
     // More of it: MODEL_STATES=20000000.
-    let many = std::env::var("MODEL_STATES").ok().and_then(|many| many.parse().ok()).unwrap_or(600_000);
+    let many = std::env::var("MODEL_STATES")
+        .ok()
+        .and_then(|many| many.parse().ok())
+        .unwrap_or(600_000);
     // Wide from the beginning, then deep at random: 12 s of time hold several elections and a whole quarantine.
-    Voting.checker().target_state_count(200_000).threads(4).spawn_bfs().join().assert_properties_wide();
+    Voting
+        .checker()
+        .target_state_count(200_000)
+        .threads(4)
+        .spawn_bfs()
+        .join()
+        .assert_properties_wide();
     Voting
         .checker()
         .target_state_count(many)
@@ -281,7 +325,11 @@
 impl<C: Checker<Voting>> Wide for C {
     /// In a part of the states, what must never be; what must be sometimes may lie deeper.
     fn assert_properties_wide(&self) {
-        assert!(self.discovery("never two out").is_none(), "{:?}", self.discovery("never two out"));
+        assert!(
+            self.discovery("never two out").is_none(),
+            "{:?}",
+            self.discovery("never two out")
+        );
         assert!(self.unique_state_count() > 10_000);
     }
 }
@@ -293,7 +341,9 @@
     let plays = |hasty: bool| {
         let mut state = Voting.init_states().remove(0);
         let mut next = |action: Action| {
-            state = Voting.next_state(&state, action).expect("every action leads somewhere");
+            state = Voting
+                .next_state(&state, action)
+                .expect("every action leads somewhere");
             if let Action::Forgets(n) = action {
                 state.councils[n] = council(n, state.now, hasty);
             }
