--- a/crates/releases/src/agent.rs
+++ b/crates/releases/src/agent.rs
@@ -104,23 +104,35 @@
     }
 
     pub fn leader(&self, now: f64) -> Option<Id> {
-        self.leader.filter(|(_, at)| now - at < LEADER_HOLDS).map(|(id, _)| id)
+        self.leader
+            .filter(|(_, at)| now - at < LEADER_HOLDS)
+            .map(|(id, _)| id)
     }
 
     /// What it knows, with what is over.
     pub fn records(&self, now: f64) -> impl Iterator<Item = Counted> + '_ {
         self.copies.values().map(move |copy| {
-            let left = copy.until.is_finite().then(|| (copy.until - now).max(0.0) as u32);
+            let left = copy
+                .until
+                .is_finite()
+                .then(|| (copy.until - now).max(0.0) as u32);
             (copy.record, left)
         })
     }
 
     /// Engines that are out by agreement, by their places.
     pub fn engines_out(&self, now: f64) -> impl Iterator<Item = (u64, Why)> + '_ {
-        self.copies.values().filter(move |copy| now < copy.until).filter_map(|copy| match copy.record.value {
-            Value::Out { kind: Kind::Engine, why, .. } => Some((copy.record.key, why)),
-            _ => None,
-        })
+        self.copies
+            .values()
+            .filter(move |copy| now < copy.until)
+            .filter_map(|copy| match copy.record.value {
+                Value::Out {
+                    kind: Kind::Engine,
+                    why,
+                    ..
+                } => Some((copy.record.key, why)),
+                _ => None,
+            })
     }
 
     /// The halt that it knows of.
@@ -135,7 +147,11 @@
     pub fn learns(&mut self, now: f64, records: impl Iterator<Item = Counted>) {
         for (record, left) in records {
             let until = left.map_or(f64::INFINITY, |left| now + f64::from(left));
-            let copy = Copied { record, until, since: now };
+            let copy = Copied {
+                record,
+                until,
+                since: now,
+            };
             let room = self.copies.len() < MOST_RECORDS;
             match self.copies.get_mut(&record.key) {
                 Some(known) => match (now < known.until, now < until) {
@@ -166,7 +182,10 @@
             good: self.own.good,
             all: self.own.all,
             bad: self.own.bad.unwrap_or(0),
-            echo: self.tick.filter(|(id, _)| *id == to).map_or(0, |(_, tick)| tick),
+            echo: self
+                .tick
+                .filter(|(id, _)| *id == to)
+                .map_or(0, |(_, tick)| tick),
             turn: self.turn,
         }
     }
@@ -192,23 +211,38 @@
     /// Somebody wants to call: a number to call with.
     pub fn hello(&mut self, now: f64, from: SocketAddr, call: u64) {
         self.calls.retain(|known| now - known.since < CALL_HOLDS);
-        let known = self.calls.iter().find(|known| known.call == call).map(|known| known.nonce);
+        let known = self
+            .calls
+            .iter()
+            .find(|known| known.call == call)
+            .map(|known| known.nonce);
         let nonce = known.or_else(|| {
             if self.calls.len() >= MOST_CALLS {
                 return None;
             }
             let nonce = self.chance.random();
-            self.calls.push(Call { call, nonce, from, since: now, asks: None, answer: None });
+            self.calls.push(Call {
+                call,
+                nonce,
+                from,
+                since: now,
+                asks: None,
+                answer: None,
+            });
             Some(nonce)
         });
         // With no room left nothing is said: whoever calls asks again.
-        self.out.extend(nonce.map(|nonce| (To::Address(from), Message::Nonce { call, nonce })));
+        self.out
+            .extend(nonce.map(|nonce| (To::Address(from), Message::Nonce { call, nonce })));
     }
 
     /// A call. It is asked of the leader once, however often it comes.
     pub fn called(&mut self, now: f64, from: SocketAddr, call: u64, nonce: u64, command: Command) {
         let own = self.id;
-        let Some(known) = self.calls.iter_mut().find(|known| known.call == call && known.nonce == nonce)
+        let Some(known) = self
+            .calls
+            .iter_mut()
+            .find(|known| known.call == call && known.nonce == nonce)
         else {
             return;
         };
@@ -223,13 +257,17 @@
             (known.since, known.asks) = (now, Some((command, now)));
         }
         if let Some(answer) = known.answer {
-            self.out.push((To::Address(from), Message::Answer { call, answer }));
+            self.out
+                .push((To::Address(from), Message::Answer { call, answer }));
         }
     }
 
     /// The leader's answer to a call.
     pub fn answered(&mut self, now: f64, call: u64, answer: Answer) {
-        let Some(known) = self.calls.iter_mut().find(|known| known.call == call && known.answer.is_none())
+        let Some(known) = self
+            .calls
+            .iter_mut()
+            .find(|known| known.call == call && known.answer.is_none())
         else {
             return;
         };
@@ -241,7 +279,8 @@
             }
             answer => {
                 known.answer = Some(answer);
-                self.out.push((To::Address(known.from), Message::Answer { call, answer }));
+                self.out
+                    .push((To::Address(known.from), Message::Answer { call, answer }));
             }
         }
     }
@@ -250,20 +289,24 @@
 
     /// What time brings; what to send, and when to call again.
     pub fn poll(&mut self, now: f64) -> (Vec<(To, Message)>, f64) {
-        self.copies.retain(|_, copy| !copy.record.is_over() || now - copy.since < OVER_FOR);
+        self.copies
+            .retain(|_, copy| !copy.record.is_over() || now - copy.since < OVER_FOR);
         let leader = self.leader(now);
         if now >= self.next_report {
             let spread = 0.9 + 0.2 * self.chance.random::<f64>();
             self.next_report = now + REPORT_EVERY * spread;
             let to = leader.or_else(|| self.any_voter());
             if let Some(to) = to {
-                self.out.push((To::Member(to), Message::Report(self.report(to))));
+                self.out
+                    .push((To::Member(to), Message::Report(self.report(to))));
             }
         }
         let mut given_up = Vec::new();
         let mut next = self.next_report;
         for known in &mut self.calls {
-            let Some((command, at)) = &mut known.asks else { continue };
+            let Some((command, at)) = &mut known.asks else {
+                continue;
+            };
             if known.answer.is_some() {
                 continue;
             }
@@ -272,12 +315,15 @@
             } else if now >= *at {
                 *at = now + AGAIN;
                 let (call, command) = (known.call, *command);
-                self.out
-                    .extend(leader.map(|leader| (To::Member(leader), Message::Command { call, command })));
+                self.out.extend(
+                    leader.map(|leader| (To::Member(leader), Message::Command { call, command })),
+                );
             }
             next = next.min(*at);
         }
-        given_up.into_iter().for_each(|call| self.answered(now, call, Answer::NoLeader));
+        given_up
+            .into_iter()
+            .for_each(|call| self.answered(now, call, Answer::NoLeader));
         (std::mem::take(&mut self.out), next.max(now + 1.0))
     }
 
--- a/crates/releases/src/caller.rs
+++ b/crates/releases/src/caller.rs
@@ -32,7 +32,16 @@
         let mut chance = Pcg32::seed_from_u64(seed);
         let (id, call) = (chance.random(), chance.random());
         let seal = Seal::new(keys, chance.random());
-        Caller { id, seal, call, nonce: None, command, from: now, next: now, answer: None }
+        Caller {
+            id,
+            seal,
+            call,
+            nonce: None,
+            command,
+            from: now,
+            next: now,
+            answer: None,
+        }
     }
 
     /// The answer; `NoLeader` where none came in time.
@@ -41,13 +50,19 @@
     }
 
     pub fn handle(&mut self, bytes: &[u8]) {
-        let Some(sender) = wire::sender(bytes) else { return };
-        let Some(content) = self.seal.open(sender, bytes).and_then(wire::carried) else { return };
+        let Some(sender) = wire::sender(bytes) else {
+            return;
+        };
+        let Some(content) = self.seal.open(sender, bytes).and_then(wire::carried) else {
+            return;
+        };
         match message::read(content) {
             Some(Message::Nonce { call, nonce }) if call == self.call && self.nonce.is_none() => {
                 (self.nonce, self.next) = (Some(nonce), f64::NEG_INFINITY);
             }
-            Some(Message::Answer { call, answer }) if call == self.call && self.answer.is_none() => {
+            Some(Message::Answer { call, answer })
+                if call == self.call && self.answer.is_none() =>
+            {
                 self.answer = Some(answer);
             }
             _ => {}
@@ -66,7 +81,11 @@
         let (call, command) = (self.call, self.command);
         let message = match self.nonce {
             None => Message::Hello { call },
-            Some(nonce) => Message::Call { call, nonce, command },
+            Some(nonce) => Message::Call {
+                call,
+                nonce,
+                command,
+            },
         };
         let mut out = Vec::new();
         if let Some(mut bytes) = wire::write_carried(self.id, &message::write(&message)) {
@@ -109,7 +128,15 @@
 
 impl Turn {
     /// For this dispatcher (0: the one that is called), to this version (0: as it is), waiting at most so long (ms).
-    pub fn new(keys: Keys, dispatcher: Id, to: u32, skew: f64, now: f64, patience: f64, seed: u64) -> Self {
+    pub fn new(
+        keys: Keys,
+        dispatcher: Id,
+        to: u32,
+        skew: f64,
+        now: f64,
+        patience: f64,
+        seed: u64,
+    ) -> Self {
         let mut chance = Pcg32::seed_from_u64(seed);
         Turn {
             keys,
@@ -139,20 +166,28 @@
 
     /// The end, once all that belongs to it was said.
     pub fn end(&self) -> Option<TurnEnd> {
-        self.end.filter(|_| self.returning.as_ref().is_none_or(|caller| caller.answer().is_some()))
+        self.end.filter(|_| {
+            self.returning
+                .as_ref()
+                .is_none_or(|caller| caller.answer().is_some())
+        })
     }
 
     pub fn handle(&mut self, now: f64, bytes: &[u8]) {
         if let Some(returning) = &mut self.returning {
             return returning.handle(bytes);
         }
-        let Some(caller) = &mut self.caller else { return };
+        let Some(caller) = &mut self.caller else {
+            return;
+        };
         caller.handle(bytes);
         self.takes_answer(now);
     }
 
     fn takes_answer(&mut self, now: f64) {
-        let Some(answer) = self.caller.as_ref().and_then(Caller::answer) else { return };
+        let Some(answer) = self.caller.as_ref().and_then(Caller::answer) else {
+            return;
+        };
         self.caller = None;
         self.last = answer;
         let spread = 0.5 + self.chance.random::<f64>();
@@ -178,8 +213,16 @@
 
     fn ends(&mut self, now: f64, end: TurnEnd) {
         self.end = Some(end);
-        let command = Command::Return { id: self.dispatcher, grant: self.grant };
-        self.returning = Some(Caller::new(self.keys.clone(), command, now, self.chance.random()));
+        let command = Command::Return {
+            id: self.dispatcher,
+            grant: self.grant,
+        };
+        self.returning = Some(Caller::new(
+            self.keys.clone(),
+            command,
+            now,
+            self.chance.random(),
+        ));
     }
 
     /// What to send to the member that is called, and when to look again.
@@ -206,7 +249,11 @@
             return (Vec::new(), self.next.min(self.gives_up));
         }
         self.asked = now;
-        let command = Command::Turn { id: self.dispatcher, to: self.to, grant: self.grant };
+        let command = Command::Turn {
+            id: self.dispatcher,
+            to: self.to,
+            grant: self.grant,
+        };
         let mut caller = Caller::new(self.keys.clone(), command, now, self.chance.random());
         let (out, next) = caller.poll(now);
         self.caller = Some(caller);
--- a/crates/releases/src/compare.rs
+++ b/crates/releases/src/compare.rs
@@ -24,7 +24,13 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { window: 2000.0, chance: 0.01, least: 0.02, pairs: 5, requests: 5 }
+        Terms {
+            window: 2000.0,
+            chance: 0.01,
+            least: 0.02,
+            pairs: 5,
+            requests: 5,
+        }
     }
 }
 
@@ -141,10 +147,15 @@
             let both = swing * chance.random::<f64>();
             for (released, part) in [false, true].into_iter().zip(parts) {
                 let many = 40 + chance.random_range(0..20_u32);
-                let good = (0..many).filter(|_| chance.random::<f64>() < part - both).count() as u32;
+                let good = (0..many)
+                    .filter(|_| chance.random::<f64>() < part - both)
+                    .count() as u32;
                 compare.report(window, 1, released, good, many);
             }
-            if matches!(compare.look(&Terms::default(), window + 1), Finding::Worse { .. }) {
+            if matches!(
+                compare.look(&Terms::default(), window + 1),
+                Finding::Worse { .. }
+            ) {
                 return Some(window);
             }
         }
@@ -154,11 +165,17 @@
     #[test]
     fn a_bad_release_is_found_and_a_good_one_seldom_taken_for_bad_however_bad_the_day() {
         for swing in [0.0, 0.5] {
-            let found = (0..200).filter(|seed| released(*seed, 60, [0.97, 0.85], swing).is_some()).count();
-            let false_ones =
-                (0..200).filter(|seed| released(*seed, 60, [0.97, 0.97], swing).is_some()).count();
+            let found = (0..200)
+                .filter(|seed| released(*seed, 60, [0.97, 0.85], swing).is_some())
+                .count();
+            let false_ones = (0..200)
+                .filter(|seed| released(*seed, 60, [0.97, 0.97], swing).is_some())
+                .count();
             assert!(found >= 190, "{found} of 200 found at a swing of {swing}");
-            assert!(false_ones <= 8, "{false_ones} of 200 false at a swing of {swing}");
+            assert!(
+                false_ones <= 8,
+                "{false_ones} of 200 false at a swing of {swing}"
+            );
         }
     }
 
@@ -170,7 +187,10 @@
             compare.report(window, 1, true, 0, 4);
             compare.report(window, 1, true, 900, 4);
         }
-        assert_eq!(compare.look(&Terms::default(), 50), Finding::CantTell { pairs: 0 });
+        assert_eq!(
+            compare.look(&Terms::default(), 50),
+            Finding::CantTell { pairs: 0 }
+        );
     }
 
     #[test]
@@ -181,7 +201,10 @@
             compare.report(window, 1, false, 20, 40);
             compare.report(window, 1, true, 20, 40);
             compare.report(window, 2, false, 40, 40);
-            assert!(!matches!(compare.look(&Terms::default(), window + 1), Finding::Worse { .. }));
+            assert!(!matches!(
+                compare.look(&Terms::default(), window + 1),
+                Finding::Worse { .. }
+            ));
         }
     }
 }
--- a/crates/releases/src/evidence.rs
+++ b/crates/releases/src/evidence.rs
@@ -54,26 +54,40 @@
         let long = now - self.since >= 2.0 * HALF;
         self.since = now;
         for halves in self.halves.values_mut() {
-            *halves = [Ends::default(), if long { Ends::default() } else { halves[0] }];
+            *halves = [
+                Ends::default(),
+                if long { Ends::default() } else { halves[0] },
+            ];
         }
-        self.halves.retain(|_, halves| halves.iter().any(|ends| ends.all > 0));
+        self.halves
+            .retain(|_, halves| halves.iter().any(|ends| ends.all > 0));
     }
 
     fn of(halves: &[Ends; 2]) -> Ends {
-        Ends { bad: halves[0].bad + halves[1].bad, all: halves[0].all + halves[1].all }
+        Ends {
+            bad: halves[0].bad + halves[1].bad,
+            all: halves[0].all + halves[1].all,
+        }
     }
 
     /// The engine that answers worst, if it is bad, and the others are not: where all are, the fault is nearer.
     pub fn bad(&mut self, now: f64, terms: &Terms) -> Option<Id> {
         self.turns(now);
         let part = |ends: Ends| f64::from(ends.bad) / f64::from(ends.all.max(1));
-        let all = self.halves.iter().map(|(id, halves)| (*id, Evidence::of(halves)));
-        let bad = all.clone().filter(|(_, ends)| ends.all >= terms.ends && part(*ends) >= terms.part);
+        let all = self
+            .halves
+            .iter()
+            .map(|(id, halves)| (*id, Evidence::of(halves)));
+        let bad = all
+            .clone()
+            .filter(|(_, ends)| ends.all >= terms.ends && part(*ends) >= terms.part);
         let (worst, _) = bad.max_by(|(_, a), (_, b)| part(*a).total_cmp(&part(*b)))?;
-        let others = all.filter(|(id, _)| *id != worst).fold(Ends::default(), |sum, (_, ends)| Ends {
-            bad: sum.bad + ends.bad,
-            all: sum.all + ends.all,
-        });
+        let others = all
+            .filter(|(id, _)| *id != worst)
+            .fold(Ends::default(), |sum, (_, ends)| Ends {
+                bad: sum.bad + ends.bad,
+                all: sum.all + ends.all,
+            });
         (others.all >= terms.ends && part(others) < terms.part / 2.0).then_some(worst)
     }
 }
--- a/crates/releases/src/fleet.rs
+++ b/crates/releases/src/fleet.rs
@@ -56,19 +56,41 @@
         let voters: Vec<Id> = settings.voters.iter().map(|name| id_of(name)).collect();
         let keys = settings.keys.clone();
         let membership = settings.membership.clone();
-        let group = Group::new(&settings.name, settings.address, 0, membership, keys, chance.random());
+        let group = Group::new(
+            &settings.name,
+            settings.address,
+            0,
+            membership,
+            keys,
+            chance.random(),
+        );
         let council = voters.contains(&id).then(|| {
             let seed = chance.random();
             let round = (now / 1000.0) as u32;
-            Council::new(id, &voters, settings.terms, now, settings.fresh, round, seed)
+            Council::new(
+                id,
+                &voters,
+                settings.terms,
+                now,
+                settings.fresh,
+                round,
+                seed,
+            )
         });
         let agent = Agent::new(id, &voters, settings.turn, chance.random());
         let steward = Steward::new(settings.told.clone());
-        let zoned = settings
-            .zones
-            .clone()
-            .map(|(own, definition)| Zoned::new(own, definition, agent.session(), now, chance.random()));
-        Fleet { group, council, steward, agent, zoned, own: Vec::new(), now }
+        let zoned = settings.zones.clone().map(|(own, definition)| {
+            Zoned::new(own, definition, agent.session(), now, chance.random())
+        });
+        Fleet {
+            group,
+            council,
+            steward,
+            agent,
+            zoned,
+            own: Vec::new(),
+            now,
+        }
     }
 
     pub fn id(&self) -> Id {
@@ -126,7 +148,11 @@
 
     /// How a zone may be used from here: by own judgement where nothing is agreed on.
     pub fn use_of(&self, zone: u32) -> tansymux_zones::Use {
-        self.zoned.as_ref().map_or(tansymux_zones::Use::Own, |zoned| zoned.guide.of(self.now, zone))
+        self.zoned
+            .as_ref()
+            .map_or(tansymux_zones::Use::Own, |zoned| {
+                zoned.guide.of(self.now, zone)
+            })
     }
 
     pub fn zoned(&self) -> Option<&Zoned> {
@@ -136,7 +162,10 @@
     /// Whether an engine is out by agreement, and why.
     pub fn engine_out(&self, engine: Id) -> Option<Why> {
         let place = Record::key_of(Kind::Engine, engine);
-        self.agent.engines_out(self.now).find(|(key, _)| *key == place).map(|(_, why)| why)
+        self.agent
+            .engines_out(self.now)
+            .find(|(key, _)| *key == place)
+            .map(|(_, why)| why)
     }
 
     /// How many engines are out by agreement.
@@ -158,7 +187,11 @@
     }
 
     fn takes(&mut self, carried: Carried) {
-        let Carried { from, address, content } = carried;
+        let Carried {
+            from,
+            address,
+            content,
+        } = carried;
         if !message::is_one(&content) {
             if let (Some(council), Some(message)) =
                 (&mut self.council, tansymux_permits::wire::read(&content))
@@ -167,14 +200,21 @@
             }
             return;
         }
-        let Some(message) = message::read(&content) else { return };
+        let Some(message) = message::read(&content) else {
+            return;
+        };
         // Who is no member may call, and nothing else.
-        let member = self.group.state(from).is_some_and(|state| state <= State::Suspect);
+        let member = self
+            .group
+            .state(from)
+            .is_some_and(|state| state <= State::Suspect);
         match message {
             Message::Hello { call } => self.agent.hello(self.now, address, call),
-            Message::Call { call, nonce, command } => {
-                self.agent.called(self.now, address, call, nonce, command)
-            }
+            Message::Call {
+                call,
+                nonce,
+                command,
+            } => self.agent.called(self.now, address, call, nonce, command),
             message if member => self.hears(from, message),
             _ => {}
         }
@@ -184,27 +224,41 @@
         let now = self.now;
         match message {
             Message::Report(report) => self.reported(from, &report),
-            Message::News { leader, tick, records } => self.agent.news(now, from, leader, tick, records),
+            Message::News {
+                leader,
+                tick,
+                records,
+            } => self.agent.news(now, from, leader, tick, records),
             Message::Want => {
                 let all: Vec<Counted> = self.agent.records(now).collect();
                 for some in all.chunks(message::RECORDS).take(MOST_NEWS) {
-                    self.send(To::Member(from), &Message::Hand { records: some.to_vec() });
+                    self.send(
+                        To::Member(from),
+                        &Message::Hand {
+                            records: some.to_vec(),
+                        },
+                    );
                 }
             }
             Message::Hand { records } => self.handed(records),
             Message::Command { call, command } => {
-                let Some(council) = &mut self.council else { return };
+                let Some(council) = &mut self.council else {
+                    return;
+                };
                 let answer = match (&mut self.zoned, command) {
-                    (Some(zoned), Command::Leave { .. } | Command::ReturnTo { .. } | Command::Zones) => {
-                        zoned.command(now, &self.steward, council, command)
-                    }
+                    (
+                        Some(zoned),
+                        Command::Leave { .. } | Command::ReturnTo { .. } | Command::Zones,
+                    ) => zoned.command(now, &self.steward, council, command),
                     _ => self.steward.command(now, council, command),
                 };
                 self.send(To::Member(from), &Message::Answer { call, answer });
             }
             Message::Answer { call, answer } => self.agent.answered(now, call, answer),
             Message::ZonesTold(told) => {
-                let (Some(zoned), Some(council)) = (&mut self.zoned, &self.council) else { return };
+                let (Some(zoned), Some(council)) = (&mut self.zoned, &self.council) else {
+                    return;
+                };
                 if let Some(plan) = zoned.told(now, &self.steward, council, from, told) {
                     self.send(To::Member(from), &Message::ZonePlan(plan));
                 }
@@ -220,7 +274,9 @@
 
     /// A member's report to a voter: it is told who leads and what it does not know.
     fn reported(&mut self, from: Id, report: &Report) {
-        let Some(council) = &mut self.council else { return };
+        let Some(council) = &mut self.council else {
+            return;
+        };
         let now = self.now;
         council.heard_of(report.round);
         self.steward.report(now, council, from, *report);
@@ -230,7 +286,11 @@
         if council.digest() != report.digest && !recalls {
             records.extend(council.records());
             // Anywhere first: what one datagram leaves out, the next brings.
-            let at = if records.is_empty() { 0 } else { (now as usize / 7) % records.len() };
+            let at = if records.is_empty() {
+                0
+            } else {
+                (now as usize / 7) % records.len()
+            };
             records.rotate_left(at);
         }
         // What it still knows after it was told all, this leader has forgotten: by a restart of voters one after the
@@ -238,13 +298,22 @@
         let differs = council.digest() != report.digest;
         let wants = council.leads(now) && self.steward.wants(now, council, from, differs);
         let tick = Steward::tick(now);
-        let news = |records: &[Counted]| Message::News { leader, tick, records: records.to_vec() };
+        let news = |records: &[Counted]| Message::News {
+            leader,
+            tick,
+            records: records.to_vec(),
+        };
         let all: Vec<Message> = if records.is_empty() {
             vec![news(&[])]
         } else {
-            records.chunks(message::RECORDS).take(MOST_NEWS).map(news).collect()
+            records
+                .chunks(message::RECORDS)
+                .take(MOST_NEWS)
+                .map(news)
+                .collect()
         };
-        all.iter().for_each(|message| self.send(To::Member(from), message));
+        all.iter()
+            .for_each(|message| self.send(To::Member(from), message));
         if wants {
             self.send(To::Member(from), &Message::Want);
         }
@@ -253,7 +322,9 @@
     /// What a member still knows and the voters have forgotten: what must last is written anew. Turns end by
     /// themselves and are not.
     fn handed(&mut self, records: Vec<Counted>) {
-        let Some(council) = &mut self.council else { return };
+        let Some(council) = &mut self.council else {
+            return;
+        };
         let lasts = |value: &Value| match value {
             Value::Halt { .. } | Value::Release { .. } | Value::Zone { .. } => true,
             Value::Out { why, .. } => matches!(why, Why::Drain | Why::Lost),
@@ -262,7 +333,11 @@
         for (record, _) in records {
             let known = council.records().any(|(known, _)| known.key == record.key);
             if council.leads(self.now) && !known && !record.is_over() {
-                let value = if lasts(&record.value) { record.value } else { Value::Over };
+                let value = if lasts(&record.value) {
+                    record.value
+                } else {
+                    Value::Over
+                };
                 council.write(self.now, &[(record.key, value, None)]);
             }
         }
@@ -285,14 +360,24 @@
             let (messages, at) = council.poll(now);
             next = next.min(at);
             for (to, message) in messages {
-                self.group.carry(to, &tansymux_permits::wire::write(&message));
+                self.group
+                    .carry(to, &tansymux_permits::wire::write(&message));
             }
             let members = self.group.members().map(|member| (member.id, member.state));
-            self.steward.members(members.chain([(self.group.id(), State::Alive)]));
+            self.steward
+                .members(members.chain([(self.group.id(), State::Alive)]));
             self.steward.look(now, council);
             if let Some(zoned) = &mut self.zoned {
-                let members = self.group.members().map(|m| (m.id, m.state <= State::Suspect));
-                zoned.look(now, &self.steward, council, members.chain([(self.group.id(), true)]));
+                let members = self
+                    .group
+                    .members()
+                    .map(|m| (m.id, m.state <= State::Suspect));
+                zoned.look(
+                    now,
+                    &self.steward,
+                    council,
+                    members.chain([(self.group.id(), true)]),
+                );
             }
             // A voter knows itself what it keeps.
             self.agent.learns(now, council.records());
--- a/crates/releases/src/message.rs
+++ b/crates/releases/src/message.rs
@@ -221,7 +221,10 @@
         self.four(n.to_bits())
     }
     fn records(mut self, records: &[Counted]) -> Self {
-        records.iter().take(RECORDS).for_each(|record| put_record(&mut self.0, record));
+        records
+            .iter()
+            .take(RECORDS)
+            .for_each(|record| put_record(&mut self.0, record));
         self
     }
     fn command(self, command: &Command) -> Self {
@@ -247,8 +250,12 @@
             Answer::Pending => self.byte(1),
             Answer::Granted { left } => self.byte(2).four(left),
             Answer::Done => self.byte(3),
-            Answer::Halted { why, by, number } => self.byte(4).byte(why as u8).eight(by).four(number),
-            Answer::Full { scope, out, most } => self.byte(5).byte(scope as u8).four(out).four(most),
+            Answer::Halted { why, by, number } => {
+                self.byte(4).byte(why as u8).eight(by).four(number)
+            }
+            Answer::Full { scope, out, most } => {
+                self.byte(5).byte(scope as u8).four(out).four(most)
+            }
             Answer::TooSoon { wait } => self.byte(6).four(wait),
             Answer::AlreadyOut { why } => self.byte(7).byte(why as u8),
             Answer::NotCarried { load, left } => self.byte(8).part(load).part(left),
@@ -263,18 +270,37 @@
             Answer::Zones(list) => {
                 let zones = list.iter().flatten().copied().collect();
                 let mut put = self.byte(18);
-                put.0.extend(wire::write_plan(&wire::Plan { number: 0, zones }));
+                put.0
+                    .extend(wire::write_plan(&wire::Plan { number: 0, zones }));
                 put
             }
             Answer::Status(s) => {
-                let (halt, halt_number) = s.halt.map_or((u8::MAX, 0), |(why, number)| (why as u8, number));
-                let (number, stage, to, from) =
-                    s.release.map_or((0, u8::MAX, 0, 0), |(n, stage, to, from)| (n, stage as u8, to, from));
-                let counts =
-                    [s.members, s.out, s.lost, s.engines, s.engines_out, s.released, s.to_go, s.pairs];
+                let (halt, halt_number) = s
+                    .halt
+                    .map_or((u8::MAX, 0), |(why, number)| (why as u8, number));
+                let (number, stage, to, from) = s
+                    .release
+                    .map_or((0, u8::MAX, 0, 0), |(n, stage, to, from)| {
+                        (n, stage as u8, to, from)
+                    });
+                let counts = [
+                    s.members,
+                    s.out,
+                    s.lost,
+                    s.engines,
+                    s.engines_out,
+                    s.released,
+                    s.to_go,
+                    s.pairs,
+                ];
                 let put = self.byte(16).eight(s.leader);
                 let put = counts.into_iter().fold(put, Put::four).part(s.by);
-                put.byte(halt).four(halt_number).byte(stage).four(number).four(to).four(from)
+                put.byte(halt)
+                    .four(halt_number)
+                    .byte(stage)
+                    .four(number)
+                    .four(to)
+                    .four(from)
             }
         }
     }
@@ -309,23 +335,54 @@
     fn command(&mut self) -> Option<Command> {
         Some(match self.byte()? {
             0 => Command::Status,
-            1 => Command::Turn { id: self.eight()?, to: self.four()?, grant: self.eight()? },
-            2 => Command::Return { id: self.eight()?, grant: self.eight()? },
-            3 => Command::Drain { engine: self.eight()?, grant: self.eight()? },
-            4 => Command::Undrain { engine: self.eight()? },
-            5 => Command::Release { number: self.four()?, to: self.four()?, from: self.four()? },
-            6 => Command::Back { number: self.four()? },
-            7 => Command::Halt { number: self.four()? },
-            8 => Command::Resume { number: self.four()? },
+            1 => Command::Turn {
+                id: self.eight()?,
+                to: self.four()?,
+                grant: self.eight()?,
+            },
+            2 => Command::Return {
+                id: self.eight()?,
+                grant: self.eight()?,
+            },
+            3 => Command::Drain {
+                engine: self.eight()?,
+                grant: self.eight()?,
+            },
+            4 => Command::Undrain {
+                engine: self.eight()?,
+            },
+            5 => Command::Release {
+                number: self.four()?,
+                to: self.four()?,
+                from: self.four()?,
+            },
+            6 => Command::Back {
+                number: self.four()?,
+            },
+            7 => Command::Halt {
+                number: self.four()?,
+            },
+            8 => Command::Resume {
+                number: self.four()?,
+            },
             9 => Command::Forget { id: self.eight()? },
-            10 => Command::Leave { zone: self.four()?, dry: self.byte()? != 0 },
+            10 => Command::Leave {
+                zone: self.four()?,
+                dry: self.byte()? != 0,
+            },
             11 => Command::ReturnTo { zone: self.four()? },
             12 => Command::Zones,
             _ => return None,
         })
     }
     fn why(&mut self) -> Option<Why> {
-        let all = [Why::Turn, Why::Drain, Why::Ejected, Why::Lost, Why::Announced];
+        let all = [
+            Why::Turn,
+            Why::Drain,
+            Why::Ejected,
+            Why::Lost,
+            Why::Announced,
+        ];
         all.get(usize::from(self.byte()?)).copied()
     }
     fn answer(&mut self) -> Option<Answer> {
@@ -334,26 +391,42 @@
             1 => Answer::Pending,
             2 => Answer::Granted { left: self.four()? },
             3 => Answer::Done,
-            4 => Answer::Halted { why: Halt::of(self.byte()?), by: self.eight()?, number: self.four()? },
+            4 => Answer::Halted {
+                why: Halt::of(self.byte()?),
+                by: self.eight()?,
+                number: self.four()?,
+            },
             5 => {
-                let scope = *[Scope::Fleet, Scope::Hall, Scope::Version].get(usize::from(self.byte()?))?;
-                Answer::Full { scope, out: self.four()?, most: self.four()? }
+                let scope =
+                    *[Scope::Fleet, Scope::Hall, Scope::Version].get(usize::from(self.byte()?))?;
+                Answer::Full {
+                    scope,
+                    out: self.four()?,
+                    most: self.four()?,
+                }
             }
             6 => Answer::TooSoon { wait: self.four()? },
             7 => Answer::AlreadyOut { why: self.why()? },
-            8 => Answer::NotCarried { load: self.part()?, left: self.part()? },
+            8 => Answer::NotCarried {
+                load: self.part()?,
+                left: self.part()?,
+            },
             9 => Answer::Unknown,
             10 => Answer::Others,
             11 => Answer::Pause,
             12 => Answer::NoSuchRelease,
             13 => Answer::Already,
-            14 => Answer::Running { number: self.four()? },
+            14 => Answer::Running {
+                number: self.four()?,
+            },
             15 => Answer::NoWayBack,
             17 => Answer::TooMuch { part: self.part()? },
             18 => {
                 let plan = wire::read_plan(std::mem::take(&mut self.0))?;
                 let mut list = ZoneList::default();
-                list.iter_mut().zip(plan.zones).for_each(|(place, zone)| *place = Some(zone));
+                list.iter_mut()
+                    .zip(plan.zones)
+                    .for_each(|(place, zone)| *place = Some(zone));
                 Answer::Zones(list)
             }
             16 => {
@@ -365,10 +438,19 @@
                 let [members, out, lost, engines, engines_out, released, to_go, pairs] = counts;
                 let by = self.part()?;
                 let (halt, halt_number) = (self.byte()?, self.four()?);
-                let (stage, number, to, from) = (self.byte()?, self.four()?, self.four()?, self.four()?);
-                let stages = [Stage::Canaries, Stage::Waves, Stage::Back, Stage::Done, Stage::Undone];
+                let (stage, number, to, from) =
+                    (self.byte()?, self.four()?, self.four()?, self.four()?);
+                let stages = [
+                    Stage::Canaries,
+                    Stage::Waves,
+                    Stage::Back,
+                    Stage::Done,
+                    Stage::Undone,
+                ];
                 let halt = (halt != u8::MAX).then(|| (Halt::of(halt), halt_number));
-                let release = stages.get(usize::from(stage)).map(|stage| (number, *stage, to, from));
+                let release = stages
+                    .get(usize::from(stage))
+                    .map(|stage| (number, *stage, to, from));
                 Answer::Status(Status {
                     leader,
                     members,
@@ -398,22 +480,45 @@
     let put = Put::default();
     match message {
         Message::Report(r) => {
-            let put =
-                put.byte(FIRST).four(r.digest).four(r.round).four(r.hall).four(r.version).four(r.session);
-            put.part(r.busy).part(r.threads).four(r.good).four(r.all).eight(r.bad).four(r.echo).eight(r.turn)
-        }
-        Message::News { leader, tick, records } => {
-            put.byte(FIRST + 1).eight(*leader).four(*tick).records(records)
+            let put = put
+                .byte(FIRST)
+                .four(r.digest)
+                .four(r.round)
+                .four(r.hall)
+                .four(r.version)
+                .four(r.session);
+            put.part(r.busy)
+                .part(r.threads)
+                .four(r.good)
+                .four(r.all)
+                .eight(r.bad)
+                .four(r.echo)
+                .eight(r.turn)
         }
+        Message::News {
+            leader,
+            tick,
+            records,
+        } => put
+            .byte(FIRST + 1)
+            .eight(*leader)
+            .four(*tick)
+            .records(records),
         Message::Want => put.byte(FIRST + 2),
         Message::Hand { records } => put.byte(FIRST + 3).records(records),
         Message::Command { call, command } => put.byte(FIRST + 4).eight(*call).command(command),
         Message::Answer { call, answer } => put.byte(FIRST + 5).eight(*call).answer(answer),
         Message::Hello { call } => put.byte(FIRST + 6).eight(*call),
         Message::Nonce { call, nonce } => put.byte(FIRST + 7).eight(*call).eight(*nonce),
-        Message::Call { call, nonce, command } => {
-            put.byte(FIRST + 8).eight(*call).eight(*nonce).command(command)
-        }
+        Message::Call {
+            call,
+            nonce,
+            command,
+        } => put
+            .byte(FIRST + 8)
+            .eight(*call)
+            .eight(*nonce)
+            .command(command),
         Message::ZonesTold(told) => Put([&[FIRST + 9], wire::write(told).as_slice()].concat()),
         Message::ZonePlan(plan) => Put([&[FIRST + 10], wire::write_plan(plan).as_slice()].concat()),
     }
@@ -438,21 +543,45 @@
             echo: take.four()?,
             turn: take.eight()?,
         }),
-        1 => Message::News { leader: take.eight()?, tick: take.four()?, records: take.records()? },
+        1 => Message::News {
+            leader: take.eight()?,
+            tick: take.four()?,
+            records: take.records()?,
+        },
         2 => Message::Want,
-        3 => Message::Hand { records: take.records()? },
-        4 => Message::Command { call: take.eight()?, command: take.command()? },
-        5 => Message::Answer { call: take.eight()?, answer: take.answer()? },
-        6 => Message::Hello { call: take.eight()? },
-        7 => Message::Nonce { call: take.eight()?, nonce: take.eight()? },
+        3 => Message::Hand {
+            records: take.records()?,
+        },
+        4 => Message::Command {
+            call: take.eight()?,
+            command: take.command()?,
+        },
+        5 => Message::Answer {
+            call: take.eight()?,
+            answer: take.answer()?,
+        },
+        6 => Message::Hello {
+            call: take.eight()?,
+        },
+        7 => Message::Nonce {
+            call: take.eight()?,
+            nonce: take.eight()?,
+        },
         9 => Message::ZonesTold(wire::read(take.0)?),
         10 => Message::ZonePlan(wire::read_plan(take.0)?),
-        8 => Message::Call { call: take.eight()?, nonce: take.eight()?, command: take.command()? },
+        8 => Message::Call {
+            call: take.eight()?,
+            nonce: take.eight()?,
+            command: take.command()?,
+        },
         _ => return None,
     })
 }
 
 /// The highest round among records.
 pub fn round_of<'a>(records: impl Iterator<Item = &'a Record>) -> u32 {
-    records.map(|record| record.stamp.ballot.round).max().unwrap_or(0)
+    records
+        .map(|record| record.stamp.ballot.round)
+        .max()
+        .unwrap_or(0)
 }
--- a/crates/releases/src/plan.rs
+++ b/crates/releases/src/plan.rs
@@ -63,10 +63,14 @@
 impl Plan {
     /// Who go first: of all that take part, in any version, so that those that went still count.
     pub fn canaries(&self, release: &Release, seen: &[Seen]) -> Vec<Id> {
-        let takes_part =
-            |seen: &&Seen| seen.version == release.to || release.from == 0 || seen.version == release.from;
-        let mut drawn: Vec<(u64, Id)> =
-            seen.iter().filter(takes_part).map(|seen| (lot(seen.id, release.number), seen.id)).collect();
+        let takes_part = |seen: &&Seen| {
+            seen.version == release.to || release.from == 0 || seen.version == release.from
+        };
+        let mut drawn: Vec<(u64, Id)> = seen
+            .iter()
+            .filter(takes_part)
+            .map(|seen| (lot(seen.id, release.number), seen.id))
+            .collect();
         drawn.sort_unstable();
         drawn.truncate(self.canaries);
         drawn.into_iter().map(|(_, id)| id).collect()
@@ -74,7 +78,13 @@
 
     /// Where a hall stands in the order.
     fn rank(&self, hall: u32) -> (usize, u32) {
-        (self.halls.iter().position(|h| *h == hall).unwrap_or(self.halls.len()), hall)
+        (
+            self.halls
+                .iter()
+                .position(|h| *h == hall)
+                .unwrap_or(self.halls.len()),
+            hall,
+        )
     }
 
     /// Whether a dispatcher has still to go, forward or back.
@@ -90,7 +100,10 @@
 
     /// The hall whose wave it is: the first in the order in which one has still to go, the last on the way back.
     pub fn hall(&self, release: &Release, seen: &[Seen]) -> Option<u32> {
-        let halls = seen.iter().filter(|seen| Plan::has_to_go(release, seen)).map(|seen| seen.hall);
+        let halls = seen
+            .iter()
+            .filter(|seen| Plan::has_to_go(release, seen))
+            .map(|seen| seen.hall);
         match release.stage {
             Stage::Back => halls.max_by_key(|hall| self.rank(*hall)),
             _ => halls.min_by_key(|hall| self.rank(*hall)),
@@ -109,10 +122,20 @@
     /// Whether a dispatcher that wants to go to a version may, as far as the order goes. `pauses`: the pause after a
     /// hall is not over.
     pub fn admits(
-        &self, release: Option<&Release>, seen: &[Seen], id: Id, to: u32, pauses: bool,
+        &self,
+        release: Option<&Release>,
+        seen: &[Seen],
+        id: Id,
+        to: u32,
+        pauses: bool,
     ) -> Result<(), NotYet> {
-        let release = release.filter(|release| Plan::target(release) == to).ok_or(NotYet::NoSuchRelease)?;
-        let own = seen.iter().find(|seen| seen.id == id).ok_or(NotYet::NoSuchRelease)?;
+        let release = release
+            .filter(|release| Plan::target(release) == to)
+            .ok_or(NotYet::NoSuchRelease)?;
+        let own = seen
+            .iter()
+            .find(|seen| seen.id == id)
+            .ok_or(NotYet::NoSuchRelease)?;
         if !Plan::has_to_go(release, own) {
             return Err(NotYet::Already);
         }
@@ -140,8 +163,10 @@
     /// Whether all of the first few went, and are there.
     pub fn canaries_went(&self, release: &Release, seen: &[Seen]) -> bool {
         let canaries = self.canaries(release, seen);
-        let went =
-            |id: &Id| seen.iter().any(|seen| seen.id == *id && seen.there && seen.version == release.to);
+        let went = |id: &Id| {
+            seen.iter()
+                .any(|seen| seen.id == *id && seen.there && seen.version == release.to)
+        };
         !canaries.is_empty() && canaries.iter().all(went)
     }
 }
--- a/crates/releases/src/steward.rs
+++ b/crates/releases/src/steward.rs
@@ -41,7 +41,13 @@
         Told {
             dispatchers: Bounds::default(),
             engines: Bounds::default(),
-            plan: Plan { canaries: 1, canary: 60_000.0, pause: 0.0, lost: 1, ..Plan::default() },
+            plan: Plan {
+                canaries: 1,
+                canary: 60_000.0,
+                pause: 0.0,
+                lost: 1,
+                ..Plan::default()
+            },
             turn: 30_000.0,
             settle: 3000.0,
             left: 60_000.0,
@@ -139,7 +145,9 @@
         }
         let often = self.differs.entry(from).or_insert(0);
         *often += 1;
-        let new = council.leads_since().is_some_and(|since| now - since < self.told.settle);
+        let new = council
+            .leads_since()
+            .is_some_and(|since| now - since < self.told.settle);
         if (*often < 3 && !new) || now - self.wanted < WANT_EVERY {
             return false;
         }
@@ -158,15 +166,29 @@
         if before.is_some_and(|before| proven < before.proven) {
             return;
         }
-        self.reports.insert(from, Reported { report, at: now, proven });
-        let since = before.filter(|b| b.report.session == report.session && b.report.all <= report.all);
+        self.reports.insert(
+            from,
+            Reported {
+                report,
+                at: now,
+                proven,
+            },
+        );
+        let since =
+            before.filter(|b| b.report.session == report.session && b.report.all <= report.all);
         if let (Some(before), Some(release)) = (since, release_of(council)) {
-            let (good, all) = (report.good.wrapping_sub(before.report.good), report.all - before.report.all);
+            let (good, all) = (
+                report.good.wrapping_sub(before.report.good),
+                report.all - before.report.all,
+            );
             let released = report.version == Plan::target(&release);
             let window = (now / self.told.plan.compare.window) as u64;
-            self.compare.report(window, report.hall, released, good, all);
+            self.compare
+                .report(window, report.hall, released, good, all);
         }
-        if report.bad != 0 && self.told.witnesses.is_some() && self.engines.iter().any(|e| e.id == report.bad)
+        if report.bad != 0
+            && self.told.witnesses.is_some()
+            && self.engines.iter().any(|e| e.id == report.bad)
         {
             self.bad.entry(report.bad).or_default().insert(from, now);
         }
@@ -181,7 +203,9 @@
     fn told_at(&self, now: f64, tick: u32) -> Option<f64> {
         let ago = f64::from(Steward::tick(now).wrapping_sub(tick));
         let at = now - ago;
-        self.leads_since.filter(|since| at >= *since - 1.0).map(|_| at)
+        self.leads_since
+            .filter(|since| at >= *since - 1.0)
+            .map(|_| at)
     }
 
     /// In which hall a member said that it stands.
@@ -191,14 +215,18 @@
 
     /// Whether this one leads and has listened for long enough to decide.
     pub fn leads(&self, now: f64, council: &Council) -> bool {
-        let listened = council.leads_since().is_some_and(|since| now - since >= self.told.settle);
+        let listened = council
+            .leads_since()
+            .is_some_and(|since| now - since >= self.told.settle);
         council.leads(now) && listened
     }
 
     // ---- What is known ----
 
     fn there(&self, id: Id) -> bool {
-        self.members.get(&id).is_some_and(|state| *state <= State::Suspect)
+        self.members
+            .get(&id)
+            .is_some_and(|state| *state <= State::Suspect)
     }
 
     fn outs(&self, council: &Council, kind: Kind) -> Vec<Out> {
@@ -209,17 +237,29 @@
                 .chain(self.reports.keys())
                 .map(|id| (Record::key_of(kind, *id), *id))
                 .collect(),
-            Kind::Engine => {
-                self.engines.iter().map(|unit| (Record::key_of(kind, unit.id), unit.id)).collect()
-            }
+            Kind::Engine => self
+                .engines
+                .iter()
+                .map(|unit| (Record::key_of(kind, unit.id), unit.id))
+                .collect(),
         };
         let of_kind = |record: Record| match record.value {
-            Value::Out { kind: k, why, grant, .. } if k == kind => {
-                Some(Out { id: known.get(&record.key).copied().unwrap_or(record.key), why, grant })
-            }
+            Value::Out {
+                kind: k,
+                why,
+                grant,
+                ..
+            } if k == kind => Some(Out {
+                id: known.get(&record.key).copied().unwrap_or(record.key),
+                why,
+                grant,
+            }),
             _ => None,
         };
-        council.all_standing().filter_map(|(record, _)| of_kind(record)).collect()
+        council
+            .all_standing()
+            .filter_map(|(record, _)| of_kind(record))
+            .collect()
     }
 
     fn units(&self, kind: Kind, council: &Council) -> Vec<Unit> {
@@ -236,24 +276,50 @@
             if !there && (self.forgotten.contains(id) || *state == State::Left && !lost(*id)) {
                 return None;
             }
-            let report = self.reports.get(id).map(|reported| reported.report).unwrap_or_default();
+            let report = self
+                .reports
+                .get(id)
+                .map(|reported| reported.report)
+                .unwrap_or_default();
             let (hall, version) = (report.hall, report.version);
-            Some(Unit { id: *id, hall, version, there, capacity: 1.0 })
+            Some(Unit {
+                id: *id,
+                hall,
+                version,
+                there,
+                capacity: 1.0,
+            })
         };
         self.members.iter().filter_map(unit).collect()
     }
 
     fn load(&self, now: f64, kind: Kind) -> f64 {
-        let fresh = self.reports.values().filter(|reported| now - reported.at < REPORT_HOLDS);
-        let of = |report: &Report| f64::from(if kind == Kind::Engine { report.threads } else { report.busy });
+        let fresh = self
+            .reports
+            .values()
+            .filter(|reported| now - reported.at < REPORT_HOLDS);
+        let of = |report: &Report| {
+            f64::from(if kind == Kind::Engine {
+                report.threads
+            } else {
+                report.busy
+            })
+        };
         fresh.map(|reported| of(&reported.report).max(0.0)).sum()
     }
 
     fn seen(&self, council: &Council) -> Vec<Seen> {
         // Who never said what it is has no version that a release could ask for.
-        let units = self.units(Kind::Dispatcher, council).into_iter().filter(|unit| unit.version != 0);
-        let seen =
-            |unit: Unit| Seen { id: unit.id, hall: unit.hall, version: unit.version, there: unit.there };
+        let units = self
+            .units(Kind::Dispatcher, council)
+            .into_iter()
+            .filter(|unit| unit.version != 0);
+        let seen = |unit: Unit| Seen {
+            id: unit.id,
+            hall: unit.hall,
+            version: unit.version,
+            there: unit.there,
+        };
         units.map(seen).collect()
     }
 
@@ -263,7 +329,12 @@
             Kind::Dispatcher => (&self.told.dispatchers, self.last[0]),
             Kind::Engine => (&self.told.engines, self.last[1]),
         };
-        let view = View { units: &units, outs: &outs, last, load: self.load(now, ask.kind) };
+        let view = View {
+            units: &units,
+            outs: &outs,
+            last,
+            load: self.load(now, ask.kind),
+        };
         limits::decide(now, bounds, view, ask)
     }
 
@@ -280,7 +351,12 @@
             Command::Turn { id, to, grant } => self.turn(now, council, id, to, grant),
             Command::Return { id, grant } => self.returns(now, council, id, grant),
             Command::Drain { engine, grant } => {
-                let ask = Ask { id: engine, kind: Kind::Engine, why: Why::Drain, grant };
+                let ask = Ask {
+                    id: engine,
+                    kind: Kind::Engine,
+                    why: Why::Drain,
+                    grant,
+                };
                 match self.lets_out(now, council, ask, 0, None) {
                     Answer::Granted { .. } => Answer::Done,
                     answer => answer,
@@ -289,12 +365,17 @@
             Command::Undrain { engine } => {
                 let key = Record::key_of(Kind::Engine, engine);
                 match council.standing(key).map(|(record, _)| record.value) {
-                    Some(Value::Out { why: Why::Drain | Why::Ejected, .. }) => self.ends(now, council, key),
+                    Some(Value::Out {
+                        why: Why::Drain | Why::Ejected,
+                        ..
+                    }) => self.ends(now, council, key),
                     Some(Value::Out { why, .. }) => Answer::AlreadyOut { why },
                     _ => Answer::Done,
                 }
             }
-            Command::Release { number, to, from } => self.releases(now, council, (number, to, from)),
+            Command::Release { number, to, from } => {
+                self.releases(now, council, (number, to, from))
+            }
             Command::Back { number } => self.goes_back(now, council, number),
             Command::Halt { number } => match halt_of(council) {
                 Some(_) => self.agreed(council, tansymux_permits::HALT, Answer::Done),
@@ -334,7 +415,9 @@
         if council.standing(key).is_none() {
             return Answer::Done;
         }
-        let ending = council.records().any(|(record, _)| record.key == key && record.is_over());
+        let ending = council
+            .records()
+            .any(|(record, _)| record.key == key && record.is_over());
         if !ending {
             council.write(now, &[(key, Value::Over, None)]);
         }
@@ -342,15 +425,26 @@
     }
 
     fn halts(&mut self, now: f64, council: &mut Council, why: Halt, number: u32) -> Answer {
-        let value = Value::Halt { number, by: council.id(), why: why as u8 };
+        let value = Value::Halt {
+            number,
+            by: council.id(),
+            why: why as u8,
+        };
         council.write(now, &[(tansymux_permits::HALT, value, None)]);
         self.agreed(council, tansymux_permits::HALT, Answer::Done)
     }
 
     fn turn(&mut self, now: f64, council: &mut Council, id: Id, to: u32, grant: u64) -> Answer {
         let own = self.reports.get(&id).map(|reported| reported.report);
-        let Some(own) = own.filter(|_| self.there(id)) else { return Answer::Unknown };
-        let ask = Ask { id, kind: Kind::Dispatcher, why: Why::Turn, grant };
+        let Some(own) = own.filter(|_| self.there(id)) else {
+            return Answer::Unknown;
+        };
+        let ask = Ask {
+            id,
+            kind: Kind::Dispatcher,
+            why: Why::Turn,
+            grant,
+        };
         let key = Record::key_of(Kind::Dispatcher, id);
         let repeated = council.standing(key).is_some_and(
             |(record, _)| matches!(record.value, Value::Out { why: Why::Turn, grant: g, .. } if g == grant),
@@ -358,7 +452,10 @@
         if !repeated && to != 0 && to != own.version {
             let release = release_of(council);
             let rests = now < self.rests_until;
-            let admitted = self.told.plan.admits(release.as_ref(), &self.seen(council), id, to, rests);
+            let admitted =
+                self.told
+                    .plan
+                    .admits(release.as_ref(), &self.seen(council), id, to, rests);
             match admitted {
                 Ok(()) => {}
                 Err(NotYet::NoSuchRelease) => return Answer::NoSuchRelease,
@@ -371,7 +468,12 @@
     }
 
     fn lets_out(
-        &mut self, now: f64, council: &mut Council, ask: Ask, session: u32, term: Option<f64>,
+        &mut self,
+        now: f64,
+        council: &mut Council,
+        ask: Ask,
+        session: u32,
+        term: Option<f64>,
     ) -> Answer {
         let key = Record::key_of(ask.kind, ask.id);
         if let Some((number, why, by)) = halt_of(council) {
@@ -380,12 +482,23 @@
         match self.decides(now, council, ask) {
             Verdict::Granted => {
                 let hall = match ask.kind {
-                    Kind::Dispatcher => self.reports.get(&ask.id).map_or(0, |reported| reported.report.hall),
-                    Kind::Engine => {
-                        self.engines.iter().find(|unit| unit.id == ask.id).map_or(0, |unit| unit.hall)
-                    }
+                    Kind::Dispatcher => self
+                        .reports
+                        .get(&ask.id)
+                        .map_or(0, |reported| reported.report.hall),
+                    Kind::Engine => self
+                        .engines
+                        .iter()
+                        .find(|unit| unit.id == ask.id)
+                        .map_or(0, |unit| unit.hall),
+                };
+                let value = Value::Out {
+                    kind: ask.kind,
+                    why: ask.why,
+                    hall,
+                    session,
+                    grant: ask.grant,
                 };
-                let value = Value::Out { kind: ask.kind, why: ask.why, hall, session, grant: ask.grant };
                 if council.write(now, &[(key, value, term)]).is_some() {
                     self.last[usize::from(ask.kind == Kind::Engine)] = now;
                 }
@@ -393,23 +506,37 @@
             }
             Verdict::Again => {
                 // One that is ending is not given once more.
-                let over = council.records().any(|(record, _)| record.key == key && record.is_over());
+                let over = council
+                    .records()
+                    .any(|(record, _)| record.key == key && record.is_over());
                 if over {
                     return Answer::AlreadyOut { why: ask.why };
                 }
                 self.granted(council, key)
             }
-            Verdict::Full { scope, out, most } => Answer::Full { scope, out: out as u32, most: most as u32 },
-            Verdict::TooSoon { wait } => Answer::TooSoon { wait: wait.ceil() as u32 },
+            Verdict::Full { scope, out, most } => Answer::Full {
+                scope,
+                out: out as u32,
+                most: most as u32,
+            },
+            Verdict::TooSoon { wait } => Answer::TooSoon {
+                wait: wait.ceil() as u32,
+            },
             Verdict::AlreadyOut { why } => Answer::AlreadyOut { why },
-            Verdict::NotCarried { load, left } => Answer::NotCarried { load: load as f32, left: left as f32 },
+            Verdict::NotCarried { load, left } => Answer::NotCarried {
+                load: load as f32,
+                left: left as f32,
+            },
             Verdict::Unknown => Answer::Unknown,
         }
     }
 
     /// What is left of a turn that a majority keeps, without the allowance for clocks that is counted here.
     fn granted(&self, council: &Council, key: u64) -> Answer {
-        let left = council.standing(key).and_then(|(_, left)| left).unwrap_or(0);
+        let left = council
+            .standing(key)
+            .and_then(|(_, left)| left)
+            .unwrap_or(0);
         let left = (f64::from(left) / (1.0 + council.terms().skew)) as u32;
         self.agreed(council, key, Answer::Granted { left })
     }
@@ -417,12 +544,21 @@
     fn returns(&mut self, now: f64, council: &mut Council, id: Id, grant: u64) -> Answer {
         let key = Record::key_of(Kind::Dispatcher, id);
         match council.standing(key).map(|(record, _)| record.value) {
-            Some(Value::Out { why: Why::Turn, grant: g, .. }) if g == grant => self.ends(now, council, key),
+            Some(Value::Out {
+                why: Why::Turn,
+                grant: g,
+                ..
+            }) if g == grant => self.ends(now, council, key),
             _ => Answer::Done,
         }
     }
 
-    fn releases(&mut self, now: f64, council: &mut Council, (number, to, from): (u32, u32, u32)) -> Answer {
+    fn releases(
+        &mut self,
+        now: f64,
+        council: &mut Council,
+        (number, to, from): (u32, u32, u32),
+    ) -> Answer {
         if let Some((number, why, by)) = halt_of(council) {
             return Answer::Halted { why, by, number };
         }
@@ -430,11 +566,29 @@
         match release_of(council) {
             Some(running) if running.number == number => self.agreed(council, key, Answer::Done),
             Some(running) if !matches!(running.stage, Stage::Done | Stage::Undone) => {
-                Answer::Running { number: running.number }
+                Answer::Running {
+                    number: running.number,
+                }
             }
             _ => {
-                let stage = if self.told.plan.canaries > 0 { Stage::Canaries } else { Stage::Waves };
-                council.write(now, &[(key, Value::Release { number, to, from, stage }, None)]);
+                let stage = if self.told.plan.canaries > 0 {
+                    Stage::Canaries
+                } else {
+                    Stage::Waves
+                };
+                council.write(
+                    now,
+                    &[(
+                        key,
+                        Value::Release {
+                            number,
+                            to,
+                            from,
+                            stage,
+                        },
+                        None,
+                    )],
+                );
                 self.agreed(council, key, Answer::Done)
             }
         }
@@ -452,8 +606,19 @@
         if matches!(release.stage, Stage::Back | Stage::Undone) {
             return self.agreed(council, key, Answer::Done);
         }
-        let Release { number, to, from, .. } = release;
-        let back = (key, Value::Release { number, to, from, stage: Stage::Back }, None);
+        let Release {
+            number, to, from, ..
+        } = release;
+        let back = (
+            key,
+            Value::Release {
+                number,
+                to,
+                from,
+                stage: Stage::Back,
+            },
+            None,
+        );
         let mut writes = vec![back];
         if halt_of(council).is_some() {
             writes.push((tansymux_permits::HALT, Value::Over, None));
@@ -466,13 +631,24 @@
         let units = self.units(Kind::Dispatcher, council);
         let outs = self.outs(council, Kind::Dispatcher);
         let engine_outs = self.outs(council, Kind::Engine);
-        let view = |units, outs| View { units, outs, last: 0.0, load: 0.0 };
+        let view = |units, outs| View {
+            units,
+            outs,
+            last: 0.0,
+            load: 0.0,
+        };
         let (out, members) = view(&units, &outs).count_all();
         let (engines_out, engines) = view(&self.engines, &engine_outs).count_all();
         let release = release_of(council);
         let seen = self.seen(council);
-        let released = release.map_or(0, |r| seen.iter().filter(|s| s.version == Plan::target(&r)).count());
-        let to_go = release.map_or(0, |r| seen.iter().filter(|s| Plan::has_to_go(&r, s)).count());
+        let released = release.map_or(0, |r| {
+            seen.iter()
+                .filter(|s| s.version == Plan::target(&r))
+                .count()
+        });
+        let to_go = release.map_or(0, |r| {
+            seen.iter().filter(|s| Plan::has_to_go(&r, s)).count()
+        });
         let (pairs, by) = match self.found {
             Some(Finding::CantTell { pairs }) => (pairs, 0.0),
             Some(Finding::Even { pairs, by } | Finding::Worse { pairs, by }) => (pairs, by),
@@ -498,7 +674,9 @@
     fn lost(&self, council: &Council) -> usize {
         let outs = self.outs(council, Kind::Dispatcher);
         let gone = self.members.iter().filter(|(id, state)| {
-            **state == State::Dead && !self.forgotten.contains(id) && !outs.iter().any(|out| out.id == **id)
+            **state == State::Dead
+                && !self.forgotten.contains(id)
+                && !outs.iter().any(|out| out.id == **id)
         });
         outs.iter().filter(|out| out.why == Why::Lost).count() + gone.count()
     }
@@ -528,11 +706,23 @@
 
     /// Ends what is over: one that is back, or that did not go in its time. One that went and did not come is lost.
     fn looks_at_outs(&mut self, now: f64, council: &mut Council) {
-        let keys: BTreeMap<u64, Id> =
-            self.members.keys().map(|id| (Record::key_of(Kind::Dispatcher, *id), *id)).collect();
+        let keys: BTreeMap<u64, Id> = self
+            .members
+            .keys()
+            .map(|id| (Record::key_of(Kind::Dispatcher, *id), *id))
+            .collect();
         let mut changes = Vec::new();
         for (record, left) in council.all_standing() {
-            let Value::Out { kind, why, hall, session, grant } = record.value else { continue };
+            let Value::Out {
+                kind,
+                why,
+                hall,
+                session,
+                grant,
+            } = record.value
+            else {
+                continue;
+            };
             let over = left == Some(0);
             if kind == Kind::Engine {
                 if over {
@@ -541,33 +731,55 @@
                 continue;
             }
             let id = keys.get(&record.key).copied();
-            let report = id.and_then(|id| self.reports.get(&id)).map(|reported| reported.report);
+            let report = id
+                .and_then(|id| self.reports.get(&id))
+                .map(|reported| reported.report);
             let there = id.is_some_and(|id| self.there(id));
-            let proven = id.and_then(|id| self.reports.get(&id)).map_or(f64::NEG_INFINITY, |r| r.proven);
+            let proven = id
+                .and_then(|id| self.reports.get(&id))
+                .map_or(f64::NEG_INFINITY, |r| r.proven);
             let since = council.since(record.key).unwrap_or(now);
             // It was started under this turn. Another life alone is no sign: it may have crashed and come back, and whoever
             // has the turn may still be about to use it.
             let back = there
                 && proven > since
-                && report
-                    .is_some_and(|report| report.turn == grant && grant != 0 && report.session != session);
+                && report.is_some_and(|report| {
+                    report.turn == grant && grant != 0 && report.session != session
+                });
             // Its time is over for whoever has it too, and it was seen after that: it never went, or is back untold.
-            let stayed =
-                over && there && proven > since + self.told.turn * (1.0 + 2.0 * council.terms().skew);
+            let stayed = over
+                && there
+                && proven > since + self.told.turn * (1.0 + 2.0 * council.terms().skew);
             let change = match why {
                 _ if back => Some((record.key, Value::Over, None)),
                 Why::Turn if stayed => Some((record.key, Value::Over, None)),
                 // It may have begun at the very end of its time; it counts as out all the while.
                 Why::Turn if over && !there && now - since >= LOST_AFTER * self.told.turn => {
-                    Some((record.key, Value::Out { kind, why: Why::Lost, hall, session, grant }, None))
+                    Some((
+                        record.key,
+                        Value::Out {
+                            kind,
+                            why: Why::Lost,
+                            hall,
+                            session,
+                            grant,
+                        },
+                        None,
+                    ))
+                }
+                Why::Lost if over || there && proven > since => {
+                    Some((record.key, Value::Over, None))
                 }
-                Why::Lost if over || there && proven > since => Some((record.key, Value::Over, None)),
                 _ => None,
             };
             changes.extend(change.filter(|(_, value, _)| *value != record.value));
         }
         // What is being ended already is not ended again.
-        let ending = |key: u64| council.records().any(|(record, _)| record.key == key && record.is_over());
+        let ending = |key: u64| {
+            council
+                .records()
+                .any(|(record, _)| record.key == key && record.is_over())
+        };
         changes.retain(|(key, ..)| !ending(*key));
         for some in changes.chunks(tansymux_permits::wire::RECORDS).take(8) {
             council.write(now, some);
@@ -576,25 +788,40 @@
 
     /// Writes down who is gone without a turn, so that a later leader knows.
     fn looks_for_lost(&mut self, now: f64, council: &mut Council) {
-        let there = |id: &Id| self.members.get(id).is_some_and(|state| *state <= State::Suspect);
+        let there = |id: &Id| {
+            self.members
+                .get(id)
+                .is_some_and(|state| *state <= State::Suspect)
+        };
         self.forgotten.retain(|id| !there(id));
         let mut lost = Vec::new();
         for (id, state) in &self.members {
             let key = Record::key_of(Kind::Dispatcher, *id);
             let known = self.reports.get(id).map(|reported| reported.report);
-            if *state <= State::Suspect || self.forgotten.contains(id) || council.standing(key).is_some() {
+            if *state <= State::Suspect
+                || self.forgotten.contains(id)
+                || council.standing(key).is_some()
+            {
                 continue;
             }
             // One of which nothing was ever heard was no part of this leader's fleet.
             let Some(report) = known else { continue };
             let term = (*state == State::Left).then_some(self.told.left);
             // Once that time is over it is no part of the fleet any more.
-            let ended = council.records().any(|(record, _)| record.key == key && record.is_over());
+            let ended = council
+                .records()
+                .any(|(record, _)| record.key == key && record.is_over());
             if *state == State::Left && ended {
                 continue;
             }
             let (kind, why) = (Kind::Dispatcher, Why::Lost);
-            let value = Value::Out { kind, why, hall: report.hall, session: report.session, grant: 0 };
+            let value = Value::Out {
+                kind,
+                why,
+                hall: report.hall,
+                session: report.session,
+                grant: 0,
+            };
             lost.push((key, value, term));
         }
         lost.truncate(MOST_LOST_A_LOOK);
@@ -605,15 +832,26 @@
 
     /// Puts an engine out that enough dispatchers find bad, where the limits let it.
     fn looks_at_bad(&mut self, now: f64, council: &mut Council) {
-        let Some(witnesses) = self.told.witnesses else { return };
+        let Some(witnesses) = self.told.witnesses else {
+            return;
+        };
         for by in self.bad.values_mut() {
             by.retain(|_, at| now - *at < REPORT_HOLDS);
         }
         self.bad.retain(|_, by| !by.is_empty());
-        let enough = self.bad.iter().filter(|(_, by)| by.len() >= witnesses).map(|(engine, _)| *engine);
+        let enough = self
+            .bad
+            .iter()
+            .filter(|(_, by)| by.len() >= witnesses)
+            .map(|(engine, _)| *engine);
         let enough: Vec<Id> = enough.collect();
         for engine in enough {
-            let ask = Ask { id: engine, kind: Kind::Engine, why: Why::Ejected, grant: 0 };
+            let ask = Ask {
+                id: engine,
+                kind: Kind::Engine,
+                why: Why::Ejected,
+                grant: 0,
+            };
             if let Answer::Granted { .. } | Answer::Pending =
                 self.lets_out(now, council, ask, 0, Some(self.told.ejected))
             {
@@ -623,13 +861,22 @@
     }
 
     fn looks_at_release(&mut self, now: f64, council: &mut Council) {
-        let Some(release) = release_of(council) else { return };
+        let Some(release) = release_of(council) else {
+            return;
+        };
         if matches!(release.stage, Stage::Done | Stage::Undone) || halt_of(council).is_some() {
             return;
         }
         let (lost, seen) = (self.lost(council), self.seen(council));
-        let way = if release.stage == Stage::Back { Stage::Back } else { Stage::Waves };
-        if self.compared.is_none_or(|(number, of, _)| (number, of) != (release.number, way)) {
+        let way = if release.stage == Stage::Back {
+            Stage::Back
+        } else {
+            Stage::Waves
+        };
+        if self
+            .compared
+            .is_none_or(|(number, of, _)| (number, of) != (release.number, way))
+        {
             self.compared = Some((release.number, way, lost));
             (self.compare, self.found, self.canaries_since, self.wave) = Default::default();
         }
@@ -637,10 +884,19 @@
         let window = (now / self.told.plan.compare.window) as u64;
         let found = self.compare.look(&self.told.plan.compare, window);
         self.found = Some(found);
-        let (_, all) =
-            View { units: &self.units(Kind::Dispatcher, council), outs: &[], last: 0.0, load: 0.0 }
-                .count_all();
-        let used_up = self.told.dispatchers.fleet.of(all).is_some_and(|most| lost >= most && lost > at_first);
+        let (_, all) = View {
+            units: &self.units(Kind::Dispatcher, council),
+            outs: &[],
+            last: 0.0,
+            load: 0.0,
+        }
+        .count_all();
+        let used_up = self
+            .told
+            .dispatchers
+            .fleet
+            .of(all)
+            .is_some_and(|most| lost >= most && lost > at_first);
         let why = match found {
             Finding::Worse { .. } => Some(Halt::Worse),
             _ if lost > at_first + self.told.plan.lost => Some(Halt::Lost),
@@ -653,9 +909,15 @@
         }
         if release.stage == Stage::Canaries {
             let went = self.told.plan.canaries_went(&release, &seen);
-            self.canaries_since = if went { self.canaries_since.or(Some(now)) } else { None };
+            self.canaries_since = if went {
+                self.canaries_since.or(Some(now))
+            } else {
+                None
+            };
         }
-        let looked = self.canaries_since.is_some_and(|since| now - since >= self.told.plan.canary);
+        let looked = self
+            .canaries_since
+            .is_some_and(|since| now - since >= self.told.plan.canary);
         let cant_tell = matches!(found, Finding::CantTell { .. }) && !self.told.plan.goes_on_untold;
         let all_went = !seen.iter().any(|seen| Plan::has_to_go(&release, seen));
         if release.stage == Stage::Canaries && looked && cant_tell && !all_went {
@@ -675,9 +937,22 @@
         let units = self.units(Kind::Dispatcher, council);
         let sure = !seen.is_empty() && units.iter().all(|unit| unit.version != 0 || !unit.there);
         if stage != release.stage && sure && council.is_agreed(tansymux_permits::RELEASE) {
-            let Release { number, to, from, .. } = release;
-            council
-                .write(now, &[(tansymux_permits::RELEASE, Value::Release { number, to, from, stage }, None)]);
+            let Release {
+                number, to, from, ..
+            } = release;
+            council.write(
+                now,
+                &[(
+                    tansymux_permits::RELEASE,
+                    Value::Release {
+                        number,
+                        to,
+                        from,
+                        stage,
+                    },
+                    None,
+                )],
+            );
         }
     }
 }
@@ -697,7 +972,17 @@
 
 pub fn release_of(council: &Council) -> Option<Release> {
     match council.standing(tansymux_permits::RELEASE)?.0.value {
-        Value::Release { number, to, from, stage } => Some(Release { number, to, from, stage }),
+        Value::Release {
+            number,
+            to,
+            from,
+            stage,
+        } => Some(Release {
+            number,
+            to,
+            from,
+            stage,
+        }),
         _ => None,
     }
 }
--- a/crates/releases/src/zoned.rs
+++ b/crates/releases/src/zoned.rs
@@ -35,9 +35,21 @@
 /// What a majority keeps of zones, or may.
 fn agreed(council: &Council) -> BTreeMap<Zone, Fleetwide> {
     let of = |(record, _): (Record, Option<u32>)| match record.value {
-        Value::Zone { zone, stage, step, why, number } => {
-            Some((zone, Fleetwide { stage: stage_of(stage)?, step, number, why: why_of(why)? }))
-        }
+        Value::Zone {
+            zone,
+            stage,
+            step,
+            why,
+            number,
+        } => Some((
+            zone,
+            Fleetwide {
+                stage: stage_of(stage)?,
+                step,
+                number,
+                why: why_of(why)?,
+            },
+        )),
         _ => None,
     };
     council.all_standing().filter_map(of).collect()
@@ -89,19 +101,41 @@
         if self.asked.len() > MOST_ASKED {
             self.asked.pop_front();
         }
-        let (session, number, alone, zones) = (self.session, self.number, self.alone, self.evidence.clone());
-        (Some(Told { session, number, alone, zones }), self.next)
+        let (session, number, alone, zones) =
+            (self.session, self.number, self.alone, self.evidence.clone());
+        (
+            Some(Told {
+                session,
+                number,
+                alone,
+                zones,
+            }),
+            self.next,
+        )
     }
 
     /// The leader's answer: to a question that is known, and each once.
     pub fn planned(&mut self, now: f64, plan: &Plan) {
-        let Some(at) = self.asked.iter().position(|(number, _)| *number == plan.number) else { return };
-        let Some((_, asked)) = self.asked.remove(at) else { return };
-        let all: Vec<(Zone, Fleetwide)> = plan.zones.iter().map(|(zone, of, _)| (*zone, *of)).collect();
+        let Some(at) = self
+            .asked
+            .iter()
+            .position(|(number, _)| *number == plan.number)
+        else {
+            return;
+        };
+        let Some((_, asked)) = self.asked.remove(at) else {
+            return;
+        };
+        let all: Vec<(Zone, Fleetwide)> = plan
+            .zones
+            .iter()
+            .map(|(zone, of, _)| (*zone, *of))
+            .collect();
         self.guide.hears(now, &all);
         let (term, skew) = (self.watch.definition().term, self.watch.definition().skew);
         for (zone, of, share) in &plan.zones {
-            self.guide.share(*zone, of.number, f64::from(*share), asked, term, skew);
+            self.guide
+                .share(*zone, of.number, f64::from(*share), asked, term, skew);
         }
     }
 
@@ -109,11 +143,19 @@
 
     /// A member says what it sees; what it is answered, by a leader that has listened.
     pub fn told(
-        &mut self, now: f64, steward: &Steward, council: &Council, from: Id, told: Told,
+        &mut self,
+        now: f64,
+        steward: &Steward,
+        council: &Council,
+        from: Id,
+        told: Told,
     ) -> Option<Plan> {
         let number = told.number;
-        let demands: BTreeMap<Zone, f64> =
-            told.zones.iter().map(|e| (e.zone, f64::from(e.threads))).collect();
+        let demands: BTreeMap<Zone, f64> = told
+            .zones
+            .iter()
+            .map(|e| (e.zone, f64::from(e.threads)))
+            .collect();
         self.watch.told(now, from, told);
         if !steward.leads(now, council) {
             return None;
@@ -121,18 +163,33 @@
         let definition = self.watch.definition();
         // What an earlier leader gave out is over before this one gives anything.
         let rests = definition.term * (1.0 + 2.0 * definition.skew);
-        let gives = council.leads_since().is_some_and(|since| now - since >= rests);
-        let zones = agreed(council).into_iter().take(MOST_ZONES).map(|(zone, of)| {
-            let demand = demands.get(&zone).copied().unwrap_or(0.0);
-            let share = if gives { self.watch.share(now, from, zone, demand, of) } else { 0.0 };
-            (zone, of, share as f32)
-        });
-        Some(Plan { number, zones: zones.collect() })
+        let gives = council
+            .leads_since()
+            .is_some_and(|since| now - since >= rests);
+        let zones = agreed(council)
+            .into_iter()
+            .take(MOST_ZONES)
+            .map(|(zone, of)| {
+                let demand = demands.get(&zone).copied().unwrap_or(0.0);
+                let share = if gives {
+                    self.watch.share(now, from, zone, demand, of)
+                } else {
+                    0.0
+                };
+                (zone, of, share as f32)
+            });
+        Some(Plan {
+            number,
+            zones: zones.collect(),
+        })
     }
 
     /// Looks at the evidence, and has what follows from it agreed on.
     pub fn look(
-        &mut self, now: f64, steward: &Steward, council: &mut Council,
+        &mut self,
+        now: f64,
+        steward: &Steward,
+        council: &mut Council,
         members: impl Iterator<Item = (Id, bool)>,
     ) {
         if now - self.looked < LOOK_EVERY {
@@ -163,7 +220,13 @@
         let value = match to {
             Some(to) => {
                 let (stage, step, why, number) = (to.stage as u8, to.step, to.why as u8, to.number);
-                Value::Zone { zone, stage, step, why, number }
+                Value::Zone {
+                    zone,
+                    stage,
+                    step,
+                    why,
+                    number,
+                }
             }
             None => Value::Over,
         };
@@ -171,7 +234,11 @@
     }
 
     pub fn command(
-        &mut self, now: f64, steward: &Steward, council: &mut Council, command: Command,
+        &mut self,
+        now: f64,
+        steward: &Steward,
+        council: &mut Council,
+        command: Command,
     ) -> Answer {
         if !steward.leads(now, council) {
             return Answer::NoLeader;
@@ -180,19 +247,38 @@
         match command {
             Command::Leave { zone, dry } => {
                 let key = Record::key_of_zone(zone);
-                if known.get(&zone).is_some_and(|of| of.stage == Stage::Left && of.why == Why::ByHand) {
-                    return if council.is_agreed(key) { Answer::Done } else { Answer::Pending };
+                if known
+                    .get(&zone)
+                    .is_some_and(|of| of.stage == Stage::Left && of.why == Why::ByHand)
+                {
+                    return if council.is_agreed(key) {
+                        Answer::Done
+                    } else {
+                        Answer::Pending
+                    };
                 }
                 match self.watch.may_leave(now, zone, &known, true) {
                     Err(Refused::NotCarried { load, room }) => {
-                        return Answer::NotCarried { load: load as f32, left: room as f32 };
+                        return Answer::NotCarried {
+                            load: load as f32,
+                            left: room as f32,
+                        };
                     }
                     Err(Refused::TooMuch { part }) => return Answer::TooMuch { part: part as f32 },
                     Ok(()) if dry => return Answer::Done,
                     Ok(()) => {}
                 }
-                let number = known.get(&zone).map_or(0, |of| of.number).max((now / 100.0) as u64 as u32) + 1;
-                let to = Fleetwide { stage: Stage::Left, step: 0, number, why: Why::ByHand };
+                let number = known
+                    .get(&zone)
+                    .map_or(0, |of| of.number)
+                    .max((now / 100.0) as u64 as u32)
+                    + 1;
+                let to = Fleetwide {
+                    stage: Stage::Left,
+                    step: 0,
+                    number,
+                    why: Why::ByHand,
+                };
                 self.writes(now, council, zone, Some(to));
                 if council.is_agreed(key) {
                     Answer::Done
@@ -205,7 +291,12 @@
                 Some(of) if of.stage == Stage::Returns => Answer::Done,
                 Some(of) => {
                     let number = of.number.wrapping_add(1);
-                    let to = Fleetwide { stage: Stage::Returns, step: 0, number, why: Why::ByHand };
+                    let to = Fleetwide {
+                        stage: Stage::Returns,
+                        step: 0,
+                        number,
+                        why: Why::ByHand,
+                    };
                     self.writes(now, council, zone, Some(to));
                     Answer::Pending
                 }
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -64,7 +64,14 @@
 
 impl ClassRules {
     pub fn of(effect: Effect) -> Self {
-        ClassRules { effect, scope: Scope::All, window: 0.0, in_order: false, halls: None, kinds: None }
+        ClassRules {
+            effect,
+            scope: Scope::All,
+            window: 0.0,
+            in_order: false,
+            halls: None,
+            kinds: None,
+        }
     }
 }
 
@@ -133,7 +140,15 @@
 /// record that was cut, are no breach.
 pub fn judge(entries: &[Entry], rules: &Rules) -> Vec<Broken> {
     let (queries, engines, asked, further, lines, broken) = Default::default();
-    let mut judge = Judge { rules, queries, engines, asked, further, lines, broken };
+    let mut judge = Judge {
+        rules,
+        queries,
+        engines,
+        asked,
+        further,
+        lines,
+        broken,
+    };
     entries.iter().for_each(|entry| judge.take(entry));
     judge.end(entries.last().map_or(0.0, |entry| entry.at));
     judge.broken.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -142,19 +157,29 @@
 
 impl Judge<'_> {
     fn breaks(&mut self, rule: u8, at: f64, how: impl Into<String>) {
-        self.broken.push(Broken { rule, at, how: how.into() });
+        self.broken.push(Broken {
+            rule,
+            at,
+            how: how.into(),
+        });
     }
 
     fn take(&mut self, entry: &Entry) {
         let at = entry.at;
         match &entry.what {
-            What::Asked { id, class, wait, key } => {
+            What::Asked {
+                id,
+                class,
+                wait,
+                key,
+            } => {
                 self.asked.push(at);
                 if let Some(key) = key {
                     self.lines.entry(key.clone()).or_default().push(id.clone());
                 }
                 let query = self.queries.entry(id.clone()).or_default();
-                (query.class, query.asked, query.wait, query.key) = (class.clone(), at, *wait, key.clone());
+                (query.class, query.asked, query.wait, query.key) =
+                    (class.clone(), at, *wait, key.clone());
             }
             What::Answered { id, status, .. } => self.answered(id, *status, at),
             What::Left { id } => {
@@ -173,9 +198,17 @@
                     self.applied_again(id, engine, at);
                 }
             }
-            What::Ended { engine, id, ran, .. } => self.ended(engine, id, *ran, false, at),
+            What::Ended {
+                engine, id, ran, ..
+            } => self.ended(engine, id, *ran, false, at),
             What::GivenUp { engine, id } => self.ended(engine, id, true, true, at),
-            What::Listed { engine, status, hall, kind, cell } => {
+            What::Listed {
+                engine,
+                status,
+                hall,
+                kind,
+                cell,
+            } => {
                 let known = self.engines.entry(engine.clone()).or_default();
                 (known.hall, known.kind, known.cell) = (hall.clone(), kind.clone(), *cell);
                 known.closed = match status {
@@ -191,7 +224,10 @@
     }
 
     fn effect_of(&self, id: &str) -> Option<Effect> {
-        self.queries.get(id).and_then(|query| self.rules.classes.get(&query.class)).map(|class| class.effect)
+        self.queries
+            .get(id)
+            .and_then(|query| self.rules.classes.get(&query.class))
+            .map(|class| class.effect)
     }
 
     /// Rule 1: one final answer, in time; rule 2: none that invites a repeat of what may have run.
@@ -201,7 +237,10 @@
         };
         query.answers.push((at, status));
         let (count, late) = (query.answers.len(), at - query.asked - query.wait);
-        let may_have_run = query.submissions.iter().any(|s| s.end.is_none_or(|(_, ran)| ran));
+        let may_have_run = query
+            .submissions
+            .iter()
+            .any(|s| s.end.is_none_or(|(_, ran)| ran));
         if count > 1 {
             self.breaks(1, at, format!("answer {count} to {id}"));
         }
@@ -210,7 +249,11 @@
         }
         let deferred = matches!(status, 429 | 503);
         if deferred && may_have_run && self.effect_of(id) == Some(Effect::Mutating) {
-            self.breaks(2, at, format!("{id} was deferred though a submission may have run"));
+            self.breaks(
+                2,
+                at,
+                format!("{id} was deferred though a submission may have run"),
+            );
         }
     }
 
@@ -219,11 +262,17 @@
         let known = self.engines.entry(engine.to_owned()).or_default();
         known.arrived.push((at, work));
         let (hall, kind) = (known.hall.clone(), known.kind.clone());
-        if let Some(closed) = known.closed.filter(|closed| at > closed + rules.grace + rules.slack) {
+        if let Some(closed) = known
+            .closed
+            .filter(|closed| at > closed + rules.grace + rules.slack)
+        {
             self.breaks(
                 3,
                 at,
-                format!("{id} was sent to {engine}, which was closed {:.0} ms before", at - closed),
+                format!(
+                    "{id} was sent to {engine}, which was closed {:.0} ms before",
+                    at - closed
+                ),
             );
         }
         self.look_at_cold(engine, at);
@@ -234,10 +283,14 @@
         let again = !query.submissions.is_empty();
         let key = query.key.clone();
         if let Some(class) = rules.classes.get(&query.class) {
-            let inside =
-                |bound: &Option<Vec<String>>, it: &String| bound.as_ref().is_none_or(|b| b.contains(it));
+            let inside = |bound: &Option<Vec<String>>, it: &String| {
+                bound.as_ref().is_none_or(|b| b.contains(it))
+            };
             if !inside(&class.halls, &hall) || !inside(&class.kinds, &kind) {
-                let how = format!("{id} of {} was sent to {engine} in {hall}, a {kind}", query.class);
+                let how = format!(
+                    "{id} of {} was sent to {engine} in {hall}, a {kind}",
+                    query.class
+                );
                 self.breaks(6, at, how);
             }
             if again {
@@ -255,22 +308,32 @@
             self.look_at_budget(at);
         }
         if let Some(query) = self.queries.get_mut(id) {
-            query.submissions.push(Submission { engine: engine.to_owned(), at, end: None, doubtful: false });
+            query.submissions.push(Submission {
+                engine: engine.to_owned(),
+                at,
+                end: None,
+                doubtful: false,
+            });
         }
     }
 
     /// Rule 2: a repeat must be harmless.
     fn look_at_repeat(&mut self, id: &str, engine: &str, class: &ClassRules, at: f64) {
-        let Some(query) = self.queries.get(id) else { return };
+        let Some(query) = self.queries.get(id) else {
+            return;
+        };
         let open = query.submissions.iter().any(|s| s.end.is_none());
-        let first = query.submissions.iter().find(|s| s.end.is_none_or(|(_, ran)| ran));
+        let first = query
+            .submissions
+            .iter()
+            .find(|s| s.end.is_none_or(|(_, ran)| ran));
         let mut how = Vec::new();
         if let Some(first) = first {
             match class.effect {
                 Effect::ReadOnly => {}
-                Effect::Mutating => {
-                    how.push(format!("{id} was sent to {engine} again though it may have run"))
-                }
+                Effect::Mutating => how.push(format!(
+                    "{id} was sent to {engine} again though it may have run"
+                )),
                 Effect::Tokened => {
                     let of = |name: &str| self.engines.get(name).map(|e| (e.hall.clone(), e.cell));
                     let (was, is) = (of(&first.engine), of(engine));
@@ -280,7 +343,9 @@
                         Scope::Cell => was.map(|w| w.1) == is.map(|i| i.1),
                     };
                     if !same {
-                        how.push(format!("{id} was sent to {engine} again, outside its dedup group"));
+                        how.push(format!(
+                            "{id} was sent to {engine} again, outside its dedup group"
+                        ));
                     }
                     if at - first.at > class.window + self.rules.slack {
                         how.push(format!("{id} was sent to {engine} again, past its window"));
@@ -290,23 +355,38 @@
         }
         // Two out at once are two effects at worst, whatever their ends say later.
         if open && class.effect != Effect::ReadOnly {
-            how.push(format!("{id} was sent to {engine} while another submission was out"));
+            how.push(format!(
+                "{id} was sent to {engine} while another submission was out"
+            ));
         }
         how.dedup();
         how.into_iter().for_each(|how| self.breaks(2, at, how));
     }
 
     fn applied_again(&mut self, id: &str, engine: &str, at: f64) {
-        let class = self.queries.get(id).and_then(|query| self.rules.classes.get(&query.class));
+        let class = self
+            .queries
+            .get(id)
+            .and_then(|query| self.rules.classes.get(&query.class));
         // A token recognised within its group applies once; a stand-in engine does not keep tokens.
         if class.is_some_and(|class| class.effect == Effect::Mutating) {
-            self.breaks(2, at, format!("{id} took effect a second time, on {engine}"));
+            self.breaks(
+                2,
+                at,
+                format!("{id} took effect a second time, on {engine}"),
+            );
         }
     }
 
     fn ended(&mut self, engine: &str, id: &str, ran: bool, doubtful: bool, at: f64) {
-        let Some(query) = self.queries.get_mut(id) else { return };
-        let open = query.submissions.iter_mut().rev().find(|s| s.engine == engine && s.end.is_none());
+        let Some(query) = self.queries.get_mut(id) else {
+            return;
+        };
+        let open = query
+            .submissions
+            .iter_mut()
+            .rev()
+            .find(|s| s.engine == engine && s.end.is_none());
         if let Some(submission) = open {
             submission.end = Some((at, ran));
             submission.doubtful = doubtful;
@@ -315,8 +395,12 @@
 
     /// Rule 4: what all send to a cold engine in any span.
     fn look_at_cold(&mut self, engine: &str, at: f64) {
-        let (Some(cold), Some(known)) = (self.rules.cold, self.engines.get(engine)) else { return };
-        let Some((started, cores)) = known.started.filter(|(started, _)| at - started < cold.warm_after)
+        let (Some(cold), Some(known)) = (self.rules.cold, self.engines.get(engine)) else {
+            return;
+        };
+        let Some((started, cores)) = known
+            .started
+            .filter(|(started, _)| at - started < cold.warm_after)
         else {
             return;
         };
@@ -327,7 +411,12 @@
             .map(|(_, w)| w)
             .sum();
         // One query alone never pushes an engine over by the rule.
-        let alone = known.arrived.iter().filter(|(when, _)| *when > at - cold.span).count() < 2;
+        let alone = known
+            .arrived
+            .iter()
+            .filter(|(when, _)| *when > at - cold.span)
+            .count()
+            < 2;
         let bears = cold.multiple * cold.from * cores * cold.span;
         if sent > bears && !alone {
             self.breaks(
@@ -340,19 +429,32 @@
 
     /// Rule 5: the first of a key that is not over, and not before the key has rested.
     fn look_at_order(&mut self, key: &str, id: &str, again: bool, at: f64) {
-        let Some(line) = self.lines.get(key) else { return };
+        let Some(line) = self.lines.get(key) else {
+            return;
+        };
         let mut how = None;
         for earlier in line.iter().take_while(|earlier| *earlier != id) {
-            let Some(query) = self.queries.get(earlier) else { continue };
+            let Some(query) = self.queries.get(earlier) else {
+                continue;
+            };
             let over = query.left.is_some() || !query.answers.is_empty();
             let out = query.submissions.iter().any(|s| s.end.is_none());
-            let rests =
-                query.submissions.iter().filter(|s| s.doubtful).filter_map(|s| s.end.map(|(end, _)| end));
-            let rested = rests.map(|end| end + self.rules.rest).fold(f64::NEG_INFINITY, f64::max);
+            let rests = query
+                .submissions
+                .iter()
+                .filter(|s| s.doubtful)
+                .filter_map(|s| s.end.map(|(end, _)| end));
+            let rested = rests
+                .map(|end| end + self.rules.rest)
+                .fold(f64::NEG_INFINITY, f64::max);
             if !over || out {
-                how = Some(format!("{id} was sent before {earlier} of its key was over"));
+                how = Some(format!(
+                    "{id} was sent before {earlier} of its key was over"
+                ));
             } else if !again && at + self.rules.slack < rested {
-                how = Some(format!("{id} was sent before its key had rested after {earlier}"));
+                how = Some(format!(
+                    "{id} was sent before its key had rested after {earlier}"
+                ));
             }
         }
         if let Some(how) = how {
@@ -362,13 +464,24 @@
 
     /// Rule 7: further submissions in the span that ends now.
     fn look_at_budget(&mut self, at: f64) {
-        let Some(budget) = self.rules.budget else { return };
-        let within =
-            |times: &[f64]| times.iter().rev().take_while(|when| **when > at - budget.span).count() as f64;
+        let Some(budget) = self.rules.budget else {
+            return;
+        };
+        let within = |times: &[f64]| {
+            times
+                .iter()
+                .rev()
+                .take_while(|when| **when > at - budget.span)
+                .count() as f64
+        };
         let (further, asked) = (within(&self.further), within(&self.asked));
         let allowed = WIDER * (budget.free + budget.share * asked) + 1.0;
         if further > allowed {
-            self.breaks(7, at, format!("{further} further submissions in a span that allows {allowed:.1}"));
+            self.breaks(
+                7,
+                at,
+                format!("{further} further submissions in a span that allows {allowed:.1}"),
+            );
         }
     }
 
@@ -392,15 +505,34 @@
     use super::*;
 
     fn rules() -> Rules {
-        let bound = ClassRules { halls: Some(vec!["east".into()]), ..ClassRules::of(Effect::ReadOnly) };
-        let keyed = ClassRules { in_order: true, ..ClassRules::of(Effect::Mutating) };
-        let tokened = ClassRules { scope: Scope::Hall, window: 1000.0, ..ClassRules::of(Effect::Tokened) };
+        let bound = ClassRules {
+            halls: Some(vec!["east".into()]),
+            ..ClassRules::of(Effect::ReadOnly)
+        };
+        let keyed = ClassRules {
+            in_order: true,
+            ..ClassRules::of(Effect::Mutating)
+        };
+        let tokened = ClassRules {
+            scope: Scope::Hall,
+            window: 1000.0,
+            ..ClassRules::of(Effect::Tokened)
+        };
         Rules {
             slack: 50.0,
             grace: 100.0,
-            cold: Some(Cold { multiple: 2.0, from: 0.25, span: 100.0, warm_after: 5000.0 }),
+            cold: Some(Cold {
+                multiple: 2.0,
+                from: 0.25,
+                span: 100.0,
+                warm_after: 5000.0,
+            }),
             rest: 500.0,
-            budget: Some(Budget { span: 1000.0, free: 1.0, share: 0.1 }),
+            budget: Some(Budget {
+                span: 1000.0,
+                free: 1.0,
+                share: 0.1,
+            }),
             classes: HashMap::from([
                 ("look".to_owned(), ClassRules::of(Effect::ReadOnly)),
                 ("load".to_owned(), ClassRules::of(Effect::Mutating)),
@@ -412,34 +544,69 @@
     }
 
     fn asked(class: &str, id: &str, key: Option<&str>) -> What {
-        What::Asked { id: id.into(), class: class.into(), wait: 1000.0, key: key.map(Into::into) }
+        What::Asked {
+            id: id.into(),
+            class: class.into(),
+            wait: 1000.0,
+            key: key.map(Into::into),
+        }
     }
 
     fn answered(id: &str, status: u16) -> What {
-        What::Answered { id: id.into(), status, retry_after: None }
+        What::Answered {
+            id: id.into(),
+            status,
+            retry_after: None,
+        }
     }
 
     fn arrived(engine: &str, id: &str) -> What {
-        What::Arrived { engine: engine.into(), id: id.into(), work: 10.0 }
+        What::Arrived {
+            engine: engine.into(),
+            id: id.into(),
+            work: 10.0,
+        }
     }
 
     fn ended(engine: &str, id: &str, ran: bool) -> What {
-        What::Ended { engine: engine.into(), id: id.into(), word: "X".into(), ran }
+        What::Ended {
+            engine: engine.into(),
+            id: id.into(),
+            word: "X".into(),
+            ran,
+        }
     }
 
     fn given_up(engine: &str, id: &str) -> What {
-        What::GivenUp { engine: engine.into(), id: id.into() }
+        What::GivenUp {
+            engine: engine.into(),
+            id: id.into(),
+        }
     }
 
     fn listed(engine: &str, status: Status, hall: &str) -> What {
-        What::Listed { engine: engine.into(), status, hall: hall.into(), kind: "std".into(), cell: 0 }
+        What::Listed {
+            engine: engine.into(),
+            status,
+            hall: hall.into(),
+            kind: "std".into(),
+            cell: 0,
+        }
     }
 
     /// The numbers of the rules that a run breaks.
     fn broken(run: &[(f64, What)]) -> Vec<u8> {
-        let entries: Vec<Entry> =
-            run.iter().map(|(at, what)| Entry { at: *at, what: what.clone() }).collect();
-        judge(&entries, &rules()).iter().map(|broken| broken.rule).collect()
+        let entries: Vec<Entry> = run
+            .iter()
+            .map(|(at, what)| Entry {
+                at: *at,
+                what: what.clone(),
+            })
+            .collect();
+        judge(&entries, &rules())
+            .iter()
+            .map(|broken| broken.rule)
+            .collect()
     }
 
     #[test]
@@ -455,7 +622,13 @@
             (6.0, arrived("e", "2")),
             (7.0, ended("e", "2", false)),
             (8.0, arrived("w", "2")),
-            (9.0, What::Applied { engine: "w".into(), id: "2".into() }),
+            (
+                9.0,
+                What::Applied {
+                    engine: "w".into(),
+                    id: "2".into(),
+                },
+            ),
             (9.0, ended("w", "2", true)),
             (10.0, answered("2", 200)),
             (11.0, asked("keyed", "3", Some("k"))),
@@ -476,14 +649,34 @@
     #[test]
     fn rule_1_one_answer_in_time_and_nothing_after() {
         assert_eq!(
-            broken(&[(0.0, asked("look", "1", None)), (5.0, answered("1", 200)), (6.0, answered("1", 429))]),
+            broken(&[
+                (0.0, asked("look", "1", None)),
+                (5.0, answered("1", 200)),
+                (6.0, answered("1", 429))
+            ]),
+            [1]
+        );
+        assert_eq!(
+            broken(&[
+                (0.0, asked("look", "1", None)),
+                (1051.0, answered("1", 200))
+            ]),
+            [1]
+        );
+        assert_eq!(
+            broken(&[
+                (0.0, asked("look", "1", None)),
+                (2000.0, asked("look", "2", None))
+            ]),
             [1]
         );
-        assert_eq!(broken(&[(0.0, asked("look", "1", None)), (1051.0, answered("1", 200))]), [1]);
-        assert_eq!(broken(&[(0.0, asked("look", "1", None)), (2000.0, asked("look", "2", None))]), [1]);
         assert_eq!(broken(&[(0.0, answered("9", 200))]), [1]);
         assert_eq!(broken(&[(0.0, arrived("e", "9"))]), [1]);
-        let after = [(0.0, asked("look", "1", None)), (5.0, answered("1", 429)), (90.0, arrived("e", "1"))];
+        let after = [
+            (0.0, asked("look", "1", None)),
+            (5.0, answered("1", 429)),
+            (90.0, arrived("e", "1")),
+        ];
         assert_eq!(broken(&after), [1]);
     }
 
@@ -509,23 +702,49 @@
             ])
         };
         assert_eq!((deferred(false), deferred(true)), (vec![], vec![2]));
-        let out = [(0.0, asked("load", "1", None)), (1.0, arrived("e", "1")), (2.0, arrived("w", "1"))];
+        let out = [
+            (0.0, asked("load", "1", None)),
+            (1.0, arrived("e", "1")),
+            (2.0, arrived("w", "1")),
+        ];
         assert!(broken(&out).contains(&2));
-        let twice = |id: &str| What::Applied { engine: "e".into(), id: id.into() };
-        assert_eq!(broken(&[(0.0, asked("load", "1", None)), (1.0, twice("1")), (2.0, twice("1"))]), [2]);
+        let twice = |id: &str| What::Applied {
+            engine: "e".into(),
+            id: id.into(),
+        };
+        assert_eq!(
+            broken(&[
+                (0.0, asked("load", "1", None)),
+                (1.0, twice("1")),
+                (2.0, twice("1"))
+            ]),
+            [2]
+        );
         // A token counts within its hall and window only.
         let tokened = |hall: &str, at: f64| {
             broken(&[
                 (0.0, listed("e", Status::Ready, "east")),
                 (0.0, listed("w", Status::Ready, hall)),
-                (0.0, What::Asked { id: "1".into(), class: "tokened".into(), wait: 9e3, key: None }),
+                (
+                    0.0,
+                    What::Asked {
+                        id: "1".into(),
+                        class: "tokened".into(),
+                        wait: 9e3,
+                        key: None,
+                    },
+                ),
                 (1.0, arrived("e", "1")),
                 (2.0, given_up("e", "1")),
                 (at, arrived("w", "1")),
             ])
         };
         assert_eq!(
-            (tokened("east", 3.0), tokened("west", 3.0), tokened("east", 1100.0)),
+            (
+                tokened("east", 3.0),
+                tokened("west", 3.0),
+                tokened("east", 1100.0)
+            ),
             (vec![], vec![2], vec![2])
         );
     }
@@ -539,14 +758,26 @@
                 (at, arrived("e", "1")),
             ])
         };
-        assert_eq!((sent(Status::Draining, 149.0), sent(Status::Draining, 151.0)), (vec![], vec![3]));
-        assert_eq!((sent(Status::Gone, 500.0), sent(Status::Ready, 500.0)), (vec![3], vec![]));
+        assert_eq!(
+            (sent(Status::Draining, 149.0), sent(Status::Draining, 151.0)),
+            (vec![], vec![3])
+        );
+        assert_eq!(
+            (sent(Status::Gone, 500.0), sent(Status::Ready, 500.0)),
+            (vec![3], vec![])
+        );
     }
 
     #[test]
     fn rule_4_a_cold_engine_is_not_pushed_over() {
         let run = |many: usize, at: f64| {
-            let mut run = vec![(0.0, What::Started { engine: "e".into(), cores: 1.0 })];
+            let mut run = vec![(
+                0.0,
+                What::Started {
+                    engine: "e".into(),
+                    cores: 1.0,
+                },
+            )];
             for n in 0..many {
                 run.push((at, asked("look", &n.to_string(), None)));
                 run.push((at, arrived("e", &n.to_string())));
@@ -554,7 +785,10 @@
             broken(&run).contains(&4)
         };
         // A span bears 2 x 0.25 x 1 core x 100 ms = 50 ms, five of 10.
-        assert_eq!((run(5, 10.0), run(6, 10.0), run(6, 5001.0)), (false, true, false));
+        assert_eq!(
+            (run(5, 10.0), run(6, 10.0), run(6, 5001.0)),
+            (false, true, false)
+        );
     }
 
     #[test]
@@ -570,9 +804,18 @@
             broken(&run)
         };
         assert_eq!(order(vec![], 2.0), [5]);
-        assert_eq!(order(vec![(2.0, ended("e", "1", true)), (3.0, answered("1", 200))], 4.0), [0; 0]);
+        assert_eq!(
+            order(
+                vec![(2.0, ended("e", "1", true)), (3.0, answered("1", 200))],
+                4.0
+            ),
+            [0; 0]
+        );
         let doubt = || vec![(2.0, given_up("e", "1")), (3.0, answered("1", 500))];
-        assert_eq!((order(doubt(), 300.0), order(doubt(), 510.0)), (vec![5], vec![]));
+        assert_eq!(
+            (order(doubt(), 300.0), order(doubt(), 510.0)),
+            (vec![5], vec![])
+        );
     }
 
     #[test]
@@ -600,8 +843,15 @@
 
     #[test]
     fn a_record_is_read_back_as_it_was_written() {
-        let entry = Entry { at: 7.5, what: asked("look", "1", Some("k")) };
+        let entry = Entry {
+            at: 7.5,
+            what: asked("look", "1", Some("k")),
+        };
         let text = serde_json::to_string(&entry).unwrap();
-        assert_eq!(serde_json::from_str::<Entry>(&text).unwrap(), entry, "{text}");
+        assert_eq!(
+            serde_json::from_str::<Entry>(&text).unwrap(),
+            entry,
+            "{text}"
+        );
     }
 }
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -27,7 +27,16 @@
 impl Ask {
     pub fn new(id: u64, path: &str, class: &str, statement: &str, wait: f64) -> Self {
         let (path, class, statement) = (path.to_owned(), class.to_owned(), statement.to_owned());
-        Ask { id, path, class, statement, wait, owner: "acme".into(), cost: None, memory: None }
+        Ask {
+            id,
+            path,
+            class,
+            statement,
+            wait,
+            owner: "acme".into(),
+            cost: None,
+            memory: None,
+        }
     }
 
     pub fn id(&self) -> String {
@@ -69,22 +78,43 @@
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_nodelay(true).ok()?;
     stream
-        .set_read_timeout(Some(Duration::from_secs_f64(ask.wait / 1000.0) + Duration::from_secs(2)))
+        .set_read_timeout(Some(
+            Duration::from_secs_f64(ask.wait / 1000.0) + Duration::from_secs(2),
+        ))
         .ok()?;
     let from = record.now();
     let (id, class, wait) = (ask.id(), ask.class.clone(), ask.wait);
-    record.saw_at(from, What::Asked { id: id.clone(), class, wait, key: None });
+    record.saw_at(
+        from,
+        What::Asked {
+            id: id.clone(),
+            class,
+            wait,
+            key: None,
+        },
+    );
     stream.write_all(&ask.bytes()).ok()?;
     let (status, head, body) = answer(&mut BufReader::new(stream))?;
     let retry_after = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
-    record.saw(What::Answered { id, status, retry_after });
-    Some(Got { status, retry_after, body, took: record.now() - from })
+    record.saw(What::Answered {
+        id,
+        status,
+        retry_after,
+    });
+    Some(Got {
+        status,
+        retry_after,
+        body,
+        took: record.now() - from,
+    })
 }
 
 /// Sends a query in two parts with a pause between them; the connection on which its answer will come.
 pub fn post_slowly(to: SocketAddr, ask: &Ask, cut: usize, pause: Duration) -> TcpStream {
     let mut stream = TcpStream::connect(to).expect("the program listens");
-    stream.set_read_timeout(Some(WAIT)).expect("a socket takes a timeout");
+    stream
+        .set_read_timeout(Some(WAIT))
+        .expect("a socket takes a timeout");
     let whole = ask.bytes();
     let (first, second) = whole.split_at(cut.min(whole.len()));
     stream.write_all(first).expect("the program reads");
--- a/crates/rig/src/corpus.rs
+++ b/crates/rig/src/corpus.rs
@@ -31,7 +31,12 @@
 /// By class: name, effect, patterns of the first part, patterns of the second. A pattern's marks: `%t` a table, `%c` a
 /// column, `%n` a number, `%s` a string, `%l` a list of literals, `%v` rows of literals. Marks with a digit behind them
 /// stand for the same table or column throughout.
-type Patterns = (&'static str, &'static str, &'static [&'static str], &'static [&'static str]);
+type Patterns = (
+    &'static str,
+    &'static str,
+    &'static [&'static str],
+    &'static [&'static str],
+);
 
 const PATTERNS: [Patterns; 4] = [
     (
@@ -127,12 +132,12 @@
 ];
 
 const TABLES: [&str; 12] = [
-    "orders", "lanes", "quotes", "rates", "shippers", "holds", "tariffs", "invoices", "stops", "zones",
-    "notes", "days",
+    "orders", "lanes", "quotes", "rates", "shippers", "holds", "tariffs", "invoices", "stops",
+    "zones", "notes", "days",
 ];
 const COLUMNS: [&str; 14] = [
-    "day", "weight", "rate", "fuel", "origin", "dest", "code", "region", "miles", "pallets", "status",
-    "total", "carrier", "note",
+    "day", "weight", "rate", "fuel", "origin", "dest", "code", "region", "miles", "pallets",
+    "status", "total", "carrier", "note",
 ];
 
 /// Fills a pattern's names. Literals stay as marks: they are what differs between statements of a form.
@@ -141,7 +146,10 @@
     let mut text = String::new();
     let mut rest = pattern.chars().peekable();
     while let Some(c) = rest.next() {
-        let kind = rest.peek().copied().filter(|k| c == '%' && "tc".contains(*k));
+        let kind = rest
+            .peek()
+            .copied()
+            .filter(|k| c == '%' && "tc".contains(*k));
         let Some(kind) = kind else {
             text.push(c);
             continue;
@@ -158,7 +166,10 @@
             }
         };
         let name = match digit {
-            Some(digit) => names.entry(format!("{kind}{digit}")).or_insert_with(&mut fresh).clone(),
+            Some(digit) => names
+                .entry(format!("{kind}{digit}"))
+                .or_insert_with(&mut fresh)
+                .clone(),
             None => fresh(),
         };
         text += &name;
@@ -175,7 +186,9 @@
     let literal = |chance: &mut Pcg64| match chance.random_range(0..4) {
         0 => format!(
             "'{}'",
-            ["a", "x''y", "", "delete from t", "1;2", "-- no", "/* no"].choose(chance).unwrap_or(&"")
+            ["a", "x''y", "", "delete from t", "1;2", "-- no", "/* no"]
+                .choose(chance)
+                .unwrap_or(&"")
         ),
         1 => format!("{:.2}", chance.random_range(0.0..1e4)),
         2 => format!("-{}", chance.random_range(1..99)),
@@ -194,13 +207,17 @@
                     )
                 }
                 Some('l') => {
-                    let items: Vec<String> =
-                        (0..chance.random_range(1..30)).map(|_| literal(chance)).collect();
+                    let items: Vec<String> = (0..chance.random_range(1..30))
+                        .map(|_| literal(chance))
+                        .collect();
                     text += &items.join(", ");
                 }
                 Some('v') => {
-                    let row = |chance: &mut Pcg64| format!("({}, {})", literal(chance), literal(chance));
-                    let rows: Vec<String> = (0..chance.random_range(1..20)).map(|_| row(chance)).collect();
+                    let row =
+                        |chance: &mut Pcg64| format!("({}, {})", literal(chance), literal(chance));
+                    let rows: Vec<String> = (0..chance.random_range(1..20))
+                        .map(|_| row(chance))
+                        .collect();
                     text += &rows.join(",");
                 }
                 other => text.extend(['%'].into_iter().chain(other)),
@@ -226,7 +243,11 @@
 fn written() -> Vec<Labelled> {
     let lines = include_str!("../corpus/written.txt").lines();
     let known = |word: &str| {
-        PATTERNS.iter().flat_map(|p| [p.0, p.1]).find(|known| *known == word).unwrap_or("unknown")
+        PATTERNS
+            .iter()
+            .flat_map(|p| [p.0, p.1])
+            .find(|known| *known == word)
+            .unwrap_or("unknown")
     };
     lines
         .filter_map(|line| {
@@ -237,7 +258,15 @@
         .enumerate()
         .map(|(form, (class, effect, statement))| {
             let (part, work, threads) = (Part::Measuring, 50.0, 1.0);
-            Labelled { statement, class, effect, part, form, work, threads }
+            Labelled {
+                statement,
+                class,
+                effect,
+                part,
+                form,
+                work,
+                threads,
+            }
         })
         .collect()
 }
@@ -262,7 +291,15 @@
                     let work = costs.sample(&mut chance);
                     for _ in 0..each {
                         let statement = statement(&form, &mut chance);
-                        all.push(Labelled { statement, class, effect, part, form: number, work, threads });
+                        all.push(Labelled {
+                            statement,
+                            class,
+                            effect,
+                            part,
+                            form: number,
+                            work,
+                            threads,
+                        });
                     }
                     number += 1;
                 }
@@ -310,13 +347,24 @@
     b"listen",
     b"notify",
 ];
-const ANYWHERE: [&[u8]; 10] =
-    [b"insert", b"update", b"delete", b"merge", b"into", b"truncate", b"drop", b"alter", b"create", b"grant"];
+const ANYWHERE: [&[u8]; 10] = [
+    b"insert",
+    b"update",
+    b"delete",
+    b"merge",
+    b"into",
+    b"truncate",
+    b"drop",
+    b"alter",
+    b"create",
+    b"grant",
+];
 /// Functions with effects, where a bracket is behind them.
 const CALLED: [&[u8]; 4] = [b"nextval", b"setval", b"pg_advisory_lock", b"set_config"];
 
 fn reading_may_change(text: &[u8], modes: u8) -> bool {
-    let [escapes, nested, hash, dashes, dollars, runs] = std::array::from_fn(|bit| modes >> bit & 1 == 1);
+    let [escapes, nested, hash, dashes, dollars, runs] =
+        std::array::from_fn(|bit| modes >> bit & 1 == 1);
     let mut at = 0;
     let mut starts = true;
     let mut behind_dot = false;
@@ -374,8 +422,12 @@
                 }
             }
             b'$' if dollars => {
-                let tag = text[at + 1..].iter().position(|b| !(b.is_ascii_alphanumeric() || *b == b'_'));
-                let end = tag.filter(|tag| text[at + 1 + tag] == b'$').map(|tag| at + 2 + tag);
+                let tag = text[at + 1..]
+                    .iter()
+                    .position(|b| !(b.is_ascii_alphanumeric() || *b == b'_'));
+                let end = tag
+                    .filter(|tag| text[at + 1 + tag] == b'$')
+                    .map(|tag| at + 2 + tag);
                 let close = end.and_then(|end| {
                     let tag = &text[at..end];
                     text[end..]
@@ -394,7 +446,9 @@
                 let known = |list: &[&[u8]]| list.contains(&word.as_slice());
                 let behind = text[at..].iter().find(|b| !b.is_ascii_whitespace());
                 let called = behind.is_some_and(|b| matches!(b, b'('));
-                if !behind_dot && (starts && known(&STARTS) || known(&ANYWHERE) || called && known(&CALLED)) {
+                if !behind_dot
+                    && (starts && known(&STARTS) || known(&ANYWHERE) || called && known(&CALLED))
+                {
                     return true;
                 }
                 (starts, behind_dot) = (false, false);
@@ -489,9 +543,15 @@
         let part_of: HashMap<usize, Part> = all.iter().map(|s| (s.form, s.part)).collect();
         assert!(all.iter().all(|s| part_of[&s.form] == s.part));
         let made = all.iter().filter(|s| s.form >= written().len());
-        assert!(made.clone().all(|s| !s.statement.contains('%')), "a mark was not filled");
+        assert!(
+            made.clone().all(|s| !s.statement.contains('%')),
+            "a mark was not filled"
+        );
         let again = corpus(8, 8, 1);
-        assert!(all.iter().zip(&again).all(|(a, b)| a.statement == b.statement));
+        assert!(all
+            .iter()
+            .zip(&again)
+            .all(|(a, b)| a.statement == b.statement));
     }
 
     #[test]
@@ -507,9 +567,12 @@
         ] {
             assert!(may_change(text.as_bytes()), "{text}");
         }
-        for text in
-            ["select 'delete from t'", "select t.update from t", "select 1 -- delete\n", "select \"into\""]
-        {
+        for text in [
+            "select 'delete from t'",
+            "select t.update from t",
+            "select 1 -- delete\n",
+            "select \"into\"",
+        ] {
             assert!(!may_change(text.as_bytes()), "{text}");
         }
     }
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -31,9 +31,33 @@
 }
 
 const KINDS: [Kind; 3] = [
-    Kind { name: "look", rate: 90.0, height: 2.0, work: 12.0, threads: 1.0, wait: 1500.0, changes: false },
-    Kind { name: "report", rate: 9.0, height: 4.0, work: 700.0, threads: 4.0, wait: 3000.0, changes: false },
-    Kind { name: "load", rate: 2.0, height: 3.0, work: 500.0, threads: 2.0, wait: 3000.0, changes: true },
+    Kind {
+        name: "look",
+        rate: 90.0,
+        height: 2.0,
+        work: 12.0,
+        threads: 1.0,
+        wait: 1500.0,
+        changes: false,
+    },
+    Kind {
+        name: "report",
+        rate: 9.0,
+        height: 4.0,
+        work: 700.0,
+        threads: 4.0,
+        wait: 3000.0,
+        changes: false,
+    },
+    Kind {
+        name: "load",
+        rate: 2.0,
+        height: 3.0,
+        work: 500.0,
+        threads: 2.0,
+        wait: 3000.0,
+        changes: true,
+    },
 ];
 
 /// What became of a class's queries.
@@ -55,23 +79,55 @@
 
 /// Rules with the figures of the configuration below.
 fn rules() -> Rules {
-    let budget = Some(Budget { span: 10_000.0, free: 10.0, share: 0.2 });
-    let effect = |kind: &Kind| if kind.changes { Effect::Mutating } else { Effect::ReadOnly };
-    let classes = KINDS.iter().map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind)))).collect();
-    Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget, classes }
+    let budget = Some(Budget {
+        span: 10_000.0,
+        free: 10.0,
+        share: 0.2,
+    });
+    let effect = |kind: &Kind| {
+        if kind.changes {
+            Effect::Mutating
+        } else {
+            Effect::ReadOnly
+        }
+    };
+    let classes = KINDS
+        .iter()
+        .map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind))))
+        .collect();
+    Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget,
+        classes,
+    }
 }
 
 fn configuration(engines: &[Engine], names: &Names) -> Config {
     let known: Vec<(String, std::net::SocketAddr)> =
         engines.iter().map(|e| (e.id.clone(), e.address)).collect();
-    let effect = |kind: &Kind| if kind.changes { "non_idempotent" } else { "read_like" };
-    let classes: Vec<_> = KINDS.iter().map(|k| class(k.name, k.wait / 3.0, k.wait, effect(k))).collect();
+    let effect = |kind: &Kind| {
+        if kind.changes {
+            "non_idempotent"
+        } else {
+            "read_like"
+        }
+    };
+    let classes: Vec<_> = KINDS
+        .iter()
+        .map(|k| class(k.name, k.wait / 3.0, k.wait, effect(k)))
+        .collect();
     let threads: Vec<u32> = KINDS.iter().map(|kind| kind.threads as u32).collect();
     Config::new(free_address(), &known, &classes, &threads)
         .with("resolver", names.address.to_string())
         .with("settings.limits.probes", true)
         .with("settings.family-info.tells-every-us", 100_000)
-        .with("settings.family-info.class-load", serde_json::json!([false, false, true]))
+        .with(
+            "settings.family-info.class-load",
+            serde_json::json!([false, false, true]),
+        )
         .with(
             "settings.rules",
             serde_json::json!({
@@ -83,9 +139,13 @@
 /// Plays `seconds` of it with everything drawn from `seed`; progress goes to standard error.
 pub fn run(exe: &Path, seconds: f64, seed: u64, quiet: bool) -> Report {
     let world = Arc::new(World::default());
-    let spec = Spec { cores: 8.0, ..Spec::default() };
-    let engines: Vec<Engine> =
-        (0..5).map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone())).collect();
+    let spec = Spec {
+        cores: 8.0,
+        ..Spec::default()
+    };
+    let engines: Vec<Engine> = (0..5)
+        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
+        .collect();
     let listed = |e: &Engine| Listed {
         id: e.id.clone(),
         hall: "h".into(),
@@ -96,20 +156,36 @@
         started: 0.0,
     };
     let names = Names::start(engines.iter().map(listed).collect(), world.record.clone());
-    let mut program =
-        Program::launch(exe, &configuration(&engines, &names), &["--log-level", "error"], Stdio::piped());
+    let mut program = Program::launch(
+        exe,
+        &configuration(&engines, &names),
+        &["--log-level", "error"],
+        Stdio::piped(),
+    );
     program.wait_until_healthy();
     let outcomes: Arc<Mutex<BTreeMap<&'static str, Outcome>>> = Arc::default();
     for kind in &KINDS {
         let took = Histogram::new_with_bounds(1, 60_000, 3).expect("bounds in order");
-        let none = Outcome { asked: 0, finished: 0, deferred: 0, killed: 0, took };
-        outcomes.lock().expect("no holder panics").insert(kind.name, none);
+        let none = Outcome {
+            asked: 0,
+            finished: 0,
+            deferred: 0,
+            killed: 0,
+            took,
+        };
+        outcomes
+            .lock()
+            .expect("no holder panics")
+            .insert(kind.name, none);
     }
     let from = Instant::now();
     let clients = traffic(program.listen, seconds, seed, &world, &outcomes);
     let mut told = 0;
     let mut faults = vec![
-        (0.25, Box::new(|| engines[1].fault(Fault::Errors(0.7))) as Box<dyn Fn()>),
+        (
+            0.25,
+            Box::new(|| engines[1].fault(Fault::Errors(0.7))) as Box<dyn Fn()>,
+        ),
         (0.40, Box::new(|| engines[1].fault(Fault::Silent))),
         (0.50, Box::new(|| names.set("s-3", Status::Draining))),
         (0.60, Box::new(|| engines[1].fault(Fault::None))),
@@ -147,7 +223,10 @@
 
 /// One thread for each class draws arrivals; one for each query waits for its answer.
 fn traffic(
-    to: std::net::SocketAddr, seconds: f64, seed: u64, world: &Arc<World>,
+    to: std::net::SocketAddr,
+    seconds: f64,
+    seed: u64,
+    world: &Arc<World>,
     outcomes: &Arc<Mutex<BTreeMap<&'static str, Outcome>>>,
 ) -> Vec<thread::JoinHandle<()>> {
     let start = Instant::now();
@@ -171,16 +250,33 @@
                     _ => format!("insert into sales_{tables}.lanes select * from staging.lanes where batch = {number}"),
                 };
                 let id = (n as u64 + 1) << 48 | number;
-                let mut query = Ask::new(id, &format!("/invoke/{}", kind.name), kind.name, &text, kind.wait);
+                let mut query = Ask::new(
+                    id,
+                    &format!("/invoke/{}", kind.name),
+                    kind.name,
+                    &text,
+                    kind.wait,
+                );
                 query.cost = Some(work * chance.random_range(0.7..1.4));
-                let truth = Work { work, threads: kind.threads, changes: kind.changes, tables };
-                world.works.lock().expect("no holder panics").insert(query.id(), truth);
+                let truth = Work {
+                    work,
+                    threads: kind.threads,
+                    changes: kind.changes,
+                    tables,
+                };
+                world
+                    .works
+                    .lock()
+                    .expect("no holder panics")
+                    .insert(query.id(), truth);
                 thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
                 let (world, outcomes) = (world.clone(), outcomes.clone());
                 waiting.push(thread::spawn(move || {
                     let got = ask(to, &query, &world.record);
                     let mut outcomes = outcomes.lock().expect("no holder panics");
-                    let Some(outcome) = outcomes.get_mut(kind.name) else { return };
+                    let Some(outcome) = outcomes.get_mut(kind.name) else {
+                        return;
+                    };
                     outcome.asked += 1;
                     match got.as_ref().map(|got| got.status) {
                         Some(200) => outcome.finished += 1,
@@ -199,10 +295,17 @@
     KINDS.iter().enumerate().map(sender).collect()
 }
 
-fn progress(second: u64, outcomes: &Mutex<BTreeMap<&'static str, Outcome>>, engines: &[Engine]) -> String {
+fn progress(
+    second: u64,
+    outcomes: &Mutex<BTreeMap<&'static str, Outcome>>,
+    engines: &[Engine],
+) -> String {
     let outcomes = outcomes.lock().expect("no holder panics");
     let sum = |of: fn(&Outcome) -> u64| outcomes.values().map(of).sum::<u64>();
-    let threads: Vec<String> = engines.iter().map(|e| format!("{}:{:>2.0}", e.id, e.threads())).collect();
+    let threads: Vec<String> = engines
+        .iter()
+        .map(|e| format!("{}:{:>2.0}", e.id, e.threads()))
+        .collect();
     format!(
         "{second:>3} s  asked {:>5}  finished {:>5}  deferred {:>4}  killed {:>3}  threads {}",
         sum(|o| o.asked),
@@ -219,7 +322,10 @@
         "class", "asked", "finished", "deferred", "killed", "p50 ms", "p99 ms"
     );
     for (name, o) in &*outcomes.lock().expect("no holder panics") {
-        let (p50, p99) = (o.took.value_at_quantile(0.5), o.took.value_at_quantile(0.99));
+        let (p50, p99) = (
+            o.took.value_at_quantile(0.5),
+            o.took.value_at_quantile(0.99),
+        );
         let _ = writeln!(
             table,
             "{name:<8} {:>7} {:>9} {:>9} {:>7} {p50:>8} {p99:>8}",
@@ -240,7 +346,12 @@
     for engine in engines {
         let load = engine.busy() / (8.0 * lasted);
         let count = arrived.get(engine.id.as_str()).copied().unwrap_or(0);
-        let _ = writeln!(table, "{:<8} {count:>12} {:>11.0}%", engine.id, load * 100.0);
+        let _ = writeln!(
+            table,
+            "{:<8} {count:>12} {:>11.0}%",
+            engine.id,
+            load * 100.0
+        );
     }
     table
 }
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -19,13 +19,17 @@
     react: impl Fn(&[String], &mut TcpStream) + Send + Clone + 'static,
 ) -> (SocketAddr, Receiver<(Vec<String>, Instant)>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    let address = listener.local_addr().expect("a bound socket has an address");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
     let (tell, told) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (tell, react) = (tell.clone(), react.clone());
             thread::spawn(move || {
-                let Ok(reader) = stream.try_clone() else { return };
+                let Ok(reader) = stream.try_clone() else {
+                    return;
+                };
                 let (mut reader, mut writer) = (BufReader::new(reader), stream);
                 while let Some(parts) = frame(&mut reader) {
                     let _ = tell.send((parts.clone(), Instant::now()));
@@ -40,8 +44,12 @@
 /// From now on no connection comes up at this listener, as at a machine that vanished, as long as what is returned is
 /// held and nobody accepts: its backlog is as short as it gets, and full.
 pub fn vanishes(listener: &TcpListener) -> Vec<TcpStream> {
-    let address = listener.local_addr().expect("a bound socket has an address");
-    socket2::SockRef::from(listener).listen(0).expect("a listener listens");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    socket2::SockRef::from(listener)
+        .listen(0)
+        .expect("a listener listens");
     let next = || TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
     std::iter::from_fn(next).collect()
 }
@@ -96,7 +104,13 @@
 
 impl Default for Spec {
     fn default() -> Self {
-        Spec { cores: 8.0, most_threads_a_core: 16.0, tells_every: 100.0, cold_from: 1.0, warm_after: 0.0 }
+        Spec {
+            cores: 8.0,
+            most_threads_a_core: 16.0,
+            tells_every: 100.0,
+            cold_from: 1.0,
+            warm_after: 0.0,
+        }
     }
 }
 
@@ -132,9 +146,17 @@
 impl Engine {
     pub fn start(id: &str, spec: Spec, seed: u64, world: Arc<World>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let address = listener.local_addr().expect("a bound socket has an address");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
         let chance = Pcg32::seed_from_u64(seed);
-        let state = State { fault: Fault::None, threads: 0.0, started: Instant::now(), chance, busy: 0.0 };
+        let state = State {
+            fault: Fault::None,
+            threads: 0.0,
+            started: Instant::now(),
+            chance,
+            busy: 0.0,
+        };
         let engine = Engine {
             id: id.to_owned(),
             address,
@@ -160,13 +182,19 @@
 
     pub fn fault(&self, fault: Fault) {
         self.state.lock().expect("no holder panics").fault = fault;
-        self.world.record.saw(What::Fault { engine: self.id.clone(), fault: format!("{fault:?}") });
+        self.world.record.saw(What::Fault {
+            engine: self.id.clone(),
+            fault: format!("{fault:?}"),
+        });
     }
 
     /// Starts anew: cold from now on.
     pub fn starts_cold(&self) {
         self.state.lock().expect("no holder panics").started = Instant::now();
-        self.world.record.saw(What::Started { engine: self.id.clone(), cores: self.spec.cores });
+        self.world.record.saw(What::Started {
+            engine: self.id.clone(),
+            cores: self.spec.cores,
+        });
     }
 
     /// Ends: what is open is reset, what comes is refused.
@@ -191,18 +219,30 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (Ok(kept), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else { return };
-        self.streams.lock().expect("no holder panics").insert(peer, kept);
-        let Ok(reader) = stream.try_clone() else { return };
+        let (Ok(kept), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+            return;
+        };
+        self.streams
+            .lock()
+            .expect("no holder panics")
+            .insert(peer, kept);
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let writer = Arc::new(Mutex::new(stream));
         let mut reader = BufReader::new(reader);
         let mut runs: Vec<Arc<Run>> = Vec::new();
         while let Some(parts) = frame(&mut reader) {
-            let (word, id) =
-                (parts.first().map_or("", String::as_str), parts.get(1).cloned().unwrap_or_default());
+            let (word, id) = (
+                parts.first().map_or("", String::as_str),
+                parts.get(1).cloned().unwrap_or_default(),
+            );
             match word {
                 "fetch" => {
-                    let run = Arc::new(Run { id, given_up: AtomicBool::new(false) });
+                    let run = Arc::new(Run {
+                        id,
+                        given_up: AtomicBool::new(false),
+                    });
                     runs.retain(|run| Arc::strong_count(run) > 1);
                     runs.push(run.clone());
                     if !self.take(run, &parts, &writer) {
@@ -214,29 +254,56 @@
                         run.given_up.store(true, Ordering::Relaxed);
                     }
                 }
-                "alive" | "stats" if self.state.lock().expect("no holder panics").fault != Fault::Silent => {
-                    say(&mut *writer.lock().expect("no holder panics"), &[&id, "FIT", "-", ""]);
+                "alive" | "stats"
+                    if self.state.lock().expect("no holder panics").fault != Fault::Silent =>
+                {
+                    say(
+                        &mut *writer.lock().expect("no holder panics"),
+                        &[&id, "FIT", "-", ""],
+                    );
                 }
                 _ => {}
             }
         }
-        let _ = writer.lock().expect("no holder panics").shutdown(Shutdown::Both);
+        let _ = writer
+            .lock()
+            .expect("no holder panics")
+            .shutdown(Shutdown::Both);
         self.streams.lock().expect("no holder panics").remove(&peer);
-        runs.iter().for_each(|run| run.given_up.store(true, Ordering::Relaxed));
+        runs.iter()
+            .for_each(|run| run.given_up.store(true, Ordering::Relaxed));
     }
 
     /// Takes a request in; whether its connection goes on.
     fn take(&self, run: Arc<Run>, parts: &[String], writer: &Arc<Mutex<TcpStream>>) -> bool {
-        let known = self.world.works.lock().expect("no holder panics").get(&run.id).copied();
-        let work = known.unwrap_or(Work { work: 1.0, threads: 1.0, changes: false, tables: 0 });
+        let known = self
+            .world
+            .works
+            .lock()
+            .expect("no holder panics")
+            .get(&run.id)
+            .copied();
+        let work = known.unwrap_or(Work {
+            work: 1.0,
+            threads: 1.0,
+            changes: false,
+            tables: 0,
+        });
         let record = &self.world.record;
-        record.saw(What::Arrived { engine: self.id.clone(), id: run.id.clone(), work: work.work });
-        let limit =
-            parts.get(2).and_then(|fields| of_list(fields, "limit")?.parse::<f64>().ok()).unwrap_or(1e9);
+        record.saw(What::Arrived {
+            engine: self.id.clone(),
+            id: run.id.clone(),
+            work: work.work,
+        });
+        let limit = parts
+            .get(2)
+            .and_then(|fields| of_list(fields, "limit")?.parse::<f64>().ok())
+            .unwrap_or(1e9);
         let (fault, lot, crowded) = {
             let mut state = self.state.lock().expect("no holder panics");
             let lot: f64 = state.chance.random();
-            let crowded = state.threads + work.threads > self.spec.cores * self.spec.most_threads_a_core;
+            let crowded =
+                state.threads + work.threads > self.spec.cores * self.spec.most_threads_a_core;
             if !crowded {
                 state.threads += work.threads;
             }
@@ -244,7 +311,12 @@
         };
         let end = |word: &str, ran: bool| {
             let (engine, id, word) = (self.id.clone(), run.id.clone(), word.to_owned());
-            record.saw(What::Ended { engine, id, word, ran });
+            record.saw(What::Ended {
+                engine,
+                id,
+                word,
+                ran,
+            });
         };
         let leave = || self.state.lock().expect("no holder panics").threads -= work.threads;
         if crowded || matches!(fault, Fault::Full(part) if lot < part) {
@@ -252,11 +324,17 @@
                 leave();
             }
             end("WAIT", false);
-            return say(&mut *writer.lock().expect("no holder panics"), &[&run.id, "WAIT", "-", ""]);
+            return say(
+                &mut *writer.lock().expect("no holder panics"),
+                &[&run.id, "WAIT", "-", ""],
+            );
         }
         if matches!(fault, Fault::Resets(part) if lot < part) {
             leave();
-            record.saw(What::GivenUp { engine: self.id.clone(), id: run.id.clone() });
+            record.saw(What::GivenUp {
+                engine: self.id.clone(),
+                id: run.id.clone(),
+            });
             return false;
         }
         let (own, writer) = (self.clone(), writer.clone());
@@ -272,22 +350,51 @@
         let state = self.state.lock().expect("no holder panics");
         let crowd = (self.spec.cores / state.threads.max(1.0)).min(1.0);
         let age = state.started.elapsed().as_secs_f64() * 1000.0;
-        let warm = if self.spec.warm_after > 0.0 { (age / self.spec.warm_after).min(1.0) } else { 1.0 };
+        let warm = if self.spec.warm_after > 0.0 {
+            (age / self.spec.warm_after).min(1.0)
+        } else {
+            1.0
+        };
         let cold = self.spec.cold_from + (1.0 - self.spec.cold_from) * warm;
-        let slow = if let Fault::Slow(times) = state.fault { times } else { 1.0 };
+        let slow = if let Fault::Slow(times) = state.fault {
+            times
+        } else {
+            1.0
+        };
         crowd * cold / slow
     }
 
-    fn run(&self, run: &Run, work: Work, limit: f64, fault: Fault, lot: f64, writer: &Mutex<TcpStream>) {
+    fn run(
+        &self,
+        run: &Run,
+        work: Work,
+        limit: f64,
+        fault: Fault,
+        lot: f64,
+        writer: &Mutex<TcpStream>,
+    ) {
         let record = &self.world.record;
         let given_up = || run.given_up.load(Ordering::Relaxed);
-        let gives_up = || record.saw(What::GivenUp { engine: self.id.clone(), id: run.id.clone() });
+        let gives_up = || {
+            record.saw(What::GivenUp {
+                engine: self.id.clone(),
+                id: run.id.clone(),
+            })
+        };
         let write = |word: &str, fields: &str, body: &str| {
-            say(&mut *writer.lock().expect("no holder panics"), &[&run.id, word, fields, body])
+            say(
+                &mut *writer.lock().expect("no holder panics"),
+                &[&run.id, word, fields, body],
+            )
         };
         let end = |word: &str, ran: bool| {
             let (engine, id, word) = (self.id.clone(), run.id.clone(), word.to_owned());
-            record.saw(What::Ended { engine, id, word, ran });
+            record.saw(What::Ended {
+                engine,
+                id,
+                word,
+                ran,
+            });
         };
         if fault == Fault::Silent {
             let from = Instant::now();
@@ -317,11 +424,18 @@
             }
             if now.duration_since(told).as_secs_f64() * 1000.0 >= self.spec.tells_every {
                 told = now;
-                write("TELL", &format!("tell=frac,num={:.4}", (done / needs).min(0.9999)), "");
+                write(
+                    "TELL",
+                    &format!("tell=frac,num={:.4}", (done / needs).min(0.9999)),
+                    "",
+                );
             }
         }
         if work.changes {
-            record.saw(What::Applied { engine: self.id.clone(), id: run.id.clone() });
+            record.saw(What::Applied {
+                engine: self.id.clone(),
+                id: run.id.clone(),
+            });
         }
         end("DONE", true);
         if matches!(fault, Fault::Spoils(part) if lot < part) {
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -50,18 +50,33 @@
     pub fn line(&self) -> String {
         let mut line = format!(
             "seed {}: out {} of at most {}, drained {} of {}, released {} of {}",
-            self.seed, self.most_out, self.limit, self.most_drained, self.drain_limit, self.released, self.of
+            self.seed,
+            self.most_out,
+            self.limit,
+            self.most_drained,
+            self.drain_limit,
+            self.released,
+            self.of
         );
         if let Some(took) = self.took {
             let _ = write!(line, " in {:.1} s", took / 1000.0);
         }
-        let _ =
-            write!(line, ", last fault at {:.1} s, {:.0} bytes/s each", self.last_fault / 1000.0, self.bytes);
+        let _ = write!(
+            line,
+            ", last fault at {:.1} s, {:.0} bytes/s each",
+            self.last_fault / 1000.0,
+            self.bytes
+        );
         if let Some(halted) = self.halted {
             let _ = write!(line, ", halted at {:.1} s", halted / 1000.0);
         }
         if self.all > 0 {
-            let _ = write!(line, ", served {:.4} of {}", self.good as f64 / self.all as f64, self.all);
+            let _ = write!(
+                line,
+                ", served {:.4} of {}",
+                self.good as f64 / self.all as f64,
+                self.all
+            );
         }
         for broken in &self.broken {
             let _ = write!(line, "\n  BROKEN: {broken}");
@@ -72,22 +87,32 @@
     pub fn out(&mut self, out: usize) {
         self.most_out = self.most_out.max(out);
         if out > self.limit && !self.broken.iter().any(|b| b.contains("out at a time")) {
-            self.broken.push(format!("{out} dispatchers out at a time, {} are allowed", self.limit));
+            self.broken.push(format!(
+                "{out} dispatchers out at a time, {} are allowed",
+                self.limit
+            ));
         }
     }
 
     pub fn drained(&mut self, drained: usize) {
         self.most_drained = self.most_drained.max(drained);
-        if drained > self.drain_limit && !self.broken.iter().any(|b| b.contains("drained at a time")) {
-            self.broken
-                .push(format!("{drained} engines drained at a time, {} are allowed", self.drain_limit));
+        if drained > self.drain_limit
+            && !self.broken.iter().any(|b| b.contains("drained at a time"))
+        {
+            self.broken.push(format!(
+                "{drained} engines drained at a time, {} are allowed",
+                self.drain_limit
+            ));
         }
     }
 }
 
 /// Plays one scenario in virtual time for each seed, on all cores; a table, and whether one was broken.
 pub fn many(
-    seeds: std::ops::Range<u64>, scenario: impl Fn(u64) -> Scenario + Sync, alone: bool, show: bool,
+    seeds: std::ops::Range<u64>,
+    scenario: impl Fn(u64) -> Scenario + Sync,
+    alone: bool,
+    show: bool,
 ) -> (String, bool) {
     let (next, all) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
@@ -109,7 +134,10 @@
     });
     let mut all = all.into_inner().unwrap_or_default();
     all.sort_by_key(|seen| seen.seed);
-    (table(&all, show), all.iter().any(|seen| !seen.broken.is_empty()))
+    (
+        table(&all, show),
+        all.iter().any(|seen| !seen.broken.is_empty()),
+    )
 }
 
 /// What all runs showed: a line for each that was broken, or for all, and the sums.
@@ -118,13 +146,20 @@
     for seen in all.iter().filter(|seen| show || !seen.broken.is_empty()) {
         let _ = writeln!(text, "{}", seen.line());
     }
-    let mut waits = Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).expect("bounds are in order");
+    let mut waits =
+        Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).expect("bounds are in order");
     let mut ends = waits.clone();
     for seen in all {
-        seen.to_grant.iter().for_each(|wait| waits.saturating_record(*wait as u64));
+        seen.to_grant
+            .iter()
+            .for_each(|wait| waits.saturating_record(*wait as u64));
         ends.saturating_record(seen.took.unwrap_or(1e8) as u64);
     }
-    let count = |what: &str| all.iter().filter(|seen| seen.broken.iter().any(|b| b.contains(what))).count();
+    let count = |what: &str| {
+        all.iter()
+            .filter(|seen| seen.broken.iter().any(|b| b.contains(what)))
+            .count()
+    };
     let mean = all.iter().map(|seen| seen.bytes).sum::<f64>() / all.len().max(1) as f64;
     let most = all.iter().map(|seen| seen.most_out).max().unwrap_or(0);
     let _ = writeln!(
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -61,8 +61,15 @@
 }
 
 fn text(run: &Scenario, n: usize, relay: &Relay, version: &str, fresh: bool) -> String {
-    let seeds: String = relay.public.iter().take(5).map(|at| format!("seed: \"{at}\" ")).collect();
-    let voters: String = (0..run.voters).map(|n| format!("voter: \"n{n}\" ")).collect();
+    let seeds: String = relay
+        .public
+        .iter()
+        .take(5)
+        .map(|at| format!("seed: \"{at}\" "))
+        .collect();
+    let voters: String = (0..run.voters)
+        .map(|n| format!("voter: \"n{n}\" "))
+        .collect();
     format!(
         "fleet {{ name: \"n{n}\" listen: \"{}\" address: \"{}\" {seeds} {voters} key: \"{KEY}\" version: \"{version}\"
            fresh: {fresh} timing {{ period_s: 0.4 timeout_s: 0.12 lead_s: 1 settle_s: 1.5 late_s: {} }}
@@ -87,7 +94,10 @@
             None => eprintln!("an address was taken by another program: played again"),
         }
     }
-    Seen { broken: vec!["no free addresses".into()], ..Seen::default() }
+    Seen {
+        broken: vec!["no free addresses".into()],
+        ..Seen::default()
+    }
 }
 
 fn plays_once(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Option<Seen> {
@@ -97,7 +107,12 @@
         .collect();
     let relay = Relay::start(scenario.members, scenario.late, scenario.seed);
     let links: Vec<Vec<Link>> = (0..scenario.members)
-        .map(|_| engines.iter().map(|engine| Link::start(engine.address)).collect())
+        .map(|_| {
+            engines
+                .iter()
+                .map(|engine| Link::start(engine.address))
+                .collect()
+        })
         .collect();
     let listens: Vec<SocketAddr> = (0..scenario.members).map(|_| free_address()).collect();
     let classes = [class("look", 300.0, QUERY_WAIT, "read_like")];
@@ -125,7 +140,15 @@
         last_fault: scenario.last_fault(),
         ..Seen::default()
     };
-    let place = || Mutex::new(Place { program: None, version: OLD, stalled: false, back: None, turn: None });
+    let place = || {
+        Mutex::new(Place {
+            program: None,
+            version: OLD,
+            stalled: false,
+            back: None,
+            turn: None,
+        })
+    };
     let run = Run {
         exe: exe.to_owned(),
         places: (0..scenario.members).map(|_| place()).collect(),
@@ -135,7 +158,9 @@
         links,
         configs,
         files,
-        scraps: (0..scenario.members).map(|_| Scrap::new("log", "")).collect(),
+        scraps: (0..scenario.members)
+            .map(|_| Scrap::new("log", ""))
+            .collect(),
         listens,
         logs: logs.map(Path::to_owned),
         begin: Instant::now(),
@@ -164,7 +189,11 @@
     }
 
     fn broken(&self, what: String) {
-        self.seen.lock().expect("no holder panics").broken.push(what);
+        self.seen
+            .lock()
+            .expect("no holder panics")
+            .broken
+            .push(what);
     }
 
     /// Starts what belongs at a place, under a turn if there is one.
@@ -172,22 +201,32 @@
         let log = match &self.logs {
             Some(folder) => {
                 let path = folder.join(format!("n{n}.log"));
-                let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+                let file = std::fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(path);
                 file.map_or_else(|_| Stdio::null(), Stdio::from)
             }
             None => {
-                let file = std::fs::OpenOptions::new().append(true).open(&self.scraps[n].0);
+                let file = std::fs::OpenOptions::new()
+                    .append(true)
+                    .open(&self.scraps[n].0);
                 file.map_or_else(|_| Stdio::null(), Stdio::from)
             }
         };
         let operator = self.files[n].0.display().to_string();
-        let program =
-            Program::prepared(&self.exe, &self.configs[n], &["--operator", &operator], log, |command| {
+        let program = Program::prepared(
+            &self.exe,
+            &self.configs[n],
+            &["--operator", &operator],
+            log,
+            |command| {
                 command.env_remove("TANSYMUX_TURN");
                 turn.iter().for_each(|turn| {
                     command.env("TANSYMUX_TURN", turn);
                 });
-            });
+            },
+        );
         (place.program, place.stalled, place.back) = (Some(program), false, None);
         place.turn = turn.map(str::to_owned);
     }
@@ -209,17 +248,29 @@
     /// `tansymux fleet ...` at a member.
     fn calls(&self, n: usize, words: &[&str]) -> Option<Child> {
         let mut command = Command::new(&self.exe);
-        command.arg("fleet").args(words).arg("--operator").arg(&self.files[n].0);
-        command.env_remove("TANSYMUX_OPERATOR").stdout(Stdio::piped()).stderr(Stdio::piped());
+        command
+            .arg("fleet")
+            .args(words)
+            .arg("--operator")
+            .arg(&self.files[n].0);
+        command
+            .env_remove("TANSYMUX_OPERATOR")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
         command.spawn().ok()
     }
 
     /// The same, waited for: exit code and what it wrote.
     fn called(&self, n: usize, words: &[&str]) -> (Option<i32>, String) {
-        let output = self.calls(n, words).and_then(|child| child.wait_with_output().ok());
+        let output = self
+            .calls(n, words)
+            .and_then(|child| child.wait_with_output().ok());
         output.map_or((None, String::new()), |output| {
             let text = [output.stdout, output.stderr].concat();
-            (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+            (
+                output.status.code(),
+                String::from_utf8_lossy(&text).into_owned(),
+            )
         })
     }
 
@@ -232,12 +283,17 @@
 
     fn plays(&self) -> Seen {
         for n in 0..self.places.len() {
-            self.starts(n, &mut self.places[n].lock().expect("no holder panics"), None);
+            self.starts(
+                n,
+                &mut self.places[n].lock().expect("no holder panics"),
+                None,
+            );
         }
         let from = Instant::now();
         while !(0..self.places.len()).all(|n| self.healthy(n)) {
             let taken = |scrap: &Scrap| {
-                std::fs::read_to_string(&scrap.0).is_ok_and(|text| text.contains("Address already in use"))
+                std::fs::read_to_string(&scrap.0)
+                    .is_ok_and(|text| text.contains("Address already in use"))
             };
             if self.scraps.iter().any(taken) {
                 self.taken.store(true, Ordering::Relaxed);
@@ -261,11 +317,13 @@
             if !self.alone {
                 self.begins_release();
             }
-            let supervisors: Vec<_> =
-                (0..self.places.len()).map(|n| scope.spawn(move || self.supervises(n))).collect();
+            let supervisors: Vec<_> = (0..self.places.len())
+                .map(|n| scope.spawn(move || self.supervises(n)))
+                .collect();
             scope.spawn(|| self.faults(begin));
-            let limit =
-                Duration::from_secs_f64((self.scenario.last_fault() + self.scenario.done_within) / 1000.0);
+            let limit = Duration::from_secs_f64(
+                (self.scenario.last_fault() + self.scenario.done_within) / 1000.0,
+            );
             let from = Instant::now();
             let mut looked = Instant::now();
             while !supervisors.iter().all(|s| s.is_finished()) && from.elapsed() < limit {
@@ -296,11 +354,20 @@
         let relayed = self.relay.bytes.load(Ordering::Relaxed) - bytes;
         seen.bytes = relayed as f64 / lasted / self.places.len() as f64;
         let version = |place: &Mutex<Place>| place.lock().expect("no holder panics").version;
-        seen.released = self.places.iter().filter(|place| version(place) == NEW).count();
-        (seen.good, seen.all) = (self.good.load(Ordering::Relaxed), self.all.load(Ordering::Relaxed));
+        seen.released = self
+            .places
+            .iter()
+            .filter(|place| version(place) == NEW)
+            .count();
+        (seen.good, seen.all) = (
+            self.good.load(Ordering::Relaxed),
+            self.all.load(Ordering::Relaxed),
+        );
         let lost = self.lost.load(Ordering::Relaxed);
         if lost > 0 {
-            seen.broken.push(format!("{lost} queries without an answer from a process that lived"));
+            seen.broken.push(format!(
+                "{lost} queries without an answer from a process that lived"
+            ));
         }
         seen
     }
@@ -321,10 +388,16 @@
 
     /// Operators look after the faults: a halt of the fleet's own accord waits for them.
     fn resumes(&self) {
-        let Some(at) = (0..self.places.len()).find(|n| self.healthy(*n)) else { return };
+        let Some(at) = (0..self.places.len()).find(|n| self.healthy(*n)) else {
+            return;
+        };
         let (code, text) = self.called(at, &["status"]);
         if code == Some(0) && !text.contains("halted no") {
-            self.seen.lock().expect("no holder panics").halted.get_or_insert(self.ms());
+            self.seen
+                .lock()
+                .expect("no holder panics")
+                .halted
+                .get_or_insert(self.ms());
             self.called(at, &["resume"]);
         }
         // All who knew of it have forgotten it, and nothing goes on: it is told once more.
@@ -343,8 +416,10 @@
                     let turn = place.turn.clone();
                     self.starts(n, &mut place, turn.as_deref());
                 }
-                let status =
-                    place.program.as_mut().and_then(|program| program.child.try_wait().ok().flatten());
+                let status = place
+                    .program
+                    .as_mut()
+                    .and_then(|program| program.child.try_wait().ok().flatten());
                 if status.is_some_and(|status| status.code().is_some_and(|code| code != 0)) {
                     // Its address may have been taken while it was down; anything else is a crash.
                     let log = std::fs::read_to_string(&self.scraps[n].0).unwrap_or_default();
@@ -352,7 +427,8 @@
                         self.broken(format!("n{n} ended by itself: {status:?} {log}"));
                     }
                     self.scraps[n].write("");
-                    (place.program, place.back) = (None, Some(Instant::now() + Duration::from_millis(300)));
+                    (place.program, place.back) =
+                        (None, Some(Instant::now() + Duration::from_millis(300)));
                 }
             }
         }
@@ -371,7 +447,10 @@
             } else {
                 let (code, text) = self.called(n, &["turn", "--to", NEW, "--wait-s", "15"]);
                 let mut words = text.split_whitespace();
-                let granted = (words.next(), words.next().and_then(|s| s.parse::<f64>().ok()));
+                let granted = (
+                    words.next(),
+                    words.next().and_then(|s| s.parse::<f64>().ok()),
+                );
                 match (code, granted) {
                     (Some(0), (Some(turn), Some(holds))) => (turn.to_owned(), holds),
                     (Some(0 | 3 | 4), _) => {
@@ -385,12 +464,20 @@
                 }
             };
             let now = self.ms();
-            self.seen.lock().expect("no holder panics").to_grant.push(now - waited);
+            self.seen
+                .lock()
+                .expect("no holder panics")
+                .to_grant
+                .push(now - waited);
             if !self.alone {
                 self.is_out(n, true);
             }
             // Some scripts are slow, and begin shortly before their turn is over.
-            let wait = if chance.random_bool(0.15) { holds * 0.9 } else { 0.1f64.min(holds * 0.5) };
+            let wait = if chance.random_bool(0.15) {
+                holds * 0.9
+            } else {
+                0.1f64.min(holds * 0.5)
+            };
             thread::sleep(Duration::from_secs_f64(wait));
             if self.alone {
                 self.out_alone(n, true);
@@ -427,7 +514,10 @@
         let from = Instant::now();
         loop {
             let mut place = self.places[n].lock().expect("no holder panics");
-            let ended = place.program.as_mut().is_none_or(|p| p.child.try_wait().is_ok_and(|s| s.is_some()));
+            let ended = place
+                .program
+                .as_mut()
+                .is_none_or(|p| p.child.try_wait().is_ok_and(|s| s.is_some()));
             let ended = ended || !told;
             // A supervisor's patience: what is stopped does not end by being told to.
             if ended || from.elapsed() > Duration::from_secs(6) {
@@ -460,7 +550,11 @@
     fn stalls(&self, n: usize, lasts: f64) -> Option<(usize, Instant)> {
         let mut place = self.places[n].lock().expect("no holder panics");
         let program = place.program.as_mut()?;
-        if program.child.try_wait().is_ok_and(|status| status.is_some()) {
+        if program
+            .child
+            .try_wait()
+            .is_ok_and(|status| status.is_some())
+        {
             return None;
         }
         program.signal("-STOP");
@@ -472,7 +566,11 @@
         let mut place = self.places[n].lock().expect("no holder panics");
         if std::mem::replace(&mut place.stalled, false) {
             if let Some(program) = place.program.as_mut() {
-                if program.child.try_wait().is_ok_and(|status| status.is_none()) {
+                if program
+                    .child
+                    .try_wait()
+                    .is_ok_and(|status| status.is_none())
+                {
                     program.signal("-CONT");
                 }
             }
@@ -491,7 +589,10 @@
                 }
                 !over
             });
-            while events.peek().is_some_and(|event| self.ms() - begin >= event.at) {
+            while events
+                .peek()
+                .is_some_and(|event| self.ms() - begin >= event.at)
+            {
                 let Some(event) = events.next() else { break };
                 self.befalls(event.what, &mut stalled);
             }
@@ -502,10 +603,15 @@
     fn befalls(&self, fault: Fault, stalled: &mut Vec<(usize, Instant)>) {
         let engine = |n: usize| format!("s-{n}");
         match fault {
-            Fault::Links(way) => self.relay.links(Way { delay: way.delay.max(1.0), ..way }),
+            Fault::Links(way) => self.relay.links(Way {
+                delay: way.delay.max(1.0),
+                ..way
+            }),
             Fault::Cut { side, one_way } => self.relay.cut(&side, one_way),
             Fault::CutLeader { one_way } => {
-                self.leader().iter().for_each(|leader| self.relay.cut(&[*leader], one_way));
+                self.leader()
+                    .iter()
+                    .for_each(|leader| self.relay.cut(&[*leader], one_way));
             }
             Fault::Heal => {
                 self.relay.heal();
@@ -517,9 +623,17 @@
                 stalled.extend(leader.and_then(|leader| self.stalls(leader, lasts)));
             }
             Fault::Kill { who, back } => self.kills(who, back),
-            Fault::KillLeader { back } => self.leader().iter().for_each(|leader| self.kills(*leader, back)),
+            Fault::KillLeader { back } => self
+                .leader()
+                .iter()
+                .for_each(|leader| self.kills(*leader, back)),
             Fault::KillHolder { back } => {
-                let holder = self.out.lock().expect("no holder panics").iter().position(|out| *out);
+                let holder = self
+                    .out
+                    .lock()
+                    .expect("no holder panics")
+                    .iter()
+                    .position(|out| *out);
                 holder.iter().for_each(|holder| self.kills(*holder, back));
             }
             Fault::Drain { engines } => thread::scope(|scope| {
@@ -542,7 +656,10 @@
             Fault::Resume { at } => drop(self.called(at, &["resume"])),
             Fault::Back { at } => drop(self.called(at, &["back"])),
             Fault::Limit { most } => {
-                let scenario = Scenario { most, ..self.scenario.clone() };
+                let scenario = Scenario {
+                    most,
+                    ..self.scenario.clone()
+                };
                 for n in 0..self.places.len() {
                     let place = self.places[n].lock().expect("no holder panics");
                     self.files[n].write(&text(&scenario, n, &self.relay, place.version, false));
@@ -564,7 +681,11 @@
             let n = chance.random_range(0..self.listens.len());
             let lives = |place: &Mutex<Place>| {
                 let place = place.lock().expect("no holder panics");
-                place.program.as_ref().map(|program| program.child.id()).filter(|_| !place.stalled)
+                place
+                    .program
+                    .as_ref()
+                    .map(|program| program.child.id())
+                    .filter(|_| !place.stalled)
             };
             let before = lives(&self.places[n]);
             let mut query = Ask::new(id, "/invoke/look", "look", "select 1", QUERY_WAIT);
--- a/crates/rig/src/fleet/relay.rs
+++ b/crates/rig/src/fleet/relay.rs
@@ -44,31 +44,49 @@
         let sockets: Vec<Arc<UdpSocket>> = (0..members)
             .map(|_| {
                 let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
-                socket.set_read_timeout(Some(Duration::from_millis(50))).expect("a socket takes a timeout");
+                socket
+                    .set_read_timeout(Some(Duration::from_millis(50)))
+                    .expect("a socket takes a timeout");
                 Arc::new(socket)
             })
             .collect();
-        let public = sockets.iter().map(|s| s.local_addr().expect("a bound socket has an address")).collect();
+        let public = sockets
+            .iter()
+            .map(|s| s.local_addr().expect("a bound socket has an address"))
+            .collect();
         let private: Vec<SocketAddr> = (0..members).map(|_| free_udp_address()).collect();
         let state = Arc::new(Mutex::new(State {
-            way: Way { delay: 1.0, ..Way::GOOD },
+            way: Way {
+                delay: 1.0,
+                ..Way::GOOD
+            },
             late,
             passes: vec![vec![true; members]; members],
             chance: Pcg32::seed_from_u64(seed),
             flying: BTreeMap::new(),
             number: 0,
         }));
-        let (over, bytes) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let (over, bytes) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicU64::new(0)),
+        );
         for (to, socket) in sockets.iter().enumerate() {
             let (socket, private, state) = (socket.clone(), private.clone(), state.clone());
             let (over, bytes) = (over.clone(), bytes.clone());
             thread::spawn(move || {
                 let mut buffer = [0; 2048];
                 while !over.load(Ordering::Relaxed) {
-                    let Ok((count, source)) = socket.recv_from(&mut buffer) else { continue };
-                    let Some(from) = private.iter().position(|at| *at == source) else { continue };
+                    let Ok((count, source)) = socket.recv_from(&mut buffer) else {
+                        continue;
+                    };
+                    let Some(from) = private.iter().position(|at| *at == source) else {
+                        continue;
+                    };
                     bytes.fetch_add(count as u64, Ordering::Relaxed);
-                    state.lock().expect("no holder panics").takes(from, to, &buffer[..count]);
+                    state
+                        .lock()
+                        .expect("no holder panics")
+                        .takes(from, to, &buffer[..count]);
                 }
             });
         }
@@ -89,7 +107,13 @@
                 }
             });
         }
-        Relay { public, private, state, over, bytes }
+        Relay {
+            public,
+            private,
+            state,
+            over,
+            bytes,
+        }
     }
 
     pub fn links(&self, way: Way) {
@@ -110,7 +134,11 @@
 
     pub fn heal(&self) {
         let mut state = self.state.lock().expect("no holder panics");
-        state.passes.iter_mut().flatten().for_each(|passes| *passes = true);
+        state
+            .passes
+            .iter_mut()
+            .flatten()
+            .for_each(|passes| *passes = true);
     }
 }
 
@@ -125,16 +153,25 @@
         if !self.passes[from][to] {
             return;
         }
-        let many = if self.chance.random_bool(self.way.doubled) { 2 } else { 1 };
+        let many = if self.chance.random_bool(self.way.doubled) {
+            2
+        } else {
+            1
+        };
         for _ in 0..many {
             if self.chance.random_bool(self.way.loss) {
                 continue;
             }
             let late = self.chance.random_bool(self.way.late);
-            let delay = if late { self.late } else { self.chance.random_range(0.0..=self.way.delay) };
+            let delay = if late {
+                self.late
+            } else {
+                self.chance.random_range(0.0..=self.way.delay)
+            };
             self.number += 1;
             let when = Instant::now() + Duration::from_secs_f64(delay / 1000.0);
-            self.flying.insert((when, self.number), (from, to, bytes.to_vec()));
+            self.flying
+                .insert((when, self.number), (from, to, bytes.to_vec()));
         }
     }
 }
@@ -150,10 +187,18 @@
 impl Link {
     pub fn start(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let address = listener.local_addr().expect("a bound socket has an address");
-        let link = Link { address, cut: Arc::default(), over: Arc::default() };
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let link = Link {
+            address,
+            cut: Arc::default(),
+            over: Arc::default(),
+        };
         let own = link.clone();
-        listener.set_nonblocking(true).expect("a listener need not block");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener need not block");
         thread::spawn(move || {
             while !own.over.load(Ordering::Relaxed) {
                 if own.cut.load(Ordering::Relaxed) {
@@ -169,9 +214,13 @@
                     thread::sleep(TICK);
                     continue;
                 };
-                let Ok(far) = TcpStream::connect(to) else { continue };
+                let Ok(far) = TcpStream::connect(to) else {
+                    continue;
+                };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
-                let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { continue };
+                let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else {
+                    continue;
+                };
                 own.copies(near, far);
                 own.copies(far_too, near_too);
             }
--- a/crates/rig/src/fleet/scenario.rs
+++ b/crates/rig/src/fleet/scenario.rs
@@ -17,8 +17,18 @@
 }
 
 impl Way {
-    pub const GOOD: Way = Way { loss: 0.0, doubled: 0.0, delay: 3.0, late: 0.0 };
-    pub const BAD: Way = Way { loss: 0.3, doubled: 0.1, delay: 80.0, late: 0.01 };
+    pub const GOOD: Way = Way {
+        loss: 0.0,
+        doubled: 0.0,
+        delay: 3.0,
+        late: 0.0,
+    };
+    pub const BAD: Way = Way {
+        loss: 0.3,
+        doubled: 0.1,
+        delay: 80.0,
+        late: 0.01,
+    };
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -148,7 +158,10 @@
 
     /// All faults mixed, by the seed.
     pub fn mixed(seed: u64, members: usize) -> Self {
-        let mut scenario = Scenario { name: "mixed".into(), ..Scenario::calm(seed, members) };
+        let mut scenario = Scenario {
+            name: "mixed".into(),
+            ..Scenario::calm(seed, members)
+        };
         let mut chance = Pcg32::seed_from_u64(seed ^ 0x5EED);
         let mut at = 2000.0;
         let mut all: Vec<usize> = (0..members).collect();
@@ -158,7 +171,12 @@
             all.shuffle(&mut chance);
             let side = all[..members / 2].to_vec();
             let one_way = chance.random_bool(0.3);
-            let mut add = |after: f64, what: Fault| scenario.events.push(Event { at: at + after, what });
+            let mut add = |after: f64, what: Fault| {
+                scenario.events.push(Event {
+                    at: at + after,
+                    what,
+                })
+            };
             match chance.random_range(0..10) {
                 0 => add(0.0, Fault::Links(Way::BAD)),
                 1 => add(0.0, Fault::Cut { side, one_way }),
@@ -169,7 +187,13 @@
                 6 => add(0.0, Fault::KillLeader { back: lasts }),
                 7 => add(0.0, Fault::KillHolder { back: lasts }),
                 8 => {
-                    add(0.0, Fault::Cut { side: side.clone(), one_way: false });
+                    add(
+                        0.0,
+                        Fault::Cut {
+                            side: side.clone(),
+                            one_way: false,
+                        },
+                    );
                     add(
                         200.0,
                         Fault::Drain {
@@ -198,15 +222,39 @@
     /// One of the hard cases by name, of which `NAMES` are all.
     pub fn named(name: &str, seed: u64) -> Option<Self> {
         let members = if name == "seven-in-ten" { 10 } else { 5 };
-        let mut scenario = Scenario { name: name.into(), ..Scenario::calm(seed, members) };
+        let mut scenario = Scenario {
+            name: name.into(),
+            ..Scenario::calm(seed, members)
+        };
         let jitter = (seed % 97) as f64 * 37.0;
-        let mut add = |at: f64, what: Fault| scenario.events.push(Event { at: at + jitter, what });
+        let mut add = |at: f64, what: Fault| {
+            scenario.events.push(Event {
+                at: at + jitter,
+                what,
+            })
+        };
         match name {
             "two-halves" => {
-                add(500.0, Fault::Cut { side: vec![0, 1], one_way: false });
-                add(900.0, Fault::Drain { engines: vec![(0, 0), (4, 1), (0, 2), (4, 3)] });
+                add(
+                    500.0,
+                    Fault::Cut {
+                        side: vec![0, 1],
+                        one_way: false,
+                    },
+                );
+                add(
+                    900.0,
+                    Fault::Drain {
+                        engines: vec![(0, 0), (4, 1), (0, 2), (4, 3)],
+                    },
+                );
                 add(9000.0, Fault::Heal);
-                add(9400.0, Fault::Drain { engines: vec![(1, 0), (3, 1), (2, 2), (4, 3)] });
+                add(
+                    9400.0,
+                    Fault::Drain {
+                        engines: vec![(1, 0), (3, 1), (2, 2), (4, 3)],
+                    },
+                );
             }
             "leader-one-way" => {
                 add(1000.0, Fault::CutLeader { one_way: true });
@@ -217,31 +265,96 @@
                 add(24_000.0, Fault::StallLeader { lasts: 18_000.0 });
             }
             "voter-forgets" => {
-                add(1000.0, Fault::Kill { who: 1, back: 200.0 });
-                add(5000.0, Fault::Kill { who: 2, back: 200.0 });
+                add(
+                    1000.0,
+                    Fault::Kill {
+                        who: 1,
+                        back: 200.0,
+                    },
+                );
+                add(
+                    5000.0,
+                    Fault::Kill {
+                        who: 2,
+                        back: 200.0,
+                    },
+                );
             }
             "hall-of-voters-lost" => {
                 scenario.halls = 2;
                 // Voters 0 and 2 stand in one hall, and are the majority.
-                add(1000.0, Fault::Kill { who: 0, back: 14_000.0 });
-                add(1000.0, Fault::Kill { who: 2, back: 14_000.0 });
-                add(1000.0, Fault::Kill { who: 4, back: 14_000.0 });
+                add(
+                    1000.0,
+                    Fault::Kill {
+                        who: 0,
+                        back: 14_000.0,
+                    },
+                );
+                add(
+                    1000.0,
+                    Fault::Kill {
+                        who: 2,
+                        back: 14_000.0,
+                    },
+                );
+                add(
+                    1000.0,
+                    Fault::Kill {
+                        who: 4,
+                        back: 14_000.0,
+                    },
+                );
             }
             "holder-crashes" => {
                 (1..9).for_each(|n| {
-                    add(1500.0 * f64::from(n), Fault::KillHolder { back: 900.0 * f64::from(n) })
+                    add(
+                        1500.0 * f64::from(n),
+                        Fault::KillHolder {
+                            back: 900.0 * f64::from(n),
+                        },
+                    )
                 });
             }
             "killed-in-its-wave" => {
-                add(2500.0, Fault::Kill { who: 3, back: 5000.0 });
-                add(8000.0, Fault::Kill { who: 4, back: 5000.0 });
+                add(
+                    2500.0,
+                    Fault::Kill {
+                        who: 3,
+                        back: 5000.0,
+                    },
+                );
+                add(
+                    8000.0,
+                    Fault::Kill {
+                        who: 4,
+                        back: 5000.0,
+                    },
+                );
             }
             "seven-in-ten" => {
-                (0..7).for_each(|n| add(1500.0, Fault::Kill { who: (n * 3) % 10, back: 4000.0 }));
+                (0..7).for_each(|n| {
+                    add(
+                        1500.0,
+                        Fault::Kill {
+                            who: (n * 3) % 10,
+                            back: 4000.0,
+                        },
+                    )
+                });
             }
             "halt-races" => (0..5).for_each(|n| {
-                add(1000.0 + 5000.0 * f64::from(n), Fault::Halt { at: n as usize % members });
-                add(4000.0 + 5000.0 * f64::from(n), Fault::Resume { at: (n as usize + 1) % members });
+                add(
+                    1000.0 + 5000.0 * f64::from(n),
+                    Fault::Halt {
+                        at: n as usize % members,
+                    },
+                );
+                add(
+                    4000.0 + 5000.0 * f64::from(n),
+                    Fault::Resume {
+                        at: (n as usize + 1) % members,
+                    },
+                );
             }),
             _ => return None,
         }
@@ -259,9 +372,9 @@
             event.at *= 0.5;
             match &mut event.what {
                 Fault::Stall { lasts, .. } | Fault::StallLeader { lasts } => *lasts *= 0.5,
-                Fault::Kill { back, .. } | Fault::KillLeader { back } | Fault::KillHolder { back } => {
-                    *back *= 0.5
-                }
+                Fault::Kill { back, .. }
+                | Fault::KillLeader { back }
+                | Fault::KillHolder { back } => *back *= 0.5,
                 _ => {}
             }
         }
@@ -278,7 +391,13 @@
                 event.what = Fault::Links(way);
             }
         }
-        self.events.insert(0, Event { at: 0.0, what: Fault::Links(way) });
+        self.events.insert(
+            0,
+            Event {
+                at: 0.0,
+                what: Fault::Links(way),
+            },
+        );
         self
     }
 
