--- a/crates/rig/src/fleet/world.rs
+++ b/crates/rig/src/fleet/world.rs
@@ -155,13 +155,19 @@
 }
 
 fn keys() -> Keys {
-    Keys { seals: Some([7; 16]), opens: Some([7; 16]) }
+    Keys {
+        seals: Some([7; 16]),
+        opens: Some([7; 16]),
+    }
 }
 
 /// What the operators' file would say for a scenario.
 pub fn told(scenario: &Scenario) -> Told {
     let bounds = |most: usize| Bounds {
-        fleet: Most { number: Some(most as u32), part: None },
+        fleet: Most {
+            number: Some(most as u32),
+            part: None,
+        },
         carry: 10.0,
         ..Bounds::default()
     };
@@ -184,7 +190,13 @@
 }
 
 pub fn terms(scenario: &Scenario) -> Terms {
-    Terms { lead: 2000.0, permit: scenario.turn, skew: 0.02, again: 250.0, late: scenario.late }
+    Terms {
+        lead: 2000.0,
+        permit: scenario.turn,
+        skew: 0.02,
+        again: 250.0,
+        late: scenario.late,
+    }
 }
 
 impl World {
@@ -207,9 +219,13 @@
             })
             .collect();
         let begin = terms(&scenario).quarantine() * 1.05 + 20_000.0;
-        let supervisors = (0..scenario.members).map(|_| Supervisor::Rests { until: begin }).collect();
-        let lossy =
-            scenario.events.iter().any(|event| matches!(event.what, Fault::Links(way) if way != Way::GOOD));
+        let supervisors = (0..scenario.members)
+            .map(|_| Supervisor::Rests { until: begin })
+            .collect();
+        let lossy = scenario
+            .events
+            .iter()
+            .any(|event| matches!(event.what, Fault::Links(way) if way != Way::GOOD));
         let seen = Seen {
             seed: scenario.seed,
             limit: scenario.most,
@@ -298,9 +314,15 @@
         let leads = |slot: &Slot| {
             let fleet = slot.fleet.as_ref()?;
             let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
-            leads.then(|| fleet.council().and_then(|council| council.leads_since())).flatten()
+            leads
+                .then(|| fleet.council().and_then(|council| council.leads_since()))
+                .flatten()
         };
-        let all = self.slots.iter().enumerate().filter_map(|(n, slot)| Some((n, leads(slot)?)));
+        let all = self
+            .slots
+            .iter()
+            .enumerate()
+            .filter_map(|(n, slot)| Some((n, leads(slot)?)));
         all.map(|(n, _)| n).next()
     }
 
@@ -313,30 +335,46 @@
 
     /// A datagram on its way; those of one host are never lost.
     fn sends(&mut self, from: usize, source: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
-        let Some(at) = at_of(to).filter(|at| *at < self.slots.len()) else { return };
+        let Some(at) = at_of(to).filter(|at| *at < self.slots.len()) else {
+            return;
+        };
         if bytes.len() > 256 {
-            self.seen.broken.push(format!("a datagram of {} bytes", bytes.len()));
+            self.seen
+                .broken
+                .push(format!("a datagram of {} bytes", bytes.len()));
         }
         self.number += 1;
         if at == from {
-            self.flying
-                .insert((((self.now + 1.0) * 1000.0) as u64, self.number * 4), (at, source, to, bytes));
+            self.flying.insert(
+                (((self.now + 1.0) * 1000.0) as u64, self.number * 4),
+                (at, source, to, bytes),
+            );
             return;
         }
         self.bytes += bytes.len() as u64;
         if !self.reaches(from, at) {
             return;
         }
-        let many = if self.chance.random_bool(self.way.doubled) { 2 } else { 1 };
+        let many = if self.chance.random_bool(self.way.doubled) {
+            2
+        } else {
+            1
+        };
         for copy in 0..many {
             if self.chance.random_bool(self.way.loss) {
                 continue;
             }
             let late = self.chance.random_bool(self.way.late);
-            let delay =
-                if late { self.scenario.late } else { self.chance.random_range(0.0..=self.way.delay) };
+            let delay = if late {
+                self.scenario.late
+            } else {
+                self.chance.random_range(0.0..=self.way.delay)
+            };
             let when = ((self.now + delay) * 1000.0) as u64;
-            self.flying.insert((when, self.number * 4 + copy), (at, source, to, bytes.clone()));
+            self.flying.insert(
+                (when, self.number * 4 + copy),
+                (at, source, to, bytes.clone()),
+            );
         }
     }
 
@@ -377,7 +415,8 @@
             .filter(|s| matches!(s, Supervisor::Goes { .. } | Supervisor::Down { .. }))
             .count();
         self.seen.out(out);
-        self.seen.drained(self.drained.iter().filter(|d| **d).count());
+        self.seen
+            .drained(self.drained.iter().filter(|d| **d).count());
     }
 
     fn runs(&mut self, n: usize) {
@@ -401,7 +440,13 @@
             }
         }
         let hall = (n % self.scenario.halls) as u32 + 1;
-        fleet.says(Own { hall, version: slot.version, good: slot.good, all: slot.all, ..Own::default() });
+        fleet.says(Own {
+            hall,
+            version: slot.version,
+            good: slot.good,
+            all: slot.all,
+            ..Own::default()
+        });
         let (out, next) = fleet.poll(local);
         slot.wake = slot.truly(next).clamp(now, now + 250.0);
         for (to, bytes) in out {
@@ -433,7 +478,13 @@
         if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
             self.halted_since = None;
         }
-        self.operators.push(Operator { at, caller, engine, halts, told: false });
+        self.operators.push(Operator {
+            at,
+            caller,
+            engine,
+            halts,
+            told: false,
+        });
     }
 
     fn operate(&mut self) {
@@ -463,15 +514,23 @@
     }
 
     fn supervise(&mut self, n: usize) {
-        let (now, local, host) = (self.now, self.slots[n].local(self.now), self.slots[n].of_host(self.now));
+        let (now, local, host) = (
+            self.now,
+            self.slots[n].local(self.now),
+            self.slots[n].of_host(self.now),
+        );
         match &mut self.supervisors[n] {
             Supervisor::Rests { until } => {
                 let to = if self.went_back { OLD } else { NEW };
-                let wants = now >= *until && self.slots[n].version != to && self.slots[n].fleet.is_some();
+                let wants =
+                    now >= *until && self.slots[n].version != to && self.slots[n].fleet.is_some();
                 if wants && self.alone {
                     let at = now + self.chance.random_range(0.0..self.scenario.down * 3.0);
                     self.supervisors[n] = Supervisor::Goes { at, to, turn: 0 };
-                } else if now >= *until && self.slots[n].version != to && self.slots[n].fleet.is_some() {
+                } else if now >= *until
+                    && self.slots[n].version != to
+                    && self.slots[n].fleet.is_some()
+                {
                     let turn = Turn::new(
                         keys(),
                         id_of(&format!("n{n}")),
@@ -481,7 +540,11 @@
                         20_000.0,
                         self.chance.random(),
                     );
-                    self.supervisors[n] = Supervisor::Waits { turn: Box::new(turn), from: now, to };
+                    self.supervisors[n] = Supervisor::Waits {
+                        turn: Box::new(turn),
+                        from: now,
+                        to,
+                    };
                 }
             }
             Supervisor::Waits { turn, from, to } => {
@@ -493,8 +556,9 @@
                 match end {
                     Some(TurnEnd::Granted { until }) => {
                         self.seen.to_grant.push(now - from);
-                        let holds =
-                            |s: &Supervisor| matches!(s, Supervisor::Goes { .. } | Supervisor::Down { .. });
+                        let holds = |s: &Supervisor| {
+                            matches!(s, Supervisor::Goes { .. } | Supervisor::Down { .. })
+                        };
                         let out = self.supervisors.iter().filter(|s| holds(s)).count();
                         let (most, since) = self.limit;
                         if out + 1 > most && now > since + self.grace {
@@ -502,14 +566,24 @@
                                 .broken
                                 .push(format!("a turn with {out} out, {most} are allowed by now"));
                         }
-                        if self.halted_since.is_some_and(|since| now > since + self.grace) {
+                        if self
+                            .halted_since
+                            .is_some_and(|since| now > since + self.grace)
+                        {
                             self.seen.broken.push("a turn after a halt".into());
                         }
                         let latest = ((until - host) / self.slots[n].rate).max(0.0);
                         // A slow script: it may begin at the very end of what it was given.
-                        let wait =
-                            if self.chance.random_bool(0.2) { latest * 0.98 } else { latest.min(300.0) };
-                        self.supervisors[n] = Supervisor::Goes { at: now + wait, to, turn: grant };
+                        let wait = if self.chance.random_bool(0.2) {
+                            latest * 0.98
+                        } else {
+                            latest.min(300.0)
+                        };
+                        self.supervisors[n] = Supervisor::Goes {
+                            at: now + wait,
+                            to,
+                            turn: grant,
+                        };
                     }
                     Some(end) => {
                         self.given_up += usize::from(matches!(end, TurnEnd::GivenUp(_)));
@@ -548,7 +622,11 @@
 
     fn befalls(&mut self, fault: Fault) {
         let members = self.slots.len();
-        let side_of = |some: &[usize]| (0..members).map(|n| some.contains(&n)).collect::<Vec<bool>>();
+        let side_of = |some: &[usize]| {
+            (0..members)
+                .map(|n| some.contains(&n))
+                .collect::<Vec<bool>>()
+        };
         match fault {
             Fault::Links(way) => self.way = way,
             Fault::Cut { side, one_way } => self.cut = Some((side_of(&side), one_way)),
@@ -570,7 +648,10 @@
                 }
             }
             Fault::KillHolder { back } => {
-                let holder = self.supervisors.iter().position(|s| matches!(s, Supervisor::Goes { .. }));
+                let holder = self
+                    .supervisors
+                    .iter()
+                    .position(|s| matches!(s, Supervisor::Goes { .. }));
                 if let Some(holder) = holder {
                     self.ends(holder, back);
                 }
@@ -578,13 +659,26 @@
             Fault::Drain { engines } => {
                 for (at, engine) in engines {
                     let grant = self.chance.random();
-                    self.calls(at, Command::Drain { engine: 1000 + engine as u64, grant }, Some(engine));
+                    self.calls(
+                        at,
+                        Command::Drain {
+                            engine: 1000 + engine as u64,
+                            grant,
+                        },
+                        Some(engine),
+                    );
                 }
             }
             Fault::Undrain { engine, at } => {
                 // It serves again for the operators from the moment on which they say so.
                 self.drained[engine] = false;
-                self.calls(at, Command::Undrain { engine: 1000 + engine as u64 }, None);
+                self.calls(
+                    at,
+                    Command::Undrain {
+                        engine: 1000 + engine as u64,
+                    },
+                    None,
+                );
             }
             Fault::Halt { at } => {
                 let number = self.chance.random::<u32>() | 1;
@@ -598,7 +692,10 @@
             }
             Fault::Limit { most } => {
                 self.limit = (most, self.now);
-                self.told.dispatchers.fleet = Most { number: Some(most as u32), part: None };
+                self.told.dispatchers.fleet = Most {
+                    number: Some(most as u32),
+                    part: None,
+                };
                 for slot in &mut self.slots {
                     if let Some(fleet) = &mut slot.fleet {
                         fleet.set(self.told.clone(), keys(), None);
@@ -633,15 +730,25 @@
     /// Operators say that these don't come back.
     pub fn forgets(&mut self, members: &[usize]) {
         for n in members {
-            self.calls(0, Command::Forget { id: id_of(&format!("n{n}")) }, None);
+            self.calls(
+                0,
+                Command::Forget {
+                    id: id_of(&format!("n{n}")),
+                },
+                None,
+            );
         }
         // What stands halted for them is resumed.
         self.resumes_halt();
     }
 
     fn resumes_halt(&mut self) {
-        let leader = self.leader().and_then(|leader| self.slots[leader].fleet.as_ref());
-        let halt = leader.and_then(Fleet::council).and_then(tansymux_releases::halt_of);
+        let leader = self
+            .leader()
+            .and_then(|leader| self.slots[leader].fleet.as_ref());
+        let halt = leader
+            .and_then(Fleet::council)
+            .and_then(tansymux_releases::halt_of);
         if let Some((number, ..)) = halt {
             self.calls(0, Command::Resume { number }, None);
         }
@@ -664,7 +771,10 @@
         let end = self.now + within;
         while self.now < end {
             self.step();
-            if self.slots.iter().all(|slot| slot.version == OLD && slot.fleet.is_some())
+            if self
+                .slots
+                .iter()
+                .all(|slot| slot.version == OLD && slot.fleet.is_some())
                 && self.stage() == Some(Stage::Undone)
             {
                 return true;
@@ -679,7 +789,10 @@
 
     fn released(&self) -> usize {
         let to = if self.went_back { OLD } else { NEW };
-        self.slots.iter().filter(|slot| slot.version == to && slot.fleet.is_some()).count()
+        self.slots
+            .iter()
+            .filter(|slot| slot.version == to && slot.fleet.is_some())
+            .count()
     }
 
     /// What the leader thinks of the release.
@@ -695,7 +808,9 @@
 
     /// What the leader keeps, for whoever looks for a cause.
     pub fn kept(&self) -> String {
-        let Some(leader) = self.leader() else { return "nobody leads".into() };
+        let Some(leader) = self.leader() else {
+            return "nobody leads".into();
+        };
         let council = self.slots[leader].fleet.as_ref().and_then(Fleet::council);
         let states = |n: usize| {
             let states = self.slots.iter().map(|slot| {
@@ -706,16 +821,26 @@
                     .find(|m| m.id == id_of(&format!("n{n}")))
                     .map(|m| (m.state, m.incarnation))
             });
-            states.map(|state| format!("{state:?}")).collect::<Vec<_>>().join(" ")
+            states
+                .map(|state| format!("{state:?}"))
+                .collect::<Vec<_>>()
+                .join(" ")
         };
-        let table =
-            (0..self.slots.len().min(7)).map(|n| format!("\n  n{n}: {}", states(n))).collect::<String>();
+        let table = (0..self.slots.len().min(7))
+            .map(|n| format!("\n  n{n}: {}", states(n)))
+            .collect::<String>();
         let stand = |slot: &Slot| {
             let fleet = slot.fleet.as_ref()?;
             let now = slot.local(self.now);
             let council = fleet.council();
-            let leads =
-                council.map(|c| (c.leads(now), c.leads_since().map(|s| now - s), c.leader(), c.highest()));
+            let leads = council.map(|c| {
+                (
+                    c.leads(now),
+                    c.leads_since().map(|s| now - s),
+                    c.leader(),
+                    c.highest(),
+                )
+            });
             let all: Vec<_> = fleet
                 .agent()
                 .records(now)
@@ -726,17 +851,30 @@
                 leads,
                 fleet.agent().leader(now),
                 all,
-                council.map(|c| c.records().map(|(r, _)| (r.key, r.value)).collect::<Vec<_>>()),
+                council.map(|c| {
+                    c.records()
+                        .map(|(r, _)| (r.key, r.value))
+                        .collect::<Vec<_>>()
+                }),
             ))
         };
-        let stands: String = self.slots.iter().take(7).map(|slot| format!("\n  {:?}", stand(slot))).collect();
-        let records = council.into_iter().flat_map(|council| council.all_standing());
+        let stands: String = self
+            .slots
+            .iter()
+            .take(7)
+            .map(|slot| format!("\n  {:?}", stand(slot)))
+            .collect();
+        let records = council
+            .into_iter()
+            .flat_map(|council| council.all_standing());
         let name = |key: u64| {
             let of = |n: &usize| {
                 let id = id_of(&format!("n{n}"));
                 tansymux_permits::Record::key_of(tansymux_permits::Kind::Dispatcher, id) == key
             };
-            (0..self.slots.len()).find(of).map_or_else(|| format!("{key:x}"), |n| format!("n{n}"))
+            (0..self.slots.len())
+                .find(of)
+                .map_or_else(|| format!("{key:x}"), |n| format!("n{n}"))
         };
         records
             .map(|(record, left)| format!("{} {:?} {left:?}", name(record.key), record.value))
@@ -764,9 +902,25 @@
             self.step();
         }
         let number = RELEASE;
-        self.calls(0, Command::Release { number, to: NEW, from: OLD }, None);
+        self.calls(
+            0,
+            Command::Release {
+                number,
+                to: NEW,
+                from: OLD,
+            },
+            None,
+        );
         if let Some((at, number)) = self.release_too {
-            self.calls(at, Command::Release { number, to: NEW + 1, from: OLD }, None);
+            self.calls(
+                at,
+                Command::Release {
+                    number,
+                    to: NEW + 1,
+                    from: OLD,
+                },
+                None,
+            );
         }
         while self.now < self.begin {
             self.step();
@@ -774,7 +928,10 @@
         let (bytes, from) = (self.bytes, self.now);
         let mut events = self.scenario.events.clone().into_iter().peekable();
         while self.now - self.begin < self.scenario.lasts {
-            while events.peek().is_some_and(|event| self.now - self.begin >= event.at) {
+            while events
+                .peek()
+                .is_some_and(|event| self.now - self.begin >= event.at)
+            {
                 if let Some(event) = events.next() {
                     self.befalls(event.what);
                 }
@@ -788,15 +945,29 @@
                 self.seen.took = Some(since);
             }
             // Halts of the fleet's own accord wait for operators: these look once all is over.
-            if since > self.seen.last_fault + 3000.0 && (self.now as u64) % 5000 < STEP as u64 && self.resumes
+            if since > self.seen.last_fault + 3000.0
+                && (self.now as u64) % 5000 < STEP as u64
+                && self.resumes
             {
-                let leader = self.leader().and_then(|leader| self.slots[leader].fleet.as_ref());
-                let halt = leader.and_then(Fleet::council).and_then(tansymux_releases::halt_of);
+                let leader = self
+                    .leader()
+                    .and_then(|leader| self.slots[leader].fleet.as_ref());
+                let halt = leader
+                    .and_then(Fleet::council)
+                    .and_then(tansymux_releases::halt_of);
                 if let Some((number, ..)) = halt {
                     self.calls(0, Command::Resume { number }, None);
                 } else if leader.is_some() && self.stage().is_none() {
                     // All who knew of the release have forgotten it, and nothing goes on: it is told once more.
-                    self.calls(0, Command::Release { number: RELEASE, to: NEW, from: OLD }, None);
+                    self.calls(
+                        0,
+                        Command::Release {
+                            number: RELEASE,
+                            to: NEW,
+                            from: OLD,
+                        },
+                        None,
+                    );
                 }
             }
             let over = since > self.seen.last_fault + 1000.0 && events.peek().is_none();
--- a/crates/rig/src/fleet/zones.rs
+++ b/crates/rig/src/fleet/zones.rs
@@ -92,7 +92,12 @@
 
 fn operator(arm: Arm, n: usize, relay: &Relay) -> String {
     let halls = "halls { route { tier { hall: \"h0\" hall: \"h1\" hall: \"h2\" } } cut { quiet_s: 0.6 } climb { first: 0.1 over_s: 8 whole: 2 } }";
-    let seeds: String = relay.public.iter().take(3).map(|at| format!("seed: \"{at}\" ")).collect();
+    let seeds: String = relay
+        .public
+        .iter()
+        .take(3)
+        .map(|at| format!("seed: \"{at}\" "))
+        .collect();
     let fleet = format!(
         "fleet {{ name: \"n{n}\" listen: \"{}\" address: \"{}\" {seeds} voter: \"n0\" voter: \"n1\" voter: \"n2\"
            key: \"{KEY}\" fresh: true version: \"v1\"
@@ -109,24 +114,49 @@
 
 fn start(exe: &Path, course: &Course, arm: Arm) -> Site {
     let world = Arc::new(World::default());
-    let spec = Spec { cold_from: 0.25, warm_after: WARM, tells_every: 100.0, ..Spec::default() };
+    let spec = Spec {
+        cold_from: 0.25,
+        warm_after: WARM,
+        tells_every: 100.0,
+        ..Spec::default()
+    };
     let engines: Vec<Engine> = (0..2 * ZONES)
-        .map(|n| Engine::start(&format!("s-{n}"), spec, course.seed * 100 + n as u64, world.clone()))
+        .map(|n| {
+            Engine::start(
+                &format!("s-{n}"),
+                spec,
+                course.seed * 100 + n as u64,
+                world.clone(),
+            )
+        })
         .collect();
     // All are warm at first: their start lies back.
     thread::sleep(Duration::from_millis(10));
     let relay = Relay::start(course.dispatchers, 500.0, course.seed);
-    relay.links(Way { loss: course.loss, delay: 1.0, ..Way::GOOD });
-    let links: Vec<Vec<Link>> =
-        (0..course.dispatchers).map(|_| engines.iter().map(|e| Link::start(e.address)).collect()).collect();
+    relay.links(Way {
+        loss: course.loss,
+        delay: 1.0,
+        ..Way::GOOD
+    });
+    let links: Vec<Vec<Link>> = (0..course.dispatchers)
+        .map(|_| engines.iter().map(|e| Link::start(e.address)).collect())
+        .collect();
     let listens: Vec<SocketAddr> = (0..course.dispatchers).map(|_| free_address()).collect();
     let classes = [class("look", TARGET, WAIT, "read_like")];
-    let operators: Vec<String> = (0..course.dispatchers).map(|n| operator(arm, n, &relay)).collect();
-    let files: Vec<Scrap> = operators.iter().map(|text| Scrap::new("zones.textproto", text)).collect();
+    let operators: Vec<String> = (0..course.dispatchers)
+        .map(|n| operator(arm, n, &relay))
+        .collect();
+    let files: Vec<Scrap> = operators
+        .iter()
+        .map(|text| Scrap::new("zones.textproto", text))
+        .collect();
     let programs: Vec<Program> = (0..course.dispatchers)
         .map(|n| {
-            let known: Vec<_> =
-                engines.iter().zip(&links[n]).map(|(e, l)| (e.id.clone(), l.address)).collect();
+            let known: Vec<_> = engines
+                .iter()
+                .zip(&links[n])
+                .map(|(e, l)| (e.id.clone(), l.address))
+                .collect();
             let mut config = Config::new(listens[n], &known, &classes, &[1])
                 .with("seed", format!("{:x}", course.seed * 1000 + n as u64 + 1))
                 .with("settings.balancers", course.dispatchers)
@@ -134,26 +164,50 @@
                 .with("settings.limits.probes", true)
                 .with("settings.family-info.tells-every-us", 100_000);
             for e in 0..engines.len() {
-                config =
-                    config.with(&format!("known.cmds.0.nodes.instances.{e}.zone"), format!("h{}", e % ZONES));
+                config = config.with(
+                    &format!("known.cmds.0.nodes.instances.{e}.zone"),
+                    format!("h{}", e % ZONES),
+                );
             }
             let path = files[n].0.display().to_string();
             Program::launch(exe, &config, &["--operator", &path], Stdio::null())
         })
         .collect();
     programs.iter().for_each(Program::wait_until_healthy);
-    Site { programs, _files: files, listens, engines, links, relay, operators, world }
+    Site {
+        programs,
+        _files: files,
+        listens,
+        engines,
+        links,
+        relay,
+        operators,
+        world,
+    }
 }
 
 impl Site {
     /// Cuts or heals zone h0: from all outside it, links to engines and between dispatchers.
     fn cut(&self, cut: bool) {
-        for (n, links) in self.links.iter().enumerate().filter(|(n, _)| n % ZONES != 0) {
+        for (n, links) in self
+            .links
+            .iter()
+            .enumerate()
+            .filter(|(n, _)| n % ZONES != 0)
+        {
             let _ = n;
-            links.iter().enumerate().filter(|(e, _)| e % ZONES == 0).for_each(|(_, link)| link.cut(cut));
+            links
+                .iter()
+                .enumerate()
+                .filter(|(e, _)| e % ZONES == 0)
+                .for_each(|(_, link)| link.cut(cut));
         }
         for links in self.links.iter().step_by(ZONES) {
-            links.iter().enumerate().filter(|(e, _)| e % ZONES != 0).for_each(|(_, link)| link.cut(cut));
+            links
+                .iter()
+                .enumerate()
+                .filter(|(e, _)| e % ZONES != 0)
+                .for_each(|(_, link)| link.cut(cut));
         }
         if cut {
             let inside: Vec<usize> = (0..self.links.len()).step_by(ZONES).collect();
@@ -204,14 +258,25 @@
                     let mut query = Ask::new(id, "/invoke/look", "look", "select 1", WAIT);
                     query.cost = Some(WORK);
                     let work = WORK * chance.random_range(0.5..1.5);
-                    let truth = Work { work, threads: 1.0, changes: false, tables: 0 };
-                    site.world.works.lock().expect("no holder panics").insert(query.id(), truth);
+                    let truth = Work {
+                        work,
+                        threads: 1.0,
+                        changes: false,
+                        tables: 0,
+                    };
+                    site.world
+                        .works
+                        .lock()
+                        .expect("no holder panics")
+                        .insert(query.id(), truth);
                     let at = ms();
                     let got = ask(site.listens[n], &query, &record);
                     let mut cycle = cycle.lock().expect("no holder panics");
                     cycle.all[phase(at)] += 1;
                     match got {
-                        Some(got) if got.status == 200 && got.took <= TARGET => cycle.good[phase(at)] += 1,
+                        Some(got) if got.status == 200 && got.took <= TARGET => {
+                            cycle.good[phase(at)] += 1
+                        }
                         Some(_) => {}
                         None => cycle.lost += 1,
                     }
@@ -232,11 +297,19 @@
             if cut && !healed && now >= heal_at {
                 healed = true;
                 // They come back cold: whatever ran there is gone.
-                site.engines.iter().step_by(ZONES).for_each(Engine::starts_cold);
+                site.engines
+                    .iter()
+                    .step_by(ZONES)
+                    .for_each(Engine::starts_cold);
                 site.cut(false);
             }
             if healed && now < heal_at + 3000.0 {
-                let most = site.engines.iter().step_by(ZONES).map(Engine::threads).fold(0.0, f64::max);
+                let most = site
+                    .engines
+                    .iter()
+                    .step_by(ZONES)
+                    .map(Engine::threads)
+                    .fold(0.0, f64::max);
                 let mut cycle = cycle.lock().expect("no holder panics");
                 cycle.peak = cycle.peak.max(most);
             }
@@ -246,7 +319,11 @@
                 if !healed && known.left.is_none() && all(1) {
                     cycle.lock().expect("no holder panics").left = Some(ms() - cut_at);
                 }
-                if healed && known.left.is_some() && known.whole.is_none() && now > heal_at + 1000.0 && all(0)
+                if healed
+                    && known.left.is_some()
+                    && known.whole.is_none()
+                    && now > heal_at + 1000.0
+                    && all(0)
                 {
                     cycle.lock().expect("no holder panics").whole = Some(ms() - heal_at);
                 }
@@ -269,21 +346,36 @@
 fn shares(exe: &Path, operator: &str) -> f64 {
     let file = Scrap::new("ask.textproto", operator);
     let path = file.0.display().to_string();
-    let output = Command::new(exe).args(["fleet", "zones", "--operator", &path]).output();
-    let text = output.map(|o| String::from_utf8_lossy(&o.stdout).into_owned()).unwrap_or_default();
-    let of = |line: &str| line.split_whitespace().skip_while(|w| *w != "shares").nth(1)?.parse::<f64>().ok();
+    let output = Command::new(exe)
+        .args(["fleet", "zones", "--operator", &path])
+        .output();
+    let text = output
+        .map(|o| String::from_utf8_lossy(&o.stdout).into_owned())
+        .unwrap_or_default();
+    let of = |line: &str| {
+        line.split_whitespace()
+            .skip_while(|w| *w != "shares")
+            .nth(1)?
+            .parse::<f64>()
+            .ok()
+    };
     text.lines().filter_map(of).fold(0.0, f64::max)
 }
 
 /// All arms on the same seeds, as a table.
-pub fn compare(exe: &Path, seeds: std::ops::Range<u64>, of: impl Fn(u64) -> Course) -> (String, bool) {
+pub fn compare(
+    exe: &Path,
+    seeds: std::ops::Range<u64>,
+    of: impl Fn(u64) -> Course,
+) -> (String, bool) {
     let mut text = String::new();
     let mut broken = false;
     for arm in [Arm::Agreed, Arm::Alone, Arm::Neither] {
         for seed in seeds.clone() {
             let cycle = play(exe, of(seed), arm);
             let part = |n: usize| cycle.good[n] as f64 / cycle.all[n].max(1) as f64;
-            let time = |at: Option<f64>| at.map_or("-".into(), |at| format!("{:.1} s", at / 1000.0));
+            let time =
+                |at: Option<f64>| at.map_or("-".into(), |at| format!("{:.1} s", at / 1000.0));
             let _ = writeln!(
                 text,
                 "{arm:?} seed {seed}: in target before {:.3}, cut {:.3}, return {:.3}, after {:.3}; peak on a cold engine \
@@ -299,7 +391,10 @@
                 cycle.lost
             );
             broken |= arm == Arm::Agreed
-                && (cycle.left.is_none() || cycle.whole.is_none() || cycle.over > 1.001 || cycle.lost > 0);
+                && (cycle.left.is_none()
+                    || cycle.whole.is_none()
+                    || cycle.over > 1.001
+                    || cycle.lost > 0);
         }
     }
     (text, broken)
--- a/crates/rig/src/halls.rs
+++ b/crates/rig/src/halls.rs
@@ -48,8 +48,17 @@
 
 fn config(n: usize, engines: &[Engine], peers: &[SocketAddr]) -> Config {
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
-    let effect = |kind: &Kind| if kind.7 { "non_idempotent" } else { "read_like" };
-    let classes: Vec<_> = KINDS.iter().map(|kind| class(kind.0, kind.4, kind.5, effect(kind))).collect();
+    let effect = |kind: &Kind| {
+        if kind.7 {
+            "non_idempotent"
+        } else {
+            "read_like"
+        }
+    };
+    let classes: Vec<_> = KINDS
+        .iter()
+        .map(|kind| class(kind.0, kind.4, kind.5, effect(kind)))
+        .collect();
     let threads: Vec<u32> = KINDS.iter().map(|kind| kind.3 as u32).collect();
     let each: Vec<String> = peers.iter().map(ToString::to_string).collect();
     let mut config = Config::new(free_address(), &known, &classes, &threads)
@@ -61,12 +70,21 @@
         .with("settings.limits.probes", true)
         .with("settings.limits.max-retry-after-us", 4_000_000)
         .with("settings.family-info.tells-every-us", 100_000)
-        .with("settings.family-info.class-load", json!([false, false, true]))
-        .with("settings.rules", json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}))
+        .with(
+            "settings.family-info.class-load",
+            json!([false, false, true]),
+        )
+        .with(
+            "settings.rules",
+            json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}),
+        )
         .with("peer_listen", peers[n].to_string())
         .with("peers", json!(each));
     for engine in 0..engines.len() {
-        config = config.with(&format!("known.cmds.0.nodes.instances.{engine}.zone"), HALLS[engine / EACH]);
+        config = config.with(
+            &format!("known.cmds.0.nodes.instances.{engine}.zone"),
+            HALLS[engine / EACH],
+        );
     }
     config
 }
@@ -74,10 +92,16 @@
 /// Plays one run: a cut from a quarter of it to the half.
 pub fn play(exe: &Path, seconds: f64, seed: u64, tiers: bool) -> Outcome {
     let world = Arc::new(World::default());
-    let spec = Spec { cores: CORES, cold_from: 0.25, warm_after: 8000.0, ..Spec::default() };
+    let spec = Spec {
+        cores: CORES,
+        cold_from: 0.25,
+        warm_after: 8000.0,
+        ..Spec::default()
+    };
     let many = HALLS.len() * EACH;
-    let engines: Vec<Engine> =
-        (0..many).map(|n| Engine::start(&format!("s-{n}"), spec, seed + n as u64, world.clone())).collect();
+    let engines: Vec<Engine> = (0..many)
+        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n as u64, world.clone()))
+        .collect();
     let peers: Vec<SocketAddr> = (0..DISPATCHERS).map(|_| free_udp_address()).collect();
     let operator = Scrap::new("operator.textproto", if tiers { OPERATOR } else { "" });
     let path = operator.0.display().to_string();
@@ -110,7 +134,9 @@
         let part = at / seconds;
         if part >= 0.25 && !cut {
             cut = true;
-            engines[..EACH].iter().for_each(|engine| engine.fault(Fault::Silent));
+            engines[..EACH]
+                .iter()
+                .for_each(|engine| engine.fault(Fault::Silent));
         }
         if part >= 0.5 && !back {
             back = true;
@@ -120,25 +146,50 @@
             });
         }
         let mut o = outcome.lock().expect("no holder panics");
-        let (got, most): (f64, f64) = o.value.iter().fold((0.0, 0.0), |sum, v| (sum.0 + v.0, sum.1 + v.1));
+        let (got, most): (f64, f64) = o
+            .value
+            .iter()
+            .fold((0.0, 0.0), |sum, v| (sum.0 + v.0, sum.1 + v.1));
         let deferred = o.deferred as f64;
         let threads = engines.iter().map(Engine::threads).collect();
-        o.samples.push((at, threads, got - last.0, most - last.1, deferred - last.2));
+        o.samples
+            .push((at, threads, got - last.0, most - last.1, deferred - last.2));
         last = (got, most, deferred);
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     programs.iter().for_each(Program::told_to_end);
     programs.iter_mut().for_each(|program| drop(program.end()));
     let mut outcome = outcome.lock().expect("no holder panics").clone();
-    let effect = |kind: &Kind| if kind.7 { Effect::Mutating } else { Effect::ReadOnly };
-    let classes = KINDS.iter().map(|kind| (kind.0.to_owned(), ClassRules::of(effect(kind)))).collect();
-    let rules = Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget: None, classes };
+    let effect = |kind: &Kind| {
+        if kind.7 {
+            Effect::Mutating
+        } else {
+            Effect::ReadOnly
+        }
+    };
+    let classes = KINDS
+        .iter()
+        .map(|kind| (kind.0.to_owned(), ClassRules::of(effect(kind))))
+        .collect();
+    let rules = Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget: None,
+        classes,
+    };
     outcome.broken = judge(&world.record.entries(), &rules);
     outcome
 }
 
 fn traffic(
-    n: usize, to: &[SocketAddr], seconds: f64, seed: u64, begins: Instant, world: &Arc<World>,
+    n: usize,
+    to: &[SocketAddr],
+    seconds: f64,
+    seed: u64,
+    begins: Instant,
+    world: &Arc<World>,
     outcome: &Arc<Mutex<Outcome>>,
 ) {
     let (name, rate, work, threads, target, wait, worth, changes) = KINDS[n];
@@ -151,14 +202,23 @@
         let work: f64 = works.sample(&mut chance);
         let tables = chance.random_range(1..30_u32);
         let text = format!("select a from sales_{tables}.t where id = {number}");
-        let mut query =
-            Ask::new((n as u64 + 1) << 48 | number, &format!("/invoke/{name}"), name, &text, wait);
+        let mut query = Ask::new(
+            (n as u64 + 1) << 48 | number,
+            &format!("/invoke/{name}"),
+            name,
+            &text,
+            wait,
+        );
         query.cost = Some(work * chance.random_range(0.8..1.25));
-        world
-            .works
-            .lock()
-            .expect("no holder panics")
-            .insert(query.id(), Work { work, threads, changes, tables });
+        world.works.lock().expect("no holder panics").insert(
+            query.id(),
+            Work {
+                work,
+                threads,
+                changes,
+                tables,
+            },
+        );
         let listen = to[chance.random_range(0..to.len())];
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(begins.elapsed()));
         let (world, outcome) = (world.clone(), outcome.clone());
@@ -177,7 +237,13 @@
             match got {
                 None => o.unanswered += 1,
                 Some(got) => match got.status {
-                    200 => o.value[phase].0 += if got.took <= target { worth } else { worth / 3.0 },
+                    200 => {
+                        o.value[phase].0 += if got.took <= target {
+                            worth
+                        } else {
+                            worth / 3.0
+                        }
+                    }
                     429 | 503 => o.deferred += 1,
                     _ => o.killed += 1,
                 },
@@ -192,7 +258,16 @@
 pub fn run(exe: &Path, seconds: f64, seeds: u64, svg: Option<&Path>) -> (String, bool) {
     let mut table = format!(
         "{:<7} {:>5} {:>7} {:>9} {:>7} {:>11} {:>8} {:>8} {:>8} {:>7}\n",
-        "tiers", "seed", "asked", "deferred", "killed", "unanswered", "before", "cut", "after", "broken"
+        "tiers",
+        "seed",
+        "asked",
+        "deferred",
+        "killed",
+        "unanswered",
+        "before",
+        "cut",
+        "after",
+        "broken"
     );
     let mut any = false;
     for seed in 1..=seeds {
@@ -217,16 +292,37 @@
                     let of = hall * EACH..(hall + 1) * EACH;
                     o.samples
                         .iter()
-                        .map(|s| (s.0, s.1[of.clone()].iter().sum::<f64>() / (EACH as f64 * CORES)))
+                        .map(|s| {
+                            (
+                                s.0,
+                                s.1[of.clone()].iter().sum::<f64>() / (EACH as f64 * CORES),
+                            )
+                        })
                         .collect()
                 };
-                let value = o.samples.iter().map(|s| (s.0, s.2 / s.3.max(1e-9))).collect();
+                let value = o
+                    .samples
+                    .iter()
+                    .map(|s| (s.0, s.2 / s.3.max(1e-9)))
+                    .collect();
                 let deferred = o.samples.iter().map(|s| (s.0, s.4 / 10.0)).collect();
                 let lines = [
-                    Line { name: "value (part of the worth asked)", points: value },
-                    Line { name: "deferred in 250 ms / 10", points: deferred },
-                    Line { name: "threads a core in east (cut)", points: hall(0) },
-                    Line { name: "threads a core in west", points: hall(1) },
+                    Line {
+                        name: "value (part of the worth asked)",
+                        points: value,
+                    },
+                    Line {
+                        name: "deferred in 250 ms / 10",
+                        points: deferred,
+                    },
+                    Line {
+                        name: "threads a core in east (cut)",
+                        points: hall(0),
+                    },
+                    Line {
+                        name: "threads a core in west",
+                        points: hall(1),
+                    },
                 ];
                 if let Err(e) = plot(
                     svg,
--- a/crates/rig/src/levels.rs
+++ b/crates/rig/src/levels.rs
@@ -77,7 +77,10 @@
 /// Mean work (ms) of a query of the mix.
 fn mean_work() -> f64 {
     let stretch = f64::exp(SPREAD * SPREAD / 2.0);
-    KINDS.iter().map(|kind| kind.part * kind.work * stretch).sum()
+    KINDS
+        .iter()
+        .map(|kind| kind.part * kind.work * stretch)
+        .sum()
 }
 
 /// Queries a second that fill all engines.
@@ -121,24 +124,59 @@
 }
 
 fn rules() -> Rules {
-    let effect = |kind: &Kind| if kind.changes { Effect::Mutating } else { Effect::ReadOnly };
-    let classes = KINDS.iter().map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind)))).collect();
-    let budget = Some(Budget { span: 10_000.0, free: 10.0, share: 0.2 });
-    Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget, classes }
+    let effect = |kind: &Kind| {
+        if kind.changes {
+            Effect::Mutating
+        } else {
+            Effect::ReadOnly
+        }
+    };
+    let classes = KINDS
+        .iter()
+        .map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind))))
+        .collect();
+    let budget = Some(Budget {
+        span: 10_000.0,
+        free: 10.0,
+        share: 0.2,
+    });
+    Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget,
+        classes,
+    }
 }
 
 fn configuration(engines: &[Engine], names: &Names) -> Config {
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
-    let effect = |kind: &Kind| if kind.changes { "non_idempotent" } else { "read_like" };
-    let classes: Vec<_> = KINDS.iter().map(|k| class(k.name, k.target, k.wait, effect(k))).collect();
+    let effect = |kind: &Kind| {
+        if kind.changes {
+            "non_idempotent"
+        } else {
+            "read_like"
+        }
+    };
+    let classes: Vec<_> = KINDS
+        .iter()
+        .map(|k| class(k.name, k.target, k.wait, effect(k)))
+        .collect();
     let threads: Vec<u32> = KINDS.iter().map(|kind| kind.threads as u32).collect();
     Config::new(free_address(), &known, &classes, &threads)
         .with("resolver", names.address.to_string())
         .with("settings.limits.probes", true)
         .with("settings.limits.max-retry-after-us", 4_000_000)
         .with("settings.family-info.tells-every-us", 100_000)
-        .with("settings.family-info.class-load", json!([false, false, true]))
-        .with("settings.rules", json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}))
+        .with(
+            "settings.family-info.class-load",
+            json!([false, false, true]),
+        )
+        .with(
+            "settings.rules",
+            json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}),
+        )
 }
 
 #[derive(Default)]
@@ -153,9 +191,14 @@
 /// Plays one run.
 pub fn play(exe: &Path, how: Play) -> Outcome {
     let world = Arc::new(World::default());
-    let spec = Spec { cores: CORES, most_threads_a_core: 6.0, ..Spec::default() };
-    let engines: Vec<Engine> =
-        (0..ENGINES).map(|n| Engine::start(&format!("s-{n}"), spec, how.seed + n, world.clone())).collect();
+    let spec = Spec {
+        cores: CORES,
+        most_threads_a_core: 6.0,
+        ..Spec::default()
+    };
+    let engines: Vec<Engine> = (0..ENGINES)
+        .map(|n| Engine::start(&format!("s-{n}"), spec, how.seed + n, world.clone()))
+        .collect();
     let listed = |e: &Engine| Listed {
         id: e.id.clone(),
         hall: "h".into(),
@@ -169,7 +212,12 @@
     let operator = Scrap::new("operator.textproto", if how.levels { LEVELS } else { "" });
     let path = operator.0.display().to_string();
     let arguments = ["--operator", path.as_str(), "--log-level", "error"];
-    let mut program = Program::launch(exe, &configuration(&engines, &names), &arguments, Stdio::piped());
+    let mut program = Program::launch(
+        exe,
+        &configuration(&engines, &names),
+        &arguments,
+        Stdio::piped(),
+    );
     program.wait_until_healthy();
     let tally: Arc<Mutex<Tally>> = Arc::default();
     tally.lock().expect("no holder panics").took = Histogram::new_with_bounds(1, 60_000, 3).ok();
@@ -187,9 +235,14 @@
         let part = at / how.seconds;
         if how.failing && failing != (0.33..0.66).contains(&part) {
             failing = !failing;
-            engines[1].fault(if failing { Fault::Errors(0.6) } else { Fault::None });
+            engines[1].fault(if failing {
+                Fault::Errors(0.6)
+            } else {
+                Fault::None
+            });
         }
-        let shown = get(listen, "/_levels").and_then(|(.., body)| serde_json::from_str::<Value>(&body).ok());
+        let shown = get(listen, "/_levels")
+            .and_then(|(.., body)| serde_json::from_str::<Value>(&body).ok());
         let now = shown.and_then(|shown| shown["depth"].as_u64()).unwrap_or(0) as usize;
         if now != depth {
             changes.push((at, depth, now));
@@ -197,7 +250,13 @@
         }
         let mut tally = tally.lock().expect("no holder panics");
         let [finished, late, value] = std::mem::take(&mut tally.since);
-        samples.push([at, (how.load)(part, how.height), now as f64, late / finished.max(1.0), value * 4.0]);
+        samples.push([
+            at,
+            (how.load)(part, how.height),
+            now as f64,
+            late / finished.max(1.0),
+            value * 4.0,
+        ]);
     }
     let _ = clients.join();
     program.told_to_end();
@@ -205,7 +264,10 @@
     let mut tally = tally.lock().expect("no holder panics");
     let spent: f64 = engines.iter().map(Engine::busy).sum();
     let mut outcome = std::mem::take(&mut tally.outcome);
-    outcome.look_p99 = tally.took.as_ref().map_or(0, |took| took.value_at_quantile(0.99));
+    outcome.look_p99 = tally
+        .took
+        .as_ref()
+        .map_or(0, |took| took.value_at_quantile(0.99));
     outcome.waste = 1.0 - tally.useful / spent.max(1.0);
     outcome.broken = judge(&world.record.entries(), &rules());
     (outcome.samples, outcome.changes) = (samples, changes);
@@ -213,7 +275,11 @@
 }
 
 fn traffic(
-    to: std::net::SocketAddr, how: Play, start: Instant, world: &Arc<World>, tally: &Arc<Mutex<Tally>>,
+    to: std::net::SocketAddr,
+    how: Play,
+    start: Instant,
+    world: &Arc<World>,
+    tally: &Arc<Mutex<Tally>>,
 ) {
     let mut chance = Pcg64::seed_from_u64(how.seed);
     let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
@@ -227,13 +293,26 @@
             lot < 0.0
         });
         let kind = found.unwrap_or(&KINDS[0]);
-        let work = LogNormal::new(kind.work.ln(), SPREAD).expect("a finite spread").sample(&mut chance);
-        let text = format!("select a from sales_{}.t where id = {number}", chance.random_range(1..30));
-        let mut query = Ask::new(number << 8, &format!("/invoke/{}", kind.name), kind.name, &text, kind.wait);
+        let work = LogNormal::new(kind.work.ln(), SPREAD)
+            .expect("a finite spread")
+            .sample(&mut chance);
+        let text = format!(
+            "select a from sales_{}.t where id = {number}",
+            chance.random_range(1..30)
+        );
+        let mut query = Ask::new(
+            number << 8,
+            &format!("/invoke/{}", kind.name),
+            kind.name,
+            &text,
+            kind.wait,
+        );
         query.cost = Some(work * chance.random_range(0.8..1.25));
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
         let (world, tally) = (world.clone(), tally.clone());
-        waiting.push(thread::spawn(move || one(to, kind, query, work, &world, &tally)));
+        waiting.push(thread::spawn(move || {
+            one(to, kind, query, work, &world, &tally)
+        }));
         waiting.retain(|waiting| !waiting.is_finished());
     }
     waiting.into_iter().for_each(|waiting| drop(waiting.join()));
@@ -241,12 +320,26 @@
 
 /// A client's query, with up to three returns after deferrals.
 fn one(
-    to: std::net::SocketAddr, kind: &Kind, mut query: Ask, work: f64, world: &World, tally: &Mutex<Tally>,
+    to: std::net::SocketAddr,
+    kind: &Kind,
+    mut query: Ask,
+    work: f64,
+    world: &World,
+    tally: &Mutex<Tally>,
 ) {
     let from = Instant::now();
     for again in 0..4 {
-        let truth = Work { work, threads: kind.threads, changes: kind.changes, tables: 0 };
-        world.works.lock().expect("no holder panics").insert(query.id(), truth);
+        let truth = Work {
+            work,
+            threads: kind.threads,
+            changes: kind.changes,
+            tables: 0,
+        };
+        world
+            .works
+            .lock()
+            .expect("no holder panics")
+            .insert(query.id(), truth);
         let got = ask(to, &query, &world.record);
         let mut tally = tally.lock().expect("no holder panics");
         let o = &mut tally.outcome;
@@ -263,7 +356,11 @@
                 // In time counts from the first try: a deferral is no excuse.
                 let took = from.elapsed().as_secs_f64() * 1000.0;
                 let in_time = took <= kind.target.max(kind.wait) && got.took <= kind.target;
-                let value = if in_time { kind.worth } else { kind.worth / 3.0 };
+                let value = if in_time {
+                    kind.worth
+                } else {
+                    kind.worth / 3.0
+                };
                 o.value += value;
                 *(if in_time { &mut o.in_time } else { &mut o.late }) += 1;
                 tally.since[0] += 1.0;
@@ -282,7 +379,9 @@
                 }
                 o.repeated += 1;
                 drop(tally);
-                thread::sleep(Duration::from_secs_f64(got.retry_after.unwrap_or(500.0) / 1000.0));
+                thread::sleep(Duration::from_secs_f64(
+                    got.retry_after.unwrap_or(500.0) / 1000.0,
+                ));
                 query.id += 1;
             }
             _ => {
@@ -332,16 +431,37 @@
     );
     let outcomes: Vec<Outcome> = thread::scope(|scope| {
         let play = |seed| {
-            let how = Play { seconds, seed, levels: true, failing: false, load: step, height: 2.2 };
+            let how = Play {
+                seconds,
+                seed,
+                levels: true,
+                failing: false,
+                load: step,
+                height: 2.2,
+            };
             play(exe, how)
         };
-        let running: Vec<_> = (1..=seeds).map(|seed| scope.spawn(move || play(seed))).collect();
-        running.into_iter().filter_map(|running| running.join().ok()).collect()
+        let running: Vec<_> = (1..=seeds)
+            .map(|seed| scope.spawn(move || play(seed)))
+            .collect();
+        running
+            .into_iter()
+            .filter_map(|running| running.join().ok())
+            .collect()
     });
     for (n, o) in outcomes.iter().enumerate() {
-        let first =
-            |depth: usize| o.changes.iter().find(|(_, _, to)| *to == depth).map(|c| c.0 - seconds * STEP_UP);
-        let full = o.changes.iter().rev().find(|(_, _, to)| *to == 0).map(|c| c.0 - seconds * STEP_DOWN);
+        let first = |depth: usize| {
+            o.changes
+                .iter()
+                .find(|(_, _, to)| *to == depth)
+                .map(|c| c.0 - seconds * STEP_UP)
+        };
+        let full = o
+            .changes
+            .iter()
+            .rev()
+            .find(|(_, _, to)| *to == 0)
+            .map(|c| c.0 - seconds * STEP_DOWN);
         let shown = |at: Option<f64>| at.map_or_else(|| "-".to_owned(), |at| format!("{at:.1}"));
         let _ = writeln!(
             table,
@@ -361,17 +481,30 @@
     let level = |(_, from, to): &(f64, usize, usize)| *from.min(to);
     let near = |n: usize| {
         let (at, which) = (changes[n].0, level(&changes[n]));
-        changes[..n].iter().any(|before| level(before) == which && at - before.0 < 59.5)
+        changes[..n]
+            .iter()
+            .any(|before| level(before) == which && at - before.0 < 59.5)
     };
     (0..changes.len()).filter(|n| near(*n)).count()
 }
 
 /// A load that swings around all thresholds, for so many seconds; a table, and whether a promise broke.
 pub fn swing(exe: &Path, seconds: f64, svg: Option<&Path>) -> (String, bool) {
-    let how = Play { seconds, seed: 1, levels: true, failing: false, load: swings, height: 1.0 };
+    let how = Play {
+        seconds,
+        seed: 1,
+        levels: true,
+        failing: false,
+        load: swings,
+        height: 1.0,
+    };
     let o = play(exe, how);
     let near = too_near(&o.changes);
-    let skips = o.changes.iter().filter(|(_, from, to)| from.abs_diff(*to) != 1).count();
+    let skips = o
+        .changes
+        .iter()
+        .filter(|(_, from, to)| from.abs_diff(*to) != 1)
+        .count();
     let mut table = format!(
         "{seconds:.0} s, {} asked, {} in time, {} late, {} deferred, {} killed, value {:.3} of the most\n",
         o.asked,
@@ -382,9 +515,17 @@
         o.value / o.most.max(1.0)
     );
     for level in 0..3 {
-        let count = o.changes.iter().filter(|(_, from, to)| from.min(to) == &level).count();
+        let count = o
+            .changes
+            .iter()
+            .filter(|(_, from, to)| from.min(to) == &level)
+            .count();
         let a_minute = count as f64 / (seconds / 60.0);
-        let _ = writeln!(table, "level {}: {count} changes, {a_minute:.2} a minute", level + 1);
+        let _ = writeln!(
+            table,
+            "level {}: {count} changes, {a_minute:.2} a minute",
+            level + 1
+        );
     }
     let _ = writeln!(
         table,
@@ -395,15 +536,33 @@
         let _ = writeln!(table, "  {broken}");
     });
     if let Some(svg) = svg {
-        let column = |n: usize, scale: f64| o.samples.iter().map(|s| (s[0], s[n] * scale)).collect();
+        let column =
+            |n: usize, scale: f64| o.samples.iter().map(|s| (s[0], s[n] * scale)).collect();
         let top = o.samples.iter().map(|s| s[4]).fold(1.0, f64::max);
         let lines = [
-            Line { name: "load (part of capacity)", points: column(1, 1.0) },
-            Line { name: "level (depth)", points: column(2, 1.0) },
-            Line { name: "late (part)", points: column(3, 1.0) },
-            Line { name: "value a second (part of the highest)", points: column(4, 1.0 / top) },
+            Line {
+                name: "load (part of capacity)",
+                points: column(1, 1.0),
+            },
+            Line {
+                name: "level (depth)",
+                points: column(2, 1.0),
+            },
+            Line {
+                name: "late (part)",
+                points: column(3, 1.0),
+            },
+            Line {
+                name: "value a second (part of the highest)",
+                points: column(4, 1.0 / top),
+            },
         ];
-        if let Err(e) = plot(svg, "Load around all thresholds, real program, stand-in engines", "s", &lines) {
+        if let Err(e) = plot(
+            svg,
+            "Load around all thresholds, real program, stand-in engines",
+            "s",
+            &lines,
+        ) {
             let _ = writeln!(table, "no plot: {e}");
         }
     }
@@ -434,14 +593,28 @@
                 let runs = (0..seeds).flat_map(|seed| [false, true].map(|levels| (seed, levels)));
                 let running: Vec<_> = runs
                     .map(|(seed, levels)| {
-                        let how = Play { seconds, seed: seed + 1, levels, failing, load: quarter, height };
+                        let how = Play {
+                            seconds,
+                            seed: seed + 1,
+                            levels,
+                            failing,
+                            load: quarter,
+                            height,
+                        };
                         scope.spawn(move || (levels, play(exe, how)))
                     })
                     .collect();
-                running.into_iter().filter_map(|running| running.join().ok()).collect()
+                running
+                    .into_iter()
+                    .filter_map(|running| running.join().ok())
+                    .collect()
             });
             for levels in [false, true] {
-                let of: Vec<&Outcome> = runs.iter().filter(|(l, _)| *l == levels).map(|(_, o)| o).collect();
+                let of: Vec<&Outcome> = runs
+                    .iter()
+                    .filter(|(l, _)| *l == levels)
+                    .map(|(_, o)| o)
+                    .collect();
                 let sum = |f: fn(&Outcome) -> f64| of.iter().map(|o| f(o)).sum::<f64>();
                 let many = of.len().max(1) as f64;
                 let _ = writeln!(
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -181,14 +181,28 @@
                 return ExitCode::FAILURE;
             }
         }
-        Command::Halls { seconds, seeds, svg } => {
+        Command::Halls {
+            seconds,
+            seeds,
+            svg,
+        } => {
             let (table, broken) = halls::run(&exe(), seconds, seeds, svg.as_deref());
             print!("{table}");
             if broken {
                 return ExitCode::FAILURE;
             }
         }
-        Command::Fleet { members, seeds, first, calm, name, alone, file, show, logs } => {
+        Command::Fleet {
+            members,
+            seeds,
+            first,
+            calm,
+            name,
+            alone,
+            file,
+            show,
+            logs,
+        } => {
             let of = |seed| match &file {
                 Some(path) => fleet::read(path),
                 None if name.is_some() => {
@@ -209,13 +223,18 @@
                     }
                 };
                 if show {
-                    println!("{}", serde_json::to_string_pretty(&scenario).unwrap_or_default());
+                    println!(
+                        "{}",
+                        serde_json::to_string_pretty(&scenario).unwrap_or_default()
+                    );
                     continue;
                 }
                 let seen = fleet::processes::play(&exe(), scenario, alone, logs.as_deref());
                 println!("{}", seen.line());
                 if !seen.broken.is_empty() {
-                    println!("  again: tansymux-rig fleet --members {members} --first {seed} --seeds 1");
+                    println!(
+                        "  again: tansymux-rig fleet --members {members} --first {seed} --seeds 1"
+                    );
                 }
                 all.push(seen);
             }
@@ -224,17 +243,40 @@
                 return ExitCode::FAILURE;
             }
         }
-        Command::Zones { dispatchers, seeds, first, loss, cut_s } => {
-            let of = |seed| Course { dispatchers, loss, cut_for: cut_s * 1000.0, ..Course::short(seed) };
+        Command::Zones {
+            dispatchers,
+            seeds,
+            first,
+            loss,
+            cut_s,
+        } => {
+            let of = |seed| Course {
+                dispatchers,
+                loss,
+                cut_for: cut_s * 1000.0,
+                ..Course::short(seed)
+            };
             let (table, broken) = fleet::zones::compare(&exe(), first..first + seeds, of);
             print!("{table}");
             if broken {
                 return ExitCode::FAILURE;
             }
         }
-        Command::FleetVirtual { members, seeds, first, loss, calm, alone, show } => {
+        Command::FleetVirtual {
+            members,
+            seeds,
+            first,
+            loss,
+            calm,
+            alone,
+            show,
+        } => {
             let of = |seed| {
-                let mixed = if calm { Scenario::calm(seed, members) } else { Scenario::mixed(seed, members) };
+                let mixed = if calm {
+                    Scenario::calm(seed, members)
+                } else {
+                    Scenario::mixed(seed, members)
+                };
                 if loss > 0.0 {
                     mixed.with_loss(loss)
                 } else {
@@ -247,8 +289,12 @@
                 return ExitCode::FAILURE;
             }
         }
-        Command::Reaction { seconds, seeds } => print!("{}", levels::reaction(&exe(), seconds, seeds)),
-        Command::Quarters { seconds, seeds } => print!("{}", levels::quarters(&exe(), seconds, seeds)),
+        Command::Reaction { seconds, seeds } => {
+            print!("{}", levels::reaction(&exe(), seconds, seeds))
+        }
+        Command::Quarters { seconds, seeds } => {
+            print!("{}", levels::quarters(&exe(), seconds, seeds))
+        }
         Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
         Command::Mutations { many, seed } => {
             let table = measure::mutations(many, seed);
@@ -260,7 +306,11 @@
         Command::Cache { many } => print!("{}", measure::cache(many, 1)),
         Command::Time { many } => print!("{}", measure::time(many, 1)),
         Command::Learning { seed } => print!("{}", measure::learning(seed)),
-        Command::Replay { seconds, rate, seeds } => print!("{}", replay::run(&exe(), seconds, rate, seeds)),
+        Command::Replay {
+            seconds,
+            rate,
+            seeds,
+        } => print!("{}", replay::run(&exe(), seconds, rate, seeds)),
     }
     ExitCode::SUCCESS
 }
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -34,8 +34,10 @@
     let (mut accuracy, mut wrong) = (Accuracy::default(), Vec::new());
     for labelled in all.iter().filter(|labelled| labelled.part == part) {
         let reading = statements.read(labelled.statement.as_bytes()).reading;
-        let (class, effect) =
-            (reading.class.name() == labelled.class, reading.effect.name() == labelled.effect);
+        let (class, effect) = (
+            reading.class.name() == labelled.class,
+            reading.effect.name() == labelled.effect,
+        );
         accuracy.asked += 1;
         accuracy.right_class += usize::from(class);
         accuracy.right_effect += usize::from(effect);
@@ -58,8 +60,10 @@
 
 pub fn accuracy(seed: u64, show: usize) -> String {
     let all = corpus(FORMS, EACH, seed);
-    let mut table =
-        format!("{:<10} {:>6} {:>8} {:>8} {:>16}\n", "part", "asked", "class", "effect", "false read-only");
+    let mut table = format!(
+        "{:<10} {:>6} {:>8} {:>8} {:>16}\n",
+        "part", "asked", "class", "effect", "false read-only"
+    );
     let mut shown = String::new();
     for (name, part) in [("building", Part::Building), ("measuring", Part::Measuring)] {
         let (a, wrong) = accuracy_of(&all, part);
@@ -102,17 +106,27 @@
     };
     let parts: Vec<(usize, Vec<Vec<u8>>)> = std::thread::scope(|scope| {
         let part = &part;
-        let running: Vec<_> = (0..threads).map(|thread| scope.spawn(move || part(thread))).collect();
-        running.into_iter().map(|running| running.join().expect("no reader panics")).collect()
+        let running: Vec<_> = (0..threads)
+            .map(|thread| scope.spawn(move || part(thread)))
+            .collect();
+        running
+            .into_iter()
+            .map(|running| running.join().expect("no reader panics"))
+            .collect()
     });
     let proven = parts.iter().map(|(proven, _)| proven).sum();
-    (proven, parts.into_iter().flat_map(|(_, wrong)| wrong).collect())
+    (
+        proven,
+        parts.into_iter().flat_map(|(_, wrong)| wrong).collect(),
+    )
 }
 
 pub fn mutations(many: usize, seed: u64) -> String {
     let (proven, wrong) = false_proofs(many, seed);
-    let mut table =
-        format!("{many} mutated statements, {proven} proven read-only, {} of them falsely\n", wrong.len());
+    let mut table = format!(
+        "{many} mutated statements, {proven} proven read-only, {} of them falsely\n",
+        wrong.len()
+    );
     for text in wrong.iter().take(20) {
         let _ = writeln!(table, "false: {}", String::from_utf8_lossy(text));
     }
@@ -185,7 +199,8 @@
 pub fn time(many: usize, seed: u64) -> String {
     let mut chance = Pcg64::seed_from_u64(seed);
     let mut statements = statements();
-    let histogram = || Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3).expect("bounds in order");
+    let histogram =
+        || Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3).expect("bounds in order");
     let (mut hit, mut miss) = (histogram(), histogram());
     let texts: Vec<String> = (0..many).map(|n| common(n % 64, &mut chance)).collect();
     let bytes = texts.iter().map(String::len).sum::<usize>() as f64 / many as f64;
@@ -195,21 +210,30 @@
         let took = from.elapsed().as_nanos() as u64;
         let _ = if read.hit { hit.record(took) } else { Ok(()) };
     }
-    let new: Vec<String> = (0..many / 10).map(|n| common(1000 + n, &mut chance)).collect();
+    let new: Vec<String> = (0..many / 10)
+        .map(|n| common(1000 + n, &mut chance))
+        .collect();
     let whole = Instant::now();
     for text in &new {
         let from = Instant::now();
         black_box(statements.read(black_box(text.as_bytes())));
         let _ = miss.record(from.elapsed().as_nanos() as u64);
     }
-    let throughput = new.iter().map(String::len).sum::<usize>() as f64 / whole.elapsed().as_secs_f64() / 1e6;
+    let throughput =
+        new.iter().map(String::len).sum::<usize>() as f64 / whole.elapsed().as_secs_f64() / 1e6;
     let mut table = format!(
         "statements of {bytes:.0} bytes\n{:<6} {:>10} {:>10} {:>10}\n",
         "", "p50 us", "p99 us", "count"
     );
     for (name, histogram) in [("hit", &hit), ("miss", &miss)] {
         let us = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
-        let _ = writeln!(table, "{name:<6} {:>10.2} {:>10.2} {:>10}", us(0.5), us(0.99), histogram.len());
+        let _ = writeln!(
+            table,
+            "{name:<6} {:>10.2} {:>10.2} {:>10}",
+            us(0.5),
+            us(0.99),
+            histogram.len()
+        );
     }
     let _ = writeln!(
         table,
@@ -225,7 +249,10 @@
         .iter()
         .map(|(text, truth)| {
             let read = statements.read(text.as_bytes());
-            (statements.estimate(&read, now).cost / truth).ln().abs().exp()
+            (statements.estimate(&read, now).cost / truth)
+                .ln()
+                .abs()
+                .exp()
         })
         .collect();
     ratios.sort_by(f64::total_cmp);
@@ -237,40 +264,68 @@
 pub fn learning(seed: u64) -> String {
     let mut chance = Pcg64::seed_from_u64(seed);
     let all = corpus(3, 1, seed);
-    let mut shapes: Vec<(String, f64)> =
-        all.iter().filter(|s| s.class != "unknown").map(|s| (s.statement.clone(), s.work)).collect();
+    let mut shapes: Vec<(String, f64)> = all
+        .iter()
+        .filter(|s| s.class != "unknown")
+        .map(|s| (s.statement.clone(), s.work))
+        .collect();
     let noise = Normal::new(0.0, 0.25).expect("a finite spread");
     let mut statements = statements();
-    let mut table = format!("{:<34} {:>8} {:>8}\n", "ratio of learned to true cost", "median", "p90");
+    let mut table = format!(
+        "{:<34} {:>8} {:>8}\n",
+        "ratio of learned to true cost", "median", "p90"
+    );
     let mut now = 0.0;
-    let mut rounds =
-        |shapes: &[(String, f64)], rounds: usize, statements: &mut Statements, chance: &mut Pcg64| {
-            for _ in 0..rounds {
-                for (text, truth) in shapes {
-                    now += 5.0;
-                    let engine = chance.random_range(0..6_u64);
-                    let mut latency = truth * f64::exp(noise.sample(chance));
-                    latency *= if engine == 5 { 1.9 } else { 1.0 };
-                    let bad_plan = chance.random_bool(0.02);
-                    latency *= if bad_plan { 15.0 } else { 1.0 };
-                    let waited = chance.random_bool(0.1);
-                    latency += if waited { chance.random_range(50.0..800.0) } else { 0.0 };
-                    let cut = chance.random_bool(0.03);
-                    let end = if cut { End::CutOff } else { End::Finished };
-                    latency *= if cut { chance.random_range(0.2..0.9) } else { 1.0 };
-                    let read = statements.read(text.as_bytes());
-                    let seen = Observation { now, engine, latency, threads: 1.0, end, waited, cold: false };
-                    statements.ended(read.shape, read.reading.class, read.reading.cost, &seen);
-                }
+    let mut rounds = |shapes: &[(String, f64)],
+                      rounds: usize,
+                      statements: &mut Statements,
+                      chance: &mut Pcg64| {
+        for _ in 0..rounds {
+            for (text, truth) in shapes {
+                now += 5.0;
+                let engine = chance.random_range(0..6_u64);
+                let mut latency = truth * f64::exp(noise.sample(chance));
+                latency *= if engine == 5 { 1.9 } else { 1.0 };
+                let bad_plan = chance.random_bool(0.02);
+                latency *= if bad_plan { 15.0 } else { 1.0 };
+                let waited = chance.random_bool(0.1);
+                latency += if waited {
+                    chance.random_range(50.0..800.0)
+                } else {
+                    0.0
+                };
+                let cut = chance.random_bool(0.03);
+                let end = if cut { End::CutOff } else { End::Finished };
+                latency *= if cut {
+                    chance.random_range(0.2..0.9)
+                } else {
+                    1.0
+                };
+                let read = statements.read(text.as_bytes());
+                let seen = Observation {
+                    now,
+                    engine,
+                    latency,
+                    threads: 1.0,
+                    end,
+                    waited,
+                    cold: false,
+                };
+                statements.ended(read.shape, read.reading.class, read.reading.cost, &seen);
             }
-            now
-        };
+        }
+        now
+    };
     let mut row = |name: &str, statements: &mut Statements, shapes: &[(String, f64)], now: f64| {
         let (median, p90) = errors(statements, shapes, now);
         let _ = writeln!(table, "{name:<34} {median:>8.2} {p90:>8.2}");
     };
     row("never seen", &mut statements, &shapes, 0.0);
-    for (name, many) in [("after 1 query a shape", 1), ("after 5", 4), ("after 30", 25)] {
+    for (name, many) in [
+        ("after 1 query a shape", 1),
+        ("after 5", 4),
+        ("after 30", 25),
+    ] {
         let now = rounds(&shapes, many, &mut statements, &mut chance);
         row(name, &mut statements, &shapes, now);
     }
@@ -284,9 +339,12 @@
         };
     }
     let changed: Vec<(String, f64)> = shapes.iter().step_by(5).cloned().collect();
-    for (name, many) in
-        [("changed, after 1", 1), ("changed, after 3", 2), ("changed, after 5", 2), ("changed, after 10", 5)]
-    {
+    for (name, many) in [
+        ("changed, after 1", 1),
+        ("changed, after 3", 2),
+        ("changed, after 5", 2),
+        ("changed, after 10", 5),
+    ] {
         let now = rounds(&shapes, many, &mut statements, &mut chance);
         row(name, &mut statements, &changed, now);
     }
@@ -295,5 +353,8 @@
 
 /// The classes by name, as the program counts them.
 pub fn class_of(name: &str) -> Class {
-    Class::ALL.into_iter().find(|class| class.name() == name).unwrap_or(Class::Unknown)
+    Class::ALL
+        .into_iter()
+        .find(|class| class.name() == name)
+        .unwrap_or(Class::Unknown)
 }
--- a/crates/rig/src/names.rs
+++ b/crates/rig/src/names.rs
@@ -40,7 +40,11 @@
         let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
         let address = socket.local_addr().expect("a bound socket has an address");
         engines.iter().for_each(|engine| record.saw(told(engine)));
-        let list = Arc::new(Mutex::new(List { engines, serial: 1, ..List::default() }));
+        let list = Arc::new(Mutex::new(List {
+            engines,
+            serial: 1,
+            ..List::default()
+        }));
         let shared = list.clone();
         thread::spawn(move || {
             let mut asked = [0; 512];
@@ -91,8 +95,21 @@
 }
 
 fn told(engine: &Listed) -> What {
-    let Listed { id, hall, kind, cell, status, .. } = engine.clone();
-    What::Listed { engine: id, status, hall, kind, cell }
+    let Listed {
+        id,
+        hall,
+        kind,
+        cell,
+        status,
+        ..
+    } = engine.clone();
+    What::Listed {
+        engine: id,
+        status,
+        hall,
+        kind,
+        cell,
+    }
 }
 
 fn name(labels: &[&str]) -> Vec<u8> {
@@ -109,7 +126,11 @@
 fn answer(asked: &[u8], list: &List) -> Vec<u8> {
     let mut bytes = asked.to_vec();
     bytes[2] |= 0x80;
-    let there: Vec<&Listed> = list.engines.iter().filter(|engine| engine.status != Status::Gone).collect();
+    let there: Vec<&Listed> = list
+        .engines
+        .iter()
+        .filter(|engine| engine.status != Status::Gone)
+        .collect();
     let count = |n: usize| (n as u16).to_be_bytes();
     bytes[6..8].copy_from_slice(&count(there.len()));
     bytes[8..10].copy_from_slice(&count(1));
@@ -124,14 +145,24 @@
     let target = |engine: &Listed| name(&[&engine.id, &engine.hall, "hosts"]);
     for engine in &there {
         let priority = u16::from(engine.status == Status::Draining);
-        let head =
-            [priority.to_be_bytes(), 10_u16.to_be_bytes(), engine.address.port().to_be_bytes()].concat();
+        let head = [
+            priority.to_be_bytes(),
+            10_u16.to_be_bytes(),
+            engine.address.port().to_be_bytes(),
+        ]
+        .concat();
         record(&question, 33, &[head, target(engine)].concat());
     }
     let serial = list.serial.to_be_bytes();
-    record(&question, 6, &[&question, question.as_slice(), &serial, &[0; 16]].concat());
+    record(
+        &question,
+        6,
+        &[&question, question.as_slice(), &serial, &[0; 16]].concat(),
+    );
     for engine in &there {
-        let SocketAddr::V4(address) = engine.address else { continue };
+        let SocketAddr::V4(address) = engine.address else {
+            continue;
+        };
         record(&target(engine), 1, &address.ip().octets());
         let texts = [
             format!("kind={}", engine.kind),
@@ -139,7 +170,11 @@
             format!("started={}", engine.started),
         ];
         let text = |text: &String| [&[text.len() as u8], text.as_bytes()].concat();
-        record(&target(engine), 16, &texts.iter().flat_map(text).collect::<Vec<u8>>());
+        record(
+            &target(engine),
+            16,
+            &texts.iter().flat_map(text).collect::<Vec<u8>>(),
+        );
     }
     bytes
 }
--- a/crates/rig/src/plot.rs
+++ b/crates/rig/src/plot.rs
@@ -14,9 +14,16 @@
 ///
 /// # Errors
 /// The file can't be written.
-pub fn plot(to: &Path, title: &str, unit: &str, lines: &[Line]) -> Result<(), Box<dyn std::error::Error>> {
+pub fn plot(
+    to: &Path,
+    title: &str,
+    unit: &str,
+    lines: &[Line],
+) -> Result<(), Box<dyn std::error::Error>> {
     let all = || lines.iter().flat_map(|line| &line.points);
-    let (right, top) = all().fold((1.0_f64, 1.0_f64), |(x, y), point| (x.max(point.0), y.max(point.1)));
+    let (right, top) = all().fold((1.0_f64, 1.0_f64), |(x, y), point| {
+        (x.max(point.0), y.max(point.1))
+    });
     let area = SVGBackend::new(to, (1000, 420)).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
@@ -25,13 +32,22 @@
         .x_label_area_size(30)
         .y_label_area_size(45)
         .build_cartesian_2d(0.0..right, 0.0..top * 1.05)?;
-    chart.configure_mesh().x_desc(unit).light_line_style(WHITE).draw()?;
+    chart
+        .configure_mesh()
+        .x_desc(unit)
+        .light_line_style(WHITE)
+        .draw()?;
     for (n, line) in lines.iter().enumerate() {
         let color = Palette99::pick(n).to_rgba();
         chart
-            .draw_series(LineSeries::new(line.points.iter().copied(), color.stroke_width(1)))?
+            .draw_series(LineSeries::new(
+                line.points.iter().copied(),
+                color.stroke_width(1),
+            ))?
             .label(line.name)
-            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+            .legend(move |(x, y)| {
+                PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2))
+            });
     }
     let corner = SeriesLabelPosition::UpperRight;
     chart
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -23,7 +23,8 @@
     pub fn new(name: &str, text: &str) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("tansymux-{}-{number}-{name}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("tansymux-{}-{number}-{name}", std::process::id()));
         let scrap = Scrap(path);
         scrap.write(text);
         scrap
@@ -53,7 +54,10 @@
 impl Config {
     /// One dispatcher of one, in hall `h`, with these engines of kind `std` (8 cores, 4,096 MB) known and ready.
     pub fn new(
-        listen: SocketAddr, engines: &[(String, SocketAddr)], classes: &[Value], threads: &[u32],
+        listen: SocketAddr,
+        engines: &[(String, SocketAddr)],
+        classes: &[Value],
+        threads: &[u32],
     ) -> Self {
         let entry = |(id, at): &(String, SocketAddr)| {
             json!({"instanceId": id, "hostPort": at.to_string(), "zone": "h", "machineType": "std", "cell": 0,
@@ -87,12 +91,16 @@
 
 /// An address on which nobody listens, as far as can be told.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has a free port")
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("loopback has a free port")
 }
 
 /// The same for datagrams.
 pub fn free_udp_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback has a free port")
+    UdpSocket::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("loopback has a free port")
 }
 
 /// Processes that were started and not yet waited for: those that must end with the rig.
@@ -100,11 +108,16 @@
 
 /// From now on, what was started ends with the rig also when that is interrupted or told to end.
 pub fn ends_with_the_rig() {
-    let Ok(mut signals) = signal_hook::iterator::Signals::new([SIGINT, SIGTERM, SIGHUP]) else { return };
+    let Ok(mut signals) = signal_hook::iterator::Signals::new([SIGINT, SIGTERM, SIGHUP]) else {
+        return;
+    };
     thread::spawn(move || {
         if let Some(signal) = signals.forever().next() {
             // Until it is waited for, a number is its process's and nobody else's.
-            let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
+            let started = STARTED
+                .lock()
+                .map(|started| started.clone())
+                .unwrap_or_default();
             let pids: Vec<String> = started.iter().map(u32::to_string).collect();
             let _ = Command::new("kill").arg("-KILL").args(&pids).status();
             std::process::exit(128 + signal);
@@ -148,10 +161,16 @@
 
     /// The same, with more done to the command before it runs.
     pub fn prepared(
-        exe: &Path, config: &Config, arguments: &[&str], log: Stdio, prepare: impl FnOnce(&mut Command),
+        exe: &Path,
+        config: &Config,
+        arguments: &[&str],
+        log: Stdio,
+        prepare: impl FnOnce(&mut Command),
     ) -> Self {
-        let listen =
-            config.0["listen"].as_str().and_then(|at| at.parse().ok()).expect("a configuration listens");
+        let listen = config.0["listen"]
+            .as_str()
+            .and_then(|at| at.parse().ok())
+            .expect("a configuration listens");
         let config = Scrap::new("config.json", &config.0.to_string());
         let mut command = Command::new(exe);
         command
@@ -165,7 +184,11 @@
         if let Ok(mut started) = STARTED.lock() {
             started.push(child.id());
         }
-        Program { child, listen, config }
+        Program {
+            child,
+            listen,
+            config,
+        }
     }
 
     pub fn wait_until_healthy(&self) {
@@ -179,7 +202,13 @@
     /// Sends a signal by its name, as in `-HUP`.
     pub fn signal(&self, which: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([which, &pid]).status().is_ok_and(|s| s.success()), "kill {which}");
+        assert!(
+            Command::new("kill")
+                .args([which, &pid])
+                .status()
+                .is_ok_and(|s| s.success()),
+            "kill {which}"
+        );
     }
 
     pub fn told_to_end(&self) {
@@ -191,7 +220,9 @@
     }
 
     pub fn counter(&self, name: &str) -> Option<u64> {
-        self.counters().lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+        self.counters()
+            .lines()
+            .find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
     }
 
     /// Waits until the counters show this line.
@@ -207,7 +238,11 @@
     pub fn end(&mut self) -> String {
         let from = Instant::now();
         let status = loop {
-            match self.child.try_wait().expect("its own child can be waited for") {
+            match self
+                .child
+                .try_wait()
+                .expect("its own child can be waited for")
+            {
                 Some(status) => break status,
                 None => assert!(from.elapsed() < WAIT, "not ended in time"),
             }
@@ -231,7 +266,14 @@
 /// A figure in kB from what the system says of a process.
 fn of_status(pid: u32, name: &str) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    status.lines().find_map(|l| l.strip_prefix(name)?.trim().strip_suffix(" kB")?.trim().parse().ok())
+    status.lines().find_map(|l| {
+        l.strip_prefix(name)?
+            .trim()
+            .strip_suffix(" kB")?
+            .trim()
+            .parse()
+            .ok()
+    })
 }
 
 /// Resident memory (kB) and processor time (ms, of its own and of the system) of a process.
@@ -248,7 +290,9 @@
 pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String, String)> {
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_read_timeout(Some(WAIT)).ok()?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).ok()?;
+    stream
+        .write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
+        .ok()?;
     answer(&mut BufReader::new(stream))
 }
 
--- a/crates/rig/src/record.rs
+++ b/crates/rig/src/record.rs
@@ -8,21 +8,45 @@
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum What {
     /// A client has sent its query's last byte.
-    Asked { id: String, class: String, wait: f64, key: Option<String> },
+    Asked {
+        id: String,
+        class: String,
+        wait: f64,
+        key: Option<String>,
+    },
     /// A whole answer came; status, and when to come back if it is deferred (ms).
-    Answered { id: String, status: u16, retry_after: Option<f64> },
+    Answered {
+        id: String,
+        status: u16,
+        retry_after: Option<f64>,
+    },
     /// The client left without waiting.
     Left { id: String },
     /// A submission came whole to an engine; its work (ms on one core), as far as the engine knows.
-    Arrived { engine: String, id: String, work: f64 },
+    Arrived {
+        engine: String,
+        id: String,
+        work: f64,
+    },
     /// Its effect was applied.
     Applied { engine: String, id: String },
     /// The engine wrote its end. `ran`: whether it may have run.
-    Ended { engine: String, id: String, word: String, ran: bool },
+    Ended {
+        engine: String,
+        id: String,
+        word: String,
+        ran: bool,
+    },
     /// It was given up by a word or by the end of its connection.
     GivenUp { engine: String, id: String },
     /// The list told of an engine: ready, draining or gone.
-    Listed { engine: String, status: Status, hall: String, kind: String, cell: u32 },
+    Listed {
+        engine: String,
+        status: Status,
+        hall: String,
+        kind: String,
+        cell: u32,
+    },
     /// An engine started, and is cold.
     Started { engine: String, cores: f64 },
     /// A fault was injected or ended.
@@ -54,7 +78,10 @@
 
 impl Default for Record {
     fn default() -> Self {
-        Record { from: Instant::now(), entries: Mutex::default() }
+        Record {
+            from: Instant::now(),
+            entries: Mutex::default(),
+        }
     }
 }
 
@@ -70,7 +97,10 @@
 
     /// For what happened before it could be written down.
     pub fn saw_at(&self, at: f64, what: What) {
-        self.entries.lock().expect("no writer panics").push(Entry { at, what });
+        self.entries
+            .lock()
+            .expect("no writer panics")
+            .push(Entry { at, what });
     }
 
     /// All entries so far, in the order of their times.
--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -63,9 +63,14 @@
 /// Plays so many seconds of one arm at a rate of queries a second.
 pub fn play(exe: &Path, arm: Arm, seconds: f64, rate: f64, seed: u64) -> Outcome {
     let world = Arc::new(World::default());
-    let spec = Spec { cores: 8.0, most_threads_a_core: 8.0, ..Spec::default() };
-    let engines: Vec<Engine> =
-        (0..4).map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone())).collect();
+    let spec = Spec {
+        cores: 8.0,
+        most_threads_a_core: 8.0,
+        ..Spec::default()
+    };
+    let engines: Vec<Engine> = (0..4)
+        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
+        .collect();
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
     let classes = [
         class("look", 150.0, 3000.0, "read_like"),
@@ -74,14 +79,20 @@
     ];
     let config = Config::new(free_address(), &known, &classes, &[1, 4, 2])
         .with("settings.family-info.tells-every-us", 100_000)
-        .with("settings.family-info.class-load", serde_json::json!([false, false, true]));
+        .with(
+            "settings.family-info.class-load",
+            serde_json::json!([false, false, true]),
+        );
     let operator = Scrap::new("operator.textproto", OPERATOR);
     let operator_path = operator.0.display().to_string();
     let arguments = ["--operator", operator_path.as_str(), "--log-level", "error"];
     let mut program = Program::launch(exe, &config, &arguments, Stdio::piped());
     program.wait_until_healthy();
     let mut chance = Pcg64::seed_from_u64(seed);
-    let pool: Vec<Labelled> = corpus(2, 12, seed).into_iter().filter(|s| s.part == Part::Measuring).collect();
+    let pool: Vec<Labelled> = corpus(2, 12, seed)
+        .into_iter()
+        .filter(|s| s.part == Part::Measuring)
+        .collect();
     let by_class = |name: &str| pool.iter().filter(|s| s.class == name).collect::<Vec<_>>();
     let mix = [
         (0.80, by_class("look-up")),
@@ -96,8 +107,13 @@
         at += Exp::new(rate).expect("a rate above 0").sample(&mut chance);
         number += 1;
         let lot: f64 = rand::RngExt::random(&mut chance);
-        let of_mix = mix.iter().find(|(upto, _)| lot < *upto).map_or(&mix[0].1, |(_, all)| all);
-        let Some(labelled) = of_mix.choose(&mut chance).copied().cloned() else { continue };
+        let of_mix = mix
+            .iter()
+            .find(|(upto, _)| lot < *upto)
+            .map_or(&mix[0].1, |(_, all)| all);
+        let Some(labelled) = of_mix.choose(&mut chance).copied().cloned() else {
+            continue;
+        };
         let (target, wait, worth) = terms(labelled.class);
         let path = match arm {
             Arm::Bare => "/statement",
@@ -115,7 +131,11 @@
             changes: labelled.effect != "read-only",
             tables: 0,
         };
-        world.works.lock().expect("no holder panics").insert(query.id(), truth);
+        world
+            .works
+            .lock()
+            .expect("no holder panics")
+            .insert(query.id(), truth);
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
         let (world, outcome, to) = (world.clone(), outcome.clone(), program.listen);
         waiting.push(thread::spawn(move || {
@@ -129,7 +149,11 @@
                 200 => {
                     o.finished += 1;
                     // In time it is worth all of it, later a third.
-                    o.value += if got.took <= target { worth } else { worth / 3.0 };
+                    o.value += if got.took <= target {
+                        worth
+                    } else {
+                        worth / 3.0
+                    };
                 }
                 429 | 503 => o.deferred += 1,
                 500 => o.killed += 1,
@@ -158,7 +182,14 @@
         .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
         .into();
     let budget = None::<Budget>;
-    Rules { slack: 50.0, grace: 1000.0, cold: None, rest: 0.0, budget, classes }
+    Rules {
+        slack: 50.0,
+        grace: 1000.0,
+        cold: None,
+        rest: 0.0,
+        budget,
+        classes,
+    }
 }
 
 pub fn run(exe: &Path, seconds: f64, rate: f64, seeds: u64) -> String {
--- a/crates/rig/src/wire.rs
+++ b/crates/rig/src/wire.rs
@@ -18,7 +18,10 @@
 /// A field of a head.
 pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines()
-        .find_map(|line| line.split_once(':').filter(|(n, _)| n.eq_ignore_ascii_case(name)))
+        .find_map(|line| {
+            line.split_once(':')
+                .filter(|(n, _)| n.eq_ignore_ascii_case(name))
+        })
         .map(|(_, v)| v.trim())
 }
 
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -41,7 +41,10 @@
 #[test]
 fn messages_lost_doubled_in_disorder_and_late_all_the_time_only_make_it_slower() {
     holds(0..40, |seed| Scenario {
-        events: vec![Event { at: 0.0, what: Fault::Links(Way::BAD) }],
+        events: vec![Event {
+            at: 0.0,
+            what: Fault::Links(Way::BAD),
+        }],
         ..Scenario::calm(seed, 7)
     });
 }
@@ -58,8 +61,16 @@
     let mut world = world(Scenario::calm(3, 5));
     world.release_too(4, 99);
     world.plays(|_| false);
-    let running = world.answers.iter().filter(|a| matches!(a, Answer::Running { .. })).count();
-    let done = world.answers.iter().filter(|a| matches!(a, Answer::Done)).count();
+    let running = world
+        .answers
+        .iter()
+        .filter(|a| matches!(a, Answer::Running { .. }))
+        .count();
+    let done = world
+        .answers
+        .iter()
+        .filter(|a| matches!(a, Answer::Done))
+        .count();
     assert!(running == 1 && done >= 1, "{:?}", world.answers);
 }
 
@@ -67,8 +78,17 @@
 fn a_halt_that_only_a_cut_off_part_hears_is_not_told_as_done_and_the_rest_halts_for_its_losses() {
     let mut scenario = Scenario::calm(5, 5);
     scenario.events = vec![
-        Event { at: 500.0, what: Fault::Cut { side: vec![3, 4], one_way: false } },
-        Event { at: 900.0, what: Fault::Halt { at: 3 } },
+        Event {
+            at: 500.0,
+            what: Fault::Cut {
+                side: vec![3, 4],
+                one_way: false,
+            },
+        },
+        Event {
+            at: 900.0,
+            what: Fault::Halt { at: 3 },
+        },
     ];
     (scenario.done_within, scenario.lasts) = (0.0, 60_000.0);
     let mut told = told(&scenario);
@@ -76,16 +96,31 @@
     let mut world = World::new(scenario, told, Served::default());
     world.resumes = false;
     world.plays(|_| false);
-    assert!(world.answers.contains(&Answer::NoLeader), "{:?}", world.answers);
-    assert!(matches!(world.halted(), Some(Halt::Lost | Halt::UsedUp)), "{}", world.kept());
-    assert!(world.seen.released < 3 && world.seen.broken.is_empty(), "{}", world.seen.line());
+    assert!(
+        world.answers.contains(&Answer::NoLeader),
+        "{:?}",
+        world.answers
+    );
+    assert!(
+        matches!(world.halted(), Some(Halt::Lost | Halt::UsedUp)),
+        "{}",
+        world.kept()
+    );
+    assert!(
+        world.seen.released < 3 && world.seen.broken.is_empty(),
+        "{}",
+        world.seen.line()
+    );
 }
 
 #[test]
 fn a_limit_lowered_below_what_is_out_lets_nobody_more_out_and_calls_nobody_back() {
     holds(0..30, |seed| Scenario {
         most: 4,
-        events: vec![Event { at: 2500.0, what: Fault::Limit { most: 1 } }],
+        events: vec![Event {
+            at: 2500.0,
+            what: Fault::Limit { most: 1 },
+        }],
         ..Scenario::calm(seed, 12)
     });
 }
@@ -97,7 +132,16 @@
     let mut told = told(&scenario);
     told.plan.goes_on_untold = untold;
     told.plan.canary = 14_000.0;
-    let mut world = World::new(scenario, told, Served { old: 0.98, new, rate, worse_from });
+    let mut world = World::new(
+        scenario,
+        told,
+        Served {
+            old: 0.98,
+            new,
+            rate,
+            worse_from,
+        },
+    );
     world.resumes = false;
     world
 }
@@ -108,7 +152,11 @@
         let mut world = worse(seed, 40.0, 0.7, 0.0, true);
         world.plays(|world| world.halted().is_some());
         assert_eq!(world.halted(), Some(Halt::Worse), "{}", world.seen.line());
-        assert!(world.seen.halted.unwrap() < 40_000.0, "{}", world.seen.line());
+        assert!(
+            world.seen.halted.unwrap() < 40_000.0,
+            "{}",
+            world.seen.line()
+        );
         assert!(world.goes_back(60_000.0), "{}", world.kept());
         assert_eq!(world.stage(), Some(Stage::Undone));
         assert!(world.seen.broken.is_empty());
@@ -140,7 +188,10 @@
 fn first_ones_that_are_too_few_to_tell_halt_it_unless_it_may_go_on_untold() {
     let mut world = worse(1, 0.0, 0.5, 0.0, false);
     world.plays(|world| world.halted().is_some());
-    assert_eq!((world.halted(), world.stage()), (Some(Halt::CantTell), Some(Stage::Canaries)));
+    assert_eq!(
+        (world.halted(), world.stage()),
+        (Some(Halt::CantTell), Some(Stage::Canaries))
+    );
     let mut world = worse(1, 0.0, 0.5, 0.0, true);
     world.plays(|world| world.stage() == Some(Stage::Waves));
     assert_eq!((world.halted(), world.stage()), (None, Some(Stage::Waves)));
@@ -149,7 +200,12 @@
 #[test]
 fn with_no_majority_left_nobody_goes_out_and_whoever_waits_gives_up() {
     let mut scenario = Scenario::calm(2, 5);
-    scenario.events = (0..3).map(|who| Event { at: 300.0, what: Fault::Kill { who, back: 1e9 } }).collect();
+    scenario.events = (0..3)
+        .map(|who| Event {
+            at: 300.0,
+            what: Fault::Kill { who, back: 1e9 },
+        })
+        .collect();
     (scenario.done_within, scenario.lasts) = (0.0, 50_000.0);
     let mut world = world(scenario);
     world.plays(|_| false);
@@ -163,7 +219,10 @@
 #[test]
 fn a_fleet_that_grows_from_three_to_thirty_in_the_release_ends_it_within_its_limit() {
     for seed in 0..3 {
-        let mut world = world(Scenario { voters: 3, ..Scenario::calm(seed, 30) });
+        let mut world = world(Scenario {
+            voters: 3,
+            ..Scenario::calm(seed, 30)
+        });
         world.joins_late(3, 4000.0);
         world.plays(|_| false);
         assert!(world.seen.broken.is_empty(), "{}", world.seen.line());
@@ -172,13 +231,20 @@
 
 #[test]
 fn a_fleet_that_shrinks_to_one_voter_goes_on_once_the_others_are_known_to_stay_away() {
-    let mut scenario = Scenario { voters: 1, ..Scenario::calm(4, 4) };
+    let mut scenario = Scenario {
+        voters: 1,
+        ..Scenario::calm(4, 4)
+    };
     (scenario.done_within, scenario.lasts) = (0.0, 40_000.0);
     let mut world = world(scenario);
     world.dies_before(&[1, 2, 3]);
     world.plays(|_| false);
     // Three are lost and the limit is one: the last one has no turn.
-    assert!(world.seen.released == 0 && world.seen.most_out <= 1, "{}", world.seen.line());
+    assert!(
+        world.seen.released == 0 && world.seen.most_out <= 1,
+        "{}",
+        world.seen.line()
+    );
     world.forgets(&[1, 2, 3]);
     world.runs_on(60_000.0);
     assert_eq!(world.released_now(), 1, "{}", world.kept());
--- a/crates/statements/src/cache.rs
+++ b/crates/statements/src/cache.rs
@@ -23,7 +23,12 @@
 
 /// What an entry takes of the room: its bytes, and its part at the least, so that the bound on bytes is one on number.
 fn weight(entry: &Entry, least: u32) -> u32 {
-    let names = entry.reading.reads.iter().chain(&entry.reading.writes).chain(&entry.reading.error);
+    let names = entry
+        .reading
+        .reads
+        .iter()
+        .chain(&entry.reading.writes)
+        .chain(&entry.reading.error);
     let bytes = ENTRY + entry.text.len() + names.map(|name| name.len() + 32).sum::<usize>();
     u32::try_from(bytes).unwrap_or(u32::MAX).max(least)
 }
@@ -57,7 +62,11 @@
 
 impl Shapes {
     pub fn new(most_shapes: usize, most_bytes: usize) -> Self {
-        Shapes { kept: room(most_shapes, most_bytes), most_bytes, counts: Counts::default() }
+        Shapes {
+            kept: room(most_shapes, most_bytes),
+            most_bytes,
+            counts: Counts::default(),
+        }
     }
 
     /// Forgets all readings; the counts go on.
@@ -86,12 +95,20 @@
         if lexed.text.len() > self.most_bytes / LARGEST_PART || self.kept.contains_key(&shape) {
             return;
         }
-        let entry = Entry { text: lexed.text.into(), doubt: lexed.doubt, reading: reading.clone() };
+        let entry = Entry {
+            text: lexed.text.into(),
+            doubt: lexed.doubt,
+            reading: reading.clone(),
+        };
         self.kept.insert(shape, entry);
     }
 
     pub fn counts(&self) -> Counts {
-        Counts { shapes: self.kept.entry_count() as usize, bytes: self.kept.weighted_size(), ..self.counts }
+        Counts {
+            shapes: self.kept.entry_count() as usize,
+            bytes: self.kept.weighted_size(),
+            ..self.counts
+        }
     }
 }
 
@@ -110,7 +127,10 @@
         assert!(shapes.get(7, &write).is_none());
         shapes.keep(7, &write, &reading(&write));
         assert!(shapes.get(7, &write).is_none());
-        assert_eq!(shapes.get(7, &read).unwrap().effect, crate::Effect::ReadOnly);
+        assert_eq!(
+            shapes.get(7, &read).unwrap().effect,
+            crate::Effect::ReadOnly
+        );
         assert_eq!(shapes.counts().collisions, 2);
     }
 }
--- a/crates/statements/src/learn.rs
+++ b/crates/statements/src/learn.rs
@@ -97,8 +97,13 @@
         self.weight = self.weight_at(now, how.half_life);
         self.at = now;
         if self.weight < 0.05 {
-            *self =
-                Known { level: sample, scatter: FIRST_SCATTER, weight: trust, at: now, ..Known::default() };
+            *self = Known {
+                level: sample,
+                scatter: FIRST_SCATTER,
+                weight: trust,
+                at: now,
+                ..Known::default()
+            };
             return;
         }
         let off = sample - self.level;
@@ -108,7 +113,11 @@
             let side = if off > 0.0 { 1 } else { -1 };
             let goes_on = self.far.signum() == side;
             self.far = if goes_on { self.far + side } else { side };
-            self.far_sum = if goes_on { self.far_sum + sample } else { sample };
+            self.far_sum = if goes_on {
+                self.far_sum + sample
+            } else {
+                sample
+            };
             if self.far.unsigned_abs() >= how.shift_after {
                 let many = f64::from(self.far.abs());
                 self.level = self.far_sum / many;
@@ -165,7 +174,14 @@
 impl Learner {
     pub fn new(how: Learning, most_costs: usize) -> Self {
         let (classes, paces, middle) = Default::default();
-        Learner { how, most_costs, shapes: Cache::new(most_costs as u64), classes, paces, middle }
+        Learner {
+            how,
+            most_costs,
+            shapes: Cache::new(most_costs as u64),
+            classes,
+            paces,
+            middle,
+        }
     }
 
     /// Takes on other settings; what was learned stays unless its room changed.
@@ -184,18 +200,33 @@
         self.shapes.entry_count() as usize
     }
 
-    pub fn estimate(&mut self, shape: u128, class: Class, cost: f64, memory: f64, now: f64) -> Estimate {
+    pub fn estimate(
+        &mut self,
+        shape: u128,
+        class: Class,
+        cost: f64,
+        memory: f64,
+        now: f64,
+    ) -> Estimate {
         let of_class = &self.classes[class as usize];
         let prior = cost.max(LEAST).ln() + of_class.level;
         let class_sure = CLASS_SURE * of_class.seen / (of_class.seen + CLASS_HALF);
         let Some(known) = self.shapes.get(&shape) else {
-            return Estimate { cost: prior.exp(), memory, sure: class_sure };
+            return Estimate {
+                cost: prior.exp(),
+                memory,
+                sure: class_sure,
+            };
         };
         // One sample already says more of a shape than its class does.
         let weight = known.weight_at(now, self.how.half_life);
         let part = weight / (weight + PRIOR_WEIGHT);
         let level = part * known.level + (1.0 - part) * prior;
-        Estimate { cost: level.exp(), memory, sure: known.sure(now, &self.how).max(class_sure) }
+        Estimate {
+            cost: level.exp(),
+            memory,
+            sure: known.sure(now, &self.how).max(class_sure),
+        }
     }
 
     /// `cost`: the price by class and features under which it was taken.
@@ -209,7 +240,9 @@
         let prior = cost.max(LEAST).ln();
         let (now, how) = (seen.now, self.how);
         let known = self.shapes.get(&shape).copied();
-        let expected = known.map_or(prior + self.classes[class as usize].level, |known| known.level);
+        let expected = known.map_or(prior + self.classes[class as usize].level, |known| {
+            known.level
+        });
         let trust = match seen.end {
             End::CutOff if sample <= expected => return,
             End::CutOff => 0.5,
@@ -238,10 +271,16 @@
     /// How slow an engine is for all (log), against the lower middle of those that are known: when all became slower
     /// together, or when there is one alone, it is not the engine that one could blame.
     fn pace_of(&mut self, engine: u64, now: f64) -> f64 {
-        let Ok(n) = self.paces.binary_search_by_key(&engine, |pace| pace.engine) else { return 0.0 };
+        let Ok(n) = self.paces.binary_search_by_key(&engine, |pace| pace.engine) else {
+            return 0.0;
+        };
         self.middle.clear();
-        self.middle
-            .extend(self.paces.iter().filter(|pace| now - pace.at < PACE_LASTS).map(|pace| pace.now(now)));
+        self.middle.extend(
+            self.paces
+                .iter()
+                .filter(|pace| now - pace.at < PACE_LASTS)
+                .map(|pace| pace.now(now)),
+        );
         if self.middle.is_empty() {
             return 0.0;
         }
@@ -255,16 +294,28 @@
         let n = match self.paces.binary_search_by_key(&engine, |pace| pace.engine) {
             Ok(n) => n,
             Err(n) => {
-                self.paces.insert(n, Pace { engine, level: 0.0, at: now });
+                self.paces.insert(
+                    n,
+                    Pace {
+                        engine,
+                        level: 0.0,
+                        at: now,
+                    },
+                );
                 n
             }
         };
         let pace = &mut self.paces[n];
         let level = pace.now(now);
         let level = level + PACE_STEP * (off - level).clamp(-PACE_AT_ONCE, PACE_AT_ONCE);
-        *pace = Pace { engine, level: level.clamp(-PACE_MOST, PACE_MOST), at: now };
+        *pace = Pace {
+            engine,
+            level: level.clamp(-PACE_MOST, PACE_MOST),
+            at: now,
+        };
         if self.paces.len() > MOST_ENGINES {
-            let oldest = (0..self.paces.len()).min_by(|a, b| self.paces[*a].at.total_cmp(&self.paces[*b].at));
+            let oldest = (0..self.paces.len())
+                .min_by(|a, b| self.paces[*a].at.total_cmp(&self.paces[*b].at));
             oldest.map(|n| self.paces.remove(n));
         }
     }
@@ -302,10 +353,27 @@
         let mut l = learner();
         let usual = after(&mut l, 1, 20, SEEN);
         assert!((usual / 10.0 - 1.0).abs() < 0.05, "{usual}");
-        let once = after(&mut l, 1, 1, Observation { latency: 1000.0, ..SEEN });
+        let once = after(
+            &mut l,
+            1,
+            1,
+            Observation {
+                latency: 1000.0,
+                ..SEEN
+            },
+        );
         assert!(once < 11.0, "{once}");
         after(&mut l, 1, 1, SEEN);
-        let changed = after(&mut l, 1, 3, Observation { latency: 1000.0, engine: 2, ..SEEN });
+        let changed = after(
+            &mut l,
+            1,
+            3,
+            Observation {
+                latency: 1000.0,
+                engine: 2,
+                ..SEEN
+            },
+        );
         assert!((changed / 1000.0 - 1.0).abs() < 0.2, "{changed}");
     }
 
@@ -322,26 +390,79 @@
         assert!(sure(&mut l, 40.0 * 3_600_000.0) < 0.1);
         let mut wild = learner();
         for n in 0..40 {
-            after(&mut wild, 1, 1, Observation { latency: if n % 2 == 0 { 10.0 } else { 25.0 }, ..SEEN });
+            after(
+                &mut wild,
+                1,
+                1,
+                Observation {
+                    latency: if n % 2 == 0 { 10.0 } else { 25.0 },
+                    ..SEEN
+                },
+            );
         }
         assert!(sure(&mut wild, 0.0) < many - 0.1);
     }
 
     #[test]
     fn waits_and_cold_engines_hardly_raise_and_what_was_cut_off_never_lowers() {
-        for upper in [Observation { waited: true, ..SEEN }, Observation { cold: true, ..SEEN }] {
+        for upper in [
+            Observation {
+                waited: true,
+                ..SEEN
+            },
+            Observation { cold: true, ..SEEN },
+        ] {
             let mut l = learner();
             after(&mut l, 1, 10, SEEN);
-            let raised = after(&mut l, 1, 1, Observation { latency: 19.0, ..upper });
+            let raised = after(
+                &mut l,
+                1,
+                1,
+                Observation {
+                    latency: 19.0,
+                    ..upper
+                },
+            );
             assert!(raised < 10.2, "{raised}");
-            let lowered = after(&mut l, 1, 10, Observation { latency: 6.0, ..upper });
+            let lowered = after(
+                &mut l,
+                1,
+                10,
+                Observation {
+                    latency: 6.0,
+                    ..upper
+                },
+            );
             assert!(lowered < 9.0, "{lowered}");
         }
         let mut l = learner();
         after(&mut l, 1, 10, SEEN);
-        let cut = Observation { end: End::CutOff, ..SEEN };
-        assert!(after(&mut l, 1, 10, Observation { latency: 1.0, ..cut }) > 9.9);
-        assert!(after(&mut l, 1, 10, Observation { latency: 500.0, ..cut }) > 200.0);
+        let cut = Observation {
+            end: End::CutOff,
+            ..SEEN
+        };
+        assert!(
+            after(
+                &mut l,
+                1,
+                10,
+                Observation {
+                    latency: 1.0,
+                    ..cut
+                }
+            ) > 9.9
+        );
+        assert!(
+            after(
+                &mut l,
+                1,
+                10,
+                Observation {
+                    latency: 500.0,
+                    ..cut
+                }
+            ) > 200.0
+        );
     }
 
     #[test]
@@ -349,18 +470,41 @@
         let mut l = learner();
         for n in 0..400 {
             let (shape, engine) = (u128::from(n % 8_u32), u64::from(n % 4));
-            after(&mut l, shape, 1, Observation { engine, latency: 10.0, now: f64::from(n), ..SEEN });
+            after(
+                &mut l,
+                shape,
+                1,
+                Observation {
+                    engine,
+                    latency: 10.0,
+                    now: f64::from(n),
+                    ..SEEN
+                },
+            );
         }
         let mut slow = 0.0_f64;
         for n in 400..1200_u32 {
             let (shape, engine) = (u128::from(n / 4 % 8), u64::from(n % 4));
             let latency = if engine == 3 { 18.0 } else { 10.0 };
-            after(&mut l, shape, 1, Observation { engine, latency, now: f64::from(n), ..SEEN });
+            after(
+                &mut l,
+                shape,
+                1,
+                Observation {
+                    engine,
+                    latency,
+                    now: f64::from(n),
+                    ..SEEN
+                },
+            );
             slow = slow.max(cost(&mut l, shape, f64::from(n)));
         }
         // Without paces it would be the mean of the logs: 11.6.
         let learned = cost(&mut l, 0, 1200.0);
-        assert!((learned - 10.0).abs() < 0.4 && slow < 11.6, "{learned} {slow}");
+        assert!(
+            (learned - 10.0).abs() < 0.4 && slow < 11.6,
+            "{learned} {slow}"
+        );
     }
 
     #[test]
--- a/crates/statements/src/lexer.rs
+++ b/crates/statements/src/lexer.rs
@@ -147,8 +147,17 @@
         let (doubt, tells_of_change) = (run.doubt, run.tells_of_change);
         // What is no text has no shape of its own: all of it is one.
         let text = std::str::from_utf8(&self.text).unwrap_or_default();
-        let spans = if text.is_empty() { &[][..] } else { &self.spans };
-        Lexed { text, doubt, spans, tells_of_change }
+        let spans = if text.is_empty() {
+            &[][..]
+        } else {
+            &self.spans
+        };
+        Lexed {
+            text,
+            doubt,
+            spans,
+            tells_of_change,
+        }
     }
 }
 
@@ -179,7 +188,18 @@
         }
         if matches!(
             byte,
-            b'+' | b'-' | b'*' | b'/' | b'<' | b'>' | b'=' | b'~' | b'!' | b'%' | b'^' | b'&' | b'|'
+            b'+' | b'-'
+                | b'*'
+                | b'/'
+                | b'<'
+                | b'>'
+                | b'='
+                | b'~'
+                | b'!'
+                | b'%'
+                | b'^'
+                | b'&'
+                | b'|'
         ) {
             bytes[b] = OF_OPERATOR;
         }
@@ -197,8 +217,8 @@
 }
 
 const OPERATORS: [&[u8]; 25] = [
-    b"+", b"-", b"*", b"/", b"<", b">", b"=", b"%", b"^", b"&", b"|", b"~", b"<=", b">=", b"<>", b"!=",
-    b"||", b"->", b"->>", b"=>", b"&&", b"!~", b"~*", b"!~*", b"<=>",
+    b"+", b"-", b"*", b"/", b"<", b">", b"=", b"%", b"^", b"&", b"|", b"~", b"<=", b">=", b"<>",
+    b"!=", b"||", b"->", b"->>", b"=>", b"&&", b"!~", b"~*", b"!~*", b"<=>",
 ];
 
 impl Run<'_> {
@@ -244,7 +264,10 @@
                     self.mark(first);
                 }
             }
-            if self.spans.len() > MOST_TOKENS || self.operators > MOST_OPERATORS || self.depth > MOST_DEEP {
+            if self.spans.len() > MOST_TOKENS
+                || self.operators > MOST_OPERATORS
+                || self.depth > MOST_DEEP
+            {
                 self.doubts(Doubt::TooComplex);
                 // The words of the rest still count; its shape does not, since it will not be parsed.
                 if self.spans.len() > MOST_TOKENS {
@@ -257,12 +280,18 @@
 
     /// What is behind the last token that is kept is only hashed, so that it can't share another one's shape.
     fn rest(&mut self) {
-        let cut = self.text.iter().rposition(|b| *b < 128).map_or(0, |at| at + 1);
+        let cut = self
+            .text
+            .iter()
+            .rposition(|b| *b < 128)
+            .map_or(0, |at| at + 1);
         self.text.truncate(cut);
         let rest = &self.bytes[self.at.min(self.bytes.len())..];
         let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-        rest.iter().for_each(|b| hash = (hash ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
-        self.text.extend_from_slice(format!(" {hash:016x}").as_bytes());
+        rest.iter()
+            .for_each(|b| hash = (hash ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+        self.text
+            .extend_from_slice(format!(" {hash:016x}").as_bytes());
         self.tells_of_change = true;
     }
 
@@ -274,11 +303,18 @@
         }
         let from = self.text.len() as u32;
         self.text.extend_from_slice(token);
-        self.spans.push(Span { from, to: self.text.len() as u32, kind });
+        self.spans.push(Span {
+            from,
+            to: self.text.len() as u32,
+            kind,
+        });
     }
 
     fn here(&self) -> Cut {
-        Cut { text: self.text.len(), spans: self.spans.len() }
+        Cut {
+            text: self.text.len(),
+            spans: self.spans.len(),
+        }
     }
 
     fn cut(&mut self, to: Cut) {
@@ -292,11 +328,13 @@
     }
 
     fn last_is(&self, token: &[u8]) -> bool {
-        self.last().is_some_and(|(last, kind)| last == token && kind != Kind::Quoted)
+        self.last()
+            .is_some_and(|(last, kind)| last == token && kind != Kind::Quoted)
     }
 
     fn last_is_name(&self) -> bool {
-        self.last().is_some_and(|(_, kind)| matches!(kind, Kind::Word | Kind::Quoted))
+        self.last()
+            .is_some_and(|(_, kind)| matches!(kind, Kind::Word | Kind::Quoted))
     }
 
     fn literal(&mut self, placeholder: &[u8]) {
@@ -328,7 +366,10 @@
                 let of_list = goes_on.is_some() || self.last_is(b"in") || self.last_is(b"values");
                 self.rows = Rows::No;
                 self.put(b"(", Kind::Mark);
-                self.list = of_list.then_some(List { first: None, goes_on });
+                self.list = of_list.then_some(List {
+                    first: None,
+                    goes_on,
+                });
             }
             b')' => {
                 self.depth = self.depth.saturating_sub(1);
@@ -452,7 +493,10 @@
                 run.at += 1;
             }
         };
-        if self.peek(0) == b'0' && matches!(self.peek(1), b'x' | b'X') && self.peek(2).is_ascii_hexdigit() {
+        if self.peek(0) == b'0'
+            && matches!(self.peek(1), b'x' | b'X')
+            && self.peek(2).is_ascii_hexdigit()
+        {
             self.at += 2;
             digits(self, u8::is_ascii_hexdigit);
         } else {
@@ -483,12 +527,18 @@
         }
         self.doubts(Doubt::DollarQuote);
         let rest = &self.bytes[self.at..];
-        let tag = rest[1..].iter().position(|b| !of_word(*b) || *b == b'$').map(|at| &rest[..at + 2]);
+        let tag = rest[1..]
+            .iter()
+            .position(|b| !of_word(*b) || *b == b'$')
+            .map(|at| &rest[..at + 2]);
         let Some(tag) = tag.filter(|tag| tag.ends_with(b"$")) else {
             self.at += 1;
             return self.mark(b'$');
         };
-        match rest[tag.len()..].windows(tag.len()).position(|at| at == tag) {
+        match rest[tag.len()..]
+            .windows(tag.len())
+            .position(|at| at == tag)
+        {
             Some(inside) => self.at += 2 * tag.len() + inside,
             None => {
                 self.doubts(Doubt::Unterminated);
@@ -541,7 +591,10 @@
         if self.peek(0) == b'\'' && word[0] == b'_' {
             self.doubts(Doubt::UnicodeEscape);
         }
-        if self.peek(0) == b'&' && matches!(self.peek(1), b'\'' | b'"') && word.eq_ignore_ascii_case(b"u") {
+        if self.peek(0) == b'&'
+            && matches!(self.peek(1), b'\'' | b'"')
+            && word.eq_ignore_ascii_case(b"u")
+        {
             self.doubts(Doubt::UnicodeEscape);
         }
         if !word.is_ascii() {
@@ -570,8 +623,8 @@
         let from = self.at;
         while self.bytes.get(self.at).is_some_and(|b| of_operator(*b)) {
             // A comment ends an operator.
-            let begins_comment =
-                self.peek(0) == b'-' && self.peek(1) == b'-' || self.peek(0) == b'/' && self.peek(1) == b'*';
+            let begins_comment = self.peek(0) == b'-' && self.peek(1) == b'-'
+                || self.peek(0) == b'/' && self.peek(1) == b'*';
             if begins_comment && self.at > from {
                 break;
             }
@@ -583,7 +636,9 @@
         // A sign of a number where a value stands, as in (-1 or = -1.
         let at = self.at;
         let signed = |run: &[u8]| {
-            run.len() == 1 && matches!(run[0], b'-' | b'+') && bytes.get(at).is_some_and(u8::is_ascii_digit)
+            run.len() == 1
+                && matches!(run[0], b'-' | b'+')
+                && bytes.get(at).is_some_and(u8::is_ascii_digit)
         };
         let behind_value = |last: Option<(&[u8], Kind)>| {
             last.is_none_or(|(last, kind)| kind != Kind::Mark || matches!(last, b")" | b"]" | b"*"))
@@ -595,7 +650,9 @@
             let (operator, sign) = run.split_at(run.len() - 1);
             let splits = matches!(sign, b"-" | b"+")
                 && OPERATORS.contains(&operator)
-                && operator.iter().all(|b| matches!(b, b'+' | b'-' | b'*' | b'/' | b'<' | b'>' | b'='));
+                && operator
+                    .iter()
+                    .all(|b| matches!(b, b'+' | b'-' | b'*' | b'/' | b'<' | b'>' | b'='));
             if splits && operator != b"-" {
                 self.other();
                 self.put(operator, Kind::Mark);
@@ -621,8 +678,13 @@
 
     #[test]
     fn literals_case_blanks_and_comments_leave_the_shape_and_names_stay() {
-        let one = shape("SELECT a, b FROM sales_17.orders WHERE tag = '3f9c' AND n > 17 -- why\n LIMIT 10");
-        assert_eq!(one, "select a , b from sales_17 . orders where tag = '?' and n > 0 limit 0");
+        let one = shape(
+            "SELECT a, b FROM sales_17.orders WHERE tag = '3f9c' AND n > 17 -- why\n LIMIT 10",
+        );
+        assert_eq!(
+            one,
+            "select a , b from sales_17 . orders where tag = '?' and n > 0 limit 0"
+        );
         for same in [
             "select A,B from SALES_17.Orders where tag='x''y' and n>1.5e-3 limit 2",
             "select a/* x */, b\nfrom sales_17 .orders where tag = N'q' and n > .5 limit 0x1F",
@@ -653,8 +715,14 @@
         assert_eq!((lexed.text, lexed.doubt), (one.as_str(), None));
         assert_ne!(shape("select f(1)"), shape("select f(1, 2)"));
         assert_ne!(shape("select * from t where a in (1, b)"), one);
-        assert_eq!(shape("insert into t values (1, 'a'), (2, 'b')"), shape("insert into t values (3, 'c')"));
-        assert_ne!(shape("insert into t values (1), (f())"), shape("insert into t values (1)"));
+        assert_eq!(
+            shape("insert into t values (1, 'a'), (2, 'b')"),
+            shape("insert into t values (3, 'c')")
+        );
+        assert_ne!(
+            shape("insert into t values (1), (f())"),
+            shape("insert into t values (1)")
+        );
     }
 
     #[test]
@@ -689,13 +757,28 @@
             ("select \0", Doubt::NotText),
         ];
         for (statement, doubt) in cases {
-            assert_eq!(Lexer::default().lex(statement.as_bytes()).doubt, Some(doubt), "{statement:?}");
-        }
-        let sure =
-            ["select 'a\\n'", "select 1 -- x\r\n", "select '/*! x */', \"--x\"", "select a=-1, b*-c, -d"];
+            assert_eq!(
+                Lexer::default().lex(statement.as_bytes()).doubt,
+                Some(doubt),
+                "{statement:?}"
+            );
+        }
+        let sure = [
+            "select 'a\\n'",
+            "select 1 -- x\r\n",
+            "select '/*! x */', \"--x\"",
+            "select a=-1, b*-c, -d",
+        ];
         for statement in sure {
-            assert_eq!(Lexer::default().lex(statement.as_bytes()).doubt, None, "{statement:?}");
-        }
-        assert_eq!(Lexer::default().lex(b"select \xff").doubt, Some(Doubt::NotText));
+            assert_eq!(
+                Lexer::default().lex(statement.as_bytes()).doubt,
+                None,
+                "{statement:?}"
+            );
+        }
+        assert_eq!(
+            Lexer::default().lex(b"select \xff").doubt,
+            Some(Doubt::NotText)
+        );
     }
 }
--- a/crates/statements/src/lib.rs
+++ b/crates/statements/src/lib.rs
@@ -145,16 +145,30 @@
         hasher.write_u8(lexed.doubt.map_or(0, |doubt| doubt as u8 + 1));
         let shape = hasher.finish128().as_u128();
         if let Some(reading) = self.shapes.get(shape, &lexed) {
-            return Read { shape, reading, hit: true };
+            return Read {
+                shape,
+                reading,
+                hit: true,
+            };
         }
         let reading = Rc::new(read::read(&lexed, &self.settings));
         self.shapes.keep(shape, &lexed, &reading);
-        Read { shape, reading, hit: false }
+        Read {
+            shape,
+            reading,
+            hit: false,
+        }
     }
 
     /// What a statement that was read will cost, as far as is known at `now` (ms), and how sure that is.
     pub fn estimate(&mut self, read: &Read, now: f64) -> Estimate {
-        self.learner.estimate(read.shape, read.reading.class, read.reading.cost, read.reading.memory, now)
+        self.learner.estimate(
+            read.shape,
+            read.reading.class,
+            read.reading.cost,
+            read.reading.memory,
+            now,
+        )
     }
 
     /// Takes in how a submission ended. `shape`, `class` and `cost` are those of the reading under which it was
@@ -165,6 +179,9 @@
 
     /// Hits, misses and what is kept.
     pub fn counts(&self) -> Counts {
-        Counts { costs: self.learner.kept(), ..self.shapes.counts() }
+        Counts {
+            costs: self.learner.kept(),
+            ..self.shapes.counts()
+        }
     }
 }
--- a/crates/statements/src/read.rs
+++ b/crates/statements/src/read.rs
@@ -5,8 +5,8 @@
 use crate::rules::{Dialect, Settings};
 use crate::{words, Class, Effect, Reading};
 use sqlparser::ast::{
-    BinaryOperator, Expr, FunctionArguments, GroupByExpr, InTarget, JoinOperator, LimitClause, ObjectName,
-    Query, Select, SetExpr, Statement, TableFactor, TableObject, Visit, Visitor,
+    BinaryOperator, Expr, FunctionArguments, GroupByExpr, InTarget, JoinOperator, LimitClause,
+    ObjectName, Query, Select, SetExpr, Statement, TableFactor, TableObject, Visit, Visitor,
 };
 use sqlparser::dialect::{AnsiDialect, GenericDialect, MySqlDialect, PostgreSqlDialect};
 use sqlparser::parser::Parser;
@@ -73,11 +73,15 @@
             first_error = Some("it holds a mark that no grammar has".to_owned());
         }
         // The forgiving grammar is asked only where none of a real engine takes the statement.
-        let (forgiving, real): (Vec<Dialect>, Vec<Dialect>) =
-            settings.dialects.iter().partition(|dialect| **dialect == Dialect::Generic);
+        let (forgiving, real): (Vec<Dialect>, Vec<Dialect>) = settings
+            .dialects
+            .iter()
+            .partition(|dialect| **dialect == Dialect::Generic);
         let mut before: Option<Vec<Statement>> = None;
         for dialect in real.into_iter().chain(forgiving) {
-            let Some(tokens) = tokens.as_ref().filter(|_| dialect != Dialect::Generic || found.is_none())
+            let Some(tokens) = tokens
+                .as_ref()
+                .filter(|_| dialect != Dialect::Generic || found.is_none())
             else {
                 continue;
             };
@@ -115,24 +119,40 @@
             None => Effect::ReadOnly,
         },
     };
-    let features = found.as_ref().map_or_else(Features::default, |found| found.features);
+    let features = found
+        .as_ref()
+        .map_or_else(Features::default, |found| found.features);
     let class = match effect {
         Effect::Mutating => Class::Load,
         Effect::Unknown => Class::Unknown,
-        Effect::ReadOnly => {
-            settings.rules.iter().find(|rule| rule.holds(&features)).map_or(Class::LookUp, |rule| rule.class)
-        }
+        Effect::ReadOnly => settings
+            .rules
+            .iter()
+            .find(|rule| rule.holds(&features))
+            .map_or(Class::LookUp, |rule| rule.class),
     };
     let (cost, memory) = settings.prices.of(class, &features);
     if let Some(error) = &mut error {
-        let end = (0..=MOST_ERROR.min(error.len())).rev().find(|at| error.is_char_boundary(*at)).unwrap_or(0);
+        let end = (0..=MOST_ERROR.min(error.len()))
+            .rev()
+            .find(|at| error.is_char_boundary(*at))
+            .unwrap_or(0);
         error.truncate(end);
     }
     // A mutating statement that was read is no error.
     let error = error.filter(|_| effect != Effect::Mutating || lexed.doubt.is_some());
     let (reads, writes) = found.map_or_else(Default::default, |found| (found.reads, found.writes));
     let names = |names: BTreeSet<String>| names.into_iter().take(MOST_TABLES).collect();
-    Reading { class, effect, reads: names(reads), writes: names(writes), features, error, cost, memory }
+    Reading {
+        class,
+        effect,
+        reads: names(reads),
+        writes: names(writes),
+        features,
+        error,
+        cost,
+        memory,
+    }
 }
 
 fn parse(tokens: &[TokenWithSpan], dialect: Dialect) -> Result<Vec<Statement>, String> {
@@ -143,12 +163,19 @@
         Dialect::MySql => &MySqlDialect {},
     };
     let parser = Parser::new(dialect).with_recursion_limit(MOST_DEEP);
-    let statements = parser.with_tokens_with_locations(tokens.to_vec()).parse_statements();
+    let statements = parser
+        .with_tokens_with_locations(tokens.to_vec())
+        .parse_statements();
     match statements {
         Ok(all) if all.is_empty() => Err("it is empty".into()),
         Ok(all) => Ok(all),
         // Places are those of the shape, and of no use to whoever sent the statement.
-        Err(e) => Err(e.to_string().split(" at Line").next().unwrap_or("").to_owned()),
+        Err(e) => Err(e
+            .to_string()
+            .split(" at Line")
+            .next()
+            .unwrap_or("")
+            .to_owned()),
     }
 }
 
@@ -224,7 +251,12 @@
     if lexed.tells_of_change {
         return Some("a word tells of a change".into());
     }
-    let token = |n: usize| lexed.spans.get(n).map(|span| &lexed.text[span.from as usize..span.to as usize]);
+    let token = |n: usize| {
+        lexed
+            .spans
+            .get(n)
+            .map(|span| &lexed.text[span.from as usize..span.to as usize])
+    };
     let mut begins = true;
     for (n, span) in lexed.spans.iter().enumerate() {
         let word = token(n).unwrap_or("");
@@ -278,7 +310,10 @@
     };
     let mut name = plain(n);
     let mut at = n;
-    while at >= 2 && token(at - 1) == "." && matches!(lexed.spans[at - 2].kind, Kind::Word | Kind::Quoted) {
+    while at >= 2
+        && token(at - 1) == "."
+        && matches!(lexed.spans[at - 2].kind, Kind::Word | Kind::Quoted)
+    {
         at -= 2;
         name = format!("{}.{name}", plain(at));
     }
@@ -290,11 +325,16 @@
     let told = |list: &[String]| list.iter().any(|known| known == name);
     // With a schema before it, a function of a known name with effects is still one.
     let last = name.rsplit('.').next().unwrap_or(name);
-    if told(&settings.effect_functions) || settings.effect_functions.iter().any(|known| known == last) {
+    if told(&settings.effect_functions)
+        || settings.effect_functions.iter().any(|known| known == last)
+    {
         Effect::Mutating
     } else if told(&settings.pure_functions) {
         Effect::ReadOnly
-    } else if words::WITH_EFFECT.binary_search(&last.to_ascii_lowercase().as_str()).is_ok() {
+    } else if words::WITH_EFFECT
+        .binary_search(&last.to_ascii_lowercase().as_str())
+        .is_ok()
+    {
         Effect::Mutating
     } else if words::PURE.binary_search(&name).is_ok() {
         Effect::ReadOnly
@@ -306,7 +346,8 @@
 /// A name as shapes tell it: unquoted parts are in lower case already.
 fn name_of(name: &ObjectName) -> String {
     let part = |part: &sqlparser::ast::ObjectNamePart| {
-        part.as_ident().map_or_else(|| part.to_string(), |ident| ident.value.clone())
+        part.as_ident()
+            .map_or_else(|| part.to_string(), |ident| ident.value.clone())
     };
     name.0.iter().map(part).collect::<Vec<_>>().join(".")
 }
@@ -318,7 +359,9 @@
             || other.statements != self.statements && self.effect == Effect::ReadOnly
         {
             self.effect = other.effect.max(Effect::Unknown);
-            self.why = other.why.or(Some("dialects take it for different statements".into()));
+            self.why = other
+                .why
+                .or(Some("dialects take it for different statements".into()));
         }
         self.reads.extend(other.reads);
         self.writes.extend(other.writes);
@@ -353,8 +396,12 @@
         finder.statement(statement, true);
         let _ = statement.visit(&mut finder);
     }
-    let Finder { mut found, ctes, .. } = finder;
-    found.reads.retain(|name| !ctes.contains(name) && !found.writes.contains(name));
+    let Finder {
+        mut found, ctes, ..
+    } = finder;
+    found
+        .reads
+        .retain(|name| !ctes.contains(name) && !found.writes.contains(name));
     found.features.tables = (found.reads.len() + found.writes.len()) as u32;
     found.features.subqueries = found.features.subqueries.saturating_sub(1);
     found
@@ -373,8 +420,9 @@
 
     /// What a statement is of itself. `outer`: it stands alone and not within another.
     fn statement(&mut self, statement: &Statement, outer: bool) {
-        let changes =
-            |finder: &mut Self, what: &str| finder.found.worse(Effect::Mutating, || what.to_owned());
+        let changes = |finder: &mut Self, what: &str| {
+            finder.found.worse(Effect::Mutating, || what.to_owned())
+        };
         match statement {
             Statement::Query(query) => {
                 if outer {
@@ -382,15 +430,25 @@
                 }
             }
             // What is explained is not run, unless it is analysed: then it is visited like any other.
-            Statement::Explain { analyze, options, statement, .. } => {
-                let told = options.iter().flatten().any(|o| o.name.value.eq_ignore_ascii_case("analyze"));
+            Statement::Explain {
+                analyze,
+                options,
+                statement,
+                ..
+            } => {
+                let told = options
+                    .iter()
+                    .flatten()
+                    .any(|o| o.name.value.eq_ignore_ascii_case("analyze"));
                 if !(*analyze || told || matches!(**statement, Statement::Query(_))) {
                     // It is harmless, but then its words tell of a change, and words have the last say.
-                    self.found.worse(Effect::Unknown, || "what is explained is no query".into());
+                    self.found
+                        .worse(Effect::Unknown, || "what is explained is no query".into());
                 }
             }
-            Statement::ExplainTable { .. } | Statement::ShowColumns { .. } | Statement::ShowTables { .. } => {
-            }
+            Statement::ExplainTable { .. }
+            | Statement::ShowColumns { .. }
+            | Statement::ShowTables { .. } => {}
             Statement::ShowVariable { variable } if variable.len() <= 2 => {}
             Statement::Insert(insert) => {
                 changes(self, "it inserts");
@@ -411,9 +469,10 @@
                     sqlparser::ast::FromTable::WithFromKeyword(from)
                     | sqlparser::ast::FromTable::WithoutKeyword(from) => from,
                 };
-                if let (true, Some(TableFactor::Table { name, .. })) =
-                    (delete.tables.is_empty(), from.first().map(|from| &from.relation))
-                {
+                if let (true, Some(TableFactor::Table { name, .. })) = (
+                    delete.tables.is_empty(),
+                    from.first().map(|from| &from.relation),
+                ) {
                     self.writes(name);
                 }
             }
@@ -425,7 +484,10 @@
             }
             Statement::Truncate(truncate) => {
                 changes(self, "it truncates");
-                truncate.table_names.iter().for_each(|target| self.writes(&target.name));
+                truncate
+                    .table_names
+                    .iter()
+                    .for_each(|target| self.writes(&target.name));
             }
             Statement::CreateTable(create) => {
                 changes(self, "it creates a table");
@@ -445,7 +507,8 @@
             }
             Statement::CreateIndex(_) => changes(self, "it creates an index"),
             Statement::Copy { source, to, .. } => {
-                if let (false, sqlparser::ast::CopySource::Table { table_name, .. }) = (*to, source) {
+                if let (false, sqlparser::ast::CopySource::Table { table_name, .. }) = (*to, source)
+                {
                     changes(self, "it copies into a table");
                     self.writes(table_name);
                 } else {
@@ -455,7 +518,9 @@
             other => {
                 let text = other.to_string();
                 let word = text.split(' ').next().unwrap_or("").to_owned();
-                self.found.worse(Effect::Unknown, || format!("{word} is not known to only read"));
+                self.found.worse(Effect::Unknown, || {
+                    format!("{word} is not known to only read")
+                });
             }
         }
     }
@@ -463,12 +528,13 @@
     fn call(&mut self, name: &str) {
         match effect_of_call(name, self.settings) {
             Effect::ReadOnly => {}
-            Effect::Mutating => {
-                self.found.worse(Effect::Mutating, || format!("function {name} changes something"))
-            }
+            Effect::Mutating => self.found.worse(Effect::Mutating, || {
+                format!("function {name} changes something")
+            }),
             Effect::Unknown => {
-                self.found
-                    .worse(Effect::Unknown, || format!("function {name} is not known to have no effect"));
+                self.found.worse(Effect::Unknown, || {
+                    format!("function {name} is not known to have no effect")
+                });
             }
         }
     }
@@ -479,11 +545,17 @@
         while let SetExpr::Query(inner) = body {
             body = &inner.body;
         }
-        let SetExpr::Select(select) = body else { return };
+        let SetExpr::Select(select) = body else {
+            return;
+        };
         let mut all = select.selection.as_ref();
         while let Some(condition) = all {
             let (this, rest) = match condition {
-                Expr::BinaryOp { left, op: BinaryOperator::And, right } => (&**right, Some(&**left)),
+                Expr::BinaryOp {
+                    left,
+                    op: BinaryOperator::And,
+                    right,
+                } => (&**right, Some(&**left)),
                 Expr::Nested(inner) => {
                     all = Some(inner);
                     continue;
@@ -501,12 +573,17 @@
     let value = |e: &Expr| matches!(e, Expr::Value(_) | Expr::TypedString(_));
     match condition {
         Expr::Nested(inner) => points(inner),
-        Expr::BinaryOp { left, op: BinaryOperator::Eq, right } => {
-            column(left) && value(right) || value(left) && column(right)
-        }
-        Expr::In { expr, target: InTarget::List(list), negated, .. } => {
-            !negated && column(expr) && list.iter().all(value)
-        }
+        Expr::BinaryOp {
+            left,
+            op: BinaryOperator::Eq,
+            right,
+        } => column(left) && value(right) || value(left) && column(right),
+        Expr::In {
+            expr,
+            target: InTarget::List(list),
+            negated,
+            ..
+        } => !negated && column(expr) && list.iter().all(value),
         _ => false,
     }
 }
@@ -540,21 +617,28 @@
             }
         }
         if !query.locks.is_empty() {
-            self.found.worse(Effect::Mutating, || "rows are locked".into());
+            self.found
+                .worse(Effect::Mutating, || "rows are locked".into());
         }
         if query.for_clause.is_some() || query.settings.is_some() || query.format_clause.is_some() {
-            self.found.worse(Effect::Unknown, || "it has a clause that is not known to only read".into());
+            self.found.worse(Effect::Unknown, || {
+                "it has a clause that is not known to only read".into()
+            });
         }
         if !query.pipe_operators.is_empty() {
-            self.found.worse(Effect::Unknown, || "pipe operators are not read".into());
+            self.found
+                .worse(Effect::Unknown, || "pipe operators are not read".into());
         }
         ControlFlow::Continue(())
     }
 
     fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
         if let Some(into) = &select.into {
-            self.found.worse(Effect::Mutating, || "it selects into a table".into());
-            self.found.writes.extend(into.targets.iter().map(ToString::to_string));
+            self.found
+                .worse(Effect::Mutating, || "it selects into a table".into());
+            self.found
+                .writes
+                .extend(into.targets.iter().map(ToString::to_string));
         }
         let f = &mut self.found.features;
         f.distinct |= select.distinct.is_some();
@@ -568,13 +652,18 @@
         for from in &select.from {
             f.joins += from.joins.len() as u32;
             // A condition of a join over all pairs keeps rows out as one of WHERE does.
-            f.filtered |= from.joins.iter().any(|join| matches!(join.join_operator, JoinOperator::Semi(_)));
+            f.filtered |= from
+                .joins
+                .iter()
+                .any(|join| matches!(join.join_operator, JoinOperator::Semi(_)));
         }
         if !select.lateral_views.is_empty()
             || !select.connect_by.is_empty()
             || select.value_table_mode.is_some()
         {
-            self.found.worse(Effect::Unknown, || "it has a clause that is not known to only read".into());
+            self.found.worse(Effect::Unknown, || {
+                "it has a clause that is not known to only read".into()
+            });
         }
         ControlFlow::Continue(())
     }
@@ -586,12 +675,19 @@
 
     fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
         match factor {
-            TableFactor::Table { name, args, alias, with_hints, .. } => {
+            TableFactor::Table {
+                name,
+                args,
+                alias,
+                with_hints,
+                ..
+            } => {
                 if args.is_some() {
                     self.call(&name_of(name));
                 }
                 if !with_hints.is_empty() {
-                    self.found.worse(Effect::Unknown, || "table hints are not read".into());
+                    self.found
+                        .worse(Effect::Unknown, || "table hints are not read".into());
                 }
                 if let Some(alias) = alias.as_ref().filter(|alias| !alias.columns.is_empty()) {
                     self.found.aliases.insert(alias.name.value.clone());
@@ -609,7 +705,9 @@
                 }
             }
             TableFactor::Function { name, .. } => self.call(&name_of(name)),
-            _ => self.found.worse(Effect::Unknown, || "it reads from what is no table".into()),
+            _ => self
+                .found
+                .worse(Effect::Unknown, || "it reads from what is no table".into()),
         }
         ControlFlow::Continue(())
     }
@@ -619,10 +717,14 @@
             Expr::Function(function) => {
                 let name = name_of(&function.name);
                 self.found.features.windows += u32::from(function.over.is_some());
-                self.found.features.aggregated |= function.over.is_none() && words::aggregates(&name);
-                if !matches!(function.parameters, FunctionArguments::None) || function.uses_odbc_syntax {
-                    self.found
-                        .worse(Effect::Unknown, || format!("function {name} is called in a way not known"));
+                self.found.features.aggregated |=
+                    function.over.is_none() && words::aggregates(&name);
+                if !matches!(function.parameters, FunctionArguments::None)
+                    || function.uses_odbc_syntax
+                {
+                    self.found.worse(Effect::Unknown, || {
+                        format!("function {name} is called in a way not known")
+                    });
                 }
                 self.call(&name);
             }
@@ -634,11 +736,16 @@
                         | BinaryOperator::PGCustomBinaryOperator(_)
                 );
                 if !known {
-                    self.found.worse(Effect::Unknown, || "an operator is not known".into());
+                    self.found
+                        .worse(Effect::Unknown, || "an operator is not known".into());
                 }
             }
-            Expr::In { target: InTarget::Table { .. }, .. } => {
-                self.found.worse(Effect::Unknown, || "it reads from what is no table".into());
+            Expr::In {
+                target: InTarget::Table { .. },
+                ..
+            } => {
+                self.found
+                    .worse(Effect::Unknown, || "it reads from what is no table".into());
             }
             _ => {}
         }
--- a/crates/statements/src/rules.rs
+++ b/crates/statements/src/rules.rs
@@ -76,10 +76,22 @@
     pub fn defaults() -> Vec<Rule> {
         let (look_up, report) = (Rule::of(Class::LookUp), Rule::of(Class::Report));
         vec![
-            Rule { reads: Some(false), ..look_up.clone() },
-            Rule { recursive: Some(true), ..report.clone() },
-            Rule { windowed: Some(true), ..report.clone() },
-            Rule { least_joins: 4, ..report.clone() },
+            Rule {
+                reads: Some(false),
+                ..look_up.clone()
+            },
+            Rule {
+                recursive: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                windowed: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                least_joins: 4,
+                ..report.clone()
+            },
             Rule {
                 pointed: Some(true),
                 grouped: Some(false),
@@ -88,12 +100,31 @@
                 distinct: Some(false),
                 ..look_up
             },
-            Rule { grouped: Some(true), ..report.clone() },
-            Rule { united: Some(true), ..report.clone() },
-            Rule { distinct: Some(true), ..report.clone() },
-            Rule { aggregated: Some(true), ..report.clone() },
-            Rule { filtered: Some(false), limited: Some(false), ..report.clone() },
-            Rule { least_joins: 2, ..report },
+            Rule {
+                grouped: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                united: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                distinct: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                aggregated: Some(true),
+                ..report.clone()
+            },
+            Rule {
+                filtered: Some(false),
+                limited: Some(false),
+                ..report.clone()
+            },
+            Rule {
+                least_joins: 2,
+                ..report
+            },
         ]
     }
 }
@@ -132,7 +163,11 @@
         let mut factor = self.a_join.powi(f.joins.min(MOST_JOINS) as i32);
         factor *= self.a_window.powi(f.windows.min(MOST_WINDOWS) as i32);
         factor *= if f.ordered { self.an_order } else { 1.0 };
-        factor *= if f.tables > 0 && !f.filtered && !f.limited { self.no_filter } else { 1.0 };
+        factor *= if f.tables > 0 && !f.filtered && !f.limited {
+            self.no_filter
+        } else {
+            1.0
+        };
         let n = class as usize;
         (self.cost[n] * factor, self.memory[n] * factor.sqrt())
     }
@@ -150,7 +185,12 @@
 
 impl Default for Learning {
     fn default() -> Self {
-        Learning { half_sure: 3.0, half_life: 3_600_000.0, shift_after: 3, most_step: 2.0 }
+        Learning {
+            half_sure: 3.0,
+            half_life: 3_600_000.0,
+            shift_after: 3,
+            most_step: 2.0,
+        }
     }
 }
 
--- a/crates/statements/src/tables.rs
+++ b/crates/statements/src/tables.rs
@@ -3,7 +3,9 @@
 //! schema `staging` do not count.
 
 /// Words behind which a table stands.
-const BEFORE_TABLE: [&str; 8] = ["from", "join", "into", "update", "table", "only", "copy", "using"];
+const BEFORE_TABLE: [&str; 8] = [
+    "from", "join", "into", "update", "table", "only", "copy", "using",
+];
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Token<'a> {
@@ -52,7 +54,11 @@
                 (b'/', Some(b'*')) => self.skip_to(2, b"*/"),
                 (b'"' | b'`', _) => return Some(Token::Name(self.quoted(first))),
                 _ if is_name(&first) => {
-                    let end = self.0.iter().position(|b| !is_name(b)).unwrap_or(self.0.len());
+                    let end = self
+                        .0
+                        .iter()
+                        .position(|b| !is_name(b))
+                        .unwrap_or(self.0.len());
                     let (name, rest) = self.0.split_at(end);
                     self.0 = rest;
                     return Some(Token::Name(name));
@@ -71,7 +77,9 @@
 /// The number behind the last underscore of a schema's name.
 fn number_of(schema: &[u8]) -> Option<u32> {
     let at = schema.iter().rposition(|&b| b == b'_')?;
-    let digits = schema.get(at + 1..).filter(|_| at > 0 && !schema.eq_ignore_ascii_case(b"staging"))?;
+    let digits = schema
+        .get(at + 1..)
+        .filter(|_| at > 0 && !schema.eq_ignore_ascii_case(b"staging"))?;
     if !digits.iter().all(u8::is_ascii_digit) {
         return None;
     }
@@ -111,7 +119,9 @@
                 let word = |known: &str| name.eq_ignore_ascii_case(known.as_bytes());
                 at_table = BEFORE_TABLE.iter().any(|known| word(known));
                 // Behind a table's alias a comma brings the next table; another clause ends the list.
-                let ends = ["where", "group", "order", "set", "values", "select", "on", "having", "limit"];
+                let ends = [
+                    "where", "group", "order", "set", "values", "select", "on", "having", "limit",
+                ];
                 in_list = at_table || in_list && !ends.iter().any(|known| word(known));
             }
         }
@@ -126,15 +136,36 @@
     #[test]
     fn the_group_is_the_number_of_the_schema_that_is_read_or_written() {
         let cases: [(&str, Option<u32>); 14] = [
-            ("SELECT day, count(*) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", Some(17)),
-            ("select 'from sales_3.x', a.b_2 from \"sales_18\".\"or\"\"ders\" a", Some(18)),
-            ("-- from sales_1.x\nSELECT /* from sales_2.x */ 1 FROM s_19 . t", Some(19)),
-            ("INSERT INTO sales_20.orders SELECT * FROM staging.orders_9", Some(20)),
-            ("INSERT INTO staging.orders_9 SELECT * FROM sales_21.orders", Some(21)),
+            (
+                "SELECT day, count(*) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day",
+                Some(17),
+            ),
+            (
+                "select 'from sales_3.x', a.b_2 from \"sales_18\".\"or\"\"ders\" a",
+                Some(18),
+            ),
+            (
+                "-- from sales_1.x\nSELECT /* from sales_2.x */ 1 FROM s_19 . t",
+                Some(19),
+            ),
+            (
+                "INSERT INTO sales_20.orders SELECT * FROM staging.orders_9",
+                Some(20),
+            ),
+            (
+                "INSERT INTO staging.orders_9 SELECT * FROM sales_21.orders",
+                Some(21),
+            ),
             ("SELECT t_4.x FROM staging.y t_4, sales_22.orders", Some(22)),
-            ("SELECT 'it''s from sales_1.x' FROM cat.sales_23.orders", Some(23)),
+            (
+                "SELECT 'it''s from sales_1.x' FROM cat.sales_23.orders",
+                Some(23),
+            ),
             ("UPDATE sales_24.o SET a = 1", Some(24)),
-            ("SELECT * FROM (SELECT 1 FROM sales_25.o) x JOIN staging.o_1 y ON 1 = 1", Some(25)),
+            (
+                "SELECT * FROM (SELECT 1 FROM sales_25.o) x JOIN staging.o_1 y ON 1 = 1",
+                Some(25),
+            ),
             ("CALL sales_26.refresh()", Some(26)),
             ("SELECT 1 FROM orders_7", None),
             ("SELECT '", None),
--- a/crates/statements/src/words.rs
+++ b/crates/statements/src/words.rs
@@ -48,7 +48,10 @@
 
 /// Words with which a statement that only reads may begin.
 pub fn begins_reading(word: &str) -> bool {
-    matches!(word, "select" | "with" | "values" | "table" | "explain" | "describe" | "desc" | "show" | "(")
+    matches!(
+        word,
+        "select" | "with" | "values" | "table" | "explain" | "describe" | "desc" | "show" | "("
+    )
 }
 
 /// Words behind which an opening bracket calls no function.
@@ -399,6 +402,8 @@
         for list in [PURE, WITH_EFFECT] {
             assert!(list.is_sorted_by(|a, b| a < b));
         }
-        assert!(!PURE.iter().any(|name| WITH_EFFECT.binary_search(name).is_ok()));
+        assert!(!PURE
+            .iter()
+            .any(|name| WITH_EFFECT.binary_search(name).is_ok()));
     }
 }
--- a/crates/statements/tests/hard.rs
+++ b/crates/statements/tests/hard.rs
@@ -29,7 +29,10 @@
     for case in cases {
         let read = read(case).reading;
         assert_ne!(read.effect, Effect::ReadOnly, "{case}");
-        assert!(matches!(read.class, Class::Load | Class::Unknown), "{case}: {read:?}");
+        assert!(
+            matches!(read.class, Class::Load | Class::Unknown),
+            "{case}: {read:?}"
+        );
     }
 }
 
@@ -83,7 +86,11 @@
 fn select_into_and_create_table_as() {
     all_are(
         Effect::Mutating,
-        &["select * into t2 from t", "select a into temp t2 from t", "create table t2 as select * from t"],
+        &[
+            "select * into t2 from t",
+            "select a into temp t2 from t",
+            "create table t2 as select * from t",
+        ],
     );
     none_only_reads(&[
         "select a into outfile '/tmp/x' from t",
@@ -153,18 +160,34 @@
     };
     let mut statements = Statements::new(told, [7; 16]);
     for (case, effect) in [
-        ("select do_it(1), geo.distance(a, b) from t", Effect::ReadOnly),
+        (
+            "select do_it(1), geo.distance(a, b) from t",
+            Effect::ReadOnly,
+        ),
         ("select distance(a, b) from t", Effect::Unknown),
         ("select upper(a) from t", Effect::Mutating),
     ] {
-        assert_eq!(statements.read(case.as_bytes()).reading.effect, effect, "{case}");
+        assert_eq!(
+            statements.read(case.as_bytes()).reading.effect,
+            effect,
+            "{case}"
+        );
     }
 }
 
 #[test]
 fn explain_analyze_of_a_write() {
-    all_are(Effect::Mutating, &["explain analyze delete from t", "explain (analyze) update t set a = 1"]);
-    none_only_reads(&["explain analyze insert into t values (1)", "explain (analyze true) delete from t"]);
+    all_are(
+        Effect::Mutating,
+        &[
+            "explain analyze delete from t",
+            "explain (analyze) update t set a = 1",
+        ],
+    );
+    none_only_reads(&[
+        "explain analyze insert into t values (1)",
+        "explain (analyze true) delete from t",
+    ]);
 }
 
 #[test]
@@ -229,7 +252,11 @@
             "select 1 /* ; */ ; -- ;\n delete from t",
         ],
     );
-    none_only_reads(&["select 1; call f()", "select 1; garbage (", "select 1;; set x = 1"]);
+    none_only_reads(&[
+        "select 1; call f()",
+        "select 1; garbage (",
+        "select 1;; set x = 1",
+    ]);
 }
 
 #[test]
@@ -295,8 +322,17 @@
         "select\u{2028}1",
         "select \u{1b}[2J 1",
     ]);
-    for bytes in [b"select \xff".as_slice(), b"\xfe\xff\0s", b"select '\xc3'", b"\xef\xbb\xbfselect 1"] {
-        assert_ne!(statements().read(bytes).reading.effect, Effect::ReadOnly, "{bytes:?}");
+    for bytes in [
+        b"select \xff".as_slice(),
+        b"\xfe\xff\0s",
+        b"select '\xc3'",
+        b"\xef\xbb\xbfselect 1",
+    ] {
+        assert_ne!(
+            statements().read(bytes).reading.effect,
+            Effect::ReadOnly,
+            "{bytes:?}"
+        );
     }
 }
 
@@ -304,7 +340,10 @@
 fn quoted_names_that_are_keywords_and_literals_in_other_languages_are_read() {
     all_are(
         Effect::ReadOnly,
-        &["select \"delete\", \"into\" from \"update\"", "select 'größe', '表' from t where a = '\u{2019}'"],
+        &[
+            "select \"delete\", \"into\" from \"update\"",
+            "select 'größe', '表' from t where a = '\u{2019}'",
+        ],
     );
 }
 
@@ -313,7 +352,9 @@
 
 #[test]
 fn statements_without_end_take_bounded_time_and_stack() {
-    let joins: String = (0..5000).map(|n| format!(" join t{n} on a{n} = 1")).collect();
+    let joins: String = (0..5000)
+        .map(|n| format!(" join t{n} on a{n} = 1"))
+        .collect();
     let unions = "select 1 union ".repeat(4000) + "select 1";
     let not = format!("select {} 1", "not ".repeat(15_000));
     let cases: Vec<String> = vec![
@@ -323,7 +364,10 @@
         format!("select {}1", "- ".repeat(30_000)),
         format!("select 1{}", "+1".repeat(30_000)),
         format!("select a from t where a = 1{}", " and a = 1".repeat(5000)),
-        format!("select * from t{joins}").chars().take(65_536).collect(),
+        format!("select * from t{joins}")
+            .chars()
+            .take(65_536)
+            .collect(),
         unions.chars().take(65_536).collect(),
         not,
         format!("select {}", "case when ".repeat(6000)),
@@ -346,7 +390,12 @@
     for case in cases {
         let from = Instant::now();
         let read = read(&case).reading;
-        assert!(from.elapsed() < BOUNDED, "{:?} for {}", from.elapsed(), &case[..40]);
+        assert!(
+            from.elapsed() < BOUNDED,
+            "{:?} for {}",
+            from.elapsed(),
+            &case[..40]
+        );
         assert_ne!(read.effect, Effect::ReadOnly, "{}", &case[..40]);
     }
 }
@@ -355,9 +404,13 @@
 fn ten_thousand_items_in_a_list_are_one_shape() {
     let items: Vec<String> = (0..10_000).map(|n| n.to_string()).collect();
     let mut statements = statements();
-    let long = statements.read(format!("select a from t where b in ({})", items.join(", ")).as_bytes());
+    let long =
+        statements.read(format!("select a from t where b in ({})", items.join(", ")).as_bytes());
     let short = statements.read(b"SELECT a FROM t WHERE b IN (7)");
-    assert_eq!((long.shape, long.reading.effect, short.hit), (short.shape, Effect::ReadOnly, true));
+    assert_eq!(
+        (long.shape, long.reading.effect, short.hit),
+        (short.shape, Effect::ReadOnly, true)
+    );
 }
 
 #[test]
@@ -365,7 +418,10 @@
     let mut statements = statements();
     let mut shape = |statement: &str| statements.read(statement.as_bytes()).shape;
     let one = shape("select a from t where b = 1 and c = 'x'");
-    assert_eq!(shape("SELECT a\nFROM t -- c\n WHERE b=22 AND c='y''z'"), one);
+    assert_eq!(
+        shape("SELECT a\nFROM t -- c\n WHERE b=22 AND c='y''z'"),
+        one
+    );
     for other in [
         "select a from t where b = 1 or c = 'x'",
         "select a from u where b = 1 and c = 'x'",
@@ -378,17 +434,24 @@
         assert_ne!(shape(other), one, "{other}");
     }
     // Another process draws another key: nobody outside can make shapes fall together.
-    let other =
-        Statements::new(Settings::default(), [8; 16]).read(b"select a from t where b = 1 and c = 'x'").shape;
+    let other = Statements::new(Settings::default(), [8; 16])
+        .read(b"select a from t where b = 1 and c = 'x'")
+        .shape;
     assert_ne!(other, one);
 }
 
 #[test]
 fn a_flood_of_new_shapes_leaves_the_common_ones_and_stays_in_bounds() {
-    let settings =
-        Settings { most_shapes: 512, most_bytes: 512 * 1024, most_costs: 1024, ..Settings::default() };
+    let settings = Settings {
+        most_shapes: 512,
+        most_bytes: 512 * 1024,
+        most_costs: 1024,
+        ..Settings::default()
+    };
     let mut statements = Statements::new(settings, [7; 16]);
-    let common: Vec<String> = (0..200).map(|n| format!("select a{n} from t where b = 1")).collect();
+    let common: Vec<String> = (0..200)
+        .map(|n| format!("select a{n} from t where b = 1"))
+        .collect();
     let (mut asked, mut hits) = (0, 0);
     for n in 0..100_000_u32 {
         statements.read(format!("select x{n} from flood").as_bytes());
@@ -401,8 +464,14 @@
         }
     }
     let counts = statements.counts();
-    assert!(counts.shapes <= 512 && counts.bytes <= 512 * 1024, "{counts:?}");
-    assert!(f64::from(hits) > 0.9 * f64::from(asked), "{hits} of {asked}");
+    assert!(
+        counts.shapes <= 512 && counts.bytes <= 512 * 1024,
+        "{counts:?}"
+    );
+    assert!(
+        f64::from(hits) > 0.9 * f64::from(asked),
+        "{hits} of {asked}"
+    );
 }
 
 const SEEN: Observation = Observation {
@@ -417,7 +486,12 @@
 
 #[test]
 fn learned_costs_outlive_the_reading_within_their_own_bound() {
-    let settings = Settings { most_shapes: 16, most_bytes: 65_536, most_costs: 4096, ..Settings::default() };
+    let settings = Settings {
+        most_shapes: 16,
+        most_bytes: 65_536,
+        most_costs: 4096,
+        ..Settings::default()
+    };
     let mut statements = Statements::new(settings.clone(), [7; 16]);
     let query = b"select a from t where b = 1";
     for _ in 0..10 {
@@ -430,7 +504,10 @@
     statements.set(settings);
     let read = statements.read(query);
     let estimate = statements.estimate(&read, 0.0);
-    assert!(!read.hit && (estimate.cost - 10.0).abs() < 1.0 && estimate.sure > 0.5, "{estimate:?}");
+    assert!(
+        !read.hit && (estimate.cost - 10.0).abs() < 1.0 && estimate.sure > 0.5,
+        "{estimate:?}"
+    );
 }
 
 #[test]
@@ -456,13 +533,29 @@
     let query = b"select count(*) from t where b = 1 group by c";
     let before = statements.read(query);
     assert_eq!(before.reading.class, Class::Report);
-    statements.ended(before.shape, before.reading.class, before.reading.cost, &SEEN);
-    statements.set(Settings { rules: vec![Rule::of(Class::LookUp)], ..Settings::default() });
+    statements.ended(
+        before.shape,
+        before.reading.class,
+        before.reading.cost,
+        &SEEN,
+    );
+    statements.set(Settings {
+        rules: vec![Rule::of(Class::LookUp)],
+        ..Settings::default()
+    });
     let after = statements.read(query);
-    assert_eq!((before.reading.class, after.reading.class), (Class::Report, Class::LookUp));
+    assert_eq!(
+        (before.reading.class, after.reading.class),
+        (Class::Report, Class::LookUp)
+    );
     assert_eq!(before.shape, after.shape);
     // One that was taken under the old rules ends under the new ones: its cost is learned all the same.
-    statements.ended(before.shape, before.reading.class, before.reading.cost, &SEEN);
+    statements.ended(
+        before.shape,
+        before.reading.class,
+        before.reading.cost,
+        &SEEN,
+    );
     assert!((statements.estimate(&after, 0.0).cost - 10.0).abs() < 1.0);
 }
 
@@ -472,20 +565,43 @@
         ("select 1", Class::LookUp),
         ("select a, b from t where id = 1", Class::LookUp),
         ("select count(*) from t where id = 1", Class::LookUp),
-        ("select a from t join u on t.x = u.x join v on v.y = u.y where t.id = 'a'", Class::LookUp),
-        ("select a from t where id in (1, 2, 3) order by b limit 3", Class::LookUp),
+        (
+            "select a from t join u on t.x = u.x join v on v.y = u.y where t.id = 'a'",
+            Class::LookUp,
+        ),
+        (
+            "select a from t where id in (1, 2, 3) order by b limit 3",
+            Class::LookUp,
+        ),
         ("select a from t limit 10", Class::LookUp),
         ("select a from t", Class::Report),
-        ("select a, count(*) from t where day > '2020' group by a", Class::Report),
+        (
+            "select a, count(*) from t where day > '2020' group by a",
+            Class::Report,
+        ),
         ("select distinct a from t where b > 1", Class::Report),
-        ("select a from t where b > 1 union select a from u where b > 1", Class::Report),
-        ("select rank() over (order by a) from t where id = 1", Class::Report),
-        ("select sum(a) from t where b between 1 and 2", Class::Report),
+        (
+            "select a from t where b > 1 union select a from u where b > 1",
+            Class::Report,
+        ),
+        (
+            "select rank() over (order by a) from t where id = 1",
+            Class::Report,
+        ),
+        (
+            "select sum(a) from t where b between 1 and 2",
+            Class::Report,
+        ),
         ("insert into t select * from staging.x", Class::Load),
         ("select * from t for update", Class::Load),
         ("nonsense", Class::Unknown),
     ] {
-        assert_eq!(read(case).reading.class, class, "{case}: {:?}", read(case).reading);
+        assert_eq!(
+            read(case).reading.class,
+            class,
+            "{case}: {:?}",
+            read(case).reading
+        );
     }
 }
 
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -39,10 +39,16 @@
 
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
         if self.open.as_ref().is_none_or(|(open, _)| open != name) {
-            let file = OpenOptions::new().create(true).append(true).open(self.path.join(name))?;
+            let file = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(self.path.join(name))?;
             self.open = Some((name.to_owned(), file));
         }
-        self.open.as_mut().map(|(_, file)| file).ok_or_else(|| io::ErrorKind::NotFound.into())
+        self.open
+            .as_mut()
+            .map(|(_, file)| file)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
     /// Where the file system lets folders be synced; elsewhere it has no such thing.
@@ -66,7 +72,10 @@
     fn read(&self, name: &str, most: u64) -> io::Result<Vec<u8>> {
         let path = self.path.join(name);
         if fs::metadata(&path)?.len() > most {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "the file is too long"));
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the file is too long",
+            ));
         }
         fs::read(path)
     }
--- a/crates/store/src/form.rs
+++ b/crates/store/src/form.rs
@@ -108,8 +108,15 @@
 
 /// Reads a file that its name says is `what` with this number.
 pub fn read(bytes: &[u8], what: What, expected: u64) -> Read {
-    let broken = |damage| Read { follows: (0, 0), records: Vec::new(), good: 0, damage: Some(damage) };
-    let Some(start) = bytes.get(..HEAD) else { return broken(Damage::Short) };
+    let broken = |damage| Read {
+        follows: (0, 0),
+        records: Vec::new(),
+        good: 0,
+        damage: Some(damage),
+    };
+    let Some(start) = bytes.get(..HEAD) else {
+        return broken(Damage::Short);
+    };
     if &start[..4] != MAGIC {
         return broken(Damage::Foreign);
     }
@@ -120,7 +127,11 @@
     if version > VERSION {
         return broken(Damage::Newer(version));
     }
-    let long = |at: usize| start[at..at + 8].iter().fold(0, |n, b| n << 8 | u64::from(*b));
+    let long = |at: usize| {
+        start[at..at + 8]
+            .iter()
+            .fold(0, |n, b| n << 8 | u64::from(*b))
+    };
     let follows = (long(15), long(23));
     if start != head(what, expected, follows) {
         return broken(Damage::Foreign);
@@ -129,9 +140,19 @@
     loop {
         if at == bytes.len() {
             let damage = (what == What::Snapshot).then_some(Damage::NoEnd);
-            return Read { follows, records, good: at, damage };
+            return Read {
+                follows,
+                records,
+                good: at,
+                damage,
+            };
         }
-        let stops = |records, damage| Read { follows, records, good: at, damage: Some(damage) };
+        let stops = |records, damage| Read {
+            follows,
+            records,
+            good: at,
+            damage: Some(damage),
+        };
         let (Some(length), Some(sum)) = (number(bytes, at), number(bytes, at + 4)) else {
             return stops(records, Damage::Short);
         };
@@ -148,8 +169,17 @@
         at += FRAME + size;
         if length == END {
             let whole = what == What::Snapshot && record == (records.len() as u64).to_be_bytes();
-            let damage = if whole && at == bytes.len() { None } else { Some(Damage::Foreign) };
-            return Read { follows, records, good: at, damage };
+            let damage = if whole && at == bytes.len() {
+                None
+            } else {
+                Some(Damage::Foreign)
+            };
+            return Read {
+                follows,
+                records,
+                good: at,
+                damage,
+            };
         }
         records.push(record.to_vec());
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -26,7 +26,11 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { sync: Sync::Every(1000.0), most: 4 << 20, retry: 30_000.0 }
+        Settings {
+            sync: Sync::Every(1000.0),
+            most: 4 << 20,
+            retry: 30_000.0,
+        }
     }
 }
 
@@ -38,7 +42,11 @@
     /// All that was there.
     Whole { records: usize },
     /// Records up to a damage; what stands behind it is not used.
-    Part { records: usize, file: String, damage: Damage },
+    Part {
+        records: usize,
+        file: String,
+        damage: Damage,
+    },
     /// No snapshot or log could be used.
     Lost { file: String, damage: Damage },
     /// A newer version wrote here: nothing is used, and nothing is written.
@@ -101,7 +109,13 @@
 /// Reads all that can be used: the last whole snapshot, and from there each log that follows the one before it, as
 /// long as what it followed is still good as far as it was then.
 fn recover<D: Disk>(disk: &D, most: u64) -> Recovered {
-    let ends = |found, next| Recovered { records: Vec::new(), found, next, size: 0, last: (0, 0) };
+    let ends = |found, next| Recovered {
+        records: Vec::new(),
+        found,
+        next,
+        size: 0,
+        last: (0, 0),
+    };
     let files = match files(disk) {
         Ok(files) => files,
         Err(e) => return ends(Found::Unreadable { why: e.to_string() }, 1),
@@ -112,7 +126,12 @@
     }
     let read = |what, number, name: &str| match disk.read(name, most) {
         Ok(bytes) => form::read(&bytes, what, number),
-        Err(_) => form::Read { follows: (0, 0), records: Vec::new(), good: 0, damage: Some(Damage::Short) },
+        Err(_) => form::Read {
+            follows: (0, 0),
+            records: Vec::new(),
+            good: 0,
+            damage: Some(Damage::Short),
+        },
     };
     let mut logs: Vec<(u64, &str, form::Read)> = Vec::new();
     let mut snapshot: Option<(u64, form::Read)> = None;
@@ -121,7 +140,13 @@
         let file = read(*what, *number, name);
         match (*what, file.damage) {
             (_, Some(Damage::Newer(version))) => {
-                return ends(Found::Newer { file: name.clone(), version }, next)
+                return ends(
+                    Found::Newer {
+                        file: name.clone(),
+                        version,
+                    },
+                    next,
+                )
             }
             (What::Snapshot, None) => snapshot = Some((*number, file)),
             // An older one, if there is one, is used with the logs that follow it: nothing is removed before a
@@ -136,11 +161,14 @@
             }
         }
     }
-    let (from, mut records) = snapshot.map_or((0, Vec::new()), |(number, file)| (number, file.records));
+    let (from, mut records) =
+        snapshot.map_or((0, Vec::new()), |(number, file)| (number, file.records));
     let (mut last, mut size) = ((from, 0), 0);
     // Of several that follow one file the latest was begun after the others had failed.
-    while let Some((number, name, file)) =
-        logs.iter().rev().find(|(number, _, file)| file.follows.0 == last.0 && *number > last.0)
+    while let Some((number, name, file)) = logs
+        .iter()
+        .rev()
+        .find(|(number, _, file)| file.follows.0 == last.0 && *number > last.0)
     {
         if file.follows.1 > last.1 {
             // What it followed was longer then: records are missing in between.
@@ -158,11 +186,23 @@
         worst = worst.or(Some(((*name).to_owned(), Damage::Foreign)));
     }
     let found = match worst {
-        None => Found::Whole { records: records.len() },
+        None => Found::Whole {
+            records: records.len(),
+        },
         Some((file, damage)) if records.is_empty() => Found::Lost { file, damage },
-        Some((file, damage)) => Found::Part { records: records.len(), file, damage },
+        Some((file, damage)) => Found::Part {
+            records: records.len(),
+            file,
+            damage,
+        },
     };
-    Recovered { records, found, next, size, last }
+    Recovered {
+        records,
+        found,
+        next,
+        size,
+        last,
+    }
 }
 
 /// What `open` would find, with nothing touched.
@@ -173,7 +213,13 @@
 impl<D: Disk> Store<D> {
     /// Reads what is there. Nothing is written before the first record.
     pub fn open(disk: D, settings: Settings) -> (Self, Vec<Vec<u8>>, Found) {
-        let Recovered { records, found, next, size, last } = recover(&disk, 4 * settings.most);
+        let Recovered {
+            records,
+            found,
+            next,
+            size,
+            last,
+        } = recover(&disk, 4 * settings.most);
         let read_only = matches!(found, Found::Newer { .. });
         let store = Store {
             disk,
@@ -263,14 +309,20 @@
         };
         bytes.extend_from_slice(&form::frame(record));
         self.disk.append(&form::name(What::Log, number), &bytes)?;
-        let good = if self.log == Some(number) { self.last.1 } else { 0 };
+        let good = if self.log == Some(number) {
+            self.last.1
+        } else {
+            0
+        };
         (self.log, self.last) = (Some(number), (number, good + bytes.len() as u64));
         self.size += bytes.len() as u64;
         Ok(())
     }
 
     fn sync(&mut self, now: f64) -> Result<(), Trouble> {
-        let Some(number) = self.log.filter(|_| self.unsynced) else { return Ok(()) };
+        let Some(number) = self.log.filter(|_| self.unsynced) else {
+            return Ok(());
+        };
         match self.disk.sync(&form::name(What::Log, number)) {
             Ok(()) => {
                 (self.unsynced, self.synced_at) = (false, now);
@@ -296,7 +348,11 @@
     ///
     /// # Errors
     /// As `append`; what was there is there still.
-    pub fn compact<'a>(&mut self, now: f64, records: impl Iterator<Item = &'a [u8]>) -> Result<(), Trouble> {
+    pub fn compact<'a>(
+        &mut self,
+        now: f64,
+        records: impl Iterator<Item = &'a [u8]>,
+    ) -> Result<(), Trouble> {
         if self.read_only {
             return Err(Trouble::Newer);
         }
@@ -313,10 +369,15 @@
         }
     }
 
-    fn snapshot<'a>(&mut self, number: u64, records: impl Iterator<Item = &'a [u8]>) -> io::Result<()> {
+    fn snapshot<'a>(
+        &mut self,
+        number: u64,
+        records: impl Iterator<Item = &'a [u8]>,
+    ) -> io::Result<()> {
         const TEMPORARY: &str = "new-snapshot";
         let _ = self.disk.remove(TEMPORARY);
-        self.disk.append(TEMPORARY, &form::head(What::Snapshot, number, (0, 0)))?;
+        self.disk
+            .append(TEMPORARY, &form::head(What::Snapshot, number, (0, 0)))?;
         let (mut count, mut bytes) = (0, Vec::new());
         for record in records.filter(|record| record.len() <= form::MOST_RECORD) {
             bytes.extend_from_slice(&form::frame(record));
@@ -329,7 +390,8 @@
         bytes.extend_from_slice(&form::end(count));
         self.disk.append(TEMPORARY, &bytes)?;
         self.disk.sync(TEMPORARY)?;
-        self.disk.rename(TEMPORARY, &form::name(What::Snapshot, number))
+        self.disk
+            .rename(TEMPORARY, &form::name(What::Snapshot, number))
     }
 
     /// Removes what a snapshot replaced; what can't be removed is passed over at the next start.
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -40,7 +40,10 @@
             bytes.truncate(kept);
             *synced = kept;
         }
-        Faulty { files: self.files, ..Faulty::default() }
+        Faulty {
+            files: self.files,
+            ..Faulty::default()
+        }
     }
 }
 
@@ -50,7 +53,11 @@
     }
 
     fn read(&self, name: &str, most: u64) -> io::Result<Vec<u8>> {
-        let bytes = self.files.get(name).map(|(bytes, _)| bytes.clone()).ok_or(io::ErrorKind::NotFound)?;
+        let bytes = self
+            .files
+            .get(name)
+            .map(|(bytes, _)| bytes.clone())
+            .ok_or(io::ErrorKind::NotFound)?;
         if bytes.len() as u64 > most {
             Err(io::ErrorKind::InvalidData.into())
         } else {
@@ -61,11 +68,20 @@
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let crashes = self.step()?;
         let all: usize = self.files.values().map(|(bytes, _)| bytes.len()).sum();
-        let room = self.full_after.map_or(usize::MAX, |most| most.saturating_sub(all));
-        let torn =
-            if crashes { bytes.len() * self.crash.map_or(0, |(_, part)| part) / 4 } else { bytes.len() };
+        let room = self
+            .full_after
+            .map_or(usize::MAX, |most| most.saturating_sub(all));
+        let torn = if crashes {
+            bytes.len() * self.crash.map_or(0, |(_, part)| part) / 4
+        } else {
+            bytes.len()
+        };
         let written = torn.min(room);
-        self.files.entry(name.to_owned()).or_default().0.extend_from_slice(&bytes[..written]);
+        self.files
+            .entry(name.to_owned())
+            .or_default()
+            .0
+            .extend_from_slice(&bytes[..written]);
         if crashes {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
@@ -98,11 +114,18 @@
         if self.step()? {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
-        self.files.remove(name).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
+        self.files
+            .remove(name)
+            .map(|_| ())
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 }
 
-const EACH: Settings = Settings { sync: Sync::Each, most: 4096, retry: 100.0 };
+const EACH: Settings = Settings {
+    sync: Sync::Each,
+    most: 4096,
+    retry: 100.0,
+};
 
 fn record(n: u32) -> Vec<u8> {
     format!("record {n} {}", "x".repeat(n as usize % 37)).into_bytes()
@@ -131,7 +154,10 @@
     for at in 0..=steps {
         for torn in 0..=4 {
             for kept in 0..=4 {
-                let disk = Faulty { crash: Some((at, torn)), ..Faulty::default() };
+                let disk = Faulty {
+                    crash: Some((at, torn)),
+                    ..Faulty::default()
+                };
                 let (disk, written) = script(disk);
                 let (_, records, found) = Store::open(disk.after(kept), EACH);
                 let expected: Vec<Vec<u8>> = (0..records.len() as u32).map(record).collect();
@@ -158,7 +184,10 @@
 fn after_a_crash_it_goes_on_and_crashes_again() {
     let (whole, _) = script(Faulty::default());
     for at in 0..=whole.steps {
-        let (disk, _) = script(Faulty { crash: Some((at, 2)), ..Faulty::default() });
+        let (disk, _) = script(Faulty {
+            crash: Some((at, 2)),
+            ..Faulty::default()
+        });
         let (mut store, before, _) = Store::open(disk.after(2), EACH);
         let mut all = before.clone();
         for n in 100..104 {
@@ -178,7 +207,10 @@
             let mut spoilt = disk.clone();
             spoilt.files.get_mut(&name).unwrap().0[at] ^= 0x40;
             let (_, records, found) = Store::open(spoilt, EACH);
-            assert!(!matches!(found, Found::Whole { .. }), "{name} {at}: {found:?}");
+            assert!(
+                !matches!(found, Found::Whole { .. }),
+                "{name} {at}: {found:?}"
+            );
             let expected: Vec<Vec<u8>> = (0..records.len() as u32).map(record).collect();
             assert_eq!(records, expected, "{name} {at}");
         }
@@ -187,14 +219,22 @@
             let mut cut = disk.clone();
             cut.files.get_mut(&name).unwrap().0.truncate(keep);
             let (_, records, _) = Store::open(cut, EACH);
-            assert!(records.iter().zip(0..).all(|(have, n)| *have == record(n)), "{name} cut at {keep}");
+            assert!(
+                records.iter().zip(0..).all(|(have, n)| *have == record(n)),
+                "{name} cut at {keep}"
+            );
         }
         // The whole file is gone.
         let mut gone = disk.clone();
         gone.files.remove(&name);
         let (_, records, _) = Store::open(gone, EACH);
         let mut known = (0..20).map(record);
-        assert!(records.iter().all(|have| known.any(|record| record == *have)), "{name}");
+        assert!(
+            records
+                .iter()
+                .all(|have| known.any(|record| record == *have)),
+            "{name}"
+        );
     }
 }
 
@@ -209,7 +249,16 @@
     disk.files.insert(name.clone(), (head, 0));
     let before = disk.files.clone();
     let (mut store, records, found) = Store::open(disk, EACH);
-    assert_eq!((records.len(), found), (0, Found::Newer { file: name, version: 9 }));
+    assert_eq!(
+        (records.len(), found),
+        (
+            0,
+            Found::Newer {
+                file: name,
+                version: 9
+            }
+        )
+    );
     assert_eq!(store.append(0.0, b"x"), Err(Trouble::Newer));
     assert_eq!(store.compact(0.0, std::iter::empty()), Err(Trouble::Newer));
     assert_eq!(store.into_disk().files, before);
@@ -219,14 +268,26 @@
 fn crc(bytes: &[u8]) -> u32 {
     !bytes.iter().fold(!0_u32, |mut crc, b| {
         crc ^= u32::from(*b);
-        (0..8).for_each(|_| crc = if crc & 1 == 1 { crc >> 1 ^ 0xEDB8_8320 } else { crc >> 1 });
+        (0..8).for_each(|_| {
+            crc = if crc & 1 == 1 {
+                crc >> 1 ^ 0xEDB8_8320
+            } else {
+                crc >> 1
+            }
+        });
         crc
     })
 }
 
 #[test]
 fn a_disk_that_is_full_or_read_only_ends_writing_and_is_tried_again() {
-    let (mut store, ..) = Store::open(Faulty { full_after: Some(300), ..Faulty::default() }, EACH);
+    let (mut store, ..) = Store::open(
+        Faulty {
+            full_after: Some(300),
+            ..Faulty::default()
+        },
+        EACH,
+    );
     let mut written = 0;
     for n in 0..40 {
         written += u32::from(store.append(0.0, &record(n)).is_ok());
@@ -240,7 +301,13 @@
     assert!(store.append(0.0, &record(written)).is_ok());
     let (_, records, _) = Store::open(store.into_disk(), EACH);
     assert_eq!(records, (0..=written).map(record).collect::<Vec<_>>());
-    let (mut store, ..) = Store::open(Faulty { read_only: true, ..Faulty::default() }, EACH);
+    let (mut store, ..) = Store::open(
+        Faulty {
+            read_only: true,
+            ..Faulty::default()
+        },
+        EACH,
+    );
     assert!(matches!(store.append(0.0, b"x"), Err(Trouble::Disk(_))));
     // Not tried again before its time, and then without a start.
     let mut store = {
@@ -261,7 +328,10 @@
     assert!(store.wants_compaction() && refused > 0 && store.size() < 3 * 4096);
     store.compact(0.0, [b"all".as_slice()].into_iter()).unwrap();
     assert!(!store.wants_compaction() && store.append(0.0, b"x").is_ok());
-    assert_eq!(store.append(0.0, &vec![0; form::MOST_RECORD + 1]), Err(Trouble::TooLong));
+    assert_eq!(
+        store.append(0.0, &vec![0; form::MOST_RECORD + 1]),
+        Err(Trouble::TooLong)
+    );
     let disk = store.into_disk();
     assert_eq!(disk.files.len(), 2, "{:?}", disk.files.keys());
     assert_eq!(verify(&disk, &EACH), Found::Whole { records: 2 });
@@ -269,15 +339,25 @@
 
 #[test]
 fn without_a_sync_a_crash_loses_the_end_and_no_more() {
-    let settings = Settings { sync: Sync::Every(1000.0), ..EACH };
+    let settings = Settings {
+        sync: Sync::Every(1000.0),
+        ..EACH
+    };
     let (mut store, ..) = Store::open(Faulty::default(), settings);
     for n in 0..10 {
         store.append(f64::from(n) * 300.0, &record(n)).unwrap();
         store.tick(f64::from(n) * 300.0).unwrap();
     }
     let (_, records, found) = Store::open(store.into_disk().after(0), settings);
-    assert!(records.len() >= 6 && records.len() < 10, "{} {found:?}", records.len());
-    assert_eq!(records, (0..records.len() as u32).map(record).collect::<Vec<_>>());
+    assert!(
+        records.len() >= 6 && records.len() < 10,
+        "{} {found:?}",
+        records.len()
+    );
+    assert_eq!(
+        records,
+        (0..records.len() as u32).map(record).collect::<Vec<_>>()
+    );
 }
 
 #[test]
@@ -287,13 +367,18 @@
     let (mut store, records, found) = Store::open(Folder::new(&path).unwrap(), EACH);
     assert_eq!((records.len(), found), (0, Found::Nothing));
     (0..30).for_each(|n| store.append(0.0, &record(n)).unwrap());
-    store.compact(0.0, [b"one".as_slice(), b"two"].into_iter()).unwrap();
+    store
+        .compact(0.0, [b"one".as_slice(), b"two"].into_iter())
+        .unwrap();
     store.append(0.0, b"three").unwrap();
     drop(store);
     // Files that are not the store's are left alone.
     std::fs::write(path.join("notes.txt"), "mine").unwrap();
     let (_, records, found) = Store::open(Folder::new(&path).unwrap(), EACH);
-    assert_eq!(records, [b"one".to_vec(), b"two".to_vec(), b"three".to_vec()]);
+    assert_eq!(
+        records,
+        [b"one".to_vec(), b"two".to_vec(), b"three".to_vec()]
+    );
     assert_eq!(found, Found::Whole { records: 3 });
     assert!(path.join("notes.txt").exists());
     std::fs::remove_dir_all(&path).unwrap();
--- a/crates/zones/src/guide.rs
+++ b/crates/zones/src/guide.rs
@@ -39,17 +39,30 @@
 
 impl Guide {
     pub fn new(own: Zone, own_after: f64, now: f64) -> Self {
-        Guide { own, started: now, heard: f64::NEG_INFINITY, own_after, known: BTreeMap::new() }
+        Guide {
+            own,
+            started: now,
+            heard: f64::NEG_INFINITY,
+            own_after,
+            known: BTreeMap::new(),
+        }
     }
 
     /// All that the leader has agreed on, as it stands: of the others nothing holds.
     pub fn hears(&mut self, now: f64, all: &[(Zone, Fleetwide)]) {
         self.heard = now;
         // A decision that was overtaken on its way is known by its number.
-        let older = |known: &Known, of: &Fleetwide| of.number.wrapping_sub(known.of.number) > u32::MAX / 2;
-        self.known.retain(|zone, _| all.iter().any(|(of, _)| of == zone));
+        let older =
+            |known: &Known, of: &Fleetwide| of.number.wrapping_sub(known.of.number) > u32::MAX / 2;
+        self.known
+            .retain(|zone, _| all.iter().any(|(of, _)| of == zone));
         for (zone, of) in all.iter().take(MOST_ZONES) {
-            let fresh = Known { of: *of, heard: now, share: 0.0, until: f64::NEG_INFINITY };
+            let fresh = Known {
+                of: *of,
+                heard: now,
+                share: 0.0,
+                until: f64::NEG_INFINITY,
+            };
             let known = self.known.entry(*zone).or_insert(fresh);
             if older(known, of) {
                 continue;
@@ -63,7 +76,13 @@
 
     /// A share that was asked for then: good until `term` after that.
     pub fn share(&mut self, zone: Zone, number: u32, share: f64, asked: f64, term: f64, skew: f64) {
-        let Some(known) = self.known.get_mut(&zone).filter(|known| known.of.number == number) else { return };
+        let Some(known) = self
+            .known
+            .get_mut(&zone)
+            .filter(|known| known.of.number == number)
+        else {
+            return;
+        };
         let until = asked + term * (1.0 - skew);
         // What was asked for later holds, also if it is less: the leader counts on it only by the term.
         if until >= known.until {
--- a/crates/zones/src/shares.rs
+++ b/crates/zones/src/shares.rs
@@ -51,10 +51,24 @@
         if self.demand.len() >= MOST_HOLDERS && !self.demand.contains_key(&id) {
             return 0.0;
         }
-        self.demand.insert(id, (if demand.is_finite() { demand.max(0.0) } else { 0.0 }, now));
+        self.demand.insert(
+            id,
+            (
+                if demand.is_finite() {
+                    demand.max(0.0)
+                } else {
+                    0.0
+                },
+                now,
+            ),
+        );
         let sum: f64 = self.demand.values().map(|(demand, _)| demand).sum();
         let even = all * EVEN / self.demand.len() as f64;
-        let by_demand = if sum > 0.0 { all * (1.0 - EVEN) * self.demand[&id].0 / sum } else { 0.0 };
+        let by_demand = if sum > 0.0 {
+            all * (1.0 - EVEN) * self.demand[&id].0 / sum
+        } else {
+            0.0
+        };
         let own = self.given.get(&id).map_or(0.0, |given| Shares::most(given));
         // What it holds already is counted; anything above that must be free.
         let free = (all - self.out()).max(0.0);
@@ -63,14 +77,20 @@
             let given = self.given.entry(id).or_default();
             let until = now + term * (1.0 + skew);
             // What is no larger is not needed beside it, but for as long as it may be held.
-            let longest =
-                given.iter().filter(|old| old.share <= share).map(|old| old.until).fold(until, f64::max);
+            let longest = given
+                .iter()
+                .filter(|old| old.share <= share)
+                .map(|old| old.until)
+                .fold(until, f64::max);
             given.retain(|old| old.share > share);
             let full = given.len() >= MOST_KEPT;
             match given.last_mut().filter(|_| full) {
                 // Counted as more than it is, and never as less.
                 Some(last) => last.until = last.until.max(longest),
-                None => given.push(Given { share, until: longest }),
+                None => given.push(Given {
+                    share,
+                    until: longest,
+                }),
             }
         }
         share
