--- a/crates/zones/src/watch.rs
+++ b/crates/zones/src/watch.rs
@@ -113,7 +113,12 @@
 
 impl Watch {
     pub fn new(definition: Definition) -> Self {
-        Watch { definition, members: BTreeMap::new(), zones: BTreeMap::new(), number: 0 }
+        Watch {
+            definition,
+            members: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            number: 0,
+        }
     }
 
     pub fn set(&mut self, definition: Definition) {
@@ -128,7 +133,12 @@
     pub fn clear(&mut self) {
         self.members.clear();
         // What the list tells is no memory of another leader's.
-        self.zones.values_mut().for_each(|zone| *zone = Watched { cores: zone.cores, ..Watched::default() });
+        self.zones.values_mut().for_each(|zone| {
+            *zone = Watched {
+                cores: zone.cores,
+                ..Watched::default()
+            }
+        });
     }
 
     /// Cores of each zone's engines, as listed.
@@ -141,32 +151,51 @@
 
     /// Who is there, and in which zone.
     pub fn members(&mut self, members: impl Iterator<Item = (Id, Zone, bool)>) {
-        self.members.values_mut().for_each(|member| member.there = false);
+        self.members
+            .values_mut()
+            .for_each(|member| member.there = false);
         for (id, zone, there) in members.take(MOST_MEMBERS) {
-            let member = self.members.entry(id).or_insert(Member { zone, there, told: None });
+            let member = self.members.entry(id).or_insert(Member {
+                zone,
+                there,
+                told: None,
+            });
             (member.zone, member.there) = (zone, there);
         }
-        self.members.retain(|_, member| member.there || member.told.is_some());
+        self.members
+            .retain(|_, member| member.there || member.told.is_some());
     }
 
     /// What a member says.
     pub fn told(&mut self, now: f64, id: Id, told: Told) {
-        let Some(member) = self.members.get_mut(&id) else { return };
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
         if let Some((_, before)) = &member.told {
             // Ends since it said so last; one that started anew begins at nothing.
             for evidence in &told.zones {
                 let old = before.zones.iter().find(|old| old.zone == evidence.zone);
-                let (Some(old), Some(zone)) = (old, self.zones.get_mut(&evidence.zone)) else { continue };
+                let (Some(old), Some(zone)) = (old, self.zones.get_mut(&evidence.zone)) else {
+                    continue;
+                };
                 if told.session == before.session {
-                    zone.good = zone.good.saturating_add(u32::from(evidence.good.wrapping_sub(old.good)));
-                    zone.bad = zone.bad.saturating_add(u32::from(evidence.bad.wrapping_sub(old.bad)));
+                    zone.good = zone
+                        .good
+                        .saturating_add(u32::from(evidence.good.wrapping_sub(old.good)));
+                    zone.bad = zone
+                        .bad
+                        .saturating_add(u32::from(evidence.bad.wrapping_sub(old.bad)));
                 }
             }
         }
         member.told = Some((now, told));
     }
 
-    fn fresh<'a>(&'a self, now: f64, zone: Zone) -> impl Iterator<Item = (&'a Member, &'a Evidence)> + 'a {
+    fn fresh<'a>(
+        &'a self,
+        now: f64,
+        zone: Zone,
+    ) -> impl Iterator<Item = (&'a Member, &'a Evidence)> + 'a {
         self.members.values().filter_map(move |member| {
             let (at, told) = member.told.as_ref()?;
             let evidence = told.zones.iter().find(|evidence| evidence.zone == zone)?;
@@ -178,14 +207,21 @@
     /// What the evidence says of a zone.
     pub fn verdict(&self, now: f64, zone: Zone) -> Verdict {
         let (mut cut, mut well) = (0, 0);
-        for (_, evidence) in self.fresh(now, zone).filter(|(member, _)| member.zone != zone) {
+        for (_, evidence) in self
+            .fresh(now, zone)
+            .filter(|(member, _)| member.zone != zone)
+        {
             match evidence.reach {
                 Reach::Cut => cut += 1,
                 Reach::Well | Reach::Climbing => well += 1,
                 Reach::Unknown => {}
             }
         }
-        let outside = self.members.values().filter(|member| member.there && member.zone != zone).count();
+        let outside = self
+            .members
+            .values()
+            .filter(|member| member.there && member.zone != zone)
+            .count();
         let known = cut + well;
         if known == 0 || (known as f64) < self.definition.known_part * outside as f64 {
             return Verdict::Unknown;
@@ -194,7 +230,11 @@
             let inside = |(member, evidence): (&Member, &Evidence)| {
                 member.zone == zone && matches!(evidence.reach, Reach::Well | Reach::Climbing)
             };
-            return if self.fresh(now, zone).any(inside) { Verdict::CutOff } else { Verdict::Lost };
+            return if self.fresh(now, zone).any(inside) {
+                Verdict::CutOff
+            } else {
+                Verdict::Lost
+            };
         }
         if cut > 0 {
             Verdict::SomeDont
@@ -205,21 +245,36 @@
 
     /// What the fleet runs in all zones but those inside it, from there (threads): what the others would have to take.
     fn load_of(&self, now: f64, zone: Zone) -> f64 {
-        self.fresh(now, zone).map(|(_, evidence)| f64::from(evidence.threads).max(0.0)).sum()
+        self.fresh(now, zone)
+            .map(|(_, evidence)| f64::from(evidence.threads).max(0.0))
+            .sum()
     }
 
     /// Whether a zone may be left: what the others would carry, and what part of all is left then. By the operators'
     /// word the second is not asked.
     pub fn may_leave(
-        &self, now: f64, zone: Zone, left: &BTreeMap<Zone, Fleetwide>, by_hand: bool,
+        &self,
+        now: f64,
+        zone: Zone,
+        left: &BTreeMap<Zone, Fleetwide>,
+        by_hand: bool,
     ) -> Result<(), Refused> {
         let all: f64 = self.zones.values().map(|zone| zone.cores).sum();
-        let is_left = |other: Zone| left.get(&other).is_some_and(|known| known.stage == Stage::Left);
+        let is_left = |other: Zone| {
+            left.get(&other)
+                .is_some_and(|known| known.stage == Stage::Left)
+        };
         let gone = |other: Zone| other == zone || is_left(other);
-        let left_cores: f64 =
-            self.zones.iter().filter(|(id, _)| gone(**id)).map(|(_, zone)| zone.cores).sum();
+        let left_cores: f64 = self
+            .zones
+            .iter()
+            .filter(|(id, _)| gone(**id))
+            .map(|(_, zone)| zone.cores)
+            .sum();
         let part = if all > 0.0 { left_cores / all } else { 1.0 };
-        let second = left.iter().any(|(other, known)| *other != zone && known.stage == Stage::Left);
+        let second = left
+            .iter()
+            .any(|(other, known)| *other != zone && known.stage == Stage::Left);
         if !by_hand && (part > self.definition.most_left || second) {
             return Err(Refused::TooMuch { part });
         }
@@ -253,7 +308,10 @@
         let zones: Vec<Zone> = self.zones.keys().chain(agreed.keys()).copied().collect();
         let mut decisions = Vec::new();
         for id in zones {
-            if decisions.iter().any(|decision: &Decision| decision.zone == id) {
+            if decisions
+                .iter()
+                .any(|decision: &Decision| decision.zone == id)
+            {
                 continue;
             }
             let verdict = self.verdict(now, id);
@@ -261,8 +319,16 @@
             let lost = matches!(verdict, Verdict::Lost | Verdict::CutOff);
             let reached = matches!(verdict, Verdict::Well);
             let watched = self.zones.entry(id).or_default();
-            watched.lost_since = if lost { watched.lost_since.or(Some(now)) } else { None };
-            watched.reached_since = if reached { watched.reached_since.or(Some(now)) } else { None };
+            watched.lost_since = if lost {
+                watched.lost_since.or(Some(now))
+            } else {
+                None
+            };
+            watched.reached_since = if reached {
+                watched.reached_since.or(Some(now))
+            } else {
+                None
+            };
             if watched.seen != known {
                 if known.is_some_and(|known| known.stage == Stage::Left)
                     && watched.seen.is_none_or(|seen| seen.stage != Stage::Left)
@@ -282,7 +348,11 @@
                     if self.may_leave(now, id, agreed, false).is_err() {
                         continue;
                     }
-                    let why = if verdict == Verdict::CutOff { Why::CutOff } else { Why::Lost };
+                    let why = if verdict == Verdict::CutOff {
+                        Why::CutOff
+                    } else {
+                        Why::Lost
+                    };
                     Some((Some((Stage::Left, 0)), why))
                 }
                 None => None,
@@ -304,7 +374,12 @@
             };
             if let Some((to, why)) = to {
                 let number = self.next_number(now);
-                let to = to.map(|(stage, step)| Fleetwide { stage, step, number, why });
+                let to = to.map(|(stage, step)| Fleetwide {
+                    stage,
+                    step,
+                    number,
+                    why,
+                });
                 decisions.push(Decision { zone: id, to, why });
             }
         }
@@ -312,7 +387,12 @@
     }
 
     /// The next step of a return, or one back; at the end it is whole.
-    fn step(&self, of: Fleetwide, watched: &Watched, long: f64) -> Option<(Option<(Stage, u8)>, Why)> {
+    fn step(
+        &self,
+        of: Fleetwide,
+        watched: &Watched,
+        long: f64,
+    ) -> Option<(Option<(Stage, u8)>, Why)> {
         let ends = watched.good + watched.bad;
         let part = f64::from(watched.bad) / f64::from(ends.max(1));
         if ends >= LEAST_ENDS && part > BAD_PART && long >= self.definition.step / 4.0 {
@@ -337,9 +417,16 @@
         if agreed.stage != Stage::Returns {
             return 0.0;
         }
-        let (all, term, skew) =
-            (self.definition.part(agreed.step), self.definition.term, self.definition.skew);
-        self.zones.entry(zone).or_default().shares.asks(now, id, demand, all, term, skew)
+        let (all, term, skew) = (
+            self.definition.part(agreed.step),
+            self.definition.term,
+            self.definition.skew,
+        );
+        self.zones
+            .entry(zone)
+            .or_default()
+            .shares
+            .asks(now, id, demand, all, term, skew)
     }
 
     /// All shares of a zone that may be held.
--- a/crates/zones/src/wire.rs
+++ b/crates/zones/src/wire.rs
@@ -65,19 +65,38 @@
 }
 
 fn part(bytes: &[u8], at: usize) -> Option<f32> {
-    four(bytes, at).map(f32::from_bits).filter(|n| n.is_finite())
+    four(bytes, at)
+        .map(f32::from_bits)
+        .filter(|n| n.is_finite())
 }
 
 /// None for what is none.
 pub fn read(bytes: &[u8]) -> Option<Told> {
     let evidence = |entry: &[u8]| {
-        let reach =
-            [Reach::Unknown, Reach::Well, Reach::Climbing, Reach::Cut].get(usize::from(entry[4])).copied()?;
+        let reach = [Reach::Unknown, Reach::Well, Reach::Climbing, Reach::Cut]
+            .get(usize::from(entry[4]))
+            .copied()?;
         let (threads, good, bad) = (part(entry, 5)?, two(entry, 9)?, two(entry, 11)?);
-        Some(Evidence { zone: four(entry, 0)?, reach, threads, good, bad })
+        Some(Evidence {
+            zone: four(entry, 0)?,
+            reach,
+            threads,
+            good,
+            bad,
+        })
     };
-    let zones = bytes.get(9..)?.chunks_exact(EVIDENCE).take(MOST_ZONES).filter_map(evidence).collect();
-    Some(Told { session: four(bytes, 0)?, number: four(bytes, 4)?, alone: bytes[8] != 0, zones })
+    let zones = bytes
+        .get(9..)?
+        .chunks_exact(EVIDENCE)
+        .take(MOST_ZONES)
+        .filter_map(evidence)
+        .collect();
+    Some(Told {
+        session: four(bytes, 0)?,
+        number: four(bytes, 4)?,
+        alone: bytes[8] != 0,
+        zones,
+    })
 }
 
 pub fn write_plan(plan: &Plan) -> Vec<u8> {
@@ -94,11 +113,20 @@
 
 /// The stage, and why, by their numbers.
 pub fn stage_of(number: u8) -> Option<Stage> {
-    [Stage::Left, Stage::Returns].get(usize::from(number)).copied()
+    [Stage::Left, Stage::Returns]
+        .get(usize::from(number))
+        .copied()
 }
 
 pub fn why_of(number: u8) -> Option<Why> {
-    let all = [Why::Lost, Why::CutOff, Why::ByHand, Why::Reached, Why::Worsened, Why::Whole];
+    let all = [
+        Why::Lost,
+        Why::CutOff,
+        Why::ByHand,
+        Why::Reached,
+        Why::Worsened,
+        Why::Whole,
+    ];
     all.get(usize::from(number)).copied()
 }
 
@@ -112,6 +140,14 @@
         };
         Some((four(entry, 0)?, of, part(entry, 11)?))
     };
-    let zones = bytes.get(4..)?.chunks_exact(ENTRY).take(MOST_ZONES).filter_map(entry).collect();
-    Some(Plan { number: four(bytes, 0)?, zones })
+    let zones = bytes
+        .get(4..)?
+        .chunks_exact(ENTRY)
+        .take(MOST_ZONES)
+        .filter_map(entry)
+        .collect();
+    Some(Plan {
+        number: four(bytes, 0)?,
+        zones,
+    })
 }
--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -27,7 +27,14 @@
     fn new(definition: Definition) -> Self {
         let mut watch = Watch::new(definition);
         watch.capacity(&[(EAST, 32.0), (WEST, 32.0), (NORTH, 32.0)]);
-        Desk { watch, agreed: BTreeMap::new(), now: 1e6, changes: Vec::new(), ends: 0, bad: 0 }
+        Desk {
+            watch,
+            agreed: BTreeMap::new(),
+            now: 1e6,
+            changes: Vec::new(),
+            ends: 0,
+            bad: 0,
+        }
     }
 
     /// Nine members, three in each zone, say how they reach one zone for so long.
@@ -39,7 +46,9 @@
             let home = |id: u64| [EAST, WEST, NORTH][(id % 3) as usize];
             self.watch.members((0..9).map(|id| (id, home(id), true)));
             for id in 0..9 {
-                let Some((reach, alone)) = reach(id, home(id)) else { continue };
+                let Some((reach, alone)) = reach(id, home(id)) else {
+                    continue;
+                };
                 let evidence = |of| Evidence {
                     zone: of,
                     reach: if of == zone { reach } else { Reach::Well },
@@ -48,7 +57,16 @@
                     bad: if of == zone { self.bad } else { 0 },
                 };
                 let zones = [EAST, WEST, NORTH].map(evidence).to_vec();
-                self.watch.told(self.now, id, Told { session: 1, number: 1, alone, zones });
+                self.watch.told(
+                    self.now,
+                    id,
+                    Told {
+                        session: 1,
+                        number: 1,
+                        alone,
+                        zones,
+                    },
+                );
             }
             for decision in self.watch.look(self.now, &self.agreed) {
                 match decision.to {
@@ -66,29 +84,48 @@
 }
 
 fn quick() -> Definition {
-    Definition { step: 1000.0, ..Definition::default() }
+    Definition {
+        step: 1000.0,
+        ..Definition::default()
+    }
 }
 
 #[test]
 fn a_zone_that_nobody_reaches_and_nobody_is_heard_from_is_lost_and_left_once() {
     let mut desk = Desk::new(quick());
-    desk.says(5000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    desk.says(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     assert_eq!(desk.watch.verdict(desk.now, EAST), Verdict::Lost);
-    assert_eq!((desk.changes.len(), desk.stage(EAST)), (1, Some(Stage::Left)));
+    assert_eq!(
+        (desk.changes.len(), desk.stage(EAST)),
+        (1, Some(Stage::Left))
+    );
 }
 
 #[test]
 fn a_new_leader_that_remembers_nothing_still_knows_the_list() {
     let mut desk = Desk::new(quick());
     desk.watch.clear();
-    desk.says(5000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    desk.says(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     assert_eq!(desk.stage(EAST), Some(Stage::Left));
 }
 
 #[test]
 fn dispatchers_that_live_on_inside_a_cut_show_that_it_is_one() {
     let mut desk = Desk::new(quick());
-    desk.says(5000.0, EAST, |_, home| Some((if home == EAST { Reach::Well } else { Reach::Cut }, false)));
+    desk.says(5000.0, EAST, |_, home| {
+        Some((
+            if home == EAST {
+                Reach::Well
+            } else {
+                Reach::Cut
+            },
+            false,
+        ))
+    });
     assert_eq!(desk.watch.verdict(desk.now, EAST), Verdict::CutOff);
     assert_eq!(desk.agreed[&EAST].why, Why::CutOff);
 }
@@ -97,7 +134,14 @@
 fn a_zone_cut_off_from_some_is_not_left_by_all() {
     let mut desk = Desk::new(quick());
     desk.says(8000.0, EAST, |id, home| {
-        Some((if home != EAST && id < 4 { Reach::Cut } else { Reach::Well }, false))
+        Some((
+            if home != EAST && id < 4 {
+                Reach::Cut
+            } else {
+                Reach::Well
+            },
+            false,
+        ))
     });
     assert_eq!(desk.watch.verdict(desk.now, EAST), Verdict::SomeDont);
     assert!(desk.changes.is_empty());
@@ -116,7 +160,9 @@
     assert!(desk.changes.is_empty(), "{:?}", desk.changes);
     // Only one in six knows: too few to conclude.
     let mut desk = Desk::new(quick());
-    desk.says(6000.0, EAST, |id, _| (id == 1).then_some((Reach::Cut, false)));
+    desk.says(6000.0, EAST, |id, _| {
+        (id == 1).then_some((Reach::Cut, false))
+    });
     assert_eq!(desk.watch.verdict(desk.now, EAST), Verdict::Unknown);
     assert!(desk.changes.is_empty());
 }
@@ -131,31 +177,50 @@
 #[test]
 fn a_second_zone_needs_the_operators_word_and_more_than_the_part_is_not_left() {
     let mut desk = Desk::new(quick());
-    desk.says(4000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    desk.says(4000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     let mut second = desk.agreed.clone();
     assert_eq!(second.len(), 1);
     let answer = desk.watch.may_leave(desk.now, WEST, &second, false);
-    assert!(matches!(answer, Err(Refused::TooMuch { part }) if part > 0.6), "{answer:?}");
+    assert!(
+        matches!(answer, Err(Refused::TooMuch { part }) if part > 0.6),
+        "{answer:?}"
+    );
     // By hand it is asked whether the rest carries it, and the figures are told.
     let answer = desk.watch.may_leave(desk.now, WEST, &second, true);
     assert_eq!(answer, Ok(()));
     second.clear();
-    let heavy = Definition { carry: 0.1, whole: 1.0, ..quick() };
+    let heavy = Definition {
+        carry: 0.1,
+        whole: 1.0,
+        ..quick()
+    };
     desk.watch.set(heavy);
     let answer = desk.watch.may_leave(desk.now, WEST, &second, true);
-    assert!(matches!(answer, Err(Refused::NotCarried { load, room }) if load > room), "{answer:?}");
+    assert!(
+        matches!(answer, Err(Refused::NotCarried { load, room }) if load > room),
+        "{answer:?}"
+    );
 }
 
 #[test]
 fn a_return_climbs_by_steps_and_ends_whole_in_the_stated_time() {
     let mut desk = Desk::new(quick());
-    desk.says(5000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    desk.says(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     let from = desk.now;
     desk.says(30_000.0, EAST, |_, _| Some((Reach::Well, false)));
     assert_eq!(desk.stage(EAST), None, "{:?}", desk.changes);
     // Left, returns, eight steps, whole.
     assert_eq!(desk.changes.len(), 1 + 1 + 8 + 1);
-    let numbers: Vec<u32> = desk.changes.iter().filter_map(|c| c.to).map(|to| to.number).collect();
+    let numbers: Vec<u32> = desk
+        .changes
+        .iter()
+        .filter_map(|c| c.to)
+        .map(|to| to.number)
+        .collect();
     assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
     let _ = from;
 }
@@ -163,7 +228,9 @@
 #[test]
 fn answers_that_worsen_set_a_return_back_and_a_cut_ends_it() {
     let mut desk = Desk::new(quick());
-    desk.says(5000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    desk.says(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     desk.says(7000.0, EAST, |_, _| Some((Reach::Well, false)));
     let step = desk.agreed[&EAST].step;
     assert!(step >= 2);
@@ -171,22 +238,42 @@
         desk.bad = desk.bad.wrapping_add(9);
         desk.says(250.0, EAST, |_, _| Some((Reach::Well, false)));
     }
-    assert!(desk.agreed.get(&EAST).is_none_or(|known| known.step < step), "{:?}", desk.changes);
-    desk.says(3000.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+    assert!(
+        desk.agreed.get(&EAST).is_none_or(|known| known.step < step),
+        "{:?}",
+        desk.changes
+    );
+    desk.says(3000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reach::Cut, false))
+    });
     assert_eq!(desk.stage(EAST), Some(Stage::Left));
 }
 
 #[test]
 fn a_flapping_zone_is_held_out_longer_each_time_up_to_a_most() {
     for period in [3000.0, 10_000.0, 60_000.0] {
-        let definition = Definition { hold: 2000.0, hold_most: 60_000.0, calm: 600_000.0, ..quick() };
+        let definition = Definition {
+            hold: 2000.0,
+            hold_most: 60_000.0,
+            calm: 600_000.0,
+            ..quick()
+        };
         let mut desk = Desk::new(definition);
         for _ in 0..(400_000.0 / period) as usize {
-            desk.says(period / 2.0, EAST, |_, home| (home != EAST).then_some((Reach::Cut, false)));
+            desk.says(period / 2.0, EAST, |_, home| {
+                (home != EAST).then_some((Reach::Cut, false))
+            });
             desk.says(period / 2.0, EAST, |_, _| Some((Reach::Well, false)));
         }
-        let left = desk.changes.iter().filter(|c| c.to.is_some_and(|to| to.stage == Stage::Left)).count();
-        assert!((1..=14).contains(&left), "left {left} times at a period of {period}");
+        let left = desk
+            .changes
+            .iter()
+            .filter(|c| c.to.is_some_and(|to| to.stage == Stage::Left))
+            .count();
+        assert!(
+            (1..=14).contains(&left),
+            "left {left} times at a period of {period}"
+        );
         // And it is whole in the end, once it stays well.
         desk.says(60_000.0 + 30_000.0, EAST, |_, _| Some((Reach::Well, false)));
         assert_eq!(desk.stage(EAST), None);
@@ -196,19 +283,30 @@
 // ---- Members ----
 
 fn returns(step: u8, number: u32) -> Fleetwide {
-    Fleetwide { stage: Stage::Returns, step, number, why: Why::Reached }
+    Fleetwide {
+        stage: Stage::Returns,
+        step,
+        number,
+        why: Why::Reached,
+    }
 }
 
 #[test]
 fn a_member_goes_by_what_it_heard_then_closes_then_judges_for_itself() {
     let mut guide = Guide::new(WEST, 30_000.0, 0.0);
     // Just started: it knows nothing, and its own zone is its own.
-    assert_eq!((guide.of(100.0, EAST), guide.of(100.0, WEST)), (Use::Closed, Use::Own));
+    assert_eq!(
+        (guide.of(100.0, EAST), guide.of(100.0, WEST)),
+        (Use::Closed, Use::Own)
+    );
     assert_eq!(guide.of(2600.0, EAST), Use::Own);
     guide.hears(3000.0, &[]);
     assert_eq!(guide.of(3000.0, EAST), Use::Own);
     guide.hears(4000.0, &[(EAST, returns(2, 7)), (WEST, returns(2, 8))]);
-    assert_eq!((guide.of(4000.0, EAST), guide.of(4000.0, WEST)), (Use::Closed, Use::Own));
+    assert_eq!(
+        (guide.of(4000.0, EAST), guide.of(4000.0, WEST)),
+        (Use::Closed, Use::Own)
+    );
     guide.share(EAST, 7, 0.2, 3900.0, 3000.0, 0.0);
     assert_eq!(guide.of(4000.0, EAST), Use::Part(0.2));
     // An answer to what was asked before, come late, changes nothing.
@@ -218,7 +316,18 @@
     assert_eq!(guide.of(24_000.0, EAST), Use::Closed);
     assert_eq!(guide.of(34_100.0, EAST), Use::Own);
     // A decision that was overtaken on its way does not come back.
-    guide.hears(35_000.0, &[(EAST, Fleetwide { stage: Stage::Left, step: 0, number: 9, why: Why::Lost })]);
+    guide.hears(
+        35_000.0,
+        &[(
+            EAST,
+            Fleetwide {
+                stage: Stage::Left,
+                step: 0,
+                number: 9,
+                why: Why::Lost,
+            },
+        )],
+    );
     guide.hears(35_100.0, &[(EAST, returns(2, 7))]);
     assert_eq!(guide.of(35_100.0, EAST), Use::Closed);
 }
@@ -234,7 +343,11 @@
         next: f64,
         waiting: Vec<(u32, f64, f64)>,
     }
-    let definition = Definition { term: 3000.0, skew: 0.02, ..Definition::default() };
+    let definition = Definition {
+        term: 3000.0,
+        skew: 0.02,
+        ..Definition::default()
+    };
     let mut chance = Pcg32::seed_from_u64(seed);
     let mut shares = Shares::default();
     let mut all: Vec<Member> = (0..members)
@@ -242,7 +355,11 @@
             guide: Guide::new(WEST, 1e9, 0.0),
             rate: chance.random_range(0.991..1.009),
             // Some see ten times the mean.
-            demand: if n % 10 == 0 { 10.0 } else { chance.random_range(0.0..2.0) },
+            demand: if n % 10 == 0 {
+                10.0
+            } else {
+                chance.random_range(0.0..2.0)
+            },
             stopped: 0.0,
             next: chance.random_range(0.0..1000.0),
             waiting: Vec::new(),
@@ -250,12 +367,17 @@
         .collect();
     // On its way: when it arrives, to whom (none: to the leader), number, asked at (own clock), share.
     let mut flying: Vec<(f64, usize, bool, u32, f64, f64)> = Vec::new();
-    let (mut step, mut number, mut most, mut used, mut now) = (0_u8, 1_u32, Vec::new(), 0.0_f64, 0.0);
+    let (mut step, mut number, mut most, mut used, mut now) =
+        (0_u8, 1_u32, Vec::new(), 0.0_f64, 0.0);
     let mut over = 0.0_f64;
     while now < 60_000.0 {
         now += 20.0;
         if chance.random_bool(0.004) {
-            step = if chance.random_bool(0.3) { step / 2 } else { (step + 1).min(8) };
+            step = if chance.random_bool(0.3) {
+                step / 2
+            } else {
+                (step + 1).min(8)
+            };
             number += 1;
         }
         let (agreed, part) = (returns(step, number), definition.part(step));
@@ -279,12 +401,17 @@
                 member.guide.hears(own, &[(EAST, returns(step, of))]);
                 // Whoever counts a share's time from when it came, and not from when it was asked for, holds too long.
                 let from = if from_asking { asked } else { own };
-                member.guide.share(EAST, of, share, from, definition.term, definition.skew);
+                member
+                    .guide
+                    .share(EAST, of, share, from, definition.term, definition.skew);
             }
             if now >= member.next {
                 member.next = now + 1000.0;
-                let late =
-                    if lossy && chance.random_bool(0.05) { 10_000.0 } else { chance.random_range(0.0..80.0) };
+                let late = if lossy && chance.random_bool(0.05) {
+                    10_000.0
+                } else {
+                    chance.random_range(0.0..80.0)
+                };
                 if !(lossy && chance.random_bool(0.3)) {
                     flying.push((now + late, n, true, 0, own, 0.0));
                 }
@@ -294,9 +421,19 @@
         flying = rest;
         for (_, n, to_leader, of, asked, share) in due {
             if to_leader {
-                let share = shares.asks(now, n as u64, all[n].demand, part, definition.term, definition.skew);
-                let late =
-                    if lossy && chance.random_bool(0.05) { 10_000.0 } else { chance.random_range(0.0..80.0) };
+                let share = shares.asks(
+                    now,
+                    n as u64,
+                    all[n].demand,
+                    part,
+                    definition.term,
+                    definition.skew,
+                );
+                let late = if lossy && chance.random_bool(0.05) {
+                    10_000.0
+                } else {
+                    chance.random_range(0.0..80.0)
+                };
                 flying.push((now + late, n, false, agreed.number, asked, share));
             } else {
                 all[n].waiting.push((of, share, asked));
@@ -341,7 +478,10 @@
             last[n] = shares.asks(now, n as u64, demand, 0.5, 3000.0, 0.0);
         }
     }
-    assert!(last[0] > 5.0 * last[1] && last.iter().sum::<f64>() > 0.45, "{last:?}");
+    assert!(
+        last[0] > 5.0 * last[1] && last.iter().sum::<f64>() > 0.45,
+        "{last:?}"
+    );
     // The first one died: the others have its share after a term and what follows it.
     let mut rest = [0.0; 2];
     for second in 20..40 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -87,7 +87,9 @@
             door,
             groups,
             customers,
-            list_wanted: told.get("membership-mode").is_some_and(|mode| mode == "on_request"),
+            list_wanted: told
+                .get("membership-mode")
+                .is_some_and(|mode| mode == "on_request"),
             sum_heard: LONG_AGO,
             began: f64::INFINITY,
             chance: Pcg::new(seed),
@@ -127,13 +129,23 @@
     }
 
     pub fn listed(
-        &mut self, node: u64, kind: &str, hall: &str, status: EngineStatus, start: Option<f64>, cell: u32,
+        &mut self,
+        node: u64,
+        kind: &str,
+        hall: &str,
+        status: EngineStatus,
+        start: Option<f64>,
+        cell: u32,
     ) {
         let (i, first) = self.slot_of(node);
         if first {
             let engine = Engine::read(&self.told, node, kind, hall, cell, &mut self.door);
-            self.halls.resize(self.halls.len().max(engine.hall as usize + 1), Paces::default());
-            self.engines.splice(i..(i + 1).min(self.engines.len()), [engine]);
+            self.halls.resize(
+                self.halls.len().max(engine.hall as usize + 1),
+                Paces::default(),
+            );
+            self.engines
+                .splice(i..(i + 1).min(self.engines.len()), [engine]);
         }
         let e = &mut self.engines[i];
         e.listed = status != EngineStatus::Gone;
@@ -154,7 +166,10 @@
             ListForm::Changes | ListForm::Full => self.list_wanted = false,
         }
         if form != ListForm::Failed {
-            self.engines.iter_mut().filter(|e| !e.listed).for_each(|e| e.ready = false);
+            self.engines
+                .iter_mut()
+                .filter(|e| !e.listed)
+                .for_each(|e| e.ready = false);
         }
     }
 
@@ -168,8 +183,17 @@
     // ---- A query comes ----
 
     pub fn query(
-        &mut self, id: u64, rg: &str, customer: &str, key: Option<u64>, due: f64, mut cost: f64, memory: f64,
-        tables: u32, text: Text, out: &mut dyn Writer,
+        &mut self,
+        id: u64,
+        rg: &str,
+        customer: &str,
+        key: Option<u64>,
+        due: f64,
+        mut cost: f64,
+        memory: f64,
+        tables: u32,
+        text: Text,
+        out: &mut dyn Writer,
     ) -> Result<(), String> {
         let rg_index = self.door.groups.index(rg) as usize;
         if rg_index >= self.groups.len() {
@@ -191,19 +215,46 @@
         }
         // Without an estimate a query weighs its group's threads and takes its group's usual time; before the
         // first answer that is its target runtime: nothing is known of it, not that it takes none.
-        let work = if cost > 0.0 { cost * g.cost_factor } else { g.threads };
-        let usual = if g.seen > 0 { g.mean_cost } else { g.target * g.threads };
+        let work = if cost > 0.0 {
+            cost * g.cost_factor
+        } else {
+            g.threads
+        };
+        let usual = if g.seen > 0 {
+            g.mean_cost
+        } else {
+            g.target * g.threads
+        };
         let (guessed, cost) = (cost <= 0.0, if cost > 0.0 { cost } else { usual });
         let key = key.filter(|_| g.in_order);
-        self.low_work += if low { MEAN_STEP * (work / g.threads - self.low_work) } else { 0.0 };
+        self.low_work += if low {
+            MEAN_STEP * (work / g.threads - self.low_work)
+        } else {
+            0.0
+        };
         let customer = self.door.customers.index(customer);
         // Over its share by what was told and against all others: when all send more, nobody is singled out.
-        let (own, all) = self.customers.count(customer as usize, self.now, SHARE_SPAN);
+        let (own, all) = self
+            .customers
+            .count(customer as usize, self.now, SHARE_SPAN);
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
         let effect = self.groups[rg_index].effect_of(text);
-        let query = Query { over_share, tables, cost, guessed, work, memory, low, ..query };
-        let query = Query { effect, sure: text.sure, ..query };
+        let query = Query {
+            over_share,
+            tables,
+            cost,
+            guessed,
+            work,
+            memory,
+            low,
+            ..query
+        };
+        let query = Query {
+            effect,
+            sure: text.sure,
+            ..query
+        };
         let i = self.queries.insert(query);
         self.door.queries.insert(id, i);
         self.queries[i].key = key.map_or(NONE, |key| self.lines.join(key, i, self.now));
@@ -226,7 +277,9 @@
 
     /// Sends the query to the lighter of two engines drawn from those it may use, or ends it.
     fn place(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(e) = self.choose(i) else { return self.finish_off(i, out) };
+        let Some(e) = self.choose(i) else {
+            return self.finish_off(i, out);
+        };
         self.send(i, e, out);
     }
 
@@ -267,9 +320,16 @@
             if drawn.iter().any(home) {
                 drawn.retain(home);
             }
-            let (a, b) = (drawn[self.chance.below(drawn.len())], drawn[self.chance.below(drawn.len())]);
+            let (a, b) = (
+                drawn[self.chance.below(drawn.len())],
+                drawn[self.chance.below(drawn.len())],
+            );
             let a = if stay { a } else { any };
-            choice = Some(if self.weight(i, a) < self.weight(i, b) { a } else { b });
+            choice = Some(if self.weight(i, a) < self.weight(i, b) {
+                a
+            } else {
+                b
+            });
         }
         self.drawn = drawn;
         choice
@@ -293,7 +353,9 @@
     fn crawls(&self, e: usize, low: bool) -> bool {
         let engine = &self.engines[e];
         let pool = self.pool.lane(low).at(self.now, 0.0, HALL_FADES);
-        let hall = self.halls[engine.hall as usize].lane(low).at(self.now, pool, HALL_FADES);
+        let hall = self.halls[engine.hall as usize]
+            .lane(low)
+            .at(self.now, pool, HALL_FADES);
         engine.paces.lane(low).at(self.now, hall, ENGINE_FADES) > PRESSURE.ln()
     }
 
@@ -304,7 +366,10 @@
         pool.take(now, above, 0.0, HALL_FADES, step, GAP_STEP);
         let hall = self.halls[engine.hall as usize].lane_mut(low);
         hall.take(now, above, pool.level, HALL_FADES, step, GAP_STEP);
-        engine.paces.lane_mut(low).take(now, above, hall.level, ENGINE_FADES, step, GAP_STEP);
+        engine
+            .paces
+            .lane_mut(low)
+            .take(now, above, hall.level, ENGINE_FADES, step, GAP_STEP);
     }
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query. Where an even
@@ -331,12 +396,17 @@
     }
 
     fn pool_spare(&self) -> f64 {
-        (0..self.engines.len()).filter(|&e| self.engines[e].ready).map(|e| self.spare(e)).sum()
+        (0..self.engines.len())
+            .filter(|&e| self.engines[e].ready)
+            .map(|e| self.spare(e))
+            .sum()
     }
 
     fn spare(&self, e: usize) -> f64 {
         let engine = &self.engines[e];
-        self.reduced.bounds * engine.bound * engine.cores * self.share() - engine.low_threads - engine.others
+        self.reduced.bounds * engine.bound * engine.cores * self.share()
+            - engine.low_threads
+            - engine.others
     }
 
     /// This gateway's share of an engine: an even one, or, while it hears what all run there, the whole.
@@ -346,8 +416,15 @@
     }
 
     fn stands_still(&self, i: usize, e: usize) -> bool {
-        let (q, g, held) = (&self.queries[i], &self.groups[self.queries[i].rg], &self.engines[e].held);
-        (g.waits || g.load) && held.iter().any(|&(t, until)| t == q.tables && until > self.now)
+        let (q, g, held) = (
+            &self.queries[i],
+            &self.groups[self.queries[i].rg],
+            &self.engines[e].held,
+        );
+        (g.waits || g.load)
+            && held
+                .iter()
+                .any(|&(t, until)| t == q.tables && until > self.now)
     }
 
     /// Whether its group hangs there: something keeps it from its end, while others may go on as ever.
@@ -370,7 +447,9 @@
     fn may_send(&mut self, i: usize, e: usize) -> bool {
         // Rule 7: the budget of further submissions, also across halls; a level may leave low work none.
         let withheld = self.reduced.withhold && self.queries[i].low;
-        if self.queries[i].count > 0 && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0)) {
+        if self.queries[i].count > 0
+            && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0))
+        {
             return false;
         }
         let (q, engine) = (&self.queries[i], &self.engines[e]);
@@ -380,15 +459,23 @@
             return false;
         }
         // Rule 2: an effect only once; never two submissions at a time, and no more than are told.
-        if q.open().is_some() || q.count >= self.allowed.most_submissions || !self.may_repeat(i, Some(e)) {
+        if q.open().is_some()
+            || q.count >= self.allowed.most_submissions
+            || !self.may_repeat(i, Some(e))
+        {
             return false;
         }
         // Rule 4: a cold engine gets this gateway's part of what it bears, in its groups' usual work. Where
         // that is less than a query, one goes in a span by lot: else nobody would use it until it is warm.
-        let (sent, usual) =
-            (engine.sent_cold.iter().map(|&(_, work)| work).sum::<f64>(), self.usual_work(q.rg));
+        let (sent, usual) = (
+            engine.sent_cold.iter().map(|&(_, work)| work).sum::<f64>(),
+            self.usual_work(q.rg),
+        );
         let by_lot = |allowed: f64| sent <= 0.0 && engine.lot * usual < COLD_LOT * allowed;
-        if self.cold_allowance(e).is_some_and(|allowed| sent + usual > allowed && !by_lot(allowed)) {
+        if self
+            .cold_allowance(e)
+            .is_some_and(|allowed| sent + usual > allowed && !by_lot(allowed))
+        {
             return false;
         }
         // Rule 5: the key's turn. Rule 6: the halls and kinds it is bound to.
@@ -399,7 +486,11 @@
         if !self.may_send(i, e) {
             return self.finish_off(i, out);
         }
-        let (work, now, usual) = (self.queries[i].work, self.now, self.usual_work(self.queries[i].rg));
+        let (work, now, usual) = (
+            self.queries[i].work,
+            self.now,
+            self.usual_work(self.queries[i].rg),
+        );
         let took = self.takes_room(i, e);
         if self.cold_allowance(e).is_some() {
             self.engines[e].sent_cold.push_back((now, usual));
@@ -413,17 +504,36 @@
         let engine = &mut self.engines[e];
         let memory = q.memory * g.memory_factor;
         let trial = engine.suspect;
-        engine.trial = if trial { now + engine.trial_wait } else { engine.trial };
-        let s = Submission { took, ..Submission::new(e, now, work, memory, trial) };
+        engine.trial = if trial {
+            now + engine.trial_wait
+        } else {
+            engine.trial
+        };
+        let s = Submission {
+            took,
+            ..Submission::new(e, now, work, memory, trial)
+        };
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.submissions[q.count] = s;
         q.count += 1;
         let (id, node, low) = (q.id, engine.node, q.low);
-        let bounds = Bounds { until: q.due, begin_by, harmless: q.effect == Effect::ReadOnly };
+        let bounds = Bounds {
+            until: q.due,
+            begin_by,
+            harmless: q.effect == Effect::ReadOnly,
+        };
         self.low_changed |= low;
         let generous = (GENEROUS * self.reduced.grants).max(1.0);
         if self.allowed.pages || self.allowed.priorities {
-            out.grant(id, if low { 1 } else { 3 }, if self.allowed.pages { generous * memory } else { 0.0 });
+            out.grant(
+                id,
+                if low { 1 } else { 3 },
+                if self.allowed.pages {
+                    generous * memory
+                } else {
+                    0.0
+                },
+            );
         }
         out.submit(id, node, bounds);
     }
@@ -432,7 +542,9 @@
     fn may_repeat(&self, i: usize, e: Option<usize>) -> bool {
         let q = &self.queries[i];
         let g = &self.groups[q.rg];
-        let Some(first) = q.sent().iter().find(|s| s.may_have_run) else { return true };
+        let Some(first) = q.sent().iter().find(|s| s.may_have_run) else {
+            return true;
+        };
         let (was, to) = (&self.engines[first.engine], e.map(|e| &self.engines[e]));
         let same_group = match g.dedup {
             DedupGroup::All => true,
@@ -446,8 +558,13 @@
     /// Rules 1 and 2: a repeat by its token has to be out in its window, all before the client leaves.
     fn begin_by(&self, i: usize) -> f64 {
         let q = &self.queries[i];
-        let first = q.sent().iter().find(|s| s.may_have_run && q.effect == Effect::Tokened);
-        first.map_or(q.due, |first| q.due.min(first.sent + self.groups[q.rg].window))
+        let first = q
+            .sent()
+            .iter()
+            .find(|s| s.may_have_run && q.effect == Effect::Tokened);
+        first.map_or(q.due, |first| {
+            q.due.min(first.sent + self.groups[q.rg].window)
+        })
     }
 
     /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
@@ -458,7 +575,8 @@
         // within this span: what that leaves of all is the newcomer's.
         let newcomer = engine.started < self.began && self.now - self.began < rule.span;
         let part = if newcomer { 1.0 - COLD_PART } else { COLD_PART };
-        (self.now - engine.started < rule.warm_after + rule.span).then_some(part * bears / self.gateways)
+        (self.now - engine.started < rule.warm_after + rule.span)
+            .then_some(part * bears / self.gateways)
     }
 
     /// Rule 5: the first of its key whose earlier ones are over and whose key has rested.
@@ -469,7 +587,9 @@
     }
 
     fn budget_left(&mut self, under_way: f64) -> bool {
-        let Some(Budget { span, free, share }) = self.allowed.budget else { return true };
+        let Some(Budget { span, free, share }) = self.allowed.budget else {
+            return true;
+        };
         let allowed = free + share * self.taken.after(self.now - span);
         self.further.after(self.now - span - LOOK_EVERY) + under_way + 1.0 <= allowed
     }
@@ -490,17 +610,29 @@
             return;
         }
         let now = self.now;
-        let renew = now - self.reported > REPORT_EVERY && self.engines.iter().any(|e| e.low_open > 0);
+        let renew =
+            now - self.reported > REPORT_EVERY && self.engines.iter().any(|e| e.low_open > 0);
         if self.low_changed || renew {
             (self.low_changed, self.reported) = (false, now);
-            let own = self.engines.iter().filter(|e| e.low_open > 0).map(|e| (e.node, e.low_threads));
-            let collectors = || (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
-            talk::write(talk::OWN, own, |content| collectors().for_each(|c| out.tell(Some(c), content)));
+            let own = self
+                .engines
+                .iter()
+                .filter(|e| e.low_open > 0)
+                .map(|e| (e.node, e.low_threads));
+            let collectors =
+                || (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
+            talk::write(talk::OWN, own, |content| {
+                collectors().for_each(|c| out.tell(Some(c), content))
+            });
         }
         if self.allowed.me < COLLECTORS && now - self.sum_told > SUM_EVERY {
             (self.sum_told, self.sum_heard) = (now, now);
             self.reports.add_up(now - REPORT_LASTS, &mut self.engines);
-            let all = self.engines.iter().filter(|e| e.ready).map(|e| (e.node, e.low_threads + e.others));
+            let all = self
+                .engines
+                .iter()
+                .filter(|e| e.ready)
+                .map(|e| (e.node, e.low_threads + e.others));
             talk::write(talk::SUM, all, |content| out.tell(None, content));
         }
     }
@@ -513,8 +645,12 @@
             Some(&talk::SUM) if self.allowed.me >= COLLECTORS => {
                 self.sum_heard = self.now;
                 for (mark, all) in talk::read(content) {
-                    let told = self.engines.iter_mut().find(|e| talk::mark_of(e.node) == mark);
-                    told.into_iter().for_each(|e| e.others = (all - e.low_threads).max(0.0));
+                    let told = self
+                        .engines
+                        .iter_mut()
+                        .find(|e| talk::mark_of(e.node) == mark);
+                    told.into_iter()
+                        .for_each(|e| e.others = (all - e.low_threads).max(0.0));
                 }
             }
             _ => {}
@@ -524,15 +660,32 @@
     // ---- Answers ----
 
     pub fn closed(
-        &mut self, id: u64, submission: usize, complete: bool, outcome: Outcome, node: u64, latency: f64,
-        work: f64, memory: f64, out: &mut dyn Writer,
+        &mut self,
+        id: u64,
+        submission: usize,
+        complete: bool,
+        outcome: Outcome,
+        node: u64,
+        latency: f64,
+        work: f64,
+        memory: f64,
+        out: &mut dyn Writer,
     ) {
-        let Some(&i) = self.door.queries.get(&id) else { return };
-        let Some(e) = self.door.nodes.find(node) else { return };
+        let Some(&i) = self.door.queries.get(&id) else {
+            return;
+        };
+        let Some(e) = self.door.nodes.find(node) else {
+            return;
+        };
         let q = &mut self.queries[i];
-        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else { return };
+        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else {
+            return;
+        };
         s.open = false;
-        s.may_have_run = !matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        s.may_have_run = !matches!(
+            outcome,
+            Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+        );
         let (s, g, engine) = (*s, &mut self.groups[q.rg], &mut self.engines[e]);
         engine.remove(&s, q.low, g.threads, g.load.then_some(q.tables));
         if std::mem::take(&mut q.moving) {
@@ -541,12 +694,17 @@
         let (low, key, rg) = (q.low, q.key, q.rg);
         q.over |= complete;
         self.low_changed |= low;
-        if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+        if matches!(
+            outcome,
+            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled
+        ) {
             self.lines.rest(key, self.now + self.allowed.doubt_rest);
         }
         let target = g.target_of(q.cost * g.cost_factor);
         if outcome == Outcome::Finished {
-            engine.hang(q.rg).take(self.now, 0.0, 0.0, ENGINE_FADES, ERROR_STEP, 0.0);
+            engine
+                .hang(q.rg)
+                .take(self.now, 0.0, 0.0, ENGINE_FADES, ERROR_STEP, 0.0);
             g.learn_need(work / q.cost, memory / q.memory, MEAN_STEP, FACTOR_MOST);
             self.learn_pace(i, e, latency);
         }
@@ -557,7 +715,11 @@
             engine.bound = (engine.bound + 1.0 / (engine.cores * share)).min(MOST_THREADS_A_CORE);
             engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
         }
-        engine.full = if outcome == Outcome::Full { self.now } else { engine.full };
+        engine.full = if outcome == Outcome::Full {
+            self.now
+        } else {
+            engine.full
+        };
         let late = outcome == Outcome::Finished && low && latency > target;
         if (late || matches!(outcome, Outcome::Full | Outcome::Timeout)) && s.sent > engine.halved {
             engine.halved = self.now;
@@ -579,7 +741,10 @@
         let q = &self.queries[i];
         let g = &mut self.groups[q.rg];
         // Without an estimate an answer counts against those before it, and the first against none.
-        let (cost, first) = (if q.guessed { g.mean_cost } else { q.cost }, q.guessed && g.seen == 0);
+        let (cost, first) = (
+            if q.guessed { g.mean_cost } else { q.cost },
+            q.guessed && g.seen == 0,
+        );
         if q.guessed {
             g.learn_cost(latency * g.threads, MEAN_STEP);
         }
@@ -607,7 +772,9 @@
             Outcome::Error if again => return,
             Outcome::Error | Outcome::Reset | Outcome::NoConnection => true,
             // On an engine that else answers, or before a first note: crowded out, or stood behind a load.
-            Outcome::Timeout if engine.heard > s.sent || now - s.sent < self.allowed.notes_every => {
+            Outcome::Timeout
+                if engine.heard > s.sent || now - s.sent < self.allowed.notes_every =>
+            {
                 return self.learn_slowness(e, false, PACE_MOST, 2.0 * STEP);
             }
             Outcome::Timeout => true,
@@ -616,7 +783,11 @@
         if matches!(outcome, Outcome::Finished | Outcome::Error) {
             engine.heard = now;
         }
-        engine.unreached = if outcome == Outcome::NoConnection { now } else { LONG_AGO };
+        engine.unreached = if outcome == Outcome::NoConnection {
+            now
+        } else {
+            LONG_AGO
+        };
         engine.errors += ERROR_STEP * (f64::from(u8::from(failed)) - engine.errors);
         if !engine.suspect && engine.errors > ERROR_DOUBT {
             self.doubt(e, outcome != Outcome::Error);
@@ -636,10 +807,14 @@
     }
 
     pub fn noted(&mut self, id: u64, submission: usize, note: Note, amount: f64) {
-        let Some(&i) = self.door.queries.get(&id) else { return };
+        let Some(&i) = self.door.queries.get(&id) else {
+            return;
+        };
         let q = &mut self.queries[i];
         let (rg, cost) = (q.rg, q.cost);
-        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else { return };
+        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else {
+            return;
+        };
         (s.heard, self.engines[s.engine].heard) = (self.now, self.now);
         s.waits |= note == Note::Waits;
         if note == Note::Waits && amount == 2.0 {
@@ -664,11 +839,17 @@
     }
 
     pub fn probed(&mut self, node: u64, outcome: Outcome) {
-        let Some(e) = self.door.nodes.find(node) else { return };
+        let Some(e) = self.door.nodes.find(node) else {
+            return;
+        };
         let engine = &mut self.engines[e];
         if outcome == Outcome::Finished {
             engine.heard = self.now;
-            engine.trial = if engine.silent { self.now } else { engine.trial };
+            engine.trial = if engine.silent {
+                self.now
+            } else {
+                engine.trial
+            };
             // Doubted as no connection came up: one has, and its process answers.
             if engine.suspect && engine.unreached > LONG_AGO {
                 (engine.suspect, engine.errors) = (false, ERROR_STEP);
@@ -679,7 +860,9 @@
     }
 
     pub fn vanished(&mut self, id: u64, out: &mut dyn Writer) {
-        let Some(&i) = self.door.queries.get(&id) else { return };
+        let Some(&i) = self.door.queries.get(&id) else {
+            return;
+        };
         self.end(i, out);
     }
 
@@ -687,11 +870,17 @@
 
     /// Ends the query at once: deferred where a retry is harmless, killed where it may not be.
     fn finish_off(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else { return };
+        let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else {
+            return;
+        };
         let read_only = q.effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
             let most = self.allowed.longest_wait;
-            out.defer(q.id, self.reduced.retry_after(RETRY_AFTER, most, &mut self.chance));
+            out.defer(
+                q.id,
+                self.reduced
+                    .retry_after(RETRY_AFTER, most, &mut self.chance),
+            );
         } else {
             out.kill(q.id);
         }
@@ -705,7 +894,9 @@
     }
 
     fn call_off(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(n) = self.queries[i].open().filter(|_| self.allowed.cancelling) else { return };
+        let Some(n) = self.queries[i].open().filter(|_| self.allowed.cancelling) else {
+            return;
+        };
         let q = &mut self.queries[i];
         if !std::mem::replace(&mut q.submissions[n].cancelled, true) {
             out.cancel(q.id, n);
@@ -721,7 +912,11 @@
         self.door.queries.remove(&id);
         self.queries.remove(i);
         self.lines.leave(key, i);
-        let next = self.lines.first(key).0.filter(|&n| self.queries[n].count == 0 && self.its_turn(n));
+        let next = self
+            .lines
+            .first(key)
+            .0
+            .filter(|&n| self.queries[n].count == 0 && self.its_turn(n));
         next.into_iter().for_each(|next| self.place(next, out));
     }
 
@@ -729,10 +924,21 @@
 
     fn look_at_engines(&mut self, out: &mut dyn Writer) {
         // Where no notes tell that it works, an engine may be silent for as long as the quickest group takes.
-        let quickest = self.groups.iter().map(|g| g.target).fold(f64::INFINITY, f64::min);
+        let quickest = self
+            .groups
+            .iter()
+            .map(|g| g.target)
+            .fold(f64::INFINITY, f64::min);
         let notes_every = self.allowed.notes_every;
-        let (now, probe_after) =
-            (self.now, PROBE_AFTER + if notes_every > 0.0 { notes_every } else { quickest });
+        let (now, probe_after) = (
+            self.now,
+            PROBE_AFTER
+                + if notes_every > 0.0 {
+                    notes_every
+                } else {
+                    quickest
+                },
+        );
         let span = self.allowed.cold.map_or(0.0, |rule| rule.span);
         for engine in &mut self.engines {
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
@@ -740,8 +946,13 @@
                 engine.lot_drawn = now;
                 engine.lot = self.chance.unit();
             }
-            let unheard = engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
-            let ask = if engine.suspect { engine.silent && now >= engine.trial } else { unheard };
+            let unheard =
+                engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
+            let ask = if engine.suspect {
+                engine.silent && now >= engine.trial
+            } else {
+                unheard
+            };
             if self.allowed.probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
                 engine.probed = now;
                 out.probe(engine.node);
@@ -752,7 +963,9 @@
     /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent
     /// engine, a wait for a load): what is left is set against a new run and the time the client gives.
     fn look_at_query(&mut self, i: usize, out: &mut dyn Writer) {
-        let Some(q) = self.queries.get(i).filter(|q| !q.over && !q.moving) else { return };
+        let Some(q) = self.queries.get(i).filter(|q| !q.over && !q.moving) else {
+            return;
+        };
         let (time_left, again) = (q.due - self.now, self.alone(i));
         let Some(n) = q.open() else {
             // Held by its key's order: it goes when the key is free, and ends when it could not finish.
@@ -767,10 +980,14 @@
         let age = self.now - s.sent;
         let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent && !s.trial;
         // No note for longer than notes take: the work ended and its answer was lost, or nothing runs it.
-        let fell_silent =
-            self.allowed.notes_every > 0.0 && self.now - s.heard > NOTES_MISSED * self.allowed.notes_every;
+        let fell_silent = self.allowed.notes_every > 0.0
+            && self.now - s.heard > NOTES_MISSED * self.allowed.notes_every;
         let overdue = fell_silent || s.share <= 0.0 && age > PATIENCE * again + PATIENCE_FLOOR;
-        let left = if silent || overdue { f64::INFINITY } else { s.left(self.now).unwrap_or(again) };
+        let left = if silent || overdue {
+            f64::INFINITY
+        } else {
+            s.left(self.now).unwrap_or(again)
+        };
         // Hopeless: by its note past its time. Under pressure a new run would only keep others from theirs.
         let hopeless = s.run().is_some() && left > HOPELESS * time_left;
         let gains = left > MOVE_GAIN * again && again < time_left;
@@ -779,7 +996,9 @@
             let (now, q) = (self.now, &mut self.queries[i]);
             q.moving = true;
             let step = if overdue { ERROR_STEP } else { 0.0 };
-            self.engines[s.engine].hang(q.rg).take(now, 1.0, 0.0, ENGINE_FADES, step, 0.0);
+            self.engines[s.engine]
+                .hang(q.rg)
+                .take(now, 1.0, 0.0, ENGINE_FADES, step, 0.0);
             self.call_off(i, out);
         } else if hopeless {
             self.finish_off(i, out);
@@ -795,6 +1014,8 @@
     fn usual_work(&self, rg: usize) -> f64 {
         let g = &self.groups[rg];
         let learned = g.mean_cost * g.cost_factor.max(g.best.exp()).max(1.0);
-        Some(learned).filter(|_| g.seen > 0).unwrap_or(g.target * g.threads)
+        Some(learned)
+            .filter(|_| g.seen > 0)
+            .unwrap_or(g.target * g.threads)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,7 +47,10 @@
 
 impl Text {
     /// Nothing was read: what the client told holds.
-    pub const UNREAD: Text = Text { sure: 1.0, alters: false };
+    pub const UNREAD: Text = Text {
+        sure: 1.0,
+        alters: false,
+    };
 }
 
 /// How a submission or a probe ended.
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -20,8 +20,15 @@
     pub fn part_pressed(&self, hall: Option<&str>) -> f64 {
         let hall = hall.map(|name| self.door.halls.find(name));
         let of_hall = |e: &usize| hall.is_none_or(|hall| hall == Some(self.engines[*e].hall));
-        let ready: Vec<usize> = self.known().filter(|&e| self.engines[e].ready).filter(of_hall).collect();
-        part(ready.iter().filter(|&&e| self.pressure(e)).count(), ready.len())
+        let ready: Vec<usize> = self
+            .known()
+            .filter(|&e| self.engines[e].ready)
+            .filter(of_hall)
+            .collect();
+        part(
+            ready.iter().filter(|&&e| self.pressure(e)).count(),
+            ready.len(),
+        )
     }
 
     /// Low threads of all that are known, against the bounds as they are at full service.
@@ -40,23 +47,36 @@
 
     /// Threads that what is out from here runs on, as far as is known: one for each that is not of the low lane.
     pub fn threads_out(&self) -> f64 {
-        let of = |engine: &crate::state::Engine| engine.low_threads + (engine.open - engine.low_open) as f64;
+        let of = |engine: &crate::state::Engine| {
+            engine.low_threads + (engine.open - engine.low_open) as f64
+        };
         self.engines.iter().map(of).sum()
     }
 
     pub fn part_ready(&self) -> f64 {
-        part(self.known().filter(|&e| self.engines[e].ready).count(), self.known().count())
+        part(
+            self.known().filter(|&e| self.engines[e].ready).count(),
+            self.known().count(),
+        )
     }
 
     /// Part of the ready engines that started less than a warming time ago.
     pub fn part_cold(&self) -> f64 {
         let warm_after = self.allowed.cold.map_or(0.0, |rule| rule.warm_after);
         let ready = || self.engines.iter().filter(|engine| engine.ready);
-        part(ready().filter(|engine| self.now - engine.started < warm_after).count(), ready().count())
+        part(
+            ready()
+                .filter(|engine| self.now - engine.started < warm_after)
+                .count(),
+            ready().count(),
+        )
     }
 
     pub fn part_doubted(&self) -> f64 {
         let ready = || self.engines.iter().filter(|engine| engine.ready);
-        part(ready().filter(|engine| engine.suspect).count(), ready().count())
+        part(
+            ready().filter(|engine| engine.suspect).count(),
+            ready().count(),
+        )
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,9 +61,15 @@
         if let Some(i) = self.door.nodes.find(node) {
             return (i, false);
         }
-        let refers = |e: usize| self.queries.iter().any(|(_, q)| q.sent().iter().any(|s| s.engine == e));
+        let refers = |e: usize| {
+            self.queries
+                .iter()
+                .any(|(_, q)| q.sent().iter().any(|s| s.engine == e))
+        };
         let gone = |&e: &usize| !self.engines[e].listed && !self.engines[e].ready && !refers(e);
-        let Some(i) = (0..self.engines.len()).find(gone) else { return (self.door.nodes.index(node), true) };
+        let Some(i) = (0..self.engines.len()).find(gone) else {
+            return (self.door.nodes.index(node), true);
+        };
         self.door.nodes.hand_on(self.engines[i].node, node);
         self.reports.forget(i);
         (i, true)
@@ -71,7 +77,9 @@
 
     /// The time of all queries in hand is cut to `by`: whoever carries the decisions out ends then.
     pub fn hasten(&mut self, by: f64) {
-        self.queries.iter_mut().for_each(|(_, q)| q.due = q.due.min(by));
+        self.queries
+            .iter_mut()
+            .for_each(|(_, q)| q.due = q.due.min(by));
     }
 }
 
@@ -153,7 +161,17 @@
     fn default() -> Self {
         let (withhold, close_over_share, least_sure, classes) = Default::default();
         let (bounds, demotion, grants, retry, spread) = (1.0, 1.0, 1.0, 1.0, 0.0);
-        Reduced { bounds, demotion, grants, retry, spread, withhold, close_over_share, least_sure, classes }
+        Reduced {
+            bounds,
+            demotion,
+            grants,
+            retry,
+            spread,
+            withhold,
+            close_over_share,
+            least_sure,
+            classes,
+        }
     }
 }
 
@@ -210,7 +228,9 @@
             peers: told.on("limits.peers"),
             me: told.number("me").unwrap_or(0.0) as u32,
             priorities: told.on("family-info.lanes-count"),
-            pages: told.get("family-info.memory-short").is_some_and(|short| short == "page"),
+            pages: told
+                .get("family-info.memory-short")
+                .is_some_and(|short| short == "page"),
             doubt_rest: told.millis("rules.settle-after-doubt-us").unwrap_or(0.0),
             notes_every: told.millis("family-info.tells-every-us").unwrap_or(0.0),
             longest_wait: told.millis("limits.max-retry-after-us").unwrap_or(0.0),
@@ -253,15 +273,28 @@
     pub fn read_all(told: &Map, door: &mut Door) -> Result<Vec<Self>, String> {
         let mut groups = Vec::new();
         for i in 0..told.required("services.count")? as usize {
-            groups.push(ResourceGroup::read(told, i, &mut door.halls, &mut door.kinds)?);
+            groups.push(ResourceGroup::read(
+                told,
+                i,
+                &mut door.halls,
+                &mut door.kinds,
+            )?);
             let name = format!("services.{i}.name");
-            door.groups.index(told.get(&name).ok_or_else(|| format!("setting {name} is missing"))?);
+            door.groups.index(
+                told.get(&name)
+                    .ok_or_else(|| format!("setting {name} is missing"))?,
+            );
         }
         Ok(groups)
     }
 
     /// Reads the `i`-th resource group of the settings.
-    pub fn read(told: &Map, i: usize, halls: &mut Names, kinds: &mut Names) -> Result<Self, String> {
+    pub fn read(
+        told: &Map,
+        i: usize,
+        halls: &mut Names,
+        kinds: &mut Names,
+    ) -> Result<Self, String> {
         let name = |what: &str| format!("services.{i}.{what}");
         let text = |what: &str| told.get(&name(what)).map(String::as_str);
         let bound = |what: &str, names: &mut Names| {
@@ -273,7 +306,13 @@
                 Some("read_like") => Effect::ReadOnly,
                 Some("idempotency_key") => Effect::Tokened,
                 Some("non_idempotent") => Effect::Mutating,
-                other => return Err(format!("setting {} is {}", name("effect"), other.unwrap_or("missing"))),
+                other => {
+                    return Err(format!(
+                        "setting {} is {}",
+                        name("effect"),
+                        other.unwrap_or("missing")
+                    ))
+                }
             },
             dedup: match text("dedup-scope") {
                 Some("zone") => DedupGroup::Hall,
@@ -288,7 +327,10 @@
             target_stretch: told.number(&name("aim-stretch")).unwrap_or(0.0),
             longest_wait: told.millis(&name("hard-limit-us")).unwrap_or(0.0),
             late_value: told.number(&name("late-worth")).unwrap_or(0.0),
-            threads: of_list("family-info.dop").and_then(|t| t.parse().ok()).unwrap_or(1.0f64).max(1.0),
+            threads: of_list("family-info.dop")
+                .and_then(|t| t.parse().ok())
+                .unwrap_or(1.0f64)
+                .max(1.0),
             load: of_list("family-info.class-load").is_some_and(told::is_true),
             waits: of_list("family-info.class-waits").is_some_and(told::is_true),
             cost_factor: 1.0,
@@ -332,15 +374,26 @@
         let off = (ratio - self.pace).abs() - self.scatter;
         self.scatter += mean_step.max(1.0 / f64::from(self.paced)) * off;
         let settled = self.paced >= first;
-        self.least_scatter = if settled { self.scatter.min(self.least_scatter) } else { self.scatter };
+        self.least_scatter = if settled {
+            self.scatter.min(self.least_scatter)
+        } else {
+            self.scatter
+        };
         follow(&mut self.pace, ratio, step);
-        self.best = if self.paced < first { self.pace } else { self.pace.min(self.best) };
+        self.best = if self.paced < first {
+            self.pace
+        } else {
+            self.pace.min(self.best)
+        };
         ratio - self.best
     }
 
     /// Takes what an answer needed against its estimates into the factors; what is not told is no number.
     pub fn learn_need(&mut self, work: f64, memory: f64, step: f64, most: f64) {
-        for (ratio, factor) in [(work, &mut self.cost_factor), (memory, &mut self.memory_factor)] {
+        for (ratio, factor) in [
+            (work, &mut self.cost_factor),
+            (memory, &mut self.memory_factor),
+        ] {
             if ratio > 0.0 && ratio.is_finite() {
                 *factor += step * (ratio.clamp(1.0 / most, most) - *factor);
             }
@@ -353,7 +406,8 @@
     }
 
     pub fn allows(&self, engine: &Engine) -> bool {
-        let inside = |bound: &Option<Vec<u32>>, it: u32| bound.as_ref().is_none_or(|b| b.contains(&it));
+        let inside =
+            |bound: &Option<Vec<u32>>, it: u32| bound.as_ref().is_none_or(|b| b.contains(&it));
         inside(&self.halls, engine.hall) && inside(&self.kinds, engine.kind)
     }
 }
@@ -407,8 +461,12 @@
 
 impl Engine {
     pub fn read(told: &Map, node: u64, kind: &str, hall: &str, cell: u32, door: &mut Door) -> Self {
-        let cores = told.of_kind(kind, "family-info.cores-by-kind").unwrap_or(1.0);
-        let memory = told.of_kind(kind, "family-info.kind-memory-mb").unwrap_or(0.0);
+        let cores = told
+            .of_kind(kind, "family-info.cores-by-kind")
+            .unwrap_or(1.0);
+        let memory = told
+            .of_kind(kind, "family-info.kind-memory-mb")
+            .unwrap_or(0.0);
         let (kind, hall) = (door.kinds.index(kind), door.halls.index(hall));
         Engine {
             node,
@@ -449,7 +507,8 @@
     }
 
     pub fn hang(&mut self, rg: usize) -> &mut Pace {
-        self.hangs.resize(self.hangs.len().max(rg + 1), Pace::default());
+        self.hangs
+            .resize(self.hangs.len().max(rg + 1), Pace::default());
         &mut self.hangs[rg]
     }
 
@@ -470,15 +529,31 @@
     }
 
     pub fn remove(&mut self, s: &Submission, low: bool, threads: f64, held: Option<u32>) {
-        if let Some(n) = self.held.iter().position(|&(tables, _)| held == Some(tables)) {
+        if let Some(n) = self
+            .held
+            .iter()
+            .position(|&(tables, _)| held == Some(tables))
+        {
             self.held.swap_remove(n);
         }
         self.open = self.open.saturating_sub(1);
-        self.work = if self.open == 0 { 0.0 } else { self.work - s.work };
-        self.granted = if self.open == 0 { 0.0 } else { self.granted - s.memory };
+        self.work = if self.open == 0 {
+            0.0
+        } else {
+            self.work - s.work
+        };
+        self.granted = if self.open == 0 {
+            0.0
+        } else {
+            self.granted - s.memory
+        };
         if low {
             self.low_open = self.low_open.saturating_sub(1);
-            self.low_threads = if self.low_open == 0 { 0.0 } else { self.low_threads - threads };
+            self.low_threads = if self.low_open == 0 {
+                0.0
+            } else {
+                self.low_threads - threads
+            };
         }
     }
 }
@@ -499,14 +574,18 @@
     }
 
     pub fn forget(&mut self, engine: usize) {
-        self.0.iter_mut().for_each(|(_, threads)| threads.retain(|&(e, _)| e != engine));
+        self.0
+            .iter_mut()
+            .for_each(|(_, threads)| threads.retain(|&(e, _)| e != engine));
     }
 
     /// Sets what others run on each engine from what was told after `since`.
     pub fn add_up(&self, since: f64, engines: &mut [Engine]) {
         engines.iter_mut().for_each(|e| e.others = 0.0);
         for (_, threads) in self.0.iter().filter(|(told, _)| *told > since) {
-            threads.iter().for_each(|&(e, threads)| engines[e].others += threads);
+            threads
+                .iter()
+                .for_each(|&(e, threads)| engines[e].others += threads);
         }
     }
 }
@@ -538,7 +617,19 @@
     pub fn new(engine: usize, sent: f64, work: f64, memory: f64, trial: bool) -> Self {
         let (open, may_have_run, noted, heard, began) = (true, true, sent, sent, sent);
         let nothing = Submission::default();
-        Submission { engine, sent, work, memory, trial, open, may_have_run, noted, heard, began, ..nothing }
+        Submission {
+            engine,
+            sent,
+            work,
+            memory,
+            trial,
+            open,
+            may_have_run,
+            noted,
+            heard,
+            began,
+            ..nothing
+        }
     }
 
     /// Takes in a note of progress; the first one after a wait only tells that the wait is over.
@@ -557,7 +648,8 @@
 
     /// How long the rest takes by its notes, if they tell.
     pub fn left(&self, now: f64) -> Option<f64> {
-        self.run().map(|run| run * (1.0 - self.share) - (now - self.noted))
+        self.run()
+            .map(|run| run * (1.0 - self.share) - (now - self.noted))
     }
 }
 
@@ -628,7 +720,10 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { level: 0.0, heard: LONG_AGO }
+        Pace {
+            level: 0.0,
+            heard: LONG_AGO,
+        }
     }
 }
 
@@ -712,8 +807,16 @@
     /// Puts a query at the end of its key's line; where that line is kept.
     pub fn join(&mut self, key: u64, query: usize, now: f64) -> u32 {
         self.forget(now);
-        let fresh = || KeyLine { key, line: VecDeque::new(), rests: LONG_AGO, left_empty: false };
-        let slot = *self.slots.entry(key).or_insert_with(|| self.lines.insert(fresh()) as u32);
+        let fresh = || KeyLine {
+            key,
+            line: VecDeque::new(),
+            rests: LONG_AGO,
+            left_empty: false,
+        };
+        let slot = *self
+            .slots
+            .entry(key)
+            .or_insert_with(|| self.lines.insert(fresh()) as u32);
         self.lines[slot as usize].line.push_back(query);
         slot
     }
@@ -740,7 +843,9 @@
 
     /// The key's first query, and until when the key rests.
     pub fn first(&self, slot: u32) -> (Option<usize>, f64) {
-        self.lines.get(slot as usize).map_or((None, LONG_AGO), |l| (l.line.front().copied(), l.rests))
+        self.lines
+            .get(slot as usize)
+            .map_or((None, LONG_AGO), |l| (l.line.front().copied(), l.rests))
     }
 
     pub fn rest(&mut self, slot: u32, until: f64) {
@@ -750,7 +855,9 @@
     }
 
     pub fn leave(&mut self, slot: u32, query: usize) {
-        let Some(line) = self.lines.get_mut(slot as usize) else { return };
+        let Some(line) = self.lines.get_mut(slot as usize) else {
+            return;
+        };
         line.line.retain(|&other| other != query);
         if line.line.is_empty() && !std::mem::replace(&mut line.left_empty, true) {
             self.empty.push_back(slot);
@@ -770,8 +877,13 @@
     pub fn read(told: &Map, gateways: f64, names: &mut Names) -> Self {
         let mut customers = Customers::default();
         for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
-            names.index(told.get(&format!("projects.{i}.name")).map_or("", String::as_str));
-            let rate = told.number(&format!("projects.{i}.allowance-per-s")).unwrap_or(f64::INFINITY);
+            names.index(
+                told.get(&format!("projects.{i}.name"))
+                    .map_or("", String::as_str),
+            );
+            let rate = told
+                .number(&format!("projects.{i}.allowance-per-s"))
+                .unwrap_or(f64::INFINITY);
             customers.each.push((rate / 1000.0 / gateways, 0.0));
         }
         customers
@@ -782,10 +894,15 @@
         let fading = ((self.at - now) / span).exp();
         self.at = now;
         self.each.iter_mut().for_each(|(_, level)| *level *= fading);
-        let Some((allowance, level)) = self.each.get_mut(customer) else { return (0.0, 0.0) };
+        let Some((allowance, level)) = self.each.get_mut(customer) else {
+            return (0.0, 0.0);
+        };
         *level += 1.0;
         let own = *level / *allowance;
-        let all = self.each.iter().fold((0.0, 0.0), |sum, (a, l)| (sum.0 + a, sum.1 + l));
+        let all = self
+            .each
+            .iter()
+            .fold((0.0, 0.0), |sum, (a, l)| (sum.0 + a, sum.1 + l));
         (own / span, all.1 / all.0 / span)
     }
 }
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -38,7 +38,12 @@
 
 impl Default for Room {
     fn default() -> Self {
-        Room { threads: f64::INFINITY, out: 0.0, credit: 0.0, at: 0.0 }
+        Room {
+            threads: f64::INFINITY,
+            out: 0.0,
+            credit: 0.0,
+            at: 0.0,
+        }
     }
 }
 
@@ -116,7 +121,9 @@
             (true, given.alone, given.cross_retries);
         for told in &given.halls {
             let at = self.door.halls.index(&told.name) as usize;
-            self.tiers.halls.resize(self.tiers.halls.len().max(at + 1), Hall::default());
+            self.tiers
+                .halls
+                .resize(self.tiers.halls.len().max(at + 1), Hall::default());
             let hall = &mut self.tiers.halls[at];
             hall.ranks.clone_from(&told.ranks);
             hall.spill.set(told.spill, self.now);
@@ -126,8 +133,12 @@
             }
         }
         for (node, threads) in &given.engines {
-            let Some(e) = self.door.nodes.find(*node) else { continue };
-            self.tiers.engines.resize(self.tiers.engines.len().max(e + 1), Room::default());
+            let Some(e) = self.door.nodes.find(*node) else {
+                continue;
+            };
+            self.tiers
+                .engines
+                .resize(self.tiers.engines.len().max(e + 1), Room::default());
             self.tiers.engines[e].set(*threads, self.now);
         }
     }
@@ -138,7 +149,9 @@
             return 0;
         }
         let hall = self.tiers.halls.get(self.engines[e].hall as usize);
-        hall.and_then(|hall| hall.ranks.get(self.queries[i].rg)).copied().unwrap_or(0)
+        hall.and_then(|hall| hall.ranks.get(self.queries[i].rg))
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Whether the plan leaves an engine open to a query. A doubted engine's trials, which are of the fast lane, are the
@@ -159,14 +172,21 @@
         if !q.low || self.rank(i, e) == 0 {
             return true;
         }
-        let Some(hall) = self.tiers.halls.get(engine.hall as usize) else { return true };
+        let Some(hall) = self.tiers.halls.get(engine.hall as usize) else {
+            return true;
+        };
         takes(&hall.spill) && hall.by_group.get(q.rg).is_none_or(takes)
     }
 
     /// Whether a further submission would go to another hall than the last one, with none of these left.
     pub fn may_not_cross(&self, i: usize, e: usize) -> bool {
-        let last = self.queries[i].sent().last().map(|s| self.engines[s.engine].hall);
-        self.tiers.on && self.tiers.cross < 1.0 && last.is_some_and(|hall| hall != self.engines[e].hall)
+        let last = self.queries[i]
+            .sent()
+            .last()
+            .map(|s| self.engines[s.engine].hall);
+        self.tiers.on
+            && self.tiers.cross < 1.0
+            && last.is_some_and(|hall| hall != self.engines[e].hall)
     }
 
     /// Counts a submission that is about to go out.
@@ -174,11 +194,17 @@
         if !self.tiers.on {
             return Took::default();
         }
-        let (rg, low, threads) =
-            (self.queries[i].rg, self.queries[i].low, self.groups[self.queries[i].rg].threads);
+        let (rg, low, threads) = (
+            self.queries[i].rg,
+            self.queries[i].low,
+            self.groups[self.queries[i].rg].threads,
+        );
         let (hall, lasts, now) = (self.engines[e].hall, self.alone(i).max(1.0), self.now);
         let spilled = low && self.rank(i, e) > 0;
-        let last = self.queries[i].sent().last().map(|s| self.engines[s.engine].hall);
+        let last = self.queries[i]
+            .sent()
+            .last()
+            .map(|s| self.engines[s.engine].hall);
         let tiers = &mut self.tiers;
         match last {
             Some(last) if last != hall => tiers.cross = (tiers.cross - 1.0).max(0.0),
@@ -186,11 +212,16 @@
             // First submissions bring little: a storm must not live on the calm before it.
             None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(CROSS_MOST),
         }
-        tiers.engines.resize(tiers.engines.len().max(e + 1), Room::default());
+        tiers
+            .engines
+            .resize(tiers.engines.len().max(e + 1), Room::default());
         tiers.engines[e].add(threads, lasts, now);
         if let Some(hall) = tiers.halls.get_mut(hall as usize).filter(|_| spilled) {
             hall.spill.add(threads, lasts, now);
-            hall.by_group.get_mut(rg).into_iter().for_each(|room| room.add(threads, lasts, now));
+            hall.by_group
+                .get_mut(rg)
+                .into_iter()
+                .for_each(|room| room.add(threads, lasts, now));
         }
         Took { threads, spilled }
     }
@@ -200,17 +231,28 @@
         if took.threads <= 0.0 {
             return;
         }
-        self.tiers.engines.get_mut(e).into_iter().for_each(|room| room.give_back(took.threads));
+        self.tiers
+            .engines
+            .get_mut(e)
+            .into_iter()
+            .for_each(|room| room.give_back(took.threads));
         let hall = self.engines[e].hall as usize;
         if let Some(hall) = self.tiers.halls.get_mut(hall).filter(|_| took.spilled) {
             hall.spill.give_back(took.threads);
-            hall.by_group.get_mut(rg).into_iter().for_each(|room| room.give_back(took.threads));
+            hall.by_group
+                .get_mut(rg)
+                .into_iter()
+                .for_each(|room| room.give_back(took.threads));
         }
     }
 
     /// Low threads of ours in a hall that came from elsewhere.
     pub fn spilled(&self, hall: &str) -> f64 {
-        let at = self.door.halls.find(hall).and_then(|hall| self.tiers.halls.get(hall as usize));
+        let at = self
+            .door
+            .halls
+            .find(hall)
+            .and_then(|hall| self.tiers.halls.get(hall as usize));
         at.map_or(0.0, |hall| hall.spill.out)
     }
 }
--- a/src/told.rs
+++ b/src/told.rs
@@ -25,8 +25,11 @@
     }
 
     fn required(&self, name: &str) -> Result<f64, String> {
-        let text = self.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
-        text.parse().map_err(|_| format!("setting {name}={text} is not a number"))
+        let text = self
+            .get(name)
+            .ok_or_else(|| format!("setting {name} is missing"))?;
+        text.parse()
+            .map_err(|_| format!("setting {name}={text} is not a number"))
     }
 
     fn on(&self, name: &str) -> bool {
@@ -34,7 +37,9 @@
     }
 
     fn list(&self, name: &str) -> Vec<&str> {
-        self.get(name).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
+        self.get(name).map_or(Vec::new(), |v| {
+            v.split(',').filter(|s| !s.is_empty()).collect()
+        })
     }
 
     fn of_kind(&self, kind: &str, name: &str) -> Option<f64> {
@@ -73,7 +78,10 @@
 pub fn read_pairs(text: &str) -> Result<Map, String> {
     let pairs = text.split(' ').filter(|pair| !pair.is_empty());
     pairs
-        .map(|pair| pair.split_once('=').ok_or_else(|| format!("setting {pair:?} has no value")))
+        .map(|pair| {
+            pair.split_once('=')
+                .ok_or_else(|| format!("setting {pair:?} has no value"))
+        })
         .map(|pair| pair.map(|(path, value)| (path.to_owned(), value.to_owned())))
         .collect()
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -8,7 +8,10 @@
 use tansymux::state::{Pace, Paces};
 
 const ONE: &[(&str, &str)] = &[("small", "h1")];
-const SLOW: Pace = Pace { level: 2.0, heard: T0 };
+const SLOW: Pace = Pace {
+    level: 2.0,
+    heard: T0,
+};
 const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
 
 /// Makes engine `e` look pressed, as slow answers would.
@@ -20,14 +23,20 @@
 fn settings_that_lack_a_value_are_refused_by_its_name() {
     let mut told = settings("");
     told.remove("services.1.aim-us");
-    assert_eq!(Control::new(1, &told).err().unwrap(), "setting services.1.aim-us is missing");
+    assert_eq!(
+        Control::new(1, &told).err().unwrap(),
+        "setting services.1.aim-us is missing"
+    );
 }
 
 #[test]
 fn rule_1_one_final_answer_and_nothing_after_it() {
     let mut c = gateway("", ONE);
     ask(&mut c, 1.0, 1, "load", 100.0);
-    assert_eq!(close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1), ["kill 1"]);
+    assert_eq!(
+        close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1),
+        ["kill 1"]
+    );
     assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Finished, 1).is_empty());
     assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
 }
@@ -48,17 +57,49 @@
         let mut c = gateway(usual, TWO);
         c.groups[0].pace = pace;
         let decided = round(&mut c, 1.0, |c, out| {
-            c.query(1, "look", "", None, T0 + 1.0 + wait, cost, 10.0, 0, Text::UNREAD, out).unwrap()
+            c.query(
+                1,
+                "look",
+                "",
+                None,
+                T0 + 1.0 + wait,
+                cost,
+                10.0,
+                0,
+                Text::UNREAD,
+                out,
+            )
+            .unwrap()
         });
-        assert_eq!(starts(&decided, "submit 1"), goes, "{wait} {cost}: {decided:?}");
-        assert_eq!(starts(&decided, "defer 1"), !goes, "{wait} {cost}: {decided:?}");
+        assert_eq!(
+            starts(&decided, "submit 1"),
+            goes,
+            "{wait} {cost}: {decided:?}"
+        );
+        assert_eq!(
+            starts(&decided, "defer 1"),
+            !goes,
+            "{wait} {cost}: {decided:?}"
+        );
     }
     // A query of more threads is done sooner, and load changes nothing of it.
     let mut c = gateway(usual, TWO);
     press(&mut c, 0);
     press(&mut c, 1);
     let decided = round(&mut c, 1.0, |c, out| {
-        c.query(1, "rep", "", None, T0 + 891.0, 1700.0, 10.0, 0, Text::UNREAD, out).unwrap()
+        c.query(
+            1,
+            "rep",
+            "",
+            None,
+            T0 + 891.0,
+            1700.0,
+            10.0,
+            0,
+            Text::UNREAD,
+            out,
+        )
+        .unwrap()
     });
     assert!(starts(&decided, "submit 1"), "{decided:?}");
 }
@@ -67,7 +108,10 @@
 fn rule_1_a_client_that_left_gets_nothing_and_its_submission_is_called_off() {
     let mut c = gateway("", ONE);
     ask(&mut c, 1.0, 1, "look", 100.0);
-    assert_eq!(round(&mut c, 2.0, |c, out| c.vanished(1, out)), ["cancel 1 0"]);
+    assert_eq!(
+        round(&mut c, 2.0, |c, out| c.vanished(1, out)),
+        ["cancel 1 0"]
+    );
     assert!(close(&mut c, 3.0, 1, 0, Outcome::Cancelled, 1).is_empty());
     assert!(c.queries.is_empty());
 }
@@ -79,7 +123,10 @@
     let first = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
     let again = close(&mut c, 2.0, 1, 0, Outcome::NoConnection, first);
     assert_eq!(again, [format!("submit 1 {}", 3 - first)]);
-    assert_eq!(close(&mut c, 3.0, 1, 1, Outcome::Reset, 3 - first), ["kill 1"]);
+    assert_eq!(
+        close(&mut c, 3.0, 1, 1, Outcome::Reset, 3 - first),
+        ["kill 1"]
+    );
 }
 
 #[test]
@@ -93,11 +140,17 @@
 
 #[test]
 fn rule_2_a_tokened_query_stays_in_its_hall_and_is_killed_without_one() {
-    let mut c = gateway("services.3.dedup-scope=zone", &[("small", "h1"), ("small", "h2")]);
+    let mut c = gateway(
+        "services.3.dedup-scope=zone",
+        &[("small", "h1"), ("small", "h2")],
+    );
     ask(&mut c, 1.0, 1, "tok", 100.0);
     let first = c.engines.iter().position(|e| e.open == 1).unwrap();
     c.engines[first].ready = false;
-    assert_eq!(close(&mut c, 2.0, 1, 0, Outcome::Error, first as u64 + 1), ["kill 1"]);
+    assert_eq!(
+        close(&mut c, 2.0, 1, 0, Outcome::Error, first as u64 + 1),
+        ["kill 1"]
+    );
 }
 
 #[test]
@@ -109,7 +162,10 @@
         c.list_ends(ListForm::Changes, out);
     });
     for id in 0..20 {
-        assert_eq!(ask(&mut c, 2.0, id, "look", 10.0), [format!("submit {id} 2")]);
+        assert_eq!(
+            ask(&mut c, 2.0, id, "look", 10.0),
+            [format!("submit {id} 2")]
+        );
     }
     round(&mut c, 3.0, |c, out| {
         c.list_begins(ListForm::Full);
@@ -134,11 +190,16 @@
 fn rule_4_a_cold_engine_gets_this_gateways_part_and_no_more() {
     let mut c = cold_gateway();
     // 2 x 0.3 x 8 cores x 0.85 x 3 s = 12.24 s of work for both gateways together.
-    let sent = (0..400).filter(|&id| starts(&ask(&mut c, 2.0, id, "look", 100.0), "submit")).count();
+    let sent = (0..400)
+        .filter(|&id| starts(&ask(&mut c, 2.0, id, "look", 100.0), "submit"))
+        .count();
     assert!((20..=61).contains(&sent), "{sent} x 100 ms");
     assert!(starts(&ask(&mut c, 2_900.0, 900, "look", 100.0), "defer"));
     round(&mut c, 3_050.0, |_, _| ());
-    assert!(starts(&ask(&mut c, 3_100.0, 901, "look", 100.0), "submit"), "the window has passed");
+    assert!(
+        starts(&ask(&mut c, 3_100.0, 901, "look", 100.0), "submit"),
+        "the window has passed"
+    );
 }
 
 /// What a whole fleet sends to one cold engine in the rule's span, in queries of mean work, and what it bears: all see
@@ -170,9 +231,17 @@
             let asks = 1 + (nth % 10 * 30 / gateways.min(30)) / 3;
             for _ in 0..asks {
                 id += 1;
-                let (rg, cost) = if id % 21 == 0 { ("rep", 2000.0) } else { ("look", 100.0) };
+                let (rg, cost) = if id % 21 == 0 {
+                    ("rep", 2000.0)
+                } else {
+                    ("look", 100.0)
+                };
                 let decided = ask(gateway, at, id, rg, cost);
-                work += if starts(&decided, "submit") { cost } else { 0.0 };
+                work += if starts(&decided, "submit") {
+                    cost
+                } else {
+                    0.0
+                };
             }
         }
     }
@@ -184,8 +253,14 @@
     for (gateways, seeds) in [(3, 20), (30, 20), (300, 4)] {
         for seed in 1..=seeds {
             let (sent, bears) = sent_by_a_fleet(gateways, seed);
-            assert!(sent <= bears + 2.0 * bears.sqrt() + 2.0, "{gateways} {seed}: {sent} of {bears}");
-            assert!(sent >= 0.2 * bears, "{gateways} {seed}: {sent} of {bears}: nobody warms it up");
+            assert!(
+                sent <= bears + 2.0 * bears.sqrt() + 2.0,
+                "{gateways} {seed}: {sent} of {bears}"
+            );
+            assert!(
+                sent >= 0.2 * bears,
+                "{gateways} {seed}: {sent} of {bears}: nobody warms it up"
+            );
         }
     }
 }
@@ -193,12 +268,21 @@
 #[test]
 fn rule_5_one_of_a_key_at_a_time_and_rest_after_doubt() {
     let mut c = gateway("rules.settle-after-doubt-us=500000", TWO);
-    assert!(starts(&ask_for(&mut c, 1.0, 1, "tok", 100.0, Some(5), 0), "submit 1"));
+    assert!(starts(
+        &ask_for(&mut c, 1.0, 1, "tok", 100.0, Some(5), 0),
+        "submit 1"
+    ));
     assert!(ask_for(&mut c, 2.0, 2, "tok", 100.0, Some(5), 0).is_empty());
-    assert!(starts(&ask_for(&mut c, 3.0, 3, "tok", 100.0, Some(6), 0), "submit 3"));
+    assert!(starts(
+        &ask_for(&mut c, 3.0, 3, "tok", 100.0, Some(6), 0),
+        "submit 3"
+    ));
     let e = c.queries.iter().find(|(_, q)| q.id == 1).unwrap().1.sent()[0].engine as u64 + 1;
     round(&mut c, 4.0, |c, out| c.vanished(1, out));
-    assert!(round(&mut c, 50.0, |_, _| ()).is_empty(), "its submission is still out");
+    assert!(
+        round(&mut c, 50.0, |_, _| ()).is_empty(),
+        "its submission is still out"
+    );
     assert!(close(&mut c, 60.0, 1, 0, Outcome::Cancelled, e).is_empty());
     assert!(round(&mut c, 500.0, |_, _| ()).is_empty(), "the key rests");
     assert!(starts(&round(&mut c, 600.0, |_, _| ()), "submit 2"));
@@ -213,7 +297,11 @@
         let i = c.door.queries[&id];
         let node = c.engines[c.queries[i].sent()[0].engine].node;
         // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
-        let outcome = if id % 4 == 0 { Outcome::Cancelled } else { Outcome::Finished };
+        let outcome = if id % 4 == 0 {
+            Outcome::Cancelled
+        } else {
+            Outcome::Finished
+        };
         round(&mut c, at + 1.0, |c, out| c.vanished(id, out));
         close(&mut c, at + 2.0, id, 0, outcome, node);
     }
@@ -223,7 +311,10 @@
     let node = c.engines[c.queries[c.door.queries[&2000]].sent()[0].engine].node;
     round(&mut c, 20_001.0, |c, out| c.vanished(2000, out));
     close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, node);
-    assert!(ask_for(&mut c, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(), "the key rests");
+    assert!(
+        ask_for(&mut c, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(),
+        "the key rests"
+    );
     assert!(starts(&round(&mut c, 20_600.0, |_, _| ()), "submit 2001"));
     assert_eq!(c.lines.kept(), 1);
 }
@@ -243,7 +334,10 @@
     for id in 0..10 {
         ask(&mut c, 1.0, id, "look", 10.0);
         let e = c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.sent()[0].engine as u64 + 1;
-        again += usize::from(starts(&close(&mut c, 2.0, id, 0, Outcome::NoConnection, e), "submit"));
+        again += usize::from(starts(
+            &close(&mut c, 2.0, id, 0, Outcome::NoConnection, e),
+            "submit",
+        ));
     }
     assert_eq!(again, 2, "one free and a tenth of ten");
 }
@@ -255,10 +349,16 @@
         ask(&mut c, 1.0, id, "rep", 100.0);
     }
     close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
-    assert!((c.engines[0].bound - 1.2).abs() < 1e-9, "1.2 threads a core of our share");
+    assert!(
+        (c.engines[0].bound - 1.2).abs() < 1e-9,
+        "1.2 threads a core of our share"
+    );
     close(&mut c, 102.0, 2, 0, Outcome::Full, 1);
     close(&mut c, 103.0, 3, 0, Outcome::Full, 1);
-    assert!((c.engines[0].bound - 0.6).abs() < 1e-9, "halved once, not twice");
+    assert!(
+        (c.engines[0].bound - 0.6).abs() < 1e-9,
+        "halved once, not twice"
+    );
 }
 
 #[test]
@@ -266,11 +366,27 @@
     let mut c = gateway("", ONE);
     c.engines[0].bound = 0.5;
     assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"));
-    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 100.0), "submit"), "no pressure, no bound");
+    assert!(
+        starts(&ask(&mut c, 1.0, 2, "rep", 100.0), "submit"),
+        "no pressure, no bound"
+    );
     press(&mut c, 0);
-    assert_eq!(ask(&mut c, 1.0, 3, "rep", 100.0), ["defer 3 300"], "at once, within the told limit");
-    assert!(starts(&ask(&mut c, 1.0, 4, "look", 100.0), "submit"), "the fast lane is not refused");
-    (c.engines[0].paces, c.engines[0].low_open) = (Paces { low: SLOW, ..Paces::default() }, 0);
+    assert_eq!(
+        ask(&mut c, 1.0, 3, "rep", 100.0),
+        ["defer 3 300"],
+        "at once, within the told limit"
+    );
+    assert!(
+        starts(&ask(&mut c, 1.0, 4, "look", 100.0), "submit"),
+        "the fast lane is not refused"
+    );
+    (c.engines[0].paces, c.engines[0].low_open) = (
+        Paces {
+            low: SLOW,
+            ..Paces::default()
+        },
+        0,
+    );
     assert!(starts(&ask(&mut c, 1.0, 5, "rep", 100.0), "submit"));
 }
 
@@ -284,7 +400,11 @@
     ];
     for mark in marks {
         let mut c = gateway("", ONE);
-        (c.engines[0].low_open, c.engines[0].low_threads, c.engines[0].bound) = (1, 2.0, 0.5);
+        (
+            c.engines[0].low_open,
+            c.engines[0].low_threads,
+            c.engines[0].bound,
+        ) = (1, 2.0, 0.5);
         mark(&mut c);
         assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), "defer"));
     }
@@ -352,7 +472,9 @@
         close(&mut c, 2.0, id, 0, Outcome::Reset, 1);
     }
     assert!(c.engines[0].suspect && c.engines[0].silent);
-    let decided: Vec<String> = (10..20).flat_map(|id| ask(&mut c, 600.0, id, "look", 10.0)).collect();
+    let decided: Vec<String> = (10..20)
+        .flat_map(|id| ask(&mut c, 600.0, id, "look", 10.0))
+        .collect();
     assert_eq!(c.engines[0].open, 0, "the hole took a trial");
     assert!(starts(&decided, "probe 1"), "{decided:?}");
     round(&mut c, 650.0, |c, _| c.probed(1, Outcome::Timeout));
@@ -369,7 +491,8 @@
     (0..2).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
     // Two that waited for one connection are one sign of trouble, and then there is a second.
     round(&mut c, 251.0, |c, out| {
-        (0..2).for_each(|id| c.closed(id, 0, false, Outcome::NoConnection, 1, 250.0, 0.0, 0.0, out));
+        (0..2)
+            .for_each(|id| c.closed(id, 0, false, Outcome::NoConnection, 1, 250.0, 0.0, 0.0, out));
     });
     assert!(!c.engines[0].suspect);
     close(&mut c, 501.0, 0, 1, Outcome::NoConnection, 1);
@@ -396,7 +519,10 @@
             let node = c.engines[c.queries[i].submissions[submission].engine].node;
             close(&mut c, 2.0, id, submission, Outcome::Error, node);
         }
-        assert!(!c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect), "{id}");
+        assert!(
+            !c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect),
+            "{id}"
+        );
         for id in 10..20 {
             ask(&mut c, 3.0, id, "look", 10.0);
             let node = c.engines[c.queries[c.door.queries[&id]].submissions[0].engine].node;
@@ -409,7 +535,11 @@
 fn a_group_that_hangs_on_an_engine_goes_to_others_and_the_rest_stays() {
     let mut c = gateway("", TWO);
     let on = |c: &Control, id: u64| {
-        let last = c.door.queries.get(&id).and_then(|&i| c.queries[i].sent().last());
+        let last = c
+            .door
+            .queries
+            .get(&id)
+            .and_then(|&i| c.queries[i].sent().last());
         last.map_or(0, |s| c.engines[s.engine].node)
     };
     (0..8).for_each(|id| drop(ask(&mut c, 1.0, id, "rep", 10.0)));
@@ -420,8 +550,10 @@
         .for_each(|id| drop(close(&mut c, 9.0, id, 0, Outcome::Finished, 2)));
     // Nothing comes of those on the first engine: they are moved and end on the second.
     assert!(starts(&round(&mut c, 1000.0, |_, _| ()), "cancel"));
-    hung.iter().for_each(|&id| drop(close(&mut c, 1001.0, id, 0, Outcome::Cancelled, 1)));
-    hung.iter().for_each(|&id| drop(close(&mut c, 1100.0, id, 1, Outcome::Finished, 2)));
+    hung.iter()
+        .for_each(|&id| drop(close(&mut c, 1001.0, id, 0, Outcome::Cancelled, 1)));
+    hung.iter()
+        .for_each(|&id| drop(close(&mut c, 1100.0, id, 1, Outcome::Finished, 2)));
     let mut went = |rg: &str, from: u64, at: f64| -> Vec<u64> {
         let one = |id| {
             ask(&mut c, at, id, rg, 10.0);
@@ -447,7 +579,12 @@
             c.listed(node, "small", "h1", EngineStatus::Ready, Some(T0), 0);
             c.list_ends(ListForm::Full, out);
         });
-        let ready: Vec<u64> = c.engines.iter().filter(|e| e.ready).map(|e| e.node).collect();
+        let ready: Vec<u64> = c
+            .engines
+            .iter()
+            .filter(|e| e.ready)
+            .map(|e| e.node)
+            .collect();
         assert_eq!(ready, [node]);
     }
     assert!(c.engines.len() <= 3, "{}", c.engines.len());
@@ -478,7 +615,9 @@
     for id in 0..20 {
         ask(&mut c, 1.0, id, "rep", 200.0);
     }
-    let moved = round(&mut c, 1_001.0, |c, _| (0..20).for_each(|id| c.noted(id, 0, Note::Progress, 0.05)));
+    let moved = round(&mut c, 1_001.0, |c, _| {
+        (0..20).for_each(|id| c.noted(id, 0, Note::Progress, 0.05))
+    });
     assert_eq!(moved.len(), 3, "{moved:?}: one and a tenth of twenty");
 }
 
@@ -488,7 +627,10 @@
     ask_for(&mut c, 1.0, 1, "load", 10.0, None, 7);
     let held = c.engines.iter().position(|e| e.open == 1).unwrap();
     c.engines[1 - held].work = 1e9;
-    assert_eq!(ask_for(&mut c, 2.0, 2, "look", 10.0, None, 7), [format!("submit 2 {}", 2 - held)]);
+    assert_eq!(
+        ask_for(&mut c, 2.0, 2, "look", 10.0, None, 7),
+        [format!("submit 2 {}", 2 - held)]
+    );
     close(&mut c, 3.0, 1, 0, Outcome::Finished, held as u64 + 1);
     assert!(c.engines[held].held.is_empty());
 }
@@ -525,15 +667,27 @@
     let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
         mark(&mut c);
         round(&mut c, 1.0, |c, out| {
-            c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, Text::UNREAD, out).unwrap()
+            c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, Text::UNREAD, out)
+                .unwrap()
         })
     };
     for id in 0..60 {
         from(id, "look", "a", |_| ());
-        from(100 + id, "look", if id % 3 == 0 { "b" } else { "a" }, |_| ());
+        from(
+            100 + id,
+            "look",
+            if id % 3 == 0 { "b" } else { "a" },
+            |_| (),
+        );
     }
     from(300, "rep", "b", |_| ());
-    assert!(starts(&from(301, "rep", "a", |c| c.engines[0].bound = 2.0), "submit"), "at ease");
+    assert!(
+        starts(
+            &from(301, "rep", "a", |c| c.engines[0].bound = 2.0),
+            "submit"
+        ),
+        "at ease"
+    );
     assert!(starts(&from(302, "rep", "a", |c| press(c, 0)), "defer"));
     assert!(starts(&from(303, "rep", "b", |_| ()), "submit"));
 }
@@ -541,12 +695,21 @@
 #[test]
 fn slowness_fades_by_time_towards_what_the_hall_shows() {
     let mut c = gateway("", TWO);
-    c.engines[0].paces.fast = Pace { level: 0.8, heard: T0 };
+    c.engines[0].paces.fast = Pace {
+        level: 0.8,
+        heard: T0,
+    };
     assert!(c.pressure(0) && !c.pressure(1));
     round(&mut c, 10_000.0, |_, _| ());
     assert!(!c.pressure(0), "one engine was slow long ago");
-    c.halls[0].fast = Pace { level: 0.8, heard: T0 + 10_000.0 };
-    assert!(c.pressure(0) && c.pressure(1), "the hall stands in for engines that did not answer lately");
+    c.halls[0].fast = Pace {
+        level: 0.8,
+        heard: T0 + 10_000.0,
+    };
+    assert!(
+        c.pressure(0) && c.pressure(1),
+        "the hall stands in for engines that did not answer lately"
+    );
 }
 
 #[test]
@@ -563,20 +726,25 @@
 fn a_hundredth_of_an_engine_each_does_not_let_every_gateway_fill_every_engine() {
     let mut c = gateway("balancers=300", &[("small", "h1"); 8]);
     (0..8).for_each(|e| press(&mut c, e));
-    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"), "one there is room for always");
+    assert!(
+        starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"),
+        "one there is room for always"
+    );
     assert!(starts(&ask(&mut c, 2.0, 2, "rep", 100.0), "defer"));
 }
 
 #[test]
 fn draws_stay_in_the_own_hall_while_an_engine_there_is_at_ease() {
     let mut c = gateway("", &[("small", "h1"), ("small", "h2")]);
-    let home =
-        (0..20).filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 1")]).count();
+    let home = (0..20)
+        .filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 1")])
+        .count();
     assert_eq!(home, 20);
     press(&mut c, 0);
     c.engines[0].work = 1e9;
-    let away =
-        (50..90).filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 2")]).count();
+    let away = (50..90)
+        .filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 2")])
+        .count();
     assert!(away > 5, "one of the two draws is from all again: {away}");
 }
 
@@ -584,21 +752,40 @@
 fn the_exception_for_the_only_low_query_rests_when_the_fast_lane_crawls_and_all_bounds_are_used() {
     for (bound, room) in [(0.2, "defer"), (2.0, "submit")] {
         let mut c = gateway("", TWO);
-        (c.engines[0].low_open, c.engines[0].low_threads, c.engines[0].bound) = (2, 4.0, 0.2);
+        (
+            c.engines[0].low_open,
+            c.engines[0].low_threads,
+            c.engines[0].bound,
+        ) = (2, 4.0, 0.2);
         c.engines[1].bound = bound;
         press(&mut c, 0);
         press(&mut c, 1);
-        assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), room), "i200cfe");
+        assert!(
+            starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), room),
+            "i200cfe"
+        );
     }
 }
 
 #[test]
 fn terms_go_before_the_submission_and_are_generous_only_where_spare_memory_stays_free() {
-    for (told, terms) in [("memory-short=page", "1 20"), ("memory-short=shrink", "1 0")] {
-        let mut c = gateway(&format!("family-info.{told} family-info.lanes-count=1"), ONE);
-        assert_eq!(ask(&mut c, 1.0, 1, "rep", 100.0), [format!("grant 1 {terms}"), "submit 1 1".into()]);
+    for (told, terms) in [
+        ("memory-short=page", "1 20"),
+        ("memory-short=shrink", "1 0"),
+    ] {
+        let mut c = gateway(
+            &format!("family-info.{told} family-info.lanes-count=1"),
+            ONE,
+        );
+        assert_eq!(
+            ask(&mut c, 1.0, 1, "rep", 100.0),
+            [format!("grant 1 {terms}"), "submit 1 1".into()]
+        );
     }
-    assert_eq!(ask(&mut gateway("", ONE), 1.0, 1, "rep", 100.0), ["submit 1 1"]);
+    assert_eq!(
+        ask(&mut gateway("", ONE), 1.0, 1, "rep", 100.0),
+        ["submit 1 1"]
+    );
 }
 
 const PEERS: &str = "balancers=4 limits.peers=1 me=";
@@ -617,9 +804,15 @@
     let mark = tansymux::talk::mark_of(e as u64 + 1);
     let report = [tansymux::talk::OWN, mark[0], mark[1], 2];
     let sums = round(&mut adds_up, 2_000.0, |c, _| c.told_by(3, &report));
-    assert!(starts(&sums, "tell None [1, ") && adds_up.engines[e].others == 2.0, "{sums:?}");
+    assert!(
+        starts(&sums, "tell None [1, ") && adds_up.engines[e].others == 2.0,
+        "{sums:?}"
+    );
     round(&mut adds_up, 14_000.0, |_, _| ());
-    assert_eq!(adds_up.engines[e].others, 0.0, "a gateway that died is forgotten");
+    assert_eq!(
+        adds_up.engines[e].others, 0.0,
+        "a gateway that died is forgotten"
+    );
 }
 
 #[test]
@@ -628,14 +821,22 @@
     let mark = tansymux::talk::mark_of(1);
     let sum = [tansymux::talk::SUM, mark[0], mark[1], 20];
     round(&mut c, 10.0, |c, _| c.told_by(0, &sum));
-    assert!(starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "defer"), "the engine is crowded by others");
-    round(&mut c, 30.0, |c, _| c.told_by(0, &[tansymux::talk::SUM, mark[0], mark[1], 2]));
+    assert!(
+        starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "defer"),
+        "the engine is crowded by others"
+    );
+    round(&mut c, 30.0, |c, _| {
+        c.told_by(0, &[tansymux::talk::SUM, mark[0], mark[1], 2])
+    });
     assert!(starts(&ask(&mut c, 40.0, 2, "rep", 100.0), "submit"));
     round(&mut c, 50.0, |c, _| {
         c.told_by(0, &[9]);
         c.told_by(u32::MAX, &[tansymux::talk::OWN, mark[0], mark[1], 9]);
     });
-    assert_eq!(c.engines[0].others, 2.0, "unknown kinds and numbers of gateways change nothing");
+    assert_eq!(
+        c.engines[0].others, 2.0,
+        "unknown kinds and numbers of gateways change nothing"
+    );
 }
 
 #[test]
@@ -644,7 +845,10 @@
     ask(&mut c, 1.0, 1, "rep", 1000.0);
     round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.9));
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "cancel"));
-    assert!(starts(&round(&mut c, 3_600.0, |_, _| ()), "cancel 1 0"), "its answer was lost");
+    assert!(
+        starts(&round(&mut c, 3_600.0, |_, _| ()), "cancel 1 0"),
+        "its answer was lost"
+    );
 }
 
 #[test]
@@ -680,12 +884,31 @@
     let mut c = gateway("balancers=40", TWO);
     let mut entered = 0;
     for id in 0..200 {
-        (0..2).for_each(|e| c.engines[e].paces.fast = Pace { level: 2.0, heard: T0 + id as f64 * 100.0 });
-        entered += usize::from(starts(&ask(&mut c, id as f64 * 100.0, id, "rep", 100.0), "submit"));
-        let sent = c.queries.iter().find(|(_, q)| q.id == id).map(|(_, q)| q.sent()[0].engine as u64 + 1);
+        (0..2).for_each(|e| {
+            c.engines[e].paces.fast = Pace {
+                level: 2.0,
+                heard: T0 + id as f64 * 100.0,
+            }
+        });
+        entered += usize::from(starts(
+            &ask(&mut c, id as f64 * 100.0, id, "rep", 100.0),
+            "submit",
+        ));
+        let sent = c
+            .queries
+            .iter()
+            .find(|(_, q)| q.id == id)
+            .map(|(_, q)| q.sent()[0].engine as u64 + 1);
         if let Some(e) = sent {
             round(&mut c, id as f64 * 100.0 + 60.0, |_, _| ());
-            close(&mut c, id as f64 * 100.0 + 99.0, id, 0, Outcome::Finished, e);
+            close(
+                &mut c,
+                id as f64 * 100.0 + 99.0,
+                id,
+                0,
+                Outcome::Finished,
+                e,
+            );
         }
     }
     // Sixteen cores over forty gateways are 0.4 threads of the 2 that one takes; 1.2 a core at the most.
@@ -697,7 +920,9 @@
     let mut c = gateway("", ONE);
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
-        round(&mut c, 900.0, |c, out| c.closed(id, 0, true, Outcome::Finished, 1, 900.0, 0.0, 0.0, out));
+        round(&mut c, 900.0, |c, out| {
+            c.closed(id, 0, true, Outcome::Finished, 1, 900.0, 0.0, 0.0, out)
+        });
     }
     assert!(c.pressure(0));
 }
@@ -711,12 +936,16 @@
         let e = c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.sent()[0].engine as u64 + 1;
         close(&mut c, 100.0 + id as f64, id, 0, Outcome::Finished, e);
     }
-    assert!(c.pressure(0) && c.pressure(1), "h552f21: a hall unheard of looked at ease to every gateway");
+    assert!(
+        c.pressure(0) && c.pressure(1),
+        "h552f21: a hall unheard of looked at ease to every gateway"
+    );
 }
 
 #[test]
 fn a_part_of_a_cold_engine_below_one_query_is_used_by_lot() {
-    let told = "balancers=300 rules.overload-for-us=3000000 rules.fall-multiple=3 rules.cold-from=0.3 \
+    let told =
+        "balancers=300 rules.overload-for-us=3000000 rules.fall-multiple=3 rules.cold-from=0.3 \
         rules.warm-after-us=9000000";
     let sent = (0..300)
         .filter(|&seed| {
@@ -727,11 +956,17 @@
                 c.list_ends(ListForm::Changes, out);
             });
             round(&mut c, 30.0, |_, _| ());
-            (0..9).filter(|&id| starts(&ask(&mut c, 40.0, id, "look", 100.0), "submit")).count() > 0
+            (0..9)
+                .filter(|&id| starts(&ask(&mut c, 40.0, id, "look", 100.0), "submit"))
+                .count()
+                > 0
         })
         .count();
     // 3 x 0.3 x 8 cores x 0.85 x 3 s = 18.4 s of work for all, which is 184 of these.
-    assert!((3..92).contains(&sent), "ic19720: {sent} gateways of 300 sent one");
+    assert!(
+        (3..92).contains(&sent),
+        "ic19720: {sent} gateways of 300 sent one"
+    );
 }
 
 #[test]
@@ -753,14 +988,30 @@
     c.round(
         T0,
         &mut Do(Some(|c: &mut Control, out: &mut dyn Writer| {
-            c.query(1, "tok", "", None, T0 + 5000.0, 100.0, 10.0, 0, Text::UNREAD, out).unwrap();
+            c.query(
+                1,
+                "tok",
+                "",
+                None,
+                T0 + 5000.0,
+                100.0,
+                10.0,
+                0,
+                Text::UNREAD,
+                out,
+            )
+            .unwrap();
             let node = c.engines[c.queries[c.door.queries[&1]].submissions[0].engine].node;
             c.now = T0 + 100.0;
             c.closed(1, 0, false, Outcome::Reset, node, 100.0, 0.0, 0.0, out);
         })),
         &mut kept,
     );
-    let bounds: Vec<(f64, f64)> = kept.1.iter().map(|b| (b.until - T0, b.begin_by - T0)).collect();
+    let bounds: Vec<(f64, f64)> = kept
+        .1
+        .iter()
+        .map(|b| (b.until - T0, b.begin_by - T0))
+        .collect();
     assert_eq!(bounds, [(5000.0, 5000.0), (5000.0, 700.0)]);
 }
 
@@ -782,7 +1033,11 @@
     assert!(!starts(&round(&mut c, 600.0, |_, _| ()), "cancel"));
     let decided = ask(&mut c, 610.0, 9, "look", 0.0);
     assert!(starts(&decided, "submit 9"), "{decided:?}");
-    assert!((c.alone(c.door.queries[&9]) - 100.0).abs() < 20.0, "{}", c.alone(c.door.queries[&9]));
+    assert!(
+        (c.alone(c.door.queries[&9]) - 100.0).abs() < 20.0,
+        "{}",
+        c.alone(c.door.queries[&9])
+    );
 }
 
 #[test]
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -17,7 +17,10 @@
 /// The settings above, with `more` put over them.
 pub fn settings(more: &str) -> Map {
     let pairs = SETTINGS.split_whitespace().chain(more.split_whitespace());
-    pairs.map(|p| p.split_once('=').unwrap()).map(|(n, v)| (n.to_owned(), v.to_owned())).collect()
+    pairs
+        .map(|p| p.split_once('=').unwrap())
+        .map(|(n, v)| (n.to_owned(), v.to_owned()))
+        .collect()
 }
 
 #[derive(Default)]
@@ -64,7 +67,11 @@
 pub const T0: f64 = 1e6;
 
 /// One round at `T0 + at` ms; what was decided in it.
-pub fn round(c: &mut Control, at: f64, events: impl FnOnce(&mut Control, &mut dyn Writer)) -> Vec<String> {
+pub fn round(
+    c: &mut Control,
+    at: f64,
+    events: impl FnOnce(&mut Control, &mut dyn Writer),
+) -> Vec<String> {
     let mut kept = Kept::default();
     c.round(T0 + at, &mut Do(Some(events)), &mut kept);
     kept.0
@@ -89,17 +96,44 @@
 }
 
 pub fn ask_for(
-    c: &mut Control, at: f64, id: u64, rg: &str, cost: f64, key: Option<u64>, tables: u32,
+    c: &mut Control,
+    at: f64,
+    id: u64,
+    rg: &str,
+    cost: f64,
+    key: Option<u64>,
+    tables: u32,
 ) -> Vec<String> {
     round(c, at, |c, out| {
-        c.query(id, rg, "", key, T0 + at + 20_000.0, cost, 10.0, tables, Text::UNREAD, out).unwrap()
+        c.query(
+            id,
+            rg,
+            "",
+            key,
+            T0 + at + 20_000.0,
+            cost,
+            10.0,
+            tables,
+            Text::UNREAD,
+            out,
+        )
+        .unwrap()
     })
 }
 
 /// The end of a query's submission on an engine.
-pub fn close(c: &mut Control, at: f64, id: u64, sub: usize, outcome: Outcome, node: u64) -> Vec<String> {
+pub fn close(
+    c: &mut Control,
+    at: f64,
+    id: u64,
+    sub: usize,
+    outcome: Outcome,
+    node: u64,
+) -> Vec<String> {
     let complete = outcome == Outcome::Finished;
-    round(c, at, |c, out| c.closed(id, sub, complete, outcome, node, 100.0, 0.0, 0.0, out))
+    round(c, at, |c, out| {
+        c.closed(id, sub, complete, outcome, node, 100.0, 0.0, 0.0, out)
+    })
 }
 
 pub fn starts(decided: &[String], with: &str) -> bool {
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -8,7 +8,10 @@
 use tansymux::state::{Pace, Reduced};
 
 const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
-const SLOW: Pace = Pace { level: 2.0, heard: T0 };
+const SLOW: Pace = Pace {
+    level: 2.0,
+    heard: T0,
+};
 
 /// The deepest level there could be.
 fn deepest() -> Reduced {
@@ -33,17 +36,36 @@
 }
 
 fn ask_with(c: &mut Control, at: f64, id: u64, rg: &str, cost: f64, text: Text) -> Vec<String> {
-    round(c, at, |c, out| c.query(id, rg, "", None, T0 + at + 20_000.0, cost, 10.0, 0, text, out).unwrap())
+    round(c, at, |c, out| {
+        c.query(
+            id,
+            rg,
+            "",
+            None,
+            T0 + at + 20_000.0,
+            cost,
+            10.0,
+            0,
+            text,
+            out,
+        )
+        .unwrap()
+    })
 }
 
 #[test]
 fn the_fast_lane_is_never_refused_for_load_at_any_level() {
     let mut c = pressed(deepest());
     for id in 0..200 {
-        assert!(starts(&ask(&mut c, 1.0, id, "look", 10.0), &format!("submit {id}")), "{id}");
+        assert!(
+            starts(&ask(&mut c, 1.0, id, "look", 10.0), &format!("submit {id}")),
+            "{id}"
+        );
     }
     // Nor held back from a second engine.
-    assert!(starts(&close(&mut c, 2.0, 7, 0, Outcome::Full, 1), "submit 7") || c.engines[0].open != 100);
+    assert!(
+        starts(&close(&mut c, 2.0, 7, 0, Outcome::Full, 1), "submit 7") || c.engines[0].open != 100
+    );
 }
 
 #[test]
@@ -52,11 +74,18 @@
     let waits: Vec<f64> = (0..40)
         .map(|id| {
             let decided = ask(&mut c, 1.0, id, "rep", 100.0);
-            decided[0].strip_prefix(&format!("defer {id} ")).unwrap().parse().unwrap()
+            decided[0]
+                .strip_prefix(&format!("defer {id} "))
+                .unwrap()
+                .parse()
+                .unwrap()
         })
         .collect();
     // 1 s, three times, up to half as much again.
-    assert!(waits.iter().all(|wait| (3000.0..=4500.0).contains(wait)), "{waits:?}");
+    assert!(
+        waits.iter().all(|wait| (3000.0..=4500.0).contains(wait)),
+        "{waits:?}"
+    );
     let mut tenths: Vec<u32> = waits.iter().map(|wait| (wait / 150.0) as u32).collect();
     tenths.sort_unstable();
     tenths.dedup();
@@ -69,7 +98,11 @@
     c.reduced = deepest();
     for id in 0..40 {
         let decided = ask(&mut c, 1.0, id, "rep", 100.0);
-        let wait: f64 = decided[0].strip_prefix(&format!("defer {id} ")).unwrap().parse().unwrap();
+        let wait: f64 = decided[0]
+            .strip_prefix(&format!("defer {id} "))
+            .unwrap()
+            .parse()
+            .unwrap();
         assert!((200.0..=300.0).contains(&wait), "{wait}");
     }
 }
@@ -79,29 +112,62 @@
     let count = |reduced: Reduced| {
         let mut c = pressed(reduced);
         // A pool of two with 8 cores each, of which this gateway has the half.
-        (0..20).filter(|id| starts(&ask(&mut c, 1.0, *id, "rep", 100.0), "submit")).count()
+        (0..20)
+            .filter(|id| starts(&ask(&mut c, 1.0, *id, "rep", 100.0), "submit"))
+            .count()
     };
     let full = count(Reduced::default());
-    let half = count(Reduced { bounds: 0.5, ..Reduced::default() });
-    let part = count(Reduced { classes: vec![1.0, 0.4, 1.0, 1.0], ..Reduced::default() });
-    assert!(full > half && full > part && half > 0, "{full} {half} {part}");
+    let half = count(Reduced {
+        bounds: 0.5,
+        ..Reduced::default()
+    });
+    let part = count(Reduced {
+        classes: vec![1.0, 0.4, 1.0, 1.0],
+        ..Reduced::default()
+    });
+    assert!(
+        full > half && full > part && half > 0,
+        "{full} {half} {part}"
+    );
 }
 
 #[test]
 fn unsure_low_work_finds_no_room_and_sure_work_does() {
     let sure = |sure: f64| {
-        let mut c = pressed(Reduced { least_sure: 0.3, ..Reduced::default() });
-        starts(&ask_with(&mut c, 1.0, 1, "rep", 100.0, Text { sure, alters: false }), "submit")
+        let mut c = pressed(Reduced {
+            least_sure: 0.3,
+            ..Reduced::default()
+        });
+        starts(
+            &ask_with(
+                &mut c,
+                1.0,
+                1,
+                "rep",
+                100.0,
+                Text {
+                    sure,
+                    alters: false,
+                },
+            ),
+            "submit",
+        )
     };
     assert!(!sure(0.2) && sure(0.4));
 }
 
 #[test]
 fn low_work_is_not_sent_again_where_that_is_withheld_and_its_rules_hold() {
-    let mut c = pressed(Reduced { withhold: true, ..Reduced::default() });
+    let mut c = pressed(Reduced {
+        withhold: true,
+        ..Reduced::default()
+    });
     ask(&mut c, 1.0, 1, "rep", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
-    assert!(starts(&close(&mut c, 2.0, 1, 0, Outcome::Error, on), "defer 1"));
+    assert!(starts(
+        &close(&mut c, 2.0, 1, 0, Outcome::Error, on),
+        "defer 1"
+    ));
     // A load that may have run is killed and not deferred, at this level as at any.
     ask(&mut c, 3.0, 2, "load", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
@@ -109,7 +175,10 @@
     // One that never ran is deferred.
     ask(&mut c, 5.0, 3, "load", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
-    assert!(starts(&close(&mut c, 6.0, 3, 0, Outcome::Full, on), "defer 3"));
+    assert!(starts(
+        &close(&mut c, 6.0, 3, 0, Outcome::Full, on),
+        "defer 3"
+    ));
 }
 
 #[test]
@@ -135,7 +204,12 @@
         c.list_ends(ListForm::Full, out);
     });
     let sent = (0..400)
-        .filter(|id| starts(&ask(&mut c, 2.0, *id, "look", 100.0), &format!("submit {id} 3")))
+        .filter(|id| {
+            starts(
+                &ask(&mut c, 2.0, *id, "look", 100.0),
+                &format!("submit {id} 3"),
+            )
+        })
         .count();
     // 2 x 0.25 x 8 cores x 500 ms x 0.85 x 0.8 for two gateways: 680 ms of work, at 100 ms a query.
     assert!((1..=6).contains(&sent), "{sent}");
@@ -156,9 +230,25 @@
     let mut c = gateway("", TWO);
     (0..30).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
     let low = |c: &mut Control, id: u64, sure: f64| {
-        ask_with(c, 2.0, id, "look", 1000.0, Text { sure, alters: false });
-        c.queries.iter().find(|(_, q)| q.id == id).map(|(_, q)| q.low)
+        ask_with(
+            c,
+            2.0,
+            id,
+            "look",
+            1000.0,
+            Text {
+                sure,
+                alters: false,
+            },
+        );
+        c.queries
+            .iter()
+            .find(|(_, q)| q.id == id)
+            .map(|(_, q)| q.low)
     };
     // A hundredfold of the usual is demoted if it is sure, and not if nobody knows.
-    assert_eq!((low(&mut c, 100, 1.0), low(&mut c, 101, 0.0)), (Some(true), Some(false)));
+    assert_eq!(
+        (low(&mut c, 100, 1.0), low(&mut c, 101, 0.0)),
+        (Some(true), Some(false))
+    );
 }
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -7,7 +7,12 @@
 use tansymux::interface::Outcome;
 use tansymux::tiers::{Given, GivenHall};
 
-const HALLS: &[(&str, &str)] = &[("small", "h1"), ("small", "h1"), ("small", "h2"), ("small", "h2")];
+const HALLS: &[(&str, &str)] = &[
+    ("small", "h1"),
+    ("small", "h1"),
+    ("small", "h2"),
+    ("small", "h2"),
+];
 
 /// The own hall is first; so many threads may spill into the other, and each engine of the own has this room.
 fn given(spill: f64, room: f64) -> Given {
@@ -34,7 +39,9 @@
 
 /// Where it was sent, if it was.
 fn to(decided: &[String]) -> Option<u64> {
-    decided.iter().find_map(|d| d.strip_prefix("submit ")?.split(' ').nth(1)?.parse().ok())
+    decided
+        .iter()
+        .find_map(|d| d.strip_prefix("submit ")?.split(' ').nth(1)?.parse().ok())
 }
 
 #[test]
@@ -43,12 +50,18 @@
     assert!((0..40).all(|id| to(&ask(&mut c, 1.0, id, "look", 10.0)).is_some_and(|node| node <= 2)));
     // The own hall is closed: reports of two threads spill, two of them.
     let mut c = planned(&given(4.0, 0.0));
-    let sent: Vec<Option<u64>> = (0..6).map(|id| to(&ask(&mut c, 1.0, id, "rep", 100.0))).collect();
+    let sent: Vec<Option<u64>> = (0..6)
+        .map(|id| to(&ask(&mut c, 1.0, id, "rep", 100.0)))
+        .collect();
     assert_eq!(sent.iter().flatten().count(), 2, "{sent:?}");
     assert!(sent.iter().flatten().all(|node| *node >= 3));
     assert_eq!(c.spilled("h2"), 4.0);
     // Each that ends leaves its room to the next.
-    let (id, node) = sent.iter().enumerate().find_map(|(id, node)| Some((id as u64, (*node)?))).unwrap();
+    let (id, node) = sent
+        .iter()
+        .enumerate()
+        .find_map(|(id, node)| Some((id as u64, (*node)?)))
+        .unwrap();
     close(&mut c, 50.0, id, 0, Outcome::Finished, node);
     assert!(to(&ask(&mut c, 51.0, 99, "rep", 100.0)).is_some());
 }
@@ -92,8 +105,14 @@
 fn a_returning_engine_gets_its_part_and_less_than_a_query_is_saved_up() {
     // Room for three look-ups on each engine of the own hall; the rest goes on to the other.
     let mut c = planned(&given(100.0, 3.0));
-    let sent: Vec<u64> = (0..20).filter_map(|id| to(&ask(&mut c, 1.0, id, "look", 100.0))).collect();
-    assert_eq!(sent.iter().filter(|node| **node <= 2).count(), 6, "{sent:?}");
+    let sent: Vec<u64> = (0..20)
+        .filter_map(|id| to(&ask(&mut c, 1.0, id, "look", 100.0)))
+        .collect();
+    assert_eq!(
+        sent.iter().filter(|node| **node <= 2).count(),
+        6,
+        "{sent:?}"
+    );
     // A twentieth of a thread, as of forty gateways: a look-up of 100 ms every 2 s.
     let mut c = planned(&given(100.0, 0.05));
     let mut sent = 0;
@@ -114,12 +133,15 @@
     c.plan_halls(Some(&given(100.0, f64::INFINITY)));
     let mut crossed = 0;
     for id in 0..60 {
-        let Some(node) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else { continue };
+        let Some(node) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else {
+            continue;
+        };
         // All of the own hall fails at once.
         c.engines[0].ready = false;
         c.engines[1].ready = false;
-        crossed +=
-            u32::from(to(&close(&mut c, 1.0, id, 0, Outcome::Error, node)).is_some_and(|node| node >= 3));
+        crossed += u32::from(
+            to(&close(&mut c, 1.0, id, 0, Outcome::Error, node)).is_some_and(|node| node >= 3),
+        );
         c.engines[0].ready = true;
         c.engines[1].ready = true;
     }
@@ -129,7 +151,10 @@
 
 #[test]
 fn cut_off_itself_it_defers_low_work_at_once_and_lets_the_fast_lane_try() {
-    let mut c = planned(&Given { alone: true, ..given(100.0, f64::INFINITY) });
+    let mut c = planned(&Given {
+        alone: true,
+        ..given(100.0, f64::INFINITY)
+    });
     assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "defer 1"));
     assert!(to(&ask(&mut c, 1.0, 2, "look", 10.0)).is_some());
 }
