--- a/crates/permits/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -3,8 +3,8 @@
 
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
-use tansymux_permits::wire::{read, write};
-use tansymux_permits::{Council, Id, Kind, Record, Terms, Value, Why};
+use tansymux_coordination::wire::{read, write};
+use tansymux_coordination::{Council, Id, Kind, Record, Terms, Value, Why};
 
 const VOTERS: [Id; 3] = [1, 2, 3];
 const TERMS: Terms = Terms {
--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use tansymux_membership::wire::id_of;
 use tansymux_operator::{number_of, schema, Operator};
-use tansymux_permits::Stage as Released;
+use tansymux_coordination::Stage as Released;
 use tansymux_releases::message::{Answer, Command, Status};
 use tansymux_releases::{Caller, Settings, Turn, TurnEnd};
 use tansymux_zones::Stage;
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -1,5 +1,5 @@
 //! The fleet on sockets: datagrams in and out, this dispatcher's reports, and engines that are out by agreement. What
-//! is decided, crates/releases and crates/permits decide.
+//! is decided, crates/releases and crates/coordination decide.
 
 use crate::clock::Clock;
 use crate::exchange::{Exchange, Listed};
@@ -14,8 +14,8 @@
 use tansymux::interface::{EngineStatus, Outcome};
 use tansymux::told::{Map, Told};
 use tansymux_operator::{number_of, schema};
-use tansymux_permits::limits::Unit;
-use tansymux_permits::{Stand, Why};
+use tansymux_coordination::limits::Unit;
+use tansymux_coordination::{Stand, Why};
 use tansymux_releases::evidence::{Evidence as Ends, Terms};
 use tansymux_releases::{Fleet, Own};
 use tansymux_zones::wire::Evidence;
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -5,8 +5,8 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use tansymux_membership::seal::Keys;
-use tansymux_permits::limits::{Bounds, Most};
-use tansymux_permits::Terms;
+use tansymux_coordination::limits::{Bounds, Most};
+use tansymux_coordination::Terms;
 use tansymux_releases::{compare, Plan, Settings, Told};
 
 const MOST_VOTERS: usize = 9;
--- a/crates/releases/src/agent.rs
+++ b/crates/releases/src/agent.rs
@@ -5,8 +5,8 @@
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tansymux_permits::wire::Counted;
-use tansymux_permits::{Id, Kind, Record, Value, Why, MOST_RECORDS};
+use tansymux_coordination::wire::Counted;
+use tansymux_coordination::{Id, Kind, Record, Value, Why, MOST_RECORDS};
 
 /// Reports are so far apart (ms), spread by a fifth.
 const REPORT_EVERY: f64 = 1000.0;
@@ -137,7 +137,7 @@
 
     /// The halt that it knows of.
     pub fn halt(&self) -> Option<u32> {
-        match self.copies.get(&tansymux_permits::HALT)?.record.value {
+        match self.copies.get(&tansymux_coordination::HALT)?.record.value {
             Value::Halt { number, .. } => Some(number),
             _ => None,
         }
@@ -167,7 +167,7 @@
     }
 
     pub fn digest(&self) -> u32 {
-        tansymux_permits::digest(self.copies.values().map(|copy| &copy.record))
+        tansymux_coordination::digest(self.copies.values().map(|copy| &copy.record))
     }
 
     pub fn report(&self, to: Id) -> Report {
--- a/crates/releases/src/evidence.rs
+++ b/crates/releases/src/evidence.rs
@@ -2,7 +2,7 @@
 //! many decide under the limits.
 
 use std::collections::BTreeMap;
-use tansymux_permits::Id;
+use tansymux_coordination::Id;
 
 /// Evidence is kept in two halves of so long (ms): it counts for one to two of them.
 const HALF: f64 = 5000.0;
--- a/crates/releases/src/fleet.rs
+++ b/crates/releases/src/fleet.rs
@@ -10,9 +10,9 @@
 use tansymux_membership::seal::Keys;
 use tansymux_membership::wire::id_of;
 use tansymux_membership::{Carried, Group, State};
-use tansymux_permits::limits::Unit;
-use tansymux_permits::wire::Counted;
-use tansymux_permits::{Council, Id, Kind, Record, Stand, Terms, Value, Why};
+use tansymux_coordination::limits::Unit;
+use tansymux_coordination::wire::Counted;
+use tansymux_coordination::{Council, Id, Kind, Record, Stand, Terms, Value, Why};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
 const MOST_NEWS: usize = 4;
@@ -194,7 +194,7 @@
         } = carried;
         if !message::is_one(&content) {
             if let (Some(council), Some(message)) =
-                (&mut self.council, tansymux_permits::wire::read(&content))
+                (&mut self.council, tansymux_coordination::wire::read(&content))
             {
                 council.handle(self.now, from, message);
             }
@@ -361,7 +361,7 @@
             next = next.min(at);
             for (to, message) in messages {
                 self.group
-                    .carry(to, &tansymux_permits::wire::write(&message));
+                    .carry(to, &tansymux_coordination::wire::write(&message));
             }
             let members = self.group.members().map(|member| (member.id, member.state));
             self.steward
--- a/crates/releases/src/message.rs
+++ b/crates/releases/src/message.rs
@@ -1,8 +1,8 @@
 //! What members tell each other beside the voters' messages, in bytes.
 
-use tansymux_permits::limits::{Halt, Scope};
-use tansymux_permits::wire::{put_record, read_records, Counted, MOST};
-use tansymux_permits::{Id, Record, Stage, Why};
+use tansymux_coordination::limits::{Halt, Scope};
+use tansymux_coordination::wire::{put_record, read_records, Counted, MOST};
+use tansymux_coordination::{Id, Record, Stage, Why};
 use tansymux_zones::{wire, Fleetwide};
 
 /// Records that fit behind any of these heads.
--- a/crates/releases/src/plan.rs
+++ b/crates/releases/src/plan.rs
@@ -1,7 +1,7 @@
 //! Whose turn it is in a release, and when it goes on.
 
 use crate::compare;
-use tansymux_permits::{Id, Stage};
+use tansymux_coordination::{Id, Stage};
 
 /// What the operators' file says of releases.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/crates/releases/src/steward.rs
+++ b/crates/releases/src/steward.rs
@@ -5,8 +5,8 @@
 use crate::plan::{NotYet, Plan, Release, Seen};
 use std::collections::{BTreeMap, BTreeSet};
 use tansymux_membership::State;
-use tansymux_permits::limits::{self, Ask, Bounds, Halt, Out, Unit, Verdict, View};
-use tansymux_permits::{Council, Id, Kind, Record, Stage, Value, Why};
+use tansymux_coordination::limits::{self, Ask, Bounds, Halt, Out, Unit, Verdict, View};
+use tansymux_coordination::{Council, Id, Kind, Record, Stage, Value, Why};
 
 /// Lost ones that are written down in one look.
 const MOST_LOST_A_LOOK: usize = 24;
@@ -378,14 +378,14 @@
             }
             Command::Back { number } => self.goes_back(now, council, number),
             Command::Halt { number } => match halt_of(council) {
-                Some(_) => self.agreed(council, tansymux_permits::HALT, Answer::Done),
+                Some(_) => self.agreed(council, tansymux_coordination::HALT, Answer::Done),
                 None => self.halts(now, council, Halt::ByHand, number),
             },
             Command::Resume { number } => match halt_of(council) {
                 Some((halt, ..)) if halt == number => {
                     // What was lost at the halt was seen by whoever resumes.
                     self.compared = None;
-                    self.ends(now, council, tansymux_permits::HALT)
+                    self.ends(now, council, tansymux_coordination::HALT)
                 }
                 Some((number, why, by)) => Answer::Halted { why, by, number },
                 None => Answer::Done,
@@ -430,8 +430,8 @@
             by: council.id(),
             why: why as u8,
         };
-        council.write(now, &[(tansymux_permits::HALT, value, None)]);
-        self.agreed(council, tansymux_permits::HALT, Answer::Done)
+        council.write(now, &[(tansymux_coordination::HALT, value, None)]);
+        self.agreed(council, tansymux_coordination::HALT, Answer::Done)
     }
 
     fn turn(&mut self, now: f64, council: &mut Council, id: Id, to: u32, grant: u64) -> Answer {
@@ -562,7 +562,7 @@
         if let Some((number, why, by)) = halt_of(council) {
             return Answer::Halted { why, by, number };
         }
-        let key = tansymux_permits::RELEASE;
+        let key = tansymux_coordination::RELEASE;
         match release_of(council) {
             Some(running) if running.number == number => self.agreed(council, key, Answer::Done),
             Some(running) if !matches!(running.stage, Stage::Done | Stage::Undone) => {
@@ -596,7 +596,7 @@
 
     /// The way back, from wherever the release is; a halt of it is over with that.
     fn goes_back(&mut self, now: f64, council: &mut Council, number: u32) -> Answer {
-        let key = tansymux_permits::RELEASE;
+        let key = tansymux_coordination::RELEASE;
         let Some(release) = release_of(council).filter(|release| release.number == number) else {
             return Answer::NoSuchRelease;
         };
@@ -621,7 +621,7 @@
         );
         let mut writes = vec![back];
         if halt_of(council).is_some() {
-            writes.push((tansymux_permits::HALT, Value::Over, None));
+            writes.push((tansymux_coordination::HALT, Value::Over, None));
         }
         council.write(now, &writes);
         self.agreed(council, key, Answer::Done)
@@ -781,7 +781,7 @@
                 .any(|(record, _)| record.key == key && record.is_over())
         };
         changes.retain(|(key, ..)| !ending(*key));
-        for some in changes.chunks(tansymux_permits::wire::RECORDS).take(8) {
+        for some in changes.chunks(tansymux_coordination::wire::RECORDS).take(8) {
             council.write(now, some);
         }
     }
@@ -825,7 +825,7 @@
             lost.push((key, value, term));
         }
         lost.truncate(MOST_LOST_A_LOOK);
-        for some in lost.chunks(tansymux_permits::wire::RECORDS) {
+        for some in lost.chunks(tansymux_coordination::wire::RECORDS) {
             council.write(now, some);
         }
     }
@@ -936,14 +936,14 @@
         // Nobody known is no sign that all went, and one that has not said what it is may have to go.
         let units = self.units(Kind::Dispatcher, council);
         let sure = !seen.is_empty() && units.iter().all(|unit| unit.version != 0 || !unit.there);
-        if stage != release.stage && sure && council.is_agreed(tansymux_permits::RELEASE) {
+        if stage != release.stage && sure && council.is_agreed(tansymux_coordination::RELEASE) {
             let Release {
                 number, to, from, ..
             } = release;
             council.write(
                 now,
                 &[(
-                    tansymux_permits::RELEASE,
+                    tansymux_coordination::RELEASE,
                     Value::Release {
                         number,
                         to,
@@ -964,14 +964,14 @@
 
 /// The halt that stands: its number, why, and by whom.
 pub fn halt_of(council: &Council) -> Option<(u32, Halt, Id)> {
-    match council.standing(tansymux_permits::HALT)?.0.value {
+    match council.standing(tansymux_coordination::HALT)?.0.value {
         Value::Halt { number, by, why } => Some((number, Halt::of(why), by)),
         _ => None,
     }
 }
 
 pub fn release_of(council: &Council) -> Option<Release> {
-    match council.standing(tansymux_permits::RELEASE)?.0.value {
+    match council.standing(tansymux_coordination::RELEASE)?.0.value {
         Value::Release {
             number,
             to,
--- a/crates/releases/src/zoned.rs
+++ b/crates/releases/src/zoned.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
-use tansymux_permits::limits::Unit;
-use tansymux_permits::{Council, Id, Record, Value};
+use tansymux_coordination::limits::Unit;
+use tansymux_coordination::{Council, Id, Record, Value};
 use tansymux_zones::wire::{stage_of, why_of, Evidence, Plan, Told};
 use tansymux_zones::{Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MOST_ZONES};
 
--- a/crates/releases/tests/steward.rs
+++ b/crates/releases/tests/steward.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use tansymux_membership::State;
-use tansymux_permits::limits::{Bounds, Most, Scope, Unit};
-use tansymux_permits::{Council, Kind, Record, Terms, Value, Why};
+use tansymux_coordination::limits::{Bounds, Most, Scope, Unit};
+use tansymux_coordination::{Council, Kind, Record, Terms, Value, Why};
 use tansymux_releases::message::{self, Answer, Command, Message, Report};
 use tansymux_releases::{Steward, Told};
 
@@ -359,12 +359,12 @@
     #[test]
     fn no_bytes_make_the_readers_panic_and_what_is_written_is_read(bytes in proptest::collection::vec(any::<u8>(), 0..260), call: u64, number: u32) {
         let _ = message::read(&bytes);
-        let _ = tansymux_permits::wire::read(&bytes);
+        let _ = tansymux_coordination::wire::read(&bytes);
         for code in 16..26 {
             let framed: Vec<u8> = [&[code], bytes.as_slice()].concat();
             if let Some(read) = message::read(&framed) {
                 let again = message::write(&read);
-                prop_assert!(again.len() <= tansymux_permits::wire::MOST);
+                prop_assert!(again.len() <= tansymux_coordination::wire::MOST);
                 prop_assert_eq!(message::read(&again), Some(read));
             }
         }
--- a/crates/rig/src/fleet/world.rs
+++ b/crates/rig/src/fleet/world.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use tansymux_membership::seal::Keys;
 use tansymux_membership::wire::id_of;
-use tansymux_permits::limits::{Bounds, Most, Unit};
-use tansymux_permits::{Stage, Stand, Terms};
+use tansymux_coordination::limits::{Bounds, Most, Unit};
+use tansymux_coordination::{Stage, Stand, Terms};
 use tansymux_releases::message::{Answer, Command};
 use tansymux_releases::{Caller, Fleet, Own, Plan, Settings, Told, Turn, TurnEnd};
 
@@ -801,7 +801,7 @@
         tansymux_releases::release_of(leader.council()?).map(|release| release.stage)
     }
 
-    pub fn halted(&self) -> Option<tansymux_permits::limits::Halt> {
+    pub fn halted(&self) -> Option<tansymux_coordination::limits::Halt> {
         let leader = self.slots[self.leader()?].fleet.as_ref()?;
         tansymux_releases::halt_of(leader.council()?).map(|(_, why, _)| why)
     }
@@ -870,7 +870,7 @@
         let name = |key: u64| {
             let of = |n: &usize| {
                 let id = id_of(&format!("n{n}"));
-                tansymux_permits::Record::key_of(tansymux_permits::Kind::Dispatcher, id) == key
+                tansymux_coordination::Record::key_of(tansymux_coordination::Kind::Dispatcher, id) == key
             };
             (0..self.slots.len())
                 .find(of)
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Fleets in virtual time: the hard cases of turns, drains and releases. Clocks run up to 1% apart in all of them, and
 //! another one is read after each restart.
 
-use tansymux_permits::limits::Halt;
-use tansymux_permits::Stage;
+use tansymux_coordination::limits::Halt;
+use tansymux_coordination::Stage;
 use tansymux_releases::message::Answer;
 use tansymux_rig::fleet::many;
 use tansymux_rig::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
