--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -9,8 +9,8 @@
 use tansymux_membership::wire::id_of;
 use tansymux_operator::{number_of, schema, Operator};
 use tansymux_coordination::Stage as Released;
-use tansymux_releases::message::{Answer, Command, Status};
-use tansymux_releases::{Caller, Settings, Turn, TurnEnd};
+use tansymux_rollout::message::{Answer, Command, Status};
+use tansymux_rollout::{Caller, Settings, Turn, TurnEnd};
 use tansymux_zones::Stage;
 
 /// Granted or done; halted; given up in time, or nobody leads.
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -1,5 +1,5 @@
 //! The fleet on sockets: datagrams in and out, this dispatcher's reports, and engines that are out by agreement. What
-//! is decided, crates/releases and crates/coordination decide.
+//! is decided, crates/rollout and crates/coordination decide.
 
 use crate::clock::Clock;
 use crate::exchange::{Exchange, Listed};
@@ -16,8 +16,8 @@
 use tansymux_operator::{number_of, schema};
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::{Stand, Why};
-use tansymux_releases::evidence::{Evidence as Ends, Terms};
-use tansymux_releases::{Fleet, Own};
+use tansymux_rollout::evidence::{Evidence as Ends, Terms};
+use tansymux_rollout::{Fleet, Own};
 use tansymux_zones::wire::Evidence;
 use tansymux_zones::Use;
 
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -7,7 +7,7 @@
 use tansymux_membership::seal::Keys;
 use tansymux_coordination::limits::{Bounds, Most};
 use tansymux_coordination::Terms;
-use tansymux_releases::{compare, Plan, Settings, Told};
+use tansymux_rollout::{compare, Plan, Settings, Told};
 
 const MOST_VOTERS: usize = 9;
 const MOST_NAME: usize = 64;
--- a/crates/rig/src/fleet/world.rs
+++ b/crates/rig/src/fleet/world.rs
@@ -10,8 +10,8 @@
 use tansymux_membership::wire::id_of;
 use tansymux_coordination::limits::{Bounds, Most, Unit};
 use tansymux_coordination::{Stage, Stand, Terms};
-use tansymux_releases::message::{Answer, Command};
-use tansymux_releases::{Caller, Fleet, Own, Plan, Settings, Told, Turn, TurnEnd};
+use tansymux_rollout::message::{Answer, Command};
+use tansymux_rollout::{Caller, Fleet, Own, Plan, Settings, Told, Turn, TurnEnd};
 
 const STEP: f64 = 10.0;
 /// The release begins so long after the start of all: voters without memory keep still at first.
@@ -748,7 +748,7 @@
             .and_then(|leader| self.slots[leader].fleet.as_ref());
         let halt = leader
             .and_then(Fleet::council)
-            .and_then(tansymux_releases::halt_of);
+            .and_then(tansymux_rollout::halt_of);
         if let Some((number, ..)) = halt {
             self.calls(0, Command::Resume { number }, None);
         }
@@ -798,12 +798,12 @@
     /// What the leader thinks of the release.
     pub fn stage(&self) -> Option<Stage> {
         let leader = self.slots[self.leader()?].fleet.as_ref()?;
-        tansymux_releases::release_of(leader.council()?).map(|release| release.stage)
+        tansymux_rollout::release_of(leader.council()?).map(|release| release.stage)
     }
 
     pub fn halted(&self) -> Option<tansymux_coordination::limits::Halt> {
         let leader = self.slots[self.leader()?].fleet.as_ref()?;
-        tansymux_releases::halt_of(leader.council()?).map(|(_, why, _)| why)
+        tansymux_rollout::halt_of(leader.council()?).map(|(_, why, _)| why)
     }
 
     /// What the leader keeps, for whoever looks for a cause.
@@ -954,7 +954,7 @@
                     .and_then(|leader| self.slots[leader].fleet.as_ref());
                 let halt = leader
                     .and_then(Fleet::council)
-                    .and_then(tansymux_releases::halt_of);
+                    .and_then(tansymux_rollout::halt_of);
                 if let Some((number, ..)) = halt {
                     self.calls(0, Command::Resume { number }, None);
                 } else if leader.is_some() && self.stage().is_none() {
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -3,7 +3,7 @@
 
 use tansymux_coordination::limits::Halt;
 use tansymux_coordination::Stage;
-use tansymux_releases::message::Answer;
+use tansymux_rollout::message::Answer;
 use tansymux_rig::fleet::many;
 use tansymux_rig::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
 use tansymux_rig::fleet::world::{told, Served, World};
--- a/crates/releases/tests/steward.rs
+++ b/crates/rollout/tests/steward.rs
@@ -4,8 +4,8 @@
 use tansymux_membership::State;
 use tansymux_coordination::limits::{Bounds, Most, Scope, Unit};
 use tansymux_coordination::{Council, Kind, Record, Terms, Value, Why};
-use tansymux_releases::message::{self, Answer, Command, Message, Report};
-use tansymux_releases::{Steward, Told};
+use tansymux_rollout::message::{self, Answer, Command, Message, Report};
+use tansymux_rollout::{Steward, Told};
 
 const T0: f64 = 1e12;
 
