--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -67,7 +67,7 @@
     /// Nothing new goes out. `number`: drawn for each halt, so that only that one is ended; `by`: who said so; `why`:
     /// a number of [`crate::limits::Halt`].
     Halt { number: u32, by: Id, why: u8 },
-    /// How a zone stands, by the numbers of crates/zones.
+    /// How a zone stands, by the numbers of crates/zone-evacuation.
     Zone {
         zone: u32,
         stage: u8,
--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -11,7 +11,7 @@
 use tansymux_coordination::Stage as Released;
 use tansymux_rollout::message::{Answer, Command, Status};
 use tansymux_rollout::{Caller, Settings, Turn, TurnEnd};
-use tansymux_zones::Stage;
+use tansymux_zone_evacuation::Stage;
 
 /// Granted or done; halted; given up in time, or nobody leads.
 const HALTED: u8 = 3;
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -18,8 +18,8 @@
 use tansymux_coordination::{Stand, Why};
 use tansymux_rollout::evidence::{Evidence as Ends, Terms};
 use tansymux_rollout::{Fleet, Own};
-use tansymux_zones::wire::Evidence;
-use tansymux_zones::Use;
+use tansymux_zone_evacuation::wire::Evidence;
+use tansymux_zone_evacuation::Use;
 
 /// What it says of itself is put together so often (ms).
 const SAYS_EVERY: f64 = 200.0;
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -13,8 +13,8 @@
 use tansymux_halls::message::Reach as Reached;
 use tansymux_halls::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 use tansymux_operator::schema;
-use tansymux_zones::wire::{Evidence, Reach};
-use tansymux_zones::Use;
+use tansymux_zone_evacuation::wire::{Evidence, Reach};
+use tansymux_zone_evacuation::Use;
 
 /// Who has nothing running at the moment wants a little all the same (threads).
 const LEAST_DEMAND: f64 = 0.1;
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -115,8 +115,8 @@
     })
 }
 
-fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zones::Definition {
-    tansymux_zones::Definition {
+fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zone_evacuation::Definition {
+    tansymux_zone_evacuation::Definition {
         lost_part: told.lost_part(),
         sure: told.sure_s() * 1000.0,
         known_part: told.known_part(),
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -3,7 +3,7 @@
 use tansymux_coordination::limits::{Halt, Scope};
 use tansymux_coordination::wire::{put_record, read_records, Counted, MOST};
 use tansymux_coordination::{Id, Record, Stage, Why};
-use tansymux_zones::{wire, Fleetwide};
+use tansymux_zone_evacuation::{wire, Fleetwide};
 
 /// Records that fit behind any of these heads.
 pub const RECORDS: usize = (MOST - 13) / 47;
--- a/crates/zones/tests/zones.rs
+++ b/crates/zone-evacuation/tests/zones.rs
@@ -4,8 +4,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
-use tansymux_zones::wire::{self, Evidence, Plan, Reach, Told};
-use tansymux_zones::{
+use tansymux_zone_evacuation::wire::{self, Evidence, Plan, Reach, Told};
+use tansymux_zone_evacuation::{
     Decision, Definition, Fleetwide, Guide, Refused, Shares, Stage, Use, Verdict, Watch, Why,
 };
 
