--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -10,8 +10,8 @@
 use tansymux::interface::{EngineStatus, Outcome};
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::{self, Map, Told};
-use tansymux_halls::message::Reach as Reached;
-use tansymux_halls::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
+use tansymux_zone_routing::message::Reach as Reached;
+use tansymux_zone_routing::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 use tansymux_operator::schema;
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
@@ -219,7 +219,7 @@
 
     /// A peer's message, if it is one about halls.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
-        if content.first() != Some(&tansymux_halls::message::KIND) {
+        if content.first() != Some(&tansymux_zone_routing::message::KIND) {
             return false;
         }
         if let Some(judge) = self.on.borrow_mut().as_mut() {
@@ -252,7 +252,7 @@
                 Value::Null
             }
         };
-        let hall = |hall: &tansymux_halls::HallPlan| {
+        let hall = |hall: &tansymux_zone_routing::HallPlan| {
             let part = if let HallState::Climbing(part) = hall.state {
                 json!(part)
             } else {
@@ -295,7 +295,7 @@
 }
 
 fn given(plan: &Plan) -> Given {
-    let hall = |hall: &tansymux_halls::HallPlan| GivenHall {
+    let hall = |hall: &tansymux_zone_routing::HallPlan| GivenHall {
         name: hall.name.clone(),
         ranks: hall.ranks.clone(),
         spill: hall.spill,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: a discrete-event emulator small enough to read in an hour ([`world`]), experiments as files
 //! ([`experiment`]), many seeds side by side and paired comparisons ([`compare`]), and what is shown of them
-//! ([`report`]). It holds no decision: `tansymux::control` and `tansymux_halls` are what is tried. Figures of it are
+//! ([`report`]). It holds no decision: `tansymux::control` and `tansymux_zone_routing` are what is tried. Figures of it are
 //! figures of this emulator, and named so.
 //!
 //! Start reading at [`world::run`].
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -14,7 +14,7 @@
 use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::Map;
-use tansymux_halls::{Judge, Kind, Plan, Seen};
+use tansymux_zone_routing::{Judge, Kind, Plan, Seen};
 use tansymux_rig::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_rig::record::{Entry, Status, What};
 
@@ -396,7 +396,7 @@
 }
 
 fn given(plan: &Plan) -> Given {
-    let hall = |hall: &tansymux_halls::HallPlan| GivenHall {
+    let hall = |hall: &tansymux_zone_routing::HallPlan| GivenHall {
         name: hall.name.clone(),
         ranks: hall.ranks.clone(),
         spill: hall.spill,
@@ -943,11 +943,11 @@
     }
 
     fn told(&mut self, gateway: usize) {
-        let engines: Vec<tansymux_halls::Engine> = (self.engine_halls.iter().enumerate())
+        let engines: Vec<tansymux_zone_routing::Engine> = (self.engine_halls.iter().enumerate())
             .map(|(n, hall)| {
                 let ready = self.list[n].2 == EngineStatus::Ready;
                 let cores = self.engines[n].cores;
-                tansymux_halls::Engine {
+                tansymux_zone_routing::Engine {
                     node: n as u64 + 1,
                     hall: self.halls[*hall].clone(),
                     cores,
--- a/crates/operator/src/halls.rs
+++ b/crates/operator/src/halls.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Faults;
 use crate::schema;
-use tansymux_halls::{define, Climb, Cut, Definition, Route, Spill, Tier};
+use tansymux_zone_routing::{define, Climb, Cut, Definition, Route, Spill, Tier};
 
 /// The definition that the file tells. It may have faults: see `check`.
 pub fn halls(told: &schema::Halls) -> Definition {
--- a/crates/zone-evacuation/src/lib.rs
+++ b/crates/zone-evacuation/src/lib.rs
@@ -1,12 +1,12 @@
 //! Leaving a zone that fails, as a fleet, and returning.
 //!
-//! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/halls says "hall" for
+//! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/zone-routing says "hall" for
 //! the same thing.
 //!
 //! Owns: what the leader makes of the evidence of all ([`Watch`]), its numbered decisions ([`Decision`]), the shares of
 //! a returning zone that it gives out ([`Shares`]), and what a member makes of both and of not hearing them
 //! ([`Guide`]). It does no I/O, reads no clock, sends nothing and keeps nothing for good: decisions are agreed by
-//! crates/coordination, and what one dispatcher judges alone stays with crates/halls.
+//! crates/coordination, and what one dispatcher judges alone stays with crates/zone-routing.
 //!
 //! Invariants, checked in `tests/`:
 //! - the shares of a zone that members may hold at any moment add up to no more than its step, whoever is lost,
--- a/crates/halls/tests/cuts.rs
+++ b/crates/zone-routing/tests/cuts.rs
@@ -1,6 +1,6 @@
 //! Halls that are cut, half cut, flap, come back cold or under other names, in virtual time; each hard case by name.
 
-use tansymux_halls::{
+use tansymux_zone_routing::{
     Changed, Climb, Cut, Definition, Engine, HallState, Judge, Kind, Plan, Route, Seen, Spill,
     Tier, Why,
 };
