--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -7,7 +7,7 @@
 use tansymux::control::Control;
 use tansymux::state::Reduced;
 use tansymux::told::{self, Map, Told};
-use tansymux_levels::{Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows};
+use tansymux_service_levels::{Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows};
 use tansymux_operator::schema;
 
 /// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
@@ -229,7 +229,7 @@
 
     /// A peer's message, if it is one about levels.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
-        if content.first() != Some(&tansymux_levels::message::KIND) {
+        if content.first() != Some(&tansymux_service_levels::message::KIND) {
             return false;
         }
         if let Some(on) = self.on.borrow_mut().as_mut() {
--- a/crates/operator/src/levels.rs
+++ b/crates/operator/src/levels.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Faults;
 use crate::schema::{self, term};
-use tansymux_levels::{define, Condition, Definition, Level, Reduction, Signal, Term};
+use tansymux_service_levels::{define, Condition, Definition, Level, Reduction, Signal, Term};
 
 /// The definition that the file tells. It may have faults: see `check`.
 pub fn definition(told: &schema::Levels) -> Definition {
--- a/crates/levels/tests/model.rs
+++ b/crates/service-levels/tests/model.rs
@@ -2,7 +2,7 @@
 
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
-use tansymux_levels::{Condition, Definition, Level, Machine, Reduction, Signal, Term};
+use tansymux_service_levels::{Condition, Definition, Level, Machine, Reduction, Signal, Term};
 
 /// A step of time (ms), and how many looks a machine takes in it.
 const STEP: f64 = 20_000.0;
--- a/crates/levels/tests/swings.rs
+++ b/crates/service-levels/tests/swings.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
-use tansymux_levels::{
+use tansymux_service_levels::{
     Change, Condition, Definition, Level, Machine, Reduction, Signal, Term, Why,
 };
 
@@ -118,7 +118,7 @@
 
 #[test]
 fn definitions_of_these_tests_have_no_faults() {
-    assert_eq!(tansymux_levels::define::faults(&three()), []);
+    assert_eq!(tansymux_service_levels::define::faults(&three()), []);
 }
 
 #[test]
@@ -561,7 +561,7 @@
     let faults = |change: fn(&mut Definition)| {
         let mut definition = three();
         change(&mut definition);
-        let faults = tansymux_levels::define::faults(&definition);
+        let faults = tansymux_service_levels::define::faults(&definition);
         faults
             .iter()
             .map(|f| format!("{}.{}: {}, {}", f.level, f.key, f.found, f.allowed))
