--- a/crates/knowledge/tests/merging.rs
+++ b/crates/engine-state/tests/merging.rs
@@ -1,7 +1,7 @@
 //! Merging and belief: each promise by name, and the laws of merging by random facts in random order.
 
 use proptest::prelude::*;
-use tansymux_knowledge::{wire, Fact, Facts, Kind};
+use tansymux_engine_state::{wire, Fact, Facts, Kind};
 
 const OWN: u64 = 1;
 const DONOR: u64 = 2;
@@ -148,9 +148,9 @@
         facts.merge(n as f64, &told);
         facts.merge(n as f64, &Fact { engine: 5, ..told });
     }
-    assert!(facts.len() <= tansymux_knowledge::MOST_ENGINES);
+    assert!(facts.len() <= tansymux_engine_state::MOST_ENGINES);
     assert!(
-        facts.all(0.0).iter().filter(|f| f.engine == 5).count() <= tansymux_knowledge::MOST_ORIGINS
+        facts.all(0.0).iter().filter(|f| f.engine == 5).count() <= tansymux_engine_state::MOST_ORIGINS
     );
     for value in [f64::NAN, f64::INFINITY] {
         let before = facts.len();
