--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tansymux_membership::wire::id_of;
-use tansymux_operator::{number_of, schema, Operator};
+use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_coordination::Stage as Released;
 use tansymux_rollout::message::{Answer, Command, Status};
 use tansymux_rollout::{Caller, Settings, Turn, TurnEnd};
@@ -109,7 +109,7 @@
 impl Line {
     fn open(how: &Fleet, told: &schema::Fleet) -> io::Result<Self> {
         let other = |e: &str| io::Error::other(e.to_owned());
-        let settings = tansymux_operator::fleet(told, 0)
+        let settings = tansymux_operator_config::fleet(told, 0)
             .ok_or_else(|| other("fleet: a needed key is missing"))?;
         let own = || {
             told.listen()
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -12,8 +12,8 @@
 use std::rc::Rc;
 use tansymux::interface::{Outcome, Text};
 use tansymux::told::{self, Map, Told};
-use tansymux_operator::schema::statements::{Check, Dialect as ToldDialect};
-use tansymux_operator::schema::{self, Class as ToldClass};
+use tansymux_operator_config::schema::statements::{Check, Dialect as ToldDialect};
+use tansymux_operator_config::schema::{self, Class as ToldClass};
 use tansymux_statements::{
     Class, Counts, Dialect, Effect, End, Learning, Observation, Prices, Read, Rule, Settings,
     Statements,
@@ -382,7 +382,7 @@
     #[test]
     fn the_operators_example_gives_the_same_settings_as_none() {
         let text = include_str!("../../../deploy/operator.textproto");
-        let operator = tansymux_operator::read(text).unwrap();
+        let operator = tansymux_operator_config::read(text).unwrap();
         assert_eq!(
             settings_of(&operator.statements.unwrap()),
             Settings::default()
--- a/crates/dispatcher/src/classify.rs
+++ b/crates/dispatcher/src/classify.rs
@@ -4,7 +4,7 @@
 use crate::cli::Classify;
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use tansymux_operator::Operator;
+use tansymux_operator_config::Operator;
 use tansymux_statements::{Settings, Statements};
 
 /// The longest entry that is read; what is longer is answered with an error, and its end is looked for.
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -27,7 +27,7 @@
 use tansymux::interface::{Bounds, Feed, ListForm, Note, Outcome, Writer};
 use tansymux::pcg::Pcg;
 use tansymux::told::Map;
-use tansymux_operator::Operator;
+use tansymux_operator_config::Operator;
 
 /// After the signal to end: how long new connections are still waited for (ms). The platform sends new ones for 0.4 s
 /// and requests on open ones for 0.2 s more.
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tansymux::interface::{EngineStatus, Outcome};
 use tansymux::told::{Map, Told};
-use tansymux_operator::{number_of, schema};
+use tansymux_operator_config::{number_of, schema};
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::{Stand, Why};
 use tansymux_rollout::evidence::{Evidence as Ends, Terms};
@@ -66,7 +66,7 @@
         let turn = std::env::var(TURN_VARIABLE)
             .ok()
             .and_then(|turn| u64::from_str_radix(turn.trim(), 16).ok());
-        let mut own = tansymux_operator::fleet(told, turn.unwrap_or(0))
+        let mut own = tansymux_operator_config::fleet(told, turn.unwrap_or(0))
             .ok_or("fleet: a needed key is missing")?;
         let hall = settings.get("zone").map_or(0, |hall| number_of(hall));
         own.zones.iter_mut().for_each(|(zone, _)| *zone = hall);
@@ -107,7 +107,7 @@
 
     /// Takes on what may change while it runs; the rest waits for the next start.
     pub fn set(&self, told: Option<&schema::Fleet>) {
-        let own = told.and_then(|told| tansymux_operator::fleet(told, 0));
+        let own = told.and_then(|told| tansymux_operator_config::fleet(told, 0));
         let (Some(told), Some(own)) = (told, own) else {
             return tracing::warn!(
                 "the fleet stays as it was: the operators' file tells of none any more"
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/halls.rs
@@ -12,7 +12,7 @@
 use tansymux::told::{self, Map, Told};
 use tansymux_zone_routing::message::Reach as Reached;
 use tansymux_zone_routing::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
-use tansymux_operator::schema;
+use tansymux_operator_config::schema;
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
 
@@ -58,7 +58,7 @@
     /// Takes on what the operators' file says; it was checked before. What is known of halls stays.
     pub fn set(&self, told: Option<&schema::Halls>, now: f64, control: &mut Control) {
         let mut on = self.on.borrow_mut();
-        match (on.as_mut(), told.map(tansymux_operator::halls)) {
+        match (on.as_mut(), told.map(tansymux_operator_config::halls)) {
             (_, None) => {
                 if on.take().is_some() {
                     tracing::info!("tiers between halls are off");
@@ -135,7 +135,7 @@
                 Reached::Unknown => Reach::Unknown,
             };
             Evidence {
-                zone: tansymux_operator::number_of(name),
+                zone: tansymux_operator_config::number_of(name),
                 reach,
                 threads: threads as f32,
                 good,
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -8,7 +8,7 @@
 use tansymux::state::Reduced;
 use tansymux::told::{self, Map, Told};
 use tansymux_service_levels::{Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows};
-use tansymux_operator::schema;
+use tansymux_operator_config::schema;
 
 /// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
 const LOOK_EVERY: f64 = 250.0;
@@ -86,7 +86,7 @@
     /// they had.
     pub fn set(&self, told: Option<&schema::Levels>, now: f64, control: &mut Control) {
         let definition = told
-            .map(tansymux_operator::definition)
+            .map(tansymux_operator_config::definition)
             .filter(|d| !d.levels.is_empty());
         let mut on = self.on.borrow_mut();
         match (on.as_mut(), definition) {
--- a/crates/dispatcher/src/log.rs
+++ b/crates/dispatcher/src/log.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, Ordering::Relaxed};
 use std::time::Instant;
-use tansymux_operator::schema;
+use tansymux_operator_config::schema;
 use tracing::callsite::Identifier;
 use tracing::level_filters::LevelFilter;
 use tracing::{Event, Level, Metadata, Subscriber};
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -61,7 +61,7 @@
         if let Some(&node) = self.nodes.get(id) {
             return node;
         }
-        let mut node = u64::from(tansymux_operator::number_of(id));
+        let mut node = u64::from(tansymux_operator_config::number_of(id));
         while self.taken.insert(node, ()).is_some() {
             node = (node + 1) & 0xffff_ffff;
         }
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -3,14 +3,14 @@
 use crate::config::text_of;
 use std::path::Path;
 use tansymux::told::{self, Map, Told};
-use tansymux_operator::schema::term::Signal::Pressed;
-use tansymux_operator::{Fault, Operator, MOST_BYTES};
+use tansymux_operator_config::schema::term::Signal::Pressed;
+use tansymux_operator_config::{Fault, Operator, MOST_BYTES};
 
 /// Reads and checks the file; what is wrong, a line for each fault, with file and line.
 pub fn read(path: &Path) -> Result<Operator, Vec<String>> {
     let name = path.display().to_string();
     let text = text_of(&name, MOST_BYTES as u64).map_err(|e| vec![format!("{name}{e}")])?;
-    tansymux_operator::read(&text).map_err(|faults| lines(&name, &faults))
+    tansymux_operator_config::read(&text).map_err(|faults| lines(&name, &faults))
 }
 
 /// The file that is named, if one is; else what a file that says nothing says.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -430,8 +430,8 @@
                 engine_halls.push(n);
             }
         }
-        let told = tansymux_operator::read(e.arm[arm].operator()).unwrap_or_default();
-        let definition = told.halls.as_ref().map(tansymux_operator::halls);
+        let told = tansymux_operator_config::read(e.arm[arm].operator()).unwrap_or_default();
+        let definition = told.halls.as_ref().map(tansymux_operator_config::halls);
         let gateways: Vec<Gateway> = (0..e.dispatchers() as usize)
             .map(|n| Gateway {
                 control: Control::new(
--- a/crates/operator/tests/faults.rs
+++ b/crates/operator-config/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Files that are wrong are refused whole, by place and key.
 
 use proptest::prelude::*;
-use tansymux_operator::{read, schema};
+use tansymux_operator_config::{read, schema};
 
 fn faults(text: &str) -> Vec<String> {
     read(text)
