--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -14,7 +14,7 @@
 use tansymux::told::{self, Map, Told};
 use tansymux_operator_config::schema::statements::{Check, Dialect as ToldDialect};
 use tansymux_operator_config::schema::{self, Class as ToldClass};
-use tansymux_statements::{
+use tansymux_sql_analysis::{
     Class, Counts, Dialect, Effect, End, Learning, Observation, Prices, Read, Rule, Settings,
     Statements,
 };
--- a/crates/dispatcher/src/classify.rs
+++ b/crates/dispatcher/src/classify.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use tansymux_operator_config::Operator;
-use tansymux_statements::{Settings, Statements};
+use tansymux_sql_analysis::{Settings, Statements};
 
 /// The longest entry that is read; what is longer is answered with an error, and its end is looked for.
 const MOST_ENTRY: usize = 256 * 1024;
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -22,7 +22,7 @@
 use table::{ConnectionTable, Entry, State};
 use tansymux::interface::Text;
 use tansymux::told;
-use tansymux_statements::table_group;
+use tansymux_sql_analysis::table_group;
 
 /// The paths of the protocol, and one for the counters.
 const QUERY_PATH: &str = "/invoke/";
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -8,7 +8,7 @@
 use std::fmt::Write as _;
 use std::hint::black_box;
 use std::time::Instant;
-use tansymux_statements::{Class, Effect, End, Observation, Settings, Statements};
+use tansymux_sql_analysis::{Class, Effect, End, Observation, Settings, Statements};
 
 /// Forms a pattern, and statements a form.
 pub const FORMS: usize = 8;
--- a/crates/statements/benches/read.rs
+++ b/crates/sql-analysis/benches/read.rs
@@ -1,6 +1,6 @@
-//! Time of a read where the shape is known and where it is new: `cargo bench -p tansymux-statements`.
+//! Time of a read where the shape is known and where it is new: `cargo bench -p tansymux-sql-analysis`.
 
-use tansymux_statements::{Settings, Statements};
+use tansymux_sql_analysis::{Settings, Statements};
 
 fn main() {
     divan::main();
--- a/crates/statements/tests/hard.rs
+++ b/crates/sql-analysis/tests/hard.rs
@@ -1,7 +1,7 @@
 //! The hard cases, each by name: what must never count as read-only, what bounds time and stack, what a flood does.
 
 use std::time::{Duration, Instant};
-use tansymux_statements::{Class, Effect, End, Observation, Read, Rule, Settings, Statements};
+use tansymux_sql_analysis::{Class, Effect, End, Observation, Read, Rule, Settings, Statements};
 
 fn statements() -> Statements {
     Statements::new(Settings::default(), [7; 16])
