--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -7,13 +7,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tansymux_rig::client::{ask, Ask};
-use tansymux_rig::engine::scripted;
-use tansymux_rig::fleet::processes::play;
-use tansymux_rig::fleet::scenario::Scenario;
-use tansymux_rig::program::{class, free_address, free_udp_address, Config, Program, Scrap, WAIT};
-use tansymux_rig::record::Record;
-use tansymux_rig::wire::say;
+use tansymux_testbed::client::{ask, Ask};
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::fleet::processes::play;
+use tansymux_testbed::fleet::scenario::Scenario;
+use tansymux_testbed::program::{class, free_address, free_udp_address, Config, Program, Scrap, WAIT};
+use tansymux_testbed::record::Record;
+use tansymux_testbed::wire::say;
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 /// Each of these runs has several processes; not all of them at once, or a busy machine looks like a failing fleet.
@@ -56,7 +56,7 @@
     let seen = play(Path::new(EXE), scenario, false, None);
     assert!(
         seen.broken.is_empty(),
-        "{}\n  again: tansymux-rig fleet --name {name} --first 1",
+        "{}\n  again: tansymux-testbed fleet --name {name} --first 1",
         seen.line()
     );
     println!("{}", seen.line());
--- a/crates/dispatcher/tests/halls.rs
+++ b/crates/dispatcher/tests/halls.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_rig::check::{judge, ClassRules, Effect, Rules};
-use tansymux_rig::client::{ask, Ask, Got};
-use tansymux_rig::engine::{Engine, Fault, Spec, Work, World};
-use tansymux_rig::program::{class, free_address, get, Config, Program, Scrap};
-use tansymux_rig::record::What;
+use tansymux_testbed::check::{judge, ClassRules, Effect, Rules};
+use tansymux_testbed::client::{ask, Ask, Got};
+use tansymux_testbed::engine::{Engine, Fault, Spec, Work, World};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, Scrap};
+use tansymux_testbed::record::What;
 
 const HALLS: &str = r#"halls {
   route { from: "east" tier { hall: "east" } tier { hall: "west" } }
--- a/crates/dispatcher/tests/levels.rs
+++ b/crates/dispatcher/tests/levels.rs
@@ -6,12 +6,12 @@
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_rig::client::Ask;
-use tansymux_rig::engine::scripted;
-use tansymux_rig::program::{
+use tansymux_testbed::client::Ask;
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::{
     class, free_address, free_udp_address, get, Config, Program, Scrap, WAIT,
 };
-use tansymux_rig::wire::{answer, field, say};
+use tansymux_testbed::wire::{answer, field, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
--- a/crates/dispatcher/tests/life_cycle.rs
+++ b/crates/dispatcher/tests/life_cycle.rs
@@ -11,10 +11,10 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_rig::client::Ask;
-use tansymux_rig::engine::{scripted, vanishes};
-use tansymux_rig::program::{class, free_address, get, Config, Program, Scrap, WAIT};
-use tansymux_rig::wire::{self, answer, say};
+use tansymux_testbed::client::Ask;
+use tansymux_testbed::engine::{scripted, vanishes};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, Scrap, WAIT};
+use tansymux_testbed::wire::{self, answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 /// After SIGTERM new connections are waited for so long.
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -1,4 +1,4 @@
-//! The program on sockets, between clients and engines that stand in by the published protocol (crates/rig).
+//! The program on sockets, between clients and engines that stand in by the published protocol (crates/testbed).
 
 use serde_json::json;
 use std::io::{BufReader, Read, Write};
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_rig::client::{post_slowly as post_in_two, Ask};
-use tansymux_rig::engine::{scripted as engine, vanishes};
-use tansymux_rig::names::{Listed, Names};
-use tansymux_rig::program::{class, free_address, get, Config, Program, WAIT};
-use tansymux_rig::record::{Record, Status};
-use tansymux_rig::wire::{self, answer};
+use tansymux_testbed::client::{post_slowly as post_in_two, Ask};
+use tansymux_testbed::engine::{scripted as engine, vanishes};
+use tansymux_testbed::names::{Listed, Names};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, WAIT};
+use tansymux_testbed::record::{Record, Status};
+use tansymux_testbed::wire::{self, answer};
 
 const TICK: Duration = Duration::from_millis(1);
 
--- a/crates/dispatcher/tests/standing.rs
+++ b/crates/dispatcher/tests/standing.rs
@@ -19,14 +19,14 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_rig::client::{post_slowly, Ask};
-use tansymux_rig::engine::scripted;
-use tansymux_rig::names::{Listed, Names};
-use tansymux_rig::program::{
+use tansymux_testbed::client::{post_slowly, Ask};
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::names::{Listed, Names};
+use tansymux_testbed::program::{
     class, free_address, free_udp_address, own_memory, used, Config, Program, Scrap, WAIT,
 };
-use tansymux_rig::record::{Record, Status};
-use tansymux_rig::wire::{answer, say};
+use tansymux_testbed::record::{Record, Status};
+use tansymux_testbed::wire::{answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use tansymux_rig::check::{judge, ClassRules, Effect, Rules};
-use tansymux_rig::client::{ask, Ask};
-use tansymux_rig::corpus::{corpus, mutated};
-use tansymux_rig::engine::{scripted, Engine, Spec, Work, World};
-use tansymux_rig::program::{class, free_address, Config, Program, Scrap, WAIT};
-use tansymux_rig::wire::{answer, say};
+use tansymux_testbed::check::{judge, ClassRules, Effect, Rules};
+use tansymux_testbed::client::{ask, Ask};
+use tansymux_testbed::corpus::{corpus, mutated};
+use tansymux_testbed::engine::{scripted, Engine, Spec, Work, World};
+use tansymux_testbed::program::{class, free_address, Config, Program, Scrap, WAIT};
+use tansymux_testbed::wire::{answer, say};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 const ON: &str =
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -6,7 +6,7 @@
 use minijinja::{context, Environment};
 use std::fmt::Write as _;
 use std::path::Path;
-use tansymux_rig::plot::{plot, Line};
+use tansymux_testbed::plot::{plot, Line};
 
 /// What is shown of a run: a name, and how it is read.
 type Figure = (&'static str, fn(&Outcomes) -> f64);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -15,8 +15,8 @@
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::Map;
 use tansymux_zone_routing::{Judge, Kind, Plan, Seen};
-use tansymux_rig::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
-use tansymux_rig::record::{Entry, Status, What};
+use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
+use tansymux_testbed::record::{Entry, Status, What};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
--- a/crates/rig/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,15 +1,15 @@
-//! Runs and measurements on loopback: `cargo run --release -p tansymux-rig -- demo`.
+//! Runs and measurements on loopback: `cargo run --release -p tansymux-testbed -- demo`.
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tansymux_rig::fleet::zones::Course;
-use tansymux_rig::fleet::{self, many, scenario::Scenario};
-use tansymux_rig::{demo, halls, levels, measure, program, replay};
+use tansymux_testbed::fleet::zones::Course;
+use tansymux_testbed::fleet::{self, many, scenario::Scenario};
+use tansymux_testbed::{demo, halls, levels, measure, program, replay};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
 #[derive(Debug, Parser)]
-#[command(name = "tansymux-rig", version)]
+#[command(name = "tansymux-testbed", version)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -162,7 +162,7 @@
     program::ends_with_the_rig();
     let exe = || {
         program::beside().unwrap_or_else(|e| {
-            eprintln!("tansymux-rig: {e}");
+            eprintln!("tansymux-testbed: {e}");
             std::process::exit(1)
         })
     };
@@ -218,7 +218,7 @@
                 let scenario = match of(seed) {
                     Ok(scenario) => scenario.on_processes(),
                     Err(e) => {
-                        eprintln!("tansymux-rig: {e}");
+                        eprintln!("tansymux-testbed: {e}");
                         return ExitCode::FAILURE;
                     }
                 };
@@ -233,7 +233,7 @@
                 println!("{}", seen.line());
                 if !seen.broken.is_empty() {
                     println!(
-                        "  again: tansymux-rig fleet --members {members} --first {seed} --seeds 1"
+                        "  again: tansymux-testbed fleet --members {members} --first {seed} --seeds 1"
                     );
                 }
                 all.push(seen);
--- a/crates/rig/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -4,9 +4,9 @@
 use tansymux_coordination::limits::Halt;
 use tansymux_coordination::Stage;
 use tansymux_rollout::message::Answer;
-use tansymux_rig::fleet::many;
-use tansymux_rig::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
-use tansymux_rig::fleet::world::{told, Served, World};
+use tansymux_testbed::fleet::many;
+use tansymux_testbed::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
+use tansymux_testbed::fleet::world::{told, Served, World};
 
 fn holds(seeds: std::ops::Range<u64>, scenario: impl Fn(u64) -> Scenario + Sync) {
     let (table, broken) = many(seeds, scenario, false, false);
