--- a/crates/lab/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,14 +1,14 @@
-//! `tansymux-lab`: experiments in virtual time.
+//! `tansymux-simulator`: experiments in virtual time.
 
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use tansymux_lab::schema::Experiment;
-use tansymux_lab::{compare, experiment, report, world};
+use tansymux_simulator::schema::Experiment;
+use tansymux_simulator::{compare, experiment, report, world};
 
 /// A small emulator round the real decisions: runs experiments, compares arms, plots.
 #[derive(Debug, Parser)]
-#[command(name = "tansymux-lab", version)]
+#[command(name = "tansymux-simulator", version)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -65,7 +65,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
-            eprintln!("tansymux-lab: {e}");
+            eprintln!("tansymux-simulator: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lab/tests/small.rs
+++ b/crates/simulator/tests/small.rs
@@ -1,8 +1,8 @@
 //! The lab itself: same seeds, same runs; rules kept; a hall that is lost and comes back; and how it stands beside
 //! the rig's sockets.
 
-use tansymux_lab::schema::Experiment;
-use tansymux_lab::{compare, experiment, report, world};
+use tansymux_simulator::schema::Experiment;
+use tansymux_simulator::{compare, experiment, report, world};
 
 fn hall_cut(seeds: u32, seconds: f64) -> Experiment {
     let mut e = experiment::read(include_str!("../experiments/hall-cut.textproto")).unwrap();
