Modules named halls become zone_routing; counters keep their printed names apart

Need: the field's term, and room to rename fields: the macro of the counters took the printed name from the field. Now each line gives both, and what is printed stays byte for byte as it was.

--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -5,8 +5,8 @@
 //! with the query, and they keep the rules.
 
 use crate::exchange::{Exchange, Listed};
-use crate::halls::Halls;
 use crate::levels::Levels;
+use crate::zone_routing::Halls;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -21,7 +21,7 @@
 pub type Line = Box<dyn Fn(&mut String)>;
 
 macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+    ($($(#[$doc:meta])* $name:ident: $label:literal),* $(,)?) => {
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
@@ -33,7 +33,7 @@
 
         impl Counters {
             fn plain(&self) -> impl Iterator<Item = (&'static str, u64)> {
-                [$((stringify!($name), self.$name.get())),*].into_iter()
+                [$(($label, self.$name.get())),*].into_iter()
             }
         }
     };
@@ -52,37 +52,37 @@
 
 counters! {
     /// Queries: taken = finished + deferred + killed + vanished + those in hand without an answer.
-    taken,
-    finished,
-    deferred,
-    killed,
-    vanished,
+    taken: "taken",
+    finished: "finished",
+    deferred: "deferred",
+    killed: "killed",
+    vanished: "vanished",
     /// Requests that never became a query, and answers that could not be written out.
-    requests_rejected,
-    answers_not_written,
-    connections_from_clients,
+    requests_rejected: "requests_rejected",
+    answers_not_written: "answers_not_written",
+    connections_from_clients: "connections_from_clients",
     /// Clients' connections closed to make room for others.
-    connections_evicted,
-    connections_to_engines,
+    connections_evicted: "connections_evicted",
+    connections_to_engines: "connections_to_engines",
     /// Those that did not come up in their time; some came later.
-    connections_late,
-    connections_late_up,
+    connections_late: "connections_late",
+    connections_late_up: "connections_late_up",
     /// Those that ended because what came could not be read or used, or stopped short.
-    connections_spoilt,
+    connections_spoilt: "connections_spoilt",
     /// Those that ended as soon as something went out on them after they had idled.
-    connections_lost_idle,
+    connections_lost_idle: "connections_lost_idle",
     /// Submissions = the sum of their ends + those that are out.
-    submissions,
-    probes,
-    lists,
+    submissions: "submissions",
+    probes: "probes",
+    lists: "lists",
     /// Answers of the name service that could not be used or were not believed.
-    lists_passed_over,
-    lookups,
-    configurations_read,
-    operator_files_read,
-    messages_sent,
-    messages_heard,
-    rounds,
+    lists_passed_over: "lists_passed_over",
+    lookups: "lookups",
+    configurations_read: "configurations_read",
+    operator_files_read: "operator_files_read",
+    messages_sent: "messages_sent",
+    messages_heard: "messages_heard",
+    rounds: "rounds",
 }
 
 impl Counters {
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -7,8 +7,10 @@
 use tansymux::control::Control;
 use tansymux::state::Reduced;
 use tansymux::told::{self, Map, Told};
-use tansymux_service_levels::{Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows};
 use tansymux_operator_config::schema;
+use tansymux_service_levels::{
+    Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows,
+};
 
 /// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
 const LOOK_EVERY: f64 = 250.0;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -14,7 +14,6 @@
 mod engine;
 mod exchange;
 mod fleet;
-mod halls;
 mod levels;
 mod log;
 mod names;
@@ -23,6 +22,7 @@
 mod operators;
 mod peers;
 mod signals;
+mod zone_routing;
 
 use async_executor::LocalExecutor;
 use clap::Parser;
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/names/directory/tests.rs
@@ -264,7 +264,10 @@
         .filter(|e| e.status == EngineStatus::Gone)
         .map(|e| e.node)
         .collect();
-    assert_eq!(gone, [u64::from(tansymux_operator_config::number_of("s-1"))]);
+    assert_eq!(
+        gone,
+        [u64::from(tansymux_operator_config::number_of("s-1"))]
+    );
     assert_eq!(status(&directory, "s-3"), Some(EngineStatus::Ready));
 }
 
--- a/crates/dispatcher/src/halls.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -10,11 +10,11 @@
 use tansymux::interface::{EngineStatus, Outcome};
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::{self, Map, Told};
-use tansymux_zone_routing::message::Reach as Reached;
-use tansymux_zone_routing::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 use tansymux_operator_config::schema;
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
+use tansymux_zone_routing::message::Reach as Reached;
+use tansymux_zone_routing::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
 
 /// Who has nothing running at the moment wants a little all the same (threads).
 const LEAST_DEMAND: f64 = 0.1;
--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -11,7 +11,9 @@
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::fleet::processes::play;
 use tansymux_testbed::fleet::scenario::Scenario;
-use tansymux_testbed::program::{class, free_address, free_udp_address, Config, Program, Scrap, WAIT};
+use tansymux_testbed::program::{
+    class, free_address, free_udp_address, Config, Program, Scrap, WAIT,
+};
 use tansymux_testbed::record::Record;
 use tansymux_testbed::wire::say;
 
--- a/crates/engine-state/tests/merging.rs
+++ b/crates/engine-state/tests/merging.rs
@@ -150,7 +150,8 @@
     }
     assert!(facts.len() <= tansymux_engine_state::MOST_ENGINES);
     assert!(
-        facts.all(0.0).iter().filter(|f| f.engine == 5).count() <= tansymux_engine_state::MOST_ORIGINS
+        facts.all(0.0).iter().filter(|f| f.engine == 5).count()
+            <= tansymux_engine_state::MOST_ORIGINS
     );
     for value in [f64::NAN, f64::INFINITY] {
         let before = facts.len();
--- a/crates/operator-config/src/check.rs
+++ b/crates/operator-config/src/check.rs
@@ -66,7 +66,7 @@
         crate::levels::check(levels, &mut faults);
     }
     if let Some(halls) = &operator.halls {
-        crate::halls::check(halls, &mut faults);
+        crate::zone_routing::check(halls, &mut faults);
     }
     if let Some(fleet) = &operator.fleet {
         crate::fleet::check(fleet, &mut faults);
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -4,9 +4,9 @@
 use crate::schema;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use tansymux_membership::seal::Keys;
 use tansymux_coordination::limits::{Bounds, Most};
 use tansymux_coordination::Terms;
+use tansymux_membership::seal::Keys;
 use tansymux_rollout::{compare, Plan, Settings, Told};
 
 const MOST_VOTERS: usize = 9;
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -6,16 +6,16 @@
 
 mod check;
 mod fleet;
-mod halls;
 mod levels;
 mod place;
+mod zone_routing;
 
 pub use fleet::{fleet, number_of};
-pub use halls::halls;
 pub use levels::definition;
 use place::Places;
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use std::fmt;
+pub use zone_routing::halls;
 
 /// The schema's messages, generated at build.
 #[allow(clippy::all, clippy::pedantic)]
--- a/crates/rollout/src/caller.rs
+++ b/crates/rollout/src/caller.rs
@@ -3,9 +3,9 @@
 use crate::message::{self, Answer, Command, Message};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use tansymux_coordination::Id;
 use tansymux_membership::seal::{Keys, Seal};
 use tansymux_membership::wire;
-use tansymux_coordination::Id;
 
 /// What is not answered is said again after so long (ms), and the call is given up after so long.
 const AGAIN: f64 = 200.0;
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -7,12 +7,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::id_of;
-use tansymux_membership::{Carried, Group, State};
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::wire::Counted;
 use tansymux_coordination::{Council, Id, Kind, Record, Stand, Terms, Value, Why};
+use tansymux_membership::seal::Keys;
+use tansymux_membership::wire::id_of;
+use tansymux_membership::{Carried, Group, State};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
 const MOST_NEWS: usize = 4;
@@ -118,7 +118,12 @@
     }
 
     /// Takes on what the operators' file says now.
-    pub fn set(&mut self, told: Told, keys: Keys, zones: Option<tansymux_zone_evacuation::Definition>) {
+    pub fn set(
+        &mut self,
+        told: Told,
+        keys: Keys,
+        zones: Option<tansymux_zone_evacuation::Definition>,
+    ) {
         self.steward.set(told);
         if let (Some(zoned), Some(definition)) = (&mut self.zoned, zones) {
             zoned.set(definition);
@@ -193,9 +198,10 @@
             content,
         } = carried;
         if !message::is_one(&content) {
-            if let (Some(council), Some(message)) =
-                (&mut self.council, tansymux_coordination::wire::read(&content))
-            {
+            if let (Some(council), Some(message)) = (
+                &mut self.council,
+                tansymux_coordination::wire::read(&content),
+            ) {
                 council.handle(self.now, from, message);
             }
             return;
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -4,9 +4,9 @@
 use crate::message::{Answer, Command, Report, Status};
 use crate::plan::{NotYet, Plan, Release, Seen};
 use std::collections::{BTreeMap, BTreeSet};
-use tansymux_membership::State;
 use tansymux_coordination::limits::{self, Ask, Bounds, Halt, Out, Unit, Verdict, View};
 use tansymux_coordination::{Council, Id, Kind, Record, Stage, Value, Why};
+use tansymux_membership::State;
 
 /// Lost ones that are written down in one look.
 const MOST_LOST_A_LOOK: usize = 24;
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -8,7 +8,9 @@
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::{Council, Id, Record, Value};
 use tansymux_zone_evacuation::wire::{stage_of, why_of, Evidence, Plan, Told};
-use tansymux_zone_evacuation::{Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MOST_ZONES};
+use tansymux_zone_evacuation::{
+    Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MOST_ZONES,
+};
 
 /// What is seen is told so often (ms), spread by a fifth.
 const TELL_EVERY: f64 = 700.0;
--- a/crates/rollout/tests/steward.rs
+++ b/crates/rollout/tests/steward.rs
@@ -1,9 +1,9 @@
 //! What the leader decides, without a network: one voter that agrees with itself.
 
 use proptest::prelude::*;
-use tansymux_membership::State;
 use tansymux_coordination::limits::{Bounds, Most, Scope, Unit};
 use tansymux_coordination::{Council, Kind, Record, Terms, Value, Why};
+use tansymux_membership::State;
 use tansymux_rollout::message::{self, Answer, Command, Message, Report};
 use tansymux_rollout::{Steward, Told};
 
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -14,9 +14,9 @@
 use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use tansymux::tiers::{Given, GivenHall};
 use tansymux::told::Map;
-use tansymux_zone_routing::{Judge, Kind, Plan, Seen};
 use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_testbed::record::{Entry, Status, What};
+use tansymux_zone_routing::{Judge, Kind, Plan, Seen};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -6,10 +6,10 @@
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::id_of;
 use tansymux_coordination::limits::{Bounds, Most, Unit};
 use tansymux_coordination::{Stage, Stand, Terms};
+use tansymux_membership::seal::Keys;
+use tansymux_membership::wire::id_of;
 use tansymux_rollout::message::{Answer, Command};
 use tansymux_rollout::{Caller, Fleet, Own, Plan, Settings, Told, Turn, TurnEnd};
 
@@ -870,7 +870,8 @@
         let name = |key: u64| {
             let of = |n: &usize| {
                 let id = id_of(&format!("n{n}"));
-                tansymux_coordination::Record::key_of(tansymux_coordination::Kind::Dispatcher, id) == key
+                tansymux_coordination::Record::key_of(tansymux_coordination::Kind::Dispatcher, id)
+                    == key
             };
             (0..self.slots.len())
                 .find(of)
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use tansymux_testbed::fleet::zones::Course;
 use tansymux_testbed::fleet::{self, many, scenario::Scenario};
-use tansymux_testbed::{demo, halls, levels, measure, program, replay};
+use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
 #[derive(Debug, Parser)]
@@ -186,7 +186,7 @@
             seeds,
             svg,
         } => {
-            let (table, broken) = halls::run(&exe(), seconds, seeds, svg.as_deref());
+            let (table, broken) = zone_routing::run(&exe(), seconds, seeds, svg.as_deref());
             print!("{table}");
             if broken {
                 return ExitCode::FAILURE;
