--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -367,7 +367,7 @@
     let mut f = Fields::of(entry, 9);
     f.next("m")?;
     let kind = f.next("family-type")?;
-    let hall = f.next("rack-zone")?;
+    let zone = f.next("rack-zone")?;
     let status = match f.next("status")? {
         "ready" => EngineStatus::Ready,
         "draining" => EngineStatus::Draining,
@@ -386,7 +386,7 @@
     f.optional("capacity-hint")?
         .map_or(Ok(1.0), |v| parse::<f64>(v, "capacity-hint"))?;
     f.end()?;
-    control.listed(node, kind, hall, status, started, cell);
+    control.listed(node, kind, zone, status, started, cell);
     Ok(())
 }
 
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -1,4 +1,4 @@
-//! Whether a further one may be out: limits by number and part, by hall and version, the load that the rest must carry,
+//! Whether a further one may be out: limits by number and part, by zone and version, the load that the rest must carry,
 //! and the least time between two. One place decides it, whoever asks and whatever for.
 
 use crate::record::{Id, Kind, Why};
@@ -26,8 +26,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     pub fleet: Most,
-    /// Of each hall, and of each version.
-    pub hall: Most,
+    /// Of each zone, and of each version.
+    pub zone: Most,
     pub version: Most,
     /// Least time between two (ms).
     pub apart: f64,
@@ -43,7 +43,7 @@
         };
         Bounds {
             fleet,
-            hall: Most::default(),
+            zone: Most::default(),
             version: Most::default(),
             apart: 0.0,
             carry: 0.9,
@@ -55,7 +55,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Unit {
     pub id: Id,
-    pub hall: u32,
+    pub zone: u32,
     pub version: u32,
     /// It is seen to serve.
     pub there: bool,
@@ -84,7 +84,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Scope {
     Fleet,
-    Hall,
+    Zone,
     Version,
 }
 
@@ -216,9 +216,9 @@
     let scopes = [
         (Scope::Fleet, bounds.fleet, view.count_all()),
         (
-            Scope::Hall,
-            bounds.hall,
-            view.count(|other| other.hall == unit.hall),
+            Scope::Zone,
+            bounds.zone,
+            view.count(|other| other.zone == unit.zone),
         ),
         (
             Scope::Version,
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -43,7 +43,7 @@
 pub enum Stage {
     /// The first few, by themselves.
     Canaries,
-    /// All others, hall by hall.
+    /// All others, zone by zone.
     Waves,
     /// Those that were released go back.
     Back,
@@ -60,7 +60,7 @@
     Out {
         kind: Kind,
         why: Why,
-        hall: u32,
+        zone: u32,
         session: u32,
         grant: u64,
     },
--- a/crates/coordination/src/wire.rs
+++ b/crates/coordination/src/wire.rs
@@ -60,12 +60,12 @@
         Value::Out {
             kind,
             why,
-            hall,
+            zone,
             session,
             grant,
         } => {
             bytes.extend_from_slice(&[1, kind as u8, why as u8]);
-            [hall, session]
+            [zone, session]
                 .iter()
                 .for_each(|n| bytes.extend_from_slice(&n.to_be_bytes()));
             bytes.extend_from_slice(&grant.to_be_bytes());
@@ -153,7 +153,7 @@
                 ]
                 .get(usize::from(held.byte()?))
                 .copied()?,
-                hall: held.four()?,
+                zone: held.four()?,
                 session: held.four()?,
                 grant: held.eight()?,
             },
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -152,7 +152,7 @@
             let value = Value::Out {
                 kind,
                 why,
-                hall: 0,
+                zone: 0,
                 session: 0,
                 grant,
             };
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -6,7 +6,7 @@
 
 use crate::exchange::{Exchange, Listed};
 use crate::levels::Levels;
-use crate::zone_routing::Halls;
+use crate::zone_routing::Zones;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -366,12 +366,12 @@
     }
 }
 
-/// All counters as text: those of the exchange, of statements, of levels and of halls.
-pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels, halls: &Halls) -> String {
+/// All counters as text: those of the exchange, of statements, of levels and of zones.
+pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels, zones: &Zones) -> String {
     let mut text = exchange.counters.report(exchange.in_hand());
     classes.report(&mut text);
     levels.report(&mut text);
-    halls.report(&mut text);
+    zones.report(&mut text);
     text
 }
 
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -9,7 +9,7 @@
 use crate::levels::{self, Levels};
 use crate::net::write_gathered;
 use crate::notify::Notify;
-use crate::zone_routing::Halls;
+use crate::zone_routing::Zones;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -29,7 +29,7 @@
 const HEALTH_PATH: &str = "/_health";
 const COUNTERS_PATH: &str = "/_counters";
 const LEVELS_PATH: &str = "/_levels";
-const HALLS_PATH: &str = "/_halls";
+const ZONES_PATH: &str = "/_halls";
 /// How often those who wait for a change of level are looked at.
 const LEVELS_PAUSE: Duration = Duration::from_millis(50);
 /// What is admitted, as the configuration tells.
@@ -135,8 +135,8 @@
     admission: Admission,
     classes: Rc<Classes>,
     levels: Rc<Levels>,
-    halls: Rc<Halls>,
-    /// What spilled into halls, as the decisions last counted it.
+    zones: Rc<Zones>,
+    /// What spilled into zones, as the decisions last counted it.
     pub spilled: RefCell<Vec<(String, f64)>>,
     table: ConnectionTable,
     /// Bytes that wait in inboxes.
@@ -159,7 +159,7 @@
         admission: Admission,
         classes: Rc<Classes>,
         levels: Rc<Levels>,
-        halls: Rc<Halls>,
+        zones: Rc<Zones>,
     ) -> Self {
         let (waiting, healthy, last_call, called, closed) = Default::default();
         let table = ConnectionTable::new(admission.most_connections);
@@ -170,7 +170,7 @@
             admission,
             classes,
             levels,
-            halls,
+            zones,
             spilled: RefCell::default(),
             table,
             waiting,
@@ -449,23 +449,23 @@
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
             ("GET", COUNTERS_PATH) => (
                 200,
-                classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls),
+                classes::counters(&self.exchange, &self.classes, &self.levels, &self.zones),
             ),
             ("GET", path) if path == LEVELS_PATH || path.starts_with("/_levels?after=") => {
                 self.changed(path.strip_prefix("/_levels?after=")).await;
                 (200, self.levels.shown(self.clock.now()).to_string())
             }
-            ("GET", HALLS_PATH) => {
+            ("GET", ZONES_PATH) => {
                 let spilled = self.spilled.borrow();
                 let of = |name: &str| {
                     spilled
                         .iter()
-                        .find(|(hall, _)| hall == name)
+                        .find(|(zone, _)| zone == name)
                         .map_or(0.0, |(_, n)| *n)
                 };
-                (200, self.halls.shown(self.clock.now(), of).to_string())
+                (200, self.zones.shown(self.clock.now(), of).to_string())
             }
-            (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH | HALLS_PATH) => (405, "{}".to_owned()),
+            (_, HEALTH_PATH | COUNTERS_PATH | LEVELS_PATH | ZONES_PATH) => (405, "{}".to_owned()),
             // No path is ever given out with an answer, so none can be called.
             _ => {
                 self.reject(stream, 404, "Unknown").await?;
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -452,7 +452,7 @@
                     .maybe(At::text)?
                     .unwrap_or("")
                     .to_owned(),
-                hall: entry.key("zone").maybe(At::text)?.unwrap_or("").to_owned(),
+                zone: entry.key("zone").maybe(At::text)?.unwrap_or("").to_owned(),
                 cell: entry.key("cell").number_or(0.0, 0.0)? as u32,
                 status,
                 started: Some(entry.key("startedAtMs").number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use crate::operators;
 use crate::peers::Peers;
 use crate::signals::Signal;
-use crate::zone_routing::Halls;
+use crate::zone_routing::Zones;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{future, Stream, StreamExt};
@@ -61,7 +61,7 @@
     clients: Rc<ClientSide>,
     classes: Rc<Classes>,
     levels: Rc<Levels>,
-    halls: Rc<Halls>,
+    zones: Rc<Zones>,
     engines: Rc<EngineSide>,
     peers: Option<Rc<Peers>>,
     fleet: Option<Rc<FleetSide>>,
@@ -111,16 +111,16 @@
         };
         let levels = Rc::new(Levels::new(&config.told, limits));
         levels.set(operator.levels.as_ref(), clock.now(), &mut control);
-        let halls = Rc::new(Halls::new(&config.told));
-        halls.set(operator.halls.as_ref(), clock.now(), &mut control);
-        let (of_classes, of_levels, of_halls) = (classes.clone(), levels.clone(), halls.clone());
+        let zones = Rc::new(Zones::new(&config.told));
+        zones.set(operator.halls.as_ref(), clock.now(), &mut control);
+        let (of_classes, of_levels, of_zones) = (classes.clone(), levels.clone(), zones.clone());
         let clients = Rc::new(ClientSide::new(
             exchange.clone(),
             clock,
             config.admission,
             of_classes,
             of_levels,
-            of_halls,
+            of_zones,
         ));
         let mut others = Vec::new();
         let peers = match config.peers {
@@ -168,7 +168,7 @@
             clients,
             classes,
             levels,
-            halls,
+            zones,
             engines,
             peers,
             fleet,
@@ -203,7 +203,7 @@
         self.others.clear();
         eprint!(
             "{}",
-            classes::counters(&self.exchange, &self.classes, &self.levels, &self.halls)
+            classes::counters(&self.exchange, &self.classes, &self.levels, &self.zones)
         );
     }
 
@@ -213,7 +213,7 @@
         let now = self.clock.now();
         self.exchange.counters.rounds.add();
         let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
-        let halls = &*self.halls;
+        let zones = &*self.zones;
         let (exchange, engines, classes) = (&*self.exchange, &*self.engines, &*self.classes);
         let fleet = self.fleet.as_deref();
         let mut feed = Events {
@@ -221,7 +221,7 @@
             engines,
             classes,
             levels,
-            halls,
+            zones,
             fleet,
             now,
         };
@@ -241,16 +241,16 @@
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
-        let message = halls.look(now, &mut self.control, self.fleet.as_deref());
+        let message = zones.look(now, &mut self.control, self.fleet.as_deref());
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
             decisions.tell(None, &message);
         }
-        if halls.looked_at(now) {
-            if let Some(node) = halls.probes(now).filter(|_| self.control.allowed.probes) {
+        if zones.looked_at(now) {
+            if let Some(node) = zones.probes(now).filter(|_| self.control.allowed.probes) {
                 self.exchange.probe(node);
             }
-            halls.spills(
-                |hall| self.control.spilled(hall),
+            zones.spills(
+                |zone| self.control.spilled(zone),
                 &mut self.clients.spilled.borrow_mut(),
             );
         }
@@ -364,7 +364,7 @@
             self.clock.now(),
             &mut self.control,
         );
-        self.halls
+        self.zones
             .set(operator.halls.as_ref(), self.clock.now(), &mut self.control);
         match &self.fleet {
             Some(fleet) => fleet.set(operator.fleet.as_ref()),
@@ -399,7 +399,7 @@
     engines: &'a EngineSide,
     classes: &'a Classes,
     levels: &'a Levels,
-    halls: &'a Halls,
+    zones: &'a Zones,
     fleet: Option<&'a FleetSide>,
     now: f64,
 }
@@ -452,7 +452,7 @@
                             waited: q.waited,
                         })
                     };
-                    self.halls.ended(self.now, node, outcome);
+                    self.zones.ended(self.now, node, outcome);
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.ended(self.now, node, outcome));
@@ -478,9 +478,9 @@
                     if let Some(node) = self
                         .exchange
                         .with(query, |q| q.node)
-                        .filter(|_| self.halls.is_on())
+                        .filter(|_| self.zones.is_on())
                     {
-                        self.halls.noted(self.now, node);
+                        self.zones.noted(self.now, node);
                     }
                     if note == Note::Waits {
                         self.exchange.waits(query);
@@ -488,7 +488,7 @@
                     control.noted(query, submission, note, amount)
                 }
                 Event::Probed { node, outcome } => {
-                    self.halls.ended(self.now, node, outcome);
+                    self.zones.ended(self.now, node, outcome);
                     control.probed(node, outcome);
                 }
                 Event::List { form, mut engines } => {
@@ -496,17 +496,17 @@
                         .iter()
                         .for_each(|fleet| fleet.listed(&mut engines));
                     self.classes.listed(&engines);
-                    self.halls.listed(self.now, &engines);
+                    self.zones.listed(self.now, &engines);
                     control.list_begins(form);
                     for e in &engines {
                         self.engines.listed(e);
-                        control.listed(e.node, &e.kind, &e.hall, e.status, e.started, e.cell);
+                        control.listed(e.node, &e.kind, &e.zone, e.status, e.started, e.cell);
                     }
                     control.list_ends(form, out);
                 }
                 Event::Told { peer, content } => {
                     let taken = self.levels.heard(self.now, peer, &content)
-                        || self.halls.heard(self.now, peer, &content);
+                        || self.zones.heard(self.now, peer, &content);
                     if !taken {
                         control.told_by(peer, &content);
                     }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -66,7 +66,7 @@
 
 struct Engine {
     address: Option<SocketAddr>,
-    hall: String,
+    zone: String,
     started: Option<f64>,
     gone: bool,
     /// Connections in a row that did not come up in their time.
@@ -127,7 +127,7 @@
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine {
             address: told.address,
-            hall: told.hall.clone(),
+            zone: told.zone.clone(),
             started: told.started,
             gone: false,
             unreached: 0,
@@ -136,7 +136,7 @@
         let engine = engines.entry(told.node).or_insert_with(fresh);
         let gone = told.status == EngineStatus::Gone;
         engine.gone = gone;
-        engine.hall.clone_from(&told.hall);
+        engine.zone.clone_from(&told.zone);
         let moved = told.address.is_some() && told.address != engine.address;
         let retire = gone || moved || told.started.is_some() && told.started != engine.started;
         if retire {
@@ -427,7 +427,7 @@
     }
 
     /// What idles at an engine that fell silent may be as dead, and where it can't be reached also what idles at the
-    /// others of its hall: the next connections tell sooner whether they are there.
+    /// others of its zone: the next connections tell sooner whether they are there.
     fn fell_silent(&self, node: u64, unreached: bool) {
         let engines = self.engines.borrow();
         let Some(silent) = engines.get(&node) else {
@@ -435,7 +435,7 @@
         };
         let near = engines
             .iter()
-            .filter(|(other, engine)| **other == node || unreached && engine.hall == silent.hall)
+            .filter(|(other, engine)| **other == node || unreached && engine.zone == silent.zone)
             .map(|(_, engine)| engine);
         let idle = |channel: &&Rc<Channel>| channel.connection.borrow().idles_since().is_finite();
         near.flat_map(|engine| &engine.connections)
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -14,7 +14,7 @@
         node: 7,
         address,
         kind: "std".into(),
-        hall: "h".into(),
+        zone: "h".into(),
         cell: 0,
         status,
         started,
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -25,7 +25,7 @@
     pub node: u64,
     pub address: Option<SocketAddr>,
     pub kind: String,
-    pub hall: String,
+    pub zone: String,
     pub cell: u32,
     pub status: EngineStatus,
     pub started: Option<f64>,
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -38,7 +38,7 @@
     exchange: Rc<Exchange>,
     evidence: RefCell<Ends>,
     bad: Cell<Option<Terms>>,
-    hall: u32,
+    zone: u32,
     version: Cell<u32>,
     settings: Map,
     listed: RefCell<Vec<Listed>>,
@@ -68,8 +68,10 @@
             .and_then(|turn| u64::from_str_radix(turn.trim(), 16).ok());
         let mut own = tansymux_operator_config::fleet(told, turn.unwrap_or(0))
             .ok_or("fleet: a needed key is missing")?;
-        let hall = settings.get("zone").map_or(0, |hall| number_of(hall));
-        own.zones.iter_mut().for_each(|(zone, _)| *zone = hall);
+        let zone = settings.get("zone").map_or(0, |zone| number_of(zone));
+        own.zones
+            .iter_mut()
+            .for_each(|(own_zone, _)| *own_zone = zone);
         let listen: SocketAddr = told
             .listen()
             .parse()
@@ -86,7 +88,7 @@
             exchange: exchange.clone(),
             evidence: RefCell::default(),
             bad: Cell::new(terms_of(told)),
-            hall,
+            zone,
             version: Cell::new(version_of(told)),
             settings: settings.clone(),
             listed: RefCell::default(),
@@ -177,14 +179,14 @@
         next
     }
 
-    /// What this dispatcher sees of its halls.
+    /// What this dispatcher sees of its zones.
     pub fn sees(&self, evidence: Vec<Evidence>, alone: bool) {
         self.fleet.borrow_mut().sees(evidence, alone);
     }
 
-    /// How a hall may be used, as the fleet agreed.
-    pub fn use_of(&self, hall: &str) -> Use {
-        self.fleet.borrow().use_of(number_of(hall))
+    /// How a zone may be used, as the fleet agreed.
+    pub fn use_of(&self, zone: &str) -> Use {
+        self.fleet.borrow().use_of(number_of(zone))
     }
 
     /// Whether zones are left and returned to as a fleet.
@@ -229,7 +231,7 @@
         };
         let unit = |engine: &Listed| Unit {
             id: engine.node,
-            hall: number_of(&engine.hall),
+            zone: number_of(&engine.zone),
             version: 0,
             there: engine.status == EngineStatus::Ready,
             capacity: cores(&engine.kind),
@@ -261,9 +263,9 @@
             .get()
             .and_then(|terms| self.evidence.borrow_mut().bad(now, &terms));
         let mut fleet = self.fleet.borrow_mut();
-        let (hall, version) = (self.hall, self.version.get());
+        let (zone, version) = (self.zone, self.version.get());
         fleet.says(Own {
-            hall,
+            zone,
             version,
             busy,
             threads,
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -197,7 +197,7 @@
                     .map(|name| self.group(name).unwrap_or(usize::MAX))
             };
             *reading = match signal {
-                Signal::Pressed(hall) => control.part_pressed(hall.as_deref()),
+                Signal::Pressed(zone) => control.part_pressed(zone.as_deref()),
                 Signal::BoundsUsed => control.part_of_bounds(),
                 Signal::Late(name) => on.windows.late(now, class(name)),
                 Signal::Deferred(name) => on.windows.deferred(now, class(name)),
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -145,7 +145,7 @@
         let mut seen = FxHashSet::default();
         for srv in &answer.srv {
             let mut labels = srv.target.split('.');
-            let (Some(id), Some(hall)) = (labels.next(), labels.next()) else {
+            let (Some(id), Some(zone)) = (labels.next(), labels.next()) else {
                 continue;
             };
             let address = answer
@@ -173,7 +173,7 @@
                     .map(|ip: Ipv4Addr| SocketAddr::from((ip, srv.port)))
                     .or(before.and_then(|b| b.address)),
                 kind,
-                hall: hall.to_owned(),
+                zone: zone.to_owned(),
                 cell: text("cell").and_then(|cell| cell.parse().ok()).unwrap_or(0),
                 status: if srv.priority == 0 {
                     EngineStatus::Ready
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/names/directory/tests.rs
@@ -65,7 +65,7 @@
         node: old,
         address: None,
         kind: "std".into(),
-        hall: "east".into(),
+        zone: "east".into(),
         cell: 1,
         status: EngineStatus::Ready,
         started: None,
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -69,15 +69,15 @@
             faults.push(format!("levels.level.{n} names {name:?}, {allowed}"));
         }
     }
-    let halls = operator.halls.iter();
-    let of_halls = halls.flat_map(|halls| {
-        halls
+    let zones = operator.halls.iter();
+    let of_zones = zones.flat_map(|zones| {
+        zones
             .route
             .iter()
             .map(|route| route.class())
-            .chain(halls.spill.iter().map(|spill| spill.class()))
+            .chain(zones.spill.iter().map(|spill| spill.class()))
     });
-    for name in of_halls.filter(|name| !name.is_empty() && effect_of(name).is_none()) {
+    for name in of_zones.filter(|name| !name.is_empty() && effect_of(name).is_none()) {
         faults.push(format!(
             "halls names {name:?}, allowed is a resource group of the settings"
         ));
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -1,4 +1,4 @@
-//! Halls in the program: gathers evidence of them, tells peers, the log and whoever asks, and hands the decisions the
+//! Zones in the program: gathers evidence of them, tells peers, the log and whoever asks, and hands the decisions the
 //! plan that follows. Nothing here places a query.
 
 use crate::exchange::Listed;
@@ -8,22 +8,22 @@
 use std::fmt::Write;
 use tansymux::control::Control;
 use tansymux::interface::{EngineStatus, Outcome};
-use tansymux::tiers::{Given, GivenHall};
+use tansymux::tiers::{Given, GivenZone};
 use tansymux::told::{self, Map, Told};
 use tansymux_operator_config::schema;
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
 use tansymux_zone_routing::message::Reach as Reached;
-use tansymux_zone_routing::{Changed, Engine, HallState, Judge, Kind, Plan, Seen};
+use tansymux_zone_routing::{Changed, Engine, Judge, Kind, Plan, Seen, ZoneState};
 
 /// Who has nothing running at the moment wants a little all the same (threads).
 const LEAST_DEMAND: f64 = 0.1;
 /// Looks at the evidence are so far apart (ms).
 const LOOK_EVERY: f64 = 100.0;
 
-pub struct Halls {
+pub struct Zones {
     on: RefCell<Option<Judge>>,
-    /// The dispatcher's own hall, the resource groups, how many dispatchers there are, cores by kind.
+    /// The dispatcher's own zone, the resource groups, how many dispatchers there are, cores by kind.
     own: String,
     groups: Vec<String>,
     gateways: f64,
@@ -34,7 +34,7 @@
     changes: Cell<u64>,
 }
 
-impl Halls {
+impl Zones {
     pub fn new(settings: &Map) -> Self {
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
         let name = |i| {
@@ -43,7 +43,7 @@
                 .cloned()
                 .unwrap_or_default()
         };
-        Halls {
+        Zones {
             on: RefCell::default(),
             own: settings.get("zone").cloned().unwrap_or_default(),
             groups: (0..count).map(name).collect(),
@@ -55,15 +55,15 @@
         }
     }
 
-    /// Takes on what the operators' file says; it was checked before. What is known of halls stays.
+    /// Takes on what the operators' file says; it was checked before. What is known of zones stays.
     pub fn set(&self, told: Option<&schema::Halls>, now: f64, control: &mut Control) {
         let mut on = self.on.borrow_mut();
-        match (on.as_mut(), told.map(tansymux_operator_config::halls)) {
+        match (on.as_mut(), told.map(tansymux_operator_config::zones)) {
             (_, None) => {
                 if on.take().is_some() {
                     tracing::info!("tiers between halls are off");
                 }
-                control.plan_halls(None);
+                control.plan_zones(None);
             }
             (Some(judge), Some(definition)) if *judge.definition() != definition => {
                 judge.redefine(definition)
@@ -91,7 +91,7 @@
                 let ready = engine.status == EngineStatus::Ready;
                 listed.push(Engine {
                     node: engine.node,
-                    hall: engine.hall.clone(),
+                    zone: engine.zone.clone(),
                     cores,
                     ready,
                 });
@@ -125,7 +125,7 @@
         }
     }
 
-    /// What is seen of each hall, for the fleet.
+    /// What is seen of each zone, for the fleet.
     fn evidence(judge: &Judge, threads: f64) -> Vec<Evidence> {
         let of = |(name, reach, [good, bad]): (&str, Reached, [u16; 2])| {
             let reach = match reach {
@@ -148,21 +148,21 @@
     /// Puts what the fleet agreed on above what this dispatcher judged alone.
     fn agreed(&self, fleet: &FleetSide, whole: f64, plan: &mut Plan) {
         let listed = self.listed.borrow();
-        for hall in &mut plan.halls {
-            let part = match fleet.use_of(&hall.name) {
+        for zone in &mut plan.zones {
+            let part = match fleet.use_of(&zone.name) {
                 Use::Own => continue,
                 Use::Closed => 0.0,
                 Use::Part(part) => part,
             };
-            hall.state = if part > 0.0 {
-                HallState::Climbing(part)
+            zone.state = if part > 0.0 {
+                ZoneState::Climbing(part)
             } else {
-                HallState::Cut
+                ZoneState::Cut
             };
             for engine in &mut plan.engines {
                 let of = listed
                     .iter()
-                    .find(|e| e.node == engine.node && e.hall == hall.name);
+                    .find(|e| e.node == engine.node && e.zone == zone.name);
                 if let Some(of) = of {
                     engine.threads = of.cores * whole * part;
                 }
@@ -196,28 +196,28 @@
         for change in judge.changes() {
             self.changes.set(self.changes.get() + 1);
             let Changed {
-                hall, state, why, ..
+                zone, state, why, ..
             } = change;
-            tracing::warn!(hall, state = %state_name(state), why = ?why, "a hall's state changed");
+            tracing::warn!(zone, state = %state_name(state), why = ?why, "a hall's state changed");
         }
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
             fleet.sees(
-                Halls::evidence(judge, control.threads_out() + LEAST_DEMAND),
+                Zones::evidence(judge, control.threads_out() + LEAST_DEMAND),
                 judge.alone(),
             );
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
         }
-        control.plan_halls(Some(&given(&plan)));
+        control.plan_zones(Some(&given(&plan)));
         judge.tells(now)
     }
 
-    /// The engine of a cut hall that is to be probed now, if one is.
+    /// The engine of a cut zone that is to be probed now, if one is.
     pub fn probes(&self, now: f64) -> Option<u64> {
         self.on.borrow_mut().as_mut()?.probes(now)
     }
 
-    /// A peer's message, if it is one about halls.
+    /// A peer's message, if it is one about zones.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
         if content.first() != Some(&tansymux_zone_routing::message::KIND) {
             return false;
@@ -228,12 +228,12 @@
         true
     }
 
-    /// Reads for each hall that is listed what spilled into it.
+    /// Reads for each zone that is listed what spilled into it.
     pub fn spills(&self, read: impl Fn(&str) -> f64, to: &mut Vec<(String, f64)>) {
         to.clear();
         for engine in &*self.listed.borrow() {
-            if !to.iter().any(|(hall, _)| *hall == engine.hall) {
-                to.push((engine.hall.clone(), read(&engine.hall)));
+            if !to.iter().any(|(zone, _)| *zone == engine.zone) {
+                to.push((engine.zone.clone(), read(&engine.zone)));
             }
         }
     }
@@ -252,8 +252,8 @@
                 Value::Null
             }
         };
-        let hall = |hall: &tansymux_zone_routing::HallPlan| {
-            let part = if let HallState::Climbing(part) = hall.state {
+        let zone = |zone: &tansymux_zone_routing::ZonePlan| {
+            let part = if let ZoneState::Climbing(part) = zone.state {
                 json!(part)
             } else {
                 Value::Null
@@ -262,19 +262,19 @@
                 .groups
                 .iter()
                 .cloned()
-                .zip(hall.ranks.iter().map(|rank| json!(rank)))
+                .zip(zone.ranks.iter().map(|rank| json!(rank)))
                 .collect();
-            json!({"hall": hall.name, "state": state_name(hall.state), "part": part, "rank": ranks,
-                "spilled_threads": spilled(&hall.name), "spill_most": number(hall.spill)})
+            json!({"hall": zone.name, "state": state_name(zone.state), "part": part, "rank": ranks,
+                "spilled_threads": spilled(&zone.name), "spill_most": number(zone.spill)})
         };
         let history: Vec<Value> = judge
             .history()
             .iter()
             .rev()
-            .map(|c| json!({"at": c.at, "hall": c.hall, "state": state_name(c.state), "why": format!("{:?}", c.why)}))
+            .map(|c| json!({"at": c.at, "hall": c.zone, "state": state_name(c.state), "why": format!("{:?}", c.why)}))
             .collect();
         json!({"defined": true, "own": self.own, "alone": plan.alone, "now": now,
-            "halls": plan.halls.iter().map(hall).collect::<Vec<_>>(), "history": history})
+            "halls": plan.zones.iter().map(zone).collect::<Vec<_>>(), "history": history})
     }
 
     /// Lines for the counters; none while off.
@@ -286,23 +286,23 @@
     }
 }
 
-fn state_name(state: HallState) -> &'static str {
+fn state_name(state: ZoneState) -> &'static str {
     match state {
-        HallState::Well => "well",
-        HallState::Cut => "cut",
-        HallState::Climbing(_) => "climbing",
+        ZoneState::Well => "well",
+        ZoneState::Cut => "cut",
+        ZoneState::Climbing(_) => "climbing",
     }
 }
 
 fn given(plan: &Plan) -> Given {
-    let hall = |hall: &tansymux_zone_routing::HallPlan| GivenHall {
-        name: hall.name.clone(),
-        ranks: hall.ranks.clone(),
-        spill: hall.spill,
-        spill_by_group: hall.spill_by_class.clone(),
+    let zone = |zone: &tansymux_zone_routing::ZonePlan| GivenZone {
+        name: zone.name.clone(),
+        ranks: zone.ranks.clone(),
+        spill: zone.spill,
+        spill_by_group: zone.spill_by_class.clone(),
     };
     Given {
-        halls: plan.halls.iter().map(hall).collect(),
+        zones: plan.zones.iter().map(zone).collect(),
         engines: plan
             .engines
             .iter()
--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn with_all_voters_of_a_hall_lost_nothing_goes_out_until_they_are_back() {
+fn with_all_voters_of_a_zone_lost_nothing_goes_out_until_they_are_back() {
     holds("hall-of-voters-lost");
 }
 
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -62,7 +62,7 @@
 fn name_service(engine: SocketAddr) -> SocketAddr {
     let listed = Listed {
         id: "s-9".into(),
-        hall: "h".into(),
+        zone: "h".into(),
         kind: "std".into(),
         cell: 0,
         address: engine,
--- a/crates/dispatcher/tests/standing.rs
+++ b/crates/dispatcher/tests/standing.rs
@@ -271,7 +271,7 @@
     program.wait_for_count("lists 0\n");
     names.add(Listed {
         id: "s-9".into(),
-        hall: "h".into(),
+        zone: "h".into(),
         kind: "std".into(),
         cell: 0,
         address: engine(),
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -1,4 +1,4 @@
-//! Two halls on the real program: one falls silent and comes back.
+//! Two zones on the real program: one falls silent and comes back.
 
 use serde_json::Value;
 use std::path::Path;
@@ -12,7 +12,7 @@
 use tansymux_testbed::program::{class, free_address, get, Config, Program, Scrap};
 use tansymux_testbed::record::What;
 
-const HALLS: &str = r#"halls {
+const ZONES: &str = r#"halls {
   route { from: "east" tier { hall: "east" } tier { hall: "west" } }
   spill { most: 0.3 }
   cut { quiet_s: 0.6 }
@@ -27,7 +27,7 @@
     _operator: Scrap,
 }
 
-fn start(halls: &str) -> Site {
+fn start(zones: &str) -> Site {
     let world = Arc::new(World::default());
     let engines: Vec<Engine> = (0..4)
         .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone()))
@@ -52,10 +52,10 @@
             serde_json::json!(["east"]),
         );
     for n in 0..4 {
-        let hall = if n < 2 { "east" } else { "west" };
-        config = config.with(&format!("known.cmds.0.nodes.instances.{n}.zone"), hall);
+        let zone = if n < 2 { "east" } else { "west" };
+        config = config.with(&format!("known.cmds.0.nodes.instances.{n}.zone"), zone);
     }
-    let operator = Scrap::new("operator.textproto", halls);
+    let operator = Scrap::new("operator.textproto", zones);
     let path = operator.0.display().to_string();
     let program = Program::start(
         Path::new(env!("CARGO_BIN_EXE_tansymux")),
@@ -92,41 +92,41 @@
         ask(self.program.listen, &query, &self.world.record)
     }
 
-    fn halls(&self) -> Value {
+    fn zones(&self) -> Value {
         serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().2).unwrap()
     }
 
-    fn state(&self, hall: &str) -> String {
-        let halls = self.halls();
-        let of = halls["halls"]
+    fn state(&self, zone: &str) -> String {
+        let zones = self.zones();
+        let of = zones["halls"]
             .as_array()
             .unwrap()
             .iter()
-            .find(|h| h["hall"] == hall);
+            .find(|h| h["hall"] == zone);
         of.map_or("", |h| h["state"].as_str().unwrap()).to_owned()
     }
 
-    fn hall(&self, fault: Fault) {
+    fn zone(&self, fault: Fault) {
         self.engines[..2]
             .iter()
             .for_each(|engine| engine.fault(fault));
     }
 
-    /// Asks look-ups until a hall is in a state; how long that took.
-    fn until(&self, hall: &str, state: &str) -> Duration {
+    /// Asks look-ups until a zone is in a state; how long that took.
+    fn until(&self, zone: &str, state: &str) -> Duration {
         let from = Instant::now();
-        while self.state(hall) != state {
+        while self.state(zone) != state {
             thread::scope(|scope| (0..6).for_each(|_| drop(scope.spawn(|| self.ask("look", 5.0)))));
             assert!(
                 from.elapsed() < Duration::from_secs(15),
                 "{state}: {}",
-                self.halls()
+                self.zones()
             );
         }
         from.elapsed()
     }
 
-    /// Submissions by hall since an entry of the record.
+    /// Submissions by zone since an entry of the record.
     fn sent(&self, since: usize) -> (usize, usize) {
         let entries = self.world.record.entries();
         let to = |east: bool| {
@@ -145,13 +145,13 @@
 }
 
 #[test]
-fn a_hall_that_is_lost_spills_within_its_limit_and_climbs_back_and_all_rules_hold() {
-    let mut site = start(HALLS);
+fn a_zone_that_is_lost_spills_within_its_limit_and_climbs_back_and_all_rules_hold() {
+    let mut site = start(ZONES);
     (0..20).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
     assert_eq!(site.sent(0).1, 0, "the own hall is first");
-    site.hall(Fault::Silent);
+    site.zone(Fault::Silent);
     site.until("east", "cut");
-    // Look-ups run in the other hall; of reports only as many as may spill, the rest is deferred at once.
+    // Look-ups run in the other zone; of reports only as many as may spill, the rest is deferred at once.
     let mark = site.mark();
     (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
     assert!(site.sent(mark).1 >= 10);
@@ -174,20 +174,20 @@
         .filter(|got| got.status == 429)
         .collect();
     // 0.3 of 16 cores are 4.8 threads: one report of four at a time.
-    assert_eq!((served, deferred.len()), (1, 7), "{got:?} {}", site.halls());
+    assert_eq!((served, deferred.len()), (1, 7), "{got:?} {}", site.zones());
     assert!(
         deferred
             .iter()
             .all(|got| got.took < 200.0 && got.retry_after.is_some()),
         "{deferred:?}"
     );
-    // What is bound to the lost hall is never moved.
+    // What is bound to the lost zone is never moved.
     let mark = site.mark();
     let bound = site.ask("bound", 5.0).unwrap();
     assert!(bound.status == 429, "{bound:?}");
     assert_eq!(site.sent(mark).1, 0);
-    // It comes back: a part first, all after a while, and then the own hall is first again.
-    site.hall(Fault::None);
+    // It comes back: a part first, all after a while, and then the own zone is first again.
+    site.zone(Fault::None);
     site.until("east", "climbing");
     let climbed = site.until("east", "well");
     assert!(climbed > Duration::from_secs(3), "{climbed:?}");
@@ -227,14 +227,14 @@
 }
 
 #[test]
-fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_hall() {
-    let site = start(HALLS);
+fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_zone() {
+    let site = start(ZONES);
     let got: Vec<Option<Got>> = thread::scope(|scope| {
         let asked: Vec<_> = (0..6)
             .map(|_| scope.spawn(|| site.ask("load", 400.0)))
             .collect();
         thread::sleep(Duration::from_millis(60));
-        site.hall(Fault::Silent);
+        site.zone(Fault::Silent);
         (0..4).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0))));
         asked
             .into_iter()
@@ -261,16 +261,16 @@
 }
 
 #[test]
-fn a_dispatcher_that_is_cut_off_itself_calls_no_hall_cut() {
-    let site = start(HALLS);
+fn a_dispatcher_that_is_cut_off_itself_calls_no_zone_cut() {
+    let site = start(ZONES);
     (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
     site.engines
         .iter()
         .for_each(|engine| engine.fault(Fault::Silent));
     let from = Instant::now();
-    while site.halls()["alone"] != true {
+    while site.zones()["alone"] != true {
         thread::scope(|scope| (0..8).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0)))));
-        assert!(from.elapsed() < Duration::from_secs(15), "{}", site.halls());
+        assert!(from.elapsed() < Duration::from_secs(15), "{}", site.zones());
     }
     assert_eq!(
         (site.state("east"), site.state("west")),
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -41,7 +41,7 @@
     };
     Bounds {
         fleet,
-        hall: most(told.hall_most, told.hall_part),
+        zone: most(told.hall_most, told.hall_part),
         version: most(told.version_most, told.version_part),
         apart: told.apart_s() * 1000.0,
         carry: told.carry(),
@@ -58,7 +58,7 @@
         canaries: turns.canaries() as usize,
         canary: turns.canary_s() * 1000.0,
         goes_on_untold: turns.goes_on_untold(),
-        halls: turns.hall.iter().map(|hall| number_of(hall)).collect(),
+        zones: turns.hall.iter().map(|hall| number_of(hall)).collect(),
         pause: turns.pause_s() * 1000.0,
         lost: turns.lost() as usize,
         compare: compare::Terms {
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -15,7 +15,7 @@
 use place::Places;
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use std::fmt;
-pub use zone_routing::halls;
+pub use zone_routing::zones;
 
 /// The schema's messages, generated at build.
 #[allow(clippy::all, clippy::pedantic)]
--- a/crates/operator-config/src/zone_routing.rs
+++ b/crates/operator-config/src/zone_routing.rs
@@ -5,9 +5,9 @@
 use tansymux_zone_routing::{define, Climb, Cut, Definition, Route, Spill, Tier};
 
 /// The definition that the file tells. It may have faults: see `check`.
-pub fn halls(told: &schema::Halls) -> Definition {
+pub fn zones(told: &schema::Halls) -> Definition {
     let tier = |tier: &schema::Tier| Tier {
-        halls: tier.hall.clone(),
+        zones: tier.hall.clone(),
     };
     let route = |told: &schema::Route| {
         let (class, from) = (told.class.clone(), told.from.clone());
@@ -60,7 +60,7 @@
         faults.within("halls.climb.over_s", climb.over_s, 1.0, 3600.0);
         faults.within("halls.climb.whole", climb.whole, 0.25, 8.0);
     }
-    for fault in define::faults(&halls(told)) {
+    for fault in define::faults(&zones(told)) {
         faults.add(&format!("halls.{}", fault.key), fault.found, fault.allowed);
     }
 }
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -23,7 +23,7 @@
 /// What a dispatcher says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Own {
-    pub hall: u32,
+    pub zone: u32,
     pub version: u32,
     pub busy: f64,
     pub threads: f64,
@@ -174,7 +174,7 @@
         Report {
             digest: self.digest(),
             round: message::round_of(self.copies.values().map(|copy| &copy.record)),
-            hall: self.own.hall,
+            zone: self.own.zone,
             version: self.own.version,
             session: self.session,
             busy: self.own.busy as f32,
--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -1,11 +1,11 @@
-//! Whether those that were released do worse than those that were not: of the same time and hall, pair by pair.
+//! Whether those that were released do worse than those that were not: of the same time and zone, pair by pair.
 
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
 
 /// Windows that are kept of each comparison.
 const MOST_PAIRS: usize = 240;
-const MOST_HALLS: usize = 64;
+const MOST_ZONES: usize = 64;
 
 /// How it is told.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -75,7 +75,7 @@
 /// The pairs of one release.
 #[derive(Debug, Clone, Default)]
 pub struct Compare {
-    /// By window and hall: those not released, and those that are.
+    /// By window and zone: those not released, and those that are.
     open: BTreeMap<(u64, u32), [Tally; 2]>,
     differences: Vec<f64>,
     /// Looks that could have told.
@@ -86,11 +86,11 @@
 
 impl Compare {
     /// A report of a dispatcher in a window: served well, and all.
-    pub fn report(&mut self, window: u64, hall: u32, released: bool, good: u32, all: u32) {
-        if self.open.len() >= 4 * MOST_HALLS && !self.open.contains_key(&(window, hall)) {
+    pub fn report(&mut self, window: u64, zone: u32, released: bool, good: u32, all: u32) {
+        if self.open.len() >= 4 * MOST_ZONES && !self.open.contains_key(&(window, zone)) {
             return;
         }
-        self.open.entry((window, hall)).or_default()[usize::from(released)].add(good, all);
+        self.open.entry((window, zone)).or_default()[usize::from(released)].add(good, all);
     }
 
     /// Closes the windows before this one, and tells what can be told.
@@ -194,10 +194,10 @@
     }
 
     #[test]
-    fn a_hall_that_does_badly_as_a_whole_is_no_sign_against_the_release() {
+    fn a_zone_that_does_badly_as_a_whole_is_no_sign_against_the_release() {
         let mut compare = Compare::default();
         for window in 0..50 {
-            // Hall 1 fails for all; only there has anybody been released.
+            // Zone 1 fails for all; only there has anybody been released.
             compare.report(window, 1, false, 20, 40);
             compare.report(window, 1, true, 20, 40);
             compare.report(window, 2, false, 40, 40);
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -14,7 +14,7 @@
     /// Of the records that it knows, and the highest round among them.
     pub digest: u32,
     pub round: u32,
-    pub hall: u32,
+    pub zone: u32,
     pub version: u32,
     /// Drawn at each start.
     pub session: u32,
@@ -398,7 +398,7 @@
             },
             5 => {
                 let scope =
-                    *[Scope::Fleet, Scope::Hall, Scope::Version].get(usize::from(self.byte()?))?;
+                    *[Scope::Fleet, Scope::Zone, Scope::Version].get(usize::from(self.byte()?))?;
                 Answer::Full {
                     scope,
                     out: self.four()?,
@@ -484,7 +484,7 @@
                 .byte(FIRST)
                 .four(r.digest)
                 .four(r.round)
-                .four(r.hall)
+                .four(r.zone)
                 .four(r.version)
                 .four(r.session);
             put.part(r.busy)
@@ -532,7 +532,7 @@
         0 => Message::Report(Report {
             digest: take.four()?,
             round: take.four()?,
-            hall: take.four()?,
+            zone: take.four()?,
             version: take.four()?,
             session: take.four()?,
             busy: take.part()?,
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -11,9 +11,9 @@
     pub canary: f64,
     /// Where the first ones are too few to tell, it goes on all the same.
     pub goes_on_untold: bool,
-    /// Halls in their order; the others follow by number.
-    pub halls: Vec<u32>,
-    /// Rest after a hall (ms).
+    /// Zones in their order; the others follow by number.
+    pub zones: Vec<u32>,
+    /// Rest after a zone (ms).
     pub pause: f64,
     /// So many more members lost than at its start halt a release.
     pub lost: usize,
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Seen {
     pub id: Id,
-    pub hall: u32,
+    pub zone: u32,
     pub version: u32,
     pub there: bool,
 }
@@ -46,9 +46,9 @@
     NoSuchRelease,
     /// It is there already.
     Already,
-    /// Others are first: the first few, or another hall.
+    /// Others are first: the first few, or another zone.
     Others,
-    /// The pause after a hall.
+    /// The pause after a zone.
     Pause,
 }
 
@@ -76,14 +76,14 @@
         drawn.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Where a hall stands in the order.
-    fn rank(&self, hall: u32) -> (usize, u32) {
+    /// Where a zone stands in the order.
+    fn rank(&self, zone: u32) -> (usize, u32) {
         (
-            self.halls
+            self.zones
                 .iter()
-                .position(|h| *h == hall)
-                .unwrap_or(self.halls.len()),
-            hall,
+                .position(|h| *h == zone)
+                .unwrap_or(self.zones.len()),
+            zone,
         )
     }
 
@@ -98,15 +98,15 @@
         }
     }
 
-    /// The hall whose wave it is: the first in the order in which one has still to go, the last on the way back.
-    pub fn hall(&self, release: &Release, seen: &[Seen]) -> Option<u32> {
-        let halls = seen
+    /// The zone whose wave it is: the first in the order in which one has still to go, the last on the way back.
+    pub fn zone(&self, release: &Release, seen: &[Seen]) -> Option<u32> {
+        let zones = seen
             .iter()
             .filter(|seen| Plan::has_to_go(release, seen))
-            .map(|seen| seen.hall);
+            .map(|seen| seen.zone);
         match release.stage {
-            Stage::Back => halls.max_by_key(|hall| self.rank(*hall)),
-            _ => halls.min_by_key(|hall| self.rank(*hall)),
+            Stage::Back => zones.max_by_key(|zone| self.rank(*zone)),
+            _ => zones.min_by_key(|zone| self.rank(*zone)),
         }
     }
 
@@ -120,7 +120,7 @@
     }
 
     /// Whether a dispatcher that wants to go to a version may, as far as the order goes. `pauses`: the pause after a
-    /// hall is not over.
+    /// zone is not over.
     pub fn admits(
         &self,
         release: Option<&Release>,
@@ -142,7 +142,7 @@
         match release.stage {
             Stage::Canaries if self.canaries(release, seen).contains(&id) => Ok(()),
             Stage::Canaries => Err(NotYet::Others),
-            _ if self.hall(release, seen) != Some(own.hall) => Err(NotYet::Others),
+            _ if self.zone(release, seen) != Some(own.zone) => Err(NotYet::Others),
             // On the way back nobody waits for longer than the limits say.
             Stage::Waves if pauses => Err(NotYet::Pause),
             _ => Ok(()),
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -82,7 +82,7 @@
     /// The release that is compared, and how many were lost when it was first seen.
     compared: Option<(u32, Stage, usize)>,
     canaries_since: Option<f64>,
-    /// The hall whose wave it is, and until when it rests.
+    /// The zone whose wave it is, and until when it rests.
     wave: Option<u32>,
     rests_until: f64,
     forgotten: BTreeSet<Id>,
@@ -184,7 +184,7 @@
             let released = report.version == Plan::target(&release);
             let window = (now / self.told.plan.compare.window) as u64;
             self.compare
-                .report(window, report.hall, released, good, all);
+                .report(window, report.zone, released, good, all);
         }
         if report.bad != 0
             && self.told.witnesses.is_some()
@@ -208,9 +208,9 @@
             .map(|_| at)
     }
 
-    /// In which hall a member said that it stands.
-    pub fn hall_of(&self, id: Id) -> Option<u32> {
-        self.reports.get(&id).map(|reported| reported.report.hall)
+    /// In which zone a member said that it stands.
+    pub fn zone_of(&self, id: Id) -> Option<u32> {
+        self.reports.get(&id).map(|reported| reported.report.zone)
     }
 
     /// Whether this one leads and has listened for long enough to decide.
@@ -281,10 +281,10 @@
                 .get(id)
                 .map(|reported| reported.report)
                 .unwrap_or_default();
-            let (hall, version) = (report.hall, report.version);
+            let (zone, version) = (report.zone, report.version);
             Some(Unit {
                 id: *id,
-                hall,
+                zone,
                 version,
                 there,
                 capacity: 1.0,
@@ -316,7 +316,7 @@
             .filter(|unit| unit.version != 0);
         let seen = |unit: Unit| Seen {
             id: unit.id,
-            hall: unit.hall,
+            zone: unit.zone,
             version: unit.version,
             there: unit.there,
         };
@@ -481,21 +481,21 @@
         }
         match self.decides(now, council, ask) {
             Verdict::Granted => {
-                let hall = match ask.kind {
+                let zone = match ask.kind {
                     Kind::Dispatcher => self
                         .reports
                         .get(&ask.id)
-                        .map_or(0, |reported| reported.report.hall),
+                        .map_or(0, |reported| reported.report.zone),
                     Kind::Engine => self
                         .engines
                         .iter()
                         .find(|unit| unit.id == ask.id)
-                        .map_or(0, |unit| unit.hall),
+                        .map_or(0, |unit| unit.zone),
                 };
                 let value = Value::Out {
                     kind: ask.kind,
                     why: ask.why,
-                    hall,
+                    zone,
                     session,
                     grant: ask.grant,
                 };
@@ -716,7 +716,7 @@
             let Value::Out {
                 kind,
                 why,
-                hall,
+                zone,
                 session,
                 grant,
             } = record.value
@@ -760,7 +760,7 @@
                         Value::Out {
                             kind,
                             why: Why::Lost,
-                            hall,
+                            zone,
                             session,
                             grant,
                         },
@@ -818,7 +818,7 @@
             let value = Value::Out {
                 kind,
                 why,
-                hall: report.hall,
+                zone: report.zone,
                 session: report.session,
                 grant: 0,
             };
@@ -924,13 +924,13 @@
             self.halts(now, council, Halt::CantTell, number_of(now, release.number));
             return;
         }
-        // A hall that is done rests before the next one.
-        let hall = self.told.plan.hall(&release, &seen);
-        if release.stage == Stage::Waves && hall != self.wave {
+        // A zone that is done rests before the next one.
+        let zone = self.told.plan.zone(&release, &seen);
+        if release.stage == Stage::Waves && zone != self.wave {
             if self.wave.is_some() {
                 self.rests_until = now + self.told.plan.pause;
             }
-            self.wave = hall;
+            self.wave = zone;
         }
         let stage = self.told.plan.next(&release, &seen, looked);
         // Nobody known is no sign that all went, and one that has not said what it is may have to go.
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -87,7 +87,7 @@
     pub fn engines(&mut self, engines: &[Unit]) {
         let mut cores: BTreeMap<Zone, f64> = BTreeMap::new();
         for engine in engines {
-            *cores.entry(engine.hall).or_default() += engine.capacity;
+            *cores.entry(engine.zone).or_default() += engine.capacity;
         }
         self.watch.capacity(&cores.into_iter().collect::<Vec<_>>());
     }
@@ -202,8 +202,8 @@
             self.leads_since = council.leads_since();
             self.watch.clear();
         }
-        let halls = members.filter_map(|(id, there)| Some((id, steward.hall_of(id)?, there)));
-        self.watch.members(halls);
+        let zones = members.filter_map(|(id, there)| Some((id, steward.zone_of(id)?, there)));
+        self.watch.members(zones);
         if !steward.leads(now, council) {
             return;
         }
--- a/crates/rollout/tests/steward.rs
+++ b/crates/rollout/tests/steward.rs
@@ -19,7 +19,7 @@
     (1..=many)
         .map(|id| Unit {
             id,
-            hall: (id % 2) as u32,
+            zone: (id % 2) as u32,
             version: 0,
             there: ready(id),
             capacity: 8.0,
@@ -47,7 +47,7 @@
             desk.reports(
                 id,
                 Report {
-                    hall: (id % 2) as u32 + 1,
+                    zone: (id % 2) as u32 + 1,
                     version: 7,
                     session: 1,
                     ..Report::default()
@@ -235,7 +235,7 @@
     desk.reports(
         2,
         Report {
-            hall: 1,
+            zone: 1,
             version: 7,
             session: 2,
             ..Report::default()
@@ -246,7 +246,7 @@
     desk.reports(
         2,
         Report {
-            hall: 1,
+            zone: 1,
             version: 7,
             session: 3,
             turn: 99,
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -3,7 +3,7 @@
 /// What is measured. Parts lie from 0 to 1.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Signal {
-    /// Part of the ready engines that show pressure, in the pool or in a hall.
+    /// Part of the ready engines that show pressure, in the pool or in a zone.
     Pressed(Option<String>),
     /// Part of the low lane's bounds that is in use, as it would be at full service.
     BoundsUsed,
@@ -27,7 +27,7 @@
                 .map_or(name.into(), |of| format!("{name}({of})"))
         };
         match self {
-            Signal::Pressed(hall) => of("pressed", hall),
+            Signal::Pressed(zone) => of("pressed", zone),
             Signal::BoundsUsed => "bounds-used".into(),
             Signal::Late(class) => of("late", class),
             Signal::Deferred(class) => of("deferred", class),
--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -21,16 +21,16 @@
 }
 
 fn check(e: &Experiment) -> Result<(), String> {
-    let halls: Vec<&str> = e.hall.iter().map(|hall| hall.name()).collect();
-    if halls.is_empty() || e.class.is_empty() || e.arm.is_empty() {
+    let zones: Vec<&str> = e.hall.iter().map(|zone| zone.name()).collect();
+    if zones.is_empty() || e.class.is_empty() || e.arm.is_empty() {
         return Err("an experiment has a hall, a class and an arm at the least".into());
     }
     for (n, fault) in e.fault.iter().enumerate() {
-        if !halls.contains(&fault.hall())
+        if !zones.contains(&fault.hall())
             || fault
                 .from
                 .as_ref()
-                .is_some_and(|from| !halls.contains(&from.as_str()))
+                .is_some_and(|from| !zones.contains(&from.as_str()))
         {
             return Err(format!("fault.{n} names a hall that is not there"));
         }
@@ -45,7 +45,7 @@
         if class
             .bound_to
             .as_ref()
-            .is_some_and(|hall| !halls.contains(&hall.as_str()))
+            .is_some_and(|zone| !zones.contains(&zone.as_str()))
         {
             return Err(format!("class.{n}.bound_to is no hall"));
         }
--- a/crates/simulator/src/report.rs
+++ b/crates/simulator/src/report.rs
@@ -45,7 +45,7 @@
         e.name(),
         e.dispatchers(),
         e.hall.len(),
-        e.hall.iter().map(|hall| hall.engines()).sum::<u32>(),
+        e.hall.iter().map(|zone| zone.engines()).sum::<u32>(),
         e.seconds(),
         e.seeds(),
         ""
@@ -94,7 +94,7 @@
     arms.iter().flatten().map(line).collect()
 }
 
-/// Plots of one run: served value, deferrals, threads of each hall and what spilled.
+/// Plots of one run: served value, deferrals, threads of each zone and what spilled.
 ///
 /// # Errors
 /// The file can't be written.
@@ -121,10 +121,10 @@
         smooth(&|n| o.samples[n].value / o.samples[n].most.max(1e-9)),
         smooth(&|n| o.samples[n].deferred as f64 * 4.0 / 100.0),
     ];
-    for (n, hall) in e.hall.iter().enumerate() {
-        names.push(format!("threads in {} / {most:.0}", hall.name()));
+    for (n, zone) in e.hall.iter().enumerate() {
+        names.push(format!("threads in {} / {most:.0}", zone.name()));
         points.push(smooth(&|s| o.samples[s].threads[n] / most));
-        names.push(format!("spilled into {} / {most:.0}", hall.name()));
+        names.push(format!("spilled into {} / {most:.0}", zone.name()));
         points.push(smooth(&|s| o.samples[s].spilled[n] / most));
     }
     let lines: Vec<Line> = names
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -12,7 +12,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use tansymux::control::Control;
 use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
-use tansymux::tiers::{Given, GivenHall};
+use tansymux::tiers::{Given, GivenZone};
 use tansymux::told::Map;
 use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_testbed::record::{Entry, Status, What};
@@ -214,8 +214,8 @@
                 Incoming::Probed { node, outcome } => control.probed(node, outcome),
                 Incoming::List => {
                     control.list_begins(ListForm::Full);
-                    for (node, hall, status, started) in self.list {
-                        control.listed(*node, "std", hall, *status, *started, 0);
+                    for (node, zone, status, started) in self.list {
+                        control.listed(*node, "std", zone, *status, *started, 0);
                     }
                     control.list_ends(ListForm::Full, out);
                 }
@@ -226,8 +226,8 @@
 
 struct Gateway {
     control: Control,
-    halls: Option<Judge>,
-    hall: usize,
+    zones: Option<Judge>,
+    zone: usize,
     tick: f64,
     /// Engines whose connections are known to be gone.
     known_gone: Vec<bool>,
@@ -259,7 +259,7 @@
     pub value: f64,
     pub most: f64,
     pub deferred: u64,
-    /// Threads by hall, and low threads from elsewhere.
+    /// Threads by zone, and low threads from elsewhere.
     pub threads: Vec<f64>,
     pub spilled: Vec<f64>,
 }
@@ -299,9 +299,9 @@
     number: u64,
     events: BinaryHeap<Timed>,
     chance: Pcg64,
-    halls: Vec<String>,
+    zones: Vec<String>,
     groups: Vec<String>,
-    engine_halls: Vec<usize>,
+    engine_zones: Vec<usize>,
     engines: Vec<Engine>,
     fallen_until: Vec<f64>,
     gateways: Vec<Gateway>,
@@ -337,14 +337,14 @@
     world.ends(from.elapsed().as_secs_f64())
 }
 
-fn settings(e: &Experiment, hall: &str) -> Map {
+fn settings(e: &Experiment, zone: &str) -> Map {
     let mut map = Map::new();
     let mut put = |name: &str, value: String| drop(map.insert(name.to_owned(), value));
     let list = |of: &dyn Fn(&crate::schema::Class) -> String| {
         e.class.iter().map(of).collect::<Vec<_>>().join(",")
     };
     put("balancers", e.dispatchers().to_string());
-    put("zone", hall.to_owned());
+    put("zone", zone.to_owned());
     put("kinds", "std".into());
     put("family-info.cores-by-kind", e.hall[0].cores().to_string());
     put("family-info.kind-memory-mb", "100000".into());
@@ -388,22 +388,22 @@
             &format!("services.{n}.aim-us"),
             (class.target_ms() * 1000.0).to_string(),
         );
-        if let Some(hall) = &class.bound_to {
-            put(&format!("services.{n}.confined-to"), hall.clone());
+        if let Some(zone) = &class.bound_to {
+            put(&format!("services.{n}.confined-to"), zone.clone());
         }
     }
     map
 }
 
 fn given(plan: &Plan) -> Given {
-    let hall = |hall: &tansymux_zone_routing::HallPlan| GivenHall {
-        name: hall.name.clone(),
-        ranks: hall.ranks.clone(),
-        spill: hall.spill,
-        spill_by_group: hall.spill_by_class.clone(),
+    let zone = |zone: &tansymux_zone_routing::ZonePlan| GivenZone {
+        name: zone.name.clone(),
+        ranks: zone.ranks.clone(),
+        spill: zone.spill,
+        spill_by_group: zone.spill_by_class.clone(),
     };
     Given {
-        halls: plan.halls.iter().map(hall).collect(),
+        zones: plan.zones.iter().map(zone).collect(),
         engines: plan
             .engines
             .iter()
@@ -417,44 +417,44 @@
 impl<'a> World<'a> {
     fn new(e: &'a Experiment, arm: usize, seed: u64) -> Self {
         let cold = e.cold.unwrap_or_default();
-        let halls: Vec<String> = e.hall.iter().map(|hall| hall.name().to_owned()).collect();
+        let zones: Vec<String> = e.hall.iter().map(|zone| zone.name().to_owned()).collect();
         let mut engines = Vec::new();
-        let mut engine_halls = Vec::new();
-        for (n, hall) in e.hall.iter().enumerate() {
-            for _ in 0..hall.engines() {
+        let mut engine_zones = Vec::new();
+        for (n, zone) in e.hall.iter().enumerate() {
+            for _ in 0..zone.engines() {
                 engines.push(Engine::new(
-                    hall.cores(),
+                    zone.cores(),
                     cold.warm_s() * 1000.0,
                     cold.from(),
                 ));
-                engine_halls.push(n);
+                engine_zones.push(n);
             }
         }
         let told = tansymux_operator_config::read(e.arm[arm].operator()).unwrap_or_default();
-        let definition = told.halls.as_ref().map(tansymux_operator_config::halls);
+        let definition = told.halls.as_ref().map(tansymux_operator_config::zones);
         let gateways: Vec<Gateway> = (0..e.dispatchers() as usize)
             .map(|n| Gateway {
                 control: Control::new(
                     seed.wrapping_mul(1000) + n as u64,
-                    &settings(e, &halls[n % halls.len()]),
+                    &settings(e, &zones[n % zones.len()]),
                 )
                 .expect("the lab's own settings are whole"),
-                halls: definition
+                zones: definition
                     .clone()
                     .map(|definition| Judge::new(definition, f64::from(e.dispatchers()))),
-                hall: n % halls.len(),
+                zone: n % zones.len(),
                 tick: f64::INFINITY,
                 known_gone: vec![false; engines.len()],
             })
             .collect();
         let rate: f64 = e.class.iter().map(|class| class.rate()).sum();
-        let list = engine_halls
+        let list = engine_zones
             .iter()
             .enumerate()
-            .map(|(n, hall)| {
+            .map(|(n, zone)| {
                 (
                     n as u64 + 1,
-                    halls[*hall].clone(),
+                    zones[*zone].clone(),
                     EngineStatus::Ready,
                     None,
                 )
@@ -475,8 +475,8 @@
             fallen_until: vec![0.0; engines.len()],
             sent_cold: vec![Vec::new(); engines.len()],
             inboxes: (0..gateways.len()).map(|_| Vec::new()).collect(),
-            halls,
-            engine_halls,
+            zones,
+            engine_zones,
             engines,
             gateways,
             queries: HashMap::new(),
@@ -521,14 +521,14 @@
 
     fn begin(&mut self) {
         for engine in 0..self.engines.len() {
-            let (id, hall) = (
+            let (id, zone) = (
                 World::name(engine),
-                self.halls[self.engine_halls[engine]].clone(),
+                self.zones[self.engine_zones[engine]].clone(),
             );
             self.saw(|| What::Listed {
                 engine: id,
                 status: Status::Ready,
-                hall,
+                zone,
                 kind: "std".into(),
                 cell: 0,
             });
@@ -562,7 +562,7 @@
 
     /// Whether there is no way between a gateway and an engine.
     fn is_cut(&self, gateway: usize, engine: usize) -> bool {
-        let (from, hall) = (self.gateways[gateway].hall, self.engine_halls[engine]);
+        let (from, zone) = (self.gateways[gateway].zone, self.engine_zones[engine]);
         self.e
             .fault
             .iter()
@@ -570,11 +570,11 @@
             .any(|(fault, active)| {
                 *active
                     && fault.kind() == fault::Kind::Cut
-                    && fault.hall() == self.halls[hall]
+                    && fault.hall() == self.zones[zone]
                     && (fault
                         .from
                         .as_deref()
-                        .map_or(from != hall, |name| name == self.halls[from]))
+                        .map_or(from != zone, |name| name == self.zones[from]))
             })
     }
 
@@ -918,8 +918,8 @@
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
             Outcome::Cancelled | Outcome::NotSent => return,
         };
-        if let Some(halls) = &mut self.gateways[gateway].halls {
-            halls.seen(
+        if let Some(zones) = &mut self.gateways[gateway].zones {
+            zones.seen(
                 EPOCH + self.now,
                 Seen {
                     node: engine as u64 + 1,
@@ -932,31 +932,31 @@
     fn look(&mut self, gateway: usize) {
         let (now, groups) = (EPOCH + self.now, &self.groups);
         let g = &mut self.gateways[gateway];
-        if let Some(halls) = &mut g.halls {
-            halls.look(now);
+        if let Some(zones) = &mut g.zones {
+            zones.look(now);
             g.control
-                .plan_halls(Some(&given(&halls.plan(&self.halls[g.hall], groups))));
-            if let Some(node) = halls.probes(now) {
+                .plan_zones(Some(&given(&zones.plan(&self.zones[g.zone], groups))));
+            if let Some(node) = zones.probes(now) {
                 self.probe(gateway, node as usize - 1);
             }
         }
     }
 
     fn told(&mut self, gateway: usize) {
-        let engines: Vec<tansymux_zone_routing::Engine> = (self.engine_halls.iter().enumerate())
-            .map(|(n, hall)| {
+        let engines: Vec<tansymux_zone_routing::Engine> = (self.engine_zones.iter().enumerate())
+            .map(|(n, zone)| {
                 let ready = self.list[n].2 == EngineStatus::Ready;
                 let cores = self.engines[n].cores;
                 tansymux_zone_routing::Engine {
                     node: n as u64 + 1,
-                    hall: self.halls[*hall].clone(),
+                    zone: self.zones[*zone].clone(),
                     cores,
                     ready,
                 }
             })
             .collect();
-        if let Some(halls) = &mut self.gateways[gateway].halls {
-            halls.listed(EPOCH + self.now, &engines);
+        if let Some(zones) = &mut self.gateways[gateway].zones {
+            zones.listed(EPOCH + self.now, &engines);
         }
         self.inboxes[gateway].push(Incoming::List);
         self.round(gateway);
@@ -1135,7 +1135,7 @@
             self.tells_truth();
         }
         for engine in 0..self.engines.len() {
-            if self.halls[self.engine_halls[engine]] != told.hall() {
+            if self.zones[self.engine_zones[engine]] != told.hall() {
                 continue;
             }
             match told.kind() {
@@ -1174,25 +1174,25 @@
     // ---- What came of it ----
 
     fn samples(&mut self) {
-        let mut threads = vec![0.0; self.halls.len()];
-        for (engine, hall) in self.engines.iter().zip(&self.engine_halls) {
-            threads[*hall] += engine.threads();
+        let mut threads = vec![0.0; self.zones.len()];
+        for (engine, zone) in self.engines.iter().zip(&self.engine_zones) {
+            threads[*zone] += engine.threads();
         }
-        let mut spilled = vec![0.0; self.halls.len()];
+        let mut spilled = vec![0.0; self.zones.len()];
         for g in &self.gateways {
-            for (n, hall) in self.halls.iter().enumerate() {
-                spilled[n] += g.control.spilled(hall);
+            for (n, zone) in self.zones.iter().enumerate() {
+                spilled[n] += g.control.spilled(zone);
             }
         }
-        let cores = |hall: usize| -> f64 {
-            (self.engines.iter().zip(&self.engine_halls))
-                .filter(|(_, h)| **h == hall)
+        let cores = |zone: usize| -> f64 {
+            (self.engines.iter().zip(&self.engine_zones))
+                .filter(|(_, h)| **h == zone)
                 .map(|(e, _)| e.cores)
                 .sum()
         };
-        if let Some(halls) = &self.gateways[0].halls {
-            for (n, hall) in self.halls.iter().enumerate() {
-                let most = halls.definition().spill(hall, None) * cores(n);
+        if let Some(zones) = &self.gateways[0].zones {
+            for (n, zone) in self.zones.iter().enumerate() {
+                let most = zones.definition().spill(zone, None) * cores(n);
                 if most.is_finite() && most > 0.0 {
                     self.o.spill = self.o.spill.max(spilled[n] / most);
                 }
@@ -1250,11 +1250,11 @@
             } else {
                 Effect::ReadOnly
             };
-            let halls = class.bound_to.clone().map(|hall| vec![hall]);
+            let zones = class.bound_to.clone().map(|zone| vec![zone]);
             (
                 class.name().to_owned(),
                 ClassRules {
-                    halls,
+                    zones,
                     ..ClassRules::of(effect)
                 },
             )
--- a/crates/simulator/tests/small.rs
+++ b/crates/simulator/tests/small.rs
@@ -1,23 +1,23 @@
-//! The lab itself: same seeds, same runs; rules kept; a hall that is lost and comes back; and how it stands beside
+//! The lab itself: same seeds, same runs; rules kept; a zone that is lost and comes back; and how it stands beside
 //! the rig's sockets.
 
 use tansymux_simulator::schema::Experiment;
 use tansymux_simulator::{compare, experiment, report, world};
 
-fn hall_cut(seeds: u32, seconds: f64) -> Experiment {
+fn zone_cut(seeds: u32, seconds: f64) -> Experiment {
     let mut e = experiment::read(include_str!("../experiments/hall-cut.textproto")).unwrap();
     (e.seeds, e.seconds) = (Some(seeds), Some(seconds));
     e.class
         .iter_mut()
         .for_each(|class| class.rate = Some(class.rate() / 4.0));
-    e.hall.iter_mut().for_each(|hall| hall.cores = Some(2.0));
+    e.hall.iter_mut().for_each(|zone| zone.cores = Some(2.0));
     (e.fault.iter_mut()).for_each(|fault| (fault.begins_s, fault.ends_s) = (Some(8.0), Some(18.0)));
     e
 }
 
 #[test]
 fn a_seed_plays_the_same_run_whatever_is_played_beside_it() {
-    let e = hall_cut(2, 30.0);
+    let e = zone_cut(2, 30.0);
     let (one, four) = (compare::all(&e, 1, true), compare::all(&e, 4, true));
     for (a, b) in one.iter().flatten().zip(four.iter().flatten()) {
         assert_eq!(
@@ -28,8 +28,8 @@
 }
 
 #[test]
-fn a_hall_is_lost_and_regained_with_all_answered_and_spill_within_its_limit() {
-    let e = hall_cut(1, 50.0);
+fn a_zone_is_lost_and_regained_with_all_answered_and_spill_within_its_limit() {
+    let e = zone_cut(1, 50.0);
     let o = world::run(&e, 1, 3);
     assert!(o.asked > 5000, "{}", o.asked);
     assert_eq!(
@@ -69,7 +69,7 @@
 
 #[test]
 fn what_is_shown_of_a_run_holds_its_figures() {
-    let e = hall_cut(2, 10.0);
+    let e = zone_cut(2, 10.0);
     let arms = compare::all(&e, 2, true);
     let table = report::table(&e, &arms);
     assert!(
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
     All,
-    Hall,
+    Zone,
     Cell,
 }
 
@@ -58,7 +58,7 @@
     pub window: f64,
     pub in_order: bool,
     /// Rule 6: none where it may run anywhere.
-    pub halls: Option<Vec<String>>,
+    pub zones: Option<Vec<String>>,
     pub kinds: Option<Vec<String>>,
 }
 
@@ -69,7 +69,7 @@
             scope: Scope::All,
             window: 0.0,
             in_order: false,
-            halls: None,
+            zones: None,
             kinds: None,
         }
     }
@@ -116,7 +116,7 @@
 
 #[derive(Debug, Default)]
 struct Engine {
-    hall: String,
+    zone: String,
     kind: String,
     cell: u32,
     /// Since when it is listed as draining or gone.
@@ -205,12 +205,12 @@
             What::Listed {
                 engine,
                 status,
-                hall,
+                zone,
                 kind,
                 cell,
             } => {
                 let known = self.engines.entry(engine.clone()).or_default();
-                (known.hall, known.kind, known.cell) = (hall.clone(), kind.clone(), *cell);
+                (known.zone, known.kind, known.cell) = (zone.clone(), kind.clone(), *cell);
                 known.closed = match status {
                     Status::Ready => None,
                     Status::Draining | Status::Gone => known.closed.or(Some(at)),
@@ -261,7 +261,7 @@
         let rules = self.rules;
         let known = self.engines.entry(engine.to_owned()).or_default();
         known.arrived.push((at, work));
-        let (hall, kind) = (known.hall.clone(), known.kind.clone());
+        let (zone, kind) = (known.zone.clone(), known.kind.clone());
         if let Some(closed) = known
             .closed
             .filter(|closed| at > closed + rules.grace + rules.slack)
@@ -286,9 +286,9 @@
             let inside = |bound: &Option<Vec<String>>, it: &String| {
                 bound.as_ref().is_none_or(|b| b.contains(it))
             };
-            if !inside(&class.halls, &hall) || !inside(&class.kinds, &kind) {
+            if !inside(&class.zones, &zone) || !inside(&class.kinds, &kind) {
                 let how = format!(
-                    "{id} of {} was sent to {engine} in {hall}, a {kind}",
+                    "{id} of {} was sent to {engine} in {zone}, a {kind}",
                     query.class
                 );
                 self.breaks(6, at, how);
@@ -335,11 +335,11 @@
                     "{id} was sent to {engine} again though it may have run"
                 )),
                 Effect::Tokened => {
-                    let of = |name: &str| self.engines.get(name).map(|e| (e.hall.clone(), e.cell));
+                    let of = |name: &str| self.engines.get(name).map(|e| (e.zone.clone(), e.cell));
                     let (was, is) = (of(&first.engine), of(engine));
                     let same = match class.scope {
                         Scope::All => true,
-                        Scope::Hall => was.map(|w| w.0) == is.map(|i| i.0),
+                        Scope::Zone => was.map(|w| w.0) == is.map(|i| i.0),
                         Scope::Cell => was.map(|w| w.1) == is.map(|i| i.1),
                     };
                     if !same {
@@ -506,7 +506,7 @@
 
     fn rules() -> Rules {
         let bound = ClassRules {
-            halls: Some(vec!["east".into()]),
+            zones: Some(vec!["east".into()]),
             ..ClassRules::of(Effect::ReadOnly)
         };
         let keyed = ClassRules {
@@ -514,7 +514,7 @@
             ..ClassRules::of(Effect::Mutating)
         };
         let tokened = ClassRules {
-            scope: Scope::Hall,
+            scope: Scope::Zone,
             window: 1000.0,
             ..ClassRules::of(Effect::Tokened)
         };
@@ -584,11 +584,11 @@
         }
     }
 
-    fn listed(engine: &str, status: Status, hall: &str) -> What {
+    fn listed(engine: &str, status: Status, zone: &str) -> What {
         What::Listed {
             engine: engine.into(),
             status,
-            hall: hall.into(),
+            zone: zone.into(),
             kind: "std".into(),
             cell: 0,
         }
@@ -720,11 +720,11 @@
             ]),
             [2]
         );
-        // A token counts within its hall and window only.
-        let tokened = |hall: &str, at: f64| {
+        // A token counts within its zone and window only.
+        let tokened = |zone: &str, at: f64| {
             broken(&[
                 (0.0, listed("e", Status::Ready, "east")),
-                (0.0, listed("w", Status::Ready, hall)),
+                (0.0, listed("w", Status::Ready, zone)),
                 (
                     0.0,
                     What::Asked {
@@ -820,9 +820,9 @@
 
     #[test]
     fn rule_6_placement_on_every_submission() {
-        let sent = |hall: &str| {
+        let sent = |zone: &str| {
             broken(&[
-                (0.0, listed("e", Status::Ready, hall)),
+                (0.0, listed("e", Status::Ready, zone)),
                 (1.0, asked("bound", "1", None)),
                 (2.0, arrived("e", "1")),
             ])
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -148,7 +148,7 @@
         .collect();
     let listed = |e: &Engine| Listed {
         id: e.id.clone(),
-        hall: "h".into(),
+        zone: "h".into(),
         kind: "std".into(),
         cell: 0,
         address: e.address,
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -126,7 +126,7 @@
             Config::new(listens[n], &known, &classes, &[1])
                 .with("seed", format!("{:x}", scenario.seed * 1000 + n as u64 + 1))
                 .with("settings.balancers", scenario.members)
-                .with("settings.zone", format!("h{}", n % scenario.halls))
+                .with("settings.zone", format!("h{}", n % scenario.zones))
         })
         .collect();
     let files = (0..scenario.members)
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -101,7 +101,7 @@
     pub seed: u64,
     pub members: usize,
     pub voters: usize,
-    pub halls: usize,
+    pub zones: usize,
     pub engines: usize,
     /// Most dispatchers and most engines out.
     pub most: usize,
@@ -142,7 +142,7 @@
             seed,
             members,
             voters,
-            halls: if members >= 6 { 2 } else { 1 },
+            zones: if members >= 6 { 2 } else { 1 },
             engines: 8,
             most,
             most_engines: 2,
@@ -281,8 +281,8 @@
                 );
             }
             "hall-of-voters-lost" => {
-                scenario.halls = 2;
-                // Voters 0 and 2 stand in one hall, and are the majority.
+                scenario.zones = 2;
+                // Voters 0 and 2 stand in one zone, and are the majority.
                 add(
                     1000.0,
                     Fault::Kill {
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -292,7 +292,7 @@
         let units: Vec<Unit> = (0..self.scenario.engines)
             .map(|e| Unit {
                 id: 1000 + e as u64,
-                hall: (e % 2) as u32,
+                zone: (e % 2) as u32,
                 version: 0,
                 there: true,
                 capacity: 8.0,
@@ -439,9 +439,9 @@
                 slot.good += u32::from(self.chance.random::<f64>() < part);
             }
         }
-        let hall = (n % self.scenario.halls) as u32 + 1;
+        let zone = (n % self.scenario.zones) as u32 + 1;
         fleet.says(Own {
-            hall,
+            zone,
             version: slot.version,
             good: slot.good,
             all: slot.all,
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -91,7 +91,7 @@
 }
 
 fn operator(arm: Arm, n: usize, relay: &Relay) -> String {
-    let halls = "halls { route { tier { hall: \"h0\" hall: \"h1\" hall: \"h2\" } } cut { quiet_s: 0.6 } climb { first: 0.1 over_s: 8 whole: 2 } }";
+    let zones = "halls { route { tier { hall: \"h0\" hall: \"h1\" hall: \"h2\" } } cut { quiet_s: 0.6 } climb { first: 0.1 over_s: 8 whole: 2 } }";
     let seeds: String = relay
         .public
         .iter()
@@ -106,8 +106,8 @@
         relay.private[n], relay.public[n]
     );
     match arm {
-        Arm::Agreed => format!("{halls}\n{fleet}"),
-        Arm::Alone => halls.into(),
+        Arm::Agreed => format!("{zones}\n{fleet}"),
+        Arm::Alone => zones.into(),
         Arm::Neither => String::new(),
     }
 }
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -201,7 +201,7 @@
         .collect();
     let listed = |e: &Engine| Listed {
         id: e.id.clone(),
-        hall: "h".into(),
+        zone: "h".into(),
         kind: "std".into(),
         cell: 0,
         address: e.address,
--- a/crates/testbed/src/names.rs
+++ b/crates/testbed/src/names.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct Listed {
     pub id: String,
-    pub hall: String,
+    pub zone: String,
     pub kind: String,
     pub cell: u32,
     pub address: SocketAddr,
@@ -97,7 +97,7 @@
 fn told(engine: &Listed) -> What {
     let Listed {
         id,
-        hall,
+        zone,
         kind,
         cell,
         status,
@@ -106,7 +106,7 @@
     What::Listed {
         engine: id,
         status,
-        hall,
+        zone,
         kind,
         cell,
     }
@@ -142,7 +142,7 @@
         bytes.extend_from_slice(data);
     };
     let question = [0xc0, 12];
-    let target = |engine: &Listed| name(&[&engine.id, &engine.hall, "hosts"]);
+    let target = |engine: &Listed| name(&[&engine.id, &engine.zone, "hosts"]);
     for engine in &there {
         let priority = u16::from(engine.status == Status::Draining);
         let head = [
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -52,7 +52,7 @@
 pub struct Config(pub Value);
 
 impl Config {
-    /// One dispatcher of one, in hall `h`, with these engines of kind `std` (8 cores, 4,096 MB) known and ready.
+    /// One dispatcher of one, in zone `h`, with these engines of kind `std` (8 cores, 4,096 MB) known and ready.
     pub fn new(
         listen: SocketAddr,
         engines: &[(String, SocketAddr)],
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -43,7 +43,7 @@
     Listed {
         engine: String,
         status: Status,
-        hall: String,
+        zone: String,
         kind: String,
         cell: u32,
     },
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -1,4 +1,4 @@
-//! Two halls of stand-in engines and several real dispatchers: one hall falls silent and comes back cold, with tiers
+//! Two zones of stand-in engines and several real dispatchers: one zone falls silent and comes back cold, with tiers
 //! and without, on the same seeds.
 
 use crate::check::{judge, Broken, ClassRules, Effect, Rules};
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 const DISPATCHERS: usize = 3;
-const HALLS: [&str; 2] = ["east", "west"];
+const ZONES: [&str; 2] = ["east", "west"];
 const EACH: usize = 3;
 const CORES: f64 = 8.0;
 const OPERATOR: &str = include_str!("../../../deploy/halls.textproto");
@@ -64,7 +64,7 @@
     let mut config = Config::new(free_address(), &known, &classes, &threads)
         .with("name", format!("n{n}"))
         .with("seed", format!("{}", n + 1))
-        .with("settings.zone", HALLS[n % 2])
+        .with("settings.zone", ZONES[n % 2])
         .with("settings.balancers", DISPATCHERS)
         .with("settings.me", n)
         .with("settings.limits.probes", true)
@@ -83,7 +83,7 @@
     for engine in 0..engines.len() {
         config = config.with(
             &format!("known.cmds.0.nodes.instances.{engine}.zone"),
-            HALLS[engine / EACH],
+            ZONES[engine / EACH],
         );
     }
     config
@@ -98,7 +98,7 @@
         warm_after: 8000.0,
         ..Spec::default()
     };
-    let many = HALLS.len() * EACH;
+    let many = ZONES.len() * EACH;
     let engines: Vec<Engine> = (0..many)
         .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n as u64, world.clone()))
         .collect();
@@ -288,8 +288,8 @@
             }
             any |= !o.broken.is_empty();
             if let Some(svg) = svg.filter(|_| seed == 1 && tiers) {
-                let hall = |hall: usize| -> Vec<(f64, f64)> {
-                    let of = hall * EACH..(hall + 1) * EACH;
+                let zone = |zone: usize| -> Vec<(f64, f64)> {
+                    let of = zone * EACH..(zone + 1) * EACH;
                     o.samples
                         .iter()
                         .map(|s| {
@@ -317,11 +317,11 @@
                     },
                     Line {
                         name: "threads a core in east (cut)",
-                        points: hall(0),
+                        points: zone(0),
                     },
                     Line {
                         name: "threads a core in west",
-                        points: hall(1),
+                        points: zone(1),
                     },
                 ];
                 if let Err(e) = plot(
--- a/crates/zone-evacuation/src/lib.rs
+++ b/crates/zone-evacuation/src/lib.rs
@@ -1,6 +1,6 @@
 //! Leaving a zone that fails, as a fleet, and returning.
 //!
-//! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/zone-routing says "hall" for
+//! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/zone-routing says "zone" for
 //! the same thing.
 //!
 //! Owns: what the leader makes of the evidence of all ([`Watch`]), its numbered decisions ([`Decision`]), the shares of
--- a/crates/zone-routing/src/define.rs
+++ b/crates/zone-routing/src/define.rs
@@ -1,21 +1,21 @@
 //! What operators define, and which definitions could never work.
 
-/// Halls that are as good as each other for a class, with weights.
+/// Zones that are as good as each other for a class, with weights.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Tier {
-    pub halls: Vec<String>,
+    pub zones: Vec<String>,
 }
 
-/// Tiers of preference of a class, or of all that have none of their own, for dispatchers of a hall, or of any.
+/// Tiers of preference of a class, or of all that have none of their own, for dispatchers of a zone, or of any.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Route {
     pub class: Option<String>,
     pub from: Option<String>,
-    /// Nearest first. Halls that stand in none come last, together.
+    /// Nearest first. Zones that stand in none come last, together.
     pub tiers: Vec<Tier>,
 }
 
-/// How much work of other halls one may be given: a part of its cores in threads, for all classes or for one.
+/// How much work of other zones one may be given: a part of its cores in threads, for all classes or for one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Spill {
     pub into: Option<String>,
@@ -23,7 +23,7 @@
     pub most: f64,
 }
 
-/// When a hall is cut: most of its engines fail, and nothing was heard of it for so long (ms).
+/// When a zone is cut: most of its engines fail, and nothing was heard of it for so long (ms).
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Cut {
     pub quiet_for: f64,
@@ -40,7 +40,7 @@
     }
 }
 
-/// How a hall that came back is filled: from a first part to the whole in so long (ms) of good answers.
+/// How a zone that came back is filled: from a first part to the whole in so long (ms) of good answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Climb {
     pub first: f64,
@@ -65,7 +65,7 @@
     pub spills: Vec<Spill>,
     pub cut: Cut,
     pub climb: Climb,
-    /// Of the further submissions this part may go to another hall than the last one.
+    /// Of the further submissions this part may go to another zone than the last one.
     pub cross_retries: f64,
 }
 
@@ -78,7 +78,7 @@
 }
 
 impl Definition {
-    /// The route of a class from a hall: the most particular one that fits.
+    /// The route of a class from a zone: the most particular one that fits.
     pub fn route(&self, class: &str, from: &str) -> Option<&Route> {
         let fits = |route: &&Route| {
             route.class.as_deref().is_none_or(|c| c == class)
@@ -89,34 +89,34 @@
         self.routes.iter().rev().filter(fits).max_by_key(particular)
     }
 
-    /// The rank of a hall for a class: 0 is nearest; one that stands nowhere is behind all that do. Without a route
-    /// the own hall is first, all others are second.
-    pub fn rank(&self, class: &str, from: &str, hall: &str) -> u8 {
+    /// The rank of a zone for a class: 0 is nearest; one that stands nowhere is behind all that do. Without a route
+    /// the own zone is first, all others are second.
+    pub fn rank(&self, class: &str, from: &str, zone: &str) -> u8 {
         match self.route(class, from) {
             Some(route) => {
                 let at = route
                     .tiers
                     .iter()
-                    .position(|tier| tier.halls.iter().any(|name| name == hall));
+                    .position(|tier| tier.zones.iter().any(|name| name == zone));
                 at.unwrap_or(route.tiers.len()).min(254) as u8
             }
-            None => u8::from(hall != from),
+            None => u8::from(zone != from),
         }
     }
 
-    /// The part of a hall's cores that a class of other halls may take there.
-    pub fn spill(&self, hall: &str, class: Option<&str>) -> f64 {
+    /// The part of a zone's cores that a class of other zones may take there.
+    pub fn spill(&self, zone: &str, class: Option<&str>) -> f64 {
         let fits = |spill: &&Spill| {
-            spill.into.as_deref().is_none_or(|i| i == hall) && spill.class.as_deref() == class
+            spill.into.as_deref().is_none_or(|i| i == zone) && spill.class.as_deref() == class
         };
         let of: Vec<&Spill> = self.spills.iter().filter(fits).collect();
-        // One for this very hall goes before one for any.
+        // One for this very zone goes before one for any.
         let own = of.iter().find(|spill| spill.into.is_some()).or(of.first());
         own.map_or(f64::INFINITY, |spill| spill.most)
     }
 }
 
-/// All faults: halls that stand twice, routes that can't be reached, limits that carry nothing at all.
+/// All faults: zones that stand twice, routes that can't be reached, limits that carry nothing at all.
 pub fn faults(definition: &Definition) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut add = |key: String, found: String, allowed: &'static str| {
@@ -144,27 +144,27 @@
         }
         let mut seen: Vec<&str> = Vec::new();
         for (t, tier) in route.tiers.iter().enumerate() {
-            if tier.halls.is_empty() {
+            if tier.zones.is_empty() {
                 add(
                     format!("route.{n}.tier.{t}.hall"),
                     "missing".into(),
                     "one hall at the least",
                 );
             }
-            for (h, hall) in tier.halls.iter().enumerate() {
-                if seen.contains(&hall.as_str()) {
+            for (h, zone) in tier.zones.iter().enumerate() {
+                if seen.contains(&zone.as_str()) {
                     let key = format!("route.{n}.tier.{t}.hall.{h}");
                     add(
                         key,
-                        format!("{hall:?} a second time"),
+                        format!("{zone:?} a second time"),
                         "each hall in one tier: the later one is never reached",
                     );
                 }
-                seen.push(hall);
+                seen.push(zone);
             }
         }
     }
-    // Halls that are each other's only way out, with no room for what would come, lose their work twice.
+    // Zones that are each other's only way out, with no room for what would come, lose their work twice.
     for (n, spill) in definition.spills.iter().enumerate() {
         let same = |other: &&Spill| other.into == spill.into && other.class == spill.class;
         if definition.spills[..n].iter().find(same).is_some() {
@@ -201,14 +201,14 @@
     fn tiers(names: &[&[&str]]) -> Vec<Tier> {
         names
             .iter()
-            .map(|halls| Tier {
-                halls: halls.iter().map(ToString::to_string).collect(),
+            .map(|zones| Tier {
+                zones: zones.iter().map(ToString::to_string).collect(),
             })
             .collect()
     }
 
     #[test]
-    fn the_most_particular_route_counts_and_unnamed_halls_come_last() {
+    fn the_most_particular_route_counts_and_unnamed_zones_come_last() {
         let routes = vec![
             Route {
                 class: None,
@@ -230,7 +230,7 @@
             routes,
             ..Definition::default()
         };
-        let rank = |class, from| ["a", "b", "c"].map(|hall| d.rank(class, from, hall));
+        let rank = |class, from| ["a", "b", "c"].map(|zone| d.rank(class, from, zone));
         assert_eq!(
             (rank("look", "x"), rank("look", "b"), rank("load", "b")),
             ([0, 1, 2], [1, 0, 2], [1, 0, 0])
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -1,8 +1,8 @@
-//! Which halls can be reached: evidence of own submissions and probes, and what peers and the list say beside it.
+//! Which zones can be reached: evidence of own submissions and probes, and what peers and the list say beside it.
 
 use crate::define::Definition;
 use crate::message::{self, Reach, Told};
-use crate::plan::{EnginePlan, HallPlan, Plan};
+use crate::plan::{EnginePlan, Plan, ZonePlan};
 use std::collections::BTreeMap;
 
 /// An engine that failed as often as this since it was last heard counts as failing.
@@ -12,16 +12,16 @@
 /// What peers said counts for so long (ms); they repeat it every `TELL`.
 const HEARD_FOR: f64 = 6000.0;
 const TELL: f64 = 1500.0;
-/// A hall fails again, or is slowed in its climb, by the part of its last outcomes that failed.
+/// A zone fails again, or is slowed in its climb, by the part of its last outcomes that failed.
 const BAD_PART: f64 = 0.3;
 const GOOD_PART: f64 = 0.1;
 /// Outcomes are forgotten by halves in so long (ms).
 const HALF: f64 = 1500.0;
 /// A climb is set back at most so often (ms).
 const SET_BACK_EVERY: f64 = 1000.0;
-/// A list that drops this part of a hall's engines at once while they answer is taken for wrong.
+/// A list that drops this part of a zone's engines at once while they answer is taken for wrong.
 const DROPPED_PART: f64 = 0.5;
-/// A hall that is cut is asked by a probe so often (ms), one engine after the other.
+/// A zone that is cut is asked by a probe so often (ms), one engine after the other.
 const PROBE_EVERY: f64 = 500.0;
 /// Where nothing was tried for so long (ms), as no probe is allowed and all go elsewhere, it is tried with the first
 /// part of a climb: else nobody would ever learn that it is back.
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
     pub node: u64,
-    pub hall: String,
+    pub zone: String,
     pub cores: f64,
     pub ready: bool,
 }
@@ -54,9 +54,9 @@
     pub kind: Kind,
 }
 
-/// Whether a hall can be reached from here.
+/// Whether a zone can be reached from here.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum HallState {
+pub enum ZoneState {
     Well,
     Cut,
     /// It came back: the part of it that may be used.
@@ -74,12 +74,12 @@
     Untried,
     Climbed,
     FailsAgain,
-    /// All halls fail: this dispatcher is cut off itself.
+    /// All zones fail: this dispatcher is cut off itself.
     Alone,
     NotAlone,
     /// The list drops engines that answer.
     ListDrops,
-    /// A hall that has no engines any more is forgotten.
+    /// A zone that has no engines any more is forgotten.
     Gone,
 }
 
@@ -87,14 +87,14 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Changed {
     pub at: f64,
-    pub hall: String,
-    pub state: HallState,
+    pub zone: String,
+    pub state: ZoneState,
     pub why: Why,
 }
 
 #[derive(Debug, Clone)]
 struct Known {
-    hall: usize,
+    zone: usize,
     cores: f64,
     ready: bool,
     /// Failures since it was last heard; when it was heard and when it failed.
@@ -104,9 +104,9 @@
 }
 
 #[derive(Debug, Clone)]
-struct Hall {
+struct Zone {
     name: String,
-    state: HallState,
+    state: ZoneState,
     since: f64,
     /// Good and bad outcomes, fading.
     good: f64,
@@ -129,7 +129,7 @@
     number: u32,
     at: f64,
     alone: bool,
-    halls: Vec<Told>,
+    zones: Vec<Told>,
 }
 
 #[derive(Debug, Clone)]
@@ -137,7 +137,7 @@
     definition: Definition,
     /// By node; sorted, so that nothing hangs on the order of a hash.
     engines: BTreeMap<u64, Known>,
-    halls: Vec<Hall>,
+    zones: Vec<Zone>,
     peers: Vec<Peer>,
     gateways: f64,
     now: f64,
@@ -154,13 +154,13 @@
 impl Judge {
     /// `gateways`: dispatchers that share the engines, as told.
     pub fn new(definition: Definition, gateways: f64) -> Self {
-        let (engines, halls, peers, history, fresh) = Default::default();
+        let (engines, zones, peers, history, fresh) = Default::default();
         let (now, looked, told_at, alone, version) = (LONG_AGO, LONG_AGO, LONG_AGO, false, 1);
         let gateways = gateways.max(1.0);
         Judge {
             definition,
             engines,
-            halls,
+            zones,
             peers,
             gateways,
             now,
@@ -177,7 +177,7 @@
         &self.definition
     }
 
-    /// Takes on another definition; what is known of halls and engines stays.
+    /// Takes on another definition; what is known of zones and engines stays.
     pub fn redefine(&mut self, definition: Definition) {
         self.definition = definition;
         self.version += 1;
@@ -200,20 +200,20 @@
         std::mem::take(&mut self.fresh)
     }
 
-    pub fn state(&self, hall: &str) -> Option<HallState> {
-        self.halls
+    pub fn state(&self, zone: &str) -> Option<ZoneState> {
+        self.zones
             .iter()
-            .find(|known| known.name == hall)
+            .find(|known| known.name == zone)
             .map(|known| known.state)
     }
 
-    fn hall(&mut self, name: &str) -> usize {
-        if let Some(at) = self.halls.iter().position(|hall| hall.name == name) {
+    fn zone(&mut self, name: &str) -> usize {
+        if let Some(at) = self.zones.iter().position(|zone| zone.name == name) {
             return at;
         }
-        self.halls.push(Hall {
+        self.zones.push(Zone {
             name: name.to_owned(),
-            state: HallState::Well,
+            state: ZoneState::Well,
             since: self.now,
             good: 0.0,
             bad: 0.0,
@@ -226,15 +226,15 @@
             probed: LONG_AGO,
             next: 0,
         });
-        self.halls.len() - 1
+        self.zones.len() - 1
     }
 
-    fn changed(&mut self, hall: usize, state: HallState, why: Why) {
-        let (now, known) = (self.now, &mut self.halls[hall]);
+    fn changed(&mut self, zone: usize, state: ZoneState, why: Why) {
+        let (now, known) = (self.now, &mut self.zones[zone]);
         (known.state, known.since) = (state, now);
         let change = Changed {
             at: now,
-            hall: known.name.clone(),
+            zone: known.name.clone(),
             state,
             why,
         };
@@ -252,15 +252,15 @@
     /// The list as it is now told, whole. An engine that is no more listed is no evidence of anything.
     pub fn listed(&mut self, now: f64, engines: &[Engine]) {
         self.now = self.now.max(now);
-        let mut before: Vec<(usize, usize)> = vec![(0, 0); self.halls.len()];
+        let mut before: Vec<(usize, usize)> = vec![(0, 0); self.zones.len()];
         for known in self.engines.values().filter(|known| known.ready) {
-            before[known.hall].0 += 1;
+            before[known.zone].0 += 1;
         }
         let mut next = BTreeMap::new();
         for engine in engines {
-            let hall = self.hall(&engine.hall);
+            let zone = self.zone(&engine.zone);
             let fresh = Known {
-                hall,
+                zone,
                 cores: engine.cores,
                 ready: engine.ready,
                 fails: 0,
@@ -270,7 +270,7 @@
             let known = self
                 .engines
                 .remove(&engine.node)
-                .filter(|known| known.hall == hall)
+                .filter(|known| known.zone == zone)
                 .unwrap_or(fresh);
             next.insert(
                 engine.node,
@@ -285,13 +285,13 @@
         let answering =
             |known: &Known| known.ready && known.fails == 0 && self.now - known.heard < 2000.0;
         for known in self.engines.values().filter(|known| answering(known)) {
-            before[known.hall].1 += 1;
+            before[known.zone].1 += 1;
         }
         self.engines = next;
-        for (hall, (ready, dropped)) in before.into_iter().enumerate() {
+        for (zone, (ready, dropped)) in before.into_iter().enumerate() {
             if ready > 1 && dropped as f64 >= DROPPED_PART * ready as f64 {
-                let state = self.halls[hall].state;
-                self.changed(hall, state, Why::ListDrops);
+                let state = self.zones[zone].state;
+                self.changed(zone, state, Why::ListDrops);
             }
         }
     }
@@ -303,38 +303,38 @@
         let Some(known) = self.engines.get_mut(&seen.node) else {
             return;
         };
-        let hall = &mut self.halls[known.hall];
-        hall.fade(now);
-        hall.seen = now;
+        let zone = &mut self.zones[known.zone];
+        zone.fade(now);
+        zone.seen = now;
         match seen.kind {
             Kind::Heard => {
                 (known.fails, known.heard) = (0, now);
-                hall.good += 1.0;
-                hall.ends[0] = hall.ends[0].wrapping_add(1);
-                hall.quiet = None;
+                zone.good += 1.0;
+                zone.ends[0] = zone.ends[0].wrapping_add(1);
+                zone.quiet = None;
             }
             Kind::Lost => {
                 known.fails += 1;
                 known.failed = now;
-                hall.bad += 1.0;
-                hall.ends[1] = hall.ends[1].wrapping_add(1);
-                hall.quiet.get_or_insert(now);
+                zone.bad += 1.0;
+                zone.ends[1] = zone.ends[1].wrapping_add(1);
+                zone.quiet.get_or_insert(now);
             }
         }
     }
 
-    /// A peer's message, if it is one about halls.
+    /// A peer's message, if it is one about zones.
     pub fn heard(&mut self, now: f64, peer: u32, content: &[u8]) {
         self.now = self.now.max(now);
-        let Some((alone, halls)) = message::read(content) else {
+        let Some((alone, zones)) = message::read(content) else {
             return;
         };
-        let halls: Vec<Told> = halls.collect();
+        let zones: Vec<Told> = zones.collect();
         let told = Peer {
             number: peer,
             at: self.now,
             alone,
-            halls,
+            zones,
         };
         match self.peers.iter().position(|known| known.number == peer) {
             Some(at) => self.peers[at] = told,
@@ -345,99 +345,99 @@
 
     /// What is to be told to peers now, if anything.
     pub fn tells(&mut self, now: f64) -> Option<Vec<u8>> {
-        if now - self.told_at < TELL || self.halls.len() < 2 {
+        if now - self.told_at < TELL || self.zones.len() < 2 {
             return None;
         }
         self.told_at = now;
-        let told = |(n, hall): (usize, &Hall)| Told {
-            mark: message::mark_of(&hall.name),
-            state: self.reach(n, hall),
+        let told = |(n, zone): (usize, &Zone)| Told {
+            mark: message::mark_of(&zone.name),
+            state: self.reach(n, zone),
         };
         Some(message::write(
             self.alone,
-            self.halls.iter().enumerate().map(told),
+            self.zones.iter().enumerate().map(told),
         ))
     }
 
-    /// How this dispatcher reaches each hall, for a fleet that puts the evidence of many together: one lost answer of
+    /// How this dispatcher reaches each zone, for a fleet that puts the evidence of many together: one lost answer of
     /// each engine that was tried is enough to say so, as several must say it. Where it reaches none, it says nothing
     /// of any. Beside it all outcomes, good and bad, counted round.
     pub fn reaches(&self) -> impl Iterator<Item = (&str, Reach, [u16; 2])> + '_ {
-        let lost: Vec<bool> = (0..self.halls.len())
-            .map(|hall| self.seems_lost(hall))
+        let lost: Vec<bool> = (0..self.zones.len())
+            .map(|zone| self.seems_lost(zone))
             .collect();
         let none = !lost.is_empty() && lost.iter().all(|lost| *lost);
-        self.halls.iter().enumerate().map(move |(n, hall)| {
-            let reach = match self.reach(n, hall) {
+        self.zones.iter().enumerate().map(move |(n, zone)| {
+            let reach = match self.reach(n, zone) {
                 Reach::Well | Reach::Unknown if lost[n] && !none => Reach::Cut,
                 Reach::Well | Reach::Unknown if lost[n] => Reach::Unknown,
                 reach => reach,
             };
-            (hall.name.as_str(), reach, hall.ends)
+            (zone.name.as_str(), reach, zone.ends)
         })
     }
 
-    /// Whether all engines of a hall that were tried of late were lost since they were last heard, and half of them
+    /// Whether all engines of a zone that were tried of late were lost since they were last heard, and half of them
     /// were tried.
-    fn seems_lost(&self, hall: usize) -> bool {
+    fn seems_lost(&self, zone: usize) -> bool {
         let of = || {
             self.engines
                 .values()
-                .filter(|known| known.hall == hall && known.ready)
+                .filter(|known| known.zone == zone && known.ready)
         };
         let tried = || of().filter(|known| self.now - known.heard.max(known.failed) < FORGET);
         let many = tried().count();
         many > 0 && 2 * many >= of().count() && tried().all(|known| known.fails > 0)
     }
 
-    /// How this dispatcher reaches a hall, as told to others: well only with evidence.
-    fn reach(&self, n: usize, hall: &Hall) -> Reach {
+    /// How this dispatcher reaches a zone, as told to others: well only with evidence.
+    fn reach(&self, n: usize, zone: &Zone) -> Reach {
         let heard = self
             .engines
             .values()
-            .any(|known| known.hall == n && self.now - known.heard < FORGET);
-        match hall.state {
-            HallState::Cut => Reach::Cut,
-            HallState::Climbing(_) => Reach::Climbing,
-            HallState::Well if heard => Reach::Well,
-            HallState::Well => Reach::Unknown,
+            .any(|known| known.zone == n && self.now - known.heard < FORGET);
+        match zone.state {
+            ZoneState::Cut => Reach::Cut,
+            ZoneState::Climbing(_) => Reach::Climbing,
+            ZoneState::Well if heard => Reach::Well,
+            ZoneState::Well => Reach::Unknown,
         }
     }
 
     // ---- The regular look ----
 
-    /// Whether a hall fails by its engines' evidence; none where too little is known.
-    fn fails(&self, hall: usize) -> Option<bool> {
+    /// Whether a zone fails by its engines' evidence; none where too little is known.
+    fn fails(&self, zone: usize) -> Option<bool> {
         let of = || {
             self.engines
                 .values()
-                .filter(|known| known.hall == hall && known.ready)
+                .filter(|known| known.zone == zone && known.ready)
         };
         let tried = of()
             .filter(|known| self.now - known.heard.max(known.failed) < FORGET)
             .count();
         let all = of().count();
-        // Half of the hall must have been tried, or the one engine that it has.
+        // Half of the zone must have been tried, or the one engine that it has.
         if tried == 0 || 2 * tried < all {
             return None;
         }
         let failing = of()
             .filter(|known| known.fails >= FAILS && self.now - known.failed < FORGET)
             .count();
-        let quiet = self.halls[hall]
+        let quiet = self.zones[zone]
             .quiet
             .is_some_and(|since| self.now - since >= self.definition.cut.quiet_for);
         Some(quiet && failing as f64 >= self.definition.cut.part * tried as f64)
     }
 
-    /// Whether any peer that is not cut off itself reaches a hall.
-    fn reached_by_peers(&self, hall: &str) -> bool {
-        let mark = message::mark_of(hall);
+    /// Whether any peer that is not cut off itself reaches a zone.
+    fn reached_by_peers(&self, zone: &str) -> bool {
+        let mark = message::mark_of(zone);
         let reaches =
             |told: &Told| told.mark == mark && matches!(told.state, Reach::Well | Reach::Climbing);
         self.peers
             .iter()
-            .any(|peer| !peer.alone && peer.halls.iter().any(reaches))
+            .any(|peer| !peer.alone && peer.zones.iter().any(reaches))
     }
 
     /// Looks at all evidence; meant to be called some times a second.
@@ -450,17 +450,17 @@
             .unwrap_or(0.0);
         self.looked = now;
         self.peers.retain(|peer| now - peer.at < HEARD_FOR);
-        self.halls.iter_mut().for_each(|hall| hall.fade(now));
+        self.zones.iter_mut().for_each(|zone| zone.fade(now));
         self.forget_empty();
-        let fails: Vec<Option<bool>> = (0..self.halls.len()).map(|hall| self.fails(hall)).collect();
+        let fails: Vec<Option<bool>> = (0..self.zones.len()).map(|zone| self.fails(zone)).collect();
         self.look_at_self(&fails);
-        for (hall, fails) in fails.iter().enumerate() {
+        for (zone, fails) in fails.iter().enumerate() {
             let failing = *fails == Some(true);
-            match self.halls[hall].state {
-                // A dispatcher that is cut off itself can judge no hall.
-                HallState::Well | HallState::Climbing(_) if failing && !self.alone => {
-                    let again = matches!(self.halls[hall].state, HallState::Climbing(_));
-                    let here = self.reached_by_peers(&self.halls[hall].name);
+            match self.zones[zone].state {
+                // A dispatcher that is cut off itself can judge no zone.
+                ZoneState::Well | ZoneState::Climbing(_) if failing && !self.alone => {
+                    let again = matches!(self.zones[zone].state, ZoneState::Climbing(_));
+                    let here = self.reached_by_peers(&self.zones[zone].name);
                     let why = if again {
                         Why::FailsAgain
                     } else if here {
@@ -468,98 +468,98 @@
                     } else {
                         Why::Lost
                     };
-                    self.halls[hall].progress = 0.0;
-                    self.changed(hall, HallState::Cut, why);
+                    self.zones[zone].progress = 0.0;
+                    self.changed(zone, ZoneState::Cut, why);
                 }
-                HallState::Cut if self.heard_since(hall) => {
+                ZoneState::Cut if self.heard_since(zone) => {
                     // What failed while it was cut says nothing of how it answers now.
-                    let known = &mut self.halls[hall];
+                    let known = &mut self.zones[zone];
                     (known.progress, known.good, known.bad) = (0.0, 1.0, 0.0);
                     self.changed(
-                        hall,
-                        HallState::Climbing(self.definition.climb.first),
+                        zone,
+                        ZoneState::Climbing(self.definition.climb.first),
                         Why::Heard,
                     );
                 }
-                HallState::Cut
-                    if now - self.halls[hall].seen.max(self.halls[hall].since) >= UNTRIED =>
+                ZoneState::Cut
+                    if now - self.zones[zone].seen.max(self.zones[zone].since) >= UNTRIED =>
                 {
-                    let known = &mut self.halls[hall];
+                    let known = &mut self.zones[zone];
                     (known.progress, known.good, known.bad) = (0.0, 0.0, 0.0);
                     self.changed(
-                        hall,
-                        HallState::Climbing(self.definition.climb.first),
+                        zone,
+                        ZoneState::Climbing(self.definition.climb.first),
                         Why::Untried,
                     );
                 }
-                HallState::Climbing(_) => self.climb(hall, passed),
+                ZoneState::Climbing(_) => self.climb(zone, passed),
                 _ => {}
             }
         }
     }
 
-    /// All halls that are known well enough fail, or stand cut: it is this dispatcher that is cut off. Halls that it
+    /// All zones that are known well enough fail, or stand cut: it is this dispatcher that is cut off. Zones that it
     /// called cut while the rest failed with them are not held to be.
     fn look_at_self(&mut self, fails: &[Option<bool>]) {
         let failing =
-            |hall: usize| fails[hall] == Some(true) || self.halls[hall].state == HallState::Cut;
+            |zone: usize| fails[zone] == Some(true) || self.zones[zone].state == ZoneState::Cut;
         let known: Vec<usize> = (0..fails.len())
-            .filter(|hall| fails[*hall].is_some() || self.halls[*hall].state == HallState::Cut)
+            .filter(|zone| fails[*zone].is_some() || self.zones[*zone].state == ZoneState::Cut)
             .collect();
         let newly = known
             .iter()
-            .any(|hall| fails[*hall] == Some(true) && self.halls[*hall].state != HallState::Cut);
+            .any(|zone| fails[*zone] == Some(true) && self.zones[*zone].state != ZoneState::Cut);
         let alone =
-            known.len() > 1 && known.iter().all(|hall| failing(*hall)) && (newly || self.alone);
+            known.len() > 1 && known.iter().all(|zone| failing(*zone)) && (newly || self.alone);
         if alone == self.alone {
             return;
         }
         self.alone = alone;
         if alone {
-            // The first hall that failed was judged before the others had shown that it is not the hall.
-            for hall in 0..self.halls.len() {
-                let known = &self.halls[hall];
-                if known.state == HallState::Cut && self.now - known.since < FORGET {
-                    self.changed(hall, HallState::Well, Why::Alone);
+            // The first zone that failed was judged before the others had shown that it is not the zone.
+            for zone in 0..self.zones.len() {
+                let known = &self.zones[zone];
+                if known.state == ZoneState::Cut && self.now - known.since < FORGET {
+                    self.changed(zone, ZoneState::Well, Why::Alone);
                 }
             }
         }
-        if let Some(hall) = known
+        if let Some(zone) = known
             .first()
             .copied()
-            .or((!self.halls.is_empty()).then_some(0))
+            .or((!self.zones.is_empty()).then_some(0))
         {
-            let state = self.halls[hall].state;
-            self.changed(hall, state, if alone { Why::Alone } else { Why::NotAlone });
+            let state = self.zones[zone].state;
+            self.changed(zone, state, if alone { Why::Alone } else { Why::NotAlone });
         }
     }
 
-    /// The engine of a cut hall that is to be probed now, if one is; where probes are allowed.
+    /// The engine of a cut zone that is to be probed now, if one is; where probes are allowed.
     pub fn probes(&mut self, now: f64) -> Option<u64> {
-        let due = |hall: &Hall| hall.state == HallState::Cut && now - hall.probed >= PROBE_EVERY;
-        let hall = self.halls.iter().position(due)?;
+        let due = |zone: &Zone| zone.state == ZoneState::Cut && now - zone.probed >= PROBE_EVERY;
+        let zone = self.zones.iter().position(due)?;
         let of: Vec<u64> = self
             .engines
             .iter()
-            .filter(|(_, e)| e.hall == hall && e.ready)
+            .filter(|(_, e)| e.zone == zone && e.ready)
             .map(|(node, _)| *node)
             .collect();
-        let known = &mut self.halls[hall];
+        let known = &mut self.zones[zone];
         (known.probed, known.next) = (now, known.next.wrapping_add(1));
         of.get(known.next % of.len().max(1)).copied()
     }
 
-    fn heard_since(&self, hall: usize) -> bool {
-        let since = self.halls[hall].since;
+    fn heard_since(&self, zone: usize) -> bool {
+        let since = self.zones[zone].since;
         self.engines
             .values()
-            .any(|known| known.hall == hall && known.ready && known.heard > since)
+            .any(|known| known.zone == zone && known.ready && known.heard > since)
     }
 
     /// More is given while answers are good, less when they worsen, all anew when they fail.
-    fn climb(&mut self, hall: usize, passed: f64) {
+    fn climb(&mut self, zone: usize, passed: f64) {
         let (now, climb) = (self.now, self.definition.climb);
-        let known = &mut self.halls[hall];
+        let known = &mut self.zones[zone];
         let bad = known.bad / (known.good + known.bad).max(1.0);
         if bad > BAD_PART && now - known.set_back >= SET_BACK_EVERY {
             known.set_back = now;
@@ -568,51 +568,51 @@
             known.progress = (known.progress + passed / climb.over).min(1.0);
         }
         let part = climb.first + (1.0 - climb.first) * known.progress;
-        known.state = HallState::Climbing(part);
+        known.state = ZoneState::Climbing(part);
         if known.progress >= 1.0 {
-            self.changed(hall, HallState::Well, Why::Climbed);
+            self.changed(zone, ZoneState::Well, Why::Climbed);
         }
     }
 
-    /// A hall without engines is forgotten when it is the last one that was named: numbers of the others stay.
+    /// A zone without engines is forgotten when it is the last one that was named: numbers of the others stay.
     fn forget_empty(&mut self) {
-        while let Some(last) = self.halls.len().checked_sub(1) {
-            let empty = !self.engines.values().any(|known| known.hall == last);
+        while let Some(last) = self.zones.len().checked_sub(1) {
+            let empty = !self.engines.values().any(|known| known.zone == last);
             if !empty
-                || self.halls[last].state != HallState::Well
-                || self.now - self.halls[last].since < FORGET
+                || self.zones[last].state != ZoneState::Well
+                || self.now - self.zones[last].since < FORGET
             {
                 return;
             }
-            self.halls.pop();
+            self.zones.pop();
         }
     }
 
     // ---- What follows ----
 
-    /// Dispatchers that share a returning hall: as told, or more where more are heard.
+    /// Dispatchers that share a returning zone: as told, or more where more are heard.
     fn sharers(&self) -> f64 {
         self.gateways.max(self.peers.len() as f64 + 1.0)
     }
 
-    /// What the decisions are handed: for each hall and engine what it may still be given.
+    /// What the decisions are handed: for each zone and engine what it may still be given.
     pub fn plan(&self, from: &str, classes: &[String]) -> Plan {
         let share = 1.0 / self.sharers();
-        let halls = self.halls.iter().enumerate().map(|(n, hall)| {
+        let zones = self.zones.iter().enumerate().map(|(n, zone)| {
             let cores: f64 = self
                 .engines
                 .values()
-                .filter(|e| e.hall == n && e.ready)
+                .filter(|e| e.zone == n && e.ready)
                 .map(|e| e.cores)
                 .sum();
             let part =
-                |class: Option<&str>| self.definition.spill(&hall.name, class) * cores * share;
-            HallPlan {
-                name: hall.name.clone(),
-                state: hall.state,
+                |class: Option<&str>| self.definition.spill(&zone.name, class) * cores * share;
+            ZonePlan {
+                name: zone.name.clone(),
+                state: zone.state,
                 ranks: classes
                     .iter()
-                    .map(|class| self.definition.rank(class, from, &hall.name))
+                    .map(|class| self.definition.rank(class, from, &zone.name))
                     .collect(),
                 spill: part(None),
                 spill_by_class: classes.iter().map(|class| part(Some(class))).collect(),
@@ -620,10 +620,10 @@
         });
         let engines = self.engines.iter().map(|(node, known)| {
             let whole = known.cores * self.definition.climb.whole * share;
-            let threads = match self.halls[known.hall].state {
-                HallState::Well => f64::INFINITY,
-                HallState::Climbing(part) => part * whole,
-                HallState::Cut => 0.0,
+            let threads = match self.zones[known.zone].state {
+                ZoneState::Well => f64::INFINITY,
+                ZoneState::Climbing(part) => part * whole,
+                ZoneState::Cut => 0.0,
             };
             EnginePlan {
                 node: *node,
@@ -631,7 +631,7 @@
             }
         });
         Plan {
-            halls: halls.collect(),
+            zones: zones.collect(),
             engines: engines.collect(),
             alone: self.alone,
             cross_retries: self.definition.cross_retries,
@@ -639,7 +639,7 @@
     }
 }
 
-impl Hall {
+impl Zone {
     fn fade(&mut self, now: f64) {
         let fade = (-(now - self.faded).max(0.0) / HALF * std::f64::consts::LN_2).exp();
         (self.good, self.bad, self.faded) = (self.good * fade, self.bad * fade, now);
--- a/crates/zone-routing/src/plan.rs
+++ b/crates/zone-routing/src/plan.rs
@@ -1,19 +1,19 @@
 //! What the decisions are handed.
 
-use crate::judge::HallState;
+use crate::judge::ZoneState;
 
-/// A hall: the tier in which it stands for each class, and how many threads of our work from elsewhere it may be
+/// A zone: the tier in which it stands for each class, and how many threads of our work from elsewhere it may be
 /// given, in all and of each class.
 #[derive(Debug, Clone, PartialEq)]
-pub struct HallPlan {
+pub struct ZonePlan {
     pub name: String,
-    pub state: HallState,
+    pub state: ZoneState,
     pub ranks: Vec<u8>,
     pub spill: f64,
     pub spill_by_class: Vec<f64>,
 }
 
-/// An engine: how many of our threads it may have; none while its hall is cut, all while it is well.
+/// An engine: how many of our threads it may have; none while its zone is cut, all while it is well.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePlan {
     pub node: u64,
@@ -22,7 +22,7 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
-    pub halls: Vec<HallPlan>,
+    pub zones: Vec<ZonePlan>,
     pub engines: Vec<EnginePlan>,
     /// This dispatcher takes itself for cut off: nothing moves on its account.
     pub alone: bool,
--- a/src/control.rs
+++ b/src/control.rs
@@ -35,11 +35,11 @@
 const FIRST_SEEN: u32 = 20;
 const FACTOR_MOST: f64 = 5.0;
 const SCATTER: f64 = 0.5;
-// A pace is remembered up to a little above pressure only. An engine's own fades towards its hall's, a hall's
+// A pace is remembered up to a little above pressure only. An engine's own fades towards its zone's, a zone's
 // towards the pool's, that towards none; after a long gap one answer moves it this much further.
 const PACE_MOST: f64 = 0.8;
 const ENGINE_FADES: f64 = 5000.0;
-const HALL_FADES: f64 = 10_000.0;
+const ZONE_FADES: f64 = 10_000.0;
 const GAP_STEP: f64 = 0.4;
 // Moving: what is left is so many times a new run; nothing was noted for so many runs and a floor, or for so
 // many notes' time. Hopeless: what is left is so many times the time the client gives.
@@ -80,10 +80,10 @@
         let groups = ResourceGroup::read_all(told, &mut door)?;
         let gateways = told.required("balancers")?.max(1.0);
         let customers = Customers::read(told, gateways, &mut door.customers);
-        let hall = told.get("zone").map_or(NONE, |z| door.halls.index(z));
+        let zone = told.get("zone").map_or(NONE, |z| door.zones.index(z));
         Ok(Control {
             gateways,
-            hall,
+            zone,
             door,
             groups,
             customers,
@@ -132,16 +132,16 @@
         &mut self,
         node: u64,
         kind: &str,
-        hall: &str,
+        zone: &str,
         status: EngineStatus,
         start: Option<f64>,
         cell: u32,
     ) {
         let (i, first) = self.slot_of(node);
         if first {
-            let engine = Engine::read(&self.told, node, kind, hall, cell, &mut self.door);
-            self.halls.resize(
-                self.halls.len().max(engine.hall as usize + 1),
+            let engine = Engine::read(&self.told, node, kind, zone, cell, &mut self.door);
+            self.zones.resize(
+                self.zones.len().max(engine.zone as usize + 1),
                 Paces::default(),
             );
             self.engines
@@ -295,7 +295,7 @@
                 let tried = self.queries[i].sent().iter().any(|s| s.engine == e);
                 let fresh = !tried && !self.stands_still(i, e) && !self.hangs(i, e);
                 let stands = self.in_standing(i, e);
-                // A plan for halls keeps low work out, and the fast lane while there is any other engine.
+                // A plan for zones keeps low work out, and the fast lane while there is any other engine.
                 let open = stage > 1 && !low || self.open_to(i, e);
                 if (stage > 0 || fresh) && (stage > 1 || stands) && open && self.may_send(i, e) {
                     standing |= stands;
@@ -312,8 +312,8 @@
         if !drawn.is_empty() {
             let nearest = drawn.iter().map(|&e| self.rank(i, e)).min();
             drawn.retain(|&e| Some(self.rank(i, e)) == nearest);
-            // One draw from all, one from our hall; both from our hall while an engine there is at ease.
-            let home = |e: &usize| self.engines[*e].hall == self.hall;
+            // One draw from all, one from our zone; both from our zone while an engine there is at ease.
+            let home = |e: &usize| self.engines[*e].zone == self.zone;
             let easy = |e: &usize| self.spare(*e) >= 0.0 && !self.pressure(*e);
             let stay = drawn.iter().any(|e| home(e) && easy(e));
             let any = drawn[self.chance.below(drawn.len())];
@@ -349,27 +349,27 @@
         slow || crowded || self.now - e.full < FULL_LASTS
     }
 
-    /// Whether a lane's answers there lie far above their best, as far as its own or its hall's answers tell.
+    /// Whether a lane's answers there lie far above their best, as far as its own or its zone's answers tell.
     fn crawls(&self, e: usize, low: bool) -> bool {
         let engine = &self.engines[e];
-        let pool = self.pool.lane(low).at(self.now, 0.0, HALL_FADES);
-        let hall = self.halls[engine.hall as usize]
+        let pool = self.pool.lane(low).at(self.now, 0.0, ZONE_FADES);
+        let zone = self.zones[engine.zone as usize]
             .lane(low)
-            .at(self.now, pool, HALL_FADES);
-        engine.paces.lane(low).at(self.now, hall, ENGINE_FADES) > PRESSURE.ln()
+            .at(self.now, pool, ZONE_FADES);
+        engine.paces.lane(low).at(self.now, zone, ENGINE_FADES) > PRESSURE.ln()
     }
 
     fn learn_slowness(&mut self, e: usize, low: bool, above: f64, step: f64) {
         let (now, engine) = (self.now, &mut self.engines[e]);
         let above = above.min(PACE_MOST);
         let pool = self.pool.lane_mut(low);
-        pool.take(now, above, 0.0, HALL_FADES, step, GAP_STEP);
-        let hall = self.halls[engine.hall as usize].lane_mut(low);
-        hall.take(now, above, pool.level, HALL_FADES, step, GAP_STEP);
+        pool.take(now, above, 0.0, ZONE_FADES, step, GAP_STEP);
+        let zone = self.zones[engine.zone as usize].lane_mut(low);
+        zone.take(now, above, pool.level, ZONE_FADES, step, GAP_STEP);
         engine
             .paces
             .lane_mut(low)
-            .take(now, above, hall.level, ENGINE_FADES, step, GAP_STEP);
+            .take(now, above, zone.level, ENGINE_FADES, step, GAP_STEP);
     }
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query. Where an even
@@ -445,7 +445,7 @@
     // ---- Sending: every submission passes here, and here the rules are kept ----
 
     fn may_send(&mut self, i: usize, e: usize) -> bool {
-        // Rule 7: the budget of further submissions, also across halls; a level may leave low work none.
+        // Rule 7: the budget of further submissions, also across zones; a level may leave low work none.
         let withheld = self.reduced.withhold && self.queries[i].low;
         if self.queries[i].count > 0
             && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0))
@@ -478,7 +478,7 @@
         {
             return false;
         }
-        // Rule 5: the key's turn. Rule 6: the halls and kinds it is bound to.
+        // Rule 5: the key's turn. Rule 6: the zones and kinds it is bound to.
         self.its_turn(i) && g.allows(engine)
     }
 
@@ -548,7 +548,7 @@
         let (was, to) = (&self.engines[first.engine], e.map(|e| &self.engines[e]));
         let same_group = match g.dedup {
             DedupGroup::All => true,
-            DedupGroup::Hall => to.is_some_and(|to| to.hall == was.hall),
+            DedupGroup::Zone => to.is_some_and(|to| to.zone == was.zone),
             DedupGroup::Cell => to.is_some_and(|to| to.cell == was.cell),
         };
         let in_window = self.now - first.sent < g.window;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -46,7 +46,7 @@
 pub struct Door {
     pub groups: Names,
     pub kinds: Names,
-    pub halls: Names,
+    pub zones: Names,
     pub customers: Names,
     pub nodes: Numbers,
     pub queries: FxHashMap<u64, usize>,
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -16,14 +16,14 @@
         (0..self.engines.len()).filter(|&e| self.engines[e].listed || self.engines[e].ready)
     }
 
-    /// Part of the ready engines, of a hall if one is named, that show pressure.
-    pub fn part_pressed(&self, hall: Option<&str>) -> f64 {
-        let hall = hall.map(|name| self.door.halls.find(name));
-        let of_hall = |e: &usize| hall.is_none_or(|hall| hall == Some(self.engines[*e].hall));
+    /// Part of the ready engines, of a zone if one is named, that show pressure.
+    pub fn part_pressed(&self, zone: Option<&str>) -> f64 {
+        let zone = zone.map(|name| self.door.zones.find(name));
+        let of_zone = |e: &usize| zone.is_none_or(|zone| zone == Some(self.engines[*e].zone));
         let ready: Vec<usize> = self
             .known()
             .filter(|&e| self.engines[e].ready)
-            .filter(of_hall)
+            .filter(of_zone)
             .collect();
         part(
             ready.iter().filter(|&&e| self.pressure(e)).count(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,12 +23,12 @@
     pub told: Map,
     pub chance: Pcg,
     pub gateways: f64,
-    pub hall: u32,
+    pub zone: u32,
     pub door: Door,
     pub groups: Vec<ResourceGroup>,
     pub customers: Customers,
     pub engines: Vec<Engine>,
-    pub halls: Vec<Paces>,
+    pub zones: Vec<Paces>,
     pub pool: Paces,
     pub queries: Slab<Query>,
     pub lines: KeyLines,
@@ -95,7 +95,7 @@
 pub enum DedupGroup {
     #[default]
     All,
-    Hall,
+    Zone,
     Cell,
 }
 
@@ -245,7 +245,7 @@
     pub dedup: DedupGroup,
     pub window: f64,
     pub in_order: bool,
-    pub halls: Option<Vec<u32>>,
+    pub zones: Option<Vec<u32>>,
     pub kinds: Option<Vec<u32>>,
     pub target: f64,
     pub target_stretch: f64,
@@ -276,7 +276,7 @@
             groups.push(ResourceGroup::read(
                 told,
                 i,
-                &mut door.halls,
+                &mut door.zones,
                 &mut door.kinds,
             )?);
             let name = format!("services.{i}.name");
@@ -292,7 +292,7 @@
     pub fn read(
         told: &Map,
         i: usize,
-        halls: &mut Names,
+        zones: &mut Names,
         kinds: &mut Names,
     ) -> Result<Self, String> {
         let name = |what: &str| format!("services.{i}.{what}");
@@ -315,13 +315,13 @@
                 }
             },
             dedup: match text("dedup-scope") {
-                Some("zone") => DedupGroup::Hall,
+                Some("zone") => DedupGroup::Zone,
                 Some("cell") => DedupGroup::Cell,
                 _ => DedupGroup::All,
             },
             window: told.millis(&name("repeat-window-us")).unwrap_or(0.0),
             in_order: told.on(&name("in-order")),
-            halls: bound("confined-to", halls),
+            zones: bound("confined-to", zones),
             kinds: bound("kinds-open", kinds),
             target: told.required(&name("aim-us"))? / 1000.0,
             target_stretch: told.number(&name("aim-stretch")).unwrap_or(0.0),
@@ -408,7 +408,7 @@
     pub fn allows(&self, engine: &Engine) -> bool {
         let inside =
             |bound: &Option<Vec<u32>>, it: u32| bound.as_ref().is_none_or(|b| b.contains(&it));
-        inside(&self.halls, engine.hall) && inside(&self.kinds, engine.kind)
+        inside(&self.zones, engine.zone) && inside(&self.kinds, engine.kind)
     }
 }
 
@@ -417,7 +417,7 @@
 pub struct Engine {
     pub node: u64,
     pub kind: u32,
-    pub hall: u32,
+    pub zone: u32,
     pub cell: u32,
     pub cores: f64,
     pub memory: f64,
@@ -460,18 +460,18 @@
 }
 
 impl Engine {
-    pub fn read(told: &Map, node: u64, kind: &str, hall: &str, cell: u32, door: &mut Door) -> Self {
+    pub fn read(told: &Map, node: u64, kind: &str, zone: &str, cell: u32, door: &mut Door) -> Self {
         let cores = told
             .of_kind(kind, "family-info.cores-by-kind")
             .unwrap_or(1.0);
         let memory = told
             .of_kind(kind, "family-info.kind-memory-mb")
             .unwrap_or(0.0);
-        let (kind, hall) = (door.kinds.index(kind), door.halls.index(hall));
+        let (kind, zone) = (door.kinds.index(kind), door.zones.index(zone));
         Engine {
             node,
             kind,
-            hall,
+            zone,
             cell,
             cores,
             memory,
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -1,23 +1,23 @@
-//! What a plan for halls leaves open: tiers of preference, limits on what spills, the climb back of engines that
+//! What a plan for zones leaves open: tiers of preference, limits on what spills, the climb back of engines that
 //! return. The plan comes from outside; here it is kept against what runs. Which engine is chosen among those that are
 //! open stays with `control`.
 
 use crate::control::Control;
 
-/// A plan as it is handed over: halls by their names, engines by their numbers, groups in the order of the settings.
+/// A plan as it is handed over: zones by their names, engines by their numbers, groups in the order of the settings.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Given {
-    pub halls: Vec<GivenHall>,
+    pub zones: Vec<GivenZone>,
     /// Threads that each engine may have of ours, in all.
     pub engines: Vec<(u64, f64)>,
-    /// Of the further submissions this part may go to another hall than the last one.
+    /// Of the further submissions this part may go to another zone than the last one.
     pub cross_retries: f64,
     /// This gateway is cut off itself: low work is better deferred at once than sent into silence.
     pub alone: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct GivenHall {
+pub struct GivenZone {
     pub name: String,
     /// By group: 0 is nearest.
     pub ranks: Vec<u8>,
@@ -78,22 +78,22 @@
     }
 }
 
-/// A hall: its tier for each group, and the room of low work from elsewhere, in all and by group.
+/// A zone: its tier for each group, and the room of low work from elsewhere, in all and by group.
 #[derive(Debug, Clone, Default)]
-struct Hall {
+struct Zone {
     ranks: Vec<u8>,
     spill: Room,
     by_group: Vec<Room>,
 }
 
-/// Further submissions across halls: saved up to so many, and so many are free.
+/// Further submissions across zones: saved up to so many, and so many are free.
 const CROSS_MOST: f64 = 20.0;
 const CROSS_FREE: f64 = 2.0;
 
 #[derive(Debug, Default)]
 pub struct Tiers {
     pub on: bool,
-    halls: Vec<Hall>,
+    zones: Vec<Zone>,
     engines: Vec<Room>,
     cross_retries: f64,
     cross: f64,
@@ -109,7 +109,7 @@
 
 impl Control {
     /// Takes on a plan, or goes on without one. What runs stays counted.
-    pub fn plan_halls(&mut self, given: Option<&Given>) {
+    pub fn plan_zones(&mut self, given: Option<&Given>) {
         let Some(given) = given else {
             self.tiers.on = false;
             return;
@@ -119,16 +119,16 @@
         }
         (self.tiers.on, self.tiers.alone, self.tiers.cross_retries) =
             (true, given.alone, given.cross_retries);
-        for told in &given.halls {
-            let at = self.door.halls.index(&told.name) as usize;
+        for told in &given.zones {
+            let at = self.door.zones.index(&told.name) as usize;
             self.tiers
-                .halls
-                .resize(self.tiers.halls.len().max(at + 1), Hall::default());
-            let hall = &mut self.tiers.halls[at];
-            hall.ranks.clone_from(&told.ranks);
-            hall.spill.set(told.spill, self.now);
-            hall.by_group.resize(told.ranks.len(), Room::default());
-            for (room, threads) in hall.by_group.iter_mut().zip(&told.spill_by_group) {
+                .zones
+                .resize(self.tiers.zones.len().max(at + 1), Zone::default());
+            let zone = &mut self.tiers.zones[at];
+            zone.ranks.clone_from(&told.ranks);
+            zone.spill.set(told.spill, self.now);
+            zone.by_group.resize(told.ranks.len(), Room::default());
+            for (room, threads) in zone.by_group.iter_mut().zip(&told.spill_by_group) {
                 room.set(*threads, self.now);
             }
         }
@@ -148,8 +148,8 @@
         if !self.tiers.on {
             return 0;
         }
-        let hall = self.tiers.halls.get(self.engines[e].hall as usize);
-        hall.and_then(|hall| hall.ranks.get(self.queries[i].rg))
+        let zone = self.tiers.zones.get(self.engines[e].zone as usize);
+        zone.and_then(|zone| zone.ranks.get(self.queries[i].rg))
             .copied()
             .unwrap_or(0)
     }
@@ -172,21 +172,21 @@
         if !q.low || self.rank(i, e) == 0 {
             return true;
         }
-        let Some(hall) = self.tiers.halls.get(engine.hall as usize) else {
+        let Some(zone) = self.tiers.zones.get(engine.zone as usize) else {
             return true;
         };
-        takes(&hall.spill) && hall.by_group.get(q.rg).is_none_or(takes)
+        takes(&zone.spill) && zone.by_group.get(q.rg).is_none_or(takes)
     }
 
-    /// Whether a further submission would go to another hall than the last one, with none of these left.
+    /// Whether a further submission would go to another zone than the last one, with none of these left.
     pub fn may_not_cross(&self, i: usize, e: usize) -> bool {
         let last = self.queries[i]
             .sent()
             .last()
-            .map(|s| self.engines[s.engine].hall);
+            .map(|s| self.engines[s.engine].zone);
         self.tiers.on
             && self.tiers.cross < 1.0
-            && last.is_some_and(|hall| hall != self.engines[e].hall)
+            && last.is_some_and(|zone| zone != self.engines[e].zone)
     }
 
     /// Counts a submission that is about to go out.
@@ -199,15 +199,15 @@
             self.queries[i].low,
             self.groups[self.queries[i].rg].threads,
         );
-        let (hall, lasts, now) = (self.engines[e].hall, self.alone(i).max(1.0), self.now);
+        let (zone, lasts, now) = (self.engines[e].zone, self.alone(i).max(1.0), self.now);
         let spilled = low && self.rank(i, e) > 0;
         let last = self.queries[i]
             .sent()
             .last()
-            .map(|s| self.engines[s.engine].hall);
+            .map(|s| self.engines[s.engine].zone);
         let tiers = &mut self.tiers;
         match last {
-            Some(last) if last != hall => tiers.cross = (tiers.cross - 1.0).max(0.0),
+            Some(last) if last != zone => tiers.cross = (tiers.cross - 1.0).max(0.0),
             Some(_) => tiers.cross = (tiers.cross + tiers.cross_retries).min(CROSS_MOST),
             // First submissions bring little: a storm must not live on the calm before it.
             None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(CROSS_MOST),
@@ -216,9 +216,9 @@
             .engines
             .resize(tiers.engines.len().max(e + 1), Room::default());
         tiers.engines[e].add(threads, lasts, now);
-        if let Some(hall) = tiers.halls.get_mut(hall as usize).filter(|_| spilled) {
-            hall.spill.add(threads, lasts, now);
-            hall.by_group
+        if let Some(zone) = tiers.zones.get_mut(zone as usize).filter(|_| spilled) {
+            zone.spill.add(threads, lasts, now);
+            zone.by_group
                 .get_mut(rg)
                 .into_iter()
                 .for_each(|room| room.add(threads, lasts, now));
@@ -236,23 +236,23 @@
             .get_mut(e)
             .into_iter()
             .for_each(|room| room.give_back(took.threads));
-        let hall = self.engines[e].hall as usize;
-        if let Some(hall) = self.tiers.halls.get_mut(hall).filter(|_| took.spilled) {
-            hall.spill.give_back(took.threads);
-            hall.by_group
+        let zone = self.engines[e].zone as usize;
+        if let Some(zone) = self.tiers.zones.get_mut(zone).filter(|_| took.spilled) {
+            zone.spill.give_back(took.threads);
+            zone.by_group
                 .get_mut(rg)
                 .into_iter()
                 .for_each(|room| room.give_back(took.threads));
         }
     }
 
-    /// Low threads of ours in a hall that came from elsewhere.
-    pub fn spilled(&self, hall: &str) -> f64 {
+    /// Low threads of ours in a zone that came from elsewhere.
+    pub fn spilled(&self, zone: &str) -> f64 {
         let at = self
             .door
-            .halls
-            .find(hall)
-            .and_then(|hall| self.tiers.halls.get(hall as usize));
-        at.map_or(0.0, |hall| hall.spill.out)
+            .zones
+            .find(zone)
+            .and_then(|zone| self.tiers.zones.get(zone as usize));
+        at.map_or(0.0, |zone| zone.spill.out)
     }
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn rule_2_a_tokened_query_stays_in_its_hall_and_is_killed_without_one() {
+fn rule_2_a_tokened_query_stays_in_its_zone_and_is_killed_without_one() {
     let mut c = gateway(
         "services.3.dedup-scope=zone",
         &[("small", "h1"), ("small", "h2")],
@@ -693,7 +693,7 @@
 }
 
 #[test]
-fn slowness_fades_by_time_towards_what_the_hall_shows() {
+fn slowness_fades_by_time_towards_what_the_zone_shows() {
     let mut c = gateway("", TWO);
     c.engines[0].paces.fast = Pace {
         level: 0.8,
@@ -702,7 +702,7 @@
     assert!(c.pressure(0) && !c.pressure(1));
     round(&mut c, 10_000.0, |_, _| ());
     assert!(!c.pressure(0), "one engine was slow long ago");
-    c.halls[0].fast = Pace {
+    c.zones[0].fast = Pace {
         level: 0.8,
         heard: T0 + 10_000.0,
     };
@@ -734,7 +734,7 @@
 }
 
 #[test]
-fn draws_stay_in_the_own_hall_while_an_engine_there_is_at_ease() {
+fn draws_stay_in_the_own_zone_while_an_engine_there_is_at_ease() {
     let mut c = gateway("", &[("small", "h1"), ("small", "h2")]);
     let home = (0..20)
         .filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 1")])
@@ -928,7 +928,7 @@
 }
 
 #[test]
-fn what_all_answers_showed_stands_in_for_a_hall_that_did_not_answer_lately() {
+fn what_all_answers_showed_stands_in_for_a_zone_that_did_not_answer_lately() {
     let mut c = gateway("balancers=300", &[("small", "h1"), ("small", "h2")]);
     c.groups[0].paced = 100;
     for id in 0..3 {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -77,13 +77,13 @@
     kept.0
 }
 
-/// A gateway with engines numbered from 1, each given as kind and hall, all started long ago.
+/// A gateway with engines numbered from 1, each given as kind and zone, all started long ago.
 pub fn gateway(more: &str, engines: &[(&str, &str)]) -> Control {
     let mut c = Control::new(7, &settings(more)).unwrap();
     round(&mut c, 0.0, |c, out| {
         c.list_begins(ListForm::Full);
-        for (i, (kind, hall)) in engines.iter().enumerate() {
-            c.listed(i as u64 + 1, kind, hall, EngineStatus::Ready, None, 0);
+        for (i, (kind, zone)) in engines.iter().enumerate() {
+            c.listed(i as u64 + 1, kind, zone, EngineStatus::Ready, None, 0);
         }
         c.list_ends(ListForm::Full, out);
     });
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -1,22 +1,22 @@
-//! A plan for halls on the decisions: what it opens and closes, and the rules that stay where they are.
+//! A plan for zones on the decisions: what it opens and closes, and the rules that stay where they are.
 
 mod helper;
 
 use helper::*;
 use tansymux::control::Control;
 use tansymux::interface::Outcome;
-use tansymux::tiers::{Given, GivenHall};
+use tansymux::tiers::{Given, GivenZone};
 
-const HALLS: &[(&str, &str)] = &[
+const ZONES: &[(&str, &str)] = &[
     ("small", "h1"),
     ("small", "h1"),
     ("small", "h2"),
     ("small", "h2"),
 ];
 
-/// The own hall is first; so many threads may spill into the other, and each engine of the own has this room.
+/// The own zone is first; so many threads may spill into the other, and each engine of the own has this room.
 fn given(spill: f64, room: f64) -> Given {
-    let hall = |name: &str, rank: u8, spill: f64| GivenHall {
+    let zone = |name: &str, rank: u8, spill: f64| GivenZone {
         name: name.into(),
         ranks: vec![rank; 4],
         spill,
@@ -24,7 +24,7 @@
     };
     let engines = vec![(1, room), (2, room), (3, f64::INFINITY), (4, f64::INFINITY)];
     Given {
-        halls: vec![hall("h1", 0, f64::INFINITY), hall("h2", 1, spill)],
+        zones: vec![zone("h1", 0, f64::INFINITY), zone("h2", 1, spill)],
         engines,
         cross_retries: 0.5,
         alone: false,
@@ -32,8 +32,8 @@
 }
 
 fn planned(given: &Given) -> Control {
-    let mut c = gateway("balancers=1", HALLS);
-    c.plan_halls(Some(given));
+    let mut c = gateway("balancers=1", ZONES);
+    c.plan_zones(Some(given));
     c
 }
 
@@ -45,10 +45,10 @@
 }
 
 #[test]
-fn the_nearest_hall_comes_first_and_the_other_takes_what_may_spill() {
+fn the_nearest_zone_comes_first_and_the_other_takes_what_may_spill() {
     let mut c = planned(&given(4.0, f64::INFINITY));
     assert!((0..40).all(|id| to(&ask(&mut c, 1.0, id, "look", 10.0)).is_some_and(|node| node <= 2)));
-    // The own hall is closed: reports of two threads spill, two of them.
+    // The own zone is closed: reports of two threads spill, two of them.
     let mut c = planned(&given(4.0, 0.0));
     let sent: Vec<Option<u64>> = (0..6)
         .map(|id| to(&ask(&mut c, 1.0, id, "rep", 100.0)))
@@ -80,30 +80,30 @@
 }
 
 #[test]
-fn rule_6_what_is_bound_to_the_lost_hall_is_deferred_and_never_moved() {
-    let mut c = gateway("balancers=1 services.1.confined-to=h1", HALLS);
-    c.plan_halls(Some(&given(100.0, 0.0)));
+fn rule_6_what_is_bound_to_the_lost_zone_is_deferred_and_never_moved() {
+    let mut c = gateway("balancers=1 services.1.confined-to=h1", ZONES);
+    c.plan_zones(Some(&given(100.0, 0.0)));
     assert!((0..10).all(|id| starts(&ask(&mut c, 1.0, id, "rep", 100.0), &format!("defer {id}"))));
 }
 
 #[test]
-fn rule_2_a_load_that_may_have_run_in_the_lost_hall_is_not_sent_to_the_other() {
+fn rule_2_a_load_that_may_have_run_in_the_lost_zone_is_not_sent_to_the_other() {
     let mut c = planned(&given(100.0, f64::INFINITY));
     let node = to(&ask(&mut c, 1.0, 1, "load", 100.0)).unwrap();
     assert!(node <= 2);
-    c.plan_halls(Some(&given(100.0, 0.0)));
+    c.plan_zones(Some(&given(100.0, 0.0)));
     assert_eq!(close(&mut c, 2.0, 1, 0, Outcome::Reset, node), ["kill 1"]);
-    // A tokened one whose dedup group is the hall neither.
-    let mut c = gateway("balancers=1 services.3.dedup-scope=zone", HALLS);
-    c.plan_halls(Some(&given(100.0, f64::INFINITY)));
+    // A tokened one whose dedup group is the zone neither.
+    let mut c = gateway("balancers=1 services.3.dedup-scope=zone", ZONES);
+    c.plan_zones(Some(&given(100.0, f64::INFINITY)));
     let node = to(&ask(&mut c, 1.0, 1, "tok", 100.0)).unwrap();
-    c.plan_halls(Some(&given(100.0, 0.0)));
+    c.plan_zones(Some(&given(100.0, 0.0)));
     assert!(to(&close(&mut c, 2.0, 1, 0, Outcome::Timeout, node)).is_none_or(|node| node <= 2));
 }
 
 #[test]
 fn a_returning_engine_gets_its_part_and_less_than_a_query_is_saved_up() {
-    // Room for three look-ups on each engine of the own hall; the rest goes on to the other.
+    // Room for three look-ups on each engine of the own zone; the rest goes on to the other.
     let mut c = planned(&given(100.0, 3.0));
     let sent: Vec<u64> = (0..20)
         .filter_map(|id| to(&ask(&mut c, 1.0, id, "look", 100.0)))
@@ -128,15 +128,15 @@
 }
 
 #[test]
-fn rule_7_retries_across_halls_have_a_budget_of_their_own() {
-    let mut c = gateway("balancers=1 limits.max-attempts=4", HALLS);
-    c.plan_halls(Some(&given(100.0, f64::INFINITY)));
+fn rule_7_retries_across_zones_have_a_budget_of_their_own() {
+    let mut c = gateway("balancers=1 limits.max-attempts=4", ZONES);
+    c.plan_zones(Some(&given(100.0, f64::INFINITY)));
     let mut crossed = 0;
     for id in 0..60 {
         let Some(node) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else {
             continue;
         };
-        // All of the own hall fails at once.
+        // All of the own zone fails at once.
         c.engines[0].ready = false;
         c.engines[1].ready = false;
         crossed += u32::from(
@@ -163,7 +163,7 @@
 fn without_a_plan_all_is_as_it_was_and_what_was_counted_comes_back() {
     let mut c = planned(&given(4.0, 0.0));
     let node = to(&ask(&mut c, 1.0, 1, "rep", 100.0)).unwrap();
-    c.plan_halls(None);
+    c.plan_zones(None);
     assert!(to(&ask(&mut c, 2.0, 2, "rep", 100.0)).is_some());
     close(&mut c, 3.0, 1, 0, Outcome::Finished, node);
     assert_eq!(c.spilled("h2"), 0.0);
