--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -40,8 +40,8 @@
     fn kill(&mut self, id: u64) {
         action!(self, "error {} {id}", self.dispatcher);
     }
-    fn cancel(&mut self, id: u64, submission: usize) {
-        action!(self, "abort_attempt {} {id} {submission}", self.dispatcher);
+    fn cancel(&mut self, id: u64, attempt: usize) {
+        action!(self, "abort_attempt {} {id} {attempt}", self.dispatcher);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         action!(
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -298,7 +298,7 @@
         "closed_attempt" => {
             let id = f.number("txn")?;
             let complete = f.flag("complete")?;
-            let submission = f.number("round-no")?;
+            let attempt = f.number("round-no")?;
             let bill: u64 = f.optional("bill")?.map_or(Ok(0), |v| parse(v, "bill"))?;
             let outcome = outcome(f.next("state-code")?)?;
             let node = f.number("node")?;
@@ -306,7 +306,7 @@
             report(&mut f)?;
             let (work, memory) = ((bill >> 12) as f64, (bill & 4095) as f64 * 4.0);
             control.closed(
-                id, submission, complete, outcome, node, latency, work, memory, out,
+                id, attempt, complete, outcome, node, latency, work, memory, out,
             );
         }
         "status_note" => {
@@ -318,10 +318,10 @@
                 3 => Note::Waits,
                 other => return Err(format!("unknown sort of note {other}")),
             };
-            let submission = f.number("round-no")?;
+            let attempt = f.number("round-no")?;
             f.number::<u64>("node")?;
             f.end()?;
-            control.noted(id, submission, note, amount);
+            control.noted(id, attempt, note, amount);
         }
         "ping_result" => {
             let outcome = outcome(f.next("state-code")?)?;
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -19,7 +19,7 @@
     Statements,
 };
 
-/// What a query was taken with, kept until its submissions have ended.
+/// What a query was taken with, kept until its attempts have ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shape {
     shape: u128,
@@ -28,7 +28,7 @@
     cost: f64,
 }
 
-/// A query that was read, when its submission ends.
+/// A query that was read, when its attempt ends.
 #[derive(Debug)]
 pub struct Taken {
     pub shape: Shape,
@@ -223,7 +223,7 @@
         }
     }
 
-    /// A submission of a query that was read has ended, after so long (ms), and perhaps having waited.
+    /// A attempt of a query that was read has ended, after so long (ms), and perhaps having waited.
     pub fn ended(&self, taken: &Taken, node: u64, latency: f64, outcome: Outcome, now: f64) {
         let end = match outcome {
             Outcome::Finished => End::Finished,
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -27,7 +27,7 @@
             $($(#[$doc])* pub $name: Count,)*
             /// Lines of parts that are on.
             pub more: RefCell<Vec<Line>>,
-            /// How submissions ended, in the order of `OUTCOMES`.
+            /// How attempts ended, in the order of `OUTCOMES`.
             pub ended: [Count; OUTCOMES.len()],
         }
 
@@ -71,8 +71,8 @@
     connections_spoilt: "connections_spoilt",
     /// Those that ended as soon as something went out on them after they had idled.
     connections_lost_idle: "connections_lost_idle",
-    /// Submissions = the sum of their ends + those that are out.
-    submissions: "submissions",
+    /// Attempts = the sum of their ends + those that are out.
+    attempts: "submissions",
     probes: "probes",
     lists: "lists",
     /// Answers of the name service that could not be used or were not believed.
@@ -107,7 +107,7 @@
         let _ = writeln!(
             text,
             "submissions_out {}",
-            self.submissions.get().saturating_sub(ended)
+            self.attempts.get().saturating_sub(ended)
         );
         let _ = writeln!(
             text,
--- a/crates/dispatcher/src/counters/tests.rs
+++ b/crates/dispatcher/src/counters/tests.rs
@@ -4,7 +4,7 @@
 fn the_report_names_every_count_and_its_sums_agree() {
     let counters = Counters::default();
     (0..3).for_each(|_| counters.taken.add());
-    (0..2).for_each(|_| counters.submissions.add());
+    (0..2).for_each(|_| counters.attempts.add());
     counters.finished.add();
     counters.ended(Outcome::NotSent);
     let report = counters.report(2);
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -439,7 +439,7 @@
                 }
                 Event::Closed {
                     query,
-                    submission,
+                    attempt,
                     outcome,
                     node,
                     latency,
@@ -466,12 +466,12 @@
                     let complete = self.exchange.over(query);
                     self.exchange.closed(query);
                     control.closed(
-                        query, submission, complete, outcome, node, latency, 0.0, 0.0, out,
+                        query, attempt, complete, outcome, node, latency, 0.0, 0.0, out,
                     );
                 }
                 Event::Noted {
                     query,
-                    submission,
+                    attempt,
                     note,
                     amount,
                 } => {
@@ -485,7 +485,7 @@
                     if note == Note::Waits {
                         self.exchange.waits(query);
                     }
-                    control.noted(query, submission, note, amount)
+                    control.noted(query, attempt, note, amount)
                 }
                 Event::Probed { node, outcome } => {
                     self.zones.ended(self.now, node, outcome);
@@ -560,8 +560,8 @@
         count(self.exchange, self.levels, id, self.now, false, false);
         self.exchange.answer(id, Answer::Killed);
     }
-    fn cancel(&mut self, id: u64, submission: usize) {
-        self.exchange.cancel(id, submission);
+    fn cancel(&mut self, id: u64, attempt: usize) {
+        self.exchange.cancel(id, attempt);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.exchange.grant(id, priority, memory);
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -1,4 +1,4 @@
-//! What one connection to an engine carries: submissions, probes and what is still to be written. No I/O.
+//! What one connection to an engine carries: attempts, probes and what is still to be written. No I/O.
 
 use super::resp::{self, Frame};
 use super::rows::json_rows;
@@ -14,7 +14,7 @@
 const MOST_RESULT: usize = 128 * 1024;
 /// Bytes that wait to be written at most.
 pub const MOST_WAITING: usize = 4 << 20;
-/// Submissions that are given up on one connection before another takes its place.
+/// Attempts that are given up on one connection before another takes its place.
 const MOST_LEFT: usize = 256;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -38,9 +38,9 @@
     Stale,
 }
 
-/// A submission that is out on this connection.
+/// A attempt that is out on this connection.
 #[derive(Debug)]
-pub struct Submission {
+pub struct Attempt {
     pub query: u64,
     pub number: usize,
     pub sent: f64,
@@ -52,12 +52,12 @@
     missing: usize,
 }
 
-impl Submission {
+impl Attempt {
     pub fn new(query: u64, number: usize, sent: f64, bounds: Bounds) -> Self {
         let Bounds {
             until, begin_by, ..
         } = bounds;
-        Submission {
+        Attempt {
             query,
             number,
             sent,
@@ -74,7 +74,7 @@
 struct Piece {
     head: Vec<u8>,
     body: Option<Rc<[u8]>>,
-    /// The submission whose request this is.
+    /// The attempt whose request this is.
     of: Option<Rc<str>>,
 }
 
@@ -98,14 +98,14 @@
 pub enum Heard {
     Closed {
         query: u64,
-        submission: usize,
+        attempt: usize,
         outcome: Outcome,
         sent: f64,
         pages: Pages,
     },
     Noted {
         query: u64,
-        submission: usize,
+        attempt: usize,
         note: Note,
         amount: f64,
     },
@@ -123,19 +123,19 @@
     pub used: f64,
     /// Nothing has gone out here yet.
     pub fresh: bool,
-    /// How long it had idled when the last submission went out, and when that was; none once anything was heard.
+    /// How long it had idled when the last attempt went out, and when that was; none once anything was heard.
     pub idled: Option<(f64, f64)>,
     /// Since when a frame has begun to come and is not whole.
     pub partial: Option<f64>,
-    /// When it is asked whether the engine is there, if nothing was heard since a submission went out after a pause.
+    /// When it is asked whether the engine is there, if nothing was heard since a attempt went out after a pause.
     pub check_at: f64,
     /// Why it is closed at once, whatever is out on it: what came can't be used, or (not connected) nothing comes.
     pub broken: Option<(ErrorKind, &'static str)>,
     /// Nothing new goes here: it is closed once nothing is out.
     pub retired: bool,
-    pub submissions: FxHashMap<Rc<str>, Submission>,
+    pub attempts: FxHashMap<Rc<str>, Attempt>,
     /// Ids that were given up here after they had gone out: an answer to one may still come, and would be taken for that
-    /// of a later submission with the same id.
+    /// of a later attempt with the same id.
     left: FxHashSet<Rc<str>>,
     /// Probes that are out: tag, when sent, until when they are waited for.
     pub probes: Vec<(Rc<str>, f64, f64)>,
@@ -157,7 +157,7 @@
             check_at: f64::INFINITY,
             broken: None,
             retired: false,
-            submissions: FxHashMap::default(),
+            attempts: FxHashMap::default(),
             left: FxHashSet::default(),
             probes: Vec::new(),
             waiting: VecDeque::new(),
@@ -175,7 +175,7 @@
     }
 
     pub fn out(&self) -> usize {
-        self.submissions.len() + self.probes.len()
+        self.attempts.len() + self.probes.len()
     }
 
     /// When it was last used or opened, if nothing is out; else long ago.
@@ -187,7 +187,7 @@
         }
     }
 
-    /// How a connection stands to one more submission: the first are taken first.
+    /// How a connection stands to one more attempt: the first are taken first.
     pub fn use_for(&self, now: f64, trusted: f64) -> Use {
         match self.out() {
             0 if self.fresh => Use::Fresh,
@@ -197,10 +197,10 @@
         }
     }
 
-    /// Whether a submission with this id may go here.
+    /// Whether a attempt with this id may go here.
     pub fn takes(&self, id: &str, most: usize) -> bool {
         let fits = self.out() < most && self.waiting_bytes < MOST_WAITING;
-        let fresh = !self.submissions.contains_key(id) && !self.left.contains(id);
+        let fresh = !self.attempts.contains_key(id) && !self.left.contains(id);
         matches!(self.state, State::Connecting | State::Up) && !self.retired && fits && fresh
     }
 
@@ -212,23 +212,17 @@
         self.waiting.push_back(piece);
     }
 
-    pub fn submit(
-        &mut self,
-        id: &Rc<str>,
-        fields: &str,
-        statement: Rc<[u8]>,
-        submission: Submission,
-    ) {
+    pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, attempt: Attempt) {
         if self.out() == 0 && !self.fresh {
-            self.idled = Some((submission.sent - self.used, submission.sent));
+            self.idled = Some((attempt.sent - self.used, attempt.sent));
         }
-        (self.used, self.fresh) = (submission.sent, false);
+        (self.used, self.fresh) = (attempt.sent, false);
         self.write(
             &[b"fetch", id.as_bytes(), fields.as_bytes()],
             Some(statement),
             Some(id.clone()),
         );
-        self.submissions.insert(id.clone(), submission);
+        self.attempts.insert(id.clone(), attempt);
     }
 
     pub fn probe(&mut self, tag: Rc<str>, now: f64, until: f64) {
@@ -238,7 +232,7 @@
     }
 
     pub fn renice(&mut self, id: &str, priority: u8) {
-        if self.submissions.contains_key(id) {
+        if self.attempts.contains_key(id) {
             self.write(
                 &[b"renice", id.as_bytes(), priority.to_string().as_bytes()],
                 None,
@@ -247,10 +241,10 @@
         }
     }
 
-    /// Gives a submission up. Tells whether the engine can have had its request: what was not begun is taken back, and
+    /// Gives a attempt up. Tells whether the engine can have had its request: what was not begun is taken back, and
     /// what was written in part never becomes whole, as the connection ends with that.
-    pub fn give_up(&mut self, id: &str, now: f64) -> Option<(Submission, bool)> {
-        let submission = self.submissions.remove(id)?;
+    pub fn give_up(&mut self, id: &str, now: f64) -> Option<(Attempt, bool)> {
+        let attempt = self.attempts.remove(id)?;
         self.used = now;
         let at = self
             .waiting
@@ -261,25 +255,25 @@
                 if let Some(piece) = self.waiting.remove(at) {
                     self.waiting_bytes -= piece.len();
                 }
-                Some((submission, false))
+                Some((attempt, false))
             }
             Some(_) => {
                 self.broken = Some((
                     ErrorKind::NotConnected,
                     "a request was given up half written",
                 ));
-                Some((submission, false))
+                Some((attempt, false))
             }
             None => {
                 self.left.insert(id.into());
                 self.retired |= self.left.len() >= MOST_LEFT;
                 self.write(&[b"abort", id.as_bytes()], None, None);
-                Some((submission, true))
+                Some((attempt, true))
             }
         }
     }
 
-    /// The submissions of whose requests nothing was written yet.
+    /// The attempts of whose requests nothing was written yet.
     pub fn not_begun(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         let skip = usize::from(self.written > 0);
         self.waiting
@@ -290,11 +284,11 @@
 
     /// Those of them that may not begin any more.
     pub fn too_late_to_begin(&self, now: f64) -> impl Iterator<Item = Rc<str>> + '_ {
-        let late = move |id: &Rc<str>| self.submissions.get(id).is_some_and(|s| s.begin_by <= now);
+        let late = move |id: &Rc<str>| self.attempts.get(id).is_some_and(|s| s.begin_by <= now);
         self.not_begun().filter(late)
     }
 
-    /// Whether the whole of a submission's request was written out.
+    /// Whether the whole of a attempt's request was written out.
     pub fn went_out(&self, id: &str) -> bool {
         !self
             .waiting
@@ -351,7 +345,7 @@
     }
 
     /// Takes in a frame. What names nothing that is out here is passed over: a second copy, another's answer. What
-    /// can't be read or used is spoilt, and its submission stays out until the connection ends with it.
+    /// can't be read or used is spoilt, and its attempt stays out until the connection ends with it.
     pub fn hear(&mut self, frame: &Frame, now: f64) -> Heard {
         self.heard = now;
         let Ok(id) = std::str::from_utf8(frame.part(0)) else {
@@ -366,10 +360,10 @@
                 Outcome::Error
             });
         }
-        let Some(s) = self.submissions.get_mut(id) else {
+        let Some(s) = self.attempts.get_mut(id) else {
             return Heard::Nothing;
         };
-        let (query, submission) = (s.query, s.number);
+        let (query, attempt) = (s.query, s.number);
         let outcome = match word {
             b"TELL" => {
                 let amount = resp::field(fields, "num").and_then(|n| n.parse::<f64>().ok());
@@ -384,7 +378,7 @@
                 };
                 return Heard::Noted {
                     query,
-                    submission,
+                    attempt,
                     note,
                     amount,
                 };
@@ -424,11 +418,11 @@
         if word == b"MORE" {
             self.write(&[b"done", id.as_bytes()], None, None);
         }
-        self.submissions.remove(id);
+        self.attempts.remove(id);
         self.used = now;
         Heard::Closed {
             query,
-            submission,
+            attempt,
             outcome,
             sent,
             pages,
@@ -436,7 +430,7 @@
     }
 }
 
-impl Submission {
+impl Attempt {
     /// Takes in a page; whether the result is whole, or why it can't be used.
     fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Result<bool, &'static str> {
         let number = |name| resp::field(fields, name).and_then(|n| n.parse::<usize>().ok());
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -11,7 +11,7 @@
         &id.into(),
         "cls=a",
         b"SELECT 1".as_slice().into(),
-        Submission::new(
+        Attempt::new(
             query,
             0,
             5.0,
@@ -74,10 +74,10 @@
     ]
     .map(|page| page.as_bytes().to_vec())
     .to_vec();
-    let (query, submission, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
+    let (query, attempt, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
     let whole = Heard::Closed {
         query,
-        submission,
+        attempt,
         outcome,
         sent,
         pages,
@@ -196,13 +196,8 @@
             begin_by,
             harmless: false,
         };
-        let submission = Submission::new(4, 0, 5.0, bounds);
-        connection.submit(
-            &id.into(),
-            "cls=a",
-            b"SELECT 1".as_slice().into(),
-            submission,
-        );
+        let attempt = Attempt::new(4, 0, 5.0, bounds);
+        connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), attempt);
     }
     connection.wrote(3);
     let late = |now| connection.too_late_to_begin(now).collect::<Vec<_>>();
@@ -216,7 +211,7 @@
     connection.probe("t1".into(), 6.0, 250.0);
     let told = Heard::Noted {
         query: 4,
-        submission: 0,
+        attempt: 0,
         note: Note::Progress,
         amount: 0.5,
     };
--- a/crates/dispatcher/src/engine/keep_alive.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -1,5 +1,5 @@
 //! How long a connection to an engine may idle and still be taken for alive. The other end, or what lies between, may
-//! close what idles, and what then goes out is lost without a sign of whether it was read; but where every submission
+//! close what idles, and what then goes out is lost without a sign of whether it was read; but where every attempt
 //! opens a connection of its own, a fleet opens more than it submits. How it stands is not told, so it is learned: from
 //! connections that idled and were used again. No I/O, no clock.
 
@@ -12,7 +12,7 @@
 /// What is held for known at the start, as uses and losses: trust, until it is disappointed.
 const FIRST_USES: f64 = 5.0;
 const FIRST_LOST: f64 = 0.25;
-/// A longer idling is trusted while fewer of those used again are lost than this: each costs one more submission of a
+/// A longer idling is trusted while fewer of those used again are lost than this: each costs one more attempt of a
 /// query that may be repeated, about as much as the connections that are opened otherwise.
 const MOST_LOST: f64 = 0.1;
 
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -1,4 +1,4 @@
-//! Engine side: carries out submissions, cancels and probes on connections to the engines, and tells the exchange
+//! Engine side: carries out attempts, cancels and probes on connections to the engines, and tells the exchange
 //! how they ended.
 
 mod connection;
@@ -12,7 +12,7 @@
 use crate::notify::Notify;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use connection::{Connection, Heard, State, Submission, Use};
+use connection::{Attempt, Connection, Heard, State, Use};
 use futures_lite::future;
 use keep_alive::KeepAlive;
 use rustc_hash::FxHashMap;
@@ -25,7 +25,7 @@
 use std::time::Duration;
 use tansymux::interface::{Bounds, EngineStatus, Outcome};
 
-/// Connections to one engine at most, and how many submissions they are to carry where each takes few.
+/// Connections to one engine at most, and how many attempts they are to carry where each takes few.
 const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
 const MOST_OUT_AN_ENGINE: usize = 384;
 const READ_AT_ONCE: usize = 32 * 1024;
@@ -37,7 +37,7 @@
 /// least, retires the connection. Where there are no notes, the shortest target runtime stands in for their time.
 const QUIET_NOTES: f64 = 1.25;
 const QUIET: f64 = 250.0;
-/// A submission on a connection that had idled, and that tells nothing for so many times its cost and at least as long,
+/// A attempt on a connection that had idled, and that tells nothing for so many times its cost and at least as long,
 /// has the engine checked by another connection: one that died silently takes what goes out and says nothing.
 const CHECK_RUNS: f64 = 2.0;
 
@@ -57,7 +57,7 @@
 pub struct Terms {
     pub connect_timeout: f64,
     pub idle: f64,
-    /// Time between an engine's notes on a submission, 0 if it sends none; the shortest target runtime of all groups.
+    /// Time between an engine's notes on a attempt, 0 if it sends none; the shortest target runtime of all groups.
     pub notes_every: f64,
     pub quickest: f64,
     pub streams: usize,
@@ -175,12 +175,12 @@
             match order {
                 Order::Submit {
                     query,
-                    submission,
+                    attempt,
                     node,
                     bounds,
-                } => self.submit(query, submission, node, bounds),
+                } => self.submit(query, attempt, node, bounds),
                 Order::Withdraw { query } => self.withdraw(query),
-                Order::Cancel { query, submission } => self.cancel(query, submission),
+                Order::Cancel { query, attempt } => self.cancel(query, attempt),
                 Order::Renice { query, priority } => self.renice(query, priority),
                 Order::Probe { node } => self.probe(node),
             }
@@ -215,7 +215,7 @@
             &id,
             &fields,
             statement,
-            Submission::new(query, number, now, bounds),
+            Attempt::new(query, number, now, bounds),
         );
         if connection.idled.is_some_and(|(_, sent)| sent == now) {
             // A cost that is not told is no cost of none.
@@ -351,9 +351,9 @@
             channel
                 .connection
                 .borrow()
-                .submissions
+                .attempts
                 .get(&id)
-                .is_some_and(|submission| submission.query == query)
+                .is_some_and(|attempt| attempt.query == query)
         };
         let channel = engines
             .values()
@@ -370,7 +370,7 @@
         if channel
             .connection
             .borrow()
-            .submissions
+            .attempts
             .get(&id)
             .is_some_and(|s| s.number == number)
         {
@@ -391,23 +391,23 @@
     fn give_up(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
-        let Some((submission, begun)) = connection.give_up(id, now) else {
+        let Some((attempt, begun)) = connection.give_up(id, now) else {
             return;
         };
         // Nothing came for longer than notes take: the connection may be dead, and the next one will tell.
-        let dead = begun && now - connection.heard.max(submission.sent) > self.quiet();
+        let dead = begun && now - connection.heard.max(attempt.sent) > self.quiet();
         connection.retired |= dead;
         drop(connection);
         channel.notify.notify();
         if dead {
             self.fell_silent(channel.node, false);
         }
-        let Submission {
+        let Attempt {
             query,
             number,
             sent,
             ..
-        } = submission;
+        } = attempt;
         let outcome = if begun {
             outcome
         } else {
@@ -489,17 +489,17 @@
     fn closed(
         &self,
         query: u64,
-        submission: usize,
+        attempt: usize,
         outcome: Outcome,
         node: u64,
         latency: f64,
         pages: Pages,
     ) {
         self.exchange.counters.ended(outcome);
-        tracing::debug!(query, submission, engine = %format_args!("{node:08x}"), ?outcome, latency, "a submission ended");
+        tracing::debug!(query, attempt, engine = %format_args!("{node:08x}"), ?outcome, latency, "a submission ended");
         self.exchange.happened(Event::Closed {
             query,
-            submission,
+            attempt,
             outcome,
             node,
             latency,
@@ -508,11 +508,11 @@
     }
 
     /// The same for what was given up from here.
-    fn given_up(&self, query: u64, submission: usize, outcome: Outcome, node: u64, latency: f64) {
+    fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, node: u64, latency: f64) {
         self.exchange.counters.ended(outcome);
         let event = Event::Closed {
             query,
-            submission,
+            attempt,
             outcome,
             node,
             latency,
@@ -526,14 +526,14 @@
 
     // ---- Time ----
 
-    /// No submission is waited for beyond `by`.
+    /// No attempt is waited for beyond `by`.
     pub fn hasten(&self, by: f64) {
         let engines = self.engines.borrow();
         for channel in engines.values().flat_map(|engine| &engine.connections) {
             channel
                 .connection
                 .borrow_mut()
-                .submissions
+                .attempts
                 .values_mut()
                 .for_each(|s| s.until = s.until.min(by));
         }
@@ -568,7 +568,7 @@
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
                 let late = connection
-                    .submissions
+                    .attempts
                     .iter()
                     .filter(|(_, s)| s.until <= now)
                     .map(|(id, _)| id.clone());
@@ -614,13 +614,13 @@
             let idle = connection.state == State::Up && connection.out() == 0;
             connection.retired |= unheard || idle && now - connection.used > idles;
             if connection.retired {
-                // What gives up the last submission goes out before the close, if it can.
+                // What gives up the last attempt goes out before the close, if it can.
                 if connection.out() == 0 && now - connection.used >= STALL {
                     connection.forget_waiting();
                 }
                 channel.notify.notify();
             }
-            let ends = |s: &Submission| {
+            let ends = |s: &Attempt| {
                 s.until.min(if s.begin_by > now {
                     s.begin_by
                 } else {
@@ -628,7 +628,7 @@
                 })
             };
             let times = connection
-                .submissions
+                .attempts
                 .values()
                 .map(ends)
                 .chain(connection.probes.iter().map(|p| p.2));
@@ -740,22 +740,22 @@
                 match heard {
                     Heard::Closed {
                         query,
-                        submission,
+                        attempt,
                         outcome,
                         sent,
                         pages,
                     } => {
-                        self.closed(query, submission, outcome, channel.node, now - sent, pages);
+                        self.closed(query, attempt, outcome, channel.node, now - sent, pages);
                     }
                     Heard::Noted {
                         query,
-                        submission,
+                        attempt,
                         note,
                         amount,
                     } => {
                         self.exchange.happened(Event::Noted {
                             query,
-                            submission,
+                            attempt,
                             note,
                             amount,
                         });
@@ -786,7 +786,7 @@
         self.exchange.counters.connections_late.add();
         let mut connection = channel.connection.borrow_mut();
         connection.state = State::Late;
-        let waiting: Vec<Rc<str>> = connection.submissions.keys().cloned().collect();
+        let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
         let probes = std::mem::take(&mut connection.probes).len();
         connection.forget_probes();
         drop(connection);
@@ -846,8 +846,8 @@
         let mut connection = channel.connection.borrow_mut();
         let was_up = connection.state == State::Up;
         connection.state = State::Down;
-        let mut submissions: Vec<(Rc<str>, Submission)> = connection.submissions.drain().collect();
-        submissions.sort_by_key(|(_, s)| s.query);
+        let mut attempts: Vec<(Rc<str>, Attempt)> = connection.attempts.drain().collect();
+        attempts.sort_by_key(|(_, s)| s.query);
         // Closed from here: what was out on it is given up by that.
         let kind = end.as_ref().err().map(io::Error::kind);
         let spoilt = kind == Some(io::ErrorKind::InvalidData);
@@ -856,16 +856,16 @@
             self.exchange.counters.connections_spoilt.add();
         }
         let probes = std::mem::take(&mut connection.probes).len();
-        if let (Err(e), true) = (&end, !submissions.is_empty()) {
+        if let (Err(e), true) = (&end, !attempts.is_empty()) {
             let engine = format_args!("{:08x}", channel.node);
-            tracing::warn!(%engine, out = submissions.len(), error = %e, "a connection ended");
+            tracing::warn!(%engine, out = attempts.len(), error = %e, "a connection ended");
         }
         // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
         // idling and not of the engine, whose next connection will tell.
         let idled = connection
             .idled
             .filter(|&(_, sent)| was_up && !given_up && now - sent < keep_alive::LEAST);
-        let idled = idled.filter(|_| !submissions.is_empty());
+        let idled = idled.filter(|_| !attempts.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
             self.exchange.counters.connections_lost_idle.add();
@@ -876,7 +876,7 @@
         } else {
             Outcome::Reset
         };
-        for (id, s) in submissions {
+        for (id, s) in attempts {
             let ran = was_up && connection.went_out(&id);
             let outcome = if ran {
                 std::mem::replace(&mut first, Outcome::Cancelled)
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// A submission that waits for its connection, which stays coming up, as no task runs.
+/// A attempt that waits for its connection, which stays coming up, as no task runs.
 fn waiting(bounds: Bounds) -> (Rc<Exchange>, Rc<EngineSide>, u64, Rc<Slot>) {
     let terms = Terms {
         connect_timeout: 250.0,
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -48,7 +48,7 @@
     },
     Closed {
         query: u64,
-        submission: usize,
+        attempt: usize,
         outcome: Outcome,
         node: u64,
         latency: f64,
@@ -56,7 +56,7 @@
     },
     Noted {
         query: u64,
-        submission: usize,
+        attempt: usize,
         note: Note,
         amount: f64,
     },
@@ -79,7 +79,7 @@
 pub enum Order {
     Submit {
         query: u64,
-        submission: usize,
+        attempt: usize,
         node: u64,
         bounds: Bounds,
     },
@@ -89,7 +89,7 @@
     },
     Cancel {
         query: u64,
-        submission: usize,
+        attempt: usize,
     },
     Renice {
         query: u64,
@@ -131,14 +131,14 @@
     pub since: f64,
     pub cost: f64,
     pub due: f64,
-    /// What the next submissions are granted, if anything was said.
+    /// What the next attempts are granted, if anything was said.
     pub granted: Option<(u8, f64)>,
-    submissions: usize,
+    attempts: usize,
     out: bool,
-    /// Its text's shape, where it was read, and whether the submission that is out has waited.
+    /// Its text's shape, where it was read, and whether the attempt that is out has waited.
     pub shape: Option<Shape>,
     pub waited: bool,
-    /// Where the last submission went.
+    /// Where the last attempt went.
     pub node: u64,
     /// Where the answer goes; none once it was given or the client left.
     slot: Option<Rc<Slot>>,
@@ -265,7 +265,7 @@
             cost: asked.cost,
             due: asked.due.min(self.ends.get()),
             granted: None,
-            submissions: 0,
+            attempts: 0,
             out: false,
             shape: asked.shape,
             waited: false,
@@ -387,7 +387,7 @@
             .is_none_or(|q| q.slot.is_none())
     }
 
-    /// Every submission passes here: none for a query that is over, or has one out.
+    /// Every attempt passes here: none for a query that is over, or has one out.
     pub fn submit(&self, number: u64, node: u64, bounds: Bounds) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries
@@ -400,28 +400,28 @@
             );
             return;
         };
-        let submission = q.submissions;
-        (q.submissions, q.out, q.waited, q.node) = (submission + 1, true, false, node);
-        self.counters.submissions.add();
+        let attempt = q.attempts;
+        (q.attempts, q.out, q.waited, q.node) = (attempt + 1, true, false, node);
+        self.counters.attempts.add();
         self.orders.borrow_mut().push_back(Order::Submit {
             query: number,
-            submission,
+            attempt,
             node,
             bounds,
         });
     }
 
-    /// The submission that is out waits for something.
+    /// The attempt that is out waits for something.
     pub fn waits(&self, number: u64) {
         if let Some(q) = self.queries.borrow_mut().get_mut(&number) {
             q.waited = true;
         }
     }
 
-    pub fn cancel(&self, number: u64, submission: usize) {
+    pub fn cancel(&self, number: u64, attempt: usize) {
         self.orders.borrow_mut().push_back(Order::Cancel {
             query: number,
-            submission,
+            attempt,
         });
     }
 
@@ -430,7 +430,7 @@
         self.orders.borrow_mut().push_back(Order::Probe { node });
     }
 
-    /// Names what the next submissions get; one that is out takes on a new priority.
+    /// Names what the next attempts get; one that is out takes on a new priority.
     pub fn grant(&self, number: u64, priority: u8, memory: f64) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries.get_mut(&number) else {
@@ -445,7 +445,7 @@
         }
     }
 
-    /// A submission's end was told to the decisions.
+    /// A attempt's end was told to the decisions.
     pub fn closed(&self, number: u64) {
         if let Some(q) = self.queries.borrow_mut().get_mut(&number) {
             q.out = false;
@@ -453,7 +453,7 @@
         self.leave(number);
     }
 
-    /// Forgets a query that is over and has no submission out.
+    /// Forgets a query that is over and has no attempt out.
     pub fn leave(&self, number: u64) {
         let mut queries = self.queries.borrow_mut();
         if queries
@@ -464,7 +464,7 @@
                 self.ids.borrow_mut().remove(&q.id);
                 self.bytes
                     .set(self.bytes.get().saturating_sub(q.statement.len()));
-                if q.submissions > 0 {
+                if q.attempts > 0 {
                     self.past.borrow_mut().keep(q.id);
                 }
             }
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -32,7 +32,7 @@
     exchange.submit(query, 8, BOUNDS);
     let first = Order::Submit {
         query,
-        submission: 0,
+        attempt: 0,
         node: 7,
         bounds: BOUNDS,
     };
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn a_new_priority_reaches_a_submission_that_is_out() {
+fn a_new_priority_reaches_a_attempt_that_is_out() {
     let exchange = Exchange::default();
     let (query, _slot) = exchange.take(&ASKED).unwrap();
     exchange.grant(query, 3, 0.0);
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -200,7 +200,7 @@
         self.tells();
     }
 
-    /// A submission ended: what that says of the engine.
+    /// A attempt ended: what that says of the engine.
     pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
         if self.bad.get().is_none() {
             return;
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// A submission or a probe ended.
+    /// A attempt or a probe ended.
     pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
         let kind = match outcome {
             Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -526,7 +526,7 @@
     all_finish(&program, "look", 1..20, 130);
     let lost = program.counter("connections_lost_idle").unwrap();
     assert!((1..=2).contains(&lost), "{lost}");
-    // They say nothing of the engine: no submission counts as reset there.
+    // They say nothing of the engine: no attempt counts as reset there.
     assert_eq!(program.counter("submissions_reset"), Some(0));
 }
 
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -126,7 +126,7 @@
         from.elapsed()
     }
 
-    /// Submissions by zone since an entry of the record.
+    /// Attempts by zone since an entry of the record.
     fn sent(&self, since: usize) -> (usize, usize) {
         let entries = self.world.record.entries();
         let to = |east: bool| {
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -28,7 +28,7 @@
     all: u32,
 }
 
-/// How submissions to each engine ended of late.
+/// How attempts to each engine ended of late.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
     halves: BTreeMap<Id, [Ends; 2]>,
@@ -36,7 +36,7 @@
 }
 
 impl Evidence {
-    /// A submission ended, and told something of the engine.
+    /// A attempt ended, and told something of the engine.
     pub fn ended(&mut self, now: f64, engine: Id, bad: bool) {
         self.turns(now);
         if self.halves.len() >= MOST_ENGINES && !self.halves.contains_key(&engine) {
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -86,7 +86,7 @@
     /// Factor on the time to come back, from 1, and how far it is spread by chance beyond that (part).
     pub retry_after: f64,
     pub spread: f64,
-    /// No further submissions for low work.
+    /// No further attempts for low work.
     pub withhold_low: bool,
     /// Low work of customers over their share finds no room, nor does low work whose cost is less sure than this.
     pub close_over_share: bool,
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -37,7 +37,7 @@
     Tick {
         gateway: usize,
     },
-    /// A submission reaches an engine, or its end a gateway.
+    /// A attempt reaches an engine, or its end a gateway.
     Reaches {
         out: u64,
     },
@@ -45,7 +45,7 @@
         out: u64,
         outcome: Outcome,
     },
-    /// A submission's time is over.
+    /// A attempt's time is over.
     Due {
         out: u64,
     },
@@ -115,14 +115,14 @@
     },
     Closed {
         id: u64,
-        submission: usize,
+        attempt: usize,
         outcome: Outcome,
         node: u64,
         latency: f64,
     },
     Noted {
         id: u64,
-        submission: usize,
+        attempt: usize,
         amount: f64,
     },
     Probed {
@@ -137,7 +137,7 @@
     Submit { id: u64, node: u64, until: f64 },
     Defer { id: u64, wait: f64 },
     Kill { id: u64 },
-    Cancel { id: u64, submission: usize },
+    Cancel { id: u64, attempt: usize },
     Probe { node: u64 },
     Timer { delay: f64 },
 }
@@ -158,8 +158,8 @@
     fn kill(&mut self, id: u64) {
         self.0.push(Decided::Kill { id });
     }
-    fn cancel(&mut self, id: u64, submission: usize) {
-        self.0.push(Decided::Cancel { id, submission });
+    fn cancel(&mut self, id: u64, attempt: usize) {
+        self.0.push(Decided::Cancel { id, attempt });
     }
     fn grant(&mut self, _: u64, _: u8, _: f64) {}
     fn probe(&mut self, node: u64) {
@@ -196,21 +196,19 @@
                 }
                 Incoming::Closed {
                     id,
-                    submission,
+                    attempt,
                     outcome,
                     node,
                     latency,
                 } => {
                     let complete = outcome == Outcome::Finished;
-                    control.closed(
-                        id, submission, complete, outcome, node, latency, 0.0, 0.0, out,
-                    );
+                    control.closed(id, attempt, complete, outcome, node, latency, 0.0, 0.0, out);
                 }
                 Incoming::Noted {
                     id,
-                    submission,
+                    attempt,
                     amount,
-                } => control.noted(id, submission, Note::Progress, amount),
+                } => control.noted(id, attempt, Note::Progress, amount),
                 Incoming::Probed { node, outcome } => control.probed(node, outcome),
                 Incoming::List => {
                     control.list_begins(ListForm::Full);
@@ -238,11 +236,11 @@
     class: usize,
     came: f64,
     work: f64,
-    submissions: usize,
+    attempts: usize,
     answered: bool,
 }
 
-/// A submission that is out.
+/// A attempt that is out.
 struct Sent {
     query: u64,
     number: usize,
@@ -661,7 +659,7 @@
                 class,
                 came,
                 work,
-                submissions: 0,
+                attempts: 0,
                 answered: false,
             },
         );
@@ -773,11 +771,11 @@
                 }
                 Decided::Defer { id, wait } => self.answers(id, 429, Some(wait)),
                 Decided::Kill { id } => self.answers(id, 500, None),
-                Decided::Cancel { id, submission } => {
+                Decided::Cancel { id, attempt } => {
                     let found = self
                         .out
                         .iter()
-                        .find(|(_, s)| s.query == id && s.number == submission && !s.given_up);
+                        .find(|(_, s)| s.query == id && s.number == attempt && !s.given_up);
                     if let Some(out) = found.map(|(out, _)| *out) {
                         self.gives_up(out, Outcome::Cancelled, SETTLES);
                     }
@@ -816,8 +814,8 @@
         let Some(query) = self.queries.get_mut(&id) else {
             return;
         };
-        let number = query.submissions;
-        query.submissions += 1;
+        let number = query.attempts;
+        query.attempts += 1;
         let out = self.next_out;
         self.next_out += 1;
         let at = self.now;
@@ -880,7 +878,7 @@
         self.at(self.now + settles, Event::Ends { out, outcome });
     }
 
-    /// A submission's end reaches its gateway.
+    /// A attempt's end reaches its gateway.
     fn closes(&mut self, out: u64, outcome: Outcome) {
         let Some(sent) = self.out.remove(&out) else {
             return;
@@ -896,7 +894,7 @@
         let node = sent.engine as u64 + 1;
         self.inboxes[gateway].push(Incoming::Closed {
             id,
-            submission: sent.number,
+            attempt: sent.number,
             outcome,
             node,
             latency,
@@ -906,7 +904,7 @@
         if self
             .queries
             .get(&id)
-            .is_some_and(|query| query.answered && query.submissions == sent.number + 1)
+            .is_some_and(|query| query.answered && query.attempts == sent.number + 1)
         {
             self.queries.remove(&id);
         }
@@ -1121,7 +1119,7 @@
             self.seen(gateway, engine, Outcome::Finished);
             self.inboxes[gateway].push(Incoming::Noted {
                 id,
-                submission: number,
+                attempt: number,
                 amount: done.min(0.9999),
             });
             self.round(gateway);
--- a/crates/sql-analysis/src/learn.rs
+++ b/crates/sql-analysis/src/learn.rs
@@ -37,7 +37,7 @@
 /// Costs below this (ms) are all alike.
 const LEAST: f64 = 0.05;
 
-/// How a submission ended, as far as its cost goes.
+/// How a attempt ended, as far as its cost goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
     Finished,
@@ -45,7 +45,7 @@
     CutOff,
 }
 
-/// A submission that ran.
+/// A attempt that ran.
 #[derive(Debug, Clone, Copy)]
 pub struct Observation {
     /// When it ended (ms), where it ran, and for how long (ms).
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -171,7 +171,7 @@
         )
     }
 
-    /// Takes in how a submission ended. `shape`, `class` and `cost` are those of the reading under which it was
+    /// Takes in how a attempt ended. `shape`, `class` and `cost` are those of the reading under which it was
     /// taken, whatever the rules say by now.
     pub fn ended(&mut self, shape: u128, class: Class, cost: f64, seen: &Observation) {
         self.learner.take(shape, class, cost, seen);
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -28,7 +28,7 @@
     pub warm_after: f64,
 }
 
-/// In a span at most `free` further submissions, and a share of the queries asked.
+/// In a span at most `free` further attempts, and a share of the queries asked.
 #[derive(Debug, Clone, Copy)]
 pub struct Budget {
     pub span: f64,
@@ -89,7 +89,7 @@
     }
 }
 
-/// The ration of further submissions is wider on sockets by this part, and by one.
+/// The ration of further attempts is wider on sockets by this part, and by one.
 const WIDER: f64 = 1.15;
 
 #[derive(Debug, Default)]
@@ -100,12 +100,12 @@
     key: Option<String>,
     answers: Vec<(f64, u16)>,
     left: Option<f64>,
-    submissions: Vec<Submission>,
+    attempts: Vec<Attempt>,
     applied: Vec<String>,
 }
 
 #[derive(Debug)]
-struct Submission {
+struct Attempt {
     engine: String,
     at: f64,
     /// When it ended, and whether it may have run.
@@ -238,7 +238,7 @@
         query.answers.push((at, status));
         let (count, late) = (query.answers.len(), at - query.asked - query.wait);
         let may_have_run = query
-            .submissions
+            .attempts
             .iter()
             .any(|s| s.end.is_none_or(|(_, ran)| ran));
         if count > 1 {
@@ -280,7 +280,7 @@
             return self.breaks(1, at, format!("{engine} was sent {id}, which nobody asked"));
         };
         let answered = query.answers.first().map(|(answered, _)| *answered);
-        let again = !query.submissions.is_empty();
+        let again = !query.attempts.is_empty();
         let key = query.key.clone();
         if let Some(class) = rules.classes.get(&query.class) {
             let inside = |bound: &Option<Vec<String>>, it: &String| {
@@ -308,7 +308,7 @@
             self.look_at_budget(at);
         }
         if let Some(query) = self.queries.get_mut(id) {
-            query.submissions.push(Submission {
+            query.attempts.push(Attempt {
                 engine: engine.to_owned(),
                 at,
                 end: None,
@@ -322,9 +322,9 @@
         let Some(query) = self.queries.get(id) else {
             return;
         };
-        let open = query.submissions.iter().any(|s| s.end.is_none());
+        let open = query.attempts.iter().any(|s| s.end.is_none());
         let first = query
-            .submissions
+            .attempts
             .iter()
             .find(|s| s.end.is_none_or(|(_, ran)| ran));
         let mut how = Vec::new();
@@ -383,13 +383,13 @@
             return;
         };
         let open = query
-            .submissions
+            .attempts
             .iter_mut()
             .rev()
             .find(|s| s.engine == engine && s.end.is_none());
-        if let Some(submission) = open {
-            submission.end = Some((at, ran));
-            submission.doubtful = doubtful;
+        if let Some(attempt) = open {
+            attempt.end = Some((at, ran));
+            attempt.doubtful = doubtful;
         }
     }
 
@@ -438,9 +438,9 @@
                 continue;
             };
             let over = query.left.is_some() || !query.answers.is_empty();
-            let out = query.submissions.iter().any(|s| s.end.is_none());
+            let out = query.attempts.iter().any(|s| s.end.is_none());
             let rests = query
-                .submissions
+                .attempts
                 .iter()
                 .filter(|s| s.doubtful)
                 .filter_map(|s| s.end.map(|(end, _)| end));
@@ -462,7 +462,7 @@
         }
     }
 
-    /// Rule 7: further submissions in the span that ends now.
+    /// Rule 7: further attempts in the span that ends now.
     fn look_at_budget(&mut self, at: f64) {
         let Some(budget) = self.rules.budget else {
             return;
@@ -819,7 +819,7 @@
     }
 
     #[test]
-    fn rule_6_placement_on_every_submission() {
+    fn rule_6_placement_on_every_attempt() {
         let sent = |zone: &str| {
             broken(&[
                 (0.0, listed("e", Status::Ready, zone)),
@@ -831,7 +831,7 @@
     }
 
     #[test]
-    fn rule_7_further_submissions_within_the_budget() {
+    fn rule_7_further_attempts_within_the_budget() {
         let again = |many: usize| {
             let mut run = vec![(0.0, asked("look", "1", None)), (0.0, arrived("e", "1"))];
             (0..many).for_each(|n| run.push((n as f64, arrived("e", "1"))));
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -135,7 +135,7 @@
     streams: Arc<Mutex<HashMap<SocketAddr, TcpStream>>>,
 }
 
-/// A submission that runs.
+/// A attempt that runs.
 struct Run {
     id: String,
     given_up: AtomicBool,
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -22,7 +22,7 @@
     },
     /// The client left without waiting.
     Left { id: String },
-    /// A submission came whole to an engine; its work (ms on one core), as far as the engine knows.
+    /// A attempt came whole to an engine; its work (ms on one core), as far as the engine knows.
     Arrived {
         engine: String,
         id: String,
--- a/crates/zone-routing/src/define.rs
+++ b/crates/zone-routing/src/define.rs
@@ -65,7 +65,7 @@
     pub spills: Vec<Spill>,
     pub cut: Cut,
     pub climb: Climb,
-    /// Of the further submissions this part may go to another zone than the last one.
+    /// Of the further attempts this part may go to another zone than the last one.
     pub cross_retries: f64,
 }
 
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -1,4 +1,4 @@
-//! Which zones can be reached: evidence of own submissions and probes, and what peers and the list say beside it.
+//! Which zones can be reached: evidence of own attempts and probes, and what peers and the list say beside it.
 
 use crate::define::Definition;
 use crate::message::{self, Reach, Told};
@@ -296,7 +296,7 @@
         }
     }
 
-    /// What a submission or a probe showed of an engine.
+    /// What a attempt or a probe showed of an engine.
     pub fn seen(&mut self, now: f64, seen: Seen) {
         self.now = self.now.max(now);
         let now = self.now;
--- a/src/control.rs
+++ b/src/control.rs
@@ -49,7 +49,7 @@
 const NOTES_MISSED: f64 = 2.5;
 const HOPELESS: f64 = 1.25;
 // Doubt: errors weigh in by a step and raise it above a level; trials back off. Nothing heard for so long
-// with submissions out is silence, and asked about where probes are allowed.
+// with attempts out is silence, and asked about where probes are allowed.
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
 const TRIAL_FIRST: f64 = 500.0;
@@ -442,10 +442,10 @@
         !engine.suspect || may_try && self.now >= engine.trial && shown
     }
 
-    // ---- Sending: every submission passes here, and here the rules are kept ----
+    // ---- Sending: every attempt passes here, and here the rules are kept ----
 
     fn may_send(&mut self, i: usize, e: usize) -> bool {
-        // Rule 7: the budget of further submissions, also across zones; a level may leave low work none.
+        // Rule 7: the budget of further attempts, also across zones; a level may leave low work none.
         let withheld = self.reduced.withhold && self.queries[i].low;
         if self.queries[i].count > 0
             && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0))
@@ -458,9 +458,9 @@
         if q.over || !engine.ready || self.now >= q.due {
             return false;
         }
-        // Rule 2: an effect only once; never two submissions at a time, and no more than are told.
+        // Rule 2: an effect only once; never two attempts at a time, and no more than are told.
         if q.open().is_some()
-            || q.count >= self.allowed.most_submissions
+            || q.count >= self.allowed.most_attempts
             || !self.may_repeat(i, Some(e))
         {
             return false;
@@ -509,12 +509,12 @@
         } else {
             engine.trial
         };
-        let s = Submission {
+        let s = Attempt {
             took,
-            ..Submission::new(e, now, work, memory, trial)
+            ..Attempt::new(e, now, work, memory, trial)
         };
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
-        q.submissions[q.count] = s;
+        q.attempts[q.count] = s;
         q.count += 1;
         let (id, node, low) = (q.id, engine.node, q.low);
         let bounds = Bounds {
@@ -597,7 +597,7 @@
     fn may_move(&mut self, i: usize) -> bool {
         let could = !(self.reduced.withhold && self.queries[i].low)
             && self.allowed.cancelling
-            && self.queries[i].count < self.allowed.most_submissions;
+            && self.queries[i].count < self.allowed.most_attempts;
         could && self.budget_left(self.moving) && self.may_repeat(i, None)
     }
 
@@ -662,7 +662,7 @@
     pub fn closed(
         &mut self,
         id: u64,
-        submission: usize,
+        attempt: usize,
         complete: bool,
         outcome: Outcome,
         node: u64,
@@ -678,7 +678,7 @@
             return;
         };
         let q = &mut self.queries[i];
-        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else {
+        let Some(s) = q.attempts.get_mut(attempt).filter(|s| s.open) else {
             return;
         };
         s.open = false;
@@ -726,7 +726,7 @@
             engine.bound /= 2.0;
             engine.crowd = CROWD_A_CORE * engine.cores;
         }
-        self.judge(e, outcome, &s, submission > 0);
+        self.judge(e, outcome, &s, attempt > 0);
         self.gives_back(s.took, rg, e);
         if self.queries[i].over {
             self.leave(i, out);
@@ -761,7 +761,7 @@
 
     /// What an outcome says of the engine. Guards against fast failure, silence and refusal of connections,
     /// whatever the cause: a doubted engine gets single trials until one passes.
-    fn judge(&mut self, e: usize, outcome: Outcome, s: &Submission, again: bool) {
+    fn judge(&mut self, e: usize, outcome: Outcome, s: &Attempt, again: bool) {
         let (now, trial) = (self.now, s.trial);
         let engine = &mut self.engines[e];
         let failed = match outcome {
@@ -806,13 +806,13 @@
         (engine.trial_wait, engine.trial) = (TRIAL_FIRST, self.now + TRIAL_FIRST);
     }
 
-    pub fn noted(&mut self, id: u64, submission: usize, note: Note, amount: f64) {
+    pub fn noted(&mut self, id: u64, attempt: usize, note: Note, amount: f64) {
         let Some(&i) = self.door.queries.get(&id) else {
             return;
         };
         let q = &mut self.queries[i];
         let (rg, cost) = (q.rg, q.cost);
-        let Some(s) = q.submissions.get_mut(submission).filter(|s| s.open) else {
+        let Some(s) = q.attempts.get_mut(attempt).filter(|s| s.open) else {
             return;
         };
         (s.heard, self.engines[s.engine].heard) = (self.now, self.now);
@@ -898,7 +898,7 @@
             return;
         };
         let q = &mut self.queries[i];
-        if !std::mem::replace(&mut q.submissions[n].cancelled, true) {
+        if !std::mem::replace(&mut q.attempts[n].cancelled, true) {
             out.cancel(q.id, n);
         }
     }
@@ -960,7 +960,7 @@
         }
     }
 
-    /// Guards against submissions that hang or crawl, whatever the cause (a bad plan, a slow or silent
+    /// Guards against attempts that hang or crawl, whatever the cause (a bad plan, a slow or silent
     /// engine, a wait for a load): what is left is set against a new run and the time the client gives.
     fn look_at_query(&mut self, i: usize, out: &mut dyn Writer) {
         let Some(q) = self.queries.get(i).filter(|q| !q.over && !q.moving) else {
@@ -976,7 +976,7 @@
             }
             return;
         };
-        let s = q.submissions[n];
+        let s = q.attempts[n];
         let age = self.now - s.sent;
         let silent = self.engines[s.engine].suspect && self.engines[s.engine].silent && !s.trial;
         // No note for longer than notes take: the work ended and its answer was lost, or nothing runs it.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,8 +13,8 @@
     fn submit(&mut self, id: u64, node: u64, bounds: Bounds);
     fn defer(&mut self, id: u64, retry_after: f64);
     fn kill(&mut self, id: u64);
-    fn cancel(&mut self, id: u64, submission: usize);
-    /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next submissions.
+    fn cancel(&mut self, id: u64, attempt: usize);
+    /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next attempts.
     fn grant(&mut self, id: u64, priority: u8, memory: f64);
     fn probe(&mut self, node: u64);
     /// Sends a few bytes to another gateway, or to all others, where the site lets them talk.
@@ -25,7 +25,7 @@
     fn note(&mut self, text: &str);
 }
 
-/// What holds for one submission.
+/// What holds for one attempt.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     /// It is abandoned at this clock reading.
@@ -53,7 +53,7 @@
     };
 }
 
-/// How a submission or a probe ended.
+/// How a attempt or a probe ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
     Finished,
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,7 @@
 use slab::Slab;
 use std::collections::VecDeque;
 
-pub const MOST_SUBMISSIONS: usize = 8;
+pub const MOST_ATTEMPTS: usize = 8;
 pub const NONE: u32 = u32::MAX;
 pub const LONG_AGO: f64 = f64::NEG_INFINITY;
 
@@ -120,7 +120,7 @@
     }
 }
 
-/// Rule 7 as told: how many further submissions a span allows, free and as a share of the queries taken.
+/// Rule 7 as told: how many further attempts a span allows, free and as a share of the queries taken.
 #[derive(Debug, Clone, Copy)]
 pub struct Budget {
     pub span: f64,
@@ -148,7 +148,7 @@
     /// Factor on the time to come back, and the part of it that chance spreads.
     pub retry: f64,
     pub spread: f64,
-    /// Low work gets no further submissions.
+    /// Low work gets no further attempts.
     pub withhold: bool,
     /// Low work of customers over their share, or less sure of its cost than this, finds no room.
     pub close_over_share: bool,
@@ -202,7 +202,7 @@
 pub struct Allowed {
     pub cold: Option<ColdRule>,
     pub budget: Option<Budget>,
-    pub most_submissions: usize,
+    pub most_attempts: usize,
     pub cancelling: bool,
     pub probes: bool,
     pub peers: bool,
@@ -222,7 +222,7 @@
         Allowed {
             cold: ColdRule::read(told),
             budget: Budget::read(told),
-            most_submissions: most.min(MOST_SUBMISSIONS),
+            most_attempts: most.min(MOST_ATTEMPTS),
             cancelling: told.on("limits.cancelling"),
             probes: told.on("limits.probes"),
             peers: told.on("limits.peers"),
@@ -424,7 +424,7 @@
     pub ready: bool,
     pub listed: bool,
     pub started: f64,
-    /// What is out there: submissions, their work and memory, and the low ones' threads.
+    /// What is out there: attempts, their work and memory, and the low ones' threads.
     pub open: u32,
     /// Since when something of ours has been out there without a break.
     pub busy_since: f64,
@@ -440,7 +440,7 @@
     pub halved: f64,
     pub full: f64,
     pub paces: Paces,
-    /// For each resource group how many of its submissions hang there, from none to all.
+    /// For each resource group how many of its attempts hang there, from none to all.
     pub hangs: Vec<Pace>,
     pub heard: f64,
     pub errors: f64,
@@ -513,7 +513,7 @@
     }
 
     /// `held`: the tables a load holds, and until when at most.
-    pub fn add(&mut self, s: &Submission, low: bool, threads: f64, held: Option<(u32, f64)>) {
+    pub fn add(&mut self, s: &Attempt, low: bool, threads: f64, held: Option<(u32, f64)>) {
         self.held.retain(|&(_, until)| until > s.sent);
         self.held.extend(held);
         if self.open == 0 {
@@ -528,7 +528,7 @@
         }
     }
 
-    pub fn remove(&mut self, s: &Submission, low: bool, threads: f64, held: Option<u32>) {
+    pub fn remove(&mut self, s: &Attempt, low: bool, threads: f64, held: Option<u32>) {
         if let Some(n) = self
             .held
             .iter()
@@ -591,7 +591,7 @@
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Submission {
+pub struct Attempt {
     pub engine: usize,
     pub sent: f64,
     pub work: f64,
@@ -613,11 +613,11 @@
     pub took: Took,
 }
 
-impl Submission {
+impl Attempt {
     pub fn new(engine: usize, sent: f64, work: f64, memory: f64, trial: bool) -> Self {
         let (open, may_have_run, noted, heard, began) = (true, true, sent, sent, sent);
-        let nothing = Submission::default();
-        Submission {
+        let nothing = Attempt::default();
+        Attempt {
             engine,
             sent,
             work,
@@ -674,7 +674,7 @@
     pub over: bool,
     pub moving: bool,
     pub count: usize,
-    pub submissions: [Submission; MOST_SUBMISSIONS],
+    pub attempts: [Attempt; MOST_ATTEMPTS],
 }
 
 impl Query {
@@ -697,15 +697,15 @@
             over: false,
             moving: false,
             count: 0,
-            submissions: [Submission::default(); MOST_SUBMISSIONS],
+            attempts: [Attempt::default(); MOST_ATTEMPTS],
         }
     }
 
-    pub fn sent(&self) -> &[Submission] {
-        &self.submissions[..self.count]
+    pub fn sent(&self) -> &[Attempt] {
+        &self.attempts[..self.count]
     }
 
-    /// The submission that is out, if one is.
+    /// The attempt that is out, if one is.
     pub fn open(&self) -> Option<usize> {
         self.sent().iter().position(|s| s.open)
     }
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -10,7 +10,7 @@
     pub zones: Vec<GivenZone>,
     /// Threads that each engine may have of ours, in all.
     pub engines: Vec<(u64, f64)>,
-    /// Of the further submissions this part may go to another zone than the last one.
+    /// Of the further attempts this part may go to another zone than the last one.
     pub cross_retries: f64,
     /// This gateway is cut off itself: low work is better deferred at once than sent into silence.
     pub alone: bool,
@@ -86,7 +86,7 @@
     by_group: Vec<Room>,
 }
 
-/// Further submissions across zones: saved up to so many, and so many are free.
+/// Further attempts across zones: saved up to so many, and so many are free.
 const CROSS_MOST: f64 = 20.0;
 const CROSS_FREE: f64 = 2.0;
 
@@ -100,7 +100,7 @@
     alone: bool,
 }
 
-/// What a submission took of a plan's room, given back when it ends.
+/// What a attempt took of a plan's room, given back when it ends.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Took {
     threads: f64,
@@ -178,7 +178,7 @@
         takes(&zone.spill) && zone.by_group.get(q.rg).is_none_or(takes)
     }
 
-    /// Whether a further submission would go to another zone than the last one, with none of these left.
+    /// Whether a further attempt would go to another zone than the last one, with none of these left.
     pub fn may_not_cross(&self, i: usize, e: usize) -> bool {
         let last = self.queries[i]
             .sent()
@@ -189,7 +189,7 @@
             && last.is_some_and(|zone| zone != self.engines[e].zone)
     }
 
-    /// Counts a submission that is about to go out.
+    /// Counts a attempt that is about to go out.
     pub fn takes_room(&mut self, i: usize, e: usize) -> Took {
         if !self.tiers.on {
             return Took::default();
@@ -209,7 +209,7 @@
         match last {
             Some(last) if last != zone => tiers.cross = (tiers.cross - 1.0).max(0.0),
             Some(_) => tiers.cross = (tiers.cross + tiers.cross_retries).min(CROSS_MOST),
-            // First submissions bring little: a storm must not live on the calm before it.
+            // First attempts bring little: a storm must not live on the calm before it.
             None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(CROSS_MOST),
         }
         tiers
@@ -226,7 +226,7 @@
         Took { threads, spilled }
     }
 
-    /// Gives back what an ended submission took.
+    /// Gives back what an ended attempt took.
     pub fn gives_back(&mut self, took: Took, rg: usize, e: usize) {
         if took.threads <= 0.0 {
             return;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn rule_1_a_client_that_left_gets_nothing_and_its_submission_is_called_off() {
+fn rule_1_a_client_that_left_gets_nothing_and_its_attempt_is_called_off() {
     let mut c = gateway("", ONE);
     ask(&mut c, 1.0, 1, "look", 100.0);
     assert_eq!(
@@ -327,7 +327,7 @@
 }
 
 #[test]
-fn rule_7_further_submissions_keep_within_the_budget() {
+fn rule_7_further_attempts_keep_within_the_budget() {
     let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
     let mut c = gateway(rules, &[("small", "h1"); 8]);
     let mut again = 0;
@@ -514,10 +514,10 @@
     let mut c = gateway("", TWO);
     for id in 0..2 {
         ask(&mut c, 1.0, id, "look", 10.0);
-        for submission in 0..4 {
+        for attempt in 0..4 {
             let i = c.door.queries[&id];
-            let node = c.engines[c.queries[i].submissions[submission].engine].node;
-            close(&mut c, 2.0, id, submission, Outcome::Error, node);
+            let node = c.engines[c.queries[i].attempts[attempt].engine].node;
+            close(&mut c, 2.0, id, attempt, Outcome::Error, node);
         }
         assert!(
             !c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect),
@@ -525,7 +525,7 @@
         );
         for id in 10..20 {
             ask(&mut c, 3.0, id, "look", 10.0);
-            let node = c.engines[c.queries[c.door.queries[&id]].submissions[0].engine].node;
+            let node = c.engines[c.queries[c.door.queries[&id]].attempts[0].engine].node;
             close(&mut c, 4.0, id, 0, Outcome::Finished, node);
         }
     }
@@ -608,7 +608,7 @@
 }
 
 #[test]
-fn a_submission_that_crawls_is_moved_as_far_as_the_budget_goes() {
+fn a_attempt_that_crawls_is_moved_as_far_as_the_budget_goes() {
     let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
     let mut c = gateway(rules, TWO);
     c.engines.iter_mut().for_each(|e| e.crowd = 100.0);
@@ -768,7 +768,7 @@
 }
 
 #[test]
-fn terms_go_before_the_submission_and_are_generous_only_where_spare_memory_stays_free() {
+fn terms_go_before_the_attempt_and_are_generous_only_where_spare_memory_stays_free() {
     for (told, terms) in [
         ("memory-short=page", "1 20"),
         ("memory-short=shrink", "1 0"),
@@ -840,7 +840,7 @@
 }
 
 #[test]
-fn a_submission_whose_notes_stop_is_moved_though_its_share_was_nearly_done() {
+fn a_attempt_whose_notes_stop_is_moved_though_its_share_was_nearly_done() {
     let mut c = gateway("family-info.tells-every-us=1000000", TWO);
     ask(&mut c, 1.0, 1, "rep", 1000.0);
     round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.9));
@@ -852,7 +852,7 @@
 }
 
 #[test]
-fn a_hopeless_submission_is_moved_at_ease_and_given_up_under_pressure() {
+fn a_hopeless_attempt_is_moved_at_ease_and_given_up_under_pressure() {
     for (pressed, then) in [(false, "cancel 1 0"), (true, "defer 1")] {
         let mut c = gateway("", TWO);
         ask(&mut c, 1.0, 1, "rep", 1000.0);
@@ -1001,7 +1001,7 @@
                 out,
             )
             .unwrap();
-            let node = c.engines[c.queries[c.door.queries[&1]].submissions[0].engine].node;
+            let node = c.engines[c.queries[c.door.queries[&1]].attempts[0].engine].node;
             c.now = T0 + 100.0;
             c.closed(1, 0, false, Outcome::Reset, node, 100.0, 0.0, 0.0, out);
         })),
@@ -1027,7 +1027,7 @@
     assert_eq!(c.alone(c.door.queries[&2]), 500.0);
     for id in 0..2 {
         let i = c.door.queries[&id];
-        let node = c.engines[c.queries[i].submissions[0].engine].node;
+        let node = c.engines[c.queries[i].attempts[0].engine].node;
         close(&mut c, 200.0, id, 0, Outcome::Finished, node);
     }
     assert!(!starts(&round(&mut c, 600.0, |_, _| ()), "cancel"));
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -37,8 +37,8 @@
     fn kill(&mut self, id: u64) {
         self.0.push(format!("kill {id}"));
     }
-    fn cancel(&mut self, id: u64, submission: usize) {
-        self.0.push(format!("cancel {id} {submission}"));
+    fn cancel(&mut self, id: u64, attempt: usize) {
+        self.0.push(format!("cancel {id} {attempt}"));
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.0.push(format!("grant {id} {priority} {memory}"));
@@ -121,7 +121,7 @@
     })
 }
 
-/// The end of a query's submission on an engine.
+/// The end of a query's attempt on an engine.
 pub fn close(
     c: &mut Control,
     at: f64,
