--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -26,7 +26,7 @@
     /// The dispatcher's own zone, the resource groups, how many dispatchers there are, cores by kind.
     own: String,
     groups: Vec<String>,
-    gateways: f64,
+    dispatchers: f64,
     settings: Map,
     /// The list as last told.
     listed: RefCell<Vec<Engine>>,
@@ -47,7 +47,7 @@
             on: RefCell::default(),
             own: settings.get("zone").cloned().unwrap_or_default(),
             groups: (0..count).map(name).collect(),
-            gateways: settings.number("balancers").unwrap_or(1.0),
+            dispatchers: settings.number("balancers").unwrap_or(1.0),
             settings: settings.clone(),
             listed: RefCell::default(),
             looked: Cell::new(f64::NEG_INFINITY),
@@ -70,7 +70,7 @@
             }
             (Some(_), Some(_)) => {}
             (None, Some(definition)) => {
-                let mut judge = Judge::new(definition, self.gateways);
+                let mut judge = Judge::new(definition, self.dispatchers);
                 judge.listed(now, &self.listed.borrow());
                 *on = Some(judge);
             }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -1,4 +1,4 @@
-//! The world in virtual time. Everything that happens is an event with a time; gateways are the real decisions, called
+//! The world in virtual time. Everything that happens is an event with a time; dispatchers are the real decisions, called
 //! as the dispatcher calls them.
 
 use crate::engine::Engine;
@@ -20,7 +20,7 @@
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
-/// What a gateway gave up is told to its decisions so much later, as in the dispatcher.
+/// What a dispatcher gave up is told to its decisions so much later, as in the dispatcher.
 const SETTLES: f64 = 40.0;
 const NOTES_EVERY: f64 = 100.0;
 const LOOK_EVERY: f64 = 100.0;
@@ -29,15 +29,15 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    /// A client's query comes to a gateway.
+    /// A client's query comes to a dispatcher.
     Arrives {
         class: usize,
     },
-    /// A gateway's decisions want their next round.
+    /// A dispatcher's decisions want their next round.
     Tick {
-        gateway: usize,
+        dispatcher: usize,
     },
-    /// A attempt reaches an engine, or its end a gateway.
+    /// A attempt reaches an engine, or its end a dispatcher.
     Reaches {
         out: u64,
     },
@@ -60,7 +60,7 @@
     },
     /// A probe's answer.
     Probed {
-        gateway: usize,
+        dispatcher: usize,
         engine: usize,
         outcome: Outcome,
     },
@@ -68,9 +68,9 @@
         fault: usize,
         begins: bool,
     },
-    /// The list is told to a gateway.
+    /// The list is told to a dispatcher.
     Told {
-        gateway: usize,
+        dispatcher: usize,
     },
     Look,
     Sample,
@@ -105,7 +105,7 @@
     }
 }
 
-/// What a gateway is told in its next round.
+/// What a dispatcher is told in its next round.
 enum Incoming {
     Query {
         id: u64,
@@ -132,7 +132,7 @@
     List,
 }
 
-/// What a gateway decided.
+/// What a dispatcher decided.
 enum Decided {
     Submit { id: u64, node: u64, until: f64 },
     Defer { id: u64, wait: f64 },
@@ -222,7 +222,7 @@
     }
 }
 
-struct Gateway {
+struct Dispatcher {
     control: Control,
     zones: Option<Judge>,
     zone: usize,
@@ -232,7 +232,7 @@
 }
 
 struct Query {
-    gateway: usize,
+    dispatcher: usize,
     class: usize,
     came: f64,
     work: f64,
@@ -302,7 +302,7 @@
     engine_zones: Vec<usize>,
     engines: Vec<Engine>,
     fallen_until: Vec<f64>,
-    gateways: Vec<Gateway>,
+    dispatchers: Vec<Dispatcher>,
     inboxes: Vec<Vec<Incoming>>,
     queries: HashMap<u64, Query>,
     out: HashMap<u64, Sent>,
@@ -430,8 +430,8 @@
         }
         let told = tansymux_operator_config::read(e.arm[arm].operator()).unwrap_or_default();
         let definition = told.halls.as_ref().map(tansymux_operator_config::zones);
-        let gateways: Vec<Gateway> = (0..e.dispatchers() as usize)
-            .map(|n| Gateway {
+        let dispatchers: Vec<Dispatcher> = (0..e.dispatchers() as usize)
+            .map(|n| Dispatcher {
                 control: Control::new(
                     seed.wrapping_mul(1000) + n as u64,
                     &settings(e, &zones[n % zones.len()]),
@@ -472,11 +472,11 @@
                 .collect(),
             fallen_until: vec![0.0; engines.len()],
             sent_cold: vec![Vec::new(); engines.len()],
-            inboxes: (0..gateways.len()).map(|_| Vec::new()).collect(),
+            inboxes: (0..dispatchers.len()).map(|_| Vec::new()).collect(),
             zones,
             engine_zones,
             engines,
-            gateways,
+            dispatchers,
             queries: HashMap::new(),
             out: HashMap::new(),
             next_query: 1,
@@ -531,8 +531,8 @@
                 cell: 0,
             });
         }
-        for gateway in 0..self.gateways.len() {
-            self.told(gateway);
+        for dispatcher in 0..self.dispatchers.len() {
+            self.told(dispatcher);
         }
         for class in 0..self.e.class.len() {
             self.at(0.0, Event::Arrives { class });
@@ -558,9 +558,9 @@
         self.at(250.0, Event::Sample);
     }
 
-    /// Whether there is no way between a gateway and an engine.
-    fn is_cut(&self, gateway: usize, engine: usize) -> bool {
-        let (from, zone) = (self.gateways[gateway].zone, self.engine_zones[engine]);
+    /// Whether there is no way between a dispatcher and an engine.
+    fn is_cut(&self, dispatcher: usize, engine: usize) -> bool {
+        let (from, zone) = (self.dispatchers[dispatcher].zone, self.engine_zones[engine]);
         self.e
             .fault
             .iter()
@@ -584,9 +584,9 @@
     fn happens(&mut self, event: Event, end: f64) {
         match event {
             Event::Arrives { class } if self.now < end => self.arrives(class),
-            Event::Tick { gateway } if self.now >= self.gateways[gateway].tick => {
-                self.gateways[gateway].tick = f64::INFINITY;
-                self.round(gateway);
+            Event::Tick { dispatcher } if self.now >= self.dispatchers[dispatcher].tick => {
+                self.dispatchers[dispatcher].tick = f64::INFINITY;
+                self.round(dispatcher);
             }
             Event::Arrives { .. } | Event::Tick { .. } => {}
             Event::Reaches { out } => self.reaches(out),
@@ -604,22 +604,22 @@
             }
             Event::Engine { .. } => {}
             Event::Probed {
-                gateway,
+                dispatcher,
                 engine,
                 outcome,
             } => {
-                self.seen(gateway, engine, outcome);
-                self.inboxes[gateway].push(Incoming::Probed {
+                self.seen(dispatcher, engine, outcome);
+                self.inboxes[dispatcher].push(Incoming::Probed {
                     node: engine as u64 + 1,
                     outcome,
                 });
-                self.round(gateway);
+                self.round(dispatcher);
             }
             Event::Fault { fault, begins } => self.fault(fault, begins),
-            Event::Told { gateway } => self.told(gateway),
+            Event::Told { dispatcher } => self.told(dispatcher),
             Event::Look => {
-                for gateway in 0..self.gateways.len() {
-                    self.look(gateway);
+                for dispatcher in 0..self.dispatchers.len() {
+                    self.look(dispatcher);
                 }
                 if self.now < end {
                     self.at(self.now + LOOK_EVERY, Event::Look);
@@ -648,14 +648,14 @@
         let off = LogNormal::new(0.0, told.estimate_scatter())
             .expect("a finite spread")
             .sample(&mut self.chance);
-        let gateway = self.chance.random_range(0..self.gateways.len());
+        let dispatcher = self.chance.random_range(0..self.dispatchers.len());
         let id = self.next_query;
         self.next_query += 1;
         let (came, wait) = (self.now, told.wait_ms());
         self.queries.insert(
             id,
             Query {
-                gateway,
+                dispatcher,
                 class,
                 came,
                 work,
@@ -675,13 +675,13 @@
             key: None,
         });
         let due = EPOCH + came + wait - 10.0;
-        self.inboxes[gateway].push(Incoming::Query {
+        self.inboxes[dispatcher].push(Incoming::Query {
             id,
             class,
             cost: work * off,
             due,
         });
-        self.round(gateway);
+        self.round(dispatcher);
     }
 
     fn phase(&self) -> usize {
@@ -750,24 +750,24 @@
         });
     }
 
-    // ---- Gateways ----
+    // ---- Dispatchers ----
 
-    fn round(&mut self, gateway: usize) {
-        let events = std::mem::take(&mut self.inboxes[gateway]);
+    fn round(&mut self, dispatcher: usize) {
+        let events = std::mem::take(&mut self.inboxes[dispatcher]);
         let mut inbox = Inbox {
             events,
             groups: &self.groups,
             list: &self.list,
         };
         let mut out = Out::default();
-        self.gateways[gateway]
+        self.dispatchers[dispatcher]
             .control
             .round(EPOCH + self.now, &mut inbox, &mut out);
-        self.inboxes[gateway] = inbox.events;
+        self.inboxes[dispatcher] = inbox.events;
         for decided in out.0 {
             match decided {
                 Decided::Submit { id, node, until } => {
-                    self.submits(gateway, id, node as usize - 1, until - EPOCH)
+                    self.submits(dispatcher, id, node as usize - 1, until - EPOCH)
                 }
                 Decided::Defer { id, wait } => self.answers(id, 429, Some(wait)),
                 Decided::Kill { id } => self.answers(id, 500, None),
@@ -780,20 +780,20 @@
                         self.gives_up(out, Outcome::Cancelled, SETTLES);
                     }
                 }
-                Decided::Probe { node } => self.probe(gateway, node as usize - 1),
+                Decided::Probe { node } => self.probe(dispatcher, node as usize - 1),
                 Decided::Timer { delay } => {
                     let at = self.now + delay.max(1.0);
-                    if at < self.gateways[gateway].tick {
-                        self.gateways[gateway].tick = at;
-                        self.at(at, Event::Tick { gateway });
+                    if at < self.dispatchers[dispatcher].tick {
+                        self.dispatchers[dispatcher].tick = at;
+                        self.at(at, Event::Tick { dispatcher });
                     }
                 }
             }
         }
     }
 
-    fn probe(&mut self, gateway: usize, engine: usize) {
-        let lost = self.is_cut(gateway, engine) || self.now < self.fallen_until[engine];
+    fn probe(&mut self, dispatcher: usize, engine: usize) {
+        let lost = self.is_cut(dispatcher, engine) || self.now < self.fallen_until[engine];
         let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
         let (after, outcome) = if lost {
             (timeout, Outcome::Timeout)
@@ -803,14 +803,14 @@
         self.at(
             self.now + after,
             Event::Probed {
-                gateway,
+                dispatcher,
                 engine,
                 outcome,
             },
         );
     }
 
-    fn submits(&mut self, gateway: usize, id: u64, engine: usize, until: f64) {
+    fn submits(&mut self, dispatcher: usize, id: u64, engine: usize, until: f64) {
         let Some(query) = self.queries.get_mut(&id) else {
             return;
         };
@@ -830,9 +830,9 @@
                 given_up: false,
             },
         );
-        let cut = self.is_cut(gateway, engine);
+        let cut = self.is_cut(dispatcher, engine);
         if !cut && self.now >= self.fallen_until[engine] {
-            self.gateways[gateway].known_gone[engine] = false;
+            self.dispatchers[dispatcher].known_gone[engine] = false;
             let latency = self.latency();
             self.at(self.now + latency, Event::Reaches { out });
         } else if self.now < self.fallen_until[engine] {
@@ -844,7 +844,7 @@
                     outcome: Outcome::NoConnection,
                 },
             );
-        } else if self.gateways[gateway].known_gone[engine] {
+        } else if self.dispatchers[dispatcher].known_gone[engine] {
             // Its connections were found dead: new ones don't come up.
             let timeout = self.e.network.unwrap_or_default().connect_timeout_ms();
             self.at(
@@ -872,13 +872,13 @@
                 id: id.to_string(),
             });
         } else if !running {
-            let gateway = self.queries.get(&id).map_or(0, |query| query.gateway);
-            self.gateways[gateway].known_gone[engine] |= self.is_cut(gateway, engine);
+            let dispatcher = self.queries.get(&id).map_or(0, |query| query.dispatcher);
+            self.dispatchers[dispatcher].known_gone[engine] |= self.is_cut(dispatcher, engine);
         }
         self.at(self.now + settles, Event::Ends { out, outcome });
     }
 
-    /// A attempt's end reaches its gateway.
+    /// A attempt's end reaches its dispatcher.
     fn closes(&mut self, out: u64, outcome: Outcome) {
         let Some(sent) = self.out.remove(&out) else {
             return;
@@ -886,20 +886,20 @@
         let Some(query) = self.queries.get(&sent.query) else {
             return;
         };
-        let (gateway, id, latency) = (query.gateway, sent.query, self.now - sent.at);
+        let (dispatcher, id, latency) = (query.dispatcher, sent.query, self.now - sent.at);
         if outcome == Outcome::Finished {
             self.answers(id, 200, None);
         }
-        self.seen(gateway, sent.engine, outcome);
+        self.seen(dispatcher, sent.engine, outcome);
         let node = sent.engine as u64 + 1;
-        self.inboxes[gateway].push(Incoming::Closed {
+        self.inboxes[dispatcher].push(Incoming::Closed {
             id,
             attempt: sent.number,
             outcome,
             node,
             latency,
         });
-        self.round(gateway);
+        self.round(dispatcher);
         // Nothing refers to it any more once it is answered and nothing is out.
         if self
             .queries
@@ -910,13 +910,13 @@
         }
     }
 
-    fn seen(&mut self, gateway: usize, engine: usize, outcome: Outcome) {
+    fn seen(&mut self, dispatcher: usize, engine: usize, outcome: Outcome) {
         let kind = match outcome {
             Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
             Outcome::Cancelled | Outcome::NotSent => return,
         };
-        if let Some(zones) = &mut self.gateways[gateway].zones {
+        if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
             zones.seen(
                 EPOCH + self.now,
                 Seen {
@@ -927,20 +927,20 @@
         }
     }
 
-    fn look(&mut self, gateway: usize) {
+    fn look(&mut self, dispatcher: usize) {
         let (now, groups) = (EPOCH + self.now, &self.groups);
-        let g = &mut self.gateways[gateway];
+        let g = &mut self.dispatchers[dispatcher];
         if let Some(zones) = &mut g.zones {
             zones.look(now);
             g.control
                 .plan_zones(Some(&given(&zones.plan(&self.zones[g.zone], groups))));
             if let Some(node) = zones.probes(now) {
-                self.probe(gateway, node as usize - 1);
+                self.probe(dispatcher, node as usize - 1);
             }
         }
     }
 
-    fn told(&mut self, gateway: usize) {
+    fn told(&mut self, dispatcher: usize) {
         let engines: Vec<tansymux_zone_routing::Engine> = (self.engine_zones.iter().enumerate())
             .map(|(n, zone)| {
                 let ready = self.list[n].2 == EngineStatus::Ready;
@@ -953,11 +953,11 @@
                 }
             })
             .collect();
-        if let Some(zones) = &mut self.gateways[gateway].zones {
+        if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
             zones.listed(EPOCH + self.now, &engines);
         }
-        self.inboxes[gateway].push(Incoming::List);
-        self.round(gateway);
+        self.inboxes[dispatcher].push(Incoming::List);
+        self.round(dispatcher);
     }
 
     // ---- Engines ----
@@ -970,7 +970,7 @@
         let Some(query) = self.queries.get(&id) else {
             return;
         };
-        let (gateway, work, class) = (query.gateway, query.work, query.class);
+        let (dispatcher, work, class) = (query.dispatcher, query.work, query.class);
         // It fell, or the way was cut, while this was under way.
         if self.now < self.fallen_until[engine] {
             return self.at(
@@ -981,7 +981,7 @@
                 },
             );
         }
-        if self.is_cut(gateway, engine) {
+        if self.is_cut(dispatcher, engine) {
             return;
         }
         if let Some(sent) = self.out.get_mut(&out) {
@@ -1043,9 +1043,9 @@
     fn list_changes(&mut self, engine: usize, started: Option<f64>) {
         self.list[engine].3 = started;
         let delay = self.e.network.unwrap_or_default().list_ms();
-        for gateway in 0..self.gateways.len() {
+        for dispatcher in 0..self.dispatchers.len() {
             let after = delay * self.chance.random::<f64>();
-            self.at(self.now + after, Event::Told { gateway });
+            self.at(self.now + after, Event::Told { dispatcher });
         }
     }
 
@@ -1067,9 +1067,9 @@
             let Some(query) = self.queries.get(&sent.query) else {
                 continue;
             };
-            let (id, gateway, changes) = (
+            let (id, dispatcher, changes) = (
                 sent.query,
-                query.gateway,
+                query.dispatcher,
                 self.e.class[query.class].changes(),
             );
             if changes {
@@ -1084,7 +1084,7 @@
                 word: "DONE".into(),
                 ran: true,
             });
-            if !self.is_cut(gateway, engine) {
+            if !self.is_cut(dispatcher, engine) {
                 let latency = self.latency();
                 self.at(
                     self.now + latency,
@@ -1112,17 +1112,17 @@
             return;
         };
         self.at(self.now + NOTES_EVERY, Event::Note { out });
-        let Some(gateway) = self.queries.get(&id).map(|query| query.gateway) else {
+        let Some(dispatcher) = self.queries.get(&id).map(|query| query.dispatcher) else {
             return;
         };
-        if !self.is_cut(gateway, engine) {
-            self.seen(gateway, engine, Outcome::Finished);
-            self.inboxes[gateway].push(Incoming::Noted {
+        if !self.is_cut(dispatcher, engine) {
+            self.seen(dispatcher, engine, Outcome::Finished);
+            self.inboxes[dispatcher].push(Incoming::Noted {
                 id,
                 attempt: number,
                 amount: done.min(0.9999),
             });
-            self.round(gateway);
+            self.round(dispatcher);
         }
     }
 
@@ -1154,18 +1154,19 @@
         }
     }
 
-    /// The list as the truth is: engines that nobody reaches are gone, for all gateways and at once.
+    /// The list as the truth is: engines that nobody reaches are gone, for all dispatchers and at once.
     fn tells_truth(&mut self) {
         for engine in 0..self.engines.len() {
-            let reached = (0..self.gateways.len()).any(|gateway| !self.is_cut(gateway, engine));
+            let reached =
+                (0..self.dispatchers.len()).any(|dispatcher| !self.is_cut(dispatcher, engine));
             self.list[engine].2 = if reached {
                 EngineStatus::Ready
             } else {
                 EngineStatus::Gone
             };
         }
-        for gateway in 0..self.gateways.len() {
-            self.at(self.now, Event::Told { gateway });
+        for dispatcher in 0..self.dispatchers.len() {
+            self.at(self.now, Event::Told { dispatcher });
         }
     }
 
@@ -1177,7 +1178,7 @@
             threads[*zone] += engine.threads();
         }
         let mut spilled = vec![0.0; self.zones.len()];
-        for g in &self.gateways {
+        for g in &self.dispatchers {
             for (n, zone) in self.zones.iter().enumerate() {
                 spilled[n] += g.control.spilled(zone);
             }
@@ -1188,7 +1189,7 @@
                 .map(|(e, _)| e.cores)
                 .sum()
         };
-        if let Some(zones) = &self.gateways[0].zones {
+        if let Some(zones) = &self.dispatchers[0].zones {
             for (n, zone) in self.zones.iter().enumerate() {
                 let most = zones.definition().spill(zone, None) * cores(n);
                 if most.is_finite() && most > 0.0 {
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -139,7 +139,7 @@
     engines: BTreeMap<u64, Known>,
     zones: Vec<Zone>,
     peers: Vec<Peer>,
-    gateways: f64,
+    dispatchers: f64,
     now: f64,
     looked: f64,
     alone: bool,
@@ -152,17 +152,17 @@
 const LONG_AGO: f64 = -1e12;
 
 impl Judge {
-    /// `gateways`: dispatchers that share the engines, as told.
-    pub fn new(definition: Definition, gateways: f64) -> Self {
+    /// `dispatchers`: dispatchers that share the engines, as told.
+    pub fn new(definition: Definition, dispatchers: f64) -> Self {
         let (engines, zones, peers, history, fresh) = Default::default();
         let (now, looked, told_at, alone, version) = (LONG_AGO, LONG_AGO, LONG_AGO, false, 1);
-        let gateways = gateways.max(1.0);
+        let dispatchers = dispatchers.max(1.0);
         Judge {
             definition,
             engines,
             zones,
             peers,
-            gateways,
+            dispatchers,
             now,
             looked,
             alone,
@@ -592,7 +592,7 @@
 
     /// Dispatchers that share a returning zone: as told, or more where more are heard.
     fn sharers(&self) -> f64 {
-        self.gateways.max(self.peers.len() as f64 + 1.0)
+        self.dispatchers.max(self.peers.len() as f64 + 1.0)
     }
 
     /// What the decisions are handed: for each zone and engine what it may still be given.
--- a/crates/zone-routing/tests/cuts.rs
+++ b/crates/zone-routing/tests/cuts.rs
@@ -63,9 +63,9 @@
 }
 
 impl World {
-    fn new(zones: &[(&'static str, usize)], gateways: f64) -> Self {
+    fn new(zones: &[(&'static str, usize)], dispatchers: f64) -> Self {
         let mut world = World {
-            judge: Judge::new(definition(), gateways),
+            judge: Judge::new(definition(), dispatchers),
             zones: zones.to_vec(),
             now: 0.0,
         };
@@ -230,14 +230,14 @@
 #[test]
 fn it_climbs_back_gradually_in_the_stated_time_and_all_dispatchers_together_give_no_more_than_the_whole(
 ) {
-    for gateways in [1.0, 3.0, 200.0] {
-        let mut world = World::new(TWO, gateways);
+    for dispatchers in [1.0, 3.0, 200.0] {
+        let mut world = World::new(TWO, dispatchers);
         world.run(3000.0, |_, _, _| Some(true));
         world.run(3000.0, |zone, _, _| Some(zone == 1));
         let (mut before, mut finished) = (0.0, None);
         for step in 0..200 {
             let changes = world.run(LOOK, |_, _, _| Some(true));
-            let given = world.threads(0) * gateways;
+            let given = world.threads(0) * dispatchers;
             if changes.iter().any(|change| change.why == Why::Climbed) {
                 finished = Some(f64::from(step) * LOOK);
                 break;
--- a/src/control.rs
+++ b/src/control.rs
@@ -65,7 +65,7 @@
 const HELD_NOTES: f64 = 1.5;
 const SHARE_SPAN: f64 = 2000.0;
 const SHARE_SLACK: f64 = 1.35;
-// Gateways that may talk: so many add up what all run and tell it; what is not renewed is forgotten.
+// Dispatchers that may talk: so many add up what all run and tell it; what is not renewed is forgotten.
 const COLLECTORS: u32 = 2;
 const SUM_EVERY: f64 = 300.0;
 const SUM_LASTS: f64 = 2000.0;
@@ -78,11 +78,11 @@
     pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
         let mut door = Door::default();
         let groups = ResourceGroup::read_all(told, &mut door)?;
-        let gateways = told.required("balancers")?.max(1.0);
-        let customers = Customers::read(told, gateways, &mut door.customers);
+        let dispatchers = told.required("balancers")?.max(1.0);
+        let customers = Customers::read(told, dispatchers, &mut door.customers);
         let zone = told.get("zone").map_or(NONE, |z| door.zones.index(z));
         Ok(Control {
-            gateways,
+            dispatchers,
             zone,
             door,
             groups,
@@ -373,7 +373,7 @@
     }
 
     /// The low-lane bound: binds under pressure only, and never keeps out the only low query. Where an even
-    /// share of an engine is less than a query, that exception would let every gateway put one on each:
+    /// share of an engine is less than a query, that exception would let every dispatcher put one on each:
     /// under pressure it rests while our low threads in the pool have used up the sum of our bounds.
     fn has_room(&self, i: usize, e: usize, pool_room: bool) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
@@ -409,10 +409,10 @@
             - engine.others
     }
 
-    /// This gateway's share of an engine: an even one, or, while it hears what all run there, the whole.
+    /// This dispatcher's share of an engine: an even one, or, while it hears what all run there, the whole.
     pub fn share(&self) -> f64 {
         let hears = self.now - self.sum_heard < SUM_LASTS;
-        1.0 / if hears { 1.0 } else { self.gateways }
+        1.0 / if hears { 1.0 } else { self.dispatchers }
     }
 
     fn stands_still(&self, i: usize, e: usize) -> bool {
@@ -465,7 +465,7 @@
         {
             return false;
         }
-        // Rule 4: a cold engine gets this gateway's part of what it bears, in its groups' usual work. Where
+        // Rule 4: a cold engine gets this dispatcher's part of what it bears, in its groups' usual work. Where
         // that is less than a query, one goes in a span by lot: else nobody would use it until it is warm.
         let (sent, usual) = (
             engine.sent_cold.iter().map(|&(_, work)| work).sum::<f64>(),
@@ -567,16 +567,16 @@
         })
     }
 
-    /// Rule 4: the work that this gateway may send to `e` in the rule's span, if the engine is cold.
+    /// Rule 4: the work that this dispatcher may send to `e` in the rule's span, if the engine is cold.
     fn cold_allowance(&self, e: usize) -> Option<f64> {
         let (rule, engine) = (self.allowed.cold?, &self.engines[e]);
         let bears = rule.multiple * rule.from * engine.cores * CAPACITY_BUSY * rule.span;
-        // Where it was cold before this gateway began, one that died in its place may have sent its part
+        // Where it was cold before this dispatcher began, one that died in its place may have sent its part
         // within this span: what that leaves of all is the newcomer's.
         let newcomer = engine.started < self.began && self.now - self.began < rule.span;
         let part = if newcomer { 1.0 - COLD_PART } else { COLD_PART };
         (self.now - engine.started < rule.warm_after + rule.span)
-            .then_some(part * bears / self.gateways)
+            .then_some(part * bears / self.dispatchers)
     }
 
     /// Rule 5: the first of its key whose earlier ones are over and whose key has rested.
@@ -601,12 +601,12 @@
         could && self.budget_left(self.moving) && self.may_repeat(i, None)
     }
 
-    // ---- What gateways tell each other, where they may ----
+    // ---- What dispatchers tell each other, where they may ----
 
-    /// Reports our low threads to the gateways that add up, or, as one of them, tells all the sum. They do it
+    /// Reports our low threads to the dispatchers that add up, or, as one of them, tells all the sum. They do it
     /// alike, so that each may die or be cut off; without any, the even share holds again.
     fn tell_others(&mut self, out: &mut dyn Writer) {
-        if !self.allowed.peers || self.gateways < 2.0 {
+        if !self.allowed.peers || self.dispatchers < 2.0 {
             return;
         }
         let now = self.now;
@@ -620,7 +620,7 @@
                 .filter(|e| e.low_open > 0)
                 .map(|e| (e.node, e.low_threads));
             let collectors =
-                || (0..COLLECTORS.min(self.gateways as u32)).filter(|&c| c != self.allowed.me);
+                || (0..COLLECTORS.min(self.dispatchers as u32)).filter(|&c| c != self.allowed.me);
             talk::write(talk::OWN, own, |content| {
                 collectors().for_each(|c| out.tell(Some(c), content))
             });
@@ -639,7 +639,7 @@
 
     pub fn told_by(&mut self, peer: u32, content: &[u8]) {
         match content.first() {
-            Some(&talk::OWN) if f64::from(peer) < self.gateways => {
+            Some(&talk::OWN) if f64::from(peer) < self.dispatchers => {
                 self.reports.keep(peer, self.now, content, &self.engines);
             }
             Some(&talk::SUM) if self.allowed.me >= COLLECTORS => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -17,7 +17,7 @@
     /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next attempts.
     fn grant(&mut self, id: u64, priority: u8, memory: f64);
     fn probe(&mut self, node: u64);
-    /// Sends a few bytes to another gateway, or to all others, where the site lets them talk.
+    /// Sends a few bytes to another dispatcher, or to all others, where the site lets them talk.
     fn tell(&mut self, peer: Option<u32>, content: &[u8]);
     fn timer(&mut self, delay: f64, handle: u64);
     /// Asks for pushed changes of the engine list.
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,7 +14,7 @@
 pub const NONE: u32 = u32::MAX;
 pub const LONG_AGO: f64 = f64::NEG_INFINITY;
 
-/// All that one gateway knows: what it was told, what it has in hand, and what it learned.
+/// All that one dispatcher knows: what it was told, what it has in hand, and what it learned.
 #[derive(Default)]
 pub struct Control {
     pub now: f64,
@@ -22,7 +22,7 @@
     pub began: f64,
     pub told: Map,
     pub chance: Pcg,
-    pub gateways: f64,
+    pub dispatchers: f64,
     pub zone: u32,
     pub door: Door,
     pub groups: Vec<ResourceGroup>,
@@ -43,7 +43,7 @@
     pub list_asked: f64,
     pub list_wanted: bool,
     pub allowed: Allowed,
-    /// What the other gateways reported to this one, if it adds up; and when what was told by others.
+    /// What the other dispatchers reported to this one, if it adds up; and when what was told by others.
     pub reports: Reports,
     pub reported: f64,
     pub low_changed: bool,
@@ -206,7 +206,7 @@
     pub cancelling: bool,
     pub probes: bool,
     pub peers: bool,
-    /// This gateway's number among them.
+    /// This dispatcher's number among them.
     pub me: u32,
     pub priorities: bool,
     /// Memory granted beyond what there is slows all, but what is not needed stays free.
@@ -412,7 +412,7 @@
     }
 }
 
-/// An engine, as listed, and what this gateway has there and knows of it.
+/// An engine, as listed, and what this dispatcher has there and knows of it.
 #[derive(Debug, Clone)]
 pub struct Engine {
     pub node: u64,
@@ -432,7 +432,7 @@
     pub granted: f64,
     pub low_open: u32,
     pub low_threads: f64,
-    /// Low threads of other gateways there, as last told.
+    /// Low threads of other dispatchers there, as last told.
     pub others: f64,
     /// The low-lane bound, in threads a core of our share; when last halved; when the engine last said full.
     pub bound: f64,
@@ -558,7 +558,7 @@
     }
 }
 
-/// What the other gateways last told, by their numbers: when, and their low threads on engines.
+/// What the other dispatchers last told, by their numbers: when, and their low threads on engines.
 #[derive(Debug, Default)]
 pub struct Reports(Vec<(f64, Vec<(usize, f64)>)>);
 
@@ -873,8 +873,8 @@
 }
 
 impl Customers {
-    /// Reads the customers of the settings; each gateway has an even part of what they are allowed.
-    pub fn read(told: &Map, gateways: f64, names: &mut Names) -> Self {
+    /// Reads the customers of the settings; each dispatcher has an even part of what they are allowed.
+    pub fn read(told: &Map, dispatchers: f64, names: &mut Names) -> Self {
         let mut customers = Customers::default();
         for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
             names.index(
@@ -884,7 +884,7 @@
             let rate = told
                 .number(&format!("projects.{i}.allowance-per-s"))
                 .unwrap_or(f64::INFINITY);
-            customers.each.push((rate / 1000.0 / gateways, 0.0));
+            customers.each.push((rate / 1000.0 / dispatchers, 0.0));
         }
         customers
     }
--- a/src/talk.rs
+++ b/src/talk.rs
@@ -1,4 +1,4 @@
-//! How gateways write to each other: a kind, then for each engine two bytes drawn from its number and its low
+//! How dispatchers write to each other: a kind, then for each engine two bytes drawn from its number and its low
 //! threads. Two engines in 65,536 marks rarely share one; then the first is meant.
 
 pub const OWN: u8 = 0;
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -12,7 +12,7 @@
     pub engines: Vec<(u64, f64)>,
     /// Of the further attempts this part may go to another zone than the last one.
     pub cross_retries: f64,
-    /// This gateway is cut off itself: low work is better deferred at once than sent into silence.
+    /// This dispatcher is cut off itself: low work is better deferred at once than sent into silence.
     pub alone: bool,
 }
 
@@ -27,7 +27,7 @@
 }
 
 /// Threads that may be out somewhere, and those that are. Where they are fewer than a query takes, as when many
-/// gateways share them, thread time is saved up (ms) and one goes at a time: over time that keeps to them.
+/// dispatchers share them, thread time is saved up (ms) and one goes at a time: over time that keeps to them.
 #[derive(Debug, Clone, Copy)]
 struct Room {
     threads: f64,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn rule_1_one_final_answer_and_nothing_after_it() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     ask(&mut c, 1.0, 1, "load", 100.0);
     assert_eq!(
         close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1),
@@ -54,7 +54,7 @@
         (3.0, 50.0, 0.0, false),
         (-1.0, 1.0, 0.0, false),
     ] {
-        let mut c = gateway(usual, TWO);
+        let mut c = dispatcher(usual, TWO);
         c.groups[0].pace = pace;
         let decided = round(&mut c, 1.0, |c, out| {
             c.query(
@@ -83,7 +83,7 @@
         );
     }
     // A query of more threads is done sooner, and load changes nothing of it.
-    let mut c = gateway(usual, TWO);
+    let mut c = dispatcher(usual, TWO);
     press(&mut c, 0);
     press(&mut c, 1);
     let decided = round(&mut c, 1.0, |c, out| {
@@ -106,7 +106,7 @@
 
 #[test]
 fn rule_1_a_client_that_left_gets_nothing_and_its_attempt_is_called_off() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     ask(&mut c, 1.0, 1, "look", 100.0);
     assert_eq!(
         round(&mut c, 2.0, |c, out| c.vanished(1, out)),
@@ -118,7 +118,7 @@
 
 #[test]
 fn rule_2_a_mutating_query_goes_again_only_if_it_never_ran() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     ask(&mut c, 1.0, 1, "load", 100.0);
     let first = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
     let again = close(&mut c, 2.0, 1, 0, Outcome::NoConnection, first);
@@ -132,7 +132,7 @@
 #[test]
 fn rule_2_a_tokened_query_goes_again_only_inside_its_window() {
     for (at, then) in [(9_000.0, "submit 1"), (10_500.0, "kill 1")] {
-        let mut c = gateway("", ONE);
+        let mut c = dispatcher("", ONE);
         ask(&mut c, 1.0, 1, "tok", 100.0);
         assert!(starts(&close(&mut c, at, 1, 0, Outcome::Error, 1), then));
     }
@@ -140,7 +140,7 @@
 
 #[test]
 fn rule_2_a_tokened_query_stays_in_its_zone_and_is_killed_without_one() {
-    let mut c = gateway(
+    let mut c = dispatcher(
         "services.3.dedup-scope=zone",
         &[("small", "h1"), ("small", "h2")],
     );
@@ -155,7 +155,7 @@
 
 #[test]
 fn rule_3_nothing_goes_to_an_engine_that_drains_or_was_left_out() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     round(&mut c, 1.0, |c, out| {
         c.list_begins(ListForm::Changes);
         c.listed(1, "small", "h1", EngineStatus::Draining, None, 0);
@@ -174,10 +174,10 @@
     assert!(starts(&ask(&mut c, 4.0, 99, "look", 10.0), "defer 99"));
 }
 
-fn cold_gateway() -> Control {
+fn cold_dispatcher() -> Control {
     let rules =
         "rules.overload-for-us=3000000 rules.fall-multiple=2 rules.cold-from=0.3 rules.warm-after-us=9000000";
-    let mut c = gateway(rules, &[]);
+    let mut c = dispatcher(rules, &[]);
     round(&mut c, 1.0, |c, out| {
         c.list_begins(ListForm::Changes);
         c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0), 0);
@@ -187,9 +187,9 @@
 }
 
 #[test]
-fn rule_4_a_cold_engine_gets_this_gateways_part_and_no_more() {
-    let mut c = cold_gateway();
-    // 2 x 0.3 x 8 cores x 0.85 x 3 s = 12.24 s of work for both gateways together.
+fn rule_4_a_cold_engine_gets_this_dispatchers_part_and_no_more() {
+    let mut c = cold_dispatcher();
+    // 2 x 0.3 x 8 cores x 0.85 x 3 s = 12.24 s of work for both dispatchers together.
     let sent = (0..400)
         .filter(|&id| starts(&ask(&mut c, 2.0, id, "look", 100.0), "submit"))
         .count();
@@ -205,11 +205,11 @@
 /// What a whole fleet sends to one cold engine in the rule's span, in queries of mean work, and what it bears: all see
 /// more than they may send, the busiest ten times what the least busy sees, and within the span seven in ten die and come
 /// back with no memory.
-fn sent_by_a_fleet(gateways: usize, seed: u64) -> (f64, f64) {
+fn sent_by_a_fleet(dispatchers: usize, seed: u64) -> (f64, f64) {
     let rules =
         "rules.overload-for-us=3000000 rules.fall-multiple=3 rules.cold-from=0.3 rules.warm-after-us=9000000";
     let start = |nth: usize, life: u64, at: f64| {
-        let told = settings(&format!("balancers={gateways} {rules}"));
+        let told = settings(&format!("balancers={dispatchers} {rules}"));
         let mut c = Control::new(seed * 1_000_003 + nth as u64 * 7 + life, &told).unwrap();
         round(&mut c, at, |c, out| {
             c.list_begins(ListForm::Remembered);
@@ -218,17 +218,17 @@
         });
         c
     };
-    let mut fleet: Vec<Control> = (0..gateways).map(|nth| start(nth, 0, 0.0)).collect();
+    let mut fleet: Vec<Control> = (0..dispatchers).map(|nth| start(nth, 0, 0.0)).collect();
     // In every 20 looks of 100 ms one report of 2 s.
     let (mean, mut work, mut id) = ((20.0 * 100.0 + 2000.0) / 21.0, 0.0, 0);
     for step in 0..=140 {
         let at = 60.0 + 20.0 * f64::from(step);
-        for (nth, gateway) in fleet.iter_mut().enumerate() {
+        for (nth, dispatcher) in fleet.iter_mut().enumerate() {
             if step == 70 && nth % 10 < 7 {
-                *gateway = start(nth, 1, at);
+                *dispatcher = start(nth, 1, at);
             }
             // Enough in sum for a hundred times what it bears, however many they are.
-            let asks = 1 + (nth % 10 * 30 / gateways.min(30)) / 3;
+            let asks = 1 + (nth % 10 * 30 / dispatchers.min(30)) / 3;
             for _ in 0..asks {
                 id += 1;
                 let (rg, cost) = if id % 21 == 0 {
@@ -236,7 +236,7 @@
                 } else {
                     ("look", 100.0)
                 };
-                let decided = ask(gateway, at, id, rg, cost);
+                let decided = ask(dispatcher, at, id, rg, cost);
                 work += if starts(&decided, "submit") {
                     cost
                 } else {
@@ -250,16 +250,16 @@
 
 #[test]
 fn rule_4_holds_for_the_sum_of_a_fleet_of_3_30_and_300_that_forgets_what_it_sent() {
-    for (gateways, seeds) in [(3, 20), (30, 20), (300, 4)] {
+    for (dispatchers, seeds) in [(3, 20), (30, 20), (300, 4)] {
         for seed in 1..=seeds {
-            let (sent, bears) = sent_by_a_fleet(gateways, seed);
+            let (sent, bears) = sent_by_a_fleet(dispatchers, seed);
             assert!(
                 sent <= bears + 2.0 * bears.sqrt() + 2.0,
-                "{gateways} {seed}: {sent} of {bears}"
+                "{dispatchers} {seed}: {sent} of {bears}"
             );
             assert!(
                 sent >= 0.2 * bears,
-                "{gateways} {seed}: {sent} of {bears}: nobody warms it up"
+                "{dispatchers} {seed}: {sent} of {bears}: nobody warms it up"
             );
         }
     }
@@ -267,7 +267,7 @@
 
 #[test]
 fn rule_5_one_of_a_key_at_a_time_and_rest_after_doubt() {
-    let mut c = gateway("rules.settle-after-doubt-us=500000", TWO);
+    let mut c = dispatcher("rules.settle-after-doubt-us=500000", TWO);
     assert!(starts(
         &ask_for(&mut c, 1.0, 1, "tok", 100.0, Some(5), 0),
         "submit 1"
@@ -290,7 +290,7 @@
 
 #[test]
 fn keys_are_forgotten_once_nothing_waits_for_them_and_they_have_rested() {
-    let mut c = gateway("rules.settle-after-doubt-us=500000", TWO);
+    let mut c = dispatcher("rules.settle-after-doubt-us=500000", TWO);
     for id in 0..1000 {
         let at = 1.0 + 10.0 * id as f64;
         ask_for(&mut c, at, id, "tok", 100.0, Some(id), 0);
@@ -321,7 +321,7 @@
 
 #[test]
 fn rule_6_bound_queries_go_nowhere_else_even_when_theirs_are_gone() {
-    let mut c = gateway("services.0.kinds-open=big services.1.confined-to=h2", ONE);
+    let mut c = dispatcher("services.0.kinds-open=big services.1.confined-to=h2", ONE);
     assert!(starts(&ask(&mut c, 1.0, 1, "look", 10.0), "defer 1"));
     assert!(starts(&ask(&mut c, 1.0, 2, "rep", 10.0), "defer 2"));
 }
@@ -329,7 +329,7 @@
 #[test]
 fn rule_7_further_attempts_keep_within_the_budget() {
     let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
-    let mut c = gateway(rules, &[("small", "h1"); 8]);
+    let mut c = dispatcher(rules, &[("small", "h1"); 8]);
     let mut again = 0;
     for id in 0..10 {
         ask(&mut c, 1.0, id, "look", 10.0);
@@ -344,7 +344,7 @@
 
 #[test]
 fn the_bound_grows_with_quick_low_answers_and_halves_once_for_a_lot_of_trouble() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     for id in 1..=4 {
         ask(&mut c, 1.0, id, "rep", 100.0);
     }
@@ -363,7 +363,7 @@
 
 #[test]
 fn the_bound_binds_under_pressure_only_and_never_keeps_out_the_only_low_query() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     c.engines[0].bound = 0.5;
     assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"));
     assert!(
@@ -399,7 +399,7 @@
         |c| c.engines[0].others = 12.0,
     ];
     for mark in marks {
-        let mut c = gateway("", ONE);
+        let mut c = dispatcher("", ONE);
         (
             c.engines[0].low_open,
             c.engines[0].low_threads,
@@ -412,7 +412,7 @@
 
 #[test]
 fn a_look_up_far_above_its_groups_mean_is_demoted() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     for id in 0..30 {
         ask(&mut c, 1.0, id, "look", 100.0);
     }
@@ -424,7 +424,7 @@
 
 #[test]
 fn the_lighter_engine_by_work_per_core_is_chosen() {
-    let mut c = gateway("", &[("small", "h1"), ("big", "h1")]);
+    let mut c = dispatcher("", &[("small", "h1"), ("big", "h1")]);
     (c.engines[0].work, c.engines[1].work) = (1000.0, 1500.0);
     for id in 0..40 {
         ask(&mut c, 1.0, id, "look", 0.001);
@@ -441,7 +441,7 @@
 
 #[test]
 fn errors_raise_doubt_and_a_doubted_engine_gets_one_trial_that_is_left_to_end() {
-    let mut c = gateway("", &[("small", "h1")]);
+    let mut c = dispatcher("", &[("small", "h1")]);
     for id in 0..2 {
         ask(&mut c, 1.0, id, "load", 10.0);
         close(&mut c, 2.0, id, 0, Outcome::Reset, 1);
@@ -465,7 +465,7 @@
 
 #[test]
 fn an_engine_that_fell_silent_gets_a_trial_only_once_a_probe_was_answered() {
-    let mut c = gateway("limits.probes=1", TWO);
+    let mut c = dispatcher("limits.probes=1", TWO);
     c.engines[1].work = 1e9;
     for id in 0..2 {
         ask(&mut c, 1.0, id, "load", 10.0);
@@ -487,7 +487,7 @@
 
 #[test]
 fn late_connections_raise_a_doubt_that_a_probe_ends() {
-    let mut c = gateway("limits.probes=1", ONE);
+    let mut c = dispatcher("limits.probes=1", ONE);
     (0..2).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
     // Two that waited for one connection are one sign of trouble, and then there is a second.
     round(&mut c, 251.0, |c, out| {
@@ -511,7 +511,7 @@
 
 #[test]
 fn a_query_that_fails_on_every_engine_raises_no_doubt_of_them() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     for id in 0..2 {
         ask(&mut c, 1.0, id, "look", 10.0);
         for attempt in 0..4 {
@@ -533,7 +533,7 @@
 
 #[test]
 fn a_group_that_hangs_on_an_engine_goes_to_others_and_the_rest_stays() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     let on = |c: &Control, id: u64| {
         let last = c
             .door
@@ -571,7 +571,7 @@
 
 #[test]
 fn engines_replaced_all_day_leave_nothing_behind_and_what_is_out_on_one_keeps_it() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     ask(&mut c, 1.0, 7, "load", 10.0);
     for node in 2..200 {
         round(&mut c, node as f64, |c, out| {
@@ -596,7 +596,7 @@
 
 #[test]
 fn running_out_of_time_on_an_engine_that_answers_raises_no_doubt() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
     }
@@ -610,7 +610,7 @@
 #[test]
 fn a_attempt_that_crawls_is_moved_as_far_as_the_budget_goes() {
     let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
-    let mut c = gateway(rules, TWO);
+    let mut c = dispatcher(rules, TWO);
     c.engines.iter_mut().for_each(|e| e.crowd = 100.0);
     for id in 0..20 {
         ask(&mut c, 1.0, id, "rep", 200.0);
@@ -623,7 +623,7 @@
 
 #[test]
 fn a_query_keeps_off_an_engine_where_a_load_holds_its_tables() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     ask_for(&mut c, 1.0, 1, "load", 10.0, None, 7);
     let held = c.engines.iter().position(|e| e.open == 1).unwrap();
     c.engines[1 - held].work = 1e9;
@@ -637,7 +637,7 @@
 
 #[test]
 fn the_crowding_limit_grows_with_quick_answers_and_falls_back_with_the_bound() {
-    let mut c = gateway("", ONE);
+    let mut c = dispatcher("", ONE);
     let start = c.engines[0].crowd;
     ask(&mut c, 1.0, 1, "rep", 100.0);
     ask(&mut c, 1.0, 2, "rep", 100.0);
@@ -649,7 +649,7 @@
 
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
-    let mut c = gateway("membership-mode=on_request", ONE);
+    let mut c = dispatcher("membership-mode=on_request", ONE);
     let fail = |c: &mut Control, out: &mut dyn tansymux::interface::Writer| {
         c.list_begins(ListForm::Failed);
         c.list_ends(ListForm::Failed, out);
@@ -663,7 +663,7 @@
 fn what_a_customer_sends_beyond_its_share_has_room_only_at_ease() {
     let told = "projects.count=2 projects.0.name=a projects.0.allowance-per-s=20 \
         projects.1.name=b projects.1.allowance-per-s=20";
-    let mut c = gateway(told, ONE);
+    let mut c = dispatcher(told, ONE);
     let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
         mark(&mut c);
         round(&mut c, 1.0, |c, out| {
@@ -694,7 +694,7 @@
 
 #[test]
 fn slowness_fades_by_time_towards_what_the_zone_shows() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     c.engines[0].paces.fast = Pace {
         level: 0.8,
         heard: T0,
@@ -713,8 +713,8 @@
 }
 
 #[test]
-fn at_hundreds_of_gateways_one_slow_answer_after_a_long_gap_tells() {
-    let mut c = gateway("balancers=300", TWO);
+fn at_hundreds_of_dispatchers_one_slow_answer_after_a_long_gap_tells() {
+    let mut c = dispatcher("balancers=300", TWO);
     c.groups[0].paced = 100;
     ask(&mut c, 20_000.0, 1, "look", 10.0);
     let e = c.engines.iter().position(|e| e.open == 1).unwrap();
@@ -723,8 +723,8 @@
 }
 
 #[test]
-fn a_hundredth_of_an_engine_each_does_not_let_every_gateway_fill_every_engine() {
-    let mut c = gateway("balancers=300", &[("small", "h1"); 8]);
+fn a_hundredth_of_an_engine_each_does_not_let_every_dispatcher_fill_every_engine() {
+    let mut c = dispatcher("balancers=300", &[("small", "h1"); 8]);
     (0..8).for_each(|e| press(&mut c, e));
     assert!(
         starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"),
@@ -735,7 +735,7 @@
 
 #[test]
 fn draws_stay_in_the_own_zone_while_an_engine_there_is_at_ease() {
-    let mut c = gateway("", &[("small", "h1"), ("small", "h2")]);
+    let mut c = dispatcher("", &[("small", "h1"), ("small", "h2")]);
     let home = (0..20)
         .filter(|&id| ask(&mut c, 1.0, id, "look", 0.001) == [format!("submit {id} 1")])
         .count();
@@ -751,7 +751,7 @@
 #[test]
 fn the_exception_for_the_only_low_query_rests_when_the_fast_lane_crawls_and_all_bounds_are_used() {
     for (bound, room) in [(0.2, "defer"), (2.0, "submit")] {
-        let mut c = gateway("", TWO);
+        let mut c = dispatcher("", TWO);
         (
             c.engines[0].low_open,
             c.engines[0].low_threads,
@@ -773,7 +773,7 @@
         ("memory-short=page", "1 20"),
         ("memory-short=shrink", "1 0"),
     ] {
-        let mut c = gateway(
+        let mut c = dispatcher(
             &format!("family-info.{told} family-info.lanes-count=1"),
             ONE,
         );
@@ -783,7 +783,7 @@
         );
     }
     assert_eq!(
-        ask(&mut gateway("", ONE), 1.0, 1, "rep", 100.0),
+        ask(&mut dispatcher("", ONE), 1.0, 1, "rep", 100.0),
         ["submit 1 1"]
     );
 }
@@ -791,9 +791,9 @@
 const PEERS: &str = "balancers=4 limits.peers=1 me=";
 
 #[test]
-fn gateways_that_may_talk_report_their_low_threads_and_two_of_them_tell_all_the_sum() {
-    let mut adds_up = gateway(&format!("{PEERS}0"), TWO);
-    let mut other = gateway(&format!("{PEERS}3"), TWO);
+fn dispatchers_that_may_talk_report_their_low_threads_and_two_of_them_tell_all_the_sum() {
+    let mut adds_up = dispatcher(&format!("{PEERS}0"), TWO);
+    let mut other = dispatcher(&format!("{PEERS}3"), TWO);
     let told = ask(&mut other, 100.0, 1, "rep", 100.0);
     let e = other.engines.iter().position(|e| e.low_open == 1).unwrap();
     assert_eq!(
@@ -817,7 +817,7 @@
 
 #[test]
 fn what_others_run_counts_as_ours_while_it_is_told_and_the_even_share_holds_without() {
-    let mut c = gateway(&format!("{PEERS}3"), ONE);
+    let mut c = dispatcher(&format!("{PEERS}3"), ONE);
     let mark = tansymux::talk::mark_of(1);
     let sum = [tansymux::talk::SUM, mark[0], mark[1], 20];
     round(&mut c, 10.0, |c, _| c.told_by(0, &sum));
@@ -841,7 +841,7 @@
 
 #[test]
 fn a_attempt_whose_notes_stop_is_moved_though_its_share_was_nearly_done() {
-    let mut c = gateway("family-info.tells-every-us=1000000", TWO);
+    let mut c = dispatcher("family-info.tells-every-us=1000000", TWO);
     ask(&mut c, 1.0, 1, "rep", 1000.0);
     round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.9));
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "cancel"));
@@ -854,7 +854,7 @@
 #[test]
 fn a_hopeless_attempt_is_moved_at_ease_and_given_up_under_pressure() {
     for (pressed, then) in [(false, "cancel 1 0"), (true, "defer 1")] {
-        let mut c = gateway("", TWO);
+        let mut c = dispatcher("", TWO);
         ask(&mut c, 1.0, 1, "rep", 1000.0);
         let e = c.engines.iter().position(|e| e.open == 1).unwrap();
         if pressed {
@@ -869,7 +869,7 @@
 fn time_spent_waiting_is_not_taken_for_slow_work() {
     // A load stood behind another for a second: its first progress says nothing, the next ones tell its pace.
     for (share, lives) in [(0.5, true), (0.0041, false)] {
-        let mut c = gateway("", TWO);
+        let mut c = dispatcher("", TWO);
         ask(&mut c, 1.0, 1, "load", 1000.0);
         round(&mut c, 2.0, |c, _| c.noted(1, 0, Note::Waits, 2.0));
         let first = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.004));
@@ -881,7 +881,7 @@
 
 #[test]
 fn where_all_bounds_are_less_than_a_query_one_enters_as_often_as_keeps_to_them_over_time() {
-    let mut c = gateway("balancers=40", TWO);
+    let mut c = dispatcher("balancers=40", TWO);
     let mut entered = 0;
     for id in 0..200 {
         (0..2).for_each(|e| {
@@ -911,13 +911,13 @@
             );
         }
     }
-    // Sixteen cores over forty gateways are 0.4 threads of the 2 that one takes; 1.2 a core at the most.
+    // Sixteen cores over forty dispatchers are 0.4 threads of the 2 that one takes; 1.2 a core at the most.
     assert!((20..120).contains(&entered), "{entered} of 200");
 }
 
 #[test]
-fn a_gateway_that_began_in_trouble_takes_late_answers_for_slow() {
-    let mut c = gateway("", ONE);
+fn a_dispatcher_that_began_in_trouble_takes_late_answers_for_slow() {
+    let mut c = dispatcher("", ONE);
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
         round(&mut c, 900.0, |c, out| {
@@ -929,7 +929,7 @@
 
 #[test]
 fn what_all_answers_showed_stands_in_for_a_zone_that_did_not_answer_lately() {
-    let mut c = gateway("balancers=300", &[("small", "h1"), ("small", "h2")]);
+    let mut c = dispatcher("balancers=300", &[("small", "h1"), ("small", "h2")]);
     c.groups[0].paced = 100;
     for id in 0..3 {
         ask(&mut c, id as f64, id, "look", 1.0);
@@ -972,7 +972,7 @@
 #[test]
 fn where_estimates_scatter_a_slower_answer_is_not_yet_slowness() {
     for (scatter, pressed) in [(0.0, true), (1.0, false)] {
-        let mut c = gateway("", ONE);
+        let mut c = dispatcher("", ONE);
         c.groups[0].paced = 100;
         (c.groups[0].scatter, c.groups[0].least_scatter) = (scatter, scatter);
         ask(&mut c, 1.0, 1, "look", 60.0);
@@ -983,7 +983,7 @@
 
 #[test]
 fn rule_2_a_repeat_by_its_token_has_to_be_out_within_the_window() {
-    let mut c = gateway("services.3.repeat-window-us=700000", TWO);
+    let mut c = dispatcher("services.3.repeat-window-us=700000", TWO);
     let mut kept = Kept::default();
     c.round(
         T0,
@@ -1020,7 +1020,7 @@
     // Two were taken before any of their group had ended. Their time was unknown, not none: a third that gives a
     // usual time is no hopeless case, and one that runs for half of its target runtime does not hang.
     let usual = "services.0.hard-limit-us=20000000 limits.probes=1";
-    let mut c = gateway(usual, TWO);
+    let mut c = dispatcher(usual, TWO);
     for id in 0..3 {
         assert!(starts(&ask(&mut c, 1.0, id, "look", 0.0), "submit"));
     }
@@ -1043,7 +1043,7 @@
 #[test]
 fn an_engine_that_sends_no_notes_is_asked_only_after_the_quickest_groups_time() {
     let asks = |more: &str, at: f64| {
-        let mut c = gateway(&format!("limits.probes=1 {more}"), ONE);
+        let mut c = dispatcher(&format!("limits.probes=1 {more}"), ONE);
         ask(&mut c, 1.0, 1, "look", 100.0);
         starts(&round(&mut c, at, |_, _| ()), "probe")
     };
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,4 +1,4 @@
-//! What the tests share: settings, a gateway with engines, and a writer that keeps what was decided.
+//! What the tests share: settings, a dispatcher with engines, and a writer that keeps what was decided.
 
 use tansymux::control::Control;
 use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Outcome, Text, Writer};
@@ -77,8 +77,8 @@
     kept.0
 }
 
-/// A gateway with engines numbered from 1, each given as kind and zone, all started long ago.
-pub fn gateway(more: &str, engines: &[(&str, &str)]) -> Control {
+/// A dispatcher with engines numbered from 1, each given as kind and zone, all started long ago.
+pub fn dispatcher(more: &str, engines: &[(&str, &str)]) -> Control {
     let mut c = Control::new(7, &settings(more)).unwrap();
     round(&mut c, 0.0, |c, out| {
         c.list_begins(ListForm::Full);
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -29,7 +29,7 @@
 }
 
 fn pressed(reduced: Reduced) -> Control {
-    let mut c = gateway("limits.max-retry-after-us=9000000", TWO);
+    let mut c = dispatcher("limits.max-retry-after-us=9000000", TWO);
     c.engines.iter_mut().for_each(|e| e.paces.fast = SLOW);
     c.reduced = reduced;
     c
@@ -94,7 +94,7 @@
 
 #[test]
 fn the_time_to_come_back_keeps_to_what_the_settings_allow() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     c.reduced = deepest();
     for id in 0..40 {
         let decided = ask(&mut c, 1.0, id, "rep", 100.0);
@@ -111,7 +111,7 @@
 fn bounds_shrink_and_a_part_of_its_room_is_left_to_a_group() {
     let count = |reduced: Reduced| {
         let mut c = pressed(reduced);
-        // A pool of two with 8 cores each, of which this gateway has the half.
+        // A pool of two with 8 cores each, of which this dispatcher has the half.
         (0..20)
             .filter(|id| starts(&ask(&mut c, 1.0, *id, "rep", 100.0), "submit"))
             .count()
@@ -196,7 +196,7 @@
 #[test]
 fn a_cold_engine_keeps_its_limit_at_the_deepest_level() {
     let cold = "rules.fall-multiple=2 rules.cold-from=0.25 rules.overload-for-us=500000 rules.warm-after-us=10000000";
-    let mut c = gateway(cold, TWO);
+    let mut c = dispatcher(cold, TWO);
     c.reduced = deepest();
     round(&mut c, 1.0, |c, out| {
         c.list_begins(ListForm::Full);
@@ -211,14 +211,14 @@
             )
         })
         .count();
-    // 2 x 0.25 x 8 cores x 500 ms x 0.85 x 0.8 for two gateways: 680 ms of work, at 100 ms a query.
+    // 2 x 0.25 x 8 cores x 500 ms x 0.85 x 0.8 for two dispatchers: 680 ms of work, at 100 ms a query.
     assert!((1..=6).contains(&sent), "{sent}");
 }
 
 #[test]
 fn what_may_alter_is_killed_where_its_group_would_be_deferred() {
     for (alters, then) in [(false, "defer 1"), (true, "kill 1")] {
-        let mut c = gateway("limits.max-attempts=1", TWO);
+        let mut c = dispatcher("limits.max-attempts=1", TWO);
         ask_with(&mut c, 1.0, 1, "look", 10.0, Text { sure: 1.0, alters });
         let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
         assert!(starts(&close(&mut c, 2.0, 1, 0, Outcome::Reset, on), then));
@@ -227,7 +227,7 @@
 
 #[test]
 fn an_unsure_estimate_lies_between_the_groups_usual_and_itself() {
-    let mut c = gateway("", TWO);
+    let mut c = dispatcher("", TWO);
     (0..30).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
     let low = |c: &mut Control, id: u64, sure: f64| {
         ask_with(
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -32,7 +32,7 @@
 }
 
 fn planned(given: &Given) -> Control {
-    let mut c = gateway("balancers=1", ZONES);
+    let mut c = dispatcher("balancers=1", ZONES);
     c.plan_zones(Some(given));
     c
 }
@@ -81,7 +81,7 @@
 
 #[test]
 fn rule_6_what_is_bound_to_the_lost_zone_is_deferred_and_never_moved() {
-    let mut c = gateway("balancers=1 services.1.confined-to=h1", ZONES);
+    let mut c = dispatcher("balancers=1 services.1.confined-to=h1", ZONES);
     c.plan_zones(Some(&given(100.0, 0.0)));
     assert!((0..10).all(|id| starts(&ask(&mut c, 1.0, id, "rep", 100.0), &format!("defer {id}"))));
 }
@@ -94,7 +94,7 @@
     c.plan_zones(Some(&given(100.0, 0.0)));
     assert_eq!(close(&mut c, 2.0, 1, 0, Outcome::Reset, node), ["kill 1"]);
     // A tokened one whose dedup group is the zone neither.
-    let mut c = gateway("balancers=1 services.3.dedup-scope=zone", ZONES);
+    let mut c = dispatcher("balancers=1 services.3.dedup-scope=zone", ZONES);
     c.plan_zones(Some(&given(100.0, f64::INFINITY)));
     let node = to(&ask(&mut c, 1.0, 1, "tok", 100.0)).unwrap();
     c.plan_zones(Some(&given(100.0, 0.0)));
@@ -113,7 +113,7 @@
         6,
         "{sent:?}"
     );
-    // A twentieth of a thread, as of forty gateways: a look-up of 100 ms every 2 s.
+    // A twentieth of a thread, as of forty dispatchers: a look-up of 100 ms every 2 s.
     let mut c = planned(&given(100.0, 0.05));
     let mut sent = 0;
     for n in 0..2000_u64 {
@@ -129,7 +129,7 @@
 
 #[test]
 fn rule_7_retries_across_zones_have_a_budget_of_their_own() {
-    let mut c = gateway("balancers=1 limits.max-attempts=4", ZONES);
+    let mut c = dispatcher("balancers=1 limits.max-attempts=4", ZONES);
     c.plan_zones(Some(&given(100.0, f64::INFINITY)));
     let mut crossed = 0;
     for id in 0..60 {
