customer becomes tenant in the decisions, adapter and dispatcher

By a script over identifiers, inline format arguments and comments; strings, wire, settings, paths, counters' printed names and the operators' keys stay.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -261,7 +261,7 @@
         "inbound" => {
             let id = f.number("txn")?;
             let rg = f.next("cls")?;
-            let customer = f.optional("account")?.unwrap_or("");
+            let tenant = f.optional("account")?.unwrap_or("");
             let key = match f.optional("object")? {
                 Some(hex) => Some(
                     u64::from_str_radix(hex, 16)
@@ -285,7 +285,7 @@
             control.query(
                 id,
                 rg,
-                customer,
+                tenant,
                 key,
                 due,
                 cost,
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -38,9 +38,9 @@
     pub most_connections: usize,
     /// Bytes that all connections together may have sent ahead of what is read.
     pub most_bytes: usize,
-    /// Names of resource groups and of customers; where the settings name no customer, none is asked for.
+    /// Names of resource groups and of tenants; where the settings name no tenant, none is asked for.
     pub groups: Vec<String>,
-    pub customers: Vec<String>,
+    pub tenants: Vec<String>,
     /// The longest wait (ms) and the largest estimates (ms on one core, MB) that a query may name.
     pub most_wait: f64,
     pub most_cost: f64,
@@ -540,15 +540,15 @@
             return Err((404, "unknown resource group"));
         }
         let owner = head.owner.unwrap_or("");
-        let customer = self
+        let tenant = self
             .admission
-            .customers
+            .tenants
             .iter()
             .find(|known| told::is_named(known, owner));
-        if customer.is_none() && !self.admission.customers.is_empty() {
+        if tenant.is_none() && !self.admission.tenants.is_empty() {
             return Err((403, "unknown customer"));
         }
-        let customer = customer.map_or("", String::as_str);
+        let tenant = tenant.map_or("", String::as_str);
         let text = std::str::from_utf8(body).map_err(|_| (400, "the statement is not text"))?;
         if text.trim().is_empty() || text.contains('\0') {
             return Err((400, "the statement is not text"));
@@ -591,7 +591,7 @@
         let asked = Asked {
             id,
             rg,
-            customer,
+            tenant,
             statement: body,
             since,
             due,
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -365,7 +365,7 @@
         most_connections: part_of(CLIENTS_PART),
         most_bytes: (memory * AHEAD_PART) as usize,
         groups: names(&told, "services"),
-        customers: names(&told, "projects"),
+        tenants: names(&told, "projects"),
         most_wait,
         most_cost: most_cost
             .filter(|most| *most > 0.0)
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -33,7 +33,7 @@
     assert_eq!(
         (
             config.admission.groups.concat(),
-            config.admission.customers.len()
+            config.admission.tenants.len()
         ),
         ("look".to_owned(), 0)
     );
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -410,7 +410,7 @@
             match event {
                 Event::Query {
                     query,
-                    customer,
+                    tenant,
                     key,
                     cost,
                     memory,
@@ -426,7 +426,7 @@
                         continue;
                     }
                     let taken = control.query(
-                        query, &rg, &customer, key, due, cost, memory, tables, text, out,
+                        query, &rg, &tenant, key, due, cost, memory, tables, text, out,
                     );
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -34,13 +34,13 @@
     let (exchange, executor) = (Rc::new(Exchange::default()), Rc::new(LocalExecutor::new()));
     let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
     side.listed(&engine(EngineStatus::Ready, None, 9));
-    let (id, rg, customer, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
+    let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
     let (text, shape, marks) = (Text::UNREAD, None, Marks::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
     let asked = Asked {
         id,
         rg,
-        customer,
+        tenant,
         statement,
         since,
         due,
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -36,7 +36,7 @@
 pub enum Event {
     Query {
         query: u64,
-        customer: Rc<str>,
+        tenant: Rc<str>,
         key: Option<u64>,
         cost: f64,
         memory: f64,
@@ -217,7 +217,7 @@
 pub struct Asked<'a> {
     pub id: &'a str,
     pub rg: &'a str,
-    pub customer: &'a str,
+    pub tenant: &'a str,
     pub statement: &'a [u8],
     pub since: f64,
     pub due: f64,
@@ -282,14 +282,14 @@
             text,
             ..
         } = asked;
-        let customer = asked.customer.into();
+        let tenant = asked.tenant.into();
         let key = asked
             .marks
             .key
             .and_then(|key| u64::from_str_radix(key, 16).ok());
         self.happened(Event::Query {
             query: number,
-            customer,
+            tenant,
             key,
             cost,
             memory,
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -8,7 +8,7 @@
 const ASKED: Asked = Asked {
     id: "9b1f03aa5c7e2d41",
     rg: "look",
-    customer: "acme",
+    tenant: "acme",
     statement: b"SELECT 1",
     since: 0.0,
     due: 100.0,
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -88,7 +88,7 @@
     pub spread: f64,
     /// No further attempts for low work.
     pub withhold_low: bool,
-    /// Low work of customers over their share finds no room, nor does low work whose cost is less sure than this.
+    /// Low work of tenants over their share finds no room, nor does low work whose cost is less sure than this.
     pub close_over_share: bool,
     pub least_sure: f64,
     /// Room of low work by class: a part of what it would find; none closes the class.
--- a/src/control.rs
+++ b/src/control.rs
@@ -60,7 +60,7 @@
 const COLD_PART: f64 = 0.8;
 const COLD_LOT: f64 = 0.25;
 const CAPACITY_BUSY: f64 = 0.85;
-// Tables are taken for held for so many notes' time after one told of a wait for a load. A customer is over
+// Tables are taken for held for so many notes' time after one told of a wait for a load. A tenant is over
 // its share when its rate over a span passes its even part by a factor.
 const HELD_NOTES: f64 = 1.5;
 const SHARE_SPAN: f64 = 2000.0;
@@ -79,14 +79,14 @@
         let mut door = Door::default();
         let groups = ResourceGroup::read_all(told, &mut door)?;
         let dispatchers = told.required("balancers")?.max(1.0);
-        let customers = Customers::read(told, dispatchers, &mut door.customers);
+        let tenants = Tenants::read(told, dispatchers, &mut door.tenants);
         let zone = told.get("zone").map_or(NONE, |z| door.zones.index(z));
         Ok(Control {
             dispatchers,
             zone,
             door,
             groups,
-            customers,
+            tenants,
             list_wanted: told
                 .get("membership-mode")
                 .is_some_and(|mode| mode == "on_request"),
@@ -186,7 +186,7 @@
         &mut self,
         id: u64,
         rg: &str,
-        customer: &str,
+        tenant: &str,
         key: Option<u64>,
         due: f64,
         mut cost: f64,
@@ -232,11 +232,9 @@
         } else {
             0.0
         };
-        let customer = self.door.customers.index(customer);
+        let tenant = self.door.tenants.index(tenant);
         // Over its share by what was told and against all others: when all send more, nobody is singled out.
-        let (own, all) = self
-            .customers
-            .count(customer as usize, self.now, SHARE_SPAN);
+        let (own, all) = self.tenants.count(tenant as usize, self.now, SHARE_SPAN);
         let over_share = own > SHARE_SLACK * all.max(1.0);
         let query = Query::new(id, rg_index, self.now, due);
         let effect = self.groups[rg_index].effect_of(text);
@@ -384,7 +382,7 @@
         }
         let within = self.groups[q.rg].threads <= part * self.spare(e);
         let alone = engine.low_open == 0 && engine.others <= 0.0 && (at_ease || pool_room);
-        // What a customer sends beyond its share has room only where both the bound and the engine allow.
+        // What a tenant sends beyond its share has room only where both the bound and the engine allow.
         alone || within && at_ease || (within || at_ease) && !q.over_share
     }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -47,7 +47,7 @@
     pub groups: Names,
     pub kinds: Names,
     pub zones: Names,
-    pub customers: Names,
+    pub tenants: Names,
     pub nodes: Numbers,
     pub queries: FxHashMap<u64, usize>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,7 +26,7 @@
     pub zone: u32,
     pub door: Door,
     pub groups: Vec<ResourceGroup>,
-    pub customers: Customers,
+    pub tenants: Tenants,
     pub engines: Vec<Engine>,
     pub zones: Vec<Paces>,
     pub pool: Paces,
@@ -150,7 +150,7 @@
     pub spread: f64,
     /// Low work gets no further attempts.
     pub withhold: bool,
-    /// Low work of customers over their share, or less sure of its cost than this, finds no room.
+    /// Low work of tenants over their share, or less sure of its cost than this, finds no room.
     pub close_over_share: bool,
     pub least_sure: f64,
     /// Part of its room that a group's low work finds, by the group's index; all of it where none is told.
@@ -865,17 +865,17 @@
     }
 }
 
-/// Each customer's allowance a millisecond here, and its fading count of queries.
+/// Each tenant's allowance a millisecond here, and its fading count of queries.
 #[derive(Debug, Default)]
-pub struct Customers {
+pub struct Tenants {
     each: Vec<(f64, f64)>,
     at: f64,
 }
 
-impl Customers {
-    /// Reads the customers of the settings; each dispatcher has an even part of what they are allowed.
+impl Tenants {
+    /// Reads the tenants of the settings; each dispatcher has an even part of what they are allowed.
     pub fn read(told: &Map, dispatchers: f64, names: &mut Names) -> Self {
-        let mut customers = Customers::default();
+        let mut tenants = Tenants::default();
         for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
             names.index(
                 told.get(&format!("projects.{i}.name"))
@@ -884,17 +884,17 @@
             let rate = told
                 .number(&format!("projects.{i}.allowance-per-s"))
                 .unwrap_or(f64::INFINITY);
-            customers.each.push((rate / 1000.0 / dispatchers, 0.0));
+            tenants.each.push((rate / 1000.0 / dispatchers, 0.0));
         }
-        customers
+        tenants
     }
 
-    /// Counts a query; tells its customer's rate against its allowance, and all customers' against theirs.
-    pub fn count(&mut self, customer: usize, now: f64, span: f64) -> (f64, f64) {
+    /// Counts a query; tells its tenant's rate against its allowance, and all tenants' against theirs.
+    pub fn count(&mut self, tenant: usize, now: f64, span: f64) -> (f64, f64) {
         let fading = ((self.at - now) / span).exp();
         self.at = now;
         self.each.iter_mut().for_each(|(_, level)| *level *= fading);
-        let Some((allowance, level)) = self.each.get_mut(customer) else {
+        let Some((allowance, level)) = self.each.get_mut(tenant) else {
             return (0.0, 0.0);
         };
         *level += 1.0;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -660,7 +660,7 @@
 }
 
 #[test]
-fn what_a_customer_sends_beyond_its_share_has_room_only_at_ease() {
+fn what_a_tenant_sends_beyond_its_share_has_room_only_at_ease() {
     let told = "projects.count=2 projects.0.name=a projects.0.allowance-per-s=20 \
         projects.1.name=b projects.1.allowance-per-s=20";
     let mut c = dispatcher(told, ONE);
