--- a/crates/coordination/src/council.rs
+++ b/crates/coordination/src/council.rs
@@ -121,7 +121,7 @@
     id: Id,
     voters: Vec<Id>,
     terms: Terms,
-    chance: Pcg32,
+    rng: Pcg32,
     now: f64,
     promised: Ballot,
     /// The highest round that was heard of.
@@ -156,7 +156,7 @@
             id,
             voters,
             terms,
-            chance: Pcg32::seed_from_u64(seed),
+            rng: Pcg32::seed_from_u64(seed),
             now,
             promised: Ballot::default(),
             round,
@@ -753,7 +753,7 @@
     fn repairs(&mut self, voter: Id, ballot: Ballot, number: u32) {
         let mut all: Vec<Counted> = self.records().collect();
         if !all.is_empty() {
-            let first = self.chance.random_range(0..all.len());
+            let first = self.rng.random_range(0..all.len());
             all.rotate_left(first);
         }
         for some in all.chunks(wire::RECORDS).take(MOST_REPAIRS) {
@@ -770,7 +770,7 @@
 
     fn stands_down(&mut self) {
         self.role = Role::Voter;
-        let spread = 1.0 + self.chance.random::<f64>();
+        let spread = 1.0 + self.rng.random::<f64>();
         self.next_try = self.now + 2.0 * self.terms.again * spread;
     }
 
@@ -851,7 +851,7 @@
             round: self.round.max(self.promised.round) + 1,
             leader: self.id,
         };
-        let nonce = self.chance.random();
+        let nonce = self.rng.random();
         (self.promised, self.heard) = (ballot, self.now);
         let (promises, sent, since) = (BTreeMap::new(), self.now, self.now);
         self.role = Role::Candidate {
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -535,8 +535,8 @@
 
 /// A secret for the hashes of shapes, from the seed of this start.
 fn key_of(seed: u64) -> [u8; 16] {
-    let mut chance = Pcg::new(seed ^ 0x5DEE_CE66_D1CE_B00C);
-    std::array::from_fn(|_| chance.below(256) as u8)
+    let mut rng = Pcg::new(seed ^ 0x5DEE_CE66_D1CE_B00C);
+    std::array::from_fn(|_| rng.below(256) as u8)
 }
 
 /// Takes the decisions to where they are carried out.
--- a/crates/dispatcher/src/engine/keep_alive/tests.rs
+++ b/crates/dispatcher/src/engine/keep_alive/tests.rs
@@ -3,16 +3,16 @@
 
 /// Where so many of those that idled for more than `dies_after` are lost: uses, losses and how many had to be new.
 fn play(seed: u64, dies_after: f64, part: f64, seconds: f64) -> (f64, f64, f64) {
-    let (mut chance, mut keep_alive) = (rand_pcg::Pcg32::seed_from_u64(seed), KeepAlive::default());
+    let (mut rng, mut keep_alive) = (rand_pcg::Pcg32::seed_from_u64(seed), KeepAlive::default());
     let (mut now, mut uses, mut lost, mut new) = (0.0, 0.0, 0.0, 0.0);
     while now < seconds * 1000.0 {
-        now += chance.random_range(10.0..300.0);
-        let idled = 50.0 * 2.0_f64.powf(chance.random_range(0.0..8.0));
+        now += rng.random_range(10.0..300.0);
+        let idled = 50.0 * 2.0_f64.powf(rng.random_range(0.0..8.0));
         if idled >= keep_alive.longest(now) {
             new += 1.0;
             continue;
         }
-        let dies = idled > dies_after && chance.random_range(0.0..1.0) < part;
+        let dies = idled > dies_after && rng.random_range(0.0..1.0) < part;
         keep_alive.learn(now, idled, dies);
         (uses, lost) = (uses + 1.0, lost + f64::from(u8::from(dies)));
     }
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -196,14 +196,14 @@
         .collect();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
     let (mut program, _operator) = start(&addresses, ON);
-    let mut chance = rand_pcg::Pcg64::seed_from_u64(7);
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(7);
     let all = corpus(1, 4, 7);
     let mut waiting = Vec::new();
     for (n, labelled) in all.iter().enumerate() {
         let other = &all[(n * 7 + 3) % all.len()].statement;
         let spoilt = n % 3 == 0;
         let text = if spoilt {
-            String::from_utf8_lossy(&mutated(&labelled.statement, other, &mut chance)).into_owned()
+            String::from_utf8_lossy(&mutated(&labelled.statement, other, &mut rng)).into_owned()
         } else {
             labelled.statement.clone()
         };
--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -129,7 +129,7 @@
     leaving: bool,
     settings: Settings,
     seal: Seal,
-    chance: Pcg32,
+    rng: Pcg32,
     members: BTreeMap<Id, Member>,
     /// Whom to probe in this round: all in an order drawn anew, so that none waits for more than two rounds.
     round: Vec<Id>,
@@ -165,8 +165,8 @@
         keys: Keys,
         seed: u64,
     ) -> Self {
-        let mut chance = Pcg32::seed_from_u64(seed);
-        let session = chance.random();
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let session = rng.random();
         let (members, round, errands, news, history, out) = Default::default();
         Group {
             id: wire::id_of(name),
@@ -175,7 +175,7 @@
             leaving: false,
             settings,
             seal: Seal::new(keys, session),
-            chance,
+            rng,
             members,
             round,
             probe: None,
@@ -331,12 +331,12 @@
             *left -= 1;
         }
         self.news.retain(|(_, left)| *left > 0);
-        // What is left of the room names some that are known, by chance: who missed news of a member hears of it yet.
+        // What is left of the room names some that are known, by rng: who missed news of a member hears of it yet.
         for _ in 0..REMINDERS
             .min(room.saturating_sub(all.len()))
             .min(self.members.len())
         {
-            let n = self.chance.random_range(0..self.members.len());
+            let n = self.rng.random_range(0..self.members.len());
             if let Some(m) = self
                 .members
                 .values()
@@ -399,7 +399,7 @@
                 );
                 self.unsettled = self.unsettled.max(3);
                 // Where it comes in the round is drawn, so that all don't probe the newest at once.
-                let at = self.chance.random_range(0..=self.round.len());
+                let at = self.rng.random_range(0..=self.round.len());
                 self.round.insert(at, id);
                 self.changed(id, state);
                 self.tell(news);
@@ -526,7 +526,7 @@
         if all.is_empty() {
             return 0;
         }
-        let from = self.chance.random_range(0..all.len());
+        let from = self.rng.random_range(0..all.len());
         all.rotate_left(from);
         let mut sent = 0;
         for news in all.chunks(wire::room(What::Ack)).take(most) {
@@ -586,13 +586,13 @@
         if self.now < self.next_sync || self.leaving {
             return;
         }
-        let spread = 0.5 + self.chance.random::<f64>();
+        let spread = 0.5 + self.rng.random::<f64>();
         let every = if self.unsettled > 0 { 1.0 } else { SYNC_EVERY };
         self.unsettled = self.unsettled.saturating_sub(1);
         self.next_sync = self.now + every * spread * self.settings.period;
         let there = self.there().count();
         if there > 0 {
-            let n = self.chance.random_range(0..there);
+            let n = self.rng.random_range(0..there);
             let to = self.there().nth(n).map(|member| member.address);
             let what = What::Sync(self.digests());
             to.into_iter().for_each(|to| {
@@ -678,8 +678,8 @@
             return;
         }
         let alone = self.there().next().is_none();
-        // Spread by chance: those that started together must not ask together for ever.
-        let spread = 0.5 + self.chance.random::<f64>();
+        // Spread by rng: those that started together must not ask together for ever.
+        let spread = 0.5 + self.rng.random::<f64>();
         self.next_join = self.now + self.settings.period * if alone { 1.0 } else { 15.0 * spread };
         let seeds: Vec<SocketAddr> = self
             .settings
@@ -693,7 +693,7 @@
                 self.send(seed, What::Join);
             }
         } else if !seeds.is_empty() {
-            let seed = seeds[self.chance.random_range(0..seeds.len())];
+            let seed = seeds[self.rng.random_range(0..seeds.len())];
             self.send(seed, What::Join);
         }
     }
@@ -747,7 +747,7 @@
         }
         self.round = self.there().map(|member| member.id).collect();
         for n in (1..self.round.len()).rev() {
-            self.round.swap(n, self.chance.random_range(0..=n));
+            self.round.swap(n, self.rng.random_range(0..=n));
         }
     }
 
@@ -773,7 +773,7 @@
             .map(|m| m.address)
             .collect();
         for _ in 0..self.settings.helpers.min(others.len()) {
-            let helper = others.swap_remove(self.chance.random_range(0..others.len()));
+            let helper = others.swap_remove(self.rng.random_range(0..others.len()));
             self.send_as(helper, What::Ask(probe.id), probe.number);
         }
         if let Some(to) = self.members.get(&probe.id).map(|member| member.address) {
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -43,7 +43,7 @@
     sent: u64,
     bytes: u64,
     longest: usize,
-    chance: Pcg32,
+    rng: Pcg32,
     way: Way,
     now: f64,
     keys: Keys,
@@ -63,7 +63,7 @@
             sent: 0,
             bytes: 0,
             longest: 0,
-            chance: Pcg32::seed_from_u64(seed),
+            rng: Pcg32::seed_from_u64(seed),
             way: GOOD,
             now: 0.0,
             keys,
@@ -78,7 +78,7 @@
             seeds: vec![address(0), address(1)],
             ..Settings::default()
         };
-        let seed = self.chance.random();
+        let seed = self.rng.random();
         self.groups[n] = Some(Group::new(
             &name(n),
             address(n),
@@ -133,20 +133,20 @@
             return;
         };
         let _ = at;
-        let many = if self.chance.random_bool(self.way.doubled) {
+        let many = if self.rng.random_bool(self.way.doubled) {
             2
         } else {
             1
         };
         for _ in 0..many {
-            if self.chance.random_bool(self.way.loss) {
+            if self.rng.random_bool(self.way.loss) {
                 continue;
             }
-            let late = self.chance.random_bool(self.way.late);
+            let late = self.rng.random_bool(self.way.late);
             let delay = if late {
                 10_000.0
             } else {
-                self.chance.random_range(0.0..=self.way.delay)
+                self.rng.random_range(0.0..=self.way.delay)
             };
             let when = ((self.now + delay) * 1000.0) as u64;
             self.flying
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -71,14 +71,14 @@
     tick: Option<(Id, u32)>,
     next_report: f64,
     calls: Vec<Call>,
-    chance: Pcg32,
+    rng: Pcg32,
     out: Vec<(To, Message)>,
 }
 
 impl Agent {
     pub fn new(id: Id, voters: &[Id], turn: u64, seed: u64) -> Self {
-        let mut chance = Pcg32::seed_from_u64(seed);
-        let session = chance.random::<u32>() | 1;
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let session = rng.random::<u32>() | 1;
         Agent {
             id,
             voters: voters.to_vec(),
@@ -90,7 +90,7 @@
             tick: None,
             next_report: f64::NEG_INFINITY,
             calls: Vec::new(),
-            chance,
+            rng,
             out: Vec::new(),
         }
     }
@@ -220,7 +220,7 @@
             if self.calls.len() >= MOST_CALLS {
                 return None;
             }
-            let nonce = self.chance.random();
+            let nonce = self.rng.random();
             self.calls.push(Call {
                 call,
                 nonce,
@@ -293,7 +293,7 @@
             .retain(|_, copy| !copy.record.is_over() || now - copy.since < OVER_FOR);
         let leader = self.leader(now);
         if now >= self.next_report {
-            let spread = 0.9 + 0.2 * self.chance.random::<f64>();
+            let spread = 0.9 + 0.2 * self.rng.random::<f64>();
             self.next_report = now + REPORT_EVERY * spread;
             let to = leader.or_else(|| self.any_voter());
             if let Some(to) = to {
@@ -331,6 +331,6 @@
         if self.voters.is_empty() {
             return None;
         }
-        Some(self.voters[self.chance.random_range(0..self.voters.len())])
+        Some(self.voters[self.rng.random_range(0..self.voters.len())])
     }
 }
--- a/crates/rollout/src/caller.rs
+++ b/crates/rollout/src/caller.rs
@@ -29,9 +29,9 @@
 impl Caller {
     /// `seed`: drawn anew for each call.
     pub fn new(keys: Keys, command: Command, now: f64, seed: u64) -> Self {
-        let mut chance = Pcg32::seed_from_u64(seed);
-        let (id, call) = (chance.random(), chance.random());
-        let seal = Seal::new(keys, chance.random());
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let (id, call) = (rng.random(), rng.random());
+        let seal = Seal::new(keys, rng.random());
         Caller {
             id,
             seal,
@@ -123,7 +123,7 @@
     last: Answer,
     end: Option<TurnEnd>,
     returning: Option<Caller>,
-    chance: Pcg32,
+    rng: Pcg32,
 }
 
 impl Turn {
@@ -137,12 +137,12 @@
         patience: f64,
         seed: u64,
     ) -> Self {
-        let mut chance = Pcg32::seed_from_u64(seed);
+        let mut rng = Pcg32::seed_from_u64(seed);
         Turn {
             keys,
             dispatcher,
             to,
-            grant: chance.random(),
+            grant: rng.random(),
             skew,
             gives_up: now + patience,
             asked: now,
@@ -151,7 +151,7 @@
             last: Answer::NoLeader,
             end: None,
             returning: None,
-            chance,
+            rng,
         }
     }
 
@@ -190,7 +190,7 @@
         };
         self.caller = None;
         self.last = answer;
-        let spread = 0.5 + self.chance.random::<f64>();
+        let spread = 0.5 + self.rng.random::<f64>();
         self.next = self.asked.max(now - ASKS_EVERY) + ASKS_EVERY * spread;
         match answer {
             Answer::Granted { left } => {
@@ -221,7 +221,7 @@
             self.keys.clone(),
             command,
             now,
-            self.chance.random(),
+            self.rng.random(),
         ));
     }
 
@@ -254,7 +254,7 @@
             to: self.to,
             grant: self.grant,
         };
-        let mut caller = Caller::new(self.keys.clone(), command, now, self.chance.random());
+        let mut caller = Caller::new(self.keys.clone(), command, now, self.rng.random());
         let (out, next) = caller.poll(now);
         self.caller = Some(caller);
         (out, next.min(self.gives_up))
--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -12,8 +12,8 @@
 pub struct Terms {
     /// How long a window is (ms): what is reported in one is compared with what is reported in the same one.
     pub window: f64,
-    /// How often a release is called worse by chance alone, over all its looks together.
-    pub chance: f64,
+    /// How often a release is called worse by rng alone, over all its looks together.
+    pub rng: f64,
     /// A difference of the part served well that is smaller than this one is none.
     pub least: f64,
     /// Pairs without which nothing is told.
@@ -26,7 +26,7 @@
     fn default() -> Self {
         Terms {
             window: 2000.0,
-            chance: 0.01,
+            rng: 0.01,
             least: 0.02,
             pairs: 5,
             requests: 5,
@@ -107,13 +107,13 @@
         if pairs < terms.pairs.max(3) {
             return Finding::CantTell { pairs };
         }
-        // Each look that brings pairs spends a part of the chance: half of it at the first, then a quarter, a sixth of
+        // Each look that brings pairs spends a part of the rng: half of it at the first, then a quarter, a sixth of
         // what was left, so that all of them together spend no more than the whole (1/(n(n+1)) adds up to 1).
         if pairs > self.seen {
             (self.looks, self.seen) = (self.looks + 1, pairs);
         }
         let look = f64::from(self.looks.max(1));
-        let spent = terms.chance / (look * (look + 1.0));
+        let spent = terms.rng / (look * (look + 1.0));
         let (mean, p) = worse(&self.differences);
         match mean {
             mean if mean <= -terms.least && p < spent => Finding::Worse { pairs, by: mean },
@@ -142,13 +142,13 @@
 
     /// One release of so many windows, with parts served by both sides and what befalls both in each window.
     fn released(seed: u64, windows: u64, parts: [f64; 2], swing: f64) -> Option<u64> {
-        let (mut chance, mut compare) = (Pcg32::seed_from_u64(seed), Compare::default());
+        let (mut rng, mut compare) = (Pcg32::seed_from_u64(seed), Compare::default());
         for window in 0..windows {
-            let both = swing * chance.random::<f64>();
+            let both = swing * rng.random::<f64>();
             for (released, part) in [false, true].into_iter().zip(parts) {
-                let many = 40 + chance.random_range(0..20_u32);
+                let many = 40 + rng.random_range(0..20_u32);
                 let good = (0..many)
-                    .filter(|_| chance.random::<f64>() < part - both)
+                    .filter(|_| rng.random::<f64>() < part - both)
                     .count() as u32;
                 compare.report(window, 1, released, good, many);
             }
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -51,7 +51,7 @@
 impl Fleet {
     /// `seed`: drawn anew at each start.
     pub fn new(settings: &Settings, now: f64, seed: u64) -> Self {
-        let mut chance = Pcg32::seed_from_u64(seed);
+        let mut rng = Pcg32::seed_from_u64(seed);
         let id = id_of(&settings.name);
         let voters: Vec<Id> = settings.voters.iter().map(|name| id_of(name)).collect();
         let keys = settings.keys.clone();
@@ -62,10 +62,10 @@
             0,
             membership,
             keys,
-            chance.random(),
+            rng.random(),
         );
         let council = voters.contains(&id).then(|| {
-            let seed = chance.random();
+            let seed = rng.random();
             let round = (now / 1000.0) as u32;
             Council::new(
                 id,
@@ -77,10 +77,10 @@
                 seed,
             )
         });
-        let agent = Agent::new(id, &voters, settings.turn, chance.random());
+        let agent = Agent::new(id, &voters, settings.turn, rng.random());
         let steward = Steward::new(settings.told.clone());
         let zoned = settings.zones.clone().map(|(own, definition)| {
-            Zoned::new(own, definition, agent.session(), now, chance.random())
+            Zoned::new(own, definition, agent.session(), now, rng.random())
         });
         Fleet {
             group,
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -31,7 +31,7 @@
     number: u32,
     /// Questions under way: their numbers, and when they were asked.
     asked: VecDeque<(u32, f64)>,
-    chance: Pcg32,
+    rng: Pcg32,
 }
 
 /// What a majority keeps of zones, or may.
@@ -70,7 +70,7 @@
             next: f64::NEG_INFINITY,
             number: 0,
             asked: VecDeque::new(),
-            chance: Pcg32::seed_from_u64(seed),
+            rng: Pcg32::seed_from_u64(seed),
         }
     }
 
@@ -97,7 +97,7 @@
         if now < self.next {
             return (None, self.next);
         }
-        self.next = now + TELL_EVERY * (0.9 + 0.2 * self.chance.random::<f64>());
+        self.next = now + TELL_EVERY * (0.9 + 0.2 * self.rng.random::<f64>());
         self.number = self.number.wrapping_add(1);
         self.asked.push_back((self.number, now));
         if self.asked.len() > MOST_ASKED {
--- a/crates/service-levels/tests/swings.rs
+++ b/crates/service-levels/tests/swings.rs
@@ -144,18 +144,15 @@
 #[test]
 fn a_thousand_seeds_of_noise_and_of_random_walks() {
     for seed in 0..1000 {
-        let mut chance = Pcg32::seed_from_u64(seed);
+        let mut rng = Pcg32::seed_from_u64(seed);
         if seed % 2 == 0 {
-            let (middle, width) = (
-                chance.random_range(0.2..0.9),
-                chance.random_range(0.01..0.5),
-            );
+            let (middle, width) = (rng.random_range(0.2..0.9), rng.random_range(0.01..0.5));
             let mut held = (0.0, middle);
             swing(&three(), |t| {
                 if t >= held.0 {
                     held = (
-                        t + chance.random_range(0.0..20_000.0),
-                        middle + chance.random_range(-width..width),
+                        t + rng.random_range(0.0..20_000.0),
+                        middle + rng.random_range(-width..width),
                     );
                 }
                 held.1
@@ -163,7 +160,7 @@
         } else {
             let mut at: f64 = 0.5;
             swing(&three(), |_| {
-                at = (at + chance.random_range(-0.02..0.02)).clamp(0.0, 1.0);
+                at = (at + rng.random_range(-0.02..0.02)).clamp(0.0, 1.0);
                 at
             });
         }
@@ -224,14 +221,17 @@
 
 #[test]
 fn one_noisy_engine_of_eight_moves_nothing() {
-    let mut chance = Pcg32::seed_from_u64(1);
-    let (changes, _) = swing(&three(), |_| {
-        if chance.random_bool(0.5) {
-            1.0 / 8.0
-        } else {
-            0.0
-        }
-    });
+    let mut rng = Pcg32::seed_from_u64(1);
+    let (changes, _) = swing(
+        &three(),
+        |_| {
+            if rng.random_bool(0.5) {
+                1.0 / 8.0
+            } else {
+                0.0
+            }
+        },
+    );
     assert_eq!(changes, 0);
 }
 
@@ -282,15 +282,15 @@
 #[test]
 fn clocks_that_jump_and_processes_that_pause_break_no_promise() {
     for seed in 0..200 {
-        let mut chance = Pcg32::seed_from_u64(seed);
+        let mut rng = Pcg32::seed_from_u64(seed);
         let (mut machine, mut promises, mut now) = (Machine::new(three()), Promises::new(), 1e9);
         for _ in 0..4000 {
-            now += match chance.random_range(0..100) {
-                0 => chance.random_range(0.0..300_000.0),
-                1 => -chance.random_range(0.0..100_000.0),
+            now += match rng.random_range(0..100) {
+                0 => rng.random_range(0.0..300_000.0),
+                1 => -rng.random_range(0.0..100_000.0),
                 _ => LOOK,
             };
-            let load = if chance.random_bool(0.5) { 0.9 } else { 0.1 };
+            let load = if rng.random_bool(0.5) { 0.9 } else { 0.1 };
             promises.look(machine.look(now, &[load]));
         }
     }
@@ -303,12 +303,12 @@
     assert!(machine.look(603_000.0, &[0.5]).is_some());
 }
 
-/// So many machines that hear each other through `hears(from, to, chance)`.
+/// So many machines that hear each other through `hears(from, to, rng)`.
 struct Fleet {
     machines: Vec<Machine>,
     promises: Vec<Promises>,
     now: f64,
-    chance: Pcg32,
+    rng: Pcg32,
 }
 
 impl Fleet {
@@ -317,7 +317,7 @@
             machines: (0..many).map(|_| Machine::new(three())).collect(),
             promises: (0..many).map(|_| Promises::new()).collect(),
             now: 0.0,
-            chance: Pcg32::seed_from_u64(7),
+            rng: Pcg32::seed_from_u64(7),
         }
     }
 
@@ -339,7 +339,7 @@
                     continue;
                 };
                 for to in (0..self.machines.len()).filter(|to| *to != n) {
-                    if hears(n, to) && !self.chance.random_bool(loss) {
+                    if hears(n, to) && !self.rng.random_bool(loss) {
                         self.machines[to].heard(self.now, n as u32, &message);
                     }
                 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -296,7 +296,7 @@
     now: f64,
     number: u64,
     events: BinaryHeap<Timed>,
-    chance: Pcg64,
+    rng: Pcg64,
     zones: Vec<String>,
     groups: Vec<String>,
     engine_zones: Vec<usize>,
@@ -464,7 +464,7 @@
             now: 0.0,
             number: 0,
             events: BinaryHeap::new(),
-            chance: Pcg64::seed_from_u64(seed),
+            rng: Pcg64::seed_from_u64(seed),
             groups: e
                 .class
                 .iter()
@@ -578,7 +578,7 @@
 
     fn latency(&mut self) -> f64 {
         let usual = self.e.network.unwrap_or_default().latency_ms();
-        usual * (0.7 + 0.6 * self.chance.random::<f64>())
+        usual * (0.7 + 0.6 * self.rng.random::<f64>())
     }
 
     fn happens(&mut self, event: Event, end: f64) {
@@ -640,15 +640,15 @@
         let told = &self.e.class[class];
         let next = Exp::new(told.rate() / 1000.0)
             .expect("a rate above 0")
-            .sample(&mut self.chance);
+            .sample(&mut self.rng);
         self.at(self.now + next, Event::Arrives { class });
         let work = LogNormal::new(told.work_ms().ln(), told.scatter())
             .expect("a finite spread")
-            .sample(&mut self.chance);
+            .sample(&mut self.rng);
         let off = LogNormal::new(0.0, told.estimate_scatter())
             .expect("a finite spread")
-            .sample(&mut self.chance);
-        let dispatcher = self.chance.random_range(0..self.dispatchers.len());
+            .sample(&mut self.rng);
+        let dispatcher = self.rng.random_range(0..self.dispatchers.len());
         let id = self.next_query;
         self.next_query += 1;
         let (came, wait) = (self.now, told.wait_ms());
@@ -1044,7 +1044,7 @@
         self.list[engine].3 = started;
         let delay = self.e.network.unwrap_or_default().list_ms();
         for dispatcher in 0..self.dispatchers.len() {
-            let after = delay * self.chance.random::<f64>();
+            let after = delay * self.rng.random::<f64>();
             self.at(self.now + after, Event::Told { dispatcher });
         }
     }
--- a/crates/testbed/src/corpus.rs
+++ b/crates/testbed/src/corpus.rs
@@ -141,7 +141,7 @@
 ];
 
 /// Fills a pattern's names. Literals stay as marks: they are what differs between statements of a form.
-fn form(pattern: &str, chance: &mut Pcg64) -> String {
+fn form(pattern: &str, rng: &mut Pcg64) -> String {
     let mut names: HashMap<String, String> = HashMap::new();
     let mut text = String::new();
     let mut rest = pattern.chars().peekable();
@@ -157,10 +157,10 @@
         rest.next();
         let digit = rest.next_if(char::is_ascii_digit);
         let mut fresh = || {
-            let column = *COLUMNS.choose(chance).unwrap_or(&"day");
-            let table = *TABLES.choose(chance).unwrap_or(&"orders");
+            let column = *COLUMNS.choose(rng).unwrap_or(&"day");
+            let table = *TABLES.choose(rng).unwrap_or(&"orders");
             if kind == 't' {
-                format!("sales_{}.{table}", chance.random_range(1..40))
+                format!("sales_{}.{table}", rng.random_range(1..40))
             } else {
                 column.to_owned()
             }
@@ -178,52 +178,49 @@
 }
 
 /// A statement of a form: literals drawn, words in any case, blanks and comments of any kind.
-fn statement(form: &str, chance: &mut Pcg64) -> String {
+fn statement(form: &str, rng: &mut Pcg64) -> String {
     let mut text = String::new();
     let mut rest = form.chars();
-    let shouts = chance.random_bool(0.3);
+    let shouts = rng.random_bool(0.3);
     let mut quoted = false;
-    let literal = |chance: &mut Pcg64| match chance.random_range(0..4) {
+    let literal = |rng: &mut Pcg64| match rng.random_range(0..4) {
         0 => format!(
             "'{}'",
             ["a", "x''y", "", "delete from t", "1;2", "-- no", "/* no"]
-                .choose(chance)
+                .choose(rng)
                 .unwrap_or(&"")
         ),
-        1 => format!("{:.2}", chance.random_range(0.0..1e4)),
-        2 => format!("-{}", chance.random_range(1..99)),
-        _ => chance.random_range(0..1_000_000).to_string(),
+        1 => format!("{:.2}", rng.random_range(0.0..1e4)),
+        2 => format!("-{}", rng.random_range(1..99)),
+        _ => rng.random_range(0..1_000_000).to_string(),
     };
     while let Some(c) = rest.next() {
         quoted ^= c == '\'';
         match c {
             '%' => match rest.next() {
-                Some('n') => text += &chance.random_range(0..1_000_000).to_string(),
+                Some('n') => text += &rng.random_range(0..1_000_000).to_string(),
                 Some('s') => {
                     text += &format!(
                         "'{:x}{}'",
-                        chance.random::<u32>(),
-                        ["", " ", "''", ";", "é"].choose(chance).unwrap_or(&"")
+                        rng.random::<u32>(),
+                        ["", " ", "''", ";", "é"].choose(rng).unwrap_or(&"")
                     )
                 }
                 Some('l') => {
-                    let items: Vec<String> = (0..chance.random_range(1..30))
-                        .map(|_| literal(chance))
-                        .collect();
+                    let items: Vec<String> =
+                        (0..rng.random_range(1..30)).map(|_| literal(rng)).collect();
                     text += &items.join(", ");
                 }
                 Some('v') => {
-                    let row =
-                        |chance: &mut Pcg64| format!("({}, {})", literal(chance), literal(chance));
-                    let rows: Vec<String> = (0..chance.random_range(1..20))
-                        .map(|_| row(chance))
-                        .collect();
+                    let row = |rng: &mut Pcg64| format!("({}, {})", literal(rng), literal(rng));
+                    let rows: Vec<String> =
+                        (0..rng.random_range(1..20)).map(|_| row(rng)).collect();
                     text += &rows.join(",");
                 }
                 other => text.extend(['%'].into_iter().chain(other)),
             },
             ' ' if !quoted => {
-                text += match chance.random_range(0..40) {
+                text += match rng.random_range(0..40) {
                     0 => "  ",
                     1 => "\n",
                     2 => " /* why; */ ",
@@ -273,14 +270,14 @@
 
 /// A corpus of so many forms a pattern, with so many statements each, and what is written by hand.
 pub fn corpus(forms: usize, each: usize, seed: u64) -> Vec<Labelled> {
-    let mut chance = Pcg64::seed_from_u64(seed);
+    let mut rng = Pcg64::seed_from_u64(seed);
     let mut all = written();
     let mut number = all.len();
     for (class, effect, building, measuring) in PATTERNS {
         for (part, patterns) in [(Part::Building, building), (Part::Measuring, measuring)] {
             for pattern in patterns {
                 for _ in 0..forms {
-                    let form = form(pattern, &mut chance);
+                    let form = form(pattern, &mut rng);
                     let (median, threads) = match class {
                         "look-up" => (15.0, 1.0),
                         "report" => (400.0, 4.0),
@@ -288,9 +285,9 @@
                     };
                     // What a form costs is its own: far from what its class would tell.
                     let costs = LogNormal::new(f64::ln(median), 0.8).expect("a finite spread");
-                    let work = costs.sample(&mut chance);
+                    let work = costs.sample(&mut rng);
                     for _ in 0..each {
-                        let statement = statement(&form, &mut chance);
+                        let statement = statement(&form, &mut rng);
                         all.push(Labelled {
                             statement,
                             class,
@@ -469,7 +466,7 @@
 }
 
 /// A statement with one to four spoilt places, perhaps with a piece of another one.
-pub fn mutated(statement: &str, other: &str, chance: &mut Pcg64) -> Vec<u8> {
+pub fn mutated(statement: &str, other: &str, rng: &mut Pcg64) -> Vec<u8> {
     const PIECES: [&[u8]; 30] = [
         b"'",
         b"\"",
@@ -503,28 +500,28 @@
         b"with x as (update t set a = 1) ",
     ];
     let mut bytes = statement.as_bytes().to_vec();
-    for _ in 0..chance.random_range(1..=4) {
-        let at = chance.random_range(0..=bytes.len());
-        match chance.random_range(0..6) {
+    for _ in 0..rng.random_range(1..=4) {
+        let at = rng.random_range(0..=bytes.len());
+        match rng.random_range(0..6) {
             0 if at < bytes.len() => drop(bytes.remove(at)),
-            1 if at < bytes.len() => bytes[at] = chance.random(),
+            1 if at < bytes.len() => bytes[at] = rng.random(),
             2 => {
-                let to = (at + chance.random_range(0..20)).min(bytes.len());
+                let to = (at + rng.random_range(0..20)).min(bytes.len());
                 bytes.drain(at..to);
             }
             3 => {
                 let other = other.as_bytes();
-                let from = chance.random_range(0..=other.len());
-                let to = chance.random_range(from..=other.len());
+                let from = rng.random_range(0..=other.len());
+                let to = rng.random_range(from..=other.len());
                 bytes.splice(at..at, other[from..to].iter().copied());
             }
             4 => {
-                let to = (at + chance.random_range(0..40)).min(bytes.len());
+                let to = (at + rng.random_range(0..40)).min(bytes.len());
                 let piece: Vec<u8> = bytes[at..to].to_vec();
                 bytes.splice(at..at, piece);
             }
             _ => {
-                let piece = *PIECES.choose(chance).unwrap_or(&PIECES[0]);
+                let piece = *PIECES.choose(rng).unwrap_or(&PIECES[0]);
                 bytes.splice(at..at, piece.iter().copied());
             }
         }
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -233,17 +233,17 @@
     let sender = |(n, kind): (usize, &'static Kind)| {
         let (world, outcomes) = (world.clone(), outcomes.clone());
         thread::spawn(move || {
-            let mut chance = Pcg64::seed_from_u64(seed ^ (n as u64) << 32);
+            let mut rng = Pcg64::seed_from_u64(seed ^ (n as u64) << 32);
             let works = LogNormal::new(kind.work.ln(), 0.5).expect("a finite spread");
             let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
             while at < seconds {
                 // A quarter start: from calm to its height and halfway back.
                 let height = (at / seconds * std::f64::consts::PI).sin().max(0.0);
                 let rate = kind.rate * (1.0 + (kind.height - 1.0) * height);
-                at += Exp::new(rate).expect("a rate above 0").sample(&mut chance);
+                at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
                 number += 1;
-                let work: f64 = works.sample(&mut chance);
-                let tables = chance.random_range(1..30_u32);
+                let work: f64 = works.sample(&mut rng);
+                let tables = rng.random_range(1..30_u32);
                 let text = match kind.name {
                     "look" => format!("select rate from sales_{tables}.lanes where id = {number}"),
                     "report" => format!("select lane, sum(rate) from sales_{tables}.history where day > '{number}' group by lane"),
@@ -257,7 +257,7 @@
                     &text,
                     kind.wait,
                 );
-                query.cost = Some(work * chance.random_range(0.7..1.4));
+                query.cost = Some(work * rng.random_range(0.7..1.4));
                 let truth = Work {
                     work,
                     threads: kind.threads,
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -119,7 +119,7 @@
     fault: Fault,
     threads: f64,
     started: Instant,
-    chance: Pcg32,
+    rng: Pcg32,
     busy: f64,
 }
 
@@ -149,12 +149,12 @@
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
-        let chance = Pcg32::seed_from_u64(seed);
+        let rng = Pcg32::seed_from_u64(seed);
         let state = State {
             fault: Fault::None,
             threads: 0.0,
             started: Instant::now(),
-            chance,
+            rng,
             busy: 0.0,
         };
         let engine = Engine {
@@ -301,7 +301,7 @@
             .unwrap_or(1e9);
         let (fault, lot, crowded) = {
             let mut state = self.state.lock().expect("no holder panics");
-            let lot: f64 = state.chance.random();
+            let lot: f64 = state.rng.random();
             let crowded =
                 state.threads + work.threads > self.spec.cores * self.spec.most_threads_a_core;
             if !crowded {
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -435,13 +435,13 @@
     }
 
     fn supervises(&self, n: usize) {
-        let mut chance = Pcg32::seed_from_u64(self.scenario.seed * 7919 + n as u64);
+        let mut rng = Pcg32::seed_from_u64(self.scenario.seed * 7919 + n as u64);
         let waited = self.ms();
         while !self.is_over() {
             let (turn, holds) = if self.alone {
                 // On its own: within the first while, as a tool that starts all would.
                 thread::sleep(Duration::from_secs_f64(
-                    chance.random_range(0.0..self.scenario.down * 4.0) / 1000.0,
+                    rng.random_range(0.0..self.scenario.down * 4.0) / 1000.0,
                 ));
                 (String::new(), 1.0)
             } else {
@@ -454,7 +454,7 @@
                 match (code, granted) {
                     (Some(0), (Some(turn), Some(holds))) => (turn.to_owned(), holds),
                     (Some(0 | 3 | 4), _) => {
-                        thread::sleep(Duration::from_millis(chance.random_range(300..1200)));
+                        thread::sleep(Duration::from_millis(rng.random_range(300..1200)));
                         continue;
                     }
                     (code, _) => {
@@ -473,7 +473,7 @@
                 self.is_out(n, true);
             }
             // Some scripts are slow, and begin shortly before their turn is over.
-            let wait = if chance.random_bool(0.15) {
+            let wait = if rng.random_bool(0.15) {
                 holds * 0.9
             } else {
                 0.1f64.min(holds * 0.5)
@@ -673,12 +673,12 @@
 
     /// Clients that go to any that is healthy, as a front layer lets them.
     fn clients(&self, k: u64) {
-        let mut chance = Pcg32::seed_from_u64(self.scenario.seed * 31 + k);
+        let mut rng = Pcg32::seed_from_u64(self.scenario.seed * 31 + k);
         let record = crate::record::Record::default();
         let mut id = k * 1_000_000;
         while !self.is_over() {
             id += 1;
-            let n = chance.random_range(0..self.listens.len());
+            let n = rng.random_range(0..self.listens.len());
             let lives = |place: &Mutex<Place>| {
                 let place = place.lock().expect("no holder panics");
                 place
@@ -701,7 +701,7 @@
                 }
                 _ => {}
             }
-            thread::sleep(Duration::from_millis(chance.random_range(5..25)));
+            thread::sleep(Duration::from_millis(rng.random_range(5..25)));
         }
     }
 }
--- a/crates/testbed/src/fleet/relay.rs
+++ b/crates/testbed/src/fleet/relay.rs
@@ -23,7 +23,7 @@
     late: f64,
     /// Whether what one sends reaches another.
     passes: Vec<Vec<bool>>,
-    chance: Pcg32,
+    rng: Pcg32,
     flying: BTreeMap<(Instant, u64), (usize, usize, Vec<u8>)>,
     number: u64,
 }
@@ -62,7 +62,7 @@
             },
             late,
             passes: vec![vec![true; members]; members],
-            chance: Pcg32::seed_from_u64(seed),
+            rng: Pcg32::seed_from_u64(seed),
             flying: BTreeMap::new(),
             number: 0,
         }));
@@ -153,20 +153,20 @@
         if !self.passes[from][to] {
             return;
         }
-        let many = if self.chance.random_bool(self.way.doubled) {
+        let many = if self.rng.random_bool(self.way.doubled) {
             2
         } else {
             1
         };
         for _ in 0..many {
-            if self.chance.random_bool(self.way.loss) {
+            if self.rng.random_bool(self.way.loss) {
                 continue;
             }
-            let late = self.chance.random_bool(self.way.late);
+            let late = self.rng.random_bool(self.way.late);
             let delay = if late {
                 self.late
             } else {
-                self.chance.random_range(0.0..=self.way.delay)
+                self.rng.random_range(0.0..=self.way.delay)
             };
             self.number += 1;
             let when = Instant::now() + Duration::from_secs_f64(delay / 1000.0);
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -106,7 +106,7 @@
     way: Way,
     /// For each member, the side of a cut; one way: the first side is not heard.
     cut: Option<(Vec<bool>, bool)>,
-    chance: Pcg32,
+    rng: Pcg32,
     now: f64,
     begin: f64,
     served: Served,
@@ -201,13 +201,13 @@
 
 impl World {
     pub fn new(scenario: Scenario, told: Told, served: Served) -> Self {
-        let mut chance = Pcg32::seed_from_u64(scenario.seed);
+        let mut rng = Pcg32::seed_from_u64(scenario.seed);
         let slots = (0..scenario.members)
             .map(|_| Slot {
                 fleet: None,
-                rate: chance.random_range(0.995..1.005),
-                offset: chance.random_range(0.0..1e12),
-                host: chance.random_range(0.0..1e12),
+                rate: rng.random_range(0.995..1.005),
+                offset: rng.random_range(0.0..1e12),
+                host: rng.random_range(0.0..1e12),
                 version: OLD,
                 stalled: 0.0,
                 back: Some(0.0),
@@ -244,7 +244,7 @@
             bytes: 0,
             way: Way::GOOD,
             cut: None,
-            chance,
+            rng,
             now: 0.0,
             begin,
             served,
@@ -284,9 +284,9 @@
     }
 
     fn starts(&mut self, n: usize) {
-        let (settings, seed) = (self.settings(n), self.chance.random());
+        let (settings, seed) = (self.settings(n), self.rng.random());
         // Another process reads another clock: what it was before is not known to it.
-        self.slots[n].offset += self.chance.random_range(-1e6..1e6);
+        self.slots[n].offset += self.rng.random_range(-1e6..1e6);
         let local = self.slots[n].local(self.now);
         let mut fleet = Fleet::new(&settings, local, seed);
         let units: Vec<Unit> = (0..self.scenario.engines)
@@ -355,20 +355,20 @@
         if !self.reaches(from, at) {
             return;
         }
-        let many = if self.chance.random_bool(self.way.doubled) {
+        let many = if self.rng.random_bool(self.way.doubled) {
             2
         } else {
             1
         };
         for copy in 0..many {
-            if self.chance.random_bool(self.way.loss) {
+            if self.rng.random_bool(self.way.loss) {
                 continue;
             }
-            let late = self.chance.random_bool(self.way.late);
+            let late = self.rng.random_bool(self.way.late);
             let delay = if late {
                 self.scenario.late
             } else {
-                self.chance.random_range(0.0..=self.way.delay)
+                self.rng.random_range(0.0..=self.way.delay)
             };
             let when = ((self.now + delay) * 1000.0) as u64;
             self.flying.insert(
@@ -433,10 +433,10 @@
         let bad = slot.version == NEW && now - begin >= served.worse_from;
         let part = if bad { served.new } else { served.old };
         let many = served.rate * 0.25;
-        if many > 0.0 && self.chance.random::<f64>() < 0.5 {
+        if many > 0.0 && self.rng.random::<f64>() < 0.5 {
             for _ in 0..(2.0 * many) as u32 {
                 slot.all += 1;
-                slot.good += u32::from(self.chance.random::<f64>() < part);
+                slot.good += u32::from(self.rng.random::<f64>() < part);
             }
         }
         let zone = (n % self.scenario.zones) as u32 + 1;
@@ -472,7 +472,7 @@
     }
 
     fn calls(&mut self, at: usize, command: Command, engine: Option<usize>) {
-        let seed = self.chance.random();
+        let seed = self.rng.random();
         let caller = Caller::new(keys(), command, self.slots[at].of_host(self.now), seed);
         let halts = matches!(command, Command::Halt { .. });
         if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
@@ -525,7 +525,7 @@
                 let wants =
                     now >= *until && self.slots[n].version != to && self.slots[n].fleet.is_some();
                 if wants && self.alone {
-                    let at = now + self.chance.random_range(0.0..self.scenario.down * 3.0);
+                    let at = now + self.rng.random_range(0.0..self.scenario.down * 3.0);
                     self.supervisors[n] = Supervisor::Goes { at, to, turn: 0 };
                 } else if now >= *until
                     && self.slots[n].version != to
@@ -538,7 +538,7 @@
                         0.02,
                         host,
                         20_000.0,
-                        self.chance.random(),
+                        self.rng.random(),
                     );
                     self.supervisors[n] = Supervisor::Waits {
                         turn: Box::new(turn),
@@ -574,7 +574,7 @@
                         }
                         let latest = ((until - host) / self.slots[n].rate).max(0.0);
                         // A slow script: it may begin at the very end of what it was given.
-                        let wait = if self.chance.random_bool(0.2) {
+                        let wait = if self.rng.random_bool(0.2) {
                             latest * 0.98
                         } else {
                             latest.min(300.0)
@@ -587,7 +587,7 @@
                     }
                     Some(end) => {
                         self.given_up += usize::from(matches!(end, TurnEnd::GivenUp(_)));
-                        let rest = self.chance.random_range(500.0..2500.0);
+                        let rest = self.rng.random_range(500.0..2500.0);
                         self.supervisors[n] = Supervisor::Rests { until: now + rest };
                     }
                     None => {}
@@ -596,7 +596,7 @@
             Supervisor::Goes { at, to, turn } => {
                 if now >= *at {
                     let (to, turn) = (*to, *turn);
-                    let polite = self.chance.random_bool(0.8);
+                    let polite = self.rng.random_bool(0.8);
                     if let Some(fleet) = self.slots[n].fleet.as_mut().filter(|_| polite) {
                         fleet.leave(local);
                         let (out, _) = fleet.poll(local);
@@ -604,7 +604,7 @@
                             self.sends(n, address(n), to, bytes);
                         }
                     }
-                    let down = self.scenario.down * self.chance.random_range(0.5..1.5);
+                    let down = self.scenario.down * self.rng.random_range(0.5..1.5);
                     (self.slots[n].version, self.slots[n].turn) = (to, turn);
                     self.ends(n, down);
                     self.supervisors[n] = Supervisor::Down { to };
@@ -658,7 +658,7 @@
             }
             Fault::Drain { engines } => {
                 for (at, engine) in engines {
-                    let grant = self.chance.random();
+                    let grant = self.rng.random();
                     self.calls(
                         at,
                         Command::Drain {
@@ -681,7 +681,7 @@
                 );
             }
             Fault::Halt { at } => {
-                let number = self.chance.random::<u32>() | 1;
+                let number = self.rng.random::<u32>() | 1;
                 self.halt = Some(number);
                 self.calls(at, Command::Halt { number }, None);
             }
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -248,16 +248,16 @@
         for k in 0..clients {
             let (site, outside, over, cycle, next) = (&site, &outside, &over, &cycle, &next);
             scope.spawn(move || {
-                let mut chance = Pcg32::seed_from_u64(course.seed * 7919 + k as u64);
+                let mut rng = Pcg32::seed_from_u64(course.seed * 7919 + k as u64);
                 let record = Record::default();
                 let pause = clients as f64 / course.rate;
                 while !over.load(Ordering::Relaxed) {
-                    let draw: f64 = chance.random();
+                    let draw: f64 = rng.random();
                     let n = outside[((draw * draw) * outside.len() as f64) as usize];
                     let id = next.fetch_add(1, Ordering::Relaxed);
                     let mut query = Ask::new(id, "/invoke/look", "look", "select 1", WAIT);
                     query.cost = Some(WORK);
-                    let work = WORK * chance.random_range(0.5..1.5);
+                    let work = WORK * rng.random_range(0.5..1.5);
                     let truth = Work {
                         work,
                         threads: 1.0,
@@ -281,7 +281,7 @@
                         None => cycle.lost += 1,
                     }
                     drop(cycle);
-                    let pause = pause * chance.random_range(0.3..1.7);
+                    let pause = pause * rng.random_range(0.3..1.7);
                     thread::sleep(Duration::from_secs_f64(pause));
                 }
             });
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -281,13 +281,13 @@
     world: &Arc<World>,
     tally: &Arc<Mutex<Tally>>,
 ) {
-    let mut chance = Pcg64::seed_from_u64(how.seed);
+    let mut rng = Pcg64::seed_from_u64(how.seed);
     let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
     while at < how.seconds {
         let rate = capacity() * (how.load)(at / how.seconds, how.height).max(0.02);
-        at += Exp::new(rate).expect("a rate above 0").sample(&mut chance);
+        at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
         number += 1;
-        let mut lot: f64 = chance.random();
+        let mut lot: f64 = rng.random();
         let found = KINDS.iter().find(|kind| {
             lot -= kind.part;
             lot < 0.0
@@ -295,10 +295,10 @@
         let kind = found.unwrap_or(&KINDS[0]);
         let work = LogNormal::new(kind.work.ln(), SPREAD)
             .expect("a finite spread")
-            .sample(&mut chance);
+            .sample(&mut rng);
         let text = format!(
             "select a from sales_{}.t where id = {number}",
-            chance.random_range(1..30)
+            rng.random_range(1..30)
         );
         let mut query = Ask::new(
             number << 8,
@@ -307,7 +307,7 @@
             &text,
             kind.wait,
         );
-        query.cost = Some(work * chance.random_range(0.8..1.25));
+        query.cost = Some(work * rng.random_range(0.8..1.25));
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
         let (world, tally) = (world.clone(), tally.clone());
         waiting.push(thread::spawn(move || {
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -88,13 +88,13 @@
     let all = corpus(FORMS, EACH, seed);
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     let part = |thread: usize| {
-        let mut chance = Pcg64::seed_from_u64(seed.wrapping_add(thread as u64 + 1));
+        let mut rng = Pcg64::seed_from_u64(seed.wrapping_add(thread as u64 + 1));
         let mut statements = statements();
         let (mut proven, mut wrong) = (0, Vec::new());
         for _ in 0..many.div_ceil(threads) {
-            let one = &all[chance.random_range(0..all.len())];
-            let other = &all[chance.random_range(0..all.len())];
-            let text = mutated(&one.statement, &other.statement, &mut chance);
+            let one = &all[rng.random_range(0..all.len())];
+            let other = &all[rng.random_range(0..all.len())];
+            let text = mutated(&one.statement, &other.statement, &mut rng);
             if statements.read(&text).reading.effect == Effect::ReadOnly {
                 proven += 1;
                 if may_change(&text) {
@@ -134,21 +134,21 @@
 }
 
 /// A form of statements with columns of its own, of about 300 bytes.
-fn common(form: usize, chance: &mut Pcg64) -> String {
+fn common(form: usize, rng: &mut Pcg64) -> String {
     format!(
         "select a.lane_id, a.rate_{form}, a.fuel, b.shipper_name, b.region, coalesce(a.note, '{:x}') as note from \
          sales_{}.lanes a join sales_{}.shippers b on a.shipper_id = b.id where a.lane_id = {} and a.valid_from <= \
          date '2026-0{}-01' and a.status in ({}, {}, {}) and b.region = 'NE{:x}' order by a.rate_{form} desc limit {}",
-        chance.random::<u32>(),
+        rng.random::<u32>(),
         form % 40,
         form % 40,
-        chance.random_range(0..1_000_000),
-        chance.random_range(1..10),
-        chance.random_range(0..9),
-        chance.random_range(0..9),
-        chance.random_range(0..9),
-        chance.random::<u16>(),
-        chance.random_range(1..100),
+        rng.random_range(0..1_000_000),
+        rng.random_range(1..10),
+        rng.random_range(0..9),
+        rng.random_range(0..9),
+        rng.random_range(0..9),
+        rng.random::<u16>(),
+        rng.random_range(1..100),
     )
 }
 
@@ -164,13 +164,13 @@
         ("2,000 and 4 floods", 2000, 4),
         ("20,000 shapes", 20_000, 0),
     ] {
-        let mut chance = Pcg64::seed_from_u64(seed);
+        let mut rng = Pcg64::seed_from_u64(seed);
         let zipf = Zipf::new(forms as f64, 1.0).expect("a law of more than one");
         let mut statements = statements();
         let (mut hits, mut asked, mut new) = (0, 0, 0_u64);
         for n in 0..many {
-            let form = zipf.sample(&mut chance) as usize;
-            let hit = statements.read(common(form, &mut chance).as_bytes()).hit;
+            let form = zipf.sample(&mut rng) as usize;
+            let hit = statements.read(common(form, &mut rng).as_bytes()).hit;
             // The first tenth fills the cache.
             if n >= many / 10 {
                 asked += 1;
@@ -197,12 +197,12 @@
 
 /// Time of a read on a hit and on a miss, for statements of about 300 bytes, and parse throughput of one core.
 pub fn time(many: usize, seed: u64) -> String {
-    let mut chance = Pcg64::seed_from_u64(seed);
+    let mut rng = Pcg64::seed_from_u64(seed);
     let mut statements = statements();
     let histogram =
         || Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3).expect("bounds in order");
     let (mut hit, mut miss) = (histogram(), histogram());
-    let texts: Vec<String> = (0..many).map(|n| common(n % 64, &mut chance)).collect();
+    let texts: Vec<String> = (0..many).map(|n| common(n % 64, &mut rng)).collect();
     let bytes = texts.iter().map(String::len).sum::<usize>() as f64 / many as f64;
     for text in &texts {
         let from = Instant::now();
@@ -210,9 +210,7 @@
         let took = from.elapsed().as_nanos() as u64;
         let _ = if read.hit { hit.record(took) } else { Ok(()) };
     }
-    let new: Vec<String> = (0..many / 10)
-        .map(|n| common(1000 + n, &mut chance))
-        .collect();
+    let new: Vec<String> = (0..many / 10).map(|n| common(1000 + n, &mut rng)).collect();
     let whole = Instant::now();
     for text in &new {
         let from = Instant::now();
@@ -262,7 +260,7 @@
 /// Learned against true costs, on engines of which one is slow, with waits, bad plans and cut-offs, before and after
 /// the cost of one shape in five changes a hundredfold.
 pub fn learning(seed: u64) -> String {
-    let mut chance = Pcg64::seed_from_u64(seed);
+    let mut rng = Pcg64::seed_from_u64(seed);
     let all = corpus(3, 1, seed);
     let mut shapes: Vec<(String, f64)> = all
         .iter()
@@ -276,46 +274,40 @@
         "ratio of learned to true cost", "median", "p90"
     );
     let mut now = 0.0;
-    let mut rounds = |shapes: &[(String, f64)],
-                      rounds: usize,
-                      statements: &mut Statements,
-                      chance: &mut Pcg64| {
-        for _ in 0..rounds {
-            for (text, truth) in shapes {
-                now += 5.0;
-                let engine = chance.random_range(0..6_u64);
-                let mut latency = truth * f64::exp(noise.sample(chance));
-                latency *= if engine == 5 { 1.9 } else { 1.0 };
-                let bad_plan = chance.random_bool(0.02);
-                latency *= if bad_plan { 15.0 } else { 1.0 };
-                let waited = chance.random_bool(0.1);
-                latency += if waited {
-                    chance.random_range(50.0..800.0)
-                } else {
-                    0.0
-                };
-                let cut = chance.random_bool(0.03);
-                let end = if cut { End::CutOff } else { End::Finished };
-                latency *= if cut {
-                    chance.random_range(0.2..0.9)
-                } else {
-                    1.0
-                };
-                let read = statements.read(text.as_bytes());
-                let seen = Observation {
-                    now,
-                    engine,
-                    latency,
-                    threads: 1.0,
-                    end,
-                    waited,
-                    cold: false,
-                };
-                statements.ended(read.shape, read.reading.class, read.reading.cost, &seen);
+    let mut rounds =
+        |shapes: &[(String, f64)], rounds: usize, statements: &mut Statements, rng: &mut Pcg64| {
+            for _ in 0..rounds {
+                for (text, truth) in shapes {
+                    now += 5.0;
+                    let engine = rng.random_range(0..6_u64);
+                    let mut latency = truth * f64::exp(noise.sample(rng));
+                    latency *= if engine == 5 { 1.9 } else { 1.0 };
+                    let bad_plan = rng.random_bool(0.02);
+                    latency *= if bad_plan { 15.0 } else { 1.0 };
+                    let waited = rng.random_bool(0.1);
+                    latency += if waited {
+                        rng.random_range(50.0..800.0)
+                    } else {
+                        0.0
+                    };
+                    let cut = rng.random_bool(0.03);
+                    let end = if cut { End::CutOff } else { End::Finished };
+                    latency *= if cut { rng.random_range(0.2..0.9) } else { 1.0 };
+                    let read = statements.read(text.as_bytes());
+                    let seen = Observation {
+                        now,
+                        engine,
+                        latency,
+                        threads: 1.0,
+                        end,
+                        waited,
+                        cold: false,
+                    };
+                    statements.ended(read.shape, read.reading.class, read.reading.cost, &seen);
+                }
             }
-        }
-        now
-    };
+            now
+        };
     let mut row = |name: &str, statements: &mut Statements, shapes: &[(String, f64)], now: f64| {
         let (median, p90) = errors(statements, shapes, now);
         let _ = writeln!(table, "{name:<34} {median:>8.2} {p90:>8.2}");
@@ -326,7 +318,7 @@
         ("after 5", 4),
         ("after 30", 25),
     ] {
-        let now = rounds(&shapes, many, &mut statements, &mut chance);
+        let now = rounds(&shapes, many, &mut statements, &mut rng);
         row(name, &mut statements, &shapes, now);
     }
     for (n, (_, truth)) in shapes.iter_mut().enumerate() {
@@ -345,7 +337,7 @@
         ("changed, after 5", 2),
         ("changed, after 10", 5),
     ] {
-        let now = rounds(&shapes, many, &mut statements, &mut chance);
+        let now = rounds(&shapes, many, &mut statements, &mut rng);
         row(name, &mut statements, &changed, now);
     }
     table
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -88,7 +88,7 @@
     let arguments = ["--operator", operator_path.as_str(), "--log-level", "error"];
     let mut program = Program::launch(exe, &config, &arguments, Stdio::piped());
     program.wait_until_healthy();
-    let mut chance = Pcg64::seed_from_u64(seed);
+    let mut rng = Pcg64::seed_from_u64(seed);
     let pool: Vec<Labelled> = corpus(2, 12, seed)
         .into_iter()
         .filter(|s| s.part == Part::Measuring)
@@ -104,14 +104,14 @@
     let start = Instant::now();
     let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
     while at < seconds {
-        at += Exp::new(rate).expect("a rate above 0").sample(&mut chance);
+        at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
         number += 1;
-        let lot: f64 = rand::RngExt::random(&mut chance);
+        let lot: f64 = rand::RngExt::random(&mut rng);
         let of_mix = mix
             .iter()
             .find(|(upto, _)| lot < *upto)
             .map_or(&mix[0].1, |(_, all)| all);
-        let Some(labelled) = of_mix.choose(&mut chance).copied().cloned() else {
+        let Some(labelled) = of_mix.choose(&mut rng).copied().cloned() else {
             continue;
         };
         let (target, wait, worth) = terms(labelled.class);
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -193,14 +193,14 @@
     outcome: &Arc<Mutex<Outcome>>,
 ) {
     let (name, rate, work, threads, target, wait, worth, changes) = KINDS[n];
-    let mut chance = Pcg64::seed_from_u64(seed ^ (n as u64) << 40);
+    let mut rng = Pcg64::seed_from_u64(seed ^ (n as u64) << 40);
     let works = LogNormal::new(work.ln(), 0.4).expect("a finite spread");
     let (mut at, mut number, mut waiting) = (0.2, 0_u64, Vec::new());
     while at < seconds {
-        at += Exp::new(rate).expect("a rate above 0").sample(&mut chance);
+        at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
         number += 1;
-        let work: f64 = works.sample(&mut chance);
-        let tables = chance.random_range(1..30_u32);
+        let work: f64 = works.sample(&mut rng);
+        let tables = rng.random_range(1..30_u32);
         let text = format!("select a from sales_{tables}.t where id = {number}");
         let mut query = Ask::new(
             (n as u64 + 1) << 48 | number,
@@ -209,7 +209,7 @@
             &text,
             wait,
         );
-        query.cost = Some(work * chance.random_range(0.8..1.25));
+        query.cost = Some(work * rng.random_range(0.8..1.25));
         world.works.lock().expect("no holder panics").insert(
             query.id(),
             Work {
@@ -219,7 +219,7 @@
                 tables,
             },
         );
-        let listen = to[chance.random_range(0..to.len())];
+        let listen = to[rng.random_range(0..to.len())];
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(begins.elapsed()));
         let (world, outcome) = (world.clone(), outcome.clone());
         let phase = if at < seconds * 0.25 {
--- a/crates/zone-evacuation/tests/zones.rs
+++ b/crates/zone-evacuation/tests/zones.rs
@@ -348,20 +348,20 @@
         skew: 0.02,
         ..Definition::default()
     };
-    let mut chance = Pcg32::seed_from_u64(seed);
+    let mut rng = Pcg32::seed_from_u64(seed);
     let mut shares = Shares::default();
     let mut all: Vec<Member> = (0..members)
         .map(|n| Member {
             guide: Guide::new(WEST, 1e9, 0.0),
-            rate: chance.random_range(0.991..1.009),
+            rate: rng.random_range(0.991..1.009),
             // Some see ten times the mean.
             demand: if n % 10 == 0 {
                 10.0
             } else {
-                chance.random_range(0.0..2.0)
+                rng.random_range(0.0..2.0)
             },
             stopped: 0.0,
-            next: chance.random_range(0.0..1000.0),
+            next: rng.random_range(0.0..1000.0),
             waiting: Vec::new(),
         })
         .collect();
@@ -372,8 +372,8 @@
     let mut over = 0.0_f64;
     while now < 60_000.0 {
         now += 20.0;
-        if chance.random_bool(0.004) {
-            step = if chance.random_bool(0.3) {
+        if rng.random_bool(0.004) {
+            step = if rng.random_bool(0.3) {
                 step / 2
             } else {
                 (step + 1).min(8)
@@ -385,10 +385,10 @@
         most.retain(|(at, _)| now - at <= definition.term * 1.06 + 20.0);
         let lossy = seed.is_multiple_of(2);
         for (n, member) in all.iter_mut().enumerate() {
-            if chance.random_bool(0.0005) {
-                member.stopped = now + chance.random_range(500.0..20_000.0);
+            if rng.random_bool(0.0005) {
+                member.stopped = now + rng.random_range(500.0..20_000.0);
             }
-            if chance.random_bool(0.0003) {
+            if rng.random_bool(0.0003) {
                 // Killed and started again, knowing nothing; its clock goes on.
                 member.guide = Guide::new(WEST, 1e9, now * member.rate);
                 member.waiting.clear();
@@ -407,12 +407,12 @@
             }
             if now >= member.next {
                 member.next = now + 1000.0;
-                let late = if lossy && chance.random_bool(0.05) {
+                let late = if lossy && rng.random_bool(0.05) {
                     10_000.0
                 } else {
-                    chance.random_range(0.0..80.0)
+                    rng.random_range(0.0..80.0)
                 };
-                if !(lossy && chance.random_bool(0.3)) {
+                if !(lossy && rng.random_bool(0.3)) {
                     flying.push((now + late, n, true, 0, own, 0.0));
                 }
             }
@@ -429,10 +429,10 @@
                     definition.term,
                     definition.skew,
                 );
-                let late = if lossy && chance.random_bool(0.05) {
+                let late = if lossy && rng.random_bool(0.05) {
                     10_000.0
                 } else {
-                    chance.random_range(0.0..80.0)
+                    rng.random_range(0.0..80.0)
                 };
                 flying.push((now + late, n, false, agreed.number, asked, share));
             } else {
--- a/src/control.rs
+++ b/src/control.rs
@@ -92,7 +92,7 @@
                 .is_some_and(|mode| mode == "on_request"),
             sum_heard: LONG_AGO,
             began: f64::INFINITY,
-            chance: Pcg::new(seed),
+            rng: Pcg::new(seed),
             allowed: Allowed::read(told),
             told: told.clone(),
             ..Control::default()
@@ -314,13 +314,13 @@
             let home = |e: &usize| self.engines[*e].zone == self.zone;
             let easy = |e: &usize| self.spare(*e) >= 0.0 && !self.pressure(*e);
             let stay = drawn.iter().any(|e| home(e) && easy(e));
-            let any = drawn[self.chance.below(drawn.len())];
+            let any = drawn[self.rng.below(drawn.len())];
             if drawn.iter().any(home) {
                 drawn.retain(home);
             }
             let (a, b) = (
-                drawn[self.chance.below(drawn.len())],
-                drawn[self.chance.below(drawn.len())],
+                drawn[self.rng.below(drawn.len())],
+                drawn[self.rng.below(drawn.len())],
             );
             let a = if stay { a } else { any };
             choice = Some(if self.weight(i, a) < self.weight(i, b) {
@@ -876,8 +876,7 @@
             let most = self.allowed.longest_wait;
             out.defer(
                 q.id,
-                self.reduced
-                    .retry_after(RETRY_AFTER, most, &mut self.chance),
+                self.reduced.retry_after(RETRY_AFTER, most, &mut self.rng),
             );
         } else {
             out.kill(q.id);
@@ -942,7 +941,7 @@
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
             if now - engine.lot_drawn > span {
                 engine.lot_drawn = now;
-                engine.lot = self.chance.unit();
+                engine.lot = self.rng.unit();
             }
             let unheard =
                 engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,7 +21,7 @@
     /// When its first round was.
     pub began: f64,
     pub told: Map,
-    pub chance: Pcg,
+    pub rng: Pcg,
     pub dispatchers: f64,
     pub zone: u32,
     pub door: Door,
@@ -145,7 +145,7 @@
     pub bounds: f64,
     pub demotion: f64,
     pub grants: f64,
-    /// Factor on the time to come back, and the part of it that chance spreads.
+    /// Factor on the time to come back, and the part of it that rng spreads.
     pub retry: f64,
     pub spread: f64,
     /// Low work gets no further attempts.
@@ -187,10 +187,10 @@
     }
 
     /// When the deferred may come back: up to `most`, spread so that they don't come together.
-    pub fn retry_after(&self, usual: f64, most: f64, chance: &mut Pcg) -> f64 {
+    pub fn retry_after(&self, usual: f64, most: f64, rng: &mut Pcg) -> f64 {
         let wait = (usual * self.retry * (1.0 + self.spread)).min(most);
         if self.spread > 0.0 {
-            wait * (1.0 - chance.unit() * self.spread / (1.0 + self.spread))
+            wait * (1.0 - rng.unit() * self.spread / (1.0 + self.spread))
         } else {
             wait
         }
