Completed, NonIdempotent and IdempotencyKey in place of Finished, Mutating and Tokened

By a script over identifiers, inline format arguments and comments; strings, wire, settings, paths, counters' printed names and the operators' keys stay.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -408,7 +408,7 @@
 
 fn outcome(code: &str) -> Result<Outcome, String> {
     Ok(match code {
-        "served" => Outcome::Finished,
+        "served" => Outcome::Completed,
         "server_error" => Outcome::Error,
         "turned_away" => Outcome::Full,
         "no_answer" => Outcome::Timeout,
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -226,7 +226,7 @@
     /// A attempt of a query that was read has ended, after so long (ms), and perhaps having waited.
     pub fn ended(&self, taken: &Taken, node: u64, latency: f64, outcome: Outcome, now: f64) {
         let end = match outcome {
-            Outcome::Finished => End::Finished,
+            Outcome::Completed => End::Completed,
             Outcome::Timeout => End::CutOff,
             // Given up for what may have nothing to do with its cost, or never ran.
             _ => return,
@@ -426,7 +426,7 @@
             rg: "look".into(),
             waited: false,
         };
-        (0..9).for_each(|_| classes.ended(&taken, 1, 7.0, Outcome::Finished, 0.0));
+        (0..9).for_each(|_| classes.ended(&taken, 1, 7.0, Outcome::Completed, 0.0));
         let unknown = classes.bare(b"call f()", 0.0).unwrap();
         assert_eq!(
             (unknown.rg.as_deref(), unknown.text.alters),
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -663,7 +663,7 @@
         keep_alive: bool,
     ) -> io::Result<()> {
         match answer {
-            Answer::Finished(pages) => {
+            Answer::Completed(pages) => {
                 let mut parts: Vec<&[u8]> = vec![b"", b"{\"data\":["];
                 for page in pages.iter().filter(|page| !page.is_empty()) {
                     if parts.len() > 2 {
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -40,7 +40,7 @@
 }
 
 const OUTCOMES: [(Outcome, &str); 8] = [
-    (Outcome::Finished, "finished"),
+    (Outcome::Completed, "finished"),
     (Outcome::Error, "error"),
     (Outcome::Full, "full"),
     (Outcome::Timeout, "timeout"),
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -459,9 +459,9 @@
                     if let Some(taken) = self.exchange.with(query, taken).flatten() {
                         self.classes.ended(&taken, node, latency, outcome, self.now);
                     }
-                    if outcome == Outcome::Finished {
+                    if outcome == Outcome::Completed {
                         count(self.exchange, self.levels, query, self.now, true, false);
-                        self.exchange.answer(query, Answer::Finished(pages));
+                        self.exchange.answer(query, Answer::Completed(pages));
                     }
                     let complete = self.exchange.over(query);
                     self.exchange.closed(query);
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -355,7 +355,7 @@
         if let Some(n) = self.probes.iter().position(|(tag, ..)| &**tag == id) {
             self.probes.swap_remove(n);
             return Heard::Probed(if word == b"FIT" {
-                Outcome::Finished
+                Outcome::Completed
             } else {
                 Outcome::Error
             });
@@ -386,7 +386,7 @@
             // A second copy of the first page.
             b"DONE" if !s.pages.is_empty() => return Heard::Nothing,
             b"DONE" | b"MORE" => match s.take_page(word == b"DONE", fields, frame.part(3)) {
-                Ok(true) => Outcome::Finished,
+                Ok(true) => Outcome::Completed,
                 Ok(false) => {
                     if word == b"DONE" {
                         (1..s.pages.len()).for_each(|page| {
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -74,7 +74,7 @@
     ]
     .map(|page| page.as_bytes().to_vec())
     .to_vec();
-    let (query, attempt, outcome, sent) = (4, 0, Outcome::Finished, 5.0);
+    let (query, attempt, outcome, sent) = (4, 0, Outcome::Completed, 5.0);
     let whole = Heard::Closed {
         query,
         attempt,
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -102,7 +102,7 @@
 
 #[derive(Debug)]
 pub enum Answer {
-    Finished(Pages),
+    Completed(Pages),
     Deferred(f64),
     Killed,
 }
@@ -348,13 +348,13 @@
             return false;
         };
         match answer {
-            Answer::Finished(_) => &self.counters.finished,
+            Answer::Completed(_) => &self.counters.finished,
             Answer::Deferred(_) => &self.counters.deferred,
             Answer::Killed => &self.counters.killed,
         }
         .add();
         let outcome = match answer {
-            Answer::Finished(_) => "finished",
+            Answer::Completed(_) => "finished",
             Answer::Deferred(_) => "deferred",
             Answer::Killed => "killed",
         };
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -206,7 +206,7 @@
             return;
         }
         let bad = match outcome {
-            Outcome::Finished => false,
+            Outcome::Completed => false,
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -106,7 +106,7 @@
     /// A attempt or a probe ended.
     pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
+            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
             // Given up from here, or never sent: nothing was seen of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -240,7 +240,7 @@
     assert!(report.contains("unanswered 0\n"), "{report}");
     let effect = |class: &str| match class {
         "look-up" | "report" | "spoilt" => Effect::ReadOnly,
-        _ => Effect::Mutating,
+        _ => Effect::NonIdempotent,
     };
     let classes = ["look-up", "report", "load", "unknown", "spoilt"];
     let classes = classes
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -206,7 +206,7 @@
     }
     let effect = |rg: &str| {
         if rg == "load" {
-            Effect::Mutating
+            Effect::NonIdempotent
         } else {
             Effect::ReadOnly
         }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -201,7 +201,7 @@
                     node,
                     latency,
                 } => {
-                    let complete = outcome == Outcome::Finished;
+                    let complete = outcome == Outcome::Completed;
                     control.closed(id, attempt, complete, outcome, node, latency, 0.0, 0.0, out);
                 }
                 Incoming::Noted {
@@ -798,7 +798,7 @@
         let (after, outcome) = if lost {
             (timeout, Outcome::Timeout)
         } else {
-            (2.0 * self.latency(), Outcome::Finished)
+            (2.0 * self.latency(), Outcome::Completed)
         };
         self.at(
             self.now + after,
@@ -887,7 +887,7 @@
             return;
         };
         let (dispatcher, id, latency) = (query.dispatcher, sent.query, self.now - sent.at);
-        if outcome == Outcome::Finished {
+        if outcome == Outcome::Completed {
             self.answers(id, 200, None);
         }
         self.seen(dispatcher, sent.engine, outcome);
@@ -912,7 +912,7 @@
 
     fn seen(&mut self, dispatcher: usize, engine: usize, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Finished | Outcome::Error | Outcome::Full => Kind::Heard,
+            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
             Outcome::Cancelled | Outcome::NotSent => return,
         };
@@ -1090,7 +1090,7 @@
                     self.now + latency,
                     Event::Ends {
                         out,
-                        outcome: Outcome::Finished,
+                        outcome: Outcome::Completed,
                     },
                 );
             }
@@ -1116,7 +1116,7 @@
             return;
         };
         if !self.is_cut(dispatcher, engine) {
-            self.seen(dispatcher, engine, Outcome::Finished);
+            self.seen(dispatcher, engine, Outcome::Completed);
             self.inboxes[dispatcher].push(Incoming::Noted {
                 id,
                 attempt: number,
@@ -1245,7 +1245,7 @@
         let cold = self.e.cold.unwrap_or_default();
         let class = |class: &crate::schema::Class| {
             let effect = if class.changes() {
-                Effect::Mutating
+                Effect::NonIdempotent
             } else {
                 Effect::ReadOnly
             };
--- a/src/control.rs
+++ b/src/control.rs
@@ -550,7 +550,8 @@
             DedupGroup::Cell => to.is_some_and(|to| to.cell == was.cell),
         };
         let in_window = self.now - first.sent < g.window;
-        q.effect == Effect::ReadOnly || q.effect == Effect::Tokened && in_window && same_group
+        q.effect == Effect::ReadOnly
+            || q.effect == Effect::IdempotencyKey && in_window && same_group
     }
 
     /// Rules 1 and 2: a repeat by its token has to be out in its window, all before the client leaves.
@@ -559,7 +560,7 @@
         let first = q
             .sent()
             .iter()
-            .find(|s| s.may_have_run && q.effect == Effect::Tokened);
+            .find(|s| s.may_have_run && q.effect == Effect::IdempotencyKey);
         first.map_or(q.due, |first| {
             q.due.min(first.sent + self.groups[q.rg].window)
         })
@@ -699,7 +700,7 @@
             self.lines.rest(key, self.now + self.allowed.doubt_rest);
         }
         let target = g.target_of(q.cost * g.cost_factor);
-        if outcome == Outcome::Finished {
+        if outcome == Outcome::Completed {
             engine
                 .hang(q.rg)
                 .take(self.now, 0.0, 0.0, ENGINE_FADES, ERROR_STEP, 0.0);
@@ -709,7 +710,7 @@
         let share = self.share();
         let engine = &mut self.engines[e];
         // The bound: up by one on a low answer well inside its target, halved once for each lot of trouble.
-        if outcome == Outcome::Finished && low && latency <= WELL_INSIDE * target {
+        if outcome == Outcome::Completed && low && latency <= WELL_INSIDE * target {
             engine.bound = (engine.bound + 1.0 / (engine.cores * share)).min(MOST_THREADS_A_CORE);
             engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
         }
@@ -718,7 +719,7 @@
         } else {
             engine.full
         };
-        let late = outcome == Outcome::Finished && low && latency > target;
+        let late = outcome == Outcome::Completed && low && latency > target;
         if (late || matches!(outcome, Outcome::Full | Outcome::Timeout)) && s.sent > engine.halved {
             engine.halved = self.now;
             engine.bound /= 2.0;
@@ -763,7 +764,7 @@
         let (now, trial) = (self.now, s.trial);
         let engine = &mut self.engines[e];
         let failed = match outcome {
-            Outcome::Finished => false,
+            Outcome::Completed => false,
             // All that waited for one connection are one sign.
             Outcome::NoConnection if engine.unreached == now => return,
             // A query that failed elsewhere before may be at fault itself, as one that no engine can use is.
@@ -778,7 +779,7 @@
             Outcome::Timeout => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
-        if matches!(outcome, Outcome::Finished | Outcome::Error) {
+        if matches!(outcome, Outcome::Completed | Outcome::Error) {
             engine.heard = now;
         }
         engine.unreached = if outcome == Outcome::NoConnection {
@@ -841,7 +842,7 @@
             return;
         };
         let engine = &mut self.engines[e];
-        if outcome == Outcome::Finished {
+        if outcome == Outcome::Completed {
             engine.heard = self.now;
             engine.trial = if engine.silent {
                 self.now
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -56,7 +56,7 @@
 /// How a attempt or a probe ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
-    Finished,
+    Completed,
     Error,
     Full,
     Timeout,
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,8 +87,8 @@
 pub enum Effect {
     #[default]
     ReadOnly,
-    Tokened,
-    Mutating,
+    IdempotencyKey,
+    NonIdempotent,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -304,8 +304,8 @@
         Ok(ResourceGroup {
             effect: match text("effect") {
                 Some("read_like") => Effect::ReadOnly,
-                Some("idempotency_key") => Effect::Tokened,
-                Some("non_idempotent") => Effect::Mutating,
+                Some("idempotency_key") => Effect::IdempotencyKey,
+                Some("non_idempotent") => Effect::NonIdempotent,
                 other => {
                     return Err(format!(
                         "setting {} is {}",
@@ -357,7 +357,7 @@
     /// alter runs under the rules of mutating. A token that the client sends still counts.
     pub fn effect_of(&self, text: Text) -> Effect {
         if text.alters && self.effect == Effect::ReadOnly {
-            Effect::Mutating
+            Effect::NonIdempotent
         } else {
             self.effect
         }
@@ -692,7 +692,7 @@
             work: 0.0,
             memory: 0.0,
             low: false,
-            effect: Effect::Mutating,
+            effect: Effect::NonIdempotent,
             sure: 1.0,
             over: false,
             moving: false,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -37,7 +37,7 @@
         close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1),
         ["kill 1"]
     );
-    assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Finished, 1).is_empty());
+    assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Completed, 1).is_empty());
     assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
 }
 
@@ -300,7 +300,7 @@
         let outcome = if id % 4 == 0 {
             Outcome::Cancelled
         } else {
-            Outcome::Finished
+            Outcome::Completed
         };
         round(&mut c, at + 1.0, |c, out| c.vanished(id, out));
         close(&mut c, at + 2.0, id, 0, outcome, node);
@@ -348,7 +348,7 @@
     for id in 1..=4 {
         ask(&mut c, 1.0, id, "rep", 100.0);
     }
-    close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+    close(&mut c, 101.0, 1, 0, Outcome::Completed, 1);
     assert!(
         (c.engines[0].bound - 1.2).abs() < 1e-9,
         "1.2 threads a core of our share"
@@ -480,7 +480,7 @@
     round(&mut c, 650.0, |c, _| c.probed(1, Outcome::Timeout));
     (20..30).for_each(|id| drop(ask(&mut c, 660.0, id, "look", 10.0)));
     assert_eq!(c.engines[0].open, 0);
-    round(&mut c, 670.0, |c, _| c.probed(1, Outcome::Finished));
+    round(&mut c, 670.0, |c, _| c.probed(1, Outcome::Completed));
     (30..50).for_each(|id| drop(ask(&mut c, 680.0, id, "look", 10.0)));
     assert_eq!(c.engines[0].open, 1, "one trial");
 }
@@ -498,14 +498,14 @@
     close(&mut c, 501.0, 0, 1, Outcome::NoConnection, 1);
     assert!(c.engines[0].suspect);
     // What answers a probe can be reached and has a process: nothing else was said against it.
-    round(&mut c, 600.0, |c, _| c.probed(1, Outcome::Finished));
+    round(&mut c, 600.0, |c, _| c.probed(1, Outcome::Completed));
     assert!(!c.engines[0].suspect);
     // One that takes queries and ends none may well answer probes: its doubt stays until a trial passed.
     for id in 10..12 {
         ask(&mut c, 700.0, id, "load", 10.0);
         close(&mut c, 701.0, id, 0, Outcome::Reset, 1);
     }
-    round(&mut c, 800.0, |c, _| c.probed(1, Outcome::Finished));
+    round(&mut c, 800.0, |c, _| c.probed(1, Outcome::Completed));
     assert!(c.engines[0].suspect);
 }
 
@@ -526,7 +526,7 @@
         for id in 10..20 {
             ask(&mut c, 3.0, id, "look", 10.0);
             let node = c.engines[c.queries[c.door.queries[&id]].attempts[0].engine].node;
-            close(&mut c, 4.0, id, 0, Outcome::Finished, node);
+            close(&mut c, 4.0, id, 0, Outcome::Completed, node);
         }
     }
 }
@@ -547,18 +547,18 @@
     assert!(hung.len() > 2);
     (0..8)
         .filter(|id| !hung.contains(id))
-        .for_each(|id| drop(close(&mut c, 9.0, id, 0, Outcome::Finished, 2)));
+        .for_each(|id| drop(close(&mut c, 9.0, id, 0, Outcome::Completed, 2)));
     // Nothing comes of those on the first engine: they are moved and end on the second.
     assert!(starts(&round(&mut c, 1000.0, |_, _| ()), "cancel"));
     hung.iter()
         .for_each(|&id| drop(close(&mut c, 1001.0, id, 0, Outcome::Cancelled, 1)));
     hung.iter()
-        .for_each(|&id| drop(close(&mut c, 1100.0, id, 1, Outcome::Finished, 2)));
+        .for_each(|&id| drop(close(&mut c, 1100.0, id, 1, Outcome::Completed, 2)));
     let mut went = |rg: &str, from: u64, at: f64| -> Vec<u64> {
         let one = |id| {
             ask(&mut c, at, id, rg, 10.0);
             let node = on(&c, id);
-            close(&mut c, at + 100.0, id, 0, Outcome::Finished, node);
+            close(&mut c, at + 100.0, id, 0, Outcome::Completed, node);
             node
         };
         (from..from + 12).map(one).collect()
@@ -590,7 +590,7 @@
     assert!(c.engines.len() <= 3, "{}", c.engines.len());
     // The load on the first engine is still known there, and its end is heard.
     assert_eq!((c.engines[0].node, c.engines[0].open), (1, 1));
-    close(&mut c, 300.0, 7, 0, Outcome::Finished, 1);
+    close(&mut c, 300.0, 7, 0, Outcome::Completed, 1);
     assert_eq!((c.queries.len(), c.engines[0].open), (0, 0));
 }
 
@@ -600,7 +600,7 @@
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
     }
-    close(&mut c, 5.0, 0, 0, Outcome::Finished, 1);
+    close(&mut c, 5.0, 0, 0, Outcome::Completed, 1);
     for id in 1..6 {
         close(&mut c, 20_001.0, id, 0, Outcome::Timeout, 1);
     }
@@ -631,7 +631,7 @@
         ask_for(&mut c, 2.0, 2, "look", 10.0, None, 7),
         [format!("submit 2 {}", 2 - held)]
     );
-    close(&mut c, 3.0, 1, 0, Outcome::Finished, held as u64 + 1);
+    close(&mut c, 3.0, 1, 0, Outcome::Completed, held as u64 + 1);
     assert!(c.engines[held].held.is_empty());
 }
 
@@ -641,7 +641,7 @@
     let start = c.engines[0].crowd;
     ask(&mut c, 1.0, 1, "rep", 100.0);
     ask(&mut c, 1.0, 2, "rep", 100.0);
-    close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+    close(&mut c, 101.0, 1, 0, Outcome::Completed, 1);
     assert_eq!(c.engines[0].crowd, start + 1.0);
     close(&mut c, 102.0, 2, 0, Outcome::Full, 1);
     assert_eq!(c.engines[0].crowd, start);
@@ -718,7 +718,7 @@
     c.groups[0].paced = 100;
     ask(&mut c, 20_000.0, 1, "look", 10.0);
     let e = c.engines.iter().position(|e| e.open == 1).unwrap();
-    close(&mut c, 20_100.0, 1, 0, Outcome::Finished, e as u64 + 1);
+    close(&mut c, 20_100.0, 1, 0, Outcome::Completed, e as u64 + 1);
     assert!(c.pressure(e));
 }
 
@@ -906,7 +906,7 @@
                 id as f64 * 100.0 + 99.0,
                 id,
                 0,
-                Outcome::Finished,
+                Outcome::Completed,
                 e,
             );
         }
@@ -921,7 +921,7 @@
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
         round(&mut c, 900.0, |c, out| {
-            c.closed(id, 0, true, Outcome::Finished, 1, 900.0, 0.0, 0.0, out)
+            c.closed(id, 0, true, Outcome::Completed, 1, 900.0, 0.0, 0.0, out)
         });
     }
     assert!(c.pressure(0));
@@ -934,7 +934,7 @@
     for id in 0..3 {
         ask(&mut c, id as f64, id, "look", 1.0);
         let e = c.queries.iter().find(|(_, q)| q.id == id).unwrap().1.sent()[0].engine as u64 + 1;
-        close(&mut c, 100.0 + id as f64, id, 0, Outcome::Finished, e);
+        close(&mut c, 100.0 + id as f64, id, 0, Outcome::Completed, e);
     }
     assert!(
         c.pressure(0) && c.pressure(1),
@@ -976,7 +976,7 @@
         c.groups[0].paced = 100;
         (c.groups[0].scatter, c.groups[0].least_scatter) = (scatter, scatter);
         ask(&mut c, 1.0, 1, "look", 60.0);
-        close(&mut c, 101.0, 1, 0, Outcome::Finished, 1);
+        close(&mut c, 101.0, 1, 0, Outcome::Completed, 1);
         assert_eq!(c.pressure(0), pressed);
     }
 }
@@ -1028,7 +1028,7 @@
     for id in 0..2 {
         let i = c.door.queries[&id];
         let node = c.engines[c.queries[i].attempts[0].engine].node;
-        close(&mut c, 200.0, id, 0, Outcome::Finished, node);
+        close(&mut c, 200.0, id, 0, Outcome::Completed, node);
     }
     assert!(!starts(&round(&mut c, 600.0, |_, _| ()), "cancel"));
     let decided = ask(&mut c, 610.0, 9, "look", 0.0);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -130,7 +130,7 @@
     outcome: Outcome,
     node: u64,
 ) -> Vec<String> {
-    let complete = outcome == Outcome::Finished;
+    let complete = outcome == Outcome::Completed;
     round(c, at, |c, out| {
         c.closed(id, sub, complete, outcome, node, 100.0, 0.0, 0.0, out)
     })
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -188,7 +188,7 @@
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
     c.reduced = deepest();
     assert!(round(&mut c, 30.0, |_, _| {}).is_empty());
-    assert!(close(&mut c, 40.0, 1, 0, Outcome::Finished, on).is_empty());
+    assert!(close(&mut c, 40.0, 1, 0, Outcome::Completed, on).is_empty());
     c.reduced = Reduced::default();
     assert!(starts(&ask(&mut c, 50.0, 2, "rep", 100.0), "submit 2"));
 }
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -62,7 +62,7 @@
         .enumerate()
         .find_map(|(id, node)| Some((id as u64, (*node)?)))
         .unwrap();
-    close(&mut c, 50.0, id, 0, Outcome::Finished, node);
+    close(&mut c, 50.0, id, 0, Outcome::Completed, node);
     assert!(to(&ask(&mut c, 51.0, 99, "rep", 100.0)).is_some());
 }
 
@@ -120,7 +120,7 @@
         let at = n as f64 * 10.0;
         if let Some(node) = to(&ask(&mut c, at, n, "look", 100.0)) {
             sent += u64::from(node <= 2);
-            close(&mut c, at + 5.0, n, 0, Outcome::Finished, node);
+            close(&mut c, at + 5.0, n, 0, Outcome::Completed, node);
         }
     }
     // Two engines for 20 s.
@@ -165,6 +165,6 @@
     let node = to(&ask(&mut c, 1.0, 1, "rep", 100.0)).unwrap();
     c.plan_zones(None);
     assert!(to(&ask(&mut c, 2.0, 2, "rep", 100.0)).is_some());
-    close(&mut c, 3.0, 1, 0, Outcome::Finished, node);
+    close(&mut c, 3.0, 1, 0, Outcome::Completed, node);
     assert_eq!(c.spilled("h2"), 0.0);
 }
