--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -26,8 +26,13 @@
 }
 
 impl Writer for Reply<'_> {
-    fn submit(&mut self, id: u64, node: u64, Bounds { until, .. }: Bounds) {
-        action!(self, "try {} {id} {node} {}", self.dispatcher, up_to(until));
+    fn submit(&mut self, id: u64, engine_id: u64, Bounds { until, .. }: Bounds) {
+        action!(
+            self,
+            "try {} {id} {engine_id} {}",
+            self.dispatcher,
+            up_to(until)
+        );
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         action!(
@@ -50,8 +55,8 @@
             self.dispatcher
         );
     }
-    fn probe(&mut self, node: u64) {
-        action!(self, "sound_out {} {node}", self.dispatcher);
+    fn probe(&mut self, engine_id: u64) {
+        action!(self, "sound_out {} {engine_id}", self.dispatcher);
     }
     fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
         let content = BASE64_STANDARD.encode(content);
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -301,12 +301,12 @@
             let attempt = f.number("round-no")?;
             let bill: u64 = f.optional("bill")?.map_or(Ok(0), |v| parse(v, "bill"))?;
             let outcome = outcome(f.next("state-code")?)?;
-            let node = f.number("node")?;
+            let engine_id = f.number("node")?;
             let latency = millis(f.number("latency-us")?);
             report(&mut f)?;
             let (work, memory) = ((bill >> 12) as f64, (bill & 4095) as f64 * 4.0);
             control.closed(
-                id, attempt, complete, outcome, node, latency, work, memory, out,
+                id, attempt, complete, outcome, engine_id, latency, work, memory, out,
             );
         }
         "status_note" => {
@@ -325,10 +325,10 @@
         }
         "ping_result" => {
             let outcome = outcome(f.next("state-code")?)?;
-            let node = f.number("node")?;
+            let engine_id = f.number("node")?;
             f.number::<u64>("latency-us")?;
             report(&mut f)?;
-            control.probed(node, outcome);
+            control.probed(engine_id, outcome);
         }
         "vanished" => {
             let id = f.number("txn")?;
@@ -382,11 +382,11 @@
         at => Some(millis(at)),
     };
     let cell: u32 = f.optional("pod")?.map_or(Ok(0), |v| parse(v, "pod"))?;
-    let node = f.number("node")?;
+    let engine_id = f.number("node")?;
     f.optional("capacity-hint")?
         .map_or(Ok(1.0), |v| parse::<f64>(v, "capacity-hint"))?;
     f.end()?;
-    control.listed(node, kind, zone, status, started, cell);
+    control.listed(engine_id, kind, zone, status, started, cell);
     Ok(())
 }
 
@@ -475,8 +475,11 @@
         limits.max-attempts=3 limits.cancelling=true services.count=1 services.0.name=look services.0.aim-us=500000 \
         services.0.effect=read_like";
 
-    fn start(host: &mut Host, dispatchers: &[u64], nodes: &str) -> String {
-        let mut batch = format!("batch 1000\ncensus 0 {}\n{nodes}", nodes.lines().count());
+    fn start(host: &mut Host, dispatchers: &[u64], engine_ids: &str) -> String {
+        let mut batch = format!(
+            "batch 1000\ncensus 0 {}\n{engine_ids}",
+            engine_ids.lines().count()
+        );
         for d in dispatchers {
             batch += &format!("enlist {d} 9 {SETTINGS}\nupdate {d} C 1 0\n");
         }
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -216,15 +216,15 @@
         for engine in engines {
             match engine.started {
                 Some(at) if engine.status != tansymux::interface::EngineStatus::Gone => {
-                    started.insert(engine.node, at);
+                    started.insert(engine.engine_id, at);
                 }
-                _ => drop(started.remove(&engine.node)),
+                _ => drop(started.remove(&engine.engine_id)),
             }
         }
     }
 
     /// A attempt of a query that was read has ended, after so long (ms), and perhaps having waited.
-    pub fn ended(&self, taken: &Taken, node: u64, latency: f64, outcome: Outcome, now: f64) {
+    pub fn ended(&self, taken: &Taken, engine_id: u64, latency: f64, outcome: Outcome, now: f64) {
         let end = match outcome {
             Outcome::Completed => End::Completed,
             Outcome::Timeout => End::CutOff,
@@ -240,11 +240,11 @@
         let cold = self
             .started
             .borrow()
-            .get(&node)
+            .get(&engine_id)
             .is_some_and(|started| now - started < self.cold_for);
         let seen = Observation {
             now,
-            engine: node,
+            engine: engine_id,
             latency,
             threads,
             end,
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -445,7 +445,7 @@
                 _ => return Err(state.wrong("Ready, Terminating or Gone")),
             };
             let engine = Listed {
-                node: directory.node(entry.key("instanceId").text()?),
+                engine_id: directory.engine_id(entry.key("instanceId").text()?),
                 address: entry.key("hostPort").maybe(At::address)?,
                 kind: entry
                     .key("machineType")
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -246,8 +246,8 @@
             decisions.tell(None, &message);
         }
         if zones.looked_at(now) {
-            if let Some(node) = zones.probes(now).filter(|_| self.control.allowed.probes) {
-                self.exchange.probe(node);
+            if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
+                self.exchange.probe(engine_id);
             }
             zones.spills(
                 |zone| self.control.spilled(zone),
@@ -441,7 +441,7 @@
                     query,
                     attempt,
                     outcome,
-                    node,
+                    engine_id,
                     latency,
                     pages,
                 } => {
@@ -452,12 +452,13 @@
                             waited: q.waited,
                         })
                     };
-                    self.zones.ended(self.now, node, outcome);
+                    self.zones.ended(self.now, engine_id, outcome);
                     self.fleet
                         .iter()
-                        .for_each(|fleet| fleet.ended(self.now, node, outcome));
+                        .for_each(|fleet| fleet.ended(self.now, engine_id, outcome));
                     if let Some(taken) = self.exchange.with(query, taken).flatten() {
-                        self.classes.ended(&taken, node, latency, outcome, self.now);
+                        self.classes
+                            .ended(&taken, engine_id, latency, outcome, self.now);
                     }
                     if outcome == Outcome::Completed {
                         count(self.exchange, self.levels, query, self.now, true, false);
@@ -466,7 +467,7 @@
                     let complete = self.exchange.over(query);
                     self.exchange.closed(query);
                     control.closed(
-                        query, attempt, complete, outcome, node, latency, 0.0, 0.0, out,
+                        query, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
                     );
                 }
                 Event::Noted {
@@ -475,21 +476,21 @@
                     note,
                     amount,
                 } => {
-                    if let Some(node) = self
+                    if let Some(engine_id) = self
                         .exchange
-                        .with(query, |q| q.node)
+                        .with(query, |q| q.engine_id)
                         .filter(|_| self.zones.is_on())
                     {
-                        self.zones.noted(self.now, node);
+                        self.zones.noted(self.now, engine_id);
                     }
                     if note == Note::Waits {
                         self.exchange.waits(query);
                     }
                     control.noted(query, attempt, note, amount)
                 }
-                Event::Probed { node, outcome } => {
-                    self.zones.ended(self.now, node, outcome);
-                    control.probed(node, outcome);
+                Event::Probed { engine_id, outcome } => {
+                    self.zones.ended(self.now, engine_id, outcome);
+                    control.probed(engine_id, outcome);
                 }
                 Event::List { form, mut engines } => {
                     self.fleet
@@ -500,7 +501,7 @@
                     control.list_begins(form);
                     for e in &engines {
                         self.engines.listed(e);
-                        control.listed(e.node, &e.kind, &e.zone, e.status, e.started, e.cell);
+                        control.listed(e.engine_id, &e.kind, &e.zone, e.status, e.started, e.cell);
                     }
                     control.list_ends(form, out);
                 }
@@ -549,8 +550,8 @@
 }
 
 impl Writer for Decisions<'_> {
-    fn submit(&mut self, id: u64, node: u64, bounds: Bounds) {
-        self.exchange.submit(id, node, bounds);
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
+        self.exchange.submit(id, engine_id, bounds);
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         count(self.exchange, self.levels, id, self.now, false, true);
@@ -566,8 +567,8 @@
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.exchange.grant(id, priority, memory);
     }
-    fn probe(&mut self, node: u64) {
-        self.exchange.probe(node);
+    fn probe(&mut self, engine_id: u64) {
+        self.exchange.probe(engine_id);
     }
     fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
         if let Some(peers) = self.peers {
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -76,7 +76,7 @@
 
 /// A connection: what it carries, and what wakes its writer.
 struct Channel {
-    node: u64,
+    engine_id: u64,
     connection: RefCell<Connection>,
     notify: Notify,
 }
@@ -133,7 +133,7 @@
             unreached: 0,
             connections: Vec::new(),
         };
-        let engine = engines.entry(told.node).or_insert_with(fresh);
+        let engine = engines.entry(told.engine_id).or_insert_with(fresh);
         let gone = told.status == EngineStatus::Gone;
         engine.gone = gone;
         engine.zone.clone_from(&told.zone);
@@ -149,7 +149,7 @@
         }
         let channels = engine.connections.clone();
         if gone && channels.is_empty() {
-            engines.remove(&told.node);
+            engines.remove(&told.engine_id);
         }
         drop(engines);
         for channel in channels
@@ -176,18 +176,18 @@
                 Order::Submit {
                     query,
                     attempt,
-                    node,
+                    engine_id,
                     bounds,
-                } => self.submit(query, attempt, node, bounds),
+                } => self.submit(query, attempt, engine_id, bounds),
                 Order::Withdraw { query } => self.withdraw(query),
                 Order::Cancel { query, attempt } => self.cancel(query, attempt),
                 Order::Renice { query, priority } => self.renice(query, priority),
-                Order::Probe { node } => self.probe(node),
+                Order::Probe { engine_id } => self.probe(engine_id),
             }
         }
     }
 
-    fn submit(self: &Rc<Self>, query: u64, number: usize, node: u64, bounds: Bounds) {
+    fn submit(self: &Rc<Self>, query: u64, number: usize, engine_id: u64, bounds: Bounds) {
         let now = self.clock.now();
         let read = |q: &Query| {
             (
@@ -200,12 +200,12 @@
         let Some((id, fields, statement, cost)) = self.exchange.with(query, read) else {
             return;
         };
-        let Some(channel) = self.channel_for(node, &id, bounds.harmless) else {
+        let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
             return self.closed(
                 query,
                 number,
                 Outcome::NoConnection,
-                node,
+                engine_id,
                 0.0,
                 Pages::new(),
             );
@@ -232,12 +232,17 @@
 
     /// A connection that can carry this: one that is up, else one that is coming, else a new one. What must not be
     /// lost without a sign goes on none that has idled, whatever is known of those.
-    fn channel_for(self: &Rc<Self>, node: u64, id: &str, harmless: bool) -> Option<Rc<Channel>> {
+    fn channel_for(
+        self: &Rc<Self>,
+        engine_id: u64,
+        id: &str,
+        harmless: bool,
+    ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
         let full = self.connections.get() >= self.terms.most_connections;
         let idlest = if full { idlest(&engines) } else { None };
-        let engine = engines.get_mut(&node)?;
+        let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
         let now = self.clock.now();
         let longest = self.keep_alive.borrow_mut().longest(now);
@@ -262,10 +267,10 @@
             Some((((usable, ..), _), channel)) if usable <= Use::Fresh || !room => channel,
             _ if room => {
                 idlest.iter().for_each(|idlest| idlest.retire());
-                self.open_one(engine, node, address)
+                self.open_one(engine, engine_id, address)
             }
             _ => {
-                tracing::warn!(engine = %format_args!("{node:08x}"), "no further connection: too many are open");
+                tracing::warn!(engine = %format_args!("{engine_id:08x}"), "no further connection: too many are open");
                 return None;
             }
         };
@@ -278,7 +283,7 @@
             && longest <= keep_alive::LEAST
             && !engine.connections.iter().any(|other| ahead(&other))
         {
-            self.open_one(engine, node, address);
+            self.open_one(engine, engine_id, address);
         }
         Some(channel)
     }
@@ -300,7 +305,7 @@
     fn open_one(
         self: &Rc<Self>,
         engine: &mut Engine,
-        node: u64,
+        engine_id: u64,
         address: SocketAddr,
     ) -> Rc<Channel> {
         let (connection, notify) = (
@@ -308,7 +313,7 @@
             Notify::default(),
         );
         let channel = Rc::new(Channel {
-            node,
+            engine_id,
             connection,
             notify,
         });
@@ -323,9 +328,9 @@
 
     /// Opens connections to see whether the engine is there, unless some are coming up: as many as have to stay away for
     /// that to be said.
-    fn check(self: &Rc<Self>, node: u64) {
+    fn check(self: &Rc<Self>, engine_id: u64) {
         let mut engines = self.engines.borrow_mut();
-        let Some(engine) = engines.get_mut(&node) else {
+        let Some(engine) = engines.get_mut(&engine_id) else {
             return;
         };
         let coming = engine
@@ -339,7 +344,7 @@
             let room = engine.connections.len() < self.most_an_engine()
                 && self.connections.get() < self.terms.most_connections;
             if room {
-                self.open_one(engine, node, address);
+                self.open_one(engine, engine_id, address);
             }
         }
     }
@@ -400,7 +405,7 @@
         drop(connection);
         channel.notify.notify();
         if dead {
-            self.fell_silent(channel.node, false);
+            self.fell_silent(channel.engine_id, false);
         }
         let Attempt {
             query,
@@ -414,13 +419,13 @@
             Outcome::NoConnection
         };
         if outcome == Outcome::Cancelled {
-            return self.given_up(query, number, outcome, channel.node, now - sent);
+            return self.given_up(query, number, outcome, channel.engine_id, now - sent);
         }
         self.closed(
             query,
             number,
             outcome,
-            channel.node,
+            channel.engine_id,
             now - sent,
             Pages::new(),
         );
@@ -428,14 +433,16 @@
 
     /// What idles at an engine that fell silent may be as dead, and where it can't be reached also what idles at the
     /// others of its zone: the next connections tell sooner whether they are there.
-    fn fell_silent(&self, node: u64, unreached: bool) {
+    fn fell_silent(&self, engine_id: u64, unreached: bool) {
         let engines = self.engines.borrow();
-        let Some(silent) = engines.get(&node) else {
+        let Some(silent) = engines.get(&engine_id) else {
             return;
         };
         let near = engines
             .iter()
-            .filter(|(other, engine)| **other == node || unreached && engine.zone == silent.zone)
+            .filter(|(other, engine)| {
+                **other == engine_id || unreached && engine.zone == silent.zone
+            })
             .map(|(_, engine)| engine);
         let idle = |channel: &&Rc<Channel>| channel.connection.borrow().idles_since().is_finite();
         near.flat_map(|engine| &engine.connections)
@@ -445,11 +452,11 @@
 
     /// No connection comes up: what went out on those that had idled, and told nothing since, has reached nobody
     /// either, as far as can be known.
-    fn not_there(&self, node: u64) {
-        self.fell_silent(node, true);
+    fn not_there(&self, engine_id: u64) {
+        self.fell_silent(engine_id, true);
         let engines = self.engines.borrow();
         for channel in engines
-            .get(&node)
+            .get(&engine_id)
             .into_iter()
             .flat_map(|engine| &engine.connections)
         {
@@ -469,13 +476,13 @@
         }
     }
 
-    fn probe(self: &Rc<Self>, node: u64) {
+    fn probe(self: &Rc<Self>, engine_id: u64) {
         let now = self.clock.now();
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
-        let Some(channel) = self.channel_for(node, &tag, true) else {
+        let Some(channel) = self.channel_for(engine_id, &tag, true) else {
             return self.exchange.happened(Event::Probed {
-                node,
+                engine_id,
                 outcome: Outcome::NoConnection,
             });
         };
@@ -491,30 +498,30 @@
         query: u64,
         attempt: usize,
         outcome: Outcome,
-        node: u64,
+        engine_id: u64,
         latency: f64,
         pages: Pages,
     ) {
         self.exchange.counters.ended(outcome);
-        tracing::debug!(query, attempt, engine = %format_args!("{node:08x}"), ?outcome, latency, "a submission ended");
+        tracing::debug!(query, attempt, engine = %format_args!("{engine_id:08x}"), ?outcome, latency, "a submission ended");
         self.exchange.happened(Event::Closed {
             query,
             attempt,
             outcome,
-            node,
+            engine_id,
             latency,
             pages,
         });
     }
 
     /// The same for what was given up from here.
-    fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, node: u64, latency: f64) {
+    fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, engine_id: u64, latency: f64) {
         self.exchange.counters.ended(outcome);
         let event = Event::Closed {
             query,
             attempt,
             outcome,
-            node,
+            engine_id,
             latency,
             pages: Pages::new(),
         };
@@ -585,7 +592,7 @@
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
                 self.exchange.happened(Event::Probed {
-                    node: channel.node,
+                    engine_id: channel.engine_id,
                     outcome: Outcome::Timeout,
                 });
             }
@@ -608,7 +615,7 @@
                     connection
                         .idled
                         .filter(|_| connection.out() > 0)
-                        .map(|_| channel.node),
+                        .map(|_| channel.engine_id),
                 );
             }
             let idle = connection.state == State::Up && connection.out() == 0;
@@ -635,7 +642,9 @@
             let times = times.chain(connection.partial.map(|since| since + STALL));
             next = times.fold(next.min(connection.check_at), f64::min);
         }
-        checks.into_iter().for_each(|node| self.check(node));
+        checks
+            .into_iter()
+            .for_each(|engine_id| self.check(engine_id));
         next
     }
 
@@ -666,7 +675,7 @@
                 channel.connection.borrow_mut().comes_up(self.clock.now());
                 self.engines
                     .borrow_mut()
-                    .get_mut(&channel.node)
+                    .get_mut(&channel.engine_id)
                     .into_iter()
                     .for_each(|e| e.unreached = 0);
                 let _ = stream.get_ref().set_nodelay(true);
@@ -745,7 +754,14 @@
                         sent,
                         pages,
                     } => {
-                        self.closed(query, attempt, outcome, channel.node, now - sent, pages);
+                        self.closed(
+                            query,
+                            attempt,
+                            outcome,
+                            channel.engine_id,
+                            now - sent,
+                            pages,
+                        );
                     }
                     Heard::Noted {
                         query,
@@ -761,7 +777,7 @@
                         });
                     }
                     Heard::Probed(outcome) => self.exchange.happened(Event::Probed {
-                        node: channel.node,
+                        engine_id: channel.engine_id,
                         outcome,
                     }),
                     Heard::Spoilt(what) => return Err(spoilt(what)),
@@ -791,41 +807,41 @@
         connection.forget_probes();
         drop(connection);
         if !waiting.is_empty() {
-            let engine = format_args!("{:08x}", channel.node);
+            let engine = format_args!("{:08x}", channel.engine_id);
             tracing::warn!(%engine, waiting = waiting.len(), "a connection does not come up in its time");
         }
         waiting
             .iter()
             .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
         let probed = Event::Probed {
-            node: channel.node,
+            engine_id: channel.engine_id,
             outcome: Outcome::NoConnection,
         };
         (0..probes).for_each(|_| self.exchange.happened(probed.clone()));
         let unreached = {
             let mut engines = self.engines.borrow_mut();
-            let Some(engine) = engines.get_mut(&channel.node) else {
+            let Some(engine) = engines.get_mut(&channel.engine_id) else {
                 return;
             };
             engine.unreached += 1;
             engine.unreached
         };
         if unreached >= UNREACHED {
-            self.not_there(channel.node);
-        } else if self.doubts_what_idled(channel.node) {
-            self.check(channel.node);
+            self.not_there(channel.engine_id);
+        } else if self.doubts_what_idled(channel.engine_id) {
+            self.check(channel.engine_id);
         }
     }
 
     /// Whether something is out there on a connection that had idled, and told nothing since.
-    fn doubts_what_idled(&self, node: u64) -> bool {
+    fn doubts_what_idled(&self, engine_id: u64) -> bool {
         let engines = self.engines.borrow();
         let told_nothing = |channel: &Rc<Channel>| {
             let connection = channel.connection.borrow();
             connection.idled.is_some() && connection.out() > 0
         };
         engines
-            .get(&node)
+            .get(&engine_id)
             .is_some_and(|engine| engine.connections.iter().any(told_nothing))
     }
 
@@ -833,12 +849,12 @@
     fn end(&self, channel: &Rc<Channel>, end: io::Result<()>) {
         let now = self.clock.now();
         let mut engines = self.engines.borrow_mut();
-        if let Some(engine) = engines.get_mut(&channel.node) {
+        if let Some(engine) = engines.get_mut(&channel.engine_id) {
             engine
                 .connections
                 .retain(|other| !Rc::ptr_eq(other, channel));
             if engine.gone && engine.connections.is_empty() {
-                engines.remove(&channel.node);
+                engines.remove(&channel.engine_id);
             }
         }
         drop(engines);
@@ -857,7 +873,7 @@
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !attempts.is_empty()) {
-            let engine = format_args!("{:08x}", channel.node);
+            let engine = format_args!("{:08x}", channel.engine_id);
             tracing::warn!(%engine, out = attempts.len(), error = %e, "a connection ended");
         }
         // One that had idled and ends as soon as it is used again was closed already, by whatever: that tells of
@@ -884,13 +900,13 @@
                 Outcome::NoConnection
             };
             if given_up {
-                self.given_up(s.query, s.number, outcome, channel.node, now - s.sent);
+                self.given_up(s.query, s.number, outcome, channel.engine_id, now - s.sent);
             } else {
                 self.closed(
                     s.query,
                     s.number,
                     outcome,
-                    channel.node,
+                    channel.engine_id,
                     now - s.sent,
                     Pages::new(),
                 );
@@ -903,7 +919,7 @@
         };
         (0..probes).for_each(|_| {
             self.exchange.happened(Event::Probed {
-                node: channel.node,
+                engine_id: channel.engine_id,
                 outcome,
             })
         });
@@ -924,8 +940,12 @@
         .values()
         .flat_map(|engine| &engine.connections)
         .filter(|c| since(c).is_finite());
-    idle.min_by(|a, b| since(a).total_cmp(&since(b)).then(a.node.cmp(&b.node)))
-        .cloned()
+    idle.min_by(|a, b| {
+        since(a)
+            .total_cmp(&since(b))
+            .then(a.engine_id.cmp(&b.engine_id))
+    })
+    .cloned()
 }
 
 fn spoilt(what: &'static str) -> io::Error {
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -11,7 +11,7 @@
 fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> Listed {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     Listed {
-        node: 7,
+        engine_id: 7,
         address,
         kind: "std".into(),
         zone: "h".into(),
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -22,7 +22,7 @@
 /// An entry of the list of engines.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
-    pub node: u64,
+    pub engine_id: u64,
     pub address: Option<SocketAddr>,
     pub kind: String,
     pub zone: String,
@@ -50,7 +50,7 @@
         query: u64,
         attempt: usize,
         outcome: Outcome,
-        node: u64,
+        engine_id: u64,
         latency: f64,
         pages: Pages,
     },
@@ -61,7 +61,7 @@
         amount: f64,
     },
     Probed {
-        node: u64,
+        engine_id: u64,
         outcome: Outcome,
     },
     List {
@@ -80,7 +80,7 @@
     Submit {
         query: u64,
         attempt: usize,
-        node: u64,
+        engine_id: u64,
         bounds: Bounds,
     },
     /// The query is over: what has not gone out of it does not any more.
@@ -96,7 +96,7 @@
         priority: u8,
     },
     Probe {
-        node: u64,
+        engine_id: u64,
     },
 }
 
@@ -139,7 +139,7 @@
     pub shape: Option<Shape>,
     pub waited: bool,
     /// Where the last attempt went.
-    pub node: u64,
+    pub engine_id: u64,
     /// Where the answer goes; none once it was given or the client left.
     slot: Option<Rc<Slot>>,
 }
@@ -269,7 +269,7 @@
             out: false,
             shape: asked.shape,
             waited: false,
-            node: 0,
+            engine_id: 0,
             slot: Some(slot.clone()),
         };
         self.queries.borrow_mut().insert(number, query);
@@ -388,7 +388,7 @@
     }
 
     /// Every attempt passes here: none for a query that is over, or has one out.
-    pub fn submit(&self, number: u64, node: u64, bounds: Bounds) {
+    pub fn submit(&self, number: u64, engine_id: u64, bounds: Bounds) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries
             .get_mut(&number)
@@ -401,12 +401,12 @@
             return;
         };
         let attempt = q.attempts;
-        (q.attempts, q.out, q.waited, q.node) = (attempt + 1, true, false, node);
+        (q.attempts, q.out, q.waited, q.engine_id) = (attempt + 1, true, false, engine_id);
         self.counters.attempts.add();
         self.orders.borrow_mut().push_back(Order::Submit {
             query: number,
             attempt,
-            node,
+            engine_id,
             bounds,
         });
     }
@@ -425,9 +425,11 @@
         });
     }
 
-    pub fn probe(&self, node: u64) {
+    pub fn probe(&self, engine_id: u64) {
         self.counters.probes.add();
-        self.orders.borrow_mut().push_back(Order::Probe { node });
+        self.orders
+            .borrow_mut()
+            .push_back(Order::Probe { engine_id });
     }
 
     /// Names what the next attempts get; one that is out takes on a new priority.
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -33,7 +33,7 @@
     let first = Order::Submit {
         query,
         attempt: 0,
-        node: 7,
+        engine_id: 7,
         bounds: BOUNDS,
     };
     assert_eq!(exchange.next_order(), Some(first));
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -201,7 +201,7 @@
     }
 
     /// A attempt ended: what that says of the engine.
-    pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
+    pub fn ended(&self, now: f64, engine_id: u64, outcome: Outcome) {
         if self.bad.get().is_none() {
             return;
         }
@@ -210,7 +210,7 @@
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
-        self.evidence.borrow_mut().ended(now, node, bad);
+        self.evidence.borrow_mut().ended(now, engine_id, bad);
     }
 
     /// The list as it was told: kept, and given back as this dispatcher is to take it. An engine that is out by
@@ -218,19 +218,19 @@
     pub fn listed(&self, engines: &mut [Listed]) {
         let mut listed = self.listed.borrow_mut();
         for engine in engines.iter() {
-            listed.retain(|known| known.node != engine.node);
+            listed.retain(|known| known.engine_id != engine.engine_id);
             if engine.status != EngineStatus::Gone {
                 listed.push(engine.clone());
             }
         }
-        listed.sort_by_key(|engine| engine.node);
+        listed.sort_by_key(|engine| engine.engine_id);
         let cores = |kind: &str| {
             self.settings
                 .of_kind(kind, "family-info.cores-by-kind")
                 .unwrap_or(1.0)
         };
         let unit = |engine: &Listed| Unit {
-            id: engine.node,
+            id: engine.engine_id,
             zone: number_of(&engine.zone),
             version: 0,
             there: engine.status == EngineStatus::Ready,
@@ -243,7 +243,7 @@
             .iter_mut()
             .filter(|engine| engine.status == EngineStatus::Ready)
         {
-            if fleet.engine_out(engine.node).is_some() {
+            if fleet.engine_out(engine.engine_id).is_some() {
                 engine.status = EngineStatus::Draining;
             }
         }
@@ -278,19 +278,27 @@
             tracing::info!(leads, "leads the fleet, or no more");
         }
         let listed = self.listed.borrow();
-        let out = |engine: &Listed| fleet.engine_out(engine.node).map(|why| (engine.node, why));
+        let out = |engine: &Listed| {
+            fleet
+                .engine_out(engine.engine_id)
+                .map(|why| (engine.engine_id, why))
+        };
         let outs: Vec<(u64, Why)> = listed.iter().filter_map(out).collect();
         let before = self.outs.replace(outs.clone());
-        let is_in = |some: &[(u64, Why)], node: u64| some.iter().any(|(out, _)| *out == node);
+        let is_in =
+            |some: &[(u64, Why)], engine_id: u64| some.iter().any(|(out, _)| *out == engine_id);
         let mut changed = Vec::new();
         for engine in listed.iter() {
-            match (is_in(&before, engine.node), is_in(&outs, engine.node)) {
+            match (
+                is_in(&before, engine.engine_id),
+                is_in(&outs, engine.engine_id),
+            ) {
                 (false, true) => {
-                    tracing::warn!(engine = %format_args!("{:08x}", engine.node), "an engine is out by agreement");
+                    tracing::warn!(engine = %format_args!("{:08x}", engine.engine_id), "an engine is out by agreement");
                     changed.push(engine.clone());
                 }
                 (true, false) => {
-                    tracing::info!(engine = %format_args!("{:08x}", engine.node), "an engine is back by agreement");
+                    tracing::info!(engine = %format_args!("{:08x}", engine.engine_id), "an engine is back by agreement");
                     // As one that starts: all dispatchers come back to it at once.
                     changed.push(Listed {
                         started: Some(now),
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -16,7 +16,7 @@
 /// Engines by their ids: every dispatcher gives an engine the same number, drawn from its id alone.
 #[derive(Debug, Default)]
 pub struct Directory {
-    nodes: FxHashMap<String, u64>,
+    engine_ids: FxHashMap<String, u64>,
     taken: FxHashMap<u64, ()>,
     /// The list as last told.
     engines: FxHashMap<u64, Listed>,
@@ -57,26 +57,26 @@
 
 impl Directory {
     /// The number of an engine: that of its id, the next free one where two ids fall together.
-    pub fn node(&mut self, id: &str) -> u64 {
-        if let Some(&node) = self.nodes.get(id) {
-            return node;
+    pub fn engine_id(&mut self, id: &str) -> u64 {
+        if let Some(&engine_id) = self.engine_ids.get(id) {
+            return engine_id;
         }
-        let mut node = u64::from(tansymux_operator_config::number_of(id));
-        while self.taken.insert(node, ()).is_some() {
-            node = (node + 1) & 0xffff_ffff;
+        let mut engine_id = u64::from(tansymux_operator_config::number_of(id));
+        while self.taken.insert(engine_id, ()).is_some() {
+            engine_id = (engine_id + 1) & 0xffff_ffff;
         }
-        self.nodes.insert(id.to_owned(), node);
-        node
+        self.engine_ids.insert(id.to_owned(), engine_id);
+        engine_id
     }
 
     pub fn keep(&mut self, engine: Listed) {
-        self.engines.insert(engine.node, engine);
+        self.engines.insert(engine.engine_id, engine);
     }
 
     /// All engines that are known, in the order of their numbers.
     pub fn all(&self) -> Vec<Listed> {
         let mut all: Vec<Listed> = self.engines.values().cloned().collect();
-        all.sort_by_key(|engine| engine.node);
+        all.sort_by_key(|engine| engine.engine_id);
         all
     }
 
@@ -161,14 +161,14 @@
                     .find_map(|text| text.split_once('=').filter(|(n, _)| *n == name))
                     .map(|(_, v)| v)
             };
-            let node = self.node(id);
-            let before = self.engines.get(&node);
+            let engine_id = self.engine_id(id);
+            let before = self.engines.get(&engine_id);
             let kind = text("kind")
                 .or(before.map(|b| b.kind.as_str()))
                 .unwrap_or("")
                 .to_owned();
             let engine = Listed {
-                node,
+                engine_id,
                 address: address
                     .map(|ip: Ipv4Addr| SocketAddr::from((ip, srv.port)))
                     .or(before.and_then(|b| b.address)),
@@ -185,12 +185,12 @@
                     .filter(|ms| *ms > 0.0),
             };
             // Of two records of one engine the graver holds.
-            if seen.insert(node) {
+            if seen.insert(engine_id) {
                 listed.push(engine);
             } else if engine.status == EngineStatus::Draining {
                 listed
                     .iter_mut()
-                    .filter(|e| e.node == node)
+                    .filter(|e| e.engine_id == engine_id)
                     .for_each(|e| e.status = EngineStatus::Draining);
             }
         }
@@ -215,12 +215,12 @@
     /// so, unless it has started since. Where that leaves none that is ready, the list is right and what was told wrong.
     fn hold_to_what_ended(&self, listed: &mut Vec<Listed>) {
         let ended = |e: &Listed| {
-            let drains = self.engines.get(&e.node).is_some_and(|was| {
+            let drains = self.engines.get(&e.engine_id).is_some_and(|was| {
                 was.status == EngineStatus::Draining
                     && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
             });
-            let gone = self.gone.iter().any(|&(node, started)| {
-                node == e.node && e.started.unwrap_or(0.0) <= started.unwrap_or(0.0)
+            let gone = self.gone.iter().any(|&(engine_id, started)| {
+                engine_id == e.engine_id && e.started.unwrap_or(0.0) <= started.unwrap_or(0.0)
             });
             (drains, gone)
         };
@@ -244,27 +244,30 @@
     fn replace(&mut self, mut listed: Vec<Listed>) -> Vec<Listed> {
         let known = std::mem::take(&mut self.engines);
         for engine in &listed {
-            self.engines.insert(engine.node, engine.clone());
+            self.engines.insert(engine.engine_id, engine.clone());
         }
         let gone = known
             .into_values()
-            .filter(|engine| !self.engines.contains_key(&engine.node));
+            .filter(|engine| !self.engines.contains_key(&engine.engine_id));
         let mut gone: Vec<Listed> = gone
             .map(|e| Listed {
                 status: EngineStatus::Gone,
                 ..e
             })
             .collect();
-        gone.sort_by_key(|engine| engine.node);
+        gone.sort_by_key(|engine| engine.engine_id);
         let engines = &self.engines;
-        self.gone.retain(|(node, _)| !engines.contains_key(node));
         self.gone
-            .extend(gone.iter().map(|engine| (engine.node, engine.started)));
+            .retain(|(engine_id, _)| !engines.contains_key(engine_id));
+        self.gone
+            .extend(gone.iter().map(|engine| (engine.engine_id, engine.started)));
         self.gone
             .drain(..self.gone.len().saturating_sub(MOST_ENGINES));
         // Ids of engines that are gone are forgotten; one that comes back gets the same number by its id.
-        self.nodes.retain(|_, node| engines.contains_key(node));
-        self.taken.retain(|node, _| engines.contains_key(node));
+        self.engine_ids
+            .retain(|_, engine_id| engines.contains_key(engine_id));
+        self.taken
+            .retain(|engine_id, _| engines.contains_key(engine_id));
         listed.append(&mut gone);
         listed
     }
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/names/directory/tests.rs
@@ -45,11 +45,11 @@
 }
 
 fn status(directory: &Directory, id: &str) -> Option<EngineStatus> {
-    let node = u64::from(tansymux_operator_config::number_of(id));
+    let engine_id = u64::from(tansymux_operator_config::number_of(id));
     directory
         .all()
         .iter()
-        .find(|e| e.node == node)
+        .find(|e| e.engine_id == engine_id)
         .map(|e| e.status)
 }
 
@@ -60,9 +60,9 @@
         ..Directory::default()
     };
     assert_eq!(directory.take(&answer(3, TWO), 1), Taken::Known);
-    let old = directory.node("s-old");
+    let old = directory.engine_id("s-old");
     directory.keep(Listed {
-        node: old,
+        engine_id: old,
         address: None,
         kind: "std".into(),
         zone: "east".into(),
@@ -75,7 +75,7 @@
     };
     let told: Vec<_> = listed
         .iter()
-        .map(|e| (e.node == old, e.status, e.kind.as_str(), e.cell))
+        .map(|e| (e.engine_id == old, e.status, e.kind.as_str(), e.cell))
         .collect();
     assert_eq!(
         told,
@@ -97,9 +97,9 @@
     assert_eq!(directory.take(&answer(3, TWO), 2), Taken::Known);
     assert_eq!(
         (
-            directory.nodes.len(),
+            directory.engine_ids.len(),
             directory.taken.len(),
-            directory.node("s-old")
+            directory.engine_id("s-old")
         ),
         (1, 1, old)
     );
@@ -262,7 +262,7 @@
     let gone: Vec<u64> = listed
         .iter()
         .filter(|e| e.status == EngineStatus::Gone)
-        .map(|e| e.node)
+        .map(|e| e.engine_id)
         .collect();
     assert_eq!(
         gone,
@@ -284,15 +284,15 @@
 #[test]
 fn an_engine_keeps_its_number_and_two_never_share_one() {
     let mut directory = Directory::default();
-    let node = directory.node("s-341e1dd2");
+    let engine_id = directory.engine_id("s-341e1dd2");
     assert_eq!(
         (
-            directory.node("s-341e1dd2"),
-            Directory::default().node("s-341e1dd2")
+            directory.engine_id("s-341e1dd2"),
+            Directory::default().engine_id("s-341e1dd2")
         ),
-        (node, node)
+        (engine_id, engine_id)
     );
     let mut taken = Directory::default();
-    taken.taken.insert(node, ());
-    assert_eq!(taken.node("s-341e1dd2"), (node + 1) & 0xffff_ffff);
+    taken.taken.insert(engine_id, ());
+    assert_eq!(taken.engine_id("s-341e1dd2"), (engine_id + 1) & 0xffff_ffff);
 }
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -82,7 +82,7 @@
     pub fn listed(&self, now: f64, engines: &[Listed]) {
         let mut listed = self.listed.borrow_mut();
         for engine in engines {
-            listed.retain(|known| known.node != engine.node);
+            listed.retain(|known| known.engine_id != engine.engine_id);
             if engine.status != EngineStatus::Gone {
                 let cores = self
                     .settings
@@ -90,38 +90,38 @@
                     .unwrap_or(1.0);
                 let ready = engine.status == EngineStatus::Ready;
                 listed.push(Engine {
-                    node: engine.node,
+                    engine_id: engine.engine_id,
                     zone: engine.zone.clone(),
                     cores,
                     ready,
                 });
             }
         }
-        listed.sort_by_key(|engine| engine.node);
+        listed.sort_by_key(|engine| engine.engine_id);
         if let Some(judge) = self.on.borrow_mut().as_mut() {
             judge.listed(now, &listed);
         }
     }
 
     /// A attempt or a probe ended.
-    pub fn ended(&self, now: f64, node: u64, outcome: Outcome) {
+    pub fn ended(&self, now: f64, engine_id: u64, outcome: Outcome) {
         let kind = match outcome {
             Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
             // Given up from here, or never sent: nothing was seen of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
         };
-        self.seen(now, node, kind);
+        self.seen(now, engine_id, kind);
     }
 
     /// A note came.
-    pub fn noted(&self, now: f64, node: u64) {
-        self.seen(now, node, Kind::Heard);
+    pub fn noted(&self, now: f64, engine_id: u64) {
+        self.seen(now, engine_id, Kind::Heard);
     }
 
-    fn seen(&self, now: f64, node: u64, kind: Kind) {
+    fn seen(&self, now: f64, engine_id: u64, kind: Kind) {
         if let Some(judge) = self.on.borrow_mut().as_mut() {
-            judge.seen(now, Seen { node, kind });
+            judge.seen(now, Seen { engine_id, kind });
         }
     }
 
@@ -162,7 +162,7 @@
             for engine in &mut plan.engines {
                 let of = listed
                     .iter()
-                    .find(|e| e.node == engine.node && e.zone == zone.name);
+                    .find(|e| e.engine_id == engine.engine_id && e.zone == zone.name);
                 if let Some(of) = of {
                     engine.threads = of.cores * whole * part;
                 }
@@ -306,7 +306,7 @@
         engines: plan
             .engines
             .iter()
-            .map(|engine| (engine.node, engine.threads))
+            .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
         cross_retries: plan.cross_retries,
         alone: plan.alone,
--- a/crates/engine-state/src/facts.rs
+++ b/crates/engine-state/src/facts.rs
@@ -218,8 +218,8 @@
             .engines
             .iter()
             .min_by(|a, b| a.1.touched.total_cmp(&b.1.touched))
-            .map(|(node, _)| *node);
-        oldest.map(|node| self.engines.remove(&node));
+            .map(|(engine_id, _)| *engine_id);
+        oldest.map(|engine_id| self.engines.remove(&engine_id));
     }
 
     /// An engine is not listed any more: nothing is known of it that matters.
--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -331,7 +331,7 @@
             *left -= 1;
         }
         self.news.retain(|(_, left)| *left > 0);
-        // What is left of the room names some that are known, by rng: who missed news of a member hears of it yet.
+        // What is left of the room names some that are known, at random: who missed news of a member hears of it yet.
         for _ in 0..REMINDERS
             .min(room.saturating_sub(all.len()))
             .min(self.members.len())
@@ -678,7 +678,7 @@
             return;
         }
         let alone = self.there().next().is_none();
-        // Spread by rng: those that started together must not ask together for ever.
+        // Spread at random: those that started together must not ask together for ever.
         let spread = 0.5 + self.rng.random::<f64>();
         self.next_join = self.now + self.settings.period * if alone { 1.0 } else { 15.0 * spread };
         let seeds: Vec<SocketAddr> = self
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -63,7 +63,7 @@
         lost: turns.lost() as usize,
         compare: compare::Terms {
             window: turns.window_s() * 1000.0,
-            rng: turns.rng(),
+            significance: turns.chance(),
             least: turns.least(),
             pairs: turns.pairs() as usize,
             requests: turns.requests(),
@@ -228,7 +228,7 @@
         faults.within("fleet.turns.lost", t.lost, 0.0, 1000.0);
         faults.within("fleet.turns.left_s", t.left_s, 1.0, 86_400.0);
         faults.within("fleet.turns.window_s", t.window_s, 0.5, 60.0);
-        faults.within("fleet.turns.chance", t.rng, 0.0001, 0.2);
+        faults.within("fleet.turns.chance", t.chance, 0.0001, 0.2);
         faults.within("fleet.turns.least", t.least, 0.0, 1.0);
         faults.within("fleet.turns.pairs", t.pairs, 3.0, 1000.0);
         faults.within("fleet.turns.requests", t.requests, 1.0, 1e6);
--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -12,8 +12,8 @@
 pub struct Terms {
     /// How long a window is (ms): what is reported in one is compared with what is reported in the same one.
     pub window: f64,
-    /// How often a release is called worse by rng alone, over all its looks together.
-    pub rng: f64,
+    /// How often a release is called worse by chance alone, over all its looks together.
+    pub significance: f64,
     /// A difference of the part served well that is smaller than this one is none.
     pub least: f64,
     /// Pairs without which nothing is told.
@@ -26,7 +26,7 @@
     fn default() -> Self {
         Terms {
             window: 2000.0,
-            rng: 0.01,
+            significance: 0.01,
             least: 0.02,
             pairs: 5,
             requests: 5,
@@ -107,13 +107,13 @@
         if pairs < terms.pairs.max(3) {
             return Finding::CantTell { pairs };
         }
-        // Each look that brings pairs spends a part of the rng: half of it at the first, then a quarter, a sixth of
+        // Each look that brings pairs spends a part of the significance: half of it at the first, then a quarter, a sixth of
         // what was left, so that all of them together spend no more than the whole (1/(n(n+1)) adds up to 1).
         if pairs > self.seen {
             (self.looks, self.seen) = (self.looks + 1, pairs);
         }
         let look = f64::from(self.looks.max(1));
-        let spent = terms.rng / (look * (look + 1.0));
+        let spent = terms.significance / (look * (look + 1.0));
         let (mean, p) = worse(&self.differences);
         match mean {
             mean if mean <= -terms.least && p < spent => Finding::Worse { pairs, by: mean },
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -83,7 +83,7 @@
     pub bounds: f64,
     pub demotion: f64,
     pub grants: f64,
-    /// Factor on the time to come back, from 1, and how far it is spread by rng beyond that (part).
+    /// Factor on the time to come back, from 1, and how far it is spread at random beyond that (part).
     pub retry_after: f64,
     pub spread: f64,
     /// No further attempts for low work.
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -117,7 +117,7 @@
         id: u64,
         attempt: usize,
         outcome: Outcome,
-        node: u64,
+        engine_id: u64,
         latency: f64,
     },
     Noted {
@@ -126,7 +126,7 @@
         amount: f64,
     },
     Probed {
-        node: u64,
+        engine_id: u64,
         outcome: Outcome,
     },
     List,
@@ -134,11 +134,11 @@
 
 /// What a dispatcher decided.
 enum Decided {
-    Submit { id: u64, node: u64, until: f64 },
+    Submit { id: u64, engine_id: u64, until: f64 },
     Defer { id: u64, wait: f64 },
     Kill { id: u64 },
     Cancel { id: u64, attempt: usize },
-    Probe { node: u64 },
+    Probe { engine_id: u64 },
     Timer { delay: f64 },
 }
 
@@ -146,8 +146,12 @@
 struct Out(Vec<Decided>);
 
 impl Writer for Out {
-    fn submit(&mut self, id: u64, node: u64, Bounds { until, .. }: Bounds) {
-        self.0.push(Decided::Submit { id, node, until });
+    fn submit(&mut self, id: u64, engine_id: u64, Bounds { until, .. }: Bounds) {
+        self.0.push(Decided::Submit {
+            id,
+            engine_id,
+            until,
+        });
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         self.0.push(Decided::Defer {
@@ -162,8 +166,8 @@
         self.0.push(Decided::Cancel { id, attempt });
     }
     fn grant(&mut self, _: u64, _: u8, _: f64) {}
-    fn probe(&mut self, node: u64) {
-        self.0.push(Decided::Probe { node });
+    fn probe(&mut self, engine_id: u64) {
+        self.0.push(Decided::Probe { engine_id });
     }
     fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
     fn timer(&mut self, delay: f64, _: u64) {
@@ -198,22 +202,24 @@
                     id,
                     attempt,
                     outcome,
-                    node,
+                    engine_id,
                     latency,
                 } => {
                     let complete = outcome == Outcome::Completed;
-                    control.closed(id, attempt, complete, outcome, node, latency, 0.0, 0.0, out);
+                    control.closed(
+                        id, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
+                    );
                 }
                 Incoming::Noted {
                     id,
                     attempt,
                     amount,
                 } => control.noted(id, attempt, Note::Progress, amount),
-                Incoming::Probed { node, outcome } => control.probed(node, outcome),
+                Incoming::Probed { engine_id, outcome } => control.probed(engine_id, outcome),
                 Incoming::List => {
                     control.list_begins(ListForm::Full);
-                    for (node, zone, status, started) in self.list {
-                        control.listed(*node, "std", zone, *status, *started, 0);
+                    for (engine_id, zone, status, started) in self.list {
+                        control.listed(*engine_id, "std", zone, *status, *started, 0);
                     }
                     control.list_ends(ListForm::Full, out);
                 }
@@ -405,7 +411,7 @@
         engines: plan
             .engines
             .iter()
-            .map(|engine| (engine.node, engine.threads))
+            .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
         cross_retries: plan.cross_retries,
         alone: plan.alone,
@@ -610,7 +616,7 @@
             } => {
                 self.seen(dispatcher, engine, outcome);
                 self.inboxes[dispatcher].push(Incoming::Probed {
-                    node: engine as u64 + 1,
+                    engine_id: engine as u64 + 1,
                     outcome,
                 });
                 self.round(dispatcher);
@@ -766,9 +772,11 @@
         self.inboxes[dispatcher] = inbox.events;
         for decided in out.0 {
             match decided {
-                Decided::Submit { id, node, until } => {
-                    self.submits(dispatcher, id, node as usize - 1, until - EPOCH)
-                }
+                Decided::Submit {
+                    id,
+                    engine_id,
+                    until,
+                } => self.submits(dispatcher, id, engine_id as usize - 1, until - EPOCH),
                 Decided::Defer { id, wait } => self.answers(id, 429, Some(wait)),
                 Decided::Kill { id } => self.answers(id, 500, None),
                 Decided::Cancel { id, attempt } => {
@@ -780,7 +788,7 @@
                         self.gives_up(out, Outcome::Cancelled, SETTLES);
                     }
                 }
-                Decided::Probe { node } => self.probe(dispatcher, node as usize - 1),
+                Decided::Probe { engine_id } => self.probe(dispatcher, engine_id as usize - 1),
                 Decided::Timer { delay } => {
                     let at = self.now + delay.max(1.0);
                     if at < self.dispatchers[dispatcher].tick {
@@ -891,12 +899,12 @@
             self.answers(id, 200, None);
         }
         self.seen(dispatcher, sent.engine, outcome);
-        let node = sent.engine as u64 + 1;
+        let engine_id = sent.engine as u64 + 1;
         self.inboxes[dispatcher].push(Incoming::Closed {
             id,
             attempt: sent.number,
             outcome,
-            node,
+            engine_id,
             latency,
         });
         self.round(dispatcher);
@@ -920,7 +928,7 @@
             zones.seen(
                 EPOCH + self.now,
                 Seen {
-                    node: engine as u64 + 1,
+                    engine_id: engine as u64 + 1,
                     kind,
                 },
             );
@@ -934,8 +942,8 @@
             zones.look(now);
             g.control
                 .plan_zones(Some(&given(&zones.plan(&self.zones[g.zone], groups))));
-            if let Some(node) = zones.probes(now) {
-                self.probe(dispatcher, node as usize - 1);
+            if let Some(engine_id) = zones.probes(now) {
+                self.probe(dispatcher, engine_id as usize - 1);
             }
         }
     }
@@ -946,7 +954,7 @@
                 let ready = self.list[n].2 == EngineStatus::Ready;
                 let cores = self.engines[n].cores;
                 tansymux_zone_routing::Engine {
-                    node: n as u64 + 1,
+                    engine_id: n as u64 + 1,
                     zone: self.zones[*zone].clone(),
                     cores,
                     ready,
--- a/crates/sql-analysis/src/learn.rs
+++ b/crates/sql-analysis/src/learn.rs
@@ -40,7 +40,7 @@
 /// How a attempt ended, as far as its cost goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
-    Finished,
+    Completed,
     /// Its time ran out, or it was given up, while it ran.
     CutOff,
 }
@@ -246,10 +246,10 @@
         let trust = match seen.end {
             End::CutOff if sample <= expected => return,
             End::CutOff => 0.5,
-            End::Finished if (seen.waited || seen.cold) && sample > expected => UPPER_BOUND,
-            End::Finished => 1.0,
+            End::Completed if (seen.waited || seen.cold) && sample > expected => UPPER_BOUND,
+            End::Completed => 1.0,
         };
-        let clean = seen.end == End::Finished && !seen.waited && !seen.cold;
+        let clean = seen.end == End::Completed && !seen.waited && !seen.cold;
         if let Some(known) = known.filter(|known| clean && known.sure(now, &how) > PACE_SURE) {
             // A shape in the middle of a shift tells nothing of the engine.
             if known.far == 0 {
@@ -330,7 +330,7 @@
         engine: 1,
         latency: 10.0,
         threads: 1.0,
-        end: End::Finished,
+        end: End::Completed,
         waited: false,
         cold: false,
     };
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -64,7 +64,7 @@
     ReadOnly,
     /// Not proven. It runs under the rules of mutating.
     Unknown,
-    Mutating,
+    NonIdempotent,
 }
 
 impl Effect {
@@ -72,7 +72,7 @@
         match self {
             Effect::ReadOnly => "read-only",
             Effect::Unknown => "unknown",
-            Effect::Mutating => "mutating",
+            Effect::NonIdempotent => "mutating",
         }
     }
 }
--- a/crates/sql-analysis/src/read.rs
+++ b/crates/sql-analysis/src/read.rs
@@ -123,7 +123,7 @@
         .as_ref()
         .map_or_else(Features::default, |found| found.features);
     let class = match effect {
-        Effect::Mutating => Class::Load,
+        Effect::NonIdempotent => Class::Load,
         Effect::Unknown => Class::Unknown,
         Effect::ReadOnly => settings
             .rules
@@ -140,7 +140,7 @@
         error.truncate(end);
     }
     // A mutating statement that was read is no error.
-    let error = error.filter(|_| effect != Effect::Mutating || lexed.doubt.is_some());
+    let error = error.filter(|_| effect != Effect::NonIdempotent || lexed.doubt.is_some());
     let (reads, writes) = found.map_or_else(Default::default, |found| (found.reads, found.writes));
     let names = |names: BTreeSet<String>| names.into_iter().take(MOST_TABLES).collect();
     Reading {
@@ -328,14 +328,14 @@
     if told(&settings.effect_functions)
         || settings.effect_functions.iter().any(|known| known == last)
     {
-        Effect::Mutating
+        Effect::NonIdempotent
     } else if told(&settings.pure_functions) {
         Effect::ReadOnly
     } else if words::WITH_EFFECT
         .binary_search(&last.to_ascii_lowercase().as_str())
         .is_ok()
     {
-        Effect::Mutating
+        Effect::NonIdempotent
     } else if words::PURE.binary_search(&name).is_ok() {
         Effect::ReadOnly
     } else {
@@ -421,7 +421,9 @@
     /// What a statement is of itself. `outer`: it stands alone and not within another.
     fn statement(&mut self, statement: &Statement, outer: bool) {
         let changes = |finder: &mut Self, what: &str| {
-            finder.found.worse(Effect::Mutating, || what.to_owned())
+            finder
+                .found
+                .worse(Effect::NonIdempotent, || what.to_owned())
         };
         match statement {
             Statement::Query(query) => {
@@ -528,7 +530,7 @@
     fn call(&mut self, name: &str) {
         match effect_of_call(name, self.settings) {
             Effect::ReadOnly => {}
-            Effect::Mutating => self.found.worse(Effect::Mutating, || {
+            Effect::NonIdempotent => self.found.worse(Effect::NonIdempotent, || {
                 format!("function {name} changes something")
             }),
             Effect::Unknown => {
@@ -618,7 +620,7 @@
         }
         if !query.locks.is_empty() {
             self.found
-                .worse(Effect::Mutating, || "rows are locked".into());
+                .worse(Effect::NonIdempotent, || "rows are locked".into());
         }
         if query.for_clause.is_some() || query.settings.is_some() || query.format_clause.is_some() {
             self.found.worse(Effect::Unknown, || {
@@ -635,7 +637,7 @@
     fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
         if let Some(into) = &select.into {
             self.found
-                .worse(Effect::Mutating, || "it selects into a table".into());
+                .worse(Effect::NonIdempotent, || "it selects into a table".into());
             self.found
                 .writes
                 .extend(into.targets.iter().map(ToString::to_string));
--- a/crates/sql-analysis/tests/hard.rs
+++ b/crates/sql-analysis/tests/hard.rs
@@ -18,7 +18,7 @@
         assert_eq!(read.effect, effect, "{case}: {read:?}");
         let class = match effect {
             Effect::ReadOnly => read.class == Class::LookUp || read.class == Class::Report,
-            Effect::Mutating => read.class == Class::Load,
+            Effect::NonIdempotent => read.class == Class::Load,
             Effect::Unknown => read.class == Class::Unknown,
         };
         assert!(class, "{case}: {read:?}");
@@ -71,7 +71,7 @@
 #[test]
 fn data_changing_with() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "with x as (insert into t values (1) returning a) select * from x",
             "with x as (update t set a = 1 returning *) select * from x",
@@ -85,7 +85,7 @@
 #[test]
 fn select_into_and_create_table_as() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "select * into t2 from t",
             "select a into temp t2 from t",
@@ -104,7 +104,7 @@
 #[test]
 fn rows_locked_for_update_or_share() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "select * from t for update",
             "select * from t for share",
@@ -124,7 +124,7 @@
 #[test]
 fn functions_with_effects_and_unknown_ones() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "select nextval('s')",
             "select setval('s', 1)",
@@ -165,7 +165,7 @@
             Effect::ReadOnly,
         ),
         ("select distance(a, b) from t", Effect::Unknown),
-        ("select upper(a) from t", Effect::Mutating),
+        ("select upper(a) from t", Effect::NonIdempotent),
     ] {
         assert_eq!(
             statements.read(case.as_bytes()).reading.effect,
@@ -178,7 +178,7 @@
 #[test]
 fn explain_analyze_of_a_write() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "explain analyze delete from t",
             "explain (analyze) update t set a = 1",
@@ -193,7 +193,7 @@
 #[test]
 fn statements_that_are_no_queries() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "insert into t values (1)",
             "update t set a = 1 where b = 2",
@@ -243,7 +243,7 @@
 #[test]
 fn several_statements_in_one_text() {
     all_are(
-        Effect::Mutating,
+        Effect::NonIdempotent,
         &[
             "select 1; delete from t",
             "; delete from t",
@@ -479,7 +479,7 @@
     engine: 1,
     latency: 10.0,
     threads: 1.0,
-    end: End::Finished,
+    end: End::Completed,
     waited: false,
     cold: false,
 };
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -39,8 +39,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
     ReadOnly,
-    Tokened,
-    Mutating,
+    IdempotencyKey,
+    NonIdempotent,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -248,7 +248,7 @@
             self.breaks(1, at, format!("the answer to {id} came {late:.0} ms late"));
         }
         let deferred = matches!(status, 429 | 503);
-        if deferred && may_have_run && self.effect_of(id) == Some(Effect::Mutating) {
+        if deferred && may_have_run && self.effect_of(id) == Some(Effect::NonIdempotent) {
             self.breaks(
                 2,
                 at,
@@ -331,10 +331,10 @@
         if let Some(first) = first {
             match class.effect {
                 Effect::ReadOnly => {}
-                Effect::Mutating => how.push(format!(
+                Effect::NonIdempotent => how.push(format!(
                     "{id} was sent to {engine} again though it may have run"
                 )),
-                Effect::Tokened => {
+                Effect::IdempotencyKey => {
                     let of = |name: &str| self.engines.get(name).map(|e| (e.zone.clone(), e.cell));
                     let (was, is) = (of(&first.engine), of(engine));
                     let same = match class.scope {
@@ -369,7 +369,7 @@
             .get(id)
             .and_then(|query| self.rules.classes.get(&query.class));
         // A token recognised within its group applies once; a stand-in engine does not keep tokens.
-        if class.is_some_and(|class| class.effect == Effect::Mutating) {
+        if class.is_some_and(|class| class.effect == Effect::NonIdempotent) {
             self.breaks(
                 2,
                 at,
@@ -511,12 +511,12 @@
         };
         let keyed = ClassRules {
             in_order: true,
-            ..ClassRules::of(Effect::Mutating)
+            ..ClassRules::of(Effect::NonIdempotent)
         };
         let tokened = ClassRules {
             scope: Scope::Zone,
             window: 1000.0,
-            ..ClassRules::of(Effect::Tokened)
+            ..ClassRules::of(Effect::IdempotencyKey)
         };
         Rules {
             slack: 50.0,
@@ -535,7 +535,7 @@
             }),
             classes: HashMap::from([
                 ("look".to_owned(), ClassRules::of(Effect::ReadOnly)),
-                ("load".to_owned(), ClassRules::of(Effect::Mutating)),
+                ("load".to_owned(), ClassRules::of(Effect::NonIdempotent)),
                 ("keyed".to_owned(), keyed),
                 ("tokened".to_owned(), tokened),
                 ("bound".to_owned(), bound),
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -86,7 +86,7 @@
     });
     let effect = |kind: &Kind| {
         if kind.changes {
-            Effect::Mutating
+            Effect::NonIdempotent
         } else {
             Effect::ReadOnly
         }
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -126,7 +126,7 @@
 fn rules() -> Rules {
     let effect = |kind: &Kind| {
         if kind.changes {
-            Effect::Mutating
+            Effect::NonIdempotent
         } else {
             Effect::ReadOnly
         }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: scripted clients (`client`), engines (`engine`) and a name service (`names`), the start of the real program
 //! (`program`), the record of a run (`record`), and the checker that judges a record by the seven rules (`check`). It
-//! holds no decision of the dispatcher, and nothing of the product depends on it. All rng comes from a seed.
+//! holds no decision of the dispatcher, and nothing of the product depends on it. All randomness comes from a seed.
 //!
 //! Start reading at [`check::judge`], then at [`demo::run`].
 
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -291,7 +291,7 @@
                         0.0
                     };
                     let cut = rng.random_bool(0.03);
-                    let end = if cut { End::CutOff } else { End::Finished };
+                    let end = if cut { End::CutOff } else { End::Completed };
                     latency *= if cut { rng.random_range(0.2..0.9) } else { 1.0 };
                     let read = statements.read(text.as_bytes());
                     let seen = Observation {
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -176,7 +176,7 @@
 fn rules(arm: Arm) -> Rules {
     let effect = |class: &str| match (arm, class) {
         (Arm::GuessLookUp | Arm::GuessReport, _) | (_, "look-up" | "report") => Effect::ReadOnly,
-        _ => Effect::Mutating,
+        _ => Effect::NonIdempotent,
     };
     let classes: HashMap<String, ClassRules> = ["look-up", "report", "load", "unknown"]
         .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -162,7 +162,7 @@
     let mut outcome = outcome.lock().expect("no holder panics").clone();
     let effect = |kind: &Kind| {
         if kind.7 {
-            Effect::Mutating
+            Effect::NonIdempotent
         } else {
             Effect::ReadOnly
         }
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -32,7 +32,7 @@
 /// An engine as listed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
-    pub node: u64,
+    pub engine_id: u64,
     pub zone: String,
     pub cores: f64,
     pub ready: bool,
@@ -50,7 +50,7 @@
 /// What was seen, of which engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Seen {
-    pub node: u64,
+    pub engine_id: u64,
     pub kind: Kind,
 }
 
@@ -135,7 +135,7 @@
 #[derive(Debug, Clone)]
 pub struct Judge {
     definition: Definition,
-    /// By node; sorted, so that nothing hangs on the order of a hash.
+    /// By engine_id; sorted, so that nothing hangs on the order of a hash.
     engines: BTreeMap<u64, Known>,
     zones: Vec<Zone>,
     peers: Vec<Peer>,
@@ -269,11 +269,11 @@
             };
             let known = self
                 .engines
-                .remove(&engine.node)
+                .remove(&engine.engine_id)
                 .filter(|known| known.zone == zone)
                 .unwrap_or(fresh);
             next.insert(
-                engine.node,
+                engine.engine_id,
                 Known {
                     cores: engine.cores,
                     ready: engine.ready,
@@ -300,7 +300,7 @@
     pub fn seen(&mut self, now: f64, seen: Seen) {
         self.now = self.now.max(now);
         let now = self.now;
-        let Some(known) = self.engines.get_mut(&seen.node) else {
+        let Some(known) = self.engines.get_mut(&seen.engine_id) else {
             return;
         };
         let zone = &mut self.zones[known.zone];
@@ -542,7 +542,7 @@
             .engines
             .iter()
             .filter(|(_, e)| e.zone == zone && e.ready)
-            .map(|(node, _)| *node)
+            .map(|(engine_id, _)| *engine_id)
             .collect();
         let known = &mut self.zones[zone];
         (known.probed, known.next) = (now, known.next.wrapping_add(1));
@@ -618,7 +618,7 @@
                 spill_by_class: classes.iter().map(|class| part(Some(class))).collect(),
             }
         });
-        let engines = self.engines.iter().map(|(node, known)| {
+        let engines = self.engines.iter().map(|(engine_id, known)| {
             let whole = known.cores * self.definition.climb.whole * share;
             let threads = match self.zones[known.zone].state {
                 ZoneState::Well => f64::INFINITY,
@@ -626,7 +626,7 @@
                 ZoneState::Cut => 0.0,
             };
             EnginePlan {
-                node: *node,
+                engine_id: *engine_id,
                 threads,
             }
         });
--- a/crates/zone-routing/src/plan.rs
+++ b/crates/zone-routing/src/plan.rs
@@ -16,7 +16,7 @@
 /// An engine: how many of our threads it may have; none while its zone is cut, all while it is well.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePlan {
-    pub node: u64,
+    pub engine_id: u64,
     pub threads: f64,
 }
 
--- a/crates/zone-routing/tests/cuts.rs
+++ b/crates/zone-routing/tests/cuts.rs
@@ -58,7 +58,7 @@
     now: f64,
 }
 
-fn node(zone: usize, engine: usize) -> u64 {
+fn engine_id(zone: usize, engine: usize) -> u64 {
     (zone * 100 + engine) as u64
 }
 
@@ -76,7 +76,7 @@
     fn engines(&self, ready: impl Fn(usize, usize) -> bool) -> Vec<Engine> {
         let of = |(zone, (name, many)): (usize, &(&'static str, usize))| {
             let engine = |n| Engine {
-                node: node(zone, n),
+                engine_id: engine_id(zone, n),
                 zone: name.to_string(),
                 cores: 8.0,
                 ready: ready(zone, n),
@@ -107,7 +107,7 @@
                         self.judge.seen(
                             self.now,
                             Seen {
-                                node: node(zone, engine),
+                                engine_id: engine_id(zone, engine),
                                 kind,
                             },
                         );
@@ -127,7 +127,7 @@
         self.plan()
             .engines
             .iter()
-            .filter(|e| e.node / 100 == zone as u64)
+            .filter(|e| e.engine_id / 100 == zone as u64)
             .map(|e| e.threads)
             .sum()
     }
@@ -360,7 +360,7 @@
     let engines: Vec<Engine> = world
         .engines(|_, _| true)
         .into_iter()
-        .filter(|e| e.node >= 100 || e.node == 0)
+        .filter(|e| e.engine_id >= 100 || e.engine_id == 0)
         .collect();
     world.judge.listed(world.now, &engines);
     assert_eq!(
@@ -403,14 +403,14 @@
     let mut engines = world.engines(|_, _| true);
     engines
         .iter_mut()
-        .filter(|e| e.node < 100)
-        .for_each(|e| e.node += 50);
+        .filter(|e| e.engine_id < 100)
+        .for_each(|e| e.engine_id += 50);
     world.judge.listed(world.now, &engines);
     assert_eq!(world.threads(0), 0.0);
     world.judge.seen(
         world.now + 50.0,
         Seen {
-            node: 50,
+            engine_id: 50,
             kind: Kind::Heard,
         },
     );
@@ -493,7 +493,7 @@
     }
     assert_eq!(probed.len(), 8);
     assert!(
-        probed.iter().all(|node| *node < 100) && probed[0] != probed[1],
+        probed.iter().all(|engine_id| *engine_id < 100) && probed[0] != probed[1],
         "{probed:?}"
     );
     // Where no probe is sent and all go elsewhere, it is tried with a first part, and cut again if it fails.
--- a/src/control.rs
+++ b/src/control.rs
@@ -130,16 +130,16 @@
 
     pub fn listed(
         &mut self,
-        node: u64,
+        engine_id: u64,
         kind: &str,
         zone: &str,
         status: EngineStatus,
         start: Option<f64>,
         cell: u32,
     ) {
-        let (i, first) = self.slot_of(node);
+        let (i, first) = self.slot_of(engine_id);
         if first {
-            let engine = Engine::read(&self.told, node, kind, zone, cell, &mut self.door);
+            let engine = Engine::read(&self.told, engine_id, kind, zone, cell, &mut self.door);
             self.zones.resize(
                 self.zones.len().max(engine.zone as usize + 1),
                 Paces::default(),
@@ -514,7 +514,7 @@
         engine.add(&s, q.low, g.threads, g.load.then_some((q.tables, q.due)));
         q.attempts[q.count] = s;
         q.count += 1;
-        let (id, node, low) = (q.id, engine.node, q.low);
+        let (id, engine_id, low) = (q.id, engine.engine_id, q.low);
         let bounds = Bounds {
             until: q.due,
             begin_by,
@@ -533,7 +533,7 @@
                 },
             );
         }
-        out.submit(id, node, bounds);
+        out.submit(id, engine_id, bounds);
     }
 
     /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
@@ -617,7 +617,7 @@
                 .engines
                 .iter()
                 .filter(|e| e.low_open > 0)
-                .map(|e| (e.node, e.low_threads));
+                .map(|e| (e.engine_id, e.low_threads));
             let collectors =
                 || (0..COLLECTORS.min(self.dispatchers as u32)).filter(|&c| c != self.allowed.me);
             talk::write(talk::OWN, own, |content| {
@@ -631,7 +631,7 @@
                 .engines
                 .iter()
                 .filter(|e| e.ready)
-                .map(|e| (e.node, e.low_threads + e.others));
+                .map(|e| (e.engine_id, e.low_threads + e.others));
             talk::write(talk::SUM, all, |content| out.tell(None, content));
         }
     }
@@ -647,7 +647,7 @@
                     let told = self
                         .engines
                         .iter_mut()
-                        .find(|e| talk::mark_of(e.node) == mark);
+                        .find(|e| talk::mark_of(e.engine_id) == mark);
                     told.into_iter()
                         .for_each(|e| e.others = (all - e.low_threads).max(0.0));
                 }
@@ -664,7 +664,7 @@
         attempt: usize,
         complete: bool,
         outcome: Outcome,
-        node: u64,
+        engine_id: u64,
         latency: f64,
         work: f64,
         memory: f64,
@@ -673,7 +673,7 @@
         let Some(&i) = self.door.queries.get(&id) else {
             return;
         };
-        let Some(e) = self.door.nodes.find(node) else {
+        let Some(e) = self.door.engine_ids.find(engine_id) else {
             return;
         };
         let q = &mut self.queries[i];
@@ -837,8 +837,8 @@
         }
     }
 
-    pub fn probed(&mut self, node: u64, outcome: Outcome) {
-        let Some(e) = self.door.nodes.find(node) else {
+    pub fn probed(&mut self, engine_id: u64, outcome: Outcome) {
+        let Some(e) = self.door.engine_ids.find(engine_id) else {
             return;
         };
         let engine = &mut self.engines[e];
@@ -953,7 +953,7 @@
             };
             if self.allowed.probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
                 engine.probed = now;
-                out.probe(engine.node);
+                out.probe(engine.engine_id);
             }
         }
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -48,6 +48,6 @@
     pub kinds: Names,
     pub zones: Names,
     pub tenants: Names,
-    pub nodes: Numbers,
+    pub engine_ids: Numbers,
     pub queries: FxHashMap<u64, usize>,
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,14 +9,14 @@
 
 /// Takes the decisions as they are made. Times are milliseconds.
 pub trait Writer {
-    /// Sends query `id` to engine `node`.
-    fn submit(&mut self, id: u64, node: u64, bounds: Bounds);
+    /// Sends query `id` to engine `engine_id`.
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds);
     fn defer(&mut self, id: u64, retry_after: f64);
     fn kill(&mut self, id: u64);
     fn cancel(&mut self, id: u64, attempt: usize);
     /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next attempts.
     fn grant(&mut self, id: u64, priority: u8, memory: f64);
-    fn probe(&mut self, node: u64);
+    fn probe(&mut self, engine_id: u64);
     /// Sends a few bytes to another dispatcher, or to all others, where the site lets them talk.
     fn tell(&mut self, peer: Option<u32>, content: &[u8]);
     fn timer(&mut self, delay: f64, handle: u64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,8 +57,8 @@
 impl Control {
     /// Where an engine is kept, and whether it is new. A new one takes the place of one that is gone and that no
     /// query refers to: where engines are replaced all day, what is kept of them grows no further.
-    pub fn slot_of(&mut self, node: u64) -> (usize, bool) {
-        if let Some(i) = self.door.nodes.find(node) {
+    pub fn slot_of(&mut self, engine_id: u64) -> (usize, bool) {
+        if let Some(i) = self.door.engine_ids.find(engine_id) {
             return (i, false);
         }
         let refers = |e: usize| {
@@ -68,9 +68,11 @@
         };
         let gone = |&e: &usize| !self.engines[e].listed && !self.engines[e].ready && !refers(e);
         let Some(i) = (0..self.engines.len()).find(gone) else {
-            return (self.door.nodes.index(node), true);
+            return (self.door.engine_ids.index(engine_id), true);
         };
-        self.door.nodes.hand_on(self.engines[i].node, node);
+        self.door
+            .engine_ids
+            .hand_on(self.engines[i].engine_id, engine_id);
         self.reports.forget(i);
         (i, true)
     }
@@ -145,7 +147,7 @@
     pub bounds: f64,
     pub demotion: f64,
     pub grants: f64,
-    /// Factor on the time to come back, and the part of it that rng spreads.
+    /// Factor on the time to come back, and the part of it that is spread at random.
     pub retry: f64,
     pub spread: f64,
     /// Low work gets no further attempts.
@@ -415,7 +417,7 @@
 /// An engine, as listed, and what this dispatcher has there and knows of it.
 #[derive(Debug, Clone)]
 pub struct Engine {
-    pub node: u64,
+    pub engine_id: u64,
     pub kind: u32,
     pub zone: u32,
     pub cell: u32,
@@ -460,7 +462,14 @@
 }
 
 impl Engine {
-    pub fn read(told: &Map, node: u64, kind: &str, zone: &str, cell: u32, door: &mut Door) -> Self {
+    pub fn read(
+        told: &Map,
+        engine_id: u64,
+        kind: &str,
+        zone: &str,
+        cell: u32,
+        door: &mut Door,
+    ) -> Self {
         let cores = told
             .of_kind(kind, "family-info.cores-by-kind")
             .unwrap_or(1.0);
@@ -469,7 +478,7 @@
             .unwrap_or(0.0);
         let (kind, zone) = (door.kinds.index(kind), door.zones.index(zone));
         Engine {
-            node,
+            engine_id,
             kind,
             zone,
             cell,
@@ -569,7 +578,11 @@
         let (told, kept) = &mut self.0[peer as usize];
         *told = now;
         kept.clear();
-        let find = |mark| engines.iter().position(|e| talk::mark_of(e.node) == mark);
+        let find = |mark| {
+            engines
+                .iter()
+                .position(|e| talk::mark_of(e.engine_id) == mark)
+        };
         kept.extend(talk::read(content).filter_map(|(mark, threads)| Some((find(mark)?, threads))));
     }
 
--- a/src/talk.rs
+++ b/src/talk.rs
@@ -6,8 +6,8 @@
 const ENTRY: usize = 3;
 const MOST_ENTRIES: usize = 85;
 
-pub fn mark_of(node: u64) -> [u8; 2] {
-    let mixed = (node as u32).wrapping_mul(0x9E37_79B1).to_be_bytes();
+pub fn mark_of(engine_id: u64) -> [u8; 2] {
+    let mixed = (engine_id as u32).wrapping_mul(0x9E37_79B1).to_be_bytes();
     [mixed[0], mixed[1]]
 }
 
@@ -16,12 +16,12 @@
     let mut bytes = [0; 1 + ENTRY * MOST_ENTRIES];
     bytes[0] = kind;
     let mut end = 1;
-    for (node, threads) in threads {
+    for (engine_id, threads) in threads {
         if end == bytes.len() {
             message(&bytes);
             end = 1;
         }
-        let [a, b] = mark_of(node);
+        let [a, b] = mark_of(engine_id);
         bytes[end..end + ENTRY].copy_from_slice(&[a, b, threads.clamp(0.0, 255.0) as u8]);
         end += ENTRY;
     }
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -132,8 +132,8 @@
                 room.set(*threads, self.now);
             }
         }
-        for (node, threads) in &given.engines {
-            let Some(e) = self.door.nodes.find(*node) else {
+        for (engine_id, threads) in &given.engines {
+            let Some(e) = self.door.engine_ids.find(*engine_id) else {
                 continue;
             };
             self.tiers
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -295,7 +295,7 @@
         let at = 1.0 + 10.0 * id as f64;
         ask_for(&mut c, at, id, "tok", 100.0, Some(id), 0);
         let i = c.door.queries[&id];
-        let node = c.engines[c.queries[i].sent()[0].engine].node;
+        let engine_id = c.engines[c.queries[i].sent()[0].engine].engine_id;
         // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
         let outcome = if id % 4 == 0 {
             Outcome::Cancelled
@@ -303,14 +303,14 @@
             Outcome::Completed
         };
         round(&mut c, at + 1.0, |c, out| c.vanished(id, out));
-        close(&mut c, at + 2.0, id, 0, outcome, node);
+        close(&mut c, at + 2.0, id, 0, outcome, engine_id);
     }
     assert!(c.lines.kept() < 60, "{}", c.lines.kept());
     // A key that is used over and over stays one, and its rest holds.
     ask_for(&mut c, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
-    let node = c.engines[c.queries[c.door.queries[&2000]].sent()[0].engine].node;
+    let engine_id = c.engines[c.queries[c.door.queries[&2000]].sent()[0].engine].engine_id;
     round(&mut c, 20_001.0, |c, out| c.vanished(2000, out));
-    close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, node);
+    close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, engine_id);
     assert!(
         ask_for(&mut c, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(),
         "the key rests"
@@ -516,8 +516,8 @@
         ask(&mut c, 1.0, id, "look", 10.0);
         for attempt in 0..4 {
             let i = c.door.queries[&id];
-            let node = c.engines[c.queries[i].attempts[attempt].engine].node;
-            close(&mut c, 2.0, id, attempt, Outcome::Error, node);
+            let engine_id = c.engines[c.queries[i].attempts[attempt].engine].engine_id;
+            close(&mut c, 2.0, id, attempt, Outcome::Error, engine_id);
         }
         assert!(
             !c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect),
@@ -525,8 +525,8 @@
         );
         for id in 10..20 {
             ask(&mut c, 3.0, id, "look", 10.0);
-            let node = c.engines[c.queries[c.door.queries[&id]].attempts[0].engine].node;
-            close(&mut c, 4.0, id, 0, Outcome::Completed, node);
+            let engine_id = c.engines[c.queries[c.door.queries[&id]].attempts[0].engine].engine_id;
+            close(&mut c, 4.0, id, 0, Outcome::Completed, engine_id);
         }
     }
 }
@@ -540,7 +540,7 @@
             .queries
             .get(&id)
             .and_then(|&i| c.queries[i].sent().last());
-        last.map_or(0, |s| c.engines[s.engine].node)
+        last.map_or(0, |s| c.engines[s.engine].engine_id)
     };
     (0..8).for_each(|id| drop(ask(&mut c, 1.0, id, "rep", 10.0)));
     let hung: Vec<u64> = (0..8).filter(|&id| on(&c, id) == 1).collect();
@@ -557,9 +557,9 @@
     let mut went = |rg: &str, from: u64, at: f64| -> Vec<u64> {
         let one = |id| {
             ask(&mut c, at, id, rg, 10.0);
-            let node = on(&c, id);
-            close(&mut c, at + 100.0, id, 0, Outcome::Completed, node);
-            node
+            let engine_id = on(&c, id);
+            close(&mut c, at + 100.0, id, 0, Outcome::Completed, engine_id);
+            engine_id
         };
         (from..from + 12).map(one).collect()
     };
@@ -573,23 +573,23 @@
 fn engines_replaced_all_day_leave_nothing_behind_and_what_is_out_on_one_keeps_it() {
     let mut c = dispatcher("", ONE);
     ask(&mut c, 1.0, 7, "load", 10.0);
-    for node in 2..200 {
-        round(&mut c, node as f64, |c, out| {
+    for engine_id in 2..200 {
+        round(&mut c, engine_id as f64, |c, out| {
             c.list_begins(ListForm::Full);
-            c.listed(node, "small", "h1", EngineStatus::Ready, Some(T0), 0);
+            c.listed(engine_id, "small", "h1", EngineStatus::Ready, Some(T0), 0);
             c.list_ends(ListForm::Full, out);
         });
         let ready: Vec<u64> = c
             .engines
             .iter()
             .filter(|e| e.ready)
-            .map(|e| e.node)
+            .map(|e| e.engine_id)
             .collect();
-        assert_eq!(ready, [node]);
+        assert_eq!(ready, [engine_id]);
     }
     assert!(c.engines.len() <= 3, "{}", c.engines.len());
     // The load on the first engine is still known there, and its end is heard.
-    assert_eq!((c.engines[0].node, c.engines[0].open), (1, 1));
+    assert_eq!((c.engines[0].engine_id, c.engines[0].open), (1, 1));
     close(&mut c, 300.0, 7, 0, Outcome::Completed, 1);
     assert_eq!((c.queries.len(), c.engines[0].open), (0, 0));
 }
@@ -1001,9 +1001,9 @@
                 out,
             )
             .unwrap();
-            let node = c.engines[c.queries[c.door.queries[&1]].attempts[0].engine].node;
+            let engine_id = c.engines[c.queries[c.door.queries[&1]].attempts[0].engine].engine_id;
             c.now = T0 + 100.0;
-            c.closed(1, 0, false, Outcome::Reset, node, 100.0, 0.0, 0.0, out);
+            c.closed(1, 0, false, Outcome::Reset, engine_id, 100.0, 0.0, 0.0, out);
         })),
         &mut kept,
     );
@@ -1027,8 +1027,8 @@
     assert_eq!(c.alone(c.door.queries[&2]), 500.0);
     for id in 0..2 {
         let i = c.door.queries[&id];
-        let node = c.engines[c.queries[i].attempts[0].engine].node;
-        close(&mut c, 200.0, id, 0, Outcome::Completed, node);
+        let engine_id = c.engines[c.queries[i].attempts[0].engine].engine_id;
+        close(&mut c, 200.0, id, 0, Outcome::Completed, engine_id);
     }
     assert!(!starts(&round(&mut c, 600.0, |_, _| ()), "cancel"));
     let decided = ask(&mut c, 610.0, 9, "look", 0.0);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -27,9 +27,9 @@
 pub struct Kept(pub Vec<String>, pub Vec<Bounds>);
 
 impl Writer for Kept {
-    fn submit(&mut self, id: u64, node: u64, bounds: Bounds) {
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
         self.1.push(bounds);
-        self.0.push(format!("submit {id} {node}"));
+        self.0.push(format!("submit {id} {engine_id}"));
     }
     fn defer(&mut self, id: u64, retry_after: f64) {
         self.0.push(format!("defer {id} {retry_after}"));
@@ -43,8 +43,8 @@
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.0.push(format!("grant {id} {priority} {memory}"));
     }
-    fn probe(&mut self, node: u64) {
-        self.0.push(format!("probe {node}"));
+    fn probe(&mut self, engine_id: u64) {
+        self.0.push(format!("probe {engine_id}"));
     }
     fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
         self.0.push(format!("tell {peer:?} {content:?}"));
@@ -128,11 +128,11 @@
     id: u64,
     sub: usize,
     outcome: Outcome,
-    node: u64,
+    engine_id: u64,
 ) -> Vec<String> {
     let complete = outcome == Outcome::Completed;
     round(c, at, |c, out| {
-        c.closed(id, sub, complete, outcome, node, 100.0, 0.0, 0.0, out)
+        c.closed(id, sub, complete, outcome, engine_id, 100.0, 0.0, 0.0, out)
     })
 }
 
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -47,22 +47,23 @@
 #[test]
 fn the_nearest_zone_comes_first_and_the_other_takes_what_may_spill() {
     let mut c = planned(&given(4.0, f64::INFINITY));
-    assert!((0..40).all(|id| to(&ask(&mut c, 1.0, id, "look", 10.0)).is_some_and(|node| node <= 2)));
+    assert!((0..40)
+        .all(|id| to(&ask(&mut c, 1.0, id, "look", 10.0)).is_some_and(|engine_id| engine_id <= 2)));
     // The own zone is closed: reports of two threads spill, two of them.
     let mut c = planned(&given(4.0, 0.0));
     let sent: Vec<Option<u64>> = (0..6)
         .map(|id| to(&ask(&mut c, 1.0, id, "rep", 100.0)))
         .collect();
     assert_eq!(sent.iter().flatten().count(), 2, "{sent:?}");
-    assert!(sent.iter().flatten().all(|node| *node >= 3));
+    assert!(sent.iter().flatten().all(|engine_id| *engine_id >= 3));
     assert_eq!(c.spilled("h2"), 4.0);
     // Each that ends leaves its room to the next.
-    let (id, node) = sent
+    let (id, engine_id) = sent
         .iter()
         .enumerate()
-        .find_map(|(id, node)| Some((id as u64, (*node)?)))
+        .find_map(|(id, engine_id)| Some((id as u64, (*engine_id)?)))
         .unwrap();
-    close(&mut c, 50.0, id, 0, Outcome::Completed, node);
+    close(&mut c, 50.0, id, 0, Outcome::Completed, engine_id);
     assert!(to(&ask(&mut c, 51.0, 99, "rep", 100.0)).is_some());
 }
 
@@ -89,16 +90,20 @@
 #[test]
 fn rule_2_a_load_that_may_have_run_in_the_lost_zone_is_not_sent_to_the_other() {
     let mut c = planned(&given(100.0, f64::INFINITY));
-    let node = to(&ask(&mut c, 1.0, 1, "load", 100.0)).unwrap();
-    assert!(node <= 2);
+    let engine_id = to(&ask(&mut c, 1.0, 1, "load", 100.0)).unwrap();
+    assert!(engine_id <= 2);
     c.plan_zones(Some(&given(100.0, 0.0)));
-    assert_eq!(close(&mut c, 2.0, 1, 0, Outcome::Reset, node), ["kill 1"]);
+    assert_eq!(
+        close(&mut c, 2.0, 1, 0, Outcome::Reset, engine_id),
+        ["kill 1"]
+    );
     // A tokened one whose dedup group is the zone neither.
     let mut c = dispatcher("balancers=1 services.3.dedup-scope=zone", ZONES);
     c.plan_zones(Some(&given(100.0, f64::INFINITY)));
-    let node = to(&ask(&mut c, 1.0, 1, "tok", 100.0)).unwrap();
+    let engine_id = to(&ask(&mut c, 1.0, 1, "tok", 100.0)).unwrap();
     c.plan_zones(Some(&given(100.0, 0.0)));
-    assert!(to(&close(&mut c, 2.0, 1, 0, Outcome::Timeout, node)).is_none_or(|node| node <= 2));
+    assert!(to(&close(&mut c, 2.0, 1, 0, Outcome::Timeout, engine_id))
+        .is_none_or(|engine_id| engine_id <= 2));
 }
 
 #[test]
@@ -109,7 +114,7 @@
         .filter_map(|id| to(&ask(&mut c, 1.0, id, "look", 100.0)))
         .collect();
     assert_eq!(
-        sent.iter().filter(|node| **node <= 2).count(),
+        sent.iter().filter(|engine_id| **engine_id <= 2).count(),
         6,
         "{sent:?}"
     );
@@ -118,9 +123,9 @@
     let mut sent = 0;
     for n in 0..2000_u64 {
         let at = n as f64 * 10.0;
-        if let Some(node) = to(&ask(&mut c, at, n, "look", 100.0)) {
-            sent += u64::from(node <= 2);
-            close(&mut c, at + 5.0, n, 0, Outcome::Completed, node);
+        if let Some(engine_id) = to(&ask(&mut c, at, n, "look", 100.0)) {
+            sent += u64::from(engine_id <= 2);
+            close(&mut c, at + 5.0, n, 0, Outcome::Completed, engine_id);
         }
     }
     // Two engines for 20 s.
@@ -133,14 +138,15 @@
     c.plan_zones(Some(&given(100.0, f64::INFINITY)));
     let mut crossed = 0;
     for id in 0..60 {
-        let Some(node) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else {
+        let Some(engine_id) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else {
             continue;
         };
         // All of the own zone fails at once.
         c.engines[0].ready = false;
         c.engines[1].ready = false;
         crossed += u32::from(
-            to(&close(&mut c, 1.0, id, 0, Outcome::Error, node)).is_some_and(|node| node >= 3),
+            to(&close(&mut c, 1.0, id, 0, Outcome::Error, engine_id))
+                .is_some_and(|engine_id| engine_id >= 3),
         );
         c.engines[0].ready = true;
         c.engines[1].ready = true;
@@ -162,9 +168,9 @@
 #[test]
 fn without_a_plan_all_is_as_it_was_and_what_was_counted_comes_back() {
     let mut c = planned(&given(4.0, 0.0));
-    let node = to(&ask(&mut c, 1.0, 1, "rep", 100.0)).unwrap();
+    let engine_id = to(&ask(&mut c, 1.0, 1, "rep", 100.0)).unwrap();
     c.plan_zones(None);
     assert!(to(&ask(&mut c, 2.0, 2, "rep", 100.0)).is_some());
-    close(&mut c, 3.0, 1, 0, Outcome::Completed, node);
+    close(&mut c, 3.0, 1, 0, Outcome::Completed, engine_id);
     assert_eq!(c.spilled("h2"), 0.0);
 }
