--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -34,7 +34,7 @@
             up_to(until)
         );
     }
-    fn defer(&mut self, id: u64, retry_after: f64) {
+    fn reject(&mut self, id: u64, retry_after: f64) {
         action!(
             self,
             "not_now {} {id} {}",
@@ -42,7 +42,7 @@
             up_to(retry_after)
         );
     }
-    fn kill(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         action!(self, "error {} {id}", self.dispatcher);
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
--- a/crates/dispatcher/src/cli.rs
+++ b/crates/dispatcher/src/cli.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Decides which engine of a pool runs each query, and which queries are deferred at once.
+/// Decides which engine of a pool runs each query, and which queries are rejected at once.
 ///
 /// Exit codes: 0 done, 1 a fault was found or the start failed, 2 the call was wrong.
 #[derive(Debug, Parser)]
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -681,7 +681,7 @@
                 parts[0] = &head;
                 self.write(stream, &parts).await
             }
-            Answer::Deferred(retry_after) => {
+            Answer::Rejected(retry_after) => {
                 let body = b"{\"error\":\"TryLater\"}";
                 let head = answer_head(
                     429,
@@ -691,7 +691,7 @@
                 );
                 self.write(stream, &[&head, body]).await
             }
-            Answer::Killed => {
+            Answer::Failed => {
                 self.write_plain(stream, 500, "{\"error\":\"Killed\"}", keep_alive)
                     .await
             }
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -51,11 +51,11 @@
 ];
 
 counters! {
-    /// Queries: taken = finished + deferred + killed + vanished + those in hand without an answer.
+    /// Queries: taken = finished + rejected + failed + vanished + those in hand without an answer.
     taken: "taken",
     finished: "finished",
-    deferred: "deferred",
-    killed: "killed",
+    rejected: "deferred",
+    failed: "killed",
     vanished: "vanished",
     /// Requests that never became a query, and answers that could not be written out.
     requests_rejected: "requests_rejected",
@@ -103,7 +103,7 @@
         }
         let ended: u64 = self.ended.iter().map(Count::get).sum();
         let answered =
-            [&self.finished, &self.deferred, &self.killed, &self.vanished].map(Count::get);
+            [&self.finished, &self.rejected, &self.failed, &self.vanished].map(Count::get);
         let _ = writeln!(
             text,
             "submissions_out {}",
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -430,7 +430,7 @@
                     );
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
-                        self.exchange.answer(query, Answer::Killed);
+                        self.exchange.answer(query, Answer::Failed);
                     }
                 }
                 Event::Vanished { query } => {
@@ -524,12 +524,12 @@
     query: u64,
     now: f64,
     finished: bool,
-    deferred: bool,
+    rejected: bool,
 ) {
     let owed = !exchange.over(query);
     exchange.with(query, |q| {
         if owed {
-            levels.ended(now, &q.rg, now - q.since, q.cost, finished, deferred);
+            levels.ended(now, &q.rg, now - q.since, q.cost, finished, rejected);
         }
     });
 }
@@ -553,13 +553,13 @@
     fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
         self.exchange.submit(id, engine_id, bounds);
     }
-    fn defer(&mut self, id: u64, retry_after: f64) {
+    fn reject(&mut self, id: u64, retry_after: f64) {
         count(self.exchange, self.levels, id, self.now, false, true);
-        self.exchange.answer(id, Answer::Deferred(retry_after));
+        self.exchange.answer(id, Answer::Rejected(retry_after));
     }
-    fn kill(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         count(self.exchange, self.levels, id, self.now, false, false);
-        self.exchange.answer(id, Answer::Killed);
+        self.exchange.answer(id, Answer::Failed);
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
         self.exchange.cancel(id, attempt);
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -93,7 +93,7 @@
     side.carry_out();
     assert!(taken_back(&exchange));
     let (exchange, side, query, _slot) = waiting(LONG);
-    assert!(exchange.answer(query, crate::exchange::Answer::Killed));
+    assert!(exchange.answer(query, crate::exchange::Answer::Failed));
     side.carry_out();
     assert!(taken_back(&exchange));
 }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -103,8 +103,8 @@
 #[derive(Debug)]
 pub enum Answer {
     Completed(Pages),
-    Deferred(f64),
-    Killed,
+    Rejected(f64),
+    Failed,
 }
 
 /// Where the client's connection waits for its answer.
@@ -349,14 +349,14 @@
         };
         match answer {
             Answer::Completed(_) => &self.counters.finished,
-            Answer::Deferred(_) => &self.counters.deferred,
-            Answer::Killed => &self.counters.killed,
+            Answer::Rejected(_) => &self.counters.rejected,
+            Answer::Failed => &self.counters.failed,
         }
         .add();
         let outcome = match answer {
             Answer::Completed(_) => "finished",
-            Answer::Deferred(_) => "deferred",
-            Answer::Killed => "killed",
+            Answer::Rejected(_) => "deferred",
+            Answer::Failed => "killed",
         };
         tracing::debug!(query = number, outcome, "answered");
         *slot.answer.borrow_mut() = Some(answer);
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -39,9 +39,9 @@
     assert_eq!(exchange.next_order(), Some(first));
     assert_eq!(exchange.next_order(), None);
     assert!(
-        exchange.answer(query, Answer::Killed) && !exchange.answer(query, Answer::Deferred(1.0))
+        exchange.answer(query, Answer::Failed) && !exchange.answer(query, Answer::Rejected(1.0))
     );
-    assert!(matches!(slot.take(), Some(Answer::Killed)));
+    assert!(matches!(slot.take(), Some(Answer::Failed)));
     // What has not gone out of it by now does not any more, whatever the settings say of cancels.
     assert_eq!(exchange.next_order(), Some(Order::Withdraw { query }));
     exchange.submit(query, 7, BOUNDS);
@@ -62,7 +62,7 @@
         ..ASKED
     };
     assert_eq!(exchange.take(&second).map(|_| ()), Err(NotTaken::NoRoom));
-    exchange.answer(query, Answer::Killed);
+    exchange.answer(query, Answer::Failed);
     assert!(exchange.take(&second).is_ok());
 }
 
@@ -72,7 +72,7 @@
     let (query, slot) = exchange.take(&ASKED).unwrap();
     exchange.vanished(query);
     exchange.vanished(query);
-    assert!(!exchange.answer(query, Answer::Killed) && slot.take().is_none());
+    assert!(!exchange.answer(query, Answer::Failed) && slot.take().is_none());
     let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
     assert!(matches!(
         events[..],
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -257,7 +257,7 @@
         self.said.set(now);
         let counters = &self.exchange.counters;
         let good = counters.finished.get() as u32;
-        let all = good.wrapping_add((counters.killed.get() + counters.deferred.get()) as u32);
+        let all = good.wrapping_add((counters.failed.get() + counters.rejected.get()) as u32);
         let bad = self
             .bad
             .get()
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -168,17 +168,17 @@
     }
 
     /// A query of a group ended: with a result after `took` (ms) for so much work, or without one.
-    pub fn ended(&self, now: f64, rg: &str, took: f64, work: f64, finished: bool, deferred: bool) {
+    pub fn ended(&self, now: f64, rg: &str, took: f64, work: f64, finished: bool, rejected: bool) {
         let mut on = self.on.borrow_mut();
         let Some(on) = on.as_mut() else { return };
         let Some(class) = self.group(rg) else { return };
         let (_, target, stretch, threads) = &self.groups[class];
         let late = took > target + stretch * work / threads;
-        let ended = match (finished, deferred) {
+        let ended = match (finished, rejected) {
             (true, _) if late => Ended::Late,
             (true, _) => Ended::InTime,
-            (false, true) => Ended::Deferred,
-            (false, false) => Ended::Killed,
+            (false, true) => Ended::Rejected,
+            (false, false) => Ended::Failed,
         };
         on.windows.take(now, class, ended);
     }
@@ -200,7 +200,7 @@
                 Signal::Pressed(zone) => control.part_pressed(zone.as_deref()),
                 Signal::BoundsUsed => control.part_of_bounds(),
                 Signal::Late(name) => on.windows.late(now, class(name)),
-                Signal::Deferred(name) => on.windows.deferred(now, class(name)),
+                Signal::Rejected(name) => on.windows.rejected(now, class(name)),
                 Signal::Ready => control.part_ready(),
                 Signal::Cold => control.part_cold(),
                 Signal::Doubted => control.part_doubted(),
--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -31,7 +31,7 @@
         term::Signal::Pressed => Signal::Pressed(of),
         term::Signal::BoundsUsed => Signal::BoundsUsed,
         term::Signal::Late => Signal::Late(of),
-        term::Signal::Deferred => Signal::Deferred(of),
+        term::Signal::Deferred => Signal::Rejected(of),
         term::Signal::Ready => Signal::Ready,
         term::Signal::Cold => Signal::Cold,
         term::Signal::Doubted => Signal::Doubted,
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -9,8 +9,8 @@
     BoundsUsed,
     /// Part of the finished queries that came late, of all or of a class.
     Late(Option<String>),
-    /// Part of the queries that were deferred, of all or of a class.
-    Deferred(Option<String>),
+    /// Part of the queries that were rejected, of all or of a class.
+    Rejected(Option<String>),
     /// Parts of the listed engines that are ready, cold, or in doubt.
     Ready,
     Cold,
@@ -30,7 +30,7 @@
             Signal::Pressed(zone) => of("pressed", zone),
             Signal::BoundsUsed => "bounds-used".into(),
             Signal::Late(class) => of("late", class),
-            Signal::Deferred(class) => of("deferred", class),
+            Signal::Rejected(class) => of("deferred", class),
             Signal::Ready => "ready".into(),
             Signal::Cold => "cold".into(),
             Signal::Doubted => "doubted".into(),
@@ -41,7 +41,7 @@
 
     /// Whether a deeper level itself may keep it up: such a signal alone must not hold a level.
     fn is_kept_up_by_levels(&self) -> bool {
-        matches!(self, Signal::Deferred(_))
+        matches!(self, Signal::Rejected(_))
     }
 }
 
--- a/crates/service-levels/src/windows.rs
+++ b/crates/service-levels/src/windows.rs
@@ -1,12 +1,12 @@
-//! Late answers and deferrals of the last seconds, by class: counts in buckets of a second.
+//! Late answers and rejections of the last seconds, by class: counts in buckets of a second.
 
 /// How a query ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
     InTime,
     Late,
-    Deferred,
-    Killed,
+    Rejected,
+    Failed,
 }
 
 const BUCKETS: usize = 10;
@@ -19,7 +19,7 @@
     number: u64,
     finished: u32,
     late: u32,
-    deferred: u32,
+    rejected: u32,
     all: u32,
 }
 
@@ -39,7 +39,7 @@
         bucket.all += 1;
         bucket.finished += u32::from(matches!(ended, Ended::InTime | Ended::Late));
         bucket.late += u32::from(ended == Ended::Late);
-        bucket.deferred += u32::from(ended == Ended::Deferred);
+        bucket.rejected += u32::from(ended == Ended::Rejected);
     }
 
     fn sum(&self, number: u64) -> Bucket {
@@ -51,7 +51,7 @@
         {
             sum.finished += bucket.finished;
             sum.late += bucket.late;
-            sum.deferred += bucket.deferred;
+            sum.rejected += bucket.rejected;
             sum.all += bucket.all;
         }
         sum
@@ -92,9 +92,9 @@
         part(sum.late, sum.finished)
     }
 
-    pub fn deferred(&self, now: f64, class: Option<usize>) -> f64 {
+    pub fn rejected(&self, now: f64, class: Option<usize>) -> f64 {
         let sum = self.sum(now, class);
-        part(sum.deferred, sum.all)
+        part(sum.rejected, sum.all)
     }
 }
 
@@ -122,15 +122,15 @@
         (0..4).for_each(|_| windows.take(0.0, 0, Ended::Late));
         assert_eq!(windows.late(0.0, None), 0.0);
         (0..4).for_each(|_| windows.take(500.0, 0, Ended::InTime));
-        windows.take(900.0, 1, Ended::Deferred);
+        windows.take(900.0, 1, Ended::Rejected);
         assert_eq!(
             (windows.late(900.0, None), windows.late(900.0, Some(0))),
             (0.5, 0.5)
         );
         assert_eq!(
             (
-                windows.deferred(900.0, None),
-                windows.deferred(900.0, Some(1))
+                windows.rejected(900.0, None),
+                windows.rejected(900.0, Some(1))
             ),
             (1.0 / 9.0, 0.0)
         );
--- a/crates/service-levels/tests/swings.rs
+++ b/crates/service-levels/tests/swings.rs
@@ -593,7 +593,7 @@
         ("1.act: the same", |d| d.levels[1].reduction.bounds = 0.8),
         ("0.act: nothing", |d| d.levels[0].reduction.bounds = 1.0),
         ("held by deferrals alone", |d| {
-            d.levels[0].enter.all[0].signal = Signal::Deferred(None)
+            d.levels[0].enter.all[0].signal = Signal::Rejected(None)
         }),
         ("would flap", |d| d.levels[0].enter.all[0].enter = f64::NAN),
     ] {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -153,13 +153,13 @@
             until,
         });
     }
-    fn defer(&mut self, id: u64, retry_after: f64) {
+    fn reject(&mut self, id: u64, retry_after: f64) {
         self.0.push(Decided::Defer {
             id,
             wait: retry_after,
         });
     }
-    fn kill(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         self.0.push(Decided::Kill { id });
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! All decisions of tansymux: which engine runs a query, what is deferred, moved, cancelled or killed.
+//! All decisions of tansymux: which engine runs a query, what is rejected, moved, cancelled or failed.
 //!
 //! A protocol (today `crates/adapter`) calls `Control::round` once a round with all that came in. Its feed
 //! calls the handlers below with decoded fields; decisions go straight into the writer. Both traits are in
@@ -536,7 +536,7 @@
         out.submit(id, engine_id, bounds);
     }
 
-    /// Rule 2: whether the query may run again, on `e` if given, else whether a deferral may say so.
+    /// Rule 2: whether the query may run again, on `e` if given, else whether a rejection may say so.
     fn may_repeat(&self, i: usize, e: Option<usize>) -> bool {
         let q = &self.queries[i];
         let g = &self.groups[q.rg];
@@ -867,7 +867,7 @@
 
     // ---- Final answers: every one that is not an engine's passes here ----
 
-    /// Ends the query at once: deferred where a retry is harmless, killed where it may not be.
+    /// Ends the query at once: rejected where a retry is harmless, failed where it may not be.
     fn finish_off(&mut self, i: usize, out: &mut dyn Writer) {
         let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else {
             return;
@@ -875,12 +875,12 @@
         let read_only = q.effect == Effect::ReadOnly;
         if self.may_repeat(i, None) && (read_only || q.open().is_none()) {
             let most = self.allowed.longest_wait;
-            out.defer(
+            out.reject(
                 q.id,
                 self.reduced.retry_after(RETRY_AFTER, most, &mut self.rng),
             );
         } else {
-            out.kill(q.id);
+            out.fail(q.id);
         }
         self.end(i, out);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,8 +11,8 @@
 pub trait Writer {
     /// Sends query `id` to engine `engine_id`.
     fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds);
-    fn defer(&mut self, id: u64, retry_after: f64);
-    fn kill(&mut self, id: u64);
+    fn reject(&mut self, id: u64, retry_after: f64);
+    fn fail(&mut self, id: u64);
     fn cancel(&mut self, id: u64, attempt: usize);
     /// Priority and memory grant (MB, 0 leaves it to the engine) of the query's next attempts.
     fn grant(&mut self, id: u64, priority: u8, memory: f64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -188,7 +188,7 @@
         }
     }
 
-    /// When the deferred may come back: up to `most`, spread so that they don't come together.
+    /// When the rejected may come back: up to `most`, spread so that they don't come together.
     pub fn retry_after(&self, usual: f64, most: f64, rng: &mut Pcg) -> f64 {
         let wait = (usual * self.retry * (1.0 + self.spread)).min(most);
         if self.spread > 0.0 {
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -12,7 +12,7 @@
     pub engines: Vec<(u64, f64)>,
     /// Of the further attempts this part may go to another zone than the last one.
     pub cross_retries: f64,
-    /// This dispatcher is cut off itself: low work is better deferred at once than sent into silence.
+    /// This dispatcher is cut off itself: low work is better rejected at once than sent into silence.
     pub alone: bool,
 }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -35,7 +35,7 @@
     ask(&mut c, 1.0, 1, "load", 100.0);
     assert_eq!(
         close(&mut c, 20_001.0, 1, 0, Outcome::Timeout, 1),
-        ["kill 1"]
+        ["fail 1"]
     );
     assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Completed, 1).is_empty());
     assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
@@ -77,7 +77,7 @@
             "{wait} {cost}: {decided:?}"
         );
         assert_eq!(
-            starts(&decided, "defer 1"),
+            starts(&decided, "reject 1"),
             !goes,
             "{wait} {cost}: {decided:?}"
         );
@@ -125,13 +125,13 @@
     assert_eq!(again, [format!("submit 1 {}", 3 - first)]);
     assert_eq!(
         close(&mut c, 3.0, 1, 1, Outcome::Reset, 3 - first),
-        ["kill 1"]
+        ["fail 1"]
     );
 }
 
 #[test]
 fn rule_2_a_tokened_query_goes_again_only_inside_its_window() {
-    for (at, then) in [(9_000.0, "submit 1"), (10_500.0, "kill 1")] {
+    for (at, then) in [(9_000.0, "submit 1"), (10_500.0, "fail 1")] {
         let mut c = dispatcher("", ONE);
         ask(&mut c, 1.0, 1, "tok", 100.0);
         assert!(starts(&close(&mut c, at, 1, 0, Outcome::Error, 1), then));
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn rule_2_a_tokened_query_stays_in_its_zone_and_is_killed_without_one() {
+fn rule_2_a_tokened_query_stays_in_its_zone_and_is_failed_without_one() {
     let mut c = dispatcher(
         "services.3.dedup-scope=zone",
         &[("small", "h1"), ("small", "h2")],
@@ -149,7 +149,7 @@
     c.engines[first].ready = false;
     assert_eq!(
         close(&mut c, 2.0, 1, 0, Outcome::Error, first as u64 + 1),
-        ["kill 1"]
+        ["fail 1"]
     );
 }
 
@@ -171,7 +171,7 @@
         c.list_begins(ListForm::Full);
         c.list_ends(ListForm::Full, out);
     });
-    assert!(starts(&ask(&mut c, 4.0, 99, "look", 10.0), "defer 99"));
+    assert!(starts(&ask(&mut c, 4.0, 99, "look", 10.0), "reject 99"));
 }
 
 fn cold_dispatcher() -> Control {
@@ -194,7 +194,7 @@
         .filter(|&id| starts(&ask(&mut c, 2.0, id, "look", 100.0), "submit"))
         .count();
     assert!((20..=61).contains(&sent), "{sent} x 100 ms");
-    assert!(starts(&ask(&mut c, 2_900.0, 900, "look", 100.0), "defer"));
+    assert!(starts(&ask(&mut c, 2_900.0, 900, "look", 100.0), "reject"));
     round(&mut c, 3_050.0, |_, _| ());
     assert!(
         starts(&ask(&mut c, 3_100.0, 901, "look", 100.0), "submit"),
@@ -322,8 +322,8 @@
 #[test]
 fn rule_6_bound_queries_go_nowhere_else_even_when_theirs_are_gone() {
     let mut c = dispatcher("services.0.kinds-open=big services.1.confined-to=h2", ONE);
-    assert!(starts(&ask(&mut c, 1.0, 1, "look", 10.0), "defer 1"));
-    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 10.0), "defer 2"));
+    assert!(starts(&ask(&mut c, 1.0, 1, "look", 10.0), "reject 1"));
+    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 10.0), "reject 2"));
 }
 
 #[test]
@@ -373,7 +373,7 @@
     press(&mut c, 0);
     assert_eq!(
         ask(&mut c, 1.0, 3, "rep", 100.0),
-        ["defer 3 300"],
+        ["reject 3 300"],
         "at once, within the told limit"
     );
     assert!(
@@ -406,7 +406,7 @@
             c.engines[0].bound,
         ) = (1, 2.0, 0.5);
         mark(&mut c);
-        assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), "defer"));
+        assert!(starts(&ask(&mut c, 1000.0, 1, "rep", 100.0), "reject"));
     }
 }
 
@@ -688,7 +688,7 @@
         ),
         "at ease"
     );
-    assert!(starts(&from(302, "rep", "a", |c| press(c, 0)), "defer"));
+    assert!(starts(&from(302, "rep", "a", |c| press(c, 0)), "reject"));
     assert!(starts(&from(303, "rep", "b", |_| ()), "submit"));
 }
 
@@ -730,7 +730,7 @@
         starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit"),
         "one there is room for always"
     );
-    assert!(starts(&ask(&mut c, 2.0, 2, "rep", 100.0), "defer"));
+    assert!(starts(&ask(&mut c, 2.0, 2, "rep", 100.0), "reject"));
 }
 
 #[test]
@@ -750,7 +750,7 @@
 
 #[test]
 fn the_exception_for_the_only_low_query_rests_when_the_fast_lane_crawls_and_all_bounds_are_used() {
-    for (bound, room) in [(0.2, "defer"), (2.0, "submit")] {
+    for (bound, room) in [(0.2, "reject"), (2.0, "submit")] {
         let mut c = dispatcher("", TWO);
         (
             c.engines[0].low_open,
@@ -822,7 +822,7 @@
     let sum = [tansymux::talk::SUM, mark[0], mark[1], 20];
     round(&mut c, 10.0, |c, _| c.told_by(0, &sum));
     assert!(
-        starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "defer"),
+        starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "reject"),
         "the engine is crowded by others"
     );
     round(&mut c, 30.0, |c, _| {
@@ -853,7 +853,7 @@
 
 #[test]
 fn a_hopeless_attempt_is_moved_at_ease_and_given_up_under_pressure() {
-    for (pressed, then) in [(false, "cancel 1 0"), (true, "defer 1")] {
+    for (pressed, then) in [(false, "cancel 1 0"), (true, "reject 1")] {
         let mut c = dispatcher("", TWO);
         ask(&mut c, 1.0, 1, "rep", 1000.0);
         let e = c.engines.iter().position(|e| e.open == 1).unwrap();
@@ -873,9 +873,9 @@
         ask(&mut c, 1.0, 1, "load", 1000.0);
         round(&mut c, 2.0, |c, _| c.noted(1, 0, Note::Waits, 2.0));
         let first = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.004));
-        assert!(!starts(&first, "kill"), "{first:?}");
+        assert!(!starts(&first, "fail"), "{first:?}");
         let second = round(&mut c, 1_501.0, |c, _| c.noted(1, 0, Note::Progress, share));
-        assert_eq!(!starts(&second, "kill 1"), lives, "{second:?}");
+        assert_eq!(!starts(&second, "fail 1"), lives, "{second:?}");
     }
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -31,11 +31,11 @@
         self.1.push(bounds);
         self.0.push(format!("submit {id} {engine_id}"));
     }
-    fn defer(&mut self, id: u64, retry_after: f64) {
-        self.0.push(format!("defer {id} {retry_after}"));
+    fn reject(&mut self, id: u64, retry_after: f64) {
+        self.0.push(format!("reject {id} {retry_after}"));
     }
-    fn kill(&mut self, id: u64) {
-        self.0.push(format!("kill {id}"));
+    fn fail(&mut self, id: u64) {
+        self.0.push(format!("fail {id}"));
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
         self.0.push(format!("cancel {id} {attempt}"));
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -69,13 +69,13 @@
 }
 
 #[test]
-fn a_closed_group_is_deferred_at_once_with_times_that_differ() {
+fn a_closed_group_is_rejected_at_once_with_times_that_differ() {
     let mut c = pressed(deepest());
     let waits: Vec<f64> = (0..40)
         .map(|id| {
             let decided = ask(&mut c, 1.0, id, "rep", 100.0);
             decided[0]
-                .strip_prefix(&format!("defer {id} "))
+                .strip_prefix(&format!("reject {id} "))
                 .unwrap()
                 .parse()
                 .unwrap()
@@ -99,7 +99,7 @@
     for id in 0..40 {
         let decided = ask(&mut c, 1.0, id, "rep", 100.0);
         let wait: f64 = decided[0]
-            .strip_prefix(&format!("defer {id} "))
+            .strip_prefix(&format!("reject {id} "))
             .unwrap()
             .parse()
             .unwrap();
@@ -166,18 +166,18 @@
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
     assert!(starts(
         &close(&mut c, 2.0, 1, 0, Outcome::Error, on),
-        "defer 1"
+        "reject 1"
     ));
-    // A load that may have run is killed and not deferred, at this level as at any.
+    // A load that may have run is failed and not rejected, at this level as at any.
     ask(&mut c, 3.0, 2, "load", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
-    assert_eq!(close(&mut c, 4.0, 2, 0, Outcome::Reset, on), ["kill 2"]);
-    // One that never ran is deferred.
+    assert_eq!(close(&mut c, 4.0, 2, 0, Outcome::Reset, on), ["fail 2"]);
+    // One that never ran is rejected.
     ask(&mut c, 5.0, 3, "load", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
     assert!(starts(
         &close(&mut c, 6.0, 3, 0, Outcome::Full, on),
-        "defer 3"
+        "reject 3"
     ));
 }
 
@@ -216,8 +216,8 @@
 }
 
 #[test]
-fn what_may_alter_is_killed_where_its_group_would_be_deferred() {
-    for (alters, then) in [(false, "defer 1"), (true, "kill 1")] {
+fn what_may_alter_is_failed_where_its_group_would_be_rejected() {
+    for (alters, then) in [(false, "reject 1"), (true, "fail 1")] {
         let mut c = dispatcher("limits.max-attempts=1", TWO);
         ask_with(&mut c, 1.0, 1, "look", 10.0, Text { sure: 1.0, alters });
         let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -68,23 +68,23 @@
 }
 
 #[test]
-fn the_rest_is_deferred_at_once_and_the_fast_lane_is_not_refused() {
+fn the_rest_is_rejected_at_once_and_the_fast_lane_is_not_refused() {
     let mut c = planned(&given(0.0, 0.0));
-    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "defer 1"));
+    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "reject 1"));
     assert!((10..60).all(|id| to(&ask(&mut c, 1.0, id, "look", 10.0)).is_some()));
     // Also where no engine is open at all.
     let mut closed = given(0.0, 0.0);
     closed.engines.iter_mut().for_each(|engine| engine.1 = 0.0);
     let mut c = planned(&closed);
     assert!(to(&ask(&mut c, 1.0, 1, "look", 10.0)).is_some());
-    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 100.0), "defer 2"));
+    assert!(starts(&ask(&mut c, 1.0, 2, "rep", 100.0), "reject 2"));
 }
 
 #[test]
-fn rule_6_what_is_bound_to_the_lost_zone_is_deferred_and_never_moved() {
+fn rule_6_what_is_bound_to_the_lost_zone_is_rejected_and_never_moved() {
     let mut c = dispatcher("balancers=1 services.1.confined-to=h1", ZONES);
     c.plan_zones(Some(&given(100.0, 0.0)));
-    assert!((0..10).all(|id| starts(&ask(&mut c, 1.0, id, "rep", 100.0), &format!("defer {id}"))));
+    assert!((0..10).all(|id| starts(&ask(&mut c, 1.0, id, "rep", 100.0), &format!("reject {id}"))));
 }
 
 #[test]
@@ -95,7 +95,7 @@
     c.plan_zones(Some(&given(100.0, 0.0)));
     assert_eq!(
         close(&mut c, 2.0, 1, 0, Outcome::Reset, engine_id),
-        ["kill 1"]
+        ["fail 1"]
     );
     // A tokened one whose dedup group is the zone neither.
     let mut c = dispatcher("balancers=1 services.3.dedup-scope=zone", ZONES);
@@ -156,12 +156,12 @@
 }
 
 #[test]
-fn cut_off_itself_it_defers_low_work_at_once_and_lets_the_fast_lane_try() {
+fn cut_off_itself_it_rejects_low_work_at_once_and_lets_the_fast_lane_try() {
     let mut c = planned(&Given {
         alone: true,
         ..given(100.0, f64::INFINITY)
     });
-    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "defer 1"));
+    assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "reject 1"));
     assert!(to(&ask(&mut c, 1.0, 2, "look", 10.0)).is_some());
 }
 
