--- a/crates/coordination/src/council.rs
+++ b/crates/coordination/src/council.rs
@@ -2,7 +2,7 @@
 
 use crate::record::{Ballot, Id, Record, Stamp, Value};
 use crate::wire::{self, Counted, Message};
-use crate::MOST_RECORDS;
+use crate::MAX_RECORDS;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
@@ -10,9 +10,9 @@
 /// What is over is remembered so long (ms), so that an older record of it does not come back.
 const OVER_FOR: f64 = 600_000.0;
 /// Messages that bring one voter up to date at a time.
-const MOST_REPAIRS: usize = 8;
+const MAX_REPAIRS: usize = 8;
 /// Writes under way at a time.
-const MOST_WRITES: usize = 64;
+const MAX_WRITES: usize = 64;
 
 /// Times in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -333,8 +333,8 @@
             .iter()
             .filter(|(key, ..)| !self.kept.contains_key(key))
             .count();
-        let room = records.len() <= wire::RECORDS && leader.writes.len() < MOST_WRITES;
-        if records.is_empty() || !room || self.kept.len() + new > MOST_RECORDS {
+        let room = records.len() <= wire::RECORDS && leader.writes.len() < MAX_WRITES;
+        if records.is_empty() || !room || self.kept.len() + new > MAX_RECORDS {
             return None;
         }
         let (ballot, now) = (leader.ballot, self.now);
@@ -553,7 +553,7 @@
             return;
         };
         let (part, many) = (usize::from(part), usize::from(parts));
-        if of != *ballot || told != *nonce || part >= many || many > MOST_RECORDS {
+        if of != *ballot || told != *nonce || part >= many || many > MAX_RECORDS {
             return;
         }
         let parts = promises.entry(from).or_insert_with(|| Parts {
@@ -654,7 +654,7 @@
             until,
             since: now,
         };
-        let room = self.kept.len() < MOST_RECORDS;
+        let room = self.kept.len() < MAX_RECORDS;
         match self.kept.get_mut(&record.key) {
             Some(known) => match (now < known.until, now < until) {
                 (true, false) => {}
@@ -756,7 +756,7 @@
             let first = self.rng.random_range(0..all.len());
             all.rotate_left(first);
         }
-        for some in all.chunks(wire::RECORDS).take(MOST_REPAIRS) {
+        for some in all.chunks(wire::RECORDS).take(MAX_REPAIRS) {
             self.out.push((
                 voter,
                 Message::Write {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,7 +13,7 @@
 //! - what a majority keeps is known to every later leader, in any order of loss, crash and stop;
 //! - a permit that is counted free was over before for whoever held it, with clocks that run [`Terms::skew`] apart;
 //! - a voter that lost its memory takes no part until all that it may have promised is over;
-//! - every message fits [`wire::MOST`], every table [`MOST_RECORDS`].
+//! - every message fits [`wire::MOST`], every table [`MAX_RECORDS`].
 //!
 //! Start reading at [`Council::poll`].
 
@@ -26,4 +26,4 @@
 pub use record::{Ballot, Id, Kind, Record, Stage, Stamp, Value, Why, HALT, RELEASE};
 
 /// Records that are kept at most, with those that say that something is over.
-pub const MOST_RECORDS: usize = 512;
+pub const MAX_RECORDS: usize = 512;
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -16,8 +16,8 @@
 };
 /// A step of time (ms): voters are looked at twice in it.
 const STEP: f64 = 500.0;
-const MOST_FORGETS: u8 = 2;
-const MOST_STOPS: u8 = 2;
+const MAX_FORGETS: u8 = 2;
+const MAX_STOPS: u8 = 2;
 
 /// One who wants to be out: since when it asks, and until when it believes that it may be.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -237,12 +237,12 @@
         for n in 0..3 {
             actions.push(Action::Step(Links::Without(n)));
             actions.push(Action::Step(Links::Mute(n)));
-            if state.forgets < MOST_FORGETS {
+            if state.forgets < MAX_FORGETS {
                 actions.push(Action::Forgets(n));
             }
             match state.stopped[n] {
                 true => actions.push(Action::GoesOn(n)),
-                false if state.stops < MOST_STOPS => actions.push(Action::Stops(n)),
+                false if state.stops < MAX_STOPS => actions.push(Action::Stops(n)),
                 false => {}
             }
         }
--- a/crates/dispatcher/src/check.rs
+++ b/crates/dispatcher/src/check.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-const MOST_BYTES: u64 = 8 << 20;
+const MAX_BYTES: u64 = 8 << 20;
 
 /// All faults of these files, each with its file. A file that begins with a brace is a configuration.
 pub fn faults(files: &[PathBuf]) -> Vec<String> {
@@ -13,7 +13,7 @@
     let (mut launches, mut told) = (Vec::new(), Vec::new());
     for path in files {
         let name = path.display().to_string();
-        let text = match text_of(&name, MOST_BYTES) {
+        let text = match text_of(&name, MAX_BYTES) {
             Ok(text) => text,
             Err(e) => {
                 faults.push(format!("{name}{e}"));
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/classes.rs
@@ -328,15 +328,15 @@
         no_filter: e.no_filter(),
     };
     let cache = told.cache.unwrap_or_default();
-    settings.most_shapes = cache.shapes() as usize;
-    settings.most_bytes = cache.bytes() as usize;
-    settings.most_costs = cache.costs() as usize;
+    settings.max_shapes = cache.shapes() as usize;
+    settings.max_bytes = cache.bytes() as usize;
+    settings.max_costs = cache.costs() as usize;
     let learning = told.learning.unwrap_or_default();
     settings.learning = Learning {
         half_sure: learning.half_sure(),
         half_life: learning.half_life_s() * 1000.0,
         shift_after: learning.shift_after(),
-        most_step: learning.most_step(),
+        max_step: learning.most_step(),
     };
     settings
 }
@@ -349,9 +349,9 @@
     };
     Rule {
         class,
-        least_joins: told.least_joins(),
-        least_tables: told.least_tables(),
-        least_subqueries: told.least_subqueries(),
+        min_joins: told.least_joins(),
+        min_tables: told.least_tables(),
+        min_subqueries: told.least_subqueries(),
         grouped: told.grouped,
         distinct: told.distinct,
         aggregated: told.aggregated,
--- a/crates/dispatcher/src/classify.rs
+++ b/crates/dispatcher/src/classify.rs
@@ -8,14 +8,14 @@
 use tansymux_sql_analysis::{Settings, Statements};
 
 /// The longest entry that is read; what is longer is answered with an error, and its end is looked for.
-const MOST_ENTRY: usize = 256 * 1024;
+const MAX_ENTRY: usize = 256 * 1024;
 /// Shapes get the same names in every run: nobody attacks this one.
 const KEY: [u8; 16] = *b"tansymuxclassify";
 
 /// An entry: its bytes, or that it was too long.
 fn entry(from: &mut impl BufRead, end: u8, to: &mut Vec<u8>) -> io::Result<Option<bool>> {
     to.clear();
-    let most = MOST_ENTRY as u64 + 1;
+    let most = MAX_ENTRY as u64 + 1;
     if from.by_ref().take(most).read_until(end, to)? == 0 {
         return Ok(None);
     }
@@ -23,7 +23,7 @@
         to.pop();
         return Ok(Some(true));
     }
-    if to.len() <= MOST_ENTRY {
+    if to.len() <= MAX_ENTRY {
         return Ok(Some(true));
     }
     from.skip_until(end)?;
@@ -110,7 +110,7 @@
         } else {
             (
                 Value::Null,
-                Err(format!("the entry is longer than {MOST_ENTRY} bytes")),
+                Err(format!("the entry is longer than {MAX_ENTRY} bytes")),
             )
         };
         let line = told(
@@ -141,7 +141,7 @@
     fn every_entry_gets_a_line_in_order_and_no_bad_one_stops_it() {
         let long = format!(
             "{{\"id\":\"5\",\"statement\":\"{}\"}}",
-            "x".repeat(MOST_ENTRY)
+            "x".repeat(MAX_ENTRY)
         );
         let input = format!(
             "{{\"id\":\"1\",\"statement\":\"select a from sales_17.orders where b = 1\"}}\nnot JSON\n\
--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -1,8 +1,8 @@
 //! Reads HTTP/1.1 requests in place and writes the heads of answers. Pure functions over bytes.
 
-pub const MOST_HEAD: usize = 8 * 1024;
-pub const MOST_BODY: usize = 64 * 1024;
-const MOST_FIELDS: usize = 64;
+pub const MAX_HEAD: usize = 8 * 1024;
+pub const MAX_BODY: usize = 64 * 1024;
+const MAX_FIELDS: usize = 64;
 
 /// A head, borrowed from the bytes it came in. Fields that the protocol does not name are passed over.
 #[derive(Debug, PartialEq)]
@@ -41,9 +41,9 @@
         .take(4)
         .take_while(|b| matches!(b, b'\r' | b'\n'))
         .count();
-    let shown = &bytes[blank..bytes.len().min(MOST_HEAD)];
+    let shown = &bytes[blank..bytes.len().min(MAX_HEAD)];
     let Some(end) = shown.windows(4).position(|four| four == b"\r\n\r\n") else {
-        return if bytes.len() >= MOST_HEAD {
+        return if bytes.len() >= MAX_HEAD {
             Err(wrong(431, "the head is too long"))
         } else {
             Ok(None)
@@ -88,7 +88,7 @@
         let (name, value) = line
             .split_once(':')
             .ok_or(wrong(400, "a field has no colon"))?;
-        if count >= MOST_FIELDS {
+        if count >= MAX_FIELDS {
             return Err(wrong(431, "there are too many fields"));
         }
         if name.is_empty() || name.bytes().any(|b| b <= b' ' || b == 127) {
@@ -134,7 +134,7 @@
         }
     }
     head.length = length.unwrap_or(0);
-    if head.length > MOST_BODY {
+    if head.length > MAX_BODY {
         return Err(wrong(413, "the statement is too long"));
     }
     Ok(Some(head))
--- a/crates/dispatcher/src/client/http/tests.rs
+++ b/crates/dispatcher/src/client/http/tests.rs
@@ -26,10 +26,10 @@
 
 #[test]
 fn hostile_and_over_long_heads_are_refused() {
-    let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MOST_HEAD]].concat();
+    let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MAX_HEAD]].concat();
     let many = format!(
         "GET / HTTP/1.1\r\n{}\r\n",
-        "A: b\r\n".repeat(MOST_FIELDS + 1)
+        "A: b\r\n".repeat(MAX_FIELDS + 1)
     );
     let cases: [(&[u8], u16); 16] = [
         (&long, 431),
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -35,16 +35,16 @@
 /// What is admitted, as the configuration tells.
 #[derive(Debug)]
 pub struct Admission {
-    pub most_connections: usize,
+    pub max_connections: usize,
     /// Bytes that all connections together may have sent ahead of what is read.
-    pub most_bytes: usize,
+    pub max_bytes: usize,
     /// Names of resource groups and of tenants; where the settings name no tenant, none is asked for.
     pub groups: Vec<String>,
     pub tenants: Vec<String>,
     /// The longest wait (ms) and the largest estimates (ms on one core, MB) that a query may name.
-    pub most_wait: f64,
-    pub most_cost: f64,
-    pub most_memory: f64,
+    pub max_wait: f64,
+    pub max_cost: f64,
+    pub max_memory: f64,
     /// When (ms) a client that finds no room may come back, if it may be told.
     pub retry_after: Option<f64>,
 }
@@ -59,15 +59,15 @@
 /// How long (ms), and how many bytes, is read and passed over behind a half-close, so that the last answer is not lost
 /// to a reset; and how long a connection on which nothing came is kept for its first request once the program ends.
 const LINGER: f64 = 500.0;
-const MOST_PASSED_OVER: usize = 1 << 20;
+const MAX_PASSED_OVER: usize = 1 << 20;
 const FIRST_REQUEST: f64 = 500.0;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const READ_AT_ONCE: usize = 16 * 1024;
 /// Digits of a token and of a key at most: 128 and 64 bits.
-const MOST_TOKEN: usize = 32;
-const MOST_KEY: usize = 16;
+const MAX_TOKEN: usize = 32;
+const MAX_KEY: usize = 16;
 /// Bytes kept of a client that sends on while its query is in hand.
-const MOST_AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
+const MAX_AHEAD: usize = http::MAX_HEAD + http::MAX_BODY;
 
 /// What came of waiting for more of a request.
 enum More {
@@ -162,7 +162,7 @@
         zones: Rc<Zones>,
     ) -> Self {
         let (waiting, healthy, last_call, called, closed) = Default::default();
-        let table = ConnectionTable::new(admission.most_connections);
+        let table = ConnectionTable::new(admission.max_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
         ClientSide {
             exchange,
@@ -373,8 +373,8 @@
 
     /// Whether inboxes are full in sum and this one holds more than its even part: small requests always pass.
     fn over_quota(&self, inbox: &Inbox) -> bool {
-        let part = self.admission.most_bytes / self.admission.most_connections.max(1);
-        self.waiting.get() > self.admission.most_bytes && inbox.bytes.len() > part
+        let part = self.admission.max_bytes / self.admission.max_connections.max(1);
+        self.waiting.get() > self.admission.max_bytes && inbox.bytes.len() > part
     }
 
     /// Reads what is there through the one buffer that all connections share.
@@ -413,7 +413,7 @@
             return;
         }
         let mut passed_over = 0;
-        while passed_over < MOST_PASSED_OVER {
+        while passed_over < MAX_PASSED_OVER {
             let mut inbox = Inbox {
                 bytes: Vec::new(),
                 all: &self.waiting,
@@ -486,7 +486,7 @@
             self.clock.now() + levels::LONGEST_WAIT,
             &self.levels.waiting,
         );
-        if waiting.get() >= levels::MOST_WAITING {
+        if waiting.get() >= levels::MAX_WAITING {
             return;
         }
         waiting.set(waiting.get() + 1);
@@ -521,19 +521,19 @@
         // What no engine could use reaches none, and leaves nothing in what the decisions learn.
         let told =
             |value: Option<&str>, most: f64| value.map_or(Some(0.0), number).filter(|n| *n <= most);
-        let wait = told(head.wait_ms, self.admission.most_wait)
+        let wait = told(head.wait_ms, self.admission.max_wait)
             .filter(|ms| *ms >= 1.0)
             .ok_or((400, "Req-Wait-Ms"))?;
-        let cost = told(head.cost, self.admission.most_cost).ok_or((400, "Req-Cost"))?;
-        let memory = told(head.memory_mb, self.admission.most_memory).ok_or((400, "X-Need-Mb"))?;
+        let cost = told(head.cost, self.admission.max_cost).ok_or((400, "Req-Cost"))?;
+        let memory = told(head.memory_mb, self.admission.max_memory).ok_or((400, "X-Need-Mb"))?;
         // Both go on to the engine as they came, in a list of fields that a comma or an equals sign would break.
         let hex = |value: &str, digits: usize| {
             (1..=digits).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_hexdigit())
         };
-        if head.token.is_some_and(|token| !hex(token, MOST_TOKEN)) {
+        if head.token.is_some_and(|token| !hex(token, MAX_TOKEN)) {
             return Err((400, "Req-Token"));
         }
-        if head.key.is_some_and(|key| !hex(key, MOST_KEY)) {
+        if head.key.is_some_and(|key| !hex(key, MAX_KEY)) {
             return Err((400, "Req-Key"));
         }
         if named.is_some_and(|rg| !self.admission.groups.iter().any(|known| known == rg)) {
@@ -578,11 +578,11 @@
             text
         };
         let bare = read.as_ref().filter(|_| named.is_none());
-        let cost = estimate(cost, bare.map(|read| read.cost), self.admission.most_cost);
+        let cost = estimate(cost, bare.map(|read| read.cost), self.admission.max_cost);
         let memory = estimate(
             memory,
             bare.map(|read| read.memory),
-            self.admission.most_memory,
+            self.admission.max_memory,
         );
         let marks = Marks {
             token: head.token,
@@ -625,12 +625,12 @@
             loop {
                 let before = inbox.bytes.len();
                 if !matches!(self.read(stream, inbox).await, Ok(1..))
-                    || passed_over > MOST_PASSED_OVER
+                    || passed_over > MAX_PASSED_OVER
                 {
                     return None;
                 }
                 *since = self.clock.now();
-                if overrun.get() || inbox.bytes.len() > MOST_AHEAD || self.over_quota(inbox) {
+                if overrun.get() || inbox.bytes.len() > MAX_AHEAD || self.over_quota(inbox) {
                     overrun.set(true);
                     passed_over += inbox.bytes.len() - before;
                     inbox.take_out(inbox.bytes.len());
--- a/crates/dispatcher/src/client/table.rs
+++ b/crates/dispatcher/src/client/table.rs
@@ -10,7 +10,7 @@
 /// A client that connects has something to ask. One that has said nothing whole for the first of these times (ms)
 /// goes before those that idle between two queries, for the second when there are no others.
 const SLOW_TO_ASK: f64 = 500.0;
-const LEAST_TIME_TO_ASK: f64 = 100.0;
+const MIN_TIME_TO_ASK: f64 = 100.0;
 /// One that was told its end has this long (ms) to take in its answer: the time within which a request may cross a close.
 const CROSSING: f64 = 50.0;
 
@@ -116,7 +116,7 @@
                 State::Idle if age > ASKS_NO_MORE => Some(1),
                 State::New if age > SLOW_TO_ASK => Some(2),
                 State::Idle => Some(3),
-                State::New => (age > LEAST_TIME_TO_ASK).then_some(4),
+                State::New => (age > MIN_TIME_TO_ASK).then_some(4),
             }
         };
         let open = each
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -15,17 +15,17 @@
 
 const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
 const LISTEN_VARIABLE: &str = "RELAY_LISTEN";
-const MOST_BYTES: u64 = 8 << 20;
-const LEAST_SOCKETS: f64 = 64.0;
+const MAX_BYTES: u64 = 8 << 20;
+const MIN_SOCKETS: f64 = 64.0;
 const DEFAULT_SOCKETS: f64 = 1024.0;
-const LEAST_MEMORY_MB: f64 = 16.0;
+const MIN_MEMORY_MB: f64 = 16.0;
 const DEFAULT_MEMORY_MB: f64 = 192.0;
 const DEFAULT_CONNECT_TIMEOUT: f64 = 250.0;
 const DEFAULT_IDLE: f64 = 30_000.0;
 const DEFAULT_STREAMS: f64 = 32.0;
 /// A platform that ends the program waits for the longest deadline, for so much (ms) of it at most, and for as long
 /// as it goes on sending; all is answered so much (ms) earlier, so that the last answers are written out in time.
-const MOST_GRACE: f64 = 3000.0;
+const MAX_GRACE: f64 = 3000.0;
 const LAST_WRITES: f64 = 500.0;
 /// Shares of the descriptor limit: connections from clients, connections to engines. What both together may not touch:
 /// three standard streams, three pipes for signals, three of the event loop, the listener, a socket for the name service
@@ -40,7 +40,7 @@
 /// largest engine can do in that time, and the memory of the largest engine. Where the settings do not tell: these.
 const ROOM: f64 = 4.0;
 const LONGEST_WAIT: f64 = 3_600_000.0;
-const MOST_ESTIMATE: f64 = 1e9;
+const MAX_ESTIMATE: f64 = 1e9;
 
 /// Where the messages between dispatchers go.
 #[derive(Debug, PartialEq)]
@@ -58,7 +58,7 @@
     pub seed: u64,
     pub admission: Admission,
     /// Statements in hand at most, in bytes.
-    pub most_bytes: usize,
+    pub max_bytes: usize,
     /// Limits on descriptors, and on memory in bytes.
     pub sockets: f64,
     pub memory: f64,
@@ -153,7 +153,7 @@
 pub fn read() -> Result<Launch, String> {
     let path =
         std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
-    let text = text_of(&path, MOST_BYTES).map_err(|e| format!("{CONFIG_VARIABLE} {path}{e}"))?;
+    let text = text_of(&path, MAX_BYTES).map_err(|e| format!("{CONFIG_VARIABLE} {path}{e}"))?;
     let listen = std::env::var(LISTEN_VARIABLE).ok();
     parse(&text, listen.as_deref()).map_err(|faults| {
         let all: Vec<String> = located(faults, &text)
@@ -315,12 +315,12 @@
     let sockets = number(
         &root.key("limits").key("sockets"),
         DEFAULT_SOCKETS,
-        LEAST_SOCKETS,
+        MIN_SOCKETS,
     );
     let memory = number(
         &root.key("limits").key("memory_mb"),
         DEFAULT_MEMORY_MB,
-        LEAST_MEMORY_MB,
+        MIN_MEMORY_MB,
     );
     let memory = memory * f64::from(1 << 20);
     let shared = (sockets - OWN_SOCKETS).min(sockets * (CLIENTS_PART + ENGINES_PART));
@@ -345,7 +345,7 @@
         ) / 1e3,
         idle: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
         streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
-        most_connections: part_of(ENGINES_PART),
+        max_connections: part_of(ENGINES_PART),
     };
     let largest = |path: &str| {
         told.list(path)
@@ -354,25 +354,23 @@
             .reduce(f64::max)
     };
     let longest = times("hard-limit-us").into_iter().reduce(f64::max);
-    let ends_by = longest.unwrap_or(MOST_GRACE).min(MOST_GRACE) + TAKES_ON - LAST_WRITES;
-    let most_wait = longest.map_or(LONGEST_WAIT, |wait| ROOM * wait);
-    let most_cost = largest("family-info.cores-by-kind").map(|cores| cores * most_wait);
+    let ends_by = longest.unwrap_or(MAX_GRACE).min(MAX_GRACE) + TAKES_ON - LAST_WRITES;
+    let max_wait = longest.map_or(LONGEST_WAIT, |wait| ROOM * wait);
+    let max_cost = largest("family-info.cores-by-kind").map(|cores| cores * max_wait);
     let may_be_told = told
         .get("limits.retry-after")
         .is_none_or(|value| told::is_true(value));
-    let most_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
+    let max_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let admission = Admission {
-        most_connections: part_of(CLIENTS_PART),
-        most_bytes: (memory * AHEAD_PART) as usize,
+        max_connections: part_of(CLIENTS_PART),
+        max_bytes: (memory * AHEAD_PART) as usize,
         groups: names(&told, "services"),
         tenants: names(&told, "projects"),
-        most_wait,
-        most_cost: most_cost
+        max_wait,
+        max_cost: max_cost.filter(|most| *most > 0.0).unwrap_or(MAX_ESTIMATE),
+        max_memory: max_memory
             .filter(|most| *most > 0.0)
-            .unwrap_or(MOST_ESTIMATE),
-        most_memory: most_memory
-            .filter(|most| *most > 0.0)
-            .unwrap_or(MOST_ESTIMATE),
+            .unwrap_or(MAX_ESTIMATE),
         retry_after: told
             .millis("limits.max-retry-after-us")
             .filter(|_| may_be_told),
@@ -390,14 +388,14 @@
     if let (Some(listen), Some(seed), Some(directory), true) =
         (listen, seed, directory, faults.0.is_empty())
     {
-        let most_bytes = (memory * STATEMENTS_PART) as usize;
+        let max_bytes = (memory * STATEMENTS_PART) as usize;
         let text = value;
         return Ok(Launch {
             name,
             listen,
             seed,
             admission,
-            most_bytes,
+            max_bytes,
             sockets,
             memory,
             terms,
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -38,13 +38,13 @@
         ("look".to_owned(), 0)
     );
     let figures = (
-        config.admission.most_wait,
-        config.admission.most_cost,
-        config.admission.most_memory,
+        config.admission.max_wait,
+        config.admission.max_cost,
+        config.admission.max_memory,
     );
     assert_eq!(figures, (28.0, 224.0, 400.0));
     assert_eq!(
-        (config.admission.most_bytes, config.most_bytes),
+        (config.admission.max_bytes, config.max_bytes),
         ((32 << 20) / 10, (32 << 20) / 5)
     );
     let engine = &config.directory.all()[0];
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -99,7 +99,7 @@
             return Err(format!("the operators' file: {}", unfit.join("; ")));
         }
         let clock = Clock::start();
-        let exchange = Rc::new(Exchange::new(config.most_bytes));
+        let exchange = Rc::new(Exchange::new(config.max_bytes));
         let mut control =
             Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
         let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
--- a/crates/dispatcher/src/dns.rs
+++ b/crates/dispatcher/src/dns.rs
@@ -8,9 +8,9 @@
 const TXT: u16 = 16;
 const INTERNET: u16 = 1;
 const HEADER: usize = 12;
-const MOST_NAME: usize = 255;
-const MOST_JUMPS: usize = 32;
-const MOST_RECORDS: usize = 2048;
+const MAX_NAME: usize = 255;
+const MAX_JUMPS: usize = 32;
+const MAX_RECORDS: usize = 2048;
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Srv {
@@ -81,7 +81,7 @@
                 }
                 0 => {
                     let label = self.bytes.get(at + 1..at + 1 + length)?;
-                    if name.len() + length + 1 > MOST_NAME {
+                    if name.len() + length + 1 > MAX_NAME {
                         return None;
                     }
                     if !name.is_empty() {
@@ -95,7 +95,7 @@
                     after = after.or(Some(at + 2));
                     at = (length & 0x3f) << 8 | low;
                     jumps += 1;
-                    if jumps > MOST_JUMPS {
+                    if jumps > MAX_JUMPS {
                         return None;
                     }
                 }
@@ -115,7 +115,7 @@
     }
     let questions = usize::from(r.u16()?);
     let records = usize::from(r.u16()?) + usize::from(r.u16()?) + usize::from(r.u16()?);
-    if questions > MOST_RECORDS || records > MOST_RECORDS {
+    if questions > MAX_RECORDS || records > MAX_RECORDS {
         return None;
     }
     for _ in 0..questions {
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -10,12 +10,12 @@
 use tansymux::interface::{Bounds, Note, Outcome};
 
 /// Pages of a result at most, and bytes of them.
-const MOST_PAGES: usize = 64;
-const MOST_RESULT: usize = 128 * 1024;
+const MAX_PAGES: usize = 64;
+const MAX_RESULT: usize = 128 * 1024;
 /// Bytes that wait to be written at most.
-pub const MOST_WAITING: usize = 4 << 20;
+pub const MAX_WAITING: usize = 4 << 20;
 /// Attempts that are given up on one connection before another takes its place.
-const MOST_LEFT: usize = 256;
+const MAX_LEFT: usize = 256;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum State {
@@ -199,7 +199,7 @@
 
     /// Whether a attempt with this id may go here.
     pub fn takes(&self, id: &str, most: usize) -> bool {
-        let fits = self.out() < most && self.waiting_bytes < MOST_WAITING;
+        let fits = self.out() < most && self.waiting_bytes < MAX_WAITING;
         let fresh = !self.attempts.contains_key(id) && !self.left.contains(id);
         matches!(self.state, State::Connecting | State::Up) && !self.retired && fits && fresh
     }
@@ -266,7 +266,7 @@
             }
             None => {
                 self.left.insert(id.into());
-                self.retired |= self.left.len() >= MOST_LEFT;
+                self.retired |= self.left.len() >= MAX_LEFT;
                 self.write(&[b"abort", id.as_bytes()], None, None);
                 Some((attempt, true))
             }
@@ -436,7 +436,7 @@
         let number = |name| resp::field(fields, name).and_then(|n| n.parse::<usize>().ok());
         let at = if first {
             let pages = number("batches")
-                .filter(|n| (1..=MOST_PAGES).contains(n))
+                .filter(|n| (1..=MAX_PAGES).contains(n))
                 .ok_or("no number of pages")?;
             self.pages.resize(pages, None);
             self.missing = pages;
@@ -446,7 +446,7 @@
         };
         let rows = json_rows(page).ok_or("a page can't be read")?;
         let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
-        if size + rows.len() > MOST_RESULT {
+        if size + rows.len() > MAX_RESULT {
             return Err("a result is too long");
         }
         let place = self.pages.get_mut(at).ok_or("a page has a wrong number")?;
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -179,12 +179,12 @@
     submit(&mut connection, "i2", 5);
     connection.give_up("i2", 6.0);
     assert!(connection.takes("i2", 32));
-    for n in 0..MOST_LEFT {
+    for n in 0..MAX_LEFT {
         submit(&mut connection, &format!("n{n}"), 6);
         connection.wrote(waiting(&connection).len());
         connection.give_up(&format!("n{n}"), 6.0);
     }
-    assert!(connection.retired && connection.left.len() <= MOST_LEFT + 1);
+    assert!(connection.retired && connection.left.len() <= MAX_LEFT + 1);
 }
 
 #[test]
--- a/crates/dispatcher/src/engine/keep_alive.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -14,7 +14,7 @@
 const FIRST_LOST: f64 = 0.25;
 /// A longer idling is trusted while fewer of those used again are lost than this: each costs one more attempt of a
 /// query that may be repeated, about as much as the connections that are opened otherwise.
-const MOST_LOST: f64 = 0.1;
+const MAX_LOST: f64 = 0.1;
 
 /// Fading counts, by spans of idling, of those that were used again.
 #[derive(Debug, Default)]
@@ -53,7 +53,7 @@
         let mut longest = LEAST;
         for span in 0..SPANS {
             lost += self.lost[span];
-            if lost + FIRST_LOST > MOST_LOST * (lost + kept + FIRST_USES) {
+            if lost + FIRST_LOST > MAX_LOST * (lost + kept + FIRST_USES) {
                 return longest;
             }
             kept -= self.kept[span];
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Clock;
 use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
-use crate::net::{poll_gathered, MOST_SLICES};
+use crate::net::{poll_gathered, MAX_SLICES};
 use crate::notify::Notify;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -26,8 +26,8 @@
 use tansymux::interface::{Bounds, EngineStatus, Outcome};
 
 /// Connections to one engine at most, and how many attempts they are to carry where each takes few.
-const MOST_CONNECTIONS_AN_ENGINE: usize = 12;
-const MOST_OUT_AN_ENGINE: usize = 384;
+const MAX_CONNECTIONS_AN_ENGINE: usize = 12;
+const MAX_OUT_AN_ENGINE: usize = 384;
 const READ_AT_ONCE: usize = 32 * 1024;
 /// A frame that has begun and does not go on for so long (ms) never will.
 const STALL: f64 = 500.0;
@@ -61,7 +61,7 @@
     pub notes_every: f64,
     pub quickest: f64,
     pub streams: usize,
-    pub most_connections: usize,
+    pub max_connections: usize,
 }
 
 struct Engine {
@@ -240,7 +240,7 @@
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
-        let full = self.connections.get() >= self.terms.most_connections;
+        let full = self.connections.get() >= self.terms.max_connections;
         let idlest = if full { idlest(&engines) } else { None };
         let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
@@ -260,7 +260,7 @@
         let best = taking.min_by(|((a, used), _), ((b, other_used), _)| {
             a.cmp(b).then(other_used.total_cmp(used))
         });
-        let room = engine.connections.len() < self.most_an_engine() && (!full || idlest.is_some());
+        let room = engine.connections.len() < self.max_an_engine() && (!full || idlest.is_some());
         // What spoils or ends one connection takes all with it that is out there: each gets its own while there is
         // room. Where none that idled is trusted, one more is opened ahead, so that the next need not wait for one.
         let channel = match best {
@@ -288,8 +288,8 @@
         Some(channel)
     }
 
-    fn most_an_engine(&self) -> usize {
-        MOST_CONNECTIONS_AN_ENGINE.max(MOST_OUT_AN_ENGINE / self.terms.streams.max(1))
+    fn max_an_engine(&self) -> usize {
+        MAX_CONNECTIONS_AN_ENGINE.max(MAX_OUT_AN_ENGINE / self.terms.streams.max(1))
     }
 
     /// Without a note for so long a connection may be dead.
@@ -341,8 +341,8 @@
             return;
         };
         for _ in engine.unreached..UNREACHED {
-            let room = engine.connections.len() < self.most_an_engine()
-                && self.connections.get() < self.terms.most_connections;
+            let room = engine.connections.len() < self.max_an_engine()
+                && self.connections.get() < self.terms.max_connections;
             if room {
                 self.open_one(engine, engine_id, address);
             }
@@ -709,8 +709,8 @@
                 if !connection.has_waiting() {
                     return Poll::Pending;
                 }
-                let mut slices: Vec<IoSlice> = Vec::with_capacity(MOST_SLICES);
-                connection.slices(&mut slices, MOST_SLICES);
+                let mut slices: Vec<IoSlice> = Vec::with_capacity(MAX_SLICES);
+                connection.slices(&mut slices, MAX_SLICES);
                 poll_gathered(stream, context, &slices).map_ok(Some)
             });
             match written.await? {
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -1,14 +1,14 @@
 //! Reads and writes RESP arrays of bulk strings. Pure functions over bytes.
 
-pub const MOST_PARTS: usize = 8;
+pub const MAX_PARTS: usize = 8;
 /// A page holds 6,000 bytes at most.
-pub const MOST_PART: usize = 8 * 1024;
-const MOST_DIGITS: usize = 8;
+pub const MAX_PART: usize = 8 * 1024;
+const MAX_DIGITS: usize = 8;
 
 /// The parts of one array, borrowed from the bytes it came in.
 #[derive(Debug, PartialEq)]
 pub struct Frame<'a> {
-    parts: [&'a [u8]; MOST_PARTS],
+    parts: [&'a [u8]; MAX_PARTS],
     count: usize,
     /// Bytes that the array takes.
     pub size: usize,
@@ -34,7 +34,7 @@
         Some(_) => {}
     }
     let digits = rest[1..].iter().take_while(|b| b.is_ascii_digit()).count();
-    if digits > MOST_DIGITS {
+    if digits > MAX_DIGITS {
         return Err("a length is too long");
     }
     match rest.get(1 + digits..) {
@@ -54,15 +54,15 @@
     let Some((count, mut at)) = number(bytes, 0, b'*')? else {
         return Ok(None);
     };
-    if count > MOST_PARTS {
+    if count > MAX_PARTS {
         return Err("an array has too many parts");
     }
-    let mut parts: [&[u8]; MOST_PARTS] = [b""; MOST_PARTS];
+    let mut parts: [&[u8]; MAX_PARTS] = [b""; MAX_PARTS];
     for part in &mut parts[..count] {
         let Some((length, start)) = number(bytes, at, b'$')? else {
             return Ok(None);
         };
-        if length > MOST_PART {
+        if length > MAX_PART {
             return Err("a bulk string is too long");
         }
         let end = start + length;
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -29,7 +29,7 @@
         notes_every: 0.0,
         quickest: 0.0,
         streams: 32,
-        most_connections: 8,
+        max_connections: 8,
     };
     let (exchange, executor) = (Rc::new(Exchange::default()), Rc::new(LocalExecutor::new()));
     let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -12,9 +12,9 @@
 use tansymux::interface::{Bounds, EngineStatus, ListForm, Note, Outcome, Text};
 
 /// Queries in hand at most; what comes beyond is turned away at the door.
-pub const MOST_QUERIES: usize = 4096;
+pub const MAX_QUERIES: usize = 4096;
 /// Ids of queries that were submitted and are over, kept so that none is taken twice.
-const MOST_PAST: usize = 16 * 1024;
+const MAX_PAST: usize = 16 * 1024;
 
 /// A result's pages, as rows in JSON.
 pub type Pages = Vec<Vec<u8>>;
@@ -155,7 +155,7 @@
     next: Cell<u64>,
     /// Bytes of statements in hand, and how many there may be.
     bytes: Cell<usize>,
-    most_bytes: usize,
+    max_bytes: usize,
     events: RefCell<VecDeque<Event>>,
     orders: RefCell<VecDeque<Order>>,
 }
@@ -170,7 +170,7 @@
     fn keep(&mut self, id: Rc<str>) {
         self.known.insert(id.clone());
         self.order.push_back(id);
-        if self.order.len() > MOST_PAST {
+        if self.order.len() > MAX_PAST {
             self.order
                 .pop_front()
                 .map(|oldest| self.known.remove(&oldest));
@@ -179,9 +179,9 @@
 }
 
 impl Exchange {
-    pub fn new(most_bytes: usize) -> Self {
+    pub fn new(max_bytes: usize) -> Self {
         Exchange {
-            most_bytes,
+            max_bytes,
             notify: Rc::default(),
             ends: Cell::new(f64::INFINITY),
             counters: Counters::default(),
@@ -249,7 +249,7 @@
             return Err(NotTaken::Past);
         }
         let bytes = self.bytes.get() + asked.statement.len();
-        if self.queries.borrow().len() >= MOST_QUERIES || bytes > self.most_bytes {
+        if self.queries.borrow().len() >= MAX_QUERIES || bytes > self.max_bytes {
             return Err(NotTaken::NoRoom);
         }
         self.bytes.set(bytes);
--- a/crates/dispatcher/src/exchange/tests.rs
+++ b/crates/dispatcher/src/exchange/tests.rs
@@ -49,7 +49,7 @@
     exchange.closed(query);
     assert_eq!(exchange.in_hand(), 0);
     assert_eq!(exchange.take(&ASKED).map(|_| ()), Err(NotTaken::Past));
-    (0..MOST_PAST).for_each(|n| exchange.past.borrow_mut().keep(n.to_string().into()));
+    (0..MAX_PAST).for_each(|n| exchange.past.borrow_mut().keep(n.to_string().into()));
     assert!(exchange.take(&ASKED).is_ok());
 }
 
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -24,7 +24,7 @@
 /// What it says of itself is put together so often (ms).
 const SAYS_EVERY: f64 = 200.0;
 /// Datagrams taken in at a time, before those that answer go out.
-const MOST_AT_ONCE: usize = 128;
+const MAX_AT_ONCE: usize = 128;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// The environment names the turn under which the program is started.
@@ -142,7 +142,7 @@
             match future::or(heard, future::or(time, told)).await {
                 Some(Ok((count, from))) => {
                     self.hears(from, &bytes[..count]);
-                    for _ in 1..MOST_AT_ONCE {
+                    for _ in 1..MAX_AT_ONCE {
                         let Ok((count, from)) = self.socket.get_ref().recv_from(&mut bytes) else {
                             break;
                         };
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -44,7 +44,7 @@
 }
 
 /// Those who wait for a change at most, and for how long (ms).
-pub const MOST_WAITING: usize = 8;
+pub const MAX_WAITING: usize = 8;
 pub const LONGEST_WAIT: f64 = 25_000.0;
 
 impl Levels {
@@ -158,7 +158,7 @@
             spread: asked.spread,
             withhold: asked.withhold_low,
             close_over_share: asked.close_over_share,
-            least_sure: asked.least_sure,
+            min_sure: asked.min_sure,
             classes: if asked.classes.is_empty() {
                 Vec::new()
             } else {
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/names/directory.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use tansymux::interface::EngineStatus;
 
-const MOST_ENGINES: usize = 1024;
+const MAX_ENGINES: usize = 1024;
 /// Events that one engine makes at most between two answers, and still nobody wonders: it drains, it goes, one comes
 /// in its place, and that again.
 const EVENTS_AN_ENGINE: usize = 6;
@@ -87,7 +87,7 @@
         let Some(serial) = answer.serial else {
             return Taken::PassedOver("it has no serial");
         };
-        if answer.srv.len() > MOST_ENGINES {
+        if answer.srv.len() > MAX_ENGINES {
             return Taken::PassedOver("the list is too long");
         }
         let looks = looks_of(answer);
@@ -262,7 +262,7 @@
         self.gone
             .extend(gone.iter().map(|engine| (engine.engine_id, engine.started)));
         self.gone
-            .drain(..self.gone.len().saturating_sub(MOST_ENGINES));
+            .drain(..self.gone.len().saturating_sub(MAX_ENGINES));
         // Ids of engines that are gone are forgotten; one that comes back gets the same number by its id.
         self.engine_ids
             .retain(|_, engine_id| engines.contains_key(engine_id));
--- a/crates/dispatcher/src/names/mod.rs
+++ b/crates/dispatcher/src/names/mod.rs
@@ -17,7 +17,7 @@
 /// What the service has to tell counts as told 7 s later at the latest, and a drain's grace may be a quarter of a
 /// second: a list that comes late by one question and its way is still early.
 const ASK_EVERY: Duration = Duration::from_millis(250);
-const MOST_ANSWER: usize = 16 * 1024;
+const MAX_ANSWER: usize = 16 * 1024;
 /// Answers to this many of the last questions still count.
 const QUESTIONS_OPEN: u64 = 20;
 /// With nothing of use heard for so many questions, the next goes out from another socket: what lies between may have
@@ -103,7 +103,7 @@
     }
 
     async fn listen(&self, socket: &Async<UdpSocket>) {
-        let mut bytes = vec![0; MOST_ANSWER];
+        let mut bytes = vec![0; MAX_ANSWER];
         loop {
             match socket.recv_from(&mut bytes).await {
                 Ok((count, from)) => self.heard(&bytes[..count], from),
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 
 /// Slices handed to one write at most.
-pub const MOST_SLICES: usize = 64;
+pub const MAX_SLICES: usize = 64;
 
 pub fn poll_gathered(
     stream: &Async<TcpStream>,
@@ -24,7 +24,7 @@
     let mut left = slices.as_mut_slice();
     IoSlice::advance_slices(&mut left, 0);
     while !left.is_empty() {
-        let shown = &left[..left.len().min(MOST_SLICES)];
+        let shown = &left[..left.len().min(MAX_SLICES)];
         let written = future::poll_fn(|context| poll_gathered(stream, context, shown)).await?;
         if written == 0 {
             return Err(io::ErrorKind::WriteZero.into());
--- a/crates/dispatcher/src/operators.rs
+++ b/crates/dispatcher/src/operators.rs
@@ -4,12 +4,12 @@
 use std::path::Path;
 use tansymux::told::{self, Map, Told};
 use tansymux_operator_config::schema::term::Signal::Pressed;
-use tansymux_operator_config::{Fault, Operator, MOST_BYTES};
+use tansymux_operator_config::{Fault, Operator, MAX_BYTES};
 
 /// Reads and checks the file; what is wrong, a line for each fault, with file and line.
 pub fn read(path: &Path) -> Result<Operator, Vec<String>> {
     let name = path.display().to_string();
-    let text = text_of(&name, MOST_BYTES as u64).map_err(|e| vec![format!("{name}{e}")])?;
+    let text = text_of(&name, MAX_BYTES as u64).map_err(|e| vec![format!("{name}{e}")])?;
     tansymux_operator_config::read(&text).map_err(|faults| lines(&name, &faults))
 }
 
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-pub const MOST_MESSAGE: usize = 256;
+pub const MAX_MESSAGE: usize = 256;
 const PAUSE: Duration = Duration::from_millis(20);
 
 pub struct Peers {
@@ -39,7 +39,7 @@
             Some(peer) => self.each.get(peer as usize).copied(),
             None => self.all,
         };
-        let Some(to) = to.filter(|_| content.len() <= MOST_MESSAGE) else {
+        let Some(to) = to.filter(|_| content.len() <= MAX_MESSAGE) else {
             return;
         };
         match self.socket.get_ref().send_to(content, to) {
@@ -50,10 +50,10 @@
 
     /// Hears messages until dropped.
     pub async fn listen(self: Rc<Self>) {
-        let mut bytes = [0; MOST_MESSAGE + 1];
+        let mut bytes = [0; MAX_MESSAGE + 1];
         loop {
             match self.socket.recv_from(&mut bytes).await {
-                Ok((count, from)) if count <= MOST_MESSAGE => {
+                Ok((count, from)) if count <= MAX_MESSAGE => {
                     let Some(peer) = self.each.iter().position(|address| *address == from) else {
                         continue;
                     };
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -9,8 +9,8 @@
     let peers = Peers::bind(exchange.clone(), any, each, None).unwrap();
     let at = peers.socket.get_ref().local_addr().unwrap();
     stranger.send_to(b"x", at).unwrap();
-    friend.send_to(&[7; MOST_MESSAGE + 1], at).unwrap();
-    friend.send_to(&[7; MOST_MESSAGE], at).unwrap();
+    friend.send_to(&[7; MAX_MESSAGE + 1], at).unwrap();
+    friend.send_to(&[7; MAX_MESSAGE], at).unwrap();
     let heard = async {
         exchange.notify.notified().await;
     };
@@ -23,9 +23,9 @@
     ));
     let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
     assert!(
-        matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MOST_MESSAGE)
+        matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MAX_MESSAGE)
     );
-    peers.send(Some(1), &[7; MOST_MESSAGE + 1]);
+    peers.send(Some(1), &[7; MAX_MESSAGE + 1]);
     peers.send(None, b"x");
     peers.send(Some(9), b"x");
     assert_eq!(exchange.counters.messages_sent.get(), 0);
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -17,7 +17,7 @@
 use tansymux_zone_routing::{Changed, Engine, Judge, Kind, Plan, Seen, ZoneState};
 
 /// Who has nothing running at the moment wants a little all the same (threads).
-const LEAST_DEMAND: f64 = 0.1;
+const MIN_DEMAND: f64 = 0.1;
 /// Looks at the evidence are so far apart (ms).
 const LOOK_EVERY: f64 = 100.0;
 
@@ -203,7 +203,7 @@
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
             fleet.sees(
-                Zones::evidence(judge, control.threads_out() + LEAST_DEMAND),
+                Zones::evidence(judge, control.threads_out() + MIN_DEMAND),
                 judge.alone(),
             );
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -21,7 +21,7 @@
 /// Each of these runs has several processes; not all of them at once, or a busy machine looks like a failing fleet.
 static TURN: Mutex<usize> = Mutex::new(0);
 static NEXT: AtomicU64 = AtomicU64::new(1);
-const MOST_AT_ONCE: usize = 4;
+const MAX_AT_ONCE: usize = 4;
 
 struct Slot;
 
@@ -31,7 +31,7 @@
             if let Some(taken) = TURN
                 .lock()
                 .ok()
-                .and_then(|mut n| (*n < MOST_AT_ONCE).then(|| *n += 1))
+                .and_then(|mut n| (*n < MAX_AT_ONCE).then(|| *n += 1))
             {
                 let () = taken;
                 return Slot;
--- a/crates/engine-state/src/facts.rs
+++ b/crates/engine-state/src/facts.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 /// Engines of which facts are kept, and origins of facts of each kind.
-pub const MOST_ENGINES: usize = 2048;
-pub const MOST_ORIGINS: usize = 8;
+pub const MAX_ENGINES: usize = 2048;
+pub const MAX_ORIGINS: usize = 8;
 /// Trust in an origin of which nothing is proven, and how much more one wrong fact weighs than a right one.
 const FIRST_TRUST: f64 = 0.7;
 const WRONG: f64 = 4.0;
@@ -163,7 +163,7 @@
         if !(fact.value.is_finite() && fact.age >= 0.0 && fact.age.is_finite()) {
             return;
         }
-        if !self.engines.contains_key(&fact.engine) && self.engines.len() >= MOST_ENGINES {
+        if !self.engines.contains_key(&fact.engine) && self.engines.len() >= MAX_ENGINES {
             self.forget_oldest();
         }
         let seen = now - fact.age;
@@ -208,7 +208,7 @@
             .range((kind, 0)..=(kind, u64::MAX))
             .map(|(key, _)| *key)
             .collect();
-        for key in of.iter().take(of.len().saturating_sub(MOST_ORIGINS)) {
+        for key in of.iter().take(of.len().saturating_sub(MAX_ORIGINS)) {
             engine.entries.remove(key);
         }
     }
@@ -235,7 +235,7 @@
         } else {
             &mut proven.wrong
         }) += 1.0;
-        while self.proven.len() > MOST_ENGINES {
+        while self.proven.len() > MAX_ENGINES {
             self.proven.pop_first();
         }
     }
--- a/crates/engine-state/src/lib.rs
+++ b/crates/engine-state/src/lib.rs
@@ -17,4 +17,4 @@
 mod facts;
 pub mod wire;
 
-pub use facts::{Entry, Fact, Facts, Kind, View, MOST_ENGINES, MOST_ORIGINS};
+pub use facts::{Entry, Fact, Facts, Kind, View, MAX_ENGINES, MAX_ORIGINS};
--- a/crates/engine-state/tests/merging.rs
+++ b/crates/engine-state/tests/merging.rs
@@ -148,10 +148,10 @@
         facts.merge(n as f64, &told);
         facts.merge(n as f64, &Fact { engine: 5, ..told });
     }
-    assert!(facts.len() <= tansymux_engine_state::MOST_ENGINES);
+    assert!(facts.len() <= tansymux_engine_state::MAX_ENGINES);
     assert!(
         facts.all(0.0).iter().filter(|f| f.engine == 5).count()
-            <= tansymux_engine_state::MOST_ORIGINS
+            <= tansymux_engine_state::MAX_ORIGINS
     );
     for value in [f64::NAN, f64::INFINITY] {
         let before = facts.len();
--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -8,19 +8,19 @@
 use std::net::SocketAddr;
 
 /// Members that are kept at most, with those that are dead and not yet forgotten.
-pub const MOST_MEMBERS: usize = 1024;
+pub const MAX_MEMBERS: usize = 1024;
 /// A member that is dead or left is remembered for so many periods, so that old news does not bring it back.
 const REMEMBERED: f64 = 60.0;
 /// News is told on so many times for each doubling of the group, and a doubling more.
 const TOLD: f64 = 3.0;
 /// How bad this detector may think of itself, and how much slower that makes it.
-const MOST_SLOW: u32 = 8;
+const MAX_SLOW: u32 = 8;
 const HISTORY: usize = 128;
 /// Members that each datagram names beside its news.
 const REMINDERS: usize = 2;
 /// Datagrams in a period that answer joins, and such that answer a comparison of tables.
-const MOST_JOIN_ANSWERS: usize = 60;
-const MOST_SYNC_ANSWERS: usize = 5;
+const MAX_JOIN_ANSWERS: usize = 60;
+const MAX_SYNC_ANSWERS: usize = 5;
 /// Tables are compared with one member each so many periods; in each one while the last comparison brought news.
 const SYNC_EVERY: f64 = 5.0;
 const UNSETTLED: u32 = 10;
@@ -31,7 +31,7 @@
 /// could not be told on as fast as they were needed.
 const DOUBTS: u32 = 2;
 /// Messages for others than membership that wait to be taken.
-const MOST_CARRIED_IN: usize = 1024;
+const MAX_CARRIED_IN: usize = 1024;
 
 /// Times in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
@@ -307,7 +307,7 @@
         let times = (TOLD * (self.doublings() + 1.0)).ceil() as u32;
         self.news.retain(|(old, _)| old.id != news.id);
         self.news.push_front((news, times));
-        self.news.truncate(MOST_MEMBERS);
+        self.news.truncate(MAX_MEMBERS);
     }
 
     /// News for a datagram: of the sender itself, then what was told least often.
@@ -360,7 +360,7 @@
         if news.id == self.id {
             return self.hears_of_itself(news);
         }
-        let (now, full) = (self.now, self.members.len() >= MOST_MEMBERS);
+        let (now, full) = (self.now, self.members.len() >= MAX_MEMBERS);
         match self.members.get_mut(&news.id) {
             Some(known) => {
                 if !Group::holds(known, &news) {
@@ -417,7 +417,7 @@
         }
         self.incarnation = news.incarnation.wrapping_add(1);
         if of_this && news.state == State::Suspect {
-            self.slow = (self.slow + 1).min(MOST_SLOW);
+            self.slow = (self.slow + 1).min(MAX_SLOW);
         }
         let own = self.own(State::Alive);
         self.tell(own);
@@ -467,7 +467,7 @@
             return;
         };
         if let Some(content) = wire::carried(opened) {
-            if self.carried.len() < MOST_CARRIED_IN {
+            if self.carried.len() < MAX_CARRIED_IN {
                 let content = content.to_vec();
                 self.carried.push_back(Carried {
                     from: sender,
@@ -491,7 +491,7 @@
                 let Some(to) = self.members.get(&about).map(|member| member.address) else {
                     return;
                 };
-                if self.errands.len() < MOST_MEMBERS {
+                if self.errands.len() < MAX_MEMBERS {
                     // The answer is passed on under the number that was asked with.
                     let until = self.now + self.settings.period;
                     self.errands.push(Errand {
@@ -511,7 +511,7 @@
     fn answers_join(&mut self, to: SocketAddr, number: u32) {
         let all: Vec<News> = self.there().map(Member::news).collect();
         self.send_as(to, What::Ack, number);
-        let room = MOST_JOIN_ANSWERS.saturating_sub(self.joins_answered);
+        let room = MAX_JOIN_ANSWERS.saturating_sub(self.joins_answered);
         self.joins_answered += self.tells_some(to, number, all, room);
     }
 
@@ -572,9 +572,9 @@
         }
         if !some.is_empty() {
             let most = if self.unsettled > 0 {
-                3 * MOST_SYNC_ANSWERS
+                3 * MAX_SYNC_ANSWERS
             } else {
-                MOST_SYNC_ANSWERS
+                MAX_SYNC_ANSWERS
             };
             let room = most.saturating_sub(self.syncs_answered);
             self.syncs_answered += self.tells_some(to, 0, some, room);
@@ -638,7 +638,7 @@
     pub fn poll(&mut self, now: f64) -> (Vec<(SocketAddr, Vec<u8>)>, f64) {
         // A pause of this process is its own slowness, and no member's.
         if now - self.now > 2.0 * self.settings.period && self.now.is_finite() {
-            self.slow = (self.slow + 2).min(MOST_SLOW);
+            self.slow = (self.slow + 2).min(MAX_SLOW);
             self.probe = None;
             let (now, patience) = (now, self.suspicion());
             for member in self
@@ -723,7 +723,7 @@
                 });
                 return;
             }
-            self.slow = (self.slow + 1).min(MOST_SLOW);
+            self.slow = (self.slow + 1).min(MAX_SLOW);
             self.suspects(probe.id);
         }
         while let Some(id) = self.round.pop() {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Invariants, checked in `tests/`:
 //! - a datagram is never longer than [`wire::MOST`] bytes;
-//! - state is bounded by [`MOST_MEMBERS`], and news by what one datagram holds;
+//! - state is bounded by [`MAX_MEMBERS`], and news by what one datagram holds;
 //! - a member that answers is never held for dead for longer than it takes a refutation to come round;
 //! - of two pieces of news the one with the higher incarnation holds, and at the same incarnation the worse one.
 //!
@@ -17,5 +17,5 @@
 pub mod seal;
 pub mod wire;
 
-pub use group::{Carried, Change, Group, Member, Settings, MOST_MEMBERS};
+pub use group::{Carried, Change, Group, Member, Settings, MAX_MEMBERS};
 pub use wire::{Id, State};
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -7,9 +7,9 @@
 /// Bytes of a seal: which session of its sender, its number in that, and the hash.
 pub const LENGTH: usize = 16;
 /// Sessions of a sender that are told apart, and numbers behind the highest that are accepted so far.
-const MOST_SESSIONS: usize = 8;
+const MAX_SESSIONS: usize = 8;
 const WINDOW: u32 = 64;
-const MOST_SENDERS: usize = 2048;
+const MAX_SENDERS: usize = 2048;
 
 /// The keys in force: the first seals, both open.
 #[derive(Debug, Clone, Default)]
@@ -107,7 +107,7 @@
     fn fresh(&mut self, sender: u64, session: u32, number: u32) -> bool {
         // Only who has a key comes this far. The one heard of longest ago makes room: commands carry a number of
         // the one that is asked besides, so that nothing of a sender that was forgotten can be played to it again.
-        if !self.senders.contains_key(&sender) && self.senders.len() >= MOST_SENDERS {
+        if !self.senders.contains_key(&sender) && self.senders.len() >= MAX_SENDERS {
             let oldest = self
                 .senders
                 .iter()
@@ -120,7 +120,7 @@
         known.used = self.believed;
         let at = known.sessions.iter().position(|known| known.id == session);
         let Some(at) = at else {
-            if known.sessions.len() >= MOST_SESSIONS {
+            if known.sessions.len() >= MAX_SESSIONS {
                 known.sessions.remove(0);
             }
             known.sessions.push(Session {
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -17,7 +17,7 @@
 const SYNC: u8 = 5;
 const CARRY: u8 = 6;
 /// What a datagram carries for others than membership, at most.
-pub const MOST_CARRIED: usize = MOST - seal::LENGTH - HEAD;
+pub const MAX_CARRIED: usize = MOST - seal::LENGTH - HEAD;
 
 /// A member's number, drawn from its name: the same after a restart.
 pub type Id = u64;
@@ -177,7 +177,7 @@
     bytes.extend_from_slice(&from.to_be_bytes());
     bytes.extend_from_slice(&[0; 4]);
     bytes.extend_from_slice(content);
-    (content.len() <= MOST_CARRIED).then_some(bytes)
+    (content.len() <= MAX_CARRIED).then_some(bytes)
 }
 
 /// What a datagram carries, if it is of that kind.
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -438,7 +438,7 @@
             group.poll(n as f64);
         }
     }
-    assert!(group.members().count() <= tansymux_membership::MOST_MEMBERS);
+    assert!(group.members().count() <= tansymux_membership::MAX_MEMBERS);
 }
 
 #[test]
@@ -473,7 +473,7 @@
     };
     let mut net = Net::with_keys(3, 13, keys);
     net.until(10_000.0, all, Net::agrees).unwrap();
-    let content = vec![9; wire::MOST_CARRIED];
+    let content = vec![9; wire::MAX_CARRIED];
     assert!(net.groups[0].as_mut().unwrap().carry(id_of("n1"), &content));
     assert!(!net.groups[0]
         .as_mut()
@@ -482,7 +482,7 @@
     assert!(!net.groups[0]
         .as_mut()
         .unwrap()
-        .carry(id_of("n1"), &vec![9; wire::MOST_CARRIED + 1]));
+        .carry(id_of("n1"), &vec![9; wire::MAX_CARRIED + 1]));
     net.run(100.0, all);
     let carried = net.groups[1].as_mut().unwrap().next_carried().unwrap();
     assert_eq!((carried.from, carried.content), (id_of("n0"), content));
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -9,8 +9,8 @@
 use tansymux_membership::seal::Keys;
 use tansymux_rollout::{compare, Plan, Settings, Told};
 
-const MOST_VOTERS: usize = 9;
-const MOST_NAME: usize = 64;
+const MAX_VOTERS: usize = 9;
+const MAX_NAME: usize = 64;
 
 /// The number by which halls, versions and engines go round: FNV-1a over the name, never 0.
 pub fn number_of(name: &str) -> u32 {
@@ -120,14 +120,14 @@
         lost_part: told.lost_part(),
         sure: told.sure_s() * 1000.0,
         known_part: told.known_part(),
-        most_left: told.most_left(),
+        max_left: told.most_left(),
         carry: told.carry(),
         first: told.first(),
         whole: told.whole(),
         steps: told.steps().min(255) as u8,
         step: told.step_s() * 1000.0,
         hold: told.hold_s() * 1000.0,
-        hold_most: told.hold_most_s() * 1000.0,
+        max_hold: told.hold_most_s() * 1000.0,
         calm: told.calm_s() * 1000.0,
         term: told.term_s() * 1000.0,
         own_after: told.own_after_s() * 1000.0,
@@ -137,7 +137,7 @@
 
 pub(crate) fn check(told: &schema::Fleet, faults: &mut Faults) {
     let name = |name: &str| {
-        !name.is_empty() && name.len() <= MOST_NAME && !name.contains(char::is_whitespace)
+        !name.is_empty() && name.len() <= MAX_NAME && !name.contains(char::is_whitespace)
     };
     let allowed = "a name of 1 to 64 bytes without blanks";
     match &told.name {
@@ -167,7 +167,7 @@
         faults.add(&format!("fleet.seed.{n}"), format!("{given:?}"), allowed);
     }
     let many = told.voter.len();
-    if many.is_multiple_of(2) || many > MOST_VOTERS {
+    if many.is_multiple_of(2) || many > MAX_VOTERS {
         let allowed = "an odd number of names from 1 to 9";
         faults.add("fleet.voter", format!("{many} names"), allowed);
     }
--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -20,7 +20,7 @@
             all: terms(&enter.all),
             any: terms(&enter.any),
         },
-        least_stay: told.least_stay_s() * 1000.0,
+        min_stay: told.least_stay_s() * 1000.0,
         reduction: told.act.as_ref().map_or_else(Reduction::default, reduction),
     }
 }
@@ -56,7 +56,7 @@
         spread: told.spread(),
         withhold_low: told.withhold_low_retries(),
         close_over_share: told.close_over_share(),
-        least_sure: told.least_sure(),
+        min_sure: told.least_sure(),
         classes: told
             .class
             .iter()
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -28,7 +28,7 @@
 static DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/operator.fds"));
 
 /// The longest file that is read, in bytes.
-pub const MOST_BYTES: usize = 1 << 20;
+pub const MAX_BYTES: usize = 1 << 20;
 
 /// One thing that is wrong, and where.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
@@ -75,8 +75,8 @@
             allowed: String::new(),
         }]
     };
-    if text.len() > MOST_BYTES {
-        return Err(whole(format!("the file is longer than {MOST_BYTES} bytes")));
+    if text.len() > MAX_BYTES {
+        return Err(whole(format!("the file is longer than {MAX_BYTES} bytes")));
     }
     // A descent in the text is a descent on the stack of whoever reads it.
     if let Some(at) = place::too_deep(text) {
--- a/crates/operator-config/src/place.rs
+++ b/crates/operator-config/src/place.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 /// Messages within messages at most.
-const MOST_DEEP: usize = 32;
+const MAX_DEEP: usize = 32;
 
 /// Line and column (from 1, in characters) of a byte.
 pub fn line_of(text: &str, offset: usize) -> (usize, usize) {
@@ -68,7 +68,7 @@
             Mark::Sign(b'}' | b'>' | b']') => depth = depth.saturating_sub(1),
             _ => {}
         }
-        if depth > MOST_DEEP {
+        if depth > MAX_DEEP {
             return Some(line_of(text, at));
         }
     }
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tansymux_coordination::wire::Counted;
-use tansymux_coordination::{Id, Kind, Record, Value, Why, MOST_RECORDS};
+use tansymux_coordination::{Id, Kind, Record, Value, Why, MAX_RECORDS};
 
 /// Reports are so far apart (ms), spread by a fifth.
 const REPORT_EVERY: f64 = 1000.0;
@@ -16,7 +16,7 @@
 const AGAIN: f64 = 250.0;
 const GIVES_UP: f64 = 4000.0;
 /// Calls under way, numbers given out to callers, and how long either is kept (ms).
-const MOST_CALLS: usize = 64;
+const MAX_CALLS: usize = 64;
 const CALL_HOLDS: f64 = 20_000.0;
 const OVER_FOR: f64 = 600_000.0;
 
@@ -152,7 +152,7 @@
                 until,
                 since: now,
             };
-            let room = self.copies.len() < MOST_RECORDS;
+            let room = self.copies.len() < MAX_RECORDS;
             match self.copies.get_mut(&record.key) {
                 Some(known) => match (now < known.until, now < until) {
                     (true, false) => {}
@@ -217,7 +217,7 @@
             .find(|known| known.call == call)
             .map(|known| known.nonce);
         let nonce = known.or_else(|| {
-            if self.calls.len() >= MOST_CALLS {
+            if self.calls.len() >= MAX_CALLS {
                 return None;
             }
             let nonce = self.rng.random();
--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 /// Windows that are kept of each comparison.
-const MOST_PAIRS: usize = 240;
-const MOST_ZONES: usize = 64;
+const MAX_PAIRS: usize = 240;
+const MAX_ZONES: usize = 64;
 
 /// How it is told.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -87,7 +87,7 @@
 impl Compare {
     /// A report of a dispatcher in a window: served well, and all.
     pub fn report(&mut self, window: u64, zone: u32, released: bool, good: u32, all: u32) {
-        if self.open.len() >= 4 * MOST_ZONES && !self.open.contains_key(&(window, zone)) {
+        if self.open.len() >= 4 * MAX_ZONES && !self.open.contains_key(&(window, zone)) {
             return;
         }
         self.open.entry((window, zone)).or_default()[usize::from(released)].add(good, all);
@@ -101,7 +101,7 @@
                 self.differences.push(released.part() - others.part());
             }
         }
-        let over = self.differences.len().saturating_sub(MOST_PAIRS);
+        let over = self.differences.len().saturating_sub(MAX_PAIRS);
         self.differences.drain(..over);
         let pairs = self.differences.len();
         if pairs < terms.pairs.max(3) {
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -6,7 +6,7 @@
 
 /// Evidence is kept in two halves of so long (ms): it counts for one to two of them.
 const HALF: f64 = 5000.0;
-const MOST_ENGINES: usize = 1024;
+const MAX_ENGINES: usize = 1024;
 
 /// When an engine counts as bad.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -39,7 +39,7 @@
     /// A attempt ended, and told something of the engine.
     pub fn ended(&mut self, now: f64, engine: Id, bad: bool) {
         self.turns(now);
-        if self.halves.len() >= MOST_ENGINES && !self.halves.contains_key(&engine) {
+        if self.halves.len() >= MAX_ENGINES && !self.halves.contains_key(&engine) {
             return;
         }
         let ends = &mut self.halves.entry(engine).or_default()[0];
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -15,7 +15,7 @@
 use tansymux_membership::{Carried, Group, State};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
-const MOST_NEWS: usize = 4;
+const MAX_NEWS: usize = 4;
 
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
@@ -237,7 +237,7 @@
             } => self.agent.news(now, from, leader, tick, records),
             Message::Want => {
                 let all: Vec<Counted> = self.agent.records(now).collect();
-                for some in all.chunks(message::RECORDS).take(MOST_NEWS) {
+                for some in all.chunks(message::RECORDS).take(MAX_NEWS) {
                     self.send(
                         To::Member(from),
                         &Message::Hand {
@@ -314,7 +314,7 @@
         } else {
             records
                 .chunks(message::RECORDS)
-                .take(MOST_NEWS)
+                .take(MAX_NEWS)
                 .map(news)
                 .collect()
         };
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -136,8 +136,8 @@
 }
 
 /// Zones that fit an answer.
-pub const MOST_LISTED: usize = 8;
-pub type ZoneList = [Option<(u32, Fleetwide, f32)>; MOST_LISTED];
+pub const MAX_LISTED: usize = 8;
+pub type ZoneList = [Option<(u32, Fleetwide, f32)>; MAX_LISTED];
 
 /// The fleet as its leader sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -9,13 +9,13 @@
 use tansymux_membership::State;
 
 /// Lost ones that are written down in one look.
-const MOST_LOST_A_LOOK: usize = 24;
+const MAX_LOST_A_LOOK: usize = 24;
 /// One that had a turn and is not back after so many times its length is lost.
 const LOST_AFTER: f64 = 1.5;
 /// Members are asked for what they know no more often than that (ms).
 const WANT_EVERY: f64 = 100.0;
 /// Members whose reports are kept.
-const MOST_REPORTS: usize = 1024;
+const MAX_REPORTS: usize = 1024;
 /// What a member said counts so long (ms), for its load and version; whether it is there, membership says.
 const REPORT_HOLDS: f64 = 10_000.0;
 
@@ -128,7 +128,7 @@
     /// All members that are known, this one among them, and how they stand.
     pub fn members(&mut self, members: impl Iterator<Item = (Id, State)>) {
         self.members.clear();
-        self.members.extend(members.take(MOST_REPORTS));
+        self.members.extend(members.take(MAX_REPORTS));
     }
 
     /// The engines as this dispatcher's list tells them.
@@ -157,7 +157,7 @@
 
     /// What a member says of itself.
     pub fn report(&mut self, now: f64, council: &Council, from: Id, report: Report) {
-        if self.reports.len() >= MOST_REPORTS && !self.reports.contains_key(&from) {
+        if self.reports.len() >= MAX_REPORTS && !self.reports.contains_key(&from) {
             return;
         }
         let before = self.reports.get(&from).copied();
@@ -824,7 +824,7 @@
             };
             lost.push((key, value, term));
         }
-        lost.truncate(MOST_LOST_A_LOOK);
+        lost.truncate(MAX_LOST_A_LOOK);
         for some in lost.chunks(tansymux_coordination::wire::RECORDS) {
             council.write(now, some);
         }
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -9,14 +9,14 @@
 use tansymux_coordination::{Council, Id, Record, Value};
 use tansymux_zone_evacuation::wire::{stage_of, why_of, Evidence, Plan, Told};
 use tansymux_zone_evacuation::{
-    Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MOST_ZONES,
+    Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MAX_ZONES,
 };
 
 /// What is seen is told so often (ms), spread by a fifth.
 const TELL_EVERY: f64 = 700.0;
 const LOOK_EVERY: f64 = 200.0;
 /// Questions whose answers are still waited for.
-const MOST_ASKED: usize = 32;
+const MAX_ASKED: usize = 32;
 
 #[derive(Debug, Clone)]
 pub struct Zoned {
@@ -80,7 +80,7 @@
 
     pub fn sees(&mut self, evidence: Vec<Evidence>, alone: bool) {
         (self.evidence, self.alone) = (evidence, alone);
-        self.evidence.truncate(MOST_ZONES);
+        self.evidence.truncate(MAX_ZONES);
     }
 
     /// The engines as listed.
@@ -100,7 +100,7 @@
         self.next = now + TELL_EVERY * (0.9 + 0.2 * self.rng.random::<f64>());
         self.number = self.number.wrapping_add(1);
         self.asked.push_back((self.number, now));
-        if self.asked.len() > MOST_ASKED {
+        if self.asked.len() > MAX_ASKED {
             self.asked.pop_front();
         }
         let (session, number, alone, zones) =
@@ -170,7 +170,7 @@
             .is_some_and(|since| now - since >= rests);
         let zones = agreed(council)
             .into_iter()
-            .take(MOST_ZONES)
+            .take(MAX_ZONES)
             .map(|(zone, of)| {
                 let demand = demands.get(&zone).copied().unwrap_or(0.0);
                 let share = if gives {
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -90,7 +90,7 @@
     pub withhold_low: bool,
     /// Low work of tenants over their share finds no room, nor does low work whose cost is less sure than this.
     pub close_over_share: bool,
-    pub least_sure: f64,
+    pub min_sure: f64,
     /// Room of low work by class: a part of what it would find; none closes the class.
     pub classes: Vec<(String, f64)>,
 }
@@ -105,7 +105,7 @@
             spread: 0.0,
             withhold_low: false,
             close_over_share: false,
-            least_sure: 0.0,
+            min_sure: 0.0,
             classes: Vec::new(),
         }
     }
@@ -136,7 +136,7 @@
                 before.close_over_share && !self.close_over_share,
                 "close_over_share",
             ),
-            (self.least_sure < before.least_sure, "least_sure"),
+            (self.min_sure < before.min_sure, "least_sure"),
             (classes, "class"),
         ];
         checks
@@ -151,7 +151,7 @@
     pub name: String,
     pub enter: Condition,
     /// How long (ms) it stays at the least.
-    pub least_stay: f64,
+    pub min_stay: f64,
     pub reduction: Reduction,
 }
 
@@ -171,7 +171,7 @@
 }
 
 /// Thresholds nearer than this to each other are crossed by noise alone.
-pub const LEAST_GAP: f64 = 0.02;
+pub const MIN_GAP: f64 = 0.02;
 
 impl Definition {
     /// All signals that are named, each once, in the order in which they come.
@@ -230,7 +230,7 @@
             for (t, term) in terms.iter().enumerate() {
                 let key = format!("enter.{part}.{t}");
                 let (high, low) = (term.enter.max(term.leave), term.enter.min(term.leave));
-                if !(term.enter.is_finite() && term.leave.is_finite()) || high - low < LEAST_GAP {
+                if !(term.enter.is_finite() && term.leave.is_finite()) || high - low < MIN_GAP {
                     let found = format!("{} to enter and {} to leave", term.enter, term.leave);
                     add(&key, found, "thresholds 0.02 apart or more: it would flap");
                 } else if !(0.0..=1.0).contains(&term.enter) {
--- a/crates/service-levels/src/machine.rs
+++ b/crates/service-levels/src/machine.rs
@@ -18,7 +18,7 @@
 const START: f64 = 2500.0;
 /// A new instance asks so often where the others are (ms).
 const ASK: f64 = 800.0;
-const MOST_PEERS: usize = 1024;
+const MAX_PEERS: usize = 1024;
 const HISTORY: usize = 64;
 
 /// A term's memory.
@@ -372,7 +372,7 @@
         if wants < self.depth {
             let since = *self.clear_since.get_or_insert(now);
             let level = self.depth - 1;
-            let stayed = now - self.since >= self.definition.levels[level].least_stay;
+            let stayed = now - self.since >= self.definition.levels[level].min_stay;
             let cleared = self.pin.is_some()
                 || now - since.max(self.silenced) >= self.clears_in(level, own, now);
             if stayed && cleared && self.may_change(level, now) {
@@ -512,7 +512,7 @@
             }
             return;
         }
-        let room = self.peers.len() < MOST_PEERS;
+        let room = self.peers.len() < MAX_PEERS;
         match self.peers.iter_mut().find(|known| known.number == peer) {
             Some(known) => {
                 let newer = told.number.wrapping_sub(known.told.number);
--- a/crates/service-levels/tests/model.rs
+++ b/crates/service-levels/tests/model.rs
@@ -21,7 +21,7 @@
             }],
             any: Vec::new(),
         },
-        least_stay: 20_000.0,
+        min_stay: 20_000.0,
         reduction: Reduction {
             bounds,
             ..Reduction::default()
--- a/crates/service-levels/tests/swings.rs
+++ b/crates/service-levels/tests/swings.rs
@@ -28,7 +28,7 @@
             all: vec![term(Signal::Pressed(None), enter, leave)],
             any: Vec::new(),
         },
-        least_stay: 20_000.0,
+        min_stay: 20_000.0,
         reduction: Reduction {
             bounds,
             ..Reduction::default()
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -25,7 +25,7 @@
 const NOTES_EVERY: f64 = 100.0;
 const LOOK_EVERY: f64 = 100.0;
 /// A run of more queries than this keeps no record for the checker.
-const MOST_RECORDED: f64 = 400_000.0;
+const MAX_RECORDED: f64 = 400_000.0;
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -489,7 +489,7 @@
             next_out: 1,
             active: vec![false; e.fault.len()],
             list,
-            record: (rate * e.seconds() <= MOST_RECORDED).then(Vec::new),
+            record: (rate * e.seconds() <= MAX_RECORDED).then(Vec::new),
             o: Outcomes {
                 seed,
                 arm: e.arm[arm].name().to_owned(),
--- a/crates/sql-analysis/src/cache.rs
+++ b/crates/sql-analysis/src/cache.rs
@@ -47,31 +47,31 @@
 
 pub struct Shapes {
     kept: Cache<u128, Entry>,
-    most_bytes: usize,
+    max_bytes: usize,
     counts: Counts,
 }
 
-fn room(most_shapes: usize, most_bytes: usize) -> Cache<u128, Entry> {
-    let least = u32::try_from(most_bytes / most_shapes.max(1)).unwrap_or(u32::MAX);
+fn room(max_shapes: usize, max_bytes: usize) -> Cache<u128, Entry> {
+    let least = u32::try_from(max_bytes / max_shapes.max(1)).unwrap_or(u32::MAX);
     Cache::builder()
-        .max_capacity(most_bytes as u64)
-        .initial_capacity(most_shapes.min(FIRST_SHAPES))
+        .max_capacity(max_bytes as u64)
+        .initial_capacity(max_shapes.min(FIRST_SHAPES))
         .weigher(move |_, entry| weight(entry, least))
         .build()
 }
 
 impl Shapes {
-    pub fn new(most_shapes: usize, most_bytes: usize) -> Self {
+    pub fn new(max_shapes: usize, max_bytes: usize) -> Self {
         Shapes {
-            kept: room(most_shapes, most_bytes),
-            most_bytes,
+            kept: room(max_shapes, max_bytes),
+            max_bytes,
             counts: Counts::default(),
         }
     }
 
     /// Forgets all readings; the counts go on.
-    pub fn reset(&mut self, most_shapes: usize, most_bytes: usize) {
-        (self.kept, self.most_bytes) = (room(most_shapes, most_bytes), most_bytes);
+    pub fn reset(&mut self, max_shapes: usize, max_bytes: usize) {
+        (self.kept, self.max_bytes) = (room(max_shapes, max_bytes), max_bytes);
     }
 
     pub fn get(&mut self, shape: u128, lexed: &Lexed) -> Option<Rc<Reading>> {
@@ -92,7 +92,7 @@
 
     /// Keeps a reading. One that fell together with another shape is not kept: the other one stays right.
     pub fn keep(&mut self, shape: u128, lexed: &Lexed, reading: &Rc<Reading>) {
-        if lexed.text.len() > self.most_bytes / LARGEST_PART || self.kept.contains_key(&shape) {
+        if lexed.text.len() > self.max_bytes / LARGEST_PART || self.kept.contains_key(&shape) {
             return;
         }
         let entry = Entry {
--- a/crates/sql-analysis/src/learn.rs
+++ b/crates/sql-analysis/src/learn.rs
@@ -12,7 +12,7 @@
 use mini_moka::unsync::Cache;
 
 /// Evidence counts for so many samples at most, so that a step never gets too small to follow.
-const MOST_WEIGHT: f64 = 30.0;
+const MAX_WEIGHT: f64 = 30.0;
 /// A sample is far off when it lies beyond so many times the usual scatter, and a least part (log).
 const FAR: f64 = 3.0;
 const FAR_LEAST: f64 = 0.7;
@@ -23,15 +23,15 @@
 /// Paces of engines: step, most off at once and in all (log), how sure a shape must be to teach them, and how long they last (ms).
 const PACE_STEP: f64 = 0.15;
 const PACE_AT_ONCE: f64 = 0.7;
-const PACE_MOST: f64 = 3.0;
+const MAX_PACE: f64 = 3.0;
 const PACE_SURE: f64 = 0.4;
 const PACE_LASTS: f64 = 15_000.0;
-const MOST_ENGINES: usize = 1024;
+const MAX_ENGINES: usize = 1024;
 /// How much of a sample's doubt a class's own level takes away, at most: a class says little of one shape.
 const CLASS_SURE: f64 = 0.15;
 const CLASS_HALF: f64 = 50.0;
 const CLASS_STEP: f64 = 0.02;
-const CLASS_MOST: f64 = 5.0;
+const MAX_CLASS: f64 = 5.0;
 /// What price and class count for against samples of the shape itself.
 const PRIOR_WEIGHT: f64 = 0.02;
 /// Costs below this (ms) are all alike.
@@ -107,7 +107,7 @@
             return;
         }
         let off = sample - self.level;
-        let most = how.most_step.ln();
+        let most = how.max_step.ln();
         let step = trust / (self.weight + trust);
         if off.abs() > FAR_LEAST.max(FAR * self.scatter) {
             let side = if off > 0.0 { 1 } else { -1 };
@@ -136,7 +136,7 @@
         }
         self.level += step * off.clamp(-most, most);
         self.scatter += step * (off.abs() - self.scatter);
-        self.weight = (self.weight + trust).min(MOST_WEIGHT);
+        self.weight = (self.weight + trust).min(MAX_WEIGHT);
     }
 }
 
@@ -162,7 +162,7 @@
 
 pub struct Learner {
     how: Learning,
-    most_costs: usize,
+    max_costs: usize,
     shapes: Cache<u128, Known>,
     classes: [OfClass; 4],
     /// Sorted by engine.
@@ -172,12 +172,12 @@
 }
 
 impl Learner {
-    pub fn new(how: Learning, most_costs: usize) -> Self {
+    pub fn new(how: Learning, max_costs: usize) -> Self {
         let (classes, paces, middle) = Default::default();
         Learner {
             how,
-            most_costs,
-            shapes: Cache::new(most_costs as u64),
+            max_costs,
+            shapes: Cache::new(max_costs as u64),
             classes,
             paces,
             middle,
@@ -185,14 +185,14 @@
     }
 
     /// Takes on other settings; what was learned stays unless its room changed.
-    pub fn set(&mut self, how: Learning, most_costs: usize) {
+    pub fn set(&mut self, how: Learning, max_costs: usize) {
         self.how = how;
-        if most_costs != self.most_costs {
-            let mut fresh = Cache::new(most_costs as u64);
+        if max_costs != self.max_costs {
+            let mut fresh = Cache::new(max_costs as u64);
             for (shape, known) in self.shapes.iter() {
                 fresh.insert(*shape, *known);
             }
-            (self.shapes, self.most_costs) = (fresh, most_costs);
+            (self.shapes, self.max_costs) = (fresh, max_costs);
         }
     }
 
@@ -264,7 +264,7 @@
             of_class.seen = (of_class.seen + 1.0).min(1e6);
             let step = CLASS_STEP.max(1.0 / of_class.seen);
             of_class.level += step * (sample - prior - of_class.level);
-            of_class.level = of_class.level.clamp(-CLASS_MOST, CLASS_MOST);
+            of_class.level = of_class.level.clamp(-MAX_CLASS, MAX_CLASS);
         }
     }
 
@@ -310,10 +310,10 @@
         let level = level + PACE_STEP * (off - level).clamp(-PACE_AT_ONCE, PACE_AT_ONCE);
         *pace = Pace {
             engine,
-            level: level.clamp(-PACE_MOST, PACE_MOST),
+            level: level.clamp(-MAX_PACE, MAX_PACE),
             at: now,
         };
-        if self.paces.len() > MOST_ENGINES {
+        if self.paces.len() > MAX_ENGINES {
             let oldest = (0..self.paces.len())
                 .min_by(|a, b| self.paces[*a].at.total_cmp(&self.paces[*b].at));
             oldest.map(|n| self.paces.remove(n));
@@ -517,6 +517,6 @@
         for n in 0..20_000_u64 {
             after(&mut l, u128::from(n), 1, Observation { engine: n, ..SEEN });
         }
-        assert!(l.kept() <= 64 && l.paces.len() <= MOST_ENGINES);
+        assert!(l.kept() <= 64 && l.paces.len() <= MAX_ENGINES);
     }
 }
--- a/crates/sql-analysis/src/lexer.rs
+++ b/crates/sql-analysis/src/lexer.rs
@@ -6,11 +6,11 @@
 
 /// Tokens, chained operators and brackets within brackets that a statement may have to be parsed: they bound the
 /// parser's time, and the stack that a chain takes when it is walked and dropped.
-pub const MOST_TOKENS: usize = 4000;
-pub const MOST_OPERATORS: usize = 400;
-pub const MOST_DEEP: usize = 40;
+pub const MAX_TOKENS: usize = 4000;
+pub const MAX_OPERATORS: usize = 400;
+pub const MAX_DEEP: usize = 40;
 /// The longest statement that is read; what is longer is in doubt.
-pub const MOST_BYTES: usize = 64 * 1024;
+pub const MAX_BYTES: usize = 64 * 1024;
 
 /// Why no proof is tried. The first one that is met counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -124,7 +124,7 @@
     pub fn lex(&mut self, statement: &[u8]) -> Lexed<'_> {
         self.text.clear();
         self.spans.clear();
-        let cut = &statement[..statement.len().min(MOST_BYTES)];
+        let cut = &statement[..statement.len().min(MAX_BYTES)];
         let mut run = Run {
             bytes: cut,
             at: 0,
@@ -137,10 +137,10 @@
             operators: 0,
             tells_of_change: false,
         };
-        if statement.len() > MOST_BYTES {
+        if statement.len() > MAX_BYTES {
             run.doubts(Doubt::TooLong);
         }
-        if std::str::from_utf8(cut).is_err() && statement.len() <= MOST_BYTES || cut.contains(&0) {
+        if std::str::from_utf8(cut).is_err() && statement.len() <= MAX_BYTES || cut.contains(&0) {
             run.doubts(Doubt::NotText);
         }
         run.all();
@@ -264,14 +264,14 @@
                     self.mark(first);
                 }
             }
-            if self.spans.len() > MOST_TOKENS
-                || self.operators > MOST_OPERATORS
-                || self.depth > MOST_DEEP
+            if self.spans.len() > MAX_TOKENS
+                || self.operators > MAX_OPERATORS
+                || self.depth > MAX_DEEP
             {
                 self.doubts(Doubt::TooComplex);
                 // The words of the rest still count; its shape does not, since it will not be parsed.
-                if self.spans.len() > MOST_TOKENS {
-                    self.text.truncate(MOST_BYTES / 4);
+                if self.spans.len() > MAX_TOKENS {
+                    self.text.truncate(MAX_BYTES / 4);
                     return self.rest();
                 }
             }
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -116,8 +116,8 @@
     pub fn new(settings: Settings, key: [u8; 16]) -> Self {
         Statements {
             lexer: Lexer::default(),
-            shapes: Shapes::new(settings.most_shapes, settings.most_bytes),
-            learner: Learner::new(settings.learning, settings.most_costs),
+            shapes: Shapes::new(settings.max_shapes, settings.max_bytes),
+            learner: Learner::new(settings.learning, settings.max_costs),
             settings,
             key,
         }
@@ -126,8 +126,8 @@
     /// Takes on other rules. Readings are made anew; what was learned of costs stays, as it hangs on shapes and not
     /// on rules. Readings that are in use elsewhere stay as they are.
     pub fn set(&mut self, settings: Settings) {
-        self.shapes.reset(settings.most_shapes, settings.most_bytes);
-        self.learner.set(settings.learning, settings.most_costs);
+        self.shapes.reset(settings.max_shapes, settings.max_bytes);
+        self.learner.set(settings.learning, settings.max_costs);
         self.settings = settings;
     }
 
--- a/crates/sql-analysis/src/read.rs
+++ b/crates/sql-analysis/src/read.rs
@@ -15,11 +15,11 @@
 use std::ops::ControlFlow;
 
 /// The parser's own bound on how deep it descends.
-const MOST_DEEP: usize = 48;
+const MAX_DEEP: usize = 48;
 /// Names of tables that are kept.
-const MOST_TABLES: usize = 64;
+const MAX_TABLES: usize = 64;
 /// Of an error's text so much is kept.
-const MOST_ERROR: usize = 160;
+const MAX_ERROR: usize = 160;
 
 /// What the grammar shows of a statement with its subqueries.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -133,7 +133,7 @@
     };
     let (cost, memory) = settings.prices.of(class, &features);
     if let Some(error) = &mut error {
-        let end = (0..=MOST_ERROR.min(error.len()))
+        let end = (0..=MAX_ERROR.min(error.len()))
             .rev()
             .find(|at| error.is_char_boundary(*at))
             .unwrap_or(0);
@@ -142,7 +142,7 @@
     // A mutating statement that was read is no error.
     let error = error.filter(|_| effect != Effect::NonIdempotent || lexed.doubt.is_some());
     let (reads, writes) = found.map_or_else(Default::default, |found| (found.reads, found.writes));
-    let names = |names: BTreeSet<String>| names.into_iter().take(MOST_TABLES).collect();
+    let names = |names: BTreeSet<String>| names.into_iter().take(MAX_TABLES).collect();
     Reading {
         class,
         effect,
@@ -162,7 +162,7 @@
         Dialect::PostgreSql => &PostgreSqlDialect {},
         Dialect::MySql => &MySqlDialect {},
     };
-    let parser = Parser::new(dialect).with_recursion_limit(MOST_DEEP);
+    let parser = Parser::new(dialect).with_recursion_limit(MAX_DEEP);
     let statements = parser
         .with_tokens_with_locations(tokens.to_vec())
         .parse_statements();
--- a/crates/sql-analysis/src/rules.rs
+++ b/crates/sql-analysis/src/rules.rs
@@ -16,9 +16,9 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rule {
     pub class: Class,
-    pub least_joins: u32,
-    pub least_tables: u32,
-    pub least_subqueries: u32,
+    pub min_joins: u32,
+    pub min_tables: u32,
+    pub min_subqueries: u32,
     pub grouped: Option<bool>,
     pub distinct: Option<bool>,
     pub aggregated: Option<bool>,
@@ -37,9 +37,9 @@
     pub fn of(class: Class) -> Self {
         Rule {
             class,
-            least_joins: 0,
-            least_tables: 0,
-            least_subqueries: 0,
+            min_joins: 0,
+            min_tables: 0,
+            min_subqueries: 0,
             grouped: None,
             distinct: None,
             aggregated: None,
@@ -56,9 +56,9 @@
 
     pub fn holds(&self, f: &Features) -> bool {
         let same = |asked: Option<bool>, is: bool| asked.is_none_or(|asked| asked == is);
-        f.joins >= self.least_joins
-            && f.tables >= self.least_tables
-            && f.subqueries >= self.least_subqueries
+        f.joins >= self.min_joins
+            && f.tables >= self.min_tables
+            && f.subqueries >= self.min_subqueries
             && same(self.grouped, f.grouped)
             && same(self.distinct, f.distinct)
             && same(self.aggregated, f.aggregated)
@@ -89,14 +89,14 @@
                 ..report.clone()
             },
             Rule {
-                least_joins: 4,
+                min_joins: 4,
                 ..report.clone()
             },
             Rule {
                 pointed: Some(true),
                 grouped: Some(false),
                 united: Some(false),
-                least_tables: 1,
+                min_tables: 1,
                 distinct: Some(false),
                 ..look_up
             },
@@ -122,7 +122,7 @@
                 ..report.clone()
             },
             Rule {
-                least_joins: 2,
+                min_joins: 2,
                 ..report
             },
         ]
@@ -141,8 +141,8 @@
 }
 
 /// Features count so often at most: prices are guesses, and a guess must not run away.
-const MOST_JOINS: u32 = 6;
-const MOST_WINDOWS: u32 = 3;
+const MAX_JOINS: u32 = 6;
+const MAX_WINDOWS: u32 = 3;
 
 impl Default for Prices {
     fn default() -> Self {
@@ -160,8 +160,8 @@
 impl Prices {
     /// Work and memory of a statement by its class and features alone.
     pub fn of(&self, class: Class, f: &Features) -> (f64, f64) {
-        let mut factor = self.a_join.powi(f.joins.min(MOST_JOINS) as i32);
-        factor *= self.a_window.powi(f.windows.min(MOST_WINDOWS) as i32);
+        let mut factor = self.a_join.powi(f.joins.min(MAX_JOINS) as i32);
+        factor *= self.a_window.powi(f.windows.min(MAX_WINDOWS) as i32);
         factor *= if f.ordered { self.an_order } else { 1.0 };
         factor *= if f.tables > 0 && !f.filtered && !f.limited {
             self.no_filter
@@ -180,7 +180,7 @@
     /// Milliseconds.
     pub half_life: f64,
     pub shift_after: u32,
-    pub most_step: f64,
+    pub max_step: f64,
 }
 
 impl Default for Learning {
@@ -189,7 +189,7 @@
             half_sure: 3.0,
             half_life: 3_600_000.0,
             shift_after: 3,
-            most_step: 2.0,
+            max_step: 2.0,
         }
     }
 }
@@ -202,9 +202,9 @@
     pub pure_functions: Vec<String>,
     pub effect_functions: Vec<String>,
     pub prices: Prices,
-    pub most_shapes: usize,
-    pub most_bytes: usize,
-    pub most_costs: usize,
+    pub max_shapes: usize,
+    pub max_bytes: usize,
+    pub max_costs: usize,
     pub learning: Learning,
 }
 
@@ -216,9 +216,9 @@
             pure_functions: Vec::new(),
             effect_functions: Vec::new(),
             prices: Prices::default(),
-            most_shapes: 4096,
-            most_bytes: 2 << 20,
-            most_costs: 16_384,
+            max_shapes: 4096,
+            max_bytes: 2 << 20,
+            max_costs: 16_384,
             learning: Learning::default(),
         }
     }
--- a/crates/sql-analysis/tests/hard.rs
+++ b/crates/sql-analysis/tests/hard.rs
@@ -443,9 +443,9 @@
 #[test]
 fn a_flood_of_new_shapes_leaves_the_common_ones_and_stays_in_bounds() {
     let settings = Settings {
-        most_shapes: 512,
-        most_bytes: 512 * 1024,
-        most_costs: 1024,
+        max_shapes: 512,
+        max_bytes: 512 * 1024,
+        max_costs: 1024,
         ..Settings::default()
     };
     let mut statements = Statements::new(settings, [7; 16]);
@@ -487,9 +487,9 @@
 #[test]
 fn learned_costs_outlive_the_reading_within_their_own_bound() {
     let settings = Settings {
-        most_shapes: 16,
-        most_bytes: 65_536,
-        most_costs: 4096,
+        max_shapes: 16,
+        max_bytes: 65_536,
+        max_costs: 4096,
         ..Settings::default()
     };
     let mut statements = Statements::new(settings.clone(), [7; 16]);
--- a/crates/store/src/form.rs
+++ b/crates/store/src/form.rs
@@ -9,7 +9,7 @@
 /// Bytes before a record: length and checksum.
 pub const FRAME: usize = 8;
 /// The longest record.
-pub const MOST_RECORD: usize = 64 * 1024;
+pub const MAX_RECORD: usize = 64 * 1024;
 /// A record of this length ends a snapshot: its bytes are the number of those before it.
 const END: u32 = u32::MAX;
 
@@ -157,7 +157,7 @@
             return stops(records, Damage::Short);
         };
         let size = if length == END { 8 } else { length as usize };
-        if size > MOST_RECORD {
+        if size > MAX_RECORD {
             return stops(records, Damage::Checksum);
         }
         let Some(record) = bytes.get(at + FRAME..at + FRAME + size) else {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -64,7 +64,7 @@
     TooLarge,
     /// Files of a newer version are here.
     Newer,
-    /// The record is longer than `form::MOST_RECORD`.
+    /// The record is longer than `form::MAX_RECORD`.
     TooLong,
 }
 
@@ -270,7 +270,7 @@
         if self.read_only {
             return Err(Trouble::Newer);
         }
-        if record.len() > form::MOST_RECORD {
+        if record.len() > form::MAX_RECORD {
             return Err(Trouble::TooLong);
         }
         if self.size > 2 * self.settings.most {
@@ -379,10 +379,10 @@
         self.disk
             .append(TEMPORARY, &form::head(What::Snapshot, number, (0, 0)))?;
         let (mut count, mut bytes) = (0, Vec::new());
-        for record in records.filter(|record| record.len() <= form::MOST_RECORD) {
+        for record in records.filter(|record| record.len() <= form::MAX_RECORD) {
             bytes.extend_from_slice(&form::frame(record));
             count += 1;
-            if bytes.len() >= form::MOST_RECORD {
+            if bytes.len() >= form::MAX_RECORD {
                 self.disk.append(TEMPORARY, &bytes)?;
                 bytes.clear();
             }
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -329,7 +329,7 @@
     store.compact(0.0, [b"all".as_slice()].into_iter()).unwrap();
     assert!(!store.wants_compaction() && store.append(0.0, b"x").is_ok());
     assert_eq!(
-        store.append(0.0, &vec![0; form::MOST_RECORD + 1]),
+        store.append(0.0, &vec![0; form::MAX_RECORD + 1]),
         Err(Trouble::TooLong)
     );
     let disk = store.into_disk();
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -94,7 +94,7 @@
 pub struct Spec {
     pub cores: f64,
     /// More running threads a core than this are answered as full.
-    pub most_threads_a_core: f64,
+    pub max_threads_a_core: f64,
     /// Time between notes (ms).
     pub tells_every: f64,
     /// While cold it does this part of its work, rising to all in so long (ms).
@@ -106,7 +106,7 @@
     fn default() -> Self {
         Spec {
             cores: 8.0,
-            most_threads_a_core: 16.0,
+            max_threads_a_core: 16.0,
             tells_every: 100.0,
             cold_from: 1.0,
             warm_after: 0.0,
@@ -303,7 +303,7 @@
             let mut state = self.state.lock().expect("no holder panics");
             let lot: f64 = state.rng.random();
             let crowded =
-                state.threads + work.threads > self.spec.cores * self.spec.most_threads_a_core;
+                state.threads + work.threads > self.spec.cores * self.spec.max_threads_a_core;
             if !crowded {
                 state.threads += work.threads;
             }
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -22,10 +22,10 @@
 pub struct Seen {
     pub seed: u64,
     /// Most dispatchers out by a turn at any true instant, and what the limit was.
-    pub most_out: usize,
+    pub max_out: usize,
     pub limit: usize,
     /// Most engines drained at a time, and their limit.
-    pub most_drained: usize,
+    pub max_drained: usize,
     pub drain_limit: usize,
     /// Dispatchers that were released, of all, and when the last one was (ms after the start).
     pub released: usize,
@@ -51,9 +51,9 @@
         let mut line = format!(
             "seed {}: out {} of at most {}, drained {} of {}, released {} of {}",
             self.seed,
-            self.most_out,
+            self.max_out,
             self.limit,
-            self.most_drained,
+            self.max_drained,
             self.drain_limit,
             self.released,
             self.of
@@ -85,7 +85,7 @@
     }
 
     pub fn out(&mut self, out: usize) {
-        self.most_out = self.most_out.max(out);
+        self.max_out = self.max_out.max(out);
         if out > self.limit && !self.broken.iter().any(|b| b.contains("out at a time")) {
             self.broken.push(format!(
                 "{out} dispatchers out at a time, {} are allowed",
@@ -95,7 +95,7 @@
     }
 
     pub fn drained(&mut self, drained: usize) {
-        self.most_drained = self.most_drained.max(drained);
+        self.max_drained = self.max_drained.max(drained);
         if drained > self.drain_limit
             && !self.broken.iter().any(|b| b.contains("drained at a time"))
         {
@@ -161,7 +161,7 @@
             .count()
     };
     let mean = all.iter().map(|seen| seen.bytes).sum::<f64>() / all.len().max(1) as f64;
-    let most = all.iter().map(|seen| seen.most_out).max().unwrap_or(0);
+    let most = all.iter().map(|seen| seen.max_out).max().unwrap_or(0);
     let _ = writeln!(
         text,
         "{} runs: over the limit {}, drains over it {}, not ended in time {}; most out {most}; turn after {:.1} s (p50), \
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -79,7 +79,7 @@
         relay.public[n],
         run.late / 1000.0,
         run.most,
-        run.most_engines,
+        run.max_engines,
         run.turn / 1000.0,
         run.members
     )
@@ -135,7 +135,7 @@
     let seen = Seen {
         seed: scenario.seed,
         limit: scenario.most,
-        drain_limit: scenario.most_engines,
+        drain_limit: scenario.max_engines,
         of: scenario.members,
         last_fault: scenario.last_fault(),
         ..Seen::default()
@@ -502,7 +502,7 @@
         out[n] = is;
         let many = out.iter().filter(|out| **out).count();
         let mut seen = self.seen.lock().expect("no holder panics");
-        seen.most_out = seen.most_out.max(many);
+        seen.max_out = seen.max_out.max(many);
     }
 
     /// Tells the process to end, waits for that, and starts the new version after a while.
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -105,7 +105,7 @@
     pub engines: usize,
     /// Most dispatchers and most engines out.
     pub most: usize,
-    pub most_engines: usize,
+    pub max_engines: usize,
     /// How long a turn lasts (ms), and how long a restart takes.
     pub turn: f64,
     pub down: f64,
@@ -145,7 +145,7 @@
             zones: if members >= 6 { 2 } else { 1 },
             engines: 8,
             most,
-            most_engines: 2,
+            max_engines: 2,
             turn: 12_000.0,
             down: 1500.0,
             late: 10_000.0,
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -181,7 +181,7 @@
     };
     Told {
         dispatchers: bounds(scenario.most),
-        engines: bounds(scenario.most_engines),
+        engines: bounds(scenario.max_engines),
         plan,
         turn: scenario.turn,
         left: 30_000.0,
@@ -229,7 +229,7 @@
         let seen = Seen {
             seed: scenario.seed,
             limit: scenario.most,
-            drain_limit: scenario.most_engines,
+            drain_limit: scenario.max_engines,
             of: scenario.members,
             last_fault: scenario.last_fault(),
             ..Seen::default()
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -193,7 +193,7 @@
     let world = Arc::new(World::default());
     let spec = Spec {
         cores: CORES,
-        most_threads_a_core: 6.0,
+        max_threads_a_core: 6.0,
         ..Spec::default()
     };
     let engines: Vec<Engine> = (0..ENGINES)
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -65,7 +65,7 @@
     let world = Arc::new(World::default());
     let spec = Spec {
         cores: 8.0,
-        most_threads_a_core: 8.0,
+        max_threads_a_core: 8.0,
         ..Spec::default()
     };
     let engines: Vec<Engine> = (0..4)
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -210,7 +210,7 @@
     let mut world = world(scenario);
     world.plays(|_| false);
     assert!(
-        world.given_up > 0 && world.seen.most_out <= 1 && world.seen.released <= 1,
+        world.given_up > 0 && world.seen.max_out <= 1 && world.seen.released <= 1,
         "{}",
         world.seen.line()
     );
@@ -241,7 +241,7 @@
     world.plays(|_| false);
     // Three are lost and the limit is one: the last one has no turn.
     assert!(
-        world.seen.released == 0 && world.seen.most_out <= 1,
+        world.seen.released == 0 && world.seen.max_out <= 1,
         "{}",
         world.seen.line()
     );
--- a/crates/zone-evacuation/src/define.rs
+++ b/crates/zone-evacuation/src/define.rs
@@ -9,7 +9,7 @@
     /// Of the members outside that are there, at least this part must know.
     pub known_part: f64,
     /// The fleet leaves by itself at most this part of all cores; more, and a second zone, need the operators' word.
-    pub most_left: f64,
+    pub max_left: f64,
     /// The others' low work, spilled into what remains, may take at most this part of its cores.
     pub carry: f64,
     /// A return begins with this part of the whole, which is so many threads a core, and has so many steps of so long.
@@ -19,7 +19,7 @@
     pub step: f64,
     /// So long a zone stays left at least; twice as long each time it is left again within `calm`, up to a most.
     pub hold: f64,
-    pub hold_most: f64,
+    pub max_hold: f64,
     pub calm: f64,
     /// How long a share is good for.
     pub term: f64,
@@ -35,14 +35,14 @@
             lost_part: 0.75,
             sure: 1000.0,
             known_part: 0.3,
-            most_left: 0.5,
+            max_left: 0.5,
             carry: 0.8,
             first: 0.1,
             whole: 2.0,
             steps: 8,
             step: 2000.0,
             hold: 2000.0,
-            hold_most: 300_000.0,
+            max_hold: 300_000.0,
             calm: 120_000.0,
             term: 3000.0,
             own_after: 30_000.0,
--- a/crates/zone-evacuation/src/guide.rs
+++ b/crates/zone-evacuation/src/guide.rs
@@ -1,7 +1,7 @@
 //! What a member makes of the fleet's decisions, and of not hearing them.
 
 use crate::watch::{Fleetwide, Stage};
-use crate::{Zone, MOST_ZONES};
+use crate::{Zone, MAX_ZONES};
 use std::collections::BTreeMap;
 
 /// After a start the others' zones are closed so long (ms), or until the leader was heard: who knows nothing does not
@@ -56,7 +56,7 @@
             |known: &Known, of: &Fleetwide| of.number.wrapping_sub(known.of.number) > u32::MAX / 2;
         self.known
             .retain(|zone, _| all.iter().any(|(of, _)| of == zone));
-        for (zone, of) in all.iter().take(MOST_ZONES) {
+        for (zone, of) in all.iter().take(MAX_ZONES) {
             let fresh = Known {
                 of: *of,
                 heard: now,
--- a/crates/zone-evacuation/src/lib.rs
+++ b/crates/zone-evacuation/src/lib.rs
@@ -33,4 +33,4 @@
 pub type Id = u64;
 
 /// Zones that are told apart at most.
-pub const MOST_ZONES: usize = 12;
+pub const MAX_ZONES: usize = 12;
--- a/crates/zone-evacuation/src/shares.rs
+++ b/crates/zone-evacuation/src/shares.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 
 /// Members that hold shares at most.
-const MOST_HOLDERS: usize = 1024;
+const MAX_HOLDERS: usize = 1024;
 /// Shares of one member that are told apart: each smaller than the one before.
-const MOST_KEPT: usize = 16;
+const MAX_KEPT: usize = 16;
 /// This part of a step is given evenly, the rest by demand: who has none yet can still find out that it needs more.
 const EVEN: f64 = 0.2;
 
@@ -48,7 +48,7 @@
     /// more for clocks that run apart.
     pub fn asks(&mut self, now: f64, id: Id, demand: f64, all: f64, term: f64, skew: f64) -> f64 {
         self.forgets(now, 2.0 * term);
-        if self.demand.len() >= MOST_HOLDERS && !self.demand.contains_key(&id) {
+        if self.demand.len() >= MAX_HOLDERS && !self.demand.contains_key(&id) {
             return 0.0;
         }
         self.demand.insert(
@@ -83,7 +83,7 @@
                 .map(|old| old.until)
                 .fold(until, f64::max);
             given.retain(|old| old.share > share);
-            let full = given.len() >= MOST_KEPT;
+            let full = given.len() >= MAX_KEPT;
             match given.last_mut().filter(|_| full) {
                 // Counted as more than it is, and never as less.
                 Some(last) => last.until = last.until.max(longest),
--- a/crates/zone-evacuation/src/watch.rs
+++ b/crates/zone-evacuation/src/watch.rs
@@ -3,17 +3,17 @@
 use crate::define::Definition;
 use crate::shares::Shares;
 use crate::wire::{Evidence, Reach, Told};
-use crate::{Id, Zone, MOST_ZONES};
+use crate::{Id, Zone, MAX_ZONES};
 use std::collections::BTreeMap;
 
 /// What a member said counts so long (ms); it says it again every second.
 const HOLDS: f64 = 4000.0;
-const MOST_MEMBERS: usize = 1024;
+const MAX_MEMBERS: usize = 1024;
 /// Of the ends of a step this part may be bad for the next one, and this part sets it back.
 const GOOD_PART: f64 = 0.1;
 const BAD_PART: f64 = 0.3;
 /// Ends without which a step has shown nothing.
-const LEAST_ENDS: u32 = 3;
+const MIN_ENDS: u32 = 3;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Stage {
@@ -144,7 +144,7 @@
     /// Cores of each zone's engines, as listed.
     pub fn capacity(&mut self, cores: &[(Zone, f64)]) {
         self.zones.values_mut().for_each(|zone| zone.cores = 0.0);
-        for (zone, cores) in cores.iter().take(MOST_ZONES) {
+        for (zone, cores) in cores.iter().take(MAX_ZONES) {
             self.zones.entry(*zone).or_default().cores = *cores;
         }
     }
@@ -154,7 +154,7 @@
         self.members
             .values_mut()
             .for_each(|member| member.there = false);
-        for (id, zone, there) in members.take(MOST_MEMBERS) {
+        for (id, zone, there) in members.take(MAX_MEMBERS) {
             let member = self.members.entry(id).or_insert(Member {
                 zone,
                 there,
@@ -275,7 +275,7 @@
         let second = left
             .iter()
             .any(|(other, known)| *other != zone && known.stage == Stage::Left);
-        if !by_hand && (part > self.definition.most_left || second) {
+        if !by_hand && (part > self.definition.max_left || second) {
             return Err(Refused::TooMuch { part });
         }
         let room: f64 = self
@@ -300,7 +300,7 @@
     /// How long a zone stays left by now.
     fn hold(&self, zone: &Watched) -> f64 {
         let times = zone.times.saturating_sub(1).min(20);
-        (self.definition.hold * f64::from(1_u32 << times)).min(self.definition.hold_most)
+        (self.definition.hold * f64::from(1_u32 << times)).min(self.definition.max_hold)
     }
 
     /// Looks at all zones; what is to be agreed on. `agreed`: what a majority keeps.
@@ -395,14 +395,14 @@
     ) -> Option<(Option<(Stage, u8)>, Why)> {
         let ends = watched.good + watched.bad;
         let part = f64::from(watched.bad) / f64::from(ends.max(1));
-        if ends >= LEAST_ENDS && part > BAD_PART && long >= self.definition.step / 4.0 {
+        if ends >= MIN_ENDS && part > BAD_PART && long >= self.definition.step / 4.0 {
             // Half of the way back at once; from the first step, out again.
             return Some(match of.step {
                 0 => (Some((Stage::Left, 0)), Why::Worsened),
                 step => (Some((Stage::Returns, step / 2)), Why::Worsened),
             });
         }
-        let shown = ends < LEAST_ENDS || part <= GOOD_PART;
+        let shown = ends < MIN_ENDS || part <= GOOD_PART;
         if long < self.definition.step || !shown {
             return None;
         }
--- a/crates/zone-evacuation/src/wire.rs
+++ b/crates/zone-evacuation/src/wire.rs
@@ -1,7 +1,7 @@
 //! What members tell the leader of zones, and what it answers, in bytes.
 
 use crate::watch::{Fleetwide, Stage, Why};
-use crate::{Zone, MOST_ZONES};
+use crate::{Zone, MAX_ZONES};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -46,7 +46,7 @@
     let mut bytes = told.session.to_be_bytes().to_vec();
     bytes.extend_from_slice(&told.number.to_be_bytes());
     bytes.push(u8::from(told.alone));
-    for evidence in told.zones.iter().take(MOST_ZONES) {
+    for evidence in told.zones.iter().take(MAX_ZONES) {
         bytes.extend_from_slice(&evidence.zone.to_be_bytes());
         bytes.push(evidence.reach as u8);
         bytes.extend_from_slice(&evidence.threads.to_bits().to_be_bytes());
@@ -88,7 +88,7 @@
     let zones = bytes
         .get(9..)?
         .chunks_exact(EVIDENCE)
-        .take(MOST_ZONES)
+        .take(MAX_ZONES)
         .filter_map(evidence)
         .collect();
     Some(Told {
@@ -101,7 +101,7 @@
 
 pub fn write_plan(plan: &Plan) -> Vec<u8> {
     let mut bytes = plan.number.to_be_bytes().to_vec();
-    for (zone, of, share) in plan.zones.iter().take(MOST_ZONES) {
+    for (zone, of, share) in plan.zones.iter().take(MAX_ZONES) {
         bytes.extend_from_slice(&zone.to_be_bytes());
         bytes.extend_from_slice(&[of.stage as u8, of.step]);
         bytes.extend_from_slice(&of.number.to_be_bytes());
@@ -143,7 +143,7 @@
     let zones = bytes
         .get(4..)?
         .chunks_exact(ENTRY)
-        .take(MOST_ZONES)
+        .take(MAX_ZONES)
         .filter_map(entry)
         .collect();
     Some(Plan {
--- a/crates/zone-evacuation/tests/zones.rs
+++ b/crates/zone-evacuation/tests/zones.rs
@@ -254,7 +254,7 @@
     for period in [3000.0, 10_000.0, 60_000.0] {
         let definition = Definition {
             hold: 2000.0,
-            hold_most: 60_000.0,
+            max_hold: 60_000.0,
             calm: 600_000.0,
             ..quick()
         };
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -26,7 +26,7 @@
 /// Where nothing was tried for so long (ms), as no probe is allowed and all go elsewhere, it is tried with the first
 /// part of a climb: else nobody would ever learn that it is back.
 const UNTRIED: f64 = 12_000.0;
-const MOST_PEERS: usize = 1024;
+const MAX_PEERS: usize = 1024;
 const HISTORY: usize = 64;
 
 /// An engine as listed.
@@ -338,7 +338,7 @@
         };
         match self.peers.iter().position(|known| known.number == peer) {
             Some(at) => self.peers[at] = told,
-            None if self.peers.len() < MOST_PEERS => self.peers.push(told),
+            None if self.peers.len() < MAX_PEERS => self.peers.push(told),
             None => {}
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 // The design page's values; credit is the thread time (ms) that the low lane may save up or overdraw.
 const DEMOTE_FACTOR: f64 = 4.0;
 const THREADS_A_CORE: f64 = 1.0;
-const MOST_THREADS_A_CORE: f64 = 1.2;
+const MAX_THREADS_A_CORE: f64 = 1.2;
 const RETRY_AFTER: f64 = 1000.0;
 const WELL_INSIDE: f64 = 0.5;
 const CREDIT: f64 = 12_000.0;
@@ -26,18 +26,18 @@
 const PRESSURE: f64 = 1.5;
 const FULL_LASTS: f64 = 2000.0;
 const CROWD_A_CORE: f64 = 1.2;
-const CROWD_MOST: f64 = 1.5;
+const MAX_CROWD: f64 = 1.5;
 const CROWD_MEMORY: f64 = 0.35;
 const GENEROUS: f64 = 2.0;
 // Learning: steps of medians (log ratio) and means, answers for a best, most factor, scatter forgiven.
 const STEP: f64 = 0.05;
 const MEAN_STEP: f64 = 0.02;
 const FIRST_SEEN: u32 = 20;
-const FACTOR_MOST: f64 = 5.0;
+const MAX_FACTOR: f64 = 5.0;
 const SCATTER: f64 = 0.5;
 // A pace is remembered up to a little above pressure only. An engine's own fades towards its zone's, a zone's
 // towards the pool's, that towards none; after a long gap one answer moves it this much further.
-const PACE_MOST: f64 = 0.8;
+const MAX_PACE: f64 = 0.8;
 const ENGINE_FADES: f64 = 5000.0;
 const ZONE_FADES: f64 = 10_000.0;
 const GAP_STEP: f64 = 0.4;
@@ -53,7 +53,7 @@
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
 const TRIAL_FIRST: f64 = 500.0;
-const TRIAL_MOST: f64 = 4000.0;
+const MAX_TRIAL: f64 = 4000.0;
 const SILENCE: f64 = 900.0;
 const PROBE_AFTER: f64 = 300.0;
 // Cold engines: the part used of what the rule allows all, the part of that by lot, how busy capacity is.
@@ -359,7 +359,7 @@
 
     fn learn_slowness(&mut self, e: usize, low: bool, above: f64, step: f64) {
         let (now, engine) = (self.now, &mut self.engines[e]);
-        let above = above.min(PACE_MOST);
+        let above = above.min(MAX_PACE);
         let pool = self.pool.lane_mut(low);
         pool.take(now, above, 0.0, ZONE_FADES, step, GAP_STEP);
         let zone = self.zones[engine.zone as usize].lane_mut(low);
@@ -458,7 +458,7 @@
         }
         // Rule 2: an effect only once; never two attempts at a time, and no more than are told.
         if q.open().is_some()
-            || q.count >= self.allowed.most_attempts
+            || q.count >= self.allowed.max_attempts
             || !self.may_repeat(i, Some(e))
         {
             return false;
@@ -596,7 +596,7 @@
     fn may_move(&mut self, i: usize) -> bool {
         let could = !(self.reduced.withhold && self.queries[i].low)
             && self.allowed.cancelling
-            && self.queries[i].count < self.allowed.most_attempts;
+            && self.queries[i].count < self.allowed.max_attempts;
         could && self.budget_left(self.moving) && self.may_repeat(i, None)
     }
 
@@ -704,15 +704,15 @@
             engine
                 .hang(q.rg)
                 .take(self.now, 0.0, 0.0, ENGINE_FADES, ERROR_STEP, 0.0);
-            g.learn_need(work / q.cost, memory / q.memory, MEAN_STEP, FACTOR_MOST);
+            g.learn_need(work / q.cost, memory / q.memory, MEAN_STEP, MAX_FACTOR);
             self.learn_pace(i, e, latency);
         }
         let share = self.share();
         let engine = &mut self.engines[e];
         // The bound: up by one on a low answer well inside its target, halved once for each lot of trouble.
         if outcome == Outcome::Completed && low && latency <= WELL_INSIDE * target {
-            engine.bound = (engine.bound + 1.0 / (engine.cores * share)).min(MOST_THREADS_A_CORE);
-            engine.crowd = (engine.crowd + 1.0).min(CROWD_MOST * engine.cores);
+            engine.bound = (engine.bound + 1.0 / (engine.cores * share)).min(MAX_THREADS_A_CORE);
+            engine.crowd = (engine.crowd + 1.0).min(MAX_CROWD * engine.cores);
         }
         engine.full = if outcome == Outcome::Full {
             self.now
@@ -753,8 +753,8 @@
         let ratio = (latency.max(0.1) * g.threads / cost.max(0.1)).ln();
         // Past its target runtime it is slow whatever the best was: one that began in trouble knows no other.
         let late = latency > g.target_of(q.cost * g.cost_factor);
-        let above = g.learn_ratio(ratio, STEP, MEAN_STEP, FIRST_SEEN) - SCATTER * g.least_scatter;
-        let (low, above) = (q.low, if late { PACE_MOST } else { above });
+        let above = g.learn_ratio(ratio, STEP, MEAN_STEP, FIRST_SEEN) - SCATTER * g.min_scatter;
+        let (low, above) = (q.low, if late { MAX_PACE } else { above });
         self.learn_slowness(e, low, above, 2.0 * STEP);
     }
 
@@ -774,7 +774,7 @@
             Outcome::Timeout
                 if engine.heard > s.sent || now - s.sent < self.allowed.notes_every =>
             {
-                return self.learn_slowness(e, false, PACE_MOST, 2.0 * STEP);
+                return self.learn_slowness(e, false, MAX_PACE, 2.0 * STEP);
             }
             Outcome::Timeout => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
@@ -791,7 +791,7 @@
         if !engine.suspect && engine.errors > ERROR_DOUBT {
             self.doubt(e, outcome != Outcome::Error);
         } else if engine.suspect && failed && trial {
-            engine.trial_wait = (2.0 * engine.trial_wait).min(TRIAL_MOST);
+            engine.trial_wait = (2.0 * engine.trial_wait).min(MAX_TRIAL);
             engine.trial = now + engine.trial_wait;
         } else if engine.suspect && !failed {
             engine.suspect = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,7 @@
 use slab::Slab;
 use std::collections::VecDeque;
 
-pub const MOST_ATTEMPTS: usize = 8;
+pub const MAX_ATTEMPTS: usize = 8;
 pub const NONE: u32 = u32::MAX;
 pub const LONG_AGO: f64 = f64::NEG_INFINITY;
 
@@ -154,14 +154,14 @@
     pub withhold: bool,
     /// Low work of tenants over their share, or less sure of its cost than this, finds no room.
     pub close_over_share: bool,
-    pub least_sure: f64,
+    pub min_sure: f64,
     /// Part of its room that a group's low work finds, by the group's index; all of it where none is told.
     pub classes: Vec<f64>,
 }
 
 impl Default for Reduced {
     fn default() -> Self {
-        let (withhold, close_over_share, least_sure, classes) = Default::default();
+        let (withhold, close_over_share, min_sure, classes) = Default::default();
         let (bounds, demotion, grants, retry, spread) = (1.0, 1.0, 1.0, 1.0, 0.0);
         Reduced {
             bounds,
@@ -171,7 +171,7 @@
             spread,
             withhold,
             close_over_share,
-            least_sure,
+            min_sure,
             classes,
         }
     }
@@ -180,7 +180,7 @@
 impl Reduced {
     /// The part of its room that this low query finds.
     pub fn part_of(&self, q: &Query) -> f64 {
-        let closed = self.close_over_share && q.over_share || q.sure < self.least_sure;
+        let closed = self.close_over_share && q.over_share || q.sure < self.min_sure;
         if closed {
             0.0
         } else {
@@ -204,7 +204,7 @@
 pub struct Allowed {
     pub cold: Option<ColdRule>,
     pub budget: Option<Budget>,
-    pub most_attempts: usize,
+    pub max_attempts: usize,
     pub cancelling: bool,
     pub probes: bool,
     pub peers: bool,
@@ -224,7 +224,7 @@
         Allowed {
             cold: ColdRule::read(told),
             budget: Budget::read(told),
-            most_attempts: most.min(MOST_ATTEMPTS),
+            max_attempts: most.min(MAX_ATTEMPTS),
             cancelling: told.on("limits.cancelling"),
             probes: told.on("limits.probes"),
             peers: told.on("limits.peers"),
@@ -266,7 +266,7 @@
     pub paced: u32,
     /// How far answers lie from the running median (log ratio), now and at the least.
     pub scatter: f64,
-    pub least_scatter: f64,
+    pub min_scatter: f64,
     pub cost_factor: f64,
     pub memory_factor: f64,
 }
@@ -376,8 +376,8 @@
         let off = (ratio - self.pace).abs() - self.scatter;
         self.scatter += mean_step.max(1.0 / f64::from(self.paced)) * off;
         let settled = self.paced >= first;
-        self.least_scatter = if settled {
-            self.scatter.min(self.least_scatter)
+        self.min_scatter = if settled {
+            self.scatter.min(self.min_scatter)
         } else {
             self.scatter
         };
@@ -687,7 +687,7 @@
     pub over: bool,
     pub moving: bool,
     pub count: usize,
-    pub attempts: [Attempt; MOST_ATTEMPTS],
+    pub attempts: [Attempt; MAX_ATTEMPTS],
 }
 
 impl Query {
@@ -710,7 +710,7 @@
             over: false,
             moving: false,
             count: 0,
-            attempts: [Attempt::default(); MOST_ATTEMPTS],
+            attempts: [Attempt::default(); MAX_ATTEMPTS],
         }
     }
 
--- a/src/talk.rs
+++ b/src/talk.rs
@@ -4,7 +4,7 @@
 pub const OWN: u8 = 0;
 pub const SUM: u8 = 1;
 const ENTRY: usize = 3;
-const MOST_ENTRIES: usize = 85;
+const MAX_ENTRIES: usize = 85;
 
 pub fn mark_of(engine_id: u64) -> [u8; 2] {
     let mixed = (engine_id as u32).wrapping_mul(0x9E37_79B1).to_be_bytes();
@@ -13,7 +13,7 @@
 
 /// Hands over as many messages as the entries take, one at the least.
 pub fn write(kind: u8, threads: impl Iterator<Item = (u64, f64)>, mut message: impl FnMut(&[u8])) {
-    let mut bytes = [0; 1 + ENTRY * MOST_ENTRIES];
+    let mut bytes = [0; 1 + ENTRY * MAX_ENTRIES];
     bytes[0] = kind;
     let mut end = 1;
     for (engine_id, threads) in threads {
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -87,7 +87,7 @@
 }
 
 /// Further attempts across zones: saved up to so many, and so many are free.
-const CROSS_MOST: f64 = 20.0;
+const MAX_CROSS: f64 = 20.0;
 const CROSS_FREE: f64 = 2.0;
 
 #[derive(Debug, Default)]
@@ -208,9 +208,9 @@
         let tiers = &mut self.tiers;
         match last {
             Some(last) if last != zone => tiers.cross = (tiers.cross - 1.0).max(0.0),
-            Some(_) => tiers.cross = (tiers.cross + tiers.cross_retries).min(CROSS_MOST),
+            Some(_) => tiers.cross = (tiers.cross + tiers.cross_retries).min(MAX_CROSS),
             // First attempts bring little: a storm must not live on the calm before it.
-            None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(CROSS_MOST),
+            None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(MAX_CROSS),
         }
         tiers
             .engines
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -974,7 +974,7 @@
     for (scatter, pressed) in [(0.0, true), (1.0, false)] {
         let mut c = dispatcher("", ONE);
         c.groups[0].paced = 100;
-        (c.groups[0].scatter, c.groups[0].least_scatter) = (scatter, scatter);
+        (c.groups[0].scatter, c.groups[0].min_scatter) = (scatter, scatter);
         ask(&mut c, 1.0, 1, "look", 60.0);
         close(&mut c, 101.0, 1, 0, Outcome::Completed, 1);
         assert_eq!(c.pressure(0), pressed);
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -23,7 +23,7 @@
         spread: 0.5,
         withhold: true,
         close_over_share: true,
-        least_sure: 1.0,
+        min_sure: 1.0,
         classes: vec![0.0; 4],
     }
 }
@@ -135,7 +135,7 @@
 fn unsure_low_work_finds_no_room_and_sure_work_does() {
     let sure = |sure: f64| {
         let mut c = pressed(Reduced {
-            least_sure: 0.3,
+            min_sure: 0.3,
             ..Reduced::default()
         });
         starts(
