--- a/crates/coordination/src/council.rs
+++ b/crates/coordination/src/council.rs
@@ -117,7 +117,7 @@
 
 /// One voter, and the leader where it is that.
 #[derive(Debug, Clone)]
-pub struct Council {
+pub struct QuorumNode {
     id: Id,
     voters: Vec<Id>,
     terms: Terms,
@@ -134,7 +134,7 @@
     out: Vec<(Id, Message)>,
 }
 
-impl Council {
+impl QuorumNode {
     /// `fresh`: whether it is known that it never voted before, as at the first start of an installation; a voter
     /// that may have forgotten keeps still for [`Terms::quarantine`]. `round`: above those that it may have forgotten,
     /// as far as that can be told (the seconds of the day's clock); turns do not hang on it, what lasts does where a
@@ -152,7 +152,7 @@
         voters.sort_unstable();
         voters.dedup();
         let recalls = if fresh { now } else { now + terms.quarantine() };
-        Council {
+        QuorumNode {
             id,
             voters,
             terms,
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -6,12 +6,12 @@
 /// The smaller of a number and a part; none of both: no limit. A part is of all that are known, rounded down, and not
 /// less than one.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Most {
+pub struct Limit {
     pub number: Option<u32>,
     pub part: Option<f64>,
 }
 
-impl Most {
+impl Limit {
     pub fn of(&self, all: usize) -> Option<usize> {
         let part = self.part.map(|part| ((part * all as f64) as usize).max(1));
         let number = self.number.map(|number| number as usize);
@@ -25,10 +25,10 @@
 /// The limits of one kind.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
-    pub fleet: Most,
+    pub fleet: Limit,
     /// Of each zone, and of each version.
-    pub zone: Most,
-    pub version: Most,
+    pub zone: Limit,
+    pub version: Limit,
     /// Least time between two (ms).
     pub apart: f64,
     /// The load as seen may be at most this part of what remains.
@@ -37,14 +37,14 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        let fleet = Most {
+        let fleet = Limit {
             number: None,
             part: Some(0.1),
         };
         Bounds {
             fleet,
-            zone: Most::default(),
-            version: Most::default(),
+            zone: Limit::default(),
+            version: Limit::default(),
             apart: 0.0,
             carry: 0.9,
         }
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -4,7 +4,7 @@
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 use tansymux_coordination::wire::{read, write};
-use tansymux_coordination::{Council, Id, Kind, Record, Terms, Value, Why};
+use tansymux_coordination::{Id, Kind, QuorumNode, Record, Terms, Value, Why};
 
 const VOTERS: [Id; 3] = [1, 2, 3];
 const TERMS: Terms = Terms {
@@ -28,7 +28,7 @@
 
 #[derive(Debug, Clone)]
 struct State {
-    councils: Vec<Council>,
+    councils: Vec<QuorumNode>,
     stopped: [bool; 3],
     /// What waits for a stopped one.
     waiting: [Vec<(Id, Vec<u8>)>; 3],
@@ -107,9 +107,9 @@
     }
 }
 
-fn council(n: usize, now: f64, fresh: bool) -> Council {
+fn council(n: usize, now: f64, fresh: bool) -> QuorumNode {
     // Rounds begin anew for one that forgot: turns must not hang on them.
-    Council::new(VOTERS[n], &VOTERS, TERMS, now, fresh, 0, n as u64 + 1)
+    QuorumNode::new(VOTERS[n], &VOTERS, TERMS, now, fresh, 0, n as u64 + 1)
 }
 
 fn key(holder: usize) -> u64 {
--- a/crates/dispatcher/src/call.rs
+++ b/crates/dispatcher/src/call.rs
@@ -10,7 +10,7 @@
 use tansymux_membership::wire::id_of;
 use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
-use tansymux_rollout::{Caller, Settings, Turn, TurnEnd};
+use tansymux_rollout::{FleetClient, Settings, Turn, TurnEnd};
 use tansymux_zone_evacuation::Stage;
 
 /// Granted or done; halted; given up in time, or nobody leads.
@@ -158,7 +158,7 @@
     }
 
     fn asks(&self, command: Command) -> io::Result<Answer> {
-        let mut caller = Caller::new(
+        let mut caller = FleetClient::new(
             self.settings.keys.clone(),
             command,
             self.now(),
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -27,13 +27,13 @@
 /// as it goes on sending; all is answered so much (ms) earlier, so that the last answers are written out in time.
 const MAX_GRACE: f64 = 3000.0;
 const LAST_WRITES: f64 = 500.0;
-/// Shares of the descriptor limit: connections from clients, connections to engines. What both together may not touch:
+/// RampQuotas of the descriptor limit: connections from clients, connections to engines. What both together may not touch:
 /// three standard streams, three pipes for signals, three of the event loop, the listener, a socket for the name service
 /// and one that takes its place, those of peers and fleet, a file that is read again, and some to spare.
 const CLIENTS_PART: f64 = 0.5;
 const ENGINES_PART: f64 = 0.35;
 const OWN_SOCKETS: f64 = 20.0;
-/// Shares of the memory limit: statements in hand, and what clients have sent ahead.
+/// RampQuotas of the memory limit: statements in hand, and what clients have sent ahead.
 const STATEMENTS_PART: f64 = 0.2;
 const AHEAD_PART: f64 = 0.1;
 /// What a query may name at most: so many times the longest time that the settings give a client, the work that the
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/exchange.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use tansymux::interface::{Bounds, EngineStatus, ListForm, Note, Outcome, Text};
 
-/// Queries in hand at most; what comes beyond is turned away at the door.
+/// Queries in hand at most; what comes beyond is turned away at admission.
 pub const MAX_QUERIES: usize = 4096;
 /// Ids of queries that were submitted and are over, kept so that none is taken twice.
 const MAX_PAST: usize = 16 * 1024;
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/levels.rs
@@ -9,7 +9,7 @@
 use tansymux::told::{self, Map, Told};
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
-    Change, Definition, Ended, Machine, Reduction, Signal, Why, Windows,
+    Change, Definition, Degradation, Ended, LevelStateMachine, Signal, Why, Windows,
 };
 
 /// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
@@ -18,7 +18,7 @@
 const PAGE: f64 = 4096.0;
 
 struct On {
-    machine: Machine,
+    machine: LevelStateMachine,
     signals: Vec<Signal>,
     readings: Vec<f64>,
     windows: Windows,
@@ -128,7 +128,7 @@
         let signals = definition.signals();
         let readings = vec![f64::NAN; signals.len()];
         On {
-            machine: Machine::new(definition),
+            machine: LevelStateMachine::new(definition),
             signals,
             readings,
             windows: Windows::new(self.groups.len()),
@@ -142,7 +142,7 @@
     }
 
     /// What a level asks for, with groups by their index.
-    fn reduced(&self, asked: &Reduction) -> Reduced {
+    fn reduced(&self, asked: &Degradation) -> Reduced {
         let part = |(name, ..): &(String, f64, f64, f64)| {
             asked
                 .classes
@@ -329,11 +329,11 @@
     }
 }
 
-fn of_change(machine: &Machine, change: &Change) -> Value {
+fn of_change(machine: &LevelStateMachine, change: &Change) -> Value {
     json!({"at": change.at, "from": machine.name_of(change.from), "to": machine.name_of(change.to), "why": why(&change.why)})
 }
 
-fn tell(machine: &Machine, change: &Change) {
+fn tell(machine: &LevelStateMachine, change: &Change) {
     let (from, to) = (machine.name_of(change.from), machine.name_of(change.to));
     tracing::warn!(
         from,
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -14,7 +14,7 @@
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
 use tansymux_zone_routing::message::Reach as Reached;
-use tansymux_zone_routing::{Changed, Engine, Judge, Kind, Plan, Seen, ZoneState};
+use tansymux_zone_routing::{Changed, Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
 
 /// Who has nothing running at the moment wants a little all the same (threads).
 const MIN_DEMAND: f64 = 0.1;
@@ -22,7 +22,7 @@
 const LOOK_EVERY: f64 = 100.0;
 
 pub struct Zones {
-    on: RefCell<Option<Judge>>,
+    on: RefCell<Option<ZoneHealthDetector>>,
     /// The dispatcher's own zone, the resource groups, how many dispatchers there are, cores by kind.
     own: String,
     groups: Vec<String>,
@@ -70,7 +70,7 @@
             }
             (Some(_), Some(_)) => {}
             (None, Some(definition)) => {
-                let mut judge = Judge::new(definition, self.dispatchers);
+                let mut judge = ZoneHealthDetector::new(definition, self.dispatchers);
                 judge.listed(now, &self.listed.borrow());
                 *on = Some(judge);
             }
@@ -126,7 +126,7 @@
     }
 
     /// What is seen of each zone, for the fleet.
-    fn evidence(judge: &Judge, threads: f64) -> Vec<Evidence> {
+    fn evidence(judge: &ZoneHealthDetector, threads: f64) -> Vec<Evidence> {
         let of = |(name, reach, [good, bad]): (&str, Reached, [u16; 2])| {
             let reach = match reach {
                 Reached::Well => Reach::Well,
--- a/crates/engine-state/src/facts.rs
+++ b/crates/engine-state/src/facts.rs
@@ -1,4 +1,4 @@
-//! Facts and what follows from them.
+//! EngineStateCache and what follows from them.
 
 use std::collections::BTreeMap;
 
@@ -113,17 +113,17 @@
 
 /// All that is known, by one instance.
 #[derive(Debug, Clone)]
-pub struct Facts {
+pub struct EngineStateCache {
     own: u64,
     number: u32,
     engines: BTreeMap<u64, Engine>,
     proven: BTreeMap<u64, Proven>,
 }
 
-impl Facts {
+impl EngineStateCache {
     /// `own`: this instance's number, another one at each start, so that its former self is an origin like any other.
     pub fn new(own: u64) -> Self {
-        Facts {
+        EngineStateCache {
             own,
             number: 0,
             engines: BTreeMap::new(),
@@ -198,7 +198,7 @@
                 entry.value = fact.value;
             }
         }
-        Facts::bound_origins(engine, fact.kind);
+        EngineStateCache::bound_origins(engine, fact.kind);
     }
 
     /// Of each kind the origins with the lowest numbers of instance go first, wherever they came in the order.
--- a/crates/engine-state/src/lib.rs
+++ b/crates/engine-state/src/lib.rs
@@ -1,7 +1,7 @@
 //! What is known of engines, by whom, and how old it is.
 //!
-//! Owns: facts with their origin and age ([`Fact`]), merging that is free of order and repetition ([`Facts::merge`]),
-//! how far a fact is believed at a moment ([`Facts::view`]), how far its origin is ([`Facts::proven`]), and the bytes
+//! Owns: facts with their origin and age ([`Fact`]), merging that is free of order and repetition ([`EngineStateCache::merge`]),
+//! how far a fact is believed at a moment ([`EngineStateCache::view`]), how far its origin is ([`EngineStateCache::proven`]), and the bytes
 //! in which facts are handed on ([`wire`]). It does no I/O and reads no clock; times of day are never compared: ages
 //! are carried, and only grow.
 //!
@@ -12,9 +12,9 @@
 //! - fresh silence outweighs stale health;
 //! - what this instance saw itself outweighs what it was told.
 //!
-//! Start reading at [`Facts::view`].
+//! Start reading at [`EngineStateCache::view`].
 
 mod facts;
 pub mod wire;
 
-pub use facts::{Entry, Fact, Facts, Kind, View, MAX_ENGINES, MAX_ORIGINS};
+pub use facts::{EngineStateCache, Entry, Fact, Kind, View, MAX_ENGINES, MAX_ORIGINS};
--- a/crates/engine-state/src/wire.rs
+++ b/crates/engine-state/src/wire.rs
@@ -1,4 +1,4 @@
-//! Facts as bytes: entries that say how long they are, so that an instance of another version passes over what it does
+//! EngineStateCache as bytes: entries that say how long they are, so that an instance of another version passes over what it does
 //! not know.
 
 use crate::facts::{Fact, Kind};
--- a/crates/engine-state/tests/merging.rs
+++ b/crates/engine-state/tests/merging.rs
@@ -1,7 +1,7 @@
 //! Merging and belief: each promise by name, and the laws of merging by random facts in random order.
 
 use proptest::prelude::*;
-use tansymux_engine_state::{wire, Fact, Facts, Kind};
+use tansymux_engine_state::{wire, EngineStateCache, Fact, Kind};
 
 const OWN: u64 = 1;
 const DONOR: u64 = 2;
@@ -21,7 +21,7 @@
 
 #[test]
 fn an_engine_that_a_donor_reported_draining_is_never_open_before_a_new_start() {
-    let mut facts = Facts::new(OWN);
+    let mut facts = EngineStateCache::new(OWN);
     facts.merge(0.0, &fact(Kind::Draining, 1.0, DONOR, 1, 500.0));
     // Neither age, nor a donor that is proven wrong, nor own health takes it back.
     (0..50).for_each(|_| facts.proven(DONOR, false));
@@ -37,7 +37,7 @@
 #[test]
 fn fresh_silence_outweighs_stale_health_and_fresh_health_stale_silence() {
     let doubt = |silent_age: f64, well_age: f64| {
-        let mut facts = Facts::new(OWN);
+        let mut facts = EngineStateCache::new(OWN);
         facts.merge(0.0, &fact(Kind::Silent, 1.0, DONOR, 1, silent_age));
         facts.merge(0.0, &fact(Kind::Silent, 0.0, OTHER, 1, well_age));
         facts.view(9, 0.0).doubt
@@ -48,7 +48,7 @@
 
 #[test]
 fn what_is_seen_here_outweighs_what_is_told_and_the_newcomer_recovers_by_itself() {
-    let mut facts = Facts::new(OWN);
+    let mut facts = EngineStateCache::new(OWN);
     facts.merge(0.0, &fact(Kind::Silent, 1.0, DONOR, 1, 0.0));
     assert!(facts.view(9, 0.0).doubt > 0.6);
     facts.saw(100.0, 9, 1, Kind::Silent, 0.0);
@@ -61,7 +61,7 @@
 
 #[test]
 fn a_donor_that_is_proven_wrong_on_some_facts_loses_weight_on_all() {
-    let mut facts = Facts::new(OWN);
+    let mut facts = EngineStateCache::new(OWN);
     facts.merge(0.0, &fact(Kind::Pace, 2.0, DONOR, 1, 0.0));
     let before = facts.view(9, 0.0).pace.unwrap().1;
     (0..4).for_each(|_| facts.proven(DONOR, false));
@@ -73,7 +73,11 @@
 
 #[test]
 fn donors_that_quote_each_other_make_no_fact_younger() {
-    let (mut a, mut b, mut c) = (Facts::new(OWN), Facts::new(DONOR), Facts::new(OTHER));
+    let (mut a, mut b, mut c) = (
+        EngineStateCache::new(OWN),
+        EngineStateCache::new(DONOR),
+        EngineStateCache::new(OTHER),
+    );
     c.saw(0.0, 9, 1, Kind::Pace, 1.5);
     let mut now = 0.0;
     for _ in 0..60 {
@@ -102,7 +106,7 @@
 
 #[test]
 fn a_cold_start_is_counted_from_the_latest_that_anyone_tells() {
-    let mut facts = Facts::new(OWN);
+    let mut facts = EngineStateCache::new(OWN);
     facts.merge(0.0, &fact(Kind::Started, 60_000.0, DONOR, 1, 0.0));
     facts.merge(0.0, &fact(Kind::Started, 2000.0, OTHER, 1, 500.0));
     assert_eq!(facts.view(9, 1000.0).started, Some(3500.0));
@@ -134,7 +138,7 @@
 
 #[test]
 fn all_is_bounded() {
-    let mut facts = Facts::new(OWN);
+    let mut facts = EngineStateCache::new(OWN);
     for n in 0..50_000_u64 {
         let told = Fact {
             engine: n,
@@ -188,7 +192,7 @@
 }
 
 fn merged<'a>(facts: impl Iterator<Item = &'a Fact>) -> Vec<Fact> {
-    let mut all = Facts::new(OWN);
+    let mut all = EngineStateCache::new(OWN);
     facts.for_each(|fact| all.merge(1000.0, fact));
     all.all(1000.0)
 }
@@ -217,7 +221,7 @@
     fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
         let mut framed = vec![wire::KIND, 1];
         framed.extend_from_slice(&bytes);
-        let mut facts = Facts::new(OWN);
+        let mut facts = EngineStateCache::new(OWN);
         wire::read(&bytes).iter().chain(&wire::read(&framed)).for_each(|fact| facts.merge(0.0, fact));
         facts.view(9, 0.0);
     }
--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -1,7 +1,7 @@
 //! The members, by probes, hearsay and refutation.
 
-use crate::seal::{Keys, Seal};
-use crate::wire::{self, Datagram, Id, News, State, What};
+use crate::seal::{DatagramAuthenticator, Keys};
+use crate::wire::{self, Datagram, Gossip, Id, State, What};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
@@ -11,7 +11,7 @@
 pub const MAX_MEMBERS: usize = 1024;
 /// A member that is dead or left is remembered for so many periods, so that old news does not bring it back.
 const REMEMBERED: f64 = 60.0;
-/// News is told on so many times for each doubling of the group, and a doubling more.
+/// Gossip is told on so many times for each doubling of the group, and a doubling more.
 const TOLD: f64 = 3.0;
 /// How bad this detector may think of itself, and how much slower that makes it.
 const MAX_SLOW: u32 = 8;
@@ -71,8 +71,8 @@
 }
 
 impl Member {
-    fn news(&self) -> News {
-        News {
+    fn news(&self) -> Gossip {
+        Gossip {
             id: self.id,
             address: self.address,
             state: self.state,
@@ -122,13 +122,13 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Group {
+pub struct SwimDetector {
     id: Id,
     address: SocketAddr,
     incarnation: u32,
     leaving: bool,
     settings: Settings,
-    seal: Seal,
+    seal: DatagramAuthenticator,
     rng: Pcg32,
     members: BTreeMap<Id, Member>,
     /// Whom to probe in this round: all in an order drawn anew, so that none waits for more than two rounds.
@@ -147,14 +147,14 @@
     joins_answered: usize,
     /// How slow this detector takes itself to be: its own late answers and what others had to refute.
     slow: u32,
-    /// News to be told on, and how often it still is.
-    news: VecDeque<(News, u32)>,
+    /// Gossip to be told on, and how often it still is.
+    news: VecDeque<(Gossip, u32)>,
     history: Vec<Change>,
     now: f64,
     out: Vec<(SocketAddr, Vec<u8>)>,
 }
 
-impl Group {
+impl SwimDetector {
     /// `name` stays the same over restarts; `incarnation` is the last one known of it, 0 if none is; `seed` is drawn
     /// anew at each start.
     pub fn new(
@@ -168,13 +168,13 @@
         let mut rng = Pcg32::seed_from_u64(seed);
         let session = rng.random();
         let (members, round, errands, news, history, out) = Default::default();
-        Group {
+        SwimDetector {
             id: wire::id_of(name),
             address,
             incarnation: incarnation.wrapping_add(1),
             leaving: false,
             settings,
-            seal: Seal::new(keys, session),
+            seal: DatagramAuthenticator::new(keys, session),
             rng,
             members,
             round,
@@ -276,8 +276,8 @@
         self.carried.pop_front()
     }
 
-    fn own(&self, state: State) -> News {
-        News {
+    fn own(&self, state: State) -> Gossip {
+        Gossip {
             id: self.id,
             address: self.address,
             state,
@@ -300,18 +300,18 @@
         (self.members.len() as f64 + 2.0).log2()
     }
 
-    // ---- News ----
+    // ---- Gossip ----
 
     /// Puts news in the queue to be told on; what it replaces goes.
-    fn tell(&mut self, news: News) {
+    fn tell(&mut self, news: Gossip) {
         let times = (TOLD * (self.doublings() + 1.0)).ceil() as u32;
         self.news.retain(|(old, _)| old.id != news.id);
         self.news.push_front((news, times));
         self.news.truncate(MAX_MEMBERS);
     }
 
-    /// News for a datagram: of the sender itself, then what was told least often.
-    fn takes_news(&mut self, room: usize) -> Vec<News> {
+    /// Gossip for a datagram: of the sender itself, then what was told least often.
+    fn takes_news(&mut self, room: usize) -> Vec<Gossip> {
         let own = if self.leaving {
             State::Left
         } else {
@@ -350,20 +350,20 @@
     }
 
     /// Whether news holds against what is known: a higher incarnation, or the worse state at the same one.
-    fn holds(known: &Member, news: &News) -> bool {
+    fn holds(known: &Member, news: &Gossip) -> bool {
         let later = news.incarnation.wrapping_sub(known.incarnation);
         let newer = (1..0x8000_0000).contains(&later);
         newer || later == 0 && news.state > known.state
     }
 
-    fn hears(&mut self, news: News) {
+    fn hears(&mut self, news: Gossip) {
         if news.id == self.id {
             return self.hears_of_itself(news);
         }
         let (now, full) = (self.now, self.members.len() >= MAX_MEMBERS);
         match self.members.get_mut(&news.id) {
             Some(known) => {
-                if !Group::holds(known, &news) {
+                if !SwimDetector::holds(known, &news) {
                     return;
                 }
                 let changed = known.state != news.state;
@@ -381,7 +381,7 @@
             // Of those that are gone already nobody needs to hear.
             None if news.state >= State::Dead || full => {}
             None => {
-                let News {
+                let Gossip {
                     id,
                     address,
                     state,
@@ -409,7 +409,7 @@
 
     /// Others hold this member for suspect or dead, or remember a life of it before this one: it says more loudly
     /// that it is there. That they came to think so is a sign that it is slow itself.
-    fn hears_of_itself(&mut self, news: News) {
+    fn hears_of_itself(&mut self, news: Gossip) {
         let later = news.incarnation.wrapping_sub(self.incarnation);
         let of_this = later == 0 && news.state != State::Alive;
         if self.leaving || !(of_this || (1..0x8000_0000).contains(&later)) {
@@ -509,7 +509,7 @@
     /// Whoever joins is told of all that are there, in as many datagrams as that takes; not of more in a period than
     /// a few newcomers need, as an answer is longer than the question.
     fn answers_join(&mut self, to: SocketAddr, number: u32) {
-        let all: Vec<News> = self.there().map(Member::news).collect();
+        let all: Vec<Gossip> = self.there().map(Member::news).collect();
         self.send_as(to, What::Ack, number);
         let room = MAX_JOIN_ANSWERS.saturating_sub(self.joins_answered);
         self.joins_answered += self.tells_some(to, number, all, room);
@@ -520,7 +520,7 @@
         &mut self,
         to: SocketAddr,
         number: u32,
-        mut all: Vec<News>,
+        mut all: Vec<Gossip>,
         most: usize,
     ) -> usize {
         if all.is_empty() {
@@ -561,7 +561,7 @@
     fn answers_sync(&mut self, to: SocketAddr, theirs: &[u32; wire::BUCKETS]) {
         let own = self.digests();
         let differs = |id: Id| own[bucket(id)] != theirs[bucket(id)];
-        let mut some: Vec<News> = self
+        let mut some: Vec<Gossip> = self
             .members
             .values()
             .filter(|member| differs(member.id))
@@ -793,7 +793,7 @@
         else {
             return;
         };
-        let news = News {
+        let news = Gossip {
             id,
             address: member.address,
             state: State::Suspect,
@@ -815,11 +815,11 @@
         let over = |member: &&Member| {
             member.state == State::Suspect && self.now - member.since >= patience
         };
-        let dead: Vec<News> = self
+        let dead: Vec<Gossip> = self
             .members
             .values()
             .filter(over)
-            .map(|m| News {
+            .map(|m| Gossip {
                 state: State::Dead,
                 ..m.news()
             })
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! Which instances are there.
 //!
-//! Owns: who is a member and in which state ([`Group`]), how that is found out (a probe of one member in each period,
+//! Owns: who is a member and in which state ([`SwimDetector`]), how that is found out (a probe of one member in each period,
 //! asked of others before anyone is suspected; after the SWIM paper, with the slower suspicion of a detector that is
 //! itself slow, after Lifeguard), what a datagram holds ([`wire`]) and which are believed ([`seal`]). It does no I/O
 //! and reads no clock: datagrams and times come in, datagrams go out. It decides nothing about engines or queries.
@@ -11,11 +11,11 @@
 //! - a member that answers is never held for dead for longer than it takes a refutation to come round;
 //! - of two pieces of news the one with the higher incarnation holds, and at the same incarnation the worse one.
 //!
-//! Start reading at [`Group::poll`].
+//! Start reading at [`SwimDetector::poll`].
 
 mod group;
 pub mod seal;
 pub mod wire;
 
-pub use group::{Carried, Change, Group, Member, Settings, MAX_MEMBERS};
+pub use group::{Carried, Change, Member, Settings, SwimDetector, MAX_MEMBERS};
 pub use wire::{Id, State};
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -37,7 +37,7 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Seal {
+pub struct DatagramAuthenticator {
     keys: Keys,
     session: u32,
     number: u32,
@@ -45,10 +45,10 @@
     believed: u64,
 }
 
-impl Seal {
+impl DatagramAuthenticator {
     /// `session`: drawn anew at each start.
     pub fn new(keys: Keys, session: u32) -> Self {
-        Seal {
+        DatagramAuthenticator {
             keys,
             session,
             number: 0,
@@ -75,7 +75,7 @@
         self.number = self.number.wrapping_add(1);
         let mut head = self.session.to_be_bytes().to_vec();
         head.extend_from_slice(&self.number.to_be_bytes());
-        let hash = Seal::hash(key, content, &head);
+        let hash = DatagramAuthenticator::hash(key, content, &head);
         content.extend_from_slice(&head);
         content.extend_from_slice(&hash);
     }
@@ -93,7 +93,7 @@
             .flatten()
             .any(|key| {
                 // All bytes are compared, whichever differ.
-                Seal::hash(key, content, head)
+                DatagramAuthenticator::hash(key, content, head)
                     .iter()
                     .zip(hash)
                     .fold(0, |all, (a, b)| all | (a ^ b))
@@ -177,7 +177,10 @@
 
     #[test]
     fn what_was_changed_or_sealed_by_others_is_refused() {
-        let (mut a, mut b) = (Seal::new(keys(ONE, ONE), 7), Seal::new(keys(ONE, ONE), 8));
+        let (mut a, mut b) = (
+            DatagramAuthenticator::new(keys(ONE, ONE), 7),
+            DatagramAuthenticator::new(keys(ONE, ONE), 8),
+        );
         let mut sent = b"hello".to_vec();
         a.seal(&mut sent);
         for n in 0..sent.len() {
@@ -186,10 +189,13 @@
             assert_eq!(b.open(1, &spoilt), None, "{n}");
         }
         assert_eq!(b.open(1, &sent), Some(b"hello".as_slice()));
-        assert_eq!(Seal::new(keys(TWO, TWO), 9).open(1, &sent), None);
+        assert_eq!(
+            DatagramAuthenticator::new(keys(TWO, TWO), 9).open(1, &sent),
+            None
+        );
         assert_eq!(b.open(1, b"short"), None);
         // Without keys all is believed, and nothing added.
-        let mut open = Seal::new(Keys::default(), 1);
+        let mut open = DatagramAuthenticator::new(Keys::default(), 1);
         let mut plain = b"x".to_vec();
         open.seal(&mut plain);
         assert_eq!(open.open(1, &plain), Some(b"x".as_slice()));
@@ -205,8 +211,8 @@
             keys(TWO, TWO),
         ];
         let (mut a, mut b) = (
-            Seal::new(steps[0].clone(), 1),
-            Seal::new(steps[0].clone(), 2),
+            DatagramAuthenticator::new(steps[0].clone(), 1),
+            DatagramAuthenticator::new(steps[0].clone(), 2),
         );
         for step in steps.windows(2) {
             for (from, to) in [(1, 0), (0, 1), (1, 1)] {
@@ -221,7 +227,10 @@
 
     #[test]
     fn nothing_is_believed_twice_and_late_ones_once() {
-        let (mut a, mut b) = (Seal::new(keys(ONE, ONE), 7), Seal::new(keys(ONE, ONE), 8));
+        let (mut a, mut b) = (
+            DatagramAuthenticator::new(keys(ONE, ONE), 7),
+            DatagramAuthenticator::new(keys(ONE, ONE), 8),
+        );
         let mut sent = Vec::new();
         for _ in 0..80 {
             let mut one = b"x".to_vec();
@@ -235,7 +244,7 @@
             assert!(b.open(1, &sent[*n]).is_none(), "{n}");
         }
         // A new life of the same sender is believed, and goes on being so when something late of the old one comes.
-        let mut again = Seal::new(keys(ONE, ONE), 99);
+        let mut again = DatagramAuthenticator::new(keys(ONE, ONE), 99);
         let mut one = b"y".to_vec();
         again.seal(&mut one);
         let mut late = b"x".to_vec();
@@ -246,7 +255,7 @@
         again.seal(&mut two);
         assert!(b.open(1, &two).is_some());
         // The same where whoever hears it has just started, and hears the late one second.
-        let mut started = Seal::new(keys(ONE, ONE), 10);
+        let mut started = DatagramAuthenticator::new(keys(ONE, ONE), 10);
         assert!(started.open(1, &one).is_some() && started.open(1, &late).is_some());
         assert!(started.open(1, &two).is_some());
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -38,9 +38,9 @@
     Left,
 }
 
-/// News of a member.
+/// Gossip of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct News {
+pub struct Gossip {
     pub id: Id,
     pub address: SocketAddr,
     pub state: State,
@@ -68,10 +68,10 @@
     pub what: What,
     pub from: Id,
     pub number: u32,
-    pub news: Vec<News>,
+    pub news: Vec<Gossip>,
 }
 
-/// News that fit behind a head of this kind.
+/// Gossip that fit behind a head of this kind.
 pub fn room(what: What) -> usize {
     let about = match what {
         What::Ask(_) | What::Heard(_) => ABOUT,
@@ -81,7 +81,7 @@
     (MOST - seal::LENGTH - HEAD - about) / ENTRY
 }
 
-/// The bytes, without a seal. News beyond what fits is left out, as is that of addresses that are not IPv4.
+/// The bytes, without a seal. Gossip beyond what fits is left out, as is that of addresses that are not IPv4.
 pub fn write(datagram: &Datagram) -> Vec<u8> {
     let (code, about) = match datagram.what {
         What::Ping => (0, None),
@@ -119,7 +119,7 @@
     Some(u64::from_be_bytes(head[3..11].try_into().ok()?))
 }
 
-/// None for what is no such datagram. News with an unknown state is passed over, as is a piece at the end.
+/// None for what is no such datagram. Gossip with an unknown state is passed over, as is a piece at the end.
 pub fn read(bytes: &[u8]) -> Option<Datagram> {
     let from = sender(bytes)?;
     let number = u32::from_be_bytes(bytes[11..15].try_into().ok()?);
@@ -151,7 +151,7 @@
         };
         let ip = Ipv4Addr::new(entry[8], entry[9], entry[10], entry[11]);
         let port = u16::from_be_bytes([entry[12], entry[13]]);
-        Some(News {
+        Some(Gossip {
             id: u64::from_be_bytes(entry[..8].try_into().ok()?),
             address: SocketAddr::V4(SocketAddrV4::new(ip, port)),
             state,
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::{self, id_of, Datagram, News, What};
-use tansymux_membership::{Group, Settings, State};
+use tansymux_membership::wire::{self, id_of, Datagram, Gossip, What};
+use tansymux_membership::{Settings, State, SwimDetector};
 
 const STEP: f64 = 10.0;
 
@@ -36,7 +36,7 @@
 };
 
 struct Net {
-    groups: Vec<Option<Group>>,
+    groups: Vec<Option<SwimDetector>>,
     paused: Vec<bool>,
     /// Time, order, from, to, bytes.
     flying: BTreeMap<(u64, u64), (usize, SocketAddr, Vec<u8>)>,
@@ -79,7 +79,7 @@
             ..Settings::default()
         };
         let seed = self.rng.random();
-        self.groups[n] = Some(Group::new(
+        self.groups[n] = Some(SwimDetector::new(
             &name(n),
             address(n),
             incarnation,
@@ -154,13 +154,13 @@
         }
     }
 
-    fn group(&self, n: usize) -> &Group {
+    fn group(&self, n: usize) -> &SwimDetector {
         self.groups[n].as_ref().expect("it runs")
     }
 
     /// How many of those that run hold a member for there.
     fn holds(&self, n: usize) -> usize {
-        let there = |group: &Group| {
+        let there = |group: &SwimDetector| {
             group
                 .state(id_of(&name(n)))
                 .is_some_and(|state| state <= State::Suspect)
@@ -198,7 +198,7 @@
     }
 
     fn deaths(&self) -> usize {
-        let dead = |group: &Group| {
+        let dead = |group: &SwimDetector| {
             group
                 .history()
                 .iter()
@@ -221,7 +221,7 @@
         assert!(
             took.is_some(),
             "{many} members: {:?}",
-            net.groups.iter().flatten().map(Group::count).min()
+            net.groups.iter().flatten().map(SwimDetector::count).min()
         );
         assert!(net.longest <= wire::MOST, "{}", net.longest);
     }
@@ -268,7 +268,7 @@
         net.groups
             .iter()
             .flatten()
-            .map(Group::count)
+            .map(SwimDetector::count)
             .collect::<Vec<_>>()
     );
 }
@@ -337,7 +337,7 @@
         ..Settings::default()
     };
     net.at.insert(address(99), 6);
-    net.groups.push(Some(Group::new(
+    net.groups.push(Some(SwimDetector::new(
         &name(2),
         address(99),
         0,
@@ -364,7 +364,7 @@
     let mut net = Net::with_keys(6, 10, keys);
     net.until(30_000.0, all, Net::agrees).unwrap();
     let forged = |state: State, id: u64| {
-        let news = News {
+        let news = Gossip {
             id,
             address: address(200),
             state,
@@ -419,9 +419,9 @@
 #[test]
 fn state_stays_bounded_whatever_is_told() {
     let settings = Settings::default();
-    let mut group = Group::new("n0", address(0), 0, settings, Keys::default(), 1);
+    let mut group = SwimDetector::new("n0", address(0), 0, settings, Keys::default(), 1);
     for n in 0..200_000_u64 {
-        let news = News {
+        let news = Gossip {
             id: n,
             address: address(1),
             state: State::Alive,
@@ -448,7 +448,7 @@
     assert!(
         took.is_some(),
         "{:?}",
-        net.groups.iter().flatten().map(Group::count).min()
+        net.groups.iter().flatten().map(SwimDetector::count).min()
     );
     net.way = Way { loss: 0.3, ..GOOD };
     let (bytes, from) = (net.bytes, net.now);
@@ -513,7 +513,7 @@
 proptest::proptest! {
     #[test]
     fn no_bytes_make_it_panic_or_answer_with_more_than_fits(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..300)) {
-        let mut group = Group::new("n0", address(0), 0, Settings::default(), Keys::default(), 1);
+        let mut group = SwimDetector::new("n0", address(0), 0, Settings::default(), Keys::default(), 1);
         let mut framed = vec![wire::KIND, 1];
         framed.extend_from_slice(&bytes);
         group.handle(0.0, address(1), &bytes);
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::schema;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use tansymux_coordination::limits::{Bounds, Most};
+use tansymux_coordination::limits::{Bounds, Limit};
 use tansymux_coordination::Terms;
 use tansymux_membership::seal::Keys;
 use tansymux_rollout::{compare, Plan, Settings, Told};
@@ -34,7 +34,7 @@
 
 fn bounds(told: Option<&schema::fleet::Bounds>) -> Bounds {
     let told = told.copied().unwrap_or_default();
-    let most = |number, part| Most { number, part };
+    let most = |number, part| Limit { number, part };
     let fleet = match (told.most, told.most_part) {
         (None, None) => Bounds::default().fleet,
         (number, part) => most(number, part),
--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Faults;
 use crate::schema::{self, term};
-use tansymux_service_levels::{define, Condition, Definition, Level, Reduction, Signal, Term};
+use tansymux_service_levels::{define, Condition, Definition, Degradation, Level, Signal, Term};
 
 /// The definition that the file tells. It may have faults: see `check`.
 pub fn definition(told: &schema::Levels) -> Definition {
@@ -21,7 +21,10 @@
             any: terms(&enter.any),
         },
         min_stay: told.least_stay_s() * 1000.0,
-        reduction: told.act.as_ref().map_or_else(Reduction::default, reduction),
+        reduction: told
+            .act
+            .as_ref()
+            .map_or_else(Degradation::default, reduction),
     }
 }
 
@@ -47,8 +50,8 @@
     }
 }
 
-fn reduction(told: &schema::Act) -> Reduction {
-    Reduction {
+fn reduction(told: &schema::Act) -> Degradation {
+    Degradation {
         bounds: told.bounds(),
         demotion: told.demotion(),
         grants: told.grants(),
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -58,7 +58,7 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Agent {
+pub struct MemberAgent {
     id: Id,
     voters: Vec<Id>,
     session: u32,
@@ -75,11 +75,11 @@
     out: Vec<(To, Message)>,
 }
 
-impl Agent {
+impl MemberAgent {
     pub fn new(id: Id, voters: &[Id], turn: u64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
         let session = rng.random::<u32>() | 1;
-        Agent {
+        MemberAgent {
             id,
             voters: voters.to_vec(),
             session,
--- a/crates/rollout/src/caller.rs
+++ b/crates/rollout/src/caller.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tansymux_coordination::Id;
-use tansymux_membership::seal::{Keys, Seal};
+use tansymux_membership::seal::{DatagramAuthenticator, Keys};
 use tansymux_membership::wire;
 
 /// What is not answered is said again after so long (ms), and the call is given up after so long.
@@ -15,9 +15,9 @@
 
 /// One call.
 #[derive(Debug, Clone)]
-pub struct Caller {
+pub struct FleetClient {
     id: Id,
-    seal: Seal,
+    seal: DatagramAuthenticator,
     call: u64,
     nonce: Option<u64>,
     command: Command,
@@ -26,13 +26,13 @@
     answer: Option<Answer>,
 }
 
-impl Caller {
+impl FleetClient {
     /// `seed`: drawn anew for each call.
     pub fn new(keys: Keys, command: Command, now: f64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
         let (id, call) = (rng.random(), rng.random());
-        let seal = Seal::new(keys, rng.random());
-        Caller {
+        let seal = DatagramAuthenticator::new(keys, rng.random());
+        FleetClient {
             id,
             seal,
             call,
@@ -119,10 +119,10 @@
     gives_up: f64,
     asked: f64,
     next: f64,
-    caller: Option<Caller>,
+    caller: Option<FleetClient>,
     last: Answer,
     end: Option<TurnEnd>,
-    returning: Option<Caller>,
+    returning: Option<FleetClient>,
     rng: Pcg32,
 }
 
@@ -185,7 +185,7 @@
     }
 
     fn takes_answer(&mut self, now: f64) {
-        let Some(answer) = self.caller.as_ref().and_then(Caller::answer) else {
+        let Some(answer) = self.caller.as_ref().and_then(FleetClient::answer) else {
             return;
         };
         self.caller = None;
@@ -217,7 +217,7 @@
             id: self.dispatcher,
             grant: self.grant,
         };
-        self.returning = Some(Caller::new(
+        self.returning = Some(FleetClient::new(
             self.keys.clone(),
             command,
             now,
@@ -254,7 +254,7 @@
             to: self.to,
             grant: self.grant,
         };
-        let mut caller = Caller::new(self.keys.clone(), command, now, self.rng.random());
+        let mut caller = FleetClient::new(self.keys.clone(), command, now, self.rng.random());
         let (out, next) = caller.poll(now);
         self.caller = Some(caller);
         (out, next.min(self.gives_up))
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -1,18 +1,18 @@
 //! One member of a fleet, whole: membership, the voters, the leader's decisions, its own reports and calls.
 
-use crate::agent::{Agent, Own, To};
+use crate::agent::{MemberAgent, Own, To};
 use crate::message::{self, Command, Message, Report};
-use crate::steward::{Steward, Told};
+use crate::steward::{RolloutController, Told};
 use crate::zoned::Zoned;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::wire::Counted;
-use tansymux_coordination::{Council, Id, Kind, Record, Stand, Terms, Value, Why};
+use tansymux_coordination::{Id, Kind, QuorumNode, Record, Stand, Terms, Value, Why};
 use tansymux_membership::seal::Keys;
 use tansymux_membership::wire::id_of;
-use tansymux_membership::{Carried, Group, State};
+use tansymux_membership::{Carried, State, SwimDetector};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
 const MAX_NEWS: usize = 4;
@@ -38,10 +38,10 @@
 
 #[derive(Debug, Clone)]
 pub struct Fleet {
-    group: Group,
-    council: Option<Council>,
-    steward: Steward,
-    agent: Agent,
+    group: SwimDetector,
+    council: Option<QuorumNode>,
+    steward: RolloutController,
+    agent: MemberAgent,
     zoned: Option<Zoned>,
     /// Messages to itself.
     own: Vec<Message>,
@@ -56,7 +56,7 @@
         let voters: Vec<Id> = settings.voters.iter().map(|name| id_of(name)).collect();
         let keys = settings.keys.clone();
         let membership = settings.membership.clone();
-        let group = Group::new(
+        let group = SwimDetector::new(
             &settings.name,
             settings.address,
             0,
@@ -67,7 +67,7 @@
         let council = voters.contains(&id).then(|| {
             let seed = rng.random();
             let round = (now / 1000.0) as u32;
-            Council::new(
+            QuorumNode::new(
                 id,
                 &voters,
                 settings.terms,
@@ -77,8 +77,8 @@
                 seed,
             )
         });
-        let agent = Agent::new(id, &voters, settings.turn, rng.random());
-        let steward = Steward::new(settings.told.clone());
+        let agent = MemberAgent::new(id, &voters, settings.turn, rng.random());
+        let steward = RolloutController::new(settings.told.clone());
         let zoned = settings.zones.clone().map(|(own, definition)| {
             Zoned::new(own, definition, agent.session(), now, rng.random())
         });
@@ -101,20 +101,20 @@
         self.agent.session()
     }
 
-    pub fn group(&self) -> &Group {
+    pub fn group(&self) -> &SwimDetector {
         &self.group
     }
 
-    pub fn council(&self) -> Option<&Council> {
+    pub fn council(&self) -> Option<&QuorumNode> {
         self.council.as_ref()
     }
 
-    pub fn agent(&self) -> &Agent {
+    pub fn agent(&self) -> &MemberAgent {
         &self.agent
     }
 
     pub fn stand(&self) -> Option<Stand> {
-        self.council.as_ref().map(Council::stand)
+        self.council.as_ref().map(QuorumNode::stand)
     }
 
     /// Takes on what the operators' file says now.
@@ -230,7 +230,7 @@
         let now = self.now;
         match message {
             Message::Report(report) => self.reported(from, &report),
-            Message::News {
+            Message::Gossip {
                 leader,
                 tick,
                 records,
@@ -303,8 +303,8 @@
         // other. A new leader asks at once, before it decides anything.
         let differs = council.digest() != report.digest;
         let wants = council.leads(now) && self.steward.wants(now, council, from, differs);
-        let tick = Steward::tick(now);
-        let news = |records: &[Counted]| Message::News {
+        let tick = RolloutController::tick(now);
+        let news = |records: &[Counted]| Message::Gossip {
             leader,
             tick,
             records: records.to_vec(),
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -162,7 +162,7 @@
 pub enum Message {
     Report(Report),
     /// Who leads, and records that the receiver did not have. `tick`: the sender's time in milliseconds, the low part.
-    News {
+    Gossip {
         leader: Id,
         tick: u32,
         records: Vec<Counted>,
@@ -495,7 +495,7 @@
                 .four(r.echo)
                 .eight(r.turn)
         }
-        Message::News {
+        Message::Gossip {
             leader,
             tick,
             records,
@@ -543,7 +543,7 @@
             echo: take.four()?,
             turn: take.eight()?,
         }),
-        1 => Message::News {
+        1 => Message::Gossip {
             leader: take.eight()?,
             tick: take.four()?,
             records: take.records()?,
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -5,7 +5,7 @@
 use crate::plan::{NotYet, Plan, Release, Seen};
 use std::collections::{BTreeMap, BTreeSet};
 use tansymux_coordination::limits::{self, Ask, Bounds, Halt, Out, Unit, Verdict, View};
-use tansymux_coordination::{Council, Id, Kind, Record, Stage, Value, Why};
+use tansymux_coordination::{Id, Kind, QuorumNode, Record, Stage, Value, Why};
 use tansymux_membership::State;
 
 /// Lost ones that are written down in one look.
@@ -68,7 +68,7 @@
 
 /// The leader's memory and decisions.
 #[derive(Debug, Clone)]
-pub struct Steward {
+pub struct RolloutController {
     told: Told,
     /// Since when it leads, as last seen; what it remembers is of that time.
     leads_since: Option<f64>,
@@ -93,9 +93,9 @@
     wanted: f64,
 }
 
-impl Steward {
+impl RolloutController {
     pub fn new(told: Told) -> Self {
-        Steward {
+        RolloutController {
             told,
             leads_since: None,
             reports: BTreeMap::new(),
@@ -138,7 +138,7 @@
     }
 
     /// Whether a member whose records differ from the leader's is asked for them.
-    pub fn wants(&mut self, now: f64, council: &Council, from: Id, differs: bool) -> bool {
+    pub fn wants(&mut self, now: f64, council: &QuorumNode, from: Id, differs: bool) -> bool {
         if !differs {
             self.differs.remove(&from);
             return false;
@@ -156,7 +156,7 @@
     }
 
     /// What a member says of itself.
-    pub fn report(&mut self, now: f64, council: &Council, from: Id, report: Report) {
+    pub fn report(&mut self, now: f64, council: &QuorumNode, from: Id, report: Report) {
         if self.reports.len() >= MAX_REPORTS && !self.reports.contains_key(&from) {
             return;
         }
@@ -201,7 +201,7 @@
 
     /// When this leader told that tick; none for one that was told before it led.
     fn told_at(&self, now: f64, tick: u32) -> Option<f64> {
-        let ago = f64::from(Steward::tick(now).wrapping_sub(tick));
+        let ago = f64::from(RolloutController::tick(now).wrapping_sub(tick));
         let at = now - ago;
         self.leads_since
             .filter(|since| at >= *since - 1.0)
@@ -214,7 +214,7 @@
     }
 
     /// Whether this one leads and has listened for long enough to decide.
-    pub fn leads(&self, now: f64, council: &Council) -> bool {
+    pub fn leads(&self, now: f64, council: &QuorumNode) -> bool {
         let listened = council
             .leads_since()
             .is_some_and(|since| now - since >= self.told.settle);
@@ -229,7 +229,7 @@
             .is_some_and(|state| *state <= State::Suspect)
     }
 
-    fn outs(&self, council: &Council, kind: Kind) -> Vec<Out> {
+    fn outs(&self, council: &QuorumNode, kind: Kind) -> Vec<Out> {
         let known: BTreeMap<u64, Id> = match kind {
             Kind::Dispatcher => self
                 .members
@@ -262,7 +262,7 @@
             .collect()
     }
 
-    fn units(&self, kind: Kind, council: &Council) -> Vec<Unit> {
+    fn units(&self, kind: Kind, council: &QuorumNode) -> Vec<Unit> {
         if kind == Kind::Engine {
             return self.engines.clone();
         }
@@ -308,7 +308,7 @@
         fresh.map(|reported| of(&reported.report).max(0.0)).sum()
     }
 
-    fn seen(&self, council: &Council) -> Vec<Seen> {
+    fn seen(&self, council: &QuorumNode) -> Vec<Seen> {
         // Who never said what it is has no version that a release could ask for.
         let units = self
             .units(Kind::Dispatcher, council)
@@ -323,7 +323,7 @@
         units.map(seen).collect()
     }
 
-    fn decides(&self, now: f64, council: &Council, ask: Ask) -> Verdict {
+    fn decides(&self, now: f64, council: &QuorumNode, ask: Ask) -> Verdict {
         let (units, outs) = (self.units(ask.kind, council), self.outs(council, ask.kind));
         let (bounds, last) = match ask.kind {
             Kind::Dispatcher => (&self.told.dispatchers, self.last[0]),
@@ -342,7 +342,7 @@
 
     /// What a member asks. It asks again until it is answered with more than `Pending`, and every command may come
     /// twice: each names what it is about by a number of its own.
-    pub fn command(&mut self, now: f64, council: &mut Council, command: Command) -> Answer {
+    pub fn command(&mut self, now: f64, council: &mut QuorumNode, command: Command) -> Answer {
         if !self.leads(now, council) {
             return Answer::NoLeader;
         }
@@ -403,7 +403,7 @@
     }
 
     /// Done once a majority keeps what stands at a place.
-    fn agreed(&self, council: &Council, key: u64, answer: Answer) -> Answer {
+    fn agreed(&self, council: &QuorumNode, key: u64, answer: Answer) -> Answer {
         if council.is_agreed(key) {
             answer
         } else {
@@ -411,7 +411,7 @@
         }
     }
 
-    fn ends(&mut self, now: f64, council: &mut Council, key: u64) -> Answer {
+    fn ends(&mut self, now: f64, council: &mut QuorumNode, key: u64) -> Answer {
         if council.standing(key).is_none() {
             return Answer::Done;
         }
@@ -424,7 +424,7 @@
         Answer::Pending
     }
 
-    fn halts(&mut self, now: f64, council: &mut Council, why: Halt, number: u32) -> Answer {
+    fn halts(&mut self, now: f64, council: &mut QuorumNode, why: Halt, number: u32) -> Answer {
         let value = Value::Halt {
             number,
             by: council.id(),
@@ -434,7 +434,7 @@
         self.agreed(council, tansymux_coordination::HALT, Answer::Done)
     }
 
-    fn turn(&mut self, now: f64, council: &mut Council, id: Id, to: u32, grant: u64) -> Answer {
+    fn turn(&mut self, now: f64, council: &mut QuorumNode, id: Id, to: u32, grant: u64) -> Answer {
         let own = self.reports.get(&id).map(|reported| reported.report);
         let Some(own) = own.filter(|_| self.there(id)) else {
             return Answer::Unknown;
@@ -470,7 +470,7 @@
     fn lets_out(
         &mut self,
         now: f64,
-        council: &mut Council,
+        council: &mut QuorumNode,
         ask: Ask,
         session: u32,
         term: Option<f64>,
@@ -532,7 +532,7 @@
     }
 
     /// What is left of a turn that a majority keeps, without the allowance for clocks that is counted here.
-    fn granted(&self, council: &Council, key: u64) -> Answer {
+    fn granted(&self, council: &QuorumNode, key: u64) -> Answer {
         let left = council
             .standing(key)
             .and_then(|(_, left)| left)
@@ -541,7 +541,7 @@
         self.agreed(council, key, Answer::Granted { left })
     }
 
-    fn returns(&mut self, now: f64, council: &mut Council, id: Id, grant: u64) -> Answer {
+    fn returns(&mut self, now: f64, council: &mut QuorumNode, id: Id, grant: u64) -> Answer {
         let key = Record::key_of(Kind::Dispatcher, id);
         match council.standing(key).map(|(record, _)| record.value) {
             Some(Value::Out {
@@ -556,7 +556,7 @@
     fn releases(
         &mut self,
         now: f64,
-        council: &mut Council,
+        council: &mut QuorumNode,
         (number, to, from): (u32, u32, u32),
     ) -> Answer {
         if let Some((number, why, by)) = halt_of(council) {
@@ -595,7 +595,7 @@
     }
 
     /// The way back, from wherever the release is; a halt of it is over with that.
-    fn goes_back(&mut self, now: f64, council: &mut Council, number: u32) -> Answer {
+    fn goes_back(&mut self, now: f64, council: &mut QuorumNode, number: u32) -> Answer {
         let key = tansymux_coordination::RELEASE;
         let Some(release) = release_of(council).filter(|release| release.number == number) else {
             return Answer::NoSuchRelease;
@@ -627,7 +627,7 @@
         self.agreed(council, key, Answer::Done)
     }
 
-    fn status(&self, council: &Council) -> Status {
+    fn status(&self, council: &QuorumNode) -> Status {
         let units = self.units(Kind::Dispatcher, council);
         let outs = self.outs(council, Kind::Dispatcher);
         let engine_outs = self.outs(council, Kind::Engine);
@@ -671,7 +671,7 @@
     }
 
     /// How many are out without having been let out.
-    fn lost(&self, council: &Council) -> usize {
+    fn lost(&self, council: &QuorumNode) -> usize {
         let outs = self.outs(council, Kind::Dispatcher);
         let gone = self.members.iter().filter(|(id, state)| {
             **state == State::Dead
@@ -684,7 +684,7 @@
     // ---- What time brings ----
 
     /// Looks at who is there, what is over and how the release does.
-    pub fn look(&mut self, now: f64, council: &mut Council) {
+    pub fn look(&mut self, now: f64, council: &mut QuorumNode) {
         if council.leads_since() != self.leads_since {
             // Another leader's memory would be of another time.
             self.leads_since = council.leads_since();
@@ -705,7 +705,7 @@
     }
 
     /// Ends what is over: one that is back, or that did not go in its time. One that went and did not come is lost.
-    fn looks_at_outs(&mut self, now: f64, council: &mut Council) {
+    fn looks_at_outs(&mut self, now: f64, council: &mut QuorumNode) {
         let keys: BTreeMap<u64, Id> = self
             .members
             .keys()
@@ -787,7 +787,7 @@
     }
 
     /// Writes down who is gone without a turn, so that a later leader knows.
-    fn looks_for_lost(&mut self, now: f64, council: &mut Council) {
+    fn looks_for_lost(&mut self, now: f64, council: &mut QuorumNode) {
         let there = |id: &Id| {
             self.members
                 .get(id)
@@ -831,7 +831,7 @@
     }
 
     /// Puts an engine out that enough dispatchers find bad, where the limits let it.
-    fn looks_at_bad(&mut self, now: f64, council: &mut Council) {
+    fn looks_at_bad(&mut self, now: f64, council: &mut QuorumNode) {
         let Some(witnesses) = self.told.witnesses else {
             return;
         };
@@ -860,7 +860,7 @@
         }
     }
 
-    fn looks_at_release(&mut self, now: f64, council: &mut Council) {
+    fn looks_at_release(&mut self, now: f64, council: &mut QuorumNode) {
         let Some(release) = release_of(council) else {
             return;
         };
@@ -963,14 +963,14 @@
 }
 
 /// The halt that stands: its number, why, and by whom.
-pub fn halt_of(council: &Council) -> Option<(u32, Halt, Id)> {
+pub fn halt_of(council: &QuorumNode) -> Option<(u32, Halt, Id)> {
     match council.standing(tansymux_coordination::HALT)?.0.value {
         Value::Halt { number, by, why } => Some((number, Halt::of(why), by)),
         _ => None,
     }
 }
 
-pub fn release_of(council: &Council) -> Option<Release> {
+pub fn release_of(council: &QuorumNode) -> Option<Release> {
     match council.standing(tansymux_coordination::RELEASE)?.0.value {
         Value::Release {
             number,
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -1,15 +1,16 @@
 //! Zones within a fleet: the leader's watch and the member's guide, on the fleet's records and messages.
 
 use crate::message::{Answer, Command, ZoneList};
-use crate::steward::Steward;
+use crate::steward::RolloutController;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
 use tansymux_coordination::limits::Unit;
-use tansymux_coordination::{Council, Id, Record, Value};
+use tansymux_coordination::{Id, QuorumNode, Record, Value};
 use tansymux_zone_evacuation::wire::{stage_of, why_of, Evidence, Plan, Told};
 use tansymux_zone_evacuation::{
-    Definition, Fleetwide, Guide, Refused, Stage, Watch, Why, Zone, MAX_ZONES,
+    Definition, EvacuationController, EvacuationFollower, Fleetwide, Refused, Stage, Why, Zone,
+    MAX_ZONES,
 };
 
 /// What is seen is told so often (ms), spread by a fifth.
@@ -20,8 +21,8 @@
 
 #[derive(Debug, Clone)]
 pub struct Zoned {
-    watch: Watch,
-    pub guide: Guide,
+    watch: EvacuationController,
+    pub guide: EvacuationFollower,
     leads_since: Option<f64>,
     looked: f64,
     evidence: Vec<Evidence>,
@@ -35,7 +36,7 @@
 }
 
 /// What a majority keeps of zones, or may.
-fn agreed(council: &Council) -> BTreeMap<Zone, Fleetwide> {
+fn agreed(council: &QuorumNode) -> BTreeMap<Zone, Fleetwide> {
     let of = |(record, _): (Record, Option<u32>)| match record.value {
         Value::Zone {
             zone,
@@ -60,8 +61,8 @@
 impl Zoned {
     pub fn new(own: Zone, definition: Definition, session: u32, now: f64, seed: u64) -> Self {
         Zoned {
-            guide: Guide::new(own, definition.own_after, now),
-            watch: Watch::new(definition),
+            guide: EvacuationFollower::new(own, definition.own_after, now),
+            watch: EvacuationController::new(definition),
             leads_since: None,
             looked: f64::NEG_INFINITY,
             evidence: Vec::new(),
@@ -147,8 +148,8 @@
     pub fn told(
         &mut self,
         now: f64,
-        steward: &Steward,
-        council: &Council,
+        steward: &RolloutController,
+        council: &QuorumNode,
         from: Id,
         told: Told,
     ) -> Option<Plan> {
@@ -190,8 +191,8 @@
     pub fn look(
         &mut self,
         now: f64,
-        steward: &Steward,
-        council: &mut Council,
+        steward: &RolloutController,
+        council: &mut QuorumNode,
         members: impl Iterator<Item = (Id, bool)>,
     ) {
         if now - self.looked < LOOK_EVERY {
@@ -218,7 +219,7 @@
         }
     }
 
-    fn writes(&mut self, now: f64, council: &mut Council, zone: Zone, to: Option<Fleetwide>) {
+    fn writes(&mut self, now: f64, council: &mut QuorumNode, zone: Zone, to: Option<Fleetwide>) {
         let value = match to {
             Some(to) => {
                 let (stage, step, why, number) = (to.stage as u8, to.step, to.why as u8, to.number);
@@ -238,8 +239,8 @@
     pub fn command(
         &mut self,
         now: f64,
-        steward: &Steward,
-        council: &mut Council,
+        steward: &RolloutController,
+        council: &mut QuorumNode,
         command: Command,
     ) -> Answer {
         if !steward.leads(now, council) {
--- a/crates/rollout/tests/steward.rs
+++ b/crates/rollout/tests/steward.rs
@@ -1,17 +1,17 @@
 //! What the leader decides, without a network: one voter that agrees with itself.
 
 use proptest::prelude::*;
-use tansymux_coordination::limits::{Bounds, Most, Scope, Unit};
-use tansymux_coordination::{Council, Kind, Record, Terms, Value, Why};
+use tansymux_coordination::limits::{Bounds, Limit, Scope, Unit};
+use tansymux_coordination::{Kind, QuorumNode, Record, Terms, Value, Why};
 use tansymux_membership::State;
 use tansymux_rollout::message::{self, Answer, Command, Message, Report};
-use tansymux_rollout::{Steward, Told};
+use tansymux_rollout::{RolloutController, Told};
 
 const T0: f64 = 1e12;
 
 struct Desk {
-    council: Council,
-    steward: Steward,
+    council: QuorumNode,
+    steward: RolloutController,
     now: f64,
 }
 
@@ -33,10 +33,10 @@
             late: 0.0,
             ..Terms::default()
         };
-        let council = Council::new(1, &[1], terms, T0, true, 0, 1);
+        let council = QuorumNode::new(1, &[1], terms, T0, true, 0, 1);
         let mut desk = Desk {
             council,
-            steward: Steward::new(told),
+            steward: RolloutController::new(told),
             now: T0,
         };
         desk.council.poll(T0);
@@ -68,7 +68,7 @@
 
     fn reports(&mut self, id: u64, report: Report) {
         let report = Report {
-            echo: Steward::tick(self.now),
+            echo: RolloutController::tick(self.now),
             ..report
         };
         self.steward.report(self.now, &self.council, id, report);
@@ -89,7 +89,7 @@
 
 fn told(dispatchers: u32, engines: u32) -> Told {
     let bounds = |most| Bounds {
-        fleet: Most {
+        fleet: Limit {
             number: Some(most),
             part: None,
         },
@@ -338,9 +338,9 @@
         late: 0.0,
         ..Terms::default()
     };
-    let mut council = Council::new(1, &[1], terms, T0, false, 0, 1);
-    let mut steward = Steward::new(told(1, 1));
-    let asks = |now: f64, council: &mut Council, steward: &mut Steward| {
+    let mut council = QuorumNode::new(1, &[1], terms, T0, false, 0, 1);
+    let mut steward = RolloutController::new(told(1, 1));
+    let asks = |now: f64, council: &mut QuorumNode, steward: &mut RolloutController| {
         council.poll(now);
         steward.look(now, council);
         steward.command(now, council, Command::Status)
--- a/crates/service-levels/src/define.rs
+++ b/crates/service-levels/src/define.rs
@@ -78,7 +78,7 @@
 
 /// What a level asks of the decisions. At full service nothing: all factors 1.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Reduction {
+pub struct Degradation {
     /// Factors on the low lane's bounds, on the factor of demotion, on grants of memory beyond need: up to 1.
     pub bounds: f64,
     pub demotion: f64,
@@ -95,9 +95,9 @@
     pub classes: Vec<(String, f64)>,
 }
 
-impl Default for Reduction {
+impl Default for Degradation {
     fn default() -> Self {
-        Reduction {
+        Degradation {
             bounds: 1.0,
             demotion: 1.0,
             grants: 1.0,
@@ -111,7 +111,7 @@
     }
 }
 
-impl Reduction {
+impl Degradation {
     /// The part of its room that a class's low work finds.
     pub fn of_class(&self, class: &str) -> f64 {
         self.classes
@@ -121,7 +121,7 @@
     }
 
     /// What of it is milder than `before`, by name.
-    fn milder_than(&self, before: &Reduction) -> Option<&'static str> {
+    fn milder_than(&self, before: &Degradation) -> Option<&'static str> {
         let classes = before
             .classes
             .iter()
@@ -152,7 +152,7 @@
     pub enter: Condition,
     /// How long (ms) it stays at the least.
     pub min_stay: f64,
-    pub reduction: Reduction,
+    pub reduction: Degradation,
 }
 
 /// Levels below full service, in order.
@@ -287,7 +287,7 @@
     if let Some(level) = definition
         .levels
         .first()
-        .filter(|level| level.reduction == Reduction::default())
+        .filter(|level| level.reduction == Degradation::default())
     {
         let found = format!("nothing in {:?}", level.name);
         faults.push(Fault {
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -1,8 +1,8 @@
 //! Reduced service levels: named levels in order, from full service down.
 //!
-//! Owns: when a level changes ([`Machine`]), what is measured for it ([`Windows`]), what dispatchers tell each other of
+//! Owns: when a level changes ([`LevelStateMachine`]), what is measured for it ([`Windows`]), what dispatchers tell each other of
 //! theirs ([`message`]), and which definitions could never work ([`define::faults`]). It does no I/O, reads no clock and
-//! draws no random numbers. It never refuses or moves a query: a level hands [`Reduction`] to the decisions, whose one
+//! draws no random numbers. It never refuses or moves a query: a level hands [`Degradation`] to the decisions, whose one
 //! mechanism goes on deciding.
 //!
 //! Invariants, kept by construction and checked in `tests/`:
@@ -11,15 +11,15 @@
 //! - a level can be left whenever its conditions have cleared for their time; what is not told any more clears, too;
 //! - silence of peers is no reason to change.
 //!
-//! Start reading at [`Machine::look`].
+//! Start reading at [`LevelStateMachine::look`].
 
 pub mod define;
 mod machine;
 pub mod message;
 mod windows;
 
-pub use define::{Condition, Definition, Level, Reduction, Signal, Term};
-pub use machine::{Change, Machine, Shown, Why, EVERY};
+pub use define::{Condition, Definition, Degradation, Level, Signal, Term};
+pub use machine::{Change, LevelStateMachine, Shown, Why, EVERY};
 pub use windows::{Ended, Windows};
 
 /// What signals read at a moment: one value for each that a definition names, in the order of
--- a/crates/service-levels/src/machine.rs
+++ b/crates/service-levels/src/machine.rs
@@ -1,6 +1,6 @@
 //! The state machine: which level is in force, by own signals, peers and operators.
 
-use crate::define::{Definition, Reduction, Term, FULL};
+use crate::define::{Definition, Degradation, Term, FULL};
 use crate::message::{self, Told};
 use crate::Readings;
 
@@ -125,7 +125,7 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Machine {
+pub struct LevelStateMachine {
     definition: Definition,
     mark: u16,
     /// For each level its terms: where their signal stands among the readings, and their memory.
@@ -156,7 +156,7 @@
 
 const LONG_AGO: f64 = -1e12;
 
-impl Machine {
+impl LevelStateMachine {
     /// `definition` has no faults.
     pub fn new(definition: Definition) -> Self {
         let signals = definition.signals();
@@ -178,7 +178,7 @@
             })
             .collect();
         let levels = definition.levels.len();
-        Machine {
+        LevelStateMachine {
             mark: definition.mark(),
             terms,
             readings: vec![f64::NAN; signals.len()],
@@ -233,12 +233,12 @@
     }
 
     /// What the level in force asks of the decisions.
-    pub fn reduction(&self) -> Reduction {
+    pub fn reduction(&self) -> Degradation {
         let level = self
             .depth
             .checked_sub(1)
             .and_then(|n| self.definition.levels.get(n));
-        level.map_or_else(Reduction::default, |level| level.reduction.clone())
+        level.map_or_else(Degradation::default, |level| level.reduction.clone())
     }
 
     /// Looks at the readings; at most one step is taken. Meant to be called some times a second.
@@ -551,7 +551,7 @@
             .iter()
             .map(|level| level.name.clone())
             .collect();
-        let fresh = Machine::new(definition);
+        let fresh = LevelStateMachine::new(definition);
         let new_depth = |name: &str| {
             fresh
                 .definition
@@ -588,7 +588,7 @@
             self.version,
             self.told_number,
         );
-        *self = Machine {
+        *self = LevelStateMachine {
             changed,
             depth: stays,
             since: self.since,
--- a/crates/service-levels/tests/model.rs
+++ b/crates/service-levels/tests/model.rs
@@ -2,7 +2,9 @@
 
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
-use tansymux_service_levels::{Condition, Definition, Level, Machine, Reduction, Signal, Term};
+use tansymux_service_levels::{
+    Condition, Definition, Degradation, Level, LevelStateMachine, Signal, Term,
+};
 
 /// A step of time (ms), and how many looks a machine takes in it.
 const STEP: f64 = 20_000.0;
@@ -22,9 +24,9 @@
             any: Vec::new(),
         },
         min_stay: 20_000.0,
-        reduction: Reduction {
+        reduction: Degradation {
             bounds,
-            ..Reduction::default()
+            ..Degradation::default()
         },
     };
     Definition {
@@ -38,7 +40,7 @@
 
 #[derive(Debug, Clone)]
 struct State {
-    machines: [Machine; 2],
+    machines: [LevelStateMachine; 2],
     now: f64,
     /// For each machine and level: steps since it last changed, up to four.
     since: [[u8; 3]; 2],
@@ -50,7 +52,7 @@
 impl State {
     fn key(&self) -> ([Vec<i64>; 2], [[u8; 3]; 2], bool, u8) {
         (
-            self.machines.each_ref().map(Machine::key),
+            self.machines.each_ref().map(LevelStateMachine::key),
             self.since,
             self.broken,
             self.clear,
@@ -90,7 +92,7 @@
 
     fn init_states(&self) -> Vec<State> {
         let fresh = || {
-            let mut machine = Machine::new(definition());
+            let mut machine = LevelStateMachine::new(definition());
             (0..4).for_each(|n| drop(machine.look(f64::from(n) * 1000.0, &[0.0]).cloned()));
             machine
         };
--- a/crates/service-levels/tests/swings.rs
+++ b/crates/service-levels/tests/swings.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
 use tansymux_service_levels::{
-    Change, Condition, Definition, Level, Machine, Reduction, Signal, Term, Why,
+    Change, Condition, Definition, Degradation, Level, LevelStateMachine, Signal, Term, Why,
 };
 
 const MINUTE: f64 = 60_000.0;
@@ -29,9 +29,9 @@
             any: Vec::new(),
         },
         min_stay: 20_000.0,
-        reduction: Reduction {
+        reduction: Degradation {
             bounds,
-            ..Reduction::default()
+            ..Degradation::default()
         },
     }
 }
@@ -92,8 +92,11 @@
     lasts: f64,
     mut load: impl FnMut(f64) -> f64,
 ) -> (usize, usize) {
-    let (mut machine, mut promises, mut deepest) =
-        (Machine::new(definition.clone()), Promises::new(), 0);
+    let (mut machine, mut promises, mut deepest) = (
+        LevelStateMachine::new(definition.clone()),
+        Promises::new(),
+        0,
+    );
     let mut now = 0.0;
     while now < lasts {
         let reading = load(now).clamp(0.0, 1.0);
@@ -189,7 +192,7 @@
 #[test]
 fn steady_load_settles_and_does_not_move_again() {
     for (load, depth) in [(0.2, 0), (0.45, 1), (0.65, 2), (0.95, 3)] {
-        let mut machine = Machine::new(three());
+        let mut machine = LevelStateMachine::new(three());
         let mut changes = 0;
         for n in 0..6000 {
             changes += usize::from(machine.look(f64::from(n) * LOOK, &[load]).is_some());
@@ -201,7 +204,7 @@
 
 #[test]
 fn it_is_entered_after_its_time_and_not_by_a_moment() {
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     let mut entered = None;
     for n in 0..200 {
         let now = f64::from(n) * LOOK;
@@ -237,7 +240,7 @@
 
 #[test]
 fn an_engine_that_returns_cold_is_stepped_up_to_in_order() {
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     let mut depths = vec![0];
     for n in 0..9000 {
         let now = f64::from(n) * LOOK;
@@ -259,7 +262,7 @@
 #[test]
 fn a_signal_that_is_missing_or_no_number_never_deepens_and_never_holds_for_ever() {
     let run = |missing: f64| {
-        let mut machine = Machine::new(three());
+        let mut machine = LevelStateMachine::new(three());
         let mut depths = vec![0];
         for n in 0..4000 {
             let now = f64::from(n) * LOOK;
@@ -275,7 +278,7 @@
     // Infinite is far beyond any threshold, but it is told.
     assert_eq!(run(f64::INFINITY)[..3], [0, 1, 2]);
     // All engines gone: a part of none is no number.
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[f64::NAN]).is_none()));
 }
 
@@ -283,7 +286,8 @@
 fn clocks_that_jump_and_processes_that_pause_break_no_promise() {
     for seed in 0..200 {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let (mut machine, mut promises, mut now) = (Machine::new(three()), Promises::new(), 1e9);
+        let (mut machine, mut promises, mut now) =
+            (LevelStateMachine::new(three()), Promises::new(), 1e9);
         for _ in 0..4000 {
             now += match rng.random_range(0..100) {
                 0 => rng.random_range(0.0..300_000.0),
@@ -295,7 +299,7 @@
         }
     }
     // A pause does not count as held: after it the condition must hold anew.
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     (0..40).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[0.1]).cloned()));
     assert!(machine.look(5000.0, &[0.5]).is_none());
     assert!(machine.look(600_000.0, &[0.5]).is_none());
@@ -305,7 +309,7 @@
 
 /// So many machines that hear each other through `hears(from, to, rng)`.
 struct Fleet {
-    machines: Vec<Machine>,
+    machines: Vec<LevelStateMachine>,
     promises: Vec<Promises>,
     now: f64,
     rng: Pcg32,
@@ -314,7 +318,7 @@
 impl Fleet {
     fn new(many: usize) -> Self {
         Fleet {
-            machines: (0..many).map(|_| Machine::new(three())).collect(),
+            machines: (0..many).map(|_| LevelStateMachine::new(three())).collect(),
             promises: (0..many).map(|_| Promises::new()).collect(),
             now: 0.0,
             rng: Pcg32::seed_from_u64(7),
@@ -349,7 +353,7 @@
     }
 
     fn depths(&self) -> Vec<usize> {
-        self.machines.iter().map(Machine::depth).collect()
+        self.machines.iter().map(LevelStateMachine::depth).collect()
     }
 }
 
@@ -432,8 +436,8 @@
 
 #[test]
 fn stale_contradicting_and_foreign_messages() {
-    let mut machine = Machine::new(three());
-    let mut other = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
+    let mut other = LevelStateMachine::new(three());
     for n in 0..400 {
         machine.look(f64::from(n) * LOOK, &[0.1]);
         other.look(f64::from(n) * LOOK, &[0.95]);
@@ -453,7 +457,7 @@
     let mut fleet = Fleet::new(4);
     fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
     // One restarts at depth and sees nothing yet.
-    (fleet.machines[3], fleet.promises[3]) = (Machine::new(three()), Promises::new());
+    (fleet.machines[3], fleet.promises[3]) = (LevelStateMachine::new(three()), Promises::new());
     fleet.run(
         9000.0,
         |n, _| if n == 3 { 0.0 } else { 0.65 },
@@ -461,7 +465,7 @@
         0.0,
     );
     assert_eq!(fleet.depths(), [2; 4]);
-    let mut alone = Machine::new(three());
+    let mut alone = LevelStateMachine::new(three());
     for n in 0..30 {
         alone.look(f64::from(n) * LOOK, &[0.65]);
     }
@@ -474,7 +478,7 @@
 #[test]
 fn other_definitions_remove_reorder_or_redefine_the_level_in_force() {
     let at_depth = |load: f64| {
-        let mut machine = Machine::new(three());
+        let mut machine = LevelStateMachine::new(three());
         (0..2000).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[load]).cloned()));
         machine
     };
@@ -503,7 +507,7 @@
     machine.redefine(200_000.0, Definition::default());
     assert_eq!(
         (machine.depth(), machine.name_of(0), machine.reduction()),
-        (0, "full", Reduction::default())
+        (0, "full", Degradation::default())
     );
     assert!(machine.look(300_000.0, &[]).is_none());
     // Another order: what is on stays on.
@@ -522,7 +526,7 @@
     }
     assert_eq!(machine.depth(), 1);
     // Off and on again at once: a level that is new may not change for a minute.
-    let mut machine = Machine::new(Definition::default());
+    let mut machine = LevelStateMachine::new(Definition::default());
     machine.look(0.0, &[]);
     machine.look(3000.0, &[]);
     machine.redefine(4000.0, three());
@@ -534,7 +538,7 @@
 
 #[test]
 fn a_pin_holds_for_its_time_step_by_step_and_lets_go() {
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     let mut promises = Promises::new();
     let mut depths = Vec::new();
     for n in 0..10_000 {
@@ -551,7 +555,7 @@
     assert_eq!(order, [1, 2, 3, 2, 1, 0]);
     assert!(depths[3].1 >= 300_000.0);
     // Full service can be pinned as well.
-    let mut machine = Machine::new(three());
+    let mut machine = LevelStateMachine::new(three());
     machine.pin(Some("full"), 1e9);
     assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[0.95]).is_none() || n < 40));
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -16,7 +16,7 @@
 use tansymux::told::Map;
 use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_testbed::record::{Entry, Status, What};
-use tansymux_zone_routing::{Judge, Kind, Plan, Seen};
+use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
@@ -230,7 +230,7 @@
 
 struct Dispatcher {
     control: Control,
-    zones: Option<Judge>,
+    zones: Option<ZoneHealthDetector>,
     zone: usize,
     tick: f64,
     /// Engines whose connections are known to be gone.
@@ -443,9 +443,9 @@
                     &settings(e, &zones[n % zones.len()]),
                 )
                 .expect("the lab's own settings are whole"),
-                zones: definition
-                    .clone()
-                    .map(|definition| Judge::new(definition, f64::from(e.dispatchers()))),
+                zones: definition.clone().map(|definition| {
+                    ZoneHealthDetector::new(definition, f64::from(e.dispatchers()))
+                }),
                 zone: n % zones.len(),
                 tick: f64::INFINITY,
                 known_gone: vec![false; engines.len()],
--- a/crates/sql-analysis/src/cache.rs
+++ b/crates/sql-analysis/src/cache.rs
@@ -2,7 +2,7 @@
 //! the library keeps what was asked for more often (an LFU sketch at the door of an LRU). A shape is known by its hash and its text, so that two
 //! that fall together lend each other nothing.
 
-use crate::lexer::{Doubt, Lexed};
+use crate::lexer::{Lexed, Unproven};
 use crate::Reading;
 use mini_moka::unsync::Cache;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 #[derive(Clone)]
 struct Entry {
     text: Box<str>,
-    doubt: Option<Doubt>,
+    doubt: Option<Unproven>,
     reading: Rc<Reading>,
 }
 
--- a/crates/sql-analysis/src/lexer.rs
+++ b/crates/sql-analysis/src/lexer.rs
@@ -14,7 +14,7 @@
 
 /// Why no proof is tried. The first one that is met counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Doubt {
+pub enum Unproven {
     NotText,
     TooLong,
     TooComplex,
@@ -36,28 +36,28 @@
     UnicodeEscape,
 }
 
-impl Doubt {
+impl Unproven {
     pub fn says(self) -> &'static str {
         match self {
-            Doubt::NotText => "it is not text",
-            Doubt::TooLong => "it is too long",
-            Doubt::TooComplex => "it has too many tokens, operators or brackets",
-            Doubt::Unterminated => "a string, name or comment does not end",
-            Doubt::ExecutableComment => "a comment may be executed",
-            Doubt::NestedComment => "a comment holds the beginning of another",
-            Doubt::BareLineEnd => "a comment holds a carriage return alone",
-            Doubt::Dashes => "two dashes without a blank may be a comment or not",
-            Doubt::HashMark => "a hash mark may begin a comment or not",
-            Doubt::Backslash => "a backslash may be an escape or not",
-            Doubt::DollarQuote => "dollar signs may quote or not",
-            Doubt::NotAscii => "a letter outside quotes is not ASCII",
-            Doubt::ControlByte => "a control byte stands outside quotes",
-            Doubt::Variable => "a variable may be set",
-            Doubt::Assignment => "something is assigned",
-            Doubt::Brace => "a brace stands outside quotes",
-            Doubt::Operator => "an operator is not known",
-            Doubt::NumberAndWord => "a number runs into a word",
-            Doubt::UnicodeEscape => "a quoted text has escapes of its own",
+            Unproven::NotText => "it is not text",
+            Unproven::TooLong => "it is too long",
+            Unproven::TooComplex => "it has too many tokens, operators or brackets",
+            Unproven::Unterminated => "a string, name or comment does not end",
+            Unproven::ExecutableComment => "a comment may be executed",
+            Unproven::NestedComment => "a comment holds the beginning of another",
+            Unproven::BareLineEnd => "a comment holds a carriage return alone",
+            Unproven::Dashes => "two dashes without a blank may be a comment or not",
+            Unproven::HashMark => "a hash mark may begin a comment or not",
+            Unproven::Backslash => "a backslash may be an escape or not",
+            Unproven::DollarQuote => "dollar signs may quote or not",
+            Unproven::NotAscii => "a letter outside quotes is not ASCII",
+            Unproven::ControlByte => "a control byte stands outside quotes",
+            Unproven::Variable => "a variable may be set",
+            Unproven::Assignment => "something is assigned",
+            Unproven::Brace => "a brace stands outside quotes",
+            Unproven::Operator => "an operator is not known",
+            Unproven::NumberAndWord => "a number runs into a word",
+            Unproven::UnicodeEscape => "a quoted text has escapes of its own",
         }
     }
 }
@@ -83,7 +83,7 @@
 #[derive(Debug)]
 pub struct Lexed<'a> {
     pub text: &'a str,
-    pub doubt: Option<Doubt>,
+    pub doubt: Option<Unproven>,
     pub spans: &'a [Span],
     /// An unquoted word that stands in no statement that only reads.
     pub tells_of_change: bool,
@@ -138,10 +138,10 @@
             tells_of_change: false,
         };
         if statement.len() > MAX_BYTES {
-            run.doubts(Doubt::TooLong);
+            run.doubts(Unproven::TooLong);
         }
         if std::str::from_utf8(cut).is_err() && statement.len() <= MAX_BYTES || cut.contains(&0) {
-            run.doubts(Doubt::NotText);
+            run.doubts(Unproven::NotText);
         }
         run.all();
         let (doubt, tells_of_change) = (run.doubt, run.tells_of_change);
@@ -166,7 +166,7 @@
     at: usize,
     text: &'a mut Vec<u8>,
     spans: &'a mut Vec<Span>,
-    doubt: Option<Doubt>,
+    doubt: Option<Unproven>,
     rows: Rows,
     list: Option<List>,
     depth: usize,
@@ -222,7 +222,7 @@
 ];
 
 impl Run<'_> {
-    fn doubts(&mut self, doubt: Doubt) {
+    fn doubts(&mut self, doubt: Unproven) {
         self.doubt.get_or_insert(doubt);
     }
 
@@ -254,11 +254,11 @@
                 }
                 _ => {
                     self.doubts(match first {
-                        b'#' => Doubt::HashMark,
-                        b'\\' => Doubt::Backslash,
-                        b'@' => Doubt::Variable,
-                        b'{' | b'}' => Doubt::Brace,
-                        _ => Doubt::ControlByte,
+                        b'#' => Unproven::HashMark,
+                        b'\\' => Unproven::Backslash,
+                        b'@' => Unproven::Variable,
+                        b'{' | b'}' => Unproven::Brace,
+                        _ => Unproven::ControlByte,
                     });
                     self.at += 1;
                     self.mark(first);
@@ -268,7 +268,7 @@
                 || self.operators > MAX_OPERATORS
                 || self.depth > MAX_DEEP
             {
-                self.doubts(Doubt::TooComplex);
+                self.doubts(Unproven::TooComplex);
                 // The words of the rest still count; its shape does not, since it will not be parsed.
                 if self.spans.len() > MAX_TOKENS {
                     self.text.truncate(MAX_BYTES / 4);
@@ -405,13 +405,13 @@
     fn line_comment(&mut self) {
         let behind = self.peek(2);
         if !(behind == 0 || behind.is_ascii_whitespace()) {
-            self.doubts(Doubt::Dashes);
+            self.doubts(Unproven::Dashes);
         }
         let rest = &self.bytes[self.at..];
         let end = rest.iter().position(|b| *b == b'\n').unwrap_or(rest.len());
         let bare = |at: usize| rest[at] == b'\r' && at + 1 != end;
         if (0..end).any(bare) {
-            self.doubts(Doubt::BareLineEnd);
+            self.doubts(Unproven::BareLineEnd);
         }
         self.at += end;
     }
@@ -419,15 +419,15 @@
     fn comment(&mut self) {
         let inside = &self.bytes[self.at + 2..];
         if matches!(inside.first(), Some(b'!')) || inside.starts_with(b"M!") {
-            self.doubts(Doubt::ExecutableComment);
+            self.doubts(Unproven::ExecutableComment);
         }
         let Some(end) = inside.windows(2).position(|two| two == b"*/") else {
-            self.doubts(Doubt::Unterminated);
+            self.doubts(Unproven::Unterminated);
             self.at = self.bytes.len();
             return;
         };
         if inside[..end].windows(2).any(|two| two == b"/*") {
-            self.doubts(Doubt::NestedComment);
+            self.doubts(Unproven::NestedComment);
         }
         self.at += 2 + end + 2;
     }
@@ -440,7 +440,7 @@
         loop {
             match self.bytes.get(at) {
                 None => {
-                    self.doubts(Doubt::Unterminated);
+                    self.doubts(Unproven::Unterminated);
                     break;
                 }
                 Some(&b) if b == quote => {
@@ -454,7 +454,7 @@
             }
         }
         if escaped {
-            self.doubts(Doubt::Backslash);
+            self.doubts(Unproven::Backslash);
         }
         let to = at.min(self.bytes.len());
         self.at = (at + 1).min(self.bytes.len());
@@ -512,7 +512,7 @@
             }
         }
         if of_word(self.peek(0)) {
-            self.doubts(Doubt::NumberAndWord);
+            self.doubts(Unproven::NumberAndWord);
         }
         self.literal(b"0");
     }
@@ -525,7 +525,7 @@
             }
             return self.literal(b"'?'");
         }
-        self.doubts(Doubt::DollarQuote);
+        self.doubts(Unproven::DollarQuote);
         let rest = &self.bytes[self.at..];
         let tag = rest[1..]
             .iter()
@@ -541,7 +541,7 @@
         {
             Some(inside) => self.at += 2 * tag.len() + inside,
             None => {
-                self.doubts(Doubt::Unterminated);
+                self.doubts(Unproven::Unterminated);
                 self.at = self.bytes.len();
             }
         }
@@ -556,7 +556,7 @@
             return self.put(b"::", Kind::Mark);
         }
         if self.peek(1) == b'=' {
-            self.doubts(Doubt::Assignment);
+            self.doubts(Unproven::Assignment);
         }
         self.at += 1;
         if self.peek(0).is_ascii_alphabetic() {
@@ -581,7 +581,7 @@
                 b'e' => {
                     let (from, to) = self.inside(b'\'');
                     if self.bytes[from..to].contains(&b'\\') {
-                        self.doubts(Doubt::Backslash);
+                        self.doubts(Unproven::Backslash);
                     }
                     return self.literal(b"'?'");
                 }
@@ -589,16 +589,16 @@
             }
         }
         if self.peek(0) == b'\'' && word[0] == b'_' {
-            self.doubts(Doubt::UnicodeEscape);
+            self.doubts(Unproven::UnicodeEscape);
         }
         if self.peek(0) == b'&'
             && matches!(self.peek(1), b'\'' | b'"')
             && word.eq_ignore_ascii_case(b"u")
         {
-            self.doubts(Doubt::UnicodeEscape);
+            self.doubts(Unproven::UnicodeEscape);
         }
         if !word.is_ascii() {
-            self.doubts(Doubt::NotAscii);
+            self.doubts(Unproven::NotAscii);
         }
         let (behind_dot, behind_comma) = (self.last_is(b"."), self.last_is(b","));
         self.put(word, Kind::Word);
@@ -661,7 +661,7 @@
                 }
                 return;
             }
-            self.doubts(Doubt::Operator);
+            self.doubts(Unproven::Operator);
         }
         self.other();
         self.put(run, Kind::Mark);
@@ -728,33 +728,33 @@
     #[test]
     fn what_engines_read_in_two_ways_is_in_doubt() {
         let cases = [
-            ("select '\\' or 1", Doubt::Backslash),
-            ("select 'a\\'' ", Doubt::Unterminated),
-            ("select 'a\\''b'", Doubt::Backslash),
-            ("select e'a\\n'", Doubt::Backslash),
-            ("select 1 # x", Doubt::HashMark),
-            ("select 1 --x", Doubt::Dashes),
-            ("select 1 -- x\ry\n", Doubt::BareLineEnd),
-            ("select /*! 1 */ 2", Doubt::ExecutableComment),
-            ("select /*M!100 1 */ 2", Doubt::ExecutableComment),
-            ("select /* a /* b */ c */ 2", Doubt::NestedComment),
-            ("select $$a$$", Doubt::DollarQuote),
-            ("select $x$a$x$", Doubt::DollarQuote),
-            ("select 'a", Doubt::Unterminated),
-            ("select \"a", Doubt::Unterminated),
-            ("select /* a", Doubt::Unterminated),
-            ("select $a$ b", Doubt::DollarQuote),
-            ("s\u{435}lect 1", Doubt::NotAscii),
-            ("\u{feff}select 1", Doubt::NotAscii),
-            ("select\u{a0}1", Doubt::NotAscii),
-            ("select @a", Doubt::Variable),
-            ("select a := 1", Doubt::Assignment),
-            ("select {fn x()}", Doubt::Brace),
-            ("select 1\u{b}", Doubt::ControlByte),
-            ("select a |+ b", Doubt::Operator),
-            ("select 1a", Doubt::NumberAndWord),
-            ("select u&'\\0041'", Doubt::UnicodeEscape),
-            ("select \0", Doubt::NotText),
+            ("select '\\' or 1", Unproven::Backslash),
+            ("select 'a\\'' ", Unproven::Unterminated),
+            ("select 'a\\''b'", Unproven::Backslash),
+            ("select e'a\\n'", Unproven::Backslash),
+            ("select 1 # x", Unproven::HashMark),
+            ("select 1 --x", Unproven::Dashes),
+            ("select 1 -- x\ry\n", Unproven::BareLineEnd),
+            ("select /*! 1 */ 2", Unproven::ExecutableComment),
+            ("select /*M!100 1 */ 2", Unproven::ExecutableComment),
+            ("select /* a /* b */ c */ 2", Unproven::NestedComment),
+            ("select $$a$$", Unproven::DollarQuote),
+            ("select $x$a$x$", Unproven::DollarQuote),
+            ("select 'a", Unproven::Unterminated),
+            ("select \"a", Unproven::Unterminated),
+            ("select /* a", Unproven::Unterminated),
+            ("select $a$ b", Unproven::DollarQuote),
+            ("s\u{435}lect 1", Unproven::NotAscii),
+            ("\u{feff}select 1", Unproven::NotAscii),
+            ("select\u{a0}1", Unproven::NotAscii),
+            ("select @a", Unproven::Variable),
+            ("select a := 1", Unproven::Assignment),
+            ("select {fn x()}", Unproven::Brace),
+            ("select 1\u{b}", Unproven::ControlByte),
+            ("select a |+ b", Unproven::Operator),
+            ("select 1a", Unproven::NumberAndWord),
+            ("select u&'\\0041'", Unproven::UnicodeEscape),
+            ("select \0", Unproven::NotText),
         ];
         for (statement, doubt) in cases {
             assert_eq!(
@@ -778,7 +778,7 @@
         }
         assert_eq!(
             Lexer::default().lex(b"select \xff").doubt,
-            Some(Doubt::NotText)
+            Some(Unproven::NotText)
         );
     }
 }
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use cache::Counts;
 pub use learn::{End, Estimate, Observation};
-pub use lexer::{Doubt, Lexed, Lexer};
+pub use lexer::{Lexed, Lexer, Unproven};
 pub use read::Features;
 pub use rules::{Dialect, Learning, Prices, Rule, Settings};
 pub use tables::table_group;
--- a/crates/sql-analysis/src/read.rs
+++ b/crates/sql-analysis/src/read.rs
@@ -58,10 +58,10 @@
     let parsable = !matches!(
         lexed.doubt,
         Some(
-            crate::Doubt::NotText
-                | crate::Doubt::TooLong
-                | crate::Doubt::TooComplex
-                | crate::Doubt::Unterminated
+            crate::Unproven::NotText
+                | crate::Unproven::TooLong
+                | crate::Unproven::TooComplex
+                | crate::Unproven::Unterminated
         )
     );
     if lexed.text.is_empty() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,4 +22,4 @@
 mod store;
 
 pub use disk::{Disk, Folder};
-pub use store::{verify, Found, Settings, Store, Sync, Trouble};
+pub use store::{verify, Found, Settings, Store, StoreError, Sync};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -57,7 +57,7 @@
 
 /// Why nothing is written at the moment.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Trouble {
+pub enum StoreError {
     /// The disk is full, read-only, or fails in another way.
     Disk(String),
     /// It was not compacted in time.
@@ -81,7 +81,7 @@
     size: u64,
     unsynced: bool,
     synced_at: f64,
-    trouble: Option<(Trouble, f64)>,
+    trouble: Option<(StoreError, f64)>,
     read_only: bool,
 }
 
@@ -236,7 +236,7 @@
         (store, records, found)
     }
 
-    pub fn trouble(&self) -> Option<&Trouble> {
+    pub fn trouble(&self) -> Option<&StoreError> {
         self.trouble.as_ref().map(|(trouble, _)| trouble)
     }
 
@@ -254,10 +254,10 @@
         self.disk
     }
 
-    fn fails(&mut self, now: f64, e: &io::Error) -> Trouble {
+    fn fails(&mut self, now: f64, e: &io::Error) -> StoreError {
         // What the log holds now is not known: the next record begins another one.
         self.log = None;
-        let trouble = Trouble::Disk(e.to_string());
+        let trouble = StoreError::Disk(e.to_string());
         self.trouble = Some((trouble.clone(), now));
         trouble
     }
@@ -266,15 +266,15 @@
     ///
     /// # Errors
     /// It was not written, and why; the store goes on, and later records are tried again.
-    pub fn append(&mut self, now: f64, record: &[u8]) -> Result<(), Trouble> {
+    pub fn append(&mut self, now: f64, record: &[u8]) -> Result<(), StoreError> {
         if self.read_only {
-            return Err(Trouble::Newer);
+            return Err(StoreError::Newer);
         }
         if record.len() > form::MAX_RECORD {
-            return Err(Trouble::TooLong);
+            return Err(StoreError::TooLong);
         }
         if self.size > 2 * self.settings.most {
-            return Err(Trouble::TooLarge);
+            return Err(StoreError::TooLarge);
         }
         if let Some((trouble, at)) = &self.trouble {
             if now - at < self.settings.retry {
@@ -319,7 +319,7 @@
         Ok(())
     }
 
-    fn sync(&mut self, now: f64) -> Result<(), Trouble> {
+    fn sync(&mut self, now: f64) -> Result<(), StoreError> {
         let Some(number) = self.log.filter(|_| self.unsynced) else {
             return Ok(());
         };
@@ -337,7 +337,7 @@
     ///
     /// # Errors
     /// As `append`.
-    pub fn tick(&mut self, now: f64) -> Result<(), Trouble> {
+    pub fn tick(&mut self, now: f64) -> Result<(), StoreError> {
         match self.settings.sync {
             Sync::Every(every) if now - self.synced_at >= every => self.sync(now),
             _ => Ok(()),
@@ -352,9 +352,9 @@
         &mut self,
         now: f64,
         records: impl Iterator<Item = &'a [u8]>,
-    ) -> Result<(), Trouble> {
+    ) -> Result<(), StoreError> {
         if self.read_only {
-            return Err(Trouble::Newer);
+            return Err(StoreError::Newer);
         }
         let number = self.next;
         self.next += 1;
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use tansymux_store::form::{self, Damage, What};
-use tansymux_store::{verify, Disk, Folder, Found, Settings, Store, Sync, Trouble};
+use tansymux_store::{verify, Disk, Folder, Found, Settings, Store, StoreError, Sync};
 
 /// A disk in memory that fails at a step, and then loses what was not synced.
 #[derive(Debug, Clone, Default)]
@@ -259,8 +259,11 @@
             }
         )
     );
-    assert_eq!(store.append(0.0, b"x"), Err(Trouble::Newer));
-    assert_eq!(store.compact(0.0, std::iter::empty()), Err(Trouble::Newer));
+    assert_eq!(store.append(0.0, b"x"), Err(StoreError::Newer));
+    assert_eq!(
+        store.compact(0.0, std::iter::empty()),
+        Err(StoreError::Newer)
+    );
     assert_eq!(store.into_disk().files, before);
 }
 
@@ -292,7 +295,7 @@
     for n in 0..40 {
         written += u32::from(store.append(0.0, &record(n)).is_ok());
     }
-    assert!(written > 2 && written < 40 && matches!(store.trouble(), Some(Trouble::Disk(_))));
+    assert!(written > 2 && written < 40 && matches!(store.trouble(), Some(StoreError::Disk(_))));
     // Room again, later.
     let mut disk = store.into_disk();
     disk.full_after = None;
@@ -308,7 +311,7 @@
         },
         EACH,
     );
-    assert!(matches!(store.append(0.0, b"x"), Err(Trouble::Disk(_))));
+    assert!(matches!(store.append(0.0, b"x"), Err(StoreError::Disk(_))));
     // Not tried again before its time, and then without a start.
     let mut store = {
         let mut disk = store.into_disk();
@@ -323,14 +326,14 @@
     let (mut store, ..) = Store::open(Faulty::default(), EACH);
     let mut refused = 0;
     for n in 0..1000 {
-        refused += u32::from(store.append(0.0, &record(n)) == Err(Trouble::TooLarge));
+        refused += u32::from(store.append(0.0, &record(n)) == Err(StoreError::TooLarge));
     }
     assert!(store.wants_compaction() && refused > 0 && store.size() < 3 * 4096);
     store.compact(0.0, [b"all".as_slice()].into_iter()).unwrap();
     assert!(!store.wants_compaction() && store.append(0.0, b"x").is_ok());
     assert_eq!(
         store.append(0.0, &vec![0; form::MAX_RECORD + 1]),
-        Err(Trouble::TooLong)
+        Err(StoreError::TooLong)
     );
     let disk = store.into_disk();
     assert_eq!(disk.files.len(), 2, "{:?}", disk.files.keys());
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -125,7 +125,7 @@
     arrived: Vec<(f64, f64)>,
 }
 
-struct Judge<'a> {
+struct ZoneHealthDetector<'a> {
     rules: &'a Rules,
     queries: BTreeMap<String, Query>,
     engines: BTreeMap<String, Engine>,
@@ -140,7 +140,7 @@
 /// record that was cut, are no breach.
 pub fn judge(entries: &[Entry], rules: &Rules) -> Vec<Broken> {
     let (queries, engines, asked, further, lines, broken) = Default::default();
-    let mut judge = Judge {
+    let mut judge = ZoneHealthDetector {
         rules,
         queries,
         engines,
@@ -155,7 +155,7 @@
     judge.broken
 }
 
-impl Judge<'_> {
+impl ZoneHealthDetector<'_> {
     fn breaks(&mut self, rule: u8, at: f64, how: impl Into<String>) {
         self.broken.push(Broken {
             rule,
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -21,10 +21,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Seen {
     pub seed: u64,
-    /// Most dispatchers out by a turn at any true instant, and what the limit was.
+    /// Limit dispatchers out by a turn at any true instant, and what the limit was.
     pub max_out: usize,
     pub limit: usize,
-    /// Most engines drained at a time, and their limit.
+    /// Limit engines drained at a time, and their limit.
     pub max_drained: usize,
     pub drain_limit: usize,
     /// Dispatchers that were released, of all, and when the last one was (ms after the start).
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -103,7 +103,7 @@
     pub voters: usize,
     pub zones: usize,
     pub engines: usize,
-    /// Most dispatchers and most engines out.
+    /// Limit dispatchers and most engines out.
     pub most: usize,
     pub max_engines: usize,
     /// How long a turn lasts (ms), and how long a restart takes.
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -6,12 +6,12 @@
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tansymux_coordination::limits::{Bounds, Most, Unit};
+use tansymux_coordination::limits::{Bounds, Limit, Unit};
 use tansymux_coordination::{Stage, Stand, Terms};
 use tansymux_membership::seal::Keys;
 use tansymux_membership::wire::id_of;
 use tansymux_rollout::message::{Answer, Command};
-use tansymux_rollout::{Caller, Fleet, Own, Plan, Settings, Told, Turn, TurnEnd};
+use tansymux_rollout::{Fleet, FleetClient, Own, Plan, Settings, Told, Turn, TurnEnd};
 
 const STEP: f64 = 10.0;
 /// The release begins so long after the start of all: voters without memory keep still at first.
@@ -77,7 +77,7 @@
 
 struct Operator {
     at: usize,
-    caller: Caller,
+    caller: FleetClient,
     engine: Option<usize>,
     halts: bool,
     told: bool,
@@ -164,7 +164,7 @@
 /// What the operators' file would say for a scenario.
 pub fn told(scenario: &Scenario) -> Told {
     let bounds = |most: usize| Bounds {
-        fleet: Most {
+        fleet: Limit {
             number: Some(most as u32),
             part: None,
         },
@@ -473,7 +473,7 @@
 
     fn calls(&mut self, at: usize, command: Command, engine: Option<usize>) {
         let seed = self.rng.random();
-        let caller = Caller::new(keys(), command, self.slots[at].of_host(self.now), seed);
+        let caller = FleetClient::new(keys(), command, self.slots[at].of_host(self.now), seed);
         let halts = matches!(command, Command::Halt { .. });
         if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
             self.halted_since = None;
@@ -692,7 +692,7 @@
             }
             Fault::Limit { most } => {
                 self.limit = (most, self.now);
-                self.told.dispatchers.fleet = Most {
+                self.told.dispatchers.fleet = Limit {
                     number: Some(most as u32),
                     part: None,
                 };
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -69,12 +69,12 @@
 pub struct Cycle {
     pub good: [u64; 4],
     pub all: [u64; 4],
-    /// Most threads on one engine of the zone in the three seconds after it was back.
+    /// Limit threads on one engine of the zone in the three seconds after it was back.
     pub peak: f64,
     /// When all outside had left, and when all were whole again, after the cut's begin and end (ms).
     pub left: Option<f64>,
     pub whole: Option<f64>,
-    /// Most that the shares added up to, beside the step's part, at any look.
+    /// Limit that the shares added up to, beside the step's part, at any look.
     pub over: f64,
     pub lost: u64,
 }
--- a/crates/zone-evacuation/src/guide.rs
+++ b/crates/zone-evacuation/src/guide.rs
@@ -29,7 +29,7 @@
 
 /// One member's side.
 #[derive(Debug, Clone)]
-pub struct Guide {
+pub struct EvacuationFollower {
     own: Zone,
     started: f64,
     heard: f64,
@@ -37,9 +37,9 @@
     known: BTreeMap<Zone, Known>,
 }
 
-impl Guide {
+impl EvacuationFollower {
     pub fn new(own: Zone, own_after: f64, now: f64) -> Self {
-        Guide {
+        EvacuationFollower {
             own,
             started: now,
             heard: f64::NEG_INFINITY,
--- a/crates/zone-evacuation/src/lib.rs
+++ b/crates/zone-evacuation/src/lib.rs
@@ -3,9 +3,9 @@
 //! "Zone" is what operators and this package call it; where it is one dispatcher's view, crates/zone-routing says "zone" for
 //! the same thing.
 //!
-//! Owns: what the leader makes of the evidence of all ([`Watch`]), its numbered decisions ([`Decision`]), the shares of
-//! a returning zone that it gives out ([`Shares`]), and what a member makes of both and of not hearing them
-//! ([`Guide`]). It does no I/O, reads no clock, sends nothing and keeps nothing for good: decisions are agreed by
+//! Owns: what the leader makes of the evidence of all ([`EvacuationController`]), its numbered decisions ([`Decision`]), the shares of
+//! a returning zone that it gives out ([`RampQuotas`]), and what a member makes of both and of not hearing them
+//! ([`EvacuationFollower`]). It does no I/O, reads no clock, sends nothing and keeps nothing for good: decisions are agreed by
 //! crates/coordination, and what one dispatcher judges alone stays with crates/zone-routing.
 //!
 //! Invariants, checked in `tests/`:
@@ -14,7 +14,7 @@
 //! - a witness that is cut off itself, and one that has seen nothing, is none;
 //! - nobody inside a zone leaves it.
 //!
-//! Start reading at [`Watch::look`].
+//! Start reading at [`EvacuationController::look`].
 
 mod define;
 mod guide;
@@ -23,9 +23,9 @@
 pub mod wire;
 
 pub use define::Definition;
-pub use guide::{Guide, Use};
-pub use shares::Shares;
-pub use watch::{Decision, Fleetwide, Refused, Stage, Verdict, Watch, Why};
+pub use guide::{EvacuationFollower, Use};
+pub use shares::RampQuotas;
+pub use watch::{Decision, EvacuationController, Fleetwide, Refused, Stage, Verdict, Why};
 
 /// A zone's number, drawn from its name.
 pub type Zone = u32;
--- a/crates/zone-evacuation/src/shares.rs
+++ b/crates/zone-evacuation/src/shares.rs
@@ -5,7 +5,7 @@
 
 /// Members that hold shares at most.
 const MAX_HOLDERS: usize = 1024;
-/// Shares of one member that are told apart: each smaller than the one before.
+/// RampQuotas of one member that are told apart: each smaller than the one before.
 const MAX_KEPT: usize = 16;
 /// This part of a step is given evenly, the rest by demand: who has none yet can still find out that it needs more.
 const EVEN: f64 = 0.2;
@@ -19,20 +19,23 @@
 
 /// The shares of one zone, as the leader has given them out.
 #[derive(Debug, Clone, Default)]
-pub struct Shares {
+pub struct RampQuotas {
     given: BTreeMap<Id, Vec<Given>>,
     /// What each member could use, and when it said so.
     demand: BTreeMap<Id, (f64, f64)>,
 }
 
-impl Shares {
+impl RampQuotas {
     fn most(given: &[Given]) -> f64 {
         given.iter().map(|given| given.share).fold(0.0, f64::max)
     }
 
     /// All that may be held at this moment.
     pub fn out(&self) -> f64 {
-        self.given.values().map(|given| Shares::most(given)).sum()
+        self.given
+            .values()
+            .map(|given| RampQuotas::most(given))
+            .sum()
     }
 
     fn forgets(&mut self, now: f64, holds: f64) {
@@ -69,7 +72,10 @@
         } else {
             0.0
         };
-        let own = self.given.get(&id).map_or(0.0, |given| Shares::most(given));
+        let own = self
+            .given
+            .get(&id)
+            .map_or(0.0, |given| RampQuotas::most(given));
         // What it holds already is counted; anything above that must be free.
         let free = (all - self.out()).max(0.0);
         let share = (even + by_demand).min(own + free);
--- a/crates/zone-evacuation/src/watch.rs
+++ b/crates/zone-evacuation/src/watch.rs
@@ -1,7 +1,7 @@
 //! What the leader makes of the evidence of all, and what it decides.
 
 use crate::define::Definition;
-use crate::shares::Shares;
+use crate::shares::RampQuotas;
 use crate::wire::{Evidence, Reach, Told};
 use crate::{Id, Zone, MAX_ZONES};
 use std::collections::BTreeMap;
@@ -97,23 +97,23 @@
     /// Ends of this step, over all members.
     good: u32,
     bad: u32,
-    shares: Shares,
+    shares: RampQuotas,
     left_at: f64,
     times: u32,
 }
 
 /// The leader's watch over all zones. Soft: a later leader gathers it anew.
 #[derive(Debug, Clone)]
-pub struct Watch {
+pub struct EvacuationController {
     definition: Definition,
     members: BTreeMap<Id, Member>,
     zones: BTreeMap<Zone, Watched>,
     number: u32,
 }
 
-impl Watch {
+impl EvacuationController {
     pub fn new(definition: Definition) -> Self {
-        Watch {
+        EvacuationController {
             definition,
             members: BTreeMap::new(),
             zones: BTreeMap::new(),
@@ -412,7 +412,7 @@
         Some((Some((Stage::Returns, of.step + 1)), Why::Reached))
     }
 
-    /// A member's share of a returning zone, as a part of the whole: see [`Shares::asks`].
+    /// A member's share of a returning zone, as a part of the whole: see [`RampQuotas::asks`].
     pub fn share(&mut self, now: f64, id: Id, zone: Zone, demand: f64, agreed: Fleetwide) -> f64 {
         if agreed.stage != Stage::Returns {
             return 0.0;
--- a/crates/zone-evacuation/tests/zones.rs
+++ b/crates/zone-evacuation/tests/zones.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 use tansymux_zone_evacuation::wire::{self, Evidence, Plan, Reach, Told};
 use tansymux_zone_evacuation::{
-    Decision, Definition, Fleetwide, Guide, Refused, Shares, Stage, Use, Verdict, Watch, Why,
+    Decision, Definition, EvacuationController, EvacuationFollower, Fleetwide, RampQuotas, Refused,
+    Stage, Use, Verdict, Why,
 };
 
 const EAST: u32 = 1;
@@ -15,7 +16,7 @@
 
 /// A leader's watch, what is agreed, and a clock.
 struct Desk {
-    watch: Watch,
+    watch: EvacuationController,
     agreed: BTreeMap<u32, Fleetwide>,
     now: f64,
     changes: Vec<Decision>,
@@ -25,7 +26,7 @@
 
 impl Desk {
     fn new(definition: Definition) -> Self {
-        let mut watch = Watch::new(definition);
+        let mut watch = EvacuationController::new(definition);
         watch.capacity(&[(EAST, 32.0), (WEST, 32.0), (NORTH, 32.0)]);
         Desk {
             watch,
@@ -293,7 +294,7 @@
 
 #[test]
 fn a_member_goes_by_what_it_heard_then_closes_then_judges_for_itself() {
-    let mut guide = Guide::new(WEST, 30_000.0, 0.0);
+    let mut guide = EvacuationFollower::new(WEST, 30_000.0, 0.0);
     // Just started: it knows nothing, and its own zone is its own.
     assert_eq!(
         (guide.of(100.0, EAST), guide.of(100.0, WEST)),
@@ -336,7 +337,7 @@
 /// apart. At every true instant what all believe to hold is at most the largest step of the last term.
 fn shares_hold(seed: u64, members: usize, from_asking: bool) -> (f64, f64) {
     struct Member {
-        guide: Guide,
+        guide: EvacuationFollower,
         rate: f64,
         demand: f64,
         stopped: f64,
@@ -349,10 +350,10 @@
         ..Definition::default()
     };
     let mut rng = Pcg32::seed_from_u64(seed);
-    let mut shares = Shares::default();
+    let mut shares = RampQuotas::default();
     let mut all: Vec<Member> = (0..members)
         .map(|n| Member {
-            guide: Guide::new(WEST, 1e9, 0.0),
+            guide: EvacuationFollower::new(WEST, 1e9, 0.0),
             rate: rng.random_range(0.991..1.009),
             // Some see ten times the mean.
             demand: if n % 10 == 0 {
@@ -390,7 +391,7 @@
             }
             if rng.random_bool(0.0003) {
                 // Killed and started again, knowing nothing; its clock goes on.
-                member.guide = Guide::new(WEST, 1e9, now * member.rate);
+                member.guide = EvacuationFollower::new(WEST, 1e9, now * member.rate);
                 member.waiting.clear();
             }
             if now < member.stopped {
@@ -470,7 +471,7 @@
 
 #[test]
 fn shares_follow_demand_and_what_is_not_used_returns() {
-    let mut shares = Shares::default();
+    let mut shares = RampQuotas::default();
     let mut last = [0.0; 3];
     for second in 0..20 {
         for (n, demand) in [10.0, 1.0, 1.0].into_iter().enumerate() {
@@ -508,7 +509,7 @@
 
     #[test]
     fn shares_given_in_any_order_never_add_up_to_more(asks in proptest::collection::vec((0_u64..6, 0.0_f64..10.0, 0.0_f64..900.0), 1..200), all in 0.05_f64..1.0) {
-        let (mut shares, mut now) = (Shares::default(), 0.0);
+        let (mut shares, mut now) = (RampQuotas::default(), 0.0);
         for (id, demand, passed) in asks {
             now += passed;
             let share = shares.asks(now, id, demand, all, 3000.0, 0.02);
--- a/crates/zone-routing/src/judge.rs
+++ b/crates/zone-routing/src/judge.rs
@@ -133,7 +133,7 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Judge {
+pub struct ZoneHealthDetector {
     definition: Definition,
     /// By engine_id; sorted, so that nothing hangs on the order of a hash.
     engines: BTreeMap<u64, Known>,
@@ -151,13 +151,13 @@
 
 const LONG_AGO: f64 = -1e12;
 
-impl Judge {
+impl ZoneHealthDetector {
     /// `dispatchers`: dispatchers that share the engines, as told.
     pub fn new(definition: Definition, dispatchers: f64) -> Self {
         let (engines, zones, peers, history, fresh) = Default::default();
         let (now, looked, told_at, alone, version) = (LONG_AGO, LONG_AGO, LONG_AGO, false, 1);
         let dispatchers = dispatchers.max(1.0);
-        Judge {
+        ZoneHealthDetector {
             definition,
             engines,
             zones,
--- a/crates/zone-routing/tests/cuts.rs
+++ b/crates/zone-routing/tests/cuts.rs
@@ -1,8 +1,8 @@
 //! Zones that are cut, half cut, flap, come back cold or under other names, in virtual time; each hard case by name.
 
 use tansymux_zone_routing::{
-    Changed, Climb, Cut, Definition, Engine, Judge, Kind, Plan, Route, Seen, Spill, Tier, Why,
-    ZoneState,
+    Changed, Climb, Cut, Definition, Engine, Kind, Plan, Route, Seen, Spill, Tier, Why,
+    ZoneHealthDetector, ZoneState,
 };
 
 const LOOK: f64 = 100.0;
@@ -53,7 +53,7 @@
 
 /// Zones of so many engines each, and what their engines do.
 struct World {
-    judge: Judge,
+    judge: ZoneHealthDetector,
     zones: Vec<(&'static str, usize)>,
     now: f64,
 }
@@ -65,7 +65,7 @@
 impl World {
     fn new(zones: &[(&'static str, usize)], dispatchers: f64) -> Self {
         let mut world = World {
-            judge: Judge::new(definition(), dispatchers),
+            judge: ZoneHealthDetector::new(definition(), dispatchers),
             zones: zones.to_vec(),
             now: 0.0,
         };
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 //!
 //! Order: tuned values, start, list of engines, a query comes, placement, sending, answers, the regular look.
 
-use crate::ids::Door;
+use crate::ids::Interner;
 use crate::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use crate::pcg::Pcg;
 pub use crate::state::Control;
@@ -48,7 +48,7 @@
 const PATIENCE_FLOOR: f64 = 400.0;
 const NOTES_MISSED: f64 = 2.5;
 const HOPELESS: f64 = 1.25;
-// Doubt: errors weigh in by a step and raise it above a level; trials back off. Nothing heard for so long
+// Unproven: errors weigh in by a step and raise it above a level; trials back off. Nothing heard for so long
 // with attempts out is silence, and asked about where probes are allowed.
 const ERROR_STEP: f64 = 0.2;
 const ERROR_DOUBT: f64 = 0.35;
@@ -76,15 +76,15 @@
 
 impl Control {
     pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
-        let mut door = Door::default();
-        let groups = ResourceGroup::read_all(told, &mut door)?;
+        let mut interner = Interner::default();
+        let groups = ResourceGroup::read_all(told, &mut interner)?;
         let dispatchers = told.required("balancers")?.max(1.0);
-        let tenants = Tenants::read(told, dispatchers, &mut door.tenants);
-        let zone = told.get("zone").map_or(NONE, |z| door.zones.index(z));
+        let tenants = Tenants::read(told, dispatchers, &mut interner.tenants);
+        let zone = told.get("zone").map_or(NONE, |z| interner.zones.index(z));
         Ok(Control {
             dispatchers,
             zone,
-            door,
+            interner,
             groups,
             tenants,
             list_wanted: told
@@ -139,7 +139,7 @@
     ) {
         let (i, first) = self.slot_of(engine_id);
         if first {
-            let engine = Engine::read(&self.told, engine_id, kind, zone, cell, &mut self.door);
+            let engine = Engine::read(&self.told, engine_id, kind, zone, cell, &mut self.interner);
             self.zones.resize(
                 self.zones.len().max(engine.zone as usize + 1),
                 Paces::default(),
@@ -195,7 +195,7 @@
         text: Text,
         out: &mut dyn Writer,
     ) -> Result<(), String> {
-        let rg_index = self.door.groups.index(rg) as usize;
+        let rg_index = self.interner.groups.index(rg) as usize;
         if rg_index >= self.groups.len() {
             return Err(format!("unknown resource group {rg:?}"));
         }
@@ -203,7 +203,7 @@
         let g = &mut self.groups[rg_index];
         let mut low = g.load || g.threads > 1.0;
         if cost > 0.0 {
-            // Demoted once, at the door; the mean does not follow what it is to tell apart.
+            // Demoted once, at admission; the mean does not follow what it is to tell apart.
             let most = if g.seen >= FIRST_SEEN {
                 DEMOTE_FACTOR * self.reduced.demotion * g.mean_cost
             } else {
@@ -232,7 +232,7 @@
         } else {
             0.0
         };
-        let tenant = self.door.tenants.index(tenant);
+        let tenant = self.interner.tenants.index(tenant);
         // Over its share by what was told and against all others: when all send more, nobody is singled out.
         let (own, all) = self.tenants.count(tenant as usize, self.now, SHARE_SPAN);
         let over_share = own > SHARE_SLACK * all.max(1.0);
@@ -254,7 +254,7 @@
             ..query
         };
         let i = self.queries.insert(query);
-        self.door.queries.insert(id, i);
+        self.interner.queries.insert(id, i);
         self.queries[i].key = key.map_or(NONE, |key| self.lines.join(key, i, self.now));
         // No time for a run even at its best, or, of a client that gives less than half of the usual, for one
         // as answers come of late: it is given up at once, as it would end late more often than not and keep
@@ -670,10 +670,10 @@
         memory: f64,
         out: &mut dyn Writer,
     ) {
-        let Some(&i) = self.door.queries.get(&id) else {
+        let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
-        let Some(e) = self.door.engine_ids.find(engine_id) else {
+        let Some(e) = self.interner.engine_ids.find(engine_id) else {
             return;
         };
         let q = &mut self.queries[i];
@@ -806,7 +806,7 @@
     }
 
     pub fn noted(&mut self, id: u64, attempt: usize, note: Note, amount: f64) {
-        let Some(&i) = self.door.queries.get(&id) else {
+        let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
         let q = &mut self.queries[i];
@@ -838,7 +838,7 @@
     }
 
     pub fn probed(&mut self, engine_id: u64, outcome: Outcome) {
-        let Some(e) = self.door.engine_ids.find(engine_id) else {
+        let Some(e) = self.interner.engine_ids.find(engine_id) else {
             return;
         };
         let engine = &mut self.engines[e];
@@ -859,7 +859,7 @@
     }
 
     pub fn vanished(&mut self, id: u64, out: &mut dyn Writer) {
-        let Some(&i) = self.door.queries.get(&id) else {
+        let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
         self.end(i, out);
@@ -907,7 +907,7 @@
             return;
         }
         let (id, key) = (q.id, q.key);
-        self.door.queries.remove(&id);
+        self.interner.queries.remove(&id);
         self.queries.remove(i);
         self.lines.leave(key, i);
         let next = self
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -43,7 +43,7 @@
 
 /// All that is known outside by a name or a number.
 #[derive(Debug, Default)]
-pub struct Door {
+pub struct Interner {
     pub groups: Names,
     pub kinds: Names,
     pub zones: Names,
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -18,7 +18,7 @@
 
     /// Part of the ready engines, of a zone if one is named, that show pressure.
     pub fn part_pressed(&self, zone: Option<&str>) -> f64 {
-        let zone = zone.map(|name| self.door.zones.find(name));
+        let zone = zone.map(|name| self.interner.zones.find(name));
         let of_zone = |e: &usize| zone.is_none_or(|zone| zone == Some(self.engines[*e].zone));
         let ready: Vec<usize> = self
             .known()
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The records that the decisions keep. Types and bookkeeping only.
 
-use crate::ids::{Door, Names};
+use crate::ids::{Interner, Names};
 use crate::interface::Text;
 use crate::pcg::Pcg;
 use crate::talk;
@@ -24,7 +24,7 @@
     pub rng: Pcg,
     pub dispatchers: f64,
     pub zone: u32,
-    pub door: Door,
+    pub interner: Interner,
     pub groups: Vec<ResourceGroup>,
     pub tenants: Tenants,
     pub engines: Vec<Engine>,
@@ -58,7 +58,7 @@
     /// Where an engine is kept, and whether it is new. A new one takes the place of one that is gone and that no
     /// query refers to: where engines are replaced all day, what is kept of them grows no further.
     pub fn slot_of(&mut self, engine_id: u64) -> (usize, bool) {
-        if let Some(i) = self.door.engine_ids.find(engine_id) {
+        if let Some(i) = self.interner.engine_ids.find(engine_id) {
             return (i, false);
         }
         let refers = |e: usize| {
@@ -68,9 +68,9 @@
         };
         let gone = |&e: &usize| !self.engines[e].listed && !self.engines[e].ready && !refers(e);
         let Some(i) = (0..self.engines.len()).find(gone) else {
-            return (self.door.engine_ids.index(engine_id), true);
+            return (self.interner.engine_ids.index(engine_id), true);
         };
-        self.door
+        self.interner
             .engine_ids
             .hand_on(self.engines[i].engine_id, engine_id);
         self.reports.forget(i);
@@ -272,17 +272,17 @@
 }
 
 impl ResourceGroup {
-    pub fn read_all(told: &Map, door: &mut Door) -> Result<Vec<Self>, String> {
+    pub fn read_all(told: &Map, interner: &mut Interner) -> Result<Vec<Self>, String> {
         let mut groups = Vec::new();
         for i in 0..told.required("services.count")? as usize {
             groups.push(ResourceGroup::read(
                 told,
                 i,
-                &mut door.zones,
-                &mut door.kinds,
+                &mut interner.zones,
+                &mut interner.kinds,
             )?);
             let name = format!("services.{i}.name");
-            door.groups.index(
+            interner.groups.index(
                 told.get(&name)
                     .ok_or_else(|| format!("setting {name} is missing"))?,
             );
@@ -468,7 +468,7 @@
         kind: &str,
         zone: &str,
         cell: u32,
-        door: &mut Door,
+        interner: &mut Interner,
     ) -> Self {
         let cores = told
             .of_kind(kind, "family-info.cores-by-kind")
@@ -476,7 +476,7 @@
         let memory = told
             .of_kind(kind, "family-info.kind-memory-mb")
             .unwrap_or(0.0);
-        let (kind, zone) = (door.kinds.index(kind), door.zones.index(zone));
+        let (kind, zone) = (interner.kinds.index(kind), interner.zones.index(zone));
         Engine {
             engine_id,
             kind,
--- a/src/tiers.rs
+++ b/src/tiers.rs
@@ -120,7 +120,7 @@
         (self.tiers.on, self.tiers.alone, self.tiers.cross_retries) =
             (true, given.alone, given.cross_retries);
         for told in &given.zones {
-            let at = self.door.zones.index(&told.name) as usize;
+            let at = self.interner.zones.index(&told.name) as usize;
             self.tiers
                 .zones
                 .resize(self.tiers.zones.len().max(at + 1), Zone::default());
@@ -133,7 +133,7 @@
             }
         }
         for (engine_id, threads) in &given.engines {
-            let Some(e) = self.door.engine_ids.find(*engine_id) else {
+            let Some(e) = self.interner.engine_ids.find(*engine_id) else {
                 continue;
             };
             self.tiers
@@ -249,7 +249,7 @@
     /// Low threads of ours in a zone that came from elsewhere.
     pub fn spilled(&self, zone: &str) -> f64 {
         let at = self
-            .door
+            .interner
             .zones
             .find(zone)
             .and_then(|zone| self.tiers.zones.get(zone as usize));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -294,7 +294,7 @@
     for id in 0..1000 {
         let at = 1.0 + 10.0 * id as f64;
         ask_for(&mut c, at, id, "tok", 100.0, Some(id), 0);
-        let i = c.door.queries[&id];
+        let i = c.interner.queries[&id];
         let engine_id = c.engines[c.queries[i].sent()[0].engine].engine_id;
         // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
         let outcome = if id % 4 == 0 {
@@ -308,7 +308,7 @@
     assert!(c.lines.kept() < 60, "{}", c.lines.kept());
     // A key that is used over and over stays one, and its rest holds.
     ask_for(&mut c, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
-    let engine_id = c.engines[c.queries[c.door.queries[&2000]].sent()[0].engine].engine_id;
+    let engine_id = c.engines[c.queries[c.interner.queries[&2000]].sent()[0].engine].engine_id;
     round(&mut c, 20_001.0, |c, out| c.vanished(2000, out));
     close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, engine_id);
     assert!(
@@ -515,17 +515,18 @@
     for id in 0..2 {
         ask(&mut c, 1.0, id, "look", 10.0);
         for attempt in 0..4 {
-            let i = c.door.queries[&id];
+            let i = c.interner.queries[&id];
             let engine_id = c.engines[c.queries[i].attempts[attempt].engine].engine_id;
             close(&mut c, 2.0, id, attempt, Outcome::Error, engine_id);
         }
         assert!(
-            !c.door.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect),
+            !c.interner.queries.contains_key(&id) && c.engines.iter().all(|e| !e.suspect),
             "{id}"
         );
         for id in 10..20 {
             ask(&mut c, 3.0, id, "look", 10.0);
-            let engine_id = c.engines[c.queries[c.door.queries[&id]].attempts[0].engine].engine_id;
+            let engine_id =
+                c.engines[c.queries[c.interner.queries[&id]].attempts[0].engine].engine_id;
             close(&mut c, 4.0, id, 0, Outcome::Completed, engine_id);
         }
     }
@@ -536,7 +537,7 @@
     let mut c = dispatcher("", TWO);
     let on = |c: &Control, id: u64| {
         let last = c
-            .door
+            .interner
             .queries
             .get(&id)
             .and_then(|&i| c.queries[i].sent().last());
@@ -1001,7 +1002,8 @@
                 out,
             )
             .unwrap();
-            let engine_id = c.engines[c.queries[c.door.queries[&1]].attempts[0].engine].engine_id;
+            let engine_id =
+                c.engines[c.queries[c.interner.queries[&1]].attempts[0].engine].engine_id;
             c.now = T0 + 100.0;
             c.closed(1, 0, false, Outcome::Reset, engine_id, 100.0, 0.0, 0.0, out);
         })),
@@ -1024,9 +1026,9 @@
     for id in 0..3 {
         assert!(starts(&ask(&mut c, 1.0, id, "look", 0.0), "submit"));
     }
-    assert_eq!(c.alone(c.door.queries[&2]), 500.0);
+    assert_eq!(c.alone(c.interner.queries[&2]), 500.0);
     for id in 0..2 {
-        let i = c.door.queries[&id];
+        let i = c.interner.queries[&id];
         let engine_id = c.engines[c.queries[i].attempts[0].engine].engine_id;
         close(&mut c, 200.0, id, 0, Outcome::Completed, engine_id);
     }
@@ -1034,9 +1036,9 @@
     let decided = ask(&mut c, 610.0, 9, "look", 0.0);
     assert!(starts(&decided, "submit 9"), "{decided:?}");
     assert!(
-        (c.alone(c.door.queries[&9]) - 100.0).abs() < 20.0,
+        (c.alone(c.interner.queries[&9]) - 100.0).abs() < 20.0,
         "{}",
-        c.alone(c.door.queries[&9])
+        c.alone(c.interner.queries[&9])
     );
 }
 
