--- a/crates/dispatcher/src/check.rs
+++ b/crates/dispatcher/src/check.rs
@@ -1,7 +1,7 @@
 //! `tansymux check`: names every fault of configurations and operators' files.
 
 use crate::config::{self, located, text_of};
-use crate::operators;
+use crate::operator_config;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -37,7 +37,7 @@
                 }
             }
         } else {
-            match operators::read(Path::new(path)) {
+            match operator_config::read(Path::new(path)) {
                 Ok(operator) => told.push((name, operator)),
                 Err(lines) => faults.extend(lines),
             }
@@ -46,7 +46,7 @@
     for (_, launch) in &launches {
         for (name, operator) in &told {
             faults.extend(
-                operators::unfit(operator, &launch.told)
+                operator_config::unfit(operator, &launch.told)
                     .iter()
                     .map(|fault| format!("{name}: {fault}")),
             );
--- a/crates/dispatcher/src/classify.rs
+++ b/crates/dispatcher/src/classify.rs
@@ -1,7 +1,7 @@
 //! `tansymux classify`: reads statements and writes a JSON line for each, in order, whatever it reads.
 
-use crate::classes::settings_of;
 use crate::cli::Classify;
+use crate::statement_classifier::settings_of;
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use tansymux_operator_config::Operator;
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -3,13 +3,15 @@
 mod http;
 mod table;
 
-use crate::classes::{self, Classes};
 use crate::clock::Clock;
-use crate::exchange::{Answer, Asked, Exchange, Marks, NotTaken, Slot};
-use crate::levels::{self, Levels};
 use crate::net::write_gathered;
 use crate::notify::Notify;
-use crate::zone_routing::Zones;
+use crate::query_registry::{
+    AdmissionError, Answer, AnswerSlot, QueryRegistry, QueryRequest, RequestKeys,
+};
+use crate::service_levels::{self, ServiceLevels};
+use crate::statement_classifier::{self, StatementClassifier};
+use crate::zone_routing::ZoneRouting;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -89,7 +91,7 @@
 
 /// What became of a request.
 enum Opened {
-    Query(u64, Rc<Slot>),
+    Query(u64, Rc<AnswerSlot>),
     Answered,
     Rejected,
 }
@@ -129,13 +131,13 @@
     }
 }
 
-pub struct ClientSide {
-    exchange: Rc<Exchange>,
+pub struct ClientFrontend {
+    registry: Rc<QueryRegistry>,
     clock: Clock,
     admission: Admission,
-    classes: Rc<Classes>,
-    levels: Rc<Levels>,
-    zones: Rc<Zones>,
+    classes: Rc<StatementClassifier>,
+    levels: Rc<ServiceLevels>,
+    zones: Rc<ZoneRouting>,
     /// What spilled into zones, as the decisions last counted it.
     pub spilled: RefCell<Vec<(String, f64)>>,
     table: ConnectionTable,
@@ -152,20 +154,20 @@
     closed: Cell<bool>,
 }
 
-impl ClientSide {
+impl ClientFrontend {
     pub fn new(
-        exchange: Rc<Exchange>,
+        registry: Rc<QueryRegistry>,
         clock: Clock,
         admission: Admission,
-        classes: Rc<Classes>,
-        levels: Rc<Levels>,
-        zones: Rc<Zones>,
+        classes: Rc<StatementClassifier>,
+        levels: Rc<ServiceLevels>,
+        zones: Rc<ZoneRouting>,
     ) -> Self {
         let (waiting, healthy, last_call, called, closed) = Default::default();
         let table = ConnectionTable::new(admission.max_connections);
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        ClientSide {
-            exchange,
+        ClientFrontend {
+            registry,
             clock,
             admission,
             classes,
@@ -208,7 +210,7 @@
         loop {
             while self.table.full() {
                 if self.table.evict_one(self.clock.now()) {
-                    self.exchange.counters.connections_evicted.add();
+                    self.registry.counters.connections_evicted.add();
                 }
                 let pause = async {
                     Timer::after(ACCEPT_PAUSE).await;
@@ -235,7 +237,7 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.exchange.counters.connections_from_clients.add();
+                    self.registry.counters.connections_from_clients.add();
                     let (side, entry) = (self.clone(), self.table.admit(self.clock.now()));
                     let connection = async move {
                         match side.serve(&stream, &entry).await {
@@ -391,7 +393,7 @@
 
     /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
     async fn reject(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<End> {
-        self.exchange.counters.requests_rejected.add();
+        self.registry.counters.requests_rejected.add();
         tracing::info!(status, what, "turned away");
         let text = format!("{{\"error\":\"{what}\"}}");
         let retry_after = self
@@ -449,7 +451,12 @@
             ("GET", HEALTH_PATH) => (503, "{}".to_owned()),
             ("GET", COUNTERS_PATH) => (
                 200,
-                classes::counters(&self.exchange, &self.classes, &self.levels, &self.zones),
+                statement_classifier::counters(
+                    &self.registry,
+                    &self.classes,
+                    &self.levels,
+                    &self.zones,
+                ),
             ),
             ("GET", path) if path == LEVELS_PATH || path.starts_with("/_levels?after=") => {
                 self.changed(path.strip_prefix("/_levels?after=")).await;
@@ -483,10 +490,10 @@
             return;
         };
         let (by, waiting) = (
-            self.clock.now() + levels::LONGEST_WAIT,
+            self.clock.now() + service_levels::LONGEST_WAIT,
             &self.levels.waiting,
         );
-        if waiting.get() >= levels::MAX_WAITING {
+        if waiting.get() >= service_levels::MAX_WAITING {
             return;
         }
         waiting.set(waiting.get() + 1);
@@ -506,7 +513,7 @@
         head: &Head,
         body: &[u8],
         since: f64,
-    ) -> Result<(u64, Rc<Slot>), (u16, &'static str)> {
+    ) -> Result<(u64, Rc<AnswerSlot>), (u16, &'static str)> {
         let named = head.path.strip_prefix(QUERY_PATH);
         let id = head
             .id
@@ -584,11 +591,11 @@
             bare.map(|read| read.memory),
             self.admission.max_memory,
         );
-        let marks = Marks {
+        let marks = RequestKeys {
             token: head.token,
             key: head.key,
         };
-        let asked = Asked {
+        let asked = QueryRequest {
             id,
             rg,
             tenant,
@@ -602,10 +609,10 @@
             shape,
             marks,
         };
-        self.exchange.take(&asked).map_err(|not| match not {
-            NotTaken::InHand => (409, "a query with this Req-Id is in hand"),
-            NotTaken::Past => (409, "a query with this Req-Id was taken before"),
-            NotTaken::NoRoom => (503, "TryLater"),
+        self.registry.take(&asked).map_err(|not| match not {
+            AdmissionError::InHand => (409, "a query with this Req-Id is in hand"),
+            AdmissionError::Past => (409, "a query with this Req-Id was taken before"),
+            AdmissionError::NoRoom => (503, "TryLater"),
         })
     }
 
@@ -615,7 +622,7 @@
         &self,
         stream: &Async<TcpStream>,
         number: u64,
-        slot: &Slot,
+        slot: &AnswerSlot,
         inbox: &mut Inbox<'_>,
         since: &mut f64,
     ) -> Waited {
@@ -648,7 +655,7 @@
         };
         let answer = future::or(answered, left).await;
         if answer.is_none() {
-            self.exchange.vanished(number);
+            self.registry.vanished(number);
         }
         Waited {
             answer,
@@ -716,7 +723,7 @@
         };
         let written = future::or(write_gathered(stream, parts), too_long).await;
         if written.is_err() {
-            self.exchange.counters.answers_not_written.add();
+            self.registry.counters.answers_not_written.add();
         }
         written
     }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -3,10 +3,10 @@
 mod places;
 
 use crate::client::Admission;
+use crate::discovery::EndpointDirectory;
 use crate::dispatcher::TAKES_ON;
 use crate::engine::Terms;
-use crate::exchange::Listed;
-use crate::names::Directory;
+use crate::query_registry::EndpointEntry;
 use serde_json::{Map as Object, Value};
 use std::fmt;
 use std::net::SocketAddr;
@@ -52,7 +52,7 @@
 
 /// All that a dispatcher is told at its start.
 #[derive(Debug)]
-pub struct Launch {
+pub struct StartupConfig {
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
@@ -67,7 +67,7 @@
     pub ends_by: f64,
     pub peers: Option<PeerAddresses>,
     pub resolver: Option<SocketAddr>,
-    pub directory: Directory,
+    pub directory: EndpointDirectory,
     /// The settings as the decisions take them: a plain map.
     pub told: Map,
     /// The configuration as it stands in the file, to tell what another one changes.
@@ -150,7 +150,7 @@
 }
 
 /// Reads the configuration that the environment names.
-pub fn read() -> Result<Launch, String> {
+pub fn read() -> Result<StartupConfig, String> {
     let path =
         std::env::var(CONFIG_VARIABLE).map_err(|_| format!("{CONFIG_VARIABLE} is not set"))?;
     let text = text_of(&path, MAX_BYTES).map_err(|e| format!("{CONFIG_VARIABLE} {path}{e}"))?;
@@ -267,7 +267,7 @@
 
 /// # Errors
 /// All keys that are at fault.
-pub fn parse(text: &str, listen: Option<&str>) -> Result<Launch, Vec<Wrong>> {
+pub fn parse(text: &str, listen: Option<&str>) -> Result<StartupConfig, Vec<Wrong>> {
     let value: Value = serde_json::from_str(text).map_err(|e| {
         vec![Wrong {
             line: Some(e.line()),
@@ -390,7 +390,7 @@
     {
         let max_bytes = (memory * STATEMENTS_PART) as usize;
         let text = value;
-        return Ok(Launch {
+        return Ok(StartupConfig {
             name,
             listen,
             seed,
@@ -427,8 +427,8 @@
 }
 
 /// The list of engines at the start: the first event holds all, later ones what has changed.
-fn known(known: &At) -> Result<Directory, Wrong> {
-    let mut directory = Directory::default();
+fn known(known: &At) -> Result<EndpointDirectory, Wrong> {
+    let mut directory = EndpointDirectory::default();
     if known.value.is_none() {
         return Ok(directory);
     }
@@ -442,7 +442,7 @@
                 "Gone" => EngineStatus::Gone,
                 _ => return Err(state.wrong("Ready, Terminating or Gone")),
             };
-            let engine = Listed {
+            let engine = EndpointEntry {
                 engine_id: directory.engine_id(entry.key("instanceId").text()?),
                 address: entry.key("hostPort").maybe(At::address)?,
                 kind: entry
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -93,7 +93,7 @@
     }
 
     /// One line each: name and count, then what is in hand and out.
-    pub fn report(&self, in_hand: usize) -> String {
+    pub fn report(&self, in_flight: usize) -> String {
         let mut text = String::new();
         for (name, count) in self.plain() {
             let _ = writeln!(text, "{name} {count}");
@@ -114,7 +114,7 @@
             "unanswered {}",
             self.taken.get().saturating_sub(answered.iter().sum())
         );
-        let _ = writeln!(text, "in_hand {in_hand}");
+        let _ = writeln!(text, "in_hand {in_flight}");
         let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
         self.more.borrow().iter().for_each(|line| line(&mut text));
         text
--- a/crates/dispatcher/src/names/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -1,7 +1,7 @@
 //! The list of engines as it is believed, and what an answer makes of it. No I/O, no clock.
 
 use crate::dns::Answer;
-use crate::exchange::Listed;
+use crate::query_registry::EndpointEntry;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
@@ -15,11 +15,11 @@
 
 /// Engines by their ids: every dispatcher gives an engine the same number, drawn from its id alone.
 #[derive(Debug, Default)]
-pub struct Directory {
+pub struct EndpointDirectory {
     engine_ids: FxHashMap<String, u64>,
     taken: FxHashMap<u64, ()>,
     /// The list as last told.
-    engines: FxHashMap<u64, Listed>,
+    engines: FxHashMap<u64, EndpointEntry>,
     /// The number of the last event that is known, and what its list looked like.
     pub last: u32,
     looks: Option<u64>,
@@ -40,9 +40,9 @@
 
 /// What became of an answer.
 #[derive(Debug, PartialEq)]
-pub enum Taken {
+pub enum Applied {
     /// It tells of events that were not known: the whole list, with those that are gone.
-    List(Vec<Listed>),
+    List(Vec<EndpointEntry>),
     /// It says what is known.
     Known,
     PassedOver(&'static str),
@@ -55,7 +55,7 @@
     Doubtful(&'static str),
 }
 
-impl Directory {
+impl EndpointDirectory {
     /// The number of an engine: that of its id, the next free one where two ids fall together.
     pub fn engine_id(&mut self, id: &str) -> u64 {
         if let Some(&engine_id) = self.engine_ids.get(id) {
@@ -69,13 +69,13 @@
         engine_id
     }
 
-    pub fn keep(&mut self, engine: Listed) {
+    pub fn keep(&mut self, engine: EndpointEntry) {
         self.engines.insert(engine.engine_id, engine);
     }
 
     /// All engines that are known, in the order of their numbers.
-    pub fn all(&self) -> Vec<Listed> {
-        let mut all: Vec<Listed> = self.engines.values().cloned().collect();
+    pub fn all(&self) -> Vec<EndpointEntry> {
+        let mut all: Vec<EndpointEntry> = self.engines.values().cloned().collect();
         all.sort_by_key(|engine| engine.engine_id);
         all
     }
@@ -83,23 +83,23 @@
     /// Takes in the answer to a question. One that goes a step ahead is believed at once. One that leaps, goes back or
     /// says something else under the same number may be spoilt, or what is believed was: it is believed once the
     /// answer to a later question says the same. An engine that has no records any more is gone.
-    pub fn take(&mut self, answer: &Answer, question: u64) -> Taken {
+    pub fn take(&mut self, answer: &Answer, question: u64) -> Applied {
         let Some(serial) = answer.serial else {
-            return Taken::PassedOver("it has no serial");
+            return Applied::PassedOver("it has no serial");
         };
         if answer.srv.len() > MAX_ENGINES {
-            return Taken::PassedOver("the list is too long");
+            return Applied::PassedOver("the list is too long");
         }
         let looks = looks_of(answer);
         match self.stands(serial, looks, answer.srv.len()) {
             Stands::Same => {
                 (self.doubted, self.question) = (None, self.question.max(question));
                 self.looks = Some(looks);
-                return Taken::Known;
+                return Applied::Known;
             }
             Stands::Ahead => {}
             // An older answer that came late: nobody wonders.
-            Stands::Doubtful(_) if question <= self.question => return Taken::Known,
+            Stands::Doubtful(_) if question <= self.question => return Applied::Known,
             Stands::Doubtful(why) => {
                 let seconds = |first: &Doubted| {
                     let ahead = serial.wrapping_sub(first.serial) as i32;
@@ -113,7 +113,7 @@
                             question,
                         });
                     }
-                    return Taken::PassedOver(why);
+                    return Applied::PassedOver(why);
                 }
             }
         }
@@ -124,7 +124,7 @@
         }
         (self.last, self.looks, self.question, self.doubted) =
             (serial, Some(looks), question, None);
-        Taken::List(self.replace(listed))
+        Applied::List(self.replace(listed))
     }
 
     fn stands(&self, serial: u32, looks: u64, count: usize) -> Stands {
@@ -140,8 +140,8 @@
         }
     }
 
-    fn read(&mut self, answer: &Answer) -> Vec<Listed> {
-        let mut listed: Vec<Listed> = Vec::new();
+    fn read(&mut self, answer: &Answer) -> Vec<EndpointEntry> {
+        let mut listed: Vec<EndpointEntry> = Vec::new();
         let mut seen = FxHashSet::default();
         for srv in &answer.srv {
             let mut labels = srv.target.split('.');
@@ -167,7 +167,7 @@
                 .or(before.map(|b| b.kind.as_str()))
                 .unwrap_or("")
                 .to_owned();
-            let engine = Listed {
+            let engine = EndpointEntry {
                 engine_id,
                 address: address
                     .map(|ip: Ipv4Addr| SocketAddr::from((ip, srv.port)))
@@ -200,7 +200,7 @@
             .iter()
             .map(|e| (e.address, e.started.unwrap_or(0.0)))
             .collect();
-        let later = |e: &Listed| {
+        let later = |e: &EndpointEntry| {
             let own = e.started.unwrap_or(0.0);
             e.address.is_some()
                 && starts
@@ -213,8 +213,8 @@
 
     /// An older list may come from a service that lags behind: an engine that was told to drain or to be gone stays
     /// so, unless it has started since. Where that leaves none that is ready, the list is right and what was told wrong.
-    fn hold_to_what_ended(&self, listed: &mut Vec<Listed>) {
-        let ended = |e: &Listed| {
+    fn hold_to_what_ended(&self, listed: &mut Vec<EndpointEntry>) {
+        let ended = |e: &EndpointEntry| {
             let drains = self.engines.get(&e.engine_id).is_some_and(|was| {
                 was.status == EngineStatus::Draining
                     && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
@@ -224,7 +224,7 @@
             });
             (drains, gone)
         };
-        let ready = |e: &Listed| e.status == EngineStatus::Ready;
+        let ready = |e: &EndpointEntry| e.status == EngineStatus::Ready;
         if listed.iter().any(ready)
             && listed
                 .iter()
@@ -241,7 +241,7 @@
     }
 
     /// Puts a list in the place of the one before; all of it, and those that are gone.
-    fn replace(&mut self, mut listed: Vec<Listed>) -> Vec<Listed> {
+    fn replace(&mut self, mut listed: Vec<EndpointEntry>) -> Vec<EndpointEntry> {
         let known = std::mem::take(&mut self.engines);
         for engine in &listed {
             self.engines.insert(engine.engine_id, engine.clone());
@@ -249,8 +249,8 @@
         let gone = known
             .into_values()
             .filter(|engine| !self.engines.contains_key(&engine.engine_id));
-        let mut gone: Vec<Listed> = gone
-            .map(|e| Listed {
+        let mut gone: Vec<EndpointEntry> = gone
+            .map(|e| EndpointEntry {
                 status: EngineStatus::Gone,
                 ..e
             })
--- a/crates/dispatcher/src/names/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -32,19 +32,19 @@
 const TWO: &[(&str, bool, f64)] = &[("s-1", false, 0.0), ("s-2", false, 0.0)];
 
 /// The directory with both engines ready, as the answer to question 10 told, and what is asked of it.
-fn told_two(serial: u32) -> Directory {
-    let mut directory = Directory {
+fn told_two(serial: u32) -> EndpointDirectory {
+    let mut directory = EndpointDirectory {
         last: serial - 1,
-        ..Directory::default()
+        ..EndpointDirectory::default()
     };
     assert!(matches!(
         directory.take(&answer(serial, TWO), 10),
-        Taken::List(_)
+        Applied::List(_)
     ));
     directory
 }
 
-fn status(directory: &Directory, id: &str) -> Option<EngineStatus> {
+fn status(directory: &EndpointDirectory, id: &str) -> Option<EngineStatus> {
     let engine_id = u64::from(tansymux_operator_config::number_of(id));
     directory
         .all()
@@ -55,13 +55,13 @@
 
 #[test]
 fn an_engine_without_records_is_gone_and_an_old_list_is_passed_over() {
-    let mut directory = Directory {
+    let mut directory = EndpointDirectory {
         last: 3,
-        ..Directory::default()
+        ..EndpointDirectory::default()
     };
-    assert_eq!(directory.take(&answer(3, TWO), 1), Taken::Known);
+    assert_eq!(directory.take(&answer(3, TWO), 1), Applied::Known);
     let old = directory.engine_id("s-old");
-    directory.keep(Listed {
+    directory.keep(EndpointEntry {
         engine_id: old,
         address: None,
         kind: "std".into(),
@@ -70,7 +70,7 @@
         status: EngineStatus::Ready,
         started: None,
     });
-    let Taken::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else {
+    let Applied::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else {
         panic!()
     };
     let told: Vec<_> = listed
@@ -91,10 +91,10 @@
     // Answers to questions before that one tell nothing new, in whatever order and however often they come.
     assert_eq!(
         directory.take(&answer(4, &[("s-1", true, 0.0)]), 1),
-        Taken::Known
+        Applied::Known
     );
-    assert_eq!(directory.take(&answer(3, TWO), 1), Taken::Known);
-    assert_eq!(directory.take(&answer(3, TWO), 2), Taken::Known);
+    assert_eq!(directory.take(&answer(3, TWO), 1), Applied::Known);
+    assert_eq!(directory.take(&answer(3, TWO), 2), Applied::Known);
     assert_eq!(
         (
             directory.engine_ids.len(),
@@ -111,27 +111,30 @@
     let spoilt = answer(5 | 1 << 20, &[("s-1", false, 0.0)]);
     assert_eq!(
         directory.take(&spoilt, 11),
-        Taken::PassedOver("its serial leaps ahead")
+        Applied::PassedOver("its serial leaps ahead")
     );
     // Its copy is the same answer, not a second one.
-    assert!(matches!(directory.take(&spoilt, 11), Taken::PassedOver(_)));
-    assert_eq!(directory.take(&answer(5, TWO), 12), Taken::Known);
+    assert!(matches!(
+        directory.take(&spoilt, 11),
+        Applied::PassedOver(_)
+    ));
+    assert_eq!(directory.take(&answer(5, TWO), 12), Applied::Known);
     assert!(
-        matches!(directory.take(&spoilt, 13), Taken::PassedOver(_)),
+        matches!(directory.take(&spoilt, 13), Applied::PassedOver(_)),
         "what lies between breaks the chain"
     );
     assert!(matches!(
         directory.take(&answer(6, &[("s-1", false, 0.0)]), 14),
-        Taken::List(_)
+        Applied::List(_)
     ));
     // Who was away for long learns so: two answers that agree.
     assert!(matches!(
         directory.take(&answer(90_000, TWO), 15),
-        Taken::PassedOver(_)
+        Applied::PassedOver(_)
     ));
     assert!(matches!(
         directory.take(&answer(90_001, TWO), 16),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(directory.last, 90_001);
 }
@@ -142,28 +145,28 @@
     // One bit in the serial, and a record lost: nothing shows that it is spoilt.
     assert!(matches!(
         directory.take(&answer(7, &[("s-1", false, 0.0)]), 11),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert!(matches!(
         directory.take(&answer(5, TWO), 12),
-        Taken::PassedOver("its serial goes back")
+        Applied::PassedOver("its serial goes back")
     ));
     assert!(
-        matches!(directory.take(&answer(5, TWO), 12), Taken::PassedOver(_)),
+        matches!(directory.take(&answer(5, TWO), 12), Applied::PassedOver(_)),
         "a copy"
     );
     assert!(matches!(
         directory.take(&answer(5, TWO), 13),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(directory.last, 5);
     // The same under the same serial.
     let other = [("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let why = Taken::PassedOver("it says something else under the same serial");
+    let why = Applied::PassedOver("it says something else under the same serial");
     assert_eq!(directory.take(&answer(5, &other), 14), why);
     assert!(matches!(
         directory.take(&answer(5, &other), 15),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
 }
@@ -179,20 +182,20 @@
     ];
     assert!(matches!(
         directory.take(&answer(6, &three), 11),
-        Taken::List(_)
+        Applied::List(_)
     ));
     let now = [("s-1", true, 0.0), ("s-2", false, 0.0)];
     assert!(matches!(
         directory.take(&answer(8, &now), 12),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert!(matches!(
         directory.take(&answer(6, &three), 13),
-        Taken::PassedOver(_)
+        Applied::PassedOver(_)
     ));
     assert!(matches!(
         directory.take(&answer(6, &three), 14),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
     assert_eq!(status(&directory, "s-2"), Some(EngineStatus::Ready));
@@ -201,16 +204,16 @@
     let mut directory = told_two(5);
     assert!(matches!(
         directory.take(&answer(6, &[("s-2", false, 0.0)]), 11),
-        Taken::List(_)
+        Applied::List(_)
     ));
     let anew = [("s-1", false, 9.0), ("s-2", false, 0.0)];
     assert!(matches!(
         directory.take(&answer(5, &anew), 12),
-        Taken::PassedOver(_)
+        Applied::PassedOver(_)
     ));
     assert!(matches!(
         directory.take(&answer(5, &anew), 13),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
@@ -220,15 +223,15 @@
     let mut directory = told_two(5);
     assert!(matches!(
         directory.take(&answer(7, &[("s-9", false, 0.0)]), 11),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert!(matches!(
         directory.take(&answer(5, TWO), 12),
-        Taken::PassedOver(_)
+        Applied::PassedOver(_)
     ));
     assert!(matches!(
         directory.take(&answer(5, TWO), 13),
-        Taken::List(_)
+        Applied::List(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
@@ -237,7 +240,7 @@
 fn of_two_records_of_one_engine_the_graver_holds() {
     let mut directory = told_two(5);
     let twice = [("s-1", false, 0.0), ("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let Taken::List(listed) = directory.take(&answer(6, &twice), 11) else {
+    let Applied::List(listed) = directory.take(&answer(6, &twice), 11) else {
         panic!()
     };
     assert_eq!(listed.len(), 2);
@@ -256,7 +259,7 @@
         ],
     );
     both.addresses[2].1 = both.addresses[0].1;
-    let Taken::List(listed) = directory.take(&both, 11) else {
+    let Applied::List(listed) = directory.take(&both, 11) else {
         panic!()
     };
     let gone: Vec<u64> = listed
@@ -276,23 +279,23 @@
     let mut directory = told_two(u32::MAX);
     assert!(matches!(
         directory.take(&answer(0, TWO), 11),
-        Taken::List(_)
+        Applied::List(_)
     ));
-    assert_eq!(directory.take(&answer(u32::MAX, TWO), 10), Taken::Known);
+    assert_eq!(directory.take(&answer(u32::MAX, TWO), 10), Applied::Known);
 }
 
 #[test]
 fn an_engine_keeps_its_number_and_two_never_share_one() {
-    let mut directory = Directory::default();
+    let mut directory = EndpointDirectory::default();
     let engine_id = directory.engine_id("s-341e1dd2");
     assert_eq!(
         (
             directory.engine_id("s-341e1dd2"),
-            Directory::default().engine_id("s-341e1dd2")
+            EndpointDirectory::default().engine_id("s-341e1dd2")
         ),
         (engine_id, engine_id)
     );
-    let mut taken = Directory::default();
+    let mut taken = EndpointDirectory::default();
     taken.taken.insert(engine_id, ());
     assert_eq!(taken.engine_id("s-341e1dd2"), (engine_id + 1) & 0xffff_ffff);
 }
--- a/crates/dispatcher/src/names/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -3,9 +3,9 @@
 mod directory;
 
 use crate::dns;
-use crate::exchange::{Event, Exchange};
+use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
-pub use directory::{Directory, Taken};
+pub use directory::{Applied, EndpointDirectory};
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -27,13 +27,13 @@
 /// Asks and listens until dropped. `resolver` may come to name another address at any time: what is known stays
 /// known, the next question goes there, and what still comes from the old one is passed over.
 pub async fn follow(
-    exchange: Rc<Exchange>,
+    registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
-    directory: Directory,
+    directory: EndpointDirectory,
     first_id: u16,
 ) {
     let following = Following {
-        exchange,
+        registry,
         resolver,
         directory: RefCell::new(directory),
         first_id,
@@ -52,9 +52,9 @@
 }
 
 struct Following {
-    exchange: Rc<Exchange>,
+    registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
-    directory: RefCell<Directory>,
+    directory: RefCell<EndpointDirectory>,
     first_id: u16,
     /// Questions so far; the id of the last is the first id and so many more.
     asked: Cell<u64>,
@@ -92,7 +92,7 @@
             };
             self.asked.set(self.asked.get() + 1);
             self.unheard.set(self.unheard.get() + 1);
-            self.exchange.counters.lookups.add();
+            self.registry.counters.lookups.add();
             if let Err(e) = socket
                 .send_to(&dns::query(self.id(), SERVICE, dns::SRV), resolver)
                 .await
@@ -123,21 +123,21 @@
         let answer = dns::parse(bytes)
             .filter(|a| ours && u64::from(age(a.id)) < QUESTIONS_OPEN.min(self.asked.get()));
         let Some(answer) = answer else {
-            self.exchange.counters.lists_passed_over.add();
+            self.registry.counters.lists_passed_over.add();
             return tracing::warn!(bytes = bytes.len(), %from, "an answer of the name service could not be used");
         };
         let question = self.asked.get() - u64::from(age(answer.id));
         match self.directory.borrow_mut().take(&answer, question) {
-            Taken::List(engines) => {
-                self.exchange.counters.lists.add();
-                self.exchange.happened(Event::List {
+            Applied::List(engines) => {
+                self.registry.counters.lists.add();
+                self.registry.push_event(Event::List {
                     form: ListForm::Full,
                     engines,
                 });
             }
-            Taken::Known => {}
-            Taken::PassedOver(why) => {
-                self.exchange.counters.lists_passed_over.add();
+            Applied::Known => {}
+            Applied::PassedOver(why) => {
+                self.registry.counters.lists_passed_over.add();
                 return tracing::warn!(why, "an answer of the name service is passed over");
             }
         }
--- a/crates/dispatcher/src/names/tests.rs
+++ b/crates/dispatcher/src/discovery/tests.rs
@@ -7,16 +7,16 @@
 /// `so`, or for ten seconds.
 fn play(
     react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static,
-    mut so: impl FnMut(&Exchange) -> bool,
-) -> Rc<Exchange> {
+    mut so: impl FnMut(&QueryRegistry) -> bool,
+) -> Rc<QueryRegistry> {
     let executor = LocalExecutor::new();
     let service = Async::<UdpSocket>::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
     let at = service.get_ref().local_addr().unwrap();
-    let exchange = Rc::new(Exchange::default());
+    let registry = Rc::new(QueryRegistry::default());
     let follow = follow(
-        exchange.clone(),
+        registry.clone(),
         Rc::new(Cell::new(Some(at))),
-        Directory::default(),
+        EndpointDirectory::default(),
         65_530,
     );
     executor.spawn(follow).detach();
@@ -30,7 +30,7 @@
         }
     };
     let done = async {
-        while !so(&exchange) {
+        while !so(&registry) {
             Timer::after(Duration::from_millis(5)).await;
         }
         true
@@ -44,7 +44,7 @@
         false
     });
     assert!(async_io::block_on(executor.run(all)), "not in time");
-    exchange
+    registry
 }
 
 #[test]
@@ -61,8 +61,8 @@
             vec![answer(id, serial, u8::from(!same))]
         }
     };
-    let exchange = play(react, |exchange| exchange.counters.lists.get() == 2);
-    assert!(exchange.counters.lookups.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
+    let registry = play(react, |registry| registry.counters.lists.get() == 2);
+    assert!(registry.counters.lookups.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
 }
 
 #[test]
@@ -84,8 +84,8 @@
             never,
         ]
     };
-    let exchange = play(react, |exchange| exchange.counters.lookups.get() > 5);
-    let lists = exchange.counters.lists.get();
+    let registry = play(react, |registry| registry.counters.lookups.get() > 5);
+    let lists = registry.counters.lists.get();
     assert!((2..=3).contains(&lists), "{lists}");
-    assert!(exchange.counters.lists_passed_over.get() >= 3 * 4);
+    assert!(registry.counters.lists_passed_over.get() >= 3 * 4);
 }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -1,21 +1,21 @@
 //! The program as one object whose phases are named states, and the driver that calls the decisions.
 
-use crate::classes::{self, Classes, Taken};
 use crate::cli::Common;
-use crate::client::ClientSide;
+use crate::client::ClientFrontend;
 use crate::clock::Clock;
-use crate::config::{self, Launch};
-use crate::engine::EngineSide;
-use crate::exchange::{Answer, Event, Exchange, Query};
-use crate::fleet::FleetSide;
-use crate::levels::{Levels, Limits};
+use crate::config::{self, StartupConfig};
+use crate::discovery;
+use crate::engine::EnginePool;
+use crate::fleet::FleetService;
 use crate::log;
-use crate::names;
 use crate::notify::Notifications;
-use crate::operators;
+use crate::operator_config;
 use crate::peers::Peers;
+use crate::query_registry::{Answer, Event, Query, QueryRegistry};
+use crate::service_levels::{Limits, ServiceLevels};
 use crate::signals::Signal;
-use crate::zone_routing::Zones;
+use crate::statement_classifier::{self, StatementClassifier, TakenQuery};
+use crate::zone_routing::ZoneRouting;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{future, Stream, StreamExt};
@@ -56,15 +56,15 @@
 pub struct Dispatcher {
     phase: Phase,
     clock: Clock,
-    exchange: Rc<Exchange>,
+    registry: Rc<QueryRegistry>,
     control: Control,
-    clients: Rc<ClientSide>,
-    classes: Rc<Classes>,
-    levels: Rc<Levels>,
-    zones: Rc<Zones>,
-    engines: Rc<EngineSide>,
+    clients: Rc<ClientFrontend>,
+    classes: Rc<StatementClassifier>,
+    levels: Rc<ServiceLevels>,
+    zones: Rc<ZoneRouting>,
+    engines: Rc<EnginePool>,
     peers: Option<Rc<Peers>>,
-    fleet: Option<Rc<FleetSide>>,
+    fleet: Option<Rc<FleetService>>,
     /// Descriptors that it may hold.
     sockets: f64,
     others: Vec<Task<()>>,
@@ -89,33 +89,33 @@
 
 impl Dispatcher {
     pub fn start(
-        config: Launch,
+        config: StartupConfig,
         operator: Operator,
         common: Common,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Result<Self, String> {
-        let unfit = operators::unfit(&operator, &config.told);
+        let unfit = operator_config::unfit(&operator, &config.told);
         if !unfit.is_empty() {
             return Err(format!("the operators' file: {}", unfit.join("; ")));
         }
         let clock = Clock::start();
-        let exchange = Rc::new(Exchange::new(config.max_bytes));
+        let registry = Rc::new(QueryRegistry::new(config.max_bytes));
         let mut control =
             Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
-        let engines = EngineSide::new(exchange.clone(), clock, executor.clone(), config.terms);
-        let classes = Rc::new(Classes::new(&config.told, key_of(config.seed)));
+        let engines = EnginePool::new(registry.clone(), clock, executor.clone(), config.terms);
+        let classes = Rc::new(StatementClassifier::new(&config.told, key_of(config.seed)));
         classes.set(operator.statements.as_ref());
         let limits = Limits {
             memory: config.memory,
             descriptors: config.sockets,
         };
-        let levels = Rc::new(Levels::new(&config.told, limits));
+        let levels = Rc::new(ServiceLevels::new(&config.told, limits));
         levels.set(operator.levels.as_ref(), clock.now(), &mut control);
-        let zones = Rc::new(Zones::new(&config.told));
+        let zones = Rc::new(ZoneRouting::new(&config.told));
         zones.set(operator.halls.as_ref(), clock.now(), &mut control);
         let (of_classes, of_levels, of_zones) = (classes.clone(), levels.clone(), zones.clone());
-        let clients = Rc::new(ClientSide::new(
-            exchange.clone(),
+        let clients = Rc::new(ClientFrontend::new(
+            registry.clone(),
             clock,
             config.admission,
             of_classes,
@@ -125,18 +125,18 @@
         let mut others = Vec::new();
         let peers = match config.peers {
             Some(to) => {
-                let peers = Peers::bind(exchange.clone(), to.listen, to.each, to.all);
+                let peers = Peers::bind(registry.clone(), to.listen, to.each, to.all);
                 let peers = peers.map_err(|e| format!("peer_listen {}: {e}", to.listen))?;
                 others.push(executor.spawn(peers.clone().listen()));
                 Some(peers)
             }
             None => None,
         };
-        let fleet = FleetSide::start(
+        let fleet = FleetService::start(
             operator.fleet.as_ref(),
             &config.told,
             clock,
-            exchange.clone(),
+            registry.clone(),
             config.seed,
         )?;
         others.extend(
@@ -144,26 +144,26 @@
                 .iter()
                 .map(|fleet| executor.spawn(fleet.clone().run())),
         );
-        exchange.happened(Event::List {
+        registry.push_event(Event::List {
             form: ListForm::Remembered,
             engines: config.directory.all(),
         });
         let resolver = Rc::new(Cell::new(config.resolver));
-        let follow = names::follow(
-            exchange.clone(),
+        let follow = discovery::follow(
+            registry.clone(),
             resolver.clone(),
             config.directory,
             config.seed as u16,
         );
         others.push(executor.spawn(follow));
-        let listener = ClientSide::bind(config.listen)
+        let listener = ClientFrontend::bind(config.listen)
             .map_err(|e| format!("listen {}: {e}", config.listen))?;
         others.push(executor.spawn(clients.clone().accept(listener, executor.clone())));
         let (phase, timer, text, told) = (Phase::Starting, f64::INFINITY, config.text, config.told);
         Ok(Dispatcher {
             phase,
             clock,
-            exchange,
+            registry,
             control,
             clients,
             classes,
@@ -189,7 +189,7 @@
             Signal::ReadAgain => Wake::Reload,
             Signal::End => Wake::Terminate,
         });
-        let events = Notifications(self.exchange.notify.clone()).map(|()| Wake::Events);
+        let events = Notifications(self.registry.notify.clone()).map(|()| Wake::Events);
         let mut wakes = std::pin::pin!(futures_lite::stream::or(signals, events));
         loop {
             let wake = self.turn();
@@ -203,7 +203,12 @@
         self.others.clear();
         eprint!(
             "{}",
-            classes::counters(&self.exchange, &self.classes, &self.levels, &self.zones)
+            statement_classifier::counters(
+                &self.registry,
+                &self.classes,
+                &self.levels,
+                &self.zones
+            )
         );
     }
 
@@ -211,13 +216,13 @@
     fn turn(&mut self) -> f64 {
         let next = self.engines.sweep();
         let now = self.clock.now();
-        self.exchange.counters.rounds.add();
+        self.registry.counters.rounds.add();
         let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
         let zones = &*self.zones;
-        let (exchange, engines, classes) = (&*self.exchange, &*self.engines, &*self.classes);
+        let (registry, engines, classes) = (&*self.registry, &*self.engines, &*self.classes);
         let fleet = self.fleet.as_deref();
         let mut feed = Events {
-            exchange,
+            registry,
             engines,
             classes,
             levels,
@@ -227,7 +232,7 @@
         };
         let peers = self.peers.as_deref();
         let mut decisions = Decisions {
-            exchange: &self.exchange,
+            registry: &self.registry,
             peers,
             levels,
             now,
@@ -247,7 +252,7 @@
         }
         if zones.looked_at(now) {
             if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
-                self.exchange.probe(engine_id);
+                self.registry.probe(engine_id);
             }
             zones.spills(
                 |zone| self.control.spilled(zone),
@@ -261,7 +266,7 @@
                 self.control.threads_out(),
             );
             if !changed.is_empty() {
-                self.exchange.happened(Event::List {
+                self.registry.push_event(Event::List {
                     form: ListForm::Changes,
                     engines: changed,
                 });
@@ -295,12 +300,12 @@
     fn begin_shutdown(&mut self) {
         let now = self.clock.now();
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
-            tracing::info!(queries = self.exchange.in_hand(), "told to end");
+            tracing::info!(queries = self.registry.in_flight(), "told to end");
             self.clients.healthy.set(false);
             let by = now + self.ends_by;
-            self.control.hasten(by);
-            self.exchange.hasten(by);
-            self.engines.hasten(by);
+            self.control.limit_deadlines(by);
+            self.registry.limit_deadlines(by);
+            self.engines.limit_deadlines(by);
             self.fleet.iter().for_each(|fleet| fleet.leave());
             self.phase = Phase::Draining { since: now };
         }
@@ -318,14 +323,15 @@
             Ok(config) => self.take_on(&config),
             Err(e) => tracing::warn!("the configuration stays as it was: {e}"),
         }
-        let operator = operators::read_if(self.common.operator.as_deref()).and_then(|operator| {
-            let unfit = operators::unfit(&operator, &self.told);
-            if unfit.is_empty() {
-                Ok(operator)
-            } else {
-                Err(unfit)
-            }
-        });
+        let operator =
+            operator_config::read_if(self.common.operator.as_deref()).and_then(|operator| {
+                let unfit = operator_config::unfit(&operator, &self.told);
+                if unfit.is_empty() {
+                    Ok(operator)
+                } else {
+                    Err(unfit)
+                }
+            });
         match operator {
             Ok(operator) => self.take_on_operator(&operator),
             Err(faults) => {
@@ -334,7 +340,7 @@
         }
     }
 
-    fn take_on(&mut self, config: &Launch) {
+    fn take_on(&mut self, config: &StartupConfig) {
         let waits = config::only_at_a_start(&self.text, &config.text);
         if !waits.is_empty() {
             let waits = waits.join(", ");
@@ -342,7 +348,7 @@
                 "the configuration was read again; these keys wait for the next start: {waits}"
             );
         }
-        self.exchange.counters.configurations_read.add();
+        self.registry.counters.configurations_read.add();
         if let Some(resolver) = config
             .resolver
             .filter(|_| config.resolver != self.resolver.get())
@@ -354,7 +360,7 @@
 
     fn take_on_operator(&mut self, operator: &Operator) {
         if self.common.operator.is_some() {
-            self.exchange.counters.operator_files_read.add();
+            self.registry.counters.operator_files_read.add();
             tracing::info!("the operators' file was read again");
         }
         log::set(&self.common, operator.log.as_ref());
@@ -395,18 +401,18 @@
 
 /// The events of a round, as the decisions take them.
 struct Events<'a> {
-    exchange: &'a Exchange,
-    engines: &'a EngineSide,
-    classes: &'a Classes,
-    levels: &'a Levels,
-    zones: &'a Zones,
-    fleet: Option<&'a FleetSide>,
+    registry: &'a QueryRegistry,
+    engines: &'a EnginePool,
+    classes: &'a StatementClassifier,
+    levels: &'a ServiceLevels,
+    zones: &'a ZoneRouting,
+    fleet: Option<&'a FleetService>,
     now: f64,
 }
 
 impl Feed for Events<'_> {
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
-        while let Some(event) = self.exchange.next_event() {
+        while let Some(event) = self.registry.next_event() {
             match event {
                 Event::Query {
                     query,
@@ -418,11 +424,11 @@
                     text,
                 } => {
                     // One whose client left while it waited for this round is no news to the decisions.
-                    let Some((rg, due)) = self.exchange.with(query, |q| (q.rg.clone(), q.due))
+                    let Some((rg, due)) = self.registry.with(query, |q| (q.rg.clone(), q.due))
                     else {
                         continue;
                     };
-                    if self.exchange.over(query) {
+                    if self.registry.over(query) {
                         continue;
                     }
                     let taken = control.query(
@@ -430,12 +436,12 @@
                     );
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
-                        self.exchange.answer(query, Answer::Failed);
+                        self.registry.answer(query, Answer::Failed);
                     }
                 }
                 Event::Vanished { query } => {
                     control.vanished(query, out);
-                    self.exchange.leave(query);
+                    self.registry.leave(query);
                 }
                 Event::Closed {
                     query,
@@ -446,7 +452,7 @@
                     pages,
                 } => {
                     let taken = |q: &Query| {
-                        Some(Taken {
+                        Some(TakenQuery {
                             shape: q.shape?,
                             rg: q.rg.clone(),
                             waited: q.waited,
@@ -456,16 +462,16 @@
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.ended(self.now, engine_id, outcome));
-                    if let Some(taken) = self.exchange.with(query, taken).flatten() {
+                    if let Some(taken) = self.registry.with(query, taken).flatten() {
                         self.classes
                             .ended(&taken, engine_id, latency, outcome, self.now);
                     }
                     if outcome == Outcome::Completed {
-                        count(self.exchange, self.levels, query, self.now, true, false);
-                        self.exchange.answer(query, Answer::Completed(pages));
+                        count(self.registry, self.levels, query, self.now, true, false);
+                        self.registry.answer(query, Answer::Completed(pages));
                     }
-                    let complete = self.exchange.over(query);
-                    self.exchange.closed(query);
+                    let complete = self.registry.over(query);
+                    self.registry.closed(query);
                     control.closed(
                         query, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
                     );
@@ -477,14 +483,14 @@
                     amount,
                 } => {
                     if let Some(engine_id) = self
-                        .exchange
+                        .registry
                         .with(query, |q| q.engine_id)
                         .filter(|_| self.zones.is_on())
                     {
                         self.zones.noted(self.now, engine_id);
                     }
                     if note == Note::Waits {
-                        self.exchange.waits(query);
+                        self.registry.waits(query);
                     }
                     control.noted(query, attempt, note, amount)
                 }
@@ -519,15 +525,15 @@
 
 /// A query is answered: what that says of the service.
 fn count(
-    exchange: &Exchange,
-    levels: &Levels,
+    registry: &QueryRegistry,
+    levels: &ServiceLevels,
     query: u64,
     now: f64,
     finished: bool,
     rejected: bool,
 ) {
-    let owed = !exchange.over(query);
-    exchange.with(query, |q| {
+    let owed = !registry.over(query);
+    registry.with(query, |q| {
         if owed {
             levels.ended(now, &q.rg, now - q.since, q.cost, finished, rejected);
         }
@@ -542,33 +548,33 @@
 
 /// Takes the decisions to where they are carried out.
 struct Decisions<'a> {
-    exchange: &'a Exchange,
+    registry: &'a QueryRegistry,
     peers: Option<&'a Peers>,
-    levels: &'a Levels,
+    levels: &'a ServiceLevels,
     now: f64,
     timer: &'a mut f64,
 }
 
 impl Writer for Decisions<'_> {
     fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
-        self.exchange.submit(id, engine_id, bounds);
+        self.registry.submit(id, engine_id, bounds);
     }
     fn reject(&mut self, id: u64, retry_after: f64) {
-        count(self.exchange, self.levels, id, self.now, false, true);
-        self.exchange.answer(id, Answer::Rejected(retry_after));
+        count(self.registry, self.levels, id, self.now, false, true);
+        self.registry.answer(id, Answer::Rejected(retry_after));
     }
     fn fail(&mut self, id: u64) {
-        count(self.exchange, self.levels, id, self.now, false, false);
-        self.exchange.answer(id, Answer::Failed);
+        count(self.registry, self.levels, id, self.now, false, false);
+        self.registry.answer(id, Answer::Failed);
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
-        self.exchange.cancel(id, attempt);
+        self.registry.cancel(id, attempt);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
-        self.exchange.grant(id, priority, memory);
+        self.registry.grant(id, priority, memory);
     }
     fn probe(&mut self, engine_id: u64) {
-        self.exchange.probe(engine_id);
+        self.registry.probe(engine_id);
     }
     fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
         if let Some(peers) = self.peers {
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -2,7 +2,7 @@
 
 use super::resp::{self, Frame};
 use super::rows::json_rows;
-use crate::exchange::Pages;
+use crate::query_registry::Pages;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice};
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -1,4 +1,4 @@
-//! Engine side: carries out attempts, cancels and probes on connections to the engines, and tells the exchange
+//! Engine side: carries out attempts, cancels and probes on connections to the engines, and tells the registry
 //! how they ended.
 
 mod connection;
@@ -7,9 +7,9 @@
 mod rows;
 
 use crate::clock::Clock;
-use crate::exchange::{Event, Exchange, Listed, Order, Pages, Query};
 use crate::net::{poll_gathered, MAX_SLICES};
 use crate::notify::Notify;
+use crate::query_registry::{EndpointEntry, EngineCommand, Event, Pages, Query, QueryRegistry};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use connection::{Attempt, Connection, Heard, State, Use};
@@ -81,8 +81,8 @@
     notify: Notify,
 }
 
-pub struct EngineSide {
-    exchange: Rc<Exchange>,
+pub struct EnginePool {
+    registry: Rc<QueryRegistry>,
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
     terms: Terms,
@@ -97,17 +97,17 @@
     shared: RefCell<Vec<u8>>,
 }
 
-impl EngineSide {
+impl EnginePool {
     pub fn new(
-        exchange: Rc<Exchange>,
+        registry: Rc<QueryRegistry>,
         clock: Clock,
         executor: Rc<LocalExecutor<'static>>,
         terms: Terms,
     ) -> Rc<Self> {
         let (engines, tags, connections, settling, keep_alive) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
-        Rc::new(EngineSide {
-            exchange,
+        Rc::new(EnginePool {
+            registry,
             clock,
             executor,
             terms,
@@ -123,7 +123,7 @@
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
     /// them, or for one that drains, is taken back: it might go out past the grace, or to another engine that has
     /// the address by now.
-    pub fn listed(&self, told: &Listed) {
+    pub fn listed(&self, told: &EndpointEntry) {
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine {
             address: told.address,
@@ -171,18 +171,18 @@
     // ---- Orders ----
 
     pub fn carry_out(self: &Rc<Self>) {
-        while let Some(order) = self.exchange.next_order() {
+        while let Some(order) = self.registry.next_command() {
             match order {
-                Order::Submit {
+                EngineCommand::Submit {
                     query,
                     attempt,
                     engine_id,
                     bounds,
                 } => self.submit(query, attempt, engine_id, bounds),
-                Order::Withdraw { query } => self.withdraw(query),
-                Order::Cancel { query, attempt } => self.cancel(query, attempt),
-                Order::Renice { query, priority } => self.renice(query, priority),
-                Order::Probe { engine_id } => self.probe(engine_id),
+                EngineCommand::Withdraw { query } => self.withdraw(query),
+                EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
+                EngineCommand::SetPriority { query, priority } => self.renice(query, priority),
+                EngineCommand::Probe { engine_id } => self.probe(engine_id),
             }
         }
     }
@@ -197,7 +197,7 @@
                 q.cost,
             )
         };
-        let Some((id, fields, statement, cost)) = self.exchange.with(query, read) else {
+        let Some((id, fields, statement, cost)) = self.registry.with(query, read) else {
             return;
         };
         let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
@@ -319,7 +319,7 @@
         });
         engine.connections.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
-        self.exchange.counters.connections_to_engines.add();
+        self.registry.counters.connections_to_engines.add();
         self.executor
             .spawn(self.clone().run(channel.clone(), address))
             .detach();
@@ -350,7 +350,7 @@
     }
 
     fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
-        let id = self.exchange.with(query, |q| q.id.clone())?;
+        let id = self.registry.with(query, |q| q.id.clone())?;
         let engines = self.engines.borrow();
         let carries = |channel: &&Rc<Channel>| {
             channel
@@ -481,7 +481,7 @@
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
         let Some(channel) = self.channel_for(engine_id, &tag, true) else {
-            return self.exchange.happened(Event::Probed {
+            return self.registry.push_event(Event::Probed {
                 engine_id,
                 outcome: Outcome::NoConnection,
             });
@@ -502,9 +502,9 @@
         latency: f64,
         pages: Pages,
     ) {
-        self.exchange.counters.ended(outcome);
+        self.registry.counters.ended(outcome);
         tracing::debug!(query, attempt, engine = %format_args!("{engine_id:08x}"), ?outcome, latency, "a submission ended");
-        self.exchange.happened(Event::Closed {
+        self.registry.push_event(Event::Closed {
             query,
             attempt,
             outcome,
@@ -516,7 +516,7 @@
 
     /// The same for what was given up from here.
     fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, engine_id: u64, latency: f64) {
-        self.exchange.counters.ended(outcome);
+        self.registry.counters.ended(outcome);
         let event = Event::Closed {
             query,
             attempt,
@@ -528,13 +528,13 @@
         self.settling
             .borrow_mut()
             .push_back((self.clock.now() + SETTLES, event));
-        self.exchange.notify.notify();
+        self.registry.notify.notify();
     }
 
     // ---- Time ----
 
     /// No attempt is waited for beyond `by`.
-    pub fn hasten(&self, by: f64) {
+    pub fn limit_deadlines(&self, by: f64) {
         let engines = self.engines.borrow();
         for channel in engines.values().flat_map(|engine| &engine.connections) {
             channel
@@ -551,7 +551,7 @@
         let now = self.clock.now();
         let mut settling = self.settling.borrow_mut();
         while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
-            self.exchange.happened(event);
+            self.registry.push_event(event);
         }
         // Of those that idle at an engine the one used last may go on: all dispatchers together hold them there.
         let channels = |engine: &Engine| {
@@ -591,7 +591,7 @@
                 .any(|&(_, sent, until)| until <= now && heard <= sent);
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
-                self.exchange.happened(Event::Probed {
+                self.registry.push_event(Event::Probed {
                     engine_id: channel.engine_id,
                     outcome: Outcome::Timeout,
                 });
@@ -670,7 +670,7 @@
         let end = match connected {
             Ok(stream) => {
                 if channel.connection.borrow().state == State::Late {
-                    self.exchange.counters.connections_late_up.add();
+                    self.registry.counters.connections_late_up.add();
                 }
                 channel.connection.borrow_mut().comes_up(self.clock.now());
                 self.engines
@@ -769,14 +769,14 @@
                         note,
                         amount,
                     } => {
-                        self.exchange.happened(Event::Noted {
+                        self.registry.push_event(Event::Noted {
                             query,
                             attempt,
                             note,
                             amount,
                         });
                     }
-                    Heard::Probed(outcome) => self.exchange.happened(Event::Probed {
+                    Heard::Probed(outcome) => self.registry.push_event(Event::Probed {
                         engine_id: channel.engine_id,
                         outcome,
                     }),
@@ -799,7 +799,7 @@
     /// A connection has not come up in its time: what waits for it goes elsewhere, and whatever comes up later carries what
     /// comes next. One may be late by itself; where the next is as well, the engine can't be reached.
     fn comes_late(self: &Rc<Self>, channel: &Rc<Channel>) {
-        self.exchange.counters.connections_late.add();
+        self.registry.counters.connections_late.add();
         let mut connection = channel.connection.borrow_mut();
         connection.state = State::Late;
         let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
@@ -817,7 +817,7 @@
             engine_id: channel.engine_id,
             outcome: Outcome::NoConnection,
         };
-        (0..probes).for_each(|_| self.exchange.happened(probed.clone()));
+        (0..probes).for_each(|_| self.registry.push_event(probed.clone()));
         let unreached = {
             let mut engines = self.engines.borrow_mut();
             let Some(engine) = engines.get_mut(&channel.engine_id) else {
@@ -869,7 +869,7 @@
         let spoilt = kind == Some(io::ErrorKind::InvalidData);
         let given_up = spoilt || was_up && kind == Some(io::ErrorKind::NotConnected);
         if spoilt {
-            self.exchange.counters.connections_spoilt.add();
+            self.registry.counters.connections_spoilt.add();
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !attempts.is_empty()) {
@@ -884,7 +884,7 @@
         let idled = idled.filter(|_| !attempts.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
-            self.exchange.counters.connections_lost_idle.add();
+            self.registry.counters.connections_lost_idle.add();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
         let mut first = if idled.is_some() {
@@ -918,7 +918,7 @@
             Outcome::NoConnection
         };
         (0..probes).for_each(|_| {
-            self.exchange.happened(Event::Probed {
+            self.registry.push_event(Event::Probed {
                 engine_id: channel.engine_id,
                 outcome,
             })
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::exchange::{Asked, Marks, Slot};
+use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
 use tansymux::interface::Text;
 
 const LONG: Bounds = Bounds {
@@ -8,9 +8,9 @@
     harmless: true,
 };
 
-fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> Listed {
+fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
-    Listed {
+    EndpointEntry {
         engine_id: 7,
         address,
         kind: "std".into(),
@@ -22,7 +22,7 @@
 }
 
 /// A attempt that waits for its connection, which stays coming up, as no task runs.
-fn waiting(bounds: Bounds) -> (Rc<Exchange>, Rc<EngineSide>, u64, Rc<Slot>) {
+fn waiting(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let terms = Terms {
         connect_timeout: 250.0,
         idle: 30_000.0,
@@ -31,13 +31,16 @@
         streams: 32,
         max_connections: 8,
     };
-    let (exchange, executor) = (Rc::new(Exchange::default()), Rc::new(LocalExecutor::new()));
-    let side = EngineSide::new(exchange.clone(), Clock::start(), executor, terms);
+    let (registry, executor) = (
+        Rc::new(QueryRegistry::default()),
+        Rc::new(LocalExecutor::new()),
+    );
+    let side = EnginePool::new(registry.clone(), Clock::start(), executor, terms);
     side.listed(&engine(EngineStatus::Ready, None, 9));
     let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-    let (text, shape, marks) = (Text::UNREAD, None, Marks::default());
+    let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
-    let asked = Asked {
+    let asked = QueryRequest {
         id,
         rg,
         tenant,
@@ -51,14 +54,14 @@
         shape,
         marks,
     };
-    let (query, slot) = exchange.take(&asked).unwrap();
-    exchange.submit(query, 7, bounds);
+    let (query, slot) = registry.take(&asked).unwrap();
+    registry.submit(query, 7, bounds);
     side.carry_out();
-    (exchange, side, query, slot)
+    (registry, side, query, slot)
 }
 
 /// Whether its end was told, as of one that never ran.
-fn taken_back(exchange: &Exchange) -> bool {
+fn taken_back(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
             e,
@@ -68,7 +71,7 @@
             }
         )
     };
-    std::iter::from_fn(|| exchange.next_event()).any(closed)
+    std::iter::from_fn(|| registry.next_event()).any(closed)
 }
 
 #[test]
@@ -80,36 +83,36 @@
         (engine(EngineStatus::Ready, Some(5.0), 9), true),
         (engine(EngineStatus::Ready, None, 10), true),
     ] {
-        let (exchange, side, ..) = waiting(LONG);
+        let (registry, side, ..) = waiting(LONG);
         side.listed(&then);
-        assert_eq!(taken_back(&exchange), back, "{then:?}");
+        assert_eq!(taken_back(&registry), back, "{then:?}");
     }
 }
 
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
-    let (exchange, side, query, _slot) = waiting(LONG);
-    exchange.vanished(query);
+    let (registry, side, query, _slot) = waiting(LONG);
+    registry.vanished(query);
     side.carry_out();
-    assert!(taken_back(&exchange));
-    let (exchange, side, query, _slot) = waiting(LONG);
-    assert!(exchange.answer(query, crate::exchange::Answer::Failed));
+    assert!(taken_back(&registry));
+    let (registry, side, query, _slot) = waiting(LONG);
+    assert!(registry.answer(query, crate::query_registry::Answer::Failed));
     side.carry_out();
-    assert!(taken_back(&exchange));
+    assert!(taken_back(&registry));
 }
 
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (exchange, side, ..) = waiting(Bounds {
+    let (registry, side, ..) = waiting(Bounds {
         begin_by: Clock::start().now() + 30.0,
         ..LONG
     });
     let next = side.sweep();
-    assert!(!taken_back(&exchange));
+    assert!(!taken_back(&registry));
     // The sweep itself tells when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
         (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
     side.sweep();
-    assert!(taken_back(&exchange));
+    assert!(taken_back(&registry));
 }
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -2,8 +2,8 @@
 //! is decided, crates/rollout and crates/coordination decide.
 
 use crate::clock::Clock;
-use crate::exchange::{Exchange, Listed};
 use crate::notify::Notify;
+use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
@@ -30,18 +30,18 @@
 /// The environment names the turn under which the program is started.
 pub const TURN_VARIABLE: &str = "TANSYMUX_TURN";
 
-pub struct FleetSide {
+pub struct FleetService {
     fleet: RefCell<Fleet>,
     socket: Async<UdpSocket>,
     clock: Clock,
     notify: Rc<Notify>,
-    exchange: Rc<Exchange>,
+    registry: Rc<QueryRegistry>,
     evidence: RefCell<Ends>,
     bad: Cell<Option<Terms>>,
     zone: u32,
     version: Cell<u32>,
     settings: Map,
-    listed: RefCell<Vec<Listed>>,
+    listed: RefCell<Vec<EndpointEntry>>,
     said: Cell<f64>,
     /// The engines that were out at the last look.
     outs: RefCell<Vec<(u64, Why)>>,
@@ -50,7 +50,7 @@
     stand: Cell<Option<bool>>,
 }
 
-impl FleetSide {
+impl FleetService {
     /// None where the file tells of no fleet.
     ///
     /// # Errors
@@ -59,7 +59,7 @@
         told: Option<&schema::Fleet>,
         settings: &Map,
         clock: Clock,
-        exchange: Rc<Exchange>,
+        registry: Rc<QueryRegistry>,
         seed: u64,
     ) -> Result<Option<Rc<Self>>, String> {
         let Some(told) = told else { return Ok(None) };
@@ -80,12 +80,12 @@
             Async::<UdpSocket>::bind(listen).map_err(|e| format!("fleet.listen {listen}: {e}"))?;
         // The seed of the decisions is told by the platform and may come again; a life of a member may not.
         let seed = seed ^ (clock.now() * 1000.0) as u64 ^ u64::from(std::process::id()) << 32;
-        let side = Rc::new(FleetSide {
+        let side = Rc::new(FleetService {
             fleet: RefCell::new(Fleet::new(&own, clock.now(), seed)),
             socket,
             clock,
             notify: Rc::default(),
-            exchange: exchange.clone(),
+            registry: registry.clone(),
             evidence: RefCell::default(),
             bad: Cell::new(terms_of(told)),
             zone,
@@ -99,7 +99,7 @@
             stand: Cell::default(),
         });
         let reports = side.clone();
-        exchange
+        registry
             .counters
             .more
             .borrow_mut()
@@ -215,7 +215,7 @@
 
     /// The list as it was told: kept, and given back as this dispatcher is to take it. An engine that is out by
     /// agreement drains for it, whatever the list says.
-    pub fn listed(&self, engines: &mut [Listed]) {
+    pub fn listed(&self, engines: &mut [EndpointEntry]) {
         let mut listed = self.listed.borrow_mut();
         for engine in engines.iter() {
             listed.retain(|known| known.engine_id != engine.engine_id);
@@ -229,7 +229,7 @@
                 .of_kind(kind, "family-info.cores-by-kind")
                 .unwrap_or(1.0)
         };
-        let unit = |engine: &Listed| Unit {
+        let unit = |engine: &EndpointEntry| Unit {
             id: engine.engine_id,
             zone: number_of(&engine.zone),
             version: 0,
@@ -250,12 +250,12 @@
     }
 
     /// Says how this dispatcher does, where it is time; what changed for engines, as a list of those.
-    pub fn look(&self, now: f64, busy: f64, threads: f64) -> Vec<Listed> {
+    pub fn look(&self, now: f64, busy: f64, threads: f64) -> Vec<EndpointEntry> {
         if now - self.said.get() < SAYS_EVERY {
             return Vec::new();
         }
         self.said.set(now);
-        let counters = &self.exchange.counters;
+        let counters = &self.registry.counters;
         let good = counters.finished.get() as u32;
         let all = good.wrapping_add((counters.failed.get() + counters.rejected.get()) as u32);
         let bad = self
@@ -278,7 +278,7 @@
             tracing::info!(leads, "leads the fleet, or no more");
         }
         let listed = self.listed.borrow();
-        let out = |engine: &Listed| {
+        let out = |engine: &EndpointEntry| {
             fleet
                 .engine_out(engine.engine_id)
                 .map(|why| (engine.engine_id, why))
@@ -300,7 +300,7 @@
                 (true, false) => {
                     tracing::info!(engine = %format_args!("{:08x}", engine.engine_id), "an engine is back by agreement");
                     // As one that starts: all dispatchers come back to it at once.
-                    changed.push(Listed {
+                    changed.push(EndpointEntry {
                         started: Some(now),
                         ..engine.clone()
                     });
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,27 +1,27 @@
 //! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
 
-mod call;
 mod check;
-mod classes;
 mod classify;
 mod cli;
 mod client;
 mod clock;
 mod config;
 mod counters;
+mod discovery;
 mod dispatcher;
 mod dns;
 mod engine;
-mod exchange;
 mod fleet;
-mod levels;
+mod fleet_client;
 mod log;
-mod names;
 mod net;
 mod notify;
-mod operators;
+mod operator_config;
 mod peers;
+mod query_registry;
+mod service_levels;
 mod signals;
+mod statement_classifier;
 mod zone_routing;
 
 use async_executor::LocalExecutor;
@@ -37,14 +37,14 @@
         None | Some(Command::Serve) => serve(cli.common),
         Some(Command::Check { files }) => check::run(files),
         Some(Command::Fleet(how)) => {
-            let operator = match operators::read_if(cli.common.operator.as_deref()) {
+            let operator = match operator_config::read_if(cli.common.operator.as_deref()) {
                 Ok(operator) => operator,
                 Err(faults) => return failed(&faults.join("\ntansymux: ")),
             };
-            call::run(how, &operator).unwrap_or_else(|e| failed(&e))
+            fleet_client::run(how, &operator).unwrap_or_else(|e| failed(&e))
         }
         Some(Command::Classify(how)) => {
-            let operator = match operators::read_if(cli.common.operator.as_deref()) {
+            let operator = match operator_config::read_if(cli.common.operator.as_deref()) {
                 Ok(operator) => operator,
                 Err(faults) => return failed(&faults.join("\ntansymux: ")),
             };
@@ -70,7 +70,7 @@
         Ok(signals) => signals,
         Err(e) => return failed(&format!("signals can't be heard: {e}")),
     };
-    let operator = match operators::read_if(common.operator.as_deref()) {
+    let operator = match operator_config::read_if(common.operator.as_deref()) {
         Ok(operator) => operator,
         Err(faults) => return failed(&faults.join("\ntansymux: ")),
     };
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -1,6 +1,6 @@
 //! Messages between dispatchers: small datagrams, late or lost.
 
-use crate::exchange::{Event, Exchange};
+use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::io;
@@ -12,7 +12,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 pub struct Peers {
-    exchange: Rc<Exchange>,
+    registry: Rc<QueryRegistry>,
     socket: Async<UdpSocket>,
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
@@ -20,13 +20,13 @@
 
 impl Peers {
     pub fn bind(
-        exchange: Rc<Exchange>,
+        registry: Rc<QueryRegistry>,
         listen: SocketAddr,
         each: Vec<SocketAddr>,
         all: Option<SocketAddr>,
     ) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Peers {
-            exchange,
+            registry,
             socket: Async::<UdpSocket>::bind(listen)?,
             each,
             all,
@@ -43,7 +43,7 @@
             return;
         };
         match self.socket.get_ref().send_to(content, to) {
-            Ok(_) => self.exchange.counters.messages_sent.add(),
+            Ok(_) => self.registry.counters.messages_sent.add(),
             Err(e) => tracing::warn!(%to, error = %e, "a message was not sent"),
         }
     }
@@ -57,8 +57,8 @@
                     let Some(peer) = self.each.iter().position(|address| *address == from) else {
                         continue;
                     };
-                    self.exchange.counters.messages_heard.add();
-                    self.exchange.happened(Event::Told {
+                    self.registry.counters.messages_heard.add();
+                    self.registry.push_event(Event::Told {
                         peer: peer as u32,
                         content: bytes[..count].to_vec(),
                     });
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -4,15 +4,15 @@
 fn only_known_senders_and_short_messages_are_heard() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let (friend, stranger) = (UdpSocket::bind(any).unwrap(), UdpSocket::bind(any).unwrap());
-    let exchange = Rc::new(Exchange::default());
+    let registry = Rc::new(QueryRegistry::default());
     let each = vec![any, friend.local_addr().unwrap()];
-    let peers = Peers::bind(exchange.clone(), any, each, None).unwrap();
+    let peers = Peers::bind(registry.clone(), any, each, None).unwrap();
     let at = peers.socket.get_ref().local_addr().unwrap();
     stranger.send_to(b"x", at).unwrap();
     friend.send_to(&[7; MAX_MESSAGE + 1], at).unwrap();
     friend.send_to(&[7; MAX_MESSAGE], at).unwrap();
     let heard = async {
-        exchange.notify.notified().await;
+        registry.notify.notified().await;
     };
     let late = async {
         Timer::after(Duration::from_secs(10)).await;
@@ -21,14 +21,14 @@
         futures_lite::future::or(heard, peers.clone().listen()),
         late,
     ));
-    let events: Vec<Event> = std::iter::from_fn(|| exchange.next_event()).collect();
+    let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
     assert!(
         matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MAX_MESSAGE)
     );
     peers.send(Some(1), &[7; MAX_MESSAGE + 1]);
     peers.send(None, b"x");
     peers.send(Some(9), b"x");
-    assert_eq!(exchange.counters.messages_sent.get(), 0);
+    assert_eq!(registry.counters.messages_sent.get(), 0);
     peers.send(Some(1), b"hi");
-    assert_eq!(exchange.counters.messages_sent.get(), 1);
+    assert_eq!(registry.counters.messages_sent.get(), 1);
 }
--- a/crates/dispatcher/src/exchange.rs
+++ b/crates/dispatcher/src/query_registry.rs
@@ -1,9 +1,9 @@
 //! The one place where client side and engine side meet: the queries in hand, what came in and waits for the next
 //! round, and what was decided and waits to be carried out. No I/O.
 
-use crate::classes::Shape;
 use crate::counters::Counters;
 use crate::notify::Notify;
+use crate::statement_classifier::Shape;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -21,7 +21,7 @@
 
 /// An entry of the list of engines.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Listed {
+pub struct EndpointEntry {
     pub engine_id: u64,
     pub address: Option<SocketAddr>,
     pub kind: String,
@@ -66,7 +66,7 @@
     },
     List {
         form: ListForm,
-        engines: Vec<Listed>,
+        engines: Vec<EndpointEntry>,
     },
     Told {
         peer: u32,
@@ -76,7 +76,7 @@
 
 /// What was decided and waits for the engine side.
 #[derive(Debug, PartialEq)]
-pub enum Order {
+pub enum EngineCommand {
     Submit {
         query: u64,
         attempt: usize,
@@ -91,7 +91,7 @@
         query: u64,
         attempt: usize,
     },
-    Renice {
+    SetPriority {
         query: u64,
         priority: u8,
     },
@@ -109,12 +109,12 @@
 
 /// Where the client's connection waits for its answer.
 #[derive(Default)]
-pub struct Slot {
+pub struct AnswerSlot {
     pub notify: Notify,
     answer: RefCell<Option<Answer>>,
 }
 
-impl Slot {
+impl AnswerSlot {
     pub fn take(&self) -> Option<Answer> {
         self.answer.borrow_mut().take()
     }
@@ -141,10 +141,10 @@
     /// Where the last attempt went.
     pub engine_id: u64,
     /// Where the answer goes; none once it was given or the client left.
-    slot: Option<Rc<Slot>>,
+    slot: Option<Rc<AnswerSlot>>,
 }
 
-pub struct Exchange {
+pub struct QueryRegistry {
     pub notify: Rc<Notify>,
     /// No query is given time beyond this: the program ends then.
     ends: Cell<f64>,
@@ -157,7 +157,7 @@
     bytes: Cell<usize>,
     max_bytes: usize,
     events: RefCell<VecDeque<Event>>,
-    orders: RefCell<VecDeque<Order>>,
+    orders: RefCell<VecDeque<EngineCommand>>,
 }
 
 #[derive(Default)]
@@ -178,9 +178,9 @@
     }
 }
 
-impl Exchange {
+impl QueryRegistry {
     pub fn new(max_bytes: usize) -> Self {
-        Exchange {
+        QueryRegistry {
             max_bytes,
             notify: Rc::default(),
             ends: Cell::new(f64::INFINITY),
@@ -198,12 +198,12 @@
 
 /// What marks a query beyond its id: a token, by which engines know a repeat, and a key, whose queries go in order.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Marks<'a> {
+pub struct RequestKeys<'a> {
     pub token: Option<&'a str>,
     pub key: Option<&'a str>,
 }
 
-impl Marks<'_> {
+impl RequestKeys<'_> {
     /// Both as fields of a request to an engine, each with a comma before it.
     fn fields(&self) -> Rc<str> {
         let field = |name: &str, value: Option<&str>| {
@@ -214,7 +214,7 @@
 }
 
 /// A query as the client side has read it.
-pub struct Asked<'a> {
+pub struct QueryRequest<'a> {
     pub id: &'a str,
     pub rg: &'a str,
     pub tenant: &'a str,
@@ -226,36 +226,36 @@
     pub tables: u32,
     pub text: Text,
     pub shape: Option<Shape>,
-    pub marks: Marks<'a>,
+    pub marks: RequestKeys<'a>,
 }
 
 #[derive(Debug, PartialEq)]
-pub enum NotTaken {
+pub enum AdmissionError {
     InHand,
     /// It was submitted before: its effect may be there.
     Past,
     NoRoom,
 }
 
-impl Exchange {
+impl QueryRegistry {
     // ---- Client side ----
 
     /// Takes a query in; its number, and where its answer will come.
-    pub fn take(&self, asked: &Asked) -> Result<(u64, Rc<Slot>), NotTaken> {
+    pub fn take(&self, asked: &QueryRequest) -> Result<(u64, Rc<AnswerSlot>), AdmissionError> {
         if self.ids.borrow().contains_key(asked.id) {
-            return Err(NotTaken::InHand);
+            return Err(AdmissionError::InHand);
         }
         if self.past.borrow().known.contains(asked.id) {
-            return Err(NotTaken::Past);
+            return Err(AdmissionError::Past);
         }
         let bytes = self.bytes.get() + asked.statement.len();
         if self.queries.borrow().len() >= MAX_QUERIES || bytes > self.max_bytes {
-            return Err(NotTaken::NoRoom);
+            return Err(AdmissionError::NoRoom);
         }
         self.bytes.set(bytes);
         let number = self.next.get() + 1;
         self.next.set(number);
-        let (id, slot): (Rc<str>, _) = (asked.id.into(), Rc::new(Slot::default()));
+        let (id, slot): (Rc<str>, _) = (asked.id.into(), Rc::new(AnswerSlot::default()));
         let query = Query {
             id: id.clone(),
             rg: asked.rg.into(),
@@ -275,7 +275,7 @@
         self.queries.borrow_mut().insert(number, query);
         self.ids.borrow_mut().insert(id, number);
         self.counters.taken.add();
-        let &Asked {
+        let &QueryRequest {
             cost,
             memory,
             tables,
@@ -287,7 +287,7 @@
             .marks
             .key
             .and_then(|key| u64::from_str_radix(key, 16).ok());
-        self.happened(Event::Query {
+        self.push_event(Event::Query {
             query: number,
             tenant,
             key,
@@ -303,18 +303,18 @@
     pub fn vanished(&self, number: u64) {
         if self.ends(number).is_some() {
             self.counters.vanished.add();
-            self.happened(Event::Vanished { query: number });
+            self.push_event(Event::Vanished { query: number });
         }
     }
 
     // ---- Both sides and what lies beside them ----
 
-    pub fn happened(&self, event: Event) {
+    pub fn push_event(&self, event: Event) {
         self.events.borrow_mut().push_back(event);
         self.notify.notify();
     }
 
-    pub fn in_hand(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.queries.borrow().len()
     }
 
@@ -326,7 +326,7 @@
     // ---- Driver ----
 
     /// Cuts the time of all queries, and of those still to come, to `by`.
-    pub fn hasten(&self, by: f64) {
+    pub fn limit_deadlines(&self, by: f64) {
         self.ends.set(by);
         self.queries
             .borrow_mut()
@@ -338,7 +338,7 @@
         self.events.borrow_mut().pop_front()
     }
 
-    pub fn next_order(&self) -> Option<Order> {
+    pub fn next_command(&self) -> Option<EngineCommand> {
         self.orders.borrow_mut().pop_front()
     }
 
@@ -367,14 +367,14 @@
 
     /// The query is over: every end, from whichever side, passes here, once. Whatever the settings say of cancels,
     /// what waits to go out of it is withdrawn.
-    fn ends(&self, number: u64) -> Option<Rc<Slot>> {
+    fn ends(&self, number: u64) -> Option<Rc<AnswerSlot>> {
         let mut queries = self.queries.borrow_mut();
         let q = queries.get_mut(&number)?;
         let slot = q.slot.take()?;
         if q.out {
             self.orders
                 .borrow_mut()
-                .push_back(Order::Withdraw { query: number });
+                .push_back(EngineCommand::Withdraw { query: number });
         }
         Some(slot)
     }
@@ -403,7 +403,7 @@
         let attempt = q.attempts;
         (q.attempts, q.out, q.waited, q.engine_id) = (attempt + 1, true, false, engine_id);
         self.counters.attempts.add();
-        self.orders.borrow_mut().push_back(Order::Submit {
+        self.orders.borrow_mut().push_back(EngineCommand::Submit {
             query: number,
             attempt,
             engine_id,
@@ -419,7 +419,7 @@
     }
 
     pub fn cancel(&self, number: u64, attempt: usize) {
-        self.orders.borrow_mut().push_back(Order::Cancel {
+        self.orders.borrow_mut().push_back(EngineCommand::Cancel {
             query: number,
             attempt,
         });
@@ -429,7 +429,7 @@
         self.counters.probes.add();
         self.orders
             .borrow_mut()
-            .push_back(Order::Probe { engine_id });
+            .push_back(EngineCommand::Probe { engine_id });
     }
 
     /// Names what the next attempts get; one that is out takes on a new priority.
@@ -440,10 +440,12 @@
         };
         let before = q.granted.replace((priority, memory));
         if q.out && before.is_some_and(|(p, _)| p != priority) {
-            self.orders.borrow_mut().push_back(Order::Renice {
-                query: number,
-                priority,
-            });
+            self.orders
+                .borrow_mut()
+                .push_back(EngineCommand::SetPriority {
+                    query: number,
+                    priority,
+                });
         }
     }
 
@@ -475,9 +477,9 @@
 }
 
 #[cfg(test)]
-impl Default for Exchange {
+impl Default for QueryRegistry {
     fn default() -> Self {
-        Exchange::new(1 << 20)
+        QueryRegistry::new(1 << 20)
     }
 }
 
--- /dev/null
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -0,0 +1,106 @@
+use super::*;
+
+const BOUNDS: Bounds = Bounds {
+    until: 90.0,
+    begin_by: 90.0,
+    harmless: true,
+};
+const ASKED: QueryRequest = QueryRequest {
+    id: "9b1f03aa5c7e2d41",
+    rg: "look",
+    tenant: "acme",
+    statement: b"SELECT 1",
+    since: 0.0,
+    due: 100.0,
+    cost: 1.0,
+    memory: 1.0,
+    tables: 1,
+    text: Text::UNREAD,
+    shape: None,
+    marks: RequestKeys {
+        token: None,
+        key: None,
+    },
+};
+
+#[test]
+fn a_query_gets_one_answer_and_nothing_is_sent_after_it() {
+    let registry = QueryRegistry::default();
+    let (query, slot) = registry.take(&ASKED).unwrap();
+    assert_eq!(
+        registry.take(&ASKED).map(|_| ()),
+        Err(AdmissionError::InHand)
+    );
+    registry.submit(query, 7, BOUNDS);
+    registry.submit(query, 8, BOUNDS);
+    let first = EngineCommand::Submit {
+        query,
+        attempt: 0,
+        engine_id: 7,
+        bounds: BOUNDS,
+    };
+    assert_eq!(registry.next_command(), Some(first));
+    assert_eq!(registry.next_command(), None);
+    assert!(
+        registry.answer(query, Answer::Failed) && !registry.answer(query, Answer::Rejected(1.0))
+    );
+    assert!(matches!(slot.take(), Some(Answer::Failed)));
+    // What has not gone out of it by now does not any more, whatever the settings say of cancels.
+    assert_eq!(
+        registry.next_command(),
+        Some(EngineCommand::Withdraw { query })
+    );
+    registry.submit(query, 7, BOUNDS);
+    assert_eq!((registry.next_command(), registry.in_flight()), (None, 1));
+    registry.closed(query);
+    assert_eq!(registry.in_flight(), 0);
+    assert_eq!(registry.take(&ASKED).map(|_| ()), Err(AdmissionError::Past));
+    (0..MAX_PAST).for_each(|n| registry.past.borrow_mut().keep(n.to_string().into()));
+    assert!(registry.take(&ASKED).is_ok());
+}
+
+#[test]
+fn statements_beyond_the_room_are_turned_away_until_others_end() {
+    let registry = QueryRegistry::new(ASKED.statement.len() + 1);
+    let (query, _slot) = registry.take(&ASKED).unwrap();
+    let second = QueryRequest {
+        id: "9b1f03aa5c7e2d42",
+        ..ASKED
+    };
+    assert_eq!(
+        registry.take(&second).map(|_| ()),
+        Err(AdmissionError::NoRoom)
+    );
+    registry.answer(query, Answer::Failed);
+    assert!(registry.take(&second).is_ok());
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let registry = QueryRegistry::default();
+    let (query, slot) = registry.take(&ASKED).unwrap();
+    registry.vanished(query);
+    registry.vanished(query);
+    assert!(!registry.answer(query, Answer::Failed) && slot.take().is_none());
+    let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
+    assert!(matches!(
+        events[..],
+        [Event::Query { .. }, Event::Vanished { .. }]
+    ));
+    registry.leave(query);
+    assert_eq!(registry.in_flight(), 0);
+}
+
+#[test]
+fn a_new_priority_reaches_a_attempt_that_is_out() {
+    let registry = QueryRegistry::default();
+    let (query, _slot) = registry.take(&ASKED).unwrap();
+    registry.grant(query, 3, 0.0);
+    registry.submit(query, 7, BOUNDS);
+    registry.grant(query, 1, 0.0);
+    registry.next_command();
+    assert_eq!(
+        registry.next_command(),
+        Some(EngineCommand::SetPriority { query, priority: 1 })
+    );
+}
--- a/crates/dispatcher/src/levels.rs
+++ b/crates/dispatcher/src/service_levels.rs
@@ -31,7 +31,7 @@
     pub descriptors: f64,
 }
 
-pub struct Levels {
+pub struct ServiceLevels {
     on: RefCell<Option<On>>,
     /// Resource groups: name, target runtime (ms) and its stretch by work, threads.
     groups: Vec<(String, f64, f64, f64)>,
@@ -47,7 +47,7 @@
 pub const MAX_WAITING: usize = 8;
 pub const LONGEST_WAIT: f64 = 25_000.0;
 
-impl Levels {
+impl ServiceLevels {
     pub fn new(settings: &Map, limits: Limits) -> Self {
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
         let group = |i: usize| {
@@ -73,7 +73,7 @@
                 threads.max(1.0),
             )
         };
-        Levels {
+        ServiceLevels {
             on: RefCell::default(),
             groups: (0..count).map(group).collect(),
             limits,
--- a/crates/dispatcher/src/classes.rs
+++ b/crates/dispatcher/src/statement_classifier.rs
@@ -4,9 +4,9 @@
 //! Nothing is decided here but the group of a query without one. Effect, cost and how sure it is go to the decisions
 //! with the query, and they keep the rules.
 
-use crate::exchange::{Exchange, Listed};
-use crate::levels::Levels;
-use crate::zone_routing::Zones;
+use crate::query_registry::{EndpointEntry, QueryRegistry};
+use crate::service_levels::ServiceLevels;
+use crate::zone_routing::ZoneRouting;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -30,7 +30,7 @@
 
 /// A query that was read, when its attempt ends.
 #[derive(Debug)]
-pub struct Taken {
+pub struct TakenQuery {
     pub shape: Shape,
     pub rg: Rc<str>,
     pub waited: bool,
@@ -55,7 +55,7 @@
     groups: Option<[Rc<str>; 4]>,
 }
 
-pub struct Classes {
+pub struct StatementClassifier {
     on: RefCell<Option<On>>,
     /// Threads that a group's queries run on, its effect in the settings, and how long an engine is cold (ms).
     groups: FxHashMap<String, (f64, bool)>,
@@ -70,7 +70,7 @@
     pub unknown: Cell<u64>,
 }
 
-impl Classes {
+impl StatementClassifier {
     /// `key`: secret, for the hashes of shapes.
     pub fn new(settings: &Map, key: [u8; 16]) -> Self {
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
@@ -87,7 +87,7 @@
                 .is_some_and(|effect| effect == "read_like");
             Some((name, (threads.max(1.0), reads)))
         };
-        Classes {
+        StatementClassifier {
             groups: (0..count).filter_map(group).collect(),
             cold_for: settings.millis("rules.warm-after-us").unwrap_or(0.0),
             key,
@@ -211,7 +211,7 @@
     }
 
     /// Follows when engines started: what runs on a cold one tells little of costs.
-    pub fn listed(&self, engines: &[Listed]) {
+    pub fn listed(&self, engines: &[EndpointEntry]) {
         let mut started = self.started.borrow_mut();
         for engine in engines {
             match engine.started {
@@ -224,7 +224,14 @@
     }
 
     /// A attempt of a query that was read has ended, after so long (ms), and perhaps having waited.
-    pub fn ended(&self, taken: &Taken, engine_id: u64, latency: f64, outcome: Outcome, now: f64) {
+    pub fn ended(
+        &self,
+        taken: &TakenQuery,
+        engine_id: u64,
+        latency: f64,
+        outcome: Outcome,
+        now: f64,
+    ) {
         let end = match outcome {
             Outcome::Completed => End::Completed,
             Outcome::Timeout => End::CutOff,
@@ -284,7 +291,7 @@
     }
 }
 
-impl std::fmt::Debug for Classes {
+impl std::fmt::Debug for StatementClassifier {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         f.debug_struct("Classes")
             .field("counts", &self.counts())
@@ -366,9 +373,14 @@
     }
 }
 
-/// All counters as text: those of the exchange, of statements, of levels and of zones.
-pub fn counters(exchange: &Exchange, classes: &Classes, levels: &Levels, zones: &Zones) -> String {
-    let mut text = exchange.counters.report(exchange.in_hand());
+/// All counters as text: those of the registry, of statements, of levels and of zones.
+pub fn counters(
+    registry: &QueryRegistry,
+    classes: &StatementClassifier,
+    levels: &ServiceLevels,
+    zones: &ZoneRouting,
+) -> String {
+    let mut text = registry.counters.report(registry.in_flight());
     classes.report(&mut text);
     levels.report(&mut text);
     zones.report(&mut text);
@@ -399,7 +411,7 @@
             "services.count=2 services.0.name=look services.0.effect=read_like services.1.name=load \
              services.1.effect=non_idempotent family-info.dop=1,4",
         );
-        let classes = Classes::new(&settings.unwrap(), [1; 16]);
+        let classes = StatementClassifier::new(&settings.unwrap(), [1; 16]);
         assert!(
             classes.bare(b"select 1", 0.0).is_none()
                 && classes.named("look", "1", b"delete from t").is_none()
@@ -421,7 +433,7 @@
             (first.rg.as_deref(), first.text.alters),
             (Some("look"), false)
         );
-        let taken = Taken {
+        let taken = TakenQuery {
             shape: first.shape,
             rg: "look".into(),
             waited: false,
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -1,8 +1,8 @@
-//! Zones in the program: gathers evidence of them, tells peers, the log and whoever asks, and hands the decisions the
+//! ZoneRouting in the program: gathers evidence of them, tells peers, the log and whoever asks, and hands the decisions the
 //! plan that follows. Nothing here places a query.
 
-use crate::exchange::Listed;
-use crate::fleet::FleetSide;
+use crate::fleet::FleetService;
+use crate::query_registry::EndpointEntry;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -21,7 +21,7 @@
 /// Looks at the evidence are so far apart (ms).
 const LOOK_EVERY: f64 = 100.0;
 
-pub struct Zones {
+pub struct ZoneRouting {
     on: RefCell<Option<ZoneHealthDetector>>,
     /// The dispatcher's own zone, the resource groups, how many dispatchers there are, cores by kind.
     own: String,
@@ -34,7 +34,7 @@
     changes: Cell<u64>,
 }
 
-impl Zones {
+impl ZoneRouting {
     pub fn new(settings: &Map) -> Self {
         let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
         let name = |i| {
@@ -43,7 +43,7 @@
                 .cloned()
                 .unwrap_or_default()
         };
-        Zones {
+        ZoneRouting {
             on: RefCell::default(),
             own: settings.get("zone").cloned().unwrap_or_default(),
             groups: (0..count).map(name).collect(),
@@ -79,7 +79,7 @@
     }
 
     /// The list as it was told: whole.
-    pub fn listed(&self, now: f64, engines: &[Listed]) {
+    pub fn listed(&self, now: f64, engines: &[EndpointEntry]) {
         let mut listed = self.listed.borrow_mut();
         for engine in engines {
             listed.retain(|known| known.engine_id != engine.engine_id);
@@ -146,7 +146,7 @@
     }
 
     /// Puts what the fleet agreed on above what this dispatcher judged alone.
-    fn agreed(&self, fleet: &FleetSide, whole: f64, plan: &mut Plan) {
+    fn agreed(&self, fleet: &FleetService, whole: f64, plan: &mut Plan) {
         let listed = self.listed.borrow();
         for zone in &mut plan.zones {
             let part = match fleet.use_of(&zone.name) {
@@ -184,7 +184,7 @@
         &self,
         now: f64,
         control: &mut Control,
-        fleet: Option<&FleetSide>,
+        fleet: Option<&FleetService>,
     ) -> Option<Vec<u8>> {
         let mut on = self.on.borrow_mut();
         let judge = on.as_mut()?;
@@ -203,7 +203,7 @@
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
             fleet.sees(
-                Zones::evidence(judge, control.threads_out() + MIN_DEMAND),
+                ZoneRouting::evidence(judge, control.threads_out() + MIN_DEMAND),
                 judge.alone(),
             );
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,7 @@
     }
 
     /// The time of all queries in hand is cut to `by`: whoever carries the decisions out ends then.
-    pub fn hasten(&mut self, by: f64) {
+    pub fn limit_deadlines(&mut self, by: f64) {
         self.queries
             .iter_mut()
             .for_each(|(_, q)| q.due = q.due.min(by));
