store: write-ahead log terms, one Config and one error enum, recovery in a module of its own

Need: the package read in house words. Change: form -> format (FileKind, LogPosition, FormatError, decode_file), Found -> RecoveryReport, Settings -> Config (checked when made), compact -> checkpoint, tick -> poll, Folder -> Directory; open returns Opened; time is the last parameter; missing_docs is warned of.

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -1,65 +1,99 @@
-//! What the store asks of a disk.
+//! The disk operations that the store needs, and their implementation on a directory.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::PathBuf;
 
-/// A flat folder of files. All names are the store's own.
+/// A flat directory of files. All names are chosen by the store.
 pub trait Disk {
     /// Names of all files.
+    ///
+    /// # Errors
+    /// The directory can't be read.
     fn list(&self) -> io::Result<Vec<String>>;
-    /// A whole file, of at most so many bytes.
-    fn read(&self, name: &str, most: u64) -> io::Result<Vec<u8>>;
-    /// Writes behind what a file holds; makes it if it is not there.
+
+    /// A whole file.
+    ///
+    /// # Errors
+    /// The file can't be read, or it is longer than `max_bytes` (`InvalidData`).
+    fn read(&self, name: &str, max_bytes: u64) -> io::Result<Vec<u8>>;
+
+    /// Appends to a file, which is created if it does not exist.
+    ///
+    /// # Errors
+    /// Not all bytes were written; how many were is unknown.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
-    /// What was written to a file is on the disk when this returns, and the folder knows its name.
+
+    /// Makes a file's content and its directory entry durable.
+    ///
+    /// # Errors
+    /// It is unknown how much of the file is durable.
     fn sync(&mut self, name: &str) -> io::Result<()>;
-    /// Gives a file another name at once; what had it is replaced.
+
+    /// Renames a file atomically, replacing an existing `to`.
+    ///
+    /// # Errors
+    /// The file was not renamed.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// The file was not removed, or did not exist.
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
 
-/// A folder of the file system. The file that is appended to stays open.
+/// A directory of the file system. The file that was appended to last stays open.
 #[derive(Debug)]
-pub struct Folder {
+pub struct Directory {
     path: PathBuf,
-    open: Option<(String, File)>,
+    open_file: Option<OpenFile>,
 }
 
-impl Folder {
-    /// Makes the folder if it is not there.
+#[derive(Debug)]
+struct OpenFile {
+    name: String,
+    file: File,
+}
+
+impl Directory {
+    /// Opens the directory at `path`, creating it if it does not exist.
     ///
     /// # Errors
-    /// It can't be made.
+    /// It can't be created.
     pub fn new(path: impl Into<PathBuf>) -> io::Result<Self> {
         let path = path.into();
         fs::create_dir_all(&path)?;
-        Ok(Folder { path, open: None })
+        Ok(Directory {
+            path,
+            open_file: None,
+        })
     }
 
-    fn file(&mut self, name: &str) -> io::Result<&mut File> {
-        if self.open.as_ref().is_none_or(|(open, _)| open != name) {
-            let file = OpenOptions::new()
-                .create(true)
-                .append(true)
-                .open(self.path.join(name))?;
-            self.open = Some((name.to_owned(), file));
-        }
-        self.open
-            .as_mut()
-            .map(|(_, file)| file)
-            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    fn file_for_append(&mut self, name: &str) -> io::Result<&mut File> {
+        let reusable = self.open_file.take().filter(|open| open.name == name);
+        let open_file = match reusable {
+            Some(open_file) => open_file,
+            None => OpenFile {
+                name: name.to_owned(),
+                file: OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(self.path.join(name))?,
+            },
+        };
+        Ok(&mut self.open_file.insert(open_file).file)
     }
 
-    /// Where the file system lets folders be synced; elsewhere it has no such thing.
-    fn sync_folder(&self) {
-        if let Ok(folder) = File::open(&self.path) {
-            let _ = folder.sync_all();
+    /// Makes directory entries durable. Some file systems can't sync a directory and need not: errors are ignored.
+    fn sync_directory(&self) {
+        if let Ok(directory) = File::open(&self.path) {
+            let _ = directory.sync_all();
         }
     }
 }
 
-impl Disk for Folder {
+impl Disk for Directory {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
@@ -69,37 +103,42 @@
         Ok(names)
     }
 
-    fn read(&self, name: &str, most: u64) -> io::Result<Vec<u8>> {
+    fn read(&self, name: &str, max_bytes: u64) -> io::Result<Vec<u8>> {
         let path = self.path.join(name);
-        if fs::metadata(&path)?.len() > most {
+        let length = fs::metadata(&path)?.len();
+        if length > max_bytes {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
-                "the file is too long",
+                format!("{name} has {length} bytes, at most {max_bytes} are read"),
             ));
         }
         fs::read(path)
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.file(name)?.write_all(bytes)
+        self.file_for_append(name)?.write_all(bytes)
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_all()?;
-        self.sync_folder();
+        self.file_for_append(name)?.sync_all()?;
+        self.sync_directory();
         Ok(())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        self.open = None;
+        self.open_file = None;
         fs::rename(self.path.join(from), self.path.join(to))?;
-        self.sync_folder();
+        self.sync_directory();
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        if self.open.as_ref().is_some_and(|(open, _)| open == name) {
-            self.open = None;
+        if self
+            .open_file
+            .as_ref()
+            .is_some_and(|open| open.name == name)
+        {
+            self.open_file = None;
         }
         fs::remove_file(self.path.join(name))
     }
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,31 @@
+//! Why a store can't be configured or written to.
+
+/// An error of the store's settings, or the reason why a record or snapshot was not written.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum StoreError {
+    /// A setting is outside its range.
+    #[error("store setting {key} = {value}: expected {expected}")]
+    InvalidConfig {
+        /// Name of the setting.
+        key: &'static str,
+        /// The value that was given.
+        value: String,
+        /// What is allowed.
+        expected: &'static str,
+    },
+    /// The disk is full, read-only, or failed in another way; it is retried after `retry_after_ms`.
+    #[error("disk error: {0}")]
+    Disk(String),
+    /// The logs have reached twice `max_log_bytes`: a checkpoint is needed first.
+    #[error("the log is full: a checkpoint is needed before the next record")]
+    LogFull,
+    /// The directory holds files of a newer format version, so nothing is written to it.
+    #[error("the store holds files of a newer format version")]
+    NewerVersion,
+    /// The record is longer than [`format::MAX_RECORD_BYTES`](crate::format::MAX_RECORD_BYTES).
+    #[error("a record of {length} bytes is too long: at most {max} are allowed", max = crate::format::MAX_RECORD_BYTES)]
+    RecordTooLong {
+        /// Its length in bytes.
+        length: usize,
+    },
+}
--- /dev/null
+++ b/crates/store/src/format.rs
@@ -0,0 +1,270 @@
+//! The disk format. All numbers are big-endian; checksums are CRC-32 (ISO 3309).
+//!
+//! A file (a log segment or a snapshot) is a header followed by frames:
+//!
+//! | offset | bytes | header field |
+//! | --- | --- | --- |
+//! | 0 | 4 | magic `TXST` |
+//! | 4 | 2 | format version, [`VERSION`] |
+//! | 6 | 1 | kind: 0 log, 1 snapshot |
+//! | 7 | 8 | file number, as in the file's name |
+//! | 15 | 8 | logs: number of the file that this log continues; snapshots: 0 |
+//! | 23 | 8 | logs: valid bytes of that file when this log was begun; snapshots: 0 |
+//! | 31 | 4 | checksum of the 31 bytes before |
+//!
+//! | offset | bytes | frame field |
+//! | --- | --- | --- |
+//! | 0 | 4 | length of the record, at most [`MAX_RECORD_BYTES`]; `0xffff_ffff` in a trailer |
+//! | 4 | 4 | checksum of the length field and the record |
+//! | 8 | length | the record; in a trailer 8 bytes, the number of records before it |
+//!
+//! A snapshot ends with a trailer, so that one that was cut short at a frame is recognised; a log has none.
+
+/// The format version that is written. Older ones are read, newer ones are left untouched.
+pub const VERSION: u16 = 1;
+const MAGIC: &[u8; 4] = b"TXST";
+/// Bytes of a file's header.
+pub const HEADER_BYTES: usize = 4 + 2 + 1 + 8 + 8 + 8 + CHECKSUM_BYTES;
+const CHECKSUM_BYTES: usize = 4;
+const VERSION_OFFSET: usize = 4;
+const PREDECESSOR_NUMBER_OFFSET: usize = 15;
+const PREDECESSOR_LENGTH_OFFSET: usize = 23;
+/// Bytes of a frame before its record: length and checksum.
+pub const FRAME_HEADER_BYTES: usize = 8;
+/// The longest record in bytes: larger lengths are taken for corruption instead of being allocated.
+pub const MAX_RECORD_BYTES: usize = 64 * 1024;
+/// The length field of a trailer.
+const TRAILER_LENGTH: u32 = u32::MAX;
+const TRAILER_RECORD_BYTES: usize = 8;
+/// Hexadecimal digits of the number in a file's name.
+const NAME_DIGITS: usize = 16;
+
+/// What a file holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileKind {
+    /// Records since a snapshot or since the log before.
+    Log,
+    /// The whole state at a checkpoint.
+    Snapshot,
+}
+
+/// A position in the sequence of files: a file and how many of its bytes are valid.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogPosition {
+    /// Number of the file, 0 if there is none.
+    pub file_number: u64,
+    /// Valid bytes of the file.
+    pub valid_bytes: u64,
+}
+
+impl LogPosition {
+    /// Before any file.
+    pub const START: LogPosition = LogPosition {
+        file_number: 0,
+        valid_bytes: 0,
+    };
+}
+
+/// Why a file, or the part of it after its valid bytes, can't be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum FormatError {
+    /// A header or a frame is incomplete.
+    #[error("a header or frame is cut short")]
+    Truncated,
+    /// It is not a file of the store, not the one that its name promises, or it does not continue the file before it.
+    #[error("the content does not belong to this file")]
+    Foreign,
+    /// A checksum differs, or a length is impossible.
+    #[error("a checksum does not match")]
+    ChecksumMismatch,
+    /// A newer version wrote it.
+    #[error("format version {0} is newer than {VERSION}")]
+    NewerVersion(u16),
+    /// A snapshot without its trailer.
+    #[error("the snapshot has no trailer")]
+    MissingTrailer,
+}
+
+/// The name of a file.
+pub fn file_name(kind: FileKind, number: u64) -> String {
+    match kind {
+        FileKind::Log => format!("log-{number:016x}"),
+        FileKind::Snapshot => format!("snap-{number:016x}"),
+    }
+}
+
+/// Kind and number of a file by its name; `None` for a file that is not the store's.
+pub fn parse_file_name(name: &str) -> Option<(FileKind, u64)> {
+    let (prefix, digits) = name.split_once('-')?;
+    let kind = match prefix {
+        "log" => FileKind::Log,
+        "snap" => FileKind::Snapshot,
+        _ => return None,
+    };
+    if digits.len() != NAME_DIGITS {
+        return None;
+    }
+    let number = u64::from_str_radix(digits, 16).ok()?;
+    Some((kind, number))
+}
+
+/// The header of a file. `predecessor` is where a log continues, [`LogPosition::START`] for a snapshot.
+pub fn encode_header(kind: FileKind, number: u64, predecessor: LogPosition) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES);
+    bytes.extend_from_slice(MAGIC);
+    bytes.extend_from_slice(&VERSION.to_be_bytes());
+    bytes.push(u8::from(kind == FileKind::Snapshot));
+    bytes.extend_from_slice(&number.to_be_bytes());
+    bytes.extend_from_slice(&predecessor.file_number.to_be_bytes());
+    bytes.extend_from_slice(&predecessor.valid_bytes.to_be_bytes());
+    let checksum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&checksum.to_be_bytes());
+    bytes
+}
+
+/// A record in its frame. `record` must have at most [`MAX_RECORD_BYTES`].
+pub fn encode_frame(record: &[u8]) -> Vec<u8> {
+    encode_frame_with_length(record.len() as u32, record)
+}
+
+/// The trailer of a snapshot of `record_count` records.
+pub fn encode_trailer(record_count: u64) -> Vec<u8> {
+    encode_frame_with_length(TRAILER_LENGTH, &record_count.to_be_bytes())
+}
+
+fn encode_frame_with_length(length: u32, record: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FRAME_HEADER_BYTES + record.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&frame_checksum(length, record).to_be_bytes());
+    bytes.extend_from_slice(record);
+    bytes
+}
+
+fn frame_checksum(length: u32, record: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_be_bytes());
+    hasher.update(record);
+    hasher.finalize()
+}
+
+/// The content of a file up to its first error.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DecodedFile {
+    /// Where a log continues.
+    pub predecessor: LogPosition,
+    /// The valid records.
+    pub records: Vec<Vec<u8>>,
+    /// How many bytes of the file are valid.
+    pub valid_bytes: usize,
+    /// What is wrong after them.
+    pub error: Option<FormatError>,
+}
+
+/// Decodes a file which by its name is of this kind and number. Any bytes are accepted.
+pub fn decode_file(bytes: &[u8], kind: FileKind, number: u64) -> DecodedFile {
+    let mut file = DecodedFile {
+        predecessor: LogPosition::START,
+        records: Vec::new(),
+        valid_bytes: 0,
+        error: None,
+    };
+    match decode_header(bytes, kind, number) {
+        Ok(predecessor) => file.predecessor = predecessor,
+        Err(error) => {
+            file.error = Some(error);
+            return file;
+        }
+    }
+    file.valid_bytes = HEADER_BYTES;
+    while file.valid_bytes < bytes.len() {
+        match decode_frame(&bytes[file.valid_bytes..]) {
+            Err(error) => {
+                file.error = Some(error);
+                return file;
+            }
+            Ok(Frame::Record(record)) => {
+                file.valid_bytes += FRAME_HEADER_BYTES + record.len();
+                file.records.push(record.to_vec());
+            }
+            Ok(Frame::Trailer { record_count }) => {
+                file.valid_bytes += FRAME_HEADER_BYTES + TRAILER_RECORD_BYTES;
+                let is_complete = kind == FileKind::Snapshot
+                    && record_count == file.records.len() as u64
+                    && file.valid_bytes == bytes.len();
+                if !is_complete {
+                    file.error = Some(FormatError::Foreign);
+                }
+                return file;
+            }
+        }
+    }
+    if kind == FileKind::Snapshot {
+        file.error = Some(FormatError::MissingTrailer);
+    }
+    file
+}
+
+/// Checks a header and returns where the file continues.
+fn decode_header(bytes: &[u8], kind: FileKind, number: u64) -> Result<LogPosition, FormatError> {
+    let header = bytes.get(..HEADER_BYTES).ok_or(FormatError::Truncated)?;
+    if !header.starts_with(MAGIC) {
+        return Err(FormatError::Foreign);
+    }
+    let (fields, checksum) = header.split_at(HEADER_BYTES - CHECKSUM_BYTES);
+    if crc32fast::hash(fields).to_be_bytes() != checksum {
+        return Err(FormatError::ChecksumMismatch);
+    }
+    let version = u16::from_be_bytes([header[VERSION_OFFSET], header[VERSION_OFFSET + 1]]);
+    if version > VERSION {
+        return Err(FormatError::NewerVersion(version));
+    }
+    let predecessor = LogPosition {
+        file_number: read_u64(header, PREDECESSOR_NUMBER_OFFSET).ok_or(FormatError::Truncated)?,
+        valid_bytes: read_u64(header, PREDECESSOR_LENGTH_OFFSET).ok_or(FormatError::Truncated)?,
+    };
+    if header != encode_header(kind, number, predecessor) {
+        return Err(FormatError::Foreign);
+    }
+    Ok(predecessor)
+}
+
+enum Frame<'a> {
+    Record(&'a [u8]),
+    Trailer { record_count: u64 },
+}
+
+/// Decodes the frame at the beginning of `bytes`.
+fn decode_frame(bytes: &[u8]) -> Result<Frame<'_>, FormatError> {
+    let length = read_u32(bytes, 0).ok_or(FormatError::Truncated)?;
+    let checksum = read_u32(bytes, 4).ok_or(FormatError::Truncated)?;
+    let is_trailer = length == TRAILER_LENGTH;
+    let record_bytes = if is_trailer {
+        TRAILER_RECORD_BYTES
+    } else {
+        length as usize
+    };
+    if record_bytes > MAX_RECORD_BYTES {
+        return Err(FormatError::ChecksumMismatch);
+    }
+    let record = bytes
+        .get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + record_bytes)
+        .ok_or(FormatError::Truncated)?;
+    if frame_checksum(length, record) != checksum {
+        return Err(FormatError::ChecksumMismatch);
+    }
+    if is_trailer {
+        let record_count = read_u64(record, 0).ok_or(FormatError::Truncated)?;
+        return Ok(Frame::Trailer { record_count });
+    }
+    Ok(Frame::Record(record))
+}
+
+fn read_u32(bytes: &[u8], offset: usize) -> Option<u32> {
+    let field = bytes.get(offset..offset + 4)?;
+    Some(u32::from_be_bytes(field.try_into().ok()?))
+}
+
+fn read_u64(bytes: &[u8], offset: usize) -> Option<u64> {
+    let field = bytes.get(offset..offset + 8)?;
+    Some(u64::from_be_bytes(field.try_into().ok()?))
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,25 +1,37 @@
-//! A log and snapshots on disk.
+//! A write-ahead log with snapshots.
 //!
-//! Owns: the form of the files ([`form`]), what is recovered from them ([`Store::open`]), and when they are written,
-//! synced and replaced ([`Store`]). It knows nothing of what a record means, reads no clock, and touches files only
-//! through [`Disk`], so that a test can fail every one of its steps.
+//! The design is the usual one (as in ARIES-style redo logs or LevelDB's log format): checksummed frames are appended to
+//! numbered log segments, a checkpoint writes a snapshot that replaces all of them, and recovery replays the newest
+//! complete snapshot and then the logs that follow it. It differs from those in that there is no undo and no partial
+//! checkpoint: the whole state is small enough to be written at once.
 //!
-//! What is promised, and tested by crashing at every step of a scripted run:
-//! - a record that was appended and synced is recovered, unless its bytes were damaged afterwards;
-//! - records are recovered in order and without holes: what stands behind a damaged one is not used;
-//! - no damage makes it panic, and none goes unsaid: [`Found`] names what was recovered and what was not;
-//! - files of a newer version are neither read nor touched;
-//! - a disk that is full or read-only ends writing and nothing else; it is tried again later;
-//! - the size is bounded: beyond it the store asks to be compacted, and beyond twice of it nothing is written.
+//! Owns: the disk format ([`mod@format`]), recovery ([`Store::open`]), and when segments are written, synced and replaced
+//! ([`Store`]). It never interprets a record, reads no clock, and touches files only through [`Disk`], so that a test
+//! can make every single disk operation fail.
 //!
-//! A framed log of its own stands here and not an embedded database: one file open at a time, no threads, no memory
-//! map, a few hundred lines whose every write position can be failed. `docs/design/store.md` weighs it.
+//! Guarantees, tested by crashing at every step of a scripted run (`tests/crash_recovery.rs`):
+//! - a record that was appended and synced is recovered, unless its bytes were corrupted afterwards;
+//! - records are recovered in order and without gaps: nothing after a corrupt record is replayed;
+//! - no corruption makes it panic, and none goes unreported: see [`RecoveryReport`];
+//! - files of a newer format version are neither read nor changed;
+//! - a full or read-only disk stops writing only, and is retried later;
+//! - the size is bounded: beyond `max_log_bytes` the store asks for a checkpoint, beyond twice that it rejects appends.
+//!
+//! It is written here instead of embedding a database because one open file, no threads and no memory map make every
+//! write position testable; `docs/design/engine-state.md` has the comparison.
 //!
 //! Start reading at [`Store::open`].
+#![warn(missing_docs)]
 
+mod config;
 mod disk;
-pub mod form;
+mod error;
+pub mod format;
+mod recovery;
 mod store;
 
-pub use disk::{Disk, Folder};
-pub use store::{verify, Found, Settings, Store, StoreError, Sync};
+pub use config::{Config, SyncPolicy};
+pub use disk::{Directory, Disk};
+pub use error::StoreError;
+pub use recovery::{verify, RecoveryReport};
+pub use store::{Opened, Store};
--- /dev/null
+++ b/crates/store/src/recovery.rs
@@ -0,0 +1,266 @@
+//! Recovery: the newest complete snapshot, and then each log that continues what was replayed before it.
+
+use crate::config::Config;
+use crate::disk::Disk;
+use crate::format::{self, DecodedFile, FileKind, FormatError, LogPosition};
+use std::io;
+
+/// What recovery found.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RecoveryReport {
+    /// The directory holds no file of the store.
+    Empty,
+    /// All records were recovered.
+    Complete {
+        /// Number of records.
+        records: usize,
+    },
+    /// Records up to an error were recovered; what follows it was not used.
+    Partial {
+        /// Number of records.
+        records: usize,
+        /// The file with the error.
+        file: String,
+        /// What is wrong with it.
+        error: FormatError,
+    },
+    /// No record could be recovered.
+    Lost {
+        /// The file with the error.
+        file: String,
+        /// What is wrong with it.
+        error: FormatError,
+    },
+    /// A newer version wrote here: nothing was recovered, and nothing will be written.
+    NewerVersion {
+        /// The file of the newer version.
+        file: String,
+        /// Its format version.
+        version: u16,
+    },
+    /// The directory can't be read.
+    Unreadable {
+        /// The disk's error.
+        reason: String,
+    },
+}
+
+/// What [`Store::open`](crate::Store::open) would report, without changing anything.
+pub fn verify<D: Disk>(disk: &D, config: &Config) -> RecoveryReport {
+    recover(disk, config.max_file_bytes()).report
+}
+
+/// A file of the store.
+pub(crate) struct StoreFile {
+    pub kind: FileKind,
+    pub number: u64,
+    pub name: String,
+}
+
+/// Snapshots and logs in the order of their numbers.
+pub(crate) fn list_files<D: Disk>(disk: &D) -> io::Result<Vec<StoreFile>> {
+    let mut files = Vec::new();
+    for name in disk.list()? {
+        if let Some((kind, number)) = format::parse_file_name(&name) {
+            files.push(StoreFile { kind, number, name });
+        }
+    }
+    files.sort_by_key(|file| file.number);
+    Ok(files)
+}
+
+/// The recovered records, and where writing continues.
+pub(crate) struct Recovered {
+    pub records: Vec<Vec<u8>>,
+    pub report: RecoveryReport,
+    /// Number of the next file: greater than that of any file that exists.
+    pub next_number: u64,
+    /// Bytes of the logs that were replayed.
+    pub log_bytes: u64,
+    /// The end of the last file that was replayed.
+    pub tail: LogPosition,
+}
+
+impl Recovered {
+    fn without_records(report: RecoveryReport, next_number: u64) -> Self {
+        Recovered {
+            records: Vec::new(),
+            report,
+            next_number,
+            log_bytes: 0,
+            tail: LogPosition::START,
+        }
+    }
+}
+
+struct Log {
+    number: u64,
+    name: String,
+    content: DecodedFile,
+}
+
+struct Snapshot {
+    number: u64,
+    records: Vec<Vec<u8>>,
+}
+
+struct FileError {
+    file: String,
+    error: FormatError,
+}
+
+/// All files decoded, before logs are put in sequence.
+#[derive(Default)]
+struct Scan {
+    /// The newest complete snapshot.
+    snapshot: Option<Snapshot>,
+    /// Logs with a valid header, in the order of their numbers.
+    logs: Vec<Log>,
+    /// The error to report: a snapshot's last one, else the first of all.
+    error: Option<FileError>,
+}
+
+/// Recovers all usable records. Files longer than `max_file_bytes` count as truncated.
+pub(crate) fn recover<D: Disk>(disk: &D, max_file_bytes: u64) -> Recovered {
+    let files = match list_files(disk) {
+        Ok(files) => files,
+        Err(error) => {
+            let reason = error.to_string();
+            return Recovered::without_records(RecoveryReport::Unreadable { reason }, 1);
+        }
+    };
+    let Some(newest) = files.last() else {
+        return Recovered::without_records(RecoveryReport::Empty, 1);
+    };
+    let next_number = newest.number + 1;
+    match scan(disk, files, max_file_bytes) {
+        Ok(scan) => replay(scan, next_number),
+        Err(newer_version) => Recovered::without_records(newer_version, next_number),
+    }
+}
+
+/// Decodes all files; `Err` with the report if one is of a newer version.
+fn scan<D: Disk>(
+    disk: &D,
+    files: Vec<StoreFile>,
+    max_file_bytes: u64,
+) -> Result<Scan, RecoveryReport> {
+    let mut scan = Scan::default();
+    for StoreFile { kind, number, name } in files {
+        let content = read_file(disk, kind, number, &name, max_file_bytes);
+        match (kind, content.error) {
+            (_, Some(FormatError::NewerVersion(version))) => {
+                return Err(RecoveryReport::NewerVersion {
+                    file: name,
+                    version,
+                });
+            }
+            (FileKind::Snapshot, None) => {
+                let records = content.records;
+                scan.snapshot = Some(Snapshot { number, records });
+            }
+            // An older snapshot, if there is one, is replayed with the logs that follow it: nothing is removed before
+            // the snapshot that replaces it was synced.
+            (FileKind::Snapshot, Some(error)) => {
+                scan.error = Some(FileError { file: name, error });
+            }
+            (FileKind::Log, Some(error)) if content.valid_bytes == 0 => {
+                scan.error.get_or_insert(FileError { file: name, error });
+            }
+            (FileKind::Log, _) => scan.logs.push(Log {
+                number,
+                name,
+                content,
+            }),
+        }
+    }
+    Ok(scan)
+}
+
+fn read_file<D: Disk>(
+    disk: &D,
+    kind: FileKind,
+    number: u64,
+    name: &str,
+    max_file_bytes: u64,
+) -> DecodedFile {
+    match disk.read(name, max_file_bytes) {
+        Ok(bytes) => format::decode_file(&bytes, kind, number),
+        Err(_) => DecodedFile {
+            predecessor: LogPosition::START,
+            records: Vec::new(),
+            valid_bytes: 0,
+            error: Some(FormatError::Truncated),
+        },
+    }
+}
+
+/// Puts snapshot and logs in sequence and collects their records.
+fn replay(scan: Scan, next_number: u64) -> Recovered {
+    let Scan {
+        snapshot,
+        logs,
+        mut error,
+    } = scan;
+    let mut tail = LogPosition::START;
+    let mut records = Vec::new();
+    if let Some(snapshot) = snapshot {
+        tail.file_number = snapshot.number;
+        records = snapshot.records;
+    }
+    let mut log_bytes = 0;
+    while let Some(log) = successor_of(tail, &logs) {
+        if log.content.predecessor.valid_bytes > tail.valid_bytes {
+            // Its predecessor had more valid bytes when this log was begun: records in between are missing.
+            error.get_or_insert_with(|| log.error(FormatError::ChecksumMismatch));
+            break;
+        }
+        records.extend_from_slice(&log.content.records);
+        tail = LogPosition {
+            file_number: log.number,
+            valid_bytes: log.content.valid_bytes as u64,
+        };
+        log_bytes += tail.valid_bytes;
+        if let Some(format_error) = log.content.error {
+            error.get_or_insert_with(|| log.error(format_error));
+        }
+    }
+    if let Some(unused) = logs.iter().find(|log| log.number > tail.file_number) {
+        error.get_or_insert_with(|| unused.error(FormatError::Foreign));
+    }
+    Recovered {
+        report: report(records.len(), error),
+        records,
+        next_number,
+        log_bytes,
+        tail,
+    }
+}
+
+/// The log that continues `tail`. Of several the latest counts: it was begun after writing to the others had failed.
+fn successor_of(tail: LogPosition, logs: &[Log]) -> Option<&Log> {
+    logs.iter().rev().find(|log| {
+        log.content.predecessor.file_number == tail.file_number && log.number > tail.file_number
+    })
+}
+
+impl Log {
+    fn error(&self, error: FormatError) -> FileError {
+        FileError {
+            file: self.name.clone(),
+            error,
+        }
+    }
+}
+
+fn report(records: usize, error: Option<FileError>) -> RecoveryReport {
+    match error {
+        None => RecoveryReport::Complete { records },
+        Some(FileError { file, error }) if records == 0 => RecoveryReport::Lost { file, error },
+        Some(FileError { file, error }) => RecoveryReport::Partial {
+            records,
+            file,
+            error,
+        },
+    }
+}
--- a/crates/store/tests/version_1_files.rs
+++ b/crates/store/tests/version_1_files.rs
@@ -1,7 +1,7 @@
 //! Files written by the version at commit 0fd3fce are read, and the same calls write the same bytes today.
 
 use std::path::Path;
-use tansymux_store::{Folder, Found, Settings, Store, Sync};
+use tansymux_store::{Config, Directory, Opened, RecoveryReport, Store, SyncPolicy};
 
 const FIXTURE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/v1");
 const FILES: [&str; 3] = [
@@ -10,11 +10,14 @@
     "log-0000000000000004",
 ];
 
-fn sync_each() -> Settings {
-    Settings {
-        sync: Sync::Each,
-        ..Settings::default()
-    }
+fn sync_each() -> Config {
+    let default = Config::default();
+    Config::new(
+        SyncPolicy::EveryRecord,
+        default.max_log_bytes(),
+        default.retry_after_ms(),
+    )
+    .unwrap()
 }
 
 fn expected_records() -> Vec<Vec<u8>> {
@@ -30,24 +33,26 @@
 
 #[test]
 fn snapshot_and_logs_of_the_earlier_version_are_recovered() {
-    let (_, records, found) = Store::open(Folder::new(FIXTURE).unwrap(), sync_each());
+    let Opened {
+        records, report, ..
+    } = Store::open(Directory::new(FIXTURE).unwrap(), sync_each());
     assert_eq!(records, expected_records());
-    assert_eq!(found, Found::Whole { records: 6 });
+    assert_eq!(report, RecoveryReport::Complete { records: 6 });
 }
 
 #[test]
 fn the_same_calls_write_the_bytes_of_the_earlier_version() {
     let path = std::env::temp_dir().join(format!("tansymux-store-v1-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
-    let (mut store, ..) = Store::open(Folder::new(&path).unwrap(), sync_each());
-    store.append(0.0, b"replaced by the snapshot").unwrap();
+    let Opened { mut store, .. } = Store::open(Directory::new(&path).unwrap(), sync_each());
+    store.append(b"replaced by the snapshot", 0.0).unwrap();
     let kept = [b"first".as_slice(), b"", &[0xff; 300]];
-    store.compact(1.0, kept.into_iter()).unwrap();
-    store.append(2.0, b"second").unwrap();
-    store.append(3.0, &[0, 1, 2, 254, 255]).unwrap();
+    store.checkpoint(kept.into_iter(), 1.0).unwrap();
+    store.append(b"second", 2.0).unwrap();
+    store.append(&[0, 1, 2, 254, 255], 3.0).unwrap();
     drop(store);
-    let (mut store, ..) = Store::open(Folder::new(&path).unwrap(), sync_each());
-    store.append(4.0, b"third").unwrap();
+    let Opened { mut store, .. } = Store::open(Directory::new(&path).unwrap(), sync_each());
+    store.append(b"third", 4.0).unwrap();
     drop(store);
     for name in FILES {
         let written = std::fs::read(path.join(name)).unwrap();
