--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -3,7 +3,7 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use std::io::Write;
-use tansymux::interface::{Bounds, Writer};
+use tansymux::events::{AttemptLimits, DecisionSink};
 
 pub struct Reply<'a> {
     pub to: &'a mut Vec<u8>,
@@ -25,21 +25,21 @@
     (ms.max(0.0) * 1000.0 - 1e-3).ceil() as u64
 }
 
-impl Writer for Reply<'_> {
-    fn submit(&mut self, id: u64, engine_id: u64, Bounds { until, .. }: Bounds) {
+impl DecisionSink for Reply<'_> {
+    fn submit(&mut self, id: u64, engine_id: u64, limits: AttemptLimits) {
         action!(
             self,
             "try {} {id} {engine_id} {}",
             self.dispatcher,
-            up_to(until)
+            up_to(limits.deadline_ms)
         );
     }
-    fn reject(&mut self, id: u64, retry_after: f64) {
+    fn reject(&mut self, id: u64, retry_after_ms: f64) {
         action!(
             self,
             "not_now {} {id} {}",
             self.dispatcher,
-            up_to(retry_after)
+            up_to(retry_after_ms)
         );
     }
     fn fail(&mut self, id: u64) {
@@ -55,17 +55,17 @@
             self.dispatcher
         );
     }
-    fn probe(&mut self, engine_id: u64) {
+    fn check_health(&mut self, engine_id: u64) {
         action!(self, "sound_out {} {engine_id}", self.dispatcher);
     }
-    fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
+    fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
         let content = BASE64_STANDARD.encode(content);
         match peer {
             Some(peer) => action!(self, "share {} {peer} {content}", self.dispatcher),
             None => action!(self, "share {} all {content}", self.dispatcher),
         }
     }
-    fn timer(&mut self, delay: f64, handle: u64) {
+    fn set_timer(&mut self, delay: f64, handle: u64) {
         action!(
             self,
             "notify_me {} {} {handle}",
@@ -73,13 +73,9 @@
             at_least(delay)
         );
     }
-    fn watch_list(&mut self) {
+    fn watch_endpoints(&mut self) {
         action!(self, "track {} 1", self.dispatcher);
     }
-    fn note(&mut self, text: &str) {
-        let text = text.replace('\n', " ");
-        action!(self, "trace {} {text}", self.dispatcher);
-    }
 }
 
 #[cfg(test)]
@@ -93,15 +89,15 @@
             to: &mut to,
             dispatcher: 3,
         };
-        let until = |until| Bounds {
-            until,
-            begin_by: until,
-            harmless: true,
+        let until = |until| AttemptLimits {
+            deadline_ms: until,
+            start_by_ms: until,
+            side_effect_free: true,
         };
         reply.submit(7, 9, until(1000.0019));
-        reply.timer(2.0001, 1);
+        reply.set_timer(2.0001, 1);
         reply.submit(7, 9, until(8492.25));
-        reply.timer(20.0, 1);
+        reply.set_timer(20.0, 1);
         let text = String::from_utf8(to).unwrap();
         assert_eq!(
             text,
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -7,9 +7,12 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::str::SplitN;
-use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
-use tansymux::told;
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate, HealthCheckEnded,
+    NoteKind, Outcome, PeerMessage, ProgressNote, QueryArrived, ResourceUsage, StatementTraits,
+};
+use tansymux::settings;
 
 const CENSUS_SLOTS: usize = 16;
 const EVENTS: [&str; 11] = [
@@ -180,8 +183,12 @@
         let mut fields = Fields::of(rest, 3);
         fields.next("dispatcher").map_err(wrong)?;
         let seed = fields.number("nonce64").map_err(wrong)?;
-        let told = told::read_pairs(fields.next("profile-data").map_err(wrong)?).map_err(wrong)?;
-        instances.insert(dispatcher, Control::new(seed, &told).map_err(wrong)?);
+        let told = settings::parse_pairs(fields.next("profile-data").map_err(wrong)?)
+            .map_err(|error| wrong(error.to_string()))?;
+        instances.insert(
+            dispatcher,
+            Control::new(seed, &told).map_err(|error| wrong(error.to_string()))?,
+        );
         events = &events[start + 1..];
     }
     if events.is_empty() {
@@ -197,7 +204,11 @@
         events,
         wrong: None,
     };
-    if catch_unwind(AssertUnwindSafe(|| control.round(now, &mut lines, reply))).is_err() {
+    if catch_unwind(AssertUnwindSafe(|| {
+        control.run_round(now, &mut lines, reply)
+    }))
+    .is_err()
+    {
         let _ = writeln!(
             reply.to,
             "fault {dispatcher} the decisions panicked, see standard error"
@@ -215,8 +226,8 @@
     wrong: Option<Wrong>,
 }
 
-impl Feed for Lines<'_> {
-    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+impl EventSource for Lines<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         for event in self.events {
             if let Err(what) = hand_over(event, control, out) {
                 self.wrong = Some(Wrong {
@@ -229,23 +240,27 @@
     }
 }
 
-fn hand_over(event: &Event, control: &mut Control, out: &mut dyn Writer) -> Result<(), String> {
+fn hand_over(
+    event: &Event,
+    control: &mut Control,
+    out: &mut dyn DecisionSink,
+) -> Result<(), String> {
     let (word, rest) = event.text.split_once(' ').unwrap_or((event.text, ""));
     let mut f = Fields::of(rest, 12);
     f.next("dispatcher")?;
     match word {
         "update" => {
             let form = match f.next("form")? {
-                "D" => ListForm::Changes,
-                "F" => ListForm::Full,
-                "C" => ListForm::Remembered,
-                "X" => ListForm::Failed,
+                "D" => EndpointListKind::Delta,
+                "F" => EndpointListKind::Snapshot,
+                "C" => EndpointListKind::Cached,
+                "X" => EndpointListKind::Failed,
                 other => return Err(format!("unknown list form {other:?}")),
             };
             f.number::<u64>("rev")?;
             f.next("slot").ok();
             f.end()?;
-            control.list_begins(form);
+            control.begin_update(form);
             if let Some(census) = &event.census {
                 for (i, entry) in census.text.lines().enumerate() {
                     list_entry(entry, control).map_err(|what| {
@@ -256,7 +271,7 @@
                     })?;
                 }
             }
-            control.list_ends(form, out);
+            control.finish_update(form, out);
         }
         "inbound" => {
             let id = f.number("txn")?;
@@ -282,18 +297,20 @@
             let flags: u32 = f.optional("flags")?.map_or(Ok(0), |v| parse(v, "flags"))?;
             f.end()?;
             let cost = if flags & 1 == 1 { millis(cost) } else { 0.0 };
-            control.query(
-                id,
-                rg,
+            let query = QueryArrived {
+                query_id: id,
+                group: rg,
                 tenant,
                 key,
-                due,
-                cost,
-                memory,
-                tables as u32,
-                Text::UNREAD,
-                out,
-            )?;
+                deadline_ms: due,
+                estimated_cost_ms: cost,
+                memory_mb: memory,
+                tables: tables as u32,
+                statement: StatementTraits::UNKNOWN,
+            };
+            control
+                .on_query_arrived(&query, out)
+                .map_err(|error| error.to_string())?;
         }
         "closed_attempt" => {
             let id = f.number("txn")?;
@@ -304,36 +321,51 @@
             let engine_id = f.number("node")?;
             let latency = millis(f.number("latency-us")?);
             report(&mut f)?;
-            let (work, memory) = ((bill >> 12) as f64, (bill & 4095) as f64 * 4.0);
-            control.closed(
-                id, attempt, complete, outcome, engine_id, latency, work, memory, out,
-            );
+            let used = ResourceUsage {
+                thread_ms: (bill >> 12) as f64,
+                memory_mb: (bill & 4095) as f64 * 4.0,
+            };
+            let ended = AttemptEnded {
+                query_id: id,
+                attempt,
+                engine_id,
+                outcome,
+                answer_delivered: complete,
+                latency_ms: latency,
+                used: Some(used),
+            };
+            control.on_attempt_ended(&ended, out);
         }
         "status_note" => {
             let id = f.number("txn")?;
             let amount = f.number("amount")?;
             let note = match f.number("sort")? {
-                1 => Note::Progress,
-                2 => Note::Spills,
-                3 => Note::Waits,
+                1 => NoteKind::Progress,
+                2 => NoteKind::Spilling,
+                3 => NoteKind::Waiting,
                 other => return Err(format!("unknown sort of note {other}")),
             };
             let attempt = f.number("round-no")?;
             f.number::<u64>("node")?;
             f.end()?;
-            control.noted(id, attempt, note, amount);
+            control.on_progress_note(&ProgressNote {
+                query_id: id,
+                attempt,
+                kind: note,
+                amount,
+            });
         }
         "ping_result" => {
             let outcome = outcome(f.next("state-code")?)?;
             let engine_id = f.number("node")?;
             f.number::<u64>("latency-us")?;
             report(&mut f)?;
-            control.probed(engine_id, outcome);
+            control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
         }
         "vanished" => {
             let id = f.number("txn")?;
             f.end()?;
-            control.vanished(id, out);
+            control.on_client_gone(id, out);
         }
         "deadline_hit" => {
             // A timer only makes the round come.
@@ -353,10 +385,11 @@
                 BASE64_STANDARD.decode(text)
             };
             f.end()?;
-            control.told_by(
+            let content = content.map_err(|_| format!("content {text:?} is not base64"))?;
+            control.on_peer_message(&PeerMessage {
                 peer,
-                &content.map_err(|_| format!("content {text:?} is not base64"))?,
-            );
+                content: &content,
+            });
         }
         other => return Err(format!("unknown event {other:?}")),
     }
@@ -369,9 +402,9 @@
     let kind = f.next("family-type")?;
     let zone = f.next("rack-zone")?;
     let status = match f.next("status")? {
-        "ready" => EngineStatus::Ready,
-        "draining" => EngineStatus::Draining,
-        "gone" => EngineStatus::Gone,
+        "ready" => EndpointState::Ready,
+        "draining" => EndpointState::Draining,
+        "gone" => EndpointState::Gone,
         other => return Err(format!("unknown engine status {other:?}")),
     };
     let started = match f
@@ -386,7 +419,14 @@
     f.optional("capacity-hint")?
         .map_or(Ok(1.0), |v| parse::<f64>(v, "capacity-hint"))?;
     f.end()?;
-    control.listed(engine_id, kind, zone, status, started, cell);
+    control.upsert_endpoint(&EndpointUpdate {
+        engine_id,
+        kind,
+        zone,
+        state: status,
+        started_ms: started,
+        cell,
+    });
     Ok(())
 }
 
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -22,8 +22,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use table::{ConnectionTable, Entry, State};
-use tansymux::interface::Text;
-use tansymux::told;
+use tansymux::events::StatementTraits;
+use tansymux::settings;
 use tansymux_sql_analysis::table_group;
 
 /// The paths of the protocol, and one for the counters.
@@ -551,7 +551,7 @@
             .admission
             .tenants
             .iter()
-            .find(|known| told::is_named(known, owner));
+            .find(|known| settings::matches_name(known, owner));
         if tenant.is_none() && !self.admission.tenants.is_empty() {
             return Err((403, "unknown customer"));
         }
@@ -570,7 +570,9 @@
         let rg = named.or(of_class).ok_or((404, "Unknown"))?;
         let (text, shape) = read
             .as_ref()
-            .map_or((Text::UNREAD, None), |read| (read.text, Some(read.shape)));
+            .map_or((StatementTraits::UNKNOWN, None), |read| {
+                (read.text, Some(read.shape))
+            });
         // What a client tells of its bare statement holds; what it does not tell is estimated.
         let estimate = |told: f64, read: Option<f64>, most: f64| {
             if told > 0.0 {
@@ -580,7 +582,10 @@
             }
         };
         let text = if cost > 0.0 {
-            Text { sure: 1.0, ..text }
+            StatementTraits {
+                confidence: 1.0,
+                ..text
+            }
         } else {
             text
         };
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -10,8 +10,8 @@
 use serde_json::{Map as Object, Value};
 use std::fmt;
 use std::net::SocketAddr;
-use tansymux::interface::EngineStatus;
-use tansymux::told::{self, Map, Told};
+use tansymux::events::EndpointState;
+use tansymux::settings::{self, RawSettings, SettingsMap};
 
 const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
 const LISTEN_VARIABLE: &str = "RELAY_LISTEN";
@@ -69,7 +69,7 @@
     pub resolver: Option<SocketAddr>,
     pub directory: EndpointDirectory,
     /// The settings as the decisions take them: a plain map.
-    pub told: Map,
+    pub told: SettingsMap,
     /// The configuration as it stands in the file, to tell what another one changes.
     pub text: Value,
 }
@@ -282,7 +282,7 @@
         return Err(vec![Wrong::whole("the configuration is not an object")]);
     }
     let mut faults = Faults::default();
-    let mut told = Map::new();
+    let mut told = SettingsMap::new();
     if let Some(settings) = faults.keep(root.key("settings").object()) {
         flatten("", &Value::Object(settings.clone()), &mut told);
         for name in ["balancers", "services.count"] {
@@ -330,9 +330,11 @@
         .key("settings")
         .key("family-info")
         .key("tells-every-us");
-    let count = told.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    let count = told
+        .number(&settings::list_count("services"))
+        .unwrap_or(0.0) as usize;
     let times = |key: &str| -> Vec<f64> {
-        let path = |i| format!("{}.{key}", told::item_of("services", i));
+        let path = |i| format!("{}.{key}", settings::list_item("services", i));
         (0..count).filter_map(|i| told.millis(&path(i))).collect()
     };
     let terms = Terms {
@@ -359,7 +361,7 @@
     let max_cost = largest("family-info.cores-by-kind").map(|cores| cores * max_wait);
     let may_be_told = told
         .get("limits.retry-after")
-        .is_none_or(|value| told::is_true(value));
+        .is_none_or(|value| settings::is_true(value));
     let max_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
     let admission = Admission {
         max_connections: part_of(CLIENTS_PART),
@@ -437,9 +439,9 @@
         for entry in event.key("nodes").key("instances").items()? {
             let state = entry.key("lifecycle");
             let status = match state.text()? {
-                "Ready" => EngineStatus::Ready,
-                "Terminating" => EngineStatus::Draining,
-                "Gone" => EngineStatus::Gone,
+                "Ready" => EndpointState::Ready,
+                "Terminating" => EndpointState::Draining,
+                "Gone" => EndpointState::Gone,
                 _ => return Err(state.wrong("Ready, Terminating or Gone")),
             };
             let engine = EndpointEntry {
@@ -462,18 +464,18 @@
 }
 
 /// The names of a list of objects in the settings.
-fn names(told: &Map, path: &str) -> Vec<String> {
-    let count = told.number(&told::count_of(path)).unwrap_or(0.0) as usize;
+fn names(told: &SettingsMap, path: &str) -> Vec<String> {
+    let count = told.number(&settings::list_count(path)).unwrap_or(0.0) as usize;
     (0..count)
         .filter_map(|i| {
-            told.get(&format!("{}.name", told::item_of(path, i)))
+            told.get(&format!("{}.name", settings::list_item(path, i)))
                 .cloned()
         })
         .collect()
 }
 
 /// Lays nested settings out flat: lists of objects by their places, lists of plain values in one.
-fn flatten(path: &str, value: &Value, to: &mut Map) {
+fn flatten(path: &str, value: &Value, to: &mut SettingsMap) {
     let plain = |value: &Value| match value {
         Value::String(text) => text.clone(),
         other => other.to_string(),
@@ -493,15 +495,15 @@
             }
         }
         Value::Array(items) if items.iter().any(Value::is_object) => {
-            told::put(to, &told::count_of(path), &items.len().to_string());
+            settings::insert(to, &settings::list_count(path), &items.len().to_string());
             items
                 .iter()
                 .enumerate()
-                .for_each(|(i, item)| flatten(&told::item_of(path, i), item, to));
+                .for_each(|(i, item)| flatten(&settings::list_item(path, i), item, to));
         }
-        Value::Array(items) => told::put_list(to, path, items.iter().map(plain)),
+        Value::Array(items) => settings::insert_list(to, path, items.iter().map(plain)),
         Value::Null => {}
-        other => told::put(to, path, &plain(other)),
+        other => settings::insert(to, path, &plain(other)),
     }
 }
 
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -50,7 +50,7 @@
     let engine = &config.directory.all()[0];
     assert_eq!(
         (engine.status, engine.started),
-        (EngineStatus::Draining, Some(7.0))
+        (EndpointState::Draining, Some(7.0))
     );
     assert_eq!(
         parse(GOOD, Some("127.0.0.9:9")).unwrap().listen,
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 #[derive(Default)]
 pub struct Count(Cell<u64>);
--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddr};
-use tansymux::interface::EngineStatus;
+use tansymux::events::EndpointState;
 
 const MAX_ENGINES: usize = 1024;
 /// Events that one engine makes at most between two answers, and still nobody wonders: it drains, it goes, one comes
@@ -176,9 +176,9 @@
                 zone: zone.to_owned(),
                 cell: text("cell").and_then(|cell| cell.parse().ok()).unwrap_or(0),
                 status: if srv.priority == 0 {
-                    EngineStatus::Ready
+                    EndpointState::Ready
                 } else {
-                    EngineStatus::Draining
+                    EndpointState::Draining
                 },
                 started: text("started")
                     .and_then(|ms| ms.parse().ok())
@@ -187,11 +187,11 @@
             // Of two records of one engine the graver holds.
             if seen.insert(engine_id) {
                 listed.push(engine);
-            } else if engine.status == EngineStatus::Draining {
+            } else if engine.status == EndpointState::Draining {
                 listed
                     .iter_mut()
                     .filter(|e| e.engine_id == engine_id)
-                    .for_each(|e| e.status = EngineStatus::Draining);
+                    .for_each(|e| e.status = EndpointState::Draining);
             }
         }
         // Where a new engine has the address of an old one that is still listed, the old one is no more: what was meant for
@@ -216,7 +216,7 @@
     fn hold_to_what_ended(&self, listed: &mut Vec<EndpointEntry>) {
         let ended = |e: &EndpointEntry| {
             let drains = self.engines.get(&e.engine_id).is_some_and(|was| {
-                was.status == EngineStatus::Draining
+                was.status == EndpointState::Draining
                     && e.started.unwrap_or(0.0) <= was.started.unwrap_or(0.0)
             });
             let gone = self.gone.iter().any(|&(engine_id, started)| {
@@ -224,7 +224,7 @@
             });
             (drains, gone)
         };
-        let ready = |e: &EndpointEntry| e.status == EngineStatus::Ready;
+        let ready = |e: &EndpointEntry| e.status == EndpointState::Ready;
         if listed.iter().any(ready)
             && listed
                 .iter()
@@ -237,7 +237,7 @@
         listed
             .iter_mut()
             .filter(|e| ended(e).0)
-            .for_each(|e| e.status = EngineStatus::Draining);
+            .for_each(|e| e.status = EndpointState::Draining);
     }
 
     /// Puts a list in the place of the one before; all of it, and those that are gone.
@@ -251,7 +251,7 @@
             .filter(|engine| !self.engines.contains_key(&engine.engine_id));
         let mut gone: Vec<EndpointEntry> = gone
             .map(|e| EndpointEntry {
-                status: EngineStatus::Gone,
+                status: EndpointState::Gone,
                 ..e
             })
             .collect();
--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -44,7 +44,7 @@
     directory
 }
 
-fn status(directory: &EndpointDirectory, id: &str) -> Option<EngineStatus> {
+fn status(directory: &EndpointDirectory, id: &str) -> Option<EndpointState> {
     let engine_id = u64::from(tansymux_operator_config::number_of(id));
     directory
         .all()
@@ -67,7 +67,7 @@
         kind: "std".into(),
         zone: "east".into(),
         cell: 1,
-        status: EngineStatus::Ready,
+        status: EndpointState::Ready,
         started: None,
     });
     let Applied::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else {
@@ -80,8 +80,8 @@
     assert_eq!(
         told,
         [
-            (false, EngineStatus::Draining, "std", 2),
-            (true, EngineStatus::Gone, "std", 1)
+            (false, EndpointState::Draining, "std", 2),
+            (true, EndpointState::Gone, "std", 1)
         ]
     );
     assert_eq!(
@@ -168,7 +168,7 @@
         directory.take(&answer(5, &other), 15),
         Applied::List(_)
     ));
-    assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
+    assert_eq!(status(&directory, "s-1"), Some(EndpointState::Draining));
 }
 
 #[test]
@@ -197,8 +197,8 @@
         directory.take(&answer(6, &three), 14),
         Applied::List(_)
     ));
-    assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
-    assert_eq!(status(&directory, "s-2"), Some(EngineStatus::Ready));
+    assert_eq!(status(&directory, "s-1"), Some(EndpointState::Draining));
+    assert_eq!(status(&directory, "s-2"), Some(EndpointState::Ready));
     assert_eq!(status(&directory, "s-3"), None);
     // An engine that started since is another matter, and so is what goes a step ahead.
     let mut directory = told_two(5);
@@ -215,7 +215,7 @@
         directory.take(&answer(5, &anew), 13),
         Applied::List(_)
     ));
-    assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
+    assert_eq!(status(&directory, "s-1"), Some(EndpointState::Ready));
 }
 
 #[test]
@@ -233,7 +233,7 @@
         directory.take(&answer(5, TWO), 13),
         Applied::List(_)
     ));
-    assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
+    assert_eq!(status(&directory, "s-1"), Some(EndpointState::Ready));
 }
 
 #[test]
@@ -244,7 +244,7 @@
         panic!()
     };
     assert_eq!(listed.len(), 2);
-    assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
+    assert_eq!(status(&directory, "s-1"), Some(EndpointState::Draining));
 }
 
 #[test]
@@ -264,14 +264,14 @@
     };
     let gone: Vec<u64> = listed
         .iter()
-        .filter(|e| e.status == EngineStatus::Gone)
+        .filter(|e| e.status == EndpointState::Gone)
         .map(|e| e.engine_id)
         .collect();
     assert_eq!(
         gone,
         [u64::from(tansymux_operator_config::number_of("s-1"))]
     );
-    assert_eq!(status(&directory, "s-3"), Some(EngineStatus::Ready));
+    assert_eq!(status(&directory, "s-3"), Some(EndpointState::Ready));
 }
 
 #[test]
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -11,7 +11,7 @@
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tansymux::interface::ListForm;
+use tansymux::events::EndpointListKind;
 
 const SERVICE: &str = "_back._tcp.pool.lan";
 /// What the service has to tell counts as told 7 s later at the latest, and a drain's grace may be a quarter of a
@@ -131,7 +131,7 @@
             Applied::List(engines) => {
                 self.registry.counters.lists.add();
                 self.registry.push_event(Event::List {
-                    form: ListForm::Full,
+                    form: EndpointListKind::Snapshot,
                     engines,
                 });
             }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -23,10 +23,13 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::control::Control;
-use tansymux::interface::{Bounds, Feed, ListForm, Note, Outcome, Writer};
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointUpdate, HealthCheckEnded,
+    NoteKind, Outcome, PeerMessage, ProgressNote, QueryArrived,
+};
 use tansymux::pcg::Pcg;
-use tansymux::told::Map;
+use tansymux::settings::SettingsMap;
 use tansymux_operator_config::Operator;
 
 /// After the signal to end: how long new connections are still waited for (ms). The platform sends new ones for 0.4 s
@@ -73,7 +76,7 @@
     /// The configuration in force, and the part of it that may change.
     text: Value,
     resolver: Rc<Cell<Option<SocketAddr>>>,
-    told: Map,
+    told: SettingsMap,
     /// Flags, which go before the operators' file.
     common: Common,
     /// When the decisions want their next round.
@@ -145,7 +148,7 @@
                 .map(|fleet| executor.spawn(fleet.clone().run())),
         );
         registry.push_event(Event::List {
-            form: ListForm::Remembered,
+            form: EndpointListKind::Cached,
             engines: config.directory.all(),
         });
         let resolver = Rc::new(Cell::new(config.resolver));
@@ -241,21 +244,21 @@
         if now >= *decisions.timer {
             *decisions.timer = f64::INFINITY;
         }
-        self.control.round(now, &mut feed, &mut decisions);
+        self.control.run_round(now, &mut feed, &mut decisions);
         let message = levels.look(now, descriptors, &mut self.control);
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
-            decisions.tell(None, &message);
+            decisions.send_to_peer(None, &message);
         }
         let message = zones.look(now, &mut self.control, self.fleet.as_deref());
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
-            decisions.tell(None, &message);
+            decisions.send_to_peer(None, &message);
         }
         if zones.looked_at(now) {
             if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
                 self.registry.probe(engine_id);
             }
             zones.spills(
-                |zone| self.control.spilled(zone),
+                |zone| self.control.spilled_threads(zone),
                 &mut self.clients.spilled.borrow_mut(),
             );
         }
@@ -263,11 +266,11 @@
             let changed = fleet.look(
                 now,
                 descriptors as f64 / self.sockets.max(1.0),
-                self.control.threads_out(),
+                self.control.threads_in_flight(),
             );
             if !changed.is_empty() {
                 self.registry.push_event(Event::List {
-                    form: ListForm::Changes,
+                    form: EndpointListKind::Delta,
                     engines: changed,
                 });
             }
@@ -410,8 +413,8 @@
     now: f64,
 }
 
-impl Feed for Events<'_> {
-    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+impl EventSource for Events<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         while let Some(event) = self.registry.next_event() {
             match event {
                 Event::Query {
@@ -431,16 +434,25 @@
                     if self.registry.over(query) {
                         continue;
                     }
-                    let taken = control.query(
-                        query, &rg, &tenant, key, due, cost, memory, tables, text, out,
-                    );
+                    let arrived = QueryArrived {
+                        query_id: query,
+                        group: &rg,
+                        tenant: &tenant,
+                        key,
+                        deadline_ms: due,
+                        estimated_cost_ms: cost,
+                        memory_mb: memory,
+                        tables,
+                        statement: text,
+                    };
+                    let taken = control.on_query_arrived(&arrived, out);
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
                         self.registry.answer(query, Answer::Failed);
                     }
                 }
                 Event::Vanished { query } => {
-                    control.vanished(query, out);
+                    control.on_client_gone(query, out);
                     self.registry.leave(query);
                 }
                 Event::Closed {
@@ -472,9 +484,16 @@
                     }
                     let complete = self.registry.over(query);
                     self.registry.closed(query);
-                    control.closed(
-                        query, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
-                    );
+                    let ended = AttemptEnded {
+                        query_id: query,
+                        attempt,
+                        engine_id,
+                        outcome,
+                        answer_delivered: complete,
+                        latency_ms: latency,
+                        used: None,
+                    };
+                    control.on_attempt_ended(&ended, out);
                 }
                 Event::Noted {
                     query,
@@ -489,14 +508,19 @@
                     {
                         self.zones.noted(self.now, engine_id);
                     }
-                    if note == Note::Waits {
+                    if note == NoteKind::Waiting {
                         self.registry.waits(query);
                     }
-                    control.noted(query, attempt, note, amount)
+                    control.on_progress_note(&ProgressNote {
+                        query_id: query,
+                        attempt,
+                        kind: note,
+                        amount,
+                    });
                 }
                 Event::Probed { engine_id, outcome } => {
                     self.zones.ended(self.now, engine_id, outcome);
-                    control.probed(engine_id, outcome);
+                    control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
                 }
                 Event::List { form, mut engines } => {
                     self.fleet
@@ -504,18 +528,28 @@
                         .for_each(|fleet| fleet.listed(&mut engines));
                     self.classes.listed(&engines);
                     self.zones.listed(self.now, &engines);
-                    control.list_begins(form);
+                    control.begin_update(form);
                     for e in &engines {
                         self.engines.listed(e);
-                        control.listed(e.engine_id, &e.kind, &e.zone, e.status, e.started, e.cell);
+                        control.upsert_endpoint(&EndpointUpdate {
+                            engine_id: e.engine_id,
+                            kind: &e.kind,
+                            zone: &e.zone,
+                            state: e.status,
+                            started_ms: e.started,
+                            cell: e.cell,
+                        });
                     }
-                    control.list_ends(form, out);
+                    control.finish_update(form, out);
                 }
                 Event::Told { peer, content } => {
                     let taken = self.levels.heard(self.now, peer, &content)
                         || self.zones.heard(self.now, peer, &content);
                     if !taken {
-                        control.told_by(peer, &content);
+                        control.on_peer_message(&PeerMessage {
+                            peer,
+                            content: &content,
+                        });
                     }
                 }
             }
@@ -555,8 +589,8 @@
     timer: &'a mut f64,
 }
 
-impl Writer for Decisions<'_> {
-    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
+impl DecisionSink for Decisions<'_> {
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: AttemptLimits) {
         self.registry.submit(id, engine_id, bounds);
     }
     fn reject(&mut self, id: u64, retry_after: f64) {
@@ -573,20 +607,17 @@
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.registry.grant(id, priority, memory);
     }
-    fn probe(&mut self, engine_id: u64) {
+    fn check_health(&mut self, engine_id: u64) {
         self.registry.probe(engine_id);
     }
-    fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
+    fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
         if let Some(peers) = self.peers {
             peers.send(peer, content);
         }
     }
-    fn timer(&mut self, delay: f64, _handle: u64) {
+    fn set_timer(&mut self, delay: f64, _handle: u64) {
         *self.timer = self.timer.min(self.now + delay);
     }
     /// The name service is asked all the time, and its list comes when it has changed.
-    fn watch_list(&mut self) {}
-    fn note(&mut self, text: &str) {
-        tracing::info!("{text}");
-    }
+    fn watch_endpoints(&mut self) {}
 }
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice};
 use std::rc::Rc;
-use tansymux::interface::{Bounds, Note, Outcome};
+use tansymux::events::{AttemptLimits, NoteKind, Outcome};
 
 /// Pages of a result at most, and bytes of them.
 const MAX_PAGES: usize = 64;
@@ -46,23 +46,25 @@
     pub sent: f64,
     pub until: f64,
     /// What has not begun to go out by then does not any more.
-    pub begin_by: f64,
+    pub start_by_ms: f64,
     /// Pages so far, and how many there are once that is known.
     pages: Vec<Option<Vec<u8>>>,
     missing: usize,
 }
 
 impl Attempt {
-    pub fn new(query: u64, number: usize, sent: f64, bounds: Bounds) -> Self {
-        let Bounds {
-            until, begin_by, ..
+    pub fn new(query: u64, number: usize, sent: f64, bounds: AttemptLimits) -> Self {
+        let AttemptLimits {
+            deadline_ms: until,
+            start_by_ms,
+            ..
         } = bounds;
         Attempt {
             query,
             number,
             sent,
             until,
-            begin_by,
+            start_by_ms,
             pages: Vec::new(),
             missing: 0,
         }
@@ -106,7 +108,7 @@
     Noted {
         query: u64,
         attempt: usize,
-        note: Note,
+        note: NoteKind,
         amount: f64,
     },
     Probed(Outcome),
@@ -284,7 +286,7 @@
 
     /// Those of them that may not begin any more.
     pub fn too_late_to_begin(&self, now: f64) -> impl Iterator<Item = Rc<str>> + '_ {
-        let late = move |id: &Rc<str>| self.attempts.get(id).is_some_and(|s| s.begin_by <= now);
+        let late = move |id: &Rc<str>| self.attempts.get(id).is_some_and(|s| s.start_by_ms <= now);
         self.not_begun().filter(late)
     }
 
@@ -368,9 +370,9 @@
             b"TELL" => {
                 let amount = resp::field(fields, "num").and_then(|n| n.parse::<f64>().ok());
                 let note = match resp::field(fields, "tell") {
-                    Some("frac") => Note::Progress,
-                    Some("missing") => Note::Spills,
-                    Some("parked") => Note::Waits,
+                    Some("frac") => NoteKind::Progress,
+                    Some("missing") => NoteKind::Spilling,
+                    Some("parked") => NoteKind::Waiting,
                     _ => return Heard::Nothing,
                 };
                 let Some(amount) = amount.filter(|n| n.is_finite()) else {
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -15,10 +15,10 @@
             query,
             0,
             5.0,
-            Bounds {
-                until: 90.0,
-                begin_by: 90.0,
-                harmless: true,
+            AttemptLimits {
+                deadline_ms: 90.0,
+                start_by_ms: 90.0,
+                side_effect_free: true,
             },
         ),
     );
@@ -190,11 +190,11 @@
 #[test]
 fn what_may_not_begin_any_more_is_told_and_what_has_begun_is_not() {
     let mut connection = connection();
-    for (id, begin_by) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
-        let bounds = Bounds {
-            until: 90.0,
-            begin_by,
-            harmless: false,
+    for (id, start_by_ms) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
+        let bounds = AttemptLimits {
+            deadline_ms: 90.0,
+            start_by_ms,
+            side_effect_free: false,
         };
         let attempt = Attempt::new(4, 0, 5.0, bounds);
         connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), attempt);
@@ -212,7 +212,7 @@
     let told = Heard::Noted {
         query: 4,
         attempt: 0,
-        note: Note::Progress,
+        note: NoteKind::Progress,
         amount: 0.5,
     };
     assert_eq!(
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tansymux::interface::{Bounds, EngineStatus, Outcome};
+use tansymux::events::{AttemptLimits, EndpointState, Outcome};
 
 /// Connections to one engine at most, and how many attempts they are to carry where each takes few.
 const MAX_CONNECTIONS_AN_ENGINE: usize = 12;
@@ -134,7 +134,7 @@
             connections: Vec::new(),
         };
         let engine = engines.entry(told.engine_id).or_insert_with(fresh);
-        let gone = told.status == EngineStatus::Gone;
+        let gone = told.status == EndpointState::Gone;
         engine.gone = gone;
         engine.zone.clone_from(&told.zone);
         let moved = told.address.is_some() && told.address != engine.address;
@@ -154,7 +154,7 @@
         drop(engines);
         for channel in channels
             .iter()
-            .filter(|_| retire || told.status == EngineStatus::Draining)
+            .filter(|_| retire || told.status == EndpointState::Draining)
         {
             let waiting: Vec<Rc<str>> = channel.connection.borrow().not_begun().collect();
             waiting
@@ -187,12 +187,12 @@
         }
     }
 
-    fn submit(self: &Rc<Self>, query: u64, number: usize, engine_id: u64, bounds: Bounds) {
+    fn submit(self: &Rc<Self>, query: u64, number: usize, engine_id: u64, bounds: AttemptLimits) {
         let now = self.clock.now();
         let read = |q: &Query| {
             (
                 q.id.clone(),
-                fields_of(q, bounds.until - now),
+                fields_of(q, bounds.deadline_ms - now),
                 q.statement.clone(),
                 q.cost,
             )
@@ -200,7 +200,7 @@
         let Some((id, fields, statement, cost)) = self.registry.with(query, read) else {
             return;
         };
-        let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
+        let Some(channel) = self.channel_for(engine_id, &id, bounds.side_effect_free) else {
             return self.closed(
                 query,
                 number,
@@ -236,7 +236,7 @@
         self: &Rc<Self>,
         engine_id: u64,
         id: &str,
-        harmless: bool,
+        side_effect_free: bool,
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
@@ -246,7 +246,11 @@
         let address = engine.address?;
         let now = self.clock.now();
         let longest = self.keep_alive.borrow_mut().longest(now);
-        let trusted = if harmless { longest } else { keep_alive::LEAST };
+        let trusted = if side_effect_free {
+            longest
+        } else {
+            keep_alive::LEAST
+        };
         // Of those that stand alike the one with the least out, one that is up, the one used last: the rest go idle.
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
@@ -628,8 +632,8 @@
                 channel.notify.notify();
             }
             let ends = |s: &Attempt| {
-                s.until.min(if s.begin_by > now {
-                    s.begin_by
+                s.until.min(if s.start_by_ms > now {
+                    s.start_by_ms
                 } else {
                     f64::INFINITY
                 })
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,14 +1,14 @@
 use super::*;
 use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
-use tansymux::interface::Text;
+use tansymux::events::StatementTraits;
 
-const LONG: Bounds = Bounds {
-    until: 1e15,
-    begin_by: 1e15,
-    harmless: true,
+const LONG: AttemptLimits = AttemptLimits {
+    deadline_ms: 1e15,
+    start_by_ms: 1e15,
+    side_effect_free: true,
 };
 
-fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> EndpointEntry {
+fn engine(status: EndpointState, started: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     EndpointEntry {
         engine_id: 7,
@@ -22,7 +22,7 @@
 }
 
 /// A attempt that waits for its connection, which stays coming up, as no task runs.
-fn waiting(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
+fn waiting(bounds: AttemptLimits) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let terms = Terms {
         connect_timeout: 250.0,
         idle: 30_000.0,
@@ -36,9 +36,9 @@
         Rc::new(LocalExecutor::new()),
     );
     let side = EnginePool::new(registry.clone(), Clock::start(), executor, terms);
-    side.listed(&engine(EngineStatus::Ready, None, 9));
+    side.listed(&engine(EndpointState::Ready, None, 9));
     let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-    let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
+    let (text, shape, marks) = (StatementTraits::UNKNOWN, None, RequestKeys::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
     let asked = QueryRequest {
         id,
@@ -77,11 +77,11 @@
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
     for (then, back) in [
-        (engine(EngineStatus::Ready, None, 9), false),
-        (engine(EngineStatus::Draining, None, 9), true),
-        (engine(EngineStatus::Gone, None, 9), true),
-        (engine(EngineStatus::Ready, Some(5.0), 9), true),
-        (engine(EngineStatus::Ready, None, 10), true),
+        (engine(EndpointState::Ready, None, 9), false),
+        (engine(EndpointState::Draining, None, 9), true),
+        (engine(EndpointState::Gone, None, 9), true),
+        (engine(EndpointState::Ready, Some(5.0), 9), true),
+        (engine(EndpointState::Ready, None, 10), true),
     ] {
         let (registry, side, ..) = waiting(LONG);
         side.listed(&then);
@@ -103,8 +103,8 @@
 
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (registry, side, ..) = waiting(Bounds {
-        begin_by: Clock::start().now() + 30.0,
+    let (registry, side, ..) = waiting(AttemptLimits {
+        start_by_ms: Clock::start().now() + 30.0,
         ..LONG
     });
     let next = side.sweep();
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -11,8 +11,8 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
-use tansymux::interface::{EngineStatus, Outcome};
-use tansymux::told::{Map, Told};
+use tansymux::events::{EndpointState, Outcome};
+use tansymux::settings::{RawSettings, SettingsMap};
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::{Stand, Why};
 use tansymux_operator_config::{number_of, schema};
@@ -40,7 +40,7 @@
     bad: Cell<Option<Terms>>,
     zone: u32,
     version: Cell<u32>,
-    settings: Map,
+    settings: SettingsMap,
     listed: RefCell<Vec<EndpointEntry>>,
     said: Cell<f64>,
     /// The engines that were out at the last look.
@@ -57,7 +57,7 @@
     /// The address can't be bound.
     pub fn start(
         told: Option<&schema::Fleet>,
-        settings: &Map,
+        settings: &SettingsMap,
         clock: Clock,
         registry: Rc<QueryRegistry>,
         seed: u64,
@@ -219,21 +219,21 @@
         let mut listed = self.listed.borrow_mut();
         for engine in engines.iter() {
             listed.retain(|known| known.engine_id != engine.engine_id);
-            if engine.status != EngineStatus::Gone {
+            if engine.status != EndpointState::Gone {
                 listed.push(engine.clone());
             }
         }
         listed.sort_by_key(|engine| engine.engine_id);
         let cores = |kind: &str| {
             self.settings
-                .of_kind(kind, "family-info.cores-by-kind")
+                .for_kind(kind, "family-info.cores-by-kind")
                 .unwrap_or(1.0)
         };
         let unit = |engine: &EndpointEntry| Unit {
             id: engine.engine_id,
             zone: number_of(&engine.zone),
             version: 0,
-            there: engine.status == EngineStatus::Ready,
+            there: engine.status == EndpointState::Ready,
             capacity: cores(&engine.kind),
         };
         let units: Vec<Unit> = listed.iter().map(unit).collect();
@@ -241,10 +241,10 @@
         fleet.engines(&units);
         for engine in engines
             .iter_mut()
-            .filter(|engine| engine.status == EngineStatus::Ready)
+            .filter(|engine| engine.status == EndpointState::Ready)
         {
             if fleet.engine_out(engine.engine_id).is_some() {
-                engine.status = EngineStatus::Draining;
+                engine.status = EndpointState::Draining;
             }
         }
     }
--- a/crates/dispatcher/src/operator_config.rs
+++ b/crates/dispatcher/src/operator_config.rs
@@ -2,7 +2,7 @@
 
 use crate::config::text_of;
 use std::path::Path;
-use tansymux::told::{self, Map, Told};
+use tansymux::settings::{self, RawSettings, SettingsMap};
 use tansymux_operator_config::schema::term::Signal::Pressed;
 use tansymux_operator_config::{Fault, Operator, MAX_BYTES};
 
@@ -26,14 +26,16 @@
 }
 
 /// What this operators' file names and these settings do not have, or have with rules that are too mild.
-pub fn unfit(operator: &Operator, settings: &Map) -> Vec<String> {
-    let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+pub fn unfit(operator: &Operator, settings: &SettingsMap) -> Vec<String> {
+    let count = settings
+        .number(&settings::list_count("services"))
+        .unwrap_or(0.0) as usize;
     let effect_of = |name: &str| {
-        let item = |i| told::item_of("services", i);
+        let item = |i| settings::list_item("services", i);
         let of_name = |i: &usize| {
             settings
                 .get(&format!("{}.name", item(*i)))
-                .is_some_and(|n| told::is_named(n, name))
+                .is_some_and(|n| settings::matches_name(n, name))
         };
         let i = (0..count).find(of_name)?;
         Some(
--- a/crates/dispatcher/src/query_registry.rs
+++ b/crates/dispatcher/src/query_registry.rs
@@ -9,7 +9,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::interface::{Bounds, EngineStatus, ListForm, Note, Outcome, Text};
+use tansymux::events::{
+    AttemptLimits, EndpointListKind, EndpointState, NoteKind, Outcome, StatementTraits,
+};
 
 /// Queries in hand at most; what comes beyond is turned away at admission.
 pub const MAX_QUERIES: usize = 4096;
@@ -27,7 +29,7 @@
     pub kind: String,
     pub zone: String,
     pub cell: u32,
-    pub status: EngineStatus,
+    pub status: EndpointState,
     pub started: Option<f64>,
 }
 
@@ -41,7 +43,7 @@
         cost: f64,
         memory: f64,
         tables: u32,
-        text: Text,
+        text: StatementTraits,
     },
     Vanished {
         query: u64,
@@ -57,7 +59,7 @@
     Noted {
         query: u64,
         attempt: usize,
-        note: Note,
+        note: NoteKind,
         amount: f64,
     },
     Probed {
@@ -65,7 +67,7 @@
         outcome: Outcome,
     },
     List {
-        form: ListForm,
+        form: EndpointListKind,
         engines: Vec<EndpointEntry>,
     },
     Told {
@@ -81,7 +83,7 @@
         query: u64,
         attempt: usize,
         engine_id: u64,
-        bounds: Bounds,
+        bounds: AttemptLimits,
     },
     /// The query is over: what has not gone out of it does not any more.
     Withdraw {
@@ -224,7 +226,7 @@
     pub cost: f64,
     pub memory: f64,
     pub tables: u32,
-    pub text: Text,
+    pub text: StatementTraits,
     pub shape: Option<Shape>,
     pub marks: RequestKeys<'a>,
 }
@@ -388,7 +390,7 @@
     }
 
     /// Every attempt passes here: none for a query that is over, or has one out.
-    pub fn submit(&self, number: u64, engine_id: u64, bounds: Bounds) {
+    pub fn submit(&self, number: u64, engine_id: u64, bounds: AttemptLimits) {
         let mut queries = self.queries.borrow_mut();
         let Some(q) = queries
             .get_mut(&number)
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 
-const BOUNDS: Bounds = Bounds {
-    until: 90.0,
-    begin_by: 90.0,
-    harmless: true,
+const BOUNDS: AttemptLimits = AttemptLimits {
+    deadline_ms: 90.0,
+    start_by_ms: 90.0,
+    side_effect_free: true,
 };
 const ASKED: QueryRequest = QueryRequest {
     id: "9b1f03aa5c7e2d41",
@@ -15,7 +15,7 @@
     cost: 1.0,
     memory: 1.0,
     tables: 1,
-    text: Text::UNREAD,
+    text: StatementTraits::UNKNOWN,
     shape: None,
     marks: RequestKeys {
         token: None,
--- a/crates/dispatcher/src/service_levels.rs
+++ b/crates/dispatcher/src/service_levels.rs
@@ -5,8 +5,8 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::control::Control;
-use tansymux::state::Reduced;
-use tansymux::told::{self, Map, Told};
+use tansymux::settings::{self, RawSettings, SettingsMap};
+use tansymux::state::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
     Change, Definition, Degradation, Ended, LevelStateMachine, Signal, Why, Windows,
@@ -48,10 +48,12 @@
 pub const LONGEST_WAIT: f64 = 25_000.0;
 
 impl ServiceLevels {
-    pub fn new(settings: &Map, limits: Limits) -> Self {
-        let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    pub fn new(settings: &SettingsMap, limits: Limits) -> Self {
+        let count = settings
+            .number(&settings::list_count("services"))
+            .unwrap_or(0.0) as usize;
         let group = |i: usize| {
-            let item = told::item_of("services", i);
+            let item = settings::list_item("services", i);
             let threads = settings
                 .list("family-info.dop")
                 .get(i)
@@ -119,9 +121,9 @@
                 );
             }
         }
-        control.reduced = on
-            .as_ref()
-            .map_or_else(Reduced::default, |on| self.reduced(&on.machine.reduction()));
+        control.level = on.as_ref().map_or_else(LevelEffects::default, |on| {
+            self.effects_of(&on.machine.reduction())
+        });
     }
 
     fn begin(&self, definition: Definition) -> On {
@@ -138,28 +140,28 @@
     fn group(&self, name: &str) -> Option<usize> {
         self.groups
             .iter()
-            .position(|(known, ..)| told::is_named(known, name))
+            .position(|(known, ..)| settings::matches_name(known, name))
     }
 
     /// What a level asks for, with groups by their index.
-    fn reduced(&self, asked: &Degradation) -> Reduced {
+    fn effects_of(&self, asked: &Degradation) -> LevelEffects {
         let part = |(name, ..): &(String, f64, f64, f64)| {
             asked
                 .classes
                 .iter()
-                .find(|(asked, _)| told::is_named(name, asked))
+                .find(|(asked, _)| settings::matches_name(name, asked))
                 .map_or(1.0, |(_, part)| *part)
         };
-        Reduced {
-            bounds: asked.bounds,
-            demotion: asked.demotion,
-            grants: asked.grants,
-            retry: asked.retry_after,
-            spread: asked.spread,
-            withhold: asked.withhold_low,
-            close_over_share: asked.close_over_share,
-            min_sure: asked.min_sure,
-            classes: if asked.classes.is_empty() {
+        LevelEffects {
+            concurrency_factor: asked.bounds,
+            demotion_factor: asked.demotion,
+            grant_factor: asked.grants,
+            retry_after_factor: asked.retry_after,
+            retry_after_jitter: asked.spread,
+            withhold_low_retries: asked.withhold_low,
+            reject_over_share: asked.close_over_share,
+            min_confidence: asked.min_sure,
+            group_fractions: if asked.classes.is_empty() {
                 Vec::new()
             } else {
                 self.groups.iter().map(part).collect()
@@ -197,20 +199,20 @@
                     .map(|name| self.group(name).unwrap_or(usize::MAX))
             };
             *reading = match signal {
-                Signal::Pressed(zone) => control.part_pressed(zone.as_deref()),
-                Signal::BoundsUsed => control.part_of_bounds(),
+                Signal::Pressed(zone) => control.pressured_fraction(zone.as_deref()),
+                Signal::BoundsUsed => control.concurrency_used_fraction(),
                 Signal::Late(name) => on.windows.late(now, class(name)),
                 Signal::Rejected(name) => on.windows.rejected(now, class(name)),
-                Signal::Ready => control.part_ready(),
-                Signal::Cold => control.part_cold(),
-                Signal::Doubted => control.part_doubted(),
+                Signal::Ready => control.ready_fraction(),
+                Signal::Cold => control.warming_fraction(),
+                Signal::Doubted => control.ejected_fraction(),
                 Signal::Memory => self.memory_part(now),
                 Signal::Descriptors => descriptors as f64 / self.limits.descriptors,
             };
         }
         if let Some(change) = on.machine.look(now, &on.readings).cloned() {
             tell(&on.machine, &change);
-            control.reduced = self.reduced(&on.machine.reduction());
+            control.level = self.effects_of(&on.machine.reduction());
         }
         on.machine.tells(now)
     }
--- a/crates/dispatcher/src/statement_classifier.rs
+++ b/crates/dispatcher/src/statement_classifier.rs
@@ -10,8 +10,8 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tansymux::interface::{Outcome, Text};
-use tansymux::told::{self, Map, Told};
+use tansymux::events::{Outcome, StatementTraits};
+use tansymux::settings::{self, RawSettings, SettingsMap};
 use tansymux_operator_config::schema::statements::{Check, Dialect as ToldDialect};
 use tansymux_operator_config::schema::{self, Class as ToldClass};
 use tansymux_sql_analysis::{
@@ -43,7 +43,7 @@
     pub rg: Option<Rc<str>>,
     pub cost: f64,
     pub memory: f64,
-    pub text: Text,
+    pub text: StatementTraits,
     pub shape: Shape,
 }
 
@@ -72,10 +72,12 @@
 
 impl StatementClassifier {
     /// `key`: secret, for the hashes of shapes.
-    pub fn new(settings: &Map, key: [u8; 16]) -> Self {
-        let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    pub fn new(settings: &SettingsMap, key: [u8; 16]) -> Self {
+        let count = settings
+            .number(&settings::list_count("services"))
+            .unwrap_or(0.0) as usize;
         let group = |i: usize| {
-            let item = told::item_of("services", i);
+            let item = settings::list_item("services", i);
             let name = settings.get(&format!("{item}.name"))?.clone();
             let threads = settings
                 .list("family-info.dop")
@@ -131,7 +133,10 @@
 
     /// A group's name as the settings hold it.
     fn as_put(&self, name: &str) -> String {
-        let known = self.groups.keys().find(|known| told::is_named(known, name));
+        let known = self
+            .groups
+            .keys()
+            .find(|known| settings::matches_name(known, name));
         known.map_or_else(|| name.to_owned(), Clone::clone)
     }
 
@@ -156,9 +161,9 @@
             self.unknown.set(self.unknown.get() + 1);
         }
         let estimate = on.statements.estimate(&read, now);
-        let text = Text {
-            sure: estimate.sure,
-            alters: reading.effect != Effect::ReadOnly,
+        let text = StatementTraits {
+            confidence: estimate.sure,
+            may_write: reading.effect != Effect::ReadOnly,
         };
         let (cost, memory, shape) = (estimate.cost, estimate.memory, shape_of(&read));
         Some(Classed {
@@ -177,8 +182,8 @@
         let read = on.statements.read(statement);
         let reading = &read.reading;
         let promised = self.groups.get(rg).is_some_and(|(_, reads)| *reads);
-        let alters = promised && reading.effect != Effect::ReadOnly;
-        if alters {
+        let may_write = promised && reading.effect != Effect::ReadOnly;
+        if may_write {
             self.milder.set(self.milder.get() + 1);
             let (effect, why) = (
                 reading.effect.name(),
@@ -199,8 +204,11 @@
         {
             self.other_class.set(self.other_class.get() + 1);
         }
-        let alters = alters && on.check == Check::Enforce;
-        let text = Text { sure: 1.0, alters };
+        let may_write = may_write && on.check == Check::Enforce;
+        let text = StatementTraits {
+            confidence: 1.0,
+            may_write,
+        };
         Some(Classed {
             rg: None,
             cost: 0.0,
@@ -215,7 +223,7 @@
         let mut started = self.started.borrow_mut();
         for engine in engines {
             match engine.started {
-                Some(at) if engine.status != tansymux::interface::EngineStatus::Gone => {
+                Some(at) if engine.status != tansymux::events::EndpointState::Gone => {
                     started.insert(engine.engine_id, at);
                 }
                 _ => drop(started.remove(&engine.engine_id)),
@@ -407,7 +415,7 @@
 
     #[test]
     fn off_reads_nothing_and_other_rules_leave_what_was_learned() {
-        let settings = told::read_pairs(
+        let settings = settings::parse_pairs(
             "services.count=2 services.0.name=look services.0.effect=read_like services.1.name=load \
              services.1.effect=non_idempotent family-info.dop=1,4",
         );
@@ -430,7 +438,7 @@
         classes.set(Some(&told(Check::Log)));
         let first = classes.bare(b"select a from t where b = 1", 0.0).unwrap();
         assert_eq!(
-            (first.rg.as_deref(), first.text.alters),
+            (first.rg.as_deref(), first.text.may_write),
             (Some("look"), false)
         );
         let taken = TakenQuery {
@@ -441,7 +449,7 @@
         (0..9).for_each(|_| classes.ended(&taken, 1, 7.0, Outcome::Completed, 0.0));
         let unknown = classes.bare(b"call f()", 0.0).unwrap();
         assert_eq!(
-            (unknown.rg.as_deref(), unknown.text.alters),
+            (unknown.rg.as_deref(), unknown.text.may_write),
             (Some("load"), true)
         );
         assert!(
@@ -449,7 +457,7 @@
                 .named("look", "1", b"delete from t")
                 .unwrap()
                 .text
-                .alters
+                .may_write
         );
         classes.set(Some(&told(Check::Enforce)));
         assert!(
@@ -457,19 +465,19 @@
                 .named("look", "1", b"delete from t")
                 .unwrap()
                 .text
-                .alters
+                .may_write
         );
         assert!(
             !classes
                 .named("load", "1", b"delete from t")
                 .unwrap()
                 .text
-                .alters
+                .may_write
         );
         assert_eq!(classes.milder.get(), 2);
         let again = classes.bare(b"select a from t where b = 2", 0.0).unwrap();
         assert!(
-            (again.cost - 7.0).abs() < 0.1 && again.text.sure > 0.4,
+            (again.cost - 7.0).abs() < 0.1 && again.text.confidence > 0.4,
             "{again:?}"
         );
         classes.set(None);
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -7,9 +7,9 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, Outcome};
-use tansymux::tiers::{Given, GivenZone};
-use tansymux::told::{self, Map, Told};
+use tansymux::events::{EndpointState, Outcome};
+use tansymux::settings::{self, RawSettings, SettingsMap};
+use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 use tansymux_operator_config::schema;
 use tansymux_zone_evacuation::wire::{Evidence, Reach};
 use tansymux_zone_evacuation::Use;
@@ -27,7 +27,7 @@
     own: String,
     groups: Vec<String>,
     dispatchers: f64,
-    settings: Map,
+    settings: SettingsMap,
     /// The list as last told.
     listed: RefCell<Vec<Engine>>,
     looked: Cell<f64>,
@@ -35,11 +35,13 @@
 }
 
 impl ZoneRouting {
-    pub fn new(settings: &Map) -> Self {
-        let count = settings.number(&told::count_of("services")).unwrap_or(0.0) as usize;
+    pub fn new(settings: &SettingsMap) -> Self {
+        let count = settings
+            .number(&settings::list_count("services"))
+            .unwrap_or(0.0) as usize;
         let name = |i| {
             settings
-                .get(&format!("{}.name", told::item_of("services", i)))
+                .get(&format!("{}.name", settings::list_item("services", i)))
                 .cloned()
                 .unwrap_or_default()
         };
@@ -63,7 +65,7 @@
                 if on.take().is_some() {
                     tracing::info!("tiers between halls are off");
                 }
-                control.plan_zones(None);
+                control.set_zone_plan(None);
             }
             (Some(judge), Some(definition)) if *judge.definition() != definition => {
                 judge.redefine(definition)
@@ -83,12 +85,12 @@
         let mut listed = self.listed.borrow_mut();
         for engine in engines {
             listed.retain(|known| known.engine_id != engine.engine_id);
-            if engine.status != EngineStatus::Gone {
+            if engine.status != EndpointState::Gone {
                 let cores = self
                     .settings
-                    .of_kind(&engine.kind, "family-info.cores-by-kind")
+                    .for_kind(&engine.kind, "family-info.cores-by-kind")
                     .unwrap_or(1.0);
-                let ready = engine.status == EngineStatus::Ready;
+                let ready = engine.status == EndpointState::Ready;
                 listed.push(Engine {
                     engine_id: engine.engine_id,
                     zone: engine.zone.clone(),
@@ -108,7 +110,7 @@
         let kind = match outcome {
             Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
-            // Given up from here, or never sent: nothing was seen of the engine.
+            // ZonePlan up from here, or never sent: nothing was seen of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
         };
         self.seen(now, engine_id, kind);
@@ -203,12 +205,12 @@
         let mut plan = judge.plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
             fleet.sees(
-                ZoneRouting::evidence(judge, control.threads_out() + MIN_DEMAND),
+                ZoneRouting::evidence(judge, control.threads_in_flight() + MIN_DEMAND),
                 judge.alone(),
             );
             self.agreed(fleet, judge.definition().climb.whole, &mut plan);
         }
-        control.plan_zones(Some(&given(&plan)));
+        control.set_zone_plan(Some(&zone_plan(&plan)));
         judge.tells(now)
     }
 
@@ -294,21 +296,21 @@
     }
 }
 
-fn given(plan: &Plan) -> Given {
-    let zone = |zone: &tansymux_zone_routing::ZonePlan| GivenZone {
+fn zone_plan(plan: &Plan) -> ZonePlan {
+    let zone = |zone: &tansymux_zone_routing::ZonePlan| ZoneLimits {
         name: zone.name.clone(),
-        ranks: zone.ranks.clone(),
-        spill: zone.spill,
-        spill_by_group: zone.spill_by_class.clone(),
+        tiers: zone.ranks.clone(),
+        max_spill_threads: zone.spill,
+        max_spill_threads_by_group: zone.spill_by_class.clone(),
     };
-    Given {
+    ZonePlan {
         zones: plan.zones.iter().map(zone).collect(),
         engines: plan
             .engines
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_retries: plan.cross_retries,
-        alone: plan.alone,
+        cross_zone_retry_ratio: plan.cross_retries,
+        isolated: plan.alone,
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -10,10 +10,13 @@
 use serde::Serialize;
 use std::cmp::Ordering;
 use std::collections::{BinaryHeap, HashMap};
-use tansymux::control::Control;
-use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
-use tansymux::tiers::{Given, GivenZone};
-use tansymux::told::Map;
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
+    HealthCheckEnded, NoteKind, Outcome, ProgressNote, QueryArrived, StatementTraits,
+};
+use tansymux::settings::SettingsMap;
+use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_testbed::record::{Entry, Status, What};
 use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
@@ -145,12 +148,12 @@
 #[derive(Default)]
 struct Out(Vec<Decided>);
 
-impl Writer for Out {
-    fn submit(&mut self, id: u64, engine_id: u64, Bounds { until, .. }: Bounds) {
+impl DecisionSink for Out {
+    fn submit(&mut self, id: u64, engine_id: u64, limits: AttemptLimits) {
         self.0.push(Decided::Submit {
             id,
             engine_id,
-            until,
+            until: limits.deadline_ms,
         });
     }
     fn reject(&mut self, id: u64, retry_after: f64) {
@@ -166,25 +169,24 @@
         self.0.push(Decided::Cancel { id, attempt });
     }
     fn grant(&mut self, _: u64, _: u8, _: f64) {}
-    fn probe(&mut self, engine_id: u64) {
+    fn check_health(&mut self, engine_id: u64) {
         self.0.push(Decided::Probe { engine_id });
     }
-    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
-    fn timer(&mut self, delay: f64, _: u64) {
+    fn send_to_peer(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn set_timer(&mut self, delay: f64, _: u64) {
         self.0.push(Decided::Timer { delay });
     }
-    fn watch_list(&mut self) {}
-    fn note(&mut self, _: &str) {}
+    fn watch_endpoints(&mut self) {}
 }
 
 struct Inbox<'a> {
     events: Vec<Incoming>,
     groups: &'a [String],
-    list: &'a [(u64, String, EngineStatus, Option<f64>)],
+    list: &'a [(u64, String, EndpointState, Option<f64>)],
 }
 
-impl Feed for Inbox<'_> {
-    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+impl EventSource for Inbox<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         for event in self.events.drain(..) {
             match event {
                 Incoming::Query {
@@ -194,8 +196,20 @@
                     due,
                 } => {
                     let (rg, tables) = (&self.groups[class], id as u32 % 24);
-                    let taken =
-                        control.query(id, rg, "", None, due, cost, 10.0, tables, Text::UNREAD, out);
+                    let taken = control.on_query_arrived(
+                        &QueryArrived {
+                            query_id: id,
+                            group: rg,
+                            tenant: "",
+                            key: None,
+                            deadline_ms: due,
+                            estimated_cost_ms: cost,
+                            memory_mb: 10.0,
+                            tables,
+                            statement: StatementTraits::UNKNOWN,
+                        },
+                        out,
+                    );
                     debug_assert!(taken.is_ok());
                 }
                 Incoming::Closed {
@@ -205,23 +219,45 @@
                     engine_id,
                     latency,
                 } => {
-                    let complete = outcome == Outcome::Completed;
-                    control.closed(
-                        id, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
+                    control.on_attempt_ended(
+                        &AttemptEnded {
+                            query_id: id,
+                            attempt,
+                            engine_id,
+                            outcome,
+                            answer_delivered: outcome == Outcome::Completed,
+                            latency_ms: latency,
+                            used: None,
+                        },
+                        out,
                     );
                 }
                 Incoming::Noted {
                     id,
                     attempt,
                     amount,
-                } => control.noted(id, attempt, Note::Progress, amount),
-                Incoming::Probed { engine_id, outcome } => control.probed(engine_id, outcome),
+                } => control.on_progress_note(&ProgressNote {
+                    query_id: id,
+                    attempt,
+                    kind: NoteKind::Progress,
+                    amount,
+                }),
+                Incoming::Probed { engine_id, outcome } => {
+                    control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome })
+                }
                 Incoming::List => {
-                    control.list_begins(ListForm::Full);
+                    control.begin_update(EndpointListKind::Snapshot);
                     for (engine_id, zone, status, started) in self.list {
-                        control.listed(*engine_id, "std", zone, *status, *started, 0);
+                        control.upsert_endpoint(&EndpointUpdate {
+                            engine_id: *engine_id,
+                            kind: "std",
+                            zone,
+                            state: *status,
+                            started_ms: *started,
+                            cell: 0,
+                        });
                     }
-                    control.list_ends(ListForm::Full, out);
+                    control.finish_update(EndpointListKind::Snapshot, out);
                 }
             }
         }
@@ -316,7 +352,7 @@
     next_out: u64,
     /// Faults that are in force.
     active: Vec<bool>,
-    list: Vec<(u64, String, EngineStatus, Option<f64>)>,
+    list: Vec<(u64, String, EndpointState, Option<f64>)>,
     record: Option<Vec<Entry>>,
     o: Outcomes,
     took: Histogram<u64>,
@@ -341,8 +377,8 @@
     world.ends(from.elapsed().as_secs_f64())
 }
 
-fn settings(e: &Experiment, zone: &str) -> Map {
-    let mut map = Map::new();
+fn settings(e: &Experiment, zone: &str) -> SettingsMap {
+    let mut map = SettingsMap::new();
     let mut put = |name: &str, value: String| drop(map.insert(name.to_owned(), value));
     let list = |of: &dyn Fn(&crate::schema::Class) -> String| {
         e.class.iter().map(of).collect::<Vec<_>>().join(",")
@@ -399,22 +435,22 @@
     map
 }
 
-fn given(plan: &Plan) -> Given {
-    let zone = |zone: &tansymux_zone_routing::ZonePlan| GivenZone {
+fn zone_plan(plan: &Plan) -> ZonePlan {
+    let zone = |zone: &tansymux_zone_routing::ZonePlan| ZoneLimits {
         name: zone.name.clone(),
-        ranks: zone.ranks.clone(),
-        spill: zone.spill,
-        spill_by_group: zone.spill_by_class.clone(),
+        tiers: zone.ranks.clone(),
+        max_spill_threads: zone.spill,
+        max_spill_threads_by_group: zone.spill_by_class.clone(),
     };
-    Given {
+    ZonePlan {
         zones: plan.zones.iter().map(zone).collect(),
         engines: plan
             .engines
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_retries: plan.cross_retries,
-        alone: plan.alone,
+        cross_zone_retry_ratio: plan.cross_retries,
+        isolated: plan.alone,
     }
 }
 
@@ -459,7 +495,7 @@
                 (
                     n as u64 + 1,
                     zones[*zone].clone(),
-                    EngineStatus::Ready,
+                    EndpointState::Ready,
                     None,
                 )
             })
@@ -768,7 +804,7 @@
         let mut out = Out::default();
         self.dispatchers[dispatcher]
             .control
-            .round(EPOCH + self.now, &mut inbox, &mut out);
+            .run_round(EPOCH + self.now, &mut inbox, &mut out);
         self.inboxes[dispatcher] = inbox.events;
         for decided in out.0 {
             match decided {
@@ -941,7 +977,7 @@
         if let Some(zones) = &mut g.zones {
             zones.look(now);
             g.control
-                .plan_zones(Some(&given(&zones.plan(&self.zones[g.zone], groups))));
+                .set_zone_plan(Some(&zone_plan(&zones.plan(&self.zones[g.zone], groups))));
             if let Some(engine_id) = zones.probes(now) {
                 self.probe(dispatcher, engine_id as usize - 1);
             }
@@ -951,7 +987,7 @@
     fn told(&mut self, dispatcher: usize) {
         let engines: Vec<tansymux_zone_routing::Engine> = (self.engine_zones.iter().enumerate())
             .map(|(n, zone)| {
-                let ready = self.list[n].2 == EngineStatus::Ready;
+                let ready = self.list[n].2 == EndpointState::Ready;
                 let cores = self.engines[n].cores;
                 tansymux_zone_routing::Engine {
                     engine_id: n as u64 + 1,
@@ -1168,9 +1204,9 @@
             let reached =
                 (0..self.dispatchers.len()).any(|dispatcher| !self.is_cut(dispatcher, engine));
             self.list[engine].2 = if reached {
-                EngineStatus::Ready
+                EndpointState::Ready
             } else {
-                EngineStatus::Gone
+                EndpointState::Gone
             };
         }
         for dispatcher in 0..self.dispatchers.len() {
@@ -1188,7 +1224,7 @@
         let mut spilled = vec![0.0; self.zones.len()];
         for g in &self.dispatchers {
             for (n, zone) in self.zones.iter().enumerate() {
-                spilled[n] += g.control.spilled(zone);
+                spilled[n] += g.control.spilled_threads(zone);
             }
         }
         let cores = |zone: usize| -> f64 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,13 +6,16 @@
 //!
 //! Order: tuned values, start, list of engines, a query comes, placement, sending, answers, the regular look.
 
-use crate::ids::Interner;
-use crate::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
+use crate::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
+    HealthCheckEnded, NoteKind, Outcome, PeerMessage, ProgressNote, QueryArrived, ResourceUsage,
+};
+use crate::interner::Interner;
 use crate::pcg::Pcg;
+use crate::peer_codec;
+use crate::settings::{RawSettings, SettingsError, SettingsMap};
 pub use crate::state::Control;
 use crate::state::*;
-use crate::talk;
-use crate::told::{Map, Told};
 
 // The design page's values; credit is the thread time (ms) that the low lane may save up or overdraw.
 const DEMOTE_FACTOR: f64 = 4.0;
@@ -74,8 +77,22 @@
 const LOOK_EVERY: f64 = 20.0;
 const LIST_RETRY: f64 = 1000.0;
 
+/// One round's events, in order. `deliver` calls the handlers of [`Control`] with decoded fields.
+pub trait EventSource {
+    /// Hands over all events of the round.
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink);
+}
+
+/// A query names a resource group that the settings do not have.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("unknown resource group {name:?}")]
+pub struct UnknownResourceGroup {
+    /// The name that came with the query.
+    pub name: String,
+}
+
 impl Control {
-    pub fn new(seed: u64, told: &Map) -> Result<Self, String> {
+    pub fn new(seed: u64, told: &SettingsMap) -> Result<Self, SettingsError> {
         let mut interner = Interner::default();
         let groups = ResourceGroup::read_all(told, &mut interner)?;
         let dispatchers = told.required("balancers")?.max(1.0);
@@ -100,10 +117,15 @@
     }
 
     /// One round: all that came in, then the regular look when it is due.
-    pub fn round(&mut self, now: f64, feed: &mut dyn Feed, out: &mut dyn Writer) {
+    pub fn run_round(
+        &mut self,
+        now: f64,
+        source: &mut dyn EventSource,
+        out: &mut dyn DecisionSink,
+    ) {
         self.now = now;
         self.began = self.began.min(now);
-        feed.deliver(self, out);
+        source.deliver(self, out);
         if now - self.looked >= LOOK_EVERY {
             let earned = self.pool_spare() * (now - self.looked).min(CREDIT);
             self.credit = (self.credit + earned).clamp(-CREDIT, CREDIT);
@@ -116,27 +138,27 @@
         let watched = self.list_wanted || self.engines.iter().any(|e| e.suspect && e.ready);
         if now + 1.0 > self.timer_due && (watched || !self.queries.is_empty()) {
             self.timer_due = now + LOOK_EVERY;
-            out.timer(LOOK_EVERY, 0);
+            out.set_timer(LOOK_EVERY, 0);
         }
     }
 
     // ---- The list of engines ----
 
-    pub fn list_begins(&mut self, form: ListForm) {
-        if matches!(form, ListForm::Full | ListForm::Remembered) {
+    pub fn begin_update(&mut self, form: EndpointListKind) {
+        if matches!(form, EndpointListKind::Snapshot | EndpointListKind::Cached) {
             self.engines.iter_mut().for_each(|e| e.listed = false);
         }
     }
 
-    pub fn listed(
-        &mut self,
-        engine_id: u64,
-        kind: &str,
-        zone: &str,
-        status: EngineStatus,
-        start: Option<f64>,
-        cell: u32,
-    ) {
+    pub fn upsert_endpoint(&mut self, update: &EndpointUpdate) {
+        let EndpointUpdate {
+            engine_id,
+            kind,
+            zone,
+            state,
+            started_ms: start,
+            cell,
+        } = *update;
         let (i, first) = self.slot_of(engine_id);
         if first {
             let engine = Engine::read(&self.told, engine_id, kind, zone, cell, &mut self.interner);
@@ -148,8 +170,8 @@
                 .splice(i..(i + 1).min(self.engines.len()), [engine]);
         }
         let e = &mut self.engines[i];
-        e.listed = status != EngineStatus::Gone;
-        e.ready = status == EngineStatus::Ready;
+        e.listed = state != EndpointState::Gone;
+        e.ready = state == EndpointState::Ready;
         if first || start.is_some_and(|start| start > e.started) {
             e.started = start.unwrap_or(LONG_AGO);
             e.suspect = false;
@@ -159,13 +181,13 @@
         }
     }
 
-    pub fn list_ends(&mut self, form: ListForm, out: &mut dyn Writer) {
+    pub fn finish_update(&mut self, form: EndpointListKind, out: &mut dyn DecisionSink) {
         match form {
-            ListForm::Failed => (self.list_wanted, self.list_asked) = (true, self.now),
-            ListForm::Remembered => self.look_for_list(out),
-            ListForm::Changes | ListForm::Full => self.list_wanted = false,
+            EndpointListKind::Failed => (self.list_wanted, self.list_asked) = (true, self.now),
+            EndpointListKind::Cached => self.look_for_list(out),
+            EndpointListKind::Delta | EndpointListKind::Snapshot => self.list_wanted = false,
         }
-        if form != ListForm::Failed {
+        if form != EndpointListKind::Failed {
             self.engines
                 .iter_mut()
                 .filter(|e| !e.listed)
@@ -173,31 +195,36 @@
         }
     }
 
-    fn look_for_list(&mut self, out: &mut dyn Writer) {
+    fn look_for_list(&mut self, out: &mut dyn DecisionSink) {
         if self.list_wanted && self.now - self.list_asked > LIST_RETRY {
             self.list_asked = self.now;
-            out.watch_list();
+            out.watch_endpoints();
         }
     }
 
     // ---- A query comes ----
 
-    pub fn query(
+    pub fn on_query_arrived(
         &mut self,
-        id: u64,
-        rg: &str,
-        tenant: &str,
-        key: Option<u64>,
-        due: f64,
-        mut cost: f64,
-        memory: f64,
-        tables: u32,
-        text: Text,
-        out: &mut dyn Writer,
-    ) -> Result<(), String> {
+        query: &QueryArrived,
+        out: &mut dyn DecisionSink,
+    ) -> Result<(), UnknownResourceGroup> {
+        let QueryArrived {
+            query_id: id,
+            group: rg,
+            tenant,
+            key,
+            deadline_ms: due,
+            memory_mb: memory,
+            tables,
+            ..
+        } = *query;
+        let (mut cost, text) = (query.estimated_cost_ms, query.statement);
         let rg_index = self.interner.groups.index(rg) as usize;
         if rg_index >= self.groups.len() {
-            return Err(format!("unknown resource group {rg:?}"));
+            return Err(UnknownResourceGroup {
+                name: rg.to_owned(),
+            });
         }
         self.taken.push(self.now);
         let g = &mut self.groups[rg_index];
@@ -205,11 +232,11 @@
         if cost > 0.0 {
             // Demoted once, at admission; the mean does not follow what it is to tell apart.
             let most = if g.seen >= FIRST_SEEN {
-                DEMOTE_FACTOR * self.reduced.demotion * g.mean_cost
+                DEMOTE_FACTOR * self.level.demotion_factor * g.mean_cost
             } else {
                 f64::INFINITY
             };
-            cost = g.trusted(cost, text.sure);
+            cost = g.trusted(cost, text.confidence);
             low |= cost > most;
             g.learn_cost(cost.min(most), MEAN_STEP);
         }
@@ -250,7 +277,7 @@
         };
         let query = Query {
             effect,
-            sure: text.sure,
+            confidence: text.confidence,
             ..query
         };
         let i = self.queries.insert(query);
@@ -274,7 +301,7 @@
     // ---- Placement ----
 
     /// Sends the query to the lighter of two engines drawn from those it may use, or ends it.
-    fn place(&mut self, i: usize, out: &mut dyn Writer) {
+    fn place(&mut self, i: usize, out: &mut dyn DecisionSink) {
         let Some(e) = self.choose(i) else {
             return self.finish_off(i, out);
         };
@@ -342,7 +369,7 @@
     pub fn pressure(&self, e: usize) -> bool {
         let slow = self.crawls(e, true) || self.crawls(e, false);
         let e = &self.engines[e];
-        let crowded = e.low_threads + e.others >= e.crowd * self.reduced.bounds
+        let crowded = e.low_threads + e.others >= e.crowd * self.level.concurrency_factor
             || e.memory > 0.0 && e.granted >= CROWD_MEMORY * e.memory;
         slow || crowded || self.now - e.full < FULL_LASTS
     }
@@ -376,7 +403,7 @@
     fn has_room(&self, i: usize, e: usize, pool_room: bool) -> bool {
         let (q, engine, at_ease) = (&self.queries[i], &self.engines[e], !self.pressure(e));
         // A reduced level leaves a group's low work a part of that room, or none.
-        let part = self.reduced.part_of(q);
+        let part = self.level.headroom_fraction(q);
         if part <= 0.0 {
             return false;
         }
@@ -402,7 +429,7 @@
 
     fn spare(&self, e: usize) -> f64 {
         let engine = &self.engines[e];
-        self.reduced.bounds * engine.bound * engine.cores * self.share()
+        self.level.concurrency_factor * engine.bound * engine.cores * self.share()
             - engine.low_threads
             - engine.others
     }
@@ -444,7 +471,7 @@
 
     fn may_send(&mut self, i: usize, e: usize) -> bool {
         // Rule 7: the budget of further attempts, also across zones; a level may leave low work none.
-        let withheld = self.reduced.withhold && self.queries[i].low;
+        let withheld = self.level.withhold_low_retries && self.queries[i].low;
         if self.queries[i].count > 0
             && (withheld || self.may_not_cross(i, e) || !self.budget_left(0.0))
         {
@@ -480,7 +507,7 @@
         self.its_turn(i) && g.allows(engine)
     }
 
-    fn send(&mut self, i: usize, e: usize, out: &mut dyn Writer) {
+    fn send(&mut self, i: usize, e: usize, out: &mut dyn DecisionSink) {
         if !self.may_send(i, e) {
             return self.finish_off(i, out);
         }
@@ -493,7 +520,7 @@
         if self.cold_allowance(e).is_some() {
             self.engines[e].sent_cold.push_back((now, usual));
         }
-        let begin_by = self.begin_by(i);
+        let start_by_ms = self.start_by(i);
         let q = &mut self.queries[i];
         if q.count > 0 {
             self.further.push(now);
@@ -515,13 +542,13 @@
         q.attempts[q.count] = s;
         q.count += 1;
         let (id, engine_id, low) = (q.id, engine.engine_id, q.low);
-        let bounds = Bounds {
-            until: q.due,
-            begin_by,
-            harmless: q.effect == Effect::ReadOnly,
+        let bounds = AttemptLimits {
+            deadline_ms: q.due,
+            start_by_ms,
+            side_effect_free: q.effect == Effect::ReadOnly,
         };
         self.low_changed |= low;
-        let generous = (GENEROUS * self.reduced.grants).max(1.0);
+        let generous = (GENEROUS * self.level.grant_factor).max(1.0);
         if self.allowed.pages || self.allowed.priorities {
             out.grant(
                 id,
@@ -555,7 +582,7 @@
     }
 
     /// Rules 1 and 2: a repeat by its token has to be out in its window, all before the client leaves.
-    fn begin_by(&self, i: usize) -> f64 {
+    fn start_by(&self, i: usize) -> f64 {
         let q = &self.queries[i];
         let first = q
             .sent()
@@ -594,7 +621,7 @@
     }
 
     fn may_move(&mut self, i: usize) -> bool {
-        let could = !(self.reduced.withhold && self.queries[i].low)
+        let could = !(self.level.withhold_low_retries && self.queries[i].low)
             && self.allowed.cancelling
             && self.queries[i].count < self.allowed.max_attempts;
         could && self.budget_left(self.moving) && self.may_repeat(i, None)
@@ -604,7 +631,7 @@
 
     /// Reports our low threads to the dispatchers that add up, or, as one of them, tells all the sum. They do it
     /// alike, so that each may die or be cut off; without any, the even share holds again.
-    fn tell_others(&mut self, out: &mut dyn Writer) {
+    fn tell_others(&mut self, out: &mut dyn DecisionSink) {
         if !self.allowed.peers || self.dispatchers < 2.0 {
             return;
         }
@@ -620,8 +647,8 @@
                 .map(|e| (e.engine_id, e.low_threads));
             let collectors =
                 || (0..COLLECTORS.min(self.dispatchers as u32)).filter(|&c| c != self.allowed.me);
-            talk::write(talk::OWN, own, |content| {
-                collectors().for_each(|c| out.tell(Some(c), content))
+            peer_codec::write(peer_codec::OWN, own, |content| {
+                collectors().for_each(|c| out.send_to_peer(Some(c), content))
             });
         }
         if self.allowed.me < COLLECTORS && now - self.sum_told > SUM_EVERY {
@@ -632,22 +659,25 @@
                 .iter()
                 .filter(|e| e.ready)
                 .map(|e| (e.engine_id, e.low_threads + e.others));
-            talk::write(talk::SUM, all, |content| out.tell(None, content));
+            peer_codec::write(peer_codec::SUM, all, |content| {
+                out.send_to_peer(None, content)
+            });
         }
     }
 
-    pub fn told_by(&mut self, peer: u32, content: &[u8]) {
+    pub fn on_peer_message(&mut self, message: &PeerMessage) {
+        let PeerMessage { peer, content } = *message;
         match content.first() {
-            Some(&talk::OWN) if f64::from(peer) < self.dispatchers => {
+            Some(&peer_codec::OWN) if f64::from(peer) < self.dispatchers => {
                 self.reports.keep(peer, self.now, content, &self.engines);
             }
-            Some(&talk::SUM) if self.allowed.me >= COLLECTORS => {
+            Some(&peer_codec::SUM) if self.allowed.me >= COLLECTORS => {
                 self.sum_heard = self.now;
-                for (mark, all) in talk::read(content) {
+                for (mark, all) in peer_codec::read(content) {
                     let told = self
                         .engines
                         .iter_mut()
-                        .find(|e| talk::mark_of(e.engine_id) == mark);
+                        .find(|e| peer_codec::mark_of(e.engine_id) == mark);
                     told.into_iter()
                         .for_each(|e| e.others = (all - e.low_threads).max(0.0));
                 }
@@ -658,18 +688,23 @@
 
     // ---- Answers ----
 
-    pub fn closed(
-        &mut self,
-        id: u64,
-        attempt: usize,
-        complete: bool,
-        outcome: Outcome,
-        engine_id: u64,
-        latency: f64,
-        work: f64,
-        memory: f64,
-        out: &mut dyn Writer,
-    ) {
+    pub fn on_attempt_ended(&mut self, event: &AttemptEnded, out: &mut dyn DecisionSink) {
+        let AttemptEnded {
+            query_id: id,
+            attempt,
+            engine_id,
+            outcome,
+            answer_delivered: complete,
+            latency_ms: latency,
+            used,
+        } = *event;
+        let ResourceUsage {
+            thread_ms: work,
+            memory_mb: memory,
+        } = used.unwrap_or(ResourceUsage {
+            thread_ms: 0.0,
+            memory_mb: 0.0,
+        });
         let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
@@ -805,7 +840,13 @@
         (engine.trial_wait, engine.trial) = (TRIAL_FIRST, self.now + TRIAL_FIRST);
     }
 
-    pub fn noted(&mut self, id: u64, attempt: usize, note: Note, amount: f64) {
+    pub fn on_progress_note(&mut self, event: &ProgressNote) {
+        let ProgressNote {
+            query_id: id,
+            attempt,
+            kind: note,
+            amount,
+        } = *event;
         let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
@@ -815,12 +856,12 @@
             return;
         };
         (s.heard, self.engines[s.engine].heard) = (self.now, self.now);
-        s.waits |= note == Note::Waits;
-        if note == Note::Waits && amount == 2.0 {
+        s.waits |= note == NoteKind::Waiting;
+        if note == NoteKind::Waiting && amount == 2.0 {
             let until = self.now + HELD_NOTES * self.allowed.notes_every;
             self.engines[s.engine].held.push((q.tables, until));
         }
-        if note == Note::Progress {
+        if note == NoteKind::Progress {
             let first = s.run().is_none();
             s.progressed(self.now, amount.clamp(0.0, 1.0));
             let (run, g) = (s.run().unwrap_or(0.0), &mut self.groups[rg]);
@@ -837,7 +878,8 @@
         }
     }
 
-    pub fn probed(&mut self, engine_id: u64, outcome: Outcome) {
+    pub fn on_health_check_ended(&mut self, event: &HealthCheckEnded) {
+        let HealthCheckEnded { engine_id, outcome } = *event;
         let Some(e) = self.interner.engine_ids.find(engine_id) else {
             return;
         };
@@ -858,7 +900,7 @@
         }
     }
 
-    pub fn vanished(&mut self, id: u64, out: &mut dyn Writer) {
+    pub fn on_client_gone(&mut self, id: u64, out: &mut dyn DecisionSink) {
         let Some(&i) = self.interner.queries.get(&id) else {
             return;
         };
@@ -868,7 +910,7 @@
     // ---- Final answers: every one that is not an engine's passes here ----
 
     /// Ends the query at once: rejected where a retry is harmless, failed where it may not be.
-    fn finish_off(&mut self, i: usize, out: &mut dyn Writer) {
+    fn finish_off(&mut self, i: usize, out: &mut dyn DecisionSink) {
         let Some(q) = Some(&self.queries[i]).filter(|q| !q.over) else {
             return;
         };
@@ -877,7 +919,7 @@
             let most = self.allowed.longest_wait;
             out.reject(
                 q.id,
-                self.reduced.retry_after(RETRY_AFTER, most, &mut self.rng),
+                self.level.retry_after_ms(RETRY_AFTER, most, &mut self.rng),
             );
         } else {
             out.fail(q.id);
@@ -885,13 +927,13 @@
         self.end(i, out);
     }
 
-    fn end(&mut self, i: usize, out: &mut dyn Writer) {
+    fn end(&mut self, i: usize, out: &mut dyn DecisionSink) {
         self.queries[i].over = true;
         self.call_off(i, out);
         self.leave(i, out);
     }
 
-    fn call_off(&mut self, i: usize, out: &mut dyn Writer) {
+    fn call_off(&mut self, i: usize, out: &mut dyn DecisionSink) {
         let Some(n) = self.queries[i].open().filter(|_| self.allowed.cancelling) else {
             return;
         };
@@ -901,7 +943,7 @@
         }
     }
 
-    fn leave(&mut self, i: usize, out: &mut dyn Writer) {
+    fn leave(&mut self, i: usize, out: &mut dyn DecisionSink) {
         let q = &self.queries[i];
         if !q.over || q.open().is_some() {
             return;
@@ -920,7 +962,7 @@
 
     // ---- The regular look ----
 
-    fn look_at_engines(&mut self, out: &mut dyn Writer) {
+    fn look_at_engines(&mut self, out: &mut dyn DecisionSink) {
         // Where no notes tell that it works, an engine may be silent for as long as the quickest group takes.
         let quickest = self
             .groups
@@ -942,7 +984,7 @@
             engine.sent_cold.retain(|&(at, _)| now - at <= span);
             if now - engine.lot_drawn > span {
                 engine.lot_drawn = now;
-                engine.lot = self.rng.unit();
+                engine.lot = self.rng.next_unit();
             }
             let unheard =
                 engine.open > 0 && now - engine.heard.max(engine.busy_since) > probe_after;
@@ -953,14 +995,14 @@
             };
             if self.allowed.probes && ask && engine.ready && now - engine.probed > TRIAL_FIRST {
                 engine.probed = now;
-                out.probe(engine.engine_id);
+                out.check_health(engine.engine_id);
             }
         }
     }
 
     /// Guards against attempts that hang or crawl, whatever the cause (a bad plan, a slow or silent
     /// engine, a wait for a load): what is left is set against a new run and the time the client gives.
-    fn look_at_query(&mut self, i: usize, out: &mut dyn Writer) {
+    fn look_at_query(&mut self, i: usize, out: &mut dyn DecisionSink) {
         let Some(q) = self.queries.get(i).filter(|q| !q.over && !q.moving) else {
             return;
         };
--- a/src/ids.rs
+++ b/src/interner.rs
@@ -3,9 +3,9 @@
 use rustc_hash::FxHashMap;
 
 #[derive(Debug, Default)]
-pub struct Names(FxHashMap<String, u32>);
+pub struct NameInterner(FxHashMap<String, u32>);
 
-impl Names {
+impl NameInterner {
     pub fn index(&mut self, name: &str) -> u32 {
         if let Some(&i) = self.0.get(name) {
             return i;
@@ -21,9 +21,9 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Numbers(FxHashMap<u64, u32>);
+pub struct NumberInterner(FxHashMap<u64, u32>);
 
-impl Numbers {
+impl NumberInterner {
     pub fn index(&mut self, number: u64) -> usize {
         let next = self.0.len() as u32;
         *self.0.entry(number).or_insert(next) as usize
@@ -44,10 +44,10 @@
 /// All that is known outside by a name or a number.
 #[derive(Debug, Default)]
 pub struct Interner {
-    pub groups: Names,
-    pub kinds: Names,
-    pub zones: Names,
-    pub tenants: Names,
-    pub engine_ids: Numbers,
+    pub groups: NameInterner,
+    pub kinds: NameInterner,
+    pub zones: NameInterner,
+    pub tenants: NameInterner,
+    pub engine_ids: NumberInterner,
     pub queries: FxHashMap<u64, usize>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,11 @@
 //! records it keeps, `ids`, `pcg` and `told` its helpers. No file but `control` decides anything.
 
 pub mod control;
-pub mod ids;
-pub mod interface;
+pub mod events;
+pub mod interner;
 pub mod pcg;
-pub mod signals;
+pub mod peer_codec;
+pub mod pool_metrics;
+pub mod settings;
 pub mod state;
-pub mod talk;
-pub mod tiers;
-pub mod told;
+pub mod zone_plan;
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -9,23 +9,23 @@
 impl Pcg {
     pub fn new(seed: u64) -> Self {
         let mut pcg = Pcg(seed.wrapping_add(INCREMENT));
-        pcg.draw();
+        pcg.next_u32();
         pcg
     }
 
-    pub fn draw(&mut self) -> u32 {
+    pub fn next_u32(&mut self) -> u32 {
         let old = self.0;
         self.0 = old.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
 
     /// A number from 0 up to 1.
-    pub fn unit(&mut self) -> f64 {
-        f64::from(self.draw()) / 4_294_967_296.0
+    pub fn next_unit(&mut self) -> f64 {
+        f64::from(self.next_u32()) / 4_294_967_296.0
     }
 
     /// A whole number in `0..n`; `n` must be above 0.
     pub fn below(&mut self, n: usize) -> usize {
-        ((u64::from(self.draw()) * n as u64) >> 32) as usize
+        ((u64::from(self.next_u32()) * n as u64) >> 32) as usize
     }
 }
--- a/src/signals.rs
+++ b/src/pool_metrics.rs
@@ -17,7 +17,7 @@
     }
 
     /// Part of the ready engines, of a zone if one is named, that show pressure.
-    pub fn part_pressed(&self, zone: Option<&str>) -> f64 {
+    pub fn pressured_fraction(&self, zone: Option<&str>) -> f64 {
         let zone = zone.map(|name| self.interner.zones.find(name));
         let of_zone = |e: &usize| zone.is_none_or(|zone| zone == Some(self.engines[*e].zone));
         let ready: Vec<usize> = self
@@ -32,7 +32,7 @@
     }
 
     /// Low threads of all that are known, against the bounds as they are at full service.
-    pub fn part_of_bounds(&self) -> f64 {
+    pub fn concurrency_used_fraction(&self) -> f64 {
         let (mut used, mut bounds) = (0.0, 0.0);
         for engine in self.engines.iter().filter(|engine| engine.ready) {
             used += engine.low_threads + engine.others;
@@ -46,14 +46,14 @@
     }
 
     /// Threads that what is out from here runs on, as far as is known: one for each that is not of the low lane.
-    pub fn threads_out(&self) -> f64 {
+    pub fn threads_in_flight(&self) -> f64 {
         let of = |engine: &crate::state::Engine| {
             engine.low_threads + (engine.open - engine.low_open) as f64
         };
         self.engines.iter().map(of).sum()
     }
 
-    pub fn part_ready(&self) -> f64 {
+    pub fn ready_fraction(&self) -> f64 {
         part(
             self.known().filter(|&e| self.engines[e].ready).count(),
             self.known().count(),
@@ -61,7 +61,7 @@
     }
 
     /// Part of the ready engines that started less than a warming time ago.
-    pub fn part_cold(&self) -> f64 {
+    pub fn warming_fraction(&self) -> f64 {
         let warm_after = self.allowed.cold.map_or(0.0, |rule| rule.warm_after);
         let ready = || self.engines.iter().filter(|engine| engine.ready);
         part(
@@ -72,7 +72,7 @@
         )
     }
 
-    pub fn part_doubted(&self) -> f64 {
+    pub fn ejected_fraction(&self) -> f64 {
         let ready = || self.engines.iter().filter(|engine| engine.ready);
         part(
             ready().filter(|engine| engine.suspect).count(),
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,134 @@
+//! Settings as they arrive, a flat map of paths and values, and the errors that reading them can give.
+
+use std::collections::BTreeMap;
+
+/// Settings as they arrive: path and value.
+pub type SettingsMap = BTreeMap<String, String>;
+
+/// A setting that is needed is missing or has no usable value.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// The key is not there.
+    #[error("setting {key} is missing")]
+    Missing {
+        /// Path of the setting.
+        key: String,
+    },
+    /// The key is there, but its value is not one that is allowed.
+    #[error("setting {key}={value} is invalid: expected {expected}")]
+    Invalid {
+        /// Path of the setting.
+        key: String,
+        /// The value as it came.
+        value: String,
+        /// What is allowed.
+        expected: &'static str,
+    },
+    /// A pair has no `=`.
+    #[error("setting {text:?} has no value")]
+    NoValue {
+        /// The pair as it came.
+        text: String,
+    },
+}
+
+/// Reads values out of a [`SettingsMap`]. A value that is there but malformed counts as absent, but for `required`.
+pub trait RawSettings {
+    /// A number.
+    fn number(&self, name: &str) -> Option<f64>;
+    /// A time that is given in microseconds, as milliseconds.
+    fn millis(&self, name: &str) -> Option<f64>;
+    /// A number that must be there.
+    fn required(&self, name: &str) -> Result<f64, SettingsError>;
+    /// Whether it is `true` or `1`.
+    fn is_on(&self, name: &str) -> bool;
+    /// The values of a comma-separated list; empty ones are left out.
+    fn list(&self, name: &str) -> Vec<&str>;
+    /// A number of the list `name`, which holds one for each engine kind.
+    fn for_kind(&self, kind: &str, name: &str) -> Option<f64>;
+}
+
+impl RawSettings for SettingsMap {
+    fn number(&self, name: &str) -> Option<f64> {
+        self.get(name)?.parse().ok()
+    }
+
+    fn millis(&self, name: &str) -> Option<f64> {
+        Some(self.number(name)? / 1000.0)
+    }
+
+    fn required(&self, name: &str) -> Result<f64, SettingsError> {
+        let Some(value) = self.get(name) else {
+            let key = name.to_owned();
+            return Err(SettingsError::Missing { key });
+        };
+        value.parse().map_err(|_| SettingsError::Invalid {
+            key: name.to_owned(),
+            value: value.clone(),
+            expected: "a number",
+        })
+    }
+
+    fn is_on(&self, name: &str) -> bool {
+        self.get(name).is_some_and(|v| is_true(v))
+    }
+
+    fn list(&self, name: &str) -> Vec<&str> {
+        self.get(name).map_or(Vec::new(), |v| {
+            v.split(',').filter(|s| !s.is_empty()).collect()
+        })
+    }
+
+    fn for_kind(&self, kind: &str, name: &str) -> Option<f64> {
+        let place = self.list("kinds").iter().position(|k| *k == kind)?;
+        self.list(name).get(place)?.parse().ok()
+    }
+}
+
+/// Adds one setting: spaces and commas within a value become underscores, as on the wire.
+pub fn insert(map: &mut SettingsMap, path: &str, value: &str) {
+    map.insert(path.to_owned(), value.replace([' ', ','], "_"));
+}
+
+/// Whether `known`, a value as [`insert`] stored it, stands for this name.
+pub fn matches_name(known: &str, name: &str) -> bool {
+    let stored = |c: char| if matches!(c, ' ' | ',') { '_' } else { c };
+    known.chars().eq(name.chars().map(stored))
+}
+
+/// Adds a list of plain values, joined with commas.
+pub fn insert_list(map: &mut SettingsMap, path: &str, values: impl Iterator<Item = String>) {
+    let values: Vec<String> = values.map(|value| value.replace([' ', ','], "_")).collect();
+    map.insert(path.to_owned(), values.join(","));
+}
+
+/// The path of the object at `index` of a list; their number is the setting at [`list_count`].
+pub fn list_item(path: &str, index: usize) -> String {
+    format!("{path}.{index}")
+}
+
+/// The path of the number of objects in a list.
+pub fn list_count(path: &str) -> String {
+    format!("{path}.count")
+}
+
+/// Reads settings that are already flat: pairs of path and value, separated by spaces.
+///
+/// # Errors
+/// A pair without `=`.
+pub fn parse_pairs(text: &str) -> Result<SettingsMap, SettingsError> {
+    let mut settings = SettingsMap::new();
+    for pair in text.split(' ').filter(|pair| !pair.is_empty()) {
+        let Some((path, value)) = pair.split_once('=') else {
+            let text = pair.to_owned();
+            return Err(SettingsError::NoValue { text });
+        };
+        settings.insert(path.to_owned(), value.to_owned());
+    }
+    Ok(settings)
+}
+
+/// Whether a value stands for true.
+pub fn is_true(value: &str) -> bool {
+    matches!(value, "true" | "1")
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,11 @@
 //! The records that the decisions keep. Types and bookkeeping only.
 
-use crate::ids::{Interner, Names};
-use crate::interface::Text;
+use crate::events::StatementTraits;
+use crate::interner::{Interner, NameInterner};
 use crate::pcg::Pcg;
-use crate::talk;
-use crate::tiers::{Tiers, Took};
-use crate::told::{self, Map, Told};
+use crate::peer_codec;
+use crate::settings::{self, RawSettings, SettingsError, SettingsMap};
+use crate::zone_plan::{Reservation, Tiers};
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::VecDeque;
@@ -20,7 +20,7 @@
     pub now: f64,
     /// When its first round was.
     pub began: f64,
-    pub told: Map,
+    pub told: SettingsMap,
     pub rng: Pcg,
     pub dispatchers: f64,
     pub zone: u32,
@@ -50,7 +50,7 @@
     pub sum_told: f64,
     pub sum_heard: f64,
     pub low_work: f64,
-    pub reduced: Reduced,
+    pub level: LevelEffects,
     pub tiers: Tiers,
 }
 
@@ -112,7 +112,7 @@
 }
 
 impl ColdRule {
-    pub fn read(told: &Map) -> Option<Self> {
+    pub fn read(told: &SettingsMap) -> Option<Self> {
         Some(ColdRule {
             multiple: told.number("rules.fall-multiple")?,
             from: told.number("rules.cold-from").unwrap_or(1.0),
@@ -131,7 +131,7 @@
 }
 
 impl Budget {
-    pub fn read(told: &Map) -> Option<Self> {
+    pub fn read(told: &SettingsMap) -> Option<Self> {
         Some(Budget {
             span: told.millis("rules.ratio-span-us")?,
             free: told.number("rules.extra-free").unwrap_or(0.0),
@@ -140,61 +140,63 @@
     }
 }
 
-/// What a reduced service level asks for; at full service it changes nothing.
+/// What a degraded service level changes; the default, full service, changes nothing.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Reduced {
-    /// Factors on the low lane's bounds, on the factor of demotion, on grants beyond need.
-    pub bounds: f64,
-    pub demotion: f64,
-    pub grants: f64,
-    /// Factor on the time to come back, and the part of it that is spread at random.
-    pub retry: f64,
-    pub spread: f64,
-    /// Low work gets no further attempts.
-    pub withhold: bool,
-    /// Low work of tenants over their share, or less sure of its cost than this, finds no room.
-    pub close_over_share: bool,
-    pub min_sure: f64,
-    /// Part of its room that a group's low work finds, by the group's index; all of it where none is told.
-    pub classes: Vec<f64>,
-}
-
-impl Default for Reduced {
+pub struct LevelEffects {
+    /// Factor on the concurrency limits of the low lane.
+    pub concurrency_factor: f64,
+    /// Factor on the multiple of the usual cost that demotes a query.
+    pub demotion_factor: f64,
+    /// Factor on memory grants beyond need.
+    pub grant_factor: f64,
+    /// Factor on the time after which a rejected client may come back.
+    pub retry_after_factor: f64,
+    /// The fraction of that time that is spread at random.
+    pub retry_after_jitter: f64,
+    /// Low work gets no retries.
+    pub withhold_low_retries: bool,
+    /// Low work of tenants over their share is rejected.
+    pub reject_over_share: bool,
+    /// Low work with less confidence in its cost than this is rejected.
+    pub min_confidence: f64,
+    /// Fraction of its headroom that a group's low work may use, by group index; all of it where none is given.
+    pub group_fractions: Vec<f64>,
+}
+
+impl Default for LevelEffects {
     fn default() -> Self {
-        let (withhold, close_over_share, min_sure, classes) = Default::default();
-        let (bounds, demotion, grants, retry, spread) = (1.0, 1.0, 1.0, 1.0, 0.0);
-        Reduced {
-            bounds,
-            demotion,
-            grants,
-            retry,
-            spread,
-            withhold,
-            close_over_share,
-            min_sure,
-            classes,
+        LevelEffects {
+            concurrency_factor: 1.0,
+            demotion_factor: 1.0,
+            grant_factor: 1.0,
+            retry_after_factor: 1.0,
+            retry_after_jitter: 0.0,
+            withhold_low_retries: false,
+            reject_over_share: false,
+            min_confidence: 0.0,
+            group_fractions: Vec::new(),
         }
     }
 }
 
-impl Reduced {
-    /// The part of its room that this low query finds.
-    pub fn part_of(&self, q: &Query) -> f64 {
-        let closed = self.close_over_share && q.over_share || q.sure < self.min_sure;
-        if closed {
-            0.0
-        } else {
-            self.classes.get(q.rg).copied().unwrap_or(1.0)
+impl LevelEffects {
+    /// The fraction of its headroom that this low query may use.
+    pub fn headroom_fraction(&self, query: &Query) -> f64 {
+        let over_share = self.reject_over_share && query.over_share;
+        if over_share || query.confidence < self.min_confidence {
+            return 0.0;
         }
+        self.group_fractions.get(query.rg).copied().unwrap_or(1.0)
     }
 
-    /// When the rejected may come back: up to `most`, spread so that they don't come together.
-    pub fn retry_after(&self, usual: f64, most: f64, rng: &mut Pcg) -> f64 {
-        let wait = (usual * self.retry * (1.0 + self.spread)).min(most);
-        if self.spread > 0.0 {
-            wait * (1.0 - rng.unit() * self.spread / (1.0 + self.spread))
+    /// When a rejected client may come back (ms): up to `max_ms`, spread so that clients do not come back together.
+    pub fn retry_after_ms(&self, usual_ms: f64, max_ms: f64, rng: &mut Pcg) -> f64 {
+        let jitter = self.retry_after_jitter;
+        let wait_ms = (usual_ms * self.retry_after_factor * (1.0 + jitter)).min(max_ms);
+        if jitter > 0.0 {
+            wait_ms * (1.0 - rng.next_unit() * jitter / (1.0 + jitter))
         } else {
-            wait
+            wait_ms
         }
     }
 }
@@ -219,17 +221,17 @@
 }
 
 impl Allowed {
-    pub fn read(told: &Map) -> Self {
+    pub fn read(told: &SettingsMap) -> Self {
         let most = told.number("limits.max-attempts").unwrap_or(1.0) as usize;
         Allowed {
             cold: ColdRule::read(told),
             budget: Budget::read(told),
             max_attempts: most.min(MAX_ATTEMPTS),
-            cancelling: told.on("limits.cancelling"),
-            probes: told.on("limits.probes"),
-            peers: told.on("limits.peers"),
+            cancelling: told.is_on("limits.cancelling"),
+            probes: told.is_on("limits.probes"),
+            peers: told.is_on("limits.peers"),
             me: told.number("me").unwrap_or(0.0) as u32,
-            priorities: told.on("family-info.lanes-count"),
+            priorities: told.is_on("family-info.lanes-count"),
             pages: told
                 .get("family-info.memory-short")
                 .is_some_and(|short| short == "page"),
@@ -272,7 +274,10 @@
 }
 
 impl ResourceGroup {
-    pub fn read_all(told: &Map, interner: &mut Interner) -> Result<Vec<Self>, String> {
+    pub fn read_all(
+        told: &SettingsMap,
+        interner: &mut Interner,
+    ) -> Result<Vec<Self>, SettingsError> {
         let mut groups = Vec::new();
         for i in 0..told.required("services.count")? as usize {
             groups.push(ResourceGroup::read(
@@ -284,7 +289,7 @@
             let name = format!("services.{i}.name");
             interner.groups.index(
                 told.get(&name)
-                    .ok_or_else(|| format!("setting {name} is missing"))?,
+                    .ok_or(SettingsError::Missing { key: name })?,
             );
         }
         Ok(groups)
@@ -292,14 +297,14 @@
 
     /// Reads the `i`-th resource group of the settings.
     pub fn read(
-        told: &Map,
+        told: &SettingsMap,
         i: usize,
-        zones: &mut Names,
-        kinds: &mut Names,
-    ) -> Result<Self, String> {
+        zones: &mut NameInterner,
+        kinds: &mut NameInterner,
+    ) -> Result<Self, SettingsError> {
         let name = |what: &str| format!("services.{i}.{what}");
         let text = |what: &str| told.get(&name(what)).map(String::as_str);
-        let bound = |what: &str, names: &mut Names| {
+        let bound = |what: &str, names: &mut NameInterner| {
             text(what).map(|all| all.split(',').map(|one| names.index(one)).collect())
         };
         let of_list = |what: &str| told.list(what).get(i).copied();
@@ -308,12 +313,17 @@
                 Some("read_like") => Effect::ReadOnly,
                 Some("idempotency_key") => Effect::IdempotencyKey,
                 Some("non_idempotent") => Effect::NonIdempotent,
-                other => {
-                    return Err(format!(
-                        "setting {} is {}",
-                        name("effect"),
-                        other.unwrap_or("missing")
-                    ))
+                None => {
+                    return Err(SettingsError::Missing {
+                        key: name("effect"),
+                    })
+                }
+                Some(other) => {
+                    return Err(SettingsError::Invalid {
+                        key: name("effect"),
+                        value: other.to_owned(),
+                        expected: "read_like, idempotency_key or non_idempotent",
+                    })
                 }
             },
             dedup: match text("dedup-scope") {
@@ -322,7 +332,7 @@
                 _ => DedupGroup::All,
             },
             window: told.millis(&name("repeat-window-us")).unwrap_or(0.0),
-            in_order: told.on(&name("in-order")),
+            in_order: told.is_on(&name("in-order")),
             zones: bound("confined-to", zones),
             kinds: bound("kinds-open", kinds),
             target: told.required(&name("aim-us"))? / 1000.0,
@@ -333,8 +343,8 @@
                 .and_then(|t| t.parse().ok())
                 .unwrap_or(1.0f64)
                 .max(1.0),
-            load: of_list("family-info.class-load").is_some_and(told::is_true),
-            waits: of_list("family-info.class-waits").is_some_and(told::is_true),
+            load: of_list("family-info.class-load").is_some_and(settings::is_true),
+            waits: of_list("family-info.class-waits").is_some_and(settings::is_true),
             cost_factor: 1.0,
             memory_factor: 1.0,
             ..ResourceGroup::default()
@@ -348,17 +358,17 @@
     }
 
     /// An estimate that is not sure counts for less (log): between the group's usual cost and itself.
-    pub fn trusted(&self, cost: f64, sure: f64) -> f64 {
-        if sure >= 1.0 || self.seen == 0 || self.mean_cost <= 0.0 {
+    pub fn trusted(&self, cost: f64, confidence: f64) -> f64 {
+        if confidence >= 1.0 || self.seen == 0 || self.mean_cost <= 0.0 {
             return cost;
         }
-        self.mean_cost * (cost / self.mean_cost).powf(sure.max(0.0))
+        self.mean_cost * (cost / self.mean_cost).powf(confidence.max(0.0))
     }
 
     /// What a text may do is never taken for milder than the text shows: what a group only reads, one that may
     /// alter runs under the rules of mutating. A token that the client sends still counts.
-    pub fn effect_of(&self, text: Text) -> Effect {
-        if text.alters && self.effect == Effect::ReadOnly {
+    pub fn effect_of(&self, text: StatementTraits) -> Effect {
+        if text.may_write && self.effect == Effect::ReadOnly {
             Effect::NonIdempotent
         } else {
             self.effect
@@ -463,7 +473,7 @@
 
 impl Engine {
     pub fn read(
-        told: &Map,
+        told: &SettingsMap,
         engine_id: u64,
         kind: &str,
         zone: &str,
@@ -471,10 +481,10 @@
         interner: &mut Interner,
     ) -> Self {
         let cores = told
-            .of_kind(kind, "family-info.cores-by-kind")
+            .for_kind(kind, "family-info.cores-by-kind")
             .unwrap_or(1.0);
         let memory = told
-            .of_kind(kind, "family-info.kind-memory-mb")
+            .for_kind(kind, "family-info.kind-memory-mb")
             .unwrap_or(0.0);
         let (kind, zone) = (interner.kinds.index(kind), interner.zones.index(zone));
         Engine {
@@ -581,9 +591,11 @@
         let find = |mark| {
             engines
                 .iter()
-                .position(|e| talk::mark_of(e.engine_id) == mark)
+                .position(|e| peer_codec::mark_of(e.engine_id) == mark)
         };
-        kept.extend(talk::read(content).filter_map(|(mark, threads)| Some((find(mark)?, threads))));
+        kept.extend(
+            peer_codec::read(content).filter_map(|(mark, threads)| Some((find(mark)?, threads))),
+        );
     }
 
     pub fn forget(&mut self, engine: usize) {
@@ -623,7 +635,7 @@
     pub base: f64,
     pub waits: bool,
     /// What it took of a plan's room.
-    pub took: Took,
+    pub took: Reservation,
 }
 
 impl Attempt {
@@ -683,7 +695,7 @@
     pub low: bool,
     /// What of its group's effect holds for it, and how sure its cost is.
     pub effect: Effect,
-    pub sure: f64,
+    pub confidence: f64,
     pub over: bool,
     pub moving: bool,
     pub count: usize,
@@ -706,7 +718,7 @@
             memory: 0.0,
             low: false,
             effect: Effect::NonIdempotent,
-            sure: 1.0,
+            confidence: 1.0,
             over: false,
             moving: false,
             count: 0,
@@ -887,7 +899,7 @@
 
 impl Tenants {
     /// Reads the tenants of the settings; each dispatcher has an even part of what they are allowed.
-    pub fn read(told: &Map, dispatchers: f64, names: &mut Names) -> Self {
+    pub fn read(told: &SettingsMap, dispatchers: f64, names: &mut NameInterner) -> Self {
         let mut tenants = Tenants::default();
         for i in 0..told.number("projects.count").unwrap_or(0.0) as usize {
             names.index(
--- a/src/tiers.rs
+++ b/src/zone_plan.rs
@@ -6,39 +6,39 @@
 
 /// A plan as it is handed over: zones by their names, engines by their numbers, groups in the order of the settings.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Given {
-    pub zones: Vec<GivenZone>,
+pub struct ZonePlan {
+    pub zones: Vec<ZoneLimits>,
     /// Threads that each engine may have of ours, in all.
     pub engines: Vec<(u64, f64)>,
     /// Of the further attempts this part may go to another zone than the last one.
-    pub cross_retries: f64,
+    pub cross_zone_retry_ratio: f64,
     /// This dispatcher is cut off itself: low work is better rejected at once than sent into silence.
-    pub alone: bool,
+    pub isolated: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct GivenZone {
+pub struct ZoneLimits {
     pub name: String,
     /// By group: 0 is nearest.
-    pub ranks: Vec<u8>,
+    pub tiers: Vec<u8>,
     /// Threads of low work from elsewhere, in all and by group.
-    pub spill: f64,
-    pub spill_by_group: Vec<f64>,
+    pub max_spill_threads: f64,
+    pub max_spill_threads_by_group: Vec<f64>,
 }
 
 /// Threads that may be out somewhere, and those that are. Where they are fewer than a query takes, as when many
 /// dispatchers share them, thread time is saved up (ms) and one goes at a time: over time that keeps to them.
 #[derive(Debug, Clone, Copy)]
-struct Room {
+struct Capacity {
     threads: f64,
     out: f64,
     credit: f64,
     at: f64,
 }
 
-impl Default for Room {
+impl Default for Capacity {
     fn default() -> Self {
-        Room {
+        Capacity {
             threads: f64::INFINITY,
             out: 0.0,
             credit: 0.0,
@@ -47,7 +47,7 @@
     }
 }
 
-impl Room {
+impl Capacity {
     /// Takes on how many there may be; one that opens begins with nothing saved up.
     fn set(&mut self, threads: f64, now: f64) {
         if self.threads.is_infinite() || self.threads <= 0.0 {
@@ -82,8 +82,8 @@
 #[derive(Debug, Clone, Default)]
 struct Zone {
     ranks: Vec<u8>,
-    spill: Room,
-    by_group: Vec<Room>,
+    spill: Capacity,
+    by_group: Vec<Capacity>,
 }
 
 /// Further attempts across zones: saved up to so many, and so many are free.
@@ -94,22 +94,22 @@
 pub struct Tiers {
     pub on: bool,
     zones: Vec<Zone>,
-    engines: Vec<Room>,
-    cross_retries: f64,
+    engines: Vec<Capacity>,
+    cross_zone_retry_ratio: f64,
     cross: f64,
     alone: bool,
 }
 
 /// What a attempt took of a plan's room, given back when it ends.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Took {
+pub struct Reservation {
     threads: f64,
     spilled: bool,
 }
 
 impl Control {
     /// Takes on a plan, or goes on without one. What runs stays counted.
-    pub fn plan_zones(&mut self, given: Option<&Given>) {
+    pub fn set_zone_plan(&mut self, given: Option<&ZonePlan>) {
         let Some(given) = given else {
             self.tiers.on = false;
             return;
@@ -117,18 +117,25 @@
         if !self.tiers.on {
             self.tiers.cross = CROSS_FREE;
         }
-        (self.tiers.on, self.tiers.alone, self.tiers.cross_retries) =
-            (true, given.alone, given.cross_retries);
+        (
+            self.tiers.on,
+            self.tiers.alone,
+            self.tiers.cross_zone_retry_ratio,
+        ) = (true, given.isolated, given.cross_zone_retry_ratio);
         for told in &given.zones {
             let at = self.interner.zones.index(&told.name) as usize;
             self.tiers
                 .zones
                 .resize(self.tiers.zones.len().max(at + 1), Zone::default());
             let zone = &mut self.tiers.zones[at];
-            zone.ranks.clone_from(&told.ranks);
-            zone.spill.set(told.spill, self.now);
-            zone.by_group.resize(told.ranks.len(), Room::default());
-            for (room, threads) in zone.by_group.iter_mut().zip(&told.spill_by_group) {
+            zone.ranks.clone_from(&told.tiers);
+            zone.spill.set(told.max_spill_threads, self.now);
+            zone.by_group.resize(told.tiers.len(), Capacity::default());
+            for (room, threads) in zone
+                .by_group
+                .iter_mut()
+                .zip(&told.max_spill_threads_by_group)
+            {
                 room.set(*threads, self.now);
             }
         }
@@ -138,7 +145,7 @@
             };
             self.tiers
                 .engines
-                .resize(self.tiers.engines.len().max(e + 1), Room::default());
+                .resize(self.tiers.engines.len().max(e + 1), Capacity::default());
             self.tiers.engines[e].set(*threads, self.now);
         }
     }
@@ -165,7 +172,7 @@
             return false;
         }
         let (threads, lasts) = (self.groups[q.rg].threads, self.alone(i).max(1.0));
-        let takes = |room: &Room| room.takes(threads, lasts, self.now);
+        let takes = |room: &Capacity| room.takes(threads, lasts, self.now);
         if !self.tiers.engines.get(e).is_none_or(takes) {
             return false;
         }
@@ -190,9 +197,9 @@
     }
 
     /// Counts a attempt that is about to go out.
-    pub fn takes_room(&mut self, i: usize, e: usize) -> Took {
+    pub fn takes_room(&mut self, i: usize, e: usize) -> Reservation {
         if !self.tiers.on {
-            return Took::default();
+            return Reservation::default();
         }
         let (rg, low, threads) = (
             self.queries[i].rg,
@@ -208,13 +215,15 @@
         let tiers = &mut self.tiers;
         match last {
             Some(last) if last != zone => tiers.cross = (tiers.cross - 1.0).max(0.0),
-            Some(_) => tiers.cross = (tiers.cross + tiers.cross_retries).min(MAX_CROSS),
+            Some(_) => tiers.cross = (tiers.cross + tiers.cross_zone_retry_ratio).min(MAX_CROSS),
             // First attempts bring little: a storm must not live on the calm before it.
-            None => tiers.cross = (tiers.cross + 0.05 * tiers.cross_retries).min(MAX_CROSS),
+            None => {
+                tiers.cross = (tiers.cross + 0.05 * tiers.cross_zone_retry_ratio).min(MAX_CROSS)
+            }
         }
         tiers
             .engines
-            .resize(tiers.engines.len().max(e + 1), Room::default());
+            .resize(tiers.engines.len().max(e + 1), Capacity::default());
         tiers.engines[e].add(threads, lasts, now);
         if let Some(zone) = tiers.zones.get_mut(zone as usize).filter(|_| spilled) {
             zone.spill.add(threads, lasts, now);
@@ -223,11 +232,11 @@
                 .into_iter()
                 .for_each(|room| room.add(threads, lasts, now));
         }
-        Took { threads, spilled }
+        Reservation { threads, spilled }
     }
 
     /// Gives back what an ended attempt took.
-    pub fn gives_back(&mut self, took: Took, rg: usize, e: usize) {
+    pub fn gives_back(&mut self, took: Reservation, rg: usize, e: usize) {
         if took.threads <= 0.0 {
             return;
         }
@@ -247,7 +256,7 @@
     }
 
     /// Low threads of ours in a zone that came from elsewhere.
-    pub fn spilled(&self, zone: &str) -> f64 {
+    pub fn spilled_threads(&self, zone: &str) -> f64 {
         let at = self
             .interner
             .zones
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,10 @@
 
 use helper::*;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, ListForm, Note, Outcome, Text, Writer};
+use tansymux::events::{
+    DecisionSink, EndpointListKind, EndpointState, EndpointUpdate, HealthCheckEnded, NoteKind,
+    Outcome, PeerMessage, ProgressNote, QueryArrived,
+};
 use tansymux::state::{Pace, Paces};
 
 const ONE: &[(&str, &str)] = &[("small", "h1")];
@@ -14,6 +17,16 @@
 };
 const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
 
+/// An engine's note on an attempt.
+fn note(query_id: u64, attempt: usize, kind: NoteKind, amount: f64) -> ProgressNote {
+    ProgressNote {
+        query_id,
+        attempt,
+        kind,
+        amount,
+    }
+}
+
 /// Makes engine `e` look pressed, as slow answers would.
 fn press(c: &mut Control, e: usize) {
     c.engines[e].paces.fast = SLOW;
@@ -24,7 +37,7 @@
     let mut told = settings("");
     told.remove("services.1.aim-us");
     assert_eq!(
-        Control::new(1, &told).err().unwrap(),
+        Control::new(1, &told).err().unwrap().to_string(),
         "setting services.1.aim-us is missing"
     );
 }
@@ -38,7 +51,7 @@
         ["fail 1"]
     );
     assert!(close(&mut c, 20_002.0, 1, 0, Outcome::Completed, 1).is_empty());
-    assert!(round(&mut c, 20_003.0, |c, out| c.vanished(1, out)).is_empty());
+    assert!(round(&mut c, 20_003.0, |c, out| c.on_client_gone(1, out)).is_empty());
 }
 
 #[test]
@@ -57,19 +70,8 @@
         let mut c = dispatcher(usual, TWO);
         c.groups[0].pace = pace;
         let decided = round(&mut c, 1.0, |c, out| {
-            c.query(
-                1,
-                "look",
-                "",
-                None,
-                T0 + 1.0 + wait,
-                cost,
-                10.0,
-                0,
-                Text::UNREAD,
-                out,
-            )
-            .unwrap()
+            c.on_query_arrived(&arriving(1, "look", T0 + 1.0 + wait, cost), out)
+                .unwrap()
         });
         assert_eq!(
             starts(&decided, "submit 1"),
@@ -87,19 +89,8 @@
     press(&mut c, 0);
     press(&mut c, 1);
     let decided = round(&mut c, 1.0, |c, out| {
-        c.query(
-            1,
-            "rep",
-            "",
-            None,
-            T0 + 891.0,
-            1700.0,
-            10.0,
-            0,
-            Text::UNREAD,
-            out,
-        )
-        .unwrap()
+        c.on_query_arrived(&arriving(1, "rep", T0 + 891.0, 1700.0), out)
+            .unwrap()
     });
     assert!(starts(&decided, "submit 1"), "{decided:?}");
 }
@@ -109,7 +100,7 @@
     let mut c = dispatcher("", ONE);
     ask(&mut c, 1.0, 1, "look", 100.0);
     assert_eq!(
-        round(&mut c, 2.0, |c, out| c.vanished(1, out)),
+        round(&mut c, 2.0, |c, out| c.on_client_gone(1, out)),
         ["cancel 1 0"]
     );
     assert!(close(&mut c, 3.0, 1, 0, Outcome::Cancelled, 1).is_empty());
@@ -157,9 +148,12 @@
 fn rule_3_nothing_goes_to_an_engine_that_drains_or_was_left_out() {
     let mut c = dispatcher("", TWO);
     round(&mut c, 1.0, |c, out| {
-        c.list_begins(ListForm::Changes);
-        c.listed(1, "small", "h1", EngineStatus::Draining, None, 0);
-        c.list_ends(ListForm::Changes, out);
+        c.begin_update(EndpointListKind::Delta);
+        c.upsert_endpoint(&EndpointUpdate {
+            state: EndpointState::Draining,
+            ..ready(1, "small", "h1", None)
+        });
+        c.finish_update(EndpointListKind::Delta, out);
     });
     for id in 0..20 {
         assert_eq!(
@@ -168,8 +162,8 @@
         );
     }
     round(&mut c, 3.0, |c, out| {
-        c.list_begins(ListForm::Full);
-        c.list_ends(ListForm::Full, out);
+        c.begin_update(EndpointListKind::Snapshot);
+        c.finish_update(EndpointListKind::Snapshot, out);
     });
     assert!(starts(&ask(&mut c, 4.0, 99, "look", 10.0), "reject 99"));
 }
@@ -179,9 +173,9 @@
         "rules.overload-for-us=3000000 rules.fall-multiple=2 rules.cold-from=0.3 rules.warm-after-us=9000000";
     let mut c = dispatcher(rules, &[]);
     round(&mut c, 1.0, |c, out| {
-        c.list_begins(ListForm::Changes);
-        c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0), 0);
-        c.list_ends(ListForm::Changes, out);
+        c.begin_update(EndpointListKind::Delta);
+        c.upsert_endpoint(&ready(1, "small", "h1", Some(T0)));
+        c.finish_update(EndpointListKind::Delta, out);
     });
     c
 }
@@ -212,9 +206,9 @@
         let told = settings(&format!("balancers={dispatchers} {rules}"));
         let mut c = Control::new(seed * 1_000_003 + nth as u64 * 7 + life, &told).unwrap();
         round(&mut c, at, |c, out| {
-            c.list_begins(ListForm::Remembered);
-            c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0 + 50.0), 0);
-            c.list_ends(ListForm::Remembered, out);
+            c.begin_update(EndpointListKind::Cached);
+            c.upsert_endpoint(&ready(1, "small", "h1", Some(T0 + 50.0)));
+            c.finish_update(EndpointListKind::Cached, out);
         });
         c
     };
@@ -278,7 +272,7 @@
         "submit 3"
     ));
     let e = c.queries.iter().find(|(_, q)| q.id == 1).unwrap().1.sent()[0].engine as u64 + 1;
-    round(&mut c, 4.0, |c, out| c.vanished(1, out));
+    round(&mut c, 4.0, |c, out| c.on_client_gone(1, out));
     assert!(
         round(&mut c, 50.0, |_, _| ()).is_empty(),
         "its submission is still out"
@@ -302,14 +296,14 @@
         } else {
             Outcome::Completed
         };
-        round(&mut c, at + 1.0, |c, out| c.vanished(id, out));
+        round(&mut c, at + 1.0, |c, out| c.on_client_gone(id, out));
         close(&mut c, at + 2.0, id, 0, outcome, engine_id);
     }
     assert!(c.lines.kept() < 60, "{}", c.lines.kept());
     // A key that is used over and over stays one, and its rest holds.
     ask_for(&mut c, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
     let engine_id = c.engines[c.queries[c.interner.queries[&2000]].sent()[0].engine].engine_id;
-    round(&mut c, 20_001.0, |c, out| c.vanished(2000, out));
+    round(&mut c, 20_001.0, |c, out| c.on_client_gone(2000, out));
     close(&mut c, 20_002.0, 2000, 0, Outcome::Cancelled, engine_id);
     assert!(
         ask_for(&mut c, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(),
@@ -448,9 +442,9 @@
     }
     assert!(c.engines[0].suspect && c.engines[0].silent);
     round(&mut c, 600.0, |c, out| {
-        c.list_begins(ListForm::Changes);
-        c.listed(2, "small", "h1", EngineStatus::Ready, None, 0);
-        c.list_ends(ListForm::Changes, out);
+        c.begin_update(EndpointListKind::Delta);
+        c.upsert_endpoint(&ready(2, "small", "h1", None));
+        c.finish_update(EndpointListKind::Delta, out);
     });
     c.engines[1].work = 1e9;
     for id in 10..40 {
@@ -477,10 +471,20 @@
         .collect();
     assert_eq!(c.engines[0].open, 0, "the hole took a trial");
     assert!(starts(&decided, "probe 1"), "{decided:?}");
-    round(&mut c, 650.0, |c, _| c.probed(1, Outcome::Timeout));
+    round(&mut c, 650.0, |c, _| {
+        c.on_health_check_ended(&HealthCheckEnded {
+            engine_id: 1,
+            outcome: Outcome::Timeout,
+        })
+    });
     (20..30).for_each(|id| drop(ask(&mut c, 660.0, id, "look", 10.0)));
     assert_eq!(c.engines[0].open, 0);
-    round(&mut c, 670.0, |c, _| c.probed(1, Outcome::Completed));
+    round(&mut c, 670.0, |c, _| {
+        c.on_health_check_ended(&HealthCheckEnded {
+            engine_id: 1,
+            outcome: Outcome::Completed,
+        })
+    });
     (30..50).for_each(|id| drop(ask(&mut c, 680.0, id, "look", 10.0)));
     assert_eq!(c.engines[0].open, 1, "one trial");
 }
@@ -491,21 +495,32 @@
     (0..2).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
     // Two that waited for one connection are one sign of trouble, and then there is a second.
     round(&mut c, 251.0, |c, out| {
-        (0..2)
-            .for_each(|id| c.closed(id, 0, false, Outcome::NoConnection, 1, 250.0, 0.0, 0.0, out));
+        (0..2).for_each(|id| {
+            c.on_attempt_ended(&ended(id, 0, false, Outcome::NoConnection, 1, 250.0), out)
+        });
     });
     assert!(!c.engines[0].suspect);
     close(&mut c, 501.0, 0, 1, Outcome::NoConnection, 1);
     assert!(c.engines[0].suspect);
     // What answers a probe can be reached and has a process: nothing else was said against it.
-    round(&mut c, 600.0, |c, _| c.probed(1, Outcome::Completed));
+    round(&mut c, 600.0, |c, _| {
+        c.on_health_check_ended(&HealthCheckEnded {
+            engine_id: 1,
+            outcome: Outcome::Completed,
+        })
+    });
     assert!(!c.engines[0].suspect);
     // One that takes queries and ends none may well answer probes: its doubt stays until a trial passed.
     for id in 10..12 {
         ask(&mut c, 700.0, id, "load", 10.0);
         close(&mut c, 701.0, id, 0, Outcome::Reset, 1);
     }
-    round(&mut c, 800.0, |c, _| c.probed(1, Outcome::Completed));
+    round(&mut c, 800.0, |c, _| {
+        c.on_health_check_ended(&HealthCheckEnded {
+            engine_id: 1,
+            outcome: Outcome::Completed,
+        })
+    });
     assert!(c.engines[0].suspect);
 }
 
@@ -576,9 +591,9 @@
     ask(&mut c, 1.0, 7, "load", 10.0);
     for engine_id in 2..200 {
         round(&mut c, engine_id as f64, |c, out| {
-            c.list_begins(ListForm::Full);
-            c.listed(engine_id, "small", "h1", EngineStatus::Ready, Some(T0), 0);
-            c.list_ends(ListForm::Full, out);
+            c.begin_update(EndpointListKind::Snapshot);
+            c.upsert_endpoint(&ready(engine_id, "small", "h1", Some(T0)));
+            c.finish_update(EndpointListKind::Snapshot, out);
         });
         let ready: Vec<u64> = c
             .engines
@@ -617,7 +632,7 @@
         ask(&mut c, 1.0, id, "rep", 200.0);
     }
     let moved = round(&mut c, 1_001.0, |c, _| {
-        (0..20).for_each(|id| c.noted(id, 0, Note::Progress, 0.05))
+        (0..20).for_each(|id| c.on_progress_note(&note(id, 0, NoteKind::Progress, 0.05)))
     });
     assert_eq!(moved.len(), 3, "{moved:?}: one and a tenth of twenty");
 }
@@ -651,9 +666,9 @@
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
     let mut c = dispatcher("membership-mode=on_request", ONE);
-    let fail = |c: &mut Control, out: &mut dyn tansymux::interface::Writer| {
-        c.list_begins(ListForm::Failed);
-        c.list_ends(ListForm::Failed, out);
+    let fail = |c: &mut Control, out: &mut dyn tansymux::events::DecisionSink| {
+        c.begin_update(EndpointListKind::Failed);
+        c.finish_update(EndpointListKind::Failed, out);
     };
     round(&mut c, 2_000.0, fail);
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "watch"));
@@ -668,8 +683,12 @@
     let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
         mark(&mut c);
         round(&mut c, 1.0, |c, out| {
-            c.query(id, rg, who, None, T0 + 9e3, 9.0, 1.0, 0, Text::UNREAD, out)
-                .unwrap()
+            let query = QueryArrived {
+                tenant: who,
+                memory_mb: 1.0,
+                ..arriving(id, rg, T0 + 9e3, 9.0)
+            };
+            c.on_query_arrived(&query, out).unwrap()
         })
     };
     for id in 0..60 {
@@ -802,9 +821,14 @@
         2,
         "to each that adds up: {told:?}"
     );
-    let mark = tansymux::talk::mark_of(e as u64 + 1);
-    let report = [tansymux::talk::OWN, mark[0], mark[1], 2];
-    let sums = round(&mut adds_up, 2_000.0, |c, _| c.told_by(3, &report));
+    let mark = tansymux::peer_codec::mark_of(e as u64 + 1);
+    let report = [tansymux::peer_codec::OWN, mark[0], mark[1], 2];
+    let sums = round(&mut adds_up, 2_000.0, |c, _| {
+        c.on_peer_message(&PeerMessage {
+            peer: 3,
+            content: &report,
+        })
+    });
     assert!(
         starts(&sums, "tell None [1, ") && adds_up.engines[e].others == 2.0,
         "{sums:?}"
@@ -819,20 +843,34 @@
 #[test]
 fn what_others_run_counts_as_ours_while_it_is_told_and_the_even_share_holds_without() {
     let mut c = dispatcher(&format!("{PEERS}3"), ONE);
-    let mark = tansymux::talk::mark_of(1);
-    let sum = [tansymux::talk::SUM, mark[0], mark[1], 20];
-    round(&mut c, 10.0, |c, _| c.told_by(0, &sum));
+    let mark = tansymux::peer_codec::mark_of(1);
+    let sum = [tansymux::peer_codec::SUM, mark[0], mark[1], 20];
+    round(&mut c, 10.0, |c, _| {
+        c.on_peer_message(&PeerMessage {
+            peer: 0,
+            content: &sum,
+        })
+    });
     assert!(
         starts(&ask(&mut c, 20.0, 1, "rep", 100.0), "reject"),
         "the engine is crowded by others"
     );
     round(&mut c, 30.0, |c, _| {
-        c.told_by(0, &[tansymux::talk::SUM, mark[0], mark[1], 2])
+        c.on_peer_message(&PeerMessage {
+            peer: 0,
+            content: &[tansymux::peer_codec::SUM, mark[0], mark[1], 2],
+        })
     });
     assert!(starts(&ask(&mut c, 40.0, 2, "rep", 100.0), "submit"));
     round(&mut c, 50.0, |c, _| {
-        c.told_by(0, &[9]);
-        c.told_by(u32::MAX, &[tansymux::talk::OWN, mark[0], mark[1], 9]);
+        c.on_peer_message(&PeerMessage {
+            peer: 0,
+            content: &[9],
+        });
+        c.on_peer_message(&PeerMessage {
+            peer: u32::MAX,
+            content: &[tansymux::peer_codec::OWN, mark[0], mark[1], 9],
+        });
     });
     assert_eq!(
         c.engines[0].others, 2.0,
@@ -844,7 +882,9 @@
 fn a_attempt_whose_notes_stop_is_moved_though_its_share_was_nearly_done() {
     let mut c = dispatcher("family-info.tells-every-us=1000000", TWO);
     ask(&mut c, 1.0, 1, "rep", 1000.0);
-    round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.9));
+    round(&mut c, 1_001.0, |c, _| {
+        c.on_progress_note(&note(1, 0, NoteKind::Progress, 0.9))
+    });
     assert!(!starts(&round(&mut c, 2_500.0, |_, _| ()), "cancel"));
     assert!(
         starts(&round(&mut c, 3_600.0, |_, _| ()), "cancel 1 0"),
@@ -861,7 +901,9 @@
         if pressed {
             press(&mut c, e);
         }
-        let then_said = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.02));
+        let then_said = round(&mut c, 1_001.0, |c, _| {
+            c.on_progress_note(&note(1, 0, NoteKind::Progress, 0.02))
+        });
         assert!(starts(&then_said, then), "{then_said:?}");
     }
 }
@@ -872,10 +914,16 @@
     for (share, lives) in [(0.5, true), (0.0041, false)] {
         let mut c = dispatcher("", TWO);
         ask(&mut c, 1.0, 1, "load", 1000.0);
-        round(&mut c, 2.0, |c, _| c.noted(1, 0, Note::Waits, 2.0));
-        let first = round(&mut c, 1_001.0, |c, _| c.noted(1, 0, Note::Progress, 0.004));
+        round(&mut c, 2.0, |c, _| {
+            c.on_progress_note(&note(1, 0, NoteKind::Waiting, 2.0))
+        });
+        let first = round(&mut c, 1_001.0, |c, _| {
+            c.on_progress_note(&note(1, 0, NoteKind::Progress, 0.004))
+        });
         assert!(!starts(&first, "fail"), "{first:?}");
-        let second = round(&mut c, 1_501.0, |c, _| c.noted(1, 0, Note::Progress, share));
+        let second = round(&mut c, 1_501.0, |c, _| {
+            c.on_progress_note(&note(1, 0, NoteKind::Progress, share))
+        });
         assert_eq!(!starts(&second, "fail 1"), lives, "{second:?}");
     }
 }
@@ -922,7 +970,7 @@
     for id in 0..6 {
         ask(&mut c, 1.0, id, "look", 10.0);
         round(&mut c, 900.0, |c, out| {
-            c.closed(id, 0, true, Outcome::Completed, 1, 900.0, 0.0, 0.0, out)
+            c.on_attempt_ended(&ended(id, 0, true, Outcome::Completed, 1, 900.0), out)
         });
     }
     assert!(c.pressure(0));
@@ -952,9 +1000,9 @@
         .filter(|&seed| {
             let mut c = Control::new(seed, &settings(told)).unwrap();
             round(&mut c, 1.0, |c, out| {
-                c.list_begins(ListForm::Changes);
-                c.listed(1, "small", "h1", EngineStatus::Ready, Some(T0), 0);
-                c.list_ends(ListForm::Changes, out);
+                c.begin_update(EndpointListKind::Delta);
+                c.upsert_endpoint(&ready(1, "small", "h1", Some(T0)));
+                c.finish_update(EndpointListKind::Delta, out);
             });
             round(&mut c, 30.0, |_, _| ());
             (0..9)
@@ -986,33 +1034,22 @@
 fn rule_2_a_repeat_by_its_token_has_to_be_out_within_the_window() {
     let mut c = dispatcher("services.3.repeat-window-us=700000", TWO);
     let mut kept = Kept::default();
-    c.round(
+    c.run_round(
         T0,
-        &mut Do(Some(|c: &mut Control, out: &mut dyn Writer| {
-            c.query(
-                1,
-                "tok",
-                "",
-                None,
-                T0 + 5000.0,
-                100.0,
-                10.0,
-                0,
-                Text::UNREAD,
-                out,
-            )
-            .unwrap();
+        &mut Do(Some(|c: &mut Control, out: &mut dyn DecisionSink| {
+            c.on_query_arrived(&arriving(1, "tok", T0 + 5000.0, 100.0), out)
+                .unwrap();
             let engine_id =
                 c.engines[c.queries[c.interner.queries[&1]].attempts[0].engine].engine_id;
             c.now = T0 + 100.0;
-            c.closed(1, 0, false, Outcome::Reset, engine_id, 100.0, 0.0, 0.0, out);
+            c.on_attempt_ended(&ended(1, 0, false, Outcome::Reset, engine_id, 100.0), out);
         })),
         &mut kept,
     );
     let bounds: Vec<(f64, f64)> = kept
         .1
         .iter()
-        .map(|b| (b.until - T0, b.begin_by - T0))
+        .map(|b| (b.deadline_ms - T0, b.start_by_ms - T0))
         .collect();
     assert_eq!(bounds, [(5000.0, 5000.0), (5000.0, 700.0)]);
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,8 +1,11 @@
 //! What the tests share: settings, a dispatcher with engines, and a writer that keeps what was decided.
 
-use tansymux::control::Control;
-use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Outcome, Text, Writer};
-use tansymux::told::Map;
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
+    Outcome, QueryArrived, StatementTraits,
+};
+use tansymux::settings::SettingsMap;
 
 const SETTINGS: &str = "balancers=2 zone=h1 kinds=small,big family-info.cores-by-kind=8,16 \
     family-info.kind-memory-mb=1000,2000 family-info.dop=1,2,2,2 family-info.class-load=0,0,1,1 \
@@ -15,7 +18,7 @@
     services.3.repeat-window-us=10000000 services.3.dedup-scope=all services.3.in-order=1";
 
 /// The settings above, with `more` put over them.
-pub fn settings(more: &str) -> Map {
+pub fn settings(more: &str) -> SettingsMap {
     let pairs = SETTINGS.split_whitespace().chain(more.split_whitespace());
     pairs
         .map(|p| p.split_once('=').unwrap())
@@ -24,15 +27,15 @@
 }
 
 #[derive(Default)]
-pub struct Kept(pub Vec<String>, pub Vec<Bounds>);
+pub struct Kept(pub Vec<String>, pub Vec<AttemptLimits>);
 
-impl Writer for Kept {
-    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
+impl DecisionSink for Kept {
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: AttemptLimits) {
         self.1.push(bounds);
         self.0.push(format!("submit {id} {engine_id}"));
     }
-    fn reject(&mut self, id: u64, retry_after: f64) {
-        self.0.push(format!("reject {id} {retry_after}"));
+    fn reject(&mut self, id: u64, retry_after_ms: f64) {
+        self.0.push(format!("reject {id} {retry_after_ms}"));
     }
     fn fail(&mut self, id: u64) {
         self.0.push(format!("fail {id}"));
@@ -43,23 +46,22 @@
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
         self.0.push(format!("grant {id} {priority} {memory}"));
     }
-    fn probe(&mut self, engine_id: u64) {
+    fn check_health(&mut self, engine_id: u64) {
         self.0.push(format!("probe {engine_id}"));
     }
-    fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
+    fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
         self.0.push(format!("tell {peer:?} {content:?}"));
     }
-    fn timer(&mut self, _delay: f64, _handle: u64) {}
-    fn watch_list(&mut self) {
+    fn set_timer(&mut self, _delay: f64, _handle: u64) {}
+    fn watch_endpoints(&mut self) {
         self.0.push("watch".into());
     }
-    fn note(&mut self, _text: &str) {}
 }
 
 pub struct Do<F>(pub Option<F>);
 
-impl<F: FnOnce(&mut Control, &mut dyn Writer)> Feed for Do<F> {
-    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+impl<F: FnOnce(&mut Control, &mut dyn DecisionSink)> EventSource for Do<F> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         (self.0.take().unwrap())(control, out);
     }
 }
@@ -70,22 +72,74 @@
 pub fn round(
     c: &mut Control,
     at: f64,
-    events: impl FnOnce(&mut Control, &mut dyn Writer),
+    events: impl FnOnce(&mut Control, &mut dyn DecisionSink),
 ) -> Vec<String> {
     let mut kept = Kept::default();
-    c.round(T0 + at, &mut Do(Some(events)), &mut kept);
+    c.run_round(T0 + at, &mut Do(Some(events)), &mut kept);
     kept.0
 }
 
+/// A list entry of a ready engine in cell 0.
+pub fn ready<'a>(
+    engine_id: u64,
+    kind: &'a str,
+    zone: &'a str,
+    started_ms: Option<f64>,
+) -> EndpointUpdate<'a> {
+    EndpointUpdate {
+        engine_id,
+        kind,
+        zone,
+        state: EndpointState::Ready,
+        started_ms,
+        cell: 0,
+    }
+}
+
+/// A query without tenant, key and tables that needs 10 MB.
+pub fn arriving(query_id: u64, group: &str, deadline_ms: f64, cost_ms: f64) -> QueryArrived<'_> {
+    QueryArrived {
+        query_id,
+        group,
+        tenant: "",
+        key: None,
+        deadline_ms,
+        estimated_cost_ms: cost_ms,
+        memory_mb: 10.0,
+        tables: 0,
+        statement: StatementTraits::UNKNOWN,
+    }
+}
+
+/// The end of an attempt on an engine that reports no usage.
+pub fn ended(
+    query_id: u64,
+    attempt: usize,
+    answer_delivered: bool,
+    outcome: Outcome,
+    engine_id: u64,
+    latency_ms: f64,
+) -> AttemptEnded {
+    AttemptEnded {
+        query_id,
+        attempt,
+        engine_id,
+        outcome,
+        answer_delivered,
+        latency_ms,
+        used: None,
+    }
+}
+
 /// A dispatcher with engines numbered from 1, each given as kind and zone, all started long ago.
 pub fn dispatcher(more: &str, engines: &[(&str, &str)]) -> Control {
     let mut c = Control::new(7, &settings(more)).unwrap();
     round(&mut c, 0.0, |c, out| {
-        c.list_begins(ListForm::Full);
+        c.begin_update(EndpointListKind::Snapshot);
         for (i, (kind, zone)) in engines.iter().enumerate() {
-            c.listed(i as u64 + 1, kind, zone, EngineStatus::Ready, None, 0);
+            c.upsert_endpoint(&ready(i as u64 + 1, kind, zone, None));
         }
-        c.list_ends(ListForm::Full, out);
+        c.finish_update(EndpointListKind::Snapshot, out);
     });
     c
 }
@@ -105,19 +159,12 @@
     tables: u32,
 ) -> Vec<String> {
     round(c, at, |c, out| {
-        c.query(
-            id,
-            rg,
-            "",
+        let query = QueryArrived {
             key,
-            T0 + at + 20_000.0,
-            cost,
-            10.0,
             tables,
-            Text::UNREAD,
-            out,
-        )
-        .unwrap()
+            ..arriving(id, rg, T0 + at + 20_000.0, cost)
+        };
+        c.on_query_arrived(&query, out).unwrap()
     })
 }
 
@@ -132,7 +179,7 @@
 ) -> Vec<String> {
     let complete = outcome == Outcome::Completed;
     round(c, at, |c, out| {
-        c.closed(id, sub, complete, outcome, engine_id, 100.0, 0.0, 0.0, out)
+        c.on_attempt_ended(&ended(id, sub, complete, outcome, engine_id, 100.0), out)
     })
 }
 
--- a/tests/reduced.rs
+++ b/tests/reduced.rs
@@ -4,8 +4,8 @@
 
 use helper::*;
 use tansymux::control::Control;
-use tansymux::interface::{EngineStatus, ListForm, Outcome, Text};
-use tansymux::state::{Pace, Reduced};
+use tansymux::events::{EndpointListKind, Outcome, QueryArrived, StatementTraits};
+use tansymux::state::{LevelEffects, Pace};
 
 const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
 const SLOW: Pace = Pace {
@@ -14,42 +14,41 @@
 };
 
 /// The deepest level there could be.
-fn deepest() -> Reduced {
-    Reduced {
-        bounds: 0.05,
-        demotion: 0.5,
-        grants: 0.05,
-        retry: 3.0,
-        spread: 0.5,
-        withhold: true,
-        close_over_share: true,
-        min_sure: 1.0,
-        classes: vec![0.0; 4],
+fn deepest() -> LevelEffects {
+    LevelEffects {
+        concurrency_factor: 0.05,
+        demotion_factor: 0.5,
+        grant_factor: 0.05,
+        retry_after_factor: 3.0,
+        retry_after_jitter: 0.5,
+        withhold_low_retries: true,
+        reject_over_share: true,
+        min_confidence: 1.0,
+        group_fractions: vec![0.0; 4],
     }
 }
 
-fn pressed(reduced: Reduced) -> Control {
+fn pressed(reduced: LevelEffects) -> Control {
     let mut c = dispatcher("limits.max-retry-after-us=9000000", TWO);
     c.engines.iter_mut().for_each(|e| e.paces.fast = SLOW);
-    c.reduced = reduced;
+    c.level = reduced;
     c
 }
 
-fn ask_with(c: &mut Control, at: f64, id: u64, rg: &str, cost: f64, text: Text) -> Vec<String> {
+fn ask_with(
+    c: &mut Control,
+    at: f64,
+    id: u64,
+    rg: &str,
+    cost: f64,
+    text: StatementTraits,
+) -> Vec<String> {
     round(c, at, |c, out| {
-        c.query(
-            id,
-            rg,
-            "",
-            None,
-            T0 + at + 20_000.0,
-            cost,
-            10.0,
-            0,
-            text,
-            out,
-        )
-        .unwrap()
+        let query = QueryArrived {
+            statement: text,
+            ..arriving(id, rg, T0 + at + 20_000.0, cost)
+        };
+        c.on_query_arrived(&query, out).unwrap()
     })
 }
 
@@ -95,7 +94,7 @@
 #[test]
 fn the_time_to_come_back_keeps_to_what_the_settings_allow() {
     let mut c = dispatcher("", TWO);
-    c.reduced = deepest();
+    c.level = deepest();
     for id in 0..40 {
         let decided = ask(&mut c, 1.0, id, "rep", 100.0);
         let wait: f64 = decided[0]
@@ -109,21 +108,21 @@
 
 #[test]
 fn bounds_shrink_and_a_part_of_its_room_is_left_to_a_group() {
-    let count = |reduced: Reduced| {
+    let count = |reduced: LevelEffects| {
         let mut c = pressed(reduced);
         // A pool of two with 8 cores each, of which this dispatcher has the half.
         (0..20)
             .filter(|id| starts(&ask(&mut c, 1.0, *id, "rep", 100.0), "submit"))
             .count()
     };
-    let full = count(Reduced::default());
-    let half = count(Reduced {
-        bounds: 0.5,
-        ..Reduced::default()
+    let full = count(LevelEffects::default());
+    let half = count(LevelEffects {
+        concurrency_factor: 0.5,
+        ..LevelEffects::default()
     });
-    let part = count(Reduced {
-        classes: vec![1.0, 0.4, 1.0, 1.0],
-        ..Reduced::default()
+    let part = count(LevelEffects {
+        group_fractions: vec![1.0, 0.4, 1.0, 1.0],
+        ..LevelEffects::default()
     });
     assert!(
         full > half && full > part && half > 0,
@@ -133,10 +132,10 @@
 
 #[test]
 fn unsure_low_work_finds_no_room_and_sure_work_does() {
-    let sure = |sure: f64| {
-        let mut c = pressed(Reduced {
-            min_sure: 0.3,
-            ..Reduced::default()
+    let confidence = |confidence: f64| {
+        let mut c = pressed(LevelEffects {
+            min_confidence: 0.3,
+            ..LevelEffects::default()
         });
         starts(
             &ask_with(
@@ -145,22 +144,22 @@
                 1,
                 "rep",
                 100.0,
-                Text {
-                    sure,
-                    alters: false,
+                StatementTraits {
+                    confidence,
+                    may_write: false,
                 },
             ),
             "submit",
         )
     };
-    assert!(!sure(0.2) && sure(0.4));
+    assert!(!confidence(0.2) && confidence(0.4));
 }
 
 #[test]
 fn low_work_is_not_sent_again_where_that_is_withheld_and_its_rules_hold() {
-    let mut c = pressed(Reduced {
-        withhold: true,
-        ..Reduced::default()
+    let mut c = pressed(LevelEffects {
+        withhold_low_retries: true,
+        ..LevelEffects::default()
     });
     ask(&mut c, 1.0, 1, "rep", 100.0);
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
@@ -183,13 +182,13 @@
 
 #[test]
 fn a_level_that_comes_and_goes_leaves_what_runs_alone() {
-    let mut c = pressed(Reduced::default());
+    let mut c = pressed(LevelEffects::default());
     assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "submit 1"));
     let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
-    c.reduced = deepest();
+    c.level = deepest();
     assert!(round(&mut c, 30.0, |_, _| {}).is_empty());
     assert!(close(&mut c, 40.0, 1, 0, Outcome::Completed, on).is_empty());
-    c.reduced = Reduced::default();
+    c.level = LevelEffects::default();
     assert!(starts(&ask(&mut c, 50.0, 2, "rep", 100.0), "submit 2"));
 }
 
@@ -197,11 +196,11 @@
 fn a_cold_engine_keeps_its_limit_at_the_deepest_level() {
     let cold = "rules.fall-multiple=2 rules.cold-from=0.25 rules.overload-for-us=500000 rules.warm-after-us=10000000";
     let mut c = dispatcher(cold, TWO);
-    c.reduced = deepest();
+    c.level = deepest();
     round(&mut c, 1.0, |c, out| {
-        c.list_begins(ListForm::Full);
-        c.listed(3, "small", "h1", EngineStatus::Ready, Some(T0), 0);
-        c.list_ends(ListForm::Full, out);
+        c.begin_update(EndpointListKind::Snapshot);
+        c.upsert_endpoint(&ready(3, "small", "h1", Some(T0)));
+        c.finish_update(EndpointListKind::Snapshot, out);
     });
     let sent = (0..400)
         .filter(|id| {
@@ -217,9 +216,19 @@
 
 #[test]
 fn what_may_alter_is_failed_where_its_group_would_be_rejected() {
-    for (alters, then) in [(false, "reject 1"), (true, "fail 1")] {
+    for (may_write, then) in [(false, "reject 1"), (true, "fail 1")] {
         let mut c = dispatcher("limits.max-attempts=1", TWO);
-        ask_with(&mut c, 1.0, 1, "look", 10.0, Text { sure: 1.0, alters });
+        ask_with(
+            &mut c,
+            1.0,
+            1,
+            "look",
+            10.0,
+            StatementTraits {
+                confidence: 1.0,
+                may_write,
+            },
+        );
         let on = c.engines.iter().position(|e| e.open == 1).unwrap() as u64 + 1;
         assert!(starts(&close(&mut c, 2.0, 1, 0, Outcome::Reset, on), then));
     }
@@ -229,16 +238,16 @@
 fn an_unsure_estimate_lies_between_the_groups_usual_and_itself() {
     let mut c = dispatcher("", TWO);
     (0..30).for_each(|id| drop(ask(&mut c, 1.0, id, "look", 10.0)));
-    let low = |c: &mut Control, id: u64, sure: f64| {
+    let low = |c: &mut Control, id: u64, confidence: f64| {
         ask_with(
             c,
             2.0,
             id,
             "look",
             1000.0,
-            Text {
-                sure,
-                alters: false,
+            StatementTraits {
+                confidence,
+                may_write: false,
             },
         );
         c.queries
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -4,8 +4,8 @@
 
 use helper::*;
 use tansymux::control::Control;
-use tansymux::interface::Outcome;
-use tansymux::tiers::{Given, GivenZone};
+use tansymux::events::Outcome;
+use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 
 const ZONES: &[(&str, &str)] = &[
     ("small", "h1"),
@@ -15,25 +15,25 @@
 ];
 
 /// The own zone is first; so many threads may spill into the other, and each engine of the own has this room.
-fn given(spill: f64, room: f64) -> Given {
-    let zone = |name: &str, rank: u8, spill: f64| GivenZone {
+fn given(spill: f64, room: f64) -> ZonePlan {
+    let zone = |name: &str, rank: u8, spill: f64| ZoneLimits {
         name: name.into(),
-        ranks: vec![rank; 4],
-        spill,
-        spill_by_group: vec![f64::INFINITY; 4],
+        tiers: vec![rank; 4],
+        max_spill_threads: spill,
+        max_spill_threads_by_group: vec![f64::INFINITY; 4],
     };
     let engines = vec![(1, room), (2, room), (3, f64::INFINITY), (4, f64::INFINITY)];
-    Given {
+    ZonePlan {
         zones: vec![zone("h1", 0, f64::INFINITY), zone("h2", 1, spill)],
         engines,
-        cross_retries: 0.5,
-        alone: false,
+        cross_zone_retry_ratio: 0.5,
+        isolated: false,
     }
 }
 
-fn planned(given: &Given) -> Control {
+fn planned(given: &ZonePlan) -> Control {
     let mut c = dispatcher("balancers=1", ZONES);
-    c.plan_zones(Some(given));
+    c.set_zone_plan(Some(given));
     c
 }
 
@@ -56,7 +56,7 @@
         .collect();
     assert_eq!(sent.iter().flatten().count(), 2, "{sent:?}");
     assert!(sent.iter().flatten().all(|engine_id| *engine_id >= 3));
-    assert_eq!(c.spilled("h2"), 4.0);
+    assert_eq!(c.spilled_threads("h2"), 4.0);
     // Each that ends leaves its room to the next.
     let (id, engine_id) = sent
         .iter()
@@ -83,7 +83,7 @@
 #[test]
 fn rule_6_what_is_bound_to_the_lost_zone_is_rejected_and_never_moved() {
     let mut c = dispatcher("balancers=1 services.1.confined-to=h1", ZONES);
-    c.plan_zones(Some(&given(100.0, 0.0)));
+    c.set_zone_plan(Some(&given(100.0, 0.0)));
     assert!((0..10).all(|id| starts(&ask(&mut c, 1.0, id, "rep", 100.0), &format!("reject {id}"))));
 }
 
@@ -92,16 +92,16 @@
     let mut c = planned(&given(100.0, f64::INFINITY));
     let engine_id = to(&ask(&mut c, 1.0, 1, "load", 100.0)).unwrap();
     assert!(engine_id <= 2);
-    c.plan_zones(Some(&given(100.0, 0.0)));
+    c.set_zone_plan(Some(&given(100.0, 0.0)));
     assert_eq!(
         close(&mut c, 2.0, 1, 0, Outcome::Reset, engine_id),
         ["fail 1"]
     );
     // A tokened one whose dedup group is the zone neither.
     let mut c = dispatcher("balancers=1 services.3.dedup-scope=zone", ZONES);
-    c.plan_zones(Some(&given(100.0, f64::INFINITY)));
+    c.set_zone_plan(Some(&given(100.0, f64::INFINITY)));
     let engine_id = to(&ask(&mut c, 1.0, 1, "tok", 100.0)).unwrap();
-    c.plan_zones(Some(&given(100.0, 0.0)));
+    c.set_zone_plan(Some(&given(100.0, 0.0)));
     assert!(to(&close(&mut c, 2.0, 1, 0, Outcome::Timeout, engine_id))
         .is_none_or(|engine_id| engine_id <= 2));
 }
@@ -135,7 +135,7 @@
 #[test]
 fn rule_7_retries_across_zones_have_a_budget_of_their_own() {
     let mut c = dispatcher("balancers=1 limits.max-attempts=4", ZONES);
-    c.plan_zones(Some(&given(100.0, f64::INFINITY)));
+    c.set_zone_plan(Some(&given(100.0, f64::INFINITY)));
     let mut crossed = 0;
     for id in 0..60 {
         let Some(engine_id) = to(&ask(&mut c, 1.0, id, "look", 10.0)) else {
@@ -157,8 +157,8 @@
 
 #[test]
 fn cut_off_itself_it_rejects_low_work_at_once_and_lets_the_fast_lane_try() {
-    let mut c = planned(&Given {
-        alone: true,
+    let mut c = planned(&ZonePlan {
+        isolated: true,
         ..given(100.0, f64::INFINITY)
     });
     assert!(starts(&ask(&mut c, 1.0, 1, "rep", 100.0), "reject 1"));
@@ -169,8 +169,8 @@
 fn without_a_plan_all_is_as_it_was_and_what_was_counted_comes_back() {
     let mut c = planned(&given(4.0, 0.0));
     let engine_id = to(&ask(&mut c, 1.0, 1, "rep", 100.0)).unwrap();
-    c.plan_zones(None);
+    c.set_zone_plan(None);
     assert!(to(&ask(&mut c, 2.0, 2, "rep", 100.0)).is_some());
     close(&mut c, 3.0, 1, 0, Outcome::Completed, engine_id);
-    assert_eq!(c.spilled("h2"), 0.0);
+    assert_eq!(c.spilled_threads("h2"), 0.0);
 }
