--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -319,7 +319,7 @@
         let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
         let recalls = matches!(fleet.stand(), Some(Stand::Recalls { .. }));
         for (name, value) in [
-            ("fleet_members", fleet.group().count() as u64),
+            ("fleet_members", fleet.group().present_count() as u64),
             ("fleet_leads", u64::from(leads)),
             ("fleet_recalls", u64::from(recalls)),
             ("fleet_leader_known", u64::from(leader.is_some())),
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tansymux_coordination::Stage as Released;
-use tansymux_membership::wire::id_of;
+use tansymux_membership::member_id_of;
 use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
 use tansymux_rollout::{FleetClient, Settings, Turn, TurnEnd};
@@ -101,7 +101,7 @@
             Ok(ExitCode::SUCCESS)
         }
         FleetCommand::Forget { dispatcher } => line.says(Command::Forget {
-            id: id_of(dispatcher),
+            id: member_id_of(dispatcher),
         }),
     }
 }
@@ -194,7 +194,7 @@
         dispatcher: Option<&str>,
         wait_s: f64,
     ) -> Result<ExitCode, String> {
-        let (id, version) = (dispatcher.map_or(0, id_of), to.map_or(0, number_of));
+        let (id, version) = (dispatcher.map_or(0, member_id_of), to.map_or(0, number_of));
         let (keys, skew) = (self.settings.keys.clone(), self.settings.terms.skew);
         let patience = wait_s * 1000.0;
         let mut turn = Turn::new(
--- /dev/null
+++ b/crates/membership/src/authenticator.rs
@@ -0,0 +1,214 @@
+//! Authentication and replay protection of datagrams: a keyed hash (SipHash-2-4) over each, two keys valid at a time
+//! so that keys can be rotated, and a sliding window over sequence numbers.
+//!
+//! The seal is appended to the datagram; integers are big-endian:
+//!
+//! | bytes | field |
+//! | --- | --- |
+//! | 4 | session of the sender, drawn at its start |
+//! | 4 | sequence number within the session |
+//! | 8 | SipHash-2-4 over the datagram, session and sequence number |
+
+use siphasher::sip::SipHasher24;
+use std::collections::HashMap;
+use std::hash::Hasher;
+
+/// Length of a seal (bytes).
+pub const SEAL_LEN: usize = 16;
+/// Session and sequence number, the part of the seal that the hash covers (bytes).
+const SEAL_HEADER_LEN: usize = 8;
+/// Sessions of one sender that are told apart; the one heard longest ago makes room.
+const MAX_SESSIONS: usize = 8;
+/// Sequence numbers behind the highest that are still accepted, once each.
+const REPLAY_WINDOW: u32 = 64;
+/// Senders whose sequence numbers are remembered; the one heard longest ago makes room.
+const MAX_SENDERS: usize = 2048;
+
+/// The keys in force. Without any, datagrams are neither sealed nor checked.
+#[derive(Debug, Clone, Default)]
+pub struct Keys {
+    /// Seals what is sent, and is accepted.
+    pub signing: Option<[u8; 16]>,
+    /// A second key that is accepted during a rotation.
+    pub also_accepted: Option<[u8; 16]>,
+}
+
+impl Keys {
+    fn is_empty(&self) -> bool {
+        self.signing.is_none() && self.also_accepted.is_none()
+    }
+}
+
+/// Replay window of one session of a sender.
+#[derive(Debug, Clone)]
+struct Session {
+    id: u32,
+    highest: u32,
+    /// Bit n is set once sequence number `highest - 1 - n` was received.
+    received: u64,
+}
+
+/// A sender's sessions, the one heard last at the end. No session is ever shut out: a receiver that has just started
+/// cannot know which of two is the later one, and a delayed datagram of an old session must not shut out the new one.
+#[derive(Debug, Clone, Default)]
+struct Sender {
+    sessions: Vec<Session>,
+    /// Value of `accepted_count` at its last accepted datagram.
+    last_accepted: u64,
+}
+
+/// Seals outgoing datagrams and verifies incoming ones.
+#[derive(Debug, Clone)]
+pub struct DatagramAuthenticator {
+    keys: Keys,
+    session: u32,
+    sequence_number: u32,
+    senders: HashMap<u64, Sender>,
+    /// Datagrams accepted so far: orders senders by when they were heard last.
+    accepted_count: u64,
+}
+
+impl DatagramAuthenticator {
+    /// `session` is drawn anew at each start of the process.
+    pub fn new(keys: Keys, session: u32) -> Self {
+        DatagramAuthenticator {
+            keys,
+            session,
+            sequence_number: 0,
+            senders: HashMap::new(),
+            accepted_count: 0,
+        }
+    }
+
+    /// Replaces the keys; replay windows stay.
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.keys = keys;
+    }
+
+    /// Appends a seal to a datagram; does nothing without a signing key.
+    pub fn seal(&mut self, datagram: &mut Vec<u8>) {
+        let Some(key) = &self.keys.signing else {
+            return;
+        };
+        self.sequence_number = self.sequence_number.wrapping_add(1);
+        let mut header = [0; SEAL_HEADER_LEN];
+        header[..4].copy_from_slice(&self.session.to_be_bytes());
+        header[4..].copy_from_slice(&self.sequence_number.to_be_bytes());
+        let hash = hash(key, datagram, &header);
+        datagram.extend_from_slice(&header);
+        datagram.extend_from_slice(&hash);
+    }
+
+    /// The content of a sealed datagram that names this sender; `None` where the seal is missing or wrong, or the
+    /// datagram was received before. Without keys every datagram is accepted as it is.
+    pub fn open<'a>(&mut self, sender: u64, datagram: &'a [u8]) -> Option<&'a [u8]> {
+        if self.keys.is_empty() {
+            return Some(datagram);
+        }
+        let content_len = datagram.len().checked_sub(SEAL_LEN)?;
+        let (content, seal) = datagram.split_at(content_len);
+        let (header, received_hash) = seal.split_at(SEAL_HEADER_LEN);
+        let is_authentic = [&self.keys.signing, &self.keys.also_accepted]
+            .into_iter()
+            .flatten()
+            .any(|key| equal_in_constant_time(&hash(key, content, header), received_hash));
+        if !is_authentic {
+            return None;
+        }
+        let session = u32::from_be_bytes([header[0], header[1], header[2], header[3]]);
+        let sequence_number = u32::from_be_bytes([header[4], header[5], header[6], header[7]]);
+        self.accept_once(sender, session, sequence_number)
+            .then_some(content)
+    }
+
+    /// Whether this sequence number of the session was not received before, noting that it now was.
+    fn accept_once(&mut self, sender: u64, session: u32, sequence_number: u32) -> bool {
+        // Only holders of a key get this far. Forgetting a sender reopens its window for replays; commands of the
+        // fleet also carry a number that their receiver chose, so a replay of them is still refused.
+        if !self.senders.contains_key(&sender) && self.senders.len() >= MAX_SENDERS {
+            self.evict_oldest_sender();
+        }
+        self.accepted_count += 1;
+        let known = self.senders.entry(sender).or_default();
+        known.last_accepted = self.accepted_count;
+        known.accept_once(session, sequence_number)
+    }
+
+    fn evict_oldest_sender(&mut self) {
+        let oldest = self
+            .senders
+            .iter()
+            .min_by_key(|(id, sender)| (sender.last_accepted, **id))
+            .map(|(id, _)| *id);
+        if let Some(id) = oldest {
+            self.senders.remove(&id);
+        }
+    }
+}
+
+fn hash(key: &[u8; 16], content: &[u8], seal_header: &[u8]) -> [u8; 8] {
+    let mut hasher = SipHasher24::new_with_key(key);
+    hasher.write(content);
+    hasher.write(seal_header);
+    hasher.finish().to_be_bytes()
+}
+
+/// Compares all bytes wherever they differ, so that the time taken tells nothing about the hash.
+fn equal_in_constant_time(expected: &[u8; 8], received: &[u8]) -> bool {
+    let differing_bits = expected
+        .iter()
+        .zip(received)
+        .fold(0, |bits, (left, right)| bits | (left ^ right));
+    differing_bits == 0
+}
+
+impl Sender {
+    fn accept_once(&mut self, session_id: u32, sequence_number: u32) -> bool {
+        let position = self
+            .sessions
+            .iter()
+            .position(|session| session.id == session_id);
+        let Some(position) = position else {
+            if self.sessions.len() >= MAX_SESSIONS {
+                self.sessions.remove(0);
+            }
+            self.sessions.push(Session {
+                id: session_id,
+                highest: sequence_number,
+                received: 0,
+            });
+            return true;
+        };
+        // The session heard last moves to the end.
+        let mut session = self.sessions.remove(position);
+        let is_new = session.accept_once(sequence_number);
+        self.sessions.push(session);
+        is_new
+    }
+}
+
+impl Session {
+    fn accept_once(&mut self, sequence_number: u32) -> bool {
+        if sequence_number > self.highest {
+            let advance = sequence_number - self.highest;
+            self.received = if advance < REPLAY_WINDOW {
+                self.received << advance | 1 << (advance - 1)
+            } else {
+                0
+            };
+            self.highest = sequence_number;
+            return true;
+        }
+        let behind = self.highest - sequence_number;
+        if behind == 0 || behind > REPLAY_WINDOW {
+            return false;
+        }
+        let bit = 1_u64 << (behind - 1);
+        let is_new = self.received & bit == 0;
+        self.received |= bit;
+        is_new
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/detector/table_sync.rs
@@ -0,0 +1,152 @@
+//! Joining through seeds, and anti-entropy: members compare digests of their tables and exchange what differs.
+
+use super::SwimDetector;
+use crate::codec::{self, Gossip, MemberId, MemberState, Message, TABLE_BUCKETS};
+use crate::member::Member;
+use rand::RngExt;
+use std::net::SocketAddr;
+
+/// Datagrams in a protocol period that answer joins: as many as a few newcomers need, since an answer is longer than
+/// its question.
+const MAX_JOIN_ANSWERS: usize = 60;
+/// Datagrams in a protocol period that answer table syncs; three times as many while the table is unsettled.
+const MAX_SYNC_ANSWERS: usize = 5;
+const MAX_SYNC_ANSWERS_UNSETTLED: usize = 3 * MAX_SYNC_ANSWERS;
+/// Protocol periods between two table syncs; one while the table is unsettled.
+const SYNC_PERIODS: f64 = 5.0;
+/// Protocol periods between two joins of a member that knows others; one while it knows none.
+const REJOIN_PERIODS: f64 = 15.0;
+/// Multiplier of Fibonacci hashing (2^64 divided by the golden ratio), part of the wire format: both sides must place
+/// members in the same buckets and mix digests alike.
+const HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+
+fn bucket_of(id: MemberId) -> usize {
+    (id.wrapping_mul(HASH_MULTIPLIER) >> 60) as usize % TABLE_BUCKETS
+}
+
+impl SwimDetector {
+    /// Asks the seeds for their tables: all of them while no other member is known, else one at random now and then,
+    /// so that two halves of a partitioned group find each other again.
+    pub(super) fn join_if_due(&mut self) {
+        if self.now_ms < self.next_join_ms {
+            return;
+        }
+        let knows_nobody = self.present_members().next().is_none();
+        // Spread at random, so that members that started together do not go on asking together.
+        let spread = 0.5 + self.rng.random::<f64>();
+        let periods = if knows_nobody {
+            1.0
+        } else {
+            REJOIN_PERIODS * spread
+        };
+        self.next_join_ms = self.now_ms + self.config.period_ms * periods;
+        let own_address = self.address;
+        let mut seeds = self.config.seeds.clone();
+        seeds.retain(|seed| *seed != own_address);
+        if knows_nobody {
+            for seed in seeds {
+                self.send(seed, Message::Join);
+            }
+        } else if !seeds.is_empty() {
+            let seed = seeds[self.rng.random_range(0..seeds.len())];
+            self.send(seed, Message::Join);
+        }
+    }
+
+    /// Sends a joining member all present members, in as many datagrams as that takes and the period allows.
+    pub(super) fn answer_join(&mut self, to: SocketAddr, sequence_number: u32) {
+        let present: Vec<Gossip> = self.present_members().map(Member::to_gossip).collect();
+        self.send_numbered(to, Message::Ack, sequence_number);
+        let allowed = MAX_JOIN_ANSWERS.saturating_sub(self.join_answers_sent);
+        self.join_answers_sent += self.send_table(to, sequence_number, present, allowed);
+    }
+
+    /// Sends claims in at most so many datagrams, beginning at a random one; returns how many it sent.
+    fn send_table(
+        &mut self,
+        to: SocketAddr,
+        sequence_number: u32,
+        mut claims: Vec<Gossip>,
+        max_datagrams: usize,
+    ) -> usize {
+        if claims.is_empty() {
+            return 0;
+        }
+        let first = self.rng.random_range(0..claims.len());
+        claims.rotate_left(first);
+        let mut sent = 0;
+        for chunk in claims
+            .chunks(codec::gossip_capacity(Message::Ack))
+            .take(max_datagrams)
+        {
+            self.send_datagram(to, Message::Ack, sequence_number, chunk.to_vec());
+            sent += 1;
+        }
+        sent
+    }
+
+    /// A digest of each bucket of the table: of who is present, and in which incarnation.
+    fn table_digests(&self) -> [u32; TABLE_BUCKETS] {
+        let mut digests = [0_u32; TABLE_BUCKETS];
+        let mut add = |id: MemberId, incarnation: u32| {
+            let mixed = (id ^ u64::from(incarnation).rotate_left(32)).wrapping_mul(HASH_MULTIPLIER);
+            let digest = &mut digests[bucket_of(id)];
+            *digest = digest.wrapping_add((mixed >> 32) as u32);
+        };
+        for member in self.present_members() {
+            add(member.id, member.incarnation);
+        }
+        add(self.id, self.incarnation);
+        digests
+    }
+
+    /// Sends what is known of the buckets that differ, dead members included.
+    pub(super) fn answer_table_sync(&mut self, to: SocketAddr, theirs: &[u32; TABLE_BUCKETS]) {
+        let ours = self.table_digests();
+        let differs = |id: MemberId| ours[bucket_of(id)] != theirs[bucket_of(id)];
+        let mut claims: Vec<Gossip> = self
+            .members
+            .values()
+            .filter(|member| differs(member.id))
+            .map(Member::to_gossip)
+            .collect();
+        if differs(self.id) && !self.leaving {
+            claims.push(self.own_gossip(MemberState::Alive));
+        }
+        if claims.is_empty() {
+            return;
+        }
+        let max_answers = if self.unsettled_periods > 0 {
+            MAX_SYNC_ANSWERS_UNSETTLED
+        } else {
+            MAX_SYNC_ANSWERS
+        };
+        let allowed = max_answers.saturating_sub(self.sync_answers_sent);
+        self.sync_answers_sent += self.send_table(to, 0, claims, allowed);
+    }
+
+    /// Compares tables with one random member: gossip is passed on for a limited time and may miss some members.
+    pub(super) fn sync_tables_if_due(&mut self) {
+        if self.now_ms < self.next_sync_ms || self.leaving {
+            return;
+        }
+        let spread = 0.5 + self.rng.random::<f64>();
+        let periods = if self.unsettled_periods > 0 {
+            1.0
+        } else {
+            SYNC_PERIODS
+        };
+        self.unsettled_periods = self.unsettled_periods.saturating_sub(1);
+        self.next_sync_ms = self.now_ms + periods * spread * self.config.period_ms;
+        let present_count = self.present_members().count();
+        if present_count == 0 {
+            return;
+        }
+        let index = self.rng.random_range(0..present_count);
+        let partner = self.present_members().nth(index);
+        if let Some(address) = partner.map(|member| member.address) {
+            let message = Message::TableSync(self.table_digests());
+            self.send(address, message);
+        }
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,21 +1,36 @@
-//! Which instances are there.
+//! Group membership and failure detection for a fleet of dispatchers.
 //!
-//! Owns: who is a member and in which state ([`SwimDetector`]), how that is found out (a probe of one member in each period,
-//! asked of others before anyone is suspected; after the SWIM paper, with the slower suspicion of a detector that is
-//! itself slow, after Lifeguard), what a datagram holds ([`wire`]) and which are believed ([`seal`]). It does no I/O
-//! and reads no clock: datagrams and times come in, datagrams go out. It decides nothing about engines or queries.
+//! Implements SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+//! Protocol", DSN 2002) with the local health multiplier of Lifeguard (Dadgar, Phillips, Currey: "Lifeguard: Local
+//! Health Awareness for More Accurate Failure Detection", 2018). What differs from the papers:
+//! - a direct probe is repeated together with each round of indirect probes, and a member is suspected only after two
+//!   protocol periods without an answer, because a network may lose three datagrams in ten;
+//! - beside piggybacked gossip, members compare digests of their tables (anti-entropy, [`Message::TableSync`]);
+//! - each datagram also repeats a few members at random, so that one that missed their gossip still learns of them;
+//! - datagrams are authenticated and replay-protected ([`DatagramAuthenticator`]).
+//!
+//! Owns: who is a member and in which state ([`SwimDetector`]), the datagram layout ([`codec`]) and which datagrams are
+//! accepted ([`authenticator`]). It never does I/O and never reads a clock: datagrams and times come in, datagrams go
+//! out. It decides nothing about engines or queries.
 //!
 //! Invariants, checked in `tests/`:
-//! - a datagram is never longer than [`wire::MOST`] bytes;
-//! - state is bounded by [`MAX_MEMBERS`], and news by what one datagram holds;
-//! - a member that answers is never held for dead for longer than it takes a refutation to come round;
-//! - of two pieces of news the one with the higher incarnation holds, and at the same incarnation the worse one.
+//! - a datagram is never longer than [`codec::MAX_DATAGRAM_LEN`] bytes;
+//! - state is bounded by [`MAX_MEMBERS`], and gossip by what one datagram holds;
+//! - a member that answers is never considered dead for longer than its refutation takes to spread;
+//! - of two claims about a member the one with the higher incarnation wins, and at equal incarnation the worse state.
 //!
-//! Start reading at [`SwimDetector::poll`].
+//! Start reading at [`SwimDetector::poll`] and [`SwimDetector::handle`].
+
+#![warn(missing_docs)]
 
-mod group;
-pub mod seal;
-pub mod wire;
+pub mod authenticator;
+pub mod codec;
+mod config;
+mod detector;
+mod member;
 
-pub use group::{Carried, Change, Member, Settings, SwimDetector, MAX_MEMBERS};
-pub use wire::{Id, State};
+pub use authenticator::{DatagramAuthenticator, Keys};
+pub use codec::{member_id_of, DecodeError, Gossip, MemberId, MemberState, Message};
+pub use config::Config;
+pub use detector::{Event, OutgoingDatagram, PollOutput, SwimDetector, MAX_MEMBERS};
+pub use member::{Member, StateChange, UserMessage};
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -1,14 +1,15 @@
-//! Members on a network in virtual time: loss, doubles, disorder, delay, forgery, partitions, pauses, restarts.
+//! Detectors on a simulated network in virtual time: loss, duplicates, reordering, delay, forgery, partitions, pauses,
+//! restarts.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::{self, id_of, Datagram, Gossip, What};
-use tansymux_membership::{Settings, State, SwimDetector};
+use tansymux_membership::codec::{self, Datagram, Gossip, Message};
+use tansymux_membership::{member_id_of, Config, Event, Keys, MemberState, SwimDetector};
 
-const STEP: f64 = 10.0;
+/// Resolution of virtual time (ms).
+const STEP_MS: f64 = 10.0;
 
 fn address(n: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250 + 1) as u8], 7946))
@@ -18,493 +19,609 @@
     format!("n{n}")
 }
 
-/// What may be done to a datagram on its way.
+/// What the network does to datagrams.
 #[derive(Clone, Copy)]
-struct Way {
+struct LinkConditions {
+    /// Probabilities that a datagram is lost, duplicated, or delayed by ten seconds.
     loss: f64,
-    doubled: f64,
-    /// Longest delay (ms); some take ten seconds.
-    delay: f64,
-    late: f64,
+    duplication: f64,
+    long_delay: f64,
+    /// Longest delay of the others (ms).
+    max_delay_ms: f64,
 }
 
-const GOOD: Way = Way {
+const GOOD_LINK: LinkConditions = LinkConditions {
     loss: 0.0,
-    doubled: 0.0,
-    delay: 5.0,
-    late: 0.0,
+    duplication: 0.0,
+    long_delay: 0.0,
+    max_delay_ms: 5.0,
 };
 
-struct Net {
-    groups: Vec<Option<SwimDetector>>,
+struct InFlight {
+    sender: usize,
+    to: SocketAddr,
+    bytes: Vec<u8>,
+}
+
+struct Network {
+    /// The detector of each process; none while it is not running.
+    detectors: Vec<Option<SwimDetector>>,
     paused: Vec<bool>,
-    /// Time, order, from, to, bytes.
-    flying: BTreeMap<(u64, u64), (usize, SocketAddr, Vec<u8>)>,
-    sent: u64,
-    bytes: u64,
-    longest: usize,
+    /// Datagrams under way, by time of arrival (us) and order.
+    in_flight: BTreeMap<(u64, u64), InFlight>,
+    datagrams_sent: u64,
+    bytes_sent: u64,
+    longest_datagram: usize,
     rng: Pcg32,
-    way: Way,
-    now: f64,
+    conditions: LinkConditions,
+    now_ms: f64,
     keys: Keys,
-    at: BTreeMap<SocketAddr, usize>,
+    processes: BTreeMap<SocketAddr, usize>,
 }
 
-impl Net {
+impl Network {
     fn new(many: usize, seed: u64) -> Self {
-        Net::with_keys(many, seed, Keys::default())
+        Network::with_keys(many, seed, Keys::default())
     }
 
     fn with_keys(many: usize, seed: u64, keys: Keys) -> Self {
-        let mut net = Net {
-            groups: (0..many).map(|_| None).collect(),
+        let mut network = Network {
+            detectors: (0..many).map(|_| None).collect(),
             paused: vec![false; many],
-            flying: BTreeMap::new(),
-            sent: 0,
-            bytes: 0,
-            longest: 0,
+            in_flight: BTreeMap::new(),
+            datagrams_sent: 0,
+            bytes_sent: 0,
+            longest_datagram: 0,
             rng: Pcg32::seed_from_u64(seed),
-            way: GOOD,
-            now: 0.0,
+            conditions: GOOD_LINK,
+            now_ms: 0.0,
             keys,
-            at: (0..many).map(|n| (address(n), n)).collect(),
+            processes: (0..many).map(|n| (address(n), n)).collect(),
         };
-        (0..many).for_each(|n| net.start(n, 0));
-        net
+        (0..many).for_each(|n| network.start(n, 0));
+        network
     }
 
     fn start(&mut self, n: usize, incarnation: u32) {
-        let settings = Settings {
+        let config = Config {
             seeds: vec![address(0), address(1)],
-            ..Settings::default()
+            ..Config::default()
         };
         let seed = self.rng.random();
-        self.groups[n] = Some(SwimDetector::new(
+        self.detectors[n] = Some(SwimDetector::new(
             &name(n),
             address(n),
             incarnation,
-            settings,
+            config,
             self.keys.clone(),
             seed,
         ));
     }
 
-    /// So long, with datagrams let through where `reaches` says so.
+    /// Runs for `lasts` (ms); `reaches(sender, receiver)` says between whom datagrams are delivered.
     fn run(&mut self, lasts: f64, reaches: impl Fn(usize, usize) -> bool) {
-        let end = self.now + lasts;
-        while self.now < end {
-            self.now += STEP;
-            let due = self.flying.split_off(&((self.now * 1000.0) as u64, 0));
-            let arrived = std::mem::replace(&mut self.flying, due);
-            for (from, to, bytes) in arrived.into_values() {
-                let Some(to) = self.at.get(&to).copied().filter(|to| !self.paused[*to]) else {
+        let end = self.now_ms + lasts;
+        while self.now_ms < end {
+            self.now_ms += STEP_MS;
+            let still_in_flight = self
+                .in_flight
+                .split_off(&((self.now_ms * 1000.0) as u64, 0));
+            let arrived = std::mem::replace(&mut self.in_flight, still_in_flight);
+            for InFlight { sender, to, bytes } in arrived.into_values() {
+                let Some(receiver) = self
+                    .processes
+                    .get(&to)
+                    .copied()
+                    .filter(|to| !self.paused[*to])
+                else {
                     continue;
                 };
-                if let Some(group) = &mut self.groups[to] {
-                    group.handle(self.now, address(from), &bytes);
+                if let Some(detector) = &mut self.detectors[receiver] {
+                    let event = Event::DatagramReceived {
+                        from: address(sender),
+                        bytes: &bytes,
+                    };
+                    detector.handle(event, self.now_ms);
                 }
             }
-            for n in 0..self.groups.len() {
+            for n in 0..self.detectors.len() {
                 if self.paused[n] {
                     continue;
                 }
-                let Some(group) = &mut self.groups[n] else {
+                let Some(detector) = &mut self.detectors[n] else {
                     continue;
                 };
-                let (out, _) = group.poll(self.now);
-                for (to, bytes) in out {
-                    self.sends(n, to, bytes, &reaches);
+                let output = detector.poll(self.now_ms);
+                for datagram in output.datagrams {
+                    self.send(n, datagram.to, datagram.bytes, &reaches);
                 }
             }
         }
     }
 
-    fn sends(
+    fn send(
         &mut self,
         from: usize,
         to: SocketAddr,
         bytes: Vec<u8>,
         reaches: &impl Fn(usize, usize) -> bool,
     ) {
-        self.sent += 1;
-        self.bytes += bytes.len() as u64;
-        self.longest = self.longest.max(bytes.len());
-        let Some(at) = self.at.get(&to).copied().filter(|at| reaches(from, *at)) else {
+        self.datagrams_sent += 1;
+        self.bytes_sent += bytes.len() as u64;
+        self.longest_datagram = self.longest_datagram.max(bytes.len());
+        let receiver = self.processes.get(&to).copied();
+        if !receiver.is_some_and(|receiver| reaches(from, receiver)) {
             return;
-        };
-        let _ = at;
-        let many = if self.rng.random_bool(self.way.doubled) {
+        }
+        let copies = if self.rng.random_bool(self.conditions.duplication) {
             2
         } else {
             1
         };
-        for _ in 0..many {
-            if self.rng.random_bool(self.way.loss) {
+        for _ in 0..copies {
+            if self.rng.random_bool(self.conditions.loss) {
                 continue;
             }
-            let late = self.rng.random_bool(self.way.late);
-            let delay = if late {
+            let is_late = self.rng.random_bool(self.conditions.long_delay);
+            let delay = if is_late {
                 10_000.0
             } else {
-                self.rng.random_range(0.0..=self.way.delay)
+                self.rng.random_range(0.0..=self.conditions.max_delay_ms)
             };
-            let when = ((self.now + delay) * 1000.0) as u64;
-            self.flying
-                .insert((when, self.sent * 2 + many), (from, to, bytes.clone()));
+            let arrival_us = ((self.now_ms + delay) * 1000.0) as u64;
+            self.in_flight.insert(
+                (arrival_us, self.datagrams_sent * 2 + copies),
+                InFlight {
+                    sender: from,
+                    to,
+                    bytes: bytes.clone(),
+                },
+            );
         }
     }
 
-    fn group(&self, n: usize) -> &SwimDetector {
-        self.groups[n].as_ref().expect("it runs")
+    fn detector(&self, n: usize) -> &SwimDetector {
+        self.detectors[n].as_ref().expect("it runs")
     }
 
-    /// How many of those that run hold a member for there.
-    fn holds(&self, n: usize) -> usize {
-        let there = |group: &SwimDetector| {
-            group
-                .state(id_of(&name(n)))
-                .is_some_and(|state| state <= State::Suspect)
+    /// How many running detectors count a member as present.
+    fn present_at(&self, n: usize) -> usize {
+        let there = |detector: &SwimDetector| {
+            detector
+                .state(member_id_of(&name(n)))
+                .is_some_and(|state| state <= MemberState::Suspect)
         };
-        self.groups
+        self.detectors
             .iter()
             .flatten()
-            .filter(|group| there(group))
+            .filter(|detector| there(detector))
             .count()
     }
 
-    /// Whether all that run know all that run, and nobody else for there.
-    fn agrees(&self) -> bool {
-        let running = self.groups.iter().flatten().count();
-        self.groups
+    /// Whether every running detector counts as many members as processes run.
+    fn has_converged(&self) -> bool {
+        let running = self.detectors.iter().flatten().count();
+        self.detectors
             .iter()
             .flatten()
-            .all(|group| group.count() == running)
+            .all(|detector| detector.present_count() == running)
     }
 
+    /// Runs until `done`, for `most` (ms) at the longest; how long it took.
     fn until(
         &mut self,
         most: f64,
         reaches: impl Fn(usize, usize) -> bool,
-        done: impl Fn(&Net) -> bool,
+        done: impl Fn(&Network) -> bool,
     ) -> Option<f64> {
-        let from = self.now;
-        while self.now - from < most {
+        let from = self.now_ms;
+        while self.now_ms - from < most {
             if done(self) {
-                return Some(self.now - from);
+                return Some(self.now_ms - from);
             }
             self.run(100.0, &reaches);
         }
         done(self).then_some(most)
     }
 
+    /// How often any running detector declared a member dead.
     fn deaths(&self) -> usize {
-        let dead = |group: &SwimDetector| {
-            group
+        let dead = |detector: &SwimDetector| {
+            detector
                 .history()
                 .iter()
-                .filter(|change| change.state == State::Dead)
+                .filter(|change| change.state == MemberState::Dead)
                 .count()
         };
-        self.groups.iter().flatten().map(dead).sum()
+        self.detectors.iter().flatten().map(dead).sum()
     }
 }
 
+/// A datagram that comes from member one's address.
+fn from_member_one(bytes: &[u8]) -> Event<'_> {
+    Event::DatagramReceived {
+        from: address(1),
+        bytes,
+    }
+}
+
+/// Every process reaches every other one.
 fn all(_: usize, _: usize) -> bool {
     true
 }
 
 #[test]
-fn a_hundred_that_start_at_once_find_each_other() {
+fn groups_of_up_to_100_that_start_at_once_converge() {
     for (many, most) in [(3, 5_000.0), (30, 15_000.0), (100, 30_000.0)] {
-        let mut net = Net::new(many, 1);
-        let took = net.until(most, all, Net::agrees);
+        let mut network = Network::new(many, 1);
+        let took = network.until(most, all, Network::has_converged);
         assert!(
             took.is_some(),
             "{many} members: {:?}",
-            net.groups.iter().flatten().map(SwimDetector::count).min()
+            network
+                .detectors
+                .iter()
+                .flatten()
+                .map(SwimDetector::present_count)
+                .min()
+        );
+        assert!(
+            network.longest_datagram <= codec::MAX_DATAGRAM_LEN,
+            "{}",
+            network.longest_datagram
         );
-        assert!(net.longest <= wire::MOST, "{}", net.longest);
     }
 }
 
 #[test]
-fn a_member_that_dies_is_found_out_by_all_and_nobody_else_is() {
-    let mut net = Net::new(20, 2);
-    net.until(30_000.0, all, Net::agrees).unwrap();
-    net.groups[7] = None;
-    let took = net.until(60_000.0, all, |net| net.holds(7) == 0);
+fn crashed_member_is_detected_by_all_and_no_other_is_declared_dead() {
+    let mut network = Network::new(20, 2);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
+    network.detectors[7] = None;
+    let took = network.until(60_000.0, all, |network| network.present_at(7) == 0);
     assert!(took.is_some_and(|took| took < 30_000.0), "{took:?}");
-    assert!(net.agrees() && net.deaths() <= 19, "{}", net.deaths());
+    assert!(
+        network.has_converged() && network.deaths() <= 19,
+        "{}",
+        network.deaths()
+    );
 }
 
 #[test]
-fn under_heavy_loss_doubles_disorder_and_late_ones_the_living_stay_in() {
-    let mut net = Net::new(12, 3);
-    net.until(30_000.0, all, Net::agrees).unwrap();
-    net.way = Way {
+fn running_members_stay_present_under_loss_duplication_and_reordering() {
+    let mut network = Network::new(12, 3);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
+    network.conditions = LinkConditions {
         loss: 0.3,
-        doubled: 0.1,
-        delay: 120.0,
-        late: 0.02,
+        duplication: 0.1,
+        max_delay_ms: 120.0,
+        long_delay: 0.02,
     };
-    net.run(180_000.0, all);
+    network.run(180_000.0, all);
     // Some are suspected now and then; nobody is out at the end, and few were ever held for dead.
-    net.way = GOOD;
-    assert!(net.until(60_000.0, all, Net::agrees).is_some());
-    assert!(net.deaths() <= 12, "{}", net.deaths());
+    network.conditions = GOOD_LINK;
+    assert!(network
+        .until(60_000.0, all, Network::has_converged)
+        .is_some());
+    assert!(network.deaths() <= 12, "{}", network.deaths());
 }
 
 #[test]
-fn halves_that_are_cut_find_each_other_again() {
-    let mut net = Net::new(10, 4);
-    net.until(30_000.0, all, Net::agrees).unwrap();
+fn partitioned_halves_merge_again() {
+    let mut network = Network::new(10, 4);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
     let halves = |a: usize, b: usize| a % 2 == b % 2;
-    net.run(60_000.0, halves);
-    assert!(net.groups.iter().flatten().all(|group| group.count() == 5));
-    let took = net.until(120_000.0, all, Net::agrees);
+    network.run(60_000.0, halves);
+    assert!(network
+        .detectors
+        .iter()
+        .flatten()
+        .all(|detector| detector.present_count() == 5));
+    let took = network.until(120_000.0, all, Network::has_converged);
     assert!(
         took.is_some(),
         "{:?}",
-        net.groups
+        network
+            .detectors
             .iter()
             .flatten()
-            .map(SwimDetector::count)
+            .map(SwimDetector::present_count)
             .collect::<Vec<_>>()
     );
 }
 
 #[test]
-fn one_whose_answers_are_lost_one_way_is_asked_for_by_others() {
-    let mut net = Net::new(8, 5);
-    net.until(30_000.0, all, Net::agrees).unwrap();
+fn indirect_probes_keep_members_present_whose_direct_link_is_cut() {
+    let mut network = Network::new(8, 5);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
     // Nothing goes between 2 and 3; all others reach both.
-    net.run(120_000.0, |a, b| !(a == 2 && b == 3 || a == 3 && b == 2));
-    assert_eq!((net.holds(2), net.holds(3)), (7, 7));
-    assert_eq!(net.deaths(), 0);
+    network.run(120_000.0, |a, b| !(a == 2 && b == 3 || a == 3 && b == 2));
+    assert_eq!((network.present_at(2), network.present_at(3)), (7, 7));
+    assert_eq!(network.deaths(), 0);
 }
 
 #[test]
-fn a_member_that_leaves_is_gone_at_once_and_one_that_restarts_is_back() {
-    let mut net = Net::new(8, 6);
-    net.until(30_000.0, all, Net::agrees).unwrap();
-    let now = net.now;
-    net.groups[4].as_mut().unwrap().leave(now);
-    net.run(50.0, all);
-    net.groups[4] = None;
-    let took = net.until(10_000.0, all, |net| net.holds(4) == 0);
+fn leaving_member_is_gone_at_once_and_restarted_member_rejoins() {
+    let mut network = Network::new(8, 6);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
+    let now = network.now_ms;
+    network.detectors[4]
+        .as_mut()
+        .unwrap()
+        .handle(Event::LeaveRequested, now);
+    network.run(50.0, all);
+    network.detectors[4] = None;
+    let took = network.until(10_000.0, all, |network| network.present_at(4) == 0);
     assert!(took.is_some_and(|took| took <= 4000.0), "{took:?}");
     // It comes back under its name, knowing nothing of its earlier life.
-    net.start(4, 0);
-    assert!(net.until(30_000.0, all, Net::agrees).is_some());
+    network.start(4, 0);
+    assert!(network
+        .until(30_000.0, all, Network::has_converged)
+        .is_some());
     assert!(
-        net.group(4).incarnation() > 1,
+        network.detector(4).incarnation() > 1,
         "it had to say so more loudly"
     );
     // And once more, killed outright, with what it had kept.
-    let kept = net.group(4).incarnation();
-    net.groups[4] = None;
-    net.run(3000.0, all);
-    net.start(4, kept);
-    assert!(net.until(30_000.0, all, Net::agrees).is_some());
+    let kept = network.detector(4).incarnation();
+    network.detectors[4] = None;
+    network.run(3000.0, all);
+    network.start(4, kept);
+    assert!(network
+        .until(30_000.0, all, Network::has_converged)
+        .is_some());
 }
 
 #[test]
-fn a_process_that_pauses_holds_nobody_for_dead_and_is_taken_back() {
-    let mut net = Net::new(8, 7);
-    net.until(30_000.0, all, Net::agrees).unwrap();
-    net.paused[3] = true;
-    net.run(10_000.0, all);
-    net.paused[3] = false;
-    net.run(1000.0, all);
-    let dead = net
-        .group(3)
+fn paused_process_declares_nobody_dead_and_rejoins() {
+    let mut network = Network::new(8, 7);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
+    network.paused[3] = true;
+    network.run(10_000.0, all);
+    network.paused[3] = false;
+    network.run(1000.0, all);
+    let dead = network
+        .detector(3)
         .history()
         .iter()
-        .filter(|change| change.state == State::Dead)
+        .filter(|change| change.state == MemberState::Dead)
         .count();
     assert_eq!(dead, 0, "its own pause is no member's fault");
-    assert!(net.group(3).slow() > 0);
-    assert!(net.until(40_000.0, all, Net::agrees).is_some());
+    assert!(network.detector(3).local_health() > 0);
+    assert!(network
+        .until(40_000.0, all, Network::has_converged)
+        .is_some());
 }
 
 #[test]
-fn two_instances_under_one_name_are_one_member_and_break_nothing() {
-    let mut net = Net::new(6, 8);
-    net.until(30_000.0, all, Net::agrees).unwrap();
+fn two_processes_with_one_name_count_as_one_member() {
+    let mut network = Network::new(6, 8);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
     // A second n2 at another address.
-    let settings = Settings {
+    let config = Config {
         seeds: vec![address(0)],
-        ..Settings::default()
+        ..Config::default()
     };
-    net.at.insert(address(99), 6);
-    net.groups.push(Some(SwimDetector::new(
+    network.processes.insert(address(99), 6);
+    network.detectors.push(Some(SwimDetector::new(
         &name(2),
         address(99),
         0,
-        settings,
+        config,
         Keys::default(),
         9,
     )));
-    net.paused.push(false);
-    net.run(60_000.0, all);
+    network.paused.push(false);
+    network.run(60_000.0, all);
     let others = [0, 1, 3, 4, 5];
     assert!(
-        others.iter().all(|n| net.group(*n).count() == 6),
+        others
+            .iter()
+            .all(|n| network.detector(*n).present_count() == 6),
         "one name is one member"
     );
-    assert!(net.longest <= wire::MOST);
+    assert!(network.longest_datagram <= codec::MAX_DATAGRAM_LEN);
 }
 
 #[test]
-fn forged_and_foreign_datagrams_bring_nobody_in_and_put_nobody_out() {
+fn forged_datagrams_neither_add_nor_remove_members() {
     let keys = Keys {
-        seals: Some([7; 16]),
-        opens: Some([7; 16]),
+        signing: Some([7; 16]),
+        also_accepted: Some([7; 16]),
     };
-    let mut net = Net::with_keys(6, 10, keys);
-    net.until(30_000.0, all, Net::agrees).unwrap();
-    let forged = |state: State, id: u64| {
-        let news = Gossip {
+    let mut network = Network::with_keys(6, 10, keys);
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
+    let forged = |state: MemberState, id: u64| {
+        let gossip = Gossip {
             id,
             address: address(200),
             state,
             incarnation: 1000,
         };
-        wire::write(&Datagram {
-            what: What::Ping,
-            from: id_of("n1"),
-            number: 1,
-            news: vec![news],
+        codec::encode(&Datagram {
+            message: Message::Ping,
+            sender: member_id_of("n1"),
+            sequence_number: 1,
+            gossip: vec![gossip],
         })
     };
-    let now = net.now;
+    let now = network.now_ms;
     for victim in 0..6 {
         for bytes in [
-            forged(State::Dead, id_of("n3")),
-            forged(State::Alive, id_of("stranger")),
+            forged(MemberState::Dead, member_id_of("n3")),
+            forged(MemberState::Alive, member_id_of("stranger")),
             b"\x04".to_vec(),
         ] {
-            net.groups[victim]
+            network.detectors[victim]
                 .as_mut()
                 .unwrap()
-                .handle(now, address(1), &bytes);
+                .handle(from_member_one(&bytes), now);
         }
     }
-    net.run(20_000.0, all);
-    assert!(net.agrees() && net.deaths() == 0);
-    assert!(net.longest <= wire::MOST);
+    network.run(20_000.0, all);
+    assert!(network.has_converged() && network.deaths() == 0);
+    assert!(network.longest_datagram <= codec::MAX_DATAGRAM_LEN);
 }
 
 #[test]
-fn keys_rotate_during_a_partition() {
+fn keys_can_be_rotated_during_a_partition() {
     let step = |seals: u8, opens: u8| Keys {
-        seals: Some([seals; 16]),
-        opens: Some([opens; 16]),
+        signing: Some([seals; 16]),
+        also_accepted: Some([opens; 16]),
     };
-    let mut net = Net::with_keys(6, 11, step(1, 1));
-    net.until(30_000.0, all, Net::agrees).unwrap();
+    let mut network = Network::with_keys(6, 11, step(1, 1));
+    network
+        .until(30_000.0, all, Network::has_converged)
+        .unwrap();
     let halves = |a: usize, b: usize| a / 3 == b / 3;
-    net.run(30_000.0, halves);
+    network.run(30_000.0, halves);
     // One half has both keys, the other seals with the new one already: they understand each other.
     for n in 0..6 {
-        net.groups[n]
-            .as_mut()
-            .unwrap()
-            .set_keys(if n < 3 { step(1, 2) } else { step(2, 1) });
+        network.detectors[n].as_mut().unwrap().set_keys(if n < 3 {
+            step(1, 2)
+        } else {
+            step(2, 1)
+        });
     }
-    net.run(10_000.0, halves);
-    assert!(net.until(120_000.0, all, Net::agrees).is_some());
+    network.run(10_000.0, halves);
+    assert!(network
+        .until(120_000.0, all, Network::has_converged)
+        .is_some());
 }
 
 #[test]
-fn state_stays_bounded_whatever_is_told() {
-    let settings = Settings::default();
-    let mut group = SwimDetector::new("n0", address(0), 0, settings, Keys::default(), 1);
+fn member_table_stays_bounded_under_a_flood_of_gossip() {
+    let config = Config::default();
+    let mut detector = SwimDetector::new("n0", address(0), 0, config, Keys::default(), 1);
     for n in 0..200_000_u64 {
-        let news = Gossip {
+        let gossip = Gossip {
             id: n,
             address: address(1),
-            state: State::Alive,
+            state: MemberState::Alive,
             incarnation: 1,
         };
-        let bytes = wire::write(&Datagram {
-            what: What::Ask(n),
-            from: n + 1,
-            number: 1,
-            news: vec![news],
+        let bytes = codec::encode(&Datagram {
+            message: Message::PingRequest(n),
+            sender: n + 1,
+            sequence_number: 1,
+            gossip: vec![gossip],
         });
-        group.handle(n as f64, address(1), &bytes);
+        detector.handle(from_member_one(&bytes), n as f64);
         if n % 1000 == 0 {
-            group.poll(n as f64);
+            detector.poll(n as f64);
         }
     }
-    assert!(group.members().count() <= tansymux_membership::MAX_MEMBERS);
+    assert!(detector.members().count() <= tansymux_membership::MAX_MEMBERS);
 }
 
 #[test]
-fn three_hundred_agree_and_under_heavy_loss_none_that_lives_is_buried() {
-    let mut net = Net::new(300, 12);
-    let took = net.until(30_000.0, all, Net::agrees);
+fn group_of_300_converges_and_under_heavy_loss_no_running_member_is_declared_dead() {
+    let mut network = Network::new(300, 12);
+    let took = network.until(30_000.0, all, Network::has_converged);
     assert!(
         took.is_some(),
         "{:?}",
-        net.groups.iter().flatten().map(SwimDetector::count).min()
+        network
+            .detectors
+            .iter()
+            .flatten()
+            .map(SwimDetector::present_count)
+            .min()
     );
-    net.way = Way { loss: 0.3, ..GOOD };
-    let (bytes, from) = (net.bytes, net.now);
-    net.run(20_000.0, all);
-    let rate = (net.bytes - bytes) as f64 / (net.now - from) * 1000.0 / 300.0;
+    network.conditions = LinkConditions {
+        loss: 0.3,
+        ..GOOD_LINK
+    };
+    let (bytes, from) = (network.bytes_sent, network.now_ms);
+    network.run(20_000.0, all);
+    let rate = (network.bytes_sent - bytes) as f64 / (network.now_ms - from) * 1000.0 / 300.0;
     assert!(rate < 2048.0, "{rate} bytes a second each");
-    assert!(net.deaths() <= 2, "{}", net.deaths());
-    net.groups[299] = None;
-    let found = net.until(30_000.0, all, |net| net.holds(299) == 0);
+    assert!(network.deaths() <= 2, "{}", network.deaths());
+    network.detectors[299] = None;
+    let found = network.until(30_000.0, all, |network| network.present_at(299) == 0);
     assert!(
         found.is_some(),
         "{} still hold it for there",
-        net.holds(299)
+        network.present_at(299)
     );
 }
 
 #[test]
-fn what_is_carried_arrives_as_it_was_and_is_no_news_of_members() {
+fn user_messages_arrive_unchanged_and_do_not_alter_membership() {
     let keys = Keys {
-        seals: Some([7; 16]),
-        opens: Some([7; 16]),
+        signing: Some([7; 16]),
+        also_accepted: Some([7; 16]),
     };
-    let mut net = Net::with_keys(3, 13, keys);
-    net.until(10_000.0, all, Net::agrees).unwrap();
-    let content = vec![9; wire::MAX_CARRIED];
-    assert!(net.groups[0].as_mut().unwrap().carry(id_of("n1"), &content));
-    assert!(!net.groups[0]
+    let mut network = Network::with_keys(3, 13, keys);
+    network
+        .until(10_000.0, all, Network::has_converged)
+        .unwrap();
+    let content = vec![9; codec::MAX_USER_MESSAGE_LEN];
+    assert!(network.detectors[0]
         .as_mut()
         .unwrap()
-        .carry(id_of("nobody"), &content));
-    assert!(!net.groups[0]
+        .send_user_message(member_id_of("n1"), &content));
+    assert!(!network.detectors[0]
         .as_mut()
         .unwrap()
-        .carry(id_of("n1"), &vec![9; wire::MAX_CARRIED + 1]));
-    net.run(100.0, all);
-    let carried = net.groups[1].as_mut().unwrap().next_carried().unwrap();
-    assert_eq!((carried.from, carried.content), (id_of("n0"), content));
-    assert!(net.groups[1].as_mut().unwrap().next_carried().is_none() && net.agrees());
-    assert!(net.longest <= wire::MOST);
+        .send_user_message(member_id_of("nobody"), &content));
+    assert!(!network.detectors[0].as_mut().unwrap().send_user_message(
+        member_id_of("n1"),
+        &vec![9; codec::MAX_USER_MESSAGE_LEN + 1]
+    ));
+    network.run(100.0, all);
+    let message = network.detectors[1]
+        .as_mut()
+        .unwrap()
+        .next_user_message()
+        .unwrap();
+    assert_eq!(
+        (message.from, message.content),
+        (member_id_of("n0"), content)
+    );
+    assert!(
+        network.detectors[1]
+            .as_mut()
+            .unwrap()
+            .next_user_message()
+            .is_none()
+            && network.has_converged()
+    );
+    assert!(network.longest_datagram <= codec::MAX_DATAGRAM_LEN);
 }
 
 /// What the pages say of it: `cargo test -p tansymux-membership --release -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement"]
-fn measured_detection_and_bytes() {
+fn measure_detection_time_and_bytes() {
     for many in [3, 30, 300] {
         for loss in [0.0, 0.3] {
-            let mut net = Net::new(many, 20);
-            let joined = net.until(120_000.0, all, Net::agrees);
-            net.way = Way { loss, ..GOOD };
-            let (bytes, from) = (net.bytes, net.now);
-            net.run(60_000.0, all);
-            let rate = (net.bytes - bytes) as f64 / (net.now - from) * 1000.0 / many as f64;
-            let false_deaths = net.deaths();
-            net.groups[many - 1] = None;
-            let found = net.until(120_000.0, all, |net| net.holds(many - 1) == 0);
+            let mut network = Network::new(many, 20);
+            let joined = network.until(120_000.0, all, Network::has_converged);
+            network.conditions = LinkConditions { loss, ..GOOD_LINK };
+            let (bytes, from) = (network.bytes_sent, network.now_ms);
+            network.run(60_000.0, all);
+            let rate = (network.bytes_sent - bytes) as f64 / (network.now_ms - from) * 1000.0
+                / many as f64;
+            let false_deaths = network.deaths();
+            network.detectors[many - 1] = None;
+            let found = network.until(120_000.0, all, |network| network.present_at(many - 1) == 0);
             println!("{many} members, loss {loss}: joined {joined:?} ms, {rate:.0} bytes/s each, {false_deaths} false deaths a minute in all, found out after {found:?} ms");
         }
     }
@@ -512,13 +629,13 @@
 
 proptest::proptest! {
     #[test]
-    fn no_bytes_make_it_panic_or_answer_with_more_than_fits(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..300)) {
-        let mut group = SwimDetector::new("n0", address(0), 0, Settings::default(), Keys::default(), 1);
-        let mut framed = vec![wire::KIND, 1];
+    fn no_input_bytes_cause_a_panic_or_an_oversized_answer(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..300)) {
+        let mut detector = SwimDetector::new("n0", address(0), 0, Config::default(), Keys::default(), 1);
+        let mut framed = vec![codec::DATAGRAM_KIND, 1];
         framed.extend_from_slice(&bytes);
-        group.handle(0.0, address(1), &bytes);
-        group.handle(1.0, address(1), &framed);
-        let (out, _) = group.poll(2000.0);
-        assert!(out.iter().all(|(_, bytes)| bytes.len() <= wire::MOST));
+        detector.handle(from_member_one(&bytes), 0.0);
+        detector.handle(from_member_one(&framed), 1.0);
+        let output = detector.poll(2000.0);
+        assert!(output.datagrams.iter().all(|datagram| datagram.bytes.len() <= codec::MAX_DATAGRAM_LEN));
     }
 }
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use tansymux_coordination::limits::{Bounds, Limit};
 use tansymux_coordination::Terms;
-use tansymux_membership::seal::Keys;
+use tansymux_membership::Keys;
 use tansymux_rollout::{compare, Plan, Settings, Told};
 
 const MAX_VOTERS: usize = 9;
@@ -80,11 +80,11 @@
         witnesses: ejection.map(|ejection| ejection.witnesses() as usize),
         ejected: ejection.map_or(0.0, |ejection| ejection.out_s() * 1000.0),
     };
-    let membership = tansymux_membership::Settings {
-        period: timing.period_s() * 1000.0,
-        timeout: timing.timeout_s() * 1000.0,
+    let membership = tansymux_membership::Config {
+        period_ms: timing.period_s() * 1000.0,
+        probe_timeout_ms: timing.timeout_s() * 1000.0,
         seeds: told.seed.iter().filter_map(|seed| address(seed)).collect(),
-        ..tansymux_membership::Settings::default()
+        ..tansymux_membership::Config::default()
     };
     let zones = told
         .zones
@@ -105,8 +105,8 @@
         membership,
         terms,
         keys: Keys {
-            seals: Some(key(told.key())?),
-            opens: key(told.also_opens()),
+            signing: Some(key(told.key())?),
+            also_accepted: key(told.also_opens()),
         },
         fresh: told.fresh(),
         turn,
--- a/crates/rollout/src/caller.rs
+++ b/crates/rollout/src/caller.rs
@@ -4,8 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tansymux_coordination::Id;
-use tansymux_membership::seal::{DatagramAuthenticator, Keys};
-use tansymux_membership::wire;
+use tansymux_membership::{codec, DatagramAuthenticator, Keys};
 
 /// What is not answered is said again after so long (ms), and the call is given up after so long.
 const AGAIN: f64 = 200.0;
@@ -50,10 +49,14 @@
     }
 
     pub fn handle(&mut self, bytes: &[u8]) {
-        let Some(sender) = wire::sender(bytes) else {
+        let Some(sender) = codec::peek_sender(bytes) else {
             return;
         };
-        let Some(content) = self.seal.open(sender, bytes).and_then(wire::carried) else {
+        let Some(content) = self
+            .seal
+            .open(sender, bytes)
+            .and_then(codec::decode_user_message)
+        else {
             return;
         };
         match message::read(content) {
@@ -88,7 +91,7 @@
             },
         };
         let mut out = Vec::new();
-        if let Some(mut bytes) = wire::write_carried(self.id, &message::write(&message)) {
+        if let Some(mut bytes) = codec::encode_user_message(self.id, &message::write(&message)) {
             self.seal.seal(&mut bytes);
             out.push(bytes);
         }
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -10,9 +10,7 @@
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::wire::Counted;
 use tansymux_coordination::{Id, Kind, QuorumNode, Record, Stand, Terms, Value, Why};
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::id_of;
-use tansymux_membership::{Carried, State, SwimDetector};
+use tansymux_membership::{member_id_of, Event, Keys, MemberState, SwimDetector, UserMessage};
 
 /// Datagrams that tell one member what it does not know, for each of its reports.
 const MAX_NEWS: usize = 4;
@@ -24,7 +22,7 @@
     pub address: SocketAddr,
     /// Names of the voters.
     pub voters: Vec<String>,
-    pub membership: tansymux_membership::Settings,
+    pub membership: tansymux_membership::Config,
     pub terms: Terms,
     pub keys: Keys,
     /// Whether no voter ever voted before: the first start of an installation.
@@ -52,8 +50,12 @@
     /// `seed`: drawn anew at each start.
     pub fn new(settings: &Settings, now: f64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let id = id_of(&settings.name);
-        let voters: Vec<Id> = settings.voters.iter().map(|name| id_of(name)).collect();
+        let id = member_id_of(&settings.name);
+        let voters: Vec<Id> = settings
+            .voters
+            .iter()
+            .map(|name| member_id_of(name))
+            .collect();
         let keys = settings.keys.clone();
         let membership = settings.membership.clone();
         let group = SwimDetector::new(
@@ -180,19 +182,20 @@
 
     /// Says that this member goes.
     pub fn leave(&mut self, now: f64) {
-        self.group.leave(now);
+        self.group.handle(Event::LeaveRequested, now);
     }
 
     pub fn handle(&mut self, now: f64, from: SocketAddr, bytes: &[u8]) {
         self.now = self.now.max(now);
-        self.group.handle(self.now, from, bytes);
-        while let Some(carried) = self.group.next_carried() {
+        self.group
+            .handle(Event::DatagramReceived { from, bytes }, self.now);
+        while let Some(carried) = self.group.next_user_message() {
             self.takes(carried);
         }
     }
 
-    fn takes(&mut self, carried: Carried) {
-        let Carried {
+    fn takes(&mut self, carried: UserMessage) {
+        let UserMessage {
             from,
             address,
             content,
@@ -213,7 +216,7 @@
         let member = self
             .group
             .state(from)
-            .is_some_and(|state| state <= State::Suspect);
+            .is_some_and(|state| state.is_present());
         match message {
             Message::Hello { call } => self.agent.hello(self.now, address, call),
             Message::Call {
@@ -352,8 +355,11 @@
     fn send(&mut self, to: To, message: &Message) {
         match to {
             To::Member(id) if id == self.group.id() => self.own.push(message.clone()),
-            To::Member(id) => drop(self.group.carry(id, &message::write(message))),
-            To::Address(address) => drop(self.group.carry_to(address, &message::write(message))),
+            To::Member(id) => drop(self.group.send_user_message(id, &message::write(message))),
+            To::Address(address) => drop(
+                self.group
+                    .send_user_message_to(address, &message::write(message)),
+            ),
         }
     }
 
@@ -367,17 +373,14 @@
             next = next.min(at);
             for (to, message) in messages {
                 self.group
-                    .carry(to, &tansymux_coordination::wire::write(&message));
+                    .send_user_message(to, &tansymux_coordination::wire::write(&message));
             }
             let members = self.group.members().map(|member| (member.id, member.state));
             self.steward
-                .members(members.chain([(self.group.id(), State::Alive)]));
+                .members(members.chain([(self.group.id(), MemberState::Alive)]));
             self.steward.look(now, council);
             if let Some(zoned) = &mut self.zoned {
-                let members = self
-                    .group
-                    .members()
-                    .map(|m| (m.id, m.state <= State::Suspect));
+                let members = self.group.members().map(|m| (m.id, m.is_present()));
                 zoned.look(
                     now,
                     &self.steward,
@@ -408,7 +411,9 @@
                 self.hears(own, message);
             }
         }
-        let (datagrams, at) = self.group.poll(now);
-        (datagrams, next.min(at))
+        let output = self.group.poll(now);
+        let datagrams = output.datagrams.into_iter();
+        let datagrams = datagrams.map(|datagram| (datagram.to, datagram.bytes));
+        (datagrams.collect(), next.min(output.next_poll_ms))
     }
 }
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use tansymux_coordination::limits::{self, Ask, Bounds, Halt, Out, Unit, Verdict, View};
 use tansymux_coordination::{Id, Kind, QuorumNode, Record, Stage, Value, Why};
-use tansymux_membership::State;
+use tansymux_membership::MemberState as State;
 
 /// Lost ones that are written down in one look.
 const MAX_LOST_A_LOOK: usize = 24;
--- a/crates/rollout/tests/steward.rs
+++ b/crates/rollout/tests/steward.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use tansymux_coordination::limits::{Bounds, Limit, Scope, Unit};
 use tansymux_coordination::{Kind, QuorumNode, Record, Terms, Value, Why};
-use tansymux_membership::State;
+use tansymux_membership::MemberState as State;
 use tansymux_rollout::message::{self, Answer, Command, Message, Report};
 use tansymux_rollout::{RolloutController, Told};
 
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -8,8 +8,7 @@
 use std::net::SocketAddr;
 use tansymux_coordination::limits::{Bounds, Limit, Unit};
 use tansymux_coordination::{Stage, Stand, Terms};
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::id_of;
+use tansymux_membership::{member_id_of, Keys};
 use tansymux_rollout::message::{Answer, Command};
 use tansymux_rollout::{Fleet, FleetClient, Own, Plan, Settings, Told, Turn, TurnEnd};
 
@@ -156,8 +155,8 @@
 
 fn keys() -> Keys {
     Keys {
-        seals: Some([7; 16]),
-        opens: Some([7; 16]),
+        signing: Some([7; 16]),
+        also_accepted: Some([7; 16]),
     }
 }
 
@@ -270,9 +269,9 @@
             name: format!("n{n}"),
             address: address(n),
             voters: (0..self.scenario.voters).map(|n| format!("n{n}")).collect(),
-            membership: tansymux_membership::Settings {
+            membership: tansymux_membership::Config {
                 seeds: (0..self.scenario.members.min(5)).map(address).collect(),
-                ..tansymux_membership::Settings::default()
+                ..tansymux_membership::Config::default()
             },
             terms: terms(&self.scenario),
             keys: keys(),
@@ -533,7 +532,7 @@
                 {
                     let turn = Turn::new(
                         keys(),
-                        id_of(&format!("n{n}")),
+                        member_id_of(&format!("n{n}")),
                         to,
                         0.02,
                         host,
@@ -733,7 +732,7 @@
             self.calls(
                 0,
                 Command::Forget {
-                    id: id_of(&format!("n{n}")),
+                    id: member_id_of(&format!("n{n}")),
                 },
                 None,
             );
@@ -818,7 +817,7 @@
                 fleet
                     .group()
                     .members()
-                    .find(|m| m.id == id_of(&format!("n{n}")))
+                    .find(|m| m.id == member_id_of(&format!("n{n}")))
                     .map(|m| (m.state, m.incarnation))
             });
             states
@@ -869,7 +868,7 @@
             .flat_map(|council| council.all_standing());
         let name = |key: u64| {
             let of = |n: &usize| {
-                let id = id_of(&format!("n{n}"));
+                let id = member_id_of(&format!("n{n}"));
                 tansymux_coordination::Record::key_of(tansymux_coordination::Kind::Dispatcher, id)
                     == key
             };
