Query registry: one file a concern, typed admission errors, names of the field

The registry took its statement shape from the classifier, which takes the registry: the cycle of the dispatcher's modules. The shape stands below both now (statement_shape.rs). The registry is a folder: messages, query, completed ids.

--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -210,7 +210,10 @@
         loop {
             while self.table.full() {
                 if self.table.evict_one(self.clock.now()) {
-                    self.registry.counters.connections_evicted.add();
+                    self.registry
+                        .counters
+                        .client_connections_evicted
+                        .increment();
                 }
                 let pause = async {
                     Timer::after(ACCEPT_PAUSE).await;
@@ -237,7 +240,7 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.registry.counters.connections_from_clients.add();
+                    self.registry.counters.client_connections.increment();
                     let (side, entry) = (self.clone(), self.table.admit(self.clock.now()));
                     let connection = async move {
                         match side.serve(&stream, &entry).await {
@@ -393,7 +396,7 @@
 
     /// Answers what can't be read or used. Its connection ends with that: nothing behind it is taken for a request.
     async fn reject(&self, stream: &Async<TcpStream>, status: u16, what: &str) -> io::Result<End> {
-        self.registry.counters.requests_rejected.add();
+        self.registry.counters.requests_rejected.increment();
         tracing::info!(status, what, "turned away");
         let text = format!("{{\"error\":\"{what}\"}}");
         let retry_after = self
@@ -592,27 +595,27 @@
             self.admission.max_memory,
         );
         let marks = RequestKeys {
-            token: head.token,
-            key: head.key,
+            idempotency_key: head.token,
+            ordering_key: head.key,
         };
         let asked = QueryRequest {
             id,
-            rg,
+            resource_group: rg,
             tenant,
             statement: body,
-            since,
-            due,
-            cost,
-            memory,
+            received_ms: since,
+            deadline_ms: due,
+            estimated_cost_ms: cost,
+            memory_mb: memory,
             tables,
             text,
             shape,
-            marks,
+            keys: marks,
         };
-        self.registry.take(&asked).map_err(|not| match not {
-            AdmissionError::InHand => (409, "a query with this Req-Id is in hand"),
-            AdmissionError::Past => (409, "a query with this Req-Id was taken before"),
-            AdmissionError::NoRoom => (503, "TryLater"),
+        self.registry.admit(&asked).map_err(|not| match not {
+            AdmissionError::InFlight => (409, "a query with this Req-Id is in hand"),
+            AdmissionError::AlreadySubmitted => (409, "a query with this Req-Id was taken before"),
+            AdmissionError::Overloaded => (503, "TryLater"),
         })
     }
 
@@ -655,7 +658,7 @@
         };
         let answer = future::or(answered, left).await;
         if answer.is_none() {
-            self.registry.vanished(number);
+            self.registry.client_left(number);
         }
         Waited {
             answer,
@@ -688,7 +691,9 @@
                 parts[0] = &head;
                 self.write(stream, &parts).await
             }
-            Answer::Rejected(retry_after) => {
+            Answer::Rejected {
+                retry_after_ms: retry_after,
+            } => {
                 let body = b"{\"error\":\"TryLater\"}";
                 let head = answer_head(
                     429,
@@ -723,7 +728,7 @@
         };
         let written = future::or(write_gathered(stream, parts), too_long).await;
         if written.is_err() {
-            self.registry.counters.answers_not_written.add();
+            self.registry.counters.answer_write_failures.increment();
         }
         written
     }
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -5,10 +5,10 @@
 use tansymux::interface::Outcome;
 
 #[derive(Default)]
-pub struct Count(Cell<u64>);
+pub struct Counter(Cell<u64>);
 
-impl Count {
-    pub fn add(&self) {
+impl Counter {
+    pub fn increment(&self) {
         self.0.set(self.0.get() + 1);
     }
 
@@ -24,11 +24,11 @@
     ($($(#[$doc:meta])* $name:ident: $label:literal),* $(,)?) => {
         #[derive(Default)]
         pub struct Counters {
-            $($(#[$doc])* pub $name: Count,)*
+            $($(#[$doc])* pub $name: Counter,)*
             /// Lines of parts that are on.
-            pub more: RefCell<Vec<Line>>,
+            pub extra_reports: RefCell<Vec<Line>>,
             /// How attempts ended, in the order of `OUTCOMES`.
-            pub ended: [Count; OUTCOMES.len()],
+            pub attempts_by_outcome: [Counter; OUTCOMES.len()],
         }
 
         impl Counters {
@@ -52,43 +52,43 @@
 
 counters! {
     /// Queries: taken = finished + rejected + failed + vanished + those in hand without an answer.
-    taken: "taken",
-    finished: "finished",
+    admitted: "taken",
+    completed: "finished",
     rejected: "deferred",
     failed: "killed",
-    vanished: "vanished",
+    client_disconnects: "vanished",
     /// Requests that never became a query, and answers that could not be written out.
     requests_rejected: "requests_rejected",
-    answers_not_written: "answers_not_written",
-    connections_from_clients: "connections_from_clients",
+    answer_write_failures: "answers_not_written",
+    client_connections: "connections_from_clients",
     /// Clients' connections closed to make room for others.
-    connections_evicted: "connections_evicted",
-    connections_to_engines: "connections_to_engines",
+    client_connections_evicted: "connections_evicted",
+    engine_connections_opened: "connections_to_engines",
     /// Those that did not come up in their time; some came later.
-    connections_late: "connections_late",
-    connections_late_up: "connections_late_up",
+    connect_timeouts: "connections_late",
+    connects_after_timeout: "connections_late_up",
     /// Those that ended because what came could not be read or used, or stopped short.
-    connections_spoilt: "connections_spoilt",
+    protocol_errors: "connections_spoilt",
     /// Those that ended as soon as something went out on them after they had idled.
-    connections_lost_idle: "connections_lost_idle",
+    idle_connections_lost: "connections_lost_idle",
     /// Attempts = the sum of their ends + those that are out.
     attempts: "submissions",
-    probes: "probes",
-    lists: "lists",
+    health_checks: "probes",
+    endpoint_updates: "lists",
     /// Answers of the name service that could not be used or were not believed.
-    lists_passed_over: "lists_passed_over",
-    lookups: "lookups",
-    configurations_read: "configurations_read",
-    operator_files_read: "operator_files_read",
-    messages_sent: "messages_sent",
-    messages_heard: "messages_heard",
+    endpoint_updates_rejected: "lists_passed_over",
+    dns_queries: "lookups",
+    config_reloads: "configurations_read",
+    operator_config_reloads: "operator_files_read",
+    peer_messages_sent: "messages_sent",
+    peer_messages_received: "messages_heard",
     rounds: "rounds",
 }
 
 impl Counters {
-    pub fn ended(&self, outcome: Outcome) {
+    pub fn count_outcome(&self, outcome: Outcome) {
         if let Some(n) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
-            self.ended[n].add();
+            self.attempts_by_outcome[n].increment();
         }
     }
 
@@ -98,12 +98,17 @@
         for (name, count) in self.plain() {
             let _ = writeln!(text, "{name} {count}");
         }
-        for ((_, name), count) in OUTCOMES.iter().zip(&self.ended) {
+        for ((_, name), count) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
             let _ = writeln!(text, "submissions_{name} {}", count.get());
         }
-        let ended: u64 = self.ended.iter().map(Count::get).sum();
-        let answered =
-            [&self.finished, &self.rejected, &self.failed, &self.vanished].map(Count::get);
+        let ended: u64 = self.attempts_by_outcome.iter().map(Counter::get).sum();
+        let answered = [
+            &self.completed,
+            &self.rejected,
+            &self.failed,
+            &self.client_disconnects,
+        ]
+        .map(Counter::get);
         let _ = writeln!(
             text,
             "submissions_out {}",
@@ -112,11 +117,14 @@
         let _ = writeln!(
             text,
             "unanswered {}",
-            self.taken.get().saturating_sub(answered.iter().sum())
+            self.admitted.get().saturating_sub(answered.iter().sum())
         );
         let _ = writeln!(text, "in_hand {in_flight}");
         let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
-        self.more.borrow().iter().for_each(|line| line(&mut text));
+        self.extra_reports
+            .borrow()
+            .iter()
+            .for_each(|line| line(&mut text));
         text
     }
 }
--- a/crates/dispatcher/src/counters/tests.rs
+++ b/crates/dispatcher/src/counters/tests.rs
@@ -3,10 +3,10 @@
 #[test]
 fn the_report_names_every_count_and_its_sums_agree() {
     let counters = Counters::default();
-    (0..3).for_each(|_| counters.taken.add());
-    (0..2).for_each(|_| counters.attempts.add());
-    counters.finished.add();
-    counters.ended(Outcome::NotSent);
+    (0..3).for_each(|_| counters.admitted.increment());
+    (0..2).for_each(|_| counters.attempts.increment());
+    counters.completed.increment();
+    counters.count_outcome(Outcome::NotSent);
     let report = counters.report(2);
     for line in [
         "taken 3\n",
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -92,7 +92,7 @@
             };
             self.asked.set(self.asked.get() + 1);
             self.unheard.set(self.unheard.get() + 1);
-            self.registry.counters.lookups.add();
+            self.registry.counters.dns_queries.increment();
             if let Err(e) = socket
                 .send_to(&dns::query(self.id(), SERVICE, dns::SRV), resolver)
                 .await
@@ -123,21 +123,21 @@
         let answer = dns::parse(bytes)
             .filter(|a| ours && u64::from(age(a.id)) < QUESTIONS_OPEN.min(self.asked.get()));
         let Some(answer) = answer else {
-            self.registry.counters.lists_passed_over.add();
+            self.registry.counters.endpoint_updates_rejected.increment();
             return tracing::warn!(bytes = bytes.len(), %from, "an answer of the name service could not be used");
         };
         let question = self.asked.get() - u64::from(age(answer.id));
         match self.directory.borrow_mut().take(&answer, question) {
             Applied::List(engines) => {
-                self.registry.counters.lists.add();
-                self.registry.push_event(Event::List {
+                self.registry.counters.endpoint_updates.increment();
+                self.registry.push_event(Event::EndpointList {
                     form: ListForm::Full,
                     engines,
                 });
             }
             Applied::Known => {}
             Applied::PassedOver(why) => {
-                self.registry.counters.lists_passed_over.add();
+                self.registry.counters.endpoint_updates_rejected.increment();
                 return tracing::warn!(why, "an answer of the name service is passed over");
             }
         }
--- a/crates/dispatcher/src/discovery/tests.rs
+++ b/crates/dispatcher/src/discovery/tests.rs
@@ -61,8 +61,10 @@
             vec![answer(id, serial, u8::from(!same))]
         }
     };
-    let registry = play(react, |registry| registry.counters.lists.get() == 2);
-    assert!(registry.counters.lookups.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
+    let registry = play(react, |registry| {
+        registry.counters.endpoint_updates.get() == 2
+    });
+    assert!(registry.counters.dns_queries.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
 }
 
 #[test]
@@ -84,8 +86,8 @@
             never,
         ]
     };
-    let registry = play(react, |registry| registry.counters.lookups.get() > 5);
-    let lists = registry.counters.lists.get();
+    let registry = play(react, |registry| registry.counters.dns_queries.get() > 5);
+    let lists = registry.counters.endpoint_updates.get();
     assert!((2..=3).contains(&lists), "{lists}");
-    assert!(registry.counters.lists_passed_over.get() >= 3 * 4);
+    assert!(registry.counters.endpoint_updates_rejected.get() >= 3 * 4);
 }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -11,10 +11,11 @@
 use crate::notify::Notifications;
 use crate::operator_config;
 use crate::peers::Peers;
-use crate::query_registry::{Answer, Event, Query, QueryRegistry};
+use crate::query_registry::{Answer, Event, Grant, Query, QueryRegistry};
 use crate::service_levels::{Limits, ServiceLevels};
 use crate::signals::Signal;
-use crate::statement_classifier::{self, StatementClassifier, TakenQuery};
+use crate::statement_classifier::{self, StatementClassifier};
+use crate::statement_shape::ClassifiedAttempt;
 use crate::zone_routing::ZoneRouting;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -144,7 +145,7 @@
                 .iter()
                 .map(|fleet| executor.spawn(fleet.clone().run())),
         );
-        registry.push_event(Event::List {
+        registry.push_event(Event::EndpointList {
             form: ListForm::Remembered,
             engines: config.directory.all(),
         });
@@ -216,7 +217,7 @@
     fn turn(&mut self) -> f64 {
         let next = self.engines.sweep();
         let now = self.clock.now();
-        self.registry.counters.rounds.add();
+        self.registry.counters.rounds.increment();
         let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
         let zones = &*self.zones;
         let (registry, engines, classes) = (&*self.registry, &*self.engines, &*self.classes);
@@ -252,7 +253,7 @@
         }
         if zones.looked_at(now) {
             if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
-                self.registry.probe(engine_id);
+                self.registry.health_check(engine_id);
             }
             zones.spills(
                 |zone| self.control.spilled(zone),
@@ -266,7 +267,7 @@
                 self.control.threads_out(),
             );
             if !changed.is_empty() {
-                self.registry.push_event(Event::List {
+                self.registry.push_event(Event::EndpointList {
                     form: ListForm::Changes,
                     engines: changed,
                 });
@@ -348,7 +349,7 @@
                 "the configuration was read again; these keys wait for the next start: {waits}"
             );
         }
-        self.registry.counters.configurations_read.add();
+        self.registry.counters.config_reloads.increment();
         if let Some(resolver) = config
             .resolver
             .filter(|_| config.resolver != self.resolver.get())
@@ -360,7 +361,7 @@
 
     fn take_on_operator(&mut self, operator: &Operator) {
         if self.common.operator.is_some() {
-            self.registry.counters.operator_files_read.add();
+            self.registry.counters.operator_config_reloads.increment();
             tracing::info!("the operators' file was read again");
         }
         log::set(&self.common, operator.log.as_ref());
@@ -414,7 +415,7 @@
     fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
         while let Some(event) = self.registry.next_event() {
             match event {
-                Event::Query {
+                Event::QueryArrived {
                     query,
                     tenant,
                     key,
@@ -424,11 +425,13 @@
                     text,
                 } => {
                     // One whose client left while it waited for this round is no news to the decisions.
-                    let Some((rg, due)) = self.registry.with(query, |q| (q.rg.clone(), q.due))
+                    let Some((rg, due)) = self
+                        .registry
+                        .with_query(query, |q| (q.resource_group.clone(), q.deadline_ms))
                     else {
                         continue;
                     };
-                    if self.registry.over(query) {
+                    if self.registry.is_over(query) {
                         continue;
                     }
                     let taken = control.query(
@@ -439,11 +442,11 @@
                         self.registry.answer(query, Answer::Failed);
                     }
                 }
-                Event::Vanished { query } => {
+                Event::ClientLeft { query } => {
                     control.vanished(query, out);
-                    self.registry.leave(query);
+                    self.registry.forget_if_over(query);
                 }
-                Event::Closed {
+                Event::AttemptEnded {
                     query,
                     attempt,
                     outcome,
@@ -452,9 +455,9 @@
                     pages,
                 } => {
                     let taken = |q: &Query| {
-                        Some(TakenQuery {
+                        Some(ClassifiedAttempt {
                             shape: q.shape?,
-                            rg: q.rg.clone(),
+                            rg: q.resource_group.clone(),
                             waited: q.waited,
                         })
                     };
@@ -462,7 +465,7 @@
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.ended(self.now, engine_id, outcome));
-                    if let Some(taken) = self.registry.with(query, taken).flatten() {
+                    if let Some(taken) = self.registry.with_query(query, taken).flatten() {
                         self.classes
                             .ended(&taken, engine_id, latency, outcome, self.now);
                     }
@@ -470,13 +473,13 @@
                         count(self.registry, self.levels, query, self.now, true, false);
                         self.registry.answer(query, Answer::Completed(pages));
                     }
-                    let complete = self.registry.over(query);
-                    self.registry.closed(query);
+                    let complete = self.registry.is_over(query);
+                    self.registry.attempt_ended(query);
                     control.closed(
                         query, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
                     );
                 }
-                Event::Noted {
+                Event::ProgressReported {
                     query,
                     attempt,
                     note,
@@ -484,21 +487,21 @@
                 } => {
                     if let Some(engine_id) = self
                         .registry
-                        .with(query, |q| q.engine_id)
+                        .with_query(query, |q| q.engine_id)
                         .filter(|_| self.zones.is_on())
                     {
                         self.zones.noted(self.now, engine_id);
                     }
                     if note == Note::Waits {
-                        self.registry.waits(query);
+                        self.registry.mark_waited(query);
                     }
                     control.noted(query, attempt, note, amount)
                 }
-                Event::Probed { engine_id, outcome } => {
+                Event::HealthCheckEnded { engine_id, outcome } => {
                     self.zones.ended(self.now, engine_id, outcome);
                     control.probed(engine_id, outcome);
                 }
-                Event::List { form, mut engines } => {
+                Event::EndpointList { form, mut engines } => {
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.listed(&mut engines));
@@ -511,7 +514,7 @@
                     }
                     control.list_ends(form, out);
                 }
-                Event::Told { peer, content } => {
+                Event::PeerMessage { peer, content } => {
                     let taken = self.levels.heard(self.now, peer, &content)
                         || self.zones.heard(self.now, peer, &content);
                     if !taken {
@@ -532,10 +535,17 @@
     finished: bool,
     rejected: bool,
 ) {
-    let owed = !registry.over(query);
-    registry.with(query, |q| {
+    let owed = !registry.is_over(query);
+    registry.with_query(query, |q| {
         if owed {
-            levels.ended(now, &q.rg, now - q.since, q.cost, finished, rejected);
+            levels.ended(
+                now,
+                &q.resource_group,
+                now - q.received_ms,
+                q.estimated_cost_ms,
+                finished,
+                rejected,
+            );
         }
     });
 }
@@ -561,7 +571,12 @@
     }
     fn reject(&mut self, id: u64, retry_after: f64) {
         count(self.registry, self.levels, id, self.now, false, true);
-        self.registry.answer(id, Answer::Rejected(retry_after));
+        self.registry.answer(
+            id,
+            Answer::Rejected {
+                retry_after_ms: retry_after,
+            },
+        );
     }
     fn fail(&mut self, id: u64) {
         count(self.registry, self.levels, id, self.now, false, false);
@@ -571,10 +586,16 @@
         self.registry.cancel(id, attempt);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
-        self.registry.grant(id, priority, memory);
+        self.registry.grant(
+            id,
+            Grant {
+                priority,
+                memory_mb: memory,
+            },
+        );
     }
     fn probe(&mut self, engine_id: u64) {
-        self.registry.probe(engine_id);
+        self.registry.health_check(engine_id);
     }
     fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
         if let Some(peers) = self.peers {
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -182,7 +182,7 @@
                 EngineCommand::Withdraw { query } => self.withdraw(query),
                 EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
                 EngineCommand::SetPriority { query, priority } => self.renice(query, priority),
-                EngineCommand::Probe { engine_id } => self.probe(engine_id),
+                EngineCommand::HealthCheck { engine_id } => self.probe(engine_id),
             }
         }
     }
@@ -194,10 +194,10 @@
                 q.id.clone(),
                 fields_of(q, bounds.until - now),
                 q.statement.clone(),
-                q.cost,
+                q.estimated_cost_ms,
             )
         };
-        let Some((id, fields, statement, cost)) = self.registry.with(query, read) else {
+        let Some((id, fields, statement, cost)) = self.registry.with_query(query, read) else {
             return;
         };
         let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
@@ -319,7 +319,7 @@
         });
         engine.connections.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
-        self.registry.counters.connections_to_engines.add();
+        self.registry.counters.engine_connections_opened.increment();
         self.executor
             .spawn(self.clone().run(channel.clone(), address))
             .detach();
@@ -350,7 +350,7 @@
     }
 
     fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
-        let id = self.registry.with(query, |q| q.id.clone())?;
+        let id = self.registry.with_query(query, |q| q.id.clone())?;
         let engines = self.engines.borrow();
         let carries = |channel: &&Rc<Channel>| {
             channel
@@ -481,7 +481,7 @@
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
         let Some(channel) = self.channel_for(engine_id, &tag, true) else {
-            return self.registry.push_event(Event::Probed {
+            return self.registry.push_event(Event::HealthCheckEnded {
                 engine_id,
                 outcome: Outcome::NoConnection,
             });
@@ -502,9 +502,9 @@
         latency: f64,
         pages: Pages,
     ) {
-        self.registry.counters.ended(outcome);
+        self.registry.counters.count_outcome(outcome);
         tracing::debug!(query, attempt, engine = %format_args!("{engine_id:08x}"), ?outcome, latency, "a submission ended");
-        self.registry.push_event(Event::Closed {
+        self.registry.push_event(Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -516,8 +516,8 @@
 
     /// The same for what was given up from here.
     fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, engine_id: u64, latency: f64) {
-        self.registry.counters.ended(outcome);
-        let event = Event::Closed {
+        self.registry.counters.count_outcome(outcome);
+        let event = Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -591,7 +591,7 @@
                 .any(|&(_, sent, until)| until <= now && heard <= sent);
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
-                self.registry.push_event(Event::Probed {
+                self.registry.push_event(Event::HealthCheckEnded {
                     engine_id: channel.engine_id,
                     outcome: Outcome::Timeout,
                 });
@@ -670,7 +670,7 @@
         let end = match connected {
             Ok(stream) => {
                 if channel.connection.borrow().state == State::Late {
-                    self.registry.counters.connections_late_up.add();
+                    self.registry.counters.connects_after_timeout.increment();
                 }
                 channel.connection.borrow_mut().comes_up(self.clock.now());
                 self.engines
@@ -769,14 +769,14 @@
                         note,
                         amount,
                     } => {
-                        self.registry.push_event(Event::Noted {
+                        self.registry.push_event(Event::ProgressReported {
                             query,
                             attempt,
                             note,
                             amount,
                         });
                     }
-                    Heard::Probed(outcome) => self.registry.push_event(Event::Probed {
+                    Heard::Probed(outcome) => self.registry.push_event(Event::HealthCheckEnded {
                         engine_id: channel.engine_id,
                         outcome,
                     }),
@@ -799,7 +799,7 @@
     /// A connection has not come up in its time: what waits for it goes elsewhere, and whatever comes up later carries what
     /// comes next. One may be late by itself; where the next is as well, the engine can't be reached.
     fn comes_late(self: &Rc<Self>, channel: &Rc<Channel>) {
-        self.registry.counters.connections_late.add();
+        self.registry.counters.connect_timeouts.increment();
         let mut connection = channel.connection.borrow_mut();
         connection.state = State::Late;
         let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
@@ -813,7 +813,7 @@
         waiting
             .iter()
             .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
-        let probed = Event::Probed {
+        let probed = Event::HealthCheckEnded {
             engine_id: channel.engine_id,
             outcome: Outcome::NoConnection,
         };
@@ -869,7 +869,7 @@
         let spoilt = kind == Some(io::ErrorKind::InvalidData);
         let given_up = spoilt || was_up && kind == Some(io::ErrorKind::NotConnected);
         if spoilt {
-            self.registry.counters.connections_spoilt.add();
+            self.registry.counters.protocol_errors.increment();
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !attempts.is_empty()) {
@@ -884,7 +884,7 @@
         let idled = idled.filter(|_| !attempts.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
-            self.registry.counters.connections_lost_idle.add();
+            self.registry.counters.idle_connections_lost.increment();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
         let mut first = if idled.is_some() {
@@ -918,7 +918,7 @@
             Outcome::NoConnection
         };
         (0..probes).for_each(|_| {
-            self.registry.push_event(Event::Probed {
+            self.registry.push_event(Event::HealthCheckEnded {
                 engine_id: channel.engine_id,
                 outcome,
             })
@@ -956,15 +956,15 @@
 fn fields_of(q: &Query, limit: f64) -> String {
     let mut fields = format!(
         "cls={},limit={}{}",
-        q.rg,
+        q.resource_group,
         limit.floor().max(1.0) as u64,
-        q.marks
+        q.key_fields
     );
-    if let Some((priority, memory)) = q.granted {
-        if memory > 0.0 {
-            fields += &format!(",mb={memory:.3}");
+    if let Some(grant) = q.grant {
+        if grant.memory_mb > 0.0 {
+            fields += &format!(",mb={:.3}", grant.memory_mb);
         }
-        fields += &format!(",nice={priority}");
+        fields += &format!(",nice={}", grant.priority);
     }
     fields
 }
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -42,19 +42,19 @@
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
     let asked = QueryRequest {
         id,
-        rg,
+        resource_group: rg,
         tenant,
         statement,
-        since,
-        due,
-        cost,
-        memory,
+        received_ms: since,
+        deadline_ms: due,
+        estimated_cost_ms: cost,
+        memory_mb: memory,
         tables,
         text,
         shape,
-        marks,
+        keys: marks,
     };
-    let (query, slot) = registry.take(&asked).unwrap();
+    let (query, slot) = registry.admit(&asked).unwrap();
     registry.submit(query, 7, bounds);
     side.carry_out();
     (registry, side, query, slot)
@@ -65,7 +65,7 @@
     let closed = |e: Event| {
         matches!(
             e,
-            Event::Closed {
+            Event::AttemptEnded {
                 outcome: Outcome::NoConnection,
                 ..
             }
@@ -92,7 +92,7 @@
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
     let (registry, side, query, _slot) = waiting(LONG);
-    registry.vanished(query);
+    registry.client_left(query);
     side.carry_out();
     assert!(taken_back(&registry));
     let (registry, side, query, _slot) = waiting(LONG);
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -101,7 +101,7 @@
         let reports = side.clone();
         registry
             .counters
-            .more
+            .extra_reports
             .borrow_mut()
             .push(Box::new(move |text| reports.report(text)));
         Ok(Some(side))
@@ -256,7 +256,7 @@
         }
         self.said.set(now);
         let counters = &self.registry.counters;
-        let good = counters.finished.get() as u32;
+        let good = counters.completed.get() as u32;
         let all = good.wrapping_add((counters.failed.get() + counters.rejected.get()) as u32);
         let bad = self
             .bad
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -22,6 +22,7 @@
 mod service_levels;
 mod signals;
 mod statement_classifier;
+mod statement_shape;
 mod zone_routing;
 
 use async_executor::LocalExecutor;
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -43,7 +43,7 @@
             return;
         };
         match self.socket.get_ref().send_to(content, to) {
-            Ok(_) => self.registry.counters.messages_sent.add(),
+            Ok(_) => self.registry.counters.peer_messages_sent.increment(),
             Err(e) => tracing::warn!(%to, error = %e, "a message was not sent"),
         }
     }
@@ -57,8 +57,8 @@
                     let Some(peer) = self.each.iter().position(|address| *address == from) else {
                         continue;
                     };
-                    self.registry.counters.messages_heard.add();
-                    self.registry.push_event(Event::Told {
+                    self.registry.counters.peer_messages_received.increment();
+                    self.registry.push_event(Event::PeerMessage {
                         peer: peer as u32,
                         content: bytes[..count].to_vec(),
                     });
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -23,12 +23,12 @@
     ));
     let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
     assert!(
-        matches!(&events[..], [Event::Told { peer: 1, content }] if content.len() == MAX_MESSAGE)
+        matches!(&events[..], [Event::PeerMessage { peer: 1, content }] if content.len() == MAX_MESSAGE)
     );
     peers.send(Some(1), &[7; MAX_MESSAGE + 1]);
     peers.send(None, b"x");
     peers.send(Some(9), b"x");
-    assert_eq!(registry.counters.messages_sent.get(), 0);
+    assert_eq!(registry.counters.peer_messages_sent.get(), 0);
     peers.send(Some(1), b"hi");
-    assert_eq!(registry.counters.messages_sent.get(), 1);
+    assert_eq!(registry.counters.peer_messages_sent.get(), 1);
 }
--- /dev/null
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -0,0 +1,167 @@
+//! A query in the registry: what its client asked, how far it has come, and where its answer goes.
+
+use crate::notify::Notify;
+use crate::statement_shape::StatementShape;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tansymux::interface::Text;
+
+/// A result's pages, as rows in JSON.
+pub type Pages = Vec<Vec<u8>>;
+
+/// The one final answer of a query.
+#[derive(Debug)]
+pub enum Answer {
+    /// It ran to its end.
+    Completed(Pages),
+    /// It was not run, or can be run again: the client may come back.
+    Rejected {
+        /// How long (ms) the client is to stay away.
+        retry_after_ms: f64,
+    },
+    /// It ended without a result, and must not be sent again as it is.
+    Failed,
+}
+
+/// Where the task of a client's connection waits for the answer.
+#[derive(Default)]
+pub struct AnswerSlot {
+    /// Notified once the answer is there.
+    pub notify: Notify,
+    answer: RefCell<Option<Answer>>,
+}
+
+impl AnswerSlot {
+    /// Takes the answer out, if it is there.
+    pub fn take(&self) -> Option<Answer> {
+        self.answer.borrow_mut().take()
+    }
+
+    /// Puts the answer in and wakes the connection's task.
+    pub(super) fn fill(&self, answer: Answer) {
+        *self.answer.borrow_mut() = Some(answer);
+        self.notify.notify();
+    }
+}
+
+/// The keys that a client gave its query beyond its id, as hex digits.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RequestKeys<'a> {
+    /// Idempotency key: an engine recognises a repeat by it.
+    pub idempotency_key: Option<&'a str>,
+    /// Ordering key: queries that share one run one after the other.
+    pub ordering_key: Option<&'a str>,
+}
+
+impl RequestKeys<'_> {
+    /// Both as fields of a request to an engine, each with a comma before it.
+    pub(super) fn engine_fields(&self) -> Rc<str> {
+        let field = |name: &str, value: Option<&str>| {
+            value.map_or(String::new(), |value| format!(",{name}={value}"))
+        };
+        let nonce = field("nonce", self.idempotency_key);
+        let item = field("item", self.ordering_key);
+        format!("{nonce}{item}").into()
+    }
+
+    /// The ordering key as a number.
+    pub(super) fn ordering_number(&self) -> Option<u64> {
+        let key = self.ordering_key?;
+        u64::from_str_radix(key, 16).ok()
+    }
+}
+
+/// A query as the client side has parsed it. Times are milliseconds on the program's clock.
+pub struct QueryRequest<'a> {
+    /// Its id, as its client sent it: 16 hex digits.
+    pub id: &'a str,
+    /// Name of its resource group.
+    pub resource_group: &'a str,
+    /// Its tenant by the settings' name; empty where the settings name none.
+    pub tenant: &'a str,
+    /// Its SQL text.
+    pub statement: &'a [u8],
+    /// When its last byte came.
+    pub received_ms: f64,
+    /// By when it must be answered.
+    pub deadline_ms: f64,
+    /// Estimated thread time (ms); 0 where there is no estimate.
+    pub estimated_cost_ms: f64,
+    /// Estimated memory (MB); 0 where there is no estimate.
+    pub memory_mb: f64,
+    /// The set of tables that it uses, as a number.
+    pub tables: u32,
+    /// What its text showed.
+    pub text: Text,
+    /// What the analysis of its text leaves with it, where it was analysed.
+    pub shape: Option<StatementShape>,
+    /// The keys that its client gave it.
+    pub keys: RequestKeys<'a>,
+}
+
+/// What the attempts of a query are granted on their engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Grant {
+    /// Priority on the engine's scale.
+    pub priority: u8,
+    /// Memory (MB); 0 leaves it to the engine.
+    pub memory_mb: f64,
+}
+
+/// A query in flight. Times are milliseconds on the program's clock.
+pub struct Query {
+    /// Its id, as its client sent it.
+    pub id: Rc<str>,
+    /// Name of its resource group.
+    pub resource_group: Rc<str>,
+    /// Its SQL text.
+    pub statement: Rc<[u8]>,
+    /// The client's keys as fields of a request to an engine, each with a comma before it.
+    pub key_fields: Rc<str>,
+    /// When its last byte came.
+    pub received_ms: f64,
+    /// Estimated thread time (ms); 0 where there is no estimate.
+    pub estimated_cost_ms: f64,
+    /// By when it must be answered.
+    pub deadline_ms: f64,
+    /// What the next attempts are granted, once that was decided.
+    pub grant: Option<Grant>,
+    /// What the analysis of its text left, where it was analysed.
+    pub shape: Option<StatementShape>,
+    /// The attempt in flight, or the last one, waited for a lock.
+    pub waited: bool,
+    /// The engine of the last attempt.
+    pub engine_id: u64,
+    /// Attempts so far.
+    pub(super) attempts: usize,
+    /// An attempt is in flight, or its end was not yet told to the decisions.
+    pub(super) attempt_in_flight: bool,
+    /// Where the answer goes; none once it was given or the client left.
+    pub(super) slot: Option<Rc<AnswerSlot>>,
+}
+
+impl Query {
+    pub(super) fn new(request: &QueryRequest, id: Rc<str>, slot: Rc<AnswerSlot>) -> Self {
+        Query {
+            id,
+            resource_group: request.resource_group.into(),
+            statement: request.statement.into(),
+            key_fields: request.keys.engine_fields(),
+            received_ms: request.received_ms,
+            estimated_cost_ms: request.estimated_cost_ms,
+            deadline_ms: request.deadline_ms,
+            grant: None,
+            shape: request.shape,
+            waited: false,
+            engine_id: 0,
+            attempts: 0,
+            attempt_in_flight: false,
+            slot: Some(slot),
+        }
+    }
+
+    /// Whether its answer was given, or none is owed.
+    pub(super) fn is_over(&self) -> bool {
+        self.slot.is_none()
+    }
+}
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -1,4 +1,6 @@
+use super::completed_ids::MAX_COMPLETED_IDS;
 use super::*;
+use tansymux::interface::Text;
 
 const BOUNDS: Bounds = Bounds {
     until: 90.0,
@@ -7,29 +9,29 @@
 };
 const ASKED: QueryRequest = QueryRequest {
     id: "9b1f03aa5c7e2d41",
-    rg: "look",
+    resource_group: "look",
     tenant: "acme",
     statement: b"SELECT 1",
-    since: 0.0,
-    due: 100.0,
-    cost: 1.0,
-    memory: 1.0,
+    received_ms: 0.0,
+    deadline_ms: 100.0,
+    estimated_cost_ms: 1.0,
+    memory_mb: 1.0,
     tables: 1,
     text: Text::UNREAD,
     shape: None,
-    marks: RequestKeys {
-        token: None,
-        key: None,
+    keys: RequestKeys {
+        idempotency_key: None,
+        ordering_key: None,
     },
 };
 
 #[test]
 fn a_query_gets_one_answer_and_nothing_is_sent_after_it() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.take(&ASKED).unwrap();
+    let (query, slot) = registry.admit(&ASKED).unwrap();
     assert_eq!(
-        registry.take(&ASKED).map(|_| ()),
-        Err(AdmissionError::InHand)
+        registry.admit(&ASKED).map(|_| ()),
+        Err(AdmissionError::InFlight)
     );
     registry.submit(query, 7, BOUNDS);
     registry.submit(query, 8, BOUNDS);
@@ -42,7 +44,13 @@
     assert_eq!(registry.next_command(), Some(first));
     assert_eq!(registry.next_command(), None);
     assert!(
-        registry.answer(query, Answer::Failed) && !registry.answer(query, Answer::Rejected(1.0))
+        registry.answer(query, Answer::Failed)
+            && !registry.answer(
+                query,
+                Answer::Rejected {
+                    retry_after_ms: 1.0
+                }
+            )
     );
     assert!(matches!(slot.take(), Some(Answer::Failed)));
     // What has not gone out of it by now does not any more, whatever the settings say of cancels.
@@ -52,52 +60,72 @@
     );
     registry.submit(query, 7, BOUNDS);
     assert_eq!((registry.next_command(), registry.in_flight()), (None, 1));
-    registry.closed(query);
+    registry.attempt_ended(query);
     assert_eq!(registry.in_flight(), 0);
-    assert_eq!(registry.take(&ASKED).map(|_| ()), Err(AdmissionError::Past));
-    (0..MAX_PAST).for_each(|n| registry.past.borrow_mut().keep(n.to_string().into()));
-    assert!(registry.take(&ASKED).is_ok());
+    assert_eq!(
+        registry.admit(&ASKED).map(|_| ()),
+        Err(AdmissionError::AlreadySubmitted)
+    );
+    (0..MAX_COMPLETED_IDS).for_each(|n| {
+        registry
+            .completed_ids
+            .borrow_mut()
+            .remember(n.to_string().into())
+    });
+    assert!(registry.admit(&ASKED).is_ok());
 }
 
 #[test]
 fn statements_beyond_the_room_are_turned_away_until_others_end() {
     let registry = QueryRegistry::new(ASKED.statement.len() + 1);
-    let (query, _slot) = registry.take(&ASKED).unwrap();
+    let (query, _slot) = registry.admit(&ASKED).unwrap();
     let second = QueryRequest {
         id: "9b1f03aa5c7e2d42",
         ..ASKED
     };
     assert_eq!(
-        registry.take(&second).map(|_| ()),
-        Err(AdmissionError::NoRoom)
+        registry.admit(&second).map(|_| ()),
+        Err(AdmissionError::Overloaded)
     );
     registry.answer(query, Answer::Failed);
-    assert!(registry.take(&second).is_ok());
+    assert!(registry.admit(&second).is_ok());
 }
 
 #[test]
 fn a_client_that_left_is_owed_nothing() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.take(&ASKED).unwrap();
-    registry.vanished(query);
-    registry.vanished(query);
+    let (query, slot) = registry.admit(&ASKED).unwrap();
+    registry.client_left(query);
+    registry.client_left(query);
     assert!(!registry.answer(query, Answer::Failed) && slot.take().is_none());
     let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
     assert!(matches!(
         events[..],
-        [Event::Query { .. }, Event::Vanished { .. }]
+        [Event::QueryArrived { .. }, Event::ClientLeft { .. }]
     ));
-    registry.leave(query);
+    registry.forget_if_over(query);
     assert_eq!(registry.in_flight(), 0);
 }
 
 #[test]
 fn a_new_priority_reaches_a_attempt_that_is_out() {
     let registry = QueryRegistry::default();
-    let (query, _slot) = registry.take(&ASKED).unwrap();
-    registry.grant(query, 3, 0.0);
+    let (query, _slot) = registry.admit(&ASKED).unwrap();
+    registry.grant(
+        query,
+        Grant {
+            priority: 3,
+            memory_mb: 0.0,
+        },
+    );
     registry.submit(query, 7, BOUNDS);
-    registry.grant(query, 1, 0.0);
+    registry.grant(
+        query,
+        Grant {
+            priority: 1,
+            memory_mb: 0.0,
+        },
+    );
     registry.next_command();
     assert_eq!(
         registry.next_command(),
--- a/crates/dispatcher/src/statement_classifier.rs
+++ b/crates/dispatcher/src/statement_classifier.rs
@@ -6,6 +6,7 @@
 
 use crate::query_registry::{EndpointEntry, QueryRegistry};
 use crate::service_levels::ServiceLevels;
+use crate::statement_shape::{ClassifiedAttempt, StatementShape};
 use crate::zone_routing::ZoneRouting;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -19,23 +20,6 @@
     Statements,
 };
 
-/// What a query was taken with, kept until its attempts have ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Shape {
-    shape: u128,
-    class: Class,
-    /// The price by its features.
-    cost: f64,
-}
-
-/// A query that was read, when its attempt ends.
-#[derive(Debug)]
-pub struct TakenQuery {
-    pub shape: Shape,
-    pub rg: Rc<str>,
-    pub waited: bool,
-}
-
 /// A statement as it was read for a query.
 #[derive(Debug, Clone)]
 pub struct Classed {
@@ -44,7 +28,7 @@
     pub cost: f64,
     pub memory: f64,
     pub text: Text,
-    pub shape: Shape,
+    pub shape: StatementShape,
 }
 
 struct On {
@@ -226,7 +210,7 @@
     /// A attempt of a query that was read has ended, after so long (ms), and perhaps having waited.
     pub fn ended(
         &self,
-        taken: &TakenQuery,
+        taken: &ClassifiedAttempt,
         engine_id: u64,
         latency: f64,
         outcome: Outcome,
@@ -299,8 +283,8 @@
     }
 }
 
-fn shape_of(read: &Read) -> Shape {
-    Shape {
+fn shape_of(read: &Read) -> StatementShape {
+    StatementShape {
         shape: read.shape,
         class: read.reading.class,
         cost: read.reading.cost,
@@ -433,7 +417,7 @@
             (first.rg.as_deref(), first.text.alters),
             (Some("look"), false)
         );
-        let taken = TakenQuery {
+        let taken = ClassifiedAttempt {
             shape: first.shape,
             rg: "look".into(),
             waited: false,
--- /dev/null
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -0,0 +1,28 @@
+//! What the analysis of a statement leaves with its query until the attempts of that have ended.
+//!
+//! It stands below both the query registry, which carries it, and the statement classifier, which reads it.
+
+use std::rc::Rc;
+use tansymux_sql_analysis::Class;
+
+/// A statement's fingerprint without its literals, and what its features say of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StatementShape {
+    /// Hash of the statement's tokens with its literals left out.
+    pub shape: u128,
+    /// The class that its features give it.
+    pub class: Class,
+    /// The cost that its features alone give it (thread time, ms).
+    pub cost: f64,
+}
+
+/// A classified query whose attempt has ended.
+#[derive(Debug)]
+pub struct ClassifiedAttempt {
+    /// What the analysis of its statement left.
+    pub shape: StatementShape,
+    /// The resource group that it ran in.
+    pub rg: Rc<str>,
+    /// The attempt waited for a lock.
+    pub waited: bool,
+}
