Engine pool, discovery and signals: public names in the field's terms

Change: ConnectionSettings with units, upsert_endpoint, execute_commands, connection_count, expire, EndpointDirectory::insert/endpoints/apply_answer/serial, AnswerOutcome, signals::subscribe, Signal::Terminate/Reload.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -5,7 +5,7 @@
 use crate::client::Admission;
 use crate::discovery::EndpointDirectory;
 use crate::dispatcher::TAKES_ON;
-use crate::engine::Terms;
+use crate::engine::ConnectionSettings;
 use crate::query_registry::EndpointEntry;
 use serde_json::{Map as Object, Value};
 use std::fmt;
@@ -62,7 +62,7 @@
     /// Limits on descriptors, and on memory in bytes.
     pub sockets: f64,
     pub memory: f64,
-    pub terms: Terms,
+    pub connection_settings: ConnectionSettings,
     /// After the signal to end, by when (ms) all is answered.
     pub ends_by: f64,
     pub peers: Option<PeerAddresses>,
@@ -335,16 +335,16 @@
         let path = |i| format!("{}.{key}", told::item_of("services", i));
         (0..count).filter_map(|i| told.millis(&path(i))).collect()
     };
-    let terms = Terms {
-        quickest: times("aim-us").into_iter().reduce(f64::min).unwrap_or(0.0),
-        notes_every: number(&notes_every, 0.0, 0.0) / 1e3,
-        connect_timeout: number(
+    let connection_settings = ConnectionSettings {
+        shortest_objective_ms: times("aim-us").into_iter().reduce(f64::min).unwrap_or(0.0),
+        progress_interval_ms: number(&notes_every, 0.0, 0.0) / 1e3,
+        connect_timeout_ms: number(
             &setting("connect-timeout-us"),
             DEFAULT_CONNECT_TIMEOUT * 1e3,
             1.0,
         ) / 1e3,
-        idle: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
-        streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
+        idle_timeout_ms: number(&setting("conn-idle-us"), DEFAULT_IDLE * 1e3, 1.0) / 1e3,
+        max_streams: number(&setting("streams-per-conn"), DEFAULT_STREAMS, 1.0) as usize,
         max_connections: part_of(ENGINES_PART),
     };
     let largest = |path: &str| {
@@ -398,7 +398,7 @@
             max_bytes,
             sockets,
             memory,
-            terms,
+            connection_settings,
             ends_by,
             peers,
             resolver,
@@ -432,7 +432,7 @@
     if known.value.is_none() {
         return Ok(directory);
     }
-    directory.last = known.key("cursor").number_or(0.0, 0.0)? as u32;
+    directory.serial = known.key("cursor").number_or(0.0, 0.0)? as u32;
     for event in known.key("cmds").items()? {
         for entry in event.key("nodes").key("instances").items()? {
             let state = entry.key("lifecycle");
@@ -455,7 +455,7 @@
                 status,
                 started: Some(entry.key("startedAtMs").number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
             };
-            directory.keep(engine);
+            directory.insert(engine);
         }
     }
     Ok(directory)
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -24,9 +24,9 @@
     assert_eq!(told.join(" "), want);
     assert_eq!(
         (
-            config.terms.connect_timeout,
-            config.terms.idle,
-            config.directory.last
+            config.connection_settings.connect_timeout_ms,
+            config.connection_settings.idle_timeout_ms,
+            config.directory.serial
         ),
         (9.0, 30_000.0, 2)
     );
@@ -47,7 +47,7 @@
         (config.admission.max_bytes, config.max_bytes),
         ((32 << 20) / 10, (32 << 20) / 5)
     );
-    let engine = &config.directory.all()[0];
+    let engine = &config.directory.endpoints()[0];
     assert_eq!(
         (engine.status, engine.started),
         (EngineStatus::Draining, Some(7.0))
--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -21,7 +21,7 @@
     /// The list as last told.
     engines: FxHashMap<u64, EndpointEntry>,
     /// The number of the last event that is known, and what its list looked like.
-    pub last: u32,
+    pub serial: u32,
     looks: Option<u64>,
     /// To which question its answer came.
     question: u64,
@@ -40,12 +40,12 @@
 
 /// What became of an answer.
 #[derive(Debug, PartialEq)]
-pub enum Applied {
+pub enum AnswerOutcome {
     /// It tells of events that were not known: the whole list, with those that are gone.
-    List(Vec<EndpointEntry>),
+    Updated(Vec<EndpointEntry>),
     /// It says what is known.
-    Known,
-    PassedOver(&'static str),
+    Unchanged,
+    Rejected(&'static str),
 }
 
 /// How an answer stands to what is believed.
@@ -69,12 +69,12 @@
         engine_id
     }
 
-    pub fn keep(&mut self, engine: EndpointEntry) {
+    pub fn insert(&mut self, engine: EndpointEntry) {
         self.engines.insert(engine.engine_id, engine);
     }
 
     /// All engines that are known, in the order of their numbers.
-    pub fn all(&self) -> Vec<EndpointEntry> {
+    pub fn endpoints(&self) -> Vec<EndpointEntry> {
         let mut all: Vec<EndpointEntry> = self.engines.values().cloned().collect();
         all.sort_by_key(|engine| engine.engine_id);
         all
@@ -83,23 +83,23 @@
     /// Takes in the answer to a question. One that goes a step ahead is believed at once. One that leaps, goes back or
     /// says something else under the same number may be spoilt, or what is believed was: it is believed once the
     /// answer to a later question says the same. An engine that has no records any more is gone.
-    pub fn take(&mut self, answer: &Answer, question: u64) -> Applied {
+    pub fn apply_answer(&mut self, answer: &Answer, question: u64) -> AnswerOutcome {
         let Some(serial) = answer.serial else {
-            return Applied::PassedOver("it has no serial");
+            return AnswerOutcome::Rejected("it has no serial");
         };
         if answer.srv.len() > MAX_ENGINES {
-            return Applied::PassedOver("the list is too long");
+            return AnswerOutcome::Rejected("the list is too long");
         }
         let looks = looks_of(answer);
         match self.stands(serial, looks, answer.srv.len()) {
             Stands::Same => {
                 (self.doubted, self.question) = (None, self.question.max(question));
                 self.looks = Some(looks);
-                return Applied::Known;
+                return AnswerOutcome::Unchanged;
             }
             Stands::Ahead => {}
             // An older answer that came late: nobody wonders.
-            Stands::Doubtful(_) if question <= self.question => return Applied::Known,
+            Stands::Doubtful(_) if question <= self.question => return AnswerOutcome::Unchanged,
             Stands::Doubtful(why) => {
                 let seconds = |first: &Doubted| {
                     let ahead = serial.wrapping_sub(first.serial) as i32;
@@ -113,22 +113,22 @@
                             question,
                         });
                     }
-                    return Applied::PassedOver(why);
+                    return AnswerOutcome::Rejected(why);
                 }
             }
         }
-        let back = serial.wrapping_sub(self.last) as i32 <= 0;
+        let back = serial.wrapping_sub(self.serial) as i32 <= 0;
         let mut listed = self.read(answer);
         if back {
             self.hold_to_what_ended(&mut listed);
         }
-        (self.last, self.looks, self.question, self.doubted) =
+        (self.serial, self.looks, self.question, self.doubted) =
             (serial, Some(looks), question, None);
-        Applied::List(self.replace(listed))
+        AnswerOutcome::Updated(self.replace(listed))
     }
 
     fn stands(&self, serial: u32, looks: u64, count: usize) -> Stands {
-        let ahead = serial.wrapping_sub(self.last) as i32;
+        let ahead = serial.wrapping_sub(self.serial) as i32;
         let step = (EVENTS_AN_ENGINE * (self.engines.len() + count + 1)) as i32;
         match ahead {
             // What the start told has no look to compare with: it came in another form.
--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -34,12 +34,12 @@
 /// The directory with both engines ready, as the answer to question 10 told, and what is asked of it.
 fn told_two(serial: u32) -> EndpointDirectory {
     let mut directory = EndpointDirectory {
-        last: serial - 1,
+        serial: serial - 1,
         ..EndpointDirectory::default()
     };
     assert!(matches!(
-        directory.take(&answer(serial, TWO), 10),
-        Applied::List(_)
+        directory.apply_answer(&answer(serial, TWO), 10),
+        AnswerOutcome::Updated(_)
     ));
     directory
 }
@@ -47,7 +47,7 @@
 fn status(directory: &EndpointDirectory, id: &str) -> Option<EngineStatus> {
     let engine_id = u64::from(tansymux_operator_config::number_of(id));
     directory
-        .all()
+        .endpoints()
         .iter()
         .find(|e| e.engine_id == engine_id)
         .map(|e| e.status)
@@ -56,12 +56,15 @@
 #[test]
 fn an_engine_without_records_is_gone_and_an_old_list_is_passed_over() {
     let mut directory = EndpointDirectory {
-        last: 3,
+        serial: 3,
         ..EndpointDirectory::default()
     };
-    assert_eq!(directory.take(&answer(3, TWO), 1), Applied::Known);
+    assert_eq!(
+        directory.apply_answer(&answer(3, TWO), 1),
+        AnswerOutcome::Unchanged
+    );
     let old = directory.engine_id("s-old");
-    directory.keep(EndpointEntry {
+    directory.insert(EndpointEntry {
         engine_id: old,
         address: None,
         kind: "std".into(),
@@ -70,7 +73,9 @@
         status: EngineStatus::Ready,
         started: None,
     });
-    let Applied::List(listed) = directory.take(&answer(4, &[("s-1", true, 0.0)]), 2) else {
+    let AnswerOutcome::Updated(listed) =
+        directory.apply_answer(&answer(4, &[("s-1", true, 0.0)]), 2)
+    else {
         panic!()
     };
     let told: Vec<_> = listed
@@ -90,11 +95,17 @@
     );
     // Answers to questions before that one tell nothing new, in whatever order and however often they come.
     assert_eq!(
-        directory.take(&answer(4, &[("s-1", true, 0.0)]), 1),
-        Applied::Known
+        directory.apply_answer(&answer(4, &[("s-1", true, 0.0)]), 1),
+        AnswerOutcome::Unchanged
+    );
+    assert_eq!(
+        directory.apply_answer(&answer(3, TWO), 1),
+        AnswerOutcome::Unchanged
+    );
+    assert_eq!(
+        directory.apply_answer(&answer(3, TWO), 2),
+        AnswerOutcome::Unchanged
     );
-    assert_eq!(directory.take(&answer(3, TWO), 1), Applied::Known);
-    assert_eq!(directory.take(&answer(3, TWO), 2), Applied::Known);
     assert_eq!(
         (
             directory.engine_ids.len(),
@@ -110,33 +121,39 @@
     let mut directory = told_two(5);
     let spoilt = answer(5 | 1 << 20, &[("s-1", false, 0.0)]);
     assert_eq!(
-        directory.take(&spoilt, 11),
-        Applied::PassedOver("its serial leaps ahead")
+        directory.apply_answer(&spoilt, 11),
+        AnswerOutcome::Rejected("its serial leaps ahead")
     );
     // Its copy is the same answer, not a second one.
     assert!(matches!(
-        directory.take(&spoilt, 11),
-        Applied::PassedOver(_)
+        directory.apply_answer(&spoilt, 11),
+        AnswerOutcome::Rejected(_)
     ));
-    assert_eq!(directory.take(&answer(5, TWO), 12), Applied::Known);
+    assert_eq!(
+        directory.apply_answer(&answer(5, TWO), 12),
+        AnswerOutcome::Unchanged
+    );
     assert!(
-        matches!(directory.take(&spoilt, 13), Applied::PassedOver(_)),
+        matches!(
+            directory.apply_answer(&spoilt, 13),
+            AnswerOutcome::Rejected(_)
+        ),
         "what lies between breaks the chain"
     );
     assert!(matches!(
-        directory.take(&answer(6, &[("s-1", false, 0.0)]), 14),
-        Applied::List(_)
+        directory.apply_answer(&answer(6, &[("s-1", false, 0.0)]), 14),
+        AnswerOutcome::Updated(_)
     ));
     // Who was away for long learns so: two answers that agree.
     assert!(matches!(
-        directory.take(&answer(90_000, TWO), 15),
-        Applied::PassedOver(_)
+        directory.apply_answer(&answer(90_000, TWO), 15),
+        AnswerOutcome::Rejected(_)
     ));
     assert!(matches!(
-        directory.take(&answer(90_001, TWO), 16),
-        Applied::List(_)
+        directory.apply_answer(&answer(90_001, TWO), 16),
+        AnswerOutcome::Updated(_)
     ));
-    assert_eq!(directory.last, 90_001);
+    assert_eq!(directory.serial, 90_001);
 }
 
 #[test]
@@ -144,29 +161,32 @@
     let mut directory = told_two(5);
     // One bit in the serial, and a record lost: nothing shows that it is spoilt.
     assert!(matches!(
-        directory.take(&answer(7, &[("s-1", false, 0.0)]), 11),
-        Applied::List(_)
+        directory.apply_answer(&answer(7, &[("s-1", false, 0.0)]), 11),
+        AnswerOutcome::Updated(_)
     ));
     assert!(matches!(
-        directory.take(&answer(5, TWO), 12),
-        Applied::PassedOver("its serial goes back")
+        directory.apply_answer(&answer(5, TWO), 12),
+        AnswerOutcome::Rejected("its serial goes back")
     ));
     assert!(
-        matches!(directory.take(&answer(5, TWO), 12), Applied::PassedOver(_)),
+        matches!(
+            directory.apply_answer(&answer(5, TWO), 12),
+            AnswerOutcome::Rejected(_)
+        ),
         "a copy"
     );
     assert!(matches!(
-        directory.take(&answer(5, TWO), 13),
-        Applied::List(_)
+        directory.apply_answer(&answer(5, TWO), 13),
+        AnswerOutcome::Updated(_)
     ));
-    assert_eq!(directory.last, 5);
+    assert_eq!(directory.serial, 5);
     // The same under the same serial.
     let other = [("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let why = Applied::PassedOver("it says something else under the same serial");
-    assert_eq!(directory.take(&answer(5, &other), 14), why);
+    let why = AnswerOutcome::Rejected("it says something else under the same serial");
+    assert_eq!(directory.apply_answer(&answer(5, &other), 14), why);
     assert!(matches!(
-        directory.take(&answer(5, &other), 15),
-        Applied::List(_)
+        directory.apply_answer(&answer(5, &other), 15),
+        AnswerOutcome::Updated(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
 }
@@ -181,21 +201,21 @@
         ("s-3", false, 0.0),
     ];
     assert!(matches!(
-        directory.take(&answer(6, &three), 11),
-        Applied::List(_)
+        directory.apply_answer(&answer(6, &three), 11),
+        AnswerOutcome::Updated(_)
     ));
     let now = [("s-1", true, 0.0), ("s-2", false, 0.0)];
     assert!(matches!(
-        directory.take(&answer(8, &now), 12),
-        Applied::List(_)
+        directory.apply_answer(&answer(8, &now), 12),
+        AnswerOutcome::Updated(_)
     ));
     assert!(matches!(
-        directory.take(&answer(6, &three), 13),
-        Applied::PassedOver(_)
+        directory.apply_answer(&answer(6, &three), 13),
+        AnswerOutcome::Rejected(_)
     ));
     assert!(matches!(
-        directory.take(&answer(6, &three), 14),
-        Applied::List(_)
+        directory.apply_answer(&answer(6, &three), 14),
+        AnswerOutcome::Updated(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Draining));
     assert_eq!(status(&directory, "s-2"), Some(EngineStatus::Ready));
@@ -203,17 +223,17 @@
     // An engine that started since is another matter, and so is what goes a step ahead.
     let mut directory = told_two(5);
     assert!(matches!(
-        directory.take(&answer(6, &[("s-2", false, 0.0)]), 11),
-        Applied::List(_)
+        directory.apply_answer(&answer(6, &[("s-2", false, 0.0)]), 11),
+        AnswerOutcome::Updated(_)
     ));
     let anew = [("s-1", false, 9.0), ("s-2", false, 0.0)];
     assert!(matches!(
-        directory.take(&answer(5, &anew), 12),
-        Applied::PassedOver(_)
+        directory.apply_answer(&answer(5, &anew), 12),
+        AnswerOutcome::Rejected(_)
     ));
     assert!(matches!(
-        directory.take(&answer(5, &anew), 13),
-        Applied::List(_)
+        directory.apply_answer(&answer(5, &anew), 13),
+        AnswerOutcome::Updated(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
@@ -222,16 +242,16 @@
 fn a_list_that_would_leave_nothing_ready_is_not_held_to_what_was_told_before() {
     let mut directory = told_two(5);
     assert!(matches!(
-        directory.take(&answer(7, &[("s-9", false, 0.0)]), 11),
-        Applied::List(_)
+        directory.apply_answer(&answer(7, &[("s-9", false, 0.0)]), 11),
+        AnswerOutcome::Updated(_)
     ));
     assert!(matches!(
-        directory.take(&answer(5, TWO), 12),
-        Applied::PassedOver(_)
+        directory.apply_answer(&answer(5, TWO), 12),
+        AnswerOutcome::Rejected(_)
     ));
     assert!(matches!(
-        directory.take(&answer(5, TWO), 13),
-        Applied::List(_)
+        directory.apply_answer(&answer(5, TWO), 13),
+        AnswerOutcome::Updated(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EngineStatus::Ready));
 }
@@ -240,7 +260,7 @@
 fn of_two_records_of_one_engine_the_graver_holds() {
     let mut directory = told_two(5);
     let twice = [("s-1", false, 0.0), ("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let Applied::List(listed) = directory.take(&answer(6, &twice), 11) else {
+    let AnswerOutcome::Updated(listed) = directory.apply_answer(&answer(6, &twice), 11) else {
         panic!()
     };
     assert_eq!(listed.len(), 2);
@@ -259,7 +279,7 @@
         ],
     );
     both.addresses[2].1 = both.addresses[0].1;
-    let Applied::List(listed) = directory.take(&both, 11) else {
+    let AnswerOutcome::Updated(listed) = directory.apply_answer(&both, 11) else {
         panic!()
     };
     let gone: Vec<u64> = listed
@@ -278,10 +298,13 @@
 fn serials_go_round() {
     let mut directory = told_two(u32::MAX);
     assert!(matches!(
-        directory.take(&answer(0, TWO), 11),
-        Applied::List(_)
+        directory.apply_answer(&answer(0, TWO), 11),
+        AnswerOutcome::Updated(_)
     ));
-    assert_eq!(directory.take(&answer(u32::MAX, TWO), 10), Applied::Known);
+    assert_eq!(
+        directory.apply_answer(&answer(u32::MAX, TWO), 10),
+        AnswerOutcome::Unchanged
+    );
 }
 
 #[test]
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -5,7 +5,7 @@
 use crate::dns;
 use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
-pub use directory::{Applied, EndpointDirectory};
+pub use directory::{AnswerOutcome, EndpointDirectory};
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -127,16 +127,16 @@
             return tracing::warn!(bytes = bytes.len(), %from, "an answer of the name service could not be used");
         };
         let question = self.asked.get() - u64::from(age(answer.id));
-        match self.directory.borrow_mut().take(&answer, question) {
-            Applied::List(engines) => {
+        match self.directory.borrow_mut().apply_answer(&answer, question) {
+            AnswerOutcome::Updated(engines) => {
                 self.registry.counters.lists.add();
                 self.registry.push_event(Event::List {
                     form: ListForm::Full,
                     engines,
                 });
             }
-            Applied::Known => {}
-            Applied::PassedOver(why) => {
+            AnswerOutcome::Unchanged => {}
+            AnswerOutcome::Rejected(why) => {
                 self.registry.counters.lists_passed_over.add();
                 return tracing::warn!(why, "an answer of the name service is passed over");
             }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -102,7 +102,12 @@
         let registry = Rc::new(QueryRegistry::new(config.max_bytes));
         let mut control =
             Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
-        let engines = EnginePool::new(registry.clone(), clock, executor.clone(), config.terms);
+        let engines = EnginePool::new(
+            registry.clone(),
+            clock,
+            executor.clone(),
+            config.connection_settings,
+        );
         let classes = Rc::new(StatementClassifier::new(&config.told, key_of(config.seed)));
         classes.set(operator.statements.as_ref());
         let limits = Limits {
@@ -146,7 +151,7 @@
         );
         registry.push_event(Event::List {
             form: ListForm::Remembered,
-            engines: config.directory.all(),
+            engines: config.directory.endpoints(),
         });
         let resolver = Rc::new(Cell::new(config.resolver));
         let follow = discovery::follow(
@@ -186,8 +191,8 @@
     /// Runs until all is answered after the signal to end.
     pub async fn run(mut self, signals: impl Stream<Item = Signal>) {
         let signals = signals.map(|signal| match signal {
-            Signal::ReadAgain => Wake::Reload,
-            Signal::End => Wake::Terminate,
+            Signal::Reload => Wake::Reload,
+            Signal::Terminate => Wake::Terminate,
         });
         let events = Notifications(self.registry.notify.clone()).map(|()| Wake::Events);
         let mut wakes = std::pin::pin!(futures_lite::stream::or(signals, events));
@@ -214,10 +219,13 @@
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
     fn turn(&mut self) -> f64 {
-        let next = self.engines.sweep();
+        let next = self.engines.expire();
         let now = self.clock.now();
         self.registry.counters.rounds.add();
-        let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
+        let (levels, descriptors) = (
+            &*self.levels,
+            self.clients.held() + self.engines.connection_count(),
+        );
         let zones = &*self.zones;
         let (registry, engines, classes) = (&*self.registry, &*self.engines, &*self.classes);
         let fleet = self.fleet.as_deref();
@@ -272,7 +280,7 @@
                 });
             }
         }
-        self.engines.carry_out();
+        self.engines.execute_commands();
         self.advance(now);
         next.min(self.timer).min(now + LONGEST_SLEEP)
     }
@@ -506,7 +514,7 @@
                     self.zones.listed(self.now, &engines);
                     control.list_begins(form);
                     for e in &engines {
-                        self.engines.listed(e);
+                        self.engines.upsert_endpoint(e);
                         control.listed(e.engine_id, &e.kind, &e.zone, e.status, e.started, e.cell);
                     }
                     control.list_ends(form, out);
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -54,13 +54,13 @@
 
 /// What the platform tells of connections to engines.
 #[derive(Debug, Clone, Copy)]
-pub struct Terms {
-    pub connect_timeout: f64,
-    pub idle: f64,
+pub struct ConnectionSettings {
+    pub connect_timeout_ms: f64,
+    pub idle_timeout_ms: f64,
     /// Time between an engine's notes on a attempt, 0 if it sends none; the shortest target runtime of all groups.
-    pub notes_every: f64,
-    pub quickest: f64,
-    pub streams: usize,
+    pub progress_interval_ms: f64,
+    pub shortest_objective_ms: f64,
+    pub max_streams: usize,
     pub max_connections: usize,
 }
 
@@ -85,7 +85,7 @@
     registry: Rc<QueryRegistry>,
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
-    terms: Terms,
+    settings: ConnectionSettings,
     engines: RefCell<FxHashMap<u64, Engine>>,
     tags: Cell<u64>,
     connections: Cell<usize>,
@@ -102,7 +102,7 @@
         registry: Rc<QueryRegistry>,
         clock: Clock,
         executor: Rc<LocalExecutor<'static>>,
-        terms: Terms,
+        settings: ConnectionSettings,
     ) -> Rc<Self> {
         let (engines, tags, connections, settling, keep_alive) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
@@ -110,7 +110,7 @@
             registry,
             clock,
             executor,
-            terms,
+            settings,
             engines,
             tags,
             connections,
@@ -123,7 +123,7 @@
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
     /// them, or for one that drains, is taken back: it might go out past the grace, or to another engine that has
     /// the address by now.
-    pub fn listed(&self, told: &EndpointEntry) {
+    pub fn upsert_endpoint(&self, told: &EndpointEntry) {
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine {
             address: told.address,
@@ -164,13 +164,13 @@
     }
 
     /// Connections that are open or coming up.
-    pub fn open(&self) -> usize {
+    pub fn connection_count(&self) -> usize {
         self.connections.get()
     }
 
     // ---- Orders ----
 
-    pub fn carry_out(self: &Rc<Self>) {
+    pub fn execute_commands(self: &Rc<Self>) {
         while let Some(order) = self.registry.next_command() {
             match order {
                 EngineCommand::Submit {
@@ -240,7 +240,7 @@
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
-        let full = self.connections.get() >= self.terms.max_connections;
+        let full = self.connections.get() >= self.settings.max_connections;
         let idlest = if full { idlest(&engines) } else { None };
         let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
@@ -251,7 +251,8 @@
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
             let order = (c.use_for(now, trusted), c.out(), c.state != State::Up);
-            c.takes(id, self.terms.streams).then_some((order, c.used))
+            c.takes(id, self.settings.max_streams)
+                .then_some((order, c.used))
         };
         let taking = engine
             .connections
@@ -289,15 +290,15 @@
     }
 
     fn max_an_engine(&self) -> usize {
-        MAX_CONNECTIONS_AN_ENGINE.max(MAX_OUT_AN_ENGINE / self.terms.streams.max(1))
+        MAX_CONNECTIONS_AN_ENGINE.max(MAX_OUT_AN_ENGINE / self.settings.max_streams.max(1))
     }
 
     /// Without a note for so long a connection may be dead.
     fn quiet(&self) -> f64 {
-        let tells = if self.terms.notes_every > 0.0 {
-            self.terms.notes_every
+        let tells = if self.settings.progress_interval_ms > 0.0 {
+            self.settings.progress_interval_ms
         } else {
-            self.terms.quickest
+            self.settings.shortest_objective_ms
         };
         QUIET.max(QUIET_NOTES * tells)
     }
@@ -342,7 +343,7 @@
         };
         for _ in engine.unreached..UNREACHED {
             let room = engine.connections.len() < self.max_an_engine()
-                && self.connections.get() < self.terms.max_connections;
+                && self.connections.get() < self.settings.max_connections;
             if room {
                 self.open_one(engine, engine_id, address);
             }
@@ -489,7 +490,7 @@
         channel
             .connection
             .borrow_mut()
-            .probe(tag, now, now + self.terms.connect_timeout);
+            .probe(tag, now, now + self.settings.connect_timeout_ms);
         channel.notify.notify();
     }
 
@@ -547,7 +548,7 @@
     }
 
     /// Ends what has run out of time, closes what is idle; the next time at which something will.
-    pub fn sweep(self: &Rc<Self>) -> f64 {
+    pub fn expire(self: &Rc<Self>) -> f64 {
         let now = self.clock.now();
         let mut settling = self.settling.borrow_mut();
         while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
@@ -570,7 +571,7 @@
         drop(settling);
         let longest = self.keep_alive.borrow_mut().longest(now);
         let keeps_one_ahead = longest <= keep_alive::LEAST;
-        let (told, mut checks) = (IDLE_PART * self.terms.idle, Vec::new());
+        let (told, mut checks) = (IDLE_PART * self.settings.idle_timeout_ms, Vec::new());
         for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
@@ -652,7 +653,7 @@
 
     async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
         let timeout = Duration::from_secs_f64(
-            (self.terms.connect_timeout / 1000.0).clamp(0.0, LONGEST_TIMEOUT),
+            (self.settings.connect_timeout_ms / 1000.0).clamp(0.0, LONGEST_TIMEOUT),
         );
         let too_long = |times: u32| async move {
             Timer::after(times * timeout).await;
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -23,20 +23,20 @@
 
 /// A attempt that waits for its connection, which stays coming up, as no task runs.
 fn waiting(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
-    let terms = Terms {
-        connect_timeout: 250.0,
-        idle: 30_000.0,
-        notes_every: 0.0,
-        quickest: 0.0,
-        streams: 32,
+    let settings = ConnectionSettings {
+        connect_timeout_ms: 250.0,
+        idle_timeout_ms: 30_000.0,
+        progress_interval_ms: 0.0,
+        shortest_objective_ms: 0.0,
+        max_streams: 32,
         max_connections: 8,
     };
     let (registry, executor) = (
         Rc::new(QueryRegistry::default()),
         Rc::new(LocalExecutor::new()),
     );
-    let side = EnginePool::new(registry.clone(), Clock::start(), executor, terms);
-    side.listed(&engine(EngineStatus::Ready, None, 9));
+    let side = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
+    side.upsert_endpoint(&engine(EngineStatus::Ready, None, 9));
     let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
     let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
@@ -56,7 +56,7 @@
     };
     let (query, slot) = registry.take(&asked).unwrap();
     registry.submit(query, 7, bounds);
-    side.carry_out();
+    side.execute_commands();
     (registry, side, query, slot)
 }
 
@@ -84,7 +84,7 @@
         (engine(EngineStatus::Ready, None, 10), true),
     ] {
         let (registry, side, ..) = waiting(LONG);
-        side.listed(&then);
+        side.upsert_endpoint(&then);
         assert_eq!(taken_back(&registry), back, "{then:?}");
     }
 }
@@ -93,11 +93,11 @@
 fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
     let (registry, side, query, _slot) = waiting(LONG);
     registry.vanished(query);
-    side.carry_out();
+    side.execute_commands();
     assert!(taken_back(&registry));
     let (registry, side, query, _slot) = waiting(LONG);
     assert!(registry.answer(query, crate::query_registry::Answer::Failed));
-    side.carry_out();
+    side.execute_commands();
     assert!(taken_back(&registry));
 }
 
@@ -107,12 +107,12 @@
         begin_by: Clock::start().now() + 30.0,
         ..LONG
     });
-    let next = side.sweep();
+    let next = side.expire();
     assert!(!taken_back(&registry));
     // The sweep itself tells when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
         (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
-    side.sweep();
+    side.expire();
     assert!(taken_back(&registry));
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -66,7 +66,7 @@
 fn serve(common: Common) -> ExitCode {
     log::begin();
     // First of all: what is not yet handled ends a process, also a SIGHUP that was meant to have a file read again.
-    let signals = match signals::heard() {
+    let signals = match signals::subscribe() {
         Ok(signals) => signals,
         Err(e) => return failed(&format!("signals can't be heard: {e}")),
     };
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -11,18 +11,21 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Signal {
     /// SIGTERM or SIGINT.
-    End,
+    Terminate,
     /// SIGHUP.
-    ReadAgain,
+    Reload,
 }
 
 /// An item for each signal, or one for several that came at once.
 ///
 /// # Errors
 /// No pipe, or no handler.
-pub fn heard() -> io::Result<impl Stream<Item = Signal>> {
-    let end = stream::or(of(SIGTERM, Signal::End)?, of(SIGINT, Signal::End)?);
-    Ok(stream::or(end, of(SIGHUP, Signal::ReadAgain)?))
+pub fn subscribe() -> io::Result<impl Stream<Item = Signal>> {
+    let end = stream::or(
+        of(SIGTERM, Signal::Terminate)?,
+        of(SIGINT, Signal::Terminate)?,
+    );
+    Ok(stream::or(end, of(SIGHUP, Signal::Reload)?))
 }
 
 fn of(number: c_int, signal: Signal) -> io::Result<impl Stream<Item = Signal> + Unpin> {
