--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -54,13 +54,13 @@
 
 /// What the platform tells of connections to engines.
 #[derive(Debug, Clone, Copy)]
-pub struct Terms {
-    pub connect_timeout: f64,
-    pub idle: f64,
+pub struct ConnectionSettings {
+    pub connect_timeout_ms: f64,
+    pub idle_timeout_ms: f64,
     /// Time between an engine's notes on a attempt, 0 if it sends none; the shortest target runtime of all groups.
-    pub notes_every: f64,
-    pub quickest: f64,
-    pub streams: usize,
+    pub progress_interval_ms: f64,
+    pub shortest_objective_ms: f64,
+    pub max_streams: usize,
     pub max_connections: usize,
 }
 
@@ -85,7 +85,7 @@
     registry: Rc<QueryRegistry>,
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
-    terms: Terms,
+    settings: ConnectionSettings,
     engines: RefCell<FxHashMap<u64, Engine>>,
     tags: Cell<u64>,
     connections: Cell<usize>,
@@ -102,7 +102,7 @@
         registry: Rc<QueryRegistry>,
         clock: Clock,
         executor: Rc<LocalExecutor<'static>>,
-        terms: Terms,
+        settings: ConnectionSettings,
     ) -> Rc<Self> {
         let (engines, tags, connections, settling, keep_alive) = Default::default();
         let shared = RefCell::new(vec![0; READ_AT_ONCE]);
@@ -110,7 +110,7 @@
             registry,
             clock,
             executor,
-            terms,
+            settings,
             engines,
             tags,
             connections,
@@ -123,7 +123,7 @@
     /// Follows the list: connections to an engine that is gone, moved or started anew are retired. What waits for
     /// them, or for one that drains, is taken back: it might go out past the grace, or to another engine that has
     /// the address by now.
-    pub fn listed(&self, told: &EndpointEntry) {
+    pub fn upsert_endpoint(&self, told: &EndpointEntry) {
         let mut engines = self.engines.borrow_mut();
         let fresh = || Engine {
             address: told.address,
@@ -164,13 +164,13 @@
     }
 
     /// Connections that are open or coming up.
-    pub fn open(&self) -> usize {
+    pub fn connection_count(&self) -> usize {
         self.connections.get()
     }
 
     // ---- Orders ----
 
-    pub fn carry_out(self: &Rc<Self>) {
+    pub fn execute_commands(self: &Rc<Self>) {
         while let Some(order) = self.registry.next_command() {
             match order {
                 EngineCommand::Submit {
@@ -182,7 +182,7 @@
                 EngineCommand::Withdraw { query } => self.withdraw(query),
                 EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
                 EngineCommand::SetPriority { query, priority } => self.renice(query, priority),
-                EngineCommand::Probe { engine_id } => self.probe(engine_id),
+                EngineCommand::HealthCheck { engine_id } => self.probe(engine_id),
             }
         }
     }
@@ -194,10 +194,10 @@
                 q.id.clone(),
                 fields_of(q, bounds.until - now),
                 q.statement.clone(),
-                q.cost,
+                q.estimated_cost_ms,
             )
         };
-        let Some((id, fields, statement, cost)) = self.registry.with(query, read) else {
+        let Some((id, fields, statement, cost)) = self.registry.with_query(query, read) else {
             return;
         };
         let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
@@ -240,7 +240,7 @@
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
-        let full = self.connections.get() >= self.terms.max_connections;
+        let full = self.connections.get() >= self.settings.max_connections;
         let idlest = if full { idlest(&engines) } else { None };
         let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
@@ -251,7 +251,8 @@
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
             let order = (c.use_for(now, trusted), c.out(), c.state != State::Up);
-            c.takes(id, self.terms.streams).then_some((order, c.used))
+            c.takes(id, self.settings.max_streams)
+                .then_some((order, c.used))
         };
         let taking = engine
             .connections
@@ -289,15 +290,15 @@
     }
 
     fn max_an_engine(&self) -> usize {
-        MAX_CONNECTIONS_AN_ENGINE.max(MAX_OUT_AN_ENGINE / self.terms.streams.max(1))
+        MAX_CONNECTIONS_AN_ENGINE.max(MAX_OUT_AN_ENGINE / self.settings.max_streams.max(1))
     }
 
     /// Without a note for so long a connection may be dead.
     fn quiet(&self) -> f64 {
-        let tells = if self.terms.notes_every > 0.0 {
-            self.terms.notes_every
+        let tells = if self.settings.progress_interval_ms > 0.0 {
+            self.settings.progress_interval_ms
         } else {
-            self.terms.quickest
+            self.settings.shortest_objective_ms
         };
         QUIET.max(QUIET_NOTES * tells)
     }
@@ -319,7 +320,7 @@
         });
         engine.connections.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
-        self.registry.counters.connections_to_engines.add();
+        self.registry.counters.engine_connections_opened.increment();
         self.executor
             .spawn(self.clone().run(channel.clone(), address))
             .detach();
@@ -342,7 +343,7 @@
         };
         for _ in engine.unreached..UNREACHED {
             let room = engine.connections.len() < self.max_an_engine()
-                && self.connections.get() < self.terms.max_connections;
+                && self.connections.get() < self.settings.max_connections;
             if room {
                 self.open_one(engine, engine_id, address);
             }
@@ -350,7 +351,7 @@
     }
 
     fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
-        let id = self.registry.with(query, |q| q.id.clone())?;
+        let id = self.registry.with_query(query, |q| q.id.clone())?;
         let engines = self.engines.borrow();
         let carries = |channel: &&Rc<Channel>| {
             channel
@@ -481,7 +482,7 @@
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
         let Some(channel) = self.channel_for(engine_id, &tag, true) else {
-            return self.registry.push_event(Event::Probed {
+            return self.registry.push_event(Event::HealthCheckEnded {
                 engine_id,
                 outcome: Outcome::NoConnection,
             });
@@ -489,7 +490,7 @@
         channel
             .connection
             .borrow_mut()
-            .probe(tag, now, now + self.terms.connect_timeout);
+            .probe(tag, now, now + self.settings.connect_timeout_ms);
         channel.notify.notify();
     }
 
@@ -502,9 +503,9 @@
         latency: f64,
         pages: Pages,
     ) {
-        self.registry.counters.ended(outcome);
+        self.registry.counters.count_outcome(outcome);
         tracing::debug!(query, attempt, engine = %format_args!("{engine_id:08x}"), ?outcome, latency, "a submission ended");
-        self.registry.push_event(Event::Closed {
+        self.registry.push_event(Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -516,8 +517,8 @@
 
     /// The same for what was given up from here.
     fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, engine_id: u64, latency: f64) {
-        self.registry.counters.ended(outcome);
-        let event = Event::Closed {
+        self.registry.counters.count_outcome(outcome);
+        let event = Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -547,7 +548,7 @@
     }
 
     /// Ends what has run out of time, closes what is idle; the next time at which something will.
-    pub fn sweep(self: &Rc<Self>) -> f64 {
+    pub fn expire(self: &Rc<Self>) -> f64 {
         let now = self.clock.now();
         let mut settling = self.settling.borrow_mut();
         while let Some((_, event)) = settling.pop_front_if(|(at, _)| *at <= now) {
@@ -570,7 +571,7 @@
         drop(settling);
         let longest = self.keep_alive.borrow_mut().longest(now);
         let keeps_one_ahead = longest <= keep_alive::LEAST;
-        let (told, mut checks) = (IDLE_PART * self.terms.idle, Vec::new());
+        let (told, mut checks) = (IDLE_PART * self.settings.idle_timeout_ms, Vec::new());
         for (last, channel) in channels {
             let late: Vec<Rc<str>> = {
                 let connection = channel.connection.borrow();
@@ -591,7 +592,7 @@
                 .any(|&(_, sent, until)| until <= now && heard <= sent);
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
-                self.registry.push_event(Event::Probed {
+                self.registry.push_event(Event::HealthCheckEnded {
                     engine_id: channel.engine_id,
                     outcome: Outcome::Timeout,
                 });
@@ -652,7 +653,7 @@
 
     async fn run(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
         let timeout = Duration::from_secs_f64(
-            (self.terms.connect_timeout / 1000.0).clamp(0.0, LONGEST_TIMEOUT),
+            (self.settings.connect_timeout_ms / 1000.0).clamp(0.0, LONGEST_TIMEOUT),
         );
         let too_long = |times: u32| async move {
             Timer::after(times * timeout).await;
@@ -670,7 +671,7 @@
         let end = match connected {
             Ok(stream) => {
                 if channel.connection.borrow().state == State::Late {
-                    self.registry.counters.connections_late_up.add();
+                    self.registry.counters.connects_after_timeout.increment();
                 }
                 channel.connection.borrow_mut().comes_up(self.clock.now());
                 self.engines
@@ -769,14 +770,14 @@
                         note,
                         amount,
                     } => {
-                        self.registry.push_event(Event::Noted {
+                        self.registry.push_event(Event::ProgressReported {
                             query,
                             attempt,
                             note,
                             amount,
                         });
                     }
-                    Heard::Probed(outcome) => self.registry.push_event(Event::Probed {
+                    Heard::Probed(outcome) => self.registry.push_event(Event::HealthCheckEnded {
                         engine_id: channel.engine_id,
                         outcome,
                     }),
@@ -799,7 +800,7 @@
     /// A connection has not come up in its time: what waits for it goes elsewhere, and whatever comes up later carries what
     /// comes next. One may be late by itself; where the next is as well, the engine can't be reached.
     fn comes_late(self: &Rc<Self>, channel: &Rc<Channel>) {
-        self.registry.counters.connections_late.add();
+        self.registry.counters.connect_timeouts.increment();
         let mut connection = channel.connection.borrow_mut();
         connection.state = State::Late;
         let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
@@ -813,7 +814,7 @@
         waiting
             .iter()
             .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
-        let probed = Event::Probed {
+        let probed = Event::HealthCheckEnded {
             engine_id: channel.engine_id,
             outcome: Outcome::NoConnection,
         };
@@ -869,7 +870,7 @@
         let spoilt = kind == Some(io::ErrorKind::InvalidData);
         let given_up = spoilt || was_up && kind == Some(io::ErrorKind::NotConnected);
         if spoilt {
-            self.registry.counters.connections_spoilt.add();
+            self.registry.counters.protocol_errors.increment();
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !attempts.is_empty()) {
@@ -884,7 +885,7 @@
         let idled = idled.filter(|_| !attempts.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
-            self.registry.counters.connections_lost_idle.add();
+            self.registry.counters.idle_connections_lost.increment();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
         let mut first = if idled.is_some() {
@@ -918,7 +919,7 @@
             Outcome::NoConnection
         };
         (0..probes).for_each(|_| {
-            self.registry.push_event(Event::Probed {
+            self.registry.push_event(Event::HealthCheckEnded {
                 engine_id: channel.engine_id,
                 outcome,
             })
@@ -956,15 +957,15 @@
 fn fields_of(q: &Query, limit: f64) -> String {
     let mut fields = format!(
         "cls={},limit={}{}",
-        q.rg,
+        q.resource_group,
         limit.floor().max(1.0) as u64,
-        q.marks
+        q.key_fields
     );
-    if let Some((priority, memory)) = q.granted {
-        if memory > 0.0 {
-            fields += &format!(",mb={memory:.3}");
+    if let Some(grant) = q.grant {
+        if grant.memory_mb > 0.0 {
+            fields += &format!(",mb={:.3}", grant.memory_mb);
         }
-        fields += &format!(",nice={priority}");
+        fields += &format!(",nice={}", grant.priority);
     }
     fields
 }
