--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -101,7 +101,7 @@
         let reports = side.clone();
         registry
             .counters
-            .more
+            .extra_reports
             .borrow_mut()
             .push(Box::new(move |text| reports.report(text)));
         Ok(Some(side))
@@ -256,7 +256,7 @@
         }
         self.said.set(now);
         let counters = &self.registry.counters;
-        let good = counters.finished.get() as u32;
+        let good = counters.completed.get() as u32;
         let all = good.wrapping_add((counters.failed.get() + counters.rejected.get()) as u32);
         let bad = self
             .bad
@@ -319,7 +319,7 @@
         let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
         let recalls = matches!(fleet.stand(), Some(Stand::Recalls { .. }));
         for (name, value) in [
-            ("fleet_members", fleet.group().count() as u64),
+            ("fleet_members", fleet.group().present_count() as u64),
             ("fleet_leads", u64::from(leads)),
             ("fleet_recalls", u64::from(recalls)),
             ("fleet_leader_known", u64::from(leader.is_some())),
