Client side: one file a concern, explicit phases and states, a typed request

client/mod.rs held listener, session, parsing and writing in one type with thirteen cells. Now: listener, session (a connection with its states), reader (buffers and their bound), request (fields checked into a query), route, request_error (status and text as on the wire), answer_writer, status_pages, phase, connection_table, http. Status codes, bodies and headers are the same. Constants and paths of the life-cycle page follow.

--- /dev/null
+++ b/crates/dispatcher/src/client/answer_writer.rs
@@ -0,0 +1,86 @@
+//! Writes answers to a client's connection.
+
+use super::http::answer_head;
+use super::request_error::RequestError;
+use crate::counters::Counters;
+use crate::net::write_gathered;
+use crate::query_registry::{Answer, Pages};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::io;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// An answer is written within this time, or its connection ends: a bound on clients that do not read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Writes the answers of one connection.
+pub struct AnswerWriter<'a> {
+    /// The connection.
+    pub stream: &'a Async<TcpStream>,
+    /// The program's counters.
+    pub counters: &'a Counters,
+}
+
+impl AnswerWriter<'_> {
+    /// Writes a query's answer.
+    pub async fn answer(&self, answer: Answer, keep_alive: bool) -> io::Result<()> {
+        match answer {
+            Answer::Completed(pages) => self.result(&pages, keep_alive).await,
+            Answer::Rejected { retry_after_ms } => {
+                let body = "{\"error\":\"TryLater\"}";
+                let retry_after_ms = retry_after_ms.max(0.0).ceil() as u64;
+                let head = answer_head(429, body.len(), keep_alive, Some(retry_after_ms));
+                self.write(&[&head, body.as_bytes()]).await
+            }
+            Answer::Failed => self.json(500, "{\"error\":\"Killed\"}", keep_alive).await,
+        }
+    }
+
+    /// Writes a result: the rows of all pages in one JSON list, without copying them together.
+    async fn result(&self, pages: &Pages, keep_alive: bool) -> io::Result<()> {
+        let mut body: Vec<&[u8]> = vec![b"{\"data\":["];
+        for page in pages.iter().filter(|page| !page.is_empty()) {
+            if body.len() > 1 {
+                body.push(b",");
+            }
+            body.push(page);
+        }
+        body.push(b"]}");
+        let body_len = body.iter().map(|part| part.len()).sum();
+        let head = answer_head(200, body_len, keep_alive, None);
+        body.insert(0, &head);
+        self.write(&body).await
+    }
+
+    /// Writes an answer with this body.
+    pub async fn json(&self, status: u16, body: &str, keep_alive: bool) -> io::Result<()> {
+        let head = answer_head(status, body.len(), keep_alive, None);
+        self.write(&[&head, body.as_bytes()]).await
+    }
+
+    /// Refuses a request; its connection ends with that. A 503 tells the client when to come back, if that is known.
+    pub async fn error(&self, error: RequestError, retry_after_ms: Option<f64>) -> io::Result<()> {
+        let RequestError { status, message } = error;
+        self.counters.requests_rejected.increment();
+        tracing::info!(status, reason = message, "request rejected");
+        let body = format!("{{\"error\":\"{message}\"}}");
+        let retry_after_ms = retry_after_ms
+            .filter(|_| status == 503)
+            .map(|ms| ms.ceil() as u64);
+        let head = answer_head(status, body.len(), false, retry_after_ms);
+        self.write(&[&head, body.as_bytes()]).await
+    }
+
+    async fn write(&self, parts: &[&[u8]]) -> io::Result<()> {
+        let timeout = async {
+            Timer::after(WRITE_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let written = future::or(write_gathered(self.stream, parts), timeout).await;
+        if written.is_err() {
+            self.counters.answer_write_failures.increment();
+        }
+        written
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/client/connection_table.rs
@@ -0,0 +1,161 @@
+//! The table of clients' connections, and which of them is evicted when it is full. No I/O.
+
+use crate::notify::Notify;
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// An answered connection that is idle for longer (ms) has a client that asks no more: usual clients close after 4 s.
+const ABANDONED_AFTER_MS: f64 = 4500.0;
+/// A connection without a whole request yet is evicted before idle ones when it is older (ms): who connects has
+/// something to ask.
+const SLOW_FIRST_REQUEST_MS: f64 = 500.0;
+/// The same where no other can be evicted: the least time (ms) that a client has for its first request.
+const MIN_FIRST_REQUEST_MS: f64 = 100.0;
+/// How long (ms) a half-closed connection is kept for its client to take in the answer: by the protocol, a request may
+/// cross a close within this time.
+const CLOSE_CROSSING_MS: f64 = 50.0;
+
+/// The state of a client's connection.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ConnectionState {
+    /// Connected, and no request was complete yet.
+    New,
+    /// A request is being answered.
+    Active,
+    /// Answered, and nothing of a next request has come.
+    Idle,
+    /// Half-closed after its last answer; what its client still sends is discarded.
+    Closing,
+}
+
+/// A connection in the table.
+pub struct Entry {
+    number: usize,
+    state: Cell<ConnectionState>,
+    /// Since when (ms) it is in its state.
+    since_ms: Cell<f64>,
+    evicted: Cell<bool>,
+    /// Asks the connection to end.
+    pub close: Notify,
+}
+
+impl Entry {
+    /// Whether it is to end because another connection needs its entry.
+    pub fn is_evicted(&self) -> bool {
+        self.evicted.get()
+    }
+
+    /// Whether it is answered and nothing of a next request has come.
+    pub fn is_idle(&self) -> bool {
+        self.state.get() == ConnectionState::Idle
+    }
+
+    /// Enters a state; an eviction of the state before is void.
+    pub fn set_state(&self, state: ConnectionState, now_ms: f64) {
+        self.state.set(state);
+        self.since_ms.set(now_ms);
+        self.evicted.set(false);
+    }
+
+    /// How soon it would be evicted, the lowest first; `None` while it may not be.
+    fn eviction_rank(&self, now_ms: f64) -> Option<u8> {
+        let age_ms = now_ms - self.since_ms.get();
+        match self.state.get() {
+            ConnectionState::Active => None,
+            ConnectionState::Closing => (age_ms > CLOSE_CROSSING_MS).then_some(0),
+            ConnectionState::Idle if age_ms > ABANDONED_AFTER_MS => Some(1),
+            ConnectionState::New if age_ms > SLOW_FIRST_REQUEST_MS => Some(2),
+            ConnectionState::Idle => Some(3),
+            ConnectionState::New => (age_ms > MIN_FIRST_REQUEST_MS).then_some(4),
+        }
+    }
+}
+
+/// All clients' connections.
+pub struct ConnectionTable {
+    max_connections: usize,
+    entries: RefCell<Slab<Rc<Entry>>>,
+    /// Notified when an entry was released.
+    pub released: Notify,
+}
+
+impl ConnectionTable {
+    /// An empty table for `max_connections`.
+    pub fn new(max_connections: usize) -> Self {
+        ConnectionTable {
+            max_connections,
+            entries: RefCell::default(),
+            released: Notify::default(),
+        }
+    }
+
+    /// How many connections are open.
+    pub fn count(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
+    /// Whether no entry is free.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.max_connections
+    }
+
+    /// Enters a new connection. The caller checks that the table is not full, and releases the entry in the end.
+    pub fn insert(&self, now_ms: f64) -> Rc<Entry> {
+        let mut entries = self.entries.borrow_mut();
+        let vacant = entries.vacant_entry();
+        let entry = Rc::new(Entry {
+            number: vacant.key(),
+            state: Cell::new(ConnectionState::New),
+            since_ms: Cell::new(now_ms),
+            evicted: Cell::default(),
+            close: Notify::default(),
+        });
+        vacant.insert(entry.clone());
+        entry
+    }
+
+    /// Frees the entry of a connection that is closed.
+    pub fn release(&self, entry: &Entry) {
+        self.entries.borrow_mut().try_remove(entry.number);
+        self.released.notify();
+    }
+
+    /// Asks all connections to end once no answer is owed on them.
+    pub fn close_idle(&self) {
+        for (_, entry) in self.entries.borrow().iter() {
+            entry.close.notify();
+        }
+    }
+
+    /// Asks one connection to end, so that its entry becomes free: the one of the lowest rank, and of those the one that
+    /// is longest in its state. Returns false where none may be evicted; one that is being answered never is.
+    pub fn evict_one(&self, now_ms: f64) -> bool {
+        let entries = self.entries.borrow();
+        let mut first: Option<(u8, &Entry)> = None;
+        for (_, entry) in entries.iter() {
+            if entry.is_evicted() {
+                continue;
+            }
+            let Some(rank) = entry.eviction_rank(now_ms) else {
+                continue;
+            };
+            let is_sooner = first.is_none_or(|(first_rank, first_entry)| {
+                let by_age = entry.since_ms.get().total_cmp(&first_entry.since_ms.get());
+                rank.cmp(&first_rank).then(by_age).is_lt()
+            });
+            if is_sooner {
+                first = Some((rank, entry));
+            }
+        }
+        let Some((_, entry)) = first else {
+            return false;
+        };
+        entry.evicted.set(true);
+        entry.close.notify();
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatcher/src/client/http.rs
+++ b/crates/dispatcher/src/client/http.rs
@@ -1,146 +1,222 @@
-//! Reads HTTP/1.1 requests in place and writes the heads of answers. Pure functions over bytes.
+//! HTTP/1.1: parses the heads of requests in place, and writes the heads of answers. Pure functions over bytes.
 
-pub const MAX_HEAD: usize = 8 * 1024;
-pub const MAX_BODY: usize = 64 * 1024;
+use super::request_error::RequestError;
+
+/// Bytes of a request's head at most: a bound on memory.
+pub const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Bytes of a request's body at most: a bound on memory.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Header fields of a request at most: a bound on the work for one.
 const MAX_FIELDS: usize = 64;
+/// Bytes of line ends that are skipped ahead of a request line (RFC 9112, section 2.2).
+const MAX_LEADING_LINE_ENDS: usize = 4;
+/// What ends a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
-/// A head, borrowed from the bytes it came in. Fields that the protocol does not name are passed over.
+/// A request's head, borrowed from the bytes that it came in. Fields that the protocol does not name are ignored.
 #[derive(Debug, PartialEq)]
 pub struct Head<'a> {
+    /// The method, in letters as they came.
     pub method: &'a str,
+    /// The path with its query string.
     pub path: &'a str,
+    /// The connection may go on after the answer.
     pub keep_alive: bool,
+    /// `Req-Id`: the query's id.
     pub id: Option<&'a str>,
+    /// `Req-Wait-Ms`: how long (ms) the client waits for its answer.
     pub wait_ms: Option<&'a str>,
+    /// `Req-Owner`: the tenant.
     pub owner: Option<&'a str>,
-    pub cost: Option<&'a str>,
+    /// `Req-Cost`: estimated thread time (ms).
+    pub cost_ms: Option<&'a str>,
+    /// `X-Need-Mb`: estimated memory (MB).
     pub memory_mb: Option<&'a str>,
-    pub token: Option<&'a str>,
-    pub key: Option<&'a str>,
-    /// Bytes of the head, and of the body behind it.
-    pub size: usize,
-    pub length: usize,
+    /// `Req-Token`: the idempotency key.
+    pub idempotency_key: Option<&'a str>,
+    /// `Req-Key`: the ordering key.
+    pub ordering_key: Option<&'a str>,
+    /// Bytes of the head, with its last line end.
+    pub head_len: usize,
+    /// Bytes of the body behind it.
+    pub body_len: usize,
 }
 
-/// A request that can't be read, and the status that says so; the connection ends with it.
-#[derive(Debug, PartialEq)]
-pub struct Wrong {
-    pub status: u16,
-    pub what: &'static str,
-}
+impl<'a> Head<'a> {
+    fn new(line: &RequestLine<'a>, head_len: usize) -> Self {
+        Head {
+            method: line.method,
+            path: line.path,
+            keep_alive: line.keep_alive,
+            id: None,
+            wait_ms: None,
+            owner: None,
+            cost_ms: None,
+            memory_mb: None,
+            idempotency_key: None,
+            ordering_key: None,
+            head_len,
+            body_len: 0,
+        }
+    }
 
-const fn wrong(status: u16, what: &'static str) -> Wrong {
-    Wrong { status, what }
+    /// Bytes of the request, head and body.
+    pub fn request_len(&self) -> usize {
+        self.head_len + self.body_len
+    }
+
+    /// The field of the protocol by this name, in any case of letters; `None` for all others.
+    fn field_mut(&mut self, name: &str) -> Option<&mut Option<&'a str>> {
+        let fields = [
+            ("req-id", &mut self.id),
+            ("req-wait-ms", &mut self.wait_ms),
+            ("req-owner", &mut self.owner),
+            ("req-cost", &mut self.cost_ms),
+            ("x-need-mb", &mut self.memory_mb),
+            ("req-token", &mut self.idempotency_key),
+            ("req-key", &mut self.ordering_key),
+        ];
+        fields
+            .into_iter()
+            .find(|(known, _)| name.eq_ignore_ascii_case(known))
+            .map(|(_, field)| field)
+    }
 }
 
-/// The head at the start of `bytes`; none while it has not come whole.
-pub fn parse(bytes: &[u8]) -> Result<Option<Head<'_>>, Wrong> {
-    // A line end or two before the request line is passed over (RFC 9112, 2.2).
-    let blank = bytes
+/// Parses the head at the start of `bytes`; `None` while it is not complete.
+///
+/// # Errors
+/// The head is malformed, too long, or asks for what is not supported.
+pub fn parse(bytes: &[u8]) -> Result<Option<Head<'_>>, RequestError> {
+    let skipped = bytes
         .iter()
-        .take(4)
-        .take_while(|b| matches!(b, b'\r' | b'\n'))
+        .take(MAX_LEADING_LINE_ENDS)
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
         .count();
-    let shown = &bytes[blank..bytes.len().min(MAX_HEAD)];
-    let Some(end) = shown.windows(4).position(|four| four == b"\r\n\r\n") else {
-        return if bytes.len() >= MAX_HEAD {
-            Err(wrong(431, "the head is too long"))
-        } else {
-            Ok(None)
-        };
+    let searched = &bytes[skipped..bytes.len().min(MAX_HEAD_BYTES)];
+    let head_end = searched
+        .windows(HEAD_END.len())
+        .position(|window| window == HEAD_END);
+    let Some(head_end) = head_end else {
+        if bytes.len() >= MAX_HEAD_BYTES {
+            return Err(RequestError::new(431, "the head is too long"));
+        }
+        return Ok(None);
     };
-    let text =
-        std::str::from_utf8(&shown[..end]).map_err(|_| wrong(400, "the head is not text"))?;
+    let text = std::str::from_utf8(&searched[..head_end])
+        .map_err(|_| RequestError::new(400, "the head is not text"))?;
     let mut lines = text.split("\r\n");
-    let mut words = lines.next().unwrap_or("").split(' ');
-    let (method, path, version) = (words.next(), words.next(), words.next());
-    let (Some(method), Some(path), Some(version), None) = (method, path, version, words.next())
-    else {
-        return Err(wrong(400, "the request line is not three words"));
-    };
-    let keep_alive = match version {
-        "HTTP/1.1" => true,
-        "HTTP/1.0" => false,
-        _ => return Err(wrong(505, "the version is not HTTP/1.1")),
-    };
-    if method.is_empty()
-        || !method.bytes().all(|b| b.is_ascii_alphabetic())
-        || !path.starts_with('/')
-    {
-        return Err(wrong(400, "the request line has no method or path"));
-    }
-    let mut head = Head {
-        method,
-        path,
-        keep_alive,
-        id: None,
-        wait_ms: None,
-        owner: None,
-        cost: None,
-        memory_mb: None,
-        token: None,
-        key: None,
-        size: blank + end + 4,
-        length: 0,
-    };
-    let mut length = None;
+    let request_line = RequestLine::parse(lines.next().unwrap_or(""))?;
+    let mut head = Head::new(&request_line, skipped + head_end + HEAD_END.len());
+    let mut content_length = None;
     for (count, line) in lines.enumerate() {
-        let (name, value) = line
-            .split_once(':')
-            .ok_or(wrong(400, "a field has no colon"))?;
-        if count >= MAX_FIELDS {
-            return Err(wrong(431, "there are too many fields"));
-        }
-        if name.is_empty() || name.bytes().any(|b| b <= b' ' || b == 127) {
-            return Err(wrong(400, "a field's name is not a word"));
+        let (name, value) = parse_field(line, count)?;
+        apply_field(&mut head, &mut content_length, name, value)?;
+    }
+    head.body_len = content_length.unwrap_or(0);
+    if head.body_len > MAX_BODY_BYTES {
+        return Err(RequestError::new(413, "the statement is too long"));
+    }
+    Ok(Some(head))
+}
+
+/// The first line of a request.
+struct RequestLine<'a> {
+    method: &'a str,
+    path: &'a str,
+    keep_alive: bool,
+}
+
+impl<'a> RequestLine<'a> {
+    fn parse(line: &'a str) -> Result<Self, RequestError> {
+        let mut words = line.split(' ');
+        let (Some(method), Some(path), Some(version), None) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err(RequestError::new(
+                400,
+                "the request line is not three words",
+            ));
+        };
+        let keep_alive = match version {
+            "HTTP/1.1" => true,
+            "HTTP/1.0" => false,
+            _ => return Err(RequestError::new(505, "the version is not HTTP/1.1")),
+        };
+        let is_method = !method.is_empty() && method.bytes().all(|b| b.is_ascii_alphabetic());
+        if !is_method || !path.starts_with('/') {
+            return Err(RequestError::new(
+                400,
+                "the request line has no method or path",
+            ));
         }
-        let value = value.trim_matches([' ', '\t']);
-        if value.bytes().any(|b| b < b' ' && b != b'\t' || b == 127) {
-            return Err(wrong(400, "a field's value is not text"));
+        Ok(RequestLine {
+            method,
+            path,
+            keep_alive,
+        })
+    }
+}
+
+/// Name and value of a header field that has `count` others before it.
+fn parse_field(line: &str, count: usize) -> Result<(&str, &str), RequestError> {
+    let (name, value) = line
+        .split_once(':')
+        .ok_or(RequestError::new(400, "a field has no colon"))?;
+    if count >= MAX_FIELDS {
+        return Err(RequestError::new(431, "there are too many fields"));
+    }
+    if name.is_empty() || name.bytes().any(|byte| byte <= b' ' || byte == 127) {
+        return Err(RequestError::new(400, "a field's name is not a word"));
+    }
+    let value = value.trim_matches([' ', '\t']);
+    let is_control = |byte: u8| byte < b' ' && byte != b'\t' || byte == 127;
+    if value.bytes().any(is_control) {
+        return Err(RequestError::new(400, "a field's value is not text"));
+    }
+    Ok((name, value))
+}
+
+/// Puts a header field to its place in the head.
+fn apply_field<'a>(
+    head: &mut Head<'a>,
+    content_length: &mut Option<usize>,
+    name: &str,
+    value: &'a str,
+) -> Result<(), RequestError> {
+    if name.eq_ignore_ascii_case("content-length") {
+        if content_length.replace(parse_length(value)?).is_some() {
+            return Err(RequestError::new(400, "Content-Length is told twice"));
         }
-        let is = |known: &str| name.eq_ignore_ascii_case(known);
-        if is("content-length") {
-            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
-            let told: usize = Some(value)
-                .filter(|_| digits)
-                .and_then(|v| v.parse().ok())
-                .ok_or(wrong(400, "Content-Length"))?;
-            if length.replace(told).is_some() {
-                return Err(wrong(400, "Content-Length is told twice"));
-            }
-        } else if is("transfer-encoding") {
-            return Err(wrong(501, "Transfer-Encoding is not taken"));
-        } else if is("connection") {
-            let says = |word: &str| {
-                value
-                    .split(',')
-                    .any(|one| one.trim().eq_ignore_ascii_case(word))
-            };
-            head.keep_alive = !says("close") && (head.keep_alive || says("keep-alive"));
-        } else {
-            let place = match () {
-                () if is("req-id") => &mut head.id,
-                () if is("req-wait-ms") => &mut head.wait_ms,
-                () if is("req-owner") => &mut head.owner,
-                () if is("req-cost") => &mut head.cost,
-                () if is("x-need-mb") => &mut head.memory_mb,
-                () if is("req-token") => &mut head.token,
-                () if is("req-key") => &mut head.key,
-                () => continue,
-            };
-            if place.replace(value).is_some() {
-                return Err(wrong(400, "a field is told twice"));
-            }
+    } else if name.eq_ignore_ascii_case("transfer-encoding") {
+        return Err(RequestError::new(501, "Transfer-Encoding is not taken"));
+    } else if name.eq_ignore_ascii_case("connection") {
+        let close = has_token(value, "close");
+        head.keep_alive = !close && (head.keep_alive || has_token(value, "keep-alive"));
+    } else if let Some(field) = head.field_mut(name) {
+        if field.replace(value).is_some() {
+            return Err(RequestError::new(400, "a field is told twice"));
         }
     }
-    head.length = length.unwrap_or(0);
-    if head.length > MAX_BODY {
-        return Err(wrong(413, "the statement is too long"));
+    Ok(())
+}
+
+/// The value of a `Content-Length`: digits only, where `parse` alone would take a sign.
+fn parse_length(value: &str) -> Result<usize, RequestError> {
+    let malformed = RequestError::new(400, "Content-Length");
+    if value.is_empty() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(malformed);
     }
-    Ok(Some(head))
+    value.parse().map_err(|_| malformed)
+}
+
+/// Whether a list of words with commas between them holds `token`, in any case of letters.
+fn has_token(list: &str, token: &str) -> bool {
+    list.split(',')
+        .any(|word| word.trim().eq_ignore_ascii_case(token))
 }
 
-fn reason(status: u16) -> &'static str {
+fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         403 => "Forbidden",
@@ -159,14 +235,19 @@
     }
 }
 
-/// The head of an answer; `wait_ms` tells the client how long to stay away.
-pub fn answer_head(status: u16, length: usize, keep_alive: bool, wait_ms: Option<u64>) -> Vec<u8> {
+/// The head of an answer with a body of `body_len` bytes. `retry_after_ms` tells the client how long to stay away.
+pub fn answer_head(
+    status: u16,
+    body_len: usize,
+    keep_alive: bool,
+    retry_after_ms: Option<u64>,
+) -> Vec<u8> {
     let mut head = format!(
-        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n",
-        reason(status)
+        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {body_len}\r\n",
+        reason_phrase(status)
     );
-    if let Some(wait_ms) = wait_ms {
-        head += &format!("Srv-Wait-Ms: {wait_ms}\r\n");
+    if let Some(retry_after_ms) = retry_after_ms {
+        head += &format!("Srv-Wait-Ms: {retry_after_ms}\r\n");
     }
     if !keep_alive {
         head += "Connection: close\r\n";
--- a/crates/dispatcher/src/client/http/tests.rs
+++ b/crates/dispatcher/src/client/http/tests.rs
@@ -11,7 +11,7 @@
     }
     let head = parse(&POST[..size]).unwrap().unwrap();
     assert_eq!(
-        (head.method, head.path, head.size, head.length),
+        (head.method, head.path, head.head_len, head.body_len),
         ("POST", "/invoke/report", size, 8)
     );
     assert_eq!(
@@ -19,14 +19,14 @@
         (Some("9b1f03aa5c7e2d41"), Some("1500"), Some("acme"))
     );
     assert_eq!(
-        (head.cost, head.memory_mb, head.keep_alive),
+        (head.cost_ms, head.memory_mb, head.keep_alive),
         (Some("820.0"), Some("96"), true)
     );
 }
 
 #[test]
 fn hostile_and_over_long_heads_are_refused() {
-    let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MAX_HEAD]].concat();
+    let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MAX_HEAD_BYTES]].concat();
     let many = format!(
         "GET / HTTP/1.1\r\n{}\r\n",
         "A: b\r\n".repeat(MAX_FIELDS + 1)
@@ -85,7 +85,7 @@
             let mut bytes = POST.to_vec();
             bytes[at] = value;
             if let Ok(Some(head)) = parse(&bytes) {
-                assert!(head.size <= bytes.len());
+                assert!(head.head_len <= bytes.len());
             }
         }
     }
--- /dev/null
+++ b/crates/dispatcher/src/client/listener.rs
@@ -0,0 +1,98 @@
+//! Accepts clients' connections, and gives each a session of its own.
+
+use super::phase::FrontendPhase;
+use super::session::Session;
+use super::ClientFrontend;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause after an accept that failed, and between two looks for a connection that can be evicted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+type Accepted = io::Result<(Async<TcpStream>, SocketAddr)>;
+
+impl ClientFrontend {
+    /// Binds the clients' listener.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
+        Async::<TcpListener>::bind(listen)
+    }
+
+    /// Accepts connections until [`ClientFrontend::last_call`], and then those that wait in the backlog. When the table
+    /// is full, a connection that is of no use is evicted for the next.
+    pub async fn accept(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) {
+        while let Some(accepted) = self.next_connection(&listener).await {
+            match accepted {
+                Ok((stream, _)) => {
+                    self.clone().spawn_session(stream, &executor);
+                    // Those that were accepted read what they have before the next one is.
+                    future::yield_now().await;
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "accept failed");
+                    Timer::after(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+        drop(listener);
+        self.phase.set(FrontendPhase::ListenerClosed);
+    }
+
+    /// The next connection; `None` once the last call is over. A client that has connected counts as accepted: the
+    /// listener is closed only once its backlog is empty.
+    async fn next_connection(&self, listener: &Async<TcpListener>) -> Option<Accepted> {
+        loop {
+            self.wait_for_free_entry().await;
+            if self.phase.get().is_last_call() {
+                return future::poll_once(listener.accept()).await;
+            }
+            let accepted = async { Some(listener.accept().await) };
+            let last_call = async {
+                self.last_call.notified().await;
+                None
+            };
+            let accepted = future::or(accepted, last_call).await;
+            if accepted.is_some() {
+                return accepted;
+            }
+        }
+    }
+
+    /// Waits until the table has a free entry, and evicts connections for it.
+    async fn wait_for_free_entry(&self) {
+        while self.table.is_full() {
+            if self.table.evict_one(self.clock.now()) {
+                let counters = &self.registry.counters;
+                counters.client_connections_evicted.increment();
+            }
+            let pause = async {
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            };
+            future::or(self.table.released.notified(), pause).await;
+        }
+    }
+
+    /// Starts the session of a connection. It is in the table from here on, up to its close.
+    fn spawn_session(self: Rc<Self>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+        self.registry.counters.client_connections.increment();
+        let entry = self.table.insert(self.clock.now());
+        let session = async move {
+            Session::new(&self, &stream, &entry).run().await;
+            // Closed before its entry is free: the table never counts fewer than are open.
+            drop(stream);
+            self.table.release(&entry);
+        };
+        executor.spawn(session).detach();
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/client/request.rs
@@ -0,0 +1,214 @@
+//! From a request's head and body to a query that the registry can admit: checks each field, finds tenant and resource
+//! group, and sets the deadline.
+
+use super::admission_limits::AdmissionLimits;
+use super::http::Head;
+use super::request_error::RequestError;
+use super::route::QUERY_PATH;
+use crate::query_registry::{QueryRequest, RequestKeys};
+use crate::statement_classifier::{Classed, StatementClassifier};
+use tansymux::interface::Text;
+use tansymux::told;
+use tansymux_sql_analysis::table_group;
+
+/// Digits of a query's id, by the protocol.
+const ID_DIGITS: usize = 16;
+/// Digits of an idempotency key at most, by the protocol: 128 bits.
+const MAX_IDEMPOTENCY_KEY_DIGITS: usize = 32;
+/// Digits of an ordering key at most, by the protocol: 64 bits.
+const MAX_ORDERING_KEY_DIGITS: usize = 16;
+/// The least wait (ms) that a client may ask for.
+const MIN_WAIT_MS: f64 = 1.0;
+/// An answer is written by this long (ms) before the client stops waiting, so that it arrives in time; by half the
+/// wait where that is shorter.
+const ANSWER_MARGIN_MS: f64 = 10.0;
+/// The set of tables of a statement whose tables are not known.
+const UNKNOWN_TABLES: u32 = u32::MAX;
+
+/// The fields of a query's request, checked.
+#[derive(Debug)]
+pub struct ParsedRequest<'a> {
+    id: &'a str,
+    /// The resource group that the path names; `None` on the operators' path of queries without one.
+    named_group: Option<&'a str>,
+    tenant: &'a str,
+    statement: &'a [u8],
+    received_ms: f64,
+    deadline_ms: f64,
+    /// Estimates of the client; 0 where it gave none.
+    cost_ms: f64,
+    memory_mb: f64,
+    tables: u32,
+    keys: RequestKeys<'a>,
+}
+
+impl<'a> ParsedRequest<'a> {
+    /// Checks a request whose last byte came at `received_ms`. What no engine could use is refused here, so that it
+    /// reaches none and leaves nothing in what the decisions learn.
+    ///
+    /// # Errors
+    /// The first field that is missing, malformed or beyond the limits.
+    pub fn parse(
+        limits: &'a AdmissionLimits,
+        head: &Head<'a>,
+        body: &'a [u8],
+        received_ms: f64,
+    ) -> Result<Self, RequestError> {
+        let id = parse_id(head.id)?;
+        let wait_ms = parse_estimate(head.wait_ms, limits.max_wait_ms)
+            .filter(|ms| *ms >= MIN_WAIT_MS)
+            .ok_or(RequestError::new(400, "Req-Wait-Ms"))?;
+        let cost_ms = parse_estimate(head.cost_ms, limits.max_cost_ms)
+            .ok_or(RequestError::new(400, "Req-Cost"))?;
+        let memory_mb = parse_estimate(head.memory_mb, limits.max_memory_mb)
+            .ok_or(RequestError::new(400, "X-Need-Mb"))?;
+        let keys = parse_keys(head)?;
+        let named_group = parse_group(limits, head.path)?;
+        let tenant = parse_tenant(limits, head.owner.unwrap_or(""))?;
+        check_statement(body)?;
+        Ok(ParsedRequest {
+            id,
+            named_group,
+            tenant,
+            statement: body,
+            received_ms,
+            deadline_ms: received_ms + (wait_ms - ANSWER_MARGIN_MS).max(wait_ms / 2.0),
+            cost_ms,
+            memory_mb,
+            tables: table_group(body).unwrap_or(UNKNOWN_TABLES),
+            keys,
+        })
+    }
+
+    /// Analyses the statement, where the operators' file says so.
+    pub fn classify(&self, classes: &StatementClassifier) -> Option<Classed> {
+        match self.named_group {
+            Some(group) => classes.named(group, self.id, self.statement),
+            None => classes.bare(self.statement, self.received_ms),
+        }
+    }
+
+    /// The query, with what the analysis of its statement adds.
+    ///
+    /// # Errors
+    /// Neither its client nor the analysis names a resource group.
+    pub fn into_query<'q>(
+        self,
+        limits: &AdmissionLimits,
+        analysis: Option<&'q Classed>,
+    ) -> Result<QueryRequest<'q>, RequestError>
+    where
+        'a: 'q,
+    {
+        let analysed_group = analysis.and_then(|analysis| analysis.rg.as_deref());
+        let resource_group = self
+            .named_group
+            .or(analysed_group)
+            .ok_or(RequestError::UNKNOWN)?;
+        let mut text = analysis.map_or(Text::UNREAD, |analysis| analysis.text);
+        if self.cost_ms > 0.0 {
+            text.sure = 1.0;
+        }
+        // The analysis estimates only what the client of a statement without a resource group left open.
+        let estimates = analysis.filter(|_| self.named_group.is_none());
+        let estimated_cost_ms = estimates.map_or(0.0, |analysis| analysis.cost);
+        let estimated_memory_mb = estimates.map_or(0.0, |analysis| analysis.memory);
+        Ok(QueryRequest {
+            id: self.id,
+            resource_group,
+            tenant: self.tenant,
+            statement: self.statement,
+            received_ms: self.received_ms,
+            deadline_ms: self.deadline_ms,
+            estimated_cost_ms: given_or(self.cost_ms, estimated_cost_ms.min(limits.max_cost_ms)),
+            memory_mb: given_or(
+                self.memory_mb,
+                estimated_memory_mb.min(limits.max_memory_mb),
+            ),
+            tables: self.tables,
+            text,
+            shape: analysis.map(|analysis| analysis.shape),
+            keys: self.keys,
+        })
+    }
+}
+
+/// The client's own number where it gave one, else `otherwise`.
+fn given_or(given: f64, otherwise: f64) -> f64 {
+    if given > 0.0 {
+        given
+    } else {
+        otherwise
+    }
+}
+
+fn parse_id(id: Option<&str>) -> Result<&str, RequestError> {
+    id.filter(|id| id.len() == ID_DIGITS && is_hex(id))
+        .ok_or(RequestError::new(400, "Req-Id"))
+}
+
+/// A number from 0 to `max`; 0 where there is none.
+fn parse_estimate(value: Option<&str>, max: f64) -> Option<f64> {
+    let Some(value) = value else {
+        return Some(0.0);
+    };
+    let number: f64 = value.parse().ok()?;
+    (number.is_finite() && number >= 0.0 && number <= max).then_some(number)
+}
+
+/// Both keys go on to the engine as they came, in a list of fields that a comma or an equals sign would break.
+fn parse_keys<'a>(head: &Head<'a>) -> Result<RequestKeys<'a>, RequestError> {
+    let is_key =
+        |key: &str, max_digits: usize| !key.is_empty() && key.len() <= max_digits && is_hex(key);
+    let idempotency_key = head.idempotency_key;
+    if idempotency_key.is_some_and(|key| !is_key(key, MAX_IDEMPOTENCY_KEY_DIGITS)) {
+        return Err(RequestError::new(400, "Req-Token"));
+    }
+    let ordering_key = head.ordering_key;
+    if ordering_key.is_some_and(|key| !is_key(key, MAX_ORDERING_KEY_DIGITS)) {
+        return Err(RequestError::new(400, "Req-Key"));
+    }
+    Ok(RequestKeys {
+        idempotency_key,
+        ordering_key,
+    })
+}
+
+fn is_hex(text: &str) -> bool {
+    text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+/// The resource group that the path names, if it names one.
+fn parse_group<'a>(
+    limits: &AdmissionLimits,
+    path: &'a str,
+) -> Result<Option<&'a str>, RequestError> {
+    let Some(group) = path.strip_prefix(QUERY_PATH) else {
+        return Ok(None);
+    };
+    if !limits.resource_groups.iter().any(|known| known == group) {
+        return Err(RequestError::new(404, "unknown resource group"));
+    }
+    Ok(Some(group))
+}
+
+/// The tenant by the settings' name; empty where the settings name none.
+fn parse_tenant<'a>(limits: &'a AdmissionLimits, owner: &str) -> Result<&'a str, RequestError> {
+    if limits.tenants.is_empty() {
+        return Ok("");
+    }
+    let mut tenants = limits.tenants.iter();
+    tenants
+        .find(|known| told::is_named(known, owner))
+        .map(String::as_str)
+        .ok_or(RequestError::new(403, "unknown customer"))
+}
+
+fn check_statement(body: &[u8]) -> Result<(), RequestError> {
+    let malformed = RequestError::new(400, "the statement is not text");
+    let text = std::str::from_utf8(body).map_err(|_| malformed)?;
+    if text.trim().is_empty() || text.contains('\0') {
+        return Err(malformed);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dispatcher/src/client/status_pages.rs
@@ -0,0 +1,76 @@
+//! The pages about the program itself: counters, service levels and zones.
+
+use super::phase::FrontendPhase;
+use crate::clock::Clock;
+use crate::query_registry::QueryRegistry;
+use crate::service_levels::{self, ServiceLevels};
+use crate::statement_classifier::{self, StatementClassifier};
+use crate::zone_routing::ZoneRouting;
+use async_io::Timer;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often a request that waits for a change of the service level looks for one.
+const LEVEL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What the pages are made of.
+pub struct StatusPages {
+    /// The queries in flight and the counters.
+    pub registry: Rc<QueryRegistry>,
+    /// The program's clock.
+    pub clock: Clock,
+    /// Analysis of statements.
+    pub classes: Rc<StatementClassifier>,
+    /// Service levels.
+    pub levels: Rc<ServiceLevels>,
+    /// Zones.
+    pub zones: Rc<ZoneRouting>,
+    /// Threads that spilled into each zone, as the decisions last counted them.
+    pub spilled_threads: RefCell<Vec<(String, f64)>>,
+}
+
+impl StatusPages {
+    /// All counters, a line each.
+    pub fn counters(&self) -> String {
+        statement_classifier::counters(&self.registry, &self.classes, &self.levels, &self.zones)
+    }
+
+    /// The service levels as JSON, once they have changed since version `after` where the client names one.
+    pub async fn levels(&self, after: Option<&str>, phase: &Cell<FrontendPhase>) -> String {
+        if let Some(after) = after.and_then(|after| after.parse().ok()) {
+            self.wait_for_level_change(after, phase).await;
+        }
+        self.levels.shown(self.clock.now()).to_string()
+    }
+
+    /// Waits until the service level has changed since version `after`, for a bounded time and while the program
+    /// serves. Where too many wait already, it returns at once.
+    async fn wait_for_level_change(&self, after: u64, phase: &Cell<FrontendPhase>) {
+        let until_ms = self.clock.now() + service_levels::LONGEST_WAIT;
+        let waiting = &self.levels.waiting;
+        if waiting.get() >= service_levels::MAX_WAITING {
+            return;
+        }
+        waiting.set(waiting.get() + 1);
+        while self.levels.version() == after
+            && self.clock.now() < until_ms
+            && phase.get().is_healthy()
+        {
+            Timer::after(LEVEL_POLL_INTERVAL).await;
+        }
+        waiting.set(waiting.get() - 1);
+    }
+
+    /// The zones as JSON.
+    pub fn zones(&self) -> String {
+        let spilled_threads = self.spilled_threads.borrow();
+        let spilled_into = |name: &str| {
+            spilled_threads
+                .iter()
+                .find(|(zone, _)| zone == name)
+                .map_or(0.0, |(_, threads)| *threads)
+        };
+        self.zones.shown(self.clock.now(), spilled_into).to_string()
+    }
+}
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -2,7 +2,7 @@
 
 mod places;
 
-use crate::client::Admission;
+use crate::client::AdmissionLimits;
 use crate::discovery::EndpointDirectory;
 use crate::dispatcher::TAKES_ON;
 use crate::engine::ConnectionSettings;
@@ -56,7 +56,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    pub admission: Admission,
+    pub admission: AdmissionLimits,
     /// Statements in hand at most, in bytes.
     pub max_bytes: usize,
     /// Limits on descriptors, and on memory in bytes.
@@ -361,17 +361,17 @@
         .get("limits.retry-after")
         .is_none_or(|value| told::is_true(value));
     let max_memory = largest("family-info.kind-memory-mb").map(|mb| ROOM * mb);
-    let admission = Admission {
+    let admission = AdmissionLimits {
         max_connections: part_of(CLIENTS_PART),
-        max_bytes: (memory * AHEAD_PART) as usize,
-        groups: names(&told, "services"),
+        max_buffered_bytes: (memory * AHEAD_PART) as usize,
+        resource_groups: names(&told, "services"),
         tenants: names(&told, "projects"),
-        max_wait,
-        max_cost: max_cost.filter(|most| *most > 0.0).unwrap_or(MAX_ESTIMATE),
-        max_memory: max_memory
+        max_wait_ms: max_wait,
+        max_cost_ms: max_cost.filter(|most| *most > 0.0).unwrap_or(MAX_ESTIMATE),
+        max_memory_mb: max_memory
             .filter(|most| *most > 0.0)
             .unwrap_or(MAX_ESTIMATE),
-        retry_after: told
+        retry_after_ms: told
             .millis("limits.max-retry-after-us")
             .filter(|_| may_be_told),
     };
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -32,19 +32,19 @@
     );
     assert_eq!(
         (
-            config.admission.groups.concat(),
+            config.admission.resource_groups.concat(),
             config.admission.tenants.len()
         ),
         ("look".to_owned(), 0)
     );
     let figures = (
-        config.admission.max_wait,
-        config.admission.max_cost,
-        config.admission.max_memory,
+        config.admission.max_wait_ms,
+        config.admission.max_cost_ms,
+        config.admission.max_memory_mb,
     );
     assert_eq!(figures, (28.0, 224.0, 400.0));
     assert_eq!(
-        (config.admission.max_bytes, config.max_bytes),
+        (config.admission.max_buffered_bytes, config.max_bytes),
         ((32 << 20) / 10, (32 << 20) / 5)
     );
     let engine = &config.directory.endpoints()[0];
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -225,7 +225,7 @@
         self.registry.counters.rounds.increment();
         let (levels, descriptors) = (
             &*self.levels,
-            self.clients.held() + self.engines.connection_count(),
+            self.clients.connection_count() + self.engines.connection_count(),
         );
         let zones = &*self.zones;
         let (registry, engines, classes) = (&*self.registry, &*self.engines, &*self.classes);
@@ -265,7 +265,7 @@
             }
             zones.spills(
                 |zone| self.control.spilled(zone),
-                &mut self.clients.spilled.borrow_mut(),
+                &mut self.clients.spilled_threads().borrow_mut(),
             );
         }
         if let Some(fleet) = &self.fleet {
@@ -290,7 +290,7 @@
     fn advance(&mut self, now: f64) {
         self.phase = match self.phase {
             Phase::Starting => {
-                self.clients.healthy.set(true);
+                self.clients.start_serving();
                 Phase::Serving
             }
             Phase::Draining { since } if now >= since + TAKES_ON => {
@@ -298,7 +298,7 @@
                 Phase::Closing { since }
             }
             Phase::Closing { since }
-                if self.clients.all_gone() || now >= since + self.ends_by + LAST_LINGER =>
+                if self.clients.is_closed() || now >= since + self.ends_by + LAST_LINGER =>
             {
                 Phase::Ended
             }
@@ -310,7 +310,7 @@
         let now = self.clock.now();
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             tracing::info!(queries = self.registry.in_flight(), "told to end");
-            self.clients.healthy.set(false);
+            self.clients.start_draining();
             let by = now + self.ends_by;
             self.control.limit_deadlines(by);
             self.registry.limit_deadlines(by);
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -26,8 +26,7 @@
 /// Where the task of a client's connection waits for the answer.
 #[derive(Default)]
 pub struct AnswerSlot {
-    /// Notified once the answer is there.
-    pub notify: Notify,
+    filled: Notify,
     answer: RefCell<Option<Answer>>,
 }
 
@@ -37,10 +36,20 @@
         self.answer.borrow_mut().take()
     }
 
+    /// Waits for the answer and takes it out.
+    pub async fn answered(&self) -> Answer {
+        loop {
+            if let Some(answer) = self.take() {
+                return answer;
+            }
+            self.filled.notified().await;
+        }
+    }
+
     /// Puts the answer in and wakes the connection's task.
     pub(super) fn fill(&self, answer: Answer) {
         *self.answer.borrow_mut() = Some(answer);
-        self.notify.notify();
+        self.filled.notify();
     }
 }
 
