engine-state: observations, incarnations, sequences; cache, trust and codec in modules of their own

Need: the package read in house words. Change: Fact -> Observation (engine_id, incarnation, sequence, origin_id, age_ms), Kind -> ObservationKind, saw -> record, proven -> record_verification, all -> export, wire -> codec with its layout in a table; decode returns CodecError for a message of another type or version, where it gave no facts before; time is the last parameter. The design page is reworded. missing_docs is warned of.

--- /dev/null
+++ b/crates/engine-state/src/cache.rs
@@ -0,0 +1,309 @@
+//! The cache: merges observations and weighs them at a given time.
+
+use crate::observation::{Observation, ObservationKind};
+use crate::serial;
+use crate::trust::{TrustTable, Verification};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+/// Engines that are kept; beyond it the one that was updated longest ago is evicted.
+pub const MAX_ENGINES: usize = 2048;
+/// Origins that are kept for each engine and kind; beyond it those with the lowest ids are dropped.
+pub const MAX_ORIGINS: usize = 8;
+/// Weight of this dispatcher's own observations, relative to received ones.
+const OWN_WEIGHT: f64 = 8.0;
+/// Below this sum of weights a kind counts as unknown.
+const MIN_TOTAL_WEIGHT: f64 = 1e-6;
+/// A table group counts as locked above this weight.
+const MIN_LOCK_WEIGHT: f64 = 0.5;
+
+/// A value and how far decisions should move towards it from their default, from 0 (not at all) to 1 (fully).
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WeightedValue {
+    /// The weighted mean of the observations.
+    pub value: f64,
+    /// The highest weight of any of them.
+    pub weight: f64,
+}
+
+/// What the cache holds of an engine at a given time.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct EngineView {
+    /// The engine drains or is gone: nothing may be sent to it.
+    pub is_closed: bool,
+    /// How strongly it should be ejected until it has answered here, from 0 to 1: recent unresponsiveness or errors.
+    pub suspicion: f64,
+    /// Log ratio of observed to best run time.
+    pub slowdown: Option<WeightedValue>,
+    /// Concurrency limit for the low lane (threads a core).
+    pub concurrency_limit: Option<WeightedValue>,
+    /// Time since the engine started (ms).
+    pub uptime_ms: Option<f64>,
+    /// The table group that a load holds locked there.
+    pub locked_table_group: Option<u32>,
+}
+
+/// An observation as it is stored: with its time by this dispatcher's clock.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Entry {
+    value: f64,
+    sequence: u32,
+    observed_at_ms: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct EngineEntries {
+    incarnation: u32,
+    /// By kind and origin.
+    entries: BTreeMap<(ObservationKind, u64), Entry>,
+    /// Time of the latest observation.
+    updated_at_ms: f64,
+}
+
+impl EngineEntries {
+    /// Entries of a kind, in the order of their origins.
+    fn of_kind(&self, kind: ObservationKind) -> impl Iterator<Item = (u64, &Entry)> {
+        self.entries
+            .range((kind, 0)..=(kind, u64::MAX))
+            .map(|((_, origin_id), entry)| (*origin_id, entry))
+    }
+
+    fn has(&self, kind: ObservationKind) -> bool {
+        self.of_kind(kind).any(|(_, entry)| entry.value > 0.0)
+    }
+
+    /// Merges an entry of the same incarnation. The higher sequence number of an origin counts; of equal ones the
+    /// greater age and the greater value, so that the order of merges does not matter.
+    fn merge(&mut self, kind: ObservationKind, origin_id: u64, candidate: Entry) {
+        self.updated_at_ms = self.updated_at_ms.max(candidate.observed_at_ms);
+        let entry = self.entries.entry((kind, origin_id)).or_insert(candidate);
+        match serial::compare(candidate.sequence, entry.sequence) {
+            Ordering::Greater => *entry = candidate,
+            Ordering::Equal => {
+                // The same observation by another path: time in transit makes it look younger, never older.
+                entry.observed_at_ms = entry.observed_at_ms.min(candidate.observed_at_ms);
+                if candidate.value.total_cmp(&entry.value).is_gt() {
+                    entry.value = candidate.value;
+                }
+            }
+            Ordering::Less => {}
+        }
+        self.drop_excess_origins(kind);
+    }
+
+    /// Drops origins with the lowest ids: a rule that does not depend on the order of merges.
+    fn drop_excess_origins(&mut self, kind: ObservationKind) {
+        let origins: Vec<u64> = self.of_kind(kind).map(|(origin_id, _)| origin_id).collect();
+        let excess = origins.len().saturating_sub(MAX_ORIGINS);
+        for origin_id in &origins[..excess] {
+            self.entries.remove(&(kind, *origin_id));
+        }
+    }
+}
+
+/// Observations of all engines, held by one dispatcher.
+#[derive(Debug, Clone)]
+pub struct EngineStateCache {
+    own_id: u64,
+    last_sequence: u32,
+    engines: BTreeMap<u64, EngineEntries>,
+    trust: TrustTable,
+}
+
+impl EngineStateCache {
+    /// An empty cache. `own_id` must differ at each start of the dispatcher, so that its former run is an origin like
+    /// any other.
+    pub fn new(own_id: u64) -> Self {
+        EngineStateCache {
+            own_id,
+            last_sequence: 0,
+            engines: BTreeMap::new(),
+            trust: TrustTable::default(),
+        }
+    }
+
+    /// Number of engines in the cache.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether the cache holds no engine.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Records what this dispatcher observed itself.
+    pub fn record(
+        &mut self,
+        engine_id: u64,
+        incarnation: u32,
+        kind: ObservationKind,
+        value: f64,
+        now_ms: f64,
+    ) {
+        self.last_sequence = self.last_sequence.wrapping_add(1);
+        let observation = Observation {
+            engine_id,
+            incarnation,
+            kind,
+            value,
+            origin_id: self.own_id,
+            sequence: self.last_sequence,
+            age_ms: 0.0,
+        };
+        self.merge(&observation, now_ms);
+    }
+
+    /// Merges an observation, whatever its origin. A later incarnation of the engine replaces all observations of
+    /// earlier ones; observations that are not finite or of negative age are ignored.
+    pub fn merge(&mut self, observation: &Observation, now_ms: f64) {
+        let has_valid_age = observation.age_ms >= 0.0 && observation.age_ms.is_finite();
+        if !observation.value.is_finite() || !has_valid_age {
+            return;
+        }
+        if !self.engines.contains_key(&observation.engine_id) && self.engines.len() >= MAX_ENGINES {
+            self.evict_oldest();
+        }
+        let engine = self
+            .engines
+            .entry(observation.engine_id)
+            .or_insert_with(|| EngineEntries {
+                incarnation: observation.incarnation,
+                ..EngineEntries::default()
+            });
+        match serial::compare(observation.incarnation, engine.incarnation) {
+            Ordering::Less => return,
+            Ordering::Equal => {}
+            Ordering::Greater => {
+                engine.incarnation = observation.incarnation;
+                engine.entries.clear();
+            }
+        }
+        let candidate = Entry {
+            value: observation.value,
+            sequence: observation.sequence,
+            observed_at_ms: now_ms - observation.age_ms,
+        };
+        engine.merge(observation.kind, observation.origin_id, candidate);
+    }
+
+    fn evict_oldest(&mut self) {
+        let oldest = self
+            .engines
+            .iter()
+            .min_by(|left, right| left.1.updated_at_ms.total_cmp(&right.1.updated_at_ms))
+            .map(|(engine_id, _)| *engine_id);
+        if let Some(engine_id) = oldest {
+            self.engines.remove(&engine_id);
+        }
+    }
+
+    /// Removes an engine that is no longer in the endpoint list.
+    pub fn remove(&mut self, engine_id: u64) {
+        self.engines.remove(&engine_id);
+    }
+
+    /// Records that an observation of an origin was verified by this dispatcher's own observation.
+    pub fn record_verification(&mut self, origin_id: u64, verification: Verification) {
+        self.trust.record(origin_id, verification);
+    }
+
+    /// Trust in an origin, from 0 to 1. A refuted observation lowers the weight of all others of its origin.
+    pub fn trust(&self, origin_id: u64) -> f64 {
+        if origin_id == self.own_id {
+            return 1.0;
+        }
+        self.trust.trust(origin_id)
+    }
+
+    /// The mean of a kind's observations, weighted by age and trust.
+    fn weighted_mean(
+        &self,
+        engine: &EngineEntries,
+        kind: ObservationKind,
+        now_ms: f64,
+    ) -> Option<WeightedValue> {
+        let half_life_ms = kind.half_life_ms()?;
+        let mut weighted_sum = 0.0;
+        let mut total_weight = 0.0;
+        let mut max_belief = 0.0_f64;
+        for (origin_id, entry) in engine.of_kind(kind) {
+            let age_ms = (now_ms - entry.observed_at_ms).max(0.0);
+            let decay = (-age_ms / half_life_ms * std::f64::consts::LN_2).exp();
+            let belief = self.trust(origin_id) * decay;
+            let own_factor = if origin_id == self.own_id {
+                OWN_WEIGHT
+            } else {
+                1.0
+            };
+            let weight = belief * own_factor;
+            weighted_sum += weight * entry.value;
+            total_weight += weight;
+            max_belief = max_belief.max(belief);
+        }
+        let is_known = total_weight > MIN_TOTAL_WEIGHT;
+        if !is_known {
+            return None;
+        }
+        Some(WeightedValue {
+            value: weighted_sum / total_weight,
+            weight: max_belief,
+        })
+    }
+
+    /// What is known of an engine at `now_ms`; the default if nothing is.
+    pub fn view(&self, engine_id: u64, now_ms: f64) -> EngineView {
+        let Some(engine) = self.engines.get(&engine_id) else {
+            return EngineView::default();
+        };
+        let mean = |kind| self.weighted_mean(engine, kind, now_ms);
+        let strength = |kind| mean(kind).map_or(0.0, |mean| mean.value * mean.weight);
+        let unresponsive = strength(ObservationKind::Unresponsive);
+        let error_rate = strength(ObservationKind::ErrorRate);
+        let locked_table_group = mean(ObservationKind::LockedTableGroup)
+            .filter(|mean| mean.weight > MIN_LOCK_WEIGHT)
+            .map(|mean| mean.value as u32);
+        EngineView {
+            is_closed: engine.has(ObservationKind::Draining) || engine.has(ObservationKind::Gone),
+            suspicion: unresponsive.max(error_rate).clamp(0.0, 1.0),
+            slowdown: mean(ObservationKind::Slowdown),
+            concurrency_limit: mean(ObservationKind::ConcurrencyLimit),
+            uptime_ms: shortest_uptime_ms(engine, now_ms),
+            locked_table_group,
+        }
+    }
+
+    /// All observations with their ages at `now_ms`, to be sent to others: the most important kinds first.
+    pub fn export(&self, now_ms: f64) -> Vec<Observation> {
+        let mut observations = Vec::new();
+        for (engine_id, engine) in &self.engines {
+            for ((kind, origin_id), entry) in &engine.entries {
+                observations.push(Observation {
+                    engine_id: *engine_id,
+                    incarnation: engine.incarnation,
+                    kind: *kind,
+                    value: entry.value,
+                    origin_id: *origin_id,
+                    sequence: entry.sequence,
+                    age_ms: (now_ms - entry.observed_at_ms).max(0.0),
+                });
+            }
+        }
+        observations.sort_by(|left, right| {
+            left.kind
+                .cmp(&right.kind)
+                .then(left.age_ms.total_cmp(&right.age_ms))
+                .then(left.engine_id.cmp(&right.engine_id))
+        });
+        observations
+    }
+}
+
+/// The shortest uptime that any origin reports: an engine that is warming up must not look warm because the report of
+/// its latest start was lost.
+fn shortest_uptime_ms(engine: &EngineEntries, now_ms: f64) -> Option<f64> {
+    engine
+        .of_kind(ObservationKind::Uptime)
+        .map(|(_, entry)| entry.value + (now_ms - entry.observed_at_ms).max(0.0))
+        .reduce(f64::min)
+}
--- a/crates/engine-state/src/lib.rs
+++ b/crates/engine-state/src/lib.rs
@@ -1,20 +1,30 @@
-//! What is known of engines, by whom, and how old it is.
+//! State of engines that one dispatcher inherits from others: who observed it, and how old it is.
 //!
-//! Owns: facts with their origin and age ([`Fact`]), merging that is free of order and repetition ([`EngineStateCache::merge`]),
-//! how far a fact is believed at a moment ([`EngineStateCache::view`]), how far its origin is ([`EngineStateCache::proven`]), and the bytes
-//! in which facts are handed on ([`wire`]). It does no I/O and reads no clock; times of day are never compared: ages
-//! are carried, and only grow.
+//! The cache is a state-based replicated data type (CRDT, Shapiro et al. 2011): for each engine, kind and origin the
+//! observation with the highest sequence number is kept, so that merging is free of order and repetition. It differs
+//! from the paper in that values lose weight with age, and that origins are weighted by how often they proved right.
 //!
-//! Invariants, checked in `tests/`:
+//! Owns: observations with origin and age ([`Observation`]), their merge ([`EngineStateCache::merge`]), the weight of
+//! an observation at a given time ([`EngineStateCache::view`]), the trust in its origin
+//! ([`EngineStateCache::record_verification`]), and the encoding ([`codec`]). It does no I/O and reads no clock. Clocks
+//! of different dispatchers are never compared: ages are transmitted, and only grow.
+//!
+//! Invariants, checked in `tests/merge.rs`:
 //! - merging is commutative, associative and idempotent;
-//! - a fact that is told round grows no younger by it;
-//! - draining and gone are forgotten by a new start of the engine only, never by age;
-//! - fresh silence outweighs stale health;
-//! - what this instance saw itself outweighs what it was told.
+//! - an observation that is passed on does not become younger;
+//! - draining and gone end with a new incarnation of the engine only, never by age;
+//! - fresh unresponsiveness outweighs stale health;
+//! - what this dispatcher observed itself outweighs what it received.
 //!
 //! Start reading at [`EngineStateCache::view`].
+#![warn(missing_docs)]
 
-mod facts;
-pub mod wire;
+mod cache;
+pub mod codec;
+mod observation;
+mod serial;
+mod trust;
 
-pub use facts::{EngineStateCache, Entry, Fact, Kind, View, MAX_ENGINES, MAX_ORIGINS};
+pub use cache::{EngineStateCache, EngineView, WeightedValue, MAX_ENGINES, MAX_ORIGINS};
+pub use observation::{Observation, ObservationKind};
+pub use trust::Verification;
