--- /dev/null
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -0,0 +1,393 @@
+//! The life of one connection: connect, read and write until it ends, report what that means for its attempts.
+//!
+//! [`Connection`] holds the state; here are the socket and the task that runs it.
+
+use super::connection::{Attempt, CloseReason, Connection, ConnectionState, FrameEvent};
+use super::keep_alive::{ReuseOutcome, MIN_IDLE_MS};
+use super::pool::EnginePool;
+use super::protocol_error::ProtocolError;
+use super::reports::AttemptReport;
+use super::resp::{self, Frame};
+use crate::net::{poll_gathered, MAX_SLICES};
+use crate::notify::Notify;
+use crate::query_registry::{Event, Pages};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io::{self, IoSlice, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tansymux::interface::Outcome;
+use thiserror::Error;
+
+/// A connect that timed out is waited for so many times as long again: it may carry what comes next.
+const LATE_CONNECT_TIMEOUTS: u32 = 7;
+
+/// A connection, and what wakes its writer.
+pub(super) struct Channel {
+    pub engine_id: u64,
+    pub connection: RefCell<Connection>,
+    /// Notified when there may be something to write, or a reason to close.
+    pub notify: Notify,
+}
+
+impl Channel {
+    /// A connection whose connect begins.
+    pub fn new(engine_id: u64, now_ms: f64) -> Self {
+        Channel {
+            engine_id,
+            connection: RefCell::new(Connection::new(now_ms)),
+            notify: Notify::default(),
+        }
+    }
+
+    /// Nothing new goes out here; it closes once nothing is out.
+    pub fn retire(&self) {
+        self.connection.borrow_mut().retired = true;
+        self.notify.notify();
+    }
+}
+
+/// Why a connection ended, where it was neither retired nor closed by the engine.
+#[derive(Debug, Error)]
+enum ChannelError {
+    #[error(transparent)]
+    Closed(#[from] CloseReason),
+    #[error("connect timeout")]
+    ConnectTimeout,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+impl From<ProtocolError> for ChannelError {
+    fn from(error: ProtocolError) -> Self {
+        ChannelError::Closed(CloseReason::Protocol(error))
+    }
+}
+
+impl ChannelError {
+    fn is_protocol_error(&self) -> bool {
+        matches!(self, ChannelError::Closed(CloseReason::Protocol(_)))
+    }
+
+    /// Closed from this side; what was out is given up by that.
+    fn is_local(&self) -> bool {
+        match self {
+            ChannelError::Closed(_) => true,
+            ChannelError::ConnectTimeout => false,
+            ChannelError::Io(error) => error.kind() == io::ErrorKind::NotConnected,
+        }
+    }
+}
+
+/// What a writer did when it was woken.
+enum WriteStep {
+    /// Nothing is left to do here: the connection is to be closed.
+    Done,
+    /// So many bytes were written.
+    Wrote(usize),
+}
+
+/// What the end of a connection means for the attempts that were out on it.
+struct Loss {
+    was_up: bool,
+    /// It was closed from this side: its attempts were given up, and their ends have to settle.
+    is_abandoned: bool,
+    /// The outcome of the next attempt that may have run.
+    next_outcome: Outcome,
+}
+
+impl Loss {
+    /// The outcome of one more attempt. One end is one sign of trouble at the engine, however many attempts were out:
+    /// the others were given up with the first.
+    fn outcome(&mut self, was_sent: bool) -> Outcome {
+        if self.was_up && was_sent {
+            std::mem::replace(&mut self.next_outcome, Outcome::Cancelled)
+        } else {
+            Outcome::NoConnection
+        }
+    }
+}
+
+/// The output of `work`, or `None` where it takes longer than `limit`.
+async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    let output = async { Some(work.await) };
+    let timeout = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(output, timeout).await
+}
+
+impl EnginePool {
+    /// Runs a connection from its connect to its end.
+    pub(super) async fn run_channel(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
+        let result = self.serve_channel(&channel, address).await;
+        self.close_channel(&channel, result.as_ref().err());
+    }
+
+    async fn serve_channel(
+        self: &Rc<Self>,
+        channel: &Rc<Channel>,
+        address: SocketAddr,
+    ) -> Result<(), ChannelError> {
+        let stream = self.connect(channel, address).await?;
+        let mut connection = channel.connection.borrow_mut();
+        if connection.state == ConnectionState::Late {
+            self.registry.counters.connections_late_up.add();
+        }
+        connection.mark_up(self.clock.now());
+        drop(connection);
+        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
+            engine.late_connects = 0;
+        }
+        // Without it, a request may wait for the acknowledgement of the one before; it works either way.
+        let _ = stream.get_ref().set_nodelay(true);
+        future::or(self.read(channel, &stream), self.write(channel, &stream)).await
+    }
+
+    async fn connect(
+        self: &Rc<Self>,
+        channel: &Rc<Channel>,
+        address: SocketAddr,
+    ) -> Result<Async<TcpStream>, ChannelError> {
+        let timeout = self.settings.connect_timeout();
+        let mut connecting = std::pin::pin!(Async::<TcpStream>::connect(address));
+        if let Some(connected) = within(timeout, connecting.as_mut()).await {
+            return Ok(connected?);
+        }
+        self.on_connect_timeout(channel);
+        match within(LATE_CONNECT_TIMEOUTS * timeout, connecting).await {
+            Some(connected) => Ok(connected?),
+            None => Err(ChannelError::ConnectTimeout),
+        }
+    }
+
+    // ---- Writing ----
+
+    /// Writes what waits, until the connection is retired and nothing is out.
+    async fn write(
+        &self,
+        channel: &Channel,
+        stream: &Async<TcpStream>,
+    ) -> Result<(), ChannelError> {
+        loop {
+            match future::poll_fn(|context| self.poll_write(channel, stream, context)).await? {
+                WriteStep::Done => return Ok(()),
+                WriteStep::Wrote(0) => return Err(io::Error::from(io::ErrorKind::WriteZero).into()),
+                WriteStep::Wrote(count) => channel.connection.borrow_mut().advance(count),
+            }
+        }
+    }
+
+    fn poll_write(
+        &self,
+        channel: &Channel,
+        stream: &Async<TcpStream>,
+        context: &mut Context,
+    ) -> Poll<Result<WriteStep, ChannelError>> {
+        while channel.notify.poll_notified(context).is_ready() {}
+        // The last check before a request begins to go out: none does past its time.
+        let too_late: Vec<Rc<str>> = channel
+            .connection
+            .borrow()
+            .too_late_to_begin(self.clock.now())
+            .collect();
+        for id in &too_late {
+            self.abandon(channel, id, Outcome::Timeout);
+        }
+        let connection = channel.connection.borrow();
+        if let Some(reason) = connection.close_reason {
+            return Poll::Ready(Err(reason.into()));
+        }
+        if !connection.has_unwritten() {
+            let is_done = connection.retired && connection.in_flight() == 0;
+            return if is_done {
+                Poll::Ready(Ok(WriteStep::Done))
+            } else {
+                Poll::Pending
+            };
+        }
+        let mut slices: Vec<IoSlice> = Vec::with_capacity(MAX_SLICES);
+        connection.slices(&mut slices, MAX_SLICES);
+        let written = poll_gathered(stream, context, &slices);
+        written.map_ok(WriteStep::Wrote).map_err(ChannelError::Io)
+    }
+
+    // ---- Reading ----
+
+    async fn read(&self, channel: &Channel, stream: &Async<TcpStream>) -> Result<(), ChannelError> {
+        let mut inbox = Vec::new();
+        loop {
+            let count = self.receive(stream, &mut inbox).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            // An engine that sends without end leaves other tasks their turn.
+            future::yield_now().await;
+            self.handle_frames(channel, &mut inbox)?;
+            let now_ms = self.clock.now();
+            let mut connection = channel.connection.borrow_mut();
+            connection.partial_frame_since_ms = (!inbox.is_empty()).then_some(now_ms);
+            if connection.has_unwritten() || connection.retired {
+                channel.notify.notify();
+            }
+        }
+    }
+
+    /// Appends what has come to `inbox`; its length, 0 at the end of the stream.
+    async fn receive(&self, stream: &Async<TcpStream>, inbox: &mut Vec<u8>) -> io::Result<usize> {
+        let mut read = |mut stream: &TcpStream| {
+            let mut buffer = self.read_buffer.borrow_mut();
+            let count = stream.read(&mut buffer[..])?;
+            inbox.extend_from_slice(&buffer[..count]);
+            Ok(count)
+        };
+        stream.read_with(|stream| read(stream)).await
+    }
+
+    /// Handles the whole frames at the start of `inbox` and removes them.
+    fn handle_frames(&self, channel: &Channel, inbox: &mut Vec<u8>) -> Result<(), ProtocolError> {
+        let mut handled = 0;
+        while let Some(frame) = resp::parse(&inbox[handled..])? {
+            handled += frame.size;
+            self.handle_frame(channel, &frame)?;
+        }
+        inbox.drain(..handled);
+        if inbox.is_empty() {
+            // A connection that waits holds no buffer.
+            *inbox = Vec::new();
+        }
+        Ok(())
+    }
+
+    fn handle_frame(&self, channel: &Channel, frame: &Frame) -> Result<(), ProtocolError> {
+        let now_ms = self.clock.now();
+        let mut connection = channel.connection.borrow_mut();
+        if let Some(reuse) = connection.idle_reuse.take() {
+            let mut keep_alive = self.keep_alive.borrow_mut();
+            keep_alive.record(now_ms, reuse.idle_ms, ReuseOutcome::Answered);
+        }
+        let event = connection.receive(frame, now_ms)?;
+        drop(connection);
+        match event {
+            FrameEvent::AttemptEnded {
+                query_id,
+                attempt,
+                outcome,
+                sent_ms,
+                pages,
+            } => self.report_ended(AttemptReport {
+                query_id,
+                attempt,
+                outcome,
+                engine_id: channel.engine_id,
+                latency_ms: now_ms - sent_ms,
+                pages,
+            }),
+            FrameEvent::Progress {
+                query_id,
+                attempt,
+                note,
+            } => self.registry.push_event(Event::Noted {
+                query: query_id,
+                attempt,
+                note: note.note,
+                amount: note.amount,
+            }),
+            FrameEvent::HealthChecked(outcome) => self.report_health(channel.engine_id, outcome, 1),
+            FrameEvent::Ignored => {}
+        }
+        Ok(())
+    }
+
+    // ---- The end ----
+
+    /// The connection has ended: what had gone out whole may have run, what had not never did.
+    fn close_channel(&self, channel: &Rc<Channel>, error: Option<&ChannelError>) {
+        let now_ms = self.clock.now();
+        self.remove_channel(channel);
+        let mut connection = channel.connection.borrow_mut();
+        let was_up = connection.state == ConnectionState::Up;
+        connection.state = ConnectionState::Closed;
+        let mut attempts: Vec<(Rc<str>, Attempt)> = connection.attempts.drain().collect();
+        attempts.sort_by_key(|(_, attempt)| attempt.query_id);
+        let health_checks = std::mem::take(&mut connection.health_checks).len();
+        if let Some(error) = error {
+            self.note_error(channel, error, attempts.len());
+        }
+        let is_protocol_error = error.is_some_and(ChannelError::is_protocol_error);
+        let is_local = error.is_some_and(ChannelError::is_local);
+        let mut loss = Loss {
+            was_up,
+            is_abandoned: is_protocol_error || was_up && is_local,
+            next_outcome: Outcome::Reset,
+        };
+        let may_be_lost_reuse = was_up && !loss.is_abandoned && !attempts.is_empty();
+        if may_be_lost_reuse && self.note_lost_reuse(&connection, now_ms) {
+            loss.next_outcome = Outcome::Cancelled;
+        }
+        for (id, attempt) in attempts {
+            let was_sent = connection.is_fully_written(&id);
+            let outcome = loss.outcome(was_sent);
+            self.report_lost(channel.engine_id, &attempt, now_ms, outcome, &loss);
+        }
+        let outcome = if was_up {
+            Outcome::Reset
+        } else {
+            Outcome::NoConnection
+        };
+        self.report_health(channel.engine_id, outcome, health_checks);
+    }
+
+    fn report_lost(
+        &self,
+        engine_id: u64,
+        attempt: &Attempt,
+        now_ms: f64,
+        outcome: Outcome,
+        loss: &Loss,
+    ) {
+        let report = AttemptReport {
+            query_id: attempt.query_id,
+            attempt: attempt.number,
+            outcome,
+            engine_id,
+            latency_ms: now_ms - attempt.sent_ms,
+            pages: Pages::new(),
+        };
+        if loss.is_abandoned {
+            self.report_abandoned(report);
+        } else {
+            self.report_ended(report);
+        }
+    }
+
+    fn note_error(&self, channel: &Channel, error: &ChannelError, lost_attempts: usize) {
+        if error.is_protocol_error() {
+            self.registry.counters.connections_spoilt.add();
+        }
+        if lost_attempts > 0 {
+            let engine_id = format_args!("{:08x}", channel.engine_id);
+            tracing::warn!(%engine_id, lost_attempts, %error, "engine connection lost");
+        }
+    }
+
+    /// Whether the connection was lost by idling: it had idled, and ended as soon as it was reused. It was closed already,
+    /// by whatever; that says something about idling and nothing about the engine, whose next connection will show.
+    fn note_lost_reuse(&self, connection: &Connection, now_ms: f64) -> bool {
+        let Some(reuse) = connection.idle_reuse else {
+            return false;
+        };
+        if now_ms - reuse.sent_ms >= MIN_IDLE_MS {
+            return false;
+        }
+        let mut keep_alive = self.keep_alive.borrow_mut();
+        keep_alive.record(now_ms, reuse.idle_ms, ReuseOutcome::Lost);
+        self.registry.counters.connections_lost_idle.add();
+        true
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -0,0 +1,160 @@
+//! Carries out what the decisions ordered: attempts, withdrawals, cancels, priorities and health checks.
+
+use super::channel::Channel;
+use super::connection::Attempt;
+use super::pool::EnginePool;
+use super::priorities::request_fields;
+use super::reports::AttemptReport;
+use super::settings::MIN_SILENCE_MS;
+use crate::query_registry::{EngineCommand, Pages};
+use std::rc::Rc;
+use tansymux::interface::{Bounds, Outcome};
+
+/// An attempt on a connection that had idled has the engine checked over another connection when nothing came for so
+/// many times its estimated run time: a connection that died silently takes what goes out and brings nothing.
+const CHECK_AFTER_RUN_TIMES: f64 = 2.0;
+
+/// A query's attempt that is out on a connection.
+pub(super) struct Located {
+    pub channel: Rc<Channel>,
+    pub id: Rc<str>,
+}
+
+/// An attempt that was ordered.
+struct Submission {
+    query_id: u64,
+    number: usize,
+    engine_id: u64,
+    bounds: Bounds,
+}
+
+/// What the registry knows of a query that an attempt needs.
+struct Request {
+    id: Rc<str>,
+    fields: String,
+    statement: Rc<[u8]>,
+    /// Estimated run time (ms); 0 if none is known.
+    cost_ms: f64,
+}
+
+impl EnginePool {
+    /// Carries out all commands that wait.
+    pub fn execute_commands(self: &Rc<Self>) {
+        while let Some(command) = self.registry.next_command() {
+            match command {
+                EngineCommand::Submit {
+                    query,
+                    attempt,
+                    engine_id,
+                    bounds,
+                } => self.submit(&Submission {
+                    query_id: query,
+                    number: attempt,
+                    engine_id,
+                    bounds,
+                }),
+                EngineCommand::Withdraw { query } => self.withdraw(query),
+                EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
+                EngineCommand::SetPriority { query, priority } => {
+                    self.set_priority(query, priority)
+                }
+                EngineCommand::Probe { engine_id } => self.check_health(engine_id),
+            }
+        }
+    }
+
+    fn submit(self: &Rc<Self>, submission: &Submission) {
+        let now_ms = self.clock.now();
+        let Some(request) = self.request_of(submission, now_ms) else {
+            return;
+        };
+        let bounds = submission.bounds;
+        let Some(channel) = self.select_channel(submission.engine_id, &request.id, bounds.harmless)
+        else {
+            return self.report_ended(AttemptReport {
+                query_id: submission.query_id,
+                attempt: submission.number,
+                outcome: Outcome::NoConnection,
+                engine_id: submission.engine_id,
+                latency_ms: 0.0,
+                pages: Pages::new(),
+            });
+        };
+        let attempt = Attempt::new(submission.query_id, submission.number, now_ms, bounds);
+        let mut connection = channel.connection.borrow_mut();
+        connection.submit(&request.id, &request.fields, request.statement, attempt);
+        let went_out_after_idling = connection
+            .idle_reuse
+            .is_some_and(|reuse| reuse.sent_ms == now_ms);
+        if went_out_after_idling {
+            connection.check_at_ms = now_ms + self.check_after_ms(request.cost_ms);
+        }
+        drop(connection);
+        channel.notify.notify();
+    }
+
+    fn request_of(&self, submission: &Submission, now_ms: f64) -> Option<Request> {
+        let time_left_ms = submission.bounds.until - now_ms;
+        self.registry.with(submission.query_id, |query| Request {
+            id: query.id.clone(),
+            fields: request_fields(query, time_left_ms),
+            statement: query.statement.clone(),
+            cost_ms: query.cost,
+        })
+    }
+
+    /// Time (ms) of silence after which the engine of an attempt with this estimated run time is checked. An estimate
+    /// that isn't known is no estimate of 0.
+    fn check_after_ms(&self, cost_ms: f64) -> f64 {
+        let run_times_ms = if cost_ms > 0.0 {
+            CHECK_AFTER_RUN_TIMES * cost_ms
+        } else {
+            f64::INFINITY
+        };
+        MIN_SILENCE_MS
+            .max(run_times_ms)
+            .min(self.settings.max_silence_ms())
+    }
+
+    /// The connection on which an attempt of the query is out.
+    pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
+        let id = self.registry.with(query_id, |query| query.id.clone())?;
+        let engines = self.engines.borrow();
+        for channel in engines.values().flat_map(|engine| &engine.channels) {
+            let connection = channel.connection.borrow();
+            let attempt = connection.attempts.get(&id);
+            if attempt.is_some_and(|attempt| attempt.query_id == query_id) {
+                let channel = channel.clone();
+                return Some(Located { channel, id });
+            }
+        }
+        None
+    }
+
+    /// Cancels an attempt, if it is the one that is out.
+    fn cancel(&self, query_id: u64, number: usize) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let current = channel
+            .connection
+            .borrow()
+            .attempts
+            .get(&id)
+            .map(|attempt| attempt.number);
+        if current == Some(number) {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+
+    /// Takes back the attempt of a query that is over, unless all of it has gone out.
+    fn withdraw(&self, query_id: u64) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let is_written = channel.connection.borrow().is_fully_written(&id);
+        if !is_written {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+}
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -1,459 +1,418 @@
-//! What one connection to an engine carries: attempts, probes and what is still to be written. No I/O.
+//! One connection to an engine as a state machine: its attempts, its health checks and what is still to be written.
+//! No I/O, no clock: `channel` moves the bytes and `timeouts` says what time it is.
 
-use super::resp::{self, Frame};
-use super::rows::json_rows;
+mod attempt;
+mod deadlines;
+mod outbox;
+
+pub use attempt::{Attempt, ProgressNote};
+
+use super::protocol_error::ProtocolError;
+use super::resp::Frame;
 use crate::query_registry::Pages;
+use attempt::{parse_progress_note, ResultProgress};
+use outbox::{Outbox, Withdrawal};
 use rustc_hash::{FxHashMap, FxHashSet};
-use std::collections::VecDeque;
-use std::io::{ErrorKind, IoSlice};
+use std::io::IoSlice;
 use std::rc::Rc;
-use tansymux::interface::{Bounds, Note, Outcome};
-
-/// Pages of a result at most, and bytes of them.
-const MAX_PAGES: usize = 64;
-const MAX_RESULT: usize = 128 * 1024;
-/// Bytes that wait to be written at most.
-pub const MAX_WAITING: usize = 4 << 20;
-/// Attempts that are given up on one connection before another takes its place.
-const MAX_LEFT: usize = 256;
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum State {
+use tansymux::interface::Outcome;
+use thiserror::Error;
+
+/// Bytes that may wait to be written before a connection takes no further attempt.
+pub const MAX_OUTBOX_BYTES: usize = 4 << 20;
+/// Attempts that may be abandoned on one connection before another takes its place: each leaves its id in memory.
+const MAX_ABANDONED: usize = 256;
+
+/// Where a connection is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// The connect is under way, within its timeout.
     Connecting,
-    /// It did not come up in its time: nothing waits for it, and it may still come.
+    /// The connect timed out: nothing waits for it, and it may still come up.
     Late,
+    /// Connected.
     Up,
-    Down,
+    /// Ended.
+    Closed,
 }
 
+/// How well a connection suits one more attempt; the first are taken first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Use {
-    /// Nothing is out, and it did not idle for longer than is trusted.
+pub enum Suitability {
+    /// Nothing is out, and it idled for less than the trusted time.
     Proven,
-    /// Nothing went out here yet.
+    /// Nothing ever went out here.
     Fresh,
-    /// Others are out.
+    /// Other attempts are out.
     Shared,
-    /// Idle for longer than is trusted: its other end may be closing.
+    /// Nothing is out, and it idled for longer than is trusted: its other end may be closing.
     Stale,
 }
 
-/// A attempt that is out on this connection.
-#[derive(Debug)]
-pub struct Attempt {
-    pub query: u64,
-    pub number: usize,
-    pub sent: f64,
-    pub until: f64,
-    /// What has not begun to go out by then does not any more.
-    pub begin_by: f64,
-    /// Pages so far, and how many there are once that is known.
-    pages: Vec<Option<Vec<u8>>>,
-    missing: usize,
-}
-
-impl Attempt {
-    pub fn new(query: u64, number: usize, sent: f64, bounds: Bounds) -> Self {
-        let Bounds {
-            until, begin_by, ..
-        } = bounds;
-        Attempt {
-            query,
-            number,
-            sent,
-            until,
-            begin_by,
-            pages: Vec::new(),
-            missing: 0,
-        }
-    }
+/// Why a connection is closed from this side, whatever is out on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CloseReason {
+    /// What the engine sent can't be used.
+    #[error("protocol error: {0}")]
+    Protocol(#[from] ProtocolError),
+    /// A request was withdrawn after some of its bytes had gone out; ending the connection keeps it from becoming whole.
+    #[error("a request was given up half written")]
+    RequestPartlyWritten,
+    /// Nothing came on it, and no other connection to the engine comes up.
+    #[error("no other connection comes up")]
+    EngineUnreachable,
 }
 
-/// Bytes to be written: a head, and a statement behind it.
+/// A health check that is out. Times are milliseconds of the program's clock.
 #[derive(Debug)]
-struct Piece {
-    head: Vec<u8>,
-    body: Option<Rc<[u8]>>,
-    /// The attempt whose request this is.
-    of: Option<Rc<str>>,
+pub struct HealthCheck {
+    /// The tag by which its answer is known.
+    pub tag: Rc<str>,
+    /// When it was handed to the connection.
+    pub sent_ms: f64,
+    /// When it has failed.
+    pub deadline_ms: f64,
 }
 
-impl Piece {
-    fn slices(&self) -> [&[u8]; 3] {
-        let body = self.body.as_deref();
-        [
-            &self.head,
-            body.unwrap_or(b""),
-            if body.is_some() { b"\r\n" } else { b"" },
-        ]
-    }
+/// An attempt that went out on a connection that had idled.
+#[derive(Debug, Clone, Copy)]
+pub struct IdleReuse {
+    /// How long (ms) the connection had idled.
+    pub idle_ms: f64,
+    /// When the attempt went out (ms).
+    pub sent_ms: f64,
+}
 
-    fn len(&self) -> usize {
-        self.slices().iter().map(|slice| slice.len()).sum()
-    }
+/// An attempt that was abandoned from here.
+#[derive(Debug)]
+pub struct Abandoned {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Whether all of its request had gone out, so that it may have run.
+    pub was_sent: bool,
 }
 
-/// What a frame from the engine means.
+/// What a frame from the engine says.
 #[derive(Debug, PartialEq)]
-pub enum Heard {
-    Closed {
-        query: u64,
+pub enum FrameEvent {
+    /// An attempt has its final answer.
+    AttemptEnded {
+        /// The query's number in the registry.
+        query_id: u64,
+        /// The attempt's number within the query.
         attempt: usize,
+        /// How it ended.
         outcome: Outcome,
-        sent: f64,
+        /// When it was handed to the connection (ms).
+        sent_ms: f64,
+        /// Its result.
         pages: Pages,
     },
-    Noted {
-        query: u64,
+    /// An attempt that is out has come on, or hasn't.
+    Progress {
+        /// The query's number in the registry.
+        query_id: u64,
+        /// The attempt's number within the query.
         attempt: usize,
-        note: Note,
-        amount: f64,
+        /// What the note says.
+        note: ProgressNote,
     },
-    Probed(Outcome),
-    /// No engine says this: nothing behind it on this connection is of use.
-    Spoilt(&'static str),
-    Nothing,
+    /// A health check was answered.
+    HealthChecked(Outcome),
+    /// Nothing that anyone waits for: a second copy, or about what is no longer out here.
+    Ignored,
 }
 
+/// A connection to an engine. Times are milliseconds of the program's clock.
 #[derive(Debug)]
 pub struct Connection {
-    pub state: State,
-    /// When a frame last came (a connection that came up has told nothing yet), and when it last had something out.
-    pub heard: f64,
-    pub used: f64,
-    /// Nothing has gone out here yet.
-    pub fresh: bool,
-    /// How long it had idled when the last attempt went out, and when that was; none once anything was heard.
-    pub idled: Option<(f64, f64)>,
+    /// Where it is in its life.
+    pub state: ConnectionState,
+    /// When a frame last came; minus infinity if none has.
+    pub last_frame_ms: f64,
+    /// When it last had something out, or came up.
+    pub last_used_ms: f64,
+    /// Nothing ever went out here.
+    pub unused: bool,
+    /// The last attempt that went out after an idle time, until anything is received.
+    pub idle_reuse: Option<IdleReuse>,
     /// Since when a frame has begun to come and is not whole.
-    pub partial: Option<f64>,
-    /// When it is asked whether the engine is there, if nothing was heard since a attempt went out after a pause.
-    pub check_at: f64,
-    /// Why it is closed at once, whatever is out on it: what came can't be used, or (not connected) nothing comes.
-    pub broken: Option<(ErrorKind, &'static str)>,
-    /// Nothing new goes here: it is closed once nothing is out.
+    pub partial_frame_since_ms: Option<f64>,
+    /// When the engine is checked over another connection, if nothing came since an attempt went out after an idle time.
+    pub check_at_ms: f64,
+    /// Why it is to be closed at once.
+    pub close_reason: Option<CloseReason>,
+    /// Takes nothing new, and is closed once nothing is out.
     pub retired: bool,
+    /// Attempts that are out here, by the ids of their queries.
     pub attempts: FxHashMap<Rc<str>, Attempt>,
-    /// Ids that were given up here after they had gone out: an answer to one may still come, and would be taken for that
-    /// of a later attempt with the same id.
-    left: FxHashSet<Rc<str>>,
-    /// Probes that are out: tag, when sent, until when they are waited for.
-    pub probes: Vec<(Rc<str>, f64, f64)>,
-    waiting: VecDeque<Piece>,
-    waiting_bytes: usize,
-    /// Bytes of the first piece that are written.
-    written: usize,
+    /// Ids that were abandoned here after they had gone out: a late answer to one of them would be taken for that of a
+    /// later attempt with the same id.
+    abandoned_ids: FxHashSet<Rc<str>>,
+    /// Health checks that are out here.
+    pub health_checks: Vec<HealthCheck>,
+    outbox: Outbox,
 }
 
 impl Connection {
-    pub fn new(now: f64) -> Self {
+    /// A connection whose connect begins.
+    pub fn new(now_ms: f64) -> Self {
         Connection {
-            state: State::Connecting,
-            heard: f64::NEG_INFINITY,
-            used: now,
-            fresh: true,
-            idled: None,
-            partial: None,
-            check_at: f64::INFINITY,
-            broken: None,
+            state: ConnectionState::Connecting,
+            last_frame_ms: f64::NEG_INFINITY,
+            last_used_ms: now_ms,
+            unused: true,
+            idle_reuse: None,
+            partial_frame_since_ms: None,
+            check_at_ms: f64::INFINITY,
+            close_reason: None,
             retired: false,
             attempts: FxHashMap::default(),
-            left: FxHashSet::default(),
-            probes: Vec::new(),
-            waiting: VecDeque::new(),
-            waiting_bytes: 0,
-            written: 0,
+            abandoned_ids: FxHashSet::default(),
+            health_checks: Vec::new(),
+            outbox: Outbox::default(),
         }
     }
 
-    /// It idles, if nothing waits for it, from now on; one on which nothing waits any more is as good as new.
-    pub fn comes_up(&mut self, now: f64) {
-        (self.state, self.used) = (State::Up, now);
-        if self.out() == 0 {
-            (self.fresh, self.idled) = (true, None);
+    // ---- Transitions ----
+
+    /// The connect timed out. Health checks that wait for it are dropped; their number.
+    pub fn mark_late(&mut self) -> usize {
+        self.state = ConnectionState::Late;
+        let dropped = std::mem::take(&mut self.health_checks).len();
+        self.outbox.discard_commands();
+        dropped
+    }
+
+    /// The connection is there. If nothing waits for it any more, it idles from now on and is as good as new.
+    pub fn mark_up(&mut self, now_ms: f64) {
+        self.state = ConnectionState::Up;
+        self.last_used_ms = now_ms;
+        if self.in_flight() == 0 {
+            self.unused = true;
+            self.idle_reuse = None;
         }
     }
 
-    pub fn out(&self) -> usize {
-        self.attempts.len() + self.probes.len()
+    // ---- What it is good for ----
+
+    /// Attempts and health checks that are out.
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len() + self.health_checks.len()
     }
 
-    /// When it was last used or opened, if nothing is out; else long ago.
-    pub fn idles_since(&self) -> f64 {
-        if self.out() == 0 && !self.retired && self.state == State::Up {
-            self.used
+    /// Since when (ms) it idles; minus infinity if it is not up, is retired or has something out.
+    pub fn idle_since_ms(&self) -> f64 {
+        if self.in_flight() == 0 && !self.retired && self.state == ConnectionState::Up {
+            self.last_used_ms
         } else {
             f64::NEG_INFINITY
         }
     }
 
-    /// How a connection stands to one more attempt: the first are taken first.
-    pub fn use_for(&self, now: f64, trusted: f64) -> Use {
-        match self.out() {
-            0 if self.fresh => Use::Fresh,
-            0 if now - self.used < trusted => Use::Proven,
-            0 => Use::Stale,
-            _ => Use::Shared,
+    /// How well it suits one more attempt, where idling for `trusted_idle_ms` does no harm.
+    pub fn suitability(&self, now_ms: f64, trusted_idle_ms: f64) -> Suitability {
+        if self.in_flight() > 0 {
+            Suitability::Shared
+        } else if self.unused {
+            Suitability::Fresh
+        } else if now_ms - self.last_used_ms < trusted_idle_ms {
+            Suitability::Proven
+        } else {
+            Suitability::Stale
         }
     }
 
-    /// Whether a attempt with this id may go here.
-    pub fn takes(&self, id: &str, most: usize) -> bool {
-        let fits = self.out() < most && self.waiting_bytes < MAX_WAITING;
-        let fresh = !self.attempts.contains_key(id) && !self.left.contains(id);
-        matches!(self.state, State::Connecting | State::Up) && !self.retired && fits && fresh
+    /// Whether an attempt with this id may go here, next to `max_streams` others at most.
+    pub fn accepts(&self, id: &str, max_streams: usize) -> bool {
+        let open = matches!(
+            self.state,
+            ConnectionState::Connecting | ConnectionState::Up
+        ) && !self.retired;
+        let has_room = self.in_flight() < max_streams && self.outbox.bytes() < MAX_OUTBOX_BYTES;
+        let id_is_new = !self.attempts.contains_key(id) && !self.abandoned_ids.contains(id);
+        open && has_room && id_is_new
     }
 
-    fn write(&mut self, parts: &[&[u8]], body: Option<Rc<[u8]>>, of: Option<Rc<str>>) {
-        let mut head = Vec::with_capacity(128);
-        resp::write(&mut head, parts, body.as_ref().map(|body| body.len()));
-        let piece = Piece { head, body, of };
-        self.waiting_bytes += piece.len();
-        self.waiting.push_back(piece);
-    }
+    // ---- What goes out ----
 
+    /// Queues an attempt's request.
     pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, attempt: Attempt) {
-        if self.out() == 0 && !self.fresh {
-            self.idled = Some((attempt.sent - self.used, attempt.sent));
+        if self.in_flight() == 0 && !self.unused {
+            self.idle_reuse = Some(IdleReuse {
+                idle_ms: attempt.sent_ms - self.last_used_ms,
+                sent_ms: attempt.sent_ms,
+            });
         }
-        (self.used, self.fresh) = (attempt.sent, false);
-        self.write(
-            &[b"fetch", id.as_bytes(), fields.as_bytes()],
-            Some(statement),
-            Some(id.clone()),
-        );
+        self.last_used_ms = attempt.sent_ms;
+        self.unused = false;
+        let elements = [b"fetch", id.as_bytes(), fields.as_bytes()];
+        self.outbox.push_request(id, &elements, statement);
         self.attempts.insert(id.clone(), attempt);
     }
 
-    pub fn probe(&mut self, tag: Rc<str>, now: f64, until: f64) {
-        (self.used, self.fresh) = (now, false);
-        self.write(&[b"alive", tag.as_bytes()], None, None);
-        self.probes.push((tag, now, until));
+    /// Queues a health check.
+    pub fn check_health(&mut self, tag: Rc<str>, now_ms: f64, deadline_ms: f64) {
+        self.last_used_ms = now_ms;
+        self.unused = false;
+        self.outbox.push_command(&[b"alive", tag.as_bytes()]);
+        self.health_checks.push(HealthCheck {
+            tag,
+            sent_ms: now_ms,
+            deadline_ms,
+        });
     }
 
-    pub fn renice(&mut self, id: &str, priority: u8) {
+    /// Queues a new priority for an attempt that is out.
+    pub fn set_priority(&mut self, id: &str, priority: u8) {
         if self.attempts.contains_key(id) {
-            self.write(
-                &[b"renice", id.as_bytes(), priority.to_string().as_bytes()],
-                None,
-                None,
-            );
+            let priority = priority.to_string();
+            self.outbox
+                .push_command(&[b"renice", id.as_bytes(), priority.as_bytes()]);
         }
     }
 
-    /// Gives a attempt up. Tells whether the engine can have had its request: what was not begun is taken back, and
-    /// what was written in part never becomes whole, as the connection ends with that.
-    pub fn give_up(&mut self, id: &str, now: f64) -> Option<(Attempt, bool)> {
+    /// Abandons an attempt. A request that was not begun is taken back; one that was written in part never becomes
+    /// whole, as the connection ends with that; one that went out is aborted.
+    pub fn abandon(&mut self, id: &str, now_ms: f64) -> Option<Abandoned> {
         let attempt = self.attempts.remove(id)?;
-        self.used = now;
-        let at = self
-            .waiting
-            .iter()
-            .position(|piece| piece.of.as_deref() == Some(id));
-        match at {
-            Some(at) if at > 0 || self.written == 0 => {
-                if let Some(piece) = self.waiting.remove(at) {
-                    self.waiting_bytes -= piece.len();
-                }
-                Some((attempt, false))
+        self.last_used_ms = now_ms;
+        let withdrawal = self.outbox.withdraw(id);
+        match withdrawal {
+            Withdrawal::NotStarted => {}
+            Withdrawal::PartlyWritten => {
+                self.close_reason = Some(CloseReason::RequestPartlyWritten)
             }
-            Some(_) => {
-                self.broken = Some((
-                    ErrorKind::NotConnected,
-                    "a request was given up half written",
-                ));
-                Some((attempt, false))
-            }
-            None => {
-                self.left.insert(id.into());
-                self.retired |= self.left.len() >= MAX_LEFT;
-                self.write(&[b"abort", id.as_bytes()], None, None);
-                Some((attempt, true))
+            Withdrawal::Written => {
+                self.abandoned_ids.insert(id.into());
+                self.retired |= self.abandoned_ids.len() >= MAX_ABANDONED;
+                self.outbox.push_command(&[b"abort", id.as_bytes()]);
             }
         }
+        Some(Abandoned {
+            attempt,
+            was_sent: withdrawal == Withdrawal::Written,
+        })
     }
 
     /// The attempts of whose requests nothing was written yet.
-    pub fn not_begun(&self) -> impl Iterator<Item = Rc<str>> + '_ {
-        let skip = usize::from(self.written > 0);
-        self.waiting
-            .iter()
-            .skip(skip)
-            .filter_map(|piece| piece.of.clone())
+    pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
+        self.outbox.unstarted_requests()
     }
 
-    /// Those of them that may not begin any more.
-    pub fn too_late_to_begin(&self, now: f64) -> impl Iterator<Item = Rc<str>> + '_ {
-        let late = move |id: &Rc<str>| self.attempts.get(id).is_some_and(|s| s.begin_by <= now);
-        self.not_begun().filter(late)
-    }
-
-    /// Whether the whole of a attempt's request was written out.
-    pub fn went_out(&self, id: &str) -> bool {
-        !self
-            .waiting
-            .iter()
-            .any(|piece| piece.of.as_deref() == Some(id))
+    /// Whether the whole of an attempt's request was written.
+    pub fn is_fully_written(&self, id: &str) -> bool {
+        !self.outbox.holds_request(id)
     }
 
-    /// Nothing is asked any more: what was to be is not written.
-    pub fn forget_probes(&mut self) {
-        let skip = usize::from(self.written > 0);
-        let kept: VecDeque<Piece> = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .enumerate()
-            .filter(|(n, piece)| *n < skip || piece.of.is_some())
-            .map(|(_, piece)| piece)
-            .collect();
-        self.waiting_bytes = kept.iter().map(Piece::len).sum();
-        self.waiting = kept;
+    /// Whether anything is to be written.
+    pub fn has_unwritten(&self) -> bool {
+        !self.outbox.is_empty()
     }
 
-    pub fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
+    /// Drops what is to be written.
+    pub fn discard_unwritten(&mut self) {
+        self.outbox.clear();
     }
 
-    pub fn forget_waiting(&mut self) {
-        self.waiting.clear();
-        (self.waiting_bytes, self.written) = (0, 0);
+    /// Appends the bytes to write next, as `max` slices at most.
+    pub fn slices<'a>(&'a self, out: &mut Vec<IoSlice<'a>>, max: usize) {
+        self.outbox.slices(out, max);
     }
 
-    /// The bytes to write next, as slices for a gathered write.
-    pub fn slices<'a>(&'a self, to: &mut Vec<IoSlice<'a>>, most: usize) {
-        let mut skip = self.written;
-        for slice in self.waiting.iter().flat_map(Piece::slices) {
-            let shown = &slice[skip.min(slice.len())..];
-            skip -= slice.len() - shown.len();
-            if !shown.is_empty() && to.len() < most {
-                to.push(IoSlice::new(shown));
-            }
-        }
+    /// So many more bytes were written.
+    pub fn advance(&mut self, count: usize) {
+        self.outbox.advance(count);
     }
 
-    pub fn wrote(&mut self, count: usize) {
-        self.written += count;
-        while let Some(length) = self
-            .waiting
-            .front()
-            .map(Piece::len)
-            .filter(|&length| length <= self.written)
+    // ---- What comes in ----
+
+    /// Takes in a frame. One that names nothing that is out here is ignored: a second copy, or an answer that came late.
+    ///
+    /// # Errors
+    /// The frame can't be used. Its attempt stays out until the connection ends with the error.
+    pub fn receive(&mut self, frame: &Frame, now_ms: f64) -> Result<FrameEvent, ProtocolError> {
+        self.last_frame_ms = now_ms;
+        let id = std::str::from_utf8(frame.element(0)).map_err(|_| ProtocolError::InvalidId)?;
+        let word = frame.element(1);
+        let fields = frame.element(2);
+        if let Some(index) = self
+            .health_checks
+            .iter()
+            .position(|check| &*check.tag == id)
         {
-            self.written -= length;
-            self.waiting_bytes -= length;
-            self.waiting.pop_front();
+            self.health_checks.swap_remove(index);
+            return Ok(FrameEvent::HealthChecked(health_outcome(word)));
         }
-    }
-
-    /// Takes in a frame. What names nothing that is out here is passed over: a second copy, another's answer. What
-    /// can't be read or used is spoilt, and its attempt stays out until the connection ends with it.
-    pub fn hear(&mut self, frame: &Frame, now: f64) -> Heard {
-        self.heard = now;
-        let Ok(id) = std::str::from_utf8(frame.part(0)) else {
-            return Heard::Spoilt("an id is not text");
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return Ok(FrameEvent::Ignored);
         };
-        let (word, fields) = (frame.part(1), frame.part(2));
-        if let Some(n) = self.probes.iter().position(|(tag, ..)| &**tag == id) {
-            self.probes.swap_remove(n);
-            return Heard::Probed(if word == b"FIT" {
-                Outcome::Completed
-            } else {
-                Outcome::Error
-            });
-        }
-        let Some(s) = self.attempts.get_mut(id) else {
-            return Heard::Nothing;
-        };
-        let (query, attempt) = (s.query, s.number);
         let outcome = match word {
-            b"TELL" => {
-                let amount = resp::field(fields, "num").and_then(|n| n.parse::<f64>().ok());
-                let note = match resp::field(fields, "tell") {
-                    Some("frac") => Note::Progress,
-                    Some("missing") => Note::Spills,
-                    Some("parked") => Note::Waits,
-                    _ => return Heard::Nothing,
-                };
-                let Some(amount) = amount.filter(|n| n.is_finite()) else {
-                    return Heard::Nothing;
-                };
-                return Heard::Noted {
-                    query,
-                    attempt,
-                    note,
-                    amount,
-                };
-            }
+            b"TELL" => return Ok(progress_event(attempt, fields)),
             // A second copy of the first page.
-            b"DONE" if !s.pages.is_empty() => return Heard::Nothing,
-            b"DONE" | b"MORE" => match s.take_page(word == b"DONE", fields, frame.part(3)) {
-                Ok(true) => Outcome::Completed,
-                Ok(false) => {
-                    if word == b"DONE" {
-                        (1..s.pages.len()).for_each(|page| {
-                            let mut head = Vec::with_capacity(64);
-                            resp::write(
-                                &mut head,
-                                &[b"more", id.as_bytes(), page.to_string().as_bytes()],
-                                None,
-                            );
-                            self.waiting_bytes += head.len();
-                            self.waiting.push_back(Piece {
-                                head,
-                                body: None,
-                                of: None,
-                            });
-                        });
-                    }
-                    return Heard::Nothing;
+            b"DONE" if attempt.page_count() > 0 => return Ok(FrameEvent::Ignored),
+            b"DONE" => match attempt.add_first_page(fields, frame.element(3))? {
+                ResultProgress::Complete => Outcome::Completed,
+                ResultProgress::Incomplete => {
+                    let pages = attempt.page_count();
+                    request_further_pages(&mut self.outbox, id, pages);
+                    return Ok(FrameEvent::Ignored);
+                }
+            },
+            b"MORE" => match attempt.add_further_page(fields, frame.element(3))? {
+                ResultProgress::Complete => {
+                    self.outbox.push_command(&[b"done", id.as_bytes()]);
+                    Outcome::Completed
                 }
-                Err(what) => return Heard::Spoilt(what),
+                ResultProgress::Incomplete => return Ok(FrameEvent::Ignored),
             },
             b"WAIT" => Outcome::Full,
             b"PAST" => Outcome::NotSent,
             b"BROKE" => Outcome::Error,
-            _ => return Heard::Spoilt("a word is unknown"),
+            _ => return Err(ProtocolError::UnknownReply),
         };
-        let sent = s.sent;
-        let pages: Pages = s.pages.drain(..).flatten().collect();
-        if word == b"MORE" {
-            self.write(&[b"done", id.as_bytes()], None, None);
-        }
-        self.attempts.remove(id);
-        self.used = now;
-        Heard::Closed {
-            query,
-            attempt,
+        Ok(self.complete(id, outcome, now_ms))
+    }
+
+    /// The attempt has its final answer.
+    fn complete(&mut self, id: &str, outcome: Outcome, now_ms: f64) -> FrameEvent {
+        let Some(mut attempt) = self.attempts.remove(id) else {
+            return FrameEvent::Ignored;
+        };
+        self.last_used_ms = now_ms;
+        FrameEvent::AttemptEnded {
+            query_id: attempt.query_id,
+            attempt: attempt.number,
             outcome,
-            sent,
-            pages,
+            sent_ms: attempt.sent_ms,
+            pages: attempt.take_pages(),
         }
     }
 }
 
-impl Attempt {
-    /// Takes in a page; whether the result is whole, or why it can't be used.
-    fn take_page(&mut self, first: bool, fields: &[u8], page: &[u8]) -> Result<bool, &'static str> {
-        let number = |name| resp::field(fields, name).and_then(|n| n.parse::<usize>().ok());
-        let at = if first {
-            let pages = number("batches")
-                .filter(|n| (1..=MAX_PAGES).contains(n))
-                .ok_or("no number of pages")?;
-            self.pages.resize(pages, None);
-            self.missing = pages;
-            0
-        } else {
-            number("batch").ok_or("a page has no number")?
-        };
-        let rows = json_rows(page).ok_or("a page can't be read")?;
-        let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
-        if size + rows.len() > MAX_RESULT {
-            return Err("a result is too long");
-        }
-        let place = self.pages.get_mut(at).ok_or("a page has a wrong number")?;
-        if place.replace(rows).is_none() {
-            self.missing -= 1;
-        }
-        Ok(self.missing == 0)
+fn health_outcome(word: &[u8]) -> Outcome {
+    if word == b"FIT" {
+        Outcome::Completed
+    } else {
+        Outcome::Error
+    }
+}
+
+fn progress_event(attempt: &Attempt, fields: &[u8]) -> FrameEvent {
+    match parse_progress_note(fields) {
+        Some(note) => FrameEvent::Progress {
+            query_id: attempt.query_id,
+            attempt: attempt.number,
+            note,
+        },
+        None => FrameEvent::Ignored,
+    }
+}
+
+fn request_further_pages(outbox: &mut Outbox, id: &str, pages: usize) {
+    for page in 1..pages {
+        let page = page.to_string();
+        outbox.push_command(&[b"more", id.as_bytes(), page.as_bytes()]);
     }
 }
 
--- /dev/null
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -0,0 +1,141 @@
+//! One attempt of a query that is out on a connection, with the pages of its result so far.
+
+use crate::engine::protocol_error::ProtocolError;
+use crate::engine::resp;
+use crate::engine::rows::json_rows;
+use crate::query_registry::Pages;
+use tansymux::interface::{Bounds, Note};
+
+/// Pages of one result at most; the protocol's longest result has 8 of them.
+const MAX_PAGES: usize = 64;
+/// Bytes of one result's rows, as JSON, at most; the protocol's longest result has 48,000 bytes of rows.
+const MAX_RESULT_BYTES: usize = 128 * 1024;
+
+/// An attempt that is out on a connection. Times are milliseconds of the program's clock.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The query, by its number in the registry.
+    pub query_id: u64,
+    /// The attempt's number within the query, from 0.
+    pub number: usize,
+    /// When it was handed to the connection.
+    pub sent_ms: f64,
+    /// When it is abandoned.
+    pub deadline_ms: f64,
+    /// Its request's first byte goes out before this, or not at all.
+    pub begin_by_ms: f64,
+    /// Pages by their numbers, as they come; empty until the first one says how many there are.
+    pages: Vec<Option<Vec<u8>>>,
+    missing_pages: usize,
+}
+
+/// Whether all pages of a result are there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResultProgress {
+    /// No page is missing.
+    Complete,
+    /// Further pages are still to come.
+    Incomplete,
+}
+
+/// What a progress note from the engine says.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ProgressNote {
+    /// Which kind of note it is.
+    pub note: Note,
+    /// The note's number; its meaning depends on the kind.
+    pub amount: f64,
+}
+
+impl Attempt {
+    /// An attempt that is handed to a connection at `sent_ms`.
+    pub fn new(query_id: u64, number: usize, sent_ms: f64, bounds: Bounds) -> Self {
+        Attempt {
+            query_id,
+            number,
+            sent_ms,
+            deadline_ms: bounds.until,
+            begin_by_ms: bounds.begin_by,
+            pages: Vec::new(),
+            missing_pages: 0,
+        }
+    }
+
+    /// When something has to be done about this attempt next.
+    pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
+        if self.begin_by_ms > now_ms {
+            self.deadline_ms.min(self.begin_by_ms)
+        } else {
+            self.deadline_ms
+        }
+    }
+
+    /// How many pages the result has; 0 before the first one came.
+    pub fn page_count(&self) -> usize {
+        self.pages.len()
+    }
+
+    /// The pages that have come, in order.
+    pub fn take_pages(&mut self) -> Pages {
+        self.pages.drain(..).flatten().collect()
+    }
+
+    /// Adds the first page, whose fields say how many there are.
+    pub fn add_first_page(
+        &mut self,
+        fields: &[u8],
+        page: &[u8],
+    ) -> Result<ResultProgress, ProtocolError> {
+        let count = number_field(fields, "batches").filter(|count| (1..=MAX_PAGES).contains(count));
+        let count = count.ok_or(ProtocolError::InvalidPageCount)?;
+        self.pages.resize(count, None);
+        self.missing_pages = count;
+        self.add_page(0, page)
+    }
+
+    /// Adds a further page, whose fields say which one it is. A second copy takes the place of the first.
+    pub fn add_further_page(
+        &mut self,
+        fields: &[u8],
+        page: &[u8],
+    ) -> Result<ResultProgress, ProtocolError> {
+        let number = number_field(fields, "batch").ok_or(ProtocolError::MissingPageNumber)?;
+        self.add_page(number, page)
+    }
+
+    fn add_page(&mut self, number: usize, page: &[u8]) -> Result<ResultProgress, ProtocolError> {
+        let rows = json_rows(page)?;
+        let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
+        if size + rows.len() > MAX_RESULT_BYTES {
+            return Err(ProtocolError::ResultTooLong {
+                limit: MAX_RESULT_BYTES,
+            });
+        }
+        let pages = self.pages.len();
+        let slot = self.pages.get_mut(number);
+        let slot = slot.ok_or(ProtocolError::PageOutOfRange { number, pages })?;
+        if slot.replace(rows).is_none() {
+            self.missing_pages -= 1;
+        }
+        Ok(match self.missing_pages {
+            0 => ResultProgress::Complete,
+            _ => ResultProgress::Incomplete,
+        })
+    }
+}
+
+fn number_field(fields: &[u8], name: &str) -> Option<usize> {
+    resp::field(fields, name)?.parse().ok()
+}
+
+/// The progress note that the fields of a `TELL` hold; `None` for kinds that nobody here needs and for what is no note.
+pub fn parse_progress_note(fields: &[u8]) -> Option<ProgressNote> {
+    let note = match resp::field(fields, "tell")? {
+        "frac" => Note::Progress,
+        "missing" => Note::Spills,
+        "parked" => Note::Waits,
+        _ => return None,
+    };
+    let amount: f64 = resp::field(fields, "num")?.parse().ok()?;
+    amount.is_finite().then_some(ProgressNote { note, amount })
+}
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -1,18 +1,20 @@
 use super::*;
+use crate::engine::resp;
+use tansymux::interface::{Bounds, Note};
 
 fn connection() -> Connection {
     let mut connection = Connection::new(0.0);
-    connection.state = State::Up;
+    connection.state = ConnectionState::Up;
     connection
 }
 
-fn submit(connection: &mut Connection, id: &str, query: u64) {
+fn submit(connection: &mut Connection, id: &str, query_id: u64) {
     connection.submit(
         &id.into(),
         "cls=a",
         b"SELECT 1".as_slice().into(),
         Attempt::new(
-            query,
+            query_id,
             0,
             5.0,
             Bounds {
@@ -24,14 +26,14 @@
     );
 }
 
-fn hear(connection: &mut Connection, parts: &[&[u8]]) -> Heard {
+fn receive(connection: &mut Connection, elements: &[&[u8]]) -> Result<FrameEvent, ProtocolError> {
     let mut bytes = Vec::new();
-    resp::write(&mut bytes, parts, None);
+    resp::write(&mut bytes, elements, None);
     let frame = resp::parse(&bytes).unwrap().unwrap();
-    connection.hear(&frame, 9.0)
+    connection.receive(&frame, 9.0)
 }
 
-fn waiting(connection: &Connection) -> String {
+fn unwritten(connection: &Connection) -> String {
     let mut slices = Vec::new();
     connection.slices(&mut slices, 64);
     slices
@@ -41,30 +43,30 @@
 }
 
 #[test]
-fn a_result_of_several_pages_is_fetched_whole_and_in_order() {
+fn all_pages_of_a_result_are_fetched_and_joined_in_order() {
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
-    let request = waiting(&connection);
+    let request = unwritten(&connection);
     assert_eq!(
         request,
         "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n"
     );
-    connection.wrote(request.len() - 1);
-    assert!(!connection.went_out("i1"));
-    connection.wrote(1);
-    assert!(connection.went_out("i1"));
+    connection.advance(request.len() - 1);
+    assert!(!connection.is_fully_written("i1"));
+    connection.advance(1);
+    assert!(connection.is_fully_written("i1"));
     // Surplus copies are passed over.
     for _ in 0..2 {
         assert_eq!(
-            hear(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]),
-            Heard::Nothing
+            receive(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]),
+            Ok(FrameEvent::Ignored)
         );
-        assert_eq!(waiting(&connection).matches("more").count(), 2);
+        assert_eq!(unwritten(&connection).matches("more").count(), 2);
     }
     for _ in 0..2 {
         assert_eq!(
-            hear(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]),
-            Heard::Nothing
+            receive(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]),
+            Ok(FrameEvent::Ignored)
         );
     }
     let pages = [
@@ -74,27 +76,27 @@
     ]
     .map(|page| page.as_bytes().to_vec())
     .to_vec();
-    let (query, attempt, outcome, sent) = (4, 0, Outcome::Completed, 5.0);
-    let whole = Heard::Closed {
-        query,
+    let (query_id, attempt, outcome, sent_ms) = (4, 0, Outcome::Completed, 5.0);
+    let whole = Ok(FrameEvent::AttemptEnded {
+        query_id,
         attempt,
         outcome,
-        sent,
+        sent_ms,
         pages,
-    };
+    });
     assert_eq!(
-        hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\t\t\n"]),
+        receive(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\t\t\n"]),
         whole
     );
-    assert!(waiting(&connection).contains("done") && connection.out() == 0);
+    assert!(unwritten(&connection).contains("done") && connection.in_flight() == 0);
     assert_eq!(
-        hear(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]),
-        Heard::Nothing
+        receive(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]),
+        Ok(FrameEvent::Ignored)
     );
 }
 
 #[test]
-fn answers_that_cannot_be_used_are_spoilt() {
+fn unusable_replies_are_protocol_errors() {
     let cases: [&[&[u8]]; 8] = [
         &[b"\xff", b"DONE", b"batches=1", b"a\t\t\n"],
         &[b"i1", b"DONE", b"batches=0", b"a\t\t\n"],
@@ -105,90 +107,97 @@
         &[b"i1", b"MORE", b"batch=7", b"a\t\t\n"],
         &[b"i1", b"noise", b"-", b""],
     ];
-    for parts in cases {
+    for elements in cases {
         let mut connection = connection();
         submit(&mut connection, "i1", 4);
-        let heard = hear(&mut connection, parts);
+        let received = receive(&mut connection, elements);
         assert!(
-            matches!(heard, Heard::Spoilt(_)) && connection.out() == 1,
-            "{heard:?}"
+            received.is_err() && connection.in_flight() == 1,
+            "{received:?}"
         );
     }
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
-    let broke = hear(&mut connection, &[b"i1", b"BROKE", b"-", b""]);
+    let broke = receive(&mut connection, &[b"i1", b"BROKE", b"-", b""]);
     assert!(matches!(
         broke,
-        Heard::Closed {
+        Ok(FrameEvent::AttemptEnded {
             outcome: Outcome::Error,
             ..
-        }
+        })
     ));
-    assert_eq!(hear(&mut connection, &[]), Heard::Nothing);
+    assert_eq!(receive(&mut connection, &[]), Ok(FrameEvent::Ignored));
 }
 
 #[test]
-fn what_was_not_begun_is_taken_back_and_the_rest_is_aborted() {
+fn abandoning_withdraws_an_unwritten_request_and_aborts_a_written_one() {
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
     submit(&mut connection, "i2", 5);
-    connection.wrote(3);
-    assert_eq!(connection.not_begun().collect::<Vec<_>>(), ["i2".into()]);
+    connection.advance(3);
+    assert_eq!(
+        connection.unstarted_requests().collect::<Vec<_>>(),
+        ["i2".into()]
+    );
     assert!(connection
-        .give_up("i2", 6.0)
-        .is_some_and(|(s, begun)| s.query == 5 && !begun));
-    connection.wrote(waiting(&connection).len());
+        .abandon("i2", 6.0)
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 5 && !abandoned.was_sent));
+    connection.advance(unwritten(&connection).len());
     assert!(connection
-        .give_up("i1", 6.0)
-        .is_some_and(|(s, begun)| s.query == 4 && begun));
-    assert!(connection.give_up("i1", 6.0).is_none() && connection.broken.is_none());
-    let text = waiting(&connection);
+        .abandon("i1", 6.0)
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && abandoned.was_sent));
+    assert!(connection.abandon("i1", 6.0).is_none() && connection.close_reason.is_none());
+    let text = unwritten(&connection);
     assert!(
         !text.starts_with("$5\r\nfetch") && text.contains("abort") && !text.contains("i2"),
         "{text}"
     );
-    connection.wrote(text.len());
-    assert!(!connection.has_waiting() && connection.waiting_bytes == 0 && connection.out() == 0);
+    connection.advance(text.len());
+    assert!(
+        !connection.has_unwritten()
+            && connection.outbox.bytes() == 0
+            && connection.in_flight() == 0
+    );
 }
 
 #[test]
-fn what_was_written_in_part_never_becomes_whole_once_it_is_given_up() {
+fn abandoning_a_partly_written_request_closes_the_connection() {
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
-    connection.wrote(3);
+    connection.advance(3);
     assert!(connection
-        .give_up("i1", 6.0)
-        .is_some_and(|(s, begun)| s.query == 4 && !begun));
-    assert!(connection.broken.is_some());
+        .abandon("i1", 6.0)
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && !abandoned.was_sent));
+    assert!(connection.close_reason.is_some());
 }
 
 #[test]
-fn an_id_that_was_given_up_here_goes_out_on_another_connection_and_its_late_answer_is_nobodys() {
+fn an_abandoned_id_is_not_reused_on_its_connection_and_its_late_answer_is_ignored() {
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
-    connection.wrote(waiting(&connection).len());
+    connection.advance(unwritten(&connection).len());
     assert!(connection
-        .give_up("i1", 6.0)
-        .is_some_and(|(_, begun)| begun));
-    assert!(!connection.takes("i1", 32) && connection.takes("i2", 32));
+        .abandon("i1", 6.0)
+        .is_some_and(|abandoned| abandoned.was_sent));
+    assert!(!connection.accepts("i1", 32) && connection.accepts("i2", 32));
     assert_eq!(
-        hear(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]),
-        Heard::Nothing
+        receive(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]),
+        Ok(FrameEvent::Ignored)
     );
     // One that never went out may go here again, and a connection that was left often is left for good.
     submit(&mut connection, "i2", 5);
-    connection.give_up("i2", 6.0);
-    assert!(connection.takes("i2", 32));
-    for n in 0..MAX_LEFT {
+    connection.abandon("i2", 6.0);
+    assert!(connection.accepts("i2", 32));
+    for n in 0..MAX_ABANDONED {
         submit(&mut connection, &format!("n{n}"), 6);
-        connection.wrote(waiting(&connection).len());
-        connection.give_up(&format!("n{n}"), 6.0);
+        connection.advance(unwritten(&connection).len());
+        connection.abandon(&format!("n{n}"), 6.0);
     }
-    assert!(connection.retired && connection.left.len() <= MAX_LEFT + 1);
+    assert!(connection.retired && connection.abandoned_ids.len() <= MAX_ABANDONED + 1);
 }
 
 #[test]
-fn what_may_not_begin_any_more_is_told_and_what_has_begun_is_not() {
+fn only_unwritten_requests_are_too_late_to_begin() {
     let mut connection = connection();
     for (id, begin_by) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
         let bounds = Bounds {
@@ -199,46 +208,48 @@
         let attempt = Attempt::new(4, 0, 5.0, bounds);
         connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), attempt);
     }
-    connection.wrote(3);
+    connection.advance(3);
     let late = |now| connection.too_late_to_begin(now).collect::<Vec<_>>();
     assert_eq!((late(6.9), late(7.0)), (vec![], vec!["i2".into()]));
 }
 
 #[test]
-fn notes_and_probes_are_told_apart() {
+fn progress_notes_and_health_checks_are_told_apart() {
     let mut connection = connection();
     submit(&mut connection, "i1", 4);
-    connection.probe("t1".into(), 6.0, 250.0);
-    let told = Heard::Noted {
-        query: 4,
+    connection.check_health("t1".into(), 6.0, 250.0);
+    let progress = Ok(FrameEvent::Progress {
+        query_id: 4,
         attempt: 0,
-        note: Note::Progress,
-        amount: 0.5,
-    };
+        note: ProgressNote {
+            note: Note::Progress,
+            amount: 0.5,
+        },
+    });
     assert_eq!(
-        hear(
+        receive(
             &mut connection,
             &[b"i1", b"TELL", b"tell=frac,num=0.5", b""]
         ),
-        told
+        progress
     );
     assert_eq!(
-        hear(&mut connection, &[b"i1", b"TELL", b"-", b""]),
-        Heard::Nothing
+        receive(&mut connection, &[b"i1", b"TELL", b"-", b""]),
+        Ok(FrameEvent::Ignored)
     );
     assert_eq!(
-        hear(
+        receive(
             &mut connection,
             &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]
         ),
-        Heard::Nothing
+        Ok(FrameEvent::Ignored)
     );
     assert_eq!(
-        hear(&mut connection, &[b"t1", b"UNFIT", b"-", b""]),
-        Heard::Probed(Outcome::Error)
+        receive(&mut connection, &[b"t1", b"UNFIT", b"-", b""]),
+        Ok(FrameEvent::HealthChecked(Outcome::Error))
     );
     assert_eq!(
-        hear(&mut connection, &[b"t1", b"FIT", b"-", b""]),
-        Heard::Nothing
+        receive(&mut connection, &[b"t1", b"FIT", b"-", b""]),
+        Ok(FrameEvent::Ignored)
     );
 }
--- /dev/null
+++ b/crates/dispatcher/src/engine/health.rs
@@ -0,0 +1,152 @@
+//! Whether engines are there: health checks on their connections, and what follows from connections that stay away.
+
+use super::channel::Channel;
+use super::connection::{CloseReason, ConnectionState};
+use super::pool::EnginePool;
+use crate::query_registry::Event;
+use std::rc::Rc;
+use tansymux::interface::Outcome;
+
+/// Connects in a row that time out before the engine counts as unreachable: one may be late by itself.
+const UNREACHABLE_AFTER_LATE_CONNECTS: u32 = 2;
+
+/// Whose idle connections may be dead as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SilenceScope {
+    /// Those of the engine itself.
+    Engine,
+    /// Those of all engines of its zone.
+    Zone,
+}
+
+impl EnginePool {
+    /// Sends a health check to an engine.
+    pub(super) fn check_health(self: &Rc<Self>, engine_id: u64) {
+        let now_ms = self.clock.now();
+        let number = self.health_checks.get() + 1;
+        self.health_checks.set(number);
+        let tag: Rc<str> = format!("t{number}").into();
+        let Some(channel) = self.select_channel(engine_id, &tag, true) else {
+            return self.report_health(engine_id, Outcome::NoConnection, 1);
+        };
+        let deadline_ms = now_ms + self.settings.connect_timeout_ms;
+        channel
+            .connection
+            .borrow_mut()
+            .check_health(tag, now_ms, deadline_ms);
+        channel.notify.notify();
+    }
+
+    /// Reports that so many health checks of an engine have ended alike.
+    pub(super) fn report_health(&self, engine_id: u64, outcome: Outcome, count: usize) {
+        for _ in 0..count {
+            self.registry
+                .push_event(Event::Probed { engine_id, outcome });
+        }
+    }
+
+    /// Opens connections to see whether the engine is there, unless some are coming up: as many as have to stay away
+    /// for it to count as unreachable.
+    pub(super) fn check_reachability(self: &Rc<Self>, engine_id: u64) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&engine_id) else {
+            return;
+        };
+        let is_connecting = |channel: &Rc<Channel>| {
+            channel.connection.borrow().state == ConnectionState::Connecting
+        };
+        if engine.channels.iter().any(is_connecting) {
+            return;
+        }
+        let Some(address) = engine.address else {
+            return;
+        };
+        let count = UNREACHABLE_AFTER_LATE_CONNECTS.saturating_sub(engine.late_connects);
+        self.open_channels(engine, engine_id, address, count);
+    }
+
+    /// A connection did not come up in its time. What waits for it goes elsewhere, and whatever comes up later carries
+    /// what comes next.
+    pub(super) fn on_connect_timeout(self: &Rc<Self>, channel: &Rc<Channel>) {
+        self.registry.counters.connections_late.add();
+        let engine_id = channel.engine_id;
+        let mut connection = channel.connection.borrow_mut();
+        let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
+        let health_checks = connection.mark_late();
+        drop(connection);
+        if !waiting.is_empty() {
+            let engine_id = format_args!("{engine_id:08x}");
+            tracing::warn!(%engine_id, pending_attempts = waiting.len(), "connect timeout");
+        }
+        for id in &waiting {
+            self.abandon(channel, id, Outcome::NoConnection);
+        }
+        self.report_health(engine_id, Outcome::NoConnection, health_checks);
+        let Some(late_connects) = self.count_late_connect(engine_id) else {
+            return;
+        };
+        if late_connects >= UNREACHABLE_AFTER_LATE_CONNECTS {
+            self.on_unreachable(engine_id);
+        } else if self.has_reuse_in_silence(engine_id) {
+            self.check_reachability(engine_id);
+        }
+    }
+
+    fn count_late_connect(&self, engine_id: u64) -> Option<u32> {
+        let mut engines = self.engines.borrow_mut();
+        let engine = engines.get_mut(&engine_id)?;
+        engine.late_connects += 1;
+        Some(engine.late_connects)
+    }
+
+    /// Whether something is out at the engine on a connection that had idled, and nothing came since.
+    fn has_reuse_in_silence(&self, engine_id: u64) -> bool {
+        let engines = self.engines.borrow();
+        let Some(engine) = engines.get(&engine_id) else {
+            return false;
+        };
+        let mut channels = engine.channels.iter();
+        channels.any(|channel| channel.connection.borrow().is_reused_in_silence())
+    }
+
+    /// No connection to the engine comes up. What went out on those that had idled, and brought nothing since, has
+    /// reached nobody either, as far as can be known: those connections end.
+    fn on_unreachable(&self, engine_id: u64) {
+        self.retire_idle(engine_id, SilenceScope::Zone);
+        let engines = self.engines.borrow();
+        let Some(engine) = engines.get(&engine_id) else {
+            return;
+        };
+        for channel in &engine.channels {
+            let mut connection = channel.connection.borrow_mut();
+            if connection.is_reused_in_silence() {
+                connection.close_reason = Some(CloseReason::EngineUnreachable);
+                channel.notify.notify();
+            }
+        }
+    }
+
+    /// Retires the idle connections that may be as dead as one that fell silent: the next attempts find out sooner, on
+    /// new ones, whether the engines are there.
+    pub(super) fn retire_idle(&self, engine_id: u64, scope: SilenceScope) {
+        let engines = self.engines.borrow();
+        let Some(silent) = engines.get(&engine_id) else {
+            return;
+        };
+        for (&other_id, engine) in engines.iter() {
+            let is_affected = match scope {
+                SilenceScope::Engine => other_id == engine_id,
+                SilenceScope::Zone => other_id == engine_id || engine.zone == silent.zone,
+            };
+            if !is_affected {
+                continue;
+            }
+            for channel in &engine.channels {
+                let is_idle = channel.connection.borrow().idle_since_ms().is_finite();
+                if is_idle {
+                    channel.retire();
+                }
+            }
+        }
+    }
+}
--- a/crates/dispatcher/src/engine/keep_alive.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -1,63 +1,84 @@
-//! How long a connection to an engine may idle and still be taken for alive. The other end, or what lies between, may
-//! close what idles, and what then goes out is lost without a sign of whether it was read; but where every attempt
-//! opens a connection of its own, a fleet opens more than it submits. How it stands is not told, so it is learned: from
-//! connections that idled and were used again. No I/O, no clock.
+//! How long a connection to an engine may idle and still be reused. No I/O, no clock.
+//!
+//! The other end, or a middlebox on the way, may close idle connections without a sign, and a request that then goes
+//! out is lost without a sign of whether it was read. Opening a connection for every attempt would avoid that, but
+//! then a fleet opens more connections than it sends queries. The true idle limit isn't known, so it is estimated:
+//! from connections that idled and were reused, and from what became of them.
 
-/// What idled for less than this (ms) is trusted in any case, by anyone.
-pub const LEAST: f64 = 50.0;
-/// Spans of idling that are told apart, each twice as long as the one before.
-const SPANS: usize = 12;
-/// Evidence fades in so long (ms): a middlebox may be replaced, a reset may have been one process.
-const FADES: f64 = 10_000.0;
-/// What is held for known at the start, as uses and losses: trust, until it is disappointed.
-const FIRST_USES: f64 = 5.0;
-const FIRST_LOST: f64 = 0.25;
-/// A longer idling is trusted while fewer of those used again are lost than this: each costs one more attempt of a
-/// query that may be repeated, about as much as the connections that are opened otherwise.
-const MAX_LOST: f64 = 0.1;
+/// Idle time (ms) below which a connection is always reused, also for what must not be lost.
+pub const MIN_IDLE_MS: f64 = 50.0;
+/// Idle times are counted in so many buckets; each is twice as wide as the one before, the first ends at twice
+/// [`MIN_IDLE_MS`].
+const BUCKETS: usize = 12;
+/// Time constant (ms) with which counts decay: a middlebox may be replaced, and a reset may have been one process.
+const DECAY_MS: f64 = 10_000.0;
+/// Prior of reuses that succeeded: connections are trusted until experience speaks against it.
+const PRIOR_REUSED: f64 = 5.0;
+/// Prior of reuses that were lost.
+const PRIOR_LOST: f64 = 0.25;
+/// A longer idle time is trusted while less than this fraction of reuses is lost. A loss costs one retry of a query
+/// that may be retried, about as much as the connections that would be opened otherwise.
+const MAX_LOST_FRACTION: f64 = 0.1;
 
-/// Fading counts, by spans of idling, of those that were used again.
+/// What became of a connection that was reused after it had idled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReuseOutcome {
+    /// The engine answered on it.
+    Answered,
+    /// It ended before it brought any answer.
+    Lost,
+}
+
+/// Estimator of the longest safe idle time: decaying counts of reused connections by the time they had idled.
 #[derive(Debug, Default)]
 pub struct KeepAlive {
-    kept: [f64; SPANS],
-    lost: [f64; SPANS],
-    at: f64,
+    answered: [f64; BUCKETS],
+    lost: [f64; BUCKETS],
+    /// When the counts were last decayed.
+    decayed_at_ms: f64,
 }
 
-fn span_of(idled: f64) -> usize {
-    ((idled / LEAST).max(1.0).log2() as usize).min(SPANS - 1)
+fn bucket_of(idle_ms: f64) -> usize {
+    let doublings = (idle_ms / MIN_IDLE_MS).max(1.0).log2();
+    (doublings as usize).min(BUCKETS - 1)
 }
 
 impl KeepAlive {
-    fn fade(&mut self, now: f64) {
-        let fading = ((self.at - now) / FADES).min(0.0).exp();
-        self.at = now.max(self.at);
-        self.kept
-            .iter_mut()
-            .chain(&mut self.lost)
-            .for_each(|count| *count *= fading);
+    fn decay(&mut self, now_ms: f64) {
+        let factor = ((self.decayed_at_ms - now_ms) / DECAY_MS).min(0.0).exp();
+        self.decayed_at_ms = now_ms.max(self.decayed_at_ms);
+        for count in self.answered.iter_mut().chain(&mut self.lost) {
+            *count *= factor;
+        }
     }
 
-    /// One that had idled for so long (ms) was used again, and told something or was lost with what went out.
-    pub fn learn(&mut self, now: f64, idled: f64, lost: bool) {
-        self.fade(now);
-        let counts = if lost { &mut self.lost } else { &mut self.kept };
-        counts[span_of(idled)] += 1.0;
+    /// A connection that had idled for `idle_ms` was reused, with this outcome.
+    pub fn record(&mut self, now_ms: f64, idle_ms: f64, outcome: ReuseOutcome) {
+        self.decay(now_ms);
+        let counts = match outcome {
+            ReuseOutcome::Answered => &mut self.answered,
+            ReuseOutcome::Lost => &mut self.lost,
+        };
+        counts[bucket_of(idle_ms)] += 1.0;
     }
 
-    /// How long (ms) a connection may idle to be used again; at least [`LEAST`]. What was lost after a short while
-    /// speaks against longer ones, what was kept after a long while for shorter ones.
-    pub fn longest(&mut self, now: f64) -> f64 {
-        self.fade(now);
-        let (mut lost, mut kept) = (0.0, self.kept.iter().sum::<f64>());
-        let mut longest = LEAST;
-        for span in 0..SPANS {
-            lost += self.lost[span];
-            if lost + FIRST_LOST > MAX_LOST * (lost + kept + FIRST_USES) {
-                return longest;
+    /// How long (ms) a connection may idle to be reused: [`MIN_IDLE_MS`] or more, infinite where no limit shows.
+    ///
+    /// A loss after a short idle time counts against all longer ones, a success after a long one for all shorter ones.
+    pub fn max_idle_ms(&mut self, now_ms: f64) -> f64 {
+        self.decay(now_ms);
+        // Losses up to the bucket looked at, and successes from it on.
+        let mut lost = 0.0;
+        let mut answered = self.answered.iter().sum::<f64>();
+        let mut max_idle_ms = MIN_IDLE_MS;
+        for bucket in 0..BUCKETS {
+            lost += self.lost[bucket];
+            let reuses = lost + answered + PRIOR_REUSED;
+            if lost + PRIOR_LOST > MAX_LOST_FRACTION * reuses {
+                return max_idle_ms;
             }
-            kept -= self.kept[span];
-            longest *= 2.0;
+            answered -= self.answered[bucket];
+            max_idle_ms *= 2.0;
         }
         f64::INFINITY
     }
--- /dev/null
+++ b/crates/dispatcher/src/engine/priorities.rs
@@ -0,0 +1,28 @@
+//! What an attempt is granted at its engine: class, time, memory and priority.
+
+use super::commands::Located;
+use super::pool::EnginePool;
+use crate::query_registry::Query;
+
+impl EnginePool {
+    /// Tells the engine the new priority of an attempt that is out.
+    pub(super) fn set_priority(&self, query_id: u64, priority: u8) {
+        if let Some(Located { channel, id }) = self.locate(query_id) {
+            channel.connection.borrow_mut().set_priority(&id, priority);
+            channel.notify.notify();
+        }
+    }
+}
+
+/// The fields of a request to an engine. What is not said is left to the engine.
+pub(super) fn request_fields(query: &Query, time_left_ms: f64) -> String {
+    let limit_ms = time_left_ms.floor().max(1.0) as u64;
+    let mut fields = format!("cls={},limit={limit_ms}{}", query.rg, query.marks);
+    if let Some((priority, memory_mb)) = query.granted {
+        if memory_mb > 0.0 {
+            fields += &format!(",mb={memory_mb:.3}");
+        }
+        fields += &format!(",nice={priority}");
+    }
+    fields
+}
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -1,105 +1,137 @@
 //! Reads and writes RESP arrays of bulk strings. Pure functions over bytes.
 
-pub const MAX_PARTS: usize = 8;
-/// A page holds 6,000 bytes at most.
-pub const MAX_PART: usize = 8 * 1024;
-const MAX_DIGITS: usize = 8;
+use super::protocol_error::ProtocolError;
 
-/// The parts of one array, borrowed from the bytes it came in.
+/// Elements of one array at most: the protocol's longest reply has 4.
+pub const MAX_ELEMENTS: usize = 8;
+/// Bytes of one element at most: the protocol's longest is a page of 6,000 bytes.
+pub const MAX_ELEMENT_BYTES: usize = 8 * 1024;
+/// Digits of a count or a length at most; more than any that the two limits above let through.
+const MAX_LENGTH_DIGITS: usize = 8;
+const CRLF: &[u8] = b"\r\n";
+
+/// One array, borrowed from the bytes that it came in.
 #[derive(Debug, PartialEq)]
 pub struct Frame<'a> {
-    parts: [&'a [u8]; MAX_PARTS],
+    elements: [&'a [u8]; MAX_ELEMENTS],
     count: usize,
-    /// Bytes that the array takes.
+    /// Bytes that the array takes in the input.
     pub size: usize,
 }
 
 impl<'a> Frame<'a> {
-    pub fn parts(&self) -> &[&'a [u8]] {
-        &self.parts[..self.count]
+    /// The array's elements.
+    pub fn elements(&self) -> &[&'a [u8]] {
+        &self.elements[..self.count]
     }
 
-    /// The `i`-th part, empty if there is none.
-    pub fn part(&self, i: usize) -> &'a [u8] {
-        self.parts().get(i).copied().unwrap_or(b"")
+    /// The element at `index`, empty if there is none.
+    pub fn element(&self, index: usize) -> &'a [u8] {
+        self.elements().get(index).copied().unwrap_or(b"")
     }
 }
 
-/// A number between `mark` and a line end; its value and where the next line begins.
-fn number(bytes: &[u8], at: usize, mark: u8) -> Result<Option<(usize, usize)>, &'static str> {
-    let rest = &bytes[at.min(bytes.len())..];
-    match rest.first() {
-        None => return Ok(None),
-        Some(&first) if first != mark => return Err("not an array of bulk strings"),
-        Some(_) => {}
+/// A count or a length that was read, and where the next line begins.
+struct Length {
+    value: usize,
+    next: usize,
+}
+
+/// Reads the line at `at`: `marker`, a decimal number, CRLF. `None` while it has not come whole.
+fn parse_length(bytes: &[u8], at: usize, marker: u8) -> Result<Option<Length>, ProtocolError> {
+    let line = &bytes[at.min(bytes.len())..];
+    let Some(&first) = line.first() else {
+        return Ok(None);
+    };
+    if first != marker {
+        return Err(ProtocolError::UnexpectedType {
+            expected: char::from(marker),
+            found: char::from(first),
+        });
     }
-    let digits = rest[1..].iter().take_while(|b| b.is_ascii_digit()).count();
-    if digits > MAX_DIGITS {
-        return Err("a length is too long");
+    let digits = line[1..]
+        .iter()
+        .take_while(|byte| byte.is_ascii_digit())
+        .count();
+    if digits > MAX_LENGTH_DIGITS {
+        return Err(ProtocolError::LengthTooLong { digits });
     }
-    match rest.get(1 + digits..) {
+    match line.get(1 + digits..) {
         Some([b'\r', b'\n', ..]) if digits > 0 => {
-            let text =
-                std::str::from_utf8(&rest[1..=digits]).map_err(|_| "a length is no number")?;
-            let value = text.parse().map_err(|_| "a length is no number")?;
-            Ok(Some((value, at + digits + 3)))
+            let text = std::str::from_utf8(&line[1..=digits]).ok();
+            let value = text.and_then(|text| text.parse().ok());
+            let value = value.ok_or(ProtocolError::MalformedLength)?;
+            let next = at + 1 + digits + CRLF.len();
+            Ok(Some(Length { value, next }))
         }
         Some([] | [b'\r']) => Ok(None),
-        _ => Err("a length is no number"),
+        _ => Err(ProtocolError::MalformedLength),
     }
 }
 
-/// The array at the start of `bytes`; none while it has not come whole.
-pub fn parse(bytes: &[u8]) -> Result<Option<Frame<'_>>, &'static str> {
-    let Some((count, mut at)) = number(bytes, 0, b'*')? else {
+/// The array at the start of `bytes`; `None` while it has not come whole.
+///
+/// # Errors
+/// The bytes can't be the beginning of an array within the limits, whatever may follow.
+pub fn parse(bytes: &[u8]) -> Result<Option<Frame<'_>>, ProtocolError> {
+    let Some(header) = parse_length(bytes, 0, b'*')? else {
         return Ok(None);
     };
-    if count > MAX_PARTS {
-        return Err("an array has too many parts");
+    let count = header.value;
+    if count > MAX_ELEMENTS {
+        return Err(ProtocolError::TooManyElements { count });
     }
-    let mut parts: [&[u8]; MAX_PARTS] = [b""; MAX_PARTS];
-    for part in &mut parts[..count] {
-        let Some((length, start)) = number(bytes, at, b'$')? else {
+    let mut elements: [&[u8]; MAX_ELEMENTS] = [b""; MAX_ELEMENTS];
+    let mut at = header.next;
+    for element in &mut elements[..count] {
+        let Some(header) = parse_length(bytes, at, b'$')? else {
             return Ok(None);
         };
-        if length > MAX_PART {
-            return Err("a bulk string is too long");
+        let length = header.value;
+        if length > MAX_ELEMENT_BYTES {
+            return Err(ProtocolError::ElementTooLong { length });
         }
-        let end = start + length;
+        let end = header.next + length;
         match bytes.get(end..) {
             Some([b'\r', b'\n', ..]) => {}
             None | Some([] | [b'\r']) => return Ok(None),
-            Some(_) => return Err("a bulk string does not end where it should"),
+            Some(_) => return Err(ProtocolError::MissingTerminator),
         }
-        *part = &bytes[start..end];
-        at = end + 2;
+        *element = &bytes[header.next..end];
+        at = end + CRLF.len();
     }
     Ok(Some(Frame {
-        parts,
+        elements,
         count,
         size: at,
     }))
 }
 
-/// Writes an array of `parts`, or its beginning where `more` is the length of a last part that follows.
-pub fn write(to: &mut Vec<u8>, parts: &[&[u8]], more: Option<usize>) {
-    to.extend_from_slice(format!("*{}\r\n", parts.len() + usize::from(more.is_some())).as_bytes());
-    for part in parts {
-        to.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
-        to.extend_from_slice(part);
-        to.extend_from_slice(b"\r\n");
+/// Appends an array of `elements` to `out`. Where `last_length` is given, the array has one more element of so many
+/// bytes: only its length line is written, the caller adds its bytes and CRLF.
+pub fn write(out: &mut Vec<u8>, elements: &[&[u8]], last_length: Option<usize>) {
+    let count = elements.len() + usize::from(last_length.is_some());
+    out.extend_from_slice(format!("*{count}\r\n").as_bytes());
+    for element in elements {
+        out.extend_from_slice(format!("${}\r\n", element.len()).as_bytes());
+        out.extend_from_slice(element);
+        out.extend_from_slice(CRLF);
     }
-    if let Some(length) = more {
-        to.extend_from_slice(format!("${length}\r\n").as_bytes());
+    if let Some(length) = last_length {
+        out.extend_from_slice(format!("${length}\r\n").as_bytes());
     }
 }
 
 /// The value of `name` in a list of fields `name=value,name=value`.
 pub fn field<'a>(fields: &'a [u8], name: &str) -> Option<&'a str> {
     let text = std::str::from_utf8(fields).ok()?;
-    text.split(',')
-        .find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name))
-        .map(|(_, value)| value)
+    for pair in text.split(',') {
+        match pair.split_once('=') {
+            Some((key, value)) if key == name => return Some(value),
+            _ => {}
+        }
+    }
+    None
 }
 
 #[cfg(test)]
--- a/crates/dispatcher/src/engine/resp/tests.rs
+++ b/crates/dispatcher/src/engine/resp/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn an_array_is_read_once_it_is_whole_however_it_is_split() {
+fn an_array_is_parsed_only_when_it_is_complete() {
     let mut bytes = Vec::new();
     write(
         &mut bytes,
@@ -15,18 +15,21 @@
     bytes.extend_from_slice(b"*1\r\n");
     let frame = parse(&bytes).unwrap().unwrap();
     assert_eq!(
-        frame.parts(),
+        frame.elements(),
         [b"9b1f".as_slice(), b"DONE", b"batches=2,x=1", b"a\tb\r\nc"]
     );
-    assert_eq!((frame.size, frame.part(7)), (size, b"".as_slice()));
+    assert_eq!((frame.size, frame.element(7)), (size, b"".as_slice()));
     assert_eq!(
-        (field(frame.part(2), "batches"), field(frame.part(2), "y")),
+        (
+            field(frame.element(2), "batches"),
+            field(frame.element(2), "y")
+        ),
         (Some("2"), None)
     );
 }
 
 #[test]
-fn hostile_and_over_long_arrays_are_refused() {
+fn malformed_and_oversized_arrays_are_errors() {
     let cases: [&[u8]; 9] = [
         b"+OK\r\n",
         b"*x\r\n",
@@ -45,7 +48,7 @@
 }
 
 #[test]
-fn no_byte_that_is_turned_makes_it_panic() {
+fn no_flipped_byte_makes_the_parser_panic() {
     let mut whole = Vec::new();
     write(&mut whole, &[b"9b1f", b"DONE", b"batches=2", b"a\n"], None);
     for at in 0..whole.len() {
@@ -60,9 +63,9 @@
 }
 
 #[test]
-fn the_beginning_of_an_array_leaves_room_for_its_last_part() {
+fn an_array_can_be_begun_without_its_last_element() {
     let mut bytes = Vec::new();
     write(&mut bytes, &[b"fetch", b"id", b"-"], Some(3));
     bytes.extend_from_slice(b"abc\r\n");
-    assert_eq!(parse(&bytes).unwrap().unwrap().part(3), b"abc");
+    assert_eq!(parse(&bytes).unwrap().unwrap().element(3), b"abc");
 }
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::clock::Clock;
 use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
 use tansymux::interface::Text;
 
@@ -22,7 +23,7 @@
 }
 
 /// A attempt that waits for its connection, which stays coming up, as no task runs.
-fn waiting(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
+fn queued_attempt(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let settings = ConnectionSettings {
         connect_timeout_ms: 250.0,
         idle_timeout_ms: 30_000.0,
@@ -35,8 +36,8 @@
         Rc::new(QueryRegistry::default()),
         Rc::new(LocalExecutor::new()),
     );
-    let side = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
-    side.upsert_endpoint(&engine(EngineStatus::Ready, None, 9));
+    let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
+    pool.upsert_endpoint(&engine(EngineStatus::Ready, None, 9));
     let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
     let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
@@ -56,12 +57,12 @@
     };
     let (query, slot) = registry.take(&asked).unwrap();
     registry.submit(query, 7, bounds);
-    side.execute_commands();
-    (registry, side, query, slot)
+    pool.execute_commands();
+    (registry, pool, query, slot)
 }
 
 /// Whether its end was told, as of one that never ran.
-fn taken_back(registry: &QueryRegistry) -> bool {
+fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
             e,
@@ -75,44 +76,44 @@
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
-    for (then, back) in [
+fn queued_attempt_is_withdrawn_when_its_engine_drains_leaves_or_restarts() {
+    for (then, withdrawn) in [
         (engine(EngineStatus::Ready, None, 9), false),
         (engine(EngineStatus::Draining, None, 9), true),
         (engine(EngineStatus::Gone, None, 9), true),
         (engine(EngineStatus::Ready, Some(5.0), 9), true),
         (engine(EngineStatus::Ready, None, 10), true),
     ] {
-        let (registry, side, ..) = waiting(LONG);
-        side.upsert_endpoint(&then);
-        assert_eq!(taken_back(&registry), back, "{then:?}");
+        let (registry, pool, ..) = queued_attempt(LONG);
+        pool.upsert_endpoint(&then);
+        assert_eq!(was_withdrawn(&registry), withdrawn, "{then:?}");
     }
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
-    let (registry, side, query, _slot) = waiting(LONG);
+fn queued_attempt_is_withdrawn_when_its_query_completes() {
+    let (registry, pool, query, _slot) = queued_attempt(LONG);
     registry.vanished(query);
-    side.execute_commands();
-    assert!(taken_back(&registry));
-    let (registry, side, query, _slot) = waiting(LONG);
+    pool.execute_commands();
+    assert!(was_withdrawn(&registry));
+    let (registry, pool, query, _slot) = queued_attempt(LONG);
     assert!(registry.answer(query, crate::query_registry::Answer::Failed));
-    side.execute_commands();
-    assert!(taken_back(&registry));
+    pool.execute_commands();
+    assert!(was_withdrawn(&registry));
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (registry, side, ..) = waiting(Bounds {
+fn queued_attempt_is_withdrawn_once_it_may_not_begin() {
+    let (registry, pool, ..) = queued_attempt(Bounds {
         begin_by: Clock::start().now() + 30.0,
         ..LONG
     });
-    let next = side.expire();
-    assert!(!taken_back(&registry));
-    // The sweep itself tells when it is due again.
+    let next = pool.expire();
+    assert!(!was_withdrawn(&registry));
+    // The call itself says when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
-        (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
+        (next - pool.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
-    side.expire();
-    assert!(taken_back(&registry));
+    pool.expire();
+    assert!(was_withdrawn(&registry));
 }
