Engine side split by concern, with typed errors

Change: one file a concern: pool (which connections), channel (one connection's life), connection (its state machine, with attempt, outbox, receive, deadlines), commands, priorities, health, timeouts, reports, settings. ProtocolError, RowsError, CloseReason and ChannelError are typed. Wire bytes, order of iteration and of sums as before.

--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -135,15 +135,7 @@
         address: SocketAddr,
     ) -> Result<(), ChannelError> {
         let stream = self.connect(channel, address).await?;
-        let mut connection = channel.connection.borrow_mut();
-        if connection.state == ConnectionState::Late {
-            self.registry.counters.connections_late_up.add();
-        }
-        connection.mark_up(self.clock.now());
-        drop(connection);
-        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
-            engine.late_connects = 0;
-        }
+        self.on_connected(channel);
         // Without it, a request may wait for the acknowledgement of the one before; it works either way.
         let _ = stream.get_ref().set_nodelay(true);
         future::or(self.read(channel, &stream), self.write(channel, &stream)).await
@@ -166,6 +158,17 @@
         }
     }
 
+    fn on_connected(&self, channel: &Channel) {
+        let mut connection = channel.connection.borrow_mut();
+        if connection.state == ConnectionState::Late {
+            self.registry.counters.connects_after_timeout.increment();
+        }
+        connection.on_connected(self.clock.now());
+        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
+            engine.late_connects = 0;
+        }
+    }
+
     // ---- Writing ----
 
     /// Writes what waits, until the connection is retired and nothing is out.
@@ -292,7 +295,7 @@
                 query_id,
                 attempt,
                 note,
-            } => self.registry.push_event(Event::Noted {
+            } => self.registry.push_event(Event::ProgressReported {
                 query: query_id,
                 attempt,
                 note: note.note,
@@ -368,7 +371,7 @@
 
     fn note_error(&self, channel: &Channel, error: &ChannelError, lost_attempts: usize) {
         if error.is_protocol_error() {
-            self.registry.counters.connections_spoilt.add();
+            self.registry.counters.protocol_errors.increment();
         }
         if lost_attempts > 0 {
             let engine_id = format_args!("{:08x}", channel.engine_id);
@@ -387,7 +390,7 @@
         }
         let mut keep_alive = self.keep_alive.borrow_mut();
         keep_alive.record(now_ms, reuse.idle_ms, ReuseOutcome::Lost);
-        self.registry.counters.connections_lost_idle.add();
+        self.registry.counters.idle_connections_lost.increment();
         true
     }
 }
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -21,7 +21,7 @@
 }
 
 /// An attempt that was ordered.
-struct Submission {
+struct AttemptOrder {
     query_id: u64,
     number: usize,
     engine_id: u64,
@@ -47,7 +47,7 @@
                     attempt,
                     engine_id,
                     bounds,
-                } => self.submit(&Submission {
+                } => self.submit(&AttemptOrder {
                     query_id: query,
                     number: attempt,
                     engine_id,
@@ -58,29 +58,29 @@
                 EngineCommand::SetPriority { query, priority } => {
                     self.set_priority(query, priority)
                 }
-                EngineCommand::Probe { engine_id } => self.check_health(engine_id),
+                EngineCommand::HealthCheck { engine_id } => self.check_health(engine_id),
             }
         }
     }
 
-    fn submit(self: &Rc<Self>, submission: &Submission) {
+    fn submit(self: &Rc<Self>, order: &AttemptOrder) {
         let now_ms = self.clock.now();
-        let Some(request) = self.request_of(submission, now_ms) else {
+        let Some(request) = self.request_of(order, now_ms) else {
             return;
         };
-        let bounds = submission.bounds;
-        let Some(channel) = self.select_channel(submission.engine_id, &request.id, bounds.harmless)
+        let bounds = order.bounds;
+        let Some(channel) = self.select_channel(order.engine_id, &request.id, bounds.harmless)
         else {
             return self.report_ended(AttemptReport {
-                query_id: submission.query_id,
-                attempt: submission.number,
+                query_id: order.query_id,
+                attempt: order.number,
                 outcome: Outcome::NoConnection,
-                engine_id: submission.engine_id,
+                engine_id: order.engine_id,
                 latency_ms: 0.0,
                 pages: Pages::new(),
             });
         };
-        let attempt = Attempt::new(submission.query_id, submission.number, now_ms, bounds);
+        let attempt = Attempt::new(order.query_id, order.number, now_ms, bounds);
         let mut connection = channel.connection.borrow_mut();
         connection.submit(&request.id, &request.fields, request.statement, attempt);
         let went_out_after_idling = connection
@@ -93,13 +93,13 @@
         channel.notify.notify();
     }
 
-    fn request_of(&self, submission: &Submission, now_ms: f64) -> Option<Request> {
-        let time_left_ms = submission.bounds.until - now_ms;
-        self.registry.with(submission.query_id, |query| Request {
+    fn request_of(&self, order: &AttemptOrder, now_ms: f64) -> Option<Request> {
+        let time_left_ms = order.bounds.until - now_ms;
+        self.registry.with_query(order.query_id, |query| Request {
             id: query.id.clone(),
             fields: request_fields(query, time_left_ms),
             statement: query.statement.clone(),
-            cost_ms: query.cost,
+            cost_ms: query.estimated_cost_ms,
         })
     }
 
@@ -118,7 +118,9 @@
 
     /// The connection on which an attempt of the query is out.
     pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
-        let id = self.registry.with(query_id, |query| query.id.clone())?;
+        let id = self
+            .registry
+            .with_query(query_id, |query| query.id.clone())?;
         let engines = self.engines.borrow();
         for channel in engines.values().flat_map(|engine| &engine.channels) {
             let connection = channel.connection.borrow();
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -4,18 +4,16 @@
 mod attempt;
 mod deadlines;
 mod outbox;
+mod receive;
 
-pub use attempt::{Attempt, ProgressNote};
+pub use attempt::Attempt;
+pub use receive::FrameEvent;
 
 use super::protocol_error::ProtocolError;
-use super::resp::Frame;
-use crate::query_registry::Pages;
-use attempt::{parse_progress_note, ResultProgress};
 use outbox::{Outbox, Withdrawal};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io::IoSlice;
 use std::rc::Rc;
-use tansymux::interface::Outcome;
 use thiserror::Error;
 
 /// Bytes that may wait to be written before a connection takes no further attempt.
@@ -92,37 +90,6 @@
     pub was_sent: bool,
 }
 
-/// What a frame from the engine says.
-#[derive(Debug, PartialEq)]
-pub enum FrameEvent {
-    /// An attempt has its final answer.
-    AttemptEnded {
-        /// The query's number in the registry.
-        query_id: u64,
-        /// The attempt's number within the query.
-        attempt: usize,
-        /// How it ended.
-        outcome: Outcome,
-        /// When it was handed to the connection (ms).
-        sent_ms: f64,
-        /// Its result.
-        pages: Pages,
-    },
-    /// An attempt that is out has come on, or hasn't.
-    Progress {
-        /// The query's number in the registry.
-        query_id: u64,
-        /// The attempt's number within the query.
-        attempt: usize,
-        /// What the note says.
-        note: ProgressNote,
-    },
-    /// A health check was answered.
-    HealthChecked(Outcome),
-    /// Nothing that anyone waits for: a second copy, or about what is no longer out here.
-    Ignored,
-}
-
 /// A connection to an engine. Times are milliseconds of the program's clock.
 #[derive(Debug)]
 pub struct Connection {
@@ -177,7 +144,7 @@
     // ---- Transitions ----
 
     /// The connect timed out. Health checks that wait for it are dropped; their number.
-    pub fn mark_late(&mut self) -> usize {
+    pub fn on_connect_timeout(&mut self) -> usize {
         self.state = ConnectionState::Late;
         let dropped = std::mem::take(&mut self.health_checks).len();
         self.outbox.discard_commands();
@@ -185,7 +152,7 @@
     }
 
     /// The connection is there. If nothing waits for it any more, it idles from now on and is as good as new.
-    pub fn mark_up(&mut self, now_ms: f64) {
+    pub fn on_connected(&mut self, now_ms: f64) {
         self.state = ConnectionState::Up;
         self.last_used_ms = now_ms;
         if self.in_flight() == 0 {
@@ -324,96 +291,6 @@
     pub fn advance(&mut self, count: usize) {
         self.outbox.advance(count);
     }
-
-    // ---- What comes in ----
-
-    /// Takes in a frame. One that names nothing that is out here is ignored: a second copy, or an answer that came late.
-    ///
-    /// # Errors
-    /// The frame can't be used. Its attempt stays out until the connection ends with the error.
-    pub fn receive(&mut self, frame: &Frame, now_ms: f64) -> Result<FrameEvent, ProtocolError> {
-        self.last_frame_ms = now_ms;
-        let id = std::str::from_utf8(frame.element(0)).map_err(|_| ProtocolError::InvalidId)?;
-        let word = frame.element(1);
-        let fields = frame.element(2);
-        if let Some(index) = self
-            .health_checks
-            .iter()
-            .position(|check| &*check.tag == id)
-        {
-            self.health_checks.swap_remove(index);
-            return Ok(FrameEvent::HealthChecked(health_outcome(word)));
-        }
-        let Some(attempt) = self.attempts.get_mut(id) else {
-            return Ok(FrameEvent::Ignored);
-        };
-        let outcome = match word {
-            b"TELL" => return Ok(progress_event(attempt, fields)),
-            // A second copy of the first page.
-            b"DONE" if attempt.page_count() > 0 => return Ok(FrameEvent::Ignored),
-            b"DONE" => match attempt.add_first_page(fields, frame.element(3))? {
-                ResultProgress::Complete => Outcome::Completed,
-                ResultProgress::Incomplete => {
-                    let pages = attempt.page_count();
-                    request_further_pages(&mut self.outbox, id, pages);
-                    return Ok(FrameEvent::Ignored);
-                }
-            },
-            b"MORE" => match attempt.add_further_page(fields, frame.element(3))? {
-                ResultProgress::Complete => {
-                    self.outbox.push_command(&[b"done", id.as_bytes()]);
-                    Outcome::Completed
-                }
-                ResultProgress::Incomplete => return Ok(FrameEvent::Ignored),
-            },
-            b"WAIT" => Outcome::Full,
-            b"PAST" => Outcome::NotSent,
-            b"BROKE" => Outcome::Error,
-            _ => return Err(ProtocolError::UnknownReply),
-        };
-        Ok(self.complete(id, outcome, now_ms))
-    }
-
-    /// The attempt has its final answer.
-    fn complete(&mut self, id: &str, outcome: Outcome, now_ms: f64) -> FrameEvent {
-        let Some(mut attempt) = self.attempts.remove(id) else {
-            return FrameEvent::Ignored;
-        };
-        self.last_used_ms = now_ms;
-        FrameEvent::AttemptEnded {
-            query_id: attempt.query_id,
-            attempt: attempt.number,
-            outcome,
-            sent_ms: attempt.sent_ms,
-            pages: attempt.take_pages(),
-        }
-    }
-}
-
-fn health_outcome(word: &[u8]) -> Outcome {
-    if word == b"FIT" {
-        Outcome::Completed
-    } else {
-        Outcome::Error
-    }
-}
-
-fn progress_event(attempt: &Attempt, fields: &[u8]) -> FrameEvent {
-    match parse_progress_note(fields) {
-        Some(note) => FrameEvent::Progress {
-            query_id: attempt.query_id,
-            attempt: attempt.number,
-            note,
-        },
-        None => FrameEvent::Ignored,
-    }
-}
-
-fn request_further_pages(outbox: &mut Outbox, id: &str, pages: usize) {
-    for page in 1..pages {
-        let page = page.to_string();
-        outbox.push_command(&[b"more", id.as_bytes(), page.as_bytes()]);
-    }
 }
 
 #[cfg(test)]
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -94,7 +94,7 @@
     }
 
     /// Adds a further page, whose fields say which one it is. A second copy takes the place of the first.
-    pub fn add_further_page(
+    pub fn add_numbered_page(
         &mut self,
         fields: &[u8],
         page: &[u8],
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -1,6 +1,7 @@
+use super::attempt::ProgressNote;
 use super::*;
 use crate::engine::resp;
-use tansymux::interface::{Bounds, Note};
+use tansymux::interface::{Bounds, Note, Outcome};
 
 fn connection() -> Connection {
     let mut connection = Connection::new(0.0);
--- a/crates/dispatcher/src/engine/health.rs
+++ b/crates/dispatcher/src/engine/health.rs
@@ -41,7 +41,7 @@
     pub(super) fn report_health(&self, engine_id: u64, outcome: Outcome, count: usize) {
         for _ in 0..count {
             self.registry
-                .push_event(Event::Probed { engine_id, outcome });
+                .push_event(Event::HealthCheckEnded { engine_id, outcome });
         }
     }
 
@@ -68,11 +68,11 @@
     /// A connection did not come up in its time. What waits for it goes elsewhere, and whatever comes up later carries
     /// what comes next.
     pub(super) fn on_connect_timeout(self: &Rc<Self>, channel: &Rc<Channel>) {
-        self.registry.counters.connections_late.add();
+        self.registry.counters.connect_timeouts.increment();
         let engine_id = channel.engine_id;
         let mut connection = channel.connection.borrow_mut();
         let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
-        let health_checks = connection.mark_late();
+        let health_checks = connection.on_connect_timeout();
         drop(connection);
         if !waiting.is_empty() {
             let engine_id = format_args!("{engine_id:08x}");
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -203,11 +203,7 @@
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
         let is_full = self.connections.get() >= self.settings.max_connections;
-        let evictable = if is_full {
-            idle_the_longest(&engines)
-        } else {
-            None
-        };
+        let evictable = is_full.then(|| least_recently_used(&engines)).flatten();
         let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
         let now_ms = self.clock.now();
@@ -224,9 +220,7 @@
         let channel = match best {
             Some(best) if best.suitability <= Suitability::Fresh || !may_open => best.channel,
             _ if may_open => {
-                if let Some(evictable) = evictable {
-                    evictable.retire();
-                }
+                evictable.iter().for_each(|idle| idle.retire());
                 self.open_channel(engine, engine_id, address)
             }
             _ => {
@@ -234,7 +228,7 @@
                 return None;
             }
         };
-        // Where none that idled is trusted, one more is opened ahead, so that the next attempt need not wait for it.
+        // Where no idle connection is trusted, one more is opened ahead, so that the next attempt need not wait for it.
         let needs_spare = may_open && !is_full && max_idle_ms <= MIN_IDLE_MS;
         if needs_spare && !engine.has_spare_beside(&channel) {
             self.open_channel(engine, engine_id, address);
@@ -271,7 +265,7 @@
         let channel = Rc::new(Channel::new(engine_id, self.clock.now()));
         engine.channels.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
-        self.registry.counters.connections_to_engines.add();
+        self.registry.counters.engine_connections_opened.increment();
         let run = self.clone().run_channel(channel.clone(), address);
         self.executor.spawn(run).detach();
         channel
@@ -291,7 +285,7 @@
 }
 
 /// The connection that has idled longest.
-fn idle_the_longest(engines: &FxHashMap<u64, Engine>) -> Option<Rc<Channel>> {
+fn least_recently_used(engines: &FxHashMap<u64, Engine>) -> Option<Rc<Channel>> {
     let idle_since_ms = |channel: &Rc<Channel>| channel.connection.borrow().idle_since_ms();
     let channels = engines.values().flat_map(|engine| &engine.channels);
     let idle = channels.filter(|channel| idle_since_ms(channel).is_finite());
--- a/crates/dispatcher/src/engine/priorities.rs
+++ b/crates/dispatcher/src/engine/priorities.rs
@@ -17,12 +17,15 @@
 /// The fields of a request to an engine. What is not said is left to the engine.
 pub(super) fn request_fields(query: &Query, time_left_ms: f64) -> String {
     let limit_ms = time_left_ms.floor().max(1.0) as u64;
-    let mut fields = format!("cls={},limit={limit_ms}{}", query.rg, query.marks);
-    if let Some((priority, memory_mb)) = query.granted {
-        if memory_mb > 0.0 {
-            fields += &format!(",mb={memory_mb:.3}");
+    let mut fields = format!(
+        "cls={},limit={limit_ms}{}",
+        query.resource_group, query.key_fields
+    );
+    if let Some(grant) = query.grant {
+        if grant.memory_mb > 0.0 {
+            fields += &format!(",mb={:.3}", grant.memory_mb);
         }
-        fields += &format!(",nice={priority}");
+        fields += &format!(",nice={}", grant.priority);
     }
     fields
 }
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -25,7 +25,7 @@
 
 impl From<AttemptReport> for Event {
     fn from(report: AttemptReport) -> Event {
-        Event::Closed {
+        Event::AttemptEnded {
             query: report.query_id,
             attempt: report.attempt,
             outcome: report.outcome,
@@ -39,7 +39,7 @@
 impl EnginePool {
     /// Reports the end of an attempt at once.
     pub(super) fn report_ended(&self, report: AttemptReport) {
-        self.registry.counters.ended(report.outcome);
+        self.registry.counters.count_outcome(report.outcome);
         tracing::debug!(
             query_id = report.query_id,
             attempt = report.attempt,
@@ -53,7 +53,7 @@
 
     /// Reports the end of an attempt that was abandoned from here, once that has settled.
     pub(super) fn report_abandoned(&self, report: AttemptReport) {
-        self.registry.counters.ended(report.outcome);
+        self.registry.counters.count_outcome(report.outcome);
         let due_ms = self.clock.now() + SETTLE_MS;
         self.settling
             .borrow_mut()
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,7 +1,13 @@
 use super::*;
 use crate::clock::Clock;
-use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
-use tansymux::interface::Text;
+use crate::query_registry::{
+    AnswerSlot, EndpointEntry, Event, QueryRegistry, QueryRequest, RequestKeys,
+};
+use async_executor::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansymux::interface::{Bounds, EngineStatus, Outcome, Text};
 
 const LONG: Bounds = Bounds {
     until: 1e15,
@@ -22,7 +28,7 @@
     }
 }
 
-/// A attempt that waits for its connection, which stays coming up, as no task runs.
+/// An attempt that waits for its connection, which stays coming up, as no task runs.
 fn queued_attempt(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let settings = ConnectionSettings {
         connect_timeout_ms: 250.0,
@@ -32,41 +38,36 @@
         max_streams: 32,
         max_connections: 8,
     };
-    let (registry, executor) = (
-        Rc::new(QueryRegistry::default()),
-        Rc::new(LocalExecutor::new()),
-    );
+    let registry = Rc::new(QueryRegistry::default());
+    let executor = Rc::new(LocalExecutor::new());
     let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
     pool.upsert_endpoint(&engine(EngineStatus::Ready, None, 9));
-    let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-    let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
-    let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
-    let asked = QueryRequest {
-        id,
-        rg,
-        tenant,
-        statement,
-        since,
-        due,
-        cost,
-        memory,
-        tables,
-        text,
-        shape,
-        marks,
+    let request = QueryRequest {
+        id: "00000000000000aa",
+        resource_group: "look",
+        tenant: "",
+        statement: b"SELECT 1",
+        received_ms: 0.0,
+        deadline_ms: 1e15,
+        estimated_cost_ms: 1.0,
+        memory_mb: 1.0,
+        tables: 1,
+        text: Text::UNREAD,
+        shape: None,
+        keys: RequestKeys::default(),
     };
-    let (query, slot) = registry.take(&asked).unwrap();
+    let (query, slot) = registry.admit(&request).unwrap();
     registry.submit(query, 7, bounds);
     pool.execute_commands();
     (registry, pool, query, slot)
 }
 
-/// Whether its end was told, as of one that never ran.
+/// Whether its end was reported, as of one that never ran.
 fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
             e,
-            Event::Closed {
+            Event::AttemptEnded {
                 outcome: Outcome::NoConnection,
                 ..
             }
@@ -93,7 +94,7 @@
 #[test]
 fn queued_attempt_is_withdrawn_when_its_query_completes() {
     let (registry, pool, query, _slot) = queued_attempt(LONG);
-    registry.vanished(query);
+    registry.client_left(query);
     pool.execute_commands();
     assert!(was_withdrawn(&registry));
     let (registry, pool, query, _slot) = queued_attempt(LONG);
