--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 use thiserror::Error;
 
 /// A connect that timed out is waited for so many times as long again: it may carry what comes next.
@@ -298,7 +298,7 @@
             } => self.registry.push_event(Event::ProgressReported {
                 query: query_id,
                 attempt,
-                note: note.note,
+                note: note.kind,
                 amount: note.amount,
             }),
             FrameEvent::HealthChecked(outcome) => self.report_health(channel.engine_id, outcome, 1),
@@ -329,8 +329,8 @@
             is_abandoned: is_protocol_error || was_up && is_local,
             next_outcome: Outcome::Reset,
         };
-        let may_be_lost_reuse = was_up && !loss.is_abandoned && !attempts.is_empty();
-        if may_be_lost_reuse && self.note_lost_reuse(&connection, now_ms) {
+        let side_effect_free_reuse = was_up && !loss.is_abandoned && !attempts.is_empty();
+        if side_effect_free_reuse && self.note_lost_reuse(&connection, now_ms) {
             loss.next_outcome = Outcome::Cancelled;
         }
         for (id, attempt) in attempts {
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -8,7 +8,7 @@
 use super::settings::MIN_SILENCE_MS;
 use crate::query_registry::{EngineCommand, Pages};
 use std::rc::Rc;
-use tansymux::interface::{Bounds, Outcome};
+use tansymux::events::{AttemptLimits, Outcome};
 
 /// An attempt on a connection that had idled has the engine checked over another connection when nothing came for so
 /// many times its estimated run time: a connection that died silently takes what goes out and brings nothing.
@@ -25,7 +25,7 @@
     query_id: u64,
     number: usize,
     engine_id: u64,
-    bounds: Bounds,
+    limits: AttemptLimits,
 }
 
 /// What the registry knows of a query that an attempt needs.
@@ -46,12 +46,12 @@
                     query,
                     attempt,
                     engine_id,
-                    bounds,
+                    bounds: limits,
                 } => self.submit(&AttemptOrder {
                     query_id: query,
                     number: attempt,
                     engine_id,
-                    bounds,
+                    limits,
                 }),
                 EngineCommand::Withdraw { query } => self.withdraw(query),
                 EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
@@ -68,8 +68,9 @@
         let Some(request) = self.request_of(order, now_ms) else {
             return;
         };
-        let bounds = order.bounds;
-        let Some(channel) = self.select_channel(order.engine_id, &request.id, bounds.harmless)
+        let limits = order.limits;
+        let Some(channel) =
+            self.select_channel(order.engine_id, &request.id, limits.side_effect_free)
         else {
             return self.report_ended(AttemptReport {
                 query_id: order.query_id,
@@ -80,7 +81,7 @@
                 pages: Pages::new(),
             });
         };
-        let attempt = Attempt::new(order.query_id, order.number, now_ms, bounds);
+        let attempt = Attempt::new(order.query_id, order.number, now_ms, limits);
         let mut connection = channel.connection.borrow_mut();
         connection.submit(&request.id, &request.fields, request.statement, attempt);
         let went_out_after_idling = connection
@@ -94,7 +95,7 @@
     }
 
     fn request_of(&self, order: &AttemptOrder, now_ms: f64) -> Option<Request> {
-        let time_left_ms = order.bounds.until - now_ms;
+        let time_left_ms = order.limits.deadline_ms - now_ms;
         self.registry.with_query(order.query_id, |query| Request {
             id: query.id.clone(),
             fields: request_fields(query, time_left_ms),
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -4,7 +4,7 @@
 use crate::engine::resp;
 use crate::engine::rows::json_rows;
 use crate::query_registry::Pages;
-use tansymux::interface::{Bounds, Note};
+use tansymux::events::{AttemptLimits, NoteKind};
 
 /// Pages of one result at most; the protocol's longest result has 8 of them.
 const MAX_PAGES: usize = 64;
@@ -23,7 +23,7 @@
     /// When it is abandoned.
     pub deadline_ms: f64,
     /// Its request's first byte goes out before this, or not at all.
-    pub begin_by_ms: f64,
+    pub start_by_ms: f64,
     /// Pages by their numbers, as they come; empty until the first one says how many there are.
     pages: Vec<Option<Vec<u8>>>,
     missing_pages: usize,
@@ -42,20 +42,20 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ProgressNote {
     /// Which kind of note it is.
-    pub note: Note,
+    pub kind: NoteKind,
     /// The note's number; its meaning depends on the kind.
     pub amount: f64,
 }
 
 impl Attempt {
     /// An attempt that is handed to a connection at `sent_ms`.
-    pub fn new(query_id: u64, number: usize, sent_ms: f64, bounds: Bounds) -> Self {
+    pub fn new(query_id: u64, number: usize, sent_ms: f64, limits: AttemptLimits) -> Self {
         Attempt {
             query_id,
             number,
             sent_ms,
-            deadline_ms: bounds.until,
-            begin_by_ms: bounds.begin_by,
+            deadline_ms: limits.deadline_ms,
+            start_by_ms: limits.start_by_ms,
             pages: Vec::new(),
             missing_pages: 0,
         }
@@ -63,8 +63,8 @@
 
     /// When something has to be done about this attempt next.
     pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
-        if self.begin_by_ms > now_ms {
-            self.deadline_ms.min(self.begin_by_ms)
+        if self.start_by_ms > now_ms {
+            self.deadline_ms.min(self.start_by_ms)
         } else {
             self.deadline_ms
         }
@@ -130,12 +130,12 @@
 
 /// The progress note that the fields of a `TELL` hold; `None` for kinds that nobody here needs and for what is no note.
 pub fn parse_progress_note(fields: &[u8]) -> Option<ProgressNote> {
-    let note = match resp::field(fields, "tell")? {
-        "frac" => Note::Progress,
-        "missing" => Note::Spills,
-        "parked" => Note::Waits,
+    let kind = match resp::field(fields, "tell")? {
+        "frac" => NoteKind::Progress,
+        "missing" => NoteKind::Spilling,
+        "parked" => NoteKind::Waiting,
         _ => return None,
     };
     let amount: f64 = resp::field(fields, "num")?.parse().ok()?;
-    amount.is_finite().then_some(ProgressNote { note, amount })
+    amount.is_finite().then_some(ProgressNote { kind, amount })
 }
--- a/crates/dispatcher/src/engine/connection/deadlines.rs
+++ b/crates/dispatcher/src/engine/connection/deadlines.rs
@@ -21,7 +21,7 @@
     pub fn too_late_to_begin(&self, now_ms: f64) -> impl Iterator<Item = Rc<str>> + '_ {
         let too_late = move |id: &Rc<str>| {
             let attempt = self.attempts.get(id);
-            attempt.is_some_and(|attempt| attempt.begin_by_ms <= now_ms)
+            attempt.is_some_and(|attempt| attempt.start_by_ms <= now_ms)
         };
         self.unstarted_requests().filter(too_late)
     }
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -6,7 +6,7 @@
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::resp::Frame;
 use crate::query_registry::Pages;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 /// What a frame from the engine says.
 #[derive(Debug, PartialEq)]
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -1,7 +1,7 @@
 use super::attempt::ProgressNote;
 use super::*;
 use crate::engine::resp;
-use tansymux::interface::{Bounds, Note, Outcome};
+use tansymux::events::{AttemptLimits, NoteKind, Outcome};
 
 fn connection() -> Connection {
     let mut connection = Connection::new(0.0);
@@ -18,10 +18,10 @@
             query_id,
             0,
             5.0,
-            Bounds {
-                until: 90.0,
-                begin_by: 90.0,
-                harmless: true,
+            AttemptLimits {
+                deadline_ms: 90.0,
+                start_by_ms: 90.0,
+                side_effect_free: true,
             },
         ),
     );
@@ -200,13 +200,13 @@
 #[test]
 fn only_unwritten_requests_are_too_late_to_begin() {
     let mut connection = connection();
-    for (id, begin_by) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
-        let bounds = Bounds {
-            until: 90.0,
-            begin_by,
-            harmless: false,
+    for (id, start_by_ms) in [("i1", 7.0), ("i2", 7.0), ("i3", 90.0)] {
+        let limits = AttemptLimits {
+            deadline_ms: 90.0,
+            start_by_ms,
+            side_effect_free: false,
         };
-        let attempt = Attempt::new(4, 0, 5.0, bounds);
+        let attempt = Attempt::new(4, 0, 5.0, limits);
         connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), attempt);
     }
     connection.advance(3);
@@ -223,7 +223,7 @@
         query_id: 4,
         attempt: 0,
         note: ProgressNote {
-            note: Note::Progress,
+            kind: NoteKind::Progress,
             amount: 0.5,
         },
     });
--- a/crates/dispatcher/src/engine/health.rs
+++ b/crates/dispatcher/src/engine/health.rs
@@ -5,7 +5,7 @@
 use super::pool::EnginePool;
 use crate::query_registry::Event;
 use std::rc::Rc;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 /// Connects in a row that time out before the engine counts as unreachable: one may be late by itself.
 const UNREACHABLE_AFTER_LATE_CONNECTS: u32 = 2;
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::interface::{EngineStatus, Outcome};
+use tansymux::events::{EndpointState, Outcome};
 
 /// Bytes read from a connection at once.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
@@ -45,7 +45,7 @@
 
     /// Takes over what the list says. Whether it is another process than before, or none.
     fn update(&mut self, entry: &EndpointEntry) -> bool {
-        self.is_gone = entry.status == EngineStatus::Gone;
+        self.is_gone = entry.status == EndpointState::Gone;
         self.zone.clone_from(&entry.zone);
         let moved = entry.address.is_some() && entry.address != self.address;
         let restarted = entry.started.is_some() && entry.started != self.started_ms;
@@ -173,7 +173,7 @@
                 channel.retire();
             }
         }
-        if is_replaced || entry.status == EngineStatus::Draining {
+        if is_replaced || entry.status == EndpointState::Draining {
             for channel in &channels {
                 self.withdraw_unstarted(channel);
             }
@@ -193,12 +193,12 @@
     }
 
     /// A connection for the attempt with this id: one that is up, else one that is coming up, else a new one. Where
-    /// `may_be_lost` is false, an attempt goes on none that has idled: it must not vanish without a sign.
+    /// `side_effect_free` is false, an attempt goes on none that has idled: it must not vanish without a sign.
     pub(super) fn select_channel(
         self: &Rc<Self>,
         engine_id: u64,
         id: &str,
-        may_be_lost: bool,
+        side_effect_free: bool,
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
@@ -208,7 +208,7 @@
         let address = engine.address?;
         let now_ms = self.clock.now();
         let max_idle_ms = self.keep_alive.borrow_mut().max_idle_ms(now_ms);
-        let trusted_idle_ms = if may_be_lost {
+        let trusted_idle_ms = if side_effect_free {
             max_idle_ms
         } else {
             MIN_IDLE_MS
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -5,7 +5,7 @@
 use super::health::SilenceScope;
 use super::pool::EnginePool;
 use crate::query_registry::{Event, Pages};
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 /// What is abandoned on one connection may be sent again on another, and a busy engine reads its connections late and
 /// in any order. So that the abort is not overtaken, the decisions hear of the end so much (ms) later; the protocol's
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -7,15 +7,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tansymux::interface::{Bounds, EngineStatus, Outcome, Text};
+use tansymux::events::{AttemptLimits, EndpointState, Outcome, StatementTraits};
 
-const LONG: Bounds = Bounds {
-    until: 1e15,
-    begin_by: 1e15,
-    harmless: true,
+const LONG: AttemptLimits = AttemptLimits {
+    deadline_ms: 1e15,
+    start_by_ms: 1e15,
+    side_effect_free: true,
 };
 
-fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> EndpointEntry {
+fn engine(status: EndpointState, started: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     EndpointEntry {
         engine_id: 7,
@@ -29,7 +29,9 @@
 }
 
 /// An attempt that waits for its connection, which stays coming up, as no task runs.
-fn queued_attempt(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
+fn queued_attempt(
+    limits: AttemptLimits,
+) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let settings = ConnectionSettings {
         connect_timeout_ms: 250.0,
         idle_timeout_ms: 30_000.0,
@@ -41,7 +43,7 @@
     let registry = Rc::new(QueryRegistry::default());
     let executor = Rc::new(LocalExecutor::new());
     let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
-    pool.upsert_endpoint(&engine(EngineStatus::Ready, None, 9));
+    pool.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
     let request = QueryRequest {
         id: "00000000000000aa",
         resource_group: "look",
@@ -52,12 +54,12 @@
         estimated_cost_ms: 1.0,
         memory_mb: 1.0,
         tables: 1,
-        text: Text::UNREAD,
+        text: StatementTraits::UNKNOWN,
         shape: None,
         keys: RequestKeys::default(),
     };
     let (query, slot) = registry.admit(&request).unwrap();
-    registry.submit(query, 7, bounds);
+    registry.submit(query, 7, limits);
     pool.execute_commands();
     (registry, pool, query, slot)
 }
@@ -79,11 +81,11 @@
 #[test]
 fn queued_attempt_is_withdrawn_when_its_engine_drains_leaves_or_restarts() {
     for (then, withdrawn) in [
-        (engine(EngineStatus::Ready, None, 9), false),
-        (engine(EngineStatus::Draining, None, 9), true),
-        (engine(EngineStatus::Gone, None, 9), true),
-        (engine(EngineStatus::Ready, Some(5.0), 9), true),
-        (engine(EngineStatus::Ready, None, 10), true),
+        (engine(EndpointState::Ready, None, 9), false),
+        (engine(EndpointState::Draining, None, 9), true),
+        (engine(EndpointState::Gone, None, 9), true),
+        (engine(EndpointState::Ready, Some(5.0), 9), true),
+        (engine(EndpointState::Ready, None, 10), true),
     ] {
         let (registry, pool, ..) = queued_attempt(LONG);
         pool.upsert_endpoint(&then);
@@ -105,8 +107,8 @@
 
 #[test]
 fn queued_attempt_is_withdrawn_once_it_may_not_begin() {
-    let (registry, pool, ..) = queued_attempt(Bounds {
-        begin_by: Clock::start().now() + 30.0,
+    let (registry, pool, ..) = queued_attempt(AttemptLimits {
+        start_by_ms: Clock::start().now() + 30.0,
         ..LONG
     });
     let next = pool.expire();
--- a/crates/dispatcher/src/engine/timeouts.rs
+++ b/crates/dispatcher/src/engine/timeouts.rs
@@ -6,7 +6,7 @@
 use super::pool::EnginePool;
 use super::protocol_error::ProtocolError;
 use std::rc::Rc;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 /// A retired connection that was not used for so long (ms) closes without writing what is left: its engine does not
 /// read. Twice the connect timeout that the operators' pages name.
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use tansymux::interface::Bounds;
+use tansymux::events::AttemptLimits;
 
 /// Queries in flight at most: a bound on memory. What comes beyond is rejected at admission.
 pub const MAX_QUERIES: usize = 4096;
@@ -201,7 +201,7 @@
 
     /// Starts an attempt. Refused, and logged as an error of this program, where the query is over or has an attempt
     /// in flight.
-    pub fn submit(&self, number: u64, engine_id: u64, bounds: Bounds) {
+    pub fn submit(&self, number: u64, engine_id: u64, bounds: AttemptLimits) {
         let mut queries = self.queries.borrow_mut();
         let query = queries
             .get_mut(&number)
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -4,7 +4,7 @@
 use crate::statement_shape::StatementShape;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tansymux::interface::Text;
+use tansymux::events::StatementTraits;
 
 /// A result's pages, as rows in JSON.
 pub type Pages = Vec<Vec<u8>>;
@@ -26,8 +26,7 @@
 /// Where the task of a client's connection waits for the answer.
 #[derive(Default)]
 pub struct AnswerSlot {
-    /// Notified once the answer is there.
-    pub notify: Notify,
+    filled: Notify,
     answer: RefCell<Option<Answer>>,
 }
 
@@ -37,10 +36,20 @@
         self.answer.borrow_mut().take()
     }
 
+    /// Waits for the answer and takes it out.
+    pub async fn answered(&self) -> Answer {
+        loop {
+            if let Some(answer) = self.take() {
+                return answer;
+            }
+            self.filled.notified().await;
+        }
+    }
+
     /// Puts the answer in and wakes the connection's task.
     pub(super) fn fill(&self, answer: Answer) {
         *self.answer.borrow_mut() = Some(answer);
-        self.notify.notify();
+        self.filled.notify();
     }
 }
 
@@ -92,7 +101,7 @@
     /// The set of tables that it uses, as a number.
     pub tables: u32,
     /// What its text showed.
-    pub text: Text,
+    pub text: StatementTraits,
     /// What the analysis of its text leaves with it, where it was analysed.
     pub shape: Option<StatementShape>,
     /// The keys that its client gave it.
