Zone evacuation: controller, follower, ramp quotas and codec say what they hold

Need: the import cycle watch - wire; look() of 80 lines; Why, Told, Reach, Use, Fleetwide, Refused and lists of bare f64 that a reader had to look up.

Change: the types that controller, follower and codec share stand in model.rs; watch.rs is controller.rs with witnesses and limits below it, guide.rs follower.rs, shares.rs ramp_quotas.rs, wire.rs codec.rs with tables and a typed DecodeError; EvacuationRefused is an error type. Events and times as in the other packages without I/O: handle(event, now_ms), evaluate(.., now_ms). What `tansymux fleet zones` prints of a reason is a Display of its own with the words of before, held by a test. Bytes, sums and constants are as before.

tests/codec.rs holds a report and a reply written by the version before the renames: read, and written byte for byte.

--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -18,8 +18,7 @@
 use tansymux_operator_config::{number_of, schema};
 use tansymux_rollout::evidence::{Evidence as Ends, Terms};
 use tansymux_rollout::{Fleet, Own};
-use tansymux_zone_evacuation::wire::Evidence;
-use tansymux_zone_evacuation::Use;
+use tansymux_zone_evacuation::{Evidence, ZoneUse};
 
 /// What it says of itself is put together so often (ms).
 const SAYS_EVERY: f64 = 200.0;
@@ -185,7 +184,7 @@
     }
 
     /// How a zone may be used, as the fleet agreed.
-    pub fn use_of(&self, zone: &str) -> Use {
+    pub fn use_of(&self, zone: &str) -> ZoneUse {
         self.fleet.borrow().use_of(number_of(zone))
     }
 
@@ -329,7 +328,7 @@
                 "fleet_zones_out",
                 fleet
                     .zoned()
-                    .map_or(0, |zoned| zoned.guide.known().count() as u64),
+                    .map_or(0, |zoned| zoned.guide.statuses().count() as u64),
             ),
             ("fleet_datagrams_sent", self.sent.get()),
             ("fleet_datagrams_heard", self.heard.get()),
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -86,15 +86,16 @@
             let Answer::Zones(list) = answer else {
                 return Ok(ended(answer));
             };
-            for (zone, of, out) in list.iter().flatten() {
-                let what = if of.stage == Stage::Left {
+            for entry in list.iter().flatten() {
+                let (zone, status, out) = (entry.zone, &entry.status, entry.quota);
+                let what = if status.stage == Stage::Evacuated {
                     "left"
                 } else {
                     "returns"
                 };
                 println!(
-                    "{zone:08x} {what} step {} number {} why {:?} shares {out:.3}",
-                    of.step, of.number, of.why
+                    "{zone:08x} {what} step {} number {} why {} shares {out:.3}",
+                    status.step, status.decision_number, status.reason
                 );
             }
             println!("{} zones are not whole", list.iter().flatten().count());
--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -11,8 +11,7 @@
 use tansymux::tiers::{Given, GivenZone};
 use tansymux::told::{self, Map, Told};
 use tansymux_operator_config::schema;
-use tansymux_zone_evacuation::wire::{Evidence, Reach};
-use tansymux_zone_evacuation::Use;
+use tansymux_zone_evacuation::{Evidence, Reachability, ZoneUse};
 use tansymux_zone_routing::message::Reach as Reached;
 use tansymux_zone_routing::{Changed, Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
 
@@ -128,18 +127,18 @@
     /// What is seen of each zone, for the fleet.
     fn evidence(judge: &ZoneHealthDetector, threads: f64) -> Vec<Evidence> {
         let of = |(name, reach, [good, bad]): (&str, Reached, [u16; 2])| {
-            let reach = match reach {
-                Reached::Well => Reach::Well,
-                Reached::Climbing => Reach::Climbing,
-                Reached::Cut => Reach::Cut,
-                Reached::Unknown => Reach::Unknown,
+            let reachability = match reach {
+                Reached::Well => Reachability::Reachable,
+                Reached::Climbing => Reachability::Recovering,
+                Reached::Cut => Reachability::Unreachable,
+                Reached::Unknown => Reachability::Unknown,
             };
             Evidence {
                 zone: tansymux_operator_config::number_of(name),
-                reach,
+                reachability,
                 threads: threads as f32,
-                good,
-                bad,
+                successes: good,
+                failures: bad,
             }
         };
         judge.reaches().map(of).collect()
@@ -150,9 +149,9 @@
         let listed = self.listed.borrow();
         for zone in &mut plan.zones {
             let part = match fleet.use_of(&zone.name) {
-                Use::Own => continue,
-                Use::Closed => 0.0,
-                Use::Part(part) => part,
+                ZoneUse::LocalDecision => continue,
+                ZoneUse::Closed => 0.0,
+                ZoneUse::Fraction(part) => part,
             };
             zone.state = if part > 0.0 {
                 ZoneState::Climbing(part)
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -115,23 +115,23 @@
     })
 }
 
-fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zone_evacuation::Definition {
-    tansymux_zone_evacuation::Definition {
-        lost_part: told.lost_part(),
-        sure: told.sure_s() * 1000.0,
-        known_part: told.known_part(),
-        max_left: told.most_left(),
-        carry: told.carry(),
-        first: told.first(),
-        whole: told.whole(),
-        steps: told.steps().min(255) as u8,
-        step: told.step_s() * 1000.0,
-        hold: told.hold_s() * 1000.0,
-        max_hold: told.hold_most_s() * 1000.0,
-        calm: told.calm_s() * 1000.0,
-        term: told.term_s() * 1000.0,
-        own_after: told.own_after_s() * 1000.0,
-        skew,
+fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zone_evacuation::Config {
+    tansymux_zone_evacuation::Config {
+        lost_fraction: told.lost_part(),
+        confirm_ms: told.sure_s() * 1000.0,
+        min_witness_fraction: told.known_part(),
+        max_evacuated_fraction: told.most_left(),
+        spill_capacity_fraction: told.carry(),
+        initial_ramp_fraction: told.first(),
+        full_threads_per_core: told.whole(),
+        ramp_steps: told.steps().min(255) as u8,
+        ramp_step_ms: told.step_s() * 1000.0,
+        min_evacuation_ms: told.hold_s() * 1000.0,
+        max_evacuation_ms: told.hold_most_s() * 1000.0,
+        flap_window_ms: told.calm_s() * 1000.0,
+        quota_term_ms: told.term_s() * 1000.0,
+        autonomy_after_ms: told.own_after_s() * 1000.0,
+        clock_skew: skew,
     }
 }
 
--- a/crates/rollout/src/fleet.rs
+++ b/crates/rollout/src/fleet.rs
@@ -31,7 +31,7 @@
     pub turn: u64,
     pub told: Told,
     /// Zones left and returned to as a fleet, seen from this one; none: each judges for itself.
-    pub zones: Option<(u32, tansymux_zone_evacuation::Definition)>,
+    pub zones: Option<(u32, tansymux_zone_evacuation::Config)>,
 }
 
 #[derive(Debug, Clone)]
@@ -120,12 +120,7 @@
     }
 
     /// Takes on what the operators' file says now.
-    pub fn set(
-        &mut self,
-        told: Told,
-        keys: Keys,
-        zones: Option<tansymux_zone_evacuation::Definition>,
-    ) {
+    pub fn set(&mut self, told: Told, keys: Keys, zones: Option<tansymux_zone_evacuation::Config>) {
         self.steward.set(told);
         if let (Some(zoned), Some(definition)) = (&mut self.zoned, zones) {
             zoned.set(definition);
@@ -147,18 +142,18 @@
     }
 
     /// What this dispatcher sees of zones; `alone`: it takes itself for cut off.
-    pub fn sees(&mut self, evidence: Vec<tansymux_zone_evacuation::wire::Evidence>, alone: bool) {
+    pub fn sees(&mut self, evidence: Vec<tansymux_zone_evacuation::Evidence>, alone: bool) {
         if let Some(zoned) = &mut self.zoned {
             zoned.sees(evidence, alone);
         }
     }
 
     /// How a zone may be used from here: by own judgement where nothing is agreed on.
-    pub fn use_of(&self, zone: u32) -> tansymux_zone_evacuation::Use {
+    pub fn use_of(&self, zone: u32) -> tansymux_zone_evacuation::ZoneUse {
         self.zoned
             .as_ref()
-            .map_or(tansymux_zone_evacuation::Use::Own, |zoned| {
-                zoned.guide.of(self.now, zone)
+            .map_or(tansymux_zone_evacuation::ZoneUse::LocalDecision, |zoned| {
+                zoned.guide.zone_use(zone, self.now)
             })
     }
 
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -3,7 +3,8 @@
 use tansymux_coordination::limits::{Halt, Scope};
 use tansymux_coordination::wire::{put_record, read_records, Counted, MOST};
 use tansymux_coordination::{Id, Record, Stage, Why};
-use tansymux_zone_evacuation::{wire, Fleetwide};
+use tansymux_zone_evacuation::codec::{self, LeaderReply, ZoneEntry};
+use tansymux_zone_evacuation::MemberReport;
 
 /// Records that fit behind any of these heads.
 pub const RECORDS: usize = (MOST - 13) / 47;
@@ -137,7 +138,7 @@
 
 /// Zones that fit an answer.
 pub const MAX_LISTED: usize = 8;
-pub type ZoneList = [Option<(u32, Fleetwide, f32)>; MAX_LISTED];
+pub type ZoneList = [Option<ZoneEntry>; MAX_LISTED];
 
 /// The fleet as its leader sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -195,8 +196,8 @@
         command: Command,
     },
     /// What a member says of zones, and the leader's answer.
-    ZonesTold(wire::Told),
-    ZonePlan(wire::Plan),
+    ZonesTold(MemberReport),
+    ZonePlan(LeaderReply),
 }
 
 const FIRST: u8 = 16;
@@ -270,8 +271,10 @@
             Answer::Zones(list) => {
                 let zones = list.iter().flatten().copied().collect();
                 let mut put = self.byte(18);
-                put.0
-                    .extend(wire::write_plan(&wire::Plan { number: 0, zones }));
+                put.0.extend(codec::encode_reply(&LeaderReply {
+                    sequence_number: 0,
+                    zones,
+                }));
                 put
             }
             Answer::Status(s) => {
@@ -422,7 +425,7 @@
             15 => Answer::NoWayBack,
             17 => Answer::TooMuch { part: self.part()? },
             18 => {
-                let plan = wire::read_plan(std::mem::take(&mut self.0))?;
+                let plan = codec::decode_reply(std::mem::take(&mut self.0)).ok()?;
                 let mut list = ZoneList::default();
                 list.iter_mut()
                     .zip(plan.zones)
@@ -519,8 +522,12 @@
             .eight(*call)
             .eight(*nonce)
             .command(command),
-        Message::ZonesTold(told) => Put([&[FIRST + 9], wire::write(told).as_slice()].concat()),
-        Message::ZonePlan(plan) => Put([&[FIRST + 10], wire::write_plan(plan).as_slice()].concat()),
+        Message::ZonesTold(told) => {
+            Put([&[FIRST + 9], codec::encode_report(told).as_slice()].concat())
+        }
+        Message::ZonePlan(plan) => {
+            Put([&[FIRST + 10], codec::encode_reply(plan).as_slice()].concat())
+        }
     }
     .0
 }
@@ -567,8 +574,8 @@
             call: take.eight()?,
             nonce: take.eight()?,
         },
-        9 => Message::ZonesTold(wire::read(take.0)?),
-        10 => Message::ZonePlan(wire::read_plan(take.0)?),
+        9 => Message::ZonesTold(codec::decode_report(take.0).ok()?),
+        10 => Message::ZonePlan(codec::decode_reply(take.0).ok()?),
         8 => Message::Call {
             call: take.eight()?,
             nonce: take.eight()?,
--- a/crates/rollout/src/zoned.rs
+++ b/crates/rollout/src/zoned.rs
@@ -7,9 +7,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use tansymux_coordination::limits::Unit;
 use tansymux_coordination::{Id, QuorumNode, Record, Value};
-use tansymux_zone_evacuation::wire::{stage_of, why_of, Evidence, Plan, Told};
+use tansymux_zone_evacuation::codec::{LeaderReply, ZoneEntry};
 use tansymux_zone_evacuation::{
-    Definition, EvacuationController, EvacuationFollower, Fleetwide, Refused, Stage, Why, Zone,
+    Config, EvacuationController, EvacuationFollower, EvacuationRefused, Evidence, FollowerEvent,
+    Initiator, MemberPresence, MemberReport, QuotaGrant, Reason, Stage, ZoneId, ZoneStatus,
     MAX_ZONES,
 };
 
@@ -36,7 +37,7 @@
 }
 
 /// What a majority keeps of zones, or may.
-fn agreed(council: &QuorumNode) -> BTreeMap<Zone, Fleetwide> {
+fn agreed(council: &QuorumNode) -> BTreeMap<ZoneId, ZoneStatus> {
     let of = |(record, _): (Record, Option<u32>)| match record.value {
         Value::Zone {
             zone,
@@ -46,11 +47,11 @@
             number,
         } => Some((
             zone,
-            Fleetwide {
-                stage: stage_of(stage)?,
+            ZoneStatus {
+                stage: Stage::from_number(stage)?,
                 step,
-                number,
-                why: why_of(why)?,
+                decision_number: number,
+                reason: Reason::from_number(why)?,
             },
         )),
         _ => None,
@@ -59,9 +60,9 @@
 }
 
 impl Zoned {
-    pub fn new(own: Zone, definition: Definition, session: u32, now: f64, seed: u64) -> Self {
+    pub fn new(own: ZoneId, definition: Config, session: u32, now: f64, seed: u64) -> Self {
         Zoned {
-            guide: EvacuationFollower::new(own, definition.own_after, now),
+            guide: EvacuationFollower::new(own, definition.autonomy_after_ms, now),
             watch: EvacuationController::new(definition),
             leads_since: None,
             looked: f64::NEG_INFINITY,
@@ -75,8 +76,8 @@
         }
     }
 
-    pub fn set(&mut self, definition: Definition) {
-        self.watch.set(definition);
+    pub fn set(&mut self, definition: Config) {
+        self.watch.set_config(definition);
     }
 
     pub fn sees(&mut self, evidence: Vec<Evidence>, alone: bool) {
@@ -86,15 +87,16 @@
 
     /// The engines as listed.
     pub fn engines(&mut self, engines: &[Unit]) {
-        let mut cores: BTreeMap<Zone, f64> = BTreeMap::new();
+        let mut cores: BTreeMap<ZoneId, f64> = BTreeMap::new();
         for engine in engines {
             *cores.entry(engine.zone).or_default() += engine.capacity;
         }
-        self.watch.capacity(&cores.into_iter().collect::<Vec<_>>());
+        self.watch
+            .set_capacity(&cores.into_iter().collect::<Vec<_>>());
     }
 
     /// What is to be told to the leader now, and when next.
-    pub fn tells(&mut self, now: f64) -> (Option<Told>, f64) {
+    pub fn tells(&mut self, now: f64) -> (Option<MemberReport>, f64) {
         if now < self.next {
             return (None, self.next);
         }
@@ -107,10 +109,10 @@
         let (session, number, alone, zones) =
             (self.session, self.number, self.alone, self.evidence.clone());
         (
-            Some(Told {
+            Some(MemberReport {
                 session,
-                number,
-                alone,
+                sequence_number: number,
+                is_isolated: alone,
                 zones,
             }),
             self.next,
@@ -118,27 +120,34 @@
     }
 
     /// The leader's answer: to a question that is known, and each once.
-    pub fn planned(&mut self, now: f64, plan: &Plan) {
+    pub fn planned(&mut self, now: f64, plan: &LeaderReply) {
         let Some(at) = self
             .asked
             .iter()
-            .position(|(number, _)| *number == plan.number)
+            .position(|(number, _)| *number == plan.sequence_number)
         else {
             return;
         };
         let Some((_, asked)) = self.asked.remove(at) else {
             return;
         };
-        let all: Vec<(Zone, Fleetwide)> = plan
+        let all: Vec<(ZoneId, ZoneStatus)> = plan
             .zones
             .iter()
-            .map(|(zone, of, _)| (*zone, *of))
+            .map(|entry| (entry.zone, entry.status))
             .collect();
-        self.guide.hears(now, &all);
-        let (term, skew) = (self.watch.definition().term, self.watch.definition().skew);
-        for (zone, of, share) in &plan.zones {
-            self.guide
-                .share(*zone, of.number, f64::from(*share), asked, term, skew);
+        self.guide
+            .handle(FollowerEvent::DecisionsReceived(&all), now);
+        for entry in &plan.zones {
+            let grant = QuotaGrant {
+                zone: entry.zone,
+                decision_number: entry.status.decision_number,
+                quota: f64::from(entry.quota),
+                requested_ms: asked,
+                term_ms: self.watch.config().quota_term_ms,
+                clock_skew: self.watch.config().clock_skew,
+            };
+            self.guide.handle(FollowerEvent::QuotaReceived(grant), now);
         }
     }
 
@@ -151,21 +160,21 @@
         steward: &RolloutController,
         council: &QuorumNode,
         from: Id,
-        told: Told,
-    ) -> Option<Plan> {
-        let number = told.number;
-        let demands: BTreeMap<Zone, f64> = told
+        told: MemberReport,
+    ) -> Option<LeaderReply> {
+        let number = told.sequence_number;
+        let demands: BTreeMap<ZoneId, f64> = told
             .zones
             .iter()
             .map(|e| (e.zone, f64::from(e.threads)))
             .collect();
-        self.watch.told(now, from, told);
+        self.watch.handle_report(from, &told, now);
         if !steward.leads(now, council) {
             return None;
         }
-        let definition = self.watch.definition();
+        let definition = self.watch.config();
         // What an earlier leader gave out is over before this one gives anything.
-        let rests = definition.term * (1.0 + 2.0 * definition.skew);
+        let rests = definition.quota_term_ms * (1.0 + 2.0 * definition.clock_skew);
         let gives = council
             .leads_since()
             .is_some_and(|since| now - since >= rests);
@@ -175,14 +184,18 @@
             .map(|(zone, of)| {
                 let demand = demands.get(&zone).copied().unwrap_or(0.0);
                 let share = if gives {
-                    self.watch.share(now, from, zone, demand, of)
+                    self.watch.request_quota(from, zone, demand, of, now)
                 } else {
                     0.0
                 };
-                (zone, of, share as f32)
+                ZoneEntry {
+                    zone,
+                    status: of,
+                    quota: share as f32,
+                }
             });
-        Some(Plan {
-            number,
+        Some(LeaderReply {
+            sequence_number: number,
             zones: zones.collect(),
         })
     }
@@ -203,26 +216,33 @@
             self.leads_since = council.leads_since();
             self.watch.clear();
         }
-        let zones = members.filter_map(|(id, there)| Some((id, steward.zone_of(id)?, there)));
-        self.watch.members(zones);
+        let zones = members.filter_map(|(id, is_present)| {
+            Some(MemberPresence {
+                id,
+                zone: steward.zone_of(id)?,
+                is_present,
+            })
+        });
+        self.watch.set_members(zones);
         if !steward.leads(now, council) {
             return;
         }
         let known = agreed(council);
-        for decision in self.watch.look(now, &known) {
+        for decision in self.watch.evaluate(&known, now) {
             // One at a time: what is not agreed on yet is decided again from what is.
             let key = Record::key_of_zone(decision.zone);
             let settled = council.standing(key).is_none() || council.is_agreed(key);
             if settled {
-                self.writes(now, council, decision.zone, decision.to);
+                self.writes(now, council, decision.zone, decision.status);
             }
         }
     }
 
-    fn writes(&mut self, now: f64, council: &mut QuorumNode, zone: Zone, to: Option<Fleetwide>) {
+    fn writes(&mut self, now: f64, council: &mut QuorumNode, zone: ZoneId, to: Option<ZoneStatus>) {
         let value = match to {
             Some(to) => {
-                let (stage, step, why, number) = (to.stage as u8, to.step, to.why as u8, to.number);
+                let (stage, step) = (to.stage as u8, to.step);
+                let (why, number) = (to.reason as u8, to.decision_number);
                 Value::Zone {
                     zone,
                     stage,
@@ -252,7 +272,7 @@
                 let key = Record::key_of_zone(zone);
                 if known
                     .get(&zone)
-                    .is_some_and(|of| of.stage == Stage::Left && of.why == Why::ByHand)
+                    .is_some_and(|of| of.stage == Stage::Evacuated && of.reason == Reason::Operator)
                 {
                     return if council.is_agreed(key) {
                         Answer::Done
@@ -260,27 +280,37 @@
                         Answer::Pending
                     };
                 }
-                match self.watch.may_leave(now, zone, &known, true) {
-                    Err(Refused::NotCarried { load, room }) => {
+                match self
+                    .watch
+                    .check_evacuation(zone, &known, Initiator::Operator, now)
+                {
+                    Err(EvacuationRefused::InsufficientCapacity {
+                        load_threads,
+                        capacity_threads,
+                    }) => {
                         return Answer::NotCarried {
-                            load: load as f32,
-                            left: room as f32,
+                            load: load_threads as f32,
+                            left: capacity_threads as f32,
                         };
                     }
-                    Err(Refused::TooMuch { part }) => return Answer::TooMuch { part: part as f32 },
+                    Err(EvacuationRefused::TooManyCores { fraction }) => {
+                        return Answer::TooMuch {
+                            part: fraction as f32,
+                        }
+                    }
                     Ok(()) if dry => return Answer::Done,
                     Ok(()) => {}
                 }
                 let number = known
                     .get(&zone)
-                    .map_or(0, |of| of.number)
+                    .map_or(0, |of| of.decision_number)
                     .max((now / 100.0) as u64 as u32)
                     + 1;
-                let to = Fleetwide {
-                    stage: Stage::Left,
+                let to = ZoneStatus {
+                    stage: Stage::Evacuated,
                     step: 0,
-                    number,
-                    why: Why::ByHand,
+                    decision_number: number,
+                    reason: Reason::Operator,
                 };
                 self.writes(now, council, zone, Some(to));
                 if council.is_agreed(key) {
@@ -291,14 +321,14 @@
             }
             Command::ReturnTo { zone } => match known.get(&zone) {
                 None => Answer::Already,
-                Some(of) if of.stage == Stage::Returns => Answer::Done,
+                Some(of) if of.stage == Stage::Recovering => Answer::Done,
                 Some(of) => {
-                    let number = of.number.wrapping_add(1);
-                    let to = Fleetwide {
-                        stage: Stage::Returns,
+                    let number = of.decision_number.wrapping_add(1);
+                    let to = ZoneStatus {
+                        stage: Stage::Recovering,
                         step: 0,
-                        number,
-                        why: Why::ByHand,
+                        decision_number: number,
+                        reason: Reason::Operator,
                     };
                     self.writes(now, council, zone, Some(to));
                     Answer::Pending
@@ -307,7 +337,11 @@
             _ => {
                 let mut list = ZoneList::default();
                 for (place, (zone, of)) in list.iter_mut().zip(known) {
-                    *place = Some((zone, of, self.watch.out(zone) as f32));
+                    *place = Some(ZoneEntry {
+                        zone,
+                        status: of,
+                        quota: self.watch.granted_total(zone) as f32,
+                    });
                 }
                 Answer::Zones(list)
             }
--- /dev/null
+++ b/crates/zone-evacuation/src/controller/witnesses.rs
@@ -0,0 +1,142 @@
+//! What members report to the leader, and which of it counts as evidence.
+
+use crate::{Config, Evidence, MemberId, MemberReport, Reachability, ZoneHealth, ZoneId};
+use std::collections::BTreeMap;
+
+/// How long a report counts (ms); members repeat theirs every 0.7 s.
+const REPORT_LIFETIME_MS: f64 = 4000.0;
+/// Members that are told apart, as many as crates/membership keeps.
+const MAX_MEMBERS: usize = 1024;
+
+/// A member of the fleet, by the membership and by its own words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberPresence {
+    /// The member.
+    pub id: MemberId,
+    /// The zone that it runs in.
+    pub zone: ZoneId,
+    /// Whether it counts as running.
+    pub is_present: bool,
+}
+
+#[derive(Debug, Clone)]
+struct ReceivedReport {
+    at_ms: f64,
+    report: MemberReport,
+}
+
+#[derive(Debug, Clone)]
+struct Witness {
+    zone: ZoneId,
+    is_present: bool,
+    last: Option<ReceivedReport>,
+}
+
+/// All members and their last reports.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Witnesses {
+    members: BTreeMap<MemberId, Witness>,
+}
+
+impl Witnesses {
+    pub(super) fn clear(&mut self) {
+        self.members.clear();
+    }
+
+    pub(super) fn set_members(&mut self, members: impl Iterator<Item = MemberPresence>) {
+        for witness in self.members.values_mut() {
+            witness.is_present = false;
+        }
+        for member in members.take(MAX_MEMBERS) {
+            let witness = self.members.entry(member.id).or_insert(Witness {
+                zone: member.zone,
+                is_present: member.is_present,
+                last: None,
+            });
+            witness.zone = member.zone;
+            witness.is_present = member.is_present;
+        }
+        self.members
+            .retain(|_, witness| witness.is_present || witness.last.is_some());
+    }
+
+    /// Keeps a member's report; the one before it, where there was one.
+    pub(super) fn replace_report(
+        &mut self,
+        from: MemberId,
+        report: &MemberReport,
+        now_ms: f64,
+    ) -> Option<MemberReport> {
+        let witness = self.members.get_mut(&from)?;
+        let received = ReceivedReport {
+            at_ms: now_ms,
+            report: report.clone(),
+        };
+        let previous = witness.last.replace(received);
+        previous.map(|previous| previous.report)
+    }
+
+    /// Recent evidence about a zone, with the zone of the member that reported it. A member that is isolated itself
+    /// is no witness.
+    fn evidence(
+        &self,
+        zone: ZoneId,
+        now_ms: f64,
+    ) -> impl Iterator<Item = (ZoneId, &Evidence)> + '_ {
+        self.members.values().filter_map(move |witness| {
+            let last = witness.last.as_ref()?;
+            let evidence = last
+                .report
+                .zones
+                .iter()
+                .find(|evidence| evidence.zone == zone)?;
+            let is_recent = now_ms - last.at_ms < REPORT_LIFETIME_MS;
+            let counts = is_recent && witness.is_present && !last.report.is_isolated;
+            counts.then_some((witness.zone, evidence))
+        })
+    }
+
+    pub(super) fn assess(&self, zone: ZoneId, config: &Config, now_ms: f64) -> ZoneHealth {
+        let mut unreached = 0;
+        let mut reached = 0;
+        let mut reached_from_inside = false;
+        for (member_zone, evidence) in self.evidence(zone, now_ms) {
+            let is_reached = evidence.reachability.is_reached();
+            if member_zone == zone {
+                reached_from_inside |= is_reached;
+            } else if is_reached {
+                reached += 1;
+            } else if evidence.reachability == Reachability::Unreachable {
+                unreached += 1;
+            }
+        }
+        let outside = self
+            .members
+            .values()
+            .filter(|witness| witness.is_present && witness.zone != zone)
+            .count();
+        let known = unreached + reached;
+        if known == 0 || f64::from(known) < config.min_witness_fraction * outside as f64 {
+            return ZoneHealth::Unknown;
+        }
+        if f64::from(unreached) >= config.lost_fraction * f64::from(known) {
+            return if reached_from_inside {
+                ZoneHealth::CutOff
+            } else {
+                ZoneHealth::Lost
+            };
+        }
+        if unreached > 0 {
+            ZoneHealth::PartlyUnreachable
+        } else {
+            ZoneHealth::Reachable
+        }
+    }
+
+    /// Threads that the members' work takes in a zone.
+    pub(super) fn load_threads(&self, zone: ZoneId, now_ms: f64) -> f64 {
+        self.evidence(zone, now_ms)
+            .map(|(_, evidence)| f64::from(evidence.threads).max(0.0))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/zone-evacuation/src/model.rs
@@ -0,0 +1,178 @@
+//! What the controller, the followers and the codec have in common: zones, their agreed status, and evidence.
+
+use std::fmt;
+
+/// A zone's identifier, derived from its name.
+pub type ZoneId = u32;
+/// A member's identifier.
+pub type MemberId = u64;
+
+/// Zones that are told apart.
+pub const MAX_ZONES: usize = 12;
+
+/// Stage of an evacuation. Its number is part of the fleet's records and messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[repr(u8)]
+pub enum Stage {
+    /// Nothing new is sent there from outside.
+    Evacuated = 0,
+    /// The zone gets what its ramp step allows, shared by quotas.
+    Recovering = 1,
+}
+
+impl Stage {
+    /// The stage with this number; `None` if there is none.
+    pub fn from_number(number: u8) -> Option<Stage> {
+        match number {
+            0 => Some(Stage::Evacuated),
+            1 => Some(Stage::Recovering),
+            _ => None,
+        }
+    }
+}
+
+/// Why a zone's status changed. Its number is part of the fleet's records and messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[repr(u8)]
+pub enum Reason {
+    /// Nobody outside reaches the zone, and nobody inside reports that it does.
+    Lost = 0,
+    /// Nobody outside reaches the zone; those inside go on using it.
+    CutOff = 1,
+    /// An operator's command.
+    Operator = 2,
+    /// The zone is reached again.
+    Reached = 3,
+    /// Failures increased during the return, or the zone was lost again.
+    FailuresIncreased = 4,
+    /// The last step of the return went well.
+    Restored = 5,
+}
+
+impl Reason {
+    /// The reason with this number; `None` if there is none.
+    pub fn from_number(number: u8) -> Option<Reason> {
+        match number {
+            0 => Some(Reason::Lost),
+            1 => Some(Reason::CutOff),
+            2 => Some(Reason::Operator),
+            3 => Some(Reason::Reached),
+            4 => Some(Reason::FailuresIncreased),
+            5 => Some(Reason::Restored),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    /// The word that `tansymux fleet zones` prints.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Reason::Lost => "Lost",
+            Reason::CutOff => "CutOff",
+            Reason::Operator => "ByHand",
+            Reason::Reached => "Reached",
+            Reason::FailuresIncreased => "Worsened",
+            Reason::Restored => "Whole",
+        })
+    }
+}
+
+/// The status of a zone that the fleet agreed on; a zone without one is in full use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ZoneStatus {
+    /// Evacuated or recovering.
+    pub stage: Stage,
+    /// Step of the return, from 0; 0 while evacuated.
+    pub step: u8,
+    /// Number of the decision: a later one is higher, wrapping around.
+    pub decision_number: u32,
+    /// Why it was decided.
+    pub reason: Reason,
+}
+
+/// A decision of the controller. It takes effect once a majority has agreed on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decision {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Its new status; `None`: in full use again.
+    pub status: Option<ZoneStatus>,
+    /// Why it was decided.
+    pub reason: Reason,
+}
+
+/// What the reports of all members say about a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ZoneHealth {
+    /// Too few members know.
+    Unknown,
+    /// All witnesses reach it.
+    Reachable,
+    /// Some witnesses do not reach it: their path is cut, and each avoids the zone by its own judgement.
+    PartlyUnreachable,
+    /// The witnesses do not reach it, and nobody inside reports that it does.
+    Lost,
+    /// The witnesses do not reach it, but members inside do.
+    CutOff,
+}
+
+/// Whether a member reaches a zone. Its number is part of the messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Reachability {
+    /// It has no recent evidence.
+    Unknown = 0,
+    /// Engines answer.
+    Reachable = 1,
+    /// Engines answer again, and the member increases its load step by step.
+    Recovering = 2,
+    /// Engines do not answer.
+    Unreachable = 3,
+}
+
+impl Reachability {
+    /// The reachability with this number; `None` if there is none.
+    pub fn from_number(number: u8) -> Option<Reachability> {
+        match number {
+            0 => Some(Reachability::Unknown),
+            1 => Some(Reachability::Reachable),
+            2 => Some(Reachability::Recovering),
+            3 => Some(Reachability::Unreachable),
+            _ => None,
+        }
+    }
+
+    /// Whether engines of the zone answer.
+    pub(crate) fn is_reached(self) -> bool {
+        matches!(self, Reachability::Reachable | Reachability::Recovering)
+    }
+}
+
+/// What one member reports about a zone.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Whether the member reaches it.
+    pub reachability: Reachability,
+    /// Threads that the member's work takes there, or would take.
+    pub threads: f32,
+    /// Attempts that succeeded since the member started, wrapping around.
+    pub successes: u16,
+    /// Attempts that failed since the member started, wrapping around.
+    pub failures: u16,
+}
+
+/// What a member reports to the leader.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct MemberReport {
+    /// Drawn at each start of the member: its counts begin anew with it.
+    pub session: u32,
+    /// Comes back in the answer, so that the member knows when it asked.
+    pub sequence_number: u32,
+    /// The member reaches no zone: it is probably cut off itself.
+    pub is_isolated: bool,
+    /// Its evidence, of up to [`MAX_ZONES`] zones.
+    pub zones: Vec<Evidence>,
+}
--- /dev/null
+++ b/crates/zone-evacuation/tests/codec.rs
@@ -0,0 +1,105 @@
+//! Messages written by the version before the renames (commit 7790f50), byte for byte: they are still read, and the
+//! same values are still written the same way.
+
+use tansymux_zone_evacuation::codec::{self, DecodeError, LeaderReply, ZoneEntry};
+use tansymux_zone_evacuation::{Evidence, MemberReport, Reachability, Reason, Stage, ZoneStatus};
+
+fn bytes_of(hex: &str) -> Vec<u8> {
+    let digits: Vec<char> = hex.chars().collect();
+    digits
+        .chunks(2)
+        .map(|pair| u8::from_str_radix(&pair.iter().collect::<String>(), 16).unwrap())
+        .collect()
+}
+
+fn evidence(
+    zone: u32,
+    reachability: Reachability,
+    threads: f32,
+    successes: u16,
+    failures: u16,
+) -> Evidence {
+    Evidence {
+        zone,
+        reachability,
+        threads,
+        successes,
+        failures,
+    }
+}
+
+fn entry(zone: u32, stage: Stage, step: u8, reason: Reason, quota: f32) -> ZoneEntry {
+    let status = ZoneStatus {
+        stage,
+        step,
+        decision_number: zone + 6,
+        reason,
+    };
+    ZoneEntry {
+        zone,
+        status,
+        quota,
+    }
+}
+
+#[test]
+fn report_of_the_version_before_is_read_and_written_byte_for_byte() {
+    let bytes = bytes_of(
+        "010203040506070801000000010000000000000000000000000201402000000011000300000003023dcccccd\
+        ffff0001deadbeef034480000001000200",
+    );
+    let report = MemberReport {
+        session: 0x0102_0304,
+        sequence_number: 0x0506_0708,
+        is_isolated: true,
+        zones: vec![
+            evidence(1, Reachability::Unknown, 0.0, 0, 0),
+            evidence(2, Reachability::Reachable, 2.5, 17, 3),
+            evidence(3, Reachability::Recovering, 0.1, 65_535, 1),
+            evidence(0xDEAD_BEEF, Reachability::Unreachable, 1024.0, 256, 512),
+        ],
+    };
+    assert_eq!(codec::encode_report(&report), bytes);
+    assert_eq!(codec::decode_report(&bytes), Ok(report));
+}
+
+#[test]
+fn reply_of_the_version_before_is_read_and_written_byte_for_byte() {
+    let bytes = bytes_of(
+        "05060708000000010000000000070000000000000000020000000000080100000000000000030000000000090200000000\
+        0000000401030000000a033e8000000000000501010000000b043e0000000000000601080000000c053f800000",
+    );
+    let reply = LeaderReply {
+        sequence_number: 0x0506_0708,
+        zones: vec![
+            entry(1, Stage::Evacuated, 0, Reason::Lost, 0.0),
+            entry(2, Stage::Evacuated, 0, Reason::CutOff, 0.0),
+            entry(3, Stage::Evacuated, 0, Reason::Operator, 0.0),
+            entry(4, Stage::Recovering, 3, Reason::Reached, 0.25),
+            entry(5, Stage::Recovering, 1, Reason::FailuresIncreased, 0.125),
+            entry(6, Stage::Recovering, 8, Reason::Restored, 1.0),
+        ],
+    };
+    assert_eq!(codec::encode_reply(&reply), bytes);
+    assert_eq!(codec::decode_reply(&bytes), Ok(reply));
+}
+
+#[test]
+fn truncated_messages_are_refused_with_their_length() {
+    let report = codec::decode_report(&[0; 8]);
+    assert_eq!(report, Err(DecodeError::Truncated { len: 8, min_len: 9 }));
+    let reply = codec::decode_reply(&[0; 3]);
+    assert_eq!(reply, Err(DecodeError::Truncated { len: 3, min_len: 4 }));
+}
+
+#[test]
+fn printed_reasons_keep_their_words() {
+    let words: Vec<String> = (0..6)
+        .filter_map(Reason::from_number)
+        .map(|reason| reason.to_string())
+        .collect();
+    assert_eq!(
+        words,
+        ["Lost", "CutOff", "ByHand", "Reached", "Worsened", "Whole"]
+    );
+}
