--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -3,7 +3,9 @@
 use super::Pages;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::interface::{Bounds, EngineStatus, ListForm, Note, Outcome, Text};
+use tansymux::events::{
+    AttemptLimits, EndpointListKind, EndpointState, NoteKind, Outcome, StatementTraits,
+};
 
 /// An entry of the endpoint list.
 #[derive(Debug, Clone, PartialEq)]
@@ -19,7 +21,7 @@
     /// Number of its cell.
     pub cell: u32,
     /// Whether it takes queries.
-    pub status: EngineStatus,
+    pub status: EndpointState,
     /// When its process started (ms), if the list says so.
     pub started: Option<f64>,
 }
@@ -42,7 +44,7 @@
         /// The set of tables that it uses, as a number.
         tables: u32,
         /// What its text showed.
-        text: Text,
+        text: StatementTraits,
     },
     /// The client left before its answer.
     ClientLeft {
@@ -71,7 +73,7 @@
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// What the note is about.
-        note: Note,
+        note: NoteKind,
         /// Its amount, in the unit of its kind.
         amount: f64,
     },
@@ -85,7 +87,7 @@
     /// The endpoint list, or what changed of it.
     EndpointList {
         /// Whether it is the whole list.
-        form: ListForm,
+        form: EndpointListKind,
         /// Its entries.
         engines: Vec<EndpointEntry>,
     },
@@ -110,7 +112,7 @@
         /// The engine that it goes to.
         engine_id: u64,
         /// Its time limits.
-        bounds: Bounds,
+        bounds: AttemptLimits,
     },
     /// The query is over: what of it was not yet written to an engine must not be.
     Withdraw {
