operator-config: typed errors, checks by block without a cycle, a scanner for key locations

Need: the package read in house words, and check, fleet, halls and levels depended on each other in a circle. Change: Vec<Fault> -> ConfigErrors of ConfigError (location, key, kind), read -> parse, place -> source_location (SourceMap), the checks in validate/{log,statements,rules,levels,zone_routing,fleet}, which depend on the conversions and never the other way. What is accepted and the printed errors stay. missing_docs is warned of; generated types apart.

--- a/crates/dispatcher/src/operator_config.rs
+++ b/crates/dispatcher/src/operator_config.rs
@@ -4,13 +4,13 @@
 use std::path::Path;
 use tansymux::settings::{self, RawSettings, SettingsMap};
 use tansymux_operator_config::schema::term::Signal::Pressed;
-use tansymux_operator_config::{Fault, Operator, MAX_BYTES};
+use tansymux_operator_config::{ConfigErrors, Operator, MAX_BYTES};
 
 /// Reads and checks the file; what is wrong, a line for each fault, with file and line.
 pub fn read(path: &Path) -> Result<Operator, Vec<String>> {
     let name = path.display().to_string();
     let text = text_of(&name, MAX_BYTES as u64).map_err(|e| vec![format!("{name}{e}")])?;
-    tansymux_operator_config::read(&text).map_err(|faults| lines(&name, &faults))
+    tansymux_operator_config::parse(&text).map_err(|errors| lines(&name, &errors))
 }
 
 /// The file that is named, if one is; else what a file that says nothing says.
@@ -18,10 +18,10 @@
     path.map_or_else(|| Ok(Operator::default()), read)
 }
 
-fn lines(name: &str, faults: &[Fault]) -> Vec<String> {
-    faults
+fn lines(name: &str, errors: &ConfigErrors) -> Vec<String> {
+    errors
         .iter()
-        .map(|fault| format!("{name}:{fault}"))
+        .map(|error| format!("{name}:{error}"))
         .collect()
 }
 
--- a/crates/dispatcher/src/statement_classifier.rs
+++ b/crates/dispatcher/src/statement_classifier.rs
@@ -386,7 +386,7 @@
     #[test]
     fn the_operators_example_gives_the_same_settings_as_none() {
         let text = include_str!("../../../deploy/operator.textproto");
-        let operator = tansymux_operator_config::read(text).unwrap();
+        let operator = tansymux_operator_config::parse(text).unwrap();
         assert_eq!(
             settings_of(&operator.statements.unwrap()),
             Settings::default()
--- a/crates/engine-state/src/trust.rs
+++ b/crates/engine-state/src/trust.rs
@@ -33,6 +33,7 @@
 }
 
 impl TrustTable {
+    /// Counts a verification of an origin.
     pub fn record(&mut self, origin_id: u64, verification: Verification) {
         let counts = self.counts.entry(origin_id).or_default();
         match verification {
--- /dev/null
+++ b/crates/operator-config/src/error_collector.rs
@@ -0,0 +1,57 @@
+//! Collects the errors that checks find, with the location of each key.
+
+use crate::error::{ConfigError, ConfigErrorKind};
+use crate::source_location::SourceMap;
+
+/// Errors found so far, and the locations of keys in the text.
+pub(crate) struct ErrorCollector<'a> {
+    source_map: &'a SourceMap,
+    errors: Vec<ConfigError>,
+}
+
+impl<'a> ErrorCollector<'a> {
+    /// Without errors so far.
+    pub fn new(source_map: &'a SourceMap) -> Self {
+        ErrorCollector {
+            source_map,
+            errors: Vec::new(),
+        }
+    }
+
+    /// Adds an error: `found` was at `key`, where `allowed` is.
+    pub fn add(&mut self, key: &str, found: impl Into<String>, allowed: impl Into<String>) {
+        self.errors.push(ConfigError {
+            location: self.source_map.nearest_location(key),
+            key: key.to_owned(),
+            kind: ConfigErrorKind::NotAllowed {
+                found: found.into(),
+                allowed: allowed.into(),
+            },
+        });
+    }
+
+    /// Adds an error for a value that was left out.
+    pub fn add_missing(&mut self, key: &str, allowed: impl Into<String>) {
+        self.add(key, "missing", allowed);
+    }
+
+    /// Adds an error if a number was given and is not from `min` to `max`; NaN never is.
+    pub fn check_range(&mut self, key: &str, value: Option<impl Into<f64>>, min: f64, max: f64) {
+        let Some(value) = value.map(Into::into) else {
+            return;
+        };
+        if !(min..=max).contains(&value) {
+            self.add(key, value.to_string(), format!("{min} to {max}"));
+        }
+    }
+
+    /// Whether no error was found so far.
+    pub fn is_empty(&self) -> bool {
+        self.errors.is_empty()
+    }
+
+    /// The errors in the order in which they were found.
+    pub fn into_errors(self) -> Vec<ConfigError> {
+        self.errors
+    }
+}
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -1,17 +1,12 @@
 //! A fleet as the file tells it, as the decisions take it.
 
-use crate::check::Faults;
 use crate::schema;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use tansymux_coordination::limits::{Bounds, Limit};
 use tansymux_coordination::Terms;
 use tansymux_membership::Keys;
 use tansymux_rollout::{compare, Plan, Settings, Told};
 
-const MAX_VOTERS: usize = 9;
-const MAX_NAME: usize = 64;
-
 /// The number by which halls, versions and engines go round: FNV-1a over the name, never 0.
 pub fn number_of(name: &str) -> u32 {
     name.bytes()
@@ -21,7 +16,7 @@
         .max(1)
 }
 
-fn key(hex: &str) -> Option<[u8; 16]> {
+pub(crate) fn parse_key(hex: &str) -> Option<[u8; 16]> {
     if hex.len() != 32 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
         return None;
     }
@@ -105,8 +100,8 @@
         membership,
         terms,
         keys: Keys {
-            signing: Some(key(told.key())?),
-            also_accepted: key(told.also_opens()),
+            signing: Some(parse_key(told.key())?),
+            also_accepted: parse_key(told.also_opens()),
         },
         fresh: told.fresh(),
         turn,
@@ -134,133 +129,3 @@
         clock_skew: skew,
     }
 }
-
-pub(crate) fn check(told: &schema::Fleet, faults: &mut Faults) {
-    let name = |name: &str| {
-        !name.is_empty() && name.len() <= MAX_NAME && !name.contains(char::is_whitespace)
-    };
-    let allowed = "a name of 1 to 64 bytes without blanks";
-    match &told.name {
-        Some(given) if name(given) => {}
-        Some(given) => faults.add("fleet.name", format!("{given:?}"), allowed),
-        None => faults.add("fleet.name", "missing", allowed),
-    }
-    let allowed = "an address and port of IPv4, as in 127.0.0.1:7946";
-    let address = |text: &str| {
-        text.parse::<SocketAddr>()
-            .is_ok_and(|at| at.is_ipv4() && at.port() != 0)
-    };
-    match &told.listen {
-        Some(given) if address(given) => {}
-        Some(given) => faults.add("fleet.listen", format!("{given:?}"), allowed),
-        None => faults.add("fleet.listen", "missing", allowed),
-    }
-    if let Some(given) = told.address.as_ref().filter(|given| !address(given)) {
-        faults.add("fleet.address", format!("{given:?}"), allowed);
-    }
-    for (n, given) in told
-        .seed
-        .iter()
-        .enumerate()
-        .filter(|(_, given)| !address(given))
-    {
-        faults.add(&format!("fleet.seed.{n}"), format!("{given:?}"), allowed);
-    }
-    let many = told.voter.len();
-    if many.is_multiple_of(2) || many > MAX_VOTERS {
-        let allowed = "an odd number of names from 1 to 9";
-        faults.add("fleet.voter", format!("{many} names"), allowed);
-    }
-    let mut seen = HashSet::new();
-    for (n, given) in told.voter.iter().enumerate() {
-        let key = format!("fleet.voter.{n}");
-        if !name(given) {
-            faults.add(
-                &key,
-                format!("{given:?}"),
-                "a name of 1 to 64 bytes without blanks",
-            );
-        } else if !seen.insert(given) {
-            faults.add(&key, format!("{given:?} a second time"), "each voter once");
-        }
-    }
-    for (which, given) in [("key", &told.key), ("also_opens", &told.also_opens)] {
-        // What is wrong with a key is told, the key is not.
-        if let Some(given) = given.as_ref().filter(|given| key(given).is_none()) {
-            faults.add(
-                &format!("fleet.{which}"),
-                format!("{} characters", given.len()),
-                "32 hex digits",
-            );
-        }
-    }
-    if told.key.is_none() {
-        faults.add("fleet.key", "missing", "32 hex digits");
-    }
-    if let Some(t) = &told.timing {
-        faults.within("fleet.timing.late_s", t.late_s, 0.0, 60.0);
-        faults.within("fleet.timing.period_s", t.period_s, 0.1, 10.0);
-        faults.within("fleet.timing.timeout_s", t.timeout_s, 0.03, 5.0);
-        faults.within("fleet.timing.lead_s", t.lead_s, 0.5, 60.0);
-        faults.within("fleet.timing.skew", t.skew, 0.0, 0.1);
-        faults.within("fleet.timing.settle_s", t.settle_s, 1.0, 60.0);
-    }
-    for (which, b) in [
-        ("dispatchers", &told.dispatchers),
-        ("engines", &told.engines),
-    ] {
-        let Some(b) = b else { continue };
-        for (name, part) in [
-            ("most_part", b.most_part),
-            ("hall_part", b.hall_part),
-            ("version_part", b.version_part),
-        ] {
-            faults.within(&format!("fleet.{which}.{name}"), part, 0.001, 1.0);
-        }
-        faults.within(&format!("fleet.{which}.apart_s"), b.apart_s, 0.0, 3600.0);
-        faults.within(&format!("fleet.{which}.carry"), b.carry, 0.1, 1.0);
-    }
-    if let Some(t) = &told.turns {
-        faults.within("fleet.turns.turn_s", t.turn_s, 2.0, 600.0);
-        faults.within("fleet.turns.canaries", t.canaries, 0.0, 100.0);
-        faults.within("fleet.turns.canary_s", t.canary_s, 1.0, 86_400.0);
-        faults.within("fleet.turns.pause_s", t.pause_s, 0.0, 86_400.0);
-        faults.within("fleet.turns.lost", t.lost, 0.0, 1000.0);
-        faults.within("fleet.turns.left_s", t.left_s, 1.0, 86_400.0);
-        faults.within("fleet.turns.window_s", t.window_s, 0.5, 60.0);
-        faults.within("fleet.turns.chance", t.chance, 0.0001, 0.2);
-        faults.within("fleet.turns.least", t.least, 0.0, 1.0);
-        faults.within("fleet.turns.pairs", t.pairs, 3.0, 1000.0);
-        faults.within("fleet.turns.requests", t.requests, 1.0, 1e6);
-    }
-    if let Some(z) = &told.zones {
-        let ranges = [
-            ("lost_part", z.lost_part, 0.5, 1.0),
-            ("sure_s", z.sure_s, 0.2, 60.0),
-            ("known_part", z.known_part, 0.05, 1.0),
-            ("most_left", z.most_left, 0.0, 1.0),
-            ("carry", z.carry, 0.1, 1.0),
-            ("first", z.first, 0.01, 1.0),
-            ("whole", z.whole, 0.25, 8.0),
-            ("steps", z.steps.map(f64::from), 1.0, 50.0),
-            ("step_s", z.step_s, 0.2, 600.0),
-            ("hold_s", z.hold_s, 0.5, 3600.0),
-            ("hold_most_s", z.hold_most_s, 1.0, 86_400.0),
-            ("calm_s", z.calm_s, 1.0, 86_400.0),
-            ("term_s", z.term_s, 1.0, 60.0),
-            ("own_after_s", z.own_after_s, 1.0, 3600.0),
-        ];
-        for (name, given, least, most) in ranges {
-            faults.within(&format!("fleet.zones.{name}"), given, least, most);
-        }
-    }
-    if let Some(e) = &told.ejection {
-        match e.witnesses {
-            None => faults.add("fleet.ejection.witnesses", "missing", "2 to 1000"),
-            most => faults.within("fleet.ejection.witnesses", most, 2.0, 1000.0),
-        }
-        faults.within("fleet.ejection.out_s", e.out_s, 1.0, 3600.0);
-        faults.within("fleet.ejection.part", e.part, 0.1, 1.0);
-        faults.within("fleet.ejection.ends", e.ends, 3.0, 1000.0);
-    }
-}
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -1,124 +1,92 @@
-//! The operators' file: protobuf text format, read and checked.
+//! The operators' file: protobuf text format, parsed and checked.
 //!
-//! Owns: the schema (`proto/operator.proto`), the defaults beside its fields, and every check that needs the file
-//! alone. It never opens a file, never reads the environment and never changes what is in force: `read` takes a
-//! text and gives either the whole or all its faults. Start reading at [`read`].
+//! Owns: the schema (`proto/operator.proto`) with the defaults of its fields, every check that needs the file alone
+//! (`validate`), and the conversion of the schema's messages into the types of the packages that use them
+//! ([`fleet`](fn@fleet), [`zones`], [`definition`]). It never opens a file, never reads the environment and never
+//! changes what is in force: [`parse`] takes a text and returns the whole configuration or all of its errors.
+//!
+//! Start reading at [`parse`].
+#![warn(missing_docs)]
 
-mod check;
+mod error;
+mod error_collector;
 mod fleet;
 mod levels;
-mod place;
+mod source_location;
+mod validate;
 mod zone_routing;
 
+pub use error::{ConfigError, ConfigErrorKind, ConfigErrors, SourceLocation};
 pub use fleet::{fleet, number_of};
 pub use levels::definition;
-use place::Places;
-use prost_reflect::{DescriptorPool, DynamicMessage};
-use std::fmt;
+pub use schema::Operator;
 pub use zone_routing::zones;
 
-/// The schema's messages, generated at build.
-#[allow(clippy::all, clippy::pedantic)]
+use prost_reflect::text_format::ParseError;
+use prost_reflect::{DescriptorPool, DynamicMessage};
+use source_location::SourceMap;
+
+/// The schema's messages, generated when the package is built. Their fields have the names of the file's keys.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
 pub mod schema {
     include!(concat!(env!("OUT_DIR"), "/tansymux.operator.rs"));
 }
 
-pub use schema::Operator;
-
 static DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/operator.fds"));
+const ROOT_MESSAGE: &str = "tansymux.operator.Operator";
 
-/// The longest file that is read, in bytes.
+/// The longest file that is parsed, in bytes.
 pub const MAX_BYTES: usize = 1 << 20;
 
-/// One thing that is wrong, and where.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
-pub struct Fault {
-    /// Line and column, from 1; none where the file as a whole is meant.
-    pub at: Option<(usize, usize)>,
-    /// The key, as in `statements.rule.1.class`; empty where it could not be told.
-    pub key: String,
-    /// What was there.
-    pub found: String,
-    /// What is allowed there.
-    pub allowed: String,
-}
-
-impl fmt::Display for Fault {
-    /// As in `12:3: statements.cache.shapes is 3, allowed is 16 to 1000000`.
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        if let Some((line, column)) = self.at {
-            write!(f, "{line}:{column}: ")?;
-        }
-        match (self.key.is_empty(), self.allowed.is_empty()) {
-            (true, _) => write!(f, "{}", self.found),
-            (false, true) => write!(f, "{}: {}", self.key, self.found),
-            (false, false) => write!(
-                f,
-                "{} is {}, allowed is {}",
-                self.key, self.found, self.allowed
-            ),
-        }
-    }
-}
-
-/// Reads and checks a whole file.
+/// Parses and checks a whole file.
 ///
 /// # Errors
-/// All faults that could be found: the first of form (a word, a type or a name that the schema does not know, a
-/// field given twice), else all of meaning (ranges, references, duplicates), in the order of their lines.
-pub fn read(text: &str) -> Result<Operator, Vec<Fault>> {
-    let whole = |found: String| {
-        vec![Fault {
-            at: None,
-            key: String::new(),
-            found,
-            allowed: String::new(),
-        }]
-    };
+/// The first syntax error (an unknown word, type or name, or a field given twice), else all errors of meaning (ranges,
+/// references, duplicates), in the order of their lines.
+pub fn parse(text: &str) -> Result<Operator, ConfigErrors> {
     if text.len() > MAX_BYTES {
-        return Err(whole(format!("the file is longer than {MAX_BYTES} bytes")));
+        return Err(ConfigErrors::of_file(ConfigErrorKind::FileTooLong));
     }
-    // A descent in the text is a descent on the stack of whoever reads it.
-    if let Some(at) = place::too_deep(text) {
-        let found = "messages are nested too deeply".into();
-        return Err(vec![Fault {
-            at: Some(at),
-            key: String::new(),
-            found,
-            allowed: String::new(),
-        }]);
+    // The parser recurses into messages: their depth must be bounded before it runs.
+    if let Some(location) = source_location::first_too_deep(text) {
+        let kind = ConfigErrorKind::NestedTooDeeply;
+        return Err(ConfigErrors::at(location, String::new(), kind));
     }
-    let places = Places::find(text);
-    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| whole(e.to_string()))?;
-    let descriptor = pool
-        .get_message_by_name("tansymux.operator.Operator")
-        .ok_or_else(|| whole("the schema holds no Operator".into()))?;
-    let message =
-        DynamicMessage::parse_text_format(descriptor, text).map_err(|e| vec![of_form(text, &e)])?;
-    let operator: Operator = message.transcode_to().map_err(|e| whole(e.to_string()))?;
-    let mut faults = check::check(&operator, &places);
-    if faults.is_empty() {
-        return Ok(operator);
+    let operator = parse_messages(text)?;
+    let errors = validate::validate(&operator, &SourceMap::scan(text));
+    match ConfigErrors::sorted(errors) {
+        None => Ok(operator),
+        Some(errors) => Err(errors),
     }
-    faults.sort_by_key(|fault| fault.at);
-    Err(faults)
 }
 
-/// A fault of form as the reader tells it, with its place and the key that stands there.
-fn of_form(text: &str, e: &prost_reflect::text_format::ParseError) -> Fault {
+/// Parses a text into the schema's messages, without checking their meaning.
+fn parse_messages(text: &str) -> Result<Operator, ConfigErrors> {
+    let schema_error = |message: String| ConfigErrors::of_file(ConfigErrorKind::Schema { message });
+    let pool =
+        DescriptorPool::decode(DESCRIPTORS).map_err(|error| schema_error(error.to_string()))?;
+    let descriptor = pool
+        .get_message_by_name(ROOT_MESSAGE)
+        .ok_or_else(|| schema_error(format!("the schema has no message {ROOT_MESSAGE}")))?;
+    let message = DynamicMessage::parse_text_format(descriptor, text)
+        .map_err(|error| syntax_error(text, &error))?;
+    message
+        .transcode_to()
+        .map_err(|error| schema_error(error.to_string()))
+}
+
+/// An error of the text-format parser, with its location and the key there.
+fn syntax_error(text: &str, error: &ParseError) -> ConfigErrors {
     use miette::Diagnostic;
-    let offset = e
-        .labels()
-        .and_then(|mut labels| labels.next())
-        .map(|label| label.offset());
-    // An error without a label is one of an end that came too early.
-    let offset = offset.unwrap_or(text.len());
-    let found = std::error::Error::source(e).map_or_else(|| e.to_string(), ToString::to_string);
-    let key = Places::find(text).key_at(offset).unwrap_or_default();
-    Fault {
-        at: Some(place::line_of(text, offset)),
+    let first_label = error.labels().and_then(|mut labels| labels.next());
+    // An error without a label is an unexpected end.
+    let offset = first_label.map_or(text.len(), |label| label.offset());
+    let message =
+        std::error::Error::source(error).map_or_else(|| error.to_string(), ToString::to_string);
+    let key = SourceMap::scan(text).key_at(offset).unwrap_or_default();
+    ConfigErrors::at(
+        source_location::location_of(text, offset),
         key,
-        found,
-        allowed: String::new(),
-    }
+        ConfigErrorKind::Syntax { message },
+    )
 }
--- /dev/null
+++ b/crates/operator-config/src/validate/mod.rs
@@ -0,0 +1,42 @@
+//! Checks of what the schema's types can't express: ranges, references and duplicates. One module for each block of the
+//! file; none depends on another.
+
+mod fleet;
+mod levels;
+mod log;
+mod rules;
+mod statements;
+mod zone_routing;
+
+use crate::error::ConfigError;
+use crate::error_collector::ErrorCollector;
+use crate::schema::Operator;
+use crate::source_location::SourceMap;
+
+/// All errors of a file that follows the schema.
+pub(crate) fn validate(operator: &Operator, source_map: &SourceMap) -> Vec<ConfigError> {
+    let mut errors = ErrorCollector::new(source_map);
+    if let Some(log) = &operator.log {
+        log::validate(log, &mut errors);
+    }
+    if let Some(statements) = &operator.statements {
+        statements::validate(statements, &mut errors);
+    }
+    if let Some(levels) = &operator.levels {
+        levels::validate(levels, &mut errors);
+    }
+    if let Some(zones) = &operator.halls {
+        zone_routing::validate(zones, &mut errors);
+    }
+    if let Some(fleet) = &operator.fleet {
+        fleet::validate(fleet, &mut errors);
+        if fleet.zones.is_some() && operator.halls.is_none() {
+            errors.add(
+                "fleet.zones",
+                "without halls",
+                "a block halls beside it, which judges what one dispatcher sees",
+            );
+        }
+    }
+    errors.into_errors()
+}
--- a/crates/operator-config/src/zone_routing.rs
+++ b/crates/operator-config/src/zone_routing.rs
@@ -1,8 +1,7 @@
 //! Halls as the file tells them, as the decisions take them.
 
-use crate::check::Faults;
 use crate::schema;
-use tansymux_zone_routing::{define, Climb, Cut, Definition, Route, Spill, Tier};
+use tansymux_zone_routing::{Climb, Cut, Definition, Route, Spill, Tier};
 
 /// The definition that the file tells. It may have faults: see `check`.
 pub fn zones(told: &schema::Halls) -> Definition {
@@ -41,26 +40,3 @@
         cross_retries: told.cross_retries(),
     }
 }
-
-pub(crate) fn check(told: &schema::Halls, faults: &mut Faults) {
-    faults.within("halls.cross_retries", told.cross_retries, 0.0, 1.0);
-    for (n, spill) in told.spill.iter().enumerate() {
-        let key = format!("halls.spill.{n}.most");
-        match spill.most {
-            None => faults.add(&key, "missing", "0 to 4"),
-            most => faults.within(&key, most, 0.0, 4.0),
-        }
-    }
-    if let Some(cut) = &told.cut {
-        faults.within("halls.cut.quiet_s", cut.quiet_s, 0.3, 60.0);
-        faults.within("halls.cut.part", cut.part, 0.3, 1.0);
-    }
-    if let Some(climb) = &told.climb {
-        faults.within("halls.climb.first", climb.first, 0.01, 1.0);
-        faults.within("halls.climb.over_s", climb.over_s, 1.0, 3600.0);
-        faults.within("halls.climb.whole", climb.whole, 0.25, 8.0);
-    }
-    for fault in define::faults(&zones(told)) {
-        faults.add(&format!("halls.{}", fault.key), fault.found, fault.allowed);
-    }
-}
--- a/crates/operator-config/tests/faults.rs
+++ b/crates/operator-config/tests/parse.rs
@@ -1,10 +1,10 @@
-//! Files that are wrong are refused whole, by place and key.
+//! A file with errors is rejected as a whole; each error names its location and key.
 
 use proptest::prelude::*;
-use tansymux_operator_config::{read, schema};
+use tansymux_operator_config::{parse, schema};
 
-fn faults(text: &str) -> Vec<String> {
-    read(text)
+fn errors(text: &str) -> Vec<String> {
+    parse(text)
         .expect_err(text)
         .iter()
         .map(ToString::to_string)
@@ -12,10 +12,10 @@
 }
 
 #[test]
-fn an_empty_file_says_nothing_and_defaults_stand_beside_the_fields() {
-    let operator = read("").unwrap();
+fn empty_file_is_accepted_and_fields_have_the_defaults_of_the_schema() {
+    let operator = parse("").unwrap();
     assert!(operator.log.is_none() && operator.statements.is_none());
-    let operator = read("log {} statements { cache {} }").unwrap();
+    let operator = parse("log {} statements { cache {} }").unwrap();
     assert_eq!(operator.log.unwrap().level(), schema::log::Level::Info);
     let statements = operator.statements.unwrap();
     assert_eq!(statements.check(), schema::statements::Check::Off);
@@ -23,14 +23,14 @@
 }
 
 #[test]
-fn the_example_of_operators_is_whole() {
+fn example_file_is_accepted() {
     let text = include_str!("../../../deploy/operator.textproto");
-    let operator = read(text).unwrap();
+    let operator = parse(text).unwrap();
     assert!(operator.statements.unwrap().rule.len() > 3);
 }
 
 #[test]
-fn each_fault_names_line_key_what_was_there_and_what_is_allowed() {
+fn each_error_names_line_key_value_and_allowed_values() {
     let cases = [
         ("log {\n  lines_a_second: 0\n}", "2:3: log.lines_a_second is 0, allowed is 1 to 1000"),
         ("statements {\n\n cache { shapes: 3 } }", "3:10: statements.cache.shapes is 3, allowed is 16 to 1000000"),
@@ -60,25 +60,25 @@
         ("halls { spill { most: 5 } }", "halls.spill.0.most is 5, allowed is 0 to 4"),
         ("halls { route { tier { hall: \"a\" }\n tier { hall: [\"b\", \"a\"] } } }", "2:9: halls.route.0.tier.1.hall.1 is \"a\" a second"),
         ("halls { climb { over_s: 0 } }", "halls.climb.over_s is 0"),
-        // Of form: the library's words, our place and key.
+        // Syntax errors: the library's message with our location and key.
         ("log {\n levle: WARN\n}", "2:2: log.levle: "),
         ("log { level: LOUD }", "log.level: "),
         ("log { level: WARN level: INFO }", "log.level"),
         ("log { lines_a_second: \"x\" }", "log.lines_a_second: "),
         ("log {", "1:6: "),
     ];
-    for (text, says) in cases {
-        let all = faults(text);
+    for (text, expected) in cases {
+        let all = errors(text);
         assert!(
-            all.iter().any(|fault| fault.contains(says)),
-            "{says} in {all:?}"
+            all.iter().any(|error| error.contains(expected)),
+            "{expected} in {all:?}"
         );
     }
 }
 
 #[test]
-fn all_faults_of_meaning_are_told_at_once_in_order_of_lines() {
-    let all = faults(
+fn all_errors_of_meaning_are_reported_in_the_order_of_their_lines() {
+    let all = errors(
         "statements { cache { shapes: 3 }\n learning { half_sure: 0 } }\nlog { lines_at_once: 0 }",
     );
     assert_eq!(all.len(), 3);
@@ -89,24 +89,24 @@
 }
 
 #[test]
-fn what_is_nested_without_end_is_refused_and_not_followed() {
+fn excessive_nesting_is_rejected_without_recursion() {
     let deep = "statements { ".repeat(20_000);
-    assert!(faults(&deep)[0].contains("nested too deeply"));
+    assert!(errors(&deep)[0].contains("nested too deeply"));
 }
 
 proptest! {
     #[test]
-    fn no_text_makes_it_panic(text in "[a-z_{}<>:\\[\\]\"'#0-9., \n\\PC]{0,200}") {
-        let _ = read(&text);
+    fn parsing_arbitrary_text_never_panics(text in "[a-z_{}<>:\\[\\]\"'#0-9., \n\\PC]{0,200}") {
+        let _ = parse(&text);
     }
 
     #[test]
-    fn no_cut_or_spoilt_example_makes_it_panic(cut in 0usize..4000, at in 0usize..4000, with in any::<char>()) {
+    fn parsing_a_truncated_or_altered_example_never_panics(cut in 0usize..4000, at in 0usize..4000, with in any::<char>()) {
         let text = include_str!("../../../deploy/operator.textproto");
         let mut chars: Vec<char> = text.chars().take(cut).collect();
         if let Some(place) = chars.get_mut(at) {
             *place = with;
         }
-        let _ = read(&chars.into_iter().collect::<String>());
+        let _ = parse(&chars.into_iter().collect::<String>());
     }
 }
--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -66,7 +66,7 @@
         }
     }
     for (n, arm) in e.arm.iter().enumerate() {
-        if let Err(faults) = tansymux_operator_config::read(arm.operator()) {
+        if let Err(faults) = tansymux_operator_config::parse(arm.operator()) {
             let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
             return Err(format!("arm.{n}.operator: {}", all.join("; ")));
         }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -470,7 +470,7 @@
                 engine_zones.push(n);
             }
         }
-        let told = tansymux_operator_config::read(e.arm[arm].operator()).unwrap_or_default();
+        let told = tansymux_operator_config::parse(e.arm[arm].operator()).unwrap_or_default();
         let definition = told.halls.as_ref().map(tansymux_operator_config::zones);
         let dispatchers: Vec<Dispatcher> = (0..e.dispatchers() as usize)
             .map(|n| Dispatcher {
