--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -7,15 +7,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{ask, Ask};
+use tansymux_testbed::client::{send_query, ClientQuery};
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::fleet::processes::play;
 use tansymux_testbed::fleet::scenario::Scenario;
 use tansymux_testbed::program::{
-    class, free_address, free_udp_address, Config, Program, Scrap, WAIT,
+    class, free_address, free_udp_address, Config, Program, TempFile, TIMEOUT,
 };
 use tansymux_testbed::record::Record;
-use tansymux_testbed::wire::say;
+use tansymux_testbed::wire::write_frame;
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 /// Each of these runs has several processes; not all of them at once, or a busy machine looks like a failing fleet.
@@ -119,7 +119,7 @@
     let answers = move |parts: &[String], to: &mut std::net::TcpStream| {
         if parts[0] == "fetch" {
             *counts.lock().unwrap().entry(n).or_default() += 1;
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     };
     scripted(answers).0
@@ -127,7 +127,7 @@
 
 struct Small {
     programs: Vec<Program>,
-    files: Vec<Scrap>,
+    files: Vec<TempFile>,
     counts: Counts,
     texts: Vec<String>,
 }
@@ -150,9 +150,9 @@
             )
         })
         .collect();
-    let files: Vec<Scrap> = texts
+    let files: Vec<TempFile> = texts
         .iter()
-        .map(|text| Scrap::new("fleet.textproto", text))
+        .map(|text| TempFile::new("fleet.textproto", text))
         .collect();
     let classes = [class("look", 300.0, 2000.0, "read_like")];
     let programs = files
@@ -199,7 +199,7 @@
                 return text;
             }
             assert!(
-                from.elapsed() < 2 * WAIT,
+                from.elapsed() < 2 * TIMEOUT,
                 "{words:?} ended with {got:?}, not {code}: {text}"
             );
             std::thread::sleep(Duration::from_millis(100));
@@ -212,10 +212,10 @@
         let record = Record::default();
         for _ in 0..many {
             let id = NEXT.fetch_add(1, Ordering::Relaxed);
-            let mut query = Ask::new(id, "/invoke/look", "look", "select 1", 2000.0);
+            let mut query = ClientQuery::new(id, "/invoke/look", "look", "select 1", 2000.0);
             query.cost = Some(5.0);
             assert_eq!(
-                ask(self.programs[n].listen, &query, &record).map(|got| got.status),
+                send_query(self.programs[n].listen, &query, &record).map(|got| got.status),
                 Some(200)
             );
         }
--- a/crates/dispatcher/tests/levels.rs
+++ b/crates/dispatcher/tests/levels.rs
@@ -6,12 +6,12 @@
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::Ask;
+use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::program::{
-    class, free_address, free_udp_address, get, Config, Program, Scrap, WAIT,
+    class, free_address, free_udp_address, get, Config, Program, TempFile, TIMEOUT,
 };
-use tansymux_testbed::wire::{answer, field, say};
+use tansymux_testbed::wire::{field, read_response, write_frame};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
@@ -44,8 +44,8 @@
         .with("settings.limits.max-retry-after-us", 5_000_000)
 }
 
-fn start(config: &Config, levels: &str) -> (Program, Scrap) {
-    let operator = Scrap::new("operator.textproto", levels);
+fn start(config: &Config, levels: &str) -> (Program, TempFile) {
+    let operator = TempFile::new("operator.textproto", levels);
     let path = operator.0.display().to_string();
     (
         Program::start(Path::new(EXE), config, &["--operator", &path]),
@@ -62,19 +62,19 @@
             } else {
                 "DONE"
             };
-            say(to, &[&parts[1], word, "batches=1", ""]);
+            write_frame(to, &[&parts[1], word, "batches=1", ""]);
         }
     };
     scripted(react).0
 }
 
 fn ask(program: &Program, rg: &str, id: u64) -> (u16, Option<f64>) {
-    let mut query = Ask::new(id, &format!("/invoke/{rg}"), rg, "select 1", 9000.0);
+    let mut query = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, "select 1", 9000.0);
     query.cost = Some(10.0);
     let mut stream = TcpStream::connect(program.listen).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     stream.write_all(&query.bytes()).unwrap();
-    let (status, head, _) = answer(&mut BufReader::new(stream)).unwrap();
+    let (status, head, _) = read_response(&mut BufReader::new(stream)).unwrap();
     (
         status,
         field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok()),
@@ -92,7 +92,7 @@
     while shown(program, "/_levels")["depth"] != 1 {
         ask(program, "report", id);
         id += 1;
-        assert!(from.elapsed() < WAIT, "{}", shown(program, "/_levels"));
+        assert!(from.elapsed() < TIMEOUT, "{}", shown(program, "/_levels"));
         thread::sleep(Duration::from_millis(50));
     }
 }
@@ -158,7 +158,7 @@
     // Pressure is over, and still it stays: a level changes once a minute.
     thread::sleep(Duration::from_millis(4000));
     assert_eq!(shown(&program, "/_levels")["depth"], 1);
-    program.told_to_end();
+    program.terminate();
     let log = program.end();
     assert!(
         log.contains("the service level changed") && log.contains("to=\"short\""),
@@ -230,7 +230,7 @@
             let listen = second.listen;
             thread::spawn(move || {
                 let rg = ["look", "report", "load"][n % 3];
-                let query = Ask::new(
+                let query = ClientQuery::new(
                     n as u64 + 1,
                     &format!("/invoke/{rg}"),
                     rg,
@@ -239,12 +239,12 @@
                 );
                 let mut stream = TcpStream::connect(listen).unwrap();
                 stream.write_all(&query.bytes()).unwrap();
-                answer(&mut BufReader::new(stream)).map(|(status, ..)| status)
+                read_response(&mut BufReader::new(stream)).map(|(status, ..)| status)
             })
         })
         .collect();
     thread::sleep(Duration::from_millis(20));
-    second.told_to_end();
+    second.terminate();
     assert!(open.into_iter().all(|open| open.join().unwrap().is_some()));
     assert!(second.end().contains("unanswered 0\n"));
 }
--- a/crates/dispatcher/tests/life_cycle.rs
+++ b/crates/dispatcher/tests/life_cycle.rs
@@ -11,10 +11,10 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::Ask;
-use tansymux_testbed::engine::{scripted, vanishes};
-use tansymux_testbed::program::{class, free_address, get, Config, Program, Scrap, WAIT};
-use tansymux_testbed::wire::{self, answer, say};
+use tansymux_testbed::client::ClientQuery;
+use tansymux_testbed::engine::{refuse_silently, scripted};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, TempFile, TIMEOUT};
+use tansymux_testbed::wire::{self, read_response, write_frame};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 /// After SIGTERM new connections are waited for so long.
@@ -45,7 +45,7 @@
             let (id, mut to) = (parts[1].clone(), to.try_clone().unwrap());
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(hold));
-                say(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
+                write_frame(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
             });
         }
     })
@@ -54,13 +54,13 @@
 /// A connection, with a limit on every wait.
 fn connect(program: &Program) -> TcpStream {
     let stream = TcpStream::connect(program.listen).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     stream.set_nodelay(true).unwrap();
     stream
 }
 
 fn request(rg: &str, id: u64) -> Vec<u8> {
-    Ask::new(
+    ClientQuery::new(
         id,
         &format!("/invoke/{rg}"),
         rg,
@@ -78,7 +78,7 @@
 }
 
 fn status(stream: &TcpStream) -> Option<u16> {
-    answer(&mut BufReader::new(stream)).map(|(status, ..)| status)
+    read_response(&mut BufReader::new(stream)).map(|(status, ..)| status)
 }
 
 /// Ids of the queries that an engine was sent.
@@ -114,7 +114,7 @@
 fn until(what: &str, mut so: impl FnMut() -> bool) {
     let from = Instant::now();
     while !so() {
-        assert!(from.elapsed() < WAIT, "not in time: {what}");
+        assert!(from.elapsed() < TIMEOUT, "not in time: {what}");
         thread::sleep(Duration::from_millis(2));
     }
 }
@@ -132,7 +132,7 @@
 fn a_signal_that_comes_before_the_configuration_is_read_is_kept() {
     // The configuration is a pipe: the program stands at its first read until the test writes.
     let text = config(&[]).0.to_string();
-    let pipe = Scrap::new("config.fifo", "");
+    let pipe = TempFile::new("config.fifo", "");
     std::fs::remove_file(&pipe.0).unwrap();
     let path = CString::new(pipe.0.as_os_str().as_bytes()).unwrap();
     assert_eq!(unsafe { libc::mkfifo(path.as_ptr(), 0o600) }, 0);
@@ -169,7 +169,7 @@
     drop(writer);
     let from = Instant::now();
     let status = child.wait().unwrap();
-    assert!(status.success() && from.elapsed() < WAIT, "{status}");
+    assert!(status.success() && from.elapsed() < TIMEOUT, "{status}");
 }
 
 #[test]
@@ -181,9 +181,9 @@
     // At one instant: a request on the connection that rests, the signal (twice), three in the backlog.
     let stopped = Stopped::new(&program);
     rests.write_all(&request("look", 2)).unwrap();
-    program.told_to_end();
+    program.terminate();
     let backlog: Vec<TcpStream> = (3..6).map(|id| ask(&program, "look", id)).collect();
-    program.told_to_end();
+    program.terminate();
     drop(stopped);
     assert_eq!(status(&rests), Some(200));
     backlog
@@ -202,7 +202,7 @@
     let (address, _told) = slow(20);
     let mut program = start(&config(&[address]));
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
@@ -224,7 +224,7 @@
     let mut program = start(&config);
     // Half of the descriptors are clients', and each has a query in hand past the time for new connections.
     let clients: Vec<TcpStream> = (0..40).map(|id| ask(&program, "look", id + 1)).collect();
-    program.told_to_end();
+    program.terminate();
     for (nth, stream) in clients.iter().enumerate() {
         assert!(
             status(stream).is_some_and(|status| status == 200 || status == 429),
@@ -245,7 +245,7 @@
     let mut rests = ask(&program, "look", 1);
     assert_eq!(status(&rests), Some(200));
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     // It may ask for as long as new connections are waited for, and then learns that nothing more is taken.
     assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
     assert!(from.elapsed() >= TAKES_ON, "{:?}", from.elapsed());
@@ -267,7 +267,7 @@
         program.counters().contains("connections_from_clients")
     });
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
@@ -298,7 +298,7 @@
     let mut client = connect(&program);
     client
         .write_all(
-            &Ask::new(
+            &ClientQuery::new(
                 1,
                 "/invoke/load",
                 "load",
@@ -308,9 +308,9 @@
             .bytes(),
         )
         .unwrap();
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     assert_eq!(status(&client), Some(500));
     drop(client);
     program.end();
@@ -329,11 +329,11 @@
     let (address, told) = scripted(|_, _| {});
     let program = start(&config(&[address]));
     let mut client = ask(&program, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     // More than is kept of what a client sends ahead.
     client.write_all(&[b'x'; 200 * 1024]).unwrap();
     client.shutdown(Shutdown::Write).unwrap();
-    let (parts, _) = told.recv_timeout(WAIT).unwrap();
+    let (parts, _) = told.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(parts[..2], ["abort", "0000000000000001"]);
     program.wait_for_count("vanished 1\n");
 }
@@ -343,7 +343,7 @@
     let (address, told) = slow(300);
     let program = start(&config(&[address]));
     let mut client = ask(&program, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let noise = [
         b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000),
         vec![b'x'; 100 * 1024],
@@ -351,13 +351,13 @@
     .concat();
     client.write_all(&noise).unwrap();
     let mut reader = BufReader::new(client);
-    let (status, head, _) = answer(&mut reader).unwrap();
+    let (status, head, _) = read_response(&mut reader).unwrap();
     assert!(
         status == 200 && head.contains("Connection: close\r\n"),
         "{head}"
     );
     // Nothing of what was passed over is taken for a request.
-    assert!(answer(&mut reader).is_none());
+    assert!(read_response(&mut reader).is_none());
 }
 
 #[test]
@@ -395,15 +395,15 @@
         let statement = format!("SELECT '{}' FROM sales_17.orders", "x".repeat(64_000));
         let mut stream = connect(&program);
         stream
-            .write_all(&Ask::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
+            .write_all(&ClientQuery::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
             .unwrap();
         stream
     };
     let waits: Vec<TcpStream> = (1..53).map(big).collect();
     waits
         .iter()
-        .for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
-    let (status, head, body) = answer(&mut BufReader::new(big(99))).unwrap();
+        .for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
+    let (status, head, body) = read_response(&mut BufReader::new(big(99))).unwrap();
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
 }
@@ -417,7 +417,7 @@
     let (tell, told) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            stream.set_read_timeout(Some(WAIT)).unwrap();
+            stream.set_read_timeout(Some(TIMEOUT)).unwrap();
             let _ = tell.send(stream);
         }
     });
@@ -439,9 +439,9 @@
     let (address, connections) = held();
     let program = start(&config(&[address]));
     let first = ask(&program, "look", 1);
-    let mut idles = connections.recv_timeout(WAIT).unwrap();
+    let mut idles = connections.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(frame(&idles), fetch("0000000000000001"));
-    say(
+    write_frame(
         &mut idles,
         &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -454,9 +454,9 @@
     idles.shutdown(Shutdown::Both).unwrap();
     let second = ask(&program, "look", 2);
     drop(stopped);
-    let mut next = connections.recv_timeout(WAIT).unwrap();
+    let mut next = connections.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(frame(&next), fetch("0000000000000002"));
-    say(
+    write_frame(
         &mut next,
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -472,20 +472,20 @@
     let program = start(&config(&[address]));
     for (rg, id) in [("load", "0000000000000001"), ("look", "0000000000000002")] {
         let client = ask(&program, rg, id[15..].parse().unwrap());
-        let mut stream = connections.recv_timeout(WAIT).unwrap();
+        let mut stream = connections.recv_timeout(TIMEOUT).unwrap();
         assert_eq!(frame(&stream), fetch(id));
         // The first of two pages, half of the second.
-        say(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
+        write_frame(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
         assert_eq!(frame(&stream), Some(("more".into(), id.into())));
         stream
             .write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes())
             .unwrap();
         stream.shutdown(Shutdown::Both).unwrap();
         if rg == "look" {
-            let mut again = connections.recv_timeout(WAIT).unwrap();
+            let mut again = connections.recv_timeout(TIMEOUT).unwrap();
             assert_eq!(frame(&again), fetch(id));
-            say(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
-            let (status, _, body) = answer(&mut BufReader::new(client)).unwrap();
+            write_frame(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
+            let (status, _, body) = read_response(&mut BufReader::new(client)).unwrap();
             // Nothing of the first result is left in it.
             assert_eq!(
                 (status, body.as_str()),
@@ -502,7 +502,7 @@
     // Nobody accepts, and the backlog is full: connections come up once there is room, a second and more later.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let full = vanishes(&listener);
+    let full = refuse_silently(&listener);
     let config = config(&[address]).with("settings.limits.connect-timeout-us", 30_000_000);
     let program = start(&config.with("settings.limits.cancelling", false));
     let leaves = ask(&program, "look", 1);
@@ -524,12 +524,12 @@
     let mut first = None;
     while first.is_none() {
         let (stream, _) = listener.accept().unwrap();
-        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         first = frame(&stream).map(|frame| (frame, stream));
     }
     let (frame, mut stream) = first.unwrap();
     assert_eq!(Some(frame), fetch("0000000000000002"));
-    say(
+    write_frame(
         &mut stream,
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -541,7 +541,7 @@
     // Nobody accepts, and the backlog is full: what waits is given up after 250 ms, as the settings say.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let full = vanishes(&listener);
+    let full = refuse_silently(&listener);
     let program = start(&config(&[address]));
     assert_eq!(status(&ask(&program, "load", 1)), Some(429));
     let opened = program.counter("connections_to_engines").unwrap();
@@ -555,7 +555,7 @@
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 while let Some(parts) = wire::frame(&mut reader) {
                     let _ = tell.send(parts[1].clone());
-                    say(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                    write_frame(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
                 }
             });
         }
@@ -566,7 +566,7 @@
             .is_some_and(|up| up > 0)
     });
     assert_eq!(status(&ask(&program, "load", 2)), Some(200));
-    assert_eq!(came.recv_timeout(WAIT).unwrap(), "0000000000000002");
+    assert_eq!(came.recv_timeout(TIMEOUT).unwrap(), "0000000000000002");
     assert_eq!(program.counter("connections_to_engines"), Some(opened));
 }
 
@@ -576,7 +576,7 @@
     let (serves, _told) = slow(0);
     let program = start(&config(&[floods, serves]));
     thread::spawn(move || {
-        while let Ok(mut stream) = connections.recv_timeout(WAIT) {
+        while let Ok(mut stream) = connections.recv_timeout(TIMEOUT) {
             thread::spawn(move || {
                 let many =
                     b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{post_slowly as post_in_two, Ask};
-use tansymux_testbed::engine::{scripted as engine, vanishes};
-use tansymux_testbed::names::{Listed, Names};
-use tansymux_testbed::program::{class, free_address, get, Config, Program, WAIT};
+use tansymux_testbed::client::{send_query_in_two_parts as post_in_two, ClientQuery};
+use tansymux_testbed::engine::{refuse_silently, scripted as engine};
+use tansymux_testbed::name_service::{Endpoint, NameService};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, TIMEOUT};
 use tansymux_testbed::record::{Record, Status};
-use tansymux_testbed::wire::{self, answer};
+use tansymux_testbed::wire::{self, read_response};
 
 const TICK: Duration = Duration::from_millis(1);
 
@@ -41,18 +41,24 @@
     )
 }
 
-fn say(to: &mut TcpStream, parts: &[&str]) {
-    wire::say(to, parts);
+fn write_frame(to: &mut TcpStream, parts: &[&str]) {
+    wire::write_frame(to, parts);
 }
 
 fn post(to: SocketAddr, rg: &str, id: u64) -> TcpStream {
-    post_slowly(to, rg, id, 9000, Duration::from_millis(5))
+    send_query_in_two_parts(to, rg, id, 9000, Duration::from_millis(5))
 }
 
 /// The same in two parts with a pause between them, by a client that waits for `wait` ms.
-fn post_slowly(to: SocketAddr, rg: &str, id: u64, wait: u64, pause: Duration) -> TcpStream {
+fn send_query_in_two_parts(
+    to: SocketAddr,
+    rg: &str,
+    id: u64,
+    wait: u64,
+    pause: Duration,
+) -> TcpStream {
     let statement = "SELECT a FROM sales_17.orders";
-    let mut ask = Ask::new(id, &format!("/invoke/{rg}"), rg, statement, wait as f64);
+    let mut ask = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, statement, wait as f64);
     ask.cost = Some(20.0);
     // Cut in a field.
     post_in_two(to, &ask, 50, pause)
@@ -60,7 +66,7 @@
 
 /// A name service that lists one engine, `s-9`, as event 2.
 fn name_service(engine: SocketAddr) -> SocketAddr {
-    let listed = Listed {
+    let listed = Endpoint {
         id: "s-9".into(),
         zone: "h".into(),
         kind: "std".into(),
@@ -69,7 +75,7 @@
         status: Status::Ready,
         started: 0.0,
     };
-    let names = Names::start(Vec::new(), Arc::new(Record::default()));
+    let names = NameService::start(Vec::new(), Arc::new(Record::default()));
     names.add(listed);
     names.address
 }
@@ -77,7 +83,7 @@
 #[test]
 fn the_name_service_brings_an_engine_that_was_not_known_at_the_start() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let resolver = name_service(address);
     let program = start_with(&[free_address()], |config| {
         config.with("resolver", resolver.to_string())
@@ -86,7 +92,7 @@
     // The engine of the start has no records any more: all go to the new one.
     for id in 1..9 {
         assert_eq!(
-            answer(&mut BufReader::new(post(program.listen, "load", id)))
+            read_response(&mut BufReader::new(post(program.listen, "load", id)))
                 .unwrap()
                 .0,
             200
@@ -98,7 +104,7 @@
 fn told_to_read_its_configuration_again_it_asks_another_name_service_and_loses_nothing() {
     let (address, told) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(300));
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let (mute, resolver) = (
         UdpSocket::bind("127.0.0.1:0").unwrap(),
@@ -109,7 +115,7 @@
     let mut program = start_with(&[address], |config| config.with("resolver", silent.clone()));
     let text = std::fs::read_to_string(&program.config.0).unwrap();
     let open = post(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     // One that can't be used, and then one that can, with a key that has to wait.
     program.config.write(&text.replace(&old, r#""resolver":7"#));
     program.signal("-HUP");
@@ -118,8 +124,8 @@
     program.config.write(&text.replace(&old, &new));
     (0..3).for_each(|_| program.signal("-HUP"));
     program.wait_for_count("lists 1\n");
-    assert_eq!(answer(&mut BufReader::new(open)).unwrap().0, 200);
-    program.told_to_end();
+    assert_eq!(read_response(&mut BufReader::new(open)).unwrap().0, 200);
+    program.terminate();
     program.signal("-HUP");
     let log = program.end();
     assert!(
@@ -135,12 +141,12 @@
     let (address, told) = engine(move |parts, to| {
         let from = to.peer_addr().unwrap();
         if *first.lock().unwrap().get_or_insert(from) != from {
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start(&[address]);
     // Moved after its patience is over, to the only engine there is, on a new connection.
-    let served = answer(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
+    let served = read_response(&mut BufReader::new(post(program.listen, "look", 1))).unwrap();
     assert_eq!(
         (served.0, served.2.as_str()),
         (200, r#"{"data":[["a","b","c"]]}"#)
@@ -162,7 +168,7 @@
         "{words:?}"
     );
     assert_eq!(
-        answer(&mut BufReader::new(post(program.listen, "look", 2)))
+        read_response(&mut BufReader::new(post(program.listen, "look", 2)))
             .unwrap()
             .0,
         200
@@ -173,10 +179,10 @@
 fn a_query_goes_to_an_engine_and_its_pages_come_back_as_one_answer() {
     let (address, told) = engine(|parts, to| match parts[0].as_str() {
         "fetch" => {
-            say(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
-            say(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
+            write_frame(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
+            write_frame(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
         }
-        "more" => say(
+        "more" => write_frame(
             to,
             &[
                 &parts[1],
@@ -193,13 +199,13 @@
     let mut reader = BufReader::new(client.try_clone().unwrap());
     let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
     assert_eq!(
-        answer(&mut reader).map(|(s, _, b)| (s, b)),
+        read_response(&mut reader).map(|(s, _, b)| (s, b)),
         Some((200, served.into()))
     );
     client
         .write_all(b"GET /_counters HTTP/1.1\r\n\r\n")
         .unwrap();
-    let counters = answer(&mut reader).unwrap().2;
+    let counters = read_response(&mut reader).unwrap().2;
     for line in [
         "taken 1\n",
         "finished 1\n",
@@ -209,7 +215,7 @@
     ] {
         assert!(counters.contains(line), "{line} in {counters}");
     }
-    let fetch = told.recv_timeout(WAIT).unwrap().0;
+    let fetch = told.recv_timeout(TIMEOUT).unwrap().0;
     assert_eq!(
         (fetch[0].as_str(), fetch[1].as_str()),
         ("fetch", "0000000000000001")
@@ -220,7 +226,7 @@
         fetch[2]
     );
     assert_eq!(fetch[3], "SELECT a FROM sales_17.orders");
-    program.told_to_end();
+    program.terminate();
     assert!(program.end().contains("taken 1\n"));
 }
 
@@ -232,21 +238,21 @@
         post(program.listen, "look", 1),
         post(program.listen, "load", 2),
     ];
-    (0..2).for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
+    (0..2).for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
     // Hundreds that say nothing, and a reload under way, are no bar to the end.
     let _mute: Vec<TcpStream> = (0..300)
         .map(|_| TcpStream::connect(program.listen).unwrap())
         .collect();
     let from = Instant::now();
     program.signal("-HUP");
-    program.told_to_end();
+    program.terminate();
     while get(program.listen, "/_health").is_some_and(|(status, ..)| status == 200) {
-        assert!(from.elapsed() < WAIT);
+        assert!(from.elapsed() < TIMEOUT);
     }
     clients.push(post(program.listen, "look", 3));
     let statuses: Vec<u16> = clients
         .iter()
-        .map(|c| answer(&mut BufReader::new(c)).unwrap().0)
+        .map(|c| read_response(&mut BufReader::new(c)).unwrap().0)
         .collect();
     // The engine is silent: what only reads is deferred, what may have changed tables is killed.
     assert_eq!(statuses, [429, 500, 429]);
@@ -264,17 +270,18 @@
 
 #[test]
 fn a_query_has_its_time_from_its_last_byte() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", ""]));
+    let (address, _told) =
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", ""]));
     let program = start(&[address]);
-    let slow = post_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
-    assert_eq!(answer(&mut BufReader::new(slow)).unwrap().0, 200);
+    let slow = send_query_in_two_parts(program.listen, "look", 1, 800, Duration::from_millis(1000));
+    assert_eq!(read_response(&mut BufReader::new(slow)).unwrap().0, 200);
 }
 
 #[test]
 fn what_never_ran_is_deferred_and_what_may_have_run_is_not_sent_again() {
     // Nobody listens at the one address; at the other, connections end when a request has come.
     let program = start(&[free_address()]);
-    let deferred = answer(&mut BufReader::new(post(program.listen, "load", 1))).unwrap();
+    let deferred = read_response(&mut BufReader::new(post(program.listen, "load", 1))).unwrap();
     assert_eq!(
         (deferred.0, deferred.2.as_str()),
         (429, r#"{"error":"TryLater"}"#)
@@ -287,7 +294,7 @@
     let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
     assert_eq!(
-        answer(&mut BufReader::new(post(program.listen, "load", 1)))
+        read_response(&mut BufReader::new(post(program.listen, "load", 1)))
             .unwrap()
             .0,
         500
@@ -304,21 +311,21 @@
 fn a_client_that_leaves_has_its_query_given_up_and_the_rest_goes_on() {
     let (address, told) = engine(|parts, to| {
         if parts[1].ends_with('2') {
-            say(to, &[&parts[1], "DONE", "batches=1", ""]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
         }
     });
     let program = start(&[address]);
     let leaves = post(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     drop(leaves);
     assert_eq!(
-        told.recv_timeout(WAIT).unwrap().0[..2],
+        told.recv_timeout(TIMEOUT).unwrap().0[..2],
         ["abort", "0000000000000001"]
     );
-    let served = answer(&mut BufReader::new(post(program.listen, "look", 2))).unwrap();
+    let served = read_response(&mut BufReader::new(post(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
     // Names that the settings do not know are not taken in.
-    let unknown = answer(&mut BufReader::new(post(program.listen, "nothing", 3))).unwrap();
+    let unknown = read_response(&mut BufReader::new(post(program.listen, "nothing", 3))).unwrap();
     assert_eq!(unknown.0, 404);
     // What can't be read or used is answered so, and the program serves on.
     let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
@@ -331,7 +338,7 @@
     {
         let mut hostile = TcpStream::connect(program.listen).unwrap();
         hostile.write_all(bytes).unwrap();
-        assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
+        assert_eq!(read_response(&mut BufReader::new(hostile)).unwrap().0, 400);
     }
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
@@ -349,11 +356,11 @@
         match id.as_bytes()[15] {
             b'1' => drop(to.write_all(b"*4\r\n$16\r\n\xff\xfe\x00no answer")),
             b'2' => drop(to.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nDO").as_bytes())),
-            b'3' => say(to, &[id, "DONE", "batches=1", "a\tb\n"]),
+            b'3' => write_frame(to, &[id, "DONE", "batches=1", "a\tb\n"]),
             _ => {
                 thread::sleep(Duration::from_millis(300));
-                say(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
-                (0..2).for_each(|_| say(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
+                write_frame(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
+                (0..2).for_each(|_| write_frame(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
             }
         }
     });
@@ -362,14 +369,14 @@
     let clients: Vec<TcpStream> = [4, 1, 2, 3]
         .map(|id| {
             let client = post(program.listen, "load", id);
-            assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+            assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
             client
         })
         .into();
     let answers: Vec<(u16, String)> = clients
         .into_iter()
         .map(|client| {
-            answer(&mut BufReader::new(client))
+            read_response(&mut BufReader::new(client))
                 .map(|(status, _, body)| (status, body))
                 .unwrap()
         })
@@ -399,12 +406,12 @@
         {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address]);
     for id in 1..8 {
         assert_eq!(
-            answer(&mut BufReader::new(post(program.listen, "load", id)))
+            read_response(&mut BufReader::new(post(program.listen, "load", id)))
                 .unwrap()
                 .0,
             200,
@@ -418,7 +425,7 @@
 fn a_token_and_a_key_go_on_as_they_came_and_queries_of_one_key_go_in_turn() {
     let (address, told) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(60));
-        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
     let program = start_with(&[address], |config| {
         let load = json!({"name": "load", "aim-us": 300_000, "hard-limit-us": 9_000_000, "effect": "idempotency_key",
@@ -428,7 +435,7 @@
     let (token, key) = ("0123456789abcdef0123456789ABCDEF", "00000000000000c7");
     let post = |id: u64, fields: &str| {
         let mut client = TcpStream::connect(program.listen).unwrap();
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         let head = format!(
             "POST /invoke/load HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n"
         );
@@ -440,7 +447,7 @@
     let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
     let clients = [post(1, &marks), post(2, &marks)];
     let fetch = || {
-        let (parts, at) = told.recv_timeout(WAIT).unwrap();
+        let (parts, at) = told.recv_timeout(TIMEOUT).unwrap();
         assert_eq!(parts[0], "fetch");
         (
             parts[2]
@@ -463,7 +470,7 @@
     );
     clients
         .iter()
-        .for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
+        .for_each(|client| assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 200));
     // What would break the list of fields is turned away, as is one that is told twice.
     for wrong in [
         "Req-Token: a,mb=9\r\n",
@@ -471,7 +478,9 @@
         "Req-Key: 1\r\nReq-Key: 2\r\n",
     ] {
         assert_eq!(
-            answer(&mut BufReader::new(post(9, wrong))).unwrap().0,
+            read_response(&mut BufReader::new(post(9, wrong)))
+                .unwrap()
+                .0,
             400,
             "{wrong}"
         );
@@ -481,7 +490,7 @@
 /// Asks a few in turn with pauses; all are to finish.
 fn all_finish(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
     for id in ids {
-        let got = answer(&mut BufReader::new(post(program.listen, rg, id)));
+        let got = read_response(&mut BufReader::new(post(program.listen, rg, id)));
         assert_eq!(got.map(|got| got.0), Some(200), "{rg} {id}");
         thread::sleep(Duration::from_millis(pause));
     }
@@ -490,7 +499,7 @@
 #[test]
 fn what_may_be_repeated_goes_on_a_connection_that_idled_and_a_load_on_none() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start(&[address]);
     all_finish(&program, "look", 1..15, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(1));
@@ -502,7 +511,7 @@
         .collect();
     at_once
         .into_iter()
-        .for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
+        .for_each(|one| assert_eq!(read_response(&mut BufReader::new(one)).unwrap().0, 200));
     thread::sleep(Duration::from_millis(1200));
     let before = program.counter("connections_to_engines");
     all_finish(&program, "look", 24..26, 70);
@@ -520,7 +529,7 @@
         {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address]);
     all_finish(&program, "look", 1..20, 130);
@@ -532,7 +541,7 @@
 
 #[test]
 fn an_engine_that_takes_what_goes_out_and_says_nothing_is_checked_by_a_new_connection() {
-    // It answers, then vanishes: its connection stays open and mute, and no new one comes up.
+    // It answers, then refuse_silently: its connection stays open and mute, and no new one comes up.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (address, same) = (
         listener.local_addr().unwrap(),
@@ -546,17 +555,17 @@
         while let Some(parts) = wire::frame(&mut reader) {
             if !gone.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(90));
-                say(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                write_frame(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
             }
         }
     });
     let (other, _told) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(90));
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address, other]);
     let ask = |id| {
-        let mut ask = Ask::new(
+        let mut ask = ClientQuery::new(
             id,
             "/invoke/look",
             "look",
@@ -571,12 +580,16 @@
             50,
             Duration::from_millis(1),
         ));
-        assert_eq!(answer(&mut reader).map(|got| got.0), Some(200), "{id}");
+        assert_eq!(
+            read_response(&mut reader).map(|got| got.0),
+            Some(200),
+            "{id}"
+        );
         from.elapsed()
     };
-    (1..9).for_each(|id| assert!(ask(id) < WAIT));
+    (1..9).for_each(|id| assert!(ask(id) < TIMEOUT));
     thread::sleep(Duration::from_millis(150));
-    let _full = vanishes(&same);
+    let _full = refuse_silently(&same);
     vanished.store(true, Ordering::Relaxed);
     // Without the check each that goes there waits for 900 ms: 400 and five times its run.
     let longest = (9..25).map(ask).max().unwrap();
@@ -589,7 +602,7 @@
     // Query 1 is never answered; its client leaves after 400 ms, where answers may take 5 s.
     let (address, told) = engine(|parts, to| {
         if parts[0] == "fetch" && !parts[1].ends_with('1') {
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start_with(&[address], |config| {
@@ -600,18 +613,18 @@
     let ask = |id| {
         post_in_two(
             program.listen,
-            &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
+            &ClientQuery::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
             50,
             TICK,
         )
     };
     let leaves = ask(1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
-    assert_eq!(answer(&mut BufReader::new(ask(2))).unwrap().0, 200);
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    assert_eq!(read_response(&mut BufReader::new(ask(2))).unwrap().0, 200);
     thread::sleep(Duration::from_millis(400));
     drop(leaves);
     program.wait_for_count("vanished 1\n");
-    assert_eq!(answer(&mut BufReader::new(ask(3))).unwrap().0, 200);
+    assert_eq!(read_response(&mut BufReader::new(ask(3))).unwrap().0, 200);
     assert_eq!(program.counter("connections_to_engines"), Some(2));
 }
 
@@ -623,7 +636,7 @@
 #[test]
 fn clients_that_ask_no_more_or_never_do_keep_no_place_from_those_that_ask() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], small);
     let mute: Vec<TcpStream> = (0..40)
         .map(|_| TcpStream::connect(program.listen).unwrap())
@@ -633,7 +646,7 @@
         .map(|id| {
             let client = post(program.listen, "look", id);
             assert_eq!(
-                answer(&mut BufReader::new(client.try_clone().unwrap()))
+                read_response(&mut BufReader::new(client.try_clone().unwrap()))
                     .unwrap()
                     .0,
                 200
@@ -648,13 +661,13 @@
     );
     // Those that never asked are told so by a close, and one that sends by drops by an error.
     let mut drips = TcpStream::connect(program.listen).unwrap();
-    drips.set_read_timeout(Some(WAIT)).unwrap();
+    drips.set_read_timeout(Some(TIMEOUT)).unwrap();
     let from = Instant::now();
     while from.elapsed() < Duration::from_secs(3) && drips.write_all(b"POST /x").is_ok() {
         thread::sleep(Duration::from_millis(100));
     }
     for mut client in mute {
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         assert!(!matches!(client.read(&mut [0]), Ok(1..)));
     }
     assert!(
@@ -662,14 +675,14 @@
         "{:?}",
         from.elapsed()
     );
-    assert!(answer(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
+    assert!(read_response(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
     drop(stay);
 }
 
 #[test]
 fn what_no_engine_can_use_is_turned_away_and_nothing_behind_it_is_read() {
     let (address, told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], small);
     let behind =
         "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000ab\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
@@ -689,13 +702,13 @@
     ];
     for (rest, status) in cases {
         let mut client = TcpStream::connect(program.listen).unwrap();
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         client
             .write_all(format!("{head}{rest}{behind}").as_bytes())
             .unwrap();
         let mut reader = BufReader::new(client);
-        assert_eq!(answer(&mut reader).unwrap().0, status, "{rest}");
-        assert!(answer(&mut reader).is_none(), "{rest}");
+        assert_eq!(read_response(&mut reader).unwrap().0, status, "{rest}");
+        assert!(read_response(&mut reader).is_none(), "{rest}");
     }
     // The refusal of a statement without end reaches its client while that still sends.
     let mut client = TcpStream::connect(program.listen).unwrap();
@@ -703,10 +716,10 @@
         .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
         .unwrap();
     (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
-    assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 413);
+    assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 413);
     assert_eq!(told.try_iter().count(), 0);
     assert_eq!(
-        answer(&mut BufReader::new(post(program.listen, "look", 1)))
+        read_response(&mut BufReader::new(post(program.listen, "look", 1)))
             .unwrap()
             .0,
         200
@@ -716,7 +729,7 @@
 #[test]
 fn clients_that_fill_the_room_for_what_is_unread_are_no_bar_to_small_requests() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], |config| {
         small(config).with("limits.memory_mb", 16)
     });
@@ -733,7 +746,7 @@
     thread::sleep(Duration::from_millis(200));
     for id in 1..5 {
         assert_eq!(
-            answer(&mut BufReader::new(post(program.listen, "look", id)))
+            read_response(&mut BufReader::new(post(program.listen, "look", id)))
                 .unwrap()
                 .0,
             200
--- a/crates/dispatcher/tests/standing.rs
+++ b/crates/dispatcher/tests/standing.rs
@@ -19,14 +19,14 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{post_slowly, Ask};
+use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::names::{Listed, Names};
+use tansymux_testbed::name_service::{Endpoint, NameService};
 use tansymux_testbed::program::{
-    class, free_address, free_udp_address, own_memory, used, Config, Program, Scrap, WAIT,
+    class, free_address, free_udp_address, own_memory, used, Config, Program, TempFile, TIMEOUT,
 };
 use tansymux_testbed::record::{Record, Status};
-use tansymux_testbed::wire::{answer, say};
+use tansymux_testbed::wire::{read_response, write_frame};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
@@ -46,14 +46,14 @@
 /// An engine that answers at once.
 fn engine() -> SocketAddr {
     let answers = |parts: &[String], to: &mut std::net::TcpStream| {
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     };
     scripted(answers).0
 }
 
 /// The answer's status to one query.
 fn asks(program: &Program, id: u64, wait: f64) -> Option<u16> {
-    let mut ask = Ask::new(
+    let mut ask = ClientQuery::new(
         id,
         "/invoke/look",
         "look",
@@ -61,8 +61,8 @@
         wait,
     );
     ask.cost = Some(20.0);
-    let stream = post_slowly(program.listen, &ask, 40, Duration::from_millis(1));
-    answer(&mut BufReader::new(stream)).map(|got| got.0)
+    let stream = send_query_in_two_parts(program.listen, &ask, 40, Duration::from_millis(1));
+    read_response(&mut BufReader::new(stream)).map(|got| got.0)
 }
 
 fn refuse(rules: BTreeMap<i64, Vec<SeccompRule>>, error: i32) -> BpfProgram {
@@ -154,7 +154,7 @@
         ),
         (0, 2)
     );
-    program.told_to_end();
+    program.terminate();
     let log = program.end();
     assert!(log.contains("finished 40\n"), "{log}");
 }
@@ -237,7 +237,7 @@
 fn clients_that_fill_the_descriptors_while_discovery_is_down_keep_nothing_else_from_its_own() {
     // The engines of the start hang, each with a connection for each query, and the service is silent at first.
     let hangs: Vec<SocketAddr> = (0..4).map(|_| scripted(|_, _| {}).0).collect();
-    let names = Names::start(Vec::new(), Arc::new(Record::default()));
+    let names = NameService::start(Vec::new(), Arc::new(Record::default()));
     names.silent(true);
     let config = config(&hangs).with("limits", json!({"sockets": 64, "memory_mb": 16}));
     let config = config
@@ -248,14 +248,14 @@
     let from = Instant::now();
     let mut idle = Vec::new();
     while idle.len() < 120 {
-        assert!(from.elapsed() < WAIT, "nobody listens");
+        assert!(from.elapsed() < TIMEOUT, "nobody listens");
         match std::net::TcpStream::connect(program.listen) {
             Ok(stream) => idle.push(stream),
             Err(_) => thread::sleep(Duration::from_millis(1)),
         }
     }
     let ask = |id| {
-        let mut ask = Ask::new(
+        let mut ask = ClientQuery::new(
             id,
             "/invoke/look",
             "look",
@@ -263,13 +263,13 @@
             9000.0,
         );
         ask.cost = Some(20.0);
-        post_slowly(program.listen, &ask, 40, Duration::ZERO)
+        send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
     };
     let hang: Vec<_> = (1..60).map(ask).collect();
     program.wait_until_healthy();
     // All that needs a descriptor while they hold theirs: a list from another socket, and the file at SIGHUP.
     program.wait_for_count("lists 0\n");
-    names.add(Listed {
+    names.add(Endpoint {
         id: "s-9".into(),
         zone: "h".into(),
         kind: "std".into(),
@@ -285,7 +285,7 @@
     drop(hang);
     program.wait_for_count("submissions_out 0\n");
     assert_eq!(asks(&program, 99, 9000.0), Some(200));
-    program.told_to_end();
+    program.terminate();
     let log = program.end();
     assert!(!log.contains("Too many open files"), "{log}");
 }
@@ -298,7 +298,7 @@
     program.wait_until_healthy();
     let clients = |from: u64| {
         let one = |id| {
-            let mut ask = Ask::new(
+            let mut ask = ClientQuery::new(
                 id,
                 "/invoke/look",
                 "look",
@@ -306,14 +306,14 @@
                 9000.0,
             );
             ask.cost = Some(20.0);
-            post_slowly(program.listen, &ask, 40, Duration::ZERO)
+            send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
         };
         (from..from + 20).map(one).collect::<Vec<_>>()
     };
     for from in [1, 100, 200] {
         for client in clients(from) {
             assert_eq!(
-                answer(&mut BufReader::new(client)).map(|got| got.0),
+                read_response(&mut BufReader::new(client)).map(|got| got.0),
                 Some(200)
             );
         }
@@ -350,12 +350,12 @@
     (1..20).for_each(|id| assert_eq!(asks(&program, id, 9000.0), Some(200)));
     let own = own_memory(program.child.id()).unwrap();
     assert!(own < 1600, "{own} kB");
-    program.told_to_end();
+    program.terminate();
     program.end();
 }
 
 /// The library that bends clocks, and the file that says how.
-struct Warp(PathBuf, Scrap);
+struct Warp(PathBuf, TempFile);
 
 impl Warp {
     fn new() -> Self {
@@ -377,7 +377,7 @@
         let folder = own.parent().and_then(Path::parent).unwrap();
         let library = folder.join("examples").join("libwarp.so");
         assert!(library.exists(), "{} is not there", library.display());
-        Warp(library, Scrap::new("warp", &"\0".repeat(32)))
+        Warp(library, TempFile::new("warp", &"\0".repeat(32)))
     }
 
     fn set(&self, place: u64, nanos: i64) {
@@ -422,7 +422,7 @@
         assert!(program.counter("rounds").is_some());
     }
     let one = |id, wait| {
-        let mut ask = Ask::new(
+        let mut ask = ClientQuery::new(
             id,
             "/invoke/load",
             "load",
@@ -430,7 +430,7 @@
             wait,
         );
         ask.cost = Some(20.0);
-        post_slowly(program.listen, &ask, 40, Duration::from_millis(1))
+        send_query_in_two_parts(program.listen, &ask, 40, Duration::from_millis(1))
     };
     // It stands still for twice a query's time: the query does not end, the program answers, and does not spin.
     let waiting = one(1, 600.0);
@@ -450,7 +450,7 @@
     // It goes on, and jumps over the query's time: the query ends, and the next is served as ever.
     warp.set(2, 0);
     assert_eq!(
-        answer(&mut BufReader::new(waiting)).map(|got| got.0),
+        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
         Some(500)
     );
     let waiting = one(2, 8000.0);
@@ -458,7 +458,7 @@
     let from = Instant::now();
     warp.set(0, 10_000_000_000);
     assert_eq!(
-        answer(&mut BufReader::new(waiting)).map(|got| got.0),
+        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
         Some(500)
     );
     assert!(
@@ -466,6 +466,6 @@
         "{:?}",
         from.elapsed()
     );
-    program.told_to_end();
+    program.terminate();
     program.end();
 }
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use tansymux_testbed::check::{judge, ClassRules, Effect, Rules};
-use tansymux_testbed::client::{ask, Ask};
+use tansymux_testbed::client::{send_query, ClientQuery};
 use tansymux_testbed::corpus::{corpus, mutated};
-use tansymux_testbed::engine::{scripted, Engine, Spec, Work, World};
-use tansymux_testbed::program::{class, free_address, Config, Program, Scrap, WAIT};
-use tansymux_testbed::wire::{answer, say};
+use tansymux_testbed::engine::{scripted, Engine, EngineSpec, QueryWork, RunContext};
+use tansymux_testbed::invariants::{find_violations, ClassRules, Effect, Rules};
+use tansymux_testbed::program::{class, free_address, Config, Program, TempFile, TIMEOUT};
+use tansymux_testbed::wire::{read_response, write_frame};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 const ON: &str =
@@ -31,8 +31,8 @@
     Config::new(free_address(), &engines, &classes, &[1, 1])
 }
 
-fn start(engines: &[SocketAddr], statements: &str) -> (Program, Scrap) {
-    let operator = Scrap::new(
+fn start(engines: &[SocketAddr], statements: &str) -> (Program, TempFile) {
+    let operator = TempFile::new(
         "operator.textproto",
         &format!("statements {{ {statements} }}"),
     );
@@ -43,19 +43,19 @@
     )
 }
 
-fn post(to: SocketAddr, query: &Ask) -> TcpStream {
+fn post(to: SocketAddr, query: &ClientQuery) -> TcpStream {
     let mut stream = TcpStream::connect(to).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     stream.write_all(&query.bytes()).unwrap();
     stream
 }
 
 fn status(stream: TcpStream) -> u16 {
-    answer(&mut BufReader::new(stream)).unwrap().0
+    read_response(&mut BufReader::new(stream)).unwrap().0
 }
 
-fn bare(id: u64, statement: &str) -> Ask {
-    Ask::new(id, "/statement", "bare", statement, 9000.0)
+fn bare(id: u64, statement: &str) -> ClientQuery {
+    ClientQuery::new(id, "/statement", "bare", statement, 9000.0)
 }
 
 fn run(arguments: &[&str], input: &str) -> (i32, String, String) {
@@ -80,7 +80,7 @@
 #[test]
 fn a_bare_statement_runs_in_the_group_of_its_class_and_without_the_path_in_none() {
     let (address, told) = scripted(|parts, to| {
-        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
     let (program, _operator) = start(&[address], ON);
     for (id, statement, group) in [
@@ -89,7 +89,7 @@
         (3, "nonsense of some kind", "cls=load,"),
     ] {
         assert_eq!(status(post(program.listen, &bare(id, statement))), 200);
-        let fetch = told.recv_timeout(WAIT).unwrap().0;
+        let fetch = told.recv_timeout(TIMEOUT).unwrap().0;
         assert!(
             fetch[2].starts_with(group) && fetch[3] == statement,
             "{fetch:?}"
@@ -106,7 +106,7 @@
     // Each connection ends when a request has come: nobody knows what ran.
     let (address, told) = scripted(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let hidden = "select 1 -- x\n; delete from sales_17.orders";
-    let sent = |program: &Program, query: &Ask| {
+    let sent = |program: &Program, query: &ClientQuery| {
         let status = status(post(program.listen, query));
         let fetches = told
             .try_iter()
@@ -128,11 +128,11 @@
         (500, 1)
     );
     // A named class that promises to read only: logged and run as promised, or held to its text.
-    let named = |id| Ask::new(id, "/invoke/look", "look", hidden, 9000.0);
+    let named = |id| ClientQuery::new(id, "/invoke/look", "look", hidden, 9000.0);
     let (mut program, _operator) = start(&[address], "check: LOG");
     assert!(sent(&program, &named(4)).1 > 1);
     assert_eq!(program.counter("statements_milder_class_named"), Some(1));
-    program.told_to_end();
+    program.terminate();
     assert!(program.end().contains("promises to read only"));
     let (program, _operator) = start(&[address], "check: ENFORCE");
     assert_eq!(sent(&program, &named(5)), (500, 1));
@@ -143,7 +143,7 @@
     let (address, told) = scripted(|parts, to| {
         if parts[0] == "fetch" {
             thread::sleep(Duration::from_millis(400));
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let (program, operator) = start(&[address], ON);
@@ -151,7 +151,7 @@
         program.listen,
         &bare(1, "select a from sales_17.orders where id = 1"),
     );
-    assert!(told.recv_timeout(WAIT).unwrap().0[2].starts_with("cls=look,"));
+    assert!(told.recv_timeout(TIMEOUT).unwrap().0[2].starts_with("cls=look,"));
     // One that can't be used changes nothing and says where.
     operator.write("statements { path: \"/statement\"\n groups { look_up: \"nobody\" report: \"look\" load: \"load\" } }");
     program.signal("-HUP");
@@ -168,7 +168,7 @@
         program.listen,
         &bare(2, "select a from sales_17.orders where id = 2"),
     );
-    assert!(told.recv_timeout(WAIT).unwrap().0[2].starts_with("cls=load,"));
+    assert!(told.recv_timeout(TIMEOUT).unwrap().0[2].starts_with("cls=load,"));
     assert_eq!((status(in_hand), status(later)), (200, 200));
     // Off again: the path is gone.
     operator.write("");
@@ -176,7 +176,7 @@
     program.wait_for_count("operator_files_read 2\n");
     assert_eq!(status(post(program.listen, &bare(3, "select 1"))), 404);
     let mut program = program;
-    program.told_to_end();
+    program.terminate();
     let log = program.end();
     for says in [
         "stays as it was",
@@ -190,9 +190,9 @@
 #[test]
 fn every_statement_malformed_or_not_gets_exactly_one_final_answer() {
     use rand::SeedableRng;
-    let world = Arc::new(World::default());
+    let world = Arc::new(RunContext::default());
     let engines: Vec<Engine> = (0..3)
-        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone()))
+        .map(|n| Engine::start(&format!("s-{n}"), EngineSpec::default(), n, world.clone()))
         .collect();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
     let (mut program, _operator) = start(&addresses, ON);
@@ -209,11 +209,11 @@
         };
         // What was spoilt may be anything: only its one answer counts.
         let class = if spoilt { "spoilt" } else { labelled.class };
-        let query = Ask {
+        let query = ClientQuery {
             class: class.into(),
             ..bare(n as u64 + 1, &text)
         };
-        let work = Work {
+        let work = QueryWork {
             work: 2.0,
             threads: 1.0,
             changes: labelled.effect != "read-only",
@@ -222,7 +222,7 @@
         world.works.lock().unwrap().insert(query.id(), work);
         let (world, listen) = (world.clone(), program.listen);
         waiting.push(thread::spawn(move || {
-            ask(listen, &query, &world.record).is_some()
+            send_query(listen, &query, &world.record).is_some()
         }));
         if waiting.len() % 24 == 0 {
             thread::sleep(Duration::from_millis(20));
@@ -235,7 +235,7 @@
         .filter(|got| *got)
         .count();
     assert_eq!(answered, all.len());
-    program.told_to_end();
+    program.terminate();
     let report = program.end();
     assert!(report.contains("unanswered 0\n"), "{report}");
     let effect = |class: &str| match class {
@@ -254,7 +254,7 @@
         budget: None,
         classes,
     };
-    let broken = judge(&world.record.entries(), &rules);
+    let broken = find_violations(&world.record.entries(), &rules);
     assert!(broken.is_empty(), "{broken:?}");
 }
 
@@ -264,13 +264,13 @@
     assert_eq!(run(&["--help"], "").0, 0);
     assert_eq!(run(&["nonsense"], "").0, 2);
     assert_eq!(run(&["check"], "").0, 2);
-    let operator = Scrap::new(
+    let operator = TempFile::new(
         "o",
         "log {\n lines_a_second: 0 }\nstatements { cache { shapes: 1 } }",
     );
-    let good = Scrap::new("c", &config(&[]).0.to_string());
-    let bad = Scrap::new("d", "{\n\"seed\": 7 }");
-    let path = |scrap: &Scrap| scrap.0.display().to_string();
+    let good = TempFile::new("c", &config(&[]).0.to_string());
+    let bad = TempFile::new("d", "{\n\"seed\": 7 }");
+    let path = |scrap: &TempFile| scrap.0.display().to_string();
     let (code, out, _) = run(
         &[
             "check",
@@ -296,9 +296,9 @@
     ] {
         assert!(out.contains(says), "{says} in {out}");
     }
-    let fits = Scrap::new("f", &format!("statements {{ {ON} }}"));
+    let fits = TempFile::new("f", &format!("statements {{ {ON} }}"));
     assert_eq!(run(&["check", &path(&good), &path(&fits)], "").0, 0);
-    let unfit = Scrap::new(
+    let unfit = TempFile::new(
         "u",
         &format!(
             "statements {{ {} }}",
@@ -326,7 +326,7 @@
 #[test]
 fn log_lines_are_text_or_json_with_fields_and_a_level() {
     let (address, _told) = scripted(|parts, to| {
-        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
     for (arguments, says) in [
         (
@@ -339,9 +339,9 @@
         ),
     ] {
         let mut program = Program::start(Path::new(EXE), &config(&[address]), &arguments);
-        let query = Ask::new(1, "/invoke/look", "look", "select 1", 9000.0);
+        let query = ClientQuery::new(1, "/invoke/look", "look", "select 1", 9000.0);
         assert_eq!(status(post(program.listen, &query)), 200);
-        program.told_to_end();
+        program.terminate();
         let log = program.end();
         assert!(log.contains(says) && log.contains("query"), "{log}");
         if arguments[1] == "json" {
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::check::{judge, ClassRules, Effect, Rules};
-use tansymux_testbed::client::{ask, Ask, Got};
-use tansymux_testbed::engine::{Engine, Fault, Spec, Work, World};
-use tansymux_testbed::program::{class, free_address, get, Config, Program, Scrap};
-use tansymux_testbed::record::What;
+use tansymux_testbed::client::{send_query, ClientQuery, ClientResponse};
+use tansymux_testbed::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
+use tansymux_testbed::invariants::{find_violations, ClassRules, Effect, Rules};
+use tansymux_testbed::program::{class, free_address, get, Config, Program, TempFile};
+use tansymux_testbed::record::EventKind;
 
 const ZONES: &str = r#"halls {
   route { from: "east" tier { hall: "east" } tier { hall: "west" } }
@@ -20,17 +20,17 @@
 }"#;
 
 struct Site {
-    world: Arc<World>,
+    world: Arc<RunContext>,
     engines: Vec<Engine>,
     program: Program,
     next: AtomicU64,
-    _operator: Scrap,
+    _operator: TempFile,
 }
 
 fn start(zones: &str) -> Site {
-    let world = Arc::new(World::default());
+    let world = Arc::new(RunContext::default());
     let engines: Vec<Engine> = (0..4)
-        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n, world.clone()))
+        .map(|n| Engine::start(&format!("s-{n}"), EngineSpec::default(), n, world.clone()))
         .collect();
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
     let classes = [
@@ -55,7 +55,7 @@
         let zone = if n < 2 { "east" } else { "west" };
         config = config.with(&format!("known.cmds.0.nodes.instances.{n}.zone"), zone);
     }
-    let operator = Scrap::new("operator.textproto", zones);
+    let operator = TempFile::new("operator.textproto", zones);
     let path = operator.0.display().to_string();
     let program = Program::start(
         Path::new(env!("CARGO_BIN_EXE_tansymux")),
@@ -72,24 +72,24 @@
 }
 
 impl Site {
-    fn ask(&self, rg: &str, work: f64) -> Option<Got> {
+    fn send_query(&self, rg: &str, work: f64) -> Option<ClientResponse> {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let wait = if rg == "look" || rg == "bound" {
             2000.0
         } else {
             3000.0
         };
-        let mut query = Ask::new(id, &format!("/invoke/{rg}"), rg, "select 1", wait);
+        let mut query = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, "select 1", wait);
         query.cost = Some(work);
         let threads = if rg == "report" { 4.0 } else { 1.0 };
-        let truth = Work {
+        let truth = QueryWork {
             work,
             threads,
             changes: rg == "load",
             tables: 0,
         };
         self.world.works.lock().unwrap().insert(query.id(), truth);
-        ask(self.program.listen, &query, &self.world.record)
+        send_query(self.program.listen, &query, &self.world.record)
     }
 
     fn zones(&self) -> Value {
@@ -116,7 +116,9 @@
     fn until(&self, zone: &str, state: &str) -> Duration {
         let from = Instant::now();
         while self.state(zone) != state {
-            thread::scope(|scope| (0..6).for_each(|_| drop(scope.spawn(|| self.ask("look", 5.0)))));
+            thread::scope(|scope| {
+                (0..6).for_each(|_| drop(scope.spawn(|| self.send_query("look", 5.0))))
+            });
             assert!(
                 from.elapsed() < Duration::from_secs(15),
                 "{state}: {}",
@@ -130,7 +132,7 @@
     fn sent(&self, since: usize) -> (usize, usize) {
         let entries = self.world.record.entries();
         let to = |east: bool| {
-            let sent = |what: &What| matches!(what, What::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
+            let sent = |what: &EventKind| matches!(what, EventKind::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
             entries[since..]
                 .iter()
                 .filter(|entry| sent(&entry.what))
@@ -147,19 +149,19 @@
 #[test]
 fn a_zone_that_is_lost_spills_within_its_limit_and_climbs_back_and_all_rules_hold() {
     let mut site = start(ZONES);
-    (0..20).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    (0..20).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
     assert_eq!(site.sent(0).1, 0, "the own hall is first");
     site.zone(Fault::Silent);
     site.until("east", "cut");
     // Look-ups run in the other zone; of reports only as many as may spill, the rest is deferred at once.
     let mark = site.mark();
-    (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    (0..10).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
     assert!(site.sent(mark).1 >= 10);
-    let got: Vec<Option<Got>> = thread::scope(|scope| {
+    let got: Vec<Option<ClientResponse>> = thread::scope(|scope| {
         let asked: Vec<_> = (0..8)
             .map(|_| {
                 thread::sleep(Duration::from_millis(10));
-                scope.spawn(|| site.ask("report", 1600.0))
+                scope.spawn(|| site.send_query("report", 1600.0))
             })
             .collect();
         asked
@@ -168,7 +170,7 @@
             .collect()
     });
     let served = got.iter().flatten().filter(|got| got.status == 200).count();
-    let deferred: Vec<&Got> = got
+    let deferred: Vec<&ClientResponse> = got
         .iter()
         .flatten()
         .filter(|got| got.status == 429)
@@ -183,7 +185,7 @@
     );
     // What is bound to the lost zone is never moved.
     let mark = site.mark();
-    let bound = site.ask("bound", 5.0).unwrap();
+    let bound = site.send_query("bound", 5.0).unwrap();
     assert!(bound.status == 429, "{bound:?}");
     assert_eq!(site.sent(mark).1, 0);
     // It comes back: a part first, all after a while, and then the own zone is first again.
@@ -192,9 +194,9 @@
     let climbed = site.until("east", "well");
     assert!(climbed > Duration::from_secs(3), "{climbed:?}");
     let mark = site.mark();
-    (0..20).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    (0..20).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
     assert_eq!(site.sent(mark), (20, 0));
-    site.program.told_to_end();
+    site.program.terminate();
     let log = site.program.end();
     for says in [
         "state=cut",
@@ -222,20 +224,20 @@
         budget: None,
         classes,
     };
-    let broken = judge(&site.world.record.entries(), &rules);
+    let broken = find_violations(&site.world.record.entries(), &rules);
     assert!(broken.is_empty(), "{broken:?}");
 }
 
 #[test]
 fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_zone() {
     let site = start(ZONES);
-    let got: Vec<Option<Got>> = thread::scope(|scope| {
+    let got: Vec<Option<ClientResponse>> = thread::scope(|scope| {
         let asked: Vec<_> = (0..6)
-            .map(|_| scope.spawn(|| site.ask("load", 400.0)))
+            .map(|_| scope.spawn(|| site.send_query("load", 400.0)))
             .collect();
         thread::sleep(Duration::from_millis(60));
         site.zone(Fault::Silent);
-        (0..4).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0))));
+        (0..4).for_each(|_| drop(scope.spawn(|| site.send_query("look", 5.0))));
         asked
             .into_iter()
             .map(|asked| asked.join().unwrap())
@@ -247,12 +249,12 @@
     let loads: Vec<&str> = entries
         .iter()
         .filter_map(|entry| match &entry.what {
-            What::Asked { id, class, .. } if class == "load" => Some(id.as_str()),
+            EventKind::Asked { id, class, .. } if class == "load" => Some(id.as_str()),
             _ => None,
         })
         .collect();
     for id in loads {
-        let sent = |what: &What| matches!(what, What::Arrived { id: of, .. } if of == id);
+        let sent = |what: &EventKind| matches!(what, EventKind::Arrived { id: of, .. } if of == id);
         assert!(
             entries.iter().filter(|entry| sent(&entry.what)).count() <= 1,
             "{id}"
@@ -263,19 +265,21 @@
 #[test]
 fn a_dispatcher_that_is_cut_off_itself_calls_no_zone_cut() {
     let site = start(ZONES);
-    (0..10).for_each(|_| assert_eq!(site.ask("look", 5.0).unwrap().status, 200));
+    (0..10).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
     site.engines
         .iter()
         .for_each(|engine| engine.fault(Fault::Silent));
     let from = Instant::now();
     while site.zones()["alone"] != true {
-        thread::scope(|scope| (0..8).for_each(|_| drop(scope.spawn(|| site.ask("look", 5.0)))));
+        thread::scope(|scope| {
+            (0..8).for_each(|_| drop(scope.spawn(|| site.send_query("look", 5.0))))
+        });
         assert!(from.elapsed() < Duration::from_secs(15), "{}", site.zones());
     }
     assert_eq!(
         (site.state("east"), site.state("west")),
         ("well".into(), "well".into())
     );
-    let report = site.ask("report", 100.0).unwrap();
+    let report = site.send_query("report", 100.0).unwrap();
     assert!(report.status == 429 && report.took < 500.0, "{report:?}");
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -14,8 +14,8 @@
 use tansymux::interface::{Bounds, EngineStatus, Feed, ListForm, Note, Outcome, Text, Writer};
 use tansymux::tiers::{Given, GivenZone};
 use tansymux::told::Map;
-use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
-use tansymux_testbed::record::{Entry, Status, What};
+use tansymux_testbed::invariants::{find_violations, ClassRules, Cold, Effect, Rules, Violation};
+use tansymux_testbed::record::{Entry, EventKind, Status};
 use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
@@ -510,7 +510,7 @@
         });
     }
 
-    fn saw(&mut self, what: impl FnOnce() -> What) {
+    fn saw(&mut self, what: impl FnOnce() -> EventKind) {
         if let Some(record) = &mut self.record {
             record.push(Entry {
                 at: self.now,
@@ -529,7 +529,7 @@
                 World::name(engine),
                 self.zones[self.engine_zones[engine]].clone(),
             );
-            self.saw(|| What::Listed {
+            self.saw(|| EventKind::Listed {
                 engine: id,
                 status: Status::Ready,
                 zone,
@@ -674,7 +674,7 @@
         self.values[phase].1 += told.worth();
         self.sample.most += told.worth();
         let group = self.groups[class].clone();
-        self.saw(|| What::Asked {
+        self.saw(|| EventKind::Asked {
             id: id.to_string(),
             class: group,
             wait,
@@ -717,7 +717,7 @@
 
     fn answers(&mut self, id: u64, status: u16, retry_after: Option<f64>) {
         let Some(query) = self.queries.get_mut(&id).filter(|query| !query.answered) else {
-            self.saw(|| What::Answered {
+            self.saw(|| EventKind::Answered {
                 id: id.to_string(),
                 status,
                 retry_after,
@@ -749,7 +749,7 @@
                 let _ = self.took.record(took.max(1.0) as u64);
             }
         }
-        self.saw(|| What::Answered {
+        self.saw(|| EventKind::Answered {
             id: id.to_string(),
             status,
             retry_after,
@@ -875,7 +875,7 @@
         let (engine, running, id) = (sent.engine, sent.running, sent.query);
         if running && self.engines[engine].remove(self.now, out).is_some() {
             self.again(engine);
-            self.saw(|| What::GivenUp {
+            self.saw(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -995,7 +995,7 @@
         if let Some(sent) = self.out.get_mut(&out) {
             sent.running = true;
         }
-        self.saw(|| What::Arrived {
+        self.saw(|| EventKind::Arrived {
             engine: World::name(engine),
             id: id.to_string(),
             work,
@@ -1033,7 +1033,7 @@
         for out in self.engines[engine].falls(self.now) {
             let latency = self.latency();
             let id = self.out.get(&out).map_or(0, |sent| sent.query);
-            self.saw(|| What::GivenUp {
+            self.saw(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -1081,12 +1081,12 @@
                 self.e.class[query.class].changes(),
             );
             if changes {
-                self.saw(|| What::Applied {
+                self.saw(|| EventKind::Applied {
                     engine: World::name(engine),
                     id: id.to_string(),
                 });
             }
-            self.saw(|| What::Ended {
+            self.saw(|| EventKind::Ended {
                 engine: World::name(engine),
                 id: id.to_string(),
                 word: "DONE".into(),
@@ -1154,7 +1154,7 @@
                 fault::Kind::Cut if !begins && told.cold() => {
                     self.engines[engine].started = self.now;
                     let (id, cores) = (World::name(engine), self.engines[engine].cores);
-                    self.saw(|| What::Started { engine: id, cores });
+                    self.saw(|| EventKind::Started { engine: id, cores });
                     self.list_changes(engine, Some(EPOCH + self.now));
                 }
                 fault::Kind::Cut => {}
@@ -1242,9 +1242,9 @@
             .map(|n| (parts[n].0 - last) * 1000.0)
             .filter(|_| before.is_finite() && last > 0.0);
         if let Some(record) = self.record.take() {
-            let broken = judge(&record, &self.rules());
+            let broken = find_violations(&record, &self.rules());
             self.o.broken = broken.len();
-            self.o.first_broken = broken.first().map(Broken::to_string);
+            self.o.first_broken = broken.first().map(Violation::to_string);
         }
         self.o
     }
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -1,8 +1,8 @@
 //! Stand-in clients: one query on a connection of its own, and what came of it, written to the record.
 
-use crate::program::WAIT;
-use crate::record::{Record, What};
-use crate::wire::{answer, field};
+use crate::program::TIMEOUT;
+use crate::record::{EventKind, Record};
+use crate::wire::{field, read_response};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -10,7 +10,7 @@
 
 /// A query as a client sends it.
 #[derive(Debug, Clone)]
-pub struct Ask {
+pub struct ClientQuery {
     /// 16 hex digits.
     pub id: u64,
     /// The path of the call, as in `/invoke/look`.
@@ -24,10 +24,10 @@
     pub memory: Option<f64>,
 }
 
-impl Ask {
+impl ClientQuery {
     pub fn new(id: u64, path: &str, class: &str, statement: &str, wait: f64) -> Self {
         let (path, class, statement) = (path.to_owned(), class.to_owned(), statement.to_owned());
-        Ask {
+        ClientQuery {
             id,
             path,
             class,
@@ -65,7 +65,7 @@
 
 /// What a client got.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Got {
+pub struct ClientResponse {
     pub status: u16,
     pub retry_after: Option<f64>,
     pub body: String,
@@ -74,34 +74,38 @@
 }
 
 /// Sends a query and waits for its answer; none if its connection ended without one.
-pub fn ask(to: SocketAddr, ask: &Ask, record: &Record) -> Option<Got> {
+pub fn send_query(
+    to: SocketAddr,
+    send_query: &ClientQuery,
+    record: &Record,
+) -> Option<ClientResponse> {
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_nodelay(true).ok()?;
     stream
         .set_read_timeout(Some(
-            Duration::from_secs_f64(ask.wait / 1000.0) + Duration::from_secs(2),
+            Duration::from_secs_f64(send_query.wait / 1000.0) + Duration::from_secs(2),
         ))
         .ok()?;
     let from = record.now();
-    let (id, class, wait) = (ask.id(), ask.class.clone(), ask.wait);
-    record.saw_at(
+    let (id, class, wait) = (send_query.id(), send_query.class.clone(), send_query.wait);
+    record.push_at(
         from,
-        What::Asked {
+        EventKind::Asked {
             id: id.clone(),
             class,
             wait,
             key: None,
         },
     );
-    stream.write_all(&ask.bytes()).ok()?;
-    let (status, head, body) = answer(&mut BufReader::new(stream))?;
+    stream.write_all(&send_query.bytes()).ok()?;
+    let (status, head, body) = read_response(&mut BufReader::new(stream))?;
     let retry_after = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
-    record.saw(What::Answered {
+    record.push(EventKind::Answered {
         id,
         status,
         retry_after,
     });
-    Some(Got {
+    Some(ClientResponse {
         status,
         retry_after,
         body,
@@ -110,12 +114,17 @@
 }
 
 /// Sends a query in two parts with a pause between them; the connection on which its answer will come.
-pub fn post_slowly(to: SocketAddr, ask: &Ask, cut: usize, pause: Duration) -> TcpStream {
+pub fn send_query_in_two_parts(
+    to: SocketAddr,
+    send_query: &ClientQuery,
+    cut: usize,
+    pause: Duration,
+) -> TcpStream {
     let mut stream = TcpStream::connect(to).expect("the program listens");
     stream
-        .set_read_timeout(Some(WAIT))
+        .set_read_timeout(Some(TIMEOUT))
         .expect("a socket takes a timeout");
-    let whole = ask.bytes();
+    let whole = send_query.bytes();
     let (first, second) = whole.split_at(cut.min(whole.len()));
     stream.write_all(first).expect("the program reads");
     thread::sleep(pause);
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,11 +1,11 @@
 //! Half a minute of a quarter start: stand-in engines, one that fails and one that drains, and the real program.
 
-use crate::check::{judge, Broken, Budget, ClassRules, Effect, Rules};
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Fault, Spec, Work, World};
-use crate::names::{Listed, Names};
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
+use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::name_service::{Endpoint, NameService};
 use crate::program::{class, free_address, Config, Program};
-use crate::record::{Status, What};
+use crate::record::{EventKind, Status};
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -74,7 +74,7 @@
 #[derive(Debug)]
 pub struct Report {
     pub table: String,
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
 }
 
 /// Rules with the figures of the configuration below.
@@ -105,7 +105,7 @@
     }
 }
 
-fn configuration(engines: &[Engine], names: &Names) -> Config {
+fn configuration(engines: &[Engine], names: &NameService) -> Config {
     let known: Vec<(String, std::net::SocketAddr)> =
         engines.iter().map(|e| (e.id.clone(), e.address)).collect();
     let effect = |kind: &Kind| {
@@ -138,15 +138,15 @@
 
 /// Plays `seconds` of it with everything drawn from `seed`; progress goes to standard error.
 pub fn run(exe: &Path, seconds: f64, seed: u64, quiet: bool) -> Report {
-    let world = Arc::new(World::default());
-    let spec = Spec {
+    let world = Arc::new(RunContext::default());
+    let spec = EngineSpec {
         cores: 8.0,
-        ..Spec::default()
+        ..EngineSpec::default()
     };
     let engines: Vec<Engine> = (0..5)
         .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
         .collect();
-    let listed = |e: &Engine| Listed {
+    let listed = |e: &Engine| Endpoint {
         id: e.id.clone(),
         zone: "h".into(),
         kind: "std".into(),
@@ -155,7 +155,7 @@
         status: Status::Ready,
         started: 0.0,
     };
-    let names = Names::start(engines.iter().map(listed).collect(), world.record.clone());
+    let names = NameService::start(engines.iter().map(listed).collect(), world.record.clone());
     let mut program = Program::launch(
         exe,
         &configuration(&engines, &names),
@@ -206,10 +206,10 @@
     for client in clients {
         let _ = client.join();
     }
-    program.told_to_end();
+    program.terminate();
     let _ = program.end();
     let entries = world.record.entries();
-    let broken = judge(&entries, &rules());
+    let broken = find_violations(&entries, &rules());
     let mut table = by_class(&outcomes);
     table += &by_engine(&entries, &engines, from.elapsed().as_secs_f64() * 1000.0);
     if broken.is_empty() {
@@ -226,7 +226,7 @@
     to: std::net::SocketAddr,
     seconds: f64,
     seed: u64,
-    world: &Arc<World>,
+    world: &Arc<RunContext>,
     outcomes: &Arc<Mutex<BTreeMap<&'static str, Outcome>>>,
 ) -> Vec<thread::JoinHandle<()>> {
     let start = Instant::now();
@@ -250,7 +250,7 @@
                     _ => format!("insert into sales_{tables}.lanes select * from staging.lanes where batch = {number}"),
                 };
                 let id = (n as u64 + 1) << 48 | number;
-                let mut query = Ask::new(
+                let mut query = ClientQuery::new(
                     id,
                     &format!("/invoke/{}", kind.name),
                     kind.name,
@@ -258,7 +258,7 @@
                     kind.wait,
                 );
                 query.cost = Some(work * rng.random_range(0.7..1.4));
-                let truth = Work {
+                let truth = QueryWork {
                     work,
                     threads: kind.threads,
                     changes: kind.changes,
@@ -272,7 +272,7 @@
                 thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
                 let (world, outcomes) = (world.clone(), outcomes.clone());
                 waiting.push(thread::spawn(move || {
-                    let got = ask(to, &query, &world.record);
+                    let got = send_query(to, &query, &world.record);
                     let mut outcomes = outcomes.lock().expect("no holder panics");
                     let Some(outcome) = outcomes.get_mut(kind.name) else {
                         return;
@@ -338,7 +338,7 @@
 fn by_engine(entries: &[crate::record::Entry], engines: &[Engine], lasted: f64) -> String {
     let mut arrived: HashMap<&str, u64> = HashMap::new();
     for entry in entries {
-        if let What::Arrived { engine, .. } = &entry.what {
+        if let EventKind::Arrived { engine, .. } = &entry.what {
             *arrived.entry(engine).or_default() += 1;
         }
     }
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in engines. `scripted` answers each frame as a closure says. `Engine` is one with cores, that runs queries
 //! side by side, tells of progress, keeps a record, and fails as it is told to.
 
-use crate::record::{Record, What};
-use crate::wire::{frame, of_list, say};
+use crate::record::{EventKind, Record};
+use crate::wire::{frame, list_value, write_frame};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
@@ -43,7 +43,7 @@
 
 /// From now on no connection comes up at this listener, as at a machine that vanished, as long as what is returned is
 /// held and nobody accepts: its backlog is as short as it gets, and full.
-pub fn vanishes(listener: &TcpListener) -> Vec<TcpStream> {
+pub fn refuse_silently(listener: &TcpListener) -> Vec<TcpStream> {
     let address = listener
         .local_addr()
         .expect("a bound socket has an address");
@@ -74,7 +74,7 @@
 
 /// What the queries of a run are, by their ids: the engines' side of the truth.
 #[derive(Debug, Clone, Copy)]
-pub struct Work {
+pub struct QueryWork {
     /// Milliseconds on one core, and threads at most.
     pub work: f64,
     pub threads: f64,
@@ -85,29 +85,29 @@
 
 /// What all engines of a run share.
 #[derive(Debug, Default)]
-pub struct World {
+pub struct RunContext {
     pub record: Arc<Record>,
-    pub works: Mutex<HashMap<String, Work>>,
+    pub works: Mutex<HashMap<String, QueryWork>>,
 }
 
 #[derive(Debug, Clone, Copy)]
-pub struct Spec {
+pub struct EngineSpec {
     pub cores: f64,
     /// More running threads a core than this are answered as full.
     pub max_threads_a_core: f64,
     /// Time between notes (ms).
-    pub tells_every: f64,
+    pub progress_interval_ms: f64,
     /// While cold it does this part of its work, rising to all in so long (ms).
     pub cold_from: f64,
     pub warm_after: f64,
 }
 
-impl Default for Spec {
+impl Default for EngineSpec {
     fn default() -> Self {
-        Spec {
+        EngineSpec {
             cores: 8.0,
             max_threads_a_core: 16.0,
-            tells_every: 100.0,
+            progress_interval_ms: 100.0,
             cold_from: 1.0,
             warm_after: 0.0,
         }
@@ -128,8 +128,8 @@
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
-    spec: Spec,
-    world: Arc<World>,
+    spec: EngineSpec,
+    world: Arc<RunContext>,
     state: Arc<Mutex<State>>,
     down: Arc<AtomicBool>,
     streams: Arc<Mutex<HashMap<SocketAddr, TcpStream>>>,
@@ -144,7 +144,7 @@
 const STEP: Duration = Duration::from_millis(2);
 
 impl Engine {
-    pub fn start(id: &str, spec: Spec, seed: u64, world: Arc<World>) -> Self {
+    pub fn start(id: &str, spec: EngineSpec, seed: u64, world: Arc<RunContext>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
         let address = listener
             .local_addr()
@@ -182,16 +182,16 @@
 
     pub fn fault(&self, fault: Fault) {
         self.state.lock().expect("no holder panics").fault = fault;
-        self.world.record.saw(What::Fault {
+        self.world.record.push(EventKind::Fault {
             engine: self.id.clone(),
             fault: format!("{fault:?}"),
         });
     }
 
     /// Starts anew: cold from now on.
-    pub fn starts_cold(&self) {
+    pub fn restart_cold(&self) {
         self.state.lock().expect("no holder panics").started = Instant::now();
-        self.world.record.saw(What::Started {
+        self.world.record.push(EventKind::Started {
             engine: self.id.clone(),
             cores: self.spec.cores,
         });
@@ -257,7 +257,7 @@
                 "alive" | "stats"
                     if self.state.lock().expect("no holder panics").fault != Fault::Silent =>
                 {
-                    say(
+                    write_frame(
                         &mut *writer.lock().expect("no holder panics"),
                         &[&id, "FIT", "-", ""],
                     );
@@ -283,21 +283,21 @@
             .expect("no holder panics")
             .get(&run.id)
             .copied();
-        let work = known.unwrap_or(Work {
+        let work = known.unwrap_or(QueryWork {
             work: 1.0,
             threads: 1.0,
             changes: false,
             tables: 0,
         });
         let record = &self.world.record;
-        record.saw(What::Arrived {
+        record.push(EventKind::Arrived {
             engine: self.id.clone(),
             id: run.id.clone(),
             work: work.work,
         });
         let limit = parts
             .get(2)
-            .and_then(|fields| of_list(fields, "limit")?.parse::<f64>().ok())
+            .and_then(|fields| list_value(fields, "limit")?.parse::<f64>().ok())
             .unwrap_or(1e9);
         let (fault, lot, crowded) = {
             let mut state = self.state.lock().expect("no holder panics");
@@ -311,7 +311,7 @@
         };
         let end = |word: &str, ran: bool| {
             let (engine, id, word) = (self.id.clone(), run.id.clone(), word.to_owned());
-            record.saw(What::Ended {
+            record.push(EventKind::Ended {
                 engine,
                 id,
                 word,
@@ -324,14 +324,14 @@
                 leave();
             }
             end("WAIT", false);
-            return say(
+            return write_frame(
                 &mut *writer.lock().expect("no holder panics"),
                 &[&run.id, "WAIT", "-", ""],
             );
         }
         if matches!(fault, Fault::Resets(part) if lot < part) {
             leave();
-            record.saw(What::GivenUp {
+            record.push(EventKind::GivenUp {
                 engine: self.id.clone(),
                 id: run.id.clone(),
             });
@@ -367,7 +367,7 @@
     fn run(
         &self,
         run: &Run,
-        work: Work,
+        work: QueryWork,
         limit: f64,
         fault: Fault,
         lot: f64,
@@ -376,20 +376,20 @@
         let record = &self.world.record;
         let given_up = || run.given_up.load(Ordering::Relaxed);
         let gives_up = || {
-            record.saw(What::GivenUp {
+            record.push(EventKind::GivenUp {
                 engine: self.id.clone(),
                 id: run.id.clone(),
             })
         };
         let write = |word: &str, fields: &str, body: &str| {
-            say(
+            write_frame(
                 &mut *writer.lock().expect("no holder panics"),
                 &[&run.id, word, fields, body],
             )
         };
         let end = |word: &str, ran: bool| {
             let (engine, id, word) = (self.id.clone(), run.id.clone(), word.to_owned());
-            record.saw(What::Ended {
+            record.push(EventKind::Ended {
                 engine,
                 id,
                 word,
@@ -422,7 +422,7 @@
             if given_up() || from.elapsed().as_secs_f64() * 1000.0 > limit + 200.0 {
                 return gives_up();
             }
-            if now.duration_since(told).as_secs_f64() * 1000.0 >= self.spec.tells_every {
+            if now.duration_since(told).as_secs_f64() * 1000.0 >= self.spec.progress_interval_ms {
                 told = now;
                 write(
                     "TELL",
@@ -432,7 +432,7 @@
             }
         }
         if work.changes {
-            record.saw(What::Applied {
+            record.push(EventKind::Applied {
                 engine: self.id.clone(),
                 id: run.id.clone(),
             });
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 pub mod processes;
 pub mod relay;
 pub mod scenario;
-pub mod world;
+pub mod virtual_fleet;
 pub mod zones;
 
 use hdrhistogram::Histogram;
@@ -15,11 +15,11 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use world::{Served, World};
+use virtual_fleet::{Served, VirtualFleet};
 
 /// What was seen in one run.
 #[derive(Debug, Clone, Default)]
-pub struct Seen {
+pub struct FleetReport {
     pub seed: u64,
     /// Limit dispatchers out by a turn at any true instant, and what the limit was.
     pub max_out: usize,
@@ -45,7 +45,7 @@
     pub broken: Vec<String>,
 }
 
-impl Seen {
+impl FleetReport {
     /// One line for people.
     pub fn line(&self) -> String {
         let mut line = format!(
@@ -108,7 +108,7 @@
 }
 
 /// Plays one scenario in virtual time for each seed, on all cores; a table, and whether one was broken.
-pub fn many(
+pub fn run_seeds(
     seeds: std::ops::Range<u64>,
     scenario: impl Fn(u64) -> Scenario + Sync,
     alone: bool,
@@ -124,8 +124,8 @@
                     return;
                 }
                 let scenario = scenario(seed);
-                let told = world::told(&scenario);
-                let mut world = World::new(scenario, told, Served::default());
+                let told = virtual_fleet::told(&scenario);
+                let mut world = VirtualFleet::new(scenario, told, Served::default());
                 world.alone = alone;
                 let seen = world.play();
                 all.lock().expect("no player panics").push(seen);
@@ -141,7 +141,7 @@
 }
 
 /// What all runs showed: a line for each that was broken, or for all, and the sums.
-pub fn table(all: &[Seen], show: bool) -> String {
+pub fn table(all: &[FleetReport], show: bool) -> String {
     let mut text = String::new();
     for seen in all.iter().filter(|seen| show || !seen.broken.is_empty()) {
         let _ = writeln!(text, "{}", seen.line());
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -2,11 +2,11 @@
 //! Stalls and crashes befall only what this run started and holds.
 
 use super::relay::{Link, Relay};
-use super::scenario::{Fault, Scenario, Way};
-use super::Seen;
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Spec, World};
-use crate::program::{class, free_address, get, Config, Program, Scrap};
+use super::scenario::{Fault, LinkConditions, Scenario};
+use super::FleetReport;
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, RunContext};
+use crate::program::{class, free_address, get, Config, Program, TempFile};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
@@ -41,8 +41,8 @@
     links: Vec<Vec<Link>>,
     places: Vec<Mutex<Place>>,
     configs: Vec<Config>,
-    files: Vec<Scrap>,
-    scraps: Vec<Scrap>,
+    files: Vec<TempFile>,
+    scraps: Vec<TempFile>,
     listens: Vec<SocketAddr>,
     logs: Option<std::path::PathBuf>,
     begin: Instant,
@@ -50,7 +50,7 @@
     /// Whether each is out by its turn, and each engine drained: the true state.
     out: Mutex<Vec<bool>>,
     drained: Mutex<Vec<bool>>,
-    seen: Mutex<Seen>,
+    seen: Mutex<FleetReport>,
     alone: bool,
     /// Queries that were sent whole to a process that lives, and got no answer.
     lost: AtomicU64,
@@ -86,7 +86,7 @@
 }
 
 /// Plays a scenario; with `alone`, supervisors ask nobody. `logs`: a folder for the processes' logs.
-pub fn play(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Seen {
+pub fn play(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> FleetReport {
     // Another program may take an address between its being found free and its use: that is no run.
     for _ in 0..3 {
         match plays_once(exe, scenario.clone(), alone, logs) {
@@ -94,16 +94,28 @@
             None => eprintln!("an address was taken by another program: played again"),
         }
     }
-    Seen {
+    FleetReport {
         broken: vec!["no free addresses".into()],
-        ..Seen::default()
+        ..FleetReport::default()
     }
 }
 
-fn plays_once(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Option<Seen> {
-    let world = Arc::new(World::default());
+fn plays_once(
+    exe: &Path,
+    scenario: Scenario,
+    alone: bool,
+    logs: Option<&Path>,
+) -> Option<FleetReport> {
+    let world = Arc::new(RunContext::default());
     let engines: Vec<Engine> = (0..scenario.engines)
-        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n as u64, world.clone()))
+        .map(|n| {
+            Engine::start(
+                &format!("s-{n}"),
+                EngineSpec::default(),
+                n as u64,
+                world.clone(),
+            )
+        })
         .collect();
     let relay = Relay::start(scenario.members, scenario.late, scenario.seed);
     let links: Vec<Vec<Link>> = (0..scenario.members)
@@ -130,15 +142,15 @@
         })
         .collect();
     let files = (0..scenario.members)
-        .map(|n| Scrap::new("fleet.textproto", &text(&scenario, n, &relay, OLD, true)))
+        .map(|n| TempFile::new("fleet.textproto", &text(&scenario, n, &relay, OLD, true)))
         .collect();
-    let seen = Seen {
+    let seen = FleetReport {
         seed: scenario.seed,
         limit: scenario.most,
         drain_limit: scenario.max_engines,
         of: scenario.members,
         last_fault: scenario.last_fault(),
-        ..Seen::default()
+        ..FleetReport::default()
     };
     let place = || {
         Mutex::new(Place {
@@ -159,7 +171,7 @@
         configs,
         files,
         scraps: (0..scenario.members)
-            .map(|_| Scrap::new("log", ""))
+            .map(|_| TempFile::new("log", ""))
             .collect(),
         listens,
         logs: logs.map(Path::to_owned),
@@ -281,7 +293,7 @@
         self.seen.lock().expect("no holder panics").out(many);
     }
 
-    fn plays(&self) -> Seen {
+    fn plays(&self) -> FleetReport {
         for n in 0..self.places.len() {
             self.starts(
                 n,
@@ -291,13 +303,13 @@
         }
         let from = Instant::now();
         while !(0..self.places.len()).all(|n| self.healthy(n)) {
-            let taken = |scrap: &Scrap| {
+            let taken = |scrap: &TempFile| {
                 std::fs::read_to_string(&scrap.0)
                     .is_ok_and(|text| text.contains("Address already in use"))
             };
             if self.scraps.iter().any(taken) {
                 self.taken.store(true, Ordering::Relaxed);
-                return Seen::default();
+                return FleetReport::default();
             }
             if from.elapsed() > Duration::from_secs(20) {
                 self.broken("not all healthy after 20 s".into());
@@ -509,7 +521,7 @@
     fn restarts(&self, n: usize, turn: &str) {
         let told = {
             let place = self.places[n].lock().expect("no holder panics");
-            place.program.as_ref().map(Program::told_to_end).is_some()
+            place.program.as_ref().map(Program::terminate).is_some()
         };
         let from = Instant::now();
         loop {
@@ -594,16 +606,16 @@
                 .is_some_and(|event| self.ms() - begin >= event.at)
             {
                 let Some(event) = events.next() else { break };
-                self.befalls(event.what, &mut stalled);
+                self.apply_fault(event.what, &mut stalled);
             }
         }
         stalled.iter().for_each(|(n, _)| self.goes_on(*n));
     }
 
-    fn befalls(&self, fault: Fault, stalled: &mut Vec<(usize, Instant)>) {
+    fn apply_fault(&self, fault: Fault, stalled: &mut Vec<(usize, Instant)>) {
         let engine = |n: usize| format!("s-{n}");
         match fault {
-            Fault::Links(way) => self.relay.links(Way {
+            Fault::Links(way) => self.relay.links(LinkConditions {
                 delay: way.delay.max(1.0),
                 ..way
             }),
@@ -688,9 +700,9 @@
                     .filter(|_| !place.stalled)
             };
             let before = lives(&self.places[n]);
-            let mut query = Ask::new(id, "/invoke/look", "look", "select 1", QUERY_WAIT);
+            let mut query = ClientQuery::new(id, "/invoke/look", "look", "select 1", QUERY_WAIT);
             query.cost = Some(4.0);
-            let got = ask(self.listens[n], &query, &record);
+            let got = send_query(self.listens[n], &query, &record);
             let same = before.is_some() && before == lives(&self.places[n]);
             self.all.fetch_add(1, Ordering::Relaxed);
             match got {
@@ -707,7 +719,7 @@
 }
 
 /// Whether its connection came up.
-fn got_in(record: &crate::record::Record, query: &Ask) -> bool {
-    let asked = |entry: &crate::record::Entry| matches!(&entry.what, crate::record::What::Asked { id, .. } if *id == query.id());
+fn got_in(record: &crate::record::Record, query: &ClientQuery) -> bool {
+    let asked = |entry: &crate::record::Entry| matches!(&entry.what, crate::record::EventKind::Asked { id, .. } if *id == query.id());
     record.entries().iter().rev().take(4).any(asked)
 }
--- a/crates/testbed/src/fleet/relay.rs
+++ b/crates/testbed/src/fleet/relay.rs
@@ -2,8 +2,8 @@
 //! processes know nothing of it: each member is known by an address of the relay's, and each engine, to each member, by
 //! another.
 
-use super::scenario::Way;
-use crate::engine::vanishes;
+use super::scenario::LinkConditions;
+use crate::engine::refuse_silently;
 use crate::program::free_udp_address;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -19,7 +19,7 @@
 
 #[derive(Debug)]
 struct State {
-    way: Way,
+    way: LinkConditions,
     late: f64,
     /// Whether what one sends reaches another.
     passes: Vec<Vec<bool>>,
@@ -56,9 +56,9 @@
             .collect();
         let private: Vec<SocketAddr> = (0..members).map(|_| free_udp_address()).collect();
         let state = Arc::new(Mutex::new(State {
-            way: Way {
+            way: LinkConditions {
                 delay: 1.0,
-                ..Way::GOOD
+                ..LinkConditions::GOOD
             },
             late,
             passes: vec![vec![true; members]; members],
@@ -116,7 +116,7 @@
         }
     }
 
-    pub fn links(&self, way: Way) {
+    pub fn links(&self, way: LinkConditions) {
         self.state.lock().expect("no holder panics").way = way;
     }
 
@@ -203,7 +203,7 @@
             while !own.over.load(Ordering::Relaxed) {
                 if own.cut.load(Ordering::Relaxed) {
                     // No connection comes up: as on a network, and not as at a relay that still accepts.
-                    let held = vanishes(&listener);
+                    let held = refuse_silently(&listener);
                     while own.cut.load(Ordering::Relaxed) && !own.over.load(Ordering::Relaxed) {
                         thread::sleep(TICK);
                     }
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -1,4 +1,4 @@
-//! What befalls a fleet, and when: from a seed, by name, or from a file.
+//! What apply_fault a fleet, and when: from a seed, by name, or from a file.
 
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -7,7 +7,7 @@
 
 /// What a link does to datagrams.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Way {
+pub struct LinkConditions {
     pub loss: f64,
     pub doubled: f64,
     /// Longest delay (ms): with it comes disorder.
@@ -16,14 +16,14 @@
     pub late: f64,
 }
 
-impl Way {
-    pub const GOOD: Way = Way {
+impl LinkConditions {
+    pub const GOOD: LinkConditions = LinkConditions {
         loss: 0.0,
         doubled: 0.0,
         delay: 3.0,
         late: 0.0,
     };
-    pub const BAD: Way = Way {
+    pub const BAD: LinkConditions = LinkConditions {
         loss: 0.3,
         doubled: 0.1,
         delay: 80.0,
@@ -35,7 +35,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// All links.
-    Links(Way),
+    Links(LinkConditions),
     /// Nothing goes between these and the others; one way: nothing from these to the others.
     Cut {
         side: Vec<usize>,
@@ -101,10 +101,12 @@
     pub seed: u64,
     pub members: usize,
     pub voters: usize,
+    #[serde(rename = "halls")]
     pub zones: usize,
     pub engines: usize,
-    /// Limit dispatchers and most engines out.
+    /// Most dispatchers and most engines out.
     pub most: usize,
+    #[serde(rename = "most_engines")]
     pub max_engines: usize,
     /// How long a turn lasts (ms), and how long a restart takes.
     pub turn: f64,
@@ -178,7 +180,7 @@
                 })
             };
             match chance.random_range(0..10) {
-                0 => add(0.0, Fault::Links(Way::BAD)),
+                0 => add(0.0, Fault::Links(LinkConditions::BAD)),
                 1 => add(0.0, Fault::Cut { side, one_way }),
                 2 => add(0.0, Fault::CutLeader { one_way }),
                 3 => add(0.0, Fault::Stall { who, lasts }),
@@ -212,7 +214,7 @@
                 }
             }
             add(lasts, Fault::Heal);
-            add(lasts, Fault::Links(Way::GOOD));
+            add(lasts, Fault::Links(LinkConditions::GOOD));
             at += lasts + chance.random_range(500.0..4000.0);
         }
         scenario.events.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -385,9 +387,12 @@
 
     /// The same with loss on all links all the time; faults that heal go back to that.
     pub fn with_loss(mut self, loss: f64) -> Self {
-        let way = Way { loss, ..Way::GOOD };
+        let way = LinkConditions {
+            loss,
+            ..LinkConditions::GOOD
+        };
         for event in &mut self.events {
-            if event.what == Fault::Links(Way::GOOD) {
+            if event.what == Fault::Links(LinkConditions::GOOD) {
                 event.what = Fault::Links(way);
             }
         }
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/mod.rs
@@ -1,7 +1,7 @@
 //! A scenario in virtual time, round the same object that the program drives.
 
-use super::scenario::{Fault, Scenario, Way};
-use super::Seen;
+use super::scenario::{Fault, LinkConditions, Scenario};
+use super::FleetReport;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
@@ -94,7 +94,7 @@
     pub worse_from: f64,
 }
 
-pub struct World {
+pub struct VirtualFleet {
     scenario: Scenario,
     slots: Vec<Slot>,
     supervisors: Vec<Supervisor>,
@@ -103,7 +103,7 @@
     flying: BTreeMap<(u64, u64), Flight>,
     number: u64,
     bytes: u64,
-    way: Way,
+    way: LinkConditions,
     /// For each member, the side of a cut; one way: the first side is not heard.
     cut: Option<(Vec<bool>, bool)>,
     rng: Pcg32,
@@ -127,7 +127,7 @@
     pub alone: bool,
     /// Waits for a turn that were given up.
     pub given_up: usize,
-    pub seen: Seen,
+    pub seen: FleetReport,
     told: Told,
 }
 
@@ -199,7 +199,7 @@
     }
 }
 
-impl World {
+impl VirtualFleet {
     pub fn new(scenario: Scenario, told: Told, served: Served) -> Self {
         let mut rng = Pcg32::seed_from_u64(scenario.seed);
         let slots = (0..scenario.members)
@@ -225,16 +225,16 @@
         let lossy = scenario
             .events
             .iter()
-            .any(|event| matches!(event.what, Fault::Links(way) if way != Way::GOOD));
-        let seen = Seen {
+            .any(|event| matches!(event.what, Fault::Links(way) if way != LinkConditions::GOOD));
+        let seen = FleetReport {
             seed: scenario.seed,
             limit: scenario.most,
             drain_limit: scenario.max_engines,
             of: scenario.members,
             last_fault: scenario.last_fault(),
-            ..Seen::default()
+            ..FleetReport::default()
         };
-        World {
+        VirtualFleet {
             slots,
             supervisors,
             operators: Vec::new(),
@@ -242,7 +242,7 @@
             flying: BTreeMap::new(),
             number: 0,
             bytes: 0,
-            way: Way::GOOD,
+            way: LinkConditions::GOOD,
             cut: None,
             rng,
             now: 0.0,
@@ -620,7 +620,7 @@
 
     // ---- Faults ----
 
-    fn befalls(&mut self, fault: Fault) {
+    fn apply_fault(&mut self, fault: Fault) {
         let members = self.slots.len();
         let side_of = |some: &[usize]| {
             (0..members)
@@ -767,7 +767,7 @@
 
     /// The way back is asked for; whether all are as they were in that time.
     pub fn goes_back(&mut self, within: f64) -> bool {
-        self.befalls(Fault::Back { at: 0 });
+        self.apply_fault(Fault::Back { at: 0 });
         let end = self.now + within;
         while self.now < end {
             self.step();
@@ -886,13 +886,13 @@
     }
 
     /// Plays the whole scenario.
-    pub fn play(mut self) -> Seen {
+    pub fn play(mut self) -> FleetReport {
         self.plays(|_| false);
         self.seen
     }
 
     /// Plays until its end, or until `done` says so.
-    pub fn plays(&mut self, done: impl Fn(&World) -> bool) {
+    pub fn plays(&mut self, done: impl Fn(&VirtualFleet) -> bool) {
         while self.now < self.begin - 36_000.0 {
             self.step();
         }
@@ -934,7 +934,7 @@
                 .is_some_and(|event| self.now - self.begin >= event.at)
             {
                 if let Some(event) = events.next() {
-                    self.befalls(event.what);
+                    self.apply_fault(event.what);
                 }
             }
             self.step();
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -1,10 +1,10 @@
 //! A zone cut and returned, on real processes: agreed, judged by each alone, and neither, on the same seeds.
 
 use super::relay::{Link, Relay};
-use super::scenario::Way;
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Spec, Work, World};
-use crate::program::{class, free_address, Config, Program, Scrap};
+use super::scenario::LinkConditions;
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
+use crate::program::{class, free_address, Config, Program, TempFile};
 use crate::record::Record;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -19,14 +19,14 @@
 
 const KEY: &str = "00112233445566778899aabbccddeeff";
 const ZONES: usize = 3;
-const WARM: f64 = 15_000.0;
+const WARM_UP_MS: f64 = 15_000.0;
 /// Look-ups (ms of work) and the longest wait.
-const WORK: f64 = 40.0;
-const WAIT: f64 = 1500.0;
-const TARGET: f64 = 300.0;
+const WORK_MS: f64 = 40.0;
+const MAX_WAIT_MS: f64 = 1500.0;
+const LATENCY_OBJECTIVE_MS: f64 = 300.0;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Arm {
+pub enum Variant {
     Agreed,
     Alone,
     Neither,
@@ -34,7 +34,7 @@
 
 /// The course of one run (ms).
 #[derive(Debug, Clone, Copy)]
-pub struct Course {
+pub struct ZoneCutPlan {
     pub seed: u64,
     pub dispatchers: usize,
     /// Requests a second, over all.
@@ -46,9 +46,9 @@
     pub loss: f64,
 }
 
-impl Course {
+impl ZoneCutPlan {
     pub fn short(seed: u64) -> Self {
-        Course {
+        ZoneCutPlan {
             seed,
             dispatchers: 6,
             rate: 400.0,
@@ -66,7 +66,7 @@
 
 /// What was seen. Phases: before, while cut, the first ten seconds after, the rest.
 #[derive(Debug, Clone, Default)]
-pub struct Cycle {
+pub struct ZoneCutReport {
     pub good: [u64; 4],
     pub all: [u64; 4],
     /// Limit threads on one engine of the zone in the three seconds after it was back.
@@ -74,23 +74,23 @@
     /// When all outside had left, and when all were whole again, after the cut's begin and end (ms).
     pub left: Option<f64>,
     pub whole: Option<f64>,
-    /// Limit that the shares added up to, beside the step's part, at any look.
+    /// Limit that the shares added up to, locate_program the step's part, at any look.
     pub over: f64,
     pub lost: u64,
 }
 
 struct Site {
     programs: Vec<Program>,
-    _files: Vec<Scrap>,
+    _files: Vec<TempFile>,
     listens: Vec<SocketAddr>,
     engines: Vec<Engine>,
     links: Vec<Vec<Link>>,
     relay: Relay,
     operators: Vec<String>,
-    world: Arc<World>,
+    world: Arc<RunContext>,
 }
 
-fn operator(arm: Arm, n: usize, relay: &Relay) -> String {
+fn operator(variant: Variant, n: usize, relay: &Relay) -> String {
     let zones = "halls { route { tier { hall: \"h0\" hall: \"h1\" hall: \"h2\" } } cut { quiet_s: 0.6 } climb { first: 0.1 over_s: 8 whole: 2 } }";
     let seeds: String = relay
         .public
@@ -105,20 +105,20 @@
            zones {{ sure_s: 0.5 step_s: 1 hold_s: 1 term_s: 2 }} }}",
         relay.private[n], relay.public[n]
     );
-    match arm {
-        Arm::Agreed => format!("{zones}\n{fleet}"),
-        Arm::Alone => zones.into(),
-        Arm::Neither => String::new(),
+    match variant {
+        Variant::Agreed => format!("{zones}\n{fleet}"),
+        Variant::Alone => zones.into(),
+        Variant::Neither => String::new(),
     }
 }
 
-fn start(exe: &Path, course: &Course, arm: Arm) -> Site {
-    let world = Arc::new(World::default());
-    let spec = Spec {
+fn start(exe: &Path, course: &ZoneCutPlan, variant: Variant) -> Site {
+    let world = Arc::new(RunContext::default());
+    let spec = EngineSpec {
         cold_from: 0.25,
-        warm_after: WARM,
-        tells_every: 100.0,
-        ..Spec::default()
+        warm_after: WARM_UP_MS,
+        progress_interval_ms: 100.0,
+        ..EngineSpec::default()
     };
     let engines: Vec<Engine> = (0..2 * ZONES)
         .map(|n| {
@@ -133,22 +133,27 @@
     // All are warm at first: their start lies back.
     thread::sleep(Duration::from_millis(10));
     let relay = Relay::start(course.dispatchers, 500.0, course.seed);
-    relay.links(Way {
+    relay.links(LinkConditions {
         loss: course.loss,
         delay: 1.0,
-        ..Way::GOOD
+        ..LinkConditions::GOOD
     });
     let links: Vec<Vec<Link>> = (0..course.dispatchers)
         .map(|_| engines.iter().map(|e| Link::start(e.address)).collect())
         .collect();
     let listens: Vec<SocketAddr> = (0..course.dispatchers).map(|_| free_address()).collect();
-    let classes = [class("look", TARGET, WAIT, "read_like")];
+    let classes = [class(
+        "look",
+        LATENCY_OBJECTIVE_MS,
+        MAX_WAIT_MS,
+        "read_like",
+    )];
     let operators: Vec<String> = (0..course.dispatchers)
-        .map(|n| operator(arm, n, &relay))
+        .map(|n| operator(variant, n, &relay))
         .collect();
-    let files: Vec<Scrap> = operators
+    let files: Vec<TempFile> = operators
         .iter()
-        .map(|text| Scrap::new("zones.textproto", text))
+        .map(|text| TempFile::new("zones.textproto", text))
         .collect();
     let programs: Vec<Program> = (0..course.dispatchers)
         .map(|n| {
@@ -222,14 +227,14 @@
     }
 }
 
-/// Plays one run of one arm.
-pub fn play(exe: &Path, course: Course, arm: Arm) -> Cycle {
-    let site = start(exe, &course, arm);
+/// Plays one run of one variant.
+pub fn play(exe: &Path, course: ZoneCutPlan, variant: Variant) -> ZoneCutReport {
+    let site = start(exe, &course, variant);
     // Leaders are elected, members found, engines warm.
     thread::sleep(Duration::from_millis(6000));
     let warm = Instant::now();
     let over = AtomicBool::new(false);
-    let cycle = Mutex::new(Cycle::default());
+    let cycle = Mutex::new(ZoneCutReport::default());
     let next = AtomicU64::new(1);
     let begin = Instant::now();
     let ms = || begin.elapsed().as_secs_f64() * 1000.0;
@@ -255,10 +260,11 @@
                     let draw: f64 = rng.random();
                     let n = outside[((draw * draw) * outside.len() as f64) as usize];
                     let id = next.fetch_add(1, Ordering::Relaxed);
-                    let mut query = Ask::new(id, "/invoke/look", "look", "select 1", WAIT);
-                    query.cost = Some(WORK);
-                    let work = WORK * rng.random_range(0.5..1.5);
-                    let truth = Work {
+                    let mut query =
+                        ClientQuery::new(id, "/invoke/look", "look", "select 1", MAX_WAIT_MS);
+                    query.cost = Some(WORK_MS);
+                    let work = WORK_MS * rng.random_range(0.5..1.5);
+                    let truth = QueryWork {
                         work,
                         threads: 1.0,
                         changes: false,
@@ -270,11 +276,11 @@
                         .expect("no holder panics")
                         .insert(query.id(), truth);
                     let at = ms();
-                    let got = ask(site.listens[n], &query, &record);
+                    let got = send_query(site.listens[n], &query, &record);
                     let mut cycle = cycle.lock().expect("no holder panics");
                     cycle.all[phase(at)] += 1;
                     match got {
-                        Some(got) if got.status == 200 && got.took <= TARGET => {
+                        Some(got) if got.status == 200 && got.took <= LATENCY_OBJECTIVE_MS => {
                             cycle.good[phase(at)] += 1
                         }
                         Some(_) => {}
@@ -300,7 +306,7 @@
                 site.engines
                     .iter()
                     .step_by(ZONES)
-                    .for_each(Engine::starts_cold);
+                    .for_each(Engine::restart_cold);
                 site.cut(false);
             }
             if healed && now < heal_at + 3000.0 {
@@ -313,7 +319,7 @@
                 let mut cycle = cycle.lock().expect("no holder panics");
                 cycle.peak = cycle.peak.max(most);
             }
-            if arm == Arm::Agreed && cut {
+            if variant == Variant::Agreed && cut {
                 let all = |want: u64| outside.iter().all(|n| site.zones_out(*n) == Some(want));
                 let known = cycle.lock().expect("no holder panics").clone();
                 if !healed && known.left.is_none() && all(1) {
@@ -344,7 +350,7 @@
 
 /// What the leader says that the shares of returning zones add up to.
 fn shares(exe: &Path, operator: &str) -> f64 {
-    let file = Scrap::new("ask.textproto", operator);
+    let file = TempFile::new("ask.textproto", operator);
     let path = file.0.display().to_string();
     let output = Command::new(exe)
         .args(["fleet", "zones", "--operator", &path])
@@ -366,19 +372,19 @@
 pub fn compare(
     exe: &Path,
     seeds: std::ops::Range<u64>,
-    of: impl Fn(u64) -> Course,
+    of: impl Fn(u64) -> ZoneCutPlan,
 ) -> (String, bool) {
     let mut text = String::new();
     let mut broken = false;
-    for arm in [Arm::Agreed, Arm::Alone, Arm::Neither] {
+    for variant in [Variant::Agreed, Variant::Alone, Variant::Neither] {
         for seed in seeds.clone() {
-            let cycle = play(exe, of(seed), arm);
+            let cycle = play(exe, of(seed), variant);
             let part = |n: usize| cycle.good[n] as f64 / cycle.all[n].max(1) as f64;
             let time =
                 |at: Option<f64>| at.map_or("-".into(), |at| format!("{:.1} s", at / 1000.0));
             let _ = writeln!(
                 text,
-                "{arm:?} seed {seed}: in target before {:.3}, cut {:.3}, return {:.3}, after {:.3}; peak on a cold engine \
+                "{variant:?} seed {seed}: in target before {:.3}, cut {:.3}, return {:.3}, after {:.3}; peak on a cold engine \
                  {:.0} threads; left after {}, whole after {}; shares at most {:.2}; without an answer {}",
                 part(0),
                 part(1),
@@ -390,7 +396,7 @@
                 cycle.over,
                 cycle.lost
             );
-            broken |= arm == Arm::Agreed
+            broken |= variant == Variant::Agreed
                 && (cycle.left.is_none()
                     || cycle.whole.is_none()
                     || cycle.over > 1.001
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -1,6 +1,6 @@
 //! Judges a record by the seven rules. It is told the rules' figures and knows nothing of how a dispatcher decides.
 
-use crate::record::{Entry, Status, What};
+use crate::record::{Entry, EventKind, Status};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
@@ -77,13 +77,13 @@
 
 /// A rule that was broken: its number, when, and how.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Broken {
+pub struct Violation {
     pub rule: u8,
     pub at: f64,
     pub how: String,
 }
 
-impl fmt::Display for Broken {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "rule {} at {:.0} ms: {}", self.rule, self.at, self.how)
     }
@@ -133,14 +133,14 @@
     further: Vec<f64>,
     /// For each key, its queries in the order they were asked.
     lines: BTreeMap<String, Vec<String>>,
-    broken: Vec<Broken>,
+    broken: Vec<Violation>,
 }
 
 /// All breaches in a record, by time. Entries must be in the order of their times; those of the future, as in a
 /// record that was cut, are no breach.
-pub fn judge(entries: &[Entry], rules: &Rules) -> Vec<Broken> {
+pub fn find_violations(entries: &[Entry], rules: &Rules) -> Vec<Violation> {
     let (queries, engines, asked, further, lines, broken) = Default::default();
-    let mut judge = ZoneHealthDetector {
+    let mut find_violations = ZoneHealthDetector {
         rules,
         queries,
         engines,
@@ -149,15 +149,15 @@
         lines,
         broken,
     };
-    entries.iter().for_each(|entry| judge.take(entry));
-    judge.end(entries.last().map_or(0.0, |entry| entry.at));
-    judge.broken.sort_by(|a, b| a.at.total_cmp(&b.at));
-    judge.broken
+    entries.iter().for_each(|entry| find_violations.take(entry));
+    find_violations.end(entries.last().map_or(0.0, |entry| entry.at));
+    find_violations.broken.sort_by(|a, b| a.at.total_cmp(&b.at));
+    find_violations.broken
 }
 
 impl ZoneHealthDetector<'_> {
     fn breaks(&mut self, rule: u8, at: f64, how: impl Into<String>) {
-        self.broken.push(Broken {
+        self.broken.push(Violation {
             rule,
             at,
             how: how.into(),
@@ -167,7 +167,7 @@
     fn take(&mut self, entry: &Entry) {
         let at = entry.at;
         match &entry.what {
-            What::Asked {
+            EventKind::Asked {
                 id,
                 class,
                 wait,
@@ -181,14 +181,14 @@
                 (query.class, query.asked, query.wait, query.key) =
                     (class.clone(), at, *wait, key.clone());
             }
-            What::Answered { id, status, .. } => self.answered(id, *status, at),
-            What::Left { id } => {
+            EventKind::Answered { id, status, .. } => self.answered(id, *status, at),
+            EventKind::Left { id } => {
                 if let Some(query) = self.queries.get_mut(id) {
                     query.left = Some(at);
                 }
             }
-            What::Arrived { engine, id, work } => self.arrived(engine, id, *work, at),
-            What::Applied { engine, id } => {
+            EventKind::Arrived { engine, id, work } => self.arrived(engine, id, *work, at),
+            EventKind::Applied { engine, id } => {
                 let mut twice = false;
                 if let Some(query) = self.queries.get_mut(id) {
                     query.applied.push(engine.clone());
@@ -198,11 +198,11 @@
                     self.applied_again(id, engine, at);
                 }
             }
-            What::Ended {
+            EventKind::Ended {
                 engine, id, ran, ..
             } => self.ended(engine, id, *ran, false, at),
-            What::GivenUp { engine, id } => self.ended(engine, id, true, true, at),
-            What::Listed {
+            EventKind::GivenUp { engine, id } => self.ended(engine, id, true, true, at),
+            EventKind::Listed {
                 engine,
                 status,
                 zone,
@@ -216,10 +216,10 @@
                     Status::Draining | Status::Gone => known.closed.or(Some(at)),
                 };
             }
-            What::Started { engine, cores } => {
+            EventKind::Started { engine, cores } => {
                 self.engines.entry(engine.clone()).or_default().started = Some((at, *cores));
             }
-            What::Fault { .. } => {}
+            EventKind::Fault { .. } => {}
         }
     }
 
@@ -543,8 +543,8 @@
         }
     }
 
-    fn asked(class: &str, id: &str, key: Option<&str>) -> What {
-        What::Asked {
+    fn asked(class: &str, id: &str, key: Option<&str>) -> EventKind {
+        EventKind::Asked {
             id: id.into(),
             class: class.into(),
             wait: 1000.0,
@@ -552,24 +552,24 @@
         }
     }
 
-    fn answered(id: &str, status: u16) -> What {
-        What::Answered {
+    fn answered(id: &str, status: u16) -> EventKind {
+        EventKind::Answered {
             id: id.into(),
             status,
             retry_after: None,
         }
     }
 
-    fn arrived(engine: &str, id: &str) -> What {
-        What::Arrived {
+    fn arrived(engine: &str, id: &str) -> EventKind {
+        EventKind::Arrived {
             engine: engine.into(),
             id: id.into(),
             work: 10.0,
         }
     }
 
-    fn ended(engine: &str, id: &str, ran: bool) -> What {
-        What::Ended {
+    fn ended(engine: &str, id: &str, ran: bool) -> EventKind {
+        EventKind::Ended {
             engine: engine.into(),
             id: id.into(),
             word: "X".into(),
@@ -577,15 +577,15 @@
         }
     }
 
-    fn given_up(engine: &str, id: &str) -> What {
-        What::GivenUp {
+    fn given_up(engine: &str, id: &str) -> EventKind {
+        EventKind::GivenUp {
             engine: engine.into(),
             id: id.into(),
         }
     }
 
-    fn listed(engine: &str, status: Status, zone: &str) -> What {
-        What::Listed {
+    fn listed(engine: &str, status: Status, zone: &str) -> EventKind {
+        EventKind::Listed {
             engine: engine.into(),
             status,
             zone: zone.into(),
@@ -595,7 +595,7 @@
     }
 
     /// The numbers of the rules that a run breaks.
-    fn broken(run: &[(f64, What)]) -> Vec<u8> {
+    fn broken(run: &[(f64, EventKind)]) -> Vec<u8> {
         let entries: Vec<Entry> = run
             .iter()
             .map(|(at, what)| Entry {
@@ -603,7 +603,7 @@
                 what: what.clone(),
             })
             .collect();
-        judge(&entries, &rules())
+        find_violations(&entries, &rules())
             .iter()
             .map(|broken| broken.rule)
             .collect()
@@ -624,7 +624,7 @@
             (8.0, arrived("w", "2")),
             (
                 9.0,
-                What::Applied {
+                EventKind::Applied {
                     engine: "w".into(),
                     id: "2".into(),
                 },
@@ -640,7 +640,7 @@
             (16.0, ended("e", "4", true)),
             (17.0, answered("4", 200)),
             (20.0, asked("look", "5", None)),
-            (21.0, What::Left { id: "5".into() }),
+            (21.0, EventKind::Left { id: "5".into() }),
             (5000.0, asked("look", "6", None)),
         ];
         assert_eq!(broken(&run), [0; 0]);
@@ -682,7 +682,7 @@
 
     #[test]
     fn rule_2_no_effect_twice_and_no_invitation_to_one() {
-        let again = |end: What| {
+        let again = |end: EventKind| {
             broken(&[
                 (0.0, asked("load", "1", None)),
                 (1.0, arrived("e", "1")),
@@ -708,7 +708,7 @@
             (2.0, arrived("w", "1")),
         ];
         assert!(broken(&out).contains(&2));
-        let twice = |id: &str| What::Applied {
+        let twice = |id: &str| EventKind::Applied {
             engine: "e".into(),
             id: id.into(),
         };
@@ -727,7 +727,7 @@
                 (0.0, listed("w", Status::Ready, zone)),
                 (
                     0.0,
-                    What::Asked {
+                    EventKind::Asked {
                         id: "1".into(),
                         class: "tokened".into(),
                         wait: 9e3,
@@ -773,7 +773,7 @@
         let run = |many: usize, at: f64| {
             let mut run = vec![(
                 0.0,
-                What::Started {
+                EventKind::Started {
                     engine: "e".into(),
                     cores: 1.0,
                 },
@@ -793,7 +793,7 @@
 
     #[test]
     fn rule_5_order_and_rest_of_a_key() {
-        let order = |between: Vec<(f64, What)>, at: f64| {
+        let order = |between: Vec<(f64, EventKind)>, at: f64| {
             let mut run = vec![
                 (0.0, asked("keyed", "1", Some("k"))),
                 (0.0, asked("keyed", "2", Some("k"))),
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -1,12 +1,12 @@
 //! Service levels on loopback: loads that swing around thresholds for minutes, and a quarter start with and without
 //! levels, on the same seeds.
 
-use crate::check::{judge, Broken, Budget, ClassRules, Effect, Rules};
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Fault, Spec, Work, World};
-use crate::names::{Listed, Names};
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
+use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::name_service::{Endpoint, NameService};
 use crate::plot::{plot, Line};
-use crate::program::{class, free_address, get, Config, Program, Scrap};
+use crate::program::{class, free_address, get, Config, Program, TempFile};
 use crate::record::Status;
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
@@ -116,7 +116,7 @@
     pub waste: f64,
     /// Deferrals that clients came back from.
     pub repeated: u64,
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
     /// Each quarter of a second: seconds, load, depth, late part, value a second.
     pub samples: Vec<[f64; 5]>,
     /// Changes: seconds and depths.
@@ -150,7 +150,7 @@
     }
 }
 
-fn configuration(engines: &[Engine], names: &Names) -> Config {
+fn configuration(engines: &[Engine], names: &NameService) -> Config {
     let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
     let effect = |kind: &Kind| {
         if kind.changes {
@@ -190,16 +190,16 @@
 
 /// Plays one run.
 pub fn play(exe: &Path, how: Play) -> Outcome {
-    let world = Arc::new(World::default());
-    let spec = Spec {
+    let world = Arc::new(RunContext::default());
+    let spec = EngineSpec {
         cores: CORES,
         max_threads_a_core: 6.0,
-        ..Spec::default()
+        ..EngineSpec::default()
     };
     let engines: Vec<Engine> = (0..ENGINES)
         .map(|n| Engine::start(&format!("s-{n}"), spec, how.seed + n, world.clone()))
         .collect();
-    let listed = |e: &Engine| Listed {
+    let listed = |e: &Engine| Endpoint {
         id: e.id.clone(),
         zone: "h".into(),
         kind: "std".into(),
@@ -208,8 +208,8 @@
         status: Status::Ready,
         started: 0.0,
     };
-    let names = Names::start(engines.iter().map(listed).collect(), world.record.clone());
-    let operator = Scrap::new("operator.textproto", if how.levels { LEVELS } else { "" });
+    let names = NameService::start(engines.iter().map(listed).collect(), world.record.clone());
+    let operator = TempFile::new("operator.textproto", if how.levels { LEVELS } else { "" });
     let path = operator.0.display().to_string();
     let arguments = ["--operator", path.as_str(), "--log-level", "error"];
     let mut program = Program::launch(
@@ -259,7 +259,7 @@
         ]);
     }
     let _ = clients.join();
-    program.told_to_end();
+    program.terminate();
     let _ = program.end();
     let mut tally = tally.lock().expect("no holder panics");
     let spent: f64 = engines.iter().map(Engine::busy).sum();
@@ -269,7 +269,7 @@
         .as_ref()
         .map_or(0, |took| took.value_at_quantile(0.99));
     outcome.waste = 1.0 - tally.useful / spent.max(1.0);
-    outcome.broken = judge(&world.record.entries(), &rules());
+    outcome.broken = find_violations(&world.record.entries(), &rules());
     (outcome.samples, outcome.changes) = (samples, changes);
     outcome
 }
@@ -278,7 +278,7 @@
     to: std::net::SocketAddr,
     how: Play,
     start: Instant,
-    world: &Arc<World>,
+    world: &Arc<RunContext>,
     tally: &Arc<Mutex<Tally>>,
 ) {
     let mut rng = Pcg64::seed_from_u64(how.seed);
@@ -300,7 +300,7 @@
             "select a from sales_{}.t where id = {number}",
             rng.random_range(1..30)
         );
-        let mut query = Ask::new(
+        let mut query = ClientQuery::new(
             number << 8,
             &format!("/invoke/{}", kind.name),
             kind.name,
@@ -322,14 +322,14 @@
 fn one(
     to: std::net::SocketAddr,
     kind: &Kind,
-    mut query: Ask,
+    mut query: ClientQuery,
     work: f64,
-    world: &World,
+    world: &RunContext,
     tally: &Mutex<Tally>,
 ) {
     let from = Instant::now();
     for again in 0..4 {
-        let truth = Work {
+        let truth = QueryWork {
             work,
             threads: kind.threads,
             changes: kind.changes,
@@ -340,7 +340,7 @@
             .lock()
             .expect("no holder panics")
             .insert(query.id(), truth);
-        let got = ask(to, &query, &world.record);
+        let got = send_query(to, &query, &world.record);
         let mut tally = tally.lock().expect("no holder panics");
         let o = &mut tally.outcome;
         if again == 0 {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,20 +1,20 @@
 //! The rig: stand-ins for all that a dispatcher talks to, written from the published protocols, on loopback.
 //!
-//! Owns: scripted clients (`client`), engines (`engine`) and a name service (`names`), the start of the real program
-//! (`program`), the record of a run (`record`), and the checker that judges a record by the seven rules (`check`). It
+//! Owns: scripted clients (`client`), engines (`engine`) and a name service (`name_service`), the start of the real program
+//! (`program`), the record of a run (`record`), and the checker that judges a record by the seven rules (`invariants`). It
 //! holds no decision of the dispatcher, and nothing of the product depends on it. All randomness comes from a seed.
 //!
-//! Start reading at [`check::judge`], then at [`demo::run`].
+//! Start reading at [`invariants::find_violations`], then at [`demo::run`].
 
-pub mod check;
 pub mod client;
 pub mod corpus;
 pub mod demo;
 pub mod engine;
 pub mod fleet;
+pub mod invariants;
 pub mod levels;
 pub mod measure;
-pub mod names;
+pub mod name_service;
 pub mod plot;
 pub mod program;
 pub mod record;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,8 +3,8 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tansymux_testbed::fleet::zones::Course;
-use tansymux_testbed::fleet::{self, many, scenario::Scenario};
+use tansymux_testbed::fleet::zones::ZoneCutPlan;
+use tansymux_testbed::fleet::{self, run_seeds, scenario::Scenario};
 use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
@@ -104,10 +104,10 @@
         seeds: u64,
         #[arg(long, default_value_t = 0)]
         first: u64,
-        /// Loss on all links from the first to the last, beside the faults
+        /// Loss on all links from the first to the last, locate_program the faults
         #[arg(long, default_value_t = 0.0)]
         loss: f64,
-        /// No faults beside that
+        /// No faults locate_program that
         #[arg(long)]
         calm: bool,
         /// Without agreement, for comparison; what breaks is counted and no failure
@@ -159,9 +159,9 @@
 }
 
 fn main() -> ExitCode {
-    program::ends_with_the_rig();
+    program::kill_children_on_signal();
     let exe = || {
-        program::beside().unwrap_or_else(|e| {
+        program::locate_program().unwrap_or_else(|e| {
             eprintln!("tansymux-testbed: {e}");
             std::process::exit(1)
         })
@@ -250,11 +250,11 @@
             loss,
             cut_s,
         } => {
-            let of = |seed| Course {
+            let of = |seed| ZoneCutPlan {
                 dispatchers,
                 loss,
                 cut_for: cut_s * 1000.0,
-                ..Course::short(seed)
+                ..ZoneCutPlan::short(seed)
             };
             let (table, broken) = fleet::zones::compare(&exe(), first..first + seeds, of);
             print!("{table}");
@@ -283,7 +283,7 @@
                     mixed
                 }
             };
-            let (table, broken) = many(first..first + seeds, of, alone, show);
+            let (table, broken) = run_seeds(first..first + seeds, of, alone, show);
             print!("{table}");
             if broken && !alone {
                 return ExitCode::FAILURE;
--- a/crates/testbed/src/names.rs
+++ b/crates/testbed/src/name_service.rs
@@ -1,13 +1,13 @@
 //! A stand-in name service: answers the one question with the whole list of engines.
 
-use crate::record::{Record, Status, What};
+use crate::record::{EventKind, Record, Status};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// An engine as it is listed.
 #[derive(Debug, Clone)]
-pub struct Listed {
+pub struct Endpoint {
     pub id: String,
     pub zone: String,
     pub kind: String,
@@ -20,26 +20,26 @@
 
 #[derive(Debug, Default)]
 struct List {
-    engines: Vec<Listed>,
+    engines: Vec<Endpoint>,
     serial: u32,
     silent: bool,
     /// Entries that were changed and not yet told by an answer.
-    untold: Vec<Listed>,
+    untold: Vec<Endpoint>,
 }
 
 /// A name service that lists what it is told to, until the process ends.
 #[derive(Debug, Clone)]
-pub struct Names {
+pub struct NameService {
     pub address: SocketAddr,
     list: Arc<Mutex<List>>,
 }
 
-impl Names {
+impl NameService {
     /// `record`: where it is written down when an answer first tells of a change.
-    pub fn start(engines: Vec<Listed>, record: Arc<Record>) -> Self {
+    pub fn start(engines: Vec<Endpoint>, record: Arc<Record>) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
         let address = socket.local_addr().expect("a bound socket has an address");
-        engines.iter().for_each(|engine| record.saw(told(engine)));
+        engines.iter().for_each(|engine| record.push(told(engine)));
         let list = Arc::new(Mutex::new(List {
             engines,
             serial: 1,
@@ -56,13 +56,13 @@
                 let bytes = answer(&asked[..count], &list);
                 let untold = std::mem::take(&mut list.untold);
                 drop(list);
-                untold.iter().for_each(|engine| record.saw(told(engine)));
+                untold.iter().for_each(|engine| record.push(told(engine)));
                 // What is no answer must be passed over.
                 let _ = socket.send_to(b"no answer", from);
                 let _ = socket.send_to(&bytes, from);
             }
         });
-        Names { address, list }
+        NameService { address, list }
     }
 
     /// Changes an entry; one that is gone has no records any more.
@@ -70,7 +70,7 @@
         self.change(id, |engine| engine.status = status);
     }
 
-    pub fn change(&self, id: &str, change: impl FnOnce(&mut Listed)) {
+    pub fn change(&self, id: &str, change: impl FnOnce(&mut Endpoint)) {
         let mut list = self.list.lock().expect("no holder panics");
         if let Some(n) = list.engines.iter().position(|engine| engine.id == id) {
             change(&mut list.engines[n]);
@@ -80,7 +80,7 @@
         }
     }
 
-    pub fn add(&self, engine: Listed) {
+    pub fn add(&self, engine: Endpoint) {
         let mut list = self.list.lock().expect("no holder panics");
         list.engines.retain(|other| other.id != engine.id);
         list.engines.push(engine.clone());
@@ -94,8 +94,8 @@
     }
 }
 
-fn told(engine: &Listed) -> What {
-    let Listed {
+fn told(engine: &Endpoint) -> EventKind {
+    let Endpoint {
         id,
         zone,
         kind,
@@ -103,7 +103,7 @@
         status,
         ..
     } = engine.clone();
-    What::Listed {
+    EventKind::Listed {
         engine: id,
         status,
         zone,
@@ -126,7 +126,7 @@
 fn answer(asked: &[u8], list: &List) -> Vec<u8> {
     let mut bytes = asked.to_vec();
     bytes[2] |= 0x80;
-    let there: Vec<&Listed> = list
+    let there: Vec<&Endpoint> = list
         .engines
         .iter()
         .filter(|engine| engine.status != Status::Gone)
@@ -142,7 +142,7 @@
         bytes.extend_from_slice(data);
     };
     let question = [0xc0, 12];
-    let target = |engine: &Listed| name(&[&engine.id, &engine.zone, "hosts"]);
+    let target = |engine: &Endpoint| name(&[&engine.id, &engine.zone, "hosts"]);
     for engine in &there {
         let priority = u16::from(engine.status == Status::Draining);
         let head = [
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -1,6 +1,6 @@
 //! Starts the real program with a configuration and waits until it takes queries.
 
-use crate::wire::answer;
+use crate::wire::read_response;
 use serde_json::{json, Value};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{BufReader, Read, Write};
@@ -13,19 +13,19 @@
 use std::time::{Duration, Instant};
 
 /// Nothing that is waited for here takes longer.
-pub const WAIT: Duration = Duration::from_secs(10);
+pub const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A file that goes with whoever holds it.
 #[derive(Debug)]
-pub struct Scrap(pub PathBuf);
+pub struct TempFile(pub PathBuf);
 
-impl Scrap {
+impl TempFile {
     pub fn new(name: &str, text: &str) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let path =
             std::env::temp_dir().join(format!("tansymux-{}-{number}-{name}", std::process::id()));
-        let scrap = Scrap(path);
+        let scrap = TempFile(path);
         scrap.write(text);
         scrap
     }
@@ -36,7 +36,7 @@
     }
 }
 
-impl Drop for Scrap {
+impl Drop for TempFile {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.0);
     }
@@ -107,7 +107,7 @@
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// From now on, what was started ends with the rig also when that is interrupted or told to end.
-pub fn ends_with_the_rig() {
+pub fn kill_children_on_signal() {
     let Ok(mut signals) = signal_hook::iterator::Signals::new([SIGINT, SIGTERM, SIGHUP]) else {
         return;
     };
@@ -130,7 +130,7 @@
 pub struct Program {
     pub child: Child,
     pub listen: SocketAddr,
-    pub config: Scrap,
+    pub config: TempFile,
 }
 
 impl Drop for Program {
@@ -171,7 +171,7 @@
             .as_str()
             .and_then(|at| at.parse().ok())
             .expect("a configuration listens");
-        let config = Scrap::new("config.json", &config.0.to_string());
+        let config = TempFile::new("config.json", &config.0.to_string());
         let mut command = Command::new(exe);
         command
             .args(arguments)
@@ -194,7 +194,7 @@
     pub fn wait_until_healthy(&self) {
         let from = Instant::now();
         while get(self.listen, "/_health").is_none_or(|(status, ..)| status != 200) {
-            assert!(from.elapsed() < WAIT, "not healthy in time");
+            assert!(from.elapsed() < TIMEOUT, "not healthy in time");
             thread::sleep(Duration::from_millis(10));
         }
     }
@@ -211,7 +211,7 @@
         );
     }
 
-    pub fn told_to_end(&self) {
+    pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
@@ -229,7 +229,7 @@
     pub fn wait_for_count(&self, line: &str) {
         let from = Instant::now();
         while !self.counters().contains(line) {
-            assert!(from.elapsed() < WAIT, "no {line}");
+            assert!(from.elapsed() < TIMEOUT, "no {line}");
             thread::sleep(Duration::from_millis(10));
         }
     }
@@ -244,7 +244,7 @@
                 .expect("its own child can be waited for")
             {
                 Some(status) => break status,
-                None => assert!(from.elapsed() < WAIT, "not ended in time"),
+                None => assert!(from.elapsed() < TIMEOUT, "not ended in time"),
             }
             thread::sleep(Duration::from_millis(10));
         };
@@ -289,18 +289,18 @@
 /// A GET of its own connection.
 pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String, String)> {
     let mut stream = TcpStream::connect(to).ok()?;
-    stream.set_read_timeout(Some(WAIT)).ok()?;
+    stream.set_read_timeout(Some(TIMEOUT)).ok()?;
     stream
         .write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
         .ok()?;
-    answer(&mut BufReader::new(stream))
+    read_response(&mut BufReader::new(stream))
 }
 
-/// The program beside the one that runs, built by the same cargo where there is one.
+/// The program locate_program the one that runs, built by the same cargo where there is one.
 ///
 /// # Errors
 /// It could not be built or is not there.
-pub fn beside() -> Result<PathBuf, String> {
+pub fn locate_program() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let folder = own.parent().ok_or("the program stands nowhere")?;
     if let Some(cargo) = std::env::var_os("CARGO") {
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -6,7 +6,7 @@
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
-pub enum What {
+pub enum EventKind {
     /// A client has sent its query's last byte.
     Asked {
         id: String,
@@ -22,7 +22,7 @@
     },
     /// The client left without waiting.
     Left { id: String },
-    /// A attempt came whole to an engine; its work (ms on one core), as far as the engine knows.
+    /// An attempt came whole to an engine; its work (ms on one core), as far as the engine knows.
     Arrived {
         engine: String,
         id: String,
@@ -43,6 +43,7 @@
     Listed {
         engine: String,
         status: Status,
+        #[serde(rename = "hall")]
         zone: String,
         kind: String,
         cell: u32,
@@ -66,7 +67,7 @@
 pub struct Entry {
     pub at: f64,
     #[serde(flatten)]
-    pub what: What,
+    pub what: EventKind,
 }
 
 /// A record that threads write to.
@@ -90,13 +91,13 @@
         self.from.elapsed().as_secs_f64() * 1000.0
     }
 
-    pub fn saw(&self, what: What) {
+    pub fn push(&self, what: EventKind) {
         let at = self.now();
-        self.saw_at(at, what);
+        self.push_at(at, what);
     }
 
     /// For what happened before it could be written down.
-    pub fn saw_at(&self, at: f64, what: What) {
+    pub fn push_at(&self, at: f64, what: EventKind) {
         self.entries
             .lock()
             .expect("no writer panics")
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -1,11 +1,11 @@
 //! The corpus on loopback through the real program, as four kinds of clients would send it: bare, with honest classes
 //! and costs, and with a class guessed for all. Same seeds, same arrivals, same engines.
 
-use crate::check::{judge, Broken, Budget, ClassRules, Effect, Rules};
-use crate::client::{ask, Ask};
+use crate::client::{send_query, ClientQuery};
 use crate::corpus::{corpus, Labelled, Part};
-use crate::engine::{Engine, Spec, Work, World};
-use crate::program::{class, free_address, used, Config, Program, Scrap};
+use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
+use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::program::{class, free_address, used, Config, Program, TempFile};
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
 use rand_distr::{Distribution, Exp};
@@ -20,15 +20,20 @@
 
 /// How clients send their statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Arm {
+pub enum Variant {
     Bare,
     Honest,
     GuessLookUp,
     GuessReport,
 }
 
-impl Arm {
-    pub const ALL: [Arm; 4] = [Arm::Honest, Arm::Bare, Arm::GuessLookUp, Arm::GuessReport];
+impl Variant {
+    pub const ALL: [Variant; 4] = [
+        Variant::Honest,
+        Variant::Bare,
+        Variant::GuessLookUp,
+        Variant::GuessReport,
+    ];
 }
 
 /// Target runtime and longest wait (ms), and what one in time is worth, by class.
@@ -50,7 +55,7 @@
     pub turned_away: u64,
     pub value: f64,
     pub most: f64,
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
     pub resident: u64,
     pub cpu_a_query: f64,
 }
@@ -60,13 +65,13 @@
   groups { look_up: "look" report: "report" load: "load" }
 }"#;
 
-/// Plays so many seconds of one arm at a rate of queries a second.
-pub fn play(exe: &Path, arm: Arm, seconds: f64, rate: f64, seed: u64) -> Outcome {
-    let world = Arc::new(World::default());
-    let spec = Spec {
+/// Plays so many seconds of one variant at a rate of queries a second.
+pub fn play(exe: &Path, variant: Variant, seconds: f64, rate: f64, seed: u64) -> Outcome {
+    let world = Arc::new(RunContext::default());
+    let spec = EngineSpec {
         cores: 8.0,
         max_threads_a_core: 8.0,
-        ..Spec::default()
+        ..EngineSpec::default()
     };
     let engines: Vec<Engine> = (0..4)
         .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
@@ -83,7 +88,7 @@
             "settings.family-info.class-load",
             serde_json::json!([false, false, true]),
         );
-    let operator = Scrap::new("operator.textproto", OPERATOR);
+    let operator = TempFile::new("operator.textproto", OPERATOR);
     let operator_path = operator.0.display().to_string();
     let arguments = ["--operator", operator_path.as_str(), "--log-level", "error"];
     let mut program = Program::launch(exe, &config, &arguments, Stdio::piped());
@@ -115,17 +120,17 @@
             continue;
         };
         let (target, wait, worth) = terms(labelled.class);
-        let path = match arm {
-            Arm::Bare => "/statement",
-            Arm::GuessLookUp => "/invoke/look",
-            Arm::GuessReport => "/invoke/report",
-            Arm::Honest if labelled.class == "look-up" => "/invoke/look",
-            Arm::Honest if labelled.class == "report" => "/invoke/report",
-            Arm::Honest => "/invoke/load",
+        let path = match variant {
+            Variant::Bare => "/statement",
+            Variant::GuessLookUp => "/invoke/look",
+            Variant::GuessReport => "/invoke/report",
+            Variant::Honest if labelled.class == "look-up" => "/invoke/look",
+            Variant::Honest if labelled.class == "report" => "/invoke/report",
+            Variant::Honest => "/invoke/load",
         };
-        let mut query = Ask::new(number, path, labelled.class, &labelled.statement, wait);
-        query.cost = (arm == Arm::Honest).then_some(labelled.work);
-        let truth = Work {
+        let mut query = ClientQuery::new(number, path, labelled.class, &labelled.statement, wait);
+        query.cost = (variant == Variant::Honest).then_some(labelled.work);
+        let truth = QueryWork {
             work: labelled.work,
             threads: labelled.threads,
             changes: labelled.effect != "read-only",
@@ -139,7 +144,7 @@
         thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
         let (world, outcome, to) = (world.clone(), outcome.clone(), program.listen);
         waiting.push(thread::spawn(move || {
-            let got = ask(to, &query, &world.record);
+            let got = send_query(to, &query, &world.record);
             let mut o = outcome.lock().expect("no holder panics");
             o.asked += 1;
             o.most += worth;
@@ -164,18 +169,20 @@
     }
     waiting.into_iter().for_each(|waiting| drop(waiting.join()));
     let (resident, cpu) = used(program.child.id()).unwrap_or((0, 0.0));
-    program.told_to_end();
+    program.terminate();
     let _ = program.end();
     let mut outcome = outcome.lock().expect("no holder panics").clone();
-    outcome.broken = judge(&world.record.entries(), &rules(arm));
+    outcome.broken = find_violations(&world.record.entries(), &rules(variant));
     (outcome.resident, outcome.cpu_a_query) = (resident, cpu / number as f64);
     outcome
 }
 
 /// What a class promises binds; a class that was guessed promised only to read.
-fn rules(arm: Arm) -> Rules {
-    let effect = |class: &str| match (arm, class) {
-        (Arm::GuessLookUp | Arm::GuessReport, _) | (_, "look-up" | "report") => Effect::ReadOnly,
+fn rules(variant: Variant) -> Rules {
+    let effect = |class: &str| match (variant, class) {
+        (Variant::GuessLookUp | Variant::GuessReport, _) | (_, "look-up" | "report") => {
+            Effect::ReadOnly
+        }
         _ => Effect::NonIdempotent,
     };
     let classes: HashMap<String, ClassRules> = ["look-up", "report", "load", "unknown"]
@@ -207,13 +214,13 @@
         "RSS kB",
         "ms/query"
     );
-    for arm in Arm::ALL {
+    for variant in Variant::ALL {
         for seed in 0..seeds {
-            let o = play(exe, arm, seconds, rate, seed + 1);
+            let o = play(exe, variant, seconds, rate, seed + 1);
             let _ = writeln!(
                 table,
                 "{:<12} {:>6} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7.3} {:>7} {:>7} {:>8.3}",
-                format!("{arm:?}"),
+                format!("{variant:?}"),
                 o.asked,
                 o.answered,
                 o.finished,
--- a/crates/testbed/src/wire.rs
+++ b/crates/testbed/src/wire.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, Write};
 
 /// Status, head and body of an HTTP answer; none if the connection ends before it is whole.
-pub fn answer(from: &mut impl BufRead) -> Option<(u16, String, String)> {
+pub fn read_response(from: &mut impl BufRead) -> Option<(u16, String, String)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         (from.read_line(&mut head).ok()? > 0).then_some(())?;
@@ -46,14 +46,14 @@
 }
 
 /// Writes an array of bulk strings; whether it went out.
-pub fn say(to: &mut impl Write, parts: &[&str]) -> bool {
+pub fn write_frame(to: &mut impl Write, parts: &[&str]) -> bool {
     let bulk = |part: &&str| format!("${}\r\n{part}\r\n", part.len());
     let text = format!("*{}\r\n", parts.len()) + &parts.iter().map(bulk).collect::<String>();
     to.write_all(text.as_bytes()).is_ok()
 }
 
 /// A value of a list `name=value,name=value`.
-pub fn of_list<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+pub fn list_value<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
     fields
         .split(',')
         .find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name))
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -1,11 +1,11 @@
 //! Two zones of stand-in engines and several real dispatchers: one zone falls silent and comes back cold, with tiers
 //! and without, on the same seeds.
 
-use crate::check::{judge, Broken, ClassRules, Effect, Rules};
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Fault, Spec, Work, World};
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
+use crate::invariants::{find_violations, ClassRules, Effect, Rules, Violation};
 use crate::plot::{plot, Line};
-use crate::program::{class, free_address, free_udp_address, Config, Program, Scrap};
+use crate::program::{class, free_address, free_udp_address, Config, Program, TempFile};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64;
@@ -41,7 +41,7 @@
     deferred: u64,
     killed: u64,
     unanswered: u64,
-    broken: Vec<Broken>,
+    broken: Vec<Violation>,
     /// Seconds, then threads of each engine, then worth got and asked in a quarter of a second, then deferrals.
     samples: Vec<(f64, Vec<f64>, f64, f64, f64)>,
 }
@@ -91,19 +91,19 @@
 
 /// Plays one run: a cut from a quarter of it to the half.
 pub fn play(exe: &Path, seconds: f64, seed: u64, tiers: bool) -> Outcome {
-    let world = Arc::new(World::default());
-    let spec = Spec {
+    let world = Arc::new(RunContext::default());
+    let spec = EngineSpec {
         cores: CORES,
         cold_from: 0.25,
         warm_after: 8000.0,
-        ..Spec::default()
+        ..EngineSpec::default()
     };
     let many = ZONES.len() * EACH;
     let engines: Vec<Engine> = (0..many)
         .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n as u64, world.clone()))
         .collect();
     let peers: Vec<SocketAddr> = (0..DISPATCHERS).map(|_| free_udp_address()).collect();
-    let operator = Scrap::new("operator.textproto", if tiers { OPERATOR } else { "" });
+    let operator = TempFile::new("operator.textproto", if tiers { OPERATOR } else { "" });
     let path = operator.0.display().to_string();
     let start = |n| {
         Program::launch(
@@ -142,7 +142,7 @@
             back = true;
             engines[..EACH].iter().for_each(|engine| {
                 engine.fault(Fault::None);
-                engine.starts_cold();
+                engine.restart_cold();
             });
         }
         let mut o = outcome.lock().expect("no holder panics");
@@ -157,7 +157,7 @@
         last = (got, most, deferred);
     }
     clients.into_iter().for_each(|client| drop(client.join()));
-    programs.iter().for_each(Program::told_to_end);
+    programs.iter().for_each(Program::terminate);
     programs.iter_mut().for_each(|program| drop(program.end()));
     let mut outcome = outcome.lock().expect("no holder panics").clone();
     let effect = |kind: &Kind| {
@@ -179,7 +179,7 @@
         budget: None,
         classes,
     };
-    outcome.broken = judge(&world.record.entries(), &rules);
+    outcome.broken = find_violations(&world.record.entries(), &rules);
     outcome
 }
 
@@ -189,7 +189,7 @@
     seconds: f64,
     seed: u64,
     begins: Instant,
-    world: &Arc<World>,
+    world: &Arc<RunContext>,
     outcome: &Arc<Mutex<Outcome>>,
 ) {
     let (name, rate, work, threads, target, wait, worth, changes) = KINDS[n];
@@ -202,7 +202,7 @@
         let work: f64 = works.sample(&mut rng);
         let tables = rng.random_range(1..30_u32);
         let text = format!("select a from sales_{tables}.t where id = {number}");
-        let mut query = Ask::new(
+        let mut query = ClientQuery::new(
             (n as u64 + 1) << 48 | number,
             &format!("/invoke/{name}"),
             name,
@@ -212,7 +212,7 @@
         query.cost = Some(work * rng.random_range(0.8..1.25));
         world.works.lock().expect("no holder panics").insert(
             query.id(),
-            Work {
+            QueryWork {
                 work,
                 threads,
                 changes,
@@ -230,7 +230,7 @@
             2
         };
         waiting.push(thread::spawn(move || {
-            let got = ask(listen, &query, &world.record);
+            let got = send_query(listen, &query, &world.record);
             let mut o = outcome.lock().expect("no holder panics");
             o.asked += 1;
             o.value[phase].1 += worth;
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -4,18 +4,18 @@
 use tansymux_coordination::limits::Halt;
 use tansymux_coordination::Stage;
 use tansymux_rollout::message::Answer;
-use tansymux_testbed::fleet::many;
-use tansymux_testbed::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
-use tansymux_testbed::fleet::world::{told, Served, World};
+use tansymux_testbed::fleet::run_seeds;
+use tansymux_testbed::fleet::scenario::{Event, Fault, LinkConditions, Scenario, NAMES};
+use tansymux_testbed::fleet::virtual_fleet::{told, Served, VirtualFleet};
 
 fn holds(seeds: std::ops::Range<u64>, scenario: impl Fn(u64) -> Scenario + Sync) {
-    let (table, broken) = many(seeds, scenario, false, false);
+    let (table, broken) = run_seeds(seeds, scenario, false, false);
     assert!(!broken, "{table}");
 }
 
-fn world(scenario: Scenario) -> World {
+fn world(scenario: Scenario) -> VirtualFleet {
     let told = told(&scenario);
-    World::new(scenario, told, Served::default())
+    VirtualFleet::new(scenario, told, Served::default())
 }
 
 #[test]
@@ -43,7 +43,7 @@
     holds(0..40, |seed| Scenario {
         events: vec![Event {
             at: 0.0,
-            what: Fault::Links(Way::BAD),
+            what: Fault::Links(LinkConditions::BAD),
         }],
         ..Scenario::calm(seed, 7)
     });
@@ -52,7 +52,7 @@
 #[test]
 fn without_agreement_the_same_scenario_breaks_the_limit() {
     // That the check above can fail.
-    let (table, broken) = many(0..10, |seed| Scenario::calm(seed, 12), true, false);
+    let (table, broken) = run_seeds(0..10, |seed| Scenario::calm(seed, 12), true, false);
     assert!(broken && table.contains("over the limit 10"), "{table}");
 }
 
@@ -93,7 +93,7 @@
     (scenario.done_within, scenario.lasts) = (0.0, 60_000.0);
     let mut told = told(&scenario);
     told.plan.lost = 1;
-    let mut world = World::new(scenario, told, Served::default());
+    let mut world = VirtualFleet::new(scenario, told, Served::default());
     world.resumes = false;
     world.plays(|_| false);
     assert!(
@@ -126,13 +126,13 @@
 }
 
 /// A release whose new version does worse: with this load, from then on.
-fn worse(seed: u64, rate: f64, new: f64, worse_from: f64, untold: bool) -> World {
+fn worse(seed: u64, rate: f64, new: f64, worse_from: f64, untold: bool) -> VirtualFleet {
     let mut scenario = Scenario::calm(seed, 10);
     (scenario.done_within, scenario.lasts) = (0.0, 120_000.0);
     let mut told = told(&scenario);
     told.plan.goes_on_untold = untold;
     told.plan.canary = 14_000.0;
-    let mut world = World::new(
+    let mut world = VirtualFleet::new(
         scenario,
         told,
         Served {
