--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tansymux::interface::{Bounds, EngineStatus, Outcome};
+use tansymux::events::{AttemptLimits, EndpointState, Outcome};
 
 /// Connections to one engine at most, and how many attempts they are to carry where each takes few.
 const MAX_CONNECTIONS_AN_ENGINE: usize = 12;
@@ -134,7 +134,7 @@
             connections: Vec::new(),
         };
         let engine = engines.entry(told.engine_id).or_insert_with(fresh);
-        let gone = told.status == EngineStatus::Gone;
+        let gone = told.status == EndpointState::Gone;
         engine.gone = gone;
         engine.zone.clone_from(&told.zone);
         let moved = told.address.is_some() && told.address != engine.address;
@@ -154,7 +154,7 @@
         drop(engines);
         for channel in channels
             .iter()
-            .filter(|_| retire || told.status == EngineStatus::Draining)
+            .filter(|_| retire || told.status == EndpointState::Draining)
         {
             let waiting: Vec<Rc<str>> = channel.connection.borrow().not_begun().collect();
             waiting
@@ -182,25 +182,25 @@
                 EngineCommand::Withdraw { query } => self.withdraw(query),
                 EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
                 EngineCommand::SetPriority { query, priority } => self.renice(query, priority),
-                EngineCommand::Probe { engine_id } => self.probe(engine_id),
+                EngineCommand::HealthCheck { engine_id } => self.probe(engine_id),
             }
         }
     }
 
-    fn submit(self: &Rc<Self>, query: u64, number: usize, engine_id: u64, bounds: Bounds) {
+    fn submit(self: &Rc<Self>, query: u64, number: usize, engine_id: u64, bounds: AttemptLimits) {
         let now = self.clock.now();
         let read = |q: &Query| {
             (
                 q.id.clone(),
-                fields_of(q, bounds.until - now),
+                fields_of(q, bounds.deadline_ms - now),
                 q.statement.clone(),
-                q.cost,
+                q.estimated_cost_ms,
             )
         };
-        let Some((id, fields, statement, cost)) = self.registry.with(query, read) else {
+        let Some((id, fields, statement, cost)) = self.registry.with_query(query, read) else {
             return;
         };
-        let Some(channel) = self.channel_for(engine_id, &id, bounds.harmless) else {
+        let Some(channel) = self.channel_for(engine_id, &id, bounds.side_effect_free) else {
             return self.closed(
                 query,
                 number,
@@ -236,7 +236,7 @@
         self: &Rc<Self>,
         engine_id: u64,
         id: &str,
-        harmless: bool,
+        side_effect_free: bool,
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // Where no more may be open, the one that idles longest gives way to a new one.
@@ -246,7 +246,11 @@
         let address = engine.address?;
         let now = self.clock.now();
         let longest = self.keep_alive.borrow_mut().longest(now);
-        let trusted = if harmless { longest } else { keep_alive::LEAST };
+        let trusted = if side_effect_free {
+            longest
+        } else {
+            keep_alive::LEAST
+        };
         // Of those that stand alike the one with the least out, one that is up, the one used last: the rest go idle.
         let order = |channel: &Rc<Channel>| {
             let c = channel.connection.borrow();
@@ -320,7 +324,7 @@
         });
         engine.connections.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
-        self.registry.counters.connections_to_engines.add();
+        self.registry.counters.engine_connections_opened.increment();
         self.executor
             .spawn(self.clone().run(channel.clone(), address))
             .detach();
@@ -351,7 +355,7 @@
     }
 
     fn find(&self, query: u64) -> Option<(Rc<Channel>, Rc<str>)> {
-        let id = self.registry.with(query, |q| q.id.clone())?;
+        let id = self.registry.with_query(query, |q| q.id.clone())?;
         let engines = self.engines.borrow();
         let carries = |channel: &&Rc<Channel>| {
             channel
@@ -482,7 +486,7 @@
         self.tags.set(self.tags.get() + 1);
         let tag: Rc<str> = format!("t{}", self.tags.get()).into();
         let Some(channel) = self.channel_for(engine_id, &tag, true) else {
-            return self.registry.push_event(Event::Probed {
+            return self.registry.push_event(Event::HealthCheckEnded {
                 engine_id,
                 outcome: Outcome::NoConnection,
             });
@@ -503,9 +507,9 @@
         latency: f64,
         pages: Pages,
     ) {
-        self.registry.counters.ended(outcome);
+        self.registry.counters.count_outcome(outcome);
         tracing::debug!(query, attempt, engine = %format_args!("{engine_id:08x}"), ?outcome, latency, "a submission ended");
-        self.registry.push_event(Event::Closed {
+        self.registry.push_event(Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -517,8 +521,8 @@
 
     /// The same for what was given up from here.
     fn given_up(&self, query: u64, attempt: usize, outcome: Outcome, engine_id: u64, latency: f64) {
-        self.registry.counters.ended(outcome);
-        let event = Event::Closed {
+        self.registry.counters.count_outcome(outcome);
+        let event = Event::AttemptEnded {
             query,
             attempt,
             outcome,
@@ -592,7 +596,7 @@
                 .any(|&(_, sent, until)| until <= now && heard <= sent);
             connection.probes.retain(|&(_, _, until)| until > now);
             for _ in connection.probes.len()..before {
-                self.registry.push_event(Event::Probed {
+                self.registry.push_event(Event::HealthCheckEnded {
                     engine_id: channel.engine_id,
                     outcome: Outcome::Timeout,
                 });
@@ -629,8 +633,8 @@
                 channel.notify.notify();
             }
             let ends = |s: &Attempt| {
-                s.until.min(if s.begin_by > now {
-                    s.begin_by
+                s.until.min(if s.start_by_ms > now {
+                    s.start_by_ms
                 } else {
                     f64::INFINITY
                 })
@@ -671,7 +675,7 @@
         let end = match connected {
             Ok(stream) => {
                 if channel.connection.borrow().state == State::Late {
-                    self.registry.counters.connections_late_up.add();
+                    self.registry.counters.connects_after_timeout.increment();
                 }
                 channel.connection.borrow_mut().comes_up(self.clock.now());
                 self.engines
@@ -770,14 +774,14 @@
                         note,
                         amount,
                     } => {
-                        self.registry.push_event(Event::Noted {
+                        self.registry.push_event(Event::ProgressReported {
                             query,
                             attempt,
                             note,
                             amount,
                         });
                     }
-                    Heard::Probed(outcome) => self.registry.push_event(Event::Probed {
+                    Heard::Probed(outcome) => self.registry.push_event(Event::HealthCheckEnded {
                         engine_id: channel.engine_id,
                         outcome,
                     }),
@@ -800,7 +804,7 @@
     /// A connection has not come up in its time: what waits for it goes elsewhere, and whatever comes up later carries what
     /// comes next. One may be late by itself; where the next is as well, the engine can't be reached.
     fn comes_late(self: &Rc<Self>, channel: &Rc<Channel>) {
-        self.registry.counters.connections_late.add();
+        self.registry.counters.connect_timeouts.increment();
         let mut connection = channel.connection.borrow_mut();
         connection.state = State::Late;
         let waiting: Vec<Rc<str>> = connection.attempts.keys().cloned().collect();
@@ -814,7 +818,7 @@
         waiting
             .iter()
             .for_each(|id| self.give_up(channel, id, Outcome::NoConnection));
-        let probed = Event::Probed {
+        let probed = Event::HealthCheckEnded {
             engine_id: channel.engine_id,
             outcome: Outcome::NoConnection,
         };
@@ -870,7 +874,7 @@
         let spoilt = kind == Some(io::ErrorKind::InvalidData);
         let given_up = spoilt || was_up && kind == Some(io::ErrorKind::NotConnected);
         if spoilt {
-            self.registry.counters.connections_spoilt.add();
+            self.registry.counters.protocol_errors.increment();
         }
         let probes = std::mem::take(&mut connection.probes).len();
         if let (Err(e), true) = (&end, !attempts.is_empty()) {
@@ -885,7 +889,7 @@
         let idled = idled.filter(|_| !attempts.is_empty());
         if let Some((idled, _)) = idled {
             self.keep_alive.borrow_mut().learn(now, idled, true);
-            self.registry.counters.connections_lost_idle.add();
+            self.registry.counters.idle_connections_lost.increment();
         }
         // One end is one sign of trouble there, whoever else was out on this connection: those were given up with it.
         let mut first = if idled.is_some() {
@@ -919,7 +923,7 @@
             Outcome::NoConnection
         };
         (0..probes).for_each(|_| {
-            self.registry.push_event(Event::Probed {
+            self.registry.push_event(Event::HealthCheckEnded {
                 engine_id: channel.engine_id,
                 outcome,
             })
@@ -957,15 +961,15 @@
 fn fields_of(q: &Query, limit: f64) -> String {
     let mut fields = format!(
         "cls={},limit={}{}",
-        q.rg,
+        q.resource_group,
         limit.floor().max(1.0) as u64,
-        q.marks
+        q.key_fields
     );
-    if let Some((priority, memory)) = q.granted {
-        if memory > 0.0 {
-            fields += &format!(",mb={memory:.3}");
+    if let Some(grant) = q.grant {
+        if grant.memory_mb > 0.0 {
+            fields += &format!(",mb={:.3}", grant.memory_mb);
         }
-        fields += &format!(",nice={priority}");
+        fields += &format!(",nice={}", grant.priority);
     }
     fields
 }
