--- /dev/null
+++ b/crates/sql-analysis/src/analyzer/findings.rs
@@ -0,0 +1,56 @@
+//! What is found in the syntax trees of one dialect, or of several together.
+
+use super::reason::Reason;
+use crate::{Effect, Features};
+use std::collections::BTreeSet;
+
+#[derive(Debug)]
+pub(super) struct Findings {
+    pub effect: Effect,
+    /// Why the effect is not [`Effect::ReadOnly`].
+    pub reason: Option<Reason>,
+    pub tables_read: BTreeSet<String>,
+    pub tables_written: BTreeSet<String>,
+    pub features: Features,
+    pub statement_count: usize,
+    /// Aliases with columns, of tables and common table expressions: a bracket after them is no call.
+    pub column_aliases: BTreeSet<String>,
+}
+
+impl Findings {
+    /// No findings in `statement_count` statements.
+    pub fn new(statement_count: usize) -> Self {
+        Findings {
+            effect: Effect::ReadOnly,
+            reason: None,
+            tables_read: BTreeSet::new(),
+            tables_written: BTreeSet::new(),
+            features: Features::default(),
+            statement_count,
+            column_aliases: BTreeSet::new(),
+        }
+    }
+
+    /// Records an effect; the reason is kept if the effect is worse than those before.
+    pub fn raise(&mut self, effect: Effect, reason: Reason) {
+        if effect > self.effect {
+            self.effect = effect;
+            self.reason = Some(reason);
+        }
+    }
+
+    /// Combines the findings of two dialects: the worse effect, and the features of the first.
+    pub fn combine(mut self, other: Findings) -> Findings {
+        let differs_in_count = other.statement_count != self.statement_count;
+        if other.effect > self.effect || differs_in_count && self.effect == Effect::ReadOnly {
+            self.effect = other.effect.max(Effect::Unknown);
+            self.reason = other.reason.or(Some(Reason::DialectsDisagree));
+        }
+        self.tables_read.extend(other.tables_read);
+        self.tables_written.extend(other.tables_written);
+        // An alias in one dialect only may be a call in the other.
+        self.column_aliases
+            .retain(|alias| other.column_aliases.contains(alias));
+        self
+    }
+}
--- /dev/null
+++ b/crates/sql-analysis/src/analyzer/lexical_check.rs
@@ -0,0 +1,113 @@
+//! The second half of a proof: the words of a shape, without the grammar. A parser skips what it does not model, a word
+//! list knows no structure; that both are wrong at once is less likely.
+
+use super::findings::Findings;
+use super::reason::Reason;
+use crate::config::Config;
+use crate::functions::{
+    effect_of_function, is_non_function_keyword, is_sized_type, starts_read_only_statement,
+};
+use crate::lexer::{Shape, Token, TokenKind};
+use crate::Effect;
+
+/// Why the words bar the proof that the grammar would give, if they do.
+pub(super) fn objection(shape: &Shape, findings: &Findings, config: &Config) -> Option<Reason> {
+    if shape.has_effect_word {
+        return Some(Reason::EffectWord);
+    }
+    let mut starts_statement = true;
+    for (index, token) in shape.tokens.iter().enumerate() {
+        let text = shape.token_text(token);
+        if starts_statement && text != ";" {
+            if !starts_read_only_statement(text) || token.kind == TokenKind::QuotedName {
+                return Some(Reason::FirstWord(text.to_owned()));
+            }
+            starts_statement = false;
+        }
+        starts_statement |= text == ";" && token.kind == TokenKind::Punctuation;
+        if is_trailing_comma(shape, index, token) {
+            return Some(Reason::TrailingComma);
+        }
+        if is_share_lock(shape, index, token) {
+            return Some(Reason::RowsLocked);
+        }
+        if let Some(reason) = objection_to_call(shape, index, token, findings, config) {
+            return Some(reason);
+        }
+    }
+    None
+}
+
+/// Whether a comma is followed by nothing: some grammars accept that, but not every engine.
+fn is_trailing_comma(shape: &Shape, index: usize, token: &Token) -> bool {
+    if token.kind != TokenKind::Punctuation || shape.token_text(token) != "," {
+        return false;
+    }
+    matches!(
+        shape.text_at(Some(index + 1)),
+        "" | ")" | "from" | "where" | "group" | "order" | "having" | "limit" | ";" | ","
+    )
+}
+
+/// Whether rows or tables are locked: FOR SHARE, FOR KEY SHARE, IN SHARE MODE.
+fn is_share_lock(shape: &Shape, index: usize, token: &Token) -> bool {
+    token.kind == TokenKind::Word
+        && shape.token_text(token) == "share"
+        && matches!(shape.text_at(index.checked_sub(1)), "for" | "key" | "in")
+}
+
+/// Why a name followed by a bracket is not known to be harmless, if so.
+fn objection_to_call(
+    shape: &Shape,
+    index: usize,
+    token: &Token,
+    findings: &Findings,
+    config: &Config,
+) -> Option<Reason> {
+    let is_name = matches!(token.kind, TokenKind::Word | TokenKind::QuotedName);
+    if !is_name || shape.text_at(Some(index + 1)) != "(" {
+        return None;
+    }
+    let is_qualified = shape.text_at(index.checked_sub(1)) == ".";
+    if token.kind == TokenKind::Word && !is_qualified {
+        let word = shape.token_text(token);
+        if is_non_function_keyword(word) || is_sized_type(word) {
+            return None;
+        }
+    }
+    let name = qualified_name(shape, index);
+    match effect_of_function(&name, config) {
+        Effect::ReadOnly => None,
+        // An alias with columns may precede a bracket, but not if it has the name of a function with effects.
+        Effect::Unknown if findings.column_aliases.contains(&name) => None,
+        Effect::Unknown | Effect::NonIdempotent => Some(Reason::UnknownFunction(name)),
+    }
+}
+
+/// The name that ends with the token at `index`, with the qualifiers before it.
+fn qualified_name(shape: &Shape, index: usize) -> String {
+    let mut name = unquoted(shape, index);
+    let mut first = index;
+    while first >= 2 && shape.text_at(Some(first - 1)) == "." {
+        let qualifier = first - 2;
+        let is_name = matches!(
+            shape.tokens[qualifier].kind,
+            TokenKind::Word | TokenKind::QuotedName
+        );
+        if !is_name {
+            break;
+        }
+        first = qualifier;
+        name = format!("{}.{name}", unquoted(shape, first));
+    }
+    name
+}
+
+fn unquoted(shape: &Shape, index: usize) -> String {
+    let token = &shape.tokens[index];
+    let text = shape.token_text(token);
+    match token.kind {
+        TokenKind::QuotedName => text.trim_matches(['"', '`']).to_owned(),
+        _ => text.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/sql-analysis/src/cost_model/engine_slowdown.rs
@@ -0,0 +1,105 @@
+//! How slow each engine is for all shapes. It tells an engine that is slow from a shape that became expensive, and is
+//! learned only from shapes that are known well.
+
+/// A slowdown follows each sample by this fraction.
+const STEP: f64 = 0.15;
+/// A sample counts for this distance (log) at most.
+const MAX_SAMPLE_DISTANCE: f64 = 0.7;
+/// Bound on a slowdown (log).
+const MAX_SLOWDOWN: f64 = 3.0;
+/// Time (ms) in which a slowdown without samples decays to 1/e.
+const DECAY_MS: f64 = 15_000.0;
+/// Engines that are kept; beyond it the one without samples for the longest time is dropped.
+pub(super) const MAX_ENGINES: usize = 1024;
+
+/// The log ratio of an engine's run times to the shapes' costs.
+#[derive(Debug, Clone, Copy)]
+struct Slowdown {
+    engine_id: u64,
+    level: f64,
+    updated_at_ms: f64,
+}
+
+impl Slowdown {
+    fn level_at(&self, now_ms: f64) -> f64 {
+        self.level * (-(now_ms - self.updated_at_ms).max(0.0) / DECAY_MS).exp()
+    }
+}
+
+/// Slowdowns of all engines.
+#[derive(Debug, Default)]
+pub(super) struct EngineSlowdowns {
+    /// Sorted by engine.
+    slowdowns: Vec<Slowdown>,
+    /// A reused buffer to find the median.
+    recent_levels: Vec<f64>,
+}
+
+impl EngineSlowdowns {
+    /// Number of engines.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.slowdowns.len()
+    }
+
+    fn find(&self, engine_id: u64) -> Result<usize, usize> {
+        self.slowdowns
+            .binary_search_by_key(&engine_id, |slowdown| slowdown.engine_id)
+    }
+
+    /// The slowdown (log) of an engine, relative to the lower median of those with recent samples: if all became slower
+    /// together, or if there is only one, no engine is to blame. 0 if the engine is unknown.
+    pub fn relative_slowdown(&mut self, engine_id: u64, now_ms: f64) -> f64 {
+        let Ok(index) = self.find(engine_id) else {
+            return 0.0;
+        };
+        self.recent_levels.clear();
+        for slowdown in &self.slowdowns {
+            if now_ms - slowdown.updated_at_ms < DECAY_MS {
+                self.recent_levels.push(slowdown.level_at(now_ms));
+            }
+        }
+        if self.recent_levels.is_empty() {
+            return 0.0;
+        }
+        let lower_middle = (self.recent_levels.len() - 1) / 2;
+        let (_, median, _) = self
+            .recent_levels
+            .select_nth_unstable_by(lower_middle, f64::total_cmp);
+        self.slowdowns[index].level_at(now_ms) - *median
+    }
+
+    /// Adds a sample: the log ratio of a run time to the shape's cost.
+    pub fn add(&mut self, engine_id: u64, log_ratio: f64, now_ms: f64) {
+        let index = match self.find(engine_id) {
+            Ok(index) => index,
+            Err(index) => {
+                let slowdown = Slowdown {
+                    engine_id,
+                    level: 0.0,
+                    updated_at_ms: now_ms,
+                };
+                self.slowdowns.insert(index, slowdown);
+                index
+            }
+        };
+        let slowdown = &mut self.slowdowns[index];
+        let level = slowdown.level_at(now_ms);
+        let distance = (log_ratio - level).clamp(-MAX_SAMPLE_DISTANCE, MAX_SAMPLE_DISTANCE);
+        let level = level + STEP * distance;
+        slowdown.level = level.clamp(-MAX_SLOWDOWN, MAX_SLOWDOWN);
+        slowdown.updated_at_ms = now_ms;
+        if self.slowdowns.len() > MAX_ENGINES {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let updated_at_ms = |index: &usize| self.slowdowns[*index].updated_at_ms;
+        let oldest = (0..self.slowdowns.len())
+            .min_by(|left, right| updated_at_ms(left).total_cmp(&updated_at_ms(right)));
+        if let Some(index) = oldest {
+            self.slowdowns.remove(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sql-analysis/src/lexer/mod.rs
@@ -0,0 +1,93 @@
+//! The lexer: from bytes to a shape. In a shape words are in lower case, literals are placeholders, a list of literals is
+//! a single one, comments and white space are gone, and one blank separates tokens.
+//!
+//! What engines could read in two ways is not read in one of them: it makes the shape [`Unproven`], and such a statement
+//! is never proven read-only. `scanner` reads the input, `shape_builder` writes the shape.
+
+mod scanner;
+mod shape_builder;
+mod token;
+mod unproven;
+
+#[cfg(test)]
+mod tests;
+
+pub use token::{Token, TokenKind};
+pub use unproven::Unproven;
+
+use scanner::Scanner;
+use shape_builder::ShapeBuilder;
+
+/// Tokens of a statement that is parsed: bounds the parser's time.
+pub(crate) const MAX_TOKENS: usize = 4000;
+/// Operators of a statement that is parsed: each may add a level to a left-deep tree, which is walked and dropped
+/// recursively.
+pub(crate) const MAX_OPERATORS: usize = 400;
+/// Nested brackets of a statement that is parsed: bounds the stack that the parser takes.
+pub(crate) const MAX_BRACKET_DEPTH: usize = 40;
+/// The longest statement that is analyzed, in bytes.
+pub(crate) const MAX_BYTES: usize = 64 * 1024;
+
+/// The shape of a statement.
+#[derive(Debug)]
+pub struct Shape<'a> {
+    /// Its text; empty for a statement that is not text or has no tokens.
+    pub text: &'a str,
+    /// Why no proof is tried, if so.
+    pub unproven: Option<Unproven>,
+    /// The tokens of `text`.
+    pub tokens: &'a [Token],
+    /// Whether an unquoted word occurs that no read-only statement has.
+    pub has_effect_word: bool,
+}
+
+impl Shape<'_> {
+    /// The text of a token.
+    pub(crate) fn token_text(&self, token: &Token) -> &str {
+        &self.text[token.start as usize..token.end as usize]
+    }
+
+    /// The text of the token at `index`, empty before the first and after the last one.
+    pub(crate) fn text_at(&self, index: Option<usize>) -> &str {
+        let token = index.and_then(|index| self.tokens.get(index));
+        token.map_or("", |token| self.token_text(token))
+    }
+}
+
+/// The lexer, with buffers that are reused.
+#[derive(Debug, Default)]
+pub struct Lexer {
+    builder: ShapeBuilder,
+}
+
+impl Lexer {
+    /// The shape of a statement, borrowed until the next call. Any bytes are accepted.
+    pub fn lex(&mut self, statement: &[u8]) -> Shape<'_> {
+        self.builder.reset();
+        let is_too_long = statement.len() > MAX_BYTES;
+        let bytes = &statement[..statement.len().min(MAX_BYTES)];
+        let mut scanner = Scanner::new(bytes, &mut self.builder);
+        if is_too_long {
+            scanner.set_unproven(Unproven::TooLong);
+        }
+        // Cutting a long statement may split a character.
+        let is_not_utf8 = !is_too_long && std::str::from_utf8(bytes).is_err();
+        if is_not_utf8 || bytes.contains(&0) {
+            scanner.set_unproven(Unproven::NotText);
+        }
+        let unproven = scanner.scan();
+        // All statements that are not text have the same, empty shape.
+        let text = std::str::from_utf8(&self.builder.text).unwrap_or_default();
+        let tokens = if text.is_empty() {
+            &[][..]
+        } else {
+            &self.builder.tokens
+        };
+        Shape {
+            text,
+            unproven,
+            tokens,
+            has_effect_word: self.builder.has_effect_word,
+        }
+    }
+}
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -1,52 +1,62 @@
-//! Statements classed by their shape.
+//! Classification of SQL statements by their shape.
 //!
-//! Owns: what a statement's text shows (`lexer`, `read`), which class that gives it (`rules`), what it is likely to
-//! cost (`learn`), and the bounded memory of both (`cache`). It does no I/O, reads no clock and draws no random
-//! numbers: bytes and times come in, readings and estimates go out. It never decides where a query runs: class,
-//! effect and estimate are handed to the decisions, which keep all rules.
+//! Owns: the shape of a statement's text (`lexer`), what it shows (`analyzer`), the class that rules give it (`rules`),
+//! its likely cost (`cost_model`), and the bounded memory of both (`shape_cache`). It does no I/O, reads no clock and
+//! draws no random numbers: bytes and times come in, analyses and estimates go out. It never decides where a query
+//! runs: class, effect and estimate are inputs of the decisions, which own all rules.
 //!
-//! What holds here, and is tested by name in `tests/`:
-//! - a statement is read-only only if that is proven: each doubt, each unknown function and each word that could
-//!   begin a change makes it unknown or mutating;
+//! Invariants, tested by name in `tests/hard_cases.rs`:
+//! - a statement is read-only only if that is proven: each ambiguity, each unknown function and each word that could
+//!   begin a change makes its effect unknown or non-idempotent;
 //! - what was proven for a shape holds for every statement of that shape, because the parser is given the shape and
 //!   not the statement;
-//! - time and stack are bounded whatever comes in.
+//! - time and stack are bounded for any input.
 //!
-//! Start reading at [`Statements::read`].
-
-mod cache;
-mod learn;
+//! Start reading at [`StatementAnalyzer::analyze`].
+#![warn(missing_docs)]
+
+mod analyzer;
+mod config;
+mod cost_model;
+mod features;
+mod functions;
 mod lexer;
-mod read;
 mod rules;
-mod tables;
-mod words;
-
-pub use cache::Counts;
-pub use learn::{End, Estimate, Observation};
-pub use lexer::{Lexed, Lexer, Unproven};
-pub use read::Features;
-pub use rules::{Dialect, Learning, Prices, Rule, Settings};
-pub use tables::table_group;
-
-use cache::Shapes;
-use learn::Learner;
+mod shape_cache;
+mod table_group;
+
+pub use config::{BaseCost, BaseCosts, Config, CostModelConfig, Dialect};
+pub use cost_model::{Estimate, Execution, ExecutionEnd};
+pub use features::Features;
+pub use lexer::{Lexer, Shape, Token, TokenKind, Unproven};
+pub use rules::Rule;
+pub use shape_cache::CacheCounts;
+pub use table_group::table_group;
+
+use cost_model::{CostModel, PriorCost};
+use shape_cache::ShapeCache;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::hash::Hasher;
 use std::rc::Rc;
 
-/// What a statement is, by its text.
+/// The class of a statement, by its text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Class {
+    /// Reads few rows.
     LookUp,
+    /// Reads many rows, or aggregates them.
     Report,
+    /// Changes data or locks rows.
     Load,
+    /// Could not be proven to be one of the others.
     Unknown,
 }
 
 impl Class {
+    /// All classes, in the order of [`BaseCosts`]' arrays.
     pub const ALL: [Class; 4] = [Class::LookUp, Class::Report, Class::Load, Class::Unknown];
 
+    /// The name that is printed.
     pub fn name(self) -> &'static str {
         match self {
             Class::LookUp => "look-up",
@@ -57,17 +67,19 @@
     }
 }
 
-/// Whether it may change anything. The order is that of caution: the worst of several holds.
+/// Whether a statement may change anything. Ordered by caution: the greatest of several counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Effect {
-    /// Proven: under every dialect that is told, and by words and by grammar.
+    /// Proven to change nothing: under each configured dialect, and by words as well as by grammar.
     ReadOnly,
-    /// Not proven. It runs under the rules of mutating.
+    /// Not proven. The rules for non-idempotent statements apply.
     Unknown,
+    /// It changes something.
     NonIdempotent,
 }
 
 impl Effect {
+    /// The name that is printed.
     pub fn name(self) -> &'static str {
         match self {
             Effect::ReadOnly => "read-only",
@@ -79,109 +91,130 @@
 
 /// What is known of all statements of a shape.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Reading {
+pub struct Analysis {
+    /// Its class.
     pub class: Class,
+    /// Its effect.
     pub effect: Effect,
-    /// Tables that are read, and that are written, as named; lower case where they were not quoted.
-    pub reads: Vec<String>,
-    pub writes: Vec<String>,
+    /// Tables that are read, by name; in lower case where they were not quoted.
+    pub tables_read: Vec<String>,
+    /// Tables that are written, likewise.
+    pub tables_written: Vec<String>,
+    /// What the grammar shows.
     pub features: Features,
-    /// Why it could not be read, or not be proven.
-    pub error: Option<String>,
-    /// The estimate by class and features alone: work (ms on one core) and memory (MB).
-    pub cost: f64,
-    pub memory: f64,
+    /// Why it could not be parsed or proven.
+    pub reason: Option<String>,
+    /// Work (ms on one core) by class and features alone.
+    pub cost_ms: f64,
+    /// Memory (MB) by class and features alone.
+    pub memory_mb: f64,
 }
 
-/// A statement's reading, and the keyed hash of its shape.
+/// A statement's analysis, with the keyed hash of its shape.
 #[derive(Debug, Clone)]
-pub struct Read {
-    pub shape: u128,
-    pub reading: Rc<Reading>,
-    /// Whether the shape was known.
-    pub hit: bool,
+pub struct AnalyzedStatement {
+    /// The hash of its shape.
+    pub shape_id: u128,
+    /// What is known of its shape.
+    pub analysis: Rc<Analysis>,
+    /// Whether the analysis came from the cache.
+    pub is_cache_hit: bool,
 }
 
-/// Reads statements, remembers their shapes and learns what they cost.
-pub struct Statements {
-    settings: Settings,
-    key: [u8; 16],
+/// Analyzes statements, caches the analyses of their shapes, and learns what they cost.
+pub struct StatementAnalyzer {
+    config: Config,
+    hash_key: [u8; 16],
     lexer: Lexer,
-    shapes: Shapes,
-    learner: Learner,
+    cache: ShapeCache,
+    cost_model: CostModel,
 }
 
-impl Statements {
-    /// `key`: secret, drawn for this process, so that nobody can make shapes fall together.
-    pub fn new(settings: Settings, key: [u8; 16]) -> Self {
-        Statements {
+impl StatementAnalyzer {
+    /// An analyzer without any shapes. `hash_key` is secret and drawn for this process, so that nobody can construct
+    /// shapes with equal hashes.
+    pub fn new(config: Config, hash_key: [u8; 16]) -> Self {
+        StatementAnalyzer {
             lexer: Lexer::default(),
-            shapes: Shapes::new(settings.max_shapes, settings.max_bytes),
-            learner: Learner::new(settings.learning, settings.max_costs),
-            settings,
-            key,
+            cache: ShapeCache::new(config.max_shapes, config.max_shape_bytes),
+            cost_model: CostModel::new(config.cost_model, config.max_learned_costs),
+            config,
+            hash_key,
         }
     }
 
-    /// Takes on other rules. Readings are made anew; what was learned of costs stays, as it hangs on shapes and not
-    /// on rules. Readings that are in use elsewhere stay as they are.
-    pub fn set(&mut self, settings: Settings) {
-        self.shapes.reset(settings.max_shapes, settings.max_bytes);
-        self.learner.set(settings.learning, settings.max_costs);
-        self.settings = settings;
+    /// Replaces the configuration. Cached analyses are dropped, and learned costs kept, as they depend on the shape and
+    /// not on the rules. Analyses in use elsewhere stay as they are.
+    pub fn reconfigure(&mut self, config: Config) {
+        self.cache.reset(config.max_shapes, config.max_shape_bytes);
+        self.cost_model
+            .reconfigure(config.cost_model, config.max_learned_costs);
+        self.config = config;
     }
 
-    pub fn settings(&self) -> &Settings {
-        &self.settings
+    /// The configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
     }
 
-    /// Reads a statement: any bytes. Takes time in proportion to its length, plus a bounded time where its shape
-    /// is new.
-    pub fn read(&mut self, statement: &[u8]) -> Read {
-        let lexed = self.lexer.lex(statement);
-        let mut hasher = SipHasher13::new_with_key(&self.key);
-        hasher.write(lexed.text.as_bytes());
-        // What bars a proof and leaves no trace in the text is part of the shape.
-        hasher.write_u8(lexed.doubt.map_or(0, |doubt| doubt as u8 + 1));
-        let shape = hasher.finish128().as_u128();
-        if let Some(reading) = self.shapes.get(shape, &lexed) {
-            return Read {
-                shape,
-                reading,
-                hit: true,
+    /// Analyzes a statement; any bytes are accepted. Takes time in proportion to its length, plus a bounded time if its
+    /// shape is not cached.
+    pub fn analyze(&mut self, statement: &[u8]) -> AnalyzedStatement {
+        let shape = self.lexer.lex(statement);
+        let shape_id = shape_id(&shape, &self.hash_key);
+        if let Some(analysis) = self.cache.get(shape_id, &shape) {
+            return AnalyzedStatement {
+                shape_id,
+                analysis,
+                is_cache_hit: true,
             };
         }
-        let reading = Rc::new(read::read(&lexed, &self.settings));
-        self.shapes.keep(shape, &lexed, &reading);
-        Read {
-            shape,
-            reading,
-            hit: false,
+        let analysis = Rc::new(analyzer::analyze(&shape, &self.config));
+        self.cache.insert(shape_id, &shape, &analysis);
+        AnalyzedStatement {
+            shape_id,
+            analysis,
+            is_cache_hit: false,
         }
     }
 
-    /// What a statement that was read will cost, as far as is known at `now` (ms), and how sure that is.
-    pub fn estimate(&mut self, read: &Read, now: f64) -> Estimate {
-        self.learner.estimate(
-            read.shape,
-            read.reading.class,
-            read.reading.cost,
-            read.reading.memory,
-            now,
-        )
+    /// The estimated cost of an analyzed statement at `now_ms`.
+    pub fn estimate(&mut self, statement: &AnalyzedStatement, now_ms: f64) -> Estimate {
+        let analysis = &statement.analysis;
+        let prior = PriorCost {
+            class: analysis.class,
+            cost_ms: analysis.cost_ms,
+        };
+        self.cost_model
+            .estimate(statement.shape_id, prior, analysis.memory_mb, now_ms)
     }
 
-    /// Takes in how a attempt ended. `shape`, `class` and `cost` are those of the reading under which it was
-    /// taken, whatever the rules say by now.
-    pub fn ended(&mut self, shape: u128, class: Class, cost: f64, seen: &Observation) {
-        self.learner.take(shape, class, cost, seen);
+    /// Learns from an attempt that ended. `shape_id`, `class` and `cost_ms` are those of the analysis under which it
+    /// was started, whatever the rules are by now.
+    pub fn record_execution(
+        &mut self,
+        shape_id: u128,
+        class: Class,
+        cost_ms: f64,
+        execution: &Execution,
+    ) {
+        let prior = PriorCost { class, cost_ms };
+        self.cost_model.record(shape_id, prior, execution);
     }
 
-    /// Hits, misses and what is kept.
-    pub fn counts(&self) -> Counts {
-        Counts {
-            costs: self.learner.kept(),
-            ..self.shapes.counts()
+    /// Cache hits and misses, and the sizes of the cache and of the cost model.
+    pub fn counts(&self) -> CacheCounts {
+        CacheCounts {
+            learned_costs: self.cost_model.len(),
+            ..self.cache.counts()
         }
     }
 }
+
+/// The keyed hash of a shape. What bars a proof without leaving a trace in the text is part of it.
+fn shape_id(shape: &Shape, hash_key: &[u8; 16]) -> u128 {
+    let mut hasher = SipHasher13::new_with_key(hash_key);
+    hasher.write(shape.text.as_bytes());
+    hasher.write_u8(shape.unproven.map_or(0, |reason| reason as u8 + 1));
+    hasher.finish128().as_u128()
+}
--- a/crates/sql-analysis/src/rules.rs
+++ b/crates/sql-analysis/src/rules.rs
@@ -1,40 +1,45 @@
-//! What operators set: dialects, the rules that give a class, prices by features, and bounds.
+//! Rules that give a read-only statement its class by its features.
 
 use crate::{Class, Features};
 
-/// What an engine may speak. A statement is only proven to read where no one of those told reads it otherwise.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Dialect {
-    /// A forgiving mixture, asked only where no other dialect that is told takes a statement.
-    Generic,
-    Ansi,
-    PostgreSql,
-    MySql,
-}
-
-/// A rule: all that is asked for must hold.
+/// A rule: a statement matches if it meets every condition.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rule {
+    /// The class of statements that match.
     pub class: Class,
+    /// At least this many joins.
     pub min_joins: u32,
+    /// At least this many tables.
     pub min_tables: u32,
+    /// At least this many subqueries.
     pub min_subqueries: u32,
+    /// With or without GROUP BY.
     pub grouped: Option<bool>,
+    /// With or without DISTINCT.
     pub distinct: Option<bool>,
+    /// With or without an aggregate function.
     pub aggregated: Option<bool>,
+    /// With or without window functions.
     pub windowed: Option<bool>,
-    pub united: Option<bool>,
+    /// With or without UNION, EXCEPT or INTERSECT.
+    pub set_operation: Option<bool>,
+    /// With or without ORDER BY.
     pub ordered: Option<bool>,
+    /// With or without LIMIT, FETCH or TOP.
     pub limited: Option<bool>,
+    /// With or without WITH RECURSIVE.
     pub recursive: Option<bool>,
-    pub pointed: Option<bool>,
+    /// Selecting rows by a column's value or not.
+    pub point_lookup: Option<bool>,
+    /// With or without WHERE.
     pub filtered: Option<bool>,
-    pub reads: Option<bool>,
+    /// Reading tables or none.
+    pub reads_tables: Option<bool>,
 }
 
 impl Rule {
-    /// A rule that holds for all.
-    pub fn of(class: Class) -> Self {
+    /// A rule that every statement matches.
+    pub fn for_all(class: Class) -> Self {
         Rule {
             class,
             min_joins: 0,
@@ -44,40 +49,41 @@
             distinct: None,
             aggregated: None,
             windowed: None,
-            united: None,
+            set_operation: None,
             ordered: None,
             limited: None,
             recursive: None,
-            pointed: None,
+            point_lookup: None,
             filtered: None,
-            reads: None,
+            reads_tables: None,
         }
     }
 
-    pub fn holds(&self, f: &Features) -> bool {
-        let same = |asked: Option<bool>, is: bool| asked.is_none_or(|asked| asked == is);
-        f.joins >= self.min_joins
-            && f.tables >= self.min_tables
-            && f.subqueries >= self.min_subqueries
-            && same(self.grouped, f.grouped)
-            && same(self.distinct, f.distinct)
-            && same(self.aggregated, f.aggregated)
-            && same(self.windowed, f.windows > 0)
-            && same(self.united, f.united)
-            && same(self.ordered, f.ordered)
-            && same(self.limited, f.limited)
-            && same(self.recursive, f.recursive)
-            && same(self.pointed, f.pointed)
-            && same(self.filtered, f.filtered)
-            && same(self.reads, f.tables > 0)
+    /// Whether a statement with these features meets every condition.
+    pub fn matches(&self, features: &Features) -> bool {
+        features.joins >= self.min_joins
+            && features.tables >= self.min_tables
+            && features.subqueries >= self.min_subqueries
+            && meets(self.grouped, features.grouped)
+            && meets(self.distinct, features.distinct)
+            && meets(self.aggregated, features.aggregated)
+            && meets(self.windowed, features.windows > 0)
+            && meets(self.set_operation, features.set_operation)
+            && meets(self.ordered, features.ordered)
+            && meets(self.limited, features.limited)
+            && meets(self.recursive, features.recursive)
+            && meets(self.point_lookup, features.point_lookup)
+            && meets(self.filtered, features.filtered)
+            && meets(self.reads_tables, features.tables > 0)
     }
 
-    /// The rules where operators give none.
+    /// The rules if none are configured.
     pub fn defaults() -> Vec<Rule> {
-        let (look_up, report) = (Rule::of(Class::LookUp), Rule::of(Class::Report));
+        let look_up = Rule::for_all(Class::LookUp);
+        let report = Rule::for_all(Class::Report);
         vec![
             Rule {
-                reads: Some(false),
+                reads_tables: Some(false),
                 ..look_up.clone()
             },
             Rule {
@@ -93,9 +99,9 @@
                 ..report.clone()
             },
             Rule {
-                pointed: Some(true),
+                point_lookup: Some(true),
                 grouped: Some(false),
-                united: Some(false),
+                set_operation: Some(false),
                 min_tables: 1,
                 distinct: Some(false),
                 ..look_up
@@ -105,7 +111,7 @@
                 ..report.clone()
             },
             Rule {
-                united: Some(true),
+                set_operation: Some(true),
                 ..report.clone()
             },
             Rule {
@@ -129,97 +135,7 @@
     }
 }
 
-/// Work (ms on one core) and memory (MB) by class, in the order of `Class::ALL`, and what features multiply them by.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Prices {
-    pub cost: [f64; 4],
-    pub memory: [f64; 4],
-    pub a_join: f64,
-    pub a_window: f64,
-    pub an_order: f64,
-    pub no_filter: f64,
-}
-
-/// Features count so often at most: prices are guesses, and a guess must not run away.
-const MAX_JOINS: u32 = 6;
-const MAX_WINDOWS: u32 = 3;
-
-impl Default for Prices {
-    fn default() -> Self {
-        Prices {
-            cost: [20.0, 800.0, 1500.0, 800.0],
-            memory: [8.0, 96.0, 128.0, 96.0],
-            a_join: 1.5,
-            a_window: 1.3,
-            an_order: 1.1,
-            no_filter: 2.0,
-        }
-    }
-}
-
-impl Prices {
-    /// Work and memory of a statement by its class and features alone.
-    pub fn of(&self, class: Class, f: &Features) -> (f64, f64) {
-        let mut factor = self.a_join.powi(f.joins.min(MAX_JOINS) as i32);
-        factor *= self.a_window.powi(f.windows.min(MAX_WINDOWS) as i32);
-        factor *= if f.ordered { self.an_order } else { 1.0 };
-        factor *= if f.tables > 0 && !f.filtered && !f.limited {
-            self.no_filter
-        } else {
-            1.0
-        };
-        let n = class as usize;
-        (self.cost[n] * factor, self.memory[n] * factor.sqrt())
-    }
-}
-
-/// How costs are learned: see `learn`.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Learning {
-    pub half_sure: f64,
-    /// Milliseconds.
-    pub half_life: f64,
-    pub shift_after: u32,
-    pub max_step: f64,
-}
-
-impl Default for Learning {
-    fn default() -> Self {
-        Learning {
-            half_sure: 3.0,
-            half_life: 3_600_000.0,
-            shift_after: 3,
-            max_step: 2.0,
-        }
-    }
-}
-
-#[derive(Debug, Clone, PartialEq)]
-pub struct Settings {
-    pub dialects: Vec<Dialect>,
-    pub rules: Vec<Rule>,
-    /// In lower case, with their schema where they are called with one.
-    pub pure_functions: Vec<String>,
-    pub effect_functions: Vec<String>,
-    pub prices: Prices,
-    pub max_shapes: usize,
-    pub max_bytes: usize,
-    pub max_costs: usize,
-    pub learning: Learning,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            dialects: vec![Dialect::Generic, Dialect::PostgreSql, Dialect::MySql],
-            rules: Rule::defaults(),
-            pure_functions: Vec::new(),
-            effect_functions: Vec::new(),
-            prices: Prices::default(),
-            max_shapes: 4096,
-            max_bytes: 2 << 20,
-            max_costs: 16_384,
-            learning: Learning::default(),
-        }
-    }
+/// Whether a condition, if there is one, is met.
+fn meets(condition: Option<bool>, value: bool) -> bool {
+    condition.is_none_or(|expected| expected == value)
 }
--- /dev/null
+++ b/crates/sql-analysis/src/shape_cache.rs
@@ -0,0 +1,134 @@
+//! A cache of analyses by shape, bounded in number and bytes. Its admission policy (a frequency sketch in front of an LRU
+//! list, TinyLFU) keeps shapes that occur once from evicting frequent ones. An entry is found by the shape's hash and
+//! compared by its text, so that two shapes with the same hash don't share an analysis.
+
+use crate::lexer::{Shape, Unproven};
+use crate::Analysis;
+use mini_moka::unsync::Cache;
+use std::rc::Rc;
+
+#[cfg(test)]
+mod tests;
+
+/// Bytes of an entry without its texts: a rounded-up estimate of the cache's own overhead.
+const ENTRY_BYTES: usize = 320;
+/// Bytes of a name without its text.
+const NAME_BYTES: usize = 32;
+/// Entries for which memory is reserved at the start; more is allocated with use.
+const INITIAL_CAPACITY: usize = 64;
+/// A shape longer than this fraction (1/16) of the cache is not kept.
+const MAX_SHAPE_DIVISOR: usize = 16;
+
+#[derive(Clone)]
+struct Entry {
+    text: Box<str>,
+    unproven: Option<Unproven>,
+    analysis: Rc<Analysis>,
+}
+
+impl Entry {
+    /// Its bytes.
+    fn bytes(&self) -> usize {
+        let names = self
+            .analysis
+            .tables_read
+            .iter()
+            .chain(&self.analysis.tables_written)
+            .chain(&self.analysis.reason);
+        let name_bytes: usize = names.map(|name| name.len() + NAME_BYTES).sum();
+        ENTRY_BYTES + self.text.len() + name_bytes
+    }
+}
+
+/// Cache hits and misses, and the sizes of the cache and of the cost model.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CacheCounts {
+    /// Statements whose shape was cached.
+    pub hits: u64,
+    /// Statements whose shape was not.
+    pub misses: u64,
+    /// Misses because another shape had the same hash.
+    pub collisions: u64,
+    /// Shapes in the cache.
+    pub shapes: usize,
+    /// Bytes of the cache.
+    pub bytes: u64,
+    /// Shapes whose cost is known.
+    pub learned_costs: usize,
+}
+
+/// The cache.
+pub(crate) struct ShapeCache {
+    entries: Cache<u128, Entry>,
+    max_bytes: usize,
+    counts: CacheCounts,
+}
+
+/// An empty cache. Each entry weighs its share of `max_bytes` at least, so that the bound on bytes is one on number too.
+fn empty_cache(max_shapes: usize, max_bytes: usize) -> Cache<u128, Entry> {
+    let min_weight = u32::try_from(max_bytes / max_shapes.max(1)).unwrap_or(u32::MAX);
+    Cache::builder()
+        .max_capacity(max_bytes as u64)
+        .initial_capacity(max_shapes.min(INITIAL_CAPACITY))
+        .weigher(move |_, entry: &Entry| {
+            let weight = u32::try_from(entry.bytes()).unwrap_or(u32::MAX);
+            weight.max(min_weight)
+        })
+        .build()
+}
+
+impl ShapeCache {
+    /// An empty cache of at most `max_shapes` and `max_bytes`.
+    pub fn new(max_shapes: usize, max_bytes: usize) -> Self {
+        ShapeCache {
+            entries: empty_cache(max_shapes, max_bytes),
+            max_bytes,
+            counts: CacheCounts::default(),
+        }
+    }
+
+    /// Drops all analyses and sets the bounds; hits and misses go on.
+    pub fn reset(&mut self, max_shapes: usize, max_bytes: usize) {
+        self.entries = empty_cache(max_shapes, max_bytes);
+        self.max_bytes = max_bytes;
+    }
+
+    /// The analysis of a shape, if it is cached.
+    pub fn get(&mut self, shape_id: u128, shape: &Shape) -> Option<Rc<Analysis>> {
+        let Some(entry) = self.entries.get(&shape_id) else {
+            self.counts.misses += 1;
+            return None;
+        };
+        let is_same_shape = *entry.text == *shape.text && entry.unproven == shape.unproven;
+        if !is_same_shape {
+            self.counts.collisions += 1;
+            self.counts.misses += 1;
+            return None;
+        }
+        self.counts.hits += 1;
+        Some(entry.analysis.clone())
+    }
+
+    /// Caches an analysis, unless the shape is too long or another one with the same hash is cached.
+    pub fn insert(&mut self, shape_id: u128, shape: &Shape, analysis: &Rc<Analysis>) {
+        let is_too_long = shape.text.len() > self.max_bytes / MAX_SHAPE_DIVISOR;
+        if is_too_long || self.entries.contains_key(&shape_id) {
+            return;
+        }
+        let entry = Entry {
+            text: shape.text.into(),
+            unproven: shape.unproven,
+            analysis: analysis.clone(),
+        };
+        self.entries.insert(shape_id, entry);
+    }
+
+    /// Hits, misses and sizes; `learned_costs` is 0.
+    pub fn counts(&self) -> CacheCounts {
+        CacheCounts {
+            shapes: self.entries.entry_count() as usize,
+            bytes: self.entries.weighted_size(),
+            ..self.counts
+        }
+    }
+}
