--- a/crates/dispatcher/src/check.rs
+++ b/crates/dispatcher/src/check.rs
@@ -1,66 +1,87 @@
-//! `tansymux check`: names every fault of configurations and operators' files.
+//! `tansymux check`: reports every fault of configurations and operators' files.
 
-use crate::config::{self, located, text_of};
-use crate::operator_config;
+use crate::config::{self, locate, ConfigError, StartupConfig};
+use crate::file::read_text;
+use crate::operator_config::{self, check_against_settings};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tansymux_operator_config::Operator;
 
-const MAX_BYTES: u64 = 8 << 20;
+/// Files that have no fault of their own.
+#[derive(Default)]
+struct ValidFiles {
+    configs: Vec<StartupConfig>,
+    /// With their paths.
+    operators: Vec<(String, Operator)>,
+}
 
-/// All faults of these files, each with its file. A file that begins with a brace is a configuration.
-pub fn faults(files: &[PathBuf]) -> Vec<String> {
+/// Runs the command: prints all faults, a line each. The exit code is 1 if there are any.
+pub fn run(files: &[PathBuf]) -> ExitCode {
+    let faults = find_faults(files);
+    for fault in &faults {
+        println!("{fault}");
+    }
+    if faults.is_empty() {
+        println!("no fault in {} files", files.len());
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
+
+/// The lines to print: faults of each file, then those of operators' files that do not go with the configurations.
+fn find_faults(files: &[PathBuf]) -> Vec<String> {
     let mut faults = Vec::new();
-    let (mut launches, mut told) = (Vec::new(), Vec::new());
+    let mut valid = ValidFiles::default();
     for path in files {
-        let name = path.display().to_string();
-        let text = match text_of(&name, MAX_BYTES) {
-            Ok(text) => text,
-            Err(e) => {
-                faults.push(format!("{name}{e}"));
-                continue;
+        check_file(path, &mut valid, &mut faults);
+    }
+    for config in &valid.configs {
+        for (path, operator) in &valid.operators {
+            if let Err(errors) = check_against_settings(operator, &config.settings) {
+                faults.extend(errors.0.iter().map(|error| format!("{path}: {error}")));
             }
-        };
-        if text.trim_start().starts_with('{') {
-            match config::parse(&text, None) {
-                Ok(launch) => launches.push((name, launch)),
-                Err(wrong) => {
-                    faults.extend(located(wrong, &text).iter().map(|wrong| match wrong.line {
-                        Some(line) => format!(
-                            "{name}:{line}: {}",
-                            config::Wrong {
-                                line: None,
-                                ..wrong.clone()
-                            }
-                        ),
-                        None => format!("{name}: {wrong}"),
-                    }))
+        }
+    }
+    faults
+}
+
+/// A file that begins with a brace is a configuration, any other an operators' file.
+fn check_file(path: &Path, valid: &mut ValidFiles, faults: &mut Vec<String>) {
+    let name = path.display().to_string();
+    let text = match read_text(&name, config::MAX_CONFIG_BYTES) {
+        Ok(text) => text,
+        Err(error) => {
+            faults.push(error.to_string());
+            return;
+        }
+    };
+    if text.trim_start().starts_with('{') {
+        match config::parse(&text, None) {
+            Ok(config) => valid.configs.push(config),
+            Err(errors) => {
+                for error in locate(errors, &text) {
+                    faults.push(config_fault(&name, error));
                 }
             }
-        } else {
-            match operator_config::read(Path::new(path)) {
-                Ok(operator) => told.push((name, operator)),
-                Err(lines) => faults.extend(lines),
-            }
         }
-    }
-    for (_, launch) in &launches {
-        for (name, operator) in &told {
-            faults.extend(
-                operator_config::unfit(operator, &launch.told)
-                    .iter()
-                    .map(|fault| format!("{name}: {fault}")),
-            );
+    } else {
+        match operator_config::read(path) {
+            Ok(operator) => valid.operators.push((name, operator)),
+            Err(errors) => faults.extend(errors.0.iter().map(ToString::to_string)),
         }
     }
-    faults
 }
 
-pub fn run(files: &[PathBuf]) -> ExitCode {
-    let faults = faults(files);
-    faults.iter().for_each(|fault| println!("{fault}"));
-    if faults.is_empty() {
-        println!("no fault in {} files", files.len());
-        return ExitCode::SUCCESS;
+/// The line behind the file's name, as compilers write it.
+fn config_fault(path: &str, error: ConfigError) -> String {
+    match error.line {
+        Some(line) => {
+            let error = ConfigError {
+                line: None,
+                ..error
+            };
+            format!("{path}:{line}: {error}")
+        }
+        None => format!("{path}: {error}"),
     }
-    ExitCode::FAILURE
 }
--- a/crates/dispatcher/src/cli.rs
+++ b/crates/dispatcher/src/cli.rs
@@ -1,4 +1,4 @@
-//! The command line.
+//! The command line of `tansymux`: flags, subcommands and their help texts.
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::net::SocketAddr;
@@ -10,42 +10,57 @@
 #[derive(Debug, Parser)]
 #[command(name = "tansymux", version, propagate_version = true)]
 pub struct Cli {
+    /// None: as [`Command::Serve`]
     #[command(subcommand)]
     pub command: Option<Command>,
+    /// Flags of all subcommands
     #[command(flatten)]
     pub common: Common,
 }
 
+// The doc comments of clap's types are the help texts that `tansymux --help` prints.
+
+/// Flags of all subcommands
 #[derive(Debug, Args)]
 pub struct Common {
     /// The operators' file, in protobuf text format
     #[arg(long, value_name = "FILE", env = "TANSYMUX_OPERATOR", global = true)]
     pub operator: Option<PathBuf>,
-    /// The least serious lines of the log; goes before the operators' file
+    /// The least serious level that is logged; overrides the operators' file
     #[arg(long, value_name = "LEVEL", global = true)]
     pub log_level: Option<LogLevel>,
-    /// The form of the log; goes before the operators' file
+    /// The format of the log; overrides the operators' file
     #[arg(long, value_name = "FORMAT", global = true)]
     pub log_format: Option<LogFormat>,
 }
 
+/// The least serious level of lines that are written
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum LogLevel {
+    /// Something failed that should never fail
     Error,
+    /// Something that an operator may have to act on
     Warn,
+    /// Changes of state: start, reload, shutdown, leadership
     Info,
+    /// Each query
     Debug,
 }
 
+/// How lines of the log are written
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum LogFormat {
+    /// Message and fields as text
     Text,
+    /// A JSON object a line
     Json,
 }
 
+// The subcommand enums and `Classify` have no doc comments: clap would print them in place of the program's own.
+#[allow(missing_docs)]
 #[derive(Debug, Subcommand)]
 pub enum Command {
-    /// Takes queries and runs them on engines; what is done without a command, too
+    /// Takes queries and runs them on engines; the default without a command
     Serve,
     /// Reads configurations (JSON) and operators' files (text format) and names every fault in them
     Check {
@@ -53,78 +68,80 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
-    /// Calls a member of the fleet: turns, drains, releases, halt and the way back
+    /// Calls a member of the fleet: restart turns, drains, releases, halt and rollback
     Fleet(Fleet),
     /// Reads statements and writes a JSON line for each: class, effect, shape, cost and tables
     Classify(Classify),
 }
 
-/// Exit codes beside the others: 3 halted, 4 given up in time or nobody leads.
+/// Exit codes beside the others: 3 halted, 4 timed out or no leader.
 #[derive(Debug, Args)]
 pub struct Fleet {
-    /// Which member is called; its own of the operators' file if absent
+    /// The member to call; if absent, the one of the operators' file
     #[arg(long, value_name = "ADDRESS", global = true)]
     pub member: Option<SocketAddr>,
     #[command(subcommand)]
     pub command: FleetCommand,
 }
 
+#[allow(missing_docs)]
 #[derive(Debug, Subcommand)]
 pub enum FleetCommand {
-    /// Who leads, who is out, what is halted, how far a release is
+    /// Leader, members that are out, halt, progress of a release
     Status,
-    /// Waits until a dispatcher may be out, to be restarted; writes the turn's number and how many seconds it holds
+    /// Waits until a dispatcher may restart; prints the turn's number and the seconds that it is valid
     Turn {
-        /// The version that it comes back with; without it, the one that it has
+        /// The version after the restart; if absent, the one that it has
         #[arg(long, value_name = "VERSION")]
         to: Option<String>,
-        /// The one that is called if absent
+        /// The dispatcher that restarts; if absent, the member that is called
         #[arg(long, value_name = "NAME")]
         dispatcher: Option<String>,
-        /// How long it waits at most
+        /// Longest wait in seconds
         #[arg(long, value_name = "SECONDS", default_value_t = 600.0)]
         wait_s: f64,
     },
-    /// Puts an engine out, under the limits
+    /// Drains an engine, within the disruption budget
     Drain { engine: String },
-    /// Lets it in again
+    /// Ends an engine's drain
     Undrain { engine: String },
-    /// Begins a release
+    /// Starts a release
     Release {
         to: String,
-        /// Only those at this version, and back to it if it comes to that
+        /// Only members at this version; a rollback returns to it
         #[arg(long, value_name = "VERSION")]
         from: Option<String>,
     },
-    /// Nothing new goes out from now on
+    /// Halts: no further member or engine goes out
     Halt,
-    /// Ends the halt that stands
+    /// Ends the halt
     Resume,
-    /// Those that were released go back
+    /// Rolls the release back
     Back,
-    /// One that is lost does not come back
+    /// Declares that a lost dispatcher will not come back
     Forget { dispatcher: String },
-    /// A zone is left: nothing new goes there from outside it
+    /// Evacuates a zone: nothing new goes there from outside it
     Leave {
         zone: String,
-        /// Only tells whether the others would carry it
+        /// Only checks whether the other zones would carry the load
         #[arg(long)]
         dry_run: bool,
     },
-    /// A zone that was left is returned to, step by step
+    /// Returns to an evacuated zone, step by step
     Return { zone: String },
-    /// Zones that are left or returned to: why, step, shares given out
+    /// Zones that are evacuated or returned to: reason, step, quotas granted
     Zones,
 }
 
+#[allow(missing_docs)]
 #[derive(Debug, Args)]
 pub struct Classify {
-    /// Each line is a statement, and not an object with `id` and `statement`
+    /// Each entry is a statement, not an object with `id` and `statement`
     #[arg(long)]
     pub plain: bool,
-    /// Entries end with a NUL byte and not with a line end
+    /// Entries end with a NUL byte, not with a line end
     #[arg(long)]
     pub nul: bool,
-    /// Where statements are read from; standard input if absent
+    /// File with the statements; standard input if absent
     pub file: Option<PathBuf>,
 }
--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -6,7 +6,7 @@
 use super::request_error::RequestError;
 use super::route::QUERY_PATH;
 use crate::query_registry::{QueryRequest, RequestKeys};
-use crate::statement_classifier::{Classed, StatementClassifier};
+use crate::subsystems::statement_classifier::{ClassifiedStatement, StatementClassifier};
 use tansymux::events::StatementTraits;
 use tansymux::settings;
 use tansymux_sql_analysis::table_group;
@@ -81,10 +81,10 @@
     }
 
     /// Analyses the statement, where the operators' file says so.
-    pub fn classify(&self, classes: &StatementClassifier) -> Option<Classed> {
+    pub fn classify(&self, classes: &StatementClassifier) -> Option<ClassifiedStatement> {
         match self.named_group {
-            Some(group) => classes.named(group, self.id, self.statement),
-            None => classes.bare(self.statement, self.received_ms),
+            Some(group) => classes.check(group, self.id, self.statement),
+            None => classes.classify(self.statement, self.received_ms),
         }
     }
 
@@ -95,24 +95,24 @@
     pub fn into_query<'q>(
         self,
         limits: &AdmissionLimits,
-        analysis: Option<&'q Classed>,
+        analysis: Option<&'q ClassifiedStatement>,
     ) -> Result<QueryRequest<'q>, RequestError>
     where
         'a: 'q,
     {
-        let analysed_group = analysis.and_then(|analysis| analysis.rg.as_deref());
+        let analysed_group = analysis.and_then(|analysis| analysis.group.as_deref());
         let resource_group = self
             .named_group
             .or(analysed_group)
             .ok_or(RequestError::UNKNOWN)?;
-        let mut text = analysis.map_or(StatementTraits::UNKNOWN, |analysis| analysis.text);
+        let mut text = analysis.map_or(StatementTraits::UNKNOWN, |analysis| analysis.traits);
         if self.cost_ms > 0.0 {
             text.confidence = 1.0;
         }
         // The analysis estimates only what the client of a statement without a resource group left open.
         let estimates = analysis.filter(|_| self.named_group.is_none());
-        let estimated_cost_ms = estimates.map_or(0.0, |analysis| analysis.cost);
-        let estimated_memory_mb = estimates.map_or(0.0, |analysis| analysis.memory);
+        let estimated_cost_ms = estimates.map_or(0.0, |analysis| analysis.cost_ms);
+        let estimated_memory_mb = estimates.map_or(0.0, |analysis| analysis.memory_mb);
         Ok(QueryRequest {
             id: self.id,
             resource_group,
--- a/crates/dispatcher/src/client/status_pages.rs
+++ b/crates/dispatcher/src/client/status_pages.rs
@@ -3,9 +3,10 @@
 use super::phase::FrontendPhase;
 use crate::clock::Clock;
 use crate::query_registry::QueryRegistry;
-use crate::service_levels::{self, ServiceLevels};
-use crate::statement_classifier::{self, StatementClassifier};
-use crate::zone_routing::ZoneRouting;
+use crate::subsystems;
+use crate::subsystems::service_levels::{self, ServiceLevels};
+use crate::subsystems::statement_classifier::StatementClassifier;
+use crate::subsystems::zone_routing::ZoneRouting;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -33,7 +34,7 @@
 impl StatusPages {
     /// All counters, a line each.
     pub fn counters(&self) -> String {
-        statement_classifier::counters(&self.registry, &self.classes, &self.levels, &self.zones)
+        subsystems::counters(&self.registry, &self.classes, &self.levels, &self.zones)
     }
 
     /// The service levels as JSON, once they have changed since version `after` where the client names one.
@@ -41,15 +42,15 @@
         if let Some(after) = after.and_then(|after| after.parse().ok()) {
             self.wait_for_level_change(after, phase).await;
         }
-        self.levels.shown(self.clock.now()).to_string()
+        self.levels.to_json(self.clock.now()).to_string()
     }
 
     /// Waits until the service level has changed since version `after`, for a bounded time and while the program
     /// serves. Where too many wait already, it returns at once.
     async fn wait_for_level_change(&self, after: u64, phase: &Cell<FrontendPhase>) {
-        let until_ms = self.clock.now() + service_levels::LONGEST_WAIT;
-        let waiting = &self.levels.waiting;
-        if waiting.get() >= service_levels::MAX_WAITING {
+        let until_ms = self.clock.now() + service_levels::MAX_WATCH_MS;
+        let waiting = &self.levels.watchers;
+        if waiting.get() >= service_levels::MAX_WATCHERS {
             return;
         }
         waiting.set(waiting.get() + 1);
@@ -71,6 +72,8 @@
                 .find(|(zone, _)| zone == name)
                 .map_or(0.0, |(_, threads)| *threads)
         };
-        self.zones.shown(self.clock.now(), spilled_into).to_string()
+        self.zones
+            .to_json(self.clock.now(), spilled_into)
+            .to_string()
     }
 }
--- /dev/null
+++ b/crates/dispatcher/src/config/node.rs
@@ -0,0 +1,155 @@
+//! Typed reading of JSON values that remember the path of keys to them, so that errors can name it.
+
+use super::error::{ConfigError, Problem};
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+
+/// A value of the configuration, or the place where one is missing.
+pub struct Node<'a> {
+    path: String,
+    value: Option<&'a Value>,
+}
+
+impl<'a> Node<'a> {
+    /// The configuration as a whole.
+    pub fn root(value: &'a Value) -> Self {
+        Node {
+            path: String::new(),
+            value: Some(value),
+        }
+    }
+
+    /// The value of a key; `null` counts as missing.
+    pub fn child(&self, key: &str) -> Node<'a> {
+        let path = if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        };
+        let value = self.value.and_then(|value| value.get(key));
+        Node {
+            path,
+            value: value.filter(|value| !value.is_null()),
+        }
+    }
+
+    /// Whether nothing is there.
+    pub fn is_missing(&self) -> bool {
+        self.value.is_none()
+    }
+
+    /// The error that says what was there, and what is allowed.
+    pub fn error(&self, expected: impl Into<String>) -> ConfigError {
+        let expected = expected.into();
+        let problem = match self.value {
+            None => Problem::Missing { expected },
+            Some(value) => Problem::Invalid {
+                found: value.to_string(),
+                expected,
+            },
+        };
+        ConfigError::of_key(self.path.clone(), problem)
+    }
+
+    /// A string.
+    pub fn text(&self) -> Result<&'a str, ConfigError> {
+        self.value
+            .and_then(Value::as_str)
+            .ok_or_else(|| self.error("a text"))
+    }
+
+    /// A number.
+    pub fn number(&self) -> Result<f64, ConfigError> {
+        self.value
+            .and_then(Value::as_f64)
+            .ok_or_else(|| self.error("a number"))
+    }
+
+    /// A number of at least `min`, or `default` where nothing is there.
+    pub fn number_or(&self, default: f64, min: f64) -> Result<f64, ConfigError> {
+        if self.is_missing() {
+            return Ok(default);
+        }
+        let number = self.number()?;
+        if number >= min {
+            Ok(number)
+        } else {
+            Err(self.error(format!("at least {min}")))
+        }
+    }
+
+    /// The items of a list, each with its index in its path.
+    pub fn items(&self) -> Result<Vec<Node<'a>>, ConfigError> {
+        let items = self
+            .value
+            .and_then(Value::as_array)
+            .ok_or_else(|| self.error("a list"))?;
+        let mut nodes = Vec::with_capacity(items.len());
+        for (index, value) in items.iter().enumerate() {
+            nodes.push(Node {
+                path: format!("{}.{index}", self.path),
+                value: Some(value),
+            });
+        }
+        Ok(nodes)
+    }
+
+    /// An object.
+    pub fn object(&self) -> Result<&'a Map<String, Value>, ConfigError> {
+        self.value
+            .and_then(Value::as_object)
+            .ok_or_else(|| self.error("an object"))
+    }
+
+    /// An IP address with a port.
+    pub fn address(&self) -> Result<SocketAddr, ConfigError> {
+        self.text()?
+            .parse()
+            .map_err(|_| self.error("an address with a port"))
+    }
+
+    /// What `read` gives, or none where nothing is there.
+    pub fn optional<T>(
+        &self,
+        read: impl FnOnce(&Self) -> Result<T, ConfigError>,
+    ) -> Result<Option<T>, ConfigError> {
+        match self.value {
+            Some(_) => read(self).map(Some),
+            None => Ok(None),
+        }
+    }
+}
+
+/// Gathers the errors of keys that are read one after another, so that all are reported at once.
+#[derive(Default)]
+pub struct ErrorCollector {
+    errors: Vec<ConfigError>,
+}
+
+impl ErrorCollector {
+    /// The value, or none after its error was kept.
+    pub fn keep<T>(&mut self, read: Result<T, ConfigError>) -> Option<T> {
+        match read {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.push(error);
+                None
+            }
+        }
+    }
+
+    /// Keeps an error.
+    pub fn push(&mut self, error: ConfigError) {
+        self.errors.push(error);
+    }
+
+    /// A number of at least `min`, or `default` where nothing is there or its error was kept.
+    pub fn number_or(&mut self, node: &Node, default: f64, min: f64) -> f64 {
+        self.keep(node.number_or(default, min)).unwrap_or(default)
+    }
+
+    /// All errors, in the order in which they were found.
+    pub fn into_errors(self) -> Vec<ConfigError> {
+        self.errors
+    }
+}
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -120,7 +120,11 @@
             self.admitted.get().saturating_sub(answered.iter().sum())
         );
         let _ = writeln!(text, "in_hand {in_flight}");
-        let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
+        let _ = writeln!(
+            text,
+            "log_lines_left_out {}",
+            crate::log::suppressed_lines()
+        );
         self.extra_reports
             .borrow()
             .iter()
--- /dev/null
+++ b/crates/dispatcher/src/dispatcher/decision_sink.rs
@@ -0,0 +1,89 @@
+//! Where decisions go: commands in the registry for the engine side, answers for the client side, messages to peers.
+
+use crate::peers::Peers;
+use crate::query_registry::{Answer, Grant, QueryRegistry};
+use crate::subsystems::service_levels::{AnswerKind, QueryAnswered, ServiceLevels};
+use tansymux::events::{AttemptLimits, DecisionSink};
+
+/// The sink of one round.
+pub(super) struct DecisionQueue<'a> {
+    pub registry: &'a QueryRegistry,
+    pub peers: Option<&'a Peers>,
+    pub levels: &'a ServiceLevels,
+    /// Time of the round.
+    pub now_ms: f64,
+    /// When the decisions want their next round: the earliest of what they ask for.
+    pub timer_ms: &'a mut f64,
+}
+
+impl DecisionSink for DecisionQueue<'_> {
+    fn submit(&mut self, query_id: u64, engine_id: u64, limits: AttemptLimits) {
+        self.registry.submit(query_id, engine_id, limits);
+    }
+
+    fn reject(&mut self, query_id: u64, retry_after_ms: f64) {
+        let kind = AnswerKind::Rejected;
+        record_answer(self.registry, self.levels, query_id, self.now_ms, kind);
+        self.registry
+            .answer(query_id, Answer::Rejected { retry_after_ms });
+    }
+
+    fn fail(&mut self, query_id: u64) {
+        let kind = AnswerKind::Failed;
+        record_answer(self.registry, self.levels, query_id, self.now_ms, kind);
+        self.registry.answer(query_id, Answer::Failed);
+    }
+
+    fn cancel(&mut self, query_id: u64, attempt: usize) {
+        self.registry.cancel(query_id, attempt);
+    }
+
+    fn grant(&mut self, query_id: u64, priority: u8, memory_mb: f64) {
+        let grant = Grant {
+            priority,
+            memory_mb,
+        };
+        self.registry.grant(query_id, grant);
+    }
+
+    fn check_health(&mut self, engine_id: u64) {
+        self.registry.health_check(engine_id);
+    }
+
+    fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
+        if let Some(peers) = self.peers {
+            peers.send(peer, content);
+        }
+    }
+
+    fn set_timer(&mut self, delay_ms: f64, _handle: u64) {
+        *self.timer_ms = self.timer_ms.min(self.now_ms + delay_ms);
+    }
+
+    /// Discovery polls the name service all the time, and pushes what changes.
+    fn watch_endpoints(&mut self) {}
+}
+
+/// Counts an answer for the service levels, if the query is still owed one. To be called before it is given.
+pub(super) fn record_answer(
+    registry: &QueryRegistry,
+    levels: &ServiceLevels,
+    query_id: u64,
+    now_ms: f64,
+    kind: AnswerKind,
+) {
+    if registry.is_over(query_id) {
+        return;
+    }
+    registry.with_query(query_id, |query| {
+        levels.on_query_answered(
+            now_ms,
+            &QueryAnswered {
+                group: &query.resource_group,
+                kind,
+                latency_ms: now_ms - query.received_ms,
+                cost_ms: query.estimated_cost_ms,
+            },
+        );
+    });
+}
--- /dev/null
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -0,0 +1,220 @@
+//! The events of a round: taken from the registry, counted by the subsystems, and handed to the decisions.
+
+use super::decision_sink::record_answer;
+use crate::engine::EnginePool;
+use crate::query_registry::{Answer, EndpointEntry, Event, Pages, Query, QueryRegistry};
+use crate::statement_shape::ClassifiedAttempt;
+use crate::subsystems::service_levels::AnswerKind;
+use crate::subsystems::Subsystems;
+use std::rc::Rc;
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, DecisionSink, EndpointListKind, EndpointUpdate, HealthCheckEnded, NoteKind,
+    Outcome, PeerMessage, ProgressNote, QueryArrived,
+};
+
+/// What waits in the registry, as the decisions take it.
+pub(super) struct EventFeed<'a> {
+    pub registry: &'a QueryRegistry,
+    pub engines: &'a EnginePool,
+    pub subsystems: &'a Subsystems,
+    /// Time of the round.
+    pub now_ms: f64,
+}
+
+impl EventSource for EventFeed<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
+        while let Some(event) = self.registry.next_event() {
+            self.deliver_event(event, control, out);
+        }
+    }
+}
+
+impl EventFeed<'_> {
+    fn deliver_event(&self, event: Event, control: &mut Control, out: &mut dyn DecisionSink) {
+        match event {
+            Event::QueryArrived {
+                query,
+                tenant,
+                key,
+                cost,
+                memory,
+                tables,
+                text,
+            } => {
+                let Some((group, deadline_ms)) = self.group_and_deadline(query) else {
+                    return;
+                };
+                let arrived = QueryArrived {
+                    query_id: query,
+                    group: &group,
+                    tenant: &tenant,
+                    deadline_ms,
+                    key,
+                    estimated_cost_ms: cost,
+                    memory_mb: memory,
+                    tables,
+                    statement: text,
+                };
+                self.on_query_arrived(&arrived, control, out);
+            }
+            Event::ClientLeft { query } => {
+                control.on_client_gone(query, out);
+                self.registry.forget_if_over(query);
+            }
+            Event::AttemptEnded {
+                query,
+                attempt,
+                outcome,
+                engine_id,
+                latency,
+                pages,
+            } => {
+                let ended = AttemptEnded {
+                    query_id: query,
+                    attempt,
+                    engine_id,
+                    outcome,
+                    answer_delivered: false,
+                    latency_ms: latency,
+                    used: None,
+                };
+                self.on_attempt_ended(ended, pages, control, out);
+            }
+            Event::ProgressReported {
+                query,
+                attempt,
+                note,
+                amount,
+            } => {
+                let note = ProgressNote {
+                    query_id: query,
+                    attempt,
+                    kind: note,
+                    amount,
+                };
+                self.on_progress_note(&note, control);
+            }
+            Event::HealthCheckEnded { engine_id, outcome } => {
+                let zones = &self.subsystems.zones;
+                zones.on_attempt_ended(self.now_ms, engine_id, outcome);
+                control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
+            }
+            Event::EndpointList { form, engines } => {
+                self.on_endpoint_list(form, engines, control, out);
+            }
+            Event::PeerMessage { peer, content } => {
+                let message = PeerMessage {
+                    peer,
+                    content: &content,
+                };
+                if !self.subsystems.on_peer_message(self.now_ms, &message) {
+                    control.on_peer_message(&message);
+                }
+            }
+        }
+    }
+
+    /// Group and deadline of a query that is still owed an answer. One whose client left while it waited for this round
+    /// is passed over: the decisions never learn of it.
+    fn group_and_deadline(&self, query_id: u64) -> Option<(Rc<str>, f64)> {
+        if self.registry.is_over(query_id) {
+            return None;
+        }
+        self.registry.with_query(query_id, |query| {
+            (query.resource_group.clone(), query.deadline_ms)
+        })
+    }
+
+    fn on_query_arrived(
+        &self,
+        arrived: &QueryArrived,
+        control: &mut Control,
+        out: &mut dyn DecisionSink,
+    ) {
+        if let Err(error) = control.on_query_arrived(arrived, out) {
+            let query = arrived.query_id;
+            tracing::error!(query, %error, "query failed: not accepted by the decisions");
+            self.registry.answer(query, Answer::Failed);
+        }
+    }
+
+    fn on_attempt_ended(
+        &self,
+        mut ended: AttemptEnded,
+        pages: Pages,
+        control: &mut Control,
+        out: &mut dyn DecisionSink,
+    ) {
+        let query_id = ended.query_id;
+        let statement = self
+            .registry
+            .with_query(query_id, classified_attempt)
+            .flatten();
+        self.subsystems
+            .on_attempt_ended(self.now_ms, &ended, statement.as_ref());
+        if ended.outcome == Outcome::Completed {
+            let levels = &self.subsystems.levels;
+            record_answer(
+                self.registry,
+                levels,
+                query_id,
+                self.now_ms,
+                AnswerKind::Completed,
+            );
+            self.registry.answer(query_id, Answer::Completed(pages));
+        }
+        ended.answer_delivered = self.registry.is_over(query_id);
+        self.registry.attempt_ended(query_id);
+        control.on_attempt_ended(&ended, out);
+    }
+
+    fn on_progress_note(&self, note: &ProgressNote, control: &mut Control) {
+        let zones = &self.subsystems.zones;
+        if zones.is_enabled() {
+            let engine_id = self
+                .registry
+                .with_query(note.query_id, |query| query.engine_id);
+            if let Some(engine_id) = engine_id {
+                zones.on_progress_note(self.now_ms, engine_id);
+            }
+        }
+        if note.kind == NoteKind::Waiting {
+            self.registry.mark_waited(note.query_id);
+        }
+        control.on_progress_note(note);
+    }
+
+    /// Engines and decisions see the list as the subsystems leave it.
+    fn on_endpoint_list(
+        &self,
+        kind: EndpointListKind,
+        mut endpoints: Vec<EndpointEntry>,
+        control: &mut Control,
+        out: &mut dyn DecisionSink,
+    ) {
+        self.subsystems.on_endpoints(self.now_ms, &mut endpoints);
+        control.begin_update(kind);
+        for endpoint in &endpoints {
+            self.engines.upsert_endpoint(endpoint);
+            control.upsert_endpoint(&EndpointUpdate {
+                engine_id: endpoint.engine_id,
+                kind: &endpoint.kind,
+                zone: &endpoint.zone,
+                state: endpoint.status,
+                started_ms: endpoint.started,
+                cell: endpoint.cell,
+            });
+        }
+        control.finish_update(kind, out);
+    }
+}
+
+/// What the statement classifier learns from, where the query's statement was read.
+fn classified_attempt(query: &Query) -> Option<ClassifiedAttempt> {
+    Some(ClassifiedAttempt {
+        shape: query.shape?,
+        rg: query.resource_group.clone(),
+        waited: query.waited,
+    })
+}
--- /dev/null
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -0,0 +1,181 @@
+//! From a checked configuration to a dispatcher whose sockets are bound. Nothing is accepted before the first round.
+
+use super::Dispatcher;
+use crate::cli::Common;
+use crate::client::ClientFrontend;
+use crate::clock::Clock;
+use crate::config::{PeerAddresses, StartupConfig};
+use crate::discovery;
+use crate::engine::EnginePool;
+use crate::lifecycle::Phase;
+use crate::operator_config::{check_against_settings, OperatorConfigErrors};
+use crate::peers::Peers;
+use crate::query_registry::{Event, QueryRegistry};
+use crate::subsystems::fleet::{FleetService, FleetStartError};
+use crate::subsystems::service_levels::{ResourceLimits, ServiceLevels};
+use crate::subsystems::statement_classifier::StatementClassifier;
+use crate::subsystems::zone_routing::ZoneRouting;
+use crate::subsystems::Subsystems;
+use async_executor::{LocalExecutor, Task};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tansymux::control::Control;
+use tansymux::events::EndpointListKind;
+use tansymux::pcg::Pcg;
+use tansymux::settings::SettingsError;
+use tansymux_operator_config::Operator;
+
+/// Sets the key of shapes' hashes apart from the other draws that start from the same seed.
+const SHAPE_KEY_SALT: u64 = 0x5DEE_CE66_D1CE_B00C;
+
+/// Why the program did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The operators' file does not go with the settings.
+    #[error("the operators' file: {0}")]
+    OperatorConfig(OperatorConfigErrors),
+    /// The decisions cannot use the settings.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// The address for messages of other dispatchers cannot be bound.
+    #[error("peer_listen {address}: {source}")]
+    Peers {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The fleet's part cannot start.
+    #[error(transparent)]
+    Fleet(#[from] FleetStartError),
+    /// The address for clients cannot be bound.
+    #[error("listen {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+impl Dispatcher {
+    /// Binds all sockets and starts the tasks beside the driver.
+    ///
+    /// # Errors
+    /// The operators' file does not go with the settings, the settings cannot be used, or an address cannot be bound.
+    pub fn start(
+        config: StartupConfig,
+        operator: Operator,
+        common: Common,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Result<Self, StartError> {
+        check_against_settings(&operator, &config.settings).map_err(StartError::OperatorConfig)?;
+        let clock = Clock::start();
+        let registry = Rc::new(QueryRegistry::new(config.max_statement_bytes));
+        let mut control = Control::new(config.seed, &config.settings)?;
+        let engines = EnginePool::new(
+            registry.clone(),
+            clock,
+            executor.clone(),
+            config.connection_settings,
+        );
+        let mut subsystems = new_subsystems(&config);
+        subsystems.reconfigure(&operator, clock.now(), &mut control);
+        let clients = Rc::new(ClientFrontend::new(
+            registry.clone(),
+            clock,
+            config.admission,
+            subsystems.statements.clone(),
+            subsystems.levels.clone(),
+            subsystems.zones.clone(),
+        ));
+        let mut tasks = Vec::new();
+        let peers = start_peers(config.peers, &registry, &executor, &mut tasks)?;
+        subsystems.fleet = FleetService::start(
+            operator.fleet.as_ref(),
+            &config.settings,
+            clock,
+            registry.clone(),
+            config.seed,
+        )?;
+        if let Some(fleet) = &subsystems.fleet {
+            tasks.push(executor.spawn(fleet.clone().run()));
+        }
+        registry.push_event(Event::EndpointList {
+            form: EndpointListKind::Cached,
+            engines: config.directory.endpoints(),
+        });
+        let resolver = Rc::new(Cell::new(config.resolver));
+        tasks.push(executor.spawn(discovery::follow(
+            registry.clone(),
+            resolver.clone(),
+            config.directory,
+            config.seed as u16,
+        )));
+        let listener =
+            ClientFrontend::bind(config.listen).map_err(|source| StartError::Listen {
+                address: config.listen,
+                source,
+            })?;
+        tasks.push(executor.spawn(clients.clone().accept(listener, executor.clone())));
+        Ok(Dispatcher {
+            phase: Phase::Starting,
+            clock,
+            registry,
+            control,
+            clients,
+            engines,
+            peers,
+            subsystems,
+            max_sockets: config.max_sockets,
+            tasks,
+            shutdown_grace_ms: config.shutdown_grace_ms,
+            started_with: config.source,
+            settings: config.settings,
+            resolver,
+            common,
+            timer_ms: f64::INFINITY,
+        })
+    }
+}
+
+/// All subsystems, off.
+fn new_subsystems(config: &StartupConfig) -> Subsystems {
+    let limits = ResourceLimits {
+        memory_bytes: config.max_memory_bytes,
+        descriptors: config.max_sockets,
+    };
+    let settings = &config.settings;
+    let hash_key = shape_hash_key(config.seed);
+    Subsystems {
+        statements: Rc::new(StatementClassifier::new(settings, hash_key)),
+        levels: Rc::new(ServiceLevels::new(settings, limits)),
+        zones: Rc::new(ZoneRouting::new(settings)),
+        fleet: None,
+    }
+}
+
+/// The exchange with other dispatchers, where the configuration has an address for it.
+fn start_peers(
+    addresses: Option<PeerAddresses>,
+    registry: &Rc<QueryRegistry>,
+    executor: &LocalExecutor<'static>,
+    tasks: &mut Vec<Task<()>>,
+) -> Result<Option<Rc<Peers>>, StartError> {
+    let Some(addresses) = addresses else {
+        return Ok(None);
+    };
+    let address = addresses.listen;
+    let peers = Peers::bind(registry.clone(), address, addresses.each, addresses.all)
+        .map_err(|source| StartError::Peers { address, source })?;
+    tasks.push(executor.spawn(peers.clone().listen()));
+    Ok(Some(peers))
+}
+
+/// A secret for the hashes of shapes, from the seed of this start.
+fn shape_hash_key(seed: u64) -> [u8; 16] {
+    let mut rng = Pcg::new(seed ^ SHAPE_KEY_SALT);
+    std::array::from_fn(|_| rng.below(256) as u8)
+}
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -1,310 +1,293 @@
-//! `tansymux fleet`: calls a member of the fleet, from a shell or a supervisor's script.
+//! `tansymux fleet`: sends one command to a member of the fleet, from a shell or a supervisor's script, and prints the
+//! answer.
+//!
+//! Start reading at [`run`]. Answers and the fleet's status are put into words in [`display`].
+
+mod display;
 
 use crate::cli::{Fleet, FleetCommand};
+use display::{answer_text, status_text, zone_line};
 use rand::RngExt;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
-use tansymux_coordination::Stage as Released;
 use tansymux_membership::member_id_of;
 use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
 use tansymux_rollout::{FleetClient, Settings, Turn, TurnEnd};
-use tansymux_zone_evacuation::Stage;
 
-/// Granted or done; halted; given up in time, or nobody leads.
-const HALTED: u8 = 3;
-const GIVEN_UP: u8 = 4;
+/// Exit code: the fleet is halted.
+const EXIT_HALTED: u8 = 3;
+/// Exit code: no answer or no restart lease in time, or the fleet has no leader.
+const EXIT_TIMED_OUT: u8 = 4;
+/// How long one wait for a datagram lasts at most. Between two, the client sends what is due.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(20);
+/// Longest datagram that is read, in bytes; messages of the fleet are shorter.
+const MAX_DATAGRAM_BYTES: usize = 512;
 
-struct Line {
-    socket: UdpSocket,
-    to: SocketAddr,
-    settings: Settings,
-    from: Instant,
+/// Why a command could not be sent, or could not be put together.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetClientError {
+    /// No operators' file was given, or it has no `fleet`.
+    #[error("the operators' file defines no fleet: name one that does with --operator FILE")]
+    NoFleet,
+    /// `fleet` is there without all its required keys.
+    #[error("fleet: a required key is missing")]
+    Incomplete,
+    /// `fleet.listen`, where commands go unless `--member` is given, cannot be used.
+    #[error("fleet.listen is {value:?}, allowed is an address with a port")]
+    InvalidListen {
+        /// What stands in the file.
+        value: String,
+    },
+    /// `resume` without a halt.
+    #[error("nothing is halted")]
+    NotHalted,
+    /// `back` without a release.
+    #[error("there is no release")]
+    NoRelease,
+    /// The socket failed.
+    #[error(transparent)]
+    Socket(#[from] io::Error),
 }
 
-pub fn run(how: &Fleet, operator: &Operator) -> Result<ExitCode, String> {
-    let told = operator
-        .fleet
-        .as_ref()
-        .ok_or("the operators' file tells of no fleet: --operator FILE")?;
-    let line = Line::open(how, told).map_err(|e| e.to_string())?;
-    match &how.command {
-        FleetCommand::Status => {
-            let answer = line.asks(Command::Status).map_err(|e| e.to_string())?;
-            if let Answer::Status(status) = answer {
-                println!("{}", shown(&status));
-                return Ok(ExitCode::SUCCESS);
-            }
-            Ok(ended(answer))
-        }
+/// Runs one subcommand and prints its result.
+///
+/// # Errors
+/// The operators' file does not say which fleet, there is nothing that the command could act on, or the socket failed.
+/// A command that the fleet refuses is no error here: its exit code says so.
+pub fn run(arguments: &Fleet, operator: &Operator) -> Result<ExitCode, FleetClientError> {
+    let fleet = operator.fleet.as_ref().ok_or(FleetClientError::NoFleet)?;
+    let member = MemberConnection::open(arguments.member, fleet)?;
+    match &arguments.command {
+        FleetCommand::Status => member.print_status(),
         FleetCommand::Turn {
             to,
             dispatcher,
             wait_s,
-        } => line.turn(to.as_deref(), dispatcher.as_deref(), *wait_s),
-        FleetCommand::Drain { engine } => {
-            let engine = u64::from(number_of(engine));
-            line.says(Command::Drain {
-                engine,
-                grant: rand::rng().random(),
-            })
-        }
-        FleetCommand::Undrain { engine } => line.says(Command::Undrain {
+        } => member.wait_for_turn(to.as_deref(), dispatcher.as_deref(), *wait_s),
+        FleetCommand::Drain { engine } => member.drain(engine),
+        FleetCommand::Undrain { engine } => member.execute(Command::Undrain {
             engine: u64::from(number_of(engine)),
         }),
-        FleetCommand::Release { to, from } => {
-            let number = rand::rng().random::<u32>() | 1;
-            let from = from.as_deref().map_or(0, number_of);
-            line.says(Command::Release {
-                number,
-                to: number_of(to),
-                from,
-            })
-        }
-        FleetCommand::Halt => line.says(Command::Halt {
-            number: rand::rng().random::<u32>() | 1,
+        FleetCommand::Release { to, from } => member.release(to, from.as_deref()),
+        FleetCommand::Halt => member.execute(Command::Halt {
+            number: random_number(),
         }),
-        FleetCommand::Resume => line.of_status(|status| {
-            let (_, number) = status.halt.ok_or("nothing is halted")?;
-            Ok(Command::Resume { number })
-        }),
-        FleetCommand::Back => line.of_status(|status| {
-            let (number, ..) = status.release.ok_or("there is no release")?;
-            Ok(Command::Back { number })
-        }),
-        FleetCommand::Leave { zone, dry_run } => line.says(Command::Leave {
+        FleetCommand::Resume => member.resume(),
+        FleetCommand::Back => member.roll_back(),
+        FleetCommand::Leave { zone, dry_run } => member.execute(Command::Leave {
             zone: number_of(zone),
             dry: *dry_run,
         }),
-        FleetCommand::Return { zone } => line.says(Command::ReturnTo {
+        FleetCommand::Return { zone } => member.execute(Command::ReturnTo {
             zone: number_of(zone),
         }),
-        FleetCommand::Zones => {
-            let answer = line.asks(Command::Zones).map_err(|e| e.to_string())?;
-            let Answer::Zones(list) = answer else {
-                return Ok(ended(answer));
-            };
-            for (zone, of, out) in list.iter().flatten() {
-                let what = if of.stage == Stage::Left {
-                    "left"
-                } else {
-                    "returns"
-                };
-                println!(
-                    "{zone:08x} {what} step {} number {} why {:?} shares {out:.3}",
-                    of.step, of.number, of.why
-                );
-            }
-            println!("{} zones are not whole", list.iter().flatten().count());
-            Ok(ExitCode::SUCCESS)
-        }
-        FleetCommand::Forget { dispatcher } => line.says(Command::Forget {
+        FleetCommand::Zones => member.print_zones(),
+        FleetCommand::Forget { dispatcher } => member.execute(Command::Forget {
             id: member_id_of(dispatcher),
         }),
     }
 }
 
-impl Line {
-    fn open(how: &Fleet, told: &schema::Fleet) -> io::Result<Self> {
-        let other = |e: &str| io::Error::other(e.to_owned());
-        let settings = tansymux_operator_config::fleet(told, 0)
-            .ok_or_else(|| other("fleet: a needed key is missing"))?;
-        let own = || {
-            told.listen()
+/// The number of a new release or halt; never 0, which stands for none.
+fn random_number() -> u32 {
+    rand::rng().random::<u32>() | 1
+}
+
+/// A socket to one member of the fleet, with the keys that its datagrams are signed with.
+struct MemberConnection {
+    socket: UdpSocket,
+    member: SocketAddr,
+    settings: Settings,
+    opened: Instant,
+}
+
+impl MemberConnection {
+    /// To `member`, or to the member that the operators' file belongs to.
+    fn open(member: Option<SocketAddr>, fleet: &schema::Fleet) -> Result<Self, FleetClientError> {
+        let settings =
+            tansymux_operator_config::fleet(fleet, 0).ok_or(FleetClientError::Incomplete)?;
+        let member = match member {
+            Some(member) => member,
+            None => fleet
+                .listen()
                 .parse()
-                .map_err(|_| other("fleet.listen is no address"))
+                .map_err(|_| FleetClientError::InvalidListen {
+                    value: fleet.listen().to_owned(),
+                })?,
         };
-        let to: SocketAddr = how.member.map_or_else(own, Ok)?;
-        let any = if to.ip().is_loopback() {
+        let local_ip = if member.ip().is_loopback() {
             [127, 0, 0, 1]
         } else {
             [0, 0, 0, 0]
         };
-        let socket = UdpSocket::bind(SocketAddr::from((any, 0)))?;
-        socket.set_read_timeout(Some(Duration::from_millis(20)))?;
-        Ok(Line {
+        let socket = UdpSocket::bind(SocketAddr::from((local_ip, 0)))?;
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        Ok(MemberConnection {
             socket,
-            to,
+            member,
             settings,
-            from: Instant::now(),
+            opened: Instant::now(),
         })
     }
 
-    fn now(&self) -> f64 {
-        self.from.elapsed().as_secs_f64() * 1000.0
+    /// Milliseconds since the connection was opened: the clock of the protocol's client side.
+    fn now_ms(&self) -> f64 {
+        self.opened.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Sends, and hands on what comes within 20 ms. A member that is not there is one that does not answer.
-    fn turns(&self, out: Vec<Vec<u8>>, mut heard: impl FnMut(&[u8])) -> io::Result<()> {
-        for bytes in out {
-            let _ = self.socket.send_to(&bytes, self.to);
+    /// Sends datagrams, and passes on the one that arrives within [`RECEIVE_TIMEOUT`], if one does. A member that is
+    /// not there counts as one that does not answer.
+    fn exchange(&self, outgoing: Vec<Vec<u8>>, mut receive: impl FnMut(&[u8])) -> io::Result<()> {
+        for datagram in outgoing {
+            // A datagram that could not be sent is one that was lost: the client sends it again.
+            let _ = self.socket.send_to(&datagram, self.member);
         }
-        let mut bytes = [0; 512];
-        match self.socket.recv_from(&mut bytes) {
-            Ok((count, _)) => heard(&bytes[..count]),
-            Err(e)
-                if matches!(
-                    e.kind(),
-                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-                ) => {}
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                std::thread::sleep(Duration::from_millis(20));
-            }
-            Err(e) => return Err(e),
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        match self.socket.recv_from(&mut buffer) {
+            Ok((count, _)) => receive(&buffer[..count]),
+            Err(error) => match error.kind() {
+                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {}
+                io::ErrorKind::ConnectionRefused => std::thread::sleep(RECEIVE_TIMEOUT),
+                _ => return Err(error),
+            },
         }
         Ok(())
     }
 
-    fn asks(&self, command: Command) -> io::Result<Answer> {
-        let mut caller = FleetClient::new(
-            self.settings.keys.clone(),
-            command,
-            self.now(),
-            rand::rng().random(),
-        );
+    /// Sends a command until it is answered or its time is over.
+    fn request(&self, command: Command) -> io::Result<Answer> {
+        let keys = self.settings.keys.clone();
+        let mut client = FleetClient::new(keys, command, self.now_ms(), rand::rng().random());
         loop {
-            let (out, _) = caller.poll(self.now());
-            if let Some(answer) = caller.answer() {
+            let (outgoing, _) = client.poll(self.now_ms());
+            if let Some(answer) = client.answer() {
                 return Ok(answer);
             }
-            self.turns(out, |bytes| caller.handle(bytes))?;
+            self.exchange(outgoing, |datagram| client.handle(datagram))?;
         }
     }
 
-    fn says(&self, command: Command) -> Result<ExitCode, String> {
-        Ok(ended(self.asks(command).map_err(|e| e.to_string())?))
+    /// A command whose answer is done or refused.
+    fn execute(&self, command: Command) -> Result<ExitCode, FleetClientError> {
+        let answer = self.request(command)?;
+        Ok(report(&answer))
     }
 
-    /// A command that names what stands: a halt or a release by its number.
-    fn of_status(
+    /// A command that names what is in force, a halt or a release, by its number.
+    fn execute_on_status(
         &self,
-        command: impl Fn(&Status) -> Result<Command, &'static str>,
-    ) -> Result<ExitCode, String> {
-        match self.asks(Command::Status).map_err(|e| e.to_string())? {
-            Answer::Status(status) => self.says(command(&status)?),
-            answer => Ok(ended(answer)),
+        command: impl Fn(&Status) -> Result<Command, FleetClientError>,
+    ) -> Result<ExitCode, FleetClientError> {
+        match self.request(Command::Status)? {
+            Answer::Status(status) => self.execute(command(&status)?),
+            answer => Ok(report(&answer)),
+        }
+    }
+
+    fn print_status(&self) -> Result<ExitCode, FleetClientError> {
+        let answer = self.request(Command::Status)?;
+        let Answer::Status(status) = answer else {
+            return Ok(report(&answer));
+        };
+        println!("{}", status_text(&status));
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn print_zones(&self) -> Result<ExitCode, FleetClientError> {
+        let answer = self.request(Command::Zones)?;
+        let Answer::Zones(zones) = answer else {
+            return Ok(report(&answer));
+        };
+        let mut count = 0;
+        for (zone, state, quota) in zones.iter().flatten() {
+            println!("{}", zone_line(*zone, state, *quota));
+            count += 1;
         }
+        println!("{count} zones are not whole");
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn drain(&self, engine: &str) -> Result<ExitCode, FleetClientError> {
+        self.execute(Command::Drain {
+            engine: u64::from(number_of(engine)),
+            grant: rand::rng().random(),
+        })
+    }
+
+    fn release(&self, to: &str, from: Option<&str>) -> Result<ExitCode, FleetClientError> {
+        self.execute(Command::Release {
+            number: random_number(),
+            to: number_of(to),
+            from: from.map_or(0, number_of),
+        })
+    }
+
+    fn resume(&self) -> Result<ExitCode, FleetClientError> {
+        self.execute_on_status(|status| {
+            let (_, number) = status.halt.ok_or(FleetClientError::NotHalted)?;
+            Ok(Command::Resume { number })
+        })
+    }
+
+    fn roll_back(&self) -> Result<ExitCode, FleetClientError> {
+        self.execute_on_status(|status| {
+            let (number, ..) = status.release.ok_or(FleetClientError::NoRelease)?;
+            Ok(Command::Back { number })
+        })
     }
 
-    fn turn(
+    /// Waits for the lease under which a dispatcher may restart, and prints its number and the seconds that it lasts.
+    fn wait_for_turn(
         &self,
         to: Option<&str>,
         dispatcher: Option<&str>,
         wait_s: f64,
-    ) -> Result<ExitCode, String> {
-        let (id, version) = (dispatcher.map_or(0, member_id_of), to.map_or(0, number_of));
-        let (keys, skew) = (self.settings.keys.clone(), self.settings.terms.skew);
-        let patience = wait_s * 1000.0;
+    ) -> Result<ExitCode, FleetClientError> {
         let mut turn = Turn::new(
-            keys,
-            id,
-            version,
-            skew,
-            self.now(),
-            patience,
+            self.settings.keys.clone(),
+            dispatcher.map_or(0, member_id_of),
+            to.map_or(0, number_of),
+            self.settings.terms.skew,
+            self.now_ms(),
+            wait_s * 1000.0,
             rand::rng().random(),
         );
         loop {
-            let (out, _) = turn.poll(self.now());
+            let (outgoing, _) = turn.poll(self.now_ms());
             match turn.end() {
                 Some(TurnEnd::Granted { until }) => {
-                    println!(
-                        "{:016x} {:.1}",
-                        turn.grant(),
-                        ((until - self.now()) / 1000.0).max(0.0)
-                    );
+                    let remaining_s = ((until - self.now_ms()) / 1000.0).max(0.0);
+                    println!("{:016x} {remaining_s:.1}", turn.grant());
                     return Ok(ExitCode::SUCCESS);
                 }
                 Some(TurnEnd::Halted(answer)) => {
-                    eprintln!("tansymux: {}", words(&answer));
-                    return Ok(ExitCode::from(HALTED));
+                    eprintln!("tansymux: {}", answer_text(&answer));
+                    return Ok(ExitCode::from(EXIT_HALTED));
                 }
                 Some(TurnEnd::GivenUp(answer)) => {
-                    eprintln!("tansymux: no turn in time: {}", words(&answer));
-                    return Ok(ExitCode::from(GIVEN_UP));
+                    eprintln!("tansymux: no turn in time: {}", answer_text(&answer));
+                    return Ok(ExitCode::from(EXIT_TIMED_OUT));
                 }
                 None => {}
             }
-            self.turns(out, |bytes| turn.handle(self.now(), bytes))
-                .map_err(|e| e.to_string())?;
+            self.exchange(outgoing, |datagram| turn.handle(self.now_ms(), datagram))?;
         }
     }
 }
 
-fn ended(answer: Answer) -> ExitCode {
-    match answer {
-        Answer::Done | Answer::Granted { .. } => {
-            println!("done");
-            ExitCode::SUCCESS
-        }
-        answer => {
-            eprintln!("tansymux: {}", words(&answer));
-            match answer {
-                Answer::Halted { .. } => ExitCode::from(HALTED),
-                Answer::NoLeader | Answer::Pending => ExitCode::from(GIVEN_UP),
-                _ => ExitCode::FAILURE,
-            }
-        }
+/// Prints an answer and gives the exit code that stands for it.
+fn report(answer: &Answer) -> ExitCode {
+    if matches!(answer, Answer::Done | Answer::Granted { .. }) {
+        println!("done");
+        return ExitCode::SUCCESS;
     }
-}
-
-fn words(answer: &Answer) -> String {
+    eprintln!("tansymux: {}", answer_text(answer));
     match answer {
-        Answer::NoLeader => "nobody leads: nothing new goes out, what serves goes on".into(),
-        Answer::Pending => "it was not agreed in time".into(),
-        Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => {
-            "done".into()
-        }
-        Answer::TooMuch { part } => format!("{:.0}% of all cores would be left", part * 100.0),
-        Answer::Halted { why, number, .. } => format!("halted, {} (number {number})", why.words()),
-        Answer::Full { scope, out, most } => format!("{out} are out of at most {most} ({scope:?})"),
-        Answer::TooSoon { wait } => {
-            format!(
-                "too soon after the last one, by {:.1} s",
-                f64::from(*wait) / 1000.0
-            )
-        }
-        Answer::AlreadyOut { why } => format!("it is out already ({why:?})"),
-        Answer::NotCarried { load, left } => {
-            format!("what remains would not carry the load: {load:.1} on {left:.1}")
-        }
-        Answer::Unknown => "no such member or engine is known".into(),
-        Answer::Others => "others are first".into(),
-        Answer::Pause => "a rest after a hall".into(),
-        Answer::NoSuchRelease => "no release goes there".into(),
-        Answer::Already => "it is there already".into(),
-        Answer::Running { number } => format!("release {number} is under way"),
-        Answer::NoWayBack => "the release named no version to go back to".into(),
-    }
-}
-
-fn shown(s: &Status) -> String {
-    let stage = |stage: Released| match stage {
-        Released::Canaries => "first few",
-        Released::Waves => "hall by hall",
-        Released::Back => "going back",
-        Released::Done => "done",
-        Released::Undone => "gone back",
-    };
-    let mut text = format!(
-        "leader {:016x}\nmembers {} out {} lost {}\nengines {} out {}",
-        s.leader, s.members, s.out, s.lost, s.engines, s.engines_out
-    );
-    text += &match s.halt {
-        Some((why, number)) => format!("\nhalted {} (number {number})", why.words()),
-        None => "\nhalted no".into(),
-    };
-    if let Some((number, at, to, from)) = s.release {
-        text += &format!(
-            "\nrelease {number} {} to {to:08x} from {from:08x} there {} to go {} pairs {} difference {:+.4}",
-            stage(at),
-            s.released,
-            s.to_go,
-            s.pairs,
-            s.by
-        );
+        Answer::Halted { .. } => ExitCode::from(EXIT_HALTED),
+        Answer::NoLeader | Answer::Pending => ExitCode::from(EXIT_TIMED_OUT),
+        _ => ExitCode::FAILURE,
     }
-    text
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,4 +1,10 @@
-//! The real dispatcher: takes queries from clients over HTTP, lets the decisions choose, and runs them on engines.
+//! The tansymux program: takes queries from clients over HTTP, lets the decisions of the `tansymux` package place them,
+//! and runs them on engines.
+//!
+//! It owns sockets, files, the clock and everything in flight; it decides nothing about queries itself. Start reading
+//! at [`dispatcher`], the driver. [`lifecycle`] has the phases from start to end, [`config`] the startup configuration,
+//! [`query_registry`] the queries in flight, [`client`] and [`engine`] the two sides, [`subsystems`] what is fed beside
+//! the decisions.
 
 mod check;
 mod classify;
@@ -11,84 +17,90 @@
 mod dispatcher;
 mod dns;
 mod engine;
-mod fleet;
+mod file;
 mod fleet_client;
+mod lifecycle;
 mod log;
 mod net;
 mod notify;
 mod operator_config;
 mod peers;
 mod query_registry;
-mod service_levels;
 mod signals;
-mod statement_classifier;
 mod statement_shape;
-mod zone_routing;
+mod subsystems;
 
 use async_executor::LocalExecutor;
 use clap::Parser;
 use cli::{Cli, Command, Common};
-use dispatcher::Dispatcher;
+use config::StartupConfigError;
+use dispatcher::{Dispatcher, StartError};
+use operator_config::OperatorConfigErrors;
+use std::io;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    match run(cli) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("tansymux: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Why a command failed; printed, with exit code 1.
+#[derive(Debug, thiserror::Error)]
+enum CommandError {
+    /// Each fault on a line of its own, with the program's name before it as before the first.
+    #[error("{}", .0.joined_by("\ntansymux: "))]
+    OperatorConfig(#[from] OperatorConfigErrors),
+    #[error("signal handlers cannot be set: {0}")]
+    Signals(io::Error),
+    #[error(transparent)]
+    StartupConfig(#[from] StartupConfigError),
+    #[error(transparent)]
+    Start(#[from] StartError),
+    #[error(transparent)]
+    Fleet(#[from] fleet_client::FleetClientError),
+    #[error(transparent)]
+    Classify(io::Error),
+}
+
+fn run(cli: Cli) -> Result<ExitCode, CommandError> {
     match &cli.command {
         None | Some(Command::Serve) => serve(cli.common),
-        Some(Command::Check { files }) => check::run(files),
-        Some(Command::Fleet(how)) => {
-            let operator = match operator_config::read_if(cli.common.operator.as_deref()) {
-                Ok(operator) => operator,
-                Err(faults) => return failed(&faults.join("\ntansymux: ")),
-            };
-            fleet_client::run(how, &operator).unwrap_or_else(|e| failed(&e))
+        Some(Command::Check { files }) => Ok(check::run(files)),
+        Some(Command::Fleet(arguments)) => {
+            let operator = operator_config::read_optional(cli.common.operator.as_deref())?;
+            Ok(fleet_client::run(arguments, &operator)?)
         }
-        Some(Command::Classify(how)) => {
-            let operator = match operator_config::read_if(cli.common.operator.as_deref()) {
-                Ok(operator) => operator,
-                Err(faults) => return failed(&faults.join("\ntansymux: ")),
-            };
-            match classify::run(how, &operator) {
-                Ok(()) => ExitCode::SUCCESS,
-                // Whoever read the lines has enough of them.
-                Err(e) if e.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
-                Err(e) => failed(&e.to_string()),
+        Some(Command::Classify(arguments)) => {
+            let operator = operator_config::read_optional(cli.common.operator.as_deref())?;
+            match classify::run(arguments, &operator) {
+                Ok(()) => Ok(ExitCode::SUCCESS),
+                // The reader of the output closed it: it has what it wanted.
+                Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(ExitCode::SUCCESS),
+                Err(error) => Err(CommandError::Classify(error)),
             }
         }
     }
 }
 
-fn failed(why: &str) -> ExitCode {
-    eprintln!("tansymux: {why}");
-    ExitCode::FAILURE
-}
-
-fn serve(common: Common) -> ExitCode {
-    log::begin();
-    // First of all: what is not yet handled ends a process, also a SIGHUP that was meant to have a file read again.
-    let signals = match signals::subscribe() {
-        Ok(signals) => signals,
-        Err(e) => return failed(&format!("signals can't be heard: {e}")),
-    };
-    let operator = match operator_config::read_if(common.operator.as_deref()) {
-        Ok(operator) => operator,
-        Err(faults) => return failed(&faults.join("\ntansymux: ")),
-    };
-    log::set(&common, operator.log.as_ref());
-    let config = match config::read() {
-        Ok(config) => config,
-        Err(e) => return failed(&e),
-    };
+fn serve(common: Common) -> Result<ExitCode, CommandError> {
+    log::init();
+    // Before anything else: a signal without a handler ends the process, also a SIGHUP that only asks for a reload.
+    let signals = signals::subscribe().map_err(CommandError::Signals)?;
+    let operator = operator_config::read_optional(common.operator.as_deref())?;
+    log::configure(&common, operator.log.as_ref());
+    let config = config::read()?;
     let executor = Rc::new(LocalExecutor::new());
     let name = config.name.clone();
-    match Dispatcher::start(config, operator, common, executor.clone()) {
-        Ok(dispatcher) => {
-            tracing::info!(name, "serves");
-            async_io::block_on(executor.run(dispatcher.run(signals)));
-            log::end();
-            ExitCode::SUCCESS
-        }
-        Err(e) => failed(&e),
-    }
+    let dispatcher = Dispatcher::start(config, operator, common, executor.clone())?;
+    tracing::info!(name, "serving");
+    async_io::block_on(executor.run(dispatcher.run(signals)));
+    log::finish();
+    Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/dispatcher/src/operator_config/settings_check.rs
@@ -0,0 +1,162 @@
+//! Whether an operators' file goes with the settings: its resource groups must be there, and those for statements that
+//! may change tables must be groups of such queries.
+
+use super::{OperatorConfigError, OperatorConfigErrors};
+use crate::config::{read_groups, GroupSettings};
+use tansymux::settings::SettingsMap;
+use tansymux_operator_config::schema::term::Signal::Pressed;
+use tansymux_operator_config::schema::{Groups, Halls, Levels};
+use tansymux_operator_config::Operator;
+
+/// A key of the operators' file that does not go with the settings.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsMismatch {
+    /// It names a group that the settings do not have, among other names.
+    #[error("{key} names {name:?}, allowed is a resource group of the settings")]
+    UnknownName {
+        /// Path of the key.
+        key: String,
+        /// What it names.
+        name: String,
+    },
+    /// Its value is a group that the settings do not have.
+    #[error("{key} is {name:?}, allowed is a resource group of the settings")]
+    UnknownGroup {
+        /// Path of the key.
+        key: String,
+        /// Its value.
+        name: String,
+    },
+    /// Statements that may change tables would run in a group whose queries are retried.
+    #[error(
+        "{key} is {name:?} with the effect {effect:?}, allowed is a group of mutating queries"
+    )]
+    NotMutating {
+        /// Path of the key.
+        key: String,
+        /// Its value.
+        name: String,
+        /// The group's effect in the settings.
+        effect: String,
+    },
+}
+
+/// Checks that the file goes with the settings.
+///
+/// # Errors
+/// All mismatches, in the order of the file's parts.
+pub fn check_against_settings(
+    operator: &Operator,
+    settings: &SettingsMap,
+) -> Result<(), OperatorConfigErrors> {
+    let groups = read_groups(settings);
+    let mut mismatches = Vec::new();
+    if let Some(levels) = &operator.levels {
+        check_levels(levels, &groups, &mut mismatches);
+    }
+    if let Some(zones) = &operator.halls {
+        check_zones(zones, &groups, &mut mismatches);
+    }
+    let statements = operator.statements.as_ref();
+    if let Some(named) = statements.and_then(|statements| statements.groups.as_ref()) {
+        check_statement_groups(named, &groups, &mut mismatches);
+    }
+    if mismatches.is_empty() {
+        return Ok(());
+    }
+    let errors = mismatches.into_iter().map(OperatorConfigError::Mismatch);
+    Err(OperatorConfigErrors(errors.collect()))
+}
+
+fn find<'a>(groups: &'a [GroupSettings], name: &str) -> Option<&'a GroupSettings> {
+    groups.iter().find(|group| group.is_named(name))
+}
+
+/// Groups that the terms and acts of service levels name.
+fn check_levels(levels: &Levels, groups: &[GroupSettings], mismatches: &mut Vec<SettingsMismatch>) {
+    for (index, level) in levels.level.iter().enumerate() {
+        let mut names = Vec::new();
+        if let Some(enter) = &level.enter {
+            for term in enter.all.iter().chain(&enter.any) {
+                // `of` is a zone there.
+                if term.signal() != Pressed {
+                    names.extend(term.of.as_deref());
+                }
+            }
+        }
+        if let Some(act) = &level.act {
+            names.extend(act.class.iter().map(|class| class.name()));
+        }
+        for name in names {
+            if find(groups, name).is_none() {
+                mismatches.push(SettingsMismatch::UnknownName {
+                    key: format!("levels.level.{index}"),
+                    name: name.to_owned(),
+                });
+            }
+        }
+    }
+}
+
+/// Groups that routes and spill limits name; none stands for all.
+fn check_zones(zones: &Halls, groups: &[GroupSettings], mismatches: &mut Vec<SettingsMismatch>) {
+    let routed = zones.route.iter().map(|route| route.class());
+    let spilled = zones.spill.iter().map(|spill| spill.class());
+    for name in routed.chain(spilled) {
+        if !name.is_empty() && find(groups, name).is_none() {
+            mismatches.push(SettingsMismatch::UnknownName {
+                key: "halls".to_owned(),
+                name: name.to_owned(),
+            });
+        }
+    }
+}
+
+/// The groups that statements without a class run in.
+fn check_statement_groups(
+    named: &Groups,
+    groups: &[GroupSettings],
+    mismatches: &mut Vec<SettingsMismatch>,
+) {
+    check_statement_group("look_up", named.look_up.as_deref(), groups, mismatches);
+    check_statement_group("report", named.report.as_deref(), groups, mismatches);
+    check_mutating_group("load", named.load.as_deref(), groups, mismatches);
+    check_mutating_group("unknown", named.unknown.as_deref(), groups, mismatches);
+}
+
+/// The group must be there, if one is named.
+fn check_statement_group<'a>(
+    key: &str,
+    name: Option<&str>,
+    groups: &'a [GroupSettings],
+    mismatches: &mut Vec<SettingsMismatch>,
+) -> Option<&'a GroupSettings> {
+    let name = name?;
+    let group = find(groups, name);
+    if group.is_none() {
+        mismatches.push(SettingsMismatch::UnknownGroup {
+            key: format!("statements.groups.{key}"),
+            name: name.to_owned(),
+        });
+    }
+    group
+}
+
+/// The group must be there, if one is named, and its queries may change tables.
+fn check_mutating_group(
+    key: &str,
+    name: Option<&str>,
+    groups: &[GroupSettings],
+    mismatches: &mut Vec<SettingsMismatch>,
+) {
+    let Some(group) = check_statement_group(key, name, groups, mismatches) else {
+        return;
+    };
+    if !group.is_non_idempotent() {
+        mismatches.push(SettingsMismatch::NotMutating {
+            key: format!("statements.groups.{key}"),
+            name: name.unwrap_or("").to_owned(),
+            effect: group.effect.clone().unwrap_or_default(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -0,0 +1,359 @@
+//! The fleet in the program: its datagrams in and out, this dispatcher's reports, and the engines that the fleet has
+//! drained. What is agreed on is decided in `tansymux-rollout` and `tansymux-coordination`.
+//!
+//! [`FleetService::run`] is the task on the socket; everything else is called by the driver.
+
+mod engine_watch;
+
+use crate::clock::Clock;
+use crate::notify::Notify;
+use crate::query_registry::{EndpointEntry, QueryRegistry};
+use async_io::{Async, Timer};
+use engine_watch::EngineWatch;
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+use tansymux::events::Outcome;
+use tansymux::settings::SettingsMap;
+use tansymux_coordination::Stand;
+use tansymux_operator_config::{number_of, schema};
+use tansymux_rollout::evidence::{Evidence as EngineEvidence, Terms as EjectionSettings};
+use tansymux_rollout::{Fleet, Own};
+use tansymux_zone_evacuation::wire::Evidence as ZoneEvidence;
+use tansymux_zone_evacuation::Use;
+
+/// How often (ms) this dispatcher's report is put together.
+const REPORT_INTERVAL_MS: f64 = 200.0;
+/// Datagrams that are read at a time, before answers to them go out.
+const MAX_RECEIVE_BATCH: usize = 128;
+/// Longest datagram that is read, in bytes; messages of the fleet are shorter.
+const MAX_DATAGRAM_BYTES: usize = 512;
+/// Pause after an error of the socket, so that a lasting one does not take all processor time.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+/// Environment variable with the restart lease (in hex) under which the program is started.
+const TURN_VARIABLE: &str = "TANSYMUX_TURN";
+
+/// Why the fleet's part could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetStartError {
+    /// `fleet` is there without all its required keys.
+    #[error("fleet: a required key is missing")]
+    Incomplete,
+    /// `fleet.listen` cannot be used.
+    #[error("fleet.listen is {value:?}, allowed is an address with a port")]
+    InvalidListen {
+        /// What stands in the file.
+        value: String,
+    },
+    /// The address cannot be bound.
+    #[error("fleet.listen {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+/// What the driver knows of this dispatcher, for its report.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadReport {
+    /// Fraction of its descriptors that is in use.
+    pub descriptors_used: f64,
+    /// Threads that its queries use on engines.
+    pub threads_in_flight: f64,
+}
+
+/// This dispatcher as a member of a fleet.
+pub struct FleetService {
+    member: RefCell<Fleet>,
+    socket: Async<UdpSocket>,
+    clock: Clock,
+    /// Wakes the task on the socket.
+    notify: Rc<Notify>,
+    registry: Rc<QueryRegistry>,
+    evidence: RefCell<EngineEvidence>,
+    /// When an engine counts as bad; none where engines are not ejected.
+    ejection: Cell<Option<EjectionSettings>>,
+    zone: u32,
+    version: Cell<u32>,
+    engines: RefCell<EngineWatch>,
+    last_report_ms: Cell<f64>,
+    /// Whether this member led at the last report; none before the first.
+    was_leader: Cell<Option<bool>>,
+    datagrams_sent: Cell<u64>,
+    datagrams_received: Cell<u64>,
+}
+
+impl FleetService {
+    /// None where the operators' file defines no fleet.
+    ///
+    /// # Errors
+    /// A required key is missing, or the address cannot be bound.
+    pub fn start(
+        definition: Option<&schema::Fleet>,
+        settings: &SettingsMap,
+        clock: Clock,
+        registry: Rc<QueryRegistry>,
+        seed: u64,
+    ) -> Result<Option<Rc<Self>>, FleetStartError> {
+        let Some(definition) = definition else {
+            return Ok(None);
+        };
+        let mut member_settings = tansymux_operator_config::fleet(definition, lease_of_start())
+            .ok_or(FleetStartError::Incomplete)?;
+        let zone = settings.get("zone").map_or(0, |zone| number_of(zone));
+        if let Some((own_zone, _)) = &mut member_settings.zones {
+            *own_zone = zone;
+        }
+        let socket = bind(definition.listen())?;
+        let now_ms = clock.now();
+        let seed = incarnation_seed(seed, now_ms);
+        let service = Rc::new(FleetService {
+            member: RefCell::new(Fleet::new(&member_settings, now_ms, seed)),
+            socket,
+            clock,
+            notify: Rc::default(),
+            registry: registry.clone(),
+            evidence: RefCell::default(),
+            ejection: Cell::new(ejection_settings(definition)),
+            zone,
+            version: Cell::new(version_number(definition)),
+            engines: RefCell::new(EngineWatch::new(settings)),
+            last_report_ms: Cell::new(f64::NEG_INFINITY),
+            was_leader: Cell::default(),
+            datagrams_sent: Cell::default(),
+            datagrams_received: Cell::default(),
+        });
+        let counted = service.clone();
+        registry
+            .counters
+            .extra_reports
+            .borrow_mut()
+            .push(Box::new(move |text| counted.write_counters(text)));
+        Ok(Some(service))
+    }
+
+    /// Applies what of `fleet` may change while the program runs; the rest waits for the next start.
+    pub fn reconfigure(&self, definition: Option<&schema::Fleet>) {
+        let Some(definition) = definition else {
+            tracing::warn!("fleet kept as it was: the operators' file defines none any more");
+            return;
+        };
+        let Some(settings) = tansymux_operator_config::fleet(definition, 0) else {
+            tracing::warn!("fleet kept as it was: a required key is missing");
+            return;
+        };
+        self.ejection.set(ejection_settings(definition));
+        self.version.set(version_number(definition));
+        let zones = settings.zones.map(|(_, zones)| zones);
+        self.member
+            .borrow_mut()
+            .set(settings.told, settings.keys, zones);
+    }
+
+    /// Receives and sends datagrams until it is dropped.
+    pub async fn run(self: Rc<Self>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let wake_ms = self.send_due();
+            let datagram = async { Some(self.socket.recv_from(&mut buffer).await) };
+            let timer = async {
+                Timer::at(self.clock.instant(wake_ms)).await;
+                None
+            };
+            let notified = async {
+                self.notify.notified().await;
+                None
+            };
+            match future::or(datagram, future::or(timer, notified)).await {
+                Some(Ok((count, from))) => {
+                    self.receive(from, &buffer[..count]);
+                    self.receive_pending(&mut buffer);
+                }
+                Some(Err(error)) => {
+                    tracing::warn!(%error, "fleet datagram not received");
+                    Timer::after(ERROR_PAUSE).await;
+                }
+                None => {}
+            }
+            future::yield_now().await;
+        }
+    }
+
+    /// Takes what else has arrived, up to a batch.
+    fn receive_pending(&self, buffer: &mut [u8]) {
+        for _ in 1..MAX_RECEIVE_BATCH {
+            let Ok((count, from)) = self.socket.get_ref().recv_from(buffer) else {
+                return;
+            };
+            self.receive(from, &buffer[..count]);
+        }
+    }
+
+    fn receive(&self, from: SocketAddr, datagram: &[u8]) {
+        self.datagrams_received
+            .set(self.datagrams_received.get() + 1);
+        self.member
+            .borrow_mut()
+            .handle(self.clock.now(), from, datagram);
+    }
+
+    /// Sends what is due. Gives the time (ms) at which something will be due next.
+    fn send_due(&self) -> f64 {
+        let (datagrams, next_ms) = self.member.borrow_mut().poll(self.clock.now());
+        for (to, datagram) in datagrams {
+            match self.socket.get_ref().send_to(&datagram, to) {
+                Ok(_) => self.datagrams_sent.set(self.datagrams_sent.get() + 1),
+                // Counts as lost on its way: the protocol sends again what matters.
+                Err(error) => tracing::debug!(%to, %error, "fleet datagram not sent"),
+            }
+        }
+        next_ms
+    }
+
+    /// What this dispatcher observed of zones, for the fleet. `isolated`: it is cut off itself.
+    pub fn report_zones(&self, evidence: Vec<ZoneEvidence>, isolated: bool) {
+        self.member.borrow_mut().sees(evidence, isolated);
+    }
+
+    /// How a zone may be used, as the fleet agreed.
+    pub fn zone_use(&self, zone: &str) -> Use {
+        self.member.borrow().use_of(number_of(zone))
+    }
+
+    /// Whether the fleet evacuates zones and returns to them as a whole.
+    pub fn coordinates_zones(&self) -> bool {
+        self.member.borrow().zoned().is_some()
+    }
+
+    /// Leaves the fleet: tells the other members at once.
+    pub fn leave(&self) {
+        self.member.borrow_mut().leave(self.clock.now());
+        self.send_due();
+    }
+
+    /// Counts an attempt's end as evidence for or against its engine, where engines may be ejected.
+    pub fn on_attempt_ended(&self, now_ms: f64, engine_id: u64, outcome: Outcome) {
+        if self.ejection.get().is_none() {
+            return;
+        }
+        let is_failure = match outcome {
+            Outcome::Completed => false,
+            Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
+            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
+        };
+        self.evidence
+            .borrow_mut()
+            .ended(now_ms, engine_id, is_failure);
+    }
+
+    /// Merges entries of an endpoint list, and marks those that the fleet has drained as draining, whatever the list
+    /// says.
+    pub fn on_endpoints(&self, entries: &mut [EndpointEntry]) {
+        let mut member = self.member.borrow_mut();
+        self.engines.borrow_mut().merge(entries, &mut member);
+    }
+
+    /// Reports how this dispatcher does, every [`REPORT_INTERVAL_MS`]. Gives the engines that the fleet has drained or
+    /// released since the last time, as endpoint entries.
+    pub fn tick(&self, now_ms: f64, load: LoadReport) -> Vec<EndpointEntry> {
+        if now_ms - self.last_report_ms.get() < REPORT_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.last_report_ms.set(now_ms);
+        let report = self.own_report(now_ms, load);
+        let mut member = self.member.borrow_mut();
+        member.says(report);
+        let is_leader = matches!(member.stand(), Some(Stand::Leads(_)));
+        if self.was_leader.replace(Some(is_leader)) != Some(is_leader) {
+            tracing::info!(is_leader, "leadership changed");
+        }
+        self.engines.borrow_mut().changes(now_ms, &member)
+    }
+
+    /// What this dispatcher reports of itself. Counts go as they are, modulo 2^32: the leader takes differences.
+    fn own_report(&self, now_ms: f64, load: LoadReport) -> Own {
+        let counters = &self.registry.counters;
+        let good = counters.completed.get() as u32;
+        let not_good = counters.failed.get() + counters.rejected.get();
+        let bad = self
+            .ejection
+            .get()
+            .and_then(|settings| self.evidence.borrow_mut().bad(now_ms, &settings));
+        Own {
+            zone: self.zone,
+            version: self.version.get(),
+            busy: load.descriptors_used,
+            threads: load.threads_in_flight,
+            good,
+            all: good.wrapping_add(not_good as u32),
+            bad,
+        }
+    }
+
+    /// Lines for the counters.
+    pub fn write_counters(&self, text: &mut String) {
+        let member = self.member.borrow();
+        let agent = member.agent();
+        let leads = matches!(member.stand(), Some(Stand::Leads(_)));
+        let recalls = matches!(member.stand(), Some(Stand::Recalls { .. }));
+        let leader_known = agent.leader(self.clock.now()).is_some();
+        let zones_out = member
+            .zoned()
+            .map_or(0, |zones| zones.guide.known().count());
+        for (name, value) in [
+            ("fleet_members", member.group().present_count() as u64),
+            ("fleet_leads", u64::from(leads)),
+            ("fleet_recalls", u64::from(recalls)),
+            ("fleet_leader_known", u64::from(leader_known)),
+            ("fleet_halted", u64::from(agent.halt().is_some())),
+            ("fleet_engines_out", member.engines_out() as u64),
+            ("fleet_zones_out", zones_out as u64),
+            ("fleet_datagrams_sent", self.datagrams_sent.get()),
+            ("fleet_datagrams_heard", self.datagrams_received.get()),
+        ] {
+            // Writing to a String cannot fail.
+            let _ = writeln!(text, "{name} {value}");
+        }
+    }
+}
+
+/// The restart lease that the environment names, 0 for none.
+fn lease_of_start() -> u64 {
+    let Ok(lease) = std::env::var(TURN_VARIABLE) else {
+        return 0;
+    };
+    u64::from_str_radix(lease.trim(), 16).unwrap_or(0)
+}
+
+/// The seed of the decisions comes from the platform, and may be the same at the next start. What tells one life of a
+/// member from the next may not.
+fn incarnation_seed(seed: u64, now_ms: f64) -> u64 {
+    seed ^ (now_ms * 1000.0) as u64 ^ u64::from(std::process::id()) << 32
+}
+
+fn bind(listen: &str) -> Result<Async<UdpSocket>, FleetStartError> {
+    let address: SocketAddr = listen.parse().map_err(|_| FleetStartError::InvalidListen {
+        value: listen.to_owned(),
+    })?;
+    Async::<UdpSocket>::bind(address).map_err(|source| FleetStartError::Bind { address, source })
+}
+
+fn ejection_settings(definition: &schema::Fleet) -> Option<EjectionSettings> {
+    let ejection = definition.ejection.as_ref()?;
+    Some(EjectionSettings {
+        ends: ejection.ends(),
+        part: ejection.part(),
+    })
+}
+
+/// The version that this member reports: the one of the operators' file, else the program's.
+fn version_number(definition: &schema::Fleet) -> u32 {
+    let version = definition.version.as_deref();
+    number_of(version.unwrap_or(env!("CARGO_PKG_VERSION")))
+}
--- /dev/null
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -0,0 +1,94 @@
+//! The endpoint list as the fleet sees it, and which of its engines the fleet has drained.
+
+use crate::query_registry::EndpointEntry;
+use tansymux::events::EndpointState;
+use tansymux::settings::{RawSettings, SettingsMap};
+use tansymux_coordination::limits::Unit;
+use tansymux_operator_config::number_of;
+use tansymux_rollout::Fleet;
+
+/// Follows the endpoint list and the engines that are out by the fleet's agreement.
+pub struct EngineWatch {
+    settings: SettingsMap,
+    /// The endpoint list as it last came, in the order of engine ids.
+    endpoints: Vec<EndpointEntry>,
+    /// The engines that were drained when [`EngineWatch::changes`] was last called.
+    drained: Vec<u64>,
+}
+
+impl EngineWatch {
+    /// No engine is known yet.
+    pub fn new(settings: &SettingsMap) -> Self {
+        EngineWatch {
+            settings: settings.clone(),
+            endpoints: Vec::new(),
+            drained: Vec::new(),
+        }
+    }
+
+    /// Merges entries of an endpoint list, hands the fleet the whole, and marks entries that the fleet has drained.
+    pub fn merge(&mut self, entries: &mut [EndpointEntry], member: &mut Fleet) {
+        for entry in entries.iter() {
+            self.endpoints
+                .retain(|known| known.engine_id != entry.engine_id);
+            if entry.status != EndpointState::Gone {
+                self.endpoints.push(entry.clone());
+            }
+        }
+        self.endpoints.sort_by_key(|endpoint| endpoint.engine_id);
+        let units: Vec<Unit> = self
+            .endpoints
+            .iter()
+            .map(|endpoint| self.unit(endpoint))
+            .collect();
+        member.engines(&units);
+        for entry in entries {
+            let is_drained = member.engine_out(entry.engine_id).is_some();
+            if entry.status == EndpointState::Ready && is_drained {
+                entry.status = EndpointState::Draining;
+            }
+        }
+    }
+
+    /// An engine as the disruption budget counts it.
+    fn unit(&self, endpoint: &EndpointEntry) -> Unit {
+        let cores = self
+            .settings
+            .for_kind(&endpoint.kind, "family-info.cores-by-kind");
+        Unit {
+            id: endpoint.engine_id,
+            zone: number_of(&endpoint.zone),
+            version: 0,
+            there: endpoint.status == EndpointState::Ready,
+            capacity: cores.unwrap_or(1.0),
+        }
+    }
+
+    /// Entries of the engines that were drained or released since the last call.
+    pub fn changes(&mut self, now_ms: f64, member: &Fleet) -> Vec<EndpointEntry> {
+        let mut drained = Vec::new();
+        let mut changes = Vec::new();
+        for endpoint in &self.endpoints {
+            let engine_id = endpoint.engine_id;
+            let is_drained = member.engine_out(engine_id).is_some();
+            let was_drained = self.drained.contains(&engine_id);
+            if is_drained {
+                drained.push(engine_id);
+            }
+            if is_drained && !was_drained {
+                tracing::warn!(engine_id = %format_args!("{engine_id:08x}"), "engine drained by the fleet");
+                changes.push(endpoint.clone());
+            }
+            if was_drained && !is_drained {
+                tracing::info!(engine_id = %format_args!("{engine_id:08x}"), "engine released by the fleet");
+                // As one that has just started, so that all dispatchers return to it in the same way.
+                changes.push(EndpointEntry {
+                    started: Some(now_ms),
+                    ..endpoint.clone()
+                });
+            }
+        }
+        self.drained = drained;
+        changes
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -0,0 +1,101 @@
+use super::*;
+use tansymux::settings;
+use tansymux_sql_analysis::Settings;
+
+#[test]
+fn example_operators_file_gives_the_default_settings() {
+    let text = include_str!("../../../../../deploy/operator.textproto");
+    let operator = tansymux_operator_config::read(text).unwrap();
+    assert_eq!(
+        analysis_settings(&operator.statements.unwrap()),
+        Settings::default()
+    );
+    assert_eq!(
+        analysis_settings(&schema::Statements::default()),
+        Settings::default()
+    );
+}
+
+#[test]
+fn nothing_is_read_while_off_and_a_new_definition_keeps_what_was_learned() {
+    let settings = settings::parse_pairs(
+        "services.count=2 services.0.name=look services.0.effect=read_like services.1.name=load \
+         services.1.effect=non_idempotent family-info.dop=1,4",
+    );
+    let classes = StatementClassifier::new(&settings.unwrap(), [1; 16]);
+    assert!(
+        classes.classify(b"select 1", 0.0).is_none()
+            && classes.check("look", "1", b"delete from t").is_none()
+    );
+    let definition = |check: Check| schema::Statements {
+        path: Some("/s".into()),
+        check: Some(check as i32),
+        groups: Some(schema::Groups {
+            look_up: Some("look".into()),
+            report: Some("look".into()),
+            load: Some("load".into()),
+            unknown: None,
+        }),
+        ..Default::default()
+    };
+    classes.reconfigure(Some(&definition(Check::Log)));
+    let first = classes
+        .classify(b"select a from t where b = 1", 0.0)
+        .unwrap();
+    assert_eq!(
+        (first.group.as_deref(), first.traits.may_write),
+        (Some("look"), false)
+    );
+    let taken = ClassifiedAttempt {
+        shape: first.shape,
+        rg: "look".into(),
+        waited: false,
+    };
+    let ended = AttemptEnded {
+        query_id: 1,
+        attempt: 0,
+        engine_id: 1,
+        outcome: Outcome::Completed,
+        answer_delivered: false,
+        latency_ms: 7.0,
+        used: None,
+    };
+    (0..9).for_each(|_| classes.on_attempt_ended(0.0, &ended, &taken));
+    let unknown = classes.classify(b"call f()", 0.0).unwrap();
+    assert_eq!(
+        (unknown.group.as_deref(), unknown.traits.may_write),
+        (Some("load"), true)
+    );
+    assert!(
+        !classes
+            .check("look", "1", b"delete from t")
+            .unwrap()
+            .traits
+            .may_write
+    );
+    classes.reconfigure(Some(&definition(Check::Enforce)));
+    assert!(
+        classes
+            .check("look", "1", b"delete from t")
+            .unwrap()
+            .traits
+            .may_write
+    );
+    assert!(
+        !classes
+            .check("load", "1", b"delete from t")
+            .unwrap()
+            .traits
+            .may_write
+    );
+    assert_eq!(classes.counts.understated.get(), 2);
+    let again = classes
+        .classify(b"select a from t where b = 2", 0.0)
+        .unwrap();
+    assert!(
+        (again.cost_ms - 7.0).abs() < 0.1 && again.traits.confidence > 0.4,
+        "{again:?}"
+    );
+    classes.reconfigure(None);
+    assert!(!classes.is_path("/s"));
+}
--- /dev/null
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -0,0 +1,315 @@
+//! Zone routing in the program: gathers evidence on the health of zones, exchanges it with peers and the fleet, and
+//! hands the decisions the routing plan that follows. It places no query.
+//!
+//! What is made of the evidence is the `tansymux-zone-routing` package's. Start reading at [`ZoneRouting::tick`].
+
+mod display;
+
+use super::fleet::FleetService;
+use crate::config::read_groups;
+use crate::query_registry::EndpointEntry;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use tansymux::control::Control;
+use tansymux::events::{EndpointState, Outcome, PeerMessage};
+use tansymux::settings::{RawSettings, SettingsMap};
+use tansymux::zone_plan;
+use tansymux_operator_config::{number_of, schema};
+use tansymux_zone_evacuation::wire::{Evidence, Reach as FleetReach};
+use tansymux_zone_evacuation::Use;
+use tansymux_zone_routing::message::Reach;
+use tansymux_zone_routing::{Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
+
+/// Threads that a dispatcher asks the fleet for beside those in flight: one with nothing in flight wants some too.
+const MIN_DEMAND_THREADS: f64 = 0.1;
+/// How often (ms) evidence is evaluated.
+const TICK_INTERVAL_MS: f64 = 100.0;
+
+/// What a tick of zone routing asks for.
+#[derive(Debug, Default)]
+pub struct ZoneTick {
+    /// Evidence was evaluated in this round; what follows from it is done then, and not in every round.
+    pub evaluated: bool,
+    /// A message for all peers.
+    pub peer_message: Option<Vec<u8>>,
+}
+
+/// Zones as this dispatcher sees them.
+pub struct ZoneRouting {
+    detector: RefCell<Option<ZoneHealthDetector>>,
+    local_zone: String,
+    /// Names of the resource groups, by their index.
+    groups: Vec<String>,
+    dispatcher_count: f64,
+    settings: SettingsMap,
+    /// The endpoint list as it last came, in the order of engine ids.
+    endpoints: RefCell<Vec<Engine>>,
+    last_tick_ms: Cell<f64>,
+    /// Changes of a zone's state since the start.
+    state_changes: Cell<u64>,
+}
+
+impl ZoneRouting {
+    /// Zone routing is off until [`reconfigure`](Self::reconfigure) defines it.
+    pub fn new(settings: &SettingsMap) -> Self {
+        let groups = read_groups(settings);
+        ZoneRouting {
+            detector: RefCell::default(),
+            local_zone: settings.get("zone").cloned().unwrap_or_default(),
+            groups: groups
+                .into_iter()
+                .map(|group| group.name.unwrap_or_default())
+                .collect(),
+            dispatcher_count: settings.number("balancers").unwrap_or(1.0),
+            settings: settings.clone(),
+            endpoints: RefCell::default(),
+            last_tick_ms: Cell::new(f64::NEG_INFINITY),
+            state_changes: Cell::default(),
+        }
+    }
+
+    /// Applies `halls` of an operators' file that was checked. What is known of zones is kept.
+    pub fn reconfigure(&self, zones: Option<&schema::Halls>, now_ms: f64, control: &mut Control) {
+        let definition = zones.map(tansymux_operator_config::zones);
+        let mut detector = self.detector.borrow_mut();
+        match (detector.as_mut(), definition) {
+            (current, None) => {
+                if current.is_some() {
+                    *detector = None;
+                    tracing::info!("zone routing disabled");
+                }
+                control.set_zone_plan(None);
+            }
+            (Some(current), Some(definition)) => {
+                if *current.definition() != definition {
+                    current.redefine(definition);
+                }
+            }
+            (None, Some(definition)) => {
+                let mut new = ZoneHealthDetector::new(definition, self.dispatcher_count);
+                new.listed(now_ms, &self.endpoints.borrow());
+                *detector = Some(new);
+            }
+        }
+        // The next round evaluates, and hands out the plan.
+        self.last_tick_ms.set(f64::NEG_INFINITY);
+    }
+
+    /// Merges entries of an endpoint list.
+    pub fn on_endpoints(&self, now_ms: f64, entries: &[EndpointEntry]) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        for entry in entries {
+            endpoints.retain(|known| known.engine_id != entry.engine_id);
+            if entry.status == EndpointState::Gone {
+                continue;
+            }
+            let cores = self
+                .settings
+                .for_kind(&entry.kind, "family-info.cores-by-kind");
+            endpoints.push(Engine {
+                engine_id: entry.engine_id,
+                zone: entry.zone.clone(),
+                cores: cores.unwrap_or(1.0),
+                ready: entry.status == EndpointState::Ready,
+            });
+        }
+        endpoints.sort_by_key(|engine| engine.engine_id);
+        if let Some(detector) = self.detector.borrow_mut().as_mut() {
+            detector.listed(now_ms, &endpoints);
+        }
+    }
+
+    /// An attempt or a health check ended: whether the engine was reached.
+    pub fn on_attempt_ended(&self, now_ms: f64, engine_id: u64, outcome: Outcome) {
+        let kind = match outcome {
+            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            // Cancelled here, or never sent: that says nothing of the engine.
+            Outcome::Cancelled | Outcome::NotSent => return,
+        };
+        self.observe(now_ms, engine_id, kind);
+    }
+
+    /// An engine sent a progress note, so it is reached.
+    pub fn on_progress_note(&self, now_ms: f64, engine_id: u64) {
+        self.observe(now_ms, engine_id, Kind::Heard);
+    }
+
+    fn observe(&self, now_ms: f64, engine_id: u64, kind: Kind) {
+        if let Some(detector) = self.detector.borrow_mut().as_mut() {
+            detector.seen(now_ms, Seen { engine_id, kind });
+        }
+    }
+
+    /// Whether the operators' file defines zone routing.
+    pub fn is_enabled(&self) -> bool {
+        self.detector.borrow().is_some()
+    }
+
+    /// Evaluates the evidence, every [`TICK_INTERVAL_MS`], and hands the decisions the plan that follows.
+    pub fn tick(
+        &self,
+        now_ms: f64,
+        control: &mut Control,
+        fleet: Option<&FleetService>,
+    ) -> ZoneTick {
+        let mut detector = self.detector.borrow_mut();
+        let Some(detector) = detector.as_mut() else {
+            return ZoneTick::default();
+        };
+        if now_ms - self.last_tick_ms.get() < TICK_INTERVAL_MS {
+            return ZoneTick {
+                // A second round at the same time goes on from the first one's.
+                evaluated: self.last_tick_ms.get() == now_ms,
+                peer_message: None,
+            };
+        }
+        self.last_tick_ms.set(now_ms);
+        detector.look(now_ms);
+        for change in detector.changes() {
+            self.state_changes.set(self.state_changes.get() + 1);
+            display::log_change(&change);
+        }
+        let mut plan = detector.plan(&self.local_zone, &self.groups);
+        if let Some(fleet) = fleet.filter(|fleet| fleet.coordinates_zones()) {
+            let demand_threads = control.threads_in_flight() + MIN_DEMAND_THREADS;
+            fleet.report_zones(fleet_evidence(detector, demand_threads), detector.alone());
+            self.apply_fleet_decisions(fleet, detector.definition().climb.whole, &mut plan);
+        }
+        control.set_zone_plan(Some(&decisions_plan(&plan)));
+        ZoneTick {
+            evaluated: true,
+            peer_message: detector.tells(now_ms),
+        }
+    }
+
+    /// Replaces what this dispatcher judged alone by what the fleet decided, for the zones that it decided on.
+    /// `max_utilization`: threads a core that an engine may get at most.
+    fn apply_fleet_decisions(&self, fleet: &FleetService, max_utilization: f64, plan: &mut Plan) {
+        let endpoints = self.endpoints.borrow();
+        for zone in &mut plan.zones {
+            let fraction = match fleet.zone_use(&zone.name) {
+                Use::Own => continue,
+                Use::Closed => 0.0,
+                Use::Part(fraction) => fraction,
+            };
+            zone.state = if fraction > 0.0 {
+                ZoneState::Climbing(fraction)
+            } else {
+                ZoneState::Cut
+            };
+            for engine in &mut plan.engines {
+                let endpoint = endpoints.iter().find(|endpoint| {
+                    endpoint.engine_id == engine.engine_id && endpoint.zone == zone.name
+                });
+                if let Some(endpoint) = endpoint {
+                    engine.threads = endpoint.cores * max_utilization * fraction;
+                }
+            }
+        }
+    }
+
+    /// The engine of a zone that is cut off whose health is to be checked now, if one is.
+    pub fn next_health_check(&self, now_ms: f64) -> Option<u64> {
+        self.detector.borrow_mut().as_mut()?.probes(now_ms)
+    }
+
+    /// Whether it is a message about zones. While zone routing is off it is passed over.
+    pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
+        if message.content.first() != Some(&tansymux_zone_routing::message::KIND) {
+            return false;
+        }
+        if let Some(detector) = self.detector.borrow_mut().as_mut() {
+            detector.heard(now_ms, message.peer, message.content);
+        }
+        true
+    }
+
+    /// Threads of low work that spilled into each zone of the endpoint list. `spilled_threads` reads them from the
+    /// decisions.
+    pub fn spills(&self, spilled_threads: impl Fn(&str) -> f64) -> Vec<(String, f64)> {
+        let mut spills: Vec<(String, f64)> = Vec::new();
+        for engine in &*self.endpoints.borrow() {
+            if !spills.iter().any(|(zone, _)| *zone == engine.zone) {
+                spills.push((engine.zone.clone(), spilled_threads(&engine.zone)));
+            }
+        }
+        spills
+    }
+
+    /// What `/_halls` answers. `spilled_threads`: what spilled into a zone, as last read.
+    pub fn to_json(&self, now_ms: f64, spilled_threads: impl Fn(&str) -> f64) -> Value {
+        let detector = self.detector.borrow();
+        let Some(detector) = detector.as_ref() else {
+            return display::disabled();
+        };
+        let plan = detector.plan(&self.local_zone, &self.groups);
+        let mut zones = Vec::new();
+        for zone in &plan.zones {
+            let spilled = spilled_threads(&zone.name);
+            zones.push(display::zone_json(zone, &self.groups, spilled));
+        }
+        display::to_json(&display::ZoneReport {
+            now_ms,
+            local_zone: &self.local_zone,
+            isolated: plan.alone,
+            zones,
+            history: detector.history(),
+        })
+    }
+
+    /// Lines for the counters; none while off.
+    pub fn write_counters(&self, text: &mut String) {
+        let detector = self.detector.borrow();
+        let Some(detector) = detector.as_ref() else {
+            return;
+        };
+        // Writing to a String cannot fail.
+        let _ = writeln!(text, "hall_changes {}", self.state_changes.get());
+        let _ = writeln!(text, "halls_alone {}", u8::from(detector.alone()));
+    }
+}
+
+/// What this dispatcher observed of each zone, in the fleet's form.
+fn fleet_evidence(detector: &ZoneHealthDetector, demand_threads: f64) -> Vec<Evidence> {
+    let mut evidence = Vec::new();
+    for (name, reach, [good, bad]) in detector.reaches() {
+        evidence.push(Evidence {
+            zone: number_of(name),
+            reach: match reach {
+                Reach::Well => FleetReach::Well,
+                Reach::Climbing => FleetReach::Climbing,
+                Reach::Cut => FleetReach::Cut,
+                Reach::Unknown => FleetReach::Unknown,
+            },
+            threads: demand_threads as f32,
+            good,
+            bad,
+        });
+    }
+    evidence
+}
+
+/// The plan in the decisions' form.
+fn decisions_plan(plan: &Plan) -> zone_plan::ZonePlan {
+    let mut zones = Vec::new();
+    for zone in &plan.zones {
+        zones.push(zone_plan::ZoneLimits {
+            name: zone.name.clone(),
+            tiers: zone.ranks.clone(),
+            max_spill_threads: zone.spill,
+            max_spill_threads_by_group: zone.spill_by_class.clone(),
+        });
+    }
+    zone_plan::ZonePlan {
+        zones,
+        engines: plan
+            .engines
+            .iter()
+            .map(|engine| (engine.engine_id, engine.threads))
+            .collect(),
+        cross_zone_retry_ratio: plan.cross_retries,
+        isolated: plan.alone,
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/subsystems/zone_routing/display.rs
@@ -0,0 +1,102 @@
+//! Zone routing for people: the JSON of `/_halls`, and the log line of a change. Its words are the operators' pages',
+//! and do not change with the names in the code.
+
+use serde_json::{json, Map, Value};
+use tansymux_zone_routing::{Changed, Why, ZonePlan, ZoneState};
+
+/// What `/_halls` answers while zone routing is off.
+pub fn disabled() -> Value {
+    json!({"defined": false})
+}
+
+/// What `/_halls` is put together from.
+pub struct ZoneReport<'a> {
+    /// The time of the answer.
+    pub now_ms: f64,
+    /// This dispatcher's own zone.
+    pub local_zone: &'a str,
+    /// All zones fail from here: this dispatcher is cut off itself.
+    pub isolated: bool,
+    /// Each zone, as [`zone_json`] gives it.
+    pub zones: Vec<Value>,
+    /// Changes of zones' states, the latest last.
+    pub history: &'a [Changed],
+}
+
+/// What `/_halls` answers.
+pub fn to_json(report: &ZoneReport) -> Value {
+    let history: Vec<Value> = report.history.iter().rev().map(change_json).collect();
+    json!({
+        "defined": true,
+        "own": report.local_zone,
+        "alone": report.isolated,
+        "now": report.now_ms,
+        "halls": report.zones,
+        "history": history,
+    })
+}
+
+/// One zone of `/_halls`.
+pub fn zone_json(zone: &ZonePlan, groups: &[String], spilled_threads: f64) -> Value {
+    let fraction = match zone.state {
+        ZoneState::Climbing(fraction) => json!(fraction),
+        ZoneState::Well | ZoneState::Cut => Value::Null,
+    };
+    let mut ranks = Map::new();
+    for (group, rank) in groups.iter().zip(&zone.ranks) {
+        ranks.insert(group.clone(), json!(rank));
+    }
+    let spill_limit = if zone.spill.is_finite() {
+        json!(zone.spill)
+    } else {
+        Value::Null
+    };
+    json!({
+        "hall": zone.name,
+        "state": state_text(zone.state),
+        "part": fraction,
+        "rank": ranks,
+        "spilled_threads": spilled_threads,
+        "spill_most": spill_limit,
+    })
+}
+
+fn change_json(change: &Changed) -> Value {
+    json!({
+        "at": change.at,
+        "hall": change.zone,
+        "state": state_text(change.state),
+        "why": reason_text(change.why),
+    })
+}
+
+/// Logs a change of a zone's state.
+pub fn log_change(change: &Changed) {
+    let zone = &change.zone;
+    let state = state_text(change.state);
+    let reason = reason_text(change.why);
+    tracing::warn!(zone, %state, %reason, "zone state changed");
+}
+
+fn state_text(state: ZoneState) -> &'static str {
+    match state {
+        ZoneState::Well => "well",
+        ZoneState::Cut => "cut",
+        ZoneState::Climbing(_) => "climbing",
+    }
+}
+
+fn reason_text(reason: Why) -> &'static str {
+    match reason {
+        Why::Lost => "Lost",
+        Why::LostFromHere => "LostFromHere",
+        Why::Heard => "Heard",
+        Why::Untried => "Untried",
+        Why::Climbed => "Climbed",
+        Why::FailsAgain => "FailsAgain",
+        Why::Alone => "Alone",
+        Why::NotAlone => "NotAlone",
+        Why::ListDrops => "ListDrops",
+        Why::Gone => "Gone",
+    }
+}
