--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -202,8 +202,8 @@
             return Ok(report(&answer));
         };
         let mut count = 0;
-        for (zone, state, quota) in zones.iter().flatten() {
-            println!("{}", zone_line(*zone, state, *quota));
+        for entry in zones.iter().flatten() {
+            println!("{}", zone_line(entry));
             count += 1;
         }
         println!("{count} zones are not whole");
--- a/crates/dispatcher/src/fleet_client/display.rs
+++ b/crates/dispatcher/src/fleet_client/display.rs
@@ -3,7 +3,8 @@
 use tansymux_coordination::limits::Scope;
 use tansymux_coordination::{Stage as ReleaseStage, Why as OutReason};
 use tansymux_rollout::message::{Answer, Status};
-use tansymux_zone_evacuation::{Fleetwide, Stage as ZoneStage, Why as ZoneReason};
+use tansymux_zone_evacuation::codec::ZoneEntry;
+use tansymux_zone_evacuation::Stage as ZoneStage;
 
 /// One line that says what a member answered.
 pub fn answer_text(answer: &Answer) -> String {
@@ -74,31 +75,19 @@
 }
 
 /// A line of `tansymux fleet zones`.
-pub fn zone_line(zone: u32, record: &Fleetwide, quota: f32) -> String {
-    let stage = if record.stage == ZoneStage::Left {
+pub fn zone_line(entry: &ZoneEntry) -> String {
+    let status = &entry.status;
+    let stage = if status.stage == ZoneStage::Evacuated {
         "left"
     } else {
         "returns"
     };
     format!(
-        "{zone:08x} {stage} step {} number {} why {} shares {quota:.3}",
-        record.step,
-        record.number,
-        zone_reason_text(record.why)
+        "{:08x} {stage} step {} number {} why {} shares {:.3}",
+        entry.zone, status.step, status.decision_number, status.reason, entry.quota
     )
 }
 
-fn zone_reason_text(reason: ZoneReason) -> &'static str {
-    match reason {
-        ZoneReason::Lost => "Lost",
-        ZoneReason::CutOff => "CutOff",
-        ZoneReason::ByHand => "ByHand",
-        ZoneReason::Reached => "Reached",
-        ZoneReason::Worsened => "Worsened",
-        ZoneReason::Whole => "Whole",
-    }
-}
-
 /// Why a member or an engine is out.
 fn out_reason_text(reason: OutReason) -> &'static str {
     match reason {
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -23,8 +23,7 @@
 use tansymux_operator_config::{number_of, schema};
 use tansymux_rollout::evidence::{Evidence as EngineEvidence, Terms as EjectionSettings};
 use tansymux_rollout::{Fleet, Own};
-use tansymux_zone_evacuation::wire::Evidence as ZoneEvidence;
-use tansymux_zone_evacuation::Use;
+use tansymux_zone_evacuation::{Evidence as ZoneEvidence, ZoneUse};
 
 /// How often (ms) this dispatcher's report is put together.
 const REPORT_INTERVAL_MS: f64 = 200.0;
@@ -222,7 +221,7 @@
     }
 
     /// How a zone may be used, as the fleet agreed.
-    pub fn zone_use(&self, zone: &str) -> Use {
+    pub fn zone_use(&self, zone: &str) -> ZoneUse {
         self.member.borrow().use_of(number_of(zone))
     }
 
@@ -305,7 +304,7 @@
         let leader_known = agent.leader(self.clock.now()).is_some();
         let zones_out = member
             .zoned()
-            .map_or(0, |zones| zones.guide.known().count());
+            .map_or(0, |zones| zones.guide.statuses().count());
         for (name, value) in [
             ("fleet_members", member.group().present_count() as u64),
             ("fleet_leads", u64::from(leads)),
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -16,8 +16,7 @@
 use tansymux::settings::{RawSettings, SettingsMap};
 use tansymux::zone_plan;
 use tansymux_operator_config::{number_of, schema};
-use tansymux_zone_evacuation::wire::{Evidence, Reach as FleetReach};
-use tansymux_zone_evacuation::Use;
+use tansymux_zone_evacuation::{Evidence, Reachability, ZoneUse};
 use tansymux_zone_routing::message::Reach;
 use tansymux_zone_routing::{Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
 
@@ -190,9 +189,9 @@
         let endpoints = self.endpoints.borrow();
         for zone in &mut plan.zones {
             let fraction = match fleet.zone_use(&zone.name) {
-                Use::Own => continue,
-                Use::Closed => 0.0,
-                Use::Part(fraction) => fraction,
+                ZoneUse::LocalDecision => continue,
+                ZoneUse::Closed => 0.0,
+                ZoneUse::Fraction(fraction) => fraction,
             };
             zone.state = if fraction > 0.0 {
                 ZoneState::Climbing(fraction)
@@ -277,15 +276,15 @@
     for (name, reach, [good, bad]) in detector.reaches() {
         evidence.push(Evidence {
             zone: number_of(name),
-            reach: match reach {
-                Reach::Well => FleetReach::Well,
-                Reach::Climbing => FleetReach::Climbing,
-                Reach::Cut => FleetReach::Cut,
-                Reach::Unknown => FleetReach::Unknown,
+            reachability: match reach {
+                Reach::Well => Reachability::Reachable,
+                Reach::Climbing => Reachability::Recovering,
+                Reach::Cut => Reachability::Unreachable,
+                Reach::Unknown => Reachability::Unknown,
             },
             threads: demand_threads as f32,
-            good,
-            bad,
+            successes: good,
+            failures: bad,
         });
     }
     evidence
