Discovery and DNS: typed errors, reject reasons as an enum, records read by pure functions

Change: DnsError, RejectReason (shown as the field `reason` of "endpoint list update rejected") and UnusableAnswer ("name service answer ignored"); EndpointDirectory begins an update, reads entries (discovery/records.rs) and finishes it; constants singly with unit and source. Bytes of queries, order of records and of engine numbers as before.

--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::dns::Srv;
+use std::net::{Ipv4Addr, SocketAddr};
 
 /// An answer that lists these: id, whether it drains, when it started.
 fn answer(serial: u32, engines: &[(&str, bool, f64)]) -> Answer {
@@ -32,7 +33,7 @@
 const TWO: &[(&str, bool, f64)] = &[("s-1", false, 0.0), ("s-2", false, 0.0)];
 
 /// The directory with both engines ready, as the answer to question 10 told, and what is asked of it.
-fn told_two(serial: u32) -> EndpointDirectory {
+fn directory_of_two(serial: u32) -> EndpointDirectory {
     let mut directory = EndpointDirectory {
         serial: serial - 1,
         ..EndpointDirectory::default()
@@ -54,7 +55,7 @@
 }
 
 #[test]
-fn an_engine_without_records_is_gone_and_an_old_list_is_passed_over() {
+fn an_engine_without_records_is_gone_and_an_older_answer_is_ignored() {
     let mut directory = EndpointDirectory {
         serial: 3,
         ..EndpointDirectory::default()
@@ -109,7 +110,7 @@
     assert_eq!(
         (
             directory.engine_ids.len(),
-            directory.taken.len(),
+            directory.assigned.len(),
             directory.engine_id("s-old")
         ),
         (1, 1, old)
@@ -117,16 +118,16 @@
 }
 
 #[test]
-fn a_serial_that_was_spoilt_upwards_is_not_believed_and_good_lists_go_on() {
-    let mut directory = told_two(5);
-    let spoilt = answer(5 | 1 << 20, &[("s-1", false, 0.0)]);
+fn a_leaping_serial_is_rejected_and_good_updates_continue() {
+    let mut directory = directory_of_two(5);
+    let corrupt = answer(5 | 1 << 20, &[("s-1", false, 0.0)]);
     assert_eq!(
-        directory.apply_answer(&spoilt, 11),
-        AnswerOutcome::Rejected("its serial leaps ahead")
+        directory.apply_answer(&corrupt, 11),
+        AnswerOutcome::Rejected(RejectReason::SerialLeapsAhead)
     );
     // Its copy is the same answer, not a second one.
     assert!(matches!(
-        directory.apply_answer(&spoilt, 11),
+        directory.apply_answer(&corrupt, 11),
         AnswerOutcome::Rejected(_)
     ));
     assert_eq!(
@@ -135,7 +136,7 @@
     );
     assert!(
         matches!(
-            directory.apply_answer(&spoilt, 13),
+            directory.apply_answer(&corrupt, 13),
             AnswerOutcome::Rejected(_)
         ),
         "what lies between breaks the chain"
@@ -157,16 +158,16 @@
 }
 
 #[test]
-fn a_spoilt_list_that_was_believed_is_replaced_once_two_answers_agree() {
-    let mut directory = told_two(5);
-    // One bit in the serial, and a record lost: nothing shows that it is spoilt.
+fn a_corrupt_update_is_replaced_once_two_answers_agree() {
+    let mut directory = directory_of_two(5);
+    // One bit in the serial, and a record lost: nothing shows that it is corrupt.
     assert!(matches!(
         directory.apply_answer(&answer(7, &[("s-1", false, 0.0)]), 11),
         AnswerOutcome::Updated(_)
     ));
     assert!(matches!(
         directory.apply_answer(&answer(5, TWO), 12),
-        AnswerOutcome::Rejected("its serial goes back")
+        AnswerOutcome::Rejected(RejectReason::SerialGoesBack)
     ));
     assert!(
         matches!(
@@ -182,8 +183,8 @@
     assert_eq!(directory.serial, 5);
     // The same under the same serial.
     let other = [("s-1", true, 0.0), ("s-2", false, 0.0)];
-    let why = AnswerOutcome::Rejected("it says something else under the same serial");
-    assert_eq!(directory.apply_answer(&answer(5, &other), 14), why);
+    let rejected = AnswerOutcome::Rejected(RejectReason::RecordsDiffer);
+    assert_eq!(directory.apply_answer(&answer(5, &other), 14), rejected);
     assert!(matches!(
         directory.apply_answer(&answer(5, &other), 15),
         AnswerOutcome::Updated(_)
@@ -192,9 +193,9 @@
 }
 
 #[test]
-fn a_service_that_lags_behind_takes_no_drain_and_no_end_back() {
+fn a_lagging_name_service_does_not_revert_drains_or_departures() {
     // Told by one service: s-1 drains, s-3 is gone. Another, that is asked from now on, does not know yet.
-    let mut directory = told_two(5);
+    let mut directory = directory_of_two(5);
     let three = [
         ("s-1", false, 0.0),
         ("s-2", false, 0.0),
@@ -221,7 +222,7 @@
     assert_eq!(status(&directory, "s-2"), Some(EndpointState::Ready));
     assert_eq!(status(&directory, "s-3"), None);
     // An engine that started since is another matter, and so is what goes a step ahead.
-    let mut directory = told_two(5);
+    let mut directory = directory_of_two(5);
     assert!(matches!(
         directory.apply_answer(&answer(6, &[("s-2", false, 0.0)]), 11),
         AnswerOutcome::Updated(_)
@@ -239,8 +240,8 @@
 }
 
 #[test]
-fn a_list_that_would_leave_nothing_ready_is_not_held_to_what_was_told_before() {
-    let mut directory = told_two(5);
+fn an_older_update_is_believed_where_no_engine_would_stay_ready() {
+    let mut directory = directory_of_two(5);
     assert!(matches!(
         directory.apply_answer(&answer(7, &[("s-9", false, 0.0)]), 11),
         AnswerOutcome::Updated(_)
@@ -257,8 +258,8 @@
 }
 
 #[test]
-fn of_two_records_of_one_engine_the_graver_holds() {
-    let mut directory = told_two(5);
+fn of_two_records_of_one_engine_draining_wins() {
+    let mut directory = directory_of_two(5);
     let twice = [("s-1", false, 0.0), ("s-1", true, 0.0), ("s-2", false, 0.0)];
     let AnswerOutcome::Updated(listed) = directory.apply_answer(&answer(6, &twice), 11) else {
         panic!()
@@ -268,8 +269,8 @@
 }
 
 #[test]
-fn an_engine_whose_address_a_later_one_has_is_gone_though_it_is_still_listed() {
-    let mut directory = told_two(5);
+fn an_engine_whose_address_a_newer_engine_has_is_gone() {
+    let mut directory = directory_of_two(5);
     let mut both = answer(
         6,
         &[
@@ -295,8 +296,8 @@
 }
 
 #[test]
-fn serials_go_round() {
-    let mut directory = told_two(u32::MAX);
+fn serials_wrap_around() {
+    let mut directory = directory_of_two(u32::MAX);
     assert!(matches!(
         directory.apply_answer(&answer(0, TWO), 11),
         AnswerOutcome::Updated(_)
@@ -308,7 +309,7 @@
 }
 
 #[test]
-fn an_engine_keeps_its_number_and_two_never_share_one() {
+fn engine_ids_are_stable_and_unique() {
     let mut directory = EndpointDirectory::default();
     let engine_id = directory.engine_id("s-341e1dd2");
     assert_eq!(
@@ -319,6 +320,6 @@
         (engine_id, engine_id)
     );
     let mut taken = EndpointDirectory::default();
-    taken.taken.insert(engine_id, ());
+    taken.assigned.insert(engine_id);
     assert_eq!(taken.engine_id("s-341e1dd2"), (engine_id + 1) & 0xffff_ffff);
 }
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -1,147 +1,194 @@
-//! The name service: asks over and over for the list of engines and tells what has changed.
+//! Discovery: queries the name service for the endpoint list, over and over, and reports what has changed.
+//!
+//! It owns the socket and the [`EndpointDirectory`], the list as it is believed; whether an answer is believed is
+//! decided there. It never decides anything about queries: an update leaves as one event.
 
 mod directory;
+mod records;
+mod reject_reason;
 
-use crate::dns;
-use crate::query_registry::{Event, QueryRegistry};
-use async_io::{Async, Timer};
 pub use directory::{AnswerOutcome, EndpointDirectory};
+
+use crate::dns::{self, Answer, DnsError};
+use crate::query_registry::{EndpointEntry, Event, QueryRegistry};
+use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tansymux::events::EndpointListKind;
+use thiserror::Error;
 
+/// The name under which engines are listed.
 const SERVICE: &str = "_back._tcp.pool.lan";
-/// What the service has to tell counts as told 7 s later at the latest, and a drain's grace may be a quarter of a
-/// second: a list that comes late by one question and its way is still early.
-const ASK_EVERY: Duration = Duration::from_millis(250);
-const MAX_ANSWER: usize = 16 * 1024;
-/// Answers to this many of the last questions still count.
-const QUESTIONS_OPEN: u64 = 20;
-/// With nothing of use heard for so many questions, the next goes out from another socket: what lies between may have
-/// forgotten the way back to the old one, and nothing would tell.
-const QUESTIONS_UNHEARD: u32 = 8;
-
-/// Asks and listens until dropped. `resolver` may come to name another address at any time: what is known stays
-/// known, the next question goes there, and what still comes from the old one is passed over.
+/// Time between two queries. The platform counts a change as announced 7 s after it at the latest, and a drain's grace
+/// period may be a quarter of a second: an update that comes one query and its way late is still early.
+const QUERY_INTERVAL: Duration = Duration::from_millis(250);
+/// Bytes of an answer at most: a bound of ours, above the 8,000 bytes that the protocol lets through.
+const MAX_ANSWER_BYTES: usize = 16 * 1024;
+/// Answers to this many of the last queries still count.
+const OPEN_QUERIES: u64 = 20;
+/// After so many queries without a usable answer, the next one goes out from another socket: what lies between may have
+/// forgotten the way back to the old one, and nothing would say so.
+const MAX_UNANSWERED_QUERIES: u32 = 8;
+
+/// Why a datagram is no answer to a query of ours.
+#[derive(Debug, Error)]
+enum UnusableAnswer {
+    #[error("{0}")]
+    Malformed(#[from] DnsError),
+    #[error("it does not come from the name service")]
+    UnknownSender,
+    #[error("it answers no open query")]
+    UnknownQuery,
+}
+
+/// Keeps the endpoint list up to date until dropped. `resolver` may be changed at any time: what is known stays known,
+/// the next query goes to the new address, and answers from the old one are ignored.
 pub async fn follow(
     registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
     directory: EndpointDirectory,
     first_id: u16,
 ) {
-    let following = Following {
+    let watcher = Watcher {
         registry,
         resolver,
         directory: RefCell::new(directory),
         first_id,
-        asked: Cell::new(0),
-        unheard: Cell::new(0),
+        queries: Cell::new(0),
+        unanswered: Cell::new(0),
     };
-    let mut socket = following.bind(None).await;
+    let mut socket = watcher.bind(None).await;
     loop {
-        future::or(following.ask(&socket), following.listen(&socket)).await;
+        future::or(
+            watcher.send_queries(&socket),
+            watcher.receive_answers(&socket),
+        )
+        .await;
         tracing::warn!(
-            questions = QUESTIONS_UNHEARD,
-            "the name service is silent: it is asked from another socket"
+            unanswered = MAX_UNANSWERED_QUERIES,
+            "name service silent, opening another socket"
         );
-        socket = following.bind(Some(socket)).await;
+        socket = watcher.bind(Some(socket)).await;
     }
 }
 
-struct Following {
+struct Watcher {
     registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
     directory: RefCell<EndpointDirectory>,
+    /// The id of query 0; ids go up by one for each query.
     first_id: u16,
-    /// Questions so far; the id of the last is the first id and so many more.
-    asked: Cell<u64>,
-    /// Questions since an answer was of use.
-    unheard: Cell<u32>,
+    /// Queries so far, which is also the number of the last one.
+    queries: Cell<u64>,
+    /// Queries since the last answer of use.
+    unanswered: Cell<u32>,
 }
 
-impl Following {
-    /// A new socket, or the old one where no descriptor is left; with neither it tries again, as without a list
-    /// nothing else is of use.
+impl Watcher {
+    /// A new socket, or the old one where no descriptor is left; with neither it tries again, as without a list nothing
+    /// else is of use.
     async fn bind(&self, old: Option<Async<UdpSocket>>) -> Async<UdpSocket> {
-        self.unheard.set(0);
+        self.unanswered.set(0);
         loop {
             match Async::<UdpSocket>::bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0))) {
                 Ok(socket) => return socket,
-                Err(e) => tracing::error!(error = %e, "no socket for the name service"),
+                Err(error) => tracing::error!(%error, "cannot open a socket for discovery"),
             }
             match old {
                 Some(old) => return old,
-                None => Timer::after(ASK_EVERY).await,
+                None => Timer::after(QUERY_INTERVAL).await,
             };
         }
     }
 
-    fn id(&self) -> u16 {
-        self.first_id.wrapping_add(self.asked.get() as u16)
+    /// The id of the last query.
+    fn last_id(&self) -> u16 {
+        self.first_id.wrapping_add(self.queries.get() as u16)
     }
 
-    /// Asks until nothing of use was heard for too long.
-    async fn ask(&self, socket: &Async<UdpSocket>) {
-        let mut times = Timer::interval_at(Instant::now(), ASK_EVERY);
-        while self.unheard.get() < QUESTIONS_UNHEARD && times.next().await.is_some() {
+    /// Sends queries until too many in a row got no answer of use.
+    async fn send_queries(&self, socket: &Async<UdpSocket>) {
+        let mut ticks = Timer::interval_at(Instant::now(), QUERY_INTERVAL);
+        while self.unanswered.get() < MAX_UNANSWERED_QUERIES && ticks.next().await.is_some() {
             let Some(resolver) = self.resolver.get() else {
                 continue;
             };
-            self.asked.set(self.asked.get() + 1);
-            self.unheard.set(self.unheard.get() + 1);
+            self.queries.set(self.queries.get() + 1);
+            self.unanswered.set(self.unanswered.get() + 1);
             self.registry.counters.dns_queries.increment();
-            if let Err(e) = socket
-                .send_to(&dns::query(self.id(), SERVICE, dns::SRV), resolver)
-                .await
-            {
-                tracing::warn!(error = %e, "the name service could not be asked");
+            let query = dns::encode_query(self.last_id(), SERVICE, dns::SRV);
+            if let Err(error) = socket.send_to(&query, resolver).await {
+                tracing::warn!(%resolver, %error, "cannot query the name service");
             }
         }
     }
 
-    async fn listen(&self, socket: &Async<UdpSocket>) {
-        let mut bytes = vec![0; MAX_ANSWER];
+    async fn receive_answers(&self, socket: &Async<UdpSocket>) {
+        let mut buffer = vec![0; MAX_ANSWER_BYTES];
         loop {
-            match socket.recv_from(&mut bytes).await {
-                Ok((count, from)) => self.heard(&bytes[..count], from),
-                Err(e) => {
-                    tracing::warn!(error = %e, "the name service could not be heard");
-                    Timer::after(ASK_EVERY).await;
+            match socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => self.handle_datagram(&buffer[..length], from),
+                Err(error) => {
+                    tracing::warn!(%error, "cannot receive from the name service");
+                    Timer::after(QUERY_INTERVAL).await;
                 }
             }
-            // Who sends without end leaves others their turn.
+            // A sender without end leaves other tasks their turn.
             future::yield_now().await;
         }
     }
 
-    fn heard(&self, bytes: &[u8], from: SocketAddr) {
-        let age = |id: u16| self.id().wrapping_sub(id);
-        let ours = Some(from) == self.resolver.get();
-        let answer = dns::parse(bytes)
-            .filter(|a| ours && u64::from(age(a.id)) < QUESTIONS_OPEN.min(self.asked.get()));
-        let Some(answer) = answer else {
-            self.registry.counters.endpoint_updates_rejected.increment();
-            return tracing::warn!(bytes = bytes.len(), %from, "an answer of the name service could not be used");
-        };
-        let question = self.asked.get() - u64::from(age(answer.id));
-        match self.directory.borrow_mut().apply_answer(&answer, question) {
-            AnswerOutcome::Updated(engines) => {
-                self.registry.counters.endpoint_updates.increment();
-                self.registry.push_event(Event::EndpointList {
-                    form: EndpointListKind::Snapshot,
-                    engines,
-                });
+    fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) {
+        match self.parse(bytes, from) {
+            Ok(answer) => self.handle_answer(&answer),
+            Err(reason) => {
+                self.registry.counters.endpoint_updates_rejected.increment();
+                tracing::warn!(bytes = bytes.len(), %from, %reason, "name service answer ignored");
             }
+        }
+    }
+
+    /// The answer to one of the open queries.
+    fn parse(&self, bytes: &[u8], from: SocketAddr) -> Result<Answer, UnusableAnswer> {
+        let answer = dns::parse_answer(bytes)?;
+        if Some(from) != self.resolver.get() {
+            return Err(UnusableAnswer::UnknownSender);
+        }
+        if self.age_of(&answer) >= OPEN_QUERIES.min(self.queries.get()) {
+            return Err(UnusableAnswer::UnknownQuery);
+        }
+        Ok(answer)
+    }
+
+    /// How many queries went out after the one that this answers.
+    fn age_of(&self, answer: &Answer) -> u64 {
+        u64::from(self.last_id().wrapping_sub(answer.id))
+    }
+
+    fn handle_answer(&self, answer: &Answer) {
+        let query = self.queries.get() - self.age_of(answer);
+        let outcome = self.directory.borrow_mut().apply_answer(answer, query);
+        match outcome {
+            AnswerOutcome::Updated(engines) => self.report_update(engines),
             AnswerOutcome::Unchanged => {}
-            AnswerOutcome::Rejected(why) => {
+            AnswerOutcome::Rejected(reason) => {
                 self.registry.counters.endpoint_updates_rejected.increment();
-                return tracing::warn!(why, "an answer of the name service is passed over");
+                tracing::warn!(%reason, serial = answer.serial, "endpoint list update rejected");
+                return;
             }
         }
-        self.unheard.set(0);
+        self.unanswered.set(0);
+    }
+
+    fn report_update(&self, engines: Vec<EndpointEntry>) {
+        self.registry.counters.endpoint_updates.increment();
+        self.registry.push_event(Event::EndpointList {
+            form: EndpointListKind::Snapshot,
+            engines,
+        });
     }
 }
 
--- /dev/null
+++ b/crates/dispatcher/src/discovery/records.rs
@@ -0,0 +1,132 @@
+//! Turns the records of an answer into entries of the endpoint list. Pure functions.
+
+use crate::dns::{Answer, Srv};
+use crate::query_registry::EndpointEntry;
+use rustc_hash::{FxHashSet, FxHasher};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use tansymux::events::EndpointState;
+
+/// The id of an engine and its zone, from the name of its host: the first two labels.
+pub struct HostName<'a> {
+    /// The id of the engine.
+    pub id: &'a str,
+    /// The name of its zone.
+    pub zone: &'a str,
+}
+
+impl<'a> HostName<'a> {
+    /// `None` where the name has fewer than two labels.
+    pub fn parse(name: &'a str) -> Option<Self> {
+        let mut labels = name.split('.');
+        let id = labels.next()?;
+        let zone = labels.next()?;
+        Some(HostName { id, zone })
+    }
+}
+
+/// The entry of one SRV record. What the answer leaves out is taken from the entry that is known.
+pub fn entry_of(
+    answer: &Answer,
+    srv: &Srv,
+    engine_id: u64,
+    zone: &str,
+    known: Option<&EndpointEntry>,
+) -> EndpointEntry {
+    let is_target = |name: &String| *name == srv.target;
+    let mut addresses = answer.addresses.iter();
+    let ip = addresses
+        .find(|(name, _)| is_target(name))
+        .map(|(_, ip)| *ip);
+    let mut texts = answer.texts.iter();
+    let texts = texts
+        .find(|(name, _)| is_target(name))
+        .map(|(_, texts)| texts);
+    let texts = texts.map_or([].as_slice(), Vec::as_slice);
+    let kind = text_field(texts, "kind").or(known.map(|entry| entry.kind.as_str()));
+    let cell = text_field(texts, "cell").and_then(|cell| cell.parse().ok());
+    let started = text_field(texts, "started").and_then(|ms| ms.parse().ok());
+    let address = ip.map(|ip| SocketAddr::from((ip, srv.port)));
+    EndpointEntry {
+        engine_id,
+        address: address.or(known.and_then(|entry| entry.address)),
+        kind: kind.unwrap_or("").to_owned(),
+        zone: zone.to_owned(),
+        cell: cell.unwrap_or(0),
+        status: match srv.priority {
+            0 => EndpointState::Ready,
+            _ => EndpointState::Draining,
+        },
+        started: started.filter(|ms| *ms > 0.0),
+    }
+}
+
+/// The value of `name` among strings `name=value`.
+fn text_field<'a>(texts: &'a [String], name: &str) -> Option<&'a str> {
+    for text in texts {
+        match text.split_once('=') {
+            Some((key, value)) if key == name => return Some(value),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// Of several entries of one engine the first stays, as draining if any of them is.
+pub fn merge_duplicates(entries: Vec<EndpointEntry>) -> Vec<EndpointEntry> {
+    let mut merged: Vec<EndpointEntry> = Vec::new();
+    let mut seen_ids = FxHashSet::default();
+    for entry in entries {
+        if seen_ids.insert(entry.engine_id) {
+            merged.push(entry);
+        } else if entry.status == EndpointState::Draining {
+            let mut merged = merged.iter_mut();
+            if let Some(first) = merged.find(|first| first.engine_id == entry.engine_id) {
+                first.status = EndpointState::Draining;
+            }
+        }
+    }
+    merged
+}
+
+/// Drops entries whose address a newer engine has: the older one is no more, and what was meant for it would reach the
+/// newer one.
+pub fn drop_superseded(entries: &mut Vec<EndpointEntry>) {
+    let mut newest_start = Vec::new();
+    for entry in entries.iter() {
+        newest_start.push((entry.address, start_of(entry)));
+    }
+    entries.retain(|entry| {
+        let own_start = start_of(entry);
+        let is_superseded = |&(address, start): &(Option<SocketAddr>, f64)| {
+            address == entry.address && start > own_start
+        };
+        entry.address.is_none() || !newest_start.iter().any(is_superseded)
+    });
+}
+
+/// When the engine started (Unix ms); 0 if it has been there from the beginning or nothing says when it started.
+pub fn start_of(entry: &EndpointEntry) -> f64 {
+    entry.started.unwrap_or(0.0)
+}
+
+/// A hash of what an answer says, whatever the order of its records.
+pub fn fingerprint(answer: &Answer) -> u64 {
+    let mut sum = 0_u64;
+    for srv in &answer.srv {
+        sum = sum.wrapping_add(hash_of(&(srv.priority, srv.port, &srv.target)));
+    }
+    for address in &answer.addresses {
+        sum = sum.wrapping_add(hash_of(address));
+    }
+    for text in &answer.texts {
+        sum = sum.wrapping_add(hash_of(text));
+    }
+    sum
+}
+
+fn hash_of(record: &impl Hash) -> u64 {
+    let mut hasher = FxHasher::default();
+    record.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/dispatcher/src/discovery/tests.rs
+++ b/crates/dispatcher/src/discovery/tests.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 /// A service that answers, in this order, by what `react` makes of the id and of how many came before; run until
-/// `so`, or for ten seconds.
+/// `is_done`, or for ten seconds.
 fn play(
     react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static,
-    mut so: impl FnMut(&QueryRegistry) -> bool,
+    mut is_done: impl FnMut(&QueryRegistry) -> bool,
 ) -> Rc<QueryRegistry> {
     let executor = LocalExecutor::new();
     let service = Async::<UdpSocket>::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
@@ -30,16 +30,16 @@
         }
     };
     let done = async {
-        while !so(&registry) {
+        while !is_done(&registry) {
             Timer::after(Duration::from_millis(5)).await;
         }
         true
     };
-    let late = async {
+    let timeout = async {
         Timer::after(Duration::from_secs(10)).await;
         false
     };
-    let all = future::or(future::or(done, late), async {
+    let all = future::or(future::or(done, timeout), async {
         answers.await;
         false
     });
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn a_list_that_fell_silent_is_asked_for_from_another_socket() {
+fn a_silent_name_service_is_queried_from_another_socket() {
     // From the first socket the service hears all and its answers never come back after the second.
     let first = Cell::new(None);
     let react = move |id: u16, nth: usize, from: SocketAddr| {
@@ -64,11 +64,11 @@
     let registry = play(react, |registry| {
         registry.counters.endpoint_updates.get() == 2
     });
-    assert!(registry.counters.dns_queries.get() <= 2 + u64::from(QUESTIONS_UNHEARD) + 2);
+    assert!(registry.counters.dns_queries.get() <= 2 + u64::from(MAX_UNANSWERED_QUERIES) + 2);
 }
 
 #[test]
-fn answers_that_are_doubled_late_or_no_answers_change_nothing() {
+fn duplicate_late_and_malformed_answers_change_nothing() {
     let kept = RefCell::new(Vec::new());
     let react = move |id: u16, nth: usize, _| {
         let now = answer(id, 1 + nth as u32 / 2, 0);
--- a/crates/dispatcher/src/dns/tests.rs
+++ b/crates/dispatcher/src/dns/tests.rs
@@ -10,7 +10,7 @@
 
 /// An answer with one engine `s-1.east.hosts`, its names compressed against the question's.
 pub fn answer(id: u16, serial: u32, priority: u8) -> Vec<u8> {
-    let mut bytes = query(id, "_back._tcp.pool.lan", SRV);
+    let mut bytes = encode_query(id, "_back._tcp.pool.lan", SRV);
     bytes[2] = 0x84;
     (bytes[7], bytes[9], bytes[11]) = (1, 1, 2);
     let question = [0xc0, HEADER as u8];
@@ -41,8 +41,8 @@
 }
 
 #[test]
-fn an_answer_with_compressed_names_is_read() {
-    let read = parse(&answer(77, 41, 1)).unwrap();
+fn an_answer_with_compressed_names_is_parsed() {
+    let read = parse_answer(&answer(77, 41, 1)).unwrap();
     let target = "s-1.east.hosts".to_owned();
     assert_eq!((read.id, read.serial), (77, Some(41)));
     assert_eq!(
@@ -69,17 +69,17 @@
 }
 
 #[test]
-fn hostile_answers_are_refused_without_a_panic() {
+fn malformed_answers_are_errors_and_never_panic() {
     let whole = answer(1, 2, 0);
     for end in 0..whole.len() {
-        assert_eq!(parse(&whole[..end]), None, "{end}");
+        assert_eq!(parse_answer(&whole[..end]).ok(), None, "{end}");
     }
     // Every byte turned: some still parse, none panics or runs in a ring.
     for at in 0..whole.len() {
         for value in [0, 0x3f, 0xc0, 0xff] {
             let mut bytes = whole.clone();
             bytes[at] = value;
-            parse(&bytes);
+            let _ = parse_answer(&bytes);
         }
     }
     let ring = [
@@ -88,5 +88,5 @@
         &[0; 4],
     ]
     .concat();
-    assert_eq!(parse(&ring), None);
+    assert_eq!(parse_answer(&ring).ok(), None);
 }
