--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -1,37 +1,56 @@
-//! Counters of what was taken in, sent and answered.
+//! Counters of what came in, went out and was answered, from the program's start. A counter's printed name is what
+//! operators' tools read: it stays, whatever its field is called.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::interface::Outcome;
 
+/// A count of events.
 #[derive(Default)]
 pub struct Counter(Cell<u64>);
 
 impl Counter {
+    /// Counts one more.
     pub fn increment(&self) {
         self.0.set(self.0.get() + 1);
     }
 
+    /// The count so far.
     pub fn get(&self) -> u64 {
         self.0.get()
     }
 }
 
-/// Writes the lines of a part.
-pub type Line = Box<dyn Fn(&mut String)>;
+/// Appends the lines of a part of the program that has counts of its own.
+pub type Report = Box<dyn Fn(&mut String)>;
 
+/// How attempts end, with the printed names.
+const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Completed, "finished"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::Timeout, "timeout"),
+    (Outcome::NoConnection, "no_connection"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::NotSent, "not_sent"),
+];
+
+/// Declares `Counters`: each counter's doc, field and printed name, in the order of printing.
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident: $label:literal),* $(,)?) => {
+        /// All counters of the program.
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Counter,)*
-            /// Lines of parts that are on.
-            pub extra_reports: RefCell<Vec<Line>>,
-            /// How attempts ended, in the order of `OUTCOMES`.
-            pub attempts_by_outcome: [Counter; OUTCOMES.len()],
+            /// Reports of parts of the program that have counts of their own, printed behind all others.
+            pub extra_reports: RefCell<Vec<Report>>,
+            /// Attempts that ended, in the order of `OUTCOMES`.
+            attempts_by_outcome: [Counter; OUTCOMES.len()],
         }
 
         impl Counters {
+            /// Printed name and count of each plain counter.
             fn plain(&self) -> impl Iterator<Item = (&'static str, u64)> {
                 [$(($label, self.$name.get())),*].into_iter()
             }
@@ -39,94 +58,105 @@
     };
 }
 
-const OUTCOMES: [(Outcome, &str); 8] = [
-    (Outcome::Completed, "finished"),
-    (Outcome::Error, "error"),
-    (Outcome::Full, "full"),
-    (Outcome::Timeout, "timeout"),
-    (Outcome::NoConnection, "no_connection"),
-    (Outcome::Reset, "reset"),
-    (Outcome::Cancelled, "cancelled"),
-    (Outcome::NotSent, "not_sent"),
-];
-
 counters! {
-    /// Queries: taken = finished + rejected + failed + vanished + those in hand without an answer.
+    /// Queries admitted: the sum of those completed, rejected, failed and left by their clients, and of those that have
+    /// no answer yet.
     admitted: "taken",
+    /// Queries answered with a result.
     completed: "finished",
+    /// Queries answered with a time to come back.
     rejected: "deferred",
+    /// Queries answered with a final error.
     failed: "killed",
+    /// Queries whose clients left before the answer.
     client_disconnects: "vanished",
-    /// Requests that never became a query, and answers that could not be written out.
+    /// Requests that were refused before they became a query.
     requests_rejected: "requests_rejected",
+    /// Answers that could not be written to their clients.
     answer_write_failures: "answers_not_written",
+    /// Connections accepted from clients.
     client_connections: "connections_from_clients",
-    /// Clients' connections closed to make room for others.
+    /// Clients' connections that were asked to end so that others have room.
     client_connections_evicted: "connections_evicted",
+    /// Connections begun to engines.
     engine_connections_opened: "connections_to_engines",
-    /// Those that did not come up in their time; some came later.
+    /// Connections to engines that did not come up within the connect timeout.
     connect_timeouts: "connections_late",
+    /// Those of them that came up later.
     connects_after_timeout: "connections_late_up",
-    /// Those that ended because what came could not be read or used, or stopped short.
+    /// Connections to engines that ended because what came could not be parsed or used, or stopped short.
     protocol_errors: "connections_spoilt",
-    /// Those that ended as soon as something went out on them after they had idled.
+    /// Connections to engines that had been idle and ended as soon as something was written to them.
     idle_connections_lost: "connections_lost_idle",
-    /// Attempts = the sum of their ends + those that are out.
+    /// Attempts begun: the sum of those that ended, by outcome, and of those in flight.
     attempts: "submissions",
+    /// Health checks that the decisions asked for.
     health_checks: "probes",
+    /// Endpoint lists applied.
     endpoint_updates: "lists",
     /// Answers of the name service that could not be used or were not believed.
     endpoint_updates_rejected: "lists_passed_over",
+    /// Questions sent to the name service.
     dns_queries: "lookups",
+    /// Configurations read while running and found usable.
     config_reloads: "configurations_read",
+    /// Operators' files read while running and found usable.
     operator_config_reloads: "operator_files_read",
+    /// Messages sent to other dispatchers.
     peer_messages_sent: "messages_sent",
+    /// Messages received from other dispatchers.
     peer_messages_received: "messages_heard",
+    /// Rounds of the decisions.
     rounds: "rounds",
 }
 
 impl Counters {
+    /// Counts the end of an attempt.
     pub fn count_outcome(&self, outcome: Outcome) {
-        if let Some(n) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
-            self.attempts_by_outcome[n].increment();
+        for ((known, _), counter) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
+            if *known == outcome {
+                counter.increment();
+            }
         }
     }
 
-    /// One line each: name and count, then what is in hand and out.
+    /// All counters as text, a line each with name and count; then the attempts in flight, the queries without an
+    /// answer and those `in_flight` in the registry.
     pub fn report(&self, in_flight: usize) -> String {
         let mut text = String::new();
         for (name, count) in self.plain() {
-            let _ = writeln!(text, "{name} {count}");
+            write_line(&mut text, name, count);
         }
-        for ((_, name), count) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
-            let _ = writeln!(text, "submissions_{name} {}", count.get());
+        for ((_, name), counter) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
+            write_line(&mut text, &format!("submissions_{name}"), counter.get());
+        }
+        write_line(&mut text, "submissions_out", self.attempts_in_flight());
+        write_line(&mut text, "unanswered", self.unanswered());
+        write_line(&mut text, "in_hand", in_flight as u64);
+        write_line(&mut text, "log_lines_left_out", crate::log::left_out());
+        for report in self.extra_reports.borrow().iter() {
+            report(&mut text);
         }
-        let ended: u64 = self.attempts_by_outcome.iter().map(Counter::get).sum();
-        let answered = [
-            &self.completed,
-            &self.rejected,
-            &self.failed,
-            &self.client_disconnects,
-        ]
-        .map(Counter::get);
-        let _ = writeln!(
-            text,
-            "submissions_out {}",
-            self.attempts.get().saturating_sub(ended)
-        );
-        let _ = writeln!(
-            text,
-            "unanswered {}",
-            self.admitted.get().saturating_sub(answered.iter().sum())
-        );
-        let _ = writeln!(text, "in_hand {in_flight}");
-        let _ = writeln!(text, "log_lines_left_out {}", crate::log::left_out());
-        self.extra_reports
-            .borrow()
-            .iter()
-            .for_each(|line| line(&mut text));
         text
     }
+
+    fn attempts_in_flight(&self) -> u64 {
+        let ended: u64 = self.attempts_by_outcome.iter().map(Counter::get).sum();
+        self.attempts.get().saturating_sub(ended)
+    }
+
+    fn unanswered(&self) -> u64 {
+        let answered = self.completed.get()
+            + self.rejected.get()
+            + self.failed.get()
+            + self.client_disconnects.get();
+        self.admitted.get().saturating_sub(answered)
+    }
+}
+
+fn write_line(text: &mut String, name: &str, count: u64) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{name} {count}");
 }
 
 #[cfg(test)]
