--- a/crates/dispatcher/src/client/connection_table/tests.rs
+++ b/crates/dispatcher/src/client/connection_table/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn those_that_ask_no_more_go_first_and_none_with_a_request_in_hand() {
+fn abandoned_connections_are_evicted_first_and_active_ones_never() {
     let table = ConnectionTable::new(6);
     let states = [
         (ConnectionState::Active, 0.0),
--- a/crates/dispatcher/src/client/http/tests.rs
+++ b/crates/dispatcher/src/client/http/tests.rs
@@ -4,7 +4,7 @@
     Req-Wait-Ms: 1500\r\nReq-Owner:acme\r\nReq-Cost: 820.0\r\nX-Need-Mb: 96\r\nContent-Length: 8\r\n\r\nSELECT 1";
 
 #[test]
-fn a_head_is_read_once_it_is_whole_however_it_is_split() {
+fn head_is_parsed_only_when_complete_however_it_is_split() {
     let size = POST.len() - 8;
     for end in 0..size {
         assert_eq!(parse(&POST[..end]), Ok(None), "{end}");
@@ -25,7 +25,7 @@
 }
 
 #[test]
-fn hostile_and_over_long_heads_are_refused() {
+fn malformed_and_oversized_heads_are_refused() {
     let long = [b"GET / HTTP/1.1\r\nA: ".as_slice(), &[b'x'; MAX_HEAD_BYTES]].concat();
     let many = format!(
         "GET / HTTP/1.1\r\n{}\r\n",
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn no_byte_that_is_turned_makes_it_panic() {
+fn no_changed_byte_makes_the_parser_panic() {
     for at in 0..POST.len() {
         for value in 0..=255 {
             let mut bytes = POST.to_vec();
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn an_answer_tells_its_length_and_how_long_to_stay_away() {
+fn answer_head_has_length_and_retry_time() {
     let head = String::from_utf8(answer_head(429, 20, false, Some(250))).unwrap();
     assert!(head.starts_with("HTTP/1.1 429 Too Many Requests\r\n") && head.ends_with("\r\n\r\n"));
     assert!(head.contains("Content-Length: 20\r\n") && head.contains("Srv-Wait-Ms: 250\r\n"));
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -26,7 +26,7 @@
 };
 
 #[test]
-fn a_query_gets_one_answer_and_nothing_is_sent_after_it() {
+fn query_gets_one_answer_and_no_attempt_after_it() {
     let registry = QueryRegistry::default();
     let (query, slot) = registry.admit(&ASKED).unwrap();
     assert_eq!(
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn statements_beyond_the_room_are_turned_away_until_others_end() {
+fn statements_beyond_the_byte_limit_are_rejected_until_others_complete() {
     let registry = QueryRegistry::new(ASKED.statement.len() + 1);
     let (query, _slot) = registry.admit(&ASKED).unwrap();
     let second = QueryRequest {
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn a_client_that_left_is_owed_nothing() {
+fn query_of_a_disconnected_client_gets_no_answer() {
     let registry = QueryRegistry::default();
     let (query, slot) = registry.admit(&ASKED).unwrap();
     registry.client_left(query);
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn a_new_priority_reaches_a_attempt_that_is_out() {
+fn new_priority_reaches_the_attempt_in_flight() {
     let registry = QueryRegistry::default();
     let (query, _slot) = registry.admit(&ASKED).unwrap();
     registry.grant(
--- /dev/null
+++ b/crates/dispatcher/tests/life_cycle/clients.rs
@@ -0,0 +1,97 @@
+//! Clients that leave, flood, or send more than is kept.
+
+use super::support::*;
+use serde_json::json;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::Ask;
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::WAIT;
+use tansymux_testbed::wire::answer;
+
+#[test]
+fn client_disconnect_is_noticed_behind_unread_pipelined_bytes() {
+    let (address, told) = scripted(|_, _| {});
+    let program = start(&two_group_config(&[address]));
+    let mut client = send_query(&program, "look", 1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    // More than is kept of what a client sends ahead.
+    client.write_all(&[b'x'; 200 * 1024]).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    let (parts, _) = told.recv_timeout(WAIT).unwrap();
+    assert_eq!(parts[..2], ["abort", "0000000000000001"]);
+    program.wait_for_count("vanished 1\n");
+}
+
+#[test]
+fn client_that_pipelines_too_much_gets_its_answer_and_then_a_closed_connection() {
+    let (address, told) = engine_answering_after(300);
+    let program = start(&two_group_config(&[address]));
+    let mut client = send_query(&program, "look", 1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    let noise = [
+        b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000),
+        vec![b'x'; 100 * 1024],
+    ]
+    .concat();
+    client.write_all(&noise).unwrap();
+    let mut reader = BufReader::new(client);
+    let (status, head, _) = answer(&mut reader).unwrap();
+    assert!(
+        status == 200 && head.contains("Connection: close\r\n"),
+        "{head}"
+    );
+    // Nothing of what was passed over is taken for a request.
+    assert!(answer(&mut reader).is_none());
+}
+
+#[test]
+fn client_that_floods_requests_does_not_starve_other_clients() {
+    let (address, _told) = engine_answering_after(0);
+    let program = start(&two_group_config(&[address]));
+    let flood = connect_client(&program);
+    let (mut writer, mut reader) = (flood.try_clone().unwrap(), flood.try_clone().unwrap());
+    let reads = thread::spawn(move || while matches!(reader.read(&mut [0; 65536]), Ok(1..)) {});
+    let writes = thread::spawn(move || {
+        let many = b"GET /_health HTTP/1.1\r\n\r\n".repeat(400);
+        while writer.write_all(&many).is_ok() {}
+    });
+    for id in 1..6 {
+        let from = Instant::now();
+        assert_eq!(answer_status(&send_query(&program, "look", id)), Some(200));
+        assert!(
+            from.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            from.elapsed()
+        );
+    }
+    flood.shutdown(Shutdown::Both).unwrap();
+    writes.join().unwrap();
+    reads.join().unwrap();
+}
+
+#[test]
+fn query_beyond_the_memory_bound_gets_503_with_a_retry_time() {
+    let (address, told) = scripted(|_, _| {});
+    // A fifth of 16 MB holds 52 statements of 64 KB that wait for an engine that hangs.
+    let config =
+        two_group_config(&[address]).with("limits", json!({"sockets": 1024, "memory_mb": 16}));
+    let program = start(&config);
+    let big = |id| {
+        let statement = format!("SELECT '{}' FROM sales_17.orders", "x".repeat(64_000));
+        let mut stream = connect_client(&program);
+        stream
+            .write_all(&Ask::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
+            .unwrap();
+        stream
+    };
+    let waits: Vec<TcpStream> = (1..53).map(big).collect();
+    waits
+        .iter()
+        .for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
+    let (status, head, body) = answer(&mut BufReader::new(big(99))).unwrap();
+    assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
+    assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
+}
--- /dev/null
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -0,0 +1,202 @@
+//! Connections to engines that end, come up late or never stop sending.
+
+use super::support::*;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::engine::vanishes;
+use tansymux_testbed::program::{get, WAIT};
+use tansymux_testbed::wire::{self, answer, say};
+
+/// An engine that hands each connection to the test as it was accepted, and answers nothing itself.
+fn engine_with_held_connections() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (accepted, connections) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_read_timeout(Some(WAIT)).unwrap();
+            let _ = accepted.send(stream);
+        }
+    });
+    (address, connections)
+}
+
+/// The next request on a connection: its word and id.
+fn next_request(stream: &TcpStream) -> Option<(String, String)> {
+    let parts = wire::frame(&mut BufReader::with_capacity(1, stream))?;
+    Some((parts[0].clone(), parts[1].clone()))
+}
+
+/// The request of the query with this id.
+fn fetch_request(id: &str) -> Option<(String, String)> {
+    Some(("fetch".into(), id.into()))
+}
+
+#[test]
+fn query_crossing_the_close_of_an_idle_engine_connection_goes_out_on_a_new_one() {
+    let (address, connections) = engine_with_held_connections();
+    let program = start(&two_group_config(&[address]));
+    let first = send_query(&program, "look", 1);
+    let mut idles = connections.recv_timeout(WAIT).unwrap();
+    assert_eq!(next_request(&idles), fetch_request("0000000000000001"));
+    say(
+        &mut idles,
+        &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"],
+    );
+    assert_eq!(answer_status(&first), Some(200));
+    // At one instant: the engine closes, with half a line behind an unknown id, and the next request comes.
+    let stopped = PausedProgram::new(&program);
+    idles
+        .write_all(b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nDO")
+        .unwrap();
+    idles.shutdown(Shutdown::Both).unwrap();
+    let second = send_query(&program, "look", 2);
+    drop(stopped);
+    let mut next = connections.recv_timeout(WAIT).unwrap();
+    assert_eq!(next_request(&next), fetch_request("0000000000000002"));
+    say(
+        &mut next,
+        &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
+    );
+    assert_eq!(answer_status(&second), Some(200));
+    // It was known before it went out: nobody counts it as lost under way.
+    assert_eq!(program.counter("submissions_reset"), Some(0));
+    assert_eq!(program.counter("connections_lost_idle"), Some(0));
+}
+
+#[test]
+fn connection_lost_within_an_answer_fails_a_write_and_retries_a_read_only_query() {
+    let (address, connections) = engine_with_held_connections();
+    let program = start(&two_group_config(&[address]));
+    for (rg, id) in [("load", "0000000000000001"), ("look", "0000000000000002")] {
+        let client = send_query(&program, rg, id[15..].parse().unwrap());
+        let mut stream = connections.recv_timeout(WAIT).unwrap();
+        assert_eq!(next_request(&stream), fetch_request(id));
+        // The first of two pages, half of the second.
+        say(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
+        assert_eq!(next_request(&stream), Some(("more".into(), id.into())));
+        stream
+            .write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes())
+            .unwrap();
+        stream.shutdown(Shutdown::Both).unwrap();
+        if rg == "look" {
+            let mut again = connections.recv_timeout(WAIT).unwrap();
+            assert_eq!(next_request(&again), fetch_request(id));
+            say(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
+            let (status, _, body) = answer(&mut BufReader::new(client)).unwrap();
+            // Nothing of the first result is left in it.
+            assert_eq!(
+                (status, body.as_str()),
+                (200, r#"{"data":[["x","y","z"]]}"#)
+            );
+        } else {
+            assert_eq!(answer_status(&client), Some(500));
+        }
+    }
+}
+
+#[test]
+fn connection_established_after_its_attempt_was_withdrawn_does_not_send_it() {
+    // Nobody accepts, and the backlog is full: connections come up once there is room, a second and more later.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let full = vanishes(&listener);
+    let config =
+        two_group_config(&[address]).with("settings.limits.connect-timeout-us", 30_000_000);
+    let program = start(&config.with("settings.limits.cancelling", false));
+    let leaves = send_query(&program, "look", 1);
+    program.wait_for_count("submissions 1\n");
+    drop(leaves);
+    program.wait_for_count("vanished 1\n");
+    // Withdrawn, and not left to its deadline in 9 s.
+    let from = Instant::now();
+    program.wait_for_count("submissions_out 0\n");
+    assert!(
+        from.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        from.elapsed()
+    );
+    let stays = send_query(&program, "look", 2);
+    drop(full);
+    // What comes first on any connection is of the one that stayed.
+    listener.set_nonblocking(false).unwrap();
+    let mut first = None;
+    while first.is_none() {
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        first = next_request(&stream).map(|frame| (frame, stream));
+    }
+    let (frame, mut stream) = first.unwrap();
+    assert_eq!(Some(frame), fetch_request("0000000000000002"));
+    say(
+        &mut stream,
+        &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
+    );
+    assert_eq!(answer_status(&stays), Some(200));
+}
+
+#[test]
+fn late_connection_is_used_for_the_next_query() {
+    // Nobody accepts, and the backlog is full: what waits is given up after 250 ms, as the settings say.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let full = vanishes(&listener);
+    let program = start(&two_group_config(&[address]));
+    assert_eq!(answer_status(&send_query(&program, "load", 1)), Some(429));
+    let opened = program.counter("connections_to_engines").unwrap();
+    // Now there is room, and what was on its way comes up when it is tried again, a second after it began.
+    drop(full);
+    let (tell, came) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(parts) = wire::frame(&mut reader) {
+                    let _ = tell.send(parts[1].clone());
+                    say(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                }
+            });
+        }
+    });
+    wait_until("one has come up", || {
+        program
+            .counter("connections_late_up")
+            .is_some_and(|up| up > 0)
+    });
+    assert_eq!(answer_status(&send_query(&program, "load", 2)), Some(200));
+    assert_eq!(came.recv_timeout(WAIT).unwrap(), "0000000000000002");
+    assert_eq!(program.counter("connections_to_engines"), Some(opened));
+}
+
+#[test]
+fn engine_that_floods_does_not_starve_other_engines() {
+    let (floods, connections) = engine_with_held_connections();
+    let (serves, _told) = engine_answering_after(0);
+    let program = start(&two_group_config(&[floods, serves]));
+    thread::spawn(move || {
+        while let Ok(mut stream) = connections.recv_timeout(WAIT) {
+            thread::spawn(move || {
+                let many =
+                    b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
+                        .repeat(500);
+                while stream.write_all(&many).is_ok() {}
+            });
+        }
+    });
+    // Some go to the one that floods, and are moved; none waits for what never ends.
+    let clients: Vec<TcpStream> = (1..9).map(|id| send_query(&program, "look", id)).collect();
+    let from = Instant::now();
+    clients
+        .iter()
+        .for_each(|client| assert_eq!(answer_status(client), Some(200)));
+    assert!(
+        from.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        from.elapsed()
+    );
+    assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
+}
--- /dev/null
+++ b/crates/dispatcher/tests/life_cycle/main.rs
@@ -0,0 +1,7 @@
+//! Events that cross each other in the life of the process, of clients' connections and of queries. Each test forces the
+//! order that its row of docs/design/life-cycle.md names, with stand-ins that hold or send their bytes when told.
+
+mod clients;
+mod engines;
+mod process;
+mod support;
--- /dev/null
+++ b/crates/dispatcher/tests/life_cycle/process.rs
@@ -0,0 +1,211 @@
+//! Signals, shutdown and what comes meanwhile.
+
+use super::support::*;
+use serde_json::json;
+use std::ffi::CString;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::os::unix::ffi::OsStrExt;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::Ask;
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::{class, free_address, get, Config, Scrap, WAIT};
+
+#[test]
+fn signals_sent_before_the_configuration_is_read_take_effect_afterwards() {
+    // The configuration is a pipe: the program stands at its first read until the test writes.
+    let text = two_group_config(&[]).0.to_string();
+    let pipe = Scrap::new("config.fifo", "");
+    std::fs::remove_file(&pipe.0).unwrap();
+    let path = CString::new(pipe.0.as_os_str().as_bytes()).unwrap();
+    assert_eq!(unsafe { libc::mkfifo(path.as_ptr(), 0o600) }, 0);
+    let mut child = Command::new(EXE)
+        .env("RELAY_CONFIG", &pipe.0)
+        .env_remove("RELAY_LISTEN")
+        .env_remove("TANSYMUX_OPERATOR")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // Opening for writing waits until the program has opened for reading.
+    let mut writer = std::fs::OpenOptions::new()
+        .write(true)
+        .open(&pipe.0)
+        .unwrap();
+    send_signal("-HUP", child.id());
+    send_signal("-TERM", child.id());
+    // Both are delivered before the process runs on: it is stopped at a system call.
+    let pending = || {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let of = |name: &str| {
+            let line = status
+                .lines()
+                .find_map(|l| l.strip_prefix(name))
+                .unwrap_or("0");
+            u64::from_str_radix(line.trim(), 16).unwrap_or(0)
+        };
+        of("SigPnd:") | of("ShdPnd:")
+    };
+    wait_until("signals are delivered", || pending() == 0);
+    assert!(child.try_wait().unwrap().is_none(), "it ended by a signal");
+    writer.write_all(text.as_bytes()).unwrap();
+    drop(writer);
+    let from = Instant::now();
+    let status = child.wait().unwrap();
+    assert!(status.success() && from.elapsed() < WAIT, "{status}");
+}
+
+#[test]
+fn requests_received_by_sigterm_are_answered_even_if_not_yet_read() {
+    let (address, told) = engine_answering_after(20);
+    let mut program = start(&two_group_config(&[address]));
+    let mut rests = send_query(&program, "look", 1);
+    assert_eq!(answer_status(&rests), Some(200));
+    // At one instant: a request on the connection that rests, the signal (twice), three in the backlog.
+    let stopped = PausedProgram::new(&program);
+    rests.write_all(&query_bytes("look", 2)).unwrap();
+    program.told_to_end();
+    let backlog: Vec<TcpStream> = (3..6).map(|id| send_query(&program, "look", id)).collect();
+    program.told_to_end();
+    drop(stopped);
+    assert_eq!(answer_status(&rests), Some(200));
+    backlog
+        .iter()
+        .for_each(|stream| assert_eq!(answer_status(stream), Some(200)));
+    let report = program.end();
+    assert!(
+        report.contains("taken 5\n") && report.contains("finished 5\n"),
+        "{report}"
+    );
+    assert_eq!(fetched_ids(&told).len(), 5);
+}
+
+#[test]
+fn connections_in_the_backlog_when_the_listener_closes_are_answered() {
+    let (address, _told) = engine_answering_after(20);
+    let mut program = start(&two_group_config(&[address]));
+    let from = Instant::now();
+    program.told_to_end();
+    wait_until("the front is told", || {
+        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+    });
+    // Three connect while the time for connections runs out, and the program sees both at once.
+    let stopped = PausedProgram::new(&program);
+    let backlog: Vec<TcpStream> = (1..4).map(|id| send_query(&program, "look", id)).collect();
+    thread::sleep((ACCEPT_GRACE + Duration::from_millis(50)).saturating_sub(from.elapsed()));
+    drop(stopped);
+    backlog
+        .iter()
+        .for_each(|stream| assert_eq!(answer_status(stream), Some(200)));
+    assert!(program.end().contains("finished 3\n"));
+}
+
+#[test]
+fn backlog_is_answered_at_shutdown_even_with_a_full_connection_table() {
+    let (address, _told) = engine_answering_after(900);
+    let config =
+        two_group_config(&[address]).with("limits", json!({"sockets": 64, "memory_mb": 32}));
+    let mut program = start(&config);
+    // Half of the descriptors are clients', and each has a query in hand past the time for new connections.
+    let clients: Vec<TcpStream> = (0..40)
+        .map(|id| send_query(&program, "look", id + 1))
+        .collect();
+    program.told_to_end();
+    for (nth, stream) in clients.iter().enumerate() {
+        assert!(
+            answer_status(stream).is_some_and(|status| status == 200 || status == 429),
+            "{nth}"
+        );
+    }
+    let report = program.end();
+    assert!(
+        report.contains("taken 40\n") && report.contains("unanswered 0\n"),
+        "{report}"
+    );
+}
+
+#[test]
+fn idle_connection_is_half_closed_at_shutdown_and_a_crossing_request_is_discarded() {
+    let (address, told) = engine_answering_after(0);
+    let mut program = start(&two_group_config(&[address]));
+    let mut rests = send_query(&program, "look", 1);
+    assert_eq!(answer_status(&rests), Some(200));
+    let from = Instant::now();
+    program.told_to_end();
+    // It may ask for as long as new connections are waited for, and then learns that nothing more is taken.
+    assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
+    assert!(from.elapsed() >= ACCEPT_GRACE, "{:?}", from.elapsed());
+    // What crosses that is read, so that nothing is reset, and is no request any more.
+    rests.write_all(&query_bytes("look", 2)).unwrap();
+    assert!(program.end().contains("taken 1\n"));
+    assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
+    assert_eq!(fetched_ids(&told), ["0000000000000001"]);
+}
+
+#[test]
+fn partial_and_imminent_requests_at_sigterm_are_served() {
+    let (address, _told) = engine_answering_after(20);
+    let mut program = start(&two_group_config(&[address]));
+    let whole = query_bytes("look", 1);
+    let (mut begun, mut about) = (connect_client(&program), connect_client(&program));
+    begun.write_all(&whole[..50]).unwrap();
+    wait_until("both are taken", || {
+        program.counters().contains("connections_from_clients")
+    });
+    let from = Instant::now();
+    program.told_to_end();
+    wait_until("the front is told", || {
+        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+    });
+    about.write_all(&query_bytes("look", 2)).unwrap();
+    assert_eq!(answer_status(&about), Some(200));
+    // Its last bytes come when the listener is closed already.
+    thread::sleep((ACCEPT_GRACE + Duration::from_millis(100)).saturating_sub(from.elapsed()));
+    begun.write_all(&whole[50..]).unwrap();
+    assert_eq!(answer_status(&begun), Some(200));
+    assert!(program.end().contains("finished 2\n"));
+}
+
+#[test]
+fn shutdown_with_short_deadlines_finishes_before_the_kill_timeout() {
+    let (address, told) = scripted(|_, _| {});
+    let classes = [
+        class("look", 100.0, 1000.0, "read_like"),
+        class("load", 100.0, 1000.0, "non_idempotent"),
+    ];
+    let config = Config::new(
+        free_address(),
+        &[("s-0".into(), address)],
+        &classes,
+        &[1, 1],
+    );
+    let mut program = start(&config);
+    // A client that waits for longer than the settings give, at an engine that hangs.
+    let mut client = connect_client(&program);
+    client
+        .write_all(
+            &Ask::new(
+                1,
+                "/invoke/load",
+                "load",
+                "DELETE FROM sales_17.orders",
+                4000.0,
+            )
+            .bytes(),
+        )
+        .unwrap();
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    let from = Instant::now();
+    program.told_to_end();
+    assert_eq!(answer_status(&client), Some(500));
+    drop(client);
+    program.end();
+    // The longest deadline and 0.7 s.
+    assert!(
+        from.elapsed() < Duration::from_millis(1700),
+        "{:?}",
+        from.elapsed()
+    );
+}
--- /dev/null
+++ b/crates/dispatcher/tests/life_cycle/support.rs
@@ -0,0 +1,132 @@
+//! What the tests of crossing events share: the program with two resource groups, queries, and a way to stop the
+//! program for a moment.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::Command;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::Ask;
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::{class, free_address, Config, Program, WAIT};
+use tansymux_testbed::wire::{answer, say};
+
+/// The program under test.
+pub const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
+
+/// How long after SIGTERM the program still accepts new connections.
+pub const ACCEPT_GRACE: Duration = Duration::from_millis(700);
+
+/// A configuration with these engines and two resource groups of 9 s each: `look` only reads, `load` writes.
+pub fn two_group_config(engines: &[SocketAddr]) -> Config {
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, address)| (format!("s-{index}"), *address))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
+    Config::new(free_address(), &engines, &classes, &[1, 1])
+}
+
+/// Starts the program, and waits until it is healthy.
+pub fn start(config: &Config) -> Program {
+    Program::start(Path::new(EXE), config, &[])
+}
+
+/// An engine that answers each query after `delay_ms`, and what it was sent.
+pub fn engine_answering_after(delay_ms: u64) -> (SocketAddr, Receiver<(Vec<String>, Instant)>) {
+    scripted(move |parts, to| {
+        if parts[0] == "fetch" {
+            let (id, mut to) = (parts[1].clone(), to.try_clone().unwrap());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(delay_ms));
+                say(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
+            });
+        }
+    })
+}
+
+/// A client's connection to the program, with a limit on every wait.
+pub fn connect_client(program: &Program) -> TcpStream {
+    let stream = TcpStream::connect(program.listen).unwrap();
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// The request of a query.
+pub fn query_bytes(rg: &str, id: u64) -> Vec<u8> {
+    Ask::new(
+        id,
+        &format!("/invoke/{rg}"),
+        rg,
+        "SELECT a FROM sales_17.orders",
+        9000.0,
+    )
+    .bytes()
+}
+
+/// Sends a query on a connection of its own.
+pub fn send_query(program: &Program, rg: &str, id: u64) -> TcpStream {
+    let mut stream = connect_client(program);
+    stream.write_all(&query_bytes(rg, id)).unwrap();
+    stream
+}
+
+/// The status of the next answer on a connection; `None` if it ends without one.
+pub fn answer_status(stream: &TcpStream) -> Option<u16> {
+    answer(&mut BufReader::new(stream)).map(|(status, ..)| status)
+}
+
+/// Ids of the queries that an engine was sent.
+pub fn fetched_ids(requests: &Receiver<(Vec<String>, Instant)>) -> Vec<String> {
+    requests
+        .try_iter()
+        .filter(|(parts, _)| parts[0] == "fetch")
+        .map(|(parts, _)| parts[1].clone())
+        .collect()
+}
+
+/// Stops the program until it is dropped: for the program, all that happens meanwhile happens at one instant.
+pub struct PausedProgram(u32);
+
+impl PausedProgram {
+    /// Stops the program, and waits until it stands.
+    pub fn new(program: &Program) -> Self {
+        let pid = program.child.id();
+        send_signal("-STOP", pid);
+        wait_until("the program is stopped", || {
+            std::fs::read_to_string(format!("/proc/{pid}/stat"))
+                .is_ok_and(|stat| stat.contains(") T "))
+        });
+        PausedProgram(pid)
+    }
+}
+
+impl Drop for PausedProgram {
+    fn drop(&mut self) {
+        send_signal("-CONT", self.0);
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !condition() {
+        assert!(from.elapsed() < WAIT, "not in time: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Sends a signal by its name, as in `-TERM`.
+pub fn send_signal(signal: &str, pid: u32) {
+    assert!(Command::new("kill")
+        .args([signal, &pid.to_string()])
+        .status()
+        .is_ok_and(|status| status.success()));
+}
--- /dev/null
+++ b/crates/dispatcher/tests/sockets/clients.rs
@@ -0,0 +1,138 @@
+//! Clients that idle, send what can't be used, or send without end.
+
+use super::support::*;
+use serde_json::json;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::engine::scripted as engine;
+use tansymux_testbed::program::{Config, WAIT};
+use tansymux_testbed::wire::answer;
+
+/// The smallest limits that are accepted: room for 32 connections of clients.
+fn with_smallest_limits(config: Config) -> Config {
+    config.with("limits", json!({"sockets": 64, "memory_mb": 32}))
+}
+
+#[test]
+fn idle_and_silent_clients_are_evicted_for_clients_with_queries() {
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], with_smallest_limits);
+    let mute: Vec<TcpStream> = (0..40)
+        .map(|_| TcpStream::connect(program.listen).unwrap())
+        .collect();
+    let from = Instant::now();
+    let stay: Vec<TcpStream> = (1..80)
+        .map(|id| {
+            let client = post_query(program.listen, "look", id);
+            assert_eq!(
+                answer(&mut BufReader::new(client.try_clone().unwrap()))
+                    .unwrap()
+                    .0,
+                200
+            );
+            client
+        })
+        .collect();
+    assert!(
+        from.elapsed() < Duration::from_millis(2500),
+        "{:?}",
+        from.elapsed()
+    );
+    // Those that never asked are told so by a close, and one that sends by drops by an error.
+    let mut drips = TcpStream::connect(program.listen).unwrap();
+    drips.set_read_timeout(Some(WAIT)).unwrap();
+    let from = Instant::now();
+    while from.elapsed() < Duration::from_secs(3) && drips.write_all(b"POST /x").is_ok() {
+        thread::sleep(Duration::from_millis(100));
+    }
+    for mut client in mute {
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        assert!(!matches!(client.read(&mut [0]), Ok(1..)));
+    }
+    assert!(
+        from.elapsed() < Duration::from_millis(3500),
+        "{:?}",
+        from.elapsed()
+    );
+    assert!(answer(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
+    drop(stay);
+}
+
+#[test]
+fn unusable_requests_are_refused_and_bytes_behind_them_are_never_parsed() {
+    let (address, told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], with_smallest_limits);
+    let behind =
+        "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000ab\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
+         Content-Length: 8\r\n\r\nSELECT 1";
+    let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\n";
+    let cases = [
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: nobody\r\nContent-Length: 8\r\n\r\nSELECT 1", 403),
+        ("Req-Wait-Ms: 9000\r\nContent-Length: 8\r\n\r\nSELECT 1", 403),
+        ("Req-Wait-Ms: 90000000\r\nReq-Owner: acme\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nX-Need-Mb: 1e8\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nReq-Cost: 1e8\r\nContent-Length: 8\r\n\r\nSELECT 1", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\nContent-Length: 8\r\n\r\nSELECT \0", 400),
+        ("Req-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\r\n", 400),
+        ("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501),
+        ("Transfer-Encoding: x\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 501),
+        ("Content-Length: 4\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400),
+    ];
+    for (rest, status) in cases {
+        let mut client = TcpStream::connect(program.listen).unwrap();
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        client
+            .write_all(format!("{head}{rest}{behind}").as_bytes())
+            .unwrap();
+        let mut reader = BufReader::new(client);
+        assert_eq!(answer(&mut reader).unwrap().0, status, "{rest}");
+        assert!(answer(&mut reader).is_none(), "{rest}");
+    }
+    // The refusal of a statement without end reaches its client while that still sends.
+    let mut client = TcpStream::connect(program.listen).unwrap();
+    client
+        .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
+        .unwrap();
+    (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
+    assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 413);
+    assert_eq!(told.try_iter().count(), 0);
+    assert_eq!(
+        answer(&mut BufReader::new(post_query(program.listen, "look", 1)))
+            .unwrap()
+            .0,
+        200
+    );
+}
+
+#[test]
+fn clients_that_fill_the_read_buffers_do_not_block_small_requests() {
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start_with(&[address], |config| {
+        with_smallest_limits(config).with("limits.memory_mb", 16)
+    });
+    // A tenth of 16 MB, but for a few bytes, lies in requests that do not become whole.
+    let head = "POST /invoke/look HTTP/1.1\r\nContent-Length: 65000\r\n\r\n";
+    let sent = [head.as_bytes(), &vec![b'x'; 59_915 - head.len()]].concat();
+    let hoards: Vec<TcpStream> = (0..28)
+        .map(|_| {
+            let mut client = TcpStream::connect(program.listen).unwrap();
+            client.write_all(&sent).unwrap();
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    for id in 1..5 {
+        assert_eq!(
+            answer(&mut BufReader::new(post_query(program.listen, "look", id)))
+                .unwrap()
+                .0,
+            200
+        );
+    }
+    drop(hoards);
+}
--- /dev/null
+++ b/crates/dispatcher/tests/sockets/endpoint_list.rs
@@ -0,0 +1,84 @@
+//! The endpoint list of the name service, and its change by a reload.
+
+use super::support::*;
+use std::io::BufReader;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use tansymux_testbed::engine::scripted as engine;
+use tansymux_testbed::names::{Listed, Names};
+use tansymux_testbed::program::{free_address, WAIT};
+use tansymux_testbed::record::{Record, Status};
+use tansymux_testbed::wire::answer;
+
+/// A name service that lists one engine, `s-9`, as event 2.
+fn name_service_with_engine(engine: SocketAddr) -> SocketAddr {
+    let listed = Listed {
+        id: "s-9".into(),
+        zone: "h".into(),
+        kind: "std".into(),
+        cell: 0,
+        address: engine,
+        status: Status::Ready,
+        started: 0.0,
+    };
+    let names = Names::start(Vec::new(), Arc::new(Record::default()));
+    names.add(listed);
+    names.address
+}
+
+#[test]
+fn name_service_adds_an_engine_unknown_at_startup() {
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let resolver = name_service_with_engine(address);
+    let program = start_with(&[free_address()], |config| {
+        config.with("resolver", resolver.to_string())
+    });
+    program.wait_for_count("lists 1\n");
+    // The engine of the start has no records any more: all go to the new one.
+    for id in 1..9 {
+        assert_eq!(
+            answer(&mut BufReader::new(post_query(program.listen, "load", id)))
+                .unwrap()
+                .0,
+            200
+        );
+    }
+}
+
+#[test]
+fn sighup_switches_the_name_service_without_losing_queries() {
+    let (address, told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(300));
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let (mute, resolver) = (
+        UdpSocket::bind("127.0.0.1:0").unwrap(),
+        name_service_with_engine(address),
+    );
+    let silent = mute.local_addr().unwrap().to_string();
+    let old = format!(r#""resolver":"{silent}""#);
+    let mut program = start_with(&[address], |config| config.with("resolver", silent.clone()));
+    let text = std::fs::read_to_string(&program.config.0).unwrap();
+    let open = post_query(program.listen, "look", 1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    // One that can't be used, and then one that can, with a key that has to wait.
+    program.config.write(&text.replace(&old, r#""resolver":7"#));
+    program.signal("-HUP");
+    thread::sleep(Duration::from_millis(100));
+    let new = format!(r#""resolver":"{resolver}","limits":{{"sockets":512}}"#);
+    program.config.write(&text.replace(&old, &new));
+    (0..3).for_each(|_| program.signal("-HUP"));
+    program.wait_for_count("lists 1\n");
+    assert_eq!(answer(&mut BufReader::new(open)).unwrap().0, 200);
+    program.told_to_end();
+    program.signal("-HUP");
+    let log = program.end();
+    assert!(
+        log.contains("stays as it was") && log.contains("key resolver is 7, not a text"),
+        "{log}"
+    );
+    assert!(log.contains("wait for the next start: limits\n"), "{log}");
+}
--- /dev/null
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -0,0 +1,270 @@
+//! Connections to engines: which are reused, and which are given up.
+
+use super::support::*;
+use std::io::{BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::{post_slowly as post_in_two, Ask};
+use tansymux_testbed::engine::{scripted as engine, vanishes};
+use tansymux_testbed::program::{Program, WAIT};
+use tansymux_testbed::wire::{self, answer};
+
+const TICK: Duration = Duration::from_millis(1);
+
+#[test]
+fn silent_engine_connection_is_not_reused() {
+    let first = std::sync::Arc::new(std::sync::Mutex::new(None));
+    let (address, told) = engine(move |parts, to| {
+        let from = to.peer_addr().unwrap();
+        if *first.lock().unwrap().get_or_insert(from) != from {
+            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        }
+    });
+    let program = start(&[address]);
+    // Moved after its patience is over, to the only engine there is, on a new connection.
+    let served = answer(&mut BufReader::new(post_query(program.listen, "look", 1))).unwrap();
+    assert_eq!(
+        (served.0, served.2.as_str()),
+        (200, r#"{"data":[["a","b","c"]]}"#)
+    );
+    // The first was given up by a word, before its connection was closed and well before the second went out.
+    let words: Vec<(String, Instant)> = told
+        .try_iter()
+        .map(|(parts, at)| (parts[0].clone(), at))
+        .collect();
+    assert_eq!(
+        words
+            .iter()
+            .map(|(word, _)| word.as_str())
+            .collect::<Vec<_>>(),
+        ["fetch", "abort", "fetch"]
+    );
+    assert!(
+        words[2].1 - words[1].1 > Duration::from_millis(30),
+        "{words:?}"
+    );
+    assert_eq!(
+        answer(&mut BufReader::new(post_query(program.listen, "look", 2)))
+            .unwrap()
+            .0,
+        200
+    );
+}
+
+#[test]
+fn malformed_or_truncated_engine_answer_fails_only_its_own_query() {
+    // Query 1 gets noise, query 2 half an answer, query 3 a page with a column too few, query 4 a good answer ahead
+    // of which and behind which comes what is not its own.
+    let (address, told) = engine(|parts, to| {
+        let id = parts[1].as_str();
+        if parts[0] != "fetch" {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+        match id.as_bytes()[15] {
+            b'1' => drop(to.write_all(b"*4\r\n$16\r\n\xff\xfe\x00no answer")),
+            b'2' => drop(to.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nDO").as_bytes())),
+            b'3' => say(to, &[id, "DONE", "batches=1", "a\tb\n"]),
+            _ => {
+                thread::sleep(Duration::from_millis(300));
+                say(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
+                (0..2).for_each(|_| say(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
+            }
+        }
+    });
+    let program = start(&[address]);
+    let from = Instant::now();
+    let clients: Vec<TcpStream> = [4, 1, 2, 3]
+        .map(|id| {
+            let client = post_query(program.listen, "load", id);
+            assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+            client
+        })
+        .into();
+    let answers: Vec<(u16, String)> = clients
+        .into_iter()
+        .map(|client| {
+            answer(&mut BufReader::new(client))
+                .map(|(status, _, body)| (status, body))
+                .unwrap()
+        })
+        .collect();
+    assert_eq!(answers[0], (200, r#"{"data":[["a","b","c"]]}"#.into()));
+    // A load may have run: it is not sent again.
+    assert!(
+        answers[1..].iter().all(|(status, _)| *status == 500),
+        "{answers:?}"
+    );
+    assert!(
+        from.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        from.elapsed()
+    );
+    program.wait_for_count("connections_spoilt 3\n");
+}
+
+#[test]
+fn write_is_not_sent_on_an_idle_engine_connection() {
+    // The engine ends a connection when a request comes on it after a pause.
+    let last = std::cell::Cell::new(None::<Instant>);
+    let (address, _told) = engine(move |parts, to| {
+        if last
+            .replace(Some(Instant::now()))
+            .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
+        {
+            return drop(to.shutdown(std::net::Shutdown::Both));
+        }
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let program = start(&[address]);
+    for id in 1..8 {
+        assert_eq!(
+            answer(&mut BufReader::new(post_query(program.listen, "load", id)))
+                .unwrap()
+                .0,
+            200,
+            "{id}"
+        );
+        thread::sleep(Duration::from_millis(if id % 2 == 0 { 10 } else { 130 }));
+    }
+}
+
+/// Sends queries one after the other with pauses of `pause` ms, and asserts that each is answered with a result.
+fn assert_all_complete(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
+    for id in ids {
+        let got = answer(&mut BufReader::new(post_query(program.listen, rg, id)));
+        assert_eq!(got.map(|got| got.0), Some(200), "{rg} {id}");
+        thread::sleep(Duration::from_millis(pause));
+    }
+}
+
+#[test]
+fn idle_engine_connections_are_reused_for_reads_but_not_for_writes() {
+    let (address, _told) =
+        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+    let program = start(&[address]);
+    assert_all_complete(&program, "look", 1..15, 70);
+    assert_eq!(program.counter("connections_to_engines"), Some(1));
+    assert_all_complete(&program, "load", 15..20, 70);
+    assert_eq!(program.counter("connections_to_engines"), Some(6));
+    // Several at once have several; one of those that idle then is kept.
+    let at_once: Vec<TcpStream> = (20..24)
+        .map(|id| post_query(program.listen, "look", id))
+        .collect();
+    at_once
+        .into_iter()
+        .for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
+    thread::sleep(Duration::from_millis(1200));
+    let before = program.counter("connections_to_engines");
+    assert_all_complete(&program, "look", 24..26, 70);
+    assert_eq!(program.counter("connections_to_engines"), before);
+}
+
+#[test]
+fn idle_engine_connections_are_no_longer_reused_once_some_were_lost() {
+    // The engine ends a connection when a request comes on it after a pause, having heard of it or not.
+    let last = std::cell::Cell::new(None::<Instant>);
+    let (address, _told) = engine(move |parts, to| {
+        if last
+            .replace(Some(Instant::now()))
+            .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
+        {
+            return drop(to.shutdown(std::net::Shutdown::Both));
+        }
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let program = start(&[address]);
+    assert_all_complete(&program, "look", 1..20, 130);
+    let lost = program.counter("connections_lost_idle").unwrap();
+    assert!((1..=2).contains(&lost), "{lost}");
+    // They say nothing of the engine: no attempt counts as reset there.
+    assert_eq!(program.counter("submissions_reset"), Some(0));
+}
+
+#[test]
+fn engine_that_accepts_requests_but_stays_silent_is_checked_by_a_new_connection() {
+    // It answers, then vanishes: its connection stays open and mute, and no new one comes up.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, same) = (
+        listener.local_addr().unwrap(),
+        listener.try_clone().unwrap(),
+    );
+    let vanished = Arc::new(AtomicBool::new(false));
+    let gone = vanished.clone();
+    thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let (mut reader, mut writer) = (BufReader::new(stream.try_clone().unwrap()), stream);
+        while let Some(parts) = wire::frame(&mut reader) {
+            if !gone.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(90));
+                say(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            }
+        }
+    });
+    let (other, _told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(90));
+        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    });
+    let program = start(&[address, other]);
+    let ask = |id| {
+        let mut ask = Ask::new(
+            id,
+            "/invoke/look",
+            "look",
+            "SELECT a FROM sales_17.orders",
+            9000.0,
+        );
+        ask.cost = Some(100.0);
+        let from = Instant::now();
+        let mut reader = BufReader::new(post_in_two(
+            program.listen,
+            &ask,
+            50,
+            Duration::from_millis(1),
+        ));
+        assert_eq!(answer(&mut reader).map(|got| got.0), Some(200), "{id}");
+        from.elapsed()
+    };
+    (1..9).for_each(|id| assert!(ask(id) < WAIT));
+    thread::sleep(Duration::from_millis(150));
+    let _full = vanishes(&same);
+    vanished.store(true, Ordering::Relaxed);
+    // Without the check each that goes there waits for 900 ms: 400 and five times its run.
+    let longest = (9..25).map(ask).max().unwrap();
+    assert!((500..800).contains(&longest.as_millis()), "{longest:?}");
+    assert_eq!(program.counter("submissions_reset"), Some(1));
+}
+
+#[test]
+fn cancelled_attempt_without_progress_notes_does_not_discredit_its_connection() {
+    // Query 1 is never answered; its client leaves after 400 ms, where answers may take 5 s.
+    let (address, told) = engine(|parts, to| {
+        if parts[0] == "fetch" && !parts[1].ends_with('1') {
+            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        }
+    });
+    let program = start_with(&[address], |config| {
+        config
+            .with("settings.services.0.aim-us", 5_000_000)
+            .with("settings.services.1.aim-us", 5_000_000)
+    });
+    let ask = |id| {
+        post_in_two(
+            program.listen,
+            &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
+            50,
+            TICK,
+        )
+    };
+    let leaves = ask(1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(answer(&mut BufReader::new(ask(2))).unwrap().0, 200);
+    thread::sleep(Duration::from_millis(400));
+    drop(leaves);
+    program.wait_for_count("vanished 1\n");
+    assert_eq!(answer(&mut BufReader::new(ask(3))).unwrap().0, 200);
+    assert_eq!(program.counter("connections_to_engines"), Some(2));
+}
--- /dev/null
+++ b/crates/dispatcher/tests/sockets/queries.rs
@@ -0,0 +1,249 @@
+//! Queries from their request to their answer.
+
+use super::support::*;
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::engine::scripted as engine;
+use tansymux_testbed::program::{free_address, get, WAIT};
+use tansymux_testbed::wire::answer;
+
+#[test]
+fn result_pages_of_an_engine_are_returned_as_one_answer() {
+    let (address, told) = engine(|parts, to| match parts[0].as_str() {
+        "fetch" => {
+            say(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
+            say(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
+        }
+        "more" => say(
+            to,
+            &[
+                &parts[1],
+                "MORE",
+                &format!("batch={}", parts[2]),
+                "b\t2\ty\n",
+            ],
+        ),
+        _ => {}
+    });
+    let mut program = start(&[address]);
+    // Two on one connection, one after the other.
+    let mut client = post_query(program.listen, "look", 1);
+    let mut reader = BufReader::new(client.try_clone().unwrap());
+    let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
+    assert_eq!(
+        answer(&mut reader).map(|(s, _, b)| (s, b)),
+        Some((200, served.into()))
+    );
+    client
+        .write_all(b"GET /_counters HTTP/1.1\r\n\r\n")
+        .unwrap();
+    let counters = answer(&mut reader).unwrap().2;
+    for line in [
+        "taken 1\n",
+        "finished 1\n",
+        "submissions_finished 1\n",
+        "unanswered 0\n",
+        "in_hand 0\n",
+    ] {
+        assert!(counters.contains(line), "{line} in {counters}");
+    }
+    let fetch = told.recv_timeout(WAIT).unwrap().0;
+    assert_eq!(
+        (fetch[0].as_str(), fetch[1].as_str()),
+        ("fetch", "0000000000000001")
+    );
+    assert!(
+        fetch[2].starts_with("cls=look,limit=8") && fetch[2].ends_with(",nice=3"),
+        "{}",
+        fetch[2]
+    );
+    assert_eq!(fetch[3], "SELECT a FROM sales_17.orders");
+    program.told_to_end();
+    assert!(program.end().contains("taken 1\n"));
+}
+
+#[test]
+fn sigterm_keeps_accepting_for_a_while_and_answers_everything() {
+    let (address, told) = engine(|_, _| {});
+    let mut program = start(&[address]);
+    let mut clients = vec![
+        post_query(program.listen, "look", 1),
+        post_query(program.listen, "load", 2),
+    ];
+    (0..2).for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
+    // Hundreds that say nothing, and a reload under way, are no bar to the end.
+    let _mute: Vec<TcpStream> = (0..300)
+        .map(|_| TcpStream::connect(program.listen).unwrap())
+        .collect();
+    let from = Instant::now();
+    program.signal("-HUP");
+    program.told_to_end();
+    while get(program.listen, "/_health").is_some_and(|(status, ..)| status == 200) {
+        assert!(from.elapsed() < WAIT);
+    }
+    clients.push(post_query(program.listen, "look", 3));
+    let statuses: Vec<u16> = clients
+        .iter()
+        .map(|c| answer(&mut BufReader::new(c)).unwrap().0)
+        .collect();
+    // The engine is silent: what only reads is deferred, what may have changed tables is killed.
+    assert_eq!(statuses, [429, 500, 429]);
+    let report = program.end();
+    assert!(
+        from.elapsed() < Duration::from_millis(4200),
+        "{:?}",
+        from.elapsed()
+    );
+    assert!(
+        report.contains("taken 3\n") && report.contains("unanswered 0\n"),
+        "{report}"
+    );
+}
+
+#[test]
+fn query_wait_time_counts_from_its_last_byte() {
+    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", ""]));
+    let program = start(&[address]);
+    let slow = post_query_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
+    assert_eq!(answer(&mut BufReader::new(slow)).unwrap().0, 200);
+}
+
+#[test]
+fn write_that_never_ran_is_rejected_and_one_that_may_have_run_is_not_retried() {
+    // Nobody listens at the one address; at the other, connections end when a request has come.
+    let program = start(&[free_address()]);
+    let deferred = answer(&mut BufReader::new(post_query(program.listen, "load", 1))).unwrap();
+    assert_eq!(
+        (deferred.0, deferred.2.as_str()),
+        (429, r#"{"error":"TryLater"}"#)
+    );
+    assert!(
+        deferred.1.contains("Srv-Wait-Ms: 500\r\n"),
+        "{}",
+        deferred.1
+    );
+    let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
+    let program = start(&[address]);
+    assert_eq!(
+        answer(&mut BufReader::new(post_query(program.listen, "load", 1)))
+            .unwrap()
+            .0,
+        500
+    );
+    assert_eq!(
+        told.try_iter()
+            .filter(|(parts, _)| parts[0] == "fetch")
+            .count(),
+        1
+    );
+}
+
+#[test]
+fn client_disconnect_cancels_its_query_and_others_go_on() {
+    let (address, told) = engine(|parts, to| {
+        if parts[1].ends_with('2') {
+            say(to, &[&parts[1], "DONE", "batches=1", ""]);
+        }
+    });
+    let program = start(&[address]);
+    let leaves = post_query(program.listen, "look", 1);
+    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    drop(leaves);
+    assert_eq!(
+        told.recv_timeout(WAIT).unwrap().0[..2],
+        ["abort", "0000000000000001"]
+    );
+    let served = answer(&mut BufReader::new(post_query(program.listen, "look", 2))).unwrap();
+    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
+    // Names that the settings do not know are not taken in.
+    let unknown = answer(&mut BufReader::new(post_query(
+        program.listen,
+        "nothing",
+        3,
+    )))
+    .unwrap();
+    assert_eq!(unknown.0, 404);
+    // What can't be read or used is answered so, and the program serves on.
+    let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
+    let costs =
+        ["1e300", "-1", "NaN", "inf", "x"].map(|cost| format!("{head}Req-Cost: {cost}\r\n\r\n"));
+    for bytes in costs
+        .iter()
+        .map(String::as_bytes)
+        .chain([b"\xff\xff\xff\xff\r\n\r\n".as_slice()])
+    {
+        let mut hostile = TcpStream::connect(program.listen).unwrap();
+        hostile.write_all(bytes).unwrap();
+        assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
+    }
+    assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
+}
+
+#[test]
+fn keys_are_forwarded_unchanged_and_queries_of_one_ordering_key_run_in_order() {
+    let (address, told) = engine(|parts, to| {
+        thread::sleep(Duration::from_millis(60));
+        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+    });
+    let program = start_with(&[address], |config| {
+        let load = json!({"name": "load", "aim-us": 300_000, "hard-limit-us": 9_000_000, "effect": "idempotency_key",
+            "dedup-scope": "all", "repeat-window-us": 5_000_000, "in-order": true});
+        config.with("settings.services.1", load)
+    });
+    let (token, key) = ("0123456789abcdef0123456789ABCDEF", "00000000000000c7");
+    let post_with_fields = |id: u64, fields: &str| {
+        let mut client = TcpStream::connect(program.listen).unwrap();
+        client.set_read_timeout(Some(WAIT)).unwrap();
+        let head = format!(
+            "POST /invoke/load HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n"
+        );
+        client
+            .write_all(format!("{head}{fields}Content-Length: 8\r\n\r\nSELECT 1").as_bytes())
+            .unwrap();
+        client
+    };
+    let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
+    let clients = [post_with_fields(1, &marks), post_with_fields(2, &marks)];
+    let fetch = || {
+        let (parts, at) = told.recv_timeout(WAIT).unwrap();
+        assert_eq!(parts[0], "fetch");
+        (
+            parts[2]
+                .split(',')
+                .map(str::to_owned)
+                .collect::<Vec<String>>(),
+            at,
+        )
+    };
+    let ((first, began), (_, second)) = (fetch(), fetch());
+    assert!(
+        first.contains(&format!("nonce={token}")) && first.contains(&format!("item={key}")),
+        "{first:?}"
+    );
+    // The second of its key has not gone out while the first ran.
+    assert!(
+        second - began >= Duration::from_millis(60),
+        "{:?}",
+        second - began
+    );
+    clients
+        .iter()
+        .for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
+    // What would break the list of fields is turned away, as is one that is told twice.
+    for wrong in [
+        "Req-Token: a,mb=9\r\n",
+        "Req-Key: \r\n",
+        "Req-Key: 1\r\nReq-Key: 2\r\n",
+    ] {
+        assert_eq!(
+            answer(&mut BufReader::new(post_with_fields(9, wrong)))
+                .unwrap()
+                .0,
+            400,
+            "{wrong}"
+        );
+    }
+}
