--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -7,8 +7,8 @@
 use super::route::QUERY_PATH;
 use crate::query_registry::{QueryRequest, RequestKeys};
 use crate::statement_classifier::{Classed, StatementClassifier};
-use tansymux::interface::Text;
-use tansymux::told;
+use tansymux::events::StatementTraits;
+use tansymux::settings;
 use tansymux_sql_analysis::table_group;
 
 /// Digits of a query's id, by the protocol.
@@ -105,9 +105,9 @@
             .named_group
             .or(analysed_group)
             .ok_or(RequestError::UNKNOWN)?;
-        let mut text = analysis.map_or(Text::UNREAD, |analysis| analysis.text);
+        let mut text = analysis.map_or(StatementTraits::UNKNOWN, |analysis| analysis.text);
         if self.cost_ms > 0.0 {
-            text.sure = 1.0;
+            text.confidence = 1.0;
         }
         // The analysis estimates only what the client of a statement without a resource group left open.
         let estimates = analysis.filter(|_| self.named_group.is_none());
@@ -199,7 +199,7 @@
     }
     let mut tenants = limits.tenants.iter();
     tenants
-        .find(|known| told::is_named(known, owner))
+        .find(|known| settings::matches_name(known, owner))
         .map(String::as_str)
         .ok_or(RequestError::new(403, "unknown customer"))
 }
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use tansymux::interface::Outcome;
+use tansymux::events::Outcome;
 
 /// A count of events.
 #[derive(Default)]
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -4,7 +4,7 @@
 use crate::statement_shape::StatementShape;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tansymux::interface::Text;
+use tansymux::events::StatementTraits;
 
 /// A result's pages, as rows in JSON.
 pub type Pages = Vec<Vec<u8>>;
@@ -101,7 +101,7 @@
     /// The set of tables that it uses, as a number.
     pub tables: u32,
     /// What its text showed.
-    pub text: Text,
+    pub text: StatementTraits,
     /// What the analysis of its text leaves with it, where it was analysed.
     pub shape: Option<StatementShape>,
     /// The keys that its client gave it.
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -1,11 +1,11 @@
 use super::completed_ids::MAX_COMPLETED_IDS;
 use super::*;
-use tansymux::interface::Text;
+use tansymux::events::StatementTraits;
 
-const BOUNDS: Bounds = Bounds {
-    until: 90.0,
-    begin_by: 90.0,
-    harmless: true,
+const BOUNDS: AttemptLimits = AttemptLimits {
+    deadline_ms: 90.0,
+    start_by_ms: 90.0,
+    side_effect_free: true,
 };
 const ASKED: QueryRequest = QueryRequest {
     id: "9b1f03aa5c7e2d41",
@@ -17,7 +17,7 @@
     estimated_cost_ms: 1.0,
     memory_mb: 1.0,
     tables: 1,
-    text: Text::UNREAD,
+    text: StatementTraits::UNKNOWN,
     shape: None,
     keys: RequestKeys {
         idempotency_key: None,
