--- a/crates/dispatcher/tests/life_cycle/clients.rs
+++ b/crates/dispatcher/tests/life_cycle/clients.rs
@@ -6,21 +6,21 @@
 use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::Ask;
+use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::program::WAIT;
-use tansymux_testbed::wire::answer;
+use tansymux_testbed::program::TIMEOUT;
+use tansymux_testbed::wire::read_response;
 
 #[test]
 fn client_disconnect_is_noticed_behind_unread_pipelined_bytes() {
     let (address, told) = scripted(|_, _| {});
     let program = start(&two_group_config(&[address]));
     let mut client = send_query(&program, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     // More than is kept of what a client sends ahead.
     client.write_all(&[b'x'; 200 * 1024]).unwrap();
     client.shutdown(Shutdown::Write).unwrap();
-    let (parts, _) = told.recv_timeout(WAIT).unwrap();
+    let (parts, _) = told.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(parts[..2], ["abort", "0000000000000001"]);
     program.wait_for_count("vanished 1\n");
 }
@@ -30,7 +30,7 @@
     let (address, told) = engine_answering_after(300);
     let program = start(&two_group_config(&[address]));
     let mut client = send_query(&program, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let noise = [
         b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000),
         vec![b'x'; 100 * 1024],
@@ -38,13 +38,13 @@
     .concat();
     client.write_all(&noise).unwrap();
     let mut reader = BufReader::new(client);
-    let (status, head, _) = answer(&mut reader).unwrap();
+    let (status, head, _) = read_response(&mut reader).unwrap();
     assert!(
         status == 200 && head.contains("Connection: close\r\n"),
         "{head}"
     );
     // Nothing of what was passed over is taken for a request.
-    assert!(answer(&mut reader).is_none());
+    assert!(read_response(&mut reader).is_none());
 }
 
 #[test]
@@ -83,15 +83,15 @@
         let statement = format!("SELECT '{}' FROM sales_17.orders", "x".repeat(64_000));
         let mut stream = connect_client(&program);
         stream
-            .write_all(&Ask::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
+            .write_all(&ClientQuery::new(id, "/invoke/look", "look", &statement, 9000.0).bytes())
             .unwrap();
         stream
     };
     let waits: Vec<TcpStream> = (1..53).map(big).collect();
     waits
         .iter()
-        .for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
-    let (status, head, body) = answer(&mut BufReader::new(big(99))).unwrap();
+        .for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
+    let (status, head, body) = read_response(&mut BufReader::new(big(99))).unwrap();
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
 }
--- a/crates/dispatcher/tests/life_cycle/engines.rs
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -6,9 +6,9 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::engine::vanishes;
-use tansymux_testbed::program::{get, WAIT};
-use tansymux_testbed::wire::{self, answer, say};
+use tansymux_testbed::engine::refuse_silently;
+use tansymux_testbed::program::{get, TIMEOUT};
+use tansymux_testbed::wire::{self, read_response, write_frame};
 
 /// An engine that hands each connection to the test as it was accepted, and answers nothing itself.
 fn engine_with_held_connections() -> (SocketAddr, Receiver<TcpStream>) {
@@ -17,7 +17,7 @@
     let (accepted, connections) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            stream.set_read_timeout(Some(WAIT)).unwrap();
+            stream.set_read_timeout(Some(TIMEOUT)).unwrap();
             let _ = accepted.send(stream);
         }
     });
@@ -40,9 +40,9 @@
     let (address, connections) = engine_with_held_connections();
     let program = start(&two_group_config(&[address]));
     let first = send_query(&program, "look", 1);
-    let mut idles = connections.recv_timeout(WAIT).unwrap();
+    let mut idles = connections.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(next_request(&idles), fetch_request("0000000000000001"));
-    say(
+    write_frame(
         &mut idles,
         &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -55,9 +55,9 @@
     idles.shutdown(Shutdown::Both).unwrap();
     let second = send_query(&program, "look", 2);
     drop(stopped);
-    let mut next = connections.recv_timeout(WAIT).unwrap();
+    let mut next = connections.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(next_request(&next), fetch_request("0000000000000002"));
-    say(
+    write_frame(
         &mut next,
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -73,20 +73,20 @@
     let program = start(&two_group_config(&[address]));
     for (rg, id) in [("load", "0000000000000001"), ("look", "0000000000000002")] {
         let client = send_query(&program, rg, id[15..].parse().unwrap());
-        let mut stream = connections.recv_timeout(WAIT).unwrap();
+        let mut stream = connections.recv_timeout(TIMEOUT).unwrap();
         assert_eq!(next_request(&stream), fetch_request(id));
         // The first of two pages, half of the second.
-        say(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
+        write_frame(&mut stream, &[id, "DONE", "batches=2", "a\tb\tc\n"]);
         assert_eq!(next_request(&stream), Some(("more".into(), id.into())));
         stream
             .write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nMO").as_bytes())
             .unwrap();
         stream.shutdown(Shutdown::Both).unwrap();
         if rg == "look" {
-            let mut again = connections.recv_timeout(WAIT).unwrap();
+            let mut again = connections.recv_timeout(TIMEOUT).unwrap();
             assert_eq!(next_request(&again), fetch_request(id));
-            say(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
-            let (status, _, body) = answer(&mut BufReader::new(client)).unwrap();
+            write_frame(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
+            let (status, _, body) = read_response(&mut BufReader::new(client)).unwrap();
             // Nothing of the first result is left in it.
             assert_eq!(
                 (status, body.as_str()),
@@ -103,7 +103,7 @@
     // Nobody accepts, and the backlog is full: connections come up once there is room, a second and more later.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let full = vanishes(&listener);
+    let full = refuse_silently(&listener);
     let config =
         two_group_config(&[address]).with("settings.limits.connect-timeout-us", 30_000_000);
     let program = start(&config.with("settings.limits.cancelling", false));
@@ -126,12 +126,12 @@
     let mut first = None;
     while first.is_none() {
         let (stream, _) = listener.accept().unwrap();
-        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         first = next_request(&stream).map(|frame| (frame, stream));
     }
     let (frame, mut stream) = first.unwrap();
     assert_eq!(Some(frame), fetch_request("0000000000000002"));
-    say(
+    write_frame(
         &mut stream,
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
@@ -143,7 +143,7 @@
     // Nobody accepts, and the backlog is full: what waits is given up after 250 ms, as the settings say.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let full = vanishes(&listener);
+    let full = refuse_silently(&listener);
     let program = start(&two_group_config(&[address]));
     assert_eq!(answer_status(&send_query(&program, "load", 1)), Some(429));
     let opened = program.counter("connections_to_engines").unwrap();
@@ -157,7 +157,7 @@
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 while let Some(parts) = wire::frame(&mut reader) {
                     let _ = tell.send(parts[1].clone());
-                    say(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                    write_frame(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
                 }
             });
         }
@@ -168,7 +168,7 @@
             .is_some_and(|up| up > 0)
     });
     assert_eq!(answer_status(&send_query(&program, "load", 2)), Some(200));
-    assert_eq!(came.recv_timeout(WAIT).unwrap(), "0000000000000002");
+    assert_eq!(came.recv_timeout(TIMEOUT).unwrap(), "0000000000000002");
     assert_eq!(program.counter("connections_to_engines"), Some(opened));
 }
 
@@ -178,7 +178,7 @@
     let (serves, _told) = engine_answering_after(0);
     let program = start(&two_group_config(&[floods, serves]));
     thread::spawn(move || {
-        while let Ok(mut stream) = connections.recv_timeout(WAIT) {
+        while let Ok(mut stream) = connections.recv_timeout(TIMEOUT) {
             thread::spawn(move || {
                 let many =
                     b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
--- a/crates/dispatcher/tests/life_cycle/process.rs
+++ b/crates/dispatcher/tests/life_cycle/process.rs
@@ -9,15 +9,15 @@
 use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::Ask;
+use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::program::{class, free_address, get, Config, Scrap, WAIT};
+use tansymux_testbed::program::{class, free_address, get, Config, TempFile, TIMEOUT};
 
 #[test]
 fn signals_sent_before_the_configuration_is_read_take_effect_afterwards() {
     // The configuration is a pipe: the program stands at its first read until the test writes.
     let text = two_group_config(&[]).0.to_string();
-    let pipe = Scrap::new("config.fifo", "");
+    let pipe = TempFile::new("config.fifo", "");
     std::fs::remove_file(&pipe.0).unwrap();
     let path = CString::new(pipe.0.as_os_str().as_bytes()).unwrap();
     assert_eq!(unsafe { libc::mkfifo(path.as_ptr(), 0o600) }, 0);
@@ -54,7 +54,7 @@
     drop(writer);
     let from = Instant::now();
     let status = child.wait().unwrap();
-    assert!(status.success() && from.elapsed() < WAIT, "{status}");
+    assert!(status.success() && from.elapsed() < TIMEOUT, "{status}");
 }
 
 #[test]
@@ -66,9 +66,9 @@
     // At one instant: a request on the connection that rests, the signal (twice), three in the backlog.
     let stopped = PausedProgram::new(&program);
     rests.write_all(&query_bytes("look", 2)).unwrap();
-    program.told_to_end();
+    program.terminate();
     let backlog: Vec<TcpStream> = (3..6).map(|id| send_query(&program, "look", id)).collect();
-    program.told_to_end();
+    program.terminate();
     drop(stopped);
     assert_eq!(answer_status(&rests), Some(200));
     backlog
@@ -87,7 +87,7 @@
     let (address, _told) = engine_answering_after(20);
     let mut program = start(&two_group_config(&[address]));
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     wait_until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
@@ -112,7 +112,7 @@
     let clients: Vec<TcpStream> = (0..40)
         .map(|id| send_query(&program, "look", id + 1))
         .collect();
-    program.told_to_end();
+    program.terminate();
     for (nth, stream) in clients.iter().enumerate() {
         assert!(
             answer_status(stream).is_some_and(|status| status == 200 || status == 429),
@@ -133,7 +133,7 @@
     let mut rests = send_query(&program, "look", 1);
     assert_eq!(answer_status(&rests), Some(200));
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     // It may ask for as long as new connections are waited for, and then learns that nothing more is taken.
     assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
     assert!(from.elapsed() >= ACCEPT_GRACE, "{:?}", from.elapsed());
@@ -155,7 +155,7 @@
         program.counters().contains("connections_from_clients")
     });
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     wait_until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
@@ -186,7 +186,7 @@
     let mut client = connect_client(&program);
     client
         .write_all(
-            &Ask::new(
+            &ClientQuery::new(
                 1,
                 "/invoke/load",
                 "load",
@@ -196,9 +196,9 @@
             .bytes(),
         )
         .unwrap();
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let from = Instant::now();
-    program.told_to_end();
+    program.terminate();
     assert_eq!(answer_status(&client), Some(500));
     drop(client);
     program.end();
--- a/crates/dispatcher/tests/life_cycle/support.rs
+++ b/crates/dispatcher/tests/life_cycle/support.rs
@@ -8,10 +8,10 @@
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::Ask;
+use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::program::{class, free_address, Config, Program, WAIT};
-use tansymux_testbed::wire::{answer, say};
+use tansymux_testbed::program::{class, free_address, Config, Program, TIMEOUT};
+use tansymux_testbed::wire::{read_response, write_frame};
 
 /// The program under test.
 pub const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
@@ -45,7 +45,7 @@
             let (id, mut to) = (parts[1].clone(), to.try_clone().unwrap());
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(delay_ms));
-                say(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
+                write_frame(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
             });
         }
     })
@@ -54,14 +54,14 @@
 /// A client's connection to the program, with a limit on every wait.
 pub fn connect_client(program: &Program) -> TcpStream {
     let stream = TcpStream::connect(program.listen).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     stream.set_nodelay(true).unwrap();
     stream
 }
 
 /// The request of a query.
 pub fn query_bytes(rg: &str, id: u64) -> Vec<u8> {
-    Ask::new(
+    ClientQuery::new(
         id,
         &format!("/invoke/{rg}"),
         rg,
@@ -80,7 +80,7 @@
 
 /// The status of the next answer on a connection; `None` if it ends without one.
 pub fn answer_status(stream: &TcpStream) -> Option<u16> {
-    answer(&mut BufReader::new(stream)).map(|(status, ..)| status)
+    read_response(&mut BufReader::new(stream)).map(|(status, ..)| status)
 }
 
 /// Ids of the queries that an engine was sent.
@@ -118,7 +118,7 @@
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let from = Instant::now();
     while !condition() {
-        assert!(from.elapsed() < WAIT, "not in time: {what}");
+        assert!(from.elapsed() < TIMEOUT, "not in time: {what}");
         thread::sleep(Duration::from_millis(2));
     }
 }
--- a/crates/dispatcher/tests/sockets/clients.rs
+++ b/crates/dispatcher/tests/sockets/clients.rs
@@ -7,8 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux_testbed::engine::scripted as engine;
-use tansymux_testbed::program::{Config, WAIT};
-use tansymux_testbed::wire::answer;
+use tansymux_testbed::program::{Config, TIMEOUT};
+use tansymux_testbed::wire::read_response;
 
 /// The smallest limits that are accepted: room for 32 connections of clients.
 fn with_smallest_limits(config: Config) -> Config {
@@ -18,7 +18,7 @@
 #[test]
 fn idle_and_silent_clients_are_evicted_for_clients_with_queries() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], with_smallest_limits);
     let mute: Vec<TcpStream> = (0..40)
         .map(|_| TcpStream::connect(program.listen).unwrap())
@@ -28,7 +28,7 @@
         .map(|id| {
             let client = post_query(program.listen, "look", id);
             assert_eq!(
-                answer(&mut BufReader::new(client.try_clone().unwrap()))
+                read_response(&mut BufReader::new(client.try_clone().unwrap()))
                     .unwrap()
                     .0,
                 200
@@ -43,13 +43,13 @@
     );
     // Those that never asked are told so by a close, and one that sends by drops by an error.
     let mut drips = TcpStream::connect(program.listen).unwrap();
-    drips.set_read_timeout(Some(WAIT)).unwrap();
+    drips.set_read_timeout(Some(TIMEOUT)).unwrap();
     let from = Instant::now();
     while from.elapsed() < Duration::from_secs(3) && drips.write_all(b"POST /x").is_ok() {
         thread::sleep(Duration::from_millis(100));
     }
     for mut client in mute {
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         assert!(!matches!(client.read(&mut [0]), Ok(1..)));
     }
     assert!(
@@ -57,14 +57,14 @@
         "{:?}",
         from.elapsed()
     );
-    assert!(answer(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
+    assert!(read_response(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
     drop(stay);
 }
 
 #[test]
 fn unusable_requests_are_refused_and_bytes_behind_them_are_never_parsed() {
     let (address, told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], with_smallest_limits);
     let behind =
         "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000ab\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n\
@@ -84,13 +84,13 @@
     ];
     for (rest, status) in cases {
         let mut client = TcpStream::connect(program.listen).unwrap();
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         client
             .write_all(format!("{head}{rest}{behind}").as_bytes())
             .unwrap();
         let mut reader = BufReader::new(client);
-        assert_eq!(answer(&mut reader).unwrap().0, status, "{rest}");
-        assert!(answer(&mut reader).is_none(), "{rest}");
+        assert_eq!(read_response(&mut reader).unwrap().0, status, "{rest}");
+        assert!(read_response(&mut reader).is_none(), "{rest}");
     }
     // The refusal of a statement without end reaches its client while that still sends.
     let mut client = TcpStream::connect(program.listen).unwrap();
@@ -98,10 +98,10 @@
         .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
         .unwrap();
     (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
-    assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 413);
+    assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 413);
     assert_eq!(told.try_iter().count(), 0);
     assert_eq!(
-        answer(&mut BufReader::new(post_query(program.listen, "look", 1)))
+        read_response(&mut BufReader::new(post_query(program.listen, "look", 1)))
             .unwrap()
             .0,
         200
@@ -111,7 +111,7 @@
 #[test]
 fn clients_that_fill_the_read_buffers_do_not_block_small_requests() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], |config| {
         with_smallest_limits(config).with("limits.memory_mb", 16)
     });
@@ -128,7 +128,7 @@
     thread::sleep(Duration::from_millis(200));
     for id in 1..5 {
         assert_eq!(
-            answer(&mut BufReader::new(post_query(program.listen, "look", id)))
+            read_response(&mut BufReader::new(post_query(program.listen, "look", id)))
                 .unwrap()
                 .0,
             200
--- a/crates/dispatcher/tests/sockets/engine_connections.rs
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{post_slowly as post_in_two, Ask};
-use tansymux_testbed::engine::{scripted as engine, vanishes};
-use tansymux_testbed::program::{Program, WAIT};
-use tansymux_testbed::wire::{self, answer};
+use tansymux_testbed::client::{send_query_in_two_parts as post_in_two, ClientQuery};
+use tansymux_testbed::engine::{refuse_silently, scripted as engine};
+use tansymux_testbed::program::{Program, TIMEOUT};
+use tansymux_testbed::wire::{self, read_response};
 
 const TICK: Duration = Duration::from_millis(1);
 
@@ -20,12 +20,12 @@
     let (address, told) = engine(move |parts, to| {
         let from = to.peer_addr().unwrap();
         if *first.lock().unwrap().get_or_insert(from) != from {
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start(&[address]);
     // Moved after its patience is over, to the only engine there is, on a new connection.
-    let served = answer(&mut BufReader::new(post_query(program.listen, "look", 1))).unwrap();
+    let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 1))).unwrap();
     assert_eq!(
         (served.0, served.2.as_str()),
         (200, r#"{"data":[["a","b","c"]]}"#)
@@ -47,7 +47,7 @@
         "{words:?}"
     );
     assert_eq!(
-        answer(&mut BufReader::new(post_query(program.listen, "look", 2)))
+        read_response(&mut BufReader::new(post_query(program.listen, "look", 2)))
             .unwrap()
             .0,
         200
@@ -67,11 +67,11 @@
         match id.as_bytes()[15] {
             b'1' => drop(to.write_all(b"*4\r\n$16\r\n\xff\xfe\x00no answer")),
             b'2' => drop(to.write_all(format!("*4\r\n$16\r\n{id}\r\n$4\r\nDO").as_bytes())),
-            b'3' => say(to, &[id, "DONE", "batches=1", "a\tb\n"]),
+            b'3' => write_frame(to, &[id, "DONE", "batches=1", "a\tb\n"]),
             _ => {
                 thread::sleep(Duration::from_millis(300));
-                say(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
-                (0..2).for_each(|_| say(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
+                write_frame(to, &["00000000000000ff", "DONE", "batches=1", "x\ty\tz\n"]);
+                (0..2).for_each(|_| write_frame(to, &[id, "DONE", "batches=1", "a\tb\tc\n"]));
             }
         }
     });
@@ -80,14 +80,14 @@
     let clients: Vec<TcpStream> = [4, 1, 2, 3]
         .map(|id| {
             let client = post_query(program.listen, "load", id);
-            assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+            assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
             client
         })
         .into();
     let answers: Vec<(u16, String)> = clients
         .into_iter()
         .map(|client| {
-            answer(&mut BufReader::new(client))
+            read_response(&mut BufReader::new(client))
                 .map(|(status, _, body)| (status, body))
                 .unwrap()
         })
@@ -117,12 +117,12 @@
         {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address]);
     for id in 1..8 {
         assert_eq!(
-            answer(&mut BufReader::new(post_query(program.listen, "load", id)))
+            read_response(&mut BufReader::new(post_query(program.listen, "load", id)))
                 .unwrap()
                 .0,
             200,
@@ -135,7 +135,7 @@
 /// Sends queries one after the other with pauses of `pause` ms, and asserts that each is answered with a result.
 fn assert_all_complete(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
     for id in ids {
-        let got = answer(&mut BufReader::new(post_query(program.listen, rg, id)));
+        let got = read_response(&mut BufReader::new(post_query(program.listen, rg, id)));
         assert_eq!(got.map(|got| got.0), Some(200), "{rg} {id}");
         thread::sleep(Duration::from_millis(pause));
     }
@@ -144,7 +144,7 @@
 #[test]
 fn idle_engine_connections_are_reused_for_reads_but_not_for_writes() {
     let (address, _told) =
-        engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start(&[address]);
     assert_all_complete(&program, "look", 1..15, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(1));
@@ -156,7 +156,7 @@
         .collect();
     at_once
         .into_iter()
-        .for_each(|one| assert_eq!(answer(&mut BufReader::new(one)).unwrap().0, 200));
+        .for_each(|one| assert_eq!(read_response(&mut BufReader::new(one)).unwrap().0, 200));
     thread::sleep(Duration::from_millis(1200));
     let before = program.counter("connections_to_engines");
     assert_all_complete(&program, "look", 24..26, 70);
@@ -174,7 +174,7 @@
         {
             return drop(to.shutdown(std::net::Shutdown::Both));
         }
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address]);
     assert_all_complete(&program, "look", 1..20, 130);
@@ -200,17 +200,17 @@
         while let Some(parts) = wire::frame(&mut reader) {
             if !gone.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(90));
-                say(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+                write_frame(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
             }
         }
     });
     let (other, _told) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(90));
-        say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
     let program = start(&[address, other]);
     let ask = |id| {
-        let mut ask = Ask::new(
+        let mut ask = ClientQuery::new(
             id,
             "/invoke/look",
             "look",
@@ -225,12 +225,16 @@
             50,
             Duration::from_millis(1),
         ));
-        assert_eq!(answer(&mut reader).map(|got| got.0), Some(200), "{id}");
+        assert_eq!(
+            read_response(&mut reader).map(|got| got.0),
+            Some(200),
+            "{id}"
+        );
         from.elapsed()
     };
-    (1..9).for_each(|id| assert!(ask(id) < WAIT));
+    (1..9).for_each(|id| assert!(ask(id) < TIMEOUT));
     thread::sleep(Duration::from_millis(150));
-    let _full = vanishes(&same);
+    let _full = refuse_silently(&same);
     vanished.store(true, Ordering::Relaxed);
     // Without the check each that goes there waits for 900 ms: 400 and five times its run.
     let longest = (9..25).map(ask).max().unwrap();
@@ -243,7 +247,7 @@
     // Query 1 is never answered; its client leaves after 400 ms, where answers may take 5 s.
     let (address, told) = engine(|parts, to| {
         if parts[0] == "fetch" && !parts[1].ends_with('1') {
-            say(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start_with(&[address], |config| {
@@ -254,17 +258,17 @@
     let ask = |id| {
         post_in_two(
             program.listen,
-            &Ask::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
+            &ClientQuery::new(id, "/invoke/look", "look", "SELECT 1", 9000.0),
             50,
             TICK,
         )
     };
     let leaves = ask(1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
-    assert_eq!(answer(&mut BufReader::new(ask(2))).unwrap().0, 200);
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    assert_eq!(read_response(&mut BufReader::new(ask(2))).unwrap().0, 200);
     thread::sleep(Duration::from_millis(400));
     drop(leaves);
     program.wait_for_count("vanished 1\n");
-    assert_eq!(answer(&mut BufReader::new(ask(3))).unwrap().0, 200);
+    assert_eq!(read_response(&mut BufReader::new(ask(3))).unwrap().0, 200);
     assert_eq!(program.counter("connections_to_engines"), Some(2));
 }
--- a/crates/dispatcher/tests/sockets/queries.rs
+++ b/crates/dispatcher/tests/sockets/queries.rs
@@ -7,17 +7,17 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux_testbed::engine::scripted as engine;
-use tansymux_testbed::program::{free_address, get, WAIT};
-use tansymux_testbed::wire::answer;
+use tansymux_testbed::program::{free_address, get, TIMEOUT};
+use tansymux_testbed::wire::read_response;
 
 #[test]
 fn result_pages_of_an_engine_are_returned_as_one_answer() {
     let (address, told) = engine(|parts, to| match parts[0].as_str() {
         "fetch" => {
-            say(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
-            say(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
+            write_frame(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
+            write_frame(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
         }
-        "more" => say(
+        "more" => write_frame(
             to,
             &[
                 &parts[1],
@@ -34,13 +34,13 @@
     let mut reader = BufReader::new(client.try_clone().unwrap());
     let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
     assert_eq!(
-        answer(&mut reader).map(|(s, _, b)| (s, b)),
+        read_response(&mut reader).map(|(s, _, b)| (s, b)),
         Some((200, served.into()))
     );
     client
         .write_all(b"GET /_counters HTTP/1.1\r\n\r\n")
         .unwrap();
-    let counters = answer(&mut reader).unwrap().2;
+    let counters = read_response(&mut reader).unwrap().2;
     for line in [
         "taken 1\n",
         "finished 1\n",
@@ -50,7 +50,7 @@
     ] {
         assert!(counters.contains(line), "{line} in {counters}");
     }
-    let fetch = told.recv_timeout(WAIT).unwrap().0;
+    let fetch = told.recv_timeout(TIMEOUT).unwrap().0;
     assert_eq!(
         (fetch[0].as_str(), fetch[1].as_str()),
         ("fetch", "0000000000000001")
@@ -61,7 +61,7 @@
         fetch[2]
     );
     assert_eq!(fetch[3], "SELECT a FROM sales_17.orders");
-    program.told_to_end();
+    program.terminate();
     assert!(program.end().contains("taken 1\n"));
 }
 
@@ -73,21 +73,21 @@
         post_query(program.listen, "look", 1),
         post_query(program.listen, "load", 2),
     ];
-    (0..2).for_each(|_| drop(told.recv_timeout(WAIT).unwrap()));
+    (0..2).for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
     // Hundreds that say nothing, and a reload under way, are no bar to the end.
     let _mute: Vec<TcpStream> = (0..300)
         .map(|_| TcpStream::connect(program.listen).unwrap())
         .collect();
     let from = Instant::now();
     program.signal("-HUP");
-    program.told_to_end();
+    program.terminate();
     while get(program.listen, "/_health").is_some_and(|(status, ..)| status == 200) {
-        assert!(from.elapsed() < WAIT);
+        assert!(from.elapsed() < TIMEOUT);
     }
     clients.push(post_query(program.listen, "look", 3));
     let statuses: Vec<u16> = clients
         .iter()
-        .map(|c| answer(&mut BufReader::new(c)).unwrap().0)
+        .map(|c| read_response(&mut BufReader::new(c)).unwrap().0)
         .collect();
     // The engine is silent: what only reads is deferred, what may have changed tables is killed.
     assert_eq!(statuses, [429, 500, 429]);
@@ -105,17 +105,19 @@
 
 #[test]
 fn query_wait_time_counts_from_its_last_byte() {
-    let (address, _told) = engine(|parts, to| say(to, &[&parts[1], "DONE", "batches=1", ""]));
+    let (address, _told) =
+        engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", ""]));
     let program = start(&[address]);
     let slow = post_query_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
-    assert_eq!(answer(&mut BufReader::new(slow)).unwrap().0, 200);
+    assert_eq!(read_response(&mut BufReader::new(slow)).unwrap().0, 200);
 }
 
 #[test]
 fn write_that_never_ran_is_rejected_and_one_that_may_have_run_is_not_retried() {
     // Nobody listens at the one address; at the other, connections end when a request has come.
     let program = start(&[free_address()]);
-    let deferred = answer(&mut BufReader::new(post_query(program.listen, "load", 1))).unwrap();
+    let deferred =
+        read_response(&mut BufReader::new(post_query(program.listen, "load", 1))).unwrap();
     assert_eq!(
         (deferred.0, deferred.2.as_str()),
         (429, r#"{"error":"TryLater"}"#)
@@ -128,7 +130,7 @@
     let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
     assert_eq!(
-        answer(&mut BufReader::new(post_query(program.listen, "load", 1)))
+        read_response(&mut BufReader::new(post_query(program.listen, "load", 1)))
             .unwrap()
             .0,
         500
@@ -145,21 +147,21 @@
 fn client_disconnect_cancels_its_query_and_others_go_on() {
     let (address, told) = engine(|parts, to| {
         if parts[1].ends_with('2') {
-            say(to, &[&parts[1], "DONE", "batches=1", ""]);
+            write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
         }
     });
     let program = start(&[address]);
     let leaves = post_query(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(WAIT).unwrap().0[0], "fetch");
+    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     drop(leaves);
     assert_eq!(
-        told.recv_timeout(WAIT).unwrap().0[..2],
+        told.recv_timeout(TIMEOUT).unwrap().0[..2],
         ["abort", "0000000000000001"]
     );
-    let served = answer(&mut BufReader::new(post_query(program.listen, "look", 2))).unwrap();
+    let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
-    // Names that the settings do not know are not taken in.
-    let unknown = answer(&mut BufReader::new(post_query(
+    // NameService that the settings do not know are not taken in.
+    let unknown = read_response(&mut BufReader::new(post_query(
         program.listen,
         "nothing",
         3,
@@ -177,7 +179,7 @@
     {
         let mut hostile = TcpStream::connect(program.listen).unwrap();
         hostile.write_all(bytes).unwrap();
-        assert_eq!(answer(&mut BufReader::new(hostile)).unwrap().0, 400);
+        assert_eq!(read_response(&mut BufReader::new(hostile)).unwrap().0, 400);
     }
     assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
 }
@@ -186,7 +188,7 @@
 fn keys_are_forwarded_unchanged_and_queries_of_one_ordering_key_run_in_order() {
     let (address, told) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(60));
-        say(to, &[&parts[1], "DONE", "batches=1", ""]);
+        write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
     let program = start_with(&[address], |config| {
         let load = json!({"name": "load", "aim-us": 300_000, "hard-limit-us": 9_000_000, "effect": "idempotency_key",
@@ -196,7 +198,7 @@
     let (token, key) = ("0123456789abcdef0123456789ABCDEF", "00000000000000c7");
     let post_with_fields = |id: u64, fields: &str| {
         let mut client = TcpStream::connect(program.listen).unwrap();
-        client.set_read_timeout(Some(WAIT)).unwrap();
+        client.set_read_timeout(Some(TIMEOUT)).unwrap();
         let head = format!(
             "POST /invoke/load HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: 9000\r\nReq-Owner: acme\r\n"
         );
@@ -208,7 +210,7 @@
     let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
     let clients = [post_with_fields(1, &marks), post_with_fields(2, &marks)];
     let fetch = || {
-        let (parts, at) = told.recv_timeout(WAIT).unwrap();
+        let (parts, at) = told.recv_timeout(TIMEOUT).unwrap();
         assert_eq!(parts[0], "fetch");
         (
             parts[2]
@@ -231,7 +233,7 @@
     );
     clients
         .iter()
-        .for_each(|client| assert_eq!(answer(&mut BufReader::new(client)).unwrap().0, 200));
+        .for_each(|client| assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 200));
     // What would break the list of fields is turned away, as is one that is told twice.
     for wrong in [
         "Req-Token: a,mb=9\r\n",
@@ -239,7 +241,7 @@
         "Req-Key: 1\r\nReq-Key: 2\r\n",
     ] {
         assert_eq!(
-            answer(&mut BufReader::new(post_with_fields(9, wrong)))
+            read_response(&mut BufReader::new(post_with_fields(9, wrong)))
                 .unwrap()
                 .0,
             400,
--- a/crates/dispatcher/tests/sockets/support.rs
+++ b/crates/dispatcher/tests/sockets/support.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::time::Duration;
-use tansymux_testbed::client::{post_slowly as post_in_two, Ask};
+use tansymux_testbed::client::{send_query_in_two_parts as post_in_two, ClientQuery};
 use tansymux_testbed::program::{class, free_address, Config, Program};
 use tansymux_testbed::wire;
 
@@ -32,8 +32,8 @@
 }
 
 /// Writes an engine's answer.
-pub fn say(to: &mut TcpStream, parts: &[&str]) {
-    wire::say(to, parts);
+pub fn write_frame(to: &mut TcpStream, parts: &[&str]) {
+    wire::write_frame(to, parts);
 }
 
 /// Sends a query on a connection of its own.
@@ -50,7 +50,7 @@
     pause: Duration,
 ) -> TcpStream {
     let statement = "SELECT a FROM sales_17.orders";
-    let mut ask = Ask::new(id, &format!("/invoke/{rg}"), rg, statement, wait_ms as f64);
+    let mut ask = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, statement, wait_ms as f64);
     ask.cost = Some(20.0);
     // Cut in a field.
     post_in_two(to, &ask, 50, pause)
