--- a/crates/dispatcher/src/operator_config.rs
+++ b/crates/dispatcher/src/operator_config.rs
@@ -8,7 +8,7 @@
 
 use crate::file::{read_text, FileError};
 use std::path::Path;
-use tansymux_operator_config::{Fault, Operator, MAX_BYTES};
+use tansymux_operator_config::{ConfigError, Operator, MAX_BYTES};
 
 /// One reason to reject an operators' file.
 #[derive(Debug, thiserror::Error)]
@@ -17,12 +17,12 @@
     #[error(transparent)]
     File(#[from] FileError),
     /// A fault in the file itself.
-    #[error("{path}:{fault}")]
-    Fault {
+    #[error("{path}:{error}")]
+    Invalid {
         /// The file.
         path: String,
         /// Line, key, what was there and what is allowed.
-        fault: Fault,
+        error: ConfigError,
     },
     /// It does not go with the settings.
     #[error(transparent)]
@@ -50,13 +50,16 @@
     let path = path.display().to_string();
     let text = read_text(&path, MAX_BYTES as u64)
         .map_err(|error| OperatorConfigErrors(vec![error.into()]))?;
-    tansymux_operator_config::read(&text).map_err(|faults| {
-        let mut errors = Vec::new();
-        for fault in faults {
+    tansymux_operator_config::parse(&text).map_err(|errors| {
+        let mut invalid = Vec::new();
+        for error in &errors {
             let path = path.clone();
-            errors.push(OperatorConfigError::Fault { path, fault });
+            invalid.push(OperatorConfigError::Invalid {
+                path,
+                error: error.clone(),
+            });
         }
-        OperatorConfigErrors(errors)
+        OperatorConfigErrors(invalid)
     })
 }
 
--- a/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn example_operators_file_gives_the_default_settings() {
     let text = include_str!("../../../../../deploy/operator.textproto");
-    let operator = tansymux_operator_config::read(text).unwrap();
+    let operator = tansymux_operator_config::parse(text).unwrap();
     assert_eq!(
         analysis_settings(&operator.statements.unwrap()),
         Settings::default()
