Zone routing: health detector, evaluation, planning, records and codec in modules of their own

Change: judge.rs is detector.rs (events in, messages and health checks out) with evaluation, planning and records below it; shared types stand in model.rs; plan.rs is routing_plan.rs, message.rs codec.rs with a table and a typed DecodeError; define.rs is config.rs and its faults `Config::validate`, one function a concern. Events go in through `handle(event, now_ms)`; `evaluate(now_ms)`, `poll_message(now_ms)` and `poll_health_check(now_ms)` come out. Reasons print the words of before on the status page (a test holds them); the log line is "zone state changed" with zone, state and reason as fields. Reason::Gone was never made and goes. `#![warn(missing_docs)]` is set.

tests/codec.rs holds a message written by the version before the renames: read, and written byte for byte.

Renamed tests (old -> new): a_cut_zone_is_told_within_seconds_and_gets_nothing_while_the_other_is_well -> lost_zone_is_reported_within_seconds_and_gets_no_threads a_slow_zone_and_one_whose_engines_err_or_are_full_are_not_cut -> slow_zone_that_still_answers_is_not_unreachable one_engine_that_fails_is_no_cut -> single_failing_engines_do_not_make_a_zone_unreachable a_dispatcher_that_is_cut_off_itself_judges_no_zone -> isolated_dispatcher_declares_no_zone_unreachable a_cut_zone_and_then_the_rest_fails_too -> second_zone_is_not_declared_unreachable_when_all_zones_fail a_zone_of_one_engine -> zone_with_a_single_engine_is_lost_and_recovers it_climbs_back_gradually_in_the_stated_time_and_all_dispatchers_together_give_no_more_than_the_whole -> recovery_takes_its_configured_time_and_all_dispatchers_together_stay_below_full_use a_climb_slows_where_answers_worsen_and_starts_anew_where_it_falls_again -> recovery_is_set_back_by_failures_and_starts_anew_after_another_loss a_zone_that_flaps_is_never_given_more_than_its_climb_allows -> flapping_zone_never_gets_more_than_its_recovery_ramp_allows a_cut_that_half_of_the_dispatchers_see_is_judged_by_each_for_itself -> each_dispatcher_decides_by_its_own_evidence_about_a_partial_cut a_one_way_cut_where_requests_arrive_and_answers_do_not_is_a_cut -> zone_whose_answers_are_lost_becomes_unreachable a_list_that_names_lost_engines_ready_is_not_believed_and_one_that_drops_healthy_ones_is_told -> endpoint_list_does_not_restore_a_lost_zone_and_dropping_healthy_engines_is_reported three_zones_where_the_spill_of_two_meets_in_the_third -> spill_of_two_lost_zones_into_the_third_stays_within_its_limit engines_that_return_under_new_ids_climb_like_the_zone_they_stand_in -> engines_with_new_identifiers_follow_the_recovery_of_their_zone a_drain_that_is_announced_during_the_cut_leaves_no_evidence_behind -> drained_engines_leave_no_evidence_behind a_dispatcher_that_restarts_mid_cut_learns_it_anew_and_silent_peers_change_nothing -> restarted_dispatcher_detects_the_loss_anew_and_invalid_messages_change_nothing more_dispatchers_that_are_heard_than_were_told_share_as_well -> peers_beyond_the_configured_number_get_a_share_too clocks_that_jump_and_pauses_climb_nothing -> clock_jumps_and_pauses_do_not_advance_a_recovery a_cut_zone_is_probed_and_one_that_nobody_tries_is_tried_again -> unreachable_zone_is_health_checked_and_an_untried_one_begins_to_recover no_bytes_of_peers_make_it_panic_or_call_a_zone_cut -> no_bytes_of_peers_cause_a_panic_or_make_a_zone_unreachable define::tests::the_most_particular_route_counts_and_unnamed_zones_come_last -> config.rs most_specific_route_counts_and_unnamed_zones_come_last define::tests::what_could_never_work_is_named -> config.rs configurations_that_cannot_work_are_refused_with_their_key message::tests::what_was_written_is_read_and_nothing_else -> codec.rs encoded_messages_are_decoded_and_other_bytes_refused

--- a/crates/dispatcher/src/zone_routing.rs
+++ b/crates/dispatcher/src/zone_routing.rs
@@ -12,8 +12,10 @@
 use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 use tansymux_operator_config::schema;
 use tansymux_zone_evacuation::{Evidence, Reachability, ZoneUse};
-use tansymux_zone_routing::message::Reach as Reached;
-use tansymux_zone_routing::{Changed, Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
+use tansymux_zone_routing::{
+    Engine, Event, Observation, ObservationKind, Reachability as Observed, RoutingPlan, ZoneChange,
+    ZoneEvidence, ZoneHealthDetector, ZoneState,
+};
 
 /// Who has nothing running at the moment wants a little all the same (threads).
 const MIN_DEMAND: f64 = 0.1;
@@ -66,13 +68,13 @@
                 }
                 control.set_zone_plan(None);
             }
-            (Some(judge), Some(definition)) if *judge.definition() != definition => {
-                judge.redefine(definition)
+            (Some(judge), Some(definition)) if *judge.config() != definition => {
+                judge.set_config(definition)
             }
             (Some(_), Some(_)) => {}
             (None, Some(definition)) => {
                 let mut judge = ZoneHealthDetector::new(definition, self.dispatchers);
-                judge.listed(now, &self.listed.borrow());
+                judge.handle(Event::EnginesListed(&self.listed.borrow()), now);
                 *on = Some(judge);
             }
         }
@@ -100,15 +102,15 @@
         }
         listed.sort_by_key(|engine| engine.engine_id);
         if let Some(judge) = self.on.borrow_mut().as_mut() {
-            judge.listed(now, &listed);
+            judge.handle(Event::EnginesListed(&listed), now);
         }
     }
 
     /// A attempt or a probe ended.
     pub fn ended(&self, now: f64, engine_id: u64, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
-            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             // ZonePlan up from here, or never sent: nothing was seen of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
         };
@@ -117,37 +119,38 @@
 
     /// A note came.
     pub fn noted(&self, now: f64, engine_id: u64) {
-        self.seen(now, engine_id, Kind::Heard);
+        self.seen(now, engine_id, ObservationKind::Answered);
     }
 
-    fn seen(&self, now: f64, engine_id: u64, kind: Kind) {
+    fn seen(&self, now: f64, engine_id: u64, kind: ObservationKind) {
         if let Some(judge) = self.on.borrow_mut().as_mut() {
-            judge.seen(now, Seen { engine_id, kind });
+            let observation = Observation { engine_id, kind };
+            judge.handle(Event::EngineObserved(observation), now);
         }
     }
 
     /// What is seen of each zone, for the fleet.
     fn evidence(judge: &ZoneHealthDetector, threads: f64) -> Vec<Evidence> {
-        let of = |(name, reach, [good, bad]): (&str, Reached, [u16; 2])| {
-            let reachability = match reach {
-                Reached::Well => Reachability::Reachable,
-                Reached::Climbing => Reachability::Recovering,
-                Reached::Cut => Reachability::Unreachable,
-                Reached::Unknown => Reachability::Unknown,
+        let of = |evidence: ZoneEvidence<'_>| {
+            let reachability = match evidence.reachability {
+                Observed::Reachable => Reachability::Reachable,
+                Observed::Recovering => Reachability::Recovering,
+                Observed::Unreachable => Reachability::Unreachable,
+                Observed::Unknown => Reachability::Unknown,
             };
             Evidence {
-                zone: tansymux_operator_config::number_of(name),
+                zone: tansymux_operator_config::number_of(evidence.zone),
                 reachability,
                 threads: threads as f32,
-                successes: good,
-                failures: bad,
+                successes: evidence.successes,
+                failures: evidence.failures,
             }
         };
-        judge.reaches().map(of).collect()
+        judge.evidence().map(of).collect()
     }
 
     /// Puts what the fleet agreed on above what this dispatcher judged alone.
-    fn agreed(&self, fleet: &FleetService, whole: f64, plan: &mut Plan) {
+    fn agreed(&self, fleet: &FleetService, whole: f64, plan: &mut RoutingPlan) {
         let listed = self.listed.borrow();
         for zone in &mut plan.zones {
             let part = match fleet.use_of(&zone.name) {
@@ -156,9 +159,9 @@
                 ZoneUse::Fraction(part) => part,
             };
             zone.state = if part > 0.0 {
-                ZoneState::Climbing(part)
+                ZoneState::Recovering(part)
             } else {
-                ZoneState::Cut
+                ZoneState::Unreachable
             };
             for engine in &mut plan.engines {
                 let of = listed
@@ -193,38 +196,45 @@
             return None;
         }
         self.looked.set(now);
-        judge.look(now);
-        for change in judge.changes() {
+        judge.evaluate(now);
+        for change in judge.take_changes() {
             self.changes.set(self.changes.get() + 1);
-            let Changed {
-                zone, state, why, ..
+            let ZoneChange {
+                zone,
+                state,
+                reason,
+                ..
             } = change;
-            tracing::warn!(zone, state = %state_name(state), why = ?why, "a hall's state changed");
+            tracing::warn!(zone, state = %state_name(state), %reason, "zone state changed");
         }
-        let mut plan = judge.plan(&self.own, &self.groups);
+        let mut plan = judge.routing_plan(&self.own, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.has_zones()) {
             fleet.sees(
                 ZoneRouting::evidence(judge, control.threads_in_flight() + MIN_DEMAND),
-                judge.alone(),
+                judge.is_isolated(),
+            );
+            self.agreed(
+                fleet,
+                judge.config().recovery_ramp.full_threads_per_core,
+                &mut plan,
             );
-            self.agreed(fleet, judge.definition().climb.whole, &mut plan);
         }
         control.set_zone_plan(Some(&zone_plan(&plan)));
-        judge.tells(now)
+        judge.poll_message(now)
     }
 
     /// The engine of a cut zone that is to be probed now, if one is.
     pub fn probes(&self, now: f64) -> Option<u64> {
-        self.on.borrow_mut().as_mut()?.probes(now)
+        self.on.borrow_mut().as_mut()?.poll_health_check(now)
     }
 
     /// A peer's message, if it is one about zones.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
-        if content.first() != Some(&tansymux_zone_routing::message::KIND) {
+        if content.first() != Some(&tansymux_zone_routing::codec::MESSAGE_KIND) {
             return false;
         }
         if let Some(judge) = self.on.borrow_mut().as_mut() {
-            judge.heard(now, peer, content);
+            judge.handle(Event::PeerMessage { peer, content }, now);
         }
         true
     }
@@ -245,7 +255,7 @@
         let Some(judge) = on.as_ref() else {
             return json!({"defined": false});
         };
-        let plan = judge.plan(&self.own, &self.groups);
+        let plan = judge.routing_plan(&self.own, &self.groups);
         let number = |value: f64| {
             if value.is_finite() {
                 json!(value)
@@ -254,7 +264,7 @@
             }
         };
         let zone = |zone: &tansymux_zone_routing::ZonePlan| {
-            let part = if let ZoneState::Climbing(part) = zone.state {
+            let part = if let ZoneState::Recovering(part) = zone.state {
                 json!(part)
             } else {
                 Value::Null
@@ -266,15 +276,15 @@
                 .zip(zone.ranks.iter().map(|rank| json!(rank)))
                 .collect();
             json!({"hall": zone.name, "state": state_name(zone.state), "part": part, "rank": ranks,
-                "spilled_threads": spilled(&zone.name), "spill_most": number(zone.spill)})
+                "spilled_threads": spilled(&zone.name), "spill_most": number(zone.spill_threads)})
         };
         let history: Vec<Value> = judge
             .history()
             .iter()
             .rev()
-            .map(|c| json!({"at": c.at, "hall": c.zone, "state": state_name(c.state), "why": format!("{:?}", c.why)}))
+            .map(|c| json!({"at": c.at_ms, "hall": c.zone, "state": state_name(c.state), "why": c.reason.to_string()}))
             .collect();
-        json!({"defined": true, "own": self.own, "alone": plan.alone, "now": now,
+        json!({"defined": true, "own": self.own, "alone": plan.is_isolated, "now": now,
             "halls": plan.zones.iter().map(zone).collect::<Vec<_>>(), "history": history})
     }
 
@@ -283,24 +293,24 @@
         let on = self.on.borrow();
         let Some(judge) = on.as_ref() else { return };
         let _ = writeln!(text, "hall_changes {}", self.changes.get());
-        let _ = writeln!(text, "halls_alone {}", u8::from(judge.alone()));
+        let _ = writeln!(text, "halls_alone {}", u8::from(judge.is_isolated()));
     }
 }
 
 fn state_name(state: ZoneState) -> &'static str {
     match state {
-        ZoneState::Well => "well",
-        ZoneState::Cut => "cut",
-        ZoneState::Climbing(_) => "climbing",
+        ZoneState::Healthy => "well",
+        ZoneState::Unreachable => "cut",
+        ZoneState::Recovering(_) => "climbing",
     }
 }
 
-fn zone_plan(plan: &Plan) -> ZonePlan {
+fn zone_plan(plan: &RoutingPlan) -> ZonePlan {
     let zone = |zone: &tansymux_zone_routing::ZonePlan| ZoneLimits {
         name: zone.name.clone(),
         tiers: zone.ranks.clone(),
-        max_spill_threads: zone.spill,
-        max_spill_threads_by_group: zone.spill_by_class.clone(),
+        max_spill_threads: zone.spill_threads,
+        max_spill_threads_by_group: zone.spill_threads_by_class.clone(),
     };
     ZonePlan {
         zones: plan.zones.iter().map(zone).collect(),
@@ -309,7 +319,7 @@
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_zone_retry_ratio: plan.cross_retries,
-        isolated: plan.alone,
+        cross_zone_retry_ratio: plan.cross_zone_retry_fraction,
+        isolated: plan.is_isolated,
     }
 }
--- a/crates/operator-config/src/zone_routing.rs
+++ b/crates/operator-config/src/zone_routing.rs
@@ -2,10 +2,10 @@
 
 use crate::check::Faults;
 use crate::schema;
-use tansymux_zone_routing::{define, Climb, Cut, Definition, Route, Spill, Tier};
+use tansymux_zone_routing::{Config, CutDetection, RecoveryRamp, Route, SpillLimit, Tier};
 
 /// The definition that the file tells. It may have faults: see `check`.
-pub fn zones(told: &schema::Halls) -> Definition {
+pub fn zones(told: &schema::Halls) -> Config {
     let tier = |tier: &schema::Tier| Tier {
         zones: tier.hall.clone(),
     };
@@ -19,26 +19,26 @@
     };
     let spill = |told: &schema::Spill| {
         let (into, class) = (told.into.clone(), told.class.clone());
-        Spill {
+        SpillLimit {
             into,
             class,
-            most: told.most.unwrap_or(f64::INFINITY),
+            max_threads_per_core: told.most.unwrap_or(f64::INFINITY),
         }
     };
     let (cut, climb) = (told.cut.unwrap_or_default(), told.climb.unwrap_or_default());
-    Definition {
+    Config {
         routes: told.route.iter().map(route).collect(),
-        spills: told.spill.iter().map(spill).collect(),
-        cut: Cut {
-            quiet_for: cut.quiet_s() * 1000.0,
-            part: cut.part(),
+        spill_limits: told.spill.iter().map(spill).collect(),
+        cut_detection: CutDetection {
+            silent_ms: cut.quiet_s() * 1000.0,
+            failing_fraction: cut.part(),
         },
-        climb: Climb {
-            first: climb.first(),
-            over: climb.over_s() * 1000.0,
-            whole: climb.whole(),
+        recovery_ramp: RecoveryRamp {
+            initial_fraction: climb.first(),
+            duration_ms: climb.over_s() * 1000.0,
+            full_threads_per_core: climb.whole(),
         },
-        cross_retries: told.cross_retries(),
+        cross_zone_retry_fraction: told.cross_retries(),
     }
 }
 
@@ -60,7 +60,7 @@
         faults.within("halls.climb.over_s", climb.over_s, 1.0, 3600.0);
         faults.within("halls.climb.whole", climb.whole, 0.25, 8.0);
     }
-    for fault in define::faults(&zones(told)) {
+    for fault in zones(told).validate() {
         faults.add(&format!("halls.{}", fault.key), fault.found, fault.allowed);
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -19,7 +19,9 @@
 use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
 use tansymux_testbed::record::{Entry, Status, What};
-use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
+use tansymux_zone_routing::{
+    Event as ZoneEvent, Observation, ObservationKind, RoutingPlan, ZoneHealthDetector,
+};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
@@ -435,12 +437,12 @@
     map
 }
 
-fn zone_plan(plan: &Plan) -> ZonePlan {
+fn zone_plan(plan: &RoutingPlan) -> ZonePlan {
     let zone = |zone: &tansymux_zone_routing::ZonePlan| ZoneLimits {
         name: zone.name.clone(),
         tiers: zone.ranks.clone(),
-        max_spill_threads: zone.spill,
-        max_spill_threads_by_group: zone.spill_by_class.clone(),
+        max_spill_threads: zone.spill_threads,
+        max_spill_threads_by_group: zone.spill_threads_by_class.clone(),
     };
     ZonePlan {
         zones: plan.zones.iter().map(zone).collect(),
@@ -449,8 +451,8 @@
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_zone_retry_ratio: plan.cross_retries,
-        isolated: plan.alone,
+        cross_zone_retry_ratio: plan.cross_zone_retry_fraction,
+        isolated: plan.is_isolated,
     }
 }
 
@@ -956,18 +958,16 @@
 
     fn seen(&mut self, dispatcher: usize, engine: usize, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
-            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             Outcome::Cancelled | Outcome::NotSent => return,
         };
         if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
-            zones.seen(
-                EPOCH + self.now,
-                Seen {
-                    engine_id: engine as u64 + 1,
-                    kind,
-                },
-            );
+            let observation = Observation {
+                engine_id: engine as u64 + 1,
+                kind,
+            };
+            zones.handle(ZoneEvent::EngineObserved(observation), EPOCH + self.now);
         }
     }
 
@@ -975,10 +975,11 @@
         let (now, groups) = (EPOCH + self.now, &self.groups);
         let g = &mut self.dispatchers[dispatcher];
         if let Some(zones) = &mut g.zones {
-            zones.look(now);
-            g.control
-                .set_zone_plan(Some(&zone_plan(&zones.plan(&self.zones[g.zone], groups))));
-            if let Some(engine_id) = zones.probes(now) {
+            zones.evaluate(now);
+            g.control.set_zone_plan(Some(&zone_plan(
+                &zones.routing_plan(&self.zones[g.zone], groups),
+            )));
+            if let Some(engine_id) = zones.poll_health_check(now) {
                 self.probe(dispatcher, engine_id as usize - 1);
             }
         }
@@ -998,7 +999,7 @@
             })
             .collect();
         if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
-            zones.listed(EPOCH + self.now, &engines);
+            zones.handle(ZoneEvent::EnginesListed(&engines), EPOCH + self.now);
         }
         self.inboxes[dispatcher].push(Incoming::List);
         self.round(dispatcher);
@@ -1235,7 +1236,7 @@
         };
         if let Some(zones) = &self.dispatchers[0].zones {
             for (n, zone) in self.zones.iter().enumerate() {
-                let most = zones.definition().spill(zone, None) * cores(n);
+                let most = zones.config().spill_limit(zone, None) * cores(n);
                 if most.is_finite() && most > 0.0 {
                     self.o.spill = self.o.spill.max(spilled[n] / most);
                 }
--- a/crates/zone-routing/src/lib.rs
+++ b/crates/zone-routing/src/lib.rs
@@ -1,24 +1,34 @@
-//! Losing and regaining a zone.
+//! Zone-aware routing as one dispatcher sees it: losing a zone and returning to it.
 //!
-//! Owns: which zones can be reached, by evidence ([`ZoneHealthDetector`]); which zone a class prefers, how much may spill into
-//! another one, and how much a zone that came back may be given ([`Plan`]); which definitions could never work
-//! ([`define::faults`]). It does no I/O, reads no clock and draws no random numbers. It places no query: the decisions
-//! are handed, for each engine, what it may still be given and in which tier it stands, and their one mechanism goes on
-//! choosing within that. Rules 1 to 7 stay with them.
+//! Implements docs/design/zone-routing.md. Preference tiers and spill limits follow what service meshes call locality
+//! load balancing with failover priorities (as in Envoy); failure detection aggregates passive outlier evidence by
+//! zone. What differs: a dispatcher that loses all zones at once concludes that it is isolated itself, and the return
+//! is a ramp that advances only while answers are good, shared evenly among dispatchers.
+//!
+//! Owns: which zones are reachable, by this dispatcher's evidence ([`ZoneHealthDetector`]); which zone a class of work
+//! prefers, how much may spill into others, and how much a returning zone may be given ([`RoutingPlan`]); and which
+//! configurations cannot work ([`Config::validate`]). It never does I/O, reads no clock and draws no random numbers.
+//! It places no query: placement chooses within the plan, and rules 1 to 7 of the root package go on binding.
 //!
 //! Invariants, checked in `tests/`:
-//! - a zone is called cut by this dispatcher's own failures only, never by hearsay, and never when all zones fail at
-//!   once: then this dispatcher is the one that is cut;
+//! - a zone becomes unreachable by this dispatcher's own failures only, never by what peers report, and never while
+//!   all zones fail at once;
 //! - what a returning zone may be given grows only while its answers are good, and starts anew when it fails again;
-//! - the parts that all dispatchers give a returning engine add up to no more than the whole.
+//! - the fractions that all dispatchers give a returning engine add up to no more than its full use.
 //!
-//! Start reading at [`ZoneHealthDetector::look`].
+//! Start reading at [`ZoneHealthDetector::evaluate`].
+
+#![warn(missing_docs)]
 
-pub mod define;
-mod judge;
-pub mod message;
-mod plan;
+pub mod codec;
+mod config;
+mod detector;
+mod model;
+mod routing_plan;
 
-pub use define::{Climb, Cut, Definition, Route, Spill, Tier};
-pub use judge::{Changed, Engine, Kind, Seen, Why, ZoneHealthDetector, ZoneState};
-pub use plan::{EnginePlan, Plan, ZonePlan};
+pub use config::{Config, ConfigError, CutDetection, RecoveryRamp, Route, SpillLimit, Tier};
+pub use detector::{Event, ZoneHealthDetector};
+pub use model::{
+    Engine, Observation, ObservationKind, Reachability, Reason, ZoneChange, ZoneEvidence, ZoneState,
+};
+pub use routing_plan::{EnginePlan, RoutingPlan, ZonePlan};
--- a/crates/zone-routing/tests/cuts.rs
+++ b/crates/zone-routing/tests/zone_failures.rs
@@ -1,13 +1,14 @@
-//! Zones that are cut, half cut, flap, come back cold or under other names, in virtual time; each hard case by name.
+//! Zones that are cut, partly cut, flap or come back under other identifiers, in virtual time; one test for each case.
 
 use tansymux_zone_routing::{
-    Changed, Climb, Cut, Definition, Engine, Kind, Plan, Route, Seen, Spill, Tier, Why,
-    ZoneHealthDetector, ZoneState,
+    Config, CutDetection, Engine, Event, Observation, ObservationKind, Reason, RecoveryRamp, Route,
+    RoutingPlan, SpillLimit, Tier, ZoneChange, ZoneHealthDetector, ZoneState,
 };
 
-const LOOK: f64 = 100.0;
+/// Interval of evaluations (ms).
+const EVALUATION_MS: f64 = 100.0;
 
-fn definition() -> Definition {
+fn config() -> Config {
     let tiers = |names: &[&str]| {
         names
             .iter()
@@ -16,7 +17,7 @@
             })
             .collect()
     };
-    Definition {
+    Config {
         routes: vec![
             Route {
                 class: None,
@@ -29,31 +30,31 @@
                 tiers: tiers(&["west", "east", "south"]),
             },
         ],
-        spills: vec![
-            Spill {
+        spill_limits: vec![
+            SpillLimit {
                 into: None,
                 class: None,
-                most: 0.4,
+                max_threads_per_core: 0.4,
             },
-            Spill {
+            SpillLimit {
                 into: None,
                 class: Some("report".into()),
-                most: 0.1,
+                max_threads_per_core: 0.1,
             },
         ],
-        cut: Cut::default(),
-        climb: Climb {
-            first: 0.1,
-            over: 10_000.0,
-            whole: 2.0,
+        cut_detection: CutDetection::default(),
+        recovery_ramp: RecoveryRamp {
+            initial_fraction: 0.1,
+            duration_ms: 10_000.0,
+            full_threads_per_core: 2.0,
         },
-        cross_retries: 0.5,
+        cross_zone_retry_fraction: 0.5,
     }
 }
 
-/// Zones of so many engines each, and what their engines do.
+/// A detector and zones, each with a number of engines.
 struct World {
-    judge: ZoneHealthDetector,
+    detector: ZoneHealthDetector,
     zones: Vec<(&'static str, usize)>,
     now: f64,
 }
@@ -65,7 +66,7 @@
 impl World {
     fn new(zones: &[(&'static str, usize)], dispatchers: f64) -> Self {
         let mut world = World {
-            judge: ZoneHealthDetector::new(definition(), dispatchers),
+            detector: ZoneHealthDetector::new(config(), dispatchers),
             zones: zones.to_vec(),
             now: 0.0,
         };
@@ -88,39 +89,45 @@
 
     fn list(&mut self, ready: impl Fn(usize, usize) -> bool) {
         let engines = self.engines(ready);
-        self.judge.listed(self.now, &engines);
+        self.detector
+            .handle(Event::EnginesListed(&engines), self.now);
     }
 
-    /// So long with each engine tried in every look, heard where `heard` says so; what changed.
+    /// Runs for `lasts` (ms) with each engine tried before every evaluation; `answers` says whether it answers (none: it is
+    /// not tried). Returns what changed.
     fn run(
         &mut self,
         lasts: f64,
-        heard: impl Fn(usize, usize, f64) -> Option<bool>,
-    ) -> Vec<Changed> {
+        answers: impl Fn(usize, usize, f64) -> Option<bool>,
+    ) -> Vec<ZoneChange> {
         let end = self.now + lasts;
         while self.now < end {
-            self.now += LOOK;
+            self.now += EVALUATION_MS;
             for zone in 0..self.zones.len() {
                 for engine in 0..self.zones[zone].1 {
-                    if let Some(heard) = heard(zone, engine, self.now) {
-                        let kind = if heard { Kind::Heard } else { Kind::Lost };
-                        self.judge.seen(
-                            self.now,
-                            Seen {
-                                engine_id: engine_id(zone, engine),
-                                kind,
-                            },
-                        );
+                    if let Some(answered) = answers(zone, engine, self.now) {
+                        let kind = if answered {
+                            ObservationKind::Answered
+                        } else {
+                            ObservationKind::NoAnswer
+                        };
+                        let observation = Observation {
+                            engine_id: engine_id(zone, engine),
+                            kind,
+                        };
+                        self.detector
+                            .handle(Event::EngineObserved(observation), self.now);
                     }
                 }
             }
-            self.judge.look(self.now);
+            self.detector.evaluate(self.now);
         }
-        self.judge.changes()
+        self.detector.take_changes()
     }
 
-    fn plan(&self) -> Plan {
-        self.judge.plan("east", &["look".into(), "report".into()])
+    fn plan(&self) -> RoutingPlan {
+        self.detector
+            .routing_plan("east", &["look".into(), "report".into()])
     }
 
     fn threads(&self, zone: usize) -> f64 {
@@ -133,27 +140,27 @@
     }
 }
 
-fn whys(changes: &[Changed]) -> Vec<(String, Why)> {
+fn reasons(changes: &[ZoneChange]) -> Vec<(String, Reason)> {
     changes
         .iter()
-        .map(|change| (change.zone.clone(), change.why))
+        .map(|change| (change.zone.clone(), change.reason))
         .collect()
 }
 
 const TWO: &[(&str, usize)] = &[("east", 4), ("west", 4)];
 
 #[test]
-fn a_cut_zone_is_told_within_seconds_and_gets_nothing_while_the_other_is_well() {
+fn lost_zone_is_reported_within_seconds_and_gets_no_threads() {
     let mut world = World::new(TWO, 1.0);
     assert_eq!(world.run(3000.0, |_, _, _| Some(true)), []);
     let changes = world.run(2500.0, |zone, _, _| Some(zone == 1));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
-    assert!(changes[0].at <= 3000.0 + 1500.0, "{}", changes[0].at);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Lost)]);
+    assert!(changes[0].at_ms <= 3000.0 + 1500.0, "{}", changes[0].at_ms);
     assert_eq!((world.threads(0), world.threads(1)), (0.0, f64::INFINITY));
 }
 
 #[test]
-fn a_slow_zone_and_one_whose_engines_err_or_are_full_are_not_cut() {
+fn slow_zone_that_still_answers_is_not_unreachable() {
     let mut world = World::new(TWO, 1.0);
     // It answers seldom, but it answers.
     assert_eq!(
@@ -162,11 +169,11 @@
         )),
         []
     );
-    assert_eq!(world.judge.state("east"), Some(ZoneState::Well));
+    assert_eq!(world.detector.state("east"), Some(ZoneState::Healthy));
 }
 
 #[test]
-fn one_engine_that_fails_is_no_cut() {
+fn single_failing_engines_do_not_make_a_zone_unreachable() {
     let mut world = World::new(TWO, 1.0);
     assert_eq!(
         world.run(20_000.0, |zone, n, _| Some(zone == 1 || n > 0)),
@@ -182,15 +189,18 @@
 }
 
 #[test]
-fn a_dispatcher_that_is_cut_off_itself_judges_no_zone() {
+fn isolated_dispatcher_declares_no_zone_unreachable() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     let changes = world.run(5000.0, |_, _, _| Some(false));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Alone)]);
-    assert!(world.judge.alone() && world.plan().alone);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Isolated)]);
+    assert!(world.detector.is_isolated() && world.plan().is_isolated);
     // Nothing was called cut: when it is back, it goes on as before and starts no climb.
     let changes = world.run(5000.0, |_, _, _| Some(true));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::NotAlone)]);
+    assert_eq!(
+        reasons(&changes),
+        [("east".to_owned(), Reason::NotIsolated)]
+    );
     assert_eq!(
         (world.threads(0), world.threads(1)),
         (f64::INFINITY, f64::INFINITY)
@@ -198,48 +208,50 @@
 }
 
 #[test]
-fn a_cut_zone_and_then_the_rest_fails_too() {
+fn second_zone_is_not_declared_unreachable_when_all_zones_fail() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(4000.0, |zone, _, _| Some(zone == 1));
     let changes = world.run(4000.0, |_, _, _| Some(false));
-    // The second zone is not called cut: there is nobody left to judge by.
+    // The second zone is not called cut: there is nobody left to detector by.
     assert!(
-        whys(&changes).contains(&("east".to_owned(), Why::Alone)),
+        reasons(&changes).contains(&("east".to_owned(), Reason::Isolated)),
         "{changes:?}"
     );
-    assert_eq!(world.judge.state("west"), Some(ZoneState::Well));
+    assert_eq!(world.detector.state("west"), Some(ZoneState::Healthy));
 }
 
 #[test]
-fn a_zone_of_one_engine() {
+fn zone_with_a_single_engine_is_lost_and_recovers() {
     let mut world = World::new(&[("east", 1), ("west", 4)], 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     let changes = world.run(3000.0, |zone, _, _| Some(zone == 1));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Lost)]);
     let changes = world.run(15_000.0, |_, _, _| Some(true));
     assert_eq!(
-        whys(&changes),
+        reasons(&changes),
         [
-            ("east".to_owned(), Why::Heard),
-            ("east".to_owned(), Why::Climbed)
+            ("east".to_owned(), Reason::Answered),
+            ("east".to_owned(), Reason::Recovered)
         ]
     );
 }
 
 #[test]
-fn it_climbs_back_gradually_in_the_stated_time_and_all_dispatchers_together_give_no_more_than_the_whole(
-) {
+fn recovery_takes_its_configured_time_and_all_dispatchers_together_stay_below_full_use() {
     for dispatchers in [1.0, 3.0, 200.0] {
         let mut world = World::new(TWO, dispatchers);
         world.run(3000.0, |_, _, _| Some(true));
         world.run(3000.0, |zone, _, _| Some(zone == 1));
         let (mut before, mut finished) = (0.0, None);
         for step in 0..200 {
-            let changes = world.run(LOOK, |_, _, _| Some(true));
+            let changes = world.run(EVALUATION_MS, |_, _, _| Some(true));
             let given = world.threads(0) * dispatchers;
-            if changes.iter().any(|change| change.why == Why::Climbed) {
-                finished = Some(f64::from(step) * LOOK);
+            if changes
+                .iter()
+                .any(|change| change.reason == Reason::Recovered)
+            {
+                finished = Some(f64::from(step) * EVALUATION_MS);
                 break;
             }
             // Four engines of 8 cores at 2 threads a core.
@@ -259,7 +271,7 @@
 }
 
 #[test]
-fn a_climb_slows_where_answers_worsen_and_starts_anew_where_it_falls_again() {
+fn recovery_is_set_back_by_failures_and_starts_anew_after_another_loss() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
@@ -276,30 +288,36 @@
     );
     // It falls during the climb, and returns: from the first part on.
     let changes = world.run(3000.0, |zone, _, _| Some(zone == 1));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::FailsAgain)]);
+    assert_eq!(
+        reasons(&changes),
+        [("east".to_owned(), Reason::FailedAgain)]
+    );
     assert_eq!(world.threads(0), 0.0);
-    world.run(2.0 * LOOK, |_, _, _| Some(true));
+    world.run(2.0 * EVALUATION_MS, |_, _, _| Some(true));
     assert!(world.threads(0) <= 64.0 * 0.15, "{}", world.threads(0));
 }
 
 #[test]
-fn a_zone_that_flaps_is_never_given_more_than_its_climb_allows() {
+fn flapping_zone_never_gets_more_than_its_recovery_ramp_allows() {
     for period in [1000.0, 2000.0, 5000.0, 13_000.0, 30_000.0, 60_000.0] {
         let mut world = World::new(TWO, 1.0);
         world.run(3000.0, |_, _, _| Some(true));
         let (mut cuts, mut up_since) = (0, 0.0);
         for _ in 0..3000 {
             let up = |now: f64| ((now / period) as u64).is_multiple_of(2);
-            let changes = world.run(LOOK, |zone, _, now| Some(zone == 1 || up(now)));
+            let changes = world.run(EVALUATION_MS, |zone, _, now| Some(zone == 1 || up(now)));
             cuts += changes
                 .iter()
-                .filter(|change| matches!(change.why, Why::Lost | Why::FailsAgain))
+                .filter(|change| matches!(change.reason, Reason::Lost | Reason::FailedAgain))
                 .count();
-            if changes.iter().any(|change| change.why == Why::Heard) {
+            if changes
+                .iter()
+                .any(|change| change.reason == Reason::Answered)
+            {
                 up_since = world.now;
             }
-            if let Some(ZoneState::Climbing(part)) = world.judge.state("east") {
-                let most = 0.1 + 0.9 * (world.now - up_since + 2.0 * LOOK) / 10_000.0;
+            if let Some(ZoneState::Recovering(part)) = world.detector.state("east") {
+                let most = 0.1 + 0.9 * (world.now - up_since + 2.0 * EVALUATION_MS) / 10_000.0;
                 assert!(
                     part <= most.min(1.0) + 1e-9,
                     "{part} after {} ms",
@@ -313,47 +331,62 @@
 }
 
 #[test]
-fn a_cut_that_half_of_the_dispatchers_see_is_judged_by_each_for_itself() {
+fn each_dispatcher_decides_by_its_own_evidence_about_a_partial_cut() {
     let mut sees = World::new(TWO, 2.0);
     let mut other = World::new(TWO, 2.0);
     sees.run(3000.0, |_, _, _| Some(true));
     other.run(3000.0, |_, _, _| Some(true));
     let mut changes = Vec::new();
     for _ in 0..40 {
-        changes.extend(sees.run(LOOK, |zone, _, _| Some(zone == 1)));
-        assert_eq!(other.run(LOOK, |_, _, _| Some(true)), []);
-        if let Some(message) = sees.judge.tells(sees.now) {
-            other.judge.heard(other.now, 0, &message);
+        changes.extend(sees.run(EVALUATION_MS, |zone, _, _| Some(zone == 1)));
+        assert_eq!(other.run(EVALUATION_MS, |_, _, _| Some(true)), []);
+        if let Some(message) = sees.detector.poll_message(sees.now) {
+            other.detector.handle(
+                Event::PeerMessage {
+                    peer: 0,
+                    content: &message,
+                },
+                other.now,
+            );
         }
-        if let Some(message) = other.judge.tells(other.now) {
-            sees.judge.heard(sees.now, 1, &message);
+        if let Some(message) = other.detector.poll_message(other.now) {
+            sees.detector.handle(
+                Event::PeerMessage {
+                    peer: 1,
+                    content: &message,
+                },
+                sees.now,
+            );
         }
     }
     // Hearsay moves nobody, but who is cut knows that it is the way from here.
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::LostFromHere)]);
-    assert_eq!(other.judge.state("east"), Some(ZoneState::Well));
+    assert_eq!(
+        reasons(&changes),
+        [("east".to_owned(), Reason::LostFromHere)]
+    );
+    assert_eq!(other.detector.state("east"), Some(ZoneState::Healthy));
 }
 
 #[test]
-fn a_one_way_cut_where_requests_arrive_and_answers_do_not_is_a_cut() {
+fn zone_whose_answers_are_lost_becomes_unreachable() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
-    // Seen from here it is silence; every third look an engine's time runs out.
+    // Seen from here there is no answer; at every third evaluation an engine times out.
     let changes = world.run(6000.0, |zone, _, now| {
         (zone == 1 || (now as u64).is_multiple_of(300)).then_some(zone == 1)
     });
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Lost)]);
 }
 
 #[test]
-fn a_list_that_names_lost_engines_ready_is_not_believed_and_one_that_drops_healthy_ones_is_told() {
+fn endpoint_list_does_not_restore_a_lost_zone_and_dropping_healthy_engines_is_reported() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
     // The list says ready, again and again.
     (0..5).for_each(|_| world.list(|_, _| true));
-    world.judge.look(world.now);
-    assert_eq!(world.judge.state("east"), Some(ZoneState::Cut));
+    world.detector.evaluate(world.now);
+    assert_eq!(world.detector.state("east"), Some(ZoneState::Unreachable));
     // It drops three of four that answered a moment ago.
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
@@ -362,18 +395,20 @@
         .into_iter()
         .filter(|e| e.engine_id >= 100 || e.engine_id == 0)
         .collect();
-    world.judge.listed(world.now, &engines);
+    world
+        .detector
+        .handle(Event::EnginesListed(&engines), world.now);
     assert_eq!(
-        whys(&world.judge.changes()),
-        [("east".to_owned(), Why::ListDrops)]
+        reasons(&world.detector.take_changes()),
+        [("east".to_owned(), Reason::ListDropsEngines)]
     );
     // What is dropped can't be sent to (rule 3); the zone itself is well, and its room shrinks with it.
-    assert_eq!(world.judge.state("east"), Some(ZoneState::Well));
-    assert!((world.plan().zones[0].spill - 0.4 * 8.0).abs() < 1e-9);
+    assert_eq!(world.detector.state("east"), Some(ZoneState::Healthy));
+    assert!((world.plan().zones[0].spill_threads - 0.4 * 8.0).abs() < 1e-9);
 }
 
 #[test]
-fn three_zones_where_the_spill_of_two_meets_in_the_third() {
+fn spill_of_two_lost_zones_into_the_third_stays_within_its_limit() {
     let zones = &[("east", 4), ("west", 4), ("south", 4)];
     let mut world = World::new(zones, 2.0);
     world.run(3000.0, |_, _, _| Some(true));
@@ -382,10 +417,10 @@
     let plan = world.plan();
     // Each of two dispatchers may put half of 0.4 of 32 cores there, whichever zone it comes from.
     assert!(
-        (plan.zones[2].spill - 0.4 * 32.0 / 2.0).abs() < 1e-9,
+        (plan.zones[2].spill_threads - 0.4 * 32.0 / 2.0).abs() < 1e-9,
         "{plan:?}"
     );
-    assert!((plan.zones[2].spill_by_class[1] - 0.1 * 32.0 / 2.0).abs() < 1e-9);
+    assert!((plan.zones[2].spill_threads_by_class[1] - 0.1 * 32.0 / 2.0).abs() < 1e-9);
     assert_eq!(
         plan.zones
             .iter()
@@ -396,7 +431,7 @@
 }
 
 #[test]
-fn engines_that_return_under_new_ids_climb_like_the_zone_they_stand_in() {
+fn engines_with_new_identifiers_follow_the_recovery_of_their_zone() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
@@ -405,74 +440,95 @@
         .iter_mut()
         .filter(|e| e.engine_id < 100)
         .for_each(|e| e.engine_id += 50);
-    world.judge.listed(world.now, &engines);
+    world
+        .detector
+        .handle(Event::EnginesListed(&engines), world.now);
     assert_eq!(world.threads(0), 0.0);
-    world.judge.seen(
-        world.now + 50.0,
-        Seen {
-            engine_id: 50,
-            kind: Kind::Heard,
-        },
-    );
-    world.judge.look(world.now + LOOK);
+    let observation = Observation {
+        engine_id: 50,
+        kind: ObservationKind::Answered,
+    };
+    world
+        .detector
+        .handle(Event::EngineObserved(observation), world.now + 50.0);
+    world.detector.evaluate(world.now + EVALUATION_MS);
     assert!(matches!(
-        world.judge.state("east"),
-        Some(ZoneState::Climbing(_))
+        world.detector.state("east"),
+        Some(ZoneState::Recovering(_))
     ));
     assert!(world.threads(0) <= 64.0 * 0.11);
 }
 
 #[test]
-fn a_drain_that_is_announced_during_the_cut_leaves_no_evidence_behind() {
+fn drained_engines_leave_no_evidence_behind() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
     // All but one drain; the one that is ready answers again.
     world.list(|zone, n| zone == 1 || n == 3);
     let changes = world.run(300.0, |zone, n, _| Some(zone == 1 || n == 3));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Heard)]);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Answered)]);
     // All gone: the zone is no reason for anything.
+    let remaining = world.engines(|_, _| true)[4..].to_vec();
     world
-        .judge
-        .listed(world.now, &world.engines(|_, _| true)[4..]);
+        .detector
+        .handle(Event::EnginesListed(&remaining), world.now);
     assert!(world
         .run(1000.0, |zone, _, _| (zone == 1).then_some(true))
         .is_empty());
 }
 
 #[test]
-fn a_dispatcher_that_restarts_mid_cut_learns_it_anew_and_silent_peers_change_nothing() {
+fn restarted_dispatcher_detects_the_loss_anew_and_invalid_messages_change_nothing() {
     let mut world = World::new(TWO, 4.0);
     let changes = world.run(3000.0, |zone, _, _| Some(zone == 1));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Lost)]);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Lost)]);
     // Messages that are none, old or of other zones.
-    world.judge.heard(world.now, 1, b"");
-    world.judge.heard(world.now, 2, &[3, 1, 0, 9, 9, 1, 7]);
+    world.detector.handle(
+        Event::PeerMessage {
+            peer: 1,
+            content: b"",
+        },
+        world.now,
+    );
+    world.detector.handle(
+        Event::PeerMessage {
+            peer: 2,
+            content: &[3, 1, 0, 9, 9, 1, 7],
+        },
+        world.now,
+    );
     assert_eq!(world.run(3000.0, |zone, _, _| Some(zone == 1)), []);
 }
 
 #[test]
-fn more_dispatchers_that_are_heard_than_were_told_share_as_well() {
+fn peers_beyond_the_configured_number_get_a_share_too() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
     world.run(1000.0, |_, _, _| Some(true));
     let alone = world.threads(0);
     for peer in 0..3 {
-        world.judge.heard(world.now, peer, &[3, 1, 0]);
+        world.detector.handle(
+            Event::PeerMessage {
+                peer: peer,
+                content: &[3, 1, 0],
+            },
+            world.now,
+        );
     }
     assert!((world.threads(0) - alone / 4.0).abs() < 1e-9);
 }
 
 #[test]
-fn clocks_that_jump_and_pauses_climb_nothing() {
+fn clock_jumps_and_pauses_do_not_advance_a_recovery() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
     world.run(500.0, |_, _, _| Some(true));
     let before = world.threads(0);
-    world.judge.look(world.now - 50_000.0);
-    world.judge.look(world.now + 600_000.0);
+    world.detector.evaluate(world.now - 50_000.0);
+    world.detector.evaluate(world.now + 600_000.0);
     assert!(
         world.threads(0) <= before + 64.0 * 0.1,
         "{before} {}",
@@ -481,15 +537,15 @@
 }
 
 #[test]
-fn a_cut_zone_is_probed_and_one_that_nobody_tries_is_tried_again() {
+fn unreachable_zone_is_health_checked_and_an_untried_one_begins_to_recover() {
     let mut world = World::new(TWO, 1.0);
     world.run(3000.0, |_, _, _| Some(true));
     world.run(3000.0, |zone, _, _| Some(zone == 1));
     // Each of its engines in turn, twice a second.
     let mut probed = Vec::new();
     for _ in 0..40 {
-        world.run(LOOK, |zone, _, _| (zone == 1).then_some(true));
-        probed.extend(world.judge.probes(world.now));
+        world.run(EVALUATION_MS, |zone, _, _| (zone == 1).then_some(true));
+        probed.extend(world.detector.poll_health_check(world.now));
     }
     assert_eq!(probed.len(), 8);
     assert!(
@@ -498,14 +554,17 @@
     );
     // Where no probe is sent and all go elsewhere, it is tried with a first part, and cut again if it fails.
     let changes = world.run(15_000.0, |zone, _, _| (zone == 1).then_some(true));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::Untried)]);
+    assert_eq!(reasons(&changes), [("east".to_owned(), Reason::Untried)]);
     assert!(world.threads(0) <= 64.0 * 0.1 + 1e-9 && world.threads(0) > 0.0);
     let changes = world.run(3000.0, |zone, _, _| Some(zone == 1));
-    assert_eq!(whys(&changes), [("east".to_owned(), Why::FailsAgain)]);
+    assert_eq!(
+        reasons(&changes),
+        [("east".to_owned(), Reason::FailedAgain)]
+    );
 }
 
 #[test]
-fn no_bytes_of_peers_make_it_panic_or_call_a_zone_cut() {
+fn no_bytes_of_peers_cause_a_panic_or_make_a_zone_unreachable() {
     let mut world = World::new(TWO, 2.0);
     world.run(3000.0, |_, _, _| Some(true));
     let mut x = 7_u32;
@@ -516,10 +575,21 @@
                 (x >> 24) as u8
             })
             .collect();
-        world.judge.heard(world.now, n % 7, &bytes);
-        world
-            .judge
-            .heard(world.now, n % 7, &[&[3, 1, 1], bytes.as_slice()].concat());
+        world.detector.handle(
+            Event::PeerMessage {
+                peer: n % 7,
+                content: &bytes,
+            },
+            world.now,
+        );
+        let framed = [&[3, 1, 1], bytes.as_slice()].concat();
+        world.detector.handle(
+            Event::PeerMessage {
+                peer: n % 7,
+                content: &framed,
+            },
+            world.now,
+        );
     }
     assert_eq!(world.run(2000.0, |_, _, _| Some(true)), []);
 }
