--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,6 +1,13 @@
 use super::*;
-use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
-use tansymux::events::StatementTraits;
+use crate::clock::Clock;
+use crate::query_registry::{
+    AnswerSlot, EndpointEntry, Event, QueryRegistry, QueryRequest, RequestKeys,
+};
+use async_executor::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansymux::events::{AttemptLimits, EndpointState, Outcome, StatementTraits};
 
 const LONG: AttemptLimits = AttemptLimits {
     deadline_ms: 1e15,
@@ -21,8 +28,10 @@
     }
 }
 
-/// A attempt that waits for its connection, which stays coming up, as no task runs.
-fn waiting(bounds: AttemptLimits) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
+/// An attempt that waits for its connection, which stays coming up, as no task runs.
+fn queued_attempt(
+    limits: AttemptLimits,
+) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
     let settings = ConnectionSettings {
         connect_timeout_ms: 250.0,
         idle_timeout_ms: 30_000.0,
@@ -31,37 +40,32 @@
         max_streams: 32,
         max_connections: 8,
     };
-    let (registry, executor) = (
-        Rc::new(QueryRegistry::default()),
-        Rc::new(LocalExecutor::new()),
-    );
-    let side = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
-    side.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
-    let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-    let (text, shape, marks) = (StatementTraits::UNKNOWN, None, RequestKeys::default());
-    let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
-    let asked = QueryRequest {
-        id,
-        resource_group: rg,
-        tenant,
-        statement,
-        received_ms: since,
-        deadline_ms: due,
-        estimated_cost_ms: cost,
-        memory_mb: memory,
-        tables,
-        text,
-        shape,
-        keys: marks,
+    let registry = Rc::new(QueryRegistry::default());
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
+    pool.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
+    let request = QueryRequest {
+        id: "00000000000000aa",
+        resource_group: "look",
+        tenant: "",
+        statement: b"SELECT 1",
+        received_ms: 0.0,
+        deadline_ms: 1e15,
+        estimated_cost_ms: 1.0,
+        memory_mb: 1.0,
+        tables: 1,
+        text: StatementTraits::UNKNOWN,
+        shape: None,
+        keys: RequestKeys::default(),
     };
-    let (query, slot) = registry.admit(&asked).unwrap();
-    registry.submit(query, 7, bounds);
-    side.execute_commands();
-    (registry, side, query, slot)
+    let (query, slot) = registry.admit(&request).unwrap();
+    registry.submit(query, 7, limits);
+    pool.execute_commands();
+    (registry, pool, query, slot)
 }
 
-/// Whether its end was told, as of one that never ran.
-fn taken_back(registry: &QueryRegistry) -> bool {
+/// Whether its end was reported, as of one that never ran.
+fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
             e,
@@ -75,44 +79,44 @@
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
-    for (then, back) in [
+fn queued_attempt_is_withdrawn_when_its_engine_drains_leaves_or_restarts() {
+    for (then, withdrawn) in [
         (engine(EndpointState::Ready, None, 9), false),
         (engine(EndpointState::Draining, None, 9), true),
         (engine(EndpointState::Gone, None, 9), true),
         (engine(EndpointState::Ready, Some(5.0), 9), true),
         (engine(EndpointState::Ready, None, 10), true),
     ] {
-        let (registry, side, ..) = waiting(LONG);
-        side.upsert_endpoint(&then);
-        assert_eq!(taken_back(&registry), back, "{then:?}");
+        let (registry, pool, ..) = queued_attempt(LONG);
+        pool.upsert_endpoint(&then);
+        assert_eq!(was_withdrawn(&registry), withdrawn, "{then:?}");
     }
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
-    let (registry, side, query, _slot) = waiting(LONG);
+fn queued_attempt_is_withdrawn_when_its_query_completes() {
+    let (registry, pool, query, _slot) = queued_attempt(LONG);
     registry.client_left(query);
-    side.execute_commands();
-    assert!(taken_back(&registry));
-    let (registry, side, query, _slot) = waiting(LONG);
+    pool.execute_commands();
+    assert!(was_withdrawn(&registry));
+    let (registry, pool, query, _slot) = queued_attempt(LONG);
     assert!(registry.answer(query, crate::query_registry::Answer::Failed));
-    side.execute_commands();
-    assert!(taken_back(&registry));
+    pool.execute_commands();
+    assert!(was_withdrawn(&registry));
 }
 
 #[test]
-fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (registry, side, ..) = waiting(AttemptLimits {
+fn queued_attempt_is_withdrawn_once_it_may_not_begin() {
+    let (registry, pool, ..) = queued_attempt(AttemptLimits {
         start_by_ms: Clock::start().now() + 30.0,
         ..LONG
     });
-    let next = side.expire();
-    assert!(!taken_back(&registry));
-    // The sweep itself tells when it is due again.
+    let next = pool.expire();
+    assert!(!was_withdrawn(&registry));
+    // The call itself says when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
-        (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
+        (next - pool.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
-    side.expire();
-    assert!(taken_back(&registry));
+    pool.expire();
+    assert!(was_withdrawn(&registry));
 }
