--- a/crates/zone-routing/tests/zone_failures.rs
+++ b/crates/zone-routing/tests/zone_failures.rs
@@ -511,7 +511,7 @@
     for peer in 0..3 {
         world.detector.handle(
             Event::PeerMessage {
-                peer: peer,
+                peer,
                 content: &[3, 1, 0],
             },
             world.now,
