--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -120,8 +120,8 @@
             statement: self.statement,
             received_ms: self.received_ms,
             deadline_ms: self.deadline_ms,
-            estimated_cost_ms: given_or(self.cost_ms, estimated_cost_ms.min(limits.max_cost_ms)),
-            memory_mb: given_or(
+            estimated_cost_ms: declared_or(self.cost_ms, estimated_cost_ms.min(limits.max_cost_ms)),
+            memory_mb: declared_or(
                 self.memory_mb,
                 estimated_memory_mb.min(limits.max_memory_mb),
             ),
@@ -133,10 +133,10 @@
     }
 }
 
-/// The client's own number where it gave one, else `otherwise`.
-fn given_or(given: f64, otherwise: f64) -> f64 {
-    if given > 0.0 {
-        given
+/// The number that the client declared, where it did, else `otherwise`.
+fn declared_or(declared: f64, otherwise: f64) -> f64 {
+    if declared > 0.0 {
+        declared
     } else {
         otherwise
     }
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -520,7 +520,7 @@
                         self.zones.noted(self.now, engine_id);
                     }
                     if note == NoteKind::Waiting {
-                        self.registry.mark_waited(query);
+                        self.registry.record_wait(query);
                     }
                     control.on_progress_note(&ProgressNote {
                         query_id: query,
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -230,7 +230,7 @@
     }
 
     /// The attempt in flight waits for a lock.
-    pub fn mark_waited(&self, number: u64) {
+    pub fn record_wait(&self, number: u64) {
         if let Some(query) = self.queries.borrow_mut().get_mut(&number) {
             query.waited = true;
         }
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -7,7 +7,7 @@
     start_by_ms: 90.0,
     side_effect_free: true,
 };
-const ASKED: QueryRequest = QueryRequest {
+const REQUEST: QueryRequest = QueryRequest {
     id: "9b1f03aa5c7e2d41",
     resource_group: "look",
     tenant: "acme",
@@ -28,9 +28,9 @@
 #[test]
 fn query_gets_one_answer_and_no_attempt_after_it() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.admit(&ASKED).unwrap();
+    let (query, slot) = registry.admit(&REQUEST).unwrap();
     assert_eq!(
-        registry.admit(&ASKED).map(|_| ()),
+        registry.admit(&REQUEST).map(|_| ()),
         Err(AdmissionError::InFlight)
     );
     registry.submit(query, 7, BOUNDS);
@@ -63,7 +63,7 @@
     registry.attempt_ended(query);
     assert_eq!(registry.in_flight(), 0);
     assert_eq!(
-        registry.admit(&ASKED).map(|_| ()),
+        registry.admit(&REQUEST).map(|_| ()),
         Err(AdmissionError::AlreadySubmitted)
     );
     (0..MAX_COMPLETED_IDS).for_each(|n| {
@@ -72,16 +72,16 @@
             .borrow_mut()
             .remember(n.to_string().into())
     });
-    assert!(registry.admit(&ASKED).is_ok());
+    assert!(registry.admit(&REQUEST).is_ok());
 }
 
 #[test]
 fn statements_beyond_the_byte_limit_are_rejected_until_others_complete() {
-    let registry = QueryRegistry::new(ASKED.statement.len() + 1);
-    let (query, _slot) = registry.admit(&ASKED).unwrap();
+    let registry = QueryRegistry::new(REQUEST.statement.len() + 1);
+    let (query, _slot) = registry.admit(&REQUEST).unwrap();
     let second = QueryRequest {
         id: "9b1f03aa5c7e2d42",
-        ..ASKED
+        ..REQUEST
     };
     assert_eq!(
         registry.admit(&second).map(|_| ()),
@@ -94,7 +94,7 @@
 #[test]
 fn query_of_a_disconnected_client_gets_no_answer() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.admit(&ASKED).unwrap();
+    let (query, slot) = registry.admit(&REQUEST).unwrap();
     registry.client_left(query);
     registry.client_left(query);
     assert!(!registry.answer(query, Answer::Failed) && slot.take().is_none());
@@ -110,7 +110,7 @@
 #[test]
 fn new_priority_reaches_the_attempt_in_flight() {
     let registry = QueryRegistry::default();
-    let (query, _slot) = registry.admit(&ASKED).unwrap();
+    let (query, _slot) = registry.admit(&REQUEST).unwrap();
     registry.grant(
         query,
         Grant {
--- a/crates/dispatcher/tests/life_cycle/clients.rs
+++ b/crates/dispatcher/tests/life_cycle/clients.rs
@@ -13,24 +13,24 @@
 
 #[test]
 fn client_disconnect_is_noticed_behind_unread_pipelined_bytes() {
-    let (address, told) = scripted(|_, _| {});
+    let (address, requests) = scripted(|_, _| {});
     let program = start(&two_group_config(&[address]));
     let mut client = send_query(&program, "look", 1);
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
-    // More than is kept of what a client sends ahead.
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    // More than is buffered of what a client sends ahead.
     client.write_all(&[b'x'; 200 * 1024]).unwrap();
     client.shutdown(Shutdown::Write).unwrap();
-    let (parts, _) = told.recv_timeout(TIMEOUT).unwrap();
+    let (parts, _) = requests.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(parts[..2], ["abort", "0000000000000001"]);
     program.wait_for_count("vanished 1\n");
 }
 
 #[test]
 fn client_that_pipelines_too_much_gets_its_answer_and_then_a_closed_connection() {
-    let (address, told) = engine_answering_after(300);
+    let (address, requests) = engine_answering_after(300);
     let program = start(&two_group_config(&[address]));
     let mut client = send_query(&program, "look", 1);
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let noise = [
         b"GET /_health HTTP/1.1\r\n\r\n".repeat(2000),
         vec![b'x'; 100 * 1024],
@@ -43,16 +43,19 @@
         status == 200 && head.contains("Connection: close\r\n"),
         "{head}"
     );
-    // Nothing of what was passed over is taken for a request.
+    // Nothing of what was discarded is taken for a request.
     assert!(read_response(&mut reader).is_none());
 }
 
 #[test]
 fn client_that_floods_requests_does_not_starve_other_clients() {
-    let (address, _told) = engine_answering_after(0);
+    let (address, _requests) = engine_answering_after(0);
     let program = start(&two_group_config(&[address]));
-    let flood = connect_client(&program);
-    let (mut writer, mut reader) = (flood.try_clone().unwrap(), flood.try_clone().unwrap());
+    let flooding_client = connect_client(&program);
+    let (mut writer, mut reader) = (
+        flooding_client.try_clone().unwrap(),
+        flooding_client.try_clone().unwrap(),
+    );
     let reads = thread::spawn(move || while matches!(reader.read(&mut [0; 65536]), Ok(1..)) {});
     let writes = thread::spawn(move || {
         let many = b"GET /_health HTTP/1.1\r\n\r\n".repeat(400);
@@ -67,15 +70,15 @@
             from.elapsed()
         );
     }
-    flood.shutdown(Shutdown::Both).unwrap();
+    flooding_client.shutdown(Shutdown::Both).unwrap();
     writes.join().unwrap();
     reads.join().unwrap();
 }
 
 #[test]
 fn query_beyond_the_memory_bound_gets_503_with_a_retry_time() {
-    let (address, told) = scripted(|_, _| {});
-    // A fifth of 16 MB holds 52 statements of 64 KB that wait for an engine that hangs.
+    let (address, requests) = scripted(|_, _| {});
+    // A fifth of 16 MB holds 52 statements of 64 KB that wait for a stalled engine.
     let config =
         two_group_config(&[address]).with("limits", json!({"sockets": 1024, "memory_mb": 16}));
     let program = start(&config);
@@ -87,10 +90,10 @@
             .unwrap();
         stream
     };
-    let waits: Vec<TcpStream> = (1..53).map(big).collect();
-    waits
+    let waiting_clients: Vec<TcpStream> = (1..53).map(big).collect();
+    waiting_clients
         .iter()
-        .for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
+        .for_each(|_| drop(requests.recv_timeout(TIMEOUT).unwrap()));
     let (status, head, body) = read_response(&mut BufReader::new(big(99))).unwrap();
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
--- a/crates/dispatcher/tests/life_cycle/engines.rs
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -24,7 +24,7 @@
     (address, connections)
 }
 
-/// The next request on a connection: its word and id.
+/// Command and query id of the next request on a connection.
 fn next_request(stream: &TcpStream) -> Option<(String, String)> {
     let parts = wire::frame(&mut BufReader::with_capacity(1, stream))?;
     Some((parts[0].clone(), parts[1].clone()))
@@ -40,19 +40,22 @@
     let (address, connections) = engine_with_held_connections();
     let program = start(&two_group_config(&[address]));
     let first = send_query(&program, "look", 1);
-    let mut idles = connections.recv_timeout(TIMEOUT).unwrap();
-    assert_eq!(next_request(&idles), fetch_request("0000000000000001"));
+    let mut idle_connection = connections.recv_timeout(TIMEOUT).unwrap();
+    assert_eq!(
+        next_request(&idle_connection),
+        fetch_request("0000000000000001")
+    );
     write_frame(
-        &mut idles,
+        &mut idle_connection,
         &["0000000000000001", "DONE", "batches=1", "a\tb\tc\n"],
     );
     assert_eq!(answer_status(&first), Some(200));
-    // At one instant: the engine closes, with half a line behind an unknown id, and the next request comes.
+    // At one instant: the engine closes, after half a frame with an unknown id, and the next query comes.
     let stopped = PausedProgram::new(&program);
-    idles
+    idle_connection
         .write_all(b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nDO")
         .unwrap();
-    idles.shutdown(Shutdown::Both).unwrap();
+    idle_connection.shutdown(Shutdown::Both).unwrap();
     let second = send_query(&program, "look", 2);
     drop(stopped);
     let mut next = connections.recv_timeout(TIMEOUT).unwrap();
@@ -62,7 +65,7 @@
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
     assert_eq!(answer_status(&second), Some(200));
-    // It was known before it went out: nobody counts it as lost under way.
+    // The close was known before the query was sent: nothing counts as lost.
     assert_eq!(program.counter("submissions_reset"), Some(0));
     assert_eq!(program.counter("connections_lost_idle"), Some(0));
 }
@@ -87,7 +90,7 @@
             assert_eq!(next_request(&again), fetch_request(id));
             write_frame(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
             let (status, _, body) = read_response(&mut BufReader::new(client)).unwrap();
-            // Nothing of the first result is left in it.
+            // No rows of the first result are left in it.
             assert_eq!(
                 (status, body.as_str()),
                 (200, r#"{"data":[["x","y","z"]]}"#)
@@ -100,18 +103,18 @@
 
 #[test]
 fn connection_established_after_its_attempt_was_withdrawn_does_not_send_it() {
-    // Nobody accepts, and the backlog is full: connections come up once there is room, a second and more later.
+    // Nobody accepts, and the backlog is full: connections come up once there is room, a second or more later.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let full = refuse_silently(&listener);
     let config =
         two_group_config(&[address]).with("settings.limits.connect-timeout-us", 30_000_000);
     let program = start(&config.with("settings.limits.cancelling", false));
-    let leaves = send_query(&program, "look", 1);
+    let leaving_client = send_query(&program, "look", 1);
     program.wait_for_count("submissions 1\n");
-    drop(leaves);
+    drop(leaving_client);
     program.wait_for_count("vanished 1\n");
-    // Withdrawn, and not left to its deadline in 9 s.
+    // Withdrawn at once, and not at its deadline in 9 s.
     let from = Instant::now();
     program.wait_for_count("submissions_out 0\n");
     assert!(
@@ -119,9 +122,9 @@
         "{:?}",
         from.elapsed()
     );
-    let stays = send_query(&program, "look", 2);
+    let staying_client = send_query(&program, "look", 2);
     drop(full);
-    // What comes first on any connection is of the one that stayed.
+    // The first request on any connection is of the client that stayed.
     listener.set_nonblocking(false).unwrap();
     let mut first = None;
     while first.is_none() {
@@ -135,28 +138,28 @@
         &mut stream,
         &["0000000000000002", "DONE", "batches=1", "a\tb\tc\n"],
     );
-    assert_eq!(answer_status(&stays), Some(200));
+    assert_eq!(answer_status(&staying_client), Some(200));
 }
 
 #[test]
 fn late_connection_is_used_for_the_next_query() {
-    // Nobody accepts, and the backlog is full: what waits is given up after 250 ms, as the settings say.
+    // Nobody accepts, and the backlog is full: waiting attempts time out after 250 ms, by the settings.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let full = refuse_silently(&listener);
     let program = start(&two_group_config(&[address]));
     assert_eq!(answer_status(&send_query(&program, "load", 1)), Some(429));
     let opened = program.counter("connections_to_engines").unwrap();
-    // Now there is room, and what was on its way comes up when it is tried again, a second after it began.
+    // Now there is room, and the connection comes up when the system tries again, a second after it began.
     drop(full);
-    let (tell, came) = channel();
+    let (sender, received) = channel();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let tell = tell.clone();
+            let sender = sender.clone();
             thread::spawn(move || {
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 while let Some(parts) = wire::frame(&mut reader) {
-                    let _ = tell.send(parts[1].clone());
+                    let _ = sender.send(parts[1].clone());
                     write_frame(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
                 }
             });
@@ -168,15 +171,15 @@
             .is_some_and(|up| up > 0)
     });
     assert_eq!(answer_status(&send_query(&program, "load", 2)), Some(200));
-    assert_eq!(came.recv_timeout(TIMEOUT).unwrap(), "0000000000000002");
+    assert_eq!(received.recv_timeout(TIMEOUT).unwrap(), "0000000000000002");
     assert_eq!(program.counter("connections_to_engines"), Some(opened));
 }
 
 #[test]
 fn engine_that_floods_does_not_starve_other_engines() {
-    let (floods, connections) = engine_with_held_connections();
-    let (serves, _told) = engine_answering_after(0);
-    let program = start(&two_group_config(&[floods, serves]));
+    let (flooding_engine, connections) = engine_with_held_connections();
+    let (serves, _requests) = engine_answering_after(0);
+    let program = start(&two_group_config(&[flooding_engine, serves]));
     thread::spawn(move || {
         while let Ok(mut stream) = connections.recv_timeout(TIMEOUT) {
             thread::spawn(move || {
@@ -187,7 +190,7 @@
             });
         }
     });
-    // Some go to the one that floods, and are moved; none waits for what never ends.
+    // Some go to the engine that floods, and are migrated; none waits for it without end.
     let clients: Vec<TcpStream> = (1..9).map(|id| send_query(&program, "look", id)).collect();
     let from = Instant::now();
     clients
--- a/crates/dispatcher/tests/life_cycle/process.rs
+++ b/crates/dispatcher/tests/life_cycle/process.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn signals_sent_before_the_configuration_is_read_take_effect_afterwards() {
-    // The configuration is a pipe: the program stands at its first read until the test writes.
+    // The configuration is a pipe: the program blocks at its first read until the test writes.
     let text = two_group_config(&[]).0.to_string();
     let pipe = TempFile::new("config.fifo", "");
     std::fs::remove_file(&pipe.0).unwrap();
@@ -35,7 +35,7 @@
         .unwrap();
     send_signal("-HUP", child.id());
     send_signal("-TERM", child.id());
-    // Both are delivered before the process runs on: it is stopped at a system call.
+    // Both are delivered before the process runs on: it is blocked in a system call.
     let pending = || {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
@@ -59,18 +59,18 @@
 
 #[test]
 fn requests_received_by_sigterm_are_answered_even_if_not_yet_read() {
-    let (address, told) = engine_answering_after(20);
+    let (address, requests) = engine_answering_after(20);
     let mut program = start(&two_group_config(&[address]));
-    let mut rests = send_query(&program, "look", 1);
-    assert_eq!(answer_status(&rests), Some(200));
-    // At one instant: a request on the connection that rests, the signal (twice), three in the backlog.
+    let mut idle_client = send_query(&program, "look", 1);
+    assert_eq!(answer_status(&idle_client), Some(200));
+    // At one instant: a request on the idle connection, SIGTERM (twice), three connections in the backlog.
     let stopped = PausedProgram::new(&program);
-    rests.write_all(&query_bytes("look", 2)).unwrap();
+    idle_client.write_all(&query_bytes("look", 2)).unwrap();
     program.terminate();
     let backlog: Vec<TcpStream> = (3..6).map(|id| send_query(&program, "look", id)).collect();
     program.terminate();
     drop(stopped);
-    assert_eq!(answer_status(&rests), Some(200));
+    assert_eq!(answer_status(&idle_client), Some(200));
     backlog
         .iter()
         .for_each(|stream| assert_eq!(answer_status(stream), Some(200)));
@@ -79,19 +79,19 @@
         report.contains("taken 5\n") && report.contains("finished 5\n"),
         "{report}"
     );
-    assert_eq!(fetched_ids(&told).len(), 5);
+    assert_eq!(fetched_ids(&requests).len(), 5);
 }
 
 #[test]
 fn connections_in_the_backlog_when_the_listener_closes_are_answered() {
-    let (address, _told) = engine_answering_after(20);
+    let (address, _requests) = engine_answering_after(20);
     let mut program = start(&two_group_config(&[address]));
     let from = Instant::now();
     program.terminate();
     wait_until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
-    // Three connect while the time for connections runs out, and the program sees both at once.
+    // Three connect while the time for new connections runs out, and the program sees both at once.
     let stopped = PausedProgram::new(&program);
     let backlog: Vec<TcpStream> = (1..4).map(|id| send_query(&program, "look", id)).collect();
     thread::sleep((ACCEPT_GRACE + Duration::from_millis(50)).saturating_sub(from.elapsed()));
@@ -104,11 +104,11 @@
 
 #[test]
 fn backlog_is_answered_at_shutdown_even_with_a_full_connection_table() {
-    let (address, _told) = engine_answering_after(900);
+    let (address, _requests) = engine_answering_after(900);
     let config =
         two_group_config(&[address]).with("limits", json!({"sockets": 64, "memory_mb": 32}));
     let mut program = start(&config);
-    // Half of the descriptors are clients', and each has a query in hand past the time for new connections.
+    // Clients have half of the descriptors, and each a query in flight past the time for new connections.
     let clients: Vec<TcpStream> = (0..40)
         .map(|id| send_query(&program, "look", id + 1))
         .collect();
@@ -128,29 +128,30 @@
 
 #[test]
 fn idle_connection_is_half_closed_at_shutdown_and_a_crossing_request_is_discarded() {
-    let (address, told) = engine_answering_after(0);
+    let (address, requests) = engine_answering_after(0);
     let mut program = start(&two_group_config(&[address]));
-    let mut rests = send_query(&program, "look", 1);
-    assert_eq!(answer_status(&rests), Some(200));
+    let mut idle_client = send_query(&program, "look", 1);
+    assert_eq!(answer_status(&idle_client), Some(200));
     let from = Instant::now();
     program.terminate();
-    // It may ask for as long as new connections are waited for, and then learns that nothing more is taken.
-    assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
+    // It may send requests for as long as new connections are accepted, and then sees the half-close.
+    assert_eq!(idle_client.read(&mut [0; 64]).unwrap(), 0);
     assert!(from.elapsed() >= ACCEPT_GRACE, "{:?}", from.elapsed());
-    // What crosses that is read, so that nothing is reset, and is no request any more.
-    rests.write_all(&query_bytes("look", 2)).unwrap();
+    // A request that crosses it is read, so that nothing is reset, and discarded.
+    idle_client.write_all(&query_bytes("look", 2)).unwrap();
     assert!(program.end().contains("taken 1\n"));
-    assert_eq!(rests.read(&mut [0; 64]).unwrap(), 0);
-    assert_eq!(fetched_ids(&told), ["0000000000000001"]);
+    assert_eq!(idle_client.read(&mut [0; 64]).unwrap(), 0);
+    assert_eq!(fetched_ids(&requests), ["0000000000000001"]);
 }
 
 #[test]
 fn partial_and_imminent_requests_at_sigterm_are_served() {
-    let (address, _told) = engine_answering_after(20);
+    let (address, _requests) = engine_answering_after(20);
     let mut program = start(&two_group_config(&[address]));
     let whole = query_bytes("look", 1);
-    let (mut begun, mut about) = (connect_client(&program), connect_client(&program));
-    begun.write_all(&whole[..50]).unwrap();
+    let (mut partial_client, mut imminent_client) =
+        (connect_client(&program), connect_client(&program));
+    partial_client.write_all(&whole[..50]).unwrap();
     wait_until("both are taken", || {
         program.counters().contains("connections_from_clients")
     });
@@ -159,18 +160,18 @@
     wait_until("the front is told", || {
         get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
     });
-    about.write_all(&query_bytes("look", 2)).unwrap();
-    assert_eq!(answer_status(&about), Some(200));
-    // Its last bytes come when the listener is closed already.
+    imminent_client.write_all(&query_bytes("look", 2)).unwrap();
+    assert_eq!(answer_status(&imminent_client), Some(200));
+    // Its last bytes come after the listener was closed.
     thread::sleep((ACCEPT_GRACE + Duration::from_millis(100)).saturating_sub(from.elapsed()));
-    begun.write_all(&whole[50..]).unwrap();
-    assert_eq!(answer_status(&begun), Some(200));
+    partial_client.write_all(&whole[50..]).unwrap();
+    assert_eq!(answer_status(&partial_client), Some(200));
     assert!(program.end().contains("finished 2\n"));
 }
 
 #[test]
 fn shutdown_with_short_deadlines_finishes_before_the_kill_timeout() {
-    let (address, told) = scripted(|_, _| {});
+    let (address, requests) = scripted(|_, _| {});
     let classes = [
         class("look", 100.0, 1000.0, "read_like"),
         class("load", 100.0, 1000.0, "non_idempotent"),
@@ -182,7 +183,7 @@
         &[1, 1],
     );
     let mut program = start(&config);
-    // A client that waits for longer than the settings give, at an engine that hangs.
+    // A client that waits for longer than the settings allow, at a stalled engine.
     let mut client = connect_client(&program);
     client
         .write_all(
@@ -196,7 +197,7 @@
             .bytes(),
         )
         .unwrap();
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     let from = Instant::now();
     program.terminate();
     assert_eq!(answer_status(&client), Some(500));
--- a/crates/dispatcher/tests/life_cycle/support.rs
+++ b/crates/dispatcher/tests/life_cycle/support.rs
@@ -96,7 +96,7 @@
 pub struct PausedProgram(u32);
 
 impl PausedProgram {
-    /// Stops the program, and waits until it stands.
+    /// Stops the program, and waits until it is stopped.
     pub fn new(program: &Program) -> Self {
         let pid = program.child.id();
         send_signal("-STOP", pid);
--- a/crates/dispatcher/tests/sockets/clients.rs
+++ b/crates/dispatcher/tests/sockets/clients.rs
@@ -17,14 +17,14 @@
 
 #[test]
 fn idle_and_silent_clients_are_evicted_for_clients_with_queries() {
-    let (address, _told) =
+    let (address, _requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], with_smallest_limits);
     let mute: Vec<TcpStream> = (0..40)
         .map(|_| TcpStream::connect(program.listen).unwrap())
         .collect();
     let from = Instant::now();
-    let stay: Vec<TcpStream> = (1..80)
+    let served_clients: Vec<TcpStream> = (1..80)
         .map(|id| {
             let client = post_query(program.listen, "look", id);
             assert_eq!(
@@ -41,11 +41,11 @@
         "{:?}",
         from.elapsed()
     );
-    // Those that never asked are told so by a close, and one that sends by drops by an error.
-    let mut drips = TcpStream::connect(program.listen).unwrap();
-    drips.set_read_timeout(Some(TIMEOUT)).unwrap();
+    // Clients that never sent a request see a close; one that sends it too slowly gets an error.
+    let mut slow_client = TcpStream::connect(program.listen).unwrap();
+    slow_client.set_read_timeout(Some(TIMEOUT)).unwrap();
     let from = Instant::now();
-    while from.elapsed() < Duration::from_secs(3) && drips.write_all(b"POST /x").is_ok() {
+    while from.elapsed() < Duration::from_secs(3) && slow_client.write_all(b"POST /x").is_ok() {
         thread::sleep(Duration::from_millis(100));
     }
     for mut client in mute {
@@ -57,13 +57,15 @@
         "{:?}",
         from.elapsed()
     );
-    assert!(read_response(&mut BufReader::new(drips)).is_none_or(|(status, ..)| status == 408));
-    drop(stay);
+    assert!(
+        read_response(&mut BufReader::new(slow_client)).is_none_or(|(status, ..)| status == 408)
+    );
+    drop(served_clients);
 }
 
 #[test]
 fn unusable_requests_are_refused_and_bytes_behind_them_are_never_parsed() {
-    let (address, told) =
+    let (address, requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], with_smallest_limits);
     let behind =
@@ -92,14 +94,14 @@
         assert_eq!(read_response(&mut reader).unwrap().0, status, "{rest}");
         assert!(read_response(&mut reader).is_none(), "{rest}");
     }
-    // The refusal of a statement without end reaches its client while that still sends.
+    // The error for an oversized statement reaches its client while that still sends.
     let mut client = TcpStream::connect(program.listen).unwrap();
     client
         .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
         .unwrap();
     (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
     assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 413);
-    assert_eq!(told.try_iter().count(), 0);
+    assert_eq!(requests.try_iter().count(), 0);
     assert_eq!(
         read_response(&mut BufReader::new(post_query(program.listen, "look", 1)))
             .unwrap()
@@ -110,15 +112,15 @@
 
 #[test]
 fn clients_that_fill_the_read_buffers_do_not_block_small_requests() {
-    let (address, _told) =
+    let (address, _requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start_with(&[address], |config| {
         with_smallest_limits(config).with("limits.memory_mb", 16)
     });
-    // A tenth of 16 MB, but for a few bytes, lies in requests that do not become whole.
+    // Incomplete requests fill the bound on read buffers, a tenth of 16 MB, but for a few bytes.
     let head = "POST /invoke/look HTTP/1.1\r\nContent-Length: 65000\r\n\r\n";
     let sent = [head.as_bytes(), &vec![b'x'; 59_915 - head.len()]].concat();
-    let hoards: Vec<TcpStream> = (0..28)
+    let hoarding_clients: Vec<TcpStream> = (0..28)
         .map(|_| {
             let mut client = TcpStream::connect(program.listen).unwrap();
             client.write_all(&sent).unwrap();
@@ -134,5 +136,5 @@
             200
         );
     }
-    drop(hoards);
+    drop(hoarding_clients);
 }
--- a/crates/dispatcher/tests/sockets/endpoint_list.rs
+++ b/crates/dispatcher/tests/sockets/endpoint_list.rs
@@ -30,14 +30,14 @@
 
 #[test]
 fn name_service_adds_an_engine_unknown_at_startup() {
-    let (address, _told) =
+    let (address, _requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let resolver = name_service_with_engine(address);
     let program = start_with(&[free_address()], |config| {
         config.with("resolver", resolver.to_string())
     });
     program.wait_for_count("lists 1\n");
-    // The engine of the start has no records any more: all go to the new one.
+    // The engine of the configuration is no longer listed: all queries go to the new one.
     for id in 1..9 {
         assert_eq!(
             read_response(&mut BufReader::new(post_query(program.listen, "load", id)))
@@ -50,7 +50,7 @@
 
 #[test]
 fn sighup_switches_the_name_service_without_losing_queries() {
-    let (address, told) = engine(|parts, to| {
+    let (address, requests) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(300));
         write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
@@ -63,8 +63,8 @@
     let mut program = start_with(&[address], |config| config.with("resolver", silent.clone()));
     let text = std::fs::read_to_string(&program.config.0).unwrap();
     let open = post_query(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
-    // One that can't be used, and then one that can, with a key that has to wait.
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    // First an unusable configuration, then a usable one with a key that needs a restart.
     program.config.write(&text.replace(&old, r#""resolver":7"#));
     program.signal("-HUP");
     thread::sleep(Duration::from_millis(100));
--- a/crates/dispatcher/tests/sockets/engine_connections.rs
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -17,21 +17,21 @@
 #[test]
 fn silent_engine_connection_is_not_reused() {
     let first = std::sync::Arc::new(std::sync::Mutex::new(None));
-    let (address, told) = engine(move |parts, to| {
+    let (address, requests) = engine(move |parts, to| {
         let from = to.peer_addr().unwrap();
         if *first.lock().unwrap().get_or_insert(from) != from {
             write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
     let program = start(&[address]);
-    // Moved after its patience is over, to the only engine there is, on a new connection.
+    // The stalled attempt is migrated to the only engine that there is, on a new connection.
     let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 1))).unwrap();
     assert_eq!(
         (served.0, served.2.as_str()),
         (200, r#"{"data":[["a","b","c"]]}"#)
     );
-    // The first was given up by a word, before its connection was closed and well before the second went out.
-    let words: Vec<(String, Instant)> = told
+    // The first attempt was cancelled before its connection was closed, and well before the second was sent.
+    let words: Vec<(String, Instant)> = requests
         .try_iter()
         .map(|(parts, at)| (parts[0].clone(), at))
         .collect();
@@ -56,9 +56,9 @@
 
 #[test]
 fn malformed_or_truncated_engine_answer_fails_only_its_own_query() {
-    // Query 1 gets noise, query 2 half an answer, query 3 a page with a column too few, query 4 a good answer ahead
-    // of which and behind which comes what is not its own.
-    let (address, told) = engine(|parts, to| {
+    // Query 1 gets noise, query 2 half an answer, query 3 a page with a column too few, query 4 a good answer
+    // between frames that are not its own.
+    let (address, requests) = engine(|parts, to| {
         let id = parts[1].as_str();
         if parts[0] != "fetch" {
             return;
@@ -80,7 +80,7 @@
     let clients: Vec<TcpStream> = [4, 1, 2, 3]
         .map(|id| {
             let client = post_query(program.listen, "load", id);
-            assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+            assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
             client
         })
         .into();
@@ -93,7 +93,7 @@
         })
         .collect();
     assert_eq!(answers[0], (200, r#"{"data":[["a","b","c"]]}"#.into()));
-    // A load may have run: it is not sent again.
+    // A write may have run: it is not retried.
     assert!(
         answers[1..].iter().all(|(status, _)| *status == 500),
         "{answers:?}"
@@ -110,7 +110,7 @@
 fn write_is_not_sent_on_an_idle_engine_connection() {
     // The engine ends a connection when a request comes on it after a pause.
     let last = std::cell::Cell::new(None::<Instant>);
-    let (address, _told) = engine(move |parts, to| {
+    let (address, _requests) = engine(move |parts, to| {
         if last
             .replace(Some(Instant::now()))
             .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
@@ -143,18 +143,18 @@
 
 #[test]
 fn idle_engine_connections_are_reused_for_reads_but_not_for_writes() {
-    let (address, _told) =
+    let (address, _requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]));
     let program = start(&[address]);
     assert_all_complete(&program, "look", 1..15, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(1));
     assert_all_complete(&program, "load", 15..20, 70);
     assert_eq!(program.counter("connections_to_engines"), Some(6));
-    // Several at once have several; one of those that idle then is kept.
-    let at_once: Vec<TcpStream> = (20..24)
+    // Concurrent queries have several connections; one of them is kept once they are idle.
+    let concurrent: Vec<TcpStream> = (20..24)
         .map(|id| post_query(program.listen, "look", id))
         .collect();
-    at_once
+    concurrent
         .into_iter()
         .for_each(|one| assert_eq!(read_response(&mut BufReader::new(one)).unwrap().0, 200));
     thread::sleep(Duration::from_millis(1200));
@@ -165,9 +165,9 @@
 
 #[test]
 fn idle_engine_connections_are_no_longer_reused_once_some_were_lost() {
-    // The engine ends a connection when a request comes on it after a pause, having heard of it or not.
+    // The engine ends a connection when a request comes on it after a pause.
     let last = std::cell::Cell::new(None::<Instant>);
-    let (address, _told) = engine(move |parts, to| {
+    let (address, _requests) = engine(move |parts, to| {
         if last
             .replace(Some(Instant::now()))
             .is_some_and(|at| at.elapsed() > Duration::from_millis(100))
@@ -180,31 +180,31 @@
     assert_all_complete(&program, "look", 1..20, 130);
     let lost = program.counter("connections_lost_idle").unwrap();
     assert!((1..=2).contains(&lost), "{lost}");
-    // They say nothing of the engine: no attempt counts as reset there.
+    // A lost idle connection is no sign of a fault of the engine: no attempt counts as reset there.
     assert_eq!(program.counter("submissions_reset"), Some(0));
 }
 
 #[test]
 fn engine_that_accepts_requests_but_stays_silent_is_checked_by_a_new_connection() {
-    // It answers, then vanishes: its connection stays open and mute, and no new one comes up.
+    // It answers, then vanishes: its connection stays open and silent, and no new one comes up.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (address, same) = (
         listener.local_addr().unwrap(),
         listener.try_clone().unwrap(),
     );
     let vanished = Arc::new(AtomicBool::new(false));
-    let gone = vanished.clone();
+    let vanished_flag = vanished.clone();
     thread::spawn(move || {
         let (stream, _) = listener.accept().unwrap();
         let (mut reader, mut writer) = (BufReader::new(stream.try_clone().unwrap()), stream);
         while let Some(parts) = wire::frame(&mut reader) {
-            if !gone.load(Ordering::Relaxed) {
+            if !vanished_flag.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(90));
                 write_frame(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
             }
         }
     });
-    let (other, _told) = engine(|parts, to| {
+    let (other, _requests) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(90));
         write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
     });
@@ -236,7 +236,7 @@
     thread::sleep(Duration::from_millis(150));
     let _full = refuse_silently(&same);
     vanished.store(true, Ordering::Relaxed);
-    // Without the check each that goes there waits for 900 ms: 400 and five times its run.
+    // Without the check each query there waits for 900 ms: 400 ms and five times its run time.
     let longest = (9..25).map(ask).max().unwrap();
     assert!((500..800).contains(&longest.as_millis()), "{longest:?}");
     assert_eq!(program.counter("submissions_reset"), Some(1));
@@ -244,8 +244,8 @@
 
 #[test]
 fn cancelled_attempt_without_progress_notes_does_not_discredit_its_connection() {
-    // Query 1 is never answered; its client leaves after 400 ms, where answers may take 5 s.
-    let (address, told) = engine(|parts, to| {
+    // Query 1 is never answered; its client leaves after 400 ms, where the latency objective is 5 s.
+    let (address, requests) = engine(|parts, to| {
         if parts[0] == "fetch" && !parts[1].ends_with('1') {
             write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
@@ -263,11 +263,11 @@
             TICK,
         )
     };
-    let leaves = ask(1);
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    let leaving_client = ask(1);
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
     assert_eq!(read_response(&mut BufReader::new(ask(2))).unwrap().0, 200);
     thread::sleep(Duration::from_millis(400));
-    drop(leaves);
+    drop(leaving_client);
     program.wait_for_count("vanished 1\n");
     assert_eq!(read_response(&mut BufReader::new(ask(3))).unwrap().0, 200);
     assert_eq!(program.counter("connections_to_engines"), Some(2));
--- a/crates/dispatcher/tests/sockets/queries.rs
+++ b/crates/dispatcher/tests/sockets/queries.rs
@@ -12,7 +12,7 @@
 
 #[test]
 fn result_pages_of_an_engine_are_returned_as_one_answer() {
-    let (address, told) = engine(|parts, to| match parts[0].as_str() {
+    let (address, requests) = engine(|parts, to| match parts[0].as_str() {
         "fetch" => {
             write_frame(to, &[&parts[1], "TELL", "tell=frac,num=0.5", ""]);
             write_frame(to, &[&parts[1], "DONE", "batches=2", "a\t1\t\"\n"]);
@@ -29,7 +29,7 @@
         _ => {}
     });
     let mut program = start(&[address]);
-    // Two on one connection, one after the other.
+    // Two requests on one connection, one after the other.
     let mut client = post_query(program.listen, "look", 1);
     let mut reader = BufReader::new(client.try_clone().unwrap());
     let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
@@ -50,7 +50,7 @@
     ] {
         assert!(counters.contains(line), "{line} in {counters}");
     }
-    let fetch = told.recv_timeout(TIMEOUT).unwrap().0;
+    let fetch = requests.recv_timeout(TIMEOUT).unwrap().0;
     assert_eq!(
         (fetch[0].as_str(), fetch[1].as_str()),
         ("fetch", "0000000000000001")
@@ -67,15 +67,15 @@
 
 #[test]
 fn sigterm_keeps_accepting_for_a_while_and_answers_everything() {
-    let (address, told) = engine(|_, _| {});
+    let (address, requests) = engine(|_, _| {});
     let mut program = start(&[address]);
     let mut clients = vec![
         post_query(program.listen, "look", 1),
         post_query(program.listen, "load", 2),
     ];
-    (0..2).for_each(|_| drop(told.recv_timeout(TIMEOUT).unwrap()));
-    // Hundreds that say nothing, and a reload under way, are no bar to the end.
-    let _mute: Vec<TcpStream> = (0..300)
+    (0..2).for_each(|_| drop(requests.recv_timeout(TIMEOUT).unwrap()));
+    // Hundreds of silent clients and a reload under way do not delay the shutdown.
+    let _silent_clients: Vec<TcpStream> = (0..300)
         .map(|_| TcpStream::connect(program.listen).unwrap())
         .collect();
     let from = Instant::now();
@@ -89,7 +89,7 @@
         .iter()
         .map(|c| read_response(&mut BufReader::new(c)).unwrap().0)
         .collect();
-    // The engine is silent: what only reads is deferred, what may have changed tables is killed.
+    // The engine is silent: queries that only read are rejected, one that may have changed tables fails.
     assert_eq!(statuses, [429, 500, 429]);
     let report = program.end();
     assert!(
@@ -105,7 +105,7 @@
 
 #[test]
 fn query_wait_time_counts_from_its_last_byte() {
-    let (address, _told) =
+    let (address, _requests) =
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", ""]));
     let program = start(&[address]);
     let slow = post_query_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
@@ -114,20 +114,20 @@
 
 #[test]
 fn write_that_never_ran_is_rejected_and_one_that_may_have_run_is_not_retried() {
-    // Nobody listens at the one address; at the other, connections end when a request has come.
+    // Nobody listens at the first address; at the second, connections end when a request has come.
     let program = start(&[free_address()]);
-    let deferred =
+    let rejected =
         read_response(&mut BufReader::new(post_query(program.listen, "load", 1))).unwrap();
     assert_eq!(
-        (deferred.0, deferred.2.as_str()),
+        (rejected.0, rejected.2.as_str()),
         (429, r#"{"error":"TryLater"}"#)
     );
     assert!(
-        deferred.1.contains("Srv-Wait-Ms: 500\r\n"),
+        rejected.1.contains("Srv-Wait-Ms: 500\r\n"),
         "{}",
-        deferred.1
+        rejected.1
     );
-    let (address, told) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
+    let (address, requests) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
     assert_eq!(
         read_response(&mut BufReader::new(post_query(program.listen, "load", 1)))
@@ -136,7 +136,8 @@
         500
     );
     assert_eq!(
-        told.try_iter()
+        requests
+            .try_iter()
             .filter(|(parts, _)| parts[0] == "fetch")
             .count(),
         1
@@ -145,22 +146,22 @@
 
 #[test]
 fn client_disconnect_cancels_its_query_and_others_go_on() {
-    let (address, told) = engine(|parts, to| {
+    let (address, requests) = engine(|parts, to| {
         if parts[1].ends_with('2') {
             write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
         }
     });
     let program = start(&[address]);
-    let leaves = post_query(program.listen, "look", 1);
-    assert_eq!(told.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
-    drop(leaves);
+    let leaving_client = post_query(program.listen, "look", 1);
+    assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
+    drop(leaving_client);
     assert_eq!(
-        told.recv_timeout(TIMEOUT).unwrap().0[..2],
+        requests.recv_timeout(TIMEOUT).unwrap().0[..2],
         ["abort", "0000000000000001"]
     );
     let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 2))).unwrap();
     assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
-    // NameService that the settings do not know are not taken in.
+    // A resource group that the settings do not name is refused.
     let unknown = read_response(&mut BufReader::new(post_query(
         program.listen,
         "nothing",
@@ -168,7 +169,7 @@
     )))
     .unwrap();
     assert_eq!(unknown.0, 404);
-    // What can't be read or used is answered so, and the program serves on.
+    // A request that can't be parsed or used gets an error, and the program serves on.
     let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
     let costs =
         ["1e300", "-1", "NaN", "inf", "x"].map(|cost| format!("{head}Req-Cost: {cost}\r\n\r\n"));
@@ -186,7 +187,7 @@
 
 #[test]
 fn keys_are_forwarded_unchanged_and_queries_of_one_ordering_key_run_in_order() {
-    let (address, told) = engine(|parts, to| {
+    let (address, requests) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(60));
         write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
@@ -207,10 +208,13 @@
             .unwrap();
         client
     };
-    let marks = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
-    let clients = [post_with_fields(1, &marks), post_with_fields(2, &marks)];
+    let key_fields = format!("Req-Token: {token}\r\nReq-Key: {key}\r\n");
+    let clients = [
+        post_with_fields(1, &key_fields),
+        post_with_fields(2, &key_fields),
+    ];
     let fetch = || {
-        let (parts, at) = told.recv_timeout(TIMEOUT).unwrap();
+        let (parts, at) = requests.recv_timeout(TIMEOUT).unwrap();
         assert_eq!(parts[0], "fetch");
         (
             parts[2]
@@ -225,7 +229,7 @@
         first.contains(&format!("nonce={token}")) && first.contains(&format!("item={key}")),
         "{first:?}"
     );
-    // The second of its key has not gone out while the first ran.
+    // The second query of the key was not sent while the first ran.
     assert!(
         second - began >= Duration::from_millis(60),
         "{:?}",
@@ -234,18 +238,18 @@
     clients
         .iter()
         .for_each(|client| assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 200));
-    // What would break the list of fields is turned away, as is one that is told twice.
-    for wrong in [
+    // A key that would break the list of fields is refused, as is a field that comes twice.
+    for malformed in [
         "Req-Token: a,mb=9\r\n",
         "Req-Key: \r\n",
         "Req-Key: 1\r\nReq-Key: 2\r\n",
     ] {
         assert_eq!(
-            read_response(&mut BufReader::new(post_with_fields(9, wrong)))
+            read_response(&mut BufReader::new(post_with_fields(9, malformed)))
                 .unwrap()
                 .0,
             400,
-            "{wrong}"
+            "{malformed}"
         );
     }
 }
--- a/crates/dispatcher/tests/sockets/support.rs
+++ b/crates/dispatcher/tests/sockets/support.rs
@@ -52,6 +52,6 @@
     let statement = "SELECT a FROM sales_17.orders";
     let mut ask = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, statement, wait_ms as f64);
     ask.cost = Some(20.0);
-    // Cut in a field.
+    // Cut within a header field.
     post_in_two(to, &ask, 50, pause)
 }
