--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -180,7 +180,7 @@
             }
         }
         if note.kind == NoteKind::Waiting {
-            self.registry.mark_waited(note.query_id);
+            self.registry.record_wait(note.query_id);
         }
         control.on_progress_note(note);
     }
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -16,9 +16,12 @@
 use tansymux::settings::{RawSettings, SettingsMap};
 use tansymux::zone_plan;
 use tansymux_operator_config::{number_of, schema};
-use tansymux_zone_evacuation::{Evidence, Reachability, ZoneUse};
-use tansymux_zone_routing::message::Reach;
-use tansymux_zone_routing::{Engine, Kind, Plan, Seen, ZoneHealthDetector, ZoneState};
+use tansymux_zone_evacuation::{Evidence, Reachability as FleetReachability, ZoneUse};
+use tansymux_zone_routing::codec::MESSAGE_KIND;
+use tansymux_zone_routing::{
+    Engine, Event, Observation, ObservationKind, Reachability, RoutingPlan, ZoneHealthDetector,
+    ZoneState,
+};
 
 /// Threads that a dispatcher asks the fleet for beside those in flight: one with nothing in flight wants some too.
 const MIN_DEMAND_THREADS: f64 = 0.1;
@@ -81,13 +84,13 @@
                 control.set_zone_plan(None);
             }
             (Some(current), Some(definition)) => {
-                if *current.definition() != definition {
-                    current.redefine(definition);
+                if *current.config() != definition {
+                    current.set_config(definition);
                 }
             }
             (None, Some(definition)) => {
                 let mut new = ZoneHealthDetector::new(definition, self.dispatcher_count);
-                new.listed(now_ms, &self.endpoints.borrow());
+                new.handle(Event::EnginesListed(&self.endpoints.borrow()), now_ms);
                 *detector = Some(new);
             }
         }
@@ -115,15 +118,15 @@
         }
         endpoints.sort_by_key(|engine| engine.engine_id);
         if let Some(detector) = self.detector.borrow_mut().as_mut() {
-            detector.listed(now_ms, &endpoints);
+            detector.handle(Event::EnginesListed(&endpoints), now_ms);
         }
     }
 
     /// An attempt or a health check ended: whether the engine was reached.
     pub fn on_attempt_ended(&self, now_ms: f64, engine_id: u64, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
-            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             // Cancelled here, or never sent: that says nothing of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
         };
@@ -132,12 +135,13 @@
 
     /// An engine sent a progress note, so it is reached.
     pub fn on_progress_note(&self, now_ms: f64, engine_id: u64) {
-        self.observe(now_ms, engine_id, Kind::Heard);
+        self.observe(now_ms, engine_id, ObservationKind::Answered);
     }
 
-    fn observe(&self, now_ms: f64, engine_id: u64, kind: Kind) {
+    fn observe(&self, now_ms: f64, engine_id: u64, kind: ObservationKind) {
         if let Some(detector) = self.detector.borrow_mut().as_mut() {
-            detector.seen(now_ms, Seen { engine_id, kind });
+            let observation = Observation { engine_id, kind };
+            detector.handle(Event::EngineObserved(observation), now_ms);
         }
     }
 
@@ -165,27 +169,39 @@
             };
         }
         self.last_tick_ms.set(now_ms);
-        detector.look(now_ms);
-        for change in detector.changes() {
+        detector.evaluate(now_ms);
+        for change in detector.take_changes() {
             self.state_changes.set(self.state_changes.get() + 1);
             display::log_change(&change);
         }
-        let mut plan = detector.plan(&self.local_zone, &self.groups);
+        let mut plan = detector.routing_plan(&self.local_zone, &self.groups);
         if let Some(fleet) = fleet.filter(|fleet| fleet.coordinates_zones()) {
             let demand_threads = control.threads_in_flight() + MIN_DEMAND_THREADS;
-            fleet.report_zones(fleet_evidence(detector, demand_threads), detector.alone());
-            self.apply_fleet_decisions(fleet, detector.definition().climb.whole, &mut plan);
+            fleet.report_zones(
+                fleet_evidence(detector, demand_threads),
+                detector.is_isolated(),
+            );
+            self.apply_fleet_decisions(
+                fleet,
+                detector.config().recovery_ramp.full_threads_per_core,
+                &mut plan,
+            );
         }
         control.set_zone_plan(Some(&decisions_plan(&plan)));
         ZoneTick {
             evaluated: true,
-            peer_message: detector.tells(now_ms),
+            peer_message: detector.poll_message(now_ms),
         }
     }
 
     /// Replaces what this dispatcher judged alone by what the fleet decided, for the zones that it decided on.
     /// `max_utilization`: threads a core that an engine may get at most.
-    fn apply_fleet_decisions(&self, fleet: &FleetService, max_utilization: f64, plan: &mut Plan) {
+    fn apply_fleet_decisions(
+        &self,
+        fleet: &FleetService,
+        max_utilization: f64,
+        plan: &mut RoutingPlan,
+    ) {
         let endpoints = self.endpoints.borrow();
         for zone in &mut plan.zones {
             let fraction = match fleet.zone_use(&zone.name) {
@@ -194,9 +210,9 @@
                 ZoneUse::Fraction(fraction) => fraction,
             };
             zone.state = if fraction > 0.0 {
-                ZoneState::Climbing(fraction)
+                ZoneState::Recovering(fraction)
             } else {
-                ZoneState::Cut
+                ZoneState::Unreachable
             };
             for engine in &mut plan.engines {
                 let endpoint = endpoints.iter().find(|endpoint| {
@@ -211,16 +227,23 @@
 
     /// The engine of a zone that is cut off whose health is to be checked now, if one is.
     pub fn next_health_check(&self, now_ms: f64) -> Option<u64> {
-        self.detector.borrow_mut().as_mut()?.probes(now_ms)
+        self.detector
+            .borrow_mut()
+            .as_mut()?
+            .poll_health_check(now_ms)
     }
 
     /// Whether it is a message about zones. While zone routing is off it is passed over.
     pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
-        if message.content.first() != Some(&tansymux_zone_routing::message::KIND) {
+        if message.content.first() != Some(&MESSAGE_KIND) {
             return false;
         }
         if let Some(detector) = self.detector.borrow_mut().as_mut() {
-            detector.heard(now_ms, message.peer, message.content);
+            let event = Event::PeerMessage {
+                peer: message.peer,
+                content: message.content,
+            };
+            detector.handle(event, now_ms);
         }
         true
     }
@@ -243,7 +266,7 @@
         let Some(detector) = detector.as_ref() else {
             return display::disabled();
         };
-        let plan = detector.plan(&self.local_zone, &self.groups);
+        let plan = detector.routing_plan(&self.local_zone, &self.groups);
         let mut zones = Vec::new();
         for zone in &plan.zones {
             let spilled = spilled_threads(&zone.name);
@@ -252,7 +275,7 @@
         display::to_json(&display::ZoneReport {
             now_ms,
             local_zone: &self.local_zone,
-            isolated: plan.alone,
+            isolated: plan.is_isolated,
             zones,
             history: detector.history(),
         })
@@ -266,39 +289,39 @@
         };
         // Writing to a String cannot fail.
         let _ = writeln!(text, "hall_changes {}", self.state_changes.get());
-        let _ = writeln!(text, "halls_alone {}", u8::from(detector.alone()));
+        let _ = writeln!(text, "halls_alone {}", u8::from(detector.is_isolated()));
     }
 }
 
 /// What this dispatcher observed of each zone, in the fleet's form.
 fn fleet_evidence(detector: &ZoneHealthDetector, demand_threads: f64) -> Vec<Evidence> {
     let mut evidence = Vec::new();
-    for (name, reach, [good, bad]) in detector.reaches() {
+    for observed in detector.evidence() {
         evidence.push(Evidence {
-            zone: number_of(name),
-            reachability: match reach {
-                Reach::Well => Reachability::Reachable,
-                Reach::Climbing => Reachability::Recovering,
-                Reach::Cut => Reachability::Unreachable,
-                Reach::Unknown => Reachability::Unknown,
+            zone: number_of(observed.zone),
+            reachability: match observed.reachability {
+                Reachability::Reachable => FleetReachability::Reachable,
+                Reachability::Recovering => FleetReachability::Recovering,
+                Reachability::Unreachable => FleetReachability::Unreachable,
+                Reachability::Unknown => FleetReachability::Unknown,
             },
             threads: demand_threads as f32,
-            successes: good,
-            failures: bad,
+            successes: observed.successes,
+            failures: observed.failures,
         });
     }
     evidence
 }
 
 /// The plan in the decisions' form.
-fn decisions_plan(plan: &Plan) -> zone_plan::ZonePlan {
+fn decisions_plan(plan: &RoutingPlan) -> zone_plan::ZonePlan {
     let mut zones = Vec::new();
     for zone in &plan.zones {
         zones.push(zone_plan::ZoneLimits {
             name: zone.name.clone(),
             tiers: zone.ranks.clone(),
-            max_spill_threads: zone.spill,
-            max_spill_threads_by_group: zone.spill_by_class.clone(),
+            max_spill_threads: zone.spill_threads,
+            max_spill_threads_by_group: zone.spill_threads_by_class.clone(),
         });
     }
     zone_plan::ZonePlan {
@@ -308,7 +331,7 @@
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_zone_retry_ratio: plan.cross_retries,
-        isolated: plan.alone,
+        cross_zone_retry_ratio: plan.cross_zone_retry_fraction,
+        isolated: plan.is_isolated,
     }
 }
--- a/crates/dispatcher/src/subsystems/zone_routing/display.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing/display.rs
@@ -2,7 +2,7 @@
 //! and do not change with the names in the code.
 
 use serde_json::{json, Map, Value};
-use tansymux_zone_routing::{Changed, Why, ZonePlan, ZoneState};
+use tansymux_zone_routing::{ZoneChange, ZonePlan, ZoneState};
 
 /// What `/_halls` answers while zone routing is off.
 pub fn disabled() -> Value {
@@ -20,7 +20,7 @@
     /// Each zone, as [`zone_json`] gives it.
     pub zones: Vec<Value>,
     /// Changes of zones' states, the latest last.
-    pub history: &'a [Changed],
+    pub history: &'a [ZoneChange],
 }
 
 /// What `/_halls` answers.
@@ -39,15 +39,15 @@
 /// One zone of `/_halls`.
 pub fn zone_json(zone: &ZonePlan, groups: &[String], spilled_threads: f64) -> Value {
     let fraction = match zone.state {
-        ZoneState::Climbing(fraction) => json!(fraction),
-        ZoneState::Well | ZoneState::Cut => Value::Null,
+        ZoneState::Recovering(fraction) => json!(fraction),
+        ZoneState::Healthy | ZoneState::Unreachable => Value::Null,
     };
     let mut ranks = Map::new();
     for (group, rank) in groups.iter().zip(&zone.ranks) {
         ranks.insert(group.clone(), json!(rank));
     }
-    let spill_limit = if zone.spill.is_finite() {
-        json!(zone.spill)
+    let spill_limit = if zone.spill_threads.is_finite() {
+        json!(zone.spill_threads)
     } else {
         Value::Null
     };
@@ -61,42 +61,27 @@
     })
 }
 
-fn change_json(change: &Changed) -> Value {
+fn change_json(change: &ZoneChange) -> Value {
     json!({
-        "at": change.at,
+        "at": change.at_ms,
         "hall": change.zone,
         "state": state_text(change.state),
-        "why": reason_text(change.why),
+        "why": change.reason.to_string(),
     })
 }
 
 /// Logs a change of a zone's state.
-pub fn log_change(change: &Changed) {
+pub fn log_change(change: &ZoneChange) {
     let zone = &change.zone;
     let state = state_text(change.state);
-    let reason = reason_text(change.why);
+    let reason = change.reason;
     tracing::warn!(zone, %state, %reason, "zone state changed");
 }
 
 fn state_text(state: ZoneState) -> &'static str {
     match state {
-        ZoneState::Well => "well",
-        ZoneState::Cut => "cut",
-        ZoneState::Climbing(_) => "climbing",
-    }
-}
-
-fn reason_text(reason: Why) -> &'static str {
-    match reason {
-        Why::Lost => "Lost",
-        Why::LostFromHere => "LostFromHere",
-        Why::Heard => "Heard",
-        Why::Untried => "Untried",
-        Why::Climbed => "Climbed",
-        Why::FailsAgain => "FailsAgain",
-        Why::Alone => "Alone",
-        Why::NotAlone => "NotAlone",
-        Why::ListDrops => "ListDrops",
-        Why::Gone => "Gone",
+        ZoneState::Healthy => "well",
+        ZoneState::Unreachable => "cut",
+        ZoneState::Recovering(_) => "climbing",
     }
 }
