Dispatcher: startup and event feed in short functions, ArrivedQuery, help texts

Need: `Dispatcher::start` (73 lines) and the feed's dispatch (82 lines) did several steps at once; the command line's help used words of the house.

--- a/crates/dispatcher/src/cli.rs
+++ b/crates/dispatcher/src/cli.rs
@@ -56,8 +56,7 @@
     Json,
 }
 
-// The subcommand enums and `Classify` have no doc comments: clap would print them in place of the program's own.
-#[allow(missing_docs)]
+/// The subcommands
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Takes queries and runs them on engines; the default without a command
@@ -80,11 +79,12 @@
     /// The member to call; if absent, the one of the operators' file
     #[arg(long, value_name = "ADDRESS", global = true)]
     pub member: Option<SocketAddr>,
+    /// What the member is asked
     #[command(subcommand)]
     pub command: FleetCommand,
 }
 
-#[allow(missing_docs)]
+/// The subcommands of `fleet`
 #[derive(Debug, Subcommand)]
 pub enum FleetCommand {
     /// Leader, members that are out, halt, progress of a release
@@ -102,11 +102,18 @@
         wait_s: f64,
     },
     /// Drains an engine, within the disruption budget
-    Drain { engine: String },
+    Drain {
+        /// The engine's name
+        engine: String,
+    },
     /// Ends an engine's drain
-    Undrain { engine: String },
+    Undrain {
+        /// The engine's name
+        engine: String,
+    },
     /// Starts a release
     Release {
+        /// The version to release
         to: String,
         /// Only members at this version; a rollback returns to it
         #[arg(long, value_name = "VERSION")]
@@ -119,21 +126,28 @@
     /// Rolls the release back
     Back,
     /// Declares that a lost dispatcher will not come back
-    Forget { dispatcher: String },
+    Forget {
+        /// The dispatcher's name
+        dispatcher: String,
+    },
     /// Evacuates a zone: nothing new goes there from outside it
     Leave {
+        /// The zone's name
         zone: String,
         /// Only checks whether the other zones would carry the load
         #[arg(long)]
         dry_run: bool,
     },
     /// Returns to an evacuated zone, step by step
-    Return { zone: String },
+    Return {
+        /// The zone's name
+        zone: String,
+    },
     /// Zones that are evacuated or returned to: reason, step, quotas granted
     Zones,
 }
 
-#[allow(missing_docs)]
+/// Arguments of `classify`
 #[derive(Debug, Args)]
 pub struct Classify {
     /// Each entry is a statement, not an object with `id` and `statement`
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -127,11 +127,11 @@
     let seed = errors.keep(read_seed(&root));
     let limits = ProcessLimits::read(&root, &mut errors);
     let connection_settings = limits::read_engine_settings(&root, limits, &groups, &mut errors);
-    let longest_deadline_ms = groups
+    let max_deadline_ms = groups
         .iter()
         .filter_map(|group| group.deadline_ms)
         .reduce(f64::max);
-    let admission = limits::read_admission(&settings, limits, &groups, longest_deadline_ms);
+    let admission = limits::read_admission(&settings, limits, &groups, max_deadline_ms);
     let peers = errors.keep(endpoints::read_peers(&root));
     let resolver = errors.keep(root.child("resolver").optional(Node::address));
     let directory = errors.keep(endpoints::read_known(&root.child("known")));
@@ -153,7 +153,7 @@
         max_sockets: limits.sockets,
         max_memory_bytes: limits.memory_bytes,
         connection_settings,
-        shutdown_grace_ms: shutdown_grace_ms(longest_deadline_ms),
+        shutdown_grace_ms: shutdown_grace_ms(max_deadline_ms),
         peers: peers.flatten(),
         resolver: resolver.flatten(),
         directory,
--- a/crates/dispatcher/src/config/limits.rs
+++ b/crates/dispatcher/src/config/limits.rs
@@ -106,14 +106,14 @@
     }
 }
 
-/// What the client side needs of the settings. `longest_deadline_ms`: of all groups, if any has one.
+/// What the client side needs of the settings. `max_deadline_ms`: of all groups, if any has one.
 pub(super) fn read_admission(
     settings: &SettingsMap,
     limits: ProcessLimits,
     groups: &[GroupSettings],
-    longest_deadline_ms: Option<f64>,
+    max_deadline_ms: Option<f64>,
 ) -> AdmissionLimits {
-    let max_wait_ms = longest_deadline_ms.map_or(DEFAULT_MAX_WAIT_MS, |deadline_ms| {
+    let max_wait_ms = max_deadline_ms.map_or(DEFAULT_MAX_WAIT_MS, |deadline_ms| {
         REQUEST_HEADROOM * deadline_ms
     });
     let max_cost_ms =
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -2,11 +2,12 @@
 
 use super::decision_sink::record_answer;
 use crate::engine::EnginePool;
-use crate::query_registry::{Answer, EndpointEntry, Event, Pages, Query, QueryRegistry};
+use crate::query_registry::{
+    Answer, ArrivedQuery, EndpointEntry, Event, Pages, Query, QueryRegistry,
+};
 use crate::statement_shape::ClassifiedAttempt;
 use crate::subsystems::service_levels::AnswerKind;
 use crate::subsystems::Subsystems;
-use std::rc::Rc;
 use tansymux::control::{Control, EventSource};
 use tansymux::events::{
     AttemptEnded, DecisionSink, EndpointListKind, EndpointUpdate, HealthCheckEnded, NoteKind,
@@ -33,31 +34,7 @@
 impl EventFeed<'_> {
     fn deliver_event(&self, event: Event, control: &mut Control, out: &mut dyn DecisionSink) {
         match event {
-            Event::QueryArrived {
-                query,
-                tenant,
-                key,
-                cost,
-                memory,
-                tables,
-                text,
-            } => {
-                let Some((group, deadline_ms)) = self.group_and_deadline(query) else {
-                    return;
-                };
-                let arrived = QueryArrived {
-                    query_id: query,
-                    group: &group,
-                    tenant: &tenant,
-                    deadline_ms,
-                    key,
-                    estimated_cost_ms: cost,
-                    memory_mb: memory,
-                    tables,
-                    statement: text,
-                };
-                self.on_query_arrived(&arrived, control, out);
-            }
+            Event::QueryArrived(arrived) => self.on_query_arrived(&arrived, control, out),
             Event::ClientLeft { query } => {
                 control.on_client_gone(query, out);
                 self.registry.forget_if_over(query);
@@ -115,25 +92,35 @@
         }
     }
 
-    /// Group and deadline of a query that is still owed an answer. One whose client left while it waited for this round
-    /// is passed over: the decisions never learn of it.
-    fn group_and_deadline(&self, query_id: u64) -> Option<(Rc<str>, f64)> {
-        if self.registry.is_over(query_id) {
-            return None;
-        }
-        self.registry.with_query(query_id, |query| {
-            (query.resource_group.clone(), query.deadline_ms)
-        })
-    }
-
+    /// A query whose client left while it waited for this round is passed over: the decisions never learn of it.
     fn on_query_arrived(
         &self,
-        arrived: &QueryArrived,
+        arrived: &ArrivedQuery,
         control: &mut Control,
         out: &mut dyn DecisionSink,
     ) {
-        if let Err(error) = control.on_query_arrived(arrived, out) {
-            let query = arrived.query_id;
+        let query = arrived.query;
+        let group_and_deadline = self.registry.with_query(query, |query| {
+            (query.resource_group.clone(), query.deadline_ms)
+        });
+        let Some((group, deadline_ms)) = group_and_deadline else {
+            return;
+        };
+        if self.registry.is_over(query) {
+            return;
+        }
+        let arrived = QueryArrived {
+            query_id: query,
+            group: &group,
+            tenant: &arrived.tenant,
+            key: arrived.key,
+            deadline_ms,
+            estimated_cost_ms: arrived.estimated_cost_ms,
+            memory_mb: arrived.memory_mb,
+            tables: arrived.tables,
+            statement: arrived.text,
+        };
+        if let Err(error) = control.on_query_arrived(&arrived, out) {
             tracing::error!(query, %error, "query failed: not accepted by the decisions");
             self.registry.answer(query, Answer::Failed);
         }
@@ -214,7 +201,7 @@
 fn classified_attempt(query: &Query) -> Option<ClassifiedAttempt> {
     Some(ClassifiedAttempt {
         shape: query.shape?,
-        rg: query.resource_group.clone(),
+        group: query.resource_group.clone(),
         waited: query.waited,
     })
 }
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -5,7 +5,7 @@
 use crate::client::ClientFrontend;
 use crate::clock::Clock;
 use crate::config::{PeerAddresses, StartupConfig};
-use crate::discovery;
+use crate::discovery::{self, EndpointDirectory};
 use crate::engine::EnginePool;
 use crate::lifecycle::Phase;
 use crate::operator_config::{check_against_settings, OperatorConfigErrors};
@@ -18,13 +18,14 @@
 use crate::subsystems::Subsystems;
 use async_executor::{LocalExecutor, Task};
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tansymux::control::Control;
 use tansymux::events::EndpointListKind;
 use tansymux::pcg::Pcg;
-use tansymux::settings::SettingsError;
+use tansymux::settings::{SettingsError, SettingsMap};
 use tansymux_operator_config::Operator;
 
 /// Sets the key of shapes' hashes apart from the other draws that start from the same seed.
@@ -72,65 +73,45 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Result<Self, StartError> {
         check_against_settings(&operator, &config.settings).map_err(StartError::OperatorConfig)?;
-        let clock = Clock::start();
-        let registry = Rc::new(QueryRegistry::new(config.max_statement_bytes));
         let mut control = Control::new(config.seed, &config.settings)?;
+        let mut launcher = Launcher {
+            clock: Clock::start(),
+            registry: Rc::new(QueryRegistry::new(config.max_statement_bytes)),
+            executor,
+            tasks: Vec::new(),
+        };
         let engines = EnginePool::new(
-            registry.clone(),
-            clock,
-            executor.clone(),
+            launcher.registry.clone(),
+            launcher.clock,
+            launcher.executor.clone(),
             config.connection_settings,
         );
         let mut subsystems = new_subsystems(&config);
-        subsystems.reconfigure(&operator, clock.now(), &mut control);
+        subsystems.reconfigure(&operator, launcher.clock.now(), &mut control);
         let clients = Rc::new(ClientFrontend::new(
-            registry.clone(),
-            clock,
+            launcher.registry.clone(),
+            launcher.clock,
             config.admission,
             subsystems.statements.clone(),
             subsystems.levels.clone(),
             subsystems.zones.clone(),
         ));
-        let mut tasks = Vec::new();
-        let peers = start_peers(config.peers, &registry, &executor, &mut tasks)?;
-        subsystems.fleet = FleetService::start(
-            operator.fleet.as_ref(),
-            &config.settings,
-            clock,
-            registry.clone(),
-            config.seed,
-        )?;
-        if let Some(fleet) = &subsystems.fleet {
-            tasks.push(executor.spawn(fleet.clone().run()));
-        }
-        registry.push_event(Event::EndpointList {
-            form: EndpointListKind::Cached,
-            engines: config.directory.endpoints(),
-        });
+        let peers = launcher.start_peers(config.peers)?;
+        subsystems.fleet = launcher.start_fleet(&operator, &config.settings, config.seed)?;
         let resolver = Rc::new(Cell::new(config.resolver));
-        tasks.push(executor.spawn(discovery::follow(
-            registry.clone(),
-            resolver.clone(),
-            config.directory,
-            config.seed as u16,
-        )));
-        let listener =
-            ClientFrontend::bind(config.listen).map_err(|source| StartError::Listen {
-                address: config.listen,
-                source,
-            })?;
-        tasks.push(executor.spawn(clients.clone().accept(listener, executor.clone())));
+        launcher.start_discovery(config.directory, resolver.clone(), config.seed);
+        launcher.start_listener(&clients, config.listen)?;
         Ok(Dispatcher {
             phase: Phase::Starting,
-            clock,
-            registry,
+            clock: launcher.clock,
+            registry: launcher.registry,
             control,
             clients,
             engines,
             peers,
             subsystems,
             max_sockets: config.max_sockets,
-            tasks,
+            tasks: launcher.tasks,
             shutdown_grace_ms: config.shutdown_grace_ms,
             started_with: config.source,
             settings: config.settings,
@@ -141,6 +122,86 @@
     }
 }
 
+/// Starts the parts of the program that are tasks of their own.
+struct Launcher {
+    clock: Clock,
+    registry: Rc<QueryRegistry>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// What was started so far.
+    tasks: Vec<Task<()>>,
+}
+
+impl Launcher {
+    fn spawn(&mut self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.push(self.executor.spawn(task));
+    }
+
+    /// The exchange with other dispatchers, where the configuration has an address for it.
+    fn start_peers(
+        &mut self,
+        addresses: Option<PeerAddresses>,
+    ) -> Result<Option<Rc<Peers>>, StartError> {
+        let Some(addresses) = addresses else {
+            return Ok(None);
+        };
+        let address = addresses.listen;
+        let registry = self.registry.clone();
+        let peers = Peers::bind(registry, address, addresses.each, addresses.all)
+            .map_err(|source| StartError::Peers { address, source })?;
+        self.spawn(peers.clone().listen());
+        Ok(Some(peers))
+    }
+
+    /// The membership of a fleet, where the operators' file defines one.
+    fn start_fleet(
+        &mut self,
+        operator: &Operator,
+        settings: &SettingsMap,
+        seed: u64,
+    ) -> Result<Option<Rc<FleetService>>, StartError> {
+        let registry = self.registry.clone();
+        let definition = operator.fleet.as_ref();
+        let fleet = FleetService::start(definition, settings, self.clock, registry, seed)?;
+        if let Some(fleet) = &fleet {
+            self.spawn(fleet.clone().run());
+        }
+        Ok(fleet)
+    }
+
+    /// Makes the configuration's endpoint list the first event, and follows the name service from there.
+    fn start_discovery(
+        &mut self,
+        directory: EndpointDirectory,
+        resolver: Rc<Cell<Option<SocketAddr>>>,
+        seed: u64,
+    ) {
+        self.registry.push_event(Event::EndpointList {
+            form: EndpointListKind::Cached,
+            engines: directory.endpoints(),
+        });
+        let registry = self.registry.clone();
+        self.spawn(discovery::follow(
+            registry,
+            resolver,
+            directory,
+            seed as u16,
+        ));
+    }
+
+    /// The socket for clients: the last that is bound, so that none connects to a program that does not start.
+    fn start_listener(
+        &mut self,
+        clients: &Rc<ClientFrontend>,
+        address: SocketAddr,
+    ) -> Result<(), StartError> {
+        let listener = ClientFrontend::bind(address)
+            .map_err(|source| StartError::Listen { address, source })?;
+        let executor = self.executor.clone();
+        self.spawn(clients.clone().accept(listener, executor));
+        Ok(())
+    }
+}
+
 /// All subsystems, off.
 fn new_subsystems(config: &StartupConfig) -> Subsystems {
     let limits = ResourceLimits {
@@ -157,23 +218,6 @@
     }
 }
 
-/// The exchange with other dispatchers, where the configuration has an address for it.
-fn start_peers(
-    addresses: Option<PeerAddresses>,
-    registry: &Rc<QueryRegistry>,
-    executor: &LocalExecutor<'static>,
-    tasks: &mut Vec<Task<()>>,
-) -> Result<Option<Rc<Peers>>, StartError> {
-    let Some(addresses) = addresses else {
-        return Ok(None);
-    };
-    let address = addresses.listen;
-    let peers = Peers::bind(registry.clone(), address, addresses.each, addresses.all)
-        .map_err(|source| StartError::Peers { address, source })?;
-    tasks.push(executor.spawn(peers.clone().listen()));
-    Ok(Some(peers))
-}
-
 /// A secret for the hashes of shapes, from the seed of this start.
 fn shape_hash_key(seed: u64) -> [u8; 16] {
     let mut rng = Pcg::new(seed ^ SHAPE_KEY_SALT);
--- a/crates/dispatcher/src/lifecycle.rs
+++ b/crates/dispatcher/src/lifecycle.rs
@@ -15,11 +15,8 @@
 const LAST_WRITES_MS: f64 = 500.0;
 
 /// How long (ms) after SIGTERM all is answered, from the longest deadline of the settings.
-pub fn shutdown_grace_ms(longest_deadline_ms: Option<f64>) -> f64 {
-    longest_deadline_ms
-        .unwrap_or(MAX_GRACE_MS)
-        .min(MAX_GRACE_MS)
-        + ACCEPT_AFTER_SIGTERM_MS
+pub fn shutdown_grace_ms(max_deadline_ms: Option<f64>) -> f64 {
+    max_deadline_ms.unwrap_or(MAX_GRACE_MS).min(MAX_GRACE_MS) + ACCEPT_AFTER_SIGTERM_MS
         - LAST_WRITES_MS
 }
 
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -26,26 +26,30 @@
     pub started: Option<f64>,
 }
 
+/// A query that was admitted, as the next round of the decisions takes it.
+#[derive(Debug, Clone)]
+pub struct ArrivedQuery {
+    /// Its number in the registry.
+    pub query: u64,
+    /// Its tenant by the settings' name; empty where the settings name none.
+    pub tenant: Rc<str>,
+    /// Its ordering key, where its client gave one.
+    pub key: Option<u64>,
+    /// Estimated thread time (ms); 0 where there is no estimate.
+    pub estimated_cost_ms: f64,
+    /// Estimated memory (MB); 0 where there is no estimate.
+    pub memory_mb: f64,
+    /// The set of tables that it uses, as a number.
+    pub tables: u32,
+    /// What its text showed.
+    pub text: StatementTraits,
+}
+
 /// What came in since the last round of the decisions.
 #[derive(Debug, Clone)]
 pub enum Event {
     /// A query was admitted.
-    QueryArrived {
-        /// Its number in the registry.
-        query: u64,
-        /// Its tenant by the settings' name; empty where the settings name none.
-        tenant: Rc<str>,
-        /// Its ordering key, where its client gave one.
-        key: Option<u64>,
-        /// Estimated thread time (ms); 0 where there is no estimate.
-        cost: f64,
-        /// Estimated memory (MB); 0 where there is no estimate.
-        memory: f64,
-        /// The set of tables that it uses, as a number.
-        tables: u32,
-        /// What its text showed.
-        text: StatementTraits,
-    },
+    QueryArrived(ArrivedQuery),
     /// The client left before its answer.
     ClientLeft {
         /// The query's number.
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -9,7 +9,7 @@
 mod messages;
 mod query;
 
-pub use messages::{EndpointEntry, EngineCommand, Event};
+pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{Answer, AnswerSlot, Grant, Pages, Query, QueryRequest, RequestKeys};
 
 use crate::counters::Counters;
@@ -102,15 +102,15 @@
         self.queries.borrow_mut().insert(number, query);
         self.number_by_id.borrow_mut().insert(id, number);
         self.counters.admitted.increment();
-        self.push_event(Event::QueryArrived {
+        self.push_event(Event::QueryArrived(ArrivedQuery {
             query: number,
             tenant: request.tenant.into(),
             key: request.keys.ordering_number(),
-            cost: request.estimated_cost_ms,
-            memory: request.memory_mb,
+            estimated_cost_ms: request.estimated_cost_ms,
+            memory_mb: request.memory_mb,
             tables: request.tables,
             text: request.text,
-        });
+        }));
         Ok((number, slot))
     }
 
--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -22,7 +22,7 @@
     /// What the analysis of its statement left.
     pub shape: StatementShape,
     /// The resource group that it ran in.
-    pub rg: Rc<str>,
+    pub group: Rc<str>,
     /// The attempt waited for a lock.
     pub waited: bool,
 }
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -238,7 +238,7 @@
         let Some(active) = active.as_mut() else {
             return;
         };
-        let group = self.groups.get(&*attempt.rg);
+        let group = self.groups.get(&*attempt.group);
         let observation = Observation {
             now: now_ms,
             engine: event.engine_id,
