--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -57,7 +57,7 @@
         .on_processes();
     let seen = play(Path::new(EXE), scenario, false, None);
     assert!(
-        seen.broken.is_empty(),
+        seen.violations.is_empty(),
         "{}\n  again: tansymux-testbed fleet --name {name} --first 1",
         seen.line()
     );
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -15,38 +15,57 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use virtual_fleet::{Served, VirtualFleet};
+use virtual_fleet::{VersionQuality, VirtualFleet};
 
-/// What was seen in one run.
+/// What was observed in one run.
 #[derive(Debug, Clone, Default)]
 pub struct FleetReport {
+    /// The seed that plays the run again.
     pub seed: u64,
-    /// Limit dispatchers out by a turn at any true instant, and what the limit was.
+    /// Most dispatchers out under a restart lease at any true instant, and the limit.
     pub max_out: usize,
+    /// Dispatchers that may be out at a time.
     pub limit: usize,
-    /// Limit engines drained at a time, and their limit.
+    /// Most engines drained at a time.
     pub max_drained: usize,
+    /// Engines that may be drained at a time.
     pub drain_limit: usize,
-    /// Dispatchers that were released, of all, and when the last one was (ms after the start).
+    /// Dispatchers that run the new version at the end.
     pub released: usize,
-    pub of: usize,
-    pub took: Option<f64>,
-    /// When the last fault was over.
-    pub last_fault: f64,
-    /// From the wait's begin to the turn (ms).
-    pub to_grant: Vec<f64>,
-    /// Bytes a second that each member sent, in the mean.
-    pub bytes: f64,
-    pub halted: Option<f64>,
-    /// Requests answered well, and all; none where no load was played.
-    pub good: u64,
-    pub all: u64,
-    /// What must not be: each breaks the run.
-    pub broken: Vec<String>,
+    /// Dispatchers of the fleet.
+    pub members: usize,
+    /// When the last dispatcher was released (ms after the release's begin).
+    pub completed_after_ms: Option<f64>,
+    /// When the last fault was over (ms after the release's begin).
+    pub last_fault_ms: f64,
+    /// For each granted lease, how long its supervisor waited for it (ms).
+    pub lease_waits_ms: Vec<f64>,
+    /// Bytes a second that each member sent, on average.
+    pub bytes_per_s: f64,
+    /// When the release halted for the first time (ms after its begin).
+    pub halted_after_ms: Option<f64>,
+    /// Requests answered well; 0 where no load was played.
+    pub requests_ok: u64,
+    /// Requests sent.
+    pub requests: u64,
+    /// What must not happen; each entry fails the run.
+    pub violations: Vec<String>,
 }
 
 impl FleetReport {
-    /// One line for people.
+    /// An empty report with the limits of a scenario.
+    pub(crate) fn of_scenario(scenario: &Scenario) -> Self {
+        FleetReport {
+            seed: scenario.seed,
+            limit: scenario.most,
+            drain_limit: scenario.max_engines,
+            members: scenario.members,
+            last_fault_ms: scenario.last_fault_ms(),
+            ..FleetReport::default()
+        }
+    }
+
+    /// One line for people, and one more for each violation.
     pub fn line(&self) -> String {
         let mut line = format!(
             "seed {}: out {} of at most {}, drained {} of {}, released {} of {}",
@@ -56,134 +75,199 @@
             self.max_drained,
             self.drain_limit,
             self.released,
-            self.of
+            self.members
         );
-        if let Some(took) = self.took {
-            let _ = write!(line, " in {:.1} s", took / 1000.0);
+        if let Some(completed_ms) = self.completed_after_ms {
+            let _ = write!(line, " in {:.1} s", completed_ms / 1000.0);
         }
         let _ = write!(
             line,
             ", last fault at {:.1} s, {:.0} bytes/s each",
-            self.last_fault / 1000.0,
-            self.bytes
+            self.last_fault_ms / 1000.0,
+            self.bytes_per_s
         );
-        if let Some(halted) = self.halted {
-            let _ = write!(line, ", halted at {:.1} s", halted / 1000.0);
+        if let Some(halted_ms) = self.halted_after_ms {
+            let _ = write!(line, ", halted at {:.1} s", halted_ms / 1000.0);
         }
-        if self.all > 0 {
-            let _ = write!(
-                line,
-                ", served {:.4} of {}",
-                self.good as f64 / self.all as f64,
-                self.all
-            );
+        if self.requests > 0 {
+            let success = self.requests_ok as f64 / self.requests as f64;
+            let _ = write!(line, ", served {success:.4} of {}", self.requests);
         }
-        for broken in &self.broken {
-            let _ = write!(line, "\n  BROKEN: {broken}");
+        for violation in &self.violations {
+            let _ = write!(line, "\n  BROKEN: {violation}");
         }
         line
     }
 
-    pub fn out(&mut self, out: usize) {
+    /// Takes down how many dispatchers are out now; the first time over the limit is a violation.
+    pub fn record_out(&mut self, out: usize) {
         self.max_out = self.max_out.max(out);
-        if out > self.limit && !self.broken.iter().any(|b| b.contains("out at a time")) {
-            self.broken.push(format!(
+        if out > self.limit && !self.has_violation("out at a time") {
+            self.violations.push(format!(
                 "{out} dispatchers out at a time, {} are allowed",
                 self.limit
             ));
         }
     }
 
-    pub fn drained(&mut self, drained: usize) {
+    /// Takes down how many engines are drained now; the first time over the limit is a violation.
+    pub fn record_drained(&mut self, drained: usize) {
         self.max_drained = self.max_drained.max(drained);
-        if drained > self.drain_limit
-            && !self.broken.iter().any(|b| b.contains("drained at a time"))
-        {
-            self.broken.push(format!(
+        if drained > self.drain_limit && !self.has_violation("drained at a time") {
+            self.violations.push(format!(
                 "{drained} engines drained at a time, {} are allowed",
                 self.drain_limit
             ));
         }
     }
+
+    /// Whether one of the violations has these words.
+    fn has_violation(&self, words: &str) -> bool {
+        self.violations
+            .iter()
+            .any(|violation| violation.contains(words))
+    }
+}
+
+/// What came of runs that are played one after the other: a table, and whether one failed.
+#[derive(Debug)]
+pub struct RunsOutcome {
+    /// For people.
+    pub table: String,
+    /// Whether any run has a violation.
+    pub failed: bool,
+}
+
+/// How a fleet is played in virtual time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlayOptions {
+    /// Supervisors restart without a lease, for comparison.
+    pub uncoordinated: bool,
+    /// The table has a line for each run, not only for those that failed.
+    pub show_all: bool,
 }
 
-/// Plays one scenario in virtual time for each seed, on all cores; a table, and whether one was broken.
+/// Plays one scenario in virtual time for each seed, on all cores.
 pub fn run_seeds(
     seeds: std::ops::Range<u64>,
     scenario: impl Fn(u64) -> Scenario + Sync,
-    alone: bool,
-    show: bool,
-) -> (String, bool) {
-    let (next, all) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    options: PlayOptions,
+) -> RunsOutcome {
+    let next_seed = AtomicU64::new(seeds.start);
+    let reports = Mutex::new(Vec::new());
+    let cores = std::thread::available_parallelism().map_or(1, |cores| cores.get());
     std::thread::scope(|scope| {
         for _ in 0..cores {
             scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
+                let seed = next_seed.fetch_add(1, Ordering::Relaxed);
                 if seed >= seeds.end {
                     return;
                 }
                 let scenario = scenario(seed);
-                let told = virtual_fleet::told(&scenario);
-                let mut world = VirtualFleet::new(scenario, told, Served::default());
-                world.alone = alone;
-                let seen = world.play();
-                all.lock().expect("no player panics").push(seen);
+                let definition = virtual_fleet::fleet_definition(&scenario);
+                let mut fleet = VirtualFleet::new(scenario, definition, VersionQuality::default());
+                fleet.uncoordinated = options.uncoordinated;
+                let report = fleet.run();
+                reports.lock().expect("no player panics").push(report);
             });
         }
     });
-    let mut all = all.into_inner().unwrap_or_default();
-    all.sort_by_key(|seen| seen.seed);
-    (
-        table(&all, show),
-        all.iter().any(|seen| !seen.broken.is_empty()),
-    )
+    let mut reports = reports.into_inner().unwrap_or_default();
+    reports.sort_by_key(|report| report.seed);
+    RunsOutcome {
+        table: table(&reports, options.show_all),
+        failed: reports.iter().any(|report| !report.violations.is_empty()),
+    }
 }
 
-/// What all runs showed: a line for each that was broken, or for all, and the sums.
-pub fn table(all: &[FleetReport], show: bool) -> String {
+/// A table of all runs: a line for each that failed, or with `show` for each, and the sums.
+pub fn table(reports: &[FleetReport], show: bool) -> String {
     let mut text = String::new();
-    for seen in all.iter().filter(|seen| show || !seen.broken.is_empty()) {
-        let _ = writeln!(text, "{}", seen.line());
+    for report in reports
+        .iter()
+        .filter(|report| show || !report.violations.is_empty())
+    {
+        let _ = writeln!(text, "{}", report.line());
     }
-    let mut waits =
+    let mut waits_ms =
         Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).expect("bounds are in order");
-    let mut ends = waits.clone();
-    for seen in all {
-        seen.to_grant
-            .iter()
-            .for_each(|wait| waits.saturating_record(*wait as u64));
-        ends.saturating_record(seen.took.unwrap_or(1e8) as u64);
+    let mut completions_ms = waits_ms.clone();
+    for report in reports {
+        for wait_ms in &report.lease_waits_ms {
+            waits_ms.saturating_record(*wait_ms as u64);
+        }
+        completions_ms.saturating_record(report.completed_after_ms.unwrap_or(1e8) as u64);
     }
-    let count = |what: &str| {
-        all.iter()
-            .filter(|seen| seen.broken.iter().any(|b| b.contains(what)))
+    let count = |words: &str| {
+        reports
+            .iter()
+            .filter(|report| report.has_violation(words))
             .count()
     };
-    let mean = all.iter().map(|seen| seen.bytes).sum::<f64>() / all.len().max(1) as f64;
-    let most = all.iter().map(|seen| seen.max_out).max().unwrap_or(0);
+    let bytes_per_s =
+        reports.iter().map(|report| report.bytes_per_s).sum::<f64>() / reports.len().max(1) as f64;
+    let max_out = reports
+        .iter()
+        .map(|report| report.max_out)
+        .max()
+        .unwrap_or(0);
+    let seconds = |times_ms: &Histogram<u64>, quantile: f64| {
+        times_ms.value_at_quantile(quantile) as f64 / 1e3
+    };
     let _ = writeln!(
         text,
-        "{} runs: over the limit {}, drains over it {}, not ended in time {}; most out {most}; turn after {:.1} s (p50), \
-         {:.1} s (p99); all released after {:.0} s (p50), {:.0} s (p99); {mean:.0} bytes/s each",
-        all.len(),
+        "{} runs: over the limit {}, drains over it {}, not ended in time {}; most out {max_out}; turn after {:.1} s (p50), \
+         {:.1} s (p99); all released after {:.0} s (p50), {:.0} s (p99); {bytes_per_s:.0} bytes/s each",
+        reports.len(),
         count("dispatchers out at a time"),
         count("drained at a time"),
         count("not all released"),
-        waits.value_at_quantile(0.5) as f64 / 1e3,
-        waits.value_at_quantile(0.99) as f64 / 1e3,
-        ends.value_at_quantile(0.5) as f64 / 1e3,
-        ends.value_at_quantile(0.99) as f64 / 1e3,
+        seconds(&waits_ms, 0.5),
+        seconds(&waits_ms, 0.99),
+        seconds(&completions_ms, 0.5),
+        seconds(&completions_ms, 0.99),
     );
     text
 }
 
-/// A scenario from a file.
+/// Why a scenario's file could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioFileError {
+    /// The file can't be read.
+    #[error("{path}: {source}")]
+    Unreadable {
+        /// The file's path.
+        path: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The file holds no scenario; the source names the place.
+    #[error("{path}: {source}")]
+    Malformed {
+        /// The file's path.
+        path: String,
+        /// What is wrong, and where.
+        source: serde_json::Error,
+    },
+}
+
+/// Reads a scenario from a file.
 ///
 /// # Errors
 /// The file can't be read, or is no scenario; the text names the file and the place.
-pub fn read(path: &std::path::Path) -> Result<Scenario, String> {
-    let name = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("{name}: {e}"))
+pub fn read_scenario(path: &std::path::Path) -> Result<Scenario, ScenarioFileError> {
+    let shown = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(source) => {
+            return Err(ScenarioFileError::Unreadable {
+                path: shown,
+                source,
+            })
+        }
+    };
+    serde_json::from_str(&text).map_err(|source| ScenarioFileError::Malformed {
+        path: shown,
+        source,
+    })
 }
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -95,7 +95,7 @@
         }
     }
     FleetReport {
-        broken: vec!["no free addresses".into()],
+        violations: vec!["no free addresses".into()],
         ..FleetReport::default()
     }
 }
@@ -144,14 +144,7 @@
     let files = (0..scenario.members)
         .map(|n| TempFile::new("fleet.textproto", &text(&scenario, n, &relay, OLD, true)))
         .collect();
-    let seen = FleetReport {
-        seed: scenario.seed,
-        limit: scenario.most,
-        drain_limit: scenario.max_engines,
-        of: scenario.members,
-        last_fault: scenario.last_fault(),
-        ..FleetReport::default()
-    };
+    let seen = FleetReport::of_scenario(&scenario);
     let place = || {
         Mutex::new(Place {
             program: None,
@@ -200,11 +193,11 @@
         self.over.load(Ordering::Relaxed)
     }
 
-    fn broken(&self, what: String) {
+    fn record_violation(&self, what: String) {
         self.seen
             .lock()
             .expect("no holder panics")
-            .broken
+            .violations
             .push(what);
     }
 
@@ -290,7 +283,7 @@
         let mut out = self.out.lock().expect("no holder panics");
         out[n] = is;
         let many = out.iter().filter(|out| **out).count();
-        self.seen.lock().expect("no holder panics").out(many);
+        self.seen.lock().expect("no holder panics").record_out(many);
     }
 
     fn plays(&self) -> FleetReport {
@@ -312,7 +305,7 @@
                 return FleetReport::default();
             }
             if from.elapsed() > Duration::from_secs(20) {
-                self.broken("not all healthy after 20 s".into());
+                self.record_violation("not all healthy after 20 s".into());
                 break;
             }
             thread::sleep(NAP);
@@ -334,13 +327,13 @@
                 .collect();
             scope.spawn(|| self.faults(begin));
             let limit = Duration::from_secs_f64(
-                (self.scenario.last_fault() + self.scenario.done_within) / 1000.0,
+                (self.scenario.last_fault_ms() + self.scenario.done_within) / 1000.0,
             );
             let from = Instant::now();
             let mut looked = Instant::now();
             while !supervisors.iter().all(|s| s.is_finished()) && from.elapsed() < limit {
                 thread::sleep(NAP);
-                let after = self.ms() - begin > self.scenario.last_fault() + 2000.0;
+                let after = self.ms() - begin > self.scenario.last_fault_ms() + 2000.0;
                 if after && !self.alone && looked.elapsed() > Duration::from_secs(3) {
                     looked = Instant::now();
                     self.resumes();
@@ -348,14 +341,14 @@
             }
             let took = self.ms() - begin;
             // Faults that are still to come have their time.
-            while self.ms() - begin < self.scenario.last_fault() + 500.0 {
+            while self.ms() - begin < self.scenario.last_fault_ms() + 500.0 {
                 thread::sleep(NAP);
             }
             self.over.store(true, Ordering::Relaxed);
             let mut seen = self.seen.lock().expect("no holder panics");
-            seen.took = (took < limit.as_secs_f64() * 1000.0).then_some(took);
-            if seen.took.is_none() {
-                seen.broken.push(format!(
+            seen.completed_after_ms = (took < limit.as_secs_f64() * 1000.0).then_some(took);
+            if seen.completed_after_ms.is_none() {
+                seen.violations.push(format!(
                     "not all released {:.0} s after the last fault",
                     self.scenario.done_within / 1e3
                 ));
@@ -364,20 +357,20 @@
         let mut seen = self.seen.lock().expect("no holder panics").clone();
         let lasted = (self.ms() - begin) / 1000.0;
         let relayed = self.relay.bytes.load(Ordering::Relaxed) - bytes;
-        seen.bytes = relayed as f64 / lasted / self.places.len() as f64;
+        seen.bytes_per_s = relayed as f64 / lasted / self.places.len() as f64;
         let version = |place: &Mutex<Place>| place.lock().expect("no holder panics").version;
         seen.released = self
             .places
             .iter()
             .filter(|place| version(place) == NEW)
             .count();
-        (seen.good, seen.all) = (
+        (seen.requests_ok, seen.requests) = (
             self.good.load(Ordering::Relaxed),
             self.all.load(Ordering::Relaxed),
         );
         let lost = self.lost.load(Ordering::Relaxed);
         if lost > 0 {
-            seen.broken.push(format!(
+            seen.violations.push(format!(
                 "{lost} queries without an answer from a process that lived"
             ));
         }
@@ -392,7 +385,7 @@
                 return;
             }
             if from.elapsed() > Duration::from_secs(20) {
-                return self.broken(format!("the release did not begin: {text}"));
+                return self.record_violation(format!("the release did not begin: {text}"));
             }
             thread::sleep(Duration::from_millis(300));
         }
@@ -408,7 +401,7 @@
             self.seen
                 .lock()
                 .expect("no holder panics")
-                .halted
+                .halted_after_ms
                 .get_or_insert(self.ms());
             self.called(at, &["resume"]);
         }
@@ -436,7 +429,7 @@
                     // Its address may have been taken while it was down; anything else is a crash.
                     let log = std::fs::read_to_string(&self.scraps[n].0).unwrap_or_default();
                     if !log.contains("Address already in use") {
-                        self.broken(format!("n{n} ended by itself: {status:?} {log}"));
+                        self.record_violation(format!("n{n} ended by itself: {status:?} {log}"));
                     }
                     self.scraps[n].write("");
                     (place.program, place.back) =
@@ -470,7 +463,7 @@
                         continue;
                     }
                     (code, _) => {
-                        self.broken(format!("turn ended with {code:?}: {text}"));
+                        self.record_violation(format!("turn ended with {code:?}: {text}"));
                         return;
                     }
                 }
@@ -479,7 +472,7 @@
             self.seen
                 .lock()
                 .expect("no holder panics")
-                .to_grant
+                .lease_waits_ms
                 .push(now - waited);
             if !self.alone {
                 self.is_out(n, true);
@@ -655,7 +648,10 @@
                             let mut drained = self.drained.lock().expect("no holder panics");
                             drained[n] = true;
                             let many = drained.iter().filter(|drained| **drained).count();
-                            self.seen.lock().expect("no holder panics").drained(many);
+                            self.seen
+                                .lock()
+                                .expect("no holder panics")
+                                .record_drained(many);
                         }
                     });
                 }
@@ -720,6 +716,6 @@
 
 /// Whether its connection came up.
 fn got_in(record: &crate::record::Record, query: &ClientQuery) -> bool {
-    let asked = |entry: &crate::record::Entry| matches!(&entry.what, crate::record::EventKind::Asked { id, .. } if *id == query.id());
+    let asked = |entry: &crate::record::Entry| matches!(&entry.event, crate::record::EventKind::Asked { id, .. } if *id == query.id());
     record.entries().iter().rev().take(4).any(asked)
 }
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -407,7 +407,7 @@
     }
 
     /// When the last fault is over (ms).
-    pub fn last_fault(&self) -> f64 {
+    pub fn last_fault_ms(&self) -> f64 {
         let end = |event: &Event| match event.what {
             Fault::Stall { lasts, .. } | Fault::StallLeader { lasts } => event.at + lasts,
             Fault::Kill { back, .. } | Fault::KillLeader { back } | Fault::KillHolder { back } => {
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tansymux_testbed::fleet::zones::ZoneCutPlan;
-use tansymux_testbed::fleet::{self, run_seeds, scenario::Scenario};
+use tansymux_testbed::fleet::{self, run_seeds, scenario::Scenario, PlayOptions};
 use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
@@ -204,7 +204,7 @@
             logs,
         } => {
             let of = |seed| match &file {
-                Some(path) => fleet::read(path),
+                Some(path) => fleet::read_scenario(path).map_err(|error| error.to_string()),
                 None if name.is_some() => {
                     let name = name.as_deref().unwrap_or_default();
                     let all = fleet::scenario::NAMES.join(", ");
@@ -231,7 +231,7 @@
                 }
                 let seen = fleet::processes::play(&exe(), scenario, alone, logs.as_deref());
                 println!("{}", seen.line());
-                if !seen.broken.is_empty() {
+                if !seen.violations.is_empty() {
                     println!(
                         "  again: tansymux-testbed fleet --members {members} --first {seed} --seeds 1"
                     );
@@ -239,7 +239,7 @@
                 all.push(seen);
             }
             print!("{}", fleet::table(&all, false));
-            if !alone && all.iter().any(|seen| !seen.broken.is_empty()) {
+            if !alone && all.iter().any(|seen| !seen.violations.is_empty()) {
                 return ExitCode::FAILURE;
             }
         }
@@ -283,9 +283,13 @@
                     mixed
                 }
             };
-            let (table, broken) = run_seeds(first..first + seeds, of, alone, show);
-            print!("{table}");
-            if broken && !alone {
+            let options = PlayOptions {
+                uncoordinated: alone,
+                show_all: show,
+            };
+            let outcome = run_seeds(first..first + seeds, of, options);
+            print!("{}", outcome.table);
+            if outcome.failed && !alone {
                 return ExitCode::FAILURE;
             }
         }
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -4,18 +4,18 @@
 use tansymux_coordination::limits::Halt;
 use tansymux_coordination::Stage;
 use tansymux_rollout::message::Answer;
-use tansymux_testbed::fleet::run_seeds;
 use tansymux_testbed::fleet::scenario::{Event, Fault, LinkConditions, Scenario, NAMES};
-use tansymux_testbed::fleet::virtual_fleet::{told, Served, VirtualFleet};
+use tansymux_testbed::fleet::virtual_fleet::{fleet_definition, VersionQuality, VirtualFleet};
+use tansymux_testbed::fleet::{run_seeds, PlayOptions, RunsOutcome};
 
 fn holds(seeds: std::ops::Range<u64>, scenario: impl Fn(u64) -> Scenario + Sync) {
-    let (table, broken) = run_seeds(seeds, scenario, false, false);
-    assert!(!broken, "{table}");
+    let outcome = run_seeds(seeds, scenario, PlayOptions::default());
+    assert!(!outcome.failed, "{}", outcome.table);
 }
 
-fn world(scenario: Scenario) -> VirtualFleet {
-    let told = told(&scenario);
-    VirtualFleet::new(scenario, told, Served::default())
+fn virtual_fleet(scenario: Scenario) -> VirtualFleet {
+    let definition = fleet_definition(&scenario);
+    VirtualFleet::new(scenario, definition, VersionQuality::default())
 }
 
 #[test]
@@ -52,26 +52,31 @@
 #[test]
 fn without_agreement_the_same_scenario_breaks_the_limit() {
     // That the check above can fail.
-    let (table, broken) = run_seeds(0..10, |seed| Scenario::calm(seed, 12), true, false);
-    assert!(broken && table.contains("over the limit 10"), "{table}");
+    let uncoordinated = PlayOptions {
+        uncoordinated: true,
+        ..PlayOptions::default()
+    };
+    let RunsOutcome { table, failed } =
+        run_seeds(0..10, |seed| Scenario::calm(seed, 12), uncoordinated);
+    assert!(failed && table.contains("over the limit 10"), "{table}");
 }
 
 #[test]
 fn of_two_releases_at_once_one_is_told_that_the_other_runs() {
-    let mut world = world(Scenario::calm(3, 5));
-    world.release_too(4, 99);
-    world.plays(|_| false);
-    let running = world
+    let mut fleet = virtual_fleet(Scenario::calm(3, 5));
+    fleet.request_second_release(4, 99);
+    fleet.run_until(|_| false);
+    let running = fleet
         .answers
         .iter()
         .filter(|a| matches!(a, Answer::Running { .. }))
         .count();
-    let done = world
+    let done = fleet
         .answers
         .iter()
         .filter(|a| matches!(a, Answer::Done))
         .count();
-    assert!(running == 1 && done >= 1, "{:?}", world.answers);
+    assert!(running == 1 && done >= 1, "{:?}", fleet.answers);
 }
 
 #[test]
@@ -90,26 +95,27 @@
             what: Fault::Halt { at: 3 },
         },
     ];
-    (scenario.done_within, scenario.lasts) = (0.0, 60_000.0);
-    let mut told = told(&scenario);
-    told.plan.lost = 1;
-    let mut world = VirtualFleet::new(scenario, told, Served::default());
-    world.resumes = false;
-    world.plays(|_| false);
+    scenario.done_within = 0.0;
+    scenario.lasts = 60_000.0;
+    let mut definition = fleet_definition(&scenario);
+    definition.plan.lost = 1;
+    let mut fleet = VirtualFleet::new(scenario, definition, VersionQuality::default());
+    fleet.operators_resume = false;
+    fleet.run_until(|_| false);
     assert!(
-        world.answers.contains(&Answer::NoLeader),
+        fleet.answers.contains(&Answer::NoLeader),
         "{:?}",
-        world.answers
+        fleet.answers
     );
     assert!(
-        matches!(world.halted(), Some(Halt::Lost | Halt::UsedUp)),
+        matches!(fleet.halt_reason(), Some(Halt::Lost | Halt::UsedUp)),
         "{}",
-        world.kept()
+        fleet.diagnostics()
     );
     assert!(
-        world.seen.released < 3 && world.seen.broken.is_empty(),
+        fleet.report.released < 3 && fleet.report.violations.is_empty(),
         "{}",
-        world.seen.line()
+        fleet.report.line()
     );
 }
 
@@ -125,41 +131,50 @@
     });
 }
 
-/// A release whose new version does worse: with this load, from then on.
-fn worse(seed: u64, rate: f64, new: f64, worse_from: f64, untold: bool) -> VirtualFleet {
+/// A release whose new version is degraded from then on (ms after its begin), under this load.
+fn degraded(
+    seed: u64,
+    requests_per_s: f64,
+    new_success: f64,
+    degraded_after_ms: f64,
+    goes_on_untold: bool,
+) -> VirtualFleet {
     let mut scenario = Scenario::calm(seed, 10);
-    (scenario.done_within, scenario.lasts) = (0.0, 120_000.0);
-    let mut told = told(&scenario);
-    told.plan.goes_on_untold = untold;
-    told.plan.canary = 14_000.0;
-    let mut world = VirtualFleet::new(
-        scenario,
-        told,
-        Served {
-            old: 0.98,
-            new,
-            rate,
-            worse_from,
-        },
-    );
-    world.resumes = false;
-    world
+    scenario.done_within = 0.0;
+    scenario.lasts = 120_000.0;
+    let mut definition = fleet_definition(&scenario);
+    definition.plan.goes_on_untold = goes_on_untold;
+    definition.plan.canary = 14_000.0;
+    let quality = VersionQuality {
+        old_success: 0.98,
+        new_success,
+        requests_per_s,
+        degraded_after_ms,
+    };
+    let mut fleet = VirtualFleet::new(scenario, definition, quality);
+    fleet.operators_resume = false;
+    fleet
 }
 
 #[test]
 fn a_bad_canary_halts_the_release_and_the_way_back_leaves_all_as_they_were() {
     for seed in 0..5 {
-        let mut world = worse(seed, 40.0, 0.7, 0.0, true);
-        world.plays(|world| world.halted().is_some());
-        assert_eq!(world.halted(), Some(Halt::Worse), "{}", world.seen.line());
+        let mut fleet = degraded(seed, 40.0, 0.7, 0.0, true);
+        fleet.run_until(|fleet| fleet.halt_reason().is_some());
+        assert_eq!(
+            fleet.halt_reason(),
+            Some(Halt::Worse),
+            "{}",
+            fleet.report.line()
+        );
         assert!(
-            world.seen.halted.unwrap() < 40_000.0,
+            fleet.report.halted_after_ms.unwrap() < 40_000.0,
             "{}",
-            world.seen.line()
+            fleet.report.line()
         );
-        assert!(world.goes_back(60_000.0), "{}", world.kept());
-        assert_eq!(world.stage(), Some(Stage::Undone));
-        assert!(world.seen.broken.is_empty());
+        assert!(fleet.roll_back(60_000.0), "{}", fleet.diagnostics());
+        assert_eq!(fleet.stage(), Some(Stage::Undone));
+        assert!(fleet.report.violations.is_empty());
     }
 }
 
@@ -167,34 +182,42 @@
 fn a_version_that_is_bad_only_under_load_halts_in_its_waves() {
     for seed in 0..5 {
         // It is good while the first few are looked at, and bad once the load has come.
-        let mut world = worse(seed, 40.0, 0.7, 35_000.0, true);
-        world.plays(|world| world.halted().is_some());
-        assert_eq!(world.halted(), Some(Halt::Worse), "{}", world.seen.line());
-        assert_eq!(world.stage(), Some(Stage::Waves));
+        let mut fleet = degraded(seed, 40.0, 0.7, 35_000.0, true);
+        fleet.run_until(|fleet| fleet.halt_reason().is_some());
+        assert_eq!(
+            fleet.halt_reason(),
+            Some(Halt::Worse),
+            "{}",
+            fleet.report.line()
+        );
+        assert_eq!(fleet.stage(), Some(Stage::Waves));
     }
 }
 
 #[test]
 fn a_good_version_is_not_halted() {
     let worse_ones = (0..20).filter(|seed| {
-        let mut world = worse(*seed, 40.0, 0.98, 0.0, true);
-        world.plays(|_| false);
-        world.halted().is_some()
+        let mut fleet = degraded(*seed, 40.0, 0.98, 0.0, true);
+        fleet.run_until(|_| false);
+        fleet.halt_reason().is_some()
     });
     assert!(worse_ones.count() <= 1);
 }
 
 #[test]
 fn first_ones_that_are_too_few_to_tell_halt_it_unless_it_may_go_on_untold() {
-    let mut world = worse(1, 0.0, 0.5, 0.0, false);
-    world.plays(|world| world.halted().is_some());
+    let mut fleet = degraded(1, 0.0, 0.5, 0.0, false);
+    fleet.run_until(|fleet| fleet.halt_reason().is_some());
     assert_eq!(
-        (world.halted(), world.stage()),
+        (fleet.halt_reason(), fleet.stage()),
         (Some(Halt::CantTell), Some(Stage::Canaries))
     );
-    let mut world = worse(1, 0.0, 0.5, 0.0, true);
-    world.plays(|world| world.stage() == Some(Stage::Waves));
-    assert_eq!((world.halted(), world.stage()), (None, Some(Stage::Waves)));
+    let mut fleet = degraded(1, 0.0, 0.5, 0.0, true);
+    fleet.run_until(|fleet| fleet.stage() == Some(Stage::Waves));
+    assert_eq!(
+        (fleet.halt_reason(), fleet.stage()),
+        (None, Some(Stage::Waves))
+    );
 }
 
 #[test]
@@ -206,26 +229,31 @@
             what: Fault::Kill { who, back: 1e9 },
         })
         .collect();
-    (scenario.done_within, scenario.lasts) = (0.0, 50_000.0);
-    let mut world = world(scenario);
-    world.plays(|_| false);
+    scenario.done_within = 0.0;
+    scenario.lasts = 50_000.0;
+    let mut fleet = virtual_fleet(scenario);
+    fleet.run_until(|_| false);
     assert!(
-        world.given_up > 0 && world.seen.max_out <= 1 && world.seen.released <= 1,
+        fleet.abandoned_waits > 0 && fleet.report.max_out <= 1 && fleet.report.released <= 1,
         "{}",
-        world.seen.line()
+        fleet.report.line()
     );
 }
 
 #[test]
 fn a_fleet_that_grows_from_three_to_thirty_in_the_release_ends_it_within_its_limit() {
     for seed in 0..3 {
-        let mut world = world(Scenario {
+        let mut fleet = virtual_fleet(Scenario {
             voters: 3,
             ..Scenario::calm(seed, 30)
         });
-        world.joins_late(3, 4000.0);
-        world.plays(|_| false);
-        assert!(world.seen.broken.is_empty(), "{}", world.seen.line());
+        fleet.start_late(3, 4000.0);
+        fleet.run_until(|_| false);
+        assert!(
+            fleet.report.violations.is_empty(),
+            "{}",
+            fleet.report.line()
+        );
     }
 }
 
@@ -235,17 +263,18 @@
         voters: 1,
         ..Scenario::calm(4, 4)
     };
-    (scenario.done_within, scenario.lasts) = (0.0, 40_000.0);
-    let mut world = world(scenario);
-    world.dies_before(&[1, 2, 3]);
-    world.plays(|_| false);
+    scenario.done_within = 0.0;
+    scenario.lasts = 40_000.0;
+    let mut fleet = virtual_fleet(scenario);
+    fleet.crash_before_release(&[1, 2, 3]);
+    fleet.run_until(|_| false);
     // Three are lost and the limit is one: the last one has no turn.
     assert!(
-        world.seen.released == 0 && world.seen.max_out <= 1,
+        fleet.report.released == 0 && fleet.report.max_out <= 1,
         "{}",
-        world.seen.line()
+        fleet.report.line()
     );
-    world.forgets(&[1, 2, 3]);
-    world.runs_on(60_000.0);
-    assert_eq!(world.released_now(), 1, "{}", world.kept());
+    fleet.forget_members(&[1, 2, 3]);
+    fleet.run_for(60_000.0);
+    assert_eq!(fleet.released_count(), 1, "{}", fleet.diagnostics());
 }
