Testbed: the checker of the seven rules in modules; record fields with units, JSON keys as before

Change: invariants/ has rules, history, arrivals (what is checked on arrival) and tests; Cold -> WarmUpRule, Budget -> RetryBudget, Scope -> DedupScope, Entry.what -> event; fields have units, serde keeps the written keys. Texts of violations say attempt, retry, rejected.

--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -247,11 +247,11 @@
         .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
         .into();
     let rules = Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget: None,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget: None,
         classes,
     };
     let broken = find_violations(&world.record.entries(), &rules);
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -135,7 +135,7 @@
             let sent = |what: &EventKind| matches!(what, EventKind::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
             entries[since..]
                 .iter()
-                .filter(|entry| sent(&entry.what))
+                .filter(|entry| sent(&entry.event))
                 .count()
         };
         (to(true), to(false))
@@ -217,11 +217,11 @@
         .map(|rg| (rg.to_owned(), ClassRules::of(effect(rg))))
         .into();
     let rules = Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget: None,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget: None,
         classes,
     };
     let broken = find_violations(&site.world.record.entries(), &rules);
@@ -248,7 +248,7 @@
     let entries = site.world.record.entries();
     let loads: Vec<&str> = entries
         .iter()
-        .filter_map(|entry| match &entry.what {
+        .filter_map(|entry| match &entry.event {
             EventKind::Asked { id, class, .. } if class == "load" => Some(id.as_str()),
             _ => None,
         })
@@ -256,7 +256,7 @@
     for id in loads {
         let sent = |what: &EventKind| matches!(what, EventKind::Arrived { id: of, .. } if of == id);
         assert!(
-            entries.iter().filter(|entry| sent(&entry.what)).count() <= 1,
+            entries.iter().filter(|entry| sent(&entry.event)).count() <= 1,
             "{id}"
         );
     }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -17,7 +17,9 @@
 };
 use tansymux::settings::SettingsMap;
 use tansymux::zone_plan::{ZoneLimits, ZonePlan};
-use tansymux_testbed::invariants::{find_violations, ClassRules, Cold, Effect, Rules, Violation};
+use tansymux_testbed::invariants::{
+    find_violations, ClassRules, Effect, Rules, Violation, WarmUpRule,
+};
 use tansymux_testbed::record::{Entry, EventKind, Status};
 use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
 
@@ -546,11 +548,11 @@
         });
     }
 
-    fn saw(&mut self, what: impl FnOnce() -> EventKind) {
+    fn record(&mut self, what: impl FnOnce() -> EventKind) {
         if let Some(record) = &mut self.record {
             record.push(Entry {
-                at: self.now,
-                what: what(),
+                at_ms: self.now,
+                event: what(),
             });
         }
     }
@@ -565,7 +567,7 @@
                 World::name(engine),
                 self.zones[self.engine_zones[engine]].clone(),
             );
-            self.saw(|| EventKind::Listed {
+            self.record(|| EventKind::Listed {
                 engine: id,
                 status: Status::Ready,
                 zone,
@@ -710,10 +712,10 @@
         self.values[phase].1 += told.worth();
         self.sample.most += told.worth();
         let group = self.groups[class].clone();
-        self.saw(|| EventKind::Asked {
+        self.record(|| EventKind::Asked {
             id: id.to_string(),
             class: group,
-            wait,
+            max_wait_ms: wait,
             key: None,
         });
         let due = EPOCH + came + wait - 10.0;
@@ -753,10 +755,10 @@
 
     fn answers(&mut self, id: u64, status: u16, retry_after: Option<f64>) {
         let Some(query) = self.queries.get_mut(&id).filter(|query| !query.answered) else {
-            self.saw(|| EventKind::Answered {
+            self.record(|| EventKind::Answered {
                 id: id.to_string(),
                 status,
-                retry_after,
+                retry_after_ms: retry_after,
             });
             return;
         };
@@ -785,10 +787,10 @@
                 let _ = self.took.record(took.max(1.0) as u64);
             }
         }
-        self.saw(|| EventKind::Answered {
+        self.record(|| EventKind::Answered {
             id: id.to_string(),
             status,
-            retry_after,
+            retry_after_ms: retry_after,
         });
     }
 
@@ -911,7 +913,7 @@
         let (engine, running, id) = (sent.engine, sent.running, sent.query);
         if running && self.engines[engine].remove(self.now, out).is_some() {
             self.again(engine);
-            self.saw(|| EventKind::GivenUp {
+            self.record(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -1031,10 +1033,10 @@
         if let Some(sent) = self.out.get_mut(&out) {
             sent.running = true;
         }
-        self.saw(|| EventKind::Arrived {
+        self.record(|| EventKind::Arrived {
             engine: World::name(engine),
             id: id.to_string(),
-            work,
+            work_ms: work,
         });
         self.engines[engine].add(self.now, out, work, self.e.class[class].threads());
         self.at(self.now + NOTES_EVERY, Event::Note { out });
@@ -1069,7 +1071,7 @@
         for out in self.engines[engine].falls(self.now) {
             let latency = self.latency();
             let id = self.out.get(&out).map_or(0, |sent| sent.query);
-            self.saw(|| EventKind::GivenUp {
+            self.record(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -1117,15 +1119,15 @@
                 self.e.class[query.class].changes(),
             );
             if changes {
-                self.saw(|| EventKind::Applied {
+                self.record(|| EventKind::Applied {
                     engine: World::name(engine),
                     id: id.to_string(),
                 });
             }
-            self.saw(|| EventKind::Ended {
+            self.record(|| EventKind::Ended {
                 engine: World::name(engine),
                 id: id.to_string(),
-                word: "DONE".into(),
+                reply: "DONE".into(),
                 ran: true,
             });
             if !self.is_cut(dispatcher, engine) {
@@ -1190,7 +1192,7 @@
                 fault::Kind::Cut if !begins && told.cold() => {
                     self.engines[engine].started = self.now;
                     let (id, cores) = (World::name(engine), self.engines[engine].cores);
-                    self.saw(|| EventKind::Started { engine: id, cores });
+                    self.record(|| EventKind::Started { engine: id, cores });
                     self.list_changes(engine, Some(EPOCH + self.now));
                 }
                 fault::Kind::Cut => {}
@@ -1303,16 +1305,16 @@
             )
         };
         Rules {
-            slack: 50.0,
-            grace: 1000.0,
-            cold: Some(Cold {
+            slack_ms: 50.0,
+            grace_ms: 1000.0,
+            warm_up: Some(WarmUpRule {
                 multiple: cold.multiple(),
-                from: cold.from(),
-                span: cold.span_ms(),
-                warm_after: cold.warm_s() * 1000.0,
+                initial_fraction: cold.from(),
+                span_ms: cold.span_ms(),
+                warm_after_ms: cold.warm_s() * 1000.0,
             }),
-            rest: 0.0,
-            budget: None,
+            rest_ms: 0.0,
+            retry_budget: None,
             classes: self.e.class.iter().map(class).collect(),
         }
     }
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -86,14 +86,14 @@
             Duration::from_secs_f64(send_query.wait / 1000.0) + Duration::from_secs(2),
         ))
         .ok()?;
-    let from = record.now();
+    let from = record.now_ms();
     let (id, class, wait) = (send_query.id(), send_query.class.clone(), send_query.wait);
     record.push_at(
         from,
         EventKind::Asked {
             id: id.clone(),
             class,
-            wait,
+            max_wait_ms: wait,
             key: None,
         },
     );
@@ -103,13 +103,13 @@
     record.push(EventKind::Answered {
         id,
         status,
-        retry_after,
+        retry_after_ms: retry_after,
     });
     Some(ClientResponse {
         status,
         retry_after,
         body,
-        took: record.now() - from,
+        took: record.now_ms() - from,
     })
 }
 
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{send_query, ClientQuery};
 use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
-use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::invariants::{find_violations, ClassRules, Effect, RetryBudget, Rules, Violation};
 use crate::name_service::{Endpoint, NameService};
 use crate::program::{class, free_address, Config, Program};
 use crate::record::{EventKind, Status};
@@ -79,10 +79,10 @@
 
 /// Rules with the figures of the configuration below.
 fn rules() -> Rules {
-    let budget = Some(Budget {
-        span: 10_000.0,
+    let retry_budget = Some(RetryBudget {
+        span_ms: 10_000.0,
         free: 10.0,
-        share: 0.2,
+        query_fraction: 0.2,
     });
     let effect = |kind: &Kind| {
         if kind.changes {
@@ -96,11 +96,11 @@
         .map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind))))
         .collect();
     Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget,
         classes,
     }
 }
@@ -338,7 +338,7 @@
 fn by_engine(entries: &[crate::record::Entry], engines: &[Engine], lasted: f64) -> String {
     let mut arrived: HashMap<&str, u64> = HashMap::new();
     for entry in entries {
-        if let EventKind::Arrived { engine, .. } = &entry.what {
+        if let EventKind::Arrived { engine, .. } = &entry.event {
             *arrived.entry(engine).or_default() += 1;
         }
     }
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -293,7 +293,7 @@
         record.push(EventKind::Arrived {
             engine: self.id.clone(),
             id: run.id.clone(),
-            work: work.work,
+            work_ms: work.work,
         });
         let limit = parts
             .get(2)
@@ -314,7 +314,7 @@
             record.push(EventKind::Ended {
                 engine,
                 id,
-                word,
+                reply: word,
                 ran,
             });
         };
@@ -392,7 +392,7 @@
             record.push(EventKind::Ended {
                 engine,
                 id,
-                word,
+                reply: word,
                 ran,
             });
         };
--- /dev/null
+++ b/crates/testbed/src/invariants/arrivals.rs
@@ -0,0 +1,213 @@
+//! What is checked when an attempt arrives at an engine.
+
+use super::history::{Arrival, Attempt};
+use super::{Checker, ClassRules, DedupScope, Effect};
+
+/// On sockets, delays shift retries between spans: the budget is wider by this factor, and by one retry.
+const BUDGET_TOLERANCE: f64 = 1.15;
+
+impl Checker<'_> {
+    pub(super) fn on_arrival(&mut self, engine: &str, id: &str, work_ms: f64, at_ms: f64) {
+        let known = self.engines.entry(engine.to_owned()).or_default();
+        known.arrivals.push(Arrival { at_ms, work_ms });
+        self.check_closed(engine, id, at_ms);
+        self.check_warm_up(engine, at_ms);
+        let Some(query) = self.queries.get(id) else {
+            let description = format!("{engine} was sent {id}, which nobody asked");
+            return self.add_violation(1, at_ms, description);
+        };
+        let first_answer_ms = query.answered_ms.first().copied();
+        let is_retry = !query.attempts.is_empty();
+        let key = query.key.clone();
+        if let Some(class) = self.class_of(id) {
+            self.check_placement(engine, id, class, at_ms);
+            if is_retry {
+                self.check_retry(id, engine, class, at_ms);
+            }
+            if let Some(key) = key.filter(|_| class.in_order) {
+                self.check_order(&key, id, is_retry, at_ms);
+            }
+        }
+        if first_answer_ms.is_some_and(|answered_ms| at_ms > answered_ms + self.rules.slack_ms) {
+            let description = format!("{id} was sent to {engine} after its answer");
+            self.add_violation(1, at_ms, description);
+        }
+        if is_retry {
+            self.retries_ms.push(at_ms);
+            self.check_retry_budget(at_ms);
+        }
+        if let Some(query) = self.queries.get_mut(id) {
+            query.attempts.push(Attempt {
+                engine: engine.to_owned(),
+                arrived_ms: at_ms,
+                end: None,
+            });
+        }
+    }
+
+    /// Rule 3: nothing to a closed engine past the grace.
+    fn check_closed(&mut self, engine: &str, id: &str, at_ms: f64) {
+        let rules = self.rules;
+        let closed_ms = self.engines.get(engine).and_then(|known| known.closed_ms);
+        if let Some(closed_ms) =
+            closed_ms.filter(|closed_ms| at_ms > closed_ms + rules.grace_ms + rules.slack_ms)
+        {
+            let since_ms = at_ms - closed_ms;
+            let description =
+                format!("{id} was sent to {engine}, which was closed {since_ms:.0} ms before");
+            self.add_violation(3, at_ms, description);
+        }
+    }
+
+    /// Rule 4: what all dispatchers together send to an engine that warms up, in any span. One query alone never breaks
+    /// it, whatever its work.
+    fn check_warm_up(&mut self, engine: &str, at_ms: f64) {
+        let (Some(rule), Some(known)) = (self.rules.warm_up, self.engines.get(engine)) else {
+            return;
+        };
+        let Some(start) = known
+            .start
+            .filter(|start| at_ms - start.at_ms < rule.warm_after_ms)
+        else {
+            return;
+        };
+        let in_span = || {
+            known
+                .arrivals
+                .iter()
+                .filter(|arrival| arrival.at_ms > at_ms - rule.span_ms)
+        };
+        let sent_ms: f64 = in_span()
+            .filter(|arrival| arrival.at_ms >= start.at_ms)
+            .map(|arrival| arrival.work_ms)
+            .sum();
+        let is_single = in_span().count() < 2;
+        let bearable_ms = rule.multiple * rule.initial_fraction * start.cores * rule.span_ms;
+        if sent_ms > bearable_ms && !is_single {
+            self.add_violation(
+                4,
+                at_ms,
+                format!("{engine} is warming up and was sent {sent_ms:.0} ms of work in a span that bears {bearable_ms:.0}"),
+            );
+        }
+    }
+
+    /// Rule 6: the class may run in this zone and on this kind of engine.
+    fn check_placement(&mut self, engine: &str, id: &str, class: &ClassRules, at_ms: f64) {
+        let Some(known) = self.engines.get(engine) else {
+            return;
+        };
+        let allows = |allowed: &Option<Vec<String>>, value: &String| {
+            allowed
+                .as_ref()
+                .is_none_or(|allowed| allowed.contains(value))
+        };
+        if !allows(&class.zones, &known.zone) || !allows(&class.kinds, &known.kind) {
+            let class_name = self.queries.get(id).map_or("", |query| &query.class);
+            let description = format!(
+                "{id} of {class_name} was sent to {engine} in {}, a {}",
+                known.zone, known.kind
+            );
+            self.add_violation(6, at_ms, description);
+        }
+    }
+
+    /// Rule 2: a retry must be harmless.
+    fn check_retry(&mut self, id: &str, engine: &str, class: &ClassRules, at_ms: f64) {
+        let Some(query) = self.queries.get(id) else {
+            return;
+        };
+        let mut descriptions = Vec::new();
+        if let Some(first) = query.first_that_may_have_run() {
+            match class.effect {
+                Effect::ReadOnly => {}
+                Effect::NonIdempotent => descriptions.push(format!(
+                    "{id} was sent to {engine} again though it may have run"
+                )),
+                Effect::IdempotencyKey => {
+                    if !self.is_in_dedup_scope(class.dedup_scope, &first.engine, engine) {
+                        descriptions.push(format!(
+                            "{id} was sent to {engine} again, outside its dedup group"
+                        ));
+                    }
+                    if at_ms - first.arrived_ms > class.dedup_window_ms + self.rules.slack_ms {
+                        descriptions
+                            .push(format!("{id} was sent to {engine} again, past its window"));
+                    }
+                }
+            }
+        }
+        // Two attempts out at once are two effects at worst, whatever their ends say later.
+        if query.has_open_attempt() && class.effect != Effect::ReadOnly {
+            descriptions.push(format!(
+                "{id} was sent to {engine} while another attempt was out"
+            ));
+        }
+        for description in descriptions {
+            self.add_violation(2, at_ms, description);
+        }
+    }
+
+    /// Whether a retry at `engine` is recognised by its key as a repeat of what `first` was sent.
+    fn is_in_dedup_scope(&self, scope: DedupScope, first: &str, engine: &str) -> bool {
+        let first = self.engines.get(first);
+        let engine = self.engines.get(engine);
+        match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => first.map(|known| &known.zone) == engine.map(|known| &known.zone),
+            DedupScope::Cell => first.map(|known| known.cell) == engine.map(|known| known.cell),
+        }
+    }
+
+    /// Rule 5: only the first query of a key that is not over is sent, and a later one not before the key has rested.
+    fn check_order(&mut self, key: &str, id: &str, is_retry: bool, at_ms: f64) {
+        let Some(ids) = self.queries_by_key.get(key) else {
+            return;
+        };
+        let mut description = None;
+        for earlier_id in ids.iter().take_while(|earlier_id| *earlier_id != id) {
+            let Some(earlier) = self.queries.get(earlier_id) else {
+                continue;
+            };
+            let rested_ms = earlier
+                .attempts
+                .iter()
+                .filter_map(|attempt| attempt.end.filter(|end| end.in_doubt))
+                .map(|end| end.at_ms + self.rules.rest_ms)
+                .fold(f64::NEG_INFINITY, f64::max);
+            if !earlier.is_over() || earlier.has_open_attempt() {
+                description = Some(format!(
+                    "{id} was sent before {earlier_id} of its key was over"
+                ));
+            } else if !is_retry && at_ms + self.rules.slack_ms < rested_ms {
+                description = Some(format!(
+                    "{id} was sent before its key had rested after {earlier_id}"
+                ));
+            }
+        }
+        if let Some(description) = description {
+            self.add_violation(5, at_ms, description);
+        }
+    }
+
+    /// Rule 7: retries in the span that ends now.
+    fn check_retry_budget(&mut self, at_ms: f64) {
+        let Some(budget) = self.rules.retry_budget else {
+            return;
+        };
+        let count_in_span = |times_ms: &[f64]| {
+            times_ms
+                .iter()
+                .rev()
+                .take_while(|time_ms| **time_ms > at_ms - budget.span_ms)
+                .count() as f64
+        };
+        let retries = count_in_span(&self.retries_ms);
+        let asked = count_in_span(&self.asked_ms);
+        let allowed = BUDGET_TOLERANCE * (budget.free + budget.query_fraction * asked) + 1.0;
+        if retries > allowed {
+            let description = format!("{retries} retries in a span that allows {allowed:.1}");
+            self.add_violation(7, at_ms, description);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/invariants/rules.rs
@@ -0,0 +1,119 @@
+//! The figures of the seven rules, and what breaks them. Times are milliseconds.
+
+use std::collections::HashMap;
+use std::fmt;
+
+/// Figures of the rules.
+#[derive(Debug, Clone)]
+pub struct Rules {
+    /// Added to every limit in time, for the delays of the machine that plays the run.
+    pub slack_ms: f64,
+    /// Rule 3: how long after its announcement as draining or gone an engine may still be sent to.
+    pub grace_ms: f64,
+    /// Rule 4: none where it does not hold.
+    pub warm_up: Option<WarmUpRule>,
+    /// Rule 5: how long a key rests after an end that leaves open what ran.
+    pub rest_ms: f64,
+    /// Rule 7: none where it does not hold.
+    pub retry_budget: Option<RetryBudget>,
+    /// What holds for each class, by its name in the record.
+    pub classes: HashMap<String, ClassRules>,
+}
+
+/// Rule 4: in a span, an engine that is warming up bears so many times what it can do at its start.
+#[derive(Debug, Clone, Copy)]
+pub struct WarmUpRule {
+    /// How many times its initial capacity it bears.
+    pub multiple: f64,
+    /// The fraction of its full speed that it starts with.
+    pub initial_fraction: f64,
+    /// The span over which work is summed (ms).
+    pub span_ms: f64,
+    /// How long after its start it is warm (ms).
+    pub warm_after_ms: f64,
+}
+
+/// Rule 7: in a span at most `free` retries, and a fraction of the queries asked.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryBudget {
+    /// The span over which retries and queries are counted (ms).
+    pub span_ms: f64,
+    /// Retries that are always allowed in a span.
+    pub free: f64,
+    /// Retries for each query asked in the span.
+    pub query_fraction: f64,
+}
+
+/// What a query does to data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// It changes nothing: it may be retried anywhere.
+    ReadOnly,
+    /// It carries a key by which engines recognise a retry.
+    IdempotencyKey,
+    /// A second run is a second effect.
+    NonIdempotent,
+}
+
+/// Where engines recognise a retry by its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DedupScope {
+    /// On all engines.
+    All,
+    /// On engines of the zone of the first attempt.
+    Zone,
+    /// On engines of the cell of the first attempt.
+    Cell,
+}
+
+/// What holds for the queries of one class.
+#[derive(Debug, Clone)]
+pub struct ClassRules {
+    /// What its queries do to data.
+    pub effect: Effect,
+    /// Where a retry is recognised by its key.
+    pub dedup_scope: DedupScope,
+    /// For how long a retry is recognised by its key (ms).
+    pub dedup_window_ms: f64,
+    /// Queries of one key run one after the other, in the order in which they were asked.
+    pub in_order: bool,
+    /// Rule 6: zones in which it may run; none where it may run in all.
+    pub zones: Option<Vec<String>>,
+    /// Rule 6: kinds of engine on which it may run; none where it may run on all.
+    pub kinds: Option<Vec<String>>,
+}
+
+impl ClassRules {
+    /// A class that may run anywhere and in any order, with no dedup window.
+    pub fn of(effect: Effect) -> Self {
+        ClassRules {
+            effect,
+            dedup_scope: DedupScope::All,
+            dedup_window_ms: 0.0,
+            in_order: false,
+            zones: None,
+            kinds: None,
+        }
+    }
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Violation {
+    /// The rule's number, from 1 to 7.
+    pub rule: u8,
+    /// Milliseconds since the start of the record.
+    pub at_ms: f64,
+    /// What happened, with the ids of query and engine.
+    pub description: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            formatter,
+            "rule {} at {:.0} ms: {}",
+            self.rule, self.at_ms, self.description
+        )
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/invariants/tests.rs
@@ -0,0 +1,355 @@
+//! One run for each rule that keeps it, and one that breaks it.
+
+use super::*;
+use std::collections::HashMap;
+
+fn rules() -> Rules {
+    let bound = ClassRules {
+        zones: Some(vec!["east".into()]),
+        ..ClassRules::of(Effect::ReadOnly)
+    };
+    let keyed = ClassRules {
+        in_order: true,
+        ..ClassRules::of(Effect::NonIdempotent)
+    };
+    let tokened = ClassRules {
+        dedup_scope: DedupScope::Zone,
+        dedup_window_ms: 1000.0,
+        ..ClassRules::of(Effect::IdempotencyKey)
+    };
+    Rules {
+        slack_ms: 50.0,
+        grace_ms: 100.0,
+        warm_up: Some(WarmUpRule {
+            multiple: 2.0,
+            initial_fraction: 0.25,
+            span_ms: 100.0,
+            warm_after_ms: 5000.0,
+        }),
+        rest_ms: 500.0,
+        retry_budget: Some(RetryBudget {
+            span_ms: 1000.0,
+            free: 1.0,
+            query_fraction: 0.1,
+        }),
+        classes: HashMap::from([
+            ("look".to_owned(), ClassRules::of(Effect::ReadOnly)),
+            ("load".to_owned(), ClassRules::of(Effect::NonIdempotent)),
+            ("keyed".to_owned(), keyed),
+            ("tokened".to_owned(), tokened),
+            ("bound".to_owned(), bound),
+        ]),
+    }
+}
+
+fn asked(class: &str, id: &str, key: Option<&str>) -> EventKind {
+    EventKind::Asked {
+        id: id.into(),
+        class: class.into(),
+        max_wait_ms: 1000.0,
+        key: key.map(Into::into),
+    }
+}
+
+fn answered(id: &str, status: u16) -> EventKind {
+    EventKind::Answered {
+        id: id.into(),
+        status,
+        retry_after_ms: None,
+    }
+}
+
+fn arrived(engine: &str, id: &str) -> EventKind {
+    EventKind::Arrived {
+        engine: engine.into(),
+        id: id.into(),
+        work_ms: 10.0,
+    }
+}
+
+fn ended(engine: &str, id: &str, ran: bool) -> EventKind {
+    EventKind::Ended {
+        engine: engine.into(),
+        id: id.into(),
+        reply: "X".into(),
+        ran,
+    }
+}
+
+fn given_up(engine: &str, id: &str) -> EventKind {
+    EventKind::GivenUp {
+        engine: engine.into(),
+        id: id.into(),
+    }
+}
+
+fn listed(engine: &str, status: Status, zone: &str) -> EventKind {
+    EventKind::Listed {
+        engine: engine.into(),
+        status,
+        zone: zone.into(),
+        kind: "std".into(),
+        cell: 0,
+    }
+}
+
+/// The numbers of the rules that a run breaks.
+fn broken(run: &[(f64, EventKind)]) -> Vec<u8> {
+    let entries: Vec<Entry> = run
+        .iter()
+        .map(|(at, what)| Entry {
+            at_ms: *at,
+            event: what.clone(),
+        })
+        .collect();
+    find_violations(&entries, &rules())
+        .iter()
+        .map(|violation| violation.rule)
+        .collect()
+}
+
+#[test]
+fn a_run_that_keeps_all_rules_is_found_to() {
+    let run = [
+        (0.0, listed("e", Status::Ready, "east")),
+        (0.0, listed("w", Status::Ready, "west")),
+        (1.0, asked("look", "1", None)),
+        (2.0, arrived("e", "1")),
+        (3.0, ended("e", "1", true)),
+        (4.0, answered("1", 200)),
+        (5.0, asked("load", "2", None)),
+        (6.0, arrived("e", "2")),
+        (7.0, ended("e", "2", false)),
+        (8.0, arrived("w", "2")),
+        (
+            9.0,
+            EventKind::Applied {
+                engine: "w".into(),
+                id: "2".into(),
+            },
+        ),
+        (9.0, ended("w", "2", true)),
+        (10.0, answered("2", 200)),
+        (11.0, asked("keyed", "3", Some("k"))),
+        (11.0, asked("keyed", "4", Some("k"))),
+        (12.0, arrived("e", "3")),
+        (13.0, ended("e", "3", true)),
+        (14.0, answered("3", 200)),
+        (15.0, arrived("e", "4")),
+        (16.0, ended("e", "4", true)),
+        (17.0, answered("4", 200)),
+        (20.0, asked("look", "5", None)),
+        (21.0, EventKind::Left { id: "5".into() }),
+        (5000.0, asked("look", "6", None)),
+    ];
+    assert_eq!(broken(&run), [0; 0]);
+}
+
+#[test]
+fn rule_1_one_answer_in_time_and_nothing_after() {
+    assert_eq!(
+        broken(&[
+            (0.0, asked("look", "1", None)),
+            (5.0, answered("1", 200)),
+            (6.0, answered("1", 429))
+        ]),
+        [1]
+    );
+    assert_eq!(
+        broken(&[
+            (0.0, asked("look", "1", None)),
+            (1051.0, answered("1", 200))
+        ]),
+        [1]
+    );
+    assert_eq!(
+        broken(&[
+            (0.0, asked("look", "1", None)),
+            (2000.0, asked("look", "2", None))
+        ]),
+        [1]
+    );
+    assert_eq!(broken(&[(0.0, answered("9", 200))]), [1]);
+    assert_eq!(broken(&[(0.0, arrived("e", "9"))]), [1]);
+    let after = [
+        (0.0, asked("look", "1", None)),
+        (5.0, answered("1", 429)),
+        (90.0, arrived("e", "1")),
+    ];
+    assert_eq!(broken(&after), [1]);
+}
+
+#[test]
+fn rule_2_no_effect_twice_and_no_invitation_to_one() {
+    let again = |end: EventKind| {
+        broken(&[
+            (0.0, asked("load", "1", None)),
+            (1.0, arrived("e", "1")),
+            (2.0, end),
+            (3.0, arrived("w", "1")),
+        ])
+    };
+    assert_eq!(again(ended("e", "1", false)), [0; 0]);
+    assert_eq!(again(ended("e", "1", true)), [2]);
+    assert_eq!(again(given_up("e", "1")), [2]);
+    let deferred = |ran: bool| {
+        broken(&[
+            (0.0, asked("load", "1", None)),
+            (1.0, arrived("e", "1")),
+            (2.0, ended("e", "1", ran)),
+            (3.0, answered("1", 429)),
+        ])
+    };
+    assert_eq!((deferred(false), deferred(true)), (vec![], vec![2]));
+    let out = [
+        (0.0, asked("load", "1", None)),
+        (1.0, arrived("e", "1")),
+        (2.0, arrived("w", "1")),
+    ];
+    assert!(broken(&out).contains(&2));
+    let twice = |id: &str| EventKind::Applied {
+        engine: "e".into(),
+        id: id.into(),
+    };
+    assert_eq!(
+        broken(&[
+            (0.0, asked("load", "1", None)),
+            (1.0, twice("1")),
+            (2.0, twice("1"))
+        ]),
+        [2]
+    );
+    // A token counts within its zone and window only.
+    let tokened = |zone: &str, at: f64| {
+        broken(&[
+            (0.0, listed("e", Status::Ready, "east")),
+            (0.0, listed("w", Status::Ready, zone)),
+            (
+                0.0,
+                EventKind::Asked {
+                    id: "1".into(),
+                    class: "tokened".into(),
+                    max_wait_ms: 9e3,
+                    key: None,
+                },
+            ),
+            (1.0, arrived("e", "1")),
+            (2.0, given_up("e", "1")),
+            (at, arrived("w", "1")),
+        ])
+    };
+    assert_eq!(
+        (
+            tokened("east", 3.0),
+            tokened("west", 3.0),
+            tokened("east", 1100.0)
+        ),
+        (vec![], vec![2], vec![2])
+    );
+}
+
+#[test]
+fn rule_3_nothing_to_a_closed_engine_past_the_grace() {
+    let sent = |status: Status, at: f64| {
+        broken(&[
+            (0.0, listed("e", status, "east")),
+            (1.0, asked("look", "1", None)),
+            (at, arrived("e", "1")),
+        ])
+    };
+    assert_eq!(
+        (sent(Status::Draining, 149.0), sent(Status::Draining, 151.0)),
+        (vec![], vec![3])
+    );
+    assert_eq!(
+        (sent(Status::Gone, 500.0), sent(Status::Ready, 500.0)),
+        (vec![3], vec![])
+    );
+}
+
+#[test]
+fn rule_4_a_cold_engine_is_not_pushed_over() {
+    let run = |many: usize, at: f64| {
+        let mut run = vec![(
+            0.0,
+            EventKind::Started {
+                engine: "e".into(),
+                cores: 1.0,
+            },
+        )];
+        for n in 0..many {
+            run.push((at, asked("look", &n.to_string(), None)));
+            run.push((at, arrived("e", &n.to_string())));
+        }
+        broken(&run).contains(&4)
+    };
+    // A span bears 2 x 0.25 x 1 core x 100 ms = 50 ms, five of 10.
+    assert_eq!(
+        (run(5, 10.0), run(6, 10.0), run(6, 5001.0)),
+        (false, true, false)
+    );
+}
+
+#[test]
+fn rule_5_order_and_rest_of_a_key() {
+    let order = |between: Vec<(f64, EventKind)>, at: f64| {
+        let mut run = vec![
+            (0.0, asked("keyed", "1", Some("k"))),
+            (0.0, asked("keyed", "2", Some("k"))),
+            (1.0, arrived("e", "1")),
+        ];
+        run.extend(between);
+        run.push((at, arrived("e", "2")));
+        broken(&run)
+    };
+    assert_eq!(order(vec![], 2.0), [5]);
+    assert_eq!(
+        order(
+            vec![(2.0, ended("e", "1", true)), (3.0, answered("1", 200))],
+            4.0
+        ),
+        [0; 0]
+    );
+    let doubt = || vec![(2.0, given_up("e", "1")), (3.0, answered("1", 500))];
+    assert_eq!(
+        (order(doubt(), 300.0), order(doubt(), 510.0)),
+        (vec![5], vec![])
+    );
+}
+
+#[test]
+fn rule_6_placement_on_every_attempt() {
+    let sent = |zone: &str| {
+        broken(&[
+            (0.0, listed("e", Status::Ready, zone)),
+            (1.0, asked("bound", "1", None)),
+            (2.0, arrived("e", "1")),
+        ])
+    };
+    assert_eq!((sent("east"), sent("west")), (vec![], vec![6]));
+}
+
+#[test]
+fn rule_7_further_attempts_within_the_budget() {
+    let again = |many: usize| {
+        let mut run = vec![(0.0, asked("look", "1", None)), (0.0, arrived("e", "1"))];
+        (0..many).for_each(|n| run.push((n as f64, arrived("e", "1"))));
+        broken(&run).contains(&7)
+    };
+    // 1.15 x (1 + 0.1) + 1 = 2.3.
+    assert_eq!((again(2), again(3)), (false, true));
+}
+
+#[test]
+fn a_record_is_read_back_as_it_was_written() {
+    let entry = Entry {
+        at_ms: 7.5,
+        event: asked("look", "1", Some("k")),
+    };
+    let text = serde_json::to_string(&entry).unwrap();
+    assert_eq!(
+        serde_json::from_str::<Entry>(&text).unwrap(),
+        entry,
+        "{text}"
+    );
+}
--- a/crates/testbed/src/levels.rs
+++ b/crates/testbed/src/levels.rs
@@ -3,7 +3,7 @@
 
 use crate::client::{send_query, ClientQuery};
 use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
-use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::invariants::{find_violations, ClassRules, Effect, RetryBudget, Rules, Violation};
 use crate::name_service::{Endpoint, NameService};
 use crate::plot::{plot, Line};
 use crate::program::{class, free_address, get, Config, Program, TempFile};
@@ -135,17 +135,17 @@
         .iter()
         .map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind))))
         .collect();
-    let budget = Some(Budget {
-        span: 10_000.0,
+    let retry_budget = Some(RetryBudget {
+        span_ms: 10_000.0,
         free: 10.0,
-        share: 0.2,
+        query_fraction: 0.2,
     });
     Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget,
         classes,
     }
 }
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -1,113 +1,169 @@
-//! The record of a run: what clients, engines and the list saw, each with its time. The checker knows nothing else.
+//! The record of a run: what clients, engines and the name service observed, each with its time. The checker knows
+//! nothing else of a run. Entries are written as JSON, whose keys must stay.
 
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 use std::time::Instant;
 
+/// What was observed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum EventKind {
     /// A client has sent its query's last byte.
     Asked {
+        /// The query.
         id: String,
+        /// The class by which the checker judges it.
         class: String,
-        wait: f64,
+        /// How long the client waits for an answer.
+        #[serde(rename = "wait")]
+        max_wait_ms: f64,
+        /// Queries of one key run in their order.
         key: Option<String>,
     },
-    /// A whole answer came; status, and when to come back if it is deferred (ms).
+    /// A whole answer came.
     Answered {
+        /// The query.
         id: String,
+        /// The HTTP status.
         status: u16,
-        retry_after: Option<f64>,
+        /// When the client may come back, where it was rejected.
+        #[serde(rename = "retry_after")]
+        retry_after_ms: Option<f64>,
     },
     /// The client left without waiting.
-    Left { id: String },
-    /// An attempt came whole to an engine; its work (ms on one core), as far as the engine knows.
+    Left {
+        /// The query.
+        id: String,
+    },
+    /// An attempt came whole to an engine.
     Arrived {
+        /// The engine.
+        engine: String,
+        /// The query.
+        id: String,
+        /// Its work on one core, as far as the engine knows.
+        #[serde(rename = "work")]
+        work_ms: f64,
+    },
+    /// An attempt's effect was applied.
+    Applied {
+        /// The engine.
         engine: String,
+        /// The query.
         id: String,
-        work: f64,
     },
-    /// Its effect was applied.
-    Applied { engine: String, id: String },
-    /// The engine wrote its end. `ran`: whether it may have run.
+    /// The engine wrote an attempt's end.
     Ended {
+        /// The engine.
         engine: String,
+        /// The query.
         id: String,
-        word: String,
+        /// The word of the engine's protocol that it ended with.
+        #[serde(rename = "word")]
+        reply: String,
+        /// Whether it may have run.
         ran: bool,
     },
-    /// It was given up by a word or by the end of its connection.
-    GivenUp { engine: String, id: String },
-    /// The list told of an engine: ready, draining or gone.
+    /// An attempt was cancelled, or its connection ended.
+    GivenUp {
+        /// The engine.
+        engine: String,
+        /// The query.
+        id: String,
+    },
+    /// The name service announced an engine.
     Listed {
+        /// The engine.
         engine: String,
+        /// Ready, draining or gone.
         status: Status,
+        /// The zone that it is in.
         #[serde(rename = "hall")]
         zone: String,
+        /// The kind of machine.
         kind: String,
+        /// The cell that it is in.
         cell: u32,
     },
-    /// An engine started, and is cold.
-    Started { engine: String, cores: f64 },
+    /// An engine started, and warms up.
+    Started {
+        /// The engine.
+        engine: String,
+        /// Its cores.
+        cores: f64,
+    },
     /// A fault was injected or ended.
-    Fault { engine: String, fault: String },
+    Fault {
+        /// The engine.
+        engine: String,
+        /// The fault, for people.
+        fault: String,
+    },
 }
 
+/// An engine's status as the name service announces it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Status {
+    /// It takes queries.
     Ready,
+    /// It takes no new queries.
     Draining,
+    /// It is listed no more.
     Gone,
 }
 
-/// An entry: milliseconds since the start of the record, and what was seen.
+/// An entry of a record.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
-    pub at: f64,
+    /// Milliseconds since the start of the record.
+    #[serde(rename = "at")]
+    pub at_ms: f64,
+    /// What was observed.
     #[serde(flatten)]
-    pub what: EventKind,
+    pub event: EventKind,
 }
 
 /// A record that threads write to.
 #[derive(Debug)]
 pub struct Record {
-    from: Instant,
+    started: Instant,
     entries: Mutex<Vec<Entry>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
         Record {
-            from: Instant::now(),
+            started: Instant::now(),
             entries: Mutex::default(),
         }
     }
 }
 
 impl Record {
-    pub fn now(&self) -> f64 {
-        self.from.elapsed().as_secs_f64() * 1000.0
+    /// Milliseconds since the start of the record.
+    pub fn now_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
     }
 
-    pub fn push(&self, what: EventKind) {
-        let at = self.now();
-        self.push_at(at, what);
+    /// Adds what happens now.
+    pub fn push(&self, event: EventKind) {
+        self.push_at(self.now_ms(), event);
     }
 
-    /// For what happened before it could be written down.
-    pub fn push_at(&self, at: f64, what: EventKind) {
+    /// Adds what happened before it could be written down.
+    pub fn push_at(&self, at_ms: f64, event: EventKind) {
         self.entries
             .lock()
             .expect("no writer panics")
-            .push(Entry { at, what });
+            .push(Entry { at_ms, event });
     }
 
     /// All entries so far, in the order of their times.
     pub fn entries(&self) -> Vec<Entry> {
         let mut entries = self.entries.lock().expect("no writer panics").clone();
-        entries.sort_by(|a, b| a.at.total_cmp(&b.at));
+        entries.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
         entries
     }
 }
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -4,7 +4,7 @@
 use crate::client::{send_query, ClientQuery};
 use crate::corpus::{corpus, Labelled, Part};
 use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
-use crate::invariants::{find_violations, Budget, ClassRules, Effect, Rules, Violation};
+use crate::invariants::{find_violations, ClassRules, Effect, RetryBudget, Rules, Violation};
 use crate::program::{class, free_address, used, Config, Program, TempFile};
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
@@ -188,13 +188,13 @@
     let classes: HashMap<String, ClassRules> = ["look-up", "report", "load", "unknown"]
         .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
         .into();
-    let budget = None::<Budget>;
+    let retry_budget = None::<RetryBudget>;
     Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget,
         classes,
     }
 }
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -172,11 +172,11 @@
         .map(|kind| (kind.0.to_owned(), ClassRules::of(effect(kind))))
         .collect();
     let rules = Rules {
-        slack: 50.0,
-        grace: 1000.0,
-        cold: None,
-        rest: 0.0,
-        budget: None,
+        slack_ms: 50.0,
+        grace_ms: 1000.0,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget: None,
         classes,
     };
     outcome.broken = find_violations(&world.record.entries(), &rules);
