--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -52,14 +52,14 @@
         registry: Rc<QueryRegistry>,
         clock: Clock,
         limits: AdmissionLimits,
-        classes: Rc<StatementClassifier>,
+        classifier: Rc<StatementClassifier>,
         levels: Rc<ServiceLevels>,
         zones: Rc<ZoneRouting>,
     ) -> Self {
         let pages = StatusPages {
             registry: registry.clone(),
             clock,
-            classes,
+            classifier,
             levels,
             zones,
             spilled_threads: RefCell::default(),
--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -81,10 +81,10 @@
     }
 
     /// Analyses the statement, where the operators' file says so.
-    pub fn classify(&self, classes: &StatementClassifier) -> Option<Classed> {
+    pub fn classify(&self, classifier: &StatementClassifier) -> Option<Classed> {
         match self.named_group {
-            Some(group) => classes.named(group, self.id, self.statement),
-            None => classes.bare(self.statement, self.received_ms),
+            Some(group) => classifier.named(group, self.id, self.statement),
+            None => classifier.bare(self.statement, self.received_ms),
         }
     }
 
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -225,7 +225,7 @@
             .set_state(ConnectionState::Active, self.last_byte_ms);
         let frontend = self.frontend;
         let pages = &frontend.pages;
-        let is_bare_path = |path: &str| pages.classes.is_path(path);
+        let is_bare_path = |path: &str| pages.classifier.is_path(path);
         let (status, body) = match Route::of(head.method, head.path, is_bare_path) {
             Route::Query => match self.admit(head) {
                 Ok((number, slot)) => return Ok(Handled::Query { number, slot }),
@@ -248,7 +248,7 @@
         let frontend = self.frontend;
         let body = &self.buffer.bytes()[head.head_len..head.request_len()];
         let parsed = ParsedRequest::parse(&frontend.limits, head, body, self.last_byte_ms)?;
-        let analysis = parsed.classify(&frontend.pages.classes);
+        let analysis = parsed.classify(&frontend.pages.classifier);
         let query = parsed.into_query(&frontend.limits, analysis.as_ref())?;
         Ok(frontend.registry.admit(&query)?)
     }
--- a/crates/dispatcher/src/client/status_pages.rs
+++ b/crates/dispatcher/src/client/status_pages.rs
@@ -21,7 +21,7 @@
     /// The program's clock.
     pub clock: Clock,
     /// Analysis of statements.
-    pub classes: Rc<StatementClassifier>,
+    pub classifier: Rc<StatementClassifier>,
     /// Service levels.
     pub levels: Rc<ServiceLevels>,
     /// Zones.
@@ -33,7 +33,7 @@
 impl StatusPages {
     /// All counters, a line each.
     pub fn counters(&self) -> String {
-        statement_classifier::counters(&self.registry, &self.classes, &self.levels, &self.zones)
+        statement_classifier::counters(&self.registry, &self.classifier, &self.levels, &self.zones)
     }
 
     /// The service levels as JSON, once they have changed since version `after` where the client names one.
