Peers, clock, signals and the platform tests read without the house's words

Constants and public items documented; "cannot send to a peer", "cannot receive from peers" with address and error as fields. Datagrams as before.

--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -1,4 +1,4 @@
-//! Messages between dispatchers: small datagrams, late or lost.
+//! Datagrams between dispatchers. They may come late or get lost; nothing is sent again.
 
 use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
@@ -8,71 +8,94 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-pub const MAX_MESSAGE: usize = 256;
-const PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of a message at most (protocol).
+pub const MAX_MESSAGE_BYTES: usize = 256;
+/// Time before the next attempt to receive, after one that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The socket to the other dispatchers.
 pub struct Peers {
     registry: Rc<QueryRegistry>,
     socket: Async<UdpSocket>,
-    each: Vec<SocketAddr>,
-    all: Option<SocketAddr>,
+    /// Where each dispatcher listens, by its number; this one included.
+    addresses: Vec<SocketAddr>,
+    /// Where a message goes that is for all.
+    broadcast: Option<SocketAddr>,
 }
 
 impl Peers {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    /// The address can't be bound.
     pub fn bind(
         registry: Rc<QueryRegistry>,
         listen: SocketAddr,
-        each: Vec<SocketAddr>,
-        all: Option<SocketAddr>,
+        addresses: Vec<SocketAddr>,
+        broadcast: Option<SocketAddr>,
     ) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Peers {
             registry,
             socket: Async::<UdpSocket>::bind(listen)?,
-            each,
-            all,
+            addresses,
+            broadcast,
         }))
     }
 
-    /// Sends to one dispatcher, or to all; what can't be sent at once is lost, as on the way.
+    /// Sends a message to one dispatcher, or to all. One that can't be sent at once is lost, as it might be on its way;
+    /// so is one that is too long or for an unknown dispatcher.
     pub fn send(&self, peer: Option<u32>, content: &[u8]) {
-        let to = match peer {
-            Some(peer) => self.each.get(peer as usize).copied(),
-            None => self.all,
+        let address = match peer {
+            Some(peer) => self.addresses.get(peer as usize).copied(),
+            None => self.broadcast,
         };
-        let Some(to) = to.filter(|_| content.len() <= MAX_MESSAGE) else {
+        let Some(address) = address else {
             return;
         };
-        match self.socket.get_ref().send_to(content, to) {
+        if content.len() > MAX_MESSAGE_BYTES {
+            return;
+        }
+        match self.socket.get_ref().send_to(content, address) {
             Ok(_) => self.registry.counters.peer_messages_sent.increment(),
-            Err(e) => tracing::warn!(%to, error = %e, "a message was not sent"),
+            Err(error) => tracing::warn!(%address, %error, "cannot send to a peer"),
         }
     }
 
-    /// Hears messages until dropped.
+    /// Receives messages until dropped. What is too long or from an unknown sender is ignored.
     pub async fn listen(self: Rc<Self>) {
-        let mut bytes = [0; MAX_MESSAGE + 1];
+        // One byte more than a message has, so that one that is too long shows.
+        let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
         loop {
-            match self.socket.recv_from(&mut bytes).await {
-                Ok((count, from)) if count <= MAX_MESSAGE => {
-                    let Some(peer) = self.each.iter().position(|address| *address == from) else {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) if length <= MAX_MESSAGE_BYTES => {
+                    let Some(peer) = self.peer_at(from) else {
                         continue;
                     };
-                    self.registry.counters.peer_messages_received.increment();
-                    self.registry.push_event(Event::PeerMessage {
-                        peer: peer as u32,
-                        content: bytes[..count].to_vec(),
-                    });
+                    self.receive(peer, &buffer[..length]);
                 }
                 Ok(_) => {}
-                Err(e) => {
-                    tracing::warn!(error = %e, "messages could not be heard");
-                    Timer::after(PAUSE).await;
+                Err(error) => {
+                    tracing::warn!(%error, "cannot receive from peers");
+                    Timer::after(RETRY_DELAY).await;
                 }
             }
-            // What is heard waits for the next round: who sends without end leaves that its turn.
+            // Messages wait for the next round: a sender without end leaves that its turn.
             future::yield_now().await;
         }
     }
+
+    fn peer_at(&self, address: SocketAddr) -> Option<u32> {
+        let index = self.addresses.iter().position(|peer| *peer == address)?;
+        Some(index as u32)
+    }
+
+    fn receive(&self, peer: u32, content: &[u8]) {
+        self.registry.counters.peer_messages_received.increment();
+        self.registry.push_event(Event::PeerMessage {
+            peer,
+            content: content.to_vec(),
+        });
+    }
 }
 
 #[cfg(test)]
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn only_known_senders_and_short_messages_are_heard() {
+fn only_short_messages_from_known_senders_are_received() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let (friend, stranger) = (UdpSocket::bind(any).unwrap(), UdpSocket::bind(any).unwrap());
     let registry = Rc::new(QueryRegistry::default());
@@ -9,23 +9,23 @@
     let peers = Peers::bind(registry.clone(), any, each, None).unwrap();
     let at = peers.socket.get_ref().local_addr().unwrap();
     stranger.send_to(b"x", at).unwrap();
-    friend.send_to(&[7; MAX_MESSAGE + 1], at).unwrap();
-    friend.send_to(&[7; MAX_MESSAGE], at).unwrap();
-    let heard = async {
+    friend.send_to(&[7; MAX_MESSAGE_BYTES + 1], at).unwrap();
+    friend.send_to(&[7; MAX_MESSAGE_BYTES], at).unwrap();
+    let received = async {
         registry.notify.notified().await;
     };
-    let late = async {
+    let timeout = async {
         Timer::after(Duration::from_secs(10)).await;
     };
     async_io::block_on(futures_lite::future::or(
-        futures_lite::future::or(heard, peers.clone().listen()),
-        late,
+        futures_lite::future::or(received, peers.clone().listen()),
+        timeout,
     ));
     let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
     assert!(
-        matches!(&events[..], [Event::PeerMessage { peer: 1, content }] if content.len() == MAX_MESSAGE)
+        matches!(&events[..], [Event::PeerMessage { peer: 1, content }] if content.len() == MAX_MESSAGE_BYTES)
     );
-    peers.send(Some(1), &[7; MAX_MESSAGE + 1]);
+    peers.send(Some(1), &[7; MAX_MESSAGE_BYTES + 1]);
     peers.send(None, b"x");
     peers.send(Some(9), b"x");
     assert_eq!(registry.counters.peer_messages_sent.get(), 0);
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -1,5 +1,7 @@
-//! Signals, as items of a stream. Each is written into a pipe of its own and read like any other news; a pipe, because
-//! the platform knows no sockets but TCP and UDP.
+//! Signals as a stream.
+//!
+//! The handler of each signal writes into a pipe of its own, which is read like any other input. It is a pipe because
+//! the platform knows no sockets but TCP and UDP; and a signal that comes before anyone reads is kept in it.
 
 use async_io::Async;
 use futures_lite::{stream, Stream, StreamExt};
@@ -8,36 +10,37 @@
 use std::ffi::c_int;
 use std::io::{self, PipeReader, Read};
 
+/// Bytes read from a pipe at once; each is one signal, and all of them make one item.
+const READ_BYTES: usize = 64;
+
+/// What a signal asks for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Signal {
-    /// SIGTERM or SIGINT.
+    /// SIGTERM or SIGINT: drain and end.
     Terminate,
-    /// SIGHUP.
+    /// SIGHUP: read the configuration again.
     Reload,
 }
 
-/// An item for each signal, or one for several that came at once.
+/// Installs the handlers. The stream has an item for each signal, or one for several that came at once.
 ///
 /// # Errors
-/// No pipe, or no handler.
+/// A pipe could not be made, or a handler not installed.
 pub fn subscribe() -> io::Result<impl Stream<Item = Signal>> {
-    let end = stream::or(
-        of(SIGTERM, Signal::Terminate)?,
-        of(SIGINT, Signal::Terminate)?,
+    let terminate = stream::or(
+        stream_of(SIGTERM, Signal::Terminate)?,
+        stream_of(SIGINT, Signal::Terminate)?,
     );
-    Ok(stream::or(end, of(SIGHUP, Signal::Reload)?))
+    Ok(stream::or(terminate, stream_of(SIGHUP, Signal::Reload)?))
 }
 
-fn of(number: c_int, signal: Signal) -> io::Result<impl Stream<Item = Signal> + Unpin> {
+fn stream_of(number: c_int, signal: Signal) -> io::Result<impl Stream<Item = Signal> + Unpin> {
     let (reader, writer) = io::pipe()?;
     pipe::register(number, writer)?;
     let next = move |reader: Async<PipeReader>| async move {
-        reader
-            .read_with(|mut pipe| pipe.read(&mut [0; 64]))
-            .await
-            .ok()
-            .filter(|count| *count > 0)?;
-        Some((signal, reader))
+        let read = reader.read_with(|mut pipe| pipe.read(&mut [0; READ_BYTES]));
+        let count = read.await.ok()?;
+        (count > 0).then_some((signal, reader))
     };
     Ok(stream::unfold(Async::new(reader)?, next).boxed())
 }
--- /dev/null
+++ b/crates/dispatcher/tests/platform_limits/clocks.rs
@@ -0,0 +1,146 @@
+//! Clocks that are not the machine's: one that stops, and ones that jump.
+
+use crate::support::{config, EXE};
+use std::io::BufReader;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::{used, Config, Program, TempFile};
+use tansymux_testbed::wire::read_response;
+
+/// The library that takes the place of the C library's clocks, and the file that says what they show.
+struct ClockShim {
+    library: PathBuf,
+    adjustments: TempFile,
+}
+
+/// A number of the shim's file, by its position.
+#[derive(Clone, Copy)]
+enum Adjustment {
+    MonotonicOffset = 0,
+    WallOffset = 1,
+    MonotonicStop = 2,
+}
+
+const NANOS_PER_SECOND: i64 = 1_000_000_000;
+
+impl ClockShim {
+    fn new() -> Self {
+        let built = Command::new(env!("CARGO"))
+            .args([
+                "build",
+                "--quiet",
+                "-p",
+                "tansymux-dispatcher",
+                "--example",
+                "clock_shim",
+            ])
+            .status();
+        assert!(
+            built.is_ok_and(|s| s.success()),
+            "the clock library can't be built"
+        );
+        let own = std::env::current_exe().unwrap();
+        let target = own.parent().and_then(Path::parent).unwrap();
+        let library = target.join("examples").join("libclock_shim.so");
+        assert!(library.exists(), "{} is not there", library.display());
+        ClockShim {
+            library,
+            adjustments: TempFile::new("clock_shim", &"\0".repeat(32)),
+        }
+    }
+
+    fn set(&self, adjustment: Adjustment, nanos: i64) {
+        let file = std::fs::OpenOptions::new()
+            .write(true)
+            .open(&self.adjustments.0)
+            .unwrap();
+        file.write_all_at(&nanos.to_ne_bytes(), 8 * adjustment as u64)
+            .unwrap();
+    }
+
+    fn start(&self, config: &Config) -> Program {
+        let program = Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
+            command
+                .env("LD_PRELOAD", &self.library)
+                .env("TANSYMUX_CLOCK_SHIM", &self.adjustments.0);
+        });
+        program.wait_until_healthy();
+        program
+    }
+}
+
+/// Nanoseconds on the machine's own monotonic clock.
+fn monotonic_ns() -> i64 {
+    let mut now = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: a clock that is there, and room for its reading.
+    unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut now) };
+    now.tv_sec * NANOS_PER_SECOND + now.tv_nsec
+}
+
+#[test]
+fn a_stopped_or_jumping_clock_ends_no_query_early() {
+    let shim = ClockShim::new();
+    let (mute, _requests) = scripted(|_, _| ());
+    let mut program = shim.start(&config(&[mute]));
+    // The wall clock jumps an hour ahead and back: nothing depends on it after the start.
+    for hours in [1, -1, 0] {
+        shim.set(Adjustment::WallOffset, hours * 3600 * NANOS_PER_SECOND);
+        thread::sleep(Duration::from_millis(50));
+        assert!(program.counter("rounds").is_some());
+    }
+    let send_query = |id, wait_ms| {
+        let mut query = ClientQuery::new(
+            id,
+            "/invoke/load",
+            "load",
+            "SELECT a FROM sales_17.orders",
+            wait_ms,
+        );
+        query.cost = Some(20.0);
+        send_query_in_two_parts(program.listen, &query, 40, Duration::from_millis(1))
+    };
+    // The monotonic clock stops for twice a query's time: the query goes on, the program answers and does not spin.
+    let waiting = send_query(1, 600.0);
+    program.wait_for_count("submissions 1\n");
+    shim.set(Adjustment::MonotonicStop, monotonic_ns());
+    let (_, before) = used(program.child.id()).unwrap();
+    let rounds = program.counter("rounds").unwrap();
+    thread::sleep(Duration::from_millis(1200));
+    assert_eq!(program.counter("unanswered"), Some(1));
+    let (_, after) = used(program.child.id()).unwrap();
+    let new_rounds = program.counter("rounds").unwrap() - rounds;
+    assert!(
+        after - before < 300.0 && new_rounds < 400,
+        "{new_rounds} rounds, {} ms",
+        after - before
+    );
+    // It runs again, past the query's deadline: the query ends. Then it jumps over the next one's.
+    shim.set(Adjustment::MonotonicStop, 0);
+    assert_eq!(
+        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
+        Some(500)
+    );
+    let waiting = send_query(2, 8000.0);
+    program.wait_for_count("submissions 2\n");
+    let from = Instant::now();
+    shim.set(Adjustment::MonotonicOffset, 10 * NANOS_PER_SECOND);
+    assert_eq!(
+        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
+        Some(500)
+    );
+    assert!(
+        from.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        from.elapsed()
+    );
+    program.terminate();
+    program.end();
+}
--- /dev/null
+++ b/crates/dispatcher/tests/platform_limits/resources.rs
@@ -0,0 +1,137 @@
+//! The program keeps to few descriptors and little memory.
+
+use crate::support::{answer_status, config, instant_engine, start_limited, EXE};
+use serde_json::json;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::name_service::{Endpoint, NameService};
+use tansymux_testbed::program::{free_udp_address, own_memory, used, Program, TIMEOUT};
+use tansymux_testbed::record::{Record, Status};
+use tansymux_testbed::wire::read_response;
+
+#[test]
+fn clients_that_use_up_descriptors_block_neither_discovery_nor_reload() {
+    // The engines of the start hang, each with a connection for each query, and the service is silent at first.
+    let hangs: Vec<SocketAddr> = (0..4).map(|_| scripted(|_, _| {}).0).collect();
+    let names = NameService::start(Vec::new(), Arc::new(Record::default()));
+    names.silent(true);
+    let config = config(&hangs).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+    let config = config
+        .with("resolver", names.address.to_string())
+        .with("settings.limits.streams-per-conn", 1);
+    let mut program = start_limited(&config);
+    // They connect as soon as anyone listens, and many more than there are places.
+    let from = Instant::now();
+    let mut idle = Vec::new();
+    while idle.len() < 120 {
+        assert!(from.elapsed() < TIMEOUT, "nobody listens");
+        match std::net::TcpStream::connect(program.listen) {
+            Ok(stream) => idle.push(stream),
+            Err(_) => thread::sleep(Duration::from_millis(1)),
+        }
+    }
+    let ask = |id| {
+        let mut ask = ClientQuery::new(
+            id,
+            "/invoke/look",
+            "look",
+            "SELECT a FROM sales_17.orders",
+            9000.0,
+        );
+        ask.cost = Some(20.0);
+        send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
+    };
+    let hang: Vec<_> = (1..60).map(ask).collect();
+    program.wait_until_healthy();
+    // All that needs a descriptor while they hold theirs: a list from another socket, and the file at SIGHUP.
+    program.wait_for_count("lists 0\n");
+    names.add(Endpoint {
+        id: "s-9".into(),
+        zone: "h".into(),
+        kind: "std".into(),
+        cell: 0,
+        address: instant_engine(),
+        status: Status::Ready,
+        started: 0.0,
+    });
+    names.silent(false);
+    program.signal("-HUP");
+    program.wait_for_count("configurations_read 1\n");
+    program.wait_for_count("lists 1\n");
+    drop(hang);
+    program.wait_for_count("submissions_out 0\n");
+    assert_eq!(answer_status(&program, 99, 9000.0), Some(200));
+    program.terminate();
+    let log = program.end();
+    assert!(!log.contains("Too many open files"), "{log}");
+}
+
+#[test]
+fn program_serves_with_64_descriptors_and_little_memory() {
+    let engines: Vec<SocketAddr> = (0..36).map(|_| instant_engine()).collect();
+    let config = config(&engines).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+    let program = start_limited(&config);
+    program.wait_until_healthy();
+    let clients = |from: u64| {
+        let one = |id| {
+            let mut ask = ClientQuery::new(
+                id,
+                "/invoke/look",
+                "look",
+                "SELECT a FROM sales_17.orders",
+                9000.0,
+            );
+            ask.cost = Some(20.0);
+            send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
+        };
+        (from..from + 20).map(one).collect::<Vec<_>>()
+    };
+    for from in [1, 100, 200] {
+        for client in clients(from) {
+            assert_eq!(
+                read_response(&mut BufReader::new(client)).map(|got| got.0),
+                Some(200)
+            );
+        }
+    }
+    let (resident, _) = used(program.child.id()).unwrap();
+    assert!(resident < 16 << 10, "{resident} kB");
+}
+
+#[test]
+fn three_hundred_peers_cost_little_time_and_memory_at_the_start() {
+    let own = free_udp_address().to_string();
+    let peers: Vec<String> = (0..300)
+        .map(|n| {
+            if n == 7 {
+                own.clone()
+            } else {
+                format!("127.9.{}.1:7946", n % 250)
+            }
+        })
+        .collect();
+    let config = config(&[instant_engine()])
+        .with("peer_listen", own)
+        .with("peers", json!(peers));
+    let config = config
+        .with("settings.balancers", 300)
+        .with("settings.limits.peers", true);
+    let from = Instant::now();
+    let mut program = Program::start(Path::new(EXE), &config.with("settings.me", 7), &[]);
+    assert!(
+        from.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        from.elapsed()
+    );
+    (1..20).for_each(|id| assert_eq!(answer_status(&program, id, 9000.0), Some(200)));
+    let own = own_memory(program.child.id()).unwrap();
+    assert!(own < 1600, "{own} kB");
+    program.terminate();
+    program.end();
+}
--- /dev/null
+++ b/crates/dispatcher/tests/platform_limits/support.rs
@@ -0,0 +1,73 @@
+//! What the tests here share: engines that answer at once, and limits set on the program before it starts.
+
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::program::{class, free_address, Config, Program};
+use tansymux_testbed::wire::{read_response, write_frame};
+
+/// The program under test.
+pub const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
+
+/// A configuration with these engines and two resource groups.
+pub fn config(engines: &[SocketAddr]) -> Config {
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, address)| (format!("s-{index}"), *address))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
+    Config::new(free_address(), &engines, &classes, &[1, 1])
+}
+
+/// An engine that answers at once.
+pub fn instant_engine() -> SocketAddr {
+    let answers = |parts: &[String], to: &mut std::net::TcpStream| {
+        write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+    };
+    scripted(answers).0
+}
+
+/// The answer's status to one query.
+pub fn answer_status(program: &Program, id: u64, wait_ms: f64) -> Option<u16> {
+    let mut query = ClientQuery::new(
+        id,
+        "/invoke/look",
+        "look",
+        "SELECT a FROM sales_17.orders",
+        wait_ms,
+    );
+    query.cost = Some(20.0);
+    let stream = send_query_in_two_parts(program.listen, &query, 40, Duration::from_millis(1));
+    read_response(&mut BufReader::new(stream)).map(|got| got.0)
+}
+
+/// Starts the program with no more than 64 descriptors and 64 MB of address space.
+pub fn start_limited(config: &Config) -> Program {
+    let limits = [(libc::RLIMIT_NOFILE, 64), (libc::RLIMIT_AS, 64 << 20)];
+    Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
+        let set_limits = move || {
+            limits.iter().try_for_each(|&(resource, limit)| {
+                let both = libc::rlimit {
+                    rlim_cur: limit,
+                    rlim_max: limit,
+                };
+                // SAFETY: a valid limit.
+                match unsafe { libc::setrlimit(resource, &both) } {
+                    0 => Ok(()),
+                    _ => Err(std::io::Error::last_os_error()),
+                }
+            })
+        };
+        // SAFETY: one system call for each limit.
+        unsafe { command.pre_exec(set_limits) };
+    })
+}
--- /dev/null
+++ b/crates/dispatcher/tests/platform_limits/system_calls.rs
@@ -0,0 +1,161 @@
+//! The program does without the system calls that the platform refuses, and is linked as the platform needs it.
+
+use crate::support::{answer_status, config, instant_engine, EXE};
+use object::{Object, ObjectSegment, ObjectSymbol};
+use seccompiler::SeccompCmpOp::{MaskedEq, Ne};
+use seccompiler::{
+    BpfProgram, SeccompAction, SeccompCmpArgLen::Dword, SeccompCondition, SeccompFilter,
+    SeccompRule,
+};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use tansymux_testbed::program::{free_udp_address, Program};
+
+fn refuse(rules: BTreeMap<i64, Vec<SeccompRule>>, error: i32) -> BpfProgram {
+    let arch = std::env::consts::ARCH
+        .try_into()
+        .expect("seccomp is known on this machine");
+    let filter = SeccompFilter::new(
+        rules,
+        SeccompAction::Allow,
+        SeccompAction::Errno(error as u32),
+        arch,
+    );
+    filter
+        .and_then(BpfProgram::try_from)
+        .expect("a filter of plain rules")
+}
+
+/// Only if an argument compares so.
+fn only(argument: u8, how: seccompiler::SeccompCmpOp, value: u64) -> Vec<SeccompRule> {
+    let condition =
+        SeccompCondition::new(argument, Dword, how, value).expect("an argument from 0 to 5");
+    vec![SeccompRule::new(vec![condition]).expect("one condition")]
+}
+
+/// What the page refuses, and any socket but IPv4's. The program's own start by exec has to pass.
+fn refused() -> [BpfProgram; 2] {
+    let all = Vec::new;
+    let processes = MaskedEq(libc::CLONE_THREAD as u64);
+    let not_there = [
+        (libc::SYS_fork, all()),
+        (libc::SYS_vfork, all()),
+        (libc::SYS_clone, only(0, processes, 0)),
+        (libc::SYS_clone3, all()),
+        (libc::SYS_execveat, all()),
+        (libc::SYS_io_uring_setup, all()),
+        (libc::SYS_sendfile, all()),
+        (libc::SYS_socketpair, all()),
+        (libc::SYS_socket, only(0, Ne, libc::AF_INET as u64)),
+    ];
+    [
+        refuse(BTreeMap::from(not_there), libc::ENOSYS),
+        refuse(BTreeMap::from([(libc::SYS_splice, all())]), libc::EINVAL),
+    ]
+}
+
+/// How many processes have this one as their parent.
+fn children(pid: u32) -> usize {
+    let parent = format!("PPid:\t{pid}");
+    let processes = std::fs::read_dir("/proc")
+        .expect("processes are shown")
+        .flatten();
+    let status =
+        |entry: std::fs::DirEntry| std::fs::read_to_string(entry.path().join("status")).ok();
+    processes
+        .filter_map(status)
+        .filter(|status| status.lines().any(|line| line == parent))
+        .count()
+}
+
+#[test]
+fn program_runs_without_the_system_calls_that_the_platform_refuses() {
+    let (config, filters) = (config(&[instant_engine()]), refused());
+    let peer = free_udp_address().to_string();
+    let config = config
+        .with("peer_listen", peer.clone())
+        .with("peers", json!([peer]));
+    let mut program = Program::prepared(Path::new(EXE), &config, &[], Stdio::piped(), |command| {
+        let apply = move || {
+            let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
+            filters
+                .iter()
+                .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
+        };
+        // SAFETY: two system calls each, on memory that was filled before the fork.
+        unsafe { command.pre_exec(apply) };
+    });
+    program.wait_until_healthy();
+    (1..40).for_each(|id| assert_eq!(answer_status(&program, id, 9000.0), Some(200)));
+    program.signal("-HUP");
+    program.wait_for_count("configurations_read 1\n");
+    assert_eq!(answer_status(&program, 41, 9000.0), Some(200));
+    let (pid, threads) = (program.child.id(), |pid| {
+        std::fs::read_dir(format!("/proc/{pid}/task"))
+    });
+    assert_eq!(
+        (
+            children(pid),
+            threads(pid).map(Iterator::count).unwrap_or(0)
+        ),
+        (0, 2)
+    );
+    program.terminate();
+    let log = program.end();
+    assert!(log.contains("finished 40\n"), "{log}");
+}
+
+#[test]
+fn the_system_call_filter_keeps_a_shell_from_starting_a_process() {
+    // A shell under it can't start a program, or this machine has no such filters and the test above shows nothing.
+    let filters = refused();
+    let mut shell = Command::new("/bin/sh");
+    shell
+        .args(["-c", "/bin/true; exit 7"])
+        .stderr(Stdio::null());
+    let apply = move || {
+        let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
+        filters
+            .iter()
+            .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
+    };
+    // SAFETY: as above.
+    unsafe { shell.pre_exec(apply) };
+    let ended = shell
+        .status()
+        .expect("this machine can't filter system calls: the test can't be run here");
+    assert!(!ended.success() && ended.code() != Some(7), "{ended}");
+}
+
+#[test]
+fn program_is_dynamically_linked_against_the_c_library() {
+    let bytes = std::fs::read(EXE).unwrap();
+    let file = object::File::parse(&*bytes).unwrap();
+    let has = |name: &[u8]| {
+        let data = |segment: object::Segment| segment.data().is_ok_and(|data| contains(data, name));
+        file.segments().any(data)
+    };
+    assert!(has(b"/ld-linux") || has(b"/ld-musl"), "no loader is named");
+    assert!(
+        has(b"libc.so.6\0") || has(b"libc.musl"),
+        "the C library is not asked for"
+    );
+    let calls = file
+        .dynamic_symbols()
+        .filter_map(|symbol| symbol.name().ok())
+        .collect::<Vec<_>>();
+    // What a platform that lends a clock and sockets has to be able to take the place of.
+    for call in ["clock_gettime", "accept4", "sendto", "pthread_create"] {
+        assert!(
+            calls.contains(&call),
+            "{call} is not taken from the C library: {calls:?}"
+        );
+    }
+}
+
+fn contains(data: &[u8], what: &[u8]) -> bool {
+    data.windows(what.len()).any(|window| window == what)
+}
