--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -133,7 +133,11 @@
         write_line(&mut text, "submissions_out", self.attempts_in_flight());
         write_line(&mut text, "unanswered", self.unanswered());
         write_line(&mut text, "in_hand", in_flight as u64);
-        write_line(&mut text, "log_lines_left_out", crate::log::left_out());
+        write_line(
+            &mut text,
+            "log_lines_left_out",
+            crate::log::suppressed_lines(),
+        );
         for report in self.extra_reports.borrow().iter() {
             report(&mut text);
         }
