--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -81,10 +81,10 @@
     }
 
     /// Analyses the statement, where the operators' file says so.
-    pub fn classify(&self, classes: &StatementClassifier) -> Option<ClassifiedStatement> {
+    pub fn classify(&self, classifier: &StatementClassifier) -> Option<ClassifiedStatement> {
         match self.named_group {
-            Some(group) => classes.check(group, self.id, self.statement),
-            None => classes.classify(self.statement, self.received_ms),
+            Some(group) => classifier.check(group, self.id, self.statement),
+            None => classifier.classify(self.statement, self.received_ms),
         }
     }
 
