--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -9,7 +9,7 @@
 mod messages;
 mod query;
 
-pub use messages::{EndpointEntry, EngineCommand, Event};
+pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{Answer, AnswerSlot, Grant, Pages, Query, QueryRequest, RequestKeys};
 
 use crate::counters::Counters;
@@ -102,15 +102,15 @@
         self.queries.borrow_mut().insert(number, query);
         self.number_by_id.borrow_mut().insert(id, number);
         self.counters.admitted.increment();
-        self.push_event(Event::QueryArrived {
+        self.push_event(Event::QueryArrived(ArrivedQuery {
             query: number,
             tenant: request.tenant.into(),
             key: request.keys.ordering_number(),
-            cost: request.estimated_cost_ms,
-            memory: request.memory_mb,
+            estimated_cost_ms: request.estimated_cost_ms,
+            memory_mb: request.memory_mb,
             tables: request.tables,
             text: request.text,
-        });
+        }));
         Ok((number, slot))
     }
 
@@ -230,7 +230,7 @@
     }
 
     /// The attempt in flight waits for a lock.
-    pub fn mark_waited(&self, number: u64) {
+    pub fn record_wait(&self, number: u64) {
         if let Some(query) = self.queries.borrow_mut().get_mut(&number) {
             query.waited = true;
         }
