Registry: query_id, units and the events' own terms in its messages

Fields of Event, EngineCommand and EndpointEntry as in tansymux::events (query_id, latency_ms, limits, kind, endpoints, state, started_ms, estimated_cost_ms, memory_mb); the registry's number of a query is its query id, apart from the client's id.

--- a/crates/dispatcher/src/client/request.rs
+++ b/crates/dispatcher/src/client/request.rs
@@ -105,9 +105,9 @@
             .named_group
             .or(analysed_group)
             .ok_or(RequestError::UNKNOWN)?;
-        let mut text = analysis.map_or(StatementTraits::UNKNOWN, |analysis| analysis.traits);
+        let mut traits = analysis.map_or(StatementTraits::UNKNOWN, |analysis| analysis.traits);
         if self.cost_ms > 0.0 {
-            text.confidence = 1.0;
+            traits.confidence = 1.0;
         }
         // The analysis estimates only what the client of a statement without a resource group left open.
         let estimates = analysis.filter(|_| self.named_group.is_none());
@@ -126,7 +126,7 @@
                 estimated_memory_mb.min(limits.max_memory_mb),
             ),
             tables: self.tables,
-            text,
+            traits,
             shape: analysis.map(|analysis| analysis.shape),
             keys: self.keys,
         })
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -58,7 +58,7 @@
 enum Handled {
     /// A query was admitted.
     Query {
-        number: u64,
+        query_id: u64,
         slot: Rc<AnswerSlot>,
     },
     Answered,
@@ -228,7 +228,7 @@
         let is_bare_path = |path: &str| pages.classifier.is_path(path);
         let (status, body) = match Route::of(head.method, head.path, is_bare_path) {
             Route::Query => match self.admit(head) {
-                Ok((number, slot)) => return Ok(Handled::Query { number, slot }),
+                Ok((query_id, slot)) => return Ok(Handled::Query { query_id, slot }),
                 Err(error) => return Ok(Handled::Refused(error)),
             },
             Route::Unknown => return Ok(Handled::Refused(RequestError::UNKNOWN)),
@@ -243,7 +243,7 @@
         Ok(Handled::Answered)
     }
 
-    /// Admits the query of a complete request. Returns its number, and where its answer will come.
+    /// Admits the query of a complete request. Returns its query id, and where its answer will come.
     fn admit(&self, head: &Head<'_>) -> Result<(u64, Rc<AnswerSlot>), RequestError> {
         let frontend = self.frontend;
         let body = &self.buffer.bytes()[head.head_len..head.request_len()];
@@ -262,9 +262,9 @@
         mut keep_alive: bool,
     ) -> io::Result<ControlFlow<Closing>> {
         match handled {
-            Handled::Query { number, slot } => {
+            Handled::Query { query_id, slot } => {
                 self.buffer.consume(request_len);
-                let Some(answer) = self.wait_for_answer(number, &slot).await else {
+                let Some(answer) = self.wait_for_answer(query_id, &slot).await else {
                     return Ok(ControlFlow::Break(Closing::Disconnected));
                 };
                 let is_last = self.frontend.phase.get().is_last_call() && self.buffer.is_empty();
@@ -288,7 +288,7 @@
     }
 
     /// Waits for the answer of a query; `None` if its client left first.
-    async fn wait_for_answer(&mut self, number: u64, slot: &AnswerSlot) -> Option<Answer> {
+    async fn wait_for_answer(&mut self, query_id: u64, slot: &AnswerSlot) -> Option<Answer> {
         let answered = async { Some(slot.answered().await) };
         let client_left = async {
             self.watch_client().await;
@@ -296,7 +296,7 @@
         };
         let answer = future::or(answered, client_left).await;
         if answer.is_none() {
-            self.frontend.registry.client_left(number);
+            self.frontend.registry.client_left(query_id);
         }
         answer
     }
--- a/crates/dispatcher/src/config/endpoints.rs
+++ b/crates/dispatcher/src/config/endpoints.rs
@@ -65,9 +65,9 @@
         kind: optional_text(&instance.child("machineType"))?,
         zone: optional_text(&instance.child("zone"))?,
         cell: instance.child("cell").number_or(0.0, 0.0)? as u32,
-        status,
+        state: status,
         // 0 stands for unknown.
-        started: Some(started_ms.number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
+        started_ms: Some(started_ms.number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
     })
 }
 
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -53,7 +53,7 @@
     );
     let engine = &config.directory.endpoints()[0];
     assert_eq!(
-        (engine.status, engine.started),
+        (engine.state, engine.started_ms),
         (EndpointState::Draining, Some(7.0))
     );
     assert_eq!(
--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -201,7 +201,7 @@
     /// An older list may come from a service that lags behind: an engine that was reported as draining or gone stays
     /// so, unless it has started since. Where that leaves no engine ready, the list is right and the reports were wrong.
     fn keep_known_ends(&self, entries: &mut Vec<EndpointEntry>) {
-        let is_ready = |entry: &EndpointEntry| entry.status == EndpointState::Ready;
+        let is_ready = |entry: &EndpointEntry| entry.state == EndpointState::Ready;
         let has_ended = |entry: &EndpointEntry| self.was_draining(entry) || self.was_gone(entry);
         let mut ready = entries.iter().filter(|entry| is_ready(entry)).peekable();
         if ready.peek().is_some() && ready.all(has_ended) {
@@ -210,7 +210,7 @@
         entries.retain(|entry| !self.was_gone(entry));
         for entry in entries.iter_mut() {
             if self.was_draining(entry) {
-                entry.status = EndpointState::Draining;
+                entry.state = EndpointState::Draining;
             }
         }
     }
@@ -219,7 +219,7 @@
     fn was_draining(&self, entry: &EndpointEntry) -> bool {
         let known = self.engines.get(&entry.engine_id);
         known.is_some_and(|known| {
-            known.status == EndpointState::Draining && start_of(entry) <= start_of(known)
+            known.state == EndpointState::Draining && start_of(entry) <= start_of(known)
         })
     }
 
@@ -256,7 +256,7 @@
         let mut gone = Vec::new();
         for mut entry in before.into_values() {
             if !self.engines.contains_key(&entry.engine_id) {
-                entry.status = EndpointState::Gone;
+                entry.state = EndpointState::Gone;
                 gone.push(entry);
             }
         }
@@ -270,7 +270,7 @@
         self.gone
             .retain(|(engine_id, _)| !engines.contains_key(engine_id));
         self.gone
-            .extend(gone.iter().map(|entry| (entry.engine_id, entry.started)));
+            .extend(gone.iter().map(|entry| (entry.engine_id, entry.started_ms)));
         let surplus = self.gone.len().saturating_sub(MAX_ENGINES);
         self.gone.drain(..surplus);
         self.engine_ids
--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -51,7 +51,7 @@
         .endpoints()
         .iter()
         .find(|e| e.engine_id == engine_id)
-        .map(|e| e.status)
+        .map(|e| e.state)
 }
 
 #[test]
@@ -71,8 +71,8 @@
         kind: "std".into(),
         zone: "east".into(),
         cell: 1,
-        status: EndpointState::Ready,
-        started: None,
+        state: EndpointState::Ready,
+        started_ms: None,
     });
     let AnswerOutcome::Updated(listed) =
         directory.apply_answer(&answer(4, &[("s-1", true, 0.0)]), 2)
@@ -81,7 +81,7 @@
     };
     let told: Vec<_> = listed
         .iter()
-        .map(|e| (e.engine_id == old, e.status, e.kind.as_str(), e.cell))
+        .map(|e| (e.engine_id == old, e.state, e.kind.as_str(), e.cell))
         .collect();
     assert_eq!(
         told,
@@ -285,7 +285,7 @@
     };
     let gone: Vec<u64> = listed
         .iter()
-        .filter(|e| e.status == EndpointState::Gone)
+        .filter(|e| e.state == EndpointState::Gone)
         .map(|e| e.engine_id)
         .collect();
     assert_eq!(
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -186,8 +186,8 @@
     fn report_update(&self, engines: Vec<EndpointEntry>) {
         self.registry.counters.endpoint_updates.increment();
         self.registry.push_event(Event::EndpointList {
-            form: EndpointListKind::Snapshot,
-            engines,
+            kind: EndpointListKind::Snapshot,
+            endpoints: engines,
         });
     }
 }
--- a/crates/dispatcher/src/discovery/records.rs
+++ b/crates/dispatcher/src/discovery/records.rs
@@ -53,11 +53,11 @@
         kind: kind.unwrap_or("").to_owned(),
         zone: zone.to_owned(),
         cell: cell.unwrap_or(0),
-        status: match srv.priority {
+        state: match srv.priority {
             0 => EndpointState::Ready,
             _ => EndpointState::Draining,
         },
-        started: started.filter(|ms| *ms > 0.0),
+        started_ms: started.filter(|ms| *ms > 0.0),
     }
 }
 
@@ -79,10 +79,10 @@
     for entry in entries {
         if seen_ids.insert(entry.engine_id) {
             merged.push(entry);
-        } else if entry.status == EndpointState::Draining {
+        } else if entry.state == EndpointState::Draining {
             let mut merged = merged.iter_mut();
             if let Some(first) = merged.find(|first| first.engine_id == entry.engine_id) {
-                first.status = EndpointState::Draining;
+                first.state = EndpointState::Draining;
             }
         }
     }
@@ -107,7 +107,7 @@
 
 /// When the engine started (Unix ms); 0 if it has been there from the beginning or nothing says when it started.
 pub fn start_of(entry: &EndpointEntry) -> f64 {
-    entry.started.unwrap_or(0.0)
+    entry.started_ms.unwrap_or(0.0)
 }
 
 /// A hash of what an answer says, whatever the order of its records.
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -173,8 +173,8 @@
         let changes = fleet.tick(now_ms, load);
         if !changes.is_empty() {
             self.registry.push_event(Event::EndpointList {
-                form: EndpointListKind::Delta,
-                engines: changes,
+                kind: EndpointListKind::Delta,
+                endpoints: changes,
             });
         }
     }
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -34,63 +34,63 @@
     fn deliver_event(&self, event: Event, control: &mut Control, out: &mut dyn DecisionSink) {
         match event {
             Event::QueryArrived {
-                query,
+                query_id,
                 tenant,
                 key,
-                cost,
-                memory,
+                estimated_cost_ms,
+                memory_mb,
                 tables,
-                text,
+                statement,
             } => {
-                let Some((group, deadline_ms)) = self.group_and_deadline(query) else {
+                let Some((group, deadline_ms)) = self.group_and_deadline(query_id) else {
                     return;
                 };
                 let arrived = QueryArrived {
-                    query_id: query,
+                    query_id,
                     group: &group,
                     tenant: &tenant,
                     deadline_ms,
                     key,
-                    estimated_cost_ms: cost,
-                    memory_mb: memory,
+                    estimated_cost_ms,
+                    memory_mb,
                     tables,
-                    statement: text,
+                    statement,
                 };
                 self.on_query_arrived(&arrived, control, out);
             }
-            Event::ClientLeft { query } => {
-                control.on_client_gone(query, out);
-                self.registry.forget_if_over(query);
+            Event::ClientLeft { query_id } => {
+                control.on_client_gone(query_id, out);
+                self.registry.forget_if_over(query_id);
             }
             Event::AttemptEnded {
-                query,
+                query_id,
                 attempt,
                 outcome,
                 engine_id,
-                latency,
+                latency_ms,
                 pages,
             } => {
                 let ended = AttemptEnded {
-                    query_id: query,
+                    query_id,
                     attempt,
                     engine_id,
                     outcome,
                     answer_delivered: false,
-                    latency_ms: latency,
+                    latency_ms,
                     used: None,
                 };
                 self.on_attempt_ended(ended, pages, control, out);
             }
             Event::ProgressReported {
-                query,
+                query_id,
                 attempt,
-                note,
+                kind,
                 amount,
             } => {
                 let note = ProgressNote {
-                    query_id: query,
+                    query_id,
                     attempt,
-                    kind: note,
+                    kind,
                     amount,
                 };
                 self.on_progress_note(&note, control);
@@ -100,8 +100,8 @@
                 zones.on_attempt_ended(self.now_ms, engine_id, outcome);
                 control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
             }
-            Event::EndpointList { form, engines } => {
-                self.on_endpoint_list(form, engines, control, out);
+            Event::EndpointList { kind, endpoints } => {
+                self.on_endpoint_list(kind, endpoints, control, out);
             }
             Event::PeerMessage { peer, content } => {
                 let message = PeerMessage {
@@ -201,8 +201,8 @@
                 engine_id: endpoint.engine_id,
                 kind: &endpoint.kind,
                 zone: &endpoint.zone,
-                state: endpoint.status,
-                started_ms: endpoint.started,
+                state: endpoint.state,
+                started_ms: endpoint.started_ms,
                 cell: endpoint.cell,
             });
         }
@@ -214,7 +214,7 @@
 fn classified_attempt(query: &Query) -> Option<ClassifiedAttempt> {
     Some(ClassifiedAttempt {
         shape: query.shape?,
-        rg: query.resource_group.clone(),
+        resource_group: query.resource_group.clone(),
         waited: query.waited,
     })
 }
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -104,8 +104,8 @@
             tasks.push(executor.spawn(fleet.clone().run()));
         }
         registry.push_event(Event::EndpointList {
-            form: EndpointListKind::Cached,
-            engines: config.directory.endpoints(),
+            kind: EndpointListKind::Cached,
+            endpoints: config.directory.endpoints(),
         });
         let resolver = Rc::new(Cell::new(config.resolver));
         tasks.push(executor.spawn(discovery::follow(
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -296,9 +296,9 @@
                 attempt,
                 note,
             } => self.registry.push_event(Event::ProgressReported {
-                query: query_id,
+                query_id,
                 attempt,
-                note: note.kind,
+                kind: note.kind,
                 amount: note.amount,
             }),
             FrameEvent::HealthChecked(outcome) => self.report_health(channel.engine_id, outcome, 1),
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -43,20 +43,20 @@
         while let Some(command) = self.registry.next_command() {
             match command {
                 EngineCommand::Submit {
-                    query,
+                    query_id,
                     attempt,
                     engine_id,
-                    bounds: limits,
+                    limits,
                 } => self.submit(&AttemptOrder {
-                    query_id: query,
+                    query_id,
                     number: attempt,
                     engine_id,
                     limits,
                 }),
-                EngineCommand::Withdraw { query } => self.withdraw(query),
-                EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
-                EngineCommand::SetPriority { query, priority } => {
-                    self.set_priority(query, priority)
+                EngineCommand::Withdraw { query_id } => self.withdraw(query_id),
+                EngineCommand::Cancel { query_id, attempt } => self.cancel(query_id, attempt),
+                EngineCommand::SetPriority { query_id, priority } => {
+                    self.set_priority(query_id, priority)
                 }
                 EngineCommand::HealthCheck { engine_id } => self.check_health(engine_id),
             }
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -36,7 +36,7 @@
         Engine {
             address: entry.address,
             zone: entry.zone.clone(),
-            started_ms: entry.started,
+            started_ms: entry.started_ms,
             is_gone: false,
             late_connects: 0,
             channels: Vec::new(),
@@ -45,14 +45,14 @@
 
     /// Takes over what the list says. Whether it is another process than before, or none.
     fn update(&mut self, entry: &EndpointEntry) -> bool {
-        self.is_gone = entry.status == EndpointState::Gone;
+        self.is_gone = entry.state == EndpointState::Gone;
         self.zone.clone_from(&entry.zone);
         let moved = entry.address.is_some() && entry.address != self.address;
-        let restarted = entry.started.is_some() && entry.started != self.started_ms;
+        let restarted = entry.started_ms.is_some() && entry.started_ms != self.started_ms;
         let is_replaced = self.is_gone || moved || restarted;
         if is_replaced {
             self.address = entry.address.or(self.address);
-            self.started_ms = entry.started;
+            self.started_ms = entry.started_ms;
         }
         is_replaced
     }
@@ -173,7 +173,7 @@
                 channel.retire();
             }
         }
-        if is_replaced || entry.status == EndpointState::Draining {
+        if is_replaced || entry.state == EndpointState::Draining {
             for channel in &channels {
                 self.withdraw_unstarted(channel);
             }
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -26,11 +26,11 @@
 impl From<AttemptReport> for Event {
     fn from(report: AttemptReport) -> Event {
         Event::AttemptEnded {
-            query: report.query_id,
+            query_id: report.query_id,
             attempt: report.attempt,
             outcome: report.outcome,
             engine_id: report.engine_id,
-            latency: report.latency_ms,
+            latency_ms: report.latency_ms,
             pages: report.pages,
         }
     }
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -15,7 +15,7 @@
     side_effect_free: true,
 };
 
-fn engine(status: EndpointState, started: Option<f64>, port: u16) -> EndpointEntry {
+fn engine(state: EndpointState, started_ms: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     EndpointEntry {
         engine_id: 7,
@@ -23,8 +23,8 @@
         kind: "std".into(),
         zone: "h".into(),
         cell: 0,
-        status,
-        started,
+        state,
+        started_ms,
     }
 }
 
@@ -54,7 +54,7 @@
         estimated_cost_ms: 1.0,
         memory_mb: 1.0,
         tables: 1,
-        text: StatementTraits::UNKNOWN,
+        traits: StatementTraits::UNKNOWN,
         shape: None,
         keys: RequestKeys::default(),
     };
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -21,9 +21,9 @@
     /// Number of its cell.
     pub cell: u32,
     /// Whether it takes queries.
-    pub status: EndpointState,
+    pub state: EndpointState,
     /// When its process started (ms), if the list says so.
-    pub started: Option<f64>,
+    pub started_ms: Option<f64>,
 }
 
 /// What came in since the last round of the decisions.
@@ -31,30 +31,30 @@
 pub enum Event {
     /// A query was admitted.
     QueryArrived {
-        /// Its number in the registry.
-        query: u64,
+        /// Its number, as the registry gave it: never that of another query, unlike the client's own id.
+        query_id: u64,
         /// Its tenant by the settings' name; empty where the settings name none.
         tenant: Rc<str>,
         /// Its ordering key, where its client gave one.
         key: Option<u64>,
         /// Estimated thread time (ms); 0 where there is no estimate.
-        cost: f64,
+        estimated_cost_ms: f64,
         /// Estimated memory (MB); 0 where there is no estimate.
-        memory: f64,
+        memory_mb: f64,
         /// The set of tables that it uses, as a number.
         tables: u32,
         /// What its text showed.
-        text: StatementTraits,
+        statement: StatementTraits,
     },
     /// The client left before its answer.
     ClientLeft {
         /// The query's number.
-        query: u64,
+        query_id: u64,
     },
     /// An attempt ended.
     AttemptEnded {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// How it ended.
@@ -62,18 +62,18 @@
         /// The engine that it went to.
         engine_id: u64,
         /// From submission to the end (ms).
-        latency: f64,
+        latency_ms: f64,
         /// Its result, where it completed.
         pages: Pages,
     },
     /// An engine sent a progress note on a running attempt.
     ProgressReported {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// What the note is about.
-        note: NoteKind,
+        kind: NoteKind,
         /// Its amount, in the unit of its kind.
         amount: f64,
     },
@@ -87,9 +87,9 @@
     /// The endpoint list, or what changed of it.
     EndpointList {
         /// Whether it is the whole list.
-        form: EndpointListKind,
+        kind: EndpointListKind,
         /// Its entries.
-        engines: Vec<EndpointEntry>,
+        endpoints: Vec<EndpointEntry>,
     },
     /// A message from another dispatcher.
     PeerMessage {
@@ -106,30 +106,30 @@
     /// Start an attempt.
     Submit {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// The engine that it goes to.
         engine_id: u64,
         /// Its time limits.
-        bounds: AttemptLimits,
+        limits: AttemptLimits,
     },
     /// The query is over: what of it was not yet written to an engine must not be.
     Withdraw {
         /// The query's number.
-        query: u64,
+        query_id: u64,
     },
     /// Cancel an attempt.
     Cancel {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
     },
     /// Tell the engine the new priority of the attempt in flight.
     SetPriority {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Its priority on the engine's scale.
         priority: u8,
     },
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -46,10 +46,12 @@
     pub counters: Counters,
     /// No query has a deadline later than this (ms): the program ends then.
     latest_deadline_ms: Cell<f64>,
+    /// By query id.
     queries: RefCell<FxHashMap<u64, Query>>,
-    number_by_id: RefCell<FxHashMap<Rc<str>, u64>>,
+    /// Query ids by the ids that clients gave.
+    query_by_client_id: RefCell<FxHashMap<Rc<str>, u64>>,
     completed_ids: RefCell<CompletedIds>,
-    last_number: Cell<u64>,
+    last_query_id: Cell<u64>,
     /// Bytes of statements in flight, and their bound.
     statement_bytes: Cell<usize>,
     max_statement_bytes: usize,
@@ -65,9 +67,9 @@
             counters: Counters::default(),
             latest_deadline_ms: Cell::new(f64::INFINITY),
             queries: RefCell::default(),
-            number_by_id: RefCell::default(),
+            query_by_client_id: RefCell::default(),
             completed_ids: RefCell::default(),
-            last_number: Cell::default(),
+            last_query_id: Cell::default(),
             statement_bytes: Cell::default(),
             max_statement_bytes,
             events: RefCell::default(),
@@ -77,12 +79,12 @@
 
     // ---- Client side ----
 
-    /// Admits a query. Returns its number, and where its answer will come.
+    /// Admits a query. Returns its query id, and where its answer will come.
     ///
     /// # Errors
     /// Its id is in flight or was used before, or the registry is full; nothing has changed then.
     pub fn admit(&self, request: &QueryRequest) -> Result<(u64, Rc<AnswerSlot>), AdmissionError> {
-        if self.number_by_id.borrow().contains_key(request.id) {
+        if self.query_by_client_id.borrow().contains_key(request.id) {
             return Err(AdmissionError::InFlight);
         }
         if self.completed_ids.borrow().contains(request.id) {
@@ -93,32 +95,32 @@
             return Err(AdmissionError::Overloaded);
         }
         self.statement_bytes.set(statement_bytes);
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
+        let query_id = self.last_query_id.get() + 1;
+        self.last_query_id.set(query_id);
         let id: Rc<str> = request.id.into();
         let slot = Rc::new(AnswerSlot::default());
         let mut query = Query::new(request, id.clone(), slot.clone());
         query.deadline_ms = query.deadline_ms.min(self.latest_deadline_ms.get());
-        self.queries.borrow_mut().insert(number, query);
-        self.number_by_id.borrow_mut().insert(id, number);
+        self.queries.borrow_mut().insert(query_id, query);
+        self.query_by_client_id.borrow_mut().insert(id, query_id);
         self.counters.admitted.increment();
         self.push_event(Event::QueryArrived {
-            query: number,
+            query_id,
             tenant: request.tenant.into(),
             key: request.keys.ordering_number(),
-            cost: request.estimated_cost_ms,
-            memory: request.memory_mb,
+            estimated_cost_ms: request.estimated_cost_ms,
+            memory_mb: request.memory_mb,
             tables: request.tables,
-            text: request.text,
+            statement: request.traits,
         });
-        Ok((number, slot))
+        Ok((query_id, slot))
     }
 
     /// The client has left: no answer is owed, and none will be given.
-    pub fn client_left(&self, number: u64) {
-        if self.complete(number).is_some() {
+    pub fn client_left(&self, query_id: u64) {
+        if self.complete(query_id).is_some() {
             self.counters.client_disconnects.increment();
-            self.push_event(Event::ClientLeft { query: number });
+            self.push_event(Event::ClientLeft { query_id });
         }
     }
 
@@ -136,8 +138,8 @@
     }
 
     /// Reads a query in flight; `None` where there is none of this number.
-    pub fn with_query<T>(&self, number: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
-        self.queries.borrow().get(&number).map(read)
+    pub fn with_query<T>(&self, query_id: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
+        self.queries.borrow().get(&query_id).map(read)
     }
 
     // ---- Driver ----
@@ -161,8 +163,8 @@
     }
 
     /// Gives a query its final answer. Returns false, and gives none, if one was given or none is owed.
-    pub fn answer(&self, number: u64, answer: Answer) -> bool {
-        let Some(slot) = self.complete(number) else {
+    pub fn answer(&self, query_id: u64, answer: Answer) -> bool {
+        let Some(slot) = self.complete(query_id) else {
             return false;
         };
         let (counter, outcome) = match answer {
@@ -171,20 +173,20 @@
             Answer::Failed => (&self.counters.failed, "failed"),
         };
         counter.increment();
-        tracing::debug!(query = number, outcome, "query answered");
+        tracing::debug!(query_id, outcome, "query answered");
         slot.fill(answer);
-        self.forget_if_over(number);
+        self.forget_if_over(query_id);
         true
     }
 
     /// Every end of a query passes here once, from whichever side. Its slot, if an answer was still owed. What waits to
     /// be written of it is withdrawn, whether or not the settings allow cancels.
-    fn complete(&self, number: u64) -> Option<Rc<AnswerSlot>> {
+    fn complete(&self, query_id: u64) -> Option<Rc<AnswerSlot>> {
         let mut queries = self.queries.borrow_mut();
-        let query = queries.get_mut(&number)?;
+        let query = queries.get_mut(&query_id)?;
         let slot = query.slot.take()?;
         if query.attempt_in_flight {
-            self.push_command(EngineCommand::Withdraw { query: number });
+            self.push_command(EngineCommand::Withdraw { query_id });
         }
         Some(slot)
     }
@@ -194,22 +196,22 @@
     }
 
     /// Whether the query's final answer was given, or none is owed.
-    pub fn is_over(&self, number: u64) -> bool {
+    pub fn is_over(&self, query_id: u64) -> bool {
         let queries = self.queries.borrow();
-        queries.get(&number).is_none_or(Query::is_over)
+        queries.get(&query_id).is_none_or(Query::is_over)
     }
 
     /// Starts an attempt. Refused, and logged as an error of this program, where the query is over or has an attempt
     /// in flight.
-    pub fn submit(&self, number: u64, engine_id: u64, bounds: AttemptLimits) {
+    pub fn submit(&self, query_id: u64, engine_id: u64, limits: AttemptLimits) {
         let mut queries = self.queries.borrow_mut();
         let query = queries
-            .get_mut(&number)
+            .get_mut(&query_id)
             .filter(|query| !query.is_over() && !query.attempt_in_flight);
         let Some(query) = query else {
             tracing::error!(
-                query = number,
-                engine_id,
+                query_id,
+                engine_id = %format_args!("{engine_id:08x}"),
                 reason = "the query is over or has an attempt in flight",
                 "attempt refused"
             );
@@ -222,26 +224,23 @@
         query.engine_id = engine_id;
         self.counters.attempts.increment();
         self.push_command(EngineCommand::Submit {
-            query: number,
+            query_id,
             attempt,
             engine_id,
-            bounds,
+            limits,
         });
     }
 
     /// The attempt in flight waits for a lock.
-    pub fn record_wait(&self, number: u64) {
-        if let Some(query) = self.queries.borrow_mut().get_mut(&number) {
+    pub fn record_wait(&self, query_id: u64) {
+        if let Some(query) = self.queries.borrow_mut().get_mut(&query_id) {
             query.waited = true;
         }
     }
 
     /// Cancels an attempt.
-    pub fn cancel(&self, number: u64, attempt: usize) {
-        self.push_command(EngineCommand::Cancel {
-            query: number,
-            attempt,
-        });
+    pub fn cancel(&self, query_id: u64, attempt: usize) {
+        self.push_command(EngineCommand::Cancel { query_id, attempt });
     }
 
     /// Starts a health check of an engine.
@@ -251,41 +250,38 @@
     }
 
     /// Sets what the next attempts are granted; an attempt in flight is told of a new priority.
-    pub fn grant(&self, number: u64, grant: Grant) {
+    pub fn grant(&self, query_id: u64, grant: Grant) {
         let mut queries = self.queries.borrow_mut();
-        let Some(query) = queries.get_mut(&number) else {
+        let Some(query) = queries.get_mut(&query_id) else {
             return;
         };
         let priority = grant.priority;
         let before = query.grant.replace(grant);
         let is_new = before.is_some_and(|before| before.priority != priority);
         if query.attempt_in_flight && is_new {
-            self.push_command(EngineCommand::SetPriority {
-                query: number,
-                priority,
-            });
+            self.push_command(EngineCommand::SetPriority { query_id, priority });
         }
     }
 
     /// The decisions were told the end of the attempt in flight.
-    pub fn attempt_ended(&self, number: u64) {
-        if let Some(query) = self.queries.borrow_mut().get_mut(&number) {
+    pub fn attempt_ended(&self, query_id: u64) {
+        if let Some(query) = self.queries.borrow_mut().get_mut(&query_id) {
             query.attempt_in_flight = false;
         }
-        self.forget_if_over(number);
+        self.forget_if_over(query_id);
     }
 
     /// Forgets a query that is over and has no attempt in flight. Its id is remembered if it ever had an attempt.
-    pub fn forget_if_over(&self, number: u64) {
+    pub fn forget_if_over(&self, query_id: u64) {
         let mut queries = self.queries.borrow_mut();
         let is_over = |query: &Query| query.is_over() && !query.attempt_in_flight;
-        if !queries.get(&number).is_some_and(is_over) {
+        if !queries.get(&query_id).is_some_and(is_over) {
             return;
         }
-        let Some(query) = queries.remove(&number) else {
+        let Some(query) = queries.remove(&query_id) else {
             return;
         };
-        self.number_by_id.borrow_mut().remove(&query.id);
+        self.query_by_client_id.borrow_mut().remove(&query.id);
         let statement_bytes = self.statement_bytes.get();
         self.statement_bytes
             .set(statement_bytes.saturating_sub(query.statement.len()));
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -101,7 +101,7 @@
     /// The set of tables that it uses, as a number.
     pub tables: u32,
     /// What its text showed.
-    pub text: StatementTraits,
+    pub traits: StatementTraits,
     /// What the analysis of its text leaves with it, where it was analysed.
     pub shape: Option<StatementShape>,
     /// The keys that its client gave it.
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -2,7 +2,7 @@
 use super::*;
 use tansymux::events::StatementTraits;
 
-const BOUNDS: AttemptLimits = AttemptLimits {
+const LIMITS: AttemptLimits = AttemptLimits {
     deadline_ms: 90.0,
     start_by_ms: 90.0,
     side_effect_free: true,
@@ -17,7 +17,7 @@
     estimated_cost_ms: 1.0,
     memory_mb: 1.0,
     tables: 1,
-    text: StatementTraits::UNKNOWN,
+    traits: StatementTraits::UNKNOWN,
     shape: None,
     keys: RequestKeys {
         idempotency_key: None,
@@ -28,39 +28,39 @@
 #[test]
 fn query_gets_one_answer_and_no_attempt_after_it() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.admit(&REQUEST).unwrap();
+    let (query_id, slot) = registry.admit(&REQUEST).unwrap();
     assert_eq!(
         registry.admit(&REQUEST).map(|_| ()),
         Err(AdmissionError::InFlight)
     );
-    registry.submit(query, 7, BOUNDS);
-    registry.submit(query, 8, BOUNDS);
+    registry.submit(query_id, 7, LIMITS);
+    registry.submit(query_id, 8, LIMITS);
     let first = EngineCommand::Submit {
-        query,
+        query_id,
         attempt: 0,
         engine_id: 7,
-        bounds: BOUNDS,
+        limits: LIMITS,
     };
     assert_eq!(registry.next_command(), Some(first));
     assert_eq!(registry.next_command(), None);
     assert!(
-        registry.answer(query, Answer::Failed)
+        registry.answer(query_id, Answer::Failed)
             && !registry.answer(
-                query,
+                query_id,
                 Answer::Rejected {
                     retry_after_ms: 1.0
                 }
             )
     );
     assert!(matches!(slot.take(), Some(Answer::Failed)));
-    // What has not gone out of it by now does not any more, whatever the settings say of cancels.
+    // What was not sent of it by now never is, whether or not the settings allow cancels.
     assert_eq!(
         registry.next_command(),
-        Some(EngineCommand::Withdraw { query })
+        Some(EngineCommand::Withdraw { query_id })
     );
-    registry.submit(query, 7, BOUNDS);
+    registry.submit(query_id, 7, LIMITS);
     assert_eq!((registry.next_command(), registry.in_flight()), (None, 1));
-    registry.attempt_ended(query);
+    registry.attempt_ended(query_id);
     assert_eq!(registry.in_flight(), 0);
     assert_eq!(
         registry.admit(&REQUEST).map(|_| ()),
@@ -78,7 +78,7 @@
 #[test]
 fn statements_beyond_the_byte_limit_are_rejected_until_others_complete() {
     let registry = QueryRegistry::new(REQUEST.statement.len() + 1);
-    let (query, _slot) = registry.admit(&REQUEST).unwrap();
+    let (query_id, _slot) = registry.admit(&REQUEST).unwrap();
     let second = QueryRequest {
         id: "9b1f03aa5c7e2d42",
         ..REQUEST
@@ -87,40 +87,40 @@
         registry.admit(&second).map(|_| ()),
         Err(AdmissionError::Overloaded)
     );
-    registry.answer(query, Answer::Failed);
+    registry.answer(query_id, Answer::Failed);
     assert!(registry.admit(&second).is_ok());
 }
 
 #[test]
 fn query_of_a_disconnected_client_gets_no_answer() {
     let registry = QueryRegistry::default();
-    let (query, slot) = registry.admit(&REQUEST).unwrap();
-    registry.client_left(query);
-    registry.client_left(query);
-    assert!(!registry.answer(query, Answer::Failed) && slot.take().is_none());
+    let (query_id, slot) = registry.admit(&REQUEST).unwrap();
+    registry.client_left(query_id);
+    registry.client_left(query_id);
+    assert!(!registry.answer(query_id, Answer::Failed) && slot.take().is_none());
     let events: Vec<Event> = std::iter::from_fn(|| registry.next_event()).collect();
     assert!(matches!(
         events[..],
         [Event::QueryArrived { .. }, Event::ClientLeft { .. }]
     ));
-    registry.forget_if_over(query);
+    registry.forget_if_over(query_id);
     assert_eq!(registry.in_flight(), 0);
 }
 
 #[test]
 fn new_priority_reaches_the_attempt_in_flight() {
     let registry = QueryRegistry::default();
-    let (query, _slot) = registry.admit(&REQUEST).unwrap();
+    let (query_id, _slot) = registry.admit(&REQUEST).unwrap();
     registry.grant(
-        query,
+        query_id,
         Grant {
             priority: 3,
             memory_mb: 0.0,
         },
     );
-    registry.submit(query, 7, BOUNDS);
+    registry.submit(query_id, 7, LIMITS);
     registry.grant(
-        query,
+        query_id,
         Grant {
             priority: 1,
             memory_mb: 0.0,
@@ -129,6 +129,9 @@
     registry.next_command();
     assert_eq!(
         registry.next_command(),
-        Some(EngineCommand::SetPriority { query, priority: 1 })
+        Some(EngineCommand::SetPriority {
+            query_id,
+            priority: 1
+        })
     );
 }
--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -13,7 +13,7 @@
     /// The class that its features give it.
     pub class: Class,
     /// The cost that its features alone give it (thread time, ms).
-    pub cost: f64,
+    pub cost_ms: f64,
 }
 
 /// A classified query whose attempt has ended.
@@ -22,7 +22,7 @@
     /// What the analysis of its statement left.
     pub shape: StatementShape,
     /// The resource group that it ran in.
-    pub rg: Rc<str>,
+    pub resource_group: Rc<str>,
     /// The attempt waited for a lock.
     pub waited: bool,
 }
--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -31,7 +31,7 @@
         for entry in entries.iter() {
             self.endpoints
                 .retain(|known| known.engine_id != entry.engine_id);
-            if entry.status != EndpointState::Gone {
+            if entry.state != EndpointState::Gone {
                 self.endpoints.push(entry.clone());
             }
         }
@@ -44,8 +44,8 @@
         member.engines(&units);
         for entry in entries {
             let is_drained = member.engine_out(entry.engine_id).is_some();
-            if entry.status == EndpointState::Ready && is_drained {
-                entry.status = EndpointState::Draining;
+            if entry.state == EndpointState::Ready && is_drained {
+                entry.state = EndpointState::Draining;
             }
         }
     }
@@ -59,7 +59,7 @@
             id: endpoint.engine_id,
             zone: number_of(&endpoint.zone),
             version: 0,
-            there: endpoint.status == EndpointState::Ready,
+            there: endpoint.state == EndpointState::Ready,
             capacity: cores.unwrap_or(1.0),
         }
     }
@@ -83,7 +83,7 @@
                 tracing::info!(engine_id = %format_args!("{engine_id:08x}"), "engine released by the fleet");
                 // As one that has just started, so that all dispatchers return to it in the same way.
                 changes.push(EndpointEntry {
-                    started: Some(now_ms),
+                    started_ms: Some(now_ms),
                     ..endpoint.clone()
                 });
             }
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -215,8 +215,8 @@
     pub fn on_endpoints(&self, entries: &[EndpointEntry]) {
         let mut starts = self.engine_starts_ms.borrow_mut();
         for entry in entries {
-            match entry.started {
-                Some(started_ms) if entry.status != EndpointState::Gone => {
+            match entry.started_ms {
+                Some(started_ms) if entry.state != EndpointState::Gone => {
                     starts.insert(entry.engine_id, started_ms);
                 }
                 _ => {
@@ -238,7 +238,7 @@
         let Some(active) = active.as_mut() else {
             return;
         };
-        let group = self.groups.get(&*attempt.rg);
+        let group = self.groups.get(&*attempt.resource_group);
         let observation = Observation {
             now: now_ms,
             engine: event.engine_id,
@@ -251,7 +251,7 @@
         let shape = attempt.shape;
         active
             .statements
-            .ended(shape.shape, shape.class, shape.cost, &observation);
+            .ended(shape.shape, shape.class, shape.cost_ms, &observation);
     }
 
     fn is_cold(&self, engine_id: u64, now_ms: f64) -> bool {
@@ -313,7 +313,7 @@
     StatementShape {
         shape: read.shape,
         class: read.reading.class,
-        cost: read.reading.cost,
+        cost_ms: read.reading.cost,
     }
 }
 
--- a/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -48,7 +48,7 @@
     );
     let taken = ClassifiedAttempt {
         shape: first.shape,
-        rg: "look".into(),
+        resource_group: "look".into(),
         waited: false,
     };
     let ended = AttemptEnded {
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -103,7 +103,7 @@
         let mut endpoints = self.endpoints.borrow_mut();
         for entry in entries {
             endpoints.retain(|known| known.engine_id != entry.engine_id);
-            if entry.status == EndpointState::Gone {
+            if entry.state == EndpointState::Gone {
                 continue;
             }
             let cores = self
@@ -113,7 +113,7 @@
                 engine_id: entry.engine_id,
                 zone: entry.zone.clone(),
                 cores: cores.unwrap_or(1.0),
-                ready: entry.status == EndpointState::Ready,
+                ready: entry.state == EndpointState::Ready,
             });
         }
         endpoints.sort_by_key(|engine| engine.engine_id);
