--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -78,7 +78,7 @@
 struct Update {
     source: AnswerSource,
     /// Its serial is not above that of the list.
-    goes_back: bool,
+    is_not_newer: bool,
 }
 
 impl EndpointDirectory {
@@ -117,7 +117,7 @@
             Err(reason) => return AnswerOutcome::Rejected(reason),
         };
         let mut entries = self.entries_of(answer);
-        if update.goes_back {
+        if update.is_not_newer {
             self.keep_known_ends(&mut entries);
         }
         AnswerOutcome::Updated(self.finish_update(&update, entries))
@@ -150,8 +150,11 @@
             Relation::Contradicting(_) if query <= self.query => return Ok(None),
             Relation::Contradicting(reason) => self.confirm(source).ok_or(reason)?,
         }
-        let goes_back = serial.wrapping_sub(self.serial) as i32 <= 0;
-        Ok(Some(Update { source, goes_back }))
+        let is_not_newer = serial.wrapping_sub(self.serial) as i32 <= 0;
+        Ok(Some(Update {
+            source,
+            is_not_newer,
+        }))
     }
 
     /// `Some` if the answer before agrees with this contradicting one; else this one waits to be confirmed.
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -3,9 +3,10 @@
 use super::channel::Channel;
 use super::connection::{ConnectionState, Suitability};
 use super::keep_alive::{KeepAlive, MIN_IDLE_MS};
+use super::reports::SettlingReport;
 use super::settings::ConnectionSettings;
 use crate::clock::Clock;
-use crate::query_registry::{EndpointEntry, Event, QueryRegistry};
+use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_executor::LocalExecutor;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -124,8 +125,8 @@
     connections: Cell<usize>,
     /// Health checks so far; the last one's tag is made of this number.
     pub(super) health_checks: Cell<u64>,
-    /// Ends that are reported once they have settled, and when (ms) that is.
-    pub(super) settling: RefCell<VecDeque<(f64, Event)>>,
+    /// Ends that are reported once they have settled, the next one first.
+    pub(super) settling: RefCell<VecDeque<SettlingReport>>,
     /// How long a connection may idle to be reused.
     pub(super) keep_alive: RefCell<KeepAlive>,
     /// The one buffer that all connections read through.
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -23,6 +23,12 @@
     pub pages: Pages,
 }
 
+/// The end of an abandoned attempt that the decisions have not heard of yet.
+pub(super) struct SettlingReport {
+    due_ms: f64,
+    event: Event,
+}
+
 impl From<AttemptReport> for Event {
     fn from(report: AttemptReport) -> Event {
         Event::AttemptEnded {
@@ -55,21 +61,21 @@
     pub(super) fn report_abandoned(&self, report: AttemptReport) {
         self.registry.counters.count_outcome(report.outcome);
         let due_ms = self.clock.now() + SETTLE_MS;
-        self.settling
-            .borrow_mut()
-            .push_back((due_ms, report.into()));
+        let event = report.into();
+        let mut settling = self.settling.borrow_mut();
+        settling.push_back(SettlingReport { due_ms, event });
+        drop(settling);
         self.registry.notify.notify();
     }
 
     /// Reports what has settled by now; when (ms) the next does, infinity if nothing settles.
     pub(super) fn publish_settled(&self, now_ms: f64) -> f64 {
         let mut settling = self.settling.borrow_mut();
-        while let Some((_, event)) = settling.pop_front_if(|(due_ms, _)| *due_ms <= now_ms) {
-            self.registry.push_event(event);
+        while let Some(settled) = settling.pop_front_if(|report| report.due_ms <= now_ms) {
+            self.registry.push_event(settled.event);
         }
-        settling
-            .front()
-            .map_or(f64::INFINITY, |(due_ms, _)| *due_ms)
+        let next = settling.front();
+        next.map_or(f64::INFINITY, |report| report.due_ms)
     }
 
     /// Abandons an attempt and reports its end: with `outcome` if it may have run, else as one that never ran.
--- a/crates/dispatcher/tests/platform_limits/resources.rs
+++ b/crates/dispatcher/tests/platform_limits/resources.rs
@@ -3,7 +3,7 @@
 use crate::support::{answer_status, config, instant_engine, start_limited, EXE};
 use serde_json::json;
 use std::io::BufReader;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
@@ -15,41 +15,43 @@
 use tansymux_testbed::record::{Record, Status};
 use tansymux_testbed::wire::read_response;
 
+/// Sends a query and does not wait for its answer.
+fn send_query(program: &Program, id: u64) -> TcpStream {
+    let mut query = ClientQuery::new(
+        id,
+        "/invoke/look",
+        "look",
+        "SELECT a FROM sales_17.orders",
+        9000.0,
+    );
+    query.cost = Some(20.0);
+    send_query_in_two_parts(program.listen, &query, 40, Duration::ZERO)
+}
+
 #[test]
 fn clients_that_use_up_descriptors_block_neither_discovery_nor_reload() {
-    // The engines of the start hang, each with a connection for each query, and the service is silent at first.
-    let hangs: Vec<SocketAddr> = (0..4).map(|_| scripted(|_, _| {}).0).collect();
+    // The configured engines never answer, each holds a connection for each query, and the name service is silent.
+    let silent_engines: Vec<SocketAddr> = (0..4).map(|_| scripted(|_, _| {}).0).collect();
     let names = NameService::start(Vec::new(), Arc::new(Record::default()));
     names.silent(true);
-    let config = config(&hangs).with("limits", json!({"sockets": 64, "memory_mb": 16}));
+    let config = config(&silent_engines).with("limits", json!({"sockets": 64, "memory_mb": 16}));
     let config = config
         .with("resolver", names.address.to_string())
         .with("settings.limits.streams-per-conn", 1);
     let mut program = start_limited(&config);
-    // They connect as soon as anyone listens, and many more than there are places.
-    let from = Instant::now();
+    // Clients connect as soon as anyone listens, and many more than there are places.
+    let started = Instant::now();
     let mut idle = Vec::new();
     while idle.len() < 120 {
-        assert!(from.elapsed() < TIMEOUT, "nobody listens");
-        match std::net::TcpStream::connect(program.listen) {
+        assert!(started.elapsed() < TIMEOUT, "nobody listens");
+        match TcpStream::connect(program.listen) {
             Ok(stream) => idle.push(stream),
             Err(_) => thread::sleep(Duration::from_millis(1)),
         }
     }
-    let ask = |id| {
-        let mut ask = ClientQuery::new(
-            id,
-            "/invoke/look",
-            "look",
-            "SELECT a FROM sales_17.orders",
-            9000.0,
-        );
-        ask.cost = Some(20.0);
-        send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
-    };
-    let hang: Vec<_> = (1..60).map(ask).collect();
+    let waiting: Vec<_> = (1..60).map(|id| send_query(&program, id)).collect();
     program.wait_until_healthy();
-    // All that needs a descriptor while they hold theirs: a list from another socket, and the file at SIGHUP.
+    // What needs a descriptor while they hold theirs: a list from another socket, and the file at SIGHUP.
     program.wait_for_count("lists 0\n");
     names.add(Endpoint {
         id: "s-9".into(),
@@ -64,7 +66,7 @@
     program.signal("-HUP");
     program.wait_for_count("configurations_read 1\n");
     program.wait_for_count("lists 1\n");
-    drop(hang);
+    drop(waiting);
     program.wait_for_count("submissions_out 0\n");
     assert_eq!(answer_status(&program, 99, 9000.0), Some(200));
     program.terminate();
@@ -78,60 +80,42 @@
     let config = config(&engines).with("limits", json!({"sockets": 64, "memory_mb": 16}));
     let program = start_limited(&config);
     program.wait_until_healthy();
-    let clients = |from: u64| {
-        let one = |id| {
-            let mut ask = ClientQuery::new(
-                id,
-                "/invoke/look",
-                "look",
-                "SELECT a FROM sales_17.orders",
-                9000.0,
-            );
-            ask.cost = Some(20.0);
-            send_query_in_two_parts(program.listen, &ask, 40, Duration::ZERO)
-        };
-        (from..from + 20).map(one).collect::<Vec<_>>()
-    };
-    for from in [1, 100, 200] {
-        for client in clients(from) {
-            assert_eq!(
-                read_response(&mut BufReader::new(client)).map(|got| got.0),
-                Some(200)
-            );
+    for first_id in [1, 100, 200] {
+        let ids = first_id..first_id + 20;
+        let clients: Vec<_> = ids.map(|id| send_query(&program, id)).collect();
+        for client in clients {
+            let response = read_response(&mut BufReader::new(client));
+            assert_eq!(response.map(|response| response.0), Some(200));
         }
     }
-    let (resident, _) = used(program.child.id()).unwrap();
-    assert!(resident < 16 << 10, "{resident} kB");
+    let (resident_kb, _) = used(program.child.id()).unwrap();
+    assert!(resident_kb < 16 << 10, "{resident_kb} kB");
 }
 
 #[test]
 fn three_hundred_peers_cost_little_time_and_memory_at_the_start() {
     let own = free_udp_address().to_string();
-    let peers: Vec<String> = (0..300)
-        .map(|n| {
-            if n == 7 {
-                own.clone()
-            } else {
-                format!("127.9.{}.1:7946", n % 250)
-            }
-        })
-        .collect();
+    let address_of = |peer: u32| match peer {
+        7 => own.clone(),
+        _ => format!("127.9.{}.1:7946", peer % 250),
+    };
+    let peers: Vec<String> = (0..300).map(address_of).collect();
     let config = config(&[instant_engine()])
-        .with("peer_listen", own)
+        .with("peer_listen", own.clone())
         .with("peers", json!(peers));
     let config = config
         .with("settings.balancers", 300)
         .with("settings.limits.peers", true);
-    let from = Instant::now();
+    let started = Instant::now();
     let mut program = Program::start(Path::new(EXE), &config.with("settings.me", 7), &[]);
     assert!(
-        from.elapsed() < Duration::from_secs(2),
+        started.elapsed() < Duration::from_secs(2),
         "{:?}",
-        from.elapsed()
+        started.elapsed()
     );
     (1..20).for_each(|id| assert_eq!(answer_status(&program, id, 9000.0), Some(200)));
-    let own = own_memory(program.child.id()).unwrap();
-    assert!(own < 1600, "{own} kB");
+    let own_kb = own_memory(program.child.id()).unwrap();
+    assert!(own_kb < 1600, "{own_kb} kB");
     program.terminate();
     program.end();
 }
--- a/crates/dispatcher/tests/platform_limits/system_calls.rs
+++ b/crates/dispatcher/tests/platform_limits/system_calls.rs
@@ -14,7 +14,8 @@
 use std::process::{Command, Stdio};
 use tansymux_testbed::program::{free_udp_address, Program};
 
-fn refuse(rules: BTreeMap<i64, Vec<SeccompRule>>, error: i32) -> BpfProgram {
+/// A filter that answers the calls of these rules with an error.
+fn filter_of(rules: BTreeMap<i64, Vec<SeccompRule>>, error: i32) -> BpfProgram {
     let arch = std::env::consts::ARCH
         .try_into()
         .expect("seccomp is known on this machine");
@@ -29,15 +30,15 @@
         .expect("a filter of plain rules")
 }
 
-/// Only if an argument compares so.
-fn only(argument: u8, how: seccompiler::SeccompCmpOp, value: u64) -> Vec<SeccompRule> {
+/// A call is refused only where an argument compares so.
+fn only(argument: u8, comparison: seccompiler::SeccompCmpOp, value: u64) -> Vec<SeccompRule> {
     let condition =
-        SeccompCondition::new(argument, Dword, how, value).expect("an argument from 0 to 5");
+        SeccompCondition::new(argument, Dword, comparison, value).expect("an argument from 0 to 5");
     vec![SeccompRule::new(vec![condition]).expect("one condition")]
 }
 
 /// What the page refuses, and any socket but IPv4's. The program's own start by exec has to pass.
-fn refused() -> [BpfProgram; 2] {
+fn platform_filters() -> [BpfProgram; 2] {
     let all = Vec::new;
     let processes = MaskedEq(libc::CLONE_THREAD as u64);
     let not_there = [
@@ -52,13 +53,21 @@
         (libc::SYS_socket, only(0, Ne, libc::AF_INET as u64)),
     ];
     [
-        refuse(BTreeMap::from(not_there), libc::ENOSYS),
-        refuse(BTreeMap::from([(libc::SYS_splice, all())]), libc::EINVAL),
+        filter_of(BTreeMap::from(not_there), libc::ENOSYS),
+        filter_of(BTreeMap::from([(libc::SYS_splice, all())]), libc::EINVAL),
     ]
 }
 
+fn apply(filters: &[BpfProgram]) -> std::io::Result<()> {
+    for filter in filters {
+        let applied = seccompiler::apply_filter(filter);
+        applied.map_err(|error| std::io::Error::other(error.to_string()))?;
+    }
+    Ok(())
+}
+
 /// How many processes have this one as their parent.
-fn children(pid: u32) -> usize {
+fn child_processes(pid: u32) -> usize {
     let parent = format!("PPid:\t{pid}");
     let processes = std::fs::read_dir("/proc")
         .expect("processes are shown")
@@ -73,36 +82,24 @@
 
 #[test]
 fn program_runs_without_the_system_calls_that_the_platform_refuses() {
-    let (config, filters) = (config(&[instant_engine()]), refused());
+    let filters = platform_filters();
     let peer = free_udp_address().to_string();
-    let config = config
+    let config = config(&[instant_engine()])
         .with("peer_listen", peer.clone())
         .with("peers", json!([peer]));
     let mut program = Program::prepared(Path::new(EXE), &config, &[], Stdio::piped(), |command| {
-        let apply = move || {
-            let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
-            filters
-                .iter()
-                .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
-        };
         // SAFETY: two system calls each, on memory that was filled before the fork.
-        unsafe { command.pre_exec(apply) };
+        unsafe { command.pre_exec(move || apply(&filters)) };
     });
     program.wait_until_healthy();
     (1..40).for_each(|id| assert_eq!(answer_status(&program, id, 9000.0), Some(200)));
     program.signal("-HUP");
     program.wait_for_count("configurations_read 1\n");
     assert_eq!(answer_status(&program, 41, 9000.0), Some(200));
-    let (pid, threads) = (program.child.id(), |pid| {
-        std::fs::read_dir(format!("/proc/{pid}/task"))
-    });
-    assert_eq!(
-        (
-            children(pid),
-            threads(pid).map(Iterator::count).unwrap_or(0)
-        ),
-        (0, 2)
-    );
+    let pid = program.child.id();
+    let threads = std::fs::read_dir(format!("/proc/{pid}/task"));
+    let threads = threads.map(Iterator::count).unwrap_or(0);
+    assert_eq!((child_processes(pid), threads), (0, 2));
     program.terminate();
     let log = program.end();
     assert!(log.contains("finished 40\n"), "{log}");
@@ -111,19 +108,13 @@
 #[test]
 fn the_system_call_filter_keeps_a_shell_from_starting_a_process() {
     // A shell under it can't start a program, or this machine has no such filters and the test above shows nothing.
-    let filters = refused();
+    let filters = platform_filters();
     let mut shell = Command::new("/bin/sh");
     shell
         .args(["-c", "/bin/true; exit 7"])
         .stderr(Stdio::null());
-    let apply = move || {
-        let refused = |e: seccompiler::Error| std::io::Error::other(e.to_string());
-        filters
-            .iter()
-            .try_for_each(|filter| seccompiler::apply_filter(filter).map_err(refused))
-    };
     // SAFETY: as above.
-    unsafe { shell.pre_exec(apply) };
+    unsafe { shell.pre_exec(move || apply(&filters)) };
     let ended = shell
         .status()
         .expect("this machine can't filter system calls: the test can't be run here");
@@ -156,6 +147,6 @@
     }
 }
 
-fn contains(data: &[u8], what: &[u8]) -> bool {
-    data.windows(what.len()).any(|window| window == what)
+fn contains(data: &[u8], pattern: &[u8]) -> bool {
+    data.windows(pattern.len()).any(|window| window == pattern)
 }
