--- a/crates/dispatcher/src/client/status_pages.rs
+++ b/crates/dispatcher/src/client/status_pages.rs
@@ -22,7 +22,7 @@
     /// The program's clock.
     pub clock: Clock,
     /// Analysis of statements.
-    pub classes: Rc<StatementClassifier>,
+    pub classifier: Rc<StatementClassifier>,
     /// Service levels.
     pub levels: Rc<ServiceLevels>,
     /// Zones.
@@ -34,7 +34,7 @@
 impl StatusPages {
     /// All counters, a line each.
     pub fn counters(&self) -> String {
-        subsystems::counters(&self.registry, &self.classes, &self.levels, &self.zones)
+        subsystems::counters(&self.registry, &self.classifier, &self.levels, &self.zones)
     }
 
     /// The service levels as JSON, once they have changed since version `after` where the client names one.
