--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -9,7 +9,7 @@
 mod messages;
 mod query;
 
-pub use messages::{EndpointEntry, EngineCommand, Event};
+pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{Answer, AnswerSlot, Grant, Pages, Query, QueryRequest, RequestKeys};
 
 use crate::counters::Counters;
@@ -104,7 +104,7 @@
         self.queries.borrow_mut().insert(query_id, query);
         self.query_by_client_id.borrow_mut().insert(id, query_id);
         self.counters.admitted.increment();
-        self.push_event(Event::QueryArrived {
+        self.push_event(Event::QueryArrived(ArrivedQuery {
             query_id,
             tenant: request.tenant.into(),
             key: request.keys.ordering_number(),
@@ -112,7 +112,7 @@
             memory_mb: request.memory_mb,
             tables: request.tables,
             statement: request.traits,
-        });
+        }));
         Ok((query_id, slot))
     }
 
