--- /dev/null
+++ b/crates/rollout/tests/datagram_fixtures.rs
@@ -0,0 +1,301 @@
+//! Datagrams that the version before the renames wrote: each is still read, and the same values still give the same bytes.
+
+use tansymux_coordination::limits::{Halt, Scope};
+use tansymux_coordination::wire::Counted;
+use tansymux_coordination::{Ballot, Kind, Record, Stage, Stamp, Value, Why};
+use tansymux_rollout::message::{read, write, Answer, Command, Message, Report, Status, ZoneList};
+use tansymux_zone_evacuation::wire::{Evidence, Plan, Reach, Told};
+use tansymux_zone_evacuation::{Fleetwide, Stage as ZoneStage, Why as ZoneWhy};
+
+/// One `name hex` a line, as written by commit 0fd3fce.
+const FIXTURES: &str = include_str!("fixtures/datagrams.hex");
+
+const CALL: u64 = 0x0102_0304_0506_0708;
+const NONCE: u64 = 0x1112_1314_1516_1718;
+const ID: u64 = 0x2122_2324_2526_2728;
+const GRANT: u64 = 0x3132_3334_3536_3738;
+const NUMBER: u32 = 0x4142_4344;
+const ZONE: u32 = 0x5152_5354;
+
+fn records() -> Vec<Counted> {
+    let stamp = Stamp {
+        ballot: Ballot {
+            round: 0x6162_6364,
+            leader: ID,
+        },
+        number: 9,
+    };
+    let halt = Value::Halt {
+        number: NUMBER,
+        by: ID,
+        why: 1,
+    };
+    let out = Value::Out {
+        kind: Kind::Dispatcher,
+        why: Why::Turn,
+        zone: ZONE,
+        session: 77,
+        grant: GRANT,
+    };
+    [(1, halt, None), (3, out, Some(12_345))]
+        .into_iter()
+        .map(|(key, value, left_ms)| (Record { key, stamp, value }, left_ms))
+        .collect()
+}
+
+fn report() -> Report {
+    Report {
+        digest: 0x7172_7374,
+        round: 0x6162_6364,
+        zone: ZONE,
+        version: 8,
+        session: 77,
+        busy: 0.625,
+        threads: 12.5,
+        good: 1000,
+        all: 1024,
+        bad: 6,
+        echo: 0x8182_8384,
+        turn: GRANT,
+    }
+}
+
+fn commands() -> Vec<Command> {
+    vec![
+        Command::Status,
+        Command::Turn {
+            id: ID,
+            to: 9,
+            grant: GRANT,
+        },
+        Command::Return {
+            id: ID,
+            grant: GRANT,
+        },
+        Command::Drain {
+            engine: ID,
+            grant: GRANT,
+        },
+        Command::Undrain { engine: ID },
+        Command::Release {
+            number: NUMBER,
+            to: 9,
+            from: 8,
+        },
+        Command::Back { number: NUMBER },
+        Command::Halt { number: NUMBER },
+        Command::Resume { number: NUMBER },
+        Command::Forget { id: ID },
+        Command::Leave {
+            zone: ZONE,
+            dry: true,
+        },
+        Command::Leave {
+            zone: ZONE,
+            dry: false,
+        },
+        Command::ReturnTo { zone: ZONE },
+        Command::Zones,
+    ]
+}
+
+fn status(halt: Option<(Halt, u32)>, release: Option<(u32, Stage, u32, u32)>) -> Answer {
+    Answer::Status(Status {
+        leader: ID,
+        members: 301,
+        out: 302,
+        lost: 303,
+        engines: 304,
+        engines_out: 305,
+        halt,
+        release,
+        released: 306,
+        to_go: 307,
+        pairs: 308,
+        by: -0.0625,
+    })
+}
+
+fn zone_states() -> Vec<(u32, Fleetwide, f32)> {
+    let left = Fleetwide {
+        stage: ZoneStage::Left,
+        step: 0,
+        number: 41,
+        why: ZoneWhy::CutOff,
+    };
+    let returns = Fleetwide {
+        stage: ZoneStage::Returns,
+        step: 3,
+        number: 42,
+        why: ZoneWhy::Reached,
+    };
+    vec![(ZONE, left, 0.0), (ZONE + 1, returns, 7.5)]
+}
+
+fn halted(why: Halt) -> Answer {
+    Answer::Halted {
+        why,
+        by: ID,
+        number: NUMBER,
+    }
+}
+
+fn full(scope: Scope) -> Answer {
+    Answer::Full {
+        scope,
+        out: 4,
+        most: 3,
+    }
+}
+
+fn answers() -> Vec<Answer> {
+    let mut list = ZoneList::default();
+    for (place, state) in list.iter_mut().zip(zone_states()) {
+        *place = Some(state);
+    }
+    let mut answers = vec![
+        Answer::NoLeader,
+        Answer::Pending,
+        Answer::Granted { left: 29_000 },
+        Answer::Done,
+        Answer::TooSoon { wait: 1500 },
+        Answer::NotCarried {
+            load: 24.0,
+            left: 20.5,
+        },
+        Answer::Unknown,
+        Answer::Others,
+        Answer::Pause,
+        Answer::NoSuchRelease,
+        Answer::Already,
+        Answer::Running { number: NUMBER },
+        Answer::NoWayBack,
+        Answer::TooMuch { part: 0.375 },
+        Answer::Zones(list),
+        status(None, None),
+        status(
+            Some((Halt::CantTell, NUMBER)),
+            Some((NUMBER + 1, Stage::Back, 9, 8)),
+        ),
+    ];
+    let halts = [
+        Halt::ByHand,
+        Halt::Worse,
+        Halt::UsedUp,
+        Halt::Lost,
+        Halt::CantTell,
+    ];
+    answers.extend(halts.map(halted));
+    answers.extend([Scope::Fleet, Scope::Zone, Scope::Version].map(full));
+    let reasons = [
+        Why::Turn,
+        Why::Drain,
+        Why::Ejected,
+        Why::Lost,
+        Why::Announced,
+    ];
+    answers.extend(reasons.map(|why| Answer::AlreadyOut { why }));
+    answers
+}
+
+fn zone_report() -> Message {
+    let reaches = [Reach::Unknown, Reach::Well, Reach::Climbing, Reach::Cut];
+    let zones = reaches
+        .into_iter()
+        .zip(0..)
+        .map(|(reach, offset)| Evidence {
+            zone: ZONE + offset,
+            reach,
+            threads: 2.5,
+            good: 0x9192,
+            bad: 0xA1A2,
+        });
+    Message::ZonesTold(Told {
+        session: 77,
+        number: NUMBER,
+        alone: true,
+        zones: zones.collect(),
+    })
+}
+
+fn samples() -> Vec<(&'static str, Message)> {
+    let mut samples = vec![
+        ("report", Message::Report(report())),
+        (
+            "gossip",
+            Message::Gossip {
+                leader: ID,
+                tick: 0x8182_8384,
+                records: records(),
+            },
+        ),
+        ("want", Message::Want),
+        ("hand", Message::Hand { records: records() }),
+        ("hello", Message::Hello { call: CALL }),
+        (
+            "nonce",
+            Message::Nonce {
+                call: CALL,
+                nonce: NONCE,
+            },
+        ),
+        ("zone-report", zone_report()),
+        (
+            "zone-plan",
+            Message::ZonePlan(Plan {
+                number: NUMBER,
+                zones: zone_states(),
+            }),
+        ),
+    ];
+    for command in commands() {
+        samples.push((
+            "command",
+            Message::Command {
+                call: CALL,
+                command,
+            },
+        ));
+        samples.push((
+            "call",
+            Message::Call {
+                call: CALL,
+                nonce: NONCE,
+                command,
+            },
+        ));
+    }
+    for answer in answers() {
+        samples.push(("answer", Message::Answer { call: CALL, answer }));
+    }
+    samples
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes_of(hex: &str) -> Vec<u8> {
+    (0..hex.len() / 2)
+        .map(|n| u8::from_str_radix(&hex[2 * n..2 * n + 2], 16).expect("hex digits"))
+        .collect()
+}
+
+#[test]
+fn datagrams_of_the_previous_version_are_read_and_the_same_values_give_the_same_bytes() {
+    let fixtures: Vec<(&str, &str)> = FIXTURES
+        .lines()
+        .map(|line| line.split_once(' ').expect("a name and hex digits"))
+        .collect();
+    let samples = samples();
+    assert_eq!(fixtures.len(), samples.len());
+    for ((name, message), (fixture, expected)) in samples.iter().zip(fixtures) {
+        assert_eq!(*name, fixture);
+        assert_eq!(hex(&write(message)), expected, "{message:?}");
+        assert_eq!(
+            read(&bytes_of(expected)).as_ref(),
+            Some(message),
+            "{message:?}"
+        );
+    }
+}
