--- a/crates/coordination/src/codec.rs
+++ b/crates/coordination/src/codec.rs
@@ -33,7 +33,7 @@
 const REMAINING_BYTES: usize = 4;
 const RECORD_BYTES: usize = 8 + STAMP_BYTES + VALUE_BYTES + REMAINING_BYTES;
 /// The longest head in front of records: that of a promise.
-const MAX_HEAD_BYTES: usize = 1 + BALLOT_BYTES + 8 + 4 + 1;
+const MAX_HEAD_BYTES: usize = 1 + BALLOT_BYTES + 8 + 4;
 /// Records that fit in one message.
 pub const MAX_RECORDS_PER_MESSAGE: usize = (MAX_DATAGRAM_BYTES - MAX_HEAD_BYTES) / RECORD_BYTES;
 
--- /dev/null
+++ b/crates/rollout/src/engine_outcomes.rs
@@ -0,0 +1,122 @@
+//! Whether an engine fails, as one dispatcher observes it. It only reports that; the leader ejects the engine when enough
+//! dispatchers agree and the disruption budget allows it.
+
+use std::collections::BTreeMap;
+use tansymux_coordination::Id;
+
+/// Outcomes are counted in two intervals of this length (ms), so that one counts for one to two of them.
+const INTERVAL_MS: f64 = 5000.0;
+/// Engines whose outcomes are counted.
+const MAX_ENGINES: usize = 1024;
+
+/// When an engine counts as failing.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FailureThreshold {
+    /// Attempts that it needs at least.
+    pub min_attempts: u32,
+    /// Fraction of them that failed, at least.
+    pub failure_fraction: f64,
+}
+
+impl Default for FailureThreshold {
+    fn default() -> Self {
+        FailureThreshold {
+            min_attempts: 8,
+            failure_fraction: 0.5,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct AttemptCount {
+    failed: u32,
+    total: u32,
+}
+
+impl AttemptCount {
+    fn plus(self, other: AttemptCount) -> AttemptCount {
+        AttemptCount {
+            failed: self.failed + other.failed,
+            total: self.total + other.total,
+        }
+    }
+
+    fn failure_fraction(self) -> f64 {
+        f64::from(self.failed) / f64::from(self.total.max(1))
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct EngineCounts {
+    current: AttemptCount,
+    previous: AttemptCount,
+}
+
+/// How recent attempts to each engine ended.
+#[derive(Debug, Clone, Default)]
+pub struct EngineOutcomes {
+    engines: BTreeMap<Id, EngineCounts>,
+    interval_start_ms: f64,
+}
+
+impl EngineOutcomes {
+    /// An attempt ended, and its outcome says something of the engine.
+    pub fn record(&mut self, engine: Id, failed: bool, now_ms: f64) {
+        self.rotate_intervals(now_ms);
+        if self.engines.len() >= MAX_ENGINES && !self.engines.contains_key(&engine) {
+            return;
+        }
+        let count = &mut self.engines.entry(engine).or_default().current;
+        count.total = count.total.saturating_add(1);
+        count.failed = count.failed.saturating_add(u32::from(failed));
+    }
+
+    fn rotate_intervals(&mut self, now_ms: f64) {
+        let elapsed_ms = now_ms - self.interval_start_ms;
+        if elapsed_ms < INTERVAL_MS {
+            return;
+        }
+        let both_ended = elapsed_ms >= 2.0 * INTERVAL_MS;
+        self.interval_start_ms = now_ms;
+        for counts in self.engines.values_mut() {
+            *counts = EngineCounts {
+                current: AttemptCount::default(),
+                previous: if both_ended {
+                    AttemptCount::default()
+                } else {
+                    counts.current
+                },
+            };
+        }
+        self.engines
+            .retain(|_, counts| counts.current.total > 0 || counts.previous.total > 0);
+    }
+
+    /// The engine with the highest failure fraction, if it reaches the threshold and the others together do not reach
+    /// half of it: where all engines fail, the fault is elsewhere.
+    pub fn failing_engine(&mut self, threshold: &FailureThreshold, now_ms: f64) -> Option<Id> {
+        self.rotate_intervals(now_ms);
+        let totals = self
+            .engines
+            .iter()
+            .map(|(id, counts)| (*id, counts.current.plus(counts.previous)));
+        let failing = totals.clone().filter(|(_, count)| {
+            count.total >= threshold.min_attempts
+                && count.failure_fraction() >= threshold.failure_fraction
+        });
+        let (worst, _) = failing.max_by(|(_, first), (_, second)| {
+            first
+                .failure_fraction()
+                .total_cmp(&second.failure_fraction())
+        })?;
+        let others = totals
+            .filter(|(id, _)| *id != worst)
+            .fold(AttemptCount::default(), |sum, (_, count)| sum.plus(count));
+        let others_are_sound = others.total >= threshold.min_attempts
+            && others.failure_fraction() < threshold.failure_fraction / 2.0;
+        others_are_sound.then_some(worst)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rollout/src/fleet_client.rs
@@ -0,0 +1,109 @@
+//! A client of the fleet: one command to one member. Without I/O.
+
+use crate::codec;
+use crate::message::{Answer, Command, Message};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tansymux_coordination::Id;
+use tansymux_membership::seal::{DatagramAuthenticator, Keys};
+use tansymux_membership::wire;
+
+/// An unanswered message is sent again after this long (ms).
+const RETRY_INTERVAL_MS: f64 = 200.0;
+/// A call without an answer has timed out after this long (ms).
+const CALL_TIMEOUT_MS: f64 = 6000.0;
+
+/// What a client wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClientAction {
+    /// Send a datagram to the member that is called. It may be lost.
+    Send {
+        /// Its bytes.
+        datagram: Vec<u8>,
+    },
+}
+
+/// One call. The member first gives a nonce, then takes the command.
+#[derive(Debug, Clone)]
+pub struct FleetClient {
+    id: Id,
+    authenticator: DatagramAuthenticator,
+    call: u64,
+    nonce: Option<u64>,
+    command: Command,
+    since_ms: f64,
+    next_poll_ms: f64,
+    answer: Option<Answer>,
+}
+
+impl FleetClient {
+    /// A call. `seed` has to be drawn for each of them.
+    pub fn new(keys: Keys, command: Command, now_ms: f64, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let id = rng.random();
+        let call = rng.random();
+        FleetClient {
+            id,
+            authenticator: DatagramAuthenticator::new(keys, rng.random()),
+            call,
+            nonce: None,
+            command,
+            since_ms: now_ms,
+            next_poll_ms: now_ms,
+            answer: None,
+        }
+    }
+
+    /// The answer; [`Answer::NoLeader`] where none came in time.
+    pub fn answer(&self) -> Option<Answer> {
+        self.answer
+    }
+
+    /// Takes in a datagram. One that is no answer to this call is passed over.
+    pub fn handle(&mut self, datagram: &[u8]) {
+        let Some(sender) = wire::sender(datagram) else {
+            return;
+        };
+        let content = self.authenticator.open(sender, datagram);
+        let Some(content) = content.and_then(wire::carried) else {
+            return;
+        };
+        match codec::decode(content) {
+            Ok(Message::Nonce { call, nonce }) if call == self.call && self.nonce.is_none() => {
+                self.nonce = Some(nonce);
+                self.next_poll_ms = f64::NEG_INFINITY;
+            }
+            Ok(Message::Answer { call, answer }) if call == self.call && self.answer.is_none() => {
+                self.answer = Some(answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// The next action that is due; none: nothing before [`FleetClient::next_poll_ms`], or all is done.
+    pub fn poll(&mut self, now_ms: f64) -> Option<ClientAction> {
+        if now_ms - self.since_ms >= CALL_TIMEOUT_MS {
+            self.answer.get_or_insert(Answer::NoLeader);
+        }
+        if self.answer.is_some() || now_ms < self.next_poll_ms {
+            return None;
+        }
+        self.next_poll_ms = now_ms + RETRY_INTERVAL_MS;
+        let message = match self.nonce {
+            None => Message::Hello { call: self.call },
+            Some(nonce) => Message::Call {
+                call: self.call,
+                nonce,
+                command: self.command,
+            },
+        };
+        let mut datagram = wire::write_carried(self.id, &codec::encode(&message))?;
+        self.authenticator.seal(&mut datagram);
+        Some(ClientAction::Send { datagram })
+    }
+
+    /// When to poll again (ms).
+    pub fn next_poll_ms(&self) -> f64 {
+        self.next_poll_ms
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,31 +1,53 @@
-//! Turns, drains and releases of a fleet.
+//! Drains, restart leases and rolling releases of a fleet of dispatchers.
 //!
-//! Owns: what the leader decides ([`RolloutController`]: who may be out, which stage a release is in, when it halts), whose turn
-//! it is ([`plan`]), whether the released do worse ([`compare`]), what a member knows and asks ([`MemberAgent`]), the
-//! messages ([`message`]), and all of it round membership and the voters as one object ([`Fleet`]). It does no I/O and
-//! reads no clock: datagrams and times come in, datagrams go out; the program, the tests and the rig drive the same
-//! object. It never starts or ends a process and never decides on a query.
+//! # What it owns
+//! - [`FleetNode`]: one whole member, with membership, voter, controller and agent. The program, the tests and the
+//!   testbed drive this one object.
+//! - [`RolloutController`]: the leader's decisions: who may be unavailable, the stage of a release, and when it halts.
+//! - [`rollout_plan`]: canaries and waves; [`canary_analysis`]: whether the released dispatchers do worse.
+//! - [`MemberAgent`]: a member's copy of the records, its reports, and the calls of clients.
+//! - [`FleetClient`] and [`RestartLease`]: the side of a command line or a supervisor.
+//! - [`message`] and [`codec`]: what members exchange.
 //!
-//! Invariants, checked in `tests/`:
-//! - a turn is told only once a majority keeps it, and is over for its holder before it is counted free;
-//! - what was lost counts as out until it is back or the operators say that it will not come;
-//! - a halt is final until that one halt is resumed; nothing of a release goes on by itself after it;
-//! - all tables, calls and queues are bounded.
+//! It does no I/O and reads no clock: datagrams and times come in, datagrams go out. It never starts or ends a process and
+//! never decides on a query.
 //!
-//! Start reading at [`Fleet::poll`], then [`RolloutController::command`].
+//! # Sources, and what differs
+//! - Rolling updates and disruption budgets as in Kubernetes (Deployment, PodDisruptionBudget). A supervisor restarts each
+//!   dispatcher itself, under a lease; waves go zone by zone, and a halt has to be resumed by its number.
+//! - Leases and sessions after M. Burrows, "The Chubby lock service" (2006); see crates/coordination.
+//! - Canary analysis with Student's paired t test ("The probable error of a mean", 1908), and a significance that is spent
+//!   over repeated evaluations, as in the alpha spending of Lan and DeMets (1983), here by 1/(n(n+1)).
+//!
+//! # Invariants, checked in `tests/`
+//! - A lease is given out only once a majority accepted it, and ends for its holder before it is counted free.
+//! - A lost member counts as unavailable until it is back or the operators forget it.
+//! - A halt is final until that one halt is resumed; no release goes on by itself after it.
+//! - All tables, calls and queues are bounded.
+//!
+//! Start reading at [`FleetNode::poll`], then [`RolloutController::on_command`].
+
+#![warn(missing_docs)]
 
-mod agent;
-mod caller;
-pub mod compare;
-pub mod evidence;
-mod fleet;
+mod call_table;
+pub mod canary_analysis;
+pub mod codec;
+pub mod engine_outcomes;
+mod fleet_client;
+mod fleet_node;
+mod member_agent;
 pub mod message;
-pub mod plan;
-mod steward;
-mod zoned;
+mod restart_lease;
+mod rollout_controller;
+pub mod rollout_plan;
+mod zone_coordinator;
 
-pub use agent::{MemberAgent, Own};
-pub use caller::{FleetClient, Turn, TurnEnd};
-pub use fleet::{Fleet, Settings};
-pub use plan::Plan;
-pub use steward::{halt_of, release_of, RolloutController, Told};
+pub use fleet_client::{ClientAction, FleetClient};
+pub use fleet_node::{FleetAction, FleetConfig, FleetEvent, FleetNode};
+pub use member_agent::{AgentAction, Destination, Gossip, MemberAgent, MemberStatus};
+pub use restart_lease::{LeaseOutcome, LeaseRequest, RestartLease};
+pub use rollout_controller::{
+    active_halt, active_release, ActiveHalt, RolloutConfig, RolloutController,
+};
+pub use rollout_plan::RolloutPlan;
+pub use zone_coordinator::ZoneCoordinator;
--- /dev/null
+++ b/crates/rollout/src/rollout_plan.rs
@@ -0,0 +1,226 @@
+//! The order of a rolling release: canaries, then one wave for each zone.
+
+use crate::canary_analysis::AnalysisConfig;
+use tansymux_coordination::{Id, ReleaseStage};
+
+/// How releases proceed, as configured.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct RolloutPlan {
+    /// How many dispatchers are canaries.
+    pub canary_count: usize,
+    /// How long the canaries are observed (ms).
+    pub canary_observation_ms: f64,
+    /// Whether a release goes on where the canaries had too little traffic for a comparison.
+    pub continue_if_inconclusive: bool,
+    /// Zones in the order of their waves; the others follow by number.
+    pub zone_order: Vec<u32>,
+    /// Pause after a zone (ms).
+    pub zone_pause_ms: f64,
+    /// A release halts when more members than this were lost since its start.
+    pub max_lost_members: usize,
+    /// Comparison of the released dispatchers with the others.
+    pub analysis: AnalysisConfig,
+}
+
+/// A dispatcher as a release regards it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Participant {
+    /// The dispatcher.
+    pub id: Id,
+    /// Its zone.
+    pub zone: u32,
+    /// Its version.
+    pub version: u32,
+    /// It is observed to serve.
+    pub available: bool,
+}
+
+/// A release.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Release {
+    /// Its number.
+    pub number: u32,
+    /// The new version.
+    pub to: u32,
+    /// The previous version; 0: any, and the release can't be rolled back.
+    pub from: u32,
+    /// How far it is.
+    pub stage: ReleaseStage,
+}
+
+impl Release {
+    /// The version that dispatchers restart to at present.
+    pub fn target_version(&self) -> u32 {
+        if self.stage == ReleaseStage::RollingBack {
+            self.from
+        } else {
+            self.to
+        }
+    }
+
+    /// Whether a dispatcher still has to restart, forward or back.
+    pub fn has_to_restart(&self, participant: &Participant) -> bool {
+        match self.stage {
+            ReleaseStage::RollingBack => participant.version == self.to,
+            ReleaseStage::Canaries | ReleaseStage::Waves => {
+                participant.version != self.to
+                    && (self.from == 0 || participant.version == self.from)
+            }
+            ReleaseStage::Completed | ReleaseStage::RolledBack => false,
+        }
+    }
+
+    /// Whether a dispatcher is part of the release, restarted or not.
+    fn includes(&self, participant: &Participant) -> bool {
+        participant.version == self.to || self.from == 0 || participant.version == self.from
+    }
+}
+
+/// Why a dispatcher may not restart for a release now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NotYet {
+    /// No release goes to that version.
+    #[error("no release goes to that version")]
+    NoSuchRelease,
+    /// It has that version.
+    #[error("the dispatcher has that version")]
+    Already,
+    /// Canaries or another zone are first.
+    #[error("canaries or another zone are first")]
+    OthersFirst,
+    /// The release pauses after a zone.
+    #[error("the release pauses after a zone")]
+    PausedAfterZone,
+}
+
+/// A dispatcher's wish to restart to a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RestartRequest {
+    /// The dispatcher.
+    pub id: Id,
+    /// The version that it comes back with.
+    pub to: u32,
+}
+
+/// Draws the canaries: pseudo-random by the release's number, and the same for every leader.
+fn canary_rank(id: Id, release_number: u32) -> u64 {
+    (id ^ u64::from(release_number))
+        .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        .rotate_left(31)
+        .wrapping_mul(0xBF58_476D_1CE4_E5B9)
+}
+
+impl RolloutPlan {
+    /// The stage that a release begins with.
+    pub fn first_stage(&self) -> ReleaseStage {
+        if self.canary_count > 0 {
+            ReleaseStage::Canaries
+        } else {
+            ReleaseStage::Waves
+        }
+    }
+
+    /// The canaries: drawn from all participants at any version, so that those that restarted still count.
+    pub fn canaries(&self, release: &Release, participants: &[Participant]) -> Vec<Id> {
+        let mut ranked: Vec<(u64, Id)> = participants
+            .iter()
+            .filter(|participant| release.includes(participant))
+            .map(|participant| (canary_rank(participant.id, release.number), participant.id))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(self.canary_count);
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Position of a zone in the order of waves.
+    fn zone_rank(&self, zone: u32) -> (usize, u32) {
+        let position = self
+            .zone_order
+            .iter()
+            .position(|configured| *configured == zone)
+            .unwrap_or(self.zone_order.len());
+        (position, zone)
+    }
+
+    /// The zone of the present wave: the first with a dispatcher that has to restart, the last on the way back.
+    pub fn current_zone(&self, release: &Release, participants: &[Participant]) -> Option<u32> {
+        let zones = participants
+            .iter()
+            .filter(|participant| release.has_to_restart(participant))
+            .map(|participant| participant.zone);
+        match release.stage {
+            ReleaseStage::RollingBack => zones.max_by_key(|zone| self.zone_rank(*zone)),
+            _ => zones.min_by_key(|zone| self.zone_rank(*zone)),
+        }
+    }
+
+    /// Whether the order of the release lets a dispatcher restart now. `is_paused`: the pause after a zone is not over.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn admit(
+        &self,
+        release: Option<&Release>,
+        participants: &[Participant],
+        request: RestartRequest,
+        is_paused: bool,
+    ) -> Result<(), NotYet> {
+        let release = release
+            .filter(|release| release.target_version() == request.to)
+            .ok_or(NotYet::NoSuchRelease)?;
+        let participant = participants
+            .iter()
+            .find(|participant| participant.id == request.id)
+            .ok_or(NotYet::NoSuchRelease)?;
+        if !release.has_to_restart(participant) {
+            return Err(NotYet::Already);
+        }
+        if release.stage == ReleaseStage::Canaries {
+            let is_canary = self.canaries(release, participants).contains(&request.id);
+            return if is_canary {
+                Ok(())
+            } else {
+                Err(NotYet::OthersFirst)
+            };
+        }
+        if self.current_zone(release, participants) != Some(participant.zone) {
+            return Err(NotYet::OthersFirst);
+        }
+        // A rollback does not pause: only the disruption budget slows it down.
+        if release.stage == ReleaseStage::Waves && is_paused {
+            return Err(NotYet::PausedAfterZone);
+        }
+        Ok(())
+    }
+
+    /// The stage that follows. `canaries_observed`: the canaries were observed for long enough.
+    pub fn next_stage(
+        &self,
+        release: &Release,
+        participants: &[Participant],
+        canaries_observed: bool,
+    ) -> ReleaseStage {
+        let any_left = participants
+            .iter()
+            .any(|participant| release.has_to_restart(participant));
+        match release.stage {
+            ReleaseStage::RollingBack if !any_left => ReleaseStage::RolledBack,
+            ReleaseStage::Canaries | ReleaseStage::Waves if !any_left => ReleaseStage::Completed,
+            ReleaseStage::Canaries if canaries_observed || self.canary_count == 0 => {
+                ReleaseStage::Waves
+            }
+            stage => stage,
+        }
+    }
+
+    /// Whether all canaries restarted and are available.
+    pub fn canaries_restarted(&self, release: &Release, participants: &[Participant]) -> bool {
+        let canaries = self.canaries(release, participants);
+        let restarted = |id: &Id| {
+            participants.iter().any(|participant| {
+                participant.id == *id && participant.available && participant.version == release.to
+            })
+        };
+        !canaries.is_empty() && canaries.iter().all(restarted)
+    }
+}
--- a/crates/rollout/tests/datagram_fixtures.rs
+++ b/crates/rollout/tests/datagram_fixtures.rs
@@ -1,9 +1,12 @@
 //! Datagrams that the version before the renames wrote: each is still read, and the same values still give the same bytes.
 
-use tansymux_coordination::limits::{Halt, Scope};
-use tansymux_coordination::wire::Counted;
-use tansymux_coordination::{Ballot, Kind, Record, Stage, Stamp, Value, Why};
-use tansymux_rollout::message::{read, write, Answer, Command, Message, Report, Status, ZoneList};
+use tansymux_coordination::disruption_budget::{HaltReason, Scope};
+use tansymux_coordination::{
+    Ballot, DisruptionReason, LeasedRecord, Record, RecordValue, ReleaseStage, Stamp, UnitKind,
+};
+use tansymux_rollout::codec::{decode, encode};
+use tansymux_rollout::message::{Answer, Command, Message, Report, Status, ZoneList};
+use tansymux_rollout::rollout_plan::Release;
 use tansymux_zone_evacuation::wire::{Evidence, Plan, Reach, Told};
 use tansymux_zone_evacuation::{Fleetwide, Stage as ZoneStage, Why as ZoneWhy};
 
@@ -17,7 +20,7 @@
 const NUMBER: u32 = 0x4142_4344;
 const ZONE: u32 = 0x5152_5354;
 
-fn records() -> Vec<Counted> {
+fn records() -> Vec<LeasedRecord> {
     let stamp = Stamp {
         ballot: Ballot {
             round: 0x6162_6364,
@@ -25,21 +28,24 @@
         },
         number: 9,
     };
-    let halt = Value::Halt {
+    let halt = RecordValue::Halt {
         number: NUMBER,
         by: ID,
-        why: 1,
+        reason: 1,
     };
-    let out = Value::Out {
-        kind: Kind::Dispatcher,
-        why: Why::Turn,
+    let out = RecordValue::Disruption {
+        kind: UnitKind::Dispatcher,
+        reason: DisruptionReason::RestartLease,
         zone: ZONE,
         session: 77,
-        grant: GRANT,
+        grant_id: GRANT,
     };
     [(1, halt, None), (3, out, Some(12_345))]
         .into_iter()
-        .map(|(key, value, left_ms)| (Record { key, stamp, value }, left_ms))
+        .map(|(key, value, left_ms)| LeasedRecord {
+            record: Record { key, stamp, value },
+            remaining_ms: left_ms,
+        })
         .collect()
 }
 
@@ -50,31 +56,31 @@
         zone: ZONE,
         version: 8,
         session: 77,
-        busy: 0.625,
+        utilization: 0.625,
         threads: 12.5,
-        good: 1000,
-        all: 1024,
-        bad: 6,
-        echo: 0x8182_8384,
-        turn: GRANT,
+        succeeded: 1000,
+        total: 1024,
+        failing_engine: 6,
+        echoed_tick: 0x8182_8384,
+        grant_id: GRANT,
     }
 }
 
 fn commands() -> Vec<Command> {
     vec![
         Command::Status,
-        Command::Turn {
+        Command::RequestLease {
             id: ID,
             to: 9,
-            grant: GRANT,
+            grant_id: GRANT,
         },
-        Command::Return {
+        Command::ReturnLease {
             id: ID,
-            grant: GRANT,
+            grant_id: GRANT,
         },
         Command::Drain {
             engine: ID,
-            grant: GRANT,
+            grant_id: GRANT,
         },
         Command::Undrain { engine: ID },
         Command::Release {
@@ -82,37 +88,37 @@
             to: 9,
             from: 8,
         },
-        Command::Back { number: NUMBER },
+        Command::RollBack { number: NUMBER },
         Command::Halt { number: NUMBER },
         Command::Resume { number: NUMBER },
         Command::Forget { id: ID },
-        Command::Leave {
+        Command::EvacuateZone {
             zone: ZONE,
-            dry: true,
+            dry_run: true,
         },
-        Command::Leave {
+        Command::EvacuateZone {
             zone: ZONE,
-            dry: false,
+            dry_run: false,
         },
-        Command::ReturnTo { zone: ZONE },
-        Command::Zones,
+        Command::ReturnToZone { zone: ZONE },
+        Command::ListZones,
     ]
 }
 
-fn status(halt: Option<(Halt, u32)>, release: Option<(u32, Stage, u32, u32)>) -> Answer {
+fn status(halt: Option<(HaltReason, u32)>, release: Option<Release>) -> Answer {
     Answer::Status(Status {
         leader: ID,
         members: 301,
-        out: 302,
+        unavailable: 302,
         lost: 303,
         engines: 304,
-        engines_out: 305,
+        engines_unavailable: 305,
         halt,
         release,
         released: 306,
-        to_go: 307,
+        remaining: 307,
         pairs: 308,
-        by: -0.0625,
+        mean_difference: -0.0625,
     })
 }
 
@@ -132,19 +138,19 @@
     vec![(ZONE, left, 0.0), (ZONE + 1, returns, 7.5)]
 }
 
-fn halted(why: Halt) -> Answer {
+fn halted(reason: HaltReason) -> Answer {
     Answer::Halted {
-        why,
+        reason,
         by: ID,
         number: NUMBER,
     }
 }
 
 fn full(scope: Scope) -> Answer {
-    Answer::Full {
+    Answer::BudgetExhausted {
         scope,
-        out: 4,
-        most: 3,
+        unavailable: 4,
+        max_unavailable: 3,
     }
 }
 
@@ -156,45 +162,52 @@
     let mut answers = vec![
         Answer::NoLeader,
         Answer::Pending,
-        Answer::Granted { left: 29_000 },
+        Answer::Granted {
+            remaining_ms: 29_000,
+        },
         Answer::Done,
-        Answer::TooSoon { wait: 1500 },
-        Answer::NotCarried {
+        Answer::TooSoon { wait_ms: 1500 },
+        Answer::InsufficientCapacity {
             load: 24.0,
-            left: 20.5,
+            remaining: 20.5,
         },
-        Answer::Unknown,
-        Answer::Others,
-        Answer::Pause,
+        Answer::UnknownUnit,
+        Answer::OthersFirst,
+        Answer::PausedAfterZone,
         Answer::NoSuchRelease,
         Answer::Already,
-        Answer::Running { number: NUMBER },
-        Answer::NoWayBack,
-        Answer::TooMuch { part: 0.375 },
+        Answer::ReleaseInProgress { number: NUMBER },
+        Answer::NoPreviousVersion,
+        Answer::TooManyCoresEvacuated { fraction: 0.375 },
         Answer::Zones(list),
         status(None, None),
         status(
-            Some((Halt::CantTell, NUMBER)),
-            Some((NUMBER + 1, Stage::Back, 9, 8)),
+            Some((HaltReason::Inconclusive, NUMBER)),
+            Some(Release {
+                number: NUMBER + 1,
+                to: 9,
+                from: 8,
+                stage: ReleaseStage::RollingBack,
+            }),
         ),
     ];
     let halts = [
-        Halt::ByHand,
-        Halt::Worse,
-        Halt::UsedUp,
-        Halt::Lost,
-        Halt::CantTell,
+        HaltReason::Operator,
+        HaltReason::CanaryWorse,
+        HaltReason::BudgetExhausted,
+        HaltReason::MembersLost,
+        HaltReason::Inconclusive,
     ];
     answers.extend(halts.map(halted));
     answers.extend([Scope::Fleet, Scope::Zone, Scope::Version].map(full));
     let reasons = [
-        Why::Turn,
-        Why::Drain,
-        Why::Ejected,
-        Why::Lost,
-        Why::Announced,
+        DisruptionReason::RestartLease,
+        DisruptionReason::Drain,
+        DisruptionReason::Ejected,
+        DisruptionReason::Lost,
+        DisruptionReason::Announced,
     ];
-    answers.extend(reasons.map(|why| Answer::AlreadyOut { why }));
+    answers.extend(reasons.map(|reason| Answer::AlreadyOut { reason }));
     answers
 }
 
@@ -210,7 +223,7 @@
             good: 0x9192,
             bad: 0xA1A2,
         });
-    Message::ZonesTold(Told {
+    Message::ZoneReport(Told {
         session: 77,
         number: NUMBER,
         alone: true,
@@ -229,8 +242,8 @@
                 records: records(),
             },
         ),
-        ("want", Message::Want),
-        ("hand", Message::Hand { records: records() }),
+        ("want", Message::RecordsRequest),
+        ("hand", Message::Records { records: records() }),
         ("hello", Message::Hello { call: CALL }),
         (
             "nonce",
@@ -291,10 +304,10 @@
     assert_eq!(fixtures.len(), samples.len());
     for ((name, message), (fixture, expected)) in samples.iter().zip(fixtures) {
         assert_eq!(*name, fixture);
-        assert_eq!(hex(&write(message)), expected, "{message:?}");
+        assert_eq!(hex(&encode(message)), expected, "{message:?}");
         assert_eq!(
-            read(&bytes_of(expected)).as_ref(),
-            Some(message),
+            decode(&bytes_of(expected)).as_ref(),
+            Ok(message),
             "{message:?}"
         );
     }
--- /dev/null
+++ b/crates/rollout/tests/rollout_controller.rs
@@ -0,0 +1,395 @@
+//! Decisions of the rollout controller, without a network: one voter is its own majority.
+
+use proptest::prelude::*;
+use tansymux_coordination::disruption_budget::{DisruptionBudget, Limit, Scope, Unit};
+use tansymux_coordination::{
+    DisruptionReason, QuorumConfig, QuorumNode, Record, RecordValue, UnitKind,
+};
+use tansymux_membership::State;
+use tansymux_rollout::codec;
+use tansymux_rollout::message::{Answer, Command, Message, Report};
+use tansymux_rollout::{RolloutConfig, RolloutController};
+
+const START_MS: f64 = 1e12;
+
+struct LeaderFixture {
+    node: QuorumNode,
+    controller: RolloutController,
+    now_ms: f64,
+}
+
+fn engines(count: u64, ready: impl Fn(u64) -> bool) -> Vec<Unit> {
+    (1..=count)
+        .map(|id| Unit {
+            id,
+            zone: (id % 2) as u32,
+            version: 0,
+            available: ready(id),
+            capacity: 8.0,
+        })
+        .collect()
+}
+
+impl LeaderFixture {
+    fn new(config: RolloutConfig, members: u64) -> Self {
+        let quorum_config = QuorumConfig {
+            max_datagram_delay_ms: 0.0,
+            ..QuorumConfig::default()
+        };
+        let node = QuorumNode::new(1, &[1], quorum_config, START_MS, true, 0, 1);
+        let mut fixture = LeaderFixture {
+            node,
+            controller: RolloutController::new(config),
+            now_ms: START_MS,
+        };
+        while fixture.node.poll(START_MS).is_some() {}
+        fixture
+            .controller
+            .set_members((1..=members).map(|id| (id, State::Alive)));
+        fixture.advance(10_000.0);
+        for id in 1..=members {
+            fixture.report(
+                id,
+                Report {
+                    zone: (id % 2) as u32 + 1,
+                    version: 7,
+                    session: 1,
+                    ..Report::default()
+                },
+            );
+        }
+        fixture
+    }
+
+    fn advance(&mut self, ms: f64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += 100.0;
+            while self.node.poll(self.now_ms).is_some() {}
+            self.controller.evaluate(&mut self.node, self.now_ms);
+        }
+    }
+
+    fn report(&mut self, id: u64, report: Report) {
+        let report = Report {
+            echoed_tick: RolloutController::tick(self.now_ms),
+            ..report
+        };
+        self.controller
+            .on_report(&self.node, id, report, self.now_ms);
+    }
+
+    fn command(&mut self, command: Command) -> Answer {
+        self.controller
+            .on_command(&mut self.node, command, self.now_ms)
+    }
+
+    fn disruption_count(&self, kind: UnitKind, reason: DisruptionReason) -> usize {
+        let is_counted = |value: &RecordValue| matches!(value, RecordValue::Disruption { kind: k, reason: r, .. } if *k == kind && *r == reason);
+        self.node
+            .all_active()
+            .filter(|leased| is_counted(&leased.record.value))
+            .count()
+    }
+}
+
+fn config(dispatchers: u32, engines: u32) -> RolloutConfig {
+    let bounds = |max_count| DisruptionBudget {
+        fleet: Limit {
+            max_count: Some(max_count),
+            max_fraction: None,
+        },
+        ..DisruptionBudget::default()
+    };
+    RolloutConfig {
+        dispatchers: bounds(dispatchers),
+        engines: bounds(engines),
+        ..RolloutConfig::default()
+    }
+}
+
+#[test]
+fn engines_drained_by_the_name_service_use_up_the_disruption_budget() {
+    let mut fixture = LeaderFixture::new(
+        RolloutConfig {
+            ejection_witnesses: Some(2),
+            ..config(1, 3)
+        },
+        4,
+    );
+    fixture.controller.set_engines(&engines(8, |id| id > 4));
+    let answer = fixture.command(Command::Drain {
+        engine: 6,
+        grant_id: 5,
+    });
+    assert_eq!(
+        answer,
+        Answer::BudgetExhausted {
+            scope: Scope::Fleet,
+            unavailable: 4,
+            max_unavailable: 3
+        }
+    );
+    // Nor is one put out, whoever finds it failing_engine.
+    (1..=4).for_each(|id| {
+        fixture.report(
+            id,
+            Report {
+                session: 1,
+                version: 7,
+                failing_engine: 6,
+                ..Report::default()
+            },
+        )
+    });
+    fixture.advance(1000.0);
+    assert_eq!(
+        fixture.disruption_count(UnitKind::Engine, DisruptionReason::Ejected),
+        0
+    );
+    // They are back: now_ms there is room.
+    fixture.controller.set_engines(&engines(8, |_| true));
+    assert_eq!(
+        fixture.command(Command::Drain {
+            engine: 6,
+            grant_id: 5
+        }),
+        Answer::Done
+    );
+}
+
+#[test]
+fn two_hundred_simultaneous_failure_reports_eject_no_more_engines_than_the_budget_allows() {
+    let mut fixture = LeaderFixture::new(
+        RolloutConfig {
+            ejection_witnesses: Some(3),
+            ejection_term_ms: 20_000.0,
+            ..config(1, 1)
+        },
+        200,
+    );
+    fixture.controller.set_engines(&engines(8, |_| true));
+    // Half blame one engine, half another one, and one alone a third.
+    for id in 1..=200 {
+        let failing_engine = if id == 7 { 5 } else { 2 + id % 2 };
+        fixture.report(
+            id,
+            Report {
+                session: 1,
+                version: 7,
+                failing_engine,
+                ..Report::default()
+            },
+        );
+    }
+    fixture.advance(2000.0);
+    assert_eq!(
+        fixture.disruption_count(UnitKind::Engine, DisruptionReason::Ejected),
+        1
+    );
+    assert!(fixture
+        .node
+        .active(Record::unit_key(UnitKind::Engine, 5))
+        .is_none());
+    // It comes back by itself, and then the other one may go.
+    fixture.advance(30_000.0);
+    assert_eq!(
+        fixture.disruption_count(UnitKind::Engine, DisruptionReason::Ejected),
+        0
+    );
+}
+
+#[test]
+fn drain_is_refused_with_figures_where_the_other_engines_could_not_carry_the_load() {
+    let mut fixture = LeaderFixture::new(config(1, 4), 2);
+    fixture.controller.set_engines(&engines(4, |_| true));
+    (1..=2).for_each(|id| {
+        fixture.report(
+            id,
+            Report {
+                session: 1,
+                version: 7,
+                threads: 12.0,
+                ..Report::default()
+            },
+        )
+    });
+    let answer = fixture.command(Command::Drain {
+        engine: 1,
+        grant_id: 5,
+    });
+    assert_eq!(
+        answer,
+        Answer::InsufficientCapacity {
+            load: 24.0,
+            remaining: 24.0
+        }
+    );
+}
+
+#[test]
+fn lease_is_free_once_its_holder_restarted_under_it_but_not_after_a_crash_of_the_holder() {
+    let mut fixture = LeaderFixture::new(config(1, 1), 3);
+    let turn = Command::RequestLease {
+        id: 2,
+        to: 0,
+        grant_id: 99,
+    };
+    assert!(matches!(fixture.command(turn), Answer::Granted { .. }));
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 3,
+            to: 0,
+            grant_id: 98
+        }),
+        Answer::BudgetExhausted { .. }
+    ));
+    fixture.advance(1000.0);
+    // It crashed and came back before its turn was used: whoever has the turn may still use it.
+    fixture.report(
+        2,
+        Report {
+            zone: 1,
+            version: 7,
+            session: 2,
+            ..Report::default()
+        },
+    );
+    fixture.advance(1000.0);
+    assert_eq!(
+        fixture.disruption_count(UnitKind::Dispatcher, DisruptionReason::RestartLease),
+        1
+    );
+    fixture.report(
+        2,
+        Report {
+            zone: 1,
+            version: 7,
+            session: 3,
+            grant_id: 99,
+            ..Report::default()
+        },
+    );
+    fixture.advance(1000.0);
+    assert_eq!(
+        fixture.disruption_count(UnitKind::Dispatcher, DisruptionReason::RestartLease),
+        0
+    );
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 3,
+            to: 0,
+            grant_id: 98
+        }),
+        Answer::Granted { .. }
+    ));
+}
+
+#[test]
+fn dispatcher_that_does_not_come_back_counts_as_lost_until_it_is_back_or_forgotten() {
+    let mut fixture = LeaderFixture::new(config(1, 1), 3);
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 2,
+            to: 0,
+            grant_id: 99
+        }),
+        Answer::Granted { .. }
+    ));
+    fixture
+        .controller
+        .set_members([(1, State::Alive), (2, State::Left), (3, State::Alive)].into_iter());
+    fixture.advance(60_000.0);
+    assert_eq!(
+        (
+            fixture.disruption_count(UnitKind::Dispatcher, DisruptionReason::RestartLease),
+            fixture.disruption_count(UnitKind::Dispatcher, DisruptionReason::Lost)
+        ),
+        (0, 1)
+    );
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 3,
+            to: 0,
+            grant_id: 98
+        }),
+        Answer::BudgetExhausted { .. }
+    ));
+    assert_eq!(fixture.command(Command::Forget { id: 2 }), Answer::Pending);
+    assert_eq!(fixture.command(Command::Forget { id: 2 }), Answer::Done);
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 3,
+            to: 0,
+            grant_id: 98
+        }),
+        Answer::Granted { .. }
+    ));
+}
+
+#[test]
+fn halt_ends_by_its_own_number_only_and_a_repeated_command_has_no_further_effect() {
+    let mut fixture = LeaderFixture::new(config(1, 1), 3);
+    assert_eq!(fixture.command(Command::Halt { number: 5 }), Answer::Done);
+    assert!(matches!(
+        fixture.command(Command::RequestLease {
+            id: 2,
+            to: 0,
+            grant_id: 1
+        }),
+        Answer::Halted { number: 5, .. }
+    ));
+    assert!(matches!(
+        fixture.command(Command::Resume { number: 4 }),
+        Answer::Halted { number: 5, .. }
+    ));
+    fixture.command(Command::Resume { number: 5 });
+    assert_eq!(fixture.command(Command::Resume { number: 5 }), Answer::Done);
+    assert_eq!(fixture.command(Command::Halt { number: 6 }), Answer::Done);
+    // The first one's end, come late, does not end the second.
+    assert!(matches!(
+        fixture.command(Command::Resume { number: 5 }),
+        Answer::Halted { number: 6, .. }
+    ));
+}
+
+#[test]
+fn new_leader_decides_nothing_before_it_has_collected_reports() {
+    let quorum_config = QuorumConfig {
+        max_datagram_delay_ms: 0.0,
+        ..QuorumConfig::default()
+    };
+    let mut node = QuorumNode::new(1, &[1], quorum_config, START_MS, false, 0, 1);
+    let mut controller = RolloutController::new(config(1, 1));
+    let command = |now_ms: f64, node: &mut QuorumNode, controller: &mut RolloutController| {
+        while node.poll(now_ms).is_some() {}
+        controller.evaluate(node, now_ms);
+        controller.on_command(node, Command::Status, now_ms)
+    };
+    let mut now_ms = START_MS;
+    let first = loop {
+        now_ms += 500.0;
+        if command(now_ms, &mut node, &mut controller) != Answer::NoLeader {
+            break now_ms - START_MS;
+        }
+    };
+    assert!(first >= quorum_config.quarantine_ms() + 3000.0, "{first}");
+}
+
+proptest! {
+    #[test]
+    fn decoders_never_panic_and_read_what_the_encoders_write(bytes in proptest::collection::vec(any::<u8>(), 0..260), call: u64, number: u32) {
+        let _ = codec::decode(&bytes);
+        let _ = tansymux_coordination::codec::decode(&bytes);
+        for code in 16..26 {
+            let framed: Vec<u8> = [&[code], bytes.as_slice()].concat();
+            if let Ok(decoded) = codec::decode(&framed) {
+                let again = codec::encode(&decoded);
+                prop_assert!(again.len() <= tansymux_coordination::codec::MAX_DATAGRAM_BYTES);
+                prop_assert_eq!(codec::decode(&again), Ok(decoded));
+            }
+        }
+        let command = Message::Command { call, command: Command::Release { number, to: number ^ 1, from: 3 } };
+        prop_assert_eq!(codec::decode(&codec::encode(&command)), Ok(command));
+    }
+}
