--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -11,10 +11,11 @@
 use crate::notify::Notifications;
 use crate::operator_config;
 use crate::peers::Peers;
-use crate::query_registry::{Answer, Event, Query, QueryRegistry};
+use crate::query_registry::{Answer, Event, Grant, Query, QueryRegistry};
 use crate::service_levels::{Limits, ServiceLevels};
 use crate::signals::Signal;
-use crate::statement_classifier::{self, StatementClassifier, TakenQuery};
+use crate::statement_classifier::{self, StatementClassifier};
+use crate::statement_shape::ClassifiedAttempt;
 use crate::zone_routing::ZoneRouting;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -23,10 +24,13 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tansymux::control::Control;
-use tansymux::interface::{Bounds, Feed, ListForm, Note, Outcome, Writer};
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointUpdate, HealthCheckEnded,
+    NoteKind, Outcome, PeerMessage, ProgressNote, QueryArrived,
+};
 use tansymux::pcg::Pcg;
-use tansymux::told::Map;
+use tansymux::settings::SettingsMap;
 use tansymux_operator_config::Operator;
 
 /// After the signal to end: how long new connections are still waited for (ms). The platform sends new ones for 0.4 s
@@ -73,7 +77,7 @@
     /// The configuration in force, and the part of it that may change.
     text: Value,
     resolver: Rc<Cell<Option<SocketAddr>>>,
-    told: Map,
+    told: SettingsMap,
     /// Flags, which go before the operators' file.
     common: Common,
     /// When the decisions want their next round.
@@ -102,7 +106,12 @@
         let registry = Rc::new(QueryRegistry::new(config.max_bytes));
         let mut control =
             Control::new(config.seed, &config.told).map_err(|e| format!("settings: {e}"))?;
-        let engines = EnginePool::new(registry.clone(), clock, executor.clone(), config.terms);
+        let engines = EnginePool::new(
+            registry.clone(),
+            clock,
+            executor.clone(),
+            config.connection_settings,
+        );
         let classes = Rc::new(StatementClassifier::new(&config.told, key_of(config.seed)));
         classes.set(operator.statements.as_ref());
         let limits = Limits {
@@ -144,9 +153,9 @@
                 .iter()
                 .map(|fleet| executor.spawn(fleet.clone().run())),
         );
-        registry.push_event(Event::List {
-            form: ListForm::Remembered,
-            engines: config.directory.all(),
+        registry.push_event(Event::EndpointList {
+            form: EndpointListKind::Cached,
+            engines: config.directory.endpoints(),
         });
         let resolver = Rc::new(Cell::new(config.resolver));
         let follow = discovery::follow(
@@ -186,8 +195,8 @@
     /// Runs until all is answered after the signal to end.
     pub async fn run(mut self, signals: impl Stream<Item = Signal>) {
         let signals = signals.map(|signal| match signal {
-            Signal::ReadAgain => Wake::Reload,
-            Signal::End => Wake::Terminate,
+            Signal::Reload => Wake::Reload,
+            Signal::Terminate => Wake::Terminate,
         });
         let events = Notifications(self.registry.notify.clone()).map(|()| Wake::Events);
         let mut wakes = std::pin::pin!(futures_lite::stream::or(signals, events));
@@ -214,10 +223,13 @@
 
     /// One turn: time's effects, a round of the decisions, their orders. Tells when the next is due.
     fn turn(&mut self) -> f64 {
-        let next = self.engines.sweep();
+        let next = self.engines.expire();
         let now = self.clock.now();
-        self.registry.counters.rounds.add();
-        let (levels, descriptors) = (&*self.levels, self.clients.held() + self.engines.open());
+        self.registry.counters.rounds.increment();
+        let (levels, descriptors) = (
+            &*self.levels,
+            self.clients.connection_count() + self.engines.connection_count(),
+        );
         let zones = &*self.zones;
         let (registry, engines, classes) = (&*self.registry, &*self.engines, &*self.classes);
         let fleet = self.fleet.as_deref();
@@ -241,38 +253,38 @@
         if now >= *decisions.timer {
             *decisions.timer = f64::INFINITY;
         }
-        self.control.round(now, &mut feed, &mut decisions);
+        self.control.run_round(now, &mut feed, &mut decisions);
         let message = levels.look(now, descriptors, &mut self.control);
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
-            decisions.tell(None, &message);
+            decisions.send_to_peer(None, &message);
         }
         let message = zones.look(now, &mut self.control, self.fleet.as_deref());
         if let Some(message) = message.filter(|_| self.control.allowed.peers) {
-            decisions.tell(None, &message);
+            decisions.send_to_peer(None, &message);
         }
         if zones.looked_at(now) {
             if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
-                self.registry.probe(engine_id);
+                self.registry.health_check(engine_id);
             }
             zones.spills(
-                |zone| self.control.spilled(zone),
-                &mut self.clients.spilled.borrow_mut(),
+                |zone| self.control.spilled_threads(zone),
+                &mut self.clients.spilled_threads().borrow_mut(),
             );
         }
         if let Some(fleet) = &self.fleet {
             let changed = fleet.look(
                 now,
                 descriptors as f64 / self.sockets.max(1.0),
-                self.control.threads_out(),
+                self.control.threads_in_flight(),
             );
             if !changed.is_empty() {
-                self.registry.push_event(Event::List {
-                    form: ListForm::Changes,
+                self.registry.push_event(Event::EndpointList {
+                    form: EndpointListKind::Delta,
                     engines: changed,
                 });
             }
         }
-        self.engines.carry_out();
+        self.engines.execute_commands();
         self.advance(now);
         next.min(self.timer).min(now + LONGEST_SLEEP)
     }
@@ -281,7 +293,7 @@
     fn advance(&mut self, now: f64) {
         self.phase = match self.phase {
             Phase::Starting => {
-                self.clients.healthy.set(true);
+                self.clients.start_serving();
                 Phase::Serving
             }
             Phase::Draining { since } if now >= since + TAKES_ON => {
@@ -289,7 +301,7 @@
                 Phase::Closing { since }
             }
             Phase::Closing { since }
-                if self.clients.all_gone() || now >= since + self.ends_by + LAST_LINGER =>
+                if self.clients.is_closed() || now >= since + self.ends_by + LAST_LINGER =>
             {
                 Phase::Ended
             }
@@ -301,7 +313,7 @@
         let now = self.clock.now();
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             tracing::info!(queries = self.registry.in_flight(), "told to end");
-            self.clients.healthy.set(false);
+            self.clients.start_draining();
             let by = now + self.ends_by;
             self.control.limit_deadlines(by);
             self.registry.limit_deadlines(by);
@@ -348,7 +360,7 @@
                 "the configuration was read again; these keys wait for the next start: {waits}"
             );
         }
-        self.registry.counters.configurations_read.add();
+        self.registry.counters.config_reloads.increment();
         if let Some(resolver) = config
             .resolver
             .filter(|_| config.resolver != self.resolver.get())
@@ -360,7 +372,7 @@
 
     fn take_on_operator(&mut self, operator: &Operator) {
         if self.common.operator.is_some() {
-            self.registry.counters.operator_files_read.add();
+            self.registry.counters.operator_config_reloads.increment();
             tracing::info!("the operators' file was read again");
         }
         log::set(&self.common, operator.log.as_ref());
@@ -410,11 +422,11 @@
     now: f64,
 }
 
-impl Feed for Events<'_> {
-    fn deliver(&mut self, control: &mut Control, out: &mut dyn Writer) {
+impl EventSource for Events<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         while let Some(event) = self.registry.next_event() {
             match event {
-                Event::Query {
+                Event::QueryArrived {
                     query,
                     tenant,
                     key,
@@ -424,26 +436,37 @@
                     text,
                 } => {
                     // One whose client left while it waited for this round is no news to the decisions.
-                    let Some((rg, due)) = self.registry.with(query, |q| (q.rg.clone(), q.due))
+                    let Some((rg, due)) = self
+                        .registry
+                        .with_query(query, |q| (q.resource_group.clone(), q.deadline_ms))
                     else {
                         continue;
                     };
-                    if self.registry.over(query) {
+                    if self.registry.is_over(query) {
                         continue;
                     }
-                    let taken = control.query(
-                        query, &rg, &tenant, key, due, cost, memory, tables, text, out,
-                    );
+                    let arrived = QueryArrived {
+                        query_id: query,
+                        group: &rg,
+                        tenant: &tenant,
+                        key,
+                        deadline_ms: due,
+                        estimated_cost_ms: cost,
+                        memory_mb: memory,
+                        tables,
+                        statement: text,
+                    };
+                    let taken = control.on_query_arrived(&arrived, out);
                     if let Err(e) = taken {
                         tracing::error!(query, error = %e, "a query was not taken");
                         self.registry.answer(query, Answer::Failed);
                     }
                 }
-                Event::Vanished { query } => {
-                    control.vanished(query, out);
-                    self.registry.leave(query);
+                Event::ClientLeft { query } => {
+                    control.on_client_gone(query, out);
+                    self.registry.forget_if_over(query);
                 }
-                Event::Closed {
+                Event::AttemptEnded {
                     query,
                     attempt,
                     outcome,
@@ -452,9 +475,9 @@
                     pages,
                 } => {
                     let taken = |q: &Query| {
-                        Some(TakenQuery {
+                        Some(ClassifiedAttempt {
                             shape: q.shape?,
-                            rg: q.rg.clone(),
+                            rg: q.resource_group.clone(),
                             waited: q.waited,
                         })
                     };
@@ -462,7 +485,7 @@
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.ended(self.now, engine_id, outcome));
-                    if let Some(taken) = self.registry.with(query, taken).flatten() {
+                    if let Some(taken) = self.registry.with_query(query, taken).flatten() {
                         self.classes
                             .ended(&taken, engine_id, latency, outcome, self.now);
                     }
@@ -470,13 +493,20 @@
                         count(self.registry, self.levels, query, self.now, true, false);
                         self.registry.answer(query, Answer::Completed(pages));
                     }
-                    let complete = self.registry.over(query);
-                    self.registry.closed(query);
-                    control.closed(
-                        query, attempt, complete, outcome, engine_id, latency, 0.0, 0.0, out,
-                    );
+                    let complete = self.registry.is_over(query);
+                    self.registry.attempt_ended(query);
+                    let ended = AttemptEnded {
+                        query_id: query,
+                        attempt,
+                        engine_id,
+                        outcome,
+                        answer_delivered: complete,
+                        latency_ms: latency,
+                        used: None,
+                    };
+                    control.on_attempt_ended(&ended, out);
                 }
-                Event::Noted {
+                Event::ProgressReported {
                     query,
                     attempt,
                     note,
@@ -484,38 +514,53 @@
                 } => {
                     if let Some(engine_id) = self
                         .registry
-                        .with(query, |q| q.engine_id)
+                        .with_query(query, |q| q.engine_id)
                         .filter(|_| self.zones.is_on())
                     {
                         self.zones.noted(self.now, engine_id);
                     }
-                    if note == Note::Waits {
-                        self.registry.waits(query);
+                    if note == NoteKind::Waiting {
+                        self.registry.mark_waited(query);
                     }
-                    control.noted(query, attempt, note, amount)
+                    control.on_progress_note(&ProgressNote {
+                        query_id: query,
+                        attempt,
+                        kind: note,
+                        amount,
+                    });
                 }
-                Event::Probed { engine_id, outcome } => {
+                Event::HealthCheckEnded { engine_id, outcome } => {
                     self.zones.ended(self.now, engine_id, outcome);
-                    control.probed(engine_id, outcome);
+                    control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
                 }
-                Event::List { form, mut engines } => {
+                Event::EndpointList { form, mut engines } => {
                     self.fleet
                         .iter()
                         .for_each(|fleet| fleet.listed(&mut engines));
                     self.classes.listed(&engines);
                     self.zones.listed(self.now, &engines);
-                    control.list_begins(form);
+                    control.begin_update(form);
                     for e in &engines {
-                        self.engines.listed(e);
-                        control.listed(e.engine_id, &e.kind, &e.zone, e.status, e.started, e.cell);
+                        self.engines.upsert_endpoint(e);
+                        control.upsert_endpoint(&EndpointUpdate {
+                            engine_id: e.engine_id,
+                            kind: &e.kind,
+                            zone: &e.zone,
+                            state: e.status,
+                            started_ms: e.started,
+                            cell: e.cell,
+                        });
                     }
-                    control.list_ends(form, out);
+                    control.finish_update(form, out);
                 }
-                Event::Told { peer, content } => {
+                Event::PeerMessage { peer, content } => {
                     let taken = self.levels.heard(self.now, peer, &content)
                         || self.zones.heard(self.now, peer, &content);
                     if !taken {
-                        control.told_by(peer, &content);
+                        control.on_peer_message(&PeerMessage {
+                            peer,
+                            content: &content,
+                        });
                     }
                 }
             }
@@ -532,10 +577,17 @@
     finished: bool,
     rejected: bool,
 ) {
-    let owed = !registry.over(query);
-    registry.with(query, |q| {
+    let owed = !registry.is_over(query);
+    registry.with_query(query, |q| {
         if owed {
-            levels.ended(now, &q.rg, now - q.since, q.cost, finished, rejected);
+            levels.ended(
+                now,
+                &q.resource_group,
+                now - q.received_ms,
+                q.estimated_cost_ms,
+                finished,
+                rejected,
+            );
         }
     });
 }
@@ -555,13 +607,18 @@
     timer: &'a mut f64,
 }
 
-impl Writer for Decisions<'_> {
-    fn submit(&mut self, id: u64, engine_id: u64, bounds: Bounds) {
+impl DecisionSink for Decisions<'_> {
+    fn submit(&mut self, id: u64, engine_id: u64, bounds: AttemptLimits) {
         self.registry.submit(id, engine_id, bounds);
     }
     fn reject(&mut self, id: u64, retry_after: f64) {
         count(self.registry, self.levels, id, self.now, false, true);
-        self.registry.answer(id, Answer::Rejected(retry_after));
+        self.registry.answer(
+            id,
+            Answer::Rejected {
+                retry_after_ms: retry_after,
+            },
+        );
     }
     fn fail(&mut self, id: u64) {
         count(self.registry, self.levels, id, self.now, false, false);
@@ -571,22 +628,25 @@
         self.registry.cancel(id, attempt);
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
-        self.registry.grant(id, priority, memory);
+        self.registry.grant(
+            id,
+            Grant {
+                priority,
+                memory_mb: memory,
+            },
+        );
     }
-    fn probe(&mut self, engine_id: u64) {
-        self.registry.probe(engine_id);
+    fn check_health(&mut self, engine_id: u64) {
+        self.registry.health_check(engine_id);
     }
-    fn tell(&mut self, peer: Option<u32>, content: &[u8]) {
+    fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
         if let Some(peers) = self.peers {
             peers.send(peer, content);
         }
     }
-    fn timer(&mut self, delay: f64, _handle: u64) {
+    fn set_timer(&mut self, delay: f64, _handle: u64) {
         *self.timer = self.timer.min(self.now + delay);
     }
     /// The name service is asked all the time, and its list comes when it has changed.
-    fn watch_list(&mut self) {}
-    fn note(&mut self, text: &str) {
-        tracing::info!("{text}");
-    }
+    fn watch_endpoints(&mut self) {}
 }
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,14 +1,14 @@
 use super::*;
 use crate::query_registry::{AnswerSlot, QueryRequest, RequestKeys};
-use tansymux::interface::Text;
+use tansymux::events::StatementTraits;
 
-const LONG: Bounds = Bounds {
-    until: 1e15,
-    begin_by: 1e15,
-    harmless: true,
+const LONG: AttemptLimits = AttemptLimits {
+    deadline_ms: 1e15,
+    start_by_ms: 1e15,
+    side_effect_free: true,
 };
 
-fn engine(status: EngineStatus, started: Option<f64>, port: u16) -> EndpointEntry {
+fn engine(status: EndpointState, started: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     EndpointEntry {
         engine_id: 7,
@@ -22,41 +22,41 @@
 }
 
 /// A attempt that waits for its connection, which stays coming up, as no task runs.
-fn waiting(bounds: Bounds) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
-    let terms = Terms {
-        connect_timeout: 250.0,
-        idle: 30_000.0,
-        notes_every: 0.0,
-        quickest: 0.0,
-        streams: 32,
+fn waiting(bounds: AttemptLimits) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
+    let settings = ConnectionSettings {
+        connect_timeout_ms: 250.0,
+        idle_timeout_ms: 30_000.0,
+        progress_interval_ms: 0.0,
+        shortest_objective_ms: 0.0,
+        max_streams: 32,
         max_connections: 8,
     };
     let (registry, executor) = (
         Rc::new(QueryRegistry::default()),
         Rc::new(LocalExecutor::new()),
     );
-    let side = EnginePool::new(registry.clone(), Clock::start(), executor, terms);
-    side.listed(&engine(EngineStatus::Ready, None, 9));
+    let side = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
+    side.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
     let (id, rg, tenant, statement) = ("00000000000000aa", "look", "", b"SELECT 1".as_slice());
-    let (text, shape, marks) = (Text::UNREAD, None, RequestKeys::default());
+    let (text, shape, marks) = (StatementTraits::UNKNOWN, None, RequestKeys::default());
     let (cost, memory, tables, since, due) = (1.0, 1.0, 1, 0.0, 1e15);
     let asked = QueryRequest {
         id,
-        rg,
+        resource_group: rg,
         tenant,
         statement,
-        since,
-        due,
-        cost,
-        memory,
+        received_ms: since,
+        deadline_ms: due,
+        estimated_cost_ms: cost,
+        memory_mb: memory,
         tables,
         text,
         shape,
-        marks,
+        keys: marks,
     };
-    let (query, slot) = registry.take(&asked).unwrap();
+    let (query, slot) = registry.admit(&asked).unwrap();
     registry.submit(query, 7, bounds);
-    side.carry_out();
+    side.execute_commands();
     (registry, side, query, slot)
 }
 
@@ -65,7 +65,7 @@
     let closed = |e: Event| {
         matches!(
             e,
-            Event::Closed {
+            Event::AttemptEnded {
                 outcome: Outcome::NoConnection,
                 ..
             }
@@ -77,14 +77,14 @@
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_the_list_turns_against_the_engine() {
     for (then, back) in [
-        (engine(EngineStatus::Ready, None, 9), false),
-        (engine(EngineStatus::Draining, None, 9), true),
-        (engine(EngineStatus::Gone, None, 9), true),
-        (engine(EngineStatus::Ready, Some(5.0), 9), true),
-        (engine(EngineStatus::Ready, None, 10), true),
+        (engine(EndpointState::Ready, None, 9), false),
+        (engine(EndpointState::Draining, None, 9), true),
+        (engine(EndpointState::Gone, None, 9), true),
+        (engine(EndpointState::Ready, Some(5.0), 9), true),
+        (engine(EndpointState::Ready, None, 10), true),
     ] {
         let (registry, side, ..) = waiting(LONG);
-        side.listed(&then);
+        side.upsert_endpoint(&then);
         assert_eq!(taken_back(&registry), back, "{then:?}");
     }
 }
@@ -92,27 +92,27 @@
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_its_query_is_over() {
     let (registry, side, query, _slot) = waiting(LONG);
-    registry.vanished(query);
-    side.carry_out();
+    registry.client_left(query);
+    side.execute_commands();
     assert!(taken_back(&registry));
     let (registry, side, query, _slot) = waiting(LONG);
     assert!(registry.answer(query, crate::query_registry::Answer::Failed));
-    side.carry_out();
+    side.execute_commands();
     assert!(taken_back(&registry));
 }
 
 #[test]
 fn what_waits_for_a_connection_is_taken_back_when_it_may_not_begin_any_more() {
-    let (registry, side, ..) = waiting(Bounds {
-        begin_by: Clock::start().now() + 30.0,
+    let (registry, side, ..) = waiting(AttemptLimits {
+        start_by_ms: Clock::start().now() + 30.0,
         ..LONG
     });
-    let next = side.sweep();
+    let next = side.expire();
     assert!(!taken_back(&registry));
     // The sweep itself tells when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
         (next - side.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
-    side.sweep();
+    side.expire();
     assert!(taken_back(&registry));
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -22,6 +22,7 @@
 mod service_levels;
 mod signals;
 mod statement_classifier;
+mod statement_shape;
 mod zone_routing;
 
 use async_executor::LocalExecutor;
@@ -66,7 +67,7 @@
 fn serve(common: Common) -> ExitCode {
     log::begin();
     // First of all: what is not yet handled ends a process, also a SIGHUP that was meant to have a file read again.
-    let signals = match signals::heard() {
+    let signals = match signals::subscribe() {
         Ok(signals) => signals,
         Err(e) => return failed(&format!("signals can't be heard: {e}")),
     };
--- a/crates/rollout/src/fleet_client.rs
+++ b/crates/rollout/src/fleet_client.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tansymux_coordination::Id;
-use tansymux_membership::seal::{DatagramAuthenticator, Keys};
-use tansymux_membership::wire;
+use tansymux_membership::codec as membership_codec;
+use tansymux_membership::{DatagramAuthenticator, Keys};
 
 /// An unanswered message is sent again after this long (ms).
 const RETRY_INTERVAL_MS: f64 = 200.0;
@@ -61,11 +61,11 @@
 
     /// Takes in a datagram. One that is no answer to this call is passed over.
     pub fn handle(&mut self, datagram: &[u8]) {
-        let Some(sender) = wire::sender(datagram) else {
+        let Some(sender) = membership_codec::peek_sender(datagram) else {
             return;
         };
         let content = self.authenticator.open(sender, datagram);
-        let Some(content) = content.and_then(wire::carried) else {
+        let Some(content) = content.and_then(membership_codec::decode_user_message) else {
             return;
         };
         match codec::decode(content) {
@@ -97,7 +97,8 @@
                 command: self.command,
             },
         };
-        let mut datagram = wire::write_carried(self.id, &codec::encode(&message))?;
+        let mut datagram =
+            membership_codec::encode_user_message(self.id, &codec::encode(&message))?;
         self.authenticator.seal(&mut datagram);
         Some(ClientAction::Send { datagram })
     }
--- a/crates/rollout/src/fleet_node.rs
+++ b/crates/rollout/src/fleet_node.rs
@@ -14,9 +14,9 @@
     Action, DisruptionReason, Event, Id, LeasedRecord, Proposal, QuorumConfig, QuorumNode, Record,
     RecordValue, Role, UnitKind,
 };
-use tansymux_membership::seal::Keys;
-use tansymux_membership::wire::id_of;
-use tansymux_membership::{Carried, State, SwimDetector};
+use tansymux_membership::{
+    member_id_of, Event as MembershipEvent, Keys, MemberState, SwimDetector, UserMessage,
+};
 
 /// Datagrams of records that answer one report.
 const MAX_GOSSIP_MESSAGES: usize = 4;
@@ -35,7 +35,7 @@
     /// Names of the voters.
     pub voters: Vec<String>,
     /// Failure detection.
-    pub membership: tansymux_membership::Settings,
+    pub membership: tansymux_membership::Config,
     /// Timing of the voters.
     pub quorum: QuorumConfig,
     /// Keys of the datagrams.
@@ -98,8 +98,12 @@
     /// A member at its start. `seed` has to be drawn at each start.
     pub fn new(config: &FleetConfig, now_ms: f64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let id = id_of(&config.name);
-        let voters: Vec<Id> = config.voters.iter().map(|name| id_of(name)).collect();
+        let id = member_id_of(&config.name);
+        let voters: Vec<Id> = config
+            .voters
+            .iter()
+            .map(|name| member_id_of(name))
+            .collect();
         let detector = SwimDetector::new(
             &config.name,
             config.address,
@@ -240,22 +244,29 @@
         match event {
             FleetEvent::DatagramReceived { from, datagram } => {
                 self.now_ms = self.now_ms.max(now_ms);
-                self.detector.handle(self.now_ms, from, datagram);
-                while let Some(carried) = self.detector.next_carried() {
-                    self.on_carried(carried);
+                let received = MembershipEvent::DatagramReceived {
+                    from,
+                    bytes: datagram,
+                };
+                self.detector.handle(received, self.now_ms);
+                while let Some(message) = self.detector.next_user_message() {
+                    self.on_user_message(message);
                 }
             }
-            FleetEvent::LeaveRequested => self.detector.leave(now_ms),
+            FleetEvent::LeaveRequested => {
+                self.detector
+                    .handle(MembershipEvent::LeaveRequested, now_ms);
+            }
         }
     }
 
-    /// A datagram that membership carried.
-    fn on_carried(&mut self, carried: Carried) {
-        let Carried {
+    /// A message that came in a datagram of membership.
+    fn on_user_message(&mut self, message: UserMessage) {
+        let UserMessage {
             from,
             address,
             content,
-        } = carried;
+        } = message;
         if !codec::is_rollout_message(&content) {
             self.on_voter_message(from, &content);
             return;
@@ -266,7 +277,7 @@
         let is_member = self
             .detector
             .state(from)
-            .is_some_and(|state| state <= State::Suspect);
+            .is_some_and(MemberState::is_present);
         match message {
             Message::Hello { call } => self.agent.on_hello(call, address, self.now_ms),
             Message::Call {
@@ -436,10 +447,11 @@
                 self.local_messages.push(message.clone());
             }
             Destination::Member(id) => {
-                self.detector.carry(id, &codec::encode(message));
+                self.detector.send_user_message(id, &codec::encode(message));
             }
             Destination::Client(address) => {
-                self.detector.carry_to(address, &codec::encode(message));
+                self.detector
+                    .send_user_message_to(address, &codec::encode(message));
             }
         }
     }
@@ -472,10 +484,13 @@
                 self.on_message(self.detector.id(), message);
             }
         }
-        let (datagrams, detector_ms) = self.detector.poll(now_ms);
-        self.wake_at(detector_ms);
-        for (to, datagram) in datagrams {
-            self.outbox.push_back(FleetAction::Send { to, datagram });
+        let output = self.detector.poll(now_ms);
+        self.wake_at(output.next_poll_ms);
+        for sent in output.datagrams {
+            self.outbox.push_back(FleetAction::Send {
+                to: sent.to,
+                datagram: sent.bytes,
+            });
         }
     }
 
@@ -490,17 +505,17 @@
         };
         while let Some(Action::Send { to, message }) = quorum.poll(now_ms) {
             let datagram = tansymux_coordination::codec::encode(&message);
-            self.detector.carry(to, &datagram);
+            self.detector.send_user_message(to, &datagram);
         }
         let own_id = self.detector.id();
         let members = self.detector.members();
         let members = members.map(|member| (member.id, member.state));
         self.controller
-            .set_members(members.chain([(own_id, State::Alive)]));
+            .set_members(members.chain([(own_id, MemberState::Alive)]));
         self.controller.evaluate(quorum, now_ms);
         if let Some(zones) = &mut self.zones {
             let members = self.detector.members();
-            let members = members.map(|member| (member.id, member.state <= State::Suspect));
+            let members = members.map(|member| (member.id, member.is_present()));
             let members = members.chain([(own_id, true)]);
             zones.evaluate(&self.controller, quorum, members, now_ms);
         }
--- a/crates/rollout/src/restart_lease.rs
+++ b/crates/rollout/src/restart_lease.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tansymux_coordination::Id;
-use tansymux_membership::seal::Keys;
+use tansymux_membership::Keys;
 
 /// Interval between two requests (ms), spread by half.
 const REQUEST_INTERVAL_MS: f64 = 700.0;
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -16,7 +16,7 @@
 use tansymux_coordination::{
     Id, Proposal, QuorumNode, RecordValue, UnitKind, HALT_KEY, RELEASE_KEY,
 };
-use tansymux_membership::State;
+use tansymux_membership::MemberState;
 
 /// A member whose records differ in this many reports in a row is asked for them.
 const REPORTS_UNTIL_RECORDS_REQUEST: u32 = 3;
@@ -134,7 +134,7 @@
     /// The leadership of which the state is.
     leader_since_ms: Option<f64>,
     reports: BTreeMap<Id, ReceivedReport>,
-    members: BTreeMap<Id, State>,
+    members: BTreeMap<Id, MemberState>,
     engines: Vec<Unit>,
     last_granted: LastGranted,
     analysis: CanaryAnalysis,
@@ -188,7 +188,7 @@
     }
 
     /// Takes over all members that membership knows, this one included.
-    pub fn set_members(&mut self, members: impl Iterator<Item = (Id, State)>) {
+    pub fn set_members(&mut self, members: impl Iterator<Item = (Id, MemberState)>) {
         self.members.clear();
         self.members.extend(members.take(MAX_MEMBERS));
     }
--- a/crates/rollout/src/rollout_controller/fleet_state.rs
+++ b/crates/rollout/src/rollout_controller/fleet_state.rs
@@ -11,14 +11,14 @@
 use tansymux_coordination::{
     DisruptionReason, Id, LeasedRecord, QuorumNode, Record, RecordValue, UnitKind,
 };
-use tansymux_membership::State;
+use tansymux_membership::MemberState;
 
 impl RolloutController {
     /// Whether membership finds a dispatcher there.
     pub(super) fn is_present(&self, id: Id) -> bool {
         self.members
             .get(&id)
-            .is_some_and(|state| *state <= State::Suspect)
+            .is_some_and(|state| state.is_present())
     }
 
     pub(super) fn report_of(&self, id: Id) -> Option<Report> {
@@ -78,9 +78,9 @@
     }
 
     /// A dispatcher as a unit; none: it left or was forgotten, and is no part of the fleet any more.
-    fn dispatcher_unit(&self, node: &QuorumNode, id: Id, state: State) -> Option<Unit> {
-        let available = state <= State::Suspect;
-        let has_left = || state == State::Left && !has_disruption(node, id);
+    fn dispatcher_unit(&self, node: &QuorumNode, id: Id, state: MemberState) -> Option<Unit> {
+        let available = state.is_present();
+        let has_left = || state == MemberState::Left && !has_disruption(node, id);
         if !available && (self.forgotten.contains(&id) || has_left()) {
             return None;
         }
@@ -154,7 +154,7 @@
             .members
             .iter()
             .filter(|(id, state)| {
-                **state == State::Dead
+                **state == MemberState::Dead
                     && !self.forgotten.contains(id)
                     && !disruptions.iter().any(|known| known.id == **id)
             })
--- a/crates/rollout/src/rollout_controller/maintenance.rs
+++ b/crates/rollout/src/rollout_controller/maintenance.rs
@@ -9,7 +9,7 @@
 use tansymux_coordination::{
     DisruptionReason, Id, LeasedRecord, Proposal, QuorumNode, Record, RecordValue, UnitKind,
 };
-use tansymux_membership::State;
+use tansymux_membership::MemberState;
 
 /// A member whose restart lease was granted this many lease terms ago and that did not rejoin is marked lost.
 const LOST_AFTER_TERMS: f64 = 1.5;
@@ -128,7 +128,7 @@
         let members = &self.members;
         self.forgotten.retain(|id| {
             let state = members.get(id);
-            state.is_none_or(|state| *state > State::Suspect)
+            state.is_none_or(|state| !state.is_present())
         });
         let mut lost: Vec<Proposal> = self
             .members
@@ -142,15 +142,15 @@
     }
 
     /// The record of a lost member; none: it is there, recorded already, or no part of the fleet.
-    fn lost_member(&self, node: &QuorumNode, id: Id, state: State) -> Option<Proposal> {
+    fn lost_member(&self, node: &QuorumNode, id: Id, state: MemberState) -> Option<Proposal> {
         let key = Record::unit_key(UnitKind::Dispatcher, id);
         let is_recorded = node.active(key).is_some();
-        if state <= State::Suspect || self.forgotten.contains(&id) || is_recorded {
+        if state.is_present() || self.forgotten.contains(&id) || is_recorded {
             return None;
         }
         // One that never reported was no part of this leader's fleet.
         let report = self.report_of(id)?;
-        let has_left = state == State::Left;
+        let has_left = state == MemberState::Left;
         // Once its record has ended, one that left is no part of the fleet any more.
         if has_left && node.is_ending(key) {
             return None;
--- a/crates/rollout/tests/rollout_controller.rs
+++ b/crates/rollout/tests/rollout_controller.rs
@@ -5,7 +5,7 @@
 use tansymux_coordination::{
     DisruptionReason, QuorumConfig, QuorumNode, Record, RecordValue, UnitKind,
 };
-use tansymux_membership::State;
+use tansymux_membership::MemberState;
 use tansymux_rollout::codec;
 use tansymux_rollout::message::{Answer, Command, Message, Report};
 use tansymux_rollout::{RolloutConfig, RolloutController};
@@ -45,7 +45,7 @@
         while fixture.node.poll(START_MS).is_some() {}
         fixture
             .controller
-            .set_members((1..=members).map(|id| (id, State::Alive)));
+            .set_members((1..=members).map(|id| (id, MemberState::Alive)));
         fixture.advance(10_000.0);
         for id in 1..=members {
             fixture.report(
@@ -296,9 +296,14 @@
         }),
         Answer::Granted { .. }
     ));
-    fixture
-        .controller
-        .set_members([(1, State::Alive), (2, State::Left), (3, State::Alive)].into_iter());
+    fixture.controller.set_members(
+        [
+            (1, MemberState::Alive),
+            (2, MemberState::Left),
+            (3, MemberState::Alive),
+        ]
+        .into_iter(),
+    );
     fixture.advance(60_000.0);
     assert_eq!(
         (
