--- /dev/null
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -0,0 +1,163 @@
+//! Carries out what the decisions ordered: attempts, withdrawals, cancels, priorities and health checks.
+
+use super::channel::Channel;
+use super::connection::Attempt;
+use super::pool::EnginePool;
+use super::priorities::request_fields;
+use super::reports::AttemptReport;
+use super::settings::MIN_SILENCE_MS;
+use crate::query_registry::{EngineCommand, Pages};
+use std::rc::Rc;
+use tansymux::events::{AttemptLimits, Outcome};
+
+/// An attempt on a connection that had idled has the engine checked over another connection when nothing came for so
+/// many times its estimated run time: a connection that died silently takes what goes out and brings nothing.
+const CHECK_AFTER_RUN_TIMES: f64 = 2.0;
+
+/// A query's attempt that is out on a connection.
+pub(super) struct Located {
+    pub channel: Rc<Channel>,
+    pub id: Rc<str>,
+}
+
+/// An attempt that was ordered.
+struct AttemptOrder {
+    query_id: u64,
+    number: usize,
+    engine_id: u64,
+    limits: AttemptLimits,
+}
+
+/// What the registry knows of a query that an attempt needs.
+struct Request {
+    id: Rc<str>,
+    fields: String,
+    statement: Rc<[u8]>,
+    /// Estimated run time (ms); 0 if none is known.
+    cost_ms: f64,
+}
+
+impl EnginePool {
+    /// Carries out all commands that wait.
+    pub fn execute_commands(self: &Rc<Self>) {
+        while let Some(command) = self.registry.next_command() {
+            match command {
+                EngineCommand::Submit {
+                    query,
+                    attempt,
+                    engine_id,
+                    bounds: limits,
+                } => self.submit(&AttemptOrder {
+                    query_id: query,
+                    number: attempt,
+                    engine_id,
+                    limits,
+                }),
+                EngineCommand::Withdraw { query } => self.withdraw(query),
+                EngineCommand::Cancel { query, attempt } => self.cancel(query, attempt),
+                EngineCommand::SetPriority { query, priority } => {
+                    self.set_priority(query, priority)
+                }
+                EngineCommand::HealthCheck { engine_id } => self.check_health(engine_id),
+            }
+        }
+    }
+
+    fn submit(self: &Rc<Self>, order: &AttemptOrder) {
+        let now_ms = self.clock.now();
+        let Some(request) = self.request_of(order, now_ms) else {
+            return;
+        };
+        let limits = order.limits;
+        let Some(channel) =
+            self.select_channel(order.engine_id, &request.id, limits.side_effect_free)
+        else {
+            return self.report_ended(AttemptReport {
+                query_id: order.query_id,
+                attempt: order.number,
+                outcome: Outcome::NoConnection,
+                engine_id: order.engine_id,
+                latency_ms: 0.0,
+                pages: Pages::new(),
+            });
+        };
+        let attempt = Attempt::new(order.query_id, order.number, now_ms, limits);
+        let mut connection = channel.connection.borrow_mut();
+        connection.submit(&request.id, &request.fields, request.statement, attempt);
+        let went_out_after_idling = connection
+            .idle_reuse
+            .is_some_and(|reuse| reuse.sent_ms == now_ms);
+        if went_out_after_idling {
+            connection.check_at_ms = now_ms + self.check_after_ms(request.cost_ms);
+        }
+        drop(connection);
+        channel.notify.notify();
+    }
+
+    fn request_of(&self, order: &AttemptOrder, now_ms: f64) -> Option<Request> {
+        let time_left_ms = order.limits.deadline_ms - now_ms;
+        self.registry.with_query(order.query_id, |query| Request {
+            id: query.id.clone(),
+            fields: request_fields(query, time_left_ms),
+            statement: query.statement.clone(),
+            cost_ms: query.estimated_cost_ms,
+        })
+    }
+
+    /// Time (ms) of silence after which the engine of an attempt with this estimated run time is checked. An estimate
+    /// that isn't known is no estimate of 0.
+    fn check_after_ms(&self, cost_ms: f64) -> f64 {
+        let run_times_ms = if cost_ms > 0.0 {
+            CHECK_AFTER_RUN_TIMES * cost_ms
+        } else {
+            f64::INFINITY
+        };
+        MIN_SILENCE_MS
+            .max(run_times_ms)
+            .min(self.settings.max_silence_ms())
+    }
+
+    /// The connection on which an attempt of the query is out.
+    pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
+        let id = self
+            .registry
+            .with_query(query_id, |query| query.id.clone())?;
+        let engines = self.engines.borrow();
+        for channel in engines.values().flat_map(|engine| &engine.channels) {
+            let connection = channel.connection.borrow();
+            let attempt = connection.attempts.get(&id);
+            if attempt.is_some_and(|attempt| attempt.query_id == query_id) {
+                let channel = channel.clone();
+                return Some(Located { channel, id });
+            }
+        }
+        None
+    }
+
+    /// Cancels an attempt, if it is the one that is out.
+    fn cancel(&self, query_id: u64, number: usize) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let current = channel
+            .connection
+            .borrow()
+            .attempts
+            .get(&id)
+            .map(|attempt| attempt.number);
+        if current == Some(number) {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+
+    /// Takes back the attempt of a query that is over, unless all of it has gone out.
+    fn withdraw(&self, query_id: u64) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let is_written = channel.connection.borrow().is_fully_written(&id);
+        if !is_written {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+}
--- a/crates/rollout/src/codec.rs
+++ b/crates/rollout/src/codec.rs
@@ -53,7 +53,8 @@
 use tansymux_coordination::codec::{decode_records, encode_record, MAX_DATAGRAM_BYTES};
 use tansymux_coordination::disruption_budget::{HaltReason, Scope};
 use tansymux_coordination::{DisruptionReason, LeasedRecord, ReleaseStage};
-use tansymux_zone_evacuation::wire;
+use tansymux_zone_evacuation::codec as zone_codec;
+use tansymux_zone_evacuation::codec::LeaderReply;
 
 /// The longest head in front of records: that of gossip.
 const MAX_HEAD_BYTES: usize = 1 + 8 + 4;
@@ -126,10 +127,12 @@
             encode_command(&mut writer, command);
         }
         Message::ZoneReport(report) => {
-            writer.u8(ZONE_REPORT).bytes(&wire::write(report));
+            writer
+                .u8(ZONE_REPORT)
+                .bytes(&zone_codec::encode_report(report));
         }
         Message::ZonePlan(plan) => {
-            writer.u8(ZONE_PLAN).bytes(&wire::write_plan(plan));
+            writer.u8(ZONE_PLAN).bytes(&zone_codec::encode_reply(plan));
         }
     }
     writer.into_bytes()
@@ -206,8 +209,11 @@
         Answer::TooManyCoresEvacuated { fraction } => writer.u8(17).f32(fraction),
         Answer::Zones(ref list) => {
             let zones = list.iter().flatten().copied().collect();
-            let plan = wire::Plan { number: 0, zones };
-            writer.u8(18).bytes(&wire::write_plan(&plan))
+            let reply = LeaderReply {
+                sequence_number: 0,
+                zones,
+            };
+            writer.u8(18).bytes(&zone_codec::encode_reply(&reply))
         }
     };
 }
@@ -276,9 +282,9 @@
             nonce: reader.u64()?,
             command: decode_command(&mut reader)?,
         }),
-        ZONE_REPORT => wire::read(reader.take_remaining())
+        ZONE_REPORT => zone_codec::decode_report(reader.take_remaining())
             .map(Message::ZoneReport)
-            .ok_or(DecodeError::Embedded("zone report")),
+            .map_err(|_| DecodeError::Embedded("zone report")),
         ZONE_PLAN => decode_zone_plan(&mut reader).map(Message::ZonePlan),
         code => Err(DecodeError::UnknownCode {
             field: "message",
@@ -287,8 +293,9 @@
     }
 }
 
-fn decode_zone_plan(reader: &mut ByteReader) -> Result<wire::Plan, DecodeError> {
-    wire::read_plan(reader.take_remaining()).ok_or(DecodeError::Embedded("zone plan"))
+fn decode_zone_plan(reader: &mut ByteReader) -> Result<LeaderReply, DecodeError> {
+    zone_codec::decode_reply(reader.take_remaining())
+        .map_err(|_| DecodeError::Embedded("zone plan"))
 }
 
 fn decode_report(reader: &mut ByteReader) -> Result<Report, DecodeError> {
--- a/crates/rollout/src/fleet_node.rs
+++ b/crates/rollout/src/fleet_node.rs
@@ -47,7 +47,7 @@
     /// Rollouts and disruption budgets.
     pub rollout: RolloutConfig,
     /// The zone of this member, and how the fleet evacuates zones; none: each member decides for itself.
-    pub zones: Option<(u32, tansymux_zone_evacuation::Definition)>,
+    pub zones: Option<(u32, tansymux_zone_evacuation::Config)>,
 }
 
 /// What happened to a member.
@@ -126,9 +126,9 @@
             )
         });
         let agent = MemberAgent::new(id, &voters, config.grant_id, rng.random());
-        let zones = config.zones.clone().map(|(own_zone, definition)| {
+        let zones = config.zones.clone().map(|(own_zone, zone_config)| {
             let seed = rng.random();
-            ZoneCoordinator::new(own_zone, definition, agent.session(), now_ms, seed)
+            ZoneCoordinator::new(own_zone, zone_config, agent.session(), now_ms, seed)
         });
         FleetNode {
             detector,
@@ -179,11 +179,11 @@
         &mut self,
         rollout: RolloutConfig,
         keys: Keys,
-        zones: Option<tansymux_zone_evacuation::Definition>,
+        zones: Option<tansymux_zone_evacuation::Config>,
     ) {
         self.controller.set_config(rollout);
-        if let (Some(coordinator), Some(definition)) = (&mut self.zones, zones) {
-            coordinator.set_definition(definition);
+        if let (Some(coordinator), Some(config)) = (&mut self.zones, zones) {
+            coordinator.set_config(config);
         }
         self.detector.set_keys(keys);
     }
@@ -204,7 +204,7 @@
     /// Takes over what this dispatcher observes of zones. `is_isolated`: it takes itself for cut off.
     pub fn observe_zones(
         &mut self,
-        evidence: Vec<tansymux_zone_evacuation::wire::Evidence>,
+        evidence: Vec<tansymux_zone_evacuation::Evidence>,
         is_isolated: bool,
     ) {
         if let Some(zones) = &mut self.zones {
@@ -213,10 +213,10 @@
     }
 
     /// How a zone may be used from here: by own judgement where the fleet agreed on nothing.
-    pub fn use_of(&self, zone: u32) -> tansymux_zone_evacuation::Use {
+    pub fn use_of(&self, zone: u32) -> tansymux_zone_evacuation::ZoneUse {
         match &self.zones {
-            Some(zones) => zones.follower.of(self.now_ms, zone),
-            None => tansymux_zone_evacuation::Use::Own,
+            Some(zones) => zones.follower.zone_use(zone, self.now_ms),
+            None => tansymux_zone_evacuation::ZoneUse::LocalDecision,
         }
     }
 
--- a/crates/rollout/src/message.rs
+++ b/crates/rollout/src/message.rs
@@ -3,7 +3,8 @@
 use crate::rollout_plan::Release;
 use tansymux_coordination::disruption_budget::{HaltReason, Scope};
 use tansymux_coordination::{DisruptionReason, Id, LeasedRecord};
-use tansymux_zone_evacuation::{wire, Fleetwide};
+use tansymux_zone_evacuation::codec::{LeaderReply, ZoneEntry};
+use tansymux_zone_evacuation::MemberReport;
 
 /// What a member reports of itself, about once a second.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -192,7 +193,7 @@
 /// Zones that fit in an answer.
 pub const MAX_LISTED_ZONES: usize = 8;
 /// Zones with their state and the sum of their granted quotas.
-pub type ZoneList = [Option<(u32, Fleetwide, f32)>; MAX_LISTED_ZONES];
+pub type ZoneList = [Option<ZoneEntry>; MAX_LISTED_ZONES];
 
 /// The fleet as its leader knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -280,7 +281,7 @@
         command: Command,
     },
     /// What a member observes of zones.
-    ZoneReport(wire::Told),
+    ZoneReport(MemberReport),
     /// The leader's answer to that.
-    ZonePlan(wire::Plan),
+    ZonePlan(LeaderReply),
 }
--- a/crates/rollout/src/zone_coordinator.rs
+++ b/crates/rollout/src/zone_coordinator.rs
@@ -8,9 +8,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use tansymux_coordination::disruption_budget::Unit;
 use tansymux_coordination::{Id, LeasedRecord, Proposal, QuorumNode, Record, RecordValue};
-use tansymux_zone_evacuation::wire::{stage_of, why_of, Evidence, Plan, Told};
+use tansymux_zone_evacuation::codec::{LeaderReply, ZoneEntry};
 use tansymux_zone_evacuation::{
-    Definition, EvacuationController, EvacuationFollower, Fleetwide, Refused, Stage, Why, Zone,
+    Config, EvacuationController, EvacuationFollower, EvacuationRefused, Evidence, FollowerEvent,
+    Initiator, MemberPresence, MemberReport, QuotaGrant, Reason, Stage, ZoneId, ZoneStatus,
     MAX_ZONES,
 };
 
@@ -49,12 +50,12 @@
 }
 
 /// The states of all zones that a majority accepted, or may have.
-fn agreed_states(node: &QuorumNode) -> BTreeMap<Zone, Fleetwide> {
+fn agreed_states(node: &QuorumNode) -> BTreeMap<ZoneId, ZoneStatus> {
     node.all_active().filter_map(zone_state).collect()
 }
 
 /// A record as the state of a zone; none: it is another record, or of a later version.
-fn zone_state(leased: LeasedRecord) -> Option<(Zone, Fleetwide)> {
+fn zone_state(leased: LeasedRecord) -> Option<(ZoneId, ZoneStatus)> {
     let RecordValue::Zone {
         zone,
         stage,
@@ -65,16 +66,16 @@
     else {
         return None;
     };
-    let state = Fleetwide {
-        stage: stage_of(stage)?,
+    let state = ZoneStatus {
+        stage: Stage::from_number(stage)?,
         step,
-        number,
-        why: why_of(reason)?,
+        decision_number: number,
+        reason: Reason::from_number(reason)?,
     };
     Some((zone, state))
 }
 
-fn write_state(node: &mut QuorumNode, zone: Zone, state: Option<Fleetwide>, now_ms: f64) {
+fn write_state(node: &mut QuorumNode, zone: ZoneId, state: Option<ZoneStatus>, now_ms: f64) {
     let key = Record::zone_key(zone);
     let proposal = match state {
         Some(state) => Proposal::lasting(
@@ -83,8 +84,8 @@
                 zone,
                 stage: state.stage as u8,
                 step: state.step,
-                reason: state.why as u8,
-                number: state.number,
+                reason: state.reason as u8,
+                number: state.decision_number,
             },
         ),
         None => Proposal::tombstone(key),
@@ -93,7 +94,7 @@
 }
 
 /// Done once a majority accepted the state of a zone.
-fn when_chosen(node: &QuorumNode, zone: Zone) -> Answer {
+fn when_chosen(node: &QuorumNode, zone: ZoneId) -> Answer {
     if node.is_chosen(Record::zone_key(zone)) {
         Answer::Done
     } else {
@@ -103,16 +104,10 @@
 
 impl ZoneCoordinator {
     /// A member of a zone at its start.
-    pub fn new(
-        own_zone: Zone,
-        definition: Definition,
-        session: u32,
-        now_ms: f64,
-        seed: u64,
-    ) -> Self {
+    pub fn new(own_zone: ZoneId, config: Config, session: u32, now_ms: f64, seed: u64) -> Self {
         ZoneCoordinator {
-            follower: EvacuationFollower::new(own_zone, definition.own_after, now_ms),
-            controller: EvacuationController::new(definition),
+            follower: EvacuationFollower::new(own_zone, config.autonomy_after_ms, now_ms),
+            controller: EvacuationController::new(config),
             leader_since_ms: None,
             last_evaluation_ms: f64::NEG_INFINITY,
             evidence: Vec::new(),
@@ -126,8 +121,8 @@
     }
 
     /// Takes over a new configuration.
-    pub fn set_definition(&mut self, definition: Definition) {
-        self.controller.set(definition);
+    pub fn set_config(&mut self, config: Config) {
+        self.controller.set_config(config);
     }
 
     /// Takes over what this dispatcher observes of zones. `is_isolated`: it takes itself for cut off.
@@ -139,16 +134,16 @@
 
     /// Takes over the engines of the endpoint list: their cores are the capacity of their zone.
     pub fn set_engines(&mut self, engines: &[Unit]) {
-        let mut cores: BTreeMap<Zone, f64> = BTreeMap::new();
+        let mut cores: BTreeMap<ZoneId, f64> = BTreeMap::new();
         for engine in engines {
             *cores.entry(engine.zone).or_default() += engine.capacity;
         }
-        let cores: Vec<(Zone, f64)> = cores.into_iter().collect();
-        self.controller.capacity(&cores);
+        let cores: Vec<(ZoneId, f64)> = cores.into_iter().collect();
+        self.controller.set_capacity(&cores);
     }
 
     /// The report to the leader that is due; none: nothing before [`ZoneCoordinator::next_poll_ms`].
-    pub fn poll(&mut self, now_ms: f64) -> Option<Told> {
+    pub fn poll(&mut self, now_ms: f64) -> Option<MemberReport> {
         if now_ms < self.next_report_ms {
             return None;
         }
@@ -162,10 +157,10 @@
         if self.awaited_reports.len() > MAX_AWAITED_REPORTS {
             self.awaited_reports.pop_front();
         }
-        Some(Told {
+        Some(MemberReport {
             session: self.session,
-            number: self.last_report_number,
-            alone: self.is_isolated,
+            sequence_number: self.last_report_number,
+            is_isolated: self.is_isolated,
             zones: self.evidence.clone(),
         })
     }
@@ -176,31 +171,34 @@
     }
 
     /// The leader's answer to a report. Each is taken once; quotas count from when the report was sent.
-    pub fn on_plan(&mut self, plan: &Plan, now_ms: f64) {
+    pub fn on_plan(&mut self, reply: &LeaderReply, now_ms: f64) {
         let position = self
             .awaited_reports
             .iter()
-            .position(|report| report.number == plan.number);
+            .position(|report| report.number == reply.sequence_number);
         let Some(report) = position.and_then(|position| self.awaited_reports.remove(position))
         else {
             return;
         };
-        let states: Vec<(Zone, Fleetwide)> = plan
+        let states: Vec<(ZoneId, ZoneStatus)> = reply
             .zones
             .iter()
-            .map(|(zone, state, _)| (*zone, *state))
+            .map(|entry| (entry.zone, entry.status))
             .collect();
-        self.follower.hears(now_ms, &states);
-        let definition = self.controller.definition();
-        for (zone, state, quota) in &plan.zones {
-            self.follower.share(
-                *zone,
-                state.number,
-                f64::from(*quota),
-                report.sent_ms,
-                definition.term,
-                definition.skew,
-            );
+        self.follower
+            .handle(FollowerEvent::DecisionsReceived(&states), now_ms);
+        let config = self.controller.config();
+        for entry in &reply.zones {
+            let grant = QuotaGrant {
+                zone: entry.zone,
+                decision_number: entry.status.decision_number,
+                quota: f64::from(entry.quota),
+                requested_ms: report.sent_ms,
+                term_ms: config.quota_term_ms,
+                clock_skew: config.clock_skew,
+            };
+            self.follower
+                .handle(FollowerEvent::QuotaReceived(grant), now_ms);
         }
     }
 
@@ -210,16 +208,15 @@
         rollout: &RolloutController,
         node: &QuorumNode,
         from: Id,
-        report: Told,
+        report: MemberReport,
         now_ms: f64,
-    ) -> Option<Plan> {
-        let number = report.number;
-        let demands: BTreeMap<Zone, f64> = report
+    ) -> Option<LeaderReply> {
+        let demands: BTreeMap<ZoneId, f64> = report
             .zones
             .iter()
             .map(|evidence| (evidence.zone, f64::from(evidence.threads)))
             .collect();
-        self.controller.told(now_ms, from, report);
+        self.controller.handle_report(from, &report, now_ms);
         if !rollout.is_settled_leader(node, now_ms) {
             return None;
         }
@@ -228,19 +225,27 @@
         for (zone, state) in agreed_states(node).into_iter().take(MAX_ZONES) {
             let demand = demands.get(&zone).copied().unwrap_or(0.0);
             let quota = if grants_quotas {
-                self.controller.share(now_ms, from, zone, demand, state)
+                self.controller
+                    .request_quota(from, zone, demand, state, now_ms)
             } else {
                 0.0
             };
-            zones.push((zone, state, quota as f32));
+            zones.push(ZoneEntry {
+                zone,
+                status: state,
+                quota: quota as f32,
+            });
         }
-        Some(Plan { number, zones })
+        Some(LeaderReply {
+            sequence_number: report.sequence_number,
+            zones,
+        })
     }
 
     /// Whether all quotas of an earlier leader have ended.
     fn grants_quotas(&self, node: &QuorumNode, now_ms: f64) -> bool {
-        let definition = self.controller.definition();
-        let wait_ms = definition.term * (1.0 + 2.0 * definition.skew);
+        let config = self.controller.config();
+        let wait_ms = config.quota_term_ms * (1.0 + 2.0 * config.clock_skew);
         node.leader_since_ms()
             .is_some_and(|since_ms| now_ms - since_ms >= wait_ms)
     }
@@ -261,18 +266,23 @@
             self.leader_since_ms = node.leader_since_ms();
             self.controller.clear();
         }
-        let with_zones =
-            members.filter_map(|(id, is_present)| Some((id, rollout.zone_of(id)?, is_present)));
-        self.controller.members(with_zones);
+        let presences = members.filter_map(|(id, is_present)| {
+            Some(MemberPresence {
+                id,
+                zone: rollout.zone_of(id)?,
+                is_present,
+            })
+        });
+        self.controller.set_members(presences);
         if !rollout.is_settled_leader(node, now_ms) {
             return;
         }
         let states = agreed_states(node);
-        for decision in self.controller.look(now_ms, &states) {
+        for decision in self.controller.evaluate(&states, now_ms) {
             // One change of a zone at a time: while a record is not chosen, the next evaluation decides again.
             let key = Record::zone_key(decision.zone);
             if node.active(key).is_none() || node.is_chosen(key) {
-                write_state(node, decision.zone, decision.to, now_ms);
+                write_state(node, decision.zone, decision.status, now_ms);
             }
         }
     }
@@ -297,7 +307,11 @@
             _ => {
                 let mut list = ZoneList::default();
                 for (entry, (zone, state)) in list.iter_mut().zip(states) {
-                    *entry = Some((zone, state, self.controller.out(zone) as f32));
+                    *entry = Some(ZoneEntry {
+                        zone,
+                        status: state,
+                        quota: self.controller.granted_total(zone) as f32,
+                    });
                 }
                 Answer::Zones(list)
             }
@@ -307,39 +321,46 @@
     fn evacuate(
         &mut self,
         node: &mut QuorumNode,
-        states: &BTreeMap<Zone, Fleetwide>,
-        zone: Zone,
+        states: &BTreeMap<ZoneId, ZoneStatus>,
+        zone: ZoneId,
         dry_run: bool,
         now_ms: f64,
     ) -> Answer {
         let current = states.get(&zone);
-        let is_evacuated =
-            current.is_some_and(|state| state.stage == Stage::Left && state.why == Why::ByHand);
+        let is_evacuated = current.is_some_and(|state| {
+            state.stage == Stage::Evacuated && state.reason == Reason::Operator
+        });
         if is_evacuated {
             return when_chosen(node, zone);
         }
-        match self.controller.may_leave(now_ms, zone, states, true) {
-            Err(Refused::NotCarried { load, room }) => {
+        let checked = self
+            .controller
+            .check_evacuation(zone, states, Initiator::Operator, now_ms);
+        match checked {
+            Err(EvacuationRefused::InsufficientCapacity {
+                load_threads,
+                capacity_threads,
+            }) => {
                 return Answer::InsufficientCapacity {
-                    load: load as f32,
-                    remaining: room as f32,
+                    load: load_threads as f32,
+                    remaining: capacity_threads as f32,
                 };
             }
-            Err(Refused::TooMuch { part }) => {
+            Err(EvacuationRefused::TooManyCores { fraction }) => {
                 return Answer::TooManyCoresEvacuated {
-                    fraction: part as f32,
+                    fraction: fraction as f32,
                 };
             }
             Ok(()) if dry_run => return Answer::Done,
             Ok(()) => {}
         }
-        let current_number = current.map_or(0, |state| state.number);
+        let current_number = current.map_or(0, |state| state.decision_number);
         let time_number = (now_ms / NUMBER_UNIT_MS) as u64 as u32;
-        let state = Fleetwide {
-            stage: Stage::Left,
+        let state = ZoneStatus {
+            stage: Stage::Evacuated,
             step: 0,
-            number: current_number.max(time_number) + 1,
-            why: Why::ByHand,
+            decision_number: current_number.max(time_number) + 1,
+            reason: Reason::Operator,
         };
         write_state(node, zone, Some(state), now_ms);
         when_chosen(node, zone)
@@ -348,19 +369,19 @@
 
 fn return_to_zone(
     node: &mut QuorumNode,
-    states: &BTreeMap<Zone, Fleetwide>,
-    zone: Zone,
+    states: &BTreeMap<ZoneId, ZoneStatus>,
+    zone: ZoneId,
     now_ms: f64,
 ) -> Answer {
     match states.get(&zone) {
         None => Answer::Already,
-        Some(state) if state.stage == Stage::Returns => Answer::Done,
+        Some(state) if state.stage == Stage::Recovering => Answer::Done,
         Some(state) => {
-            let returning = Fleetwide {
-                stage: Stage::Returns,
+            let returning = ZoneStatus {
+                stage: Stage::Recovering,
                 step: 0,
-                number: state.number.wrapping_add(1),
-                why: Why::ByHand,
+                decision_number: state.decision_number.wrapping_add(1),
+                reason: Reason::Operator,
             };
             write_state(node, zone, Some(returning), now_ms);
             Answer::Pending
--- a/crates/rollout/tests/datagram_fixtures.rs
+++ b/crates/rollout/tests/datagram_fixtures.rs
@@ -7,8 +7,10 @@
 use tansymux_rollout::codec::{decode, encode};
 use tansymux_rollout::message::{Answer, Command, Message, Report, Status, ZoneList};
 use tansymux_rollout::rollout_plan::Release;
-use tansymux_zone_evacuation::wire::{Evidence, Plan, Reach, Told};
-use tansymux_zone_evacuation::{Fleetwide, Stage as ZoneStage, Why as ZoneWhy};
+use tansymux_zone_evacuation::codec::{LeaderReply, ZoneEntry};
+use tansymux_zone_evacuation::{
+    Evidence, MemberReport, Reachability, Reason, Stage as ZoneStage, ZoneStatus,
+};
 
 /// One `name hex` a line, as written by commit 0fd3fce.
 const FIXTURES: &str = include_str!("fixtures/datagrams.hex");
@@ -122,20 +124,31 @@
     })
 }
 
-fn zone_states() -> Vec<(u32, Fleetwide, f32)> {
-    let left = Fleetwide {
-        stage: ZoneStage::Left,
+fn zone_states() -> Vec<ZoneEntry> {
+    let evacuated = ZoneStatus {
+        stage: ZoneStage::Evacuated,
         step: 0,
-        number: 41,
-        why: ZoneWhy::CutOff,
+        decision_number: 41,
+        reason: Reason::CutOff,
     };
-    let returns = Fleetwide {
-        stage: ZoneStage::Returns,
+    let recovering = ZoneStatus {
+        stage: ZoneStage::Recovering,
         step: 3,
-        number: 42,
-        why: ZoneWhy::Reached,
+        decision_number: 42,
+        reason: Reason::Reached,
     };
-    vec![(ZONE, left, 0.0), (ZONE + 1, returns, 7.5)]
+    vec![
+        ZoneEntry {
+            zone: ZONE,
+            status: evacuated,
+            quota: 0.0,
+        },
+        ZoneEntry {
+            zone: ZONE + 1,
+            status: recovering,
+            quota: 7.5,
+        },
+    ]
 }
 
 fn halted(reason: HaltReason) -> Answer {
@@ -212,21 +225,26 @@
 }
 
 fn zone_report() -> Message {
-    let reaches = [Reach::Unknown, Reach::Well, Reach::Climbing, Reach::Cut];
+    let reaches = [
+        Reachability::Unknown,
+        Reachability::Reachable,
+        Reachability::Recovering,
+        Reachability::Unreachable,
+    ];
     let zones = reaches
         .into_iter()
         .zip(0..)
-        .map(|(reach, offset)| Evidence {
+        .map(|(reachability, offset)| Evidence {
             zone: ZONE + offset,
-            reach,
+            reachability,
             threads: 2.5,
-            good: 0x9192,
-            bad: 0xA1A2,
+            successes: 0x9192,
+            failures: 0xA1A2,
         });
-    Message::ZoneReport(Told {
+    Message::ZoneReport(MemberReport {
         session: 77,
-        number: NUMBER,
-        alone: true,
+        sequence_number: NUMBER,
+        is_isolated: true,
         zones: zones.collect(),
     })
 }
@@ -255,8 +273,8 @@
         ("zone-report", zone_report()),
         (
             "zone-plan",
-            Message::ZonePlan(Plan {
-                number: NUMBER,
+            Message::ZonePlan(LeaderReply {
+                sequence_number: NUMBER,
                 zones: zone_states(),
             }),
         ),
