--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 use tansymux::events::{EndpointState, Outcome};
 use tansymux::settings::{RawSettings, SettingsMap};
-use tansymux_coordination::limits::Unit;
-use tansymux_coordination::{Stand, Why};
+use tansymux_coordination::disruption_budget::Unit;
+use tansymux_coordination::{DisruptionReason, Role};
 use tansymux_operator_config::{number_of, schema};
-use tansymux_rollout::evidence::{Evidence as Ends, Terms};
-use tansymux_rollout::{Fleet, Own};
+use tansymux_rollout::engine_outcomes::{EngineOutcomes, FailureThreshold};
+use tansymux_rollout::{FleetAction, FleetEvent, FleetNode, MemberStatus};
 use tansymux_zone_evacuation::{Evidence, ZoneUse};
 
 /// What it says of itself is put together so often (ms).
@@ -30,20 +30,20 @@
 pub const TURN_VARIABLE: &str = "TANSYMUX_TURN";
 
 pub struct FleetService {
-    fleet: RefCell<Fleet>,
+    fleet: RefCell<FleetNode>,
     socket: Async<UdpSocket>,
     clock: Clock,
     notify: Rc<Notify>,
     registry: Rc<QueryRegistry>,
-    evidence: RefCell<Ends>,
-    bad: Cell<Option<Terms>>,
+    evidence: RefCell<EngineOutcomes>,
+    bad: Cell<Option<FailureThreshold>>,
     zone: u32,
     version: Cell<u32>,
     settings: SettingsMap,
     listed: RefCell<Vec<EndpointEntry>>,
     said: Cell<f64>,
     /// The engines that were out at the last look.
-    outs: RefCell<Vec<(u64, Why)>>,
+    outs: RefCell<Vec<(u64, DisruptionReason)>>,
     sent: Cell<u64>,
     heard: Cell<u64>,
     stand: Cell<Option<bool>>,
@@ -80,7 +80,7 @@
         // The seed of the decisions is told by the platform and may come again; a life of a member may not.
         let seed = seed ^ (clock.now() * 1000.0) as u64 ^ u64::from(std::process::id()) << 32;
         let side = Rc::new(FleetService {
-            fleet: RefCell::new(Fleet::new(&own, clock.now(), seed)),
+            fleet: RefCell::new(FleetNode::new(&own, clock.now(), seed)),
             socket,
             clock,
             notify: Rc::default(),
@@ -116,9 +116,11 @@
         };
         self.bad.set(terms_of(told));
         self.version.set(version_of(told));
-        self.fleet
-            .borrow_mut()
-            .set(own.told, own.keys, own.zones.map(|(_, zones)| zones));
+        self.fleet.borrow_mut().set_config(
+            own.rollout,
+            own.keys,
+            own.zones.map(|(_, zones)| zones),
+        );
     }
 
     /// Hears and tells until dropped.
@@ -160,27 +162,32 @@
 
     fn hears(&self, from: SocketAddr, bytes: &[u8]) {
         self.heard.set(self.heard.get() + 1);
-        self.fleet
-            .borrow_mut()
-            .handle(self.clock.now(), from, bytes);
+        self.fleet.borrow_mut().handle(
+            FleetEvent::DatagramReceived {
+                from,
+                datagram: bytes,
+            },
+            self.clock.now(),
+        );
     }
 
     /// Sends what is due; when to look again.
     fn tells(&self) -> f64 {
-        let (out, next) = self.fleet.borrow_mut().poll(self.clock.now());
-        for (to, bytes) in out {
-            match self.socket.get_ref().send_to(&bytes, to) {
+        let mut fleet = self.fleet.borrow_mut();
+        let now_ms = self.clock.now();
+        while let Some(FleetAction::Send { to, datagram }) = fleet.poll(now_ms) {
+            match self.socket.get_ref().send_to(&datagram, to) {
                 Ok(_) => self.sent.set(self.sent.get() + 1),
                 // As one that is lost on its way; a host that is not there is no news here.
                 Err(e) => tracing::debug!(%to, error = %e, "a datagram of the fleet was not sent"),
             }
         }
-        next
+        fleet.next_poll_ms()
     }
 
     /// What this dispatcher sees of its zones.
     pub fn sees(&self, evidence: Vec<Evidence>, alone: bool) {
-        self.fleet.borrow_mut().sees(evidence, alone);
+        self.fleet.borrow_mut().observe_zones(evidence, alone);
     }
 
     /// How a zone may be used, as the fleet agreed.
@@ -190,12 +197,14 @@
 
     /// Whether zones are left and returned to as a fleet.
     pub fn has_zones(&self) -> bool {
-        self.fleet.borrow().zoned().is_some()
+        self.fleet.borrow().zones().is_some()
     }
 
     /// This member goes: the others are told at once.
     pub fn leave(&self) {
-        self.fleet.borrow_mut().leave(self.clock.now());
+        self.fleet
+            .borrow_mut()
+            .handle(FleetEvent::LeaveRequested, self.clock.now());
         self.tells();
     }
 
@@ -209,7 +218,7 @@
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
-        self.evidence.borrow_mut().ended(now, engine_id, bad);
+        self.evidence.borrow_mut().record(engine_id, bad, now);
     }
 
     /// The list as it was told: kept, and given back as this dispatcher is to take it. An engine that is out by
@@ -232,17 +241,17 @@
             id: engine.engine_id,
             zone: number_of(&engine.zone),
             version: 0,
-            there: engine.status == EndpointState::Ready,
+            available: engine.status == EndpointState::Ready,
             capacity: cores(&engine.kind),
         };
         let units: Vec<Unit> = listed.iter().map(unit).collect();
         let mut fleet = self.fleet.borrow_mut();
-        fleet.engines(&units);
+        fleet.set_engines(&units);
         for engine in engines
             .iter_mut()
             .filter(|engine| engine.status == EndpointState::Ready)
         {
-            if fleet.engine_out(engine.engine_id).is_some() {
+            if fleet.engine_disruption(engine.engine_id).is_some() {
                 engine.status = EndpointState::Draining;
             }
         }
@@ -260,32 +269,33 @@
         let bad = self
             .bad
             .get()
-            .and_then(|terms| self.evidence.borrow_mut().bad(now, &terms));
+            .and_then(|terms| self.evidence.borrow_mut().failing_engine(&terms, now));
         let mut fleet = self.fleet.borrow_mut();
         let (zone, version) = (self.zone, self.version.get());
-        fleet.says(Own {
+        fleet.set_status(MemberStatus {
             zone,
             version,
-            busy,
+            utilization: busy,
             threads,
-            good,
-            all,
-            bad,
+            succeeded: good,
+            total: all,
+            failing_engine: bad,
         });
-        let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
+        let leads = matches!(fleet.role(), Some(Role::Leader(_)));
         if self.stand.replace(Some(leads)) != Some(leads) {
             tracing::info!(leads, "leads the fleet, or no more");
         }
         let listed = self.listed.borrow();
         let out = |engine: &EndpointEntry| {
             fleet
-                .engine_out(engine.engine_id)
+                .engine_disruption(engine.engine_id)
                 .map(|why| (engine.engine_id, why))
         };
-        let outs: Vec<(u64, Why)> = listed.iter().filter_map(out).collect();
+        let outs: Vec<(u64, DisruptionReason)> = listed.iter().filter_map(out).collect();
         let before = self.outs.replace(outs.clone());
-        let is_in =
-            |some: &[(u64, Why)], engine_id: u64| some.iter().any(|(out, _)| *out == engine_id);
+        let is_in = |some: &[(u64, DisruptionReason)], engine_id: u64| {
+            some.iter().any(|(out, _)| *out == engine_id)
+        };
         let mut changed = Vec::new();
         for engine in listed.iter() {
             match (
@@ -315,20 +325,20 @@
         let fleet = self.fleet.borrow();
         let now = self.clock.now();
         let leader = fleet.agent().leader(now);
-        let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
-        let recalls = matches!(fleet.stand(), Some(Stand::Recalls { .. }));
+        let leads = matches!(fleet.role(), Some(Role::Leader(_)));
+        let recalls = matches!(fleet.role(), Some(Role::Quarantined { .. }));
         for (name, value) in [
-            ("fleet_members", fleet.group().present_count() as u64),
+            ("fleet_members", fleet.detector().present_count() as u64),
             ("fleet_leads", u64::from(leads)),
             ("fleet_recalls", u64::from(recalls)),
             ("fleet_leader_known", u64::from(leader.is_some())),
             ("fleet_halted", u64::from(fleet.agent().halt().is_some())),
-            ("fleet_engines_out", fleet.engines_out() as u64),
+            ("fleet_engines_out", fleet.unavailable_engine_count() as u64),
             (
                 "fleet_zones_out",
                 fleet
-                    .zoned()
-                    .map_or(0, |zoned| zoned.guide.statuses().count() as u64),
+                    .zones()
+                    .map_or(0, |zones| zones.follower.statuses().count() as u64),
             ),
             ("fleet_datagrams_sent", self.sent.get()),
             ("fleet_datagrams_heard", self.heard.get()),
@@ -338,10 +348,10 @@
     }
 }
 
-fn terms_of(told: &schema::Fleet) -> Option<Terms> {
-    told.ejection.as_ref().map(|ejection| Terms {
-        ends: ejection.ends(),
-        part: ejection.part(),
+fn terms_of(told: &schema::Fleet) -> Option<FailureThreshold> {
+    told.ejection.as_ref().map(|ejection| FailureThreshold {
+        min_attempts: ejection.ends(),
+        failure_fraction: ejection.part(),
     })
 }
 
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -6,11 +6,13 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
-use tansymux_coordination::Stage as Released;
+use tansymux_coordination::ReleaseStage;
 use tansymux_membership::member_id_of;
 use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
-use tansymux_rollout::{FleetClient, Settings, Turn, TurnEnd};
+use tansymux_rollout::{
+    ClientAction, FleetClient, FleetConfig, LeaseOutcome, LeaseRequest, RestartLease,
+};
 use tansymux_zone_evacuation::Stage;
 
 /// Granted or done; halted; given up in time, or nobody leads.
@@ -20,7 +22,7 @@
 struct Line {
     socket: UdpSocket,
     to: SocketAddr,
-    settings: Settings,
+    settings: FleetConfig,
     from: Instant,
 }
 
@@ -48,7 +50,7 @@
             let engine = u64::from(number_of(engine));
             line.says(Command::Drain {
                 engine,
-                grant: rand::rng().random(),
+                grant_id: rand::rng().random(),
             })
         }
         FleetCommand::Undrain { engine } => line.says(Command::Undrain {
@@ -71,18 +73,20 @@
             Ok(Command::Resume { number })
         }),
         FleetCommand::Back => line.of_status(|status| {
-            let (number, ..) = status.release.ok_or("there is no release")?;
-            Ok(Command::Back { number })
+            let release = status.release.ok_or("there is no release")?;
+            Ok(Command::RollBack {
+                number: release.number,
+            })
         }),
-        FleetCommand::Leave { zone, dry_run } => line.says(Command::Leave {
+        FleetCommand::Leave { zone, dry_run } => line.says(Command::EvacuateZone {
             zone: number_of(zone),
-            dry: *dry_run,
+            dry_run: *dry_run,
         }),
-        FleetCommand::Return { zone } => line.says(Command::ReturnTo {
+        FleetCommand::Return { zone } => line.says(Command::ReturnToZone {
             zone: number_of(zone),
         }),
         FleetCommand::Zones => {
-            let answer = line.asks(Command::Zones).map_err(|e| e.to_string())?;
+            let answer = line.asks(Command::ListZones).map_err(|e| e.to_string())?;
             let Answer::Zones(list) = answer else {
                 return Ok(ended(answer));
             };
@@ -138,9 +142,9 @@
     }
 
     /// Sends, and hands on what comes within 20 ms. A member that is not there is one that does not answer.
-    fn turns(&self, out: Vec<Vec<u8>>, mut heard: impl FnMut(&[u8])) -> io::Result<()> {
-        for bytes in out {
-            let _ = self.socket.send_to(&bytes, self.to);
+    fn turns(&self, out: Option<ClientAction>, mut heard: impl FnMut(&[u8])) -> io::Result<()> {
+        if let Some(ClientAction::Send { datagram }) = out {
+            let _ = self.socket.send_to(&datagram, self.to);
         }
         let mut bytes = [0; 512];
         match self.socket.recv_from(&mut bytes) {
@@ -166,7 +170,7 @@
             rand::rng().random(),
         );
         loop {
-            let (out, _) = caller.poll(self.now());
+            let out = caller.poll(self.now());
             if let Some(answer) = caller.answer() {
                 return Ok(answer);
             }
@@ -196,39 +200,41 @@
         wait_s: f64,
     ) -> Result<ExitCode, String> {
         let (id, version) = (dispatcher.map_or(0, member_id_of), to.map_or(0, number_of));
-        let (keys, skew) = (self.settings.keys.clone(), self.settings.terms.skew);
+        let (keys, skew) = (
+            self.settings.keys.clone(),
+            self.settings.quorum.max_clock_skew,
+        );
         let patience = wait_s * 1000.0;
-        let mut turn = Turn::new(
+        let request = LeaseRequest {
             keys,
-            id,
-            version,
-            skew,
-            self.now(),
-            patience,
-            rand::rng().random(),
-        );
+            dispatcher: id,
+            to: version,
+            max_clock_skew: skew,
+            max_wait_ms: patience,
+        };
+        let mut turn = RestartLease::new(request, self.now(), rand::rng().random());
         loop {
-            let (out, _) = turn.poll(self.now());
-            match turn.end() {
-                Some(TurnEnd::Granted { until }) => {
+            let out = turn.poll(self.now());
+            match turn.outcome() {
+                Some(LeaseOutcome::Granted { until_ms }) => {
                     println!(
                         "{:016x} {:.1}",
-                        turn.grant(),
-                        ((until - self.now()) / 1000.0).max(0.0)
+                        turn.grant_id(),
+                        ((until_ms - self.now()) / 1000.0).max(0.0)
                     );
                     return Ok(ExitCode::SUCCESS);
                 }
-                Some(TurnEnd::Halted(answer)) => {
+                Some(LeaseOutcome::Refused(answer)) => {
                     eprintln!("tansymux: {}", words(&answer));
                     return Ok(ExitCode::from(HALTED));
                 }
-                Some(TurnEnd::GivenUp(answer)) => {
+                Some(LeaseOutcome::TimedOut(answer)) => {
                     eprintln!("tansymux: no turn in time: {}", words(&answer));
                     return Ok(ExitCode::from(GIVEN_UP));
                 }
                 None => {}
             }
-            self.turns(out, |bytes| turn.handle(self.now(), bytes))
+            self.turns(out, |bytes| turn.handle(bytes, self.now()))
                 .map_err(|e| e.to_string())?;
         }
     }
@@ -258,53 +264,62 @@
         Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => {
             "done".into()
         }
-        Answer::TooMuch { part } => format!("{:.0}% of all cores would be left", part * 100.0),
-        Answer::Halted { why, number, .. } => format!("halted, {} (number {number})", why.words()),
-        Answer::Full { scope, out, most } => format!("{out} are out of at most {most} ({scope:?})"),
-        Answer::TooSoon { wait } => {
+        Answer::TooManyCoresEvacuated { fraction } => {
+            format!("{:.0}% of all cores would be left", fraction * 100.0)
+        }
+        Answer::Halted { reason, number, .. } => {
+            format!("halted, {} (number {number})", reason.description())
+        }
+        Answer::BudgetExhausted {
+            scope,
+            unavailable,
+            max_unavailable,
+        } => format!("{unavailable} are out of at most {max_unavailable} ({scope:?})"),
+        Answer::TooSoon { wait_ms } => {
             format!(
                 "too soon after the last one, by {:.1} s",
-                f64::from(*wait) / 1000.0
+                f64::from(*wait_ms) / 1000.0
             )
         }
-        Answer::AlreadyOut { why } => format!("it is out already ({why:?})"),
-        Answer::NotCarried { load, left } => {
-            format!("what remains would not carry the load: {load:.1} on {left:.1}")
+        Answer::AlreadyOut { reason } => format!("it is out already ({reason})"),
+        Answer::InsufficientCapacity { load, remaining } => {
+            format!("what remains would not carry the load: {load:.1} on {remaining:.1}")
         }
-        Answer::Unknown => "no such member or engine is known".into(),
-        Answer::Others => "others are first".into(),
-        Answer::Pause => "a rest after a hall".into(),
+        Answer::UnknownUnit => "no such member or engine is known".into(),
+        Answer::OthersFirst => "others are first".into(),
+        Answer::PausedAfterZone => "a rest after a hall".into(),
         Answer::NoSuchRelease => "no release goes there".into(),
         Answer::Already => "it is there already".into(),
-        Answer::Running { number } => format!("release {number} is under way"),
-        Answer::NoWayBack => "the release named no version to go back to".into(),
+        Answer::ReleaseInProgress { number } => format!("release {number} is under way"),
+        Answer::NoPreviousVersion => "the release named no version to go back to".into(),
     }
 }
 
 fn shown(s: &Status) -> String {
-    let stage = |stage: Released| match stage {
-        Released::Canaries => "first few",
-        Released::Waves => "hall by hall",
-        Released::Back => "going back",
-        Released::Done => "done",
-        Released::Undone => "gone back",
+    let stage = |stage: ReleaseStage| match stage {
+        ReleaseStage::Canaries => "first few",
+        ReleaseStage::Waves => "hall by hall",
+        ReleaseStage::RollingBack => "going back",
+        ReleaseStage::Completed => "done",
+        ReleaseStage::RolledBack => "gone back",
     };
     let mut text = format!(
         "leader {:016x}\nmembers {} out {} lost {}\nengines {} out {}",
-        s.leader, s.members, s.out, s.lost, s.engines, s.engines_out
+        s.leader, s.members, s.unavailable, s.lost, s.engines, s.engines_unavailable
     );
     text += &match s.halt {
-        Some((why, number)) => format!("\nhalted {} (number {number})", why.words()),
+        Some((why, number)) => format!("\nhalted {} (number {number})", why.description()),
         None => "\nhalted no".into(),
     };
-    if let Some((number, at, to, from)) = s.release {
+    if let Some(release) = s.release {
+        let (number, to, from) = (release.number, release.to, release.from);
         text += &format!(
             "\nrelease {number} {} to {to:08x} from {from:08x} there {} to go {} pairs {} difference {:+.4}",
-            stage(at),
+            stage(release.stage),
             s.released,
-            s.to_go,
+            s.remaining,
             s.pairs,
-            s.by
+            s.mean_difference
         );
     }
     text
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -4,10 +4,11 @@
 use crate::schema;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use tansymux_coordination::limits::{Bounds, Limit};
-use tansymux_coordination::Terms;
+use tansymux_coordination::disruption_budget::{DisruptionBudget, Limit};
+use tansymux_coordination::QuorumConfig;
 use tansymux_membership::Keys;
-use tansymux_rollout::{compare, Plan, Settings, Told};
+use tansymux_rollout::canary_analysis::AnalysisConfig;
+use tansymux_rollout::{FleetConfig, RolloutConfig, RolloutPlan};
 
 const MAX_VOTERS: usize = 9;
 const MAX_NAME: usize = 64;
@@ -32,53 +33,56 @@
     Some(key)
 }
 
-fn bounds(told: Option<&schema::fleet::Bounds>) -> Bounds {
+fn bounds(told: Option<&schema::fleet::Bounds>) -> DisruptionBudget {
     let told = told.copied().unwrap_or_default();
-    let most = |number, part| Limit { number, part };
+    let most = |number, part| Limit {
+        max_count: number,
+        max_fraction: part,
+    };
     let fleet = match (told.most, told.most_part) {
-        (None, None) => Bounds::default().fleet,
+        (None, None) => DisruptionBudget::default().fleet,
         (number, part) => most(number, part),
     };
-    Bounds {
+    DisruptionBudget {
         fleet,
         zone: most(told.hall_most, told.hall_part),
         version: most(told.version_most, told.version_part),
-        apart: told.apart_s() * 1000.0,
-        carry: told.carry(),
+        min_interval_ms: told.apart_s() * 1000.0,
+        max_utilization: told.carry(),
     }
 }
 
 /// The settings that the file tells; `turn`: the turn under which the program was started. None where a needed one is
 /// missing: see `check`.
-pub fn fleet(told: &schema::Fleet, turn: u64) -> Option<Settings> {
+pub fn fleet(told: &schema::Fleet, turn: u64) -> Option<FleetConfig> {
     let address = |text: &str| text.parse::<SocketAddr>().ok().filter(SocketAddr::is_ipv4);
     let timing = told.timing.unwrap_or_default();
     let turns = told.turns.clone().unwrap_or_default();
-    let plan = Plan {
-        canaries: turns.canaries() as usize,
-        canary: turns.canary_s() * 1000.0,
-        goes_on_untold: turns.goes_on_untold(),
-        zones: turns.hall.iter().map(|hall| number_of(hall)).collect(),
-        pause: turns.pause_s() * 1000.0,
-        lost: turns.lost() as usize,
-        compare: compare::Terms {
-            window: turns.window_s() * 1000.0,
+    let plan = RolloutPlan {
+        canary_count: turns.canaries() as usize,
+        canary_observation_ms: turns.canary_s() * 1000.0,
+        continue_if_inconclusive: turns.goes_on_untold(),
+        zone_order: turns.hall.iter().map(|hall| number_of(hall)).collect(),
+        zone_pause_ms: turns.pause_s() * 1000.0,
+        max_lost_members: turns.lost() as usize,
+        analysis: AnalysisConfig {
+            window_ms: turns.window_s() * 1000.0,
             significance: turns.chance(),
-            least: turns.least(),
-            pairs: turns.pairs() as usize,
-            requests: turns.requests(),
+            min_difference: turns.least(),
+            min_pairs: turns.pairs() as usize,
+            min_requests: turns.requests(),
         },
     };
     let ejection = told.ejection.as_ref();
-    let decided = Told {
+    let decided = RolloutConfig {
         dispatchers: bounds(told.dispatchers.as_ref()),
         engines: bounds(told.engines.as_ref()),
         plan,
-        turn: turns.turn_s() * 1000.0,
-        settle: timing.settle_s() * 1000.0,
-        left: turns.left_s() * 1000.0,
-        witnesses: ejection.map(|ejection| ejection.witnesses() as usize),
-        ejected: ejection.map_or(0.0, |ejection| ejection.out_s() * 1000.0),
+        lease_term_ms: turns.turn_s() * 1000.0,
+        settle_ms: timing.settle_s() * 1000.0,
+        left_retention_ms: turns.left_s() * 1000.0,
+        ejection_witnesses: ejection.map(|ejection| ejection.witnesses() as usize),
+        ejection_term_ms: ejection.map_or(0.0, |ejection| ejection.out_s() * 1000.0),
     };
     let membership = tansymux_membership::Config {
         period_ms: timing.period_s() * 1000.0,
@@ -91,26 +95,26 @@
         .as_ref()
         .map(|zones| (0, zones_of(zones, timing.skew())));
     let lead = timing.lead_s() * 1000.0;
-    let terms = Terms {
-        lead,
-        permit: decided.turn.max(decided.ejected),
-        skew: timing.skew(),
-        again: lead / 10.0,
-        late: timing.late_s() * 1000.0,
+    let quorum = QuorumConfig {
+        leader_lease_ms: lead,
+        max_grant_ms: decided.lease_term_ms.max(decided.ejection_term_ms),
+        max_clock_skew: timing.skew(),
+        retransmit_ms: lead / 10.0,
+        max_datagram_delay_ms: timing.late_s() * 1000.0,
     };
-    Some(Settings {
+    Some(FleetConfig {
         name: told.name.clone()?,
         address: address(told.address.as_deref().or(told.listen.as_deref())?)?,
         voters: told.voter.clone(),
         membership,
-        terms,
+        quorum,
         keys: Keys {
             signing: Some(key(told.key())?),
             also_accepted: key(told.also_opens()),
         },
         fresh: told.fresh(),
-        turn,
-        told: decided,
+        grant_id: turn,
+        rollout: decided,
         zones,
     })
 }
--- a/crates/testbed/src/fleet/world.rs
+++ b/crates/testbed/src/fleet/world.rs
@@ -6,11 +6,14 @@
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tansymux_coordination::limits::{Bounds, Limit, Unit};
-use tansymux_coordination::{Stage, Stand, Terms};
+use tansymux_coordination::disruption_budget::{DisruptionBudget, HaltReason, Limit, Unit};
+use tansymux_coordination::{QuorumConfig, Record, ReleaseStage, Role, UnitKind};
 use tansymux_membership::{member_id_of, Keys};
 use tansymux_rollout::message::{Answer, Command};
-use tansymux_rollout::{Fleet, FleetClient, Own, Plan, Settings, Told, Turn, TurnEnd};
+use tansymux_rollout::{
+    ClientAction, FleetAction, FleetClient, FleetConfig, FleetEvent, FleetNode, LeaseOutcome,
+    LeaseRequest, MemberStatus, RestartLease, RolloutConfig, RolloutPlan,
+};
 
 const STEP: f64 = 10.0;
 /// The release begins so long after the start of all: voters without memory keep still at first.
@@ -20,7 +23,7 @@
 
 /// A dispatcher's process, as it truly is.
 struct Slot {
-    fleet: Option<Fleet>,
+    fleet: Option<FleetNode>,
     /// Its clock against the true one: rate, and what it read at the true start.
     rate: f64,
     offset: f64,
@@ -53,7 +56,7 @@
 /// A supervisor: wants its dispatcher on the new version, and back on the old one where the release goes back.
 enum Supervisor {
     Waits {
-        turn: Box<Turn>,
+        turn: Box<RestartLease>,
         from: f64,
         to: u32,
     },
@@ -127,7 +130,7 @@
     /// Waits for a turn that were given up.
     pub given_up: usize,
     pub seen: Seen,
-    told: Told,
+    told: RolloutConfig,
 }
 
 pub fn address(n: usize) -> SocketAddr {
@@ -160,46 +163,55 @@
     }
 }
 
+/// Everything that a member sends now.
+fn datagrams(fleet: &mut FleetNode, now_ms: f64) -> Vec<(SocketAddr, Vec<u8>)> {
+    let mut datagrams = Vec::new();
+    while let Some(FleetAction::Send { to, datagram }) = fleet.poll(now_ms) {
+        datagrams.push((to, datagram));
+    }
+    datagrams
+}
+
 /// What the operators' file would say for a scenario.
-pub fn told(scenario: &Scenario) -> Told {
-    let bounds = |most: usize| Bounds {
+pub fn told(scenario: &Scenario) -> RolloutConfig {
+    let bounds = |most: usize| DisruptionBudget {
         fleet: Limit {
-            number: Some(most as u32),
-            part: None,
+            max_count: Some(most as u32),
+            max_fraction: None,
         },
-        carry: 10.0,
-        ..Bounds::default()
+        max_utilization: 10.0,
+        ..DisruptionBudget::default()
     };
-    let plan = Plan {
-        canaries: 1,
-        canary: 4000.0,
-        goes_on_untold: true,
-        pause: 500.0,
-        lost: scenario.members,
-        ..Plan::default()
+    let plan = RolloutPlan {
+        canary_count: 1,
+        canary_observation_ms: 4000.0,
+        continue_if_inconclusive: true,
+        zone_pause_ms: 500.0,
+        max_lost_members: scenario.members,
+        ..RolloutPlan::default()
     };
-    Told {
+    RolloutConfig {
         dispatchers: bounds(scenario.most),
         engines: bounds(scenario.max_engines),
         plan,
-        turn: scenario.turn,
-        left: 30_000.0,
-        ..Told::default()
+        lease_term_ms: scenario.turn,
+        left_retention_ms: 30_000.0,
+        ..RolloutConfig::default()
     }
 }
 
-pub fn terms(scenario: &Scenario) -> Terms {
-    Terms {
-        lead: 2000.0,
-        permit: scenario.turn,
-        skew: 0.02,
-        again: 250.0,
-        late: scenario.late,
+pub fn terms(scenario: &Scenario) -> QuorumConfig {
+    QuorumConfig {
+        leader_lease_ms: 2000.0,
+        max_grant_ms: scenario.turn,
+        max_clock_skew: 0.02,
+        retransmit_ms: 250.0,
+        max_datagram_delay_ms: scenario.late,
     }
 }
 
 impl World {
-    pub fn new(scenario: Scenario, told: Told, served: Served) -> Self {
+    pub fn new(scenario: Scenario, told: RolloutConfig, served: Served) -> Self {
         let mut rng = Pcg32::seed_from_u64(scenario.seed);
         let slots = (0..scenario.members)
             .map(|_| Slot {
@@ -217,7 +229,7 @@
                 all: 0,
             })
             .collect();
-        let begin = terms(&scenario).quarantine() * 1.05 + 20_000.0;
+        let begin = terms(&scenario).quarantine_ms() * 1.05 + 20_000.0;
         let supervisors = (0..scenario.members)
             .map(|_| Supervisor::Rests { until: begin })
             .collect();
@@ -264,8 +276,8 @@
         }
     }
 
-    fn settings(&self, n: usize) -> Settings {
-        Settings {
+    fn settings(&self, n: usize) -> FleetConfig {
+        FleetConfig {
             name: format!("n{n}"),
             address: address(n),
             voters: (0..self.scenario.voters).map(|n| format!("n{n}")).collect(),
@@ -273,11 +285,11 @@
                 seeds: (0..self.scenario.members.min(5)).map(address).collect(),
                 ..tansymux_membership::Config::default()
             },
-            terms: terms(&self.scenario),
+            quorum: terms(&self.scenario),
             keys: keys(),
             fresh: false,
-            turn: self.slots[n].turn,
-            told: self.told.clone(),
+            grant_id: self.slots[n].turn,
+            rollout: self.told.clone(),
             zones: None,
         }
     }
@@ -287,17 +299,17 @@
         // Another process reads another clock: what it was before is not known to it.
         self.slots[n].offset += self.rng.random_range(-1e6..1e6);
         let local = self.slots[n].local(self.now);
-        let mut fleet = Fleet::new(&settings, local, seed);
+        let mut fleet = FleetNode::new(&settings, local, seed);
         let units: Vec<Unit> = (0..self.scenario.engines)
             .map(|e| Unit {
                 id: 1000 + e as u64,
                 zone: (e % 2) as u32,
                 version: 0,
-                there: true,
+                available: true,
                 capacity: 8.0,
             })
             .collect();
-        fleet.engines(&units);
+        fleet.set_engines(&units);
         let slot = &mut self.slots[n];
         (slot.fleet, slot.back, slot.wake, slot.stalled) = (Some(fleet), None, self.now, 0.0);
         (slot.good, slot.all, slot.turn) = (0, 0, 0);
@@ -312,9 +324,9 @@
     fn leader(&self) -> Option<usize> {
         let leads = |slot: &Slot| {
             let fleet = slot.fleet.as_ref()?;
-            let leads = matches!(fleet.stand(), Some(Stand::Leads(_)));
+            let leads = matches!(fleet.role(), Some(Role::Leader(_)));
             leads
-                .then(|| fleet.council().and_then(|council| council.leads_since()))
+                .then(|| fleet.quorum().and_then(|quorum| quorum.leader_since_ms()))
                 .flatten()
         };
         let all = self
@@ -396,7 +408,11 @@
             }
             let local = slot.local(self.now);
             if let Some(fleet) = &mut slot.fleet {
-                fleet.handle(local, source, &bytes);
+                let received = FleetEvent::DatagramReceived {
+                    from: source,
+                    datagram: &bytes,
+                };
+                fleet.handle(received, local);
                 slot.wake = slot.wake.min(self.now);
             }
         }
@@ -427,7 +443,11 @@
         let local = slot.local(now);
         let Some(fleet) = &mut slot.fleet else { return };
         for (from, bytes) in std::mem::take(&mut slot.waiting) {
-            fleet.handle(local, from, &bytes);
+            let received = FleetEvent::DatagramReceived {
+                from,
+                datagram: &bytes,
+            };
+            fleet.handle(received, local);
         }
         let bad = slot.version == NEW && now - begin >= served.worse_from;
         let part = if bad { served.new } else { served.old };
@@ -439,14 +459,15 @@
             }
         }
         let zone = (n % self.scenario.zones) as u32 + 1;
-        fleet.says(Own {
+        fleet.set_status(MemberStatus {
             zone,
             version: slot.version,
-            good: slot.good,
-            all: slot.all,
-            ..Own::default()
+            succeeded: slot.good,
+            total: slot.all,
+            ..MemberStatus::default()
         });
-        let (out, next) = fleet.poll(local);
+        let out = datagrams(fleet, local);
+        let next = fleet.next_poll_ms();
         slot.wake = slot.truly(next).clamp(now, now + 250.0);
         for (to, bytes) in out {
             self.sends(n, address(n), to, bytes);
@@ -460,7 +481,7 @@
         let local = self.slots[at].of_host(self.now);
         if to == caller_of(at) {
             if let Supervisor::Waits { turn, .. } = &mut self.supervisors[at] {
-                turn.handle(local, bytes);
+                turn.handle(bytes, local);
             }
         } else {
             let k = usize::from(to.port().saturating_sub(9100));
@@ -474,7 +495,7 @@
         let seed = self.rng.random();
         let caller = FleetClient::new(keys(), command, self.slots[at].of_host(self.now), seed);
         let halts = matches!(command, Command::Halt { .. });
-        if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
+        if matches!(command, Command::Resume { .. } | Command::RollBack { .. }) {
             self.halted_since = None;
         }
         self.operators.push(Operator {
@@ -490,9 +511,9 @@
         for k in 0..self.operators.len() {
             let at = self.operators[k].at;
             let local = self.slots[at].of_host(self.now);
-            let (out, _) = self.operators[k].caller.poll(local);
-            for bytes in out {
-                self.sends(at, operator_of(at, k), address(at), bytes);
+            let out = self.operators[k].caller.poll(local);
+            if let Some(ClientAction::Send { datagram }) = out {
+                self.sends(at, operator_of(at, k), address(at), datagram);
             }
             let operator = &mut self.operators[k];
             if let Some(answer) = operator.caller.answer().filter(|_| !operator.told) {
@@ -530,13 +551,15 @@
                     && self.slots[n].version != to
                     && self.slots[n].fleet.is_some()
                 {
-                    let turn = Turn::new(
-                        keys(),
-                        member_id_of(&format!("n{n}")),
-                        to,
-                        0.02,
+                    let turn = RestartLease::new(
+                        LeaseRequest {
+                            keys: keys(),
+                            dispatcher: member_id_of(&format!("n{n}")),
+                            to,
+                            max_clock_skew: 0.02,
+                            max_wait_ms: 20_000.0,
+                        },
                         host,
-                        20_000.0,
                         self.rng.random(),
                     );
                     self.supervisors[n] = Supervisor::Waits {
@@ -547,13 +570,13 @@
                 }
             }
             Supervisor::Waits { turn, from, to } => {
-                let (out, _) = turn.poll(host);
-                let (end, grant, from, to) = (turn.end(), turn.grant(), *from, *to);
-                for bytes in out {
-                    self.sends(n, caller_of(n), address(n), bytes);
+                let out = turn.poll(host);
+                let (end, grant, from, to) = (turn.outcome(), turn.grant_id(), *from, *to);
+                if let Some(ClientAction::Send { datagram }) = out {
+                    self.sends(n, caller_of(n), address(n), datagram);
                 }
                 match end {
-                    Some(TurnEnd::Granted { until }) => {
+                    Some(LeaseOutcome::Granted { until_ms: until }) => {
                         self.seen.to_grant.push(now - from);
                         let holds = |s: &Supervisor| {
                             matches!(s, Supervisor::Goes { .. } | Supervisor::Down { .. })
@@ -585,7 +608,7 @@
                         };
                     }
                     Some(end) => {
-                        self.given_up += usize::from(matches!(end, TurnEnd::GivenUp(_)));
+                        self.given_up += usize::from(matches!(end, LeaseOutcome::TimedOut(_)));
                         let rest = self.rng.random_range(500.0..2500.0);
                         self.supervisors[n] = Supervisor::Rests { until: now + rest };
                     }
@@ -597,8 +620,8 @@
                     let (to, turn) = (*to, *turn);
                     let polite = self.rng.random_bool(0.8);
                     if let Some(fleet) = self.slots[n].fleet.as_mut().filter(|_| polite) {
-                        fleet.leave(local);
-                        let (out, _) = fleet.poll(local);
+                        fleet.handle(FleetEvent::LeaveRequested, local);
+                        let out = datagrams(fleet, local);
                         for (to, bytes) in out {
                             self.sends(n, address(n), to, bytes);
                         }
@@ -662,7 +685,7 @@
                         at,
                         Command::Drain {
                             engine: 1000 + engine as u64,
-                            grant,
+                            grant_id: grant,
                         },
                         Some(engine),
                     );
@@ -692,18 +715,18 @@
             Fault::Limit { most } => {
                 self.limit = (most, self.now);
                 self.told.dispatchers.fleet = Limit {
-                    number: Some(most as u32),
-                    part: None,
+                    max_count: Some(most as u32),
+                    max_fraction: None,
                 };
                 for slot in &mut self.slots {
                     if let Some(fleet) = &mut slot.fleet {
-                        fleet.set(self.told.clone(), keys(), None);
+                        fleet.set_config(self.told.clone(), keys(), None);
                     }
                 }
             }
             Fault::Back { at } => {
                 self.went_back = true;
-                self.calls(at, Command::Back { number: RELEASE }, None);
+                self.calls(at, Command::RollBack { number: RELEASE }, None);
             }
         }
     }
@@ -746,9 +769,10 @@
             .leader()
             .and_then(|leader| self.slots[leader].fleet.as_ref());
         let halt = leader
-            .and_then(Fleet::council)
-            .and_then(tansymux_rollout::halt_of);
-        if let Some((number, ..)) = halt {
+            .and_then(FleetNode::quorum)
+            .and_then(tansymux_rollout::active_halt);
+        if let Some(halt) = halt {
+            let number = halt.number;
             self.calls(0, Command::Resume { number }, None);
         }
     }
@@ -774,7 +798,7 @@
                 .slots
                 .iter()
                 .all(|slot| slot.version == OLD && slot.fleet.is_some())
-                && self.stage() == Some(Stage::Undone)
+                && self.stage() == Some(ReleaseStage::RolledBack)
             {
                 return true;
             }
@@ -795,14 +819,14 @@
     }
 
     /// What the leader thinks of the release.
-    pub fn stage(&self) -> Option<Stage> {
+    pub fn stage(&self) -> Option<ReleaseStage> {
         let leader = self.slots[self.leader()?].fleet.as_ref()?;
-        tansymux_rollout::release_of(leader.council()?).map(|release| release.stage)
+        tansymux_rollout::active_release(leader.quorum()?).map(|release| release.stage)
     }
 
-    pub fn halted(&self) -> Option<tansymux_coordination::limits::Halt> {
+    pub fn halted(&self) -> Option<HaltReason> {
         let leader = self.slots[self.leader()?].fleet.as_ref()?;
-        tansymux_rollout::halt_of(leader.council()?).map(|(_, why, _)| why)
+        tansymux_rollout::active_halt(leader.quorum()?).map(|halt| halt.reason)
     }
 
     /// What the leader keeps, for whoever looks for a cause.
@@ -810,12 +834,15 @@
         let Some(leader) = self.leader() else {
             return "nobody leads".into();
         };
-        let council = self.slots[leader].fleet.as_ref().and_then(Fleet::council);
+        let council = self.slots[leader]
+            .fleet
+            .as_ref()
+            .and_then(FleetNode::quorum);
         let states = |n: usize| {
             let states = self.slots.iter().map(|slot| {
                 let fleet = slot.fleet.as_ref()?;
                 fleet
-                    .group()
+                    .detector()
                     .members()
                     .find(|m| m.id == member_id_of(&format!("n{n}")))
                     .map(|m| (m.state, m.incarnation))
@@ -831,28 +858,32 @@
         let stand = |slot: &Slot| {
             let fleet = slot.fleet.as_ref()?;
             let now = slot.local(self.now);
-            let council = fleet.council();
+            let council = fleet.quorum();
             let leads = council.map(|c| {
                 (
-                    c.leads(now),
-                    c.leads_since().map(|s| now - s),
+                    c.is_leader(now),
+                    c.leader_since_ms().map(|s| now - s),
                     c.leader(),
-                    c.highest(),
+                    c.highest_stamp(),
                 )
             });
             let all: Vec<_> = fleet
                 .agent()
                 .records(now)
-                .map(|(r, l)| (r.key, r.value, r.stamp.ballot.round, r.stamp.number, l))
+                .map(|leased| {
+                    let r = leased.record;
+                    let (round, number) = (r.stamp.ballot.round, r.stamp.number);
+                    (r.key, r.value, round, number, leased.remaining_ms)
+                })
                 .collect();
             Some((
-                fleet.stand(),
+                fleet.role(),
                 leads,
                 fleet.agent().leader(now),
                 all,
                 council.map(|c| {
                     c.records()
-                        .map(|(r, _)| (r.key, r.value))
+                        .map(|leased| (leased.record.key, leased.record.value))
                         .collect::<Vec<_>>()
                 }),
             ))
@@ -863,21 +894,21 @@
             .take(7)
             .map(|slot| format!("\n  {:?}", stand(slot)))
             .collect();
-        let records = council
-            .into_iter()
-            .flat_map(|council| council.all_standing());
+        let records = council.into_iter().flat_map(|council| council.all_active());
         let name = |key: u64| {
             let of = |n: &usize| {
                 let id = member_id_of(&format!("n{n}"));
-                tansymux_coordination::Record::key_of(tansymux_coordination::Kind::Dispatcher, id)
-                    == key
+                Record::unit_key(UnitKind::Dispatcher, id) == key
             };
             (0..self.slots.len())
                 .find(of)
                 .map_or_else(|| format!("{key:x}"), |n| format!("n{n}"))
         };
         records
-            .map(|(record, left)| format!("{} {:?} {left:?}", name(record.key), record.value))
+            .map(|leased| {
+                let (record, remaining_ms) = (leased.record, leased.remaining_ms);
+                format!("{} {:?} {remaining_ms:?}", name(record.key), record.value)
+            })
             .collect::<Vec<_>>()
             .join("; ")
             + &table
@@ -953,9 +984,10 @@
                     .leader()
                     .and_then(|leader| self.slots[leader].fleet.as_ref());
                 let halt = leader
-                    .and_then(Fleet::council)
-                    .and_then(tansymux_rollout::halt_of);
-                if let Some((number, ..)) = halt {
+                    .and_then(FleetNode::quorum)
+                    .and_then(tansymux_rollout::active_halt);
+                if let Some(halt) = halt {
+                    let number = halt.number;
                     self.calls(0, Command::Resume { number }, None);
                 } else if leader.is_some() && self.stage().is_none() {
                     // All who knew of the release have forgotten it, and nothing goes on: it is told once more.
@@ -981,7 +1013,7 @@
         let limit = self.seen.last_fault + self.scenario.done_within;
         if self.scenario.done_within > 0.0 && self.seen.took.is_none_or(|took| took > limit) {
             let waits = |s: &Supervisor| match s {
-                Supervisor::Waits { turn, .. } => Some(turn.last()),
+                Supervisor::Waits { turn, .. } => Some(turn.last_answer()),
                 _ => None,
             };
             let waiting: Vec<Answer> = self.supervisors.iter().filter_map(waits).take(5).collect();
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Fleets in virtual time: the hard cases of turns, drains and releases. Clocks run up to 1% apart in all of them, and
 //! another one is read after each restart.
 
-use tansymux_coordination::limits::Halt;
-use tansymux_coordination::Stage;
+use tansymux_coordination::disruption_budget::HaltReason;
+use tansymux_coordination::ReleaseStage;
 use tansymux_rollout::message::Answer;
 use tansymux_testbed::fleet::many;
 use tansymux_testbed::fleet::scenario::{Event, Fault, Scenario, Way, NAMES};
@@ -64,7 +64,7 @@
     let running = world
         .answers
         .iter()
-        .filter(|a| matches!(a, Answer::Running { .. }))
+        .filter(|a| matches!(a, Answer::ReleaseInProgress { .. }))
         .count();
     let done = world
         .answers
@@ -92,7 +92,7 @@
     ];
     (scenario.done_within, scenario.lasts) = (0.0, 60_000.0);
     let mut told = told(&scenario);
-    told.plan.lost = 1;
+    told.plan.max_lost_members = 1;
     let mut world = World::new(scenario, told, Served::default());
     world.resumes = false;
     world.plays(|_| false);
@@ -102,7 +102,10 @@
         world.answers
     );
     assert!(
-        matches!(world.halted(), Some(Halt::Lost | Halt::UsedUp)),
+        matches!(
+            world.halted(),
+            Some(HaltReason::MembersLost | HaltReason::BudgetExhausted)
+        ),
         "{}",
         world.kept()
     );
@@ -130,8 +133,8 @@
     let mut scenario = Scenario::calm(seed, 10);
     (scenario.done_within, scenario.lasts) = (0.0, 120_000.0);
     let mut told = told(&scenario);
-    told.plan.goes_on_untold = untold;
-    told.plan.canary = 14_000.0;
+    told.plan.continue_if_inconclusive = untold;
+    told.plan.canary_observation_ms = 14_000.0;
     let mut world = World::new(
         scenario,
         told,
@@ -151,14 +154,19 @@
     for seed in 0..5 {
         let mut world = worse(seed, 40.0, 0.7, 0.0, true);
         world.plays(|world| world.halted().is_some());
-        assert_eq!(world.halted(), Some(Halt::Worse), "{}", world.seen.line());
+        assert_eq!(
+            world.halted(),
+            Some(HaltReason::CanaryWorse),
+            "{}",
+            world.seen.line()
+        );
         assert!(
             world.seen.halted.unwrap() < 40_000.0,
             "{}",
             world.seen.line()
         );
         assert!(world.goes_back(60_000.0), "{}", world.kept());
-        assert_eq!(world.stage(), Some(Stage::Undone));
+        assert_eq!(world.stage(), Some(ReleaseStage::RolledBack));
         assert!(world.seen.broken.is_empty());
     }
 }
@@ -169,8 +177,13 @@
         // It is good while the first few are looked at, and bad once the load has come.
         let mut world = worse(seed, 40.0, 0.7, 35_000.0, true);
         world.plays(|world| world.halted().is_some());
-        assert_eq!(world.halted(), Some(Halt::Worse), "{}", world.seen.line());
-        assert_eq!(world.stage(), Some(Stage::Waves));
+        assert_eq!(
+            world.halted(),
+            Some(HaltReason::CanaryWorse),
+            "{}",
+            world.seen.line()
+        );
+        assert_eq!(world.stage(), Some(ReleaseStage::Waves));
     }
 }
 
@@ -190,11 +203,14 @@
     world.plays(|world| world.halted().is_some());
     assert_eq!(
         (world.halted(), world.stage()),
-        (Some(Halt::CantTell), Some(Stage::Canaries))
+        (Some(HaltReason::Inconclusive), Some(ReleaseStage::Canaries))
     );
     let mut world = worse(1, 0.0, 0.5, 0.0, true);
-    world.plays(|world| world.stage() == Some(Stage::Waves));
-    assert_eq!((world.halted(), world.stage()), (None, Some(Stage::Waves)));
+    world.plays(|world| world.stage() == Some(ReleaseStage::Waves));
+    assert_eq!(
+        (world.halted(), world.stage()),
+        (None, Some(ReleaseStage::Waves))
+    );
 }
 
 #[test]
