--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -1,7 +1,5 @@
 //! The replicated records. Of two records with one key, the one with the higher stamp is the later one.
 
-use std::fmt;
-
 /// Number of a dispatcher (as in membership) or of an engine.
 pub type Id = u64;
 
@@ -86,19 +84,6 @@
     }
 }
 
-/// The words that `tansymux fleet` prints; scripts may read them.
-impl fmt::Display for DisruptionReason {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            DisruptionReason::RestartLease => "Turn",
-            DisruptionReason::Drain => "Drain",
-            DisruptionReason::Ejected => "Ejected",
-            DisruptionReason::Lost => "Lost",
-            DisruptionReason::Announced => "Announced",
-        })
-    }
-}
-
 /// How far a release is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[repr(u8)]
