--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -98,7 +98,7 @@
     scenario.done_within = 0.0;
     scenario.lasts = 60_000.0;
     let mut definition = fleet_definition(&scenario);
-    definition.plan.lost = 1;
+    definition.plan.max_lost_members = 1;
     let mut fleet = VirtualFleet::new(scenario, definition, VersionQuality::default());
     fleet.operators_resume = false;
     fleet.run_until(|_| false);
@@ -146,8 +146,8 @@
     scenario.done_within = 0.0;
     scenario.lasts = 120_000.0;
     let mut definition = fleet_definition(&scenario);
-    definition.plan.goes_on_untold = goes_on_untold;
-    definition.plan.canary = 14_000.0;
+    definition.plan.continue_if_inconclusive = goes_on_untold;
+    definition.plan.canary_observation_ms = 14_000.0;
     let quality = VersionQuality {
         old_success: 0.98,
         new_success,
