--- a/crates/dispatcher/src/fleet_client/display.rs
+++ b/crates/dispatcher/src/fleet_client/display.rs
@@ -1,7 +1,7 @@
 //! The texts of `tansymux fleet`. Scripts read them: what is printed here does not change with the names in the code.
 
-use tansymux_coordination::limits::Scope;
-use tansymux_coordination::{Stage as ReleaseStage, Why as OutReason};
+use tansymux_coordination::disruption_budget::Scope;
+use tansymux_coordination::{DisruptionReason, ReleaseStage};
 use tansymux_rollout::message::{Answer, Status};
 use tansymux_zone_evacuation::codec::ZoneEntry;
 use tansymux_zone_evacuation::Stage as ZoneStage;
@@ -14,30 +14,38 @@
         Answer::Granted { .. } | Answer::Done | Answer::Status(_) | Answer::Zones(_) => {
             "done".into()
         }
-        Answer::TooMuch { part } => format!("{:.0}% of all cores would be left", part * 100.0),
-        Answer::Halted { why, number, .. } => format!("halted, {} (number {number})", why.words()),
-        Answer::Full { scope, out, most } => {
+        Answer::TooManyCoresEvacuated { fraction } => {
+            format!("{:.0}% of all cores would be left", fraction * 100.0)
+        }
+        Answer::Halted { reason, number, .. } => {
+            format!("halted, {} (number {number})", reason.description())
+        }
+        Answer::BudgetExhausted {
+            scope,
+            unavailable,
+            max_unavailable,
+        } => {
             let scope = scope_text(*scope);
-            format!("{out} are out of at most {most} ({scope})")
+            format!("{unavailable} are out of at most {max_unavailable} ({scope})")
         }
-        Answer::TooSoon { wait } => {
-            let wait_s = f64::from(*wait) / 1000.0;
+        Answer::TooSoon { wait_ms } => {
+            let wait_s = f64::from(*wait_ms) / 1000.0;
             format!("too soon after the last one, by {wait_s:.1} s")
         }
-        Answer::AlreadyOut { why } => {
-            let reason = out_reason_text(*why);
+        Answer::AlreadyOut { reason } => {
+            let reason = disruption_reason_text(*reason);
             format!("it is out already ({reason})")
         }
-        Answer::NotCarried { load, left } => {
-            format!("what remains would not carry the load: {load:.1} on {left:.1}")
+        Answer::InsufficientCapacity { load, remaining } => {
+            format!("what remains would not carry the load: {load:.1} on {remaining:.1}")
         }
-        Answer::Unknown => "no such member or engine is known".into(),
-        Answer::Others => "others are first".into(),
-        Answer::Pause => "a rest after a hall".into(),
+        Answer::UnknownUnit => "no such member or engine is known".into(),
+        Answer::OthersFirst => "others are first".into(),
+        Answer::PausedAfterZone => "a rest after a hall".into(),
         Answer::NoSuchRelease => "no release goes there".into(),
         Answer::Already => "it is there already".into(),
-        Answer::Running { number } => format!("release {number} is under way"),
-        Answer::NoWayBack => "the release named no version to go back to".into(),
+        Answer::ReleaseInProgress { number } => format!("release {number} is under way"),
+        Answer::NoPreviousVersion => "the release named no version to go back to".into(),
     }
 }
 
@@ -45,20 +53,28 @@
 pub fn status_text(status: &Status) -> String {
     let mut text = format!(
         "leader {:016x}\nmembers {} out {} lost {}\nengines {} out {}",
-        status.leader, status.members, status.out, status.lost, status.engines, status.engines_out
+        status.leader,
+        status.members,
+        status.unavailable,
+        status.lost,
+        status.engines,
+        status.engines_unavailable
     );
     text += &match status.halt {
-        Some((reason, number)) => format!("\nhalted {} (number {number})", reason.words()),
+        Some((reason, number)) => format!("\nhalted {} (number {number})", reason.description()),
         None => "\nhalted no".into(),
     };
-    if let Some((number, stage, to, from)) = status.release {
+    if let Some(release) = status.release {
         text += &format!(
-            "\nrelease {number} {} to {to:08x} from {from:08x} there {} to go {} pairs {} difference {:+.4}",
-            stage_text(stage),
+            "\nrelease {} {} to {:08x} from {:08x} there {} to go {} pairs {} difference {:+.4}",
+            release.number,
+            stage_text(release.stage),
+            release.to,
+            release.from,
             status.released,
-            status.to_go,
+            status.remaining,
             status.pairs,
-            status.by
+            status.mean_difference
         );
     }
     text
@@ -68,9 +84,9 @@
     match stage {
         ReleaseStage::Canaries => "first few",
         ReleaseStage::Waves => "hall by hall",
-        ReleaseStage::Back => "going back",
-        ReleaseStage::Done => "done",
-        ReleaseStage::Undone => "gone back",
+        ReleaseStage::RollingBack => "going back",
+        ReleaseStage::Completed => "done",
+        ReleaseStage::RolledBack => "gone back",
     }
 }
 
@@ -89,13 +105,13 @@
 }
 
 /// Why a member or an engine is out.
-fn out_reason_text(reason: OutReason) -> &'static str {
+fn disruption_reason_text(reason: DisruptionReason) -> &'static str {
     match reason {
-        OutReason::Turn => "Turn",
-        OutReason::Drain => "Drain",
-        OutReason::Ejected => "Ejected",
-        OutReason::Lost => "Lost",
-        OutReason::Announced => "Announced",
+        DisruptionReason::RestartLease => "Turn",
+        DisruptionReason::Drain => "Drain",
+        DisruptionReason::Ejected => "Ejected",
+        DisruptionReason::Lost => "Lost",
+        DisruptionReason::Announced => "Announced",
     }
 }
 
--- a/crates/testbed/src/fleet/virtual_fleet/faults.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/faults.rs
@@ -58,7 +58,7 @@
             Fault::Back { at } => {
                 self.rolling_back = true;
                 let number = RELEASE_NUMBER;
-                self.issue_command(at, Command::Back { number });
+                self.issue_command(at, Command::RollBack { number });
             }
         }
     }
@@ -72,7 +72,7 @@
         for &(at, engine) in requests {
             let command = Command::Drain {
                 engine: FIRST_ENGINE_ID + engine as u64,
-                grant: self.rng.random(),
+                grant_id: self.rng.random(),
             };
             self.issue_drain(at, command, engine);
         }
@@ -96,7 +96,7 @@
         self.definition.dispatchers.fleet = limit_of(max_out);
         for member in &mut self.members {
             if let Some(fleet) = &mut member.fleet {
-                fleet.set(self.definition.clone(), keys(), None);
+                fleet.set_config(self.definition.clone(), keys(), None);
             }
         }
     }
