--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,37 @@
+//! All decisions: which engine runs a query, what is rejected, migrated, cancelled or failed.
+//!
+//! A program calls [`Control::run_round`] once a round; its [`EventSource`] calls the handlers with what came
+//! in, and decisions go straight into the [`DecisionSink`]. Times are milliseconds; "rule N" is the
+//! platform's rule of that number. docs/design.md gives reasons and, unless a constant says otherwise, its
+//! source.
+
+mod admission;
+mod completion;
+mod dispatch;
+mod endpoints;
+mod outlier;
+mod peer_load;
+mod periodic;
+mod placement;
+mod pressure;
+mod retry;
+mod slow_start;
+
+use crate::events::DecisionSink;
+pub use crate::model::{Control, EventSource};
+
+impl Control {
+    /// One round at `now_ms`: all events that came in, then the periodic checks where they are due.
+    pub fn run_round(
+        &mut self,
+        now_ms: f64,
+        source: &mut dyn EventSource,
+        out: &mut dyn DecisionSink,
+    ) {
+        self.now_ms = now_ms;
+        self.first_round_ms = self.first_round_ms.min(now_ms);
+        source.deliver(self, out);
+        self.run_periodic_checks(out);
+        self.set_timer(out);
+    }
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -167,6 +167,21 @@
     NotSent,
 }
 
+impl Outcome {
+    /// The attempt provably never ran.
+    pub(crate) fn never_ran(self) -> bool {
+        matches!(
+            self,
+            Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+        )
+    }
+
+    /// The engine may still be running the attempt, or may have completed it.
+    pub(crate) fn is_unknown(self) -> bool {
+        matches!(self, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// Which kind of endpoint list comes, or that none does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointListKind {
@@ -207,3 +222,18 @@
     /// Number of its cell.
     pub cell: u32,
 }
+
+/// A query names a resource group that the settings do not have.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("unknown resource group {name:?}")]
+pub struct UnknownResourceGroup {
+    /// The name that came with the query.
+    pub name: String,
+}
+
+impl UnknownResourceGroup {
+    pub(crate) fn new(name: &str) -> Self {
+        let name = name.to_owned();
+        UnknownResourceGroup { name }
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,37 @@
+//! The records that the decisions keep, one file a record: types and their bookkeeping, no decision.
+
+mod attempt;
+mod engine;
+mod in_flight;
+mod index;
+mod key_queues;
+mod learning;
+mod level_effects;
+mod load;
+mod peer_load;
+mod query;
+mod resource_group;
+mod retry_budget;
+mod slowdown;
+mod state;
+mod tenants;
+
+pub(crate) use attempt::Attempt;
+pub(crate) use engine::Engine;
+pub(crate) use in_flight::ClosedAttempt;
+pub(crate) use index::{EngineIndex, GroupIndex, QueryIndex};
+pub(crate) use key_queues::KeyQueues;
+pub use level_effects::LevelEffects;
+pub(crate) use peer_load::PeerLoad;
+pub(crate) use query::{Lane, Query, QueryCost};
+pub(crate) use resource_group::ResourceGroup;
+pub(crate) use retry_budget::RetryCounts;
+pub(crate) use slowdown::{
+    step_towards, FadingMedian, GroupSlowdown, LaneSlowdowns, LearningSteps, MedianUpdate,
+    SlowdownMemory,
+};
+pub use state::{Control, EventSource};
+pub(crate) use tenants::TenantRates;
+
+/// A time before all others.
+pub(crate) const LONG_AGO: f64 = f64::NEG_INFINITY;
--- /dev/null
+++ b/src/model/query.rs
@@ -0,0 +1,181 @@
+//! A query in flight.
+
+use crate::events::QueryArrived;
+use crate::model::{Attempt, EngineIndex, GroupIndex};
+use crate::settings::{Effect, MAX_ATTEMPTS};
+
+/// The lane in which a query runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// Short queries: never rejected for load.
+    Fast,
+    /// Loads, reports, and what was demoted: bounded by the concurrency limits.
+    Low,
+}
+
+/// A query in flight.
+#[derive(Debug, Clone)]
+pub(crate) struct Query {
+    pub(crate) id: u64,
+    pub(crate) group: GroupIndex,
+    pub(crate) lane: Lane,
+    /// Its own effect, which may be stricter than its group's.
+    pub(crate) effect: Effect,
+    pub(crate) deadline_ms: f64,
+    /// Slot of its key's queue, where it has an ordering key.
+    pub(crate) key: Option<u32>,
+    /// The set of tables that it uses.
+    pub(crate) tables: u32,
+    /// Its tenant was over its quota when it came.
+    pub(crate) is_over_quota: bool,
+    pub(crate) cost: QueryCost,
+    /// It has its final answer.
+    pub(crate) is_over: bool,
+    /// Its attempt was cancelled to run elsewhere.
+    pub(crate) is_migrating: bool,
+    pub(crate) attempts: Attempts,
+}
+
+/// What a query is expected to need.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct QueryCost {
+    /// The estimate (thread time, ms), or the group's usual cost where none came.
+    pub(crate) estimate_ms: f64,
+    pub(crate) is_guess: bool,
+    /// What it weighs in placement: the estimate corrected by reported usage, or its threads where none came.
+    pub(crate) work_ms: f64,
+    pub(crate) memory_mb: f64,
+    /// Confidence in the estimate, from 0 to 1.
+    pub(crate) confidence: f64,
+}
+
+impl QueryCost {
+    /// The cost of a query that came with an estimate, as weighed by its confidence.
+    pub(crate) fn estimated(estimate_ms: f64, work_ms: f64, event: &QueryArrived) -> Self {
+        QueryCost {
+            estimate_ms,
+            is_guess: false,
+            work_ms,
+            memory_mb: event.memory_mb,
+            confidence: event.statement.confidence,
+        }
+    }
+
+    /// The cost of a query that came without an estimate.
+    pub(crate) fn guessed(usual_cost_ms: f64, threads: f64, event: &QueryArrived) -> Self {
+        QueryCost {
+            is_guess: true,
+            ..QueryCost::estimated(usual_cost_ms, threads, event)
+        }
+    }
+}
+
+impl Query {
+    /// A query that has just come in, without a key.
+    pub(crate) fn new(
+        event: &QueryArrived,
+        group: GroupIndex,
+        lane: Lane,
+        effect: Effect,
+        cost: QueryCost,
+    ) -> Self {
+        Query {
+            id: event.query_id,
+            group,
+            lane,
+            effect,
+            deadline_ms: event.deadline_ms,
+            key: None,
+            tables: event.tables,
+            is_over_quota: false,
+            cost,
+            is_over: false,
+            is_migrating: false,
+            attempts: Attempts::default(),
+        }
+    }
+
+    /// Whether another attempt may begin at all, of `max_attempts`.
+    pub(crate) fn is_open(&self, now_ms: f64, max_attempts: usize) -> bool {
+        let has_time = now_ms < self.deadline_ms;
+        !self.is_over
+            && has_time
+            && self.in_flight().is_none()
+            && self.attempts.count() < max_attempts
+    }
+
+    /// It has its final answer and no attempt in flight: it can be forgotten.
+    pub(crate) fn is_done(&self) -> bool {
+        self.is_over && self.in_flight().is_none()
+    }
+
+    /// It is over, or its attempt has been cancelled to run elsewhere.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.is_over || self.is_migrating
+    }
+
+    /// Whether it has been tried on an engine.
+    pub(crate) fn has_tried(&self, engine: EngineIndex) -> bool {
+        self.attempts
+            .all()
+            .iter()
+            .any(|attempt| attempt.engine == engine)
+    }
+
+    /// The attempt that is in flight, if one is.
+    pub(crate) fn in_flight(&self) -> Option<usize> {
+        self.attempts
+            .all()
+            .iter()
+            .position(|attempt| attempt.in_flight)
+    }
+
+    /// The first attempt that may have run.
+    pub(crate) fn first_that_ran(&self) -> Option<&Attempt> {
+        self.attempts
+            .all()
+            .iter()
+            .find(|attempt| attempt.may_have_run)
+    }
+
+    /// Whether it may have no effect at all, so that a copy does no harm.
+    pub(crate) fn is_read_only(&self) -> bool {
+        self.effect == Effect::ReadOnly
+    }
+}
+
+/// A query's attempts, at most [`MAX_ATTEMPTS`].
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Attempts {
+    count: usize,
+    slots: [Attempt; MAX_ATTEMPTS],
+}
+
+impl Attempts {
+    pub(crate) fn count(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn all(&self) -> &[Attempt] {
+        &self.slots[..self.count]
+    }
+
+    /// # Panics
+    /// Where there are [`MAX_ATTEMPTS`] already; the settings' limit is never above it.
+    pub(crate) fn push(&mut self, attempt: Attempt) {
+        self.slots[self.count] = attempt;
+        self.count += 1;
+    }
+
+    /// The attempt of this number, while it is in flight.
+    pub(crate) fn in_flight_mut(&mut self, number: usize) -> Option<&mut Attempt> {
+        self.slots
+            .get_mut(number)
+            .filter(|attempt| attempt.in_flight)
+    }
+
+    /// Marks an attempt as cancelled; false if it was already.
+    pub(crate) fn set_cancelled(&mut self, number: usize) -> bool {
+        !std::mem::replace(&mut self.slots[number].cancelled, true)
+    }
+}
--- /dev/null
+++ b/src/model/resource_group.rs
@@ -0,0 +1,229 @@
+//! A resource group: what the settings say of it, and what its answers taught.
+
+use crate::events::{QueryArrived, ResourceUsage, StatementTraits};
+use crate::interner::Interner;
+use crate::model::{step_towards, Engine, GroupSlowdown, Lane, LearningSteps, QueryCost};
+use crate::settings::{DedupScope, Effect, GroupSettings};
+
+/// A resource group.
+#[derive(Debug, Clone)]
+pub(crate) struct ResourceGroup {
+    pub(crate) settings: GroupSettings,
+    /// The zones and kinds of engines that it is confined to.
+    zones: Option<Vec<u32>>,
+    kinds: Option<Vec<u32>>,
+    pub(crate) cost: CostModel,
+    pub(crate) slowdown: GroupSlowdown,
+}
+
+/// What a group's queries cost, as learned.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CostModel {
+    /// Mean estimate (thread time, ms).
+    pub(crate) mean_ms: f64,
+    /// Queries in the mean.
+    pub(crate) samples: u32,
+    /// Thread time and memory used, against their estimates.
+    pub(crate) work_factor: f64,
+    pub(crate) memory_factor: f64,
+}
+
+impl CostModel {
+    /// Takes a cost into the mean: plain at first, then by `step`.
+    pub(crate) fn learn_cost(&mut self, cost_ms: f64, step: f64) {
+        self.samples += 1;
+        let step = step.max(1.0 / f64::from(self.samples));
+        self.mean_ms += step * (cost_ms - self.mean_ms);
+    }
+
+    /// An uncertain estimate counts for less: between the usual cost and itself, on a log scale.
+    pub(crate) fn weigh_estimate(&self, event: &QueryArrived) -> f64 {
+        let cost_ms = event.estimated_cost_ms;
+        let confidence = event.statement.confidence;
+        if confidence >= 1.0 || self.samples == 0 || self.mean_ms <= 0.0 {
+            return cost_ms;
+        }
+        self.mean_ms * (cost_ms / self.mean_ms).powf(confidence.max(0.0))
+    }
+}
+
+/// Takes a ratio into a factor. One that is 0 or no number is not known.
+fn learn_factor(factor: &mut f64, ratio: f64, step: f64, max: f64) {
+    if ratio > 0.0 && ratio.is_finite() {
+        *factor += step * (ratio.clamp(1.0 / max, max) - *factor);
+    }
+}
+
+impl ResourceGroup {
+    pub(crate) fn new(settings: GroupSettings, interner: &mut Interner) -> Self {
+        let mut zones = None;
+        if let Some(names) = &settings.zones {
+            zones = Some(
+                names
+                    .iter()
+                    .map(|name| interner.zones.index(name))
+                    .collect(),
+            );
+        }
+        let mut kinds = None;
+        if let Some(names) = &settings.kinds {
+            kinds = Some(
+                names
+                    .iter()
+                    .map(|name| interner.kinds.index(name))
+                    .collect(),
+            );
+        }
+        interner.groups.index(&settings.name);
+        ResourceGroup {
+            settings,
+            zones,
+            kinds,
+            cost: CostModel {
+                mean_ms: 0.0,
+                samples: 0,
+                work_factor: 1.0,
+                memory_factor: 1.0,
+            },
+            slowdown: GroupSlowdown::default(),
+        }
+    }
+
+    /// Threads that a query of the group runs on.
+    pub(crate) fn threads(&self) -> f64 {
+        self.settings.threads
+    }
+
+    /// Whether its queries wait while a load locks their tables.
+    pub(crate) fn needs_unlocked_tables(&self) -> bool {
+        self.settings.waits_for_loads || self.settings.is_load
+    }
+
+    /// The lane of a query that is not demoted.
+    pub(crate) fn lane(&self) -> Lane {
+        if self.settings.is_load || self.settings.threads > 1.0 {
+            Lane::Low
+        } else {
+            Lane::Fast
+        }
+    }
+
+    /// The effect of a statement, never milder than the statement shows: one that may write is bound by the rules of
+    /// non-idempotent queries where its group promises to read only. A client's idempotency key still counts.
+    pub(crate) fn effect_of(&self, statement: StatementTraits) -> Effect {
+        if statement.may_write && self.settings.effect == Effect::ReadOnly {
+            Effect::NonIdempotent
+        } else {
+            self.settings.effect
+        }
+    }
+
+    /// Latency objective (ms) of a query with so much work.
+    fn objective_ms(&self, work_ms: f64) -> f64 {
+        self.settings.objective_ms
+            + self.settings.objective_stretch * work_ms / self.settings.threads
+    }
+
+    /// Learns from the run time of an answer, and returns how far it lies above the group's best (log ratio).
+    ///
+    /// Without an estimate an answer counts against those before it, and the first against none.
+    pub(crate) fn learn_run_time(
+        &mut self,
+        cost: QueryCost,
+        latency_ms: f64,
+        steps: LearningSteps,
+    ) -> Option<f64> {
+        let mut cost_ms = cost.estimate_ms;
+        if cost.is_guess {
+            let is_first = self.cost.samples == 0;
+            cost_ms = self.cost.mean_ms;
+            self.cost
+                .learn_cost(latency_ms * self.threads(), steps.mean);
+            if is_first {
+                return None;
+            }
+        }
+        let ratio = (latency_ms.max(0.1) * self.threads() / cost_ms.max(0.1)).ln();
+        Some(self.slowdown.learn(ratio, steps))
+    }
+
+    /// Learns from the run time that an attempt's notes foretell, and returns how far it lies above the group's best.
+    pub(crate) fn learn_progress(
+        &mut self,
+        cost: QueryCost,
+        run_time_ms: f64,
+        step: f64,
+    ) -> Option<f64> {
+        if run_time_ms <= 0.0 || cost.estimate_ms <= 0.0 || self.slowdown.samples == 0 {
+            return None;
+        }
+        let ratio = (run_time_ms * self.threads() / cost.estimate_ms).ln();
+        step_towards(&mut self.slowdown.usual, ratio, step);
+        Some(ratio - self.slowdown.best)
+    }
+
+    /// Learns what an attempt used against its estimates.
+    pub(crate) fn learn_usage(
+        &mut self,
+        cost: QueryCost,
+        used: Option<ResourceUsage>,
+        step: f64,
+        max_factor: f64,
+    ) {
+        let Some(used) = used else {
+            return;
+        };
+        let work_ratio = used.thread_ms / cost.estimate_ms;
+        let memory_ratio = used.memory_mb / cost.memory_mb;
+        learn_factor(&mut self.cost.work_factor, work_ratio, step, max_factor);
+        learn_factor(&mut self.cost.memory_factor, memory_ratio, step, max_factor);
+    }
+
+    /// How long a query takes on an idle engine, by its estimate (ms).
+    pub(crate) fn ideal_run_time_ms(&self, cost: QueryCost) -> f64 {
+        cost.estimate_ms / self.threads()
+    }
+
+    /// Latency objective (ms) of a query, by its estimate and the usage that was reported.
+    pub(crate) fn objective_of(&self, cost: QueryCost) -> f64 {
+        self.objective_ms(cost.estimate_ms * self.cost.work_factor)
+    }
+
+    /// The mean cost, or, before any query was seen, the work that the objective leaves room for.
+    pub(crate) fn usual_cost_ms(&self) -> f64 {
+        if self.cost.samples > 0 {
+            self.cost.mean_ms
+        } else {
+            self.settings.objective_ms * self.settings.threads
+        }
+    }
+
+    /// The usual work of a query, by estimates, reported usage, and how long the best answers took.
+    pub(crate) fn usual_work_ms(&self) -> f64 {
+        if self.cost.samples == 0 {
+            return self.usual_cost_ms();
+        }
+        let best_ratio = self.slowdown.best.exp();
+        self.cost.mean_ms * self.cost.work_factor.max(best_ratio).max(1.0)
+    }
+
+    /// Whether the settings let the group use an engine, by its zone and kind.
+    pub(crate) fn may_use(&self, engine: &Engine) -> bool {
+        is_within(&self.zones, engine.zone) && is_within(&self.kinds, engine.kind)
+    }
+
+    /// Whether an idempotency key that `first` saw is also known to `other`.
+    pub(crate) fn shares_dedup(&self, first: &Engine, other: Option<&Engine>) -> bool {
+        match self.settings.dedup_scope {
+            DedupScope::All => true,
+            DedupScope::Zone => other.is_some_and(|other| other.zone == first.zone),
+            DedupScope::Cell => other.is_some_and(|other| other.cell == first.cell),
+        }
+    }
+}
+
+fn is_within(allowed: &Option<Vec<u32>>, index: u32) -> bool {
+    allowed
+        .as_ref()
+        .is_none_or(|allowed| allowed.contains(&index))
+}
--- a/src/peer_codec.rs
+++ b/src/peer_codec.rs
@@ -1,35 +1,45 @@
-//! How dispatchers write to each other: a kind, then for each engine two bytes drawn from its number and its low
-//! threads. Two engines in 65,536 marks rarely share one; then the first is meant.
+//! The form of messages between dispatchers: a kind, then for each engine a tag of two bytes, drawn from its number,
+//! and its low threads in one byte. Two engines in 65,536 tags rarely share one; then the first is meant.
 
-pub const OWN: u8 = 0;
-pub const SUM: u8 = 1;
-const ENTRY: usize = 3;
+/// Kind of a message with the sender's own low threads.
+pub const OWN_LOAD: u8 = 0;
+/// Kind of a message with the sum of all dispatchers' low threads.
+pub const TOTAL_LOAD: u8 = 1;
+/// Bytes of an entry.
+const ENTRY_BYTES: usize = 3;
+/// Entries of a message at most, which keeps it within 256 bytes.
 const MAX_ENTRIES: usize = 85;
 
-pub fn mark_of(engine_id: u64) -> [u8; 2] {
+/// The tag that stands for an engine.
+pub fn engine_tag(engine_id: u64) -> [u8; 2] {
     let mixed = (engine_id as u32).wrapping_mul(0x9E37_79B1).to_be_bytes();
     [mixed[0], mixed[1]]
 }
 
-/// Hands over as many messages as the entries take, one at the least.
-pub fn write(kind: u8, threads: impl Iterator<Item = (u64, f64)>, mut message: impl FnMut(&[u8])) {
-    let mut bytes = [0; 1 + ENTRY * MAX_ENTRIES];
+/// Encodes low threads by engine, and hands over as many messages as the entries take, one at the least.
+pub fn encode(
+    kind: u8,
+    threads_by_engine: impl Iterator<Item = (u64, f64)>,
+    mut send: impl FnMut(&[u8]),
+) {
+    let mut bytes = [0; 1 + ENTRY_BYTES * MAX_ENTRIES];
     bytes[0] = kind;
     let mut end = 1;
-    for (engine_id, threads) in threads {
+    for (engine_id, threads) in threads_by_engine {
         if end == bytes.len() {
-            message(&bytes);
+            send(&bytes);
             end = 1;
         }
-        let [a, b] = mark_of(engine_id);
-        bytes[end..end + ENTRY].copy_from_slice(&[a, b, threads.clamp(0.0, 255.0) as u8]);
-        end += ENTRY;
+        let [first, second] = engine_tag(engine_id);
+        let threads = threads.clamp(0.0, 255.0) as u8;
+        bytes[end..end + ENTRY_BYTES].copy_from_slice(&[first, second, threads]);
+        end += ENTRY_BYTES;
     }
-    message(&bytes[..end]);
+    send(&bytes[..end]);
 }
 
-/// The entries: marks and threads.
-pub fn read(content: &[u8]) -> impl Iterator<Item = ([u8; 2], f64)> + '_ {
-    let entries = content.get(1..).unwrap_or(&[]).chunks_exact(ENTRY);
+/// Decodes a message's entries: tags and low threads. An incomplete last entry is ignored.
+pub fn decode(content: &[u8]) -> impl Iterator<Item = ([u8; 2], f64)> + '_ {
+    let entries = content.get(1..).unwrap_or(&[]).chunks_exact(ENTRY_BYTES);
     entries.map(|entry| ([entry[0], entry[1]], f64::from(entry[2])))
 }
--- a/src/pool_metrics.rs
+++ b/src/pool_metrics.rs
@@ -1,82 +1,78 @@
-//! What the decisions know of the pool, as parts from 0 to 1, for whoever sets service levels by them. Nothing is
-//! decided here. What there is nothing to take a part of is no number.
+//! What the decisions know of the pool, as fractions from 0 to 1, for service levels to be set by. Nothing is decided
+//! here. A fraction of nothing is not a number.
 
 use crate::control::Control;
+use crate::model::{Engine, EngineIndex};
 
-fn part(of: usize, all: usize) -> f64 {
-    if all == 0 {
+fn fraction(count: usize, of: usize) -> f64 {
+    if of == 0 {
         f64::NAN
     } else {
-        of as f64 / all as f64
+        count as f64 / of as f64
     }
 }
 
 impl Control {
-    fn known(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.engines.len()).filter(|&e| self.engines[e].listed || self.engines[e].ready)
-    }
-
-    /// Part of the ready engines, of a zone if one is named, that show pressure.
+    /// Fraction of the ready engines, of a zone if one is named, that are under pressure.
     pub fn pressured_fraction(&self, zone: Option<&str>) -> f64 {
         let zone = zone.map(|name| self.interner.zones.find(name));
-        let of_zone = |e: &usize| zone.is_none_or(|zone| zone == Some(self.engines[*e].zone));
-        let ready: Vec<usize> = self
-            .known()
-            .filter(|&e| self.engines[e].ready)
-            .filter(of_zone)
+        let is_in_zone =
+            |engine: &EngineIndex| zone.is_none_or(|zone| zone == Some(self.engines[*engine].zone));
+        let ready: Vec<EngineIndex> = self
+            .engine_indices()
+            .filter(|&engine| self.engines[engine].endpoint.ready)
+            .filter(is_in_zone)
             .collect();
-        part(
-            ready.iter().filter(|&&e| self.pressure(e)).count(),
-            ready.len(),
-        )
+        let pressured = ready
+            .iter()
+            .filter(|&&engine| self.is_under_pressure(engine));
+        fraction(pressured.count(), ready.len())
     }
 
-    /// Low threads of all that are known, against the bounds as they are at full service.
+    /// Low threads of all ready engines against their concurrency limits at full service.
     pub fn concurrency_used_fraction(&self) -> f64 {
-        let (mut used, mut bounds) = (0.0, 0.0);
-        for engine in self.engines.iter().filter(|engine| engine.ready) {
-            used += engine.low_threads + engine.others;
-            bounds += engine.bound * engine.cores * self.share();
+        let mut used = 0.0;
+        let mut limits = 0.0;
+        for engine in self.ready_engines() {
+            used += engine.known_low_threads();
+            limits += engine.limit.threads_per_core * engine.cores * self.pool_share();
         }
-        if bounds > 0.0 {
-            (used / bounds).min(1.0)
+        if limits > 0.0 {
+            (used / limits).min(1.0)
         } else {
             f64::NAN
         }
     }
 
-    /// Threads that what is out from here runs on, as far as is known: one for each that is not of the low lane.
+    /// Threads that this dispatcher's attempts run on, as far as is known: one for each that is not of the low lane.
     pub fn threads_in_flight(&self) -> f64 {
-        let of = |engine: &crate::state::Engine| {
-            engine.low_threads + (engine.open - engine.low_open) as f64
+        let threads = |engine: &Engine| {
+            engine.load.low_threads + (engine.load.attempts - engine.load.low_attempts) as f64
         };
-        self.engines.iter().map(of).sum()
+        self.engines.iter().map(threads).sum()
     }
 
+    /// Fraction of the known engines that are ready.
     pub fn ready_fraction(&self) -> f64 {
-        part(
-            self.known().filter(|&e| self.engines[e].ready).count(),
-            self.known().count(),
-        )
+        let is_known = |engine: &&Engine| engine.endpoint.listed || engine.endpoint.ready;
+        let known = self.engines.iter().filter(is_known);
+        fraction(self.ready_engines().count(), known.count())
     }
 
-    /// Part of the ready engines that started less than a warming time ago.
+    /// Fraction of the ready engines that are warming up.
     pub fn warming_fraction(&self) -> f64 {
-        let warm_after = self.allowed.cold.map_or(0.0, |rule| rule.warm_after);
-        let ready = || self.engines.iter().filter(|engine| engine.ready);
-        part(
-            ready()
-                .filter(|engine| self.now - engine.started < warm_after)
-                .count(),
-            ready().count(),
-        )
+        let warm_after_ms = self.settings.warm_up.map_or(0.0, |rule| rule.warm_after_ms);
+        let is_warming =
+            |engine: &&Engine| self.now_ms - engine.endpoint.started_ms < warm_after_ms;
+        let warming = self.ready_engines().filter(is_warming);
+        fraction(warming.count(), self.ready_engines().count())
     }
 
+    /// Fraction of the ready engines that are ejected.
     pub fn ejected_fraction(&self) -> f64 {
-        let ready = || self.engines.iter().filter(|engine| engine.ready);
-        part(
-            ready().filter(|engine| engine.suspect).count(),
-            ready().count(),
-        )
+        let ejected = self
+            .ready_engines()
+            .filter(|engine| engine.health.is_ejected);
+        fraction(ejected.count(), self.ready_engines().count())
     }
 }
--- /dev/null
+++ b/src/tests/admission.rs
@@ -0,0 +1,143 @@
+//! Admission: lanes, quotas, and what cannot complete in time.
+
+use super::*;
+
+#[test]
+fn query_that_cannot_complete_in_time_is_rejected_on_arrival() {
+    let usual = "services.0.hard-limit-us=900000 services.1.hard-limit-us=900000";
+    // A client that gives the usual time gets its try whatever the load; one that gives less, as answers come of late.
+    for (wait, cost, pace, goes) in [
+        (890.0, 800.0, 0.0, true),
+        (890.0, 800.0, 1.0, true),
+        (890.0, 900.0, 0.0, false),
+        (300.0, 200.0, 0.0, true),
+        (300.0, 200.0, 0.5, false),
+        (3.0, 50.0, 0.0, false),
+        (-1.0, 1.0, 0.0, false),
+    ] {
+        let mut control = dispatcher(usual, TWO);
+        control.groups[GroupIndex(0)].slowdown.usual = pace;
+        let decided = round(&mut control, 1.0, |control, out| {
+            control
+                .on_query_arrived(&arriving(1, "look", START_MS + 1.0 + wait, cost), out)
+                .unwrap()
+        });
+        assert_eq!(
+            has_decision(&decided, "submit 1"),
+            goes,
+            "{wait} {cost}: {decided:?}"
+        );
+        assert_eq!(
+            has_decision(&decided, "reject 1"),
+            !goes,
+            "{wait} {cost}: {decided:?}"
+        );
+    }
+    // A query of more threads is done sooner, and load changes nothing of it.
+    let mut control = dispatcher(usual, TWO);
+    put_under_pressure(&mut control, 0);
+    put_under_pressure(&mut control, 1);
+    let decided = round(&mut control, 1.0, |control, out| {
+        control
+            .on_query_arrived(&arriving(1, "rep", START_MS + 891.0, 1700.0), out)
+            .unwrap()
+    });
+    assert!(has_decision(&decided, "submit 1"), "{decided:?}");
+}
+
+#[test]
+fn query_far_above_its_groups_mean_cost_is_demoted() {
+    let mut control = dispatcher("", ONE);
+    for id in 0..30 {
+        send_query(&mut control, 1.0, id, "look", 100.0);
+    }
+    send_query(&mut control, 2.0, 50, "look", 390.0);
+    send_query(&mut control, 2.0, 51, "look", 450.0);
+    let low = |id| {
+        control
+            .queries
+            .iter()
+            .find(|(_, q)| q.id == id)
+            .unwrap()
+            .1
+            .lane
+            == Lane::Low
+    };
+    assert_eq!((low(0), low(50), low(51)), (false, false, true));
+}
+
+#[test]
+fn tenant_over_its_quota_has_headroom_only_on_engines_without_pressure() {
+    let told = "projects.count=2 projects.0.name=a projects.0.allowance-per-s=20 \
+        projects.1.name=b projects.1.allowance-per-s=20";
+    let mut control = dispatcher(told, ONE);
+    let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
+        mark(&mut control);
+        round(&mut control, 1.0, |control, out| {
+            let query = QueryArrived {
+                tenant: who,
+                memory_mb: 1.0,
+                ..arriving(id, rg, START_MS + 9e3, 9.0)
+            };
+            control.on_query_arrived(&query, out).unwrap()
+        })
+    };
+    for id in 0..60 {
+        from(id, "look", "a", |_| ());
+        from(
+            100 + id,
+            "look",
+            if id % 3 == 0 { "b" } else { "a" },
+            |_| (),
+        );
+    }
+    from(300, "rep", "b", |_| ());
+    assert!(
+        has_decision(
+            &from(301, "rep", "a", |control| control.engines[EngineIndex(0)]
+                .limit
+                .threads_per_core = 2.0),
+            "submit"
+        ),
+        "at ease"
+    );
+    assert!(has_decision(
+        &from(302, "rep", "a", |control| put_under_pressure(control, 0)),
+        "reject"
+    ));
+    assert!(has_decision(&from(303, "rep", "b", |_| ()), "submit"));
+}
+
+#[test]
+fn queries_without_estimates_before_the_first_answer_are_expected_to_meet_their_objective() {
+    // Two were taken before any of their group had ended. Their time was unknown, not none: a third that gives a
+    // usual time is no hopeless case, and one that runs for half of its target runtime does not hang.
+    let usual = "services.0.hard-limit-us=20000000 limits.probes=1";
+    let mut control = dispatcher(usual, TWO);
+    for id in 0..3 {
+        assert!(has_decision(
+            &send_query(&mut control, 1.0, id, "look", 0.0),
+            "submit"
+        ));
+    }
+    assert_eq!(
+        control.expected_run_time_ms(control.find_query(2).unwrap()),
+        500.0
+    );
+    for id in 0..2 {
+        let i = control.find_query(id).unwrap();
+        let engine_id = control.engines[control.queries[i].attempts.all()[0].engine].engine_id;
+        end_attempt(&mut control, 200.0, id, 0, Outcome::Completed, engine_id);
+    }
+    assert!(!has_decision(
+        &round(&mut control, 600.0, |_, _| ()),
+        "cancel"
+    ));
+    let decided = send_query(&mut control, 610.0, 9, "look", 0.0);
+    assert!(has_decision(&decided, "submit 9"), "{decided:?}");
+    assert!(
+        (control.expected_run_time_ms(control.find_query(9).unwrap()) - 100.0).abs() < 20.0,
+        "{}",
+        control.expected_run_time_ms(control.find_query(9).unwrap())
+    );
+}
--- /dev/null
+++ b/src/tests/dispatch.rs
@@ -0,0 +1,131 @@
+//! Dispatch: rules 5 and 6, grants.
+
+use super::*;
+
+#[test]
+fn rule_5_queries_of_a_key_run_one_at_a_time_with_a_cooldown_after_an_unknown_end() {
+    let mut control = dispatcher("rules.settle-after-doubt-us=500000", TWO);
+    assert!(has_decision(
+        &send_query_with_key(&mut control, 1.0, 1, "tok", 100.0, Some(5), 0),
+        "submit 1"
+    ));
+    assert!(send_query_with_key(&mut control, 2.0, 2, "tok", 100.0, Some(5), 0).is_empty());
+    assert!(has_decision(
+        &send_query_with_key(&mut control, 3.0, 3, "tok", 100.0, Some(6), 0),
+        "submit 3"
+    ));
+    let e = control
+        .queries
+        .iter()
+        .find(|(_, q)| q.id == 1)
+        .unwrap()
+        .1
+        .attempts
+        .all()[0]
+        .engine
+        .0 as u64
+        + 1;
+    round(&mut control, 4.0, |control, out| {
+        control.on_client_gone(1, out)
+    });
+    assert!(
+        round(&mut control, 50.0, |_, _| ()).is_empty(),
+        "its submission is still out"
+    );
+    assert!(end_attempt(&mut control, 60.0, 1, 0, Outcome::Cancelled, e).is_empty());
+    assert!(
+        round(&mut control, 500.0, |_, _| ()).is_empty(),
+        "the key rests"
+    );
+    assert!(has_decision(
+        &round(&mut control, 600.0, |_, _| ()),
+        "submit 2"
+    ));
+}
+
+#[test]
+fn keys_are_forgotten_once_nothing_waits_and_their_cooldown_is_over() {
+    let mut control = dispatcher("rules.settle-after-doubt-us=500000", TWO);
+    for id in 0..1000 {
+        let at = 1.0 + 10.0 * id as f64;
+        send_query_with_key(&mut control, at, id, "tok", 100.0, Some(id), 0);
+        let i = control.find_query(id).unwrap();
+        let engine_id = control.engines[control.queries[i].attempts.all()[0].engine].engine_id;
+        // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
+        let outcome = if id % 4 == 0 {
+            Outcome::Cancelled
+        } else {
+            Outcome::Completed
+        };
+        round(&mut control, at + 1.0, |control, out| {
+            control.on_client_gone(id, out)
+        });
+        end_attempt(&mut control, at + 2.0, id, 0, outcome, engine_id);
+    }
+    assert!(
+        control.key_queues.len() < 60,
+        "{}",
+        control.key_queues.len()
+    );
+    // A key that is used over and over stays one, and its rest holds.
+    send_query_with_key(&mut control, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
+    let engine_id = control.engines[control.queries[control.find_query(2000).unwrap()]
+        .attempts
+        .all()[0]
+        .engine]
+        .engine_id;
+    round(&mut control, 20_001.0, |control, out| {
+        control.on_client_gone(2000, out)
+    });
+    end_attempt(
+        &mut control,
+        20_002.0,
+        2000,
+        0,
+        Outcome::Cancelled,
+        engine_id,
+    );
+    assert!(
+        send_query_with_key(&mut control, 20_010.0, 2001, "tok", 100.0, Some(7), 0).is_empty(),
+        "the key rests"
+    );
+    assert!(has_decision(
+        &round(&mut control, 20_600.0, |_, _| ()),
+        "submit 2001"
+    ));
+    assert_eq!(control.key_queues.len(), 1);
+}
+
+#[test]
+fn rule_6_confined_query_goes_to_no_other_engine_when_its_own_are_gone() {
+    let mut control = dispatcher("services.0.kinds-open=big services.1.confined-to=h2", ONE);
+    assert!(has_decision(
+        &send_query(&mut control, 1.0, 1, "look", 10.0),
+        "reject 1"
+    ));
+    assert!(has_decision(
+        &send_query(&mut control, 1.0, 2, "rep", 10.0),
+        "reject 2"
+    ));
+}
+
+#[test]
+fn grant_precedes_the_attempt_and_is_generous_only_where_spare_memory_stays_free() {
+    for (told, terms) in [
+        ("memory-short=page", "1 20"),
+        ("memory-short=shrink", "1 0"),
+    ] {
+        let mut control = dispatcher(
+            &format!("family-info.{told} family-info.lanes-count=1"),
+            ONE,
+        );
+        assert_eq!(
+            send_query(&mut control, 1.0, 1, "rep", 100.0),
+            [format!("grant 1 {terms}"), "submit 1 1".into()]
+        );
+    }
+    assert_eq!(
+        send_query(&mut dispatcher("", ONE), 1.0, 1, "rep", 100.0),
+        ["submit 1 1"]
+    );
+}
--- a/tests/helper/mod.rs
+++ b/src/tests/mod.rs
@@ -1,11 +1,30 @@
-//! What the tests share: settings, a dispatcher with engines, and a writer that keeps what was decided.
-
-use tansymux::control::{Control, EventSource};
-use tansymux::events::{
+//! The decisions, one by one: each rule, each mechanism, and each failure that was found. One file a concern; here is what
+//! they share: settings, a dispatcher with engines, and a sink that keeps what was decided.
+
+mod admission;
+mod completion;
+mod dispatch;
+mod endpoints;
+mod outlier;
+mod peer_load;
+mod periodic;
+mod placement;
+mod pressure;
+mod retry;
+mod service_levels;
+mod settings;
+mod slow_start;
+mod zone_plan;
+
+use crate::control::{Control, EventSource};
+use crate::events::{
     AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
-    Outcome, QueryArrived, StatementTraits,
+    HealthCheckEnded, NoteKind, Outcome, PeerMessage, ProgressNote, QueryArrived, StatementTraits,
 };
-use tansymux::settings::SettingsMap;
+use crate::model::{EngineIndex, FadingMedian, GroupIndex, Lane, LaneSlowdowns, LevelEffects};
+use crate::peer_codec;
+use crate::settings::SettingsMap;
+use crate::zone_plan::{ZoneLimits, ZonePlan};
 
 const SETTINGS: &str = "balancers=2 zone=h1 kinds=small,big family-info.cores-by-kind=8,16 \
     family-info.kind-memory-mb=1000,2000 family-info.dop=1,2,2,2 family-info.class-load=0,0,1,1 \
@@ -18,7 +37,7 @@
     services.3.repeat-window-us=10000000 services.3.dedup-scope=all services.3.in-order=1";
 
 /// The settings above, with `more` put over them.
-pub fn settings(more: &str) -> SettingsMap {
+pub(crate) fn settings(more: &str) -> SettingsMap {
     let pairs = SETTINGS.split_whitespace().chain(more.split_whitespace());
     pairs
         .map(|p| p.split_once('=').unwrap())
@@ -27,9 +46,9 @@
 }
 
 #[derive(Default)]
-pub struct Kept(pub Vec<String>, pub Vec<AttemptLimits>);
+pub(crate) struct RecordedDecisions(pub Vec<String>, pub Vec<AttemptLimits>);
 
-impl DecisionSink for Kept {
+impl DecisionSink for RecordedDecisions {
     fn submit(&mut self, id: u64, engine_id: u64, bounds: AttemptLimits) {
         self.1.push(bounds);
         self.0.push(format!("submit {id} {engine_id}"));
@@ -58,29 +77,29 @@
     }
 }
 
-pub struct Do<F>(pub Option<F>);
+pub(crate) struct Script<F>(pub Option<F>);
 
-impl<F: FnOnce(&mut Control, &mut dyn DecisionSink)> EventSource for Do<F> {
+impl<F: FnOnce(&mut Control, &mut dyn DecisionSink)> EventSource for Script<F> {
     fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
         (self.0.take().unwrap())(control, out);
     }
 }
 
-pub const T0: f64 = 1e6;
+pub(crate) const START_MS: f64 = 1e6;
 
 /// One round at `T0 + at` ms; what was decided in it.
-pub fn round(
-    c: &mut Control,
+pub(crate) fn round(
+    control: &mut Control,
     at: f64,
     events: impl FnOnce(&mut Control, &mut dyn DecisionSink),
 ) -> Vec<String> {
-    let mut kept = Kept::default();
-    c.run_round(T0 + at, &mut Do(Some(events)), &mut kept);
-    kept.0
+    let mut recorded = RecordedDecisions::default();
+    control.run_round(START_MS + at, &mut Script(Some(events)), &mut recorded);
+    recorded.0
 }
 
 /// A list entry of a ready engine in cell 0.
-pub fn ready<'a>(
+pub(crate) fn ready<'a>(
     engine_id: u64,
     kind: &'a str,
     zone: &'a str,
@@ -97,7 +116,12 @@
 }
 
 /// A query without tenant, key and tables that needs 10 MB.
-pub fn arriving(query_id: u64, group: &str, deadline_ms: f64, cost_ms: f64) -> QueryArrived<'_> {
+pub(crate) fn arriving(
+    query_id: u64,
+    group: &str,
+    deadline_ms: f64,
+    cost_ms: f64,
+) -> QueryArrived<'_> {
     QueryArrived {
         query_id,
         group,
@@ -112,7 +136,7 @@
 }
 
 /// The end of an attempt on an engine that reports no usage.
-pub fn ended(
+pub(crate) fn ended(
     query_id: u64,
     attempt: usize,
     answer_delivered: bool,
@@ -132,25 +156,31 @@
 }
 
 /// A dispatcher with engines numbered from 1, each given as kind and zone, all started long ago.
-pub fn dispatcher(more: &str, engines: &[(&str, &str)]) -> Control {
-    let mut c = Control::new(7, &settings(more)).unwrap();
-    round(&mut c, 0.0, |c, out| {
-        c.begin_update(EndpointListKind::Snapshot);
+pub(crate) fn dispatcher(more: &str, engines: &[(&str, &str)]) -> Control {
+    let mut control = Control::new(7, &settings(more)).unwrap();
+    round(&mut control, 0.0, |control, out| {
+        control.begin_update(EndpointListKind::Snapshot);
         for (i, (kind, zone)) in engines.iter().enumerate() {
-            c.upsert_endpoint(&ready(i as u64 + 1, kind, zone, None));
+            control.upsert_endpoint(&ready(i as u64 + 1, kind, zone, None));
         }
-        c.finish_update(EndpointListKind::Snapshot, out);
+        control.finish_update(EndpointListKind::Snapshot, out);
     });
-    c
+    control
 }
 
 /// A query of `rg` with this estimate, given up 20 s after it comes.
-pub fn ask(c: &mut Control, at: f64, id: u64, rg: &str, cost: f64) -> Vec<String> {
-    ask_for(c, at, id, rg, cost, None, 0)
+pub(crate) fn send_query(
+    control: &mut Control,
+    at: f64,
+    id: u64,
+    rg: &str,
+    cost: f64,
+) -> Vec<String> {
+    send_query_with_key(control, at, id, rg, cost, None, 0)
 }
 
-pub fn ask_for(
-    c: &mut Control,
+pub(crate) fn send_query_with_key(
+    control: &mut Control,
     at: f64,
     id: u64,
     rg: &str,
@@ -158,31 +188,58 @@
     key: Option<u64>,
     tables: u32,
 ) -> Vec<String> {
-    round(c, at, |c, out| {
+    round(control, at, |control, out| {
         let query = QueryArrived {
             key,
             tables,
-            ..arriving(id, rg, T0 + at + 20_000.0, cost)
+            ..arriving(id, rg, START_MS + at + 20_000.0, cost)
         };
-        c.on_query_arrived(&query, out).unwrap()
+        control.on_query_arrived(&query, out).unwrap()
     })
 }
 
 /// The end of a query's attempt on an engine.
-pub fn close(
-    c: &mut Control,
+pub(crate) fn end_attempt(
+    control: &mut Control,
     at: f64,
     id: u64,
-    sub: usize,
+    attempt: usize,
     outcome: Outcome,
     engine_id: u64,
 ) -> Vec<String> {
     let complete = outcome == Outcome::Completed;
-    round(c, at, |c, out| {
-        c.on_attempt_ended(&ended(id, sub, complete, outcome, engine_id, 100.0), out)
+    round(control, at, |control, out| {
+        control.on_attempt_ended(
+            &ended(id, attempt, complete, outcome, engine_id, 100.0),
+            out,
+        )
     })
 }
 
-pub fn starts(decided: &[String], with: &str) -> bool {
+pub(crate) fn has_decision(decided: &[String], with: &str) -> bool {
     decided.iter().any(|d| d.starts_with(with))
 }
+
+pub(crate) const ONE: &[(&str, &str)] = &[("small", "h1")];
+
+pub(crate) const SLOW: FadingMedian = FadingMedian {
+    level: 2.0,
+    updated_ms: START_MS,
+};
+
+pub(crate) const TWO: &[(&str, &str)] = &[("small", "h1"), ("small", "h1")];
+
+/// An engine's note on an attempt.
+pub(crate) fn note(query_id: u64, attempt: usize, kind: NoteKind, amount: f64) -> ProgressNote {
+    ProgressNote {
+        query_id,
+        attempt,
+        kind,
+        amount,
+    }
+}
+
+/// Makes engine `e` look pressed, as slow answers would.
+pub(crate) fn put_under_pressure(control: &mut Control, e: usize) {
+    control.engines[EngineIndex(e)].slowdown.fast = SLOW;
+}
--- /dev/null
+++ b/src/tests/periodic.rs
@@ -0,0 +1,77 @@
+//! Periodic checks: migrations and hopeless attempts.
+
+use super::*;
+
+#[test]
+fn slow_attempts_migrate_as_far_as_the_retry_budget_allows() {
+    let rules = "rules.ratio-span-us=10000000 rules.extra-free=1 rules.repeat-ratio=0.1";
+    let mut control = dispatcher(rules, TWO);
+    control
+        .engines
+        .iter_mut()
+        .for_each(|e| e.limit.crowd_threads = 100.0);
+    for id in 0..20 {
+        send_query(&mut control, 1.0, id, "rep", 200.0);
+    }
+    let moved = round(&mut control, 1_001.0, |control, _| {
+        (0..20).for_each(|id| control.on_progress_note(&note(id, 0, NoteKind::Progress, 0.05)))
+    });
+    assert_eq!(moved.len(), 3, "{moved:?}: one and a tenth of twenty");
+}
+
+#[test]
+fn attempt_whose_notes_stop_migrates_though_it_was_nearly_done() {
+    let mut control = dispatcher("family-info.tells-every-us=1000000", TWO);
+    send_query(&mut control, 1.0, 1, "rep", 1000.0);
+    round(&mut control, 1_001.0, |control, _| {
+        control.on_progress_note(&note(1, 0, NoteKind::Progress, 0.9))
+    });
+    assert!(!has_decision(
+        &round(&mut control, 2_500.0, |_, _| ()),
+        "cancel"
+    ));
+    assert!(
+        has_decision(&round(&mut control, 3_600.0, |_, _| ()), "cancel 1 0"),
+        "its answer was lost"
+    );
+}
+
+#[test]
+fn hopeless_attempt_migrates_at_ease_and_is_rejected_under_pressure() {
+    for (is_pressured, then) in [(false, "cancel 1 0"), (true, "reject 1")] {
+        let mut control = dispatcher("", TWO);
+        send_query(&mut control, 1.0, 1, "rep", 1000.0);
+        let e = control
+            .engines
+            .iter()
+            .position(|e| e.load.attempts == 1)
+            .unwrap();
+        if is_pressured {
+            put_under_pressure(&mut control, e);
+        }
+        let then_said = round(&mut control, 1_001.0, |control, _| {
+            control.on_progress_note(&note(1, 0, NoteKind::Progress, 0.02))
+        });
+        assert!(has_decision(&then_said, then), "{then_said:?}");
+    }
+}
+
+#[test]
+fn time_spent_waiting_does_not_count_as_slow_work() {
+    // A load stood behind another for a second: its first progress says nothing, the next ones tell its pace.
+    for (share, lives) in [(0.5, true), (0.0041, false)] {
+        let mut control = dispatcher("", TWO);
+        send_query(&mut control, 1.0, 1, "load", 1000.0);
+        round(&mut control, 2.0, |control, _| {
+            control.on_progress_note(&note(1, 0, NoteKind::Waiting, 2.0))
+        });
+        let first = round(&mut control, 1_001.0, |control, _| {
+            control.on_progress_note(&note(1, 0, NoteKind::Progress, 0.004))
+        });
+        assert!(!has_decision(&first, "fail"), "{first:?}");
+        let second = round(&mut control, 1_501.0, |control, _| {
+            control.on_progress_note(&note(1, 0, NoteKind::Progress, share))
+        });
+        assert_eq!(!has_decision(&second, "fail 1"), lives, "{second:?}");
+    }
+}
--- /dev/null
+++ b/src/tests/pressure.rs
@@ -0,0 +1,134 @@
+//! Pressure: what shows it, and how it decays.
+
+use super::*;
+
+#[test]
+fn slow_answers_of_either_lane_a_full_refusal_and_a_crowd_are_pressure() {
+    let marks: [fn(&mut Control); 4] = [
+        |control| control.engines[EngineIndex(0)].slowdown.low = SLOW,
+        |control| control.engines[EngineIndex(0)].limit.last_full_ms = START_MS + 1.0,
+        |control| control.engines[EngineIndex(0)].load.granted_mb = 900.0,
+        |control| control.engines[EngineIndex(0)].load.peer_threads = 12.0,
+    ];
+    for mark in marks {
+        let mut control = dispatcher("", ONE);
+        (
+            control.engines[EngineIndex(0)].load.low_attempts,
+            control.engines[EngineIndex(0)].load.low_threads,
+            control.engines[EngineIndex(0)].limit.threads_per_core,
+        ) = (1, 2.0, 0.5);
+        mark(&mut control);
+        assert!(has_decision(
+            &send_query(&mut control, 1000.0, 1, "rep", 100.0),
+            "reject"
+        ));
+    }
+}
+
+#[test]
+fn slowdown_decays_towards_that_of_the_zone() {
+    let mut control = dispatcher("", TWO);
+    control.engines[EngineIndex(0)].slowdown.fast = FadingMedian {
+        level: 0.8,
+        updated_ms: START_MS,
+    };
+    assert!(
+        control.is_under_pressure(EngineIndex(0)) && !control.is_under_pressure(EngineIndex(1))
+    );
+    round(&mut control, 10_000.0, |_, _| ());
+    assert!(
+        !control.is_under_pressure(EngineIndex(0)),
+        "one engine was slow long ago"
+    );
+    control.zone_slowdowns[0].fast = FadingMedian {
+        level: 0.8,
+        updated_ms: START_MS + 10_000.0,
+    };
+    assert!(
+        control.is_under_pressure(EngineIndex(0)) && control.is_under_pressure(EngineIndex(1)),
+        "the hall stands in for engines that did not answer lately"
+    );
+}
+
+#[test]
+fn one_slow_answer_after_a_long_gap_is_pressure() {
+    let mut control = dispatcher("balancers=300", TWO);
+    control.groups[GroupIndex(0)].slowdown.samples = 100;
+    send_query(&mut control, 20_000.0, 1, "look", 10.0);
+    let e = control
+        .engines
+        .iter()
+        .position(|e| e.load.attempts == 1)
+        .unwrap();
+    end_attempt(
+        &mut control,
+        20_100.0,
+        1,
+        0,
+        Outcome::Completed,
+        e as u64 + 1,
+    );
+    assert!(control.is_under_pressure(EngineIndex(e)));
+}
+
+#[test]
+fn dispatcher_started_during_an_incident_counts_late_answers_as_slow() {
+    let mut control = dispatcher("", ONE);
+    for id in 0..6 {
+        send_query(&mut control, 1.0, id, "look", 10.0);
+        round(&mut control, 900.0, |control, out| {
+            control.on_attempt_ended(&ended(id, 0, true, Outcome::Completed, 1, 900.0), out)
+        });
+    }
+    assert!(control.is_under_pressure(EngineIndex(0)));
+}
+
+#[test]
+fn pool_slowdown_stands_in_for_a_zone_without_recent_answers() {
+    let mut control = dispatcher("balancers=300", &[("small", "h1"), ("small", "h2")]);
+    control.groups[GroupIndex(0)].slowdown.samples = 100;
+    for id in 0..3 {
+        send_query(&mut control, id as f64, id, "look", 1.0);
+        let e = control
+            .queries
+            .iter()
+            .find(|(_, q)| q.id == id)
+            .unwrap()
+            .1
+            .attempts
+            .all()[0]
+            .engine
+            .0 as u64
+            + 1;
+        end_attempt(
+            &mut control,
+            100.0 + id as f64,
+            id,
+            0,
+            Outcome::Completed,
+            e,
+        );
+    }
+    assert!(
+        control.is_under_pressure(EngineIndex(0)) && control.is_under_pressure(EngineIndex(1)),
+        "h552f21: a hall unheard of looked at ease to every gateway"
+    );
+}
+
+#[test]
+fn slower_answer_is_no_pressure_where_estimates_scatter() {
+    for (scatter, is_pressured) in [(0.0, true), (1.0, false)] {
+        let mut control = dispatcher("", ONE);
+        control.groups[GroupIndex(0)].slowdown.samples = 100;
+        (
+            control.groups[GroupIndex(0)].slowdown.scatter,
+            control.groups[GroupIndex(0)].slowdown.min_scatter,
+        ) = (scatter, scatter);
+        send_query(&mut control, 1.0, 1, "look", 60.0);
+        end_attempt(&mut control, 101.0, 1, 0, Outcome::Completed, 1);
+        assert_eq!(
+            control.is_under_pressure(EngineIndex(0)),
+            is_pressured
+        );
+    }
+}
--- /dev/null
+++ b/src/tests/settings.rs
@@ -0,0 +1,13 @@
+//! The settings: what they must have.
+
+use super::*;
+
+#[test]
+fn missing_setting_is_named_in_the_error() {
+    let mut told = settings("");
+    told.remove("services.1.aim-us");
+    assert_eq!(
+        Control::new(1, &told).err().unwrap().to_string(),
+        "setting services.1.aim-us is missing"
+    );
+}
