The core: one concern a file in src/control, one record a file in src/model, typed Settings

Need: control.rs held every decision in 1019 lines, state.rs every record; Engine had 36 public fields, Query 17. Settings are read once, in src/settings/. Indices are typed. The tests moved from tests/ to src/tests/, one file a concern, as the records are no longer public; assertions untouched.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -255,15 +255,18 @@
         }
         self.control.run_round(now, &mut feed, &mut decisions);
         let message = levels.look(now, descriptors, &mut self.control);
-        if let Some(message) = message.filter(|_| self.control.allowed.peers) {
+        if let Some(message) = message.filter(|_| self.control.capabilities().peer_messages) {
             decisions.send_to_peer(None, &message);
         }
         let message = zones.look(now, &mut self.control, self.fleet.as_deref());
-        if let Some(message) = message.filter(|_| self.control.allowed.peers) {
+        if let Some(message) = message.filter(|_| self.control.capabilities().peer_messages) {
             decisions.send_to_peer(None, &message);
         }
         if zones.looked_at(now) {
-            if let Some(engine_id) = zones.probes(now).filter(|_| self.control.allowed.probes) {
+            if let Some(engine_id) = zones
+                .probes(now)
+                .filter(|_| self.control.capabilities().health_checks)
+            {
                 self.registry.health_check(engine_id);
             }
             zones.spills(
--- a/crates/dispatcher/src/service_levels.rs
+++ b/crates/dispatcher/src/service_levels.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write;
 use tansymux::control::Control;
 use tansymux::settings::{self, RawSettings, SettingsMap};
-use tansymux::state::LevelEffects;
+use tansymux::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
     Change, Definition, Degradation, Ended, LevelStateMachine, Signal, Why, Windows,
@@ -121,9 +121,10 @@
                 );
             }
         }
-        control.level = on.as_ref().map_or_else(LevelEffects::default, |on| {
+        let effects = on.as_ref().map_or_else(LevelEffects::default, |on| {
             self.effects_of(&on.machine.reduction())
         });
+        control.set_level_effects(effects);
     }
 
     fn begin(&self, definition: Definition) -> On {
@@ -159,7 +160,7 @@
             retry_after_factor: asked.retry_after,
             retry_after_jitter: asked.spread,
             withhold_low_retries: asked.withhold_low,
-            reject_over_share: asked.close_over_share,
+            reject_over_quota: asked.close_over_share,
             min_confidence: asked.min_sure,
             group_fractions: if asked.classes.is_empty() {
                 Vec::new()
@@ -212,7 +213,7 @@
         }
         if let Some(change) = on.machine.look(now, &on.readings).cloned() {
             tell(&on.machine, &change);
-            control.level = self.effects_of(&on.machine.reduction());
+            control.set_level_effects(self.effects_of(&on.machine.reduction()));
         }
         on.machine.tells(now)
     }
--- a/src/tests/pressure.rs
+++ b/src/tests/pressure.rs
@@ -126,9 +126,6 @@
         ) = (scatter, scatter);
         send_query(&mut control, 1.0, 1, "look", 60.0);
         end_attempt(&mut control, 101.0, 1, 0, Outcome::Completed, 1);
-        assert_eq!(
-            control.is_under_pressure(EngineIndex(0)),
-            is_pressured
-        );
+        assert_eq!(control.is_under_pressure(EngineIndex(0)), is_pressured);
     }
 }
