--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -23,9 +23,9 @@
 use crate::clock::Clock;
 use crate::notify::Notify;
 use crate::query_registry::QueryRegistry;
-use crate::service_levels::ServiceLevels;
-use crate::statement_classifier::StatementClassifier;
-use crate::zone_routing::ZoneRouting;
+use crate::subsystems::service_levels::ServiceLevels;
+use crate::subsystems::statement_classifier::StatementClassifier;
+use crate::subsystems::zone_routing::ZoneRouting;
 use connection_table::ConnectionTable;
 use phase::FrontendPhase;
 use reader::Reader;
@@ -52,14 +52,14 @@
         registry: Rc<QueryRegistry>,
         clock: Clock,
         limits: AdmissionLimits,
-        classes: Rc<StatementClassifier>,
+        classifier: Rc<StatementClassifier>,
         levels: Rc<ServiceLevels>,
         zones: Rc<ZoneRouting>,
     ) -> Self {
         let pages = StatusPages {
             registry: registry.clone(),
             clock,
-            classes,
+            classifier,
             levels,
             zones,
             spilled_threads: RefCell::default(),
--- /dev/null
+++ b/crates/testbed/src/fleet/virtual_fleet/settings.rs
@@ -0,0 +1,126 @@
+//! The settings that a scenario's members run with, and the addresses by which they know each other.
+
+use super::VirtualFleet;
+use crate::fleet::scenario::Scenario;
+use std::net::{IpAddr, SocketAddr};
+use tansymux_coordination::disruption_budget::{DisruptionBudget, Limit};
+use tansymux_coordination::QuorumConfig;
+use tansymux_membership::Keys;
+use tansymux_rollout::{FleetConfig, RolloutConfig, RolloutPlan};
+
+/// Hosts in one subnet of the virtual fleet's addresses.
+const HOSTS_PER_SUBNET: usize = 250;
+const MEMBER_PORT: u16 = 7946;
+const SUPERVISOR_PORT: u16 = 9000;
+/// The first operator's port; the next one's is one higher.
+const FIRST_OPERATOR_PORT: u16 = 9100;
+/// How many members each one is told to join by.
+const MAX_JOIN_SEEDS: usize = 5;
+
+/// The address by which other members know member `n`.
+pub(super) fn member_address(n: usize) -> SocketAddr {
+    let subnet = (n / HOSTS_PER_SUBNET) as u8;
+    let host = (n % HOSTS_PER_SUBNET + 1) as u8;
+    SocketAddr::from(([10, 0, subnet, host], MEMBER_PORT))
+}
+
+/// The member on whose host an address is.
+pub(super) fn host_of(address: SocketAddr) -> Option<usize> {
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            let [.., subnet, host] = ip.octets();
+            Some(usize::from(subnet) * HOSTS_PER_SUBNET + usize::from(host).checked_sub(1)?)
+        }
+        IpAddr::V6(_) => None,
+    }
+}
+
+pub(super) fn supervisor_address(n: usize) -> SocketAddr {
+    SocketAddr::new(member_address(n).ip(), SUPERVISOR_PORT)
+}
+
+pub(super) fn operator_address(n: usize, operator: usize) -> SocketAddr {
+    SocketAddr::new(
+        member_address(n).ip(),
+        FIRST_OPERATOR_PORT + operator as u16,
+    )
+}
+
+/// Which operator listens at a port.
+pub(super) fn operator_at(port: u16) -> usize {
+    usize::from(port.saturating_sub(FIRST_OPERATOR_PORT))
+}
+
+/// The key that all datagrams of the fleet are authenticated with.
+pub(super) fn keys() -> Keys {
+    Keys {
+        signing: Some([7; 16]),
+        also_accepted: Some([7; 16]),
+    }
+}
+
+/// A disruption limit of so many at a time.
+pub(super) fn limit_of(max: usize) -> Limit {
+    Limit {
+        max_count: Some(max as u32),
+        max_fraction: None,
+    }
+}
+
+/// What the operators' file would define for a scenario.
+pub fn fleet_definition(scenario: &Scenario) -> RolloutConfig {
+    let bounds = |max: usize| DisruptionBudget {
+        fleet: limit_of(max),
+        max_utilization: 10.0,
+        ..DisruptionBudget::default()
+    };
+    let plan = RolloutPlan {
+        canary_count: 1,
+        canary_observation_ms: 4000.0,
+        continue_if_inconclusive: true,
+        zone_pause_ms: 500.0,
+        max_lost_members: scenario.members,
+        ..RolloutPlan::default()
+    };
+    RolloutConfig {
+        dispatchers: bounds(scenario.most),
+        engines: bounds(scenario.max_engines),
+        plan,
+        lease_term_ms: scenario.turn,
+        left_retention_ms: 30_000.0,
+        ..RolloutConfig::default()
+    }
+}
+
+/// Lease and clock bounds that a scenario's voters work with.
+pub fn coordination_settings(scenario: &Scenario) -> QuorumConfig {
+    QuorumConfig {
+        leader_lease_ms: 2000.0,
+        max_grant_ms: scenario.turn,
+        max_clock_skew: 0.02,
+        retransmit_ms: 250.0,
+        max_datagram_delay_ms: scenario.late,
+    }
+}
+
+impl VirtualFleet {
+    /// The settings that member `n` is started with.
+    pub(super) fn member_settings(&self, n: usize) -> FleetConfig {
+        let seed_count = self.scenario.members.min(MAX_JOIN_SEEDS);
+        FleetConfig {
+            name: format!("n{n}"),
+            address: member_address(n),
+            voters: (0..self.scenario.voters).map(|n| format!("n{n}")).collect(),
+            membership: tansymux_membership::Config {
+                seeds: (0..seed_count).map(member_address).collect(),
+                ..tansymux_membership::Config::default()
+            },
+            quorum: coordination_settings(&self.scenario),
+            keys: keys(),
+            fresh: false,
+            grant_id: self.members[n].lease_at_start,
+            rollout: self.definition.clone(),
+            zones: None,
+        }
+    }
+}
