--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -3,9 +3,10 @@
 use super::channel::Channel;
 use super::connection::{ConnectionState, Suitability};
 use super::keep_alive::{KeepAlive, MIN_IDLE_MS};
+use super::reports::SettlingReport;
 use super::settings::ConnectionSettings;
 use crate::clock::Clock;
-use crate::query_registry::{EndpointEntry, Event, QueryRegistry};
+use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_executor::LocalExecutor;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -36,7 +37,7 @@
         Engine {
             address: entry.address,
             zone: entry.zone.clone(),
-            started_ms: entry.started,
+            started_ms: entry.started_ms,
             is_gone: false,
             late_connects: 0,
             channels: Vec::new(),
@@ -45,14 +46,14 @@
 
     /// Takes over what the list says. Whether it is another process than before, or none.
     fn update(&mut self, entry: &EndpointEntry) -> bool {
-        self.is_gone = entry.status == EndpointState::Gone;
+        self.is_gone = entry.state == EndpointState::Gone;
         self.zone.clone_from(&entry.zone);
         let moved = entry.address.is_some() && entry.address != self.address;
-        let restarted = entry.started.is_some() && entry.started != self.started_ms;
+        let restarted = entry.started_ms.is_some() && entry.started_ms != self.started_ms;
         let is_replaced = self.is_gone || moved || restarted;
         if is_replaced {
             self.address = entry.address.or(self.address);
-            self.started_ms = entry.started;
+            self.started_ms = entry.started_ms;
         }
         is_replaced
     }
@@ -124,8 +125,8 @@
     connections: Cell<usize>,
     /// Health checks so far; the last one's tag is made of this number.
     pub(super) health_checks: Cell<u64>,
-    /// Ends that are reported once they have settled, and when (ms) that is.
-    pub(super) settling: RefCell<VecDeque<(f64, Event)>>,
+    /// Ends that are reported once they have settled, the next one first.
+    pub(super) settling: RefCell<VecDeque<SettlingReport>>,
     /// How long a connection may idle to be reused.
     pub(super) keep_alive: RefCell<KeepAlive>,
     /// The one buffer that all connections read through.
@@ -173,7 +174,7 @@
                 channel.retire();
             }
         }
-        if is_replaced || entry.status == EndpointState::Draining {
+        if is_replaced || entry.state == EndpointState::Draining {
             for channel in &channels {
                 self.withdraw_unstarted(channel);
             }
--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -12,7 +12,7 @@
 use tansymux::control::Control;
 use tansymux::events::PeerMessage;
 use tansymux::settings::{matches_name, SettingsMap};
-use tansymux::state::LevelEffects;
+use tansymux::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{Definition, Degradation, Ended, LevelStateMachine, Signal, Windows};
 
@@ -150,10 +150,11 @@
                 );
             }
         }
-        control.level = match active.as_ref() {
+        let effects = match active.as_ref() {
             Some(current) => self.effects(&current.machine.reduction()),
             None => LevelEffects::default(),
         };
+        control.set_level_effects(effects);
     }
 
     /// Index of a resource group, by its name in the operators' file or at a client.
@@ -170,7 +171,7 @@
             retry_after_factor: degradation.retry_after,
             retry_after_jitter: degradation.spread,
             withhold_low_retries: degradation.withhold_low,
-            reject_over_share: degradation.close_over_share,
+            reject_over_quota: degradation.close_over_share,
             min_confidence: degradation.min_sure,
             group_fractions: self.group_fractions(degradation),
         }
@@ -245,7 +246,7 @@
         }
         if let Some(change) = active.machine.look(now_ms, &active.readings).cloned() {
             display::log_change(&active.machine, &change);
-            control.level = self.effects(&active.machine.reduction());
+            control.set_level_effects(self.effects(&active.machine.reduction()));
         }
         active.machine.tells(now_ms)
     }
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -217,8 +217,8 @@
     pub fn on_endpoints(&self, entries: &[EndpointEntry]) {
         let mut starts = self.engine_starts_ms.borrow_mut();
         for entry in entries {
-            match entry.started {
-                Some(started_ms) if entry.status != EndpointState::Gone => {
+            match entry.started_ms {
+                Some(started_ms) if entry.state != EndpointState::Gone => {
                     starts.insert(entry.engine_id, started_ms);
                 }
                 _ => {
@@ -253,7 +253,7 @@
         let shape = attempt.shape;
         active
             .analyzer
-            .record_execution(shape.shape, shape.class, shape.cost, &execution);
+            .record_execution(shape.shape, shape.class, shape.cost_ms, &execution);
     }
 
     fn is_cold(&self, engine_id: u64, now_ms: f64) -> bool {
@@ -315,7 +315,7 @@
     StatementShape {
         shape: analyzed.shape_id,
         class: analyzed.analysis.class,
-        cost: analyzed.analysis.cost_ms,
+        cost_ms: analyzed.analysis.cost_ms,
     }
 }
 
