--- a/crates/dispatcher/src/clock.rs
+++ b/crates/dispatcher/src/clock.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Latest time (s after the start) that [`Clock::instant`] tells apart; keeps infinite deadlines within range.
+/// Upper bound of [`Clock::instant`] (s after the start): keeps infinite deadlines within range.
 const MAX_INSTANT_S: f64 = 1e9;
 
-/// A clock that reads the wall clock once, at its start, and then follows the monotonic one: steps of the wall clock
-/// don't reach it. Copies read the same.
+/// Reads the wall clock once, at its start, and then follows the monotonic clock, so that steps of the wall clock
+/// have no effect. Copies show the same time.
 #[derive(Clone, Copy)]
 pub struct Clock {
     started: Instant,
--- a/crates/dispatcher/src/config/endpoints.rs
+++ b/crates/dispatcher/src/config/endpoints.rs
@@ -46,7 +46,7 @@
     for event in known.child("cmds").items()? {
         for instance in event.child("nodes").child("instances").items()? {
             let entry = read_endpoint(&instance, &mut directory)?;
-            directory.insert(entry);
+            directory.upsert_endpoint(entry);
         }
     }
     Ok(directory)
--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -1,4 +1,4 @@
-//! The endpoint list as it is believed, and what an answer of the name service changes in it. No I/O, no clock.
+//! The accepted endpoint list, and the rules by which an answer of the name service changes it. No I/O, no clock.
 
 use super::records::{
     drop_superseded, entry_of, fingerprint, merge_duplicates, start_of, HostName,
@@ -10,13 +10,12 @@
 use std::collections::VecDeque;
 use tansymux::events::EndpointState;
 
-/// Engines of a list at most: a bound on memory, far above any pool.
+/// Endpoints of a list at most: a bound on memory, far above any pool.
 const MAX_ENGINES: usize = 1024;
-/// Events (steps of the serial) that one engine causes at most between two answers without arousing suspicion: it
-/// drains, it goes, one comes in its place, and that again.
+/// Serial steps per engine that are plausible between two answers: it drains, leaves and is replaced, twice over.
 const MAX_EVENTS_PER_ENGINE: usize = 6;
 
-/// The endpoint list. Every dispatcher gives an engine the same number, derived from its id alone.
+/// The accepted endpoint list. Every dispatcher gives an engine the same number, derived from its id alone.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     engine_ids: FxHashMap<String, u64>,
@@ -24,15 +23,15 @@
     assigned: FxHashSet<u64>,
     /// The list as last reported.
     engines: FxHashMap<u64, EndpointEntry>,
-    /// The serial of the list: the number of the last event that is known.
+    /// The serial of the list: the number of its latest change.
     pub serial: u32,
-    /// The fingerprint of the answer that the list was made from; `None` where it was made from the configuration.
+    /// Fingerprint of the accepted answer; `None` while the list comes from the configuration.
     fingerprint: Option<u64>,
-    /// The number of the query whose answer the list was made from.
+    /// Number of the query that was answered by the list.
     query: u64,
-    /// An answer that contradicts the list and waits for a second one that agrees with it.
+    /// A contradicting answer that waits to be confirmed by a second one.
     unconfirmed: Option<AnswerSource>,
-    /// Engines that were reported as gone, with their starts, the latest last: an older list does not bring them back.
+    /// Engines that left, with their start times, the latest last: an older list does not bring them back.
     gone: VecDeque<(u64, Option<f64>)>,
 }
 
@@ -45,7 +44,7 @@
 }
 
 impl AnswerSource {
-    /// Whether a later answer says the same, or the same and what came after it.
+    /// Whether a later answer has the same content, or a newer serial.
     fn is_confirmed_by(&self, later: &AnswerSource) -> bool {
         let steps = later.serial.wrapping_sub(self.serial) as i32;
         let is_same = steps == 0 && later.fingerprint == self.fingerprint;
@@ -53,36 +52,36 @@
     }
 }
 
-/// What became of an answer.
+/// The result of an answer.
 #[derive(Debug, PartialEq)]
 pub enum AnswerOutcome {
-    /// It was believed and brought news: the whole list, with those that are gone.
+    /// It was accepted: the whole list, followed by the engines that are gone.
     Updated(Vec<EndpointEntry>),
-    /// It says what is known, or less.
+    /// It brings nothing new.
     Unchanged,
-    /// It was not believed.
+    /// It was not accepted.
     Rejected(RejectReason),
 }
 
 /// How an answer relates to the list.
 enum Relation {
-    /// It goes some events further.
+    /// It is newer by a plausible number of changes.
     Newer,
-    /// It says the same.
+    /// It is the accepted answer.
     Same,
-    /// It contradicts the list: it may be corrupt, or the list was made from one that was.
+    /// It contradicts the list: one of the two is corrupt or outdated.
     Contradicting(RejectReason),
 }
 
-/// An update that has begun: the answer is believed.
+/// An accepted update that has begun.
 struct Update {
     source: AnswerSource,
-    /// Its serial is not above that of the list.
+    /// Its serial is not above that of the list, so it may come from a name service that lags behind.
     is_not_newer: bool,
 }
 
 impl EndpointDirectory {
-    /// The number of an engine: a hash of its id, or the next free number where two ids have the same.
+    /// The number of an engine: a hash of its id, or the next free number if that is taken.
     pub fn engine_id(&mut self, id: &str) -> u64 {
         if let Some(&engine_id) = self.engine_ids.get(id) {
             return engine_id;
@@ -95,8 +94,8 @@
         engine_id
     }
 
-    /// Adds an engine that the configuration lists, or replaces what is known of it.
-    pub fn insert(&mut self, engine: EndpointEntry) {
+    /// Adds or replaces an engine of the configuration's list.
+    pub fn upsert_endpoint(&mut self, engine: EndpointEntry) {
         self.engines.insert(engine.engine_id, engine);
     }
 
@@ -107,9 +106,9 @@
         endpoints
     }
 
-    /// Applies the answer to query number `query`. One that goes a few events further is believed at once. One that
-    /// leaps, goes back or says something else under the same serial may be corrupt, or the list is: it is believed
-    /// once the answer to a later query agrees with it. An engine that has no records any more is gone.
+    /// Applies the answer to query number `query`. One with a plausibly newer serial is accepted at once. One whose
+    /// serial leaps ahead or goes back, or whose records differ under the same serial, is accepted when the answer to
+    /// a later query confirms it. An engine without records is gone.
     pub fn apply_answer(&mut self, answer: &Answer, query: u64) -> AnswerOutcome {
         let update = match self.begin_update(answer, query) {
             Ok(Some(update)) => update,
@@ -123,7 +122,7 @@
         AnswerOutcome::Updated(self.finish_update(&update, entries))
     }
 
-    /// Decides whether an answer is believed; `None` where it brings nothing new.
+    /// Decides whether an answer is accepted; `None` if it brings nothing new.
     fn begin_update(
         &mut self,
         answer: &Answer,
@@ -146,7 +145,7 @@
                 return Ok(None);
             }
             Relation::Newer => {}
-            // An older answer that came late: nothing suspicious.
+            // An answer that arrived late is outdated, not suspicious.
             Relation::Contradicting(_) if query <= self.query => return Ok(None),
             Relation::Contradicting(reason) => self.confirm(source).ok_or(reason)?,
         }
@@ -157,11 +156,11 @@
         }))
     }
 
-    /// `Some` if the answer before agrees with this contradicting one; else this one waits to be confirmed.
+    /// `Some` if this contradicting answer confirms the one before; otherwise it waits to be confirmed itself.
     fn confirm(&mut self, source: AnswerSource) -> Option<()> {
         match self.unconfirmed {
             Some(first) if first.is_confirmed_by(&source) => Some(()),
-            // A copy of an answer, or an older one, doesn't take its place.
+            // A copy of the waiting answer, or an earlier one, does not replace it.
             Some(first) if source.query <= first.query => None,
             _ => {
                 self.unconfirmed = Some(source);
@@ -173,7 +172,7 @@
     fn relation(&self, source: &AnswerSource, endpoints: usize) -> Relation {
         let steps = source.serial.wrapping_sub(self.serial) as i32;
         let max_steps = (MAX_EVENTS_PER_ENGINE * (self.engines.len() + endpoints + 1)) as i32;
-        // The list of the configuration has no fingerprint to compare with: it came in another form.
+        // The list of the configuration has no fingerprint to compare with.
         let is_same = self
             .fingerprint
             .is_none_or(|known| known == source.fingerprint);
@@ -201,8 +200,8 @@
         entries
     }
 
-    /// An older list may come from a service that lags behind: an engine that was reported as draining or gone stays
-    /// so, unless it has started since. Where that leaves no engine ready, the list is right and the reports were wrong.
+    /// Keeps engines draining or gone that were reported so, unless they have restarted since: an older list may come
+    /// from a name service that lags behind. If that would leave no engine ready, the list is taken as it is.
     fn keep_known_ends(&self, entries: &mut Vec<EndpointEntry>) {
         let is_ready = |entry: &EndpointEntry| entry.status == EndpointState::Ready;
         let has_ended = |entry: &EndpointEntry| self.was_draining(entry) || self.was_gone(entry);
@@ -234,7 +233,7 @@
         })
     }
 
-    /// Puts the entries in the place of the list. Returns them and, at the end, those that are gone.
+    /// Replaces the list by `entries`. Returns them, followed by the engines that are gone.
     fn finish_update(
         &mut self,
         update: &Update,
@@ -254,7 +253,7 @@
         entries
     }
 
-    /// The engines that are no longer on the list, in the order of their numbers.
+    /// The engines of the list before that are no longer listed, in the order of their numbers.
     fn missing_from_list(&self, before: FxHashMap<u64, EndpointEntry>) -> Vec<EndpointEntry> {
         let mut gone = Vec::new();
         for mut entry in before.into_values() {
@@ -267,7 +266,7 @@
         gone
     }
 
-    /// Remembers starts of engines that are gone, and forgets their ids: one that comes back gets the same number.
+    /// Remembers the engines that are gone, and frees their numbers: one that returns gets the same by its id.
     fn remember_gone(&mut self, gone: &[EndpointEntry]) {
         let engines = &self.engines;
         self.gone
--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -2,7 +2,7 @@
 use crate::dns::Srv;
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// An answer that lists these: id, whether it drains, when it started.
+/// An answer that lists these engines: id, whether it drains, when it started.
 fn answer(serial: u32, engines: &[(&str, bool, f64)]) -> Answer {
     let mut answer = Answer {
         serial: Some(serial),
@@ -32,7 +32,7 @@
 
 const TWO: &[(&str, bool, f64)] = &[("s-1", false, 0.0), ("s-2", false, 0.0)];
 
-/// The directory with both engines ready, as the answer to question 10 told, and what is asked of it.
+/// A directory with both engines ready, from the answer to query 10.
 fn directory_of_two(serial: u32) -> EndpointDirectory {
     let mut directory = EndpointDirectory {
         serial: serial - 1,
@@ -65,7 +65,7 @@
         AnswerOutcome::Unchanged
     );
     let old = directory.engine_id("s-old");
-    directory.insert(EndpointEntry {
+    directory.upsert_endpoint(EndpointEntry {
         engine_id: old,
         address: None,
         kind: "std".into(),
@@ -79,12 +79,12 @@
     else {
         panic!()
     };
-    let told: Vec<_> = listed
+    let entries: Vec<_> = listed
         .iter()
         .map(|e| (e.engine_id == old, e.status, e.kind.as_str(), e.cell))
         .collect();
     assert_eq!(
-        told,
+        entries,
         [
             (false, EndpointState::Draining, "std", 2),
             (true, EndpointState::Gone, "std", 1)
@@ -94,7 +94,7 @@
         listed[0].address,
         Some(SocketAddr::from(([10, 1, 0, 9], 10080)))
     );
-    // Answers to questions before that one tell nothing new, in whatever order and however often they come.
+    // Answers to earlier queries bring nothing new, in any order and number.
     assert_eq!(
         directory.apply_answer(&answer(4, &[("s-1", true, 0.0)]), 1),
         AnswerOutcome::Unchanged
@@ -125,7 +125,7 @@
         directory.apply_answer(&corrupt, 11),
         AnswerOutcome::Rejected(RejectReason::SerialLeapsAhead)
     );
-    // Its copy is the same answer, not a second one.
+    // A duplicate does not confirm it.
     assert!(matches!(
         directory.apply_answer(&corrupt, 11),
         AnswerOutcome::Rejected(_)
@@ -145,7 +145,7 @@
         directory.apply_answer(&answer(6, &[("s-1", false, 0.0)]), 14),
         AnswerOutcome::Updated(_)
     ));
-    // Who was away for long learns so: two answers that agree.
+    // After a long absence a leap is real: two answers agree.
     assert!(matches!(
         directory.apply_answer(&answer(90_000, TWO), 15),
         AnswerOutcome::Rejected(_)
@@ -160,7 +160,7 @@
 #[test]
 fn a_corrupt_update_is_replaced_once_two_answers_agree() {
     let mut directory = directory_of_two(5);
-    // One bit in the serial, and a record lost: nothing shows that it is corrupt.
+    // One flipped bit in the serial and a lost record: nothing shows that it is corrupt.
     assert!(matches!(
         directory.apply_answer(&answer(7, &[("s-1", false, 0.0)]), 11),
         AnswerOutcome::Updated(_)
@@ -181,7 +181,7 @@
         AnswerOutcome::Updated(_)
     ));
     assert_eq!(directory.serial, 5);
-    // The same under the same serial.
+    // The same with different records under the same serial.
     let other = [("s-1", true, 0.0), ("s-2", false, 0.0)];
     let rejected = AnswerOutcome::Rejected(RejectReason::RecordsDiffer);
     assert_eq!(directory.apply_answer(&answer(5, &other), 14), rejected);
@@ -194,7 +194,7 @@
 
 #[test]
 fn a_lagging_name_service_does_not_revert_drains_or_departures() {
-    // Told by one service: s-1 drains, s-3 is gone. Another, that is asked from now on, does not know yet.
+    // One name service said that s-1 drains and s-3 is gone. Another one, queried from now on, lags behind.
     let mut directory = directory_of_two(5);
     let three = [
         ("s-1", false, 0.0),
@@ -221,19 +221,19 @@
     assert_eq!(status(&directory, "s-1"), Some(EndpointState::Draining));
     assert_eq!(status(&directory, "s-2"), Some(EndpointState::Ready));
     assert_eq!(status(&directory, "s-3"), None);
-    // An engine that started since is another matter, and so is what goes a step ahead.
+    // An engine that has restarted since is ready again.
     let mut directory = directory_of_two(5);
     assert!(matches!(
         directory.apply_answer(&answer(6, &[("s-2", false, 0.0)]), 11),
         AnswerOutcome::Updated(_)
     ));
-    let anew = [("s-1", false, 9.0), ("s-2", false, 0.0)];
+    let restarted = [("s-1", false, 9.0), ("s-2", false, 0.0)];
     assert!(matches!(
-        directory.apply_answer(&answer(5, &anew), 12),
+        directory.apply_answer(&answer(5, &restarted), 12),
         AnswerOutcome::Rejected(_)
     ));
     assert!(matches!(
-        directory.apply_answer(&answer(5, &anew), 13),
+        directory.apply_answer(&answer(5, &restarted), 13),
         AnswerOutcome::Updated(_)
     ));
     assert_eq!(status(&directory, "s-1"), Some(EndpointState::Ready));
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -1,7 +1,7 @@
-//! Discovery: queries the name service for the endpoint list, over and over, and reports what has changed.
+//! Discovery: polls the name service for the endpoint list and reports changes.
 //!
-//! It owns the socket and the [`EndpointDirectory`], the list as it is believed; whether an answer is believed is
-//! decided there. It never decides anything about queries: an update leaves as one event.
+//! It owns the socket and the [`EndpointDirectory`], the accepted endpoint list, which also decides whether an answer
+//! is accepted. An accepted update leaves as one event; nothing else is decided here.
 
 mod directory;
 mod records;
@@ -22,18 +22,18 @@
 
 /// The name under which engines are listed.
 const SERVICE: &str = "_back._tcp.pool.lan";
-/// Time between two queries. The platform counts a change as announced 7 s after it at the latest, and a drain's grace
-/// period may be a quarter of a second: an update that comes one query and its way late is still early.
+/// Polling interval. The platform counts a change as announced 7 s after it at the latest, and a drain's grace period
+/// may be as short as 0.25 s, so one interval and a round trip is early enough.
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 /// Bytes of an answer at most: a bound of ours, above the 8,000 bytes that the protocol lets through.
 const MAX_ANSWER_BYTES: usize = 16 * 1024;
-/// Answers to this many of the last queries still count.
+/// Answers to this many of the latest queries are accepted.
 const OPEN_QUERIES: u64 = 20;
-/// After so many queries without a usable answer, the next one goes out from another socket: what lies between may have
-/// forgotten the way back to the old one, and nothing would say so.
+/// Consecutive queries without a usable answer after which another socket is opened: a middlebox may have dropped the
+/// mapping of the old one without a sign.
 const MAX_UNANSWERED_QUERIES: u32 = 8;
 
-/// Why a datagram is no answer to a query of ours.
+/// Why a datagram is not an answer to an open query.
 #[derive(Debug, Error)]
 enum UnusableAnswer {
     #[error("{0}")]
@@ -44,8 +44,8 @@
     UnknownQuery,
 }
 
-/// Keeps the endpoint list up to date until dropped. `resolver` may be changed at any time: what is known stays known,
-/// the next query goes to the new address, and answers from the old one are ignored.
+/// Keeps the endpoint list up to date until dropped. `resolver` may change at any time: the list is kept, the next
+/// query goes to the new address, and answers from the old one are ignored.
 pub async fn follow(
     registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
@@ -79,17 +79,17 @@
     registry: Rc<QueryRegistry>,
     resolver: Rc<Cell<Option<SocketAddr>>>,
     directory: RefCell<EndpointDirectory>,
-    /// The id of query 0; ids go up by one for each query.
+    /// The id of query number 0; ids count up by one.
     first_id: u16,
-    /// Queries so far, which is also the number of the last one.
+    /// Number of the latest query, counted from 1.
     queries: Cell<u64>,
-    /// Queries since the last answer of use.
+    /// Queries since the last usable answer.
     unanswered: Cell<u32>,
 }
 
 impl Watcher {
-    /// A new socket, or the old one where no descriptor is left; with neither it tries again, as without a list nothing
-    /// else is of use.
+    /// Opens a socket. If that fails (no descriptor left), returns the old one, or tries again until it succeeds:
+    /// without an endpoint list the program is of no use.
     async fn bind(&self, old: Option<Async<UdpSocket>>) -> Async<UdpSocket> {
         self.unanswered.set(0);
         loop {
@@ -104,12 +104,12 @@
         }
     }
 
-    /// The id of the last query.
+    /// The id of the latest query.
     fn last_id(&self) -> u16 {
         self.first_id.wrapping_add(self.queries.get() as u16)
     }
 
-    /// Sends queries until too many in a row got no answer of use.
+    /// Sends queries until too many in a row had no usable answer.
     async fn send_queries(&self, socket: &Async<UdpSocket>) {
         let mut ticks = Timer::interval_at(Instant::now(), QUERY_INTERVAL);
         while self.unanswered.get() < MAX_UNANSWERED_QUERIES && ticks.next().await.is_some() {
@@ -136,7 +136,7 @@
                     Timer::after(QUERY_INTERVAL).await;
                 }
             }
-            // A sender without end leaves other tasks their turn.
+            // Keeps a sender without pause from starving other tasks.
             future::yield_now().await;
         }
     }
@@ -151,7 +151,7 @@
         }
     }
 
-    /// The answer to one of the open queries.
+    /// Parses the answer to one of the open queries.
     fn parse(&self, bytes: &[u8], from: SocketAddr) -> Result<Answer, UnusableAnswer> {
         let answer = dns::parse_answer(bytes)?;
         if Some(from) != self.resolver.get() {
@@ -163,7 +163,7 @@
         Ok(answer)
     }
 
-    /// How many queries went out after the one that this answers.
+    /// Number of queries sent after the one that this answers.
     fn age_of(&self, answer: &Answer) -> u64 {
         u64::from(self.last_id().wrapping_sub(answer.id))
     }
--- a/crates/dispatcher/src/discovery/records.rs
+++ b/crates/dispatcher/src/discovery/records.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use tansymux::events::EndpointState;
 
-/// The id of an engine and its zone, from the name of its host: the first two labels.
+/// The first two labels of a host's name.
 pub struct HostName<'a> {
     /// The id of the engine.
     pub id: &'a str,
@@ -25,7 +25,7 @@
     }
 }
 
-/// The entry of one SRV record. What the answer leaves out is taken from the entry that is known.
+/// The entry of one SRV record. An address or kind that the answer leaves out is taken from the known entry.
 pub fn entry_of(
     answer: &Answer,
     srv: &Srv,
@@ -72,7 +72,7 @@
     None
 }
 
-/// Of several entries of one engine the first stays, as draining if any of them is.
+/// Merges several entries of one engine into the first, which drains if any of them does.
 pub fn merge_duplicates(entries: Vec<EndpointEntry>) -> Vec<EndpointEntry> {
     let mut merged: Vec<EndpointEntry> = Vec::new();
     let mut seen_ids = FxHashSet::default();
@@ -89,8 +89,8 @@
     merged
 }
 
-/// Drops entries whose address a newer engine has: the older one is no more, and what was meant for it would reach the
-/// newer one.
+/// Drops entries whose address belongs to a more recently started engine: the older one no longer exists, and its
+/// attempts would reach the newer one.
 pub fn drop_superseded(entries: &mut Vec<EndpointEntry>) {
     let mut newest_start = Vec::new();
     for entry in entries.iter() {
@@ -105,12 +105,12 @@
     });
 }
 
-/// When the engine started (Unix ms); 0 if it has been there from the beginning or nothing says when it started.
+/// Start time of the engine (Unix ms), 0 if unknown.
 pub fn start_of(entry: &EndpointEntry) -> f64 {
     entry.started.unwrap_or(0.0)
 }
 
-/// A hash of what an answer says, whatever the order of its records.
+/// A hash of the answer's records, independent of their order.
 pub fn fingerprint(answer: &Answer) -> u64 {
     let mut sum = 0_u64;
     for srv in &answer.srv {
--- a/crates/dispatcher/src/discovery/reject_reason.rs
+++ b/crates/dispatcher/src/discovery/reject_reason.rs
@@ -1,23 +1,23 @@
-//! The reasons for which an answer of the name service is not believed.
+//! The reasons for rejecting an update of the endpoint list.
 
 use thiserror::Error;
 
-/// Why an answer of the name service is not believed.
+/// Why an update of the endpoint list was rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum RejectReason {
-    /// There is no SOA record, so that nothing says how old the list is.
+    /// The answer has no SOA record, so its age is unknown.
     #[error("no serial")]
     MissingSerial,
-    /// More SRV records than there can be engines.
+    /// The answer has more SRV records than there can be engines.
     #[error("too many endpoints")]
     TooManyEndpoints,
-    /// More events seem to have passed since the known list than the engines can have caused.
+    /// The serial is further ahead than the engines can have moved it since the accepted list.
     #[error("serial leaps ahead")]
     SerialLeapsAhead,
-    /// The list is older than the known one.
+    /// The serial is older than that of the accepted list.
     #[error("serial goes back")]
     SerialGoesBack,
-    /// The serial is the known one, and the records are not.
+    /// The serial is that of the accepted list, but the records differ.
     #[error("different records under the same serial")]
     RecordsDiffer,
 }
--- a/crates/dispatcher/src/discovery/tests.rs
+++ b/crates/dispatcher/src/discovery/tests.rs
@@ -3,9 +3,9 @@
 use async_executor::LocalExecutor;
 use std::time::Duration;
 
-/// A service that answers, in this order, by what `react` makes of the id and of how many came before; run until
-/// `is_done`, or for ten seconds.
-fn play(
+/// Runs discovery against a name service that sends what `react` returns for a query's id, number and sender, until
+/// `is_done`; fails after ten seconds.
+fn run_discovery(
     react: impl Fn(u16, usize, SocketAddr) -> Vec<Vec<u8>> + 'static,
     mut is_done: impl FnMut(&QueryRegistry) -> bool,
 ) -> Rc<QueryRegistry> {
@@ -49,7 +49,7 @@
 
 #[test]
 fn a_silent_name_service_is_queried_from_another_socket() {
-    // From the first socket the service hears all and its answers never come back after the second.
+    // After two answers, those to the first socket no longer arrive.
     let first = Cell::new(None);
     let react = move |id: u16, nth: usize, from: SocketAddr| {
         let same = *first.get().get_or_insert(from) == from;
@@ -61,7 +61,7 @@
             vec![answer(id, serial, u8::from(!same))]
         }
     };
-    let registry = play(react, |registry| {
+    let registry = run_discovery(react, |registry| {
         registry.counters.endpoint_updates.get() == 2
     });
     assert!(registry.counters.dns_queries.get() <= 2 + u64::from(MAX_UNANSWERED_QUERIES) + 2);
@@ -74,7 +74,7 @@
         let now = answer(id, 1 + nth as u32 / 2, 0);
         let mut kept = kept.borrow_mut();
         kept.push(now.clone());
-        // Each twice, the one before it once more, half of one, noise, and one to a question that was never asked.
+        // Each answer twice, the one before it again, half of one, noise, and one to a query that was never sent.
         let before = kept[nth.saturating_sub(1)].clone();
         let never = answer(id.wrapping_add(9), 900, 1);
         vec![
@@ -86,7 +86,7 @@
             never,
         ]
     };
-    let registry = play(react, |registry| registry.counters.dns_queries.get() > 5);
+    let registry = run_discovery(react, |registry| registry.counters.dns_queries.get() > 5);
     let lists = registry.counters.endpoint_updates.get();
     assert!((2..=3).contains(&lists), "{lists}");
     assert!(registry.counters.endpoint_updates_rejected.get() >= 3 * 4);
--- a/crates/dispatcher/src/dns/tests.rs
+++ b/crates/dispatcher/src/dns/tests.rs
@@ -74,7 +74,7 @@
     for end in 0..whole.len() {
         assert_eq!(parse_answer(&whole[..end]).ok(), None, "{end}");
     }
-    // Every byte turned: some still parse, none panics or runs in a ring.
+    // Every byte changed: some still parse, none panics or loops forever.
     for at in 0..whole.len() {
         for value in [0, 0x3f, 0xc0, 0xff] {
             let mut bytes = whole.clone();
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -1,6 +1,6 @@
-//! The life of one connection: connect, read and write until it ends, report what that means for its attempts.
+//! The task of one connection: connect, read and write until it closes, then report the attempts lost with it.
 //!
-//! [`Connection`] holds the state; here are the socket and the task that runs it.
+//! [`Connection`] holds the state and does no I/O; this module owns the socket.
 
 use super::connection::{Attempt, CloseReason, Connection, ConnectionState, FrameEvent};
 use super::keep_alive::{ReuseOutcome, MIN_IDLE_MS};
@@ -23,19 +23,20 @@
 use tansymux::events::Outcome;
 use thiserror::Error;
 
-/// A connect that timed out is waited for so many times as long again: it may carry what comes next.
+/// A connect that timed out goes on for this multiple of the timeout; if it succeeds, new attempts may use the
+/// connection.
 const LATE_CONNECT_TIMEOUTS: u32 = 7;
 
-/// A connection, and what wakes its writer.
+/// A connection and the wake-up of its writer.
 pub(super) struct Channel {
     pub engine_id: u64,
     pub connection: RefCell<Connection>,
-    /// Notified when there may be something to write, or a reason to close.
+    /// Notified when there may be something to write or a reason to close.
     pub notify: Notify,
 }
 
 impl Channel {
-    /// A connection whose connect begins.
+    /// A connection whose connect is about to begin.
     pub fn new(engine_id: u64, now_ms: f64) -> Self {
         Channel {
             engine_id,
@@ -44,14 +45,14 @@
         }
     }
 
-    /// Nothing new goes out here; it closes once nothing is out.
+    /// Takes no new attempts; closes when nothing is in flight.
     pub fn retire(&self) {
         self.connection.borrow_mut().retired = true;
         self.notify.notify();
     }
 }
 
-/// Why a connection ended, where it was neither retired nor closed by the engine.
+/// Why a connection ended, other than retired or closed by the engine.
 #[derive(Debug, Error)]
 enum ChannelError {
     #[error(transparent)]
@@ -73,7 +74,7 @@
         matches!(self, ChannelError::Closed(CloseReason::Protocol(_)))
     }
 
-    /// Closed from this side; what was out is given up by that.
+    /// Closed by this side: its attempts count as abandoned.
     fn is_local(&self) -> bool {
         match self {
             ChannelError::Closed(_) => true,
@@ -83,26 +84,26 @@
     }
 }
 
-/// What a writer did when it was woken.
+/// Result of one step of the writer.
 enum WriteStep {
-    /// Nothing is left to do here: the connection is to be closed.
+    /// The connection is retired and nothing is left to write: close it.
     Done,
-    /// So many bytes were written.
+    /// This many bytes were written.
     Wrote(usize),
 }
 
-/// What the end of a connection means for the attempts that were out on it.
+/// What the end of a connection means for its attempts in flight.
 struct Loss {
     was_up: bool,
-    /// It was closed from this side: its attempts were given up, and their ends have to settle.
+    /// This side closed it: its attempts are abandoned, and their reports are delayed.
     is_abandoned: bool,
     /// The outcome of the next attempt that may have run.
     next_outcome: Outcome,
 }
 
 impl Loss {
-    /// The outcome of one more attempt. One end is one sign of trouble at the engine, however many attempts were out:
-    /// the others were given up with the first.
+    /// The outcome of the next attempt. Only the first one that may have run counts against the engine: one lost
+    /// connection is one failure, however many attempts were in flight.
     fn outcome(&mut self, was_sent: bool) -> Outcome {
         if self.was_up && was_sent {
             std::mem::replace(&mut self.next_outcome, Outcome::Cancelled)
@@ -136,7 +137,7 @@
     ) -> Result<(), ChannelError> {
         let stream = self.connect(channel, address).await?;
         self.on_connected(channel);
-        // Without it, a request may wait for the acknowledgement of the one before; it works either way.
+        // A failure only costs latency: small requests would wait for the acknowledgement of the one before.
         let _ = stream.get_ref().set_nodelay(true);
         future::or(self.read(channel, &stream), self.write(channel, &stream)).await
     }
@@ -171,7 +172,7 @@
 
     // ---- Writing ----
 
-    /// Writes what waits, until the connection is retired and nothing is out.
+    /// Writes the outbox until the connection is retired and nothing is in flight.
     async fn write(
         &self,
         channel: &Channel,
@@ -193,7 +194,7 @@
         context: &mut Context,
     ) -> Poll<Result<WriteStep, ChannelError>> {
         while channel.notify.poll_notified(context).is_ready() {}
-        // The last check before a request begins to go out: none does past its time.
+        // Last check before a request's first byte: none is started after its `start_by_ms`.
         let too_late: Vec<Rc<str>> = channel
             .connection
             .borrow()
@@ -229,7 +230,7 @@
             if count == 0 {
                 return Ok(());
             }
-            // An engine that sends without end leaves other tasks their turn.
+            // Keeps an engine that sends without pause from starving other tasks.
             future::yield_now().await;
             self.handle_frames(channel, &mut inbox)?;
             let now_ms = self.clock.now();
@@ -241,7 +242,7 @@
         }
     }
 
-    /// Appends what has come to `inbox`; its length, 0 at the end of the stream.
+    /// Appends received bytes to `inbox` and returns their number, 0 at the end of the stream.
     async fn receive(&self, stream: &Async<TcpStream>, inbox: &mut Vec<u8>) -> io::Result<usize> {
         let mut read = |mut stream: &TcpStream| {
             let mut buffer = self.read_buffer.borrow_mut();
@@ -252,7 +253,7 @@
         stream.read_with(|stream| read(stream)).await
     }
 
-    /// Handles the whole frames at the start of `inbox` and removes them.
+    /// Handles and removes the complete frames at the start of `inbox`.
     fn handle_frames(&self, channel: &Channel, inbox: &mut Vec<u8>) -> Result<(), ProtocolError> {
         let mut handled = 0;
         while let Some(frame) = resp::parse(&inbox[handled..])? {
@@ -261,7 +262,7 @@
         }
         inbox.drain(..handled);
         if inbox.is_empty() {
-            // A connection that waits holds no buffer.
+            // Frees the buffer: idle connections hold no memory.
             *inbox = Vec::new();
         }
         Ok(())
@@ -309,7 +310,8 @@
 
     // ---- The end ----
 
-    /// The connection has ended: what had gone out whole may have run, what had not never did.
+    /// Reports the attempts lost with the connection: one whose request was written whole may have run, any other
+    /// cannot have.
     fn close_channel(&self, channel: &Rc<Channel>, error: Option<&ChannelError>) {
         let now_ms = self.clock.now();
         self.remove_channel(channel);
@@ -379,8 +381,8 @@
         }
     }
 
-    /// Whether the connection was lost by idling: it had idled, and ended as soon as it was reused. It was closed already,
-    /// by whatever; that says something about idling and nothing about the engine, whose next connection will show.
+    /// Records a connection that ended as soon as it was reused after idling. The other end or a middlebox had closed
+    /// it already, which says nothing about the engine's health. Returns whether that is the case here.
     fn note_lost_reuse(&self, connection: &Connection, now_ms: f64) -> bool {
         let Some(reuse) = connection.idle_reuse else {
             return false;
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -1,4 +1,4 @@
-//! Carries out what the decisions ordered: attempts, withdrawals, cancels, priorities and health checks.
+//! Executes the decisions' commands: submit, withdraw, cancel, set priority, check health.
 
 use super::channel::Channel;
 use super::connection::Attempt;
@@ -10,17 +10,18 @@
 use std::rc::Rc;
 use tansymux::events::{AttemptLimits, Outcome};
 
-/// An attempt on a connection that had idled has the engine checked over another connection when nothing came for so
-/// many times its estimated run time: a connection that died silently takes what goes out and brings nothing.
+/// After an attempt was sent on a connection that had idled, the engine is checked over another connection if no
+/// frame arrived for this multiple of the attempt's estimated run time: a dead connection accepts writes and never
+/// answers.
 const CHECK_AFTER_RUN_TIMES: f64 = 2.0;
 
-/// A query's attempt that is out on a connection.
+/// The connection that carries a query's attempt.
 pub(super) struct Located {
     pub channel: Rc<Channel>,
     pub id: Rc<str>,
 }
 
-/// An attempt that was ordered.
+/// The command to start an attempt.
 struct AttemptOrder {
     query_id: u64,
     number: usize,
@@ -28,7 +29,7 @@
     limits: AttemptLimits,
 }
 
-/// What the registry knows of a query that an attempt needs.
+/// The parts of a query that its attempt needs.
 struct Request {
     id: Rc<str>,
     fields: String,
@@ -38,7 +39,7 @@
 }
 
 impl EnginePool {
-    /// Carries out all commands that wait.
+    /// Executes all queued commands.
     pub fn execute_commands(self: &Rc<Self>) {
         while let Some(command) = self.registry.next_command() {
             match command {
@@ -104,8 +105,8 @@
         })
     }
 
-    /// Time (ms) of silence after which the engine of an attempt with this estimated run time is checked. An estimate
-    /// that isn't known is no estimate of 0.
+    /// Silence (ms) after which the engine is checked, for an attempt with this estimated run time. An unknown
+    /// estimate (0) gives no bound of its own.
     fn check_after_ms(&self, cost_ms: f64) -> f64 {
         let run_times_ms = if cost_ms > 0.0 {
             CHECK_AFTER_RUN_TIMES * cost_ms
@@ -117,7 +118,7 @@
             .min(self.settings.max_silence_ms())
     }
 
-    /// The connection on which an attempt of the query is out.
+    /// Finds the connection that carries the query's attempt.
     pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
         let id = self
             .registry
@@ -134,7 +135,7 @@
         None
     }
 
-    /// Cancels an attempt, if it is the one that is out.
+    /// Cancels an attempt if it is still in flight.
     fn cancel(&self, query_id: u64, number: usize) {
         let Some(Located { channel, id }) = self.locate(query_id) else {
             return;
@@ -150,7 +151,7 @@
         }
     }
 
-    /// Takes back the attempt of a query that is over, unless all of it has gone out.
+    /// Withdraws the attempt of a completed query, unless its request has been written whole.
     fn withdraw(&self, query_id: u64) {
         let Some(Located { channel, id }) = self.locate(query_id) else {
             return;
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -1,5 +1,5 @@
-//! One connection to an engine as a state machine: its attempts, its health checks and what is still to be written.
-//! No I/O, no clock: `channel` moves the bytes and `timeouts` says what time it is.
+//! State machine of one connection to an engine: its attempts, its health checks and its outbox. No I/O and no clock:
+//! `channel` moves the bytes, and every call that depends on time is given it.
 
 mod attempt;
 mod deadlines;
@@ -16,113 +16,115 @@
 use std::rc::Rc;
 use thiserror::Error;
 
-/// Bytes that may wait to be written before a connection takes no further attempt.
+/// Outbox size (bytes) from which on a connection accepts no attempt; a bound on memory.
 pub const MAX_OUTBOX_BYTES: usize = 4 << 20;
-/// Attempts that may be abandoned on one connection before another takes its place: each leaves its id in memory.
+/// Abandoned attempts after which a connection is retired: the id of each stays in memory.
 const MAX_ABANDONED: usize = 256;
 
-/// Where a connection is in its life.
+/// Life-cycle state of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionState {
-    /// The connect is under way, within its timeout.
+    /// Connecting, within the connect timeout.
     Connecting,
-    /// The connect timed out: nothing waits for it, and it may still come up.
+    /// The connect timed out but goes on. Nothing is queued here.
     Late,
     /// Connected.
     Up,
-    /// Ended.
+    /// Closed.
     Closed,
 }
 
-/// How well a connection suits one more attempt; the first are taken first.
+/// How suitable a connection is for another attempt, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Suitability {
-    /// Nothing is out, and it idled for less than the trusted time.
+    /// Idle for less than the trusted time.
     Proven,
-    /// Nothing ever went out here.
+    /// Never used.
     Fresh,
-    /// Other attempts are out.
+    /// Other attempts are in flight on it.
     Shared,
-    /// Nothing is out, and it idled for longer than is trusted: its other end may be closing.
+    /// Idle for longer than is trusted: the other end may have closed it.
     Stale,
 }
 
-/// Why a connection is closed from this side, whatever is out on it.
+/// Why this side closes a connection, even with attempts in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum CloseReason {
-    /// What the engine sent can't be used.
+    /// The engine violated the protocol.
     #[error("protocol error: {0}")]
     Protocol(#[from] ProtocolError),
-    /// A request was withdrawn after some of its bytes had gone out; ending the connection keeps it from becoming whole.
+    /// A request was withdrawn after some of its bytes were written. Closing keeps the engine from ever having all of
+    /// it.
     #[error("a request was given up half written")]
     RequestPartlyWritten,
-    /// Nothing came on it, and no other connection to the engine comes up.
+    /// It has been silent, and the engine accepts no other connection.
     #[error("no other connection comes up")]
     EngineUnreachable,
 }
 
-/// A health check that is out. Times are milliseconds of the program's clock.
+/// A health check in flight. Times are milliseconds of the program's clock.
 #[derive(Debug)]
 pub struct HealthCheck {
-    /// The tag by which its answer is known.
+    /// The id that the answer repeats.
     pub tag: Rc<str>,
     /// When it was handed to the connection.
     pub sent_ms: f64,
-    /// When it has failed.
+    /// When it counts as failed.
     pub deadline_ms: f64,
 }
 
-/// An attempt that went out on a connection that had idled.
+/// The reuse of a connection after it had idled.
 #[derive(Debug, Clone, Copy)]
 pub struct IdleReuse {
     /// How long (ms) the connection had idled.
     pub idle_ms: f64,
-    /// When the attempt went out (ms).
+    /// When the attempt was queued (ms).
     pub sent_ms: f64,
 }
 
-/// An attempt that was abandoned from here.
+/// An attempt that this side abandoned.
 #[derive(Debug)]
 pub struct Abandoned {
     /// The attempt.
     pub attempt: Attempt,
-    /// Whether all of its request had gone out, so that it may have run.
+    /// Its request was written whole, so it may have run.
     pub was_sent: bool,
 }
 
 /// A connection to an engine. Times are milliseconds of the program's clock.
 #[derive(Debug)]
 pub struct Connection {
-    /// Where it is in its life.
+    /// Life-cycle state.
     pub state: ConnectionState,
-    /// When a frame last came; minus infinity if none has.
+    /// When the last frame arrived; minus infinity if none has.
     pub last_frame_ms: f64,
-    /// When it last had something out, or came up.
+    /// When it was last used, or came up.
     pub last_used_ms: f64,
-    /// Nothing ever went out here.
+    /// Never used.
     pub unused: bool,
-    /// The last attempt that went out after an idle time, until anything is received.
+    /// The last reuse after idling; cleared by the first frame that arrives.
     pub idle_reuse: Option<IdleReuse>,
-    /// Since when a frame has begun to come and is not whole.
+    /// Since when an incomplete frame has been waiting for its rest.
     pub partial_frame_since_ms: Option<f64>,
-    /// When the engine is checked over another connection, if nothing came since an attempt went out after an idle time.
+    /// When to check the engine over another connection, if this one was reused after idling and stays silent; else
+    /// infinity.
     pub check_at_ms: f64,
-    /// Why it is to be closed at once.
+    /// Set when it is to be closed at once.
     pub close_reason: Option<CloseReason>,
-    /// Takes nothing new, and is closed once nothing is out.
+    /// Accepts nothing new and closes when nothing is in flight.
     pub retired: bool,
-    /// Attempts that are out here, by the ids of their queries.
+    /// Attempts in flight, by the ids of their queries.
     pub attempts: FxHashMap<Rc<str>, Attempt>,
-    /// Ids that were abandoned here after they had gone out: a late answer to one of them would be taken for that of a
-    /// later attempt with the same id.
+    /// Ids of attempts that were abandoned after they had been sent. They are not reused here: a late answer would be
+    /// taken for that of the new attempt.
     abandoned_ids: FxHashSet<Rc<str>>,
-    /// Health checks that are out here.
+    /// Health checks in flight.
     pub health_checks: Vec<HealthCheck>,
     outbox: Outbox,
 }
 
 impl Connection {
-    /// A connection whose connect begins.
+    /// A connection whose connect is about to begin.
     pub fn new(now_ms: f64) -> Self {
         Connection {
             state: ConnectionState::Connecting,
@@ -143,7 +145,7 @@
 
     // ---- Transitions ----
 
-    /// The connect timed out. Health checks that wait for it are dropped; their number.
+    /// The connect timed out. Drops the health checks queued here and returns their number.
     pub fn on_connect_timeout(&mut self) -> usize {
         self.state = ConnectionState::Late;
         let dropped = std::mem::take(&mut self.health_checks).len();
@@ -151,7 +153,8 @@
         dropped
     }
 
-    /// The connection is there. If nothing waits for it any more, it idles from now on and is as good as new.
+    /// The connect succeeded. If nothing is queued here any more, the connection idles from now on and counts as
+    /// unused.
     pub fn on_connected(&mut self, now_ms: f64) {
         self.state = ConnectionState::Up;
         self.last_used_ms = now_ms;
@@ -163,12 +166,12 @@
 
     // ---- What it is good for ----
 
-    /// Attempts and health checks that are out.
+    /// Number of attempts and health checks in flight.
     pub fn in_flight(&self) -> usize {
         self.attempts.len() + self.health_checks.len()
     }
 
-    /// Since when (ms) it idles; minus infinity if it is not up, is retired or has something out.
+    /// Since when (ms) it has idled; minus infinity if it is not up, is retired or has something in flight.
     pub fn idle_since_ms(&self) -> f64 {
         if self.in_flight() == 0 && !self.retired && self.state == ConnectionState::Up {
             self.last_used_ms
@@ -177,7 +180,7 @@
         }
     }
 
-    /// How well it suits one more attempt, where idling for `trusted_idle_ms` does no harm.
+    /// Its suitability for another attempt, if idling for less than `trusted_idle_ms` is trusted.
     pub fn suitability(&self, now_ms: f64, trusted_idle_ms: f64) -> Suitability {
         if self.in_flight() > 0 {
             Suitability::Shared
@@ -190,7 +193,7 @@
         }
     }
 
-    /// Whether an attempt with this id may go here, next to `max_streams` others at most.
+    /// Whether it accepts an attempt with this id; `max_streams` limits what is in flight.
     pub fn accepts(&self, id: &str, max_streams: usize) -> bool {
         let open = matches!(
             self.state,
@@ -230,7 +233,7 @@
         });
     }
 
-    /// Queues a new priority for an attempt that is out.
+    /// Queues a new priority for an attempt in flight.
     pub fn set_priority(&mut self, id: &str, priority: u8) {
         if self.attempts.contains_key(id) {
             let priority = priority.to_string();
@@ -239,8 +242,8 @@
         }
     }
 
-    /// Abandons an attempt. A request that was not begun is taken back; one that was written in part never becomes
-    /// whole, as the connection ends with that; one that went out is aborted.
+    /// Abandons an attempt; `None` if it is not in flight here. An unwritten request is withdrawn, a partly written
+    /// one closes the connection, and for a written one an abort is queued.
     pub fn abandon(&mut self, id: &str, now_ms: f64) -> Option<Abandoned> {
         let attempt = self.attempts.remove(id)?;
         self.last_used_ms = now_ms;
@@ -262,22 +265,22 @@
         })
     }
 
-    /// The attempts of whose requests nothing was written yet.
+    /// The attempts of whose requests no byte was written.
     pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         self.outbox.unstarted_requests()
     }
 
-    /// Whether the whole of an attempt's request was written.
+    /// Whether an attempt's request was written whole.
     pub fn is_fully_written(&self, id: &str) -> bool {
         !self.outbox.holds_request(id)
     }
 
-    /// Whether anything is to be written.
+    /// Whether the outbox holds anything.
     pub fn has_unwritten(&self) -> bool {
         !self.outbox.is_empty()
     }
 
-    /// Drops what is to be written.
+    /// Empties the outbox.
     pub fn discard_unwritten(&mut self) {
         self.outbox.clear();
     }
@@ -287,7 +290,7 @@
         self.outbox.slices(out, max);
     }
 
-    /// So many more bytes were written.
+    /// Records that `count` more bytes were written.
     pub fn advance(&mut self, count: usize) {
         self.outbox.advance(count);
     }
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt of a query that is out on a connection, with the pages of its result so far.
+//! An attempt in flight on a connection, and the assembly of its result from pages.
 
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::resp;
@@ -11,44 +11,44 @@
 /// Bytes of one result's rows, as JSON, at most; the protocol's longest result has 48,000 bytes of rows.
 const MAX_RESULT_BYTES: usize = 128 * 1024;
 
-/// An attempt that is out on a connection. Times are milliseconds of the program's clock.
+/// An attempt in flight on a connection. Times are milliseconds of the program's clock.
 #[derive(Debug)]
 pub struct Attempt {
-    /// The query, by its number in the registry.
+    /// The query's number in the registry.
     pub query_id: u64,
     /// The attempt's number within the query, from 0.
     pub number: usize,
-    /// When it was handed to the connection.
+    /// When it was queued on the connection.
     pub sent_ms: f64,
     /// When it is abandoned.
     pub deadline_ms: f64,
-    /// Its request's first byte goes out before this, or not at all.
+    /// Its request is withdrawn if no byte of it was written by then.
     pub start_by_ms: f64,
-    /// Pages by their numbers, as they come; empty until the first one says how many there are.
+    /// Pages by their numbers; empty until the first page gives their count.
     pages: Vec<Option<Vec<u8>>>,
     missing_pages: usize,
 }
 
-/// Whether all pages of a result are there.
+/// Whether a result is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResultProgress {
     /// No page is missing.
     Complete,
-    /// Further pages are still to come.
+    /// Pages are missing.
     Incomplete,
 }
 
-/// What a progress note from the engine says.
+/// A progress note from the engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ProgressNote {
-    /// Which kind of note it is.
+    /// What the note is about.
     pub kind: NoteKind,
-    /// The note's number; its meaning depends on the kind.
+    /// The note's value; its meaning depends on the kind.
     pub amount: f64,
 }
 
 impl Attempt {
-    /// An attempt that is handed to a connection at `sent_ms`.
+    /// An attempt that is queued on a connection at `sent_ms`.
     pub fn new(query_id: u64, number: usize, sent_ms: f64, limits: AttemptLimits) -> Self {
         Attempt {
             query_id,
@@ -61,7 +61,7 @@
         }
     }
 
-    /// When something has to be done about this attempt next.
+    /// When this attempt next expires, by its deadline or its start limit.
     pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
         if self.start_by_ms > now_ms {
             self.deadline_ms.min(self.start_by_ms)
@@ -70,17 +70,17 @@
         }
     }
 
-    /// How many pages the result has; 0 before the first one came.
+    /// Number of pages of the result; 0 before the first one arrived.
     pub fn page_count(&self) -> usize {
         self.pages.len()
     }
 
-    /// The pages that have come, in order.
+    /// Takes the pages that have arrived, in order.
     pub fn take_pages(&mut self) -> Pages {
         self.pages.drain(..).flatten().collect()
     }
 
-    /// Adds the first page, whose fields say how many there are.
+    /// Adds the first page, whose fields give the number of pages.
     pub fn add_first_page(
         &mut self,
         fields: &[u8],
@@ -93,7 +93,7 @@
         self.add_page(0, page)
     }
 
-    /// Adds a further page, whose fields say which one it is. A second copy takes the place of the first.
+    /// Adds one of the other pages, whose fields give its number. A second copy replaces the first.
     pub fn add_numbered_page(
         &mut self,
         fields: &[u8],
@@ -128,7 +128,7 @@
     resp::field(fields, name)?.parse().ok()
 }
 
-/// The progress note that the fields of a `TELL` hold; `None` for kinds that nobody here needs and for what is no note.
+/// Parses the fields of a `TELL`; `None` for kinds that are not used here and for malformed notes.
 pub fn parse_progress_note(fields: &[u8]) -> Option<ProgressNote> {
     let kind = match resp::field(fields, "tell")? {
         "frac" => NoteKind::Progress,
--- a/crates/dispatcher/src/engine/connection/deadlines.rs
+++ b/crates/dispatcher/src/engine/connection/deadlines.rs
@@ -1,23 +1,23 @@
-//! What of a connection runs out of time.
+//! Expiry of attempts, health checks and incomplete frames of one connection.
 
 use super::{Attempt, Connection};
 use std::rc::Rc;
 
-/// A frame of which no further byte came for this long (ms) never becomes whole: twice the connect timeout that the
-/// operators' pages name.
+/// An incomplete frame without a further byte for this long (ms) counts as cut off. Twice the connect timeout of the
+/// operators' pages.
 pub const FRAME_STALL_MS: f64 = 500.0;
 
-/// Health checks whose time was up.
+/// Health checks that timed out.
 #[derive(Debug, Clone, Copy)]
 pub struct ExpiredHealthChecks {
     /// How many.
     pub count: usize,
-    /// Nothing at all came on the connection since one of them went out.
+    /// No frame at all arrived on the connection since one of them was queued.
     pub connection_silent: bool,
 }
 
 impl Connection {
-    /// The attempts that may not begin any more and of whose requests nothing was written yet.
+    /// The attempts that may no longer start and of whose requests no byte was written.
     pub fn too_late_to_begin(&self, now_ms: f64) -> impl Iterator<Item = Rc<str>> + '_ {
         let too_late = move |id: &Rc<str>| {
             let attempt = self.attempts.get(id);
@@ -26,7 +26,7 @@
         self.unstarted_requests().filter(too_late)
     }
 
-    /// The attempts whose time is up, whether they have begun or not.
+    /// The attempts that are past their deadline, or past their start limit and not started.
     pub fn expired_attempts(&self, now_ms: f64) -> Vec<Rc<str>> {
         let mut expired = Vec::new();
         for (id, attempt) in &self.attempts {
@@ -38,14 +38,14 @@
         expired
     }
 
-    /// Cuts the time of all attempts to `deadline_ms`.
+    /// Moves all later deadlines of attempts forward to `deadline_ms`.
     pub fn limit_deadlines(&mut self, deadline_ms: f64) {
         for attempt in self.attempts.values_mut() {
             attempt.deadline_ms = attempt.deadline_ms.min(deadline_ms);
         }
     }
 
-    /// Drops the health checks whose time is up.
+    /// Drops the health checks that timed out.
     pub fn expire_health_checks(&mut self, now_ms: f64) -> ExpiredHealthChecks {
         let last_frame_ms = self.last_frame_ms;
         let before = self.health_checks.len();
@@ -61,13 +61,13 @@
         }
     }
 
-    /// Whether a frame has begun to come and then stopped. Says so once.
+    /// Whether an incomplete frame has stalled. True once per frame.
     pub fn take_stalled_frame(&mut self, now_ms: f64) -> bool {
         let stalled = |since_ms: &mut f64| now_ms - *since_ms >= FRAME_STALL_MS;
         self.partial_frame_since_ms.take_if(stalled).is_some()
     }
 
-    /// Whether the engine is to be checked now over another connection. Says so once.
+    /// Whether it is time to check the engine over another connection. True once per reuse.
     pub fn take_due_reachability_check(&mut self, now_ms: f64) -> bool {
         if self.check_at_ms > now_ms {
             return false;
@@ -76,12 +76,12 @@
         self.is_reused_in_silence()
     }
 
-    /// Whether something is out that went out after an idle time, and nothing came since.
+    /// Whether it was reused after idling, has something in flight and has been silent since.
     pub fn is_reused_in_silence(&self) -> bool {
         self.idle_reuse.is_some() && self.in_flight() > 0
     }
 
-    /// When something runs out of time next; infinity if nothing does.
+    /// When something expires next (ms); infinity if nothing does.
     pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
         let attempts = self
             .attempts
--- a/crates/dispatcher/src/engine/connection/outbox.rs
+++ b/crates/dispatcher/src/engine/connection/outbox.rs
@@ -1,16 +1,16 @@
-//! What waits to be written to one connection, message by message.
+//! The messages queued on one connection, and how much of them is written.
 
 use crate::engine::resp;
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::rc::Rc;
 
-/// A message to the engine: its head, and a statement behind it where it is a request.
+/// A message to the engine: its head, and for a request the statement behind it.
 #[derive(Debug)]
 struct Message {
     head: Vec<u8>,
     body: Option<Rc<[u8]>>,
-    /// The id of the attempt whose request this is; none for commands about an attempt and for health checks.
+    /// The attempt's id if this is its request; `None` for commands about an attempt and for health checks.
     request_id: Option<Rc<str>>,
 }
 
@@ -31,24 +31,24 @@
     }
 }
 
-/// How far a request had got when it was withdrawn.
+/// How much of a request was written when it was withdrawn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Withdrawal {
-    /// None of its bytes was written, and none will be.
+    /// Nothing, and nothing will be.
     NotStarted,
-    /// Some of its bytes were written: the connection can't be used any more.
+    /// Some of it: the connection cannot be used any more.
     PartlyWritten,
-    /// All of it was written: the engine may have it.
+    /// All of it: the engine may have it.
     Written,
 }
 
-/// Messages that wait to be written, in order.
+/// Queued messages, in order.
 #[derive(Debug, Default)]
 pub struct Outbox {
     messages: VecDeque<Message>,
-    /// Bytes of all messages, the written ones of the first included.
+    /// Bytes of all messages, including the written part of the first.
     bytes: usize,
-    /// Bytes of the first message that are written.
+    /// Bytes of the first message that were written.
     written: usize,
 }
 
@@ -75,7 +75,7 @@
         self.messages.push_back(message);
     }
 
-    /// Takes back the request of an attempt, as far as that can be done.
+    /// Removes the request of an attempt if no byte of it was written.
     pub fn withdraw(&mut self, id: &str) -> Withdrawal {
         let position = self
             .messages
@@ -93,20 +93,20 @@
         Withdrawal::NotStarted
     }
 
-    /// The attempts whose requests have not begun to be written.
+    /// The attempts of whose requests no byte was written.
     pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         let unstarted = self.messages.iter().skip(usize::from(self.written > 0));
         unstarted.filter_map(|message| message.request_id.clone())
     }
 
-    /// Whether any of the attempt's request is still to be written.
+    /// Whether any part of the attempt's request is unwritten.
     pub fn holds_request(&self, id: &str) -> bool {
         self.messages
             .iter()
             .any(|message| message.is_request_of(id))
     }
 
-    /// Drops all but requests and what has begun to be written.
+    /// Drops everything but requests and a message that is partly written.
     pub fn discard_commands(&mut self) {
         let started = usize::from(self.written > 0);
         let mut kept = VecDeque::new();
@@ -126,12 +126,12 @@
         self.written = 0;
     }
 
-    /// Whether nothing is to be written.
+    /// Whether nothing is queued.
     pub fn is_empty(&self) -> bool {
         self.messages.is_empty()
     }
 
-    /// Bytes that are held; those of a message count until all of it is written.
+    /// Bytes held. A message counts until all of it is written.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
@@ -148,7 +148,7 @@
         }
     }
 
-    /// So many more bytes were written.
+    /// Records that `count` more bytes were written.
     pub fn advance(&mut self, count: usize) {
         self.written += count;
         while let Some(length) = self.messages.front().map(Message::len) {
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -1,4 +1,4 @@
-//! What the frames of an engine say, and what they change on their connection.
+//! Interprets the frames that an engine sends.
 
 use super::attempt::{parse_progress_note, Attempt, ProgressNote, ResultProgress};
 use super::outbox::Outbox;
@@ -8,7 +8,7 @@
 use crate::query_registry::Pages;
 use tansymux::events::Outcome;
 
-/// What a frame from the engine says.
+/// The meaning of a frame.
 #[derive(Debug, PartialEq)]
 pub enum FrameEvent {
     /// An attempt has its final answer.
@@ -19,23 +19,23 @@
         attempt: usize,
         /// How it ended.
         outcome: Outcome,
-        /// When it was handed to the connection (ms).
+        /// When it was queued on the connection (ms).
         sent_ms: f64,
         /// Its result.
         pages: Pages,
     },
-    /// An attempt that is out has come on, or hasn't.
+    /// A progress note on an attempt in flight.
     Progress {
         /// The query's number in the registry.
         query_id: u64,
         /// The attempt's number within the query.
         attempt: usize,
-        /// What the note says.
+        /// The note.
         note: ProgressNote,
     },
     /// A health check was answered.
     HealthChecked(Outcome),
-    /// Nothing that anyone waits for: a second copy, or about what is no longer out here.
+    /// A duplicate, or about something that is no longer in flight here.
     Ignored,
 }
 
@@ -48,10 +48,10 @@
 }
 
 impl Connection {
-    /// Takes in a frame. One that names nothing that is out here is ignored: a second copy, or an answer that came late.
+    /// Handles a frame. Duplicates, late answers and others that concern nothing in flight are ignored.
     ///
     /// # Errors
-    /// The frame can't be used. Its attempt stays out until the connection ends with the error.
+    /// The frame violates the protocol. Its attempt stays in flight until the caller closes the connection.
     pub fn receive(&mut self, frame: &Frame, now_ms: f64) -> Result<FrameEvent, ProtocolError> {
         self.last_frame_ms = now_ms;
         let id = std::str::from_utf8(frame.element(0)).map_err(|_| ProtocolError::InvalidId)?;
@@ -76,7 +76,7 @@
         let fields = frame.element(2);
         let outcome = match frame.element(1) {
             b"TELL" => return Ok(Reply::Interim(progress_event(attempt, fields))),
-            // A second copy of the first page.
+            // A duplicate of the first page.
             b"DONE" if attempt.page_count() > 0 => return Ok(ignored),
             b"DONE" => match attempt.add_first_page(fields, frame.element(3))? {
                 ResultProgress::Complete => Outcome::Completed,
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -56,7 +56,7 @@
     assert!(!connection.is_fully_written("i1"));
     connection.advance(1);
     assert!(connection.is_fully_written("i1"));
-    // Surplus copies are passed over.
+    // Duplicates are ignored.
     for _ in 0..2 {
         assert_eq!(
             receive(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]),
@@ -185,7 +185,7 @@
         receive(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]),
         Ok(FrameEvent::Ignored)
     );
-    // One that never went out may go here again, and a connection that was left often is left for good.
+    // The id of an attempt that was never sent may be reused, and many abandoned attempts retire the connection.
     submit(&mut connection, "i2", 5);
     connection.abandon("i2", 6.0);
     assert!(connection.accepts("i2", 32));
--- a/crates/dispatcher/src/engine/health.rs
+++ b/crates/dispatcher/src/engine/health.rs
@@ -1,4 +1,4 @@
-//! Whether engines are there: health checks on their connections, and what follows from connections that stay away.
+//! Whether engines are reachable: health checks, connect timeouts and what follows from them.
 
 use super::channel::Channel;
 use super::connection::{CloseReason, ConnectionState};
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
-/// Connects in a row that time out before the engine counts as unreachable: one may be late by itself.
+/// Consecutive connect timeouts after which an engine counts as unreachable. A single one may be chance.
 const UNREACHABLE_AFTER_LATE_CONNECTS: u32 = 2;
 
-/// Whose idle connections may be dead as well.
+/// Which idle connections are suspected along with a silent one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SilenceScope {
     /// Those of the engine itself.
@@ -37,7 +37,7 @@
         channel.notify.notify();
     }
 
-    /// Reports that so many health checks of an engine have ended alike.
+    /// Reports the same outcome for `count` health checks of an engine.
     pub(super) fn report_health(&self, engine_id: u64, outcome: Outcome, count: usize) {
         for _ in 0..count {
             self.registry
@@ -45,8 +45,8 @@
         }
     }
 
-    /// Opens connections to see whether the engine is there, unless some are coming up: as many as have to stay away
-    /// for it to count as unreachable.
+    /// Opens connections to find out whether the engine is reachable, unless a connect is under way: as many as must
+    /// time out for it to count as unreachable.
     pub(super) fn check_reachability(self: &Rc<Self>, engine_id: u64) {
         let mut engines = self.engines.borrow_mut();
         let Some(engine) = engines.get_mut(&engine_id) else {
@@ -65,8 +65,8 @@
         self.open_channels(engine, engine_id, address, count);
     }
 
-    /// A connection did not come up in its time. What waits for it goes elsewhere, and whatever comes up later carries
-    /// what comes next.
+    /// Handles a connect timeout: attempts and health checks queued on the connection fail as never sent. The connect
+    /// goes on; if it succeeds later, new attempts may use the connection.
     pub(super) fn on_connect_timeout(self: &Rc<Self>, channel: &Rc<Channel>) {
         self.registry.counters.connect_timeouts.increment();
         let engine_id = channel.engine_id;
@@ -99,7 +99,7 @@
         Some(engine.late_connects)
     }
 
-    /// Whether something is out at the engine on a connection that had idled, and nothing came since.
+    /// Whether any connection to the engine was reused after idling and has been silent since.
     fn has_reuse_in_silence(&self, engine_id: u64) -> bool {
         let engines = self.engines.borrow();
         let Some(engine) = engines.get(&engine_id) else {
@@ -109,8 +109,8 @@
         channels.any(|channel| channel.connection.borrow().is_reused_in_silence())
     }
 
-    /// No connection to the engine comes up. What went out on those that had idled, and brought nothing since, has
-    /// reached nobody either, as far as can be known: those connections end.
+    /// Handles an engine that accepts no new connections: connections that were reused after idling and have been
+    /// silent since are taken for dead and closed.
     fn on_unreachable(&self, engine_id: u64) {
         self.retire_idle(engine_id, SilenceScope::Zone);
         let engines = self.engines.borrow();
@@ -126,8 +126,8 @@
         }
     }
 
-    /// Retires the idle connections that may be as dead as one that fell silent: the next attempts find out sooner, on
-    /// new ones, whether the engines are there.
+    /// Retires idle connections that may be dead like a silent one of `engine_id`. The next attempts open new
+    /// connections and so find out whether the engines are reachable.
     pub(super) fn retire_idle(&self, engine_id: u64, scope: SilenceScope) {
         let engines = self.engines.borrow();
         let Some(silent) = engines.get(&engine_id) else {
--- a/crates/dispatcher/src/engine/keep_alive.rs
+++ b/crates/dispatcher/src/engine/keep_alive.rs
@@ -7,8 +7,7 @@
 
 /// Idle time (ms) below which a connection is always reused, also for what must not be lost.
 pub const MIN_IDLE_MS: f64 = 50.0;
-/// Idle times are counted in so many buckets; each is twice as wide as the one before, the first ends at twice
-/// [`MIN_IDLE_MS`].
+/// Number of idle-time buckets. Each is twice as wide as the one before; the first ends at twice [`MIN_IDLE_MS`].
 const BUCKETS: usize = 12;
 /// Time constant (ms) with which counts decay: a middlebox may be replaced, and a reset may have been one process.
 const DECAY_MS: f64 = 10_000.0;
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -1,11 +1,12 @@
 //! Engine side: runs attempts, cancels and health checks on connections to the engines, and reports how they ended.
 //!
-//! It owns the connections and nothing else: which engine gets which attempt is decided elsewhere and arrives as an
-//! [`EngineCommand`](crate::query_registry::EngineCommand); what happens is reported as an
-//! [`Event`](crate::query_registry::Event). It never retries by itself.
+//! It owns the connections and nothing else. The decisions choose the engine of each attempt and send an
+//! [`EngineCommand`](crate::query_registry::EngineCommand); results go back to them as an
+//! [`Event`](crate::query_registry::Event). The engine side never retries and never chooses another engine by itself.
 //!
-//! Start reading at [`pool`] (which connections there are) and [`commands`] (what the decisions ordered). [`channel`]
-//! is one connection's life, [`connection`] its state machine, [`timeouts`] what runs out of time.
+//! Start reading at [`commands`] (execution of the decisions' commands) and [`pool`] (which connections exist, and
+//! which one carries an attempt). [`channel`] runs one connection's task, [`connection`] is its state machine,
+//! [`timeouts`] expires attempts and connections, [`health`] finds out whether engines are reachable.
 
 mod channel;
 mod commands;
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -1,4 +1,4 @@
-//! Which connections there are to which engine, and which of them takes the next attempt.
+//! The connection pool: which connections exist to each engine, and which of them carries the next attempt.
 
 use super::channel::Channel;
 use super::connection::{ConnectionState, Suitability};
@@ -16,18 +16,18 @@
 use std::rc::Rc;
 use tansymux::events::{EndpointState, Outcome};
 
-/// Bytes read from a connection at once.
+/// Size of the shared read buffer (bytes): the most that one read takes from a connection.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
-/// An engine of the endpoint list, with the connections to it.
+/// An engine of the endpoint list and the connections to it.
 pub(super) struct Engine {
     pub address: Option<SocketAddr>,
     pub zone: String,
-    /// When its process started (Unix ms), where the list says so.
+    /// Start time of its process (Unix ms), if the endpoint list gives it.
     pub started_ms: Option<f64>,
-    /// No longer on the list; it is forgotten once its last connection has ended.
+    /// It left the endpoint list. The entry is removed when its last connection has closed.
     pub is_gone: bool,
-    /// Connects in a row that timed out.
+    /// Consecutive connects that timed out.
     pub late_connects: u32,
     pub channels: Vec<Rc<Channel>>,
 }
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Takes over what the list says. Whether it is another process than before, or none.
+    /// Applies an entry of the endpoint list. Returns whether the process behind it was replaced or is gone.
     fn update(&mut self, entry: &EndpointEntry) -> bool {
         self.is_gone = entry.status == EndpointState::Gone;
         self.zone.clone_from(&entry.zone);
@@ -58,7 +58,7 @@
         is_replaced
     }
 
-    /// Of the connections that can take an attempt with this id, the one that suits it best.
+    /// The most suitable of the connections that accept an attempt with this id.
     fn best_channel(
         &self,
         id: &str,
@@ -82,7 +82,7 @@
         candidates.into_iter().min_by(Candidate::compare)
     }
 
-    /// Whether a connection beside `channel` is there, or coming, on which nothing went out yet.
+    /// Whether another connection than `channel` is unused and either up or still within its connect timeout.
     fn has_spare_beside(&self, channel: &Rc<Channel>) -> bool {
         self.channels.iter().any(|other| {
             let connection = other.connection.borrow();
@@ -93,7 +93,7 @@
     }
 }
 
-/// A connection that can take an attempt, and what it is ranked by.
+/// A connection that accepts an attempt, with the properties it is ranked by.
 struct Candidate {
     channel: Rc<Channel>,
     suitability: Suitability,
@@ -103,8 +103,8 @@
 }
 
 impl Candidate {
-    /// Of those of the same suitability the one with the least in flight, one that is up, the one used last: so that
-    /// the others go idle and can be closed.
+    /// Orders by suitability, then fewest in flight, then up before connecting, then most recently used: surplus
+    /// connections go idle and can be closed.
     fn compare(&self, other: &Candidate) -> Ordering {
         self.suitability
             .cmp(&other.suitability)
@@ -114,22 +114,22 @@
     }
 }
 
-/// The engine side: all engines with their connections, and what it takes to run attempts on them.
+/// All engines with their connections, and the state shared by the tasks that run them.
 pub struct EnginePool {
     pub(super) registry: Rc<QueryRegistry>,
     pub(super) clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
     pub(super) settings: ConnectionSettings,
     pub(super) engines: RefCell<FxHashMap<u64, Engine>>,
-    /// Connections that are open or coming up.
+    /// Connections that are open or connecting.
     connections: Cell<usize>,
-    /// Health checks so far; the last one's tag is made of this number.
+    /// Health checks sent so far. The number is part of each check's tag.
     pub(super) health_checks: Cell<u64>,
-    /// Ends that are reported once they have settled, the next one first.
+    /// Ends of abandoned attempts whose report is delayed, in the order of their due times.
     pub(super) settling: RefCell<VecDeque<SettlingReport>>,
-    /// How long a connection may idle to be reused.
+    /// Estimates how long a connection may idle and still be reused.
     pub(super) keep_alive: RefCell<KeepAlive>,
-    /// The one buffer that all connections read through.
+    /// Read buffer shared by all connections: idle ones hold no memory for reading.
     pub(super) read_buffer: RefCell<Vec<u8>>,
 }
 
@@ -155,9 +155,9 @@
         })
     }
 
-    /// Follows the endpoint list. Connections to an engine that is gone, moved or restarted are retired. Attempts that
-    /// wait for them, or for one to an engine that drains, are withdrawn: they might go out past the grace period, or
-    /// to another engine that has the address by now.
+    /// Applies an entry of the endpoint list. Connections to an engine that is gone, moved or restarted are retired.
+    /// Queued attempts on them, or on those to a draining engine, are withdrawn: they could be sent after the grace
+    /// period, or to another engine that has the same address by now.
     pub fn upsert_endpoint(&self, entry: &EndpointEntry) {
         let mut engines = self.engines.borrow_mut();
         let engine = engines
@@ -188,13 +188,14 @@
         }
     }
 
-    /// Connections that are open or coming up.
+    /// Connections that are open or connecting.
     pub fn connection_count(&self) -> usize {
         self.connections.get()
     }
 
-    /// A connection for the attempt with this id: one that is up, else one that is coming up, else a new one. Where
-    /// `side_effect_free` is false, an attempt goes on none that has idled: it must not vanish without a sign.
+    /// Selects or opens a connection for the attempt with this id; `None` if the engine is unknown or the connection
+    /// limits are reached. An attempt that is not `side_effect_free` is not sent on a connection that has idled: such
+    /// a connection may be dead, and the attempt's fate would be unknown.
     pub(super) fn select_channel(
         self: &Rc<Self>,
         engine_id: u64,
@@ -202,7 +203,7 @@
         side_effect_free: bool,
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
-        // Where no more may be open, the one that idles longest gives way to a new one.
+        // At the connection limit the connection that has idled longest is closed in favour of a new one.
         let is_full = self.connections.get() >= self.settings.max_connections;
         let evictable = is_full.then(|| least_recently_used(&engines)).flatten();
         let engine = engines.get_mut(&engine_id)?;
@@ -216,8 +217,8 @@
         };
         let best = engine.best_channel(id, now_ms, trusted_idle_ms, self.settings.max_streams);
         let may_open = self.may_open_another(engine) && (!is_full || evictable.is_some());
-        // What breaks one connection takes everything with it that is out there: each attempt gets its own connection
-        // while there is room.
+        // A lost connection loses every attempt in flight on it, so attempts share one only when no more may be
+        // opened.
         let channel = match best {
             Some(best) if best.suitability <= Suitability::Fresh || !may_open => best.channel,
             _ if may_open => {
@@ -229,7 +230,8 @@
                 return None;
             }
         };
-        // Where no idle connection is trusted, one more is opened ahead, so that the next attempt need not wait for it.
+        // If idle connections are not trusted, a spare is opened now so that the next attempt need not wait for a
+        // connect.
         let needs_spare = may_open && !is_full && max_idle_ms <= MIN_IDLE_MS;
         if needs_spare && !engine.has_spare_beside(&channel) {
             self.open_channel(engine, engine_id, address);
@@ -241,7 +243,7 @@
         engine.channels.len() < self.settings.max_connections_per_engine()
     }
 
-    /// Opens `count` connections, as far as there is room.
+    /// Opens `count` connections, or as many as the limits allow.
     pub(super) fn open_channels(
         self: &Rc<Self>,
         engine: &mut Engine,
@@ -272,7 +274,7 @@
         channel
     }
 
-    /// Forgets a connection that has ended, and with the last one an engine that is gone.
+    /// Removes a closed connection, and the engine if it is gone and this was its last connection.
     pub(super) fn remove_channel(&self, channel: &Rc<Channel>) {
         let mut engines = self.engines.borrow_mut();
         if let Some(engine) = engines.get_mut(&channel.engine_id) {
@@ -285,7 +287,7 @@
     }
 }
 
-/// The connection that has idled longest.
+/// The idle connection that was used least recently, over all engines.
 fn least_recently_used(engines: &FxHashMap<u64, Engine>) -> Option<Rc<Channel>> {
     let idle_since_ms = |channel: &Rc<Channel>| channel.connection.borrow().idle_since_ms();
     let channels = engines.values().flat_map(|engine| &engine.channels);
--- a/crates/dispatcher/src/engine/priorities.rs
+++ b/crates/dispatcher/src/engine/priorities.rs
@@ -1,11 +1,11 @@
-//! What an attempt is granted at its engine: class, time, memory and priority.
+//! What an attempt is granted at its engine: resource group, time limit, memory and priority.
 
 use super::commands::Located;
 use super::pool::EnginePool;
 use crate::query_registry::Query;
 
 impl EnginePool {
-    /// Tells the engine the new priority of an attempt that is out.
+    /// Sends the engine a new priority for an attempt in flight.
     pub(super) fn set_priority(&self, query_id: u64, priority: u8) {
         if let Some(Located { channel, id }) = self.locate(query_id) {
             channel.connection.borrow_mut().set_priority(&id, priority);
@@ -14,7 +14,7 @@
     }
 }
 
-/// The fields of a request to an engine. What is not said is left to the engine.
+/// The fields of a request. The engine chooses values for those left out.
 pub(super) fn request_fields(query: &Query, time_left_ms: f64) -> String {
     let limit_ms = time_left_ms.floor().max(1.0) as u64;
     let mut fields = format!(
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -1,4 +1,4 @@
-//! How attempts end, and when the decisions hear of it.
+//! Reports the ends of attempts to the decisions, and abandons attempts.
 
 use super::channel::Channel;
 use super::connection::Abandoned;
@@ -7,9 +7,9 @@
 use crate::query_registry::{Event, Pages};
 use tansymux::events::Outcome;
 
-/// What is abandoned on one connection may be sent again on another, and a busy engine reads its connections late and
-/// in any order. So that the abort is not overtaken, the decisions hear of the end so much (ms) later; the protocol's
-/// own slack is 50 ms.
+/// Delay (ms) before the end of an abandoned attempt is reported. Its query may then be retried on another
+/// connection, and a busy engine reads its connections in any order: without the delay the retry could overtake the
+/// abort. The protocol allows for 50 ms.
 const SETTLE_MS: f64 = 40.0;
 
 /// The end of an attempt.
@@ -18,12 +18,12 @@
     pub attempt: usize,
     pub outcome: Outcome,
     pub engine_id: u64,
-    /// From when the attempt was handed to its connection.
+    /// Time since the attempt was handed to its connection.
     pub latency_ms: f64,
     pub pages: Pages,
 }
 
-/// The end of an abandoned attempt that the decisions have not heard of yet.
+/// The end of an abandoned attempt, to be reported at `due_ms`.
 pub(super) struct SettlingReport {
     due_ms: f64,
     event: Event,
@@ -43,7 +43,7 @@
 }
 
 impl EnginePool {
-    /// Reports the end of an attempt at once.
+    /// Reports the end of an attempt immediately.
     pub(super) fn report_ended(&self, report: AttemptReport) {
         self.registry.counters.count_outcome(report.outcome);
         tracing::debug!(
@@ -57,7 +57,7 @@
         self.registry.push_event(report.into());
     }
 
-    /// Reports the end of an attempt that was abandoned from here, once that has settled.
+    /// Reports the end of an attempt that this side abandoned, after [`SETTLE_MS`].
     pub(super) fn report_abandoned(&self, report: AttemptReport) {
         self.registry.counters.count_outcome(report.outcome);
         let due_ms = self.clock.now() + SETTLE_MS;
@@ -68,7 +68,7 @@
         self.registry.notify.notify();
     }
 
-    /// Reports what has settled by now; when (ms) the next does, infinity if nothing settles.
+    /// Publishes the delayed reports that are due. Returns when the next one is (ms), or infinity.
     pub(super) fn publish_settled(&self, now_ms: f64) -> f64 {
         let mut settling = self.settling.borrow_mut();
         while let Some(settled) = settling.pop_front_if(|report| report.due_ms <= now_ms) {
@@ -78,14 +78,15 @@
         next.map_or(f64::INFINITY, |report| report.due_ms)
     }
 
-    /// Abandons an attempt and reports its end: with `outcome` if it may have run, else as one that never ran.
+    /// Abandons an attempt and reports its end: as `outcome` if it may have run, as `NoConnection` if it cannot have.
     pub(super) fn abandon(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now_ms = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
         let Some(Abandoned { attempt, was_sent }) = connection.abandon(id, now_ms) else {
             return;
         };
-        // Silent for longer than progress notes take: the connection may be dead, and the next one will show it.
+        // Silent for longer than the progress interval: the connection may be dead. The next attempt uses another
+        // one.
         let silent_ms = now_ms - connection.last_frame_ms.max(attempt.sent_ms);
         let may_be_dead = was_sent && silent_ms > self.settings.max_silence_ms();
         connection.retired |= may_be_dead;
--- a/crates/dispatcher/src/engine/resp.rs
+++ b/crates/dispatcher/src/engine/resp.rs
@@ -72,7 +72,7 @@
 /// The array at the start of `bytes`; `None` while it has not come whole.
 ///
 /// # Errors
-/// The bytes can't be the beginning of an array within the limits, whatever may follow.
+/// The bytes cannot be the beginning of an array within the limits.
 pub fn parse(bytes: &[u8]) -> Result<Option<Frame<'_>>, ProtocolError> {
     let Some(header) = parse_length(bytes, 0, b'*')? else {
         return Ok(None);
@@ -107,7 +107,7 @@
     }))
 }
 
-/// Appends an array of `elements` to `out`. Where `last_length` is given, the array has one more element of so many
+/// Appends an array of `elements` to `out`. If `last_length` is given, the array has one more element of that many
 /// bytes: only its length line is written, the caller adds its bytes and CRLF.
 pub fn write(out: &mut Vec<u8>, elements: &[&[u8]], last_length: Option<usize>) {
     let count = elements.len() + usize::from(last_length.is_some());
--- a/crates/dispatcher/src/engine/settings.rs
+++ b/crates/dispatcher/src/engine/settings.rs
@@ -1,35 +1,35 @@
-//! Settings of connections to engines, and the limits that follow from them.
+//! Settings of connections to engines, and the limits derived from them.
 
 use std::time::Duration;
 
 /// Connections to one engine at most, unless [`MAX_ATTEMPTS_PER_ENGINE`] needs more.
 const MAX_CONNECTIONS_PER_ENGINE: usize = 12;
-/// Attempts at one engine that its connections can carry at least, where each takes few.
+/// Attempts that the connections to one engine must be able to carry together, however few each one takes.
 const MAX_ATTEMPTS_PER_ENGINE: usize = 384;
-/// Fraction of the configured idle time after which a connection is closed from here, before the engine does it.
+/// Fraction of the configured idle timeout after which this side closes a connection, before the engine does.
 const IDLE_FRACTION: f64 = 0.8;
-/// A connection on which nothing came for so many progress intervals may be dead.
+/// A connection that was silent for this many progress intervals may be dead.
 const SILENCE_INTERVALS: f64 = 1.25;
-/// The least time (ms) of silence after which a connection may be dead.
+/// Silence (ms) below which a connection never counts as dead.
 pub const MIN_SILENCE_MS: f64 = 250.0;
-/// Longest connect timeout (s), whatever the settings say.
+/// Upper bound of the connect timeout (s); keeps an absurd setting within the range of a timer.
 const MAX_CONNECT_TIMEOUT_S: f64 = 3600.0;
 
-/// What the platform's settings say of connections to engines.
+/// Settings of connections to engines.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionSettings {
-    /// Time (ms) within which a connection comes up, or the engine counts as not reached.
+    /// Connect timeout (ms).
     pub connect_timeout_ms: f64,
     /// Time (ms) after which an engine closes an idle connection.
     pub idle_timeout_ms: f64,
     /// Time (ms) between an engine's progress notes on an attempt, 0 if it sends none.
     pub progress_interval_ms: f64,
-    /// The shortest latency objective (ms) of all resource groups; takes the place of the progress interval where
-    /// there are no notes.
+    /// The shortest latency objective (ms) of all resource groups; used as the progress interval where engines send
+    /// no notes.
     pub shortest_objective_ms: f64,
-    /// Attempts that one connection may carry at once.
+    /// Attempts and health checks that one connection may carry at a time.
     pub max_streams: usize,
-    /// Connections to all engines together.
+    /// Limit of connections to all engines together.
     pub max_connections: usize,
 }
 
@@ -40,17 +40,17 @@
         Duration::from_secs_f64(seconds.clamp(0.0, MAX_CONNECT_TIMEOUT_S))
     }
 
-    /// Connections to one engine at most.
+    /// Limit of connections to one engine.
     pub fn max_connections_per_engine(&self) -> usize {
         MAX_CONNECTIONS_PER_ENGINE.max(MAX_ATTEMPTS_PER_ENGINE / self.max_streams.max(1))
     }
 
-    /// Idle time (ms) after which a connection is closed from here, whatever was learned about longer ones.
+    /// Idle time (ms) after which a connection is closed, even if the keep-alive estimate trusts longer ones.
     pub fn max_idle_ms(&self) -> f64 {
         IDLE_FRACTION * self.idle_timeout_ms
     }
 
-    /// Time (ms) of silence after which a connection with an attempt out may be dead.
+    /// Silence (ms) after which a connection with an attempt in flight may be dead.
     pub fn max_silence_ms(&self) -> f64 {
         let interval_ms = if self.progress_interval_ms > 0.0 {
             self.progress_interval_ms
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// An attempt that waits for its connection, which stays coming up, as no task runs.
+/// An attempt queued on a connection that stays connecting, as no task runs.
 fn queued_attempt(
     limits: AttemptLimits,
 ) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
@@ -64,7 +64,7 @@
     (registry, pool, query, slot)
 }
 
-/// Whether its end was reported, as of one that never ran.
+/// Whether the attempt's end was reported as one that was never sent.
 fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
@@ -113,7 +113,7 @@
     });
     let next = pool.expire();
     assert!(!was_withdrawn(&registry));
-    // The call itself says when it is due again.
+    // The call returns when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
         (next - pool.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
--- a/crates/dispatcher/src/engine/timeouts.rs
+++ b/crates/dispatcher/src/engine/timeouts.rs
@@ -1,4 +1,4 @@
-//! What runs out of time on the engine side: attempts, health checks, half frames and idle connections.
+//! Expires attempts, health checks, incomplete frames and idle connections.
 
 use super::channel::Channel;
 use super::connection::{CloseReason, Connection, ConnectionState};
@@ -8,28 +8,28 @@
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
-/// A retired connection that was not used for so long (ms) closes without writing what is left: its engine does not
-/// read. Twice the connect timeout that the operators' pages name.
+/// A retired connection unused for this long (ms) is closed without writing the rest of its outbox: its engine does
+/// not read. Twice the connect timeout of the operators' pages.
 const LAST_WRITE_MS: f64 = 500.0;
 
-/// How long connections may idle at this moment.
+/// How long connections may currently idle.
 struct IdleLimits {
-    /// Time (ms) that experience trusts.
+    /// Idle time (ms) that the keep-alive estimate trusts.
     trusted_ms: f64,
-    /// Time (ms) that the settings allow.
+    /// Idle time (ms) that the settings allow.
     allowed_ms: f64,
 }
 
-/// A connection that is due for a look.
+/// A connection to examine.
 struct Entry {
     channel: Rc<Channel>,
-    /// Of the connections that idle at its engine it was used last. That one may idle on; with every dispatcher
-    /// keeping all of its own, an engine would hold too many.
+    /// It is the most recently used idle connection to its engine. Only that one may idle for longer: if every
+    /// dispatcher kept all of its own, engines would hold too many.
     was_used_last: bool,
 }
 
 impl EnginePool {
-    /// Cuts the time of all attempts to `deadline_ms`.
+    /// Moves all later deadlines of attempts forward to `deadline_ms`.
     pub fn limit_deadlines(&self, deadline_ms: f64) {
         let engines = self.engines.borrow();
         for channel in engines.values().flat_map(|engine| &engine.channels) {
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Ends what has run out of time and closes what idles; when (ms) something will be due next.
+    /// Expires what is due and closes idle connections. Returns the time (ms) at which to call it again, or infinity.
     pub fn expire(self: &Rc<Self>) -> f64 {
         let now_ms = self.clock.now();
         let mut next_ms = self.publish_settled(now_ms);
@@ -73,7 +73,7 @@
         next_ms
     }
 
-    /// All connections, as they are before anything is expired.
+    /// All connections; which one was used last is determined before anything expires.
     fn entries(&self) -> Vec<Entry> {
         let idle_since_ms = |channel: &Rc<Channel>| channel.connection.borrow().idle_since_ms();
         let mut entries = Vec::new();
@@ -106,8 +106,8 @@
 }
 
 impl IdleLimits {
-    /// How long (ms) a connection may idle before it is closed. Where no idle time is trusted, one on which nothing
-    /// went out yet is the spare for the next attempt.
+    /// How long (ms) a connection may idle before it is closed. If idle connections are not trusted, an unused one is
+    /// the spare for the next attempt and is kept.
     fn limit(&self, connection: &Connection, was_used_last: bool) -> f64 {
         let keeps_spare = self.trusted_ms <= MIN_IDLE_MS;
         if connection.unused && keeps_spare {
@@ -120,12 +120,12 @@
     }
 }
 
-/// Retires a connection that has idled for too long. Whether it is retired, now or before.
+/// Retires a connection that has idled for too long. Returns whether it is retired, by this call or before.
 fn retire_if_idle(connection: &mut Connection, now_ms: f64, max_idle_ms: f64) -> bool {
     let is_idle = connection.state == ConnectionState::Up && connection.in_flight() == 0;
     let unused_ms = now_ms - connection.last_used_ms;
     connection.retired |= is_idle && unused_ms > max_idle_ms;
-    // The abort of the last attempt goes out before the close, if it can.
+    // The abort of its last attempt is still written, if the engine reads it.
     if connection.retired && connection.in_flight() == 0 && unused_ms >= LAST_WRITE_MS {
         connection.discard_unwritten();
     }
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -42,8 +42,8 @@
         }))
     }
 
-    /// Sends a message to one dispatcher, or to all. One that can't be sent at once is lost, as it might be on its way;
-    /// so is one that is too long or for an unknown dispatcher.
+    /// Sends a message to one dispatcher, or to all. It is dropped if it cannot be sent at once, is too long or names
+    /// an unknown dispatcher.
     pub fn send(&self, peer: Option<u32>, content: &[u8]) {
         let address = match peer {
             Some(peer) => self.addresses.get(peer as usize).copied(),
@@ -63,7 +63,7 @@
 
     /// Receives messages until dropped. What is too long or from an unknown sender is ignored.
     pub async fn listen(self: Rc<Self>) {
-        // One byte more than a message has, so that one that is too long shows.
+        // One byte more than the limit, so that longer messages are recognised.
         let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
         loop {
             match self.socket.recv_from(&mut buffer).await {
@@ -79,7 +79,7 @@
                     Timer::after(RETRY_DELAY).await;
                 }
             }
-            // Messages wait for the next round: a sender without end leaves that its turn.
+            // Messages are handled in the next round: a sender without pause must not keep it from running.
             future::yield_now().await;
         }
     }
