--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -176,8 +176,8 @@
         seed: u64,
     ) {
         self.registry.push_event(Event::EndpointList {
-            form: EndpointListKind::Cached,
-            engines: directory.endpoints(),
+            kind: EndpointListKind::Cached,
+            endpoints: directory.endpoints(),
         });
         let registry = self.registry.clone();
         self.spawn(discovery::follow(
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -21,16 +21,16 @@
     /// Number of its cell.
     pub cell: u32,
     /// Whether it takes queries.
-    pub status: EndpointState,
+    pub state: EndpointState,
     /// When its process started (ms), if the list says so.
-    pub started: Option<f64>,
+    pub started_ms: Option<f64>,
 }
 
 /// A query that was admitted, as the next round of the decisions takes it.
 #[derive(Debug, Clone)]
 pub struct ArrivedQuery {
-    /// Its number in the registry.
-    pub query: u64,
+    /// Its number, as the registry gave it: never that of another query, unlike the client's own id.
+    pub query_id: u64,
     /// Its tenant by the settings' name; empty where the settings name none.
     pub tenant: Rc<str>,
     /// Its ordering key, where its client gave one.
@@ -42,7 +42,7 @@
     /// The set of tables that it uses, as a number.
     pub tables: u32,
     /// What its text showed.
-    pub text: StatementTraits,
+    pub statement: StatementTraits,
 }
 
 /// What came in since the last round of the decisions.
@@ -53,12 +53,12 @@
     /// The client left before its answer.
     ClientLeft {
         /// The query's number.
-        query: u64,
+        query_id: u64,
     },
     /// An attempt ended.
     AttemptEnded {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// How it ended.
@@ -66,18 +66,18 @@
         /// The engine that it went to.
         engine_id: u64,
         /// From submission to the end (ms).
-        latency: f64,
+        latency_ms: f64,
         /// Its result, where it completed.
         pages: Pages,
     },
     /// An engine sent a progress note on a running attempt.
     ProgressReported {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// What the note is about.
-        note: NoteKind,
+        kind: NoteKind,
         /// Its amount, in the unit of its kind.
         amount: f64,
     },
@@ -91,9 +91,9 @@
     /// The endpoint list, or what changed of it.
     EndpointList {
         /// Whether it is the whole list.
-        form: EndpointListKind,
+        kind: EndpointListKind,
         /// Its entries.
-        engines: Vec<EndpointEntry>,
+        endpoints: Vec<EndpointEntry>,
     },
     /// A message from another dispatcher.
     PeerMessage {
@@ -110,30 +110,30 @@
     /// Start an attempt.
     Submit {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
         /// The engine that it goes to.
         engine_id: u64,
         /// Its time limits.
-        bounds: AttemptLimits,
+        limits: AttemptLimits,
     },
     /// The query is over: what of it was not yet written to an engine must not be.
     Withdraw {
         /// The query's number.
-        query: u64,
+        query_id: u64,
     },
     /// Cancel an attempt.
     Cancel {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
     },
     /// Tell the engine the new priority of the attempt in flight.
     SetPriority {
         /// The query's number.
-        query: u64,
+        query_id: u64,
         /// Its priority on the engine's scale.
         priority: u8,
     },
--- a/crates/testbed/src/fleet/virtual_fleet/mod.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/mod.rs
@@ -1,4 +1,4 @@
-//! A fleet of dispatchers in virtual time, around the same `tansymux_rollout::Fleet` that the program drives.
+//! A fleet of dispatchers in virtual time, around the same `tansymux_rollout::FleetNode` that the program drives.
 //!
 //! Owns: the true clock, every member's own clock and process state, the network between members, the supervisors that
 //! restart dispatchers under a lease and the operators that issue commands. It checks the limits at every step against
@@ -25,9 +25,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use supervisor::Supervisor;
-use tansymux_coordination::Stage;
+use tansymux_coordination::disruption_budget::HaltReason;
+use tansymux_coordination::ReleaseStage;
 use tansymux_rollout::message::Answer;
-use tansymux_rollout::Told;
+use tansymux_rollout::RolloutConfig;
 
 /// Virtual time of one step (ms).
 const STEP_MS: f64 = 10.0;
@@ -73,7 +74,7 @@
 /// A fleet, its network, its supervisors and its operators in virtual time.
 pub struct VirtualFleet {
     scenario: Scenario,
-    definition: Told,
+    definition: RolloutConfig,
     quality: VersionQuality,
     members: Vec<Member>,
     supervisors: Vec<Supervisor>,
@@ -108,12 +109,12 @@
 
 impl VirtualFleet {
     /// A fleet at true time 0, with no member running yet. All randomness comes from the scenario's seed.
-    pub fn new(scenario: Scenario, definition: Told, quality: VersionQuality) -> Self {
+    pub fn new(scenario: Scenario, definition: RolloutConfig, quality: VersionQuality) -> Self {
         let mut rng = Pcg32::seed_from_u64(scenario.seed);
         let members = (0..scenario.members)
             .map(|_| Member::new(&mut rng))
             .collect();
-        let release_at_ms = coordination_settings(&scenario).quarantine() * 1.05 + SETTLING_MS;
+        let release_at_ms = coordination_settings(&scenario).quarantine_ms() * 1.05 + SETTLING_MS;
         let supervisors = (0..scenario.members)
             .map(|_| Supervisor::Idle {
                 until_ms: release_at_ms,
@@ -211,14 +212,14 @@
     }
 
     /// The release's phase as the leader knows it.
-    pub fn stage(&self) -> Option<Stage> {
+    pub fn stage(&self) -> Option<ReleaseStage> {
         let leader = self.members[self.leader()?].fleet.as_ref()?;
-        tansymux_rollout::release_of(leader.council()?).map(|release| release.stage)
+        tansymux_rollout::active_release(leader.quorum()?).map(|release| release.stage)
     }
 
     /// Why the release is halted, as the leader knows it.
-    pub fn halt_reason(&self) -> Option<tansymux_coordination::limits::Halt> {
+    pub fn halt_reason(&self) -> Option<HaltReason> {
         let leader = self.members[self.leader()?].fleet.as_ref()?;
-        tansymux_rollout::halt_of(leader.council()?).map(|(_, reason, _)| reason)
+        tansymux_rollout::active_halt(leader.quorum()?).map(|halt| halt.reason)
     }
 }
