operator-config: conversions named for what they give, one function for each package's configuration

Need: fleet, zones and definition did not say what they give, and fleet was 63 lines long. Change: fleet_config, zone_routing_config, service_level_config, number_of -> name_hash; users change by the bare name.

--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -86,7 +86,7 @@
         if let Some(&engine_id) = self.engine_ids.get(id) {
             return engine_id;
         }
-        let mut engine_id = u64::from(tansymux_operator_config::number_of(id));
+        let mut engine_id = u64::from(tansymux_operator_config::name_hash(id));
         while !self.assigned.insert(engine_id) {
             engine_id = (engine_id + 1) & 0xffff_ffff;
         }
--- a/crates/dispatcher/src/discovery/directory/tests.rs
+++ b/crates/dispatcher/src/discovery/directory/tests.rs
@@ -46,7 +46,7 @@
 }
 
 fn status(directory: &EndpointDirectory, id: &str) -> Option<EndpointState> {
-    let engine_id = u64::from(tansymux_operator_config::number_of(id));
+    let engine_id = u64::from(tansymux_operator_config::name_hash(id));
     directory
         .endpoints()
         .iter()
@@ -290,7 +290,7 @@
         .collect();
     assert_eq!(
         gone,
-        [u64::from(tansymux_operator_config::number_of("s-1"))]
+        [u64::from(tansymux_operator_config::name_hash("s-1"))]
     );
     assert_eq!(status(&directory, "s-3"), Some(EndpointState::Ready));
 }
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -13,7 +13,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tansymux_membership::member_id_of;
-use tansymux_operator_config::{number_of, schema, Operator};
+use tansymux_operator_config::{name_hash, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
 use tansymux_rollout::{
     ClientAction, FleetClient, FleetConfig, LeaseOutcome, LeaseRequest, RestartLease,
@@ -71,7 +71,7 @@
         } => member.wait_for_turn(to.as_deref(), dispatcher.as_deref(), *wait_s),
         FleetCommand::Drain { engine } => member.drain(engine),
         FleetCommand::Undrain { engine } => member.execute(Command::Undrain {
-            engine: u64::from(number_of(engine)),
+            engine: u64::from(name_hash(engine)),
         }),
         FleetCommand::Release { to, from } => member.release(to, from.as_deref()),
         FleetCommand::Halt => member.execute(Command::Halt {
@@ -80,11 +80,11 @@
         FleetCommand::Resume => member.resume(),
         FleetCommand::Back => member.roll_back(),
         FleetCommand::Leave { zone, dry_run } => member.execute(Command::EvacuateZone {
-            zone: number_of(zone),
+            zone: name_hash(zone),
             dry_run: *dry_run,
         }),
         FleetCommand::Return { zone } => member.execute(Command::ReturnToZone {
-            zone: number_of(zone),
+            zone: name_hash(zone),
         }),
         FleetCommand::Zones => member.print_zones(),
         FleetCommand::Forget { dispatcher } => member.execute(Command::Forget {
@@ -110,7 +110,7 @@
     /// To `member`, or to the member that the operators' file belongs to.
     fn open(member: Option<SocketAddr>, fleet: &schema::Fleet) -> Result<Self, FleetClientError> {
         let settings =
-            tansymux_operator_config::fleet(fleet, 0).ok_or(FleetClientError::Incomplete)?;
+            tansymux_operator_config::fleet_config(fleet, 0).ok_or(FleetClientError::Incomplete)?;
         let member = match member {
             Some(member) => member,
             None => fleet
@@ -218,7 +218,7 @@
 
     fn drain(&self, engine: &str) -> Result<ExitCode, FleetClientError> {
         self.execute(Command::Drain {
-            engine: u64::from(number_of(engine)),
+            engine: u64::from(name_hash(engine)),
             grant_id: rand::rng().random(),
         })
     }
@@ -226,8 +226,8 @@
     fn release(&self, to: &str, from: Option<&str>) -> Result<ExitCode, FleetClientError> {
         self.execute(Command::Release {
             number: random_number(),
-            to: number_of(to),
-            from: from.map_or(0, number_of),
+            to: name_hash(to),
+            from: from.map_or(0, name_hash),
         })
     }
 
@@ -257,7 +257,7 @@
         let request = LeaseRequest {
             keys: self.settings.keys.clone(),
             dispatcher: dispatcher.map_or(0, member_id_of),
-            to: to.map_or(0, number_of),
+            to: to.map_or(0, name_hash),
             max_clock_skew: self.settings.quorum.max_clock_skew,
             max_wait_ms: wait_s * 1000.0,
         };
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -20,7 +20,7 @@
 use tansymux::events::Outcome;
 use tansymux::settings::SettingsMap;
 use tansymux_coordination::Role;
-use tansymux_operator_config::{number_of, schema};
+use tansymux_operator_config::{name_hash, schema};
 use tansymux_rollout::engine_outcomes::{EngineOutcomes, FailureThreshold};
 use tansymux_rollout::{FleetAction, FleetEvent, FleetNode, MemberStatus};
 use tansymux_zone_evacuation::{Evidence as ZoneEvidence, ZoneUse};
@@ -103,9 +103,10 @@
         let Some(definition) = definition else {
             return Ok(None);
         };
-        let mut member_settings = tansymux_operator_config::fleet(definition, lease_of_start())
-            .ok_or(FleetStartError::Incomplete)?;
-        let zone = settings.get("zone").map_or(0, |zone| number_of(zone));
+        let mut member_settings =
+            tansymux_operator_config::fleet_config(definition, lease_of_start())
+                .ok_or(FleetStartError::Incomplete)?;
+        let zone = settings.get("zone").map_or(0, |zone| name_hash(zone));
         if let Some((own_zone, _)) = &mut member_settings.zones {
             *own_zone = zone;
         }
@@ -143,7 +144,7 @@
             tracing::warn!("fleet kept as it was: the operators' file defines none any more");
             return;
         };
-        let Some(settings) = tansymux_operator_config::fleet(definition, 0) else {
+        let Some(settings) = tansymux_operator_config::fleet_config(definition, 0) else {
             tracing::warn!("fleet kept as it was: a required key is missing");
             return;
         };
@@ -224,7 +225,7 @@
 
     /// How a zone may be used, as the fleet agreed.
     pub fn zone_use(&self, zone: &str) -> ZoneUse {
-        self.member.borrow().use_of(number_of(zone))
+        self.member.borrow().use_of(name_hash(zone))
     }
 
     /// Whether the fleet evacuates zones and returns to them as a whole.
@@ -362,5 +363,5 @@
 /// The version that this member reports: the one of the operators' file, else the program's.
 fn version_number(definition: &schema::Fleet) -> u32 {
     let version = definition.version.as_deref();
-    number_of(version.unwrap_or(env!("CARGO_PKG_VERSION")))
+    name_hash(version.unwrap_or(env!("CARGO_PKG_VERSION")))
 }
--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -4,7 +4,7 @@
 use tansymux::events::EndpointState;
 use tansymux::settings::{RawSettings, SettingsMap};
 use tansymux_coordination::disruption_budget::Unit;
-use tansymux_operator_config::number_of;
+use tansymux_operator_config::name_hash;
 use tansymux_rollout::FleetNode;
 
 /// Follows the endpoint list and the engines that are out by the fleet's agreement.
@@ -57,7 +57,7 @@
             .for_kind(&endpoint.kind, "family-info.cores-by-kind");
         Unit {
             id: endpoint.engine_id,
-            zone: number_of(&endpoint.zone),
+            zone: name_hash(&endpoint.zone),
             version: 0,
             available: endpoint.state == EndpointState::Ready,
             capacity: cores.unwrap_or(1.0),
--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -125,7 +125,7 @@
     /// Applies `levels` of an operators' file that was checked. Without levels the decisions are back at full service.
     pub fn reconfigure(&self, levels: Option<&schema::Levels>, now_ms: f64, control: &mut Control) {
         let definition = levels
-            .map(tansymux_operator_config::definition)
+            .map(tansymux_operator_config::service_level_config)
             .filter(|definition| !definition.levels.is_empty());
         let mut active = self.active.borrow_mut();
         match (active.as_mut(), definition) {
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -15,7 +15,7 @@
 use tansymux::events::{EndpointState, Outcome, PeerMessage};
 use tansymux::settings::{RawSettings, SettingsMap};
 use tansymux::zone_plan;
-use tansymux_operator_config::{number_of, schema};
+use tansymux_operator_config::{name_hash, schema};
 use tansymux_zone_evacuation::{Evidence, Reachability as FleetReachability, ZoneUse};
 use tansymux_zone_routing::codec::MESSAGE_KIND;
 use tansymux_zone_routing::{
@@ -73,7 +73,7 @@
 
     /// Applies `halls` of an operators' file that was checked. What is known of zones is kept.
     pub fn reconfigure(&self, zones: Option<&schema::Halls>, now_ms: f64, control: &mut Control) {
-        let definition = zones.map(tansymux_operator_config::zones);
+        let definition = zones.map(tansymux_operator_config::zone_routing_config);
         let mut detector = self.detector.borrow_mut();
         match (detector.as_mut(), definition) {
             (current, None) => {
@@ -298,7 +298,7 @@
     let mut evidence = Vec::new();
     for observed in detector.evidence() {
         evidence.push(Evidence {
-            zone: number_of(observed.zone),
+            zone: name_hash(observed.zone),
             reachability: match observed.reachability {
                 Reachability::Reachable => FleetReachability::Reachable,
                 Reachability::Recovering => FleetReachability::Recovering,
--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -1,4 +1,5 @@
-//! A fleet as the file tells it, as the decisions take it.
+//! Conversion of the block `fleet` into the configuration of the rollout, coordination, membership and zone evacuation
+//! packages.
 
 use crate::schema;
 use std::net::SocketAddr;
@@ -8,128 +9,164 @@
 use tansymux_rollout::canary_analysis::AnalysisConfig;
 use tansymux_rollout::{FleetConfig, RolloutConfig, RolloutPlan};
 
-/// The number by which halls, versions and engines go round: FNV-1a over the name, never 0.
-pub fn number_of(name: &str) -> u32 {
-    name.bytes()
-        .fold(0x811c_9dc5_u32, |hash, b| {
-            (hash ^ u32::from(b)).wrapping_mul(0x0100_0193)
-        })
-        .max(1)
+const MS_PER_S: f64 = 1000.0;
+/// Records are sent again this many times within the leader's lease.
+const RETRANSMITS_PER_LEASE: f64 = 10.0;
+const KEY_BYTES: usize = 16;
+
+/// The number by which zones, versions and engines are identified in messages: the 32-bit FNV-1a hash of the name,
+/// never 0.
+pub fn name_hash(name: &str) -> u32 {
+    const OFFSET_BASIS: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    let mut hash = OFFSET_BASIS;
+    for byte in name.bytes() {
+        hash = (hash ^ u32::from(byte)).wrapping_mul(PRIME);
+    }
+    hash.max(1)
+}
+
+/// The fleet's configuration. `grant_id` is the restart lease under which the program was started, 0 without one.
+/// `None` if a required field is missing or malformed, which [`parse`](crate::parse) does not let pass.
+pub fn fleet_config(fleet: &schema::Fleet, grant_id: u64) -> Option<FleetConfig> {
+    let timing = fleet.timing.unwrap_or_default();
+    let rollout = rollout_config(fleet, &timing);
+    let quorum = quorum_config(&timing, &rollout);
+    let address = fleet.address.as_deref().or(fleet.listen.as_deref())?;
+    let zones = fleet.zones.as_ref();
+    Some(FleetConfig {
+        name: fleet.name.clone()?,
+        address: parse_address(address)?,
+        voters: fleet.voter.clone(),
+        membership: membership_config(fleet, &timing),
+        quorum,
+        keys: Keys {
+            signing: Some(parse_key(fleet.key())?),
+            also_accepted: parse_key(fleet.also_opens()),
+        },
+        fresh: fleet.fresh(),
+        grant_id,
+        rollout,
+        zones: zones.map(|zones| (0, evacuation_config(zones, timing.skew()))),
+    })
 }
 
-pub(crate) fn parse_key(hex: &str) -> Option<[u8; 16]> {
-    if hex.len() != 32 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
+fn parse_address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok().filter(SocketAddr::is_ipv4)
+}
+
+/// A key of 32 hexadecimal digits.
+pub(crate) fn parse_key(hex: &str) -> Option<[u8; KEY_BYTES]> {
+    if hex.len() != 2 * KEY_BYTES || !hex.bytes().all(|byte| byte.is_ascii_hexdigit()) {
         return None;
     }
-    let mut key = [0; 16];
-    for (n, byte) in key.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&hex[2 * n..2 * n + 2], 16).ok()?;
+    let mut key = [0; KEY_BYTES];
+    for (index, byte) in key.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&hex[2 * index..2 * index + 2], 16).ok()?;
     }
     Some(key)
 }
 
-fn bounds(told: Option<&schema::fleet::Bounds>) -> DisruptionBudget {
-    let told = told.copied().unwrap_or_default();
-    let most = |number, part| Limit {
-        max_count: number,
-        max_fraction: part,
-    };
-    let fleet = match (told.most, told.most_part) {
-        (None, None) => DisruptionBudget::default().fleet,
-        (number, part) => most(number, part),
-    };
-    DisruptionBudget {
-        fleet,
-        zone: most(told.hall_most, told.hall_part),
-        version: most(told.version_most, told.version_part),
-        min_interval_ms: told.apart_s() * 1000.0,
-        max_utilization: told.carry(),
+fn rollout_config(fleet: &schema::Fleet, timing: &schema::fleet::Timing) -> RolloutConfig {
+    let turns = fleet.turns.clone().unwrap_or_default();
+    let ejection = fleet.ejection.as_ref();
+    RolloutConfig {
+        dispatchers: disruption_budget(fleet.dispatchers.as_ref()),
+        engines: disruption_budget(fleet.engines.as_ref()),
+        plan: rollout_plan(&turns),
+        lease_term_ms: turns.turn_s() * MS_PER_S,
+        settle_ms: timing.settle_s() * MS_PER_S,
+        left_retention_ms: turns.left_s() * MS_PER_S,
+        ejection_witnesses: ejection.map(|ejection| ejection.witnesses() as usize),
+        ejection_term_ms: ejection.map_or(0.0, |ejection| ejection.out_s() * MS_PER_S),
     }
 }
 
-/// The settings that the file tells; `turn`: the turn under which the program was started. None where a needed one is
-/// missing: see `check`.
-pub fn fleet(told: &schema::Fleet, turn: u64) -> Option<FleetConfig> {
-    let address = |text: &str| text.parse::<SocketAddr>().ok().filter(SocketAddr::is_ipv4);
-    let timing = told.timing.unwrap_or_default();
-    let turns = told.turns.clone().unwrap_or_default();
-    let plan = RolloutPlan {
+fn rollout_plan(turns: &schema::fleet::Turns) -> RolloutPlan {
+    RolloutPlan {
         canary_count: turns.canaries() as usize,
-        canary_observation_ms: turns.canary_s() * 1000.0,
+        canary_observation_ms: turns.canary_s() * MS_PER_S,
         continue_if_inconclusive: turns.goes_on_untold(),
-        zone_order: turns.hall.iter().map(|hall| number_of(hall)).collect(),
-        zone_pause_ms: turns.pause_s() * 1000.0,
+        zone_order: turns.hall.iter().map(|zone| name_hash(zone)).collect(),
+        zone_pause_ms: turns.pause_s() * MS_PER_S,
         max_lost_members: turns.lost() as usize,
         analysis: AnalysisConfig {
-            window_ms: turns.window_s() * 1000.0,
+            window_ms: turns.window_s() * MS_PER_S,
             significance: turns.chance(),
             min_difference: turns.least(),
             min_pairs: turns.pairs() as usize,
             min_requests: turns.requests(),
         },
-    };
-    let ejection = told.ejection.as_ref();
-    let decided = RolloutConfig {
-        dispatchers: bounds(told.dispatchers.as_ref()),
-        engines: bounds(told.engines.as_ref()),
-        plan,
-        lease_term_ms: turns.turn_s() * 1000.0,
-        settle_ms: timing.settle_s() * 1000.0,
-        left_retention_ms: turns.left_s() * 1000.0,
-        ejection_witnesses: ejection.map(|ejection| ejection.witnesses() as usize),
-        ejection_term_ms: ejection.map_or(0.0, |ejection| ejection.out_s() * 1000.0),
-    };
-    let membership = tansymux_membership::Config {
-        period_ms: timing.period_s() * 1000.0,
-        probe_timeout_ms: timing.timeout_s() * 1000.0,
-        seeds: told.seed.iter().filter_map(|seed| address(seed)).collect(),
+    }
+}
+
+fn disruption_budget(bounds: Option<&schema::fleet::Bounds>) -> DisruptionBudget {
+    let bounds = bounds.copied().unwrap_or_default();
+    let fleet_limit = limit(bounds.most, bounds.most_part);
+    let is_fleet_unlimited = bounds.most.is_none() && bounds.most_part.is_none();
+    DisruptionBudget {
+        fleet: if is_fleet_unlimited {
+            DisruptionBudget::default().fleet
+        } else {
+            fleet_limit
+        },
+        zone: limit(bounds.hall_most, bounds.hall_part),
+        version: limit(bounds.version_most, bounds.version_part),
+        min_interval_ms: bounds.apart_s() * MS_PER_S,
+        max_utilization: bounds.carry(),
+    }
+}
+
+fn limit(max_count: Option<u32>, max_fraction: Option<f64>) -> Limit {
+    Limit {
+        max_count,
+        max_fraction,
+    }
+}
+
+fn membership_config(
+    fleet: &schema::Fleet,
+    timing: &schema::fleet::Timing,
+) -> tansymux_membership::Config {
+    let seeds = fleet.seed.iter();
+    tansymux_membership::Config {
+        period_ms: timing.period_s() * MS_PER_S,
+        probe_timeout_ms: timing.timeout_s() * MS_PER_S,
+        seeds: seeds.filter_map(|seed| parse_address(seed)).collect(),
         ..tansymux_membership::Config::default()
-    };
-    let zones = told
-        .zones
-        .as_ref()
-        .map(|zones| (0, zones_of(zones, timing.skew())));
-    let lead = timing.lead_s() * 1000.0;
-    let quorum = QuorumConfig {
-        leader_lease_ms: lead,
-        max_grant_ms: decided.lease_term_ms.max(decided.ejection_term_ms),
+    }
+}
+
+fn quorum_config(timing: &schema::fleet::Timing, rollout: &RolloutConfig) -> QuorumConfig {
+    let leader_lease_ms = timing.lead_s() * MS_PER_S;
+    QuorumConfig {
+        leader_lease_ms,
+        max_grant_ms: rollout.lease_term_ms.max(rollout.ejection_term_ms),
         max_clock_skew: timing.skew(),
-        retransmit_ms: lead / 10.0,
-        max_datagram_delay_ms: timing.late_s() * 1000.0,
-    };
-    Some(FleetConfig {
-        name: told.name.clone()?,
-        address: address(told.address.as_deref().or(told.listen.as_deref())?)?,
-        voters: told.voter.clone(),
-        membership,
-        quorum,
-        keys: Keys {
-            signing: Some(parse_key(told.key())?),
-            also_accepted: parse_key(told.also_opens()),
-        },
-        fresh: told.fresh(),
-        grant_id: turn,
-        rollout: decided,
-        zones,
-    })
+        retransmit_ms: leader_lease_ms / RETRANSMITS_PER_LEASE,
+        max_datagram_delay_ms: timing.late_s() * MS_PER_S,
+    }
 }
 
-fn zones_of(told: &schema::fleet::Zones, skew: f64) -> tansymux_zone_evacuation::Config {
+fn evacuation_config(
+    zones: &schema::fleet::Zones,
+    clock_skew: f64,
+) -> tansymux_zone_evacuation::Config {
     tansymux_zone_evacuation::Config {
-        lost_fraction: told.lost_part(),
-        confirm_ms: told.sure_s() * 1000.0,
-        min_witness_fraction: told.known_part(),
-        max_evacuated_fraction: told.most_left(),
-        spill_capacity_fraction: told.carry(),
-        initial_ramp_fraction: told.first(),
-        full_threads_per_core: told.whole(),
-        ramp_steps: told.steps().min(255) as u8,
-        ramp_step_ms: told.step_s() * 1000.0,
-        min_evacuation_ms: told.hold_s() * 1000.0,
-        max_evacuation_ms: told.hold_most_s() * 1000.0,
-        flap_window_ms: told.calm_s() * 1000.0,
-        quota_term_ms: told.term_s() * 1000.0,
-        autonomy_after_ms: told.own_after_s() * 1000.0,
-        clock_skew: skew,
+        lost_fraction: zones.lost_part(),
+        confirm_ms: zones.sure_s() * MS_PER_S,
+        min_witness_fraction: zones.known_part(),
+        max_evacuated_fraction: zones.most_left(),
+        spill_capacity_fraction: zones.carry(),
+        initial_ramp_fraction: zones.first(),
+        full_threads_per_core: zones.whole(),
+        ramp_steps: zones.steps().min(255) as u8,
+        ramp_step_ms: zones.step_s() * MS_PER_S,
+        min_evacuation_ms: zones.hold_s() * MS_PER_S,
+        max_evacuation_ms: zones.hold_most_s() * MS_PER_S,
+        flap_window_ms: zones.calm_s() * MS_PER_S,
+        quota_term_ms: zones.term_s() * MS_PER_S,
+        autonomy_after_ms: zones.own_after_s() * MS_PER_S,
+        clock_skew,
     }
 }
--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -4,7 +4,7 @@
 use tansymux_service_levels::{Condition, Definition, Degradation, Level, Signal, Term};
 
 /// The definition that the file tells. It may have faults: see `check`.
-pub fn definition(told: &schema::Levels) -> Definition {
+pub fn service_level_config(told: &schema::Levels) -> Definition {
     Definition {
         levels: told.level.iter().map(level).collect(),
     }
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: the schema (`proto/operator.proto`) with the defaults of its fields, every check that needs the file alone
 //! (`validate`), and the conversion of the schema's messages into the types of the packages that use them
-//! ([`fleet`](fn@fleet), [`zones`], [`definition`]). It never opens a file, never reads the environment and never
+//! ([`fleet_config`], [`zone_routing_config`], [`service_level_config`]). It never opens a file, never reads the environment and never
 //! changes what is in force: [`parse`] takes a text and returns the whole configuration or all of its errors.
 //!
 //! Start reading at [`parse`].
@@ -17,10 +17,10 @@
 mod zone_routing;
 
 pub use error::{ConfigError, ConfigErrorKind, ConfigErrors, SourceLocation};
-pub use fleet::{fleet, number_of};
-pub use levels::definition;
+pub use fleet::{fleet_config, name_hash};
+pub use levels::service_level_config;
 pub use schema::Operator;
-pub use zone_routing::zones;
+pub use zone_routing::zone_routing_config;
 
 use prost_reflect::text_format::ParseError;
 use prost_reflect::{DescriptorPool, DynamicMessage};
--- a/crates/operator-config/src/validate/levels.rs
+++ b/crates/operator-config/src/validate/levels.rs
@@ -1,7 +1,7 @@
 //! Checks of the block `levels`.
 
 use crate::error_collector::ErrorCollector;
-use crate::levels::definition;
+use crate::levels::service_level_config;
 use crate::schema::{term, Act, Level, Levels, Term};
 use tansymux_service_levels::define;
 
@@ -13,7 +13,7 @@
     }
     // The definition's own checks expect values in their ranges.
     if errors.is_empty() {
-        for fault in define::faults(&definition(levels)) {
+        for fault in define::faults(&service_level_config(levels)) {
             let key = format!("levels.level.{}.{}", fault.level, fault.key);
             errors.add(&key, fault.found, fault.allowed);
         }
--- a/crates/operator-config/src/zone_routing.rs
+++ b/crates/operator-config/src/zone_routing.rs
@@ -1,42 +1,48 @@
-//! Halls as the file tells them, as the decisions take them.
+//! Conversion of the block `halls` into the configuration of the zone routing package.
 
 use crate::schema;
 use tansymux_zone_routing::{Config, CutDetection, RecoveryRamp, Route, SpillLimit, Tier};
 
-/// The definition that the file tells. It may have faults: see `check`.
-pub fn zones(told: &schema::Halls) -> Config {
-    let tier = |tier: &schema::Tier| Tier {
-        zones: tier.hall.clone(),
-    };
-    let route = |told: &schema::Route| {
-        let (class, from) = (told.class.clone(), told.from.clone());
-        Route {
-            class,
-            from,
-            tiers: told.tier.iter().map(tier).collect(),
-        }
-    };
-    let spill = |told: &schema::Spill| {
-        let (into, class) = (told.into.clone(), told.class.clone());
-        SpillLimit {
-            into,
-            class,
-            max_threads_per_core: told.most.unwrap_or(f64::INFINITY),
-        }
-    };
-    let (cut, climb) = (told.cut.unwrap_or_default(), told.climb.unwrap_or_default());
+const MS_PER_S: f64 = 1000.0;
+
+/// The configuration of zone routing. Its values are not checked here: see [`parse`](crate::parse).
+pub fn zone_routing_config(halls: &schema::Halls) -> Config {
+    let cut = halls.cut.unwrap_or_default();
+    let ramp = halls.climb.unwrap_or_default();
     Config {
-        routes: told.route.iter().map(route).collect(),
-        spill_limits: told.spill.iter().map(spill).collect(),
+        routes: halls.route.iter().map(route).collect(),
+        spill_limits: halls.spill.iter().map(spill_limit).collect(),
         cut_detection: CutDetection {
-            silent_ms: cut.quiet_s() * 1000.0,
+            silent_ms: cut.quiet_s() * MS_PER_S,
             failing_fraction: cut.part(),
         },
         recovery_ramp: RecoveryRamp {
-            initial_fraction: climb.first(),
-            duration_ms: climb.over_s() * 1000.0,
-            full_threads_per_core: climb.whole(),
+            initial_fraction: ramp.first(),
+            duration_ms: ramp.over_s() * MS_PER_S,
+            full_threads_per_core: ramp.whole(),
         },
-        cross_zone_retry_fraction: told.cross_retries(),
+        cross_zone_retry_fraction: halls.cross_retries(),
+    }
+}
+
+fn route(route: &schema::Route) -> Route {
+    Route {
+        class: route.class.clone(),
+        from: route.from.clone(),
+        tiers: route.tier.iter().map(tier).collect(),
+    }
+}
+
+fn tier(tier: &schema::Tier) -> Tier {
+    Tier {
+        zones: tier.hall.clone(),
+    }
+}
+
+fn spill_limit(spill: &schema::Spill) -> SpillLimit {
+    SpillLimit {
+        into: spill.into.clone(),
+        class: spill.class.clone(),
+        max_threads_per_core: spill.most.unwrap_or(f64::INFINITY),
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -475,7 +475,10 @@
             }
         }
         let told = tansymux_operator_config::parse(e.arm[arm].operator()).unwrap_or_default();
-        let definition = told.halls.as_ref().map(tansymux_operator_config::zones);
+        let definition = told
+            .halls
+            .as_ref()
+            .map(tansymux_operator_config::zone_routing_config);
         let dispatchers: Vec<Dispatcher> = (0..e.dispatchers() as usize)
             .map(|n| Dispatcher {
                 control: Control::new(
