--- a/crates/coordination/src/codec.rs
+++ b/crates/coordination/src/codec.rs
@@ -31,7 +31,8 @@
 const STAMP_BYTES: usize = BALLOT_BYTES + 4;
 const VALUE_BYTES: usize = 19;
 const REMAINING_BYTES: usize = 4;
-const RECORD_BYTES: usize = 8 + STAMP_BYTES + VALUE_BYTES + REMAINING_BYTES;
+/// Length of one record (bytes).
+pub const RECORD_BYTES: usize = 8 + STAMP_BYTES + VALUE_BYTES + REMAINING_BYTES;
 /// The longest head in front of records: that of a promise.
 const MAX_HEAD_BYTES: usize = 1 + BALLOT_BYTES + 8 + 4;
 /// Records that fit in one message.
--- a/crates/coordination/src/leadership.rs
+++ b/crates/coordination/src/leadership.rs
@@ -1,8 +1,9 @@
 //! Phase two of Paxos: the leader proposes records, voters accept them, and what a majority accepted is chosen.
 
 use crate::codec::MAX_RECORDS_PER_MESSAGE;
+use crate::event::{Proposal, ProposalId, ProposeError};
 use crate::message::{LeasedRecord, Message};
-use crate::quorum_node::{Proposal, ProposalId, ProposeError, QuorumNode, State};
+use crate::quorum_node::{QuorumNode, State};
 use crate::record::{Ballot, Id, Record, RecordValue, Stamp};
 use crate::record_table::{RecordTable, StoredRecord};
 use rand::RngExt;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -35,6 +35,7 @@
 mod config;
 pub mod disruption_budget;
 mod election;
+mod event;
 mod leadership;
 mod message;
 mod quorum_node;
@@ -42,8 +43,9 @@
 mod record_table;
 
 pub use config::QuorumConfig;
+pub use event::{Action, Event, Proposal, ProposalId, ProposeError};
 pub use message::{LeasedRecord, Message};
-pub use quorum_node::{Action, Event, Proposal, ProposalId, QuorumNode, Role};
+pub use quorum_node::{QuorumNode, Role};
 pub use record::{
     Ballot, DisruptionReason, Id, Record, RecordValue, ReleaseStage, Stamp, UnitKind, HALT_KEY,
     RELEASE_KEY,
--- /dev/null
+++ b/crates/rollout/src/fleet_node/messages.rs
@@ -0,0 +1,210 @@
+//! What a member does with the messages of other members and of clients.
+
+use super::FleetNode;
+use crate::codec;
+use crate::member_agent::{Destination, Gossip};
+use crate::message::{Command, Message, Report};
+use crate::rollout_controller::{propose, RolloutController};
+use tansymux_coordination::{
+    DisruptionReason, Event, Id, LeasedRecord, Proposal, RecordValue, Role,
+};
+use tansymux_membership::{MemberState, UserMessage};
+
+/// Datagrams of records that answer one report.
+const MAX_GOSSIP_MESSAGES: usize = 4;
+/// Gossip begins at another record every so many milliseconds: what one datagram leaves out, a later one brings.
+const GOSSIP_ROTATION_MS: usize = 7;
+
+impl FleetNode {
+    /// A message that came in a datagram of membership.
+    pub(super) fn on_user_message(&mut self, message: UserMessage) {
+        let UserMessage {
+            from,
+            address,
+            content,
+        } = message;
+        if !codec::is_rollout_message(&content) {
+            self.on_voter_message(from, &content);
+            return;
+        }
+        let Ok(message) = codec::decode(&content) else {
+            return;
+        };
+        let is_member = self
+            .detector
+            .state(from)
+            .is_some_and(MemberState::is_present);
+        match message {
+            Message::Hello { call } => self.agent.on_hello(call, address, self.now_ms),
+            Message::Call {
+                call,
+                nonce,
+                command,
+            } => self
+                .agent
+                .on_call(call, nonce, command, address, self.now_ms),
+            // A client that is no member may call, and nothing else.
+            message if is_member => self.on_message(from, message),
+            _ => {}
+        }
+    }
+
+    fn on_voter_message(&mut self, from: Id, content: &[u8]) {
+        let Some(quorum) = &mut self.quorum else {
+            return;
+        };
+        if let Ok(message) = tansymux_coordination::codec::decode(content) {
+            quorum.handle(Event::Received { from, message }, self.now_ms);
+        }
+    }
+
+    /// A message of a member, this one included.
+    pub(super) fn on_message(&mut self, from: Id, message: Message) {
+        let now_ms = self.now_ms;
+        match message {
+            Message::Report(report) => self.on_report(from, &report),
+            Message::Gossip {
+                leader,
+                tick,
+                records,
+            } => {
+                let gossip = Gossip {
+                    from,
+                    leader,
+                    tick,
+                    records,
+                };
+                self.agent.on_gossip(gossip, now_ms);
+            }
+            Message::RecordsRequest => self.send_records(from),
+            Message::Records { records } => self.restore_records(&records),
+            Message::Command { call, command } => self.on_command(from, call, command),
+            Message::Answer { call, answer } => self.agent.on_answer(call, answer, now_ms),
+            Message::ZoneReport(report) => {
+                let (Some(zones), Some(quorum)) = (&mut self.zones, &self.quorum) else {
+                    return;
+                };
+                if let Some(plan) = zones.on_report(&self.controller, quorum, from, &report, now_ms)
+                {
+                    self.send(Destination::Member(from), &Message::ZonePlan(plan));
+                }
+            }
+            Message::ZonePlan(plan) => {
+                if let Some(zones) = &mut self.zones {
+                    zones.on_plan(&plan, now_ms);
+                }
+            }
+            Message::Hello { .. } | Message::Nonce { .. } | Message::Call { .. } => {}
+        }
+    }
+
+    fn send_records(&mut self, to: Id) {
+        let records: Vec<LeasedRecord> = self.agent.records(self.now_ms).collect();
+        for chunk in records
+            .chunks(codec::MAX_RECORDS_PER_MESSAGE)
+            .take(MAX_GOSSIP_MESSAGES)
+        {
+            let message = Message::Records {
+                records: chunk.to_vec(),
+            };
+            self.send(Destination::Member(to), &message);
+        }
+    }
+
+    fn on_command(&mut self, from: Id, call: u64, command: Command) {
+        let Some(quorum) = &mut self.quorum else {
+            return;
+        };
+        let is_zone_command = matches!(
+            command,
+            Command::EvacuateZone { .. } | Command::ReturnToZone { .. } | Command::ListZones
+        );
+        let answer = match &mut self.zones {
+            Some(zones) if is_zone_command => {
+                zones.on_command(&self.controller, quorum, command, self.now_ms)
+            }
+            _ => self.controller.on_command(quorum, command, self.now_ms),
+        };
+        self.send(Destination::Member(from), &Message::Answer { call, answer });
+    }
+
+    /// A member's report to a voter: the answer names the leader, and brings records that the member lacks.
+    fn on_report(&mut self, from: Id, report: &Report) {
+        let Some(quorum) = &mut self.quorum else {
+            return;
+        };
+        let now_ms = self.now_ms;
+        quorum.observe_round(report.round);
+        self.controller.on_report(quorum, from, *report, now_ms);
+        let leader = quorum.leader().unwrap_or(0);
+        let is_quarantined = matches!(quorum.role(), Role::Quarantined { .. });
+        let differs = quorum.digest() != report.digest;
+        let mut records: Vec<LeasedRecord> = Vec::new();
+        if differs && !is_quarantined {
+            records.extend(quorum.records());
+        }
+        if !records.is_empty() {
+            let first = (now_ms as usize / GOSSIP_ROTATION_MS) % records.len();
+            records.rotate_left(first);
+        }
+        let requests_records = quorum.is_leader(now_ms)
+            && self
+                .controller
+                .should_request_records(quorum, from, differs, now_ms);
+        self.send_gossip(from, leader, &records);
+        if requests_records {
+            self.send(Destination::Member(from), &Message::RecordsRequest);
+        }
+    }
+
+    /// Sends records to a member, or no record in one message.
+    fn send_gossip(&mut self, to: Id, leader: Id, records: &[LeasedRecord]) {
+        let tick = RolloutController::tick(self.now_ms);
+        let mut chunks: Vec<&[LeasedRecord]> = records
+            .chunks(codec::MAX_RECORDS_PER_MESSAGE)
+            .take(MAX_GOSSIP_MESSAGES)
+            .collect();
+        if chunks.is_empty() {
+            chunks.push(&[]);
+        }
+        for chunk in chunks {
+            let message = Message::Gossip {
+                leader,
+                tick,
+                records: chunk.to_vec(),
+            };
+            self.send(Destination::Member(to), &message);
+        }
+    }
+
+    /// Records that a member still knows and the voters have lost: those without an end are written anew. Leases end by
+    /// themselves, and are ended.
+    fn restore_records(&mut self, records: &[LeasedRecord]) {
+        let Some(quorum) = &mut self.quorum else {
+            return;
+        };
+        for LeasedRecord { record, .. } in records {
+            let is_lost = !quorum.holds(record.key) && !record.is_tombstone();
+            if !quorum.is_leader(self.now_ms) || !is_lost {
+                continue;
+            }
+            let proposal = if has_no_end(&record.value) {
+                Proposal::lasting(record.key, record.value)
+            } else {
+                Proposal::tombstone(record.key)
+            };
+            propose(quorum, &[proposal], self.now_ms);
+        }
+    }
+}
+
+/// Whether a record lasts until it is ended.
+fn has_no_end(value: &RecordValue) -> bool {
+    match value {
+        RecordValue::Halt { .. } | RecordValue::Release { .. } | RecordValue::Zone { .. } => true,
+        RecordValue::Disruption { reason, .. } => {
+            matches!(reason, DisruptionReason::Drain | DisruptionReason::Lost)
+        }
+        RecordValue::Tombstone => false,
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -38,6 +38,7 @@
 mod member_agent;
 pub mod message;
 mod restart_lease;
+mod rollout_config;
 mod rollout_controller;
 pub mod rollout_plan;
 mod zone_coordinator;
@@ -46,8 +47,7 @@
 pub use fleet_node::{FleetAction, FleetConfig, FleetEvent, FleetNode};
 pub use member_agent::{AgentAction, Destination, Gossip, MemberAgent, MemberStatus};
 pub use restart_lease::{LeaseOutcome, LeaseRequest, RestartLease};
-pub use rollout_controller::{
-    active_halt, active_release, ActiveHalt, RolloutConfig, RolloutController,
-};
+pub use rollout_config::RolloutConfig;
+pub use rollout_controller::{active_halt, active_release, ActiveHalt, RolloutController};
 pub use rollout_plan::RolloutPlan;
 pub use zone_coordinator::ZoneCoordinator;
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -10,9 +10,10 @@
 
 use crate::canary_analysis::{AnalysisResult, CanaryAnalysis, Group, RequestCount};
 use crate::message::Report;
-use crate::rollout_plan::{Release, RolloutPlan};
+use crate::rollout_config::RolloutConfig;
+use crate::rollout_plan::Release;
 use std::collections::{BTreeMap, BTreeSet};
-use tansymux_coordination::disruption_budget::{DisruptionBudget, HaltReason, Unit};
+use tansymux_coordination::disruption_budget::{HaltReason, Unit};
 use tansymux_coordination::{
     Id, Proposal, QuorumNode, RecordValue, UnitKind, HALT_KEY, RELEASE_KEY,
 };
@@ -29,48 +30,6 @@
 /// A tick may be this much before the leadership began (ms): ticks are whole milliseconds.
 const TICK_TOLERANCE_MS: f64 = 1.0;
 
-/// What is configured for rollouts.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RolloutConfig {
-    /// Budget for dispatchers.
-    pub dispatchers: DisruptionBudget,
-    /// Budget for engines.
-    pub engines: DisruptionBudget,
-    /// How releases proceed.
-    pub plan: RolloutPlan,
-    /// Term of a restart lease (ms): ended, started again and back within it.
-    pub lease_term_ms: f64,
-    /// How long a new leader collects reports before it decides (ms).
-    pub settle_ms: f64,
-    /// A dispatcher that left by itself and without a lease counts as unavailable for this long (ms).
-    pub left_retention_ms: f64,
-    /// This many dispatchers have to find an engine failing before it is ejected; none: never.
-    pub ejection_witnesses: Option<usize>,
-    /// How long an engine stays ejected (ms).
-    pub ejection_term_ms: f64,
-}
-
-impl Default for RolloutConfig {
-    fn default() -> Self {
-        RolloutConfig {
-            dispatchers: DisruptionBudget::default(),
-            engines: DisruptionBudget::default(),
-            plan: RolloutPlan {
-                canary_count: 1,
-                canary_observation_ms: 60_000.0,
-                zone_pause_ms: 0.0,
-                max_lost_members: 1,
-                ..RolloutPlan::default()
-            },
-            lease_term_ms: 30_000.0,
-            settle_ms: 3000.0,
-            left_retention_ms: 60_000.0,
-            ejection_witnesses: None,
-            ejection_term_ms: 30_000.0,
-        }
-    }
-}
-
 /// A member's last report.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct ReceivedReport {
--- a/crates/rollout/src/zone_coordinator.rs
+++ b/crates/rollout/src/zone_coordinator.rs
@@ -208,7 +208,7 @@
         rollout: &RolloutController,
         node: &QuorumNode,
         from: Id,
-        report: MemberReport,
+        report: &MemberReport,
         now_ms: f64,
     ) -> Option<LeaderReply> {
         let demands: BTreeMap<ZoneId, f64> = report
@@ -216,7 +216,7 @@
             .iter()
             .map(|evidence| (evidence.zone, f64::from(evidence.threads)))
             .collect();
-        self.controller.handle_report(from, &report, now_ms);
+        self.controller.handle_report(from, report, now_ms);
         if !rollout.is_settled_leader(node, now_ms) {
             return None;
         }
