--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -154,7 +154,7 @@
             return;
         }
         if let Some(engine_id) = zones.next_health_check(now_ms) {
-            if self.control.allowed.probes {
+            if self.control.capabilities().health_checks {
                 self.registry.health_check(engine_id);
             }
         }
@@ -173,15 +173,15 @@
         let changes = fleet.tick(now_ms, load);
         if !changes.is_empty() {
             self.registry.push_event(Event::EndpointList {
-                form: EndpointListKind::Delta,
-                engines: changes,
+                kind: EndpointListKind::Delta,
+                endpoints: changes,
             });
         }
     }
 
     /// Sends a subsystem's message to all peers, where the settings let dispatchers talk.
     fn send_to_all_peers(&self, message: &[u8]) {
-        if !self.control.allowed.peers {
+        if !self.control.capabilities().peer_messages {
             return;
         }
         if let Some(peers) = &self.peers {
