--- a/crates/coordination/tests/model_check.rs
+++ b/crates/coordination/tests/model_check.rs
@@ -1,4 +1,4 @@
-//! Model check: three voters and two dispatchers that request restart leases, of which one at a time may be grants. In
+//! Model check: three voters and two dispatchers that request restart leases, of which one at a time may be granted. In
 //! each time step some links are down, and a voter may be stopped, resumed, or lose its memory. Time steps are coarse; the
 //! quorum node is the real one.
 
@@ -303,9 +303,9 @@
 #[test]
 fn at_most_one_lease_is_held_in_any_order_of_partitions_stops_and_lost_memory() {
     // To check more states: MODEL_STATES=20000000.
-    let many = std::env::var("MODEL_STATES")
+    let state_count = std::env::var("MODEL_STATES")
         .ok()
-        .and_then(|many| many.parse().ok())
+        .and_then(|count| count.parse().ok())
         .unwrap_or(600_000);
     // Breadth first from the start, then deep random runs: 12 s hold several elections and a whole quarantine.
     QuorumModel
@@ -314,10 +314,10 @@
         .threads(4)
         .spawn_bfs()
         .join()
-        .assert_properties_wide();
+        .assert_always_properties();
     QuorumModel
         .checker()
-        .target_state_count(many)
+        .target_state_count(state_count)
         .threads(4)
         .spawn_simulation(7, stateright::UniformChooser)
         .join()
@@ -325,12 +325,12 @@
 }
 
 trait BreadthFirst {
-    fn assert_properties_wide(&self);
+    fn assert_always_properties(&self);
 }
 
 impl<C: Checker<QuorumModel>> BreadthFirst for C {
     /// Checks what must never hold in some of the states; what must hold sometimes may lie deeper.
-    fn assert_properties_wide(&self) {
+    fn assert_always_properties(&self) {
         assert!(
             self.discovery("at most one lease is held").is_none(),
             "{:?}",
