--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use tansymux_testbed::client::{send_query, ClientQuery};
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::fleet::processes::play;
+use tansymux_testbed::fleet::processes::{play, ProcessOptions};
 use tansymux_testbed::fleet::scenario::Scenario;
 use tansymux_testbed::program::{
     class, free_address, free_udp_address, Config, Program, TempFile, TIMEOUT,
@@ -55,7 +55,7 @@
     let scenario = Scenario::named(name, 1)
         .expect("a case by this name")
         .on_processes();
-    let seen = play(Path::new(EXE), scenario, false, None);
+    let seen = play(Path::new(EXE), &scenario, &ProcessOptions::default());
     assert!(
         seen.violations.is_empty(),
         "{}\n  again: tansymux-testbed fleet --name {name} --first 1",
--- /dev/null
+++ b/crates/testbed/src/fleet/links.rs
@@ -0,0 +1,53 @@
+//! What a link does to datagrams: one seeded model for virtual time and for the relay on sockets.
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+
+/// What a link does to datagrams. Probabilities are of one datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LinkConditions {
+    /// Probability that a copy is lost.
+    pub loss: f64,
+    /// Probability that a datagram comes twice.
+    pub doubled: f64,
+    /// Longest delay (ms). Delays are uniform, so that datagrams overtake each other.
+    pub delay: f64,
+    /// Probability that a copy comes as late as the scenario allows.
+    pub late: f64,
+}
+
+impl LinkConditions {
+    /// No loss and a short delay.
+    pub const GOOD: LinkConditions = LinkConditions {
+        loss: 0.0,
+        doubled: 0.0,
+        delay: 3.0,
+        late: 0.0,
+    };
+    /// Heavy loss, duplicates, disorder and some very late datagrams.
+    pub const BAD: LinkConditions = LinkConditions {
+        loss: 0.3,
+        doubled: 0.1,
+        delay: 80.0,
+        late: 0.01,
+    };
+
+    /// The delays (ms) of the copies of one datagram that are not lost. A late copy comes after `late_ms`.
+    pub fn draw_delays_ms(&self, late_ms: f64, rng: &mut Pcg32) -> Vec<f64> {
+        let copies = if rng.random_bool(self.doubled) { 2 } else { 1 };
+        let mut delays_ms = Vec::with_capacity(copies);
+        for _ in 0..copies {
+            if rng.random_bool(self.loss) {
+                continue;
+            }
+            let is_late = rng.random_bool(self.late);
+            delays_ms.push(if is_late {
+                late_ms
+            } else {
+                rng.random_range(0.0..=self.delay)
+            });
+        }
+        delays_ms
+    }
+}
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! One true clock, the rig's. What a member believes is never taken for what is: who is out is known from what the
 //! rig's own supervisors did. Safety is checked at every true instant, progress from the end of the last fault.
 
+mod links;
 pub mod processes;
 pub mod relay;
 pub mod scenario;
@@ -17,6 +18,9 @@
 use std::sync::Mutex;
 use virtual_fleet::{VersionQuality, VirtualFleet};
 
+/// The key that all members of a fleet on processes share.
+pub(crate) const FLEET_KEY: &str = "00112233445566778899aabbccddeeff";
+
 /// What was observed in one run.
 #[derive(Debug, Clone, Default)]
 pub struct FleetReport {
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -1,122 +1,137 @@
-//! What apply_fault a fleet, and when: from a seed, by name, or from a file.
+//! Scenarios: a fleet, its release, and which faults come when: from a seed, by name, or from a file. They are written
+//! to files as JSON, whose keys must stay.
+
+pub use super::links::LinkConditions;
 
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 
-/// What a link does to datagrams.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct LinkConditions {
-    pub loss: f64,
-    pub doubled: f64,
-    /// Longest delay (ms): with it comes disorder.
-    pub delay: f64,
-    /// This part comes as late as the scenario says.
-    pub late: f64,
-}
-
-impl LinkConditions {
-    pub const GOOD: LinkConditions = LinkConditions {
-        loss: 0.0,
-        doubled: 0.0,
-        delay: 3.0,
-        late: 0.0,
-    };
-    pub const BAD: LinkConditions = LinkConditions {
-        loss: 0.3,
-        doubled: 0.1,
-        delay: 80.0,
-        late: 0.01,
-    };
-}
-
+/// A fault or an operator's action.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
-    /// All links.
+    /// What all links do from now on.
     Links(LinkConditions),
-    /// Nothing goes between these and the others; one way: nothing from these to the others.
+    /// Cuts some members off from the others.
     Cut {
+        /// The members on the one side.
         side: Vec<usize>,
+        /// Only what they send is lost.
         one_way: bool,
     },
-    /// The same round whoever leads.
+    /// Cuts the leader off from the others.
     CutLeader {
+        /// Only what it sends is lost.
         one_way: bool,
     },
+    /// Ends all cuts.
     Heal,
-    /// Stopped for so long (ms), and going on.
+    /// Stops a process, which then goes on.
     Stall {
+        /// The member.
         who: usize,
+        /// For how long (ms).
         lasts: f64,
     },
+    /// Stops the leader's process, which then goes on.
     StallLeader {
+        /// For how long (ms).
         lasts: f64,
     },
-    /// Killed, and started again after so long, knowing nothing.
+    /// Kills a process, which is started again without its memory.
     Kill {
+        /// The member.
         who: usize,
+        /// Until its start (ms).
         back: f64,
     },
+    /// Kills the leader's process.
     KillLeader {
+        /// Until its start (ms).
         back: f64,
     },
+    /// Kills the process of a member that holds a restart lease.
     KillHolder {
+        /// Until its start (ms).
         back: f64,
     },
-    /// Operators, at these members, at the same time.
+    /// Operators ask to drain engines, at the same time.
     Drain {
+        /// At which member, and which engine.
         engines: Vec<(usize, usize)>,
     },
+    /// An operator takes an engine into service again.
     Undrain {
+        /// The engine.
         engine: usize,
+        /// At which member.
         at: usize,
     },
+    /// An operator halts the release.
     Halt {
+        /// At which member.
         at: usize,
     },
+    /// An operator resumes the release.
     Resume {
+        /// At which member.
         at: usize,
     },
+    /// An operator rolls the release back.
     Back {
+        /// At which member.
         at: usize,
     },
-    /// The operators' files say so from now on, and all read them again.
+    /// The operators' files define another limit of dispatchers out, and all members read them again.
     Limit {
+        /// Dispatchers that may be out at a time.
         most: usize,
     },
 }
 
+/// A fault at its time.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Event {
     /// Milliseconds after the release's begin.
     pub at: f64,
+    /// What happens.
     pub what: Fault,
 }
 
+/// A fleet, and what happens to it while it is released to another version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Scenario {
+    /// What it is called in reports.
     pub name: String,
+    /// All randomness comes from it.
     pub seed: u64,
+    /// Dispatchers.
     pub members: usize,
+    /// How many of them vote: the first ones.
     pub voters: usize,
+    /// Zones, over which members are spread in turn.
     #[serde(rename = "halls")]
     pub zones: usize,
+    /// Engines.
     pub engines: usize,
-    /// Most dispatchers and most engines out.
+    /// Dispatchers that may be out at a time.
     pub most: usize,
+    /// Engines that may be drained at a time.
     #[serde(rename = "most_engines")]
     pub max_engines: usize,
-    /// How long a turn lasts (ms), and how long a restart takes.
+    /// How long a restart lease lasts (ms).
     pub turn: f64,
+    /// How long a restart takes (ms).
     pub down: f64,
     /// How late a late datagram is (ms): what the voters allow for.
     pub late: f64,
+    /// Faults, in the order of their times.
     pub events: Vec<Event>,
     /// All must be released so long after the last fault (ms); 0: no such claim.
     pub done_within: f64,
-    /// How long it is played (ms).
+    /// How long it is played at most (ms).
     pub lasts: f64,
 }
 
@@ -133,12 +148,32 @@
     "halt-races",
 ];
 
+/// Faults of a mixed scenario, one after the other.
+const MIXED_FAULTS: usize = 7;
+
+fn cut(side: &[usize]) -> Fault {
+    Fault::Cut {
+        side: side.to_vec(),
+        one_way: false,
+    }
+}
+
+fn drain(engines: &[(usize, usize)]) -> Fault {
+    Fault::Drain {
+        engines: engines.to_vec(),
+    }
+}
+
+fn kill(who: usize, back: f64) -> Fault {
+    Fault::Kill { who, back }
+}
+
 impl Scenario {
-    /// A release with nothing wrong.
+    /// A release with no faults.
     pub fn calm(seed: u64, members: usize) -> Self {
         let most = (members / 10).max(1);
         let voters = members.min(if members >= 30 { 5 } else { 3 });
-        let rounds = (members as f64 / most as f64).ceil();
+        let waves = (members as f64 / most as f64).ceil();
         Scenario {
             name: "calm".into(),
             seed,
@@ -152,219 +187,91 @@
             down: 1500.0,
             late: 10_000.0,
             events: Vec::new(),
-            // A turn may be used at its very end, and a voter that was restarted keeps still for a while.
-            done_within: 40_000.0 + 30_000.0 * voters as f64 + 12_000.0 * rounds,
-            lasts: 140_000.0 + 30_000.0 * voters as f64 + 12_000.0 * rounds,
+            // A lease may be used at its very end, and a voter that was restarted keeps silent for a while.
+            done_within: 40_000.0 + 30_000.0 * voters as f64 + 12_000.0 * waves,
+            lasts: 140_000.0 + 30_000.0 * voters as f64 + 12_000.0 * waves,
         }
     }
 
+    fn add(&mut self, at: f64, what: Fault) {
+        self.events.push(Event { at, what });
+    }
+
+    fn sort_events(&mut self) {
+        self.events.sort_by(|a, b| a.at.total_cmp(&b.at));
+    }
+
     /// All faults mixed, by the seed.
     pub fn mixed(seed: u64, members: usize) -> Self {
         let mut scenario = Scenario {
             name: "mixed".into(),
             ..Scenario::calm(seed, members)
         };
-        let mut chance = Pcg32::seed_from_u64(seed ^ 0x5EED);
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0x5EED);
         let mut at = 2000.0;
-        let mut all: Vec<usize> = (0..members).collect();
-        for _ in 0..7 {
-            let lasts = chance.random_range(1500.0..9000.0);
-            let who = chance.random_range(0..members);
-            all.shuffle(&mut chance);
-            let side = all[..members / 2].to_vec();
-            let one_way = chance.random_bool(0.3);
-            let mut add = |after: f64, what: Fault| {
-                scenario.events.push(Event {
-                    at: at + after,
-                    what,
-                })
-            };
-            match chance.random_range(0..10) {
-                0 => add(0.0, Fault::Links(LinkConditions::BAD)),
-                1 => add(0.0, Fault::Cut { side, one_way }),
-                2 => add(0.0, Fault::CutLeader { one_way }),
-                3 => add(0.0, Fault::Stall { who, lasts }),
-                4 => add(0.0, Fault::StallLeader { lasts }),
-                5 => add(0.0, Fault::Kill { who, back: lasts }),
-                6 => add(0.0, Fault::KillLeader { back: lasts }),
-                7 => add(0.0, Fault::KillHolder { back: lasts }),
+        let mut shuffled: Vec<usize> = (0..members).collect();
+        for _ in 0..MIXED_FAULTS {
+            let lasts = rng.random_range(1500.0..9000.0);
+            let who = rng.random_range(0..members);
+            shuffled.shuffle(&mut rng);
+            let one_way = rng.random_bool(0.3);
+            let half = &shuffled[..members / 2];
+            match rng.random_range(0..10) {
+                0 => scenario.add(at, Fault::Links(LinkConditions::BAD)),
+                1 => scenario.add(
+                    at,
+                    Fault::Cut {
+                        side: half.to_vec(),
+                        one_way,
+                    },
+                ),
+                2 => scenario.add(at, Fault::CutLeader { one_way }),
+                3 => scenario.add(at, Fault::Stall { who, lasts }),
+                4 => scenario.add(at, Fault::StallLeader { lasts }),
+                5 => scenario.add(at, kill(who, lasts)),
+                6 => scenario.add(at, Fault::KillLeader { back: lasts }),
+                7 => scenario.add(at, Fault::KillHolder { back: lasts }),
                 8 => {
-                    add(
-                        0.0,
-                        Fault::Cut {
-                            side: side.clone(),
-                            one_way: false,
-                        },
-                    );
-                    add(
-                        200.0,
-                        Fault::Drain {
-                            engines: vec![
-                                (side[0], 0),
-                                (all[members - 1], 1),
-                                (side[0], 2),
-                                (all[members - 1], 3),
-                            ],
-                        },
+                    let inside = half[0];
+                    let outside = shuffled[members - 1];
+                    scenario.add(at, cut(half));
+                    scenario.add(
+                        at + 200.0,
+                        drain(&[(inside, 0), (outside, 1), (inside, 2), (outside, 3)]),
                     );
                 }
                 _ => {
-                    add(0.0, Fault::Halt { at: who });
-                    add(lasts, Fault::Resume { at: who });
+                    scenario.add(at, Fault::Halt { at: who });
+                    scenario.add(at + lasts, Fault::Resume { at: who });
                 }
             }
-            add(lasts, Fault::Heal);
-            add(lasts, Fault::Links(LinkConditions::GOOD));
-            at += lasts + chance.random_range(500.0..4000.0);
+            scenario.add(at + lasts, Fault::Heal);
+            scenario.add(at + lasts, Fault::Links(LinkConditions::GOOD));
+            at += lasts + rng.random_range(500.0..4000.0);
         }
-        scenario.events.sort_by(|a, b| a.at.total_cmp(&b.at));
+        scenario.sort_events();
         scenario
     }
 
-    /// One of the hard cases by name, of which `NAMES` are all.
+    /// One of the hard cases by name, of which [`NAMES`] are all. The seed shifts its faults in time.
     pub fn named(name: &str, seed: u64) -> Option<Self> {
         let members = if name == "seven-in-ten" { 10 } else { 5 };
         let mut scenario = Scenario {
             name: name.into(),
             ..Scenario::calm(seed, members)
         };
-        let jitter = (seed % 97) as f64 * 37.0;
-        let mut add = |at: f64, what: Fault| {
-            scenario.events.push(Event {
-                at: at + jitter,
-                what,
-            })
-        };
-        match name {
-            "two-halves" => {
-                add(
-                    500.0,
-                    Fault::Cut {
-                        side: vec![0, 1],
-                        one_way: false,
-                    },
-                );
-                add(
-                    900.0,
-                    Fault::Drain {
-                        engines: vec![(0, 0), (4, 1), (0, 2), (4, 3)],
-                    },
-                );
-                add(9000.0, Fault::Heal);
-                add(
-                    9400.0,
-                    Fault::Drain {
-                        engines: vec![(1, 0), (3, 1), (2, 2), (4, 3)],
-                    },
-                );
-            }
-            "leader-one-way" => {
-                add(1000.0, Fault::CutLeader { one_way: true });
-                add(12_000.0, Fault::Heal);
-            }
-            "leader-stops" => {
-                add(1200.0, Fault::StallLeader { lasts: 18_000.0 });
-                add(24_000.0, Fault::StallLeader { lasts: 18_000.0 });
-            }
-            "voter-forgets" => {
-                add(
-                    1000.0,
-                    Fault::Kill {
-                        who: 1,
-                        back: 200.0,
-                    },
-                );
-                add(
-                    5000.0,
-                    Fault::Kill {
-                        who: 2,
-                        back: 200.0,
-                    },
-                );
-            }
-            "hall-of-voters-lost" => {
-                scenario.zones = 2;
-                // Voters 0 and 2 stand in one zone, and are the majority.
-                add(
-                    1000.0,
-                    Fault::Kill {
-                        who: 0,
-                        back: 14_000.0,
-                    },
-                );
-                add(
-                    1000.0,
-                    Fault::Kill {
-                        who: 2,
-                        back: 14_000.0,
-                    },
-                );
-                add(
-                    1000.0,
-                    Fault::Kill {
-                        who: 4,
-                        back: 14_000.0,
-                    },
-                );
-            }
-            "holder-crashes" => {
-                (1..9).for_each(|n| {
-                    add(
-                        1500.0 * f64::from(n),
-                        Fault::KillHolder {
-                            back: 900.0 * f64::from(n),
-                        },
-                    )
-                });
-            }
-            "killed-in-its-wave" => {
-                add(
-                    2500.0,
-                    Fault::Kill {
-                        who: 3,
-                        back: 5000.0,
-                    },
-                );
-                add(
-                    8000.0,
-                    Fault::Kill {
-                        who: 4,
-                        back: 5000.0,
-                    },
-                );
-            }
-            "seven-in-ten" => {
-                (0..7).for_each(|n| {
-                    add(
-                        1500.0,
-                        Fault::Kill {
-                            who: (n * 3) % 10,
-                            back: 4000.0,
-                        },
-                    )
-                });
-            }
-            "halt-races" => (0..5).for_each(|n| {
-                add(
-                    1000.0 + 5000.0 * f64::from(n),
-                    Fault::Halt {
-                        at: n as usize % members,
-                    },
-                );
-                add(
-                    4000.0 + 5000.0 * f64::from(n),
-                    Fault::Resume {
-                        at: (n as usize + 1) % members,
-                    },
-                );
-            }),
-            _ => return None,
+        if name == "hall-of-voters-lost" {
+            scenario.zones = 2;
+        }
+        let shift_ms = (seed % 97) as f64 * 37.0;
+        for (at, fault) in named_events(name, members)? {
+            scenario.add(at + shift_ms, fault);
         }
-        scenario.events.sort_by(|a, b| a.at.total_cmp(&b.at));
+        scenario.sort_events();
         Some(scenario)
     }
 
-    /// The same with times for processes: turns and faults half as long, a program that ends within 4 s.
+    /// The same with times for processes: leases and faults half as long, a program that ends within 4 s.
     pub fn on_processes(mut self) -> Self {
         self.turn = 6000.0;
         self.down = 300.0;
@@ -380,33 +287,31 @@
                 _ => {}
             }
         }
-        let rounds = (self.members as f64 / self.most as f64).ceil();
-        self.done_within = 30_000.0 + 15_000.0 * self.voters as f64 + 10_000.0 * rounds;
+        let waves = (self.members as f64 / self.most as f64).ceil();
+        self.done_within = 30_000.0 + 15_000.0 * self.voters as f64 + 10_000.0 * waves;
         self
     }
 
-    /// The same with loss on all links all the time; faults that heal go back to that.
+    /// The same with loss on all links all the time; links that heal go back to that.
     pub fn with_loss(mut self, loss: f64) -> Self {
-        let way = LinkConditions {
+        let lossy = LinkConditions {
             loss,
             ..LinkConditions::GOOD
         };
         for event in &mut self.events {
             if event.what == Fault::Links(LinkConditions::GOOD) {
-                event.what = Fault::Links(way);
+                event.what = Fault::Links(lossy);
             }
         }
-        self.events.insert(
-            0,
-            Event {
-                at: 0.0,
-                what: Fault::Links(way),
-            },
-        );
+        let from_start = Event {
+            at: 0.0,
+            what: Fault::Links(lossy),
+        };
+        self.events.insert(0, from_start);
         self
     }
 
-    /// When the last fault is over (ms).
+    /// When the last fault is over (ms after the release's begin).
     pub fn last_fault_ms(&self) -> f64 {
         let end = |event: &Event| match event.what {
             Fault::Stall { lasts, .. } | Fault::StallLeader { lasts } => event.at + lasts,
@@ -418,3 +323,49 @@
         self.events.iter().map(end).fold(0.0, f64::max)
     }
 }
+
+/// The faults of a hard case, each with its time (ms after the release's begin).
+fn named_events(name: &str, members: usize) -> Option<Vec<(f64, Fault)>> {
+    Some(match name {
+        "two-halves" => vec![
+            (500.0, cut(&[0, 1])),
+            (900.0, drain(&[(0, 0), (4, 1), (0, 2), (4, 3)])),
+            (9000.0, Fault::Heal),
+            (9400.0, drain(&[(1, 0), (3, 1), (2, 2), (4, 3)])),
+        ],
+        "leader-one-way" => vec![
+            (1000.0, Fault::CutLeader { one_way: true }),
+            (12_000.0, Fault::Heal),
+        ],
+        "leader-stops" => vec![
+            (1200.0, Fault::StallLeader { lasts: 18_000.0 }),
+            (24_000.0, Fault::StallLeader { lasts: 18_000.0 }),
+        ],
+        "voter-forgets" => vec![(1000.0, kill(1, 200.0)), (5000.0, kill(2, 200.0))],
+        // Voters 0 and 2 are in one zone, and are the majority.
+        "hall-of-voters-lost" => [0, 2, 4].map(|who| (1000.0, kill(who, 14_000.0))).into(),
+        "holder-crashes" => (1..9)
+            .map(f64::from)
+            .map(|n| (1500.0 * n, Fault::KillHolder { back: 900.0 * n }))
+            .collect(),
+        "killed-in-its-wave" => vec![(2500.0, kill(3, 5000.0)), (8000.0, kill(4, 5000.0))],
+        "seven-in-ten" => (0..7)
+            .map(|n| (1500.0, kill((n * 3) % 10, 4000.0)))
+            .collect(),
+        "halt-races" => halt_races(members),
+        _ => return None,
+    })
+}
+
+/// Halts and resumptions at different members, in turn.
+fn halt_races(members: usize) -> Vec<(f64, Fault)> {
+    let mut events = Vec::new();
+    for n in 0..5 {
+        let from_ms = 5000.0 * n as f64;
+        let halted_at = n % members;
+        let resumed_at = (n + 1) % members;
+        events.push((1000.0 + from_ms, Fault::Halt { at: halted_at }));
+        events.push((4000.0 + from_ms, Fault::Resume { at: resumed_at }));
+    }
+    events
+}
--- a/crates/testbed/src/fleet/virtual_fleet/network.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/network.rs
@@ -2,8 +2,7 @@
 
 use super::settings::{host_of, member_address};
 use super::VirtualFleet;
-use crate::fleet::scenario::LinkConditions;
-use rand::RngExt;
+use crate::fleet::links::LinkConditions;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -123,21 +122,8 @@
     /// Puts a datagram's copies on the link between two hosts.
     fn transmit(&mut self, datagram: &Datagram, first_key: u64) {
         let conditions = self.network.conditions;
-        let copies = if self.rng.random_bool(conditions.doubled) {
-            2
-        } else {
-            1
-        };
-        for copy in 0..copies {
-            if self.rng.random_bool(conditions.loss) {
-                continue;
-            }
-            let late = self.rng.random_bool(conditions.late);
-            let delay_ms = if late {
-                self.scenario.late
-            } else {
-                self.rng.random_range(0.0..=conditions.delay)
-            };
+        let delays_ms = conditions.draw_delays_ms(self.scenario.late, &mut self.rng);
+        for (copy, delay_ms) in delays_ms.into_iter().enumerate() {
             let arrival_us = ((self.now_ms + delay_ms) * 1000.0) as u64;
             let copied = Datagram {
                 bytes: datagram.bytes.clone(),
@@ -145,7 +131,7 @@
             };
             self.network
                 .in_flight
-                .insert((arrival_us, first_key + copy), copied);
+                .insert((arrival_us, first_key + copy as u64), copied);
         }
     }
 
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -1,7 +1,8 @@
 //! A zone cut and returned, on real processes: agreed, judged by each alone, and neither, on the same seeds.
 
-use super::relay::{Link, Relay};
-use super::scenario::LinkConditions;
+use super::links::LinkConditions;
+use super::relay::{EngineLink, Relay};
+use super::FLEET_KEY;
 use crate::client::{send_query, ClientQuery};
 use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
 use crate::program::{class, free_address, Config, Program, TempFile};
@@ -17,7 +18,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const KEY: &str = "00112233445566778899aabbccddeeff";
 const ZONES: usize = 3;
 const WARM_UP_MS: f64 = 15_000.0;
 /// Look-ups (ms of work) and the longest wait.
@@ -84,7 +84,7 @@
     _files: Vec<TempFile>,
     listens: Vec<SocketAddr>,
     engines: Vec<Engine>,
-    links: Vec<Vec<Link>>,
+    links: Vec<Vec<EngineLink>>,
     relay: Relay,
     operators: Vec<String>,
     world: Arc<RunContext>,
@@ -100,7 +100,7 @@
         .collect();
     let fleet = format!(
         "fleet {{ name: \"n{n}\" listen: \"{}\" address: \"{}\" {seeds} voter: \"n0\" voter: \"n1\" voter: \"n2\"
-           key: \"{KEY}\" fresh: true version: \"v1\"
+           key: \"{FLEET_KEY}\" fresh: true version: \"v1\"
            timing {{ period_s: 0.4 timeout_s: 0.12 lead_s: 1 settle_s: 1 late_s: 0.3 }}
            zones {{ sure_s: 0.5 step_s: 1 hold_s: 1 term_s: 2 }} }}",
         relay.private[n], relay.public[n]
@@ -133,13 +133,18 @@
     // All are warm at first: their start lies back.
     thread::sleep(Duration::from_millis(10));
     let relay = Relay::start(course.dispatchers, 500.0, course.seed);
-    relay.links(LinkConditions {
+    relay.set_conditions(LinkConditions {
         loss: course.loss,
         delay: 1.0,
         ..LinkConditions::GOOD
     });
-    let links: Vec<Vec<Link>> = (0..course.dispatchers)
-        .map(|_| engines.iter().map(|e| Link::start(e.address)).collect())
+    let links: Vec<Vec<EngineLink>> = (0..course.dispatchers)
+        .map(|_| {
+            engines
+                .iter()
+                .map(|e| EngineLink::start(e.address))
+                .collect()
+        })
         .collect();
     let listens: Vec<SocketAddr> = (0..course.dispatchers).map(|_| free_address()).collect();
     let classes = [class(
@@ -205,14 +210,14 @@
                 .iter()
                 .enumerate()
                 .filter(|(e, _)| e % ZONES == 0)
-                .for_each(|(_, link)| link.cut(cut));
+                .for_each(|(_, link)| link.set_cut(cut));
         }
         for links in self.links.iter().step_by(ZONES) {
             links
                 .iter()
                 .enumerate()
                 .filter(|(e, _)| e % ZONES != 0)
-                .for_each(|(_, link)| link.cut(cut));
+                .for_each(|(_, link)| link.set_cut(cut));
         }
         if cut {
             let inside: Vec<usize> = (0..self.links.len()).step_by(ZONES).collect();
@@ -342,7 +347,7 @@
         }
         over.store(true, Ordering::Relaxed);
     });
-    site.links.iter().flatten().for_each(Link::ends);
+    site.links.iter().flatten().for_each(EngineLink::stop);
     site.engines.iter().for_each(Engine::stop);
     drop(site);
     cycle.into_inner().unwrap_or_default()
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tansymux_testbed::fleet::processes::ProcessOptions;
 use tansymux_testbed::fleet::zones::ZoneCutPlan;
 use tansymux_testbed::fleet::{self, run_seeds, scenario::Scenario, PlayOptions};
 use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
@@ -213,6 +214,10 @@
                 None if calm => Ok(Scenario::calm(seed, members)),
                 None => Ok(Scenario::mixed(seed, members)),
             };
+            let options = ProcessOptions {
+                uncoordinated: alone,
+                logs,
+            };
             let mut all = Vec::new();
             for seed in first..first + seeds {
                 let scenario = match of(seed) {
@@ -229,7 +234,7 @@
                     );
                     continue;
                 }
-                let seen = fleet::processes::play(&exe(), scenario, alone, logs.as_deref());
+                let seen = fleet::processes::play(&exe(), &scenario, &options);
                 println!("{}", seen.line());
                 if !seen.violations.is_empty() {
                     println!(
