--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -15,7 +15,9 @@
 use tansymux_membership::member_id_of;
 use tansymux_operator_config::{number_of, schema, Operator};
 use tansymux_rollout::message::{Answer, Command, Status};
-use tansymux_rollout::{FleetClient, Settings, Turn, TurnEnd};
+use tansymux_rollout::{
+    ClientAction, FleetClient, FleetConfig, LeaseOutcome, LeaseRequest, RestartLease,
+};
 
 /// Exit code: the fleet is halted.
 const EXIT_HALTED: u8 = 3;
@@ -77,11 +79,11 @@
         }),
         FleetCommand::Resume => member.resume(),
         FleetCommand::Back => member.roll_back(),
-        FleetCommand::Leave { zone, dry_run } => member.execute(Command::Leave {
+        FleetCommand::Leave { zone, dry_run } => member.execute(Command::EvacuateZone {
             zone: number_of(zone),
-            dry: *dry_run,
+            dry_run: *dry_run,
         }),
-        FleetCommand::Return { zone } => member.execute(Command::ReturnTo {
+        FleetCommand::Return { zone } => member.execute(Command::ReturnToZone {
             zone: number_of(zone),
         }),
         FleetCommand::Zones => member.print_zones(),
@@ -100,7 +102,7 @@
 struct MemberConnection {
     socket: UdpSocket,
     member: SocketAddr,
-    settings: Settings,
+    settings: FleetConfig,
     opened: Instant,
 }
 
@@ -138,10 +140,14 @@
         self.opened.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Sends datagrams, and passes on the one that arrives within [`RECEIVE_TIMEOUT`], if one does. A member that is
+    /// Sends what is due, and passes on the one that arrives within [`RECEIVE_TIMEOUT`], if one does. A member that is
     /// not there counts as one that does not answer.
-    fn exchange(&self, outgoing: Vec<Vec<u8>>, mut receive: impl FnMut(&[u8])) -> io::Result<()> {
-        for datagram in outgoing {
+    fn exchange(
+        &self,
+        outgoing: Option<ClientAction>,
+        mut receive: impl FnMut(&[u8]),
+    ) -> io::Result<()> {
+        if let Some(ClientAction::Send { datagram }) = outgoing {
             // A datagram that could not be sent is one that was lost: the client sends it again.
             let _ = self.socket.send_to(&datagram, self.member);
         }
@@ -162,7 +168,7 @@
         let keys = self.settings.keys.clone();
         let mut client = FleetClient::new(keys, command, self.now_ms(), rand::rng().random());
         loop {
-            let (outgoing, _) = client.poll(self.now_ms());
+            let outgoing = client.poll(self.now_ms());
             if let Some(answer) = client.answer() {
                 return Ok(answer);
             }
@@ -197,7 +203,7 @@
     }
 
     fn print_zones(&self) -> Result<ExitCode, FleetClientError> {
-        let answer = self.request(Command::Zones)?;
+        let answer = self.request(Command::ListZones)?;
         let Answer::Zones(zones) = answer else {
             return Ok(report(&answer));
         };
@@ -213,7 +219,7 @@
     fn drain(&self, engine: &str) -> Result<ExitCode, FleetClientError> {
         self.execute(Command::Drain {
             engine: u64::from(number_of(engine)),
-            grant: rand::rng().random(),
+            grant_id: rand::rng().random(),
         })
     }
 
@@ -234,8 +240,10 @@
 
     fn roll_back(&self) -> Result<ExitCode, FleetClientError> {
         self.execute_on_status(|status| {
-            let (number, ..) = status.release.ok_or(FleetClientError::NoRelease)?;
-            Ok(Command::Back { number })
+            let release = status.release.ok_or(FleetClientError::NoRelease)?;
+            Ok(Command::RollBack {
+                number: release.number,
+            })
         })
     }
 
@@ -246,34 +254,33 @@
         dispatcher: Option<&str>,
         wait_s: f64,
     ) -> Result<ExitCode, FleetClientError> {
-        let mut turn = Turn::new(
-            self.settings.keys.clone(),
-            dispatcher.map_or(0, member_id_of),
-            to.map_or(0, number_of),
-            self.settings.terms.skew,
-            self.now_ms(),
-            wait_s * 1000.0,
-            rand::rng().random(),
-        );
+        let request = LeaseRequest {
+            keys: self.settings.keys.clone(),
+            dispatcher: dispatcher.map_or(0, member_id_of),
+            to: to.map_or(0, number_of),
+            max_clock_skew: self.settings.quorum.max_clock_skew,
+            max_wait_ms: wait_s * 1000.0,
+        };
+        let mut lease = RestartLease::new(request, self.now_ms(), rand::rng().random());
         loop {
-            let (outgoing, _) = turn.poll(self.now_ms());
-            match turn.end() {
-                Some(TurnEnd::Granted { until }) => {
-                    let remaining_s = ((until - self.now_ms()) / 1000.0).max(0.0);
-                    println!("{:016x} {remaining_s:.1}", turn.grant());
+            let outgoing = lease.poll(self.now_ms());
+            match lease.outcome() {
+                Some(LeaseOutcome::Granted { until_ms }) => {
+                    let remaining_s = ((until_ms - self.now_ms()) / 1000.0).max(0.0);
+                    println!("{:016x} {remaining_s:.1}", lease.grant_id());
                     return Ok(ExitCode::SUCCESS);
                 }
-                Some(TurnEnd::Halted(answer)) => {
+                Some(LeaseOutcome::Refused(answer)) => {
                     eprintln!("tansymux: {}", answer_text(&answer));
                     return Ok(ExitCode::from(EXIT_HALTED));
                 }
-                Some(TurnEnd::GivenUp(answer)) => {
+                Some(LeaseOutcome::TimedOut(answer)) => {
                     eprintln!("tansymux: no turn in time: {}", answer_text(&answer));
                     return Ok(ExitCode::from(EXIT_TIMED_OUT));
                 }
                 None => {}
             }
-            self.exchange(outgoing, |datagram| turn.handle(self.now_ms(), datagram))?;
+            self.exchange(outgoing, |datagram| lease.handle(datagram, self.now_ms()))?;
         }
     }
 }
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -19,10 +19,10 @@
 use std::time::Duration;
 use tansymux::events::Outcome;
 use tansymux::settings::SettingsMap;
-use tansymux_coordination::Stand;
+use tansymux_coordination::Role;
 use tansymux_operator_config::{number_of, schema};
-use tansymux_rollout::evidence::{Evidence as EngineEvidence, Terms as EjectionSettings};
-use tansymux_rollout::{Fleet, Own};
+use tansymux_rollout::engine_outcomes::{EngineOutcomes, FailureThreshold};
+use tansymux_rollout::{FleetAction, FleetEvent, FleetNode, MemberStatus};
 use tansymux_zone_evacuation::{Evidence as ZoneEvidence, ZoneUse};
 
 /// How often (ms) this dispatcher's report is put together.
@@ -69,15 +69,15 @@
 
 /// This dispatcher as a member of a fleet.
 pub struct FleetService {
-    member: RefCell<Fleet>,
+    member: RefCell<FleetNode>,
     socket: Async<UdpSocket>,
     clock: Clock,
     /// Wakes the task on the socket.
     notify: Rc<Notify>,
     registry: Rc<QueryRegistry>,
-    evidence: RefCell<EngineEvidence>,
+    evidence: RefCell<EngineOutcomes>,
     /// When an engine counts as bad; none where engines are not ejected.
-    ejection: Cell<Option<EjectionSettings>>,
+    ejection: Cell<Option<FailureThreshold>>,
     zone: u32,
     version: Cell<u32>,
     engines: RefCell<EngineWatch>,
@@ -113,7 +113,7 @@
         let now_ms = clock.now();
         let seed = incarnation_seed(seed, now_ms);
         let service = Rc::new(FleetService {
-            member: RefCell::new(Fleet::new(&member_settings, now_ms, seed)),
+            member: RefCell::new(FleetNode::new(&member_settings, now_ms, seed)),
             socket,
             clock,
             notify: Rc::default(),
@@ -152,7 +152,7 @@
         let zones = settings.zones.map(|(_, zones)| zones);
         self.member
             .borrow_mut()
-            .set(settings.told, settings.keys, zones);
+            .set_config(settings.rollout, settings.keys, zones);
     }
 
     /// Receives and sends datagrams until it is dropped.
@@ -197,27 +197,29 @@
     fn receive(&self, from: SocketAddr, datagram: &[u8]) {
         self.datagrams_received
             .set(self.datagrams_received.get() + 1);
-        self.member
-            .borrow_mut()
-            .handle(self.clock.now(), from, datagram);
+        self.member.borrow_mut().handle(
+            FleetEvent::DatagramReceived { from, datagram },
+            self.clock.now(),
+        );
     }
 
     /// Sends what is due. Gives the time (ms) at which something will be due next.
     fn send_due(&self) -> f64 {
-        let (datagrams, next_ms) = self.member.borrow_mut().poll(self.clock.now());
-        for (to, datagram) in datagrams {
+        let mut member = self.member.borrow_mut();
+        let now_ms = self.clock.now();
+        while let Some(FleetAction::Send { to, datagram }) = member.poll(now_ms) {
             match self.socket.get_ref().send_to(&datagram, to) {
                 Ok(_) => self.datagrams_sent.set(self.datagrams_sent.get() + 1),
                 // Counts as lost on its way: the protocol sends again what matters.
                 Err(error) => tracing::debug!(%to, %error, "fleet datagram not sent"),
             }
         }
-        next_ms
+        member.next_poll_ms()
     }
 
     /// What this dispatcher observed of zones, for the fleet. `isolated`: it is cut off itself.
     pub fn report_zones(&self, evidence: Vec<ZoneEvidence>, isolated: bool) {
-        self.member.borrow_mut().sees(evidence, isolated);
+        self.member.borrow_mut().observe_zones(evidence, isolated);
     }
 
     /// How a zone may be used, as the fleet agreed.
@@ -227,12 +229,14 @@
 
     /// Whether the fleet evacuates zones and returns to them as a whole.
     pub fn coordinates_zones(&self) -> bool {
-        self.member.borrow().zoned().is_some()
+        self.member.borrow().zones().is_some()
     }
 
     /// Leaves the fleet: tells the other members at once.
     pub fn leave(&self) {
-        self.member.borrow_mut().leave(self.clock.now());
+        self.member
+            .borrow_mut()
+            .handle(FleetEvent::LeaveRequested, self.clock.now());
         self.send_due();
     }
 
@@ -248,7 +252,7 @@
         };
         self.evidence
             .borrow_mut()
-            .ended(now_ms, engine_id, is_failure);
+            .record(engine_id, is_failure, now_ms);
     }
 
     /// Merges entries of an endpoint list, and marks those that the fleet has drained as draining, whatever the list
@@ -267,8 +271,8 @@
         self.last_report_ms.set(now_ms);
         let report = self.own_report(now_ms, load);
         let mut member = self.member.borrow_mut();
-        member.says(report);
-        let is_leader = matches!(member.stand(), Some(Stand::Leads(_)));
+        member.set_status(report);
+        let is_leader = matches!(member.role(), Some(Role::Leader(_)));
         if self.was_leader.replace(Some(is_leader)) != Some(is_leader) {
             tracing::info!(is_leader, "leadership changed");
         }
@@ -276,22 +280,23 @@
     }
 
     /// What this dispatcher reports of itself. Counts go as they are, modulo 2^32: the leader takes differences.
-    fn own_report(&self, now_ms: f64, load: LoadReport) -> Own {
+    fn own_report(&self, now_ms: f64, load: LoadReport) -> MemberStatus {
         let counters = &self.registry.counters;
         let good = counters.completed.get() as u32;
         let not_good = counters.failed.get() + counters.rejected.get();
-        let bad = self
-            .ejection
-            .get()
-            .and_then(|settings| self.evidence.borrow_mut().bad(now_ms, &settings));
-        Own {
+        let bad = self.ejection.get().and_then(|threshold| {
+            self.evidence
+                .borrow_mut()
+                .failing_engine(&threshold, now_ms)
+        });
+        MemberStatus {
             zone: self.zone,
             version: self.version.get(),
-            busy: load.descriptors_used,
+            utilization: load.descriptors_used,
             threads: load.threads_in_flight,
-            good,
-            all: good.wrapping_add(not_good as u32),
-            bad,
+            succeeded: good,
+            total: good.wrapping_add(not_good as u32),
+            failing_engine: bad,
         }
     }
 
@@ -299,19 +304,22 @@
     pub fn write_counters(&self, text: &mut String) {
         let member = self.member.borrow();
         let agent = member.agent();
-        let leads = matches!(member.stand(), Some(Stand::Leads(_)));
-        let recalls = matches!(member.stand(), Some(Stand::Recalls { .. }));
+        let leads = matches!(member.role(), Some(Role::Leader(_)));
+        let recalls = matches!(member.role(), Some(Role::Quarantined { .. }));
         let leader_known = agent.leader(self.clock.now()).is_some();
         let zones_out = member
-            .zoned()
-            .map_or(0, |zones| zones.guide.statuses().count());
+            .zones()
+            .map_or(0, |zones| zones.follower.statuses().count());
         for (name, value) in [
-            ("fleet_members", member.group().present_count() as u64),
+            ("fleet_members", member.detector().present_count() as u64),
             ("fleet_leads", u64::from(leads)),
             ("fleet_recalls", u64::from(recalls)),
             ("fleet_leader_known", u64::from(leader_known)),
             ("fleet_halted", u64::from(agent.halt().is_some())),
-            ("fleet_engines_out", member.engines_out() as u64),
+            (
+                "fleet_engines_out",
+                member.unavailable_engine_count() as u64,
+            ),
             ("fleet_zones_out", zones_out as u64),
             ("fleet_datagrams_sent", self.datagrams_sent.get()),
             ("fleet_datagrams_heard", self.datagrams_received.get()),
@@ -343,11 +351,11 @@
     Async::<UdpSocket>::bind(address).map_err(|source| FleetStartError::Bind { address, source })
 }
 
-fn ejection_settings(definition: &schema::Fleet) -> Option<EjectionSettings> {
+fn ejection_settings(definition: &schema::Fleet) -> Option<FailureThreshold> {
     let ejection = definition.ejection.as_ref()?;
-    Some(EjectionSettings {
-        ends: ejection.ends(),
-        part: ejection.part(),
+    Some(FailureThreshold {
+        min_attempts: ejection.ends(),
+        failure_fraction: ejection.part(),
     })
 }
 
--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -3,9 +3,9 @@
 use crate::query_registry::EndpointEntry;
 use tansymux::events::EndpointState;
 use tansymux::settings::{RawSettings, SettingsMap};
-use tansymux_coordination::limits::Unit;
+use tansymux_coordination::disruption_budget::Unit;
 use tansymux_operator_config::number_of;
-use tansymux_rollout::Fleet;
+use tansymux_rollout::FleetNode;
 
 /// Follows the endpoint list and the engines that are out by the fleet's agreement.
 pub struct EngineWatch {
@@ -27,11 +27,11 @@
     }
 
     /// Merges entries of an endpoint list, hands the fleet the whole, and marks entries that the fleet has drained.
-    pub fn merge(&mut self, entries: &mut [EndpointEntry], member: &mut Fleet) {
+    pub fn merge(&mut self, entries: &mut [EndpointEntry], member: &mut FleetNode) {
         for entry in entries.iter() {
             self.endpoints
                 .retain(|known| known.engine_id != entry.engine_id);
-            if entry.status != EndpointState::Gone {
+            if entry.state != EndpointState::Gone {
                 self.endpoints.push(entry.clone());
             }
         }
@@ -41,11 +41,11 @@
             .iter()
             .map(|endpoint| self.unit(endpoint))
             .collect();
-        member.engines(&units);
+        member.set_engines(&units);
         for entry in entries {
-            let is_drained = member.engine_out(entry.engine_id).is_some();
-            if entry.status == EndpointState::Ready && is_drained {
-                entry.status = EndpointState::Draining;
+            let is_drained = member.engine_disruption(entry.engine_id).is_some();
+            if entry.state == EndpointState::Ready && is_drained {
+                entry.state = EndpointState::Draining;
             }
         }
     }
@@ -59,18 +59,18 @@
             id: endpoint.engine_id,
             zone: number_of(&endpoint.zone),
             version: 0,
-            there: endpoint.status == EndpointState::Ready,
+            available: endpoint.state == EndpointState::Ready,
             capacity: cores.unwrap_or(1.0),
         }
     }
 
     /// Entries of the engines that were drained or released since the last call.
-    pub fn changes(&mut self, now_ms: f64, member: &Fleet) -> Vec<EndpointEntry> {
+    pub fn changes(&mut self, now_ms: f64, member: &FleetNode) -> Vec<EndpointEntry> {
         let mut drained = Vec::new();
         let mut changes = Vec::new();
         for endpoint in &self.endpoints {
             let engine_id = endpoint.engine_id;
-            let is_drained = member.engine_out(engine_id).is_some();
+            let is_drained = member.engine_disruption(engine_id).is_some();
             let was_drained = self.drained.contains(&engine_id);
             if is_drained {
                 drained.push(engine_id);
@@ -83,7 +83,7 @@
                 tracing::info!(engine_id = %format_args!("{engine_id:08x}"), "engine released by the fleet");
                 // As one that has just started, so that all dispatchers return to it in the same way.
                 changes.push(EndpointEntry {
-                    started: Some(now_ms),
+                    started_ms: Some(now_ms),
                     ..endpoint.clone()
                 });
             }
--- a/crates/testbed/src/fleet/virtual_fleet/member.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/member.rs
@@ -5,9 +5,9 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
-use tansymux_coordination::limits::Unit;
-use tansymux_coordination::Stand;
-use tansymux_rollout::{Fleet, Own};
+use tansymux_coordination::disruption_budget::Unit;
+use tansymux_coordination::Role;
+use tansymux_rollout::{FleetAction, FleetEvent, FleetNode, MemberStatus};
 
 /// Engine ids start here, so that they differ from any other number.
 pub(super) const FIRST_ENGINE_ID: u64 = 1000;
@@ -17,7 +17,7 @@
 /// A dispatcher's process, as it truly is.
 pub(super) struct Member {
     /// The fleet object of the process; none while it is down.
-    pub fleet: Option<Fleet>,
+    pub fleet: Option<FleetNode>,
     /// Speed of the host's clock against the true one.
     clock_rate: f64,
     /// What the process's clock read at true time 0.
@@ -64,10 +64,10 @@
         let Some(fleet) = &self.fleet else {
             return false;
         };
-        matches!(fleet.stand(), Some(Stand::Leads(_)))
+        matches!(fleet.role(), Some(Role::Leader(_)))
             && fleet
-                .council()
-                .and_then(|council| council.leads_since())
+                .quorum()
+                .and_then(|quorum| quorum.leader_since_ms())
                 .is_some()
     }
 
@@ -92,6 +92,15 @@
     }
 }
 
+/// Everything that a member sends at a time of its process's clock.
+pub(super) fn due_datagrams(fleet: &mut FleetNode, process_ms: f64) -> Vec<(SocketAddr, Vec<u8>)> {
+    let mut datagrams = Vec::new();
+    while let Some(FleetAction::Send { to, datagram }) = fleet.poll(process_ms) {
+        datagrams.push((to, datagram));
+    }
+    datagrams
+}
+
 impl VirtualFleet {
     pub(super) fn start_member(&mut self, n: usize) {
         let settings = self.member_settings(n);
@@ -99,8 +108,8 @@
         // A new process reads another clock and does not know what the one before read.
         self.members[n].process_offset_ms += self.rng.random_range(-1e6..1e6);
         let process_ms = self.members[n].process_clock_ms(self.now_ms);
-        let mut fleet = Fleet::new(&settings, process_ms, seed);
-        fleet.engines(&self.engine_units());
+        let mut fleet = FleetNode::new(&settings, process_ms, seed);
+        fleet.set_engines(&self.engine_units());
         let member = &mut self.members[n];
         member.fleet = Some(fleet);
         member.restart_at_ms = None;
@@ -118,7 +127,7 @@
                 id: FIRST_ENGINE_ID + engine as u64,
                 zone: (engine % 2) as u32,
                 version: 0,
-                there: true,
+                available: true,
                 capacity: 8.0,
             })
             .collect()
@@ -142,7 +151,11 @@
             return;
         };
         for (from, bytes) in std::mem::take(&mut member.queued_datagrams) {
-            fleet.handle(process_ms, from, &bytes);
+            let event = FleetEvent::DatagramReceived {
+                from,
+                datagram: &bytes,
+            };
+            fleet.handle(event, process_ms);
         }
         self.serve_requests(n);
         let zone = (n % self.scenario.zones) as u32 + 1;
@@ -150,14 +163,15 @@
         let Some(fleet) = &mut member.fleet else {
             return;
         };
-        fleet.says(Own {
+        fleet.set_status(MemberStatus {
             zone,
             version: member.version,
-            good: member.requests_ok,
-            all: member.requests,
-            ..Own::default()
+            succeeded: member.requests_ok,
+            total: member.requests,
+            ..MemberStatus::default()
         });
-        let (datagrams, next_ms) = fleet.poll(process_ms);
+        let datagrams = due_datagrams(fleet, process_ms);
+        let next_ms = fleet.next_poll_ms();
         member.next_poll_ms = member
             .true_ms(next_ms)
             .clamp(now_ms, now_ms + MAX_POLL_INTERVAL_MS);
--- a/crates/testbed/src/fleet/virtual_fleet/settings.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/settings.rs
@@ -3,10 +3,10 @@
 use super::VirtualFleet;
 use crate::fleet::scenario::Scenario;
 use std::net::{IpAddr, SocketAddr};
-use tansymux_coordination::limits::{Bounds, Limit};
-use tansymux_coordination::Terms;
+use tansymux_coordination::disruption_budget::{DisruptionBudget, Limit};
+use tansymux_coordination::QuorumConfig;
 use tansymux_membership::Keys;
-use tansymux_rollout::{Plan, Settings, Told};
+use tansymux_rollout::{FleetConfig, RolloutConfig, RolloutPlan};
 
 /// Hosts in one subnet of the virtual fleet's addresses.
 const HOSTS_PER_SUBNET: usize = 250;
@@ -62,52 +62,52 @@
 /// A disruption limit of so many at a time.
 pub(super) fn limit_of(max: usize) -> Limit {
     Limit {
-        number: Some(max as u32),
-        part: None,
+        max_count: Some(max as u32),
+        max_fraction: None,
     }
 }
 
 /// What the operators' file would define for a scenario.
-pub fn fleet_definition(scenario: &Scenario) -> Told {
-    let bounds = |max: usize| Bounds {
+pub fn fleet_definition(scenario: &Scenario) -> RolloutConfig {
+    let bounds = |max: usize| DisruptionBudget {
         fleet: limit_of(max),
-        carry: 10.0,
-        ..Bounds::default()
+        max_utilization: 10.0,
+        ..DisruptionBudget::default()
     };
-    let plan = Plan {
-        canaries: 1,
-        canary: 4000.0,
-        goes_on_untold: true,
-        pause: 500.0,
-        lost: scenario.members,
-        ..Plan::default()
+    let plan = RolloutPlan {
+        canary_count: 1,
+        canary_observation_ms: 4000.0,
+        continue_if_inconclusive: true,
+        zone_pause_ms: 500.0,
+        max_lost_members: scenario.members,
+        ..RolloutPlan::default()
     };
-    Told {
+    RolloutConfig {
         dispatchers: bounds(scenario.most),
         engines: bounds(scenario.max_engines),
         plan,
-        turn: scenario.turn,
-        left: 30_000.0,
-        ..Told::default()
+        lease_term_ms: scenario.turn,
+        left_retention_ms: 30_000.0,
+        ..RolloutConfig::default()
     }
 }
 
 /// Lease and clock bounds that a scenario's voters work with.
-pub fn coordination_settings(scenario: &Scenario) -> Terms {
-    Terms {
-        lead: 2000.0,
-        permit: scenario.turn,
-        skew: 0.02,
-        again: 250.0,
-        late: scenario.late,
+pub fn coordination_settings(scenario: &Scenario) -> QuorumConfig {
+    QuorumConfig {
+        leader_lease_ms: 2000.0,
+        max_grant_ms: scenario.turn,
+        max_clock_skew: 0.02,
+        retransmit_ms: 250.0,
+        max_datagram_delay_ms: scenario.late,
     }
 }
 
 impl VirtualFleet {
     /// The settings that member `n` is started with.
-    pub(super) fn member_settings(&self, n: usize) -> Settings {
+    pub(super) fn member_settings(&self, n: usize) -> FleetConfig {
         let seed_count = self.scenario.members.min(MAX_JOIN_SEEDS);
-        Settings {
+        FleetConfig {
             name: format!("n{n}"),
             address: member_address(n),
             voters: (0..self.scenario.voters).map(|n| format!("n{n}")).collect(),
@@ -115,11 +115,11 @@
                 seeds: (0..seed_count).map(member_address).collect(),
                 ..tansymux_membership::Config::default()
             },
-            terms: coordination_settings(&self.scenario),
+            quorum: coordination_settings(&self.scenario),
             keys: keys(),
             fresh: false,
-            turn: self.members[n].lease_at_start,
-            told: self.definition.clone(),
+            grant_id: self.members[n].lease_at_start,
+            rollout: self.definition.clone(),
             zones: None,
         }
     }
--- a/crates/testbed/src/fleet/virtual_fleet/supervisor.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/supervisor.rs
@@ -1,10 +1,11 @@
 //! Supervisors: each restarts its dispatcher on the wanted version, under a restart lease of the fleet.
 
+use super::member::due_datagrams;
 use super::settings::{keys, member_address, supervisor_address};
 use super::VirtualFleet;
 use rand::RngExt;
 use tansymux_membership::member_id_of;
-use tansymux_rollout::{Turn, TurnEnd};
+use tansymux_rollout::{ClientAction, FleetEvent, LeaseOutcome, LeaseRequest, RestartLease};
 
 /// How far a supervisor's clock may be off, as a fraction.
 const MAX_CLOCK_SKEW: f64 = 0.02;
@@ -18,7 +19,7 @@
     /// Waits until a time, and then for its dispatcher to be on another version than the wanted one.
     Idle { until_ms: f64 },
     AwaitingLease {
-        lease: Box<Turn>,
+        lease: Box<RestartLease>,
         since_ms: f64,
         version: u32,
     },
@@ -85,15 +86,15 @@
             };
             return;
         }
-        let lease = Turn::new(
-            keys(),
-            member_id_of(&format!("n{n}")),
-            version,
-            MAX_CLOCK_SKEW,
-            self.members[n].host_clock_ms(self.now_ms),
-            LEASE_PATIENCE_MS,
-            self.rng.random(),
-        );
+        let request = LeaseRequest {
+            keys: keys(),
+            dispatcher: member_id_of(&format!("n{n}")),
+            to: version,
+            max_clock_skew: MAX_CLOCK_SKEW,
+            max_wait_ms: LEASE_PATIENCE_MS,
+        };
+        let host_ms = self.members[n].host_clock_ms(self.now_ms);
+        let lease = RestartLease::new(request, host_ms, self.rng.random());
         self.supervisors[n] = Supervisor::AwaitingLease {
             lease: Box::new(lease),
             since_ms: self.now_ms,
@@ -113,25 +114,25 @@
         };
         let since_ms = *since_ms;
         let version = *version;
-        let (datagrams, _) = lease.poll(host_ms);
-        let end = lease.end();
-        let lease = lease.grant();
-        for bytes in datagrams {
-            self.send_datagram(n, supervisor_address(n), member_address(n), bytes);
+        let action = lease.poll(host_ms);
+        let outcome = lease.outcome();
+        let lease = lease.grant_id();
+        if let Some(ClientAction::Send { datagram }) = action {
+            self.send_datagram(n, supervisor_address(n), member_address(n), datagram);
         }
-        match end {
-            Some(TurnEnd::Granted { until }) => {
+        match outcome {
+            Some(LeaseOutcome::Granted { until_ms }) => {
                 self.report.lease_waits_ms.push(self.now_ms - since_ms);
                 self.check_grant();
-                let wait_ms = self.draw_restart_delay_ms(n, until - host_ms);
+                let wait_ms = self.draw_restart_delay_ms(n, until_ms - host_ms);
                 self.supervisors[n] = Supervisor::HoldsLease {
                     restart_ms: self.now_ms + wait_ms,
                     version,
                     lease,
                 };
             }
-            Some(end) => {
-                self.abandoned_waits += usize::from(matches!(end, TurnEnd::GivenUp(_)));
+            Some(outcome) => {
+                self.abandoned_waits += usize::from(matches!(outcome, LeaseOutcome::TimedOut(_)));
                 let rest_ms = self.rng.random_range(500.0..2500.0);
                 self.supervisors[n] = Supervisor::Idle {
                     until_ms: self.now_ms + rest_ms,
@@ -174,8 +175,8 @@
         let process_ms = self.members[n].process_clock_ms(self.now_ms);
         let orderly = self.rng.random_bool(0.8);
         if let Some(fleet) = self.members[n].fleet.as_mut().filter(|_| orderly) {
-            fleet.leave(process_ms);
-            let (datagrams, _) = fleet.poll(process_ms);
+            fleet.handle(FleetEvent::LeaveRequested, process_ms);
+            let datagrams = due_datagrams(fleet, process_ms);
             for (to, bytes) in datagrams {
                 self.send_datagram(n, member_address(n), to, bytes);
             }
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Fleets in virtual time: the hard cases of turns, drains and releases. Clocks run up to 1% apart in all of them, and
 //! another one is read after each restart.
 
-use tansymux_coordination::limits::Halt;
-use tansymux_coordination::Stage;
+use tansymux_coordination::disruption_budget::HaltReason;
+use tansymux_coordination::ReleaseStage;
 use tansymux_rollout::message::Answer;
 use tansymux_testbed::fleet::scenario::{Event, Fault, LinkConditions, Scenario, NAMES};
 use tansymux_testbed::fleet::virtual_fleet::{fleet_definition, VersionQuality, VirtualFleet};
@@ -69,7 +69,7 @@
     let running = fleet
         .answers
         .iter()
-        .filter(|a| matches!(a, Answer::Running { .. }))
+        .filter(|a| matches!(a, Answer::ReleaseInProgress { .. }))
         .count();
     let done = fleet
         .answers
@@ -98,7 +98,7 @@
     scenario.done_within = 0.0;
     scenario.lasts = 60_000.0;
     let mut definition = fleet_definition(&scenario);
-    definition.plan.lost = 1;
+    definition.plan.max_lost_members = 1;
     let mut fleet = VirtualFleet::new(scenario, definition, VersionQuality::default());
     fleet.operators_resume = false;
     fleet.run_until(|_| false);
@@ -108,7 +108,10 @@
         fleet.answers
     );
     assert!(
-        matches!(fleet.halt_reason(), Some(Halt::Lost | Halt::UsedUp)),
+        matches!(
+            fleet.halt_reason(),
+            Some(HaltReason::MembersLost | HaltReason::BudgetExhausted)
+        ),
         "{}",
         fleet.diagnostics()
     );
@@ -143,8 +146,8 @@
     scenario.done_within = 0.0;
     scenario.lasts = 120_000.0;
     let mut definition = fleet_definition(&scenario);
-    definition.plan.goes_on_untold = goes_on_untold;
-    definition.plan.canary = 14_000.0;
+    definition.plan.continue_if_inconclusive = goes_on_untold;
+    definition.plan.canary_observation_ms = 14_000.0;
     let quality = VersionQuality {
         old_success: 0.98,
         new_success,
@@ -163,7 +166,7 @@
         fleet.run_until(|fleet| fleet.halt_reason().is_some());
         assert_eq!(
             fleet.halt_reason(),
-            Some(Halt::Worse),
+            Some(HaltReason::CanaryWorse),
             "{}",
             fleet.report.line()
         );
@@ -173,7 +176,7 @@
             fleet.report.line()
         );
         assert!(fleet.roll_back(60_000.0), "{}", fleet.diagnostics());
-        assert_eq!(fleet.stage(), Some(Stage::Undone));
+        assert_eq!(fleet.stage(), Some(ReleaseStage::RolledBack));
         assert!(fleet.report.violations.is_empty());
     }
 }
@@ -186,11 +189,11 @@
         fleet.run_until(|fleet| fleet.halt_reason().is_some());
         assert_eq!(
             fleet.halt_reason(),
-            Some(Halt::Worse),
+            Some(HaltReason::CanaryWorse),
             "{}",
             fleet.report.line()
         );
-        assert_eq!(fleet.stage(), Some(Stage::Waves));
+        assert_eq!(fleet.stage(), Some(ReleaseStage::Waves));
     }
 }
 
@@ -210,13 +213,13 @@
     fleet.run_until(|fleet| fleet.halt_reason().is_some());
     assert_eq!(
         (fleet.halt_reason(), fleet.stage()),
-        (Some(Halt::CantTell), Some(Stage::Canaries))
+        (Some(HaltReason::Inconclusive), Some(ReleaseStage::Canaries))
     );
     let mut fleet = degraded(1, 0.0, 0.5, 0.0, true);
-    fleet.run_until(|fleet| fleet.stage() == Some(Stage::Waves));
+    fleet.run_until(|fleet| fleet.stage() == Some(ReleaseStage::Waves));
     assert_eq!(
         (fleet.halt_reason(), fleet.stage()),
-        (None, Some(Stage::Waves))
+        (None, Some(ReleaseStage::Waves))
     );
 }
 
