--- a/crates/testbed/src/fleet/processes/member.rs
+++ b/crates/testbed/src/fleet/processes/member.rs
@@ -156,7 +156,8 @@
             .program
             .as_mut()
             .and_then(|program| program.child.try_wait().ok().flatten());
-        if !status.is_some_and(|status| status.code().is_some_and(|code| code != 0)) {
+        let failed = status.is_some_and(|status| status.code().is_some_and(|code| code != 0));
+        if !failed {
             return;
         }
         let log = std::fs::read_to_string(&self.log_files[n].0).unwrap_or_default();
