Adapter: wire words as enums, typed errors with line numbers, one file a step

Need: wire.rs did everything in two functions of 95 and 154 lines, errors were text, tests stood inside. Change: batch (lines by instance, censuses), decode (one function an event), fields, vocabulary (words as enums), error (LineError, InputError with thiserror), host (instances, rounds), reply; tests in test files. Bytes on the wire and error texts stay.

Tests renamed: each_instance_answers_for_itself_and_knows_only_its_own_list -> .._its_own_endpoint_list a_census_number_is_reused_within_a_batch -> census_slot_can_be_reused_within_a_batch a_stop_and_a_start_in_one_batch_forget_all_that_went_before -> stop_and_start_in_one_batch_forget_all_events_before a_line_that_is_wrong_is_named -> malformed_line_is_named_with_its_cause events_of_queries_that_are_over_or_unknown_do_no_harm -> events_of_unknown_queries_are_ignored no_time_out_later_and_no_timer_earlier_than_meant -> deadlines_are_rounded_down_and_timers_up

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,7 +1,16 @@
-//! Speaks the simulator's wire on standard input and output. Parses and prints; decides nothing.
+//! Speaks the simulator's wire on standard input and output, for the decisions of `tansymux`.
+//!
+//! It parses and prints, and decides nothing. Start reading at [`host`], which plays a batch; [`batch`] sorts its lines,
+//! [`decode`] turns them into events, [`reply`] prints what was decided. A line that cannot be used ends the program with
+//! a message on standard error.
 
+mod batch;
+mod decode;
+mod error;
+mod fields;
+mod host;
 mod reply;
-mod wire;
+mod vocabulary;
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -9,7 +18,7 @@
 fn main() -> ExitCode {
     let mut input = io::BufReader::with_capacity(1 << 20, io::stdin().lock());
     let mut output = io::stdout().lock();
-    let mut host = wire::Host::default();
+    let mut host = host::Host::default();
     let mut batch = Vec::new();
     let mut answer = Vec::new();
     let mut line_number = 0;
@@ -20,11 +29,11 @@
         match read_batch(&mut input, &mut batch, &mut line_number) {
             Ok(true) => {}
             Ok(false) => return ExitCode::SUCCESS,
-            Err(e) => return fail(line_number, &e.to_string()),
+            Err(error) => return fail(line_number, &error),
         }
         answer.clear();
-        if let Err(wrong) = host.answer(&batch, &mut answer) {
-            return fail(first_line + wrong.line, &wrong.what);
+        if let Err(error) = host.answer(&batch, &mut answer) {
+            return fail(first_line + error.line, &error);
         }
         if output
             .write_all(&answer)
@@ -36,8 +45,9 @@
     }
 }
 
-fn fail(line: usize, what: &str) -> ExitCode {
-    eprintln!("tansymux-adapter: line {line}: {what}");
+/// Names a line of the input, counted from 1, and what is wrong with it.
+fn fail(line: usize, error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("tansymux-adapter: line {line}: {error}");
     ExitCode::FAILURE
 }
 
--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -1,12 +1,15 @@
-//! Prints decisions as the wire's actions. Rounds times so that none comes later than it was meant,
-//! and no timer earlier.
+//! Prints decisions as the wire's actions. Times are rounded so that no deadline comes later than it was decided, and no
+//! timer earlier.
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use std::io::Write;
 use tansymux::events::{AttemptLimits, DecisionSink};
 
+/// The actions of one instance.
 pub struct Reply<'a> {
+    /// Where they are printed.
     pub to: &'a mut Vec<u8>,
+    /// Number of the instance.
     pub dispatcher: u64,
 }
 
@@ -17,41 +20,47 @@
     }};
 }
 
-fn up_to(ms: f64) -> u64 {
+/// A time (ms) in whole microseconds, rounded down; what is short of one by rounding of floats counts as whole.
+fn micros_down(ms: f64) -> u64 {
     (ms.max(0.0) * 1000.0 + 1e-3).floor() as u64
 }
 
-fn at_least(ms: f64) -> u64 {
+/// A time (ms) in whole microseconds, rounded up.
+fn micros_up(ms: f64) -> u64 {
     (ms.max(0.0) * 1000.0 - 1e-3).ceil() as u64
 }
 
 impl DecisionSink for Reply<'_> {
-    fn submit(&mut self, id: u64, engine_id: u64, limits: AttemptLimits) {
+    fn submit(&mut self, query_id: u64, engine_id: u64, limits: AttemptLimits) {
         action!(
             self,
-            "try {} {id} {engine_id} {}",
+            "try {} {query_id} {engine_id} {}",
             self.dispatcher,
-            up_to(limits.deadline_ms)
+            micros_down(limits.deadline_ms)
         );
     }
-    fn reject(&mut self, id: u64, retry_after_ms: f64) {
+    fn reject(&mut self, query_id: u64, retry_after_ms: f64) {
         action!(
             self,
-            "not_now {} {id} {}",
+            "not_now {} {query_id} {}",
             self.dispatcher,
-            up_to(retry_after_ms)
+            micros_down(retry_after_ms)
         );
     }
-    fn fail(&mut self, id: u64) {
-        action!(self, "error {} {id}", self.dispatcher);
+    fn fail(&mut self, query_id: u64) {
+        action!(self, "error {} {query_id}", self.dispatcher);
     }
-    fn cancel(&mut self, id: u64, attempt: usize) {
-        action!(self, "abort_attempt {} {id} {attempt}", self.dispatcher);
+    fn cancel(&mut self, query_id: u64, attempt: usize) {
+        action!(
+            self,
+            "abort_attempt {} {query_id} {attempt}",
+            self.dispatcher
+        );
     }
-    fn grant(&mut self, id: u64, priority: u8, memory: f64) {
+    fn grant(&mut self, query_id: u64, priority: u8, memory_mb: f64) {
         action!(
             self,
-            "allot {} {id} {priority} {memory:.3}",
+            "allot {} {query_id} {priority} {memory_mb:.3}",
             self.dispatcher
         );
     }
@@ -65,12 +74,12 @@
             None => action!(self, "share {} all {content}", self.dispatcher),
         }
     }
-    fn set_timer(&mut self, delay: f64, handle: u64) {
+    fn set_timer(&mut self, delay_ms: f64, handle: u64) {
         action!(
             self,
             "notify_me {} {} {handle}",
             self.dispatcher,
-            at_least(delay)
+            micros_up(delay_ms)
         );
     }
     fn watch_endpoints(&mut self) {
@@ -79,29 +88,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn no_time_out_later_and_no_timer_earlier_than_meant() {
-        let mut to = Vec::new();
-        let mut reply = Reply {
-            to: &mut to,
-            dispatcher: 3,
-        };
-        let until = |until| AttemptLimits {
-            deadline_ms: until,
-            start_by_ms: until,
-            side_effect_free: true,
-        };
-        reply.submit(7, 9, until(1000.0019));
-        reply.set_timer(2.0001, 1);
-        reply.submit(7, 9, until(8492.25));
-        reply.set_timer(20.0, 1);
-        let text = String::from_utf8(to).unwrap();
-        assert_eq!(
-            text,
-            "try 3 7 9 1000001\nnotify_me 3 2001 1\ntry 3 7 9 8492250\nnotify_me 3 20000 1\n"
-        );
-    }
-}
+mod tests;
