--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -1,4 +1,5 @@
-//! Several processes of the program, a relay on every link between them and to their engines, and what befalls them.
+//! Fleets of several processes of the program, with a relay on every link between them and to their engines, under
+//! faults; and the commands of `tansymux fleet`.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,20 +19,21 @@
 use tansymux_testbed::wire::write_frame;
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
-/// Each of these runs has several processes; not all of them at once, or a busy machine looks like a failing fleet.
-static TURN: Mutex<usize> = Mutex::new(0);
-static NEXT: AtomicU64 = AtomicU64::new(1);
-const MAX_AT_ONCE: usize = 4;
+/// How many scenarios run now. Each has several processes: too many at once, and a busy machine looks like a failing
+/// fleet.
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static NEXT_QUERY_ID: AtomicU64 = AtomicU64::new(1);
+const MAX_RUNNING: usize = 4;
 
 struct Slot;
 
 impl Slot {
     fn take() -> Self {
         loop {
-            if let Some(taken) = TURN
+            if let Some(taken) = RUNNING
                 .lock()
                 .ok()
-                .and_then(|mut n| (*n < MAX_AT_ONCE).then(|| *n += 1))
+                .and_then(|mut n| (*n < MAX_RUNNING).then(|| *n += 1))
             {
                 let () = taken;
                 return Slot;
@@ -43,73 +45,74 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if let Ok(mut n) = TURN.lock() {
+        if let Ok(mut n) = RUNNING.lock() {
             *n -= 1;
         }
     }
 }
 
-/// Plays a hard case: never more out than the limit, no query lost, and all released in the stated time after it.
-fn holds(name: &str) {
+/// Plays a scenario: never more members or engines out than the limit, no query lost, and the release completes in the
+/// stated time.
+fn assert_scenario_passes(name: &str) {
     let _slot = Slot::take();
     let scenario = Scenario::named(name, 1)
         .expect("a case by this name")
         .on_processes();
-    let seen = play(Path::new(EXE), scenario, false, None);
+    let result = play(Path::new(EXE), scenario, false, None);
     assert!(
-        seen.violations.is_empty(),
+        result.violations.is_empty(),
         "{}\n  again: tansymux-testbed fleet --name {name} --first 1",
-        seen.line()
+        result.line()
     );
-    println!("{}", seen.line());
+    println!("{}", result.line());
 }
 
 #[test]
-fn two_halves_of_a_partition_that_both_want_to_drain_drain_no_more_than_the_limit() {
-    holds("two-halves");
+fn both_sides_of_a_partition_together_drain_no_more_than_the_limit() {
+    assert_scenario_passes("two-halves");
 }
 
 #[test]
-fn a_leader_that_is_heard_and_hears_nothing_or_the_reverse_gives_way() {
-    holds("leader-one-way");
+fn leader_with_a_one_way_link_gives_way() {
+    assert_scenario_passes("leader-one-way");
 }
 
 #[test]
-fn a_leader_stopped_for_longer_than_its_term_wakes_with_nothing_to_give() {
-    holds("leader-stops");
+fn leader_paused_beyond_its_lease_grants_nothing_when_it_resumes() {
+    assert_scenario_passes("leader-stops");
 }
 
 #[test]
-fn a_voter_that_comes_back_knowing_nothing_keeps_still_and_then_votes_again() {
-    holds("voter-forgets");
+fn voter_that_lost_its_state_stays_silent_and_then_votes_again() {
+    assert_scenario_passes("voter-forgets");
 }
 
 #[test]
-fn with_all_voters_of_a_zone_lost_nothing_goes_out_until_they_are_back() {
-    holds("hall-of-voters-lost");
+fn nothing_goes_out_while_all_voters_of_a_zone_are_lost() {
+    assert_scenario_passes("hall-of-voters-lost");
 }
 
 #[test]
-fn a_holder_that_crashes_while_it_is_out_counts_until_it_is_back() {
-    holds("holder-crashes");
+fn lease_holder_that_crashes_counts_as_out_until_it_is_back() {
+    assert_scenario_passes("holder-crashes");
 }
 
 #[test]
-fn dispatchers_killed_in_their_wave_come_back_and_the_release_ends() {
-    holds("killed-in-its-wave");
+fn release_completes_after_dispatchers_are_killed_in_their_wave() {
+    assert_scenario_passes("killed-in-its-wave");
 }
 
 #[test]
-fn seven_in_ten_killed_at_once_halt_the_release_and_it_ends_after_that() {
-    holds("seven-in-ten");
+fn release_halts_when_seven_in_ten_are_killed_and_completes_after_that() {
+    assert_scenario_passes("seven-in-ten");
 }
 
 #[test]
-fn a_halt_that_races_turns_stops_them_until_it_is_resumed() {
-    holds("halt-races");
+fn halt_that_races_restart_turns_stops_them_until_resume() {
+    assert_scenario_passes("halt-races");
 }
 
-// ---- The command line, and engines that are out ----
+// ---- The command line, and drained engines ----
 
 type Counts = Arc<Mutex<HashMap<usize, u64>>>;
 
@@ -125,7 +128,7 @@
     scripted(answers).0
 }
 
-struct Small {
+struct SmallFleet {
     programs: Vec<Program>,
     files: Vec<TempFile>,
     counts: Counts,
@@ -133,19 +136,19 @@
 }
 
 /// Two dispatchers, one of them the voter, with three engines.
-fn small(extra: &str) -> Small {
+fn start_small_fleet(extra: &str) -> SmallFleet {
     let counts = Counts::default();
     let engines: Vec<_> = (0..3)
         .map(|n| (format!("s-{n}"), engine(n, &counts)))
         .collect();
-    let listens: Vec<SocketAddr> = (0..2).map(|_| free_udp_address()).collect();
+    let addresses: Vec<SocketAddr> = (0..2).map(|_| free_udp_address()).collect();
     let texts: Vec<String> = (0..2)
         .map(|n| {
             format!(
                 "fleet {{ name: \"n{n}\" listen: \"{}\" seed: \"{}\" voter: \"n0\" key: \"{}\" fresh: true
                    version: \"v1\" timing {{ period_s: 0.2 timeout_s: 0.06 lead_s: 1 settle_s: 1 late_s: 0.2 }} {extra} }}",
-                listens[n],
-                listens[0],
+                addresses[n],
+                addresses[0],
                 "ab".repeat(16)
             )
         })
@@ -166,7 +169,7 @@
             )
         })
         .collect();
-    Small {
+    SmallFleet {
         programs,
         files,
         counts,
@@ -174,11 +177,11 @@
     }
 }
 
-impl Small {
-    fn calls(&self, n: usize, words: &[&str]) -> (Option<i32>, String) {
+impl SmallFleet {
+    fn run_command(&self, n: usize, arguments: &[&str]) -> (Option<i32>, String) {
         let output = Command::new(EXE)
             .arg("fleet")
-            .args(words)
+            .args(arguments)
             .arg("--operator")
             .arg(&self.files[n].0)
             .output()
@@ -190,28 +193,28 @@
         )
     }
 
-    /// Calls until it ends so.
-    fn until(&self, n: usize, words: &[&str], code: i32) -> String {
+    /// Runs a command until it ends with this exit code. Gives its output.
+    fn run_until_exit_code(&self, n: usize, arguments: &[&str], code: i32) -> String {
         let from = Instant::now();
         loop {
-            let (got, text) = self.calls(n, words);
+            let (got, text) = self.run_command(n, arguments);
             if got == Some(code) {
                 return text;
             }
             assert!(
                 from.elapsed() < 2 * TIMEOUT,
-                "{words:?} ended with {got:?}, not {code}: {text}"
+                "{arguments:?} ended with {got:?}, not {code}: {text}"
             );
             std::thread::sleep(Duration::from_millis(100));
         }
     }
 
-    /// Queries at one dispatcher; how many each engine got of them.
-    fn asked(&self, n: usize, many: u64) -> [u64; 3] {
+    /// Sends queries to one dispatcher. Gives how many each engine got of them.
+    fn send_queries(&self, n: usize, count: u64) -> [u64; 3] {
         self.counts.lock().unwrap().clear();
         let record = Record::default();
-        for _ in 0..many {
-            let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        for _ in 0..count {
+            let id = NEXT_QUERY_ID.fetch_add(1, Ordering::Relaxed);
             let mut query = ClientQuery::new(id, "/invoke/look", "look", "select 1", 2000.0);
             query.cost = Some(5.0);
             assert_eq!(
@@ -223,118 +226,128 @@
         [0, 1, 2].map(|n| counts.get(&n).copied().unwrap_or(0))
     }
 
-    fn waits_for(&self, n: usize, line: &str) {
+    fn wait_for_counter(&self, n: usize, line: &str) {
         self.programs[n].wait_for_count(line);
     }
 }
 
 #[test]
-fn an_engine_drained_by_agreement_gets_nothing_new_from_any_dispatcher_and_comes_back() {
-    let fleet = small("engines { most: 1 carry: 1 }");
-    let status = fleet.until(1, &["status"], 0);
+fn engine_drained_by_the_fleet_gets_no_new_queries_from_any_dispatcher_until_undrained() {
+    let fleet = start_small_fleet("engines { most: 1 carry: 1 }");
+    let status = fleet.run_until_exit_code(1, &["status"], 0);
     assert!(
         status.contains("engines 3 out 0") && status.contains("halted no"),
         "{status}"
     );
-    assert!(fleet.asked(0, 30)[1] > 0);
-    // Drained at one dispatcher, out for both.
-    fleet.until(1, &["drain", "s-1"], 0);
+    assert!(fleet.send_queries(0, 30)[1] > 0);
+    // Drained by a command to one dispatcher, out for both.
+    fleet.run_until_exit_code(1, &["drain", "s-1"], 0);
     for n in 0..2 {
-        fleet.waits_for(n, "fleet_engines_out 1\n");
-        // A look of the driver later.
+        fleet.wait_for_counter(n, "fleet_engines_out 1\n");
+        // The driver follows at its next tick.
         std::thread::sleep(Duration::from_millis(400));
-        let got = fleet.asked(n, 30);
+        let got = fleet.send_queries(n, 30);
         assert!(got[1] == 0 && got[0] > 0 && got[2] > 0, "{n}: {got:?}");
     }
-    let (code, text) = fleet.calls(0, &["drain", "s-2"]);
+    let (code, text) = fleet.run_command(0, &["drain", "s-2"]);
     assert!(
         code == Some(1) && text.contains("1 are out of at most 1"),
         "{code:?} {text}"
     );
-    fleet.until(0, &["undrain", "s-1"], 0);
+    fleet.run_until_exit_code(0, &["undrain", "s-1"], 0);
     for n in 0..2 {
-        fleet.waits_for(n, "fleet_engines_out 0\n");
+        fleet.wait_for_counter(n, "fleet_engines_out 0\n");
         std::thread::sleep(Duration::from_millis(400));
-        assert!(fleet.asked(n, 60)[1] > 0, "{n}");
+        assert!(fleet.send_queries(n, 60)[1] > 0, "{n}");
     }
 }
 
 #[test]
-fn a_script_learns_by_exit_codes_whether_it_has_a_turn() {
-    let fleet = small("dispatchers { most: 1 carry: 1 } turns { turn_s: 3 }");
-    fleet.until(0, &["status"], 0);
-    let granted = fleet.until(1, &["turn", "--wait-s", "5"], 0);
-    let words: Vec<&str> = granted.split_whitespace().collect();
+fn turn_command_tells_by_exit_codes_whether_the_turn_was_granted() {
+    let fleet = start_small_fleet("dispatchers { most: 1 carry: 1 } turns { turn_s: 3 }");
+    fleet.run_until_exit_code(0, &["status"], 0);
+    let granted = fleet.run_until_exit_code(1, &["turn", "--wait-s", "5"], 0);
+    let arguments: Vec<&str> = granted.split_whitespace().collect();
     assert!(
-        words.len() == 2 && words[0].len() == 16 && words[1].parse::<f64>().is_ok_and(|s| s > 1.0),
+        arguments.len() == 2
+            && arguments[0].len() == 16
+            && arguments[1].parse::<f64>().is_ok_and(|s| s > 1.0),
         "{granted}"
     );
-    // The other one waits for as long as it was told, and no longer.
+    // The other one waits for --wait-s, and no longer.
     let from = Instant::now();
-    let (code, text) = fleet.calls(0, &["turn", "--wait-s", "1"]);
+    let (code, text) = fleet.run_command(0, &["turn", "--wait-s", "1"]);
     assert!(
         code == Some(4)
             && text.contains("no turn in time")
             && from.elapsed() < Duration::from_secs(5),
         "{text}"
     );
-    // The first never went: its turn ends by itself.
-    let (code, text) = fleet.calls(0, &["turn", "--wait-s", "9"]);
+    // The first never restarted: its turn expires.
+    let (code, text) = fleet.run_command(0, &["turn", "--wait-s", "9"]);
     assert_eq!(code, Some(0), "{text}");
-    assert_eq!(fleet.calls(1, &["halt"]).0, Some(0));
-    assert_eq!(fleet.calls(0, &["turn", "--wait-s", "5"]).0, Some(3));
-    assert_eq!(fleet.calls(0, &["resume"]).0, Some(0));
+    assert_eq!(fleet.run_command(1, &["halt"]).0, Some(0));
+    assert_eq!(fleet.run_command(0, &["turn", "--wait-s", "5"]).0, Some(3));
+    assert_eq!(fleet.run_command(0, &["resume"]).0, Some(0));
     // No release goes there.
     assert_eq!(
-        fleet.calls(0, &["turn", "--to", "v9", "--wait-s", "2"]).0,
+        fleet
+            .run_command(0, &["turn", "--to", "v9", "--wait-s", "2"])
+            .0,
         Some(3)
     );
-    let (code, text) = fleet.calls(0, &["back"]);
+    let (code, text) = fleet.run_command(0, &["back"]);
     assert!(
         code == Some(1) && text.contains("there is no release"),
         "{text}"
     );
     // Nobody is there under this address.
-    let nobody = free_udp_address().to_string();
-    assert_eq!(fleet.calls(0, &["status", "--member", &nobody]).0, Some(4));
+    let unused = free_udp_address().to_string();
+    assert_eq!(
+        fleet.run_command(0, &["status", "--member", &unused]).0,
+        Some(4)
+    );
 }
 
 #[test]
-fn a_limit_lowered_by_sighup_below_what_is_out_lets_no_more_out() {
-    let fleet = small("engines { most: 2 carry: 1 }");
-    fleet.until(0, &["status"], 0);
-    fleet.until(0, &["drain", "s-0"], 0);
-    fleet.until(0, &["drain", "s-1"], 0);
+fn limit_lowered_below_what_is_out_lets_no_more_out() {
+    let fleet = start_small_fleet("engines { most: 2 carry: 1 }");
+    fleet.run_until_exit_code(0, &["status"], 0);
+    fleet.run_until_exit_code(0, &["drain", "s-0"], 0);
+    fleet.run_until_exit_code(0, &["drain", "s-1"], 0);
     for n in 0..2 {
         fleet.files[n].write(&fleet.texts[n].replace("most: 2", "most: 1"));
         fleet.programs[n].signal("-HUP");
-        fleet.waits_for(n, "operator_files_read 1\n");
+        fleet.wait_for_counter(n, "operator_files_read 1\n");
     }
-    assert_eq!(fleet.calls(0, &["drain", "s-2"]).0, Some(1));
-    fleet.until(0, &["undrain", "s-0"], 0);
-    let (code, text) = fleet.calls(0, &["drain", "s-2"]);
+    assert_eq!(fleet.run_command(0, &["drain", "s-2"]).0, Some(1));
+    fleet.run_until_exit_code(0, &["undrain", "s-0"], 0);
+    let (code, text) = fleet.run_command(0, &["drain", "s-2"]);
     assert!(
         code == Some(1) && text.contains("1 are out of at most 1"),
         "{text}"
     );
-    // Those that were out stay out until they are called back.
-    fleet.waits_for(1, "fleet_engines_out 1\n");
+    // Engines that were out stay out until they are undrained.
+    fleet.wait_for_counter(1, "fleet_engines_out 1\n");
 }
 
 #[test]
-fn who_has_no_key_is_not_heard() {
-    let fleet = small("");
-    fleet.until(0, &["status"], 0);
+fn command_signed_with_another_key_is_ignored() {
+    let fleet = start_small_fleet("");
+    fleet.run_until_exit_code(0, &["status"], 0);
     fleet.files[1].write(&fleet.texts[1].replace(&"ab".repeat(16), &"cd".repeat(16)));
-    let (code, text) = fleet.calls(1, &["halt", "--member", &listen_of(&fleet.texts[0])]);
+    let (code, text) =
+        fleet.run_command(1, &["halt", "--member", &listen_address(&fleet.texts[0])]);
     assert!(
         code == Some(4) && text.contains("nobody leads"),
         "{code:?} {text}"
     );
-    assert!(fleet.until(0, &["status"], 0).contains("halted no"));
+    assert!(fleet
+        .run_until_exit_code(0, &["status"], 0)
+        .contains("halted no"));
 }
 
-fn listen_of(text: &str) -> String {
+fn listen_address(text: &str) -> String {
     text.split("listen: \"")
         .nth(1)
         .and_then(|rest| rest.split('"').next())
--- a/crates/dispatcher/tests/levels.rs
+++ b/crates/dispatcher/tests/levels.rs
@@ -1,4 +1,4 @@
-//! Service levels on the real program: entered by its own signals, shown at once, and asked of the decisions.
+//! Service levels on the real program: entered by its own signals, shown at once, and applied by the decisions.
 
 use serde_json::Value;
 use std::io::{BufReader, Write};
@@ -15,7 +15,7 @@
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
-/// Low work of reports is closed while half of the engines show pressure.
+/// Reports are rejected while half of the engines are under pressure.
 const LEVELS: &str = r#"levels {
   level {
     name: "short"
@@ -53,8 +53,8 @@
     )
 }
 
-/// An engine that says of every report that it is full, and runs the rest.
-fn full_for_reports() -> SocketAddr {
+/// An engine that refuses every report as being full, and runs the rest.
+fn engine_full_for_reports() -> SocketAddr {
     let react = |parts: &[String], to: &mut TcpStream| {
         if parts[0] == "fetch" {
             let word = if parts[2].starts_with("cls=report") {
@@ -68,8 +68,8 @@
     scripted(react).0
 }
 
-fn ask(program: &Program, rg: &str, id: u64) -> (u16, Option<f64>) {
-    let mut query = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, "select 1", 9000.0);
+fn send_query(program: &Program, group: &str, id: u64) -> (u16, Option<f64>) {
+    let mut query = ClientQuery::new(id, &format!("/invoke/{group}"), group, "select 1", 9000.0);
     query.cost = Some(10.0);
     let mut stream = TcpStream::connect(program.listen).unwrap();
     stream.set_read_timeout(Some(TIMEOUT)).unwrap();
@@ -81,32 +81,36 @@
     )
 }
 
-fn shown(program: &Program, path: &str) -> Value {
+fn get_json(program: &Program, path: &str) -> Value {
     serde_json::from_str(&get(program.listen, path).unwrap().2).unwrap()
 }
 
-/// Sends reports that an engine says it is full for until the level is in force.
-fn press(program: &Program) {
+/// Sends reports that the engine refuses until the level is in force.
+fn enter_level_by_pressure(program: &Program) {
     let from = Instant::now();
     let mut id = 1000;
-    while shown(program, "/_levels")["depth"] != 1 {
-        ask(program, "report", id);
+    while get_json(program, "/_levels")["depth"] != 1 {
+        send_query(program, "report", id);
         id += 1;
-        assert!(from.elapsed() < TIMEOUT, "{}", shown(program, "/_levels"));
+        assert!(
+            from.elapsed() < TIMEOUT,
+            "{}",
+            get_json(program, "/_levels")
+        );
         thread::sleep(Duration::from_millis(50));
     }
 }
 
 #[test]
-fn a_level_is_entered_shown_at_once_and_closes_what_it_says_and_nothing_else() {
-    let (mut program, _operator) = start(&config(&[full_for_reports()]), LEVELS);
+fn level_is_entered_by_its_signal_shown_at_once_and_rejects_only_what_it_names() {
+    let (mut program, _operator) = start(&config(&[engine_full_for_reports()]), LEVELS);
     thread::sleep(Duration::from_millis(3800));
-    let before = shown(&program, "/_levels");
+    let before = get_json(&program, "/_levels");
     assert_eq!(
         (before["level"].as_str(), before["defined"].as_bool()),
         (Some("full"), Some(true))
     );
-    // Whoever waits for the next change hears of it as it happens.
+    // A client that waits for the next change is answered as it happens.
     let (listen, version) = (program.listen, before["version"].as_u64().unwrap());
     let waits = thread::spawn(move || {
         (
@@ -114,7 +118,7 @@
             Instant::now(),
         )
     });
-    press(&program);
+    enter_level_by_pressure(&program);
     let entered = Instant::now();
     let (told, heard) = waits.join().unwrap();
     let told: Value = serde_json::from_str(&told).unwrap();
@@ -127,10 +131,10 @@
         "{told}"
     );
     assert!(heard.saturating_duration_since(entered) < Duration::from_millis(300));
-    // Reports are deferred at once, each with a time of its own; look-ups and loads run.
+    // Reports are rejected at once, each with a retry time of its own; look-ups and loads run.
     let from = Instant::now();
     let waits: Vec<f64> = (1..20)
-        .map(|id| ask(&program, "report", id))
+        .map(|id| send_query(&program, "report", id))
         .map(|(status, wait)| wait.filter(|_| status == 429).unwrap())
         .collect();
     assert!(
@@ -147,7 +151,10 @@
         "{waits:?}"
     );
     assert_eq!(
-        (ask(&program, "look", 50).0, ask(&program, "load", 51).0),
+        (
+            send_query(&program, "look", 50).0,
+            send_query(&program, "load", 51).0
+        ),
         (200, 200)
     );
     let counters = program.counters();
@@ -155,9 +162,9 @@
         counters.contains("level_depth 1\n") && counters.contains("level_short_changes 1\n"),
         "{counters}"
     );
-    // Pressure is over, and still it stays: a level changes once a minute.
+    // Pressure is over, but the level stays: it changes once a minute at most.
     thread::sleep(Duration::from_millis(4000));
-    assert_eq!(shown(&program, "/_levels")["depth"], 1);
+    assert_eq!(get_json(&program, "/_levels")["depth"], 1);
     program.terminate();
     let log = program.end();
     assert!(
@@ -168,43 +175,43 @@
 }
 
 #[test]
-fn operators_pin_levels_redefine_them_and_turn_them_off_by_sighup() {
-    let (program, operator) = start(&config(&[full_for_reports()]), LEVELS);
+fn sighup_pins_a_level_rejects_a_bad_definition_and_turns_levels_off() {
+    let (program, operator) = start(&config(&[engine_full_for_reports()]), LEVELS);
     thread::sleep(Duration::from_millis(3800));
     operator.write(&LEVELS.replace("levels {", "levels { pin: \"short\" pin_for_s: 300"));
     program.signal("-HUP");
     program.wait_for_count("level_depth 1\n");
-    assert_eq!(ask(&program, "report", 1).0, 429);
-    assert!(shown(&program, "/_levels")["pinned_until"].is_number());
-    // What can't be used changes nothing.
+    assert_eq!(send_query(&program, "report", 1).0, 429);
+    assert!(get_json(&program, "/_levels")["pinned_until"].is_number());
+    // A definition with a fault changes nothing.
     operator.write(&LEVELS.replace("leave: 0.1", "leave: 0.49"));
     program.signal("-HUP");
     thread::sleep(Duration::from_millis(300));
     assert_eq!(
         (
-            ask(&program, "report", 2).0,
+            send_query(&program, "report", 2).0,
             program.counter("operator_files_read")
         ),
         (429, Some(1))
     );
-    // A level that is gone while it is in force.
+    // The level is removed while it is in force.
     operator.write("");
     program.signal("-HUP");
     program.wait_for_count("operator_files_read 2\n");
-    let levels = shown(&program, "/_levels");
+    let levels = get_json(&program, "/_levels");
     assert_eq!(
         (levels["depth"].as_u64(), levels["defined"].as_bool()),
         (Some(0), Some(false))
     );
-    let (status, wait) = ask(&program, "report", 3);
+    let (status, wait) = send_query(&program, "report", 3);
     assert_eq!((status, wait), (429, Some(1000.0)));
 }
 
 #[test]
-fn sigterm_at_a_level_answers_all_and_a_restart_begins_where_its_peers_are() {
-    let engine = full_for_reports();
+fn restarted_dispatcher_starts_at_its_peers_level_and_sigterm_answers_all() {
+    let engine = engine_full_for_reports();
     let peers = [free_udp_address(), free_udp_address()];
-    let of = |n: usize| {
+    let config_of = |n: usize| {
         let each = serde_json::json!([peers[0].to_string(), peers[1].to_string()]);
         config(&[engine])
             .with("peer_listen", peers[n].to_string())
@@ -214,13 +221,13 @@
             .with("settings.me", n as u64)
             .with("settings.limits.peers", true)
     };
-    let (first, _a) = start(&of(0), LEVELS);
+    let (first, _a) = start(&config_of(0), LEVELS);
     thread::sleep(Duration::from_millis(3800));
-    press(&first);
-    // The second one is new, sees nothing bad itself, and begins at the level.
-    let (mut second, _b) = start(&of(1), LEVELS);
+    enter_level_by_pressure(&first);
+    // The second one has just started and sees no pressure itself: it starts at its peer's level.
+    let (mut second, _b) = start(&config_of(1), LEVELS);
     second.wait_for_count("level_depth 1\n");
-    let why = shown(&second, "/_levels")["why"]["why"]
+    let why = get_json(&second, "/_levels")["why"]["why"]
         .as_str()
         .unwrap_or("")
         .to_owned();
@@ -229,11 +236,11 @@
         .map(|n| {
             let listen = second.listen;
             thread::spawn(move || {
-                let rg = ["look", "report", "load"][n % 3];
+                let group = ["look", "report", "load"][n % 3];
                 let query = ClientQuery::new(
                     n as u64 + 1,
-                    &format!("/invoke/{rg}"),
-                    rg,
+                    &format!("/invoke/{group}"),
+                    group,
                     "select 1",
                     9000.0,
                 );
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -1,4 +1,4 @@
-//! Bare statements and checks of named classes on the real program, and its command line.
+//! Statement classification on the real program (queries without a group, checks of those with one), and its command line.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -15,7 +15,7 @@
 use tansymux_testbed::wire::{read_response, write_frame};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
-const ON: &str =
+const CLASSIFY_ALL: &str =
     "path: \"/statement\" groups { look_up: \"look\" report: \"look\" load: \"load\" }";
 
 fn config(engines: &[SocketAddr]) -> Config {
@@ -54,11 +54,11 @@
     read_response(&mut BufReader::new(stream)).unwrap().0
 }
 
-fn bare(id: u64, statement: &str) -> ClientQuery {
+fn unclassed_query(id: u64, statement: &str) -> ClientQuery {
     ClientQuery::new(id, "/statement", "bare", statement, 9000.0)
 }
 
-fn run(arguments: &[&str], input: &str) -> (i32, String, String) {
+fn run_program(arguments: &[&str], input: &str) -> (i32, String, String) {
     let mut child = Command::new(EXE)
         .args(arguments)
         .env_remove("TANSYMUX_OPERATOR")
@@ -78,17 +78,20 @@
 }
 
 #[test]
-fn a_bare_statement_runs_in_the_group_of_its_class_and_without_the_path_in_none() {
+fn statement_without_a_group_runs_in_the_group_of_its_class_and_is_rejected_without_the_path() {
     let (address, told) = scripted(|parts, to| {
         write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
-    let (program, _operator) = start(&[address], ON);
+    let (program, _operator) = start(&[address], CLASSIFY_ALL);
     for (id, statement, group) in [
         (1, "select a from sales_17.orders where id = 7", "cls=look,"),
         (2, "insert into sales_17.orders values (1)", "cls=load,"),
         (3, "nonsense of some kind", "cls=load,"),
     ] {
-        assert_eq!(status(post(program.listen, &bare(id, statement))), 200);
+        assert_eq!(
+            status(post(program.listen, &unclassed_query(id, statement))),
+            200
+        );
         let fetch = told.recv_timeout(TIMEOUT).unwrap().0;
         assert!(
             fetch[2].starts_with(group) && fetch[3] == statement,
@@ -98,15 +101,18 @@
     assert_eq!(program.counter("statements_bare"), Some(3));
     assert_eq!(program.counter("statements_unknown"), Some(1));
     let (program, _operator) = start(&[address], "check: LOG");
-    assert_eq!(status(post(program.listen, &bare(4, "select 1"))), 404);
+    assert_eq!(
+        status(post(program.listen, &unclassed_query(4, "select 1"))),
+        404
+    );
 }
 
 #[test]
-fn what_may_alter_is_not_sent_again_whatever_its_class_says() {
-    // Each connection ends when a request has come: nobody knows what ran.
+fn statement_that_may_write_is_not_retried_whatever_its_class_promises() {
+    // Each connection is reset once a request came: what ran is unknown, and only a read-only query may be retried.
     let (address, told) = scripted(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let hidden = "select 1 -- x\n; delete from sales_17.orders";
-    let sent = |program: &Program, query: &ClientQuery| {
+    let send_and_count_attempts = |program: &Program, query: &ClientQuery| {
         let status = status(post(program.listen, query));
         let fetches = told
             .try_iter()
@@ -114,47 +120,50 @@
             .count();
         (status, fetches)
     };
-    let (program, _operator) = start(&[address], ON);
-    assert_eq!(sent(&program, &bare(1, hidden)), (500, 1));
+    let (program, _operator) = start(&[address], CLASSIFY_ALL);
+    assert_eq!(
+        send_and_count_attempts(&program, &unclassed_query(1, hidden)),
+        (500, 1)
+    );
     assert!(
-        sent(
+        send_and_count_attempts(
             &program,
-            &bare(2, "select a from sales_17.orders where id = 1")
+            &unclassed_query(2, "select a from sales_17.orders where id = 1")
         )
         .1 > 1
     );
     assert_eq!(
-        sent(&program, &bare(3, "select local_function(1)")),
+        send_and_count_attempts(&program, &unclassed_query(3, "select local_function(1)")),
         (500, 1)
     );
-    // A named class that promises to read only: logged and run as promised, or held to its text.
+    // A class that promises read-only: logged and run as promised, or held to its text.
     let named = |id| ClientQuery::new(id, "/invoke/look", "look", hidden, 9000.0);
     let (mut program, _operator) = start(&[address], "check: LOG");
-    assert!(sent(&program, &named(4)).1 > 1);
+    assert!(send_and_count_attempts(&program, &named(4)).1 > 1);
     assert_eq!(program.counter("statements_milder_class_named"), Some(1));
     program.terminate();
     assert!(program
         .end()
         .contains("class promises read-only, statement does not"));
     let (program, _operator) = start(&[address], "check: ENFORCE");
-    assert_eq!(sent(&program, &named(5)), (500, 1));
+    assert_eq!(send_and_count_attempts(&program, &named(5)), (500, 1));
 }
 
 #[test]
-fn other_rules_by_sighup_hold_for_what_comes_and_not_for_what_is_in_hand() {
+fn reloaded_rules_apply_to_new_queries_and_not_to_queries_in_flight() {
     let (address, told) = scripted(|parts, to| {
         if parts[0] == "fetch" {
             thread::sleep(Duration::from_millis(400));
             write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
         }
     });
-    let (program, operator) = start(&[address], ON);
-    let in_hand = post(
+    let (program, operator) = start(&[address], CLASSIFY_ALL);
+    let in_flight = post(
         program.listen,
-        &bare(1, "select a from sales_17.orders where id = 1"),
+        &unclassed_query(1, "select a from sales_17.orders where id = 1"),
     );
     assert!(told.recv_timeout(TIMEOUT).unwrap().0[2].starts_with("cls=look,"));
-    // One that can't be used changes nothing and says where.
+    // A file with a fault changes nothing, and its fault is logged.
     operator.write("statements { path: \"/statement\"\n groups { look_up: \"nobody\" report: \"look\" load: \"load\" } }");
     program.signal("-HUP");
     thread::sleep(Duration::from_millis(50));
@@ -162,30 +171,33 @@
     program.signal("-HUP");
     thread::sleep(Duration::from_millis(50));
     assert_eq!(program.counter("operator_files_read"), Some(0));
-    let moved = ON.replace("look_up: \"look\"", "look_up: \"load\"");
-    operator.write(&format!("statements {{ {moved} }}"));
+    let changed = CLASSIFY_ALL.replace("look_up: \"look\"", "look_up: \"load\"");
+    operator.write(&format!("statements {{ {changed} }}"));
     program.signal("-HUP");
     program.wait_for_count("operator_files_read 1\n");
     let later = post(
         program.listen,
-        &bare(2, "select a from sales_17.orders where id = 2"),
+        &unclassed_query(2, "select a from sales_17.orders where id = 2"),
     );
     assert!(told.recv_timeout(TIMEOUT).unwrap().0[2].starts_with("cls=load,"));
-    assert_eq!((status(in_hand), status(later)), (200, 200));
-    // Off again: the path is gone.
+    assert_eq!((status(in_flight), status(later)), (200, 200));
+    // Classification is off again: its path is unknown.
     operator.write("");
     program.signal("-HUP");
     program.wait_for_count("operator_files_read 2\n");
-    assert_eq!(status(post(program.listen, &bare(3, "select 1"))), 404);
+    assert_eq!(
+        status(post(program.listen, &unclassed_query(3, "select 1"))),
+        404
+    );
     let mut program = program;
     program.terminate();
     let log = program.end();
-    for says in [
+    for expected in [
         "operators' file reload rejected",
         "look_up is \"nobody\"",
         "rule.0.class is missing",
     ] {
-        assert!(log.contains(says), "{says} in {log}");
+        assert!(log.contains(expected), "{expected} in {log}");
     }
 }
 
@@ -197,23 +209,23 @@
         .map(|n| Engine::start(&format!("s-{n}"), EngineSpec::default(), n, world.clone()))
         .collect();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
-    let (mut program, _operator) = start(&addresses, ON);
+    let (mut program, _operator) = start(&addresses, CLASSIFY_ALL);
     let mut rng = rand_pcg::Pcg64::seed_from_u64(7);
     let all = corpus(1, 4, 7);
     let mut waiting = Vec::new();
     for (n, labelled) in all.iter().enumerate() {
         let other = &all[(n * 7 + 3) % all.len()].statement;
-        let spoilt = n % 3 == 0;
-        let text = if spoilt {
+        let is_mutated = n % 3 == 0;
+        let text = if is_mutated {
             String::from_utf8_lossy(&mutated(&labelled.statement, other, &mut rng)).into_owned()
         } else {
             labelled.statement.clone()
         };
-        // What was spoilt may be anything: only its one answer counts.
-        let class = if spoilt { "spoilt" } else { labelled.class };
+        // A mutated statement may be anything: only that it gets one answer is checked.
+        let class = if is_mutated { "spoilt" } else { labelled.class };
         let query = ClientQuery {
             class: class.into(),
-            ..bare(n as u64 + 1, &text)
+            ..unclassed_query(n as u64 + 1, &text)
         };
         let work = QueryWork {
             work: 2.0,
@@ -232,7 +244,6 @@
     }
     let answered = waiting
         .into_iter()
-        .filter(|_| true)
         .map(|w| w.join().unwrap())
         .filter(|got| *got)
         .count();
@@ -256,24 +267,24 @@
         retry_budget: None,
         classes,
     };
-    let broken = find_violations(&world.record.entries(), &rules);
-    assert!(broken.is_empty(), "{broken:?}");
+    let violations = find_violations(&world.record.entries(), &rules);
+    assert!(violations.is_empty(), "{violations:?}");
 }
 
 #[test]
-fn the_command_line_tells_by_its_exit_codes() {
-    assert_eq!(run(&["--version"], "").0, 0);
-    assert_eq!(run(&["--help"], "").0, 0);
-    assert_eq!(run(&["nonsense"], "").0, 2);
-    assert_eq!(run(&["check"], "").0, 2);
+fn exit_codes_tell_success_from_faults_and_wrong_usage() {
+    assert_eq!(run_program(&["--version"], "").0, 0);
+    assert_eq!(run_program(&["--help"], "").0, 0);
+    assert_eq!(run_program(&["nonsense"], "").0, 2);
+    assert_eq!(run_program(&["check"], "").0, 2);
     let operator = TempFile::new(
         "o",
         "log {\n lines_a_second: 0 }\nstatements { cache { shapes: 1 } }",
     );
     let good = TempFile::new("c", &config(&[]).0.to_string());
     let bad = TempFile::new("d", "{\n\"seed\": 7 }");
-    let path = |scrap: &TempFile| scrap.0.display().to_string();
-    let (code, out, _) = run(
+    let path = |file: &TempFile| file.0.display().to_string();
+    let (code, out, _) = run_program(
         &[
             "check",
             &path(&operator),
@@ -284,7 +295,7 @@
         "",
     );
     assert_eq!(code, 1);
-    for says in [
+    for expected in [
         &format!(
             "{}:2:2: log.lines_a_second is 0, allowed is 1 to 1000",
             path(&operator)
@@ -296,23 +307,23 @@
         &format!("{}:2: key seed is 7, expected a text", path(&bad)),
         "/nowhere: ",
     ] {
-        assert!(out.contains(says), "{says} in {out}");
+        assert!(out.contains(expected), "{expected} in {out}");
     }
-    let fits = TempFile::new("f", &format!("statements {{ {ON} }}"));
-    assert_eq!(run(&["check", &path(&good), &path(&fits)], "").0, 0);
-    let unfit = TempFile::new(
+    let fits = TempFile::new("f", &format!("statements {{ {CLASSIFY_ALL} }}"));
+    assert_eq!(run_program(&["check", &path(&good), &path(&fits)], "").0, 0);
+    let mismatched = TempFile::new(
         "u",
         &format!(
             "statements {{ {} }}",
-            ON.replace("load: \"load\"", "load: \"look\"")
+            CLASSIFY_ALL.replace("load: \"load\"", "load: \"look\"")
         ),
     );
-    let (code, out, _) = run(&["check", &path(&good), &path(&unfit)], "");
+    let (code, out, _) = run_program(&["check", &path(&good), &path(&mismatched)], "");
     assert!(
         code == 1 && out.contains("statements.groups.load is \"look\""),
         "{out}"
     );
-    let (code, out, _) = run(&["classify", "--plain"], "select 1\ndelete from t\n'\n");
+    let (code, out, _) = run_program(&["classify", "--plain"], "select 1\ndelete from t\n'\n");
     let effects: Vec<&str> = out
         .lines()
         .filter_map(|l| l.split("\"effect\":\"").nth(1)?.split('"').next())
@@ -321,7 +332,7 @@
         (code, effects),
         (0, vec!["read-only", "mutating", "unknown"])
     );
-    let (code, _, err) = run(&["classify", "--operator", &path(&operator)], "");
+    let (code, _, err) = run_program(&["classify", "--operator", &path(&operator)], "");
     assert!(code == 1 && err.contains("log.lines_a_second"), "{err}");
 }
 
@@ -330,7 +341,7 @@
     let (address, _told) = scripted(|parts, to| {
         write_frame(to, &[&parts[1], "DONE", "batches=1", ""]);
     });
-    for (arguments, says) in [
+    for (arguments, expected) in [
         (
             ["--log-format", "json", "--log-level", "debug"],
             r#""outcome":"completed""#,
@@ -345,7 +356,7 @@
         assert_eq!(status(post(program.listen, &query)), 200);
         program.terminate();
         let log = program.end();
-        assert!(log.contains(says) && log.contains("query"), "{log}");
+        assert!(log.contains(expected) && log.contains("query"), "{log}");
         if arguments[1] == "json" {
             let json = |line: &str| serde_json::from_str::<serde_json::Value>(line).is_ok();
             assert!(
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -1,4 +1,4 @@
-//! Two zones on the real program: one falls silent and comes back.
+//! Two zones on the real program: one stops answering and recovers.
 
 use serde_json::Value;
 use std::path::Path;
@@ -23,7 +23,7 @@
     world: Arc<RunContext>,
     engines: Vec<Engine>,
     program: Program,
-    next: AtomicU64,
+    next_query_id: AtomicU64,
     _operator: TempFile,
 }
 
@@ -66,29 +66,33 @@
         world,
         engines,
         program,
-        next: AtomicU64::new(1),
+        next_query_id: AtomicU64::new(1),
         _operator: operator,
     }
 }
 
 impl Site {
-    fn send_query(&self, rg: &str, work: f64) -> Option<ClientResponse> {
-        let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let wait = if rg == "look" || rg == "bound" {
+    fn send_query(&self, group: &str, work: f64) -> Option<ClientResponse> {
+        let id = self.next_query_id.fetch_add(1, Ordering::Relaxed);
+        let wait = if group == "look" || group == "bound" {
             2000.0
         } else {
             3000.0
         };
-        let mut query = ClientQuery::new(id, &format!("/invoke/{rg}"), rg, "select 1", wait);
+        let mut query = ClientQuery::new(id, &format!("/invoke/{group}"), group, "select 1", wait);
         query.cost = Some(work);
-        let threads = if rg == "report" { 4.0 } else { 1.0 };
-        let truth = QueryWork {
+        let threads = if group == "report" { 4.0 } else { 1.0 };
+        let query_work = QueryWork {
             work,
             threads,
-            changes: rg == "load",
+            changes: group == "load",
             tables: 0,
         };
-        self.world.works.lock().unwrap().insert(query.id(), truth);
+        self.world
+            .works
+            .lock()
+            .unwrap()
+            .insert(query.id(), query_work);
         send_query(self.program.listen, &query, &self.world.record)
     }
 
@@ -112,8 +116,8 @@
             .for_each(|engine| engine.fault(fault));
     }
 
-    /// Asks look-ups until a zone is in a state; how long that took.
-    fn until(&self, zone: &str, state: &str) -> Duration {
+    /// Sends look-ups until a zone is in a state. Gives the time that it took.
+    fn send_until_state(&self, zone: &str, state: &str) -> Duration {
         let from = Instant::now();
         while self.state(zone) != state {
             thread::scope(|scope| {
@@ -129,34 +133,34 @@
     }
 
     /// Attempts by zone since an entry of the record.
-    fn sent(&self, since: usize) -> (usize, usize) {
+    fn attempts_by_zone(&self, since: usize) -> (usize, usize) {
         let entries = self.world.record.entries();
         let to = |east: bool| {
-            let sent = |what: &EventKind| matches!(what, EventKind::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
+            let is_attempt = |event: &EventKind| matches!(event, EventKind::Arrived { engine, .. } if (engine == "s-0" || engine == "s-1") == east);
             entries[since..]
                 .iter()
-                .filter(|entry| sent(&entry.event))
+                .filter(|entry| is_attempt(&entry.event))
                 .count()
         };
         (to(true), to(false))
     }
 
-    fn mark(&self) -> usize {
+    fn record_length(&self) -> usize {
         self.world.record.entries().len()
     }
 }
 
 #[test]
-fn a_zone_that_is_lost_spills_within_its_limit_and_climbs_back_and_all_rules_hold() {
+fn lost_zone_spills_within_its_limit_recovers_gradually_and_all_rules_hold() {
     let mut site = start(ZONES);
     (0..20).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
-    assert_eq!(site.sent(0).1, 0, "the own hall is first");
+    assert_eq!(site.attempts_by_zone(0).1, 0, "the local zone is preferred");
     site.zone(Fault::Silent);
-    site.until("east", "cut");
-    // Look-ups run in the other zone; of reports only as many as may spill, the rest is deferred at once.
-    let mark = site.mark();
+    site.send_until_state("east", "cut");
+    // Look-ups run in the other zone; of reports as many as may spill, the rest is rejected at once.
+    let record_length = site.record_length();
     (0..10).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
-    assert!(site.sent(mark).1 >= 10);
+    assert!(site.attempts_by_zone(record_length).1 >= 10);
     let got: Vec<Option<ClientResponse>> = thread::scope(|scope| {
         let asked: Vec<_> = (0..8)
             .map(|_| {
@@ -170,32 +174,32 @@
             .collect()
     });
     let served = got.iter().flatten().filter(|got| got.status == 200).count();
-    let deferred: Vec<&ClientResponse> = got
+    let rejected: Vec<&ClientResponse> = got
         .iter()
         .flatten()
         .filter(|got| got.status == 429)
         .collect();
     // 0.3 of 16 cores are 4.8 threads: one report of four at a time.
-    assert_eq!((served, deferred.len()), (1, 7), "{got:?} {}", site.zones());
+    assert_eq!((served, rejected.len()), (1, 7), "{got:?} {}", site.zones());
     assert!(
-        deferred
+        rejected
             .iter()
             .all(|got| got.took < 200.0 && got.retry_after.is_some()),
-        "{deferred:?}"
+        "{rejected:?}"
     );
-    // What is bound to the lost zone is never moved.
-    let mark = site.mark();
+    // A group that is confined to the lost zone is never sent elsewhere.
+    let record_length = site.record_length();
     let bound = site.send_query("bound", 5.0).unwrap();
     assert!(bound.status == 429, "{bound:?}");
-    assert_eq!(site.sent(mark).1, 0);
-    // It comes back: a part first, all after a while, and then the own zone is first again.
+    assert_eq!(site.attempts_by_zone(record_length).1, 0);
+    // The zone recovers: a fraction first, all after the ramp, and then the local zone is preferred again.
     site.zone(Fault::None);
-    site.until("east", "climbing");
-    let climbed = site.until("east", "well");
-    assert!(climbed > Duration::from_secs(3), "{climbed:?}");
-    let mark = site.mark();
+    site.send_until_state("east", "climbing");
+    let recovery = site.send_until_state("east", "well");
+    assert!(recovery > Duration::from_secs(3), "{recovery:?}");
+    let record_length = site.record_length();
     (0..20).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
-    assert_eq!(site.sent(mark), (20, 0));
+    assert_eq!(site.attempts_by_zone(record_length), (20, 0));
     site.program.terminate();
     let log = site.program.end();
     for says in [
@@ -206,15 +210,15 @@
     ] {
         assert!(log.contains(says), "{says} in {log}");
     }
-    let effect = |rg: &str| {
-        if rg == "load" {
+    let effect = |group: &str| {
+        if group == "load" {
             Effect::NonIdempotent
         } else {
             Effect::ReadOnly
         }
     };
     let classes = ["look", "report", "load", "bound"]
-        .map(|rg| (rg.to_owned(), ClassRules::of(effect(rg))))
+        .map(|group| (group.to_owned(), ClassRules::of(effect(group))))
         .into();
     let rules = Rules {
         slack_ms: 50.0,
@@ -224,12 +228,12 @@
         retry_budget: None,
         classes,
     };
-    let broken = find_violations(&site.world.record.entries(), &rules);
-    assert!(broken.is_empty(), "{broken:?}");
+    let violations = find_violations(&site.world.record.entries(), &rules);
+    assert!(violations.is_empty(), "{violations:?}");
 }
 
 #[test]
-fn mutating_queries_in_flight_at_the_cut_are_never_sent_to_the_other_zone() {
+fn mutating_queries_in_flight_when_their_zone_is_lost_are_not_sent_to_another_zone() {
     let site = start(ZONES);
     let got: Vec<Option<ClientResponse>> = thread::scope(|scope| {
         let asked: Vec<_> = (0..6)
@@ -254,16 +258,21 @@
         })
         .collect();
     for id in loads {
-        let sent = |what: &EventKind| matches!(what, EventKind::Arrived { id: of, .. } if of == id);
+        let is_attempt =
+            |event: &EventKind| matches!(event, EventKind::Arrived { id: of, .. } if of == id);
         assert!(
-            entries.iter().filter(|entry| sent(&entry.event)).count() <= 1,
+            entries
+                .iter()
+                .filter(|entry| is_attempt(&entry.event))
+                .count()
+                <= 1,
             "{id}"
         );
     }
 }
 
 #[test]
-fn a_dispatcher_that_is_cut_off_itself_calls_no_zone_cut() {
+fn isolated_dispatcher_declares_no_zone_unreachable() {
     let site = start(ZONES);
     (0..10).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
     site.engines
