--- a/crates/testbed/src/fleet/virtual_fleet/diagnostics.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/diagnostics.rs
@@ -2,7 +2,7 @@
 
 use super::member::Member;
 use super::VirtualFleet;
-use tansymux_coordination::{Kind, Record};
+use tansymux_coordination::{Record, UnitKind};
 use tansymux_membership::member_id_of;
 
 /// Members whose view is shown.
@@ -27,18 +27,19 @@
 
     /// The records that the leader holds, each with its key's member where it is one's.
     fn leader_records(&self, leader: usize) -> String {
-        let Some(council) = self.members[leader]
+        let Some(quorum) = self.members[leader]
             .fleet
             .as_ref()
-            .and_then(|fleet| fleet.council())
+            .and_then(|fleet| fleet.quorum())
         else {
             return String::new();
         };
-        let records: Vec<String> = council
-            .all_standing()
-            .map(|(record, left)| {
-                let name = self.name_of_key(record.key);
-                format!("{name} {:?} {left:?}", record.value)
+        let records: Vec<String> = quorum
+            .all_active()
+            .map(|leased| {
+                let name = self.name_of_key(leased.record.key);
+                let remaining_ms = leased.remaining_ms;
+                format!("{name} {:?} {remaining_ms:?}", leased.record.value)
             })
             .collect();
         records.join("; ")
@@ -47,7 +48,7 @@
     fn name_of_key(&self, key: u64) -> String {
         let is_of_member = |n: &usize| {
             let id = member_id_of(&format!("n{n}"));
-            Record::key_of(Kind::Dispatcher, id) == key
+            Record::unit_key(UnitKind::Dispatcher, id) == key
         };
         (0..self.members.len())
             .find(is_of_member)
@@ -63,7 +64,7 @@
             .map(|member| {
                 let view = member.fleet.as_ref().and_then(|fleet| {
                     fleet
-                        .group()
+                        .detector()
                         .members()
                         .find(|other| other.id == id)
                         .map(|other| (other.state, other.incarnation))
@@ -81,35 +82,38 @@
         return "None".into();
     };
     let process_ms = member.process_clock_ms(now_ms);
-    let leadership = fleet.council().map(|council| {
+    let leadership = fleet.quorum().map(|quorum| {
         (
-            council.leads(process_ms),
-            council.leads_since().map(|since_ms| process_ms - since_ms),
-            council.leader(),
-            council.highest(),
+            quorum.is_leader(process_ms),
+            quorum
+                .leader_since_ms()
+                .map(|since_ms| process_ms - since_ms),
+            quorum.leader(),
+            quorum.highest_stamp(),
         )
     });
     let agent_records: Vec<_> = fleet
         .agent()
         .records(process_ms)
-        .map(|(record, left)| {
+        .map(|leased| {
+            let record = leased.record;
             (
                 record.key,
                 record.value,
                 record.stamp.ballot.round,
                 record.stamp.number,
-                left,
+                leased.remaining_ms,
             )
         })
         .collect();
-    let voter_records = fleet.council().map(|council| {
-        council
+    let voter_records = fleet.quorum().map(|quorum| {
+        quorum
             .records()
-            .map(|(record, _)| (record.key, record.value))
+            .map(|leased| (leased.record.key, leased.record.value))
             .collect::<Vec<_>>()
     });
     let state = (
-        fleet.stand(),
+        fleet.role(),
         leadership,
         fleet.agent().leader(process_ms),
         agent_records,
--- a/crates/testbed/src/fleet/virtual_fleet/operators.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/operators.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use tansymux_membership::member_id_of;
 use tansymux_rollout::message::{Answer, Command};
-use tansymux_rollout::{Fleet, FleetClient};
+use tansymux_rollout::{ClientAction, FleetClient, FleetNode};
 
 /// An operator's command, from its issue until its answer has been acted on.
 pub(super) struct Operator {
@@ -33,7 +33,7 @@
     fn issue(&mut self, at: usize, command: Command, engine_to_drain: Option<usize>) {
         let seed = self.rng.random();
         let host_ms = self.members[at].host_clock_ms(self.now_ms);
-        if matches!(command, Command::Resume { .. } | Command::Back { .. }) {
+        if matches!(command, Command::Resume { .. } | Command::RollBack { .. }) {
             self.halted_since_ms = None;
         }
         self.operators.push(Operator {
@@ -51,7 +51,7 @@
         let host_ms = self.members[at].host_clock_ms(self.now_ms);
         if to == supervisor_address(at) {
             if let Supervisor::AwaitingLease { lease, .. } = &mut self.supervisors[at] {
-                lease.handle(host_ms, bytes);
+                lease.handle(bytes, host_ms);
             }
         } else if let Some(operator) = self.operators.get_mut(operator_at(to.port())) {
             operator.client.handle(bytes);
@@ -62,9 +62,10 @@
         for index in 0..self.operators.len() {
             let at = self.operators[index].at;
             let host_ms = self.members[at].host_clock_ms(self.now_ms);
-            let (datagrams, _) = self.operators[index].client.poll(host_ms);
-            for bytes in datagrams {
-                self.send_datagram(at, operator_address(at, index), member_address(at), bytes);
+            let action = self.operators[index].client.poll(host_ms);
+            if let Some(ClientAction::Send { datagram }) = action {
+                let source = operator_address(at, index);
+                self.send_datagram(at, source, member_address(at), datagram);
             }
             self.act_on_answer(index);
         }
@@ -95,11 +96,12 @@
         let halt = self
             .leader()
             .and_then(|leader| self.members[leader].fleet.as_ref())
-            .and_then(Fleet::council)
-            .and_then(tansymux_rollout::halt_of);
-        let Some((number, ..)) = halt else {
+            .and_then(FleetNode::quorum)
+            .and_then(tansymux_rollout::active_halt);
+        let Some(halt) = halt else {
             return false;
         };
+        let number = halt.number;
         self.issue_command(0, Command::Resume { number });
         true
     }
--- a/crates/testbed/src/fleet/virtual_fleet/run.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/run.rs
@@ -4,7 +4,7 @@
 use super::{VirtualFleet, NEW_VERSION, OLD_VERSION, RELEASE_NUMBER, STEP_MS};
 use crate::fleet::scenario::Fault;
 use crate::fleet::FleetReport;
-use tansymux_coordination::Stage;
+use tansymux_coordination::ReleaseStage;
 use tansymux_rollout::message::{Answer, Command};
 
 /// How long before the release members of `crash_before_release` crash (ms).
@@ -131,7 +131,7 @@
             .supervisors
             .iter()
             .filter_map(|supervisor| match supervisor {
-                Supervisor::AwaitingLease { lease, .. } => Some(lease.last()),
+                Supervisor::AwaitingLease { lease, .. } => Some(lease.last_answer()),
                 _ => None,
             })
             .take(SHOWN_WAITING)
@@ -165,7 +165,9 @@
         let end_ms = self.now_ms + within_ms;
         while self.now_ms < end_ms {
             self.step();
-            if self.released_count() == self.members.len() && self.stage() == Some(Stage::Undone) {
+            if self.released_count() == self.members.len()
+                && self.stage() == Some(ReleaseStage::RolledBack)
+            {
                 return true;
             }
         }
