--- a/crates/dispatcher/src/config/endpoints.rs
+++ b/crates/dispatcher/src/config/endpoints.rs
@@ -46,7 +46,7 @@
     for event in known.child("cmds").items()? {
         for instance in event.child("nodes").child("instances").items()? {
             let entry = read_endpoint(&instance, &mut directory)?;
-            directory.insert(entry);
+            directory.upsert_endpoint(entry);
         }
     }
     Ok(directory)
@@ -65,9 +65,9 @@
         kind: optional_text(&instance.child("machineType"))?,
         zone: optional_text(&instance.child("zone"))?,
         cell: instance.child("cell").number_or(0.0, 0.0)? as u32,
-        status,
+        state: status,
         // 0 stands for unknown.
-        started: Some(started_ms.number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
+        started_ms: Some(started_ms.number_or(0.0, 0.0)?).filter(|ms| *ms > 0.0),
     })
 }
 
--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -13,7 +13,7 @@
     /// The class that its features give it.
     pub class: Class,
     /// The cost that its features alone give it (thread time, ms).
-    pub cost: f64,
+    pub cost_ms: f64,
 }
 
 /// A classified query whose attempt has ended.
