--- a/crates/dispatcher/src/service_levels.rs
+++ b/crates/dispatcher/src/service_levels.rs
@@ -9,7 +9,8 @@
 use tansymux::state::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
-    Change, Definition, Degradation, Ended, LevelStateMachine, Signal, Why, Windows,
+    Config, Degradation, LevelChange, LevelStateMachine, OutcomeWindows, QueryOutcome, Reason,
+    Signal, SignalReading, TriggerStatus,
 };
 
 /// Looks at the signals are so far apart (ms); the program's memory is looked at less often.
@@ -21,7 +22,7 @@
     machine: LevelStateMachine,
     signals: Vec<Signal>,
     readings: Vec<f64>,
-    windows: Windows,
+    windows: OutcomeWindows,
 }
 
 /// What the signals of the program itself are parts of.
@@ -100,11 +101,11 @@
                 }
             }
             (Some(before), Some(definition)) => {
-                if *before.machine.definition() != definition {
-                    if let Some(change) = before.machine.redefine(now, definition).cloned() {
+                if *before.machine.config() != definition {
+                    if let Some(change) = before.machine.reconfigure(definition, now).cloned() {
                         tell(&before.machine, &change);
                     }
-                    before.signals = before.machine.definition().signals();
+                    before.signals = before.machine.config().signals();
                     before.readings = vec![f64::NAN; before.signals.len()];
                 }
             }
@@ -122,18 +123,18 @@
             }
         }
         control.level = on.as_ref().map_or_else(LevelEffects::default, |on| {
-            self.effects_of(&on.machine.reduction())
+            self.effects_of(&on.machine.degradation())
         });
     }
 
-    fn begin(&self, definition: Definition) -> On {
+    fn begin(&self, definition: Config) -> On {
         let signals = definition.signals();
         let readings = vec![f64::NAN; signals.len()];
         On {
             machine: LevelStateMachine::new(definition),
             signals,
             readings,
-            windows: Windows::new(self.groups.len()),
+            windows: OutcomeWindows::new(self.groups.len()),
         }
     }
 
@@ -149,18 +150,18 @@
             asked
                 .classes
                 .iter()
-                .find(|(asked, _)| settings::matches_name(name, asked))
-                .map_or(1.0, |(_, part)| *part)
+                .find(|asked| settings::matches_name(name, &asked.class))
+                .map_or(1.0, |asked| asked.fraction)
         };
         LevelEffects {
-            concurrency_factor: asked.bounds,
-            demotion_factor: asked.demotion,
-            grant_factor: asked.grants,
-            retry_after_factor: asked.retry_after,
-            retry_after_jitter: asked.spread,
-            withhold_low_retries: asked.withhold_low,
-            reject_over_share: asked.close_over_share,
-            min_confidence: asked.min_sure,
+            concurrency_factor: asked.concurrency_factor,
+            demotion_factor: asked.demotion_factor,
+            grant_factor: asked.grant_factor,
+            retry_after_factor: asked.retry_after_factor,
+            retry_after_jitter: asked.retry_after_jitter,
+            withhold_low_retries: asked.withhold_low_retries,
+            reject_over_share: asked.reject_over_share,
+            min_confidence: asked.min_confidence,
             group_fractions: if asked.classes.is_empty() {
                 Vec::new()
             } else {
@@ -177,12 +178,12 @@
         let (_, target, stretch, threads) = &self.groups[class];
         let late = took > target + stretch * work / threads;
         let ended = match (finished, rejected) {
-            (true, _) if late => Ended::Late,
-            (true, _) => Ended::InTime,
-            (false, true) => Ended::Rejected,
-            (false, false) => Ended::Failed,
+            (true, _) if late => QueryOutcome::Late,
+            (true, _) => QueryOutcome::InTime,
+            (false, true) => QueryOutcome::Rejected,
+            (false, false) => QueryOutcome::Failed,
         };
-        on.windows.take(now, class, ended);
+        on.windows.record(class, ended, now);
     }
 
     /// Looks at the signals where it is time; what is to be told to peers.
@@ -199,22 +200,22 @@
                     .map(|name| self.group(name).unwrap_or(usize::MAX))
             };
             *reading = match signal {
-                Signal::Pressed(zone) => control.pressured_fraction(zone.as_deref()),
-                Signal::BoundsUsed => control.concurrency_used_fraction(),
-                Signal::Late(name) => on.windows.late(now, class(name)),
-                Signal::Rejected(name) => on.windows.rejected(now, class(name)),
-                Signal::Ready => control.ready_fraction(),
-                Signal::Cold => control.warming_fraction(),
-                Signal::Doubted => control.ejected_fraction(),
+                Signal::PressuredEngines(zone) => control.pressured_fraction(zone.as_deref()),
+                Signal::ConcurrencyUsed => control.concurrency_used_fraction(),
+                Signal::LateQueries(name) => on.windows.late_fraction(class(name), now),
+                Signal::RejectedQueries(name) => on.windows.rejected_fraction(class(name), now),
+                Signal::ReadyEngines => control.ready_fraction(),
+                Signal::WarmingUpEngines => control.warming_fraction(),
+                Signal::EjectedEngines => control.ejected_fraction(),
                 Signal::Memory => self.memory_part(now),
                 Signal::Descriptors => descriptors as f64 / self.limits.descriptors,
             };
         }
-        if let Some(change) = on.machine.look(now, &on.readings).cloned() {
+        if let Some(change) = on.machine.evaluate(&on.readings, now).cloned() {
             tell(&on.machine, &change);
-            control.level = self.effects_of(&on.machine.reduction());
+            control.level = self.effects_of(&on.machine.degradation());
         }
-        on.machine.tells(now)
+        on.machine.poll_message(now)
     }
 
     fn memory_part(&self, now: f64) -> f64 {
@@ -233,11 +234,11 @@
 
     /// A peer's message, if it is one about levels.
     pub fn heard(&self, now: f64, peer: u32, content: &[u8]) -> bool {
-        if content.first() != Some(&tansymux_service_levels::message::KIND) {
+        if content.first() != Some(&tansymux_service_levels::codec::MESSAGE_KIND) {
             return false;
         }
         if let Some(on) = self.on.borrow_mut().as_mut() {
-            on.machine.heard(now, peer, content);
+            on.machine.handle_peer_message(peer, content, now);
         }
         true
     }
@@ -256,7 +257,7 @@
         let Some(on) = on.as_ref() else {
             return json!({"level": "full", "depth": 0, "version": 0, "defined": false});
         };
-        let (machine, shown) = (&on.machine, on.machine.shown());
+        let (machine, shown) = (&on.machine, on.machine.status());
         let number = |value: f64| {
             if value.is_finite() {
                 json!(value)
@@ -264,17 +265,10 @@
                 Value::Null
             }
         };
-        let terms = |terms: &[(String, f64, f64, bool, f64, f64)]| -> Vec<Value> {
-            let term = |(signal, reads, turns_at, on, held, needed): &(
-                String,
-                f64,
-                f64,
-                bool,
-                f64,
-                f64,
-            )| {
-                json!({"signal": signal, "reads": number(*reads), "turns_at": turns_at, "on": on, "held_ms": held,
-                    "needed_ms": needed})
+        let terms = |terms: &[TriggerStatus]| -> Vec<Value> {
+            let term = |term: &TriggerStatus| {
+                json!({"signal": term.signal, "reads": number(term.reading), "turns_at": term.threshold,
+                    "on": term.is_on, "held_ms": term.held_ms, "needed_ms": term.required_ms})
             };
             terms.iter().map(term).collect()
         };
@@ -284,17 +278,18 @@
             .rev()
             .map(|change| of_change(machine, change))
             .collect();
-        let (times, changes) = machine.totals();
+        let times = machine.time_at_depth_ms();
+        let changes = machine.change_counts();
         let at = |(depth, ms): (usize, &f64)| {
             let changes = depth.checked_sub(1).map(|level| changes[level]);
-            json!({"level": machine.name_of(depth), "ms": ms.round(), "changes": changes})
+            json!({"level": machine.level_name(depth), "ms": ms.round(), "changes": changes})
         };
         json!({
-            "level": shown.name, "depth": shown.depth, "version": machine.version(), "defined": true,
-            "since": shown.since, "for_ms": (now - shown.since).round(),
+            "level": shown.level_name, "depth": shown.depth, "version": machine.version(), "defined": true,
+            "since": shown.since_ms, "for_ms": (now - shown.since_ms).round(),
             "why": machine.history().last().map(|change| of_change(machine, change)),
-            "wants": machine.name_of(shown.wants), "peers_heard": shown.heard, "pinned_until": shown.pinned_until,
-            "would_enter": terms(&shown.would_enter), "would_leave": terms(&shown.would_leave),
+            "wants": machine.level_name(shown.wanted_depth), "peers_heard": shown.peer_count, "pinned_until": shown.pinned_until_ms,
+            "would_enter": terms(&shown.enter_triggers), "would_leave": terms(&shown.leave_triggers),
             "times": times.iter().enumerate().map(at).collect::<Vec<_>>(), "history": history,
         })
     }
@@ -303,10 +298,11 @@
     pub fn report(&self, text: &mut String) {
         let on = self.on.borrow();
         let Some(on) = on.as_ref() else { return };
-        let (times, changes) = on.machine.totals();
+        let times = on.machine.time_at_depth_ms();
+        let changes = on.machine.change_counts();
         let _ = writeln!(text, "level_depth {}", on.machine.depth());
         for (depth, ms) in times.iter().enumerate() {
-            let name = on.machine.name_of(depth);
+            let name = on.machine.level_name(depth);
             let _ = writeln!(text, "level_{name}_ms {ms:.0}");
             if let Some(level) = depth.checked_sub(1) {
                 let _ = writeln!(text, "level_{name}_changes {}", changes[level]);
@@ -315,32 +311,38 @@
     }
 }
 
-fn why(why: &Why) -> String {
+fn why(why: &Reason) -> String {
     match why {
-        Why::Signals(terms) => {
-            let term = |(signal, reads): &(String, f64)| format!("{signal} reads {reads:.3}");
+        Reason::Signals(terms) => {
+            let term = |term: &SignalReading| format!("{} reads {:.3}", term.signal, term.reading);
             terms.iter().map(term).collect::<Vec<_>>().join(", ")
         }
-        Why::Peers { heard, wants } => {
-            format!("{heard} peers are heard, and the middle wants depth {wants}")
+        Reason::Peers {
+            peers,
+            wanted_depth,
+        } => {
+            format!("{peers} peers are heard, and the middle wants depth {wanted_depth}")
         }
-        Why::Pinned => "pinned by operators".into(),
-        Why::Start { heard: 0 } => "own signals at the start".into(),
-        Why::Start { heard } => format!("{heard} peers told of it at the start"),
-        Why::Redefined => "other definitions".into(),
+        Reason::Pinned => "pinned by operators".into(),
+        Reason::Startup { peers: 0 } => "own signals at the start".into(),
+        Reason::Startup { peers } => format!("{peers} peers told of it at the start"),
+        Reason::Reconfigured => "other definitions".into(),
     }
 }
 
-fn of_change(machine: &LevelStateMachine, change: &Change) -> Value {
-    json!({"at": change.at, "from": machine.name_of(change.from), "to": machine.name_of(change.to), "why": why(&change.why)})
+fn of_change(machine: &LevelStateMachine, change: &LevelChange) -> Value {
+    json!({"at": change.at_ms, "from": machine.level_name(change.from), "to": machine.level_name(change.to), "why": why(&change.reason)})
 }
 
-fn tell(machine: &LevelStateMachine, change: &Change) {
-    let (from, to) = (machine.name_of(change.from), machine.name_of(change.to));
+fn tell(machine: &LevelStateMachine, change: &LevelChange) {
+    let (from, to) = (
+        machine.level_name(change.from),
+        machine.level_name(change.to),
+    );
     tracing::warn!(
         from,
         to,
-        why = why(&change.why),
+        why = why(&change.reason),
         "the service level changed"
     );
 }
--- a/crates/operator-config/src/validate/levels.rs
+++ b/crates/operator-config/src/validate/levels.rs
@@ -3,7 +3,7 @@
 use crate::error_collector::ErrorCollector;
 use crate::levels::definition;
 use crate::schema::{term, Act, Level, Levels, Term};
-use tansymux_service_levels::define;
+use tansymux_service_levels::FULL_SERVICE;
 
 pub(super) fn validate(levels: &Levels, errors: &mut ErrorCollector) {
     errors.check_range("levels.pin_for_s", levels.pin_for_s, 1.0, 86_400.0);
@@ -13,7 +13,7 @@
     }
     // The definition's own checks expect values in their ranges.
     if errors.is_empty() {
-        for fault in define::faults(&definition(levels)) {
+        for fault in definition(levels).validate() {
             let key = format!("levels.level.{}.{}", fault.level, fault.key);
             errors.add(&key, fault.found, fault.allowed);
         }
@@ -22,7 +22,7 @@
 
 fn validate_pin(levels: &Levels, errors: &mut ErrorCollector) {
     let Some(pin) = &levels.pin else { return };
-    let is_known = pin == define::FULL || levels.level.iter().any(|level| level.name() == pin);
+    let is_known = pin == FULL_SERVICE || levels.level.iter().any(|level| level.name() == pin);
     if !is_known {
         let allowed = "the name of a level, or \"full\"";
         errors.add("levels.pin", format!("{pin:?}"), allowed);
--- /dev/null
+++ b/crates/service-levels/src/config/fingerprint.rs
@@ -0,0 +1,83 @@
+//! A short hash of a configuration, sent with every message: dispatchers with other levels do not count on each other.
+//!
+//! The hash is part of the wire format. It is taken over a text that the first version made with `{:?}` of its types,
+//! so the names and the layout of that text are frozen here, whatever the types are called today.
+
+use super::{Condition, Config, Degradation, Level, Trigger};
+use crate::signal::Signal;
+
+impl Config {
+    /// The hash of the frozen text: 32-bit FNV-1a folded to 16 bits.
+    pub fn fingerprint(&self) -> u16 {
+        let levels = list(&self.levels, level_text);
+        let text = format!("Definition {{ levels: {levels} }}");
+        let hash = text.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
+            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+        });
+        (hash ^ hash >> 16) as u16
+    }
+}
+
+fn list<Item>(items: &[Item], text_of: fn(&Item) -> String) -> String {
+    let texts: Vec<String> = items.iter().map(text_of).collect();
+    format!("[{}]", texts.join(", "))
+}
+
+fn level_text(level: &Level) -> String {
+    format!(
+        "Level {{ name: {:?}, enter: {}, least_stay: {:?}, reduction: {} }}",
+        level.name,
+        condition_text(&level.enter),
+        level.min_stay_ms,
+        degradation_text(&level.degradation),
+    )
+}
+
+fn condition_text(condition: &Condition) -> String {
+    let all = list(&condition.all, trigger_text);
+    let any = list(&condition.any, trigger_text);
+    format!("Condition {{ all: {all}, any: {any} }}")
+}
+
+fn trigger_text(trigger: &Trigger) -> String {
+    format!(
+        "Term {{ signal: {}, enter: {:?}, leave: {:?}, enter_for: {:?}, leave_for: {:?} }}",
+        signal_text(&trigger.signal),
+        trigger.enter_threshold,
+        trigger.leave_threshold,
+        trigger.enter_hold_ms,
+        trigger.leave_hold_ms,
+    )
+}
+
+fn signal_text(signal: &Signal) -> String {
+    match signal {
+        Signal::PressuredEngines(zone) => format!("Pressed({zone:?})"),
+        Signal::ConcurrencyUsed => "BoundsUsed".into(),
+        Signal::LateQueries(class) => format!("Late({class:?})"),
+        Signal::RejectedQueries(class) => format!("Deferred({class:?})"),
+        Signal::ReadyEngines => "Ready".into(),
+        Signal::WarmingUpEngines => "Cold".into(),
+        Signal::EjectedEngines => "Doubted".into(),
+        Signal::Memory => "Memory".into(),
+        Signal::Descriptors => "Descriptors".into(),
+    }
+}
+
+fn degradation_text(degradation: &Degradation) -> String {
+    let classes = list(&degradation.classes, |named| {
+        format!("({:?}, {:?})", named.class, named.fraction)
+    });
+    format!(
+        "Reduction {{ bounds: {:?}, demotion: {:?}, grants: {:?}, retry_after: {:?}, spread: {:?}, \
+         withhold_low: {:?}, close_over_share: {:?}, least_sure: {:?}, classes: {classes} }}",
+        degradation.concurrency_factor,
+        degradation.demotion_factor,
+        degradation.grant_factor,
+        degradation.retry_after_factor,
+        degradation.retry_after_jitter,
+        degradation.withhold_low_retries,
+        degradation.reject_over_share,
+        degradation.min_confidence,
+    )
+}
--- /dev/null
+++ b/crates/service-levels/src/config/validation.rs
@@ -0,0 +1,228 @@
+//! Which levels cannot work: those that would flap, can't be entered or left, or make another one useless.
+
+use super::{Condition, Config, Degradation, Level, Trigger, FULL_SERVICE};
+
+/// Thresholds of a trigger that are nearer to each other than this are crossed by noise alone.
+const MIN_THRESHOLD_GAP: f64 = 0.02;
+
+/// A setting of a level that cannot work.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[error("level {level}, {key}: {found}; allowed: {allowed}")]
+pub struct ConfigError {
+    /// Index of the level.
+    pub level: usize,
+    /// The key within the level, as in the operators' file.
+    pub key: String,
+    /// What was there.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+/// The errors of one level.
+struct LevelErrors<'a> {
+    level: usize,
+    errors: &'a mut Vec<ConfigError>,
+}
+
+impl LevelErrors<'_> {
+    fn add(&mut self, key: &str, found: String, allowed: &'static str) {
+        self.errors.push(ConfigError {
+            level: self.level,
+            key: key.to_owned(),
+            found,
+            allowed,
+        });
+    }
+}
+
+impl Config {
+    /// All settings that cannot work; empty for a valid configuration.
+    pub fn validate(&self) -> Vec<ConfigError> {
+        let mut errors = Vec::new();
+        for index in 0..self.levels.len() {
+            let mut level_errors = LevelErrors {
+                level: index,
+                errors: &mut errors,
+            };
+            self.validate_level(index, &mut level_errors);
+        }
+        if let Some(first) = self.levels.first() {
+            if first.degradation == Degradation::default() {
+                errors.push(ConfigError {
+                    level: 0,
+                    key: "act".into(),
+                    found: format!("nothing in {:?}", first.name),
+                    allowed: "stricter than full service",
+                });
+            }
+        }
+        errors
+    }
+
+    fn validate_level(&self, index: usize, errors: &mut LevelErrors<'_>) {
+        let level = &self.levels[index];
+        self.validate_name(index, errors);
+        if level.enter.triggers().next().is_none() {
+            errors.add("enter", "missing".into(), "at least one term in all or any");
+        }
+        for (list, triggers) in [("all", &level.enter.all), ("any", &level.enter.any)] {
+            for (position, trigger) in triggers.iter().enumerate() {
+                validate_thresholds(&format!("enter.{list}.{position}"), trigger, errors);
+            }
+        }
+        validate_can_be_left(&level.enter, errors);
+        if index > 0 {
+            validate_order(level, &self.levels[index - 1], errors);
+        }
+    }
+
+    fn validate_name(&self, index: usize, errors: &mut LevelErrors<'_>) {
+        let name = &self.levels[index].name;
+        let is_repeated = self.levels[..index]
+            .iter()
+            .any(|earlier| earlier.name == *name);
+        if name.is_empty() || name == FULL_SERVICE {
+            errors.add(
+                "name",
+                format!("{name:?}"),
+                "a name other than that of full service",
+            );
+        } else if is_repeated {
+            errors.add("name", format!("{name:?} a second time"), "each name once");
+        }
+    }
+}
+
+fn validate_thresholds(key: &str, trigger: &Trigger, errors: &mut LevelErrors<'_>) {
+    let enter = trigger.enter_threshold;
+    let leave = trigger.leave_threshold;
+    let gap = enter.max(leave) - enter.min(leave);
+    let can_be_left = if trigger.is_high_active() {
+        leave > 0.0
+    } else {
+        leave <= 1.0
+    };
+    if !enter.is_finite() || !leave.is_finite() || gap < MIN_THRESHOLD_GAP {
+        let found = format!("{enter} to enter and {leave} to leave");
+        errors.add(key, found, "thresholds 0.02 apart or more: it would flap");
+    } else if !(0.0..=1.0).contains(&enter) {
+        errors.add(
+            key,
+            format!("{enter} to enter"),
+            "0 to 1: it could never be entered",
+        );
+    } else if !can_be_left {
+        errors.add(
+            key,
+            format!("{leave} to leave"),
+            "a value inside 0 to 1: it could not be left",
+        );
+    }
+}
+
+/// A level that only rejections hold would keep itself in force, since it causes them.
+fn validate_can_be_left(condition: &Condition, errors: &mut LevelErrors<'_>) {
+    let holds_itself =
+        |trigger: &Trigger| trigger.signal.is_raised_by_levels() && trigger.is_high_active();
+    let by_any = condition.all.is_empty() && condition.any.iter().any(holds_itself);
+    let by_all = !condition.all.is_empty() && condition.all.iter().all(holds_itself);
+    if by_any || by_all {
+        errors.add(
+            "enter",
+            "held by deferrals alone".into(),
+            "a further term in all: the level itself keeps deferrals up and could not be left",
+        );
+    }
+}
+
+/// Checks a level against the milder one before it.
+fn validate_order(level: &Level, before: &Level, errors: &mut LevelErrors<'_>) {
+    if is_entered_no_later(&level.enter, &before.enter) {
+        errors.add(
+            "enter",
+            format!("entered no later than {:?}", before.name),
+            "a condition that is harder to meet: the level before would be shadowed",
+        );
+    }
+    if let Some(key) = milder_setting(&level.degradation, &before.degradation) {
+        errors.add(
+            &format!("act.{key}"),
+            format!("milder than in {:?}", before.name),
+            "at least as strict",
+        );
+    }
+    if level.degradation == before.degradation {
+        errors.add(
+            "act",
+            format!("the same as in {:?}", before.name),
+            "stricter: a level must do something",
+        );
+    }
+}
+
+/// Whether whatever meets `earlier` meets `later` as well: each trigger of `later` is covered by one of `earlier` that
+/// asks for as much.
+fn is_entered_no_later(later: &Condition, earlier: &Condition) -> bool {
+    let is_covered = |trigger: &Trigger| {
+        earlier
+            .all
+            .iter()
+            .any(|other| asks_for_as_much(other, trigger))
+    };
+    if !later.all.iter().all(is_covered) {
+        return false;
+    }
+    // Of two conditions with alternatives, only equal ones are known to be no later.
+    later.any.is_empty() || later.any == earlier.any || later.any.iter().any(is_covered)
+}
+
+fn asks_for_as_much(other: &Trigger, trigger: &Trigger) -> bool {
+    let reaches_as_far = if trigger.is_high_active() {
+        other.enter_threshold >= trigger.enter_threshold
+    } else {
+        other.enter_threshold <= trigger.enter_threshold
+    };
+    other.signal == trigger.signal
+        && other.is_high_active() == trigger.is_high_active()
+        && reaches_as_far
+        && other.enter_hold_ms >= trigger.enter_hold_ms
+}
+
+/// The first setting that is milder than `before`, by its key in the operators' file.
+fn milder_setting(degradation: &Degradation, before: &Degradation) -> Option<&'static str> {
+    let any_class_milder = before
+        .classes
+        .iter()
+        .any(|named| degradation.class_fraction(&named.class) > named.fraction);
+    let checks = [
+        (
+            degradation.concurrency_factor > before.concurrency_factor,
+            "bounds",
+        ),
+        (
+            degradation.demotion_factor > before.demotion_factor,
+            "demotion",
+        ),
+        (degradation.grant_factor > before.grant_factor, "grants"),
+        (
+            degradation.retry_after_factor < before.retry_after_factor,
+            "retry_after",
+        ),
+        (
+            before.withhold_low_retries && !degradation.withhold_low_retries,
+            "withhold_low",
+        ),
+        (
+            before.reject_over_share && !degradation.reject_over_share,
+            "close_over_share",
+        ),
+        (
+            degradation.min_confidence < before.min_confidence,
+            "least_sure",
+        ),
+        (any_class_milder, "class"),
+    ];
+    let milder = checks.iter().find(|(is_milder, _)| *is_milder)?;
+    Some(milder.1)
+}
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -1,27 +1,43 @@
-//! Reduced service levels: named levels in order, from full service down.
+//! Service levels: graceful degradation in named levels, from full service down.
 //!
-//! Owns: when a level changes ([`LevelStateMachine`]), what is measured for it ([`Windows`]), what dispatchers tell each other of
-//! theirs ([`message`]), and which definitions could never work ([`define::faults`]). It does no I/O, reads no clock and
-//! draws no random numbers. It never refuses or moves a query: a level hands [`Degradation`] to the decisions, whose one
-//! mechanism goes on deciding.
+//! Implements docs/design/levels.md: graceful degradation with load shedding as in "Site Reliability Engineering"
+//! (chapters 21 and 22), each level switched by a Schmitt trigger (two thresholds, and a time that each must hold).
+//! What differs: a fleet agrees on a level by the median of what its members want, each level changes at most once in
+//! [`MIN_CHANGE_INTERVAL_MS`], and a level sheds nothing itself but scales the limits of admission control.
 //!
-//! Invariants, kept by construction and checked in `tests/`:
-//! - depth changes by one step at a time; level n is on while the depth is n or more;
-//! - each level changes at most once in any [`EVERY`] ms, whatever signals, peers, operators or clocks do;
-//! - a level can be left whenever its conditions have cleared for their time; what is not told any more clears, too;
+//! Owns: when the level changes ([`LevelStateMachine`]), the outcomes that are measured for it ([`OutcomeWindows`]),
+//! the messages between dispatchers ([`codec`]) and which configurations cannot work ([`Config::validate`]). It never
+//! does I/O, reads no clock and draws no random numbers. It rejects or moves no query: a level hands a [`Degradation`]
+//! to admission control.
+//!
+//! Invariants, by construction and checked in `tests/`:
+//! - the depth changes by one step at a time; level n is in force while the depth is n or more;
+//! - each level changes at most once in any [`MIN_CHANGE_INTERVAL_MS`], whatever signals, peers, operators or clocks
+//!   do;
+//! - a level can be left once its conditions have cleared for their time, and a signal that is not reported clears;
 //! - silence of peers is no reason to change.
 //!
-//! Start reading at [`LevelStateMachine::look`].
+//! Start reading at [`LevelStateMachine::evaluate`].
+
+#![warn(missing_docs)]
 
-pub mod define;
-mod machine;
-pub mod message;
-mod windows;
+pub mod codec;
+mod config;
+mod latch;
+mod outcome_windows;
+mod signal;
+mod state_machine;
 
-pub use define::{Condition, Definition, Degradation, Level, Signal, Term};
-pub use machine::{Change, LevelStateMachine, Shown, Why, EVERY};
-pub use windows::{Ended, Windows};
+pub use config::{
+    ClassFraction, Condition, Config, ConfigError, Degradation, Level, Trigger, FULL_SERVICE,
+};
+pub use outcome_windows::{OutcomeWindows, QueryOutcome};
+pub use signal::Signal;
+pub use state_machine::{
+    LevelChange, LevelStateMachine, Reason, SignalReading, Status, TriggerStatus,
+    MIN_CHANGE_INTERVAL_MS,
+};
 
-/// What signals read at a moment: one value for each that a definition names, in the order of
-/// [`Definition::signals`]; not a number where it is not known.
+/// What the signals read at a moment: one value for each signal of a configuration, in the order of
+/// [`Config::signals`]; not a number where it is not known.
 pub type Readings = [f64];
--- a/crates/service-levels/tests/model.rs
+++ b/crates/service-levels/tests/model.rs
@@ -3,33 +3,33 @@
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 use tansymux_service_levels::{
-    Condition, Definition, Degradation, Level, LevelStateMachine, Signal, Term,
+    Condition, Config, Degradation, Level, LevelStateMachine, Signal, Trigger,
 };
 
-/// A step of time (ms), and how many looks a machine takes in it.
-const STEP: f64 = 20_000.0;
-const LOOKS: u32 = 20;
+/// A step of the model (ms), and how often a machine evaluates in it.
+const STEP_MS: f64 = 20_000.0;
+const EVALUATIONS: u32 = 20;
 
-fn definition() -> Definition {
+fn config() -> Config {
     let level = |name: &str, enter: f64, leave: f64, bounds: f64| Level {
         name: name.into(),
         enter: Condition {
-            all: vec![Term {
-                signal: Signal::Pressed(None),
-                enter,
-                leave,
-                enter_for: 4000.0,
-                leave_for: 8000.0,
+            all: vec![Trigger {
+                signal: Signal::PressuredEngines(None),
+                enter_threshold: enter,
+                leave_threshold: leave,
+                enter_hold_ms: 4000.0,
+                leave_hold_ms: 8000.0,
             }],
             any: Vec::new(),
         },
-        min_stay: 20_000.0,
-        reduction: Degradation {
-            bounds,
+        min_stay_ms: 20_000.0,
+        degradation: Degradation {
+            concurrency_factor: bounds,
             ..Degradation::default()
         },
     };
-    Definition {
+    Config {
         levels: vec![
             level("a", 0.4, 0.3, 0.8),
             level("b", 0.6, 0.5, 0.5),
@@ -52,7 +52,7 @@
 impl State {
     fn key(&self) -> ([Vec<i64>; 2], [[u8; 3]; 2], bool, u8) {
         (
-            self.machines.each_ref().map(LevelStateMachine::key),
+            self.machines.each_ref().map(LevelStateMachine::state_key),
             self.since,
             self.broken,
             self.clear,
@@ -92,8 +92,8 @@
 
     fn init_states(&self) -> Vec<State> {
         let fresh = || {
-            let mut machine = LevelStateMachine::new(definition());
-            (0..4).for_each(|n| drop(machine.look(f64::from(n) * 1000.0, &[0.0]).cloned()));
+            let mut machine = LevelStateMachine::new(config());
+            (0..4).for_each(|n| drop(machine.evaluate(&[0.0], f64::from(n) * 1000.0).cloned()));
             machine
         };
         vec![State {
@@ -125,24 +125,24 @@
             .iter_mut()
             .flatten()
             .for_each(|since| *since = (*since + 1).min(4));
-        for look in 1..=LOOKS {
-            let now = last.now + STEP * f64::from(look) / f64::from(LOOKS);
+        for evaluation in 1..=EVALUATIONS {
+            let now = last.now + STEP_MS * f64::from(evaluation) / f64::from(EVALUATIONS);
             for n in 0..2 {
                 let machine = &mut state.machines[n];
-                if let Some(change) = machine.look(now, &[action.readings[n]]) {
+                if let Some(change) = machine.evaluate(&[action.readings[n]], now) {
                     let (from, to) = (change.from, change.to);
                     state.broken |= from.abs_diff(to) != 1;
                     // Three whole steps of 20 s between two changes: less than a minute apart.
                     state.broken |= state.since[n][from.min(to)] < 3;
                     state.since[n][from.min(to)] = 0;
                 }
-                let told = state.machines[n].tells(now);
+                let told = state.machines[n].poll_message(now);
                 if let Some(message) = told.filter(|_| action.hear) {
-                    state.machines[1 - n].heard(now, n as u32, &message);
+                    state.machines[1 - n].handle_peer_message(n as u32, &message, now);
                 }
             }
         }
-        state.now = last.now + STEP;
+        state.now = last.now + STEP_MS;
         let all_clear = action.readings == [0.1, 0.1];
         state.clear = if all_clear {
             (state.clear + 1).min(BACK)
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn two_dispatchers_with_three_levels_keep_their_promises_in_all_that_can_happen() {
+fn all_reachable_states_of_two_dispatchers_with_three_levels_keep_the_invariants() {
     let checker = Levels
         .checker()
         .threads(4)
@@ -188,7 +188,7 @@
 }
 
 #[test]
-fn chains_of_steps_as_long_as_a_bad_hour_keep_them_too() {
+fn long_chains_of_steps_keep_the_invariants() {
     let checker = Levels
         .checker()
         .threads(4)
--- a/crates/service-levels/tests/swings.rs
+++ b/crates/service-levels/tests/state_machine.rs
@@ -1,23 +1,24 @@
-//! Levels in virtual time: loads that swing around thresholds, peers that come and go, clocks that jump, files that
-//! change. Every run is checked against the same promises.
+//! Levels in virtual time: loads that oscillate around thresholds, peers that come and go, clocks that jump,
+//! configurations that change. Every run is checked against the same invariants.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
 use tansymux_service_levels::{
-    Change, Condition, Definition, Degradation, Level, LevelStateMachine, Signal, Term, Why,
+    Condition, Config, Degradation, Level, LevelChange, LevelStateMachine, Reason, Signal, Trigger,
 };
 
-const MINUTE: f64 = 60_000.0;
-const LOOK: f64 = 100.0;
+const MINUTE_MS: f64 = 60_000.0;
+/// Interval of evaluations (ms).
+const EVALUATION_MS: f64 = 100.0;
 
-fn term(signal: Signal, enter: f64, leave: f64) -> Term {
-    Term {
+fn trigger(signal: Signal, enter: f64, leave: f64) -> Trigger {
+    Trigger {
         signal,
-        enter,
-        leave,
-        enter_for: 3000.0,
-        leave_for: 5000.0,
+        enter_threshold: enter,
+        leave_threshold: leave,
+        enter_hold_ms: 3000.0,
+        leave_hold_ms: 5000.0,
     }
 }
 
@@ -25,20 +26,20 @@
     Level {
         name: name.into(),
         enter: Condition {
-            all: vec![term(Signal::Pressed(None), enter, leave)],
+            all: vec![trigger(Signal::PressuredEngines(None), enter, leave)],
             any: Vec::new(),
         },
-        min_stay: 20_000.0,
-        reduction: Degradation {
-            bounds,
+        min_stay_ms: 20_000.0,
+        degradation: Degradation {
+            concurrency_factor: bounds,
             ..Degradation::default()
         },
     }
 }
 
 /// Three levels over one signal.
-fn three() -> Definition {
-    Definition {
+fn three() -> Config {
+    Config {
         levels: vec![
             level("spare", 0.4, 0.3, 0.8),
             level("short", 0.6, 0.5, 0.5),
@@ -48,32 +49,32 @@
 }
 
 /// Depths that a change may never pass over, and changes of a level within a minute.
-struct Promises {
+struct Invariants {
     changed: HashMap<usize, f64>,
     depth: usize,
     changes: usize,
 }
 
-impl Promises {
+impl Invariants {
     fn new() -> Self {
-        Promises {
+        Invariants {
             changed: HashMap::new(),
             depth: 0,
             changes: 0,
         }
     }
 
-    fn look(&mut self, change: Option<&Change>) {
+    fn check(&mut self, change: Option<&LevelChange>) {
         let Some(change) = change else { return };
         assert_eq!(change.from, self.depth);
-        let begins = matches!(change.why, Why::Start { .. });
+        let begins = matches!(change.reason, Reason::Startup { .. });
         assert!(begins || change.from.abs_diff(change.to) == 1, "{change:?}");
         for level in change.from.min(change.to)..change.from.max(change.to) {
-            if let Some(before) = self.changed.insert(level, change.at) {
+            if let Some(before) = self.changed.insert(level, change.at_ms) {
                 assert!(
-                    change.at - before >= MINUTE,
+                    change.at_ms - before >= MINUTE_MS,
                     "level {level} changed twice in {} ms",
-                    change.at - before
+                    change.at_ms - before
                 );
             }
         }
@@ -83,49 +84,42 @@
 }
 
 /// Ten minutes of a load; how often levels changed, and the deepest.
-fn swing(definition: &Definition, load: impl FnMut(f64) -> f64) -> (usize, usize) {
-    swing_for(definition, 600_000.0, load)
+fn swing(config: &Config, load: impl FnMut(f64) -> f64) -> (usize, usize) {
+    swing_for(config, 600_000.0, load)
 }
 
-fn swing_for(
-    definition: &Definition,
-    lasts: f64,
-    mut load: impl FnMut(f64) -> f64,
-) -> (usize, usize) {
-    let (mut machine, mut promises, mut deepest) = (
-        LevelStateMachine::new(definition.clone()),
-        Promises::new(),
-        0,
-    );
+fn swing_for(config: &Config, lasts: f64, mut load: impl FnMut(f64) -> f64) -> (usize, usize) {
+    let (mut machine, mut invariants, mut deepest) =
+        (LevelStateMachine::new(config.clone()), Invariants::new(), 0);
     let mut now = 0.0;
     while now < lasts {
         let reading = load(now).clamp(0.0, 1.0);
-        promises.look(machine.look(now, &[reading]));
-        assert_eq!(machine.depth(), promises.depth);
+        invariants.check(machine.evaluate(&[reading], now));
+        assert_eq!(machine.depth(), invariants.depth);
         deepest = deepest.max(machine.depth());
-        now += LOOK;
+        now += EVALUATION_MS;
     }
     // When all is clear it comes back to full service, in order, in bounded time.
     let from = now;
     while machine.depth() > 0 {
-        promises.look(machine.look(now, &[0.0]));
-        now += LOOK;
+        invariants.check(machine.evaluate(&[0.0], now));
+        now += EVALUATION_MS;
         assert!(
             now - from < 4.0 * 61_000.0 + 60_000.0,
             "stuck at {}",
             machine.depth()
         );
     }
-    (promises.changes, deepest)
+    (invariants.changes, deepest)
 }
 
 #[test]
-fn definitions_of_these_tests_have_no_faults() {
-    assert_eq!(tansymux_service_levels::define::faults(&three()), []);
+fn configuration_of_these_tests_is_valid() {
+    assert_eq!(three().validate(), []);
 }
 
 #[test]
-fn load_that_swings_around_each_threshold_as_sine_square_and_sawtooth() {
+fn loads_oscillating_around_each_threshold_keep_the_invariants() {
     for threshold in [0.3, 0.4, 0.5, 0.6, 0.7, 0.8] {
         for period in [
             1.0, 2.0, 5.0, 7.0, 13.0, 30.0, 47.0, 60.0, 61.0, 90.0, 121.0, 240.0,
@@ -145,7 +139,7 @@
 }
 
 #[test]
-fn a_thousand_seeds_of_noise_and_of_random_walks() {
+fn noise_and_random_walks_of_a_thousand_seeds_keep_the_invariants() {
     for seed in 0..1000 {
         let mut rng = Pcg32::seed_from_u64(seed);
         if seed % 2 == 0 {
@@ -171,7 +165,7 @@
 }
 
 #[test]
-fn a_period_tuned_to_the_least_stay_and_to_the_minute() {
+fn periods_tuned_to_the_minimum_stay_and_to_the_minute_change_no_more_often() {
     for period in [
         20_000.0, 23_000.0, 28_000.0, 60_000.0, 60_500.0, 60_600.0, 61_000.0, 66_000.0, 69_000.0,
     ] {
@@ -190,12 +184,16 @@
 }
 
 #[test]
-fn steady_load_settles_and_does_not_move_again() {
+fn steady_load_settles_at_its_level() {
     for (load, depth) in [(0.2, 0), (0.45, 1), (0.65, 2), (0.95, 3)] {
         let mut machine = LevelStateMachine::new(three());
         let mut changes = 0;
         for n in 0..6000 {
-            changes += usize::from(machine.look(f64::from(n) * LOOK, &[load]).is_some());
+            changes += usize::from(
+                machine
+                    .evaluate(&[load], f64::from(n) * EVALUATION_MS)
+                    .is_some(),
+            );
         }
         assert_eq!(machine.depth(), depth, "{load}");
         assert!(changes <= depth, "{changes} at {load}");
@@ -203,18 +201,18 @@
 }
 
 #[test]
-fn it_is_entered_after_its_time_and_not_by_a_moment() {
+fn level_is_entered_only_after_its_hold_without_a_break() {
     let mut machine = LevelStateMachine::new(three());
     let mut entered = None;
     for n in 0..200 {
-        let now = f64::from(n) * LOOK;
+        let now = f64::from(n) * EVALUATION_MS;
         // From 5 s on, but for one look in between.
         let load = if now < 5000.0 || now == 7000.0 {
             0.1
         } else {
             0.5
         };
-        if machine.look(now, &[load]).is_some() {
+        if machine.evaluate(&[load], now).is_some() {
             entered = Some(now);
             break;
         }
@@ -223,7 +221,7 @@
 }
 
 #[test]
-fn one_noisy_engine_of_eight_moves_nothing() {
+fn one_noisy_engine_of_eight_changes_no_level() {
     let mut rng = Pcg32::seed_from_u64(1);
     let (changes, _) = swing(
         &three(),
@@ -239,11 +237,11 @@
 }
 
 #[test]
-fn an_engine_that_returns_cold_is_stepped_up_to_in_order() {
+fn levels_recede_in_order_while_engines_warm_up() {
     let mut machine = LevelStateMachine::new(three());
     let mut depths = vec![0];
     for n in 0..9000 {
-        let now = f64::from(n) * LOOK;
+        let now = f64::from(n) * EVALUATION_MS;
         // All but one pressed for four minutes; then it returns cold, and pressure fades while it warms.
         let load = if now < 5000.0 {
             0.1
@@ -252,7 +250,7 @@
         } else {
             (0.9 - (now - 240_000.0) / 120_000.0).max(0.05)
         };
-        if let Some(change) = machine.look(now, &[load]) {
+        if let Some(change) = machine.evaluate(&[load], now) {
             depths.push(change.to);
         }
     }
@@ -260,15 +258,15 @@
 }
 
 #[test]
-fn a_signal_that_is_missing_or_no_number_never_deepens_and_never_holds_for_ever() {
+fn missing_signal_never_deepens_and_clears_after_its_timeout() {
     let run = |missing: f64| {
         let mut machine = LevelStateMachine::new(three());
         let mut depths = vec![0];
         for n in 0..4000 {
-            let now = f64::from(n) * LOOK;
+            let now = f64::from(n) * EVALUATION_MS;
             let load = if now < 20_000.0 { 0.5 } else { missing };
             let readings = if now > 100_000.0 { vec![] } else { vec![load] };
-            if let Some(change) = machine.look(now, &readings) {
+            if let Some(change) = machine.evaluate(&readings, now) {
                 depths.push(change.to);
             }
         }
@@ -279,38 +277,46 @@
     assert_eq!(run(f64::INFINITY)[..3], [0, 1, 2]);
     // All engines gone: a part of none is no number.
     let mut machine = LevelStateMachine::new(three());
-    assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[f64::NAN]).is_none()));
+    assert!((0..3000).all(|n| machine
+        .evaluate(&[f64::NAN], f64::from(n) * EVALUATION_MS)
+        .is_none()));
 }
 
 #[test]
-fn clocks_that_jump_and_processes_that_pause_break_no_promise() {
+fn clock_jumps_and_pauses_keep_the_invariants() {
     for seed in 0..200 {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let (mut machine, mut promises, mut now) =
-            (LevelStateMachine::new(three()), Promises::new(), 1e9);
+        let (mut machine, mut invariants, mut now) =
+            (LevelStateMachine::new(three()), Invariants::new(), 1e9);
         for _ in 0..4000 {
             now += match rng.random_range(0..100) {
                 0 => rng.random_range(0.0..300_000.0),
                 1 => -rng.random_range(0.0..100_000.0),
-                _ => LOOK,
+                _ => EVALUATION_MS,
             };
             let load = if rng.random_bool(0.5) { 0.9 } else { 0.1 };
-            promises.look(machine.look(now, &[load]));
+            invariants.check(machine.evaluate(&[load], now));
         }
     }
     // A pause does not count as held: after it the condition must hold anew.
     let mut machine = LevelStateMachine::new(three());
-    (0..40).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[0.1]).cloned()));
-    assert!(machine.look(5000.0, &[0.5]).is_none());
-    assert!(machine.look(600_000.0, &[0.5]).is_none());
-    assert!(machine.look(602_000.0, &[0.5]).is_none());
-    assert!(machine.look(603_000.0, &[0.5]).is_some());
+    (0..40).for_each(|n| {
+        drop(
+            machine
+                .evaluate(&[0.1], f64::from(n) * EVALUATION_MS)
+                .cloned(),
+        )
+    });
+    assert!(machine.evaluate(&[0.5], 5000.0).is_none());
+    assert!(machine.evaluate(&[0.5], 600_000.0).is_none());
+    assert!(machine.evaluate(&[0.5], 602_000.0).is_none());
+    assert!(machine.evaluate(&[0.5], 603_000.0).is_some());
 }
 
 /// So many machines that hear each other through `hears(from, to, rng)`.
 struct Fleet {
     machines: Vec<LevelStateMachine>,
-    promises: Vec<Promises>,
+    invariants: Vec<Invariants>,
     now: f64,
     rng: Pcg32,
 }
@@ -319,7 +325,7 @@
     fn new(many: usize) -> Self {
         Fleet {
             machines: (0..many).map(|_| LevelStateMachine::new(three())).collect(),
-            promises: (0..many).map(|_| Promises::new()).collect(),
+            invariants: (0..many).map(|_| Invariants::new()).collect(),
             now: 0.0,
             rng: Pcg32::seed_from_u64(7),
         }
@@ -336,19 +342,19 @@
         while self.now < end {
             for n in 0..self.machines.len() {
                 let change = self.machines[n]
-                    .look(self.now, &[load(n, self.now)])
+                    .evaluate(&[load(n, self.now)], self.now)
                     .cloned();
-                self.promises[n].look(change.as_ref());
-                let Some(message) = self.machines[n].tells(self.now) else {
+                self.invariants[n].check(change.as_ref());
+                let Some(message) = self.machines[n].poll_message(self.now) else {
                     continue;
                 };
                 for to in (0..self.machines.len()).filter(|to| *to != n) {
                     if hears(n, to) && !self.rng.random_bool(loss) {
-                        self.machines[to].heard(self.now, n as u32, &message);
+                        self.machines[to].handle_peer_message(n as u32, &message, self.now);
                     }
                 }
             }
-            self.now += LOOK;
+            self.now += EVALUATION_MS;
         }
     }
 
@@ -358,7 +364,7 @@
 }
 
 #[test]
-fn peers_that_hear_each_other_agree_and_one_alone_drags_nobody() {
+fn peers_agree_on_the_median_and_one_alone_moves_nobody() {
     let mut fleet = Fleet::new(5);
     // One sees the worst, four see nothing.
     fleet.run(
@@ -381,7 +387,7 @@
 }
 
 #[test]
-fn half_of_the_peers_or_all_are_lost() {
+fn partitioned_peers_decide_among_those_they_hear() {
     let mut fleet = Fleet::new(6);
     fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
     assert_eq!(fleet.depths(), [2; 6]);
@@ -405,7 +411,7 @@
 }
 
 #[test]
-fn nobody_steps_up_because_another_is_silent() {
+fn silence_of_peers_alone_ends_no_level() {
     let mut fleet = Fleet::new(3);
     // Two want a level, the third only follows them.
     fleet.run(
@@ -420,7 +426,7 @@
     let mut stepped = None;
     while stepped.is_none() && fleet.now - silent_from < 200_000.0 {
         fleet.run(
-            LOOK,
+            EVALUATION_MS,
             |n, _| if n < 2 { 0.45 } else { 0.1 },
             |from, _| from == 2,
             0.0,
@@ -435,29 +441,33 @@
 }
 
 #[test]
-fn stale_contradicting_and_foreign_messages() {
+fn stale_repeated_and_foreign_messages_are_ignored() {
     let mut machine = LevelStateMachine::new(three());
     let mut other = LevelStateMachine::new(three());
     for n in 0..400 {
-        machine.look(f64::from(n) * LOOK, &[0.1]);
-        other.look(f64::from(n) * LOOK, &[0.95]);
+        machine.evaluate(&[0.1], f64::from(n) * EVALUATION_MS);
+        other.evaluate(&[0.95], f64::from(n) * EVALUATION_MS);
         // Always the same old message, and noise.
         if n == 60 {
-            let old = other.tells(6000.0).unwrap();
-            (0..50).for_each(|_| machine.heard(6000.0, 1, &old));
+            let old = other.poll_message(6000.0).unwrap();
+            (0..50).for_each(|_| machine.handle_peer_message(1, &old, 6000.0));
         }
-        machine.heard(f64::from(n) * LOOK, 2, &[2, 1, 0, 0, 3, 3, 0, n as u8]);
-        machine.heard(f64::from(n) * LOOK, 3, b"");
+        machine.handle_peer_message(
+            2,
+            &[2, 1, 0, 0, 3, 3, 0, n as u8],
+            f64::from(n) * EVALUATION_MS,
+        );
+        machine.handle_peer_message(3, b"", f64::from(n) * EVALUATION_MS);
     }
-    assert_eq!((machine.depth(), machine.shown().heard), (0, 0));
+    assert_eq!((machine.depth(), machine.status().peer_count), (0, 0));
 }
 
 #[test]
-fn a_new_instance_begins_where_its_peers_are_and_else_where_its_own_signals_point() {
+fn new_instance_begins_at_the_depth_of_its_peers_or_of_its_own_signals() {
     let mut fleet = Fleet::new(4);
     fleet.run(300_000.0, |_, _| 0.65, |_, _| true, 0.0);
     // One restarts at depth and sees nothing yet.
-    (fleet.machines[3], fleet.promises[3]) = (LevelStateMachine::new(three()), Promises::new());
+    (fleet.machines[3], fleet.invariants[3]) = (LevelStateMachine::new(three()), Invariants::new());
     fleet.run(
         9000.0,
         |n, _| if n == 3 { 0.0 } else { 0.65 },
@@ -467,23 +477,29 @@
     assert_eq!(fleet.depths(), [2; 4]);
     let mut alone = LevelStateMachine::new(three());
     for n in 0..30 {
-        alone.look(f64::from(n) * LOOK, &[0.65]);
+        alone.evaluate(&[0.65], f64::from(n) * EVALUATION_MS);
     }
     assert_eq!(
-        (alone.depth(), &alone.history()[0].why),
-        (2, &Why::Start { heard: 0 })
+        (alone.depth(), &alone.history()[0].reason),
+        (2, &Reason::Startup { peers: 0 })
     );
 }
 
 #[test]
-fn other_definitions_remove_reorder_or_redefine_the_level_in_force() {
+fn reconfiguring_removes_reorders_or_redefines_the_level_in_force() {
     let at_depth = |load: f64| {
         let mut machine = LevelStateMachine::new(three());
-        (0..2000).for_each(|n| drop(machine.look(f64::from(n) * LOOK, &[load]).cloned()));
+        (0..2000).for_each(|n| {
+            drop(
+                machine
+                    .evaluate(&[load], f64::from(n) * EVALUATION_MS)
+                    .cloned(),
+            )
+        });
         machine
     };
-    let names = |definition: &Definition| {
-        definition
+    let names = |config: &Config| {
+        config
             .levels
             .iter()
             .map(|l| l.name.clone())
@@ -493,63 +509,67 @@
     let mut machine = at_depth(0.65);
     let mut without = three();
     without.levels.remove(1);
-    let change = machine.redefine(200_000.0, without).cloned().unwrap();
+    let change = machine.reconfigure(without, 200_000.0).cloned().unwrap();
     assert_eq!(
         (
             change.from,
             change.to,
-            machine.name_of(machine.depth()).to_owned()
+            machine.level_name(machine.depth()).to_owned()
         ),
         (2, 1, "spare".to_owned())
     );
     // All are gone.
     let mut machine = at_depth(0.95);
-    machine.redefine(200_000.0, Definition::default());
+    machine.reconfigure(Config::default(), 200_000.0);
     assert_eq!(
-        (machine.depth(), machine.name_of(0), machine.reduction()),
+        (
+            machine.depth(),
+            machine.level_name(0),
+            machine.degradation()
+        ),
         (0, "full", Degradation::default())
     );
-    assert!(machine.look(300_000.0, &[]).is_none());
+    assert!(machine.evaluate(&[], 300_000.0).is_none());
     // Another order: what is on stays on.
     let mut machine = at_depth(0.65);
     let mut other = three();
     other.levels.swap(0, 1);
-    machine.redefine(200_000.0, other.clone());
+    machine.reconfigure(other.clone(), 200_000.0);
     assert_eq!((machine.depth(), names(&other)[0].as_str()), (2, "short"));
     // Other thresholds: it has to clear by them, and the minute still holds.
     let mut machine = at_depth(0.45);
     let mut lower = three();
-    lower.levels[0].enter.all[0].leave = 0.1;
-    assert!(machine.redefine(200_000.0, lower).is_none());
+    lower.levels[0].enter.all[0].leave_threshold = 0.1;
+    assert!(machine.reconfigure(lower, 200_000.0).is_none());
     for n in 0..1000 {
-        machine.look(200_000.0 + f64::from(n) * LOOK, &[0.2]);
+        machine.evaluate(&[0.2], 200_000.0 + f64::from(n) * EVALUATION_MS);
     }
     assert_eq!(machine.depth(), 1);
     // Off and on again at once: a level that is new may not change for a minute.
-    let mut machine = LevelStateMachine::new(Definition::default());
-    machine.look(0.0, &[]);
-    machine.look(3000.0, &[]);
-    machine.redefine(4000.0, three());
+    let mut machine = LevelStateMachine::new(Config::default());
+    machine.evaluate(&[], 0.0);
+    machine.evaluate(&[], 3000.0);
+    machine.reconfigure(three(), 4000.0);
     let entered = (0..2000)
-        .map(|n| 4000.0 + f64::from(n) * LOOK)
-        .find(|now| machine.look(*now, &[0.95]).is_some());
+        .map(|n| 4000.0 + f64::from(n) * EVALUATION_MS)
+        .find(|now| machine.evaluate(&[0.95], *now).is_some());
     assert!(entered.unwrap() >= 64_000.0, "{entered:?}");
 }
 
 #[test]
-fn a_pin_holds_for_its_time_step_by_step_and_lets_go() {
+fn pin_is_reached_step_by_step_and_ends_at_its_time() {
     let mut machine = LevelStateMachine::new(three());
-    let mut promises = Promises::new();
+    let mut invariants = Invariants::new();
     let mut depths = Vec::new();
     for n in 0..10_000 {
-        let now = f64::from(n) * LOOK;
+        let now = f64::from(n) * EVALUATION_MS;
         if n == 100 {
             assert!(!machine.pin(Some("nobody"), 1e9));
             assert!(machine.pin(Some("bare"), 300_000.0));
         }
-        let change = machine.look(now, &[0.1]).cloned();
-        promises.look(change.as_ref());
-        depths.extend(change.map(|change| (change.to, change.at)));
+        let change = machine.evaluate(&[0.1], now).cloned();
+        invariants.check(change.as_ref());
+        depths.extend(change.map(|change| (change.to, change.at_ms)));
     }
     let order: Vec<usize> = depths.iter().map(|(to, _)| *to).collect();
     assert_eq!(order, [1, 2, 3, 2, 1, 0]);
@@ -557,30 +577,40 @@
     // Full service can be pinned as well.
     let mut machine = LevelStateMachine::new(three());
     machine.pin(Some("full"), 1e9);
-    assert!((0..3000).all(|n| machine.look(f64::from(n) * LOOK, &[0.95]).is_none() || n < 40));
+    assert!((0..3000).all(|n| machine
+        .evaluate(&[0.95], f64::from(n) * EVALUATION_MS)
+        .is_none()
+        || n < 40));
 }
 
 #[test]
-fn what_could_never_work_is_refused_with_the_reason() {
-    let faults = |change: fn(&mut Definition)| {
-        let mut definition = three();
-        change(&mut definition);
-        let faults = tansymux_service_levels::define::faults(&definition);
-        faults
+fn configurations_that_cannot_work_are_refused_with_the_reason() {
+    let errors_of = |change: fn(&mut Config)| {
+        let mut config = three();
+        change(&mut config);
+        let errors = config.validate();
+        errors
             .iter()
-            .map(|f| format!("{}.{}: {}, {}", f.level, f.key, f.found, f.allowed))
+            .map(|error| {
+                format!(
+                    "{}.{}: {}, {}",
+                    error.level, error.key, error.found, error.allowed
+                )
+            })
             .collect::<Vec<_>>()
             .join("; ")
     };
     for (says, change) in [
         (
             "would flap",
-            (|d| d.levels[0].enter.all[0].leave = 0.39) as fn(&mut Definition),
+            (|d| d.levels[0].enter.all[0].leave_threshold = 0.39) as fn(&mut Config),
         ),
         ("could not be left", |d| {
-            d.levels[0].enter.all[0].leave = 0.0
+            d.levels[0].enter.all[0].leave_threshold = 0.0
+        }),
+        ("never be entered", |d| {
+            d.levels[2].enter.all[0].enter_threshold = 1.2
         }),
-        ("never be entered", |d| d.levels[2].enter.all[0].enter = 1.2),
         ("0.enter: missing", |d| {
             d.levels[0].enter = Condition::default()
         }),
@@ -592,15 +622,25 @@
             d.levels[1].enter = d.levels[0].enter.clone()
         }),
         ("1.act.bounds: milder", |d| {
-            d.levels[1].reduction.bounds = 0.9
+            d.levels[1].degradation.concurrency_factor = 0.9
+        }),
+        ("1.act: the same", |d| {
+            d.levels[1].degradation.concurrency_factor = 0.8
+        }),
+        ("0.act: nothing", |d| {
+            d.levels[0].degradation.concurrency_factor = 1.0
         }),
-        ("1.act: the same", |d| d.levels[1].reduction.bounds = 0.8),
-        ("0.act: nothing", |d| d.levels[0].reduction.bounds = 1.0),
         ("held by deferrals alone", |d| {
-            d.levels[0].enter.all[0].signal = Signal::Rejected(None)
+            d.levels[0].enter.all[0].signal = Signal::RejectedQueries(None)
+        }),
+        ("would flap", |d| {
+            d.levels[0].enter.all[0].enter_threshold = f64::NAN
         }),
-        ("would flap", |d| d.levels[0].enter.all[0].enter = f64::NAN),
     ] {
-        assert!(faults(change).contains(says), "{says}: {}", faults(change));
+        assert!(
+            errors_of(change).contains(says),
+            "{says}: {}",
+            errors_of(change)
+        );
     }
 }
