--- a/crates/service-levels/src/state_machine/peers.rs
+++ b/crates/service-levels/src/state_machine/peers.rs
@@ -66,12 +66,11 @@
         }
         let has_room = self.peers.len() < MAX_PEERS;
         match self.peers.iter_mut().find(|known| known.number == peer) {
-            Some(known) => {
-                if is_newer(report.sequence_number, known.report.sequence_number) {
-                    known.report = report;
-                    known.received_ms = now_ms;
-                }
+            Some(known) if is_newer(report.sequence_number, known.report.sequence_number) => {
+                known.report = report;
+                known.received_ms = now_ms;
             }
+            Some(_) => {}
             None if has_room => self.peers.push(Peer {
                 number: peer,
                 report,
