--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -15,7 +15,7 @@
     side_effect_free: true,
 };
 
-fn engine(status: EndpointState, started: Option<f64>, port: u16) -> EndpointEntry {
+fn engine(state: EndpointState, started_ms: Option<f64>, port: u16) -> EndpointEntry {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
     EndpointEntry {
         engine_id: 7,
@@ -23,12 +23,12 @@
         kind: "std".into(),
         zone: "h".into(),
         cell: 0,
-        status,
-        started,
+        state,
+        started_ms,
     }
 }
 
-/// An attempt that waits for its connection, which stays coming up, as no task runs.
+/// An attempt queued on a connection that stays connecting, as no task runs.
 fn queued_attempt(
     limits: AttemptLimits,
 ) -> (Rc<QueryRegistry>, Rc<EnginePool>, u64, Rc<AnswerSlot>) {
@@ -54,7 +54,7 @@
         estimated_cost_ms: 1.0,
         memory_mb: 1.0,
         tables: 1,
-        text: StatementTraits::UNKNOWN,
+        traits: StatementTraits::UNKNOWN,
         shape: None,
         keys: RequestKeys::default(),
     };
@@ -64,7 +64,7 @@
     (registry, pool, query, slot)
 }
 
-/// Whether its end was reported, as of one that never ran.
+/// Whether the attempt's end was reported as one that was never sent.
 fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
@@ -113,7 +113,7 @@
     });
     let next = pool.expire();
     assert!(!was_withdrawn(&registry));
-    // The call itself says when it is due again.
+    // The call returns when it is due again.
     std::thread::sleep(Duration::from_secs_f64(
         (next - pool.clock.now()).max(0.0) / 1000.0 + 0.001,
     ));
--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -12,7 +12,7 @@
 use tansymux::control::Control;
 use tansymux::events::PeerMessage;
 use tansymux::settings::{matches_name, SettingsMap};
-use tansymux::state::LevelEffects;
+use tansymux::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
     Config, Degradation, LevelStateMachine, OutcomeWindows, QueryOutcome, Signal,
@@ -152,10 +152,11 @@
                 );
             }
         }
-        control.level = match active.as_ref() {
+        let effects = match active.as_ref() {
             Some(current) => self.effects(&current.machine.degradation()),
             None => LevelEffects::default(),
         };
+        control.set_level_effects(effects);
     }
 
     /// Index of a resource group, by its name in the operators' file or at a client.
@@ -172,7 +173,7 @@
             retry_after_factor: degradation.retry_after_factor,
             retry_after_jitter: degradation.retry_after_jitter,
             withhold_low_retries: degradation.withhold_low_retries,
-            reject_over_share: degradation.reject_over_share,
+            reject_over_quota: degradation.reject_over_quota,
             min_confidence: degradation.min_confidence,
             group_fractions: self.group_fractions(degradation),
         }
@@ -251,7 +252,7 @@
         }
         if let Some(change) = active.machine.evaluate(&active.readings, now_ms).cloned() {
             display::log_change(&active.machine, &change);
-            control.level = self.effects(&active.machine.degradation());
+            control.set_level_effects(self.effects(&active.machine.degradation()));
         }
         active.machine.poll_message(now_ms)
     }
--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -59,7 +59,7 @@
         retry_after_factor: told.retry_after(),
         retry_after_jitter: told.spread(),
         withhold_low_retries: told.withhold_low_retries(),
-        reject_over_share: told.close_over_share(),
+        reject_over_quota: told.close_over_share(),
         min_confidence: told.least_sure(),
         classes: told
             .class
--- a/crates/service-levels/src/config.rs
+++ b/crates/service-levels/src/config.rs
@@ -91,7 +91,7 @@
     /// Low-priority work is not retried.
     pub withhold_low_retries: bool,
     /// Low-priority work of tenants over their quota finds no capacity.
-    pub reject_over_share: bool,
+    pub reject_over_quota: bool,
     /// Low-priority work finds no capacity if the confidence in its estimated cost is below this.
     pub min_confidence: f64,
     /// Capacity of low-priority work by class; classes not named find all of it.
@@ -107,7 +107,7 @@
             retry_after_factor: 1.0,
             retry_after_jitter: 0.0,
             withhold_low_retries: false,
-            reject_over_share: false,
+            reject_over_quota: false,
             min_confidence: 0.0,
             classes: Vec::new(),
         }
--- a/crates/service-levels/src/config/fingerprint.rs
+++ b/crates/service-levels/src/config/fingerprint.rs
@@ -77,7 +77,7 @@
         degradation.retry_after_factor,
         degradation.retry_after_jitter,
         degradation.withhold_low_retries,
-        degradation.reject_over_share,
+        degradation.reject_over_quota,
         degradation.min_confidence,
     )
 }
--- a/crates/service-levels/src/config/validation.rs
+++ b/crates/service-levels/src/config/validation.rs
@@ -214,7 +214,7 @@
             "withhold_low",
         ),
         (
-            before.reject_over_share && !degradation.reject_over_share,
+            before.reject_over_quota && !degradation.reject_over_quota,
             "close_over_share",
         ),
         (
--- a/crates/service-levels/tests/codec.rs
+++ b/crates/service-levels/tests/codec.rs
@@ -73,7 +73,7 @@
             retry_after_factor: 2.5,
             retry_after_jitter: 0.2,
             withhold_low_retries: true,
-            reject_over_share: true,
+            reject_over_quota: true,
             min_confidence: 0.3,
             classes: vec![
                 ClassFraction {
--- a/crates/testbed/src/fleet/virtual_fleet/network.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/network.rs
@@ -168,7 +168,11 @@
             }
             let process_ms = member.process_clock_ms(self.now_ms);
             if let Some(fleet) = &mut member.fleet {
-                fleet.handle(process_ms, datagram.source, &datagram.bytes);
+                let event = tansymux_rollout::FleetEvent::DatagramReceived {
+                    from: datagram.source,
+                    datagram: &datagram.bytes,
+                };
+                fleet.handle(event, process_ms);
                 member.next_poll_ms = member.next_poll_ms.min(self.now_ms);
             }
         }
