--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -35,39 +35,39 @@
     fn deliver_event(&self, event: Event, control: &mut Control, out: &mut dyn DecisionSink) {
         match event {
             Event::QueryArrived(arrived) => self.on_query_arrived(&arrived, control, out),
-            Event::ClientLeft { query } => {
-                control.on_client_gone(query, out);
-                self.registry.forget_if_over(query);
+            Event::ClientLeft { query_id } => {
+                control.on_client_gone(query_id, out);
+                self.registry.forget_if_over(query_id);
             }
             Event::AttemptEnded {
-                query,
+                query_id,
                 attempt,
                 outcome,
                 engine_id,
-                latency,
+                latency_ms,
                 pages,
             } => {
                 let ended = AttemptEnded {
-                    query_id: query,
+                    query_id,
                     attempt,
                     engine_id,
                     outcome,
                     answer_delivered: false,
-                    latency_ms: latency,
+                    latency_ms,
                     used: None,
                 };
                 self.on_attempt_ended(ended, pages, control, out);
             }
             Event::ProgressReported {
-                query,
+                query_id,
                 attempt,
-                note,
+                kind,
                 amount,
             } => {
                 let note = ProgressNote {
-                    query_id: query,
+                    query_id,
                     attempt,
-                    kind: note,
+                    kind,
                     amount,
                 };
                 self.on_progress_note(&note, control);
@@ -77,8 +77,8 @@
                 zones.on_attempt_ended(self.now_ms, engine_id, outcome);
                 control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
             }
-            Event::EndpointList { form, engines } => {
-                self.on_endpoint_list(form, engines, control, out);
+            Event::EndpointList { kind, endpoints } => {
+                self.on_endpoint_list(kind, endpoints, control, out);
             }
             Event::PeerMessage { peer, content } => {
                 let message = PeerMessage {
@@ -99,18 +99,18 @@
         control: &mut Control,
         out: &mut dyn DecisionSink,
     ) {
-        let query = arrived.query;
-        let group_and_deadline = self.registry.with_query(query, |query| {
+        let query_id = arrived.query_id;
+        let group_and_deadline = self.registry.with_query(query_id, |query| {
             (query.resource_group.clone(), query.deadline_ms)
         });
         let Some((group, deadline_ms)) = group_and_deadline else {
             return;
         };
-        if self.registry.is_over(query) {
+        if self.registry.is_over(query_id) {
             return;
         }
         let arrived = QueryArrived {
-            query_id: query,
+            query_id,
             group: &group,
             tenant: &arrived.tenant,
             key: arrived.key,
@@ -118,11 +118,11 @@
             estimated_cost_ms: arrived.estimated_cost_ms,
             memory_mb: arrived.memory_mb,
             tables: arrived.tables,
-            statement: arrived.text,
+            statement: arrived.statement,
         };
         if let Err(error) = control.on_query_arrived(&arrived, out) {
-            tracing::error!(query, %error, "query failed: not accepted by the decisions");
-            self.registry.answer(query, Answer::Failed);
+            tracing::error!(query_id, %error, "query failed: not accepted by the decisions");
+            self.registry.answer(query_id, Answer::Failed);
         }
     }
 
@@ -188,8 +188,8 @@
                 engine_id: endpoint.engine_id,
                 kind: &endpoint.kind,
                 zone: &endpoint.zone,
-                state: endpoint.status,
-                started_ms: endpoint.started,
+                state: endpoint.state,
+                started_ms: endpoint.started_ms,
                 cell: endpoint.cell,
             });
         }
