Connection pool: one check of each limit, engines know their own number

Need: the limit of all connections was spelt out twice, and the engine's number was passed beside the engine. Change: is_full, Engine::engine_id, candidates ranked without a list of their own.

--- a/crates/dispatcher/src/engine/health.rs
+++ b/crates/dispatcher/src/engine/health.rs
@@ -62,7 +62,7 @@
             return;
         };
         let count = UNREACHABLE_AFTER_LATE_CONNECTS.saturating_sub(engine.late_connects);
-        self.open_channels(engine, engine_id, address, count);
+        self.open_channels(engine, address, count);
     }
 
     /// Handles a connect timeout: attempts and health checks queued on the connection fail as never sent. The connect
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -21,6 +21,7 @@
 
 /// An engine of the endpoint list and the connections to it.
 pub(super) struct Engine {
+    engine_id: u64,
     pub address: Option<SocketAddr>,
     pub zone: String,
     /// Start time of its process (Unix ms), if the endpoint list gives it.
@@ -35,6 +36,7 @@
 impl Engine {
     fn new(entry: &EndpointEntry) -> Self {
         Engine {
+            engine_id: entry.engine_id,
             address: entry.address,
             zone: entry.zone.clone(),
             started_ms: entry.started_ms,
@@ -66,20 +68,21 @@
         trusted_idle_ms: f64,
         max_streams: usize,
     ) -> Option<Candidate> {
-        let mut candidates = Vec::new();
-        for channel in &self.channels {
+        let candidate_of = |channel: &Rc<Channel>| {
             let connection = channel.connection.borrow();
-            if connection.accepts(id, max_streams) {
-                candidates.push(Candidate {
-                    channel: channel.clone(),
-                    suitability: connection.suitability(now_ms, trusted_idle_ms),
-                    in_flight: connection.in_flight(),
-                    is_coming_up: connection.state != ConnectionState::Up,
-                    last_used_ms: connection.last_used_ms,
-                });
+            if !connection.accepts(id, max_streams) {
+                return None;
             }
-        }
-        candidates.into_iter().min_by(Candidate::compare)
+            Some(Candidate {
+                channel: channel.clone(),
+                suitability: connection.suitability(now_ms, trusted_idle_ms),
+                in_flight: connection.in_flight(),
+                is_connecting: connection.state != ConnectionState::Up,
+                last_used_ms: connection.last_used_ms,
+            })
+        };
+        let candidates = self.channels.iter().filter_map(candidate_of);
+        candidates.min_by(Candidate::compare)
     }
 
     /// Whether another connection than `channel` is unused and either up or still within its connect timeout.
@@ -98,7 +101,7 @@
     channel: Rc<Channel>,
     suitability: Suitability,
     in_flight: usize,
-    is_coming_up: bool,
+    is_connecting: bool,
     last_used_ms: f64,
 }
 
@@ -109,7 +112,7 @@
         self.suitability
             .cmp(&other.suitability)
             .then(self.in_flight.cmp(&other.in_flight))
-            .then(self.is_coming_up.cmp(&other.is_coming_up))
+            .then(self.is_connecting.cmp(&other.is_connecting))
             .then(other.last_used_ms.total_cmp(&self.last_used_ms))
     }
 }
@@ -194,8 +197,8 @@
     }
 
     /// Selects or opens a connection for the attempt with this id; `None` if the engine is unknown or the connection
-    /// limits are reached. An attempt that is not `side_effect_free` is not sent on a connection that has idled: such
-    /// a connection may be dead, and the attempt's fate would be unknown.
+    /// limits are reached. An attempt that is not `side_effect_free` is not sent on a connection that has idled
+    /// for longer than [`MIN_IDLE_MS`]: it may be dead, and it would be unknown whether the attempt ran.
     pub(super) fn select_channel(
         self: &Rc<Self>,
         engine_id: u64,
@@ -204,7 +207,7 @@
     ) -> Option<Rc<Channel>> {
         let mut engines = self.engines.borrow_mut();
         // At the connection limit the connection that has idled longest is closed in favour of a new one.
-        let is_full = self.connections.get() >= self.settings.max_connections;
+        let is_full = self.is_full();
         let evictable = is_full.then(|| least_recently_used(&engines)).flatten();
         let engine = engines.get_mut(&engine_id)?;
         let address = engine.address?;
@@ -223,7 +226,7 @@
             Some(best) if best.suitability <= Suitability::Fresh || !may_open => best.channel,
             _ if may_open => {
                 evictable.iter().for_each(|idle| idle.retire());
-                self.open_channel(engine, engine_id, address)
+                self.open_channel(engine, address)
             }
             _ => {
                 tracing::warn!(engine_id = %format_args!("{engine_id:08x}"), "connection limit reached");
@@ -234,11 +237,17 @@
         // connect.
         let needs_spare = may_open && !is_full && max_idle_ms <= MIN_IDLE_MS;
         if needs_spare && !engine.has_spare_beside(&channel) {
-            self.open_channel(engine, engine_id, address);
+            self.open_channel(engine, address);
         }
         Some(channel)
     }
 
+    /// Whether the limit of connections to all engines is reached.
+    fn is_full(&self) -> bool {
+        self.connections.get() >= self.settings.max_connections
+    }
+
+    /// Whether the limit of connections to one engine allows for another.
     fn may_open_another(&self, engine: &Engine) -> bool {
         engine.channels.len() < self.settings.max_connections_per_engine()
     }
@@ -247,25 +256,18 @@
     pub(super) fn open_channels(
         self: &Rc<Self>,
         engine: &mut Engine,
-        engine_id: u64,
         address: SocketAddr,
         count: u32,
     ) {
         for _ in 0..count {
-            let is_full = self.connections.get() >= self.settings.max_connections;
-            if self.may_open_another(engine) && !is_full {
-                self.open_channel(engine, engine_id, address);
+            if self.may_open_another(engine) && !self.is_full() {
+                self.open_channel(engine, address);
             }
         }
     }
 
-    fn open_channel(
-        self: &Rc<Self>,
-        engine: &mut Engine,
-        engine_id: u64,
-        address: SocketAddr,
-    ) -> Rc<Channel> {
-        let channel = Rc::new(Channel::new(engine_id, self.clock.now()));
+    fn open_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
+        let channel = Rc::new(Channel::new(engine.engine_id, self.clock.now()));
         engine.channels.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
         self.registry.counters.engine_connections_opened.increment();
