--- a/crates/dispatcher/src/subsystems/service_levels/display.rs
+++ b/crates/dispatcher/src/subsystems/service_levels/display.rs
@@ -1,7 +1,7 @@
 //! Service levels for people: the JSON of `/_levels`, and the log line of a change.
 
 use serde_json::{json, Value};
-use tansymux_service_levels::{Change, LevelStateMachine, Why};
+use tansymux_service_levels::{LevelChange, LevelStateMachine, Reason, TriggerStatus};
 
 /// What `/_levels` answers while no levels are defined.
 pub fn disabled() -> Value {
@@ -10,7 +10,7 @@
 
 /// What `/_levels` answers: the level in force and why, what would change it, totals and the history, latest first.
 pub fn to_json(machine: &LevelStateMachine, now_ms: f64) -> Value {
-    let shown = machine.shown();
+    let status = machine.status();
     let history: Vec<Value> = machine
         .history()
         .iter()
@@ -19,18 +19,18 @@
         .collect();
     let latest = machine.history().last();
     json!({
-        "level": shown.name,
-        "depth": shown.depth,
+        "level": status.level_name,
+        "depth": status.depth,
         "version": machine.version(),
         "defined": true,
-        "since": shown.since,
-        "for_ms": (now_ms - shown.since).round(),
+        "since": status.since_ms,
+        "for_ms": (now_ms - status.since_ms).round(),
         "why": latest.map(|change| change_json(machine, change)),
-        "wants": machine.name_of(shown.wants),
-        "peers_heard": shown.heard,
-        "pinned_until": shown.pinned_until,
-        "would_enter": terms_json(&shown.would_enter),
-        "would_leave": terms_json(&shown.would_leave),
+        "wants": machine.level_name(status.wanted_depth),
+        "peers_heard": status.peer_count,
+        "pinned_until": status.pinned_until_ms,
+        "would_enter": triggers_json(&status.enter_triggers),
+        "would_leave": triggers_json(&status.leave_triggers),
         "times": totals_json(machine),
         "history": history,
     })
@@ -38,12 +38,13 @@
 
 /// Time (ms) in each level, and how often it was entered.
 fn totals_json(machine: &LevelStateMachine) -> Vec<Value> {
-    let (times, changes) = machine.totals();
+    let times = machine.time_at_depth_ms();
+    let changes = machine.change_counts();
     let mut totals = Vec::new();
     for (depth, time_ms) in times.iter().enumerate() {
         let changes = depth.checked_sub(1).map(|level| changes[level]);
         totals.push(json!({
-            "level": machine.name_of(depth),
+            "level": machine.level_name(depth),
             "ms": time_ms.round(),
             "changes": changes,
         }));
@@ -51,16 +52,16 @@
     totals
 }
 
-fn terms_json(terms: &[(String, f64, f64, bool, f64, f64)]) -> Vec<Value> {
+fn triggers_json(triggers: &[TriggerStatus]) -> Vec<Value> {
     let mut items = Vec::new();
-    for (signal, reading, threshold, is_met, held_ms, needed_ms) in terms {
+    for trigger in triggers {
         items.push(json!({
-            "signal": signal,
-            "reads": finite_or_null(*reading),
-            "turns_at": threshold,
-            "on": is_met,
-            "held_ms": held_ms,
-            "needed_ms": needed_ms,
+            "signal": trigger.signal,
+            "reads": finite_or_null(trigger.reading),
+            "turns_at": trigger.threshold,
+            "on": trigger.is_on,
+            "held_ms": trigger.held_ms,
+            "needed_ms": trigger.required_ms,
         }));
     }
     items
@@ -75,39 +76,42 @@
     }
 }
 
-fn change_json(machine: &LevelStateMachine, change: &Change) -> Value {
+fn change_json(machine: &LevelStateMachine, change: &LevelChange) -> Value {
     json!({
-        "at": change.at,
-        "from": machine.name_of(change.from),
-        "to": machine.name_of(change.to),
-        "why": reason_text(&change.why),
+        "at": change.at_ms,
+        "from": machine.level_name(change.from),
+        "to": machine.level_name(change.to),
+        "why": reason_text(&change.reason),
     })
 }
 
 /// Logs a change of level.
-pub fn log_change(machine: &LevelStateMachine, change: &Change) {
-    let from = machine.name_of(change.from);
-    let to = machine.name_of(change.to);
-    let reason = reason_text(&change.why);
+pub fn log_change(machine: &LevelStateMachine, change: &LevelChange) {
+    let from = machine.level_name(change.from);
+    let to = machine.level_name(change.to);
+    let reason = reason_text(&change.reason);
     tracing::warn!(from, to, reason, "service level changed");
 }
 
 /// A reason in the words of `/_levels`.
-fn reason_text(reason: &Why) -> String {
+fn reason_text(reason: &Reason) -> String {
     match reason {
-        Why::Signals(terms) => {
-            let texts: Vec<String> = terms
+        Reason::Signals(readings) => {
+            let texts: Vec<String> = readings
                 .iter()
-                .map(|(signal, reading)| format!("{signal} reads {reading:.3}"))
+                .map(|read| format!("{} reads {:.3}", read.signal, read.reading))
                 .collect();
             texts.join(", ")
         }
-        Why::Peers { heard, wants } => {
-            format!("{heard} peers are heard, and the middle wants depth {wants}")
+        Reason::Peers {
+            peers,
+            wanted_depth,
+        } => {
+            format!("{peers} peers are heard, and the middle wants depth {wanted_depth}")
         }
-        Why::Pinned => "pinned by operators".into(),
-        Why::Start { heard: 0 } => "own signals at the start".into(),
-        Why::Start { heard } => format!("{heard} peers told of it at the start"),
-        Why::Redefined => "other definitions".into(),
+        Reason::Pinned => "pinned by operators".into(),
+        Reason::Startup { peers: 0 } => "own signals at the start".into(),
+        Reason::Startup { peers } => format!("{peers} peers told of it at the start"),
+        Reason::Reconfigured => "other definitions".into(),
     }
 }
