--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -14,7 +14,9 @@
 use tansymux::settings::{matches_name, SettingsMap};
 use tansymux::LevelEffects;
 use tansymux_operator_config::schema;
-use tansymux_service_levels::{Definition, Degradation, Ended, LevelStateMachine, Signal, Windows};
+use tansymux_service_levels::{
+    Config, Degradation, LevelStateMachine, OutcomeWindows, QueryOutcome, Signal,
+};
 
 /// How often (ms) signals are read.
 const TICK_INTERVAL_MS: f64 = 250.0;
@@ -35,29 +37,29 @@
     /// The signals' values at the last tick; NaN where one has none.
     readings: Vec<f64>,
     /// Ends of queries by resource group.
-    windows: Windows,
+    windows: OutcomeWindows,
 }
 
 impl ActiveLevels {
-    fn new(definition: Definition, group_count: usize) -> Self {
+    fn new(definition: Config, group_count: usize) -> Self {
         let signals = definition.signals();
         ActiveLevels {
             machine: LevelStateMachine::new(definition),
             readings: vec![f64::NAN; signals.len()],
             signals,
-            windows: Windows::new(group_count),
+            windows: OutcomeWindows::new(group_count),
         }
     }
 
     /// Takes another definition on, if it is another. The level in force is kept where the new definition has it.
-    fn redefine(&mut self, now_ms: f64, definition: Definition) {
-        if *self.machine.definition() == definition {
+    fn redefine(&mut self, now_ms: f64, definition: Config) {
+        if *self.machine.config() == definition {
             return;
         }
-        if let Some(change) = self.machine.redefine(now_ms, definition).cloned() {
+        if let Some(change) = self.machine.reconfigure(definition, now_ms).cloned() {
             display::log_change(&self.machine, &change);
         }
-        self.signals = self.machine.definition().signals();
+        self.signals = self.machine.config().signals();
         self.readings = vec![f64::NAN; self.signals.len()];
     }
 }
@@ -151,7 +153,7 @@
             }
         }
         let effects = match active.as_ref() {
-            Some(current) => self.effects(&current.machine.reduction()),
+            Some(current) => self.effects(&current.machine.degradation()),
             None => LevelEffects::default(),
         };
         control.set_level_effects(effects);
@@ -165,14 +167,14 @@
     /// What a level asks of the decisions, with groups by their index.
     fn effects(&self, degradation: &Degradation) -> LevelEffects {
         LevelEffects {
-            concurrency_factor: degradation.bounds,
-            demotion_factor: degradation.demotion,
-            grant_factor: degradation.grants,
-            retry_after_factor: degradation.retry_after,
-            retry_after_jitter: degradation.spread,
-            withhold_low_retries: degradation.withhold_low,
-            reject_over_quota: degradation.close_over_share,
-            min_confidence: degradation.min_sure,
+            concurrency_factor: degradation.concurrency_factor,
+            demotion_factor: degradation.demotion_factor,
+            grant_factor: degradation.grant_factor,
+            retry_after_factor: degradation.retry_after_factor,
+            retry_after_jitter: degradation.retry_after_jitter,
+            withhold_low_retries: degradation.withhold_low_retries,
+            reject_over_quota: degradation.reject_over_quota,
+            min_confidence: degradation.min_confidence,
             group_fractions: self.group_fractions(degradation),
         }
     }
@@ -188,8 +190,8 @@
             let named = degradation
                 .classes
                 .iter()
-                .find(|(class, _)| matches_name(name, class));
-            fractions.push(named.map_or(1.0, |(_, fraction)| *fraction));
+                .find(|named| matches_name(name, &named.class));
+            fractions.push(named.map_or(1.0, |named| named.fraction));
         }
         fractions
     }
@@ -207,12 +209,12 @@
         let objective_ms = group.latency_objective_ms.unwrap_or(f64::INFINITY);
         let late_after_ms = objective_ms + group.objective_stretch * event.cost_ms / group.threads;
         let ended = match event.kind {
-            AnswerKind::Completed if event.latency_ms > late_after_ms => Ended::Late,
-            AnswerKind::Completed => Ended::InTime,
-            AnswerKind::Rejected => Ended::Rejected,
-            AnswerKind::Failed => Ended::Failed,
+            AnswerKind::Completed if event.latency_ms > late_after_ms => QueryOutcome::Late,
+            AnswerKind::Completed => QueryOutcome::InTime,
+            AnswerKind::Rejected => QueryOutcome::Rejected,
+            AnswerKind::Failed => QueryOutcome::Failed,
         };
-        active.windows.take(now_ms, index, ended);
+        active.windows.record(index, ended, now_ms);
     }
 
     /// Reads the signals and changes the level, every [`TICK_INTERVAL_MS`]. Gives the message for all peers that is due.
@@ -231,24 +233,28 @@
         self.last_tick_ms.set(now_ms);
         for (signal, reading) in active.signals.iter().zip(&mut active.readings) {
             *reading = match signal {
-                Signal::Pressed(zone) => control.pressured_fraction(zone.as_deref()),
-                Signal::BoundsUsed => control.concurrency_used_fraction(),
-                Signal::Late(group) => active.windows.late(now_ms, self.signal_group(group)),
-                Signal::Rejected(group) => {
-                    active.windows.rejected(now_ms, self.signal_group(group))
+                Signal::PressuredEngines(zone) => control.pressured_fraction(zone.as_deref()),
+                Signal::ConcurrencyUsed => control.concurrency_used_fraction(),
+                Signal::LateQueries(group) => {
+                    let class = self.signal_group(group);
+                    active.windows.late_fraction(class, now_ms)
                 }
-                Signal::Ready => control.ready_fraction(),
-                Signal::Cold => control.warming_fraction(),
-                Signal::Doubted => control.ejected_fraction(),
+                Signal::RejectedQueries(group) => {
+                    let class = self.signal_group(group);
+                    active.windows.rejected_fraction(class, now_ms)
+                }
+                Signal::ReadyEngines => control.ready_fraction(),
+                Signal::WarmingUpEngines => control.warming_fraction(),
+                Signal::EjectedEngines => control.ejected_fraction(),
                 Signal::Memory => self.memory_fraction(now_ms),
                 Signal::Descriptors => open_descriptors as f64 / self.limits.descriptors,
             };
         }
-        if let Some(change) = active.machine.look(now_ms, &active.readings).cloned() {
+        if let Some(change) = active.machine.evaluate(&active.readings, now_ms).cloned() {
             display::log_change(&active.machine, &change);
-            control.set_level_effects(self.effects(&active.machine.reduction()));
+            control.set_level_effects(self.effects(&active.machine.degradation()));
         }
-        active.machine.tells(now_ms)
+        active.machine.poll_message(now_ms)
     }
 
     /// The group that a signal reads: none for all. One that the settings do not have reads nothing.
@@ -270,11 +276,13 @@
 
     /// Whether it is a message about levels. While levels are off it is passed over.
     pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
-        if message.content.first() != Some(&tansymux_service_levels::message::KIND) {
+        if message.content.first() != Some(&tansymux_service_levels::codec::MESSAGE_KIND) {
             return false;
         }
         if let Some(active) = self.active.borrow_mut().as_mut() {
-            active.machine.heard(now_ms, message.peer, message.content);
+            active
+                .machine
+                .handle_peer_message(message.peer, message.content, now_ms);
         }
         true
     }
@@ -302,11 +310,12 @@
             return;
         };
         let machine = &active.machine;
-        let (times, changes) = machine.totals();
+        let times = machine.time_at_depth_ms();
+        let changes = machine.change_counts();
         // Writing to a String cannot fail.
         let _ = writeln!(text, "level_depth {}", machine.depth());
         for (depth, time_ms) in times.iter().enumerate() {
-            let name = machine.name_of(depth);
+            let name = machine.level_name(depth);
             let _ = writeln!(text, "level_{name}_ms {time_ms:.0}");
             if let Some(level) = depth.checked_sub(1) {
                 let _ = writeln!(text, "level_{name}_changes {}", changes[level]);
