--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempt;
 mod engine;
+mod engine_health;
+mod engine_load;
 mod in_flight;
 mod index;
 mod key_queues;
@@ -12,6 +14,7 @@
 mod query;
 mod resource_group;
 mod retry_budget;
+mod slow_start;
 mod slowdown;
 mod state;
 mod tenants;
--- a/src/tests/admission.rs
+++ b/src/tests/admission.rs
@@ -5,7 +5,7 @@
 #[test]
 fn query_that_cannot_complete_in_time_is_rejected_on_arrival() {
     let usual = "services.0.hard-limit-us=900000 services.1.hard-limit-us=900000";
-    // A client that gives the usual time gets its try whatever the load; one that gives less, as answers come of late.
+    // A client that waits for the usual time is tried whatever the load; for one that waits less, recent slowdown counts.
     for (wait, cost, pace, goes) in [
         (890.0, 800.0, 0.0, true),
         (890.0, 800.0, 1.0, true),
@@ -33,7 +33,7 @@
             "{wait} {cost}: {decided:?}"
         );
     }
-    // A query of more threads is done sooner, and load changes nothing of it.
+    // A query on more threads completes sooner, and pressure does not change that.
     let mut control = dispatcher(usual, TWO);
     put_under_pressure(&mut control, 0);
     put_under_pressure(&mut control, 1);
@@ -71,13 +71,13 @@
     let told = "projects.count=2 projects.0.name=a projects.0.allowance-per-s=20 \
         projects.1.name=b projects.1.allowance-per-s=20";
     let mut control = dispatcher(told, ONE);
-    let mut from = |id, rg: &str, who: &str, mark: fn(&mut Control)| {
+    let mut from = |id, group: &str, who: &str, mark: fn(&mut Control)| {
         mark(&mut control);
         round(&mut control, 1.0, |control, out| {
             let query = QueryArrived {
                 tenant: who,
                 memory_mb: 1.0,
-                ..arriving(id, rg, START_MS + 9e3, 9.0)
+                ..arriving(id, group, START_MS + 9e3, 9.0)
             };
             control.on_query_arrived(&query, out).unwrap()
         })
@@ -110,8 +110,8 @@
 
 #[test]
 fn queries_without_estimates_before_the_first_answer_are_expected_to_meet_their_objective() {
-    // Two were taken before any of their group had ended. Their time was unknown, not none: a third that gives a
-    // usual time is no hopeless case, and one that runs for half of its target runtime does not hang.
+    // Two arrived before any of their group had completed. Their run time was unknown rather than zero: a third with
+    // a usual deadline is not hopeless, and one that has run for half of its objective is not overdue.
     let usual = "services.0.hard-limit-us=20000000 limits.probes=1";
     let mut control = dispatcher(usual, TWO);
     for id in 0..3 {
--- a/src/tests/dispatch.rs
+++ b/src/tests/dispatch.rs
@@ -14,7 +14,7 @@
         &send_query_with_key(&mut control, 3.0, 3, "tok", 100.0, Some(6), 0),
         "submit 3"
     ));
-    let e = control
+    let slot = control
         .queries
         .iter()
         .find(|(_, q)| q.id == 1)
@@ -32,7 +32,7 @@
         round(&mut control, 50.0, |_, _| ()).is_empty(),
         "its submission is still out"
     );
-    assert!(end_attempt(&mut control, 60.0, 1, 0, Outcome::Cancelled, e).is_empty());
+    assert!(end_attempt(&mut control, 60.0, 1, 0, Outcome::Cancelled, slot).is_empty());
     assert!(
         round(&mut control, 500.0, |_, _| ()).is_empty(),
         "the key rests"
@@ -51,7 +51,7 @@
         send_query_with_key(&mut control, at, id, "tok", 100.0, Some(id), 0);
         let i = control.find_query(id).unwrap();
         let engine_id = control.engines[control.queries[i].attempts.all()[0].engine].engine_id;
-        // Every fourth is in doubt, and its key rests for half a second: some twelve of them at a time.
+        // Every fourth has an unknown end, and its key cools down for half a second: some twelve of them at a time.
         let outcome = if id % 4 == 0 {
             Outcome::Cancelled
         } else {
@@ -67,7 +67,7 @@
         "{}",
         control.key_queues.len()
     );
-    // A key that is used over and over stays one, and its rest holds.
+    // A key that is used again and again is kept once, and its cooldown holds.
     send_query_with_key(&mut control, 20_000.0, 2000, "tok", 100.0, Some(7), 0);
     let engine_id = control.engines[control.queries[control.find_query(2000).unwrap()]
         .attempts
--- a/src/tests/endpoints.rs
+++ b/src/tests/endpoints.rs
@@ -42,13 +42,13 @@
         let ready: Vec<u64> = control
             .engines
             .iter()
-            .filter(|e| e.endpoint.ready)
-            .map(|e| e.engine_id)
+            .filter(|slot| slot.endpoint.ready)
+            .map(|slot| slot.engine_id)
             .collect();
         assert_eq!(ready, [engine_id]);
     }
     assert!(control.engines.len() <= 3, "{}", control.engines.len());
-    // The load on the first engine is still known there, and its end is heard.
+    // The load on the first engine is still counted there, and its end is taken in.
     assert_eq!(
         (
             control.engines[EngineIndex(0)].engine_id,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -36,7 +36,7 @@
     services.3.name=tok services.3.effect=idempotency_key services.3.aim-us=4000000 \
     services.3.repeat-window-us=10000000 services.3.dedup-scope=all services.3.in-order=1";
 
-/// The settings above, with `more` put over them.
+/// The settings above, overridden by `more`.
 pub(crate) fn settings(more: &str) -> SettingsMap {
     let pairs = SETTINGS.split_whitespace().chain(more.split_whitespace());
     pairs
@@ -45,38 +45,44 @@
         .collect()
 }
 
+/// Keeps each decision as a line, and the limits of each attempt.
 #[derive(Default)]
-pub(crate) struct RecordedDecisions(pub Vec<String>, pub Vec<AttemptLimits>);
+pub(crate) struct RecordedDecisions {
+    pub(crate) decisions: Vec<String>,
+    pub(crate) limits: Vec<AttemptLimits>,
+}
 
 impl DecisionSink for RecordedDecisions {
-    fn submit(&mut self, id: u64, engine_id: u64, bounds: AttemptLimits) {
-        self.1.push(bounds);
-        self.0.push(format!("submit {id} {engine_id}"));
+    fn submit(&mut self, id: u64, engine_id: u64, limits: AttemptLimits) {
+        self.limits.push(limits);
+        self.decisions.push(format!("submit {id} {engine_id}"));
     }
     fn reject(&mut self, id: u64, retry_after_ms: f64) {
-        self.0.push(format!("reject {id} {retry_after_ms}"));
+        self.decisions.push(format!("reject {id} {retry_after_ms}"));
     }
     fn fail(&mut self, id: u64) {
-        self.0.push(format!("fail {id}"));
+        self.decisions.push(format!("fail {id}"));
     }
     fn cancel(&mut self, id: u64, attempt: usize) {
-        self.0.push(format!("cancel {id} {attempt}"));
+        self.decisions.push(format!("cancel {id} {attempt}"));
     }
     fn grant(&mut self, id: u64, priority: u8, memory: f64) {
-        self.0.push(format!("grant {id} {priority} {memory}"));
+        self.decisions
+            .push(format!("grant {id} {priority} {memory}"));
     }
     fn check_health(&mut self, engine_id: u64) {
-        self.0.push(format!("probe {engine_id}"));
+        self.decisions.push(format!("probe {engine_id}"));
     }
     fn send_to_peer(&mut self, peer: Option<u32>, content: &[u8]) {
-        self.0.push(format!("tell {peer:?} {content:?}"));
+        self.decisions.push(format!("tell {peer:?} {content:?}"));
     }
     fn set_timer(&mut self, _delay: f64, _handle: u64) {}
     fn watch_endpoints(&mut self) {
-        self.0.push("watch".into());
+        self.decisions.push("watch".into());
     }
 }
 
+/// Runs a closure as a round's events.
 pub(crate) struct Script<F>(pub Option<F>);
 
 impl<F: FnOnce(&mut Control, &mut dyn DecisionSink)> EventSource for Script<F> {
@@ -85,9 +91,10 @@
     }
 }
 
+/// The clock of a dispatcher's first round (ms).
 pub(crate) const START_MS: f64 = 1e6;
 
-/// One round at `T0 + at` ms; what was decided in it.
+/// Runs one round at `START_MS + at` and returns what was decided in it.
 pub(crate) fn round(
     control: &mut Control,
     at: f64,
@@ -95,7 +102,7 @@
 ) -> Vec<String> {
     let mut recorded = RecordedDecisions::default();
     control.run_round(START_MS + at, &mut Script(Some(events)), &mut recorded);
-    recorded.0
+    recorded.decisions
 }
 
 /// A list entry of a ready engine in cell 0.
@@ -168,22 +175,23 @@
     control
 }
 
-/// A query of `rg` with this estimate, given up 20 s after it comes.
+/// Sends a query of `group` with this estimate and a deadline of 20 s.
 pub(crate) fn send_query(
     control: &mut Control,
     at: f64,
     id: u64,
-    rg: &str,
+    group: &str,
     cost: f64,
 ) -> Vec<String> {
-    send_query_with_key(control, at, id, rg, cost, None, 0)
+    send_query_with_key(control, at, id, group, cost, None, 0)
 }
 
+/// The same with an ordering key and tables.
 pub(crate) fn send_query_with_key(
     control: &mut Control,
     at: f64,
     id: u64,
-    rg: &str,
+    group: &str,
     cost: f64,
     key: Option<u64>,
     tables: u32,
@@ -192,13 +200,13 @@
         let query = QueryArrived {
             key,
             tables,
-            ..arriving(id, rg, START_MS + at + 20_000.0, cost)
+            ..arriving(id, group, START_MS + at + 20_000.0, cost)
         };
         control.on_query_arrived(&query, out).unwrap()
     })
 }
 
-/// The end of a query's attempt on an engine.
+/// Ends a query's attempt on an engine.
 pub(crate) fn end_attempt(
     control: &mut Control,
     at: f64,
@@ -216,6 +224,7 @@
     })
 }
 
+/// Whether a decision begins like this.
 pub(crate) fn has_decision(decided: &[String], with: &str) -> bool {
     decided.iter().any(|d| d.starts_with(with))
 }
@@ -239,7 +248,7 @@
     }
 }
 
-/// Makes engine `e` look pressed, as slow answers would.
-pub(crate) fn put_under_pressure(control: &mut Control, e: usize) {
-    control.engines[EngineIndex(e)].slowdown.fast = SLOW;
+/// Puts an engine under pressure, as slow answers would.
+pub(crate) fn put_under_pressure(control: &mut Control, slot: usize) {
+    control.engines[EngineIndex(slot)].slowdown.fast = SLOW;
 }
--- a/src/tests/outlier.rs
+++ b/src/tests/outlier.rs
@@ -80,7 +80,7 @@
 fn engine_ejected_for_failed_connections_is_reinstated_by_a_health_check() {
     let mut control = dispatcher("limits.probes=1", ONE);
     (0..2).for_each(|id| drop(send_query(&mut control, 1.0, id, "look", 10.0)));
-    // Two that waited for one connection are one sign of trouble, and then there is a second.
+    // Two that waited for one connection count as one failure; then there is a second.
     round(&mut control, 251.0, |control, out| {
         (0..2).for_each(|id| {
             control.on_attempt_ended(&ended(id, 0, false, Outcome::NoConnection, 1, 250.0), out)
@@ -89,7 +89,7 @@
     assert!(!control.engines[EngineIndex(0)].health.is_ejected);
     end_attempt(&mut control, 501.0, 0, 1, Outcome::NoConnection, 1);
     assert!(control.engines[EngineIndex(0)].health.is_ejected);
-    // What answers a probe can be reached and has a process: nothing else was said against it.
+    // An engine that answers a health check can be reached and has a process: there was no other evidence against it.
     round(&mut control, 600.0, |control, _| {
         control.on_health_check_ended(&HealthCheckEnded {
             engine_id: 1,
@@ -97,7 +97,7 @@
         })
     });
     assert!(!control.engines[EngineIndex(0)].health.is_ejected);
-    // One that takes queries and ends none may well answer probes: its doubt stays until a trial passed.
+    // One that takes queries and completes none may well answer health checks: it stays ejected until a trial succeeds.
     for id in 10..12 {
         send_query(&mut control, 700.0, id, "load", 10.0);
         end_attempt(&mut control, 701.0, id, 0, Outcome::Reset, 1);
@@ -124,7 +124,7 @@
         }
         assert!(
             !control.interner.queries.contains_key(&id)
-                && control.engines.iter().all(|e| !e.health.is_ejected),
+                && control.engines.iter().all(|slot| !slot.health.is_ejected),
             "{id}"
         );
         for id in 10..20 {
@@ -156,7 +156,7 @@
     (0..8)
         .filter(|id| !hung.contains(id))
         .for_each(|id| drop(end_attempt(&mut control, 9.0, id, 0, Outcome::Completed, 2)));
-    // Nothing comes of those on the first engine: they are moved and end on the second.
+    // Those on the first engine make no progress: they migrate and complete on the second.
     assert!(has_decision(
         &round(&mut control, 1000.0, |_, _| ()),
         "cancel"
@@ -181,9 +181,9 @@
             2,
         ))
     });
-    let mut went = |rg: &str, from: u64, at: f64| -> Vec<u64> {
+    let mut went = |group: &str, from: u64, at: f64| -> Vec<u64> {
         let one = |id| {
-            send_query(&mut control, at, id, rg, 10.0);
+            send_query(&mut control, at, id, group, 10.0);
             let engine_id = on(&control, id);
             end_attempt(
                 &mut control,
@@ -199,7 +199,7 @@
     };
     assert_eq!(went("rep", 20, 1200.0), [2; 12]);
     assert!(went("look", 40, 1400.0).contains(&1));
-    // It is tried again after a while.
+    // It is used again after a while.
     assert!(went("rep", 60, 9000.0).contains(&1));
 }
 
@@ -223,7 +223,7 @@
         send_query(&mut control, 1.0, 1, "look", 100.0);
         has_decision(&round(&mut control, at, |_, _| ()), "probe")
     };
-    // Its quickest group is wanted within 500 ms; with notes every 100 ms silence tells sooner.
+    // The shortest objective is 500 ms; with notes every 100 ms silence shows sooner.
     assert!(!asks("", 700.0) && asks("", 900.0));
     assert!(asks("family-info.tells-every-us=100000", 500.0));
 }
--- a/src/tests/peer_load.rs
+++ b/src/tests/peer_load.rs
@@ -9,17 +9,17 @@
     let mut adds_up = dispatcher(&format!("{PEERS}0"), TWO);
     let mut other = dispatcher(&format!("{PEERS}3"), TWO);
     let told = send_query(&mut other, 100.0, 1, "rep", 100.0);
-    let e = other
+    let slot = other
         .engines
         .iter()
-        .position(|e| e.load.low_attempts == 1)
+        .position(|slot| slot.load.low_attempts == 1)
         .unwrap();
     assert_eq!(
         told.iter().filter(|t| t.starts_with("tell Some")).count(),
         2,
         "to each that adds up: {told:?}"
     );
-    let mark = peer_codec::engine_tag(e as u64 + 1);
+    let mark = peer_codec::engine_tag(slot as u64 + 1);
     let report = [peer_codec::OWN_LOAD, mark[0], mark[1], 2];
     let sums = round(&mut adds_up, 2_000.0, |control, _| {
         control.on_peer_message(&PeerMessage {
@@ -29,12 +29,12 @@
     });
     assert!(
         has_decision(&sums, "tell None [1, ")
-            && adds_up.engines[EngineIndex(e)].load.peer_threads == 2.0,
+            && adds_up.engines[EngineIndex(slot)].load.peer_threads == 2.0,
         "{sums:?}"
     );
     round(&mut adds_up, 14_000.0, |_, _| ());
     assert_eq!(
-        adds_up.engines[EngineIndex(e)].load.peer_threads,
+        adds_up.engines[EngineIndex(slot)].load.peer_threads,
         0.0,
         "a gateway that died is forgotten"
     );
--- a/src/tests/periodic.rs
+++ b/src/tests/periodic.rs
@@ -9,7 +9,7 @@
     control
         .engines
         .iter_mut()
-        .for_each(|e| e.limit.crowd_threads = 100.0);
+        .for_each(|slot| slot.limit.crowd_threads = 100.0);
     for id in 0..20 {
         send_query(&mut control, 1.0, id, "rep", 200.0);
     }
@@ -41,13 +41,13 @@
     for (is_pressured, then) in [(false, "cancel 1 0"), (true, "reject 1")] {
         let mut control = dispatcher("", TWO);
         send_query(&mut control, 1.0, 1, "rep", 1000.0);
-        let e = control
+        let slot = control
             .engines
             .iter()
-            .position(|e| e.load.attempts == 1)
+            .position(|slot| slot.load.attempts == 1)
             .unwrap();
         if is_pressured {
-            put_under_pressure(&mut control, e);
+            put_under_pressure(&mut control, slot);
         }
         let then_said = round(&mut control, 1_001.0, |control, _| {
             control.on_progress_note(&note(1, 0, NoteKind::Progress, 0.02))
@@ -58,7 +58,7 @@
 
 #[test]
 fn time_spent_waiting_does_not_count_as_slow_work() {
-    // A load stood behind another for a second: its first progress says nothing, the next ones tell its pace.
+    // A load waited for another for a second: its first progress says nothing, the next ones show its speed.
     for (share, lives) in [(0.5, true), (0.0041, false)] {
         let mut control = dispatcher("", TWO);
         send_query(&mut control, 1.0, 1, "load", 1000.0);
--- a/src/tests/placement.rs
+++ b/src/tests/placement.rs
@@ -24,16 +24,11 @@
         has_decision(&send_query(&mut control, 1.0, 4, "look", 100.0), "submit"),
         "the fast lane is not refused"
     );
-    (
-        control.engines[EngineIndex(0)].slowdown,
-        control.engines[EngineIndex(0)].load.low_attempts,
-    ) = (
-        LaneSlowdowns {
-            low: SLOW,
-            ..LaneSlowdowns::default()
-        },
-        0,
-    );
+    control.engines[EngineIndex(0)].slowdown = LaneSlowdowns {
+        low: SLOW,
+        ..LaneSlowdowns::default()
+    };
+    control.engines[EngineIndex(0)].load.low_attempts = 0;
     assert!(has_decision(
         &send_query(&mut control, 1.0, 5, "rep", 100.0),
         "submit"
@@ -43,22 +38,18 @@
 #[test]
 fn engine_with_less_work_per_core_is_chosen() {
     let mut control = dispatcher("", &[("small", "h1"), ("big", "h1")]);
-    (
-        control.engines[EngineIndex(0)].load.work_ms,
-        control.engines[EngineIndex(1)].load.work_ms,
-    ) = (1000.0, 1500.0);
+    control.engines[EngineIndex(0)].load.work_ms = 1000.0;
+    control.engines[EngineIndex(1)].load.work_ms = 1500.0;
     for id in 0..40 {
         send_query(&mut control, 1.0, id, "look", 0.001);
     }
-    // Each draw of both takes the big one, and a draw of the same twice either.
+    // Whenever both are drawn the big one is chosen; one engine drawn twice may be either.
     assert!(
         control.engines[EngineIndex(1)].load.attempts
             > control.engines[EngineIndex(0)].load.attempts
     );
-    (
-        control.engines[EngineIndex(0)].load.work_ms,
-        control.engines[EngineIndex(1)].load.work_ms,
-    ) = (0.0, 9000.0);
+    control.engines[EngineIndex(0)].load.work_ms = 0.0;
+    control.engines[EngineIndex(1)].load.work_ms = 9000.0;
     let before = control.engines[EngineIndex(1)].load.attempts;
     for id in 100..140 {
         send_query(&mut control, 1.0, id, "look", 0.001);
@@ -73,7 +64,7 @@
     let held = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap();
     control.engines[EngineIndex(1 - held)].load.work_ms = 1e9;
     assert_eq!(
@@ -90,7 +81,7 @@
 #[test]
 fn dispatcher_with_a_hundredth_of_each_engine_does_not_fill_every_engine() {
     let mut control = dispatcher("balancers=300", &[("small", "h1"); 8]);
-    (0..8).for_each(|e| put_under_pressure(&mut control, e));
+    (0..8).for_each(|slot| put_under_pressure(&mut control, slot));
     assert!(
         has_decision(&send_query(&mut control, 1.0, 1, "rep", 100.0), "submit"),
         "one there is room for always"
@@ -124,11 +115,9 @@
 fn only_low_query_is_rejected_under_pressure_when_all_limits_are_used_up() {
     for (bound, room) in [(0.2, "reject"), (2.0, "submit")] {
         let mut control = dispatcher("", TWO);
-        (
-            control.engines[EngineIndex(0)].load.low_attempts,
-            control.engines[EngineIndex(0)].load.low_threads,
-            control.engines[EngineIndex(0)].limit.threads_per_core,
-        ) = (2, 4.0, 0.2);
+        control.engines[EngineIndex(0)].load.low_attempts = 2;
+        control.engines[EngineIndex(0)].load.low_threads = 4.0;
+        control.engines[EngineIndex(0)].limit.threads_per_core = 0.2;
         control.engines[EngineIndex(1)].limit.threads_per_core = bound;
         put_under_pressure(&mut control, 0);
         put_under_pressure(&mut control, 1);
@@ -144,8 +133,8 @@
     let mut control = dispatcher("balancers=40", TWO);
     let mut entered = 0;
     for id in 0..200 {
-        (0..2).for_each(|e| {
-            control.engines[EngineIndex(e)].slowdown.fast = FadingMedian {
+        (0..2).for_each(|slot| {
+            control.engines[EngineIndex(slot)].slowdown.fast = FadingMedian {
                 level: 2.0,
                 updated_ms: START_MS + id as f64 * 100.0,
             }
@@ -159,7 +148,7 @@
             .iter()
             .find(|(_, q)| q.id == id)
             .map(|(_, q)| q.attempts.all()[0].engine.0 as u64 + 1);
-        if let Some(e) = sent {
+        if let Some(slot) = sent {
             round(&mut control, id as f64 * 100.0 + 60.0, |_, _| ());
             end_attempt(
                 &mut control,
@@ -167,10 +156,10 @@
                 id,
                 0,
                 Outcome::Completed,
-                e,
+                slot,
             );
         }
     }
-    // Sixteen cores over forty dispatchers are 0.4 threads of the 2 that one takes; 1.2 a core at the most.
+    // Sixteen cores over forty dispatchers are 0.4 threads of the 2 that one needs; 1.2 a core at the most.
     assert!((20..120).contains(&entered), "{entered} of 200");
 }
--- a/src/tests/pressure.rs
+++ b/src/tests/pressure.rs
@@ -12,11 +12,9 @@
     ];
     for mark in marks {
         let mut control = dispatcher("", ONE);
-        (
-            control.engines[EngineIndex(0)].load.low_attempts,
-            control.engines[EngineIndex(0)].load.low_threads,
-            control.engines[EngineIndex(0)].limit.threads_per_core,
-        ) = (1, 2.0, 0.5);
+        control.engines[EngineIndex(0)].load.low_attempts = 1;
+        control.engines[EngineIndex(0)].load.low_threads = 2.0;
+        control.engines[EngineIndex(0)].limit.threads_per_core = 0.5;
         mark(&mut control);
         assert!(has_decision(
             &send_query(&mut control, 1000.0, 1, "rep", 100.0),
@@ -55,10 +53,10 @@
     let mut control = dispatcher("balancers=300", TWO);
     control.groups[GroupIndex(0)].slowdown.samples = 100;
     send_query(&mut control, 20_000.0, 1, "look", 10.0);
-    let e = control
+    let slot = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap();
     end_attempt(
         &mut control,
@@ -66,9 +64,9 @@
         1,
         0,
         Outcome::Completed,
-        e as u64 + 1,
+        slot as u64 + 1,
     );
-    assert!(control.is_under_pressure(EngineIndex(e)));
+    assert!(control.is_under_pressure(EngineIndex(slot)));
 }
 
 #[test]
@@ -89,7 +87,7 @@
     control.groups[GroupIndex(0)].slowdown.samples = 100;
     for id in 0..3 {
         send_query(&mut control, id as f64, id, "look", 1.0);
-        let e = control
+        let slot = control
             .queries
             .iter()
             .find(|(_, q)| q.id == id)
@@ -106,7 +104,7 @@
             id,
             0,
             Outcome::Completed,
-            e,
+            slot,
         );
     }
     assert!(
@@ -120,10 +118,8 @@
     for (scatter, is_pressured) in [(0.0, true), (1.0, false)] {
         let mut control = dispatcher("", ONE);
         control.groups[GroupIndex(0)].slowdown.samples = 100;
-        (
-            control.groups[GroupIndex(0)].slowdown.scatter,
-            control.groups[GroupIndex(0)].slowdown.min_scatter,
-        ) = (scatter, scatter);
+        control.groups[GroupIndex(0)].slowdown.scatter = scatter;
+        control.groups[GroupIndex(0)].slowdown.min_scatter = scatter;
         send_query(&mut control, 1.0, 1, "look", 60.0);
         end_attempt(&mut control, 101.0, 1, 0, Outcome::Completed, 1);
         assert_eq!(control.is_under_pressure(EngineIndex(0)), is_pressured);
--- a/src/tests/retry.rs
+++ b/src/tests/retry.rs
@@ -9,7 +9,7 @@
     let first = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap() as u64
         + 1;
     let again = end_attempt(&mut control, 2.0, 1, 0, Outcome::NoConnection, first);
@@ -42,7 +42,7 @@
     let first = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap();
     control.engines[EngineIndex(first)].endpoint.ready = false;
     assert_eq!(
@@ -58,7 +58,7 @@
     let mut again = 0;
     for id in 0..10 {
         send_query(&mut control, 1.0, id, "look", 10.0);
-        let e = control
+        let slot = control
             .queries
             .iter()
             .find(|(_, q)| q.id == id)
@@ -70,7 +70,7 @@
             .0 as u64
             + 1;
         again += usize::from(has_decision(
-            &end_attempt(&mut control, 2.0, id, 0, Outcome::NoConnection, e),
+            &end_attempt(&mut control, 2.0, id, 0, Outcome::NoConnection, slot),
             "submit",
         ));
     }
@@ -98,7 +98,7 @@
         &mut recorded,
     );
     let bounds: Vec<(f64, f64)> = recorded
-        .1
+        .limits
         .iter()
         .map(|b| (b.deadline_ms - START_MS, b.start_by_ms - START_MS))
         .collect();
--- a/src/tests/service_levels.rs
+++ b/src/tests/service_levels.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// The deepest level there could be.
+/// The deepest level that is possible.
 fn deepest_level() -> LevelEffects {
     LevelEffects {
         concurrency_factor: 0.05,
@@ -22,7 +22,7 @@
     control
         .engines
         .iter_mut()
-        .for_each(|e| e.slowdown.fast = SLOW);
+        .for_each(|slot| slot.slowdown.fast = SLOW);
     control.level = reduced;
     control
 }
@@ -31,14 +31,14 @@
     control: &mut Control,
     at: f64,
     id: u64,
-    rg: &str,
+    group: &str,
     cost: f64,
     text: StatementTraits,
 ) -> Vec<String> {
     round(control, at, |control, out| {
         let query = QueryArrived {
             statement: text,
-            ..arriving(id, rg, START_MS + at + 20_000.0, cost)
+            ..arriving(id, group, START_MS + at + 20_000.0, cost)
         };
         control.on_query_arrived(&query, out).unwrap()
     })
@@ -56,7 +56,7 @@
             "{id}"
         );
     }
-    // Nor held back from a second engine.
+    // Nor is a retry on the second engine withheld.
     assert!(
         has_decision(
             &end_attempt(&mut control, 2.0, 7, 0, Outcome::Full, 1),
@@ -78,7 +78,7 @@
                 .unwrap()
         })
         .collect();
-    // 1 s, three times, up to half as much again.
+    // 1 s times three, and up to half as much again.
     assert!(
         waits.iter().all(|wait| (3000.0..=4500.0).contains(wait)),
         "{waits:?}"
@@ -108,7 +108,7 @@
 fn level_shrinks_concurrency_limits_and_a_groups_headroom() {
     let count = |reduced: LevelEffects| {
         let mut control = pressured_dispatcher(reduced);
-        // A pool of two with 8 cores each, of which this dispatcher has the half.
+        // A pool of two with 8 cores each, of which this dispatcher has half.
         (0..20)
             .filter(|id| has_decision(&send_query(&mut control, 1.0, *id, "rep", 100.0), "submit"))
             .count()
@@ -163,19 +163,19 @@
     let on = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap() as u64
         + 1;
     assert!(has_decision(
         &end_attempt(&mut control, 2.0, 1, 0, Outcome::Error, on),
         "reject 1"
     ));
-    // A load that may have run is failed and not rejected, at this level as at any.
+    // A load that may have run fails and is not rejected, at this level as at any.
     send_query(&mut control, 3.0, 2, "load", 100.0);
     let on = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap() as u64
         + 1;
     assert_eq!(
@@ -187,7 +187,7 @@
     let on = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap() as u64
         + 1;
     assert!(has_decision(
@@ -206,7 +206,7 @@
     let on = control
         .engines
         .iter()
-        .position(|e| e.load.attempts == 1)
+        .position(|slot| slot.load.attempts == 1)
         .unwrap() as u64
         + 1;
     control.level = deepest_level();
@@ -259,7 +259,7 @@
         let on = control
             .engines
             .iter()
-            .position(|e| e.load.attempts == 1)
+            .position(|slot| slot.load.attempts == 1)
             .unwrap() as u64
             + 1;
         assert!(has_decision(
@@ -291,7 +291,7 @@
             .find(|(_, q)| q.id == id)
             .map(|(_, q)| q.lane == Lane::Low)
     };
-    // A hundredfold of the usual is demoted if it is sure, and not if nobody knows.
+    // A hundred times the usual cost is demoted if it is certain, and not if it is uncertain.
     assert_eq!(
         (low(&mut control, 100, 1.0), low(&mut control, 101, 0.0)),
         (Some(true), Some(false))
--- a/src/tests/slow_start.rs
+++ b/src/tests/slow_start.rs
@@ -36,9 +36,9 @@
     );
 }
 
-/// What a whole fleet sends to one cold engine in the rule's span, in queries of mean work, and what it bears: all see
-/// more than they may send, the busiest ten times what the least busy sees, and within the span seven in ten die and come
-/// back with no memory.
+/// What a whole fleet sends to one warming engine in the rule's span, and what the rule allows, both in queries of mean
+/// work. All receive more than they may send, the busiest ten times what the least busy does, and within the span seven
+/// in ten restart without memory.
 fn work_sent_by_a_fleet(dispatchers: usize, seed: u64) -> (f64, f64) {
     let rules =
         "rules.overload-for-us=3000000 rules.fall-multiple=3 rules.cold-from=0.3 rules.warm-after-us=9000000";
@@ -53,7 +53,7 @@
         control
     };
     let mut fleet: Vec<Control> = (0..dispatchers).map(|nth| start(nth, 0, 0.0)).collect();
-    // In every 20 looks of 100 ms one report of 2 s.
+    // For every 20 look-ups of 100 ms one report of 2 s.
     let (mean, mut work, mut id) = ((20.0 * 100.0 + 2000.0) / 21.0, 0.0, 0);
     for step in 0..=140 {
         let at = 60.0 + 20.0 * f64::from(step);
@@ -61,16 +61,16 @@
             if step == 70 && nth % 10 < 7 {
                 *dispatcher = start(nth, 1, at);
             }
-            // Enough in sum for a hundred times what it bears, however many they are.
+            // Together a hundred times what the rule allows, however many dispatchers there are.
             let asks = 1 + (nth % 10 * 30 / dispatchers.min(30)) / 3;
             for _ in 0..asks {
                 id += 1;
-                let (rg, cost) = if id % 21 == 0 {
+                let (group, cost) = if id % 21 == 0 {
                     ("rep", 2000.0)
                 } else {
                     ("look", 100.0)
                 };
-                let decided = send_query(dispatcher, at, id, rg, cost);
+                let decided = send_query(dispatcher, at, id, group, cost);
                 work += if has_decision(&decided, "submit") {
                     cost
                 } else {
--- a/src/tests/zone_plan.rs
+++ b/src/tests/zone_plan.rs
@@ -9,7 +9,7 @@
     ("small", "h2"),
 ];
 
-/// The own zone is first; so many threads may spill into the other, and each engine of the own has this room.
+/// The local zone is of the best tier; `spill` threads may go to the other, and `room` to each local engine.
 fn plan_with(spill: f64, room: f64) -> ZonePlan {
     let zone = |name: &str, rank: u8, spill: f64| ZoneLimits {
         name: name.into(),
@@ -32,7 +32,7 @@
     control
 }
 
-/// Where it was sent, if it was.
+/// The engine that a query was sent to.
 fn engine_of(decided: &[String]) -> Option<u64> {
     decided
         .iter()
@@ -46,7 +46,7 @@
         |id| engine_of(&send_query(&mut control, 1.0, id, "look", 10.0))
             .is_some_and(|engine_id| engine_id <= 2)
     ));
-    // The own zone is closed: reports of two threads spill, two of them.
+    // The local zone is closed: two reports of two threads spill.
     let mut control = dispatcher_with_plan(&plan_with(4.0, 0.0));
     let sent: Vec<Option<u64>> = (0..6)
         .map(|id| engine_of(&send_query(&mut control, 1.0, id, "rep", 100.0)))
@@ -54,7 +54,7 @@
     assert_eq!(sent.iter().flatten().count(), 2, "{sent:?}");
     assert!(sent.iter().flatten().all(|engine_id| *engine_id >= 3));
     assert_eq!(control.spilled_threads("h2"), 4.0);
-    // Each that ends leaves its room to the next.
+    // Each that completes makes room for the next.
     let (id, engine_id) = sent
         .iter()
         .enumerate()
@@ -105,7 +105,7 @@
         end_attempt(&mut control, 2.0, 1, 0, Outcome::Reset, engine_id),
         ["fail 1"]
     );
-    // A tokened one whose dedup group is the zone neither.
+    // Nor is a query with an idempotency key whose dedup scope is the zone.
     let mut control = dispatcher("balancers=1 services.3.dedup-scope=zone", ZONES);
     control.set_zone_plan(Some(&plan_with(100.0, f64::INFINITY)));
     let engine_id = engine_of(&send_query(&mut control, 1.0, 1, "tok", 100.0)).unwrap();
@@ -123,7 +123,7 @@
 
 #[test]
 fn returning_engine_gets_its_ramp_share_and_less_than_a_query_is_saved_up() {
-    // Room for three look-ups on each engine of the own zone; the rest goes on to the other.
+    // Room for three look-ups on each local engine; the rest goes to the other zone.
     let mut control = dispatcher_with_plan(&plan_with(100.0, 3.0));
     let sent: Vec<u64> = (0..20)
         .filter_map(|id| engine_of(&send_query(&mut control, 1.0, id, "look", 100.0)))
@@ -156,7 +156,7 @@
         let Some(engine_id) = engine_of(&send_query(&mut control, 1.0, id, "look", 10.0)) else {
             continue;
         };
-        // All of the own zone fails at once.
+        // All of the local zone fails at once.
         control.engines[EngineIndex(0)].endpoint.ready = false;
         control.engines[EngineIndex(1)].endpoint.ready = false;
         crossed += u32::from(
@@ -173,7 +173,7 @@
         control.engines[EngineIndex(0)].endpoint.ready = true;
         control.engines[EngineIndex(1)].endpoint.ready = true;
     }
-    // Two are free, a fortieth of a further one comes with each query, and half of one with each that stays.
+    // Two are free, a fortieth of a further one comes with each query, and half of one with each that stays in its zone.
     assert!(crossed < 60, "{crossed} of 60 crossed");
 }
 
