--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,351 +1,358 @@
 //! Half a minute of a quarter start: stand-in engines, one that fails and one that drains, and the real program.
+//!
+//! Start reading at [`run`].
 
 use crate::client::{send_query, ClientQuery};
-use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
-use crate::invariants::{find_violations, ClassRules, Effect, RetryBudget, Rules, Violation};
-use crate::name_service::{Endpoint, NameService};
-use crate::program::{class, free_address, Config, Program};
-use crate::record::{EventKind, Status};
+use crate::engine::{Engine, EngineSpec, Fault, RunContext};
+use crate::invariants::{find_violations, Violation};
+use crate::name_service::NameService;
+use crate::program::{free_address, Config, Program};
+use crate::record::{Entry, EventKind, Status};
+use crate::setup::{self, TrafficClass, RETRY_BUDGET};
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+const ENGINES: usize = 5;
+const CORES: f64 = 8.0;
+/// The engine that fails, and the one that drains.
+const FAILING_ENGINE: usize = 1;
+const DRAINING_ENGINE: &str = "s-3";
+/// Spread (log) of works about their median.
+const WORK_SPREAD: f64 = 0.5;
+
 /// A class of the demo's traffic.
-struct Kind {
-    name: &'static str,
-    /// Queries a second when calm, and how many times that at the height.
-    rate: f64,
-    height: f64,
-    work: f64,
-    threads: f64,
-    wait: f64,
-    changes: bool,
+struct DemoClass {
+    traffic: TrafficClass,
+    /// Queries a second when calm, and how many times that at the peak.
+    calm_queries_per_s: f64,
+    peak_factor: f64,
 }
 
-const KINDS: [Kind; 3] = [
-    Kind {
-        name: "look",
-        rate: 90.0,
-        height: 2.0,
-        work: 12.0,
-        threads: 1.0,
-        wait: 1500.0,
-        changes: false,
+const CLASSES: [DemoClass; 3] = [
+    DemoClass {
+        traffic: TrafficClass {
+            name: "look",
+            work_ms: 12.0,
+            threads: 1.0,
+            objective_ms: 500.0,
+            max_wait_ms: 1500.0,
+            weight: 1.0,
+            changes_tables: false,
+        },
+        calm_queries_per_s: 90.0,
+        peak_factor: 2.0,
     },
-    Kind {
-        name: "report",
-        rate: 9.0,
-        height: 4.0,
-        work: 700.0,
-        threads: 4.0,
-        wait: 3000.0,
-        changes: false,
+    DemoClass {
+        traffic: TrafficClass {
+            name: "report",
+            work_ms: 700.0,
+            threads: 4.0,
+            objective_ms: 1000.0,
+            max_wait_ms: 3000.0,
+            weight: 1.0,
+            changes_tables: false,
+        },
+        calm_queries_per_s: 9.0,
+        peak_factor: 4.0,
     },
-    Kind {
-        name: "load",
-        rate: 2.0,
-        height: 3.0,
-        work: 500.0,
-        threads: 2.0,
-        wait: 3000.0,
-        changes: true,
+    DemoClass {
+        traffic: TrafficClass {
+            name: "load",
+            work_ms: 500.0,
+            threads: 2.0,
+            objective_ms: 1000.0,
+            max_wait_ms: 3000.0,
+            weight: 1.0,
+            changes_tables: true,
+        },
+        calm_queries_per_s: 2.0,
+        peak_factor: 3.0,
     },
 ];
 
 /// What became of a class's queries.
 #[derive(Debug)]
-struct Outcome {
+struct ClassOutcome {
     asked: u64,
-    finished: u64,
-    deferred: u64,
-    killed: u64,
-    took: Histogram<u64>,
+    completed: u64,
+    rejected: u64,
+    failed: u64,
+    latencies_ms: Histogram<u64>,
 }
 
-/// What a run ended with: a table, and the rules that were broken.
+impl ClassOutcome {
+    fn new() -> Self {
+        ClassOutcome {
+            asked: 0,
+            completed: 0,
+            rejected: 0,
+            failed: 0,
+            latencies_ms: Histogram::new_with_bounds(1, 60_000, 3).expect("bounds in order"),
+        }
+    }
+}
+
+type Outcomes = Mutex<BTreeMap<&'static str, ClassOutcome>>;
+
+/// What a run ended with.
 #[derive(Debug)]
 pub struct Report {
+    /// For people.
     pub table: String,
-    pub broken: Vec<Violation>,
+    /// The rules that were broken.
+    pub violations: Vec<Violation>,
 }
 
-/// Rules with the figures of the configuration below.
-fn rules() -> Rules {
-    let retry_budget = Some(RetryBudget {
-        span_ms: 10_000.0,
-        free: 10.0,
-        query_fraction: 0.2,
-    });
-    let effect = |kind: &Kind| {
-        if kind.changes {
-            Effect::NonIdempotent
-        } else {
-            Effect::ReadOnly
-        }
-    };
-    let classes = KINDS
-        .iter()
-        .map(|kind| (kind.name.to_owned(), ClassRules::of(effect(kind))))
-        .collect();
-    Rules {
-        slack_ms: 50.0,
-        grace_ms: 1000.0,
-        warm_up: None,
-        rest_ms: 0.0,
-        retry_budget,
-        classes,
-    }
+/// A fault or an announcement, at a fraction of the run.
+struct TimedAction<'a> {
+    at_fraction: f64,
+    act: Box<dyn Fn() + 'a>,
+}
+
+fn timed_actions<'a>(engines: &'a [Engine], names: &'a NameService) -> Vec<TimedAction<'a>> {
+    let failing = &engines[FAILING_ENGINE];
+    let timed = |at_fraction, act: Box<dyn Fn() + 'a>| TimedAction { at_fraction, act };
+    vec![
+        timed(0.25, Box::new(|| failing.fault(Fault::Errors(0.7)))),
+        timed(0.40, Box::new(|| failing.fault(Fault::Silent))),
+        timed(
+            0.50,
+            Box::new(|| names.set(DRAINING_ENGINE, Status::Draining)),
+        ),
+        timed(0.60, Box::new(|| failing.fault(Fault::None))),
+        timed(0.75, Box::new(|| names.set(DRAINING_ENGINE, Status::Gone))),
+    ]
+}
+
+fn traffic_classes() -> Vec<TrafficClass> {
+    CLASSES.iter().map(|class| class.traffic).collect()
 }
 
 fn configuration(engines: &[Engine], names: &NameService) -> Config {
-    let known: Vec<(String, std::net::SocketAddr)> =
-        engines.iter().map(|e| (e.id.clone(), e.address)).collect();
-    let effect = |kind: &Kind| {
-        if kind.changes {
-            "non_idempotent"
-        } else {
-            "read_like"
-        }
-    };
-    let classes: Vec<_> = KINDS
-        .iter()
-        .map(|k| class(k.name, k.wait / 3.0, k.wait, effect(k)))
-        .collect();
-    let threads: Vec<u32> = KINDS.iter().map(|kind| kind.threads as u32).collect();
-    Config::new(free_address(), &known, &classes, &threads)
-        .with("resolver", names.address.to_string())
-        .with("settings.limits.probes", true)
-        .with("settings.family-info.tells-every-us", 100_000)
-        .with(
-            "settings.family-info.class-load",
-            serde_json::json!([false, false, true]),
-        )
-        .with(
-            "settings.rules",
-            serde_json::json!({
-                "ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2
-            }),
-        )
+    let config = setup::traffic_config(free_address(), engines, &traffic_classes())
+        .with("resolver", names.address.to_string());
+    setup::with_retry_budget(config)
 }
 
-/// Plays `seconds` of it with everything drawn from `seed`; progress goes to standard error.
+/// Plays `seconds` of it with everything drawn from `seed`; progress goes to standard error unless `quiet`.
 pub fn run(exe: &Path, seconds: f64, seed: u64, quiet: bool) -> Report {
-    let world = Arc::new(RunContext::default());
+    let context = Arc::new(RunContext::default());
     let spec = EngineSpec {
-        cores: 8.0,
+        cores: CORES,
         ..EngineSpec::default()
     };
-    let engines: Vec<Engine> = (0..5)
-        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
-        .collect();
-    let listed = |e: &Engine| Endpoint {
-        id: e.id.clone(),
-        zone: "h".into(),
-        kind: "std".into(),
-        cell: 0,
-        address: e.address,
-        status: Status::Ready,
-        started: 0.0,
-    };
-    let names = NameService::start(engines.iter().map(listed).collect(), world.record.clone());
-    let mut program = Program::launch(
-        exe,
-        &configuration(&engines, &names),
-        &["--log-level", "error"],
-        Stdio::piped(),
-    );
+    let engines = setup::start_engines(ENGINES, spec, seed, &context);
+    let names = setup::start_name_service(&engines, &context);
+    let config = configuration(&engines, &names);
+    let mut program = Program::launch(exe, &config, &["--log-level", "error"], Stdio::piped());
     program.wait_until_healthy();
-    let outcomes: Arc<Mutex<BTreeMap<&'static str, Outcome>>> = Arc::default();
-    for kind in &KINDS {
-        let took = Histogram::new_with_bounds(1, 60_000, 3).expect("bounds in order");
-        let none = Outcome {
-            asked: 0,
-            finished: 0,
-            deferred: 0,
-            killed: 0,
-            took,
-        };
-        outcomes
-            .lock()
-            .expect("no holder panics")
-            .insert(kind.name, none);
-    }
+    let new_outcome = |class: &DemoClass| (class.traffic.name, ClassOutcome::new());
+    let outcomes: Arc<Outcomes> = Arc::new(Mutex::new(CLASSES.iter().map(new_outcome).collect()));
     let from = Instant::now();
-    let clients = traffic(program.listen, seconds, seed, &world, &outcomes);
-    let mut told = 0;
-    let mut faults = vec![
-        (
-            0.25,
-            Box::new(|| engines[1].fault(Fault::Errors(0.7))) as Box<dyn Fn()>,
-        ),
-        (0.40, Box::new(|| engines[1].fault(Fault::Silent))),
-        (0.50, Box::new(|| names.set("s-3", Status::Draining))),
-        (0.60, Box::new(|| engines[1].fault(Fault::None))),
-        (0.75, Box::new(|| names.set("s-3", Status::Gone))),
-    ];
+    let clients = spawn_clients(program.listen, seconds, seed, &context, &outcomes);
+    let mut shown_s = 0;
+    let mut actions = timed_actions(&engines, &names).into_iter().peekable();
     while from.elapsed().as_secs_f64() < seconds {
         thread::sleep(Duration::from_millis(20));
-        let part = from.elapsed().as_secs_f64() / seconds;
-        while faults.first().is_some_and(|(at, _)| part >= *at) {
-            faults.remove(0).1();
+        let fraction = from.elapsed().as_secs_f64() / seconds;
+        while let Some(action) = actions.next_if(|action| fraction >= action.at_fraction) {
+            (action.act)();
         }
         let second = from.elapsed().as_secs();
-        if second > told && !quiet {
-            told = second;
+        if second > shown_s && !quiet {
+            shown_s = second;
             eprintln!("{}", progress(second, &outcomes, &engines));
         }
     }
-    for client in clients {
-        let _ = client.join();
-    }
+    setup::join_all(clients);
     program.terminate();
     let _ = program.end();
-    let entries = world.record.entries();
-    let broken = find_violations(&entries, &rules());
-    let mut table = by_class(&outcomes);
-    table += &by_engine(&entries, &engines, from.elapsed().as_secs_f64() * 1000.0);
-    if broken.is_empty() {
+    let entries = context.record.entries();
+    let violations = find_violations(
+        &entries,
+        &setup::rules(&traffic_classes(), Some(RETRY_BUDGET)),
+    );
+    let mut table = class_table(&outcomes);
+    table += &engine_table(&entries, &engines, from.elapsed().as_secs_f64() * 1000.0);
+    if violations.is_empty() {
         table += "rules: all seven kept\n";
     }
-    for broken in &broken {
-        let _ = writeln!(table, "broken: {broken}");
+    for violation in &violations {
+        let _ = writeln!(table, "broken: {violation}");
     }
-    Report { table, broken }
+    Report { table, violations }
 }
 
 /// One thread for each class draws arrivals; one for each query waits for its answer.
-fn traffic(
-    to: std::net::SocketAddr,
+fn spawn_clients(
+    dispatcher: SocketAddr,
     seconds: f64,
     seed: u64,
-    world: &Arc<RunContext>,
-    outcomes: &Arc<Mutex<BTreeMap<&'static str, Outcome>>>,
+    context: &Arc<RunContext>,
+    outcomes: &Arc<Outcomes>,
 ) -> Vec<thread::JoinHandle<()>> {
     let start = Instant::now();
-    let sender = |(n, kind): (usize, &'static Kind)| {
-        let (world, outcomes) = (world.clone(), outcomes.clone());
+    CLASSES
+        .iter()
+        .enumerate()
+        .map(|(number, class)| {
+            let traffic = ClassTraffic {
+                class,
+                number: number as u64,
+                dispatcher,
+                seconds,
+                start,
+                context: context.clone(),
+                outcomes: outcomes.clone(),
+            };
+            thread::spawn(move || traffic.run(seed))
+        })
+        .collect()
+}
+
+/// The traffic of one class.
+struct ClassTraffic {
+    class: &'static DemoClass,
+    /// Of the class: part of its queries' ids and of its seed.
+    number: u64,
+    dispatcher: SocketAddr,
+    seconds: f64,
+    start: Instant,
+    context: Arc<RunContext>,
+    outcomes: Arc<Outcomes>,
+}
+
+impl ClassTraffic {
+    fn run(&self, seed: u64) {
+        let mut rng = Pcg64::seed_from_u64(seed ^ self.number << 32);
+        let class = self.class;
+        let works =
+            LogNormal::new(class.traffic.work_ms.ln(), WORK_SPREAD).expect("a finite spread");
+        let mut at_s = 0.0;
+        let mut query_number = 0_u64;
+        let mut waiting = Vec::new();
+        while at_s < self.seconds {
+            at_s += Exp::new(self.queries_per_s(at_s))
+                .expect("a rate above 0")
+                .sample(&mut rng);
+            query_number += 1;
+            let work_ms: f64 = works.sample(&mut rng);
+            let tables = rng.random_range(1..30_u32);
+            let mut query = ClientQuery::new(
+                (self.number + 1) << 48 | query_number,
+                &format!("/invoke/{}", class.traffic.name),
+                class.traffic.name,
+                &statement(class.traffic.name, tables, query_number),
+                class.traffic.max_wait_ms,
+            );
+            query.cost = Some(work_ms * rng.random_range(0.7..1.4));
+            let truth = class.traffic.query_work(work_ms, tables);
+            self.context.register(query.id(), truth);
+            thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(self.start.elapsed()));
+            waiting.push(self.spawn_query(query));
+            waiting.retain(|thread| !thread.is_finished());
+        }
+        setup::join_all(waiting);
+    }
+
+    /// A quarter start: from calm to its peak and halfway back.
+    fn queries_per_s(&self, at_s: f64) -> f64 {
+        let height = (at_s / self.seconds * std::f64::consts::PI).sin().max(0.0);
+        self.class.calm_queries_per_s * (1.0 + (self.class.peak_factor - 1.0) * height)
+    }
+
+    fn spawn_query(&self, query: ClientQuery) -> thread::JoinHandle<()> {
+        let context = self.context.clone();
+        let outcomes = self.outcomes.clone();
+        let dispatcher = self.dispatcher;
+        let name = self.class.traffic.name;
         thread::spawn(move || {
-            let mut rng = Pcg64::seed_from_u64(seed ^ (n as u64) << 32);
-            let works = LogNormal::new(kind.work.ln(), 0.5).expect("a finite spread");
-            let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
-            while at < seconds {
-                // A quarter start: from calm to its height and halfway back.
-                let height = (at / seconds * std::f64::consts::PI).sin().max(0.0);
-                let rate = kind.rate * (1.0 + (kind.height - 1.0) * height);
-                at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
-                number += 1;
-                let work: f64 = works.sample(&mut rng);
-                let tables = rng.random_range(1..30_u32);
-                let text = match kind.name {
-                    "look" => format!("select rate from sales_{tables}.lanes where id = {number}"),
-                    "report" => format!("select lane, sum(rate) from sales_{tables}.history where day > '{number}' group by lane"),
-                    _ => format!("insert into sales_{tables}.lanes select * from staging.lanes where batch = {number}"),
-                };
-                let id = (n as u64 + 1) << 48 | number;
-                let mut query = ClientQuery::new(
-                    id,
-                    &format!("/invoke/{}", kind.name),
-                    kind.name,
-                    &text,
-                    kind.wait,
-                );
-                query.cost = Some(work * rng.random_range(0.7..1.4));
-                let truth = QueryWork {
-                    work,
-                    threads: kind.threads,
-                    changes: kind.changes,
-                    tables,
-                };
-                world
-                    .works
-                    .lock()
-                    .expect("no holder panics")
-                    .insert(query.id(), truth);
-                thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
-                let (world, outcomes) = (world.clone(), outcomes.clone());
-                waiting.push(thread::spawn(move || {
-                    let got = send_query(to, &query, &world.record);
-                    let mut outcomes = outcomes.lock().expect("no holder panics");
-                    let Some(outcome) = outcomes.get_mut(kind.name) else {
-                        return;
-                    };
-                    outcome.asked += 1;
-                    match got.as_ref().map(|got| got.status) {
-                        Some(200) => outcome.finished += 1,
-                        Some(429 | 503) => outcome.deferred += 1,
-                        _ => outcome.killed += 1,
-                    }
-                    if let Some(got) = got.filter(|got| got.status == 200) {
-                        let _ = outcome.took.record(got.took.max(1.0) as u64);
-                    }
-                }));
-                waiting.retain(|waiting| !waiting.is_finished());
+            let response = send_query(dispatcher, &query, &context.record);
+            let mut outcomes = outcomes.lock().expect("no holder panics");
+            let Some(outcome) = outcomes.get_mut(name) else {
+                return;
+            };
+            outcome.asked += 1;
+            match response.as_ref().map(|response| response.status) {
+                Some(200) => outcome.completed += 1,
+                Some(429 | 503) => outcome.rejected += 1,
+                _ => outcome.failed += 1,
+            }
+            if let Some(response) = response.filter(|response| response.status == 200) {
+                let latency_ms = response.took.max(1.0) as u64;
+                let _ = outcome.latencies_ms.record(latency_ms);
             }
-            waiting.into_iter().for_each(|waiting| drop(waiting.join()));
         })
-    };
-    KINDS.iter().enumerate().map(sender).collect()
+    }
 }
 
-fn progress(
-    second: u64,
-    outcomes: &Mutex<BTreeMap<&'static str, Outcome>>,
-    engines: &[Engine],
-) -> String {
+fn statement(class: &str, tables: u32, number: u64) -> String {
+    match class {
+        "look" => format!("select rate from sales_{tables}.lanes where id = {number}"),
+        "report" => format!(
+            "select lane, sum(rate) from sales_{tables}.history where day > '{number}' group by lane"
+        ),
+        _ => format!(
+            "insert into sales_{tables}.lanes select * from staging.lanes where batch = {number}"
+        ),
+    }
+}
+
+fn progress(second: u64, outcomes: &Outcomes, engines: &[Engine]) -> String {
     let outcomes = outcomes.lock().expect("no holder panics");
-    let sum = |of: fn(&Outcome) -> u64| outcomes.values().map(of).sum::<u64>();
+    let sum = |count: fn(&ClassOutcome) -> u64| outcomes.values().map(count).sum::<u64>();
     let threads: Vec<String> = engines
         .iter()
-        .map(|e| format!("{}:{:>2.0}", e.id, e.threads()))
+        .map(|engine| format!("{}:{:>2.0}", engine.id, engine.threads()))
         .collect();
     format!(
         "{second:>3} s  asked {:>5}  finished {:>5}  deferred {:>4}  killed {:>3}  threads {}",
-        sum(|o| o.asked),
-        sum(|o| o.finished),
-        sum(|o| o.deferred),
-        sum(|o| o.killed),
+        sum(|outcome| outcome.asked),
+        sum(|outcome| outcome.completed),
+        sum(|outcome| outcome.rejected),
+        sum(|outcome| outcome.failed),
         threads.join(" ")
     )
 }
 
-fn by_class(outcomes: &Mutex<BTreeMap<&'static str, Outcome>>) -> String {
+fn class_table(outcomes: &Outcomes) -> String {
     let mut table = format!(
         "{:<8} {:>7} {:>9} {:>9} {:>7} {:>8} {:>8}\n",
         "class", "asked", "finished", "deferred", "killed", "p50 ms", "p99 ms"
     );
-    for (name, o) in &*outcomes.lock().expect("no holder panics") {
-        let (p50, p99) = (
-            o.took.value_at_quantile(0.5),
-            o.took.value_at_quantile(0.99),
-        );
+    for (name, outcome) in &*outcomes.lock().expect("no holder panics") {
+        let p50 = outcome.latencies_ms.value_at_quantile(0.5);
+        let p99 = outcome.latencies_ms.value_at_quantile(0.99);
         let _ = writeln!(
             table,
             "{name:<8} {:>7} {:>9} {:>9} {:>7} {p50:>8} {p99:>8}",
-            o.asked, o.finished, o.deferred, o.killed
+            outcome.asked, outcome.completed, outcome.rejected, outcome.failed
         );
     }
     table
 }
 
-fn by_engine(entries: &[crate::record::Entry], engines: &[Engine], lasted: f64) -> String {
-    let mut arrived: HashMap<&str, u64> = HashMap::new();
+fn engine_table(entries: &[Entry], engines: &[Engine], lasted_ms: f64) -> String {
+    let mut attempts: HashMap<&str, u64> = HashMap::new();
     for entry in entries {
         if let EventKind::Arrived { engine, .. } = &entry.event {
-            *arrived.entry(engine).or_default() += 1;
+            *attempts.entry(engine).or_default() += 1;
         }
     }
     let mut table = format!("{:<8} {:>12} {:>12}\n", "engine", "submissions", "load");
     for engine in engines {
-        let load = engine.busy() / (8.0 * lasted);
-        let count = arrived.get(engine.id.as_str()).copied().unwrap_or(0);
+        let load = engine.busy() / (CORES * lasted_ms);
+        let count = attempts.get(engine.id.as_str()).copied().unwrap_or(0);
         let _ = writeln!(
             table,
             "{:<8} {count:>12} {:>11.0}%",
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -90,6 +90,16 @@
     pub works: Mutex<HashMap<String, QueryWork>>,
 }
 
+impl RunContext {
+    /// Tells the engines the truth about a query, before it is sent.
+    pub fn register(&self, query_id: String, work: QueryWork) {
+        self.works
+            .lock()
+            .expect("no holder panics")
+            .insert(query_id, work);
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 pub struct EngineSpec {
     pub cores: f64,
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod program;
 pub mod record;
 pub mod replay;
+mod setup;
 pub mod wire;
 pub mod zone_routing;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -171,7 +171,7 @@
         Command::Demo { seconds, seed } => {
             let report = demo::run(&exe(), seconds, seed, false);
             print!("{}", report.table);
-            if !report.broken.is_empty() {
+            if !report.violations.is_empty() {
                 return ExitCode::FAILURE;
             }
         }
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -1,16 +1,19 @@
 //! The corpus on loopback through the real program, as four kinds of clients would send it: bare, with honest classes
 //! and costs, and with a class guessed for all. Same seeds, same arrivals, same engines.
+//!
+//! Start reading at [`play`].
 
-use crate::client::{send_query, ClientQuery};
+use crate::client::{send_query, ClientQuery, ClientResponse};
 use crate::corpus::{corpus, Labelled, Part};
 use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
-use crate::invariants::{find_violations, ClassRules, Effect, RetryBudget, Rules, Violation};
+use crate::invariants::{find_violations, ClassRules, Effect, Rules, Violation};
 use crate::program::{class, free_address, used, Config, Program, TempFile};
+use crate::setup;
 use rand::seq::IndexedRandom;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
-use std::collections::HashMap;
+use serde_json::json;
 use std::fmt::Write as _;
 use std::path::Path;
 use std::process::Stdio;
@@ -18,46 +21,111 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const ENGINES: usize = 4;
+/// Violations that the table shows of each run.
+const SHOWN_VIOLATIONS: usize = 3;
+
 /// How clients send their statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Variant {
+    /// Without a class or a cost.
     Bare,
+    /// With the true class and cost.
     Honest,
+    /// All as look-ups, without a cost.
     GuessLookUp,
+    /// All as reports, without a cost.
     GuessReport,
 }
 
 impl Variant {
+    /// All variants, in the order of the table.
     pub const ALL: [Variant; 4] = [
         Variant::Honest,
         Variant::Bare,
         Variant::GuessLookUp,
         Variant::GuessReport,
     ];
+
+    /// The path to which a statement of a class is sent.
+    fn path(self, class: &str) -> &'static str {
+        match self {
+            Variant::Bare => "/statement",
+            Variant::GuessLookUp => "/invoke/look",
+            Variant::GuessReport => "/invoke/report",
+            Variant::Honest if class == "look-up" => "/invoke/look",
+            Variant::Honest if class == "report" => "/invoke/report",
+            Variant::Honest => "/invoke/load",
+        }
+    }
 }
 
-/// Target runtime and longest wait (ms), and what one in time is worth, by class.
-fn terms(class: &str) -> (f64, f64, f64) {
-    match class {
+/// What clients of a class want.
+#[derive(Debug, Clone, Copy)]
+struct Expectation {
+    objective_ms: f64,
+    max_wait_ms: f64,
+    /// Value of an answer in time.
+    weight: f64,
+}
+
+fn expectation(class: &str) -> Expectation {
+    let (objective_ms, max_wait_ms, weight) = match class {
         "look-up" => (150.0, 1000.0, 1.0),
         "report" => (1500.0, 3000.0, 2.0),
         _ => (1500.0, 3000.0, 3.0),
+    };
+    Expectation {
+        objective_ms,
+        max_wait_ms,
+        weight,
     }
 }
 
+/// What came of a run.
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
+    /// Queries sent.
     pub asked: u64,
+    /// Queries that got any response.
     pub answered: u64,
-    pub finished: u64,
-    pub deferred: u64,
-    pub killed: u64,
-    pub turned_away: u64,
+    /// Queries that were run.
+    pub completed: u64,
+    /// Rejections.
+    pub rejected: u64,
+    /// Final errors.
+    pub failed: u64,
+    /// Other responses.
+    pub refused: u64,
+    /// Value of all answers.
     pub value: f64,
-    pub most: f64,
-    pub broken: Vec<Violation>,
-    pub resident: u64,
-    pub cpu_a_query: f64,
+    /// Value if all had been answered in time.
+    pub max_value: f64,
+    /// The rules that were broken.
+    pub violations: Vec<Violation>,
+    /// Resident memory of the program at the end (kB).
+    pub resident_kb: u64,
+    /// Processor time of the program for each query (ms).
+    pub cpu_ms_per_query: f64,
+}
+
+impl Outcome {
+    fn record(&mut self, expected: Expectation, response: Option<ClientResponse>) {
+        self.asked += 1;
+        self.max_value += expected.weight;
+        let Some(response) = response else { return };
+        self.answered += 1;
+        match response.status {
+            200 => {
+                self.completed += 1;
+                self.value +=
+                    setup::value_of(expected.weight, expected.objective_ms, response.took);
+            }
+            429 | 503 => self.rejected += 1,
+            500 => self.failed += 1,
+            _ => self.refused += 1,
+        }
+    }
 }
 
 const OPERATOR: &str = r#"statements {
@@ -65,118 +133,137 @@
   groups { look_up: "look" report: "report" load: "load" }
 }"#;
 
-/// Plays so many seconds of one variant at a rate of queries a second.
-pub fn play(exe: &Path, variant: Variant, seconds: f64, rate: f64, seed: u64) -> Outcome {
-    let world = Arc::new(RunContext::default());
-    let spec = EngineSpec {
-        cores: 8.0,
-        max_threads_a_core: 8.0,
-        ..EngineSpec::default()
-    };
-    let engines: Vec<Engine> = (0..4)
-        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n, world.clone()))
-        .collect();
-    let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
+fn configuration(engines: &[Engine]) -> Config {
     let classes = [
         class("look", 150.0, 3000.0, "read_like"),
         class("report", 1500.0, 3000.0, "read_like"),
         class("load", 1500.0, 3000.0, "non_idempotent"),
     ];
-    let config = Config::new(free_address(), &known, &classes, &[1, 4, 2])
+    let known = setup::known_engines(engines);
+    Config::new(free_address(), &known, &classes, &[1, 4, 2])
         .with("settings.family-info.tells-every-us", 100_000)
         .with(
             "settings.family-info.class-load",
-            serde_json::json!([false, false, true]),
-        );
+            json!([false, false, true]),
+        )
+}
+
+/// The statements of a run, drawn by class.
+struct Mix {
+    /// Up to which draw a class is taken, and its statements.
+    classes: [(f64, Vec<Labelled>); 4],
+}
+
+impl Mix {
+    fn new(seed: u64) -> Self {
+        let pool: Vec<Labelled> = corpus(2, 12, seed)
+            .into_iter()
+            .filter(|labelled| labelled.part == Part::Measuring)
+            .collect();
+        let of_class = |name: &str| {
+            pool.iter()
+                .filter(|labelled| labelled.class == name)
+                .cloned()
+                .collect()
+        };
+        Mix {
+            classes: [
+                (0.80, of_class("look-up")),
+                (0.93, of_class("report")),
+                (0.98, of_class("load")),
+                (1.01, of_class("unknown")),
+            ],
+        }
+    }
+
+    fn draw(&self, rng: &mut Pcg64) -> Option<&Labelled> {
+        let lot: f64 = rng.random();
+        let (_, statements) = self
+            .classes
+            .iter()
+            .find(|(up_to, _)| lot < *up_to)
+            .unwrap_or(&self.classes[0]);
+        statements.choose(rng)
+    }
+}
+
+/// The query by which a variant's client sends a statement.
+fn client_query(variant: Variant, number: u64, labelled: &Labelled) -> ClientQuery {
+    let mut query = ClientQuery::new(
+        number,
+        variant.path(labelled.class),
+        labelled.class,
+        &labelled.statement,
+        expectation(labelled.class).max_wait_ms,
+    );
+    query.cost = (variant == Variant::Honest).then_some(labelled.work);
+    query
+}
+
+/// Plays so many seconds of one variant at a rate of queries a second.
+pub fn play(exe: &Path, variant: Variant, seconds: f64, queries_per_s: f64, seed: u64) -> Outcome {
+    let context = Arc::new(RunContext::default());
+    let spec = EngineSpec {
+        cores: 8.0,
+        max_threads_a_core: 8.0,
+        ..EngineSpec::default()
+    };
+    let engines = setup::start_engines(ENGINES, spec, seed, &context);
     let operator = TempFile::new("operator.textproto", OPERATOR);
     let operator_path = operator.0.display().to_string();
     let arguments = ["--operator", operator_path.as_str(), "--log-level", "error"];
+    let config = configuration(&engines);
     let mut program = Program::launch(exe, &config, &arguments, Stdio::piped());
     program.wait_until_healthy();
     let mut rng = Pcg64::seed_from_u64(seed);
-    let pool: Vec<Labelled> = corpus(2, 12, seed)
-        .into_iter()
-        .filter(|s| s.part == Part::Measuring)
-        .collect();
-    let by_class = |name: &str| pool.iter().filter(|s| s.class == name).collect::<Vec<_>>();
-    let mix = [
-        (0.80, by_class("look-up")),
-        (0.93, by_class("report")),
-        (0.98, by_class("load")),
-        (1.01, by_class("unknown")),
-    ];
+    let mix = Mix::new(seed);
     let outcome: Arc<Mutex<Outcome>> = Arc::default();
     let start = Instant::now();
-    let (mut at, mut number, mut waiting) = (0.0, 0_u64, Vec::new());
-    while at < seconds {
-        at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
+    let mut at_s = 0.0;
+    let mut number = 0_u64;
+    let mut waiting = Vec::new();
+    while at_s < seconds {
+        at_s += Exp::new(queries_per_s)
+            .expect("a rate above 0")
+            .sample(&mut rng);
         number += 1;
-        let lot: f64 = rand::RngExt::random(&mut rng);
-        let of_mix = mix
-            .iter()
-            .find(|(upto, _)| lot < *upto)
-            .map_or(&mix[0].1, |(_, all)| all);
-        let Some(labelled) = of_mix.choose(&mut rng).copied().cloned() else {
+        let Some(labelled) = mix.draw(&mut rng) else {
             continue;
         };
-        let (target, wait, worth) = terms(labelled.class);
-        let path = match variant {
-            Variant::Bare => "/statement",
-            Variant::GuessLookUp => "/invoke/look",
-            Variant::GuessReport => "/invoke/report",
-            Variant::Honest if labelled.class == "look-up" => "/invoke/look",
-            Variant::Honest if labelled.class == "report" => "/invoke/report",
-            Variant::Honest => "/invoke/load",
-        };
-        let mut query = ClientQuery::new(number, path, labelled.class, &labelled.statement, wait);
-        query.cost = (variant == Variant::Honest).then_some(labelled.work);
-        let truth = QueryWork {
-            work: labelled.work,
-            threads: labelled.threads,
-            changes: labelled.effect != "read-only",
-            tables: 0,
-        };
-        world
-            .works
-            .lock()
-            .expect("no holder panics")
-            .insert(query.id(), truth);
-        thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
-        let (world, outcome, to) = (world.clone(), outcome.clone(), program.listen);
+        let query = client_query(variant, number, labelled);
+        context.register(query.id(), query_work(labelled));
+        thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(start.elapsed()));
+        let context = context.clone();
+        let outcome = outcome.clone();
+        let dispatcher = program.listen;
+        let expected = expectation(labelled.class);
         waiting.push(thread::spawn(move || {
-            let got = send_query(to, &query, &world.record);
-            let mut o = outcome.lock().expect("no holder panics");
-            o.asked += 1;
-            o.most += worth;
-            let Some(got) = got else { return };
-            o.answered += 1;
-            match got.status {
-                200 => {
-                    o.finished += 1;
-                    // In time it is worth all of it, later a third.
-                    o.value += if got.took <= target {
-                        worth
-                    } else {
-                        worth / 3.0
-                    };
-                }
-                429 | 503 => o.deferred += 1,
-                500 => o.killed += 1,
-                _ => o.turned_away += 1,
-            }
+            let response = send_query(dispatcher, &query, &context.record);
+            let mut outcome = outcome.lock().expect("no holder panics");
+            outcome.record(expected, response);
         }));
-        waiting.retain(|waiting| !waiting.is_finished());
+        waiting.retain(|thread| !thread.is_finished());
     }
-    waiting.into_iter().for_each(|waiting| drop(waiting.join()));
-    let (resident, cpu) = used(program.child.id()).unwrap_or((0, 0.0));
+    setup::join_all(waiting);
+    let (resident_kb, cpu_ms) = used(program.child.id()).unwrap_or((0, 0.0));
     program.terminate();
     let _ = program.end();
     let mut outcome = outcome.lock().expect("no holder panics").clone();
-    outcome.broken = find_violations(&world.record.entries(), &rules(variant));
-    (outcome.resident, outcome.cpu_a_query) = (resident, cpu / number as f64);
+    outcome.violations = find_violations(&context.record.entries(), &rules(variant));
+    outcome.resident_kb = resident_kb;
+    outcome.cpu_ms_per_query = cpu_ms / number as f64;
     outcome
 }
 
+fn query_work(labelled: &Labelled) -> QueryWork {
+    QueryWork {
+        work: labelled.work,
+        threads: labelled.threads,
+        changes: labelled.effect != "read-only",
+        tables: 0,
+    }
+}
+
 /// What a class promises binds; a class that was guessed promised only to read.
 fn rules(variant: Variant) -> Rules {
     let effect = |class: &str| match (variant, class) {
@@ -185,21 +272,14 @@
         }
         _ => Effect::NonIdempotent,
     };
-    let classes: HashMap<String, ClassRules> = ["look-up", "report", "load", "unknown"]
-        .map(|class| (class.to_owned(), ClassRules::of(effect(class))))
-        .into();
-    let retry_budget = None::<RetryBudget>;
-    Rules {
-        slack_ms: 50.0,
-        grace_ms: 1000.0,
-        warm_up: None,
-        rest_ms: 0.0,
-        retry_budget,
-        classes,
-    }
+    let classes = ["look-up", "report", "load", "unknown"]
+        .into_iter()
+        .map(|class| (class.to_owned(), ClassRules::of(effect(class))));
+    setup::rules_by_class(classes, None)
 }
 
-pub fn run(exe: &Path, seconds: f64, rate: f64, seeds: u64) -> String {
+/// All variants on the same seeds, as a table.
+pub fn run(exe: &Path, seconds: f64, queries_per_s: f64, seeds: u64) -> String {
     let mut table = format!(
         "{:<12} {:>6} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}\n",
         "arm",
@@ -216,24 +296,24 @@
     );
     for variant in Variant::ALL {
         for seed in 0..seeds {
-            let o = play(exe, variant, seconds, rate, seed + 1);
+            let outcome = play(exe, variant, seconds, queries_per_s, seed + 1);
             let _ = writeln!(
                 table,
                 "{:<12} {:>6} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7.3} {:>7} {:>7} {:>8.3}",
                 format!("{variant:?}"),
-                o.asked,
-                o.answered,
-                o.finished,
-                o.deferred,
-                o.killed,
-                o.turned_away,
-                o.value / o.most.max(1.0),
-                o.broken.len(),
-                o.resident,
-                o.cpu_a_query
+                outcome.asked,
+                outcome.answered,
+                outcome.completed,
+                outcome.rejected,
+                outcome.failed,
+                outcome.refused,
+                outcome.value / outcome.max_value.max(1.0),
+                outcome.violations.len(),
+                outcome.resident_kb,
+                outcome.cpu_ms_per_query
             );
-            for broken in o.broken.iter().take(3) {
-                let _ = writeln!(table, "  {broken}");
+            for violation in outcome.violations.iter().take(SHOWN_VIOLATIONS) {
+                let _ = writeln!(table, "  {violation}");
             }
         }
     }
--- /dev/null
+++ b/crates/testbed/src/setup.rs
@@ -0,0 +1,175 @@
+//! What the runs on loopback share: classes of traffic, engines, the name service, settings and rules.
+
+use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
+use crate::invariants::{ClassRules, Effect, RetryBudget, Rules};
+use crate::name_service::{Endpoint, NameService};
+use crate::program::{class, Config};
+use crate::record::Status;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// How much later than its limit an event on a busy machine may come (ms).
+const SLACK_MS: f64 = 50.0;
+/// How long after its announcement as closed an engine may still be sent to (ms).
+const CLOSED_GRACE_MS: f64 = 1000.0;
+/// The retry budget of the runs, as [`with_retry_budget`] sets it.
+pub(crate) const RETRY_BUDGET: RetryBudget = RetryBudget {
+    span_ms: 10_000.0,
+    free: 10.0,
+    query_fraction: 0.2,
+};
+
+/// A class of a run's traffic.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TrafficClass {
+    pub name: &'static str,
+    /// Median work on one core (ms).
+    pub work_ms: f64,
+    pub threads: f64,
+    /// An answer within this time is worth all of its weight, a later one a third.
+    pub objective_ms: f64,
+    pub max_wait_ms: f64,
+    pub weight: f64,
+    pub changes_tables: bool,
+}
+
+impl TrafficClass {
+    /// What an answer after `latency_ms` is worth.
+    pub fn value_of(&self, latency_ms: f64) -> f64 {
+        value_of(self.weight, self.objective_ms, latency_ms)
+    }
+
+    /// The truth about one of its queries.
+    pub fn query_work(&self, work_ms: f64, tables: u32) -> QueryWork {
+        QueryWork {
+            work: work_ms,
+            threads: self.threads,
+            changes: self.changes_tables,
+            tables,
+        }
+    }
+
+    fn effect(&self) -> Effect {
+        if self.changes_tables {
+            Effect::NonIdempotent
+        } else {
+            Effect::ReadOnly
+        }
+    }
+
+    fn service_class(&self) -> Value {
+        let effect = match self.effect() {
+            Effect::NonIdempotent => "non_idempotent",
+            Effect::ReadOnly | Effect::IdempotencyKey => "read_like",
+        };
+        class(self.name, self.objective_ms, self.max_wait_ms, effect)
+    }
+}
+
+/// What an answer is worth: all of its weight in time, later a third.
+pub(crate) fn value_of(weight: f64, objective_ms: f64, latency_ms: f64) -> f64 {
+    if latency_ms <= objective_ms {
+        weight
+    } else {
+        weight / 3.0
+    }
+}
+
+/// The rules of a run with these classes.
+pub(crate) fn rules(classes: &[TrafficClass], retry_budget: Option<RetryBudget>) -> Rules {
+    let classes = classes
+        .iter()
+        .map(|class| (class.name.to_owned(), ClassRules::of(class.effect())));
+    rules_by_class(classes, retry_budget)
+}
+
+/// The rules of a run whose classes have these rules.
+pub(crate) fn rules_by_class(
+    classes: impl Iterator<Item = (String, ClassRules)>,
+    retry_budget: Option<RetryBudget>,
+) -> Rules {
+    Rules {
+        slack_ms: SLACK_MS,
+        grace_ms: CLOSED_GRACE_MS,
+        warm_up: None,
+        rest_ms: 0.0,
+        retry_budget,
+        classes: classes.collect(),
+    }
+}
+
+/// Engines `s-0`, `s-1` and so on; each one's seed is one higher than that of the one before.
+pub(crate) fn start_engines(
+    count: usize,
+    spec: EngineSpec,
+    first_seed: u64,
+    context: &Arc<RunContext>,
+) -> Vec<Engine> {
+    (0..count)
+        .map(|n| {
+            Engine::start(
+                &format!("s-{n}"),
+                spec,
+                first_seed + n as u64,
+                context.clone(),
+            )
+        })
+        .collect()
+}
+
+/// Engines by their ids and addresses, as a configuration knows them.
+pub(crate) fn known_engines(engines: &[Engine]) -> Vec<(String, SocketAddr)> {
+    engines
+        .iter()
+        .map(|engine| (engine.id.clone(), engine.address))
+        .collect()
+}
+
+/// A name service that announces these engines as ready, in zone `h`.
+pub(crate) fn start_name_service(engines: &[Engine], context: &RunContext) -> NameService {
+    let endpoints = engines
+        .iter()
+        .map(|engine| Endpoint {
+            id: engine.id.clone(),
+            zone: "h".into(),
+            kind: "std".into(),
+            cell: 0,
+            address: engine.address,
+            status: Status::Ready,
+            started: 0.0,
+        })
+        .collect();
+    NameService::start(endpoints, context.record.clone())
+}
+
+/// A configuration with these classes, of which the last one loads tables, and with health checks.
+pub(crate) fn traffic_config(
+    listen: SocketAddr,
+    engines: &[Engine],
+    classes: &[TrafficClass],
+) -> Config {
+    let services: Vec<Value> = classes.iter().map(TrafficClass::service_class).collect();
+    let threads: Vec<u32> = classes.iter().map(|class| class.threads as u32).collect();
+    let loads: Vec<bool> = classes.iter().map(|class| class.changes_tables).collect();
+    Config::new(listen, &known_engines(engines), &services, &threads)
+        .with("settings.limits.probes", true)
+        .with("settings.family-info.tells-every-us", 100_000)
+        .with("settings.family-info.class-load", json!(loads))
+}
+
+/// The configuration with the figures of [`RETRY_BUDGET`].
+pub(crate) fn with_retry_budget(config: Config) -> Config {
+    config.with(
+        "settings.rules",
+        json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}),
+    )
+}
+
+/// Waits for all threads; one that panicked is passed over.
+pub(crate) fn join_all(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        let _ = thread.join();
+    }
+}
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -1,11 +1,14 @@
 //! Two zones of stand-in engines and several real dispatchers: one zone falls silent and comes back cold, with tiers
 //! and without, on the same seeds.
+//!
+//! Start reading at [`run`].
 
-use crate::client::{send_query, ClientQuery};
-use crate::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
-use crate::invariants::{find_violations, ClassRules, Effect, Rules, Violation};
+use crate::client::{send_query, ClientQuery, ClientResponse};
+use crate::engine::{Engine, EngineSpec, Fault, RunContext};
+use crate::invariants::{find_violations, Violation};
 use crate::plot::{plot, Line};
-use crate::program::{class, free_address, free_udp_address, Config, Program, TempFile};
+use crate::program::{free_address, free_udp_address, Config, Program, TempFile};
+use crate::setup::{self, TrafficClass};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64;
@@ -20,241 +23,315 @@
 
 const DISPATCHERS: usize = 3;
 const ZONES: [&str; 2] = ["east", "west"];
-const EACH: usize = 3;
+const ENGINES_PER_ZONE: usize = 3;
 const CORES: f64 = 8.0;
 const OPERATOR: &str = include_str!("../../../deploy/halls.textproto");
+/// The cut's begin and end, as fractions of the run.
+const CUT_BEGIN: f64 = 0.25;
+const CUT_END: f64 = 0.5;
+/// Time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Spread (log) of works about their median.
+const WORK_SPREAD: f64 = 0.4;
+/// Clients come so long after the begin (s): engines have been warm for long then.
+const CLIENTS_START_S: f64 = 0.2;
+/// Violations that a table shows of each run.
+const SHOWN_VIOLATIONS: usize = 3;
 
-/// Name, queries a second, work (ms), threads, target, wait (ms), worth, whether it changes tables.
-type Kind = (&'static str, f64, f64, f64, f64, f64, f64, bool);
-const KINDS: [Kind; 3] = [
-    ("look", 420.0, 12.0, 1.0, 120.0, 1500.0, 1.0, false),
-    ("report", 22.0, 500.0, 4.0, 900.0, 3000.0, 2.0, false),
-    ("load", 5.0, 400.0, 2.0, 1500.0, 3000.0, 3.0, true),
+/// A class of the traffic.
+struct SiteClass {
+    traffic: TrafficClass,
+    queries_per_s: f64,
+}
+
+const CLASSES: [SiteClass; 3] = [
+    SiteClass {
+        traffic: TrafficClass {
+            name: "look",
+            work_ms: 12.0,
+            threads: 1.0,
+            objective_ms: 120.0,
+            max_wait_ms: 1500.0,
+            weight: 1.0,
+            changes_tables: false,
+        },
+        queries_per_s: 420.0,
+    },
+    SiteClass {
+        traffic: TrafficClass {
+            name: "report",
+            work_ms: 500.0,
+            threads: 4.0,
+            objective_ms: 900.0,
+            max_wait_ms: 3000.0,
+            weight: 2.0,
+            changes_tables: false,
+        },
+        queries_per_s: 22.0,
+    },
+    SiteClass {
+        traffic: TrafficClass {
+            name: "load",
+            work_ms: 400.0,
+            threads: 2.0,
+            objective_ms: 1500.0,
+            max_wait_ms: 3000.0,
+            weight: 3.0,
+            changes_tables: true,
+        },
+        queries_per_s: 5.0,
+    },
 ];
 
+/// Value of answers, and what it could have been.
+#[derive(Debug, Default, Clone, Copy)]
+struct Value {
+    got: f64,
+    max: f64,
+}
+
+/// A quarter of a second.
+#[derive(Debug, Clone)]
+struct Sample {
+    at_s: f64,
+    /// Threads that run on each engine.
+    threads: Vec<f64>,
+    value: Value,
+    rejected: f64,
+}
+
 /// What came of a run.
 #[derive(Debug, Default, Clone)]
 pub struct Outcome {
-    /// Worth got and asked: before the cut, during it, after it.
-    value: [(f64, f64); 3],
+    /// Before the cut, during it and after it.
+    value: [Value; 3],
     asked: u64,
-    deferred: u64,
-    killed: u64,
+    rejected: u64,
+    failed: u64,
     unanswered: u64,
-    broken: Vec<Violation>,
-    /// Seconds, then threads of each engine, then worth got and asked in a quarter of a second, then deferrals.
-    samples: Vec<(f64, Vec<f64>, f64, f64, f64)>,
+    violations: Vec<Violation>,
+    samples: Vec<Sample>,
 }
 
-fn config(n: usize, engines: &[Engine], peers: &[SocketAddr]) -> Config {
-    let known: Vec<_> = engines.iter().map(|e| (e.id.clone(), e.address)).collect();
-    let effect = |kind: &Kind| {
-        if kind.7 {
-            "non_idempotent"
-        } else {
-            "read_like"
+impl Outcome {
+    fn record(&mut self, class: &TrafficClass, phase: usize, response: Option<ClientResponse>) {
+        self.asked += 1;
+        self.value[phase].max += class.weight;
+        let Some(response) = response else {
+            self.unanswered += 1;
+            return;
+        };
+        match response.status {
+            200 => self.value[phase].got += class.value_of(response.took),
+            429 | 503 => self.rejected += 1,
+            _ => self.failed += 1,
         }
-    };
-    let classes: Vec<_> = KINDS
-        .iter()
-        .map(|kind| class(kind.0, kind.4, kind.5, effect(kind)))
-        .collect();
-    let threads: Vec<u32> = KINDS.iter().map(|kind| kind.3 as u32).collect();
-    let each: Vec<String> = peers.iter().map(ToString::to_string).collect();
-    let mut config = Config::new(free_address(), &known, &classes, &threads)
+    }
+}
+
+fn traffic_classes() -> Vec<TrafficClass> {
+    CLASSES.iter().map(|class| class.traffic).collect()
+}
+
+fn configuration(n: usize, engines: &[Engine], peers: &[SocketAddr]) -> Config {
+    let peer_names: Vec<String> = peers.iter().map(ToString::to_string).collect();
+    let config = setup::traffic_config(free_address(), engines, &traffic_classes())
         .with("name", format!("n{n}"))
         .with("seed", format!("{}", n + 1))
         .with("settings.zone", ZONES[n % 2])
         .with("settings.balancers", DISPATCHERS)
         .with("settings.me", n)
-        .with("settings.limits.probes", true)
         .with("settings.limits.max-retry-after-us", 4_000_000)
-        .with("settings.family-info.tells-every-us", 100_000)
-        .with(
-            "settings.family-info.class-load",
-            json!([false, false, true]),
-        )
-        .with(
-            "settings.rules",
-            json!({"ratio-span-us": 10_000_000, "extra-free": 10, "repeat-ratio": 0.2}),
-        )
         .with("peer_listen", peers[n].to_string())
-        .with("peers", json!(each));
+        .with("peers", json!(peer_names));
+    let mut config = setup::with_retry_budget(config);
     for engine in 0..engines.len() {
         config = config.with(
             &format!("known.cmds.0.nodes.instances.{engine}.zone"),
-            ZONES[engine / EACH],
+            ZONES[engine / ENGINES_PER_ZONE],
         );
     }
     config
 }
 
-/// Plays one run: a cut from a quarter of it to the half.
+fn start_dispatchers(exe: &Path, engines: &[Engine], operator: &TempFile) -> Vec<Program> {
+    let peers: Vec<SocketAddr> = (0..DISPATCHERS).map(|_| free_udp_address()).collect();
+    let path = operator.0.display().to_string();
+    let arguments = ["--operator", path.as_str(), "--log-level", "error"];
+    let programs: Vec<Program> = (0..DISPATCHERS)
+        .map(|n| {
+            let config = configuration(n, engines, &peers);
+            Program::launch(exe, &config, &arguments, Stdio::piped())
+        })
+        .collect();
+    programs.iter().for_each(Program::wait_until_healthy);
+    programs
+}
+
+/// Plays one run: the east zone is cut from a quarter of it to the half.
 pub fn play(exe: &Path, seconds: f64, seed: u64, tiers: bool) -> Outcome {
-    let world = Arc::new(RunContext::default());
+    let context = Arc::new(RunContext::default());
     let spec = EngineSpec {
         cores: CORES,
         cold_from: 0.25,
         warm_after: 8000.0,
         ..EngineSpec::default()
     };
-    let many = ZONES.len() * EACH;
-    let engines: Vec<Engine> = (0..many)
-        .map(|n| Engine::start(&format!("s-{n}"), spec, seed + n as u64, world.clone()))
-        .collect();
-    let peers: Vec<SocketAddr> = (0..DISPATCHERS).map(|_| free_udp_address()).collect();
+    let engines = setup::start_engines(ZONES.len() * ENGINES_PER_ZONE, spec, seed, &context);
     let operator = TempFile::new("operator.textproto", if tiers { OPERATOR } else { "" });
-    let path = operator.0.display().to_string();
-    let start = |n| {
-        Program::launch(
-            exe,
-            &config(n, &engines, &peers),
-            &["--operator", &path, "--log-level", "error"],
-            Stdio::piped(),
-        )
-    };
-    let mut programs: Vec<Program> = (0..DISPATCHERS).map(start).collect();
-    programs.iter().for_each(Program::wait_until_healthy);
+    let mut programs = start_dispatchers(exe, &engines, &operator);
     let outcome: Arc<Mutex<Outcome>> = Arc::default();
-    let begins = Instant::now();
-    // Engines have been warm for long when clients come.
-    thread::sleep(Duration::from_millis(200));
-    let listens: Vec<SocketAddr> = programs.iter().map(|program| program.listen).collect();
-    let clients: Vec<_> = (0..KINDS.len())
-        .map(|kind| {
-            let (listens, world, outcome) = (listens.clone(), world.clone(), outcome.clone());
-            thread::spawn(move || traffic(kind, &listens, seconds, seed, begins, &world, &outcome))
+    let start = Instant::now();
+    thread::sleep(Duration::from_secs_f64(CLIENTS_START_S));
+    let dispatchers: Vec<SocketAddr> = programs.iter().map(|program| program.listen).collect();
+    let clients: Vec<_> = (0..CLASSES.len())
+        .map(|number| {
+            let traffic = ClassTraffic {
+                number,
+                dispatchers: dispatchers.clone(),
+                seconds,
+                start,
+                context: context.clone(),
+                outcome: outcome.clone(),
+            };
+            thread::spawn(move || traffic.run(seed))
         })
         .collect();
-    let (mut cut, mut back) = (false, false);
-    let mut last = (0.0, 0.0, 0.0);
-    while begins.elapsed().as_secs_f64() < seconds {
-        thread::sleep(Duration::from_millis(250));
-        let at = begins.elapsed().as_secs_f64();
-        let part = at / seconds;
-        if part >= 0.25 && !cut {
-            cut = true;
-            engines[..EACH]
-                .iter()
-                .for_each(|engine| engine.fault(Fault::Silent));
+    let mut watch = Watch::default();
+    while start.elapsed().as_secs_f64() < seconds {
+        thread::sleep(SAMPLE_INTERVAL);
+        let at_s = start.elapsed().as_secs_f64();
+        watch.cut_zone(at_s / seconds, &engines[..ENGINES_PER_ZONE]);
+        watch.sample(
+            at_s,
+            &engines,
+            &mut outcome.lock().expect("no holder panics"),
+        );
+    }
+    setup::join_all(clients);
+    programs.iter().for_each(Program::terminate);
+    for program in &mut programs {
+        let _ = program.end();
+    }
+    let mut outcome = outcome.lock().expect("no holder panics").clone();
+    let rules = setup::rules(&traffic_classes(), None);
+    outcome.violations = find_violations(&context.record.entries(), &rules);
+    outcome
+}
+
+/// What was done and sampled so far.
+#[derive(Default)]
+struct Watch {
+    cut: bool,
+    returned: bool,
+    last_value: Value,
+    last_rejected: f64,
+}
+
+impl Watch {
+    /// Silences the zone's engines at the cut's begin, and returns them cold at its end.
+    fn cut_zone(&mut self, fraction: f64, engines: &[Engine]) {
+        if fraction >= CUT_BEGIN && !self.cut {
+            self.cut = true;
+            for engine in engines {
+                engine.fault(Fault::Silent);
+            }
         }
-        if part >= 0.5 && !back {
-            back = true;
-            engines[..EACH].iter().for_each(|engine| {
+        if fraction >= CUT_END && !self.returned {
+            self.returned = true;
+            for engine in engines {
                 engine.fault(Fault::None);
                 engine.restart_cold();
-            });
+            }
         }
-        let mut o = outcome.lock().expect("no holder panics");
-        let (got, most): (f64, f64) = o
-            .value
-            .iter()
-            .fold((0.0, 0.0), |sum, v| (sum.0 + v.0, sum.1 + v.1));
-        let deferred = o.deferred as f64;
-        let threads = engines.iter().map(Engine::threads).collect();
-        o.samples
-            .push((at, threads, got - last.0, most - last.1, deferred - last.2));
-        last = (got, most, deferred);
     }
-    clients.into_iter().for_each(|client| drop(client.join()));
-    programs.iter().for_each(Program::terminate);
-    programs.iter_mut().for_each(|program| drop(program.end()));
-    let mut outcome = outcome.lock().expect("no holder panics").clone();
-    let effect = |kind: &Kind| {
-        if kind.7 {
-            Effect::NonIdempotent
-        } else {
-            Effect::ReadOnly
+
+    fn sample(&mut self, at_s: f64, engines: &[Engine], outcome: &mut Outcome) {
+        let mut value = Value::default();
+        for phase in &outcome.value {
+            value.got += phase.got;
+            value.max += phase.max;
         }
-    };
-    let classes = KINDS
-        .iter()
-        .map(|kind| (kind.0.to_owned(), ClassRules::of(effect(kind))))
-        .collect();
-    let rules = Rules {
-        slack_ms: 50.0,
-        grace_ms: 1000.0,
-        warm_up: None,
-        rest_ms: 0.0,
-        retry_budget: None,
-        classes,
-    };
-    outcome.broken = find_violations(&world.record.entries(), &rules);
-    outcome
+        let rejected = outcome.rejected as f64;
+        outcome.samples.push(Sample {
+            at_s,
+            threads: engines.iter().map(Engine::threads).collect(),
+            value: Value {
+                got: value.got - self.last_value.got,
+                max: value.max - self.last_value.max,
+            },
+            rejected: rejected - self.last_rejected,
+        });
+        self.last_value = value;
+        self.last_rejected = rejected;
+    }
 }
 
-fn traffic(
-    n: usize,
-    to: &[SocketAddr],
+/// The traffic of one class.
+struct ClassTraffic {
+    /// Of the class: part of its queries' ids and of its seed.
+    number: usize,
+    dispatchers: Vec<SocketAddr>,
     seconds: f64,
-    seed: u64,
-    begins: Instant,
-    world: &Arc<RunContext>,
-    outcome: &Arc<Mutex<Outcome>>,
-) {
-    let (name, rate, work, threads, target, wait, worth, changes) = KINDS[n];
-    let mut rng = Pcg64::seed_from_u64(seed ^ (n as u64) << 40);
-    let works = LogNormal::new(work.ln(), 0.4).expect("a finite spread");
-    let (mut at, mut number, mut waiting) = (0.2, 0_u64, Vec::new());
-    while at < seconds {
-        at += Exp::new(rate).expect("a rate above 0").sample(&mut rng);
-        number += 1;
-        let work: f64 = works.sample(&mut rng);
-        let tables = rng.random_range(1..30_u32);
-        let text = format!("select a from sales_{tables}.t where id = {number}");
-        let mut query = ClientQuery::new(
-            (n as u64 + 1) << 48 | number,
-            &format!("/invoke/{name}"),
-            name,
-            &text,
-            wait,
-        );
-        query.cost = Some(work * rng.random_range(0.8..1.25));
-        world.works.lock().expect("no holder panics").insert(
-            query.id(),
-            QueryWork {
-                work,
-                threads,
-                changes,
-                tables,
-            },
-        );
-        let listen = to[rng.random_range(0..to.len())];
-        thread::sleep(Duration::from_secs_f64(at).saturating_sub(begins.elapsed()));
-        let (world, outcome) = (world.clone(), outcome.clone());
-        let phase = if at < seconds * 0.25 {
+    start: Instant,
+    context: Arc<RunContext>,
+    outcome: Arc<Mutex<Outcome>>,
+}
+
+impl ClassTraffic {
+    fn run(&self, seed: u64) {
+        let class = &CLASSES[self.number];
+        let traffic = class.traffic;
+        let mut rng = Pcg64::seed_from_u64(seed ^ (self.number as u64) << 40);
+        let works = LogNormal::new(traffic.work_ms.ln(), WORK_SPREAD).expect("a finite spread");
+        let mut at_s = CLIENTS_START_S;
+        let mut number = 0_u64;
+        let mut waiting = Vec::new();
+        while at_s < self.seconds {
+            at_s += Exp::new(class.queries_per_s)
+                .expect("a rate above 0")
+                .sample(&mut rng);
+            number += 1;
+            let work_ms: f64 = works.sample(&mut rng);
+            let tables = rng.random_range(1..30_u32);
+            let mut query = ClientQuery::new(
+                (self.number as u64 + 1) << 48 | number,
+                &format!("/invoke/{}", traffic.name),
+                traffic.name,
+                &format!("select a from sales_{tables}.t where id = {number}"),
+                traffic.max_wait_ms,
+            );
+            query.cost = Some(work_ms * rng.random_range(0.8..1.25));
+            let truth = traffic.query_work(work_ms, tables);
+            self.context.register(query.id(), truth);
+            let dispatcher = self.dispatchers[rng.random_range(0..self.dispatchers.len())];
+            thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(self.start.elapsed()));
+            let context = self.context.clone();
+            let outcome = self.outcome.clone();
+            let phase = self.phase(at_s);
+            waiting.push(thread::spawn(move || {
+                let response = send_query(dispatcher, &query, &context.record);
+                let mut outcome = outcome.lock().expect("no holder panics");
+                outcome.record(&traffic, phase, response);
+            }));
+            waiting.retain(|thread| !thread.is_finished());
+        }
+        setup::join_all(waiting);
+    }
+
+    /// 0 before the cut, 1 during it, 2 after it.
+    fn phase(&self, at_s: f64) -> usize {
+        if at_s < self.seconds * CUT_BEGIN {
             0
-        } else if at < seconds * 0.5 {
+        } else if at_s < self.seconds * CUT_END {
             1
         } else {
             2
-        };
-        waiting.push(thread::spawn(move || {
-            let got = send_query(listen, &query, &world.record);
-            let mut o = outcome.lock().expect("no holder panics");
-            o.asked += 1;
-            o.value[phase].1 += worth;
-            match got {
-                None => o.unanswered += 1,
-                Some(got) => match got.status {
-                    200 => {
-                        o.value[phase].0 += if got.took <= target {
-                            worth
-                        } else {
-                            worth / 3.0
-                        }
-                    }
-                    429 | 503 => o.deferred += 1,
-                    _ => o.killed += 1,
-                },
-            }
-        }));
-        waiting.retain(|waiting| !waiting.is_finished());
+        }
     }
-    waiting.into_iter().for_each(|waiting| drop(waiting.join()));
 }
 
-/// All seeds with tiers and without; a table, and whether a rule broke.
+/// All seeds with tiers and without; a table, and whether a rule broke. `svg`: where the plot of the first seed goes.
 pub fn run(exe: &Path, seconds: f64, seeds: u64, svg: Option<&Path>) -> (String, bool) {
     let mut table = format!(
         "{:<7} {:>5} {:>7} {:>9} {:>7} {:>11} {:>8} {:>8} {:>8} {:>7}\n",
@@ -269,71 +346,66 @@
         "after",
         "broken"
     );
-    let mut any = false;
+    let mut any_violation = false;
     for seed in 1..=seeds {
         for tiers in [false, true] {
-            let o = play(exe, seconds, seed, tiers);
-            let [before, cut, after] = o.value.map(|(got, most)| got / most.max(1e-9));
+            let outcome = play(exe, seconds, seed, tiers);
+            let [before, cut, after] = outcome.value.map(|value| value.got / value.max.max(1e-9));
             let _ = writeln!(
                 table,
                 "{tiers:<7} {seed:>5} {:>7} {:>9} {:>7} {:>11} {before:>8.3} {cut:>8.3} {after:>8.3} {:>7}",
-                o.asked,
-                o.deferred,
-                o.killed,
-                o.unanswered,
-                o.broken.len()
+                outcome.asked,
+                outcome.rejected,
+                outcome.failed,
+                outcome.unanswered,
+                outcome.violations.len()
             );
-            for broken in o.broken.iter().take(3) {
-                let _ = writeln!(table, "  {broken}");
+            for violation in outcome.violations.iter().take(SHOWN_VIOLATIONS) {
+                let _ = writeln!(table, "  {violation}");
             }
-            any |= !o.broken.is_empty();
+            any_violation |= !outcome.violations.is_empty();
             if let Some(svg) = svg.filter(|_| seed == 1 && tiers) {
-                let zone = |zone: usize| -> Vec<(f64, f64)> {
-                    let of = zone * EACH..(zone + 1) * EACH;
-                    o.samples
-                        .iter()
-                        .map(|s| {
-                            (
-                                s.0,
-                                s.1[of.clone()].iter().sum::<f64>() / (EACH as f64 * CORES),
-                            )
-                        })
-                        .collect()
-                };
-                let value = o
-                    .samples
-                    .iter()
-                    .map(|s| (s.0, s.2 / s.3.max(1e-9)))
-                    .collect();
-                let deferred = o.samples.iter().map(|s| (s.0, s.4 / 10.0)).collect();
-                let lines = [
-                    Line {
-                        name: "value (part of the worth asked)",
-                        points: value,
-                    },
-                    Line {
-                        name: "deferred in 250 ms / 10",
-                        points: deferred,
-                    },
-                    Line {
-                        name: "threads a core in east (cut)",
-                        points: zone(0),
-                    },
-                    Line {
-                        name: "threads a core in west",
-                        points: zone(1),
-                    },
-                ];
-                if let Err(e) = plot(
-                    svg,
-                    "A hall is cut and comes back cold; three real dispatchers, stand-in engines",
-                    "s",
-                    &lines,
-                ) {
-                    let _ = writeln!(table, "no plot: {e}");
+                if let Err(error) = plot_run(svg, &outcome.samples) {
+                    let _ = writeln!(table, "no plot: {error}");
                 }
             }
         }
     }
-    (table, any)
+    (table, any_violation)
+}
+
+fn plot_run(svg: &Path, samples: &[Sample]) -> Result<(), Box<dyn std::error::Error>> {
+    let column = |value: &dyn Fn(&Sample) -> f64| -> Vec<(f64, f64)> {
+        samples
+            .iter()
+            .map(|sample| (sample.at_s, value(sample)))
+            .collect()
+    };
+    let threads_per_core = |zone: usize| {
+        let engines = zone * ENGINES_PER_ZONE..(zone + 1) * ENGINES_PER_ZONE;
+        column(&|sample| {
+            let threads: f64 = sample.threads[engines.clone()].iter().sum();
+            threads / (ENGINES_PER_ZONE as f64 * CORES)
+        })
+    };
+    let lines = [
+        Line {
+            name: "value (part of the worth asked)",
+            points: column(&|sample| sample.value.got / sample.value.max.max(1e-9)),
+        },
+        Line {
+            name: "deferred in 250 ms / 10",
+            points: column(&|sample| sample.rejected / 10.0),
+        },
+        Line {
+            name: "threads a core in east (cut)",
+            points: threads_per_core(0),
+        },
+        Line {
+            name: "threads a core in west",
+            points: threads_per_core(1),
+        },
+    ];
+    let title = "A hall is cut and comes back cold; three real dispatchers, stand-in engines";
+    plot(svg, title, "s", &lines)
 }
