--- a/crates/operator-config/src/levels.rs
+++ b/crates/operator-config/src/levels.rs
@@ -1,73 +1,76 @@
-//! Levels as the file tells them, as the decisions take them.
+//! Conversion of the block `levels` into the configuration of the service levels package.
 
 use crate::schema::{self, term};
 use tansymux_service_levels::{
     ClassFraction, Condition, Config, Degradation, Level, Signal, Trigger,
 };
 
-/// The definition that the file tells. It may have faults: see `check`.
-pub fn definition(told: &schema::Levels) -> Config {
+const MS_PER_S: f64 = 1000.0;
+
+/// The configuration of service levels. Its values are not checked here: see [`parse`](crate::parse). A threshold that
+/// is missing is NaN.
+pub fn service_level_config(levels: &schema::Levels) -> Config {
     Config {
-        levels: told.level.iter().map(level).collect(),
+        levels: levels.level.iter().map(level).collect(),
     }
 }
 
-fn level(told: &schema::Level) -> Level {
-    let enter = told.enter.clone().unwrap_or_default();
-    let terms = |terms: &[schema::Term]| terms.iter().map(term_of).collect();
+fn level(level: &schema::Level) -> Level {
+    let enter = level.enter.clone().unwrap_or_default();
+    let act = level.act.as_ref();
     Level {
-        name: told.name().to_owned(),
+        name: level.name().to_owned(),
         enter: Condition {
-            all: terms(&enter.all),
-            any: terms(&enter.any),
+            all: enter.all.iter().map(trigger).collect(),
+            any: enter.any.iter().map(trigger).collect(),
         },
-        min_stay_ms: told.least_stay_s() * 1000.0,
-        degradation: told
-            .act
-            .as_ref()
-            .map_or_else(Degradation::default, reduction),
+        min_stay_ms: level.least_stay_s() * MS_PER_S,
+        degradation: act.map_or_else(Degradation::default, degradation),
+    }
+}
+
+fn trigger(term: &schema::Term) -> Trigger {
+    Trigger {
+        signal: signal(term),
+        enter_threshold: term.enter.unwrap_or(f64::NAN),
+        leave_threshold: term.leave.unwrap_or(f64::NAN),
+        enter_hold_ms: term.enter_for_s() * MS_PER_S,
+        leave_hold_ms: term.leave_for_s() * MS_PER_S,
     }
 }
 
-fn term_of(told: &schema::Term) -> Trigger {
-    let of = told.of.clone();
-    let signal = match told.signal() {
-        term::Signal::Pressed => Signal::PressuredEngines(of),
+fn signal(term: &schema::Term) -> Signal {
+    let name = term.of.clone();
+    match term.signal() {
+        term::Signal::Pressed => Signal::PressuredEngines(name),
         term::Signal::BoundsUsed => Signal::ConcurrencyUsed,
-        term::Signal::Late => Signal::LateQueries(of),
-        term::Signal::Deferred => Signal::RejectedQueries(of),
+        term::Signal::Late => Signal::LateQueries(name),
+        term::Signal::Deferred => Signal::RejectedQueries(name),
         term::Signal::Ready => Signal::ReadyEngines,
         term::Signal::Cold => Signal::WarmingUpEngines,
         term::Signal::Doubted => Signal::EjectedEngines,
         term::Signal::Memory => Signal::Memory,
         term::Signal::Descriptors => Signal::Descriptors,
-    };
-    Trigger {
-        signal,
-        enter_threshold: told.enter.unwrap_or(f64::NAN),
-        leave_threshold: told.leave.unwrap_or(f64::NAN),
-        enter_hold_ms: told.enter_for_s() * 1000.0,
-        leave_hold_ms: told.leave_for_s() * 1000.0,
     }
 }
 
-fn reduction(told: &schema::Act) -> Degradation {
+fn degradation(act: &schema::Act) -> Degradation {
     Degradation {
-        concurrency_factor: told.bounds(),
-        demotion_factor: told.demotion(),
-        grant_factor: told.grants(),
-        retry_after_factor: told.retry_after(),
-        retry_after_jitter: told.spread(),
-        withhold_low_retries: told.withhold_low_retries(),
-        reject_over_quota: told.close_over_share(),
-        min_confidence: told.least_sure(),
-        classes: told
-            .class
-            .iter()
-            .map(|class| ClassFraction {
-                class: class.name().to_owned(),
-                fraction: class.part(),
-            })
-            .collect(),
+        concurrency_factor: act.bounds(),
+        demotion_factor: act.demotion(),
+        grant_factor: act.grants(),
+        retry_after_factor: act.retry_after(),
+        retry_after_jitter: act.spread(),
+        withhold_low_retries: act.withhold_low_retries(),
+        reject_over_quota: act.close_over_share(),
+        min_confidence: act.least_sure(),
+        classes: act.class.iter().map(class_fraction).collect(),
+    }
+}
+
+fn class_fraction(class: &schema::ClassPart) -> ClassFraction {
+    ClassFraction {
+        class: class.name().to_owned(),
+        fraction: class.part(),
     }
 }
