--- a/crates/simulator/src/engine.rs
+++ b/crates/simulator/src/engine.rs
@@ -1,208 +1,216 @@
-//! An engine that shares its cores evenly: every thread runs at the same speed, so that a job ends when the service a
-//! thread has attained reaches its own mark.
+//! An engine that shares its cores evenly: every thread runs at the same speed, so that a job ends when the service that
+//! a thread has attained reaches the job's own mark (processor sharing in virtual service time).
 
 use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap};
 
-/// A job's mark: when it ends, in service attained by a thread (ms), and whose it is.
+#[cfg(test)]
+mod tests;
+
+/// While it warms up, an engine's speed is taken for constant over this time (ms).
+const WARM_UP_STEP_MS: f64 = 50.0;
+/// A job within this much of its mark has ended (ms of service): sums of floats do not meet it exactly.
+const SERVICE_TOLERANCE_MS: f64 = 1e-6;
+/// Stands in for no threads and no speed where it is divided by them.
+const SMALLEST: f64 = 1e-9;
+
+/// When a job ends, in service attained by a thread (ms).
 #[derive(Debug, Clone, Copy, PartialEq)]
-struct Mark {
-    at: f64,
+struct Completion {
+    at_service_ms: f64,
     job: u64,
 }
 
-impl Eq for Mark {}
+impl Eq for Completion {}
 
-impl Ord for Mark {
+impl Ord for Completion {
     fn cmp(&self, other: &Self) -> Ordering {
         // The earliest is the greatest, as the heap gives the greatest first.
-        other.at.total_cmp(&self.at).then(other.job.cmp(&self.job))
+        other
+            .at_service_ms
+            .total_cmp(&self.at_service_ms)
+            .then(other.job.cmp(&self.job))
     }
 }
 
-impl PartialOrd for Mark {
+impl PartialOrd for Completion {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
+/// A job that runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Job {
+    /// Its id.
     pub job: u64,
+    /// Threads that it runs on.
     pub threads: f64,
-    /// Service a thread needs (ms).
-    pub needs: f64,
-    began: f64,
+    /// Service that each thread needs (ms).
+    pub service_ms: f64,
+    began_at_service_ms: f64,
 }
 
+/// An engine.
 #[derive(Debug, Clone)]
 pub struct Engine {
+    /// Its cores.
     pub cores: f64,
-    pub slow: f64,
-    /// When it started (ms) and how long it is cold; the part of its speed that it starts with.
-    pub started: f64,
-    pub warm_after: f64,
-    pub cold_from: f64,
-    service: f64,
-    at: f64,
-    threads: f64,
-    marks: BinaryHeap<Mark>,
-    jobs: std::collections::HashMap<u64, Job>,
-    /// Counts what changed, so that an end that was foretold before is passed over.
+    /// When it started (ms); from then on it warms up.
+    pub started_ms: f64,
+    /// Counts changes, so that a completion that was scheduled before one can be told apart.
     pub generation: u64,
+    slowdown: f64,
+    warm_up_ms: f64,
+    /// The fraction of its speed that it starts with.
+    initial_speed: f64,
+    service_ms: f64,
+    advanced_to_ms: f64,
+    threads: f64,
+    completions: BinaryHeap<Completion>,
+    jobs: HashMap<u64, Job>,
 }
 
 impl Engine {
-    pub fn new(cores: f64, warm_after: f64, cold_from: f64) -> Self {
+    /// An engine that has been warm for ever. After a start it takes `warm_up_ms` to rise from `initial_speed`, a fraction,
+    /// to its full speed.
+    pub fn new(cores: f64, warm_up_ms: f64, initial_speed: f64) -> Self {
         Engine {
             cores,
-            slow: 1.0,
-            started: f64::NEG_INFINITY,
-            warm_after,
-            cold_from,
-            service: 0.0,
-            at: 0.0,
-            threads: 0.0,
-            marks: BinaryHeap::new(),
-            jobs: std::collections::HashMap::new(),
+            started_ms: f64::NEG_INFINITY,
             generation: 0,
+            slowdown: 1.0,
+            warm_up_ms,
+            initial_speed,
+            service_ms: 0.0,
+            advanced_to_ms: 0.0,
+            threads: 0.0,
+            completions: BinaryHeap::new(),
+            jobs: HashMap::new(),
         }
     }
 
+    /// Threads that run.
     pub fn threads(&self) -> f64 {
         self.threads
     }
 
-    fn speed(&self, now: f64) -> f64 {
-        let age = now - self.started;
-        let warm = if age >= self.warm_after {
+    /// Service that a thread attains in a millisecond (ms).
+    fn speed(&self, now_ms: f64) -> f64 {
+        let age_ms = now_ms - self.started_ms;
+        let warmth = if age_ms >= self.warm_up_ms {
             1.0
         } else {
-            (age / self.warm_after).max(0.0)
+            (age_ms / self.warm_up_ms).max(0.0)
         };
-        let cold = self.cold_from + (1.0 - self.cold_from) * warm;
-        cold * (self.cores / self.threads.max(1e-9)).min(1.0) / self.slow
+        let warm_speed = self.initial_speed + (1.0 - self.initial_speed) * warmth;
+        warm_speed * (self.cores / self.threads.max(SMALLEST)).min(1.0) / self.slowdown
     }
 
-    /// Brings the service up to now.
-    pub fn advance(&mut self, now: f64) {
-        if self.threads > 0.0 && now > self.at {
-            self.service += (now - self.at) * self.speed(now);
+    /// Brings the attained service up to now.
+    pub fn advance(&mut self, now_ms: f64) {
+        if self.threads > 0.0 && now_ms > self.advanced_to_ms {
+            self.service_ms += (now_ms - self.advanced_to_ms) * self.speed(now_ms);
         }
-        self.at = self.at.max(now);
+        self.advanced_to_ms = self.advanced_to_ms.max(now_ms);
     }
 
-    pub fn add(&mut self, now: f64, job: u64, work: f64, threads: f64) {
-        self.advance(now);
-        let needs = work / threads;
+    /// From now on all takes so many times as long.
+    pub fn set_slowdown(&mut self, now_ms: f64, slowdown: f64) {
+        self.advance(now_ms);
+        self.slowdown = slowdown;
+        self.generation += 1;
+    }
+
+    /// Starts a job. `work_ms` is its work on one core, spread evenly over its threads.
+    pub fn add(&mut self, now_ms: f64, job: u64, work_ms: f64, threads: f64) {
+        self.advance(now_ms);
+        let service_ms = work_ms / threads;
         self.jobs.insert(
             job,
             Job {
                 job,
                 threads,
-                needs,
-                began: self.service,
+                service_ms,
+                began_at_service_ms: self.service_ms,
             },
         );
-        self.marks.push(Mark {
-            at: self.service + needs,
+        self.completions.push(Completion {
+            at_service_ms: self.service_ms + service_ms,
             job,
         });
         self.threads += threads;
         self.generation += 1;
     }
 
-    /// Takes a job away; none if it is not there.
-    pub fn remove(&mut self, now: f64, job: u64) -> Option<Job> {
-        self.advance(now);
-        let gone = self.jobs.remove(&job)?;
+    /// Takes a job away; none if it does not run.
+    pub fn remove(&mut self, now_ms: f64, job: u64) -> Option<Job> {
+        self.advance(now_ms);
+        let removed = self.jobs.remove(&job)?;
         self.threads = if self.jobs.is_empty() {
             0.0
         } else {
-            self.threads - gone.threads
+            self.threads - removed.threads
         };
         self.generation += 1;
-        Some(gone)
+        Some(removed)
     }
 
-    /// The part of a job that is done.
-    pub fn done(&self, job: u64) -> Option<f64> {
+    /// The fraction of a job that is done.
+    pub fn done_fraction(&self, job: u64) -> Option<f64> {
         let job = self.jobs.get(&job)?;
-        Some(((self.service - job.began) / job.needs).clamp(0.0, 1.0))
+        let attained_ms = self.service_ms - job.began_at_service_ms;
+        Some((attained_ms / job.service_ms).clamp(0.0, 1.0))
     }
 
-    /// When the next job ends if nothing changes; a cold engine is looked at again before it has sped up much.
-    pub fn next(&mut self, now: f64) -> Option<f64> {
+    /// When the next job ends if nothing changes. While it warms up, a nearer time at which to ask again, before it has
+    /// sped up much.
+    pub fn next_completion_ms(&mut self, now_ms: f64) -> Option<f64> {
         while self
-            .marks
+            .completions
             .peek()
-            .is_some_and(|mark| !self.jobs.contains_key(&mark.job))
+            .is_some_and(|completion| !self.jobs.contains_key(&completion.job))
         {
-            self.marks.pop();
+            self.completions.pop();
         }
-        let mark = self.marks.peek()?;
-        let speed = self.speed(now).max(1e-9);
-        let wait = ((mark.at - self.service) / speed).max(0.0);
-        let cold = now - self.started < self.warm_after;
-        Some(now + if cold { wait.min(50.0) } else { wait })
+        let completion = self.completions.peek()?;
+        let speed = self.speed(now_ms).max(SMALLEST);
+        let wait_ms = ((completion.at_service_ms - self.service_ms) / speed).max(0.0);
+        let is_warming_up = now_ms - self.started_ms < self.warm_up_ms;
+        Some(
+            now_ms
+                + if is_warming_up {
+                    wait_ms.min(WARM_UP_STEP_MS)
+                } else {
+                    wait_ms
+                },
+        )
     }
 
-    /// Jobs that have ended by now.
-    pub fn ended(&mut self, now: f64) -> Vec<u64> {
-        self.advance(now);
-        let mut ended = Vec::new();
-        while let Some(mark) = self.marks.peek().copied() {
-            if self.jobs.contains_key(&mark.job) {
-                if mark.at > self.service + 1e-6 {
+    /// Jobs that have ended by now. They still run until they are removed.
+    pub fn take_completed(&mut self, now_ms: f64) -> Vec<u64> {
+        self.advance(now_ms);
+        let mut completed = Vec::new();
+        while let Some(completion) = self.completions.peek().copied() {
+            if self.jobs.contains_key(&completion.job) {
+                if completion.at_service_ms > self.service_ms + SERVICE_TOLERANCE_MS {
                     break;
                 }
-                ended.push(mark.job);
+                completed.push(completion.job);
             }
-            self.marks.pop();
+            self.completions.pop();
         }
-        ended
+        completed
     }
 
-    /// Ends all: what ran is lost.
-    pub fn falls(&mut self, now: f64) -> Vec<u64> {
-        self.advance(now);
+    /// Ends all jobs without a result; their ids in rising order.
+    pub fn drop_all(&mut self, now_ms: f64) -> Vec<u64> {
+        self.advance(now_ms);
         let mut lost: Vec<u64> = self.jobs.drain().map(|(job, _)| job).collect();
         lost.sort_unstable();
-        self.marks.clear();
+        self.completions.clear();
         self.threads = 0.0;
         self.generation += 1;
         lost
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn cores_are_shared_evenly_and_a_lone_thread_gets_one() {
-        let mut engine = Engine::new(2.0, 0.0, 1.0);
-        engine.add(0.0, 1, 100.0, 1.0);
-        assert_eq!(engine.next(0.0), Some(100.0));
-        engine.add(0.0, 2, 400.0, 4.0);
-        // Five threads on two cores: each of 100 ms takes 250 ms.
-        assert_eq!(engine.next(0.0), Some(250.0));
-        assert_eq!(engine.ended(249.0), [0; 0]);
-        let mut ended = engine.ended(250.0);
-        ended.sort_unstable();
-        assert_eq!(ended, [1, 2]);
-        assert!(engine.remove(250.0, 1).is_some() && engine.remove(250.0, 1).is_none());
-    }
-
-    #[test]
-    fn a_cold_engine_is_slow_at_first() {
-        let mut engine = Engine::new(1.0, 1000.0, 0.25);
-        engine.started = 0.0;
-        engine.add(0.0, 1, 100.0, 1.0);
-        let mut now = 0.0;
-        while engine.ended(now).is_empty() {
-            now = engine.next(now).unwrap().max(now + 1.0);
-        }
-        assert!((250.0..400.0).contains(&now), "{now}");
-    }
-}
--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -1,107 +1,143 @@
-//! Reads experiments.
+//! Reads experiments: protobuf text format by the schema in `proto/experiment.proto`.
 
-use crate::schema::Experiment;
+use crate::schema::{Arm, Class, Experiment, Fault};
 use prost_reflect::{DescriptorPool, DynamicMessage};
 
+#[cfg(test)]
+mod tests;
+
 static DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/experiment.fds"));
+/// The schema's message that holds an experiment.
+const EXPERIMENT_MESSAGE: &str = "tansymux.lab.Experiment";
+/// The longest run (s).
+const MAX_SECONDS: f64 = 7200.0;
+
+/// What is wrong with an experiment.
+#[derive(Debug, thiserror::Error)]
+pub enum ExperimentError {
+    /// The schema that was built in can't be used.
+    #[error("the schema can't be used: {0}")]
+    Schema(String),
+    /// The text is not of the schema's form; the message names the place.
+    #[error("{0}")]
+    Text(String),
+    /// Something that every experiment has is not there.
+    #[error("an experiment has a hall, a class and an arm at the least")]
+    Incomplete,
+    /// A fault names a zone that the experiment does not have.
+    #[error("fault.{0} names a hall that is not there")]
+    FaultZone(usize),
+    /// A fault has no length.
+    #[error("fault.{0} ends before it begins")]
+    FaultTimes(usize),
+    /// A class is bound to a zone that the experiment does not have.
+    #[error("class.{0}.bound_to is no hall")]
+    ClassZone(usize),
+    /// A figure of a class is not above 0.
+    #[error("class.{0} has a rate, work, threads, target or wait that is not above 0")]
+    ClassFigures(usize),
+    /// The operators' file of an arm is malformed.
+    #[error("arm.{arm}.operator: {errors}")]
+    Operator {
+        /// The arm's number.
+        arm: usize,
+        /// What is wrong, with places.
+        errors: String,
+    },
+    /// A figure of the experiment is out of its bounds.
+    #[error("seconds (up to 7200), dispatchers and seeds are above 0")]
+    Bounds,
+}
 
 /// Reads an experiment and checks it.
 ///
 /// # Errors
 /// What is wrong, with the key.
-pub fn read(text: &str) -> Result<Experiment, String> {
-    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| e.to_string())?;
+pub fn read(text: &str) -> Result<Experiment, ExperimentError> {
+    let pool = DescriptorPool::decode(DESCRIPTORS)
+        .map_err(|error| ExperimentError::Schema(error.to_string()))?;
     let descriptor = pool
-        .get_message_by_name("tansymux.lab.Experiment")
-        .ok_or("the schema holds no Experiment")?;
-    let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| e.to_string())?;
-    let experiment: Experiment = message.transcode_to().map_err(|e| e.to_string())?;
+        .get_message_by_name(EXPERIMENT_MESSAGE)
+        .ok_or_else(|| ExperimentError::Schema("it holds no Experiment".into()))?;
+    let message = DynamicMessage::parse_text_format(descriptor, text)
+        .map_err(|error| ExperimentError::Text(error.to_string()))?;
+    let experiment: Experiment = message
+        .transcode_to()
+        .map_err(|error| ExperimentError::Text(error.to_string()))?;
     check(&experiment)?;
     Ok(experiment)
 }
 
-fn check(e: &Experiment) -> Result<(), String> {
-    let zones: Vec<&str> = e.hall.iter().map(|zone| zone.name()).collect();
-    if zones.is_empty() || e.class.is_empty() || e.arm.is_empty() {
-        return Err("an experiment has a hall, a class and an arm at the least".into());
+fn check(experiment: &Experiment) -> Result<(), ExperimentError> {
+    let zones: Vec<&str> = experiment.hall.iter().map(|zone| zone.name()).collect();
+    if zones.is_empty() || experiment.class.is_empty() || experiment.arm.is_empty() {
+        return Err(ExperimentError::Incomplete);
     }
-    for (n, fault) in e.fault.iter().enumerate() {
-        if !zones.contains(&fault.hall())
-            || fault
-                .from
-                .as_ref()
-                .is_some_and(|from| !zones.contains(&from.as_str()))
-        {
-            return Err(format!("fault.{n} names a hall that is not there"));
-        }
-        if fault.begins_s().is_nan()
-            || fault.ends_s().is_nan()
-            || fault.begins_s() >= fault.ends_s()
-        {
-            return Err(format!("fault.{n} ends before it begins"));
-        }
+    for (number, fault) in experiment.fault.iter().enumerate() {
+        check_fault(number, fault, &zones)?;
     }
-    for (n, class) in e.class.iter().enumerate() {
-        if class
-            .bound_to
-            .as_ref()
-            .is_some_and(|zone| !zones.contains(&zone.as_str()))
-        {
-            return Err(format!("class.{n}.bound_to is no hall"));
-        }
-        let positive = [
-            class.rate(),
-            class.work_ms(),
-            class.threads(),
-            class.target_ms(),
-            class.wait_ms(),
-        ];
-        if positive
-            .iter()
-            .any(|value| !(*value > 0.0 && value.is_finite()))
-        {
-            return Err(format!(
-                "class.{n} has a rate, work, threads, target or wait that is not above 0"
-            ));
-        }
+    for (number, class) in experiment.class.iter().enumerate() {
+        check_class(number, class, &zones)?;
     }
-    for (n, arm) in e.arm.iter().enumerate() {
-        if let Err(faults) = tansymux_operator_config::parse(arm.operator()) {
-            let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            return Err(format!("arm.{n}.operator: {}", all.join("; ")));
-        }
+    for (number, arm) in experiment.arm.iter().enumerate() {
+        check_arm(number, arm)?;
     }
-    if !(e.seconds() > 0.0 && e.seconds() <= 7200.0) || e.dispatchers() == 0 || e.seeds() == 0 {
-        return Err("seconds (up to 7200), dispatchers and seeds are above 0".into());
+    let seconds_in_bounds = experiment.seconds() > 0.0 && experiment.seconds() <= MAX_SECONDS;
+    if !seconds_in_bounds || experiment.dispatchers() == 0 || experiment.seeds() == 0 {
+        return Err(ExperimentError::Bounds);
     }
     Ok(())
 }
 
-#[cfg(test)]
-mod tests {
-    #[test]
-    fn what_is_wrong_is_named() {
-        let good = "hall { name: \"a\" } class { name: \"look\" } arm { name: \"base\" }";
-        assert!(super::read(good).is_ok());
-        for (more, says) in [
-            (
-                " fault { hall: \"b\" begins_s: 1 ends_s: 2 }",
-                "fault.0 names",
-            ),
-            (
-                " fault { hall: \"a\" begins_s: 2 ends_s: 2 }",
-                "ends before",
-            ),
-            (" class { rate: -1 }", "class.1 has a rate"),
-            (
-                " arm { operator: \"halls { spill { } }\" }",
-                "arm.1.operator: 1:9: halls.spill.0.most is missing",
-            ),
-            (" seconds: 0", "seconds"),
-            (" sekonds: 1", "sekonds"),
-        ] {
-            let wrong = super::read(&format!("{good}{more}")).unwrap_err();
-            assert!(wrong.contains(says), "{says} in {wrong}");
+fn check_fault(number: usize, fault: &Fault, zones: &[&str]) -> Result<(), ExperimentError> {
+    let from_unknown = fault
+        .from
+        .as_ref()
+        .is_some_and(|from| !zones.contains(&from.as_str()));
+    if !zones.contains(&fault.hall()) || from_unknown {
+        return Err(ExperimentError::FaultZone(number));
+    }
+    let is_not_a_number = fault.begins_s().is_nan() || fault.ends_s().is_nan();
+    if is_not_a_number || fault.begins_s() >= fault.ends_s() {
+        return Err(ExperimentError::FaultTimes(number));
+    }
+    Ok(())
+}
+
+fn check_class(number: usize, class: &Class, zones: &[&str]) -> Result<(), ExperimentError> {
+    let bound_to_unknown = class
+        .bound_to
+        .as_ref()
+        .is_some_and(|zone| !zones.contains(&zone.as_str()));
+    if bound_to_unknown {
+        return Err(ExperimentError::ClassZone(number));
+    }
+    let figures = [
+        class.rate(),
+        class.work_ms(),
+        class.threads(),
+        class.target_ms(),
+        class.wait_ms(),
+    ];
+    let all_positive = figures
+        .iter()
+        .all(|figure| *figure > 0.0 && figure.is_finite());
+    if all_positive {
+        Ok(())
+    } else {
+        Err(ExperimentError::ClassFigures(number))
+    }
+}
+
+fn check_arm(number: usize, arm: &Arm) -> Result<(), ExperimentError> {
+    match tansymux_operator_config::parse(arm.operator()) {
+        Ok(_) => Ok(()),
+        Err(errors) => {
+            let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            Err(ExperimentError::Operator {
+                arm: number,
+                errors: errors.join("; "),
+            })
         }
     }
 }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,20 +1,23 @@
-//! The lab: a pool, its network, clients and list in virtual time, round the real decision packages.
+//! A discrete-event simulator: a pool of engines, its network, clients and endpoint list in virtual time, around the
+//! real decision packages.
 //!
-//! Owns: a discrete-event emulator small enough to read in an hour ([`world`]), experiments as files
-//! ([`experiment`]), many seeds side by side and paired comparisons ([`compare`]), and what is shown of them
-//! ([`report`]). It holds no decision: `tansymux::control` and `tansymux_zone_routing` are what is tried. Figures of it are
-//! figures of this emulator, and named so.
+//! Owns: the simulation, small enough to read in an hour ([`simulation`]), engines that share their cores evenly
+//! ([`engine`]), experiments as files ([`experiment`]), many seeds side by side and paired comparisons ([`compare`]), and
+//! what is shown of them ([`report`]). It holds no decision: `tansymux::control` and `tansymux_zone_routing` are what is
+//! tried. Its figures are figures of this simulator, and are named so.
 //!
-//! Start reading at [`world::run`].
+//! Start reading at [`simulation::run`].
+
+#![warn(missing_docs)]
 
 pub mod compare;
 pub mod engine;
 pub mod experiment;
 pub mod report;
-pub mod world;
+pub mod simulation;
 
 /// The experiment's schema, generated at build.
-#[allow(clippy::all, clippy::pedantic)]
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
 pub mod schema {
     include!(concat!(env!("OUT_DIR"), "/tansymux.lab.rs"));
 }
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,12 +1,14 @@
-//! `tansymux-simulator`: experiments in virtual time.
+//! `tansymux-simulator`: runs, compares, plots and replays experiments in virtual time.
 
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tansymux_simulator::experiment::{self, ExperimentError};
 use tansymux_simulator::schema::Experiment;
-use tansymux_simulator::{compare, experiment, report, world};
+use tansymux_simulator::simulation::{self, Outcomes};
+use tansymux_simulator::{compare, report};
 
-/// A small emulator round the real decisions: runs experiments, compares arms, plots.
+/// A discrete-event simulator around the real decisions: runs experiments, compares arms, plots.
 #[derive(Debug, Parser)]
 #[command(name = "tansymux-simulator", version)]
 struct Cli {
@@ -18,69 +20,134 @@
 enum Command {
     /// Plays all arms and seeds of an experiment; exit 1 if a rule broke
     Run {
+        /// The experiment
         file: PathBuf,
-        /// Where table, JSON lines, plots and page go
+        /// The folder for table, JSON lines, plots and page
         #[arg(long)]
         to: Option<PathBuf>,
+        /// Runs at a time
         #[arg(long, default_value_t = 4)]
         threads: usize,
-        /// Other numbers of seeds and dispatchers than the file's
+        /// Another number of seeds than the file's
         #[arg(long)]
         seeds: Option<u32>,
+        /// Another number of dispatchers than the file's
         #[arg(long)]
         dispatchers: Option<u32>,
     },
     /// Compares the arms of runs that were kept as JSON lines
-    Compare { file: PathBuf },
+    Compare {
+        /// The JSON lines
+        file: PathBuf,
+    },
     /// Plots one seed of one arm
     Plot {
+        /// The experiment
         file: PathBuf,
+        /// The arm, counted from 0
         #[arg(long, default_value_t = 0)]
         arm: usize,
+        /// The seed; the experiment's first one unless given
         #[arg(long)]
         seed: Option<u64>,
+        /// The plot's file
         #[arg(long)]
         svg: PathBuf,
     },
     /// Plays one seed of one arm again and prints all of it
     Replay {
+        /// The experiment
         file: PathBuf,
+        /// The arm, counted from 0
         #[arg(long, default_value_t = 0)]
         arm: usize,
+        /// The seed
         #[arg(long)]
         seed: u64,
     },
 }
 
-fn read(file: &Path) -> Result<(Experiment, String), String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    Ok((
-        experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?,
-        text,
-    ))
+/// The figures that `compare` shows, by their keys in the JSON lines.
+const COMPARED_KEYS: [&str; 9] = [
+    "in_time", "late", "deferred", "killed", "p99_fast", "spill", "cold", "fell", "broken",
+];
+/// `replay` shows one sample a second.
+const REPLAY_SAMPLE_STEP: usize = 4;
+
+/// Why a command could not do its work.
+#[derive(Debug, thiserror::Error)]
+enum CommandError {
+    #[error("{}: {source}", path.display())]
+    File {
+        path: PathBuf,
+        source: std::io::Error,
+    },
+    #[error("{}: {source}", path.display())]
+    Experiment {
+        path: PathBuf,
+        source: ExperimentError,
+    },
+    #[error("there are {arms} arms")]
+    NoSuchArm { arms: usize },
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{0}")]
+    Page(#[from] minijinja::Error),
+    #[error("{}: {reason}", path.display())]
+    Plot { path: PathBuf, reason: String },
+}
+
+/// An experiment, and the text that it was read from.
+struct ExperimentFile {
+    experiment: Experiment,
+    text: String,
+}
+
+fn read_file(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path).map_err(|source| CommandError::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn read_experiment(path: &Path) -> Result<ExperimentFile, CommandError> {
+    let text = read_file(path)?;
+    match experiment::read(&text) {
+        Ok(experiment) => Ok(ExperimentFile { experiment, text }),
+        Err(source) => Err(CommandError::Experiment {
+            path: path.to_owned(),
+            source,
+        }),
+    }
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), CommandError> {
+    std::fs::write(path, text).map_err(|source| CommandError::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn write_svg(experiment: &Experiment, run: &Outcomes, path: &Path) -> Result<(), CommandError> {
+    report::write_svg(experiment, run, path).map_err(|error| CommandError::Plot {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })
 }
 
 fn main() -> ExitCode {
-    match played(Cli::parse().command) {
+    match execute(Cli::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("tansymux-simulator: {e}");
+        Err(error) => {
+            eprintln!("tansymux-simulator: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn arm_of(e: &Experiment, arm: usize) -> Result<usize, String> {
-    if arm < e.arm.len() {
-        Ok(arm)
-    } else {
-        Err(format!("there are {} arms", e.arm.len()))
-    }
-}
-
-fn played(command: Command) -> Result<bool, String> {
-    let failed = |e: &dyn std::fmt::Display| e.to_string();
+/// Whether no rule was broken.
+fn execute(command: Command) -> Result<bool, CommandError> {
     match command {
         Command::Run {
             file,
@@ -89,53 +156,19 @@
             seeds,
             dispatchers,
         } => {
-            let (mut e, text) = read(&file)?;
-            e.seeds = seeds.or(e.seeds);
-            e.dispatchers = dispatchers.or(e.dispatchers);
-            let arms = compare::all(&e, threads, false);
-            let table = report::table(&e, &arms);
+            let mut file = read_experiment(&file)?;
+            file.experiment.seeds = seeds.or(file.experiment.seeds);
+            file.experiment.dispatchers = dispatchers.or(file.experiment.dispatchers);
+            let runs = compare::run_all(&file.experiment, threads, false);
+            let table = report::table(&file.experiment, &runs);
             print!("{table}");
-            if let Some(to) = to {
-                std::fs::create_dir_all(&to).map_err(|e| failed(&e))?;
-                let write = |name: String, text: &str| {
-                    std::fs::write(to.join(name), text).map_err(|e| failed(&e))
-                };
-                write(format!("{}.txt", e.name()), &table)?;
-                write(format!("{}.jsonl", e.name()), &report::lines(&arms))?;
-                let mut plots = Vec::new();
-                for arm in arms.iter().filter_map(|arm| arm.first()) {
-                    let svg = to.join(format!("{}-{}.svg", e.name(), arm.arm));
-                    report::svg(&e, arm, &svg).map_err(|e| failed(&e))?;
-                    plots.push(std::fs::read_to_string(&svg).map_err(|e| failed(&e))?);
-                }
-                let page = report::page(&e, &text, &table, &plots).map_err(|e| failed(&e))?;
-                write(format!("{}.html", e.name()), &page)?;
+            if let Some(folder) = to {
+                write_results(&folder, &file, &runs, &table)?;
             }
-            Ok(arms.iter().flatten().all(|o| o.broken == 0))
+            Ok(runs.iter().flatten().all(|run| run.violations == 0))
         }
         Command::Compare { file } => {
-            let text = std::fs::read_to_string(&file).map_err(|e| failed(&e))?;
-            let mut arms: Vec<(String, Vec<serde_json::Value>)> = Vec::new();
-            for line in text.lines() {
-                let value: serde_json::Value =
-                    serde_json::from_str(line).map_err(|e| failed(&e))?;
-                let name = value["arm"].as_str().unwrap_or("").to_owned();
-                match arms.iter_mut().find(|(known, _)| *known == name) {
-                    Some((_, all)) => all.push(value),
-                    None => arms.push((name, vec![value])),
-                }
-            }
-            for key in [
-                "in_time", "late", "deferred", "killed", "p99_fast", "spill", "cold", "fell",
-                "broken",
-            ] {
-                print!("{key:<10}");
-                for (name, all) in &arms {
-                    let m = compare::mean(all.iter().filter_map(|value| value[key].as_f64()));
-                    print!("  {name} {:.3} +- {:.3}", m.mean, m.half);
-                }
-                println!();
-            }
+            compare_lines(&read_file(&file)?)?;
             Ok(true)
         }
         Command::Plot {
@@ -144,29 +177,88 @@
             seed,
             svg,
         } => {
-            let (e, _) = read(&file)?;
-            let o = world::run(&e, arm_of(&e, arm)?, seed.unwrap_or(e.first_seed()));
-            report::svg(&e, &o, &svg).map_err(|e| failed(&e))?;
+            let experiment = read_experiment(&file)?.experiment;
+            let seed = seed.unwrap_or(experiment.first_seed());
+            let run = simulation::run(&experiment, check_arm(&experiment, arm)?, seed);
+            write_svg(&experiment, &run, &svg)?;
             Ok(true)
         }
         Command::Replay { file, arm, seed } => {
-            let (e, _) = read(&file)?;
-            let o = world::run(&e, arm_of(&e, arm)?, seed);
-            println!(
-                "{}",
-                serde_json::to_string_pretty(&o).map_err(|e| failed(&e))?
-            );
-            for s in o.samples.iter().step_by(4) {
-                println!(
-                    "{:>6.1} s  value {:.3}  deferred {:>4}  threads {:.0?}  spilled {:.0?}",
-                    s.at,
-                    s.value / s.most.max(1e-9),
-                    s.deferred,
-                    s.threads,
-                    s.spilled
-                );
-            }
-            Ok(o.broken == 0)
+            let experiment = read_experiment(&file)?.experiment;
+            let run = simulation::run(&experiment, check_arm(&experiment, arm)?, seed);
+            println!("{}", serde_json::to_string_pretty(&run)?);
+            print_samples(&run);
+            Ok(run.violations == 0)
+        }
+    }
+}
+
+fn check_arm(experiment: &Experiment, arm: usize) -> Result<usize, CommandError> {
+    let arms = experiment.arm.len();
+    if arm < arms {
+        Ok(arm)
+    } else {
+        Err(CommandError::NoSuchArm { arms })
+    }
+}
+
+/// Writes table, JSON lines, a plot of each arm's first seed, and a page with all of it.
+fn write_results(
+    folder: &Path,
+    file: &ExperimentFile,
+    runs: &[Vec<Outcomes>],
+    table: &str,
+) -> Result<(), CommandError> {
+    std::fs::create_dir_all(folder).map_err(|source| CommandError::File {
+        path: folder.to_owned(),
+        source,
+    })?;
+    let experiment = &file.experiment;
+    let name = experiment.name();
+    write_file(&folder.join(format!("{name}.txt")), table)?;
+    let lines = report::json_lines(runs);
+    write_file(&folder.join(format!("{name}.jsonl")), &lines)?;
+    let mut plots = Vec::new();
+    for run in runs.iter().filter_map(|variant| variant.first()) {
+        let svg = folder.join(format!("{name}-{}.svg", run.variant));
+        write_svg(experiment, run, &svg)?;
+        plots.push(read_file(&svg)?);
+    }
+    let page = report::html_page(experiment, &file.text, table, &plots)?;
+    write_file(&folder.join(format!("{name}.html")), &page)
+}
+
+/// Prints the means of the arms' runs that were kept as JSON lines, arms in the order in which they come.
+fn compare_lines(text: &str) -> Result<(), CommandError> {
+    let mut arms: Vec<(String, Vec<serde_json::Value>)> = Vec::new();
+    for line in text.lines() {
+        let run: serde_json::Value = serde_json::from_str(line)?;
+        let name = run["arm"].as_str().unwrap_or("").to_owned();
+        match arms.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, runs)) => runs.push(run),
+            None => arms.push((name, vec![run])),
         }
     }
+    for key in COMPARED_KEYS {
+        print!("{key:<10}");
+        for (name, runs) in &arms {
+            let mean = compare::mean(runs.iter().filter_map(|run| run[key].as_f64()));
+            print!("  {name} {:.3} +- {:.3}", mean.mean, mean.half_width);
+        }
+        println!();
+    }
+    Ok(())
+}
+
+fn print_samples(run: &Outcomes) {
+    for sample in run.samples.iter().step_by(REPLAY_SAMPLE_STEP) {
+        println!(
+            "{:>6.1} s  value {:.3}  deferred {:>4}  threads {:.0?}  spilled {:.0?}",
+            sample.at_s,
+            sample.value / sample.max_value.max(1e-9),
+            sample.rejected,
+            sample.threads,
+            sample.spilled
+        );
+    }
 }
--- a/crates/simulator/src/report.rs
+++ b/crates/simulator/src/report.rs
@@ -1,148 +1,199 @@
-//! Tables, JSON lines, plots and a page.
+//! What is shown of an experiment: tables, JSON lines, plots and a page.
 
 use crate::compare::{mean, paired, Mean};
 use crate::schema::Experiment;
-use crate::world::Outcomes;
+use crate::simulation::{Outcomes, Sample};
 use minijinja::{context, Environment};
 use std::fmt::Write as _;
 use std::path::Path;
 use tansymux_testbed::plot::{plot, Line};
 
-/// What is shown of a run: a name, and how it is read.
-type Figure = (&'static str, fn(&Outcomes) -> f64);
+/// Violations that a table shows.
+const SHOWN_VIOLATIONS: usize = 5;
+/// Samples over which a plot's lines are smoothed, and how many there are a second.
+const SMOOTHED_SAMPLES: usize = 4;
+const SAMPLES_PER_S: f64 = 4.0;
 
+/// A row of the table: a name, and how it is read from a run.
+pub type Figure = (&'static str, fn(&Outcomes) -> f64);
+
+fn fraction_of_asked(outcomes: &Outcomes, count: u64) -> f64 {
+    count as f64 / outcomes.asked.max(1) as f64
+}
+
+/// The rows of the table.
 pub const FIGURES: [Figure; 11] = [
-    ("value before", |o| o.value[0]),
-    ("value during faults", |o| o.value[1]),
-    ("value in the minute after", |o| o.value[2]),
-    ("deferred (part)", |o| {
-        o.deferred as f64 / o.asked.max(1) as f64
+    ("value before", |run| run.value[0]),
+    ("value during faults", |run| run.value[1]),
+    ("value in the minute after", |run| run.value[2]),
+    ("deferred (part)", |run| {
+        fraction_of_asked(run, run.rejected)
     }),
-    ("late (part)", |o| o.late as f64 / o.asked.max(1) as f64),
-    ("p99 of the fast lane (ms)", |o| o.p99_fast as f64),
-    ("most spilled (part of the limit)", |o| o.spill),
-    ("most sent to a cold engine (part of its fall)", |o| o.cold),
-    ("engines that fell", |o| o.fell as f64),
-    ("full service after (ms)", |o| {
-        o.full_after.unwrap_or(f64::NAN)
+    ("late (part)", |run| fraction_of_asked(run, run.late)),
+    ("p99 of the fast lane (ms)", |run| run.fast_p99_ms as f64),
+    ("most spilled (part of the limit)", |run| run.max_spill),
+    ("most sent to a cold engine (part of its fall)", |run| {
+        run.max_cold_load
     }),
-    ("rules broken", |o| o.broken as f64),
+    ("engines that fell", |run| run.engines_fallen as f64),
+    ("full service after (ms)", |run| {
+        run.full_service_after_ms.unwrap_or(f64::NAN)
+    }),
+    ("rules broken", |run| run.violations as f64),
 ];
 
-fn shown(mean: Mean) -> String {
+fn format_mean(mean: Mean) -> String {
     let places = if mean.mean.abs() >= 100.0 { 0 } else { 3 };
-    match (mean.count, mean.half.is_finite()) {
-        (0, _) => "-".into(),
-        (_, true) => format!("{:.places$} +- {:.places$}", mean.mean, mean.half),
-        (_, false) => format!("{:.places$}", mean.mean),
+    if mean.count == 0 {
+        "-".into()
+    } else if mean.half_width.is_finite() {
+        format!("{:.places$} +- {:.places$}", mean.mean, mean.half_width)
+    } else {
+        format!("{:.places$}", mean.mean)
     }
 }
 
-/// A table of all arms, and how each differs from the first, seed by seed.
-pub fn table(e: &Experiment, arms: &[Vec<Outcomes>]) -> String {
-    let mut text = format!(
-        "{}: {} dispatchers, {} halls, {} engines, {} s, {} seeds (the lab's emulator)\n{:<46}",
-        e.name(),
-        e.dispatchers(),
-        e.hall.len(),
-        e.hall.iter().map(|zone| zone.engines()).sum::<u32>(),
-        e.seconds(),
-        e.seeds(),
-        ""
-    );
-    e.arm
-        .iter()
-        .for_each(|arm| text += &format!("{:>22}", arm.name()));
-    e.arm.iter().skip(1).for_each(|arm| {
-        text += &format!("{:>22}", format!("{} - {}", arm.name(), e.arm[0].name()))
-    });
-    text.push('\n');
-    for (name, of) in FIGURES {
+/// A table of all variants, and how each differs from the first, seed by seed.
+pub fn table(experiment: &Experiment, runs: &[Vec<Outcomes>]) -> String {
+    let mut text = heading(experiment);
+    for (name, figure) in FIGURES {
         let _ = write!(text, "{name:<46}");
-        for arm in arms {
-            let _ = write!(text, "{:>22}", shown(mean(arm.iter().map(of))));
+        for variant in runs {
+            let _ = write!(
+                text,
+                "{:>22}",
+                format_mean(mean(variant.iter().map(figure)))
+            );
         }
-        for arm in arms.iter().skip(1) {
-            let _ = write!(text, "{:>22}", shown(paired(&arms[0], arm, of)));
+        for variant in runs.iter().skip(1) {
+            let _ = write!(
+                text,
+                "{:>22}",
+                format_mean(paired(&runs[0], variant, figure))
+            );
         }
         text.push('\n');
     }
-    let pace = mean(arms.iter().flatten().map(|o| o.pace));
+    let pace = mean(runs.iter().flatten().map(|run| run.virtual_s_per_s));
     let _ = writeln!(
         text,
         "virtual seconds played in a real one, each on one core: {}",
-        shown(pace)
+        format_mean(pace)
     );
-    for broken in arms
-        .iter()
-        .flatten()
-        .filter_map(|o| Some((o, o.first_broken.as_ref()?)))
-        .take(5)
-    {
-        let _ = writeln!(
-            text,
-            "broken: arm {} seed {}: {}",
-            broken.0.arm, broken.0.seed, broken.1
-        );
+    let mut shown = 0;
+    for run in runs.iter().flatten() {
+        if let Some(violation) = run
+            .first_violation
+            .as_ref()
+            .filter(|_| shown < SHOWN_VIOLATIONS)
+        {
+            shown += 1;
+            let _ = writeln!(
+                text,
+                "broken: arm {} seed {}: {violation}",
+                run.variant, run.seed
+            );
+        }
     }
     text
 }
 
-/// One JSON object a run.
-pub fn lines(arms: &[Vec<Outcomes>]) -> String {
-    let line = |o: &Outcomes| serde_json::to_string(o).unwrap_or_default() + "\n";
-    arms.iter().flatten().map(line).collect()
+/// What was played, and the names of the columns.
+fn heading(experiment: &Experiment) -> String {
+    let mut text = format!(
+        "{}: {} dispatchers, {} halls, {} engines, {} s, {} seeds (the lab's emulator)\n{:<46}",
+        experiment.name(),
+        experiment.dispatchers(),
+        experiment.hall.len(),
+        experiment
+            .hall
+            .iter()
+            .map(|zone| zone.engines())
+            .sum::<u32>(),
+        experiment.seconds(),
+        experiment.seeds(),
+        ""
+    );
+    for arm in &experiment.arm {
+        let _ = write!(text, "{:>22}", arm.name());
+    }
+    let base = experiment.arm[0].name();
+    for arm in experiment.arm.iter().skip(1) {
+        let _ = write!(text, "{:>22}", format!("{} - {base}", arm.name()));
+    }
+    text.push('\n');
+    text
+}
+
+/// One JSON object for each run.
+pub fn json_lines(runs: &[Vec<Outcomes>]) -> String {
+    runs.iter()
+        .flatten()
+        .map(|run| serde_json::to_string(run).unwrap_or_default() + "\n")
+        .collect()
+}
+
+/// A figure of each sample, as its mean over this sample and the ones just before.
+fn smoothed(samples: &[Sample], figure: impl Fn(&Sample) -> f64) -> Vec<(f64, f64)> {
+    (0..samples.len())
+        .map(|n| {
+            let window = &samples[n.saturating_sub(SMOOTHED_SAMPLES - 1)..=n];
+            let sum: f64 = window.iter().map(&figure).sum();
+            (samples[n].at_s, sum / window.len() as f64)
+        })
+        .collect()
 }
 
-/// Plots of one run: served value, deferrals, threads of each zone and what spilled.
+/// Plots one run: served value, rejections, threads of each zone and what spilled.
 ///
 /// # Errors
 /// The file can't be written.
-pub fn svg(e: &Experiment, o: &Outcomes, to: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    let smooth = |of: &dyn Fn(usize) -> f64| -> Vec<(f64, f64)> {
-        (0..o.samples.len())
-            .map(|n| {
-                let near = n.saturating_sub(3)..=n;
-                let many = near.clone().count() as f64;
-                (o.samples[n].at, near.map(of).sum::<f64>() / many)
-            })
-            .collect()
-    };
-    let most = o
-        .samples
+pub fn write_svg(
+    experiment: &Experiment,
+    run: &Outcomes,
+    to: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let samples = &run.samples;
+    let max_threads = samples
         .iter()
-        .flat_map(|s| s.threads.iter().copied())
+        .flat_map(|sample| sample.threads.iter().copied())
         .fold(1.0, f64::max);
-    let mut names: Vec<String> = vec![
-        "value (part of the worth asked)".into(),
-        "deferred a second / 100".into(),
-    ];
-    let mut points = vec![
-        smooth(&|n| o.samples[n].value / o.samples[n].most.max(1e-9)),
-        smooth(&|n| o.samples[n].deferred as f64 * 4.0 / 100.0),
+    let mut named: Vec<(String, Vec<(f64, f64)>)> = vec![
+        (
+            "value (part of the worth asked)".into(),
+            smoothed(samples, |sample| sample.value / sample.max_value.max(1e-9)),
+        ),
+        (
+            "deferred a second / 100".into(),
+            smoothed(samples, |sample| {
+                sample.rejected as f64 * SAMPLES_PER_S / 100.0
+            }),
+        ),
     ];
-    for (n, zone) in e.hall.iter().enumerate() {
-        names.push(format!("threads in {} / {most:.0}", zone.name()));
-        points.push(smooth(&|s| o.samples[s].threads[n] / most));
-        names.push(format!("spilled into {} / {most:.0}", zone.name()));
-        points.push(smooth(&|s| o.samples[s].spilled[n] / most));
+    for (n, zone) in experiment.hall.iter().enumerate() {
+        named.push((
+            format!("threads in {} / {max_threads:.0}", zone.name()),
+            smoothed(samples, |sample| sample.threads[n] / max_threads),
+        ));
+        named.push((
+            format!("spilled into {} / {max_threads:.0}", zone.name()),
+            smoothed(samples, |sample| sample.spilled[n] / max_threads),
+        ));
     }
-    let lines: Vec<Line> = names
+    let lines: Vec<Line> = named
         .iter()
-        .zip(points)
-        .map(|(name, points)| Line { name, points })
+        .map(|(name, points)| Line {
+            name,
+            points: points.clone(),
+        })
         .collect();
-    plot(
-        to,
-        &format!(
-            "{}, arm {}, seed {} (the lab's emulator)",
-            e.name(),
-            o.arm,
-            o.seed
-        ),
-        "s",
-        &lines,
-    )
+    let title = format!(
+        "{}, arm {}, seed {} (the lab's emulator)",
+        experiment.name(),
+        run.variant,
+        run.seed
+    );
+    plot(to, &title, "s", &lines)
 }
 
 const PAGE: &str = "<!doctype html><html lang=en><meta charset=utf-8><title>{{ name }}</title>\
@@ -155,13 +206,16 @@
 ///
 /// # Errors
 /// The template can't be filled.
-pub fn page(
-    e: &Experiment,
+pub fn html_page(
+    experiment: &Experiment,
     text: &str,
     table: &str,
     plots: &[String],
 ) -> Result<String, minijinja::Error> {
     let mut environment = Environment::new();
     environment.set_auto_escape_callback(|_| minijinja::AutoEscape::Html);
-    environment.render_str(PAGE, context! { name => e.name(), table, text, plots })
+    environment.render_str(
+        PAGE,
+        context! { name => experiment.name(), table, text, plots },
+    )
 }
--- /dev/null
+++ b/crates/simulator/src/simulation/inbox.rs
@@ -0,0 +1,203 @@
+//! What a dispatcher's decisions are given in a round, and what they decide.
+
+use tansymux::control::{Control, EventSource};
+use tansymux::events::{
+    AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
+    HealthCheckEnded, NoteKind, Outcome, ProgressNote, QueryArrived, StatementTraits,
+};
+
+/// Memory that each query is said to need (MB).
+const QUERY_MEMORY_MB: f64 = 10.0;
+/// Groups of tables, over which queries are spread in turn.
+const TABLE_GROUPS: u32 = 24;
+
+/// An engine as the endpoint list has it.
+pub(super) struct Endpoint {
+    pub engine_id: u64,
+    pub zone: String,
+    pub state: EndpointState,
+    /// When it started, where it did so late (decisions' clock).
+    pub started_ms: Option<f64>,
+}
+
+/// What happened to a dispatcher since its last round.
+pub(super) enum Incoming {
+    Query {
+        id: u64,
+        class: usize,
+        estimated_cost_ms: f64,
+        deadline_ms: f64,
+    },
+    AttemptEnded {
+        query_id: u64,
+        attempt: usize,
+        outcome: Outcome,
+        engine_id: u64,
+        latency_ms: f64,
+    },
+    Progress {
+        query_id: u64,
+        attempt: usize,
+        fraction: f64,
+    },
+    HealthCheckEnded {
+        engine_id: u64,
+        outcome: Outcome,
+    },
+    EndpointList,
+}
+
+/// What a dispatcher decided.
+pub(super) enum Decision {
+    Submit {
+        query_id: u64,
+        engine_id: u64,
+        /// Decisions' clock.
+        deadline_ms: f64,
+    },
+    Reject {
+        query_id: u64,
+        retry_after_ms: f64,
+    },
+    Fail {
+        query_id: u64,
+    },
+    Cancel {
+        query_id: u64,
+        attempt: usize,
+    },
+    CheckHealth {
+        engine_id: u64,
+    },
+    SetTimer {
+        delay_ms: f64,
+    },
+}
+
+/// The decisions of one round, in their order.
+#[derive(Default)]
+pub(super) struct Decisions(pub Vec<Decision>);
+
+impl DecisionSink for Decisions {
+    fn submit(&mut self, query_id: u64, engine_id: u64, limits: AttemptLimits) {
+        self.0.push(Decision::Submit {
+            query_id,
+            engine_id,
+            deadline_ms: limits.deadline_ms,
+        });
+    }
+    fn reject(&mut self, query_id: u64, retry_after_ms: f64) {
+        self.0.push(Decision::Reject {
+            query_id,
+            retry_after_ms,
+        });
+    }
+    fn fail(&mut self, query_id: u64) {
+        self.0.push(Decision::Fail { query_id });
+    }
+    fn cancel(&mut self, query_id: u64, attempt: usize) {
+        self.0.push(Decision::Cancel { query_id, attempt });
+    }
+    fn grant(&mut self, _: u64, _: u8, _: f64) {}
+    fn check_health(&mut self, engine_id: u64) {
+        self.0.push(Decision::CheckHealth { engine_id });
+    }
+    fn send_to_peer(&mut self, _: Option<u32>, _: &[u8]) {}
+    fn set_timer(&mut self, delay_ms: f64, _: u64) {
+        self.0.push(Decision::SetTimer { delay_ms });
+    }
+    fn watch_endpoints(&mut self) {}
+}
+
+/// The events of one round.
+pub(super) struct Inbox<'a> {
+    pub events: Vec<Incoming>,
+    pub groups: &'a [String],
+    pub endpoints: &'a [Endpoint],
+}
+
+impl EventSource for Inbox<'_> {
+    fn deliver(&mut self, control: &mut Control, out: &mut dyn DecisionSink) {
+        for event in self.events.drain(..) {
+            deliver_one(&event, self.groups, self.endpoints, control, out);
+        }
+    }
+}
+
+fn deliver_one(
+    event: &Incoming,
+    groups: &[String],
+    endpoints: &[Endpoint],
+    control: &mut Control,
+    out: &mut dyn DecisionSink,
+) {
+    match *event {
+        Incoming::Query {
+            id,
+            class,
+            estimated_cost_ms,
+            deadline_ms,
+        } => {
+            let arrived = QueryArrived {
+                query_id: id,
+                group: &groups[class],
+                tenant: "",
+                key: None,
+                deadline_ms,
+                estimated_cost_ms,
+                memory_mb: QUERY_MEMORY_MB,
+                tables: id as u32 % TABLE_GROUPS,
+                statement: StatementTraits::UNKNOWN,
+            };
+            let accepted = control.on_query_arrived(&arrived, out);
+            debug_assert!(accepted.is_ok());
+        }
+        Incoming::AttemptEnded {
+            query_id,
+            attempt,
+            outcome,
+            engine_id,
+            latency_ms,
+        } => {
+            let ended = AttemptEnded {
+                query_id,
+                attempt,
+                engine_id,
+                outcome,
+                answer_delivered: outcome == Outcome::Completed,
+                latency_ms,
+                used: None,
+            };
+            control.on_attempt_ended(&ended, out);
+        }
+        Incoming::Progress {
+            query_id,
+            attempt,
+            fraction,
+        } => control.on_progress_note(&ProgressNote {
+            query_id,
+            attempt,
+            kind: NoteKind::Progress,
+            amount: fraction,
+        }),
+        Incoming::HealthCheckEnded { engine_id, outcome } => {
+            control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
+        }
+        Incoming::EndpointList => deliver_endpoints(endpoints, control, out),
+    }
+}
+
+fn deliver_endpoints(endpoints: &[Endpoint], control: &mut Control, out: &mut dyn DecisionSink) {
+    control.begin_update(EndpointListKind::Snapshot);
+    for endpoint in endpoints {
+        control.upsert_endpoint(&EndpointUpdate {
+            engine_id: endpoint.engine_id,
+            kind: "std",
+            zone: &endpoint.zone,
+            state: endpoint.state,
+            started_ms: endpoint.started_ms,
+            cell: 0,
+        });
+    }
+    control.finish_update(EndpointListKind::Snapshot, out);
+}
--- a/crates/simulator/tests/small.rs
+++ b/crates/simulator/tests/small.rs
@@ -1,56 +1,72 @@
-//! The lab itself: same seeds, same runs; rules kept; a zone that is lost and comes back; and how it stands beside
-//! the rig's sockets.
+//! The simulator itself: the same seed plays the same run; a zone that is lost and comes back; what is shown of a run.
 
 use tansymux_simulator::schema::Experiment;
-use tansymux_simulator::{compare, experiment, report, world};
+use tansymux_simulator::{compare, experiment, report, simulation};
 
 fn zone_cut(seeds: u32, seconds: f64) -> Experiment {
-    let mut e = experiment::read(include_str!("../experiments/hall-cut.textproto")).unwrap();
-    (e.seeds, e.seconds) = (Some(seeds), Some(seconds));
-    e.class
+    let mut experiment =
+        experiment::read(include_str!("../experiments/hall-cut.textproto")).unwrap();
+    experiment.seeds = Some(seeds);
+    experiment.seconds = Some(seconds);
+    experiment
+        .class
         .iter_mut()
         .for_each(|class| class.rate = Some(class.rate() / 4.0));
-    e.hall.iter_mut().for_each(|zone| zone.cores = Some(2.0));
-    (e.fault.iter_mut()).for_each(|fault| (fault.begins_s, fault.ends_s) = (Some(8.0), Some(18.0)));
-    e
+    experiment
+        .hall
+        .iter_mut()
+        .for_each(|zone| zone.cores = Some(2.0));
+    for fault in &mut experiment.fault {
+        fault.begins_s = Some(8.0);
+        fault.ends_s = Some(18.0);
+    }
+    experiment
 }
 
 #[test]
-fn a_seed_plays_the_same_run_whatever_is_played_beside_it() {
-    let e = zone_cut(2, 30.0);
-    let (one, four) = (compare::all(&e, 1, true), compare::all(&e, 4, true));
+fn a_seed_gives_the_same_run_on_any_number_of_threads() {
+    let experiment = zone_cut(2, 30.0);
+    let (one, four) = (
+        compare::run_all(&experiment, 1, true),
+        compare::run_all(&experiment, 4, true),
+    );
     for (a, b) in one.iter().flatten().zip(four.iter().flatten()) {
         assert_eq!(
-            (a.asked, a.in_time, a.late, a.deferred, a.killed),
-            (b.asked, b.in_time, b.late, b.deferred, b.killed)
+            (a.asked, a.in_time, a.late, a.rejected, a.failed),
+            (b.asked, b.in_time, b.late, b.rejected, b.failed)
         );
     }
 }
 
 #[test]
-fn a_zone_is_lost_and_regained_with_all_answered_and_spill_within_its_limit() {
-    let e = zone_cut(1, 50.0);
-    let o = world::run(&e, 1, 3);
-    assert!(o.asked > 5000, "{}", o.asked);
+fn a_zone_is_lost_and_regained_with_all_queries_answered_and_spill_within_its_limit() {
+    let experiment = zone_cut(1, 50.0);
+    let run = simulation::run(&experiment, 1, 3);
+    assert!(run.asked > 5000, "{}", run.asked);
     assert_eq!(
-        o.in_time + o.late + o.deferred + o.killed,
-        o.asked,
+        run.in_time + run.late + run.rejected + run.failed,
+        run.asked,
         "each query has one answer"
     );
-    assert_eq!((o.broken, o.fell), (0, 0), "{:?}", o.first_broken);
+    assert_eq!(
+        (run.violations, run.engines_fallen),
+        (0, 0),
+        "{:?}",
+        run.first_violation
+    );
     // A dispatcher's share is less than a report here: the limit of 0.3 of 12 cores holds over time.
-    let during: Vec<f64> = o
+    let during: Vec<f64> = run
         .samples
         .iter()
-        .filter(|s| s.at > 9.0 && s.at <= 18.0)
+        .filter(|s| s.at_s > 9.0 && s.at_s <= 18.0)
         .map(|s| s.spilled[1])
         .collect();
     let spilled = during.iter().sum::<f64>() / during.len() as f64;
     assert!(spilled <= 0.3 * 12.0, "{spilled}");
     let threads = |from: f64, to: f64| {
-        o.samples
+        run.samples
             .iter()
-            .filter(|s| s.at > from && s.at <= to)
+            .filter(|s| s.at_s > from && s.at_s <= to)
             .map(|s| s.threads[0])
             .sum::<f64>()
     };
@@ -64,19 +80,22 @@
         threads(42.0, 49.0),
         threads(1.0, 8.0)
     );
-    assert!(o.full_after.is_some());
+    assert!(run.full_service_after_ms.is_some());
 }
 
 #[test]
-fn what_is_shown_of_a_run_holds_its_figures() {
-    let e = zone_cut(2, 10.0);
-    let arms = compare::all(&e, 2, true);
-    let table = report::table(&e, &arms);
+fn table_lines_and_page_hold_the_figures_of_a_run() {
+    let experiment = zone_cut(2, 10.0);
+    let arms = compare::run_all(&experiment, 2, true);
+    let table = report::table(&experiment, &arms);
     assert!(
         table.contains("value during faults") && table.contains("+-"),
         "{table}"
     );
-    assert_eq!(report::lines(&arms).lines().count(), 2 * e.arm.len());
-    let page = report::page(&e, "<experiment>", &table, &[]).unwrap();
+    assert_eq!(
+        report::json_lines(&arms).lines().count(),
+        2 * experiment.arm.len()
+    );
+    let page = report::html_page(&experiment, "<experiment>", &table, &[]).unwrap();
     assert!(page.contains("&lt;experiment&gt;") && page.contains("value before"));
 }
