--- a/crates/dispatcher/src/client/admission_limits.rs
+++ b/crates/dispatcher/src/client/admission_limits.rs
@@ -17,6 +17,6 @@
     pub max_cost_ms: f64,
     /// The largest estimate of memory (MB) that a client may give.
     pub max_memory_mb: f64,
-    /// When (ms) a client that finds no room may come back, if the settings let it be told.
+    /// The retry time (ms) of a 503, if the settings allow one to be sent.
     pub retry_after_ms: Option<f64>,
 }
--- a/crates/dispatcher/src/client/connection_table.rs
+++ b/crates/dispatcher/src/client/connection_table.rs
@@ -7,7 +7,7 @@
 
 /// An answered connection that is idle for longer (ms) has a client that asks no more: usual clients close after 4 s.
 const ABANDONED_AFTER_MS: f64 = 4500.0;
-/// A connection without a whole request yet is evicted before idle ones when it is older (ms): who connects has
+/// A connection without a complete request yet is evicted before idle ones when it is older (ms): who connects has
 /// something to ask.
 const SLOW_FIRST_REQUEST_MS: f64 = 500.0;
 /// The same where no other can be evicted: the least time (ms) that a client has for its first request.
--- a/crates/dispatcher/src/client/connection_table/tests.rs
+++ b/crates/dispatcher/src/client/connection_table/tests.rs
@@ -29,7 +29,7 @@
         assert!(table.evict_one(10_000.0));
         assert!(evicted()[nth] && !before[nth], "{nth}: {:?}", evicted());
     }
-    // What is left has a request in hand, or has just come.
+    // The others have a request under way, or have just connected.
     assert!(!table.evict_one(10_000.0));
     assert!(table.evict_one(10_100.0) && evicted()[4] && !evicted()[0]);
     table.release(&taken[3]);
--- a/crates/dispatcher/src/client/listener.rs
+++ b/crates/dispatcher/src/client/listener.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause after an accept that failed, and between two looks for a connection that can be evicted.
+/// Pause after an accept that failed, and between two tries to evict a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 type Accepted = io::Result<(Async<TcpStream>, SocketAddr)>;
--- a/crates/dispatcher/src/client/phase.rs
+++ b/crates/dispatcher/src/client/phase.rs
@@ -8,7 +8,7 @@
     Starting,
     /// Queries are served.
     Serving,
-    /// The program ends: the health page says so, and what still comes is served.
+    /// The program ends: the health page answers 503, and what still comes is served.
     Draining,
     /// Connections are no longer waited for. Those that wait in the backlog are the last, and each ends once no answer
     /// is owed on it.
@@ -18,7 +18,7 @@
 }
 
 impl FrontendPhase {
-    /// Whether the health page says that this dispatcher takes queries.
+    /// Whether the health page answers 200: this dispatcher takes queries.
     pub fn is_healthy(self) -> bool {
         self == FrontendPhase::Serving
     }
--- a/crates/dispatcher/src/client/request_error.rs
+++ b/crates/dispatcher/src/client/request_error.rs
@@ -1,4 +1,4 @@
-//! Why a request was refused, as its client is told.
+//! Refusals of requests, with the status and the text that their clients get.
 
 use crate::query_registry::AdmissionError;
 
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -1,7 +1,7 @@
 //! One client's connection, from its first byte to its end: one request at a time, each answered before the next is
 //! parsed.
 //!
-//! Its state stands in its [`Entry`] of the connection table: `New` until a request is complete, `Active` while it is
+//! Its state is in its [`Entry`] of the connection table: `New` until a request is complete, `Active` while it is
 //! answered, `Idle` until the next one begins, `Closing` once it is half-closed. Start reading at [`Session::run`].
 
 use super::answer_writer::AnswerWriter;
@@ -33,7 +33,7 @@
 /// Bytes that are read and discarded at most: behind a half-close, and of a client that sends without end while its
 /// query is in flight.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
-/// Bytes that are kept of a client that sends on while its query is in flight: one whole request.
+/// Bytes that are kept of a client that sends on while its query is in flight: one request of the largest size.
 const MAX_PIPELINED_BYTES: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
 
 /// How a connection ends.
@@ -76,7 +76,7 @@
     last_byte_ms: f64,
     /// By when the request under way must be complete.
     request_deadline_ms: f64,
-    /// During a query its client sent more than is kept: what it sent is no request any more.
+    /// During a query its client sent more than is buffered: its bytes were discarded, and no request can follow.
     is_overrun: bool,
 }
 
@@ -301,7 +301,7 @@
         answer
     }
 
-    /// Returns once the client has left, or has sent far more than is kept. It never stops reading: what is beyond the
+    /// Returns once the client has left, or has sent far more than is buffered. It never stops reading: what is beyond the
     /// bound is discarded, so that the stream's end is seen behind it.
     async fn watch_client(&mut self) {
         self.is_overrun = false;
--- a/crates/dispatcher/src/client/status_pages.rs
+++ b/crates/dispatcher/src/client/status_pages.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How often a request that waits for a change of the service level looks for one.
+/// How often a request that waits for a change of the service level polls for it.
 const LEVEL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What the pages are made of.
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -12,7 +12,7 @@
 pub struct EndpointEntry {
     /// Number of the engine, by its name's hash.
     pub engine_id: u64,
-    /// Where it listens, if the list says so.
+    /// Where it listens, if the list has it.
     pub address: Option<SocketAddr>,
     /// Its machine type, by name.
     pub kind: String,
@@ -22,14 +22,14 @@
     pub cell: u32,
     /// Whether it takes queries.
     pub state: EndpointState,
-    /// When its process started (ms), if the list says so.
+    /// When its process started (ms), if the list has it.
     pub started_ms: Option<f64>,
 }
 
 /// A query that was admitted, as the next round of the decisions takes it.
 #[derive(Debug, Clone)]
 pub struct ArrivedQuery {
-    /// Its number, as the registry gave it: never that of another query, unlike the client's own id.
+    /// Its query id: a number that the registry gives once, unlike the id that the client chose.
     pub query_id: u64,
     /// Its tenant by the settings' name; empty where the settings name none.
     pub tenant: Rc<str>,
@@ -52,12 +52,12 @@
     QueryArrived(ArrivedQuery),
     /// The client left before its answer.
     ClientLeft {
-        /// The query's number.
+        /// The query.
         query_id: u64,
     },
     /// An attempt ended.
     AttemptEnded {
-        /// The query's number.
+        /// The query.
         query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
@@ -72,7 +72,7 @@
     },
     /// An engine sent a progress note on a running attempt.
     ProgressReported {
-        /// The query's number.
+        /// The query.
         query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
@@ -90,7 +90,7 @@
     },
     /// The endpoint list, or what changed of it.
     EndpointList {
-        /// Whether it is the whole list.
+        /// Whether it is a full list or a change.
         kind: EndpointListKind,
         /// Its entries.
         endpoints: Vec<EndpointEntry>,
@@ -109,7 +109,7 @@
 pub enum EngineCommand {
     /// Start an attempt.
     Submit {
-        /// The query's number.
+        /// The query.
         query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
@@ -120,19 +120,19 @@
     },
     /// The query is over: what of it was not yet written to an engine must not be.
     Withdraw {
-        /// The query's number.
+        /// The query.
         query_id: u64,
     },
     /// Cancel an attempt.
     Cancel {
-        /// The query's number.
+        /// The query.
         query_id: u64,
         /// Which of the query's attempts, counted from 0.
         attempt: usize,
     },
     /// Tell the engine the new priority of the attempt in flight.
     SetPriority {
-        /// The query's number.
+        /// The query.
         query_id: u64,
         /// Its priority on the engine's scale.
         priority: u8,
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -137,7 +137,7 @@
         self.queries.borrow().len()
     }
 
-    /// Reads a query in flight; `None` where there is none of this number.
+    /// Reads a query in flight; `None` where there is none of this id.
     pub fn with_query<T>(&self, query_id: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
         self.queries.borrow().get(&query_id).map(read)
     }
@@ -249,7 +249,7 @@
         self.push_command(EngineCommand::HealthCheck { engine_id });
     }
 
-    /// Sets what the next attempts are granted; an attempt in flight is told of a new priority.
+    /// Sets what the next attempts are granted; a new priority is sent to the engine of an attempt in flight.
     pub fn grant(&self, query_id: u64, grant: Grant) {
         let mut queries = self.queries.borrow_mut();
         let Some(query) = queries.get_mut(&query_id) else {
@@ -263,7 +263,7 @@
         }
     }
 
-    /// The decisions were told the end of the attempt in flight.
+    /// The end of the attempt in flight was delivered to the decisions.
     pub fn attempt_ended(&self, query_id: u64) {
         if let Some(query) = self.queries.borrow_mut().get_mut(&query_id) {
             query.attempt_in_flight = false;
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -143,7 +143,7 @@
     pub engine_id: u64,
     /// Attempts so far.
     pub(super) attempts: usize,
-    /// An attempt is in flight, or its end was not yet told to the decisions.
+    /// An attempt is in flight, or its end was not yet delivered to the decisions.
     pub(super) attempt_in_flight: bool,
     /// Where the answer goes; none once it was given or the client left.
     pub(super) slot: Option<Rc<AnswerSlot>>,
--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -1,6 +1,6 @@
 //! What the analysis of a statement leaves with its query until the attempts of that have ended.
 //!
-//! It stands below both the query registry, which carries it, and the statement classifier, which reads it.
+//! A module below both the query registry, which carries it, and the statement classifier, which reads it.
 
 use std::rc::Rc;
 use tansymux_sql_analysis::Class;
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StatementShape {
     /// Hash of the statement's tokens with its literals left out.
-    pub shape: u128,
+    pub fingerprint: u128,
     /// The class that its features give it.
     pub class: Class,
     /// The cost that its features alone give it (thread time, ms).
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -253,7 +253,7 @@
         let shape = attempt.shape;
         active
             .analyzer
-            .record_execution(shape.shape, shape.class, shape.cost_ms, &execution);
+            .record_execution(shape.fingerprint, shape.class, shape.cost_ms, &execution);
     }
 
     fn is_cold(&self, engine_id: u64, now_ms: f64) -> bool {
