coordination: how a voter starts is a struct with an enum in place of a bool and two bare numbers

Change: VoterStart and VoterMemory; status and evacuate split; comments in ordinary terms. A new test: truncated and unknown datagrams give a typed error.

--- a/crates/coordination/src/event.rs
+++ b/crates/coordination/src/event.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// The end of whatever the record says.
+    /// Ends the record of a key.
     pub fn tombstone(key: u64) -> Self {
         Proposal::lasting(key, RecordValue::Tombstone)
     }
--- a/crates/coordination/src/leadership.rs
+++ b/crates/coordination/src/leadership.rs
@@ -161,8 +161,8 @@
 }
 
 impl QuorumNode {
-    /// Writes records as the leader, and asks the voters to accept them. [`QuorumNode::is_chosen`] tells when a
-    /// majority did.
+    /// Writes records as the leader, and asks the voters to accept them. [`QuorumNode::is_chosen`] is true
+    /// once a majority did.
     ///
     /// # Errors
     /// A [`ProposeError`]; nothing is written then.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,7 +45,7 @@
 pub use config::QuorumConfig;
 pub use event::{Action, Event, Proposal, ProposalId, ProposeError};
 pub use message::{LeasedRecord, Message};
-pub use quorum_node::{QuorumNode, Role};
+pub use quorum_node::{QuorumNode, Role, VoterMemory, VoterStart};
 pub use record::{
     Ballot, DisruptionReason, Id, Record, RecordValue, ReleaseStage, Stamp, UnitKind, HALT_KEY,
     RELEASE_KEY,
--- a/crates/coordination/src/quorum_node.rs
+++ b/crates/coordination/src/quorum_node.rs
@@ -30,6 +30,28 @@
     Leader(Ballot),
 }
 
+/// What a voter knows of its past votes at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VoterMemory {
+    /// It never voted before, as at the first start of an installation.
+    NeverVoted,
+    /// It may have voted and lost its memory: it takes no part for [`QuorumConfig::quarantine_ms`].
+    MayBeLost,
+}
+
+/// How a voter starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VoterStart {
+    /// What it knows of its past votes.
+    pub memory: VoterMemory,
+    /// Above all rounds that it may have lost, as far as that can be known (the seconds of the wall clock). Leases do
+    /// not depend on it; records without an end do, where a majority lost its memory and the one voter that did not was
+    /// cut off all the time.
+    pub round: u32,
+    /// Seed of its random waits and nonces, drawn at each start.
+    pub seed: u64,
+}
+
 #[derive(Debug, Clone)]
 pub(crate) enum State {
     Acceptor,
@@ -60,33 +82,29 @@
 }
 
 impl QuorumNode {
-    /// A voter at its start.
-    ///
-    /// `fresh`: it is known that it never voted before, as at the first start of an installation. Any other voter may
-    /// have lost its memory, and takes no part for [`QuorumConfig::quarantine_ms`]. `round`: above all rounds that it
-    /// may have lost, as far as that can be known (the seconds of the wall clock). Leases do not depend on it; records
-    /// without an end do, where a majority lost its memory and the one voter that did not was cut off all the time.
+    /// The voter `id` of `voters` at its start.
     pub fn new(
         id: Id,
         voters: &[Id],
         config: QuorumConfig,
+        start: VoterStart,
         now_ms: f64,
-        fresh: bool,
-        round: u32,
-        seed: u64,
     ) -> Self {
         let mut voters = voters.to_vec();
         voters.sort_unstable();
         voters.dedup();
-        let quarantine_ms = if fresh { 0.0 } else { config.quarantine_ms() };
+        let quarantine_ms = match start.memory {
+            VoterMemory::NeverVoted => 0.0,
+            VoterMemory::MayBeLost => config.quarantine_ms(),
+        };
         QuorumNode {
             id,
             voters,
             config,
-            rng: Pcg32::seed_from_u64(seed),
+            rng: Pcg32::seed_from_u64(start.seed),
             now_ms,
             promised: Ballot::default(),
-            highest_round: round,
+            highest_round: start.round,
             leader_contact_ms: f64::NEG_INFINITY,
             quarantined_until_ms: now_ms + quarantine_ms,
             records: RecordTable::default(),
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -23,7 +23,7 @@
     pub leader: Id,
 }
 
-/// When a record was written: under which ballot, and as its how manieth record.
+/// When a record was written: the leader's ballot, and the record's number under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Stamp {
     /// The ballot of the leader that wrote it.
@@ -62,7 +62,7 @@
     Drain = 1,
     /// Enough dispatchers found the engine failing.
     Ejected = 2,
-    /// It is gone without a lease, or did not come back from one.
+    /// It disappeared without a lease, or did not come back from one.
     Lost = 3,
     /// The name service lists it as unavailable, which can't be refused.
     Announced = 4,
@@ -121,7 +121,7 @@
     }
 }
 
-/// What a record says.
+/// The content of a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RecordValue {
     /// The record has ended.
@@ -136,7 +136,7 @@
         zone: u32,
         /// The session of the dispatcher's life that the disruption ends; 0 for engines.
         session: u32,
-        /// Drawn by the requester: tells a repeated request from a new one.
+        /// Drawn by the requester for each disruption: a repeated request has the same one.
         grant_id: u64,
     },
     /// No new disruption is granted.
@@ -181,7 +181,7 @@
     pub key: u64,
     /// When it was written.
     pub stamp: Stamp,
-    /// What it says.
+    /// Its content.
     pub value: RecordValue,
 }
 
--- a/crates/coordination/src/record_table.rs
+++ b/crates/coordination/src/record_table.rs
@@ -132,7 +132,7 @@
         .fold(0, u32::wrapping_add)
 }
 
-/// Hash of a record's key and stamp; the stamp stands for the value.
+/// Hash of a record's key and stamp. Two records with one stamp have one value, so the value is left out.
 fn record_hash(record: &Record) -> u32 {
     /// 2^64 divided by the golden ratio, as in Fibonacci hashing.
     const MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/coordination/tests/datagram_fixtures.rs
+++ b/crates/coordination/tests/datagram_fixtures.rs
@@ -1,5 +1,6 @@
 //! Datagrams that the version before the renames wrote: each is still read, and the same values still give the same bytes.
 
+use tansymux_coordination::bytes::DecodeError;
 use tansymux_coordination::codec::{decode, encode};
 use tansymux_coordination::{
     Ballot, DisruptionReason, LeasedRecord, Message, Record, RecordValue, ReleaseStage, Stamp,
@@ -190,3 +191,15 @@
         assert_eq!(decode(&bytes_of(expected)).as_ref(), Ok(message), "{name}");
     }
 }
+
+#[test]
+fn malformed_datagrams_give_a_typed_error() {
+    let prepare = encode(&samples()[0].1);
+    assert_eq!(decode(&[]), Err(DecodeError::Truncated));
+    for length in 0..prepare.len() {
+        assert_eq!(decode(&prepare[..length]), Err(DecodeError::Truncated));
+    }
+    let unknown_message = [&[9], &prepare[1..]].concat();
+    let error = decode(&unknown_message).expect_err("no message has this code");
+    assert_eq!(error.to_string(), "message has no code 9");
+}
--- a/crates/coordination/tests/model_check.rs
+++ b/crates/coordination/tests/model_check.rs
@@ -7,7 +7,7 @@
 use tansymux_coordination::codec::{decode, encode};
 use tansymux_coordination::{
     Action as NodeAction, DisruptionReason, Event, Id, Proposal, QuorumConfig, QuorumNode, Record,
-    RecordValue, UnitKind,
+    RecordValue, UnitKind, VoterMemory, VoterStart,
 };
 
 const VOTERS: [Id; 3] = [1, 2, 3];
@@ -111,9 +111,14 @@
     }
 }
 
-fn node(n: usize, now_ms: f64, fresh: bool) -> QuorumNode {
+fn node(n: usize, now_ms: f64, memory: VoterMemory) -> QuorumNode {
     // Rounds begin anew for a voter that lost its memory: leases must not depend on them.
-    QuorumNode::new(VOTERS[n], &VOTERS, CONFIG, now_ms, fresh, 0, n as u64 + 1)
+    let start = VoterStart {
+        memory,
+        round: 0,
+        seed: n as u64 + 1,
+    };
+    QuorumNode::new(VOTERS[n], &VOTERS, CONFIG, start, now_ms)
 }
 
 fn key(dispatcher: usize) -> u64 {
@@ -217,7 +222,9 @@
             until_ms: 0.0,
         };
         let mut state = State {
-            nodes: (0..3).map(|n| node(n, 0.0, true)).collect(),
+            nodes: (0..3)
+                .map(|n| node(n, 0.0, VoterMemory::NeverVoted))
+                .collect(),
             stopped: [false; 3],
             queued: [Vec::new(), Vec::new(), Vec::new()],
             dispatchers: [dispatcher; 2],
@@ -273,7 +280,7 @@
                 }
             }
             Action::LosesMemory(n) => {
-                state.nodes[n] = node(n, state.now_ms, false);
+                state.nodes[n] = node(n, state.now_ms, VoterMemory::MayBeLost);
                 (state.stopped[n], state.queued[n]) = (false, Vec::new());
                 state.memory_losses += 1;
             }
@@ -344,14 +351,14 @@
 fn without_quarantine_a_voter_that_lost_its_memory_lets_two_leases_be_held() {
     // The first two voters accept a lease; the second loses its memory and promises the third. Shows that the check
     // above can fail, and what the quarantine is for.
-    let run = |skip_quarantine: bool| {
+    let run = |memory: VoterMemory| {
         let mut state = QuorumModel.init_states().remove(0);
         let mut next = |action: Action| {
             state = QuorumModel
                 .next_state(&state, action)
                 .expect("every action leads somewhere");
             if let Action::LosesMemory(n) = action {
-                state.nodes[n] = node(n, state.now_ms, skip_quarantine);
+                state.nodes[n] = node(n, state.now_ms, memory);
             }
             state.max_holders
         };
@@ -361,5 +368,7 @@
         next(Action::Step(Links::All));
         next(Action::Step(Links::All))
     };
-    assert_eq!((run(false), run(true)), (1, 2));
+    let with_quarantine = run(VoterMemory::MayBeLost);
+    let without_quarantine = run(VoterMemory::NeverVoted);
+    assert_eq!((with_quarantine, without_quarantine), (1, 2));
 }
--- a/crates/rollout/src/canary_analysis.rs
+++ b/crates/rollout/src/canary_analysis.rs
@@ -81,7 +81,7 @@
         /// Pairs so far.
         pairs: usize,
     },
-    /// No worse, as far as can be said.
+    /// Not significantly worse.
     NotWorse {
         /// Pairs so far.
         pairs: usize,
--- a/crates/rollout/src/engine_outcomes.rs
+++ b/crates/rollout/src/engine_outcomes.rs
@@ -60,7 +60,7 @@
 }
 
 impl EngineOutcomes {
-    /// An attempt ended, and its outcome says something of the engine.
+    /// Counts an attempt that ended, if its outcome is evidence for or against the engine.
     pub fn record(&mut self, engine: Id, failed: bool, now_ms: f64) {
         self.rotate_intervals(now_ms);
         if self.engines.len() >= MAX_ENGINES && !self.engines.contains_key(&engine) {
--- a/crates/rollout/src/fleet_node.rs
+++ b/crates/rollout/src/fleet_node.rs
@@ -14,7 +14,8 @@
 use std::net::SocketAddr;
 use tansymux_coordination::disruption_budget::Unit;
 use tansymux_coordination::{
-    Action, DisruptionReason, Id, QuorumConfig, QuorumNode, Record, Role, UnitKind,
+    Action, DisruptionReason, Id, QuorumConfig, QuorumNode, Record, Role, UnitKind, VoterMemory,
+    VoterStart,
 };
 use tansymux_membership::{
     member_id_of, Event as MembershipEvent, Keys, MemberState, SwimDetector,
@@ -58,7 +59,7 @@
         /// Its bytes.
         datagram: &'a [u8],
     },
-    /// The dispatcher is about to stop: the others are told at once.
+    /// The dispatcher is about to stop: the other members are notified at once.
     LeaveRequested,
 }
 
@@ -111,17 +112,16 @@
             rng.random(),
         );
         let quorum = voters.contains(&id).then(|| {
-            let seed = rng.random();
-            let round = (now_ms / 1000.0) as u32;
-            QuorumNode::new(
-                id,
-                &voters,
-                config.quorum,
-                now_ms,
-                config.fresh,
-                round,
-                seed,
-            )
+            let start = VoterStart {
+                memory: if config.fresh {
+                    VoterMemory::NeverVoted
+                } else {
+                    VoterMemory::MayBeLost
+                },
+                round: (now_ms / 1000.0) as u32,
+                seed: rng.random(),
+            };
+            QuorumNode::new(id, &voters, config.quorum, start, now_ms)
         });
         let agent = MemberAgent::new(id, &voters, config.grant_id, rng.random());
         let zones = config.zones.clone().map(|(own_zone, zone_config)| {
@@ -186,7 +186,7 @@
         self.detector.set_keys(keys);
     }
 
-    /// Takes over what this dispatcher says of itself from now on.
+    /// Takes over the state of this dispatcher, for its next reports.
     pub fn set_status(&mut self, status: MemberStatus) {
         self.agent.set_status(status);
     }
--- a/crates/rollout/src/member_agent.rs
+++ b/crates/rollout/src/member_agent.rs
@@ -18,7 +18,7 @@
 /// A tombstone is remembered for this long (ms), as by the voters.
 const TOMBSTONE_RETENTION_MS: f64 = 600_000.0;
 
-/// What a dispatcher says of itself.
+/// The state of a dispatcher, for its reports.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct MemberStatus {
     /// Its zone.
@@ -141,7 +141,7 @@
         self.session
     }
 
-    /// Takes over what the dispatcher says of itself from now on.
+    /// Takes over the state of the dispatcher, for its next reports.
     pub fn set_status(&mut self, status: MemberStatus) {
         self.status = status;
     }
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -25,7 +25,8 @@
 const RECORDS_REQUEST_INTERVAL_MS: f64 = 100.0;
 /// Members whose state and reports are kept.
 const MAX_MEMBERS: usize = 1024;
-/// Load and failing engines of a report count for this long (ms). Whether the member is there, membership says.
+/// Load and failing engines of a report count for this long (ms). Whether the member is present is membership's
+/// decision.
 const REPORT_RETENTION_MS: f64 = 10_000.0;
 /// A tick may be this much before the leadership began (ms): ticks are whole milliseconds.
 const TICK_TOLERANCE_MS: f64 = 1.0;
@@ -104,7 +105,7 @@
     /// The zone of the present wave.
     current_zone: Option<u32>,
     paused_until_ms: f64,
-    /// Members that the operators said will not come back.
+    /// Members that will not come back, by an operator's command.
     forgotten: BTreeSet<Id>,
     /// By engine: when each dispatcher last found it failing (ms).
     failure_reports: BTreeMap<Id, BTreeMap<Id, f64>>,
@@ -196,7 +197,7 @@
         let proven_ms = self
             .tick_sent_at_ms(report.echoed_tick, now_ms)
             .unwrap_or(f64::NEG_INFINITY);
-        // A report that was overtaken says nothing new.
+        // A report that was overtaken by a later one is outdated.
         if previous.is_some_and(|previous| proven_ms < previous.proven_ms) {
             return;
         }
@@ -356,7 +357,7 @@
     }
 }
 
-/// The record that says how far a release is.
+/// The record of a release.
 fn release_proposal(release: Release) -> Proposal {
     let value = RecordValue::Release {
         number: release.number,
--- a/crates/rollout/src/rollout_controller/fleet_state.rs
+++ b/crates/rollout/src/rollout_controller/fleet_state.rs
@@ -3,7 +3,7 @@
 use super::{active_halt, active_release, RolloutController, REPORT_RETENTION_MS};
 use crate::canary_analysis::AnalysisResult;
 use crate::message::{Report, Status};
-use crate::rollout_plan::Participant;
+use crate::rollout_plan::{Participant, Release};
 use std::collections::BTreeMap;
 use tansymux_coordination::disruption_budget::{
     self, Decision, Disruption, DisruptionRequest, FleetView, Unit, UnitCount,
@@ -178,33 +178,7 @@
         let engines = self.count_units(node, UnitKind::Engine);
         let release = active_release(node);
         let participants = self.participants(node);
-        let released = release.map_or(0, |release| {
-            let target_version = release.target_version();
-            let released = participants
-                .iter()
-                .filter(|participant| participant.version == target_version);
-            released.count()
-        });
-        let remaining = release.map_or(0, |release| {
-            let remaining = participants
-                .iter()
-                .filter(|participant| release.has_to_restart(participant));
-            remaining.count()
-        });
-        let (pairs, mean_difference) = match self.analysis_result {
-            Some(AnalysisResult::Inconclusive { pairs }) => (pairs, 0.0),
-            Some(
-                AnalysisResult::NotWorse {
-                    pairs,
-                    mean_difference,
-                }
-                | AnalysisResult::Worse {
-                    pairs,
-                    mean_difference,
-                },
-            ) => (pairs, mean_difference),
-            None => (0, 0.0),
-        };
+        let (pairs, mean_difference) = self.analysis_figures();
         Status {
             leader: node.id(),
             members: dispatchers.total as u32,
@@ -214,12 +188,45 @@
             engines_unavailable: engines.unavailable as u32,
             halt: active_halt(node).map(|halt| (halt.reason, halt.number)),
             release,
-            released: released as u32,
-            remaining: remaining as u32,
+            released: release.map_or(0, |release| released_count(&release, &participants)),
+            remaining: release.map_or(0, |release| remaining_count(&release, &participants)),
             pairs: pairs as u32,
             mean_difference: mean_difference as f32,
         }
     }
+
+    /// Pairs and mean difference of the last analysis.
+    fn analysis_figures(&self) -> (usize, f64) {
+        match self.analysis_result {
+            None => (0, 0.0),
+            Some(AnalysisResult::Inconclusive { pairs }) => (pairs, 0.0),
+            Some(
+                AnalysisResult::NotWorse {
+                    pairs,
+                    mean_difference,
+                }
+                | AnalysisResult::Worse {
+                    pairs,
+                    mean_difference,
+                },
+            ) => (pairs, mean_difference),
+        }
+    }
+}
+
+fn released_count(release: &Release, participants: &[Participant]) -> u32 {
+    let target_version = release.target_version();
+    let released = participants
+        .iter()
+        .filter(|participant| participant.version == target_version);
+    released.count() as u32
+}
+
+fn remaining_count(release: &Release, participants: &[Participant]) -> u32 {
+    let remaining = participants
+        .iter()
+        .filter(|participant| release.has_to_restart(participant));
+    remaining.count() as u32
 }
 
 fn has_disruption(node: &QuorumNode, id: Id) -> bool {
--- a/crates/rollout/src/rollout_controller/maintenance.rs
+++ b/crates/rollout/src/rollout_controller/maintenance.rs
@@ -18,7 +18,7 @@
 /// Messages with ended disruptions in one evaluation.
 const MAX_END_MESSAGES: usize = 8;
 
-/// What a dispatcher's disruption record says.
+/// A dispatcher's disruption record.
 #[derive(Debug, Clone, Copy)]
 struct DispatcherDisruption {
     key: u64,
@@ -106,13 +106,13 @@
         match disruption.reason {
             DisruptionReason::RestartLease if disruption.has_expired => {
                 // The lease is over for its holder too, and the dispatcher was there after that: it never went, or is
-                // back without having said so.
+                // back without having returned the lease.
                 let holder_end_ms =
                     since_ms + lease_term_ms * (1.0 + 2.0 * node.config().max_clock_skew);
                 if is_present && proven_ms > holder_end_ms {
                     return Some(Proposal::tombstone(key));
                 }
-                // It may have gone at the very end of the lease; it counts as unavailable all the while.
+                // It may have stopped at the very end of the lease; it counts as unavailable until then.
                 let is_lost = !is_present && now_ms - since_ms >= LOST_AFTER_TERMS * lease_term_ms;
                 is_lost.then(|| disruption.marked_lost())
             }
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Records members that are gone without a lease, so that a later leader knows of them.
+    /// Records members that disappeared without a lease, so that a later leader knows of them.
     pub(super) fn record_lost_members(&mut self, node: &mut QuorumNode, now_ms: f64) {
         let members = &self.members;
         self.forgotten.retain(|id| {
--- a/crates/rollout/src/zone_coordinator.rs
+++ b/crates/rollout/src/zone_coordinator.rs
@@ -333,26 +333,11 @@
         if is_evacuated {
             return when_chosen(node, zone);
         }
-        let checked = self
-            .controller
-            .check_evacuation(zone, states, Initiator::Operator, now_ms);
-        match checked {
-            Err(EvacuationRefused::InsufficientCapacity {
-                load_threads,
-                capacity_threads,
-            }) => {
-                return Answer::InsufficientCapacity {
-                    load: load_threads as f32,
-                    remaining: capacity_threads as f32,
-                };
-            }
-            Err(EvacuationRefused::TooManyCores { fraction }) => {
-                return Answer::TooManyCoresEvacuated {
-                    fraction: fraction as f32,
-                };
-            }
-            Ok(()) if dry_run => return Answer::Done,
-            Ok(()) => {}
+        if let Some(refusal) = self.evacuation_refusal(zone, states, now_ms) {
+            return refusal;
+        }
+        if dry_run {
+            return Answer::Done;
         }
         let current_number = current.map_or(0, |state| state.decision_number);
         let time_number = (now_ms / NUMBER_UNIT_MS) as u64 as u32;
@@ -365,6 +350,33 @@
         write_state(node, zone, Some(state), now_ms);
         when_chosen(node, zone)
     }
+
+    /// Why a zone may not be evacuated by an operator.
+    fn evacuation_refusal(
+        &mut self,
+        zone: ZoneId,
+        states: &BTreeMap<ZoneId, ZoneStatus>,
+        now_ms: f64,
+    ) -> Option<Answer> {
+        let checked = self
+            .controller
+            .check_evacuation(zone, states, Initiator::Operator, now_ms);
+        match checked {
+            Ok(()) => None,
+            Err(EvacuationRefused::InsufficientCapacity {
+                load_threads,
+                capacity_threads,
+            }) => Some(Answer::InsufficientCapacity {
+                load: load_threads as f32,
+                remaining: capacity_threads as f32,
+            }),
+            Err(EvacuationRefused::TooManyCores { fraction }) => {
+                Some(Answer::TooManyCoresEvacuated {
+                    fraction: fraction as f32,
+                })
+            }
+        }
+    }
 }
 
 fn return_to_zone(
--- a/crates/rollout/tests/rollout_controller.rs
+++ b/crates/rollout/tests/rollout_controller.rs
@@ -3,7 +3,8 @@
 use proptest::prelude::*;
 use tansymux_coordination::disruption_budget::{DisruptionBudget, Limit, Scope, Unit};
 use tansymux_coordination::{
-    DisruptionReason, QuorumConfig, QuorumNode, Record, RecordValue, UnitKind,
+    DisruptionReason, QuorumConfig, QuorumNode, Record, RecordValue, UnitKind, VoterMemory,
+    VoterStart,
 };
 use tansymux_membership::MemberState;
 use tansymux_rollout::codec;
@@ -30,13 +31,23 @@
         .collect()
 }
 
+/// A voter that is its own majority.
+fn voter(config: QuorumConfig, memory: VoterMemory) -> QuorumNode {
+    let start = VoterStart {
+        memory,
+        round: 0,
+        seed: 1,
+    };
+    QuorumNode::new(1, &[1], config, start, START_MS)
+}
+
 impl LeaderFixture {
     fn new(config: RolloutConfig, members: u64) -> Self {
         let quorum_config = QuorumConfig {
             max_datagram_delay_ms: 0.0,
             ..QuorumConfig::default()
         };
-        let node = QuorumNode::new(1, &[1], quorum_config, START_MS, true, 0, 1);
+        let node = voter(quorum_config, VoterMemory::NeverVoted);
         let mut fixture = LeaderFixture {
             node,
             controller: RolloutController::new(config),
@@ -364,7 +375,7 @@
         max_datagram_delay_ms: 0.0,
         ..QuorumConfig::default()
     };
-    let mut node = QuorumNode::new(1, &[1], quorum_config, START_MS, false, 0, 1);
+    let mut node = voter(quorum_config, VoterMemory::MayBeLost);
     let mut controller = RolloutController::new(config(1, 1));
     let command = |now_ms: f64, node: &mut QuorumNode, controller: &mut RolloutController| {
         while node.poll(now_ms).is_some() {}
