Dispatcher: subsystems take the typed Settings

Need: each feed read the flat settings map by key, with its own defaults. Change: startup reads `tansymux::settings::Settings` once and hands it to the subsystems; the configuration keeps a lenient record of the groups (ConfiguredGroup) for what it derives and checks before the decisions accept the settings. The classifier's test gives the keys that Settings requires (balancers, aim-us); its assertions are as they were.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -13,7 +13,7 @@
 
 pub use endpoints::PeerAddresses;
 pub use error::{locate, ConfigError, StartupConfigError};
-pub use groups::{read_groups, GroupSettings};
+pub use groups::{read_groups, ConfiguredGroup};
 
 use crate::client::AdmissionLimits;
 use crate::discovery::EndpointDirectory;
@@ -35,6 +35,8 @@
 pub const MAX_CONFIG_BYTES: u64 = 8 << 20;
 /// Settings without which nothing can be decided.
 const REQUIRED_SETTINGS: [&str; 2] = ["balancers", "services.count"];
+/// Setting that says how long after its start an engine is cold.
+const WARM_UP_SETTING: &str = "rules.warm-after-us";
 
 /// Keys that only say something about a start, and may differ between two configurations: the endpoint list and the
 /// seed.
@@ -61,6 +63,8 @@
     pub max_memory_bytes: f64,
     /// Connections to engines.
     pub connection_settings: ConnectionSettings,
+    /// How long (ms) after its start an engine is cold; 0 where the settings do not say.
+    pub engine_warm_up_ms: f64,
     /// How long (ms) after SIGTERM all is answered.
     pub shutdown_grace_ms: f64,
     /// Where the messages between dispatchers go; none where dispatchers do not talk.
@@ -153,6 +157,7 @@
         max_sockets: limits.sockets,
         max_memory_bytes: limits.memory_bytes,
         connection_settings,
+        engine_warm_up_ms: settings.millis(WARM_UP_SETTING).unwrap_or(0.0),
         shutdown_grace_ms: shutdown_grace_ms(max_deadline_ms),
         peers: peers.flatten(),
         resolver: resolver.flatten(),
--- a/crates/dispatcher/src/config/groups.rs
+++ b/crates/dispatcher/src/config/groups.rs
@@ -1,30 +1,22 @@
-//! The resource groups (`services` in the settings), read once into typed records.
+//! The resource groups (`services` in the settings) and tenants of a configuration.
 
 use tansymux::settings::{self, RawSettings, SettingsMap};
 
-/// One resource group as the settings define it.
+/// A resource group as far as a configuration gives it. The decisions read the same keys with stricter checks
+/// ([`tansymux::settings::Settings`]); what is read here is also there for a configuration that they would refuse.
 #[derive(Debug, Clone, PartialEq)]
-pub struct GroupSettings {
+pub struct ConfiguredGroup {
     /// Its name as the settings map holds it, if it has one.
     pub name: Option<String>,
     /// Run time (ms) that its queries are to stay under.
     pub latency_objective_ms: Option<f64>,
-    /// Part of a query's work that its latency objective grows by.
-    pub objective_stretch: f64,
     /// The latest time (ms) after its arrival at which a query is answered.
     pub deadline_ms: Option<f64>,
-    /// Threads that each of its queries runs on, at least 1.
-    pub threads: f64,
     /// What its queries may do, in the settings' words.
     pub effect: Option<String>,
 }
 
-impl GroupSettings {
-    /// Whether the settings promise that its queries only read.
-    pub fn is_read_only(&self) -> bool {
-        self.effect.as_deref() == Some("read_like")
-    }
-
+impl ConfiguredGroup {
     /// Whether the settings say that its queries may change tables.
     pub fn is_non_idempotent(&self) -> bool {
         self.effect.as_deref() == Some("non_idempotent")
@@ -39,20 +31,14 @@
 }
 
 /// All resource groups, in the order of the settings: the index is the one that the decisions use.
-pub fn read_groups(settings: &SettingsMap) -> Vec<GroupSettings> {
-    let threads = settings.list("family-info.dop");
+pub fn read_groups(settings: &SettingsMap) -> Vec<ConfiguredGroup> {
     let mut groups = Vec::new();
     for index in 0..list_len(settings, "services") {
         let item = settings::list_item("services", index);
-        let threads = threads.get(index).and_then(|count| count.parse().ok());
-        groups.push(GroupSettings {
+        groups.push(ConfiguredGroup {
             name: settings.get(&format!("{item}.name")).cloned(),
             latency_objective_ms: settings.millis(&format!("{item}.aim-us")),
-            objective_stretch: settings
-                .number(&format!("{item}.aim-stretch"))
-                .unwrap_or(0.0),
             deadline_ms: settings.millis(&format!("{item}.hard-limit-us")),
-            threads: threads.unwrap_or(1.0f64).max(1.0),
             effect: settings.get(&format!("{item}.effect")).cloned(),
         });
     }
--- a/crates/dispatcher/src/config/limits.rs
+++ b/crates/dispatcher/src/config/limits.rs
@@ -1,7 +1,7 @@
 //! How the program's limits on descriptors and memory are divided, and what follows from the settings for the client
 //! side and the engine side.
 
-use super::groups::{read_tenant_names, GroupSettings};
+use super::groups::{read_tenant_names, ConfiguredGroup};
 use super::node::{ErrorCollector, Node};
 use crate::client::AdmissionLimits;
 use crate::engine::ConnectionSettings;
@@ -80,7 +80,7 @@
 pub(super) fn read_engine_settings(
     root: &Node,
     limits: ProcessLimits,
-    groups: &[GroupSettings],
+    groups: &[ConfiguredGroup],
     errors: &mut ErrorCollector,
 ) -> ConnectionSettings {
     let settings = root.child("settings");
@@ -110,7 +110,7 @@
 pub(super) fn read_admission(
     settings: &SettingsMap,
     limits: ProcessLimits,
-    groups: &[GroupSettings],
+    groups: &[ConfiguredGroup],
     max_deadline_ms: Option<f64>,
 ) -> AdmissionLimits {
     let max_wait_ms = max_deadline_ms.map_or(DEFAULT_MAX_WAIT_MS, |deadline_ms| {
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -25,7 +25,7 @@
 use tansymux::control::Control;
 use tansymux::events::EndpointListKind;
 use tansymux::pcg::Pcg;
-use tansymux::settings::{SettingsError, SettingsMap};
+use tansymux::settings::{Settings, SettingsError};
 use tansymux_operator_config::Operator;
 
 /// Sets the key of shapes' hashes apart from the other draws that start from the same seed.
@@ -73,6 +73,7 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Result<Self, StartError> {
         check_against_settings(&operator, &config.settings).map_err(StartError::OperatorConfig)?;
+        let settings = Rc::new(Settings::read(&config.settings)?);
         let mut control = Control::new(config.seed, &config.settings)?;
         let mut launcher = Launcher {
             clock: Clock::start(),
@@ -86,7 +87,7 @@
             launcher.executor.clone(),
             config.connection_settings,
         );
-        let mut subsystems = new_subsystems(&config);
+        let mut subsystems = new_subsystems(&config, &settings);
         subsystems.reconfigure(&operator, launcher.clock.now(), &mut control);
         let clients = Rc::new(ClientFrontend::new(
             launcher.registry.clone(),
@@ -97,7 +98,7 @@
             subsystems.zones.clone(),
         ));
         let peers = launcher.start_peers(config.peers)?;
-        subsystems.fleet = launcher.start_fleet(&operator, &config.settings, config.seed)?;
+        subsystems.fleet = launcher.start_fleet(&operator, &settings, config.seed)?;
         let resolver = Rc::new(Cell::new(config.resolver));
         launcher.start_discovery(config.directory, resolver.clone(), config.seed);
         launcher.start_listener(&clients, config.listen)?;
@@ -156,7 +157,7 @@
     fn start_fleet(
         &mut self,
         operator: &Operator,
-        settings: &SettingsMap,
+        settings: &Rc<Settings>,
         seed: u64,
     ) -> Result<Option<Rc<FleetService>>, StartError> {
         let registry = self.registry.clone();
@@ -203,15 +204,18 @@
 }
 
 /// All subsystems, off.
-fn new_subsystems(config: &StartupConfig) -> Subsystems {
+fn new_subsystems(config: &StartupConfig, settings: &Rc<Settings>) -> Subsystems {
     let limits = ResourceLimits {
         memory_bytes: config.max_memory_bytes,
         descriptors: config.max_sockets,
     };
-    let settings = &config.settings;
     let hash_key = shape_hash_key(config.seed);
     Subsystems {
-        statements: Rc::new(StatementClassifier::new(settings, hash_key)),
+        statements: Rc::new(StatementClassifier::new(
+            settings,
+            config.engine_warm_up_ms,
+            hash_key,
+        )),
         levels: Rc::new(ServiceLevels::new(settings, limits)),
         zones: Rc::new(ZoneRouting::new(settings)),
         fleet: None,
--- a/crates/dispatcher/src/operator_config/settings_check.rs
+++ b/crates/dispatcher/src/operator_config/settings_check.rs
@@ -2,7 +2,7 @@
 //! may change tables must be groups of such queries.
 
 use super::{OperatorConfigError, OperatorConfigErrors};
-use crate::config::{read_groups, GroupSettings};
+use crate::config::{read_groups, ConfiguredGroup};
 use tansymux::settings::SettingsMap;
 use tansymux_operator_config::schema::term::Signal::Pressed;
 use tansymux_operator_config::schema::{Groups, Halls, Levels};
@@ -68,12 +68,16 @@
     Err(OperatorConfigErrors(errors.collect()))
 }
 
-fn find<'a>(groups: &'a [GroupSettings], name: &str) -> Option<&'a GroupSettings> {
+fn find<'a>(groups: &'a [ConfiguredGroup], name: &str) -> Option<&'a ConfiguredGroup> {
     groups.iter().find(|group| group.is_named(name))
 }
 
 /// Groups that the terms and acts of service levels name.
-fn check_levels(levels: &Levels, groups: &[GroupSettings], mismatches: &mut Vec<SettingsMismatch>) {
+fn check_levels(
+    levels: &Levels,
+    groups: &[ConfiguredGroup],
+    mismatches: &mut Vec<SettingsMismatch>,
+) {
     for (index, level) in levels.level.iter().enumerate() {
         let mut names = Vec::new();
         if let Some(enter) = &level.enter {
@@ -99,7 +103,7 @@
 }
 
 /// Groups that routes and spill limits name; none stands for all.
-fn check_zones(zones: &Halls, groups: &[GroupSettings], mismatches: &mut Vec<SettingsMismatch>) {
+fn check_zones(zones: &Halls, groups: &[ConfiguredGroup], mismatches: &mut Vec<SettingsMismatch>) {
     let routed = zones.route.iter().map(|route| route.class());
     let spilled = zones.spill.iter().map(|spill| spill.class());
     for name in routed.chain(spilled) {
@@ -115,7 +119,7 @@
 /// The groups that statements without a class run in.
 fn check_statement_groups(
     named: &Groups,
-    groups: &[GroupSettings],
+    groups: &[ConfiguredGroup],
     mismatches: &mut Vec<SettingsMismatch>,
 ) {
     check_statement_group("look_up", named.look_up.as_deref(), groups, mismatches);
@@ -128,9 +132,9 @@
 fn check_statement_group<'a>(
     key: &str,
     name: Option<&str>,
-    groups: &'a [GroupSettings],
+    groups: &'a [ConfiguredGroup],
     mismatches: &mut Vec<SettingsMismatch>,
-) -> Option<&'a GroupSettings> {
+) -> Option<&'a ConfiguredGroup> {
     let name = name?;
     let group = find(groups, name);
     if group.is_none() {
@@ -146,7 +150,7 @@
 fn check_mutating_group(
     key: &str,
     name: Option<&str>,
-    groups: &[GroupSettings],
+    groups: &[ConfiguredGroup],
     mismatches: &mut Vec<SettingsMismatch>,
 ) {
     let Some(group) = check_statement_group(key, name, groups, mismatches) else {
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansymux::events::Outcome;
-use tansymux::settings::SettingsMap;
+use tansymux::settings::Settings;
 use tansymux_coordination::Role;
 use tansymux_operator_config::{number_of, schema};
 use tansymux_rollout::engine_outcomes::{EngineOutcomes, FailureThreshold};
@@ -95,7 +95,7 @@
     /// A required key is missing, or the address cannot be bound.
     pub fn start(
         definition: Option<&schema::Fleet>,
-        settings: &SettingsMap,
+        settings: &Rc<Settings>,
         clock: Clock,
         registry: Rc<QueryRegistry>,
         seed: u64,
@@ -105,7 +105,7 @@
         };
         let mut member_settings = tansymux_operator_config::fleet(definition, lease_of_start())
             .ok_or(FleetStartError::Incomplete)?;
-        let zone = settings.get("zone").map_or(0, |zone| number_of(zone));
+        let zone = settings.local_zone.as_deref().map_or(0, number_of);
         if let Some((own_zone, _)) = &mut member_settings.zones {
             *own_zone = zone;
         }
@@ -122,7 +122,7 @@
             ejection: Cell::new(ejection_settings(definition)),
             zone,
             version: Cell::new(version_number(definition)),
-            engines: RefCell::new(EngineWatch::new(settings)),
+            engines: RefCell::new(EngineWatch::new(settings.clone())),
             last_report_ms: Cell::new(f64::NEG_INFINITY),
             was_leader: Cell::default(),
             datagrams_sent: Cell::default(),
--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -1,15 +1,16 @@
 //! The endpoint list as the fleet sees it, and which of its engines the fleet has drained.
 
 use crate::query_registry::EndpointEntry;
+use std::rc::Rc;
 use tansymux::events::EndpointState;
-use tansymux::settings::{RawSettings, SettingsMap};
+use tansymux::settings::Settings;
 use tansymux_coordination::disruption_budget::Unit;
 use tansymux_operator_config::number_of;
 use tansymux_rollout::FleetNode;
 
 /// Follows the endpoint list and the engines that are out by the fleet's agreement.
 pub struct EngineWatch {
-    settings: SettingsMap,
+    settings: Rc<Settings>,
     /// The endpoint list as it last came, in the order of engine ids.
     endpoints: Vec<EndpointEntry>,
     /// The engines that were drained when [`EngineWatch::changes`] was last called.
@@ -18,9 +19,9 @@
 
 impl EngineWatch {
     /// No engine is known yet.
-    pub fn new(settings: &SettingsMap) -> Self {
+    pub fn new(settings: Rc<Settings>) -> Self {
         EngineWatch {
-            settings: settings.clone(),
+            settings,
             endpoints: Vec::new(),
             drained: Vec::new(),
         }
@@ -52,15 +53,12 @@
 
     /// An engine as the disruption budget counts it.
     fn unit(&self, endpoint: &EndpointEntry) -> Unit {
-        let cores = self
-            .settings
-            .for_kind(&endpoint.kind, "family-info.cores-by-kind");
         Unit {
             id: endpoint.engine_id,
             zone: number_of(&endpoint.zone),
             version: 0,
             available: endpoint.state == EndpointState::Ready,
-            capacity: cores.unwrap_or(1.0),
+            capacity: self.settings.engine_kind(&endpoint.kind).cores,
         }
     }
 
--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -5,13 +5,12 @@
 
 mod display;
 
-use crate::config::{read_groups, GroupSettings};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::control::Control;
 use tansymux::events::PeerMessage;
-use tansymux::settings::{matches_name, SettingsMap};
+use tansymux::settings::{matches_name, GroupSettings, Settings};
 use tansymux::LevelEffects;
 use tansymux_operator_config::schema;
 use tansymux_service_levels::{
@@ -112,10 +111,10 @@
 
 impl ServiceLevels {
     /// Levels are off until [`reconfigure`](Self::reconfigure) defines some.
-    pub fn new(settings: &SettingsMap, limits: ResourceLimits) -> Self {
+    pub fn new(settings: &Settings, limits: ResourceLimits) -> Self {
         ServiceLevels {
             active: RefCell::default(),
-            groups: read_groups(settings),
+            groups: settings.groups.clone(),
             limits,
             memory_fraction: Cell::new(f64::NAN),
             memory_read_ms: Cell::new(f64::NEG_INFINITY),
@@ -161,7 +160,9 @@
 
     /// Index of a resource group, by its name in the operators' file or at a client.
     fn group_index(&self, name: &str) -> Option<usize> {
-        self.groups.iter().position(|group| group.is_named(name))
+        self.groups
+            .iter()
+            .position(|group| matches_name(&group.name, name))
     }
 
     /// What a level asks of the decisions, with groups by their index.
@@ -186,11 +187,10 @@
         }
         let mut fractions = Vec::with_capacity(self.groups.len());
         for group in &self.groups {
-            let name = group.name.as_deref().unwrap_or("");
             let named = degradation
                 .classes
                 .iter()
-                .find(|named| matches_name(name, &named.class));
+                .find(|named| matches_name(&group.name, &named.class));
             fractions.push(named.map_or(1.0, |named| named.fraction));
         }
         fractions
@@ -206,8 +206,8 @@
             return;
         };
         let group = &self.groups[index];
-        let objective_ms = group.latency_objective_ms.unwrap_or(f64::INFINITY);
-        let late_after_ms = objective_ms + group.objective_stretch * event.cost_ms / group.threads;
+        let late_after_ms =
+            group.objective_ms + group.objective_stretch * event.cost_ms / group.threads;
         let ended = match event.kind {
             AnswerKind::Completed if event.latency_ms > late_after_ms => QueryOutcome::Late,
             AnswerKind::Completed => QueryOutcome::InTime,
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -8,7 +8,6 @@
 
 pub use definition::analysis_settings;
 
-use crate::config::{read_groups, GroupSettings};
 use crate::query_registry::EndpointEntry;
 use crate::statement_shape::{ClassifiedAttempt, StatementShape};
 use rustc_hash::FxHashMap;
@@ -16,7 +15,7 @@
 use std::fmt::Write;
 use std::rc::Rc;
 use tansymux::events::{AttemptEnded, EndpointState, Outcome, StatementTraits};
-use tansymux::settings::{RawSettings, SettingsMap};
+use tansymux::settings::{self, GroupSettings, Settings};
 use tansymux_operator_config::schema;
 use tansymux_operator_config::schema::statements::Check;
 use tansymux_sql_analysis::{
@@ -75,19 +74,17 @@
 }
 
 impl StatementClassifier {
-    /// Classification is off until [`reconfigure`](Self::reconfigure) defines it. `hash_key` is secret: with it a client
-    /// could make shapes collide.
-    pub fn new(settings: &SettingsMap, hash_key: [u8; 16]) -> Self {
+    /// Classification is off until [`reconfigure`](Self::reconfigure) defines it. `warm_up_ms`: how long after its start an
+    /// engine is cold. `hash_key` is secret: with it a client could make shapes collide.
+    pub fn new(settings: &Settings, warm_up_ms: f64, hash_key: [u8; 16]) -> Self {
         let mut groups = FxHashMap::default();
-        for group in read_groups(settings) {
-            if let Some(name) = group.name.clone() {
-                groups.insert(name, group);
-            }
+        for group in &settings.groups {
+            groups.insert(group.name.clone(), group.clone());
         }
         StatementClassifier {
             active: RefCell::default(),
             groups,
-            warm_up_ms: settings.millis("rules.warm-after-us").unwrap_or(0.0),
+            warm_up_ms,
             engine_starts_ms: RefCell::default(),
             hash_key,
             counts: StatementCounts::default(),
@@ -135,9 +132,9 @@
     /// A group's name as the settings map holds it.
     fn settings_name<'a>(&'a self, name: &'a str) -> &'a str {
         self.groups
-            .iter()
-            .find(|(_, group)| group.is_named(name))
-            .map_or(name, |(known, _)| known)
+            .keys()
+            .find(|known| settings::matches_name(known, name))
+            .map_or(name, String::as_str)
     }
 
     /// Whether queries without a class come by this path.
@@ -184,7 +181,7 @@
         let promises_read_only = self
             .groups
             .get(group)
-            .is_some_and(GroupSettings::is_read_only);
+            .is_some_and(|group| group.effect == settings::Effect::ReadOnly);
         let understated = promises_read_only && analysis.effect != Effect::ReadOnly;
         if understated {
             increment(&self.counts.understated);
--- a/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -19,10 +19,11 @@
 #[test]
 fn nothing_is_read_while_off_and_a_new_definition_keeps_what_was_learned() {
     let settings = settings::parse_pairs(
-        "services.count=2 services.0.name=look services.0.effect=read_like services.1.name=load \
-         services.1.effect=non_idempotent family-info.dop=1,4",
+        "balancers=1 services.count=2 services.0.name=look services.0.effect=read_like services.0.aim-us=1 \
+         services.1.name=load services.1.effect=non_idempotent services.1.aim-us=1 family-info.dop=1,4",
     );
-    let classes = StatementClassifier::new(&settings.unwrap(), [1; 16]);
+    let settings = Settings::read(&settings.unwrap()).unwrap();
+    let classes = StatementClassifier::new(&settings, 0.0, [1; 16]);
     assert!(
         classes.classify(b"select 1", 0.0).is_none()
             && classes.check("look", "1", b"delete from t").is_none()
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -6,14 +6,14 @@
 mod display;
 
 use super::fleet::FleetService;
-use crate::config::read_groups;
 use crate::query_registry::EndpointEntry;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
+use std::rc::Rc;
 use tansymux::control::Control;
 use tansymux::events::{EndpointState, Outcome, PeerMessage};
-use tansymux::settings::{RawSettings, SettingsMap};
+use tansymux::settings::Settings;
 use tansymux::zone_plan;
 use tansymux_operator_config::{number_of, schema};
 use tansymux_zone_evacuation::{Evidence, Reachability as FleetReachability, ZoneUse};
@@ -44,7 +44,7 @@
     /// Names of the resource groups, by their index.
     groups: Vec<String>,
     dispatcher_count: f64,
-    settings: SettingsMap,
+    settings: Rc<Settings>,
     /// The endpoint list as it last came, in the order of engine ids.
     endpoints: RefCell<Vec<Engine>>,
     last_tick_ms: Cell<f64>,
@@ -54,16 +54,16 @@
 
 impl ZoneRouting {
     /// Zone routing is off until [`reconfigure`](Self::reconfigure) defines it.
-    pub fn new(settings: &SettingsMap) -> Self {
-        let groups = read_groups(settings);
+    pub fn new(settings: &Rc<Settings>) -> Self {
         ZoneRouting {
             detector: RefCell::default(),
-            local_zone: settings.get("zone").cloned().unwrap_or_default(),
-            groups: groups
-                .into_iter()
-                .map(|group| group.name.unwrap_or_default())
+            local_zone: settings.local_zone.clone().unwrap_or_default(),
+            groups: settings
+                .groups
+                .iter()
+                .map(|group| group.name.clone())
                 .collect(),
-            dispatcher_count: settings.number("balancers").unwrap_or(1.0),
+            dispatcher_count: settings.dispatchers,
             settings: settings.clone(),
             endpoints: RefCell::default(),
             last_tick_ms: Cell::new(f64::NEG_INFINITY),
@@ -106,13 +106,10 @@
             if entry.state == EndpointState::Gone {
                 continue;
             }
-            let cores = self
-                .settings
-                .for_kind(&entry.kind, "family-info.cores-by-kind");
             endpoints.push(Engine {
                 engine_id: entry.engine_id,
                 zone: entry.zone.clone(),
-                cores: cores.unwrap_or(1.0),
+                cores: self.settings.engine_kind(&entry.kind).cores,
                 ready: entry.state == EndpointState::Ready,
             });
         }
