--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -5,7 +5,7 @@
 use tansymux::events::EndpointState;
 use tansymux::settings::Settings;
 use tansymux_coordination::disruption_budget::Unit;
-use tansymux_operator_config::number_of;
+use tansymux_operator_config::name_hash;
 use tansymux_rollout::FleetNode;
 
 /// Follows the endpoint list and the engines that are out by the fleet's agreement.
@@ -55,7 +55,7 @@
     fn unit(&self, endpoint: &EndpointEntry) -> Unit {
         Unit {
             id: endpoint.engine_id,
-            zone: number_of(&endpoint.zone),
+            zone: name_hash(&endpoint.zone),
             version: 0,
             available: endpoint.state == EndpointState::Ready,
             capacity: self.settings.engine_kind(&endpoint.kind).cores,
