--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use tansymux_sql_analysis::Class;
 
-/// A statement's fingerprint without its literals, and what its features say of it.
+/// A statement without its literals, and what the analysis made of it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StatementShape {
     /// Hash of the statement's tokens with its literals left out.
-    pub fingerprint: u128,
+    pub shape_id: u128,
     /// The class that its features give it.
     pub class: Class,
     /// The cost that its features alone give it (thread time, ms).
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -250,7 +250,7 @@
         let shape = attempt.shape;
         active
             .analyzer
-            .record_execution(shape.fingerprint, shape.class, shape.cost_ms, &execution);
+            .record_execution(shape.shape_id, shape.class, shape.cost_ms, &execution);
     }
 
     fn is_cold(&self, engine_id: u64, now_ms: f64) -> bool {
@@ -310,7 +310,7 @@
 
 fn shape_of(analyzed: &AnalyzedStatement) -> StatementShape {
     StatementShape {
-        shape: analyzed.shape_id,
+        shape_id: analyzed.shape_id,
         class: analyzed.analysis.class,
         cost_ms: analyzed.analysis.cost_ms,
     }
