--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -14,9 +14,12 @@
         if self.queries[query].attempts.count() > 0 && !self.may_retry_on(query, engine) {
             return false;
         }
-        let group = self.queries[query].group;
-        // Rules 1 and 2: nothing after the final answer or the client's leave, and one attempt at a time.
-        self.queries[query].is_open(self.now_ms, self.settings.max_attempts)
+        let state = &self.queries[query];
+        let group = state.group;
+        !state.is_over // Rule 1: nothing after the final answer,
+            && self.now_ms < state.deadline_ms // or once the client has left.
+            && state.in_flight().is_none() // Rule 2: never two attempts at a time,
+            && state.attempts.count() < self.settings.max_attempts // and no more than the settings allow.
             && self.engines[engine].endpoint.ready // Rule 3: nothing to an engine that drains or is gone.
             && self.may_repeat(query, Some(engine)) // Rule 2: an effect only once.
             && self.slow_start_admits(engine, group) // Rule 4: an engine that is warming up.
--- a/src/control/outlier.rs
+++ b/src/control/outlier.rs
@@ -81,7 +81,10 @@
         let health = &mut self.engines[engine].health;
         let silent_ms = self.now_ms - health.last_signal_ms;
         if event.outcome == Outcome::Completed {
-            health.record_check_answer(self.now_ms);
+            health.last_signal_ms = self.now_ms;
+            if health.is_silent {
+                health.next_trial_ms = self.now_ms;
+            }
             // Ejected as no connection came up: one has, and its process answers.
             if health.is_ejected && health.was_unreachable() {
                 health.reinstate(ERROR_STEP);
--- a/src/model/engine_health.rs
+++ b/src/model/engine_health.rs
@@ -70,14 +70,6 @@
         self.error_rate += step * (failure - self.error_rate);
     }
 
-    /// A health check was answered: a silent engine's trial may go out now.
-    pub(crate) fn record_check_answer(&mut self, now_ms: f64) {
-        self.last_signal_ms = now_ms;
-        if self.is_silent {
-            self.next_trial_ms = now_ms;
-        }
-    }
-
     /// Whether something was heard since the next trial became due.
     pub(crate) fn has_answered(&self) -> bool {
         self.last_signal_ms >= self.next_trial_ms
--- a/src/model/query.rs
+++ b/src/model/query.rs
@@ -95,15 +95,6 @@
         }
     }
 
-    /// Whether another attempt may begin at all, of `max_attempts`.
-    pub(crate) fn is_open(&self, now_ms: f64, max_attempts: usize) -> bool {
-        let has_time = now_ms < self.deadline_ms;
-        !self.is_over
-            && has_time
-            && self.in_flight().is_none()
-            && self.attempts.count() < max_attempts
-    }
-
     /// It has its final answer and no attempt in flight: it can be forgotten.
     pub(crate) fn is_done(&self) -> bool {
         self.is_over && self.in_flight().is_none()
--- a/src/model/resource_group.rs
+++ b/src/model/resource_group.rs
@@ -143,7 +143,8 @@
                 return None;
             }
         }
-        let ratio = (latency_ms.max(0.1) * self.threads() / cost_ms.max(0.1)).ln();
+        let thread_time_ms = latency_ms.max(steps.min_time_ms) * self.threads();
+        let ratio = (thread_time_ms / cost_ms.max(steps.min_time_ms)).ln();
         Some(self.slowdown.learn(ratio, steps))
     }
 
--- a/src/model/slowdown.rs
+++ b/src/model/slowdown.rs
@@ -117,14 +117,17 @@
     pub(crate) mean: f64,
     /// Samples before best and least scatter are kept.
     pub(crate) min_samples: u32,
+    /// Shorter times (ms) count as this one in ratios.
+    pub(crate) min_time_ms: f64,
 }
 
 impl LearningSteps {
-    pub(crate) const fn new(median: f64, mean: f64, min_samples: u32) -> Self {
+    pub(crate) const fn new(median: f64, mean: f64, min_samples: u32, min_time_ms: f64) -> Self {
         LearningSteps {
             median,
             mean,
             min_samples,
+            min_time_ms,
         }
     }
 }
