--- /dev/null
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -0,0 +1,164 @@
+//! Executes the decisions' commands: submit, withdraw, cancel, set priority, check health.
+
+use super::channel::Channel;
+use super::connection::Attempt;
+use super::pool::EnginePool;
+use super::priorities::request_fields;
+use super::reports::AttemptReport;
+use super::settings::MIN_SILENCE_MS;
+use crate::query_registry::{EngineCommand, Pages};
+use std::rc::Rc;
+use tansymux::events::{AttemptLimits, Outcome};
+
+/// After an attempt was sent on a connection that had idled, the engine is checked over another connection if no
+/// frame arrived for this multiple of the attempt's estimated run time: a dead connection accepts writes and never
+/// answers.
+const CHECK_AFTER_RUN_TIMES: f64 = 2.0;
+
+/// The connection that carries a query's attempt.
+pub(super) struct Located {
+    pub channel: Rc<Channel>,
+    pub id: Rc<str>,
+}
+
+/// The command to start an attempt.
+struct AttemptOrder {
+    query_id: u64,
+    number: usize,
+    engine_id: u64,
+    limits: AttemptLimits,
+}
+
+/// The parts of a query that its attempt needs.
+struct Request {
+    id: Rc<str>,
+    fields: String,
+    statement: Rc<[u8]>,
+    /// Estimated run time (ms); 0 if none is known.
+    cost_ms: f64,
+}
+
+impl EnginePool {
+    /// Executes all queued commands.
+    pub fn execute_commands(self: &Rc<Self>) {
+        while let Some(command) = self.registry.next_command() {
+            match command {
+                EngineCommand::Submit {
+                    query_id,
+                    attempt,
+                    engine_id,
+                    limits,
+                } => self.submit(&AttemptOrder {
+                    query_id,
+                    number: attempt,
+                    engine_id,
+                    limits,
+                }),
+                EngineCommand::Withdraw { query_id } => self.withdraw(query_id),
+                EngineCommand::Cancel { query_id, attempt } => self.cancel(query_id, attempt),
+                EngineCommand::SetPriority { query_id, priority } => {
+                    self.set_priority(query_id, priority)
+                }
+                EngineCommand::HealthCheck { engine_id } => self.check_health(engine_id),
+            }
+        }
+    }
+
+    fn submit(self: &Rc<Self>, order: &AttemptOrder) {
+        let now_ms = self.clock.now();
+        let Some(request) = self.request_of(order, now_ms) else {
+            return;
+        };
+        let limits = order.limits;
+        let Some(channel) =
+            self.select_channel(order.engine_id, &request.id, limits.side_effect_free)
+        else {
+            return self.report_ended(AttemptReport {
+                query_id: order.query_id,
+                attempt: order.number,
+                outcome: Outcome::NoConnection,
+                engine_id: order.engine_id,
+                latency_ms: 0.0,
+                pages: Pages::new(),
+            });
+        };
+        let attempt = Attempt::new(order.query_id, order.number, now_ms, limits);
+        let mut connection = channel.connection.borrow_mut();
+        connection.submit(&request.id, &request.fields, request.statement, attempt);
+        let went_out_after_idling = connection
+            .idle_reuse
+            .is_some_and(|reuse| reuse.sent_ms == now_ms);
+        if went_out_after_idling {
+            connection.check_at_ms = now_ms + self.check_after_ms(request.cost_ms);
+        }
+        drop(connection);
+        channel.notify.notify();
+    }
+
+    fn request_of(&self, order: &AttemptOrder, now_ms: f64) -> Option<Request> {
+        let time_left_ms = order.limits.deadline_ms - now_ms;
+        self.registry.with_query(order.query_id, |query| Request {
+            id: query.id.clone(),
+            fields: request_fields(query, time_left_ms),
+            statement: query.statement.clone(),
+            cost_ms: query.estimated_cost_ms,
+        })
+    }
+
+    /// Silence (ms) after which the engine is checked, for an attempt with this estimated run time. An unknown
+    /// estimate (0) gives no bound of its own.
+    fn check_after_ms(&self, cost_ms: f64) -> f64 {
+        let run_times_ms = if cost_ms > 0.0 {
+            CHECK_AFTER_RUN_TIMES * cost_ms
+        } else {
+            f64::INFINITY
+        };
+        MIN_SILENCE_MS
+            .max(run_times_ms)
+            .min(self.settings.max_silence_ms())
+    }
+
+    /// Finds the connection that carries the query's attempt.
+    pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
+        let id = self
+            .registry
+            .with_query(query_id, |query| query.id.clone())?;
+        let engines = self.engines.borrow();
+        for channel in engines.values().flat_map(|engine| &engine.channels) {
+            let connection = channel.connection.borrow();
+            let attempt = connection.attempts.get(&id);
+            if attempt.is_some_and(|attempt| attempt.query_id == query_id) {
+                let channel = channel.clone();
+                return Some(Located { channel, id });
+            }
+        }
+        None
+    }
+
+    /// Cancels an attempt if it is still in flight.
+    fn cancel(&self, query_id: u64, number: usize) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let current = channel
+            .connection
+            .borrow()
+            .attempts
+            .get(&id)
+            .map(|attempt| attempt.number);
+        if current == Some(number) {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+
+    /// Withdraws the attempt of a completed query, unless its request has been written whole.
+    fn withdraw(&self, query_id: u64) {
+        let Some(Located { channel, id }) = self.locate(query_id) else {
+            return;
+        };
+        let is_written = channel.connection.borrow().is_fully_written(&id);
+        if !is_written {
+            self.abandon(&channel, &id, Outcome::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -0,0 +1,141 @@
+//! An attempt in flight on a connection, and the assembly of its result from pages.
+
+use crate::engine::protocol_error::ProtocolError;
+use crate::engine::resp;
+use crate::engine::rows::json_rows;
+use crate::query_registry::Pages;
+use tansymux::events::{AttemptLimits, NoteKind};
+
+/// Pages of one result at most; the protocol's longest result has 8 of them.
+const MAX_PAGES: usize = 64;
+/// Bytes of one result's rows, as JSON, at most; the protocol's longest result has 48,000 bytes of rows.
+const MAX_RESULT_BYTES: usize = 128 * 1024;
+
+/// An attempt in flight on a connection. Times are milliseconds of the program's clock.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The query's number in the registry.
+    pub query_id: u64,
+    /// The attempt's number within the query, from 0.
+    pub number: usize,
+    /// When it was queued on the connection.
+    pub sent_ms: f64,
+    /// When it is abandoned.
+    pub deadline_ms: f64,
+    /// Its request is withdrawn if no byte of it was written by then.
+    pub start_by_ms: f64,
+    /// Pages by their numbers; empty until the first page gives their count.
+    pages: Vec<Option<Vec<u8>>>,
+    missing_pages: usize,
+}
+
+/// Whether a result is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResultProgress {
+    /// No page is missing.
+    Complete,
+    /// Pages are missing.
+    Incomplete,
+}
+
+/// A progress note from the engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ProgressNote {
+    /// What the note is about.
+    pub kind: NoteKind,
+    /// The note's value; its meaning depends on the kind.
+    pub amount: f64,
+}
+
+impl Attempt {
+    /// An attempt that is queued on a connection at `sent_ms`.
+    pub fn new(query_id: u64, number: usize, sent_ms: f64, limits: AttemptLimits) -> Self {
+        Attempt {
+            query_id,
+            number,
+            sent_ms,
+            deadline_ms: limits.deadline_ms,
+            start_by_ms: limits.start_by_ms,
+            pages: Vec::new(),
+            missing_pages: 0,
+        }
+    }
+
+    /// When this attempt next expires, by its deadline or its start limit.
+    pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
+        if self.start_by_ms > now_ms {
+            self.deadline_ms.min(self.start_by_ms)
+        } else {
+            self.deadline_ms
+        }
+    }
+
+    /// Number of pages of the result; 0 before the first one arrived.
+    pub fn page_count(&self) -> usize {
+        self.pages.len()
+    }
+
+    /// Takes the pages that have arrived, in order.
+    pub fn take_pages(&mut self) -> Pages {
+        self.pages.drain(..).flatten().collect()
+    }
+
+    /// Adds the first page, whose fields give the number of pages.
+    pub fn add_first_page(
+        &mut self,
+        fields: &[u8],
+        page: &[u8],
+    ) -> Result<ResultProgress, ProtocolError> {
+        let count = number_field(fields, "batches").filter(|count| (1..=MAX_PAGES).contains(count));
+        let count = count.ok_or(ProtocolError::InvalidPageCount)?;
+        self.pages.resize(count, None);
+        self.missing_pages = count;
+        self.add_page(0, page)
+    }
+
+    /// Adds one of the other pages, whose fields give its number. A second copy replaces the first.
+    pub fn add_numbered_page(
+        &mut self,
+        fields: &[u8],
+        page: &[u8],
+    ) -> Result<ResultProgress, ProtocolError> {
+        let number = number_field(fields, "batch").ok_or(ProtocolError::MissingPageNumber)?;
+        self.add_page(number, page)
+    }
+
+    fn add_page(&mut self, number: usize, page: &[u8]) -> Result<ResultProgress, ProtocolError> {
+        let rows = json_rows(page)?;
+        let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
+        if size + rows.len() > MAX_RESULT_BYTES {
+            return Err(ProtocolError::ResultTooLong {
+                limit: MAX_RESULT_BYTES,
+            });
+        }
+        let pages = self.pages.len();
+        let slot = self.pages.get_mut(number);
+        let slot = slot.ok_or(ProtocolError::PageOutOfRange { number, pages })?;
+        if slot.replace(rows).is_none() {
+            self.missing_pages -= 1;
+        }
+        Ok(match self.missing_pages {
+            0 => ResultProgress::Complete,
+            _ => ResultProgress::Incomplete,
+        })
+    }
+}
+
+fn number_field(fields: &[u8], name: &str) -> Option<usize> {
+    resp::field(fields, name)?.parse().ok()
+}
+
+/// Parses the fields of a `TELL`; `None` for kinds that are not used here and for malformed notes.
+pub fn parse_progress_note(fields: &[u8]) -> Option<ProgressNote> {
+    let kind = match resp::field(fields, "tell")? {
+        "frac" => NoteKind::Progress,
+        "missing" => NoteKind::Spilling,
+        "parked" => NoteKind::Waiting,
+        _ => return None,
+    };
+    let amount: f64 = resp::field(fields, "num")?.parse().ok()?;
+    amount.is_finite().then_some(ProgressNote { kind, amount })
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/connection/deadlines.rs
@@ -0,0 +1,99 @@
+//! Expiry of attempts, health checks and incomplete frames of one connection.
+
+use super::{Attempt, Connection};
+use std::rc::Rc;
+
+/// An incomplete frame without a further byte for this long (ms) counts as cut off. Twice the connect timeout of the
+/// operators' pages.
+pub const FRAME_STALL_MS: f64 = 500.0;
+
+/// Health checks that timed out.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpiredHealthChecks {
+    /// How many.
+    pub count: usize,
+    /// No frame at all arrived on the connection since one of them was queued.
+    pub connection_silent: bool,
+}
+
+impl Connection {
+    /// The attempts that may no longer start and of whose requests no byte was written.
+    pub fn too_late_to_begin(&self, now_ms: f64) -> impl Iterator<Item = Rc<str>> + '_ {
+        let too_late = move |id: &Rc<str>| {
+            let attempt = self.attempts.get(id);
+            attempt.is_some_and(|attempt| attempt.start_by_ms <= now_ms)
+        };
+        self.unstarted_requests().filter(too_late)
+    }
+
+    /// The attempts that are past their deadline, or past their start limit and not started.
+    pub fn expired_attempts(&self, now_ms: f64) -> Vec<Rc<str>> {
+        let mut expired = Vec::new();
+        for (id, attempt) in &self.attempts {
+            if attempt.deadline_ms <= now_ms {
+                expired.push(id.clone());
+            }
+        }
+        expired.extend(self.too_late_to_begin(now_ms));
+        expired
+    }
+
+    /// Moves all later deadlines of attempts forward to `deadline_ms`.
+    pub fn limit_deadlines(&mut self, deadline_ms: f64) {
+        for attempt in self.attempts.values_mut() {
+            attempt.deadline_ms = attempt.deadline_ms.min(deadline_ms);
+        }
+    }
+
+    /// Drops the health checks that timed out.
+    pub fn expire_health_checks(&mut self, now_ms: f64) -> ExpiredHealthChecks {
+        let last_frame_ms = self.last_frame_ms;
+        let before = self.health_checks.len();
+        let mut connection_silent = false;
+        self.health_checks.retain(|check| {
+            let expired = check.deadline_ms <= now_ms;
+            connection_silent |= expired && last_frame_ms <= check.sent_ms;
+            !expired
+        });
+        ExpiredHealthChecks {
+            count: before - self.health_checks.len(),
+            connection_silent,
+        }
+    }
+
+    /// Whether an incomplete frame has stalled. True once per frame.
+    pub fn take_stalled_frame(&mut self, now_ms: f64) -> bool {
+        let stalled = |since_ms: &mut f64| now_ms - *since_ms >= FRAME_STALL_MS;
+        self.partial_frame_since_ms.take_if(stalled).is_some()
+    }
+
+    /// Whether it is time to check the engine over another connection. True once per reuse.
+    pub fn take_due_reachability_check(&mut self, now_ms: f64) -> bool {
+        if self.check_at_ms > now_ms {
+            return false;
+        }
+        self.check_at_ms = f64::INFINITY;
+        self.is_reused_in_silence()
+    }
+
+    /// Whether it was reused after idling, has something in flight and has been silent since.
+    pub fn is_reused_in_silence(&self) -> bool {
+        self.idle_reuse.is_some() && self.in_flight() > 0
+    }
+
+    /// When something expires next (ms); infinity if nothing does.
+    pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
+        let attempts = self
+            .attempts
+            .values()
+            .map(|attempt: &Attempt| attempt.next_deadline_ms(now_ms));
+        let health_checks = self.health_checks.iter().map(|check| check.deadline_ms);
+        let frame = self
+            .partial_frame_since_ms
+            .map(|since_ms| since_ms + FRAME_STALL_MS);
+        attempts
+            .chain(health_checks)
+            .chain(frame)
+            .fold(self.check_at_ms, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -0,0 +1,116 @@
+//! Reports the ends of attempts to the decisions, and abandons attempts.
+
+use super::channel::Channel;
+use super::connection::Abandoned;
+use super::health::SilenceScope;
+use super::pool::EnginePool;
+use crate::query_registry::{Event, Pages};
+use tansymux::events::Outcome;
+
+/// Delay (ms) before the end of an abandoned attempt is reported. Its query may then be retried on another
+/// connection, and a busy engine reads its connections in any order: without the delay the retry could overtake the
+/// abort. The protocol allows for 50 ms.
+const SETTLE_MS: f64 = 40.0;
+
+/// The end of an attempt.
+pub(super) struct AttemptReport {
+    pub query_id: u64,
+    pub attempt: usize,
+    pub outcome: Outcome,
+    pub engine_id: u64,
+    /// Time since the attempt was handed to its connection.
+    pub latency_ms: f64,
+    pub pages: Pages,
+}
+
+/// The end of an abandoned attempt, to be reported at `due_ms`.
+pub(super) struct SettlingReport {
+    due_ms: f64,
+    event: Event,
+}
+
+impl From<AttemptReport> for Event {
+    fn from(report: AttemptReport) -> Event {
+        Event::AttemptEnded {
+            query_id: report.query_id,
+            attempt: report.attempt,
+            outcome: report.outcome,
+            engine_id: report.engine_id,
+            latency_ms: report.latency_ms,
+            pages: report.pages,
+        }
+    }
+}
+
+impl EnginePool {
+    /// Reports the end of an attempt immediately.
+    pub(super) fn report_ended(&self, report: AttemptReport) {
+        self.registry.counters.count_outcome(report.outcome);
+        tracing::debug!(
+            query_id = report.query_id,
+            attempt = report.attempt,
+            engine_id = %format_args!("{:08x}", report.engine_id),
+            outcome = ?report.outcome,
+            latency_ms = report.latency_ms,
+            "attempt ended"
+        );
+        self.registry.push_event(report.into());
+    }
+
+    /// Reports the end of an attempt that this side abandoned, after [`SETTLE_MS`].
+    pub(super) fn report_abandoned(&self, report: AttemptReport) {
+        self.registry.counters.count_outcome(report.outcome);
+        let due_ms = self.clock.now() + SETTLE_MS;
+        let event = report.into();
+        let mut settling = self.settling.borrow_mut();
+        settling.push_back(SettlingReport { due_ms, event });
+        drop(settling);
+        self.registry.notify.notify();
+    }
+
+    /// Publishes the delayed reports that are due. Returns when the next one is (ms), or infinity.
+    pub(super) fn publish_settled(&self, now_ms: f64) -> f64 {
+        let mut settling = self.settling.borrow_mut();
+        while let Some(settled) = settling.pop_front_if(|report| report.due_ms <= now_ms) {
+            self.registry.push_event(settled.event);
+        }
+        let next = settling.front();
+        next.map_or(f64::INFINITY, |report| report.due_ms)
+    }
+
+    /// Abandons an attempt and reports its end: as `outcome` if it may have run, as `NoConnection` if it cannot have.
+    pub(super) fn abandon(&self, channel: &Channel, id: &str, outcome: Outcome) {
+        let now_ms = self.clock.now();
+        let mut connection = channel.connection.borrow_mut();
+        let Some(Abandoned { attempt, was_sent }) = connection.abandon(id, now_ms) else {
+            return;
+        };
+        // Silent for longer than the progress interval: the connection may be dead. The next attempt uses another
+        // one.
+        let silent_ms = now_ms - connection.last_frame_ms.max(attempt.sent_ms);
+        let may_be_dead = was_sent && silent_ms > self.settings.max_silence_ms();
+        connection.retired |= may_be_dead;
+        drop(connection);
+        channel.notify.notify();
+        if may_be_dead {
+            self.retire_idle(channel.engine_id, SilenceScope::Engine);
+        }
+        let report = AttemptReport {
+            query_id: attempt.query_id,
+            attempt: attempt.number,
+            outcome: if was_sent {
+                outcome
+            } else {
+                Outcome::NoConnection
+            },
+            engine_id: channel.engine_id,
+            latency_ms: now_ms - attempt.sent_ms,
+            pages: Pages::new(),
+        };
+        if report.outcome == Outcome::Cancelled {
+            self.report_abandoned(report);
+        } else {
+            self.report_ended(report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/fleet_node.rs
@@ -0,0 +1,365 @@
+//! One whole member of a fleet: membership, voter, rollout controller, its own reports and the calls of clients.
+
+mod messages;
+
+use crate::codec;
+use crate::member_agent::{AgentAction, Destination, MemberAgent, MemberStatus};
+use crate::message::Message;
+use crate::rollout_config::RolloutConfig;
+use crate::rollout_controller::RolloutController;
+use crate::zone_coordinator::ZoneCoordinator;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tansymux_coordination::disruption_budget::Unit;
+use tansymux_coordination::{
+    Action, DisruptionReason, Id, QuorumConfig, QuorumNode, Record, Role, UnitKind,
+};
+use tansymux_membership::{
+    member_id_of, Event as MembershipEvent, Keys, MemberState, SwimDetector,
+};
+
+/// Messages to itself may cause more of them, this many rounds in one poll.
+const MAX_LOCAL_ROUNDS: usize = 4;
+
+/// What a member is given at its start.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// Its name, unique in the fleet.
+    pub name: String,
+    /// The address that other members reach it at.
+    pub address: SocketAddr,
+    /// Names of the voters.
+    pub voters: Vec<String>,
+    /// Failure detection.
+    pub membership: tansymux_membership::Config,
+    /// Timing of the voters.
+    pub quorum: QuorumConfig,
+    /// Keys of the datagrams.
+    pub keys: Keys,
+    /// No voter ever voted before: the first start of an installation.
+    pub fresh: bool,
+    /// The restart lease under which it is started, so that it is known to be back; 0: none.
+    pub grant_id: u64,
+    /// Rollouts and disruption budgets.
+    pub rollout: RolloutConfig,
+    /// The zone of this member, and how the fleet evacuates zones; none: each member decides for itself.
+    pub zones: Option<(u32, tansymux_zone_evacuation::Config)>,
+}
+
+/// What happened to a member.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum FleetEvent<'a> {
+    /// A datagram came.
+    DatagramReceived {
+        /// Its sender.
+        from: SocketAddr,
+        /// Its bytes.
+        datagram: &'a [u8],
+    },
+    /// The dispatcher is about to stop: the others are told at once.
+    LeaveRequested,
+}
+
+/// What a member wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FleetAction {
+    /// Send a datagram. It may be lost.
+    Send {
+        /// The receiver.
+        to: SocketAddr,
+        /// Its bytes.
+        datagram: Vec<u8>,
+    },
+}
+
+/// One member. Drive it with [`FleetNode::handle`] and [`FleetNode::poll`].
+#[derive(Debug, Clone)]
+pub struct FleetNode {
+    detector: SwimDetector,
+    /// Only voters have one.
+    quorum: Option<QuorumNode>,
+    controller: RolloutController,
+    agent: MemberAgent,
+    zones: Option<ZoneCoordinator>,
+    /// Messages to itself.
+    local_messages: Vec<Message>,
+    now_ms: f64,
+    outbox: VecDeque<FleetAction>,
+    next_poll_ms: f64,
+    /// The timers ran, and their actions are being handed out.
+    draining: bool,
+}
+
+impl FleetNode {
+    /// A member at its start. `seed` has to be drawn at each start.
+    pub fn new(config: &FleetConfig, now_ms: f64, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let id = member_id_of(&config.name);
+        let voters: Vec<Id> = config
+            .voters
+            .iter()
+            .map(|name| member_id_of(name))
+            .collect();
+        let detector = SwimDetector::new(
+            &config.name,
+            config.address,
+            0,
+            config.membership.clone(),
+            config.keys.clone(),
+            rng.random(),
+        );
+        let quorum = voters.contains(&id).then(|| {
+            let seed = rng.random();
+            let round = (now_ms / 1000.0) as u32;
+            QuorumNode::new(
+                id,
+                &voters,
+                config.quorum,
+                now_ms,
+                config.fresh,
+                round,
+                seed,
+            )
+        });
+        let agent = MemberAgent::new(id, &voters, config.grant_id, rng.random());
+        let zones = config.zones.clone().map(|(own_zone, zone_config)| {
+            let seed = rng.random();
+            ZoneCoordinator::new(own_zone, zone_config, agent.session(), now_ms, seed)
+        });
+        FleetNode {
+            detector,
+            quorum,
+            controller: RolloutController::new(config.rollout.clone()),
+            agent,
+            zones,
+            local_messages: Vec::new(),
+            now_ms,
+            outbox: VecDeque::new(),
+            next_poll_ms: now_ms,
+            draining: false,
+        }
+    }
+
+    /// Its number.
+    pub fn id(&self) -> Id {
+        self.detector.id()
+    }
+
+    /// Its session: drawn at each start.
+    pub fn session(&self) -> u32 {
+        self.agent.session()
+    }
+
+    /// Membership as this member knows it.
+    pub fn detector(&self) -> &SwimDetector {
+        &self.detector
+    }
+
+    /// Its voter, if it is one.
+    pub fn quorum(&self) -> Option<&QuorumNode> {
+        self.quorum.as_ref()
+    }
+
+    /// Its copy of the records, and its reports.
+    pub fn agent(&self) -> &MemberAgent {
+        &self.agent
+    }
+
+    /// What its voter does at present, if it is one.
+    pub fn role(&self) -> Option<Role> {
+        self.quorum.as_ref().map(QuorumNode::role)
+    }
+
+    /// Takes over what may change while it runs.
+    pub fn set_config(
+        &mut self,
+        rollout: RolloutConfig,
+        keys: Keys,
+        zones: Option<tansymux_zone_evacuation::Config>,
+    ) {
+        self.controller.set_config(rollout);
+        if let (Some(coordinator), Some(config)) = (&mut self.zones, zones) {
+            coordinator.set_config(config);
+        }
+        self.detector.set_keys(keys);
+    }
+
+    /// Takes over what this dispatcher says of itself from now on.
+    pub fn set_status(&mut self, status: MemberStatus) {
+        self.agent.set_status(status);
+    }
+
+    /// Takes over the engines of its endpoint list.
+    pub fn set_engines(&mut self, engines: &[Unit]) {
+        self.controller.set_engines(engines);
+        if let Some(zones) = &mut self.zones {
+            zones.set_engines(engines);
+        }
+    }
+
+    /// Takes over what this dispatcher observes of zones. `is_isolated`: it takes itself for cut off.
+    pub fn observe_zones(
+        &mut self,
+        evidence: Vec<tansymux_zone_evacuation::Evidence>,
+        is_isolated: bool,
+    ) {
+        if let Some(zones) = &mut self.zones {
+            zones.observe(evidence, is_isolated);
+        }
+    }
+
+    /// How a zone may be used from here: by own judgement where the fleet agreed on nothing.
+    pub fn use_of(&self, zone: u32) -> tansymux_zone_evacuation::ZoneUse {
+        match &self.zones {
+            Some(zones) => zones.follower.zone_use(zone, self.now_ms),
+            None => tansymux_zone_evacuation::ZoneUse::LocalDecision,
+        }
+    }
+
+    /// The zones of the fleet, where they are configured.
+    pub fn zones(&self) -> Option<&ZoneCoordinator> {
+        self.zones.as_ref()
+    }
+
+    /// Why an engine is unavailable by agreement of the fleet, if it is.
+    pub fn engine_disruption(&self, engine: Id) -> Option<DisruptionReason> {
+        let engine_key = Record::unit_key(UnitKind::Engine, engine);
+        self.agent
+            .unavailable_engines(self.now_ms)
+            .find(|(key, _)| *key == engine_key)
+            .map(|(_, reason)| reason)
+    }
+
+    /// How many engines are unavailable by agreement of the fleet.
+    pub fn unavailable_engine_count(&self) -> usize {
+        self.agent.unavailable_engines(self.now_ms).count()
+    }
+
+    /// Takes in an event. What follows from it is given by [`FleetNode::poll`].
+    pub fn handle(&mut self, event: FleetEvent, now_ms: f64) {
+        match event {
+            FleetEvent::DatagramReceived { from, datagram } => {
+                self.now_ms = self.now_ms.max(now_ms);
+                let received = MembershipEvent::DatagramReceived {
+                    from,
+                    bytes: datagram,
+                };
+                self.detector.handle(received, self.now_ms);
+                while let Some(message) = self.detector.next_user_message() {
+                    self.on_user_message(message);
+                }
+            }
+            FleetEvent::LeaveRequested => {
+                self.detector
+                    .handle(MembershipEvent::LeaveRequested, now_ms);
+            }
+        }
+    }
+
+    fn send(&mut self, to: Destination, message: &Message) {
+        match to {
+            Destination::Member(id) if id == self.detector.id() => {
+                self.local_messages.push(message.clone());
+            }
+            Destination::Member(id) => {
+                self.detector.send_user_message(id, &codec::encode(message));
+            }
+            Destination::Client(address) => {
+                self.detector
+                    .send_user_message_to(address, &codec::encode(message));
+            }
+        }
+    }
+
+    /// The next action that is due; none: nothing before [`FleetNode::next_poll_ms`]. Call it until it gives none.
+    pub fn poll(&mut self, now_ms: f64) -> Option<FleetAction> {
+        if !self.draining {
+            self.draining = true;
+            self.run_timers(now_ms);
+        }
+        let action = self.outbox.pop_front();
+        self.draining = action.is_some();
+        action
+    }
+
+    /// When to poll again (ms), if no event comes before.
+    pub fn next_poll_ms(&self) -> f64 {
+        self.next_poll_ms
+    }
+
+    fn run_timers(&mut self, now_ms: f64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let now_ms = self.now_ms;
+        self.next_poll_ms = f64::INFINITY;
+        self.poll_quorum();
+        self.poll_agent();
+        self.poll_zones();
+        for _ in 0..MAX_LOCAL_ROUNDS {
+            for message in std::mem::take(&mut self.local_messages) {
+                self.on_message(self.detector.id(), message);
+            }
+        }
+        let output = self.detector.poll(now_ms);
+        self.wake_at(output.next_poll_ms);
+        for sent in output.datagrams {
+            self.outbox.push_back(FleetAction::Send {
+                to: sent.to,
+                datagram: sent.bytes,
+            });
+        }
+    }
+
+    fn wake_at(&mut self, next_ms: f64) {
+        self.next_poll_ms = self.next_poll_ms.min(next_ms);
+    }
+
+    fn poll_quorum(&mut self) {
+        let now_ms = self.now_ms;
+        let Some(quorum) = &mut self.quorum else {
+            return;
+        };
+        while let Some(Action::Send { to, message }) = quorum.poll(now_ms) {
+            let datagram = tansymux_coordination::codec::encode(&message);
+            self.detector.send_user_message(to, &datagram);
+        }
+        let own_id = self.detector.id();
+        let members = self.detector.members();
+        let members = members.map(|member| (member.id, member.state));
+        self.controller
+            .set_members(members.chain([(own_id, MemberState::Alive)]));
+        self.controller.evaluate(quorum, now_ms);
+        if let Some(zones) = &mut self.zones {
+            let members = self.detector.members();
+            let members = members.map(|member| (member.id, member.is_present()));
+            let members = members.chain([(own_id, true)]);
+            zones.evaluate(&self.controller, quorum, members, now_ms);
+        }
+        // A voter's own agent knows what the voter holds.
+        self.agent.merge(quorum.records(), now_ms);
+        let next_ms = quorum.next_poll_ms();
+        self.wake_at(next_ms);
+    }
+
+    fn poll_agent(&mut self) {
+        while let Some(AgentAction::Send { to, message }) = self.agent.poll(self.now_ms) {
+            self.send(to, &message);
+        }
+        self.wake_at(self.agent.next_poll_ms());
+    }
+
+    fn poll_zones(&mut self) {
+        let now_ms = self.now_ms;
+        let leader = self.agent.leader(now_ms);
+        let Some(zones) = &mut self.zones else {
+            return;
+        };
+        let report = zones.poll(now_ms);
+        let next_ms = zones.next_poll_ms();
+        self.wake_at(next_ms);
+        if let (Some(report), Some(leader)) = (report, leader) {
+            self.send(Destination::Member(leader), &Message::ZoneReport(report));
+        }
+    }
+}
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -17,9 +17,13 @@
 };
 use tansymux::settings::SettingsMap;
 use tansymux::zone_plan::{ZoneLimits, ZonePlan};
-use tansymux_testbed::check::{judge, Broken, ClassRules, Cold, Effect, Rules};
-use tansymux_testbed::record::{Entry, Status, What};
-use tansymux_zone_routing::{Kind, Plan, Seen, ZoneHealthDetector};
+use tansymux_testbed::invariants::{
+    find_violations, ClassRules, Effect, Rules, Violation, WarmUpRule,
+};
+use tansymux_testbed::record::{Entry, EventKind, Status};
+use tansymux_zone_routing::{
+    Event as ZoneEvent, Observation, ObservationKind, RoutingPlan, ZoneHealthDetector,
+};
 
 /// The decisions' clock begins here (ms): no time of theirs lies before 0.
 const EPOCH: f64 = 1e6;
@@ -435,12 +439,12 @@
     map
 }
 
-fn zone_plan(plan: &Plan) -> ZonePlan {
+fn zone_plan(plan: &RoutingPlan) -> ZonePlan {
     let zone = |zone: &tansymux_zone_routing::ZonePlan| ZoneLimits {
         name: zone.name.clone(),
         tiers: zone.ranks.clone(),
-        max_spill_threads: zone.spill,
-        max_spill_threads_by_group: zone.spill_by_class.clone(),
+        max_spill_threads: zone.spill_threads,
+        max_spill_threads_by_group: zone.spill_threads_by_class.clone(),
     };
     ZonePlan {
         zones: plan.zones.iter().map(zone).collect(),
@@ -449,8 +453,8 @@
             .iter()
             .map(|engine| (engine.engine_id, engine.threads))
             .collect(),
-        cross_zone_retry_ratio: plan.cross_retries,
-        isolated: plan.alone,
+        cross_zone_retry_ratio: plan.cross_zone_retry_fraction,
+        isolated: plan.is_isolated,
     }
 }
 
@@ -470,7 +474,7 @@
                 engine_zones.push(n);
             }
         }
-        let told = tansymux_operator_config::read(e.arm[arm].operator()).unwrap_or_default();
+        let told = tansymux_operator_config::parse(e.arm[arm].operator()).unwrap_or_default();
         let definition = told.halls.as_ref().map(tansymux_operator_config::zones);
         let dispatchers: Vec<Dispatcher> = (0..e.dispatchers() as usize)
             .map(|n| Dispatcher {
@@ -546,11 +550,11 @@
         });
     }
 
-    fn saw(&mut self, what: impl FnOnce() -> What) {
+    fn record(&mut self, what: impl FnOnce() -> EventKind) {
         if let Some(record) = &mut self.record {
             record.push(Entry {
-                at: self.now,
-                what: what(),
+                at_ms: self.now,
+                event: what(),
             });
         }
     }
@@ -565,7 +569,7 @@
                 World::name(engine),
                 self.zones[self.engine_zones[engine]].clone(),
             );
-            self.saw(|| What::Listed {
+            self.record(|| EventKind::Listed {
                 engine: id,
                 status: Status::Ready,
                 zone,
@@ -710,10 +714,10 @@
         self.values[phase].1 += told.worth();
         self.sample.most += told.worth();
         let group = self.groups[class].clone();
-        self.saw(|| What::Asked {
+        self.record(|| EventKind::Asked {
             id: id.to_string(),
             class: group,
-            wait,
+            max_wait_ms: wait,
             key: None,
         });
         let due = EPOCH + came + wait - 10.0;
@@ -753,10 +757,10 @@
 
     fn answers(&mut self, id: u64, status: u16, retry_after: Option<f64>) {
         let Some(query) = self.queries.get_mut(&id).filter(|query| !query.answered) else {
-            self.saw(|| What::Answered {
+            self.record(|| EventKind::Answered {
                 id: id.to_string(),
                 status,
-                retry_after,
+                retry_after_ms: retry_after,
             });
             return;
         };
@@ -785,10 +789,10 @@
                 let _ = self.took.record(took.max(1.0) as u64);
             }
         }
-        self.saw(|| What::Answered {
+        self.record(|| EventKind::Answered {
             id: id.to_string(),
             status,
-            retry_after,
+            retry_after_ms: retry_after,
         });
     }
 
@@ -911,7 +915,7 @@
         let (engine, running, id) = (sent.engine, sent.running, sent.query);
         if running && self.engines[engine].remove(self.now, out).is_some() {
             self.again(engine);
-            self.saw(|| What::GivenUp {
+            self.record(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -956,18 +960,16 @@
 
     fn seen(&mut self, dispatcher: usize, engine: usize, outcome: Outcome) {
         let kind = match outcome {
-            Outcome::Completed | Outcome::Error | Outcome::Full => Kind::Heard,
-            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => Kind::Lost,
+            Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
+            Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             Outcome::Cancelled | Outcome::NotSent => return,
         };
         if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
-            zones.seen(
-                EPOCH + self.now,
-                Seen {
-                    engine_id: engine as u64 + 1,
-                    kind,
-                },
-            );
+            let observation = Observation {
+                engine_id: engine as u64 + 1,
+                kind,
+            };
+            zones.handle(ZoneEvent::EngineObserved(observation), EPOCH + self.now);
         }
     }
 
@@ -975,10 +977,11 @@
         let (now, groups) = (EPOCH + self.now, &self.groups);
         let g = &mut self.dispatchers[dispatcher];
         if let Some(zones) = &mut g.zones {
-            zones.look(now);
-            g.control
-                .set_zone_plan(Some(&zone_plan(&zones.plan(&self.zones[g.zone], groups))));
-            if let Some(engine_id) = zones.probes(now) {
+            zones.evaluate(now);
+            g.control.set_zone_plan(Some(&zone_plan(
+                &zones.routing_plan(&self.zones[g.zone], groups),
+            )));
+            if let Some(engine_id) = zones.poll_health_check(now) {
                 self.probe(dispatcher, engine_id as usize - 1);
             }
         }
@@ -998,7 +1001,7 @@
             })
             .collect();
         if let Some(zones) = &mut self.dispatchers[dispatcher].zones {
-            zones.listed(EPOCH + self.now, &engines);
+            zones.handle(ZoneEvent::EnginesListed(&engines), EPOCH + self.now);
         }
         self.inboxes[dispatcher].push(Incoming::List);
         self.round(dispatcher);
@@ -1031,10 +1034,10 @@
         if let Some(sent) = self.out.get_mut(&out) {
             sent.running = true;
         }
-        self.saw(|| What::Arrived {
+        self.record(|| EventKind::Arrived {
             engine: World::name(engine),
             id: id.to_string(),
-            work,
+            work_ms: work,
         });
         self.engines[engine].add(self.now, out, work, self.e.class[class].threads());
         self.at(self.now + NOTES_EVERY, Event::Note { out });
@@ -1069,7 +1072,7 @@
         for out in self.engines[engine].falls(self.now) {
             let latency = self.latency();
             let id = self.out.get(&out).map_or(0, |sent| sent.query);
-            self.saw(|| What::GivenUp {
+            self.record(|| EventKind::GivenUp {
                 engine: World::name(engine),
                 id: id.to_string(),
             });
@@ -1117,15 +1120,15 @@
                 self.e.class[query.class].changes(),
             );
             if changes {
-                self.saw(|| What::Applied {
+                self.record(|| EventKind::Applied {
                     engine: World::name(engine),
                     id: id.to_string(),
                 });
             }
-            self.saw(|| What::Ended {
+            self.record(|| EventKind::Ended {
                 engine: World::name(engine),
                 id: id.to_string(),
-                word: "DONE".into(),
+                reply: "DONE".into(),
                 ran: true,
             });
             if !self.is_cut(dispatcher, engine) {
@@ -1190,7 +1193,7 @@
                 fault::Kind::Cut if !begins && told.cold() => {
                     self.engines[engine].started = self.now;
                     let (id, cores) = (World::name(engine), self.engines[engine].cores);
-                    self.saw(|| What::Started { engine: id, cores });
+                    self.record(|| EventKind::Started { engine: id, cores });
                     self.list_changes(engine, Some(EPOCH + self.now));
                 }
                 fault::Kind::Cut => {}
@@ -1235,7 +1238,7 @@
         };
         if let Some(zones) = &self.dispatchers[0].zones {
             for (n, zone) in self.zones.iter().enumerate() {
-                let most = zones.definition().spill(zone, None) * cores(n);
+                let most = zones.config().spill_limit(zone, None) * cores(n);
                 if most.is_finite() && most > 0.0 {
                     self.o.spill = self.o.spill.max(spilled[n] / most);
                 }
@@ -1278,9 +1281,9 @@
             .map(|n| (parts[n].0 - last) * 1000.0)
             .filter(|_| before.is_finite() && last > 0.0);
         if let Some(record) = self.record.take() {
-            let broken = judge(&record, &self.rules());
+            let broken = find_violations(&record, &self.rules());
             self.o.broken = broken.len();
-            self.o.first_broken = broken.first().map(Broken::to_string);
+            self.o.first_broken = broken.first().map(Violation::to_string);
         }
         self.o
     }
@@ -1303,16 +1306,16 @@
             )
         };
         Rules {
-            slack: 50.0,
-            grace: 1000.0,
-            cold: Some(Cold {
+            slack_ms: 50.0,
+            grace_ms: 1000.0,
+            warm_up: Some(WarmUpRule {
                 multiple: cold.multiple(),
-                from: cold.from(),
-                span: cold.span_ms(),
-                warm_after: cold.warm_s() * 1000.0,
+                initial_fraction: cold.from(),
+                span_ms: cold.span_ms(),
+                warm_after_ms: cold.warm_s() * 1000.0,
             }),
-            rest: 0.0,
-            budget: None,
+            rest_ms: 0.0,
+            retry_budget: None,
             classes: self.e.class.iter().map(class).collect(),
         }
     }
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -2,11 +2,11 @@
 //! Stalls and crashes befall only what this run started and holds.
 
 use super::relay::{Link, Relay};
-use super::scenario::{Fault, Scenario, Way};
-use super::Seen;
-use crate::client::{ask, Ask};
-use crate::engine::{Engine, Spec, World};
-use crate::program::{class, free_address, get, Config, Program, Scrap};
+use super::scenario::{Fault, LinkConditions, Scenario};
+use super::FleetReport;
+use crate::client::{send_query, ClientQuery};
+use crate::engine::{Engine, EngineSpec, RunContext};
+use crate::program::{class, free_address, get, Config, Program, TempFile};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
@@ -41,8 +41,8 @@
     links: Vec<Vec<Link>>,
     places: Vec<Mutex<Place>>,
     configs: Vec<Config>,
-    files: Vec<Scrap>,
-    scraps: Vec<Scrap>,
+    files: Vec<TempFile>,
+    scraps: Vec<TempFile>,
     listens: Vec<SocketAddr>,
     logs: Option<std::path::PathBuf>,
     begin: Instant,
@@ -50,7 +50,7 @@
     /// Whether each is out by its turn, and each engine drained: the true state.
     out: Mutex<Vec<bool>>,
     drained: Mutex<Vec<bool>>,
-    seen: Mutex<Seen>,
+    seen: Mutex<FleetReport>,
     alone: bool,
     /// Queries that were sent whole to a process that lives, and got no answer.
     lost: AtomicU64,
@@ -86,7 +86,7 @@
 }
 
 /// Plays a scenario; with `alone`, supervisors ask nobody. `logs`: a folder for the processes' logs.
-pub fn play(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Seen {
+pub fn play(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> FleetReport {
     // Another program may take an address between its being found free and its use: that is no run.
     for _ in 0..3 {
         match plays_once(exe, scenario.clone(), alone, logs) {
@@ -94,16 +94,28 @@
             None => eprintln!("an address was taken by another program: played again"),
         }
     }
-    Seen {
-        broken: vec!["no free addresses".into()],
-        ..Seen::default()
+    FleetReport {
+        violations: vec!["no free addresses".into()],
+        ..FleetReport::default()
     }
 }
 
-fn plays_once(exe: &Path, scenario: Scenario, alone: bool, logs: Option<&Path>) -> Option<Seen> {
-    let world = Arc::new(World::default());
+fn plays_once(
+    exe: &Path,
+    scenario: Scenario,
+    alone: bool,
+    logs: Option<&Path>,
+) -> Option<FleetReport> {
+    let world = Arc::new(RunContext::default());
     let engines: Vec<Engine> = (0..scenario.engines)
-        .map(|n| Engine::start(&format!("s-{n}"), Spec::default(), n as u64, world.clone()))
+        .map(|n| {
+            Engine::start(
+                &format!("s-{n}"),
+                EngineSpec::default(),
+                n as u64,
+                world.clone(),
+            )
+        })
         .collect();
     let relay = Relay::start(scenario.members, scenario.late, scenario.seed);
     let links: Vec<Vec<Link>> = (0..scenario.members)
@@ -130,16 +142,9 @@
         })
         .collect();
     let files = (0..scenario.members)
-        .map(|n| Scrap::new("fleet.textproto", &text(&scenario, n, &relay, OLD, true)))
+        .map(|n| TempFile::new("fleet.textproto", &text(&scenario, n, &relay, OLD, true)))
         .collect();
-    let seen = Seen {
-        seed: scenario.seed,
-        limit: scenario.most,
-        drain_limit: scenario.max_engines,
-        of: scenario.members,
-        last_fault: scenario.last_fault(),
-        ..Seen::default()
-    };
+    let seen = FleetReport::of_scenario(&scenario);
     let place = || {
         Mutex::new(Place {
             program: None,
@@ -159,7 +164,7 @@
         configs,
         files,
         scraps: (0..scenario.members)
-            .map(|_| Scrap::new("log", ""))
+            .map(|_| TempFile::new("log", ""))
             .collect(),
         listens,
         logs: logs.map(Path::to_owned),
@@ -188,11 +193,11 @@
         self.over.load(Ordering::Relaxed)
     }
 
-    fn broken(&self, what: String) {
+    fn record_violation(&self, what: String) {
         self.seen
             .lock()
             .expect("no holder panics")
-            .broken
+            .violations
             .push(what);
     }
 
@@ -278,10 +283,10 @@
         let mut out = self.out.lock().expect("no holder panics");
         out[n] = is;
         let many = out.iter().filter(|out| **out).count();
-        self.seen.lock().expect("no holder panics").out(many);
+        self.seen.lock().expect("no holder panics").record_out(many);
     }
 
-    fn plays(&self) -> Seen {
+    fn plays(&self) -> FleetReport {
         for n in 0..self.places.len() {
             self.starts(
                 n,
@@ -291,16 +296,16 @@
         }
         let from = Instant::now();
         while !(0..self.places.len()).all(|n| self.healthy(n)) {
-            let taken = |scrap: &Scrap| {
+            let taken = |scrap: &TempFile| {
                 std::fs::read_to_string(&scrap.0)
                     .is_ok_and(|text| text.contains("Address already in use"))
             };
             if self.scraps.iter().any(taken) {
                 self.taken.store(true, Ordering::Relaxed);
-                return Seen::default();
+                return FleetReport::default();
             }
             if from.elapsed() > Duration::from_secs(20) {
-                self.broken("not all healthy after 20 s".into());
+                self.record_violation("not all healthy after 20 s".into());
                 break;
             }
             thread::sleep(NAP);
@@ -322,13 +327,13 @@
                 .collect();
             scope.spawn(|| self.faults(begin));
             let limit = Duration::from_secs_f64(
-                (self.scenario.last_fault() + self.scenario.done_within) / 1000.0,
+                (self.scenario.last_fault_ms() + self.scenario.done_within) / 1000.0,
             );
             let from = Instant::now();
             let mut looked = Instant::now();
             while !supervisors.iter().all(|s| s.is_finished()) && from.elapsed() < limit {
                 thread::sleep(NAP);
-                let after = self.ms() - begin > self.scenario.last_fault() + 2000.0;
+                let after = self.ms() - begin > self.scenario.last_fault_ms() + 2000.0;
                 if after && !self.alone && looked.elapsed() > Duration::from_secs(3) {
                     looked = Instant::now();
                     self.resumes();
@@ -336,14 +341,14 @@
             }
             let took = self.ms() - begin;
             // Faults that are still to come have their time.
-            while self.ms() - begin < self.scenario.last_fault() + 500.0 {
+            while self.ms() - begin < self.scenario.last_fault_ms() + 500.0 {
                 thread::sleep(NAP);
             }
             self.over.store(true, Ordering::Relaxed);
             let mut seen = self.seen.lock().expect("no holder panics");
-            seen.took = (took < limit.as_secs_f64() * 1000.0).then_some(took);
-            if seen.took.is_none() {
-                seen.broken.push(format!(
+            seen.completed_after_ms = (took < limit.as_secs_f64() * 1000.0).then_some(took);
+            if seen.completed_after_ms.is_none() {
+                seen.violations.push(format!(
                     "not all released {:.0} s after the last fault",
                     self.scenario.done_within / 1e3
                 ));
@@ -352,20 +357,20 @@
         let mut seen = self.seen.lock().expect("no holder panics").clone();
         let lasted = (self.ms() - begin) / 1000.0;
         let relayed = self.relay.bytes.load(Ordering::Relaxed) - bytes;
-        seen.bytes = relayed as f64 / lasted / self.places.len() as f64;
+        seen.bytes_per_s = relayed as f64 / lasted / self.places.len() as f64;
         let version = |place: &Mutex<Place>| place.lock().expect("no holder panics").version;
         seen.released = self
             .places
             .iter()
             .filter(|place| version(place) == NEW)
             .count();
-        (seen.good, seen.all) = (
+        (seen.requests_ok, seen.requests) = (
             self.good.load(Ordering::Relaxed),
             self.all.load(Ordering::Relaxed),
         );
         let lost = self.lost.load(Ordering::Relaxed);
         if lost > 0 {
-            seen.broken.push(format!(
+            seen.violations.push(format!(
                 "{lost} queries without an answer from a process that lived"
             ));
         }
@@ -380,7 +385,7 @@
                 return;
             }
             if from.elapsed() > Duration::from_secs(20) {
-                return self.broken(format!("the release did not begin: {text}"));
+                return self.record_violation(format!("the release did not begin: {text}"));
             }
             thread::sleep(Duration::from_millis(300));
         }
@@ -396,7 +401,7 @@
             self.seen
                 .lock()
                 .expect("no holder panics")
-                .halted
+                .halted_after_ms
                 .get_or_insert(self.ms());
             self.called(at, &["resume"]);
         }
@@ -424,7 +429,7 @@
                     // Its address may have been taken while it was down; anything else is a crash.
                     let log = std::fs::read_to_string(&self.scraps[n].0).unwrap_or_default();
                     if !log.contains("Address already in use") {
-                        self.broken(format!("n{n} ended by itself: {status:?} {log}"));
+                        self.record_violation(format!("n{n} ended by itself: {status:?} {log}"));
                     }
                     self.scraps[n].write("");
                     (place.program, place.back) =
@@ -458,7 +463,7 @@
                         continue;
                     }
                     (code, _) => {
-                        self.broken(format!("turn ended with {code:?}: {text}"));
+                        self.record_violation(format!("turn ended with {code:?}: {text}"));
                         return;
                     }
                 }
@@ -467,7 +472,7 @@
             self.seen
                 .lock()
                 .expect("no holder panics")
-                .to_grant
+                .lease_waits_ms
                 .push(now - waited);
             if !self.alone {
                 self.is_out(n, true);
@@ -509,7 +514,7 @@
     fn restarts(&self, n: usize, turn: &str) {
         let told = {
             let place = self.places[n].lock().expect("no holder panics");
-            place.program.as_ref().map(Program::told_to_end).is_some()
+            place.program.as_ref().map(Program::terminate).is_some()
         };
         let from = Instant::now();
         loop {
@@ -594,16 +599,16 @@
                 .is_some_and(|event| self.ms() - begin >= event.at)
             {
                 let Some(event) = events.next() else { break };
-                self.befalls(event.what, &mut stalled);
+                self.apply_fault(event.what, &mut stalled);
             }
         }
         stalled.iter().for_each(|(n, _)| self.goes_on(*n));
     }
 
-    fn befalls(&self, fault: Fault, stalled: &mut Vec<(usize, Instant)>) {
+    fn apply_fault(&self, fault: Fault, stalled: &mut Vec<(usize, Instant)>) {
         let engine = |n: usize| format!("s-{n}");
         match fault {
-            Fault::Links(way) => self.relay.links(Way {
+            Fault::Links(way) => self.relay.links(LinkConditions {
                 delay: way.delay.max(1.0),
                 ..way
             }),
@@ -643,7 +648,10 @@
                             let mut drained = self.drained.lock().expect("no holder panics");
                             drained[n] = true;
                             let many = drained.iter().filter(|drained| **drained).count();
-                            self.seen.lock().expect("no holder panics").drained(many);
+                            self.seen
+                                .lock()
+                                .expect("no holder panics")
+                                .record_drained(many);
                         }
                     });
                 }
@@ -688,9 +696,9 @@
                     .filter(|_| !place.stalled)
             };
             let before = lives(&self.places[n]);
-            let mut query = Ask::new(id, "/invoke/look", "look", "select 1", QUERY_WAIT);
+            let mut query = ClientQuery::new(id, "/invoke/look", "look", "select 1", QUERY_WAIT);
             query.cost = Some(4.0);
-            let got = ask(self.listens[n], &query, &record);
+            let got = send_query(self.listens[n], &query, &record);
             let same = before.is_some() && before == lives(&self.places[n]);
             self.all.fetch_add(1, Ordering::Relaxed);
             match got {
@@ -707,7 +715,7 @@
 }
 
 /// Whether its connection came up.
-fn got_in(record: &crate::record::Record, query: &Ask) -> bool {
-    let asked = |entry: &crate::record::Entry| matches!(&entry.what, crate::record::What::Asked { id, .. } if *id == query.id());
+fn got_in(record: &crate::record::Record, query: &ClientQuery) -> bool {
+    let asked = |entry: &crate::record::Entry| matches!(&entry.event, crate::record::EventKind::Asked { id, .. } if *id == query.id());
     record.entries().iter().rev().take(4).any(asked)
 }
--- /dev/null
+++ b/crates/testbed/src/invariants/mod.rs
@@ -0,0 +1,232 @@
+//! Checks a run's record against the seven rules. The checker knows the rules' figures and the record, and nothing of
+//! how a dispatcher decides.
+//!
+//! 1. One final answer to each query, in time, and no attempt after it.
+//! 2. No effect applied twice, and no answer that invites a retry of what may have run.
+//! 3. Nothing is sent to an engine that is draining or gone, past a grace.
+//! 4. An engine that warms up is not sent more than it bears.
+//! 5. Queries of one key run in their order, and a key rests after an end in doubt.
+//! 6. Each attempt runs in a zone and on a kind of engine that its class allows.
+//! 7. Retries stay within their budget.
+//!
+//! Start reading at [`find_violations`].
+
+mod arrivals;
+mod history;
+mod rules;
+#[cfg(test)]
+mod tests;
+
+pub use rules::{ClassRules, DedupScope, Effect, RetryBudget, Rules, Violation, WarmUpRule};
+
+use crate::record::{Entry, EventKind, Status};
+use history::{AttemptEnd, EngineHistory, EngineStart, QueryHistory};
+use std::collections::BTreeMap;
+
+/// All violations in a record, by time. Entries must be in the order of their times; what is still to come in a record
+/// that was cut is no violation.
+pub fn find_violations(entries: &[Entry], rules: &Rules) -> Vec<Violation> {
+    let mut checker = Checker::new(rules);
+    for entry in entries {
+        checker.observe(entry);
+    }
+    checker.check_unanswered(entries.last().map_or(0.0, |entry| entry.at_ms));
+    let mut violations = checker.violations;
+    violations.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    violations
+}
+
+/// What was read so far, and what it broke.
+struct Checker<'a> {
+    rules: &'a Rules,
+    queries: BTreeMap<String, QueryHistory>,
+    engines: BTreeMap<String, EngineHistory>,
+    /// When queries were asked, and when retries arrived.
+    asked_ms: Vec<f64>,
+    retries_ms: Vec<f64>,
+    /// For each key, its queries in the order in which they were asked.
+    queries_by_key: BTreeMap<String, Vec<String>>,
+    violations: Vec<Violation>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(rules: &'a Rules) -> Self {
+        Checker {
+            rules,
+            queries: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            asked_ms: Vec::new(),
+            retries_ms: Vec::new(),
+            queries_by_key: BTreeMap::new(),
+            violations: Vec::new(),
+        }
+    }
+
+    fn add_violation(&mut self, rule: u8, at_ms: f64, description: impl Into<String>) {
+        self.violations.push(Violation {
+            rule,
+            at_ms,
+            description: description.into(),
+        });
+    }
+
+    fn observe(&mut self, entry: &Entry) {
+        let at_ms = entry.at_ms;
+        match &entry.event {
+            EventKind::Asked {
+                id,
+                class,
+                max_wait_ms,
+                key,
+            } => {
+                self.asked_ms.push(at_ms);
+                if let Some(key) = key {
+                    self.queries_by_key
+                        .entry(key.clone())
+                        .or_default()
+                        .push(id.clone());
+                }
+                let query = self.queries.entry(id.clone()).or_default();
+                query.class.clone_from(class);
+                query.asked_ms = at_ms;
+                query.max_wait_ms = *max_wait_ms;
+                query.key.clone_from(key);
+            }
+            EventKind::Answered { id, status, .. } => self.on_answer(id, *status, at_ms),
+            EventKind::Left { id } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                }
+            }
+            EventKind::Arrived {
+                engine,
+                id,
+                work_ms,
+            } => self.on_arrival(engine, id, *work_ms, at_ms),
+            EventKind::Applied { engine, id } => self.on_effect_applied(engine, id, at_ms),
+            EventKind::Ended {
+                engine, id, ran, ..
+            } => {
+                let end = AttemptEnd {
+                    at_ms,
+                    may_have_run: *ran,
+                    in_doubt: false,
+                };
+                self.on_attempt_ended(engine, id, end);
+            }
+            EventKind::GivenUp { engine, id } => {
+                let end = AttemptEnd {
+                    at_ms,
+                    may_have_run: true,
+                    in_doubt: true,
+                };
+                self.on_attempt_ended(engine, id, end);
+            }
+            EventKind::Listed { .. } | EventKind::Started { .. } | EventKind::Fault { .. } => {
+                self.observe_engine(entry);
+            }
+        }
+    }
+
+    fn observe_engine(&mut self, entry: &Entry) {
+        match &entry.event {
+            EventKind::Listed {
+                engine,
+                status,
+                zone,
+                kind,
+                cell,
+            } => {
+                let known = self.engines.entry(engine.clone()).or_default();
+                known.zone.clone_from(zone);
+                known.kind.clone_from(kind);
+                known.cell = *cell;
+                known.closed_ms = match status {
+                    Status::Ready => None,
+                    Status::Draining | Status::Gone => known.closed_ms.or(Some(entry.at_ms)),
+                };
+            }
+            EventKind::Started { engine, cores } => {
+                let start = EngineStart {
+                    at_ms: entry.at_ms,
+                    cores: *cores,
+                };
+                self.engines.entry(engine.clone()).or_default().start = Some(start);
+            }
+            _ => {}
+        }
+    }
+
+    fn class_of(&self, query_id: &str) -> Option<&'a ClassRules> {
+        let query = self.queries.get(query_id)?;
+        self.rules.classes.get(&query.class)
+    }
+
+    fn effect_of(&self, query_id: &str) -> Option<Effect> {
+        self.class_of(query_id).map(|class| class.effect)
+    }
+
+    /// Rule 1: one final answer, in time; rule 2: none that invites a retry of what may have run.
+    fn on_answer(&mut self, id: &str, status: u16, at_ms: f64) {
+        let Some(query) = self.queries.get_mut(id) else {
+            return self.add_violation(1, at_ms, format!("an answer to {id}, which nobody asked"));
+        };
+        query.answered_ms.push(at_ms);
+        let count = query.answered_ms.len();
+        let late_ms = at_ms - query.asked_ms - query.max_wait_ms;
+        let may_have_run = query.first_that_may_have_run().is_some();
+        if count > 1 {
+            self.add_violation(1, at_ms, format!("answer {count} to {id}"));
+        }
+        if late_ms > self.rules.slack_ms {
+            let description = format!("the answer to {id} came {late_ms:.0} ms late");
+            self.add_violation(1, at_ms, description);
+        }
+        let rejected = matches!(status, 429 | 503);
+        if rejected && may_have_run && self.effect_of(id) == Some(Effect::NonIdempotent) {
+            let description = format!("{id} was rejected though an attempt may have run");
+            self.add_violation(2, at_ms, description);
+        }
+    }
+
+    /// Rule 2: no second effect. A key that is recognised within its scope applies once, and a stand-in engine keeps no
+    /// keys, so that only classes without one are checked here.
+    fn on_effect_applied(&mut self, engine: &str, id: &str, at_ms: f64) {
+        let Some(query) = self.queries.get_mut(id) else {
+            return;
+        };
+        query.effects_applied += 1;
+        if query.effects_applied > 1 && self.effect_of(id) == Some(Effect::NonIdempotent) {
+            let description = format!("{id} took effect a second time, on {engine}");
+            self.add_violation(2, at_ms, description);
+        }
+    }
+
+    fn on_attempt_ended(&mut self, engine: &str, id: &str, end: AttemptEnd) {
+        let Some(query) = self.queries.get_mut(id) else {
+            return;
+        };
+        let open = query
+            .attempts
+            .iter_mut()
+            .rev()
+            .find(|attempt| attempt.engine == engine && attempt.end.is_none());
+        if let Some(attempt) = open {
+            attempt.end = Some(end);
+        }
+    }
+
+    /// Rule 1: at the record's end, all whose time is over have an answer.
+    fn check_unanswered(&mut self, end_ms: f64) {
+        let mut unanswered = Vec::new();
+        for (id, query) in &self.queries {
+            let due_ms = query.asked_ms + query.max_wait_ms;
+            if !query.is_over() && end_ms > due_ms + self.rules.slack_ms {
+                unanswered.push((id.clone(), due_ms));
+            }
+        }
+        for (id, due_ms) in unanswered {
+            self.add_violation(1, due_ms, format!("no answer to {id}"));
+        }
+    }
+}
