--- a/crates/coordination/tests/model_check.rs
+++ b/crates/coordination/tests/model_check.rs
@@ -1,4 +1,4 @@
-//! Model check: three voters and two dispatchers that request restart leases, of which one at a time may be grants. In
+//! Model check: three voters and two dispatchers that request restart leases, of which one at a time may be granted. In
 //! each time step some links are down, and a voter may be stopped, resumed, or lose its memory. Time steps are coarse; the
 //! quorum node is the real one.
 
@@ -7,7 +7,7 @@
 use tansymux_coordination::codec::{decode, encode};
 use tansymux_coordination::{
     Action as NodeAction, DisruptionReason, Event, Id, Proposal, QuorumConfig, QuorumNode, Record,
-    RecordValue, UnitKind,
+    RecordValue, UnitKind, VoterMemory, VoterStart,
 };
 
 const VOTERS: [Id; 3] = [1, 2, 3];
@@ -111,9 +111,14 @@
     }
 }
 
-fn node(n: usize, now_ms: f64, fresh: bool) -> QuorumNode {
+fn node(n: usize, now_ms: f64, memory: VoterMemory) -> QuorumNode {
     // Rounds begin anew for a voter that lost its memory: leases must not depend on them.
-    QuorumNode::new(VOTERS[n], &VOTERS, CONFIG, now_ms, fresh, 0, n as u64 + 1)
+    let start = VoterStart {
+        memory,
+        round: 0,
+        seed: n as u64 + 1,
+    };
+    QuorumNode::new(VOTERS[n], &VOTERS, CONFIG, start, now_ms)
 }
 
 fn key(dispatcher: usize) -> u64 {
@@ -217,7 +222,9 @@
             until_ms: 0.0,
         };
         let mut state = State {
-            nodes: (0..3).map(|n| node(n, 0.0, true)).collect(),
+            nodes: (0..3)
+                .map(|n| node(n, 0.0, VoterMemory::NeverVoted))
+                .collect(),
             stopped: [false; 3],
             queued: [Vec::new(), Vec::new(), Vec::new()],
             dispatchers: [dispatcher; 2],
@@ -273,7 +280,7 @@
                 }
             }
             Action::LosesMemory(n) => {
-                state.nodes[n] = node(n, state.now_ms, false);
+                state.nodes[n] = node(n, state.now_ms, VoterMemory::MayBeLost);
                 (state.stopped[n], state.queued[n]) = (false, Vec::new());
                 state.memory_losses += 1;
             }
@@ -303,9 +310,9 @@
 #[test]
 fn at_most_one_lease_is_held_in_any_order_of_partitions_stops_and_lost_memory() {
     // To check more states: MODEL_STATES=20000000.
-    let many = std::env::var("MODEL_STATES")
+    let state_count = std::env::var("MODEL_STATES")
         .ok()
-        .and_then(|many| many.parse().ok())
+        .and_then(|count| count.parse().ok())
         .unwrap_or(600_000);
     // Breadth first from the start, then deep random runs: 12 s hold several elections and a whole quarantine.
     QuorumModel
@@ -314,10 +321,10 @@
         .threads(4)
         .spawn_bfs()
         .join()
-        .assert_properties_wide();
+        .assert_always_properties();
     QuorumModel
         .checker()
-        .target_state_count(many)
+        .target_state_count(state_count)
         .threads(4)
         .spawn_simulation(7, stateright::UniformChooser)
         .join()
@@ -325,12 +332,12 @@
 }
 
 trait BreadthFirst {
-    fn assert_properties_wide(&self);
+    fn assert_always_properties(&self);
 }
 
 impl<C: Checker<QuorumModel>> BreadthFirst for C {
     /// Checks what must never hold in some of the states; what must hold sometimes may lie deeper.
-    fn assert_properties_wide(&self) {
+    fn assert_always_properties(&self) {
         assert!(
             self.discovery("at most one lease is held").is_none(),
             "{:?}",
@@ -344,14 +351,14 @@
 fn without_quarantine_a_voter_that_lost_its_memory_lets_two_leases_be_held() {
     // The first two voters accept a lease; the second loses its memory and promises the third. Shows that the check
     // above can fail, and what the quarantine is for.
-    let run = |skip_quarantine: bool| {
+    let run = |memory: VoterMemory| {
         let mut state = QuorumModel.init_states().remove(0);
         let mut next = |action: Action| {
             state = QuorumModel
                 .next_state(&state, action)
                 .expect("every action leads somewhere");
             if let Action::LosesMemory(n) = action {
-                state.nodes[n] = node(n, state.now_ms, skip_quarantine);
+                state.nodes[n] = node(n, state.now_ms, memory);
             }
             state.max_holders
         };
@@ -361,5 +368,7 @@
         next(Action::Step(Links::All));
         next(Action::Step(Links::All))
     };
-    assert_eq!((run(false), run(true)), (1, 2));
+    let with_quarantine = run(VoterMemory::MayBeLost);
+    let without_quarantine = run(VoterMemory::NeverVoted);
+    assert_eq!((with_quarantine, without_quarantine), (1, 2));
 }
