Tests of membership, zones and service levels: their simulated networks and fleets in files of their own

Assertions are untouched. Three tests of quotas and one of followers and two properties of zone-evacuation now have their module before their name (`quotas::`, `follower::`). Comments only elsewhere.

--- a/crates/membership/src/authenticator.rs
+++ b/crates/membership/src/authenticator.rs
@@ -17,11 +17,11 @@
 pub const SEAL_LEN: usize = 16;
 /// Session and sequence number, the part of the seal that the hash covers (bytes).
 const SEAL_HEADER_LEN: usize = 8;
-/// Sessions of one sender that are told apart; the one heard longest ago makes room.
+/// Sessions remembered for each sender; the least recently used one makes room.
 const MAX_SESSIONS: usize = 8;
 /// Sequence numbers behind the highest that are still accepted, once each.
 const REPLAY_WINDOW: u32 = 64;
-/// Senders whose sequence numbers are remembered; the one heard longest ago makes room.
+/// Senders whose sequence numbers are remembered; the least recently used one makes room.
 const MAX_SENDERS: usize = 2048;
 
 /// The keys in force. Without any, datagrams are neither sealed nor checked.
@@ -48,7 +48,7 @@
     received: u64,
 }
 
-/// A sender's sessions, the one heard last at the end. No session is ever shut out: a receiver that has just started
+/// A sender's sessions, the most recently used one at the end. No session is ever shut out: a receiver that has just started
 /// cannot know which of two is the later one, and a delayed datagram of an old session must not shut out the new one.
 #[derive(Debug, Clone, Default)]
 struct Sender {
@@ -64,7 +64,7 @@
     session: u32,
     sequence_number: u32,
     senders: HashMap<u64, Sender>,
-    /// Datagrams accepted so far: orders senders by when they were heard last.
+    /// Datagrams accepted so far: orders senders by their last one.
     accepted_count: u64,
 }
 
@@ -153,7 +153,7 @@
     hasher.finish().to_be_bytes()
 }
 
-/// Compares all bytes wherever they differ, so that the time taken tells nothing about the hash.
+/// Compares all bytes wherever they differ, so that the time taken reveals nothing about the hash.
 fn equal_in_constant_time(expected: &[u8; 8], received: &[u8]) -> bool {
     let differing_bits = expected
         .iter()
@@ -179,7 +179,7 @@
             });
             return true;
         };
-        // The session heard last moves to the end.
+        // The most recently used session moves to the end.
         let mut session = self.sessions.remove(position);
         let is_new = session.accept_once(sequence_number);
         self.sessions.push(session);
--- a/crates/membership/src/authenticator/tests.rs
+++ b/crates/membership/src/authenticator/tests.rs
@@ -29,7 +29,7 @@
         None
     );
     assert_eq!(b.open(1, b"short"), None);
-    // Without keys all is believed, and nothing added.
+    // Without keys every datagram is accepted, and nothing added.
     let mut open = DatagramAuthenticator::new(Keys::default(), 1);
     let mut plain = b"x".to_vec();
     open.seal(&mut plain);
@@ -38,7 +38,7 @@
 
 #[test]
 fn datagrams_are_accepted_throughout_a_key_rotation() {
-    // Old everywhere; then both open and the old seals; then the new one seals; then the old one is gone.
+    // The old key everywhere; then both accepted and the old one signing; then the new one signing; then the old one gone.
     let steps = [
         keys(ONE, ONE),
         keys(ONE, TWO),
@@ -72,13 +72,13 @@
         a.seal(&mut one);
         sent.push(one);
     }
-    // In disorder, and each again.
+    // Out of order, and each twice.
     let order: Vec<usize> = (0..80).map(|n| n ^ 3).collect();
     for n in &order {
         assert!(b.open(1, &sent[*n]).is_some(), "{n}");
         assert!(b.open(1, &sent[*n]).is_none(), "{n}");
     }
-    // A new life of the same sender is believed, and goes on being so when something late of the old one comes.
+    // A new session of the same sender is accepted, also after a late datagram of the old one.
     let mut again = DatagramAuthenticator::new(keys(ONE, ONE), 99);
     let mut one = b"y".to_vec();
     again.seal(&mut one);
@@ -89,7 +89,7 @@
     let mut two = b"z".to_vec();
     again.seal(&mut two);
     assert!(b.open(1, &two).is_some());
-    // The same where whoever hears it has just started, and hears the late one second.
+    // The same for a receiver that has just started and gets the late datagram second.
     let mut started = DatagramAuthenticator::new(keys(ONE, ONE), 10);
     assert!(started.open(1, &one).is_some() && started.open(1, &late).is_some());
     assert!(started.open(1, &two).is_some());
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -55,7 +55,7 @@
     pub bytes: Vec<u8>,
 }
 
-/// What a poll gives.
+/// The result of a poll.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PollOutput {
     /// Datagrams to be sent, in order.
--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -208,7 +208,7 @@
             ..member.to_gossip()
         };
         self.apply_gossip(suspicion);
-        // The suspected member hears of it at once, so that it can refute.
+        // The ping carries the suspicion to the member at once, so that it can refute.
         self.send(address, Message::Ping);
     }
 
--- a/crates/service-levels/src/state_machine.rs
+++ b/crates/service-levels/src/state_machine.rs
@@ -44,7 +44,7 @@
     Signals(Vec<SignalReading>),
     /// The median of what this dispatcher and its peers want.
     Peers {
-        /// Peers that were heard.
+        /// Peers whose reports count.
         peers: usize,
         /// The median.
         wanted_depth: usize,
@@ -109,7 +109,7 @@
     /// Since when less than the depth in force has been wanted.
     recovering_since_ms: Option<f64>,
     previous_peer_count: usize,
-    /// When fewer peers were heard than before.
+    /// When the number of peers whose reports count last fell.
     peer_lost_ms: f64,
     pin: Option<Pin>,
     message_sent_ms: f64,
@@ -208,8 +208,8 @@
         }
     }
 
-    /// Takes readings, and makes at most one step; to be called some times a second. A clock that goes back stands
-    /// still here.
+    /// Takes readings, and makes at most one step; to be called some times a second. A clock that goes back is
+    /// taken to stand still.
     pub fn evaluate(&mut self, readings: &Readings, now_ms: f64) -> Option<&LevelChange> {
         let elapsed_ms = if self.now_ms == LONG_AGO_MS {
             0.0
@@ -266,7 +266,7 @@
         self.depth_since_ms = self.now_ms;
         self.recovering_since_ms = None;
         self.version += 1;
-        // Peers are told at once.
+        // The next message is due at once.
         self.message_sent_ms = LONG_AGO_MS;
         self.record_change(from, to, reason, self.now_ms)
     }
--- a/crates/service-levels/src/state_machine/peers.rs
+++ b/crates/service-levels/src/state_machine/peers.rs
@@ -9,7 +9,7 @@
 const MESSAGE_INTERVAL_MS: f64 = 4000.0;
 /// Interval at which a new instance asks for the depths of its peers (ms), and in which one answer serves all who ask.
 const STARTUP_MESSAGE_INTERVAL_MS: f64 = 800.0;
-/// Peers that are told apart.
+/// Limit on the number of peers.
 const MAX_PEERS: usize = 1024;
 /// Half of the range of sequence numbers, which wrap around: a difference below is newer.
 const SEQUENCE_HALF_RANGE: u16 = 0x8000;
--- a/crates/service-levels/src/state_machine/status.rs
+++ b/crates/service-levels/src/state_machine/status.rs
@@ -3,7 +3,7 @@
 use super::{startup, LevelStateMachine, MIN_CHANGE_INTERVAL_MS};
 use crate::latch::MISSING_SIGNAL_TIMEOUT_MS;
 
-/// Longest hold that two machines with the same [`LevelStateMachine::state_key`] are told apart by (ms).
+/// Longest hold that two machines with the same [`LevelStateMachine::state_key`] differ by (ms).
 const MAX_KEY_HOLD_MS: f64 = 1e6;
 
 /// A trigger, as shown.
@@ -34,7 +34,7 @@
     pub since_ms: f64,
     /// The depth that own signals ask for.
     pub wanted_depth: usize,
-    /// Peers that are heard.
+    /// Peers whose reports count.
     pub peer_count: usize,
     /// Until when an operator's pin holds (ms).
     pub pinned_until_ms: Option<f64>,
--- a/crates/service-levels/src/state_machine/steps.rs
+++ b/crates/service-levels/src/state_machine/steps.rs
@@ -83,7 +83,7 @@
     }
 
     /// The median of what this dispatcher and its peers want, so that no one drags all others; of two medians the one
-    /// nearer to what is wanted here. Own signals where no peer is heard.
+    /// nearer to what is wanted here. Own signals where there is no report of a peer.
     fn agreed_depth(&self, own_depth: usize) -> Wanted {
         let mut wanted = self.depths_wanted_by_peers();
         wanted.push(own_depth);
--- /dev/null
+++ b/crates/service-levels/tests/state_machine/fleet.rs
@@ -0,0 +1,56 @@
+//! Dispatchers that exchange messages over a lossy network, in virtual time.
+
+use crate::invariants::{three, Invariants, EVALUATION_MS};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tansymux_service_levels::LevelStateMachine;
+
+/// So many machines that hear each other through `hears(from, to, rng)`.
+pub struct Fleet {
+    pub machines: Vec<LevelStateMachine>,
+    pub invariants: Vec<Invariants>,
+    pub now: f64,
+    pub rng: Pcg32,
+}
+
+impl Fleet {
+    pub fn new(many: usize) -> Self {
+        Fleet {
+            machines: (0..many).map(|_| LevelStateMachine::new(three())).collect(),
+            invariants: (0..many).map(|_| Invariants::new()).collect(),
+            now: 0.0,
+            rng: Pcg32::seed_from_u64(7),
+        }
+    }
+
+    pub fn run(
+        &mut self,
+        lasts: f64,
+        load: impl Fn(usize, f64) -> f64,
+        hears: impl Fn(usize, usize) -> bool,
+        loss: f64,
+    ) {
+        let end = self.now + lasts;
+        while self.now < end {
+            for n in 0..self.machines.len() {
+                let change = self.machines[n]
+                    .evaluate(&[load(n, self.now)], self.now)
+                    .cloned();
+                self.invariants[n].check(change.as_ref());
+                let Some(message) = self.machines[n].poll_message(self.now) else {
+                    continue;
+                };
+                for to in (0..self.machines.len()).filter(|to| *to != n) {
+                    if hears(n, to) && !self.rng.random_bool(loss) {
+                        self.machines[to].handle_peer_message(n as u32, &message, self.now);
+                    }
+                }
+            }
+            self.now += EVALUATION_MS;
+        }
+    }
+
+    pub fn depths(&self) -> Vec<usize> {
+        self.machines.iter().map(LevelStateMachine::depth).collect()
+    }
+}
--- a/crates/service-levels/tests/state_machine.rs
+++ b/crates/service-levels/tests/state_machine/main.rs
@@ -1,117 +1,14 @@
 //! Levels in virtual time: loads that oscillate around thresholds, peers that come and go, clocks that jump,
 //! configurations that change. Every run is checked against the same invariants.
 
+mod fleet;
+mod invariants;
+
+use fleet::Fleet;
+use invariants::{swing, three, Invariants, EVALUATION_MS};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::HashMap;
-use tansymux_service_levels::{
-    Condition, Config, Degradation, Level, LevelChange, LevelStateMachine, Reason, Signal, Trigger,
-};
-
-const MINUTE_MS: f64 = 60_000.0;
-/// Interval of evaluations (ms).
-const EVALUATION_MS: f64 = 100.0;
-
-fn trigger(signal: Signal, enter: f64, leave: f64) -> Trigger {
-    Trigger {
-        signal,
-        enter_threshold: enter,
-        leave_threshold: leave,
-        enter_hold_ms: 3000.0,
-        leave_hold_ms: 5000.0,
-    }
-}
-
-fn level(name: &str, enter: f64, leave: f64, bounds: f64) -> Level {
-    Level {
-        name: name.into(),
-        enter: Condition {
-            all: vec![trigger(Signal::PressuredEngines(None), enter, leave)],
-            any: Vec::new(),
-        },
-        min_stay_ms: 20_000.0,
-        degradation: Degradation {
-            concurrency_factor: bounds,
-            ..Degradation::default()
-        },
-    }
-}
-
-/// Three levels over one signal.
-fn three() -> Config {
-    Config {
-        levels: vec![
-            level("spare", 0.4, 0.3, 0.8),
-            level("short", 0.6, 0.5, 0.5),
-            level("bare", 0.8, 0.7, 0.2),
-        ],
-    }
-}
-
-/// Depths that a change may never pass over, and changes of a level within a minute.
-struct Invariants {
-    changed: HashMap<usize, f64>,
-    depth: usize,
-    changes: usize,
-}
-
-impl Invariants {
-    fn new() -> Self {
-        Invariants {
-            changed: HashMap::new(),
-            depth: 0,
-            changes: 0,
-        }
-    }
-
-    fn check(&mut self, change: Option<&LevelChange>) {
-        let Some(change) = change else { return };
-        assert_eq!(change.from, self.depth);
-        let begins = matches!(change.reason, Reason::Startup { .. });
-        assert!(begins || change.from.abs_diff(change.to) == 1, "{change:?}");
-        for level in change.from.min(change.to)..change.from.max(change.to) {
-            if let Some(before) = self.changed.insert(level, change.at_ms) {
-                assert!(
-                    change.at_ms - before >= MINUTE_MS,
-                    "level {level} changed twice in {} ms",
-                    change.at_ms - before
-                );
-            }
-        }
-        self.depth = change.to;
-        self.changes += 1;
-    }
-}
-
-/// Ten minutes of a load; how often levels changed, and the deepest.
-fn swing(config: &Config, load: impl FnMut(f64) -> f64) -> (usize, usize) {
-    swing_for(config, 600_000.0, load)
-}
-
-fn swing_for(config: &Config, lasts: f64, mut load: impl FnMut(f64) -> f64) -> (usize, usize) {
-    let (mut machine, mut invariants, mut deepest) =
-        (LevelStateMachine::new(config.clone()), Invariants::new(), 0);
-    let mut now = 0.0;
-    while now < lasts {
-        let reading = load(now).clamp(0.0, 1.0);
-        invariants.check(machine.evaluate(&[reading], now));
-        assert_eq!(machine.depth(), invariants.depth);
-        deepest = deepest.max(machine.depth());
-        now += EVALUATION_MS;
-    }
-    // When all is clear it comes back to full service, in order, in bounded time.
-    let from = now;
-    while machine.depth() > 0 {
-        invariants.check(machine.evaluate(&[0.0], now));
-        now += EVALUATION_MS;
-        assert!(
-            now - from < 4.0 * 61_000.0 + 60_000.0,
-            "stuck at {}",
-            machine.depth()
-        );
-    }
-    (invariants.changes, deepest)
-}
+use tansymux_service_levels::{Condition, Config, Degradation, LevelStateMachine, Reason, Signal};
 
 #[test]
 fn configuration_of_these_tests_is_valid() {
@@ -313,56 +210,6 @@
     assert!(machine.evaluate(&[0.5], 603_000.0).is_some());
 }
 
-/// So many machines that hear each other through `hears(from, to, rng)`.
-struct Fleet {
-    machines: Vec<LevelStateMachine>,
-    invariants: Vec<Invariants>,
-    now: f64,
-    rng: Pcg32,
-}
-
-impl Fleet {
-    fn new(many: usize) -> Self {
-        Fleet {
-            machines: (0..many).map(|_| LevelStateMachine::new(three())).collect(),
-            invariants: (0..many).map(|_| Invariants::new()).collect(),
-            now: 0.0,
-            rng: Pcg32::seed_from_u64(7),
-        }
-    }
-
-    fn run(
-        &mut self,
-        lasts: f64,
-        load: impl Fn(usize, f64) -> f64,
-        hears: impl Fn(usize, usize) -> bool,
-        loss: f64,
-    ) {
-        let end = self.now + lasts;
-        while self.now < end {
-            for n in 0..self.machines.len() {
-                let change = self.machines[n]
-                    .evaluate(&[load(n, self.now)], self.now)
-                    .cloned();
-                self.invariants[n].check(change.as_ref());
-                let Some(message) = self.machines[n].poll_message(self.now) else {
-                    continue;
-                };
-                for to in (0..self.machines.len()).filter(|to| *to != n) {
-                    if hears(n, to) && !self.rng.random_bool(loss) {
-                        self.machines[to].handle_peer_message(n as u32, &message, self.now);
-                    }
-                }
-            }
-            self.now += EVALUATION_MS;
-        }
-    }
-
-    fn depths(&self) -> Vec<usize> {
-        self.machines.iter().map(LevelStateMachine::depth).collect()
-    }
-}
-
 #[test]
 fn peers_agree_on_the_median_and_one_alone_moves_nobody() {
     let mut fleet = Fleet::new(5);
--- a/crates/zone-evacuation/src/controller/witnesses.rs
+++ b/crates/zone-evacuation/src/controller/witnesses.rs
@@ -5,7 +5,7 @@
 
 /// How long a report counts (ms); members repeat theirs every 0.7 s.
 const REPORT_LIFETIME_MS: f64 = 4000.0;
-/// Members that are told apart, as many as crates/membership keeps.
+/// Limit on the number of members, the same as in crates/membership.
 const MAX_MEMBERS: usize = 1024;
 
 /// A member of the fleet, by the membership and by its own words.
--- a/crates/zone-evacuation/src/follower.rs
+++ b/crates/zone-evacuation/src/follower.rs
@@ -3,7 +3,7 @@
 use crate::{Stage, ZoneId, ZoneStatus, MAX_ZONES};
 use std::collections::BTreeMap;
 
-/// After a start, other zones are closed until the leader was heard, for this long at the most (ms): a member that
+/// After a start, other zones are closed until a message of the leader arrives, for this long at the most (ms): a member that
 /// knows no decisions does not know which zones to avoid.
 const STARTUP_CLOSED_MS: f64 = 2500.0;
 
@@ -63,7 +63,7 @@
 pub struct EvacuationFollower {
     own_zone: ZoneId,
     started_ms: f64,
-    /// When the leader was last heard.
+    /// When the leader's last message arrived.
     leader_contact_ms: f64,
     autonomy_after_ms: f64,
     zones: BTreeMap<ZoneId, KnownZone>,
@@ -153,12 +153,12 @@
         }
     }
 
-    /// All zones that are not in full use, as last heard.
+    /// All zones that are not in full use, as the leader last reported them.
     pub fn statuses(&self) -> impl Iterator<Item = (ZoneId, ZoneStatus)> + '_ {
         self.zones.iter().map(|(zone, known)| (*zone, known.status))
     }
 
-    /// Time since the leader was last heard, or since the start (ms).
+    /// Time since the leader's last message, or since the start (ms).
     pub fn leader_silent_ms(&self, now_ms: f64) -> f64 {
         now_ms - self.leader_contact_ms.max(self.started_ms)
     }
--- a/crates/zone-evacuation/src/model.rs
+++ b/crates/zone-evacuation/src/model.rs
@@ -7,7 +7,7 @@
 /// A member's identifier.
 pub type MemberId = u64;
 
-/// Zones that are told apart.
+/// Limit on the number of zones.
 pub const MAX_ZONES: usize = 12;
 
 /// Stage of an evacuation. Its number is part of the fleet's records and messages.
--- a/crates/zone-evacuation/src/ramp_quotas.rs
+++ b/crates/zone-evacuation/src/ramp_quotas.rs
@@ -5,7 +5,7 @@
 
 /// Members that can hold quotas.
 const MAX_HOLDERS: usize = 1024;
-/// Unexpired quotas of one member that are told apart, each smaller than the one before.
+/// Unexpired grants kept for each member, each smaller than the one before.
 const MAX_GRANTS_PER_MEMBER: usize = 16;
 /// Fraction of a step that is shared evenly, the rest by demand: a member without a quota can still find out that it
 /// needs more.
--- /dev/null
+++ b/crates/zone-evacuation/tests/evacuation/main.rs
@@ -0,0 +1,241 @@
+//! The controller's assessments and decisions, the quotas that members may hold, and members that do not hear the
+//! leader.
+
+mod follower;
+mod leader;
+mod quota_simulation;
+mod quotas;
+
+use leader::{with_short_steps, Leader, EAST, WEST};
+use tansymux_zone_evacuation::{
+    Config, EvacuationRefused, Initiator, Reachability, Reason, Stage, ZoneHealth, ZoneStatus,
+};
+
+/// A status of a returning zone.
+fn recovering(step: u8, number: u32) -> ZoneStatus {
+    ZoneStatus {
+        stage: Stage::Recovering,
+        step,
+        decision_number: number,
+        reason: Reason::Reached,
+    }
+}
+
+#[test]
+fn zone_without_witnesses_inside_or_outside_is_lost_and_evacuated_once() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    assert_eq!(leader.controller.assess(EAST, leader.now), ZoneHealth::Lost);
+    assert_eq!(
+        (leader.changes.len(), leader.stage(EAST)),
+        (1, Some(Stage::Evacuated))
+    );
+}
+
+#[test]
+fn new_leader_keeps_the_capacity_of_the_endpoint_list() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.controller.clear();
+    leader.receive_reports(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    assert_eq!(leader.stage(EAST), Some(Stage::Evacuated));
+}
+
+#[test]
+fn members_inside_an_unreached_zone_show_that_it_is_cut_off() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(5000.0, EAST, |_, home| {
+        Some((
+            if home == EAST {
+                Reachability::Reachable
+            } else {
+                Reachability::Unreachable
+            },
+            false,
+        ))
+    });
+    assert_eq!(
+        leader.controller.assess(EAST, leader.now),
+        ZoneHealth::CutOff
+    );
+    assert_eq!(leader.agreed[&EAST].reason, Reason::CutOff);
+}
+
+#[test]
+fn zone_unreached_by_a_few_members_is_not_evacuated() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(8000.0, EAST, |id, home| {
+        Some((
+            if home != EAST && id < 4 {
+                Reachability::Unreachable
+            } else {
+                Reachability::Reachable
+            },
+            false,
+        ))
+    });
+    assert_eq!(
+        leader.controller.assess(EAST, leader.now),
+        ZoneHealth::PartlyUnreachable
+    );
+    assert!(leader.changes.is_empty());
+}
+
+#[test]
+fn isolated_members_and_members_without_evidence_do_not_count_as_witnesses() {
+    let mut leader = Leader::new(with_short_steps());
+    // One outside is well, four are alone and say cut, one has seen nothing.
+    leader.receive_reports(6000.0, EAST, |id, home| match (home, id) {
+        (EAST, _) => Some((Reachability::Reachable, false)),
+        (_, 1) => Some((Reachability::Unknown, false)),
+        (_, 2) => Some((Reachability::Reachable, false)),
+        _ => Some((Reachability::Unreachable, true)),
+    });
+    assert!(leader.changes.is_empty(), "{:?}", leader.changes);
+    // Only one in six knows: too few to conclude.
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(6000.0, EAST, |id, _| {
+        (id == 1).then_some((Reachability::Unreachable, false))
+    });
+    assert_eq!(
+        leader.controller.assess(EAST, leader.now),
+        ZoneHealth::Unknown
+    );
+    assert!(leader.changes.is_empty());
+}
+
+#[test]
+fn slow_zone_that_answers_is_not_evacuated() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(10_000.0, EAST, |_, _| {
+        Some((Reachability::Reachable, false))
+    });
+    assert!(leader.changes.is_empty());
+}
+
+#[test]
+fn second_zone_and_too_many_cores_need_an_operator_and_enough_capacity() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(4000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    let mut second = leader.agreed.clone();
+    assert_eq!(second.len(), 1);
+    let answer =
+        leader
+            .controller
+            .check_evacuation(WEST, &second, Initiator::Controller, leader.now);
+    assert!(
+        matches!(answer, Err(EvacuationRefused::TooManyCores { fraction }) if fraction > 0.6),
+        "{answer:?}"
+    );
+    // By hand it is asked whether the rest carries it, and the figures are told.
+    let answer = leader
+        .controller
+        .check_evacuation(WEST, &second, Initiator::Operator, leader.now);
+    assert_eq!(answer, Ok(()));
+    second.clear();
+    let heavy = Config {
+        spill_capacity_fraction: 0.1,
+        full_threads_per_core: 1.0,
+        ..with_short_steps()
+    };
+    leader.controller.set_config(heavy);
+    let answer = leader
+        .controller
+        .check_evacuation(WEST, &second, Initiator::Operator, leader.now);
+    assert!(
+        matches!(answer, Err(EvacuationRefused::InsufficientCapacity { load_threads, capacity_threads }) if load_threads > capacity_threads),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn return_advances_step_by_step_to_full_use_within_its_time() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    leader.receive_reports(30_000.0, EAST, |_, _| {
+        Some((Reachability::Reachable, false))
+    });
+    assert_eq!(leader.stage(EAST), None, "{:?}", leader.changes);
+    // Left, returns, eight steps, whole.
+    assert_eq!(leader.changes.len(), 1 + 1 + 8 + 1);
+    let numbers: Vec<u32> = leader
+        .changes
+        .iter()
+        .filter_map(|decision| decision.status)
+        .map(|status| status.decision_number)
+        .collect();
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
+}
+
+#[test]
+fn failures_set_a_return_back_and_losing_the_zone_ends_it() {
+    let mut leader = Leader::new(with_short_steps());
+    leader.receive_reports(5000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    leader.receive_reports(7000.0, EAST, |_, _| Some((Reachability::Reachable, false)));
+    let step = leader.agreed[&EAST].step;
+    assert!(step >= 2);
+    for _ in 0..6 {
+        leader.failures = leader.failures.wrapping_add(9);
+        leader.receive_reports(250.0, EAST, |_, _| Some((Reachability::Reachable, false)));
+    }
+    assert!(
+        leader
+            .agreed
+            .get(&EAST)
+            .is_none_or(|known| known.step < step),
+        "{:?}",
+        leader.changes
+    );
+    leader.receive_reports(3000.0, EAST, |_, home| {
+        (home != EAST).then_some((Reachability::Unreachable, false))
+    });
+    assert_eq!(leader.stage(EAST), Some(Stage::Evacuated));
+}
+
+#[test]
+fn flapping_zone_stays_evacuated_longer_each_time_up_to_a_limit() {
+    for period in [3000.0, 10_000.0, 60_000.0] {
+        let config = Config {
+            min_evacuation_ms: 2000.0,
+            max_evacuation_ms: 60_000.0,
+            flap_window_ms: 600_000.0,
+            ..with_short_steps()
+        };
+        let mut leader = Leader::new(config);
+        for _ in 0..(400_000.0 / period) as usize {
+            leader.receive_reports(period / 2.0, EAST, |_, home| {
+                (home != EAST).then_some((Reachability::Unreachable, false))
+            });
+            leader.receive_reports(period / 2.0, EAST, |_, _| {
+                Some((Reachability::Reachable, false))
+            });
+        }
+        let left = leader
+            .changes
+            .iter()
+            .filter(|decision| {
+                decision
+                    .status
+                    .is_some_and(|status| status.stage == Stage::Evacuated)
+            })
+            .count();
+        assert!(
+            (1..=14).contains(&left),
+            "left {left} times at a period of {period}"
+        );
+        // And it is whole in the end, once it stays well.
+        leader.receive_reports(60_000.0 + 30_000.0, EAST, |_, _| {
+            Some((Reachability::Reachable, false))
+        });
+        assert_eq!(leader.stage(EAST), None);
+    }
+}
--- a/crates/zone-routing/src/detector.rs
+++ b/crates/zone-routing/src/detector.rs
@@ -26,7 +26,7 @@
 const ANSWERED_LATELY_MS: f64 = 2000.0;
 /// Interval of health checks of an unreachable zone (ms), one engine after the other.
 const HEALTH_CHECK_INTERVAL_MS: f64 = 500.0;
-/// Peers that are told apart.
+/// Limit on the number of peers.
 const MAX_PEERS: usize = 1024;
 /// Changes that are kept for display.
 const MAX_HISTORY: usize = 64;
@@ -301,7 +301,7 @@
         self.zones.len() - 1
     }
 
-    /// Sets a zone's state and records the change; peers are told with the next message.
+    /// Sets a zone's state and records the change; peers learn of it with the next message.
     fn set_state(&mut self, zone: usize, state: ZoneState, reason: Reason) {
         let record = &mut self.zones[zone];
         record.state = state;
--- a/crates/zone-routing/src/detector/planning.rs
+++ b/crates/zone-routing/src/detector/planning.rs
@@ -21,7 +21,7 @@
         }
     }
 
-    /// This dispatcher's even share of a zone: of as many dispatchers as configured, or more where more are heard.
+    /// This dispatcher's even share of a zone: of as many dispatchers as configured, or more where more send messages.
     fn dispatcher_share(&self) -> f64 {
         1.0 / self.dispatchers.max(self.peers.len() as f64 + 1.0)
     }
