--- a/crates/dispatcher/src/statement_shape.rs
+++ b/crates/dispatcher/src/statement_shape.rs
@@ -1,15 +1,15 @@
 //! What the analysis of a statement leaves with its query until the attempts of that have ended.
 //!
-//! It stands below both the query registry, which carries it, and the statement classifier, which reads it.
+//! A module below both the query registry, which carries it, and the statement classifier, which reads it.
 
 use std::rc::Rc;
 use tansymux_sql_analysis::Class;
 
-/// A statement's fingerprint without its literals, and what its features say of it.
+/// A statement without its literals, and what the analysis made of it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StatementShape {
     /// Hash of the statement's tokens with its literals left out.
-    pub shape: u128,
+    pub shape_id: u128,
     /// The class that its features give it.
     pub class: Class,
     /// The cost that its features alone give it (thread time, ms).
