--- a/crates/operator-config/build.rs
+++ b/crates/operator-config/build.rs
@@ -1,19 +1,22 @@
-//! Compiles the schema in Rust: no protoc is needed.
+//! Compiles the schema with protox, which is written in Rust: protoc is not needed.
+
+use prost::Message;
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     println!("cargo:rerun-if-changed=proto/operator.proto");
-    let set = protox::compile(["proto/operator.proto"], ["proto"])?;
-    let out = std::path::PathBuf::from(std::env::var("OUT_DIR")?);
-    // With its comments left out: the set is only read to know names and types.
-    let mut bare = set.clone();
-    bare.file
-        .iter_mut()
-        .for_each(|file| file.source_code_info = None);
-    std::fs::write(out.join("operator.fds"), prost_bytes(&bare))?;
-    prost_build::Config::new().out_dir(&out).compile_fds(set)?;
+    let descriptors = protox::compile(["proto/operator.proto"], ["proto"])?;
+    let out_directory = std::path::PathBuf::from(std::env::var("OUT_DIR")?);
+    // The program needs names and types only: comments are left out.
+    let mut without_comments = descriptors.clone();
+    for file in &mut without_comments.file {
+        file.source_code_info = None;
+    }
+    std::fs::write(
+        out_directory.join("operator.fds"),
+        without_comments.encode_to_vec(),
+    )?;
+    prost_build::Config::new()
+        .out_dir(&out_directory)
+        .compile_fds(descriptors)?;
     Ok(())
 }
-
-fn prost_bytes(set: &impl prost::Message) -> Vec<u8> {
-    set.encode_to_vec()
-}
