--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,11 +1,11 @@
 //! Runs and measurements on loopback: `cargo run --release -p tansymux-testbed -- demo`.
 
-use clap::{Parser, Subcommand};
-use std::path::PathBuf;
+use clap::{Args, Parser, Subcommand};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tansymux_testbed::fleet::processes::ProcessOptions;
 use tansymux_testbed::fleet::zones::ZoneCutPlan;
-use tansymux_testbed::fleet::{self, run_seeds, scenario::Scenario, PlayOptions};
+use tansymux_testbed::fleet::{self, run_seeds, scenario, scenario::Scenario, PlayOptions};
 use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
@@ -18,22 +18,22 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Half a minute of a quarter start with one engine failing and one draining; exit 1 if a rule broke
+    /// Half a minute of a quarter start, with one engine failing and one draining; exit 1 if a rule broke
     Demo {
         #[arg(long, default_value_t = 30.0)]
         seconds: f64,
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
-    /// Levels: a load that swings around all thresholds; exit 1 if a level changed twice in a minute or a rule broke
+    /// Service levels under a load that swings around all thresholds; exit 1 if a level changed twice in a minute or a rule broke
     Levels {
         #[arg(long, default_value_t = 600.0)]
         seconds: f64,
-        /// Where the plot goes
+        /// A file for the plot
         #[arg(long)]
         svg: Option<PathBuf>,
     },
-    /// Halls: two of them, three dispatchers, one hall cut and restored, with tiers and without; exit 1 if a rule broke
+    /// Two zones and three dispatchers, one zone cut and restored, with tiers and without; exit 1 if a rule broke
     Halls {
         #[arg(long, default_value_t = 40.0)]
         seconds: f64,
@@ -42,113 +42,58 @@
         #[arg(long)]
         svg: Option<PathBuf>,
     },
-    /// Levels: how long after a step of load they come, and full service after the step back
+    /// Service levels: how long after a step of load they come, and full service after the step back
     Reaction {
         #[arg(long, default_value_t = 300.0)]
         seconds: f64,
         #[arg(long, default_value_t = 3)]
         seeds: u64,
     },
-    /// Levels: a quarter start beyond capacity, with levels and without, on the same seeds
+    /// Service levels: a quarter start beyond capacity, with levels and without, on the same seeds
     Quarters {
         #[arg(long, default_value_t = 24.0)]
         seconds: f64,
         #[arg(long, default_value_t = 2)]
         seeds: u64,
     },
-    /// Fleets: scenarios on real processes with a relay on every link; exit 1 if one was broken
-    Fleet {
-        #[arg(long, default_value_t = 5)]
-        members: usize,
-        #[arg(long, default_value_t = 1)]
-        seeds: u64,
-        #[arg(long, default_value_t = 1)]
-        first: u64,
-        /// No faults
-        #[arg(long)]
-        calm: bool,
-        /// One of the hard cases, as in two-halves or leader-stops
-        #[arg(long)]
-        name: Option<String>,
-        /// Without agreement, for comparison
-        #[arg(long)]
-        alone: bool,
-        /// A scenario from a file, as `--show` writes it, and not from a seed
-        #[arg(long)]
-        file: Option<PathBuf>,
-        /// Writes the scenario and does not play it
-        #[arg(long)]
-        show: bool,
-        /// A folder for the processes' logs
-        #[arg(long)]
-        logs: Option<PathBuf>,
-    },
-    /// Zones: one is cut and returns cold, on real processes, by three arms; exit 1 if the agreed arm did not leave, did
-    /// not become whole again, gave out more than the whole, or left a query without an answer
-    Zones {
-        #[arg(long, default_value_t = 6)]
-        dispatchers: usize,
-        #[arg(long, default_value_t = 1)]
-        seeds: u64,
-        #[arg(long, default_value_t = 1)]
-        first: u64,
-        #[arg(long, default_value_t = 0.0)]
-        loss: f64,
-        #[arg(long, default_value_t = 7.0)]
-        cut_s: f64,
-    },
-    /// Fleets: scenarios in virtual time, many seeds; exit 1 if one was broken
-    FleetVirtual {
-        #[arg(long, default_value_t = 5)]
-        members: usize,
-        #[arg(long, default_value_t = 200)]
-        seeds: u64,
-        #[arg(long, default_value_t = 0)]
-        first: u64,
-        /// Loss on all links from the first to the last, locate_program the faults
-        #[arg(long, default_value_t = 0.0)]
-        loss: f64,
-        /// No faults locate_program that
-        #[arg(long)]
-        calm: bool,
-        /// Without agreement, for comparison; what breaks is counted and no failure
-        #[arg(long)]
-        alone: bool,
-        /// A line for each run
-        #[arg(long)]
-        show: bool,
-    },
-    /// Statements: accuracy of class and effect on both parts of the corpus
+    /// Fleet scenarios on real processes, with a relay on every link; exit 1 if one failed
+    Fleet(FleetArgs),
+    /// One zone is cut and returns cold, on real processes, in three variants; exit 1 if the agreed variant did not leave
+    /// it, did not become whole again, gave out more than the whole, or left a query without an answer
+    Zones(ZonesArgs),
+    /// Fleet scenarios in virtual time, for many seeds; exit 1 if one failed
+    FleetVirtual(FleetVirtualArgs),
+    /// Statement analysis: accuracy of class and effect on both parts of the corpus
     Accuracy {
         #[arg(long, default_value_t = 1)]
         seed: u64,
-        /// Wrong ones that are shown of each part
+        /// How many wrong ones are shown of each part
         #[arg(long, default_value_t = 0)]
         show: usize,
     },
-    /// Statements: random mutations of the corpus, and which were falsely proven; exit 1 if one was
+    /// Statement analysis: random mutations of the corpus; exit 1 if one was falsely proven read-only
     Mutations {
         #[arg(long, default_value_t = 1_000_000)]
         many: usize,
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
-    /// Statements: hit rate with and without a flood of new shapes
+    /// Statement analysis: hit rate with and without a flood of new shapes
     Cache {
         #[arg(long, default_value_t = 200_000)]
         many: usize,
     },
-    /// Statements: time of a hit and of a miss
+    /// Statement analysis: time of a hit and of a miss
     Time {
         #[arg(long, default_value_t = 200_000)]
         many: usize,
     },
-    /// Statements: learned against true cost
+    /// Statement analysis: learned against true cost
     Learning {
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
-    /// Statements: the corpus through the real program, bare, honest and guessed
+    /// Statement analysis: the corpus through the real program, bare, honest and guessed
     Replay {
         #[arg(long, default_value_t = 15.0)]
         seconds: f64,
@@ -159,167 +104,232 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct FleetArgs {
+    #[arg(long, default_value_t = 5)]
+    members: usize,
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// No faults
+    #[arg(long)]
+    calm: bool,
+    /// One of the hard cases, for example two-halves or leader-stops
+    #[arg(long)]
+    name: Option<String>,
+    /// Supervisors restart without a lease, for comparison
+    #[arg(long)]
+    alone: bool,
+    /// A scenario from a file, as `--show` prints it
+    #[arg(long)]
+    file: Option<PathBuf>,
+    /// Prints the scenario and does not play it
+    #[arg(long)]
+    show: bool,
+    /// A folder for the processes' logs
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+struct FleetVirtualArgs {
+    #[arg(long, default_value_t = 5)]
+    members: usize,
+    #[arg(long, default_value_t = 200)]
+    seeds: u64,
+    #[arg(long, default_value_t = 0)]
+    first: u64,
+    /// Loss on all links from the first to the last, locate_program the faults
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// No faults locate_program that
+    #[arg(long)]
+    calm: bool,
+    /// Supervisors restart without a lease, for comparison: what breaks is counted and is no failure
+    #[arg(long)]
+    alone: bool,
+    /// Prints a line for each run
+    #[arg(long)]
+    show: bool,
+}
+
+#[derive(Debug, Args)]
+struct ZonesArgs {
+    #[arg(long, default_value_t = 6)]
+    dispatchers: usize,
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    #[arg(long, default_value_t = 7.0)]
+    cut_s: f64,
+}
+
+/// Why a scenario could not be had.
+#[derive(Debug, thiserror::Error)]
+enum ScenarioError {
+    #[error(transparent)]
+    File(#[from] fleet::ScenarioFileError),
+    #[error("{name:?} is none of {}", scenario::NAMES.join(", "))]
+    UnknownName { name: String },
+}
+
 fn main() -> ExitCode {
     program::kill_children_on_signal();
-    let exe = || {
-        program::locate_program().unwrap_or_else(|e| {
-            eprintln!("tansymux-testbed: {e}");
-            std::process::exit(1)
-        })
-    };
-    match Cli::parse().command {
+    if execute(Cli::parse().command) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// The program under test, built first where cargo runs this.
+fn executable() -> PathBuf {
+    program::locate_program().unwrap_or_else(|error| {
+        eprintln!("tansymux-testbed: {error}");
+        std::process::exit(1)
+    })
+}
+
+/// Prints a table; whether the run passed.
+fn show(table: &str, failed: bool) -> bool {
+    print!("{table}");
+    !failed
+}
+
+/// Whether the run passed.
+fn execute(command: Command) -> bool {
+    match command {
         Command::Demo { seconds, seed } => {
-            let report = demo::run(&exe(), seconds, seed, false);
-            print!("{}", report.table);
-            if !report.violations.is_empty() {
-                return ExitCode::FAILURE;
-            }
+            let report = demo::run(&executable(), seconds, seed, false);
+            show(&report.table, !report.violations.is_empty())
         }
         Command::Levels { seconds, svg } => {
-            let (table, broken) = levels::swing(&exe(), seconds, svg.as_deref());
-            print!("{table}");
-            if broken {
-                return ExitCode::FAILURE;
-            }
+            let (table, failed) = levels::swing(&executable(), seconds, svg.as_deref());
+            show(&table, failed)
         }
         Command::Halls {
             seconds,
             seeds,
             svg,
         } => {
-            let (table, broken) = zone_routing::run(&exe(), seconds, seeds, svg.as_deref());
-            print!("{table}");
-            if broken {
-                return ExitCode::FAILURE;
-            }
-        }
-        Command::Fleet {
-            members,
-            seeds,
-            first,
-            calm,
-            name,
-            alone,
-            file,
-            show,
-            logs,
-        } => {
-            let of = |seed| match &file {
-                Some(path) => fleet::read_scenario(path).map_err(|error| error.to_string()),
-                None if name.is_some() => {
-                    let name = name.as_deref().unwrap_or_default();
-                    let all = fleet::scenario::NAMES.join(", ");
-                    Scenario::named(name, seed).ok_or(format!("{name:?} is none of {all}"))
-                }
-                None if calm => Ok(Scenario::calm(seed, members)),
-                None => Ok(Scenario::mixed(seed, members)),
-            };
-            let options = ProcessOptions {
-                uncoordinated: alone,
-                logs,
-            };
-            let mut all = Vec::new();
-            for seed in first..first + seeds {
-                let scenario = match of(seed) {
-                    Ok(scenario) => scenario.on_processes(),
-                    Err(e) => {
-                        eprintln!("tansymux-testbed: {e}");
-                        return ExitCode::FAILURE;
-                    }
-                };
-                if show {
-                    println!(
-                        "{}",
-                        serde_json::to_string_pretty(&scenario).unwrap_or_default()
-                    );
-                    continue;
-                }
-                let seen = fleet::processes::play(&exe(), &scenario, &options);
-                println!("{}", seen.line());
-                if !seen.violations.is_empty() {
-                    println!(
-                        "  again: tansymux-testbed fleet --members {members} --first {seed} --seeds 1"
-                    );
-                }
-                all.push(seen);
-            }
-            print!("{}", fleet::table(&all, false));
-            if !alone && all.iter().any(|seen| !seen.violations.is_empty()) {
-                return ExitCode::FAILURE;
-            }
-        }
-        Command::Zones {
-            dispatchers,
-            seeds,
-            first,
-            loss,
-            cut_s,
-        } => {
-            let of = |seed| ZoneCutPlan {
-                dispatchers,
-                loss,
-                cut_for: cut_s * 1000.0,
-                ..ZoneCutPlan::short(seed)
-            };
-            let (table, broken) = fleet::zones::compare(&exe(), first..first + seeds, of);
-            print!("{table}");
-            if broken {
-                return ExitCode::FAILURE;
-            }
-        }
-        Command::FleetVirtual {
-            members,
-            seeds,
-            first,
-            loss,
-            calm,
-            alone,
-            show,
-        } => {
-            let of = |seed| {
-                let mixed = if calm {
-                    Scenario::calm(seed, members)
-                } else {
-                    Scenario::mixed(seed, members)
-                };
-                if loss > 0.0 {
-                    mixed.with_loss(loss)
-                } else {
-                    mixed
-                }
-            };
-            let options = PlayOptions {
-                uncoordinated: alone,
-                show_all: show,
-            };
-            let outcome = run_seeds(first..first + seeds, of, options);
-            print!("{}", outcome.table);
-            if outcome.failed && !alone {
-                return ExitCode::FAILURE;
-            }
+            let (table, failed) = zone_routing::run(&executable(), seconds, seeds, svg.as_deref());
+            show(&table, failed)
         }
         Command::Reaction { seconds, seeds } => {
-            print!("{}", levels::reaction(&exe(), seconds, seeds))
+            show(&levels::reaction(&executable(), seconds, seeds), false)
         }
         Command::Quarters { seconds, seeds } => {
-            print!("{}", levels::quarters(&exe(), seconds, seeds))
+            show(&levels::quarters(&executable(), seconds, seeds), false)
         }
-        Command::Accuracy { seed, show } => print!("{}", measure::accuracy(seed, show)),
+        Command::Fleet(args) => play_fleet(&args),
+        Command::FleetVirtual(args) => play_virtual_fleet(&args),
+        Command::Zones(args) => play_zone_cut(&args),
+        Command::Accuracy { seed, show: shown } => show(&measure::accuracy(seed, shown), false),
         Command::Mutations { many, seed } => {
             let table = measure::mutations(many, seed);
-            print!("{table}");
-            if table.contains("false: ") {
-                return ExitCode::FAILURE;
-            }
+            let failed = table.contains("false: ");
+            show(&table, failed)
         }
-        Command::Cache { many } => print!("{}", measure::cache(many, 1)),
-        Command::Time { many } => print!("{}", measure::time(many, 1)),
-        Command::Learning { seed } => print!("{}", measure::learning(seed)),
+        Command::Cache { many } => show(&measure::cache(many, 1), false),
+        Command::Time { many } => show(&measure::time(many, 1), false),
+        Command::Learning { seed } => show(&measure::learning(seed), false),
         Command::Replay {
             seconds,
             rate,
             seeds,
-        } => print!("{}", replay::run(&exe(), seconds, rate, seeds)),
+        } => show(&replay::run(&executable(), seconds, rate, seeds), false),
+    }
+}
+
+impl FleetArgs {
+    fn scenario(&self, seed: u64) -> Result<Scenario, ScenarioError> {
+        let scenario = match (&self.file, &self.name) {
+            (Some(path), _) => fleet::read_scenario(path)?,
+            (None, Some(name)) => match Scenario::named(name, seed) {
+                Some(scenario) => scenario,
+                None => return Err(ScenarioError::UnknownName { name: name.clone() }),
+            },
+            (None, None) if self.calm => Scenario::calm(seed, self.members),
+            (None, None) => Scenario::mixed(seed, self.members),
+        };
+        Ok(scenario.on_processes())
+    }
+}
+
+fn play_fleet(args: &FleetArgs) -> bool {
+    let mut reports = Vec::new();
+    for seed in args.first..args.first + args.seeds {
+        let scenario = match args.scenario(seed) {
+            Ok(scenario) => scenario,
+            Err(error) => {
+                eprintln!("tansymux-testbed: {error}");
+                return false;
+            }
+        };
+        if args.show {
+            let text = serde_json::to_string_pretty(&scenario).unwrap_or_default();
+            println!("{text}");
+            continue;
+        }
+        reports.push(play_on_processes(&executable(), args, seed, &scenario));
+    }
+    print!("{}", fleet::table(&reports, false));
+    args.alone || reports.iter().all(|report| report.violations.is_empty())
+}
+
+/// Plays one scenario; for one that failed, prints the command that plays it again.
+fn play_on_processes(
+    exe: &Path,
+    args: &FleetArgs,
+    seed: u64,
+    scenario: &Scenario,
+) -> fleet::FleetReport {
+    let options = ProcessOptions {
+        uncoordinated: args.alone,
+        logs: args.logs.clone(),
+    };
+    let report = fleet::processes::play(exe, scenario, &options);
+    println!("{}", report.line());
+    if !report.violations.is_empty() {
+        let members = args.members;
+        println!("  again: tansymux-testbed fleet --members {members} --first {seed} --seeds 1");
     }
-    ExitCode::SUCCESS
+    report
+}
+
+fn play_virtual_fleet(args: &FleetVirtualArgs) -> bool {
+    let scenario = |seed| {
+        let scenario = if args.calm {
+            Scenario::calm(seed, args.members)
+        } else {
+            Scenario::mixed(seed, args.members)
+        };
+        if args.loss > 0.0 {
+            scenario.with_loss(args.loss)
+        } else {
+            scenario
+        }
+    };
+    let options = PlayOptions {
+        uncoordinated: args.alone,
+        show_all: args.show,
+    };
+    let outcome = run_seeds(args.first..args.first + args.seeds, scenario, options);
+    show(&outcome.table, outcome.failed && !args.alone)
+}
+
+fn play_zone_cut(args: &ZonesArgs) -> bool {
+    let plan = |seed| ZoneCutPlan {
+        dispatchers: args.dispatchers,
+        loss: args.loss,
+        cut_for_ms: args.cut_s * 1000.0,
+        ..ZoneCutPlan::short(seed)
+    };
+    let seeds = args.first..args.first + args.seeds;
+    let outcome = fleet::zones::compare(&executable(), seeds, plan);
+    show(&outcome.table, outcome.failed)
 }
