Subsystem feeds: the same verbs and order of arguments; leadership logged with its term

Need: the four feeds took the same events in different shapes (now first, engine and outcome apart from their event). Change: `on_*(event, now_ms)` everywhere; zone routing has `on_health_check_ended` beside `on_attempt_ended`; the log line "leadership changed" has the ballot's round as `term`; a Notify of the fleet's task that nothing ever notified is gone; start takes the operators' file by reference.

--- a/crates/dispatcher/src/dispatcher/decision_sink.rs
+++ b/crates/dispatcher/src/dispatcher/decision_sink.rs
@@ -76,14 +76,12 @@
         return;
     }
     registry.with_query(query_id, |query| {
-        levels.on_query_answered(
-            now_ms,
-            &QueryAnswered {
-                group: &query.resource_group,
-                kind,
-                latency_ms: now_ms - query.received_ms,
-                cost_ms: query.estimated_cost_ms,
-            },
-        );
+        let event = QueryAnswered {
+            group: &query.resource_group,
+            kind,
+            latency_ms: now_ms - query.received_ms,
+            cost_ms: query.estimated_cost_ms,
+        };
+        levels.on_query_answered(&event, now_ms);
     });
 }
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -73,9 +73,10 @@
                 self.on_progress_note(&note, control);
             }
             Event::HealthCheckEnded { engine_id, outcome } => {
+                let ended = HealthCheckEnded { engine_id, outcome };
                 let zones = &self.subsystems.zones;
-                zones.on_attempt_ended(self.now_ms, engine_id, outcome);
-                control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
+                zones.on_health_check_ended(&ended, self.now_ms);
+                control.on_health_check_ended(&ended);
             }
             Event::EndpointList { kind, endpoints } => {
                 self.on_endpoint_list(kind, endpoints, control, out);
@@ -85,7 +86,7 @@
                     peer,
                     content: &content,
                 };
-                if !self.subsystems.on_peer_message(self.now_ms, &message) {
+                if !self.subsystems.on_peer_message(&message, self.now_ms) {
                     control.on_peer_message(&message);
                 }
             }
@@ -139,7 +140,7 @@
             .with_query(query_id, classified_attempt)
             .flatten();
         self.subsystems
-            .on_attempt_ended(self.now_ms, &ended, statement.as_ref());
+            .on_attempt_ended(&ended, statement.as_ref(), self.now_ms);
         if ended.outcome == Outcome::Completed {
             let levels = &self.subsystems.levels;
             record_answer(
@@ -163,7 +164,7 @@
                 .registry
                 .with_query(note.query_id, |query| query.engine_id);
             if let Some(engine_id) = engine_id {
-                zones.on_progress_note(self.now_ms, engine_id);
+                zones.on_progress_note(engine_id, self.now_ms);
             }
         }
         if note.kind == NoteKind::Waiting {
@@ -180,7 +181,7 @@
         control: &mut Control,
         out: &mut dyn DecisionSink,
     ) {
-        self.subsystems.on_endpoints(self.now_ms, &mut endpoints);
+        self.subsystems.on_endpoints(&mut endpoints, self.now_ms);
         control.begin_update(kind);
         for endpoint in &endpoints {
             self.engines.upsert_endpoint(endpoint);
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -68,11 +68,11 @@
     /// The operators' file does not go with the settings, the settings cannot be used, or an address cannot be bound.
     pub fn start(
         config: StartupConfig,
-        operator: Operator,
+        operator: &Operator,
         common: Common,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Result<Self, StartError> {
-        check_against_settings(&operator, &config.settings).map_err(StartError::OperatorConfig)?;
+        check_against_settings(operator, &config.settings).map_err(StartError::OperatorConfig)?;
         let settings = Rc::new(Settings::read(&config.settings)?);
         let mut control = Control::new(config.seed, &config.settings)?;
         let mut launcher = Launcher {
@@ -88,7 +88,7 @@
             config.connection_settings,
         );
         let mut subsystems = new_subsystems(&config, &settings);
-        subsystems.reconfigure(&operator, launcher.clock.now(), &mut control);
+        subsystems.reconfigure(operator, launcher.clock.now(), &mut control);
         let clients = Rc::new(ClientFrontend::new(
             launcher.registry.clone(),
             launcher.clock,
@@ -98,7 +98,7 @@
             subsystems.zones.clone(),
         ));
         let peers = launcher.start_peers(config.peers)?;
-        subsystems.fleet = launcher.start_fleet(&operator, &settings, config.seed)?;
+        subsystems.fleet = launcher.start_fleet(operator, &settings, config.seed)?;
         let resolver = Rc::new(Cell::new(config.resolver));
         launcher.start_discovery(config.directory, resolver.clone(), config.seed);
         launcher.start_listener(&clients, config.listen)?;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -98,7 +98,7 @@
     let config = config::read()?;
     let executor = Rc::new(LocalExecutor::new());
     let name = config.name.clone();
-    let dispatcher = Dispatcher::start(config, operator, common, executor.clone())?;
+    let dispatcher = Dispatcher::start(config, &operator, common, executor.clone())?;
     tracing::info!(name, "serving");
     async_io::block_on(executor.run(dispatcher.run(signals)));
     log::finish();
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -6,7 +6,6 @@
 mod engine_watch;
 
 use crate::clock::Clock;
-use crate::notify::Notify;
 use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_io::{Async, Timer};
 use engine_watch::EngineWatch;
@@ -17,7 +16,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
-use tansymux::events::Outcome;
+use tansymux::events::{AttemptEnded, Outcome};
 use tansymux::settings::Settings;
 use tansymux_coordination::Role;
 use tansymux_operator_config::{name_hash, schema};
@@ -72,8 +71,6 @@
     member: RefCell<FleetNode>,
     socket: Async<UdpSocket>,
     clock: Clock,
-    /// Wakes the task on the socket.
-    notify: Rc<Notify>,
     registry: Rc<QueryRegistry>,
     evidence: RefCell<EngineOutcomes>,
     /// When an engine counts as bad; none where engines are not ejected.
@@ -117,8 +114,7 @@
             member: RefCell::new(FleetNode::new(&member_settings, now_ms, seed)),
             socket,
             clock,
-            notify: Rc::default(),
-            registry: registry.clone(),
+            registry,
             evidence: RefCell::default(),
             ejection: Cell::new(ejection_settings(definition)),
             zone,
@@ -130,8 +126,8 @@
             datagrams_received: Cell::default(),
         });
         let counted = service.clone();
-        registry
-            .counters
+        let counters = &service.registry.counters;
+        counters
             .extra_reports
             .borrow_mut()
             .push(Box::new(move |text| counted.write_counters(text)));
@@ -166,11 +162,7 @@
                 Timer::at(self.clock.instant(wake_ms)).await;
                 None
             };
-            let notified = async {
-                self.notify.notified().await;
-                None
-            };
-            match future::or(datagram, future::or(timer, notified)).await {
+            match future::or(datagram, timer).await {
                 Some(Ok((count, from))) => {
                     self.receive(from, &buffer[..count]);
                     self.receive_pending(&mut buffer);
@@ -242,18 +234,18 @@
     }
 
     /// Counts an attempt's end as evidence for or against its engine, where engines may be ejected.
-    pub fn on_attempt_ended(&self, now_ms: f64, engine_id: u64, outcome: Outcome) {
+    pub fn on_attempt_ended(&self, event: &AttemptEnded, now_ms: f64) {
         if self.ejection.get().is_none() {
             return;
         }
-        let is_failure = match outcome {
+        let is_failure = match event.outcome {
             Outcome::Completed => false,
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
             Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
         };
         self.evidence
             .borrow_mut()
-            .record(engine_id, is_failure, now_ms);
+            .record(event.engine_id, is_failure, now_ms);
     }
 
     /// Merges entries of an endpoint list, and marks those that the fleet has drained as draining, whatever the list
@@ -273,13 +265,23 @@
         let report = self.own_report(now_ms, load);
         let mut member = self.member.borrow_mut();
         member.set_status(report);
-        let is_leader = matches!(member.role(), Some(Role::Leader(_)));
-        if self.was_leader.replace(Some(is_leader)) != Some(is_leader) {
-            tracing::info!(is_leader, "leadership changed");
-        }
+        self.log_leadership(member.role());
         self.engines.borrow_mut().changes(now_ms, &member)
     }
 
+    /// Logs that this member became the leader, or ceased to be. `term` is the round of the ballot that it knows of.
+    fn log_leadership(&self, role: Option<Role>) {
+        let is_leader = matches!(role, Some(Role::Leader(_)));
+        if self.was_leader.replace(Some(is_leader)) == Some(is_leader) {
+            return;
+        }
+        let term = match role {
+            Some(Role::Leader(ballot) | Role::Follower(ballot)) => Some(ballot.round),
+            Some(Role::Candidate | Role::Quarantined { .. }) | None => None,
+        };
+        tracing::info!(is_leader, term, "leadership changed");
+    }
+
     /// What this dispatcher reports of itself. Counts go as they are, modulo 2^32: the leader takes differences.
     fn own_report(&self, now_ms: f64, load: LoadReport) -> MemberStatus {
         let counters = &self.registry.counters;
--- a/crates/dispatcher/src/subsystems/mod.rs
+++ b/crates/dispatcher/src/subsystems/mod.rs
@@ -10,14 +10,15 @@
 //! | --- | --- | --- |
 //! | `new(settings, ..)` | once, at the start | the subsystem, off |
 //! | `reconfigure(definition, now_ms, ..)` | at the start, and at SIGHUP with a file that was checked | |
-//! | `on_endpoints(now_ms, endpoints)` | at each endpoint list update, with the entries that changed | |
-//! | `on_attempt_ended(now_ms, event)` | at the end of each attempt | |
-//! | `on_peer_message(now_ms, message)` | at each message of a peer | whether the message is this subsystem's |
+//! | `on_endpoints(entries, now_ms)` | at each endpoint list update, with the entries that changed | |
+//! | `on_attempt_ended(event, now_ms)` | at the end of each attempt | |
+//! | `on_peer_message(message, now_ms)` | at each message of a peer | whether the message is this subsystem's |
 //! | `tick(now_ms, ..)` | each round; it keeps its own interval | what is to be done: messages, endpoint changes |
 //! | `write_counters(text)` | for `/_counters` and at the end | its lines; none while off |
 //! | `to_json(now_ms, ..)` | for its path | its state |
 //!
-//! Times are milliseconds on the program's clock. [`Subsystems`] holds the four and passes each event to those that want
+//! Times are milliseconds on the program's clock; `now_ms` comes behind what happened, and is left out where a subsystem
+//! does not need it. [`Subsystems`] holds the four and passes each event to those that want
 //! it, always in the same order. The program is one thread: state is in `Cell` and `RefCell`, and no borrow is held over
 //! a call to another subsystem but from zone routing to the fleet, which never calls back.
 
@@ -60,34 +61,33 @@
     }
 
     /// Passes entries of an endpoint list on. The fleet marks engines that it drained as draining, so it comes first.
-    pub fn on_endpoints(&self, now_ms: f64, endpoints: &mut [EndpointEntry]) {
+    pub fn on_endpoints(&self, endpoints: &mut [EndpointEntry], now_ms: f64) {
         if let Some(fleet) = &self.fleet {
             fleet.on_endpoints(endpoints);
         }
         self.statements.on_endpoints(endpoints);
-        self.zones.on_endpoints(now_ms, endpoints);
+        self.zones.on_endpoints(endpoints, now_ms);
     }
 
     /// `statement`: what the query's statement was read as, where it was read.
     pub fn on_attempt_ended(
         &self,
-        now_ms: f64,
         event: &AttemptEnded,
         statement: Option<&ClassifiedAttempt>,
+        now_ms: f64,
     ) {
-        self.zones
-            .on_attempt_ended(now_ms, event.engine_id, event.outcome);
+        self.zones.on_attempt_ended(event, now_ms);
         if let Some(fleet) = &self.fleet {
-            fleet.on_attempt_ended(now_ms, event.engine_id, event.outcome);
+            fleet.on_attempt_ended(event, now_ms);
         }
         if let Some(statement) = statement {
-            self.statements.on_attempt_ended(now_ms, event, statement);
+            self.statements.on_attempt_ended(event, statement, now_ms);
         }
     }
 
     /// Whether the message was one of a subsystem's; else it is the decisions'.
-    pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
-        self.levels.on_peer_message(now_ms, message) || self.zones.on_peer_message(now_ms, message)
+    pub fn on_peer_message(&self, message: &PeerMessage, now_ms: f64) -> bool {
+        self.levels.on_peer_message(message, now_ms) || self.zones.on_peer_message(message, now_ms)
     }
 
     /// All counters as text.
--- a/crates/dispatcher/src/subsystems/service_levels.rs
+++ b/crates/dispatcher/src/subsystems/service_levels.rs
@@ -197,7 +197,7 @@
     }
 
     /// Counts an answer for the signals on late and rejected queries.
-    pub fn on_query_answered(&self, now_ms: f64, event: &QueryAnswered) {
+    pub fn on_query_answered(&self, event: &QueryAnswered, now_ms: f64) {
         let mut active = self.active.borrow_mut();
         let Some(active) = active.as_mut() else {
             return;
@@ -275,7 +275,7 @@
     }
 
     /// Whether it is a message about levels. While levels are off it is passed over.
-    pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
+    pub fn on_peer_message(&self, message: &PeerMessage, now_ms: f64) -> bool {
         if message.content.first() != Some(&tansymux_service_levels::codec::MESSAGE_KIND) {
             return false;
         }
--- a/crates/dispatcher/src/subsystems/statement_classifier.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier.rs
@@ -226,7 +226,7 @@
     }
 
     /// Learns from the end of an attempt of a query whose statement was read.
-    pub fn on_attempt_ended(&self, now_ms: f64, event: &AttemptEnded, attempt: &ClassifiedAttempt) {
+    pub fn on_attempt_ended(&self, event: &AttemptEnded, attempt: &ClassifiedAttempt, now_ms: f64) {
         let end = match event.outcome {
             Outcome::Completed => ExecutionEnd::Completed,
             Outcome::Timeout => ExecutionEnd::Interrupted,
--- a/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -61,7 +61,7 @@
         latency_ms: 7.0,
         used: None,
     };
-    (0..9).for_each(|_| classes.on_attempt_ended(0.0, &ended, &taken));
+    (0..9).for_each(|_| classes.on_attempt_ended(&ended, &taken, 0.0));
     let unknown = classes.classify(b"call f()", 0.0).unwrap();
     assert_eq!(
         (unknown.group.as_deref(), unknown.traits.may_write),
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -12,7 +12,7 @@
 use std::fmt::Write;
 use std::rc::Rc;
 use tansymux::control::Control;
-use tansymux::events::{EndpointState, Outcome, PeerMessage};
+use tansymux::events::{AttemptEnded, EndpointState, HealthCheckEnded, Outcome, PeerMessage};
 use tansymux::settings::Settings;
 use tansymux::zone_plan;
 use tansymux_operator_config::{name_hash, schema};
@@ -99,7 +99,7 @@
     }
 
     /// Merges entries of an endpoint list.
-    pub fn on_endpoints(&self, now_ms: f64, entries: &[EndpointEntry]) {
+    pub fn on_endpoints(&self, entries: &[EndpointEntry], now_ms: f64) {
         let mut endpoints = self.endpoints.borrow_mut();
         for entry in entries {
             endpoints.retain(|known| known.engine_id != entry.engine_id);
@@ -119,23 +119,32 @@
         }
     }
 
-    /// An attempt or a health check ended: whether the engine was reached.
-    pub fn on_attempt_ended(&self, now_ms: f64, engine_id: u64, outcome: Outcome) {
+    /// Evidence on an engine's zone: whether the attempt reached the engine.
+    pub fn on_attempt_ended(&self, event: &AttemptEnded, now_ms: f64) {
+        self.observe_outcome(event.engine_id, event.outcome, now_ms);
+    }
+
+    /// Evidence on an engine's zone: whether the health check reached the engine.
+    pub fn on_health_check_ended(&self, event: &HealthCheckEnded, now_ms: f64) {
+        self.observe_outcome(event.engine_id, event.outcome, now_ms);
+    }
+
+    fn observe_outcome(&self, engine_id: u64, outcome: Outcome, now_ms: f64) {
         let kind = match outcome {
             Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             // Cancelled here, or never sent: that says nothing of the engine.
             Outcome::Cancelled | Outcome::NotSent => return,
         };
-        self.observe(now_ms, engine_id, kind);
+        self.observe(engine_id, kind, now_ms);
     }
 
     /// An engine sent a progress note, so it is reached.
-    pub fn on_progress_note(&self, now_ms: f64, engine_id: u64) {
-        self.observe(now_ms, engine_id, ObservationKind::Answered);
+    pub fn on_progress_note(&self, engine_id: u64, now_ms: f64) {
+        self.observe(engine_id, ObservationKind::Answered, now_ms);
     }
 
-    fn observe(&self, now_ms: f64, engine_id: u64, kind: ObservationKind) {
+    fn observe(&self, engine_id: u64, kind: ObservationKind, now_ms: f64) {
         if let Some(detector) = self.detector.borrow_mut().as_mut() {
             let observation = Observation { engine_id, kind };
             detector.handle(Event::EngineObserved(observation), now_ms);
@@ -231,7 +240,7 @@
     }
 
     /// Whether it is a message about zones. While zone routing is off it is passed over.
-    pub fn on_peer_message(&self, now_ms: f64, message: &PeerMessage) -> bool {
+    pub fn on_peer_message(&self, message: &PeerMessage, now_ms: f64) -> bool {
         if message.content.first() != Some(&MESSAGE_KIND) {
             return false;
         }
