Testbed: engine in modules, learning as a struct with named steps

Change: engine/ has scripted and attempt; learning is a struct. Draws keep their order; wire::frame -> read_frame.

--- a/crates/dispatcher/tests/life_cycle/engines.rs
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -26,7 +26,7 @@
 
 /// Command and query id of the next request on a connection.
 fn next_request(stream: &TcpStream) -> Option<(String, String)> {
-    let parts = wire::frame(&mut BufReader::with_capacity(1, stream))?;
+    let parts = wire::read_frame(&mut BufReader::with_capacity(1, stream))?;
     Some((parts[0].clone(), parts[1].clone()))
 }
 
@@ -158,7 +158,7 @@
             let sender = sender.clone();
             thread::spawn(move || {
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
-                while let Some(parts) = wire::frame(&mut reader) {
+                while let Some(parts) = wire::read_frame(&mut reader) {
                     let _ = sender.send(parts[1].clone());
                     write_frame(&mut stream, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
                 }
--- a/crates/dispatcher/tests/sockets/engine_connections.rs
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -197,7 +197,7 @@
     thread::spawn(move || {
         let (stream, _) = listener.accept().unwrap();
         let (mut reader, mut writer) = (BufReader::new(stream.try_clone().unwrap()), stream);
-        while let Some(parts) = wire::frame(&mut reader) {
+        while let Some(parts) = wire::read_frame(&mut reader) {
             if !vanished_flag.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(90));
                 write_frame(&mut writer, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
--- /dev/null
+++ b/crates/testbed/src/engine/attempt.rs
@@ -0,0 +1,237 @@
+//! An attempt at an engine: admission, its run in small steps, and its end.
+
+use super::{Engine, Fault, QueryWork};
+use crate::record::EventKind;
+use crate::wire::{list_value, write_frame};
+use rand::RngExt;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The longest step of a run.
+const STEP: Duration = Duration::from_millis(2);
+/// How long an engine goes on past the limit that it was given (ms).
+const LIMIT_GRACE_MS: f64 = 200.0;
+/// The limit of a request without one (ms).
+const NO_LIMIT_MS: f64 = 1e9;
+/// After this time an injected error ends a query.
+const ERROR_DELAY: Duration = Duration::from_millis(3);
+/// The most progress that is reported of an attempt that still runs.
+const MAX_REPORTED_PROGRESS: f64 = 0.9999;
+/// What an answer that can't be read looks like.
+const SPOILT_ANSWER: &[u8] = b"*4\r\n$1\r\n\xff\xfe no";
+
+/// An attempt, from its arrival until its end.
+pub(super) struct Attempt {
+    pub id: String,
+    cancelled: AtomicBool,
+}
+
+impl Attempt {
+    pub fn new(id: String) -> Self {
+        Attempt {
+            id,
+            cancelled: AtomicBool::new(false),
+        }
+    }
+
+    pub fn cancel(&self) {
+        self.cancelled.store(true, Ordering::Relaxed);
+    }
+
+    fn is_cancelled(&self) -> bool {
+        self.cancelled.load(Ordering::Relaxed)
+    }
+}
+
+/// What was decided on an attempt's arrival.
+struct Admission {
+    fault: Fault,
+    /// Drawn once for each attempt: what a fault's fraction is compared with.
+    lot: f64,
+    is_full: bool,
+}
+
+/// An attempt that was admitted, with all that its run needs.
+struct Run {
+    engine: Engine,
+    attempt: Arc<Attempt>,
+    work: QueryWork,
+    limit_ms: f64,
+    admission: Admission,
+    writer: Arc<Mutex<TcpStream>>,
+}
+
+impl Engine {
+    /// Takes a request in; whether its connection goes on.
+    pub(super) fn accept(
+        &self,
+        attempt: Arc<Attempt>,
+        fields: &[String],
+        writer: &Arc<Mutex<TcpStream>>,
+    ) -> bool {
+        let work = self.context.work_of(&attempt.id);
+        self.context.record.push(EventKind::Arrived {
+            engine: self.id.clone(),
+            id: attempt.id.clone(),
+            work_ms: work.work,
+        });
+        let limit_ms = fields
+            .get(2)
+            .and_then(|list| list_value(list, "limit")?.parse::<f64>().ok())
+            .unwrap_or(NO_LIMIT_MS);
+        let admission = self.admit(&work);
+        let lot = admission.lot;
+        let said_full = matches!(admission.fault, Fault::Full(fraction) if lot < fraction);
+        if admission.is_full || said_full {
+            if !admission.is_full {
+                self.release_threads(&work);
+            }
+            self.record_end(&attempt, "WAIT", false);
+            let mut writer = writer.lock().expect("no holder panics");
+            return write_frame(&mut *writer, &[&attempt.id, "WAIT", "-", ""]);
+        }
+        if matches!(admission.fault, Fault::Resets(fraction) if lot < fraction) {
+            self.release_threads(&work);
+            self.record_cancelled(&attempt);
+            return false;
+        }
+        let run = Run {
+            engine: self.clone(),
+            attempt,
+            work,
+            limit_ms,
+            admission,
+            writer: writer.clone(),
+        };
+        thread::spawn(move || {
+            run.play();
+            run.engine.release_threads(&run.work);
+        });
+        true
+    }
+
+    /// Takes the threads for an attempt, where there is room.
+    fn admit(&self, work: &QueryWork) -> Admission {
+        let mut state = self.state();
+        let lot: f64 = state.rng.random();
+        let max_threads = self.spec.cores * self.spec.max_threads_a_core;
+        let is_full = state.threads + work.threads > max_threads;
+        if !is_full {
+            state.threads += work.threads;
+        }
+        Admission {
+            fault: state.fault,
+            lot,
+            is_full,
+        }
+    }
+
+    fn release_threads(&self, work: &QueryWork) {
+        self.state().threads -= work.threads;
+    }
+
+    fn record_end(&self, attempt: &Attempt, reply: &str, ran: bool) {
+        self.context.record.push(EventKind::Ended {
+            engine: self.id.clone(),
+            id: attempt.id.clone(),
+            reply: reply.to_owned(),
+            ran,
+        });
+    }
+
+    fn record_cancelled(&self, attempt: &Attempt) {
+        self.context.record.push(EventKind::GivenUp {
+            engine: self.id.clone(),
+            id: attempt.id.clone(),
+        });
+    }
+}
+
+impl Run {
+    fn write(&self, word: &str, fields: &str, body: &str) {
+        let mut writer = self.writer.lock().expect("no holder panics");
+        write_frame(&mut *writer, &[&self.attempt.id, word, fields, body]);
+    }
+
+    fn play(&self) {
+        let lot = self.admission.lot;
+        match self.admission.fault {
+            Fault::Silent => self.stay_silent(),
+            Fault::Errors(fraction) if lot < fraction => {
+                thread::sleep(ERROR_DELAY);
+                self.engine.record_end(&self.attempt, "BROKE", true);
+                self.write("BROKE", "-", "");
+            }
+            _ => {
+                if self.work_off() {
+                    self.complete();
+                } else {
+                    self.engine.record_cancelled(&self.attempt);
+                }
+            }
+        }
+    }
+
+    /// Does nothing until the attempt is cancelled or its limit is over.
+    fn stay_silent(&self) {
+        let from = Instant::now();
+        while !self.attempt.is_cancelled() && elapsed_ms(from) < self.limit_ms {
+            thread::sleep(STEP);
+        }
+        self.engine.record_cancelled(&self.attempt);
+    }
+
+    /// Works until all is done; false where the attempt was cancelled or its limit is over before.
+    fn work_off(&self) -> bool {
+        let needed_ms = self.work.work / self.work.threads;
+        let from = Instant::now();
+        let mut done_ms = 0.0;
+        let mut last_step = from;
+        let mut last_note = Instant::now();
+        while done_ms < needed_ms {
+            let left = Duration::from_secs_f64((needed_ms - done_ms).max(0.0) / 1000.0);
+            thread::sleep(STEP.min(left));
+            let now = Instant::now();
+            let step_ms = (now - last_step).as_secs_f64() * 1000.0 * self.engine.speed();
+            last_step = now;
+            done_ms += step_ms;
+            self.engine.state().busy_ms += step_ms * self.work.threads;
+            if self.attempt.is_cancelled() || elapsed_ms(from) > self.limit_ms + LIMIT_GRACE_MS {
+                return false;
+            }
+            let since_note_ms = now.duration_since(last_note).as_secs_f64() * 1000.0;
+            if since_note_ms >= self.engine.spec.progress_interval_ms {
+                last_note = now;
+                let progress = (done_ms / needed_ms).min(MAX_REPORTED_PROGRESS);
+                self.write("TELL", &format!("tell=frac,num={progress:.4}"), "");
+            }
+        }
+        true
+    }
+
+    fn complete(&self) {
+        if self.work.changes {
+            self.engine.context.record.push(EventKind::Applied {
+                engine: self.engine.id.clone(),
+                id: self.attempt.id.clone(),
+            });
+        }
+        self.engine.record_end(&self.attempt, "DONE", true);
+        let lot = self.admission.lot;
+        if matches!(self.admission.fault, Fault::Spoils(fraction) if lot < fraction) {
+            let mut writer = self.writer.lock().expect("no holder panics");
+            let _ = writer.write_all(SPOILT_ANSWER);
+            return;
+        }
+        let rows = if self.work.changes { "" } else { "a\tb\tc\n" };
+        self.write("DONE", "batches=1", rows);
+    }
+}
+
+fn elapsed_ms(from: Instant) -> f64 {
+    from.elapsed().as_secs_f64() * 1000.0
+}
--- /dev/null
+++ b/crates/testbed/src/engine/mod.rs
@@ -0,0 +1,304 @@
+//! Stand-in engines. [`scripted`] answers each frame as a closure says. [`Engine`] has cores, runs queries side by side,
+//! reports progress, keeps a record, and fails as it is told to.
+//!
+//! Start reading at [`Engine::start`], then at the `attempt` module.
+
+mod attempt;
+mod scripted;
+
+pub use scripted::{refuse_silently, scripted};
+
+use crate::record::{EventKind, Record};
+use crate::wire::{read_frame, write_frame};
+use attempt::Attempt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use std::collections::HashMap;
+use std::io::BufReader;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::Instant;
+
+/// What an engine does with what comes. Fractions are probabilities of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// It works.
+    None,
+    /// All runs take so many times as long.
+    Slow(f64),
+    /// This fraction of the queries ends with an error after a moment; of them what changes tables may have run.
+    Errors(f64),
+    /// This fraction of the queries is answered as full.
+    Full(f64),
+    /// This fraction of the requests ends its connection.
+    Resets(f64),
+    /// It reads all and answers nothing.
+    Silent,
+    /// This fraction of the answers can't be read.
+    Spoils(f64),
+}
+
+/// The truth about a query, for engines.
+#[derive(Debug, Clone, Copy)]
+pub struct QueryWork {
+    /// Work on one core (ms).
+    pub work: f64,
+    /// Threads that it runs on.
+    pub threads: f64,
+    /// Whether it changes tables.
+    pub changes: bool,
+    /// The group of tables that a load locks.
+    pub tables: u32,
+}
+
+impl Default for QueryWork {
+    /// What an engine takes for a query that it does not know.
+    fn default() -> Self {
+        QueryWork {
+            work: 1.0,
+            threads: 1.0,
+            changes: false,
+            tables: 0,
+        }
+    }
+}
+
+/// What all engines of a run share.
+#[derive(Debug, Default)]
+pub struct RunContext {
+    /// What was observed.
+    pub record: Arc<Record>,
+    /// The truth about queries, by their ids.
+    pub works: Mutex<HashMap<String, QueryWork>>,
+}
+
+impl RunContext {
+    /// Tells the engines the truth about a query, before it is sent.
+    pub fn register(&self, query_id: String, work: QueryWork) {
+        self.works
+            .lock()
+            .expect("no holder panics")
+            .insert(query_id, work);
+    }
+
+    fn work_of(&self, query_id: &str) -> QueryWork {
+        let works = self.works.lock().expect("no holder panics");
+        works.get(query_id).copied().unwrap_or_default()
+    }
+}
+
+/// What an engine can do.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineSpec {
+    /// Its cores.
+    pub cores: f64,
+    /// More running threads a core than this are answered as full.
+    pub max_threads_a_core: f64,
+    /// Time between progress notes (ms).
+    pub progress_interval_ms: f64,
+    /// The fraction of its speed that it starts with.
+    pub cold_from: f64,
+    /// How long it takes to reach its full speed (ms).
+    pub warm_after: f64,
+}
+
+impl Default for EngineSpec {
+    fn default() -> Self {
+        EngineSpec {
+            cores: 8.0,
+            max_threads_a_core: 16.0,
+            progress_interval_ms: 100.0,
+            cold_from: 1.0,
+            warm_after: 0.0,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    fault: Fault,
+    /// Threads that run.
+    threads: f64,
+    started: Instant,
+    rng: Pcg32,
+    /// Core time given so far (ms).
+    busy_ms: f64,
+}
+
+/// A running stand-in engine, until it is stopped or the process ends.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Its name in lists and in the record.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    spec: EngineSpec,
+    context: Arc<RunContext>,
+    state: Arc<Mutex<State>>,
+    stopped: Arc<AtomicBool>,
+    streams: Arc<Mutex<HashMap<SocketAddr, TcpStream>>>,
+}
+
+impl Engine {
+    /// Starts an engine on the loopback.
+    ///
+    /// # Panics
+    /// The loopback has no free port.
+    pub fn start(id: &str, spec: EngineSpec, seed: u64, context: Arc<RunContext>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let state = State {
+            fault: Fault::None,
+            threads: 0.0,
+            started: Instant::now(),
+            rng: Pcg32::seed_from_u64(seed),
+            busy_ms: 0.0,
+        };
+        let engine = Engine {
+            id: id.to_owned(),
+            address: listener
+                .local_addr()
+                .expect("a bound socket has an address"),
+            spec,
+            context,
+            state: Arc::new(Mutex::new(state)),
+            stopped: Arc::default(),
+            streams: Arc::default(),
+        };
+        let own = engine.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if own.stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                let own = own.clone();
+                thread::spawn(move || own.serve(stream));
+            }
+        });
+        engine
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn streams(&self) -> MutexGuard<'_, HashMap<SocketAddr, TcpStream>> {
+        self.streams.lock().expect("no holder panics")
+    }
+
+    /// Injects a fault, or ends the one that was.
+    pub fn fault(&self, fault: Fault) {
+        self.state().fault = fault;
+        self.context.record.push(EventKind::Fault {
+            engine: self.id.clone(),
+            fault: format!("{fault:?}"),
+        });
+    }
+
+    /// Starts anew: from now on it warms up.
+    pub fn restart_cold(&self) {
+        self.state().started = Instant::now();
+        self.context.record.push(EventKind::Started {
+            engine: self.id.clone(),
+            cores: self.spec.cores,
+        });
+    }
+
+    /// Ends: what is open is reset, what comes is refused.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for (_, stream) in self.streams().drain() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the listener, so that it closes.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Core time that it has given so far (ms).
+    pub fn busy(&self) -> f64 {
+        self.state().busy_ms
+    }
+
+    /// Threads that run at the moment.
+    pub fn threads(&self) -> f64 {
+        self.state().threads
+    }
+
+    /// Serves a connection until it ends; what still runs on it is cancelled then.
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (Ok(kept), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+            return;
+        };
+        self.streams().insert(peer, kept);
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
+        let writer = Arc::new(Mutex::new(stream));
+        let mut reader = BufReader::new(reader);
+        let mut attempts: Vec<Arc<Attempt>> = Vec::new();
+        while let Some(fields) = read_frame(&mut reader) {
+            if !self.handle_frame(&fields, &mut attempts, &writer) {
+                break;
+            }
+        }
+        let _ = writer
+            .lock()
+            .expect("no holder panics")
+            .shutdown(Shutdown::Both);
+        self.streams().remove(&peer);
+        for attempt in &attempts {
+            attempt.cancel();
+        }
+    }
+
+    /// Handles a frame; whether its connection goes on.
+    fn handle_frame(
+        &self,
+        fields: &[String],
+        attempts: &mut Vec<Arc<Attempt>>,
+        writer: &Arc<Mutex<TcpStream>>,
+    ) -> bool {
+        let word = fields.first().map_or("", String::as_str);
+        let id = fields.get(1).cloned().unwrap_or_default();
+        match word {
+            "fetch" => {
+                let attempt = Arc::new(Attempt::new(id));
+                attempts.retain(|attempt| Arc::strong_count(attempt) > 1);
+                attempts.push(attempt.clone());
+                return self.accept(attempt, fields, writer);
+            }
+            "abort" => {
+                if let Some(attempt) = attempts.iter().find(|attempt| attempt.id == id) {
+                    attempt.cancel();
+                }
+            }
+            "alive" | "stats" if self.state().fault != Fault::Silent => {
+                let mut writer = writer.lock().expect("no holder panics");
+                write_frame(&mut *writer, &[&id, "FIT", "-", ""]);
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// How fast a thread runs at the moment, against one alone on a warm engine.
+    fn speed(&self) -> f64 {
+        let state = self.state();
+        let sharing = (self.spec.cores / state.threads.max(1.0)).min(1.0);
+        let age_ms = state.started.elapsed().as_secs_f64() * 1000.0;
+        let warmth = if self.spec.warm_after > 0.0 {
+            (age_ms / self.spec.warm_after).min(1.0)
+        } else {
+            1.0
+        };
+        let warm_speed = self.spec.cold_from + (1.0 - self.spec.cold_from) * warmth;
+        let slowdown = if let Fault::Slow(times) = state.fault {
+            times
+        } else {
+            1.0
+        };
+        sharing * warm_speed / slowdown
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/engine/scripted.rs
@@ -0,0 +1,57 @@
+//! Scripted engines, and a listener that no connection reaches.
+
+use crate::wire::read_frame;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// An engine whose connections' frames come out of the channel, each with its time; `react` writes what is to be answered.
+///
+/// # Panics
+/// The loopback has no free port.
+// readability: a pair of address and channel; the channel's item is a frame and its time
+pub fn scripted(
+    react: impl Fn(&[String], &mut TcpStream) + Send + Clone + 'static,
+) -> (SocketAddr, Receiver<(Vec<String>, Instant)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let sender = sender.clone();
+            let react = react.clone();
+            thread::spawn(move || {
+                let Ok(reader) = stream.try_clone() else {
+                    return;
+                };
+                let mut reader = BufReader::new(reader);
+                let mut writer = stream;
+                while let Some(fields) = read_frame(&mut reader) {
+                    let _ = sender.send((fields.clone(), Instant::now()));
+                    react(&fields, &mut writer);
+                }
+            });
+        }
+    });
+    (address, receiver)
+}
+
+/// From now on no connection comes up at this listener, as at a machine that vanished, as long as what is returned is
+/// held and nobody accepts: its backlog is as short as it gets, and full.
+///
+/// # Panics
+/// The listener has no address or can't listen.
+pub fn refuse_silently(listener: &TcpListener) -> Vec<TcpStream> {
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    socket2::SockRef::from(listener)
+        .listen(0)
+        .expect("a listener listens");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
+    std::iter::from_fn(connect).collect()
+}
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -248,12 +248,12 @@
 }
 
 /// Ratio (over or under, at least 1) of learned to true costs: median and nine of ten.
-fn errors(analyzer: &mut StatementAnalyzer, shapes: &[(String, f64)], now: f64) -> (f64, f64) {
+fn errors(analyzer: &mut StatementAnalyzer, shapes: &[ShapeCost], now: f64) -> (f64, f64) {
     let mut ratios: Vec<f64> = shapes
         .iter()
-        .map(|(text, truth)| {
-            let read = analyzer.analyze(text.as_bytes());
-            (analyzer.estimate(&read, now).cost_ms / truth)
+        .map(|shape| {
+            let read = analyzer.analyze(shape.text.as_bytes());
+            (analyzer.estimate(&read, now).cost_ms / shape.cost_ms)
                 .ln()
                 .abs()
                 .exp()
@@ -263,102 +263,121 @@
     (ratios[ratios.len() / 2], ratios[ratios.len() * 9 / 10])
 }
 
-/// Learned against true costs, on engines of which one is slow, with waits, bad plans and cut-offs, before and after
-/// the cost of one shape in five changes a hundredfold.
-pub fn learning(seed: u64) -> String {
-    let mut rng = Pcg64::seed_from_u64(seed);
-    let all = corpus(3, 1, seed);
-    let mut shapes: Vec<(String, f64)> = all
-        .iter()
-        .filter(|s| s.class != "unknown")
-        .map(|s| (s.statement.clone(), s.work))
-        .collect();
-    let noise = Normal::new(0.0, 0.25).expect("a finite spread");
-    let mut analyzer = analyzer();
-    let mut table = format!(
-        "{:<34} {:>8} {:>8}\n",
-        "ratio of learned to true cost", "median", "p90"
-    );
-    let mut now = 0.0;
-    let mut rounds = |shapes: &[(String, f64)],
-                      rounds: usize,
-                      analyzer: &mut StatementAnalyzer,
-                      rng: &mut Pcg64| {
+/// A shape of statements, and what one truly costs.
+#[derive(Debug, Clone)]
+struct ShapeCost {
+    text: String,
+    cost_ms: f64,
+}
+
+/// The analyzer, and executions of statements on engines of which one is slow, with waits, bad plans and cut-offs.
+struct Learning {
+    analyzer: StatementAnalyzer,
+    rng: Pcg64,
+    /// Spread (log) of latencies about the true cost.
+    noise: Normal<f64>,
+    now_ms: f64,
+    table: String,
+}
+
+impl Learning {
+    fn play_rounds(&mut self, shapes: &[ShapeCost], rounds: usize) {
         for _ in 0..rounds {
-            for (text, truth) in shapes {
-                now += 5.0;
-                let engine = rng.random_range(0..6_u64);
-                let mut latency = truth * f64::exp(noise.sample(rng));
-                latency *= if engine == 5 { 1.9 } else { 1.0 };
-                let bad_plan = rng.random_bool(0.02);
-                latency *= if bad_plan { 15.0 } else { 1.0 };
-                let waited = rng.random_bool(0.1);
-                latency += if waited {
-                    rng.random_range(50.0..800.0)
-                } else {
-                    0.0
-                };
-                let cut = rng.random_bool(0.03);
-                let end = if cut {
-                    ExecutionEnd::Interrupted
-                } else {
-                    ExecutionEnd::Completed
-                };
-                latency *= if cut { rng.random_range(0.2..0.9) } else { 1.0 };
-                let read = analyzer.analyze(text.as_bytes());
-                let execution = Execution {
-                    ended_at_ms: now,
-                    engine_id: engine,
-                    latency_ms: latency,
-                    threads: 1.0,
-                    end,
-                    waited,
-                    warming_up: false,
-                };
-                analyzer.record_execution(
-                    read.shape_id,
-                    read.analysis.class,
-                    read.analysis.cost_ms,
-                    &execution,
-                );
+            for shape in shapes {
+                self.execute(shape);
             }
         }
-        now
-    };
-    let mut row =
-        |name: &str, analyzer: &mut StatementAnalyzer, shapes: &[(String, f64)], now: f64| {
-            let (median, p90) = errors(analyzer, shapes, now);
-            let _ = writeln!(table, "{name:<34} {median:>8.2} {p90:>8.2}");
+    }
+
+    fn execute(&mut self, shape: &ShapeCost) {
+        self.now_ms += 5.0;
+        let rng = &mut self.rng;
+        let engine_id = rng.random_range(0..6_u64);
+        let mut latency_ms = shape.cost_ms * f64::exp(self.noise.sample(rng));
+        latency_ms *= if engine_id == 5 { 1.9 } else { 1.0 };
+        let bad_plan = rng.random_bool(0.02);
+        latency_ms *= if bad_plan { 15.0 } else { 1.0 };
+        let waited = rng.random_bool(0.1);
+        if waited {
+            latency_ms += rng.random_range(50.0..800.0);
+        }
+        let interrupted = rng.random_bool(0.03);
+        let mut end = ExecutionEnd::Completed;
+        if interrupted {
+            end = ExecutionEnd::Interrupted;
+            latency_ms *= rng.random_range(0.2..0.9);
+        }
+        let read = self.analyzer.analyze(shape.text.as_bytes());
+        let execution = Execution {
+            ended_at_ms: self.now_ms,
+            engine_id,
+            latency_ms,
+            threads: 1.0,
+            end,
+            waited,
+            warming_up: false,
         };
-    row("never seen", &mut analyzer, &shapes, 0.0);
-    for (name, many) in [
+        self.analyzer.record_execution(
+            read.shape_id,
+            read.analysis.class,
+            read.analysis.cost_ms,
+            &execution,
+        );
+    }
+
+    fn add_row(&mut self, name: &str, shapes: &[ShapeCost]) {
+        let (median, p90) = errors(&mut self.analyzer, shapes, self.now_ms);
+        let _ = writeln!(self.table, "{name:<34} {median:>8.2} {p90:>8.2}");
+    }
+}
+
+/// Learned against true costs, before and after the cost of one shape in five changes a hundredfold.
+pub fn learning(seed: u64) -> String {
+    let mut shapes: Vec<ShapeCost> = corpus(3, 1, seed)
+        .into_iter()
+        .filter(|labelled| labelled.class != "unknown")
+        .map(|labelled| ShapeCost {
+            text: labelled.statement,
+            cost_ms: labelled.work,
+        })
+        .collect();
+    let mut learning = Learning {
+        analyzer: analyzer(),
+        rng: Pcg64::seed_from_u64(seed),
+        noise: Normal::new(0.0, 0.25).expect("a finite spread"),
+        now_ms: 0.0,
+        table: format!(
+            "{:<34} {:>8} {:>8}\n",
+            "ratio of learned to true cost", "median", "p90"
+        ),
+    };
+    learning.add_row("never seen", &shapes);
+    for (name, rounds) in [
         ("after 1 query a shape", 1),
         ("after 5", 4),
         ("after 30", 25),
     ] {
-        let now = rounds(&shapes, many, &mut analyzer, &mut rng);
-        row(name, &mut analyzer, &shapes, now);
+        learning.play_rounds(&shapes, rounds);
+        learning.add_row(name, &shapes);
     }
-    for (n, (_, truth)) in shapes.iter_mut().enumerate() {
-        *truth *= if n % 10 == 0 {
-            100.0
-        } else if n % 10 == 5 {
-            0.01
-        } else {
-            1.0
+    for (n, shape) in shapes.iter_mut().enumerate() {
+        shape.cost_ms *= match n % 10 {
+            0 => 100.0,
+            5 => 0.01,
+            _ => 1.0,
         };
     }
-    let changed: Vec<(String, f64)> = shapes.iter().step_by(5).cloned().collect();
-    for (name, many) in [
+    let changed: Vec<ShapeCost> = shapes.iter().step_by(5).cloned().collect();
+    for (name, rounds) in [
         ("changed, after 1", 1),
         ("changed, after 3", 2),
         ("changed, after 5", 2),
         ("changed, after 10", 5),
     ] {
-        let now = rounds(&shapes, many, &mut analyzer, &mut rng);
-        row(name, &mut analyzer, &changed, now);
+        learning.play_rounds(&shapes, rounds);
+        learning.add_row(name, &changed);
     }
-    table
+    learning.table
 }
 
 /// The classes by name, as the program counts them.
--- a/crates/testbed/src/wire.rs
+++ b/crates/testbed/src/wire.rs
@@ -26,7 +26,7 @@
 }
 
 /// An array of bulk strings; none at the end or where it is no such array.
-pub fn frame(from: &mut impl BufRead) -> Option<Vec<String>> {
+pub fn read_frame(from: &mut impl BufRead) -> Option<Vec<String>> {
     let mut number = |mark: &str| {
         let mut line = String::new();
         from.read_line(&mut line).ok()?;
