--- a/crates/dispatcher/tests/platform_limits/clocks.rs
+++ b/crates/dispatcher/tests/platform_limits/clocks.rs
@@ -7,7 +7,7 @@
 use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::client::{send_query_in_two_writes, ClientQuery};
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::program::{used, Config, Program, TempFile};
 use tansymux_testbed::wire::read_response;
@@ -105,7 +105,7 @@
             wait_ms,
         );
         query.cost = Some(20.0);
-        send_query_in_two_parts(program.listen, &query, 40, Duration::from_millis(1))
+        send_query_in_two_writes(program.listen, &query, 40, Duration::from_millis(1))
     };
     // The monotonic clock stops for twice a query's time: the query goes on, the program answers and does not spin.
     let waiting = send_query(1, 600.0);
--- a/crates/dispatcher/tests/platform_limits/resources.rs
+++ b/crates/dispatcher/tests/platform_limits/resources.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::client::{send_query_in_two_writes, ClientQuery};
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::name_service::{Endpoint, NameService};
 use tansymux_testbed::program::{free_udp_address, own_memory, used, Program, TIMEOUT};
@@ -25,7 +25,7 @@
         9000.0,
     );
     query.cost = Some(20.0);
-    send_query_in_two_parts(program.listen, &query, 40, Duration::ZERO)
+    send_query_in_two_writes(program.listen, &query, 40, Duration::ZERO)
 }
 
 #[test]
--- a/crates/dispatcher/tests/platform_limits/support.rs
+++ b/crates/dispatcher/tests/platform_limits/support.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::process::Stdio;
 use std::time::Duration;
-use tansymux_testbed::client::{send_query_in_two_parts, ClientQuery};
+use tansymux_testbed::client::{send_query_in_two_writes, ClientQuery};
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::program::{class, free_address, Config, Program};
 use tansymux_testbed::wire::{read_response, write_frame};
@@ -46,7 +46,7 @@
         wait_ms,
     );
     query.cost = Some(20.0);
-    let stream = send_query_in_two_parts(program.listen, &query, 40, Duration::from_millis(1));
+    let stream = send_query_in_two_writes(program.listen, &query, 40, Duration::from_millis(1));
     read_response(&mut BufReader::new(stream)).map(|got| got.0)
 }
 
--- a/crates/dispatcher/tests/sockets/engine_connections.rs
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::client::{send_query_in_two_parts as post_in_two, ClientQuery};
+use tansymux_testbed::client::{send_query_in_two_writes as post_in_two, ClientQuery};
 use tansymux_testbed::engine::{refuse_silently, scripted as engine};
 use tansymux_testbed::program::{Program, TIMEOUT};
 use tansymux_testbed::wire::{self, read_response};
--- a/crates/dispatcher/tests/sockets/support.rs
+++ b/crates/dispatcher/tests/sockets/support.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::time::Duration;
-use tansymux_testbed::client::{send_query_in_two_parts as post_in_two, ClientQuery};
+use tansymux_testbed::client::{send_query_in_two_writes as post_in_two, ClientQuery};
 use tansymux_testbed::program::{class, free_address, Config, Program};
 use tansymux_testbed::wire;
 
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -263,7 +263,7 @@
         slack_ms: 50.0,
         grace_ms: 1000.0,
         warm_up: None,
-        rest_ms: 0.0,
+        cooldown_ms: 0.0,
         retry_budget: None,
         classes,
     };
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -184,7 +184,7 @@
     assert!(
         rejected
             .iter()
-            .all(|got| got.took < 200.0 && got.retry_after.is_some()),
+            .all(|got| got.latency_ms < 200.0 && got.retry_after.is_some()),
         "{rejected:?}"
     );
     // A group that is confined to the lost zone is never sent elsewhere.
@@ -224,7 +224,7 @@
         slack_ms: 50.0,
         grace_ms: 1000.0,
         warm_up: None,
-        rest_ms: 0.0,
+        cooldown_ms: 0.0,
         retry_budget: None,
         classes,
     };
@@ -290,5 +290,8 @@
         ("well".into(), "well".into())
     );
     let report = site.send_query("report", 100.0).unwrap();
-    assert!(report.status == 429 && report.took < 500.0, "{report:?}");
+    assert!(
+        report.status == 429 && report.latency_ms < 500.0,
+        "{report:?}"
+    );
 }
--- a/crates/simulator/build.rs
+++ b/crates/simulator/build.rs
@@ -1,4 +1,4 @@
-//! Compiles the schema of experiments in Rust.
+//! Compiles the schema of experiments, without a protobuf compiler on the machine.
 
 use prost::Message;
 
--- a/crates/simulator/src/simulation/results.rs
+++ b/crates/simulator/src/simulation/results.rs
@@ -183,7 +183,7 @@
             slack_ms: 50.0,
             grace_ms: 1000.0,
             warm_up: Some(warm_up_rule(&cold)),
-            rest_ms: 0.0,
+            cooldown_ms: 0.0,
             retry_budget: None,
             classes: self
                 .experiment
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -1,4 +1,4 @@
-//! Stand-in clients: one query on a connection of its own, and what came of it, written to the record.
+//! Stand-in clients: each sends one query on a connection of its own, and what came of it goes to the record.
 
 use crate::program::TIMEOUT;
 use crate::record::{EventKind, Record};
@@ -11,27 +11,32 @@
 /// A query as a client sends it.
 #[derive(Debug, Clone)]
 pub struct ClientQuery {
-    /// 16 hex digits.
+    /// Its number, sent as 16 hex digits.
     pub id: u64,
     /// The path of the call, as in `/invoke/look`.
     pub path: String,
     /// What the record calls its class.
     pub class: String,
+    /// The statement.
     pub statement: String,
+    /// How long it waits for an answer (ms).
     pub wait: f64,
+    /// The tenant.
     pub owner: String,
+    /// The declared cost (ms on one core).
     pub cost: Option<f64>,
+    /// The declared need of memory (MB).
     pub memory: Option<f64>,
 }
 
 impl ClientQuery {
+    /// A query of the tenant `acme`, with no declared cost and memory; `wait` in ms.
     pub fn new(id: u64, path: &str, class: &str, statement: &str, wait: f64) -> Self {
-        let (path, class, statement) = (path.to_owned(), class.to_owned(), statement.to_owned());
         ClientQuery {
             id,
-            path,
-            class,
-            statement,
+            path: path.to_owned(),
+            class: class.to_owned(),
+            statement: statement.to_owned(),
             wait,
             owner: "acme".into(),
             cost: None,
@@ -39,6 +44,7 @@
         }
     }
 
+    /// The id as it is sent.
     pub fn id(&self) -> String {
         format!("{:016x}", self.id)
     }
@@ -66,11 +72,14 @@
 /// What a client got.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ClientResponse {
+    /// The HTTP status.
     pub status: u16,
+    /// When it may come back, where it was rejected (ms).
     pub retry_after: Option<f64>,
+    /// The answer.
     pub body: String,
-    /// From the query's last byte (ms).
-    pub took: f64,
+    /// From the query's last byte to the answer's (ms).
+    pub latency_ms: f64,
 }
 
 /// Sends a query and waits for its answer; none if its connection ended without one.
@@ -109,12 +118,12 @@
         status,
         retry_after,
         body,
-        took: record.now_ms() - from,
+        latency_ms: record.now_ms() - from,
     })
 }
 
 /// Sends a query in two parts with a pause between them; the connection on which its answer will come.
-pub fn send_query_in_two_parts(
+pub fn send_query_in_two_writes(
     to: SocketAddr,
     send_query: &ClientQuery,
     cut: usize,
--- a/crates/testbed/src/corpus/oracle.rs
+++ b/crates/testbed/src/corpus/oracle.rs
@@ -130,7 +130,7 @@
                 b'/' if self.peek(1) == b'*' => self.skip_comment(),
                 b'$' if self.dialect.dollar_quotes => self.skip_dollar_quoted(),
                 _ if byte.is_ascii_alphabetic() || byte == b'_' => {
-                    if self.is_changing_word() {
+                    if self.is_changing_token() {
                         return true;
                     }
                 }
@@ -150,7 +150,7 @@
         false
     }
 
-    fn leave_word(&mut self) {
+    fn end_token(&mut self) {
         self.starts_statement = false;
         self.behind_dot = false;
     }
@@ -169,7 +169,7 @@
             self.at += 1;
         }
         self.at += 1;
-        self.leave_word();
+        self.end_token();
     }
 
     fn is_dash_comment(&self) -> bool {
@@ -236,7 +236,7 @@
     }
 
     /// Reads a word; whether it changes something where it is.
-    fn is_changing_word(&mut self) -> bool {
+    fn is_changing_token(&mut self) -> bool {
         let from = self.at;
         while self.peek(0).is_ascii_alphanumeric() || self.peek(0) == b'_' {
             self.at += 1;
@@ -251,7 +251,7 @@
             && (self.starts_statement && is_in(&STARTS)
                 || is_in(&ANYWHERE)
                 || is_called && is_in(&CALLED));
-        self.leave_word();
+        self.end_token();
         changes
     }
 }
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -289,7 +289,7 @@
                 _ => outcome.failed += 1,
             }
             if let Some(response) = response.filter(|response| response.status == 200) {
-                let latency_ms = response.took.max(1.0) as u64;
+                let latency_ms = response.latency_ms.max(1.0) as u64;
                 let _ = outcome.latencies_ms.record(latency_ms);
             }
         })
--- a/crates/testbed/src/engine/attempt.rs
+++ b/crates/testbed/src/engine/attempt.rs
@@ -22,7 +22,7 @@
 /// The most progress that is reported of an attempt that still runs.
 const MAX_REPORTED_PROGRESS: f64 = 0.9999;
 /// What an answer that can't be read looks like.
-const SPOILT_ANSWER: &[u8] = b"*4\r\n$1\r\n\xff\xfe no";
+const MALFORMED_ANSWER: &[u8] = b"*4\r\n$1\r\n\xff\xfe no";
 
 /// An attempt, from its arrival until its end.
 pub(super) struct Attempt {
@@ -51,7 +51,7 @@
 struct Admission {
     fault: Fault,
     /// Drawn once for each attempt: what a fault's fraction is compared with.
-    lot: f64,
+    draw: f64,
     is_full: bool,
 }
 
@@ -84,8 +84,8 @@
             .and_then(|list| list_value(list, "limit")?.parse::<f64>().ok())
             .unwrap_or(NO_LIMIT_MS);
         let admission = self.admit(&work);
-        let lot = admission.lot;
-        let said_full = matches!(admission.fault, Fault::Full(fraction) if lot < fraction);
+        let draw = admission.draw;
+        let said_full = matches!(admission.fault, Fault::Full(fraction) if draw < fraction);
         if admission.is_full || said_full {
             if !admission.is_full {
                 self.release_threads(&work);
@@ -94,7 +94,7 @@
             let mut writer = writer.lock().expect("no holder panics");
             return write_frame(&mut *writer, &[&attempt.id, "WAIT", "-", ""]);
         }
-        if matches!(admission.fault, Fault::Resets(fraction) if lot < fraction) {
+        if matches!(admission.fault, Fault::Resets(fraction) if draw < fraction) {
             self.release_threads(&work);
             self.record_cancelled(&attempt);
             return false;
@@ -117,7 +117,7 @@
     /// Takes the threads for an attempt, where there is room.
     fn admit(&self, work: &QueryWork) -> Admission {
         let mut state = self.state();
-        let lot: f64 = state.rng.random();
+        let draw: f64 = state.rng.random();
         let max_threads = self.spec.cores * self.spec.max_threads_a_core;
         let is_full = state.threads + work.threads > max_threads;
         if !is_full {
@@ -125,7 +125,7 @@
         }
         Admission {
             fault: state.fault,
-            lot,
+            draw,
             is_full,
         }
     }
@@ -158,10 +158,10 @@
     }
 
     fn play(&self) {
-        let lot = self.admission.lot;
+        let draw = self.admission.draw;
         match self.admission.fault {
             Fault::Silent => self.stay_silent(),
-            Fault::Errors(fraction) if lot < fraction => {
+            Fault::Errors(fraction) if draw < fraction => {
                 thread::sleep(ERROR_DELAY);
                 self.engine.record_end(&self.attempt, "BROKE", true);
                 self.write("BROKE", "-", "");
@@ -221,10 +221,10 @@
             });
         }
         self.engine.record_end(&self.attempt, "DONE", true);
-        let lot = self.admission.lot;
-        if matches!(self.admission.fault, Fault::Spoils(fraction) if lot < fraction) {
+        let draw = self.admission.draw;
+        if matches!(self.admission.fault, Fault::Spoils(fraction) if draw < fraction) {
             let mut writer = self.writer.lock().expect("no holder panics");
-            let _ = writer.write_all(SPOILT_ANSWER);
+            let _ = writer.write_all(MALFORMED_ANSWER);
             return;
         }
         let rows = if self.work.changes { "" } else { "a\tb\tc\n" };
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -61,7 +61,7 @@
     pub(crate) fn of_scenario(scenario: &Scenario) -> Self {
         FleetReport {
             seed: scenario.seed,
-            limit: scenario.most,
+            limit: scenario.max_out,
             drain_limit: scenario.max_engines,
             members: scenario.members,
             last_fault_ms: scenario.last_fault_ms(),
--- a/crates/testbed/src/fleet/processes/faults.rs
+++ b/crates/testbed/src/fleet/processes/faults.rs
@@ -61,15 +61,15 @@
                     self.stall(leader, lasts, stalled);
                 }
             }
-            Fault::Kill { who, back } => self.kill_member(who, back),
+            Fault::Kill { who, back } => self.crash_member(who, back),
             Fault::KillLeader { back } => {
                 if let Some(leader) = self.leader() {
-                    self.kill_member(leader, back);
+                    self.crash_member(leader, back);
                 }
             }
             Fault::KillHolder { back } => {
                 if let Some(holder) = self.first_out() {
-                    self.kill_member(holder, back);
+                    self.crash_member(holder, back);
                 }
             }
             Fault::Drain { engines } => self.drain(&engines),
@@ -80,7 +80,7 @@
             Fault::Halt { at } => drop(self.fleet_command(at, &["halt"])),
             Fault::Resume { at } => drop(self.fleet_command(at, &["resume"])),
             Fault::Back { at } => drop(self.fleet_command(at, &["back"])),
-            Fault::Limit { most } => self.change_limit(most),
+            Fault::Limit { max_out } => self.change_limit(max_out),
         }
     }
 
@@ -121,10 +121,10 @@
     }
 
     /// All operators' files get another limit of dispatchers out, and all processes read them again.
-    fn change_limit(&self, most: usize) {
+    fn change_limit(&self, max_out: usize) {
         for n in 0..self.places.len() {
             let place = self.place(n);
-            self.operator_files[n].write(&self.operator_text_with_limit(n, place.version, most));
+            self.operator_files[n].write(&self.operator_text_with_limit(n, place.version, max_out));
             if let Some(program) = place.program.as_ref().filter(|_| !place.stalled) {
                 program.signal("-HUP");
             }
--- a/crates/testbed/src/fleet/processes/member.rs
+++ b/crates/testbed/src/fleet/processes/member.rs
@@ -13,7 +13,7 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
 /// Whether a member's log says that its address was taken.
-pub(super) fn tells_of_taken_address(log: &TempFile) -> bool {
+pub(super) fn reports_taken_address(log: &TempFile) -> bool {
     std::fs::read_to_string(&log.0).is_ok_and(|text| text.contains(ADDRESS_TAKEN))
 }
 
@@ -170,7 +170,7 @@
     }
 
     /// Kills a member's process. One that its supervisor has taken down is not touched.
-    pub(super) fn kill_member(&self, n: usize, down_ms: f64) {
+    pub(super) fn crash_member(&self, n: usize, down_ms: f64) {
         let mut place = self.place(n);
         if place.program.take().is_some() {
             place.lease = None;
--- a/crates/testbed/src/fleet/processes/mod.rs
+++ b/crates/testbed/src/fleet/processes/mod.rs
@@ -164,7 +164,7 @@
     fn await_all_healthy(&self) -> bool {
         let from = Instant::now();
         while !(0..self.places.len()).all(|n| self.is_healthy(n)) {
-            if self.log_files.iter().any(member::tells_of_taken_address) {
+            if self.log_files.iter().any(member::reports_taken_address) {
                 return false;
             }
             if from.elapsed() > START_TIMEOUT {
--- a/crates/testbed/src/fleet/processes/setup.rs
+++ b/crates/testbed/src/fleet/processes/setup.rs
@@ -55,7 +55,7 @@
         relay.private[n],
         relay.public[n],
         scenario.late / 1000.0,
-        scenario.most,
+        scenario.max_out,
         scenario.max_engines,
         scenario.turn / 1000.0,
         scenario.members
@@ -141,9 +141,14 @@
     }
 
     /// The same with another limit of dispatchers out.
-    pub(super) fn operator_text_with_limit(&self, n: usize, version: &str, most: usize) -> String {
+    pub(super) fn operator_text_with_limit(
+        &self,
+        n: usize,
+        version: &str,
+        max_out: usize,
+    ) -> String {
         let scenario = Scenario {
-            most,
+            max_out,
             ..self.scenario.clone()
         };
         operator_text(&scenario, n, &self.relay, version, false)
--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -87,7 +87,8 @@
     /// The operators' files define another limit of dispatchers out, and all members read them again.
     Limit {
         /// Dispatchers that may be out at a time.
-        most: usize,
+        #[serde(rename = "most")]
+        max_out: usize,
     },
 }
 
@@ -117,7 +118,8 @@
     /// Engines.
     pub engines: usize,
     /// Dispatchers that may be out at a time.
-    pub most: usize,
+    #[serde(rename = "most")]
+    pub max_out: usize,
     /// Engines that may be drained at a time.
     #[serde(rename = "most_engines")]
     pub max_engines: usize,
@@ -164,16 +166,16 @@
     }
 }
 
-fn kill(who: usize, back: f64) -> Fault {
+fn crash(who: usize, back: f64) -> Fault {
     Fault::Kill { who, back }
 }
 
 impl Scenario {
     /// A release with no faults.
     pub fn calm(seed: u64, members: usize) -> Self {
-        let most = (members / 10).max(1);
+        let max_out = (members / 10).max(1);
         let voters = members.min(if members >= 30 { 5 } else { 3 });
-        let waves = (members as f64 / most as f64).ceil();
+        let waves = (members as f64 / max_out as f64).ceil();
         Scenario {
             name: "calm".into(),
             seed,
@@ -181,7 +183,7 @@
             voters,
             zones: if members >= 6 { 2 } else { 1 },
             engines: 8,
-            most,
+            max_out,
             max_engines: 2,
             turn: 12_000.0,
             down: 1500.0,
@@ -228,7 +230,7 @@
                 2 => scenario.add(at, Fault::CutLeader { one_way }),
                 3 => scenario.add(at, Fault::Stall { who, lasts }),
                 4 => scenario.add(at, Fault::StallLeader { lasts }),
-                5 => scenario.add(at, kill(who, lasts)),
+                5 => scenario.add(at, crash(who, lasts)),
                 6 => scenario.add(at, Fault::KillLeader { back: lasts }),
                 7 => scenario.add(at, Fault::KillHolder { back: lasts }),
                 8 => {
@@ -287,7 +289,7 @@
                 _ => {}
             }
         }
-        let waves = (self.members as f64 / self.most as f64).ceil();
+        let waves = (self.members as f64 / self.max_out as f64).ceil();
         self.done_within = 30_000.0 + 15_000.0 * self.voters as f64 + 10_000.0 * waves;
         self
     }
@@ -341,16 +343,16 @@
             (1200.0, Fault::StallLeader { lasts: 18_000.0 }),
             (24_000.0, Fault::StallLeader { lasts: 18_000.0 }),
         ],
-        "voter-forgets" => vec![(1000.0, kill(1, 200.0)), (5000.0, kill(2, 200.0))],
+        "voter-forgets" => vec![(1000.0, crash(1, 200.0)), (5000.0, crash(2, 200.0))],
         // Voters 0 and 2 are in one zone, and are the majority.
-        "hall-of-voters-lost" => [0, 2, 4].map(|who| (1000.0, kill(who, 14_000.0))).into(),
+        "hall-of-voters-lost" => [0, 2, 4].map(|who| (1000.0, crash(who, 14_000.0))).into(),
         "holder-crashes" => (1..9)
             .map(f64::from)
             .map(|n| (1500.0 * n, Fault::KillHolder { back: 900.0 * n }))
             .collect(),
-        "killed-in-its-wave" => vec![(2500.0, kill(3, 5000.0)), (8000.0, kill(4, 5000.0))],
+        "killed-in-its-wave" => vec![(2500.0, crash(3, 5000.0)), (8000.0, crash(4, 5000.0))],
         "seven-in-ten" => (0..7)
-            .map(|n| (1500.0, kill((n * 3) % 10, 4000.0)))
+            .map(|n| (1500.0, crash((n * 3) % 10, 4000.0)))
             .collect(),
         "halt-races" => halt_races(members),
         _ => return None,
--- a/crates/testbed/src/fleet/virtual_fleet/faults.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/faults.rs
@@ -54,7 +54,7 @@
                     self.issue_command(at, Command::Resume { number });
                 }
             }
-            Fault::Limit { most } => self.change_limit(most),
+            Fault::Limit { max_out } => self.change_limit(max_out),
             Fault::Back { at } => {
                 self.rolling_back = true;
                 let number = RELEASE_NUMBER;
--- a/crates/testbed/src/fleet/virtual_fleet/mod.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/mod.rs
@@ -133,7 +133,7 @@
             now_ms: 0.0,
             release_at_ms,
             limit: LimitInForce {
-                max_out: scenario.most,
+                max_out: scenario.max_out,
                 since_ms: 0.0,
             },
             last_halt: None,
--- a/crates/testbed/src/fleet/virtual_fleet/settings.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/settings.rs
@@ -83,7 +83,7 @@
         ..RolloutPlan::default()
     };
     RolloutConfig {
-        dispatchers: bounds(scenario.most),
+        dispatchers: bounds(scenario.max_out),
         engines: bounds(scenario.max_engines),
         plan,
         lease_term_ms: scenario.turn,
--- a/crates/testbed/src/fleet/virtual_fleet/supervisor.rs
+++ b/crates/testbed/src/fleet/virtual_fleet/supervisor.rs
@@ -133,9 +133,9 @@
             }
             Some(outcome) => {
                 self.abandoned_waits += usize::from(matches!(outcome, LeaseOutcome::TimedOut(_)));
-                let rest_ms = self.rng.random_range(500.0..2500.0);
+                let cooldown_ms = self.rng.random_range(500.0..2500.0);
                 self.supervisors[n] = Supervisor::Idle {
-                    until_ms: self.now_ms + rest_ms,
+                    until_ms: self.now_ms + cooldown_ms,
                 };
             }
             None => {}
--- a/crates/testbed/src/fleet/zones.rs
+++ b/crates/testbed/src/fleet/zones.rs
@@ -135,7 +135,9 @@
     fn record(&mut self, phase: usize, response: Option<&ClientResponse>) {
         self.asked[phase] += 1;
         match response {
-            Some(response) if response.status == 200 && response.took <= LATENCY_OBJECTIVE_MS => {
+            Some(response)
+                if response.status == 200 && response.latency_ms <= LATENCY_OBJECTIVE_MS =>
+            {
                 self.in_time[phase] += 1;
             }
             Some(_) => {}
--- a/crates/testbed/src/invariants/arrivals.rs
+++ b/crates/testbed/src/invariants/arrivals.rs
@@ -172,8 +172,8 @@
             let rested_ms = earlier
                 .attempts
                 .iter()
-                .filter_map(|attempt| attempt.end.filter(|end| end.in_doubt))
-                .map(|end| end.at_ms + self.rules.rest_ms)
+                .filter_map(|attempt| attempt.end.filter(|end| end.is_uncertain))
+                .map(|end| end.at_ms + self.rules.cooldown_ms)
                 .fold(f64::NEG_INFINITY, f64::max);
             if !earlier.is_over() || earlier.has_open_attempt() {
                 description = Some(format!(
--- a/crates/testbed/src/invariants/history.rs
+++ b/crates/testbed/src/invariants/history.rs
@@ -53,7 +53,7 @@
     pub at_ms: f64,
     pub may_have_run: bool,
     /// Nobody knows whether it ran.
-    pub in_doubt: bool,
+    pub is_uncertain: bool,
 }
 
 /// An engine as it was listed, and what reached it.
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -110,7 +110,7 @@
                 let end = AttemptEnd {
                     at_ms,
                     may_have_run: *ran,
-                    in_doubt: false,
+                    is_uncertain: false,
                 };
                 self.on_attempt_ended(engine, id, end);
             }
@@ -118,7 +118,7 @@
                 let end = AttemptEnd {
                     at_ms,
                     may_have_run: true,
-                    in_doubt: true,
+                    is_uncertain: true,
                 };
                 self.on_attempt_ended(engine, id, end);
             }
--- a/crates/testbed/src/invariants/rules.rs
+++ b/crates/testbed/src/invariants/rules.rs
@@ -13,7 +13,7 @@
     /// Rule 4: none where it does not hold.
     pub warm_up: Option<WarmUpRule>,
     /// Rule 5: how long a key rests after an end that leaves open what ran.
-    pub rest_ms: f64,
+    pub cooldown_ms: f64,
     /// Rule 7: none where it does not hold.
     pub retry_budget: Option<RetryBudget>,
     /// What holds for each class, by its name in the record.
--- a/crates/testbed/src/invariants/tests.rs
+++ b/crates/testbed/src/invariants/tests.rs
@@ -26,7 +26,7 @@
             span_ms: 100.0,
             warm_after_ms: 5000.0,
         }),
-        rest_ms: 500.0,
+        cooldown_ms: 500.0,
         retry_budget: Some(RetryBudget {
             span_ms: 1000.0,
             free: 1.0,
--- a/crates/testbed/src/levels/clients.rs
+++ b/crates/testbed/src/levels/clients.rs
@@ -97,7 +97,7 @@
         // In time counts from the first try: a rejection is no excuse.
         let total_ms = job.from.elapsed().as_secs_f64() * 1000.0;
         let in_time = total_ms <= class.objective_ms.max(class.max_wait_ms)
-            && response.took <= class.objective_ms;
+            && response.latency_ms <= class.objective_ms;
         let value = if in_time {
             class.weight
         } else {
@@ -114,7 +114,7 @@
         self.since_sample.completed += 1.0;
         self.since_sample.value += value;
         if class.name == "look" {
-            let latency_ms = response.took.max(1.0) as u64;
+            let latency_ms = response.latency_ms.max(1.0) as u64;
             let _ = self.lookup_latencies_ms.record(latency_ms);
         }
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,11 +1,14 @@
-//! The rig: stand-ins for all that a dispatcher talks to, written from the published protocols, on loopback.
+//! The testbed: stand-ins for all that a dispatcher talks to, written from the published protocols, on loopback.
 //!
-//! Owns: scripted clients (`client`), engines (`engine`) and a name service (`name_service`), the start of the real program
-//! (`program`), the record of a run (`record`), and the checker that judges a record by the seven rules (`invariants`). It
-//! holds no decision of the dispatcher, and nothing of the product depends on it. All randomness comes from a seed.
+//! Owns: scripted clients ([`client`]), engines ([`engine`]) and a name service ([`name_service`]), the start of the real
+//! program ([`program`]), the record of a run ([`record`]), the checker that holds a record against the seven rules
+//! ([`invariants`]), and fleets under fault injection in virtual time and on processes ([`fleet`]). It holds no decision of
+//! the dispatcher, and nothing of the product depends on it. All randomness comes from a seed.
 //!
 //! Start reading at [`invariants::find_violations`], then at [`demo::run`].
 
+#![warn(missing_docs)]
+
 pub mod client;
 pub mod corpus;
 pub mod demo;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -119,8 +119,8 @@
     #[arg(long)]
     name: Option<String>,
     /// Supervisors restart without a lease, for comparison
-    #[arg(long)]
-    alone: bool,
+    #[arg(long = "alone")]
+    uncoordinated: bool,
     /// A scenario from a file, as `--show` prints it
     #[arg(long)]
     file: Option<PathBuf>,
@@ -147,8 +147,8 @@
     #[arg(long)]
     calm: bool,
     /// Supervisors restart without a lease, for comparison: what breaks is counted and is no failure
-    #[arg(long)]
-    alone: bool,
+    #[arg(long = "alone")]
+    uncoordinated: bool,
     /// Prints a line for each run
     #[arg(long)]
     show: bool,
@@ -178,7 +178,7 @@
 }
 
 fn main() -> ExitCode {
-    program::kill_children_on_signal();
+    program::end_children_on_signal();
     if execute(Cli::parse().command) {
         ExitCode::SUCCESS
     } else {
@@ -278,7 +278,7 @@
         reports.push(play_on_processes(&executable(), args, seed, &scenario));
     }
     print!("{}", fleet::table(&reports, false));
-    args.alone || reports.iter().all(|report| report.violations.is_empty())
+    args.uncoordinated || reports.iter().all(|report| report.violations.is_empty())
 }
 
 /// Plays one scenario; for one that failed, prints the command that plays it again.
@@ -289,7 +289,7 @@
     scenario: &Scenario,
 ) -> fleet::FleetReport {
     let options = ProcessOptions {
-        uncoordinated: args.alone,
+        uncoordinated: args.uncoordinated,
         logs: args.logs.clone(),
     };
     let report = fleet::processes::play(exe, scenario, &options);
@@ -315,11 +315,11 @@
         }
     };
     let options = PlayOptions {
-        uncoordinated: args.alone,
+        uncoordinated: args.uncoordinated,
         show_all: args.show,
     };
     let outcome = run_seeds(args.first..args.first + args.seeds, scenario, options);
-    show(&outcome.table, outcome.failed && !args.alone)
+    show(&outcome.table, outcome.failed && !args.uncoordinated)
 }
 
 fn play_zone_cut(args: &ZonesArgs) -> bool {
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,4 +1,4 @@
-//! Measurements of statements: accuracy, false proofs, hit rate, time, learned costs. Each prints a table.
+//! Measurements of the statement analysis: accuracy, false proofs, hit rate, time, learned costs. Each gives a table.
 
 use crate::corpus::{corpus, may_change, mutated, Labelled, Part};
 use hdrhistogram::Histogram;
@@ -10,8 +10,9 @@
 use std::time::Instant;
 use tansymux_sql_analysis::{Class, Config, Effect, Execution, ExecutionEnd, StatementAnalyzer};
 
-/// Forms a pattern, and statements a form.
+/// Forms of each pattern of the corpus.
 pub const FORMS: usize = 8;
+/// Statements of each form.
 pub const EACH: usize = 10;
 const KEY: [u8; 16] = [3; 16];
 
@@ -22,13 +23,17 @@
 /// Accuracy on one part.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Accuracy {
+    /// Statements analyzed.
     pub asked: usize,
+    /// Of them, those with the true class.
     pub right_class: usize,
+    /// Of them, those with the true effect.
     pub right_effect: usize,
-    /// Held for read-only though it is not.
+    /// Of them, those taken for read-only that are not.
     pub false_read_only: usize,
 }
 
+/// Analyzes one part of the corpus; its accuracy, and a line for each statement that was not analyzed right.
 pub fn accuracy_of(all: &[Labelled], part: Part) -> (Accuracy, Vec<String>) {
     let mut analyzer = analyzer();
     let (mut accuracy, mut wrong) = (Accuracy::default(), Vec::new());
@@ -58,6 +63,7 @@
     (accuracy, wrong)
 }
 
+/// The accuracy on both parts as a table, with up to `show` wrong statements of each.
 pub fn accuracy(seed: u64, show: usize) -> String {
     let all = corpus(FORMS, EACH, seed);
     let mut table = format!(
@@ -83,7 +89,8 @@
     table + &shown
 }
 
-/// Mutates statements of the corpus and tells which are held for read-only though another reading shows a change.
+/// Mutates statements of the corpus: how many are proven read-only, and those of them that change something in some
+/// dialect.
 pub fn false_proofs(many: usize, seed: u64) -> (usize, Vec<Vec<u8>>) {
     let all = corpus(FORMS, EACH, seed);
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
@@ -121,6 +128,7 @@
     )
 }
 
+/// Mutates statements; a table, in which a line that begins with `false: ` is one falsely proven read-only.
 pub fn mutations(many: usize, seed: u64) -> String {
     let (proven, wrong) = false_proofs(many, seed);
     let mut table = format!(
--- a/crates/testbed/src/name_service.rs
+++ b/crates/testbed/src/name_service.rs
@@ -1,4 +1,4 @@
-//! A stand-in name service: answers the one question with the whole list of engines.
+//! A stand-in name service: answers the one question of dispatchers with the whole list of engines, in DNS records.
 
 use crate::record::{EventKind, Record, Status};
 use std::net::{SocketAddr, UdpSocket};
@@ -8,11 +8,17 @@
 /// An engine as it is listed.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
+    /// The engine.
     pub id: String,
+    /// Its zone.
     pub zone: String,
+    /// Its kind of machine.
     pub kind: String,
+    /// Its cell.
     pub cell: u32,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Ready, draining or gone.
     pub status: Status,
     /// Unix milliseconds of a late start.
     pub started: f64,
@@ -23,23 +29,29 @@
     engines: Vec<Endpoint>,
     serial: u32,
     silent: bool,
-    /// Entries that were changed and not yet told by an answer.
-    untold: Vec<Endpoint>,
+    /// Entries that were changed and that no answer has announced yet.
+    unannounced: Vec<Endpoint>,
 }
 
-/// A name service that lists what it is told to, until the process ends.
+/// A name service, until the process ends.
 #[derive(Debug, Clone)]
 pub struct NameService {
+    /// Where it is asked.
     pub address: SocketAddr,
     list: Arc<Mutex<List>>,
 }
 
 impl NameService {
-    /// `record`: where it is written down when an answer first tells of a change.
+    /// Starts on the loopback. `record` gets an entry when an answer first announces a change.
+    ///
+    /// # Panics
+    /// The loopback has no free port.
     pub fn start(engines: Vec<Endpoint>, record: Arc<Record>) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
         let address = socket.local_addr().expect("a bound socket has an address");
-        engines.iter().for_each(|engine| record.push(told(engine)));
+        engines
+            .iter()
+            .for_each(|engine| record.push(listed_event(engine)));
         let list = Arc::new(Mutex::new(List {
             engines,
             serial: 1,
@@ -54,9 +66,11 @@
                     continue;
                 }
                 let bytes = answer(&asked[..count], &list);
-                let untold = std::mem::take(&mut list.untold);
+                let unannounced = std::mem::take(&mut list.unannounced);
                 drop(list);
-                untold.iter().for_each(|engine| record.push(told(engine)));
+                unannounced
+                    .iter()
+                    .for_each(|engine| record.push(listed_event(engine)));
                 // What is no answer must be passed over.
                 let _ = socket.send_to(b"no answer", from);
                 let _ = socket.send_to(&bytes, from);
@@ -70,21 +84,23 @@
         self.change(id, |engine| engine.status = status);
     }
 
+    /// Changes an entry.
     pub fn change(&self, id: &str, change: impl FnOnce(&mut Endpoint)) {
         let mut list = self.list.lock().expect("no holder panics");
         if let Some(n) = list.engines.iter().position(|engine| engine.id == id) {
             change(&mut list.engines[n]);
             let engine = list.engines[n].clone();
-            list.untold.push(engine);
+            list.unannounced.push(engine);
             list.serial += 1;
         }
     }
 
+    /// Adds an entry, or replaces the one of the same engine.
     pub fn add(&self, engine: Endpoint) {
         let mut list = self.list.lock().expect("no holder panics");
         list.engines.retain(|other| other.id != engine.id);
         list.engines.push(engine.clone());
-        list.untold.push(engine);
+        list.unannounced.push(engine);
         list.serial += 1;
     }
 
@@ -94,21 +110,13 @@
     }
 }
 
-fn told(engine: &Endpoint) -> EventKind {
-    let Endpoint {
-        id,
-        zone,
-        kind,
-        cell,
-        status,
-        ..
-    } = engine.clone();
+fn listed_event(engine: &Endpoint) -> EventKind {
     EventKind::Listed {
-        engine: id,
-        status,
-        zone,
-        kind,
-        cell,
+        engine: engine.id.clone(),
+        status: engine.status,
+        zone: engine.zone.clone(),
+        kind: engine.kind.clone(),
+        cell: engine.cell,
     }
 }
 
--- a/crates/testbed/src/plot.rs
+++ b/crates/testbed/src/plot.rs
@@ -6,11 +6,13 @@
 /// A line of a plot.
 #[derive(Debug, Clone)]
 pub struct Line<'a> {
+    /// Its name in the legend.
     pub name: &'a str,
+    /// Its points, in the order of the first axis.
     pub points: Vec<(f64, f64)>,
 }
 
-/// Draws lines over one axis.
+/// Draws lines over one axis, whose unit is `unit`.
 ///
 /// # Errors
 /// The file can't be written.
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -1,4 +1,6 @@
-//! Starts the real program with a configuration and waits until it takes queries.
+//! The real program as a process: its configuration, start, signals, counters and end.
+//!
+//! Start reading at [`Program::start`].
 
 use crate::wire::read_response;
 use serde_json::{json, Value};
@@ -12,27 +14,34 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Nothing that is waited for here takes longer.
+/// Nothing that is waited for here takes longer: ample for a busy machine.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A file that goes with whoever holds it.
+/// A file in the system's folder for such, removed when dropped.
 #[derive(Debug)]
 pub struct TempFile(pub PathBuf);
 
 impl TempFile {
+    /// Writes a file whose name ends in `name`.
+    ///
+    /// # Panics
+    /// The folder can't be written to.
     pub fn new(name: &str, text: &str) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let path =
             std::env::temp_dir().join(format!("tansymux-{}-{number}-{name}", std::process::id()));
-        let scrap = TempFile(path);
-        scrap.write(text);
-        scrap
+        let file = TempFile(path);
+        file.write(text);
+        file
     }
 
-    /// Puts another text in its place.
+    /// Writes another text in its place.
+    ///
+    /// # Panics
+    /// The folder can't be written to.
     pub fn write(&self, text: &str) {
-        std::fs::write(&self.0, text).expect("the folder for scraps can be written to");
+        std::fs::write(&self.0, text).expect("the folder for temporary files can be written to");
     }
 }
 
@@ -42,9 +51,9 @@
     }
 }
 
-/// A class as the settings tell it: name, target runtime and longest wait (ms), effect, threads, and further keys.
-pub fn class(name: &str, target: f64, wait: f64, effect: &str) -> Value {
-    json!({"name": name, "aim-us": target * 1e3, "hard-limit-us": wait * 1e3, "effect": effect})
+/// A class as the settings have it. `effect` is the settings' word, for example `read_like`.
+pub fn class(name: &str, objective_ms: f64, max_wait_ms: f64, effect: &str) -> Value {
+    json!({"name": name, "aim-us": objective_ms * 1e3, "hard-limit-us": max_wait_ms * 1e3, "effect": effect})
 }
 
 /// A configuration with what all tests and runs need; the rest is set by `with`.
@@ -89,7 +98,10 @@
     }
 }
 
-/// An address on which nobody listens, as far as can be told.
+/// An address on which nobody listens now. Another program may take it before it is used.
+///
+/// # Panics
+/// The loopback has no free port.
 pub fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0")
         .and_then(|l| l.local_addr())
@@ -97,17 +109,20 @@
 }
 
 /// The same for datagrams.
+///
+/// # Panics
+/// The loopback has no free port.
 pub fn free_udp_address() -> SocketAddr {
     UdpSocket::bind("127.0.0.1:0")
         .and_then(|l| l.local_addr())
         .expect("loopback has a free port")
 }
 
-/// Processes that were started and not yet waited for: those that must end with the rig.
+/// Processes that were started and not yet waited for: those that must end with the testbed.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// From now on, what was started ends with the rig also when that is interrupted or told to end.
-pub fn kill_children_on_signal() {
+/// From now on, a signal that ends the testbed first kills the processes that it started.
+pub fn end_children_on_signal() {
     let Ok(mut signals) = signal_hook::iterator::Signals::new([SIGINT, SIGTERM, SIGHUP]) else {
         return;
     };
@@ -125,11 +140,14 @@
     });
 }
 
-/// The real program, ended when dropped.
+/// The real program, killed when dropped.
 #[derive(Debug)]
 pub struct Program {
+    /// The process.
     pub child: Child,
+    /// Where it takes queries.
     pub listen: SocketAddr,
+    /// Its configuration.
     pub config: TempFile,
 }
 
@@ -191,6 +209,10 @@
         }
     }
 
+    /// Waits until it takes queries.
+    ///
+    /// # Panics
+    /// It does not within [`TIMEOUT`].
     pub fn wait_until_healthy(&self) {
         let from = Instant::now();
         while get(self.listen, "/_health").is_none_or(|(status, ..)| status != 200) {
@@ -199,7 +221,10 @@
         }
     }
 
-    /// Sends a signal by its name, as in `-HUP`.
+    /// Sends a signal by its name, for example `-HUP`.
+    ///
+    /// # Panics
+    /// The process is not there.
     pub fn signal(&self, which: &str) {
         let pid = self.child.id().to_string();
         assert!(
@@ -211,14 +236,20 @@
         );
     }
 
+    /// Sends SIGTERM.
+    ///
+    /// # Panics
+    /// The process is not there.
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
+    /// All counters as text; empty where it does not answer.
     pub fn counters(&self) -> String {
         get(self.listen, "/_counters").map_or_else(String::new, |(.., body)| body)
     }
 
+    /// A counter's value.
     pub fn counter(&self, name: &str) -> Option<u64> {
         self.counters()
             .lines()
@@ -226,6 +257,9 @@
     }
 
     /// Waits until the counters show this line.
+    ///
+    /// # Panics
+    /// They do not within [`TIMEOUT`].
     pub fn wait_for_count(&self, line: &str) {
         let from = Instant::now();
         while !self.counters().contains(line) {
@@ -235,6 +269,9 @@
     }
 
     /// Waits for the end; what was written to standard error.
+    ///
+    /// # Panics
+    /// It does not end within [`TIMEOUT`], or ends with an error.
     pub fn end(&mut self) -> String {
         let from = Instant::now();
         let status = loop {
@@ -257,8 +294,8 @@
     }
 }
 
-/// Memory (kB) that a process holds of its own: without the pages of the program's file, which are nobody's burden and
-/// more or fewer with what else the machine has read.
+/// Memory that a process holds of its own (kB): without the pages of the program's file, of which more or fewer are in
+/// memory with what else the machine has read.
 pub fn own_memory(pid: u32) -> Option<u64> {
     of_status(pid, "RssAnon:")
 }
@@ -286,7 +323,8 @@
     Some((resident, ticks * 10.0))
 }
 
-/// A GET of its own connection.
+/// A GET on a connection of its own: status, head and body.
+// readability: the three parts of a response, taken apart at once by all callers
 pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String, String)> {
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_read_timeout(Some(TIMEOUT)).ok()?;
@@ -296,27 +334,44 @@
     read_response(&mut BufReader::new(stream))
 }
 
-/// The program locate_program the one that runs, built by the same cargo where there is one.
+/// Why the program under test can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum LocateError {
+    /// The path of the running program is not known, or cargo can't be run.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    /// The running program is in no folder.
+    #[error("the folder of the running program is not known")]
+    NoFolder,
+    /// Cargo said why on standard error.
+    #[error("tansymux could not be built")]
+    BuildFailed,
+    /// No program is where it should be.
+    #[error("{} is not there", .0.display())]
+    Missing(PathBuf),
+}
+
+/// The program under test: beside the one that runs, built by the same cargo where there is one.
 ///
 /// # Errors
 /// It could not be built or is not there.
-pub fn locate_program() -> Result<PathBuf, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let folder = own.parent().ok_or("the program stands nowhere")?;
+pub fn locate_program() -> Result<PathBuf, LocateError> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().ok_or(LocateError::NoFolder)?;
     if let Some(cargo) = std::env::var_os("CARGO") {
         let mut build = Command::new(cargo);
         build.args(["build", "--quiet", "-p", "tansymux-dispatcher"]);
         if folder.ends_with("release") {
             build.arg("--release");
         }
-        if !build.status().map_err(|e| e.to_string())?.success() {
-            return Err("tansymux could not be built".into());
+        if !build.status()?.success() {
+            return Err(LocateError::BuildFailed);
         }
     }
-    let exe = folder.join("tansymux");
-    if exe.exists() {
-        Ok(exe)
+    let program = folder.join("tansymux");
+    if program.exists() {
+        Ok(program)
     } else {
-        Err(format!("{} is not there", exe.display()))
+        Err(LocateError::Missing(program))
     }
 }
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -119,7 +119,7 @@
             200 => {
                 self.completed += 1;
                 self.value +=
-                    setup::value_of(expected.weight, expected.objective_ms, response.took);
+                    setup::value_of(expected.weight, expected.objective_ms, response.latency_ms);
             }
             429 | 503 => self.rejected += 1,
             500 => self.failed += 1,
--- a/crates/testbed/src/setup.rs
+++ b/crates/testbed/src/setup.rs
@@ -94,7 +94,7 @@
         slack_ms: SLACK_MS,
         grace_ms: CLOSED_GRACE_MS,
         warm_up: None,
-        rest_ms: 0.0,
+        cooldown_ms: 0.0,
         retry_budget,
         classes: classes.collect(),
     }
--- a/crates/testbed/src/wire.rs
+++ b/crates/testbed/src/wire.rs
@@ -1,8 +1,9 @@
-//! The protocols' bytes, read and written by blocking sockets.
+//! The bytes of the clients' protocol (HTTP) and of the engines' (arrays of bulk strings), on blocking sockets.
 
 use std::io::{BufRead, Write};
 
-/// Status, head and body of an HTTP answer; none if the connection ends before it is whole.
+/// Status, head and body of an HTTP response; none if the connection ends before it is whole.
+// readability: the three parts of a response, taken apart at once by all callers
 pub fn read_response(from: &mut impl BufRead) -> Option<(u16, String, String)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
@@ -15,7 +16,7 @@
     Some((status, head, String::from_utf8(body).ok()?))
 }
 
-/// A field of a head.
+/// A field of a head, by its name in any case.
 pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines()
         .find_map(|line| {
@@ -25,7 +26,7 @@
         .map(|(_, v)| v.trim())
 }
 
-/// An array of bulk strings; none at the end or where it is no such array.
+/// Reads an array of bulk strings; none at the end, or where there is no such array.
 pub fn read_frame(from: &mut impl BufRead) -> Option<Vec<String>> {
     let mut number = |mark: &str| {
         let mut line = String::new();
@@ -45,14 +46,14 @@
     Some(parts)
 }
 
-/// Writes an array of bulk strings; whether it went out.
+/// Writes an array of bulk strings; whether that was possible.
 pub fn write_frame(to: &mut impl Write, parts: &[&str]) -> bool {
     let bulk = |part: &&str| format!("${}\r\n{part}\r\n", part.len());
     let text = format!("*{}\r\n", parts.len()) + &parts.iter().map(bulk).collect::<String>();
     to.write_all(text.as_bytes()).is_ok()
 }
 
-/// A value of a list `name=value,name=value`.
+/// A value in a list `name=value,name=value`.
 pub fn list_value<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
     fields
         .split(',')
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -122,7 +122,7 @@
             return;
         };
         match response.status {
-            200 => self.value[phase].got += class.value_of(response.took),
+            200 => self.value[phase].got += class.value_of(response.latency_ms),
             429 | 503 => self.rejected += 1,
             _ => self.failed += 1,
         }
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -125,10 +125,10 @@
 #[test]
 fn a_limit_lowered_below_what_is_out_lets_nobody_more_out_and_calls_nobody_back() {
     holds(0..30, |seed| Scenario {
-        most: 4,
+        max_out: 4,
         events: vec![Event {
             at: 2500.0,
-            what: Fault::Limit { most: 1 },
+            what: Fault::Limit { max_out: 1 },
         }],
         ..Scenario::calm(seed, 12)
     });
