--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -40,6 +40,7 @@
     #[error("arm.{arm}.operator: {errors}")]
     Operator {
         /// The arm's number.
+        // readability: arm is the experiment file's own key
         arm: usize,
         /// What is wrong, with places.
         errors: String,
@@ -80,7 +81,7 @@
         check_class(number, class, &zones)?;
     }
     for (number, arm) in experiment.arm.iter().enumerate() {
-        check_arm(number, arm)?;
+        check_variant(number, arm)?;
     }
     let seconds_in_bounds = experiment.seconds() > 0.0 && experiment.seconds() <= MAX_SECONDS;
     if !seconds_in_bounds || experiment.dispatchers() == 0 || experiment.seeds() == 0 {
@@ -129,7 +130,7 @@
     }
 }
 
-fn check_arm(number: usize, arm: &Arm) -> Result<(), ExperimentError> {
+fn check_variant(number: usize, arm: &Arm) -> Result<(), ExperimentError> {
     match tansymux_operator_config::parse(arm.operator()) {
         Ok(_) => Ok(()),
         Err(errors) => {
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -46,6 +46,7 @@
         file: PathBuf,
         /// The arm, counted from 0
         #[arg(long, default_value_t = 0)]
+        // readability: --arm is the program's flag, after the experiment file's key
         arm: usize,
         /// The seed; the experiment's first one unless given
         #[arg(long)]
@@ -60,6 +61,7 @@
         file: PathBuf,
         /// The arm, counted from 0
         #[arg(long, default_value_t = 0)]
+        // readability: --arm is the program's flag, after the experiment file's key
         arm: usize,
         /// The seed
         #[arg(long)]
@@ -162,8 +164,8 @@
             let runs = compare::run_all(&file.experiment, threads, false);
             let table = report::table(&file.experiment, &runs);
             print!("{table}");
-            if let Some(folder) = to {
-                write_results(&folder, &file, &runs, &table)?;
+            if let Some(directory) = to {
+                write_results(&directory, &file, &runs, &table)?;
             }
             Ok(runs.iter().flatten().all(|run| run.violations == 0))
         }
@@ -179,13 +181,13 @@
         } => {
             let experiment = read_experiment(&file)?.experiment;
             let seed = seed.unwrap_or(experiment.first_seed());
-            let run = simulation::run(&experiment, check_arm(&experiment, arm)?, seed);
+            let run = simulation::run(&experiment, check_variant(&experiment, arm)?, seed);
             write_svg(&experiment, &run, &svg)?;
             Ok(true)
         }
         Command::Replay { file, arm, seed } => {
             let experiment = read_experiment(&file)?.experiment;
-            let run = simulation::run(&experiment, check_arm(&experiment, arm)?, seed);
+            let run = simulation::run(&experiment, check_variant(&experiment, arm)?, seed);
             println!("{}", serde_json::to_string_pretty(&run)?);
             print_samples(&run);
             Ok(run.violations == 0)
@@ -193,7 +195,7 @@
     }
 }
 
-fn check_arm(experiment: &Experiment, arm: usize) -> Result<usize, CommandError> {
+fn check_variant(experiment: &Experiment, arm: usize) -> Result<usize, CommandError> {
     let arms = experiment.arm.len();
     if arm < arms {
         Ok(arm)
@@ -204,28 +206,28 @@
 
 /// Writes table, JSON lines, a plot of each arm's first seed, and a page with all of it.
 fn write_results(
-    folder: &Path,
+    directory: &Path,
     file: &ExperimentFile,
     runs: &[Vec<Outcomes>],
     table: &str,
 ) -> Result<(), CommandError> {
-    std::fs::create_dir_all(folder).map_err(|source| CommandError::File {
-        path: folder.to_owned(),
+    std::fs::create_dir_all(directory).map_err(|source| CommandError::File {
+        path: directory.to_owned(),
         source,
     })?;
     let experiment = &file.experiment;
     let name = experiment.name();
-    write_file(&folder.join(format!("{name}.txt")), table)?;
+    write_file(&directory.join(format!("{name}.txt")), table)?;
     let lines = report::json_lines(runs);
-    write_file(&folder.join(format!("{name}.jsonl")), &lines)?;
+    write_file(&directory.join(format!("{name}.jsonl")), &lines)?;
     let mut plots = Vec::new();
     for run in runs.iter().filter_map(|variant| variant.first()) {
-        let svg = folder.join(format!("{name}-{}.svg", run.variant));
+        let svg = directory.join(format!("{name}-{}.svg", run.variant));
         write_svg(experiment, run, &svg)?;
         plots.push(read_file(&svg)?);
     }
     let page = report::html_page(experiment, &file.text, table, &plots)?;
-    write_file(&folder.join(format!("{name}.html")), &page)
+    write_file(&directory.join(format!("{name}.html")), &page)
 }
 
 /// Prints the means of the arms' runs that were kept as JSON lines, arms in the order in which they come.
--- a/crates/simulator/src/simulation/dispatchers.rs
+++ b/crates/simulator/src/simulation/dispatchers.rs
@@ -31,12 +31,12 @@
 /// The dispatchers of a variant, spread over zones in turn.
 pub(super) fn start(
     experiment: &Experiment,
-    arm: &Arm,
+    variant: &Arm,
     zones: &[String],
     engine_count: usize,
     seed: u64,
 ) -> Vec<Dispatcher> {
-    let operator = tansymux_operator_config::parse(arm.operator()).unwrap_or_default();
+    let operator = tansymux_operator_config::parse(variant.operator()).unwrap_or_default();
     let zone_config = operator
         .halls
         .as_ref()
--- a/crates/simulator/src/simulation/inbox.rs
+++ b/crates/simulator/src/simulation/inbox.rs
@@ -174,12 +174,16 @@
             query_id,
             attempt,
             fraction,
-        } => control.on_progress_note(&ProgressNote {
-            query_id,
-            attempt,
-            kind: NoteKind::Progress,
-            amount: fraction,
-        }),
+        } => {
+            let kind = NoteKind::Progress;
+            let amount = fraction;
+            control.on_progress_note(&ProgressNote {
+                query_id,
+                attempt,
+                kind,
+                amount,
+            });
+        }
         Incoming::HealthCheckEnded { engine_id, outcome } => {
             control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
         }
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -131,6 +131,20 @@
     format!("s-{engine}")
 }
 
+/// The endpoint list at the begin: all engines are ready, and none started late.
+fn initial_endpoints(zones: &[String], engine_zones: &[usize]) -> Vec<Endpoint> {
+    engine_zones
+        .iter()
+        .enumerate()
+        .map(|(engine, zone)| Endpoint {
+            engine_id: engine_id(engine),
+            zone: zones[*zone].clone(),
+            state: EndpointState::Ready,
+            started_ms: None,
+        })
+        .collect()
+}
+
 impl<'a> Simulation<'a> {
     fn new(experiment: &'a Experiment, variant: usize, seed: u64) -> Self {
         let cold = experiment.cold.unwrap_or_default();
@@ -166,16 +180,7 @@
             down_until_ms: vec![0.0; engines.len()],
             cold_arrivals: engines.iter().map(|_| Vec::new()).collect(),
             inboxes: dispatchers.iter().map(|_| Vec::new()).collect(),
-            endpoints: engine_zones
-                .iter()
-                .enumerate()
-                .map(|(n, zone)| Endpoint {
-                    engine_id: engine_id(n),
-                    zone: zones[*zone].clone(),
-                    state: EndpointState::Ready,
-                    started_ms: None,
-                })
-                .collect(),
+            endpoints: initial_endpoints(&zones, &engine_zones),
             zones,
             engine_zones,
             engines,
--- a/crates/testbed/src/corpus/mod.rs
+++ b/crates/testbed/src/corpus/mod.rs
@@ -24,8 +24,8 @@
 const FORM_WORK_SPREAD: f64 = 0.8;
 
 /// A part of the corpus.
-// readability: part is the corpus's own term: parts are kept apart
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+// readability: part is the corpus's own term: its parts are kept apart
 pub enum Part {
     /// May be looked at while rules are made.
     Building,
@@ -43,7 +43,7 @@
     /// The true effect.
     pub effect: &'static str,
     /// The part of the corpus that it is in.
-    // readability: part is the corpus's own term: parts are kept apart
+    // readability: part is the corpus's own term: its parts are kept apart
     pub part: Part,
     /// Statements with the same number have the same form.
     pub form: usize,
--- /dev/null
+++ b/crates/testbed/src/fleet/zones/site.rs
@@ -0,0 +1,185 @@
+//! Dispatchers, engines and the links between them, in zones of which one can be cut off.
+
+use super::{Variant, ZoneCutPlan, LATENCY_OBJECTIVE_MS, MAX_WAIT_MS, ZONES};
+use crate::engine::{Engine, EngineSpec, RunContext};
+use crate::fleet::links::LinkConditions;
+use crate::fleet::relay::{EngineLink, Relay};
+use crate::fleet::FLEET_KEY;
+use crate::program::{class, free_address, Config, Program, TempFile};
+use crate::setup;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const ENGINES: usize = 2 * ZONES;
+/// How long a restarted engine warms up (ms).
+const WARM_UP_MS: f64 = 15_000.0;
+
+/// The operators' file of dispatcher `n`.
+fn operator_text(variant: Variant, n: usize, relay: &Relay) -> String {
+    let zones = "halls { route { tier { hall: \"h0\" hall: \"h1\" hall: \"h2\" } } cut { quiet_s: 0.6 } climb { first: 0.1 over_s: 8 whole: 2 } }";
+    let seeds: String = relay
+        .public
+        .iter()
+        .take(3)
+        .map(|address| format!("seed: \"{address}\" "))
+        .collect();
+    let fleet = format!(
+        "fleet {{ name: \"n{n}\" listen: \"{}\" address: \"{}\" {seeds} voter: \"n0\" voter: \"n1\" voter: \"n2\"
+           key: \"{FLEET_KEY}\" fresh: true version: \"v1\"
+           timing {{ period_s: 0.4 timeout_s: 0.12 lead_s: 1 settle_s: 1 late_s: 0.3 }}
+           zones {{ sure_s: 0.5 step_s: 1 hold_s: 1 term_s: 2 }} }}",
+        relay.private[n], relay.public[n]
+    );
+    match variant {
+        Variant::Agreed => format!("{zones}\n{fleet}"),
+        Variant::Alone => zones.into(),
+        Variant::Neither => String::new(),
+    }
+}
+
+/// The configuration of dispatcher `n`, which knows each engine by the address of its own link.
+fn configuration(
+    plan: &ZoneCutPlan,
+    n: usize,
+    listen: SocketAddr,
+    engines: &[Engine],
+    links: &[EngineLink],
+) -> Config {
+    let known: Vec<_> = engines
+        .iter()
+        .zip(links)
+        .map(|(engine, link)| (engine.id.clone(), link.address))
+        .collect();
+    let classes = [class(
+        "look",
+        LATENCY_OBJECTIVE_MS,
+        MAX_WAIT_MS,
+        "read_like",
+    )];
+    let mut config = Config::new(listen, &known, &classes, &[1])
+        .with("seed", format!("{:x}", plan.seed * 1000 + n as u64 + 1))
+        .with("settings.balancers", plan.dispatchers)
+        .with("settings.zone", format!("h{}", n % ZONES))
+        .with("settings.limits.probes", true)
+        .with("settings.family-info.tells-every-us", 100_000);
+    for engine in 0..engines.len() {
+        config = config.with(
+            &format!("known.cmds.0.nodes.instances.{engine}.zone"),
+            format!("h{}", engine % ZONES),
+        );
+    }
+    config
+}
+
+/// Dispatchers, engines and the links between them.
+pub(super) struct Site {
+    pub plan: ZoneCutPlan,
+    programs: Vec<Program>,
+    _operator_files: Vec<TempFile>,
+    pub listen_addresses: Vec<SocketAddr>,
+    engines: Vec<Engine>,
+    /// For each dispatcher, its links to the engines.
+    engine_links: Vec<Vec<EngineLink>>,
+    relay: Relay,
+    pub operator_texts: Vec<String>,
+    pub context: Arc<RunContext>,
+}
+
+impl Site {
+    pub fn start(exe: &Path, plan: ZoneCutPlan, variant: Variant) -> Self {
+        let context = Arc::new(RunContext::default());
+        let spec = EngineSpec {
+            cold_from: 0.25,
+            warm_after: WARM_UP_MS,
+            progress_interval_ms: 100.0,
+            ..EngineSpec::default()
+        };
+        let engines = setup::start_engines(ENGINES, spec, plan.seed * 100, &context);
+        thread::sleep(Duration::from_millis(10));
+        let relay = Relay::start(plan.dispatchers, 500.0, plan.seed);
+        relay.set_conditions(LinkConditions {
+            loss: plan.loss,
+            delay: 1.0,
+            ..LinkConditions::GOOD
+        });
+        let engine_links: Vec<Vec<EngineLink>> = (0..plan.dispatchers)
+            .map(|_| {
+                engines
+                    .iter()
+                    .map(|engine| EngineLink::start(engine.address))
+                    .collect()
+            })
+            .collect();
+        let listen_addresses: Vec<SocketAddr> =
+            (0..plan.dispatchers).map(|_| free_address()).collect();
+        let operator_texts: Vec<String> = (0..plan.dispatchers)
+            .map(|n| operator_text(variant, n, &relay))
+            .collect();
+        let operator_files: Vec<TempFile> = operator_texts
+            .iter()
+            .map(|text| TempFile::new("zones.textproto", text))
+            .collect();
+        let programs: Vec<Program> = (0..plan.dispatchers)
+            .map(|n| {
+                let config =
+                    configuration(&plan, n, listen_addresses[n], &engines, &engine_links[n]);
+                let path = operator_files[n].0.display().to_string();
+                Program::launch(exe, &config, &["--operator", &path], Stdio::null())
+            })
+            .collect();
+        programs.iter().for_each(Program::wait_until_healthy);
+        Site {
+            plan,
+            programs,
+            _operator_files: operator_files,
+            listen_addresses,
+            engines,
+            engine_links,
+            relay,
+            operator_texts,
+            context,
+        }
+    }
+
+    /// Cuts zone h0 off from all outside it, or heals it: links to engines and between dispatchers.
+    pub fn set_cut(&self, cut: bool) {
+        for (dispatcher, links) in self.engine_links.iter().enumerate() {
+            for (engine, link) in links.iter().enumerate() {
+                let dispatcher_inside = dispatcher % ZONES == 0;
+                let engine_inside = engine % ZONES == 0;
+                if dispatcher_inside != engine_inside {
+                    link.set_cut(cut);
+                }
+            }
+        }
+        if cut {
+            let inside: Vec<usize> = (0..self.engine_links.len()).step_by(ZONES).collect();
+            self.relay.cut(&inside, false);
+        } else {
+            self.relay.heal();
+        }
+    }
+
+    pub fn engines_inside(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter().step_by(ZONES)
+    }
+
+    /// Whether all dispatchers outside count so many zones as evacuated.
+    pub fn all_outside_count(&self, evacuated: u64) -> bool {
+        self.plan
+            .outside()
+            .iter()
+            .all(|n| self.programs[*n].counter("fleet_zones_out") == Some(evacuated))
+    }
+
+    pub fn stop(&self) {
+        for link in self.engine_links.iter().flatten() {
+            link.stop();
+        }
+        self.engines.iter().for_each(Engine::stop);
+    }
+}
