--- a/crates/coordination/src/bytes.rs
+++ b/crates/codec/src/reader.rs
@@ -1,28 +1,6 @@
-//! Big-endian reader and writer that the fleet's datagram codecs share.
+//! Reads the fields of a datagram.
 
-use thiserror::Error;
-
-/// Why bytes could not be decoded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-pub enum DecodeError {
-    /// The bytes end within a field.
-    #[error("the datagram ends within a field")]
-    Truncated,
-    /// A code that has no meaning in this version.
-    #[error("{field} has no code {code}")]
-    UnknownCode {
-        /// The field.
-        field: &'static str,
-        /// What it held.
-        code: u8,
-    },
-    /// A floating point field holds a NaN or an infinity.
-    #[error("a number is not finite")]
-    NotFinite,
-    /// An embedded message of another package is malformed.
-    #[error("the embedded {0} is malformed")]
-    Embedded(&'static str),
-}
+use crate::DecodeError;
 
 /// Reads fields from the front of a datagram. Never panics.
 #[derive(Debug, Clone)]
@@ -125,70 +103,3 @@
         from_code(code).ok_or(DecodeError::UnknownCode { field, code })
     }
 }
-
-/// Appends fields to a datagram.
-#[derive(Debug, Clone, Default)]
-pub struct ByteWriter {
-    bytes: Vec<u8>,
-}
-
-impl ByteWriter {
-    /// An empty datagram with room for `capacity` bytes.
-    pub fn with_capacity(capacity: usize) -> Self {
-        ByteWriter {
-            bytes: Vec::with_capacity(capacity),
-        }
-    }
-
-    /// What was written.
-    pub fn into_bytes(self) -> Vec<u8> {
-        self.bytes
-    }
-
-    /// Bytes written so far.
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    /// Whether nothing was written.
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    /// Appends zeros up to `length` bytes in all.
-    pub fn pad_to(&mut self, length: usize) -> &mut Self {
-        self.bytes.resize(length, 0);
-        self
-    }
-
-    /// Appends bytes as they are.
-    pub fn bytes(&mut self, bytes: &[u8]) -> &mut Self {
-        self.bytes.extend_from_slice(bytes);
-        self
-    }
-
-    /// Appends one byte.
-    pub fn u8(&mut self, number: u8) -> &mut Self {
-        self.bytes(&[number])
-    }
-
-    /// Appends two bytes.
-    pub fn u16(&mut self, number: u16) -> &mut Self {
-        self.bytes(&number.to_be_bytes())
-    }
-
-    /// Appends four bytes.
-    pub fn u32(&mut self, number: u32) -> &mut Self {
-        self.bytes(&number.to_be_bytes())
-    }
-
-    /// Appends eight bytes.
-    pub fn u64(&mut self, number: u64) -> &mut Self {
-        self.bytes(&number.to_be_bytes())
-    }
-
-    /// Appends a floating point number of four bytes.
-    pub fn f32(&mut self, number: f32) -> &mut Self {
-        self.u32(number.to_bits())
-    }
-}
--- a/crates/coordination/src/codec.rs
+++ b/crates/coordination/src/codec.rs
@@ -21,9 +21,9 @@
 //! Records fill a message to its end. Bytes after a message of fixed length are passed over, as are those after
 //! [`MAX_DATAGRAM_BYTES`].
 
-use crate::bytes::{ByteReader, ByteWriter, DecodeError};
 use crate::message::{LeasedRecord, Message};
 use crate::record::{Ballot, DisruptionReason, Record, RecordValue, ReleaseStage, Stamp, UnitKind};
+use tansymux_codec::{ByteReader, ByteWriter, DecodeError};
 
 /// The longest message (bytes): what membership carries in one datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 225;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -30,7 +30,6 @@
 
 #![warn(missing_docs)]
 
-pub mod bytes;
 pub mod codec;
 mod config;
 pub mod disruption_budget;
--- a/crates/coordination/tests/datagram_fixtures.rs
+++ b/crates/coordination/tests/datagram_fixtures.rs
@@ -1,6 +1,6 @@
 //! Datagrams that the version before the renames wrote: each is still read, and the same values still give the same bytes.
 
-use tansymux_coordination::bytes::DecodeError;
+use tansymux_codec::DecodeError;
 use tansymux_coordination::codec::{decode, encode};
 use tansymux_coordination::{
     Ballot, DisruptionReason, LeasedRecord, Message, Record, RecordValue, ReleaseStage, Stamp,
--- a/crates/rollout/src/codec.rs
+++ b/crates/rollout/src/codec.rs
@@ -26,7 +26,7 @@
 use crate::message::{Message, Report};
 use answer::{decode_answer, encode_answer};
 use command::{decode_command, encode_command};
-use tansymux_coordination::bytes::{ByteReader, ByteWriter, DecodeError};
+use tansymux_codec::{ByteReader, ByteWriter, DecodeError};
 use tansymux_coordination::codec::{
     decode_records, encode_record, MAX_DATAGRAM_BYTES, RECORD_BYTES,
 };
--- a/crates/rollout/src/codec/answer.rs
+++ b/crates/rollout/src/codec/answer.rs
@@ -18,7 +18,7 @@
 use super::decode_zone_plan;
 use crate::message::{Answer, Status, ZoneList};
 use crate::rollout_plan::Release;
-use tansymux_coordination::bytes::{ByteReader, ByteWriter, DecodeError};
+use tansymux_codec::{ByteReader, ByteWriter, DecodeError};
 use tansymux_coordination::disruption_budget::{HaltReason, Scope};
 use tansymux_coordination::{DisruptionReason, ReleaseStage};
 use tansymux_zone_evacuation::codec as zone_codec;
--- a/crates/rollout/src/codec/command.rs
+++ b/crates/rollout/src/codec/command.rs
@@ -15,7 +15,7 @@
 //! | [`Command::ListZones`] | 12 (1) |
 
 use crate::message::Command;
-use tansymux_coordination::bytes::{ByteReader, ByteWriter, DecodeError};
+use tansymux_codec::{ByteReader, ByteWriter, DecodeError};
 
 pub(super) fn encode_command(writer: &mut ByteWriter, command: &Command) {
     match *command {
