Zone evacuation: reads and writes its datagrams with tansymux-codec

Need: it had its own readers at an offset, so the layout stood in each decoder as numbers.

Change: fields are read and written in their order; u16_at, u32_at and finite_f32_at are gone. DecodeError and what is skipped or rejected stay as they were.

Measured: cargo test -p tansymux-zone-evacuation 20 passed, as before, among them the byte fixtures and the property tests of tests/codec.rs.

--- a/crates/zone-evacuation/src/codec.rs
+++ b/crates/zone-evacuation/src/codec.rs
@@ -20,6 +20,7 @@
 //! a float that is not finite, is skipped.
 
 use crate::{Evidence, MemberReport, Reachability, Reason, Stage, ZoneId, ZoneStatus, MAX_ZONES};
+use tansymux_codec::{ByteReader, ByteWriter};
 
 const REPORT_HEADER_LEN: usize = 4 + 4 + 1;
 const EVIDENCE_LEN: usize = 4 + 1 + 4 + 2 + 2;
@@ -61,17 +62,20 @@
 
 /// Encodes a report.
 pub fn encode_report(report: &MemberReport) -> Vec<u8> {
-    let mut bytes = report.session.to_be_bytes().to_vec();
-    bytes.extend_from_slice(&report.sequence_number.to_be_bytes());
-    bytes.push(u8::from(report.is_isolated));
+    let mut writer = ByteWriter::default();
+    writer
+        .u32(report.session)
+        .u32(report.sequence_number)
+        .u8(u8::from(report.is_isolated));
     for evidence in report.zones.iter().take(MAX_ZONES) {
-        bytes.extend_from_slice(&evidence.zone.to_be_bytes());
-        bytes.push(evidence.reachability as u8);
-        bytes.extend_from_slice(&evidence.threads.to_bits().to_be_bytes());
-        bytes.extend_from_slice(&evidence.successes.to_be_bytes());
-        bytes.extend_from_slice(&evidence.failures.to_be_bytes());
+        writer
+            .u32(evidence.zone)
+            .u8(evidence.reachability as u8)
+            .f32(evidence.threads)
+            .u16(evidence.successes)
+            .u16(evidence.failures);
     }
-    bytes
+    writer.into_bytes()
 }
 
 /// Decodes a report.
@@ -79,45 +83,47 @@
 /// # Errors
 /// Where the bytes end inside the fields before the entries.
 pub fn decode_report(bytes: &[u8]) -> Result<MemberReport, DecodeError> {
-    let truncated = DecodeError::Truncated {
-        len: bytes.len(),
-        min_len: REPORT_HEADER_LEN,
-    };
-    let entries = bytes.get(REPORT_HEADER_LEN..).ok_or(truncated)?;
+    let truncated = |_| truncated(bytes, REPORT_HEADER_LEN);
+    let mut reader = ByteReader::new(bytes);
     Ok(MemberReport {
-        session: u32_at(bytes, 0).ok_or(truncated)?,
-        sequence_number: u32_at(bytes, 4).ok_or(truncated)?,
-        is_isolated: bytes[8] != 0,
-        zones: entries
+        session: reader.u32().map_err(truncated)?,
+        sequence_number: reader.u32().map_err(truncated)?,
+        is_isolated: reader.u8().map_err(truncated)? != 0,
+        zones: reader
+            .take_remaining()
             .chunks_exact(EVIDENCE_LEN)
             .take(MAX_ZONES)
-            .filter_map(decode_evidence)
+            .filter_map(|entry| decode_evidence(entry).ok())
             .collect(),
     })
 }
 
-fn decode_evidence(entry: &[u8]) -> Option<Evidence> {
-    Some(Evidence {
-        zone: u32_at(entry, 0)?,
-        reachability: Reachability::from_number(entry[4])?,
-        threads: finite_f32_at(entry, 5)?,
-        successes: u16_at(entry, 9)?,
-        failures: u16_at(entry, 11)?,
+fn decode_evidence(entry: &[u8]) -> Result<Evidence, tansymux_codec::DecodeError> {
+    let mut reader = ByteReader::new(entry);
+    Ok(Evidence {
+        zone: reader.u32()?,
+        reachability: reader.code("reachability", Reachability::from_number)?,
+        threads: reader.finite_f32()?,
+        successes: reader.u16()?,
+        failures: reader.u16()?,
     })
 }
 
 /// Encodes a reply.
 pub fn encode_reply(reply: &LeaderReply) -> Vec<u8> {
-    let mut bytes = reply.sequence_number.to_be_bytes().to_vec();
+    let mut writer = ByteWriter::default();
+    writer.u32(reply.sequence_number);
     for entry in reply.zones.iter().take(MAX_ZONES) {
         let status = &entry.status;
-        bytes.extend_from_slice(&entry.zone.to_be_bytes());
-        bytes.extend_from_slice(&[status.stage as u8, status.step]);
-        bytes.extend_from_slice(&status.decision_number.to_be_bytes());
-        bytes.push(status.reason as u8);
-        bytes.extend_from_slice(&entry.quota.to_bits().to_be_bytes());
+        writer
+            .u32(entry.zone)
+            .u8(status.stage as u8)
+            .u8(status.step)
+            .u32(status.decision_number)
+            .u8(status.reason as u8)
+            .f32(entry.quota);
     }
-    bytes
+    writer.into_bytes()
 }
 
 /// Decodes a reply.
@@ -125,47 +131,36 @@
 /// # Errors
 /// Where the bytes end inside the sequence number.
 pub fn decode_reply(bytes: &[u8]) -> Result<LeaderReply, DecodeError> {
-    let truncated = DecodeError::Truncated {
-        len: bytes.len(),
-        min_len: REPLY_HEADER_LEN,
-    };
-    let entries = bytes.get(REPLY_HEADER_LEN..).ok_or(truncated)?;
+    let truncated = |_| truncated(bytes, REPLY_HEADER_LEN);
+    let mut reader = ByteReader::new(bytes);
     Ok(LeaderReply {
-        sequence_number: u32_at(bytes, 0).ok_or(truncated)?,
-        zones: entries
+        sequence_number: reader.u32().map_err(truncated)?,
+        zones: reader
+            .take_remaining()
             .chunks_exact(REPLY_ENTRY_LEN)
             .take(MAX_ZONES)
-            .filter_map(decode_reply_entry)
+            .filter_map(|entry| decode_reply_entry(entry).ok())
             .collect(),
     })
 }
 
-fn decode_reply_entry(entry: &[u8]) -> Option<ZoneEntry> {
-    let status = ZoneStatus {
-        stage: Stage::from_number(entry[4])?,
-        step: entry[5],
-        decision_number: u32_at(entry, 6)?,
-        reason: Reason::from_number(entry[10])?,
-    };
-    Some(ZoneEntry {
-        zone: u32_at(entry, 0)?,
-        status,
-        quota: finite_f32_at(entry, 11)?,
+fn decode_reply_entry(entry: &[u8]) -> Result<ZoneEntry, tansymux_codec::DecodeError> {
+    let mut reader = ByteReader::new(entry);
+    Ok(ZoneEntry {
+        zone: reader.u32()?,
+        status: ZoneStatus {
+            stage: reader.code("stage", Stage::from_number)?,
+            step: reader.u8()?,
+            decision_number: reader.u32()?,
+            reason: reader.code("reason", Reason::from_number)?,
+        },
+        quota: reader.finite_f32()?,
     })
 }
 
-fn u16_at(bytes: &[u8], offset: usize) -> Option<u16> {
-    let field = bytes.get(offset..offset + 2)?;
-    Some(u16::from_be_bytes(field.try_into().ok()?))
-}
-
-fn u32_at(bytes: &[u8], offset: usize) -> Option<u32> {
-    let field = bytes.get(offset..offset + 4)?;
-    Some(u32::from_be_bytes(field.try_into().ok()?))
-}
-
-fn finite_f32_at(bytes: &[u8], offset: usize) -> Option<f32> {
-    u32_at(bytes, offset)
-        .map(f32::from_bits)
-        .filter(|number| number.is_finite())
+fn truncated(bytes: &[u8], min_len: usize) -> DecodeError {
+    DecodeError::Truncated {
+        len: bytes.len(),
+        min_len,
+    }
 }
