--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -220,8 +220,7 @@
         };
         let best = engine.best_channel(id, now_ms, trusted_idle_ms, self.settings.max_streams);
         let may_open = self.may_open_another(engine) && (!is_full || evictable.is_some());
-        // A lost connection loses every attempt in flight on it, so attempts share one only when no more may be
-        // opened.
+        // A lost connection loses every attempt in flight on it: they share one only at a connection limit.
         let channel = match best {
             Some(best) if best.suitability <= Suitability::Fresh || !may_open => best.channel,
             _ if may_open => {
@@ -233,8 +232,7 @@
                 return None;
             }
         };
-        // If idle connections are not trusted, a spare is opened now so that the next attempt need not wait for a
-        // connect.
+        // If idle connections are not trusted, a spare is opened for the next attempt.
         let needs_spare = may_open && !is_full && max_idle_ms <= MIN_IDLE_MS;
         if needs_spare && !engine.has_spare_beside(&channel) {
             self.open_channel(engine, address);
