--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -15,8 +15,6 @@
 //!
 //! Start reading at [`ByteReader`].
 
-#![warn(missing_docs)]
-
 mod error;
 mod hash;
 mod reader;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,8 +28,6 @@
 //!
 //! Start reading at [`QuorumNode::handle`] and [`QuorumNode::poll`].
 
-#![warn(missing_docs)]
-
 pub mod codec;
 mod config;
 pub mod disruption_budget;
--- a/crates/coordination/tests/datagram_fixtures.rs
+++ b/crates/coordination/tests/datagram_fixtures.rs
@@ -53,6 +53,7 @@
     }
 }
 
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn samples() -> Vec<(&'static str, Message)> {
     let halt = RecordValue::Halt {
         number: 0x6162_6364,
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -6,8 +6,6 @@
 //! [`query_registry`] the queries in flight, [`client`] and [`engine`] the two sides, [`subsystems`] what is fed beside
 //! the decisions.
 
-#![warn(missing_docs)]
-
 mod check;
 mod classify;
 mod cli;
--- a/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
+++ b/crates/dispatcher/src/subsystems/statement_classifier/tests.rs
@@ -17,6 +17,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn nothing_is_read_while_off_and_a_new_definition_keeps_what_was_learned() {
     let settings = settings::parse_pairs(
         "balancers=1 services.count=2 services.0.name=look services.0.effect=read_like services.0.aim-us=1 \
--- a/crates/dispatcher/tests/fleet.rs
+++ b/crates/dispatcher/tests/fleet.rs
@@ -1,6 +1,11 @@
 //! Fleets of several processes of the program, with a relay on every link between them and to their engines, under
 //! faults; and the commands of `tansymux fleet`.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/dispatcher/tests/levels.rs
+++ b/crates/dispatcher/tests/levels.rs
@@ -1,5 +1,10 @@
 //! Service levels on the real program: entered by its own signals, shown at once, and applied by the decisions.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use serde_json::Value;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -102,6 +107,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn level_is_entered_by_its_signal_shown_at_once_and_rejects_only_what_it_names() {
     let (mut program, _operator) = start(&config(&[engine_full_for_reports()]), LEVELS);
     thread::sleep(Duration::from_millis(3800));
--- a/crates/dispatcher/tests/sockets/queries.rs
+++ b/crates/dispatcher/tests/sockets/queries.rs
@@ -186,6 +186,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn keys_are_forwarded_unchanged_and_queries_of_one_ordering_key_run_in_order() {
     let (address, requests) = engine(|parts, to| {
         thread::sleep(Duration::from_millis(60));
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -1,5 +1,10 @@
 //! Statement classification on the real program (queries without a group, checks of those with one), and its command line.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
@@ -202,6 +207,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn every_statement_malformed_or_not_gets_exactly_one_final_answer() {
     use rand::SeedableRng;
     let world = Arc::new(RunContext::default());
@@ -272,6 +278,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn exit_codes_tell_success_from_faults_and_wrong_usage() {
     assert_eq!(run_program(&["--version"], "").0, 0);
     assert_eq!(run_program(&["--help"], "").0, 0);
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -1,5 +1,10 @@
 //! Two zones on the real program: one stops answering and recovers.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use serde_json::Value;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -151,6 +156,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn lost_zone_spills_within_its_limit_recovers_gradually_and_all_rules_hold() {
     let mut site = start(ZONES);
     (0..20).for_each(|_| assert_eq!(site.send_query("look", 5.0).unwrap().status, 200));
--- a/crates/engine-state/src/lib.rs
+++ b/crates/engine-state/src/lib.rs
@@ -17,7 +17,6 @@
 //! - what this dispatcher observed itself outweighs what it received.
 //!
 //! Start reading at [`EngineStateCache::view`].
-#![warn(missing_docs)]
 
 mod cache;
 pub mod codec;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,8 +21,6 @@
 //!
 //! Start reading at [`SwimDetector::poll`] and [`SwimDetector::handle`].
 
-#![warn(missing_docs)]
-
 pub mod authenticator;
 pub mod codec;
 mod config;
--- a/crates/membership/tests/codec.rs
+++ b/crates/membership/tests/codec.rs
@@ -1,6 +1,11 @@
 //! Datagrams written by the version before the renames (commit 7790f50), byte for byte: they are still read, and the
 //! same values are still written the same way.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use std::net::SocketAddr;
 use tansymux_membership::codec::{self, Datagram, DecodeError, Gossip, Message, TABLE_BUCKETS};
 use tansymux_membership::{member_id_of, DatagramAuthenticator, Keys, MemberState};
--- a/crates/membership/tests/network/simulated_network.rs
+++ b/crates/membership/tests/network/simulated_network.rs
@@ -137,6 +137,10 @@
         }
     }
 
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a datagram is handed over to the network"
+    )]
     pub fn send(
         &mut self,
         from: usize,
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -6,7 +6,6 @@
 //! changes what is in force: [`parse`] takes a text and returns the whole configuration or all of its errors.
 //!
 //! Start reading at [`parse`].
-#![warn(missing_docs)]
 
 mod error;
 mod error_collector;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -27,8 +27,6 @@
 //!
 //! Start reading at [`FleetNode::poll`], then [`RolloutController::on_command`].
 
-#![warn(missing_docs)]
-
 mod call_table;
 pub mod canary_analysis;
 pub mod codec;
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -19,8 +19,6 @@
 //!
 //! Start reading at [`LevelStateMachine::evaluate`].
 
-#![warn(missing_docs)]
-
 pub mod codec;
 mod config;
 mod latch;
--- a/crates/service-levels/tests/state_machine/main.rs
+++ b/crates/service-levels/tests/state_machine/main.rs
@@ -333,6 +333,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn reconfiguring_removes_reorders_or_redefines_the_level_in_force() {
     let at_depth = |load: f64| {
         let mut machine = LevelStateMachine::new(three());
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -8,8 +8,6 @@
 //!
 //! Start reading at [`simulation::run`].
 
-#![warn(missing_docs)]
-
 pub mod compare;
 pub mod engine;
 pub mod experiment;
--- a/crates/simulator/tests/small.rs
+++ b/crates/simulator/tests/small.rs
@@ -1,5 +1,10 @@
 //! The simulator itself: the same seed plays the same run; a zone that is lost and comes back; what is shown of a run.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use tansymux_simulator::schema::Experiment;
 use tansymux_simulator::{compare, experiment, report, simulation};
 
--- a/crates/sql-analysis/src/cost_model/tests.rs
+++ b/crates/sql-analysis/src/cost_model/tests.rs
@@ -87,6 +87,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn waits_and_warming_engines_hardly_raise_an_estimate_and_interrupted_attempts_never_lower_it() {
     for upper in [
         Execution {
--- a/crates/sql-analysis/src/lib.rs
+++ b/crates/sql-analysis/src/lib.rs
@@ -13,7 +13,6 @@
 //! - time and stack are bounded for any input.
 //!
 //! Start reading at [`StatementAnalyzer::analyze`].
-#![warn(missing_docs)]
 
 mod analyzer;
 mod config;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,7 +21,6 @@
 //! write position testable; `docs/design/engine-state.md` has the comparison.
 //!
 //! Start reading at [`Store::open`].
-#![warn(missing_docs)]
 
 mod config;
 mod disk;
--- a/crates/store/tests/crash_recovery.rs
+++ b/crates/store/tests/crash_recovery.rs
@@ -1,5 +1,10 @@
 //! Crashes at every step of a scripted run, torn and lost writes, corruption anywhere, full and read-only disks.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/store/tests/version_1_files.rs
+++ b/crates/store/tests/version_1_files.rs
@@ -1,5 +1,10 @@
 //! Files written by the version at commit 0fd3fce are read, and the same calls write the same bytes today.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use std::path::Path;
 use tansymux_store::{Config, Directory, Opened, RecoveryReport, Store, SyncPolicy};
 
--- a/crates/testbed/src/invariants/tests.rs
+++ b/crates/testbed/src/invariants/tests.rs
@@ -180,6 +180,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
 fn rule_2_no_effect_twice_and_no_invitation_to_one() {
     let again = |end: EventKind| {
         broken(&[
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,8 +7,6 @@
 //!
 //! Start reading at [`invariants::find_violations`], then at [`demo::run`].
 
-#![warn(missing_docs)]
-
 pub mod client;
 pub mod corpus;
 pub mod demo;
--- a/crates/zone-evacuation/src/lib.rs
+++ b/crates/zone-evacuation/src/lib.rs
@@ -19,8 +19,6 @@
 //!
 //! Start reading at [`EvacuationController::evaluate`].
 
-#![warn(missing_docs)]
-
 pub mod codec;
 mod config;
 mod controller;
--- a/crates/zone-evacuation/tests/codec.rs
+++ b/crates/zone-evacuation/tests/codec.rs
@@ -1,6 +1,11 @@
 //! Messages written by the version before the renames (commit 7790f50), byte for byte: they are still read, and the
 //! same values are still written the same way.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test ends at the first thing that is not as it should be"
+)]
+
 use tansymux_zone_evacuation::codec::{self, DecodeError, LeaderReply, ZoneEntry};
 use tansymux_zone_evacuation::{Evidence, MemberReport, Reachability, Reason, Stage, ZoneStatus};
 
--- a/crates/zone-routing/src/lib.rs
+++ b/crates/zone-routing/src/lib.rs
@@ -18,8 +18,6 @@
 //!
 //! Start reading at [`ZoneHealthDetector::evaluate`].
 
-#![warn(missing_docs)]
-
 pub mod codec;
 mod config;
 mod detector;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,6 @@
 //! and writes to, `model` the records it keeps, [`settings`] what it goes by. [`zone_plan`] and [`pool_metrics`] are
 //! how zone routing and service levels reach it.
 
-#![warn(missing_docs)]
-
 pub mod control;
 pub mod events;
 pub mod interner;
