Testbed: tests of fleets are named as sentences a newcomer understands

Need: names like whoever_waits_gives_up or untold say little.

Change: names only. Tests renamed: a_calm_release_ends_with_all_released_and_never_more_out_than_the_limit -> a_release_without_faults_completes_within_the_limit; all_faults_mixed_never_put_more_out_than_the_limit_and_the_release_ends -> a_release_under_mixed_faults_completes_within_the_limit; each_hard_case_of_the_processes_holds_in_virtual_time_too -> each_named_scenario_passes_in_virtual_time; messages_lost_doubled_in_disorder_and_late_all_the_time_only_make_it_slower -> a_release_completes_on_links_that_lose_duplicate_reorder_and_delay; without_agreement_the_same_scenario_breaks_the_limit -> without_coordination_the_same_scenario_exceeds_the_limit; of_two_releases_at_once_one_is_told_that_the_other_runs -> of_two_concurrent_releases_one_is_refused_because_the_other_runs; a_halt_that_only_a_cut_off_part_hears_is_not_told_as_done_and_the_rest_halts_for_its_losses -> a_halt_in_a_partition_without_leader_is_not_confirmed_and_the_rest_halts_for_lost_members; a_limit_lowered_below_what_is_out_lets_nobody_more_out_and_calls_nobody_back -> a_limit_lowered_below_the_members_out_grants_no_lease_and_revokes_none; a_bad_canary_halts_the_release_and_the_way_back_leaves_all_as_they_were -> a_bad_canary_halts_the_release_and_a_rollback_restores_all_members; a_version_that_is_bad_only_under_load_halts_in_its_waves -> a_version_that_is_bad_only_under_load_is_halted_in_its_waves; first_ones_that_are_too_few_to_tell_halt_it_unless_it_may_go_on_untold -> canaries_with_too_few_requests_halt_the_release_unless_it_may_proceed_undecided; with_no_majority_left_nobody_goes_out_and_whoever_waits_gives_up -> without_a_majority_of_voters_no_lease_is_granted_and_waiting_supervisors_give_up; a_fleet_that_grows_from_three_to_thirty_in_the_release_ends_it_within_its_limit -> a_fleet_that_grows_from_three_to_thirty_completes_its_release_within_the_limit; a_fleet_that_shrinks_to_one_voter_goes_on_once_the_others_are_known_to_stay_away -> a_fleet_reduced_to_one_voter_proceeds_once_the_others_are_forgotten.

--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -19,27 +19,27 @@
 }
 
 #[test]
-fn a_calm_release_ends_with_all_released_and_never_more_out_than_the_limit() {
+fn a_release_without_faults_completes_within_the_limit() {
     for members in [1, 3, 7, 30] {
         holds(1..4, |seed| Scenario::calm(seed, members));
     }
 }
 
 #[test]
-fn all_faults_mixed_never_put_more_out_than_the_limit_and_the_release_ends() {
+fn a_release_under_mixed_faults_completes_within_the_limit() {
     holds(0..150, |seed| Scenario::mixed(seed, 5));
     holds(0..60, |seed| Scenario::mixed(seed, 12));
 }
 
 #[test]
-fn each_hard_case_of_the_processes_holds_in_virtual_time_too() {
+fn each_named_scenario_passes_in_virtual_time() {
     for name in NAMES {
         holds(0..40, |seed| Scenario::named(name, seed).unwrap());
     }
 }
 
 #[test]
-fn messages_lost_doubled_in_disorder_and_late_all_the_time_only_make_it_slower() {
+fn a_release_completes_on_links_that_lose_duplicate_reorder_and_delay() {
     holds(0..40, |seed| Scenario {
         events: vec![Event {
             at: 0.0,
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn without_agreement_the_same_scenario_breaks_the_limit() {
+fn without_coordination_the_same_scenario_exceeds_the_limit() {
     // That the check above can fail.
     let uncoordinated = PlayOptions {
         uncoordinated: true,
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn of_two_releases_at_once_one_is_told_that_the_other_runs() {
+fn of_two_concurrent_releases_one_is_refused_because_the_other_runs() {
     let mut fleet = virtual_fleet(Scenario::calm(3, 5));
     fleet.request_second_release(4, 99);
     fleet.run_until(|_| false);
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn a_halt_that_only_a_cut_off_part_hears_is_not_told_as_done_and_the_rest_halts_for_its_losses() {
+fn a_halt_in_a_partition_without_leader_is_not_confirmed_and_the_rest_halts_for_lost_members() {
     let mut scenario = Scenario::calm(5, 5);
     scenario.events = vec![
         Event {
@@ -123,7 +123,7 @@
 }
 
 #[test]
-fn a_limit_lowered_below_what_is_out_lets_nobody_more_out_and_calls_nobody_back() {
+fn a_limit_lowered_below_the_members_out_grants_no_lease_and_revokes_none() {
     holds(0..30, |seed| Scenario {
         max_out: 4,
         events: vec![Event {
@@ -160,7 +160,7 @@
 }
 
 #[test]
-fn a_bad_canary_halts_the_release_and_the_way_back_leaves_all_as_they_were() {
+fn a_bad_canary_halts_the_release_and_a_rollback_restores_all_members() {
     for seed in 0..5 {
         let mut fleet = degraded(seed, 40.0, 0.7, 0.0, true);
         fleet.run_until(|fleet| fleet.halt_reason().is_some());
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn a_version_that_is_bad_only_under_load_halts_in_its_waves() {
+fn a_version_that_is_bad_only_under_load_is_halted_in_its_waves() {
     for seed in 0..5 {
         // It is good while the first few are looked at, and bad once the load has come.
         let mut fleet = degraded(seed, 40.0, 0.7, 35_000.0, true);
@@ -208,7 +208,7 @@
 }
 
 #[test]
-fn first_ones_that_are_too_few_to_tell_halt_it_unless_it_may_go_on_untold() {
+fn canaries_with_too_few_requests_halt_the_release_unless_it_may_proceed_undecided() {
     let mut fleet = degraded(1, 0.0, 0.5, 0.0, false);
     fleet.run_until(|fleet| fleet.halt_reason().is_some());
     assert_eq!(
@@ -224,7 +224,7 @@
 }
 
 #[test]
-fn with_no_majority_left_nobody_goes_out_and_whoever_waits_gives_up() {
+fn without_a_majority_of_voters_no_lease_is_granted_and_waiting_supervisors_give_up() {
     let mut scenario = Scenario::calm(2, 5);
     scenario.events = (0..3)
         .map(|who| Event {
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn a_fleet_that_grows_from_three_to_thirty_in_the_release_ends_it_within_its_limit() {
+fn a_fleet_that_grows_from_three_to_thirty_completes_its_release_within_the_limit() {
     for seed in 0..3 {
         let mut fleet = virtual_fleet(Scenario {
             voters: 3,
@@ -261,7 +261,7 @@
 }
 
 #[test]
-fn a_fleet_that_shrinks_to_one_voter_goes_on_once_the_others_are_known_to_stay_away() {
+fn a_fleet_reduced_to_one_voter_proceeds_once_the_others_are_forgotten() {
     let mut scenario = Scenario {
         voters: 1,
         ..Scenario::calm(4, 4)
