Membership: reads and writes its datagrams with tansymux-codec

Need: two readers at an offset and slices at fixed places; the layout stood in each decoder as numbers.

Change: the header is read once, in one function, for decode, peek_sender and decode_user_message; messages and gossip are read field by field; member_id_of takes the shared FNV-1a. DecodeError and what is skipped or rejected stay.

Measured: cargo test -p tansymux-membership 21 passed, 1 ignored (as before), among them the byte fixtures of tests/codec.rs.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -24,6 +24,7 @@
 
 use crate::authenticator;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
+use tansymux_codec::{ByteReader, ByteWriter};
 
 /// Longest datagram with its seal (bytes). The fleet's network contract allows datagrams of up to 256 bytes.
 pub const MAX_DATAGRAM_LEN: usize = 256;
@@ -54,9 +55,7 @@
 
 /// The identifier of a member's name: 64-bit FNV-1a.
 pub fn member_id_of(name: &str) -> MemberId {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    tansymux_codec::fnv1a_64(name.as_bytes())
 }
 
 /// State of a member, from best to worst: at equal incarnation the worse state wins.
@@ -167,51 +166,70 @@
         Message::Join => JOIN,
         Message::TableSync(_) => TABLE_SYNC,
     };
-    let mut bytes = encode_header(code, datagram.sender, datagram.sequence_number);
+    let mut writer = encode_header(code, datagram.sender, datagram.sequence_number);
     match datagram.message {
         Message::PingRequest(subject) | Message::IndirectAck(subject) => {
-            bytes.extend_from_slice(&subject.to_be_bytes());
+            writer.u64(subject);
         }
         Message::TableSync(digests) => {
             for digest in digests {
-                bytes.extend_from_slice(&digest.to_be_bytes());
+                writer.u32(digest);
             }
         }
         Message::Ping | Message::Ack | Message::Join => {}
     }
     let capacity = gossip_capacity(datagram.message);
     for gossip in datagram.gossip.iter().take(capacity) {
-        encode_gossip(gossip, &mut bytes);
+        encode_gossip(gossip, &mut writer);
     }
-    bytes
+    writer.into_bytes()
 }
 
-fn encode_header(code: u8, sender: MemberId, sequence_number: u32) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(MAX_DATAGRAM_LEN);
-    bytes.extend_from_slice(&[DATAGRAM_KIND, VERSION, code]);
-    bytes.extend_from_slice(&sender.to_be_bytes());
-    bytes.extend_from_slice(&sequence_number.to_be_bytes());
-    bytes
+fn encode_header(code: u8, sender: MemberId, sequence_number: u32) -> ByteWriter {
+    let mut writer = ByteWriter::with_capacity(MAX_DATAGRAM_LEN);
+    writer
+        .bytes(&[DATAGRAM_KIND, VERSION, code])
+        .u64(sender)
+        .u32(sequence_number);
+    writer
 }
 
-fn encode_gossip(gossip: &Gossip, bytes: &mut Vec<u8>) {
+fn encode_gossip(gossip: &Gossip, writer: &mut ByteWriter) {
     let IpAddr::V4(ip) = gossip.address.ip() else {
         return;
     };
-    bytes.extend_from_slice(&gossip.id.to_be_bytes());
-    bytes.extend_from_slice(&ip.octets());
-    bytes.extend_from_slice(&gossip.address.port().to_be_bytes());
-    bytes.push(gossip.state as u8);
-    bytes.extend_from_slice(&gossip.incarnation.to_be_bytes());
+    writer
+        .u64(gossip.id)
+        .bytes(&ip.octets())
+        .u16(gossip.address.port())
+        .u8(gossip.state as u8)
+        .u32(gossip.incarnation);
 }
 
-/// The sender that a datagram names, before any of it is verified; `None` for what is no membership datagram.
-pub fn peek_sender(bytes: &[u8]) -> Option<MemberId> {
-    let header = bytes.get(..HEADER_LEN)?;
-    if header[0] != DATAGRAM_KIND || header[1] != VERSION {
+/// The fields in front of every message.
+struct Header {
+    message_code: u8,
+    sender: MemberId,
+    sequence_number: u32,
+}
+
+/// Reads the header; `None` for what is no membership datagram.
+fn decode_header(reader: &mut ByteReader) -> Option<Header> {
+    let kind = reader.u8().ok()?;
+    let version = reader.u8().ok()?;
+    if kind != DATAGRAM_KIND || version != VERSION {
         return None;
     }
-    u64_at(header, 3)
+    Some(Header {
+        message_code: reader.u8().ok()?,
+        sender: reader.u64().ok()?,
+        sequence_number: reader.u32().ok()?,
+    })
+}
+
+/// The sender that a datagram names, before any of it is verified; `None` for what is no membership datagram.
+pub fn peek_sender(bytes: &[u8]) -> Option<MemberId> {
+    decode_header(&mut ByteReader::new(bytes)).map(|header| header.sender)
 }
 
 /// Decodes a datagram whose seal was removed. Gossip with an unknown state is skipped, as is an incomplete entry at
@@ -220,62 +238,58 @@
 /// # Errors
 /// Where the bytes are no membership datagram, or a user message.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, DecodeError> {
-    let sender = peek_sender(bytes).ok_or(DecodeError::NotMembership)?;
-    let sequence_number = u32_at(bytes, 11).ok_or(DecodeError::NotMembership)?;
-    let subject = || u64_at(bytes, HEADER_LEN).ok_or(DecodeError::Truncated);
-    let (message, gossip_start) = match bytes[2] {
-        PING => (Message::Ping, HEADER_LEN),
-        ACK => (Message::Ack, HEADER_LEN),
-        PING_REQUEST => (Message::PingRequest(subject()?), HEADER_LEN + SUBJECT_LEN),
-        INDIRECT_ACK => (Message::IndirectAck(subject()?), HEADER_LEN + SUBJECT_LEN),
-        JOIN => (Message::Join, HEADER_LEN),
-        TABLE_SYNC => (
-            Message::TableSync(decode_digests(bytes)?),
-            HEADER_LEN + DIGESTS_LEN,
-        ),
-        code => return Err(DecodeError::UnknownMessage(code)),
-    };
-    let gossip = bytes[gossip_start..]
+    let mut reader = ByteReader::new(bytes);
+    let header = decode_header(&mut reader).ok_or(DecodeError::NotMembership)?;
+    let message = decode_message(header.message_code, &mut reader)?;
+    let gossip = reader
+        .take_remaining()
         .chunks_exact(GOSSIP_LEN)
-        .filter_map(decode_gossip)
+        .filter_map(|entry| decode_gossip(entry).ok())
         .take(gossip_capacity(Message::Ping))
         .collect();
     Ok(Datagram {
         message,
-        sender,
-        sequence_number,
+        sender: header.sender,
+        sequence_number: header.sequence_number,
         gossip,
     })
 }
 
-fn decode_digests(bytes: &[u8]) -> Result<[u32; TABLE_BUCKETS], DecodeError> {
-    let mut digests = [0; TABLE_BUCKETS];
-    for (bucket, digest) in digests.iter_mut().enumerate() {
-        *digest = u32_at(bytes, HEADER_LEN + 4 * bucket).ok_or(DecodeError::Truncated)?;
+fn decode_message(code: u8, reader: &mut ByteReader) -> Result<Message, DecodeError> {
+    match code {
+        PING => Ok(Message::Ping),
+        ACK => Ok(Message::Ack),
+        PING_REQUEST => Ok(Message::PingRequest(decode_subject(reader)?)),
+        INDIRECT_ACK => Ok(Message::IndirectAck(decode_subject(reader)?)),
+        JOIN => Ok(Message::Join),
+        TABLE_SYNC => Ok(Message::TableSync(decode_digests(reader)?)),
+        code => Err(DecodeError::UnknownMessage(code)),
     }
-    Ok(digests)
 }
 
-fn decode_gossip(entry: &[u8]) -> Option<Gossip> {
-    let state = MemberState::from_byte(entry[14])?;
-    let ip = Ipv4Addr::new(entry[8], entry[9], entry[10], entry[11]);
-    let port = u16::from_be_bytes([entry[12], entry[13]]);
-    Some(Gossip {
-        id: u64_at(entry, 0)?,
-        address: SocketAddr::V4(SocketAddrV4::new(ip, port)),
-        state,
-        incarnation: u32_at(entry, 15)?,
-    })
+fn decode_subject(reader: &mut ByteReader) -> Result<MemberId, DecodeError> {
+    reader.u64().map_err(|_| DecodeError::Truncated)
 }
 
-fn u32_at(bytes: &[u8], offset: usize) -> Option<u32> {
-    let field = bytes.get(offset..offset + 4)?;
-    Some(u32::from_be_bytes(field.try_into().ok()?))
+fn decode_digests(reader: &mut ByteReader) -> Result<[u32; TABLE_BUCKETS], DecodeError> {
+    let mut digests = [0; TABLE_BUCKETS];
+    for digest in &mut digests {
+        *digest = reader.u32().map_err(|_| DecodeError::Truncated)?;
+    }
+    Ok(digests)
 }
 
-fn u64_at(bytes: &[u8], offset: usize) -> Option<u64> {
-    let field = bytes.get(offset..offset + 8)?;
-    Some(u64::from_be_bytes(field.try_into().ok()?))
+fn decode_gossip(entry: &[u8]) -> Result<Gossip, tansymux_codec::DecodeError> {
+    let mut reader = ByteReader::new(entry);
+    let id = reader.u64()?;
+    let ip = Ipv4Addr::from_bits(reader.u32()?);
+    let port = reader.u16()?;
+    Ok(Gossip {
+        id,
+        address: SocketAddr::V4(SocketAddrV4::new(ip, port)),
+        state: reader.code("state", MemberState::from_byte)?,
+        incarnation: reader.u32()?,
+    })
 }
 
 /// Encodes a user message without a seal; `None` where the content is longer than [`MAX_USER_MESSAGE_LEN`].
@@ -283,13 +297,14 @@
     if content.len() > MAX_USER_MESSAGE_LEN {
         return None;
     }
-    let mut bytes = encode_header(USER_MESSAGE, sender, 0);
-    bytes.extend_from_slice(content);
-    Some(bytes)
+    let mut writer = encode_header(USER_MESSAGE, sender, 0);
+    writer.bytes(content);
+    Some(writer.into_bytes())
 }
 
 /// The content of a user message whose seal was removed; `None` for other datagrams.
 pub fn decode_user_message(bytes: &[u8]) -> Option<&[u8]> {
-    peek_sender(bytes)?;
-    (bytes[2] == USER_MESSAGE).then(|| &bytes[HEADER_LEN..])
+    let mut reader = ByteReader::new(bytes);
+    let header = decode_header(&mut reader)?;
+    (header.message_code == USER_MESSAGE).then(|| reader.take_remaining())
 }
