Zone routing: the hash of a zone's name is the shared FNV-1a

Need: the folded hash stood here and in service-levels.

Change: zone_hash calls tansymux_codec::fnv1a_16. The decoder stays: its entries of three bytes are destructured and cannot be short, a reader would add errors that never happen.

Measured: cargo test -p tansymux-zone-routing 25 passed, as before, among them the byte fixtures.

--- a/crates/zone-routing/src/codec.rs
+++ b/crates/zone-routing/src/codec.rs
@@ -48,10 +48,7 @@
 
 /// Short hash of a zone's name: 32-bit FNV-1a folded to 16 bits.
 pub fn zone_hash(name: &str) -> u16 {
-    let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-    });
-    (hash ^ hash >> 16) as u16
+    tansymux_codec::fnv1a_16(name.as_bytes())
 }
 
 /// Encodes a message; zones beyond [`MAX_ZONES`] are left out.
