Service levels: the fingerprint of a configuration is the shared FNV-1a

Need: the folded hash stood here and in zone-routing.

Change: Config::fingerprint calls tansymux_codec::fnv1a_16. The message codec stays: eight bytes are written as an array and read from a slice of that length, the shared reader and writer would make neither shorter.

--- a/crates/service-levels/src/config/fingerprint.rs
+++ b/crates/service-levels/src/config/fingerprint.rs
@@ -11,10 +11,7 @@
     pub fn fingerprint(&self) -> u16 {
         let levels = list(&self.levels, level_text);
         let text = format!("Definition {{ levels: {levels} }}");
-        let hash = text.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
-            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-        });
-        (hash ^ hash >> 16) as u16
+        tansymux_codec::fnv1a_16(text.as_bytes())
     }
 }
 
