Engine state: reads and writes its messages with tansymux-codec

Need: a reader of its own (FieldReader), the same as the shared one but for the names.

Change: entries are read and written field by field; FieldReader is gone. CodecError and what is skipped, ignored or rejected stay.

--- a/crates/engine-state/src/codec.rs
+++ b/crates/engine-state/src/codec.rs
@@ -21,6 +21,7 @@
 //! can be mixed.
 
 use crate::observation::{Observation, ObservationKind};
+use tansymux_codec::{ByteReader, ByteWriter, DecodeError};
 
 /// The first byte of a message, which distinguishes it from other messages between dispatchers.
 pub const MESSAGE_TYPE: u8 = 5;
@@ -55,31 +56,34 @@
 
 /// Encodes as many observations, in their order, as fit in `max_bytes`.
 pub fn encode(observations: &[Observation], max_bytes: usize) -> Encoded {
-    let mut encoded = Encoded {
-        bytes: vec![MESSAGE_TYPE, VERSION],
-        count: 0,
-    };
+    let mut writer = ByteWriter::default();
+    writer.u8(MESSAGE_TYPE).u8(VERSION);
+    let mut count = 0;
     for observation in observations {
-        if encoded.bytes.len() + 1 + ENTRY_BYTES > max_bytes {
+        if writer.len() + 1 + ENTRY_BYTES > max_bytes {
             break;
         }
-        encode_entry(observation, &mut encoded.bytes);
-        encoded.count += 1;
+        encode_entry(observation, &mut writer);
+        count += 1;
+    }
+    Encoded {
+        bytes: writer.into_bytes(),
+        count,
     }
-    encoded
 }
 
-fn encode_entry(observation: &Observation, bytes: &mut Vec<u8>) {
+fn encode_entry(observation: &Observation, writer: &mut ByteWriter) {
     // Rounded up: an observation must not become younger in transit.
     let age_ms = observation.age_ms.ceil().clamp(0.0, f64::from(u32::MAX)) as u32;
-    bytes.push(ENTRY_BYTES as u8);
-    bytes.push(observation.kind as u8);
-    bytes.extend_from_slice(&observation.engine_id.to_be_bytes());
-    bytes.extend_from_slice(&observation.incarnation.to_be_bytes());
-    bytes.extend_from_slice(&observation.origin_id.to_be_bytes());
-    bytes.extend_from_slice(&observation.sequence.to_be_bytes());
-    bytes.extend_from_slice(&age_ms.to_be_bytes());
-    bytes.extend_from_slice(&(observation.value as f32).to_be_bytes());
+    writer
+        .u8(ENTRY_BYTES as u8)
+        .u8(observation.kind as u8)
+        .u64(observation.engine_id)
+        .u32(observation.incarnation)
+        .u64(observation.origin_id)
+        .u32(observation.sequence)
+        .u32(age_ms)
+        .f32(observation.value as f32);
 }
 
 /// Decodes a message. Entries that are unknown, too short, or not finite are skipped; decoding ends at one that is cut.
@@ -87,10 +91,10 @@
 /// # Errors
 /// The message has no valid header. Any bytes are accepted without a panic.
 pub fn decode(bytes: &[u8]) -> Result<Vec<Observation>, CodecError> {
-    let (header, mut remaining) = bytes
-        .split_first_chunk::<HEADER_BYTES>()
-        .ok_or(CodecError::Truncated)?;
-    let [message_type, version] = *header;
+    let mut reader = ByteReader::new(bytes);
+    let (Ok(message_type), Ok(version)) = (reader.u8(), reader.u8()) else {
+        return Err(CodecError::Truncated);
+    };
     if message_type != MESSAGE_TYPE {
         return Err(CodecError::WrongMessageType(message_type));
     }
@@ -98,42 +102,27 @@
         return Err(CodecError::UnsupportedVersion(version));
     }
     let mut observations = Vec::new();
-    while let Some((length, after_length)) = remaining.split_first() {
-        let Some((entry, after_entry)) = after_length.split_at_checked(usize::from(*length)) else {
+    while let Ok(length) = reader.u8() {
+        let Ok(entry) = reader.split(usize::from(length)) else {
             break;
         };
-        observations.extend(decode_entry(entry));
-        remaining = after_entry;
+        observations.extend(decode_entry(entry).ok());
     }
     Ok(observations)
 }
 
-fn decode_entry(entry: &[u8]) -> Option<Observation> {
-    let mut fields = FieldReader { bytes: entry };
-    let kind = ObservationKind::ALL
-        .get(usize::from(fields.take::<1>()?[0]))
-        .copied()?;
-    let observation = Observation {
-        kind,
-        engine_id: u64::from_be_bytes(fields.take()?),
-        incarnation: u32::from_be_bytes(fields.take()?),
-        origin_id: u64::from_be_bytes(fields.take()?),
-        sequence: u32::from_be_bytes(fields.take()?),
-        age_ms: f64::from(u32::from_be_bytes(fields.take()?)),
-        value: f64::from(f32::from_be_bytes(fields.take()?)),
-    };
-    observation.value.is_finite().then_some(observation)
+fn decode_entry(mut reader: ByteReader) -> Result<Observation, DecodeError> {
+    Ok(Observation {
+        kind: reader.code("kind", kind_from_code)?,
+        engine_id: reader.u64()?,
+        incarnation: reader.u32()?,
+        origin_id: reader.u64()?,
+        sequence: reader.u32()?,
+        age_ms: f64::from(reader.u32()?),
+        value: f64::from(reader.finite_f32()?),
+    })
 }
 
-/// Reads fields of fixed size one after the other.
-struct FieldReader<'a> {
-    bytes: &'a [u8],
-}
-
-impl FieldReader<'_> {
-    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
-        let (field, remaining) = self.bytes.split_first_chunk::<N>()?;
-        self.bytes = remaining;
-        Some(*field)
-    }
+fn kind_from_code(code: u8) -> Option<ObservationKind> {
+    ObservationKind::ALL.get(usize::from(code)).copied()
 }
