Testbed: the corpus in modules by concern (patterns, generator, mutation, oracle)

Change: corpus/{mod,patterns,generator,mutation,oracle,tests}.rs. Part -> Split (Development, Evaluation), Labelled -> LabelledStatement, form -> shape, work -> work_ms; the oracle is a scanner with a named dialect. Draws keep their order. Tests renamed: the_corpus_is_large_and_its_parts_share_no_form -> corpus_is_large_and_its_splits_share_no_shape; the_oracle_finds_changes_that_one_reading_shows_and_another_hides -> oracle_finds_changes_that_only_some_sql_dialects_execute. Assertions as before, with the fields' new names.

--- /dev/null
+++ b/crates/testbed/src/corpus/oracle.rs
@@ -0,0 +1,261 @@
+//! An oracle for effects, independent of the analyzer under test: it tokenizes a text under every combination of SQL
+//! dialect rules and searches the tokens for words that change something. It errs towards "may change".
+
+/// Keywords that change something where a statement starts with them.
+const STATEMENT_KEYWORDS: [&[u8]; 30] = [
+    b"insert",
+    b"update",
+    b"delete",
+    b"merge",
+    b"truncate",
+    b"drop",
+    b"alter",
+    b"create",
+    b"grant",
+    b"revoke",
+    b"call",
+    b"do",
+    b"execute",
+    b"prepare",
+    b"copy",
+    b"lock",
+    b"set",
+    b"reset",
+    b"begin",
+    b"commit",
+    b"rollback",
+    b"vacuum",
+    b"replace",
+    b"load",
+    b"refresh",
+    b"deallocate",
+    b"start",
+    b"savepoint",
+    b"listen",
+    b"notify",
+];
+
+/// Keywords that change something anywhere in a statement.
+const CLAUSE_KEYWORDS: [&[u8]; 10] = [
+    b"insert",
+    b"update",
+    b"delete",
+    b"merge",
+    b"into",
+    b"truncate",
+    b"drop",
+    b"alter",
+    b"create",
+    b"grant",
+];
+
+/// Functions with effects; they count only where an opening parenthesis follows.
+const FUNCTIONS_WITH_EFFECTS: [&[u8]; 4] =
+    [b"nextval", b"setval", b"pg_advisory_lock", b"set_config"];
+
+/// Number of dialect rules in [`Dialect`], each on or off.
+const DIALECT_RULES: u32 = 6;
+
+/// Whether a text may change something under any way in which an engine could split it into words.
+pub fn may_change(text: &[u8]) -> bool {
+    (0..1_u8 << DIALECT_RULES)
+        .any(|rules| Scanner::new(text, Dialect::from_bits(rules)).finds_change())
+}
+
+/// Rules in which SQL dialects differ.
+#[derive(Debug, Clone, Copy)]
+struct Dialect {
+    /// A backslash escapes the next character of a string.
+    backslash_escapes: bool,
+    /// Block comments nest.
+    nested_comments: bool,
+    /// `#` starts a line comment.
+    hash_comments: bool,
+    /// `--` starts a comment only if a blank or the end follows.
+    dashes_need_blank: bool,
+    /// `$tag$` quotes strings.
+    dollar_quotes: bool,
+    /// `/*! ... */` is executed, and a carriage return ends a line comment.
+    executable_comments: bool,
+}
+
+impl Dialect {
+    fn from_bits(bits: u8) -> Self {
+        let is_set = |bit: u8| bits >> bit & 1 == 1;
+        Dialect {
+            backslash_escapes: is_set(0),
+            nested_comments: is_set(1),
+            hash_comments: is_set(2),
+            dashes_need_blank: is_set(3),
+            dollar_quotes: is_set(4),
+            executable_comments: is_set(5),
+        }
+    }
+}
+
+/// One pass over a text under one dialect.
+struct Scanner<'a> {
+    text: &'a [u8],
+    dialect: Dialect,
+    position: usize,
+    /// No word of the current statement came yet.
+    at_statement_start: bool,
+    /// The next word is a column's or table's name, as in `t.update`.
+    after_dot: bool,
+}
+
+impl<'a> Scanner<'a> {
+    fn new(text: &'a [u8], dialect: Dialect) -> Self {
+        Scanner {
+            text,
+            dialect,
+            position: 0,
+            at_statement_start: true,
+            after_dot: false,
+        }
+    }
+
+    fn finds_change(mut self) -> bool {
+        while self.position < self.text.len() {
+            let byte = self.text[self.position];
+            match byte {
+                b'\'' | b'"' | b'`' => self.skip_quoted(byte),
+                b'#' if self.dialect.hash_comments => self.skip_until(|byte| byte == b'\n'),
+                b'-' if self.at_dash_comment() => self.skip_dash_comment(),
+                b'/' if self.peek(1) == b'*' => self.skip_block_comment(),
+                b'$' if self.dialect.dollar_quotes => self.skip_dollar_quoted(),
+                byte if byte.is_ascii_alphabetic() || byte == b'_' => {
+                    if self.take_word_and_check() {
+                        return true;
+                    }
+                }
+                byte => self.take_other(byte),
+            }
+        }
+        false
+    }
+
+    /// The byte at this distance, 0 behind the end.
+    fn peek(&self, offset: usize) -> u8 {
+        let byte = self.text.get(self.position + offset);
+        byte.copied().unwrap_or(0)
+    }
+
+    fn skip_until(&mut self, is_end: impl Fn(u8) -> bool) {
+        while self.position < self.text.len() && !is_end(self.text[self.position]) {
+            self.position += 1;
+        }
+    }
+
+    /// Skips a quoted string or name with its closing quote; a doubled quote doesn't close it.
+    fn skip_quoted(&mut self, quote: u8) {
+        self.position += 1;
+        while self.position < self.text.len() {
+            if self.dialect.backslash_escapes && self.text[self.position] == b'\\' {
+                self.position += 1;
+            } else if self.text[self.position] == quote {
+                if self.peek(1) != quote {
+                    break;
+                }
+                self.position += 1;
+            }
+            self.position += 1;
+        }
+        self.position += 1;
+        self.at_statement_start = false;
+        self.after_dot = false;
+    }
+
+    fn at_dash_comment(&self) -> bool {
+        if self.peek(1) != b'-' {
+            return false;
+        }
+        let is_at_end = self.position + 2 >= self.text.len();
+        !self.dialect.dashes_need_blank || self.peek(2).is_ascii_whitespace() || is_at_end
+    }
+
+    fn skip_dash_comment(&mut self) {
+        let return_ends_line = self.dialect.executable_comments;
+        self.skip_until(|byte| byte == b'\n' || return_ends_line && byte == b'\r');
+    }
+
+    /// Skips a block comment. Of an executable one (`/*!`, `/*M!`) only the opening and its version number are skipped.
+    fn skip_block_comment(&mut self) {
+        let is_executable = self.peek(2) == b'!' || self.peek(2) == b'M' && self.peek(3) == b'!';
+        if self.dialect.executable_comments && is_executable {
+            self.position += 3;
+            while self.peek(0).is_ascii_digit() || self.peek(0) == b'!' {
+                self.position += 1;
+            }
+            return;
+        }
+        let mut depth = 1;
+        self.position += 2;
+        while self.position < self.text.len() && depth > 0 {
+            if self.peek(0) == b'*' && self.peek(1) == b'/' {
+                depth -= 1;
+                self.position += 1;
+            } else if self.dialect.nested_comments && self.peek(0) == b'/' && self.peek(1) == b'*' {
+                depth += 1;
+                self.position += 1;
+            }
+            self.position += 1;
+        }
+    }
+
+    /// Skips a dollar-quoted string, or the dollar alone if it opens none that is closed.
+    fn skip_dollar_quoted(&mut self) {
+        let end = self.dollar_quoted_end();
+        self.position = end.unwrap_or(self.position + 1);
+    }
+
+    fn dollar_quoted_end(&self) -> Option<usize> {
+        let after_dollar = self.position + 1;
+        let tag_length = self.text[after_dollar..]
+            .iter()
+            .position(|byte| !(byte.is_ascii_alphanumeric() || *byte == b'_'))?;
+        if self.text[after_dollar + tag_length] != b'$' {
+            return None;
+        }
+        let body_start = after_dollar + tag_length + 1;
+        let delimiter = &self.text[self.position..body_start];
+        let body_length = self.text[body_start..]
+            .windows(delimiter.len())
+            .position(|window| window == delimiter)?;
+        Some(body_start + body_length + delimiter.len())
+    }
+
+    /// Takes a word; whether it changes something.
+    fn take_word_and_check(&mut self) -> bool {
+        let start = self.position;
+        while self.peek(0).is_ascii_alphanumeric() || self.peek(0) == b'_' {
+            self.position += 1;
+        }
+        let word = self.text[start..self.position].to_ascii_lowercase();
+        let is_in = |list: &[&[u8]]| list.contains(&word.as_slice());
+        let next = self.text[self.position..]
+            .iter()
+            .find(|byte| !byte.is_ascii_whitespace());
+        let is_called = next == Some(&b'(');
+        let changes = self.at_statement_start && is_in(&STATEMENT_KEYWORDS)
+            || is_in(&CLAUSE_KEYWORDS)
+            || is_called && is_in(&FUNCTIONS_WITH_EFFECTS);
+        if changes && !self.after_dot {
+            return true;
+        }
+        self.at_statement_start = false;
+        self.after_dot = false;
+        false
+    }
+
+    fn take_other(&mut self, byte: u8) {
+        self.position += 1;
+        if byte == b';' {
+            self.at_statement_start = true;
+            self.after_dot = false;
+        } else if !byte.is_ascii_whitespace() {
+            self.after_dot = byte == b'.';
+            self.at_statement_start &= byte == b'(';
+        }
+    }
+}
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,6 +1,6 @@
 //! Measurements of statements: accuracy, false proofs, hit rate, time, learned costs. Each prints a table.
 
-use crate::corpus::{corpus, may_change, mutated, Labelled, Part};
+use crate::corpus::{corpus, may_change, mutated, LabelledStatement, Split};
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Normal, Zipf};
@@ -29,10 +29,10 @@
     pub false_read_only: usize,
 }
 
-pub fn accuracy_of(all: &[Labelled], part: Part) -> (Accuracy, Vec<String>) {
+pub fn accuracy_of(all: &[LabelledStatement], split: Split) -> (Accuracy, Vec<String>) {
     let mut analyzer = analyzer();
     let (mut accuracy, mut wrong) = (Accuracy::default(), Vec::new());
-    for labelled in all.iter().filter(|labelled| labelled.part == part) {
+    for labelled in all.iter().filter(|labelled| labelled.split == split) {
         let analysis = analyzer.analyze(labelled.statement.as_bytes()).analysis;
         let (class, effect) = (
             analysis.class.name() == labelled.class,
@@ -65,7 +65,10 @@
         "part", "asked", "class", "effect", "false read-only"
     );
     let mut shown = String::new();
-    for (name, part) in [("building", Part::Building), ("measuring", Part::Measuring)] {
+    for (name, part) in [
+        ("building", Split::Development),
+        ("measuring", Split::Evaluation),
+    ] {
         let (a, wrong) = accuracy_of(&all, part);
         let of = |right: usize| right as f64 / a.asked.max(1) as f64;
         let _ = writeln!(
@@ -271,7 +274,7 @@
     let mut shapes: Vec<(String, f64)> = all
         .iter()
         .filter(|s| s.class != "unknown")
-        .map(|s| (s.statement.clone(), s.work))
+        .map(|s| (s.statement.clone(), s.work_ms))
         .collect();
     let noise = Normal::new(0.0, 0.25).expect("a finite spread");
     let mut analyzer = analyzer();
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -4,7 +4,7 @@
 //! Start reading at [`play`].
 
 use crate::client::{send_query, ClientQuery, ClientResponse};
-use crate::corpus::{corpus, Labelled, Part};
+use crate::corpus::{corpus, LabelledStatement, Split};
 use crate::engine::{Engine, EngineSpec, QueryWork, RunContext};
 use crate::invariants::{find_violations, ClassRules, Effect, Rules, Violation};
 use crate::program::{class, free_address, used, Config, Program, TempFile};
@@ -151,14 +151,14 @@
 /// The statements of a run, drawn by class.
 struct Mix {
     /// Up to which draw a class is taken, and its statements.
-    classes: [(f64, Vec<Labelled>); 4],
+    classes: [(f64, Vec<LabelledStatement>); 4],
 }
 
 impl Mix {
     fn new(seed: u64) -> Self {
-        let pool: Vec<Labelled> = corpus(2, 12, seed)
+        let pool: Vec<LabelledStatement> = corpus(2, 12, seed)
             .into_iter()
-            .filter(|labelled| labelled.part == Part::Measuring)
+            .filter(|labelled| labelled.split == Split::Evaluation)
             .collect();
         let of_class = |name: &str| {
             pool.iter()
@@ -176,7 +176,7 @@
         }
     }
 
-    fn draw(&self, rng: &mut Pcg64) -> Option<&Labelled> {
+    fn draw(&self, rng: &mut Pcg64) -> Option<&LabelledStatement> {
         let lot: f64 = rng.random();
         let (_, statements) = self
             .classes
@@ -188,7 +188,7 @@
 }
 
 /// The query by which a variant's client sends a statement.
-fn client_query(variant: Variant, number: u64, labelled: &Labelled) -> ClientQuery {
+fn client_query(variant: Variant, number: u64, labelled: &LabelledStatement) -> ClientQuery {
     let mut query = ClientQuery::new(
         number,
         variant.path(labelled.class),
@@ -196,7 +196,7 @@
         &labelled.statement,
         expectation(labelled.class).max_wait_ms,
     );
-    query.cost = (variant == Variant::Honest).then_some(labelled.work);
+    query.cost = (variant == Variant::Honest).then_some(labelled.work_ms);
     query
 }
 
@@ -255,9 +255,9 @@
     outcome
 }
 
-fn query_work(labelled: &Labelled) -> QueryWork {
+fn query_work(labelled: &LabelledStatement) -> QueryWork {
     QueryWork {
-        work: labelled.work,
+        work: labelled.work_ms,
         threads: labelled.threads,
         changes: labelled.effect != "read-only",
         tables: 0,
