Testbed: measurements in modules, the command line apart from its commands, a typed error

Change: measure/{mod,speed,learning}.rs with Accuracy, Proofs, MutationReport, Traffic, Workload and named constants; cli.rs has the flags, commands.rs one function a subcommand with Outcome and CommandError; main.rs only maps these to the exit code. measure::class_of, which nothing used, is gone.

--- /dev/null
+++ b/crates/testbed/src/commands.rs
@@ -0,0 +1,194 @@
+//! One function for each subcommand that needs more than a line: each prints its report on standard output.
+//!
+//! Start reading at [`run`].
+
+use crate::cli::{Command, FleetArgs, FleetVirtualArgs, ZonesArgs};
+use std::path::PathBuf;
+use tansymux_testbed::fleet::processes::{self, ProcessOptions};
+use tansymux_testbed::fleet::scenario::{self, Scenario};
+use tansymux_testbed::fleet::zones::ZoneCutPlan;
+use tansymux_testbed::fleet::{self, run_seeds, PlayOptions, ScenarioFileError};
+use tansymux_testbed::program::LocateError;
+use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
+
+/// Why a subcommand could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The dispatcher's program could not be built or found.
+    #[error(transparent)]
+    ProgramNotFound(#[from] LocateError),
+    /// `--file` could not be read.
+    #[error(transparent)]
+    ScenarioFile(#[from] ScenarioFileError),
+    /// `--name` is no scenario's name.
+    #[error("{name:?} is none of {}", scenario::NAMES.join(", "))]
+    UnknownScenario {
+        /// The name that was given.
+        name: String,
+    },
+}
+
+/// How a subcommand that ran ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// All that it checks held, or it checks nothing.
+    Passed,
+    /// A rule or bar was broken; the report names it.
+    Failed,
+}
+
+impl Outcome {
+    fn failed_if(has_failed: bool) -> Self {
+        if has_failed {
+            Outcome::Failed
+        } else {
+            Outcome::Passed
+        }
+    }
+}
+
+/// Runs a subcommand and prints its report.
+///
+/// # Errors
+/// The dispatcher's program or the scenario is not there.
+pub fn run(command: Command) -> Result<Outcome, CommandError> {
+    match command {
+        Command::Demo { seconds, seed } => run_demo(seconds, seed),
+        Command::Levels { seconds, svg } => {
+            let (table, has_failed) = levels::swing(&locate_program()?, seconds, svg.as_deref());
+            Ok(print_checked(&table, has_failed))
+        }
+        Command::Halls {
+            seconds,
+            seeds,
+            svg,
+        } => {
+            let program = locate_program()?;
+            let (table, has_failed) = zone_routing::run(&program, seconds, seeds, svg.as_deref());
+            Ok(print_checked(&table, has_failed))
+        }
+        Command::Reaction { seconds, seeds } => {
+            Ok(print(&levels::reaction(&locate_program()?, seconds, seeds)))
+        }
+        Command::Quarters { seconds, seeds } => {
+            Ok(print(&levels::quarters(&locate_program()?, seconds, seeds)))
+        }
+        Command::Fleet(arguments) => run_fleet(&arguments),
+        Command::Zones(arguments) => run_zones(&arguments),
+        Command::FleetVirtual(arguments) => Ok(run_fleet_virtual(&arguments)),
+        Command::Accuracy { seed, show } => Ok(print(&measure::accuracy(seed, show))),
+        Command::Mutations { many, seed } => {
+            let report = measure::mutations(many, seed);
+            Ok(print_checked(&report.table, report.has_false_proofs))
+        }
+        Command::Cache { many } => Ok(print(&measure::cache(many, 1))),
+        Command::Time { many } => Ok(print(&measure::time(many, 1))),
+        Command::Learning { seed } => Ok(print(&measure::learning(seed))),
+        Command::Replay {
+            seconds,
+            rate,
+            seeds,
+        } => Ok(print(&replay::run(
+            &locate_program()?,
+            seconds,
+            rate,
+            seeds,
+        ))),
+    }
+}
+
+fn locate_program() -> Result<PathBuf, CommandError> {
+    Ok(program::locate_program()?)
+}
+
+fn print(table: &str) -> Outcome {
+    print_checked(table, false)
+}
+
+fn print_checked(table: &str, has_failed: bool) -> Outcome {
+    print!("{table}");
+    Outcome::failed_if(has_failed)
+}
+
+fn run_demo(seconds: f64, seed: u64) -> Result<Outcome, CommandError> {
+    let report = demo::run(&locate_program()?, seconds, seed, false);
+    Ok(print_checked(&report.table, !report.violations.is_empty()))
+}
+
+fn run_fleet(arguments: &FleetArgs) -> Result<Outcome, CommandError> {
+    let options = ProcessOptions {
+        uncoordinated: arguments.uncoordinated,
+        logs: arguments.logs.clone(),
+    };
+    let mut reports = Vec::new();
+    for seed in arguments.first..arguments.first + arguments.seeds {
+        let scenario = fleet_scenario(arguments, seed)?.on_processes();
+        if arguments.show {
+            let text = serde_json::to_string_pretty(&scenario).unwrap_or_default();
+            println!("{text}");
+            continue;
+        }
+        let report = processes::play(&locate_program()?, &scenario, &options);
+        println!("{}", report.line());
+        if !report.violations.is_empty() {
+            println!(
+                "  again: tansymux-testbed fleet --members {} --first {seed} --seeds 1",
+                arguments.members
+            );
+        }
+        reports.push(report);
+    }
+    let is_broken = reports.iter().any(|report| !report.violations.is_empty());
+    let table = fleet::table(&reports, false);
+    Ok(print_checked(&table, is_broken && !arguments.uncoordinated))
+}
+
+/// The scenario that the flags of `fleet` ask for: a file goes before a name, a name before `--calm`.
+fn fleet_scenario(arguments: &FleetArgs, seed: u64) -> Result<Scenario, CommandError> {
+    if let Some(path) = &arguments.file {
+        return Ok(fleet::read_scenario(path)?);
+    }
+    if let Some(name) = &arguments.name {
+        return Scenario::named(name, seed)
+            .ok_or_else(|| CommandError::UnknownScenario { name: name.clone() });
+    }
+    Ok(generated_scenario(seed, arguments.members, arguments.calm))
+}
+
+fn generated_scenario(seed: u64, members: usize, is_calm: bool) -> Scenario {
+    if is_calm {
+        Scenario::calm(seed, members)
+    } else {
+        Scenario::mixed(seed, members)
+    }
+}
+
+fn run_zones(arguments: &ZonesArgs) -> Result<Outcome, CommandError> {
+    let plan_of = |seed| ZoneCutPlan {
+        dispatchers: arguments.dispatchers,
+        loss: arguments.loss,
+        cut_for_ms: arguments.cut_s * 1000.0,
+        ..ZoneCutPlan::short(seed)
+    };
+    let seeds = arguments.first..arguments.first + arguments.seeds;
+    let outcome = fleet::zones::compare(&locate_program()?, seeds, plan_of);
+    Ok(print_checked(&outcome.table, outcome.failed))
+}
+
+fn run_fleet_virtual(arguments: &FleetVirtualArgs) -> Outcome {
+    let scenario_of = |seed| {
+        let scenario = generated_scenario(seed, arguments.members, arguments.calm);
+        if arguments.loss > 0.0 {
+            scenario.with_loss(arguments.loss)
+        } else {
+            scenario
+        }
+    };
+    let options = PlayOptions {
+        uncoordinated: arguments.uncoordinated,
+        show_all: arguments.show,
+    };
+    let seeds = arguments.first..arguments.first + arguments.seeds;
+    let outcome = run_seeds(seeds, scenario_of, options);
+    print_checked(&outcome.table, outcome.failed && !arguments.uncoordinated)
+}
--- /dev/null
+++ b/crates/testbed/src/measure/speed.rs
@@ -0,0 +1,177 @@
+//! The analyzer's cache: hit rate, and the time of a hit and of a miss.
+
+use super::analyzer;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Zipf};
+use rand_pcg::Pcg64;
+use std::fmt::Write as _;
+use std::hint::black_box;
+use std::time::Instant;
+use tansymux_sql_analysis::StatementAnalyzer;
+
+/// A statement of about 300 bytes; statements of one number differ in their literals only.
+fn typical_statement(shape: usize, rng: &mut Pcg64) -> String {
+    format!(
+        "select a.lane_id, a.rate_{shape}, a.fuel, b.shipper_name, b.region, coalesce(a.note, '{:x}') as note from \
+         sales_{}.lanes a join sales_{}.shippers b on a.shipper_id = b.id where a.lane_id = {} and a.valid_from <= \
+         date '2026-0{}-01' and a.status in ({}, {}, {}) and b.region = 'NE{:x}' order by a.rate_{shape} desc limit {}",
+        rng.random::<u32>(),
+        shape % 40,
+        shape % 40,
+        rng.random_range(0..1_000_000),
+        rng.random_range(1..10),
+        rng.random_range(0..9),
+        rng.random_range(0..9),
+        rng.random_range(0..9),
+        rng.random::<u16>(),
+        rng.random_range(1..100),
+    )
+}
+
+/// Traffic of the hit rate's measurement.
+struct Traffic {
+    name: &'static str,
+    /// Shapes that come again, by Zipf's law.
+    shapes: usize,
+    /// Statements of a shape that never comes again, after each other statement.
+    flood: usize,
+}
+
+const TRAFFIC: [Traffic; 4] = [
+    Traffic {
+        name: "2,000 shapes",
+        shapes: 2000,
+        flood: 0,
+    },
+    Traffic {
+        name: "2,000 and 1 flood",
+        shapes: 2000,
+        flood: 1,
+    },
+    Traffic {
+        name: "2,000 and 4 floods",
+        shapes: 2000,
+        flood: 4,
+    },
+    Traffic {
+        name: "20,000 shapes",
+        shapes: 20_000,
+        flood: 0,
+    },
+];
+
+/// Hit rate on shapes that come by Zipf's law, alone and with a flood of ever new ones between them. Which shapes are
+/// evicted, and with it the last digits, differs from run to run.
+pub fn cache(many: usize, seed: u64) -> String {
+    let mut table = format!(
+        "{:<22} {:>7} {:>9} {:>9} {:>9} {:>9}\n",
+        "traffic", "hits", "shapes", "kB", "costs", "RSS kB"
+    );
+    for traffic in &TRAFFIC {
+        let mut analyzer = analyzer();
+        let hit_rate = hit_rate(&mut analyzer, traffic, many, seed);
+        let counts = analyzer.counts();
+        let resident_kb = crate::program::used(std::process::id()).map_or(0, |(kb, _)| kb);
+        let _ = writeln!(
+            table,
+            "{:<22} {hit_rate:>7.4} {:>9} {:>9} {:>9} {resident_kb:>9}",
+            traffic.name,
+            counts.shapes,
+            counts.bytes / 1024,
+            counts.learned_costs
+        );
+    }
+    table
+}
+
+/// Part of `many` statements that hit the cache. The first tenth fills it and isn't counted.
+fn hit_rate(analyzer: &mut StatementAnalyzer, traffic: &Traffic, many: usize, seed: u64) -> f64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let popularity = Zipf::new(traffic.shapes as f64, 1.0).expect("there is more than one shape");
+    let mut hits = 0;
+    let mut counted = 0;
+    let mut flood_shape = 0_u64;
+    for index in 0..many {
+        let shape = popularity.sample(&mut rng) as usize;
+        let text = typical_statement(shape, &mut rng);
+        let is_hit = analyzer.analyze(text.as_bytes()).is_cache_hit;
+        if index >= many / 10 {
+            counted += 1;
+            hits += usize::from(is_hit);
+        }
+        for _ in 0..traffic.flood {
+            flood_shape += 1;
+            analyzer.analyze(format!("select f{flood_shape} from flood where a = 1").as_bytes());
+        }
+    }
+    hits as f64 / counted.max(1) as f64
+}
+
+fn nanosecond_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 1_000_000_000, 3).expect("the bounds are in order")
+}
+
+/// Time of an analysis on a hit and on a miss, for statements of about 300 bytes, and parse throughput of one core.
+pub fn time(many: usize, seed: u64) -> String {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut analyzer = analyzer();
+    let texts: Vec<String> = (0..many)
+        .map(|index| typical_statement(index % 64, &mut rng))
+        .collect();
+    let mean_bytes = texts.iter().map(String::len).sum::<usize>() as f64 / many as f64;
+    let hits = time_hits(&mut analyzer, &texts);
+    let new_texts: Vec<String> = (0..many / 10)
+        .map(|index| typical_statement(1000 + index, &mut rng))
+        .collect();
+    let start = Instant::now();
+    let misses = time_misses(&mut analyzer, &new_texts);
+    let new_bytes = new_texts.iter().map(String::len).sum::<usize>() as f64;
+    let throughput_mb_per_s = new_bytes / start.elapsed().as_secs_f64() / 1e6;
+    let mut table = format!(
+        "statements of {mean_bytes:.0} bytes\n{:<6} {:>10} {:>10} {:>10}\n",
+        "", "p50 us", "p99 us", "count"
+    );
+    for (name, histogram) in [("hit", &hits), ("miss", &misses)] {
+        let quantile_us = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        let _ = writeln!(
+            table,
+            "{name:<6} {:>10.2} {:>10.2} {:>10}",
+            quantile_us(0.5),
+            quantile_us(0.99),
+            histogram.len()
+        );
+    }
+    let _ = writeln!(
+        table,
+        "parsed {throughput_mb_per_s:.2} MB/s, {:.0} statements/s on one core",
+        throughput_mb_per_s * 1e6 / mean_bytes
+    );
+    table
+}
+
+/// Times of the analyses that hit the cache (ns).
+fn time_hits(analyzer: &mut StatementAnalyzer, texts: &[String]) -> Histogram<u64> {
+    let mut histogram = nanosecond_histogram();
+    for text in texts {
+        let start = Instant::now();
+        let analyzed = black_box(analyzer.analyze(black_box(text.as_bytes())));
+        let elapsed_ns = start.elapsed().as_nanos() as u64;
+        if analyzed.is_cache_hit {
+            // Above the histogram's bound (1 s) nothing is recorded.
+            let _ = histogram.record(elapsed_ns);
+        }
+    }
+    histogram
+}
+
+/// Times of the analyses of statements that all miss the cache (ns).
+fn time_misses(analyzer: &mut StatementAnalyzer, texts: &[String]) -> Histogram<u64> {
+    let mut histogram = nanosecond_histogram();
+    for text in texts {
+        let start = Instant::now();
+        black_box(analyzer.analyze(black_box(text.as_bytes())));
+        let _ = histogram.record(start.elapsed().as_nanos() as u64);
+    }
+    histogram
+}
