Testbed: docs on the command line's types, a plain name in the corpus's oracle

Need: four public types without a doc comment, one house word in a name.

Change: doc comments; take_word_and_check -> skip_identifier_and_check.

--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -11,6 +11,7 @@
     pub command: Command,
 }
 
+/// The subcommands; their docs are the help texts.
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Half a minute of a quarter start, with one engine failing and one draining; exit 1 if a rule broke
@@ -99,6 +100,7 @@
     },
 }
 
+/// Flags of `fleet`.
 #[derive(Debug, Args)]
 pub struct FleetArgs {
     #[arg(long, default_value_t = 5)]
@@ -127,6 +129,7 @@
     pub logs: Option<PathBuf>,
 }
 
+/// Flags of `fleet-virtual`.
 #[derive(Debug, Args)]
 pub struct FleetVirtualArgs {
     #[arg(long, default_value_t = 5)]
@@ -149,6 +152,7 @@
     pub show: bool,
 }
 
+/// Flags of `zones`.
 #[derive(Debug, Args)]
 pub struct ZonesArgs {
     #[arg(long, default_value_t = 6)]
--- a/crates/testbed/src/corpus/oracle.rs
+++ b/crates/testbed/src/corpus/oracle.rs
@@ -125,7 +125,7 @@
                 b'/' if self.peek(1) == b'*' => self.skip_block_comment(),
                 b'$' if self.dialect.dollar_quotes => self.skip_dollar_quoted(),
                 byte if byte.is_ascii_alphabetic() || byte == b'_' => {
-                    if self.take_word_and_check() {
+                    if self.skip_identifier_and_check() {
                         return true;
                     }
                 }
@@ -225,8 +225,8 @@
         Some(body_start + body_length + delimiter.len())
     }
 
-    /// Takes a word; whether it changes something.
-    fn take_word_and_check(&mut self) -> bool {
+    /// Moves behind a word; whether the word changes something.
+    fn skip_identifier_and_check(&mut self) -> bool {
         let start = self.position;
         while self.peek(0).is_ascii_alphanumeric() || self.peek(0) == b'_' {
             self.position += 1;
