Simulator: a round's events are the control's own types, deliver_one is short

Need: deliver_one had 65 lines; it repeated each event's fields from a variant into the type that the control takes. Change: the variants carry those types (AttemptEnded, ProgressNote, HealthCheckEnded) and IncomingQuery; deliver_query has the arrival. EventQueue::push is documented. Simulation::handle takes its event by value, with the lint's expectation and reason. Behaviour unchanged.

--- a/crates/simulator/src/simulation/attempts.rs
+++ b/crates/simulator/src/simulation/attempts.rs
@@ -3,7 +3,7 @@
 use super::events::Event;
 use super::inbox::Incoming;
 use super::{engine_id, engine_name, Attempt, Simulation, NOTE_INTERVAL_MS};
-use tansymux::events::Outcome;
+use tansymux::events::{AttemptEnded, NoteKind, Outcome, ProgressNote};
 use tansymux_testbed::record::EventKind;
 
 /// The most progress that an engine reports of an attempt that still runs.
@@ -112,13 +112,15 @@
             self.answer(query_id, 200, None);
         }
         self.observe_engine(dispatcher, attempt.engine, outcome);
-        self.inboxes[dispatcher].push(Incoming::AttemptEnded {
+        self.inboxes[dispatcher].push(Incoming::AttemptEnded(AttemptEnded {
             query_id,
             attempt: attempt.number,
             outcome,
             engine_id: engine_id(attempt.engine),
+            answer_delivered: outcome == Outcome::Completed,
             latency_ms: self.now_ms - attempt.sent_ms,
-        });
+            used: None,
+        }));
         self.run_round(dispatcher);
         // Nothing refers to it any more once it is answered and this was its last attempt.
         let is_over = self
@@ -193,11 +195,12 @@
         };
         if !self.is_cut(dispatcher, engine) {
             self.observe_engine(dispatcher, engine, Outcome::Completed);
-            self.inboxes[dispatcher].push(Incoming::Progress {
+            self.inboxes[dispatcher].push(Incoming::Progress(ProgressNote {
                 query_id,
                 attempt: number,
-                fraction: fraction.min(MAX_REPORTED_PROGRESS),
-            });
+                kind: NoteKind::Progress,
+                amount: fraction.min(MAX_REPORTED_PROGRESS),
+            }));
             self.run_round(dispatcher);
         }
     }
--- a/crates/simulator/src/simulation/clients.rs
+++ b/crates/simulator/src/simulation/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: queries by the classes' rates, and what becomes of their answers.
 
 use super::events::Event;
-use super::inbox::Incoming;
+use super::inbox::{Incoming, IncomingQuery};
 use super::{Query, Simulation, EPOCH_MS};
 use crate::schema::Class;
 use rand::RngExt;
@@ -63,12 +63,12 @@
             max_wait_ms,
             key: None,
         });
-        self.inboxes[dispatcher].push(Incoming::Query {
+        self.inboxes[dispatcher].push(Incoming::Query(IncomingQuery {
             id,
             class: class_number,
             estimated_cost_ms: work_ms * estimate_error,
             deadline_ms: EPOCH_MS + self.now_ms + max_wait_ms - ANSWER_MARGIN_MS,
-        });
+        }));
         self.run_round(dispatcher);
     }
 
--- a/crates/simulator/src/simulation/dispatchers.rs
+++ b/crates/simulator/src/simulation/dispatchers.rs
@@ -6,7 +6,7 @@
 use super::{engine_id, engine_of, Simulation, EPOCH_MS};
 use crate::schema::{Arm, Experiment};
 use tansymux::control::Control;
-use tansymux::events::{EndpointState, Outcome};
+use tansymux::events::{EndpointState, HealthCheckEnded, Outcome};
 use tansymux::zone_plan::{ZoneLimits, ZonePlan};
 use tansymux_zone_routing::{
     Event as ZoneEvent, Observation, ObservationKind, RoutingPlan, ZoneHealthDetector,
@@ -167,10 +167,10 @@
         outcome: Outcome,
     ) {
         self.observe_engine(dispatcher, engine, outcome);
-        self.inboxes[dispatcher].push(Incoming::HealthCheckEnded {
+        self.inboxes[dispatcher].push(Incoming::HealthCheckEnded(HealthCheckEnded {
             engine_id: engine_id(engine),
             outcome,
-        });
+        }));
         self.run_round(dispatcher);
     }
 
--- a/crates/simulator/src/simulation/events.rs
+++ b/crates/simulator/src/simulation/events.rs
@@ -93,6 +93,7 @@
 }
 
 impl EventQueue {
+    /// Schedules an event. Events of the same time are taken in the order in which they were scheduled.
     pub fn push(&mut self, at_ms: f64, event: Event) {
         self.scheduled_count += 1;
         self.heap.push(Scheduled {
--- a/crates/simulator/src/simulation/inbox.rs
+++ b/crates/simulator/src/simulation/inbox.rs
@@ -3,7 +3,7 @@
 use tansymux::control::{Control, EventSource};
 use tansymux::events::{
     AttemptEnded, AttemptLimits, DecisionSink, EndpointListKind, EndpointState, EndpointUpdate,
-    HealthCheckEnded, NoteKind, Outcome, ProgressNote, QueryArrived, StatementTraits,
+    HealthCheckEnded, ProgressNote, QueryArrived, StatementTraits,
 };
 
 /// Memory that each query is said to need (MB).
@@ -20,30 +20,22 @@
     pub started_ms: Option<f64>,
 }
 
+/// A query as its client sends it.
+pub(super) struct IncomingQuery {
+    pub id: u64,
+    /// Index of its class, and so of its group.
+    pub class: usize,
+    pub estimated_cost_ms: f64,
+    /// Decisions' clock.
+    pub deadline_ms: f64,
+}
+
 /// What happened to a dispatcher since its last round.
 pub(super) enum Incoming {
-    Query {
-        id: u64,
-        class: usize,
-        estimated_cost_ms: f64,
-        deadline_ms: f64,
-    },
-    AttemptEnded {
-        query_id: u64,
-        attempt: usize,
-        outcome: Outcome,
-        engine_id: u64,
-        latency_ms: f64,
-    },
-    Progress {
-        query_id: u64,
-        attempt: usize,
-        fraction: f64,
-    },
-    HealthCheckEnded {
-        engine_id: u64,
-        outcome: Outcome,
-    },
+    Query(IncomingQuery),
+    AttemptEnded(AttemptEnded),
+    Progress(ProgressNote),
+    HealthCheckEnded(HealthCheckEnded),
     EndpointList,
 }
 
@@ -131,66 +123,36 @@
     control: &mut Control,
     out: &mut dyn DecisionSink,
 ) {
-    match *event {
-        Incoming::Query {
-            id,
-            class,
-            estimated_cost_ms,
-            deadline_ms,
-        } => {
-            let arrived = QueryArrived {
-                query_id: id,
-                group: &groups[class],
-                tenant: "",
-                key: None,
-                deadline_ms,
-                estimated_cost_ms,
-                memory_mb: QUERY_MEMORY_MB,
-                tables: id as u32 % TABLE_GROUPS,
-                statement: StatementTraits::UNKNOWN,
-            };
-            let accepted = control.on_query_arrived(&arrived, out);
-            debug_assert!(accepted.is_ok());
-        }
-        Incoming::AttemptEnded {
-            query_id,
-            attempt,
-            outcome,
-            engine_id,
-            latency_ms,
-        } => {
-            let ended = AttemptEnded {
-                query_id,
-                attempt,
-                engine_id,
-                outcome,
-                answer_delivered: outcome == Outcome::Completed,
-                latency_ms,
-                used: None,
-            };
-            control.on_attempt_ended(&ended, out);
-        }
-        Incoming::Progress {
-            query_id,
-            attempt,
-            fraction,
-        } => {
-            let kind = NoteKind::Progress;
-            let amount = fraction;
-            control.on_progress_note(&ProgressNote {
-                query_id,
-                attempt,
-                kind,
-                amount,
-            });
-        }
-        Incoming::HealthCheckEnded { engine_id, outcome } => {
-            control.on_health_check_ended(&HealthCheckEnded { engine_id, outcome });
-        }
+    match event {
+        Incoming::Query(query) => deliver_query(query, groups, control, out),
+        Incoming::AttemptEnded(ended) => control.on_attempt_ended(ended, out),
+        Incoming::Progress(note) => control.on_progress_note(note),
+        Incoming::HealthCheckEnded(ended) => control.on_health_check_ended(ended),
         Incoming::EndpointList => deliver_endpoints(endpoints, control, out),
     }
 }
 
+fn deliver_query(
+    query: &IncomingQuery,
+    groups: &[String],
+    control: &mut Control,
+    out: &mut dyn DecisionSink,
+) {
+    let arrived = QueryArrived {
+        query_id: query.id,
+        group: &groups[query.class],
+        tenant: "",
+        key: None,
+        deadline_ms: query.deadline_ms,
+        estimated_cost_ms: query.estimated_cost_ms,
+        memory_mb: QUERY_MEMORY_MB,
+        tables: query.id as u32 % TABLE_GROUPS,
+        statement: StatementTraits::UNKNOWN,
+    };
+    let accepted = control.on_query_arrived(&arrived, out);
+    debug_assert!(accepted.is_ok());
+}
+
 fn deliver_endpoints(endpoints: &[Endpoint], control: &mut Control, out: &mut dyn DecisionSink) {
     control.begin_update(EndpointListKind::Snapshot);
     for endpoint in endpoints {
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -252,6 +252,10 @@
     }
 
     /// Handles an event. No query arrives, and nothing recurs, after `end_ms`.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "an event taken from the queue is handled once"
+    )]
     fn handle(&mut self, event: Event, end_ms: f64) {
         match event {
             Event::QueryArrival { class } => {
