Testbed: warm_after_ms and ClientResponse.retry_after_ms carry their unit

Need: two public times of the testbed had no unit in their names. Bare renames; one assertion in the dispatcher's zone_routing tests follows the name. ClientQuery.wait and .cost, QueryWork.work and the scenario's fields are left; the testbed's fleet tests were not run.

--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -184,7 +184,7 @@
     assert!(
         rejected
             .iter()
-            .all(|got| got.latency_ms < 200.0 && got.retry_after.is_some()),
+            .all(|got| got.latency_ms < 200.0 && got.retry_after_ms.is_some()),
         "{rejected:?}"
     );
     // A group that is confined to the lost zone is never sent elsewhere.
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -75,7 +75,7 @@
     /// The HTTP status.
     pub status: u16,
     /// When it may come back, where it was rejected (ms).
-    pub retry_after: Option<f64>,
+    pub retry_after_ms: Option<f64>,
     /// The answer.
     pub body: String,
     /// From the query's last byte to the answer's (ms).
@@ -108,15 +108,15 @@
     );
     stream.write_all(&send_query.bytes()).ok()?;
     let (status, head, body) = read_response(&mut BufReader::new(stream))?;
-    let retry_after = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
+    let retry_after_ms = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
     record.push(EventKind::Answered {
         id,
         status,
-        retry_after_ms: retry_after,
+        retry_after_ms,
     });
     Some(ClientResponse {
         status,
-        retry_after,
+        retry_after_ms,
         body,
         latency_ms: record.now_ms() - from,
     })
--- a/crates/testbed/src/engine/mod.rs
+++ b/crates/testbed/src/engine/mod.rs
@@ -101,7 +101,7 @@
     /// The fraction of its speed that it starts with.
     pub cold_from: f64,
     /// How long it takes to reach its full speed (ms).
-    pub warm_after: f64,
+    pub warm_after_ms: f64,
 }
 
 impl Default for EngineSpec {
@@ -111,7 +111,7 @@
             max_threads_a_core: 16.0,
             progress_interval_ms: 100.0,
             cold_from: 1.0,
-            warm_after: 0.0,
+            warm_after_ms: 0.0,
         }
     }
 }
@@ -288,8 +288,8 @@
         let state = self.state();
         let sharing = (self.spec.cores / state.threads.max(1.0)).min(1.0);
         let age_ms = state.started.elapsed().as_secs_f64() * 1000.0;
-        let warmth = if self.spec.warm_after > 0.0 {
-            (age_ms / self.spec.warm_after).min(1.0)
+        let warmth = if self.spec.warm_after_ms > 0.0 {
+            (age_ms / self.spec.warm_after_ms).min(1.0)
         } else {
             1.0
         };
--- a/crates/testbed/src/fleet/zones/site.rs
+++ b/crates/testbed/src/fleet/zones/site.rs
@@ -95,7 +95,7 @@
         let context = Arc::new(RunContext::default());
         let spec = EngineSpec {
             cold_from: 0.25,
-            warm_after: WARM_UP_MS,
+            warm_after_ms: WARM_UP_MS,
             progress_interval_ms: 100.0,
             ..EngineSpec::default()
         };
--- a/crates/testbed/src/levels/clients.rs
+++ b/crates/testbed/src/levels/clients.rs
@@ -84,7 +84,7 @@
                     return Next::Stop;
                 }
                 self.outcome.retried += 1;
-                let wait_ms = response.retry_after.unwrap_or(DEFAULT_RETRY_AFTER_MS);
+                let wait_ms = response.retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
                 Next::RetryAfter(Duration::from_secs_f64(wait_ms / 1000.0))
             }
             _ => {
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -174,7 +174,7 @@
     let spec = EngineSpec {
         cores: CORES,
         cold_from: 0.25,
-        warm_after: 8000.0,
+        warm_after_ms: 8000.0,
         ..EngineSpec::default()
     };
     let engines = setup::start_engines(ZONES.len() * ENGINES_PER_ZONE, spec, seed, &context);
