Testbed: read_response and get return a named HttpResponse

Need: both returned a public tuple of three, of which callers took .0, .1 and .2. Change: HttpResponse with status, head and body; callers in the testbed and in the dispatcher's tests take the same fields by name, and compare the same values as before.

--- a/crates/dispatcher/tests/levels.rs
+++ b/crates/dispatcher/tests/levels.rs
@@ -11,7 +11,7 @@
 use tansymux_testbed::program::{
     class, free_address, free_udp_address, get, Config, Program, TempFile, TIMEOUT,
 };
-use tansymux_testbed::wire::{field, read_response, write_frame};
+use tansymux_testbed::wire::{field, read_response, write_frame, HttpResponse};
 
 const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
 
@@ -74,7 +74,7 @@
     let mut stream = TcpStream::connect(program.listen).unwrap();
     stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     stream.write_all(&query.bytes()).unwrap();
-    let (status, head, _) = read_response(&mut BufReader::new(stream)).unwrap();
+    let HttpResponse { status, head, .. } = read_response(&mut BufReader::new(stream)).unwrap();
     (
         status,
         field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok()),
@@ -82,7 +82,7 @@
 }
 
 fn get_json(program: &Program, path: &str) -> Value {
-    serde_json::from_str(&get(program.listen, path).unwrap().2).unwrap()
+    serde_json::from_str(&get(program.listen, path).unwrap().body).unwrap()
 }
 
 /// Sends reports that the engine refuses until the level is in force.
@@ -114,7 +114,9 @@
     let (listen, version) = (program.listen, before["version"].as_u64().unwrap());
     let waits = thread::spawn(move || {
         (
-            get(listen, &format!("/_levels?after={version}")).unwrap().2,
+            get(listen, &format!("/_levels?after={version}"))
+                .unwrap()
+                .body,
             Instant::now(),
         )
     });
@@ -246,7 +248,7 @@
                 );
                 let mut stream = TcpStream::connect(listen).unwrap();
                 stream.write_all(&query.bytes()).unwrap();
-                read_response(&mut BufReader::new(stream)).map(|(status, ..)| status)
+                read_response(&mut BufReader::new(stream)).map(|response| response.status)
             })
         })
         .collect();
--- a/crates/dispatcher/tests/life_cycle/clients.rs
+++ b/crates/dispatcher/tests/life_cycle/clients.rs
@@ -9,7 +9,7 @@
 use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
 use tansymux_testbed::program::TIMEOUT;
-use tansymux_testbed::wire::read_response;
+use tansymux_testbed::wire::{read_response, HttpResponse};
 
 #[test]
 fn client_disconnect_is_noticed_behind_unread_pipelined_bytes() {
@@ -38,7 +38,7 @@
     .concat();
     client.write_all(&noise).unwrap();
     let mut reader = BufReader::new(client);
-    let (status, head, _) = read_response(&mut reader).unwrap();
+    let HttpResponse { status, head, .. } = read_response(&mut reader).unwrap();
     assert!(
         status == 200 && head.contains("Connection: close\r\n"),
         "{head}"
@@ -94,7 +94,7 @@
     waiting_clients
         .iter()
         .for_each(|_| drop(requests.recv_timeout(TIMEOUT).unwrap()));
-    let (status, head, body) = read_response(&mut BufReader::new(big(99))).unwrap();
+    let HttpResponse { status, head, body } = read_response(&mut BufReader::new(big(99))).unwrap();
     assert_eq!((status, body.as_str()), (503, r#"{"error":"TryLater"}"#));
     assert!(head.contains("Srv-Wait-Ms: 500\r\n"), "{head}");
 }
--- a/crates/dispatcher/tests/life_cycle/engines.rs
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use tansymux_testbed::engine::refuse_silently;
 use tansymux_testbed::program::{get, TIMEOUT};
-use tansymux_testbed::wire::{self, read_response, write_frame};
+use tansymux_testbed::wire::{self, read_response, write_frame, HttpResponse};
 
 /// An engine that hands each connection to the test as it was accepted, and answers nothing itself.
 fn engine_with_held_connections() -> (SocketAddr, Receiver<TcpStream>) {
@@ -89,7 +89,8 @@
             let mut again = connections.recv_timeout(TIMEOUT).unwrap();
             assert_eq!(next_request(&again), fetch_request(id));
             write_frame(&mut again, &[id, "DONE", "batches=1", "x\ty\tz\n"]);
-            let (status, _, body) = read_response(&mut BufReader::new(client)).unwrap();
+            let HttpResponse { status, body, .. } =
+                read_response(&mut BufReader::new(client)).unwrap();
             // No rows of the first result are left in it.
             assert_eq!(
                 (status, body.as_str()),
@@ -201,5 +202,5 @@
         "{:?}",
         from.elapsed()
     );
-    assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
+    assert_eq!(get(program.listen, "/_health").unwrap().status, 200);
 }
--- a/crates/dispatcher/tests/life_cycle/process.rs
+++ b/crates/dispatcher/tests/life_cycle/process.rs
@@ -89,7 +89,7 @@
     let from = Instant::now();
     program.terminate();
     wait_until("the front is told", || {
-        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+        get(program.listen, "/_health").is_some_and(|response| response.status == 503)
     });
     // Three connect while the time for new connections runs out, and the program sees both at once.
     let stopped = PausedProgram::new(&program);
@@ -158,7 +158,7 @@
     let from = Instant::now();
     program.terminate();
     wait_until("the front is told", || {
-        get(program.listen, "/_health").is_some_and(|(status, ..)| status == 503)
+        get(program.listen, "/_health").is_some_and(|response| response.status == 503)
     });
     imminent_client.write_all(&query_bytes("look", 2)).unwrap();
     assert_eq!(answer_status(&imminent_client), Some(200));
--- a/crates/dispatcher/tests/life_cycle/support.rs
+++ b/crates/dispatcher/tests/life_cycle/support.rs
@@ -80,7 +80,7 @@
 
 /// The status of the next answer on a connection; `None` if it ends without one.
 pub fn answer_status(stream: &TcpStream) -> Option<u16> {
-    read_response(&mut BufReader::new(stream)).map(|(status, ..)| status)
+    read_response(&mut BufReader::new(stream)).map(|response| response.status)
 }
 
 /// Ids of the queries that an engine was sent.
--- a/crates/dispatcher/tests/platform_limits/clocks.rs
+++ b/crates/dispatcher/tests/platform_limits/clocks.rs
@@ -125,7 +125,7 @@
     // It runs again, past the query's deadline: the query ends. Then it jumps over the next one's.
     shim.set(Adjustment::MonotonicStop, 0);
     assert_eq!(
-        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
+        read_response(&mut BufReader::new(waiting)).map(|got| got.status),
         Some(500)
     );
     let waiting = send_query(2, 8000.0);
@@ -133,7 +133,7 @@
     let from = Instant::now();
     shim.set(Adjustment::MonotonicOffset, 10 * NANOS_PER_SECOND);
     assert_eq!(
-        read_response(&mut BufReader::new(waiting)).map(|got| got.0),
+        read_response(&mut BufReader::new(waiting)).map(|got| got.status),
         Some(500)
     );
     assert!(
--- a/crates/dispatcher/tests/platform_limits/resources.rs
+++ b/crates/dispatcher/tests/platform_limits/resources.rs
@@ -85,7 +85,7 @@
         let clients: Vec<_> = ids.map(|id| send_query(&program, id)).collect();
         for client in clients {
             let response = read_response(&mut BufReader::new(client));
-            assert_eq!(response.map(|response| response.0), Some(200));
+            assert_eq!(response.map(|response| response.status), Some(200));
         }
     }
     let (resident_kb, _) = used(program.child.id()).unwrap();
--- a/crates/dispatcher/tests/platform_limits/support.rs
+++ b/crates/dispatcher/tests/platform_limits/support.rs
@@ -47,7 +47,7 @@
     );
     query.cost = Some(20.0);
     let stream = send_query_in_two_writes(program.listen, &query, 40, Duration::from_millis(1));
-    read_response(&mut BufReader::new(stream)).map(|got| got.0)
+    read_response(&mut BufReader::new(stream)).map(|got| got.status)
 }
 
 /// Starts the program with no more than 64 descriptors and 64 MB of address space.
--- a/crates/dispatcher/tests/sockets/clients.rs
+++ b/crates/dispatcher/tests/sockets/clients.rs
@@ -30,7 +30,7 @@
             assert_eq!(
                 read_response(&mut BufReader::new(client.try_clone().unwrap()))
                     .unwrap()
-                    .0,
+                    .status,
                 200
             );
             client
@@ -57,9 +57,8 @@
         "{:?}",
         from.elapsed()
     );
-    assert!(
-        read_response(&mut BufReader::new(slow_client)).is_none_or(|(status, ..)| status == 408)
-    );
+    assert!(read_response(&mut BufReader::new(slow_client))
+        .is_none_or(|response| response.status == 408));
     drop(served_clients);
 }
 
@@ -91,7 +90,7 @@
             .write_all(format!("{head}{rest}{behind}").as_bytes())
             .unwrap();
         let mut reader = BufReader::new(client);
-        assert_eq!(read_response(&mut reader).unwrap().0, status, "{rest}");
+        assert_eq!(read_response(&mut reader).unwrap().status, status, "{rest}");
         assert!(read_response(&mut reader).is_none(), "{rest}");
     }
     // The error for an oversized statement reaches its client while that still sends.
@@ -100,12 +99,15 @@
         .write_all(format!("{head}Content-Length: 60000000\r\n\r\n").as_bytes())
         .unwrap();
     (0..50).for_each(|_| drop(client.write_all(&[b'x'; 4096])));
-    assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 413);
+    assert_eq!(
+        read_response(&mut BufReader::new(client)).unwrap().status,
+        413
+    );
     assert_eq!(requests.try_iter().count(), 0);
     assert_eq!(
         read_response(&mut BufReader::new(post_query(program.listen, "look", 1)))
             .unwrap()
-            .0,
+            .status,
         200
     );
 }
@@ -132,7 +134,7 @@
         assert_eq!(
             read_response(&mut BufReader::new(post_query(program.listen, "look", id)))
                 .unwrap()
-                .0,
+                .status,
             200
         );
     }
--- a/crates/dispatcher/tests/sockets/endpoint_list.rs
+++ b/crates/dispatcher/tests/sockets/endpoint_list.rs
@@ -42,7 +42,7 @@
         assert_eq!(
             read_response(&mut BufReader::new(post_query(program.listen, "load", id)))
                 .unwrap()
-                .0,
+                .status,
             200
         );
     }
@@ -72,7 +72,10 @@
     program.config.write(&text.replace(&old, &new));
     (0..3).for_each(|_| program.signal("-HUP"));
     program.wait_for_count("lists 1\n");
-    assert_eq!(read_response(&mut BufReader::new(open)).unwrap().0, 200);
+    assert_eq!(
+        read_response(&mut BufReader::new(open)).unwrap().status,
+        200
+    );
     program.terminate();
     program.signal("-HUP");
     let log = program.end();
--- a/crates/dispatcher/tests/sockets/engine_connections.rs
+++ b/crates/dispatcher/tests/sockets/engine_connections.rs
@@ -27,7 +27,7 @@
     // The stalled attempt is migrated to the only engine that there is, on a new connection.
     let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 1))).unwrap();
     assert_eq!(
-        (served.0, served.2.as_str()),
+        (served.status, served.body.as_str()),
         (200, r#"{"data":[["a","b","c"]]}"#)
     );
     // The first attempt was cancelled before its connection was closed, and well before the second was sent.
@@ -49,7 +49,7 @@
     assert_eq!(
         read_response(&mut BufReader::new(post_query(program.listen, "look", 2)))
             .unwrap()
-            .0,
+            .status,
         200
     );
 }
@@ -88,7 +88,7 @@
         .into_iter()
         .map(|client| {
             read_response(&mut BufReader::new(client))
-                .map(|(status, _, body)| (status, body))
+                .map(|response| (response.status, response.body))
                 .unwrap()
         })
         .collect();
@@ -124,7 +124,7 @@
         assert_eq!(
             read_response(&mut BufReader::new(post_query(program.listen, "load", id)))
                 .unwrap()
-                .0,
+                .status,
             200,
             "{id}"
         );
@@ -136,7 +136,7 @@
 fn assert_all_complete(program: &Program, rg: &str, ids: std::ops::Range<u64>, pause: u64) {
     for id in ids {
         let got = read_response(&mut BufReader::new(post_query(program.listen, rg, id)));
-        assert_eq!(got.map(|got| got.0), Some(200), "{rg} {id}");
+        assert_eq!(got.map(|got| got.status), Some(200), "{rg} {id}");
         thread::sleep(Duration::from_millis(pause));
     }
 }
@@ -156,7 +156,7 @@
         .collect();
     concurrent
         .into_iter()
-        .for_each(|one| assert_eq!(read_response(&mut BufReader::new(one)).unwrap().0, 200));
+        .for_each(|one| assert_eq!(read_response(&mut BufReader::new(one)).unwrap().status, 200));
     thread::sleep(Duration::from_millis(1200));
     let before = program.counter("connections_to_engines");
     assert_all_complete(&program, "look", 24..26, 70);
@@ -226,7 +226,7 @@
             Duration::from_millis(1),
         ));
         assert_eq!(
-            read_response(&mut reader).map(|got| got.0),
+            read_response(&mut reader).map(|got| got.status),
             Some(200),
             "{id}"
         );
@@ -265,10 +265,16 @@
     };
     let leaving_client = ask(1);
     assert_eq!(requests.recv_timeout(TIMEOUT).unwrap().0[0], "fetch");
-    assert_eq!(read_response(&mut BufReader::new(ask(2))).unwrap().0, 200);
+    assert_eq!(
+        read_response(&mut BufReader::new(ask(2))).unwrap().status,
+        200
+    );
     thread::sleep(Duration::from_millis(400));
     drop(leaving_client);
     program.wait_for_count("vanished 1\n");
-    assert_eq!(read_response(&mut BufReader::new(ask(3))).unwrap().0, 200);
+    assert_eq!(
+        read_response(&mut BufReader::new(ask(3))).unwrap().status,
+        200
+    );
     assert_eq!(program.counter("connections_to_engines"), Some(2));
 }
--- a/crates/dispatcher/tests/sockets/queries.rs
+++ b/crates/dispatcher/tests/sockets/queries.rs
@@ -34,13 +34,13 @@
     let mut reader = BufReader::new(client.try_clone().unwrap());
     let served = r#"{"data":[["a","1","\""],["b","2","y"]]}"#;
     assert_eq!(
-        read_response(&mut reader).map(|(s, _, b)| (s, b)),
+        read_response(&mut reader).map(|response| (response.status, response.body)),
         Some((200, served.into()))
     );
     client
         .write_all(b"GET /_counters HTTP/1.1\r\n\r\n")
         .unwrap();
-    let counters = read_response(&mut reader).unwrap().2;
+    let counters = read_response(&mut reader).unwrap().body;
     for line in [
         "taken 1\n",
         "finished 1\n",
@@ -81,13 +81,13 @@
     let from = Instant::now();
     program.signal("-HUP");
     program.terminate();
-    while get(program.listen, "/_health").is_some_and(|(status, ..)| status == 200) {
+    while get(program.listen, "/_health").is_some_and(|response| response.status == 200) {
         assert!(from.elapsed() < TIMEOUT);
     }
     clients.push(post_query(program.listen, "look", 3));
     let statuses: Vec<u16> = clients
         .iter()
-        .map(|c| read_response(&mut BufReader::new(c)).unwrap().0)
+        .map(|c| read_response(&mut BufReader::new(c)).unwrap().status)
         .collect();
     // The engine is silent: queries that only read are rejected, one that may have changed tables fails.
     assert_eq!(statuses, [429, 500, 429]);
@@ -109,7 +109,10 @@
         engine(|parts, to| write_frame(to, &[&parts[1], "DONE", "batches=1", ""]));
     let program = start(&[address]);
     let slow = post_query_slowly(program.listen, "look", 1, 800, Duration::from_millis(1000));
-    assert_eq!(read_response(&mut BufReader::new(slow)).unwrap().0, 200);
+    assert_eq!(
+        read_response(&mut BufReader::new(slow)).unwrap().status,
+        200
+    );
 }
 
 #[test]
@@ -119,20 +122,20 @@
     let rejected =
         read_response(&mut BufReader::new(post_query(program.listen, "load", 1))).unwrap();
     assert_eq!(
-        (rejected.0, rejected.2.as_str()),
+        (rejected.status, rejected.body.as_str()),
         (429, r#"{"error":"TryLater"}"#)
     );
     assert!(
-        rejected.1.contains("Srv-Wait-Ms: 500\r\n"),
+        rejected.head.contains("Srv-Wait-Ms: 500\r\n"),
         "{}",
-        rejected.1
+        rejected.head
     );
     let (address, requests) = engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
     let program = start(&[address]);
     assert_eq!(
         read_response(&mut BufReader::new(post_query(program.listen, "load", 1)))
             .unwrap()
-            .0,
+            .status,
         500
     );
     assert_eq!(
@@ -160,7 +163,10 @@
         ["abort", "0000000000000001"]
     );
     let served = read_response(&mut BufReader::new(post_query(program.listen, "look", 2))).unwrap();
-    assert_eq!((served.0, served.2.as_str()), (200, r#"{"data":[]}"#));
+    assert_eq!(
+        (served.status, served.body.as_str()),
+        (200, r#"{"data":[]}"#)
+    );
     // A resource group that the settings do not name is refused.
     let unknown = read_response(&mut BufReader::new(post_query(
         program.listen,
@@ -168,7 +174,7 @@
         3,
     )))
     .unwrap();
-    assert_eq!(unknown.0, 404);
+    assert_eq!(unknown.status, 404);
     // A request that can't be parsed or used gets an error, and the program serves on.
     let head = "POST /invoke/look HTTP/1.1\r\nReq-Id: 00000000000000aa\r\nReq-Wait-Ms: 9000\r\n";
     let costs =
@@ -180,9 +186,12 @@
     {
         let mut hostile = TcpStream::connect(program.listen).unwrap();
         hostile.write_all(bytes).unwrap();
-        assert_eq!(read_response(&mut BufReader::new(hostile)).unwrap().0, 400);
+        assert_eq!(
+            read_response(&mut BufReader::new(hostile)).unwrap().status,
+            400
+        );
     }
-    assert_eq!(get(program.listen, "/_health").unwrap().0, 200);
+    assert_eq!(get(program.listen, "/_health").unwrap().status, 200);
 }
 
 #[test]
@@ -235,9 +244,12 @@
         "{:?}",
         second - began
     );
-    clients
-        .iter()
-        .for_each(|client| assert_eq!(read_response(&mut BufReader::new(client)).unwrap().0, 200));
+    clients.iter().for_each(|client| {
+        assert_eq!(
+            read_response(&mut BufReader::new(client)).unwrap().status,
+            200
+        )
+    });
     // A key that would break the list of fields is refused, as is a field that comes twice.
     for malformed in [
         "Req-Token: a,mb=9\r\n",
@@ -247,7 +259,7 @@
         assert_eq!(
             read_response(&mut BufReader::new(post_with_fields(9, malformed)))
                 .unwrap()
-                .0,
+                .status,
             400,
             "{malformed}"
         );
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -51,7 +51,7 @@
 }
 
 fn status(stream: TcpStream) -> u16 {
-    read_response(&mut BufReader::new(stream)).unwrap().0
+    read_response(&mut BufReader::new(stream)).unwrap().status
 }
 
 fn unclassed_query(id: u64, statement: &str) -> ClientQuery {
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -97,7 +97,7 @@
     }
 
     fn zones(&self) -> Value {
-        serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().2).unwrap()
+        serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().body).unwrap()
     }
 
     fn state(&self, zone: &str) -> String {
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::program::TIMEOUT;
 use crate::record::{EventKind, Record};
-use crate::wire::{field, read_response};
+use crate::wire::{field, read_response, HttpResponse};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -107,7 +107,7 @@
         },
     );
     stream.write_all(&send_query.bytes()).ok()?;
-    let (status, head, body) = read_response(&mut BufReader::new(stream))?;
+    let HttpResponse { status, head, body } = read_response(&mut BufReader::new(stream))?;
     let retry_after_ms = field(&head, "Srv-Wait-Ms").and_then(|ms| ms.parse().ok());
     record.push(EventKind::Answered {
         id,
--- a/crates/testbed/src/fleet/processes/member.rs
+++ b/crates/testbed/src/fleet/processes/member.rs
@@ -92,7 +92,8 @@
     pub(super) fn is_healthy(&self, n: usize) -> bool {
         let stalled = self.place(n).stalled;
         !stalled
-            && get(self.listen_addresses[n], "/_health").is_some_and(|(status, ..)| status == 200)
+            && get(self.listen_addresses[n], "/_health")
+                .is_some_and(|response| response.status == 200)
     }
 
     /// The first voter whose counters say that it leads.
--- a/crates/testbed/src/levels/mod.rs
+++ b/crates/testbed/src/levels/mod.rs
@@ -184,7 +184,7 @@
 /// The depth that the program shows.
 fn level_depth(dispatcher: SocketAddr) -> usize {
     get(dispatcher, "/_levels")
-        .and_then(|(.., body)| serde_json::from_str::<Value>(&body).ok())
+        .and_then(|response| serde_json::from_str::<Value>(&response.body).ok())
         .and_then(|shown| shown["depth"].as_u64())
         .unwrap_or(0) as usize
 }
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -2,7 +2,7 @@
 //!
 //! Start reading at [`Program::start`].
 
-use crate::wire::read_response;
+use crate::wire::{read_response, HttpResponse};
 use serde_json::{json, Value};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{BufReader, Read, Write};
@@ -215,7 +215,7 @@
     /// It does not within [`TIMEOUT`].
     pub fn wait_until_healthy(&self) {
         let from = Instant::now();
-        while get(self.listen, "/_health").is_none_or(|(status, ..)| status != 200) {
+        while get(self.listen, "/_health").is_none_or(|response| response.status != 200) {
             assert!(from.elapsed() < TIMEOUT, "not healthy in time");
             thread::sleep(Duration::from_millis(10));
         }
@@ -246,7 +246,7 @@
 
     /// All counters as text; empty where it does not answer.
     pub fn counters(&self) -> String {
-        get(self.listen, "/_counters").map_or_else(String::new, |(.., body)| body)
+        get(self.listen, "/_counters").map_or_else(String::new, |response| response.body)
     }
 
     /// A counter's value.
@@ -323,9 +323,8 @@
     Some((resident, ticks * 10.0))
 }
 
-// readability: the three parts of a response, taken apart at once by all callers
-/// A GET on a connection of its own: status, head and body.
-pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String, String)> {
+/// A GET on a connection of its own; none if no whole response comes.
+pub fn get(to: SocketAddr, path: &str) -> Option<HttpResponse> {
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_read_timeout(Some(TIMEOUT)).ok()?;
     stream
--- a/crates/testbed/src/wire.rs
+++ b/crates/testbed/src/wire.rs
@@ -2,9 +2,19 @@
 
 use std::io::{BufRead, Write};
 
-// readability: the three parts of a response, taken apart at once by all callers
-/// Status, head and body of an HTTP response; none if the connection ends before it is whole.
-pub fn read_response(from: &mut impl BufRead) -> Option<(u16, String, String)> {
+/// An HTTP response, whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpResponse {
+    /// The status code.
+    pub status: u16,
+    /// The status line and the header fields, to the empty line.
+    pub head: String,
+    /// The body.
+    pub body: String,
+}
+
+/// Reads an HTTP response; none if the connection ends before it is whole.
+pub fn read_response(from: &mut impl BufRead) -> Option<HttpResponse> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         (from.read_line(&mut head).ok()? > 0).then_some(())?;
@@ -13,7 +23,11 @@
     let length = field(&head, "Content-Length")?.parse().ok()?;
     let mut body = vec![0; length];
     from.read_exact(&mut body).ok()?;
-    Some((status, head, String::from_utf8(body).ok()?))
+    Some(HttpResponse {
+        status,
+        head,
+        body: String::from_utf8(body).ok()?,
+    })
 }
 
 /// A field of a head, by its name in any case.
