--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -102,7 +102,7 @@
     }
 
     fn zones(&self) -> Value {
-        serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().2).unwrap()
+        serde_json::from_str(&get(self.program.listen, "/_halls").unwrap().body).unwrap()
     }
 
     fn state(&self, zone: &str) -> String {
@@ -190,7 +190,7 @@
     assert!(
         rejected
             .iter()
-            .all(|got| got.latency_ms < 200.0 && got.retry_after.is_some()),
+            .all(|got| got.latency_ms < 200.0 && got.retry_after_ms.is_some()),
         "{rejected:?}"
     );
     // A group that is confined to the lost zone is never sent elsewhere.
--- a/crates/testbed/src/levels/clients.rs
+++ b/crates/testbed/src/levels/clients.rs
@@ -45,6 +45,7 @@
 }
 
 impl Tally {
+    /// An empty tally.
     pub fn new() -> Self {
         Tally {
             outcome: Outcome::default(),
@@ -54,6 +55,7 @@
         }
     }
 
+    /// What was counted since the last sample; counting starts anew.
     pub fn take_since_sample(&mut self) -> SinceSample {
         std::mem::take(&mut self.since_sample)
     }
@@ -82,7 +84,7 @@
                     return Next::Stop;
                 }
                 self.outcome.retried += 1;
-                let wait_ms = response.retry_after.unwrap_or(DEFAULT_RETRY_AFTER_MS);
+                let wait_ms = response.retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
                 Next::RetryAfter(Duration::from_secs_f64(wait_ms / 1000.0))
             }
             _ => {
