--- a/crates/testbed/src/engine/scripted.rs
+++ b/crates/testbed/src/engine/scripted.rs
@@ -7,14 +7,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-// readability: a pair of address and channel; the channel's item is a frame and its time
+/// The fields of a frame that came in, and when.
+pub type ReceivedFrame = (Vec<String>, Instant);
+
 /// An engine whose connections' frames come out of the channel, each with its time; `react` writes what is to be answered.
 ///
 /// # Panics
 /// The loopback has no free port.
 pub fn scripted(
     react: impl Fn(&[String], &mut TcpStream) + Send + Clone + 'static,
-) -> (SocketAddr, Receiver<(Vec<String>, Instant)>) {
+) -> (SocketAddr, Receiver<ReceivedFrame>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener
         .local_addr()
