The hash of names is the codec package's FNV-1a, not a second copy

Cause: operator-config wrote the 32-bit FNV-1a again, and crates/codec's had no caller outside its package. name_hash calls it now; the bytes are the same (codec's published values, discovery's test with two ids of known hashes).

--- a/crates/operator-config/src/fleet.rs
+++ b/crates/operator-config/src/fleet.rs
@@ -17,13 +17,7 @@
 /// The number by which zones, versions and engines are identified in messages: the 32-bit FNV-1a hash of the name,
 /// never 0.
 pub fn name_hash(name: &str) -> u32 {
-    const OFFSET_BASIS: u32 = 0x811c_9dc5;
-    const PRIME: u32 = 0x0100_0193;
-    let mut hash = OFFSET_BASIS;
-    for byte in name.bytes() {
-        hash = (hash ^ u32::from(byte)).wrapping_mul(PRIME);
-    }
-    hash.max(1)
+    tansymux_codec::fnv1a_32(name.as_bytes()).max(1)
 }
 
 /// The fleet's configuration. `grant_id` is the restart lease under which the program was started, 0 without one.
