--- /dev/null
+++ b/crates/dispatcher/tests/hunt/interrupted_calls.rs
@@ -0,0 +1,95 @@
+//! System calls that a signal interrupts, that transfer less than they were given, or that lack a resource for a moment.
+
+use super::support::*;
+use std::thread;
+use tansymux_fault_table::Call;
+use tansymux_testbed::program::free_udp_address;
+
+/// Clients that ask at the same time, and queries of each.
+const CLIENTS: u64 = 10;
+const QUERIES: u64 = 30;
+/// One call in twenty.
+const RATE: u32 = 500;
+
+/// Asks from many clients on connections that they keep; how many queries ended in each status.
+fn ask_in_parallel(to: std::net::SocketAddr) -> Vec<Option<u16>> {
+    let client = move |number: u64| {
+        let mut stream = connect(to);
+        let mut statuses = Vec::new();
+        for turn in 0..QUERIES {
+            let group = if turn % 4 == 0 { "load" } else { "look" };
+            send(&mut stream, &query(group, number * 1000 + turn, 9000.0));
+            statuses.push(answer_status(&stream));
+            if statuses.last() == Some(&None) {
+                stream = connect(to);
+            }
+        }
+        statuses
+    };
+    let threads: Vec<_> = (1..=CLIENTS)
+        .map(|number| thread::spawn(move || client(number)))
+        .collect();
+    threads
+        .into_iter()
+        .flat_map(|thread| thread.join().unwrap())
+        .collect()
+}
+
+/// All queries are answered with a result while these calls fail.
+fn assert_nothing_is_lost(errno: i32, calls: &[Call]) {
+    let shim = fault_shim();
+    let peer = free_udp_address().to_string();
+    let config = two_group_config(&[instant_engine(), instant_engine()])
+        .with("peer_listen", peer.clone())
+        .with("peers", serde_json::json!([peer]));
+    let program = start_under(&shim, &config);
+    for call in calls {
+        shim.table().fail(*call, errno, RATE, None);
+    }
+    let statuses = ask_in_parallel(program.listen);
+    for call in calls {
+        assert!(shim.table().injected(*call) > 0, "{call:?} never failed");
+    }
+    let unserved = statuses.iter().filter(|status| **status != Some(200));
+    assert_eq!(unserved.count(), 0, "{statuses:?}");
+    shim.table().clear();
+    assert_eq!(program.counter("submissions_reset"), Some(0));
+}
+
+#[test]
+fn interrupted_system_calls_lose_no_query() {
+    assert_nothing_is_lost(libc::EINTR, &[Call::Recv, Call::Writev]);
+}
+
+#[test]
+fn calls_without_a_buffer_for_a_moment_lose_no_query() {
+    assert_nothing_is_lost(libc::ENOBUFS, &[Call::Recv, Call::Writev]);
+}
+
+#[test]
+fn short_reads_and_writes_lose_no_query() {
+    let shim = fault_shim();
+    let program = start_under(&shim, &two_group_config(&[instant_engine()]));
+    shim.table().shorten(Call::Recv, 5000);
+    shim.table().shorten(Call::Writev, 5000);
+    let statuses = ask_in_parallel(program.listen);
+    assert!(shim.table().injected(Call::Recv) > 0);
+    assert!(shim.table().injected(Call::Writev) > 0);
+    assert!(
+        statuses.iter().all(|status| *status == Some(200)),
+        "{statuses:?}"
+    );
+}
+
+#[test]
+fn interrupted_signal_pipe_still_ends_and_reloads_the_program() {
+    let shim = fault_shim();
+    let mut program = start_under(&shim, &two_group_config(&[instant_engine()]));
+    shim.table().fail(Call::Read, libc::EINTR, 10_000, Some(3));
+    program.signal("-HUP");
+    program.wait_for_count("configurations_read 1\n");
+    assert_eq!(shim.table().injected(Call::Read), 3);
+    shim.table().fail(Call::Read, libc::EINTR, 10_000, Some(3));
+    program.terminate();
+    program.end();
+}
--- /dev/null
+++ b/crates/dispatcher/tests/hunt/support.rs
@@ -0,0 +1,93 @@
+//! What the tests of the hunt share: the program under the fault shim, and clients on connections of their own.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::Stdio;
+use tansymux_testbed::client::ClientQuery;
+use tansymux_testbed::engine::scripted;
+use tansymux_testbed::fault_shim::{locate_library, FaultShim};
+use tansymux_testbed::program::{class, free_address, Config, Program, TIMEOUT};
+use tansymux_testbed::wire::{read_response, write_frame};
+
+/// The program under test.
+pub const EXE: &str = env!("CARGO_BIN_EXE_tansymux");
+
+/// A configuration with these engines and two resource groups of 9 s each: `look` only reads, `load` writes.
+pub fn two_group_config(engines: &[SocketAddr]) -> Config {
+    let engines: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, address)| (format!("s-{index}"), *address))
+        .collect();
+    let classes = [
+        class("look", 300.0, 9000.0, "read_like"),
+        class("load", 300.0, 9000.0, "non_idempotent"),
+    ];
+    Config::new(free_address(), &engines, &classes, &[1, 1])
+}
+
+/// The fault shim, without faults so far.
+pub fn fault_shim() -> FaultShim {
+    FaultShim::new(locate_library().expect("the shim can be built"))
+}
+
+/// Starts the program under the shim, and does not wait for it.
+pub fn launch_under(shim: &FaultShim, config: &Config) -> Program {
+    Program::prepared(Path::new(EXE), config, &[], Stdio::piped(), |command| {
+        shim.apply(command);
+    })
+}
+
+/// Starts the program under the shim, and waits until it is healthy.
+pub fn start_under(shim: &FaultShim, config: &Config) -> Program {
+    let program = launch_under(shim, config);
+    program.wait_until_healthy();
+    program
+}
+
+/// Starts the program without the shim, and waits until it is healthy.
+pub fn start(config: &Config) -> Program {
+    Program::start(Path::new(EXE), config, &[])
+}
+
+/// An engine that answers at once.
+pub fn instant_engine() -> SocketAddr {
+    let answers = |parts: &[String], to: &mut TcpStream| {
+        if parts[0] == "fetch" {
+            write_frame(to, &[&parts[1], "DONE", "batches=1", "a\tb\tc\n"]);
+        }
+    };
+    scripted(answers).0
+}
+
+/// A query of a group, with how long its client waits.
+pub fn query(group: &str, id: u64, wait_ms: f64) -> ClientQuery {
+    let path = format!("/invoke/{group}");
+    ClientQuery::new(id, &path, group, "SELECT a FROM sales_17.orders", wait_ms)
+}
+
+/// A client's connection, with a limit on every wait.
+pub fn connect(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Sends a query on a connection.
+pub fn send(stream: &mut TcpStream, query: &ClientQuery) {
+    stream.write_all(&query.bytes()).unwrap();
+}
+
+/// The status of the next answer on a connection; `None` if it ends without one.
+pub fn answer_status(stream: &TcpStream) -> Option<u16> {
+    read_response(&mut BufReader::new(stream)).map(|response| response.status)
+}
+
+/// The status of the answer to a query on a connection of its own.
+pub fn ask(to: SocketAddr, query: &ClientQuery) -> Option<u16> {
+    let mut stream = connect(to);
+    send(&mut stream, query);
+    answer_status(&stream)
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod corpus;
 pub mod demo;
 pub mod engine;
+pub mod fault_shim;
 pub mod fleet;
 pub mod invariants;
 pub mod levels;
