Interrupted and buffer-starved calls are repeated at one place, net.rs

Cause: std repeats no interrupted recv, send or writev on sockets, and async-io hands such errors up; reader.rs, channel.rs, signals.rs, peers.rs, discovery and fleet.rs took them for the connection's end, or for a failure. Change: net.rs repeats interrupted calls and waits 5 ms where the system lacks buffers (ENOBUFS, ENOMEM); all reads, gathered writes, datagrams and the signal pipe go through it. A failing TCP_NODELAY no longer ends a client's connection.

--- a/crates/dispatcher/src/client/reader.rs
+++ b/crates/dispatcher/src/client/reader.rs
@@ -1,6 +1,7 @@
 //! What clients have sent and nobody has parsed yet: one buffer a connection, and their bound in sum.
 
 use super::admission_limits::AdmissionLimits;
+use crate::net::read_available;
 use async_io::Async;
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
@@ -61,10 +62,10 @@
 
     /// Waits for bytes and appends them. Returns how many came: 0 at the end of the stream.
     pub async fn read(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
-        stream.read_with(|stream| self.read_available(stream)).await
+        read_available(stream, |stream| self.take_available(stream)).await
     }
 
-    fn read_available(&mut self, mut stream: &TcpStream) -> io::Result<usize> {
+    fn take_available(&mut self, mut stream: &TcpStream) -> io::Result<usize> {
         let mut scratch = self.reader.scratch.borrow_mut();
         let count = stream.read(&mut scratch[..])?;
         self.bytes.extend_from_slice(&scratch[..count]);
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -110,7 +110,8 @@
     }
 
     async fn serve(&mut self) -> io::Result<Closing> {
-        self.stream.get_ref().set_nodelay(true)?;
+        // A failure only costs latency; a connection that is broken shows it at the next read.
+        let _ = self.stream.get_ref().set_nodelay(true);
         loop {
             let step = match http::parse(self.buffer.bytes()) {
                 Ok(Some(head)) if head.request_len() <= self.buffer.len() => {
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -10,6 +10,7 @@
 pub use directory::{AnswerOutcome, EndpointDirectory};
 
 use crate::dns::{self, Answer, DnsError};
+use crate::net::{receive_datagram, send_datagram};
 use crate::query_registry::{EndpointEntry, Event, QueryRegistry};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
@@ -120,7 +121,7 @@
             self.unanswered.set(self.unanswered.get() + 1);
             self.registry.counters.dns_queries.increment();
             let query = dns::encode_query(self.last_id(), SERVICE, dns::SRV);
-            if let Err(error) = socket.send_to(&query, resolver).await {
+            if let Err(error) = send_datagram(socket, &query, resolver) {
                 tracing::warn!(%resolver, %error, "cannot query the name service");
             }
         }
@@ -129,7 +130,7 @@
     async fn receive_answers(&self, socket: &Async<UdpSocket>) {
         let mut buffer = vec![0; MAX_ANSWER_BYTES];
         loop {
-            match socket.recv_from(&mut buffer).await {
+            match receive_datagram(socket, &mut buffer).await {
                 Ok((length, from)) => self.handle_datagram(&buffer[..length], from),
                 Err(error) => {
                     tracing::warn!(%error, "cannot receive from the name service");
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -8,7 +8,9 @@
 use super::protocol_error::ProtocolError;
 use super::reports::AttemptReport;
 use super::resp::{self, Frame};
-use crate::net::{poll_gathered, MAX_SLICES};
+use crate::net::{
+    is_lack_of_buffers, poll_gathered, read_available, MAX_SLICES, RESOURCE_RETRY_DELAY,
+};
 use crate::notify::Notify;
 use crate::query_registry::{Event, Pages};
 use async_io::{Async, Timer};
@@ -179,10 +181,17 @@
         stream: &Async<TcpStream>,
     ) -> Result<(), ChannelError> {
         loop {
-            match future::poll_fn(|context| self.poll_write(channel, stream, context)).await? {
-                WriteStep::Done => return Ok(()),
-                WriteStep::Wrote(0) => return Err(io::Error::from(io::ErrorKind::WriteZero).into()),
-                WriteStep::Wrote(count) => channel.connection.borrow_mut().advance(count),
+            match future::poll_fn(|context| self.poll_write(channel, stream, context)).await {
+                Ok(WriteStep::Done) => return Ok(()),
+                Ok(WriteStep::Wrote(0)) => {
+                    return Err(io::Error::from(io::ErrorKind::WriteZero).into());
+                }
+                Ok(WriteStep::Wrote(count)) => channel.connection.borrow_mut().advance(count),
+                Err(ChannelError::Io(error)) if is_lack_of_buffers(&error) => {
+                    tracing::debug!(%error, "write failed for now");
+                    Timer::after(RESOURCE_RETRY_DELAY).await;
+                }
+                Err(error) => return Err(error),
             }
         }
     }
@@ -250,7 +259,7 @@
             inbox.extend_from_slice(&buffer[..count]);
             Ok(count)
         };
-        stream.read_with(|stream| read(stream)).await
+        read_available(stream, |stream| read(stream)).await
     }
 
     /// Handles and removes the complete frames at the start of `inbox`.
--- a/crates/dispatcher/src/fleet_client.rs
+++ b/crates/dispatcher/src/fleet_client.rs
@@ -155,7 +155,9 @@
         match self.socket.recv_from(&mut buffer) {
             Ok((count, _)) => receive(&buffer[..count]),
             Err(error) => match error.kind() {
-                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {}
+                io::ErrorKind::WouldBlock
+                | io::ErrorKind::TimedOut
+                | io::ErrorKind::Interrupted => {}
                 io::ErrorKind::ConnectionRefused => std::thread::sleep(RECEIVE_TIMEOUT),
                 _ => return Err(error),
             },
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -1,25 +1,101 @@
-//! Gathered writes: several buffers with one system call.
+//! Reads and writes on sockets that survive what passes: interrupted calls are repeated, and those that lack buffers are
+//! tried again a little later. Every read and write of a connection, a datagram or a pipe passes here.
+//!
+//! The standard library repeats no interrupted read or write of a socket, and async-io hands such errors up: without this
+//! module they would be taken for the connection's end.
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWrite};
-use std::io::{self, IoSlice};
-use std::net::TcpStream;
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 /// Buffers of one write at most: well below the system's own bound, and enough for an answer's pages.
 pub const MAX_SLICES: usize = 64;
+/// Pause before a call is tried again that lacked a resource of the system.
+pub const RESOURCE_RETRY_DELAY: Duration = Duration::from_millis(5);
+
+/// Whether a read or write failed as this machine lacks memory or buffers, which passes (recv(2), send(2)).
+pub fn is_lack_of_buffers(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::ENOMEM | libc::ENOBUFS))
+}
+
+/// Repeats a call while signals interrupt it.
+///
+/// # Errors
+/// Those of the call, but for interruptions.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
+/// Reads once there is something to read: `read` takes what has come and returns how much that was, 0 at the end of the
+/// stream.
+///
+/// # Errors
+/// The connection or pipe is broken.
+pub async fn read_available<S, T>(
+    source: &Async<S>,
+    mut read: impl FnMut(&S) -> io::Result<T>,
+) -> io::Result<T> {
+    loop {
+        let result = source
+            .read_with(|source| uninterrupted(|| read(source)))
+            .await;
+        match result {
+            Err(error) if is_lack_of_buffers(&error) => {
+                tracing::debug!(%error, "read failed for now");
+                Timer::after(RESOURCE_RETRY_DELAY).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Receives a datagram.
+///
+/// # Errors
+/// The socket has an error, for example that an earlier datagram was refused.
+pub async fn receive_datagram(
+    socket: &Async<UdpSocket>,
+    buffer: &mut [u8],
+) -> io::Result<(usize, SocketAddr)> {
+    read_available(socket, |socket| socket.recv_from(buffer)).await
+}
+
+/// Sends a datagram at once, or not at all.
+///
+/// # Errors
+/// It can't be sent now, or not to this address.
+pub fn send_datagram(
+    socket: &Async<UdpSocket>,
+    content: &[u8],
+    address: SocketAddr,
+) -> io::Result<usize> {
+    uninterrupted(|| socket.get_ref().send_to(content, address))
+}
 
 /// Writes as much of `slices` as the socket takes; the result is how many bytes that was.
 ///
 /// # Errors
-/// The connection can't be written to.
+/// The connection can't be written to, or not for now: [`is_lack_of_buffers`] tells which.
 pub fn poll_gathered(
     stream: &Async<TcpStream>,
     context: &mut Context,
     slices: &[IoSlice],
 ) -> Poll<io::Result<usize>> {
-    Pin::new(&mut &*stream).poll_write_vectored(context, slices)
+    loop {
+        match Pin::new(&mut &*stream).poll_write_vectored(context, slices) {
+            Poll::Ready(Err(error)) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
 }
 
 /// Writes all of `parts`.
@@ -33,11 +109,15 @@
     IoSlice::advance_slices(&mut unwritten, 0);
     while !unwritten.is_empty() {
         let batch = &unwritten[..unwritten.len().min(MAX_SLICES)];
-        let written = future::poll_fn(|context| poll_gathered(stream, context, batch)).await?;
-        if written == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
+        match future::poll_fn(|context| poll_gathered(stream, context, batch)).await {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(written) => IoSlice::advance_slices(&mut unwritten, written),
+            Err(error) if is_lack_of_buffers(&error) => {
+                tracing::debug!(%error, "write failed for now");
+                Timer::after(RESOURCE_RETRY_DELAY).await;
+            }
+            Err(error) => return Err(error),
         }
-        IoSlice::advance_slices(&mut unwritten, written);
     }
     Ok(())
 }
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -1,5 +1,6 @@
 //! Datagrams between dispatchers. They may come late or get lost; nothing is sent again.
 
+use crate::net::{receive_datagram, send_datagram};
 use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -55,7 +56,7 @@
         if content.len() > MAX_MESSAGE_BYTES {
             return;
         }
-        match self.socket.get_ref().send_to(content, address) {
+        match send_datagram(&self.socket, content, address) {
             Ok(_) => self.registry.counters.peer_messages_sent.increment(),
             Err(error) => tracing::warn!(%address, %error, "cannot send to a peer"),
         }
@@ -66,7 +67,7 @@
         // One byte more than the limit, so that longer messages are recognised.
         let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
+            match receive_datagram(&self.socket, &mut buffer).await {
                 Ok((length, from)) if length <= MAX_MESSAGE_BYTES => {
                     let Some(peer) = self.peer_at(from) else {
                         continue;
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -3,6 +3,7 @@
 //! The handler of each signal writes into a pipe of its own, which is read like any other input. It is a pipe because
 //! the platform knows no sockets but TCP and UDP; and a signal that comes before anyone reads is kept in it.
 
+use crate::net::read_available;
 use async_io::Async;
 use futures_lite::{stream, Stream, StreamExt};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -38,7 +39,7 @@
     let (reader, writer) = io::pipe()?;
     pipe::register(number, writer)?;
     let next = move |reader: Async<PipeReader>| async move {
-        let read = reader.read_with(|mut pipe| pipe.read(&mut [0; READ_BYTES]));
+        let read = read_available(&reader, |mut pipe| pipe.read(&mut [0; READ_BYTES]));
         let count = read.await.ok()?;
         (count > 0).then_some((signal, reader))
     };
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -6,6 +6,7 @@
 mod engine_watch;
 
 use crate::clock::Clock;
+use crate::net::{receive_datagram, send_datagram, uninterrupted};
 use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_io::{Async, Timer};
 use engine_watch::EngineWatch;
@@ -157,7 +158,7 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
             let wake_ms = self.send_due();
-            let datagram = async { Some(self.socket.recv_from(&mut buffer).await) };
+            let datagram = async { Some(receive_datagram(&self.socket, &mut buffer).await) };
             let timer = async {
                 Timer::at(self.clock.instant(wake_ms)).await;
                 None
@@ -180,7 +181,8 @@
     /// Takes what else has arrived, up to a batch.
     fn receive_pending(&self, buffer: &mut [u8]) {
         for _ in 1..MAX_RECEIVE_BATCH {
-            let Ok((count, from)) = self.socket.get_ref().recv_from(buffer) else {
+            let socket = self.socket.get_ref();
+            let Ok((count, from)) = uninterrupted(|| socket.recv_from(buffer)) else {
                 return;
             };
             self.receive(from, &buffer[..count]);
@@ -201,7 +203,7 @@
         let mut member = self.member.borrow_mut();
         let now_ms = self.clock.now();
         while let Some(FleetAction::Send { to, datagram }) = member.poll(now_ms) {
-            match self.socket.get_ref().send_to(&datagram, to) {
+            match send_datagram(&self.socket, &datagram, to) {
                 Ok(_) => self.datagrams_sent.set(self.datagrams_sent.get() + 1),
                 // Counts as lost on its way: the protocol sends again what matters.
                 Err(error) => tracing::debug!(%to, %error, "fleet datagram not sent"),
--- a/crates/dispatcher/tests/hunt/support.rs
+++ b/crates/dispatcher/tests/hunt/support.rs
@@ -46,11 +46,6 @@
     program
 }
 
-/// Starts the program without the shim, and waits until it is healthy.
-pub fn start(config: &Config) -> Program {
-    Program::start(Path::new(EXE), config, &[])
-}
-
 /// An engine that answers at once.
 pub fn instant_engine() -> SocketAddr {
     let answers = |parts: &[String], to: &mut TcpStream| {
@@ -84,10 +79,3 @@
 pub fn answer_status(stream: &TcpStream) -> Option<u16> {
     read_response(&mut BufReader::new(stream)).map(|response| response.status)
 }
-
-/// The status of the answer to a query on a connection of its own.
-pub fn ask(to: SocketAddr, query: &ClientQuery) -> Option<u16> {
-    let mut stream = connect(to);
-    send(&mut stream, query);
-    answer_status(&stream)
-}
