Red: a lack of descriptors here is blamed on the engine, and queries are rejected for it

The same outcome is reported when socket() fails with EMFILE (RLIMIT_NOFILE lowered while it runs): the engine is ejected.

--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -7,4 +7,5 @@
 )]
 
 mod interrupted_calls;
+mod local_faults;
 mod support;
--- a/crates/dispatcher/tests/hunt/support.rs
+++ b/crates/dispatcher/tests/hunt/support.rs
@@ -4,8 +4,11 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::Stdio;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::Duration;
 use tansymux_testbed::client::ClientQuery;
-use tansymux_testbed::engine::scripted;
+use tansymux_testbed::engine::{scripted, ReceivedFrame};
 use tansymux_testbed::fault_shim::{locate_library, FaultShim};
 use tansymux_testbed::program::{class, free_address, Config, Program, TIMEOUT};
 use tansymux_testbed::wire::{read_response, write_frame};
@@ -79,3 +82,28 @@
 pub fn answer_status(stream: &TcpStream) -> Option<u16> {
     read_response(&mut BufReader::new(stream)).map(|response| response.status)
 }
+
+/// Starts the program without the shim, and waits until it is healthy.
+pub fn start(config: &Config) -> Program {
+    Program::start(Path::new(EXE), config, &[])
+}
+
+/// The status of the answer to a query on a connection of its own.
+pub fn ask(to: SocketAddr, query: &ClientQuery) -> Option<u16> {
+    let mut stream = connect(to);
+    send(&mut stream, query);
+    answer_status(&stream)
+}
+
+/// An engine that answers each query after a time, and what it was sent.
+pub fn engine_answering_after(delay: Duration) -> (SocketAddr, Receiver<ReceivedFrame>) {
+    scripted(move |parts, to| {
+        if parts[0] == "fetch" {
+            let (id, mut to) = (parts[1].clone(), to.try_clone().unwrap());
+            thread::spawn(move || {
+                thread::sleep(delay);
+                write_frame(&mut to, &[&id, "DONE", "batches=1", "a\tb\tc\n"]);
+            });
+        }
+    })
+}
--- a/crates/testbed/src/engine/mod.rs
+++ b/crates/testbed/src/engine/mod.rs
@@ -6,7 +6,7 @@
 mod attempt;
 mod scripted;
 
-pub use scripted::{refuse_silently, scripted};
+pub use scripted::{refuse_silently, scripted, ReceivedFrame};
 
 use crate::record::{EventKind, Record};
 use crate::wire::{read_frame, write_frame};
