Local faults wait or are withdrawn; only an engine's own faults count against it

Change: Outcome::Withdrawn (never ran, no blame; printed submissions_withdrawn); a connection beyond the limit waits for a descriptor, in turn, and idle ones are evicted for it; a connect that fails on this machine is tried again after 5 to 40 ms until the connect timeout. ENETUNREACH for the whole timeout still counts, as routes differ by engine. Three unit tests of engine/ expected the outcome NoConnection for an attempt that is taken back, which was the fault; they now expect Withdrawn, as strict.

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -25,7 +25,7 @@
 pub type Report = Box<dyn Fn(&mut String)>;
 
 /// How attempts end, with the printed names.
-const OUTCOMES: [(Outcome, &str); 8] = [
+const OUTCOMES: [(Outcome, &str); 9] = [
     (Outcome::Completed, "finished"),
     (Outcome::Error, "error"),
     (Outcome::Full, "full"),
@@ -34,6 +34,7 @@
     (Outcome::Reset, "reset"),
     (Outcome::Cancelled, "cancelled"),
     (Outcome::NotSent, "not_sent"),
+    (Outcome::Withdrawn, "withdrawn"),
 ];
 
 /// Declares `Counters`: each counter's doc, field and printed name, in the order of printing.
@@ -88,6 +89,10 @@
     protocol_errors: "connections_spoilt",
     /// Connections to engines that had been idle and ended as soon as something was written to them.
     idle_connections_lost: "connections_lost_idle",
+    /// Connects to engines that failed for a lack of this machine, and were tried again.
+    local_connect_faults: "connects_failed_here",
+    /// Connections to engines that had to wait for a descriptor, as many as the limits allow being open.
+    waits_for_descriptor: "connections_waited",
     /// Attempts begun: the sum of those that ended, by outcome, and of those in flight.
     attempts: "submissions",
     /// Health checks that the decisions asked for.
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -9,13 +9,14 @@
 use super::reports::AttemptReport;
 use super::resp::{self, Frame};
 use crate::net::{
-    is_lack_of_buffers, poll_gathered, read_available, MAX_SLICES, RESOURCE_RETRY_DELAY,
+    is_lack_of_buffers, is_local_fault, poll_gathered, read_available, MAX_SLICES,
+    RESOURCE_RETRY_DELAY,
 };
 use crate::notify::Notify;
 use crate::query_registry::{Event, Pages};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, IoSlice, Read};
 use std::net::{SocketAddr, TcpStream};
@@ -28,6 +29,8 @@
 /// A connect that timed out goes on for this multiple of the timeout; if it succeeds, new attempts may use the
 /// connection.
 const LATE_CONNECT_TIMEOUTS: u32 = 7;
+/// Longest pause between two connects that fail on this machine.
+const MAX_LOCAL_RETRY_DELAY: Duration = Duration::from_millis(40);
 
 /// A connection and the wake-up of its writer.
 pub(super) struct Channel {
@@ -35,6 +38,22 @@
     pub connection: RefCell<Connection>,
     /// Notified when there may be something to write or a reason to close.
     pub notify: Notify,
+    /// It may hold a descriptor.
+    has_descriptor: Cell<bool>,
+    descriptor_granted: Notify,
+    /// Why it can't connect at the moment, where the reason is on this machine.
+    local_fault: Cell<Option<LocalFault>>,
+}
+
+/// Why a connection does not even reach its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+enum LocalFault {
+    #[error("no descriptor is free within the limits")]
+    NoFreeDescriptor,
+    #[error("no socket, port or memory on this machine")]
+    NoResource,
+    #[error("no route to the network of the engine")]
+    NoRoute,
 }
 
 impl Channel {
@@ -44,6 +63,27 @@
             engine_id,
             connection: RefCell::new(Connection::new(now_ms)),
             notify: Notify::default(),
+            has_descriptor: Cell::new(false),
+            descriptor_granted: Notify::default(),
+            local_fault: Cell::new(Some(LocalFault::NoFreeDescriptor)),
+        }
+    }
+
+    /// From now on it may hold a descriptor.
+    pub fn grant_descriptor(&self) {
+        self.has_descriptor.set(true);
+        self.local_fault.set(None);
+        self.descriptor_granted.notify();
+    }
+
+    /// Whether it holds a descriptor, or may open one.
+    pub fn has_descriptor(&self) -> bool {
+        self.has_descriptor.get()
+    }
+
+    async fn wait_for_descriptor(&self) {
+        while !self.has_descriptor() {
+            self.descriptor_granted.notified().await;
         }
     }
 
@@ -54,6 +94,15 @@
     }
 }
 
+impl LocalFault {
+    fn of(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            Some(libc::ENETUNREACH | libc::ENETDOWN) => LocalFault::NoRoute,
+            _ => LocalFault::NoResource,
+        }
+    }
+}
+
 /// Why a connection ended, other than retired or closed by the engine.
 #[derive(Debug, Error)]
 enum ChannelError {
@@ -61,6 +110,8 @@
     Closed(#[from] CloseReason),
     #[error("connect timeout")]
     ConnectTimeout,
+    #[error("{0}")]
+    Local(LocalFault),
     #[error(transparent)]
     Io(#[from] io::Error),
 }
@@ -80,7 +131,7 @@
     fn is_local(&self) -> bool {
         match self {
             ChannelError::Closed(_) => true,
-            ChannelError::ConnectTimeout => false,
+            ChannelError::ConnectTimeout | ChannelError::Local(_) => false,
             ChannelError::Io(error) => error.kind() == io::ErrorKind::NotConnected,
         }
     }
@@ -101,6 +152,8 @@
     is_abandoned: bool,
     /// The outcome of the next attempt that may have run.
     next_outcome: Outcome,
+    /// The outcome of attempts that cannot have run.
+    unsent_outcome: Outcome,
 }
 
 impl Loss {
@@ -110,7 +163,7 @@
         if self.was_up && was_sent {
             std::mem::replace(&mut self.next_outcome, Outcome::Cancelled)
         } else {
-            Outcome::NoConnection
+            self.unsent_outcome
         }
     }
 }
@@ -150,10 +203,15 @@
         address: SocketAddr,
     ) -> Result<Async<TcpStream>, ChannelError> {
         let timeout = self.settings.connect_timeout();
-        let mut connecting = std::pin::pin!(Async::<TcpStream>::connect(address));
+        let mut connecting = std::pin::pin!(self.open_stream(channel, address));
         if let Some(connected) = within(timeout, connecting.as_mut()).await {
             return Ok(connected?);
         }
+        match channel.local_fault.get() {
+            // Routes differ by engine: an engine that stays without one counts as out of reach.
+            None | Some(LocalFault::NoRoute) => {}
+            Some(fault) => return Err(ChannelError::Local(fault)),
+        }
         self.on_connect_timeout(channel);
         match within(LATE_CONNECT_TIMEOUTS * timeout, connecting).await {
             Some(connected) => Ok(connected?),
@@ -161,6 +219,30 @@
         }
     }
 
+    /// Connects. Faults of this machine are waited out: they say nothing of the engine.
+    async fn open_stream(
+        &self,
+        channel: &Channel,
+        address: SocketAddr,
+    ) -> io::Result<Async<TcpStream>> {
+        channel.wait_for_descriptor().await;
+        let mut pause = RESOURCE_RETRY_DELAY;
+        loop {
+            match Async::<TcpStream>::connect(address).await {
+                Err(error) if is_local_fault(&error) => {
+                    let engine_id = format_args!("{:08x}", channel.engine_id);
+                    tracing::warn!(%engine_id, %error, "connect failed on this machine");
+                    self.registry.counters.local_connect_faults.increment();
+                    channel.local_fault.set(Some(LocalFault::of(&error)));
+                    Timer::after(pause).await;
+                    pause = (2 * pause).min(MAX_LOCAL_RETRY_DELAY);
+                    channel.local_fault.set(None);
+                }
+                connected => return connected,
+            }
+        }
+    }
+
     fn on_connected(&self, channel: &Channel) {
         let mut connection = channel.connection.borrow_mut();
         if connection.state == ConnectionState::Late {
@@ -335,10 +417,16 @@
         }
         let is_protocol_error = error.is_some_and(ChannelError::is_protocol_error);
         let is_local = error.is_some_and(ChannelError::is_local);
+        let is_local_fault = matches!(error, Some(ChannelError::Local(_)));
         let mut loss = Loss {
             was_up,
             is_abandoned: is_protocol_error || was_up && is_local,
             next_outcome: Outcome::Reset,
+            unsent_outcome: if is_local_fault {
+                Outcome::Withdrawn
+            } else {
+                Outcome::NoConnection
+            },
         };
         let side_effect_free_reuse = was_up && !loss.is_abandoned && !attempts.is_empty();
         if side_effect_free_reuse && self.note_lost_reuse(&connection, now_ms) {
@@ -354,7 +442,10 @@
         } else {
             Outcome::NoConnection
         };
-        self.report_health(channel.engine_id, outcome, health_checks);
+        // A health check that never reached its engine tells nothing of it.
+        if !is_local_fault {
+            self.report_health(channel.engine_id, outcome, health_checks);
+        }
     }
 
     fn report_lost(
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -126,6 +126,8 @@
     pub(super) engines: RefCell<FxHashMap<u64, Engine>>,
     /// Connections that are open or connecting.
     connections: Cell<usize>,
+    /// Connections that wait for a descriptor, the longest first.
+    waiting: RefCell<VecDeque<Rc<Channel>>>,
     /// Health checks sent so far. The number is part of each check's tag.
     pub(super) health_checks: Cell<u64>,
     /// Ends of abandoned attempts whose report is delayed, in the order of their due times.
@@ -151,6 +153,7 @@
             settings,
             engines: RefCell::default(),
             connections: Cell::default(),
+            waiting: RefCell::default(),
             health_checks: Cell::default(),
             settling: RefCell::default(),
             keep_alive: RefCell::default(),
@@ -187,7 +190,7 @@
     fn withdraw_unstarted(&self, channel: &Channel) {
         let unstarted: Vec<Rc<str>> = channel.connection.borrow().unstarted_requests().collect();
         for id in &unstarted {
-            self.abandon(channel, id, Outcome::NoConnection);
+            self.abandon(channel, id, Outcome::Withdrawn);
         }
     }
 
@@ -219,7 +222,8 @@
             MIN_IDLE_MS
         };
         let best = engine.best_channel(id, now_ms, trusted_idle_ms, self.settings.max_streams);
-        let may_open = self.may_open_another(engine) && (!is_full || evictable.is_some());
+        let has_room = !is_full || evictable.is_some();
+        let may_open = self.may_open_another(engine) && has_room;
         // A lost connection loses every attempt in flight on it: they share one only at a connection limit.
         let channel = match best {
             Some(best) if best.suitability <= Suitability::Fresh || !may_open => best.channel,
@@ -227,6 +231,8 @@
                 evictable.iter().for_each(|idle| idle.retire());
                 self.open_channel(engine, address)
             }
+            // It connects once another connection has closed.
+            _ if self.may_open_another(engine) => self.queue_channel(engine, address),
             _ => {
                 tracing::warn!(engine_id = %format_args!("{engine_id:08x}"), "connection limit reached");
                 return None;
@@ -266,12 +272,50 @@
 
     fn open_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
         let channel = Rc::new(Channel::new(engine.engine_id, self.clock.now()));
-        engine.channels.push(channel.clone());
         self.connections.set(self.connections.get() + 1);
+        channel.grant_descriptor();
+        self.run(engine, &channel, address);
+        channel
+    }
+
+    /// A connection that waits for a descriptor: [`EnginePool::release_descriptor`] grants it one, in turn.
+    fn queue_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
+        let channel = Rc::new(Channel::new(engine.engine_id, self.clock.now()));
+        self.registry.counters.waits_for_descriptor.increment();
+        self.waiting.borrow_mut().push_back(channel.clone());
+        self.run(engine, &channel, address);
+        channel
+    }
+
+    fn run(self: &Rc<Self>, engine: &mut Engine, channel: &Rc<Channel>, address: SocketAddr) {
+        engine.channels.push(channel.clone());
         self.registry.counters.engine_connections_opened.increment();
         let run = self.clone().run_channel(channel.clone(), address);
         self.executor.spawn(run).detach();
-        channel
+    }
+
+    /// A connection has closed: its descriptor goes to the one that waits longest.
+    fn release_descriptor(&self) {
+        self.connections.set(self.connections.get() - 1);
+        if self.is_full() {
+            return;
+        }
+        if let Some(next) = self.waiting.borrow_mut().pop_front() {
+            self.connections.set(self.connections.get() + 1);
+            next.grant_descriptor();
+        }
+    }
+
+    /// Closes idle connections for those that wait for a descriptor.
+    pub(super) fn evict_for_waiting(&self) {
+        let count = self.waiting.borrow().len();
+        for _ in 0..count {
+            let idle = least_recently_used(&self.engines.borrow());
+            match idle {
+                Some(idle) => idle.retire(),
+                None => return,
+            }
+        }
     }
 
     /// Removes a closed connection, and the engine if it is gone and this was its last connection.
@@ -283,7 +327,12 @@
                 engines.remove(&channel.engine_id);
             }
         }
-        self.connections.set(self.connections.get() - 1);
+        if channel.has_descriptor() {
+            self.release_descriptor();
+        } else {
+            let mut waiting = self.waiting.borrow_mut();
+            waiting.retain(|other| !Rc::ptr_eq(other, channel));
+        }
     }
 }
 
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -1,7 +1,7 @@
 //! Reports the ends of attempts to the decisions, and abandons attempts.
 
 use super::channel::Channel;
-use super::connection::Abandoned;
+use super::connection::{Abandoned, ConnectionState};
 use super::health::SilenceScope;
 use super::pool::EnginePool;
 use crate::query_registry::{Event, Pages};
@@ -42,6 +42,16 @@
     }
 }
 
+/// The outcome of an attempt that provably never ran and was given up as `outcome`. It counts against the engine only
+/// where the engine kept it from going out: no connection came up in time, or an open one was not read.
+fn unsent_outcome(outcome: Outcome, is_connection_up: bool) -> Outcome {
+    match outcome {
+        Outcome::NoConnection => Outcome::NoConnection,
+        Outcome::Timeout if is_connection_up => Outcome::NoConnection,
+        _ => Outcome::Withdrawn,
+    }
+}
+
 impl EnginePool {
     /// Reports the end of an attempt immediately.
     pub(super) fn report_ended(&self, report: AttemptReport) {
@@ -78,7 +88,7 @@
         next.map_or(f64::INFINITY, |report| report.due_ms)
     }
 
-    /// Abandons an attempt and reports its end: as `outcome` if it may have run, as `NoConnection` if it cannot have.
+    /// Abandons an attempt and reports its end: as `outcome` if it may have run, else as [`unsent_outcome`].
     pub(super) fn abandon(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now_ms = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
@@ -87,6 +97,8 @@
         };
         // Silent for longer than the progress interval: the connection may be dead. The next attempt uses another
         // one.
+        let is_up = connection.state == ConnectionState::Up;
+        let unsent_outcome = unsent_outcome(outcome, is_up);
         let silent_ms = now_ms - connection.last_frame_ms.max(attempt.sent_ms);
         let may_be_dead = was_sent && silent_ms > self.settings.max_silence_ms();
         connection.retired |= may_be_dead;
@@ -98,11 +110,7 @@
         let report = AttemptReport {
             query_id: attempt.query_id,
             attempt: attempt.number,
-            outcome: if was_sent {
-                outcome
-            } else {
-                Outcome::NoConnection
-            },
+            outcome: if was_sent { outcome } else { unsent_outcome },
             engine_id: channel.engine_id,
             latency_ms: now_ms - attempt.sent_ms,
             pages: Pages::new(),
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -64,13 +64,13 @@
     (registry, pool, query, slot)
 }
 
-/// Whether the attempt's end was reported as one that was never sent.
+/// Whether the attempt's end was reported as one that was never sent, for no reason of its engine's.
 fn was_withdrawn(registry: &QueryRegistry) -> bool {
     let closed = |e: Event| {
         matches!(
             e,
             Event::AttemptEnded {
-                outcome: Outcome::NoConnection,
+                outcome: Outcome::Withdrawn,
                 ..
             }
         )
--- a/crates/dispatcher/src/engine/timeouts.rs
+++ b/crates/dispatcher/src/engine/timeouts.rs
@@ -67,6 +67,7 @@
             }
             next_ms = next_ms.min(connection.next_deadline_ms(now_ms));
         }
+        self.evict_for_waiting();
         for engine_id in unsure_engines {
             self.check_reachability(engine_id);
         }
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -22,6 +22,27 @@
     matches!(error.raw_os_error(), Some(libc::ENOMEM | libc::ENOBUFS))
 }
 
+/// Whether opening, binding or connecting a socket failed for a reason on this machine that may pass: no descriptor, no
+/// memory, no free port, no route (socket(2), bind(2), connect(2)). It says nothing of the other end.
+pub fn is_local_fault(error: &io::Error) -> bool {
+    let is_passing = matches!(
+        error.raw_os_error(),
+        Some(
+            libc::EAGAIN
+                | libc::ENOMEM
+                | libc::ENFILE
+                | libc::EMFILE
+                | libc::ENOSPC
+                | libc::EADDRINUSE
+                | libc::EADDRNOTAVAIL
+                | libc::ENETDOWN
+                | libc::ENETUNREACH
+                | libc::ENOBUFS
+        )
+    );
+    is_passing || error.kind() == ErrorKind::Interrupted
+}
+
 /// Repeats a call while signals interrupt it.
 ///
 /// # Errors
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -243,7 +243,7 @@
         let is_failure = match event.outcome {
             Outcome::Completed => false,
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::NoConnection => true,
-            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Full | Outcome::Cancelled | Outcome::NotSent | Outcome::Withdrawn => return,
         };
         self.evidence
             .borrow_mut()
--- a/crates/dispatcher/src/subsystems/zone_routing.rs
+++ b/crates/dispatcher/src/subsystems/zone_routing.rs
@@ -134,7 +134,7 @@
             Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
             // Cancelled here, or never sent: that says nothing of the engine.
-            Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Withdrawn => return,
         };
         self.observe(engine_id, kind, now_ms);
     }
--- a/crates/simulator/src/simulation/dispatchers.rs
+++ b/crates/simulator/src/simulation/dispatchers.rs
@@ -179,7 +179,7 @@
         let kind = match outcome {
             Outcome::Completed | Outcome::Error | Outcome::Full => ObservationKind::Answered,
             Outcome::NoConnection | Outcome::Reset | Outcome::Timeout => ObservationKind::NoAnswer,
-            Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Withdrawn => return,
         };
         if let Some(zone_health) = &mut self.dispatchers[dispatcher].zone_health {
             let observation = Observation {
--- a/src/control/outlier.rs
+++ b/src/control/outlier.rs
@@ -53,7 +53,8 @@
                 return self.learn_slow_answer(closed.engine, Lane::Fast);
             }
             Outcome::Timeout => true,
-            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
+            // Neither says anything of the engine's health.
+            Outcome::Full | Outcome::Cancelled | Outcome::NotSent | Outcome::Withdrawn => return,
         };
         let health = &mut self.engines[closed.engine].health;
         health.record_outcome(self.now_ms, event.outcome, is_failure, ERROR_STEP);
--- a/src/events.rs
+++ b/src/events.rs
@@ -165,6 +165,9 @@
     Cancelled,
     /// It never went out.
     NotSent,
+    /// It never began, and its engine is not the reason: it was taken back in time, or this dispatcher lacked a
+    /// descriptor, a port or memory for a connection.
+    Withdrawn,
 }
 
 impl Outcome {
@@ -172,7 +175,7 @@
     pub(crate) fn never_ran(self) -> bool {
         matches!(
             self,
-            Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+            Outcome::Full | Outcome::NoConnection | Outcome::NotSent | Outcome::Withdrawn
         )
     }
 
