--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -8,4 +8,5 @@
 
 mod interrupted_calls;
 mod local_faults;
+mod start;
 mod support;
