A start tries again what fails for a moment, for 8 s at most

Cause: Async::bind and the signal pipes were tried once; any error ended the start with exit code 1. Change: dispatcher/start_retry.rs; sockets of clients, peers and fleet and the signal pipes are tried again after 10 to 500 ms where Linux documents the error as passing, each try logged; EACCES, EADDRNOTAVAIL and all others end the start at once with the key named. An address that stays taken ends it after 8 s (before: at once).

--- a/crates/dispatcher/src/client/listener.rs
+++ b/crates/dispatcher/src/client/listener.rs
@@ -17,14 +17,6 @@
 type Accepted = io::Result<(Async<TcpStream>, SocketAddr)>;
 
 impl ClientFrontend {
-    /// Binds the clients' listener.
-    ///
-    /// # Errors
-    /// The address can't be bound.
-    pub fn bind(listen: SocketAddr) -> io::Result<Async<TcpListener>> {
-        Async::<TcpListener>::bind(listen)
-    }
-
     /// Accepts connections until [`ClientFrontend::last_call`], and then those that wait in the backlog. When the table
     /// is full, a connection that is of no use is evicted for the next.
     pub async fn accept(
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -11,12 +11,15 @@
 //! | `event_feed` | events of the registry, as the decisions and the subsystems take them |
 //! | `decision_sink` | what was decided, as commands of the registry and messages to peers |
 //! | `reload` | SIGHUP |
+//! | `start_retry` | steps of a start that fail for a moment |
 
 mod decision_sink;
 mod event_feed;
 mod reload;
+mod start_retry;
 mod startup;
 
+pub use start_retry::StartRetry;
 pub use startup::StartError;
 
 use crate::cli::Common;
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -1,6 +1,6 @@
 //! From a checked configuration to a dispatcher whose sockets are bound. Nothing is accepted before the first round.
 
-use super::Dispatcher;
+use super::{Dispatcher, StartRetry};
 use crate::cli::Common;
 use crate::client::ClientFrontend;
 use crate::clock::Clock;
@@ -17,10 +17,11 @@
 use crate::subsystems::zone_routing::ZoneRouting;
 use crate::subsystems::Subsystems;
 use async_executor::{LocalExecutor, Task};
+use async_io::Async;
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use tansymux::control::Control;
 use tansymux::events::EndpointListKind;
@@ -71,6 +72,7 @@
         operator: &Operator,
         common: Common,
         executor: Rc<LocalExecutor<'static>>,
+        retry: StartRetry,
     ) -> Result<Self, StartError> {
         check_against_settings(operator, &config.settings).map_err(StartError::OperatorConfig)?;
         let settings = Rc::new(Settings::read(&config.settings)?);
@@ -79,6 +81,7 @@
             clock: Clock::start(),
             registry: Rc::new(QueryRegistry::new(config.max_statement_bytes)),
             executor,
+            retry,
             tasks: Vec::new(),
         };
         let engines = EnginePool::new(
@@ -128,6 +131,7 @@
     clock: Clock,
     registry: Rc<QueryRegistry>,
     executor: Rc<LocalExecutor<'static>>,
+    retry: StartRetry,
     /// What was started so far.
     tasks: Vec<Task<()>>,
 }
@@ -147,8 +151,11 @@
         };
         let address = addresses.listen;
         let registry = self.registry.clone();
-        let peers = Peers::bind(registry, address, addresses.each, addresses.all)
+        let socket = self
+            .retry
+            .run("peer_listen", || Async::<UdpSocket>::bind(address))
             .map_err(|source| StartError::Peers { address, source })?;
+        let peers = Peers::new(registry, socket, addresses.each, addresses.all);
         self.spawn(peers.clone().listen());
         Ok(Some(peers))
     }
@@ -162,7 +169,11 @@
     ) -> Result<Option<Rc<FleetService>>, StartError> {
         let registry = self.registry.clone();
         let definition = operator.fleet.as_ref();
-        let fleet = FleetService::start(definition, settings, self.clock, registry, seed)?;
+        let bind = |address| {
+            self.retry
+                .run("fleet.listen", || Async::<UdpSocket>::bind(address))
+        };
+        let fleet = FleetService::start(definition, settings, self.clock, registry, seed, bind)?;
         if let Some(fleet) = &fleet {
             self.spawn(fleet.clone().run());
         }
@@ -195,7 +206,9 @@
         clients: &Rc<ClientFrontend>,
         address: SocketAddr,
     ) -> Result<(), StartError> {
-        let listener = ClientFrontend::bind(address)
+        let listener = self
+            .retry
+            .run("listen", || Async::<TcpListener>::bind(address))
             .map_err(|source| StartError::Listen { address, source })?;
         let executor = self.executor.clone();
         self.spawn(clients.clone().accept(listener, executor));
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -49,11 +49,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 enum LocalFault {
     #[error("no descriptor is free within the limits")]
-    NoFreeDescriptor,
+    DescriptorLimit,
     #[error("no socket, port or memory on this machine")]
-    NoResource,
+    ResourceShort,
     #[error("no route to the network of the engine")]
-    NoRoute,
+    NetworkUnreachable,
 }
 
 impl Channel {
@@ -65,7 +65,7 @@
             notify: Notify::default(),
             has_descriptor: Cell::new(false),
             descriptor_granted: Notify::default(),
-            local_fault: Cell::new(Some(LocalFault::NoFreeDescriptor)),
+            local_fault: Cell::new(Some(LocalFault::DescriptorLimit)),
         }
     }
 
@@ -97,8 +97,8 @@
 impl LocalFault {
     fn of(error: &io::Error) -> Self {
         match error.raw_os_error() {
-            Some(libc::ENETUNREACH | libc::ENETDOWN) => LocalFault::NoRoute,
-            _ => LocalFault::NoResource,
+            Some(libc::ENETUNREACH | libc::ENETDOWN) => LocalFault::NetworkUnreachable,
+            _ => LocalFault::ResourceShort,
         }
     }
 }
@@ -209,7 +209,7 @@
         }
         match channel.local_fault.get() {
             // Routes differ by engine: an engine that stays without one counts as out of reach.
-            None | Some(LocalFault::NoRoute) => {}
+            None | Some(LocalFault::NetworkUnreachable) => {}
             Some(fault) => return Err(ChannelError::Local(fault)),
         }
         self.on_connect_timeout(channel);
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -34,7 +34,7 @@
 use clap::Parser;
 use cli::{Cli, Command, Common};
 use config::StartupConfigError;
-use dispatcher::{Dispatcher, StartError};
+use dispatcher::{Dispatcher, StartError, StartRetry};
 use operator_config::OperatorConfigErrors;
 use std::io;
 use std::process::ExitCode;
@@ -92,13 +92,16 @@
 fn serve(common: Common) -> Result<ExitCode, CommandError> {
     log::init();
     // Before anything else: a signal without a handler ends the process, also a SIGHUP that only asks for a reload.
-    let signals = signals::subscribe().map_err(CommandError::Signals)?;
+    let retry = StartRetry::begin();
+    let signals = retry
+        .run("signals", signals::subscribe)
+        .map_err(CommandError::Signals)?;
     let operator = operator_config::read_optional(common.operator.as_deref())?;
     log::configure(&common, operator.log.as_ref());
     let config = config::read()?;
     let executor = Rc::new(LocalExecutor::new());
     let name = config.name.clone();
-    let dispatcher = Dispatcher::start(config, &operator, common, executor.clone())?;
+    let dispatcher = Dispatcher::start(config, &operator, common, executor.clone(), retry)?;
     tracing::info!(name, "serving");
     async_io::block_on(executor.run(dispatcher.run(signals)));
     log::finish();
--- a/crates/dispatcher/src/peers.rs
+++ b/crates/dispatcher/src/peers.rs
@@ -4,7 +4,6 @@
 use crate::query_registry::{Event, QueryRegistry};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,22 +24,19 @@
 }
 
 impl Peers {
-    /// Binds the socket.
-    ///
-    /// # Errors
-    /// The address can't be bound.
-    pub fn bind(
+    /// The exchange on a bound socket.
+    pub fn new(
         registry: Rc<QueryRegistry>,
-        listen: SocketAddr,
+        socket: Async<UdpSocket>,
         addresses: Vec<SocketAddr>,
         broadcast: Option<SocketAddr>,
-    ) -> io::Result<Rc<Self>> {
-        Ok(Rc::new(Peers {
+    ) -> Rc<Self> {
+        Rc::new(Peers {
             registry,
-            socket: Async::<UdpSocket>::bind(listen)?,
+            socket,
             addresses,
             broadcast,
-        }))
+        })
     }
 
     /// Sends a message to one dispatcher, or to all. It is dropped if it cannot be sent at once, is too long or names
--- a/crates/dispatcher/src/peers/tests.rs
+++ b/crates/dispatcher/src/peers/tests.rs
@@ -6,7 +6,8 @@
     let (friend, stranger) = (UdpSocket::bind(any).unwrap(), UdpSocket::bind(any).unwrap());
     let registry = Rc::new(QueryRegistry::default());
     let each = vec![any, friend.local_addr().unwrap()];
-    let peers = Peers::bind(registry.clone(), any, each, None).unwrap();
+    let socket = Async::<UdpSocket>::bind(any).unwrap();
+    let peers = Peers::new(registry.clone(), socket, each, None);
     let at = peers.socket.get_ref().local_addr().unwrap();
     stranger.send_to(b"x", at).unwrap();
     friend.send_to(&[7; MAX_MESSAGE_BYTES + 1], at).unwrap();
--- a/crates/dispatcher/src/subsystems/fleet.rs
+++ b/crates/dispatcher/src/subsystems/fleet.rs
@@ -97,6 +97,7 @@
         clock: Clock,
         registry: Rc<QueryRegistry>,
         seed: u64,
+        bind: impl FnOnce(SocketAddr) -> io::Result<Async<UdpSocket>>,
     ) -> Result<Option<Rc<Self>>, FleetStartError> {
         let Some(definition) = definition else {
             return Ok(None);
@@ -108,7 +109,8 @@
         if let Some((own_zone, _)) = &mut member_settings.zones {
             *own_zone = zone;
         }
-        let socket = bind(definition.listen())?;
+        let address = listen_address(definition)?;
+        let socket = bind(address).map_err(|source| FleetStartError::Bind { address, source })?;
         let now_ms = clock.now();
         let seed = incarnation_seed(seed, now_ms);
         let service = Rc::new(FleetService {
@@ -349,11 +351,11 @@
     seed ^ (now_ms * 1000.0) as u64 ^ u64::from(std::process::id()) << 32
 }
 
-fn bind(listen: &str) -> Result<Async<UdpSocket>, FleetStartError> {
-    let address: SocketAddr = listen.parse().map_err(|_| FleetStartError::InvalidListen {
+fn listen_address(definition: &schema::Fleet) -> Result<SocketAddr, FleetStartError> {
+    let listen = definition.listen();
+    listen.parse().map_err(|_| FleetStartError::InvalidListen {
         value: listen.to_owned(),
-    })?;
-    Async::<UdpSocket>::bind(address).map_err(|source| FleetStartError::Bind { address, source })
+    })
 }
 
 fn ejection_settings(definition: &schema::Fleet) -> Option<FailureThreshold> {
