Red: a step of the wall clock ends slow start at once, or makes it last an hour

A later engine under the address of an older one, after a step back, is not seen as the later one (55 queries in 0.5 s).

--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -10,3 +10,4 @@
 mod local_faults;
 mod start;
 mod support;
+mod wall_clock;
--- /dev/null
+++ b/crates/dispatcher/tests/hunt/wall_clock.rs
@@ -0,0 +1,161 @@
+//! Steps of the machine's wall clock: the list tells when an engine started in Unix time, and slow start counts real time.
+
+use super::support::*;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tansymux_testbed::engine::ReceivedFrame;
+use tansymux_testbed::fault_shim::FaultShim;
+use tansymux_testbed::name_service::{Endpoint, NameService};
+use tansymux_testbed::program::{Config, Program};
+use tansymux_testbed::record::{Record, Status};
+
+const WARM_AFTER_MS: u64 = 4000;
+const SPAN_MS: u64 = 1000;
+/// What a warming engine may be sent in a span, in queries of the test: 0.8 * 3 * 0.05 * 0.85 * 1000 ms / 20 ms is 5.1.
+const MAX_IN_SLOW_START: usize = 12;
+
+/// Slow start over 4 s: an engine of one core bears 0.05 of it three times over in a span of 1 s.
+fn slow_start_config(engine: SocketAddr, names: &NameService) -> Config {
+    two_group_config(&[engine])
+        .with("resolver", names.address.to_string())
+        .with("settings.family-info.cores-by-kind", json!([1]))
+        .with(
+            "settings.rules",
+            json!({"cold-from": 0.05, "warm-after-us": WARM_AFTER_MS * 1000, "fall-multiple": 3,
+                "overload-for-us": SPAN_MS * 1000}),
+        )
+}
+
+/// The wall clock of the program's machine (Unix ms).
+fn wall_ms(step_s: i64) -> f64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    now.as_secs_f64() * 1000.0 + step_s as f64 * 1000.0
+}
+
+fn list_engine(names: &NameService, id: &str, address: SocketAddr, started: f64) {
+    names.add(Endpoint {
+        id: id.into(),
+        zone: "h".into(),
+        kind: "std".into(),
+        cell: 0,
+        address,
+        status: Status::Ready,
+        started,
+    });
+}
+
+/// Asks one query after the other for a time, from `first_id`; how many of them the engine got.
+fn share_of_engine(
+    program: &Program,
+    requests: &Receiver<ReceivedFrame>,
+    first_id: u64,
+    time: Duration,
+) -> usize {
+    let from = Instant::now();
+    let mut id = first_id;
+    requests.try_iter().count();
+    while from.elapsed() < time {
+        let mut query = query("look", id, 2000.0);
+        query.cost = Some(20.0);
+        assert_eq!(ask(program.listen, &query), Some(200));
+        id += 1;
+        thread::sleep(Duration::from_millis(8));
+    }
+    let fetches = requests.try_iter().filter(|(parts, _)| parts[0] == "fetch");
+    fetches.count()
+}
+
+fn step_wall_clock(shim: &FaultShim, step_s: i64) {
+    shim.table().set_wall_offset_ns(step_s * 1_000_000_000);
+    // Long enough to be noticed: the name service is asked four times a second.
+    thread::sleep(Duration::from_millis(600));
+}
+
+/// An engine that starts after the step gets its slow start, and no more than that.
+fn assert_slow_start_after_step(step_s: i64) {
+    let shim = fault_shim();
+    let (old, _) = engine_answering_after(Duration::ZERO);
+    let (new, requests) = engine_answering_after(Duration::ZERO);
+    let names = NameService::start(Vec::new(), Arc::new(Record::default()));
+    list_engine(&names, "s-0", old, 0.0);
+    let program = start_under(&shim, &slow_start_config(old, &names));
+    program.wait_for_count("lists 1\n");
+    step_wall_clock(&shim, step_s);
+    let started = Instant::now();
+    list_engine(&names, "s-9", new, wall_ms(step_s));
+    program.wait_for_count("lists 2\n");
+    let early = share_of_engine(&program, &requests, 1, Duration::from_millis(1500));
+    assert!(
+        early <= MAX_IN_SLOW_START,
+        "step {step_s} s: {early} queries to an engine that warms up"
+    );
+    let warm_after = Duration::from_millis(WARM_AFTER_MS + SPAN_MS + 500);
+    thread::sleep(warm_after.saturating_sub(started.elapsed()));
+    let late = share_of_engine(&program, &requests, 1000, Duration::from_millis(1000));
+    assert!(
+        late > MAX_IN_SLOW_START,
+        "step {step_s} s: {late} queries to an engine that is warm"
+    );
+}
+
+#[test]
+fn engine_started_after_a_step_of_the_wall_clock_gets_its_slow_start() {
+    let steps = [0, -40, -3600, 40, 3600];
+    let plays = steps.map(|step_s| thread::spawn(move || assert_slow_start_after_step(step_s)));
+    for play in plays {
+        play.join().unwrap();
+    }
+}
+
+#[test]
+fn engine_started_before_a_step_of_the_wall_clock_keeps_its_slow_start() {
+    let plays = [-3600, 3600].map(|step_s| {
+        thread::spawn(move || {
+            let shim = fault_shim();
+            let (old, _) = engine_answering_after(Duration::ZERO);
+            let (new, requests) = engine_answering_after(Duration::ZERO);
+            let names = NameService::start(Vec::new(), Arc::new(Record::default()));
+            list_engine(&names, "s-0", old, 0.0);
+            let program = start_under(&shim, &slow_start_config(old, &names));
+            program.wait_for_count("lists 1\n");
+            // It starts, the clock is stepped, and only then the list tells of it.
+            let started_ms = wall_ms(0);
+            step_wall_clock(&shim, step_s);
+            list_engine(&names, "s-9", new, started_ms);
+            program.wait_for_count("lists 2\n");
+            let early = share_of_engine(&program, &requests, 1, Duration::from_millis(1200));
+            assert!(early <= MAX_IN_SLOW_START, "step {step_s} s: {early}");
+            // A step while it warms up changes nothing either; nor does the list, as it is told again.
+            step_wall_clock(&shim, -step_s);
+            list_engine(&names, "s-0", old, 0.0);
+            program.wait_for_count("lists 3\n");
+            thread::sleep(Duration::from_millis(WARM_AFTER_MS));
+            let late = share_of_engine(&program, &requests, 1000, Duration::from_millis(1000));
+            assert!(late > MAX_IN_SLOW_START, "step {step_s} s: {late}");
+        })
+    });
+    for play in plays {
+        play.join().unwrap();
+    }
+}
+
+#[test]
+fn engine_replaced_under_its_address_after_a_step_back_takes_the_place_of_the_old_one() {
+    let shim = fault_shim();
+    let (address, requests) = engine_answering_after(Duration::ZERO);
+    let names = NameService::start(Vec::new(), Arc::new(Record::default()));
+    let before_step_ms = wall_ms(0);
+    list_engine(&names, "s-0", address, before_step_ms - 60_000.0);
+    let program = start_under(&shim, &slow_start_config(address, &names));
+    program.wait_for_count("lists 1\n");
+    step_wall_clock(&shim, -3600);
+    // The later engine has the smaller Unix time, and the address of one that is still listed.
+    list_engine(&names, "s-9", address, wall_ms(-3600));
+    program.wait_for_count("lists 2\n");
+    let share = share_of_engine(&program, &requests, 1, Duration::from_millis(500));
+    assert!(share <= MAX_IN_SLOW_START, "{share}");
+}
