Start times of engines are translated once, across steps of the wall clock

Cause: the list tells starts in Unix time of the moment; clock.rs was anchored at the program's start, and slow_start.rs, drop_superseded and was_gone compared the two as if no step lay between. Ruled out: other comparisons with outside times (peers' load messages, service levels, zones, coordination and membership carry none; the logs' stamps are the wall clock's on purpose). Change: WallClock keeps the offsets before and after each step and translates a stamp to the latest time that is not in the future; EngineStarts does so once for each told start, so that a later step changes nothing. A start from the future (a step before this program started) counts as now. The name-service task looks at the wall clock four times a second. Tests: the two red ones of wall_clock.rs; in the second a further engine was added to the pool, since a warming engine alone rightly rejects (429), and it was seen to fail on the code before (25 queries in 0.5 s). Not to be known: after a step forward and a restart of the dispatcher within a warm-up, an engine that started before the step counts as warm.

--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -1,9 +1,11 @@
 //! The accepted endpoint list, and the rules by which an answer of the name service changes it. No I/O, no clock.
 
+use super::engine_starts::EngineStarts;
 use super::records::{
     drop_superseded, entry_of, fingerprint, merge_duplicates, start_of, HostName,
 };
 use super::reject_reason::RejectReason;
+use crate::clock::WallClock;
 use crate::dns::Answer;
 use crate::query_registry::EndpointEntry;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -33,6 +35,7 @@
     unconfirmed: Option<AnswerSource>,
     /// Engines that left, with their start times, the latest last: an older list does not bring them back.
     gone: VecDeque<(u64, Option<f64>)>,
+    starts: EngineStarts,
 }
 
 /// What identifies an answer.
@@ -99,6 +102,22 @@
         self.engines.insert(engine.engine_id, engine);
     }
 
+    /// The list's start times, which are Unix times, are times of the program's clock from now on.
+    pub fn set_wall_clock(&mut self, wall_clock: WallClock) {
+        self.starts.set_wall_clock(wall_clock);
+        let starts = &mut self.starts;
+        for (&engine_id, entry) in &mut self.engines {
+            entry.started_ms = entry
+                .started_ms
+                .map(|unix_ms| starts.translate(engine_id, unix_ms));
+        }
+    }
+
+    /// Looks whether the wall clock was stepped.
+    pub fn observe_wall_clock(&mut self) {
+        self.starts.observe_wall_clock();
+    }
+
     /// All engines of the list, in the order of their numbers.
     pub fn endpoints(&self) -> Vec<EndpointEntry> {
         let mut endpoints: Vec<EndpointEntry> = self.engines.values().cloned().collect();
@@ -193,7 +212,12 @@
             };
             let engine_id = self.engine_id(host.id);
             let known = self.engines.get(&engine_id);
-            entries.push(entry_of(answer, srv, engine_id, host.zone, known));
+            let mut entry = entry_of(answer, srv, engine_id, host.zone, known);
+            let starts = &mut self.starts;
+            entry.started_ms = entry
+                .started_ms
+                .map(|unix_ms| starts.translate(engine_id, unix_ms));
+            entries.push(entry);
         }
         let mut entries = merge_duplicates(entries);
         drop_superseded(&mut entries);
@@ -275,6 +299,10 @@
             .extend(gone.iter().map(|entry| (entry.engine_id, entry.started_ms)));
         let surplus = self.gone.len().saturating_sub(MAX_ENGINES);
         self.gone.drain(..surplus);
+        let gone = &self.gone;
+        self.starts.retain(|engine_id| {
+            engines.contains_key(&engine_id) || gone.iter().any(|(other, _)| *other == engine_id)
+        });
         self.engine_ids
             .retain(|_, engine_id| engines.contains_key(engine_id));
         self.assigned
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! is accepted. An accepted update leaves as one event; nothing else is decided here.
 
 mod directory;
+mod engine_starts;
 mod records;
 mod reject_reason;
 
@@ -117,6 +118,7 @@
             let Some(resolver) = self.resolver.get() else {
                 continue;
             };
+            self.directory.borrow_mut().observe_wall_clock();
             self.queries.set(self.queries.get() + 1);
             self.unanswered.set(self.unanswered.get() + 1);
             self.registry.counters.dns_queries.increment();
--- a/crates/dispatcher/src/discovery/records.rs
+++ b/crates/dispatcher/src/discovery/records.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// The entry of one SRV record. An address or kind that the answer leaves out is taken from the known entry.
+/// The entry of one SRV record, with its start in Unix time as it was told. An address or kind that the answer leaves out is taken from the known entry.
 pub fn entry_of(
     answer: &Answer,
     srv: &Srv,
@@ -105,7 +105,7 @@
     });
 }
 
-/// Start time of the engine (Unix ms), 0 if unknown.
+/// Start time of the engine (ms), 0 if unknown.
 pub fn start_of(entry: &EndpointEntry) -> f64 {
     entry.started_ms.unwrap_or(0.0)
 }
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -3,7 +3,7 @@
 use super::{Dispatcher, StartRetry};
 use crate::cli::Common;
 use crate::client::ClientFrontend;
-use crate::clock::Clock;
+use crate::clock::{Clock, WallClock};
 use crate::config::{PeerAddresses, StartupConfig};
 use crate::discovery::{self, EndpointDirectory};
 use crate::engine::EnginePool;
@@ -183,10 +183,11 @@
     /// Makes the configuration's endpoint list the first event, and follows the name service from there.
     fn start_discovery(
         &mut self,
-        directory: EndpointDirectory,
+        mut directory: EndpointDirectory,
         resolver: Rc<Cell<Option<SocketAddr>>>,
         seed: u64,
     ) {
+        directory.set_wall_clock(WallClock::beside(self.clock));
         self.registry.push_event(Event::EndpointList {
             kind: EndpointListKind::Cached,
             endpoints: directory.endpoints(),
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -24,7 +24,7 @@
     engine_id: u64,
     pub address: Option<SocketAddr>,
     pub zone: String,
-    /// Start time of its process (Unix ms), if the endpoint list gives it.
+    /// Start time of its process (ms), if the endpoint list gives it.
     pub started_ms: Option<f64>,
     /// It left the endpoint list. The entry is removed when its last connection has closed.
     pub is_gone: bool,
--- a/crates/dispatcher/tests/hunt/wall_clock.rs
+++ b/crates/dispatcher/tests/hunt/wall_clock.rs
@@ -148,8 +148,9 @@
     let shim = fault_shim();
     let (address, requests) = engine_answering_after(Duration::ZERO);
     let names = NameService::start(Vec::new(), Arc::new(Record::default()));
-    let before_step_ms = wall_ms(0);
-    list_engine(&names, "s-0", address, before_step_ms - 60_000.0);
+    let (other, _) = engine_answering_after(Duration::ZERO);
+    list_engine(&names, "s-0", address, wall_ms(0) - 60_000.0);
+    list_engine(&names, "s-1", other, 0.0);
     let program = start_under(&shim, &slow_start_config(address, &names));
     program.wait_for_count("lists 1\n");
     step_wall_clock(&shim, -3600);
