Red: the time limit that an engine is told is that of the queueing

Seen: an attempt whose connection came up a second late is told 5989 ms with 4983 ms left; of 19 long requests to an engine that reads nothing for 1.5 s all 19 are told too much, also those that were never on their way. In the second test up to 12 may be told too much: the first request of each connection went out at once, into the engine's own buffers.

--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -10,4 +10,5 @@
 mod local_faults;
 mod start;
 mod support;
+mod told_deadline;
 mod wall_clock;
