The guard: permits for a first byte, an answer, a close and the end; told deadline at the first byte

Change: crates/dispatcher/src/guard (no I/O, no clock): BeginPermit, AnswerPermit, ClosePermit and EndPermit, which only it can make and which the write of a request's head, of an answer, the half-close and the end need. The head is encoded with the permit, so the limit is what is left then; one request at a time goes into a write, and TCP_NOTSENT_LOWAT keeps the rest out of the socket. Checked at the first byte: query over, current attempt, deadline, dedup window (start_by), endpoint state and process, placement, retry budget. Slow start stays decided in Control alone. Violations are counted by rule (violations_rule_N), logged, refused, and panic in debug builds; refusals are counted by reason (not_begun_*). A unit test's literal of a request has the limit in it now (it was left to the caller before).

--- a/crates/dispatcher/src/client/answer_writer.rs
+++ b/crates/dispatcher/src/client/answer_writer.rs
@@ -3,6 +3,7 @@
 use super::http::answer_head;
 use super::request_error::RequestError;
 use crate::counters::Counters;
+use crate::guard::AnswerPermit;
 use crate::net::write_gathered;
 use crate::query_registry::{Answer, Pages};
 use async_io::{Async, Timer};
@@ -24,21 +25,34 @@
 
 impl AnswerWriter<'_> {
     /// Writes a query's answer.
-    pub async fn answer(&self, answer: Answer, keep_alive: bool) -> io::Result<()> {
+    pub async fn answer(
+        &self,
+        permit: AnswerPermit,
+        answer: Answer,
+        keep_alive: bool,
+    ) -> io::Result<()> {
         match answer {
-            Answer::Completed(pages) => self.result(&pages, keep_alive).await,
+            Answer::Completed(pages) => self.result(permit, &pages, keep_alive).await,
             Answer::Rejected { retry_after_ms } => {
                 let body = "{\"error\":\"TryLater\"}";
                 let retry_after_ms = retry_after_ms.max(0.0).ceil() as u64;
                 let head = answer_head(429, body.len(), keep_alive, Some(retry_after_ms));
-                self.write(&[&head, body.as_bytes()]).await
+                self.write(permit, &[&head, body.as_bytes()]).await
+            }
+            Answer::Failed => {
+                let body = "{\"error\":\"Killed\"}";
+                self.json(permit, 500, body, keep_alive).await
             }
-            Answer::Failed => self.json(500, "{\"error\":\"Killed\"}", keep_alive).await,
         }
     }
 
     /// Writes a result: the rows of all pages in one JSON list, without copying them together.
-    async fn result(&self, pages: &Pages, keep_alive: bool) -> io::Result<()> {
+    async fn result(
+        &self,
+        permit: AnswerPermit,
+        pages: &Pages,
+        keep_alive: bool,
+    ) -> io::Result<()> {
         let mut body: Vec<&[u8]> = vec![b"{\"data\":["];
         for page in pages.iter().filter(|page| !page.is_empty()) {
             if body.len() > 1 {
@@ -50,17 +64,28 @@
         let body_len = body.iter().map(|part| part.len()).sum();
         let head = answer_head(200, body_len, keep_alive, None);
         body.insert(0, &head);
-        self.write(&body).await
+        self.write(permit, &body).await
     }
 
     /// Writes an answer with this body.
-    pub async fn json(&self, status: u16, body: &str, keep_alive: bool) -> io::Result<()> {
+    pub async fn json(
+        &self,
+        permit: AnswerPermit,
+        status: u16,
+        body: &str,
+        keep_alive: bool,
+    ) -> io::Result<()> {
         let head = answer_head(status, body.len(), keep_alive, None);
-        self.write(&[&head, body.as_bytes()]).await
+        self.write(permit, &[&head, body.as_bytes()]).await
     }
 
     /// Refuses a request; its connection ends with that. A 503 tells the client when to come back, if that is known.
-    pub async fn error(&self, error: RequestError, retry_after_ms: Option<f64>) -> io::Result<()> {
+    pub async fn error(
+        &self,
+        permit: AnswerPermit,
+        error: RequestError,
+        retry_after_ms: Option<f64>,
+    ) -> io::Result<()> {
         let RequestError { status, message } = error;
         self.counters.requests_rejected.increment();
         tracing::info!(status, reason = message, "request rejected");
@@ -69,10 +94,11 @@
             .filter(|_| status == 503)
             .map(|ms| ms.ceil() as u64);
         let head = answer_head(status, body.len(), false, retry_after_ms);
-        self.write(&[&head, body.as_bytes()]).await
+        self.write(permit, &[&head, body.as_bytes()]).await
     }
 
-    async fn write(&self, parts: &[&[u8]]) -> io::Result<()> {
+    /// Every answer passes here, with a permit that it uses up.
+    async fn write(&self, _permit: AnswerPermit, parts: &[&[u8]]) -> io::Result<()> {
         let timeout = async {
             Timer::after(WRITE_TIMEOUT).await;
             Err(io::ErrorKind::TimedOut.into())
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -12,9 +12,11 @@
 use super::request_error::RequestError;
 use super::route::Route;
 use super::ClientFrontend;
+use crate::guard::{AnswerPermit, ClosePermit, ConnectionLedger, Violation};
 use crate::query_registry::{Answer, AnswerSlot};
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::cell::RefCell;
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::ops::ControlFlow;
@@ -76,6 +78,7 @@
     last_byte_ms: f64,
     /// By when the request under way must be complete.
     request_deadline_ms: f64,
+    ledger: RefCell<ConnectionLedger>,
     /// During a query its client sent more than is buffered: its bytes were discarded, and no request can follow.
     is_overrun: bool,
 }
@@ -96,6 +99,7 @@
             connected_ms,
             last_byte_ms: connected_ms,
             request_deadline_ms: connected_ms + REQUEST_TIMEOUT_MS,
+            ledger: RefCell::default(),
             is_overrun: false,
         }
     }
@@ -103,7 +107,13 @@
     /// Serves the connection up to its end.
     pub async fn run(mut self) {
         match self.serve().await {
-            Ok(Closing::HalfClose) => self.linger().await,
+            Ok(Closing::HalfClose) => {
+                let permit = self.ledger.borrow().may_close();
+                match permit {
+                    Ok(permit) => self.linger(permit).await,
+                    Err(violation) => self.report(violation),
+                }
+            }
             Ok(Closing::Disconnected) => {}
             Err(error) => tracing::info!(%error, "client connection failed"),
         }
@@ -117,6 +127,8 @@
                 Ok(Some(head)) if head.request_len() <= self.buffer.len() => {
                     let request_len = head.request_len();
                     let keep_alive = head.keep_alive;
+                    let entered = self.ledger.borrow_mut().on_request();
+                    entered.unwrap_or_else(|violation| self.report(violation));
                     let handled = self.handle(&head).await?;
                     self.finish(handled, request_len, keep_alive).await?
                 }
@@ -136,6 +148,19 @@
         }
     }
 
+    fn report(&self, violation: Violation) {
+        self.frontend.registry.report_violation(violation, None);
+    }
+
+    /// The permit to answer the request that is handled.
+    fn answer_permit(&self) -> io::Result<AnswerPermit> {
+        let permit = self.ledger.borrow_mut().may_answer();
+        permit.map_err(|violation| {
+            self.report(violation);
+            io::Error::other(violation.what)
+        })
+    }
+
     fn now_ms(&self) -> f64 {
         self.frontend.clock.now()
     }
@@ -143,7 +168,8 @@
     /// Answers what can't be parsed or used. The connection ends with that: nothing behind it is taken for a request.
     async fn refuse(&self, error: RequestError) -> io::Result<ControlFlow<Closing>> {
         let retry_after_ms = self.frontend.limits.retry_after_ms;
-        self.writer().error(error, retry_after_ms).await?;
+        let permit = self.ledger.borrow_mut().may_refuse();
+        self.writer().error(permit, error, retry_after_ms).await?;
         Ok(ControlFlow::Break(Closing::HalfClose))
     }
 
@@ -240,7 +266,9 @@
             Route::Zones => (200, pages.zones()),
             Route::MethodNotAllowed => (405, "{}".to_owned()),
         };
-        self.writer().json(status, &body, head.keep_alive).await?;
+        let permit = self.answer_permit()?;
+        let writer = self.writer();
+        writer.json(permit, status, &body, head.keep_alive).await?;
         Ok(Handled::Answered)
     }
 
@@ -266,11 +294,13 @@
             Handled::Query { query_id, slot } => {
                 self.buffer.consume(request_len);
                 let Some(answer) = self.wait_for_answer(query_id, &slot).await else {
+                    self.ledger.borrow_mut().on_client_left();
                     return Ok(ControlFlow::Break(Closing::Disconnected));
                 };
                 let is_last = self.frontend.phase.get().is_last_call() && self.buffer.is_empty();
                 keep_alive &= !(self.is_overrun || is_last);
-                self.writer().answer(answer, keep_alive).await?;
+                let permit = self.answer_permit()?;
+                self.writer().answer(permit, answer, keep_alive).await?;
             }
             Handled::Answered => self.buffer.consume(request_len),
             Handled::Refused(error) => return self.refuse(error).await,
@@ -328,7 +358,7 @@
 
     /// Half-closes, and discards what its client still sends: a close over unread bytes would be a reset, and take the
     /// last answer with it.
-    async fn linger(&mut self) {
+    async fn linger(&mut self, _permit: ClosePermit) {
         self.buffer.clear();
         let now_ms = self.now_ms();
         self.entry.set_state(ConnectionState::Closing, now_ms);
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of what came in, went out and was answered, from the program's start. A counter's printed name is what
 //! operators' tools read: it stays, whatever its field is called.
 
+use crate::guard::{BeginRefusal, Rule, RULES};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::events::Outcome;
@@ -48,6 +49,10 @@
             pub extra_reports: RefCell<Vec<Report>>,
             /// Attempts that ended, in the order of `OUTCOMES`.
             attempts_by_outcome: [Counter; OUTCOMES.len()],
+            /// Attempts that the guard did not let begin, in the order of `BeginRefusal::ALL`.
+            begin_refusals: [Counter; BeginRefusal::ALL.len()],
+            /// Violations, in the order of `RULES`.
+            violations: [Counter; RULES.len()],
         }
 
         impl Counters {
@@ -125,6 +130,24 @@
         }
     }
 
+    /// Counts an attempt that was not let begin.
+    pub fn count_begin_refusal(&self, refusal: BeginRefusal) {
+        for (known, counter) in BeginRefusal::ALL.iter().zip(&self.begin_refusals) {
+            if *known == refusal {
+                counter.increment();
+            }
+        }
+    }
+
+    /// Counts a violation.
+    pub fn count_violation(&self, rule: Rule) {
+        for (known, counter) in RULES.iter().zip(&self.violations) {
+            if *known == rule {
+                counter.increment();
+            }
+        }
+    }
+
     /// All counters as text, a line each with name and count; then the attempts in flight, the queries without an
     /// answer and those `in_flight` in the registry.
     pub fn report(&self, in_flight: usize) -> String {
@@ -135,6 +158,13 @@
         for ((_, name), counter) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
             write_line(&mut text, &format!("submissions_{name}"), counter.get());
         }
+        for (refusal, counter) in BeginRefusal::ALL.iter().zip(&self.begin_refusals) {
+            write_line(&mut text, &format!("not_begun_{refusal}"), counter.get());
+        }
+        for (rule, counter) in RULES.iter().zip(&self.violations) {
+            let name = format!("violations_rule_{}", rule.number());
+            write_line(&mut text, &name, counter.get());
+        }
         write_line(&mut text, "submissions_out", self.attempts_in_flight());
         write_line(&mut text, "unanswered", self.unanswered());
         write_line(&mut text, "in_hand", in_flight as u64);
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -97,6 +97,10 @@
         loop {
             let next_round_ms = self.run_round();
             if self.phase == Phase::Ended {
+                // Nothing can be done for what is owed any more, but it is told.
+                if let Err(violation) = self.registry.may_end() {
+                    self.registry.report_violation(violation, None);
+                }
                 break;
             }
             self.wait(&mut wakes, next_round_ms).await;
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -7,6 +7,7 @@
 use crate::config::{PeerAddresses, StartupConfig};
 use crate::discovery::{self, EndpointDirectory};
 use crate::engine::EnginePool;
+use crate::guard::{Guard, GuardRules};
 use crate::lifecycle::Phase;
 use crate::operator_config::{check_against_settings, OperatorConfigErrors};
 use crate::peers::Peers;
@@ -79,7 +80,10 @@
         let mut control = Control::new(config.seed, &config.settings)?;
         let mut launcher = Launcher {
             clock: Clock::start(),
-            registry: Rc::new(QueryRegistry::new(config.max_statement_bytes)),
+            registry: Rc::new(QueryRegistry::new(
+                config.max_statement_bytes,
+                Guard::new(GuardRules::of(&settings)),
+            )),
             executor,
             retry,
             tasks: Vec::new(),
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -8,12 +8,13 @@
 use super::protocol_error::ProtocolError;
 use super::reports::AttemptReport;
 use super::resp::{self, Frame};
+use crate::guard::{BeginPermit, BeginRefusal};
 use crate::net::{
-    is_lack_of_buffers, is_local_fault, poll_gathered, read_available, MAX_SLICES,
-    RESOURCE_RETRY_DELAY,
+    is_lack_of_buffers, is_local_fault, limit_unsent_bytes, poll_gathered, read_available,
+    MAX_SLICES, RESOURCE_RETRY_DELAY,
 };
 use crate::notify::Notify;
-use crate::query_registry::{Event, Pages};
+use crate::query_registry::{AttemptKey, Event, Pages};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
@@ -32,9 +33,17 @@
 /// Longest pause between two connects that fail on this machine.
 const MAX_LOCAL_RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// The process that a connection leads to, as the list had it when the connection was opened.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct EngineProcess {
+    pub address: Option<SocketAddr>,
+    pub started_ms: Option<f64>,
+}
+
 /// A connection and the wake-up of its writer.
 pub(super) struct Channel {
     pub engine_id: u64,
+    pub process: EngineProcess,
     pub connection: RefCell<Connection>,
     /// Notified when there may be something to write or a reason to close.
     pub notify: Notify,
@@ -58,9 +67,10 @@
 
 impl Channel {
     /// A connection whose connect is about to begin.
-    pub fn new(engine_id: u64, now_ms: f64) -> Self {
+    pub fn new(engine_id: u64, process: EngineProcess, now_ms: f64) -> Self {
         Channel {
             engine_id,
+            process,
             connection: RefCell::new(Connection::new(now_ms)),
             notify: Notify::default(),
             has_descriptor: Cell::new(false),
@@ -194,6 +204,7 @@
         self.on_connected(channel);
         // A failure only costs latency: small requests would wait for the acknowledgement of the one before.
         let _ = stream.get_ref().set_nodelay(true);
+        limit_unsent_bytes(stream.get_ref());
         future::or(self.read(channel, &stream), self.write(channel, &stream)).await
     }
 
@@ -294,6 +305,7 @@
         for id in &too_late {
             self.abandon(channel, id, Outcome::Timeout);
         }
+        let begins = self.begin_next(channel);
         let connection = channel.connection.borrow();
         if let Some(reason) = connection.close_reason {
             return Poll::Ready(Err(reason.into()));
@@ -309,9 +321,54 @@
         let mut slices: Vec<IoSlice> = Vec::with_capacity(MAX_SLICES);
         connection.slices(&mut slices, MAX_SLICES);
         let written = poll_gathered(stream, context, &slices);
+        if let (Poll::Ready(Ok(1..)), Some(begun)) = (&written, begins) {
+            self.registry.on_attempt_begun(&begun, self.clock.now());
+        }
         written.map_ok(WriteStep::Wrote).map_err(ChannelError::Io)
     }
 
+    /// Asks the guard whether the next request may begin to go out, and takes back those that may not. One at a time goes
+    /// into a write: the next one waits for its own permit, and for the socket to be rid of the bytes before it.
+    fn begin_next(&self, channel: &Channel) -> Option<AttemptKey> {
+        loop {
+            let now_ms = self.clock.now();
+            let mut connection = channel.connection.borrow_mut();
+            let (id, attempt) = connection.next_to_begin()?;
+            let key = AttemptKey {
+                query_id: attempt.query_id,
+                attempt: attempt.number,
+                engine_id: channel.engine_id,
+            };
+            let limits = (attempt.deadline_ms, attempt.start_by_ms);
+            let permit = self.ask_guard(channel, &key, limits, now_ms);
+            match permit {
+                Ok(permit) => {
+                    connection.begin(&id, &permit);
+                    return Some(key);
+                }
+                Err(refusal) => {
+                    drop(connection);
+                    self.registry.on_begin_refused(&key, refusal);
+                    self.abandon(channel, &id, Outcome::Withdrawn);
+                }
+            }
+        }
+    }
+
+    fn ask_guard(
+        &self,
+        channel: &Channel,
+        key: &AttemptKey,
+        (deadline_ms, start_by_ms): (f64, f64),
+        now_ms: f64,
+    ) -> Result<BeginPermit, BeginRefusal> {
+        let engines = self.engines.borrow();
+        let engine = engines.get(&channel.engine_id);
+        let endpoint = engine.map(|engine| engine.facts(channel));
+        self.registry
+            .may_begin(key, deadline_ms, start_by_ms, endpoint, now_ms)
+    }
+
     // ---- Reading ----
 
     async fn read(&self, channel: &Channel, stream: &Async<TcpStream>) -> Result<(), ChannelError> {
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -1,7 +1,7 @@
 //! Executes the decisions' commands: submit, withdraw, cancel, set priority, check health.
 
 use super::channel::Channel;
-use super::connection::Attempt;
+use super::connection::{Attempt, RequestFields};
 use super::pool::EnginePool;
 use super::priorities::request_fields;
 use super::reports::AttemptReport;
@@ -32,7 +32,7 @@
 /// The parts of a query that its attempt needs.
 struct Request {
     id: Rc<str>,
-    fields: String,
+    fields: RequestFields,
     statement: Rc<[u8]>,
     /// Estimated run time (ms); 0 if none is known.
     cost_ms: f64,
@@ -66,7 +66,7 @@
 
     fn submit(self: &Rc<Self>, order: &AttemptOrder) {
         let now_ms = self.clock.now();
-        let Some(request) = self.request_of(order, now_ms) else {
+        let Some(request) = self.request_of(order) else {
             return;
         };
         let limits = order.limits;
@@ -84,7 +84,7 @@
         };
         let attempt = Attempt::new(order.query_id, order.number, now_ms, limits);
         let mut connection = channel.connection.borrow_mut();
-        connection.submit(&request.id, &request.fields, request.statement, attempt);
+        connection.submit(&request.id, request.fields, request.statement, attempt);
         let went_out_after_idling = connection
             .idle_reuse
             .is_some_and(|reuse| reuse.sent_ms == now_ms);
@@ -95,11 +95,10 @@
         channel.notify.notify();
     }
 
-    fn request_of(&self, order: &AttemptOrder, now_ms: f64) -> Option<Request> {
-        let time_left_ms = order.limits.deadline_ms - now_ms;
+    fn request_of(&self, order: &AttemptOrder) -> Option<Request> {
         self.registry.with_query(order.query_id, |query| Request {
             id: query.id.clone(),
-            fields: request_fields(query, time_left_ms),
+            fields: request_fields(query),
             statement: query.statement.clone(),
             cost_ms: query.estimated_cost_ms,
         })
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -10,6 +10,8 @@
 pub use receive::FrameEvent;
 
 use super::protocol_error::ProtocolError;
+use crate::guard::BeginPermit;
+pub use outbox::RequestFields;
 use outbox::{Outbox, Withdrawal};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io::IoSlice;
@@ -207,7 +209,13 @@
     // ---- What goes out ----
 
     /// Queues an attempt's request.
-    pub fn submit(&mut self, id: &Rc<str>, fields: &str, statement: Rc<[u8]>, attempt: Attempt) {
+    pub fn submit(
+        &mut self,
+        id: &Rc<str>,
+        fields: RequestFields,
+        statement: Rc<[u8]>,
+        attempt: Attempt,
+    ) {
         if self.in_flight() == 0 && !self.unused {
             self.idle_reuse = Some(IdleReuse {
                 idle_ms: attempt.sent_ms - self.last_used_ms,
@@ -216,8 +224,7 @@
         }
         self.last_used_ms = attempt.sent_ms;
         self.unused = false;
-        let elements = [b"fetch", id.as_bytes(), fields.as_bytes()];
-        self.outbox.push_request(id, &elements, statement);
+        self.outbox.push_request(id, fields, statement);
         self.attempts.insert(id.clone(), attempt);
     }
 
@@ -270,6 +277,18 @@
         self.outbox.unstarted_requests()
     }
 
+    /// The attempt whose request would go out next and needs a permit.
+    pub fn next_to_begin(&mut self) -> Option<(Rc<str>, &Attempt)> {
+        let id = self.outbox.next_to_begin()?;
+        let attempt = self.attempts.get(&id)?;
+        Some((id, attempt))
+    }
+
+    /// Lets an attempt's request go out.
+    pub fn begin(&mut self, id: &str, permit: &BeginPermit) {
+        self.outbox.begin(id, permit);
+    }
+
     /// Whether an attempt's request was written whole.
     pub fn is_fully_written(&self, id: &str) -> bool {
         !self.outbox.holds_request(id)
--- a/crates/dispatcher/src/engine/connection/outbox.rs
+++ b/crates/dispatcher/src/engine/connection/outbox.rs
@@ -1,24 +1,74 @@
-//! The messages queued on one connection, and how much of them is written.
+//! The messages queued on one connection, and how much of them is written. A request goes out only with a permit of the
+//! guard, which also gives its time limit.
 
 use crate::engine::resp;
+use crate::guard::BeginPermit;
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::rc::Rc;
 
-/// A message to the engine: its head, and for a request the statement behind it.
+/// What a held message counts for beside its own bytes: head and line ends of a request that is not encoded yet.
+const REQUEST_HEAD_BYTES: usize = 96;
+
+/// A request's fields, around the time limit that stands between them.
+#[derive(Debug, Clone, Default)]
+pub struct RequestFields {
+    /// Those before the limit, without the comma behind them.
+    pub before_limit: String,
+    /// Those behind it, each with a comma before it.
+    pub after_limit: String,
+}
+
+/// An attempt's request.
 #[derive(Debug)]
-struct Message {
+struct Request {
+    id: Rc<str>,
+    fields: RequestFields,
+    statement: Rc<[u8]>,
+    /// Encoded when it may begin, with the time that is left then; empty before.
     head: Vec<u8>,
-    body: Option<Rc<[u8]>>,
-    /// The attempt's id if this is its request; `None` for commands about an attempt and for health checks.
-    request_id: Option<Rc<str>>,
+}
+
+impl Request {
+    fn encode(&mut self, permit: &BeginPermit) {
+        let RequestFields {
+            before_limit,
+            after_limit,
+        } = &self.fields;
+        let fields = format!("{before_limit},limit={}{after_limit}", permit.limit_ms());
+        let elements = [b"fetch", self.id.as_bytes(), fields.as_bytes()];
+        resp::write(&mut self.head, &elements, Some(self.statement.len()));
+    }
+
+    fn has_permit(&self) -> bool {
+        !self.head.is_empty()
+    }
+}
+
+/// A message to the engine.
+#[derive(Debug)]
+enum Message {
+    /// A command about an attempt, or a health check.
+    Command(Vec<u8>),
+    Request(Request),
 }
 
 impl Message {
+    fn request(&self) -> Option<&Request> {
+        match self {
+            Message::Command(_) => None,
+            Message::Request(request) => Some(request),
+        }
+    }
+
+    /// The bytes that go out; none for a request that may not begin yet.
     fn slices(&self) -> [&[u8]; 3] {
-        match &self.body {
-            Some(body) => [&self.head, body, b"\r\n"],
-            None => [&self.head, b"", b""],
+        match self {
+            Message::Command(bytes) => [bytes, b"", b""],
+            Message::Request(request) if request.has_permit() => {
+                [&request.head, &request.statement, b"\r\n"]
+            }
+            Message::Request(_) => [b"", b"", b""],
         }
     }
 
@@ -26,8 +76,20 @@
         self.slices().iter().map(|slice| slice.len()).sum()
     }
 
+    fn waits_for_permit(&self) -> bool {
+        self.request().is_some_and(|request| !request.has_permit())
+    }
+
+    /// What it counts for in the bound on memory.
+    fn held_bytes(&self) -> usize {
+        match self {
+            Message::Command(bytes) => bytes.len(),
+            Message::Request(request) => request.statement.len() + REQUEST_HEAD_BYTES,
+        }
+    }
+
     fn is_request_of(&self, id: &str) -> bool {
-        self.request_id.as_deref() == Some(id)
+        self.request().is_some_and(|request| &*request.id == id)
     }
 }
 
@@ -53,28 +115,56 @@
 }
 
 impl Outbox {
-    /// Queues a request: `elements` and the statement as the last element.
-    pub fn push_request(&mut self, id: &Rc<str>, elements: &[&[u8]], statement: Rc<[u8]>) {
-        self.push(elements, Some(statement), Some(id.clone()));
+    /// Queues a request. It does not go out before [`Outbox::begin`].
+    pub fn push_request(&mut self, id: &Rc<str>, fields: RequestFields, statement: Rc<[u8]>) {
+        self.push(Message::Request(Request {
+            id: id.clone(),
+            fields,
+            statement,
+            head: Vec::new(),
+        }));
     }
 
-    /// Queues a message without a statement.
+    /// Queues a command about an attempt, or a health check.
     pub fn push_command(&mut self, elements: &[&[u8]]) {
-        self.push(elements, None, None);
+        let mut bytes = Vec::with_capacity(64);
+        resp::write(&mut bytes, elements, None);
+        self.push(Message::Command(bytes));
     }
 
-    fn push(&mut self, elements: &[&[u8]], body: Option<Rc<[u8]>>, request_id: Option<Rc<str>>) {
-        let mut head = Vec::with_capacity(128);
-        resp::write(&mut head, elements, body.as_ref().map(|body| body.len()));
-        let message = Message {
-            head,
-            body,
-            request_id,
-        };
-        self.bytes += message.len();
+    fn push(&mut self, message: Message) {
+        self.bytes += message.held_bytes();
         self.messages.push_back(message);
     }
 
+    /// The request that would go out next, once the one before it is written. A permit that was given before, and of whose
+    /// request no byte went out, is void: its time limit would grow old.
+    pub fn next_to_begin(&mut self) -> Option<Rc<str>> {
+        let is_started = self.written > 0;
+        let mut messages = self.messages.iter_mut().enumerate();
+        let (position, next) = messages.find_map(|(position, message)| match message {
+            Message::Command(_) => None,
+            Message::Request(request) => Some((position, request)),
+        })?;
+        if position == 0 && is_started {
+            return None;
+        }
+        next.head.clear();
+        Some(next.id.clone())
+    }
+
+    /// Lets a request go out.
+    pub fn begin(&mut self, id: &str, permit: &BeginPermit) {
+        for message in &mut self.messages {
+            match message {
+                Message::Request(request) if &*request.id == id && !request.has_permit() => {
+                    request.encode(permit);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Removes the request of an attempt if no byte of it was written.
     pub fn withdraw(&mut self, id: &str) -> Withdrawal {
         let position = self
@@ -88,7 +178,7 @@
             return Withdrawal::PartlyWritten;
         }
         if let Some(message) = self.messages.remove(position) {
-            self.bytes -= message.len();
+            self.bytes -= message.held_bytes();
         }
         Withdrawal::NotStarted
     }
@@ -96,7 +186,7 @@
     /// The attempts of whose requests no byte was written.
     pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         let unstarted = self.messages.iter().skip(usize::from(self.written > 0));
-        unstarted.filter_map(|message| message.request_id.clone())
+        unstarted.filter_map(|message| Some(message.request()?.id.clone()))
     }
 
     /// Whether any part of the attempt's request is unwritten.
@@ -111,11 +201,11 @@
         let started = usize::from(self.written > 0);
         let mut kept = VecDeque::new();
         for (position, message) in std::mem::take(&mut self.messages).into_iter().enumerate() {
-            if position < started || message.request_id.is_some() {
+            if position < started || message.request().is_some() {
                 kept.push_back(message);
             }
         }
-        self.bytes = kept.iter().map(Message::len).sum();
+        self.bytes = kept.iter().map(Message::held_bytes).sum();
         self.messages = kept;
     }
 
@@ -136,10 +226,12 @@
         self.bytes
     }
 
-    /// Appends the bytes to write next, as `max` slices at most.
+    /// Appends the bytes to write next, as `max` slices at most: up to the first request without a permit.
     pub fn slices<'a>(&'a self, out: &mut Vec<IoSlice<'a>>, max: usize) {
         let mut skip = self.written;
-        for slice in self.messages.iter().flat_map(Message::slices) {
+        let messages = self.messages.iter();
+        let permitted = messages.take_while(|message| !message.waits_for_permit());
+        for slice in permitted.flat_map(Message::slices) {
             let unwritten = &slice[skip.min(slice.len())..];
             skip -= slice.len() - unwritten.len();
             if !unwritten.is_empty() && out.len() < max {
@@ -151,12 +243,13 @@
     /// Records that `count` more bytes were written.
     pub fn advance(&mut self, count: usize) {
         self.written += count;
-        while let Some(length) = self.messages.front().map(Message::len) {
-            if length > self.written {
+        while let Some(front) = self.messages.front() {
+            let length = front.len();
+            if front.waits_for_permit() || length > self.written {
                 break;
             }
             self.written -= length;
-            self.bytes -= length;
+            self.bytes -= front.held_bytes();
             self.messages.pop_front();
         }
     }
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -12,7 +12,7 @@
 fn submit(connection: &mut Connection, id: &str, query_id: u64) {
     connection.submit(
         &id.into(),
-        "cls=a",
+        fields(),
         b"SELECT 1".as_slice().into(),
         Attempt::new(
             query_id,
@@ -25,6 +25,22 @@
             },
         ),
     );
+    begin_next(connection);
+}
+
+fn fields() -> RequestFields {
+    RequestFields {
+        before_limit: "cls=a".to_owned(),
+        after_limit: String::new(),
+    }
+}
+
+/// Lets the request go out that is next, if the one before it has begun.
+fn begin_next(connection: &mut Connection) {
+    let next = connection.next_to_begin().map(|(id, _)| id);
+    if let Some(id) = next {
+        connection.begin(&id, &BeginPermit::for_test(85));
+    }
 }
 
 fn receive(connection: &mut Connection, elements: &[&[u8]]) -> Result<FrameEvent, ProtocolError> {
@@ -50,7 +66,7 @@
     let request = unwritten(&connection);
     assert_eq!(
         request,
-        "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$5\r\ncls=a\r\n$8\r\nSELECT 1\r\n"
+        "*4\r\n$5\r\nfetch\r\n$2\r\ni1\r\n$14\r\ncls=a,limit=85\r\n$8\r\nSELECT 1\r\n"
     );
     connection.advance(request.len() - 1);
     assert!(!connection.is_fully_written("i1"));
@@ -207,8 +223,9 @@
             side_effect_free: false,
         };
         let attempt = Attempt::new(4, 0, 5.0, limits);
-        connection.submit(&id.into(), "cls=a", b"SELECT 1".as_slice().into(), attempt);
+        connection.submit(&id.into(), fields(), b"SELECT 1".as_slice().into(), attempt);
     }
+    begin_next(&mut connection);
     connection.advance(3);
     let late = |now| connection.too_late_to_begin(now).collect::<Vec<_>>();
     assert_eq!((late(6.9), late(7.0)), (vec![], vec!["i2".into()]));
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -1,11 +1,12 @@
 //! The connection pool: which connections exist to each engine, and which of them carries the next attempt.
 
-use super::channel::Channel;
+use super::channel::{Channel, EngineProcess};
 use super::connection::{ConnectionState, Suitability};
 use super::keep_alive::{KeepAlive, MIN_IDLE_MS};
 use super::reports::SettlingReport;
 use super::settings::ConnectionSettings;
 use crate::clock::Clock;
+use crate::guard::EndpointFacts;
 use crate::query_registry::{EndpointEntry, QueryRegistry};
 use async_executor::LocalExecutor;
 use rustc_hash::FxHashMap;
@@ -24,6 +25,8 @@
     engine_id: u64,
     pub address: Option<SocketAddr>,
     pub zone: String,
+    pub kind: String,
+    pub state: EndpointState,
     /// Start time of its process (ms), if the endpoint list gives it.
     pub started_ms: Option<f64>,
     /// It left the endpoint list. The entry is removed when its last connection has closed.
@@ -39,6 +42,8 @@
             engine_id: entry.engine_id,
             address: entry.address,
             zone: entry.zone.clone(),
+            kind: entry.kind.clone(),
+            state: entry.state,
             started_ms: entry.started_ms,
             is_gone: false,
             late_connects: 0,
@@ -50,6 +55,8 @@
     fn update(&mut self, entry: &EndpointEntry) -> bool {
         self.is_gone = entry.state == EndpointState::Gone;
         self.zone.clone_from(&entry.zone);
+        self.kind.clone_from(&entry.kind);
+        self.state = entry.state;
         let moved = entry.address.is_some() && entry.address != self.address;
         let restarted = entry.started_ms.is_some() && entry.started_ms != self.started_ms;
         let is_replaced = self.is_gone || moved || restarted;
@@ -60,6 +67,23 @@
         is_replaced
     }
 
+    /// What the list says of it, for a connection.
+    pub(super) fn facts(&self, channel: &Channel) -> EndpointFacts<'_> {
+        EndpointFacts {
+            state: self.state,
+            zone: &self.zone,
+            kind: &self.kind,
+            is_same_process: channel.process == self.process(),
+        }
+    }
+
+    fn process(&self) -> EngineProcess {
+        EngineProcess {
+            address: self.address,
+            started_ms: self.started_ms,
+        }
+    }
+
     /// The most suitable of the connections that accept an attempt with this id.
     fn best_channel(
         &self,
@@ -271,7 +295,11 @@
     }
 
     fn open_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
-        let channel = Rc::new(Channel::new(engine.engine_id, self.clock.now()));
+        let channel = Rc::new(Channel::new(
+            engine.engine_id,
+            engine.process(),
+            self.clock.now(),
+        ));
         self.connections.set(self.connections.get() + 1);
         channel.grant_descriptor();
         self.run(engine, &channel, address);
@@ -280,7 +308,11 @@
 
     /// A connection that waits for a descriptor: [`EnginePool::release_descriptor`] grants it one, in turn.
     fn queue_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
-        let channel = Rc::new(Channel::new(engine.engine_id, self.clock.now()));
+        let channel = Rc::new(Channel::new(
+            engine.engine_id,
+            engine.process(),
+            self.clock.now(),
+        ));
         self.registry.counters.waits_for_descriptor.increment();
         self.waiting.borrow_mut().push_back(channel.clone());
         self.run(engine, &channel, address);
--- a/crates/dispatcher/src/engine/priorities.rs
+++ b/crates/dispatcher/src/engine/priorities.rs
@@ -1,6 +1,7 @@
 //! What an attempt is granted at its engine: resource group, time limit, memory and priority.
 
 use super::commands::Located;
+use super::connection::RequestFields;
 use super::pool::EnginePool;
 use crate::query_registry::Query;
 
@@ -14,18 +15,17 @@
     }
 }
 
-/// The fields of a request. The engine chooses values for those left out.
-pub(super) fn request_fields(query: &Query, time_left_ms: f64) -> String {
-    let limit_ms = time_left_ms.floor().max(1.0) as u64;
-    let mut fields = format!(
-        "cls={},limit={limit_ms}{}",
-        query.resource_group, query.key_fields
-    );
+/// The fields of a request but for its time limit. The engine chooses values for those left out.
+pub(super) fn request_fields(query: &Query) -> RequestFields {
+    let mut after_limit = query.key_fields.to_string();
     if let Some(grant) = query.grant {
         if grant.memory_mb > 0.0 {
-            fields += &format!(",mb={:.3}", grant.memory_mb);
+            after_limit += &format!(",mb={:.3}", grant.memory_mb);
         }
-        fields += &format!(",nice={}", grant.priority);
+        after_limit += &format!(",nice={}", grant.priority);
+    }
+    RequestFields {
+        before_limit: format!("cls={}", query.resource_group),
+        after_limit,
     }
-    fields
 }
--- /dev/null
+++ b/crates/dispatcher/src/guard/rules.rs
@@ -0,0 +1,55 @@
+//! The figures that the guard checks by, from the settings.
+
+use super::EndpointFacts;
+use rustc_hash::FxHashMap;
+use tansymux::settings::{RetryBudgetRule, Settings};
+
+/// Where a group's attempts may go; none: anywhere.
+#[derive(Debug, Default)]
+struct Placement {
+    zones: Option<Vec<String>>,
+    kinds: Option<Vec<String>>,
+}
+
+/// The figures.
+#[derive(Debug, Default)]
+pub struct GuardRules {
+    /// Rule 7, where the settings have it.
+    pub retry_budget: Option<RetryBudgetRule>,
+    placements: FxHashMap<String, Placement>,
+}
+
+impl GuardRules {
+    /// Those of the settings.
+    pub fn of(settings: &Settings) -> Self {
+        let mut placements = FxHashMap::default();
+        for group in &settings.groups {
+            let placement = Placement {
+                zones: group.zones.clone(),
+                kinds: group.kinds.clone(),
+            };
+            placements.insert(group.name.clone(), placement);
+        }
+        GuardRules {
+            retry_budget: settings.retry_budget,
+            placements,
+        }
+    }
+
+    /// Rule 6: whether a group may use an engine.
+    pub fn allows_placement(&self, group: &str, endpoint: &EndpointFacts) -> bool {
+        let Some(placement) = self.placements.get(group) else {
+            return true;
+        };
+        allows(placement.zones.as_deref(), endpoint.zone)
+            && allows(placement.kinds.as_deref(), endpoint.kind)
+    }
+}
+
+fn allows(names: Option<&[String]>, name: &str) -> bool {
+    names.is_none_or(|names| {
+        names
+            .iter()
+            .any(|known| tansymux::settings::matches_name(known, name))
+    })
+}
--- /dev/null
+++ b/crates/dispatcher/src/guard/tests.rs
@@ -0,0 +1,126 @@
+use super::*;
+use tansymux::settings::RetryBudgetRule;
+
+fn endpoint() -> EndpointFacts<'static> {
+    EndpointFacts {
+        state: EndpointState::Ready,
+        zone: "h",
+        kind: "std",
+        is_same_process: true,
+    }
+}
+
+fn query() -> QueryFacts<'static> {
+    QueryFacts {
+        is_over: false,
+        attempt_in_flight: Some(0),
+        resource_group: "look",
+    }
+}
+
+fn facts() -> AttemptFacts<'static> {
+    AttemptFacts {
+        query: Some(query()),
+        attempt: 0,
+        deadline_ms: 1000.0,
+        start_by_ms: 900.0,
+        endpoint: Some(endpoint()),
+    }
+}
+
+#[test]
+fn an_attempt_begins_with_the_time_that_is_left() {
+    let permit = Guard::default().may_begin(&facts(), 399.5).unwrap();
+    assert_eq!(permit.limit_ms(), 600);
+}
+
+#[test]
+fn each_rule_refuses_an_attempt() {
+    use BeginRefusal as Why;
+    let over = QueryFacts {
+        is_over: true,
+        ..query()
+    };
+    let other = QueryFacts {
+        attempt_in_flight: Some(1),
+        ..query()
+    };
+    let draining = EndpointFacts {
+        state: EndpointState::Draining,
+        ..endpoint()
+    };
+    let replaced = EndpointFacts {
+        is_same_process: false,
+        ..endpoint()
+    };
+    let with_query = |query| AttemptFacts { query, ..facts() };
+    let with_endpoint = |endpoint| AttemptFacts {
+        endpoint,
+        ..facts()
+    };
+    let cases = [
+        (with_query(None), 0.0, Why::QueryOver),
+        (with_query(Some(over)), 0.0, Why::QueryOver),
+        (with_query(Some(other)), 0.0, Why::NotCurrentAttempt),
+        (facts(), 1000.0, Why::DeadlinePassed),
+        (facts(), 900.0, Why::TooLateToBegin),
+        (with_endpoint(None), 0.0, Why::EngineClosed),
+        (with_endpoint(Some(draining)), 0.0, Why::EngineClosed),
+        (with_endpoint(Some(replaced)), 0.0, Why::EngineReplaced),
+    ];
+    for (facts, now_ms, why) in cases {
+        let refused = Guard::default().may_begin(&facts, now_ms);
+        assert_eq!(refused.err(), Some(why));
+    }
+}
+
+#[test]
+fn retries_beyond_the_budget_and_its_tolerance_are_refused_until_the_span_has_passed() {
+    let retry_budget = Some(RetryBudgetRule {
+        span_ms: 1000.0,
+        free: 2.0,
+        ratio: 0.5,
+    });
+    let mut rules = GuardRules::default();
+    rules.retry_budget = retry_budget;
+    let guard = Guard::new(rules);
+    (0..4).for_each(|_| guard.on_query_admitted(100.0));
+    // (2 + 0.5 * 4) * 1.15 + 1 allows five.
+    let retry = AttemptFacts {
+        attempt: 1,
+        query: Some(QueryFacts {
+            attempt_in_flight: Some(1),
+            ..query()
+        }),
+        deadline_ms: 5000.0,
+        start_by_ms: 5000.0,
+        ..facts()
+    };
+    for _ in 0..5 {
+        assert!(guard.may_begin(&retry, 200.0).is_ok());
+        guard.on_attempt_begun(1, 200.0);
+    }
+    let refused = guard.may_begin(&retry, 210.0).err();
+    assert_eq!(refused, Some(BeginRefusal::RetryBudgetUsed));
+    assert!(guard.may_begin(&retry, 1300.0).is_ok());
+}
+
+#[test]
+fn a_request_is_answered_once_and_before_its_connection_closes() {
+    let mut ledger = ConnectionLedger::default();
+    assert!(ledger.may_close().is_ok() && ledger.may_answer().is_err());
+    assert!(ledger.on_request().is_ok());
+    assert!(ledger.may_close().is_err());
+    assert!(ledger.on_request().is_err());
+    assert!(ledger.may_answer().is_ok() && ledger.may_answer().is_err());
+    assert!(ledger.may_close().is_ok());
+    assert!(ledger.on_request().is_ok());
+    ledger.on_client_left();
+    assert!(ledger.may_close().is_ok());
+}
+
+#[test]
+fn the_process_ends_only_with_nothing_owed() {
+    assert!(Guard::default().may_end(0).is_ok());
+    assert!(Guard::default().may_end(1).is_err());
+}
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -19,6 +19,7 @@
 mod engine;
 mod file;
 mod fleet_client;
+mod guard;
 mod lifecycle;
 mod log;
 mod net;
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -8,12 +8,15 @@
 use futures_lite::{future, AsyncWrite};
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Buffers of one write at most: well below the system's own bound, and enough for an answer's pages.
 pub const MAX_SLICES: usize = 64;
+/// Bytes that a socket to an engine may hold unsent and still take more (TCP_NOTSENT_LOWAT, tcp(7)).
+const MAX_UNSENT_BYTES: libc::c_int = 1;
 /// Pause before a call is tried again that lacked a resource of the system.
 pub const RESOURCE_RETRY_DELAY: Duration = Duration::from_millis(5);
 
@@ -102,6 +105,28 @@
     uninterrupted(|| socket.get_ref().send_to(content, address))
 }
 
+/// Keeps bytes that the other end does not take out of the socket's own buffer: it takes more only once it has sent what it
+/// holds, so that what waits here can still be taken back, and its time limit is not written before its time. Where the
+/// system does not know the option, the socket buffers as ever.
+pub fn limit_unsent_bytes(stream: &TcpStream) {
+    let limit: libc::c_int = MAX_UNSENT_BYTES;
+    let length = size_of::<libc::c_int>() as libc::socklen_t;
+    // SAFETY: an open socket, and a valid place for the option's value of this length.
+    let result = unsafe {
+        libc::setsockopt(
+            stream.as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_NOTSENT_LOWAT,
+            std::ptr::from_ref(&limit).cast(),
+            length,
+        )
+    };
+    if result != 0 {
+        let error = io::Error::last_os_error();
+        tracing::debug!(%error, "TCP_NOTSENT_LOWAT not set");
+    }
+}
+
 /// Writes as much of `slices` as the socket takes; the result is how many bytes that was.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -0,0 +1,94 @@
+//! The registry's part of the guard: what it knows of a query whose attempt is about to begin, and what becomes of
+//! refusals and violations.
+
+use super::QueryRegistry;
+use crate::guard::{
+    AttemptFacts, BeginPermit, BeginRefusal, EndPermit, EndpointFacts, QueryFacts, Violation,
+};
+
+/// Which attempt of which query, and where.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptKey {
+    /// The query.
+    pub query_id: u64,
+    /// Which of the query's attempts, counted from 0.
+    pub attempt: usize,
+    /// The engine.
+    pub engine_id: u64,
+}
+
+impl QueryRegistry {
+    /// Whether the first byte of an attempt's request may go out now.
+    ///
+    /// # Errors
+    /// Why not: see [`Guard::may_begin`](crate::guard::Guard::may_begin).
+    pub fn may_begin(
+        &self,
+        key: &AttemptKey,
+        deadline_ms: f64,
+        start_by_ms: f64,
+        endpoint: Option<EndpointFacts>,
+        now_ms: f64,
+    ) -> Result<BeginPermit, BeginRefusal> {
+        let queries = self.queries.borrow();
+        let query = queries.get(&key.query_id).map(|query| QueryFacts {
+            is_over: query.is_over(),
+            attempt_in_flight: query.attempt_number_in_flight(),
+            resource_group: &query.resource_group,
+        });
+        let facts = AttemptFacts {
+            query,
+            attempt: key.attempt,
+            deadline_ms,
+            start_by_ms,
+            endpoint,
+        };
+        self.guard.may_begin(&facts, now_ms)
+    }
+
+    /// The first byte of an attempt's request went out.
+    pub fn on_attempt_begun(&self, key: &AttemptKey, now_ms: f64) {
+        self.guard.on_attempt_begun(key.attempt, now_ms);
+    }
+
+    /// An attempt was not let out: counted by reason, and a violation where it should never have come so far.
+    pub fn on_begin_refused(&self, key: &AttemptKey, refusal: BeginRefusal) {
+        self.counters.count_begin_refusal(refusal);
+        tracing::info!(
+            query_id = key.query_id,
+            attempt = key.attempt,
+            engine_id = %format_args!("{:08x}", key.engine_id),
+            reason = %refusal,
+            "attempt not begun"
+        );
+        if let Some(rule) = refusal.violated_rule() {
+            let violation = Violation {
+                rule,
+                what: "an attempt that may not begin came to its connection",
+            };
+            self.report_violation(violation, Some(key.query_id));
+        }
+    }
+
+    /// Whether the process may end.
+    ///
+    /// # Errors
+    /// Queries are owed an answer.
+    pub fn may_end(&self) -> Result<EndPermit, Violation> {
+        let queries = self.queries.borrow();
+        let unanswered = queries.values().filter(|query| !query.is_over());
+        self.guard.may_end(unanswered.count())
+    }
+
+    /// Counts and logs a violation; a debug build panics.
+    pub fn report_violation(&self, violation: Violation, query_id: Option<u64>) {
+        self.counters.count_violation(violation.rule);
+        tracing::error!(
+            rule = violation.rule.number(),
+            query_id,
+            reason = violation.what,
+            "invariant violated"
+        );
+        debug_assert!(false, "{violation}, query {query_id:?}");
+    }
+}
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -6,13 +6,16 @@
 //! [`QueryRegistry::admit`], [`QueryRegistry::submit`] and [`QueryRegistry::answer`].
 
 mod completed_ids;
+mod guarding;
 mod messages;
 mod query;
 
+pub use guarding::AttemptKey;
 pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{Answer, AnswerSlot, Grant, Pages, Query, QueryRequest, RequestKeys};
 
 use crate::counters::Counters;
+use crate::guard::Guard;
 use crate::notify::Notify;
 use completed_ids::CompletedIds;
 use rustc_hash::FxHashMap;
@@ -57,11 +60,12 @@
     max_statement_bytes: usize,
     events: RefCell<VecDeque<Event>>,
     commands: RefCell<VecDeque<EngineCommand>>,
+    guard: Guard,
 }
 
 impl QueryRegistry {
     /// An empty registry that holds statements of `max_statement_bytes` at most, in sum.
-    pub fn new(max_statement_bytes: usize) -> Self {
+    pub fn new(max_statement_bytes: usize, guard: Guard) -> Self {
         QueryRegistry {
             notify: Rc::default(),
             counters: Counters::default(),
@@ -74,6 +78,7 @@
             max_statement_bytes,
             events: RefCell::default(),
             commands: RefCell::default(),
+            guard,
         }
     }
 
@@ -104,6 +109,7 @@
         self.queries.borrow_mut().insert(query_id, query);
         self.query_by_client_id.borrow_mut().insert(id, query_id);
         self.counters.admitted.increment();
+        self.guard.on_query_admitted(request.received_ms);
         self.push_event(Event::QueryArrived(ArrivedQuery {
             query_id,
             tenant: request.tenant.into(),
@@ -294,7 +300,7 @@
 #[cfg(test)]
 impl Default for QueryRegistry {
     fn default() -> Self {
-        QueryRegistry::new(1 << 20)
+        QueryRegistry::new(1 << 20, Guard::default())
     }
 }
 
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -169,6 +169,12 @@
         }
     }
 
+    /// The number of the attempt in flight, if one is.
+    pub(super) fn attempt_number_in_flight(&self) -> Option<usize> {
+        let last = self.attempts.checked_sub(1)?;
+        self.attempt_in_flight.then_some(last)
+    }
+
     /// Whether its answer was given, or none is owed.
     pub(super) fn is_over(&self) -> bool {
         self.slot.is_none()
