Red: connections that engines forgot in silence lose look-ups and are not learned

Seen: engines that answer nothing on connections idle for over 0.4 s, no notes, probes or estimates: without cancels 12 and more of 30 look-ups are rejected after 1.99 s, to the end; with cancels they are migrated after 0.45 to 1.9 s, each time anew. A burst of 12 after 0.6 s of quiet loses 6.

--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -6,6 +6,7 @@
     reason = "a test ends at the first thing that is not as it should be"
 )]
 
+mod forgotten_connections;
 mod interrupted_calls;
 mod local_faults;
 mod start;
