Connections lost in silence after idling are learned; one trial at a time after a quiet time

Cause: keep_alive.rs learned only from connections that ended at once after a reuse; one that was given up in silence said nothing, so the same idle time was trusted again and again, and after a quiet time (counts decayed) by all queries of a burst together. An idle time beyond what was proven is tried by one connection at a time. Limit: the very first loss costs its client the whole wait where attempts can't be cancelled: nothing tells it from a long query.

--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -263,6 +263,8 @@
         if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
             engine.late_connects = 0;
         }
+        drop(connection);
+        self.on_reachable(channel.engine_id);
     }
 
     // ---- Writing ----
@@ -425,6 +427,7 @@
         }
         let event = connection.receive(frame, now_ms)?;
         drop(connection);
+        self.on_frame(channel.engine_id, now_ms);
         match event {
             FrameEvent::AttemptEnded {
                 query_id,
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -88,7 +88,9 @@
         let went_out_after_idling = connection
             .idle_reuse
             .is_some_and(|reuse| reuse.sent_ms == now_ms);
-        if went_out_after_idling {
+        if let Some(reuse) = connection.idle_reuse.filter(|_| went_out_after_idling) {
+            let mut keep_alive = self.keep_alive.borrow_mut();
+            keep_alive.begin_reuse(now_ms, reuse.idle_ms);
             connection.check_at_ms = now_ms + self.check_after_ms(request.cost_ms);
         }
         drop(connection);
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -59,6 +59,9 @@
     /// it.
     #[error("a request was given up half written")]
     RequestPartlyWritten,
+    /// It idled and has been silent since it was reused, while its engine accepts connections; others were lost so.
+    #[error("silent after idling, as others before")]
+    ForgottenByEngine,
     /// It has been silent, and the engine accepts no other connection.
     #[error("no other connection comes up")]
     EngineUnreachable,
--- a/crates/dispatcher/src/engine/health.rs
+++ b/crates/dispatcher/src/engine/health.rs
@@ -1,8 +1,10 @@
 //! Whether engines are reachable: health checks, connect timeouts and what follows from them.
 
 use super::channel::Channel;
-use super::connection::{CloseReason, ConnectionState};
-use super::pool::EnginePool;
+use super::connection::{CloseReason, ConnectionState, IdleReuse};
+use super::keep_alive::ReuseOutcome;
+use super::pool::{EnginePool, SuspectedReuse};
+use super::settings::MIN_SILENCE_MS;
 use crate::query_registry::Event;
 use std::rc::Rc;
 use tansymux::events::Outcome;
@@ -10,6 +12,9 @@
 /// Consecutive connect timeouts after which an engine counts as unreachable. A single one may be chance.
 const UNREACHABLE_AFTER_LATE_CONNECTS: u32 = 2;
 
+/// A reuse that was given up in silence counts as lost if its engine is heard on another connection within this time (ms).
+const SUSPICION_MS: f64 = 2000.0;
+
 /// Which idle connections are suspected along with a silent one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SilenceScope {
@@ -109,6 +114,69 @@
         channels.any(|channel| channel.connection.borrow().is_reused_in_silence())
     }
 
+    /// Handles a connection that was reused after idling and given up without any sign from it. If its engine is heard on
+    /// another connection, before or soon, this one was lost: the engine, or something on the way, had forgotten it.
+    pub(super) fn on_silent_reuse(&self, engine_id: u64, reuse: IdleReuse) {
+        let now_ms = self.clock.now();
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&engine_id) else {
+            return;
+        };
+        if engine.last_frame_ms > reuse.sent_ms {
+            self.record_silent_loss(engine_id, reuse);
+        } else {
+            let since_ms = now_ms;
+            engine.suspected_reuse = Some(SuspectedReuse { reuse, since_ms });
+        }
+    }
+
+    /// A frame came from an engine.
+    pub(super) fn on_frame(&self, engine_id: u64, now_ms: f64) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&engine_id) else {
+            return;
+        };
+        engine.last_frame_ms = now_ms;
+        let Some(suspected) = engine.suspected_reuse.take() else {
+            return;
+        };
+        if now_ms - suspected.since_ms < SUSPICION_MS {
+            self.record_silent_loss(engine_id, suspected.reuse);
+        }
+    }
+
+    fn record_silent_loss(&self, engine_id: u64, reuse: IdleReuse) {
+        let engine_id = format_args!("{engine_id:08x}");
+        tracing::warn!(%engine_id, idle_ms = reuse.idle_ms, "idle connection lost in silence");
+        self.registry.counters.idle_connections_lost.increment();
+        let mut keep_alive = self.keep_alive.borrow_mut();
+        keep_alive.record(self.clock.now(), reuse.idle_ms, ReuseOutcome::LostInSilence);
+    }
+
+    /// A connection to an engine came up. Where connections were lost in silence before, one that was reused after idling
+    /// and has been silent since is taken for lost as well: the engine is there.
+    pub(super) fn on_reachable(&self, engine_id: u64) {
+        if !self.keep_alive.borrow().has_silent_losses() {
+            return;
+        }
+        let now_ms = self.clock.now();
+        let channels = match self.engines.borrow().get(&engine_id) {
+            Some(engine) => engine.channels.clone(),
+            None => return,
+        };
+        for channel in &channels {
+            let mut connection = channel.connection.borrow_mut();
+            let is_busy = connection.in_flight() > 0;
+            let is_lost =
+                |reuse: &mut IdleReuse| is_busy && now_ms - reuse.sent_ms > MIN_SILENCE_MS;
+            if let Some(reuse) = connection.idle_reuse.take_if(is_lost) {
+                connection.close_reason = Some(CloseReason::ForgottenByEngine);
+                channel.notify.notify();
+                self.record_silent_loss(engine_id, reuse);
+            }
+        }
+    }
+
     /// Handles an engine that accepts no new connections: connections that were reused after idling and have been
     /// silent since are taken for dead and closed.
     fn on_unreachable(&self, engine_id: u64) {
--- a/crates/dispatcher/src/engine/keep_alive/tests.rs
+++ b/crates/dispatcher/src/engine/keep_alive/tests.rs
@@ -73,3 +73,47 @@
     assert_eq!(keep_alive.max_idle_ms(200.0), MIN_IDLE_MS);
     assert_eq!(keep_alive.max_idle_ms(30_000.0), f64::INFINITY);
 }
+
+#[test]
+fn a_loss_in_silence_is_remembered_longer_each_time_until_a_reuse_succeeds() {
+    let mut keep_alive = KeepAlive::default();
+    let mut now_ms = 0.0;
+    let mut distrusted_for = Vec::new();
+    for _ in 0..3 {
+        keep_alive.record(now_ms, 600.0, ReuseOutcome::LostInSilence);
+        let from_ms = now_ms;
+        while keep_alive.max_idle_ms(now_ms) <= 600.0 {
+            now_ms += 500.0;
+        }
+        distrusted_for.push(now_ms - from_ms);
+    }
+    assert!(distrusted_for[0] > 20_000.0, "{distrusted_for:?}");
+    assert!(
+        distrusted_for[1] > 1.8 * distrusted_for[0],
+        "{distrusted_for:?}"
+    );
+    assert!(
+        distrusted_for[2] > 1.8 * distrusted_for[1],
+        "{distrusted_for:?}"
+    );
+    assert!(keep_alive.has_silent_losses());
+    keep_alive.record(now_ms, 700.0, ReuseOutcome::Answered);
+    assert!(!keep_alive.has_silent_losses());
+}
+
+#[test]
+fn one_connection_at_a_time_tries_a_longer_idle_time_than_was_proven() {
+    let mut keep_alive = KeepAlive::default();
+    assert_eq!(keep_alive.trusted_idle_ms(0.0), f64::INFINITY);
+    keep_alive.begin_reuse(0.0, 900.0);
+    assert_eq!(keep_alive.trusted_idle_ms(10.0), MIN_IDLE_MS);
+    // What becomes of it lets the others go, and so does time.
+    keep_alive.record(20.0, 900.0, ReuseOutcome::Answered);
+    assert_eq!(keep_alive.trusted_idle_ms(20.0), f64::INFINITY);
+    keep_alive.begin_reuse(20.0, 900.0);
+    assert_eq!(keep_alive.trusted_idle_ms(20.0), f64::INFINITY);
+    keep_alive.begin_reuse(30.0, 9000.0);
+    assert!(keep_alive.trusted_idle_ms(30.0) >= 900.0);
+    assert!(keep_alive.trusted_idle_ms(30.0) < 9000.0);
+    assert_eq!(keep_alive.trusted_idle_ms(30.0 + TRIAL_MS), f64::INFINITY);
+}
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -1,7 +1,7 @@
 //! The connection pool: which connections exist to each engine, and which of them carries the next attempt.
 
 use super::channel::{Channel, EngineProcess};
-use super::connection::{ConnectionState, Suitability};
+use super::connection::{ConnectionState, IdleReuse, Suitability};
 use super::keep_alive::{KeepAlive, MIN_IDLE_MS};
 use super::reports::SettlingReport;
 use super::settings::ConnectionSettings;
@@ -20,6 +20,14 @@
 /// Size of the shared read buffer (bytes): the most that one read takes from a connection.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// A reuse after idling that was given up in silence.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectedReuse {
+    pub reuse: IdleReuse,
+    /// When it was given up (ms).
+    pub since_ms: f64,
+}
+
 /// An engine of the endpoint list and the connections to it.
 pub(super) struct Engine {
     engine_id: u64,
@@ -33,6 +41,10 @@
     pub is_gone: bool,
     /// Consecutive connects that timed out.
     pub late_connects: u32,
+    /// When a frame last came from it (ms).
+    pub last_frame_ms: f64,
+    /// A reuse after idling that was given up in silence, and when: lost, if the engine is heard elsewhere soon.
+    pub suspected_reuse: Option<SuspectedReuse>,
     pub channels: Vec<Rc<Channel>>,
 }
 
@@ -47,6 +59,8 @@
             started_ms: entry.started_ms,
             is_gone: false,
             late_connects: 0,
+            last_frame_ms: f64::NEG_INFINITY,
+            suspected_reuse: None,
             channels: Vec::new(),
         }
     }
@@ -241,7 +255,7 @@
         let now_ms = self.clock.now();
         let max_idle_ms = self.keep_alive.borrow_mut().max_idle_ms(now_ms);
         let trusted_idle_ms = if side_effect_free {
-            max_idle_ms
+            self.keep_alive.borrow_mut().trusted_idle_ms(now_ms)
         } else {
             MIN_IDLE_MS
         };
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -102,8 +102,12 @@
         let silent_ms = now_ms - connection.last_frame_ms.max(attempt.sent_ms);
         let may_be_dead = was_sent && silent_ms > self.settings.max_silence_ms();
         connection.retired |= may_be_dead;
+        let silent_reuse = connection.idle_reuse.take_if(|_| may_be_dead);
         drop(connection);
         channel.notify.notify();
+        if let Some(reuse) = silent_reuse {
+            self.on_silent_reuse(channel.engine_id, reuse);
+        }
         if may_be_dead {
             self.retire_idle(channel.engine_id, SilenceScope::Engine);
         }
