Oracle: told deadlines, 0.1 s after a client left, lost queries, the fleet's slow-start budget

Change: the record has told limits, losses, excuses and failed dispatchers; find_violations checks the first three, find_slow_start_violations the sum of a fleet by the operators' formula (N plus 2 roots of N plus 2, under 30 N plus 3 roots plus 3). Tests: four, each with a record that keeps the rule and one that breaks it.

--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -267,6 +267,7 @@
         .into();
     let rules = Rules {
         slack_ms: 50.0,
+        late_answer_ms: 0.0,
         grace_ms: 1000.0,
         warm_up: None,
         cooldown_ms: 0.0,
--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -228,6 +228,7 @@
         .into();
     let rules = Rules {
         slack_ms: 50.0,
+        late_answer_ms: 0.0,
         grace_ms: 1000.0,
         warm_up: None,
         cooldown_ms: 0.0,
--- a/crates/simulator/src/simulation/results.rs
+++ b/crates/simulator/src/simulation/results.rs
@@ -181,6 +181,7 @@
         let cold = self.experiment.cold.unwrap_or_default();
         Rules {
             slack_ms: 50.0,
+            late_answer_ms: 0.0,
             grace_ms: 1000.0,
             warm_up: Some(warm_up_rule(&cold)),
             cooldown_ms: 0.0,
--- a/crates/testbed/src/engine/attempt.rs
+++ b/crates/testbed/src/engine/attempt.rs
@@ -85,6 +85,13 @@
             .get(2)
             .and_then(|list| list_value(list, "limit")?.parse::<f64>().ok())
             .unwrap_or(NO_LIMIT_MS);
+        if limit_ms < NO_LIMIT_MS {
+            self.context.record.push(EventKind::Told {
+                engine: self.id.clone(),
+                id: attempt.id.clone(),
+                limit_ms,
+            });
+        }
         let admission = self.admit(&work);
         let draw = admission.draw;
         let said_full = matches!(admission.fault, Fault::Full(fraction) if draw < fraction);
--- a/crates/testbed/src/invariants/arrivals.rs
+++ b/crates/testbed/src/invariants/arrivals.rs
@@ -6,6 +6,11 @@
 /// On sockets, delays shift retries between spans: the budget is wider by this factor, and by one retry.
 const BUDGET_TOLERANCE: f64 = 1.15;
 
+/// How long (ms) after its client left an attempt may still begin (operators' page).
+const AFTER_LEAVING_MS: f64 = 100.0;
+/// How much more (ms) than what the client has left an engine may be told (operators' page).
+const TOLD_SLACK_MS: f64 = 150.0;
+
 impl Checker<'_> {
     pub(super) fn on_arrival(&mut self, engine: &str, id: &str, work_ms: f64, at_ms: f64) {
         let known = self.engines.entry(engine.to_owned()).or_default();
@@ -16,6 +21,7 @@
             let description = format!("{engine} was sent {id}, which nobody asked");
             return self.add_violation(1, at_ms, description);
         };
+        let left_ms = query.left_ms;
         let first_answer_ms = query.answered_ms.first().copied();
         let is_retry = !query.attempts.is_empty();
         let key = query.key.clone();
@@ -32,6 +38,12 @@
             let description = format!("{id} was sent to {engine} after its answer");
             self.add_violation(1, at_ms, description);
         }
+        if left_ms.is_some_and(|left_ms| at_ms > left_ms + AFTER_LEAVING_MS + self.rules.slack_ms) {
+            let since_ms = at_ms - left_ms.unwrap_or(at_ms);
+            let description =
+                format!("{id} was sent to {engine} {since_ms:.0} ms after its client left");
+            self.add_violation(1, at_ms, description);
+        }
         if is_retry {
             self.retries_ms.push(at_ms);
             self.check_retry_budget(at_ms);
@@ -45,6 +57,19 @@
         }
     }
 
+    /// What an engine is told is at most what the client has left.
+    pub(super) fn check_told_limit(&mut self, engine: &str, id: &str, limit_ms: f64, at_ms: f64) {
+        let Some(query) = self.queries.get(id) else {
+            return;
+        };
+        let left_ms = query.asked_ms + query.max_wait_ms - at_ms;
+        if limit_ms > left_ms.max(0.0) + TOLD_SLACK_MS + self.rules.slack_ms {
+            let description =
+                format!("{engine} was told {limit_ms:.0} ms for {id} with {left_ms:.0} ms left");
+            self.add_violation(1, at_ms, description);
+        }
+    }
+
     /// Rule 3: nothing to a closed engine past the grace.
     fn check_closed(&mut self, engine: &str, id: &str, at_ms: f64) {
         let rules = self.rules;
--- a/crates/testbed/src/invariants/history.rs
+++ b/crates/testbed/src/invariants/history.rs
@@ -11,6 +11,8 @@
     pub answered_ms: Vec<f64>,
     /// The client left without waiting.
     pub abandoned: bool,
+    /// When the client left.
+    pub left_ms: Option<f64>,
     pub attempts: Vec<Attempt>,
     /// How often its effect was applied.
     pub effects_applied: usize,
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -14,10 +14,12 @@
 mod arrivals;
 mod history;
 mod rules;
+mod slow_start;
 #[cfg(test)]
 mod tests;
 
 pub use rules::{ClassRules, DedupScope, Effect, RetryBudget, Rules, Violation, WarmUpRule};
+pub use slow_start::{bearable_requests, find_slow_start_violations};
 
 use crate::record::{Entry, EventKind, Status};
 use history::{AttemptEnd, EngineHistory, EngineStart, QueryHistory};
@@ -96,8 +98,28 @@
             EventKind::Left { id } => {
                 if let Some(query) = self.queries.get_mut(id) {
                     query.abandoned = true;
+                    query.left_ms = query.left_ms.or(Some(at_ms));
                 }
             }
+            EventKind::Excused { id } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                }
+            }
+            EventKind::Lost { id, how } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                }
+                self.add_violation(1, at_ms, format!("{id} was lost: {how}"));
+            }
+            EventKind::Told {
+                engine,
+                id,
+                limit_ms,
+            } => self.check_told_limit(engine, id, *limit_ms, at_ms),
+            EventKind::DispatcherFailed { dispatcher, how } => {
+                self.add_violation(1, at_ms, format!("dispatcher {dispatcher} {how}"));
+            }
             EventKind::Arrived {
                 engine,
                 id,
@@ -178,7 +200,7 @@
         if count > 1 {
             self.add_violation(1, at_ms, format!("answer {count} to {id}"));
         }
-        if late_ms > self.rules.slack_ms {
+        if late_ms > self.rules.slack_ms.max(self.rules.late_answer_ms) {
             let description = format!("the answer to {id} came {late_ms:.0} ms late");
             self.add_violation(1, at_ms, description);
         }
@@ -221,7 +243,9 @@
         let mut unanswered = Vec::new();
         for (id, query) in &self.queries {
             let due_ms = query.asked_ms + query.max_wait_ms;
-            if !query.is_over() && end_ms > due_ms + self.rules.slack_ms {
+            if !query.is_over()
+                && end_ms > due_ms + self.rules.slack_ms.max(self.rules.late_answer_ms)
+            {
                 unanswered.push((id.clone(), due_ms));
             }
         }
--- a/crates/testbed/src/invariants/rules.rs
+++ b/crates/testbed/src/invariants/rules.rs
@@ -8,6 +8,8 @@
 pub struct Rules {
     /// Added to every limit in time, for the delays of the machine that plays the run.
     pub slack_ms: f64,
+    /// How much later than its client's time an answer only counts as late, and not as lost.
+    pub late_answer_ms: f64,
     /// Rule 3: how long after its announcement as draining or gone an engine may still be sent to.
     pub grace_ms: f64,
     /// Rule 4: none where it does not hold.
--- a/crates/testbed/src/invariants/tests.rs
+++ b/crates/testbed/src/invariants/tests.rs
@@ -19,6 +19,7 @@
     };
     Rules {
         slack_ms: 50.0,
+        late_answer_ms: 0.0,
         grace_ms: 100.0,
         warm_up: Some(WarmUpRule {
             multiple: 2.0,
@@ -354,3 +355,89 @@
         "{text}"
     );
 }
+
+#[test]
+fn an_attempt_more_than_a_tenth_of_a_second_after_its_client_left_is_a_violation() {
+    let left = |id: &str| EventKind::Left { id: id.into() };
+    for (at_ms, count) in [(140.0, 0), (300.0, 1)] {
+        let entries = [
+            (0.0, asked("look", "a", None)),
+            (20.0, left("a")),
+            (at_ms, arrived("s-1", "a")),
+        ];
+        let found = broken(&entries);
+        assert_eq!(found.len(), count, "{found:?}");
+    }
+}
+
+#[test]
+fn a_told_limit_beyond_what_the_client_has_left_is_a_violation() {
+    for (limit_ms, count) in [(600.0, 0), (690.0, 0), (900.0, 1)] {
+        let told = EventKind::Told {
+            engine: "s-1".into(),
+            id: "a".into(),
+            limit_ms,
+        };
+        let entries = [
+            (0.0, asked("look", "a", None)),
+            (500.0, told),
+            (600.0, answered("a", 200)),
+        ];
+        let found = broken(&entries);
+        assert_eq!(found.len(), count, "{limit_ms}: {found:?}");
+    }
+}
+
+#[test]
+fn a_lost_query_and_a_failed_dispatcher_are_violations_and_an_excused_one_is_none() {
+    let lost = EventKind::Lost {
+        id: "a".into(),
+        how: "reset".into(),
+    };
+    let failed = EventKind::DispatcherFailed {
+        dispatcher: "n1".into(),
+        how: "was not ready in time".into(),
+    };
+    let excused = EventKind::Excused { id: "b".into() };
+    let entries = [
+        (0.0, asked("look", "a", None)),
+        (0.0, asked("look", "b", None)),
+        (5.0, lost),
+        (6.0, excused),
+        (7.0, failed),
+        (9000.0, asked("look", "c", None)),
+    ];
+    let found = broken(&entries);
+    assert_eq!(found.len(), 2, "{found:?}");
+}
+
+#[test]
+fn a_fleet_that_sends_a_warming_engine_more_than_it_bears_is_found() {
+    let rule = WarmUpRule {
+        multiple: 2.0,
+        initial_fraction: 0.25,
+        span_ms: 100.0,
+        warm_after_ms: 5000.0,
+    };
+    // 2 * 0.25 * 4 cores * 100 ms are 200 ms, so 20 requests of 10 ms: with the tolerance 36.4.
+    assert!((bearable_requests(20.0) - 36.4).abs() < 0.1);
+    assert!((bearable_requests(100.0) - 122.0).abs() < 1e-9);
+    let started = EventKind::Started {
+        engine: "s-1".into(),
+        cores: 4.0,
+    };
+    for (count, is_broken) in [(36, false), (37, true)] {
+        let mut entries = vec![Entry {
+            at_ms: 0.0,
+            event: started.clone(),
+        }];
+        for nth in 0..count {
+            entries.push(Entry {
+                at_ms: 10.0 + f64::from(nth),
+                event: arrived("s-1", "a"),
+            });
+        }
+        let found = find_slow_start_violations(&entries, &rule, 10.0);
+        assert_eq!(!found.is_empty(), is_broken, "{count}: {found:?}");
+    }
+}
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -46,6 +46,35 @@
         #[serde(rename = "work")]
         work_ms: f64,
     },
+    /// What an attempt that arrived was told of its client's time.
+    Told {
+        /// The engine.
+        engine: String,
+        /// The query.
+        id: String,
+        /// How long the dispatcher says it will wait.
+        #[serde(rename = "limit")]
+        limit_ms: f64,
+    },
+    /// The client's connection ended without an answer, and nothing excuses it.
+    Lost {
+        /// The query.
+        id: String,
+        /// How it ended, for people.
+        how: String,
+    },
+    /// No answer is owed: its dispatcher was killed, or another one was asked in its place.
+    Excused {
+        /// The query.
+        id: String,
+    },
+    /// A dispatcher did not start, end or get ready as it has to.
+    DispatcherFailed {
+        /// Its name.
+        dispatcher: String,
+        /// What happened, for people.
+        how: String,
+    },
     /// An attempt's effect was applied.
     Applied {
         /// The engine.
--- a/crates/testbed/src/setup.rs
+++ b/crates/testbed/src/setup.rs
@@ -92,6 +92,7 @@
 ) -> Rules {
     Rules {
         slack_ms: SLACK_MS,
+        late_answer_ms: 0.0,
         grace_ms: CLOSED_GRACE_MS,
         warm_up: None,
         cooldown_ms: 0.0,
