Soak: random faults on a fleet of real processes, several at a time, checked from outside

A failed seed prints its command, and its plan, record and logs are kept; times of real processes are not replayed exactly.

--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -1,7 +1,9 @@
 //! The command line: subcommands, flags and their defaults.
 
 use clap::{Args, Parser, Subcommand};
+use std::ops::Range;
 use std::path::PathBuf;
+use tansymux_testbed::soak::FaultFamily;
 
 /// Stand-ins, faults and measurements for tansymux, all on loopback.
 #[derive(Debug, Parser)]
@@ -57,6 +59,8 @@
     /// One zone is cut and returns cold, on real processes, in three variants; exit 1 if the agreed variant did not leave
     /// it, did not become whole again, gave out more than the whole, or left a query without an answer
     Zones(ZonesArgs),
+    /// Random faults on a fleet of real processes, several at a time, checked from outside; exit 1 if a rule broke
+    Soak(SoakArgs),
     /// Fleet scenarios in virtual time, for many seeds; exit 1 if one failed
     FleetVirtual(FleetVirtualArgs),
     /// Statement analysis: accuracy of class and effect on both parts of the corpus
@@ -129,6 +133,38 @@
     pub logs: Option<PathBuf>,
 }
 
+/// Flags of `soak`.
+#[derive(Debug, Args)]
+pub struct SoakArgs {
+    /// Seeds, the last one not included
+    #[arg(long, default_value = "1..11", value_parser = parse_range)]
+    pub seeds: Range<u64>,
+    /// Dispatchers of a run, drawn from here, the last one included
+    #[arg(long, default_value = "10..40", value_parser = parse_range)]
+    pub processes: Range<u64>,
+    /// How long clients ask
+    #[arg(long, default_value_t = 8.0)]
+    pub seconds: f64,
+    /// What is injected; without it all
+    #[arg(long, value_delimiter = ',')]
+    pub faults: Vec<FaultFamily>,
+    /// Runs at a time
+    #[arg(long, default_value_t = 1)]
+    pub jobs: usize,
+    /// A folder for the records and logs of runs that failed
+    #[arg(long, default_value = "target/soak")]
+    pub keep: PathBuf,
+    /// Plays a run that failed with fewer faults, as long as it fails
+    #[arg(long)]
+    pub shrink: bool,
+}
+
+fn parse_range(text: &str) -> Result<Range<u64>, String> {
+    let numbers = text.split_once("..");
+    let range = numbers.and_then(|(first, last)| Some(first.parse().ok()?..last.parse().ok()?));
+    range.ok_or_else(|| "expected two numbers, as in 1..11".to_owned())
+}
+
 /// Flags of `fleet-virtual`.
 #[derive(Debug, Args)]
 pub struct FleetVirtualArgs {
--- a/crates/testbed/src/commands.rs
+++ b/crates/testbed/src/commands.rs
@@ -2,14 +2,16 @@
 //!
 //! Start reading at [`run`].
 
-use crate::cli::{Command, FleetArgs, FleetVirtualArgs, ZonesArgs};
+use crate::cli::{Command, FleetArgs, FleetVirtualArgs, SoakArgs, ZonesArgs};
+use clap::ValueEnum;
 use std::path::PathBuf;
 use tansymux_testbed::fleet::processes::{self, ProcessOptions};
 use tansymux_testbed::fleet::scenario::{self, Scenario};
 use tansymux_testbed::fleet::zones::ZoneCutPlan;
 use tansymux_testbed::fleet::{self, run_seeds, PlayOptions, ScenarioFileError};
 use tansymux_testbed::program::LocateError;
-use tansymux_testbed::{demo, levels, measure, program, replay, zone_routing};
+use tansymux_testbed::soak::{self, FaultFamily, SoakOptions};
+use tansymux_testbed::{demo, fault_shim, levels, measure, program, replay, zone_routing};
 
 /// Why a subcommand could not run.
 #[derive(Debug, thiserror::Error)]
@@ -74,6 +76,7 @@
             Ok(print(&levels::quarters(&locate_program()?, seconds, seeds)))
         }
         Command::Fleet(arguments) => run_fleet(&arguments),
+        Command::Soak(arguments) => run_soak(&arguments),
         Command::Zones(arguments) => run_zones(&arguments),
         Command::FleetVirtual(arguments) => Ok(run_fleet_virtual(&arguments)),
         Command::Accuracy { seed, show } => Ok(print(&measure::accuracy(seed, show))),
@@ -163,6 +166,27 @@
     }
 }
 
+fn run_soak(arguments: &SoakArgs) -> Result<Outcome, CommandError> {
+    let families = if arguments.faults.is_empty() {
+        FaultFamily::value_variants().to_vec()
+    } else {
+        arguments.faults.clone()
+    };
+    let processes = &arguments.processes;
+    let report = soak::run(&SoakOptions {
+        exe: locate_program()?,
+        shim: fault_shim::locate_library()?,
+        seeds: arguments.seeds.clone(),
+        processes: processes.start as usize..=processes.end as usize,
+        seconds: arguments.seconds,
+        families,
+        jobs: arguments.jobs,
+        keep: arguments.keep.clone(),
+        shrinks: arguments.shrink,
+    });
+    Ok(print_checked(&report.table, report.failed_seeds > 0))
+}
+
 fn run_zones(arguments: &ZonesArgs) -> Result<Outcome, CommandError> {
     let plan_of = |seed| ZoneCutPlan {
         dispatchers: arguments.dispatchers,
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod record;
 pub mod replay;
 mod setup;
+pub mod soak;
 pub mod wire;
 pub mod zone_routing;
--- /dev/null
+++ b/crates/testbed/src/soak/link.rs
@@ -0,0 +1,257 @@
+//! The proxy before each engine: what lies between the dispatchers and the engine, and fails as it is told to.
+//!
+//! Towards the engine it delays nothing by more than a few milliseconds: the oracle reads an attempt's begin from its
+//! arrival. What it cuts it swallows for good.
+
+use crate::engine::refuse_silently;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often a copying thread looks whether its connection was reset.
+const POLL: Duration = Duration::from_millis(20);
+/// Idle time after which a forgetful link forgets a connection.
+const FORGOTTEN_AFTER: Duration = Duration::from_millis(300);
+/// How often a listener looks for connections.
+const ACCEPT_POLL: Duration = Duration::from_millis(2);
+/// Connections that may wait at a listener.
+const BACKLOG: i32 = 128;
+
+/// What a link does.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LinkFaults {
+    /// Bytes towards the engine are swallowed.
+    pub cut_to_engine: bool,
+    /// Bytes from the engine are swallowed.
+    pub cut_from_engine: bool,
+    /// Bytes go in small pieces.
+    pub splits: bool,
+    /// Connections that idle are forgotten.
+    pub forgets: bool,
+    /// No connection is accepted.
+    pub accepts_none: bool,
+    /// Connections are reset soon after they came up.
+    pub resets: bool,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: Mutex<SocketAddr>,
+    faults: Mutex<LinkFaults>,
+    /// Connections opened before this count are reset.
+    reset_generation: AtomicU64,
+    is_closed: AtomicBool,
+}
+
+/// A proxy before one engine, until it is dropped.
+#[derive(Debug)]
+pub struct Link {
+    /// Where dispatchers connect.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Link {
+    /// Starts a proxy to `target`.
+    ///
+    /// # Panics
+    /// The loopback has no free port.
+    pub fn start(target: SocketAddr, seed: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let shared = Arc::new(Shared {
+            target: Mutex::new(target),
+            faults: Mutex::default(),
+            reset_generation: AtomicU64::new(0),
+            is_closed: AtomicBool::new(false),
+        });
+        let own = shared.clone();
+        thread::spawn(move || accept(&listener, &own, seed));
+        Link { address, shared }
+    }
+
+    /// Changes what the link does.
+    pub fn change(&self, change: impl FnOnce(&mut LinkFaults)) {
+        change(&mut self.shared.faults.lock().expect("no holder panics"));
+    }
+
+    /// Resets all connections that are open.
+    pub fn reset_all(&self) {
+        self.shared.reset_generation.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Another engine takes the place behind the address.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.shared.target.lock().expect("no holder panics") = target;
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.shared.is_closed.store(true, Ordering::SeqCst);
+        self.reset_all();
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>, seed: u64) {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let _ = listener.set_nonblocking(true);
+    // While no connection comes up: those that fill the backlog.
+    let mut fillers = Vec::new();
+    while !shared.is_closed.load(Ordering::SeqCst) {
+        let accepts_none = shared.faults().accepts_none;
+        if accepts_none && !fillers.is_empty() {
+            thread::sleep(ACCEPT_POLL);
+            continue;
+        }
+        if !accepts_none && !fillers.is_empty() {
+            fillers.clear();
+            let _ = socket2::SockRef::from(listener).listen(BACKLOG);
+        }
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let _ = stream.set_nonblocking(false);
+                let target = *shared.target.lock().expect("no holder panics");
+                let own = shared.clone();
+                let connection_seed = rng.random();
+                thread::spawn(move || own.serve(stream, target, connection_seed));
+            }
+            // All that had come up is served.
+            Err(_) if accepts_none => fillers = refuse_silently(listener),
+            Err(_) => thread::sleep(ACCEPT_POLL),
+        }
+    }
+}
+
+/// Closes a connection by a reset.
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+impl Shared {
+    fn faults(&self) -> LinkFaults {
+        *self.faults.lock().expect("no holder panics")
+    }
+
+    fn serve(self: Arc<Self>, client: TcpStream, target: SocketAddr, seed: u64) {
+        let Ok(engine) = TcpStream::connect(target) else {
+            return reset(&client);
+        };
+        let generation = self.reset_generation.load(Ordering::SeqCst);
+        let last_use = Arc::new(Mutex::new(Instant::now()));
+        let is_forgotten = Arc::new(AtomicBool::new(false));
+        let pair = |from: &TcpStream, to: &TcpStream, to_engine| -> Option<Copier> {
+            let _ = from.set_nodelay(true);
+            let _ = from.set_read_timeout(Some(POLL));
+            Some(Copier {
+                shared: self.clone(),
+                from: from.try_clone().ok()?,
+                to: to.try_clone().ok()?,
+                to_engine,
+                generation,
+                last_use: last_use.clone(),
+                is_forgotten: is_forgotten.clone(),
+                rng: Pcg32::seed_from_u64(seed ^ u64::from(to_engine)),
+            })
+        };
+        let (Some(forth), Some(back)) =
+            (pair(&client, &engine, true), pair(&engine, &client, false))
+        else {
+            return;
+        };
+        drop((client, engine));
+        thread::spawn(move || back.run());
+        forth.run();
+    }
+}
+
+/// Copies one direction of a connection.
+struct Copier {
+    shared: Arc<Shared>,
+    from: TcpStream,
+    to: TcpStream,
+    to_engine: bool,
+    generation: u64,
+    last_use: Arc<Mutex<Instant>>,
+    is_forgotten: Arc<AtomicBool>,
+    rng: Pcg32,
+}
+
+impl Copier {
+    fn run(mut self) {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            if self.shared.reset_generation.load(Ordering::SeqCst) != self.generation {
+                reset(&self.from);
+                reset(&self.to);
+                return;
+            }
+            let count = match (&self.from).read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => count,
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                    ) =>
+                {
+                    continue;
+                }
+                Err(_) => break,
+            };
+            if !self.pass_on(&buffer[..count]) {
+                break;
+            }
+        }
+        // The engine and the dispatcher end connections whole: half-closes do not occur in their protocol.
+        let _ = self.to.shutdown(Shutdown::Both);
+        let _ = self.from.shutdown(Shutdown::Both);
+    }
+
+    /// Whether the connection goes on.
+    fn pass_on(&mut self, bytes: &[u8]) -> bool {
+        let faults = self.shared.faults();
+        let idle = {
+            let mut last_use = self.last_use.lock().expect("no holder panics");
+            std::mem::replace(&mut *last_use, Instant::now()).elapsed()
+        };
+        if faults.forgets && idle > FORGOTTEN_AFTER {
+            self.is_forgotten.store(true, Ordering::SeqCst);
+        }
+        let is_cut = if self.to_engine {
+            faults.cut_to_engine
+        } else {
+            faults.cut_from_engine
+        };
+        if is_cut || self.is_forgotten.load(Ordering::SeqCst) {
+            // Once bytes are lost the stream is of no use: nothing more may come through whole.
+            self.is_forgotten.store(true, Ordering::SeqCst);
+            return true;
+        }
+        if faults.resets && self.rng.random_bool(0.3) {
+            reset(&self.from);
+            reset(&self.to);
+            return false;
+        }
+        if !faults.splits {
+            return self.to.write_all(bytes).is_ok();
+        }
+        for piece in bytes.chunks(1 + self.rng.random_range(0..97)) {
+            if self.to.write_all(piece).is_err() {
+                return false;
+            }
+            if self.rng.random_bool(0.02) {
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/soak/mod.rs
@@ -0,0 +1,214 @@
+//! The randomized fault soak: a fleet of real processes on loopback, with proxies on the links, signals, stepped clocks and
+//! failing system calls, several at a time; the record of clients and engines is checked from outside.
+//!
+//! Everything is drawn from a seed ([`plan`]). Times of real processes are not: a seed that failed may pass when it is
+//! played again, so its record and logs are kept. Start reading at [`run`], then at `world`.
+
+mod clients;
+mod dispatcher;
+mod link;
+mod names;
+mod peers;
+pub mod plan;
+mod world;
+
+pub use plan::{FaultFamily, SoakPlan};
+
+use crate::invariants::Violation;
+use crate::record::Entry;
+use std::fmt::Write as _;
+use std::ops::{Range, RangeInclusive};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+/// What to play.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// The program under test.
+    pub exe: PathBuf,
+    /// The fault shim's library.
+    pub shim: PathBuf,
+    /// Seeds.
+    pub seeds: Range<u64>,
+    /// Dispatchers of a run.
+    pub processes: RangeInclusive<usize>,
+    /// How long clients ask (s).
+    pub seconds: f64,
+    /// What is injected.
+    pub families: Vec<FaultFamily>,
+    /// Runs at a time.
+    pub jobs: usize,
+    /// Where the records and logs of runs that failed are kept.
+    pub keep: PathBuf,
+    /// Plays a run that failed again with one fault less each time, as long as it fails.
+    pub shrinks: bool,
+}
+
+/// How a seed was played.
+#[derive(Debug)]
+pub struct SoakOutcome {
+    /// Its plan.
+    pub plan: SoakPlan,
+    /// What was seen.
+    pub entries: Vec<Entry>,
+    /// What broke.
+    pub violations: Vec<Violation>,
+    /// Queries by what became of them.
+    pub counts: SoakCounts,
+}
+
+/// What became of a run's queries.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SoakCounts {
+    /// Queries that were sent whole.
+    pub asked: usize,
+    /// Those answered with a result.
+    pub completed: usize,
+    /// Those rejected.
+    pub rejected: usize,
+    /// Those failed.
+    pub failed: usize,
+    /// Those whose client left, or that nothing is owed for.
+    pub left: usize,
+    /// Attempts that reached engines.
+    pub attempts: usize,
+    /// System calls that the shim made fail.
+    pub failed_calls: u64,
+}
+
+/// All seeds.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// For people: a line for each seed, and the sums.
+    pub table: String,
+    /// Seeds with violations.
+    pub failed_seeds: usize,
+}
+
+/// Plays all seeds.
+pub fn run(options: &SoakOptions) -> SoakReport {
+    let next = AtomicUsize::new(0);
+    let seeds: Vec<u64> = options.seeds.clone().collect();
+    let lines: Mutex<Vec<(u64, String, bool, SoakCounts)>> = Mutex::default();
+    std::thread::scope(|scope| {
+        for _ in 0..options.jobs.max(1) {
+            scope.spawn(|| loop {
+                let nth = next.fetch_add(1, Ordering::SeqCst);
+                let Some(seed) = seeds.get(nth) else {
+                    return;
+                };
+                let outcome = play_seed(*seed, options);
+                let line = line_of(&outcome, options);
+                println!("{line}");
+                let has_failed = !outcome.violations.is_empty();
+                let mut lines = lines.lock().expect("no holder panics");
+                lines.push((*seed, line, has_failed, outcome.counts));
+            });
+        }
+    });
+    let lines = lines.into_inner().expect("no holder panics");
+    summary(&lines)
+}
+
+fn play_seed(seed: u64, options: &SoakOptions) -> SoakOutcome {
+    let plan = SoakPlan::draw(seed, &options.processes, options.seconds, &options.families);
+    let mut outcome = world::play(plan, options);
+    if outcome.violations.is_empty() {
+        return outcome;
+    }
+    if options.shrinks {
+        outcome = shrink(outcome, options);
+    }
+    keep(&outcome, &options.keep);
+    outcome
+}
+
+/// The smallest plan that still fails, by leaving out one fault after the other.
+fn shrink(mut failed: SoakOutcome, options: &SoakOptions) -> SoakOutcome {
+    let mut nth = 0;
+    while nth < failed.plan.faults.len() {
+        let smaller = world::play(failed.plan.without(nth), options);
+        if smaller.violations.is_empty() {
+            nth += 1;
+        } else {
+            failed = smaller;
+        }
+    }
+    failed
+}
+
+/// Writes down what a failed run did and saw.
+fn keep(outcome: &SoakOutcome, folder: &Path) {
+    let _ = std::fs::create_dir_all(folder);
+    let seed = outcome.plan.seed;
+    let mut text = format!("{:#?}\n", outcome.plan);
+    for violation in &outcome.violations {
+        let _ = writeln!(text, "{violation}");
+    }
+    let _ = std::fs::write(folder.join(format!("seed-{seed}.txt")), text);
+    let mut record = String::new();
+    for entry in &outcome.entries {
+        let line = serde_json::to_string(entry).unwrap_or_default();
+        record += &line;
+        record.push('\n');
+    }
+    let _ = std::fs::write(folder.join(format!("seed-{seed}.jsonl")), record);
+}
+
+fn line_of(outcome: &SoakOutcome, options: &SoakOptions) -> String {
+    let SoakCounts {
+        asked,
+        completed,
+        rejected,
+        failed,
+        left,
+        attempts,
+        failed_calls,
+    } = outcome.counts;
+    let plan = &outcome.plan;
+    let mut line = format!(
+        "seed {:>5}  processes {:>2}  faults {:>3}  asked {asked:>5}  completed {completed:>5}  rejected {rejected:>4}  failed \
+         {failed:>3}  left {left:>4}  attempts {attempts:>5}  failed calls {failed_calls:>5}  violations {}",
+        plan.seed,
+        plan.dispatchers,
+        plan.faults.len(),
+        outcome.violations.len()
+    );
+    for violation in outcome.violations.iter().take(8) {
+        let _ = write!(line, "\n  {violation}");
+    }
+    if !outcome.violations.is_empty() {
+        let (first, last) = (options.processes.start(), options.processes.end());
+        let _ = write!(
+            line,
+            "\n  again: tansymux-testbed soak --seeds {0}..{1} --processes {first}..{last} --seconds {2} (record in {3})",
+            plan.seed,
+            plan.seed + 1,
+            plan.seconds,
+            options.keep.display()
+        );
+    }
+    line
+}
+
+fn summary(lines: &[(u64, String, bool, SoakCounts)]) -> SoakReport {
+    let failed_seeds = lines.iter().filter(|line| line.2).count();
+    let sum =
+        |count: fn(&SoakCounts) -> usize| lines.iter().map(|line| count(&line.3)).sum::<usize>();
+    let failed_calls: u64 = lines.iter().map(|line| line.3.failed_calls).sum();
+    let table = format!(
+        "{} seeds, {failed_seeds} with violations; asked {}, completed {}, rejected {}, failed {}, left {}, attempts {}, failed calls {failed_calls}\n",
+        lines.len(),
+        sum(|counts| counts.asked),
+        sum(|counts| counts.completed),
+        sum(|counts| counts.rejected),
+        sum(|counts| counts.failed),
+        sum(|counts| counts.left),
+        sum(|counts| counts.attempts),
+    );
+    SoakReport {
+        table,
+        failed_seeds,
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/soak/names.rs
@@ -0,0 +1,102 @@
+//! The UDP proxy before the name service: silent, slow, lossy.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// A name service that does not answer for so long is asked no more for this question.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest datagram.
+const MAX_BYTES: usize = 64 * 1024;
+
+#[derive(Debug, Default)]
+struct Shared {
+    is_silent: AtomicBool,
+    delay_ms: AtomicU64,
+    is_closed: AtomicBool,
+}
+
+/// A proxy before the name service, until it is dropped.
+#[derive(Debug)]
+pub struct NamesLink {
+    /// Where dispatchers ask.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl NamesLink {
+    /// Starts a proxy to `target`.
+    ///
+    /// # Panics
+    /// The loopback has no free port.
+    pub fn start(target: SocketAddr) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
+        let address = socket.local_addr().expect("a bound socket has an address");
+        let _ = socket.set_read_timeout(Some(ANSWER_TIMEOUT));
+        let shared = Arc::new(Shared::default());
+        let own = shared.clone();
+        thread::spawn(move || forward(&socket, target, &own));
+        NamesLink { address, shared }
+    }
+
+    /// Whether questions go unanswered.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    /// How late answers come.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.shared.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+}
+
+impl Drop for NamesLink {
+    fn drop(&mut self) {
+        self.shared.is_closed.store(true, Ordering::SeqCst);
+    }
+}
+
+fn forward(socket: &UdpSocket, target: SocketAddr, shared: &Arc<Shared>) {
+    let mut question = [0; 512];
+    while !shared.is_closed.load(Ordering::SeqCst) {
+        let Ok((count, from)) = socket.recv_from(&mut question) else {
+            continue;
+        };
+        if shared.is_silent.load(Ordering::SeqCst) {
+            continue;
+        }
+        let (Ok(back), question, shared) = (
+            socket.try_clone(),
+            question[..count].to_vec(),
+            shared.clone(),
+        ) else {
+            continue;
+        };
+        thread::spawn(move || answer(&back, from, target, &question, &shared));
+    }
+}
+
+/// Asks the name service, and passes its answers on when it is time.
+fn answer(back: &UdpSocket, to: SocketAddr, target: SocketAddr, question: &[u8], shared: &Shared) {
+    let Ok(ask) = UdpSocket::bind("127.0.0.1:0") else {
+        return;
+    };
+    let _ = ask.set_read_timeout(Some(ANSWER_TIMEOUT));
+    if ask.send_to(question, target).is_err() {
+        return;
+    }
+    let mut buffer = vec![0; MAX_BYTES];
+    // A stray datagram and the answer.
+    for _ in 0..2 {
+        let Ok(count) = ask.recv(&mut buffer) else {
+            return;
+        };
+        let delay_ms = shared.delay_ms.load(Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(delay_ms));
+        if !shared.is_silent.load(Ordering::SeqCst) {
+            let _ = back.send_to(&buffer[..count], to);
+        }
+    }
+}
