Red: an attempt decided before a list goes to the engine that the list closed

The round delivers events in order and carries out all commands at its end: a query and a list in one round, in this order, submit to an engine that drains or is gone; upsert_endpoint only takes back what is queued on a connection by then. Without the guard the attempt goes out within the grace, or, where the address has a new owner, to another engine than the one that was chosen, past its slow start.

--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -28,6 +28,23 @@
     }
 }
 
+fn request() -> QueryRequest<'static> {
+    QueryRequest {
+        id: "00000000000000aa",
+        resource_group: "look",
+        tenant: "",
+        statement: b"SELECT 1",
+        received_ms: 0.0,
+        deadline_ms: 1e15,
+        estimated_cost_ms: 1.0,
+        memory_mb: 1.0,
+        tables: 1,
+        traits: StatementTraits::UNKNOWN,
+        shape: None,
+        keys: RequestKeys::default(),
+    }
+}
+
 /// An attempt queued on a connection that stays connecting, as no task runs.
 fn queued_attempt(
     limits: AttemptLimits,
@@ -44,20 +61,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
     pool.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
-    let request = QueryRequest {
-        id: "00000000000000aa",
-        resource_group: "look",
-        tenant: "",
-        statement: b"SELECT 1",
-        received_ms: 0.0,
-        deadline_ms: 1e15,
-        estimated_cost_ms: 1.0,
-        memory_mb: 1.0,
-        tables: 1,
-        traits: StatementTraits::UNKNOWN,
-        shape: None,
-        keys: RequestKeys::default(),
-    };
+    let request = request();
     let (query, slot) = registry.admit(&request).unwrap();
     registry.submit(query, 7, limits);
     pool.execute_commands();
@@ -120,3 +124,23 @@
     pool.expire();
     assert!(was_withdrawn(&registry));
 }
+
+#[test]
+fn attempt_decided_before_a_list_that_closes_its_engine_does_not_go_there() {
+    // In one round: the decision to submit, the list, and only then the commands.
+    for state in [EndpointState::Draining, EndpointState::Gone] {
+        let (registry, pool, ..) = queued_attempt(LONG);
+        let opened = pool.connection_count();
+        let request = QueryRequest {
+            id: "00000000000000bb",
+            ..request()
+        };
+        let (query, _slot) = registry.admit(&request).unwrap();
+        registry.submit(query, 7, LONG);
+        pool.upsert_endpoint(&engine(state, None, 9));
+        while registry.next_event().is_some() {}
+        pool.execute_commands();
+        assert!(was_withdrawn(&registry), "{state:?}");
+        assert_eq!(pool.connection_count(), opened);
+    }
+}
