A command is carried out by the list that holds then: closed engines get no attempt

Cause: EnginePool::submit took the engine's connection without asking for its state; the decision was older than the list of the same round (commands.rs, submit). Change: an attempt whose engine drains or is gone by then ends as Withdrawn at once, so that the decisions place it elsewhere; no connection is opened. Related paths: withdraw, cancel and set_priority concern attempts that exist; health checks of a closed engine only cost a probe.

--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -8,7 +8,7 @@
 use super::settings::MIN_SILENCE_MS;
 use crate::query_registry::{EngineCommand, Pages};
 use std::rc::Rc;
-use tansymux::events::{AttemptLimits, Outcome};
+use tansymux::events::{AttemptLimits, EndpointState, Outcome};
 
 /// After an attempt was sent on a connection that had idled, the engine is checked over another connection if no
 /// frame arrived for this multiple of the attempt's estimated run time: a dead connection accepts writes and never
@@ -70,17 +70,14 @@
             return;
         };
         let limits = order.limits;
+        // A list may have closed the engine since it was chosen, in the same round.
+        if !self.takes_attempts(order.engine_id) {
+            return self.report_not_sent(order, Outcome::Withdrawn);
+        }
         let Some(channel) =
             self.select_channel(order.engine_id, &request.id, limits.side_effect_free)
         else {
-            return self.report_ended(AttemptReport {
-                query_id: order.query_id,
-                attempt: order.number,
-                outcome: Outcome::NoConnection,
-                engine_id: order.engine_id,
-                latency_ms: 0.0,
-                pages: Pages::new(),
-            });
+            return self.report_not_sent(order, Outcome::NoConnection);
         };
         let attempt = Attempt::new(order.query_id, order.number, now_ms, limits);
         let mut connection = channel.connection.borrow_mut();
@@ -97,6 +94,23 @@
         channel.notify.notify();
     }
 
+    fn takes_attempts(&self, engine_id: u64) -> bool {
+        let engines = self.engines.borrow();
+        let engine = engines.get(&engine_id);
+        engine.is_some_and(|engine| engine.state == EndpointState::Ready)
+    }
+
+    fn report_not_sent(&self, order: &AttemptOrder, outcome: Outcome) {
+        self.report_ended(AttemptReport {
+            query_id: order.query_id,
+            attempt: order.number,
+            outcome,
+            engine_id: order.engine_id,
+            latency_ms: 0.0,
+            pages: Pages::new(),
+        });
+    }
+
     fn request_of(&self, order: &AttemptOrder) -> Option<Request> {
         self.registry.with_query(order.query_id, |query| Request {
             id: query.id.clone(),
