--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -144,6 +144,7 @@
                 };
                 self.on_attempt_ended(engine, id, end);
             }
+            EventKind::Stalled { .. } => {}
             EventKind::Listed { .. } | EventKind::Started { .. } | EventKind::Fault { .. } => {
                 self.observe_engine(entry);
             }
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -68,6 +68,14 @@
         /// The query.
         id: String,
     },
+    /// A dispatcher's process was stopped by a signal, up to now.
+    Stalled {
+        /// Its name.
+        dispatcher: String,
+        /// From when (ms).
+        #[serde(rename = "from")]
+        from_ms: f64,
+    },
     /// A dispatcher did not start, end or get ready as it has to.
     DispatcherFailed {
         /// Its name.
--- a/crates/testbed/src/soak/dispatcher.rs
+++ b/crates/testbed/src/soak/dispatcher.rs
@@ -242,9 +242,14 @@
                 program.signal(which);
             }
         };
+        let from_ms = self.record.now_ms();
         signal("-STOP");
         thread::sleep(time);
         signal("-CONT");
+        self.record.push(EventKind::Stalled {
+            dispatcher: self.name.clone(),
+            from_ms,
+        });
     }
 
     /// Sends SIGHUPs in a row; every third time the file is half written.
--- a/crates/testbed/src/soak/lag.rs
+++ b/crates/testbed/src/soak/lag.rs
@@ -26,6 +26,8 @@
             while !is_over.load(Ordering::Relaxed) {
                 let from = Instant::now();
                 thread::sleep(STEP);
+                // A new thread as well: stand-ins start many, and the process has one lock for its memory map.
+                let _ = thread::spawn(|| ()).join();
                 let lag = from.elapsed().saturating_sub(STEP);
                 max_lag_us.fetch_max(lag.as_micros() as u64, Ordering::Relaxed);
             }
