Red: a dispatcher that starts under a wrong wall clock takes a cold engine for warm

With the wall clock an hour ahead from the start on, no step is seen; an engine that starts gets no slow start.

--- a/crates/dispatcher/tests/hunt/wall_clock.rs
+++ b/crates/dispatcher/tests/hunt/wall_clock.rs
@@ -160,3 +160,33 @@
     let share = share_of_engine(&program, &requests, 1, Duration::from_millis(500));
     assert!(share <= MAX_IN_SLOW_START, "{share}");
 }
+
+#[test]
+fn engine_that_starts_gets_its_slow_start_from_a_dispatcher_whose_clock_is_wrong() {
+    // The dispatcher's machine is an hour off from the beginning; the machines of engines and name service are right.
+    let plays = [-3600, 3600].map(|off_s| {
+        thread::spawn(move || {
+            let shim = fault_shim();
+            shim.table().set_wall_offset_ns(off_s * 1_000_000_000);
+            let (old, _) = engine_answering_after(Duration::ZERO);
+            let (new, requests) = engine_answering_after(Duration::ZERO);
+            let names = NameService::start(Vec::new(), Arc::new(Record::default()));
+            list_engine(&names, "s-0", old, 0.0);
+            let program = start_under(&shim, &slow_start_config(old, &names));
+            program.wait_for_count("lists 1\n");
+            thread::sleep(Duration::from_millis(600));
+            let started = Instant::now();
+            list_engine(&names, "s-9", new, wall_ms(0));
+            program.wait_for_count("lists 2\n");
+            let early = share_of_engine(&program, &requests, 1, Duration::from_millis(1500));
+            assert!(early <= MAX_IN_SLOW_START, "off by {off_s} s: {early}");
+            let warm_after = Duration::from_millis(WARM_AFTER_MS + SPAN_MS + 500);
+            thread::sleep(warm_after.saturating_sub(started.elapsed()));
+            let late = share_of_engine(&program, &requests, 1000, Duration::from_millis(1000));
+            assert!(late > MAX_IN_SLOW_START, "off by {off_s} s: {late}");
+        })
+    });
+    for play in plays {
+        play.join().unwrap();
+    }
+}
