A start that the list first tells now lies at most two seconds before the list ahead of it

Cause: a start was dated by this machine's wall clock alone. An engine that one answer has and the one before had not has started in between, but for the time of its announcement (protocol: 1.5 s). Change: EngineStarts takes the later of the translated stamp and 2 s before the last list. Where the clock is right nothing changes but for lists that come late.

--- a/crates/dispatcher/src/clock.rs
+++ b/crates/dispatcher/src/clock.rs
@@ -67,6 +67,11 @@
         wall
     }
 
+    /// The program's clock (ms).
+    pub fn now_ms(&self) -> f64 {
+        self.clock.now()
+    }
+
     /// Looks whether the wall clock was stepped. To be called a few times a second: what was stamped between a step and
     /// the next call is translated as if it came after the step.
     pub fn observe(&mut self) {
--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -111,6 +111,8 @@
                 .started_ms
                 .map(|unix_ms| starts.translate(engine_id, unix_ms));
         }
+        // The list at the start is as of now.
+        starts.on_list();
     }
 
     /// Looks whether the wall clock was stepped.
@@ -158,6 +160,7 @@
         };
         match self.relation(&source, answer.srv.len()) {
             Relation::Same => {
+                self.starts.on_list();
                 self.unconfirmed = None;
                 self.query = self.query.max(query);
                 self.fingerprint = Some(source.fingerprint);
@@ -263,6 +266,7 @@
         update: &Update,
         mut entries: Vec<EndpointEntry>,
     ) -> Vec<EndpointEntry> {
+        self.starts.on_list();
         self.serial = update.source.serial;
         self.fingerprint = Some(update.source.fingerprint);
         self.query = update.source.query;
--- a/crates/dispatcher/src/discovery/engine_starts.rs
+++ b/crates/dispatcher/src/discovery/engine_starts.rs
@@ -3,6 +3,9 @@
 use crate::clock::WallClock;
 use rustc_hash::FxHashMap;
 
+/// A change is in the name service's answers this long (ms) after it happened (protocol: 1.5 s, and half a second to ask).
+const ANNOUNCED_WITHIN_MS: f64 = 2000.0;
+
 /// A start as it was told, and when that was.
 #[derive(Debug, Clone, Copy)]
 struct Start {
@@ -17,6 +20,8 @@
     /// None: Unix times count as times of the program's clock.
     wall_clock: Option<WallClock>,
     starts: FxHashMap<u64, Start>,
+    /// When a list last came (ms).
+    last_list_ms: f64,
 }
 
 impl EngineStarts {
@@ -25,6 +30,14 @@
         self.wall_clock = Some(wall_clock);
     }
 
+    /// A list was accepted, or confirmed. An engine that a later one has and this one has not, or with another start, has
+    /// started since, but for the time that it takes to announce it: whatever this machine's wall clock says.
+    pub fn on_list(&mut self) {
+        if let Some(wall_clock) = &self.wall_clock {
+            self.last_list_ms = wall_clock.now_ms();
+        }
+    }
+
     /// Looks whether the wall clock was stepped.
     pub fn observe_wall_clock(&mut self) {
         if let Some(wall_clock) = &mut self.wall_clock {
@@ -40,7 +53,8 @@
         match self.starts.get(&engine_id) {
             Some(known) if known.unix_ms == unix_ms => known.at_ms,
             _ => {
-                let at_ms = wall_clock.translate_past(unix_ms);
+                let earliest_ms = self.last_list_ms - ANNOUNCED_WITHIN_MS;
+                let at_ms = wall_clock.translate_past(unix_ms).max(earliest_ms);
                 self.starts.insert(engine_id, Start { unix_ms, at_ms });
                 at_ms
             }
