--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -8,6 +8,7 @@
 
 mod forgotten_connections;
 mod interrupted_calls;
+mod large_list;
 mod local_faults;
 mod start;
 mod support;
