--- a/crates/dispatcher/src/discovery/directory.rs
+++ b/crates/dispatcher/src/discovery/directory.rs
@@ -12,8 +12,8 @@
 use std::collections::VecDeque;
 use tansymux::events::EndpointState;
 
-/// Endpoints of a list at most: a bound on memory, far above any pool.
-const MAX_ENGINES: usize = 1024;
+/// Endpoints of a list at most: a bound on memory, above the largest pool (operators' page: 3,200).
+const MAX_ENGINES: usize = 4096;
 /// Serial steps per engine that are plausible between two answers: it drains, leaves and is replaced, twice over.
 const MAX_EVENTS_PER_ENGINE: usize = 6;
 
@@ -33,8 +33,10 @@
     query: u64,
     /// A contradicting answer that waits to be confirmed by a second one.
     unconfirmed: Option<AnswerSource>,
-    /// Engines that left, with their start times, the latest last: an older list does not bring them back.
-    gone: VecDeque<(u64, Option<f64>)>,
+    /// Engines that left, with their start times: an older list does not bring them back.
+    gone: FxHashMap<u64, Option<f64>>,
+    /// Their numbers, the latest last.
+    gone_order: VecDeque<u64>,
     starts: EngineStarts,
 }
 
@@ -254,10 +256,8 @@
 
     /// Whether this process was reported as gone.
     fn was_gone(&self, entry: &EndpointEntry) -> bool {
-        let mut gone = self.gone.iter();
-        gone.any(|&(engine_id, started)| {
-            engine_id == entry.engine_id && start_of(entry) <= started.unwrap_or(0.0)
-        })
+        let gone = self.gone.get(&entry.engine_id);
+        gone.is_some_and(|started| start_of(entry) <= started.unwrap_or(0.0))
     }
 
     /// Replaces the list by `entries`. Returns them, followed by the engines that are gone.
@@ -298,15 +298,26 @@
     fn remember_gone(&mut self, gone: &[EndpointEntry]) {
         let engines = &self.engines;
         self.gone
-            .retain(|(engine_id, _)| !engines.contains_key(engine_id));
-        self.gone
-            .extend(gone.iter().map(|entry| (entry.engine_id, entry.started_ms)));
-        let surplus = self.gone.len().saturating_sub(MAX_ENGINES);
-        self.gone.drain(..surplus);
+            .retain(|engine_id, _| !engines.contains_key(engine_id));
+        self.gone_order
+            .retain(|engine_id| !engines.contains_key(engine_id));
+        for entry in gone {
+            if self
+                .gone
+                .insert(entry.engine_id, entry.started_ms)
+                .is_none()
+            {
+                self.gone_order.push_back(entry.engine_id);
+            }
+        }
+        while self.gone_order.len() > MAX_ENGINES {
+            if let Some(oldest) = self.gone_order.pop_front() {
+                self.gone.remove(&oldest);
+            }
+        }
         let gone = &self.gone;
-        self.starts.retain(|engine_id| {
-            engines.contains_key(&engine_id) || gone.iter().any(|(other, _)| *other == engine_id)
-        });
+        self.starts
+            .retain(|engine_id| engines.contains_key(&engine_id) || gone.contains_key(&engine_id));
         self.engine_ids
             .retain(|_, engine_id| engines.contains_key(engine_id));
         self.assigned
--- a/crates/dispatcher/src/discovery/mod.rs
+++ b/crates/dispatcher/src/discovery/mod.rs
@@ -27,8 +27,8 @@
 /// Polling interval. The platform counts a change as announced 7 s after it at the latest, and a drain's grace period
 /// may be as short as 0.25 s, so one interval and a round trip is early enough.
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
-/// Bytes of an answer at most: a bound of ours, above the 8,000 bytes that the protocol lets through.
-const MAX_ANSWER_BYTES: usize = 16 * 1024;
+/// Bytes of an answer at most: all that a datagram holds.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 /// Answers to this many of the latest queries are accepted.
 const OPEN_QUERIES: u64 = 20;
 /// Consecutive queries without a usable answer after which another socket is opened: a middlebox may have dropped the
--- a/crates/dispatcher/src/discovery/records.rs
+++ b/crates/dispatcher/src/discovery/records.rs
@@ -2,7 +2,7 @@
 
 use crate::dns::{Answer, Srv};
 use crate::query_registry::EndpointEntry;
-use rustc_hash::{FxHashSet, FxHasher};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use tansymux::events::EndpointState;
@@ -92,16 +92,16 @@
 /// Drops entries whose address belongs to a more recently started engine: the older one no longer exists, and its
 /// attempts would reach the newer one.
 pub fn drop_superseded(entries: &mut Vec<EndpointEntry>) {
-    let mut newest_start = Vec::new();
+    let mut newest_start: FxHashMap<SocketAddr, f64> = FxHashMap::default();
     for entry in entries.iter() {
-        newest_start.push((entry.address, start_of(entry)));
+        if let Some(address) = entry.address {
+            let newest = newest_start.entry(address).or_insert(0.0);
+            *newest = newest.max(start_of(entry));
+        }
     }
     entries.retain(|entry| {
-        let own_start = start_of(entry);
-        let is_superseded = |&(address, start): &(Option<SocketAddr>, f64)| {
-            address == entry.address && start > own_start
-        };
-        entry.address.is_none() || !newest_start.iter().any(is_superseded)
+        let newest = entry.address.and_then(|address| newest_start.get(&address));
+        newest.is_none_or(|newest| start_of(entry) >= *newest)
     });
 }
 
--- a/crates/dispatcher/src/dns.rs
+++ b/crates/dispatcher/src/dns.rs
@@ -29,8 +29,8 @@
 const MAX_NAME: usize = 255;
 /// Compression pointers followed for one name at most: a bound of ours that keeps a ring from being followed forever.
 const MAX_POINTERS: usize = 32;
-/// Records of one message at most: a bound of ours, above what 1,024 engines need in a message of 16 KB.
-const MAX_RECORDS: usize = 2048;
+/// Records of one message at most: a bound of ours, above what a datagram holds of the smallest records.
+const MAX_RECORDS: usize = 8192;
 
 /// Why a message can't be used as an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
--- a/crates/dispatcher/src/engine/commands.rs
+++ b/crates/dispatcher/src/engine/commands.rs
@@ -133,21 +133,20 @@
             .min(self.settings.max_silence_ms())
     }
 
-    /// Finds the connection that carries the query's attempt.
+    /// Finds the connection that carries the query's attempt: it is one of the engine that the last attempt went to.
     pub(super) fn locate(&self, query_id: u64) -> Option<Located> {
-        let id = self
+        let (id, engine_id) = self
             .registry
-            .with_query(query_id, |query| query.id.clone())?;
+            .with_query(query_id, |query| (query.id.clone(), query.engine_id))?;
         let engines = self.engines.borrow();
-        for channel in engines.values().flat_map(|engine| &engine.channels) {
+        let engine = engines.get(&engine_id)?;
+        let carries = |channel: &&Rc<Channel>| {
             let connection = channel.connection.borrow();
             let attempt = connection.attempts.get(&id);
-            if attempt.is_some_and(|attempt| attempt.query_id == query_id) {
-                let channel = channel.clone();
-                return Some(Located { channel, id });
-            }
-        }
-        None
+            attempt.is_some_and(|attempt| attempt.query_id == query_id)
+        };
+        let channel = engine.channels.iter().find(carries)?.clone();
+        Some(Located { channel, id })
     }
 
     /// Cancels an attempt if it is still in flight.
--- a/crates/dispatcher/tests/hunt/large_list.rs
+++ b/crates/dispatcher/tests/hunt/large_list.rs
@@ -31,6 +31,8 @@
         (0..ENGINES).map(endpoint).collect(),
         Arc::new(Record::default()),
     );
+    // A change behind the list of the configuration.
+    names.set("s-1", Status::Gone);
     // The configuration knows another engine, which is not there.
     let config = two_group_config(&[nobody]).with("resolver", names.address.to_string());
     let program = start(&config);
