Logs and counters by reason, ids for connections, a ring of the last events, SIGUSR1

Change: EndReason for each rejection and failure of the decisions (ended_*), ClientClose and EngineClose for each closed connection (client_closed_*, engine_closed_*), each also a debug line with the connection's number; a ring of 2,048 events (32 bytes each) written for its query when an invariant breaks, and the last 256 at SIGUSR1. DecisionSink::note_end_reason does nothing by default, so simulator and adapter write what they wrote. Testbed: a program whose log names a violation fails its test.

--- a/crates/dispatcher/src/client/connection_table.rs
+++ b/crates/dispatcher/src/client/connection_table.rs
@@ -41,6 +41,11 @@
 }
 
 impl Entry {
+    /// Its number in the table: its id in the log, until it is closed.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
     /// Whether it is to end because another connection needs its entry.
     pub fn is_evicted(&self) -> bool {
         self.evicted.get()
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -12,6 +12,7 @@
 use super::request_error::RequestError;
 use super::route::Route;
 use super::ClientFrontend;
+use crate::close_reason::ClientClose;
 use crate::guard::{AnswerPermit, ClosePermit, ConnectionLedger, Violation};
 use crate::net::has_hung_up;
 use crate::query_registry::{Answer, AnswerSlot};
@@ -47,7 +48,7 @@
     /// Its client has gone: nothing is owed to it.
     Disconnected,
     /// From this side: half-closed, and what its client still sends is discarded.
-    HalfClose,
+    HalfClose(ClientClose),
 }
 
 /// What ended a wait for bytes.
@@ -107,17 +108,25 @@
 
     /// Serves the connection up to its end.
     pub async fn run(mut self) {
-        match self.serve().await {
-            Ok(Closing::HalfClose) => {
+        let number = self.entry.number();
+        let reason = match self.serve().await {
+            Ok(Closing::HalfClose(reason)) => {
                 let permit = self.ledger.borrow().may_close();
                 match permit {
                     Ok(permit) => self.linger(permit).await,
                     Err(violation) => self.report(violation),
                 }
+                reason
             }
-            Ok(Closing::Disconnected) => {}
-            Err(error) => tracing::info!(%error, "client connection failed"),
-        }
+            Ok(Closing::Disconnected) => ClientClose::ByClient,
+            Err(error) => {
+                tracing::info!(connection = number, %error, "client connection failed");
+                ClientClose::Failed
+            }
+        };
+        let counters = &self.frontend.registry.counters;
+        counters.count_client_close(reason);
+        tracing::debug!(connection = number, %reason, "client connection closed");
     }
 
     async fn serve(&mut self) -> io::Result<Closing> {
@@ -171,7 +180,8 @@
         let retry_after_ms = self.frontend.limits.retry_after_ms;
         let permit = self.ledger.borrow_mut().may_refuse();
         self.writer().error(permit, error, retry_after_ms).await?;
-        Ok(ControlFlow::Break(Closing::HalfClose))
+        let closing = Closing::HalfClose(ClientClose::Refused);
+        Ok(ControlFlow::Break(closing))
     }
 
     // ---- Reading a request ----
@@ -186,7 +196,10 @@
                 return self.refuse(RequestError::TRY_LATER).await;
             }
             Waited::Received => {}
-            Waited::TimedOut if is_empty => return Ok(ControlFlow::Break(Closing::HalfClose)),
+            Waited::TimedOut if is_empty => {
+                let closing = Closing::HalfClose(ClientClose::Idle);
+                return Ok(ControlFlow::Break(closing));
+            }
             Waited::TimedOut => return self.refuse(RequestError::INCOMPLETE).await,
             Waited::Disconnected => return Ok(ControlFlow::Break(Closing::Disconnected)),
             // While the program ends, a request that has begun goes on, and a first one has its time to come.
@@ -194,7 +207,8 @@
                 return Ok(ControlFlow::Continue(()));
             }
             Waited::CloseRequested if is_empty => {
-                return Ok(ControlFlow::Break(Closing::HalfClose));
+                let closing = Closing::HalfClose(ClientClose::Evicted);
+                return Ok(ControlFlow::Break(closing));
             }
             Waited::CloseRequested => return self.refuse(RequestError::TRY_LATER).await,
         }
@@ -311,7 +325,9 @@
             Handled::Refused(error) => return self.refuse(error).await,
         }
         if !keep_alive {
-            return Ok(ControlFlow::Break(Closing::HalfClose));
+            return Ok(ControlFlow::Break(Closing::HalfClose(
+                ClientClose::AfterAnswer,
+            )));
         }
         // A client that sends many requests at once has no more of the program's time than others.
         future::yield_now().await;
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -1,10 +1,11 @@
 //! Counters of what came in, went out and was answered, from the program's start. A counter's printed name is what
 //! operators' tools read: it stays, whatever its field is called.
 
+use crate::close_reason::{ClientClose, EngineClose};
 use crate::guard::{BeginRefusal, Rule, RULES};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use tansymux::events::Outcome;
+use tansymux::events::{EndReason, Outcome};
 
 /// A count of events.
 #[derive(Default)]
@@ -51,6 +52,12 @@
             attempts_by_outcome: [Counter; OUTCOMES.len()],
             /// Attempts that the guard did not let begin, in the order of `BeginRefusal::ALL`.
             begin_refusals: [Counter; BeginRefusal::ALL.len()],
+            /// Queries that ended without a result, in the order of `EndReason::ALL`.
+            end_reasons: [Counter; EndReason::ALL.len()],
+            /// Clients' connections that ended, in the order of `ClientClose::ALL`.
+            client_closes: [Counter; ClientClose::ALL.len()],
+            /// Connections to engines that ended, in the order of `EngineClose::ALL`.
+            engine_closes: [Counter; EngineClose::ALL.len()],
             /// Violations, in the order of `RULES`.
             violations: [Counter; RULES.len()],
         }
@@ -132,20 +139,27 @@
 
     /// Counts an attempt that was not let begin.
     pub fn count_begin_refusal(&self, refusal: BeginRefusal) {
-        for (known, counter) in BeginRefusal::ALL.iter().zip(&self.begin_refusals) {
-            if *known == refusal {
-                counter.increment();
-            }
-        }
+        count_in(&BeginRefusal::ALL, &self.begin_refusals, refusal);
+    }
+
+    /// Counts a query that ended without a result.
+    pub fn count_end_reason(&self, reason: EndReason) {
+        count_in(&EndReason::ALL, &self.end_reasons, reason);
+    }
+
+    /// Counts the end of a client's connection.
+    pub fn count_client_close(&self, close: ClientClose) {
+        count_in(&ClientClose::ALL, &self.client_closes, close);
+    }
+
+    /// Counts the end of a connection to an engine.
+    pub fn count_engine_close(&self, close: EngineClose) {
+        count_in(&EngineClose::ALL, &self.engine_closes, close);
     }
 
     /// Counts a violation.
     pub fn count_violation(&self, rule: Rule) {
-        for (known, counter) in RULES.iter().zip(&self.violations) {
-            if *known == rule {
-                counter.increment();
-            }
-        }
+        count_in(&RULES, &self.violations, rule);
     }
 
     /// All counters as text, a line each with name and count; then the attempts in flight, the queries without an
@@ -161,6 +175,19 @@
         for (refusal, counter) in BeginRefusal::ALL.iter().zip(&self.begin_refusals) {
             write_line(&mut text, &format!("not_begun_{refusal}"), counter.get());
         }
+        for (reason, counter) in EndReason::ALL.iter().zip(&self.end_reasons) {
+            write_line(
+                &mut text,
+                &format!("ended_{}", reason.name()),
+                counter.get(),
+            );
+        }
+        for (close, counter) in ClientClose::ALL.iter().zip(&self.client_closes) {
+            write_line(&mut text, &format!("client_closed_{close}"), counter.get());
+        }
+        for (close, counter) in EngineClose::ALL.iter().zip(&self.engine_closes) {
+            write_line(&mut text, &format!("engine_closed_{close}"), counter.get());
+        }
         for (rule, counter) in RULES.iter().zip(&self.violations) {
             let name = format!("violations_rule_{}", rule.number());
             write_line(&mut text, &name, counter.get());
@@ -193,6 +220,17 @@
     }
 }
 
+/// Counts one of the known values.
+fn count_in<T: PartialEq>(known: &[T], counters: &[Counter], value: T) {
+    let counter = known
+        .iter()
+        .zip(counters)
+        .find(|(known, _)| **known == value);
+    if let Some((_, counter)) = counter {
+        counter.increment();
+    }
+}
+
 fn write_line(text: &mut String, name: &str, count: u64) {
     // Writing to a string does not fail.
     let _ = writeln!(text, "{name} {count}");
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -51,6 +51,9 @@
 /// Longest time (ms) between two rounds during shutdown, whose phases end by the state of connections.
 const SHUTDOWN_POLL_MS: f64 = 20.0;
 
+/// Events that SIGUSR1 writes.
+const MAX_DUMPED_EVENTS: usize = 256;
+
 /// The program as one object.
 pub struct Dispatcher {
     phase: Phase,
@@ -83,6 +86,7 @@
     Events,
     Terminate,
     Reload,
+    DumpTrace,
 }
 
 impl Dispatcher {
@@ -91,6 +95,7 @@
         let signals = signals.map(|signal| match signal {
             Signal::Reload => Wake::Reload,
             Signal::Terminate => Wake::Terminate,
+            Signal::DumpTrace => Wake::DumpTrace,
         });
         let events = Notifications(self.registry.notify.clone()).map(|()| Wake::Events);
         let mut wakes = std::pin::pin!(futures_lite::stream::or(signals, events));
@@ -230,6 +235,19 @@
         self.phase = Phase::Draining { since_ms: now_ms };
     }
 
+    /// SIGUSR1: the last events go to the log, in one piece and so beside its limit on the rate.
+    fn dump_trace(&self) {
+        let lines = self.registry.trace.lines(None, MAX_DUMPED_EVENTS);
+        let mut text = String::new();
+        for line in &lines {
+            text += "trace: ";
+            text += line;
+            text.push('\n');
+        }
+        eprint!("{text}");
+        tracing::info!(events = lines.len(), "trace written");
+    }
+
     /// Waits for an event, a signal or the next round's time (ms), and acts on a signal.
     async fn wait(
         &mut self,
@@ -247,6 +265,7 @@
         match future::or(wakes.next(), timer).await {
             Some(Wake::Terminate) => self.begin_shutdown(),
             Some(Wake::Reload) => self.reload(),
+            Some(Wake::DumpTrace) => self.dump_trace(),
             Some(Wake::Events) | None => {}
         }
     }
--- a/crates/dispatcher/src/dispatcher/decision_sink.rs
+++ b/crates/dispatcher/src/dispatcher/decision_sink.rs
@@ -3,7 +3,7 @@
 use crate::peers::Peers;
 use crate::query_registry::{Answer, Grant, QueryRegistry};
 use crate::subsystems::service_levels::{AnswerKind, QueryAnswered, ServiceLevels};
-use tansymux::events::{AttemptLimits, DecisionSink};
+use tansymux::events::{AttemptLimits, DecisionSink, EndReason};
 
 /// The sink of one round.
 pub(super) struct DecisionQueue<'a> {
@@ -34,6 +34,10 @@
         self.registry.answer(query_id, Answer::Failed);
     }
 
+    fn note_end_reason(&mut self, query_id: u64, reason: EndReason) {
+        self.registry.on_end_reason(query_id, reason);
+    }
+
     fn cancel(&mut self, query_id: u64, attempt: usize) {
         self.registry.cancel(query_id, attempt);
     }
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -78,11 +78,13 @@
         check_against_settings(operator, &config.settings).map_err(StartError::OperatorConfig)?;
         let settings = Rc::new(Settings::read(&config.settings)?);
         let mut control = Control::new(config.seed, &config.settings)?;
+        let clock = Clock::start();
         let mut launcher = Launcher {
-            clock: Clock::start(),
+            clock,
             registry: Rc::new(QueryRegistry::new(
                 config.max_statement_bytes,
                 Guard::new(GuardRules::of(&settings)),
+                clock,
             )),
             executor,
             retry,
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -8,6 +8,7 @@
 use super::protocol_error::ProtocolError;
 use super::reports::AttemptReport;
 use super::resp::{self, Frame};
+use crate::close_reason::EngineClose;
 use crate::guard::{BeginPermit, BeginRefusal};
 use crate::net::{
     is_lack_of_buffers, is_local_fault, limit_unsent_bytes, poll_gathered, read_available,
@@ -42,6 +43,8 @@
 
 /// A connection and the wake-up of its writer.
 pub(super) struct Channel {
+    /// Its id in the log.
+    pub number: u64,
     pub engine_id: u64,
     pub process: EngineProcess,
     pub connection: RefCell<Connection>,
@@ -67,8 +70,9 @@
 
 impl Channel {
     /// A connection whose connect is about to begin.
-    pub fn new(engine_id: u64, process: EngineProcess, now_ms: f64) -> Self {
+    pub fn new(number: u64, engine_id: u64, process: EngineProcess, now_ms: f64) -> Self {
         Channel {
+            number,
             engine_id,
             process,
             connection: RefCell::new(Connection::new(now_ms)),
@@ -137,6 +141,18 @@
         matches!(self, ChannelError::Closed(CloseReason::Protocol(_)))
     }
 
+    fn close(&self) -> EngineClose {
+        match self {
+            ChannelError::Closed(CloseReason::Protocol(_)) => EngineClose::Protocol,
+            ChannelError::Closed(CloseReason::RequestPartlyWritten) => EngineClose::HalfWritten,
+            ChannelError::Closed(CloseReason::EngineUnreachable) => EngineClose::Unreachable,
+            ChannelError::Closed(CloseReason::ForgottenByEngine) => EngineClose::Forgotten,
+            ChannelError::ConnectTimeout => EngineClose::ConnectTimeout,
+            ChannelError::Local(_) => EngineClose::LocalFault,
+            ChannelError::Io(_) => EngineClose::Failed,
+        }
+    }
+
     /// Closed by this side: its attempts count as abandoned.
     fn is_local(&self) -> bool {
         match self {
@@ -259,6 +275,8 @@
         if connection.state == ConnectionState::Late {
             self.registry.counters.connects_after_timeout.increment();
         }
+        let engine_id = format_args!("{:08x}", channel.engine_id);
+        tracing::debug!(connection = channel.number, %engine_id, "engine connection up");
         connection.on_connected(self.clock.now());
         if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
             engine.late_connects = 0;
@@ -472,9 +490,7 @@
         let mut attempts: Vec<(Rc<str>, Attempt)> = connection.attempts.drain().collect();
         attempts.sort_by_key(|(_, attempt)| attempt.query_id);
         let health_checks = std::mem::take(&mut connection.health_checks).len();
-        if let Some(error) = error {
-            self.note_error(channel, error, attempts.len());
-        }
+        self.note_close(channel, &connection, error, attempts.len());
         let is_protocol_error = error.is_some_and(ChannelError::is_protocol_error);
         let is_local = error.is_some_and(ChannelError::is_local);
         let is_local_fault = matches!(error, Some(ChannelError::Local(_)));
@@ -531,13 +547,30 @@
         }
     }
 
-    fn note_error(&self, channel: &Channel, error: &ChannelError, lost_attempts: usize) {
+    fn note_close(
+        &self,
+        channel: &Channel,
+        connection: &Connection,
+        error: Option<&ChannelError>,
+        lost_attempts: usize,
+    ) {
+        let reason = match error {
+            Some(error) => error.close(),
+            None if connection.retired => EngineClose::Retired,
+            None => EngineClose::ByEngine,
+        };
+        let engine_id = format_args!("{:08x}", channel.engine_id);
+        let connection = channel.number;
+        self.registry.counters.count_engine_close(reason);
+        tracing::debug!(connection, %engine_id, %reason, lost_attempts, "engine connection closed");
+        let Some(error) = error else {
+            return;
+        };
         if error.is_protocol_error() {
             self.registry.counters.protocol_errors.increment();
         }
         if lost_attempts > 0 {
-            let engine_id = format_args!("{:08x}", channel.engine_id);
-            tracing::warn!(%engine_id, lost_attempts, %error, "engine connection lost");
+            tracing::warn!(connection, %engine_id, lost_attempts, %error, "engine connection lost");
         }
     }
 
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -310,6 +310,7 @@
 
     fn open_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
         let channel = Rc::new(Channel::new(
+            self.next_connection_number(),
             engine.engine_id,
             engine.process(),
             self.clock.now(),
@@ -323,6 +324,7 @@
     /// A connection that waits for a descriptor: [`EnginePool::release_descriptor`] grants it one, in turn.
     fn queue_channel(self: &Rc<Self>, engine: &mut Engine, address: SocketAddr) -> Rc<Channel> {
         let channel = Rc::new(Channel::new(
+            self.next_connection_number(),
             engine.engine_id,
             engine.process(),
             self.clock.now(),
@@ -333,6 +335,10 @@
         channel
     }
 
+    fn next_connection_number(&self) -> u64 {
+        self.registry.counters.engine_connections_opened.get() + 1
+    }
+
     fn run(self: &Rc<Self>, engine: &mut Engine, channel: &Rc<Channel>, address: SocketAddr) {
         engine.channels.push(channel.clone());
         self.registry.counters.engine_connections_opened.increment();
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -4,7 +4,8 @@
 use super::connection::{Abandoned, ConnectionState};
 use super::health::SilenceScope;
 use super::pool::EnginePool;
-use crate::query_registry::{Event, Pages};
+use crate::query_registry::{AttemptKey, Event, Pages};
+use crate::trace::TraceEvent;
 use tansymux::events::Outcome;
 
 /// Delay (ms) before the end of an abandoned attempt is reported. Its query may then be retried on another
@@ -55,7 +56,20 @@
 impl EnginePool {
     /// Reports the end of an attempt immediately.
     pub(super) fn report_ended(&self, report: AttemptReport) {
+        self.note_ended(&report);
+        self.registry.push_event(report.into());
+    }
+
+    /// Counts and logs the end of an attempt.
+    fn note_ended(&self, report: &AttemptReport) {
         self.registry.counters.count_outcome(report.outcome);
+        let key = AttemptKey {
+            query_id: report.query_id,
+            attempt: report.attempt,
+            engine_id: report.engine_id,
+        };
+        let event = TraceEvent::AttemptEnded(report.outcome);
+        self.registry.trace_attempt(&key, event);
         tracing::debug!(
             query_id = report.query_id,
             attempt = report.attempt,
@@ -64,12 +78,11 @@
             latency_ms = report.latency_ms,
             "attempt ended"
         );
-        self.registry.push_event(report.into());
     }
 
     /// Reports the end of an attempt that this side abandoned, after [`SETTLE_MS`].
     pub(super) fn report_abandoned(&self, report: AttemptReport) {
-        self.registry.counters.count_outcome(report.outcome);
+        self.note_ended(&report);
         let due_ms = self.clock.now() + SETTLE_MS;
         let event = report.into();
         let mut settling = self.settling.borrow_mut();
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -11,6 +11,7 @@
 mod cli;
 mod client;
 mod clock;
+mod close_reason;
 mod config;
 mod counters;
 mod discovery;
@@ -30,6 +31,7 @@
 mod signals;
 mod statement_shape;
 mod subsystems;
+mod trace;
 
 use async_executor::LocalExecutor;
 use clap::Parser;
--- a/crates/dispatcher/src/query_registry/guarding.rs
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -5,6 +5,11 @@
 use crate::guard::{
     AttemptFacts, BeginPermit, BeginRefusal, EndPermit, EndpointFacts, QueryFacts, Violation,
 };
+use crate::trace::TraceEvent;
+use tansymux::events::EndReason;
+
+/// Events that are written when an invariant breaks.
+const MAX_TRACE_LINES: usize = 64;
 
 /// Which attempt of which query, and where.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,11 +54,13 @@
     /// The first byte of an attempt's request went out.
     pub fn on_attempt_begun(&self, key: &AttemptKey, now_ms: f64) {
         self.guard.on_attempt_begun(key.attempt, now_ms);
+        self.trace_attempt(key, TraceEvent::Begun);
     }
 
     /// An attempt was not let out: counted by reason, and a violation where it should never have come so far.
     pub fn on_begin_refused(&self, key: &AttemptKey, refusal: BeginRefusal) {
         self.counters.count_begin_refusal(refusal);
+        self.trace_attempt(key, TraceEvent::NotBegun(refusal));
         tracing::info!(
             query_id = key.query_id,
             attempt = key.attempt,
@@ -70,6 +77,26 @@
         }
     }
 
+    /// An event of an attempt.
+    pub fn trace_attempt(&self, key: &AttemptKey, event: TraceEvent) {
+        self.trace
+            .record_attempt(key.query_id, key.attempt, key.engine_id, event);
+    }
+
+    /// The decisions end a query without a result, for this reason.
+    pub fn on_end_reason(&self, query_id: u64, reason: EndReason) {
+        if self.is_over(query_id) {
+            return;
+        }
+        self.counters.count_end_reason(reason);
+        self.trace.record(query_id, TraceEvent::Ends(reason));
+        tracing::debug!(
+            query_id,
+            reason = reason.name(),
+            "query ended without a result"
+        );
+    }
+
     /// Whether the process may end.
     ///
     /// # Errors
@@ -89,6 +116,9 @@
             reason = violation.what,
             "invariant violated"
         );
+        for line in self.trace.lines(query_id, MAX_TRACE_LINES) {
+            eprintln!("trace: {line}");
+        }
         debug_assert!(false, "{violation}, query {query_id:?}");
     }
 }
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -14,9 +14,11 @@
 pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{Answer, AnswerSlot, Grant, Pages, Query, QueryRequest, RequestKeys};
 
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::guard::Guard;
 use crate::notify::Notify;
+use crate::trace::{EventTrace, TraceEvent};
 use completed_ids::CompletedIds;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -61,11 +63,13 @@
     events: RefCell<VecDeque<Event>>,
     commands: RefCell<VecDeque<EngineCommand>>,
     guard: Guard,
+    /// The last events of queries.
+    pub trace: EventTrace,
 }
 
 impl QueryRegistry {
     /// An empty registry that holds statements of `max_statement_bytes` at most, in sum.
-    pub fn new(max_statement_bytes: usize, guard: Guard) -> Self {
+    pub fn new(max_statement_bytes: usize, guard: Guard, clock: Clock) -> Self {
         QueryRegistry {
             notify: Rc::default(),
             counters: Counters::default(),
@@ -79,6 +83,7 @@
             events: RefCell::default(),
             commands: RefCell::default(),
             guard,
+            trace: EventTrace::new(clock),
         }
     }
 
@@ -110,6 +115,7 @@
         self.query_by_client_id.borrow_mut().insert(id, query_id);
         self.counters.admitted.increment();
         self.guard.on_query_admitted(request.received_ms);
+        self.trace.record(query_id, TraceEvent::Admitted);
         self.push_event(Event::QueryArrived(ArrivedQuery {
             query_id,
             tenant: request.tenant.into(),
@@ -126,6 +132,8 @@
     pub fn client_left(&self, query_id: u64) {
         if self.complete(query_id).is_some() {
             self.counters.client_disconnects.increment();
+            self.trace.record(query_id, TraceEvent::ClientLeft);
+            tracing::debug!(query_id, "client left");
             self.push_event(Event::ClientLeft { query_id });
         }
     }
@@ -173,12 +181,13 @@
         let Some(slot) = self.complete(query_id) else {
             return false;
         };
-        let (counter, outcome) = match answer {
-            Answer::Completed(_) => (&self.counters.completed, "completed"),
-            Answer::Rejected { .. } => (&self.counters.rejected, "rejected"),
-            Answer::Failed => (&self.counters.failed, "failed"),
+        let (counter, outcome, status) = match answer {
+            Answer::Completed(_) => (&self.counters.completed, "completed", 200),
+            Answer::Rejected { .. } => (&self.counters.rejected, "rejected", 429),
+            Answer::Failed => (&self.counters.failed, "failed", 500),
         };
         counter.increment();
+        self.trace.record(query_id, TraceEvent::Answered(status));
         tracing::debug!(query_id, outcome, "query answered");
         slot.fill(answer);
         self.forget_if_over(query_id);
@@ -229,6 +238,14 @@
         query.waited = false;
         query.engine_id = engine_id;
         self.counters.attempts.increment();
+        self.trace
+            .record_attempt(query_id, attempt, engine_id, TraceEvent::Submitted);
+        tracing::debug!(
+            query_id,
+            attempt,
+            engine_id = %format_args!("{engine_id:08x}"),
+            "attempt submitted"
+        );
         self.push_command(EngineCommand::Submit {
             query_id,
             attempt,
@@ -300,7 +317,7 @@
 #[cfg(test)]
 impl Default for QueryRegistry {
     fn default() -> Self {
-        QueryRegistry::new(1 << 20, Guard::default())
+        QueryRegistry::new(1 << 20, Guard::default(), Clock::start())
     }
 }
 
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -77,7 +77,11 @@
 
 #[test]
 fn statements_beyond_the_byte_limit_are_rejected_until_others_complete() {
-    let registry = QueryRegistry::new(REQUEST.statement.len() + 1, Guard::default());
+    let registry = QueryRegistry::new(
+        REQUEST.statement.len() + 1,
+        Guard::default(),
+        Clock::start(),
+    );
     let (query_id, _slot) = registry.admit(&REQUEST).unwrap();
     let second = QueryRequest {
         id: "9b1f03aa5c7e2d42",
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -6,7 +6,7 @@
 use crate::net::read_available;
 use async_io::Async;
 use futures_lite::{stream, Stream, StreamExt};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::low_level::pipe;
 use std::ffi::c_int;
 use std::io::{self, PipeReader, Read};
@@ -21,6 +21,8 @@
     Terminate,
     /// SIGHUP: read the configuration again.
     Reload,
+    /// SIGUSR1: write the last events to the log.
+    DumpTrace,
 }
 
 /// Installs the handlers. The stream has an item for each signal, or one for several that came at once.
@@ -32,7 +34,9 @@
         stream_of(SIGTERM, Signal::Terminate)?,
         stream_of(SIGINT, Signal::Terminate)?,
     );
-    Ok(stream::or(terminate, stream_of(SIGHUP, Signal::Reload)?))
+    let reload = stream_of(SIGHUP, Signal::Reload)?;
+    let dump = stream_of(SIGUSR1, Signal::DumpTrace)?;
+    Ok(stream::or(terminate, stream::or(reload, dump)))
 }
 
 fn stream_of(number: c_int, signal: Signal) -> io::Result<impl Stream<Item = Signal> + Unpin> {
--- /dev/null
+++ b/crates/dispatcher/src/trace.rs
@@ -0,0 +1,117 @@
+//! The last events of queries, in a ring: what happened to each, for the log when an invariant breaks or SIGUSR1 asks.
+
+use crate::clock::Clock;
+use crate::guard::BeginRefusal;
+use std::cell::RefCell;
+use std::fmt;
+use tansymux::events::{EndReason, Outcome};
+
+/// Events that are kept. One takes 32 bytes.
+const MAX_EVENTS: usize = 2048;
+
+/// What happened to a query.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum TraceEvent {
+    /// Its request was read whole and admitted.
+    Admitted,
+    /// An attempt was handed to the engine side.
+    Submitted,
+    /// The first byte of an attempt went out.
+    Begun,
+    /// The guard did not let an attempt begin.
+    NotBegun(BeginRefusal),
+    /// An attempt ended.
+    AttemptEnded(Outcome),
+    /// The decisions end it without a result.
+    Ends(EndReason),
+    /// Its answer was given, by this status.
+    Answered(u16),
+    /// Its client left before that.
+    ClientLeft,
+}
+
+/// An event with its query, and its attempt and engine where it has them.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    at_ms: f64,
+    query_id: u64,
+    engine_id: u32,
+    attempt: u8,
+    event: TraceEvent,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let Entry {
+            at_ms,
+            query_id,
+            engine_id,
+            attempt,
+            event,
+        } = self;
+        write!(
+            formatter,
+            "at_ms={at_ms:.1} query_id={query_id} attempt={attempt} engine_id={engine_id:08x} event={event:?}"
+        )
+    }
+}
+
+/// The ring.
+pub struct EventTrace {
+    clock: Clock,
+    entries: RefCell<Ring>,
+}
+
+#[derive(Default)]
+struct Ring {
+    entries: Vec<Entry>,
+    /// Where the next one goes, once it is full.
+    next: usize,
+}
+
+impl EventTrace {
+    /// An empty ring.
+    pub fn new(clock: Clock) -> Self {
+        EventTrace {
+            clock,
+            entries: RefCell::default(),
+        }
+    }
+
+    /// Something happened to a query.
+    pub fn record(&self, query_id: u64, event: TraceEvent) {
+        self.record_attempt(query_id, 0, 0, event);
+    }
+
+    /// Something happened to an attempt of a query.
+    pub fn record_attempt(&self, query_id: u64, attempt: usize, engine_id: u64, event: TraceEvent) {
+        let entry = Entry {
+            at_ms: self.clock.now(),
+            query_id,
+            engine_id: engine_id as u32,
+            attempt: attempt.min(usize::from(u8::MAX)) as u8,
+            event,
+        };
+        let mut ring = self.entries.borrow_mut();
+        if ring.entries.len() < MAX_EVENTS {
+            ring.entries.push(entry);
+        } else {
+            let next = ring.next;
+            ring.entries[next] = entry;
+            ring.next = (next + 1) % MAX_EVENTS;
+        }
+    }
+
+    /// The last `count` events, of this query or of all, a line each, the earliest first.
+    pub fn lines(&self, query_id: Option<u64>, count: usize) -> Vec<String> {
+        let ring = self.entries.borrow();
+        let (later, earlier) = ring.entries.split_at(ring.next);
+        let entries = earlier.iter().chain(later);
+        let wanted = entries.filter(|entry| query_id.is_none_or(|id| id == entry.query_id));
+        let lines: Vec<String> = wanted.map(Entry::to_string).collect();
+        lines[lines.len().saturating_sub(count)..].to_vec()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatcher/tests/hunt/main.rs
+++ b/crates/dispatcher/tests/hunt/main.rs
@@ -10,6 +10,7 @@
 mod interrupted_calls;
 mod large_list;
 mod local_faults;
+mod logging;
 mod start;
 mod support;
 mod told_deadline;
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -271,7 +271,7 @@
     /// Waits for the end; what was written to standard error.
     ///
     /// # Panics
-    /// It does not end within [`TIMEOUT`], or ends with an error.
+    /// It does not end within [`TIMEOUT`], ends with an error, or its guard has seen a violation.
     pub fn end(&mut self) -> String {
         let from = Instant::now();
         let status = loop {
@@ -290,6 +290,7 @@
         if let Some(mut stderr) = self.child.stderr.take() {
             let _ = stderr.read_to_string(&mut text);
         }
+        assert!(!text.contains("invariant violated"), "{text}");
         text
     }
 }
--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: the lane, cost and quota of a query that comes in, and whether it can complete in time at all.
 
 use crate::control::pressure::LEARNING;
-use crate::events::{DecisionSink, QueryArrived, UnknownResourceGroup};
+use crate::events::{DecisionSink, EndReason, QueryArrived, UnknownResourceGroup};
 use crate::model::{Control, GroupIndex, Lane, Query, QueryCost, QueryIndex};
 
 const DEMOTION_FACTOR: f64 = 4.0; // Times its group's mean; a costlier query goes to the low lane.
@@ -29,7 +29,7 @@
         if self.is_first_of_key(query) && !is_hopeless {
             self.place(query, out);
         } else if is_hopeless || self.expected_end_ms(query) > event.deadline_ms {
-            self.finish(query, out);
+            self.finish(query, EndReason::NotInTime, out);
         }
         Ok(())
     }
--- a/src/control/completion.rs
+++ b/src/control/completion.rs
@@ -3,7 +3,7 @@
 
 use crate::control::outlier::STALL_STEP;
 use crate::control::pressure::{CROWD_PER_CORE, LEARNING, MEMORY};
-use crate::events::{AttemptEnded, DecisionSink, Outcome, ProgressNote};
+use crate::events::{AttemptEnded, DecisionSink, EndReason, Outcome, ProgressNote};
 use crate::model::{ClosedAttempt, Control, Lane, QueryIndex};
 
 const RETRY_AFTER_MS: f64 = 1000.0; // A rejected client may come back then; cut to what clients follow.
@@ -39,7 +39,7 @@
         } else if event.outcome != Outcome::NotSent && self.has_time_for_run(closed.query) {
             self.place(closed.query, out);
         } else {
-            self.finish(closed.query, out);
+            self.finish(closed.query, EndReason::NotInTime, out);
         }
     }
 
@@ -85,11 +85,17 @@
     }
 
     /// Ends the query at once: rejected where a retry is harmless, failed where it may not be.
-    pub(super) fn finish(&mut self, index: QueryIndex, out: &mut dyn DecisionSink) {
+    pub(super) fn finish(
+        &mut self,
+        index: QueryIndex,
+        reason: EndReason,
+        out: &mut dyn DecisionSink,
+    ) {
         let query = &self.queries[index];
         if query.is_over {
             return;
         }
+        out.note_end_reason(query.id, reason);
         let is_safe = query.is_read_only() || query.in_flight().is_none();
         if is_safe && self.may_repeat(index, None) {
             let max_ms = self.settings.max_retry_after_ms;
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -1,6 +1,6 @@
 //! Dispatch: every attempt passes here, and here the rules are kept.
 
-use crate::events::{AttemptLimits, DecisionSink};
+use crate::events::{AttemptLimits, DecisionSink, EndReason};
 use crate::model::{Control, EngineIndex, Lane, QueryIndex};
 
 const GENEROUS_GRANT: f64 = 2.0; // Times the memory needed, where what is not needed stays free.
@@ -44,7 +44,7 @@
         out: &mut dyn DecisionSink,
     ) {
         if !self.may_submit(index, engine) {
-            return self.finish(index, out);
+            return self.finish(index, EndReason::NotAllowed, out);
         }
         let start_by_ms = self.start_by_ms(index);
         let reservation = self.reserve_zone_capacity(index, engine);
--- a/src/control/periodic.rs
+++ b/src/control/periodic.rs
@@ -2,7 +2,7 @@
 
 use crate::control::outlier::STALL_STEP;
 use crate::control::pressure::MEMORY;
-use crate::events::DecisionSink;
+use crate::events::{DecisionSink, EndReason};
 use crate::model::{Attempt, Control, QueryIndex};
 
 pub(super) const CHECK_INTERVAL_MS: f64 = 20.0; // Between two rounds of checks.
@@ -50,7 +50,7 @@
         } else if self.is_first_of_key(index) {
             self.place(index, out);
         } else if self.expected_run_time_ms(index) + CHECK_INTERVAL_MS > self.time_left_ms(index) {
-            self.finish(index, out); // Its key's order held it back for too long.
+            self.finish(index, EndReason::TurnTooLate, out); // Its key's order held it back for too long.
         }
     }
 
@@ -79,7 +79,7 @@
             self.begin_migration(query);
             self.cancel_in_flight(query, out);
         } else if is_hopeless {
-            self.finish(query, out);
+            self.finish(query, EndReason::Hopeless, out);
         }
     }
 
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -1,6 +1,6 @@
 //! Placement: which of the engines that a query may use gets it, and whether the low lane has headroom there.
 
-use crate::events::DecisionSink;
+use crate::events::{DecisionSink, EndReason};
 use crate::model::{Control, EngineIndex, Lane, QueryIndex};
 
 /// Which engines are candidates, in the order in which these are tried.
@@ -19,7 +19,7 @@
     pub(super) fn place(&mut self, query: QueryIndex, out: &mut dyn DecisionSink) {
         match self.choose_engine(query) {
             Some(engine) => self.submit(query, engine, out),
-            None => self.finish(query, out),
+            None => self.finish(query, EndReason::NoEngine, out),
         }
     }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -11,6 +11,8 @@
     fn reject(&mut self, query_id: u64, retry_after_ms: f64);
     /// Ends a query with a final error.
     fn fail(&mut self, query_id: u64);
+    /// Why the query is about to be rejected or failed: for logs and metrics.
+    fn note_end_reason(&mut self, _query_id: u64, _reason: EndReason) {}
     /// Cancels one attempt of a query.
     fn cancel(&mut self, query_id: u64, attempt: usize);
     /// Sets priority and memory grant (MB; 0 leaves it to the engine) of the query's next attempts.
@@ -25,6 +27,43 @@
     fn watch_endpoints(&mut self);
 }
 
+/// Why the decisions end a query without a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndReason {
+    /// No engine may or should take it now: the pool is at its limits, or all are ejected, draining or warming up.
+    NoEngine,
+    /// The engine that was chosen may not take it any more.
+    NotAllowed,
+    /// A run would not complete before its client leaves.
+    NotInTime,
+    /// Its key's order held it back for too long.
+    TurnTooLate,
+    /// What is left of its run takes longer than its client gives.
+    Hopeless,
+}
+
+impl EndReason {
+    /// All reasons.
+    pub const ALL: [EndReason; 5] = [
+        EndReason::NoEngine,
+        EndReason::NotAllowed,
+        EndReason::NotInTime,
+        EndReason::TurnTooLate,
+        EndReason::Hopeless,
+    ];
+
+    /// Its name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::NoEngine => "no_engine",
+            EndReason::NotAllowed => "not_allowed",
+            EndReason::NotInTime => "not_in_time",
+            EndReason::TurnTooLate => "turn_too_late",
+            EndReason::Hopeless => "hopeless",
+        }
+    }
+}
+
 /// The time limits of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AttemptLimits {
