--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -1,18 +1,30 @@
 //! Signals as a stream.
 //!
-//! The handler of each signal writes into a pipe of its own, which is read like any other input. It is a pipe because
-//! the platform knows no sockets but TCP and UDP; and a signal that comes before anyone reads is kept in it.
+//! The handler of each signal raises a flag and writes into a pipe, which is read like any other input. It is a pipe because
+//! the platform knows no sockets but TCP and UDP; and a signal that comes before anyone reads is kept in it. One pipe serves
+//! all signals: the driver looks at it at each wake-up.
 
 use crate::net::read_available;
 use async_io::Async;
 use futures_lite::{stream, Stream, StreamExt};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::flag;
 use signal_hook::low_level::pipe;
+use std::collections::VecDeque;
 use std::ffi::c_int;
 use std::io::{self, PipeReader, Read};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
-/// Bytes read from a pipe at once; each is one signal, and all of them make one item.
+/// Bytes read from the pipe at once; each is one signal.
 const READ_BYTES: usize = 64;
+/// What each signal asks for, the most urgent first.
+const SIGNALS: [(c_int, Signal); 4] = [
+    (SIGTERM, Signal::Terminate),
+    (SIGINT, Signal::Terminate),
+    (SIGHUP, Signal::Reload),
+    (SIGUSR1, Signal::DumpTrace),
+];
 
 /// What a signal asks for.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,27 +37,56 @@
     DumpTrace,
 }
 
-/// Installs the handlers. The stream has an item for each signal, or one for several that came at once.
+/// A signal's flag: raised by its handler, lowered when it is taken.
+struct Raised {
+    flag: Arc<AtomicBool>,
+    signal: Signal,
+}
+
+/// The pipe, and what was raised and not yet given out.
+struct Receiver {
+    pipe: Async<PipeReader>,
+    raised: Vec<Raised>,
+    pending: VecDeque<Signal>,
+}
+
+/// Installs the handlers. The stream has an item for each signal, or one for several of a kind that came at once.
 ///
 /// # Errors
 /// A pipe could not be made, or a handler not installed.
 pub fn subscribe() -> io::Result<impl Stream<Item = Signal>> {
-    let terminate = stream::or(
-        stream_of(SIGTERM, Signal::Terminate)?,
-        stream_of(SIGINT, Signal::Terminate)?,
-    );
-    let reload = stream_of(SIGHUP, Signal::Reload)?;
-    let dump = stream_of(SIGUSR1, Signal::DumpTrace)?;
-    Ok(stream::or(terminate, stream::or(reload, dump)))
-}
-
-fn stream_of(number: c_int, signal: Signal) -> io::Result<impl Stream<Item = Signal> + Unpin> {
     let (reader, writer) = io::pipe()?;
-    pipe::register(number, writer)?;
-    let next = move |reader: Async<PipeReader>| async move {
-        let read = read_available(&reader, |mut pipe| pipe.read(&mut [0; READ_BYTES]));
-        let count = read.await.ok()?;
-        (count > 0).then_some((signal, reader))
+    let mut raised = Vec::new();
+    for (number, signal) in SIGNALS {
+        let flag = Arc::new(AtomicBool::new(false));
+        // In this order: the flag is up when the pipe is read.
+        flag::register(number, flag.clone())?;
+        pipe::register(number, writer.try_clone()?)?;
+        raised.push(Raised { flag, signal });
+    }
+    let receiver = Receiver {
+        pipe: Async::new(reader)?,
+        raised,
+        pending: VecDeque::new(),
     };
-    Ok(stream::unfold(Async::new(reader)?, next).boxed())
+    Ok(stream::unfold(receiver, Receiver::next).boxed())
+}
+
+impl Receiver {
+    async fn next(mut self) -> Option<(Signal, Self)> {
+        loop {
+            if let Some(signal) = self.pending.pop_front() {
+                return Some((signal, self));
+            }
+            let read = read_available(&self.pipe, |mut pipe| pipe.read(&mut [0; READ_BYTES]));
+            if read.await.ok()? == 0 {
+                return None;
+            }
+            for raised in &self.raised {
+                if raised.flag.swap(false, Ordering::SeqCst) {
+                    self.pending.push_back(raised.signal);
+                }
+            }
+        }
+    }
 }
