--- a/crates/dispatcher/src/client/reader.rs
+++ b/crates/dispatcher/src/client/reader.rs
@@ -84,7 +84,7 @@
     pub async fn read(&mut self, stream: &Async<TcpStream>, clock: Clock) -> io::Result<usize> {
         let count = read_available(stream, |stream| self.take_available(stream)).await?;
         if count > 0 {
-            self.mark_arrival(clock.now());
+            self.record_arrival(clock.now());
         }
         Ok(count)
     }
@@ -100,7 +100,7 @@
 
     /// All that waits has come by now. Where there are too many marks the last one is stretched: bytes then count as come
     /// earlier, never later.
-    fn mark_arrival(&mut self, at_ms: f64) {
+    fn record_arrival(&mut self, at_ms: f64) {
         let end = self.consumed + self.len() as u64;
         let is_full = self.arrivals.len() >= MAX_ARRIVALS;
         match self.arrivals.back_mut().filter(|_| is_full) {
--- a/crates/dispatcher/src/client/reader/tests.rs
+++ b/crates/dispatcher/src/client/reader/tests.rs
@@ -11,7 +11,7 @@
 /// Bytes that came at this time.
 fn receive(buffer: &mut ReadBuffer, bytes: &[u8], at_ms: f64) {
     buffer.bytes.extend_from_slice(bytes);
-    buffer.mark_arrival(at_ms);
+    buffer.record_arrival(at_ms);
 }
 
 #[test]
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -221,7 +221,7 @@
 }
 
 /// Counts one of the known values.
-fn count_in<T: PartialEq>(known: &[T], counters: &[Counter], value: T) {
+fn count_in<T: PartialEq + Copy>(known: &[T], counters: &[Counter], value: T) {
     let counter = known
         .iter()
         .zip(counters)
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -79,13 +79,11 @@
         let settings = Rc::new(Settings::read(&config.settings)?);
         let mut control = Control::new(config.seed, &config.settings)?;
         let clock = Clock::start();
+        let guard = Guard::new(GuardRules::of(&settings));
+        let registry = QueryRegistry::new(config.max_statement_bytes, guard, clock);
         let mut launcher = Launcher {
             clock,
-            registry: Rc::new(QueryRegistry::new(
-                config.max_statement_bytes,
-                Guard::new(GuardRules::of(&settings)),
-                clock,
-            )),
+            registry: Rc::new(registry),
             executor,
             retry,
             tasks: Vec::new(),
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -2,6 +2,7 @@
 //!
 //! [`Connection`] holds the state and does no I/O; this module owns the socket.
 
+use super::connect::LocalFault;
 use super::connection::{Attempt, CloseReason, Connection, ConnectionState, FrameEvent};
 use super::keep_alive::{ReuseOutcome, MIN_IDLE_MS};
 use super::pool::EnginePool;
@@ -9,31 +10,22 @@
 use super::reports::AttemptReport;
 use super::resp::{self, Frame};
 use crate::close_reason::EngineClose;
-use crate::guard::{BeginPermit, BeginRefusal};
 use crate::net::{
-    is_lack_of_buffers, is_local_fault, limit_unsent_bytes, poll_gathered, read_available,
-    MAX_SLICES, RESOURCE_RETRY_DELAY,
+    is_lack_of_buffers, limit_unsent_bytes, poll_gathered, read_available, MAX_SLICES,
+    RESOURCE_RETRY_DELAY,
 };
 use crate::notify::Notify;
-use crate::query_registry::{AttemptKey, Event, Pages};
+use crate::query_registry::{Event, Pages};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::io::{self, IoSlice, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use tansymux::events::Outcome;
 use thiserror::Error;
 
-/// A connect that timed out goes on for this multiple of the timeout; if it succeeds, new attempts may use the
-/// connection.
-const LATE_CONNECT_TIMEOUTS: u32 = 7;
-/// Longest pause between two connects that fail on this machine.
-const MAX_LOCAL_RETRY_DELAY: Duration = Duration::from_millis(40);
-
 /// The process that a connection leads to, as the list had it when the connection was opened.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct EngineProcess {
@@ -54,18 +46,7 @@
     has_descriptor: Cell<bool>,
     descriptor_granted: Notify,
     /// Why it can't connect at the moment, where the reason is on this machine.
-    local_fault: Cell<Option<LocalFault>>,
-}
-
-/// Why a connection does not even reach its engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-enum LocalFault {
-    #[error("no descriptor is free within the limits")]
-    DescriptorLimit,
-    #[error("no socket, port or memory on this machine")]
-    ResourceShort,
-    #[error("no route to the network of the engine")]
-    NetworkUnreachable,
+    pub local_fault: Cell<Option<LocalFault>>,
 }
 
 impl Channel {
@@ -95,7 +76,7 @@
         self.has_descriptor.get()
     }
 
-    async fn wait_for_descriptor(&self) {
+    pub async fn wait_for_descriptor(&self) {
         while !self.has_descriptor() {
             self.descriptor_granted.notified().await;
         }
@@ -108,18 +89,9 @@
     }
 }
 
-impl LocalFault {
-    fn of(error: &io::Error) -> Self {
-        match error.raw_os_error() {
-            Some(libc::ENETUNREACH | libc::ENETDOWN) => LocalFault::NetworkUnreachable,
-            _ => LocalFault::ResourceShort,
-        }
-    }
-}
-
 /// Why a connection ended, other than retired or closed by the engine.
 #[derive(Debug, Error)]
-enum ChannelError {
+pub(super) enum ChannelError {
     #[error(transparent)]
     Closed(#[from] CloseReason),
     #[error("connect timeout")]
@@ -194,16 +166,6 @@
     }
 }
 
-/// The output of `work`, or `None` where it takes longer than `limit`.
-async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
-    let output = async { Some(work.await) };
-    let timeout = async {
-        Timer::after(limit).await;
-        None
-    };
-    future::or(output, timeout).await
-}
-
 impl EnginePool {
     /// Runs a connection from its connect to its end.
     pub(super) async fn run_channel(self: Rc<Self>, channel: Rc<Channel>, address: SocketAddr) {
@@ -224,67 +186,6 @@
         future::or(self.read(channel, &stream), self.write(channel, &stream)).await
     }
 
-    async fn connect(
-        self: &Rc<Self>,
-        channel: &Rc<Channel>,
-        address: SocketAddr,
-    ) -> Result<Async<TcpStream>, ChannelError> {
-        let timeout = self.settings.connect_timeout();
-        let mut connecting = std::pin::pin!(self.open_stream(channel, address));
-        if let Some(connected) = within(timeout, connecting.as_mut()).await {
-            return Ok(connected?);
-        }
-        match channel.local_fault.get() {
-            // Routes differ by engine: an engine that stays without one counts as out of reach.
-            None | Some(LocalFault::NetworkUnreachable) => {}
-            Some(fault) => return Err(ChannelError::Local(fault)),
-        }
-        self.on_connect_timeout(channel);
-        match within(LATE_CONNECT_TIMEOUTS * timeout, connecting).await {
-            Some(connected) => Ok(connected?),
-            None => Err(ChannelError::ConnectTimeout),
-        }
-    }
-
-    /// Connects. Faults of this machine are waited out: they say nothing of the engine.
-    async fn open_stream(
-        &self,
-        channel: &Channel,
-        address: SocketAddr,
-    ) -> io::Result<Async<TcpStream>> {
-        channel.wait_for_descriptor().await;
-        let mut pause = RESOURCE_RETRY_DELAY;
-        loop {
-            match Async::<TcpStream>::connect(address).await {
-                Err(error) if is_local_fault(&error) => {
-                    let engine_id = format_args!("{:08x}", channel.engine_id);
-                    tracing::warn!(%engine_id, %error, "connect failed on this machine");
-                    self.registry.counters.local_connect_faults.increment();
-                    channel.local_fault.set(Some(LocalFault::of(&error)));
-                    Timer::after(pause).await;
-                    pause = (2 * pause).min(MAX_LOCAL_RETRY_DELAY);
-                    channel.local_fault.set(None);
-                }
-                connected => return connected,
-            }
-        }
-    }
-
-    fn on_connected(&self, channel: &Channel) {
-        let mut connection = channel.connection.borrow_mut();
-        if connection.state == ConnectionState::Late {
-            self.registry.counters.connects_after_timeout.increment();
-        }
-        let engine_id = format_args!("{:08x}", channel.engine_id);
-        tracing::debug!(connection = channel.number, %engine_id, "engine connection up");
-        connection.on_connected(self.clock.now());
-        if let Some(engine) = self.engines.borrow_mut().get_mut(&channel.engine_id) {
-            engine.late_connects = 0;
-        }
-        drop(connection);
-        self.on_reachable(channel.engine_id);
-    }
-
     // ---- Writing ----
 
     /// Writes the outbox until the connection is retired and nothing is in flight.
@@ -347,48 +248,6 @@
         written.map_ok(WriteStep::Wrote).map_err(ChannelError::Io)
     }
 
-    /// Asks the guard whether the next request may begin to go out, and takes back those that may not. One at a time goes
-    /// into a write: the next one waits for its own permit, and for the socket to be rid of the bytes before it.
-    fn begin_next(&self, channel: &Channel) -> Option<AttemptKey> {
-        loop {
-            let now_ms = self.clock.now();
-            let mut connection = channel.connection.borrow_mut();
-            let (id, attempt) = connection.next_to_begin()?;
-            let key = AttemptKey {
-                query_id: attempt.query_id,
-                attempt: attempt.number,
-                engine_id: channel.engine_id,
-            };
-            let limits = (attempt.deadline_ms, attempt.start_by_ms);
-            let permit = self.ask_guard(channel, &key, limits, now_ms);
-            match permit {
-                Ok(permit) => {
-                    connection.begin(&id, &permit);
-                    return Some(key);
-                }
-                Err(refusal) => {
-                    drop(connection);
-                    self.registry.on_begin_refused(&key, refusal);
-                    self.abandon(channel, &id, Outcome::Withdrawn);
-                }
-            }
-        }
-    }
-
-    fn ask_guard(
-        &self,
-        channel: &Channel,
-        key: &AttemptKey,
-        (deadline_ms, start_by_ms): (f64, f64),
-        now_ms: f64,
-    ) -> Result<BeginPermit, BeginRefusal> {
-        let engines = self.engines.borrow();
-        let engine = engines.get(&channel.engine_id);
-        let endpoint = engine.map(|engine| engine.facts(channel));
-        self.registry
-            .may_begin(key, deadline_ms, start_by_ms, endpoint, now_ms)
-    }
-
     // ---- Reading ----
 
     async fn read(&self, channel: &Channel, stream: &Async<TcpStream>) -> Result<(), ChannelError> {
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -95,31 +95,12 @@
                 query.key.clone_from(key);
             }
             EventKind::Answered { id, status, .. } => self.on_answer(id, *status, at_ms),
-            EventKind::Left { id } => {
-                if let Some(query) = self.queries.get_mut(id) {
-                    query.abandoned = true;
-                    query.left_ms = query.left_ms.or(Some(at_ms));
-                }
-            }
-            EventKind::Excused { id } => {
-                if let Some(query) = self.queries.get_mut(id) {
-                    query.abandoned = true;
-                }
-            }
-            EventKind::Lost { id, how } => {
-                if let Some(query) = self.queries.get_mut(id) {
-                    query.abandoned = true;
-                }
-                self.add_violation(1, at_ms, format!("{id} was lost: {how}"));
-            }
-            EventKind::Told {
-                engine,
-                id,
-                limit_ms,
-            } => self.check_told_limit(engine, id, *limit_ms, at_ms),
-            EventKind::DispatcherFailed { dispatcher, how } => {
-                self.add_violation(1, at_ms, format!("dispatcher {dispatcher} {how}"));
-            }
+            EventKind::Left { .. }
+            | EventKind::Excused { .. }
+            | EventKind::Lost { .. }
+            | EventKind::Told { .. }
+            | EventKind::DispatcherFailed { .. }
+            | EventKind::Stalled { .. } => self.observe_service(entry),
             EventKind::Arrived {
                 engine,
                 id,
@@ -144,13 +125,45 @@
                 };
                 self.on_attempt_ended(engine, id, end);
             }
-            EventKind::Stalled { .. } => {}
             EventKind::Listed { .. } | EventKind::Started { .. } | EventKind::Fault { .. } => {
                 self.observe_engine(entry);
             }
         }
     }
 
+    /// What ends a query beside an answer, and what a dispatcher did wrong as a process.
+    fn observe_service(&mut self, entry: &Entry) {
+        let at_ms = entry.at_ms;
+        match &entry.event {
+            EventKind::Left { id } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                    query.left_ms = query.left_ms.or(Some(at_ms));
+                }
+            }
+            EventKind::Excused { id } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                }
+            }
+            EventKind::Lost { id, how } => {
+                if let Some(query) = self.queries.get_mut(id) {
+                    query.abandoned = true;
+                }
+                self.add_violation(1, at_ms, format!("{id} was lost: {how}"));
+            }
+            EventKind::Told {
+                engine,
+                id,
+                limit_ms,
+            } => self.check_told_limit(engine, id, *limit_ms, at_ms),
+            EventKind::DispatcherFailed { dispatcher, how } => {
+                self.add_violation(1, at_ms, format!("dispatcher {dispatcher} {how}"));
+            }
+            _ => {}
+        }
+    }
+
     fn observe_engine(&mut self, entry: &Entry) {
         match &entry.event {
             EventKind::Listed {
--- a/crates/testbed/src/soak/world.rs
+++ b/crates/testbed/src/soak/world.rs
@@ -21,7 +21,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -111,7 +111,7 @@
 }
 
 impl World {
-    fn start(plan: SoakPlan, options: &SoakOptions, logs: &PathBuf) -> Self {
+    fn start(plan: SoakPlan, options: &SoakOptions, logs: &Path) -> Self {
         let context = Arc::new(RunContext::default());
         let mut engines = Vec::new();
         for nth in 0..plan.engines {
@@ -222,6 +222,13 @@
             SoakFault::ResettingEngine(e, fraction) => while_on(e, Fault::Resets(fraction)),
             SoakFault::SpoilingEngine(e, fraction) => while_on(e, Fault::Spoils(fraction)),
             SoakFault::FullEngine(e, fraction) => while_on(e, Fault::Full(fraction)),
+            _ => self.play_outer_fault(fault, time),
+        }
+    }
+
+    /// Faults of links, lists and the dispatchers' places.
+    fn play_outer_fault(&self, fault: SoakFault, time: Duration) {
+        match fault {
             SoakFault::DrainEngine(e) => self.drain_engine(e, time),
             SoakFault::ReplaceEngine(e) => self.replace_engine(e),
             SoakFault::JoinEngine => self.join_engine(),
@@ -252,6 +259,16 @@
                 let table = self.places[d].shim().table();
                 table.set_wall_offset_ns(step_s * 1_000_000_000);
             }
+            SoakFault::ClientsLeave(d) => {
+                self.leave_generations[d].fetch_add(1, Ordering::SeqCst);
+            }
+            _ => self.play_call_fault(fault, time),
+        }
+    }
+
+    /// Failing system calls of a dispatcher.
+    fn play_call_fault(&self, fault: SoakFault, time: Duration) {
+        match fault {
             SoakFault::Interrupt(d) => self.fail_calls(d, libc_errno::EINTR, time),
             SoakFault::NoBuffers(d) => self.fail_calls(d, libc_errno::ENOBUFS, time),
             SoakFault::ShortCalls(d) => {
@@ -269,9 +286,7 @@
                 thread::sleep(time);
                 table.clear();
             }
-            SoakFault::ClientsLeave(d) => {
-                self.leave_generations[d].fetch_add(1, Ordering::SeqCst);
-            }
+            _ => {}
         }
     }
 
