--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -76,6 +76,7 @@
         self.has_descriptor.get()
     }
 
+    /// Returns once it may hold a descriptor.
     pub async fn wait_for_descriptor(&self) {
         while !self.has_descriptor() {
             self.descriptor_granted.notified().await;
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -159,10 +159,15 @@
     pub shrink: bool,
 }
 
-fn parse_range(text: &str) -> Result<Range<u64>, String> {
+/// A range on the command line is not two numbers.
+#[derive(Debug, thiserror::Error)]
+#[error("expected two numbers, as in 1..11")]
+struct InvalidRange;
+
+fn parse_range(text: &str) -> Result<Range<u64>, InvalidRange> {
     let numbers = text.split_once("..");
     let range = numbers.and_then(|(first, last)| Some(first.parse().ok()?..last.parse().ok()?));
-    range.ok_or_else(|| "expected two numbers, as in 1..11".to_owned())
+    range.ok_or(InvalidRange)
 }
 
 /// Flags of `fleet-virtual`.
--- a/crates/testbed/src/invariants/arrivals.rs
+++ b/crates/testbed/src/invariants/arrivals.rs
@@ -9,7 +9,7 @@
 /// How long (ms) after its client left an attempt may still begin (operators' page).
 const AFTER_LEAVING_MS: f64 = 100.0;
 /// How much more (ms) than what the client has left an engine may be told (operators' page).
-const TOLD_SLACK_MS: f64 = 150.0;
+const DEADLINE_SLACK_MS: f64 = 150.0;
 
 impl Checker<'_> {
     pub(super) fn on_arrival(&mut self, engine: &str, id: &str, work_ms: f64, at_ms: f64) {
@@ -58,12 +58,18 @@
     }
 
     /// What an engine is told is at most what the client has left.
-    pub(super) fn check_told_limit(&mut self, engine: &str, id: &str, limit_ms: f64, at_ms: f64) {
+    pub(super) fn check_passed_deadline(
+        &mut self,
+        engine: &str,
+        id: &str,
+        limit_ms: f64,
+        at_ms: f64,
+    ) {
         let Some(query) = self.queries.get(id) else {
             return;
         };
         let left_ms = query.asked_ms + query.max_wait_ms - at_ms;
-        if limit_ms > left_ms.max(0.0) + TOLD_SLACK_MS + self.rules.slack_ms {
+        if limit_ms > left_ms.max(0.0) + DEADLINE_SLACK_MS + self.rules.slack_ms {
             let description =
                 format!("{engine} was told {limit_ms:.0} ms for {id} with {left_ms:.0} ms left");
             self.add_violation(1, at_ms, description);
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -156,7 +156,7 @@
                 engine,
                 id,
                 limit_ms,
-            } => self.check_told_limit(engine, id, *limit_ms, at_ms),
+            } => self.check_passed_deadline(engine, id, *limit_ms, at_ms),
             EventKind::DispatcherFailed { dispatcher, how } => {
                 self.add_violation(1, at_ms, format!("dispatcher {dispatcher} {how}"));
             }
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -354,9 +354,9 @@
             }
             return;
         }
-        // A kill shows a moment later than its reset.
+        // A crash shows a moment later than its reset.
         thread::sleep(Duration::from_millis(30));
-        if self.place.was_killed(connection.epoch) {
+        if self.place.has_crashed(connection.epoch) {
             return self.excuse(queries);
         }
         let elapsed = sent.elapsed();
--- a/crates/testbed/src/soak/dispatcher.rs
+++ b/crates/testbed/src/soak/dispatcher.rs
@@ -20,7 +20,7 @@
 const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
 const REQUESTS_AFTER_TERM: Duration = Duration::from_millis(500);
 /// What the log says where an invariant broke, or the program panicked.
-const BAD_WORDS: [&str; 2] = ["invariant violated", "panicked"];
+const FAILURE_PATTERNS: [&str; 2] = ["invariant violated", "panicked"];
 const POLL: Duration = Duration::from_millis(10);
 
 /// What a client may do now.
@@ -40,8 +40,8 @@
     epoch: u64,
     is_ready: bool,
     terminated: Option<Instant>,
-    /// The epochs that were killed: nothing is owed for them.
-    killed: Vec<u64>,
+    /// The epochs that ended by SIGKILL: nothing is owed for them.
+    crashed: Vec<u64>,
     log: PathBuf,
 }
 
@@ -83,7 +83,7 @@
                 epoch: 0,
                 is_ready: false,
                 terminated: None,
-                killed: Vec::new(),
+                crashed: Vec::new(),
                 log: PathBuf::new(),
             }),
         }
@@ -150,9 +150,9 @@
         }
     }
 
-    /// Whether the process of this epoch was killed.
-    pub fn was_killed(&self, epoch: u64) -> bool {
-        self.state().killed.contains(&epoch)
+    /// Whether the process of this epoch ended by SIGKILL.
+    pub fn has_crashed(&self, epoch: u64) -> bool {
+        self.state().crashed.contains(&epoch)
     }
 
     /// Tells the process to end, starts the next one when its clients have gone elsewhere, and checks the first one's end.
@@ -209,21 +209,24 @@
     fn check_log(&self, log: &Path) {
         let text = std::fs::read_to_string(log).unwrap_or_default();
         for line in text.lines() {
-            if BAD_WORDS.iter().any(|word| line.contains(word)) {
+            if FAILURE_PATTERNS
+                .iter()
+                .any(|pattern| line.contains(pattern))
+            {
                 self.fail(format!("logged: {line}"));
             }
         }
     }
 
-    /// Kills the process and starts another.
-    pub fn kill(&self) {
+    /// Ends the process by SIGKILL and starts another.
+    pub fn crash(&self) {
         {
             let mut state = self.state();
             if !state.is_ready || state.terminated.is_some() {
                 return;
             }
             let epoch = state.epoch;
-            state.killed.push(epoch);
+            state.crashed.push(epoch);
             state.is_ready = false;
             // Dropping it kills it.
             state.program = None;
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -2,15 +2,18 @@
 //! failing system calls, several at a time; the record of clients and engines is checked from outside.
 //!
 //! Everything is drawn from a seed ([`plan`]). Times of real processes are not: a seed that failed may pass when it is
-//! played again, so its record and logs are kept. Start reading at [`run`], then at `world`.
+//! played again, so its record and logs are kept. Start reading at [`run`], then at `world`, `faults` and `evaluation`.
 
 mod clients;
 mod dispatcher;
+mod evaluation;
+mod faults;
 mod lag;
 mod link;
 mod names;
 mod peers;
 pub mod plan;
+mod site;
 mod world;
 
 pub use plan::{FaultFamily, SoakPlan};
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -65,8 +65,8 @@
     SlowNames(u64),
     /// A dispatcher is told to end and another takes its place at once.
     Restart(usize),
-    /// A dispatcher is killed and started again.
-    Kill(usize),
+    /// A dispatcher ends by SIGKILL and is started again.
+    Crash(usize),
     /// A dispatcher is stopped for this time (ms).
     Stall(usize, u64),
     /// A dispatcher gets so many SIGHUPs in a row, some with half a file.
@@ -234,7 +234,7 @@
         },
         FaultFamily::Signals => match rng.random_range(0..5) {
             0 | 1 => SoakFault::Restart(d),
-            2 => SoakFault::Kill(d),
+            2 => SoakFault::Crash(d),
             3 => SoakFault::Stall(d, rng.random_range(50..350)),
             _ => SoakFault::Reload(d, rng.random_range(1..12)),
         },
