The stream of signals never ends: an error of its pipe is waited out

Cause: signals.rs gave None at an error, and futures-lite's Unfold panics when it is polled after that: the driver polls it at each wake-up. Change: an error is logged and tried again after 20 ms; the flags are looked at all the same.

--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -5,7 +5,7 @@
 //! all signals: the driver looks at it at each wake-up.
 
 use crate::net::read_available;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{stream, Stream, StreamExt};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::flag;
@@ -15,9 +15,12 @@
 use std::io::{self, PipeReader, Read};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Bytes read from the pipe at once; each is one signal.
 const READ_BYTES: usize = 64;
+/// Pause after an error of the pipe, so that a lasting one does not take all processor time.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
 /// What each signal asks for, the most urgent first.
 const SIGNALS: [(c_int, Signal); 4] = [
     (SIGTERM, Signal::Terminate),
@@ -73,14 +76,16 @@
 }
 
 impl Receiver {
+    /// The next signal. The stream never ends: an ended one must not be polled again, and the driver polls it for good.
     async fn next(mut self) -> Option<(Signal, Self)> {
         loop {
             if let Some(signal) = self.pending.pop_front() {
                 return Some((signal, self));
             }
             let read = read_available(&self.pipe, |mut pipe| pipe.read(&mut [0; READ_BYTES]));
-            if read.await.ok()? == 0 {
-                return None;
+            if let Err(error) = read.await {
+                tracing::warn!(%error, "signal pipe not read");
+                Timer::after(ERROR_PAUSE).await;
             }
             for raised in &self.raised {
                 if raised.flag.swap(false, Ordering::SeqCst) {
