--- a/crates/dispatcher/src/guard/mod.rs
+++ b/crates/dispatcher/src/guard/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The decisions place queries by the rules; the guard stands where bytes leave and looks once more, with what is known
 //! then. Its answers are permits that only it can make and that each of these steps consumes: code that has none does
-//! not compile. What the rest of the program should never have asked for is a [`Violation`]: refused, counted by rule,
+//! not compile. The end of the process alone is looked at and not held up: the platform ends it anyway. What the rest of the program should never have asked for is a [`Violation`]: refused, counted by rule,
 //! logged with the ids, and a panic in debug builds. docs/design/invariants.md maps each rule to its deciding place.
 //!
 //! Start reading at [`Guard::may_begin`].
@@ -84,12 +84,6 @@
     }
 }
 
-/// Proof that nothing is owed to any client. Only the guard makes one.
-#[derive(Debug)]
-pub struct EndPermit {
-    _made_by_guard: (),
-}
-
 /// The guard of one dispatcher.
 #[derive(Debug, Default)]
 pub struct Guard {
@@ -175,9 +169,9 @@
     ///
     /// # Errors
     /// Queries are owed an answer.
-    pub fn may_end(&self, unanswered: usize) -> Result<EndPermit, Violation> {
+    pub fn may_end(&self, unanswered: usize) -> Result<(), Violation> {
         if unanswered == 0 {
-            return Ok(EndPermit { _made_by_guard: () });
+            return Ok(());
         }
         Err(Violation {
             rule: Rule::FinalAnswer,
--- a/crates/dispatcher/src/query_registry/guarding.rs
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -2,9 +2,7 @@
 //! refusals and violations.
 
 use super::QueryRegistry;
-use crate::guard::{
-    AttemptFacts, BeginPermit, BeginRefusal, EndPermit, EndpointFacts, QueryFacts, Violation,
-};
+use crate::guard::{AttemptFacts, BeginPermit, BeginRefusal, EndpointFacts, QueryFacts, Violation};
 use crate::trace::TraceEvent;
 use tansymux::events::EndReason;
 
@@ -101,7 +99,7 @@
     ///
     /// # Errors
     /// Queries are owed an answer.
-    pub fn may_end(&self) -> Result<EndPermit, Violation> {
+    pub fn may_end(&self) -> Result<(), Violation> {
         let queries = self.queries.borrow();
         let unanswered = queries.values().filter(|query| !query.is_over());
         self.guard.may_end(unanswered.count())
--- a/crates/dispatcher/tests/hunt/support.rs
+++ b/crates/dispatcher/tests/hunt/support.rs
@@ -10,7 +10,7 @@
 use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::{scripted, ReceivedFrame};
 use tansymux_testbed::fault_shim::{locate_library, FaultShim};
-use tansymux_testbed::program::{class, free_address, Config, Program, TIMEOUT};
+use tansymux_testbed::program::{Config, Program, TIMEOUT};
 use tansymux_testbed::wire::{read_response, write_frame};
 
 /// The program under test.
@@ -18,16 +18,7 @@
 
 /// A configuration with these engines and two resource groups of 9 s each: `look` only reads, `load` writes.
 pub fn two_group_config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines
-        .iter()
-        .enumerate()
-        .map(|(index, address)| (format!("s-{index}"), *address))
-        .collect();
-    let classes = [
-        class("look", 300.0, 9000.0, "read_like"),
-        class("load", 300.0, 9000.0, "non_idempotent"),
-    ];
-    Config::new(free_address(), &engines, &classes, &[1, 1])
+    Config::with_two_classes(engines)
 }
 
 /// The fault shim, without faults so far.
--- a/crates/dispatcher/tests/life_cycle/support.rs
+++ b/crates/dispatcher/tests/life_cycle/support.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::program::{class, free_address, Config, Program, TIMEOUT};
+use tansymux_testbed::program::{Config, Program, TIMEOUT};
 use tansymux_testbed::wire::{read_response, write_frame};
 
 /// The program under test.
@@ -21,16 +21,7 @@
 
 /// A configuration with these engines and two resource groups of 9 s each: `look` only reads, `load` writes.
 pub fn two_group_config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines
-        .iter()
-        .enumerate()
-        .map(|(index, address)| (format!("s-{index}"), *address))
-        .collect();
-    let classes = [
-        class("look", 300.0, 9000.0, "read_like"),
-        class("load", 300.0, 9000.0, "non_idempotent"),
-    ];
-    Config::new(free_address(), &engines, &classes, &[1, 1])
+    Config::with_two_classes(engines)
 }
 
 /// Starts the program, and waits until it is healthy.
--- a/crates/dispatcher/tests/platform_limits/support.rs
+++ b/crates/dispatcher/tests/platform_limits/support.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tansymux_testbed::client::{send_query_in_two_writes, ClientQuery};
 use tansymux_testbed::engine::scripted;
-use tansymux_testbed::program::{class, free_address, Config, Program};
+use tansymux_testbed::program::{Config, Program};
 use tansymux_testbed::wire::{read_response, write_frame};
 
 /// The program under test.
@@ -16,16 +16,7 @@
 
 /// A configuration with these engines and two resource groups.
 pub fn config(engines: &[SocketAddr]) -> Config {
-    let engines: Vec<_> = engines
-        .iter()
-        .enumerate()
-        .map(|(index, address)| (format!("s-{index}"), *address))
-        .collect();
-    let classes = [
-        class("look", 300.0, 9000.0, "read_like"),
-        class("load", 300.0, 9000.0, "non_idempotent"),
-    ];
-    Config::new(free_address(), &engines, &classes, &[1, 1])
+    Config::with_two_classes(engines)
 }
 
 /// An engine that answers at once.
--- a/crates/dispatcher/tests/sockets/support.rs
+++ b/crates/dispatcher/tests/sockets/support.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tansymux_testbed::client::{send_query_in_two_writes as post_in_two, ClientQuery};
-use tansymux_testbed::program::{class, free_address, Config, Program};
+use tansymux_testbed::program::{Config, Program};
 use tansymux_testbed::wire;
 
 /// Starts the program with these engines, and waits until it is healthy.
@@ -14,16 +14,7 @@
 
 /// The same with a configuration that `change` completes.
 pub fn start_with(engines: &[SocketAddr], change: impl Fn(Config) -> Config) -> Program {
-    let engines: Vec<_> = engines
-        .iter()
-        .enumerate()
-        .map(|(index, address)| (format!("s-{index}"), *address))
-        .collect();
-    let classes = [
-        class("look", 300.0, 9000.0, "read_like"),
-        class("load", 300.0, 9000.0, "non_idempotent"),
-    ];
-    let config = Config::new(free_address(), &engines, &classes, &[1, 1]);
+    let config = Config::with_two_classes(engines);
     Program::start(
         Path::new(env!("CARGO_BIN_EXE_tansymux")),
         &change(config),
--- a/crates/testbed/src/fault_shim.rs
+++ b/crates/testbed/src/fault_shim.rs
@@ -1,6 +1,6 @@
 //! The fault shim for a program under test: builds the library, makes a table of faults, and starts programs under both.
 
-use crate::program::{LocateError, TempFile};
+use crate::program::{locate_beside, LocateError, TempFile};
 use std::ffi::CString;
 use std::os::unix::ffi::OsStrExt;
 use std::path::PathBuf;
@@ -54,25 +54,5 @@
 /// # Errors
 /// It could not be built or is not there.
 pub fn locate_library() -> Result<PathBuf, LocateError> {
-    let own = std::env::current_exe()?;
-    let mut folder = own.parent().ok_or(LocateError::NoFolder)?;
-    if folder.ends_with("deps") {
-        folder = folder.parent().ok_or(LocateError::NoFolder)?;
-    }
-    if let Some(cargo) = std::env::var_os("CARGO") {
-        let mut build = Command::new(cargo);
-        build.args(["build", "--quiet", "-p", PACKAGE]);
-        if folder.ends_with("release") {
-            build.arg("--release");
-        }
-        if !build.status()?.success() {
-            return Err(LocateError::BuildFailed);
-        }
-    }
-    let library = folder.join(LIBRARY);
-    if library.exists() {
-        Ok(library)
-    } else {
-        Err(LocateError::Missing(library))
-    }
+    locate_beside(PACKAGE, LIBRARY)
 }
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -84,6 +84,20 @@
         }))
     }
 
+    /// One dispatcher with engines `s-0`, `s-1` and so on, and two classes of 9 s each: `look` only reads, `load` writes.
+    pub fn with_two_classes(engines: &[SocketAddr]) -> Self {
+        let engines: Vec<_> = engines
+            .iter()
+            .enumerate()
+            .map(|(index, address)| (format!("s-{index}"), *address))
+            .collect();
+        let classes = [
+            class("look", 300.0, 9000.0, "read_like"),
+            class("load", 300.0, 9000.0, "non_idempotent"),
+        ];
+        Config::new(free_address(), &engines, &classes, &[1, 1])
+    }
+
     /// Sets a value by the path of its keys, as in `settings.limits.probes`.
     pub fn with(mut self, path: &str, value: impl Into<Value>) -> Self {
         let mut at = &mut self.0;
@@ -356,11 +370,23 @@
 /// # Errors
 /// It could not be built or is not there.
 pub fn locate_program() -> Result<PathBuf, LocateError> {
+    locate_beside("tansymux-dispatcher", "tansymux")
+}
+
+/// A package's file in the folder of the program that runs, or above it for a test; built by the same cargo where there is
+/// one.
+///
+/// # Errors
+/// It could not be built or is not there.
+pub(crate) fn locate_beside(package: &str, file: &str) -> Result<PathBuf, LocateError> {
     let own = std::env::current_exe()?;
-    let folder = own.parent().ok_or(LocateError::NoFolder)?;
+    let mut folder = own.parent().ok_or(LocateError::NoFolder)?;
+    if folder.ends_with("deps") {
+        folder = folder.parent().ok_or(LocateError::NoFolder)?;
+    }
     if let Some(cargo) = std::env::var_os("CARGO") {
         let mut build = Command::new(cargo);
-        build.args(["build", "--quiet", "-p", "tansymux-dispatcher"]);
+        build.args(["build", "--quiet", "-p", package]);
         if folder.ends_with("release") {
             build.arg("--release");
         }
@@ -368,10 +394,10 @@
             return Err(LocateError::BuildFailed);
         }
     }
-    let program = folder.join("tansymux");
-    if program.exists() {
-        Ok(program)
+    let path = folder.join(file);
+    if path.exists() {
+        Ok(path)
     } else {
-        Err(LocateError::Missing(program))
+        Err(LocateError::Missing(path))
     }
 }
