Red: lost pages, late replies and a half-closed connection each let two attempts out

Reproduction of the incident on loopback, with real sockets and a scripted engine, and its two nearest relatives. All three fail at: - lost pages: the engine receives fetch, more, more, fetch, fetch (3 attempts for 2 expected); - late replies: of six kinds sent 20 ms behind the first BROKE five are credited to the retry. BROKE, WAIT and MORE lead to a third attempt, PAST to 429, DONE to an answer with rows of attempt 0; - half-close: attempt 1 arrives 0.6 ms after it, the engine reads the close 29 ms later.

--- a/crates/dispatcher/tests/fault_injection/main.rs
+++ b/crates/dispatcher/tests/fault_injection/main.rs
@@ -6,6 +6,7 @@
     reason = "a test ends at the first thing that is not as it should be"
 )]
 
+mod attempt_ends;
 mod engine_deadline;
 mod forgotten_connections;
 mod interrupted_calls;
