--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -1,8 +1,10 @@
 //! Counters of queries, connections and messages since the program's start. Operators' tools read a counter's printed
 //! name, which therefore differs from the name of its field in places.
 
+use crate::attempt_end::EndCause;
 use crate::close_reason::{ClientClose, EngineClose};
 use crate::guard::{BeginRefusal, Rule, RULES};
+use crate::ignored_reply::IgnoredReply;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use tansymux::events::{EndReason, Outcome};
@@ -50,6 +52,12 @@
             pub extra_reports: RefCell<Vec<Report>>,
             /// Attempts that ended, in the order of `OUTCOMES`.
             attempts_by_outcome: [Counter; OUTCOMES.len()],
+            /// Attempts that ended, in the order of `EndCause::ALL`.
+            attempts_by_cause: [Counter; EndCause::ALL.len()],
+            /// Retries, by what ended the attempt before, in the order of `EndCause::ALL`.
+            retries_by_cause: [Counter; EndCause::ALL.len()],
+            /// Replies of engines without effect, in the order of `IgnoredReply::ALL`.
+            ignored_replies: [Counter; IgnoredReply::ALL.len()],
             /// Attempts that the guard refused, in the order of `BeginRefusal::ALL`.
             begin_refusals: [Counter; BeginRefusal::ALL.len()],
             /// Queries that ended without a result, in the order of `EndReason::ALL`.
@@ -137,6 +145,21 @@
         }
     }
 
+    /// Counts what ended an attempt.
+    pub fn count_end_cause(&self, cause: EndCause) {
+        count_in(&EndCause::ALL, &self.attempts_by_cause, cause);
+    }
+
+    /// Counts a retry by what ended the attempt before.
+    pub fn count_retry_after(&self, cause: EndCause) {
+        count_in(&EndCause::ALL, &self.retries_by_cause, cause);
+    }
+
+    /// Counts a reply of an engine that has no effect.
+    pub fn count_ignored_reply(&self, reason: IgnoredReply) {
+        count_in(&IgnoredReply::ALL, &self.ignored_replies, reason);
+    }
+
     /// Counts an attempt that the guard refused.
     pub fn count_begin_refusal(&self, refusal: BeginRefusal) {
         count_in(&BeginRefusal::ALL, &self.begin_refusals, refusal);
@@ -169,29 +192,34 @@
         for (name, count) in self.plain() {
             write_line(&mut text, name, count);
         }
-        for ((_, name), counter) in OUTCOMES.iter().zip(&self.attempts_by_outcome) {
-            write_line(&mut text, &format!("submissions_{name}"), counter.get());
-        }
-        for (refusal, counter) in BeginRefusal::ALL.iter().zip(&self.begin_refusals) {
-            write_line(&mut text, &format!("not_begun_{refusal}"), counter.get());
-        }
-        for (reason, counter) in EndReason::ALL.iter().zip(&self.end_reasons) {
-            write_line(
-                &mut text,
-                &format!("ended_{}", reason.name()),
-                counter.get(),
-            );
-        }
-        for (close, counter) in ClientClose::ALL.iter().zip(&self.client_closes) {
-            write_line(&mut text, &format!("client_closed_{close}"), counter.get());
-        }
-        for (close, counter) in EngineClose::ALL.iter().zip(&self.engine_closes) {
-            write_line(&mut text, &format!("engine_closed_{close}"), counter.get());
-        }
-        for (rule, counter) in RULES.iter().zip(&self.violations) {
-            let name = format!("violations_rule_{}", rule.number());
-            write_line(&mut text, &name, counter.get());
-        }
+        let out = &mut text;
+        write_group(out, &OUTCOMES, &self.attempts_by_outcome, |(_, name)| {
+            format!("submissions_{name}")
+        });
+        write_group(out, &EndCause::ALL, &self.attempts_by_cause, |cause| {
+            format!("attempts_ended_{cause}")
+        });
+        write_group(out, &EndCause::ALL, &self.retries_by_cause, |cause| {
+            format!("retries_after_{cause}")
+        });
+        write_group(out, &IgnoredReply::ALL, &self.ignored_replies, |reason| {
+            format!("replies_ignored_{reason}")
+        });
+        write_group(out, &BeginRefusal::ALL, &self.begin_refusals, |refusal| {
+            format!("not_begun_{refusal}")
+        });
+        write_group(out, &EndReason::ALL, &self.end_reasons, |reason| {
+            format!("ended_{}", reason.name())
+        });
+        write_group(out, &ClientClose::ALL, &self.client_closes, |close| {
+            format!("client_closed_{close}")
+        });
+        write_group(out, &EngineClose::ALL, &self.engine_closes, |close| {
+            format!("engine_closed_{close}")
+        });
+        write_group(out, &RULES, &self.violations, |rule| {
+            format!("violations_rule_{}", rule.number())
+        });
         write_line(&mut text, "submissions_out", self.attempts_in_flight());
         write_line(&mut text, "unanswered", self.unanswered());
         write_line(&mut text, "in_hand", in_flight as u64);
@@ -231,6 +259,18 @@
     }
 }
 
+/// Appends the lines of counters that belong to the values `known`, each with its name.
+fn write_group<T>(
+    text: &mut String,
+    known: &[T],
+    counters: &[Counter],
+    name: impl Fn(&T) -> String,
+) {
+    for (value, counter) in known.iter().zip(counters) {
+        write_line(text, &name(value), counter.get());
+    }
+}
+
 fn write_line(text: &mut String, name: &str, count: u64) {
     // Writing to a string does not fail.
     let _ = writeln!(text, "{name} {count}");
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -1,6 +1,7 @@
 //! The event source of a round: takes events from the registry, and passes each to the subsystems and the decisions.
 
 use super::decision_sink::record_answer;
+use crate::attempt_end::EndCause;
 use crate::engine::EnginePool;
 use crate::query_registry::{
     Answer, ArrivedQuery, EndpointEntry, Event, Pages, Query, QueryRegistry,
@@ -41,6 +42,7 @@
                 query_id,
                 attempt,
                 outcome,
+                cause,
                 engine_id,
                 latency_ms,
                 pages,
@@ -54,7 +56,7 @@
                     latency_ms,
                     used: None,
                 };
-                self.on_attempt_ended(ended, pages, control, out);
+                self.on_attempt_ended(ended, cause, pages, control, out);
             }
             Event::ProgressReported {
                 query_id,
@@ -124,6 +126,7 @@
     fn on_attempt_ended(
         &self,
         mut ended: AttemptEnded,
+        cause: EndCause,
         pages: Pages,
         control: &mut Control,
         out: &mut dyn DecisionSink,
@@ -142,7 +145,7 @@
             self.registry.answer(query_id, Answer::Completed(pages));
         }
         ended.answer_delivered = self.registry.is_over(query_id);
-        self.registry.attempt_ended(query_id);
+        self.registry.attempt_ended(query_id, cause);
         control.on_attempt_ended(&ended, out);
     }
 
--- a/crates/dispatcher/src/engine/abandon.rs
+++ b/crates/dispatcher/src/engine/abandon.rs
@@ -1,11 +1,10 @@
 //! Abandons attempts: takes them off their connections and reports their ends.
 
 use super::channel::Channel;
-use super::connection::{Abandoned, Attempt};
+use super::connection::Abandoned;
 use super::reports::{AttemptReport, Reporter};
 use super::silence::{SilenceDetector, SilenceScope};
 use crate::clock::Clock;
-use crate::query_registry::Pages;
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
@@ -48,9 +47,11 @@
     pub fn abandon(&self, channel: &Channel, id: &str, outcome: Outcome) {
         let now_ms = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
-        let Some(Abandoned { attempt, was_sent }) = connection.abandon(id, now_ms) else {
+        let Some(abandoned) = connection.abandon(id, now_ms) else {
             return;
         };
+        let was_sent = abandoned.was_sent();
+        let Abandoned { attempt, cause } = abandoned;
         // Silent for longer than the progress interval: the connection may be lost. The next attempt uses another one.
         let is_up = connection.is_up();
         let silent_ms = connection.silence_ms(now_ms, attempt.sent_ms);
@@ -74,18 +75,7 @@
         } else {
             unsent_outcome(outcome, is_up)
         };
-        self.report(channel.engine_id, &attempt, outcome, now_ms);
-    }
-
-    fn report(&self, engine_id: u64, attempt: &Attempt, outcome: Outcome, now_ms: f64) {
-        let report = AttemptReport {
-            query_id: attempt.query_id,
-            attempt: attempt.number,
-            outcome,
-            engine_id,
-            latency_ms: now_ms - attempt.sent_ms,
-            pages: Pages::new(),
-        };
+        let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
         if outcome == Outcome::Cancelled {
             self.reporter.report_abandoned(report);
         } else {
--- a/crates/dispatcher/src/engine/channel.rs
+++ b/crates/dispatcher/src/engine/channel.rs
@@ -61,6 +61,8 @@
     /// Whether the connection may hold a descriptor.
     has_descriptor: Cell<bool>,
     descriptor_granted: Notify,
+    /// Number of the engine's replies on it that had no effect.
+    pub ignored_replies: Cell<u64>,
     /// The fault of this machine that currently keeps it from connecting.
     pub local_fault: Cell<Option<LocalFault>>,
 }
@@ -76,6 +78,7 @@
             notify: Notify::default(),
             has_descriptor: Cell::new(false),
             descriptor_granted: Notify::default(),
+            ignored_replies: Cell::new(0),
             local_fault: Cell::new(Some(LocalFault::DescriptorLimit)),
         }
     }
--- a/crates/dispatcher/src/engine/channel/error.rs
+++ b/crates/dispatcher/src/engine/channel/error.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether the other end reset the connection.
+    pub fn is_reset(&self) -> bool {
+        matches!(self, ChannelError::Io(error) if error.kind() == io::ErrorKind::ConnectionReset)
+    }
+
     /// The reason in logs and counters.
     pub fn close_reason(&self) -> EngineClose {
         match self {
--- a/crates/dispatcher/src/engine/channel/handler.rs
+++ b/crates/dispatcher/src/engine/channel/handler.rs
@@ -36,7 +36,7 @@
     fn on_writable(&self, channel: &Channel) -> Option<AttemptKey>;
 
     /// The first byte of an attempt's request was written.
-    fn on_attempt_begun(&self, key: &AttemptKey);
+    fn on_attempt_begun(&self, channel: &Channel, key: &AttemptKey);
 
     /// A frame arrived.
     ///
--- a/crates/dispatcher/src/engine/channel/task.rs
+++ b/crates/dispatcher/src/engine/channel/task.rs
@@ -99,7 +99,7 @@
         connection.slices(&mut slices, MAX_SLICES);
         let written = poll_gathered(self.stream, context, &slices);
         if let (Poll::Ready(Ok(1..)), Some(begun)) = (&written, begun) {
-            self.handler.on_attempt_begun(&begun);
+            self.handler.on_attempt_begun(self.channel, &begun);
         }
         written.map_ok(WriteStep::Wrote).map_err(ChannelError::Io)
     }
--- a/crates/dispatcher/src/engine/close.rs
+++ b/crates/dispatcher/src/engine/close.rs
@@ -2,12 +2,13 @@
 
 use super::channel::error::ChannelError;
 use super::channel::Channel;
-use super::connection::{Attempt, ClosedConnection, Connection};
+use super::connection::{ClosedConnection, Connection, RequestState};
 use super::idle_reuse::ReuseTracker;
 use super::reports::{AttemptReport, Reporter};
+use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::close_reason::EngineClose;
-use crate::query_registry::{Pages, QueryRegistry};
+use crate::query_registry::QueryRegistry;
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
@@ -20,6 +21,8 @@
     next_outcome: Outcome,
     /// The outcome of attempts that cannot have run.
     unsent_outcome: Outcome,
+    /// What ends attempts whose requests were written.
+    cause: EndCause,
 }
 
 impl Loss {
@@ -29,6 +32,7 @@
         let is_local_fault = error.is_some_and(ChannelError::is_local_fault);
         Loss {
             was_up,
+            cause: end_cause(was_up, error),
             is_abandoned: is_protocol_error || was_up && is_closed_locally,
             next_outcome: Outcome::Reset,
             unsent_outcome: if is_local_fault {
@@ -49,6 +53,16 @@
         }
     }
 
+    /// What ends an attempt, by how much of its request was written.
+    fn cause(&self, written: RequestState) -> EndCause {
+        match written {
+            RequestState::Written => self.cause,
+            RequestState::PartlyWritten => EndCause::HalfWritten,
+            RequestState::NotStarted if self.was_up => EndCause::NotBegun,
+            RequestState::NotStarted => EndCause::NotConnected,
+        }
+    }
+
     /// The outcome of health checks.
     fn health_outcome(&self) -> Outcome {
         if self.was_up {
@@ -59,6 +73,17 @@
     }
 }
 
+/// What the end of a connection is for attempts whose requests were written.
+fn end_cause(was_up: bool, error: Option<&ChannelError>) -> EndCause {
+    match error {
+        _ if !was_up => EndCause::NotConnected,
+        None => EndCause::EndOfStream,
+        Some(error) if error.is_closed_locally() => EndCause::ClosedHere,
+        Some(error) if error.is_reset() => EndCause::Reset,
+        Some(_) => EndCause::ConnectionFailed,
+    }
+}
+
 /// Handles the ends of connections.
 pub(super) struct Closer {
     registry: Rc<QueryRegistry>,
@@ -100,9 +125,15 @@
             loss.next_outcome = Outcome::Cancelled;
         }
         for (id, attempt) in attempts {
-            let was_sent = connection.is_fully_written(&id);
-            let outcome = loss.outcome(was_sent);
-            self.report_lost(channel.engine_id, &attempt, now_ms, outcome, &loss);
+            let written = connection.request_state(&id);
+            let outcome = loss.outcome(written == RequestState::Written);
+            let cause = loss.cause(written);
+            let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
+            if loss.is_abandoned {
+                self.reporter.report_abandoned(report);
+            } else {
+                self.reporter.report_ended(report);
+            }
         }
         // A health check that could not leave this machine is no evidence about the engine.
         if !error.is_some_and(ChannelError::is_local_fault) {
@@ -112,29 +143,6 @@
         }
     }
 
-    fn report_lost(
-        &self,
-        engine_id: u64,
-        attempt: &Attempt,
-        now_ms: f64,
-        outcome: Outcome,
-        loss: &Loss,
-    ) {
-        let report = AttemptReport {
-            query_id: attempt.query_id,
-            attempt: attempt.number,
-            outcome,
-            engine_id,
-            latency_ms: now_ms - attempt.sent_ms,
-            pages: Pages::new(),
-        };
-        if loss.is_abandoned {
-            self.reporter.report_abandoned(report);
-        } else {
-            self.reporter.report_ended(report);
-        }
-    }
-
     /// Whether the connection ended as soon as it was reused after idling.
     fn is_lost_reuse(&self, connection: &Connection, now_ms: f64) -> bool {
         let reuse = connection.idle_reuse();
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -14,8 +14,11 @@
 pub use transitions::ClosedConnection;
 
 use super::protocol::{Command, RequestFields};
+use crate::attempt_end::EndCause;
 use crate::guard::BeginPermit;
-use outbox::{Outbox, Withdrawal};
+pub use outbox::RequestState;
+
+use outbox::Outbox;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io::IoSlice;
 use std::rc::Rc;
@@ -207,22 +210,20 @@
     pub fn abandon(&mut self, id: &str, now_ms: f64) -> Option<Abandoned> {
         let attempt = self.attempts.remove(id)?;
         self.last_used_ms = now_ms;
-        let withdrawal = self.outbox.withdraw(id);
-        match withdrawal {
-            Withdrawal::NotStarted => {}
-            Withdrawal::PartlyWritten => {
-                self.close_reason = Some(CloseReason::RequestPartlyWritten)
+        let cause = match self.outbox.withdraw(id) {
+            RequestState::NotStarted => EndCause::NotBegun,
+            RequestState::PartlyWritten => {
+                self.close_reason = Some(CloseReason::RequestPartlyWritten);
+                EndCause::HalfWritten
             }
-            Withdrawal::Written => {
+            RequestState::Written => {
                 self.abandoned_ids.insert(id.into());
                 self.retired |= self.abandoned_ids.len() >= MAX_ABANDONED;
                 self.outbox.push_command(&Command::Abort { id });
+                EndCause::Aborted
             }
-        }
-        Some(Abandoned {
-            attempt,
-            was_sent: withdrawal == Withdrawal::Written,
-        })
+        };
+        Some(Abandoned { attempt, cause })
     }
 
     /// The attempts of whose requests no byte was written.
@@ -244,7 +245,12 @@
 
     /// Whether an attempt's request was written completely.
     pub fn is_fully_written(&self, id: &str) -> bool {
-        !self.outbox.holds_request(id)
+        self.outbox.request_state(id) == RequestState::Written
+    }
+
+    /// How much of an attempt's request was written.
+    pub fn request_state(&self, id: &str) -> RequestState {
+        self.outbox.request_state(id)
     }
 
     /// Whether the outbox holds anything.
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -28,13 +28,23 @@
     missing_pages: usize,
 }
 
-/// Whether a result is complete.
+/// The effect of a page on its result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResultProgress {
-    /// No page is missing.
-    Complete,
-    /// Pages are missing.
+    /// The first page arrived, and others are missing.
+    Begun {
+        /// The number of pages of the result.
+        page_count: usize,
+    },
+    /// Pages are still missing.
     Incomplete,
+    /// The page arrived before; that copy is kept.
+    Duplicate,
+    /// No page is missing.
+    Complete {
+        /// The number of pages of the result.
+        page_count: usize,
+    },
 }
 
 impl Attempt {
@@ -83,10 +93,13 @@
         let count = count.ok_or(ProtocolError::InvalidPageCount)?;
         self.pages.resize(count, None);
         self.missing_pages = count;
-        self.add_page(0, rows)
+        Ok(match self.add_page(0, rows)? {
+            ResultProgress::Incomplete => ResultProgress::Begun { page_count: count },
+            progress => progress,
+        })
     }
 
-    /// Adds a page other than the first. A duplicate replaces the page that arrived before.
+    /// Adds a page other than the first.
     ///
     /// # Errors
     /// The page's number is missing or too large, or the page is malformed.
@@ -102,19 +115,21 @@
     fn add_page(&mut self, number: usize, page: &[u8]) -> Result<ResultProgress, ProtocolError> {
         let rows = json_rows(page)?;
         let size: usize = self.pages.iter().flatten().map(Vec::len).sum();
+        let pages = self.pages.len();
+        let slot = self.pages.get_mut(number);
+        let slot = slot.ok_or(ProtocolError::PageOutOfRange { number, pages })?;
+        if slot.is_some() {
+            return Ok(ResultProgress::Duplicate);
+        }
         if size + rows.len() > MAX_RESULT_BYTES {
             return Err(ProtocolError::ResultTooLong {
                 limit: MAX_RESULT_BYTES,
             });
         }
-        let pages = self.pages.len();
-        let slot = self.pages.get_mut(number);
-        let slot = slot.ok_or(ProtocolError::PageOutOfRange { number, pages })?;
-        if slot.replace(rows).is_none() {
-            self.missing_pages -= 1;
-        }
+        *slot = Some(rows);
+        self.missing_pages -= 1;
         Ok(match self.missing_pages {
-            0 => ResultProgress::Complete,
+            0 => ResultProgress::Complete { page_count: pages },
             _ => ResultProgress::Incomplete,
         })
     }
--- a/crates/dispatcher/src/engine/connection/outbox.rs
+++ b/crates/dispatcher/src/engine/connection/outbox.rs
@@ -80,12 +80,12 @@
     }
 }
 
-/// How much of a request was written when it was withdrawn.
+/// How much of a request was written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Withdrawal {
-    /// No byte was written, and none will be.
+pub enum RequestState {
+    /// No byte was written.
     NotStarted,
-    /// Some bytes were written: the connection cannot be used any more.
+    /// Some bytes were written: without the rest the connection cannot be used any more.
     PartlyWritten,
     /// All bytes were written: the engine may have received them.
     Written,
@@ -150,35 +150,38 @@
         }
     }
 
-    /// Removes the request of an attempt if no byte of it was written.
-    pub fn withdraw(&mut self, id: &str) -> Withdrawal {
-        let position = self
-            .messages
-            .iter()
-            .position(|message| message.is_request_of(id));
-        let Some(position) = position else {
-            return Withdrawal::Written;
-        };
-        if position == 0 && self.written > 0 {
-            return Withdrawal::PartlyWritten;
+    /// Removes the request of an attempt if no byte of it was written. Returns how much of it was written.
+    pub fn withdraw(&mut self, id: &str) -> RequestState {
+        let state = self.request_state(id);
+        if state != RequestState::NotStarted {
+            return state;
         }
-        if let Some(message) = self.messages.remove(position) {
+        let position = self.position_of_request(id);
+        if let Some(message) = position.and_then(|position| self.messages.remove(position)) {
             self.bytes -= message.held_bytes();
         }
-        Withdrawal::NotStarted
+        state
     }
 
-    /// The attempts of whose requests no byte was written.
-    pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
-        let unstarted = self.messages.iter().skip(usize::from(self.written > 0));
-        unstarted.filter_map(|message| Some(message.request()?.id.clone()))
+    /// How much of an attempt's request was written.
+    pub fn request_state(&self, id: &str) -> RequestState {
+        match self.position_of_request(id) {
+            None => RequestState::Written,
+            Some(0) if self.written > 0 => RequestState::PartlyWritten,
+            Some(_) => RequestState::NotStarted,
+        }
     }
 
-    /// Whether any part of the attempt's request is unwritten.
-    pub fn holds_request(&self, id: &str) -> bool {
+    fn position_of_request(&self, id: &str) -> Option<usize> {
         self.messages
             .iter()
-            .any(|message| message.is_request_of(id))
+            .position(|message| message.is_request_of(id))
+    }
+
+    /// The attempts of whose requests no byte was written.
+    pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
+        let unstarted = self.messages.iter().skip(usize::from(self.written > 0));
+        unstarted.filter_map(|message| Some(message.request()?.id.clone()))
     }
 
     /// Drops everything but requests and a message that is partly written.
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -3,9 +3,11 @@
 use super::attempt::{Attempt, ResultProgress};
 use super::outbox::Outbox;
 use super::Connection;
+use crate::attempt_end::EndCause;
 use crate::engine::protocol::{self, Command, EngineReply, HealthReply, ProgressNote};
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::resp::Frame;
+use crate::ignored_reply::IgnoredReply;
 use crate::query_registry::Pages;
 use tansymux::events::Outcome;
 
@@ -20,6 +22,8 @@
         attempt: usize,
         /// How it ended.
         outcome: Outcome,
+        /// What ended it.
+        cause: EndCause,
         /// When it was queued on the connection (ms).
         sent_ms: f64,
         /// Its result.
@@ -36,18 +40,42 @@
     },
     /// A health check was answered.
     HealthChecked(Outcome),
-    /// A duplicate, or about something that is no longer in flight here.
-    Ignored,
+    /// A page of a result that is not complete yet.
+    PageArrived,
+    /// The frame has no effect.
+    Ignored(IgnoredReply),
+}
+
+/// How an attempt ended, and what ended it.
+#[derive(Debug, Clone, Copy)]
+struct AttemptEnd {
+    outcome: Outcome,
+    cause: EndCause,
+}
+
+impl AttemptEnd {
+    fn by_final_reply(outcome: Outcome) -> Self {
+        AttemptEnd {
+            outcome,
+            cause: EndCause::FinalReply,
+        }
+    }
 }
 
 /// The effect of a reply on its attempt.
 enum ReplyEffect {
     /// The attempt has ended.
-    Final(Outcome),
+    Final(AttemptEnd),
     /// The attempt remains in flight.
     Interim(FrameEvent),
 }
 
+impl ReplyEffect {
+    fn ignored(reason: IgnoredReply) -> Self {
+        ReplyEffect::Interim(FrameEvent::Ignored(reason))
+    }
+}
+
 impl Connection {
     /// Handles a frame. Duplicates, late answers and others that concern nothing in flight are ignored.
     ///
@@ -63,59 +91,71 @@
             return Ok(FrameEvent::HealthChecked(outcome));
         }
         match self.apply_reply(id, frame)? {
-            ReplyEffect::Final(outcome) => Ok(self.complete(id, outcome, now_ms)),
+            ReplyEffect::Final(end) => Ok(self.complete(id, end, now_ms)),
             ReplyEffect::Interim(event) => Ok(event),
         }
     }
 
     /// Applies a reply to the attempt with this id and returns its effect.
     fn apply_reply(&mut self, id: &str, frame: &Frame) -> Result<ReplyEffect, ProtocolError> {
-        let ignored = ReplyEffect::Interim(FrameEvent::Ignored);
         let Some(attempt) = self.attempts.get_mut(id) else {
-            return Ok(ignored);
+            return Ok(ReplyEffect::ignored(IgnoredReply::NotInFlight));
         };
-        let outcome = match EngineReply::parse(frame)? {
+        let end = match EngineReply::parse(frame)? {
             EngineReply::Progress(note) => {
                 return Ok(ReplyEffect::Interim(progress_event(attempt, note)));
             }
-            // A duplicate of the first page.
-            EngineReply::FirstPage { .. } if attempt.page_count() > 0 => return Ok(ignored),
+            EngineReply::FirstPage { .. } if attempt.page_count() > 0 => {
+                return Ok(ReplyEffect::ignored(IgnoredReply::DuplicateFirstPage));
+            }
             EngineReply::FirstPage { page_count, rows } => {
-                match attempt.add_first_page(page_count, rows)? {
-                    ResultProgress::Complete => Outcome::Completed,
-                    ResultProgress::Incomplete => {
-                        let pages = attempt.page_count();
-                        request_remaining_pages(&mut self.outbox, id, pages);
-                        return Ok(ignored);
-                    }
-                }
+                let progress = attempt.add_first_page(page_count, rows)?;
+                return Ok(self.on_page(id, progress));
             }
             EngineReply::NumberedPage { page_number, rows } => {
-                match attempt.add_numbered_page(page_number, rows)? {
-                    ResultProgress::Complete => {
-                        self.outbox.push_command(&Command::ConfirmResult { id });
-                        Outcome::Completed
-                    }
-                    ResultProgress::Incomplete => return Ok(ignored),
-                }
+                let progress = attempt.add_numbered_page(page_number, rows)?;
+                return Ok(self.on_page(id, progress));
             }
-            EngineReply::Full => Outcome::Full,
-            EngineReply::DeadlinePassed => Outcome::NotSent,
-            EngineReply::Failed => Outcome::Error,
+            EngineReply::Full => AttemptEnd::by_final_reply(Outcome::Full),
+            EngineReply::DeadlinePassed => AttemptEnd::by_final_reply(Outcome::NotSent),
+            EngineReply::Failed if attempt.page_count() > 0 => AttemptEnd {
+                outcome: Outcome::Error,
+                cause: EndCause::ResultLost,
+            },
+            EngineReply::Failed => AttemptEnd::by_final_reply(Outcome::Error),
         };
-        Ok(ReplyEffect::Final(outcome))
+        Ok(ReplyEffect::Final(end))
+    }
+
+    /// Requests the remaining pages after the first one, and confirms a result of several pages once it is complete.
+    fn on_page(&mut self, id: &str, progress: ResultProgress) -> ReplyEffect {
+        match progress {
+            ResultProgress::Begun { page_count } => {
+                request_remaining_pages(&mut self.outbox, id, page_count);
+                ReplyEffect::Interim(FrameEvent::PageArrived)
+            }
+            ResultProgress::Incomplete => ReplyEffect::Interim(FrameEvent::PageArrived),
+            ResultProgress::Duplicate => ReplyEffect::ignored(IgnoredReply::DuplicatePage),
+            ResultProgress::Complete { page_count } => {
+                if page_count > 1 {
+                    self.outbox.push_command(&Command::ConfirmResult { id });
+                }
+                ReplyEffect::Final(AttemptEnd::by_final_reply(Outcome::Completed))
+            }
+        }
     }
 
-    /// The attempt has its final answer.
-    fn complete(&mut self, id: &str, outcome: Outcome, now_ms: f64) -> FrameEvent {
+    /// Takes an attempt that has ended out of what is in flight.
+    fn complete(&mut self, id: &str, end: AttemptEnd, now_ms: f64) -> FrameEvent {
         let Some(mut attempt) = self.attempts.remove(id) else {
-            return FrameEvent::Ignored;
+            return FrameEvent::Ignored(IgnoredReply::NotInFlight);
         };
         self.last_used_ms = now_ms;
         FrameEvent::AttemptEnded {
             query_id: attempt.query_id,
             attempt: attempt.number,
-            outcome,
+            outcome: end.outcome,
+            cause: end.cause,
             sent_ms: attempt.sent_ms,
             pages: attempt.take_pages(),
         }
@@ -136,7 +176,7 @@
             attempt: attempt.number,
             note,
         },
-        None => FrameEvent::Ignored,
+        None => FrameEvent::Ignored(IgnoredReply::UnusedNote),
     }
 }
 
--- a/crates/dispatcher/src/engine/connection/state.rs
+++ b/crates/dispatcher/src/engine/connection/state.rs
@@ -1,6 +1,7 @@
 //! The parts of a connection's state.
 
 use super::Attempt;
+use crate::attempt_end::EndCause;
 use crate::engine::protocol_error::ProtocolError;
 use std::rc::Rc;
 use thiserror::Error;
@@ -74,6 +75,13 @@
 pub struct Abandoned {
     /// The attempt.
     pub attempt: Attempt,
+    /// What ends it: [`EndCause::Aborted`] if its request was written completely.
+    pub cause: EndCause,
+}
+
+impl Abandoned {
     /// Whether its request was written completely, so that it may have run.
-    pub was_sent: bool,
+    pub fn was_sent(&self) -> bool {
+        self.cause == EndCause::Aborted
+    }
 }
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -2,6 +2,7 @@
 use crate::engine::protocol::ProgressNote;
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::resp;
+use crate::ignored_reply::IgnoredReply;
 use tansymux::events::{AttemptLimits, NoteKind, Outcome};
 
 fn connection() -> Connection {
@@ -74,17 +75,23 @@
     connection.advance(1);
     assert!(connection.is_fully_written("i1"));
     // Duplicates are ignored.
-    for _ in 0..2 {
+    for expected in [
+        FrameEvent::PageArrived,
+        FrameEvent::Ignored(IgnoredReply::DuplicateFirstPage),
+    ] {
         assert_eq!(
             receive(&mut connection, &[b"i1", b"DONE", b"batches=3", b"a\t\t\n"]),
-            Ok(FrameEvent::Ignored)
+            Ok(expected)
         );
         assert_eq!(unwritten(&connection).matches("more").count(), 2);
     }
-    for _ in 0..2 {
+    for expected in [
+        FrameEvent::PageArrived,
+        FrameEvent::Ignored(IgnoredReply::DuplicatePage),
+    ] {
         assert_eq!(
             receive(&mut connection, &[b"i1", b"MORE", b"batch=2", b"c\t\t\n"]),
-            Ok(FrameEvent::Ignored)
+            Ok(expected)
         );
     }
     let pages = [
@@ -99,6 +106,7 @@
         query_id,
         attempt,
         outcome,
+        cause: EndCause::FinalReply,
         sent_ms,
         pages,
     });
@@ -109,7 +117,7 @@
     assert!(unwritten(&connection).contains("done") && connection.in_flight() == 0);
     assert_eq!(
         receive(&mut connection, &[b"i1", b"MORE", b"batch=1", b"b\n"]),
-        Ok(FrameEvent::Ignored)
+        Ok(FrameEvent::Ignored(IgnoredReply::NotInFlight))
     );
 }
 
@@ -144,7 +152,10 @@
             ..
         })
     ));
-    assert_eq!(receive(&mut connection, &[]), Ok(FrameEvent::Ignored));
+    assert_eq!(
+        receive(&mut connection, &[]),
+        Ok(FrameEvent::Ignored(IgnoredReply::NotInFlight))
+    );
 }
 
 #[test]
@@ -159,11 +170,11 @@
     );
     assert!(connection
         .abandon("i2", 6.0)
-        .is_some_and(|abandoned| abandoned.attempt.query_id == 5 && !abandoned.was_sent));
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 5 && !abandoned.was_sent()));
     connection.advance(unwritten(&connection).len());
     assert!(connection
         .abandon("i1", 6.0)
-        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && abandoned.was_sent));
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && abandoned.was_sent()));
     assert!(connection.abandon("i1", 6.0).is_none() && connection.close_reason.is_none());
     let text = unwritten(&connection);
     assert!(
@@ -185,7 +196,7 @@
     connection.advance(3);
     assert!(connection
         .abandon("i1", 6.0)
-        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && !abandoned.was_sent));
+        .is_some_and(|abandoned| abandoned.attempt.query_id == 4 && !abandoned.was_sent()));
     assert!(connection.close_reason.is_some());
 }
 
@@ -196,11 +207,11 @@
     connection.advance(unwritten(&connection).len());
     assert!(connection
         .abandon("i1", 6.0)
-        .is_some_and(|abandoned| abandoned.was_sent));
+        .is_some_and(|abandoned| abandoned.was_sent()));
     assert!(!connection.accepts("i1", 32) && connection.accepts("i2", 32));
     assert_eq!(
         receive(&mut connection, &[b"i1", b"DONE", b"batches=1", b"a\t\t\n"]),
-        Ok(FrameEvent::Ignored)
+        Ok(FrameEvent::Ignored(IgnoredReply::NotInFlight))
     );
     // The id of an attempt that was never sent may be reused, and many abandoned attempts retire the connection.
     submit(&mut connection, "i2", 5);
@@ -254,14 +265,14 @@
     );
     assert_eq!(
         receive(&mut connection, &[b"i1", b"TELL", b"-", b""]),
-        Ok(FrameEvent::Ignored)
+        Ok(FrameEvent::Ignored(IgnoredReply::UnusedNote))
     );
     assert_eq!(
         receive(
             &mut connection,
             &[b"i1", b"TELL", b"tell=frac,num=NaN", b""]
         ),
-        Ok(FrameEvent::Ignored)
+        Ok(FrameEvent::Ignored(IgnoredReply::UnusedNote))
     );
     assert_eq!(
         receive(&mut connection, &[b"t1", b"UNFIT", b"-", b""]),
@@ -269,6 +280,6 @@
     );
     assert_eq!(
         receive(&mut connection, &[b"t1", b"FIT", b"-", b""]),
-        Ok(FrameEvent::Ignored)
+        Ok(FrameEvent::Ignored(IgnoredReply::NotInFlight))
     );
 }
--- a/crates/dispatcher/src/engine/pool/channel_events.rs
+++ b/crates/dispatcher/src/engine/pool/channel_events.rs
@@ -6,15 +6,20 @@
 use crate::engine::channel::handler::ChannelHandler;
 use crate::engine::channel::Channel;
 use crate::engine::connection::{ConnectionState, FrameEvent};
+use crate::engine::protocol;
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::reports::AttemptReport;
 use crate::engine::resp::Frame;
+use crate::ignored_reply::IgnoredReply;
 use crate::query_registry::{AttemptKey, Event};
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Replies without effect that are logged of one connection: a bound on what an engine that floods costs.
+const MAX_LOGGED_IGNORED_REPLIES: u64 = 8;
+
 impl ChannelHandler for EnginePool {
     fn clock(&self) -> Clock {
         self.clock
@@ -58,8 +63,9 @@
         self.gate.begin_next(channel)
     }
 
-    fn on_attempt_begun(&self, key: &AttemptKey) {
-        self.registry.on_attempt_begun(key, self.clock.now());
+    fn on_attempt_begun(&self, channel: &Channel, key: &AttemptKey) {
+        self.registry
+            .on_attempt_begun(key, channel.number, self.clock.now());
     }
 
     fn on_frame(&self, channel: &Channel, frame: &Frame) -> Result<(), ProtocolError> {
@@ -71,7 +77,7 @@
         let event = connection.receive(frame, now_ms)?;
         drop(connection);
         self.silence.on_frame(channel.engine_id, now_ms);
-        self.report_frame(channel.engine_id, event, now_ms);
+        self.report_frame(channel, frame, event, now_ms);
         Ok(())
     }
 
@@ -83,18 +89,22 @@
 
 impl EnginePool {
     /// Reports the event of a frame to the decisions.
-    fn report_frame(&self, engine_id: u64, event: FrameEvent, now_ms: f64) {
+    fn report_frame(&self, channel: &Channel, frame: &Frame, event: FrameEvent, now_ms: f64) {
+        let engine_id = channel.engine_id;
         match event {
             FrameEvent::AttemptEnded {
                 query_id,
                 attempt,
                 outcome,
+                cause,
                 sent_ms,
                 pages,
             } => self.reporter.report_ended(AttemptReport {
                 query_id,
                 attempt,
                 outcome,
+                cause,
+                connection: Some(channel.number),
                 engine_id,
                 latency_ms: now_ms - sent_ms,
                 pages,
@@ -112,7 +122,26 @@
             FrameEvent::HealthChecked(outcome) => {
                 self.reporter.report_health(engine_id, outcome, 1);
             }
-            FrameEvent::Ignored => {}
+            FrameEvent::PageArrived => {}
+            FrameEvent::Ignored(reason) => self.note_ignored(channel, frame, reason),
+        }
+    }
+
+    /// Counts a reply without effect, and logs the first ones of each connection.
+    fn note_ignored(&self, channel: &Channel, frame: &Frame, reason: IgnoredReply) {
+        self.registry.counters.count_ignored_reply(reason);
+        let count = channel.ignored_replies.get() + 1;
+        channel.ignored_replies.set(count);
+        if reason == IgnoredReply::UnusedNote || count > MAX_LOGGED_IGNORED_REPLIES {
+            return;
         }
+        tracing::info!(
+            connection = channel.number,
+            engine_id = %format_args!("{:08x}", channel.engine_id),
+            client_id = protocol::reply_id(frame).ok(),
+            reply = protocol::reply_name(frame),
+            %reason,
+            "engine reply ignored"
+        );
     }
 }
--- a/crates/dispatcher/src/engine/pool/commands.rs
+++ b/crates/dispatcher/src/engine/pool/commands.rs
@@ -1,6 +1,7 @@
 //! Executes the decisions' commands: submit, withdraw, cancel, set priority, check health.
 
 use super::EnginePool;
+use crate::attempt_end::EndCause;
 use crate::engine::allocation::ChannelRequest;
 use crate::engine::channel::Channel;
 use crate::engine::connection::{Attempt, IdleReuse};
@@ -106,6 +107,8 @@
             query_id: order.query_id,
             attempt: order.number,
             outcome,
+            cause: EndCause::NotBegun,
+            connection: None,
             engine_id: order.engine_id,
             latency_ms: 0.0,
             pages: Pages::new(),
--- a/crates/dispatcher/src/engine/protocol.rs
+++ b/crates/dispatcher/src/engine/protocol.rs
@@ -274,6 +274,20 @@
     std::str::from_utf8(frame.element(0)).map_err(|_| ProtocolError::InvalidId)
 }
 
+/// The word of a reply, for logs; the id and the fields of a reply are the engine's, its word is one of the protocol's.
+pub fn reply_name(frame: &Frame) -> &'static str {
+    match frame.element(1) {
+        PROGRESS => "progress",
+        FIRST_PAGE => "first_page",
+        NUMBERED_PAGE => "numbered_page",
+        FULL => "full",
+        DEADLINE_PASSED => "deadline_passed",
+        FAILED => "failed",
+        HEALTHY => "healthy",
+        _ => "unknown",
+    }
+}
+
 fn number_field(fields: &[u8], name: &str) -> Option<usize> {
     resp::field(fields, name)?.parse().ok()
 }
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -1,5 +1,8 @@
 //! Reports the ends of attempts and health checks to the decisions.
 
+use super::channel::Channel;
+use super::connection::Attempt;
+use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::query_registry::{AttemptKey, Event, Pages, QueryRegistry};
 use crate::trace::TraceEvent;
@@ -18,18 +21,44 @@
     pub query_id: u64,
     pub attempt: usize,
     pub outcome: Outcome,
+    pub cause: EndCause,
+    /// The connection that carried it, unless there was none.
+    pub connection: Option<u64>,
     pub engine_id: u64,
     /// Time since the attempt was handed to its connection.
     pub latency_ms: f64,
     pub pages: Pages,
 }
 
+impl AttemptReport {
+    /// The report of an attempt that ends on a connection without a result.
+    pub fn without_result(
+        channel: &Channel,
+        attempt: &Attempt,
+        outcome: Outcome,
+        cause: EndCause,
+        now_ms: f64,
+    ) -> Self {
+        AttemptReport {
+            query_id: attempt.query_id,
+            attempt: attempt.number,
+            outcome,
+            cause,
+            connection: Some(channel.number),
+            engine_id: channel.engine_id,
+            latency_ms: now_ms - attempt.sent_ms,
+            pages: Pages::new(),
+        }
+    }
+}
+
 impl From<AttemptReport> for Event {
     fn from(report: AttemptReport) -> Event {
         Event::AttemptEnded {
             query_id: report.query_id,
             attempt: report.attempt,
             outcome: report.outcome,
+            cause: report.cause,
             engine_id: report.engine_id,
             latency_ms: report.latency_ms,
             pages: report.pages,
@@ -99,22 +128,44 @@
     /// Counts and logs the end of an attempt.
     fn note_ended(&self, report: &AttemptReport) {
         self.registry.counters.count_outcome(report.outcome);
+        self.registry.counters.count_end_cause(report.cause);
         let key = AttemptKey {
             query_id: report.query_id,
             attempt: report.attempt,
             engine_id: report.engine_id,
         };
-        let event = TraceEvent::AttemptEnded(report.outcome);
+        let event = TraceEvent::AttemptEnded {
+            outcome: report.outcome,
+            cause: report.cause,
+        };
         self.registry.trace_attempt(&key, event);
-        tracing::debug!(
+        if report.outcome == Outcome::Completed {
+            return self.log_completed(report);
+        }
+        let client_id = self.registry.client_id(report.query_id);
+        tracing::info!(
             query_id = report.query_id,
+            client_id = client_id.as_deref(),
             attempt = report.attempt,
+            connection = report.connection,
             engine_id = %format_args!("{:08x}", report.engine_id),
             outcome = ?report.outcome,
+            cause = %report.cause,
             latency_ms = report.latency_ms,
             "attempt ended"
         );
     }
+
+    fn log_completed(&self, report: &AttemptReport) {
+        tracing::debug!(
+            query_id = report.query_id,
+            attempt = report.attempt,
+            connection = report.connection,
+            engine_id = %format_args!("{:08x}", report.engine_id),
+            latency_ms = report.latency_ms,
+            "attempt completed"
+        );
+    }
 }
 
 #[cfg(test)]
--- a/crates/dispatcher/src/engine/reports/tests.rs
+++ b/crates/dispatcher/src/engine/reports/tests.rs
@@ -5,6 +5,8 @@
         query_id: 4,
         attempt: 0,
         outcome,
+        cause: EndCause::FinalReply,
+        connection: None,
         engine_id: 7,
         latency_ms: 5.0,
         pages: Pages::new(),
--- a/crates/dispatcher/src/log.rs
+++ b/crates/dispatcher/src/log.rs
@@ -10,6 +10,7 @@
 
 use crate::cli::{Common, LogFormat, LogLevel};
 use line_format::{set_json, write_suppressed, LineFormat};
+use rate_limit::LineKind;
 use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::time::Instant;
 use tansymux_operator_config::schema;
@@ -40,7 +41,7 @@
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
-        rate_limit::try_acquire(event.metadata(), Instant::now())
+        rate_limit::try_acquire(event.metadata(), LineKind::of(event), Instant::now())
     }
 
     fn max_level_hint(&self) -> Option<LevelFilter> {
--- a/crates/dispatcher/src/log/rate_limit.rs
+++ b/crates/dispatcher/src/log/rate_limit.rs
@@ -1,11 +1,16 @@
-//! The rate limit of the log: a token bucket for each call site, and the counts of suppressed lines.
+//! The rate limit of the log: a token bucket for each call site, and the counts of suppressed lines. The first line of each
+//! kind at a call site is always written; the kind is the hash of the fields in [`KIND_FIELDS`].
 
+use rustc_hash::FxHasher;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::hash::Hasher;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::time::Instant;
 use tracing::callsite::Identifier;
-use tracing::Metadata;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Metadata};
 
 /// Sustained lines a second of one call site.
 static LINES_PER_SECOND: AtomicU32 = AtomicU32::new(5);
@@ -14,6 +19,43 @@
 /// Lines suppressed since the start, of all call sites.
 static SUPPRESSED: AtomicU64 = AtomicU64::new(0);
 
+/// Fields whose values tell kinds of lines of one call site apart.
+const KIND_FIELDS: [&str; 4] = ["reason", "cause", "after", "outcome"];
+/// Kinds of one call site that are told apart: a bound on memory. Further kinds are limited like known ones.
+const MAX_KINDS: usize = 32;
+
+/// The kind of a line: a hash of its fields in [`KIND_FIELDS`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct LineKind(u64);
+
+impl LineKind {
+    /// The kind of an event.
+    pub(super) fn of(event: &Event<'_>) -> Self {
+        let mut hasher = KindHasher(FxHasher::default());
+        event.record(&mut hasher);
+        LineKind(hasher.0.finish())
+    }
+}
+
+/// Hashes the values of the fields in [`KIND_FIELDS`].
+struct KindHasher(FxHasher);
+
+impl Visit for KindHasher {
+    fn record_debug(&mut self, field: &Field, value: &dyn std::fmt::Debug) {
+        if KIND_FIELDS.contains(&field.name()) {
+            // Writing to a hasher cannot fail.
+            let _ = write!(self, "{value:?};");
+        }
+    }
+}
+
+impl std::fmt::Write for KindHasher {
+    fn write_str(&mut self, text: &str) -> std::fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
 /// The token bucket of one call site.
 struct RateLimit {
     /// Lines that may be written now.
@@ -22,14 +64,32 @@
     /// Lines suppressed since the call site's last written line.
     suppressed: u64,
     callsite: &'static Metadata<'static>,
+    /// Kinds of lines that were written.
+    kinds: Vec<LineKind>,
+}
+
+impl RateLimit {
+    /// Whether this is the first line of its kind. Records the kind.
+    fn is_first_of(&mut self, kind: LineKind) -> bool {
+        let is_first = self.kinds.len() < MAX_KINDS && !self.kinds.contains(&kind);
+        if is_first {
+            self.kinds.push(kind);
+        }
+        is_first
+    }
 }
 
 thread_local! {
     static RATE_LIMITS: RefCell<HashMap<Identifier, RateLimit>> = RefCell::default();
 }
 
-/// Takes a token of the call site's bucket; false, and counts a suppressed line, if there is none.
-pub(super) fn try_acquire(callsite: &'static Metadata<'static>, now: Instant) -> bool {
+/// Takes a token of the call site's bucket; false, and counts a suppressed line, if there is none and the line is not the
+/// first of its kind.
+pub(super) fn try_acquire(
+    callsite: &'static Metadata<'static>,
+    kind: LineKind,
+    now: Instant,
+) -> bool {
     let burst = f64::from(BURST_LINES.load(Relaxed));
     let rate = f64::from(LINES_PER_SECOND.load(Relaxed));
     RATE_LIMITS.with_borrow_mut(|limits| {
@@ -40,18 +100,20 @@
                 refilled_at: now,
                 suppressed: 0,
                 callsite,
+                kinds: Vec::new(),
             });
         let elapsed_s = now
             .saturating_duration_since(limit.refilled_at)
             .as_secs_f64();
         limit.tokens = (limit.tokens + elapsed_s * rate).min(burst);
         limit.refilled_at = now;
-        if limit.tokens < 1.0 {
+        let is_first = limit.is_first_of(kind);
+        if limit.tokens < 1.0 && !is_first {
             limit.suppressed += 1;
             SUPPRESSED.fetch_add(1, Relaxed);
             return false;
         }
-        limit.tokens -= 1.0;
+        limit.tokens = (limit.tokens - 1.0).max(0.0);
         true
     })
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -6,6 +6,7 @@
 //! [`query_registry`] the queries in flight, [`client`] and [`engine`] the two sides, [`subsystems`] the optional parts
 //! such as service levels and zone routing.
 
+mod attempt_end;
 mod check;
 mod classify;
 mod cli;
@@ -21,6 +22,7 @@
 mod file;
 mod fleet_client;
 mod guard;
+mod ignored_reply;
 mod lifecycle;
 mod log;
 mod net;
--- a/crates/dispatcher/src/query_registry/guarding.rs
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -54,10 +54,11 @@
         permit.unwrap_or_else(|| may_begin(None))
     }
 
-    /// Records that the first byte of an attempt's request was written.
-    pub fn on_attempt_begun(&self, key: &AttemptKey, now_ms: f64) {
+    /// Records that the first byte of an attempt's request was written on a connection.
+    pub fn on_attempt_begun(&self, key: &AttemptKey, connection: u64, now_ms: f64) {
         self.guard.on_attempt_begun(key.attempt, now_ms);
-        self.trace_attempt(key, TraceEvent::Begun);
+        let connection = connection as u32;
+        self.trace_attempt(key, TraceEvent::Begun { connection });
     }
 
     /// Records that an attempt was refused: counts it by reason, and reports a violation if the rest of the program should
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between the client side, the engine side and the driver.
 
 use super::Pages;
+use crate::attempt_end::EndCause;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tansymux::events::{
@@ -63,6 +64,8 @@
         attempt: usize,
         /// How it ended.
         outcome: Outcome,
+        /// What ended it.
+        cause: EndCause,
         /// The engine of the attempt.
         engine_id: u64,
         /// Time from submission to the end (ms).
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -18,6 +18,7 @@
 };
 pub use query_table::AdmissionError;
 
+use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::guard::Guard;
@@ -104,6 +105,11 @@
         self.queries.len()
     }
 
+    /// The id that the client chose for a query, by which clients and engines know it; `None` if it is not in flight.
+    pub fn client_id(&self, query_id: u64) -> Option<Rc<str>> {
+        self.with_query(query_id, |query| query.id.clone())
+    }
+
     /// Reads a query; `None` if it is not in flight.
     pub fn with_query<T>(&self, query_id: u64, read: impl FnOnce(&Query) -> T) -> Option<T> {
         self.queries.with(query_id, read)
@@ -186,14 +192,11 @@
             return;
         };
         self.counters.attempts.increment();
-        self.trace
-            .record_attempt(query_id, attempt, engine_id, TraceEvent::Submitted);
-        tracing::debug!(
+        self.note_submitted(&AttemptKey {
             query_id,
             attempt,
-            engine_id = %format_args!("{engine_id:08x}"),
-            "attempt submitted"
-        );
+            engine_id,
+        });
         self.push_command(EngineCommand::Submit {
             query_id,
             attempt,
@@ -202,6 +205,22 @@
         });
     }
 
+    /// Logs that an attempt was submitted, and for a retry what ended the attempt before.
+    fn note_submitted(&self, key: &AttemptKey) {
+        self.trace_attempt(key, TraceEvent::Submitted);
+        let last_end = self.with_query(key.query_id, |query| query.last_end);
+        let engine_id = format_args!("{:08x}", key.engine_id);
+        let (query_id, attempt) = (key.query_id, key.attempt);
+        let Some(after) = last_end.flatten() else {
+            tracing::debug!(query_id, attempt, %engine_id, "attempt submitted");
+            return;
+        };
+        self.counters.count_retry_after(after);
+        let client_id = self.client_id(query_id);
+        let client_id = client_id.as_deref();
+        tracing::info!(query_id, client_id, attempt, %engine_id, %after, "retry submitted");
+    }
+
     /// Records that the attempt in flight waits for a lock.
     pub fn record_wait(&self, query_id: u64) {
         self.queries.with_mut(query_id, |query| query.waited = true);
@@ -232,9 +251,11 @@
     }
 
     /// Records that the end of the attempt in flight was delivered to the decisions.
-    pub fn attempt_ended(&self, query_id: u64) {
-        self.queries
-            .with_mut(query_id, |query| query.attempt_in_flight = false);
+    pub fn attempt_ended(&self, query_id: u64, cause: EndCause) {
+        self.queries.with_mut(query_id, |query| {
+            query.attempt_in_flight = false;
+            query.last_end = Some(cause);
+        });
         self.forget_if_over(query_id);
     }
 
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -1,5 +1,6 @@
 //! A query in the registry: its request, the state of its attempts, and the slot for its answer.
 
+use crate::attempt_end::EndCause;
 use crate::notify::Notify;
 use crate::statement_shape::StatementShape;
 use std::cell::RefCell;
@@ -145,6 +146,8 @@
     pub(super) attempts: usize,
     /// Whether an attempt is in flight, or its end was not yet delivered to the decisions.
     pub(super) attempt_in_flight: bool,
+    /// What ended the last attempt that has ended.
+    pub(super) last_end: Option<EndCause>,
     /// The slot for the answer; `None` once it was given or the client left.
     pub(super) slot: Option<Rc<AnswerSlot>>,
 }
@@ -166,6 +169,7 @@
             engine_id: 0,
             attempts: 0,
             attempt_in_flight: false,
+            last_end: None,
             slot: Some(slot),
         }
     }
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -60,7 +60,7 @@
     );
     registry.submit(query_id, 7, LIMITS);
     assert_eq!((registry.next_command(), registry.in_flight()), (None, 1));
-    registry.attempt_ended(query_id);
+    registry.attempt_ended(query_id, EndCause::FinalReply);
     assert_eq!(registry.in_flight(), 0);
     assert_eq!(
         registry.admit(&REQUEST).map(|_| ()),
--- a/crates/dispatcher/src/trace.rs
+++ b/crates/dispatcher/src/trace.rs
@@ -1,5 +1,6 @@
 //! A ring buffer of the last events of queries, which is logged when an invariant is violated or on SIGUSR1.
 
+use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::guard::BeginRefusal;
 use std::cell::RefCell;
@@ -17,11 +18,19 @@
     /// An attempt was handed to the engine side.
     Submitted,
     /// The first byte of an attempt was written.
-    Begun,
+    Begun {
+        /// The connection.
+        connection: u32,
+    },
     /// The guard refused an attempt.
     NotBegun(BeginRefusal),
     /// An attempt ended.
-    AttemptEnded(Outcome),
+    AttemptEnded {
+        /// How it ended.
+        outcome: Outcome,
+        /// What ended it.
+        cause: EndCause,
+    },
     /// The decisions ended the query without a result.
     Ends(EndReason),
     /// The query was answered with this status.
--- a/crates/dispatcher/tests/fault_injection/logging.rs
+++ b/crates/dispatcher/tests/fault_injection/logging.rs
@@ -1,6 +1,10 @@
 //! Logs and counters for on-call engineers: the last events of each query, and counters by reason.
 
 use super::support::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use tansymux_testbed::engine::{scripted, write_result};
+use tansymux_testbed::wire::write_frame;
 
 #[test]
 fn sigusr1_writes_the_last_events_of_queries_to_the_log() {
@@ -14,7 +18,7 @@
         "query_id=1 attempt=0 engine_id=00000000 event=Admitted",
         "event=Submitted",
         "event=Begun",
-        "event=AttemptEnded(Completed)",
+        "event=AttemptEnded { outcome: Completed, cause: FinalReply }",
         "query_id=1 attempt=0 engine_id=00000000 event=Answered(200)",
     ];
     let mut rest = log.as_str();
@@ -40,3 +44,60 @@
         assert_eq!(program.counter(&name), Some(0), "{name}");
     }
 }
+
+#[test]
+fn retry_and_ignored_reply_are_logged_with_the_ids_that_clients_and_engines_know() {
+    // The first attempt fails, twice; the second one completes.
+    let fetches = AtomicUsize::new(0);
+    let fetches = Arc::new(fetches);
+    let (engine, _received) = scripted(move |parts, to| {
+        let id = &parts[1];
+        if parts[0] != "fetch" {
+            return;
+        }
+        if fetches.fetch_add(1, Ordering::SeqCst) == 0 {
+            write_frame(to, &[id, "BROKE", "-", ""]);
+            return;
+        }
+        write_result(to, id);
+        write_frame(to, &[id, "BROKE", "-", ""]);
+    });
+    let mut program = start(&two_group_config(&[engine]));
+    assert_eq!(ask(program.listen, &query("look", 1, 9000.0)), Some(200));
+    program.wait_for_count("replies_ignored_not_in_flight 1\n");
+    program.wait_for_count("attempts_ended_final_reply 2\n");
+    program.wait_for_count("retries_after_final_reply 1\n");
+    program.terminate();
+    let log = program.end();
+    let line_with = |message: &str| log.lines().find(|line| line.contains(message));
+    let id = r#"client_id="0000000000000001""#;
+    for (message, fields) in [
+        (
+            "attempt ended",
+            [
+                "attempt=0",
+                "connection=",
+                "outcome=Error",
+                "cause=final_reply",
+            ],
+        ),
+        (
+            "retry submitted",
+            ["attempt=1", "engine_id=", "query_id=1", "after=final_reply"],
+        ),
+        (
+            "engine reply ignored",
+            [
+                "connection=",
+                "engine_id=",
+                r#"reply="failed""#,
+                "reason=not_in_flight",
+            ],
+        ),
+    ] {
+        let line = line_with(message).unwrap_or_default();
+        for field in fields.iter().chain([&id]) {
+            assert!(line.contains(field), "{field} is not in {line:?}");
+        }
+    }
+}
