Fix: the end of an engine's stream is no longer taken for the end of its attempts

What callers saw: two attempts of one request at once, for as long as an engine that half-closed its connection takes to read our close (30 ms in the test).

The end of the stream, and each other error of a connection than a reset, was reported at once, like a reset; a half-closed engine runs what it has until it reads that this side closed too. Closes of this side waited 40 ms already.

Why it works: this side closes its connection on the end of the stream, which gives up all that is open on it, and the end is reported 40 ms after that, as after a close of its own. A reset is still reported at once.

--- a/crates/dispatcher/src/engine/close.rs
+++ b/crates/dispatcher/src/engine/close.rs
@@ -15,7 +15,8 @@
 /// The consequences of a connection's end for its attempts in flight.
 struct Loss {
     was_up: bool,
-    /// Whether this side closed the connection: its attempts are abandoned, and their reports are delayed.
+    /// Whether its attempts may still run until the engine reads that this side has closed the connection, so that their
+    /// reports are delayed: only a reset proves their end.
     is_abandoned: bool,
     /// The outcome of the next attempt that may have run.
     next_outcome: Outcome,
@@ -29,11 +30,12 @@
     fn new(was_up: bool, error: Option<&ChannelError>) -> Self {
         let is_protocol_error = error.is_some_and(ChannelError::is_protocol_error);
         let is_closed_locally = error.is_some_and(ChannelError::is_closed_locally);
+        let is_reset = error.is_some_and(ChannelError::is_reset);
         let is_local_fault = error.is_some_and(ChannelError::is_local_fault);
         Loss {
             was_up,
             cause: end_cause(was_up, error),
-            is_abandoned: is_protocol_error || was_up && is_closed_locally,
+            is_abandoned: is_protocol_error || was_up && (is_closed_locally || !is_reset),
             next_outcome: Outcome::Reset,
             unsent_outcome: if is_local_fault {
                 Outcome::Withdrawn
@@ -120,7 +122,8 @@
         } = connection.on_closed();
         self.note_close(channel, &connection, error, attempts.len());
         let mut loss = Loss::new(was_up, error);
-        let may_be_lost_reuse = was_up && !loss.is_abandoned && !attempts.is_empty();
+        let is_closed_locally = error.is_some_and(ChannelError::is_closed_locally);
+        let may_be_lost_reuse = was_up && !is_closed_locally && !attempts.is_empty();
         if may_be_lost_reuse && self.is_lost_reuse(&connection, now_ms) {
             loss.next_outcome = Outcome::Cancelled;
         }
