Fix: the wait after an abort counts from when it was written, or its connection closed

What callers would see: two attempts of one query at once where an engine, or the path to it, takes no bytes: the abort sat behind a blocked outbox, and the retry went out 40 ms after it was queued.

Cause: Reporter counted its 40 ms from the call.

Change: Reporter::report is the one place that decides when an end is known, by its cause (EndProof): a final reply, a reset, and what was never whole are known at once; a close 40 ms after it; an abort 40 ms after its last byte was written, or after its connection closed. At the attempt's deadline the report waits no longer: nothing is retried after it. An engine that takes no abort for 250 ms gets no further attempt on that connection, which closes as soon as nothing is in flight (engine_closed_end_not_read).

Evidence: read in the code and shown by unit tests, not by a run of processes: end_of_an_aborted_attempt_is_reported_after_its_abort_was_written, abandoned_attempt_has_ended_with_the_last_byte_of_its_abort, connection_whose_engine_does_not_read_an_abort_closes_once_nothing_is_in_flight, only_a_reset_a_final_reply_and_what_was_never_whole_are_proof_at_once and end_of_an_attempt_is_reported_at_its_deadline_at_the_latest.

end_of_an_attempt_is_reported_immediately_and_of_an_abandoned_one_after_a_delay asserts the same of a close of this side. The reports of abandoned and of lost attempts are built in one place now.

--- a/crates/dispatcher/src/attempt_end.rs
+++ b/crates/dispatcher/src/attempt_end.rs
@@ -1,4 +1,4 @@
-//! What ended an attempt, in logs and counters.
+//! What ended an attempt, and when that proves that its engine no longer runs it.
 
 use thiserror::Error;
 
@@ -37,7 +37,34 @@
     Aborted,
 }
 
+/// When an engine is known not to run an attempt any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndProof {
+    /// At once: the engine has ended it, or never received all of it.
+    AtOnce,
+    /// A moment after the last command about it was written.
+    AfterCommand,
+    /// A moment after this side closed its connection, which gives up all that is open on it.
+    AfterClose,
+}
+
 impl EndCause {
+    /// When this cause proves the end.
+    pub fn proof(self) -> EndProof {
+        match self {
+            EndCause::FinalReply
+            | EndCause::NotBegun
+            | EndCause::HalfWritten
+            | EndCause::NotConnected
+            | EndCause::ResultLost
+            | EndCause::Reset => EndProof::AtOnce,
+            EndCause::Aborted => EndProof::AfterCommand,
+            EndCause::EndOfStream | EndCause::ConnectionFailed | EndCause::ClosedHere => {
+                EndProof::AfterClose
+            }
+        }
+    }
+
     /// All causes.
     pub const ALL: [EndCause; 10] = [
         EndCause::FinalReply,
--- a/crates/dispatcher/src/close_reason.rs
+++ b/crates/dispatcher/src/close_reason.rs
@@ -52,6 +52,9 @@
     /// A request was withdrawn after some of its bytes were written.
     #[error("half_written")]
     HalfWritten,
+    /// The engine did not read the end of an attempt in time.
+    #[error("end_not_read")]
+    EndNotRead,
     /// It was silent, and the engine accepts no other connection.
     #[error("unreachable")]
     Unreachable,
@@ -71,11 +74,12 @@
 
 impl EngineClose {
     /// All reasons.
-    pub const ALL: [EngineClose; 9] = [
+    pub const ALL: [EngineClose; 10] = [
         EngineClose::ByEngine,
         EngineClose::Retired,
         EngineClose::Protocol,
         EngineClose::HalfWritten,
+        EngineClose::EndNotRead,
         EngineClose::Unreachable,
         EngineClose::Forgotten,
         EngineClose::ConnectTimeout,
--- a/crates/dispatcher/src/engine/abandon.rs
+++ b/crates/dispatcher/src/engine/abandon.rs
@@ -76,11 +76,7 @@
             unsent_outcome(outcome, is_up)
         };
         let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
-        if outcome == Outcome::Cancelled {
-            self.reporter.report_abandoned(report);
-        } else {
-            self.reporter.report_ended(report);
-        }
+        self.reporter.report(report);
     }
 
     /// Withdraws the attempts of whose requests no byte was written.
--- a/crates/dispatcher/src/engine/channel/handler.rs
+++ b/crates/dispatcher/src/engine/channel/handler.rs
@@ -38,6 +38,9 @@
     /// The first byte of an attempt's request was written.
     fn on_attempt_begun(&self, channel: &Channel, key: &AttemptKey);
 
+    /// Bytes were written.
+    fn on_written(&self, channel: &Channel);
+
     /// A frame arrived.
     ///
     /// # Errors
--- a/crates/dispatcher/src/engine/channel/task.rs
+++ b/crates/dispatcher/src/engine/channel/task.rs
@@ -70,7 +70,10 @@
                 Ok(WriteStep::Wrote(0)) => {
                     return Err(io::Error::from(io::ErrorKind::WriteZero).into());
                 }
-                Ok(WriteStep::Wrote(count)) => self.channel.connection.borrow_mut().advance(count),
+                Ok(WriteStep::Wrote(count)) => {
+                    self.channel.connection.borrow_mut().advance(count);
+                    self.handler.on_written(self.channel);
+                }
                 Err(ChannelError::Io(error)) if is_lack_of_buffers(&error) => {
                     tracing::debug!(%error, "write failed for now");
                     Timer::after(RESOURCE_RETRY_DELAY).await;
--- a/crates/dispatcher/src/engine/close.rs
+++ b/crates/dispatcher/src/engine/close.rs
@@ -15,9 +15,6 @@
 /// The consequences of a connection's end for its attempts in flight.
 struct Loss {
     was_up: bool,
-    /// Whether its attempts may still run until the engine reads that this side has closed the connection, so that their
-    /// reports are delayed: only a reset proves their end.
-    is_abandoned: bool,
     /// The outcome of the next attempt that may have run.
     next_outcome: Outcome,
     /// The outcome of attempts that cannot have run.
@@ -28,14 +25,10 @@
 
 impl Loss {
     fn new(was_up: bool, error: Option<&ChannelError>) -> Self {
-        let is_protocol_error = error.is_some_and(ChannelError::is_protocol_error);
-        let is_closed_locally = error.is_some_and(ChannelError::is_closed_locally);
-        let is_reset = error.is_some_and(ChannelError::is_reset);
         let is_local_fault = error.is_some_and(ChannelError::is_local_fault);
         Loss {
             was_up,
             cause: end_cause(was_up, error),
-            is_abandoned: is_protocol_error || was_up && (is_closed_locally || !is_reset),
             next_outcome: Outcome::Reset,
             unsent_outcome: if is_local_fault {
                 Outcome::Withdrawn
@@ -118,6 +111,7 @@
         let ClosedConnection {
             was_up,
             attempts,
+            ending,
             health_checks,
         } = connection.on_closed();
         self.note_close(channel, &connection, error, attempts.len());
@@ -132,11 +126,10 @@
             let outcome = loss.outcome(written == RequestState::Written);
             let cause = loss.cause(written);
             let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
-            if loss.is_abandoned {
-                self.reporter.report_abandoned(report);
-            } else {
-                self.reporter.report_ended(report);
-            }
+            self.reporter.report(report);
+        }
+        for attempt in ending {
+            self.reporter.on_last_command(attempt);
         }
         // A health check that could not leave this machine is no evidence about the engine.
         if !error.is_some_and(ChannelError::is_local_fault) {
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -11,15 +11,19 @@
 pub use attempt::Attempt;
 pub use receive::FrameEvent;
 pub use state::{Abandoned, CloseReason, ConnectionState, HealthCheck, IdleReuse, Suitability};
+
+use state::EndingAttempt;
 pub use transitions::ClosedConnection;
 
 use super::protocol::{Command, RequestFields};
 use crate::attempt_end::EndCause;
 use crate::guard::BeginPermit;
+use crate::ids::AttemptId;
 pub use outbox::RequestState;
 
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::rc::Rc;
 
@@ -55,6 +59,10 @@
     /// Health checks in flight.
     health_checks: Vec<HealthCheck>,
     outbox: Outbox,
+    /// Attempts that have ended here and whose last commands are not written, in the order of these commands.
+    ending: VecDeque<EndingAttempt>,
+    /// Attempts whose last commands were written since [`Connection::take_ended`].
+    ended: Vec<AttemptId>,
 }
 
 impl Connection {
@@ -73,6 +81,8 @@
             attempts: FxHashMap::default(),
             health_checks: Vec::new(),
             outbox: Outbox::default(),
+            ending: VecDeque::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -212,7 +222,7 @@
                 EndCause::HalfWritten
             }
             RequestState::Written => {
-                self.outbox.push_command(&Command::Abort { id });
+                self.push_last_command(&Command::Abort { id }, attempt.id(), now_ms);
                 EndCause::Aborted
             }
         };
@@ -263,7 +273,23 @@
 
     /// Records that `count` more bytes were written.
     pub fn advance(&mut self, count: usize) {
-        self.outbox.advance(count);
+        let last_commands = self.outbox.advance(count);
+        let ended = self.ending.drain(..last_commands.min(self.ending.len()));
+        self.ended.extend(ended.map(|ending| ending.attempt));
+    }
+
+    /// Takes the attempts whose last commands were written since the previous call.
+    pub fn take_ended(&mut self) -> Vec<AttemptId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Queues the last command about an attempt.
+    fn push_last_command(&mut self, command: &Command, attempt: AttemptId, now_ms: f64) {
+        self.outbox.push_last_command(command);
+        self.ending.push_back(EndingAttempt {
+            attempt,
+            queued_ms: now_ms,
+        });
     }
 }
 
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::rows::json_rows;
+use crate::ids::AttemptId;
 use crate::query_registry::Pages;
 use tansymux::events::AttemptLimits;
 
@@ -61,6 +62,14 @@
         }
     }
 
+    /// Its identifier.
+    pub fn id(&self) -> AttemptId {
+        AttemptId {
+            query_id: self.query_id,
+            number: self.number,
+        }
+    }
+
     /// When this attempt next expires, by its deadline or its start limit.
     pub fn next_deadline_ms(&self, now_ms: f64) -> f64 {
         if self.start_by_ms > now_ms {
--- a/crates/dispatcher/src/engine/connection/deadlines.rs
+++ b/crates/dispatcher/src/engine/connection/deadlines.rs
@@ -1,6 +1,6 @@
 //! Expiry of attempts, health checks and incomplete frames of one connection.
 
-use super::{Attempt, Connection};
+use super::{Attempt, CloseReason, Connection};
 use std::rc::Rc;
 
 /// An incomplete frame that receives no byte for this long (ms) counts as truncated. Twice the operators' connect
@@ -11,6 +11,11 @@
 /// the operators' connect timeout.
 const LAST_WRITE_MS: f64 = 500.0;
 
+/// An engine that has not read the last command about an attempt for this long (ms) is not waited for: the connection takes
+/// no other attempt, and closes as soon as none is in flight, which gives the attempt up as well. The operators' connect
+/// timeout.
+const LAST_COMMAND_TIMEOUT_MS: f64 = 250.0;
+
 /// Health checks that timed out.
 #[derive(Debug, Clone, Copy)]
 pub struct ExpiredHealthChecks {
@@ -71,6 +76,28 @@
         self.partial_frame_since_ms.take_if(stalled).is_some()
     }
 
+    /// Closes the connection if the engine does not read the last command about an attempt and nothing else is in flight;
+    /// retires it until then.
+    pub fn expire_last_command(&mut self, now_ms: f64) {
+        if self.last_command_due_ms() > now_ms {
+            return;
+        }
+        self.retired = true;
+        if self.in_flight() == 0 {
+            self.close_reason = Some(CloseReason::EndNotRead);
+        }
+    }
+
+    /// When the engine must have read the last command about an attempt (ms); infinity if none is unwritten, or if the
+    /// connection closes, or is retired and waits for its attempts in flight.
+    fn last_command_due_ms(&self) -> f64 {
+        let is_waiting = self.close_reason.is_some() || self.retired && self.in_flight() > 0;
+        match self.ending.front() {
+            Some(ending) if !is_waiting => ending.queued_ms + LAST_COMMAND_TIMEOUT_MS,
+            _ => f64::INFINITY,
+        }
+    }
+
     /// Whether it is time to check the engine over another connection. True once per reuse.
     pub fn take_due_reachability_check(&mut self, now_ms: f64) -> bool {
         if self.check_at_ms > now_ms {
@@ -111,6 +138,7 @@
         attempts
             .chain(health_checks)
             .chain(frame)
+            .chain([self.last_command_due_ms()])
             .fold(self.check_at_ms, f64::min)
     }
 }
--- a/crates/dispatcher/src/engine/connection/outbox.rs
+++ b/crates/dispatcher/src/engine/connection/outbox.rs
@@ -35,15 +35,17 @@
 /// A message to the engine.
 #[derive(Debug)]
 enum Message {
-    /// A command about an attempt, or a health check.
+    /// A command about an attempt in flight, or a health check.
     Command(Vec<u8>),
+    /// The last command about an attempt.
+    LastCommand(Vec<u8>),
     Request(Request),
 }
 
 impl Message {
     fn request(&self) -> Option<&Request> {
         match self {
-            Message::Command(_) => None,
+            Message::Command(_) | Message::LastCommand(_) => None,
             Message::Request(request) => Some(request),
         }
     }
@@ -51,7 +53,7 @@
     /// The bytes to write; empty for a request that may not begin yet.
     fn slices(&self) -> [&[u8]; 3] {
         match self {
-            Message::Command(bytes) => [bytes, b"", b""],
+            Message::Command(bytes) | Message::LastCommand(bytes) => [bytes, b"", b""],
             Message::Request(request) if request.has_permit() => {
                 [&request.head, &request.statement, b"\r\n"]
             }
@@ -70,7 +72,7 @@
     /// The message's size in the bound on memory (bytes).
     fn held_bytes(&self) -> usize {
         match self {
-            Message::Command(bytes) => bytes.len(),
+            Message::Command(bytes) | Message::LastCommand(bytes) => bytes.len(),
             Message::Request(request) => request.statement.len() + REQUEST_HEAD_BYTES,
         }
     }
@@ -117,6 +119,11 @@
         self.push(Message::Command(command.encode()));
     }
 
+    /// Queues the last command about an attempt.
+    pub fn push_last_command(&mut self, command: &Command) {
+        self.push(Message::LastCommand(command.encode()));
+    }
+
     fn push(&mut self, message: Message) {
         self.bytes += message.held_bytes();
         self.messages.push_back(message);
@@ -128,7 +135,7 @@
         let is_started = self.written > 0;
         let mut messages = self.messages.iter_mut().enumerate();
         let (position, next) = messages.find_map(|(position, message)| match message {
-            Message::Command(_) => None,
+            Message::Command(_) | Message::LastCommand(_) => None,
             Message::Request(request) => Some((position, request)),
         })?;
         if position == 0 && is_started {
@@ -241,8 +248,9 @@
         }
     }
 
-    /// Records that `count` more bytes were written.
-    pub fn advance(&mut self, count: usize) {
+    /// Records that `count` more bytes were written. Returns the number of last commands that were completed by them.
+    pub fn advance(&mut self, count: usize) -> usize {
+        let mut last_commands = 0;
         self.written += count;
         while let Some(front) = self.messages.front() {
             let length = front.len();
@@ -251,7 +259,9 @@
             }
             self.written -= length;
             self.bytes -= front.held_bytes();
+            last_commands += usize::from(matches!(front, Message::LastCommand(_)));
             self.messages.pop_front();
         }
+        last_commands
     }
 }
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -26,6 +26,8 @@
         cause: EndCause,
         /// When it was queued on the connection (ms).
         sent_ms: f64,
+        /// Its deadline (ms).
+        deadline_ms: f64,
         /// Its result.
         pages: Pages,
     },
@@ -157,6 +159,7 @@
             outcome: end.outcome,
             cause: end.cause,
             sent_ms: attempt.sent_ms,
+            deadline_ms: attempt.deadline_ms,
             pages: attempt.take_pages(),
         }
     }
--- a/crates/dispatcher/src/engine/connection/state.rs
+++ b/crates/dispatcher/src/engine/connection/state.rs
@@ -3,6 +3,7 @@
 use super::Attempt;
 use crate::attempt_end::EndCause;
 use crate::engine::protocol_error::ProtocolError;
+use crate::ids::AttemptId;
 use std::rc::Rc;
 use thiserror::Error;
 
@@ -45,6 +46,9 @@
     /// connections were lost in silence before.
     #[error("silent after idling, as others before")]
     ForgottenByEngine,
+    /// The engine did not read the end of an attempt in time.
+    #[error("the engine does not read the end of an attempt")]
+    EndNotRead,
     /// The connection has been silent, and the engine accepts no other one.
     #[error("no other connection comes up")]
     EngineUnreachable,
@@ -61,6 +65,14 @@
     pub deadline_ms: f64,
 }
 
+/// An attempt that has ended on a connection, and whose last command is queued there.
+#[derive(Debug)]
+pub(super) struct EndingAttempt {
+    pub attempt: AttemptId,
+    /// When the command was queued (ms).
+    pub queued_ms: f64,
+}
+
 /// The reuse of a connection after it had idled.
 #[derive(Debug, Clone, Copy)]
 pub struct IdleReuse {
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -108,6 +108,7 @@
         outcome,
         cause: EndCause::FinalReply,
         sent_ms,
+        deadline_ms: 90.0,
         pages,
     });
     assert_eq!(
@@ -286,3 +287,42 @@
         Ok(FrameEvent::Ignored(IgnoredReply::NotInFlight))
     );
 }
+
+/// A connection whose attempt was written and then abandoned at 6 ms.
+fn connection_with_abort() -> Connection {
+    let mut connection = connection();
+    submit(&mut connection, "i1", 4);
+    connection.advance(unwritten(&connection).len());
+    connection.abandon("i1", 6.0);
+    connection
+}
+
+#[test]
+fn abandoned_attempt_has_ended_with_the_last_byte_of_its_abort() {
+    let mut connection = connection_with_abort();
+    let abort = unwritten(&connection).len();
+    connection.advance(abort - 1);
+    assert!(connection.take_ended().is_empty());
+    connection.advance(1);
+    let attempt = AttemptId {
+        query_id: 4,
+        number: 0,
+    };
+    assert_eq!(connection.take_ended(), [attempt]);
+    assert!(connection.take_ended().is_empty());
+    // Where the connection closes before that, its end is the attempt's.
+    assert_eq!(connection_with_abort().on_closed().ending, [attempt]);
+}
+
+#[test]
+fn connection_whose_engine_does_not_read_an_abort_closes_once_nothing_is_in_flight() {
+    let mut connection = connection_with_abort();
+    submit(&mut connection, "i2", 5);
+    connection.expire_last_command(255.0);
+    assert!(!connection.is_retired() && connection.next_deadline_ms(255.0) == 90.0);
+    connection.expire_last_command(256.0);
+    assert!(connection.is_retired() && connection.close_reason().is_none());
+    connection.abandon("i2", 257.0);
+    connection.expire_last_command(257.0);
+    assert_eq!(connection.close_reason(), Some(CloseReason::EndNotRead));
+}
--- a/crates/dispatcher/src/engine/connection/transitions.rs
+++ b/crates/dispatcher/src/engine/connection/transitions.rs
@@ -1,6 +1,7 @@
 //! Transitions of a connection's state, from its connect to its close.
 
 use super::{Attempt, CloseReason, Connection, ConnectionState, IdleReuse};
+use crate::ids::AttemptId;
 use std::rc::Rc;
 
 /// The content of a connection at its end.
@@ -9,6 +10,8 @@
     pub was_up: bool,
     /// The attempts in flight with their ids, in the order of their queries' numbers.
     pub attempts: Vec<(Rc<str>, Attempt)>,
+    /// Attempts that have ended here, and whose last command was not written.
+    pub ending: Vec<AttemptId>,
     /// Number of health checks in flight.
     pub health_checks: usize,
 }
@@ -50,8 +53,10 @@
         let mut attempts: Vec<(Rc<str>, Attempt)> = self.attempts.drain().collect();
         attempts.sort_by_key(|(_, attempt)| attempt.query_id);
         let health_checks = std::mem::take(&mut self.health_checks).len();
+        let ending = self.ending.drain(..).map(|ending| ending.attempt);
         ClosedConnection {
             was_up,
+            ending: ending.collect(),
             attempts,
             health_checks,
         }
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -184,6 +184,7 @@
                 channel.connection.borrow_mut().limit_deadlines(deadline_ms);
             }
         });
+        self.reporter.limit_deadlines(deadline_ms);
     }
 
     /// Expires what is due and closes idle connections. Returns the time (ms) at which to call it again, or infinity.
--- a/crates/dispatcher/src/engine/pool/channel_events.rs
+++ b/crates/dispatcher/src/engine/pool/channel_events.rs
@@ -68,6 +68,13 @@
             .on_attempt_begun(key, channel.id, self.clock.now());
     }
 
+    fn on_written(&self, channel: &Channel) {
+        let ended = channel.connection.borrow_mut().take_ended();
+        for attempt in ended {
+            self.reporter.on_last_command(attempt);
+        }
+    }
+
     fn on_frame(&self, channel: &Channel, frame: &Frame) -> Result<(), ProtocolError> {
         let now_ms = self.clock.now();
         let mut connection = channel.connection.borrow_mut();
@@ -98,14 +105,16 @@
                 outcome,
                 cause,
                 sent_ms,
+                deadline_ms,
                 pages,
-            } => self.reporter.report_ended(AttemptReport {
+            } => self.reporter.report(AttemptReport {
                 query_id,
                 attempt,
                 outcome,
                 cause,
                 connection: Some(channel.id),
                 engine_id,
+                deadline_ms,
                 latency_ms: now_ms - sent_ms,
                 pages,
             }),
--- a/crates/dispatcher/src/engine/pool/commands.rs
+++ b/crates/dispatcher/src/engine/pool/commands.rs
@@ -113,13 +113,14 @@
     }
 
     fn report_not_sent(&self, order: &AttemptOrder, outcome: Outcome) {
-        self.reporter.report_ended(AttemptReport {
+        self.reporter.report(AttemptReport {
             query_id: order.query_id,
             attempt: order.number,
             outcome,
             cause: EndCause::NotBegun,
             connection: None,
             engine_id: order.engine_id,
+            deadline_ms: order.limits.deadline_ms,
             latency_ms: 0.0,
             pages: Pages::new(),
         });
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -1,20 +1,20 @@
-//! Reports the ends of attempts and health checks to the decisions.
+//! Reports the ends of attempts and health checks to the decisions. The only place that decides when the end of an attempt
+//! is known: [`Reporter::report`].
 
 use super::channel::Channel;
 use super::connection::Attempt;
-use crate::attempt_end::EndCause;
+use crate::attempt_end::{EndCause, EndProof};
 use crate::clock::Clock;
-use crate::ids::ConnectionId;
+use crate::ids::{AttemptId, ConnectionId};
 use crate::query_registry::{AttemptKey, Event, Pages, QueryRegistry};
 use crate::trace::TraceEvent;
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
-/// Delay (ms) before the end of an abandoned attempt is reported. Its query may then be retried on another
-/// connection, and a busy engine reads its connections in any order: without the delay the retry could overtake the
-/// abort. The protocol allows for 50 ms.
+/// Delay (ms) between the last command about an attempt, or the close of its connection, and the report of its end. Its
+/// query may then be retried on another connection, and a busy engine reads its connections in any order: without the
+/// delay the retry could overtake the command. The protocol allows for 50 ms.
 const SETTLE_MS: f64 = 40.0;
 
 /// The end of an attempt.
@@ -26,6 +26,8 @@
     /// The connection that carried it, unless there was none.
     pub connection: Option<ConnectionId>,
     pub engine_id: u64,
+    /// The attempt's deadline (ms).
+    pub deadline_ms: f64,
     /// Time since the attempt was handed to its connection.
     pub latency_ms: f64,
     pub pages: Pages,
@@ -47,10 +49,18 @@
             cause,
             connection: Some(channel.id),
             engine_id: channel.engine_id,
+            deadline_ms: attempt.deadline_ms,
             latency_ms: now_ms - attempt.sent_ms,
             pages: Pages::new(),
         }
     }
+
+    fn attempt_id(&self) -> AttemptId {
+        AttemptId {
+            query_id: self.query_id,
+            number: self.attempt,
+        }
+    }
 }
 
 impl From<AttemptReport> for Event {
@@ -67,18 +77,40 @@
     }
 }
 
-/// The end of an abandoned attempt, to be reported at `due_ms`.
+/// When the end of an attempt is reported.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Due {
+    /// Once the last command about the attempt was written and had time to settle.
+    AfterCommand,
+    /// At this time (ms).
+    At(f64),
+}
+
+/// The end of an attempt that is not proven yet.
 struct SettlingReport {
-    due_ms: f64,
+    attempt: AttemptId,
+    due: Due,
+    /// The attempt's deadline (ms). Its query is not retried after it, so that the report need not wait any longer.
+    deadline_ms: f64,
     event: Event,
 }
 
+impl SettlingReport {
+    /// When it is published (ms), as far as that is known.
+    fn publish_ms(&self) -> f64 {
+        match self.due {
+            Due::AfterCommand => self.deadline_ms,
+            Due::At(due_ms) => due_ms.min(self.deadline_ms),
+        }
+    }
+}
+
 /// Reports to the decisions, through the registry.
 pub(super) struct Reporter {
     registry: Rc<QueryRegistry>,
     clock: Clock,
-    /// Ends of abandoned attempts whose report is delayed, in the order of their due times.
-    settling: RefCell<VecDeque<SettlingReport>>,
+    /// Ends of attempts that are not proven yet.
+    settling: RefCell<Vec<SettlingReport>>,
 }
 
 impl Reporter {
@@ -91,31 +123,56 @@
         }
     }
 
-    /// Reports the end of an attempt immediately.
-    pub fn report_ended(&self, report: AttemptReport) {
+    /// Reports the end of an attempt once its cause proves it: every end passes here.
+    pub fn report(&self, report: AttemptReport) {
         self.note_ended(&report);
-        self.registry.push_event(report.into());
+        let due = match report.cause.proof() {
+            EndProof::AtOnce => return self.registry.push_event(report.into()),
+            EndProof::AfterCommand => Due::AfterCommand,
+            EndProof::AfterClose => Due::At(self.clock.now() + SETTLE_MS),
+        };
+        let report = SettlingReport {
+            attempt: report.attempt_id(),
+            due,
+            deadline_ms: report.deadline_ms,
+            event: report.into(),
+        };
+        if report.publish_ms() <= self.clock.now() {
+            return self.registry.push_event(report.event);
+        }
+        self.settling.borrow_mut().push(report);
+        self.registry.notify.notify();
     }
 
-    /// Reports the end of an attempt that this side abandoned, after [`SETTLE_MS`].
-    pub fn report_abandoned(&self, report: AttemptReport) {
-        self.note_ended(&report);
-        let due_ms = self.clock.now() + SETTLE_MS;
-        let event = report.into();
+    /// Handles that the last command about an attempt was written, or that its connection closed before that.
+    pub fn on_last_command(&self, attempt: AttemptId) {
+        let due = Due::At(self.clock.now() + SETTLE_MS);
         let mut settling = self.settling.borrow_mut();
-        settling.push_back(SettlingReport { due_ms, event });
-        drop(settling);
-        self.registry.notify.notify();
+        let waits = |report: &&mut SettlingReport| {
+            report.attempt == attempt && report.due == Due::AfterCommand
+        };
+        if let Some(report) = settling.iter_mut().find(waits) {
+            report.due = due;
+            self.registry.notify.notify();
+        }
+    }
+
+    /// Moves all later deadlines forward to `deadline_ms`.
+    pub fn limit_deadlines(&self, deadline_ms: f64) {
+        for report in self.settling.borrow_mut().iter_mut() {
+            report.deadline_ms = report.deadline_ms.min(deadline_ms);
+        }
     }
 
     /// Publishes the delayed reports that are due. Returns when the next one is (ms), or infinity.
     pub fn publish_settled(&self, now_ms: f64) -> f64 {
         let mut settling = self.settling.borrow_mut();
-        while let Some(settled) = settling.pop_front_if(|report| report.due_ms <= now_ms) {
-            self.registry.push_event(settled.event);
+        let due = settling.extract_if(.., |report| report.publish_ms() <= now_ms);
+        for report in due {
+            self.registry.push_event(report.event);
         }
-        let next = settling.front();
-        next.map_or(f64::INFINITY, |report| report.due_ms)
+        let times = settling.iter().map(SettlingReport::publish_ms);
+        times.fold(f64::INFINITY, f64::min)
     }
 
     /// Reports the same outcome for `count` health checks of an engine.
--- a/crates/dispatcher/src/engine/reports/tests.rs
+++ b/crates/dispatcher/src/engine/reports/tests.rs
@@ -1,41 +1,98 @@
 use super::*;
 
-fn report(outcome: Outcome) -> AttemptReport {
+fn report(outcome: Outcome, cause: EndCause) -> AttemptReport {
     AttemptReport {
         query_id: 4,
         attempt: 0,
         outcome,
-        cause: EndCause::FinalReply,
+        cause,
         connection: None,
         engine_id: 7,
+        deadline_ms: 1e15,
         latency_ms: 5.0,
         pages: Pages::new(),
     }
 }
 
-#[test]
-fn end_of_an_attempt_is_reported_immediately_and_of_an_abandoned_one_after_a_delay() {
+const ATTEMPT: AttemptId = AttemptId {
+    query_id: 4,
+    number: 0,
+};
+
+fn reporter() -> (Rc<QueryRegistry>, Reporter) {
     let registry = Rc::new(QueryRegistry::default());
     let reporter = Reporter::new(registry.clone(), Clock::start());
-    reporter.report_ended(report(Outcome::Completed));
-    assert!(matches!(
-        registry.next_event(),
-        Some(Event::AttemptEnded {
-            outcome: Outcome::Completed,
-            ..
-        })
-    ));
-    reporter.report_abandoned(report(Outcome::Cancelled));
+    (registry, reporter)
+}
+
+fn next_outcome(registry: &QueryRegistry) -> Option<Outcome> {
+    match registry.next_event()? {
+        Event::AttemptEnded { outcome, .. } => Some(outcome),
+        _ => None,
+    }
+}
+
+#[test]
+fn end_of_an_attempt_is_reported_immediately_and_of_an_abandoned_one_after_a_delay() {
+    let (registry, reporter) = reporter();
+    reporter.report(report(Outcome::Completed, EndCause::FinalReply));
+    assert_eq!(next_outcome(&registry), Some(Outcome::Completed));
+    reporter.report(report(Outcome::Cancelled, EndCause::ClosedHere));
     let due_ms = reporter.publish_settled(0.0);
     assert!(due_ms.is_finite() && registry.next_event().is_none());
     assert_eq!(reporter.publish_settled(due_ms), f64::INFINITY);
-    assert!(matches!(
-        registry.next_event(),
-        Some(Event::AttemptEnded {
-            outcome: Outcome::Cancelled,
-            ..
-        })
-    ));
+    assert_eq!(next_outcome(&registry), Some(Outcome::Cancelled));
+}
+
+#[test]
+fn only_a_reset_a_final_reply_and_what_was_never_whole_are_proof_at_once() {
+    for cause in EndCause::ALL {
+        let (registry, reporter) = reporter();
+        reporter.report(report(Outcome::Reset, cause));
+        let is_proof = match cause {
+            EndCause::FinalReply | EndCause::Reset | EndCause::NotConnected => true,
+            EndCause::NotBegun | EndCause::HalfWritten | EndCause::ResultLost => true,
+            EndCause::Aborted | EndCause::ClosedHere => false,
+            EndCause::EndOfStream | EndCause::ConnectionFailed => false,
+        };
+        assert_eq!(next_outcome(&registry).is_some(), is_proof, "{cause}");
+    }
+}
+
+#[test]
+fn end_of_an_aborted_attempt_is_reported_after_its_abort_was_written() {
+    let (registry, reporter) = reporter();
+    reporter.report(report(Outcome::Cancelled, EndCause::Aborted));
+    let much_later_ms = 1e9;
+    assert_eq!(reporter.publish_settled(much_later_ms), 1e15);
+    assert_eq!(next_outcome(&registry), None);
+    let written_ms = reporter.clock.now();
+    reporter.on_last_command(ATTEMPT);
+    let due_ms = reporter.publish_settled(0.0);
+    assert!(due_ms >= written_ms + SETTLE_MS && next_outcome(&registry).is_none());
+    // Its connection may close as well: that changes nothing.
+    reporter.on_last_command(ATTEMPT);
+    assert_eq!(reporter.publish_settled(0.0), due_ms);
+    reporter.publish_settled(due_ms);
+    assert_eq!(next_outcome(&registry), Some(Outcome::Cancelled));
+}
+
+#[test]
+fn end_of_an_attempt_is_reported_at_its_deadline_at_the_latest() {
+    let (registry, reporter) = reporter();
+    reporter.report(report(Outcome::Cancelled, EndCause::Aborted));
+    let deadline_ms = reporter.clock.now() + 1000.0;
+    reporter.limit_deadlines(deadline_ms);
+    assert_eq!(reporter.publish_settled(deadline_ms - 1.0), deadline_ms);
+    assert_eq!(next_outcome(&registry), None);
+    reporter.publish_settled(deadline_ms);
+    assert_eq!(next_outcome(&registry), Some(Outcome::Cancelled));
+    // An attempt that is abandoned at its deadline need not wait at all.
+    reporter.report(AttemptReport {
+        deadline_ms: 0.0,
+        ..report(Outcome::Timeout, EndCause::Aborted)
+    });
+    assert_eq!(next_outcome(&registry), Some(Outcome::Timeout));
 }
 
 #[test]
--- a/crates/dispatcher/src/engine/timeouts.rs
+++ b/crates/dispatcher/src/engine/timeouts.rs
@@ -133,6 +133,10 @@
             connection.close(CloseReason::Protocol(ProtocolError::StalledFrame));
             channel.notify.notify();
         }
+        connection.expire_last_command(now_ms);
+        if connection.close_reason().is_some() {
+            channel.notify.notify();
+        }
         if connection.take_due_reachability_check(now_ms) {
             expired.unsure_engines.push(channel.engine_id);
         }
