Fix: an engine is told when a result is given up half way

What engines saw: after a lost page nothing more came about the query, so that they held its other pages for nobody; page requests that were queued still went out, beside or behind the retry.

Cause: BROKE to a page request ended the attempt like any error, without the 'done' that the protocol has for pages that are no longer wanted. Abandoned attempts whose first page had come got an abort, which gives up a request and says nothing of its pages; their queued page requests stayed.

Evidence: engine_is_told_to_free_a_result_whose_pages_are_lost failed before (no 'done' within 2 s) and passes now; result_given_up_half_way_is_released_and_its_unwritten_page_requests_are_dropped.

Command::ConfirmResult is now ReleaseResult, as it is sent in both cases.

--- a/crates/dispatcher/src/attempt_end.rs
+++ b/crates/dispatcher/src/attempt_end.rs
@@ -56,9 +56,8 @@
             | EndCause::NotBegun
             | EndCause::HalfWritten
             | EndCause::NotConnected
-            | EndCause::ResultLost
             | EndCause::Reset => EndProof::AtOnce,
-            EndCause::Aborted => EndProof::AfterCommand,
+            EndCause::ResultLost | EndCause::Aborted => EndProof::AfterCommand,
             EndCause::EndOfStream | EndCause::ConnectionFailed | EndCause::ClosedHere => {
                 EndProof::AfterClose
             }
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -194,7 +194,7 @@
         self.last_used_ms = now_ms;
         self.unused = false;
         self.outbox
-            .push_command(&Command::CheckHealth { tag: &tag });
+            .push_health_check(&Command::CheckHealth { tag: &tag });
         self.health_checks.push(HealthCheck {
             tag,
             sent_ms: now_ms,
@@ -204,14 +204,14 @@
 
     /// Queues a new priority for an attempt in flight.
     pub fn set_priority(&mut self, id: &str, priority: u8) {
-        if self.attempts.contains_key(id) {
-            self.outbox
-                .push_command(&Command::SetPriority { id, priority });
+        if let Some(attempt) = self.attempts.get(id) {
+            let command = Command::SetPriority { id, priority };
+            self.outbox.push_command(attempt.id(), &command);
         }
     }
 
     /// Abandons an attempt; `None` if it is not in flight here. An unwritten request is withdrawn, a partly written
-    /// one closes the connection, and for a written one an abort is queued.
+    /// one closes the connection, and for a written one the engine is told.
     pub fn abandon(&mut self, id: &str, now_ms: f64) -> Option<Abandoned> {
         let attempt = self.attempts.remove(id)?;
         self.last_used_ms = now_ms;
@@ -222,7 +222,13 @@
                 EndCause::HalfWritten
             }
             RequestState::Written => {
-                self.push_last_command(&Command::Abort { id }, attempt.id(), now_ms);
+                // An engine that has sent a first page has ended the attempt, and holds its result.
+                let command = if attempt.page_count() > 0 {
+                    Command::ReleaseResult { id }
+                } else {
+                    Command::Abort { id }
+                };
+                self.push_last_command(&command, attempt.id(), now_ms);
                 EndCause::Aborted
             }
         };
@@ -283,8 +289,9 @@
         std::mem::take(&mut self.ended)
     }
 
-    /// Queues the last command about an attempt.
+    /// Queues the last command about an attempt, in place of those that were not written.
     fn push_last_command(&mut self, command: &Command, attempt: AttemptId, now_ms: f64) {
+        self.outbox.discard_commands_about(attempt);
         self.outbox.push_last_command(command);
         self.ending.push_back(EndingAttempt {
             attempt,
--- a/crates/dispatcher/src/engine/connection/outbox.rs
+++ b/crates/dispatcher/src/engine/connection/outbox.rs
@@ -3,6 +3,7 @@
 
 use crate::engine::protocol::{Command, RequestFields};
 use crate::guard::BeginPermit;
+use crate::ids::AttemptId;
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::rc::Rc;
@@ -35,8 +36,10 @@
 /// A message to the engine.
 #[derive(Debug)]
 enum Message {
-    /// A command about an attempt in flight, or a health check.
-    Command(Vec<u8>),
+    /// A health check.
+    HealthCheck(Vec<u8>),
+    /// A command about an attempt in flight.
+    Command(AttemptId, Vec<u8>),
     /// The last command about an attempt.
     LastCommand(Vec<u8>),
     Request(Request),
@@ -45,15 +48,22 @@
 impl Message {
     fn request(&self) -> Option<&Request> {
         match self {
-            Message::Command(_) | Message::LastCommand(_) => None,
             Message::Request(request) => Some(request),
+            _ => None,
         }
     }
 
+    /// Whether it is a command about an attempt in flight.
+    fn is_command_about(&self, attempt: AttemptId) -> bool {
+        matches!(self, Message::Command(about, _) if *about == attempt)
+    }
+
     /// The bytes to write; empty for a request that may not begin yet.
     fn slices(&self) -> [&[u8]; 3] {
         match self {
-            Message::Command(bytes) | Message::LastCommand(bytes) => [bytes, b"", b""],
+            Message::HealthCheck(bytes)
+            | Message::Command(_, bytes)
+            | Message::LastCommand(bytes) => [bytes, b"", b""],
             Message::Request(request) if request.has_permit() => {
                 [&request.head, &request.statement, b"\r\n"]
             }
@@ -72,7 +82,9 @@
     /// The message's size in the bound on memory (bytes).
     fn held_bytes(&self) -> usize {
         match self {
-            Message::Command(bytes) | Message::LastCommand(bytes) => bytes.len(),
+            Message::HealthCheck(bytes)
+            | Message::Command(_, bytes)
+            | Message::LastCommand(bytes) => bytes.len(),
             Message::Request(request) => request.statement.len() + REQUEST_HEAD_BYTES,
         }
     }
@@ -114,9 +126,14 @@
         }));
     }
 
-    /// Queues a command about an attempt, or a health check.
-    pub fn push_command(&mut self, command: &Command) {
-        self.push(Message::Command(command.encode()));
+    /// Queues a health check.
+    pub fn push_health_check(&mut self, command: &Command) {
+        self.push(Message::HealthCheck(command.encode()));
+    }
+
+    /// Queues a command about an attempt in flight.
+    pub fn push_command(&mut self, attempt: AttemptId, command: &Command) {
+        self.push(Message::Command(attempt, command.encode()));
     }
 
     /// Queues the last command about an attempt.
@@ -135,8 +152,8 @@
         let is_started = self.written > 0;
         let mut messages = self.messages.iter_mut().enumerate();
         let (position, next) = messages.find_map(|(position, message)| match message {
-            Message::Command(_) | Message::LastCommand(_) => None,
             Message::Request(request) => Some((position, request)),
+            _ => None,
         })?;
         if position == 0 && is_started {
             return None;
@@ -204,6 +221,21 @@
         unstarted.filter_map(|message| Some(message.request()?.id.clone()))
     }
 
+    /// Drops the commands about an attempt of which no byte was written.
+    pub fn discard_commands_about(&mut self, attempt: AttemptId) {
+        let mut position = 0;
+        let started = usize::from(self.written > 0);
+        let bytes = &mut self.bytes;
+        self.messages.retain(|message| {
+            let is_dropped = position >= started && message.is_command_about(attempt);
+            position += 1;
+            if is_dropped {
+                *bytes -= message.held_bytes();
+            }
+            !is_dropped
+        });
+    }
+
     /// Drops everything but requests and a message that is partly written.
     pub fn discard_commands(&mut self) {
         let started = usize::from(self.written > 0);
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -1,12 +1,12 @@
 //! Interprets the frames that an engine sends.
 
 use super::attempt::{Attempt, ResultProgress};
-use super::outbox::Outbox;
 use super::Connection;
 use crate::attempt_end::EndCause;
 use crate::engine::protocol::{self, Command, EngineReply, HealthReply, ProgressNote};
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::resp::Frame;
+use crate::ids::AttemptId;
 use crate::ignored_reply::IgnoredReply;
 use crate::query_registry::Pages;
 use tansymux::events::Outcome;
@@ -111,36 +111,42 @@
                 return Ok(ReplyEffect::ignored(IgnoredReply::DuplicateFirstPage));
             }
             EngineReply::FirstPage { page_count, rows } => {
-                let progress = attempt.add_first_page(page_count, rows)?;
-                return Ok(self.on_page(id, progress));
+                let (attempt_id, progress) =
+                    (attempt.id(), attempt.add_first_page(page_count, rows)?);
+                return Ok(self.on_page(id, attempt_id, progress));
             }
             EngineReply::NumberedPage { page_number, rows } => {
-                let progress = attempt.add_numbered_page(page_number, rows)?;
-                return Ok(self.on_page(id, progress));
+                let (attempt_id, progress) =
+                    (attempt.id(), attempt.add_numbered_page(page_number, rows)?);
+                return Ok(self.on_page(id, attempt_id, progress));
             }
-            EngineReply::Full => AttemptEnd::by_final_reply(Outcome::Full),
-            EngineReply::DeadlinePassed => AttemptEnd::by_final_reply(Outcome::NotSent),
             EngineReply::Failed if attempt.page_count() > 0 => AttemptEnd {
                 outcome: Outcome::Error,
                 cause: EndCause::ResultLost,
             },
+            EngineReply::Full => AttemptEnd::by_final_reply(Outcome::Full),
+            EngineReply::DeadlinePassed => AttemptEnd::by_final_reply(Outcome::NotSent),
             EngineReply::Failed => AttemptEnd::by_final_reply(Outcome::Error),
         };
         Ok(ReplyEffect::Final(end))
     }
 
-    /// Requests the remaining pages after the first one, and confirms a result of several pages once it is complete.
-    fn on_page(&mut self, id: &str, progress: ResultProgress) -> ReplyEffect {
+    /// Requests the remaining pages after the first one, and releases a result of several pages once it is complete.
+    fn on_page(&mut self, id: &str, attempt: AttemptId, progress: ResultProgress) -> ReplyEffect {
         match progress {
             ResultProgress::Begun { page_count } => {
-                request_remaining_pages(&mut self.outbox, id, page_count);
+                for page in 1..page_count {
+                    let command = Command::RequestPage { id, page };
+                    self.outbox.push_command(attempt, &command);
+                }
                 ReplyEffect::Interim(FrameEvent::PageArrived)
             }
             ResultProgress::Incomplete => ReplyEffect::Interim(FrameEvent::PageArrived),
             ResultProgress::Duplicate => ReplyEffect::ignored(IgnoredReply::DuplicatePage),
             ResultProgress::Complete { page_count } => {
                 if page_count > 1 {
-                    self.outbox.push_command(&Command::ConfirmResult { id });
+                    let command = Command::ReleaseResult { id };
+                    self.outbox.push_command(attempt, &command);
                 }
                 ReplyEffect::Final(AttemptEnd::by_final_reply(Outcome::Completed))
             }
@@ -153,6 +159,9 @@
             return FrameEvent::Ignored(IgnoredReply::NotInFlight);
         };
         self.last_used_ms = now_ms;
+        if end.cause == EndCause::ResultLost {
+            self.push_last_command(&Command::ReleaseResult { id }, attempt.id(), now_ms);
+        }
         FrameEvent::AttemptEnded {
             query_id: attempt.query_id,
             attempt: attempt.number,
@@ -182,9 +191,3 @@
         None => FrameEvent::Ignored(IgnoredReply::UnusedNote),
     }
 }
-
-fn request_remaining_pages(outbox: &mut Outbox, id: &str, page_count: usize) {
-    for page in 1..page_count {
-        outbox.push_command(&Command::RequestPage { id, page });
-    }
-}
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -326,3 +326,38 @@
     connection.expire_last_command(257.0);
     assert_eq!(connection.close_reason(), Some(CloseReason::EndNotRead));
 }
+
+#[test]
+fn result_given_up_half_way_is_released_and_its_unwritten_page_requests_are_dropped() {
+    let first_page: [&[u8]; 4] = [b"i1", b"DONE", b"batches=3", b"a\t\t\n"];
+    // A page is lost, and the attempt is abandoned.
+    let mut lost = connection();
+    let mut abandoned = connection();
+    for connection in [&mut lost, &mut abandoned] {
+        submit(connection, "i1", 4);
+        connection.advance(unwritten(connection).len());
+        receive(connection, &first_page).unwrap();
+        // One byte of the first page request goes out.
+        connection.advance(1);
+    }
+    let end = receive(&mut lost, &[b"i1", b"BROKE", b"-", b""]);
+    assert!(matches!(
+        end,
+        Ok(FrameEvent::AttemptEnded {
+            outcome: Outcome::Error,
+            cause: EndCause::ResultLost,
+            ..
+        })
+    ));
+    abandoned.abandon("i1", 9.0);
+    for connection in [&mut lost, &mut abandoned] {
+        let text = unwritten(connection);
+        assert!(
+            text.matches("more").count() == 1 && text.ends_with("$4\r\ndone\r\n$2\r\ni1\r\n"),
+            "{text}"
+        );
+        connection.advance(text.len());
+        assert_eq!(connection.take_ended().len(), 1);
+        assert_eq!(connection.outbox.bytes(), 0);
+    }
+}
--- a/crates/dispatcher/src/engine/protocol.rs
+++ b/crates/dispatcher/src/engine/protocol.rs
@@ -13,8 +13,8 @@
 const START_ATTEMPT: &[u8] = b"fetch";
 /// Command that requests a page other than the first.
 const REQUEST_PAGE: &[u8] = b"more";
-/// Command that confirms a result of several pages: the engine may free it.
-const CONFIRM_RESULT: &[u8] = b"done";
+/// Command that releases a result of several pages: no more of them are wanted.
+const RELEASE_RESULT: &[u8] = b"done";
 /// Command that aborts an attempt.
 const ABORT_ATTEMPT: &[u8] = b"abort";
 /// Command that changes the priority of a running attempt.
@@ -71,8 +71,8 @@
         /// The page's number, from 0.
         page: usize,
     },
-    /// Confirms that all pages of an attempt's result arrived.
-    ConfirmResult {
+    /// Releases an attempt's result: all its pages arrived, or it is given up.
+    ReleaseResult {
         /// Id of the attempt's query.
         id: &'a str,
     },
@@ -103,7 +103,7 @@
                 let page = page.to_string();
                 encode_elements(&[REQUEST_PAGE, id.as_bytes(), page.as_bytes()])
             }
-            Command::ConfirmResult { id } => encode_elements(&[CONFIRM_RESULT, id.as_bytes()]),
+            Command::ReleaseResult { id } => encode_elements(&[RELEASE_RESULT, id.as_bytes()]),
             Command::Abort { id } => encode_elements(&[ABORT_ATTEMPT, id.as_bytes()]),
             Command::SetPriority { id, priority } => {
                 let priority = priority.to_string();
--- a/crates/dispatcher/src/engine/protocol/tests.rs
+++ b/crates/dispatcher/src/engine/protocol/tests.rs
@@ -19,7 +19,7 @@
             "*3\r\n$4\r\nmore\r\n$2\r\ni1\r\n$1\r\n2\r\n",
         ),
         (
-            Command::ConfirmResult { id: "i1" },
+            Command::ReleaseResult { id: "i1" },
             "*2\r\n$4\r\ndone\r\n$2\r\ni1\r\n",
         ),
         (
--- a/crates/dispatcher/src/engine/reports/tests.rs
+++ b/crates/dispatcher/src/engine/reports/tests.rs
@@ -51,8 +51,8 @@
         reporter.report(report(Outcome::Reset, cause));
         let is_proof = match cause {
             EndCause::FinalReply | EndCause::Reset | EndCause::NotConnected => true,
-            EndCause::NotBegun | EndCause::HalfWritten | EndCause::ResultLost => true,
-            EndCause::Aborted | EndCause::ClosedHere => false,
+            EndCause::NotBegun | EndCause::HalfWritten => true,
+            EndCause::ResultLost | EndCause::Aborted | EndCause::ClosedHere => false,
             EndCause::EndOfStream | EndCause::ConnectionFailed => false,
         };
         assert_eq!(next_outcome(&registry).is_some(), is_proof, "{cause}");
--- a/crates/dispatcher/tests/fault_injection/attempt_ends.rs
+++ b/crates/dispatcher/tests/fault_injection/attempt_ends.rs
@@ -4,16 +4,19 @@
 use std::io::{BufReader, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-use tansymux_testbed::engine::{scripted, write_result_of};
+use tansymux_testbed::engine::{scripted, write_result_of, ReceivedFrame};
 use tansymux_testbed::wire::{read_response, write_frame};
 
 /// How long an engine's pages of one result are lost apart from each other.
 const BETWEEN_REPLIES: Duration = Duration::from_millis(4);
 /// How long a retry runs.
 const RUN_TIME: Duration = Duration::from_millis(80);
+/// How long a command of the program is awaited.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long clients wait for an answer (ms).
 const WAIT_MS: f64 = 6000.0;
 
@@ -42,6 +45,10 @@
         self.0.lock().unwrap()[number].ended = Some(Instant::now());
     }
 
+    fn arrived(&self, number: usize) -> Instant {
+        self.0.lock().unwrap()[number].arrived
+    }
+
     fn count(&self) -> usize {
         self.0.lock().unwrap().len()
     }
@@ -70,7 +77,7 @@
 
 /// An engine that ends the first attempt with the first of three pages and loses the two others. It completes all later
 /// attempts.
-fn engine_that_loses_pages(log: &AttemptLog) -> SocketAddr {
+fn engine_that_loses_pages(log: &AttemptLog) -> (SocketAddr, Receiver<ReceivedFrame>) {
     let log = log.clone();
     let answer = move |parts: &[String], to: &mut TcpStream| {
         let id = &parts[1];
@@ -90,7 +97,7 @@
             _ => {}
         }
     };
-    scripted(answer).0
+    scripted(answer)
 }
 
 /// The status and the body of the answer to a query on a connection of its own.
@@ -109,7 +116,8 @@
 #[test]
 fn lost_pages_of_one_attempt_do_not_end_its_retry() {
     let log = AttemptLog::default();
-    let program = start(&two_group_config(&[engine_that_loses_pages(&log)]));
+    let (engine, _received) = engine_that_loses_pages(&log);
+    let program = start(&two_group_config(&[engine]));
     assert_eq!(ask_for_rows(program.listen, "look", 1), retried_row());
     assert_eq!(log.count(), 2);
     log.assert_one_at_a_time();
@@ -226,3 +234,28 @@
     assert_eq!(log.count(), 2);
     log.assert_one_at_a_time();
 }
+
+/// Waits until an engine has received a command, and returns when it did.
+fn command_received(received: &Receiver<ReceivedFrame>, command: &str) -> Option<Instant> {
+    let from = Instant::now();
+    while from.elapsed() < COMMAND_TIMEOUT {
+        match received.recv_timeout(COMMAND_TIMEOUT) {
+            Ok((parts, at)) if parts[0] == command => return Some(at),
+            Ok(_) => {}
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
+#[test]
+fn engine_is_told_to_free_a_result_whose_pages_are_lost() {
+    let log = AttemptLog::default();
+    let (engine, received) = engine_that_loses_pages(&log);
+    let program = start(&two_group_config(&[engine]));
+    assert_eq!(ask_for_rows(program.listen, "look", 1), retried_row());
+    let freed = command_received(&received, "done");
+    assert!(freed.is_some());
+    // The retry does not overtake it.
+    assert!(freed.is_some_and(|freed| freed < log.arrived(1)));
+}
