Fix: a reply that an attempt never ran is not believed once the attempt has begun

What callers would see: 429, which promises that trying again is harmless, for a write that has run; its second run is a duplicate effect.

Cause: WAIT and PAST ended an attempt as 'never ran' whatever had come before: also behind a first page (repeated or late replies, an engine that answers 'more' with them) or progress above nothing.

Evidence: write_that_has_begun_is_not_rejected_as_never_run failed before (429 where 500 is owed, for DONE and for TELL with frac=0.5, each before WAIT and PAST) and passes now.

Why it works: behind a first page such a reply is a lost result, behind progress an error; both may have run, so that a write fails, a keyed one goes on in its window and a read is retried. Of two claims of the engine the one counts that breaks no rule.

--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -1,10 +1,11 @@
 //! An attempt in flight on a connection, and the assembly of its result from pages.
 
+use crate::engine::protocol::ProgressNote;
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::rows::json_rows;
 use crate::ids::AttemptId;
 use crate::query_registry::Pages;
-use tansymux::events::AttemptLimits;
+use tansymux::events::{AttemptLimits, NoteKind};
 
 /// Maximum number of pages of a result; the protocol's longest result has 8 of them.
 const MAX_PAGES: usize = 64;
@@ -24,6 +25,8 @@
     pub deadline_ms: f64,
     /// Its request is withdrawn if no byte of it was written by then.
     pub start_by_ms: f64,
+    /// Whether the engine has reported that some of its work is done.
+    has_progress: bool,
     /// Pages by number; empty until the first page arrives, which announces their count.
     pages: Vec<Option<Vec<u8>>>,
     missing_pages: usize,
@@ -57,6 +60,7 @@
             sent_ms,
             deadline_ms: limits.deadline_ms,
             start_by_ms: limits.start_by_ms,
+            has_progress: false,
             pages: Vec::new(),
             missing_pages: 0,
         }
@@ -79,6 +83,17 @@
         }
     }
 
+    /// Records a progress note.
+    pub fn record_note(&mut self, note: Option<ProgressNote>) {
+        let is_progress = |note: ProgressNote| note.kind == NoteKind::Progress && note.amount > 0.0;
+        self.has_progress |= note.is_some_and(is_progress);
+    }
+
+    /// Whether the engine has reported that some of its work is done.
+    pub fn has_progress(&self) -> bool {
+        self.has_progress
+    }
+
     /// Number of pages of the result; 0 before the first one arrived.
     pub fn page_count(&self) -> usize {
         self.pages.len()
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -56,6 +56,20 @@
 }
 
 impl AttemptEnd {
+    /// The end by a reply that has this outcome. An attempt that has begun to run did run, whatever the reply says.
+    fn of(attempt: &Attempt, outcome: Outcome) -> Self {
+        if attempt.page_count() > 0 {
+            return AttemptEnd {
+                outcome: Outcome::Error,
+                cause: EndCause::ResultLost,
+            };
+        }
+        if attempt.has_progress() {
+            return AttemptEnd::by_final_reply(Outcome::Error);
+        }
+        AttemptEnd::by_final_reply(outcome)
+    }
+
     fn by_final_reply(outcome: Outcome) -> Self {
         AttemptEnd {
             outcome,
@@ -105,6 +119,7 @@
         };
         let end = match EngineReply::parse(frame)? {
             EngineReply::Progress(note) => {
+                attempt.record_note(note);
                 return Ok(ReplyEffect::Interim(progress_event(attempt, note)));
             }
             EngineReply::FirstPage { .. } if attempt.page_count() > 0 => {
@@ -120,13 +135,9 @@
                     (attempt.id(), attempt.add_numbered_page(page_number, rows)?);
                 return Ok(self.on_page(id, attempt_id, progress));
             }
-            EngineReply::Failed if attempt.page_count() > 0 => AttemptEnd {
-                outcome: Outcome::Error,
-                cause: EndCause::ResultLost,
-            },
-            EngineReply::Full => AttemptEnd::by_final_reply(Outcome::Full),
-            EngineReply::DeadlinePassed => AttemptEnd::by_final_reply(Outcome::NotSent),
-            EngineReply::Failed => AttemptEnd::by_final_reply(Outcome::Error),
+            EngineReply::Full => AttemptEnd::of(attempt, Outcome::Full),
+            EngineReply::DeadlinePassed => AttemptEnd::of(attempt, Outcome::NotSent),
+            EngineReply::Failed => AttemptEnd::of(attempt, Outcome::Error),
         };
         Ok(ReplyEffect::Final(end))
     }
--- a/crates/dispatcher/tests/fault_injection/attempt_ends.rs
+++ b/crates/dispatcher/tests/fault_injection/attempt_ends.rs
@@ -259,3 +259,37 @@
     // The retry does not overtake it.
     assert!(freed.is_some_and(|freed| freed < log.arrived(1)));
 }
+
+/// An engine that answers an attempt with a first page or a progress note, and then says that the attempt never ran.
+fn engine_that_denies_its_run(begins: LateReply, denies: &'static str) -> SocketAddr {
+    let answer = move |parts: &[String], to: &mut TcpStream| {
+        if parts[0] == "fetch" {
+            let id = &parts[1];
+            write_frame(to, &[id, begins.word, begins.fields, begins.rows]);
+            write_frame(to, &[id, denies, "-", ""]);
+        }
+    };
+    scripted(answer).0
+}
+
+#[test]
+fn write_that_has_begun_is_not_rejected_as_never_run() {
+    let first_page = LateReply {
+        word: "DONE",
+        fields: "batches=2",
+        rows: "a\tb\tc\n",
+    };
+    let progress = LateReply {
+        word: "TELL",
+        fields: "tell=frac,num=0.5",
+        rows: "",
+    };
+    for begins in [first_page, progress] {
+        for denies in ["WAIT", "PAST"] {
+            let engine = engine_that_denies_its_run(begins, denies);
+            let program = start(&two_group_config(&[engine]));
+            let status = ask(program.listen, &query("load", 1, WAIT_MS));
+            assert_eq!(status, Some(500), "{begins:?}, {denies}");
+        }
+    }
+}
