Fix: the end of one attempt can no longer end another one of its query

Same class inside the dispatcher: QueryRegistry::attempt_ended cleared the flag of whichever attempt was in flight, and a wait for a lock was noted on whichever it was. No path is known that delivers an end twice or late (Control compares numbers, and the engine side takes an attempt off its connection before it reports it); with one, a third attempt would have gone out beside the second and the guard, which asks the registry, would have let it.

Both take an AttemptId now; an end of an attempt that is not in flight is ignored, logged as an error and counted (ends_ignored), before it reaches subsystems, answers or decisions. A completed end of an earlier attempt would have answered the query.

--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -115,6 +115,8 @@
     waits_for_descriptor: "connections_waited",
     /// Attempts begun: the sum of those that ended, by outcome, and of those in flight.
     attempts: "submissions",
+    /// Ends of attempts that were not in flight, which the engine side should never report.
+    ends_ignored: "ends_ignored",
     /// Health checks that the decisions requested.
     health_checks: "probes",
     /// Endpoint lists applied.
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -3,6 +3,7 @@
 use super::decision_sink::record_answer;
 use crate::attempt_end::EndCause;
 use crate::engine::EnginePool;
+use crate::ids::AttemptId;
 use crate::query_registry::{
     Answer, ArrivedQuery, EndpointEntry, Event, Pages, Query, QueryRegistry,
 };
@@ -132,6 +133,20 @@
         out: &mut dyn DecisionSink,
     ) {
         let query_id = ended.query_id;
+        let attempt = AttemptId {
+            query_id,
+            number: ended.attempt,
+        };
+        if !self.registry.is_in_flight(attempt) {
+            self.registry.counters.ends_ignored.increment();
+            tracing::error!(
+                query_id,
+                attempt = attempt.number,
+                %cause,
+                "end of an attempt that is not in flight ignored"
+            );
+            return;
+        }
         let statement = self
             .registry
             .with_query(query_id, classified_attempt)
@@ -145,7 +160,7 @@
             self.registry.answer(query_id, Answer::Completed(pages));
         }
         ended.answer_delivered = self.registry.is_over(query_id);
-        self.registry.attempt_ended(query_id, cause);
+        self.registry.attempt_ended(attempt, cause);
         control.on_attempt_ended(&ended, out);
     }
 
@@ -160,7 +175,10 @@
             }
         }
         if note.kind == NoteKind::Waiting {
-            self.registry.record_wait(note.query_id);
+            self.registry.record_wait(AttemptId {
+                query_id: note.query_id,
+                number: note.attempt,
+            });
         }
         control.on_progress_note(note);
     }
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -22,6 +22,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::guard::Guard;
+use crate::ids::AttemptId;
 use crate::notify::Notify;
 use crate::trace::{EventTrace, TraceEvent};
 use query_table::QueryTable;
@@ -221,9 +222,18 @@
         tracing::info!(query_id, client_id, attempt, %engine_id, %after, "retry submitted");
     }
 
-    /// Records that the attempt in flight waits for a lock.
-    pub fn record_wait(&self, query_id: u64) {
-        self.queries.with_mut(query_id, |query| query.waited = true);
+    /// Whether an attempt is the one in flight of its query.
+    pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
+        let in_flight = self.with_query(attempt.query_id, Query::attempt_number_in_flight);
+        in_flight.flatten() == Some(attempt.number)
+    }
+
+    /// Records that an attempt waits for a lock.
+    pub fn record_wait(&self, attempt: AttemptId) {
+        if self.is_in_flight(attempt) {
+            self.queries
+                .with_mut(attempt.query_id, |query| query.waited = true);
+        }
     }
 
     /// Cancels an attempt.
@@ -250,8 +260,12 @@
         }
     }
 
-    /// Records that the end of the attempt in flight was delivered to the decisions.
-    pub fn attempt_ended(&self, query_id: u64, cause: EndCause) {
+    /// Records that the end of an attempt was delivered to the decisions. Ignored unless the attempt is in flight.
+    pub fn attempt_ended(&self, attempt: AttemptId, cause: EndCause) {
+        if !self.is_in_flight(attempt) {
+            return;
+        }
+        let query_id = attempt.query_id;
         self.queries.with_mut(query_id, |query| {
             query.attempt_in_flight = false;
             query.last_end = Some(cause);
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -27,6 +27,10 @@
     },
 };
 
+fn attempt_of(query_id: u64, number: usize) -> AttemptId {
+    AttemptId { query_id, number }
+}
+
 #[test]
 fn query_gets_one_answer_and_no_attempt_after_it() {
     let registry = QueryRegistry::default();
@@ -62,7 +66,7 @@
     );
     registry.submit(query_id, 7, LIMITS);
     assert_eq!((registry.next_command(), registry.in_flight()), (None, 1));
-    registry.attempt_ended(query_id, EndCause::FinalReply);
+    registry.attempt_ended(attempt_of(query_id, 0), EndCause::FinalReply);
     assert_eq!(registry.in_flight(), 0);
     assert_eq!(
         registry.admit(&REQUEST).map(|_| ()),
@@ -172,8 +176,32 @@
     };
     registry.submit(query_id, 7, LIMITS);
     assert_eq!(may_begin(0, 1), Ok(()));
-    registry.attempt_ended(query_id, EndCause::FinalReply);
+    registry.attempt_ended(attempt_of(query_id, 0), EndCause::FinalReply);
     registry.submit(query_id, 7, LIMITS);
     assert_eq!(may_begin(1, 1), Err(BeginRefusal::ConnectionUsed));
     assert_eq!(may_begin(1, 2), Ok(()));
 }
+
+#[test]
+fn repeated_end_of_one_attempt_does_not_end_the_next() {
+    let registry = QueryRegistry::default();
+    let AdmittedQuery {
+        query_id,
+        slot: _slot,
+    } = registry.admit(&REQUEST).unwrap();
+    registry.submit(query_id, 7, LIMITS);
+    let first = attempt_of(query_id, 0);
+    registry.attempt_ended(first, EndCause::FinalReply);
+    registry.submit(query_id, 7, LIMITS);
+    registry.attempt_ended(first, EndCause::FinalReply);
+    registry.record_wait(first);
+    assert!(registry.is_in_flight(attempt_of(query_id, 1)) && !registry.is_in_flight(first));
+    assert_eq!(
+        registry.with_query(query_id, |query| query.waited),
+        Some(false)
+    );
+    // No third attempt goes out beside the second.
+    while registry.next_command().is_some() {}
+    registry.submit(query_id, 7, LIMITS);
+    assert_eq!(registry.next_command(), None);
+}
