Commands about an attempt that has ended are dropped if they are not written

A new priority that was queued when its attempt failed went out behind the end, possibly after the retry had begun. All ends of attempts drop such commands now; a result of several pages is released in the one place where attempts end. priority_that_is_not_written_when_its_attempt_ends_does_not_follow_the_retry failed before (the command stayed in the outbox).

--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -45,10 +45,7 @@
     /// The page arrived before; that copy is kept.
     Duplicate,
     /// No page is missing.
-    Complete {
-        /// The number of pages of the result.
-        page_count: usize,
-    },
+    Complete,
 }
 
 impl Attempt {
@@ -153,7 +150,7 @@
         *slot = Some(rows);
         self.missing_pages -= 1;
         Ok(match self.missing_pages {
-            0 => ResultProgress::Complete { page_count: pages },
+            0 => ResultProgress::Complete,
             _ => ResultProgress::Incomplete,
         })
     }
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -142,7 +142,7 @@
         Ok(ReplyEffect::Final(end))
     }
 
-    /// Requests the remaining pages after the first one, and releases a result of several pages once it is complete.
+    /// Requests the remaining pages after the first one.
     fn on_page(&mut self, id: &str, attempt: AttemptId, progress: ResultProgress) -> ReplyEffect {
         match progress {
             ResultProgress::Begun { page_count } => {
@@ -154,24 +154,25 @@
             }
             ResultProgress::Incomplete => ReplyEffect::Interim(FrameEvent::PageArrived),
             ResultProgress::Duplicate => ReplyEffect::ignored(IgnoredReply::DuplicatePage),
-            ResultProgress::Complete { page_count } => {
-                if page_count > 1 {
-                    let command = Command::ReleaseResult { id };
-                    self.outbox.push_command(attempt, &command);
-                }
+            ResultProgress::Complete => {
                 ReplyEffect::Final(AttemptEnd::by_final_reply(Outcome::Completed))
             }
         }
     }
 
-    /// Takes an attempt that has ended out of what is in flight.
+    /// Takes an attempt that has ended out of what is in flight. Commands about it that are not written are dropped, and the
+    /// engine is told that no more pages are wanted of a result of several.
     fn complete(&mut self, id: &str, end: AttemptEnd, now_ms: f64) -> FrameEvent {
         let Some(mut attempt) = self.attempts.remove(id) else {
             return FrameEvent::Ignored(IgnoredReply::NotInFlight);
         };
         self.last_used_ms = now_ms;
+        self.outbox.discard_commands_about(attempt.id());
+        let release = Command::ReleaseResult { id };
         if end.cause == EndCause::ResultLost {
-            self.push_last_command(&Command::ReleaseResult { id }, attempt.id(), now_ms);
+            self.push_last_command(&release, attempt.id(), now_ms);
+        } else if attempt.page_count() > 1 {
+            self.outbox.push_command(attempt.id(), &release);
         }
         FrameEvent::AttemptEnded {
             query_id: attempt.query_id,
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -361,3 +361,13 @@
         assert_eq!(connection.outbox.bytes(), 0);
     }
 }
+
+#[test]
+fn priority_that_is_not_written_when_its_attempt_ends_does_not_follow_the_retry() {
+    let mut connection = connection();
+    submit(&mut connection, "i1", 4);
+    connection.advance(unwritten(&connection).len());
+    connection.set_priority("i1", 1);
+    receive(&mut connection, &[b"i1", b"BROKE", b"-", b""]).unwrap();
+    assert!(!connection.has_unwritten());
+}
