Fix: a late answer no longer counts for a probe on behalf of another member

A delayed answer from before the target fell silent kept it alive in the group, for a period at most.

late_ack_to_an_earlier_ping_does_not_answer_a_probe_for_another_member failed before (an IndirectAck followed the answer to a ping that was never sent for the request) and passes now. The probe keeps the number of its own ping; answers to it or to a later ping of this member count, which keeps what other probes show. Found by reading every place that matches what arrives to what is in flight.

--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -30,11 +30,21 @@
 pub(super) struct IndirectProbe {
     /// The requester's sequence number, under which the answer is forwarded.
     sequence_number: u32,
+    /// The sequence number of this member's ping to the target.
+    ping_number: u32,
     target: MemberId,
     requester: MemberId,
     pub(super) expires_ms: f64,
 }
 
+impl IndirectProbe {
+    /// Whether an answer of the target is to a ping that was sent at the request or later: an earlier one does not show
+    /// that the target still answers.
+    fn is_answered_by(&self, sequence_number: u32) -> bool {
+        sequence_number.wrapping_sub(self.ping_number) as i32 >= 0
+    }
+}
+
 impl SwimDetector {
     /// Begins a protocol period: probes the member again that did not answer in the last period, or else the next one.
     pub(super) fn begin_period(&mut self) {
@@ -146,13 +156,14 @@
         if self.indirect_probes.len() >= MAX_MEMBERS {
             return;
         }
+        let ping_number = self.send(address, Message::Ping);
         self.indirect_probes.push(IndirectProbe {
             sequence_number,
+            ping_number,
             target,
             requester,
             expires_ms: self.now_ms + self.config.period_ms,
         });
-        self.send(address, Message::Ping);
     }
 
     pub(super) fn on_ack(&mut self, from: MemberId, sequence_number: u32) {
@@ -160,15 +171,11 @@
             self.probe = None;
             self.local_health.improve();
         }
-        let answered: Vec<IndirectProbe> = self
-            .indirect_probes
-            .iter()
-            .copied()
-            .filter(|indirect| indirect.target == from)
-            .collect();
-        self.indirect_probes
-            .retain(|indirect| indirect.target != from);
-        for indirect in answered {
+        let is_answered = |indirect: &mut IndirectProbe| {
+            indirect.target == from && indirect.is_answered_by(sequence_number)
+        };
+        let answered = self.indirect_probes.extract_if(.., is_answered);
+        for indirect in answered.collect::<Vec<_>>() {
             if let Some(address) = self.address_of(indirect.requester) {
                 let message = Message::IndirectAck(from);
                 self.send_numbered(address, message, indirect.sequence_number);
--- a/crates/membership/tests/network/main.rs
+++ b/crates/membership/tests/network/main.rs
@@ -1,6 +1,7 @@
 //! Detectors on a simulated network in virtual time: loss, duplicates, reordering, delay, forgery, partitions, pauses,
 //! restarts.
 
+mod indirect_probes;
 mod simulated_network;
 
 use simulated_network::{address, all, from_member_one, name, LinkConditions, Network, GOOD_LINK};
