Membership: sequence numbers differ from start to start

An answer to a ping of an earlier start of a member could match one of the present start, which counted from 1 again: same target, same small number. Seeds are drawn at each start, and the numbers now begin at the seed.

--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -94,7 +94,7 @@
             incarnation: last_incarnation.wrapping_add(1),
             is_leaving: false,
             config,
-            transport: Transport::new(id, DatagramAuthenticator::new(keys, session)),
+            transport: Transport::new(id, DatagramAuthenticator::new(keys, session), seed as u32),
             rng,
             members: BTreeMap::new(),
             probe_round: ProbeRound::default(),
--- a/crates/membership/src/detector/transport.rs
+++ b/crates/membership/src/detector/transport.rs
@@ -15,11 +15,17 @@
 }
 
 impl Transport {
-    pub(super) fn new(sender: MemberId, authenticator: DatagramAuthenticator) -> Self {
+    /// A transport whose sequence numbers begin at `first_sequence_number`, which has to differ from start to start: answers
+    /// to requests of an earlier start of this member may still arrive.
+    pub(super) fn new(
+        sender: MemberId,
+        authenticator: DatagramAuthenticator,
+        first_sequence_number: u32,
+    ) -> Self {
         Transport {
             sender,
             authenticator,
-            sequence_number: 0,
+            sequence_number: first_sequence_number,
             datagrams: Vec::new(),
         }
     }
