Fix: failures of an engine's earlier process no longer count against the present one

Ends and failed health checks name the engine by its number, which a replaced process keeps. An attempt that times out, or a connection that is reset, after the list has named a new process under the number counted towards ejecting that one, which had done nothing.

Reporter::report_lost compares the connection's process with the listed one: Reset and Timeout become Cancelled (may have run, no blame), NoConnection becomes Withdrawn, failed health checks are dropped. Whether the query may run again is as before.

--- a/crates/dispatcher/src/engine/abandon.rs
+++ b/crates/dispatcher/src/engine/abandon.rs
@@ -2,7 +2,7 @@
 
 use super::channel::Channel;
 use super::connection::Abandoned;
-use super::reports::{AttemptReport, Reporter};
+use super::reports::Reporter;
 use super::silence::{SilenceDetector, SilenceScope};
 use crate::clock::Clock;
 use std::rc::Rc;
@@ -75,8 +75,7 @@
         } else {
             unsent_outcome(outcome, is_up)
         };
-        let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
-        self.reporter.report(report);
+        self.reporter.report_lost(channel, &attempt, outcome, cause);
     }
 
     /// Withdraws the attempts of whose requests no byte was written.
--- a/crates/dispatcher/src/engine/close.rs
+++ b/crates/dispatcher/src/engine/close.rs
@@ -4,7 +4,7 @@
 use super::channel::Channel;
 use super::connection::{ClosedConnection, Connection, RequestState};
 use super::idle_reuse::ReuseTracker;
-use super::reports::{AttemptReport, Reporter};
+use super::reports::Reporter;
 use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::close_reason::EngineClose;
@@ -125,8 +125,7 @@
             let written = connection.request_state(&id);
             let outcome = loss.outcome(written == RequestState::Written);
             let cause = loss.cause(written);
-            let report = AttemptReport::without_result(channel, &attempt, outcome, cause, now_ms);
-            self.reporter.report(report);
+            self.reporter.report_lost(channel, &attempt, outcome, cause);
         }
         for attempt in ending {
             self.reporter.on_last_command(attempt);
@@ -135,7 +134,7 @@
         if !error.is_some_and(ChannelError::is_local_fault) {
             let outcome = loss.health_outcome();
             self.reporter
-                .report_health(channel.engine_id, outcome, health_checks);
+                .report_failed_checks(channel, outcome, health_checks);
         }
     }
 
--- a/crates/dispatcher/src/engine/engine_table.rs
+++ b/crates/dispatcher/src/engine/engine_table.rs
@@ -73,6 +73,13 @@
         read(engine.map(|engine| engine.facts(channel)))
     }
 
+    /// Whether another process has taken the place of the one that a connection leads to.
+    pub fn is_replaced(&self, channel: &Channel) -> bool {
+        self.with_facts(channel, |facts| {
+            facts.is_some_and(|facts| !facts.is_same_process)
+        })
+    }
+
     /// The connection to an engine that carries an attempt of a query.
     pub fn locate(&self, engine_id: u64, id: &str, query_id: u64) -> Option<Rc<Channel>> {
         let engines = self.engines.borrow();
--- a/crates/dispatcher/src/engine/pool.rs
+++ b/crates/dispatcher/src/engine/pool.rs
@@ -67,7 +67,7 @@
         let reuses = Rc::new(ReuseTracker::new(registry.clone(), clock));
         let silence = SilenceDetector::new(engines.clone(), reuses.clone(), clock);
         let silence = Rc::new(silence);
-        let reporter = Rc::new(Reporter::new(registry.clone(), clock));
+        let reporter = Rc::new(Reporter::new(registry.clone(), clock, engines.clone()));
         let abandoner = Abandoner::new(
             clock,
             settings.max_silence_ms(),
--- a/crates/dispatcher/src/engine/pool/reachability.rs
+++ b/crates/dispatcher/src/engine/pool/reachability.rs
@@ -67,7 +67,7 @@
         }
         let outcome = Outcome::NoConnection;
         self.reporter
-            .report_health(engine_id, outcome, health_checks);
+            .report_failed_checks(channel, outcome, health_checks);
         self.count_late_connect(engine_id);
     }
 
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -3,6 +3,7 @@
 
 use super::channel::Channel;
 use super::connection::Attempt;
+use super::engine_table::EngineTable;
 use crate::attempt_end::{EndCause, EndProof};
 use crate::clock::Clock;
 use crate::ids::{AttemptId, ConnectionId};
@@ -35,7 +36,7 @@
 
 impl AttemptReport {
     /// The report of an attempt that ends on a connection without a result.
-    pub fn without_result(
+    fn without_result(
         channel: &Channel,
         attempt: &Attempt,
         outcome: Outcome,
@@ -109,20 +110,40 @@
 pub(super) struct Reporter {
     registry: Rc<QueryRegistry>,
     clock: Clock,
+    engines: Rc<EngineTable>,
     /// Ends of attempts that are not proven yet.
     settling: RefCell<Vec<SettlingReport>>,
 }
 
 impl Reporter {
     /// A reporter without delayed reports.
-    pub fn new(registry: Rc<QueryRegistry>, clock: Clock) -> Self {
+    pub fn new(registry: Rc<QueryRegistry>, clock: Clock, engines: Rc<EngineTable>) -> Self {
         Reporter {
             registry,
             clock,
+            engines,
             settling: RefCell::default(),
         }
     }
 
+    /// Reports the end of an attempt that ended on a connection without a result.
+    pub fn report_lost(
+        &self,
+        channel: &Channel,
+        attempt: &Attempt,
+        outcome: Outcome,
+        cause: EndCause,
+    ) {
+        let outcome = if self.engines.is_replaced(channel) {
+            without_blame(outcome)
+        } else {
+            outcome
+        };
+        let now_ms = self.clock.now();
+        let report = AttemptReport::without_result(channel, attempt, outcome, cause, now_ms);
+        self.report(report);
+    }
+
     /// Reports the end of an attempt once its cause proves it: every end passes here.
     pub fn report(&self, report: AttemptReport) {
         self.note_ended(&report);
@@ -175,6 +196,14 @@
         times.fold(f64::INFINITY, f64::min)
     }
 
+    /// Reports the same failure of `count` health checks that were sent on a connection. A failure of a process that another
+    /// one has replaced is no evidence about the engine.
+    pub fn report_failed_checks(&self, channel: &Channel, outcome: Outcome, count: usize) {
+        if !self.engines.is_replaced(channel) {
+            self.report_health(channel.engine_id, outcome, count);
+        }
+    }
+
     /// Reports the same outcome for `count` health checks of an engine.
     pub fn report_health(&self, engine_id: u64, outcome: Outcome, count: usize) {
         for _ in 0..count {
@@ -226,5 +255,14 @@
     }
 }
 
+/// The outcome of an attempt in place of one that counts against its engine: it may have run, or never ran, as before.
+fn without_blame(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Reset | Outcome::Timeout => Outcome::Cancelled,
+        Outcome::NoConnection => Outcome::Withdrawn,
+        outcome => outcome,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/dispatcher/src/engine/reports/tests.rs
+++ b/crates/dispatcher/src/engine/reports/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::engine::engine_entry::Engine;
+use crate::query_registry::EndpointEntry;
+use tansymux::events::{AttemptLimits, EndpointState};
 
 fn report(outcome: Outcome, cause: EndCause) -> AttemptReport {
     AttemptReport {
@@ -21,7 +24,7 @@
 
 fn reporter() -> (Rc<QueryRegistry>, Reporter) {
     let registry = Rc::new(QueryRegistry::default());
-    let reporter = Reporter::new(registry.clone(), Clock::start());
+    let reporter = Reporter::new(registry.clone(), Clock::start(), Rc::default());
     (registry, reporter)
 }
 
@@ -97,9 +100,46 @@
 
 #[test]
 fn each_health_check_is_reported() {
-    let registry = Rc::new(QueryRegistry::default());
-    let reporter = Reporter::new(registry.clone(), Clock::start());
+    let (registry, reporter) = reporter();
     reporter.report_health(7, Outcome::Timeout, 2);
     let events = std::iter::from_fn(|| registry.next_event());
     assert_eq!(events.count(), 2);
 }
+
+fn entry(started_ms: f64) -> EndpointEntry {
+    EndpointEntry {
+        engine_id: 7,
+        address: None,
+        kind: "std".into(),
+        zone: "h".into(),
+        cell: 0,
+        state: EndpointState::Ready,
+        started_ms: Some(started_ms),
+    }
+}
+
+#[test]
+fn failure_of_an_earlier_process_does_not_count_against_its_engine() {
+    let (registry, reporter) = reporter();
+    let engines = reporter.engines.clone();
+    engines.upsert(&entry(1.0));
+    let process = engines.with(7, Engine::process).unwrap();
+    let channel = Channel::new(ConnectionId(1), 7, process, 0.0);
+    let limits = AttemptLimits {
+        deadline_ms: 1e15,
+        start_by_ms: 1e15,
+        side_effect_free: true,
+    };
+    let attempt = Attempt::new(4, 0, 0.0, limits);
+    let outcome_of = |outcome| {
+        reporter.report_lost(&channel, &attempt, outcome, EndCause::Reset);
+        next_outcome(&registry)
+    };
+    let blames = [Outcome::Reset, Outcome::Timeout, Outcome::NoConnection];
+    assert_eq!(blames.map(outcome_of), blames.map(Some));
+    engines.upsert(&entry(2.0));
+    let blameless = [Outcome::Cancelled, Outcome::Cancelled, Outcome::Withdrawn];
+    assert_eq!(blames.map(outcome_of), blameless.map(Some));
+    reporter.report_failed_checks(&channel, Outcome::Reset, 1);
+    assert!(registry.next_event().is_none());
+}
--- a/crates/dispatcher/src/engine/timeouts.rs
+++ b/crates/dispatcher/src/engine/timeouts.rs
@@ -154,6 +154,6 @@
             connection.retire();
         }
         self.reporter
-            .report_health(channel.engine_id, Outcome::Timeout, expired.count);
+            .report_failed_checks(channel, Outcome::Timeout, expired.count);
     }
 }
