Fix: a connection that brings only replies for nothing in flight is closed

What callers saw: 429 in place of 200, 9 s late, while an engine floods.

Cause, traced (5 queries of 8, 3.8 million ignored replies in 9 s): replies for nobody were read, parsed and passed over without end, on the one thread. The attempts on the flooding connections were never overdue: their queries came before the first answer and are guessed at the objective (300 ms) times the slowdown that the first answers show, which the flood had made 12 times.

--- a/crates/dispatcher/src/close_reason.rs
+++ b/crates/dispatcher/src/close_reason.rs
@@ -52,6 +52,9 @@
     /// A request was withdrawn after some of its bytes were written.
     #[error("half_written")]
     HalfWritten,
+    /// The engine sent too many replies without effect.
+    #[error("flood")]
+    Flood,
     /// The engine did not read the end of an attempt in time.
     #[error("end_not_read")]
     EndNotRead,
@@ -74,11 +77,12 @@
 
 impl EngineClose {
     /// All reasons.
-    pub const ALL: [EngineClose; 10] = [
+    pub const ALL: [EngineClose; 11] = [
         EngineClose::ByEngine,
         EngineClose::Retired,
         EngineClose::Protocol,
         EngineClose::HalfWritten,
+        EngineClose::Flood,
         EngineClose::EndNotRead,
         EngineClose::Unreachable,
         EngineClose::Forgotten,
--- a/crates/dispatcher/src/engine/channel/error.rs
+++ b/crates/dispatcher/src/engine/channel/error.rs
@@ -60,6 +60,7 @@
         match self {
             ChannelError::Closed(CloseReason::Protocol(_)) => EngineClose::Protocol,
             ChannelError::Closed(CloseReason::RequestPartlyWritten) => EngineClose::HalfWritten,
+            ChannelError::Closed(CloseReason::Flood) => EngineClose::Flood,
             ChannelError::Closed(CloseReason::EndNotRead) => EngineClose::EndNotRead,
             ChannelError::Closed(CloseReason::EngineUnreachable) => EngineClose::Unreachable,
             ChannelError::Closed(CloseReason::ForgottenByEngine) => EngineClose::Forgotten,
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod deadlines;
+mod flood_meter;
 mod outbox;
 mod receive;
 mod state;
@@ -21,6 +22,7 @@
 use crate::ids::AttemptId;
 pub use outbox::RequestState;
 
+use flood_meter::FloodMeter;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
@@ -58,6 +60,8 @@
     attempts: FxHashMap<Rc<str>, Attempt>,
     /// Health checks in flight.
     health_checks: Vec<HealthCheck>,
+    /// The engine's replies without effect.
+    flood_meter: FloodMeter,
     outbox: Outbox,
     /// Attempts that have ended here and whose last commands are not written, in the order of these commands.
     ending: VecDeque<EndingAttempt>,
@@ -80,6 +84,7 @@
             retired: false,
             attempts: FxHashMap::default(),
             health_checks: Vec::new(),
+            flood_meter: FloodMeter::default(),
             outbox: Outbox::default(),
             ending: VecDeque::new(),
             ended: Vec::new(),
--- a/crates/dispatcher/src/engine/connection/receive.rs
+++ b/crates/dispatcher/src/engine/connection/receive.rs
@@ -1,7 +1,7 @@
 //! Interprets the frames that an engine sends.
 
 use super::attempt::{Attempt, ResultProgress};
-use super::Connection;
+use super::{CloseReason, Connection};
 use crate::attempt_end::EndCause;
 use crate::engine::protocol::{self, Command, EngineReply, HealthReply, ProgressNote};
 use crate::engine::protocol_error::ProtocolError;
@@ -108,7 +108,13 @@
         }
         match self.apply_reply(id, frame)? {
             ReplyEffect::Final(end) => Ok(self.complete(id, end, now_ms)),
-            ReplyEffect::Interim(event) => Ok(event),
+            ReplyEffect::Interim(event) => {
+                let is_ignored = matches!(event, FrameEvent::Ignored(_));
+                if is_ignored && self.flood_meter.is_flooded_by(frame.size, now_ms) {
+                    self.close_reason = Some(CloseReason::Flood);
+                }
+                Ok(event)
+            }
         }
     }
 
--- a/crates/dispatcher/src/engine/connection/state.rs
+++ b/crates/dispatcher/src/engine/connection/state.rs
@@ -46,6 +46,9 @@
     /// connections were lost in silence before.
     #[error("silent after idling, as others before")]
     ForgottenByEngine,
+    /// The engine sent too many replies without effect.
+    #[error("too many replies for nothing in flight")]
+    Flood,
     /// The engine did not read the end of an attempt in time.
     #[error("the engine does not read the end of an attempt")]
     EndNotRead,
--- a/crates/dispatcher/tests/life_cycle/engines.rs
+++ b/crates/dispatcher/tests/life_cycle/engines.rs
@@ -7,10 +7,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tansymux::settings::keys;
+use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::{refuse_silently, write_result, write_result_of};
 use tansymux_testbed::program::{get, TIMEOUT};
 use tansymux_testbed::wire::{self, read_response, write_frame, HttpResponse};
 
+/// The estimated cost of a query (ms).
+const ESTIMATE_MS: f64 = 50.0;
+
 /// An engine that answers nothing itself, and sends each accepted connection to the test.
 fn engine_with_held_connections() -> (SocketAddr, Receiver<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -167,19 +171,22 @@
     assert_eq!(program.counter("connections_to_engines"), Some(opened));
 }
 
+/// Sends notes on nothing in flight until the connection ends.
+fn flood(mut stream: TcpStream) {
+    let many =
+        b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
+            .repeat(500);
+    while stream.write_all(&many).is_ok() {}
+}
+
 #[test]
 fn engine_that_floods_does_not_starve_other_engines() {
     let (flooding_engine, connections) = engine_with_held_connections();
     let (serves, _requests) = engine_answering_after(0);
     let program = start(&two_group_config(&[flooding_engine, serves]));
     thread::spawn(move || {
-        while let Ok(mut stream) = connections.recv_timeout(TIMEOUT) {
-            thread::spawn(move || {
-                let many =
-                    b"*4\r\n$16\r\n00000000000000ff\r\n$4\r\nTELL\r\n$15\r\ntell=frac,num=0\r\n$0\r\n\r\n"
-                        .repeat(500);
-                while stream.write_all(&many).is_ok() {}
-            });
+        while let Ok(stream) = connections.recv_timeout(TIMEOUT) {
+            thread::spawn(move || flood(stream));
         }
     });
     // Some go to the engine that floods, and are migrated; none waits for it without end.
@@ -195,3 +202,32 @@
     );
     assert_eq!(get(program.listen, "/_health").unwrap().status, 200);
 }
+
+#[test]
+fn forty_connections_that_flood_are_closed_and_leave_other_engines_their_turns() {
+    let (flooding_engine, connections) = engine_with_held_connections();
+    let (serves, _requests) = engine_answering_after(0);
+    let program = start(&two_group_config(&[flooding_engine, serves]));
+    thread::spawn(move || {
+        while let Ok(stream) = connections.recv_timeout(TIMEOUT) {
+            thread::spawn(move || flood(stream));
+        }
+    });
+    // With an estimate, as a guess of the run time that is learned beside a flood may be far off.
+    let estimated = |id| {
+        let statement = "SELECT a FROM sales_17.orders";
+        let mut query = ClientQuery::new(id, "/invoke/look", "look", statement, 9000.0);
+        query.cost = Some(ESTIMATE_MS);
+        let mut client = connect_client(&program);
+        client.write_all(&query.bytes()).unwrap();
+        client
+    };
+    let clients: Vec<TcpStream> = (1..81).map(estimated).collect();
+    let from = Instant::now();
+    for client in &clients {
+        assert_eq!(answer_status(client), Some(200));
+    }
+    let elapsed = from.elapsed();
+    assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+    assert!(program.counter("engine_closed_flood") > Some(0));
+}
