--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -16,9 +16,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// A request that is sent on an idle connection at most this long before the connection's close is repeated elsewhere.
-/// The protocol allows 50 ms; the rest is for a busy machine.
-const CROSSING: Duration = Duration::from_millis(150);
+/// A request that is sent on an idle connection at most this long before the connection's close is repeated elsewhere
+/// (protocol).
+const CROSSING: Duration = Duration::from_millis(50);
 /// How long after its time limit an answer is still awaited.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1500);
 /// Interval at which a waiting client checks whether it is to disconnect.
@@ -39,33 +39,40 @@
     pub name: &'static str,
     /// What its queries do to data.
     pub effect: Effect,
-    /// The longest wait of its clients (ms).
-    pub deadline_ms: f64,
+    /// The longest wait of its clients, as a fraction of the longest one of all classes.
+    deadline_fraction: f64,
     /// Its latency objective (ms).
     pub objective_ms: f64,
     weight: f64,
 }
 
+impl SoakClass {
+    /// The longest wait of its clients (ms), where `max_deadline_ms` is that of all classes.
+    pub fn deadline_ms(&self, max_deadline_ms: f64) -> f64 {
+        self.deadline_fraction * max_deadline_ms
+    }
+}
+
 /// Look-ups, loads, and posts with an idempotency key.
 pub const CLASSES: [SoakClass; 3] = [
     SoakClass {
         name: "look",
         effect: Effect::ReadOnly,
-        deadline_ms: 2000.0,
+        deadline_fraction: 0.8,
         objective_ms: 300.0,
         weight: 0.7,
     },
     SoakClass {
         name: "load",
         effect: Effect::NonIdempotent,
-        deadline_ms: 2500.0,
+        deadline_fraction: 1.0,
         objective_ms: 800.0,
         weight: 0.15,
     },
     SoakClass {
         name: "post",
         effect: Effect::IdempotencyKey,
-        deadline_ms: 2500.0,
+        deadline_fraction: 1.0,
         objective_ms: 600.0,
         weight: 0.15,
     },
@@ -104,6 +111,8 @@
     pub leave_generation: Arc<AtomicU64>,
     /// Whether clients declare the cost of their queries.
     pub has_estimates: bool,
+    /// The longest deadline of all classes (ms).
+    pub max_deadline_ms: f64,
 }
 
 struct Connection {
@@ -112,6 +121,20 @@
     is_used: bool,
 }
 
+impl Connection {
+    /// Whether the dispatcher has ended the connection, as a client sees before it sends.
+    fn has_ended(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let mut byte = [0];
+        let peeked = self.stream.peek(&mut byte);
+        let _ = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 /// How a wait for an answer ended.
 enum Waited {
     Answered { keeps_alive: bool },
@@ -128,16 +151,14 @@
             let pause_s = rng.random_range(0.2..1.8) / QUERIES_PER_S;
             thread::sleep(Duration::from_secs_f64(pause_s));
             let endpoint = self.slot.client_endpoint();
-            if kept
-                .as_ref()
-                .is_some_and(|kept| kept.epoch != endpoint.epoch)
-            {
-                kept = None;
-            }
             let mode = draw_request_mode(&mut rng);
-            let connection = match kept.take().filter(|_| mode != RequestMode::Fresh) {
-                Some(kept) if endpoint.takes_requests => Some(kept),
-                _ => self.connect(endpoint),
+            let is_kept = |kept: &Connection| {
+                let takes_requests = self.slot.takes_requests(kept.epoch);
+                mode != RequestMode::Fresh && takes_requests && !kept.has_ended()
+            };
+            let connection = match kept.take().filter(is_kept) {
+                Some(kept) => Some(kept),
+                None => self.connect(endpoint),
             };
             let Some(connection) = connection else {
                 continue;
@@ -176,7 +197,7 @@
             }
         }
         let work = MEAN_WORK_MS * rng.random_range(0.3..1.7);
-        let wait = class.deadline_ms * rng.random_range(0.25..1.0);
+        let wait = class.deadline_ms(self.max_deadline_ms) * rng.random_range(0.25..1.0);
         let tables: u32 = rng.random_range(1..30);
         let statement = match class.name {
             "look" => format!("select rate from sales_{tables}.lanes where id = {sequence}"),
--- a/crates/testbed/src/soak/dispatcher.rs
+++ b/crates/testbed/src/soak/dispatcher.rs
@@ -14,12 +14,14 @@
 
 /// The platform's limit from a start to being ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
-/// The shortest time between SIGTERM and SIGKILL: the longest deadline (at most 3 s) plus 0.7 s.
-const TERMINATION_GRACE: Duration = Duration::from_millis(3700);
+/// Time from SIGTERM to SIGKILL, beside the longest deadline: the shortest one of the platform.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+/// Time between the signals of a series.
+pub(super) const SIGNAL_STEP: Duration = Duration::from_millis(70);
 /// How long after SIGTERM clients still make new connections.
 const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
-/// How long after SIGTERM clients still send requests on open connections.
-const REQUESTS_AFTER_TERM: Duration = Duration::from_millis(500);
+/// How long after SIGTERM the next process is started.
+const NEXT_START_AFTER_TERM: Duration = Duration::from_millis(500);
 /// What a log line contains where an invariant was violated or the program panicked.
 const FAILURE_PATTERNS: [&str; 2] = ["invariant violated", "panicked"];
 /// Interval at which a process's state is polled.
@@ -32,8 +34,6 @@
     pub epoch: u64,
     /// New connections may be made.
     pub takes_connections: bool,
-    /// Requests may be sent on open connections.
-    pub takes_requests: bool,
 }
 
 #[derive(Debug)]
@@ -41,9 +41,13 @@
     program: Option<Program>,
     epoch: u64,
     is_ready: bool,
+    /// The process is stopped by SIGSTOP.
+    is_stopped: bool,
     terminated: Option<Instant>,
     /// The epochs that ended by SIGKILL, which owe no answers.
     crashed: Vec<u64>,
+    /// The epoch that was terminated and has not ended.
+    ending: Option<u64>,
     log: PathBuf,
 }
 
@@ -58,6 +62,8 @@
     shim: FaultShim,
     logs: PathBuf,
     record: Arc<Record>,
+    /// Time from SIGTERM to SIGKILL.
+    kill_after: Duration,
     state: Mutex<State>,
 }
 
@@ -70,6 +76,7 @@
         shim: FaultShim,
         logs: &Path,
         record: Arc<Record>,
+        max_deadline: Duration,
     ) -> Self {
         let listen = config.0["listen"].as_str().and_then(|at| at.parse().ok());
         DispatcherSlot {
@@ -80,12 +87,15 @@
             shim,
             logs: logs.to_owned(),
             record,
+            kill_after: max_deadline + KILL_AFTER_DEADLINE,
             state: Mutex::new(State {
                 program: None,
                 epoch: 0,
                 is_ready: false,
+                is_stopped: false,
                 terminated: None,
                 crashed: Vec::new(),
+                ending: None,
                 log: PathBuf::new(),
             }),
         }
@@ -143,27 +153,33 @@
     pub fn client_endpoint(&self) -> ClientEndpoint {
         let state = self.state();
         let since_term = state.terminated.map(|at| at.elapsed());
-        let within =
-            |limit: Duration| state.is_ready && since_term.is_none_or(|since| since < limit);
+        let is_accepting = since_term.is_none_or(|since| since < CONNECTS_AFTER_TERM);
         ClientEndpoint {
             epoch: state.epoch,
-            takes_connections: within(CONNECTS_AFTER_TERM),
-            takes_requests: within(REQUESTS_AFTER_TERM),
+            takes_connections: state.is_ready && is_accepting,
         }
     }
 
+    /// Whether requests may be sent on open connections to the process of this epoch: until it ends.
+    pub fn takes_requests(&self, epoch: u64) -> bool {
+        let state = self.state();
+        state.ending == Some(epoch) || state.epoch == epoch && state.is_ready
+    }
+
     /// Whether the process of this epoch ended by SIGKILL.
     pub fn has_crashed(&self, epoch: u64) -> bool {
         self.state().crashed.contains(&epoch)
     }
 
-    /// Terminates the process, starts the next one once clients send nothing more to the first, and checks how it ends.
-    pub fn restart(&self) {
+    /// Terminates the process, sends it further signals, starts the next one while clients go on sending on their connections
+    /// to the first, and checks how that one ends.
+    pub fn restart(&self, further_signals: &[&str]) {
         let Some(mut old) = self.terminate() else {
             return;
         };
         let from = Instant::now();
-        thread::sleep(REQUESTS_AFTER_TERM);
+        self.send_series(&old, further_signals);
+        thread::sleep(NEXT_START_AFTER_TERM.saturating_sub(from.elapsed()));
         let old_log = self.state().log.clone();
         // The next one binds the same address as soon as the first has closed its listener.
         let started = self.launch();
@@ -172,6 +188,22 @@
         self.wait_until_ready(started);
     }
 
+    fn send_series(&self, program: &Program, signals: &[&str]) {
+        let mut stopped_ms = None;
+        for signal in signals {
+            thread::sleep(SIGNAL_STEP);
+            program.signal(signal);
+            match (*signal, stopped_ms) {
+                ("-STOP", _) => stopped_ms = Some(self.record.now_ms()),
+                ("-CONT", Some(from_ms)) => self.record.push(EventKind::Stalled {
+                    dispatcher: self.name.clone(),
+                    from_ms,
+                }),
+                _ => {}
+            }
+        }
+    }
+
     /// Sends SIGTERM. Returns the process, if it was ready and not terminated before.
     fn terminate(&self) -> Option<Program> {
         let mut state = self.state();
@@ -179,8 +211,14 @@
             return None;
         }
         state.terminated = Some(Instant::now());
+        state.ending = Some(state.epoch);
         let program = state.program.take()?;
         program.terminate();
+        // The process has left the slot, where its SIGCONT would look for it.
+        if std::mem::take(&mut state.is_stopped) {
+            thread::sleep(SIGNAL_STEP);
+            program.signal("-CONT");
+        }
         Some(program)
     }
 
@@ -194,17 +232,23 @@
         self.check_log(&log);
     }
 
+    /// Waits for the end of a terminated process, and ends it by SIGKILL at the platform's time.
     fn await_end(&self, program: &mut Program, from: Instant) {
-        loop {
+        let failure = loop {
             match program.child.try_wait() {
-                Ok(Some(status)) if status.success() => return,
-                Ok(Some(status)) => return self.fail(format!("ended with {status}")),
-                Ok(None) if from.elapsed() > TERMINATION_GRACE => {
-                    return self.fail(format!("had not ended {TERMINATION_GRACE:?} after SIGTERM"));
+                Ok(Some(status)) if status.success() => break None,
+                Ok(Some(status)) => break Some(format!("ended with {status}")),
+                Ok(None) if from.elapsed() > self.kill_after => {
+                    let _ = program.child.kill();
+                    break Some(format!("had not ended {:?} after SIGTERM", self.kill_after));
                 }
                 Ok(None) => thread::sleep(POLL),
-                Err(error) => return self.fail(format!("can't be waited for: {error}")),
+                Err(error) => break Some(format!("can't be waited for: {error}")),
             }
+        };
+        self.state().ending = None;
+        if let Some(how) = failure {
+            self.fail(how);
         }
     }
 
@@ -242,9 +286,10 @@
     /// Stops the process for a time.
     pub fn stall(&self, time: Duration) {
         let signal = |which| {
-            let state = self.state();
+            let mut state = self.state();
             if let Some(program) = state.program.as_ref().filter(|_| state.is_ready) {
                 program.signal(which);
+                state.is_stopped = which == "-STOP";
             }
         };
         let from_ms = self.record.now_ms();
--- a/crates/testbed/src/soak/environment.rs
+++ b/crates/testbed/src/soak/environment.rs
@@ -123,6 +123,7 @@
                 FaultShim::new(options.shim.clone()),
                 logs,
                 context.record.clone(),
+                Duration::from_secs_f64(plan.settings.max_deadline_ms / 1000.0),
             )));
         }
         Environment {
@@ -154,6 +155,7 @@
                     is_over: self.is_over.clone(),
                     leave_generation: self.leave_generations[dispatcher].clone(),
                     has_estimates: self.plan.settings.has_estimates,
+                    max_deadline_ms: self.plan.settings.max_deadline_ms,
                 };
                 let seed = self.plan.seed << 16 | (dispatcher as u64) << 8 | number;
                 clients.push(thread::spawn(move || client.run(seed)));
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -13,6 +13,8 @@
 
 /// Rate of failing system calls (of 10,000): one in twenty.
 const CALL_FAULT_RATE: u32 = 500;
+/// Signals that follow a SIGTERM, in steps of [`SIGNAL_STEP`](super::dispatcher::SIGNAL_STEP).
+const SIGNAL_SERIES: [&str; 4] = ["-HUP", "-TERM", "-STOP", "-CONT"];
 /// How long dispatchers that do not know of an engine's replacement may still send to the old one (ms).
 const REPLACEMENT_GRACE_MS: u64 = 700;
 
@@ -88,7 +90,10 @@
     /// Injects faults of a dispatcher's process and of its clients.
     fn inject_dispatcher_fault(&self, fault: SoakFault, time: Duration) {
         match fault {
-            SoakFault::Restart(dispatcher) => self.slots[dispatcher].restart(),
+            SoakFault::Restart(dispatcher) => self.slots[dispatcher].restart(&[]),
+            SoakFault::SignalSeries(dispatcher) => {
+                self.slots[dispatcher].restart(&SIGNAL_SERIES);
+            }
             SoakFault::Crash(dispatcher) => self.slots[dispatcher].crash(),
             SoakFault::Stall(dispatcher, stall_ms) => {
                 self.slots[dispatcher].stall(Duration::from_millis(stall_ms));
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -71,6 +71,8 @@
     SlowNames(u64),
     /// A dispatcher is terminated and replaced by another at once.
     Restart(usize),
+    /// The same, with SIGHUP, SIGTERM again, SIGSTOP and SIGCONT right after the first SIGTERM.
+    SignalSeries(usize),
     /// A dispatcher ends by SIGKILL and is started again.
     Crash(usize),
     /// A dispatcher is stopped for this time (ms).
@@ -136,11 +138,15 @@
     pub allows_cancels: bool,
     /// Whether engines answer health checks.
     pub allows_probes: bool,
+    /// The longest deadline of all classes (ms).
+    pub max_deadline_ms: f64,
 }
 
 impl SoakSettings {
-    fn draw(rng: &mut Pcg64) -> Self {
+    fn draw(seed: u64, rng: &mut Pcg64) -> Self {
+        let mut deadline_rng = Pcg64::seed_from_u64(seed ^ DEADLINE_SEED);
         SoakSettings {
+            max_deadline_ms: draw_max_deadline_ms(&mut deadline_rng),
             has_notes: rng.random_bool(0.6),
             has_estimates: rng.random_bool(0.7),
             allows_cancels: rng.random_bool(0.8),
@@ -149,6 +155,21 @@
     }
 }
 
+/// Half of the runs have the longest deadlines that the platform waits for at a termination, the others shorter ones.
+fn draw_max_deadline_ms(rng: &mut Pcg64) -> f64 {
+    if rng.random_bool(0.5) {
+        MAX_DEADLINE_MS
+    } else {
+        f64::floor(rng.random_range(MIN_DEADLINE_MS..MAX_DEADLINE_MS))
+    }
+}
+
+/// The shortest of the longest deadlines that are drawn (ms).
+const MIN_DEADLINE_MS: f64 = 300.0;
+/// The longest deadline for which the platform waits at a termination (ms).
+const MAX_DEADLINE_MS: f64 = 3000.0;
+/// Makes the deadlines' random numbers differ from the plan's.
+const DEADLINE_SEED: u64 = 0x6465_6164;
 /// Steps of a dispatcher's wall clock (s).
 const CLOCK_STEPS_S: [i64; 6] = [-3600, -40, -3, 3, 40, 3600];
 /// Fraction of the runs with faulty replies that have few engines.
@@ -177,7 +198,7 @@
         if families.contains(&FaultFamily::Replies) && rng.random_bool(FEW_ENGINES_FRACTION) {
             engines = rng.random_range(1..3);
         }
-        let settings = SoakSettings::draw(&mut rng);
+        let settings = SoakSettings::draw(seed, &mut rng);
         let mut faults = Vec::new();
         // On average two to three faults overlap; some runs begin with a time without faults.
         let quiet_ms = if rng.random_bool(0.2) {
@@ -240,8 +261,9 @@
             0 => SoakFault::SilentNames,
             _ => SoakFault::SlowNames(rng.random_range(100..2500)),
         },
-        FaultFamily::Signals => match rng.random_range(0..5) {
-            0 | 1 => SoakFault::Restart(dispatcher),
+        FaultFamily::Signals => match rng.random_range(0..6) {
+            0 => SoakFault::SignalSeries(dispatcher),
+            1 | 5 => SoakFault::Restart(dispatcher),
             2 => SoakFault::Crash(dispatcher),
             3 => SoakFault::Stall(dispatcher, rng.random_range(50..350)),
             _ => SoakFault::Reload(dispatcher, rng.random_range(1..12)),
--- a/crates/testbed/src/soak/site.rs
+++ b/crates/testbed/src/soak/site.rs
@@ -43,12 +43,12 @@
     SocketAddr::from((address, port))
 }
 
-fn services() -> Vec<Value> {
+fn services(max_deadline_ms: f64) -> Vec<Value> {
     let service = |soak: &SoakClass| {
         let mut value = class(
             soak.name,
             soak.objective_ms,
-            soak.deadline_ms,
+            soak.deadline_ms(max_deadline_ms),
             effect_value(soak.effect),
         );
         value[keys::group::DEDUP_WINDOW_US] = json!(DEDUP_WINDOW_MS * 1e3);
@@ -71,12 +71,13 @@
         has_notes,
         allows_cancels,
         allows_probes,
+        max_deadline_ms,
         ..
     } = plan.settings;
     let each: Vec<String> = peers.each.iter().map(SocketAddr::to_string).collect();
     let notes_us = if has_notes { 100_000 } else { 0 };
     let listen = own_address(plan.seed, nth, CLIENT_PORT);
-    Config::new(listen, known, &services(), &[1, 1, 1])
+    Config::new(listen, known, &services(max_deadline_ms), &[1, 1, 1])
         .with("name", format!("n{nth}"))
         .with("seed", format!("{:x}", plan.seed << 8 | nth as u64))
         .with("resolver", names.address.to_string())
