--- a/crates/dispatcher/src/engine/allocation.rs
+++ b/crates/dispatcher/src/engine/allocation.rs
@@ -5,6 +5,7 @@
 use super::channel::handler::ChannelHandler;
 use super::channel::task;
 use super::channel::Channel;
+use super::channel_request::ChannelRequest;
 use super::connection::Suitability;
 use super::engine_entry::Engine;
 use super::engine_table::EngineTable;
@@ -12,27 +13,13 @@
 use super::keep_alive::MIN_IDLE_MS;
 use super::settings::ConnectionSettings;
 use crate::clock::Clock;
-use crate::ids::ConnectionId;
+use crate::ids::{ConnectionId, EngineId};
 use crate::query_registry::QueryRegistry;
 use async_executor::LocalExecutor;
 use descriptor_limit::DescriptorLimit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// An attempt or health check that needs a connection.
-pub(super) struct ChannelRequest<'a> {
-    pub engine_id: u64,
-    /// Id of the attempt's query, or tag of the health check.
-    pub id: &'a str,
-    /// Connections that have carried an earlier attempt of the query: a late reply to that one would be taken for a reply
-    /// to this one.
-    pub used_connections: &'a [ConnectionId],
-    /// Whether a loss on the way does no harm, as the request has no side effect. Any other request is not sent on a
-    /// connection that has idled for longer than [`MIN_IDLE_MS`]: it may be lost, and it would be unknown whether the
-    /// request ran.
-    pub side_effect_free: bool,
-}
-
 /// What the limit of all connections leaves for another one.
 struct Headroom {
     is_limit_reached: bool,
@@ -141,7 +128,7 @@
             // It connects once another connection has closed.
             _ if is_below_engine_limit => self.open(handler, engine, address, Descriptor::Queued),
             _ => {
-                let engine_id = format_args!("{:08x}", request.engine_id);
+                let engine_id = EngineId(request.engine_id);
                 tracing::warn!(%engine_id, "connection limit reached");
                 return None;
             }
--- a/crates/dispatcher/src/engine/close.rs
+++ b/crates/dispatcher/src/engine/close.rs
@@ -8,6 +8,7 @@
 use crate::attempt_end::EndCause;
 use crate::clock::Clock;
 use crate::close_reason::EngineClose;
+use crate::ids::EngineId;
 use crate::query_registry::QueryRegistry;
 use std::rc::Rc;
 use tansymux::events::Outcome;
@@ -157,7 +158,7 @@
             None if connection.is_retired() => EngineClose::Retired,
             None => EngineClose::ByEngine,
         };
-        let engine_id = format_args!("{:08x}", channel.engine_id);
+        let engine_id = EngineId(channel.engine_id);
         let connection = channel.id;
         self.registry.counters.count_engine_close(reason);
         tracing::debug!(%connection, %engine_id, %reason, lost_attempts, "engine connection closed");
--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -55,7 +55,7 @@
     /// Whether it accepts nothing new and closes when nothing is in flight.
     retired: bool,
     /// Attempts in flight, by the ids of their queries. A connection carries at most one attempt of a query
-    /// ([`ChannelRequest::used_connections`](super::allocation::ChannelRequest)): a reply with its id is about it, or comes
+    /// ([`ChannelRequest::used_connections`](super::channel_request::ChannelRequest)): a reply with its id is about it, or comes
     /// too late.
     attempts: FxHashMap<Rc<str>, Attempt>,
     /// Health checks in flight.
--- a/crates/dispatcher/src/engine/engine_entry.rs
+++ b/crates/dispatcher/src/engine/engine_entry.rs
@@ -1,7 +1,7 @@
 //! One engine of the endpoint list, and the choice among the connections to it.
 
-use super::allocation::ChannelRequest;
 use super::channel::{Channel, EngineProcess};
+use super::channel_request::ChannelRequest;
 use super::connection::{ConnectionState, IdleReuse, Suitability};
 use crate::guard::EndpointFacts;
 use crate::query_registry::EndpointEntry;
--- a/crates/dispatcher/src/engine/idle_reuse.rs
+++ b/crates/dispatcher/src/engine/idle_reuse.rs
@@ -3,6 +3,7 @@
 use super::connection::IdleReuse;
 use super::keep_alive::{KeepAlive, ReuseOutcome, MIN_IDLE_MS};
 use crate::clock::Clock;
+use crate::ids::EngineId;
 use crate::query_registry::QueryRegistry;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -64,7 +65,7 @@
 
     /// A reused connection stayed silent while its engine sent frames on another one.
     pub fn record_silent_loss(&self, engine_id: u64, reuse: IdleReuse) {
-        let engine_id = format_args!("{engine_id:08x}");
+        let engine_id = EngineId(engine_id);
         tracing::warn!(%engine_id, idle_ms = reuse.idle_ms, "idle connection lost in silence");
         self.registry.counters.idle_connections_lost.increment();
         self.record(self.clock.now(), reuse, ReuseOutcome::LostInSilence);
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod allocation;
 mod begin;
 mod channel;
+mod channel_request;
 mod close;
 mod connection;
 mod engine_entry;
--- a/crates/dispatcher/src/engine/pool/channel_events.rs
+++ b/crates/dispatcher/src/engine/pool/channel_events.rs
@@ -10,6 +10,7 @@
 use crate::engine::protocol_error::ProtocolError;
 use crate::engine::reports::AttemptReport;
 use crate::engine::resp::Frame;
+use crate::ids::EngineId;
 use crate::ignored_reply::IgnoredReply;
 use crate::query_registry::{AttemptKey, Event};
 use std::cell::RefCell;
@@ -34,7 +35,7 @@
     }
 
     fn on_local_connect_fault(&self, channel: &Channel, error: &io::Error) {
-        let engine_id = format_args!("{:08x}", channel.engine_id);
+        let engine_id = EngineId(channel.engine_id);
         tracing::warn!(%engine_id, %error, "connect failed on this machine");
         self.registry.counters.local_connect_faults.increment();
     }
@@ -48,7 +49,7 @@
         if connection.state() == ConnectionState::Late {
             self.registry.counters.connects_after_timeout.increment();
         }
-        let engine_id = format_args!("{:08x}", channel.engine_id);
+        let engine_id = EngineId(channel.engine_id);
         tracing::debug!(connection = %channel.id, %engine_id, "engine connection up");
         connection.on_connected(self.clock.now());
         drop(connection);
@@ -146,7 +147,7 @@
         }
         tracing::info!(
             connection = %channel.id,
-            engine_id = %format_args!("{:08x}", channel.engine_id),
+            engine_id = %EngineId(channel.engine_id),
             client_id = protocol::reply_id(frame).ok(),
             reply = protocol::reply_name(frame),
             %reason,
--- a/crates/dispatcher/src/engine/pool/commands.rs
+++ b/crates/dispatcher/src/engine/pool/commands.rs
@@ -2,8 +2,8 @@
 
 use super::EnginePool;
 use crate::attempt_end::EndCause;
-use crate::engine::allocation::ChannelRequest;
 use crate::engine::channel::Channel;
+use crate::engine::channel_request::ChannelRequest;
 use crate::engine::connection::{Attempt, IdleReuse};
 use crate::engine::engine_entry::Engine;
 use crate::engine::protocol::RequestFields;
--- a/crates/dispatcher/src/engine/pool/reachability.rs
+++ b/crates/dispatcher/src/engine/pool/reachability.rs
@@ -1,8 +1,9 @@
 //! Whether engines are reachable: health checks, and connects that time out.
 
 use super::EnginePool;
-use crate::engine::allocation::ChannelRequest;
 use crate::engine::channel::Channel;
+use crate::engine::channel_request::ChannelRequest;
+use crate::ids::EngineId;
 use std::rc::Rc;
 use tansymux::events::Outcome;
 
@@ -59,7 +60,7 @@
         let health_checks = connection.on_connect_timeout();
         drop(connection);
         if !pending.is_empty() {
-            let engine_id = format_args!("{engine_id:08x}");
+            let engine_id = EngineId(engine_id);
             tracing::warn!(%engine_id, pending_attempts = pending.len(), "connect timeout");
         }
         for id in &pending {
--- a/crates/dispatcher/src/engine/reports.rs
+++ b/crates/dispatcher/src/engine/reports.rs
@@ -6,7 +6,7 @@
 use super::engine_table::EngineTable;
 use crate::attempt_end::{EndCause, EndProof};
 use crate::clock::Clock;
-use crate::ids::{AttemptId, ConnectionId};
+use crate::ids::{AttemptId, ConnectionId, EngineId};
 use crate::query_registry::{AttemptKey, Event, Pages, QueryRegistry};
 use crate::trace::TraceEvent;
 use std::cell::RefCell;
@@ -235,7 +235,7 @@
             client_id = client_id.as_deref(),
             attempt = report.attempt,
             connection = report.connection.map(|id| id.0),
-            engine_id = %format_args!("{:08x}", report.engine_id),
+            engine_id = %EngineId(report.engine_id),
             outcome = ?report.outcome,
             cause = %report.cause,
             latency_ms = report.latency_ms,
@@ -248,7 +248,7 @@
             query_id = report.query_id,
             attempt = report.attempt,
             connection = report.connection.map(|id| id.0),
-            engine_id = %format_args!("{:08x}", report.engine_id),
+            engine_id = %EngineId(report.engine_id),
             latency_ms = report.latency_ms,
             "attempt completed"
         );
--- a/crates/dispatcher/src/ids.rs
+++ b/crates/dispatcher/src/ids.rs
@@ -6,6 +6,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionId(pub u64);
 
+/// The number of an engine, derived from its name: 32 bits, as eight hex digits in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineId(pub u64);
+
 /// Identifies an attempt of a query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptId {
@@ -15,6 +19,12 @@
     pub number: usize,
 }
 
+impl fmt::Display for EngineId {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
+
 impl fmt::Display for ConnectionId {
     fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
         self.0.fmt(formatter)
--- a/crates/dispatcher/src/query_registry/guarding.rs
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -3,7 +3,7 @@
 
 use super::{Query, QueryRegistry};
 use crate::guard::{AttemptFacts, BeginPermit, BeginRefusal, EndpointFacts, QueryFacts, Violation};
-use crate::ids::ConnectionId;
+use crate::ids::{ConnectionId, EngineId};
 use crate::trace::TraceEvent;
 use tansymux::events::EndReason;
 
@@ -84,7 +84,7 @@
         tracing::info!(
             query_id = key.query_id,
             attempt = key.attempt,
-            engine_id = %format_args!("{:08x}", key.engine_id),
+            engine_id = %EngineId(key.engine_id),
             reason = %refusal,
             "attempt not begun"
         );
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -22,7 +22,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::guard::Guard;
-use crate::ids::AttemptId;
+use crate::ids::{AttemptId, EngineId};
 use crate::notify::Notify;
 use crate::trace::{EventTrace, TraceEvent};
 use query_table::QueryTable;
@@ -186,7 +186,7 @@
         let Some(attempt) = attempt.flatten() else {
             tracing::error!(
                 query_id,
-                engine_id = %format_args!("{engine_id:08x}"),
+                engine_id = %EngineId(engine_id),
                 reason = "the query is over or has an attempt in flight",
                 "attempt refused"
             );
@@ -210,7 +210,7 @@
     fn note_submitted(&self, key: &AttemptKey) {
         self.trace_attempt(key, TraceEvent::Submitted);
         let last_end = self.with_query(key.query_id, |query| query.last_end);
-        let engine_id = format_args!("{:08x}", key.engine_id);
+        let engine_id = EngineId(key.engine_id);
         let (query_id, attempt) = (key.query_id, key.attempt);
         let Some(after) = last_end.flatten() else {
             tracing::debug!(query_id, attempt, %engine_id, "attempt submitted");
--- a/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
+++ b/crates/dispatcher/src/subsystems/fleet/engine_watch.rs
@@ -1,5 +1,6 @@
 //! The endpoint list in the fleet's form, and the engines on it that the fleet has drained.
 
+use crate::ids::EngineId;
 use crate::query_registry::EndpointEntry;
 use crate::subsystems::endpoint_list::merge_endpoints;
 use std::rc::Rc;
@@ -74,11 +75,11 @@
                 drained.push(engine_id);
             }
             if is_drained && !was_drained {
-                tracing::warn!(engine_id = %format_args!("{engine_id:08x}"), "engine drained by the fleet");
+                tracing::warn!(engine_id = %EngineId(engine_id), "engine drained by the fleet");
                 changes.push(endpoint.clone());
             }
             if was_drained && !is_drained {
-                tracing::info!(engine_id = %format_args!("{engine_id:08x}"), "engine released by the fleet");
+                tracing::info!(engine_id = %EngineId(engine_id), "engine released by the fleet");
                 // A new start time makes all dispatchers warm the engine up by the same rule.
                 changes.push(EndpointEntry {
                     started_ms: Some(now_ms),
--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -15,7 +15,7 @@
 use tansymux_testbed::client::{send_query, ClientQuery};
 use tansymux_testbed::corpus::{corpus, mutated};
 use tansymux_testbed::engine::{
-    scripted, write_result, write_result_of, Engine, EngineSpec, QueryWork, RunContext,
+    scripted, write_result, write_result_of, Engine, EngineSpec, QueryWork, ResultShape, RunContext,
 };
 use tansymux_testbed::invariants::{find_violations, ClassRules, Effect, Rules};
 use tansymux_testbed::program::{Config, Program, TempFile, TIMEOUT};
@@ -231,6 +231,7 @@
             ..unclassed_query(index as u64 + 1, &text)
         };
         let work = QueryWork {
+            result: ResultShape::OneRow,
             work: 2.0,
             threads: 1.0,
             changes: labelled.effect != "read-only",
--- a/crates/testbed/src/soak/dispatcher.rs
+++ b/crates/testbed/src/soak/dispatcher.rs
@@ -15,7 +15,7 @@
 /// The platform's limit from a start to being ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Time from SIGTERM to SIGKILL, beside the longest deadline: the shortest one of the platform.
-const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+const SIGKILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Time between the signals of a series.
 pub(super) const SIGNAL_STEP: Duration = Duration::from_millis(70);
 /// How long after SIGTERM clients still make new connections.
@@ -63,7 +63,7 @@
     logs: PathBuf,
     record: Arc<Record>,
     /// Time from SIGTERM to SIGKILL.
-    kill_after: Duration,
+    sigkill_after: Duration,
     state: Mutex<State>,
 }
 
@@ -87,7 +87,7 @@
             shim,
             logs: logs.to_owned(),
             record,
-            kill_after: max_deadline + KILL_AFTER_DEADLINE,
+            sigkill_after: max_deadline + SIGKILL_AFTER_DEADLINE,
             state: Mutex::new(State {
                 program: None,
                 epoch: 0,
@@ -238,9 +238,12 @@
             match program.child.try_wait() {
                 Ok(Some(status)) if status.success() => break None,
                 Ok(Some(status)) => break Some(format!("ended with {status}")),
-                Ok(None) if from.elapsed() > self.kill_after => {
+                Ok(None) if from.elapsed() > self.sigkill_after => {
                     let _ = program.child.kill();
-                    break Some(format!("had not ended {:?} after SIGTERM", self.kill_after));
+                    break Some(format!(
+                        "had not ended {:?} after SIGTERM",
+                        self.sigkill_after
+                    ));
                 }
                 Ok(None) => thread::sleep(POLL),
                 Err(error) => break Some(format!("can't be waited for: {error}")),
