--- a/crates/dispatcher/tests/zone_routing.rs
+++ b/crates/dispatcher/tests/zone_routing.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 use tansymux::settings::keys;
 use tansymux_testbed::client::{send_query, ClientQuery, ClientResponse};
-use tansymux_testbed::engine::{Engine, EngineSpec, Fault, QueryWork, RunContext};
+use tansymux_testbed::engine::{Engine, EngineSpec, Fault, QueryWork, ResultShape, RunContext};
 use tansymux_testbed::invariants::{find_violations, ClassRules, Effect, Rules};
 use tansymux_testbed::program::{class, free_address, get, Config, Program, TempFile};
 use tansymux_testbed::record::EventKind;
@@ -94,6 +94,7 @@
         query.cost = Some(work);
         let threads = if group == "report" { 4.0 } else { 1.0 };
         let query_work = QueryWork {
+            result: ResultShape::OneRow,
             work,
             threads,
             changes: group == "load",
