Testbed: a chosen port is reserved until its test process ends

clients_that_fill_the_read_buffers_.. once was not healthy within 10 s of its start. An address is chosen by binding and closing it, so that two test processes can choose the same one before either program has bound it; ports below the system's range made that rarer, not impossible (starts 20 process ids apart lie 60 ports apart). A socket of the other protocol now holds each chosen port, which the next process sees. chosen_port_is_reserved_before_a_program_has_bound_it fails without it.

--- a/crates/testbed/src/free_address.rs
+++ b/crates/testbed/src/free_address.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 
 /// The first port that is chosen.
 const FIRST_PORT: u16 = 12_000;
@@ -16,13 +17,28 @@
 
 /// Ports chosen so far by this process.
 static CHOSEN: AtomicU32 = AtomicU32::new(0);
+/// Sockets of the other protocol on the chosen ports, held until the process ends: other test processes pass these ports
+/// over, also while no program has bound them yet.
+static RESERVATIONS: Mutex<Vec<Reservation>> = Mutex::new(Vec::new());
 
-/// An address on which nobody listens now, and that this process has not returned before.
+/// A socket that reserves a port.
+#[derive(Debug)]
+enum Reservation {
+    /// Reserves an address for a program that listens.
+    Datagrams(#[expect(dead_code, reason = "held, not used")] UdpSocket),
+    /// Reserves an address for a program that receives datagrams.
+    Connections(#[expect(dead_code, reason = "held, not used")] TcpListener),
+}
+
+/// An address on which nobody listens now, and that no test process has chosen before.
 ///
 /// # Panics
 /// No port of the range is free.
 pub fn free_address() -> SocketAddr {
-    choose(|address| TcpListener::bind(address)?.local_addr())
+    choose(|address| {
+        TcpListener::bind(address)?;
+        UdpSocket::bind(address).map(Reservation::Datagrams)
+    })
 }
 
 /// The same for datagrams.
@@ -30,13 +46,25 @@
 /// # Panics
 /// No port of the range is free.
 pub fn free_udp_address() -> SocketAddr {
-    choose(|address| UdpSocket::bind(address)?.local_addr())
+    choose(|address| {
+        UdpSocket::bind(address)?;
+        TcpListener::bind(address).map(Reservation::Connections)
+    })
 }
 
-/// The next address that can be bound.
-fn choose(bind: impl Fn(SocketAddr) -> io::Result<SocketAddr>) -> SocketAddr {
+/// The next address that can be reserved.
+fn choose(reserve: impl Fn(SocketAddr) -> io::Result<Reservation>) -> SocketAddr {
+    let next_reserved = |_| {
+        let candidate = next_candidate();
+        let reservation = reserve(candidate).ok()?;
+        RESERVATIONS
+            .lock()
+            .expect("no holder panics")
+            .push(reservation);
+        Some(candidate)
+    };
     (0..PORT_COUNT)
-        .find_map(|_| bind(next_candidate()).ok())
+        .find_map(next_reserved)
         .expect("a port of the range is free")
 }
 
@@ -46,3 +74,6 @@
     let port = FIRST_PORT + (offset % u32::from(PORT_COUNT)) as u16;
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
+
+#[cfg(test)]
+mod tests;
