--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -326,7 +326,7 @@
         .map(|engine| format!("{}:{:>2.0}", engine.id, engine.threads()))
         .collect();
     format!(
-        "{second:>3} s  asked {:>5}  finished {:>5}  deferred {:>4}  killed {:>3}  threads {}",
+        "{second:>3} s  received {:>5}  completed {:>5}  rejected {:>4}  failed {:>3}  threads {}",
         sum(|outcome| outcome.asked),
         sum(|outcome| outcome.completed),
         sum(|outcome| outcome.rejected),
@@ -338,7 +338,7 @@
 fn class_table(outcomes: &Outcomes) -> String {
     let mut table = format!(
         "{:<8} {:>7} {:>9} {:>9} {:>7} {:>8} {:>8}\n",
-        "class", "asked", "finished", "deferred", "killed", "p50 ms", "p99 ms"
+        "class", "received", "completed", "rejected", "failed", "p50 ms", "p99 ms"
     );
     for (name, outcome) in &*outcomes.lock().expect("no holder panics") {
         let p50 = outcome.latencies_ms.value_at_quantile(0.5);
@@ -359,7 +359,7 @@
             *attempts.entry(engine).or_default() += 1;
         }
     }
-    let mut table = format!("{:<8} {:>12} {:>12}\n", "engine", "submissions", "load");
+    let mut table = format!("{:<8} {:>12} {:>12}\n", "engine", "attempts", "load");
     for engine in engines {
         let load = engine.busy() / (CORES * lasted_ms);
         let count = attempts.get(engine.id.as_str()).copied().unwrap_or(0);
