--- a/crates/testbed/src/levels/reports.rs
+++ b/crates/testbed/src/levels/reports.rs
@@ -124,7 +124,7 @@
     let too_near = count_too_near(&outcome.changes);
     let skips = count_skips(&outcome.changes);
     let mut table = format!(
-        "{seconds:.0} s, {} asked, {} in time, {} late, {} deferred, {} killed, value {:.3} of the most\n",
+        "{seconds:.0} s, {} received, {} in time, {} late, {} rejected, {} failed, value {:.3} of the most\n",
         outcome.asked,
         outcome.in_time,
         outcome.late,
@@ -185,16 +185,16 @@
 /// Runs the same quarter starts with levels and without, for several peaks, with and without a failing engine.
 pub fn quarters(exe: &Path, seconds: f64, seeds: u64) -> String {
     let mut table = format!(
-        "{:<7} {:<8} {:<7} {:>6} {:>8} {:>6} {:>9} {:>7} {:>9} {:>7} {:>9} {:>7} {:>7}\n",
+        "{:<7} {:<8} {:<7} {:>8} {:>8} {:>6} {:>9} {:>7} {:>9} {:>7} {:>9} {:>7} {:>7}\n",
         "height",
         "failing",
         "levels",
-        "asked",
+        "received",
         "in time",
         "late",
-        "deferred",
-        "killed",
-        "repeated",
+        "rejected",
+        "failed",
+        "retried",
         "value",
         "look p99",
         "waste",
@@ -250,7 +250,7 @@
     let sum = |figure: fn(&Outcome) -> f64| outcomes.iter().map(figure).sum::<f64>();
     let count = outcomes.len().max(1) as f64;
     format!(
-        "{:>6} {:>8} {:>6} {:>9} {:>7} {:>9} {:>7.3} {:>9.0} {:>7.3} {:>7}",
+        "{:>8} {:>8} {:>6} {:>9} {:>7} {:>9} {:>7.3} {:>9.0} {:>7.3} {:>7}",
         sum(|outcome| outcome.asked as f64),
         sum(|outcome| outcome.in_time as f64),
         sum(|outcome| outcome.late as f64),
--- a/crates/testbed/src/replay.rs
+++ b/crates/testbed/src/replay.rs
@@ -314,14 +314,14 @@
 /// All variants on the same seeds, as a table.
 pub fn run(exe: &Path, seconds: f64, queries_per_s: f64, seeds: u64) -> String {
     let mut table = format!(
-        "{:<12} {:>6} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}\n",
-        "arm",
-        "asked",
+        "{:<12} {:>8} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}\n",
+        "variant",
+        "received",
         "answered",
-        "finished",
-        "deferred",
-        "killed",
-        "away",
+        "completed",
+        "rejected",
+        "failed",
+        "refused",
         "value",
         "broken",
         "RSS kB",
@@ -332,7 +332,7 @@
             let outcome = run_variant(exe, variant, seconds, queries_per_s, seed + 1);
             let _ = writeln!(
                 table,
-                "{:<12} {:>6} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7.3} {:>7} {:>7} {:>8.3}",
+                "{:<12} {:>8} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7.3} {:>7} {:>7} {:>8.3}",
                 format!("{variant:?}"),
                 outcome.asked,
                 outcome.answered,
--- a/crates/testbed/src/zone_routing.rs
+++ b/crates/testbed/src/zone_routing.rs
@@ -322,12 +322,12 @@
 /// the first seed.
 pub fn run(exe: &Path, seconds: f64, seeds: u64, svg: Option<&Path>) -> (String, bool) {
     let mut table = format!(
-        "{:<7} {:>5} {:>7} {:>9} {:>7} {:>11} {:>8} {:>8} {:>8} {:>7}\n",
+        "{:<7} {:>5} {:>8} {:>9} {:>7} {:>11} {:>8} {:>8} {:>8} {:>7}\n",
         "tiers",
         "seed",
-        "asked",
-        "deferred",
-        "killed",
+        "received",
+        "rejected",
+        "failed",
         "unanswered",
         "before",
         "cut",
@@ -341,7 +341,7 @@
             let [before, cut, after] = outcome.value.map(|value| value.got / value.max.max(1e-9));
             let _ = writeln!(
                 table,
-                "{tiers:<7} {seed:>5} {:>7} {:>9} {:>7} {:>11} {before:>8.3} {cut:>8.3} {after:>8.3} {:>7}",
+                "{tiers:<7} {seed:>5} {:>8} {:>9} {:>7} {:>11} {before:>8.3} {cut:>8.3} {after:>8.3} {:>7}",
                 outcome.asked,
                 outcome.rejected,
                 outcome.failed,
@@ -382,7 +382,7 @@
             points: column(&|sample| sample.value.got / sample.value.max.max(1e-9)),
         },
         Line {
-            name: "deferred in 250 ms / 10",
+            name: "rejected in 250 ms / 10",
             points: column(&|sample| sample.rejected / 10.0),
         },
         Line {
