--- a/review/standins.rs
+++ b/review/standins.rs
@@ -1,14 +1,13 @@
-//! Stand-ins for the cases of the review: compute nodes, name service, clients, a link with delay, and the platform.
+//! Stand-ins for the cases of the review: compute nodes, name service, clients and the platform.
 //! Standard library only; built by `review/build.sh`. Usage: `standins CASE`, with the environment variables RUN (the
 //! command of the deploy file), RECORD (path of the record) and TROUBLE (0: without the disruption).
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashSet};
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{exit, Child, Command, Stdio};
@@ -19,7 +18,6 @@
 
 extern "C" {
     fn prctl(option: i32, ...) -> i32;
-    fn connect(fd: i32, address: *const u8, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
@@ -81,23 +79,15 @@
 
 // ---- Compute node ----
 
-/// A request that a compute node has received whole.
-struct Run {
-    id: String,
-    class: String,
-    arrived: Instant,
-    /// When its answer was written.
-    done: Option<Instant>,
-}
-
 struct Node {
     address: SocketAddr,
-    runs: Arc<Mutex<Vec<Run>>>,
+    /// Requests received whole, and those answered.
+    runs: Arc<(AtomicUsize, AtomicUsize)>,
 }
 
 /// A reply that is due at a time; ordered so that a heap gives the earliest first.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Due(std::cmp::Reverse<Instant>, usize, String);
+struct Due(std::cmp::Reverse<Instant>, String);
 
 fn bulk_array(parts: &[&[u8]]) -> Vec<u8> {
     let mut bytes = format!("*{}\r\n", parts.len()).into_bytes();
@@ -135,7 +125,7 @@
     fn start(run_ms: fn(&str) -> u64) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+        let runs: Arc<(AtomicUsize, AtomicUsize)> = Arc::default();
         let shared = runs.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -147,7 +137,14 @@
     }
 }
 
-fn serve_dispatcher(stream: TcpStream, run_ms: fn(&str) -> u64, runs: &Arc<Mutex<Vec<Run>>>) -> io::Result<()> {
+/// Records what the compute nodes have run.
+fn record_runs(nodes: &[Node]) {
+    let sum = |total: fn(&Node) -> &AtomicUsize| nodes.iter().map(|node| total(node).load(SeqCst)).sum::<usize>();
+    let (received, answered) = (sum(|node| &node.runs.0), sum(|node| &node.runs.1));
+    record(&format!("compute nodes: {received} requests received, {answered} answered"));
+}
+
+fn serve_dispatcher(stream: TcpStream, run_ms: fn(&str) -> u64, runs: &Arc<(AtomicUsize, AtomicUsize)>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (sender, receiver) = mpsc::channel::<Result<Due, String>>();
     let mut writer = stream.try_clone()?;
@@ -165,7 +162,7 @@
                 Err(mpsc::RecvTimeoutError::Disconnected) => return,
             }
             while heap.peek().is_some_and(|due| due.0 .0 <= Instant::now()) {
-                let Some(Due(_, run, id)) = heap.pop() else { break };
+                let Some(Due(_, id)) = heap.pop() else { break };
                 if aborted.remove(&id) {
                     continue;
                 }
@@ -173,7 +170,7 @@
                 if writer.write_all(&reply).is_err() {
                     return;
                 }
-                shared.lock().unwrap()[run].done = Some(Instant::now());
+                shared.1.fetch_add(1, SeqCst);
             }
         }
     });
@@ -187,11 +184,9 @@
             "fetch" => {
                 let fields = text(2);
                 let class = fields.split(',').find_map(|field| field.strip_prefix("cls=")).unwrap_or("").to_owned();
-                let arrived = Instant::now();
-                let due = arrived + ms(run_ms(&class));
-                let mut runs = runs.lock().unwrap();
-                runs.push(Run { id: id.clone(), class, arrived, done: None });
-                let _ = sender.send(Ok(Due(std::cmp::Reverse(due), runs.len() - 1, id)));
+                let due = Instant::now() + ms(run_ms(&class));
+                runs.0.fetch_add(1, SeqCst);
+                let _ = sender.send(Ok(Due(std::cmp::Reverse(due), id)));
             }
             "abort" => drop(sender.send(Err(id))),
             "alive" | "stats" => answers.write_all(&bulk_array(&[id.as_bytes(), b"FIT", b"-"]))?,
@@ -483,14 +478,14 @@
 
 // ---- Case 1: memory ----
 
-fn case_1(trouble: bool) -> bool {
-    const MEMORY_MB: u64 = 192;
-    const BAD_CLIENTS: usize = 320;
+/// Runs five usual clients and, with the disruption, what `start_bad_clients` starts after 2 s. The platform's stand-in
+/// kills the dispatcher once it holds more memory than its limit. Returns whether the rule was broken.
+fn memory_case(limits: &Limits, run_ms: u64, start_bad_clients: impl FnOnce(SocketAddr, &BadClients)) -> bool {
     let nodes: Vec<Node> = (0..6).map(|_| Node::start(|class| if class == "lookup" { 50 } else { 400 })).collect();
-    let limits = Limits { memory_mb: MEMORY_MB, sockets: 1024, lookup_ms: 2500 };
-    let mut dispatcher = Dispatcher::start(&nodes, &limits);
+    let mut dispatcher = Dispatcher::start(&nodes, limits);
     let address = dispatcher.address;
-    let ends = Arc::new(AtomicBool::new(false));
+    let bad = BadClients::default();
+    let ends = bad.ends.clone();
     let totals: Arc<Totals> = Arc::default();
     let mut clients = Vec::new();
     for _ in 0..5 {
@@ -498,28 +493,14 @@
         clients.push(spawn(move || sound_client(address, &ends, &totals)));
     }
     thread::sleep(ms(2000));
-    let bad: Arc<Totals> = Arc::default();
-    let open = Arc::new(AtomicUsize::new(0));
-    if trouble {
-        let (bad, open, ends) = (bad.clone(), open.clone(), ends.clone());
-        spawn(move || {
-            for _ in 0..BAD_CLIENTS {
-                if ends.load(SeqCst) {
-                    return;
-                }
-                let (bad, open, ends) = (bad.clone(), open.clone(), ends.clone());
-                spawn(move || bad_client(address, &bad, &open, &ends));
-                thread::sleep(ms(25));
-            }
-        });
-    }
-    // The platform: kills the dispatcher once it holds more than its limit.
+    start_bad_clients(address, &bad);
+    let limit_kb = limits.memory_mb * 1024;
     let started = Instant::now();
     let mut peak_kb = 0;
     let mut killed = false;
     let mut ended = false;
     let mut next_line = Instant::now();
-    while started.elapsed() < ms(25_000) {
+    while started.elapsed() < ms(run_ms) {
         let Some(memory_kb) = dispatcher.memory_kb() else {
             ended = true;
             break;
@@ -527,10 +508,11 @@
         peak_kb = peak_kb.max(memory_kb);
         if Instant::now() >= next_line {
             next_line += ms(1000);
-            record(&format!("memory {} kB; bad connections open {}; sound clients: {}", memory_kb, open.load(SeqCst), totals.text()));
+            let (open, sent) = (bad.open.load(SeqCst), bad.totals.sent.load(SeqCst));
+            record(&format!("memory {memory_kb} kB; bad clients: {open} connections open, {sent} requests sent; usual clients: {}", totals.text()));
         }
-        if memory_kb > MEMORY_MB * 1024 {
-            record(&format!("platform: memory {memory_kb} kB is over the limit of {} kB, dispatcher killed", MEMORY_MB * 1024));
+        if memory_kb > limit_kb {
+            record(&format!("platform: memory {memory_kb} kB is over the limit of {limit_kb} kB, dispatcher killed"));
             killed = true;
             let _ = dispatcher.child.kill();
             break;
@@ -546,17 +528,109 @@
     }
     ends.store(true, SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
-    record(&format!("sound clients: {}", totals.text()));
-    record(&format!("bad clients, requests answered: {}", bad.text()));
+    record(&format!("usual clients: {}", totals.text()));
+    record(&format!("bad clients: {}", bad.totals.text()));
+    record_runs(&nodes);
     dispatcher.end();
     let lost = totals.closed.load(SeqCst) + totals.lost.load(SeqCst);
     conclude(&format!(
-        "case 1: peak memory {:.1} MB of {MEMORY_MB} MB; killed for memory: {killed}; ended by itself: {ended}; requests of sound clients without an answer: {lost}",
-        peak_kb as f64 / 1024.0
+        "peak memory {:.1} MB of {} MB; killed for memory: {killed}; ended by itself: {ended}; requests of usual clients without an answer: {lost}",
+        peak_kb as f64 / 1024.0,
+        limits.memory_mb
     ));
     killed || ended || lost > 0
 }
 
+/// What the bad clients share.
+#[derive(Default)]
+struct BadClients {
+    open: Arc<AtomicUsize>,
+    totals: Arc<Totals>,
+    ends: Arc<AtomicBool>,
+}
+
+fn case_1(trouble: bool) -> bool {
+    const BAD_CLIENTS: usize = 320;
+    let limits = Limits { memory_mb: 192, sockets: 1024, lookup_ms: 2500 };
+    memory_case(&limits, 25_000, |address, clients| {
+        let (bad, open, ends) = (clients.totals.clone(), clients.open.clone(), clients.ends.clone());
+        if !trouble {
+            return;
+        }
+        spawn(move || {
+            for _ in 0..BAD_CLIENTS {
+                if ends.load(SeqCst) {
+                    return;
+                }
+                let (bad, open, ends) = (bad.clone(), open.clone(), ends.clone());
+                spawn(move || bad_client(address, &bad, &open, &ends));
+                thread::sleep(ms(25));
+            }
+        });
+    })
+}
+
+// ---- Case 2: arrivals that are kept ----
+
+fn case_2(trouble: bool) -> bool {
+    const BAD_CLIENTS: usize = 6;
+    let limits = Limits { memory_mb: 32, sockets: 256, lookup_ms: 2500 };
+    memory_case(&limits, if trouble { 104_000 } else { 30_000 }, |address, clients| {
+        for _ in 0..if trouble { BAD_CLIENTS } else { 0 } {
+            let (totals, open, ends) = (clients.totals.clone(), clients.open.clone(), clients.ends.clone());
+            spawn(move || {
+                open.fetch_add(1, SeqCst);
+                let _ = turned_away_client(address, &totals, &ends);
+                open.fetch_sub(1, SeqCst);
+            });
+        }
+    })
+}
+
+/// Sends hundreds of look-ups at once with very little time left, and new ones as soon as they are turned away.
+fn turned_away_client(address: SocketAddr, totals: &Totals, ends: &AtomicBool) -> io::Result<()> {
+    const AT_ONCE: usize = 400;
+    const START: &[u8] = b"HTTP/1.1 ";
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(ms(5000)))?;
+    let mut bytes = vec![0; 256 * 1024];
+    while !ends.load(SeqCst) {
+        let mut requests = Vec::with_capacity(AT_ONCE * 256);
+        for _ in 0..AT_ONCE {
+            requests.extend(request("lookup", &new_id(), 1, 5000.0, "SELECT day FROM sales_17.orders"));
+        }
+        stream.write_all(&requests)?;
+        totals.sent.fetch_add(AT_ONCE, SeqCst);
+        // Counts the heads of the answers; a head may lie across two reads.
+        let mut answers = 0;
+        let mut kept = 0;
+        while answers < AT_ONCE {
+            let count = stream.read(&mut bytes[kept..])?;
+            if count == 0 {
+                return Ok(());
+            }
+            let end = kept + count;
+            let mut position = 0;
+            let mut next = 0;
+            while position + START.len() <= end {
+                if &bytes[position..position + START.len()] == START {
+                    answers += 1;
+                    let served = bytes[..end].get(position + START.len()) == Some(&b'2');
+                    if served { &totals.served } else { &totals.refused }.fetch_add(1, SeqCst);
+                    position += START.len();
+                    next = position;
+                } else {
+                    position += 1;
+                }
+            }
+            let tail = next.max(end.saturating_sub(START.len() - 1));
+            bytes.copy_within(tail..end, 0);
+            kept = end - tail;
+        }
+    }
+    Ok(())
+}
+
 /// Sends a look-up every 100 ms on a connection that it keeps.
 fn sound_client(address: SocketAddr, ends: &AtomicBool, totals: &Totals) {
     let mut connection: Option<(TcpStream, Vec<u8>)> = None;
@@ -618,9 +692,9 @@
     open.fetch_sub(1, SeqCst);
 }
 
-// ---- Case 2: idle clients ----
+// ---- Case 3: idle clients ----
 
-fn case_2(trouble: bool) -> bool {
+fn case_3(trouble: bool) -> bool {
     const DEADLINE_MS: u64 = 1500;
     // A try is given up after 80% of the deadline.
     const WAIT_MS: u64 = 1200;
@@ -659,9 +733,10 @@
     let ended = dispatcher.has_ended();
     clients.into_iter().for_each(|client| drop(client.join()));
     ends.store(true, SeqCst);
+    record_runs(&nodes);
     dispatcher.end();
     let lost = totals.lost.load(SeqCst);
-    conclude(&format!("case 2: look-ups of sound clients: {}; dispatcher ended: {ended}", totals.text()));
+    conclude(&format!("look-ups of usual clients: {}; dispatcher ended: {ended}", totals.text()));
     lost > 0 || ended
 }
 
@@ -701,126 +776,6 @@
     totals.count(answer);
 }
 
-// ---- Case 3: a client that sends much at once and goes ----
-
-const LINK_DELAY_MS: u64 = 1;
-
-/// A link with a delay of 1 ms each way. It passes on data, the end of the stream and resets.
-fn start_link(target: SocketAddr) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn(move || {
-        for client in listener.incoming().flatten() {
-            let Ok(server) = TcpStream::connect(target) else { continue };
-            let _ = client.set_nodelay(true);
-            let _ = server.set_nodelay(true);
-            let copy = |stream: &TcpStream| stream.try_clone().unwrap();
-            let (from, to) = (copy(&client), copy(&server));
-            spawn(move || pass_on(from, to));
-            let (from, to) = (copy(&server), copy(&client));
-            spawn(move || pass_on(from, to));
-            // A reset by the client's system reaches the dispatcher after the delay.
-            spawn(move || loop {
-                if matches!(client.take_error(), Ok(Some(_)) | Err(_)) {
-                    thread::sleep(ms(LINK_DELAY_MS));
-                    reset(&server);
-                    return;
-                }
-                thread::sleep(Duration::from_micros(200));
-            });
-        }
-    });
-    address
-}
-
-fn pass_on(mut from: TcpStream, mut to: TcpStream) {
-    let mut bytes = vec![0; 64 * 1024];
-    loop {
-        let count = match from.read(&mut bytes) {
-            Ok(count) => count,
-            Err(_) => return,
-        };
-        thread::sleep(ms(LINK_DELAY_MS));
-        if count == 0 {
-            let _ = to.shutdown(Shutdown::Write);
-            return;
-        }
-        if to.write_all(&bytes[..count]).is_err() {
-            return;
-        }
-    }
-}
-
-/// Resets a connection at once: a connect to no address family dissolves it.
-fn reset(stream: &TcpStream) {
-    let unspecified = [0_u8; 16];
-    unsafe { connect(stream.as_raw_fd(), unspecified.as_ptr(), 16) };
-}
-
-fn case_3(trouble: bool) -> bool {
-    const REQUESTS: usize = 250;
-    let nodes: Vec<Node> = (0..3).map(|_| Node::start(|class| if class == "lookup" { 30 } else { 400 })).collect();
-    let limits = Limits { memory_mb: 192, sockets: 1024, lookup_ms: 2500 };
-    let dispatcher = Dispatcher::start(&nodes, &limits);
-    let link = start_link(dispatcher.address);
-    let mut stream = TcpStream::connect(link).unwrap_or_else(|error| cannot_run(&error.to_string()));
-    let statement = format!("INSERT INTO sales_17.orders VALUES ('{}')", "x".repeat(60_000));
-    let ids: Vec<String> = (0..REQUESTS).map(|_| new_id()).collect();
-    let load = |id: &str| request("tariff-load", id, 20_000, 100.0, &statement);
-    // With the disruption the client sends all requests at once; without it, one at a time.
-    let mut first = 1;
-    if trouble {
-        let bytes: Vec<u8> = ids.iter().flat_map(|id| load(id)).collect();
-        record(&format!("client sends {REQUESTS} loads at once, {} bytes", bytes.len()));
-        let mut writer = stream.try_clone().unwrap();
-        spawn(move || drop(writer.write_all(&bytes)));
-        first = REQUESTS;
-    }
-    let mut buffer = Vec::new();
-    let answered = 4;
-    for (index, id) in ids.iter().enumerate().take(answered) {
-        if first == 1 && stream.write_all(&load(id)).is_err() {
-            cannot_run("the link is closed");
-        }
-        let answer = read_answer(&mut stream, &mut buffer, Instant::now() + ms(20_000));
-        record(&format!("answer {index}: {answer:?}"));
-        if answer.is_err() {
-            cannot_run("no answer while the client was there");
-        }
-    }
-    if first == 1 {
-        let _ = stream.write_all(&load(&ids[answered]));
-    }
-    // In the middle of the next load.
-    thread::sleep(ms(200));
-    let _ = stream.shutdown(Shutdown::Both);
-    drop(stream);
-    let left = Instant::now();
-    record("client closed its connection");
-    thread::sleep(ms(5000));
-    dispatcher.end();
-    let own: HashMap<&str, usize> = ids.iter().enumerate().map(|(index, id)| (id.as_str(), index)).collect();
-    let mut late = 0;
-    let mut late_done = 0;
-    for node in &nodes {
-        for run in node.runs.lock().unwrap().iter() {
-            let Some(index) = own.get(run.id.as_str()) else { continue };
-            let since = |at: Instant| at.saturating_duration_since(left).as_secs_f64() * 1e3 - left.saturating_duration_since(at).as_secs_f64() * 1e3;
-            let done = run.done.map_or("not answered".to_owned(), |at| format!("answered {:.1} ms", since(at)));
-            record(&format!("load {index} ({}) at a compute node: came {:.1} ms, {done} after the client left", run.class, since(run.arrived)));
-            // 100 ms by the rule, 50 ms by the protocol page.
-            if since(run.arrived) > 150.0 {
-                late += 1;
-                late_done += usize::from(run.done.is_some());
-            }
-        }
-    }
-    conclude(&format!(
-        "case 3: loads begun more than 150 ms after their client had closed its connection: {late}, of which run to their end: {late_done}"
-    ));
-    late > 0
-}
-
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
