Clients: the limit on read buffers counts the memory that they hold

Cause: the limit on bytes read ahead counted bytes that wait. ReadBuffer::consume took consumed bytes out of the count, but the Vec kept its capacity until the buffer was empty, up to 1 MB a connection. Doubled capacity and arrival times were not counted either, and buffers below an even share had no limit on their sum.

Change: ReadMemory counts the capacity that each buffer holds. A buffer grows within what is free of one half of the limit, or up to its even share of the other half, so the sum cannot exceed the limit in any order. A read takes only as many bytes as there is space for; a nearly empty buffer frees its memory; bytes after a half-close are discarded without a buffer.

--- a/crates/dispatcher/src/client/admission_limits.rs
+++ b/crates/dispatcher/src/client/admission_limits.rs
@@ -5,7 +5,7 @@
 pub struct AdmissionLimits {
     /// Maximum number of open client connections.
     pub max_connections: usize,
-    /// Maximum total size (bytes) of all read buffers.
+    /// Maximum memory (bytes) that all read buffers hold.
     pub max_buffered_bytes: usize,
     /// Names of the resource groups.
     pub resource_groups: Vec<String>,
--- a/crates/dispatcher/src/client/inbound.rs
+++ b/crates/dispatcher/src/client/inbound.rs
@@ -2,7 +2,7 @@
 //! disconnected.
 
 use super::connection_table::{ConnectionState, Entry};
-use super::reader::ReadBuffer;
+use super::reader::{ReadBuffer, ReadResult};
 use super::request_error::RequestError;
 use super::ClientFrontend;
 use crate::close_reason::ClientCloseReason;
@@ -27,15 +27,14 @@
 const LINGER_MS: f64 = 500.0;
 /// Maximum number of bytes that are read and discarded after a half-close.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
-/// Maximum number of bytes that are read ahead while a query is in flight. Further bytes stay in the kernel's receive
-/// buffer, because every request that was read must be answered.
-const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
 /// Interval between checks whether the client has disconnected, while its bytes are not read.
 const HANGUP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The event that ended a wait for bytes.
 enum WaitOutcome {
     Received,
+    /// The read buffer may not grow now.
+    NoSpace,
     TimedOut,
     /// The client closed its side. A reset is returned as an error instead.
     Disconnected,
@@ -126,13 +125,11 @@
         let is_idle = is_empty && self.entry.is_idle();
         let until_ms = self.read_deadline_ms(is_empty, is_idle);
         let outcome = match self.wait_for_bytes(until_ms).await? {
-            WaitOutcome::Received if self.buffer.is_over_quota() => {
-                ReadOutcome::Refuse(RequestError::Overloaded)
-            }
             WaitOutcome::Received => {
                 self.on_received(is_idle);
                 ReadOutcome::Continue
             }
+            WaitOutcome::NoSpace => ReadOutcome::Refuse(RequestError::Overloaded),
             WaitOutcome::TimedOut if is_empty => ReadOutcome::Close(ClientCloseReason::Idle),
             WaitOutcome::TimedOut => ReadOutcome::Refuse(RequestError::Incomplete),
             WaitOutcome::Disconnected => ReadOutcome::Disconnected,
@@ -178,10 +175,11 @@
         let stream = self.stream;
         let clock = self.frontend.clock;
         let received = async {
-            match buffer.read(stream, clock).await? {
-                0 => Ok(WaitOutcome::Disconnected),
-                _ => Ok(WaitOutcome::Received),
-            }
+            Ok(match buffer.read(stream, clock).await? {
+                ReadResult::Received => WaitOutcome::Received,
+                ReadResult::EndOfStream => WaitOutcome::Disconnected,
+                ReadResult::NoSpace => WaitOutcome::NoSpace,
+            })
         };
         let close_requested = async {
             entry.close.notified().await;
@@ -201,18 +199,13 @@
     /// received all bytes before it.
     pub async fn wait_for_disconnect(&mut self) {
         loop {
-            if self.buffer.len() >= MAX_READ_AHEAD_BYTES || self.buffer.is_over_quota() {
-                if is_closed_by_peer(self.stream.get_ref()) {
-                    return;
+            match self.buffer.read(self.stream, self.frontend.clock).await {
+                Ok(ReadResult::Received) => self.last_byte_ms = self.now_ms(),
+                Ok(ReadResult::NoSpace) if !is_closed_by_peer(self.stream.get_ref()) => {
+                    Timer::after(HANGUP_POLL_INTERVAL).await;
                 }
-                Timer::after(HANGUP_POLL_INTERVAL).await;
-                continue;
-            }
-            let read = self.buffer.read(self.stream, self.frontend.clock).await;
-            if !matches!(read, Ok(1..)) {
-                return;
+                _ => return,
             }
-            self.last_byte_ms = self.now_ms();
             future::yield_now().await;
         }
     }
@@ -228,14 +221,26 @@
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
+        let end = self.frontend.clock.instant(now_ms + LINGER_MS);
+        let evicted = async {
+            while !self.entry.is_evicted() {
+                self.entry.close.notified().await;
+            }
+        };
+        let timed_out = async {
+            Timer::at(end).await;
+        };
+        future::or(self.discard_received(), future::or(evicted, timed_out)).await;
+    }
+
+    /// Reads and discards up to [`MAX_DISCARDED_BYTES`], or until the connection ends.
+    async fn discard_received(&self) {
         let mut discarded_bytes = 0;
         while discarded_bytes < MAX_DISCARDED_BYTES {
-            match self.wait_for_bytes(now_ms + LINGER_MS).await {
-                Ok(WaitOutcome::Received) => discarded_bytes += self.buffer.len(),
-                Ok(WaitOutcome::CloseRequested) if !self.entry.is_evicted() => {}
+            match self.frontend.reader.discard(self.stream).await {
+                Ok(count @ 1..) => discarded_bytes += count,
                 _ => return,
             }
-            self.buffer.clear();
             future::yield_now().await;
         }
     }
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod phase;
 mod protocol;
+mod read_memory;
 mod reader;
 mod request;
 mod request_error;
--- a/crates/dispatcher/src/client/reader.rs
+++ b/crates/dispatcher/src/client/reader.rs
@@ -1,25 +1,32 @@
-//! Read buffers of client connections, and the limit on their total size.
+//! Read buffers of client connections. Their memory counts in full against the limit of [`ReadMemory`]: unused capacity
+//! and the space of consumed bytes as well.
 
 use super::admission_limits::AdmissionLimits;
+use super::read_memory::ReadMemory;
 use crate::clock::Clock;
 use crate::net::read_available;
 use async_io::Async;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::TcpStream;
 
 /// Maximum size (bytes) of one read, so that other connections are served between two reads.
 const MAX_READ_BYTES: usize = 16 * 1024;
+/// Maximum size (bytes) of one connection's buffer. Further bytes stay in the kernel's receive buffer, because every
+/// request that was read must be answered.
+const MAX_BUFFER_BYTES: usize = 1 << 20;
 /// Maximum number of arrival times per connection: a bound on memory.
 const MAX_ARRIVALS: usize = 64;
+/// Initial capacity of the arrival times of a connection; it doubles up to [`MAX_ARRIVALS`].
+const MIN_ARRIVALS_CAPACITY: usize = 4;
+/// A buffer whose capacity is this multiple of its content, or more, frees half of its memory or more.
+const SHRINK_FACTOR: usize = 4;
 
-/// Reads from all connections through one scratch buffer, and tracks the total size of their buffers.
+/// Reads from all connections through one scratch buffer, within the memory that their buffers may hold.
 pub struct Reader {
     scratch: RefCell<Vec<u8>>,
-    buffered_bytes: Cell<usize>,
-    max_buffered_bytes: usize,
-    max_connections: usize,
+    memory: ReadMemory,
 }
 
 impl Reader {
@@ -27,9 +34,7 @@
     pub fn new(limits: &AdmissionLimits) -> Self {
         Reader {
             scratch: RefCell::new(vec![0; MAX_READ_BYTES]),
-            buffered_bytes: Cell::default(),
-            max_buffered_bytes: limits.max_buffered_bytes,
-            max_connections: limits.max_connections,
+            memory: ReadMemory::new(limits),
         }
     }
 
@@ -41,8 +46,28 @@
             start: 0,
             consumed: 0,
             arrivals: VecDeque::new(),
+            held_bytes: 0,
         }
     }
+
+    /// Waits for bytes and discards them. Returns their number: 0 at the end of the stream.
+    pub async fn discard(&self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        read_available(stream, |mut stream| {
+            stream.read(&mut self.scratch.borrow_mut()[..])
+        })
+        .await
+    }
+}
+
+/// The result of a read into a buffer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadResult {
+    /// At least one byte was appended.
+    Received,
+    /// The client has closed its side.
+    EndOfStream,
+    /// Nothing was read, because the buffer may not grow now.
+    NoSpace,
 }
 
 /// An arrival time: all bytes before `end`, counted from the connection's first byte, had arrived by `at_ms`.
@@ -62,6 +87,8 @@
     consumed: u64,
     /// Arrival times of the bytes that are not consumed yet, in order of arrival.
     arrivals: VecDeque<Arrival>,
+    /// Memory (bytes) of the two collections, as recorded in the reader's [`ReadMemory`].
+    held_bytes: usize,
 }
 
 impl ReadBuffer<'_> {
@@ -80,22 +107,84 @@
         self.len() == 0
     }
 
-    /// Waits for bytes and appends them. Returns their number: 0 at the end of the stream.
-    pub async fn read(&mut self, stream: &Async<TcpStream>, clock: Clock) -> io::Result<usize> {
-        let count = read_available(stream, |stream| self.take_available(stream)).await?;
-        if count > 0 {
+    /// Number of bytes that may be added now. 0 if the buffer has its maximum size, or if the memory of all buffers is
+    /// used up and this one holds more than an even share of it; never 0 for an empty buffer.
+    fn space(&self) -> usize {
+        self.max_capacity().saturating_sub(self.len())
+    }
+
+    /// Capacity (bytes) up to which `bytes` may grow now, if `arrivals` grows as well.
+    fn max_capacity(&self) -> usize {
+        let max_size = self.reader.memory.max_buffer_size(self.held_bytes);
+        let arrivals_size = self.next_arrivals_capacity() * size_of::<Arrival>();
+        max_size.saturating_sub(arrivals_size).min(MAX_BUFFER_BYTES)
+    }
+
+    /// Capacity of `arrivals` after one more arrival.
+    fn next_arrivals_capacity(&self) -> usize {
+        let capacity = self.arrivals.capacity();
+        if self.arrivals.len() < capacity {
+            return capacity;
+        }
+        (2 * capacity).clamp(MIN_ARRIVALS_CAPACITY, MAX_ARRIVALS)
+    }
+
+    /// Waits for bytes, and appends as many as there is space for.
+    pub async fn read(
+        &mut self,
+        stream: &Async<TcpStream>,
+        clock: Clock,
+    ) -> io::Result<ReadResult> {
+        let result = read_available(stream, |stream| self.take_available(stream)).await?;
+        if result == ReadResult::Received {
             self.record_arrival(clock.now());
         }
-        Ok(count)
+        Ok(result)
+    }
+
+    fn take_available(&mut self, mut stream: &TcpStream) -> io::Result<ReadResult> {
+        let reader = self.reader;
+        let mut scratch = reader.scratch.borrow_mut();
+        let max_count = self.space().min(scratch.len());
+        if max_count == 0 {
+            return Ok(ReadResult::NoSpace);
+        }
+        let count = stream.read(&mut scratch[..max_count])?;
+        if count == 0 {
+            return Ok(ReadResult::EndOfStream);
+        }
+        self.append(&scratch[..count]);
+        Ok(ReadResult::Received)
+    }
+
+    /// Appends received bytes, for which the caller has checked that there is space.
+    fn append(&mut self, received: &[u8]) {
+        if self.bytes.len() + received.len() > self.bytes.capacity() {
+            self.remove_consumed();
+        }
+        let needed = self.bytes.len() + received.len();
+        if needed > self.bytes.capacity() {
+            let doubled = (2 * self.bytes.capacity()).min(self.max_capacity());
+            let additional = doubled.max(needed) - self.bytes.len();
+            self.bytes.reserve_exact(additional);
+        }
+        self.bytes.extend_from_slice(received);
+        self.record_held_bytes();
     }
 
-    fn take_available(&mut self, mut stream: &TcpStream) -> io::Result<usize> {
-        let mut scratch = self.reader.scratch.borrow_mut();
-        let count = stream.read(&mut scratch[..])?;
-        self.bytes.extend_from_slice(&scratch[..count]);
-        let buffered_bytes = &self.reader.buffered_bytes;
-        buffered_bytes.set(buffered_bytes.get() + count);
-        Ok(count)
+    /// Frees the space of consumed bytes.
+    fn remove_consumed(&mut self) {
+        self.bytes.drain(..self.start);
+        self.start = 0;
+    }
+
+    /// Records the memory that the buffer holds now.
+    fn record_held_bytes(&mut self) {
+        let arrivals_size = self.arrivals.capacity() * size_of::<Arrival>();
+        let held_bytes = self.bytes.capacity() + arrivals_size;
+        let memory = &self.reader.memory;
+        memory.record_resize(self.held_bytes, held_bytes);
+        self.held_bytes = held_bytes;
     }
 
     /// Records that all bytes in the buffer had arrived by `at_ms`. Beyond [`MAX_ARRIVALS`] records, the last one is
@@ -105,8 +194,13 @@
         let is_full = self.arrivals.len() >= MAX_ARRIVALS;
         match self.arrivals.back_mut().filter(|_| is_full) {
             Some(last) => last.end = end,
-            None => self.arrivals.push_back(Arrival { end, at_ms }),
+            None => {
+                let additional = self.next_arrivals_capacity() - self.arrivals.len();
+                self.arrivals.reserve_exact(additional);
+                self.arrivals.push_back(Arrival { end, at_ms });
+            }
         }
+        self.record_held_bytes();
     }
 
     /// Arrival time (ms) of the last of the first `count` bytes; `None` if it has not arrived.
@@ -116,13 +210,11 @@
         Some(arrival.at_ms)
     }
 
-    /// Consumes the first `count` bytes. An empty buffer frees its memory.
+    /// Consumes the first `count` bytes. Frees the memory of an empty buffer, and most of that of a nearly empty one.
     pub fn consume(&mut self, count: usize) {
         let count = count.min(self.len());
         self.start += count;
         self.consumed += count as u64;
-        let buffered_bytes = &self.reader.buffered_bytes;
-        buffered_bytes.set(buffered_bytes.get().saturating_sub(count));
         while self
             .arrivals
             .front()
@@ -135,24 +227,18 @@
             self.start = 0;
             self.arrivals = VecDeque::new();
         } else if self.start >= self.bytes.len() / 2 {
-            self.bytes.drain(..self.start);
-            self.start = 0;
+            self.remove_consumed();
+            if self.bytes.capacity() >= SHRINK_FACTOR * self.bytes.len() {
+                self.bytes.shrink_to(self.bytes.len());
+            }
         }
+        self.record_held_bytes();
     }
 
     /// Consumes all bytes.
     pub fn clear(&mut self) {
         self.consume(self.len());
     }
-
-    /// Whether the total size of all buffers exceeds its limit, and this buffer is larger than an even share of that
-    /// limit. Connections that buffer less than an even share are not affected.
-    pub fn is_over_quota(&self) -> bool {
-        let reader = self.reader;
-        let even_share = reader.max_buffered_bytes / reader.max_connections.max(1);
-        let is_over_limit = reader.buffered_bytes.get() > reader.max_buffered_bytes;
-        is_over_limit && self.len() > even_share
-    }
 }
 
 impl Drop for ReadBuffer<'_> {
--- a/crates/dispatcher/src/config/limits.rs
+++ b/crates/dispatcher/src/config/limits.rs
@@ -39,6 +39,8 @@
 const STATEMENT_MEMORY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit that bytes read ahead from clients may use.
 const READ_AHEAD_MEMORY_FRACTION: f64 = 0.1;
+/// Minimum read-ahead memory (bytes) for each connection from a client: more than a usual request.
+const MIN_READ_AHEAD_BYTES: usize = 2 * 1024;
 /// Maximum wait, cost and memory of a request, as a multiple of the settings' values: the longest deadline, the work of
 /// the largest engine within that deadline, and the memory of the engine with the most memory.
 const REQUEST_HEADROOM: f64 = 4.0;
@@ -135,9 +137,12 @@
         .get(settings_keys::SENDS_RETRY_AFTER)
         .is_none_or(|value| settings::is_true(value));
     let retry_after_ms = settings.millis(settings_keys::MAX_RETRY_AFTER_US);
+    let max_buffered_bytes = (limits.memory_bytes * READ_AHEAD_MEMORY_FRACTION) as usize;
     AdmissionLimits {
-        max_connections: limits.connections(CLIENT_SOCKET_FRACTION),
-        max_buffered_bytes: (limits.memory_bytes * READ_AHEAD_MEMORY_FRACTION) as usize,
+        max_connections: limits
+            .connections(CLIENT_SOCKET_FRACTION)
+            .min(max_buffered_bytes / MIN_READ_AHEAD_BYTES),
+        max_buffered_bytes,
         resource_groups: groups
             .iter()
             .filter_map(|group| group.name.clone())
--- a/crates/dispatcher/tests/platform_limits/main.rs
+++ b/crates/dispatcher/tests/platform_limits/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod clocks;
+mod memory;
 mod resources;
 mod support;
 mod system_calls;
