--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -12,6 +12,7 @@
 mod engine_health;
 mod engine_load;
 mod engine_table;
+mod event_window;
 mod group_slowdown;
 mod index;
 mod key_queues;
--- a/src/model/tests/mod.rs
+++ b/src/model/tests/mod.rs
@@ -6,6 +6,7 @@
 mod engine_health;
 mod engine_load;
 mod engine_table;
+mod event_window;
 mod key_queues;
 mod level_effects;
 mod low_lane;
