Ordering keys: forget a key with its last query, and bound those in their cooldown

A key whose queue became empty was removed in the order of becoming empty, so keys of rejected queries (no cooldown) waited behind a key in its cooldown; and the number of keys in their cooldown had no bound. At 80,000 rejected requests a second with new keys and a cooldown of 5 s that is 400,000 keys.

Change: a key without a cooldown is removed with its last query. At most 16,384 keys are kept for their cooldown.

--- a/src/control/completion.rs
+++ b/src/control/completion.rs
@@ -270,7 +270,7 @@
         let Some(key) = query.key else {
             return;
         };
-        self.key_queues.remove(key, index);
+        self.key_queues.remove(key, index, self.now_ms);
         let Some(next) = self.key_queues.first(key) else {
             return;
         };
--- a/src/model/key_queues.rs
+++ b/src/model/key_queues.rs
@@ -5,9 +5,15 @@
 use slab::Slab;
 use std::collections::VecDeque;
 
+/// Maximum number of keys without queries that are kept until the end of their cooldown: four times the maximum number
+/// of queries in flight on sockets.
+const MAX_COOLING_KEYS: usize = 16 * 1024;
+
 /// A queue and a cooldown per key.
 ///
-/// A key with an empty queue is removed after its cooldown, because the number of keys is unbounded.
+/// A key without queries is removed at the end of its cooldown, at once if it has none. Beyond [`MAX_COOLING_KEYS`], the
+/// oldest is removed earlier. Every key that is added before the end of its cooldown then cools down until that time,
+/// because it may be the same key.
 #[derive(Debug, Default)]
 pub(crate) struct KeyQueues {
     /// Duration of a cooldown (ms).
@@ -15,8 +21,10 @@
     queues: Slab<KeyQueue>,
     /// Slots by key.
     slots: FxHashMap<u64, u32>,
-    /// Slots of queues that became empty, in the order in which they did.
-    empty: VecDeque<u32>,
+    /// Slots of queues that became empty during the cooldown of their keys, in the order in which they did.
+    cooling: VecDeque<u32>,
+    /// Latest end of the cooldowns of keys that were removed early (ms).
+    removed_cooldown_until_ms: f64,
 }
 
 #[derive(Debug)]
@@ -25,8 +33,8 @@
     queries: VecDeque<QueryIndex>,
     /// End of the key's cooldown (ms).
     cooldown_until_ms: f64,
-    /// The queue's slot is in `KeyQueues::empty`.
-    is_marked_empty: bool,
+    /// The queue's slot is in `KeyQueues::cooling`.
+    is_cooling: bool,
 }
 
 impl KeyQueues {
@@ -34,6 +42,7 @@
     pub(crate) fn new(cooldown_ms: f64) -> Self {
         KeyQueues {
             cooldown_ms,
+            removed_cooldown_until_ms: LONG_AGO,
             ..KeyQueues::default()
         }
     }
@@ -53,28 +62,38 @@
         let slot = self.queues.insert(KeyQueue {
             key,
             queries: VecDeque::new(),
-            cooldown_until_ms: LONG_AGO,
-            is_marked_empty: false,
+            cooldown_until_ms: self.removed_cooldown_until_ms,
+            is_cooling: false,
         }) as u32;
         self.slots.insert(key, slot);
         slot
     }
 
+    /// Removes the keys without queries whose cooldown has ended, and the oldest ones beyond [`MAX_COOLING_KEYS`].
     fn remove_unused(&mut self, now_ms: f64) {
-        while let Some(&slot) = self.empty.front() {
+        while let Some(&slot) = self.cooling.front() {
             let queue = &mut self.queues[slot as usize];
-            if queue.queries.is_empty() && queue.cooldown_until_ms > now_ms {
+            let is_unused = queue.queries.is_empty();
+            let has_cooled_down = queue.cooldown_until_ms <= now_ms;
+            if is_unused && !has_cooled_down && self.cooling.len() <= MAX_COOLING_KEYS {
                 return;
             }
-            queue.is_marked_empty = false;
-            if queue.queries.is_empty() {
-                self.slots.remove(&queue.key);
-                self.queues.remove(slot as usize);
+            queue.is_cooling = false;
+            self.cooling.pop_front();
+            if is_unused {
+                self.remove_queue(slot);
             }
-            self.empty.pop_front();
         }
     }
 
+    /// Removes a key without queries.
+    fn remove_queue(&mut self, slot: u32) {
+        let queue = self.queues.remove(slot as usize);
+        self.slots.remove(&queue.key);
+        self.removed_cooldown_until_ms =
+            self.removed_cooldown_until_ms.max(queue.cooldown_until_ms);
+    }
+
     /// The number of keys that have a queue.
     #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
@@ -101,14 +120,19 @@
     }
 
     /// Removes a query from its queue.
-    pub(crate) fn remove(&mut self, slot: u32, query: QueryIndex) {
+    pub(crate) fn remove(&mut self, slot: u32, query: QueryIndex, now_ms: f64) {
         let Some(queue) = self.queues.get_mut(slot as usize) else {
             return;
         };
         queue.queries.retain(|&other| other != query);
-        if queue.queries.is_empty() && !queue.is_marked_empty {
-            queue.is_marked_empty = true;
-            self.empty.push_back(slot);
+        if !queue.queries.is_empty() || queue.is_cooling {
+            return;
+        }
+        if queue.cooldown_until_ms <= now_ms {
+            self.remove_queue(slot);
+        } else {
+            queue.is_cooling = true;
+            self.cooling.push_back(slot);
         }
     }
 }
