Slow start: bound the record of the work that is sent to a warming engine

The budget bounds the work within a span, not the number of queries: each query to a warming engine was an entry until the next check after the span, and every admission added all of them up.

EventWindow drops old events only once it holds 4,096 entries: below that, times and sums are those of the code before, so that decisions are unchanged.

--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -148,9 +148,8 @@
         if query.attempts.count() > 0 {
             self.retry_budget.record_retry(self.now_ms);
         }
-        if self.slow_start.limits(engine, self.now_ms) {
-            engine.warm_up.record(self.now_ms, group.usual_work_ms());
-        }
+        self.slow_start
+            .record_sent(engine, group.usual_work_ms(), self.now_ms);
         let memory_mb = group.memory_mb(query.cost);
         let mut attempt = Attempt::new(engine_index, self.now_ms, query.cost.work_ms, memory_mb);
         if let Some(demand) = demand {
--- a/src/model/event_window.rs
+++ b/src/model/event_window.rs
@@ -45,11 +45,13 @@
         }
     }
 
-    /// Drops the events older than `span_ms`, and records one.
+    /// Records an event. Beyond [`MAX_EXACT_ENTRIES`], drops the events older than `span_ms` first.
     pub(crate) fn record(&mut self, now_ms: f64, amount: f64, span_ms: f64) {
-        self.drop_expired(|at_ms| now_ms - at_ms > span_ms);
-        let resolution_ms = span_ms / RESOLUTION_DIVISOR;
+        if self.entries.len() >= MAX_EXACT_ENTRIES {
+            self.drop_expired(|at_ms| now_ms - at_ms > span_ms);
+        }
         let must_merge = self.entries.len() >= MAX_EXACT_ENTRIES;
+        let resolution_ms = span_ms / RESOLUTION_DIVISOR;
         match self.entries.back_mut().filter(|_| must_merge) {
             Some(last) if now_ms - last.first_ms < resolution_ms => {
                 last.amount += amount;
--- a/src/model/slow_start.rs
+++ b/src/model/slow_start.rs
@@ -1,9 +1,9 @@
 //! Slow start (rule 4), which limits the work that is sent to an engine while it is warming up.
 
+use crate::model::event_window::{EventWindow, MergedTime};
 use crate::model::{Engine, ResourceGroup, LONG_AGO};
 use crate::pcg::Pcg;
 use crate::settings::{Settings, WarmUpRule};
-use std::collections::VecDeque;
 
 /// Fraction of its part of the rule's budget that a dispatcher uses. The remainder is kept for dispatchers that restart
 /// within a span.
@@ -46,13 +46,21 @@
         let Some(budget_ms) = self.budget_ms(engine, now_ms) else {
             return true;
         };
-        let sent_work_ms = engine.warm_up.sent_work_ms();
+        let sent_work_ms = engine.warm_up.sent.total();
         let usual_work_ms = group.usual_work_ms();
         let is_drawn =
             engine.warm_up.random_draw * usual_work_ms < RANDOM_ADMISSION_FRACTION * budget_ms;
         sent_work_ms + usual_work_ms <= budget_ms || sent_work_ms <= 0.0 && is_drawn
     }
 
+    /// Records work (ms) that is being sent to an engine, if the rule currently limits it.
+    pub(crate) fn record_sent(&self, engine: &mut Engine, work_ms: f64, now_ms: f64) {
+        let Some(rule) = self.rule.filter(|_| self.limits(engine, now_ms)) else {
+            return;
+        };
+        engine.warm_up.sent.record(now_ms, work_ms, rule.span_ms);
+    }
+
     /// Whether the rule currently limits the work that may be sent to an engine.
     pub(crate) fn limits(&self, engine: &Engine, now_ms: f64) -> bool {
         self.budget_ms(engine, now_ms).is_some()
@@ -96,23 +104,18 @@
 /// The work that was sent to one engine while it was warming up, and its random number for admission.
 #[derive(Debug, Clone)]
 pub(crate) struct WarmUpState {
-    sent: VecDeque<SentWork>,
+    /// Work (ms) that was sent within the span.
+    sent: EventWindow,
     /// The random number of the span, from 0 to 1.
     random_draw: f64,
     /// When the random number was drawn (ms).
     drawn_ms: f64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct SentWork {
-    sent_ms: f64,
-    work_ms: f64,
-}
-
 impl Default for WarmUpState {
     fn default() -> Self {
         WarmUpState {
-            sent: VecDeque::new(),
+            sent: EventWindow::new(MergedTime::Latest),
             random_draw: 1.0,
             drawn_ms: LONG_AGO,
         }
@@ -120,19 +123,14 @@
 }
 
 impl WarmUpState {
-    /// Records work (ms) that is being sent.
-    pub(crate) fn record(&mut self, now_ms: f64, work_ms: f64) {
-        let sent_ms = now_ms;
-        self.sent.push_back(SentWork { sent_ms, work_ms });
-    }
-
-    /// The total work (ms) that was sent within the span.
-    fn sent_work_ms(&self) -> f64 {
-        self.sent.iter().map(|sent| sent.work_ms).sum()
+    /// The number of entries for the work that was sent.
+    #[cfg(test)]
+    pub(crate) fn sent_entries(&self) -> usize {
+        self.sent.len()
     }
 
     fn advance(&mut self, now_ms: f64, span_ms: f64, rng: &mut Pcg) {
-        self.sent.retain(|sent| now_ms - sent.sent_ms <= span_ms);
+        self.sent.drop_expired(|sent_ms| now_ms - sent_ms > span_ms);
         if now_ms - self.drawn_ms > span_ms {
             self.drawn_ms = now_ms;
             self.random_draw = rng.next_unit();
--- a/src/model/tests/slow_start.rs
+++ b/src/model/tests/slow_start.rs
@@ -36,7 +36,7 @@
     let mut engine = started_engine();
     let mut admitted = 0;
     while slow_start.admits(&engine, &group, START_MS) {
-        engine.warm_up.record(START_MS, group.usual_work_ms());
+        slow_start.record_sent(&mut engine, group.usual_work_ms(), START_MS);
         admitted += 1;
     }
     assert_eq!(admitted, 6, "0.8 x 0.85 of a core for 1 s, 100 ms each");
@@ -68,7 +68,7 @@
         engine.endpoint.started_ms = now_ms;
         slow_start.advance(&mut engine.warm_up, now_ms, &mut rng);
         if slow_start.admits(&engine, &group, now_ms) {
-            engine.warm_up.record(now_ms, group.usual_work_ms());
+            slow_start.record_sent(&mut engine, group.usual_work_ms(), now_ms);
             admitted += 1;
             assert!(!slow_start.admits(&engine, &group, now_ms), "one per span");
         }
@@ -76,3 +76,16 @@
     // A quarter of a budget of 6.8 ms is spent on queries of 100 ms each: 34 queries in 2000 spans on average.
     assert!((15..60).contains(&admitted), "{admitted}");
 }
+
+/// Guards against a record of every query that is sent to a warming engine: the budget bounds their work, not their
+/// number.
+#[test]
+fn memory_is_bounded_for_any_number_of_queries_to_a_warming_engine() {
+    let slow_start = slow_start(1.0);
+    let mut engine = started_engine();
+    for query in 0..100_000 {
+        let now_ms = START_MS + f64::from(query) / 200.0;
+        slow_start.record_sent(&mut engine, 0.001, now_ms);
+    }
+    assert!(engine.warm_up.sent_entries() < 5200);
+}
