--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -20,10 +20,10 @@
         event: &QueryArrived,
         out: &mut dyn DecisionSink,
     ) -> Result<(), UnknownResourceGroup> {
-        let group = GroupIndex(self.interner.groups.index(event.group) as usize);
-        if group.0 >= self.groups.len() {
+        let Some(group) = self.interner.groups.find(event.group) else {
             return Err(UnknownResourceGroup::new(event.group));
-        }
+        };
+        let group = GroupIndex(group as usize);
         self.retry_budget.record_arrival(self.now_ms);
         let query = self.admit(group, event);
         let is_unattainable = self.is_unattainable(query);
@@ -46,7 +46,7 @@
                 .record_work(cost.work_ms / self.groups[group].threads());
         }
         let mut query = Query::new(event, group, lane, effect, cost);
-        let tenant = self.interner.tenants.index(event.tenant);
+        let tenant = self.interner.tenants.find(event.tenant);
         query.is_over_quota = self.tenant_quotas.record_query(tenant, self.now_ms);
         let index = self.queries.insert(query);
         if self.groups[group].settings.is_ordered_by_key {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -42,8 +42,8 @@
 /// The admission controller of one dispatcher and its state: settings, queries in flight, engines and learned
 /// statistics.
 ///
-/// Memory grows with the queries in flight, the listed engines, the ordering keys in use, and the distinct names of
-/// resource groups, tenants, zones and engine kinds.
+/// Memory grows with the queries in flight, the listed engines, the ordering keys in use (a bounded number of keys in
+/// their cooldown included), and the names in the settings. It does not grow with the number of queries handled.
 pub struct Control {
     /// Time of the current round (ms).
     now_ms: f64,
--- a/src/interner.rs
+++ b/src/interner.rs
@@ -2,12 +2,27 @@
 
 use rustc_hash::FxHashMap;
 
+/// Maximum number of names of one kind after which names from the endpoint list share one index: a bound on memory.
+const MAX_LISTED_NAMES: usize = 1024;
+/// The name whose index further names from the endpoint list share. No label of the list contains parentheses.
+const OTHER_NAMES: &str = "(other)";
+
 /// A map from names of one kind to indices.
 #[derive(Debug, Default)]
 pub struct NameInterner(FxHashMap<String, u32>);
 
 impl NameInterner {
-    /// The index of a name. Adds the name if it is unknown.
+    /// The index of a name from the endpoint list. Adds the name if it is unknown. Beyond [`MAX_LISTED_NAMES`] names, all
+    /// new ones have the same index, which no name in the settings has.
+    pub fn index_listed(&mut self, name: &str) -> u32 {
+        match self.find(name) {
+            Some(index) => index,
+            None if self.0.len() < MAX_LISTED_NAMES => self.index(name),
+            None => self.index(OTHER_NAMES),
+        }
+    }
+
+    /// The index of a name from the settings or from a zone plan. Adds the name if it is unknown.
     pub fn index(&mut self, name: &str) -> u32 {
         if let Some(&index) = self.0.get(name) {
             return index;
--- a/src/model/engine.rs
+++ b/src/model/engine.rs
@@ -53,8 +53,8 @@
         let kind = settings.engine_kind(update.kind);
         Engine {
             engine_id: update.engine_id,
-            kind: interner.kinds.index(update.kind),
-            zone: interner.zones.index(update.zone),
+            kind: interner.kinds.index_listed(update.kind),
+            zone: interner.zones.index_listed(update.zone),
             cell: update.cell,
             cores: kind.cores,
             memory_mb: kind.memory_mb,
--- a/src/model/tenant_quotas.rs
+++ b/src/model/tenant_quotas.rs
@@ -50,23 +50,25 @@
         }
     }
 
-    /// Records a query of a tenant, and returns whether the tenant is over its quota.
+    /// Records a query of a tenant, `None` if the settings do not name it, and returns whether the tenant is over its
+    /// quota.
     ///
     /// A tenant is over its quota if its use of the quota exceeds [`QUOTA_SLACK`] times the use of all quotas, and
     /// [`QUOTA_SLACK`] itself. If all tenants exceed their quotas alike, none is over its quota.
-    pub(crate) fn record_query(&mut self, tenant: u32, now_ms: f64) -> bool {
+    pub(crate) fn record_query(&mut self, tenant: Option<u32>, now_ms: f64) -> bool {
         let quota_use = self.count_query(tenant, now_ms);
         quota_use.own > QUOTA_SLACK * quota_use.all.max(1.0)
     }
 
     /// Counts a query of a tenant. The use is 0 for a tenant without a quota.
-    fn count_query(&mut self, tenant: u32, now_ms: f64) -> QuotaUse {
+    fn count_query(&mut self, tenant: Option<u32>, now_ms: f64) -> QuotaUse {
         let remaining = ((self.updated_ms - now_ms) / RATE_DECAY_MS).exp();
         self.updated_ms = now_ms;
         for tenant in &mut self.tenants {
             tenant.count *= remaining;
         }
-        let Some(tenant) = self.tenants.get_mut(tenant as usize) else {
+        let tenant = tenant.and_then(|tenant| self.tenants.get_mut(tenant as usize));
+        let Some(tenant) = tenant else {
             return QuotaUse::default();
         };
         tenant.count += 1.0;
--- a/src/model/tests/mod.rs
+++ b/src/model/tests/mod.rs
@@ -7,6 +7,7 @@
 mod engine_load;
 mod engine_table;
 mod event_window;
+mod interner;
 mod key_queues;
 mod level_effects;
 mod low_lane;
--- a/src/model/tests/tenant_quotas.rs
+++ b/src/model/tests/tenant_quotas.rs
@@ -28,7 +28,7 @@
             for query in 0..rates[tenant as usize] {
                 let fraction = f64::from(query) / f64::from(rates[tenant as usize]);
                 let now_ms = START_MS + 1000.0 * (f64::from(second) + fraction);
-                is_over = quotas.record_query(tenant, now_ms);
+                is_over = quotas.record_query(Some(tenant), now_ms);
             }
         }
     }
@@ -50,6 +50,6 @@
 fn tenant_without_a_quota_is_never_over_quota() {
     let mut quotas = two_tenants();
     for _ in 0..10_000 {
-        assert!(!quotas.record_query(2, START_MS));
+        assert!(!quotas.record_query(None, START_MS));
     }
 }
