Engine side: keep no rows for clients that have left; test memory over requests of each kind

Results are bounded by their size (128 KB) and by the number of clients, since each client has one query in flight. Where cancels are not allowed, the attempt of a client that left stays in flight, and its result was collected all the same: up to 4,096 of them, whatever the number of clients.

Change: when a query is over and its request is written completely, the attempt keeps no rows, neither those that have arrived nor those that arrive later. It ends as before.

--- a/crates/dispatcher/src/engine/connection.rs
+++ b/crates/dispatcher/src/engine/connection.rs
@@ -245,6 +245,13 @@
         Some(Abandoned { attempt, cause })
     }
 
+    /// Keeps no rows of an attempt's result from now on, because no answer is owed any more.
+    pub fn discard_rows(&mut self, id: &str) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.discard_rows();
+        }
+    }
+
     /// Query ids of the attempts whose requests have no byte written.
     pub fn unstarted_requests(&self) -> impl Iterator<Item = Rc<str>> + '_ {
         self.outbox.unstarted_requests()
--- a/crates/dispatcher/src/engine/connection/attempt.rs
+++ b/crates/dispatcher/src/engine/connection/attempt.rs
@@ -31,6 +31,8 @@
     pages: Vec<Option<Vec<u8>>>,
     /// Number of pages that have not arrived.
     missing_pages: usize,
+    /// Whether no answer is owed any more, so that the rows of the result are not kept.
+    discards_rows: bool,
 }
 
 /// State of a result after the arrival of a page.
@@ -61,6 +63,15 @@
             has_progress: false,
             pages: Vec::new(),
             missing_pages: 0,
+            discards_rows: false,
+        }
+    }
+
+    /// Frees the rows that have arrived, and keeps none that arrive from now on: no answer is owed any more.
+    pub fn discard_rows(&mut self) {
+        self.discards_rows = true;
+        for page in self.pages.iter_mut().flatten() {
+            *page = Vec::new();
         }
     }
 
@@ -148,7 +159,7 @@
                 limit: MAX_RESULT_BYTES,
             });
         }
-        *slot = Some(rows);
+        *slot = Some(if self.discards_rows { Vec::new() } else { rows });
         self.missing_pages -= 1;
         Ok(match self.missing_pages {
             0 => ResultProgress::Complete,
--- a/crates/dispatcher/src/engine/connection/tests.rs
+++ b/crates/dispatcher/src/engine/connection/tests.rs
@@ -384,3 +384,22 @@
     receive(&mut connection, &[b"i1", b"BROKE", b"-", b""]).unwrap();
     assert!(!connection.has_unwritten());
 }
+
+/// Guards against results that are collected for clients that have left, where cancels are not allowed: their number is
+/// not bounded by the number of clients.
+#[test]
+fn rows_of_an_attempt_whose_client_left_are_not_kept() {
+    let mut connection = connection();
+    submit(&mut connection, "i1", 4);
+    connection.advance(unwritten(&connection).len());
+    let first_page: [&[u8]; 4] = [b"i1", b"DONE", b"batches=2", b"a\tb\tc\n"];
+    receive(&mut connection, &first_page).unwrap();
+    connection.discard_rows("i1");
+    let second_page: [&[u8]; 4] = [b"i1", b"MORE", b"batch=1", b"d\te\tf\n"];
+    let ended = receive(&mut connection, &second_page);
+    let Ok(FrameEvent::AttemptEnded { outcome, pages, .. }) = ended else {
+        panic!("{ended:?}");
+    };
+    assert_eq!(outcome, Outcome::Completed);
+    assert!(pages.iter().all(Vec::is_empty), "{pages:?}");
+}
--- a/crates/dispatcher/src/engine/pool/commands.rs
+++ b/crates/dispatcher/src/engine/pool/commands.rs
@@ -191,14 +191,16 @@
         }
     }
 
-    /// Withdraws the attempt of a query that was answered or whose client left, unless the attempt's request has been
-    /// written completely.
+    /// Withdraws the attempt of a query that was answered or whose client left. If the attempt's request has been written
+    /// completely, the attempt stays in flight, and the rows of its result are not kept.
     fn withdraw(&self, query_id: u64) {
         let Some(AttemptLocation { channel, id }) = self.locate(query_id) else {
             return;
         };
         let is_written = channel.connection.borrow().is_fully_written(&id);
-        if !is_written {
+        if is_written {
+            channel.connection.borrow_mut().discard_rows(&id);
+        } else {
             self.abandoner.abandon(&channel, &id, Outcome::Cancelled);
         }
     }
--- a/crates/dispatcher/src/query_registry/messages.rs
+++ b/crates/dispatcher/src/query_registry/messages.rs
@@ -121,7 +121,8 @@
         /// Its time limits.
         limits: AttemptLimits,
     },
-    /// Withdraw the attempt of a query that is over, unless the attempt's request is written completely.
+    /// Withdraw the attempt of a query that is over. If the attempt's request is written completely, only keep no rows of
+    /// its result.
     Withdraw {
         /// The query.
         query_id: u64,
--- a/crates/dispatcher/tests/platform_limits/memory.rs
+++ b/crates/dispatcher/tests/platform_limits/memory.rs
@@ -1,4 +1,4 @@
-//! The program's memory under clients that send much at once.
+//! The program's memory under clients that send much at once, and over many requests.
 
 use crate::support::{config, EXE};
 use serde_json::json;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tansymux_testbed::client::ClientQuery;
 use tansymux_testbed::engine::start_delayed_engine;
-use tansymux_testbed::program::{anonymous_memory_kb, Program, TIMEOUT};
+use tansymux_testbed::program::{anonymous_memory_kb, Program, TempFile, TIMEOUT};
 use tansymux_testbed::wire::read_response;
 
 /// `limits.memory_mb` of the program under test.
@@ -102,3 +102,77 @@
     let peak_kb = sampler.stop();
     assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} kB");
 }
+
+/// Queries of each kind by default; `TANSYMUX_QUERIES` sets another number for a run by hand.
+const DEFAULT_QUERIES: u64 = 2000;
+/// Requests of each kind in one batch.
+const BATCH: u64 = 50;
+/// Batches before the memory is first measured: more served queries than the program remembers ids of.
+const WARM_UP_BATCHES: u64 = 200;
+/// Allowed growth of the program (kB) after the warm-up.
+const MAX_GROWTH_KB: u64 = 1024;
+
+/// Sends requests on a new connection, and reads `answers` answers.
+fn exchange(program: &Program, bytes: &[u8], answers: u64) -> Vec<u16> {
+    let mut stream = TcpStream::connect(program.listen).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut reader = BufReader::new(stream);
+    let read = |_| read_response(&mut reader).unwrap().status;
+    (0..answers).map(read).collect()
+}
+
+/// The request of a query of a class, with its own statement shape.
+fn query(class: &str, id: u64, max_wait_ms: f64) -> ClientQuery {
+    let path = format!("/invoke/{class}");
+    let statement = format!("SELECT a{id} FROM sales_{id}.orders{id}");
+    ClientQuery::new(id, &path, class, &statement, max_wait_ms)
+}
+
+/// Sends a batch of queries that are served, of loads and of queries without time, and one request each of an unknown
+/// class, an unknown owner and a repeated id, each of which ends its connection.
+fn send_batch(program: &Program, batch: u64) {
+    let first_id = 1 + batch * 10 * BATCH;
+    let ids = |kind: u64| first_id + kind * BATCH..first_id + (kind + 1) * BATCH;
+    let mut bytes = Vec::new();
+    ids(0).for_each(|id| bytes.extend(query("look", id, 9000.0).bytes()));
+    ids(1).for_each(|id| bytes.extend(query("load", id, 9000.0).bytes()));
+    ids(2).for_each(|id| bytes.extend(query("look", id, 1.0).bytes()));
+    let statuses = exchange(program, &bytes, 3 * BATCH);
+    assert!(statuses.iter().all(|status| [200, 429].contains(status)));
+    let unknown_class = query(&format!("class-{batch}"), first_id + 3 * BATCH, 9000.0);
+    let mut unknown_owner = query("look", first_id + 4 * BATCH, 9000.0);
+    unknown_owner.tenant = format!("owner-{batch}");
+    let repeated_id = query("look", first_id, 9000.0);
+    for (refused, status) in [
+        (unknown_class, 404),
+        (unknown_owner, 403),
+        (repeated_id, 409),
+    ] {
+        assert_eq!(exchange(program, &refused.bytes(), 1), [status]);
+    }
+}
+
+/// Guards against collections of the whole program that grow with each request, whatever becomes of it.
+#[test]
+fn memory_is_constant_while_requests_of_each_kind_come_and_go() {
+    let queries = std::env::var("TANSYMUX_QUERIES").ok();
+    let queries = queries.map_or(DEFAULT_QUERIES, |queries| queries.parse().unwrap());
+    let (engine, _requests) = start_delayed_engine(Duration::ZERO);
+    let limits = json!({"sockets": 256, "memory_mb": 32});
+    let config = config(&[engine]).with("limits", limits);
+    let operator = TempFile::new("operator.textproto", "statements { check: LOG }");
+    let path = operator.0.display().to_string();
+    let arguments = ["--operator", path.as_str(), "--log-level", "error"];
+    let program = Program::start(Path::new(EXE), &config, &arguments);
+    (0..WARM_UP_BATCHES).for_each(|batch| send_batch(&program, batch));
+    let before_kb = anonymous_memory_kb(program.child.id()).unwrap();
+    let batches = WARM_UP_BATCHES..WARM_UP_BATCHES + queries / BATCH;
+    batches.for_each(|batch| send_batch(&program, batch));
+    let after_kb = anonymous_memory_kb(program.child.id()).unwrap();
+    println!("{before_kb} kB before, {after_kb} kB after {queries} queries of each kind");
+    assert!(
+        after_kb < before_kb + MAX_GROWTH_KB,
+        "{before_kb} kB, {after_kb} kB"
+    );
+}
