--- a/src/interner.rs
+++ b/src/interner.rs
@@ -12,7 +12,7 @@
 pub struct NameInterner(FxHashMap<String, u32>);
 
 impl NameInterner {
-    /// The index of a name from the endpoint list. Adds the name if it is unknown. Beyond [`MAX_LISTED_NAMES`] names, all
+    /// The index of a name from the endpoint list. Adds the name if it is unknown. Beyond 1,024 names, all
     /// new ones have the same index, which no name in the settings has.
     pub fn index_listed(&mut self, name: &str) -> u32 {
         match self.find(name) {
