Tests: refuse fork and vfork only where the kind of machine has them

Need: arm64 has neither system call; a process is started there by clone and clone3 alone, which the filter refuses on both kinds. The two rules carry cfg(target_arch = "x86_64"). On x86-64 the filter is as before. No test, bound or check is changed.

Before, on arm64: the test program platform_limits did not compile, E0425 for SYS_fork (line 44) and SYS_vfork (45).

--- a/crates/dispatcher/tests/platform_limits/system_calls.rs
+++ b/crates/dispatcher/tests/platform_limits/system_calls.rs
@@ -41,7 +41,10 @@
     let always = Vec::new;
     let without_thread_flag = MaskedEq(libc::CLONE_THREAD as u64);
     let refused = [
+        // Only x86-64 has fork and vfork; arm64 starts a process by clone and clone3 alone.
+        #[cfg(target_arch = "x86_64")]
         (libc::SYS_fork, always()),
+        #[cfg(target_arch = "x86_64")]
         (libc::SYS_vfork, always()),
         (libc::SYS_clone, refused_if(0, without_thread_flag, 0)),
         (libc::SYS_clone3, always()),
