--- a/crates/dispatcher/src/client/answer_writer.rs
+++ b/crates/dispatcher/src/client/answer_writer.rs
@@ -99,13 +99,13 @@
         self.write(permit, &[&head, body.as_bytes()]).await
     }
 
-    /// Writes an error response, after which the caller closes the connection. A 503 contains the time after which the
-    /// client may retry, if `retry_after_ms` is set.
+    /// Writes an error response. A 503 contains the time after which the client may retry, if `retry_after_ms` is set.
     pub async fn error(
         &self,
         permit: AnswerPermit,
         error: RequestError,
         retry_after_ms: Option<f64>,
+        keep_alive: bool,
     ) -> io::Result<()> {
         let status = error.status();
         let message = error.to_string();
@@ -122,7 +122,7 @@
         let head = ResponseHead {
             status,
             body_len: body.len(),
-            keep_alive: false,
+            keep_alive,
             retry_after_ms,
         }
         .encode();
--- a/crates/dispatcher/src/client/inbound.rs
+++ b/crates/dispatcher/src/client/inbound.rs
@@ -2,16 +2,17 @@
 //! disconnected.
 
 use super::connection_table::{ConnectionState, Entry};
-use super::reader::{ReadBuffer, ReadResult};
+use super::reader::ReadResult;
+use super::receive_half::ReceiveHalf;
 use super::request_error::RequestError;
 use super::ClientFrontend;
 use crate::close_reason::ClientCloseReason;
 use crate::guard::ClosePermit;
-use crate::net::is_closed_by_peer;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// An idle connection is closed after this time (ms). Clients usually close idle connections after 4 s, so by then the
@@ -54,60 +55,39 @@
     Refuse(RequestError),
 }
 
-/// The bytes received from a client, and the time limits for receiving more.
+/// The time limits for receiving requests from a client.
 pub struct Inbound<'a> {
     frontend: &'a ClientFrontend,
-    stream: &'a Async<TcpStream>,
+    receive_half: Rc<ReceiveHalf>,
     entry: &'a Entry,
-    buffer: ReadBuffer<'a>,
     connected_ms: f64,
-    /// Time (ms) at which the last byte arrived, or at which the connection became idle.
-    last_byte_ms: f64,
     /// Time (ms) by which the next request must have arrived completely.
     request_deadline_ms: f64,
 }
 
 impl<'a> Inbound<'a> {
-    /// The receiving half of a new connection.
+    /// The time limits of a new connection.
     pub fn new(
         frontend: &'a ClientFrontend,
-        stream: &'a Async<TcpStream>,
+        receive_half: Rc<ReceiveHalf>,
         entry: &'a Entry,
     ) -> Self {
         let connected_ms = frontend.clock.now();
         Inbound {
             frontend,
-            stream,
+            receive_half,
             entry,
-            buffer: frontend.reader.buffer(),
             connected_ms,
-            last_byte_ms: connected_ms,
             request_deadline_ms: connected_ms + REQUEST_TIMEOUT_MS,
         }
     }
 
-    /// The bytes that are not consumed yet.
-    pub fn buffer(&self) -> &ReadBuffer<'a> {
-        &self.buffer
-    }
-
-    /// Time (ms) at which the last byte arrived, or at which the connection became idle.
-    pub fn last_byte_ms(&self) -> f64 {
-        self.last_byte_ms
-    }
-
-    /// Removes a request of `request_len` bytes from the buffer.
-    pub fn consume(&mut self, request_len: usize) {
-        self.buffer.consume(request_len);
-    }
-
     /// Sets the time limits of the next request, after a request was answered.
     pub fn begin_next_request(&mut self) {
-        let now_ms = self.now_ms();
-        if self.buffer.is_empty() {
-            self.last_byte_ms = now_ms;
+        if self.receive_half.buffer().is_empty() {
+            self.receive_half.set_idle();
         }
-        self.request_deadline_ms = now_ms + REQUEST_TIMEOUT_MS;
+        self.request_deadline_ms = self.now_ms() + REQUEST_TIMEOUT_MS;
     }
 
     fn now_ms(&self) -> f64 {
@@ -121,7 +101,7 @@
     /// # Errors
     /// The connection cannot be read.
     pub async fn read_more(&mut self) -> io::Result<ReadOutcome> {
-        let is_empty = self.buffer.is_empty();
+        let is_empty = self.receive_half.buffer().is_empty();
         let is_idle = is_empty && self.entry.is_idle();
         let until_ms = self.read_deadline_ms(is_empty, is_idle);
         let outcome = match self.wait_for_bytes(until_ms).await? {
@@ -144,9 +124,8 @@
     }
 
     fn on_received(&mut self, was_idle: bool) {
-        self.last_byte_ms = self.now_ms();
         if was_idle {
-            self.request_deadline_ms = self.last_byte_ms + REQUEST_TIMEOUT_MS;
+            self.request_deadline_ms = self.receive_half.last_byte_ms() + REQUEST_TIMEOUT_MS;
         }
     }
 
@@ -155,9 +134,9 @@
         let is_closing = self.frontend.phase.get().is_closing();
         if is_idle && is_closing {
             // This time is in the past: only bytes that have already arrived are still read.
-            self.last_byte_ms
+            self.receive_half.last_byte_ms()
         } else if is_idle {
-            self.last_byte_ms + IDLE_TIMEOUT_MS
+            self.receive_half.last_byte_ms() + IDLE_TIMEOUT_MS
         } else if is_empty && is_closing {
             let first_request_ms = self.connected_ms + FIRST_REQUEST_TIMEOUT_MS;
             self.request_deadline_ms.min(first_request_ms)
@@ -168,15 +147,12 @@
 
     /// Waits until bytes arrive, the entry's `close` is notified, or `until_ms` has passed. Bytes are polled first, so
     /// they take precedence over the other two.
-    async fn wait_for_bytes(&mut self, until_ms: f64) -> io::Result<WaitOutcome> {
+    async fn wait_for_bytes(&self, until_ms: f64) -> io::Result<WaitOutcome> {
         let deadline = self.frontend.clock.instant(until_ms);
         let entry = self.entry;
-        let buffer = &mut self.buffer;
-        let stream = self.stream;
-        let clock = self.frontend.clock;
         let received = async {
-            Ok(match buffer.read(stream, clock).await? {
-                ReadResult::Received => WaitOutcome::Received,
+            Ok(match self.receive_half.read().await? {
+                ReadResult::Received { .. } => WaitOutcome::Received,
                 ReadResult::EndOfStream => WaitOutcome::Disconnected,
                 ReadResult::NoSpace => WaitOutcome::NoSpace,
             })
@@ -196,12 +172,12 @@
 
     /// Waits until the client has closed or reset the connection. Bytes that arrive meanwhile are buffered for the next
     /// requests, up to a limit. Beyond the limit nothing is read, and a disconnect is detected only once the kernel has
-    /// received all bytes before it.
-    pub async fn wait_for_disconnect(&mut self) {
+    /// received all bytes before it: until then [`ReceiveHalf`] reports the client's presence as unknown.
+    pub async fn wait_for_disconnect(&self) {
         loop {
-            match self.buffer.read(self.stream, self.frontend.clock).await {
-                Ok(ReadResult::Received) => self.last_byte_ms = self.now_ms(),
-                Ok(ReadResult::NoSpace) if !is_closed_by_peer(self.stream.get_ref()) => {
+            match self.receive_half.read().await {
+                Ok(ReadResult::Received { .. }) => {}
+                Ok(ReadResult::NoSpace) if !self.receive_half.is_closed_behind_unread() => {
                     Timer::after(HANGUP_POLL_INTERVAL).await;
                 }
                 _ => return,
@@ -215,10 +191,11 @@
     /// Half-closes the connection, and discards the bytes that the client still sends: closing a socket with unread
     /// bytes would send a reset, which could destroy the last answer.
     pub async fn linger(&mut self, _permit: ClosePermit) {
-        self.buffer.clear();
+        self.receive_half.clear();
         let now_ms = self.now_ms();
         self.entry.set_state(ConnectionState::Closing, now_ms);
-        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        let stream = self.receive_half.stream().get_ref();
+        if stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
         let end = self.frontend.clock.instant(now_ms + LINGER_MS);
@@ -235,9 +212,10 @@
 
     /// Reads and discards up to [`MAX_DISCARDED_BYTES`], or until the connection ends.
     async fn discard_received(&self) {
+        let reader = &self.frontend.reader;
         let mut discarded_bytes = 0;
         while discarded_bytes < MAX_DISCARDED_BYTES {
-            match self.frontend.reader.discard(self.stream).await {
+            match reader.discard(self.receive_half.stream()).await {
                 Ok(count @ 1..) => discarded_bytes += count,
                 _ => return,
             }
--- a/crates/dispatcher/src/client/listener.rs
+++ b/crates/dispatcher/src/client/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts client connections, and starts a session for each.
 
 use super::phase::FrontendPhase;
+use super::receive_half::ReceiveHalf;
 use super::session::Session;
 use super::ClientFrontend;
 use async_executor::LocalExecutor;
@@ -80,9 +81,10 @@
         self.registry.counters.client_connections.increment();
         let entry = self.table.insert(self.clock.now());
         let session = async move {
-            Session::new(&self, &stream, &entry).run().await;
-            // The stream closes before its entry is freed: the table never counts fewer connections than are open.
-            drop(stream);
+            let receive_half = ReceiveHalf::new(stream, &self.reader, self.clock);
+            Session::new(&self, receive_half, &entry).run().await;
+            // The session owned the stream, which is closed now, before its entry is freed: the table never counts fewer
+            // connections than are open.
             self.table.release(&entry);
         };
         executor.spawn(session).detach();
--- a/crates/dispatcher/src/client/mod.rs
+++ b/crates/dispatcher/src/client/mod.rs
@@ -15,6 +15,7 @@
 mod protocol;
 mod read_memory;
 mod reader;
+mod receive_half;
 mod request;
 mod request_error;
 mod route;
--- a/crates/dispatcher/src/client/reader.rs
+++ b/crates/dispatcher/src/client/reader.rs
@@ -4,12 +4,13 @@
 use super::admission_limits::AdmissionLimits;
 use super::read_memory::ReadMemory;
 use crate::clock::Clock;
-use crate::net::read_available;
+use crate::net::{read_available, retry_interrupted};
 use async_io::Async;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::TcpStream;
+use std::rc::Rc;
 
 /// Maximum size (bytes) of one read, so that other connections are served between two reads.
 const MAX_READ_BYTES: usize = 16 * 1024;
@@ -23,25 +24,27 @@
 /// A buffer whose capacity is this multiple of its content, or more, frees half of its memory or more.
 const SHRINK_FACTOR: usize = 4;
 
-/// Reads from all connections through one scratch buffer, within the memory that their buffers may hold.
+/// Reads from all connections through one scratch buffer, within the memory that their buffers may hold. Copies share
+/// both.
+#[derive(Clone)]
 pub struct Reader {
-    scratch: RefCell<Vec<u8>>,
-    memory: ReadMemory,
+    scratch: Rc<RefCell<Vec<u8>>>,
+    memory: Rc<ReadMemory>,
 }
 
 impl Reader {
     /// A reader with the limits on buffered bytes and connections from `limits`.
     pub fn new(limits: &AdmissionLimits) -> Self {
         Reader {
-            scratch: RefCell::new(vec![0; MAX_READ_BYTES]),
-            memory: ReadMemory::new(limits),
+            scratch: Rc::new(RefCell::new(vec![0; MAX_READ_BYTES])),
+            memory: Rc::new(ReadMemory::new(limits)),
         }
     }
 
     /// Creates an empty buffer for a connection.
-    pub fn buffer(&self) -> ReadBuffer<'_> {
+    pub fn buffer(&self) -> ReadBuffer {
         ReadBuffer {
-            reader: self,
+            reader: self.clone(),
             bytes: Vec::new(),
             start: 0,
             consumed: 0,
@@ -63,7 +66,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadResult {
     /// At least one byte was appended.
-    Received,
+    Received {
+        /// Whether the read took as much as it could, so that more bytes may be unread.
+        may_have_more: bool,
+    },
     /// The client has closed its side.
     EndOfStream,
     /// Nothing was read, because the buffer may not grow now.
@@ -78,8 +84,8 @@
 }
 
 /// The bytes of one connection that are not consumed yet, with their arrival times.
-pub struct ReadBuffer<'a> {
-    reader: &'a Reader,
+pub struct ReadBuffer {
+    reader: Reader,
     /// Received bytes. Those before `start` are consumed, but their space is not freed yet.
     bytes: Vec<u8>,
     start: usize,
@@ -91,7 +97,7 @@
     held_bytes: usize,
 }
 
-impl ReadBuffer<'_> {
+impl ReadBuffer {
     /// The bytes that are not consumed yet.
     pub fn bytes(&self) -> &[u8] {
         &self.bytes[self.start..]
@@ -129,32 +135,33 @@
         (2 * capacity).clamp(MIN_ARRIVALS_CAPACITY, MAX_ARRIVALS)
     }
 
-    /// Waits for bytes, and appends as many as there is space for.
-    pub async fn read(
-        &mut self,
-        stream: &Async<TcpStream>,
-        clock: Clock,
-    ) -> io::Result<ReadResult> {
-        let result = read_available(stream, |stream| self.take_available(stream)).await?;
-        if result == ReadResult::Received {
+    /// Appends as many of the available bytes as there is space for, in one read.
+    ///
+    /// # Errors
+    /// The errors of the read, except interruptions: `WouldBlock` if no bytes are available.
+    pub fn read(&mut self, stream: &TcpStream, clock: Clock) -> io::Result<ReadResult> {
+        let result = self.take_available(stream)?;
+        if matches!(result, ReadResult::Received { .. }) {
             self.record_arrival(clock.now());
         }
         Ok(result)
     }
 
     fn take_available(&mut self, mut stream: &TcpStream) -> io::Result<ReadResult> {
-        let reader = self.reader;
-        let mut scratch = reader.scratch.borrow_mut();
+        let scratch = self.reader.scratch.clone();
+        let mut scratch = scratch.borrow_mut();
         let max_count = self.space().min(scratch.len());
         if max_count == 0 {
             return Ok(ReadResult::NoSpace);
         }
-        let count = stream.read(&mut scratch[..max_count])?;
+        let count = retry_interrupted(|| stream.read(&mut scratch[..max_count]))?;
         if count == 0 {
             return Ok(ReadResult::EndOfStream);
         }
         self.append(&scratch[..count]);
-        Ok(ReadResult::Received)
+        Ok(ReadResult::Received {
+            may_have_more: count == max_count,
+        })
     }
 
     /// Appends received bytes, for which the caller has checked that there is space.
@@ -241,7 +248,7 @@
     }
 }
 
-impl Drop for ReadBuffer<'_> {
+impl Drop for ReadBuffer {
     fn drop(&mut self) {
         self.clear();
     }
--- a/crates/dispatcher/src/client/request_error.rs
+++ b/crates/dispatcher/src/client/request_error.rs
@@ -1,7 +1,6 @@
 //! Errors for which a request is refused. Their statuses and texts are part of the client protocol.
 
 use super::protocol::{RequestField, Status, TRY_LATER, UNKNOWN};
-use crate::query_registry::AdmissionError;
 
 /// Why a request is refused. The text is the `error` in the JSON body of the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -105,13 +104,3 @@
         }
     }
 }
-
-impl From<AdmissionError> for RequestError {
-    fn from(error: AdmissionError) -> Self {
-        match error {
-            AdmissionError::InFlight => RequestError::InFlight,
-            AdmissionError::AlreadySubmitted => RequestError::AlreadySubmitted,
-            AdmissionError::Overloaded => RequestError::Overloaded,
-        }
-    }
-}
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -10,19 +10,20 @@
 use super::http::{self, Head};
 use super::inbound::{Inbound, ReadOutcome};
 use super::protocol::Status;
+use super::reader::ReadBuffer;
+use super::receive_half::ReceiveHalf;
 use super::request::ParsedRequest;
 use super::request_error::RequestError;
 use super::route::Route;
 use super::ClientFrontend;
 use crate::close_reason::ClientCloseReason;
 use crate::guard::{AnswerPermit, ConnectionLedger, Violation};
-use crate::query_registry::{AdmittedQuery, Answer};
-use async_io::Async;
+use crate::query_registry::{AdmissionError, AdmittedQuery, Answer};
 use futures_lite::future;
 use std::cell::RefCell;
 use std::io;
-use std::net::TcpStream;
 use std::ops::ControlFlow;
+use std::rc::Rc;
 
 /// How a connection ends.
 enum ConnectionEnd {
@@ -32,37 +33,83 @@
     HalfClose(ClientCloseReason),
 }
 
+/// The result of handling the bytes at the start of the buffer.
+enum Next {
+    /// They are not a complete request yet.
+    Incomplete,
+    /// They cannot become a request.
+    Malformed(RequestError),
+    /// They begin with a complete request.
+    Request(HandledRequest),
+}
+
+impl Next {
+    /// Whether a query was not admitted because its client's presence is unknown.
+    fn is_client_unknown(&self) -> bool {
+        matches!(self, Next::Request(request) if matches!(request.handled, Handled::ClientUnknown))
+    }
+}
+
+/// A complete request that was handled. It is still at the start of the buffer, and not answered.
+struct HandledRequest {
+    handled: Handled,
+    request_len: usize,
+    keep_alive: bool,
+}
+
 /// The result of handling a complete request.
 enum Handled {
     /// A query was admitted.
     Query(AdmittedQuery),
-    /// A status page was sent.
-    Answered,
-    /// The request is refused; the error is not sent yet.
+    /// A status page is requested.
+    Page { status: Status, body: String },
+    /// The service levels are requested.
+    LevelsPage {
+        /// The version that the client has: it waits for a different one.
+        after: Option<String>,
+    },
+    /// The request is refused, and the connection closes.
     Refused(RequestError),
+    /// A query was not admitted, because its client may have disconnected behind bytes that are not read.
+    ClientUnknown,
+    /// A query was not admitted, because its client has disconnected.
+    ClientDisconnected,
+}
+
+impl Handled {
+    /// How a request is handled whose query the registry does not admit.
+    fn not_admitted(error: AdmissionError) -> Self {
+        match error {
+            AdmissionError::ClientUnknown => Handled::ClientUnknown,
+            AdmissionError::ClientDisconnected => Handled::ClientDisconnected,
+            AdmissionError::InFlight => Handled::Refused(RequestError::InFlight),
+            AdmissionError::AlreadySubmitted => Handled::Refused(RequestError::AlreadySubmitted),
+            AdmissionError::Overloaded => Handled::Refused(RequestError::Overloaded),
+        }
+    }
 }
 
 /// A client connection.
 pub struct Session<'a> {
     frontend: &'a ClientFrontend,
-    stream: &'a Async<TcpStream>,
+    receive_half: Rc<ReceiveHalf>,
     entry: &'a Entry,
     inbound: Inbound<'a>,
     ledger: RefCell<ConnectionLedger>,
 }
 
 impl<'a> Session<'a> {
-    /// The session of a new connection.
+    /// The session of a new connection. It owns the connection, which is closed when the session ends.
     pub fn new(
         frontend: &'a ClientFrontend,
-        stream: &'a Async<TcpStream>,
+        receive_half: Rc<ReceiveHalf>,
         entry: &'a Entry,
     ) -> Self {
         Session {
             frontend,
-            stream,
+            inbound: Inbound::new(frontend, receive_half.clone(), entry),
+            receive_half,
             entry,
-            inbound: Inbound::new(frontend, stream, entry),
             ledger: RefCell::default(),
         }
     }
@@ -93,20 +140,16 @@
     async fn serve(&mut self) -> io::Result<ConnectionEnd> {
         // The error is ignored: without TCP_NODELAY only latency increases, and a broken connection is detected at the
         // next read.
-        let _ = self.stream.get_ref().set_nodelay(true);
+        let _ = self.receive_half.stream().get_ref().set_nodelay(true);
         loop {
-            let buffer = self.inbound.buffer();
-            let step = match http::parse(buffer.bytes()) {
-                Ok(Some(head)) if head.request_len() <= buffer.len() => {
-                    let request_len = head.request_len();
-                    let keep_alive = head.keep_alive;
+            let step = match self.next_request().await {
+                Next::Request(request) => {
                     let recorded = self.ledger.borrow_mut().on_request();
                     recorded.unwrap_or_else(|violation| self.report_violation(violation));
-                    let handled = self.handle(&head).await?;
-                    self.finish(handled, request_len, keep_alive).await?
+                    self.finish(request).await?
                 }
-                Ok(_) => self.read_more().await?,
-                Err(error) => self.refuse(error).await?,
+                Next::Incomplete => self.read_more().await?,
+                Next::Malformed(error) => self.refuse(error).await?,
             };
             if let ControlFlow::Break(end) = step {
                 return Ok(end);
@@ -114,9 +157,35 @@
         }
     }
 
+    /// Handles the next request, once its client's presence is known or cannot become known.
+    async fn next_request(&self) -> Next {
+        loop {
+            let next = self.handle_received();
+            if !next.is_client_unknown() || !self.receive_half.settle().await {
+                return next;
+            }
+            // More bytes may have arrived since the presence was known. They fill the buffer in the end.
+            future::yield_now().await;
+        }
+    }
+
+    /// Handles the bytes that are received.
+    fn handle_received(&self) -> Next {
+        let buffer = self.receive_half.buffer();
+        match http::parse(buffer.bytes()) {
+            Ok(Some(head)) if head.request_len() <= buffer.len() => Next::Request(HandledRequest {
+                handled: self.handle(&head, &buffer),
+                request_len: head.request_len(),
+                keep_alive: head.keep_alive,
+            }),
+            Ok(_) => Next::Incomplete,
+            Err(error) => Next::Malformed(error),
+        }
+    }
+
     fn writer(&self) -> AnswerWriter<'_> {
         AnswerWriter {
-            stream: self.stream,
+            stream: self.receive_half.stream(),
             counters: &self.frontend.registry.counters,
         }
     }
@@ -142,7 +211,9 @@
     async fn refuse(&self, error: RequestError) -> io::Result<ControlFlow<ConnectionEnd>> {
         let retry_after_ms = self.frontend.limits.retry_after_ms;
         let permit = self.ledger.borrow_mut().may_refuse();
-        self.writer().error(permit, error, retry_after_ms).await?;
+        self.writer()
+            .error(permit, error, retry_after_ms, false)
+            .await?;
         let end = ConnectionEnd::HalfClose(ClientCloseReason::Refused);
         Ok(ControlFlow::Break(end))
     }
@@ -159,69 +230,100 @@
 
     // ---- Answering a request ----
 
-    /// Admits a request's query, or answers a request for a status page.
-    async fn handle(&self, head: &Head<'_>) -> io::Result<Handled> {
+    /// Admits a request's query, or prepares the answer of a request for a status page.
+    fn handle(&self, head: &Head<'_>, buffer: &ReadBuffer) -> Handled {
         self.entry
-            .set_state(ConnectionState::Active, self.inbound.last_byte_ms());
+            .set_state(ConnectionState::Active, self.receive_half.last_byte_ms());
         let frontend = self.frontend;
         let pages = &frontend.pages;
         let is_statements_path = |path: &str| pages.classifier.is_path(path);
         let (status, body) = match Route::of(head.method, head.path, is_statements_path) {
-            Route::Query => match self.admit(head) {
-                Ok(query) => return Ok(Handled::Query(query)),
-                Err(error) => return Ok(Handled::Refused(error)),
-            },
-            Route::Unknown => return Ok(Handled::Refused(RequestError::Unknown)),
+            Route::Query => return self.admit(head, buffer),
+            Route::Unknown => return Handled::Refused(RequestError::Unknown),
+            Route::Levels { after } => {
+                let after = after.map(str::to_owned);
+                return Handled::LevelsPage { after };
+            }
             Route::Health if frontend.phase.get().is_healthy() => (Status::Ok, "{}".to_owned()),
             Route::Health => (Status::ServiceUnavailable, "{}".to_owned()),
             Route::Counters => (Status::Ok, pages.counters()),
-            Route::Levels { after } => (Status::Ok, pages.levels(after, &frontend.phase).await),
             Route::Zones => (Status::Ok, pages.zones()),
             Route::MethodNotAllowed => (Status::MethodNotAllowed, "{}".to_owned()),
         };
-        let permit = self.answer_permit()?;
-        let writer = self.writer();
-        writer.json(permit, status, &body, head.keep_alive).await?;
-        Ok(Handled::Answered)
+        Handled::Page { status, body }
     }
 
     /// Admits the query of a complete request.
-    fn admit(&self, head: &Head<'_>) -> Result<AdmittedQuery, RequestError> {
+    fn admit(&self, head: &Head<'_>, buffer: &ReadBuffer) -> Handled {
+        self.receive_half.set_request_len(head.request_len());
+        match self.try_admit(head, buffer) {
+            Ok(query) => Handled::Query(query),
+            Err(not_admitted) => not_admitted,
+        }
+    }
+
+    /// Parses the query of a complete request, and passes it to the registry.
+    ///
+    /// # Errors
+    /// The query is not admitted; the error says how the request is handled.
+    fn try_admit(&self, head: &Head<'_>, buffer: &ReadBuffer) -> Result<AdmittedQuery, Handled> {
         let frontend = self.frontend;
-        let buffer = self.inbound.buffer();
         let body = &buffer.bytes()[head.head_len..head.request_len()];
         // Arrival of this request's last byte: bytes of the next request may have arrived since.
         let received_ms = buffer.arrived_ms(head.request_len());
-        let received_ms = received_ms.unwrap_or(self.inbound.last_byte_ms());
-        let parsed = ParsedRequest::parse(&frontend.limits, head, body, received_ms)?;
+        let received_ms = received_ms.unwrap_or(self.receive_half.last_byte_ms());
+        let parsed = ParsedRequest::parse(&frontend.limits, head, body, received_ms);
+        let parsed = parsed.map_err(Handled::Refused)?;
         let analysis = parsed.classify(&frontend.pages.classifier);
-        let query = parsed.into_query(&frontend.limits, analysis.as_ref())?;
-        Ok(frontend.registry.admit(&query)?)
+        let query = parsed.into_query(&frontend.limits, analysis.as_ref());
+        let query = query.map_err(Handled::Refused)?;
+        let client = self.receive_half.client();
+        let admitted = frontend.registry.admit(&query, client);
+        admitted.map_err(Handled::not_admitted)
     }
 
     /// Completes a request: waits for the answer of a query and writes it, and prepares for the next request if the
     /// connection stays open.
-    async fn finish(
-        &mut self,
-        handled: Handled,
-        request_len: usize,
-        mut keep_alive: bool,
-    ) -> io::Result<ControlFlow<ConnectionEnd>> {
+    async fn finish(&mut self, request: HandledRequest) -> io::Result<ControlFlow<ConnectionEnd>> {
+        let HandledRequest {
+            handled,
+            request_len,
+            mut keep_alive,
+        } = request;
         match handled {
+            Handled::Refused(error) => return self.refuse(error).await,
+            Handled::ClientDisconnected => return Ok(self.end_disconnected()),
             Handled::Query(query) => {
-                self.inbound.consume(request_len);
+                self.receive_half.consume(request_len);
                 let Some(answer) = self.wait_for_answer(&query).await else {
-                    self.ledger.borrow_mut().on_client_disconnected();
-                    return Ok(ControlFlow::Break(ConnectionEnd::Disconnected));
+                    return Ok(self.end_disconnected());
                 };
-                let is_closing = self.frontend.phase.get().is_closing();
-                let is_last = is_closing && self.inbound.buffer().is_empty();
-                keep_alive &= !is_last;
+                keep_alive &= !self.is_last_answer();
                 let permit = self.answer_permit()?;
                 self.writer().answer(permit, answer, keep_alive).await?;
             }
-            Handled::Answered => self.inbound.consume(request_len),
-            Handled::Refused(error) => return self.refuse(error).await,
+            Handled::ClientUnknown => {
+                self.receive_half.consume(request_len);
+                keep_alive &= !self.is_last_answer();
+                self.reject_unread(keep_alive).await?;
+            }
+            Handled::Page { status, body } => {
+                self.receive_half.consume(request_len);
+                let permit = self.answer_permit()?;
+                self.writer()
+                    .json(permit, status, &body, keep_alive)
+                    .await?;
+            }
+            Handled::LevelsPage { after } => {
+                self.receive_half.consume(request_len);
+                let frontend = self.frontend;
+                let pages = &frontend.pages;
+                let body = pages.levels(after.as_deref(), &frontend.phase).await;
+                let permit = self.answer_permit()?;
+                self.writer()
+                    .json(permit, Status::Ok, &body, keep_alive)
+                    .await?;
+            }
         }
         if !keep_alive {
             return Ok(ControlFlow::Break(ConnectionEnd::HalfClose(
@@ -235,8 +337,36 @@
         Ok(ControlFlow::Continue(()))
     }
 
+    /// Ends the connection of a client that has disconnected.
+    fn end_disconnected(&self) -> ControlFlow<ConnectionEnd> {
+        self.ledger.borrow_mut().on_client_disconnected();
+        ControlFlow::Break(ConnectionEnd::Disconnected)
+    }
+
+    /// Whether the connection closes after the answer that is about to be written, because the program is shutting down
+    /// and no further request has begun to arrive.
+    fn is_last_answer(&self) -> bool {
+        self.frontend.phase.get().is_closing() && self.receive_half.buffer().is_empty()
+    }
+
+    /// Rejects a query that was not admitted because its client's presence is unknown. The client may retry. The requests
+    /// behind it are handled next.
+    async fn reject_unread(&self, keep_alive: bool) -> io::Result<()> {
+        let counters = &self.frontend.registry.counters;
+        counters.rejected_behind_unread.increment();
+        tracing::debug!(
+            connection = self.entry.number(),
+            "query rejected: the client may have closed the connection behind unread bytes"
+        );
+        let retry_after_ms = self.frontend.limits.retry_after_ms;
+        let permit = self.answer_permit()?;
+        self.writer()
+            .error(permit, RequestError::Overloaded, retry_after_ms, keep_alive)
+            .await
+    }
+
     /// Waits for the answer of a query. Returns `None` if the client disconnects first.
-    async fn wait_for_answer(&mut self, query: &AdmittedQuery) -> Option<Answer> {
+    async fn wait_for_answer(&self, query: &AdmittedQuery) -> Option<Answer> {
         let answered = async { Some(query.slot.answered().await) };
         let client_disconnected = async {
             self.inbound.wait_for_disconnect().await;
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -93,6 +93,8 @@
     client_disconnects: "vanished",
     /// Requests rejected before they were admitted as queries.
     requests_rejected: "requests_rejected",
+    /// Queries rejected before they were admitted, because their clients may have disconnected behind unread bytes.
+    rejected_behind_unread: "requests_rejected_unread",
     /// Answers that could not be written to their clients.
     answer_write_failures: "answers_not_written",
     /// Connections accepted from clients.
--- a/crates/dispatcher/src/engine/abandon.rs
+++ b/crates/dispatcher/src/engine/abandon.rs
@@ -10,10 +10,10 @@
 
 /// Returns the outcome of an attempt that was abandoned as `outcome` and provably never ran. It counts against
 /// the engine only if no connection came up in time, or if the engine did not read from a connection that was
-/// up.
+/// up. [`Outcome::NotSent`] stays: the query may not be sent any more.
 fn unsent_outcome(outcome: Outcome, is_connection_up: bool) -> Outcome {
     match outcome {
-        Outcome::NoConnection => Outcome::NoConnection,
+        Outcome::NoConnection | Outcome::NotSent => outcome,
         Outcome::Timeout if is_connection_up => Outcome::NoConnection,
         _ => Outcome::Withdrawn,
     }
--- a/crates/dispatcher/src/engine/begin.rs
+++ b/crates/dispatcher/src/engine/begin.rs
@@ -6,7 +6,6 @@
 use crate::clock::Clock;
 use crate::query_registry::{AttemptBegin, AttemptKey, QueryRegistry};
 use std::rc::Rc;
-use tansymux::events::Outcome;
 
 /// Obtains the guard's permit for each request before it is written.
 pub(super) struct RequestGate {
@@ -61,7 +60,7 @@
                 Err(refusal) => {
                     drop(connection);
                     self.registry.on_begin_refused(&key, refusal);
-                    self.abandoner.abandon(channel, &id, Outcome::Withdrawn);
+                    self.abandoner.abandon(channel, &id, refusal.outcome());
                 }
             }
         }
--- a/crates/dispatcher/src/engine/tests.rs
+++ b/crates/dispatcher/src/engine/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::client_presence::TestClient;
 use crate::clock::Clock;
 use crate::query_registry::{
     AdmittedQuery, AnswerSlot, EndpointEntry, Event, QueryRegistry, QueryRequest, RequestKeys,
@@ -61,11 +62,12 @@
     let executor = Rc::new(LocalExecutor::new());
     let pool = EnginePool::new(registry.clone(), Clock::start(), executor, settings);
     pool.upsert_endpoint(&engine(EndpointState::Ready, None, 9));
+    let client = TestClient::connected();
     let request = request();
     let AdmittedQuery {
         query_id: query,
         slot,
-    } = registry.admit(&request).unwrap();
+    } = registry.admit(&request, client.handle()).unwrap();
     registry.submit(query, 7, limits);
     pool.execute_commands();
     (registry, pool, query, slot)
@@ -134,6 +136,7 @@
     for state in [EndpointState::Draining, EndpointState::Gone] {
         let (registry, pool, ..) = queued_attempt(NO_TIME_LIMITS);
         let connection_count = pool.connection_count();
+        let client = TestClient::connected();
         let request = QueryRequest {
             id: "00000000000000bb",
             ..request()
@@ -141,7 +144,7 @@
         let AdmittedQuery {
             query_id: query,
             slot: _slot,
-        } = registry.admit(&request).unwrap();
+        } = registry.admit(&request, client.handle()).unwrap();
         registry.submit(query, 7, NO_TIME_LIMITS);
         pool.upsert_endpoint(&engine(state, None, 9));
         while registry.next_event().is_some() {}
--- a/crates/dispatcher/src/guard/mod.rs
+++ b/crates/dispatcher/src/guard/mod.rs
@@ -21,6 +21,7 @@
 pub use rules::GuardRules;
 pub use violation::{Rule, Violation, RULES};
 
+use crate::client_presence::ClientPresence;
 use rate_window::RateWindow;
 use std::cell::RefCell;
 use tansymux::events::EndpointState;
@@ -52,6 +53,8 @@
     pub attempt_in_flight: Option<usize>,
     /// Whether an earlier attempt of the query was written to this attempt's connection.
     pub is_connection_used: bool,
+    /// Whether the query's client is connected.
+    pub client: ClientPresence,
     /// The query's resource group.
     pub resource_group: &'a str,
 }
@@ -132,6 +135,11 @@
         if query.is_connection_used {
             return Err(BeginRefusal::ConnectionUsed);
         }
+        match query.client {
+            ClientPresence::Connected => {}
+            ClientPresence::Unknown => return Err(BeginRefusal::ClientUnknown),
+            ClientPresence::Disconnected => return Err(BeginRefusal::ClientDisconnected),
+        }
         if now_ms >= facts.deadline_ms {
             return Err(BeginRefusal::DeadlinePassed);
         }
--- a/crates/dispatcher/src/guard/refusal.rs
+++ b/crates/dispatcher/src/guard/refusal.rs
@@ -1,6 +1,7 @@
 //! Why the guard refuses to let an attempt begin.
 
 use super::violation::Rule;
+use tansymux::events::Outcome;
 
 /// Why the guard refused to let an attempt begin. The text is the name in counters and logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -15,6 +16,12 @@
     /// to this attempt.
     #[error("connection_used")]
     ConnectionUsed,
+    /// The query's client has disconnected.
+    #[error("client_disconnected")]
+    ClientDisconnected,
+    /// The query's client may have disconnected behind bytes that are not read.
+    #[error("client_unknown")]
+    ClientUnknown,
     /// The attempt's deadline has passed.
     #[error("deadline_passed")]
     DeadlinePassed,
@@ -38,10 +45,12 @@
 
 impl BeginRefusal {
     /// All reasons.
-    pub const ALL: [BeginRefusal; 9] = [
+    pub const ALL: [BeginRefusal; 11] = [
         BeginRefusal::QueryOver,
         BeginRefusal::NotCurrentAttempt,
         BeginRefusal::ConnectionUsed,
+        BeginRefusal::ClientDisconnected,
+        BeginRefusal::ClientUnknown,
         BeginRefusal::DeadlinePassed,
         BeginRefusal::TooLateToBegin,
         BeginRefusal::EngineClosed,
@@ -55,6 +64,8 @@
     pub fn violated_rule(self) -> Option<Rule> {
         match self {
             BeginRefusal::QueryOver
+            | BeginRefusal::ClientDisconnected
+            | BeginRefusal::ClientUnknown
             | BeginRefusal::DeadlinePassed
             | BeginRefusal::TooLateToBegin => None,
             BeginRefusal::NotCurrentAttempt | BeginRefusal::ConnectionUsed => {
@@ -65,4 +76,13 @@
             BeginRefusal::RetryBudgetUsed => Some(Rule::RetryBudget),
         }
     }
+
+    /// Returns the outcome of an attempt that was refused for this reason. After [`Outcome::NotSent`] the admission
+    /// controller ends the query; after [`Outcome::Withdrawn`] it may submit another attempt.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            BeginRefusal::ClientUnknown => Outcome::NotSent,
+            _ => Outcome::Withdrawn,
+        }
+    }
 }
--- a/crates/dispatcher/src/guard/tests.rs
+++ b/crates/dispatcher/src/guard/tests.rs
@@ -15,6 +15,7 @@
         is_over: false,
         attempt_in_flight: Some(0),
         is_connection_used: false,
+        client: ClientPresence::Connected,
         resource_group: "look",
     }
 }
@@ -91,6 +92,26 @@
     }
 }
 
+/// Guards against an attempt that begins after its client has gone.
+#[test]
+fn an_attempt_is_refused_unless_its_client_is_known_to_be_connected() {
+    for (client, refusal) in [
+        (
+            ClientPresence::Disconnected,
+            BeginRefusal::ClientDisconnected,
+        ),
+        (ClientPresence::Unknown, BeginRefusal::ClientUnknown),
+    ] {
+        let query = QueryFacts { client, ..query() };
+        let facts = AttemptFacts {
+            query: Some(query),
+            ..facts()
+        };
+        let refused = Guard::default().may_begin(&facts, 0.0);
+        assert_eq!(refused.err(), Some(refusal));
+    }
+}
+
 #[test]
 fn retries_beyond_the_budget_and_its_tolerance_are_refused_until_the_window_has_passed() {
     let retry_budget = Some(RetryBudgetRule {
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -11,6 +11,7 @@
 mod classify;
 mod cli;
 mod client;
+mod client_presence;
 mod clock;
 mod close_reason;
 mod config;
--- a/crates/dispatcher/src/net.rs
+++ b/crates/dispatcher/src/net.rs
@@ -128,21 +128,40 @@
     }
 }
 
-/// Whether the other end has closed or reset the connection. The check reads no bytes. It does not detect a close while
-/// bytes that were sent before it do not fit into the system's receive buffer.
-pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
+/// What the system has received on a connection and not yet passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// No unread bytes, and no end of the stream.
+    Idle,
+    /// Unread bytes. If they fill the system's receive buffer, the end of the stream may be behind them.
+    Readable,
+    /// The other end has closed or reset the connection. Bytes before the close may be unread.
+    Closed,
+}
+
+/// Checks what the system has received on a connection. The check reads no bytes.
+///
+/// # Errors
+/// The errors of poll(2), except interruptions.
+pub fn poll_readiness(stream: &TcpStream) -> io::Result<Readiness> {
     let mut poll_entry = libc::pollfd {
         fd: stream.as_raw_fd(),
-        events: libc::POLLRDHUP,
+        events: libc::POLLIN | libc::POLLRDHUP,
         revents: 0,
     };
     // SAFETY: `poll_entry` is one valid entry.
-    let ready = retry_interrupted(|| match unsafe { libc::poll(&mut poll_entry, 1, 0) } {
+    retry_interrupted(|| match unsafe { libc::poll(&mut poll_entry, 1, 0) } {
         -1 => Err(io::Error::last_os_error()),
         ready => Ok(ready),
-    });
+    })?;
     let hang_up_events = libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR;
-    ready.is_ok_and(|ready| ready > 0) && poll_entry.revents & hang_up_events != 0
+    if poll_entry.revents & hang_up_events != 0 {
+        return Ok(Readiness::Closed);
+    }
+    if poll_entry.revents & libc::POLLIN != 0 {
+        return Ok(Readiness::Readable);
+    }
+    Ok(Readiness::Idle)
 }
 
 /// Writes as much of `slices` as the socket accepts, and returns the number of bytes.
--- a/crates/dispatcher/src/query_registry/guarding.rs
+++ b/crates/dispatcher/src/query_registry/guarding.rs
@@ -59,6 +59,7 @@
                 is_over: query.is_over(),
                 attempt_in_flight: query.attempt_number_in_flight(),
                 is_connection_used: query.used_connections.contains(&begin.connection),
+                client: query.client.presence(),
                 resource_group: &query.resource_group,
             }))
         };
@@ -76,8 +77,8 @@
         self.trace_attempt(key, TraceEvent::Begun { connection });
     }
 
-    /// Records that the guard refused an attempt: counts it by reason, and reports a violation if the rest of the
-    /// program should not have requested it.
+    /// Records that the guard refused an attempt: counts it by reason, ends the query of a client that has disconnected,
+    /// and reports a violation if the rest of the program should not have requested the attempt.
     pub fn on_begin_refused(&self, key: &AttemptKey, refusal: BeginRefusal) {
         self.counters.count_begin_refusal(refusal);
         self.trace_attempt(key, TraceEvent::NotBegun(refusal));
@@ -88,6 +89,9 @@
             reason = %refusal,
             "attempt not begun"
         );
+        if refusal == BeginRefusal::ClientDisconnected {
+            self.client_disconnected(key.query_id);
+        }
         if let Some(rule) = refusal.violated_rule() {
             let violation = Violation {
                 rule,
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -19,6 +19,7 @@
 pub use query_table::AdmissionError;
 
 use crate::attempt_end::EndCause;
+use crate::client_presence::ClientHandle;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::guard::Guard;
@@ -64,10 +65,14 @@
     /// Admits a query.
     ///
     /// # Errors
-    /// A query with the same id is in flight or was submitted to an engine before, or the registry is full. The
-    /// registry is then unchanged.
-    pub fn admit(&self, request: &QueryRequest) -> Result<AdmittedQuery, AdmissionError> {
-        let admitted = self.queries.insert(request)?;
+    /// The client is not known to be connected, a query with the same id is in flight or was submitted to an engine
+    /// before, or the registry is full. The registry is then unchanged.
+    pub fn admit(
+        &self,
+        request: &QueryRequest,
+        client: ClientHandle,
+    ) -> Result<AdmittedQuery, AdmissionError> {
+        let admitted = self.queries.insert(request, client)?;
         let query_id = admitted.query_id;
         self.counters.admitted.increment();
         self.guard.on_query_admitted(request.received_ms);
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -1,6 +1,7 @@
 //! A query in the registry: its request, the state of its attempts, and the slot for its answer.
 
 use crate::attempt_end::EndCause;
+use crate::client_presence::ClientHandle;
 use crate::ids::ConnectionId;
 use crate::notify::Notify;
 use crate::statement_shape::StatementShape;
@@ -123,6 +124,8 @@
     pub id: Rc<str>,
     /// Name of its resource group.
     pub resource_group: Rc<str>,
+    /// The connection of its client.
+    pub client: ClientHandle,
     /// Its SQL text.
     pub statement: Rc<[u8]>,
     /// Its idempotency key, if the client sent one.
@@ -156,9 +159,15 @@
 }
 
 impl Query {
-    pub(super) fn new(request: &QueryRequest, id: Rc<str>, slot: Rc<AnswerSlot>) -> Self {
+    pub(super) fn new(
+        request: &QueryRequest,
+        id: Rc<str>,
+        client: ClientHandle,
+        slot: Rc<AnswerSlot>,
+    ) -> Self {
         Query {
             id,
+            client,
             resource_group: request.resource_group.into(),
             statement: request.statement.into(),
             idempotency_key: request.keys.idempotency_key.map(Rc::from),
--- a/crates/dispatcher/src/query_registry/query_table.rs
+++ b/crates/dispatcher/src/query_registry/query_table.rs
@@ -2,6 +2,7 @@
 
 use super::completed_ids::CompletedIds;
 use super::query::{AdmittedQuery, AnswerSlot, Query, QueryRequest};
+use crate::client_presence::{ClientHandle, ClientPresence};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -10,7 +11,7 @@
 const MAX_QUERIES: usize = 4096;
 
 /// Why a query was not admitted.
-#[derive(Debug, PartialEq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum AdmissionError {
     /// A query with the same id is in flight.
     #[error("a query with this id is in flight")]
@@ -18,6 +19,12 @@
     /// A query with the same id was submitted to an engine before, and may have had its effect.
     #[error("a query with this id was submitted before")]
     AlreadySubmitted,
+    /// The client has disconnected.
+    #[error("the client has disconnected")]
+    ClientDisconnected,
+    /// The client may have disconnected behind bytes that are not read.
+    #[error("the client may have disconnected behind unread bytes")]
+    ClientUnknown,
     /// Too many queries, or too many bytes of statements, are in flight.
     #[error("too many queries or bytes of statements in flight")]
     Overloaded,
@@ -54,9 +61,18 @@
     /// Adds a query.
     ///
     /// # Errors
-    /// A query with the same id is in flight or was submitted to an engine before, or the table is full. The table is
-    /// then unchanged.
-    pub fn insert(&self, request: &QueryRequest) -> Result<AdmittedQuery, AdmissionError> {
+    /// The client is not known to be connected, a query with the same id is in flight or was submitted to an engine
+    /// before, or the table is full. The table is then unchanged.
+    pub fn insert(
+        &self,
+        request: &QueryRequest,
+        client: ClientHandle,
+    ) -> Result<AdmittedQuery, AdmissionError> {
+        match client.presence() {
+            ClientPresence::Connected => {}
+            ClientPresence::Unknown => return Err(AdmissionError::ClientUnknown),
+            ClientPresence::Disconnected => return Err(AdmissionError::ClientDisconnected),
+        }
         if self.query_by_client_id.borrow().contains_key(request.id) {
             return Err(AdmissionError::InFlight);
         }
@@ -72,7 +88,7 @@
         self.last_query_id.set(query_id);
         let id: Rc<str> = request.id.into();
         let slot = Rc::new(AnswerSlot::default());
-        let mut query = Query::new(request, id.clone(), slot.clone());
+        let mut query = Query::new(request, id.clone(), client, slot.clone());
         query.deadline_ms = query.deadline_ms.min(self.latest_deadline_ms.get());
         self.queries.borrow_mut().insert(query_id, query);
         self.query_by_client_id.borrow_mut().insert(id, query_id);
--- a/crates/dispatcher/tests/life_cycle/main.rs
+++ b/crates/dispatcher/tests/life_cycle/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod clients;
+mod departed_clients;
 mod engines;
 mod process;
 mod support;
