--- a/crates/dispatcher/tests/statements.rs
+++ b/crates/dispatcher/tests/statements.rs
@@ -153,6 +153,31 @@
     assert_eq!(send_and_count_attempts(&program, &named(5)), (500, 1));
 }
 
+/// Guards against a write that is sent twice, because it stands behind text that its engine reads in another way than
+/// the program.
+#[test]
+fn write_behind_text_that_engines_read_differently_is_sent_once() {
+    let (address, requests) =
+        start_scripted_engine(|_, to| drop(to.shutdown(std::net::Shutdown::Both)));
+    let (program, _operator) = start(&[address], CLASSIFY_ALL);
+    let write = "INSERT INTO rates_17.surcharge VALUES (7, 1)";
+    let statements = [
+        format!("/* from /data/*/ SELECT price FROM rates_17.lane -- old */ */ {write}"),
+        format!("SELECT 1 /*/ ; {write} -- */"),
+        format!("SELECT 1 /* a */* */ {write} -- */"),
+        format!("SELECT 1 /*T! ; {write} */"),
+        format!("SELECT 1 -- a\u{2028}; {write}"),
+        format!("SELECT 1 AS [x'], 2; {write} --']"),
+        format!("SELECT q'x' || y, x'; {write} --'"),
+        format!("SELECT '''a\"''', \"; {write} --\""),
+    ];
+    for (id, statement) in (1..).zip(&statements) {
+        let status = status(post(program.listen, &unclassified_query(id, statement)));
+        let fetches = requests.try_iter().filter(|(parts, _)| parts[0] == "fetch");
+        assert_eq!((status, fetches.count()), (500, 1), "{statement}");
+    }
+}
+
 #[test]
 fn reloaded_rules_apply_to_new_queries_and_not_to_queries_in_flight() {
     let (address, requests) = start_scripted_engine(|parts, to| {
--- a/crates/sql-analysis/src/lexer/scanner.rs
+++ b/crates/sql-analysis/src/lexer/scanner.rs
@@ -10,6 +10,20 @@
 const MAX_UNPARSED_SHAPE_BYTES: usize = MAX_BYTES / 4;
 /// The form feed character, which counts as white space.
 const FORM_FEED: u8 = 12;
+/// The delimiters of a block comment.
+const COMMENT_START: &[u8; 2] = b"/*";
+const COMMENT_END: &[u8; 2] = b"*/";
+/// Characters other than a newline and a carriage return that end a line in some engines: vertical tab, form feed, and
+/// in UTF-8 next line, line separator and paragraph separator.
+const LINE_SEPARATORS: [&[u8]; 5] = [
+    b"\x0b",
+    b"\x0c",
+    b"\xc2\x85",
+    b"\xe2\x80\xa8",
+    b"\xe2\x80\xa9",
+];
+/// Words directly before a quoted literal that do not change where it ends.
+const LITERAL_PREFIXES: [&str; 4] = ["date", "time", "timestamp", "interval"];
 
 /// A scan of one statement.
 pub(super) struct Scanner<'a> {
@@ -17,6 +31,8 @@
     offset: usize,
     shape: &'a mut ShapeBuilder,
     unproven: Option<Unproven>,
+    /// Offset of the first closing bracket behind the last opening one; the length of the text if there is none.
+    bracket_end: usize,
 }
 
 impl<'a> Scanner<'a> {
@@ -27,6 +43,7 @@
             offset: 0,
             shape,
             unproven: None,
+            bracket_end: 0,
         }
     }
 
@@ -47,7 +64,9 @@
     /// Scans the statement, and returns the reason why it cannot be proven read-only, if there is one.
     pub fn scan(mut self) -> Option<Unproven> {
         while let Some(&first) = self.bytes.get(self.offset) {
+            let start = self.offset;
             self.scan_token(first);
+            self.check_brackets(first, start);
             let has_too_many_tokens = self.shape.tokens.len() > MAX_TOKENS;
             if has_too_many_tokens
                 || self.shape.operator_count > MAX_OPERATORS
@@ -106,6 +125,25 @@
         self.shape.push_punctuation(character);
     }
 
+    /// Checks the token `start..offset`, which begins with `first`, against engines that quote names in brackets. They
+    /// read the same statement only if no token reaches over the bracket that ends such a name.
+    fn check_brackets(&mut self, first: u8, start: usize) {
+        let is_split = start < self.bracket_end && self.bracket_end < self.offset;
+        if is_split {
+            self.set_unproven(Unproven::Bracket);
+        }
+        if first != b'[' || start < self.bracket_end {
+            return;
+        }
+        let closing = self.unread().iter().position(|byte| *byte == b']');
+        self.bracket_end = closing.map_or(self.bytes.len(), |length| self.offset + length);
+        // A doubled closing bracket does not end a quoted name.
+        let is_doubled = self.bytes.get(self.bracket_end + 1) == Some(&b']');
+        if closing.is_none() || is_doubled {
+            self.set_unproven(Unproven::Bracket);
+        }
+    }
+
     fn skip_line_comment(&mut self) {
         let after_dashes = self.peek(2);
         if !(after_dashes == 0 || after_dashes.is_ascii_whitespace()) {
@@ -119,23 +157,32 @@
         if content.contains(&b'\r') {
             self.set_unproven(Unproven::BareLineEnd);
         }
+        if has_line_separator(content) {
+            self.set_unproven(Unproven::LineSeparator);
+        }
         self.offset += comment.len();
     }
 
+    /// Skips a block comment. All engines end it at the same place only if its two delimiters are the only ones in it,
+    /// also counting those that share a byte with another delimiter or with the byte after the comment.
     fn skip_block_comment(&mut self) {
-        let content = &self.bytes[self.offset + 2..];
-        if content.starts_with(b"!") || content.starts_with(b"M!") {
+        let comment = self.unread();
+        let content = &comment[COMMENT_START.len()..];
+        if is_executable(content) {
             self.set_unproven(Unproven::ExecutableComment);
         }
-        let Some(length) = content.windows(2).position(|pair| pair == b"*/") else {
+        let Some(content_length) = content.windows(2).position(|pair| pair == COMMENT_END) else {
             self.set_unproven(Unproven::Unterminated);
             self.offset = self.bytes.len();
             return;
         };
-        if content[..length].windows(2).any(|pair| pair == b"/*") {
+        let length = COMMENT_START.len() + content_length + COMMENT_END.len();
+        let with_next_byte = &comment[..comment.len().min(length + 1)];
+        let is_delimiter = |pair: &&[u8]| *pair == COMMENT_START || *pair == COMMENT_END;
+        if with_next_byte.windows(2).filter(is_delimiter).count() > 2 {
             self.set_unproven(Unproven::NestedComment);
         }
-        self.offset += 2 + length + 2;
+        self.offset += length;
     }
 
     /// Skips a quoted text that begins at the current byte, and returns its content. A doubled quote does not end the
@@ -144,6 +191,9 @@
         let start = self.offset + 1;
         let mut end = start;
         let mut has_escaped_quote = false;
+        if self.peek(1) == quote && self.peek(2) == quote {
+            self.set_unproven(Unproven::TripleQuote);
+        }
         loop {
             match self.bytes.get(end) {
                 None => {
@@ -309,6 +359,10 @@
                 if prefix.starts_with(b"_") {
                     self.set_unproven(Unproven::UnicodeEscape);
                 }
+                let is_prefix = |known: &&str| prefix.eq_ignore_ascii_case(known.as_bytes());
+                if !LITERAL_PREFIXES.iter().any(is_prefix) {
+                    self.set_unproven(Unproven::LiteralPrefix);
+                }
                 false
             }
         }
@@ -384,3 +438,19 @@
     let tag = &bytes[..length + 2];
     tag.ends_with(b"$").then_some(tag)
 }
+
+/// Whether a block comment with this content is executed by MySQL (`!`), MariaDB (`M!`) or TiDB (`T!`). Any other
+/// letters count like theirs.
+fn is_executable(content: &[u8]) -> bool {
+    let mut without_letters = content.iter().skip_while(|byte| byte.is_ascii_alphabetic());
+    without_letters.next() == Some(&b'!')
+}
+
+/// Whether a line comment has a character that ends it in some engines.
+fn has_line_separator(content: &[u8]) -> bool {
+    LINE_SEPARATORS.iter().any(|separator| {
+        content
+            .windows(separator.len())
+            .any(|bytes| bytes == *separator)
+    })
+}
--- a/crates/sql-analysis/src/lexer/unproven.rs
+++ b/crates/sql-analysis/src/lexer/unproven.rs
@@ -16,15 +16,28 @@
     /// A string, quoted name or comment is not terminated.
     #[error("a string, name or comment is not terminated")]
     Unterminated,
-    /// `/*!` and `/*M!` are executed by MySQL and MariaDB.
+    /// `/*!`, `/*M!` and `/*T!` are executed by MySQL, MariaDB and TiDB.
     #[error("a comment may be executed")]
     ExecutableComment,
-    /// Engines disagree on where a nested comment ends.
+    /// Engines disagree on where a comment ends that holds a further delimiter, also one that shares a byte with the
+    /// comment's own, as in `/*/`.
     #[error("a comment contains the start of a nested comment")]
     NestedComment,
     /// Some engines end a line comment at a lone carriage return.
     #[error("a line comment contains a lone carriage return")]
     BareLineEnd,
+    /// Some engines end a line comment at a vertical tab, a form feed or a Unicode line separator.
+    #[error("a line comment contains a character that may end the line")]
+    LineSeparator,
+    /// Some engines quote names in brackets, in which quotes and comments do not begin.
+    #[error("a quoted text or comment reaches over a closing bracket")]
+    Bracket,
+    /// Some engines end a text that begins with three quotes only at three quotes.
+    #[error("a quoted text begins with three quotes")]
+    TripleQuote,
+    /// `q'...'` and its like select other rules for the end of the text in some engines.
+    #[error("a word directly before a quoted text may change where it ends")]
+    LiteralPrefix,
     /// `--x` is a comment or two minus signs, depending on the engine.
     #[error("two dashes without a following space may be a comment or two minus signs")]
     Dashes,
--- a/crates/sql-analysis/tests/hard_cases/main.rs
+++ b/crates/sql-analysis/tests/hard_cases/main.rs
@@ -1,6 +1,7 @@
 //! Hard cases: statements that must never be proven read-only, bounds on time and stack, floods of new shapes.
 
 mod bounds;
+mod comments;
 mod costs_and_rules;
 mod effects;
 mod shapes;
--- a/crates/testbed/src/corpus/mutation.rs
+++ b/crates/testbed/src/corpus/mutation.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg64;
 
 /// Fragments that begin, end or hide a modifying statement in at least one SQL dialect.
-const FRAGMENTS: [&[u8]; 30] = [
+const FRAGMENTS: [&[u8]; 38] = [
     b"'",
     b"\"",
     b"`",
@@ -15,6 +15,14 @@
     b"/*",
     b"*/",
     b"/*!",
+    b"/*T!",
+    b"/*/",
+    b"*/*",
+    b"[",
+    b"]",
+    b"q'",
+    b"'''",
+    b"\x0b",
     b"#",
     b"\\",
     b"\\'",
--- a/crates/testbed/src/corpus/oracle.rs
+++ b/crates/testbed/src/corpus/oracle.rs
@@ -54,12 +54,16 @@
 const FUNCTIONS_WITH_EFFECTS: [&[u8]; 4] =
     [b"nextval", b"setval", b"pg_advisory_lock", b"set_config"];
 
+/// Characters that end a line in some engines.
+const VERTICAL_TAB: u8 = 11;
+const FORM_FEED: u8 = 12;
+
 /// Number of rules in [`Dialect`]. Each rule is on or off.
-const DIALECT_RULE_COUNT: u32 = 6;
+const DIALECT_RULE_COUNT: u32 = 9;
 
 /// Returns whether a text may modify state under at least one combination of dialect rules.
 pub fn may_change(text: &[u8]) -> bool {
-    (0..1_u8 << DIALECT_RULE_COUNT)
+    (0..1_u16 << DIALECT_RULE_COUNT)
         .any(|rules| Scanner::new(text, Dialect::from_bits(rules)).finds_change())
 }
 
@@ -76,13 +80,19 @@
     dashes_need_blank: bool,
     /// `$tag$` quotes strings.
     dollar_quotes: bool,
-    /// The content of `/*! ... */` is executed, and a carriage return ends a `--` comment.
+    /// The content of `/*! ... */` is executed, and a carriage return, vertical tab or form feed ends a `--` comment.
     executable_comments: bool,
+    /// The end of a block comment may share its asterisk with the start, as in `/*/`.
+    overlapping_comment_delimiters: bool,
+    /// Brackets quote names. A doubled closing bracket doesn't end a name.
+    bracket_names: bool,
+    /// `q'x...x'` quotes strings, with any character for the x.
+    alternative_quotes: bool,
 }
 
 impl Dialect {
-    fn from_bits(bits: u8) -> Self {
-        let is_set = |bit: u8| bits >> bit & 1 == 1;
+    fn from_bits(bits: u16) -> Self {
+        let is_set = |bit: u16| bits >> bit & 1 == 1;
         Dialect {
             backslash_escapes: is_set(0),
             nested_comments: is_set(1),
@@ -90,6 +100,9 @@
             dashes_need_blank: is_set(3),
             dollar_quotes: is_set(4),
             executable_comments: is_set(5),
+            overlapping_comment_delimiters: is_set(6),
+            bracket_names: is_set(7),
+            alternative_quotes: is_set(8),
         }
     }
 }
@@ -125,6 +138,8 @@
                 b'-' if self.at_dash_comment() => self.skip_dash_comment(),
                 b'/' if self.peek(1) == b'*' => self.skip_block_comment(),
                 b'$' if self.dialect.dollar_quotes => self.skip_dollar_quoted(),
+                b'[' if self.dialect.bracket_names => self.skip_quoted(b']'),
+                b'q' | b'Q' if self.at_alternative_quote() => self.skip_alternative_quoted(),
                 byte if byte.is_ascii_alphabetic() || byte == b'_' => {
                     if self.skip_identifier_and_check() {
                         return true;
@@ -176,13 +191,15 @@
     }
 
     fn skip_dash_comment(&mut self) {
-        let return_ends_line = self.dialect.executable_comments;
-        self.skip_until(|byte| byte == b'\n' || return_ends_line && byte == b'\r');
+        let separators_end_line = self.dialect.executable_comments;
+        let is_separator = |byte| matches!(byte, b'\r' | VERTICAL_TAB | FORM_FEED);
+        self.skip_until(|byte| byte == b'\n' || separators_end_line && is_separator(byte));
     }
 
     /// Skips a block comment. If it is executable (`/*!`, `/*M!`), skips only its opening and version number.
     fn skip_block_comment(&mut self) {
-        let is_executable = self.peek(2) == b'!' || self.peek(2) == b'M' && self.peek(3) == b'!';
+        let is_executable =
+            self.peek(2) == b'!' || matches!(self.peek(2), b'M' | b'T') && self.peek(3) == b'!';
         if self.dialect.executable_comments && is_executable {
             self.position += 3;
             while self.peek(0).is_ascii_digit() || self.peek(0) == b'!' {
@@ -191,19 +208,51 @@
             return;
         }
         let mut depth = 1;
-        self.position += 2;
+        let start_length = if self.dialect.overlapping_comment_delimiters {
+            1
+        } else {
+            2
+        };
+        self.position += start_length;
         while self.position < self.text.len() && depth > 0 {
             if self.peek(0) == b'*' && self.peek(1) == b'/' {
                 depth -= 1;
                 self.position += 1;
             } else if self.dialect.nested_comments && self.peek(0) == b'/' && self.peek(1) == b'*' {
                 depth += 1;
-                self.position += 1;
+                self.position += start_length - 1;
             }
             self.position += 1;
         }
     }
 
+    fn at_alternative_quote(&self) -> bool {
+        let is_word_start = self.position == 0 || {
+            let before = self.text[self.position - 1];
+            !(before.is_ascii_alphanumeric() || before == b'_')
+        };
+        self.dialect.alternative_quotes && is_word_start && self.peek(1) == b'\''
+    }
+
+    /// Skips a string with an alternative quote, up to the end of the text if it has no end.
+    fn skip_alternative_quoted(&mut self) {
+        let delimiter = match self.peek(2) {
+            b'(' => b')',
+            b'[' => b']',
+            b'{' => b'}',
+            b'<' => b'>',
+            other => other,
+        };
+        self.position = (self.position + 3).min(self.text.len());
+        let content = &self.text[self.position..];
+        let length = content
+            .windows(2)
+            .position(|pair| pair == [delimiter, b'\'']);
+        self.position += length.map_or(content.len(), |length| length + 2);
+        self.at_statement_start = false;
+        self.after_dot = false;
+    }
+
     /// Skips a dollar-quoted string. Skips only the dollar sign if no complete dollar-quoted string starts here.
     fn skip_dollar_quoted(&mut self) {
         let end = self.dollar_quoted_end();
--- a/crates/testbed/src/corpus/tests.rs
+++ b/crates/testbed/src/corpus/tests.rs
@@ -41,6 +41,11 @@
         "select 1 # '\n; delete from t -- '",
         "select $$ ; delete from t $$",
         "select nextval('s')",
+        "select 1 /*/ ; delete from t -- */",
+        "select 1 /*/ x */ ; delete from t",
+        "select [x'] ; delete from t --']",
+        "select q'x' || y, x'; delete from t --'",
+        "select 1 -- x\u{b}; delete from t",
     ] {
         assert!(may_change(text.as_bytes()), "{text}");
     }
