Answers: limit the memory of results that wait for clients that do not read

What callers saw: hundreds of clients that ask for large results and read none of them drive the process over its memory limit.

Cause: statements and read buffers had limits, results had none. Each connection may hold one result, which as JSON takes more than twice its rows.

Change: AnswerMemory counts each result from the moment it becomes an answer until it is written or dropped, at most three tenths of limits.memory_mb. QueryRegistry::complete is the only way to give a result. One that finds no room makes its query fail before anything is passed on. Above half of that memory, connections whose clients have not taken an answer for 0.25 s or more are closed, so that other clients are served.

--- a/crates/dispatcher/src/client/answer_writer.rs
+++ b/crates/dispatcher/src/client/answer_writer.rs
@@ -6,23 +6,29 @@
 use crate::counters::Counters;
 use crate::guard::AnswerPermit;
 use crate::net::write_all_vectored;
-use crate::query_registry::{Answer, Pages};
+use crate::query_registry::{Answer, AnswerMemory};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::io;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time within which a response must be written; otherwise the connection closes. Bounds how long a client that does
 /// not read can hold its connection.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval at which a write that the client does not accept is checked. While memory for results is scarce, the
+/// connection closes at the first check.
+const STALLED_WRITE_CHECK: Duration = Duration::from_millis(250);
+
 /// Writes the responses of one connection.
 pub struct AnswerWriter<'a> {
     /// The connection.
     pub stream: &'a Async<TcpStream>,
     /// The program's counters.
     pub counters: &'a Counters,
+    /// The memory of results that wait to be written.
+    pub answer_memory: &'a AnswerMemory,
 }
 
 impl AnswerWriter<'_> {
@@ -58,7 +64,7 @@
     async fn result(
         &self,
         permit: AnswerPermit,
-        pages: &Pages,
+        pages: &[Vec<u8>],
         keep_alive: bool,
     ) -> io::Result<()> {
         let mut body: Vec<&[u8]> = vec![b"{\"data\":["];
@@ -132,7 +138,7 @@
     /// Writes a response. All responses are written here, and each consumes a permit.
     async fn write(&self, _permit: AnswerPermit, parts: &[&[u8]]) -> io::Result<()> {
         let timeout = async {
-            Timer::after(WRITE_TIMEOUT).await;
+            self.wait_until_stalled().await;
             Err(io::ErrorKind::TimedOut.into())
         };
         let written = future::or(write_all_vectored(self.stream, parts), timeout).await;
@@ -141,4 +147,15 @@
         }
         written
     }
+
+    /// Waits until a write that began now has taken too long.
+    async fn wait_until_stalled(&self) {
+        let deadline = Instant::now() + WRITE_TIMEOUT;
+        while Instant::now() < deadline {
+            Timer::after(STALLED_WRITE_CHECK).await;
+            if self.answer_memory.is_scarce() {
+                return;
+            }
+        }
+    }
 }
--- a/crates/dispatcher/src/client/session.rs
+++ b/crates/dispatcher/src/client/session.rs
@@ -187,6 +187,7 @@
         AnswerWriter {
             stream: self.receive_half.stream(),
             counters: &self.frontend.registry.counters,
+            answer_memory: &self.frontend.registry.answer_memory,
         }
     }
 
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -30,6 +30,7 @@
 use crate::engine::ConnectionSettings;
 use crate::file::read_text;
 use crate::lifecycle::shutdown_grace_ms;
+use crate::query_registry::QueryMemoryLimits;
 use error::Problem;
 use limits::ProcessLimits;
 use node::{ErrorCollector, Node};
@@ -60,8 +61,8 @@
     pub seed: u64,
     /// Limits on what the client side accepts.
     pub admission: AdmissionLimits,
-    /// Maximum bytes of statements in flight.
-    pub max_statement_bytes: usize,
+    /// Limits on the memory of queries.
+    pub query_memory: QueryMemoryLimits,
     /// Maximum number of open descriptors.
     pub max_descriptors: f64,
     /// Maximum memory of the program.
@@ -157,7 +158,7 @@
         listen,
         seed,
         admission,
-        max_statement_bytes: limits.max_statement_bytes(),
+        query_memory: limits.query_memory(),
         max_descriptors: limits.sockets,
         max_memory_bytes: limits.memory_bytes,
         connection_settings,
--- a/crates/dispatcher/src/config/limits.rs
+++ b/crates/dispatcher/src/config/limits.rs
@@ -6,6 +6,7 @@
 use super::node::{ErrorCollector, Node};
 use crate::client::AdmissionLimits;
 use crate::engine::ConnectionSettings;
+use crate::query_registry::QueryMemoryLimits;
 use tansymux::settings::{self, keys as settings_keys, RawSettings, SettingsMap};
 
 /// Minimum of `limits.sockets`.
@@ -37,6 +38,8 @@
 const RESERVED_SOCKETS: f64 = 20.0;
 /// Fraction of the memory limit that statements in flight may use.
 const STATEMENT_MEMORY_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit that results may use while they wait to be written to clients.
+const ANSWER_MEMORY_FRACTION: f64 = 0.3;
 /// Fraction of the memory limit that bytes read ahead from clients may use.
 const READ_AHEAD_MEMORY_FRACTION: f64 = 0.1;
 /// Minimum read-ahead memory (bytes) for each connection from a client: more than a usual request.
@@ -71,9 +74,12 @@
         }
     }
 
-    /// Maximum bytes of statements in flight.
-    pub(super) fn max_statement_bytes(self) -> usize {
-        (self.memory_bytes * STATEMENT_MEMORY_FRACTION) as usize
+    /// Limits on the memory of queries.
+    pub(super) fn query_memory(self) -> QueryMemoryLimits {
+        QueryMemoryLimits {
+            max_statement_bytes: (self.memory_bytes * STATEMENT_MEMORY_FRACTION) as usize,
+            max_answer_bytes: (self.memory_bytes * ANSWER_MEMORY_FRACTION) as usize,
+        }
     }
 
     /// Maximum connections of the client side or the engine side, given its fraction of the descriptors.
--- a/crates/dispatcher/src/config/tests.rs
+++ b/crates/dispatcher/src/config/tests.rs
@@ -47,9 +47,10 @@
     assert_eq!(
         (
             config.admission.max_buffered_bytes,
-            config.max_statement_bytes
+            config.query_memory.max_statement_bytes,
+            config.query_memory.max_answer_bytes
         ),
-        ((32 << 20) / 10, (32 << 20) / 5)
+        ((32 << 20) / 10, (32 << 20) / 5, (32 << 20) / 10 * 3)
     );
     let endpoint = &config.directory.endpoints()[0];
     assert_eq!(
--- a/crates/dispatcher/src/counters.rs
+++ b/crates/dispatcher/src/counters.rs
@@ -95,6 +95,8 @@
     requests_rejected: "requests_rejected",
     /// Queries rejected before they were admitted, because their clients may have disconnected behind unread bytes.
     rejected_behind_unread: "requests_rejected_unread",
+    /// Queries that failed because there was no memory for their results.
+    results_without_memory: "results_without_memory",
     /// Answers that could not be written to their clients.
     answer_write_failures: "answers_not_written",
     /// Connections accepted from clients.
--- a/crates/dispatcher/src/dispatcher/event_feed.rs
+++ b/crates/dispatcher/src/dispatcher/event_feed.rs
@@ -165,7 +165,7 @@
             let levels = &self.subsystems.levels;
             let kind = AnswerKind::Completed;
             record_answer(self.registry, levels, query_id, self.now_ms, kind);
-            self.registry.answer(query_id, Answer::Completed(pages));
+            self.registry.complete(query_id, pages);
         }
         ended.answer_delivered = self.registry.is_over(query_id);
         self.registry.attempt_ended(attempt, cause);
--- a/crates/dispatcher/src/dispatcher/startup.rs
+++ b/crates/dispatcher/src/dispatcher/startup.rs
@@ -131,7 +131,7 @@
     ) -> Self {
         let clock = Clock::start();
         let guard = Guard::new(GuardRules::of(settings));
-        let registry = QueryRegistry::new(config.max_statement_bytes, guard, clock);
+        let registry = QueryRegistry::new(config.query_memory, guard, clock);
         Launcher {
             clock,
             registry: Rc::new(registry),
--- a/crates/dispatcher/src/query_registry/mod.rs
+++ b/crates/dispatcher/src/query_registry/mod.rs
@@ -5,12 +5,14 @@
 //! rules, whatever the controller requests: a query gets exactly one answer, and no attempt begins after the answer.
 //! Start reading at [`QueryRegistry::admit`], [`QueryRegistry::submit`] and [`QueryRegistry::answer`].
 
+mod answer_memory;
 mod completed_ids;
 mod guarding;
 mod messages;
 mod query;
 mod query_table;
 
+pub use answer_memory::AnswerMemory;
 pub use guarding::{AttemptBegin, AttemptKey};
 pub use messages::{ArrivedQuery, EndpointEntry, EngineCommand, Event};
 pub use query::{
@@ -44,19 +46,31 @@
     guard: Guard,
     /// The most recent trace events of queries and attempts.
     pub trace: EventTrace,
+    /// The memory of results that wait to be written.
+    pub answer_memory: Rc<AnswerMemory>,
+}
+
+/// Limits on the memory of queries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueryMemoryLimits {
+    /// Maximum bytes of statements in flight.
+    pub max_statement_bytes: usize,
+    /// Maximum bytes of results that wait to be written.
+    pub max_answer_bytes: usize,
 }
 
 impl QueryRegistry {
-    /// An empty registry that holds at most `max_statement_bytes` of statements in total.
-    pub fn new(max_statement_bytes: usize, guard: Guard, clock: Clock) -> Self {
+    /// An empty registry within `limits`.
+    pub fn new(limits: QueryMemoryLimits, guard: Guard, clock: Clock) -> Self {
         QueryRegistry {
             notify: Rc::default(),
             counters: Counters::default(),
-            queries: QueryTable::new(max_statement_bytes),
+            queries: QueryTable::new(limits.max_statement_bytes),
             events: RefCell::default(),
             commands: RefCell::default(),
             guard,
             trace: EventTrace::new(clock),
+            answer_memory: AnswerMemory::new(limits.max_answer_bytes),
         }
     }
 
@@ -139,6 +153,20 @@
         self.commands.borrow_mut().pop_front()
     }
 
+    /// Gives a query its result as the final answer. If the memory of results has no room for it, the query fails.
+    /// Returns false, and changes nothing, if no answer is owed.
+    pub fn complete(&self, query_id: u64, pages: Pages) -> bool {
+        if self.is_over(query_id) {
+            return false;
+        }
+        let Some(pages) = self.answer_memory.hold(pages) else {
+            self.counters.results_without_memory.increment();
+            tracing::warn!(query_id, "query failed: no memory for its result");
+            return self.answer(query_id, Answer::Failed);
+        };
+        self.answer(query_id, Answer::Completed(pages))
+    }
+
     /// Gives a query its final answer. Returns false, and changes nothing, if no answer is owed.
     pub fn answer(&self, query_id: u64, answer: Answer) -> bool {
         let Some(slot) = self.end_query(query_id) else {
@@ -290,7 +318,11 @@
 #[cfg(test)]
 impl Default for QueryRegistry {
     fn default() -> Self {
-        QueryRegistry::new(1 << 20, Guard::default(), Clock::start())
+        let limits = QueryMemoryLimits {
+            max_statement_bytes: 1 << 20,
+            max_answer_bytes: 1 << 20,
+        };
+        QueryRegistry::new(limits, Guard::default(), Clock::start())
     }
 }
 
--- a/crates/dispatcher/src/query_registry/query.rs
+++ b/crates/dispatcher/src/query_registry/query.rs
@@ -1,5 +1,6 @@
 //! A query in the registry: its request, the state of its attempts, and the slot for its answer.
 
+use super::answer_memory::HeldPages;
 use crate::attempt_end::EndCause;
 use crate::client_presence::ClientHandle;
 use crate::ids::ConnectionId;
@@ -16,7 +17,7 @@
 #[derive(Debug)]
 pub enum Answer {
     /// The query completed.
-    Completed(Pages),
+    Completed(HeldPages),
     /// The query was rejected: it did not run, or can safely run again. The client may retry.
     Rejected {
         /// Time (ms) that the client should wait before it retries.
--- a/crates/dispatcher/src/query_registry/tests.rs
+++ b/crates/dispatcher/src/query_registry/tests.rs
@@ -80,11 +80,11 @@
 
 #[test]
 fn statements_beyond_the_byte_limit_are_rejected_until_others_complete() {
-    let registry = QueryRegistry::new(
-        REQUEST.statement.len() + 1,
-        Guard::default(),
-        Clock::start(),
-    );
+    let limits = QueryMemoryLimits {
+        max_statement_bytes: REQUEST.statement.len() + 1,
+        max_answer_bytes: 0,
+    };
+    let registry = QueryRegistry::new(limits, Guard::default(), Clock::start());
     let client = TestClient::connected();
     let AdmittedQuery {
         query_id,
@@ -273,3 +273,17 @@
         assert_eq!(events.iter().any(is_departure), is_gone);
     }
 }
+
+#[test]
+fn query_fails_if_there_is_no_memory_for_its_result() {
+    let limits = QueryMemoryLimits {
+        max_statement_bytes: 1 << 20,
+        max_answer_bytes: 1000,
+    };
+    let registry = QueryRegistry::new(limits, Guard::default(), Clock::start());
+    let client = TestClient::connected();
+    let AdmittedQuery { query_id, slot } = registry.admit(&REQUEST, client.handle()).unwrap();
+    assert!(registry.complete(query_id, vec![vec![b'x'; 2000]]));
+    assert!(matches!(slot.take(), Some(Answer::Failed)));
+    assert!(!registry.complete(query_id, Pages::new()));
+}
--- a/crates/dispatcher/tests/platform_limits/memory.rs
+++ b/crates/dispatcher/tests/platform_limits/memory.rs
@@ -2,17 +2,18 @@
 
 use crate::support::{config, EXE};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use tansymux_testbed::client::ClientQuery;
-use tansymux_testbed::engine::start_delayed_engine;
+use tansymux_testbed::engine::{start_delayed_engine, start_scripted_engine, write_result};
 use tansymux_testbed::program::{anonymous_memory_kb, Program, TempFile, TIMEOUT};
-use tansymux_testbed::wire::{read_response, HttpResponse};
+use tansymux_testbed::wire::{read_response, write_frame, HttpResponse};
 
 /// `limits.memory_mb` of the program under test.
 const MEMORY_MB: u64 = 16;
@@ -105,6 +106,68 @@
     assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} kB");
 }
 
+/// Rows of three short columns on each page of a large result: as JSON they take more than twice their size.
+const ROWS_PER_PAGE: usize = 1000;
+/// Number of pages of a large result.
+const PAGES: usize = 8;
+/// Clients that do not read their answers: more than the memory of the program has room for.
+const CLIENTS_THAT_DO_NOT_READ: u64 = 110;
+
+/// Starts an engine whose look-ups have large results, but for the query with this id.
+fn start_large_result_engine(id_of_small_result: &str) -> SocketAddr {
+    let id_of_small_result = id_of_small_result.to_owned();
+    let (engine, _requests) = start_scripted_engine(move |parts, to| {
+        let rows = "a\tb\tc\n".repeat(ROWS_PER_PAGE);
+        let id = &parts[1];
+        match parts[0].as_str() {
+            "fetch" if *id == id_of_small_result => write_result(to, id),
+            "fetch" => drop(write_frame(
+                to,
+                &[id, "DONE", &format!("batches={PAGES}"), &rows],
+            )),
+            "more" => drop(write_frame(
+                to,
+                &[id, "MORE", &format!("batch={}", parts[2]), &rows],
+            )),
+            _ => {}
+        }
+    });
+    engine
+}
+
+/// Sends look-ups on a connection on which the system accepts few bytes of answers, and reads none of them.
+fn send_without_reading(listen: SocketAddr, first_id: u64) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.set_tcp_mss(536).unwrap();
+    socket.connect(&listen.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    for id in first_id..first_id + 5 {
+        stream.write_all(&lookup(id)).unwrap();
+    }
+    stream
+}
+
+/// Guards against answers that their clients do not read, whose memory no limit counts.
+#[test]
+fn clients_that_do_not_read_their_answers_keep_the_program_within_its_memory_limit() {
+    let usual_id = 1;
+    let engine = start_large_result_engine(&format!("{usual_id:016x}"));
+    let limits = json!({"sockets": 256, "memory_mb": MEMORY_MB});
+    let config = config(&[engine]).with("limits", limits);
+    let program = Program::start(Path::new(EXE), &config, &[]);
+    let sampler = MemorySampler::start(program.child.id());
+    let clients = (1..=CLIENTS_THAT_DO_NOT_READ)
+        .map(|client| send_without_reading(program.listen, 1000 * client))
+        .collect::<Vec<_>>();
+    thread::sleep(Duration::from_secs(3));
+    // Another client is served.
+    assert_eq!(exchange(&program, &lookup(usual_id), 1), [200]);
+    drop(clients);
+    let peak_kb = sampler.stop();
+    assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} kB");
+}
+
 /// Queries of each kind by default; `TANSYMUX_QUERIES` sets another number for a run by hand.
 const DEFAULT_QUERIES: u64 = 2000;
 /// Requests of each kind in one batch.
