--- a/crates/sql-analysis/tests/hard_cases/comments.rs
+++ b/crates/sql-analysis/tests/hard_cases/comments.rs
@@ -4,7 +4,7 @@
 use crate::analyzer;
 use tansymux_sql_analysis::Effect;
 
-/// Maximum length of the texts that are tried completely.
+/// Maximum length of the texts: all texts up to it are generated.
 const MAX_LENGTH: u32 = 9;
 /// The characters of the texts.
 const ALPHABET: [u8; 3] = [b'/', b'*', b'a'];
